--- /dev/null
+++ b/src/pewtertack/__init__.py
@@ -0,0 +1,3 @@
+"""Pewtertack: configuration distribution for a service mesh on vanishing machines."""
+
+__version__ = "0.1.0"
--- /dev/null
+++ b/src/pewtertack/cli/__init__.py
@@ -0,0 +1,1 @@
+"""The command line."""
--- /dev/null
+++ b/src/pewtertack/core/configuration/__init__.py
@@ -0,0 +1,1 @@
+"""The operators' tree: parsing, validation, resolution and comparison."""
--- /dev/null
+++ b/src/pewtertack/core/configuration/resolved.py
@@ -0,0 +1,77 @@
+"""The resolved view of one revision for one zone: what a proxy serves by.
+
+All values are immutable. A request keeps the view that it began with.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Mapping
+from dataclasses import dataclass
+from enum import StrEnum
+
+from pewtertack.core.revision import RevisionId
+
+
+class WorkClass(StrEnum):
+    """Classes of requests, the most pressing first."""
+
+    URGENT = "urgent"
+    INTERACTIVE = "interactive"
+    BULK = "bulk"
+    BACKGROUND = "background"
+
+
+@dataclass(frozen=True, slots=True)
+class ResolvedService:
+    """How back ends of one service are used. Durations are in seconds."""
+
+    name: str
+    slots_per_backend: int
+    """Upper bound of the adaptive limit: concurrent requests of one proxy to one back end."""
+    connections_per_backend: int
+    connect_timeout: float
+    slow_start: float
+    """A back end seen for the first time takes its full share after this long."""
+    ejection_failures: int
+    """Consecutive failures after which a back end is ejected."""
+    ejection_time: float
+
+
+@dataclass(frozen=True, slots=True)
+class ResolvedRoute:
+    """One route with every inherited value filled in. Durations are in seconds."""
+
+    name: str
+    service: str
+    hosts: tuple[str, ...]
+    """Host names without port, in lower case; empty matches every host."""
+    path_prefix: str
+    methods: tuple[str, ...]
+    """Method names in upper case; empty matches every method."""
+    work_class: WorkClass
+    timeout: float
+    """Whole-request deadline when the caller sends none, and its upper bound."""
+    repeatable: bool
+    """Whether an attempt of unknown outcome may be repeated."""
+    retry_limit: int
+    retry_budget: float
+    """Retries allowed as a share of first attempts, for example 0.1."""
+    queue_limit: int
+    """Requests of this route which may wait for a back end on one node."""
+    header_secrets: Mapping[str, str]
+    """Header added to the request towards the back end -> name of a secret."""
+
+
+@dataclass(frozen=True, slots=True)
+class ResolvedConfiguration:
+    """All that a proxy in ``zone`` needs from one revision.
+
+    Every route's service is in ``services`` and every secret that a route names
+    is in ``secrets``: validation rejects the whole revision otherwise.
+    """
+
+    revision: RevisionId
+    zone: str
+    routes: tuple[ResolvedRoute, ...]
+    services: Mapping[str, ResolvedService]
+    secrets: Mapping[str, str]
--- /dev/null
+++ b/src/pewtertack/core/machines.py
@@ -0,0 +1,59 @@
+"""The platform's lagging list of machines: back ends and nodes, live or leaving."""
+
+from __future__ import annotations
+
+from collections.abc import Mapping
+from enum import StrEnum
+from typing import Any
+
+import msgspec
+
+
+class MachineState(StrEnum):
+    """What the platform says of one machine."""
+
+    LIVE = "live"
+    LEAVING = "leaving"
+
+
+class MachineRole(StrEnum):
+    """What runs on a machine."""
+
+    NODE = "node"
+    BACKEND = "backend"
+
+
+class Machine(msgspec.Struct, frozen=True):
+    """One machine of the list. ``address`` is ``ip:port``.
+
+    For a node the address is the peer address which it advertises; ``service``
+    is empty. For a back end it is the HTTP address and ``service`` its service.
+    """
+
+    name: str
+    role: MachineRole
+    zone: str
+    address: str
+    service: str = ""
+    state: MachineState = MachineState.LIVE
+    region: str = ""
+
+
+class MachineList(msgspec.Struct, frozen=True):
+    """One answer of the platform's list service."""
+
+    number: int
+    machines: tuple[Machine, ...]
+
+
+def machine_list_from_document(number: int, document: Mapping[str, Any]) -> MachineList:
+    """Read a list from its document form ``{name: {role, zone, address, ...}}``.
+
+    Raises:
+        msgspec.ValidationError: a machine lacks a key or has a wrong value.
+    """
+    machines = (
+        msgspec.convert({"name": name, **entry}, Machine)
+        for name, entry in sorted(document.items())
+    )
+    return MachineList(number, tuple(machines))
--- /dev/null
+++ b/src/pewtertack/core/membership/__init__.py
@@ -0,0 +1,1 @@
+"""Who is in the fleet: probes, suspicion, incarnations."""
--- /dev/null
+++ b/src/pewtertack/core/replication/__init__.py
@@ -0,0 +1,1 @@
+"""Which revision each replica holds and brings into force."""
--- /dev/null
+++ b/src/pewtertack/core/revision.py
@@ -0,0 +1,58 @@
+"""Revisions: the source's number for a tree, with a digest of the tree's content."""
+
+from __future__ import annotations
+
+import hashlib
+from collections.abc import Mapping
+from typing import Any, ClassVar
+
+import cbor2
+import msgspec
+
+from pewtertack.errors import CoordinationError
+
+DIGEST_BYTES = 16
+
+Document = Mapping[str, Any]
+"""A tree of JSON values: string keys; objects, arrays, strings, numbers, booleans."""
+
+
+class RevisionConflictError(CoordinationError):
+    """Two documents with different digests carry the same revision number."""
+
+    code: ClassVar[str] = "revision-conflict"
+
+
+class RevisionId(msgspec.Struct, frozen=True, array_like=True):
+    """One version of a document: the source's number and the digest of the content."""
+
+    number: int
+    digest: bytes
+
+    def __str__(self) -> str:
+        return f"{self.number}:{self.digest.hex()[:8]}"
+
+    def is_newer_than(self, other: RevisionId) -> bool:
+        """Tell whether this revision supersedes ``other``.
+
+        Raises:
+            RevisionConflictError: equal numbers with different digests.
+        """
+        if self.number == other.number and self.digest != other.digest:
+            raise RevisionConflictError(f"revision {self} and {other} share a number")
+        return self.number > other.number
+
+
+NO_REVISION = RevisionId(0, b"")
+"""Stands for "nothing yet"; the source's numbers start at 1."""
+
+
+def digest_of(document: Document) -> bytes:
+    """Return the digest of the canonical CBOR encoding of ``document``."""
+    encoded = cbor2.dumps(document, canonical=True)
+    return hashlib.blake2b(encoded, digest_size=DIGEST_BYTES).digest()
+
+
+def identify(number: int, document: Document) -> RevisionId:
+    """Return the revision id of ``document`` under the source's ``number``."""
+    return RevisionId(number, digest_of(document))
--- /dev/null
+++ b/src/pewtertack/errors.py
@@ -0,0 +1,57 @@
+"""The exception tree: every failure that pewtertack raises has a type of its own.
+
+Each package defines its errors below one of the branches here. ``code`` is the
+machine-readable name which command output, logs and HTTP answers carry.
+"""
+
+from __future__ import annotations
+
+from typing import ClassVar
+
+
+class PewtertackError(Exception):
+    """Base of every error raised by this library."""
+
+    code: ClassVar[str] = "pewtertack-error"
+
+
+class ConfigurationError(PewtertackError):
+    """The operators' tree cannot be read, parsed or accepted."""
+
+    code: ClassVar[str] = "configuration-error"
+
+
+class SettingsError(PewtertackError):
+    """A settings file or flag of a process is wrong."""
+
+    code: ClassVar[str] = "settings-error"
+
+
+class ProtocolError(PewtertackError):
+    """A frame from a peer is refused."""
+
+    code: ClassVar[str] = "protocol-error"
+
+
+class CoordinationError(PewtertackError):
+    """A coordination state machine was used against its contract."""
+
+    code: ClassVar[str] = "coordination-error"
+
+
+class PlatformError(PewtertackError):
+    """The configuration source or the machine list gave no usable answer."""
+
+    code: ClassVar[str] = "platform-error"
+
+
+class RequestError(PewtertackError):
+    """A caller's request ends without the back end's answer."""
+
+    code: ClassVar[str] = "request-error"
+
+
+class LabError(PewtertackError):
+    """A stand-in, scenario or measurement tool cannot do what it was asked."""
+
+    code: ClassVar[str] = "lab-error"
--- /dev/null
+++ b/src/pewtertack/node/__init__.py
@@ -0,0 +1,1 @@
+"""The daemon: sockets and tasks around the core and routing packages."""
--- /dev/null
+++ b/src/pewtertack/routing/__init__.py
@@ -0,0 +1,1 @@
+"""Decisions of the request path, without input or output."""
--- /dev/null
+++ b/src/pewtertack/wire/__init__.py
@@ -0,0 +1,1 @@
+"""Typed messages between nodes and their encoding."""
--- /dev/null
+++ b/src/pewtertack/wire/messages.py
@@ -0,0 +1,165 @@
+"""Typed messages between nodes.
+
+Every message is a msgspec struct encoded as a CBOR array whose first item is
+the message's tag. Messages are idempotent: versions only grow and membership
+updates are ordered by incarnation, so loss, repetition and reordering do no harm.
+"""
+
+from __future__ import annotations
+
+from enum import IntEnum
+from typing import Any
+
+import msgspec
+
+from pewtertack.core.delta import Delta
+from pewtertack.core.revision import RevisionId
+
+
+class DocumentKind(IntEnum):
+    """The two replicated documents."""
+
+    CONFIGURATION = 0
+    MACHINE_LIST = 1
+
+
+class MemberStatus(IntEnum):
+    """What a node believes of another. Higher values win within one incarnation."""
+
+    ALIVE = 0
+    SUSPECT = 1
+    LEAVING = 2
+    DEAD = 3
+
+
+class MemberUpdate(msgspec.Struct, frozen=True, array_like=True):
+    """A statement about one member, spread by piggyback.
+
+    ``incarnation`` is the start time of the process in milliseconds, raised by
+    the member itself to refute a suspicion or to outlive its predecessor.
+    """
+
+    name: str
+    address: str
+    zone: str
+    region: str
+    incarnation: int
+    status: MemberStatus
+
+
+class VersionState(msgspec.Struct, frozen=True, array_like=True):
+    """The versions that a node has; rides on every probe.
+
+    ``held`` is the newest configuration stored whole, ``committed`` the newest
+    known to be held by a quorum. ``serving`` is false while the node joins.
+    """
+
+    held: RevisionId
+    committed: RevisionId
+    machine_list: RevisionId
+    serving: bool
+
+
+class Ping(msgspec.Struct, frozen=True, array_like=True, tag=1):
+    """Direct probe; ``sequence`` comes back in the acknowledgement."""
+
+    sequence: int
+    state: VersionState
+    updates: tuple[MemberUpdate, ...] = ()
+
+
+class Acknowledge(msgspec.Struct, frozen=True, array_like=True, tag=2):
+    """Answer to a probe, direct or relayed."""
+
+    sequence: int
+    state: VersionState
+    updates: tuple[MemberUpdate, ...] = ()
+
+
+class PingRequest(msgspec.Struct, frozen=True, array_like=True, tag=3):
+    """Ask a third member to probe ``target`` on the sender's behalf."""
+
+    sequence: int
+    target: str
+
+
+class IndirectAcknowledge(msgspec.Struct, frozen=True, array_like=True, tag=4):
+    """Tell the requester of an indirect probe that ``target`` answered."""
+
+    sequence: int
+    target: str
+
+
+class Announce(msgspec.Struct, frozen=True, array_like=True, tag=5):
+    """Eager notice of new versions, sent to a bounded number of peers.
+
+    ``delta`` carries the newest configuration edit inline when it is small and
+    the profile allows it.
+    """
+
+    state: VersionState
+    delta: Delta | None = None
+
+
+class Pull(msgspec.Struct, frozen=True, array_like=True, tag=6):
+    """Ask for everything after ``have`` of one document."""
+
+    kind: DocumentKind
+    have: RevisionId
+
+
+class DeltaAnswer(msgspec.Struct, frozen=True, array_like=True, tag=7):
+    """Deltas, oldest first, that lead from the puller's revision to the sender's."""
+
+    kind: DocumentKind
+    deltas: tuple[Delta, ...]
+
+
+class SnapshotAnswer(msgspec.Struct, frozen=True, array_like=True, tag=8):
+    """A whole document, for a joiner or a node too far behind."""
+
+    kind: DocumentKind
+    revision: RevisionId
+    document: dict[str, Any]
+
+
+class Busy(msgspec.Struct, frozen=True, array_like=True, tag=9):
+    """The sender serves as many snapshots as it may; pull again after this long."""
+
+    kind: DocumentKind
+    retry_after_milliseconds: int
+
+
+class HeldReport(msgspec.Struct, frozen=True, array_like=True, tag=10):
+    """Tell a commit coordinator that the sender holds ``revision``."""
+
+    revision: RevisionId
+
+
+class JoinRequest(msgspec.Struct, frozen=True, array_like=True, tag=11):
+    """A starting or woken node asks a peer for versions and members."""
+
+    member: MemberUpdate
+
+
+class JoinAnswer(msgspec.Struct, frozen=True, array_like=True, tag=12):
+    """Versions of the answering peer and the members it knows."""
+
+    state: VersionState
+    members: tuple[MemberUpdate, ...]
+
+
+Message = (
+    Ping
+    | Acknowledge
+    | PingRequest
+    | IndirectAcknowledge
+    | Announce
+    | Pull
+    | DeltaAnswer
+    | SnapshotAnswer
+    | Busy
+    | HeldReport
+    | JoinRequest
+    | JoinAnswer
+)
--- /dev/null
+++ b/tools/run_tests.py
@@ -0,0 +1,63 @@
+"""Run the unittest suite and end with one line: ``N passed, N failed``.
+
+Tests named in KNOWN-RED.txt (``test id: cause: issue``) run like any other;
+their failures are printed but do not fail the run. Three entries at most.
+"""
+
+from __future__ import annotations
+
+import sys
+import unittest
+from pathlib import Path
+
+REPOSITORY = Path(__file__).resolve().parent.parent
+KNOWN_RED_FILE = REPOSITORY / "KNOWN-RED.txt"
+KNOWN_RED_LIMIT = 3
+
+
+def read_known_red() -> list[str]:
+    """Return the test ids that KNOWN-RED.txt lists, in the file's order."""
+    if not KNOWN_RED_FILE.exists():
+        return []
+    lines = KNOWN_RED_FILE.read_text().splitlines()
+    entries = [line for line in lines if line.strip() and not line.startswith("#")]
+    return [line.split(":")[0].strip() for line in entries]
+
+
+def failed_test_ids(result: unittest.TestResult) -> set[str]:
+    """Return the ids of all tests that failed, errored or passed unexpectedly."""
+    outcomes = result.failures + result.errors
+    ids = {_whole_test_id(test) for test, _ in outcomes}
+    return ids | {test.id() for test in result.unexpectedSuccesses}
+
+
+def _whole_test_id(test: unittest.TestCase) -> str:
+    """Return the id of the test method, also for a failure inside a subtest."""
+    return getattr(test, "test_case", test).id()
+
+
+def main() -> int:
+    """Run every test below ``tests`` and return the process exit code."""
+    known_red = read_known_red()
+    if len(known_red) > KNOWN_RED_LIMIT:
+        print(f"KNOWN-RED.txt holds {len(known_red)} entries; {KNOWN_RED_LIMIT} are allowed")
+        return 1
+    suite = unittest.defaultTestLoader.discover(
+        str(REPOSITORY / "tests"), top_level_dir=str(REPOSITORY)
+    )
+    result = unittest.TextTestRunner(verbosity=1).run(suite)
+    failed = failed_test_ids(result)
+    excused = failed & set(known_red)
+    for test_id in sorted(excused):
+        print(f"known red: {test_id}")
+    skipped = len(result.skipped)
+    passed = result.testsRun - skipped - len(failed)
+    counted = len(failed - excused)
+    print(
+        f"{max(passed, 0)} passed, {counted} failed" + (f", {skipped} skipped" if skipped else "")
+    )
+    return 1 if counted or passed < 1 else 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
