--- /dev/null
+++ b/src/pewtertack/core/configuration/findings.py
@@ -0,0 +1,90 @@
+"""What validation reports, and the error that carries it."""
+
+from __future__ import annotations
+
+from collections.abc import Sequence
+from dataclasses import dataclass
+from enum import Enum
+from typing import ClassVar
+
+from pewtertack.errors import ConfigurationError
+
+Path = tuple[str, ...]
+
+
+class FindingCode(Enum):
+    """Kinds of findings: the name that reports carry, and its meaning."""
+
+    EMPTY_TREE = ("empty-tree", "The tree holds neither a route nor a service.")
+    NOT_A_TABLE = ("not-a-table", "A table is expected here.")
+    TOO_DEEP = ("too-deep", "Tables or lists are nested deeper than any setting is.")
+    TOO_LARGE = ("too-large", "The tree, a string or a list is larger than allowed.")
+    NON_STRING_KEY = ("non-string-key", "A key is not a string.")
+    UNSUPPORTED_VALUE = (
+        "unsupported-value",
+        "A value is not a table, list, string, number or boolean that JSON can carry.",
+    )
+    NOT_FINITE = ("not-finite", "A number is infinite or not a number.")
+    UNKNOWN_KEY = ("unknown-key", "No such setting or section here.")
+    WRONG_TYPE = ("wrong-type", "The value has another type than the setting.")
+    WRONG_UNIT = ("wrong-unit", "A duration lacks its unit or has an unknown one.")
+    OUT_OF_RANGE = ("out-of-range", "A number or duration is outside its bounds.")
+    UNKNOWN_CHOICE = ("unknown-choice", "The value is none of the listed ones.")
+    BAD_NAME = ("bad-name", "A zone, service, route or secret has a name that is not allowed.")
+    BAD_HOST = ("bad-host", "Not a host name without port.")
+    BAD_PATH = ("bad-path", "Not a path prefix in normal form.")
+    BAD_HEADER = ("bad-header", "Not a header name in lower case.")
+    RESERVED_HEADER = ("reserved-header", "HTTP or the node itself sets this header.")
+    BAD_SECRET = ("bad-secret", "A secret cannot be sent as the value of a header.")
+    DUPLICATE_ITEM = ("duplicate-item", "A list names the same item twice.")
+    MISSING_SETTING = ("missing-setting", "A route lacks a setting that has no default.")
+    MISSING_SERVICE = ("missing-service", "A route points at a service that its scope lacks.")
+    MISSING_SECRET = ("missing-secret", "A route names a secret that its scope lacks.")
+    IDENTICAL_MATCH = ("identical-match", "Two routes match the same requests.")
+    BAD_DELETE_TARGET = ("bad-delete-target", "Not a path below one of the root's sections.")
+    UNKNOWN_DELETE_TARGET = ("unknown-delete-target", "The root has nothing at this path.")
+
+    def __init__(self, label: str, meaning: str) -> None:
+        self.label = label
+        self.meaning = meaning
+
+
+@dataclass(frozen=True, slots=True)
+class Finding:
+    """One reason to refuse a tree. Never holds the value of a secret.
+
+    ``zone`` names the zone in whose resolved view the rule is broken; it is None
+    for the root's view and for findings about the tree as it is written.
+    """
+
+    code: FindingCode
+    path: Path
+    message: str
+    accepted: str = ""
+    zone: str | None = None
+
+    @property
+    def place(self) -> str:
+        """The path in the tree, joined by dots; ``(root)`` for the tree itself."""
+        return ".".join(self.path) or "(root)"
+
+    def __str__(self) -> str:
+        scope = f" [in zone {self.zone}]" if self.zone else ""
+        accepted = f"; accepted: {self.accepted}" if self.accepted else ""
+        return f"{self.place}: {self.code.label}: {self.message}{accepted}{scope}"
+
+
+class TreeRejectedError(ConfigurationError):
+    """A tree breaks at least one rule and is refused whole; ``findings`` say which."""
+
+    code: ClassVar[str] = "tree-rejected"
+
+    def __init__(self, findings: Sequence[Finding]) -> None:
+        super().__init__(f"{len(findings)} findings, first: {findings[0]}")
+        self.findings = tuple(findings)
+
+
+class UnknownRouteError(ConfigurationError):
+    """A route that was asked about does not exist in the zone."""
+
+    code: ClassVar[str] = "unknown-route"
--- /dev/null
+++ b/src/pewtertack/core/configuration/model.py
@@ -0,0 +1,262 @@
+"""The definition of every setting of the tree: name, kind, bounds, default, meaning.
+
+Validation, resolution, the published schema and the operators' table all read
+these definitions; nothing else lists the settings.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Mapping
+from dataclasses import dataclass
+from enum import StrEnum
+from typing import Any
+
+from pewtertack.core.configuration.resolved import WorkClass
+
+NAME_PATTERN = "[a-z0-9][a-z0-9_-]{0,62}"
+"""Names of zones, services, routes and secrets; without dots, so that paths are unambiguous."""
+
+_HOST_LABEL = "[A-Za-z0-9](?:[A-Za-z0-9-]{0,61}[A-Za-z0-9])?"
+HOST_PATTERN = rf"{_HOST_LABEL}(?:\.{_HOST_LABEL})*"
+HOST_LENGTH_LIMIT = 253
+PATH_PREFIX_PATTERN = r"/|(?:/(?!\.\.?(?:/|$))[A-Za-z0-9._~!$&'()*+,;=:@-]+)+"
+PATH_LENGTH_LIMIT = 1024
+HEADER_PATTERN = "[a-z0-9][a-z0-9-]{0,62}"
+SECRET_PATTERN = r"[!-~](?:[ -~]*[!-~])?"
+SECRET_LENGTH_LIMIT = 4096
+DURATION_PATTERN = r"([0-9]{1,9}(?:\.[0-9]{1,3})?)(ms|s|m|h)"
+DURATION_UNITS: Mapping[str, float] = {"ms": 0.001, "s": 1.0, "m": 60.0, "h": 3600.0}
+LIST_LENGTH_LIMIT = 64
+METHODS = ("GET", "HEAD", "POST", "PUT", "PATCH", "DELETE", "OPTIONS")
+
+RESERVED_HEADERS = frozenset(
+    {
+        "connection",
+        "content-length",
+        "expect",
+        "host",
+        "keep-alive",
+        "proxy-connection",
+        "te",
+        "trailer",
+        "transfer-encoding",
+        "upgrade",
+        "x-deadline-ms",
+        "x-outcome",
+        "x-request-id",
+    }
+)
+"""Headers which HTTP or the node itself sets; a secret must not replace them."""
+
+
+class ValueKind(StrEnum):
+    """What a setting's value looks like in the tree."""
+
+    DURATION = "duration"
+    INTEGER = "integer"
+    RATIO = "ratio"
+    BOOLEAN = "boolean"
+    CHOICE = "choice"
+    NAME = "name"
+    PATH_PREFIX = "path prefix"
+    HOSTS = "list of host names"
+    METHODS = "list of methods"
+    HEADER_SECRETS = "table of header to secret"
+
+
+@dataclass(frozen=True, slots=True)
+class Setting:
+    """One setting. ``minimum`` and ``maximum`` are inclusive, for durations in seconds.
+
+    ``default`` is written as in the tree; None marks a setting without default,
+    which a route must be given.
+    """
+
+    name: str
+    kind: ValueKind
+    default: Any
+    meaning: str
+    minimum: float = 0
+    maximum: float = 0
+    choices: tuple[str, ...] = ()
+
+    @property
+    def accepted(self) -> str:
+        """Describe the accepted values for operators."""
+        return _ACCEPTED[self.kind].format(
+            low=_format_bound(self, self.minimum),
+            high=_format_bound(self, self.maximum),
+            choices=", ".join(self.choices),
+        )
+
+
+_ACCEPTED: Mapping[ValueKind, str] = {
+    ValueKind.DURATION: 'a string with a unit (ms, s, m or h), "{low}" to "{high}"',
+    ValueKind.INTEGER: "a whole number, {low} to {high}",
+    ValueKind.RATIO: "a number, {low} to {high}",
+    ValueKind.BOOLEAN: "true or false",
+    ValueKind.CHOICE: "one of {choices}",
+    ValueKind.NAME: "a name: a-z, 0-9, - and _, at most 63 characters",
+    ValueKind.PATH_PREFIX: 'a path that starts with "/", without empty, "." or ".." segments,'
+    ' query or final "/"',
+    ValueKind.HOSTS: f"a list of at most {LIST_LENGTH_LIMIT} different host names without port",
+    ValueKind.METHODS: "a list of different methods out of {choices}",
+    ValueKind.HEADER_SECRETS: "a table of header name in lower case to name of a secret",
+}
+
+
+def _format_bound(setting: Setting, bound: float) -> str:
+    if setting.kind is not ValueKind.DURATION:
+        return f"{bound:g}"
+    if bound == 0:
+        return "0s"
+    for unit in ("h", "m", "s"):
+        if bound % DURATION_UNITS[unit] == 0:
+            return f"{bound / DURATION_UNITS[unit]:g}{unit}"
+    return f"{bound / DURATION_UNITS['ms']:g}ms"
+
+
+_MATCH_SETTINGS = (
+    Setting("service", ValueKind.NAME, None, "Service whose back ends answer."),
+    Setting("hosts", ValueKind.HOSTS, [], "Host names that match; empty matches every host."),
+    Setting("path_prefix", ValueKind.PATH_PREFIX, "/", "Path below which requests match."),
+    Setting(
+        "methods",
+        ValueKind.METHODS,
+        [],
+        "Methods that match; empty matches every method.",
+        choices=METHODS,
+    ),
+)
+
+_INHERITED_ROUTE_SETTINGS = (
+    Setting(
+        "class",
+        ValueKind.CHOICE,
+        WorkClass.INTERACTIVE.value,
+        "Class of work; the most pressing class is served first.",
+        choices=tuple(work_class.value for work_class in WorkClass),
+    ),
+    Setting(
+        "timeout",
+        ValueKind.DURATION,
+        "10s",
+        "Whole-request deadline when the caller sends none, and its upper bound.",
+        minimum=0.001,
+        maximum=3600,
+    ),
+    Setting(
+        "repeatable",
+        ValueKind.BOOLEAN,
+        False,
+        "Whether an attempt of unknown outcome may be repeated.",
+    ),
+    Setting(
+        "retry_limit",
+        ValueKind.INTEGER,
+        1,
+        "Further attempts for one request at most.",
+        maximum=10,
+    ),
+    Setting(
+        "retry_budget",
+        ValueKind.RATIO,
+        0.1,
+        "Retries allowed as a share of first attempts.",
+        maximum=1,
+    ),
+    Setting(
+        "queue_limit",
+        ValueKind.INTEGER,
+        32,
+        "Requests of the route that may wait for a back end on one node.",
+        maximum=10_000,
+    ),
+    Setting(
+        "header_secrets",
+        ValueKind.HEADER_SECRETS,
+        {},
+        "Headers added towards the back end, each with the name of the secret to send.",
+    ),
+)
+
+_SERVICE_SETTINGS = (
+    Setting(
+        "slots_per_backend",
+        ValueKind.INTEGER,
+        6,
+        "Requests that one node has in flight at one back end at most.",
+        minimum=1,
+        maximum=10_000,
+    ),
+    Setting(
+        "connections_per_backend",
+        ValueKind.INTEGER,
+        8,
+        "Connections that one node keeps to one back end at most.",
+        minimum=1,
+        maximum=10_000,
+    ),
+    Setting(
+        "connect_timeout",
+        ValueKind.DURATION,
+        "250ms",
+        "Time to open a connection to a back end.",
+        minimum=0.001,
+        maximum=60,
+    ),
+    Setting(
+        "slow_start",
+        ValueKind.DURATION,
+        "10s",
+        "Time after which a new back end takes its full share.",
+        maximum=3600,
+    ),
+    Setting(
+        "ejection_failures",
+        ValueKind.INTEGER,
+        5,
+        "Consecutive failures after which a back end is ejected.",
+        minimum=1,
+        maximum=1_000,
+    ),
+    Setting(
+        "ejection_time",
+        ValueKind.DURATION,
+        "10s",
+        "Time for which an ejected back end gets no work.",
+        minimum=0.001,
+        maximum=3600,
+    ),
+)
+
+
+def _by_name(settings: tuple[Setting, ...]) -> Mapping[str, Setting]:
+    return {setting.name: setting for setting in settings}
+
+
+ROUTE_DEFAULT_SETTINGS = _by_name(_INHERITED_ROUTE_SETTINGS)
+"""What ``route_defaults`` may hold: everything of a route but what makes it match."""
+
+ROUTE_SETTINGS = _by_name(_MATCH_SETTINGS + _INHERITED_ROUTE_SETTINGS)
+"""What a route may hold."""
+
+SERVICE_SETTINGS = _by_name(_SERVICE_SETTINGS)
+"""What ``service_defaults`` and, beside ``route_defaults``, a service may hold."""
+
+
+class Section(StrEnum):
+    """Keys of the root and of a zone."""
+
+    ROUTE_DEFAULTS = "route_defaults"
+    SERVICE_DEFAULTS = "service_defaults"
+    SECRETS = "secrets"
+    SERVICES = "services"
+    ROUTES = "routes"
+
+
+ZONES = "zones"
+"""Key of the root: table of zone name to the zone's sections."""
+
+DELETE = "delete"
+"""Key of a zone: list of paths of the root's sections that the zone does not inherit."""
--- /dev/null
+++ b/src/pewtertack/core/configuration/resolution.py
@@ -0,0 +1,81 @@
+"""Resolution of a valid tree for one zone."""
+
+from __future__ import annotations
+
+from collections.abc import Mapping
+from types import MappingProxyType
+from typing import Any
+
+from pewtertack.core.configuration.findings import TreeRejectedError
+from pewtertack.core.configuration.resolved import (
+    ResolvedConfiguration,
+    ResolvedRoute,
+    ResolvedService,
+    WorkClass,
+)
+from pewtertack.core.configuration.scopes import Scope, merge
+from pewtertack.core.configuration.validation import check_document
+from pewtertack.core.configuration.values import duration_seconds
+from pewtertack.core.revision import Document, RevisionId
+
+
+def resolve_document(document: Document, revision: RevisionId, zone: str) -> ResolvedConfiguration:
+    """Return what a proxy in ``zone`` serves by; a zone not in the tree gets the root's view.
+
+    Raises:
+        TreeRejectedError: the document is not valid.
+    """
+    findings = check_document(document)
+    if findings:
+        raise TreeRejectedError(findings)
+    return resolve_checked(document, revision, zone)
+
+
+def resolve_checked(document: Document, revision: RevisionId, zone: str) -> ResolvedConfiguration:
+    """Resolve a document for which ``check_document`` found nothing."""
+    scope = Scope(document, zone)
+    services = {name: _resolve_service(scope, name) for name in scope.service_names()}
+    return ResolvedConfiguration(
+        revision=revision,
+        zone=zone,
+        routes=tuple(_resolve_route(scope, name) for name in scope.route_names()),
+        services=MappingProxyType(services),
+        secrets=MappingProxyType(scope.secrets()),
+    )
+
+
+def _resolve_service(scope: Scope, name: str) -> ResolvedService:
+    values = merge(scope.service_layers(name))
+    return ResolvedService(
+        name=name,
+        slots_per_backend=values["slots_per_backend"],
+        connections_per_backend=values["connections_per_backend"],
+        connect_timeout=_seconds(values, "connect_timeout"),
+        slow_start=_seconds(values, "slow_start"),
+        ejection_failures=values["ejection_failures"],
+        ejection_time=_seconds(values, "ejection_time"),
+    )
+
+
+def _resolve_route(scope: Scope, name: str) -> ResolvedRoute:
+    values = merge(scope.route_layers(name))
+    return ResolvedRoute(
+        name=name,
+        service=values["service"],
+        hosts=tuple(host.lower() for host in values["hosts"]),
+        path_prefix=values["path_prefix"],
+        methods=tuple(values["methods"]),
+        work_class=WorkClass(values["class"]),
+        timeout=_seconds(values, "timeout"),
+        repeatable=values["repeatable"],
+        retry_limit=values["retry_limit"],
+        retry_budget=float(values["retry_budget"]),
+        queue_limit=values["queue_limit"],
+        header_secrets=MappingProxyType(dict(values["header_secrets"])),
+    )
+
+
+def _seconds(values: Mapping[str, Any], setting: str) -> float:
+    seconds = duration_seconds(values[setting])
+    assert seconds is not None, f"validation let {setting} pass"
+    return seconds
--- /dev/null
+++ b/src/pewtertack/core/configuration/structure.py
@@ -0,0 +1,211 @@
+"""Checks a tree as it is written: plain values, known keys, types, bounds and names.
+
+Nothing here looks at inheritance; ``scopes`` and ``validation`` do.
+"""
+
+from __future__ import annotations
+
+import math
+from collections.abc import Callable, Iterator, Mapping, Sequence
+from functools import partial
+from typing import Any
+
+from pewtertack.core.configuration.deletion import check_delete_list
+from pewtertack.core.configuration.findings import Finding, FindingCode, Path
+from pewtertack.core.configuration.model import (
+    DELETE,
+    ROUTE_DEFAULT_SETTINGS,
+    ROUTE_SETTINGS,
+    SERVICE_SETTINGS,
+    ZONES,
+    Section,
+    Setting,
+)
+from pewtertack.core.configuration.values import (
+    check_secret,
+    check_value,
+    is_name,
+    kind_of,
+    shown,
+)
+
+DEPTH_LIMIT = 8
+"""Nesting of tables and lists; the deepest table of a valid tree stands at depth 6."""
+
+VALUE_COUNT_LIMIT = 100_000
+"""Tables, lists and plain values in one tree."""
+
+STRING_LENGTH_LIMIT = 4096
+INTEGER_LIMIT = 2**63
+"""Integers beyond 64 bits do not survive every codec."""
+
+Table = dict[str, Any]
+
+NAME_ACCEPTED = "a-z, 0-9, - and _, at most 63 characters, the first a letter or digit"
+
+
+def check_plain(document: Any) -> Iterator[Finding]:
+    """Yield what in ``document`` is no JSON value, or larger or deeper than allowed.
+
+    Ends early when the tree is too large; safe for any nesting.
+    """
+    pending: list[tuple[Any, Path]] = [(document, ())]
+    count = 0
+    while pending:
+        value, path = pending.pop()
+        count += 1
+        if count > VALUE_COUNT_LIMIT:
+            limit = f"at most {VALUE_COUNT_LIMIT} values"
+            yield Finding(FindingCode.TOO_LARGE, (), "too many values", limit)
+            return
+        if not isinstance(value, dict | list | tuple):
+            yield from _check_plain_value(value, path)
+        elif len(path) >= DEPTH_LIMIT:
+            limit = f"at most {DEPTH_LIMIT} levels"
+            yield Finding(FindingCode.TOO_DEEP, path, "nested too deep", limit)
+        elif isinstance(value, dict):
+            for key, child in value.items():
+                finding = _check_key(key, path)
+                if finding is not None:
+                    yield finding
+                else:
+                    pending.append((child, (*path, key)))
+        else:
+            pending.extend((child, (*path, str(index))) for index, child in enumerate(value))
+
+
+def _check_key(key: Any, path: Path) -> Finding | None:
+    if not isinstance(key, str):
+        return Finding(FindingCode.NON_STRING_KEY, path, f"a key of type {type(key).__name__}")
+    if len(key) > STRING_LENGTH_LIMIT:
+        return Finding(FindingCode.TOO_LARGE, path, f"a key of {len(key)} characters")
+    if not _is_unicode(key):
+        return Finding(FindingCode.UNSUPPORTED_VALUE, path, "a key that is no valid Unicode")
+    return None
+
+
+def _check_plain_value(value: Any, path: Path) -> Iterator[Finding]:
+    if isinstance(value, str):
+        if len(value) > STRING_LENGTH_LIMIT:
+            limit = f"at most {STRING_LENGTH_LIMIT} characters"
+            yield Finding(FindingCode.TOO_LARGE, path, f"{len(value)} characters", limit)
+        elif not _is_unicode(value):
+            yield Finding(FindingCode.UNSUPPORTED_VALUE, path, "no valid Unicode")
+    elif isinstance(value, float):
+        if not math.isfinite(value):
+            yield Finding(FindingCode.NOT_FINITE, path, "not a finite number")
+    elif isinstance(value, int):
+        if not -INTEGER_LIMIT <= value < INTEGER_LIMIT:
+            yield Finding(FindingCode.OUT_OF_RANGE, path, "does not fit into 64 bits")
+    else:
+        message = f"a value of type {type(value).__name__}"
+        yield Finding(FindingCode.UNSUPPORTED_VALUE, path, message)
+
+
+def _is_unicode(text: str) -> bool:
+    if text.isascii():
+        return True
+    try:
+        text.encode()
+    except UnicodeEncodeError:
+        return False
+    return True
+
+
+def check_structure(document: Mapping[str, Any]) -> Iterator[Finding]:
+    """Yield every unknown key and wrong value of ``document``, which ``check_plain`` passed."""
+    for key, value in document.items():
+        if key == ZONES:
+            yield from _check_named_tables(value, (ZONES,), partial(_check_zone, document))
+        else:
+            yield from _check_section(key, value, ())
+
+
+def _check_zone(root: Mapping[str, Any], zone: Table, path: Path) -> Iterator[Finding]:
+    for key, value in zone.items():
+        if key == DELETE:
+            yield from check_delete_list(value, root, (*path, DELETE))
+        else:
+            yield from _check_section(key, value, path)
+
+
+def _check_section(key: str, value: Any, scope: Path) -> Iterator[Finding]:
+    path = (*scope, key)
+    if key == Section.ROUTE_DEFAULTS:
+        yield from _check_settings(ROUTE_DEFAULT_SETTINGS, value, path)
+    elif key == Section.SERVICE_DEFAULTS:
+        yield from _check_settings(SERVICE_SETTINGS, value, path)
+    elif key == Section.SECRETS:
+        yield from _check_secrets(value, path)
+    elif key == Section.SERVICES:
+        yield from _check_named_tables(value, path, _check_service)
+    elif key == Section.ROUTES:
+        yield from _check_named_tables(value, path, partial(_check_settings, ROUTE_SETTINGS))
+    else:
+        known = [section.value for section in Section]
+        known.append(DELETE if scope else ZONES)
+        yield _unknown_key(path, known)
+
+
+def _check_named_tables(
+    value: Any, path: Path, check_table: Callable[[Table, Path], Iterator[Finding]]
+) -> Iterator[Finding]:
+    """Check a table whose keys are names chosen by operators and whose values are tables."""
+    if not isinstance(value, dict):
+        yield _not_a_table(value, path)
+        return
+    for name, table in value.items():
+        here = (*path, name)
+        if not is_name(name):
+            yield _bad_name(here)
+        if isinstance(table, dict):
+            yield from check_table(table, here)
+        else:
+            yield _not_a_table(table, here)
+
+
+def _check_service(service: Table, path: Path) -> Iterator[Finding]:
+    own = {key: value for key, value in service.items() if key != Section.ROUTE_DEFAULTS}
+    yield from _check_settings(SERVICE_SETTINGS, own, path, also=Section.ROUTE_DEFAULTS)
+    if Section.ROUTE_DEFAULTS in service:
+        defaults_path = (*path, Section.ROUTE_DEFAULTS.value)
+        defaults = service[Section.ROUTE_DEFAULTS]
+        yield from _check_settings(ROUTE_DEFAULT_SETTINGS, defaults, defaults_path)
+
+
+def _check_settings(
+    settings: Mapping[str, Setting], value: Any, path: Path, *, also: str = ""
+) -> Iterator[Finding]:
+    if not isinstance(value, dict):
+        yield _not_a_table(value, path)
+        return
+    for key, item in value.items():
+        here = (*path, key)
+        if key in settings:
+            yield from check_value(settings[key], item, here)
+        else:
+            yield _unknown_key(here, [*settings, *([also] if also else [])])
+
+
+def _check_secrets(value: Any, path: Path) -> Iterator[Finding]:
+    if not isinstance(value, dict):
+        yield _not_a_table(value, path)
+        return
+    for name, secret in value.items():
+        here = (*path, name)
+        if not is_name(name):
+            yield _bad_name(here)
+        yield from check_secret(secret, here)
+
+
+def _not_a_table(value: Any, path: Path) -> Finding:
+    return Finding(FindingCode.NOT_A_TABLE, path, f"{kind_of(value)} instead of a table")
+
+
+def _bad_name(path: Path) -> Finding:
+    return Finding(FindingCode.BAD_NAME, path, f"{shown(path[-1])} is not a name", NAME_ACCEPTED)
+
+
+def _unknown_key(path: Path, known: Sequence[str]) -> Finding:
+    accepted = "one of " + ", ".join(known)
+    return Finding(FindingCode.UNKNOWN_KEY, path, f"{shown(path[-1])} is not known here", accepted)
--- /dev/null
+++ b/src/pewtertack/core/configuration/validation.py
@@ -0,0 +1,114 @@
+"""Validation of a whole tree: as it is written, and as every scope resolves it.
+
+The verdict is a pure function of the document, so that every replica reaches
+the same one alone. Any finding refuses the whole tree.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Iterator, Mapping
+from typing import Any
+
+from pewtertack.core.configuration.findings import Finding, FindingCode
+from pewtertack.core.configuration.model import ZONES, Section
+from pewtertack.core.configuration.scopes import Layers, Scope, merge, scopes_of, winning_path
+from pewtertack.core.configuration.structure import check_plain, check_structure
+from pewtertack.core.configuration.values import kind_of
+from pewtertack.core.revision import Document
+
+ANY = "*"
+"""Stands in a match for every host or every method."""
+
+
+def check_document(document: Document) -> tuple[Finding, ...]:
+    """Return all findings of the first stage that has any; empty for a valid tree.
+
+    The stages are: plain values, structure, resolved scopes. Accepts any value
+    that a JSON, TOML or CBOR decoder yields and never raises on one.
+    """
+    plain: Any = dict(document) if isinstance(document, Mapping) else document
+    if not isinstance(plain, dict):
+        message = f"{kind_of(plain)} instead of a table"
+        return (Finding(FindingCode.NOT_A_TABLE, (), message),)
+    for stage in (check_plain, check_structure, _check_not_empty, _check_scopes):
+        findings = tuple(stage(plain))
+        if findings:
+            return findings
+    return ()
+
+
+def _check_not_empty(document: Document) -> Iterator[Finding]:
+    tables = [document, *document.get(ZONES, {}).values()]
+    if not any(table.get(Section.ROUTES) or table.get(Section.SERVICES) for table in tables):
+        message = "neither a route nor a service"
+        yield Finding(FindingCode.EMPTY_TREE, (), message, "at least one route or service")
+
+
+def _check_scopes(document: Document) -> Iterator[Finding]:
+    """Yield what is broken in any scope; a zone's finding only where the root lacks it."""
+    reported: set[tuple[FindingCode, tuple[str, ...], str]] = set()
+    for scope in scopes_of(document):
+        for finding in _check_scope(scope):
+            key = (finding.code, finding.path, finding.message)
+            if key not in reported:
+                reported.add(key)
+                yield finding
+
+
+def _check_scope(scope: Scope) -> Iterator[Finding]:
+    services = frozenset(scope.service_names())
+    secrets = scope.secrets()
+    matches: dict[tuple[str, str, str], str] = {}
+    for name in scope.route_names():
+        layers = scope.route_layers(name)
+        values = merge(layers)
+        yield from _check_service(scope, name, layers, values, services)
+        yield from _check_secrets(scope, layers, values, secrets)
+        yield from _check_match(scope, name, layers, values, matches)
+
+
+def _check_service(
+    scope: Scope, name: str, layers: Layers, values: Mapping[str, Any], services: frozenset[str]
+) -> Iterator[Finding]:
+    service = values.get("service")
+    if service is None:
+        path = (*layers[-1].path, "service")
+        message = f"route {name} names no service"
+        yield Finding(FindingCode.MISSING_SETTING, path, message, zone=scope.zone)
+    elif service not in services:
+        path = winning_path(layers, "service")
+        message = f"there is no service {service}"
+        accepted = "one of " + ", ".join(sorted(services)[:20]) if services else ""
+        yield Finding(FindingCode.MISSING_SERVICE, path, message, accepted, scope.zone)
+
+
+def _check_secrets(
+    scope: Scope, layers: Layers, values: Mapping[str, Any], secrets: Mapping[str, str]
+) -> Iterator[Finding]:
+    for header, secret in values["header_secrets"].items():
+        if secret not in secrets:
+            path = (*winning_path(layers, "header_secrets"), header)
+            message = f"there is no secret {secret}"
+            yield Finding(FindingCode.MISSING_SECRET, path, message, zone=scope.zone)
+
+
+def _check_match(
+    scope: Scope,
+    name: str,
+    layers: Layers,
+    values: Mapping[str, Any],
+    matches: dict[tuple[str, str, str], str],
+) -> Iterator[Finding]:
+    """Yield a finding when another route matches the same host, path and method alike."""
+    rivals = set()
+    for host in values["hosts"] or (ANY,):
+        for method in values["methods"] or (ANY,):
+            key = (host.lower(), values["path_prefix"], method)
+            rival = matches.setdefault(key, name)
+            if rival != name:
+                rivals.add(rival)
+    for rival in sorted(rivals):
+        path = layers[-1].path
+        message = f"matches what route {rival} matches"
+        accepted = "routes that differ in host, path_prefix or method"
+        yield Finding(FindingCode.IDENTICAL_MATCH, path, message, accepted, scope.zone)
