Coordination core: membership, replication, commit by quorum, join and wake

What for: the state machines that daemon, hollow nodes and simulation share.

Weighed: an elected leader (the source already orders changes, so nodes need to agree on a maximum only); fixed custodians a zone (their death takes an accepted revision away while the source is stale); aggregation of acknowledgements along a tree (views differ under churn). Chosen: every holder reports to two coordinators found by hashing; a majority of all members, the unreachable but listed ones included, commits. Reports count for exactly one number and digest: counting holders of newer revisions for older ones would let two digests of one number both be committed.

--- /dev/null
+++ b/src/pewtertack/core/membership/service.py
@@ -0,0 +1,195 @@
+"""Membership: the table, the detector and the spread of updates, for one node."""
+
+from __future__ import annotations
+
+from random import Random
+
+import msgspec
+
+from pewtertack.core.effects import Effect, Log, Send
+from pewtertack.core.identity import NodeIdentity
+from pewtertack.core.machines import Machine
+from pewtertack.core.membership.detector import (
+    DetectorAction,
+    FailureDetector,
+    ProbeDirect,
+    ProbeIndirect,
+    StatusChanged,
+)
+from pewtertack.core.membership.rumors import RumorQueue
+from pewtertack.core.membership.table import (
+    UNCONFIRMED_INCARNATION,
+    MemberTable,
+)
+from pewtertack.core.profile import TimingProfile
+from pewtertack.events import Event
+from pewtertack.wire.messages import (
+    Acknowledge,
+    IndirectAcknowledge,
+    MemberStatus,
+    MemberUpdate,
+    Message,
+    Ping,
+    PingRequest,
+    VersionState,
+)
+
+FORGET_INTERVAL = 1.0
+
+STATUS_EVENTS = {
+    MemberStatus.ALIVE: Event.MEMBER_ALIVE,
+    MemberStatus.SUSPECT: Event.MEMBER_SUSPECT,
+    MemberStatus.LEAVING: Event.MEMBER_LEAVING,
+    MemberStatus.DEAD: Event.MEMBER_DEAD,
+}
+
+
+class Membership:
+    """Keeps the member table current and answers probes.
+
+    ``superseded`` turns true once another process lives under this node's name:
+    a statement about the name with an incarnation that this process never issued
+    can only come from its replacement.
+    """
+
+    def __init__(
+        self, identity: NodeIdentity, profile: TimingProfile, random: Random, now: float
+    ) -> None:
+        self._profile = profile
+        self.table = MemberTable(identity, profile.dead_retention, profile.forget_after)
+        self.detector = FailureDetector(self.table, profile, random, now)
+        self.rumors = RumorQueue()
+        self.own = MemberUpdate(
+            identity.name,
+            identity.address,
+            identity.zone,
+            identity.region,
+            identity.incarnation,
+            MemberStatus.ALIVE,
+        )
+        self.superseded = False
+        self._established = False
+        self._next_forget_at = now + FORGET_INTERVAL
+        self.rumors.add(self.own)
+
+    def establish(self) -> None:
+        """From now on a higher incarnation of the own name is a replacement's."""
+        self._established = True
+
+    def tick(self, now: float, state: VersionState) -> list[Effect]:
+        """Return the probes that are due."""
+        if now >= self._next_forget_at:
+            self._next_forget_at = now + FORGET_INTERVAL
+            self.table.forget_dead(now)
+        effects: list[Effect] = []
+        for action in self.detector.tick(now):
+            effects += self._carry_out(action, state)
+        return effects
+
+    def _carry_out(self, action: DetectorAction, state: VersionState) -> list[Effect]:
+        match action:
+            case ProbeDirect(target, sequence):
+                return self.send(target, self._ping(target, sequence, state))
+            case ProbeIndirect(target, helpers, sequence):
+                request = PingRequest(sequence, target)
+                return [effect for name in helpers for effect in self.send(name, request)]
+            case StatusChanged(update):
+                return self._spread(update)
+
+    def _ping(self, target: str, sequence: int, state: VersionState) -> Ping:
+        """Tell a member that is believed suspect or dead so, for it to refute."""
+        updates = self.rumors.take(len(self.table))
+        member = self.table.get(target)
+        if member is not None and member.status is not MemberStatus.ALIVE:
+            others = (update for update in updates if update.name != target)
+            updates = (member.update, *others)
+        return Ping(sequence, state, updates)
+
+    def send(self, name: str, message: Message) -> list[Effect]:
+        """Return a send to the member ``name``, if it is known."""
+        member = self.table.get(name)
+        return [Send(name, member.update.address, message)] if member else []
+
+    def on_ping(
+        self, now: float, sender: str, address: str, ping: Ping, state: VersionState
+    ) -> list[Effect]:
+        """Answer a direct probe."""
+        effects = self.take_updates(now, ping.updates)
+        updates = self.rumors.take(len(self.table))
+        updates = self._with_sender_status(sender, updates)
+        effects.append(Send(sender, address, Acknowledge(ping.sequence, state, updates)))
+        return effects
+
+    def _with_sender_status(
+        self, sender: str, updates: tuple[MemberUpdate, ...]
+    ) -> tuple[MemberUpdate, ...]:
+        """A sender believed suspect or dead learns so from the answer, and refutes."""
+        member = self.table.get(sender)
+        if member is None or member.status is MemberStatus.ALIVE:
+            return updates
+        return (member.update, *(update for update in updates if update.name != sender))
+
+    def on_acknowledge(self, now: float, answer: Acknowledge) -> list[Effect]:
+        """Take in the answer to a probe of ours, passing on one made for another."""
+        effects = self.take_updates(now, answer.updates)
+        relayed = self.detector.acknowledged(answer.sequence)
+        if relayed is not None:
+            message = IndirectAcknowledge(relayed.sequence, relayed.target)
+            effects += self.send(relayed.requester, message)
+        return effects
+
+    def on_ping_request(
+        self, sender: str, request: PingRequest, state: VersionState
+    ) -> list[Effect]:
+        """Probe a member for another."""
+        probe = self.detector.relay(sender, request.sequence, request.target)
+        return self._carry_out(probe, state) if probe is not None else []
+
+    def on_indirect_acknowledge(self, answer: IndirectAcknowledge) -> None:
+        """A helper reached the member that we could not reach ourselves."""
+        self.detector.acknowledged(answer.sequence)
+
+    def heard_from(self, now: float, update: MemberUpdate) -> list[Effect]:
+        """Take in what a live process says of itself in person."""
+        return self.take_updates(now, (update,))
+
+    def take_updates(self, now: float, updates: tuple[MemberUpdate, ...]) -> list[Effect]:
+        """Merge statements about members, spreading what was news."""
+        effects: list[Effect] = []
+        for update in updates:
+            if update.name == self.own.name:
+                self._hear_of_self(update)
+            elif self.table.merge(update, now):
+                self.detector.note(update, now)
+                effects += self._spread(update)
+        return effects
+
+    def _spread(self, update: MemberUpdate) -> list[Effect]:
+        if update.incarnation != UNCONFIRMED_INCARNATION:
+            self.rumors.add(update)
+        fields = {"member": update.name, "member_incarnation": update.incarnation}
+        return [Log(STATUS_EVENTS[update.status], fields)]
+
+    def _hear_of_self(self, update: MemberUpdate) -> None:
+        if update.incarnation > self.own.incarnation:
+            if self._established:
+                self.superseded = True
+            else:
+                self._raise_above(update.incarnation)
+        elif update.incarnation == self.own.incarnation and update.status > self.own.status:
+            self._raise_above(update.incarnation)
+        elif update.incarnation < self.own.incarnation and update.status > self.own.status:
+            self.rumors.add(self.own)
+
+    def _raise_above(self, incarnation: int) -> None:
+        self.own = msgspec.structs.replace(self.own, incarnation=incarnation + 1)
+        self.rumors.add(self.own)
+
+    def leave(self) -> None:
+        """Tell the fleet that this node is draining."""
+        self.own = msgspec.structs.replace(self.own, status=MemberStatus.LEAVING)
+        self.rumors.add(self.own)
+
+    def use_list(self, nodes: list[Machine], now: float) -> None:
+        """Seed the table from the platform's list."""
+        self.table.use_list(nodes, now)
--- /dev/null
+++ b/src/pewtertack/core/node.py
@@ -0,0 +1,321 @@
+"""The coordination core of one node: inputs in, effects out.
+
+    JOINING --knows the newest version--> SERVING --drain--> LEAVING
+       ^                                     |
+       +---------- woke from a pause --------+
+    any --another process lives under this name--> SUPERSEDED
+
+The core does no input or output and has no clock or randomness of its own, so
+the daemon, the hollow nodes of a scale run and the simulated network drive the
+same class.
+"""
+
+from __future__ import annotations
+
+from enum import StrEnum
+from random import Random
+
+from pewtertack.core.configuration.resolved import ResolvedConfiguration
+from pewtertack.core.effects import BringIntoForce, Effect, Log, Send, SetServing
+from pewtertack.core.identity import NodeIdentity
+from pewtertack.core.inputs import (
+    DocumentRead,
+    DocumentReadFailed,
+    DocumentUnchanged,
+    DrainRequested,
+    Input,
+    MessageReceived,
+    Ticked,
+)
+from pewtertack.core.membership.service import Membership
+from pewtertack.core.profile import TimingProfile
+from pewtertack.core.replication.join import Joiner
+from pewtertack.core.replication.service import Replication
+from pewtertack.events import Event
+from pewtertack.wire.messages import (
+    Acknowledge,
+    Announce,
+    Busy,
+    DeltaAnswer,
+    HeldReport,
+    IndirectAcknowledge,
+    JoinAnswer,
+    JoinRequest,
+    MemberUpdate,
+    Ping,
+    PingRequest,
+    Pull,
+    SnapshotAnswer,
+    VersionState,
+)
+
+MEMBERS_PER_JOIN_ANSWER = 8
+JOIN_RETRY_AFTER = 1.0
+
+
+class NodePhase(StrEnum):
+    """Whether a node serves callers, and why not."""
+
+    JOINING = "joining"
+    SERVING = "serving"
+    LEAVING = "leaving"
+    SUPERSEDED = "superseded"
+
+
+class NodeCore:
+    """Membership, replication and joining of one node.
+
+    Args:
+        identity: who the node is; ``identity.incarnation`` is new for each process.
+        profile: periods and bounds.
+        random: the node's only source of randomness.
+        now: monotonic seconds.
+        seeds: peer addresses (``ip:port``) to ask first.
+    """
+
+    def __init__(
+        self,
+        identity: NodeIdentity,
+        profile: TimingProfile,
+        random: Random,
+        now: float,
+        seeds: tuple[str, ...] = (),
+    ) -> None:
+        self.identity = identity
+        self.profile = profile
+        self.phase = NodePhase.JOINING
+        self._random = random
+        self._last_tick = now
+        self.membership = Membership(identity, profile, random, now)
+        self.replication = Replication(identity, profile, self.membership, random, now)
+        other_seeds = tuple(seed for seed in seeds if seed != identity.address)
+        self._joiner = Joiner(identity.zone, profile, self.membership.table, other_seeds, random)
+        self._joiner.start(now)
+
+    def handle(self, now: float, event: Input) -> list[Effect]:
+        """Advance by one input and return what the runtime must do.
+
+        ``now`` is monotonic seconds and must not decrease.
+        """
+        effects = self._notice_pause(now)
+        self.replication.may_commit = self._may_commit(now)
+        effects += self._dispatch(now, event)
+        effects += self._notice_replacement()
+        if self.phase is NodePhase.JOINING:
+            effects += self._finish_joining(now)
+        elif self.phase is not NodePhase.SUPERSEDED:
+            effects += self._advance_in_force()
+        return effects
+
+    def _dispatch(self, now: float, event: Input) -> list[Effect]:
+        match event:
+            case Ticked():
+                return self._tick(now)
+            case MessageReceived():
+                return self._on_message(now, event)
+            case DocumentRead(kind, number, document):
+                return self.replication.on_document_read(now, kind, number, document)
+            case DocumentUnchanged(kind):
+                self.replication.reader.answered(now, kind)
+                return []
+            case DocumentReadFailed(kind, reason, retry_after):
+                return self.replication.on_read_failed(now, kind, reason, retry_after)
+            case DrainRequested():
+                return self._drain()
+
+    def _tick(self, now: float) -> list[Effect]:
+        self._last_tick = now
+        effects = self.membership.tick(now, self.replication.state())
+        effects += self.replication.tick(now, self._may_read(now))
+        if self.phase is NodePhase.JOINING:
+            effects += self._ask_peers(now)
+        return effects
+
+    def _may_read(self, now: float) -> bool:
+        """Joiners leave the platform alone unless no peer could answer them."""
+        if self.phase is NodePhase.JOINING:
+            return self._joiner.may_bootstrap(now)
+        return self.phase is NodePhase.SERVING
+
+    def _may_commit(self, now: float) -> bool:
+        if self.phase is NodePhase.JOINING:
+            return self._joiner.may_commit(now)
+        return self.phase is not NodePhase.SUPERSEDED
+
+    # Pauses and replacements.
+
+    def _notice_pause(self, now: float) -> list[Effect]:
+        """After a gap between ticks everything believed may be old: join again."""
+        gap = now - self._last_tick
+        if gap < self.profile.pause_threshold or not self.profile.mechanisms.pause_detection:
+            return []
+        self._last_tick = now
+        self.membership.detector.after_pause(now)
+        if self.phase not in (NodePhase.JOINING, NodePhase.SERVING):
+            return []
+        self._joiner.start(now)
+        effects: list[Effect] = [Log(Event.NODE_WOKE, {"paused_seconds": round(gap, 3)})]
+        if self.phase is NodePhase.SERVING:
+            effects += self._enter_joining()
+        return effects
+
+    def _enter_joining(self) -> list[Effect]:
+        self.phase = NodePhase.JOINING
+        self.replication.serving = False
+        return [SetServing(False, JOIN_RETRY_AFTER), Log(Event.NODE_JOINING, {})]
+
+    def _notice_replacement(self) -> list[Effect]:
+        if not self.membership.superseded or self.phase is NodePhase.SUPERSEDED:
+            return []
+        self.phase = NodePhase.SUPERSEDED
+        self.replication.serving = False
+        return [SetServing(False, JOIN_RETRY_AFTER), Log(Event.NODE_SUPERSEDED, {})]
+
+    def _drain(self) -> list[Effect]:
+        if self.phase in (NodePhase.LEAVING, NodePhase.SUPERSEDED):
+            return []
+        self.phase = NodePhase.LEAVING
+        self.replication.serving = False
+        self.membership.leave()
+        ping = Ping(0, self.replication.state(), (self.membership.own,))
+        names = self.membership.table.reachable.sample(self._random, self.profile.join_peers)
+        effects: list[Effect] = [Log(Event.NODE_DRAINING, {})]
+        for name in names:
+            effects += self.membership.send(name, ping)
+        return effects
+
+    # Joining.
+
+    def _ask_peers(self, now: float) -> list[Effect]:
+        request = JoinRequest(self.membership.own)
+        return [
+            Send(name, address, request) for name, address in self._joiner.addresses_to_ask(now)
+        ]
+
+    def _finish_joining(self, now: float) -> list[Effect]:
+        """Serve once the newest committed version that peers know is ours to use."""
+        if self.profile.mechanisms.join_before_serving and not self._knows_enough(now):
+            return []
+        effects = self._advance_in_force()
+        if self.replication.replica.in_force is None:
+            return effects
+        self.phase = NodePhase.SERVING
+        self.replication.serving = True
+        self.membership.establish()
+        return [*effects, SetServing(True), Log(Event.NODE_SERVING, {})]
+
+    def _knows_enough(self, now: float) -> bool:
+        replica = self.replication.replica
+        if replica.committed.number == 0 or replica.store.recent(replica.committed) is None:
+            return False
+        if self._joiner.newest_machine_list and self.replication.machines.number == 0:
+            return False
+        if not self._joiner.held_wait_over(now, replica.committed):
+            return False
+        return self._joiner.knows_enough(now, self.membership.table.quorum_members(now))
+
+    def _on_join_request(
+        self, now: float, sender: MessageReceived, request: JoinRequest
+    ) -> list[Effect]:
+        effects = self.membership.heard_from(now, request.member)
+        members = self._members_for_joiner(sender.sender)
+        answer = JoinAnswer(self.replication.state(), self.membership.own, members)
+        effects.append(Send(sender.sender, sender.sender_address, answer))
+        return effects
+
+    def _members_for_joiner(self, joiner: str) -> tuple[MemberUpdate, ...]:
+        """A sample of members, with what we believe of the joiner's name."""
+        table = self.membership.table
+        names = [*table.reachable.sample(self._random, MEMBERS_PER_JOIN_ANSWER), joiner]
+        members = [table.get(name) for name in dict.fromkeys(names)]
+        return tuple(member.update for member in members if member is not None)
+
+    def _on_join_answer(
+        self, now: float, event: MessageReceived, answer: JoinAnswer
+    ) -> list[Effect]:
+        effects = self.membership.take_updates(now, (answer.member, *answer.members))
+        self._joiner.answered(event.sender, answer.member.zone, answer.state)
+        effects += self.replication.learn(now, event.sender, event.sender_address, answer.state)
+        return effects
+
+    # Versions in force.
+
+    def _advance_in_force(self) -> list[Effect]:
+        configuration = self.replication.replica.next_in_force()
+        if configuration is None:
+            return []
+        return [
+            BringIntoForce(configuration),
+            Log(Event.REVISION_IN_FORCE, in_force_fields(configuration)),
+        ]
+
+    # Messages.
+
+    def _on_message(self, now: float, event: MessageReceived) -> list[Effect]:
+        if event.sender == self.identity.name:
+            return []
+        sender, address = event.sender, event.sender_address
+        self.membership.table.heard_directly(sender, address, event.incarnation, now)
+        match event.message:
+            case Ping() as ping:
+                effects = self._learn_lazily(now, event, ping.state)
+                state = self.replication.state()
+                return effects + self.membership.on_ping(now, sender, address, ping, state)
+            case Acknowledge() as answer:
+                effects = self._learn_lazily(now, event, answer.state)
+                return effects + self.membership.on_acknowledge(now, answer)
+            case PingRequest() as request:
+                return self.membership.on_ping_request(sender, request, self.replication.state())
+            case IndirectAcknowledge() as answer:
+                self.membership.on_indirect_acknowledge(answer)
+                return []
+            case JoinRequest() as request:
+                return self._on_join_request(now, event, request)
+            case JoinAnswer() as answer:
+                return self._on_join_answer(now, event, answer)
+            case _:
+                return self._on_replication_message(now, event)
+
+    def _on_replication_message(self, now: float, event: MessageReceived) -> list[Effect]:
+        sender, address = event.sender, event.sender_address
+        match event.message:
+            case Announce() as announce:
+                return self.replication.on_announce(now, sender, address, announce)
+            case Pull() as pull:
+                return self.replication.on_pull(now, sender, address, pull)
+            case DeltaAnswer() as answer:
+                return self.replication.on_deltas(now, answer)
+            case SnapshotAnswer() as answer:
+                return self.replication.on_snapshot(now, answer)
+            case Busy() as busy:
+                self.replication.on_busy(now, busy)
+                return []
+            case HeldReport() as report:
+                incarnation = event.incarnation
+                return self.replication.on_held_report(now, sender, incarnation, report)
+            case _:
+                return []
+
+    def _learn_lazily(
+        self, now: float, event: MessageReceived, state: VersionState
+    ) -> list[Effect]:
+        if not self.profile.mechanisms.lazy_repair:
+            return []
+        return self.replication.learn(now, event.sender, event.sender_address, state)
+
+
+def in_force_fields(configuration: ResolvedConfiguration) -> dict[str, object]:
+    """Return what the history of a run needs to know of a configuration in force."""
+    return {
+        "revision": configuration.revision.number,
+        "digest": configuration.revision.digest.hex(),
+        "routes": {
+            route.name: {
+                "service": route.service,
+                "secrets": sorted(set(route.header_secrets.values())),
+            }
+            for route in configuration.routes
+        },
+        "services": sorted(configuration.services),
+        "secrets": sorted(configuration.secrets),
+    }
--- /dev/null
+++ b/src/pewtertack/core/profile.py
@@ -0,0 +1,100 @@
+"""Timing profiles: how a fleet trades convergence time against control bytes.
+
+All durations are in seconds.
+"""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+
+
+@dataclass(frozen=True, slots=True)
+class Mechanisms:
+    """Switches that exist for proofs only: a check must fail with one switched off."""
+
+    quorum_gate: bool = True
+    """Bring a revision into force only once a quorum of replicas holds it."""
+    join_before_serving: bool = True
+    """Ask peers for the newest version before serving."""
+    pause_detection: bool = True
+    """Join again after the process was paused."""
+    validation: bool = True
+    """Refuse invalid trees."""
+    monotonic_numbers: bool = True
+    """Ignore older revisions than the one held."""
+    lazy_repair: bool = True
+    """Learn of newer versions from probes, besides announcements."""
+
+
+@dataclass(frozen=True, slots=True)
+class TimingProfile:
+    """Every period and bound of the coordination core."""
+
+    name: str = "fast"
+    tick: float = 0.1
+    probe_interval: float = 1.0
+    acknowledge_timeout: float = 0.4
+    indirect_probes: int = 3
+    suspicion_rounds: float = 3.0
+    """Suspicion lasts this many probe intervals per decade of fleet size."""
+    reconnect_interval: float = 2.0
+    """How often one unreachable member is probed again."""
+    dead_retention: float = 20.0
+    """How long an unlisted dead member still counts in the quorum's denominator."""
+    forget_after: float = 600.0
+    """The same for dead members while no machine list is known."""
+    fan_out: int = 4
+    """Peers in the own zone that an announcement goes to."""
+    far_fan_out: int = 1
+    """Peers in other zones that an announcement goes to."""
+    inline_delta_bytes: int = 300
+    """Largest delta sent along with an announcement; 0 switches this off."""
+    pull_timeout: float = 0.5
+    snapshots_per_second: float = 8.0
+    report_retry: float = 0.5
+    """How long a holder waits for a commit before it asks further coordinators."""
+    commit_coordinators: int = 2
+    readers_per_zone: int = 2
+    readers_total: int = 16
+    reader_settle: float = 1.0
+    """A node reads the platform only after being chosen for this long."""
+    read_wait: float = 5.0
+    """Long-poll time asked of the platform."""
+    read_gap: float = 0.05
+    """Least time between an answer of the platform and the next read."""
+    read_backoff: float = 0.5
+    read_backoff_limit: float = 8.0
+    join_retry: float = 0.3
+    join_peers: int = 16
+    """Answers that suffice to join a fleet of any size."""
+    join_patience: float = 1.5
+    """After this long, peers which do not answer no longer hold up joining."""
+    join_hold_wait: float = 2.0
+    """How long a joiner waits for a held revision to be committed."""
+    bootstrap_delay: float = 1.0
+    """A joiner reads the platform when no serving peer answered for this long."""
+    pause_threshold: float = 2.0
+    """A gap between ticks which means that the process was paused."""
+    mechanisms: Mechanisms = field(default_factory=Mechanisms)
+
+
+FAST = TimingProfile()
+"""Shortest convergence: for the records desk."""
+
+FRUGAL = TimingProfile(
+    name="frugal",
+    tick=0.2,
+    probe_interval=3.0,
+    acknowledge_timeout=1.0,
+    reconnect_interval=6.0,
+    fan_out=3,
+    inline_delta_bytes=0,
+    read_wait=15.0,
+    join_retry=0.6,
+    join_patience=3.0,
+    bootstrap_delay=2.0,
+    pause_threshold=4.0,
+)
+"""Fewest control bytes: for volunteers' links."""
+
+PROFILES = {profile.name: profile for profile in (FAST, FRUGAL)}
--- /dev/null
+++ b/src/pewtertack/core/replication/answers.py
@@ -0,0 +1,68 @@
+"""Answering pulls: deltas where the log reaches back, else a bounded rate of snapshots."""
+
+from __future__ import annotations
+
+from random import Random
+
+from pewtertack.core.profile import TimingProfile
+from pewtertack.core.replication.store import DocumentStore
+from pewtertack.core.revision import Document, RevisionId
+from pewtertack.wire.messages import Busy, DeltaAnswer, DocumentKind, Message, Pull, SnapshotAnswer
+
+RETRY_AFTER_MILLISECONDS = (200, 800)
+"""Range from which a refused puller's come-back time is drawn."""
+
+
+class PullServer:
+    """Serves the documents of one node to its peers.
+
+    Snapshots are limited by a token bucket of one second's worth.
+    """
+
+    def __init__(
+        self,
+        stores: dict[DocumentKind, DocumentStore],
+        profile: TimingProfile,
+        random: Random,
+        now: float,
+    ) -> None:
+        self._stores = stores
+        self._rate = profile.snapshots_per_second
+        self._tokens = self._rate
+        self._filled_at = now
+        self._random = random
+
+    def answer(self, now: float, pull: Pull) -> Message | None:
+        """Return the answer to ``pull``, or nothing when there is nothing newer."""
+        store = self._stores[pull.kind]
+        if pull.exact is not None:
+            return self._answer_exact(now, pull.kind, pull.exact)
+        if store.revision.number == 0 or store.revision == pull.have:
+            return None
+        if store.revision.number < pull.have.number:
+            return None
+        deltas = store.deltas_since(pull.have)
+        if deltas is not None:
+            return DeltaAnswer(pull.kind, deltas)
+        return self._snapshot(now, pull.kind, store.revision, store.document)
+
+    def _answer_exact(self, now: float, kind: DocumentKind, revision: RevisionId) -> Message | None:
+        document = self._stores[kind].recent(revision)
+        if document is None:
+            return None
+        return self._snapshot(now, kind, revision, document)
+
+    def _snapshot(
+        self, now: float, kind: DocumentKind, revision: RevisionId, document: Document
+    ) -> Message:
+        if not self._take_token(now):
+            return Busy(kind, self._random.randint(*RETRY_AFTER_MILLISECONDS))
+        return SnapshotAnswer(kind, revision, dict(document))
+
+    def _take_token(self, now: float) -> bool:
+        self._tokens = min(self._rate, self._tokens + (now - self._filled_at) * self._rate)
+        self._filled_at = now
+        if self._tokens < 1:
+            return False
+        self._tokens -= 1
+        return True
--- /dev/null
+++ b/src/pewtertack/core/replication/puller.py
@@ -0,0 +1,63 @@
+"""Pulling a document from whoever announced a newer one: one pull at a time."""
+
+from __future__ import annotations
+
+from collections import OrderedDict
+from dataclasses import dataclass
+
+from pewtertack.core.revision import RevisionId
+
+SOURCES_KEPT = 8
+
+
+@dataclass(frozen=True, slots=True)
+class PullSource:
+    """A peer that holds a revision."""
+
+    name: str
+    address: str
+    revision: RevisionId
+
+
+class Puller:
+    """Chooses whom to pull from and when to try the next peer."""
+
+    def __init__(self, timeout: float) -> None:
+        self._timeout = timeout
+        self._sources: OrderedDict[str, PullSource] = OrderedDict()
+        self._outstanding: PullSource | None = None
+        self._asked_at = 0.0
+        self._not_before = 0.0
+
+    def offer(self, source: PullSource) -> None:
+        """Remember a peer with something newer."""
+        self._sources[source.name] = source
+        self._sources.move_to_end(source.name)
+        while len(self._sources) > SOURCES_KEPT:
+            self._sources.popitem(last=False)
+
+    def postpone(self, now: float, delay: float) -> None:
+        """The peer asked is busy: try another after ``delay``."""
+        self._outstanding = None
+        self._not_before = now + delay
+
+    def finish(self) -> None:
+        """The outstanding pull was answered."""
+        self._outstanding = None
+
+    def forget_up_to(self, number: int) -> None:
+        """Drop offers that are no longer newer than what is held."""
+        for name, source in list(self._sources.items()):
+            if source.revision.number <= number:
+                del self._sources[name]
+
+    def next_source(self, now: float) -> PullSource | None:
+        """Return the peer to pull from now, if a pull is due."""
+        if self._outstanding is not None and now - self._asked_at < self._timeout:
+            return None
+        if now < self._not_before or not self._sources:
+            return None
+        name = max(self._sources, key=lambda key: self._sources[key].revision.number)
+        self._outstanding = self._sources.pop(name)
+        self._asked_at = now
+        return self._outstanding
--- /dev/null
+++ b/src/pewtertack/core/replication/replica.py
@@ -0,0 +1,175 @@
+"""One replica of the configuration: held, committed and in-force revisions."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+
+from pewtertack.core.configuration.findings import Finding
+from pewtertack.core.configuration.resolution import resolve_document
+from pewtertack.core.configuration.resolved import ResolvedConfiguration
+from pewtertack.core.configuration.validation import check_document
+from pewtertack.core.delta import Delta, DeltaMismatchError
+from pewtertack.core.effects import Effect, Log
+from pewtertack.core.profile import Mechanisms
+from pewtertack.core.replication.store import DocumentStore
+from pewtertack.core.revision import (
+    NO_REVISION,
+    Document,
+    RevisionConflictError,
+    RevisionId,
+    identify,
+)
+from pewtertack.events import Event
+
+REPORTED_FINDINGS = 5
+
+
+@dataclass(frozen=True, slots=True)
+class Rejection:
+    """A refused revision and why."""
+
+    revision: RevisionId
+    findings: tuple[Finding, ...]
+
+
+class ConfigurationReplica:
+    """Decides what to hold and what to bring into force.
+
+    Invariants: the numbers of ``held``, ``committed`` and ``in_force`` never
+    decrease; ``in_force`` was committed and is valid, whole and resolved.
+    """
+
+    def __init__(self, zone: str, mechanisms: Mechanisms) -> None:
+        self._zone = zone
+        self._mechanisms = mechanisms
+        self.store = DocumentStore()
+        self.committed = NO_REVISION
+        self.in_force: ResolvedConfiguration | None = None
+        self.last_rejection: Rejection | None = None
+        self.stale_answers = 0
+        self.conflicts = 0
+
+    @property
+    def held(self) -> RevisionId:
+        """The newest valid revision stored whole."""
+        return self.store.revision
+
+    @property
+    def in_force_number(self) -> int:
+        """The number of the revision in force; 0 for none."""
+        return self.in_force.revision.number if self.in_force is not None else 0
+
+    def wants(self, revision: RevisionId) -> bool:
+        """Tell whether ``revision`` is worth pulling from a peer."""
+        if self.last_rejection is not None and revision == self.last_rejection.revision:
+            return False
+        return revision.number > self.held.number or revision == self.missing_committed
+
+    @property
+    def missing_committed(self) -> RevisionId | None:
+        """The committed revision, if this replica went past it without holding it."""
+        if self.held.number < self.committed.number or self.committed.number == 0:
+            return None
+        if self.committed.number <= self.in_force_number:
+            return None
+        return self.committed if self.store.recent(self.committed) is None else None
+
+    def offer_document(self, number: int, document: Document) -> list[Effect]:
+        """Take in the source's answer."""
+        return self.offer(identify(number, document), document)
+
+    def offer(self, revision: RevisionId, document: Document) -> list[Effect]:
+        """Hold ``document`` if it is newer and valid."""
+        refused = self._refuse_order(revision)
+        if refused is not None:
+            return refused
+        rejected = self._reject_invalid(revision, document)
+        if rejected is not None:
+            return rejected
+        if revision.number < self.held.number:
+            self.store.keep(revision, document)
+            return []
+        self.store.put(revision, document)
+        return [self._log_held()]
+
+    def offer_deltas(self, deltas: tuple[Delta, ...]) -> list[Effect]:
+        """Hold the end of a chain of deltas if it is newer and valid.
+
+        A chain that does not fit, or whose end is invalid, changes nothing.
+
+        Raises:
+            DeltaMismatchError: the chain starts at the held revision but an edit
+                does not fit or the result has another digest.
+        """
+        revision, document = self.store.preview(deltas)
+        if revision == self.held:
+            return []
+        refused = self._refuse_order(revision)
+        if refused is not None:
+            return refused
+        rejected = self._reject_invalid(revision, document)
+        if rejected is not None:
+            return rejected
+        self.store.put_deltas(deltas)
+        return [self._log_held()]
+
+    def _refuse_order(self, revision: RevisionId) -> list[Effect] | None:
+        """Refuse what is neither newer nor the committed revision we lack."""
+        if revision == self.held:
+            return []
+        if revision == self.missing_committed:
+            return None
+        try:
+            newer = revision.is_newer_than(self.held)
+        except RevisionConflictError:
+            self.conflicts += 1
+            return [self._log(Event.REVISION_CONFLICT, revision)]
+        if newer or not self._mechanisms.monotonic_numbers:
+            return None
+        self.stale_answers += 1
+        return [self._log(Event.REVISION_STALE, revision)]
+
+    def _reject_invalid(self, revision: RevisionId, document: Document) -> list[Effect] | None:
+        if self.last_rejection is not None and self.last_rejection.revision == revision:
+            return []
+        findings = check_document(document) if self._mechanisms.validation else ()
+        if not findings:
+            return None
+        self.last_rejection = Rejection(revision, findings)
+        reasons = [f"{finding.path}: {finding.message}" for finding in findings]
+        log = self._log(Event.REVISION_REJECTED, revision)
+        log.fields["findings"] = reasons[:REPORTED_FINDINGS]
+        return [log]
+
+    def mark_committed(self, revision: RevisionId) -> bool:
+        """Take in a commit mark; return whether it was news."""
+        if revision.number <= self.committed.number:
+            return False
+        self.committed = revision
+        return True
+
+    def next_in_force(self) -> ResolvedConfiguration | None:
+        """Return the configuration to swap in now, if the committed one is held."""
+        target = self.committed if self._mechanisms.quorum_gate else self.held
+        current = self.in_force_number
+        if target.number == 0:
+            return None
+        if target.number <= current and self._mechanisms.monotonic_numbers:
+            return None
+        if self.in_force is not None and self.in_force.revision == target:
+            return None
+        document = self.store.recent(target)
+        if document is None:
+            return None
+        self.in_force = resolve_document(document, target, self._zone)
+        return self.in_force
+
+    def _log_held(self) -> Log:
+        return self._log(Event.REVISION_HELD, self.held)
+
+    def _log(self, event: Event, revision: RevisionId) -> Log:
+        fields = {"revision": revision.number, "digest": revision.digest.hex()}
+        return Log(event, fields)
+
+
+__all__ = ["ConfigurationReplica", "DeltaMismatchError", "Rejection"]
--- /dev/null
+++ b/src/pewtertack/core/replication/service.py
@@ -0,0 +1,311 @@
+"""Replication for one node: read, hold, announce, pull, report and commit."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from random import Random
+
+import cbor2
+import msgspec
+
+from pewtertack.core.delta import Delta, DeltaMismatchError
+from pewtertack.core.effects import Effect, Log, Send, UseMachines
+from pewtertack.core.identity import NodeIdentity
+from pewtertack.core.machines import MachineList, MachineRole, machine_list_from_document
+from pewtertack.core.membership.service import Membership
+from pewtertack.core.profile import TimingProfile
+from pewtertack.core.replication.answers import PullServer
+from pewtertack.core.replication.commit import CommitTally
+from pewtertack.core.replication.puller import Puller, PullSource
+from pewtertack.core.replication.reader import PlatformReader
+from pewtertack.core.replication.replica import ConfigurationReplica
+from pewtertack.core.replication.store import DocumentStore
+from pewtertack.core.revision import Document, RevisionId, identify
+from pewtertack.events import Event
+from pewtertack.wire.messages import (
+    Announce,
+    Busy,
+    DeltaAnswer,
+    DocumentKind,
+    HeldReport,
+    Pull,
+    SnapshotAnswer,
+    VersionState,
+)
+
+Offer = Callable[[], list[Effect]]
+MILLISECONDS = 1000.0
+FAILURE_EVENTS = {
+    DocumentKind.CONFIGURATION: Event.SOURCE_FAILED,
+    DocumentKind.MACHINE_LIST: Event.MACHINE_LIST_FAILED,
+}
+
+
+class Replication:
+    """Spreads both documents and decides when a configuration is committed."""
+
+    def __init__(
+        self,
+        identity: NodeIdentity,
+        profile: TimingProfile,
+        membership: Membership,
+        random: Random,
+        now: float,
+    ) -> None:
+        self._identity = identity
+        self._profile = profile
+        self._membership = membership
+        self._random = random
+        self.replica = ConfigurationReplica(identity.zone, profile.mechanisms)
+        self.machine_store = DocumentStore()
+        self.machines = MachineList(0, ())
+        stores = {
+            DocumentKind.CONFIGURATION: self.replica.store,
+            DocumentKind.MACHINE_LIST: self.machine_store,
+        }
+        self._server = PullServer(stores, profile, random, now)
+        self._pullers = {kind: Puller(profile.pull_timeout) for kind in DocumentKind}
+        self._tally = CommitTally()
+        self._report_round = 0
+        self._next_report_at = now
+        self.reader = PlatformReader(identity, profile, membership.table, random, now)
+        self.serving = False
+        self.may_commit = False
+
+    def state(self) -> VersionState:
+        """Return the versions to tell peers."""
+        return VersionState(
+            self.replica.held, self.replica.committed, self.machine_store.revision, self.serving
+        )
+
+    def held_number(self, kind: DocumentKind) -> int:
+        """Return the number of the newest held revision of a document."""
+        if kind is DocumentKind.CONFIGURATION:
+            return self.replica.held.number
+        return self.machine_store.revision.number
+
+    def tick(self, now: float, may_read: bool) -> list[Effect]:
+        """Return the reads, pulls and reports that are due."""
+        numbers = {kind: self.held_number(kind) for kind in DocumentKind}
+        effects = self.reader.tick(now, may_read, numbers)
+        for kind in DocumentKind:
+            effects += self._pull_if_due(now, kind)
+        if self._has_uncommitted() and now >= self._next_report_at:
+            effects += self._report_held(now)
+            effects += self._commit_if_quorum(now, self.replica.held)
+        return effects
+
+    # The platform's answers.
+
+    def on_document_read(
+        self, now: float, kind: DocumentKind, number: int, document: Document
+    ) -> list[Effect]:
+        """Take in a document that this node read."""
+        self.reader.answered_with(now, kind, number, self.held_number(kind))
+        if kind is DocumentKind.MACHINE_LIST:
+            return self._take_machine_list(now, identify(number, document), document)
+        return self._after_offer(now, lambda: self.replica.offer_document(number, document))
+
+    def on_read_failed(
+        self, now: float, kind: DocumentKind, reason: str, retry_after: float | None
+    ) -> list[Effect]:
+        """Back off from the platform."""
+        self.reader.failed(now, kind, retry_after)
+        return [Log(FAILURE_EVENTS[kind], {"reason": reason})]
+
+    # What peers say of their versions.
+
+    def learn(self, now: float, sender: str, address: str, state: VersionState) -> list[Effect]:
+        """Take in a peer's versions: adopt its commit mark, pull what is newer."""
+        effects = self._adopt_commit(state.committed)
+        if self.replica.wants(state.held):
+            self._offer_pull(DocumentKind.CONFIGURATION, sender, address, state.held)
+        elif state.committed == self.replica.missing_committed:
+            self._offer_pull(DocumentKind.CONFIGURATION, sender, address, state.committed)
+        if state.machine_list.number > self.machine_store.revision.number:
+            self._offer_pull(DocumentKind.MACHINE_LIST, sender, address, state.machine_list)
+        for kind in DocumentKind:
+            effects += self._pull_if_due(now, kind)
+        return effects
+
+    def on_announce(self, now: float, sender: str, address: str, message: Announce) -> list[Effect]:
+        """Take in an eager notice, with its inline delta if it fits."""
+        effects: list[Effect] = []
+        delta = message.delta
+        if delta is not None and delta.base == self.replica.held:
+            effects += self._take_deltas(now, (delta,))
+        effects += self.learn(now, sender, address, message.state)
+        if message.state.held.number < self.replica.held.number:
+            effects.append(Send(sender, address, Announce(self.state())))
+        return effects
+
+    def _offer_pull(
+        self, kind: DocumentKind, sender: str, address: str, revision: RevisionId
+    ) -> None:
+        self._pullers[kind].offer(PullSource(sender, address, revision))
+
+    def _pull_if_due(self, now: float, kind: DocumentKind) -> list[Effect]:
+        source = self._pullers[kind].next_source(now)
+        if source is None:
+            return []
+        if kind is DocumentKind.MACHINE_LIST:
+            pull = Pull(kind, self.machine_store.revision)
+        else:
+            pull = self._configuration_pull(source.revision)
+        return [Send(source.name, source.address, pull)]
+
+    def _configuration_pull(self, revision: RevisionId) -> Pull:
+        exact = revision if revision == self.replica.missing_committed else None
+        return Pull(DocumentKind.CONFIGURATION, self.replica.held, exact)
+
+    # Answers to pulls.
+
+    def on_pull(self, now: float, sender: str, address: str, pull: Pull) -> list[Effect]:
+        """Serve a peer that lags."""
+        answer = self._server.answer(now, pull)
+        if answer is None:
+            return []
+        effects: list[Effect] = [Send(sender, address, answer)]
+        if isinstance(answer, Busy):
+            effects.append(Log(Event.PULL_REFUSED, {"peer": sender}))
+        return effects
+
+    def on_deltas(self, now: float, answer: DeltaAnswer) -> list[Effect]:
+        """Apply the deltas that a peer sent."""
+        self._pullers[answer.kind].finish()
+        if answer.kind is DocumentKind.CONFIGURATION:
+            return self._take_deltas(now, answer.deltas)
+        try:
+            revision, document = self.machine_store.preview(answer.deltas)
+        except DeltaMismatchError as error:
+            return [Log(Event.MACHINE_LIST_FAILED, {"reason": str(error)})]
+        return self._take_machine_list(now, revision, document)
+
+    def on_snapshot(self, now: float, answer: SnapshotAnswer) -> list[Effect]:
+        """Take in a whole document, if its digest is right."""
+        self._pullers[answer.kind].finish()
+        if identify(answer.revision.number, answer.document) != answer.revision:
+            return [Log(Event.FRAME_REFUSED, {"reason": "snapshot digest"})]
+        if answer.kind is DocumentKind.MACHINE_LIST:
+            return self._take_machine_list(now, answer.revision, answer.document)
+        return self._after_offer(now, lambda: self.replica.offer(answer.revision, answer.document))
+
+    def on_busy(self, now: float, busy: Busy) -> None:
+        """Come back later, or to another peer."""
+        self._pullers[busy.kind].postpone(now, busy.retry_after_milliseconds / MILLISECONDS)
+
+    def _take_deltas(self, now: float, deltas: tuple[Delta, ...]) -> list[Effect]:
+        try:
+            return self._after_offer(now, lambda: self.replica.offer_deltas(deltas))
+        except DeltaMismatchError as error:
+            return [Log(Event.FRAME_REFUSED, {"reason": str(error)})]
+
+    # Holding, reporting, committing.
+
+    def _after_offer(self, now: float, offer: Offer) -> list[Effect]:
+        """Make an offer to the replica and tell others if it now holds something new."""
+        before = self.replica.held
+        effects = offer()
+        self._pullers[DocumentKind.CONFIGURATION].forget_up_to(self.replica.held.number)
+        if self.replica.held == before:
+            return effects
+        self._report_round = 0
+        if self._has_uncommitted():
+            effects += self._report_held(now)
+        effects += self._announce(self._inline_delta())
+        effects += self._commit_if_quorum(now, self.replica.held)
+        return effects
+
+    def _has_uncommitted(self) -> bool:
+        return self.replica.held.number > self.replica.committed.number
+
+    def _report_held(self, now: float) -> list[Effect]:
+        """Report to the coordinators of this round; a later round asks the next ones."""
+        held = self.replica.held
+        self._tally.record(self._identity.name, self._identity.incarnation, held)
+        count = self._profile.commit_coordinators
+        names = self._membership.table.reachable.successors(
+            str(held.number), self._report_round * count, count
+        )
+        self._report_round += 1
+        self._next_report_at = now + self._profile.report_retry
+        report = HeldReport(held)
+        return [effect for name in names for effect in self._membership.send(name, report)]
+
+    def on_held_report(
+        self, now: float, sender: str, incarnation: int, report: HeldReport
+    ) -> list[Effect]:
+        """Count a holder; commit when a quorum holds the revision."""
+        if report.revision.number <= self.replica.committed.number:
+            return self._membership.send(sender, Announce(self.state()))
+        self._tally.record(sender, incarnation, report.revision)
+        return self._commit_if_quorum(now, report.revision)
+
+    def _commit_if_quorum(self, now: float, revision: RevisionId) -> list[Effect]:
+        table = self._membership.table
+        if not self.may_commit or revision.number <= self.replica.committed.number:
+            return []
+        if self._tally.reports(revision) < (len(table.reachable) + 1) // 2 + 1:
+            return []
+        quorum = table.quorum_members(now)
+        processes = table.reachable_processes()
+        processes[self._identity.name] = self._identity.incarnation
+        if not self._tally.is_held_by_quorum(revision, quorum, processes):
+            return []
+        return self._adopt_commit(revision)
+
+    def _adopt_commit(self, revision: RevisionId) -> list[Effect]:
+        if not self.replica.mark_committed(revision):
+            return []
+        self._tally.drop_up_to(revision)
+        fields = {"revision": revision.number, "digest": revision.digest.hex()}
+        return [Log(Event.REVISION_COMMITTED, fields), *self._announce(None)]
+
+    # Spreading.
+
+    def _announce(self, delta: Delta | None) -> list[Effect]:
+        message = Announce(self.state(), delta)
+        return [
+            effect
+            for name in self._announce_targets()
+            for effect in self._membership.send(name, message)
+        ]
+
+    def _announce_targets(self) -> list[str]:
+        table = self._membership.table
+        near = table.zone(self._identity.zone).sample(self._random, self._profile.fan_out)
+        far_zones = [zone for zone in table.zones() if zone != self._identity.zone]
+        self._random.shuffle(far_zones)
+        far = [
+            name
+            for zone in far_zones[: self._profile.far_fan_out]
+            for name in table.zone(zone).sample(self._random, 1)
+        ]
+        return near + far
+
+    def _inline_delta(self) -> Delta | None:
+        delta = self.replica.store.last_delta
+        limit = self._profile.inline_delta_bytes
+        if delta is None or limit == 0 or delta.target != self.replica.held:
+            return None
+        size = len(cbor2.dumps(msgspec.to_builtins(delta, builtin_types=(bytes,))))
+        return delta if size <= limit else None
+
+    # The machine list.
+
+    def _take_machine_list(
+        self, now: float, revision: RevisionId, document: Document
+    ) -> list[Effect]:
+        """Use a newer list; one that cannot be read leaves the older in use."""
+        if revision.number <= self.machine_store.revision.number:
+            return []
+        try:
+            machines = machine_list_from_document(revision.number, document)
+        except msgspec.ValidationError as error:
+            return [Log(Event.MACHINE_LIST_FAILED, {"reason": str(error)})]
+        self.machine_store.put(revision, document)
+        self.machines = machines
+        self._pullers[DocumentKind.MACHINE_LIST].forget_up_to(revision.number)
+        nodes = [entry for entry in machines.machines if entry.role is MachineRole.NODE]
+        self._membership.use_list(nodes, now)
+        return [UseMachines(machines), *self._announce(None)]
--- /dev/null
+++ b/src/pewtertack/core/replication/store.py
@@ -0,0 +1,92 @@
+"""Documents that one replica holds: the newest, and a bounded log of deltas."""
+
+from __future__ import annotations
+
+from collections import OrderedDict, deque
+from collections.abc import Iterable
+
+from pewtertack.core.delta import Delta, apply, compare
+from pewtertack.core.revision import NO_REVISION, Document, RevisionId
+
+DELTAS_KEPT = 64
+EDITS_KEPT = 2000
+"""A delta log with more edits than this is shortened: a snapshot is cheaper."""
+DOCUMENTS_KEPT = 8
+"""Recent documents share most of their content, as edits copy only their path."""
+
+
+class DocumentStore:
+    """The newest held revision of one document, with how it came about."""
+
+    def __init__(self) -> None:
+        self.revision = NO_REVISION
+        self.document: Document = {}
+        self._deltas: deque[Delta] = deque(maxlen=DELTAS_KEPT)
+        self._recent: OrderedDict[RevisionId, Document] = OrderedDict()
+
+    def put(self, revision: RevisionId, document: Document) -> None:
+        """Hold ``document``; the caller has checked it and its digest."""
+        delta = Delta(self.revision, revision, compare(self.document, document))
+        self._append(delta, document)
+
+    def put_deltas(self, deltas: Iterable[Delta]) -> bool:
+        """Apply the part of a chain that follows the held revision.
+
+        Returns whether anything was applied.
+
+        Raises:
+            DeltaMismatchError: an edit does not fit or yields another digest.
+        """
+        before = self.revision
+        for delta in deltas:
+            if delta.base == self.revision:
+                self._append(delta, apply(delta, self.document))
+        return self.revision != before
+
+    def preview(self, deltas: Iterable[Delta]) -> tuple[RevisionId, Document]:
+        """Return where a chain leads from the held revision, changing nothing.
+
+        Raises:
+            DeltaMismatchError: an edit does not fit or yields another digest.
+        """
+        revision, document = self.revision, self.document
+        for delta in deltas:
+            if delta.base == revision:
+                document = apply(delta, document)
+                revision = delta.target
+        return revision, document
+
+    def _append(self, delta: Delta, document: Document) -> None:
+        if self.revision != NO_REVISION:
+            self._deltas.append(delta)
+        self._shorten_log()
+        self.revision = delta.target
+        self.document = document
+        self.keep(delta.target, document)
+
+    def keep(self, revision: RevisionId, document: Document) -> None:
+        """Keep a document among the recent ones without making it the newest."""
+        self._recent[revision] = document
+        while len(self._recent) > DOCUMENTS_KEPT:
+            self._recent.popitem(last=False)
+
+    def _shorten_log(self) -> None:
+        while sum(len(delta.edits) for delta in self._deltas) > EDITS_KEPT:
+            self._deltas.popleft()
+
+    def recent(self, revision: RevisionId) -> Document | None:
+        """Return the document of a recent revision, if still kept."""
+        return self._recent.get(revision)
+
+    def deltas_since(self, revision: RevisionId) -> tuple[Delta, ...] | None:
+        """Return the chain from ``revision`` to the newest, or nothing if unknown."""
+        deltas = list(self._deltas)
+        for index, delta in enumerate(deltas):
+            if delta.base == revision:
+                return tuple(deltas[index:])
+        return None
+
+    @property
+    def last_delta(self) -> Delta | None:
+        """The newest edit, if the log has it."""
+        return self._deltas[-1] if self._deltas else None
--- a/src/pewtertack/wire/messages.py
+++ b/src/pewtertack/wire/messages.py
@@ -102,10 +102,15 @@
 
 
 class Pull(msgspec.Struct, frozen=True, array_like=True, tag=6):
-    """Ask for everything after ``have`` of one document."""
+    """Ask for everything after ``have`` of one document, or for ``exact`` alone.
+
+    ``exact`` serves a node that already holds something newer than the committed
+    revision but never held that one.
+    """
 
     kind: DocumentKind
     have: RevisionId
+    exact: RevisionId | None = None
 
 
 class DeltaAnswer(msgspec.Struct, frozen=True, array_like=True, tag=7):
@@ -143,9 +148,10 @@
 
 
 class JoinAnswer(msgspec.Struct, frozen=True, array_like=True, tag=12):
-    """Versions of the answering peer and the members it knows."""
+    """Versions of the answering peer, the peer itself, and a sample of members."""
 
     state: VersionState
+    member: MemberUpdate
     members: tuple[MemberUpdate, ...]
 
 
--- /dev/null
+++ b/tests/core/membership/test_detector.py
@@ -0,0 +1,76 @@
+"""Probes, suspicion and refutation."""
+
+import unittest
+from random import Random
+
+from pewtertack.core.identity import NodeIdentity
+from pewtertack.core.membership.detector import (
+    FailureDetector,
+    ProbeDirect,
+    ProbeIndirect,
+    StatusChanged,
+)
+from pewtertack.core.membership.table import MemberTable
+from pewtertack.core.profile import TimingProfile
+from pewtertack.wire.messages import MemberStatus, MemberUpdate
+
+PROFILE = TimingProfile()
+
+
+class FailureDetectorTest(unittest.TestCase):
+    def setUp(self) -> None:
+        identity = NodeIdentity("self", "127.0.0.1:9", "a", "r", 1)
+        self.table = MemberTable(identity, 20.0, 600.0)
+        for index in range(5):
+            member = MemberUpdate(
+                f"m{index}", f"127.0.0.1:{index}", "a", "r", 1, MemberStatus.ALIVE
+            )
+            self.table.merge(member, 0.0)
+        self.detector = FailureDetector(self.table, PROFILE, Random(1), 0.0)
+
+    def run_silently(self, until: float, start: float = 0.0) -> list[object]:
+        actions: list[object] = []
+        for step in range(int(start * 10), int(until * 10)):
+            actions += self.detector.tick(step / 10)
+        return actions
+
+    def test_a_silent_member_is_probed_indirectly_suspected_and_declared_dead(self) -> None:
+        actions = self.run_silently(until=20.0)
+        first_probe = next(action for action in actions if isinstance(action, ProbeDirect))
+        indirect = next(action for action in actions if isinstance(action, ProbeIndirect))
+        self.assertEqual(indirect.target, first_probe.target)
+        self.assertNotIn(indirect.target, indirect.helpers)
+        changes = [
+            action.update.status
+            for action in actions
+            if isinstance(action, StatusChanged) and action.update.name == first_probe.target
+        ]
+        self.assertEqual(changes[:2], [MemberStatus.SUSPECT, MemberStatus.DEAD])
+
+    def test_an_answer_in_time_prevents_suspicion(self) -> None:
+        for step in range(100):
+            for action in self.detector.tick(step / 10):
+                self.assertNotIsInstance(action, StatusChanged)
+                if isinstance(action, ProbeDirect):
+                    self.detector.acknowledged(action.sequence)
+
+    def test_a_node_that_was_paused_buries_nobody_for_its_own_silence(self) -> None:
+        self.run_silently(until=3.0)
+        self.detector.after_pause(500.0)
+        actions = self.detector.tick(500.0)
+        statuses = [action.update.status for action in actions if isinstance(action, StatusChanged)]
+        self.assertNotIn(MemberStatus.DEAD, statuses)
+
+    def test_a_relayed_probe_is_answered_to_the_requester(self) -> None:
+        probe = self.detector.relay("m1", 77, "m2")
+        assert probe is not None
+        relayed = self.detector.acknowledged(probe.sequence)
+        assert relayed is not None
+        self.assertEqual((relayed.requester, relayed.sequence, relayed.target), ("m1", 77, "m2"))
+
+    def test_an_unreachable_member_is_probed_again_so_that_a_healed_cut_is_noticed(self) -> None:
+        dead = MemberUpdate("m0", "127.0.0.1:0", "a", "r", 1, MemberStatus.DEAD)
+        self.table.merge(dead, 0.0)
+        actions = self.run_silently(until=PROFILE.reconnect_interval + 1)
+        probed = [action.target for action in actions if isinstance(action, ProbeDirect)]
+        self.assertIn("m0", probed)
