Add the stand-ins of the source, the machine list and the back ends

They run as plain processes (pewtertack lab source, machines, backend) with a control address each, so that a run can make them fail on purpose. Source and machine list share one numbered document with long poll: their failures are the same. The back end logs every execution by request id before it begins, written through at once, so that a kill loses no start. Weighed: uvicorn's limit_concurrency for the connection limit; it answers 503 without an outcome, so connections beyond the limit are reset instead.

--- /dev/null
+++ b/src/pewtertack/cli/lab.py
@@ -0,0 +1,110 @@
+"""``pewtertack lab``: stand-ins, fleets, load and scenarios."""
+
+from __future__ import annotations
+
+import json
+from pathlib import Path
+from typing import Annotated, Any
+
+import anyio
+import typer
+
+from pewtertack.lab.errors import LabUsageError
+from pewtertack.lab.serving import Address
+
+app = typer.Typer(no_args_is_help=True, help="Stand-ins, fleets, load and scenarios.")
+
+ANY_PORT = "127.0.0.1:0"
+
+Listen = Annotated[str, typer.Option(help="Address for the readers, ip:port.")]
+Control = Annotated[str, typer.Option(help="Address for the lab, ip:port.")]
+
+
+def read_json_object(path: Path) -> dict[str, Any]:
+    """Read a JSON object from a file.
+
+    Raises:
+        LabUsageError: the file is missing or holds something else.
+    """
+    try:
+        value = json.loads(path.read_text())
+    except (OSError, ValueError) as error:
+        raise LabUsageError(f"{path}: {error}") from error
+    if not isinstance(value, dict):
+        raise LabUsageError(f"{path}: not a JSON object")
+    return value
+
+
+@app.command()
+def source(
+    tree: Annotated[Path, typer.Option(help="JSON file with the first tree.")],
+    listen: Listen = ANY_PORT,
+    control: Control = ANY_PORT,
+    max_readers: Annotated[int, typer.Option(help="Reads at once before 503.")] = 32,
+    seed: int = 0,
+) -> None:
+    """Run the stand-in of the configuration source."""
+    from pewtertack.lab.source.service import ConfigurationSource
+
+    stand_in = ConfigurationSource(
+        read_json_object(tree),
+        Address.parse(listen),
+        Address.parse(control),
+        max_readers,
+        seed,
+    )
+    anyio.run(stand_in.service.run)
+
+
+@app.command()
+def machines(
+    file: Annotated[Path, typer.Option(help="JSON file with the first list.")],
+    listen: Listen = ANY_PORT,
+    control: Control = ANY_PORT,
+    lag: Annotated[float, typer.Option(help="Seconds until a change shows.")] = 0.0,
+    max_readers: Annotated[int, typer.Option(help="Reads at once before 503.")] = 32,
+) -> None:
+    """Run the stand-in of the platform's machine list."""
+    from pewtertack.lab.machines.service import MachineListService
+
+    stand_in = MachineListService(
+        read_json_object(file),
+        Address.parse(listen),
+        Address.parse(control),
+        lag,
+        max_readers,
+    )
+    anyio.run(stand_in.service.run)
+
+
+@app.command()
+def backend(
+    host: Annotated[list[str], typer.Option(help="name=ip:port, once for each back end.")],
+    control: Control = ANY_PORT,
+    slots: int = 6,
+    connections: int = 130,
+    queue: Annotated[int, typer.Option(help="Requests that wait for a slot.")] = 2,
+    work_ms: Annotated[float, typer.Option(help="Default work time.")] = 5.0,
+    cold_ms: Annotated[float, typer.Option(help="Slow for this long after the start.")] = 0.0,
+    seed: int = 0,
+) -> None:
+    """Run the stand-ins of one or more back ends in one process."""
+    from pewtertack.lab.backend.process import BackendProcess
+    from pewtertack.lab.backend.state import Capacity
+
+    capacity = Capacity(
+        slots=slots,
+        connections=connections,
+        queue=queue,
+        work_time=work_ms / 1000,
+        cold_period=cold_ms / 1000,
+    )
+    named = dict(_named_address(text) for text in host)
+    anyio.run(BackendProcess(named, Address.parse(control), capacity, seed).run)
+
+
+def _named_address(text: str) -> tuple[str, Address]:
+    name, equals, address = text.partition("=")
+    if not equals:
+        raise LabUsageError(f"{text!r}: write name=ip:port")
+    return name, Address.parse(address)
--- /dev/null
+++ b/src/pewtertack/lab/asgi.py
@@ -0,0 +1,117 @@
+"""The little that the stand-ins need of ASGI: requests, answers and a table of handlers."""
+
+from __future__ import annotations
+
+from collections.abc import Awaitable, Callable, Mapping, MutableMapping
+from dataclasses import dataclass, field
+from typing import Any
+from urllib.parse import parse_qsl
+
+import msgspec
+
+from pewtertack.lab.errors import LabUsageError, NumberConflictError
+
+Scope = MutableMapping[str, Any]
+Message = MutableMapping[str, Any]
+Receive = Callable[[], Awaitable[Message]]
+Send = Callable[[Message], Awaitable[None]]
+Application = Callable[[Scope, Receive, Send], Awaitable[None]]
+
+
+@dataclass(frozen=True, slots=True)
+class Request:
+    """One request with its whole body; header names are in lower case."""
+
+    method: str
+    path: str
+    query: Mapping[str, str]
+    headers: Mapping[str, str]
+    body: bytes = b""
+
+
+@dataclass(frozen=True, slots=True)
+class Answer:
+    """One answer with its whole body."""
+
+    status: int
+    body: bytes = b""
+    headers: Mapping[str, str] = field(default_factory=dict)
+
+
+Handler = Callable[[Request], Awaitable[Answer]]
+
+
+def json_answer(value: object, status: int = 200, **headers: str) -> Answer:
+    """Return ``value`` as a JSON answer."""
+    encoded = msgspec.json.encode(value)
+    named = {name.replace("_", "-"): text for name, text in headers.items()}
+    return Answer(status, encoded, {"content-type": "application/json", **named})
+
+
+def read_head(scope: Scope) -> Request:
+    """Return the request's line and headers, without a body."""
+    headers = {name.decode("latin-1"): value.decode("latin-1") for name, value in scope["headers"]}
+    query = dict(parse_qsl(scope.get("query_string", b"").decode("latin-1")))
+    return Request(scope["method"], scope["path"], query, headers)
+
+
+async def read_body(receive: Receive) -> bytes:
+    """Return the whole body; what arrived so far when the caller hangs up."""
+    parts = []
+    more = True
+    while more:
+        message = await receive()
+        parts.append(message.get("body", b""))
+        more = message["type"] == "http.request" and message.get("more_body", False)
+    return b"".join(parts)
+
+
+async def send_answer(send: Send, answer: Answer) -> None:
+    """Send the whole ``answer``."""
+    headers = {**answer.headers, "content-length": str(len(answer.body))}
+    await send_head(send, answer.status, headers)
+    await send({"type": "http.response.body", "body": answer.body})
+
+
+async def send_head(send: Send, status: int, headers: Mapping[str, str]) -> None:
+    """Send status and headers; the body follows."""
+    encoded = [(name.encode("latin-1"), value.encode("latin-1")) for name, value in headers.items()]
+    await send({"type": "http.response.start", "status": status, "headers": encoded})
+
+
+class HandlerTable:
+    """An ASGI application that picks a handler by method and path.
+
+    A path that ends in a slash stands for everything below it. Lab errors
+    become answers: 409 for a number conflict, 400 for wrong input.
+    """
+
+    def __init__(self, handlers: Mapping[tuple[str, str], Handler]) -> None:
+        self._handlers = handlers
+
+    async def __call__(self, scope: Scope, receive: Receive, send: Send) -> None:
+        """Answer one request; other scopes are ignored."""
+        if scope["type"] != "http":
+            return
+        head = read_head(scope)
+        body = await read_body(receive)
+        request = Request(head.method, head.path, head.query, head.headers, body)
+        await send_answer(send, await self._answer(request))
+
+    async def _answer(self, request: Request) -> Answer:
+        handler = self._find(request)
+        if handler is None:
+            return json_answer({"error": "not-found"}, 404)
+        try:
+            return await handler(request)
+        except NumberConflictError as error:
+            return json_answer({"error": error.code, "message": str(error)}, 409)
+        except (LabUsageError, msgspec.MsgspecError) as error:
+            return json_answer({"error": "bad-request", "message": str(error)}, 400)
+
+    def _find(self, request: Request) -> Handler | None:
+        exact = self._handlers.get((request.method, request.path))
+        if exact is not None:
+            return exact
+        parent = request.path.rpartition("/")[0] + "/"
+        return self._handlers.get((request.method, parent))
--- /dev/null
+++ b/src/pewtertack/lab/backend/process.py
@@ -0,0 +1,78 @@
+"""A process that hosts one or more back ends, and their control address."""
+
+from __future__ import annotations
+
+import time
+from dataclasses import dataclass
+
+import anyio
+import anyio.abc
+import msgspec
+
+from pewtertack.lab.asgi import Answer, HandlerTable, Request, json_answer
+from pewtertack.lab.backend.application import BackendApplication
+from pewtertack.lab.backend.state import BackendFaults, BackendState, Capacity
+from pewtertack.lab.errors import LabUsageError
+from pewtertack.lab.records import Record, encode_record
+from pewtertack.lab.serving import Address, Listener, print_line, print_ready
+
+
+@dataclass(frozen=True, slots=True)
+class HostedBackend:
+    """One back end and its listener."""
+
+    application: BackendApplication
+    listener: Listener
+
+
+def _print_record(record: Record) -> None:
+    print_line(encode_record(record))
+
+
+class BackendProcess:
+    """Hosts back ends.
+
+    Args:
+        backends: address of each back end by name.
+        control: address for the lab.
+        capacity: the limits of each.
+        seed: decides on shedding and broken answers.
+    """
+
+    def __init__(
+        self, backends: dict[str, Address], control: Address, capacity: Capacity, seed: int = 0
+    ) -> None:
+        started = time.monotonic()
+        self._hosted: dict[str, HostedBackend] = {}
+        for name, address in backends.items():
+            state = BackendState(capacity, started)
+            application = BackendApplication(name, state, _print_record, seed)
+            listener = Listener(application, address, capacity.connections)
+            self._hosted[name] = HostedBackend(application, listener)
+        handlers = {("POST", "/faults/"): self._set_faults, ("POST", "/close/"): self._close}
+        self._control = Listener(HandlerTable(dict(handlers)), control)
+
+    async def run(self) -> None:
+        """Serve until the process is ended."""
+        async with anyio.create_task_group() as task_group:
+            for hosted in self._hosted.values():
+                await hosted.listener.open(task_group)
+            await self._control.open(task_group)
+            addresses = {name: hosted.listener.address for name, hosted in self._hosted.items()}
+            print_ready(control=self._control.address, **addresses)
+            await anyio.sleep_forever()
+
+    async def _set_faults(self, request: Request) -> Answer:
+        faults = msgspec.json.decode(request.body, type=BackendFaults)
+        self._find(request).application.state.set_faults(faults, time.monotonic())
+        return json_answer(faults)
+
+    async def _close(self, request: Request) -> Answer:
+        self._find(request).listener.close()
+        return json_answer({})
+
+    def _find(self, request: Request) -> HostedBackend:
+        name = request.path.rpartition("/")[2]
+        if name not in self._hosted:
+            raise LabUsageError(f"no back end {name}")
+        return self._hosted[name]
--- /dev/null
+++ b/src/pewtertack/lab/errors.py
@@ -0,0 +1,43 @@
+"""Errors of the lab's tools."""
+
+from __future__ import annotations
+
+from typing import ClassVar
+
+from pewtertack.errors import LabError
+
+
+class LabUsageError(LabError):
+    """A flag or a file given to a lab command is wrong."""
+
+    code: ClassVar[str] = "lab-usage"
+
+
+class ProcessFailedError(LabError):
+    """A process of the fleet ended or did not become ready."""
+
+    code: ClassVar[str] = "process-failed"
+
+
+class FleetTimeoutError(LabError):
+    """A condition that the lab waits for did not come true in time."""
+
+    code: ClassVar[str] = "fleet-timeout"
+
+
+class ControlRefusedError(LabError):
+    """A stand-in refused a control request."""
+
+    code: ClassVar[str] = "control-refused"
+
+
+class NumberConflictError(LabError):
+    """Another operator's edit came first: the expected number is no longer current."""
+
+    code: ClassVar[str] = "number-conflict"
+
+
+class UnknownScenarioError(LabError):
+    """No scenario has the given name."""
+
+    code: ClassVar[str] = "unknown-scenario"
--- /dev/null
+++ b/src/pewtertack/lab/platform/control.py
@@ -0,0 +1,70 @@
+"""The lab's side of a numbered document: faults and counters, and running the service."""
+
+from __future__ import annotations
+
+import anyio
+import anyio.abc
+import msgspec
+
+from pewtertack.lab.asgi import Answer, Handler, HandlerTable, Request, json_answer
+from pewtertack.lab.platform.application import ReadApplication
+from pewtertack.lab.platform.store import Availability, DocumentStore, Faults
+from pewtertack.lab.serving import Address, Listener, print_ready
+
+
+class PlatformService:
+    """A numbered document with a readers' listener and a control listener.
+
+    Args:
+        store: the document.
+        reading: the readers' application.
+        read_path: its path.
+        listen: address for the readers.
+        control: address for the lab.
+        handlers: further control handlers.
+    """
+
+    def __init__(
+        self,
+        store: DocumentStore,
+        reading: ReadApplication,
+        read_path: str,
+        listen: Address,
+        control: Address,
+        handlers: dict[tuple[str, str], Handler],
+    ) -> None:
+        self._store = store
+        self._reading = reading
+        self.readers = Listener(HandlerTable({("GET", read_path): reading.handler}), listen)
+        common: dict[tuple[str, str], Handler] = {
+            ("POST", "/faults"): self._set_faults,
+            ("GET", "/counters"): self._counters,
+        }
+        self.control = Listener(HandlerTable({**common, **handlers}), control)
+        self._task_group: anyio.abc.TaskGroup | None = None
+
+    async def open(self, task_group: anyio.abc.TaskGroup) -> None:
+        """Serve in ``task_group``."""
+        self._task_group = task_group
+        await self.readers.open(task_group)
+        await self.control.open(task_group)
+
+    async def run(self) -> None:
+        """Serve until the process is ended."""
+        async with anyio.create_task_group() as task_group:
+            await self.open(task_group)
+            print_ready(listen=self.readers.address, control=self.control.address)
+            await anyio.sleep_forever()
+
+    async def _set_faults(self, request: Request) -> Answer:
+        faults = msgspec.json.decode(request.body, type=Faults)
+        self._store.set_faults(faults)
+        closed = faults.availability is Availability.CLOSED
+        if closed:
+            self.readers.close()
+        elif not self.readers.is_open and self._task_group is not None:
+            await self.readers.open(self._task_group)
+        return json_answer(faults)
+
+    async def _counters(self, request: Request) -> Answer:
+        return json_answer(self._reading.counters)
--- /dev/null
+++ b/src/pewtertack/lab/serving.py
@@ -0,0 +1,155 @@
+"""HTTP listeners of the stand-ins: uvicorn on an address, which can close and open again."""
+
+from __future__ import annotations
+
+import contextlib
+import socket
+import sys
+from collections.abc import Iterator
+from typing import Any
+
+import anyio
+import anyio.abc
+import msgspec
+import uvicorn
+from uvicorn.protocols.http.httptools_impl import HttpToolsProtocol
+
+from pewtertack.lab.asgi import Application
+from pewtertack.lab.errors import LabUsageError
+
+KEEP_ALIVE_SECONDS = 30
+SHUTDOWN_SECONDS = 1
+BACKLOG = 512
+START_POLL = 0.005
+
+
+class Address(msgspec.Struct, frozen=True):
+    """An IP number and a port."""
+
+    ip: str
+    port: int
+
+    def __str__(self) -> str:
+        return f"{self.ip}:{self.port}"
+
+    @classmethod
+    def parse(cls, text: str) -> Address:
+        """Read ``ip:port``.
+
+        Raises:
+            LabUsageError: the text has another form.
+        """
+        ip, colon, port = text.rpartition(":")
+        if not colon or not ip or not port.isdigit():
+            raise LabUsageError(f"{text!r} is no address; write ip:port")
+        return cls(ip, int(port))
+
+
+class _Server(uvicorn.Server):
+    """A uvicorn server that leaves the process's signals alone."""
+
+    @contextlib.contextmanager
+    def capture_signals(self) -> Iterator[None]:
+        yield
+
+
+def _protocol_with_limit(limit: int) -> type[HttpToolsProtocol]:
+    """Return an HTTP protocol that aborts connections beyond ``limit``."""
+
+    class LimitedProtocol(HttpToolsProtocol):
+        def connection_made(self, transport: Any) -> None:
+            super().connection_made(transport)
+            if len(self.connections) > limit:
+                transport.abort()
+
+    return LimitedProtocol
+
+
+class Listener:
+    """One application on one address.
+
+    Args:
+        application: what answers.
+        address: where to listen; port 0 takes a free one.
+        connection_limit: connections beyond this are reset.
+    """
+
+    def __init__(
+        self, application: Application, address: Address, connection_limit: int | None = None
+    ) -> None:
+        self.application = application
+        self._connection_limit = connection_limit
+        self._server: _Server | None = None
+        self.address = address
+
+    @property
+    def is_open(self) -> bool:
+        """Whether connections are accepted."""
+        return self._server is not None
+
+    async def open(self, task_group: anyio.abc.TaskGroup) -> None:
+        """Listen, and serve in ``task_group``; returns once connections are accepted.
+
+        Raises:
+            LabUsageError: the address cannot be bound.
+        """
+        listening = self._bind()
+        self.address = Address(*listening.getsockname()[:2])
+        server = _Server(self._settings())
+        self._server = server
+        task_group.start_soon(server.serve, [listening])
+        while not server.started:
+            await anyio.sleep(START_POLL)
+
+    def _bind(self) -> socket.socket:
+        listening = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+        listening.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        try:
+            listening.bind((self.address.ip, self.address.port))
+        except OSError as error:
+            listening.close()
+            raise LabUsageError(f"cannot listen on {self.address}: {error}") from error
+        return listening
+
+    def _settings(self) -> uvicorn.Config:
+        protocol: type[HttpToolsProtocol] | str = "httptools"
+        if self._connection_limit is not None:
+            protocol = _protocol_with_limit(self._connection_limit)
+        return uvicorn.Config(
+            self.application,
+            loop="asyncio",
+            http=protocol,
+            ws="none",
+            lifespan="off",
+            log_config=None,
+            log_level="critical",
+            access_log=False,
+            date_header=False,
+            server_header=False,
+            backlog=BACKLOG,
+            timeout_keep_alive=KEEP_ALIVE_SECONDS,
+            timeout_graceful_shutdown=SHUTDOWN_SECONDS,
+        )
+
+    def close(self) -> None:
+        """Refuse new connections and reset all that are open."""
+        if self._server is None:
+            return
+        for listening in self._server.servers:
+            listening.close()
+        for connection in list(self._server.server_state.connections):
+            connection.transport.abort()
+        self._server.should_exit = True
+        self._server = None
+
+
+def print_line(line: bytes) -> None:
+    """Write one line to standard output at once, so that a kill loses none."""
+    sys.stdout.buffer.write(line + b"\n")
+    sys.stdout.buffer.flush()
+
+
+def print_ready(**addresses: Address) -> None:
+    """Print the line that tells the fleet that a stand-in is ready."""
+    named = {name: str(address) for name, address in addresses.items()}
+    print_line(msgspec.json.encode({"ready": named}))
--- /dev/null
+++ b/src/pewtertack/lab/source/service.py
@@ -0,0 +1,54 @@
+"""The configuration source: readers at ``/v1/tree``, operators at the control address."""
+
+from __future__ import annotations
+
+import time
+from typing import Any
+
+import msgspec
+
+from pewtertack.lab.asgi import Answer, Request, json_answer
+from pewtertack.lab.platform.application import ReadApplication
+from pewtertack.lab.platform.control import PlatformService
+from pewtertack.lab.platform.store import DocumentStore
+from pewtertack.lab.serving import Address
+
+READ_PATH = "/v1/tree"
+DEFAULT_READER_LIMIT = 32
+
+
+class ConfigurationSource:
+    """The tree's store and its service.
+
+    Args:
+        tree: the first tree, number 1.
+        listen: address for the readers.
+        control: address for operators and the lab.
+        reader_limit: reads beyond this many at once get 503.
+        seed: decides which answers are older ones.
+    """
+
+    def __init__(
+        self,
+        tree: dict[str, Any],
+        listen: Address,
+        control: Address,
+        reader_limit: int = DEFAULT_READER_LIMIT,
+        seed: int = 0,
+    ) -> None:
+        self._store = DocumentStore(tree, seed)
+        reading = ReadApplication(self._store, "tree", reader_limit)
+        handlers = {("PUT", "/tree"): self._put_tree, ("GET", "/tree"): self._get_tree}
+        self.service = PlatformService(
+            self._store, reading, READ_PATH, listen, control, dict(handlers)
+        )
+
+    async def _put_tree(self, request: Request) -> Answer:
+        tree = msgspec.json.decode(request.body, type=dict[str, Any])
+        expected = request.query.get("expected")
+        number = self._store.put(tree, time.time(), int(expected) if expected else None)
+        return json_answer({"number": number})
+
+    async def _get_tree(self, request: Request) -> Answer:
+        newest = self._store.newest
+        return json_answer({"number": newest.number, "tree": newest.document})
--- /dev/null
+++ b/tests/lab/machines/test_service.py
@@ -0,0 +1,39 @@
+"""Changes of the machine list through its control address."""
+
+import unittest
+
+import msgspec
+
+from pewtertack.lab.machines.service import MachineListService
+from pewtertack.lab.serving import Address
+from tests.lab.asgi_client import call
+
+ANY = Address("127.0.0.1", 0)
+MACHINE = {"role": "backend", "zone": "yaba", "address": "127.0.0.1:9", "service": "logbook"}
+
+
+class MachineListServiceTest(unittest.IsolatedAsyncioTestCase):
+    def setUp(self) -> None:
+        self.list = MachineListService({"m1": MACHINE}, ANY, ANY)
+
+    async def control(self, method: str, path: str, value: object = None) -> int:
+        application = self.list.service.control.application
+        return (await call(application, method, path, msgspec.json.encode(value))).status
+
+    async def machines(self) -> dict[str, dict[str, str]]:
+        reply = await call(self.list.service.readers.application, "GET", "/v1/machines")
+        machines: dict[str, dict[str, str]] = msgspec.json.decode(reply.body)["machines"]
+        return machines
+
+    async def test_machines_come_leave_and_go(self) -> None:
+        self.assertEqual(await self.control("PUT", "/machines/m2", MACHINE), 200)
+        self.assertEqual(await self.control("POST", "/leaving/m1"), 200)
+        machines = await self.machines()
+        self.assertEqual(machines["m1"]["state"], "leaving")
+        self.assertEqual(await self.control("DELETE", "/machines/m1"), 200)
+        self.assertEqual(list(await self.machines()), ["m2"])
+
+    async def test_wrong_entries_are_refused(self) -> None:
+        self.assertEqual(await self.control("PUT", "/machines/m2", {"role": "king"}), 400)
+        self.assertEqual(await self.control("DELETE", "/machines/m9"), 400)
+        self.assertEqual(list(await self.machines()), ["m1"])
--- /dev/null
+++ b/tests/lab/source/test_service.py
@@ -0,0 +1,90 @@
+"""The source's long poll, its limit of readers and its outages, over real listeners."""
+
+import contextlib
+import unittest
+from collections.abc import AsyncIterator
+
+import anyio
+import httpcore
+import msgspec
+
+from pewtertack.lab.serving import Address
+from pewtertack.lab.source.service import ConfigurationSource
+
+ANY = Address("127.0.0.1", 0)
+
+
+@contextlib.asynccontextmanager
+async def running_source(
+    reader_limit: int = 4,
+) -> AsyncIterator[tuple[ConfigurationSource, httpcore.AsyncConnectionPool]]:
+    source = ConfigurationSource({"a": 1}, ANY, ANY, reader_limit)
+    async with anyio.create_task_group() as task_group, httpcore.AsyncConnectionPool() as pool:
+        await source.service.open(task_group)
+        yield source, pool
+        source.service.readers.close()
+        source.service.control.close()
+
+
+class ConfigurationSourceTest(unittest.IsolatedAsyncioTestCase):
+    async def read(
+        self, source: ConfigurationSource, pool: httpcore.AsyncConnectionPool, query: str = ""
+    ) -> httpcore.Response:
+        return await pool.request("GET", f"http://{source.service.readers.address}/v1/tree{query}")
+
+    async def control(
+        self,
+        source: ConfigurationSource,
+        pool: httpcore.AsyncConnectionPool,
+        method: str,
+        path: str,
+        value: object = None,
+    ) -> httpcore.Response:
+        url = f"http://{source.service.control.address}{path}"
+        return await pool.request(method, url, content=msgspec.json.encode(value))
+
+    async def test_a_waiting_reader_gets_the_edit(self) -> None:
+        async with running_source() as (source, pool), anyio.create_task_group() as readers:
+            first = await self.read(source, pool)
+            self.assertEqual(dict(first.headers)[b"etag"], b'"1"')
+            unchanged = await self.read(source, pool, "?after=1&wait=0")
+            self.assertEqual(unchanged.status, 304)
+
+            async def wait_for_edit() -> None:
+                answer = await self.read(source, pool, "?after=1&wait=30")
+                self.assertEqual(
+                    msgspec.json.decode(answer.content), {"number": 2, "tree": {"a": 2}}
+                )
+
+            readers.start_soon(wait_for_edit)
+            put = await self.control(source, pool, "PUT", "/tree?expected=1", {"a": 2})
+            self.assertEqual(put.status, 200)
+            conflict = await self.control(source, pool, "PUT", "/tree?expected=1", {"a": 3})
+            self.assertEqual(conflict.status, 409)
+
+    async def test_readers_beyond_the_limit_are_refused_and_counted(self) -> None:
+        async with running_source(reader_limit=1) as (source, pool):
+            async with anyio.create_task_group() as readers:
+                readers.start_soon(self.read, source, pool, "?after=1&wait=30")
+                refused = None
+                while refused is None or refused.status != 503:
+                    refused = await self.read(source, pool, "?after=1")
+                self.assertEqual(dict(refused.headers)[b"retry-after"], b"1")
+                await self.control(source, pool, "PUT", "/tree", {})
+            counters = await self.control(source, pool, "GET", "/counters")
+            self.assertEqual(msgspec.json.decode(counters.content)["peak_readers"], 2)
+
+    async def test_an_outage_refuses_and_ends(self) -> None:
+        async with running_source() as (source, pool):
+            await self.control(source, pool, "POST", "/faults", {"availability": "unavailable"})
+            self.assertEqual((await self.read(source, pool)).status, 503)
+            await self.control(source, pool, "POST", "/faults", {"availability": "closed"})
+            with self.assertRaises(httpcore.ConnectError):
+                await self.read(source, pool)
+            await self.control(source, pool, "POST", "/faults", {})
+            self.assertEqual((await self.read(source, pool)).status, 200)
+
+    async def test_an_unknown_fault_is_refused(self) -> None:
+        async with running_source() as (source, pool):
+            answer = await self.control(source, pool, "POST", "/faults", {"lagg": 1})
+            self.assertEqual(answer.status, 400)
