Add the relay of peer traffic: cuts, one-way cuts, delay and loss

A datagram leaves from the sender's advertised address, so that answers come back through the relay whatever address a node answers to. Streams are held while a link is cut rather than reset: a cut network sends no resets. Nodes are told apart by their own loopback IP number, no namespaces needed.

--- a/src/pewtertack/cli/lab.py
+++ b/src/pewtertack/cli/lab.py
@@ -7,6 +7,7 @@
 from typing import Annotated, Any
 
 import anyio
+import msgspec
 import typer
 
 from pewtertack.lab.errors import LabUsageError
@@ -108,3 +109,17 @@
     if not equals:
         raise LabUsageError(f"{text!r}: write name=ip:port")
     return name, Address.parse(address)
+
+
+@app.command()
+def relay(
+    nodes: Annotated[Path, typer.Option(help="JSON file: a list of relayed nodes.")],
+    control: Control = ANY_PORT,
+    seed: int = 0,
+) -> None:
+    """Run the relay of the nodes' peer traffic."""
+    from pewtertack.lab.relay.links import RelayedNode
+    from pewtertack.lab.relay.service import Relay
+
+    listed = msgspec.json.decode(nodes.read_bytes(), type=tuple[RelayedNode, ...])
+    anyio.run(Relay(listed, Address.parse(control), seed).run)
--- /dev/null
+++ b/src/pewtertack/lab/relay/links.py
@@ -0,0 +1,78 @@
+"""Which traffic between zones passes, how late, and how much of it is lost; no I/O."""
+
+from __future__ import annotations
+
+import random
+
+import msgspec
+
+from pewtertack.lab.errors import LabUsageError
+from pewtertack.lab.serving import Address
+
+
+class RelayedNode(msgspec.Struct, frozen=True):
+    """A node: where it listens for peers, and the relay's address that it advertises.
+
+    Its listening IP number is its own: the relay tells senders apart by it.
+    """
+
+    name: str
+    zone: str
+    listen: Address
+    advertised: Address
+
+
+class Link(msgspec.Struct, frozen=True, order=True):
+    """One direction between two zones."""
+
+    from_zone: str
+    to_zone: str
+
+
+class LinkSettings(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """The state of all links between different zones; within a zone all passes at once."""
+
+    cuts: tuple[Link, ...] = ()
+    delay: float = 0.0
+    """One-way delay in seconds."""
+    loss: float = 0.0
+    """Share of datagrams lost, 0 to 1. Streams lose nothing."""
+
+
+class LinkTable:
+    """Decides on each piece of traffic.
+
+    Args:
+        nodes: all nodes; listening IP numbers must differ.
+        seed: decides which datagrams are lost.
+
+    Raises:
+        LabUsageError: two nodes share an IP number.
+    """
+
+    def __init__(self, nodes: tuple[RelayedNode, ...], seed: int = 0) -> None:
+        self._by_ip = {node.listen.ip: node for node in nodes}
+        if len(self._by_ip) < len(nodes):
+            raise LabUsageError("relayed nodes need a listening IP number each")
+        self._random = random.Random(seed)
+        self.settings = LinkSettings()
+
+    def sender(self, ip: str) -> RelayedNode | None:
+        """Return the node that sends from ``ip``; None for a stranger."""
+        return self._by_ip.get(ip)
+
+    def is_cut(self, from_zone: str, to_zone: str) -> bool:
+        """Tell whether nothing passes in this direction."""
+        return Link(from_zone, to_zone) in self.settings.cuts
+
+    def delay(self, from_zone: str, to_zone: str) -> float:
+        """Return the one-way delay in seconds."""
+        return 0.0 if from_zone == to_zone else self.settings.delay
+
+    def drops_datagram(self, from_zone: str, to_zone: str) -> bool:
+        """Decide on one datagram."""
+        if self.is_cut(from_zone, to_zone):
+            return True
+        if from_zone == to_zone or not self.settings.loss:
+            return False
+        return self._random.random() < self.settings.loss
--- /dev/null
+++ b/src/pewtertack/lab/relay/service.py
@@ -0,0 +1,181 @@
+"""The relay's process: a UDP socket and a TCP listener for each node's advertised address."""
+
+from __future__ import annotations
+
+import contextlib
+import socket
+
+import anyio
+import anyio.abc
+import msgspec
+
+from pewtertack.lab.asgi import Answer, HandlerTable, Request, json_answer
+from pewtertack.lab.relay.links import LinkSettings, LinkTable, RelayedNode
+from pewtertack.lab.serving import Address, Listener, print_ready
+
+CHUNK_BYTES = 65536
+
+STREAM_ERRORS = (
+    anyio.BrokenResourceError,
+    anyio.ClosedResourceError,
+    anyio.EndOfStream,
+    OSError,
+)
+
+
+class RelayCounters(msgspec.Struct):
+    """What passed since the start."""
+
+    datagrams: int = 0
+    datagrams_dropped: int = 0
+    strangers: int = 0
+    stream_bytes: int = 0
+
+
+class Relay:
+    """Passes peer traffic between nodes.
+
+    A datagram to B's advertised address leaves from A's advertised address, so
+    that B's answer comes back through the relay.
+
+    Args:
+        nodes: all nodes.
+        control: address for the lab.
+        seed: decides which datagrams are lost.
+    """
+
+    def __init__(self, nodes: tuple[RelayedNode, ...], control: Address, seed: int = 0) -> None:
+        self._nodes = nodes
+        self._links = LinkTable(nodes, seed)
+        self._changed = anyio.Event()
+        self._sockets: dict[str, anyio.abc.UDPSocket] = {}
+        self.counters = RelayCounters()
+        handlers = {("PUT", "/links"): self._set_links, ("GET", "/counters"): self._get_counters}
+        self.control = Listener(HandlerTable(dict(handlers)), control)
+
+    async def open(self, task_group: anyio.abc.TaskGroup) -> None:
+        """Relay in ``task_group``."""
+        for node in self._nodes:
+            self._sockets[node.name] = await anyio.create_udp_socket(
+                family=socket.AF_INET,
+                local_host=node.advertised.ip,
+                local_port=node.advertised.port,
+            )
+        for node in self._nodes:
+            task_group.start_soon(self._relay_datagrams, node, task_group)
+            await self._open_streams(node, task_group)
+        await self.control.open(task_group)
+
+    async def run(self) -> None:
+        """Relay until the process is ended."""
+        async with anyio.create_task_group() as task_group:
+            await self.open(task_group)
+            print_ready(control=self.control.address)
+            await anyio.sleep_forever()
+
+    def set_links(self, settings: LinkSettings) -> None:
+        """Pass traffic by ``settings`` from now on."""
+        self._links.settings = settings
+        self._changed.set()
+        self._changed = anyio.Event()
+
+    async def _relay_datagrams(self, node: RelayedNode, task_group: anyio.abc.TaskGroup) -> None:
+        async with self._sockets[node.name] as relay_socket:
+            async for data, (ip, _) in relay_socket:
+                await self._relay_datagram(ip, node, data, task_group)
+
+    async def _relay_datagram(
+        self, ip: str, node: RelayedNode, data: bytes, task_group: anyio.abc.TaskGroup
+    ) -> None:
+        sender = self._links.sender(ip)
+        if sender is None:
+            self.counters.strangers += 1
+        elif self._links.drops_datagram(sender.zone, node.zone):
+            self.counters.datagrams_dropped += 1
+        else:
+            await self._pass_datagram(sender, node, data, task_group)
+
+    async def _pass_datagram(
+        self, sender: RelayedNode, node: RelayedNode, data: bytes, task_group: anyio.abc.TaskGroup
+    ) -> None:
+        delay = self._links.delay(sender.zone, node.zone)
+        if delay:
+            task_group.start_soon(self._send_datagram, sender, node, data, delay)
+        else:
+            await self._send_datagram(sender, node, data, delay)
+
+    async def _send_datagram(
+        self, sender: RelayedNode, node: RelayedNode, data: bytes, delay: float
+    ) -> None:
+        if delay:
+            await anyio.sleep(delay)
+        self.counters.datagrams += 1
+        with contextlib.suppress(*STREAM_ERRORS):
+            await self._sockets[sender.name].sendto(data, node.listen.ip, node.listen.port)
+
+    async def _open_streams(self, node: RelayedNode, task_group: anyio.abc.TaskGroup) -> None:
+        listener = await anyio.create_tcp_listener(
+            local_host=node.advertised.ip, local_port=node.advertised.port
+        )
+
+        async def relay_stream(stream: anyio.abc.SocketStream) -> None:
+            async with stream:
+                await self._relay_stream(node, stream)
+
+        async def serve() -> None:
+            async with listener:
+                await listener.serve(relay_stream)
+
+        task_group.start_soon(serve)
+
+    async def _relay_stream(self, node: RelayedNode, stream: anyio.abc.SocketStream) -> None:
+        ip = stream.extra(anyio.abc.SocketAttribute.remote_address)[0]
+        sender = self._links.sender(str(ip))
+        if sender is None:
+            self.counters.strangers += 1
+            return
+        await self._wait_for_link(sender.zone, node.zone)
+        with contextlib.suppress(*STREAM_ERRORS):
+            async with await anyio.connect_tcp(node.listen.ip, node.listen.port) as onward:
+                await self._pump_both(sender.zone, node.zone, stream, onward)
+
+    async def _pump_both(
+        self,
+        from_zone: str,
+        to_zone: str,
+        stream: anyio.abc.SocketStream,
+        onward: anyio.abc.SocketStream,
+    ) -> None:
+        async with anyio.create_task_group() as pumps:
+            pumps.start_soon(self._pump, from_zone, to_zone, stream, onward)
+            pumps.start_soon(self._pump, to_zone, from_zone, onward, stream)
+
+    async def _pump(
+        self,
+        from_zone: str,
+        to_zone: str,
+        source: anyio.abc.SocketStream,
+        target: anyio.abc.SocketStream,
+    ) -> None:
+        """Pass one direction on until it ends; hold it while the link is cut."""
+        with contextlib.suppress(*STREAM_ERRORS):
+            while True:
+                chunk = await source.receive(CHUNK_BYTES)
+                await self._wait_for_link(from_zone, to_zone)
+                await anyio.sleep(self._links.delay(from_zone, to_zone))
+                await target.send(chunk)
+                self.counters.stream_bytes += len(chunk)
+        with contextlib.suppress(*STREAM_ERRORS):
+            await target.send_eof()
+
+    async def _wait_for_link(self, from_zone: str, to_zone: str) -> None:
+        while self._links.is_cut(from_zone, to_zone):
+            await self._changed.wait()
+
+    async def _set_links(self, request: Request) -> Answer:
+        settings = msgspec.json.decode(request.body, type=LinkSettings)
+        self.set_links(settings)
+        return json_answer(settings)
+
+    async def _get_counters(self, request: Request) -> Answer:
+        return json_answer(self.counters)
--- /dev/null
+++ b/tests/lab/relay/test_service.py
@@ -0,0 +1,119 @@
+"""Datagrams and streams through the relay, with links cut and healed."""
+
+import contextlib
+import socket
+import unittest
+from collections.abc import AsyncIterator
+
+import anyio
+import anyio.abc
+
+from pewtertack.lab.errors import LabUsageError
+from pewtertack.lab.relay.links import Link, LinkSettings, LinkTable, RelayedNode
+from pewtertack.lab.relay.service import Relay
+from pewtertack.lab.serving import Address
+
+RELAY_IP = "127.0.200.1"
+YABA_TO_LEKKI = LinkSettings(cuts=(Link("yaba", "lekki"),))
+
+
+def free_port(ip: str) -> int:
+    with contextlib.closing(socket.socket()) as probe:
+        probe.bind((ip, 0))
+        port: int = probe.getsockname()[1]
+        return port
+
+
+def make_node(name: str, zone: str, ip: str) -> RelayedNode:
+    listen = Address(ip, free_port(ip))
+    return RelayedNode(name, zone, listen, Address(RELAY_IP, free_port(RELAY_IP)))
+
+
+@contextlib.asynccontextmanager
+async def running_relay(*nodes: RelayedNode) -> AsyncIterator[Relay]:
+    relay = Relay(nodes, Address("127.0.0.1", 0))
+    async with anyio.create_task_group() as task_group:
+        await relay.open(task_group)
+        yield relay
+        relay.control.close()
+        task_group.cancel_scope.cancel()
+
+
+async def udp_socket(node: RelayedNode) -> anyio.abc.UDPSocket:
+    return await anyio.create_udp_socket(
+        family=socket.AF_INET, local_host=node.listen.ip, local_port=node.listen.port
+    )
+
+
+class RelayTest(unittest.IsolatedAsyncioTestCase):
+    def setUp(self) -> None:
+        self.yaba = make_node("n1", "yaba", "127.0.201.1")
+        self.lekki = make_node("n2", "lekki", "127.0.202.1")
+
+    async def test_a_datagram_comes_from_the_senders_advertised_address(self) -> None:
+        async with (
+            running_relay(self.yaba, self.lekki),
+            await udp_socket(self.yaba) as yaba,
+            await udp_socket(self.lekki) as lekki,
+        ):
+            await yaba.sendto(b"ping", RELAY_IP, self.lekki.advertised.port)
+            data, sender = await lekki.receive()
+            self.assertEqual((data, sender), (b"ping", (RELAY_IP, self.yaba.advertised.port)))
+            await lekki.sendto(b"pong", *sender)
+            data, sender = await yaba.receive()
+            self.assertEqual((data, sender), (b"pong", (RELAY_IP, self.lekki.advertised.port)))
+
+    async def test_a_one_way_cut_drops_datagrams_in_one_direction(self) -> None:
+        async with (
+            running_relay(self.yaba, self.lekki) as relay,
+            await udp_socket(self.yaba) as yaba,
+            await udp_socket(self.lekki) as lekki,
+        ):
+            relay.set_links(YABA_TO_LEKKI)
+            await yaba.sendto(b"lost", RELAY_IP, self.lekki.advertised.port)
+            while not relay.counters.datagrams_dropped:
+                await anyio.sleep(0.001)
+            await lekki.sendto(b"passes", RELAY_IP, self.yaba.advertised.port)
+            self.assertEqual((await yaba.receive())[0], b"passes")
+            relay.set_links(LinkSettings(delay=0.001))
+            await yaba.sendto(b"healed", RELAY_IP, self.lekki.advertised.port)
+            self.assertEqual((await lekki.receive())[0], b"healed")
+
+    async def test_a_cut_holds_a_stream_until_it_heals(self) -> None:
+        async def echo(stream: anyio.abc.SocketStream) -> None:
+            async with stream:
+                await stream.send(b"echo " + await stream.receive())
+
+        listener = await anyio.create_tcp_listener(
+            local_host=self.lekki.listen.ip, local_port=self.lekki.listen.port
+        )
+        async with (
+            running_relay(self.yaba, self.lekki) as relay,
+            anyio.create_task_group() as tasks,
+        ):
+            tasks.start_soon(listener.serve, echo)
+            relay.set_links(YABA_TO_LEKKI)
+            local = self.yaba.listen.ip
+            target = self.lekki.advertised
+            async with await anyio.connect_tcp(target.ip, target.port, local_host=local) as stream:
+                await stream.send(b"hello")
+                with anyio.move_on_after(0.05):
+                    await stream.receive()
+                    self.fail("the cut let a stream pass")
+                relay.set_links(LinkSettings())
+                self.assertEqual(await stream.receive(), b"echo hello")
+            tasks.cancel_scope.cancel()
+
+    async def test_strangers_are_dropped_and_counted(self) -> None:
+        async with running_relay(self.yaba, self.lekki) as relay:
+            stranger = await anyio.create_udp_socket(
+                family=socket.AF_INET, local_host="127.0.203.1"
+            )
+            async with stranger:
+                await stranger.sendto(b"?", RELAY_IP, self.lekki.advertised.port)
+                while not relay.counters.strangers:
+                    await anyio.sleep(0.001)
+
+    def test_nodes_need_an_ip_number_each(self) -> None:
+        with self.assertRaises(LabUsageError):
+            LinkTable((self.yaba, make_node("n3", "yaba", self.yaba.listen.ip)))
