--- /dev/null
+++ b/src/pewtertack/lab/fleet/control.py
@@ -0,0 +1,46 @@
+"""Requests of the lab to the control addresses of stand-ins and to nodes' admin addresses."""
+
+from __future__ import annotations
+
+import httpcore
+import msgspec
+
+from pewtertack.lab.errors import ControlRefusedError, NumberConflictError
+from pewtertack.lab.serving import Address
+
+TIMEOUTS = {"connect": 5.0, "read": 20.0, "write": 5.0, "pool": 20.0}
+STATUS_CONFLICT = 409
+
+
+class ControlClient:
+    """Sends control requests over pooled connections."""
+
+    def __init__(self) -> None:
+        self._pool = httpcore.AsyncConnectionPool(max_connections=64, keepalive_expiry=2.0)
+
+    async def close(self) -> None:
+        """Close the connections."""
+        await self._pool.aclose()
+
+    async def request(
+        self, method: str, address: Address, path: str, value: object = None
+    ) -> bytes:
+        """Send ``value`` as JSON and return the answer's body.
+
+        Raises:
+            NumberConflictError: another operator's edit came first.
+            ControlRefusedError: any other answer than 200, or none.
+        """
+        url = f"http://{address}{path}"
+        content = b"" if value is None else msgspec.json.encode(value)
+        try:
+            answer = await self._pool.request(
+                method, url, content=content, extensions={"timeout": TIMEOUTS}
+            )
+        except (httpcore.NetworkError, httpcore.TimeoutException, httpcore.ProtocolError) as error:
+            raise ControlRefusedError(f"{method} {url}: {error!r}") from error
+        if answer.status == STATUS_CONFLICT:
+            raise NumberConflictError(answer.content.decode())
+        if answer.status != 200:
+            raise ControlRefusedError(f"{method} {url}: {answer.status} {answer.content!r}")
+        return answer.content
--- /dev/null
+++ b/src/pewtertack/lab/fleet/plan.py
@@ -0,0 +1,161 @@
+"""Which processes a fleet consists of, with their names, zones and addresses."""
+
+from __future__ import annotations
+
+from collections.abc import Mapping
+from dataclasses import dataclass
+from typing import Any
+
+from pewtertack.lab.backend.state import Capacity
+from pewtertack.lab.fleet.ports import PortAllocator
+from pewtertack.lab.relay.links import RelayedNode
+from pewtertack.lab.serving import Address
+
+PLATFORM_IP = "127.0.0.1"
+RELAY_IP = "127.0.200.1"
+FIRST_ZONE_OCTET = 10
+FIRST_BACKEND_OCTET = 101
+DEFAULT_SEED_COUNT = 4
+FLEET_KEY = "70657774657274616b2d6c61622d6b6579d1ce5eed0123456789abcdef012345"
+
+
+@dataclass(frozen=True, slots=True)
+class FleetShape:
+    """The size and the settings of a fleet. Times in seconds."""
+
+    zones: tuple[str, ...]
+    services: Mapping[str, int]
+    """Number of back ends by service."""
+    tree: Mapping[str, Any]
+    nodes_per_zone: int = 2
+    region: str = "local"
+    profile: str = "fast"
+    capacity: Capacity = Capacity()
+    machine_list_lag: float = 1.0
+    reader_limit: int = 32
+    has_relay: bool = True
+    separate_backends: bool = False
+    """A process for each back end rather than for each service."""
+
+
+@dataclass(frozen=True, slots=True)
+class NodePlan:
+    """One node. ``advertised`` is the relay's address where there is a relay."""
+
+    name: str
+    zone: str
+    proxy: Address
+    peer: Address
+    admin: Address
+    advertised: Address
+
+    def relayed(self) -> RelayedNode:
+        """Return what the relay must know."""
+        return RelayedNode(self.name, self.zone, self.peer, self.advertised)
+
+
+@dataclass(frozen=True, slots=True)
+class BackendPlan:
+    """One back end, and the name of the process that hosts it."""
+
+    name: str
+    service: str
+    zone: str
+    address: Address
+    process: str
+
+
+@dataclass(frozen=True, slots=True)
+class ServicePlan:
+    """A stand-in with an address for its users and one for the lab."""
+
+    listen: Address
+    control: Address
+
+
+@dataclass(frozen=True, slots=True)
+class FleetPlan:
+    """All processes of a fleet; back end processes' control addresses by name."""
+
+    shape: FleetShape
+    source: ServicePlan
+    machines: ServicePlan
+    relay_control: Address
+    nodes: Mapping[str, NodePlan]
+    backends: Mapping[str, BackendPlan]
+    backend_controls: Mapping[str, Address]
+
+    def machine_list(self) -> dict[str, dict[str, str]]:
+        """Return the platform's list with everything live."""
+        machines = {node.name: _node_entry(node, self.shape.region) for node in self.nodes.values()}
+        for backend in self.backends.values():
+            machines[backend.name] = _backend_entry(backend, self.shape.region)
+        return machines
+
+    def seeds(self) -> tuple[Address, ...]:
+        """Return the advertised addresses of a few nodes, spread over the zones."""
+        by_index = sorted(self.nodes.values(), key=lambda node: node.name.rpartition("-")[2])
+        return tuple(node.advertised for node in by_index[:DEFAULT_SEED_COUNT])
+
+    def hosted_by(self, process: str) -> list[BackendPlan]:
+        """Return the back ends of one process."""
+        return [backend for backend in self.backends.values() if backend.process == process]
+
+
+def plan_fleet(shape: FleetShape) -> FleetPlan:
+    """Name and place all processes of a fleet at free addresses.
+
+    Raises:
+        LabUsageError: no free port was found.
+    """
+    ports = PortAllocator()
+    nodes = _plan_nodes(shape, ports)
+    backends = _plan_backends(shape, ports)
+    processes = dict.fromkeys(backend.process for backend in backends)
+    return FleetPlan(
+        shape=shape,
+        source=ServicePlan(ports.allocate(PLATFORM_IP), ports.allocate(PLATFORM_IP)),
+        machines=ServicePlan(ports.allocate(PLATFORM_IP), ports.allocate(PLATFORM_IP)),
+        relay_control=ports.allocate(PLATFORM_IP),
+        nodes={node.name: node for node in nodes},
+        backends={backend.name: backend for backend in backends},
+        backend_controls={process: ports.allocate(PLATFORM_IP) for process in processes},
+    )
+
+
+def _plan_nodes(shape: FleetShape, ports: PortAllocator) -> list[NodePlan]:
+    nodes = []
+    for zone_index, zone in enumerate(shape.zones):
+        for index in range(1, shape.nodes_per_zone + 1):
+            ip = f"127.0.{FIRST_ZONE_OCTET + zone_index}.{index}"
+            peer = ports.allocate(ip)
+            advertised = ports.allocate(RELAY_IP) if shape.has_relay else peer
+            proxy, admin = ports.allocate(ip), ports.allocate(ip)
+            nodes.append(NodePlan(f"{zone}-{index}", zone, proxy, peer, admin, advertised))
+    return nodes
+
+
+def _plan_backends(shape: FleetShape, ports: PortAllocator) -> list[BackendPlan]:
+    backends = []
+    for service, count in shape.services.items():
+        for index in range(1, count + 1):
+            zone_index = (index - 1) % len(shape.zones)
+            address = ports.allocate(f"127.0.{FIRST_ZONE_OCTET + zone_index}.{FIRST_BACKEND_OCTET}")
+            name = f"{service}-{index}"
+            process = name if shape.separate_backends else f"{service}-backends"
+            backends.append(BackendPlan(name, service, shape.zones[zone_index], address, process))
+    return backends
+
+
+def _node_entry(node: NodePlan, region: str) -> dict[str, str]:
+    return {"role": "node", "zone": node.zone, "region": region, "address": str(node.advertised)}
+
+
+def _backend_entry(backend: BackendPlan, region: str) -> dict[str, str]:
+    return {
+        "role": "backend",
+        "zone": backend.zone,
+        "region": region,
+        "address": str(backend.address),
+        "service": backend.service,
+    }
--- /dev/null
+++ b/src/pewtertack/lab/fleet/settings.py
@@ -0,0 +1,85 @@
+"""The files that the processes of a fleet read at their start."""
+
+from __future__ import annotations
+
+from pathlib import Path
+
+import msgspec
+
+from pewtertack.lab.fleet.plan import FLEET_KEY, FleetPlan, NodePlan
+
+NODE_TEMPLATE = """\
+[node]
+name = "{name}"
+zone = "{zone}"
+region = "{region}"
+
+[listen]
+proxy = "{proxy}"
+peer = "{peer}"
+admin = "{admin}"
+
+[advertise]
+peer = "{advertised}"
+
+[source]
+url = "http://{source}"
+
+[machines]
+url = "http://{machines}"
+
+[peers]
+seeds = [{seeds}]
+key = "{key}"
+
+[profile]
+name = "{profile}"
+"""
+
+
+def node_settings(plan: FleetPlan, node: NodePlan) -> str:
+    """Return the TOML text of one node's settings file."""
+    return NODE_TEMPLATE.format(
+        name=node.name,
+        zone=node.zone,
+        region=plan.shape.region,
+        proxy=node.proxy,
+        peer=node.peer,
+        admin=node.admin,
+        advertised=node.advertised,
+        source=plan.source.listen,
+        machines=plan.machines.listen,
+        seeds=", ".join(f'"{seed}"' for seed in plan.seeds() if seed != node.advertised),
+        key=FLEET_KEY,
+        profile=plan.shape.profile,
+    )
+
+
+def write_files(plan: FleetPlan, directory: Path) -> None:
+    """Write the tree, the machine list, the relay's nodes and all settings files."""
+    relayed = [node.relayed() for node in plan.nodes.values()]
+    tree_path(directory).write_bytes(msgspec.json.encode(plan.shape.tree))
+    machines_path(directory).write_bytes(msgspec.json.encode(plan.machine_list()))
+    relay_path(directory).write_bytes(msgspec.json.encode(relayed))
+    for node in plan.nodes.values():
+        settings_path(directory, node.name).write_text(node_settings(plan, node))
+
+
+def tree_path(directory: Path) -> Path:
+    """Return where the source's first tree is."""
+    return directory / "tree.json"
+
+
+def machines_path(directory: Path) -> Path:
+    """Return where the first machine list is."""
+    return directory / "machines.json"
+
+
+def relay_path(directory: Path) -> Path:
+    """Return where the relay's list of nodes is."""
+    return directory / "relay.json"
+
+
+def settings_path(directory: Path, node: str) -> Path:
+    """Return where a node's settings are."""
+    return directory / f"{node}.toml"
--- a/tests/lab/relay/test_service.py
+++ b/tests/lab/relay/test_service.py
@@ -89,6 +89,7 @@
         )
         async with (
             running_relay(self.yaba, self.lekki) as relay,
+            listener,
             anyio.create_task_group() as tasks,
         ):
             tasks.start_soon(listener.serve, echo)
