Proxy: forward by a configuration and a machine list, thin first version

ProxyApplication is the interface that the daemon uses; its signature is stable from here. Every refusal is typed and says whether the request ran.

--- /dev/null
+++ b/src/pewtertack/node/proxy/answers.py
@@ -0,0 +1,58 @@
+"""Answers that the node gives itself: typed refusals and failures."""
+
+from __future__ import annotations
+
+import math
+from collections.abc import Awaitable, Callable, MutableMapping
+from typing import Any
+
+import msgspec
+
+from pewtertack.node.proxy.headers import REQUEST_ID, RawHeaders
+from pewtertack.routing.outcomes import OUTCOME_HEADER, RequestFailedError
+
+Scope = MutableMapping[str, Any]
+"""ASGI connection scope."""
+Message = MutableMapping[str, Any]
+"""ASGI event."""
+Receive = Callable[[], Awaitable[Message]]
+Send = Callable[[Message], Awaitable[None]]
+
+
+class FailureBody(msgspec.Struct, frozen=True):
+    """JSON body of a typed failure; ``retry_after`` in seconds."""
+
+    type: str
+    outcome: str
+    message: str
+    retry_after: float | None
+
+
+def failure_head(error: RequestFailedError, request_id: str, length: int) -> RawHeaders:
+    """Return the headers of a typed failure whose body has ``length`` bytes."""
+    headers = [
+        (b"content-type", b"application/json"),
+        (b"content-length", str(length).encode()),
+        (OUTCOME_HEADER.encode(), error.outcome.encode()),
+    ]
+    if request_id:
+        headers.append((REQUEST_ID, request_id.encode()))
+    if error.retry_after is not None:
+        headers.append((b"retry-after", str(max(1, math.ceil(error.retry_after))).encode()))
+    if error.close_connection:
+        headers.append((b"connection", b"close"))
+    return headers
+
+
+def failure_body(error: RequestFailedError) -> bytes:
+    """Return the JSON body of a typed failure."""
+    body = FailureBody(error.code, error.outcome, error.message, error.retry_after)
+    return msgspec.json.encode(body)
+
+
+async def send_failure(send: Send, error: RequestFailedError, request_id: str) -> None:
+    """Answer the caller with a typed failure, at once."""
+    body = failure_body(error)
+    headers = failure_head(error, request_id, len(body))
+    await send({"type": "http.response.start", "status": error.status, "headers": headers})
+    await send({"type": "http.response.body", "body": body})
--- /dev/null
+++ b/src/pewtertack/node/proxy/application.py
@@ -0,0 +1,173 @@
+"""The proxy's ASGI application."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from random import Random
+
+import anyio
+from prometheus_client import CollectorRegistry
+
+from pewtertack.core.configuration.resolved import ResolvedConfiguration
+from pewtertack.core.machines import MachineList
+from pewtertack.events import Event
+from pewtertack.node.proxy.answers import Receive, Scope, Send, send_failure
+from pewtertack.node.proxy.exchange import CallerGoneError, Exchange, TruncatedAnswerError
+from pewtertack.node.proxy.headers import RequestHead, read_head
+from pewtertack.node.proxy.upstream import ConnectionStore
+from pewtertack.routing.backend import Backend
+from pewtertack.routing.choice import choose
+from pewtertack.routing.deadlines import deadline_of
+from pewtertack.routing.outcomes import (
+    BackendUnreachableError,
+    DeadlineExceededError,
+    DrainingError,
+    InvalidRequestError,
+    NoBackendError,
+    NotServingError,
+    ProtocolVersionError,
+    RequestFailedError,
+)
+from pewtertack.routing.registry import BackendRegistry
+from pewtertack.routing.table import RouteTable
+
+EventLog = Callable[[Event, dict[str, object]], None]
+"""Called with an event and its fields, for the node's log."""
+
+
+def _always() -> bool:
+    return True
+
+
+def _ignore_event(event: Event, fields: dict[str, object]) -> None:
+    """Log nothing."""
+
+
+class ProxyApplication:
+    """Forwards callers' requests to back ends by the configuration in force.
+
+    An ASGI 3 application for uvicorn (``node.proxy.server``). All methods are
+    called in the event loop's thread.
+
+    Args:
+        clock: monotonic time in seconds.
+        random: seeded generator for choices, request ids and jitter.
+        may_serve: asked before every request; false refuses it as not run.
+        registry: where the metrics are registered; ``None`` keeps none.
+        log: receives events of the 6xx numbers.
+    """
+
+    def __init__(
+        self,
+        clock: Callable[[], float],
+        random: Random,
+        *,
+        may_serve: Callable[[], bool] = _always,
+        registry: CollectorRegistry | None = None,
+        log: EventLog = _ignore_event,
+    ) -> None:
+        self._clock = clock
+        self._random = random
+        self._may_serve = may_serve
+        self._log = log
+        self._table: RouteTable | None = None
+        self._backends = BackendRegistry()
+        self._connections = ConnectionStore(clock)
+        self._serving = False
+        self._retry_after = 1.0
+        self._draining = False
+        self._in_flight = 0
+        self._idle = anyio.Event()
+
+    @property
+    def in_flight(self) -> int:
+        """Requests that have been accepted and are not finished."""
+        return self._in_flight
+
+    def use_configuration(self, configuration: ResolvedConfiguration) -> None:
+        """Serve requests that begin from now on by ``configuration``."""
+        self._table = RouteTable(configuration)
+
+    def use_machines(self, machines: MachineList) -> None:
+        """Take over a newer machine list; an older one is ignored."""
+        self._backends.update(machines)
+
+    def set_serving(self, serving: bool, retry_after: float = 1.0) -> None:
+        """Accept requests, or refuse them as not run, to come back after ``retry_after`` s."""
+        self._serving = serving
+        self._retry_after = retry_after
+
+    def start_draining(self) -> None:
+        """Refuse new requests from now on; those in flight are finished."""
+        self._draining = True
+        if self._in_flight == 0:
+            self._idle.set()
+
+    async def wait_drained(self) -> None:
+        """Return when draining has begun and nothing is in flight."""
+        await self._idle.wait()
+        await self._connections.close_idle()
+
+    async def __call__(self, scope: Scope, receive: Receive, send: Send) -> None:
+        """Serve one request (ASGI entry point)."""
+        if scope["type"] != "http":
+            raise InvalidRequestError(f"unsupported connection type {scope['type']}")
+        self._in_flight += 1
+        try:
+            await self._serve(scope, receive, send)
+        finally:
+            self._in_flight -= 1
+            if self._draining and self._in_flight == 0:
+                self._idle.set()
+
+    async def _serve(self, scope: Scope, receive: Receive, send: Send) -> None:
+        head = RequestHead()
+        try:
+            self._check_serving()
+            if scope["http_version"] != "1.1":
+                raise ProtocolVersionError("HTTP/1.1 is needed")
+            head = read_head(scope["headers"])
+            head.request_id = head.request_id or f"{self._random.getrandbits(128):032x}"
+            await self._forward(scope, receive, send, head)
+        except RequestFailedError as error:
+            self._log(Event.REQUEST_REFUSED, {"type": error.code, "request": head.request_id})
+            await send_failure(send, error, head.request_id)
+        except (CallerGoneError, TruncatedAnswerError):
+            return  # uvicorn closes a connection whose answer was left incomplete
+
+    def _check_serving(self) -> None:
+        if self._draining:
+            raise DrainingError("the node is stopping")
+        if not self._serving or self._table is None or not self._may_serve():
+            raise NotServingError("the node is not serving yet", self._retry_after)
+
+    async def _forward(self, scope: Scope, receive: Receive, send: Send, head: RequestHead) -> None:
+        assert self._table is not None
+        configuration = self._table.configuration
+        route = self._table.match(head.host, scope["path"], scope["method"])
+        now = self._clock()
+        deadline = deadline_of(now, head.deadline, route.timeout)
+        exchange = Exchange(scope, receive, send, head, configuration, route)
+        backend = choose(self._backends.of_service(route.service), self._random)
+        if backend is None:
+            raise NoBackendError(f"service {route.service} has no back end")
+        with anyio.move_on_after(deadline - now):
+            await self._attempt(exchange, backend, deadline)
+            return
+        if not exchange.started:
+            raise DeadlineExceededError("the deadline passed")
+
+    async def _attempt(self, exchange: Exchange, backend: Backend, deadline: float) -> None:
+        backend.in_flight += 1
+        try:
+            try:
+                connection = await self._connections.take(backend.address)
+            except BackendUnreachableError:
+                raise
+            try:
+                answer = await exchange.attempt(connection, self._clock(), deadline)
+            finally:
+                await self._connections.give_back(connection)
+            backend.said_leaving = backend.said_leaving or answer.leaving
+        finally:
+            backend.in_flight -= 1
--- /dev/null
+++ b/src/pewtertack/routing/deadlines.py
@@ -0,0 +1,31 @@
+"""Deadlines that travel with a request as the time left in milliseconds."""
+
+from __future__ import annotations
+
+from pewtertack.routing.outcomes import InvalidRequestError
+
+DEADLINE_HEADER = "x-deadline-ms"
+MAXIMUM_DIGITS = 12
+
+
+def deadline_of(now: float, header: str | None, route_timeout: float) -> float:
+    """Return the deadline on the clock of ``now``; the route's timeout bounds the caller's.
+
+    Raises:
+        InvalidRequestError: the header is not a whole number of milliseconds above zero.
+    """
+    if header is None:
+        return now + route_timeout
+    return now + min(_milliseconds(header) / 1000, route_timeout)
+
+
+def _milliseconds(header: str) -> int:
+    text = header.strip()
+    if not (text.isascii() and text.isdigit() and len(text) <= MAXIMUM_DIGITS) or int(text) == 0:
+        raise InvalidRequestError(f"{DEADLINE_HEADER} must be milliseconds above zero")
+    return int(text)
+
+
+def header_for(now: float, deadline: float) -> str:
+    """Return the header value that passes on the time left, rounded down, at least 1."""
+    return str(max(1, int((deadline - now) * 1000)))
--- /dev/null
+++ b/src/pewtertack/routing/outcomes.py
@@ -0,0 +1,160 @@
+"""Typed ends of a request that has no back end's answer.
+
+Every error tells whether the request was not run or may have run, the HTTP
+status, and after how long the caller should come back. An error raised for one
+attempt says what is known of that attempt; ``with_outcome`` widens it when an
+earlier attempt of the same request may have run.
+"""
+
+from __future__ import annotations
+
+from enum import StrEnum
+from typing import ClassVar, Self
+
+from pewtertack.errors import RequestError
+
+OUTCOME_HEADER = "x-outcome"
+DEFAULT_RETRY_AFTER = 1.0
+
+
+class Outcome(StrEnum):
+    """What is known of the request's execution."""
+
+    NOT_RUN = "not-run"
+    UNKNOWN = "unknown"
+
+
+class RequestFailedError(RequestError):
+    """Base of all typed ends. ``retry_after`` is in seconds; ``None`` means "do not repeat"."""
+
+    code: ClassVar[str] = "request-failed"
+    status: ClassVar[int] = 502
+    default_outcome: ClassVar[Outcome] = Outcome.UNKNOWN
+    close_connection: ClassVar[bool] = False
+
+    def __init__(self, message: str, retry_after: float | None = DEFAULT_RETRY_AFTER) -> None:
+        super().__init__(message)
+        self.message = message
+        self.retry_after = retry_after
+        self.outcome = self.default_outcome
+
+    def with_outcome(self, outcome: Outcome) -> Self:
+        """Set the outcome of the whole request and return the error itself."""
+        self.outcome = outcome
+        return self
+
+
+class NotRunError(RequestFailedError):
+    """The request certainly did not run."""
+
+    code: ClassVar[str] = "not-run"
+    status: ClassVar[int] = 503
+    default_outcome: ClassVar[Outcome] = Outcome.NOT_RUN
+
+
+class InvalidRequestError(NotRunError):
+    """The caller's request is malformed or of a refused shape."""
+
+    code: ClassVar[str] = "invalid-request"
+    status: ClassVar[int] = 400
+
+    def __init__(self, message: str, retry_after: float | None = None) -> None:
+        super().__init__(message, retry_after)
+
+
+class HeadersTooLargeError(InvalidRequestError):
+    """Request line and headers exceed the limit."""
+
+    code: ClassVar[str] = "headers-too-large"
+    status: ClassVar[int] = 431
+
+
+class RouteNotFoundError(InvalidRequestError):
+    """No route matches the host and path."""
+
+    code: ClassVar[str] = "route-not-found"
+    status: ClassVar[int] = 404
+
+
+class MethodNotAllowedError(InvalidRequestError):
+    """Routes match the host and path, but none allows the method."""
+
+    code: ClassVar[str] = "method-not-allowed"
+    status: ClassVar[int] = 405
+
+
+class ProtocolVersionError(InvalidRequestError):
+    """The caller speaks HTTP/1.0, whose answers cannot be told whole from truncated."""
+
+    code: ClassVar[str] = "protocol-version"
+    status: ClassVar[int] = 505
+
+
+class SlowRequestError(RequestFailedError):
+    """The caller sent its request too slowly."""
+
+    code: ClassVar[str] = "slow-request"
+    status: ClassVar[int] = 408
+    close_connection: ClassVar[bool] = True
+
+
+class NotServingError(NotRunError):
+    """The node has not joined, or was paused, and takes no requests for now."""
+
+    code: ClassVar[str] = "not-serving"
+
+
+class DrainingError(NotRunError):
+    """The node is stopping by plan and takes no new requests."""
+
+    code: ClassVar[str] = "draining"
+    close_connection: ClassVar[bool] = True
+
+
+class QueueFullError(NotRunError):
+    """As many requests of the route wait as may wait."""
+
+    code: ClassVar[str] = "queue-full"
+
+
+class DeadlineUnmeetableError(NotRunError):
+    """No back end comes free early enough for the request's deadline."""
+
+    code: ClassVar[str] = "deadline-unmeetable"
+
+
+class NoBackendError(NotRunError):
+    """The service has no back end that may take work."""
+
+    code: ClassVar[str] = "no-backend"
+
+
+class BackendUnreachableError(NotRunError):
+    """No connection to the chosen back end was made."""
+
+    code: ClassVar[str] = "backend-unreachable"
+
+
+class BackendShedError(NotRunError):
+    """The back end said that it did not run the request."""
+
+    code: ClassVar[str] = "backend-shed"
+
+
+class BackendFailedError(RequestFailedError):
+    """The exchange broke after some of the request was sent."""
+
+    code: ClassVar[str] = "backend-failed"
+
+
+class CrossedAnswerError(RequestFailedError):
+    """The back end's answer carries another request's id."""
+
+    code: ClassVar[str] = "crossed-answer"
+
+
+class DeadlineExceededError(RequestFailedError):
+    """The deadline passed after some of the request was sent."""
+
+    code: ClassVar[str] = "deadline-exceeded"
+    status: ClassVar[int] = 504
--- /dev/null
+++ b/src/pewtertack/routing/registry.py
@@ -0,0 +1,50 @@
+"""The back ends of every service, from the platform's lagging machine list."""
+
+from __future__ import annotations
+
+from collections.abc import Iterable
+
+from pewtertack.core.machines import Machine, MachineList, MachineRole, MachineState
+from pewtertack.routing.backend import Backend
+
+
+class BackendRegistry:
+    """Keeps one ``Backend`` per incarnation across updates of the list."""
+
+    def __init__(self) -> None:
+        self._number = 0
+        self._backends: dict[str, Backend] = {}
+        self._services: dict[str, tuple[Backend, ...]] = {}
+
+    def update(self, machines: MachineList) -> None:
+        """Take over a newer list; an older one is ignored.
+
+        A back end that is gone from the list, or changed its address, starts
+        anew when it comes back: what was learnt of it does not carry over.
+        """
+        if machines.number < self._number:
+            return
+        self._number = machines.number
+        listed = [machine for machine in machines.machines if machine.role is MachineRole.BACKEND]
+        self._backends = {machine.name: self._current(machine) for machine in listed}
+        self._services = _by_service(self._backends.values())
+
+    def _current(self, machine: Machine) -> Backend:
+        backend = self._backends.get(machine.name)
+        incarnation = (machine.address, machine.service)
+        if backend is None or (backend.address, backend.service) != incarnation:
+            backend = Backend(machine.name, machine.service, machine.address, machine.zone)
+        backend.zone = machine.zone
+        backend.listed_live = machine.state is MachineState.LIVE
+        return backend
+
+    def of_service(self, service: str) -> tuple[Backend, ...]:
+        """Return all listed back ends of ``service``, leaving ones too."""
+        return self._services.get(service, ())
+
+
+def _by_service(backends: Iterable[Backend]) -> dict[str, tuple[Backend, ...]]:
+    services: dict[str, list[Backend]] = {}
+    for backend in backends:
+        services.setdefault(backend.service, []).append(backend)
+    return {service: tuple(members) for service, members in services.items()}
--- /dev/null
+++ b/src/pewtertack/routing/table.py
@@ -0,0 +1,64 @@
+"""Route table: which route serves a host, path and method.
+
+An exact host goes before routes for every host; then the longest path prefix;
+then a route that names the method before one for every method.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Iterator
+
+from pewtertack.core.configuration.resolved import ResolvedConfiguration, ResolvedRoute
+from pewtertack.routing.outcomes import MethodNotAllowedError, RouteNotFoundError
+
+ANY = ""
+
+
+class RouteTable:
+    """Immutable index over the routes of one configuration."""
+
+    def __init__(self, configuration: ResolvedConfiguration) -> None:
+        self.configuration = configuration
+        self._hosts: dict[str, dict[str, dict[str, ResolvedRoute]]] = {}
+        for route in sorted(configuration.routes, key=lambda route: route.name):
+            self._add(route)
+
+    def _add(self, route: ResolvedRoute) -> None:
+        prefix = route.path_prefix.rstrip("/")
+        for host in route.hosts or (ANY,):
+            methods = self._hosts.setdefault(host, {}).setdefault(prefix, {})
+            for method in route.methods or (ANY,):
+                methods.setdefault(method, route)
+
+    def match(self, host: str, path: str, method: str) -> ResolvedRoute:
+        """Return the route for a host name (lower case, no port), path and method.
+
+        Raises:
+            RouteNotFoundError: no route matches host and path.
+            MethodNotAllowedError: some match, none with this method.
+        """
+        path_matched = False
+        for candidate_host in (host, ANY):
+            prefixes = self._hosts.get(candidate_host)
+            if prefixes is None:
+                continue
+            for prefix in _prefixes_of(path):
+                methods = prefixes.get(prefix)
+                if methods is None:
+                    continue
+                route = methods.get(method) or methods.get(ANY)
+                if route is not None:
+                    return route
+                path_matched = True
+        if path_matched:
+            raise MethodNotAllowedError(f"method {method} is not allowed here")
+        raise RouteNotFoundError("no route for this host and path")
+
+
+def _prefixes_of(path: str) -> Iterator[str]:
+    """Yield the prefixes of ``path`` at segment boundaries, the longest first."""
+    prefix = path.rstrip("/")
+    while prefix:
+        yield prefix
+        prefix = prefix[: prefix.rfind("/")].rstrip("/")
+    yield ""
--- /dev/null
+++ b/tests/node/proxy/harness.py
@@ -0,0 +1,162 @@
+"""A proxy and tiny back ends on loopback sockets within one event loop."""
+
+import asyncio
+import time
+import unittest
+from random import Random
+from types import MappingProxyType
+from typing import Any
+
+from pewtertack.core.configuration.resolved import (
+    ResolvedConfiguration,
+    ResolvedRoute,
+    ResolvedService,
+    WorkClass,
+)
+from pewtertack.core.machines import Machine, MachineList, MachineRole, MachineState
+from pewtertack.core.revision import RevisionId
+from pewtertack.node.proxy.application import ProxyApplication
+from pewtertack.node.proxy.server import bound_socket, embedded_server
+
+LOOPBACK = "127.0.0.1"
+
+
+def service(name: str = "logbook", **changes: Any) -> ResolvedService:
+    values: dict[str, Any] = {
+        "slots_per_backend": 6,
+        "connections_per_backend": 130,
+        "connect_timeout": 1.0,
+        "slow_start": 0.0,
+        "ejection_failures": 3,
+        "ejection_time": 5.0,
+    }
+    return ResolvedService(name, **{**values, **changes})
+
+
+def route(name: str = "lookup", **changes: Any) -> ResolvedRoute:
+    values: dict[str, Any] = {
+        "service": "logbook",
+        "hosts": (),
+        "path_prefix": "/",
+        "methods": (),
+        "work_class": WorkClass.INTERACTIVE,
+        "timeout": 5.0,
+        "repeatable": False,
+        "retry_limit": 2,
+        "retry_budget": 0.1,
+        "queue_limit": 20,
+        "header_secrets": MappingProxyType({}),
+    }
+    return ResolvedRoute(name, **{**values, **changes})
+
+
+def configuration(
+    *routes: ResolvedRoute,
+    services: tuple[ResolvedService, ...] = (),
+    secrets: dict[str, str] | None = None,
+    number: int = 1,
+) -> ResolvedConfiguration:
+    by_name = {item.name: item for item in services or (service(),)}
+    return ResolvedConfiguration(
+        RevisionId(number, b"x"), "ikeja", routes or (route(),), by_name, secrets or {}
+    )
+
+
+def backend(
+    name: str,
+    address: str,
+    zone: str = "ikeja",
+    state: MachineState = MachineState.LIVE,
+    service: str = "logbook",
+) -> Machine:
+    return Machine(name, MachineRole.BACKEND, zone, address, service, state)
+
+
+class ProxyTestCase(unittest.IsolatedAsyncioTestCase):
+    """Starts servers on free ports and stops them with the test."""
+
+    def make_proxy(self, **settings: Any) -> ProxyApplication:
+        return ProxyApplication(time.monotonic, Random(7), **settings)
+
+    async def serve(self, application: Any) -> str:
+        """Run an ASGI application and return its address."""
+        listener = bound_socket(LOOPBACK, 0)
+        host, port = listener.getsockname()
+        server = embedded_server(application)
+        server.config.timeout_graceful_shutdown = 1
+        task = asyncio.create_task(server.serve(sockets=[listener]))
+
+        async def stop() -> None:
+            server.should_exit = True
+            await task
+
+        self.addAsyncCleanup(stop)
+        return f"{host}:{port}"
+
+    async def start(
+        self,
+        *backend_applications: Any,
+        settings: ResolvedConfiguration | None = None,
+        **proxy_settings: Any,
+    ) -> str:
+        """Run back ends and a serving proxy (``self.proxy``); return the proxy's address."""
+        addresses = [await self.serve(application) for application in backend_applications]
+        machines = [backend(f"b{index}", address) for index, address in enumerate(addresses)]
+        self.proxy = self.make_proxy(**proxy_settings)
+        self.proxy.use_configuration(settings or configuration())
+        self.proxy.use_machines(MachineList(1, tuple(machines)))
+        self.proxy.set_serving(True)
+        return await self.serve(self.proxy)
+
+
+class Answer:
+    """A raw HTTP answer: status, headers in lower case and what followed them."""
+
+    def __init__(self, raw: bytes) -> None:
+        head, _, self.body = raw.partition(b"\r\n\r\n")
+        lines = head.decode("latin-1").split("\r\n")
+        self.status = int(lines[0].split()[1]) if lines[0] else 0
+        pairs = (line.partition(":") for line in lines[1:])
+        self.headers = {name.lower(): value.strip() for name, _, value in pairs}
+
+
+async def raw_call(address: str, raw: bytes, timeout: float = 10.0) -> Answer:
+    """Send bytes on a new connection and read to the end of the stream."""
+    host, _, port = address.rpartition(":")
+    reader, writer = await asyncio.open_connection(host, int(port))
+    try:
+        writer.write(raw)
+        async with asyncio.timeout(timeout):
+            return Answer(await reader.read())
+    finally:
+        writer.close()
+
+
+def request_bytes(
+    method: str = "GET", path: str = "/", body: bytes = b"", headers: tuple[str, ...] = ()
+) -> bytes:
+    """Return one request which asks to close the connection after its answer."""
+    lines = [f"{method} {path} HTTP/1.1", "host: guild.example", "connection: close", *headers]
+    if body:
+        lines.append(f"content-length: {len(body)}")
+    return "\r\n".join([*lines, "", ""]).encode() + body
+
+
+async def read_body(receive: Any) -> bytes:
+    body, more = b"", True
+    while more:
+        message = await receive()
+        if message["type"] == "http.disconnect":
+            break
+        body += message.get("body", b"")
+        more = message.get("more_body", False)
+    return body
+
+
+async def respond(
+    send: Any, status: int = 200, body: bytes = b"", headers: tuple[tuple[bytes, bytes], ...] = ()
+) -> None:
+    length = (b"content-length", str(len(body)).encode())
+    head = {"type": "http.response.start", "status": status, "headers": [length, *headers]}
+    await send(head)
+    await send({"type": "http.response.body", "body": body})
--- /dev/null
+++ b/tests/node/proxy/test_forwarding.py
@@ -0,0 +1,77 @@
+"""Requests through a real proxy to a real back end, on loopback."""
+
+import json
+from typing import Any
+
+from tests.node.proxy.harness import (
+    ProxyTestCase,
+    configuration,
+    raw_call,
+    read_body,
+    request_bytes,
+    respond,
+    route,
+)
+
+
+class Echo:
+    """A back end that answers with the body and keeps what it was asked."""
+
+    def __init__(self) -> None:
+        self.headers: dict[str, str] = {}
+        self.calls = 0
+
+    async def __call__(self, scope: Any, receive: Any, send: Any) -> None:
+        self.calls += 1
+        self.headers = {name.decode(): value.decode() for name, value in scope["headers"]}
+        await respond(send, body=await read_body(receive) or scope["raw_path"])
+
+
+class ForwardingTest(ProxyTestCase):
+    async def test_a_request_is_answered_whole(self) -> None:
+        echo = Echo()
+        address = await self.start(echo)
+        answer = await raw_call(address, request_bytes("POST", "/qso", b"abc" * 100_000))
+        self.assertEqual((answer.status, answer.body), (200, b"abc" * 100_000))
+        self.assertEqual(answer.headers["x-request-id"], echo.headers["x-request-id"])
+
+    async def test_the_deadline_is_passed_on_shortened(self) -> None:
+        echo = Echo()
+        address = await self.start(echo)
+        await raw_call(address, request_bytes(headers=("x-deadline-ms: 3000",)))
+        self.assertLess(int(echo.headers["x-deadline-ms"]), 3000)
+        await raw_call(address, request_bytes(headers=("x-deadline-ms: 90000",)))
+        self.assertLessEqual(int(echo.headers["x-deadline-ms"]), 5000)
+
+    async def test_secrets_are_added_and_cannot_be_spoofed(self) -> None:
+        echo = Echo()
+        settings = configuration(
+            route(header_secrets={"X-Api-Key": "key"}), secrets={"key": "right"}
+        )
+        address = await self.start(echo, settings=settings)
+        await raw_call(address, request_bytes(headers=("x-api-key: forged", "x-other: kept")))
+        self.assertEqual(echo.headers["x-api-key"], "right")
+        self.assertEqual(echo.headers["x-other"], "kept")
+
+    async def test_hop_by_hop_headers_end_at_the_proxy(self) -> None:
+        echo = Echo()
+        address = await self.start(echo)
+        headers = ("connection: x-private, close", "x-private: 1", "te: trailers")
+        await raw_call(address, request_bytes(headers=headers))
+        self.assertFalse({"x-private", "te"} & echo.headers.keys())
+
+    async def test_a_refusal_carries_its_type_and_outcome(self) -> None:
+        address = await self.start(settings=configuration(route(path_prefix="/known")))
+        answer = await raw_call(address, request_bytes(path="/unknown"))
+        self.assertEqual((answer.status, answer.headers["x-outcome"]), (404, "not-run"))
+        self.assertEqual(json.loads(answer.body)["type"], "route-not-found")
+        answer = await raw_call(address, request_bytes(path="/known"))
+        self.assertEqual((answer.status, answer.headers["retry-after"]), (503, "1"))
+        self.assertEqual(json.loads(answer.body)["type"], "no-backend")
+
+    async def test_a_pause_that_the_node_notices_refuses_the_request(self) -> None:
+        echo = Echo()
+        address = await self.start(echo, may_serve=lambda: False)
+        answer = await raw_call(address, request_bytes())
+        self.assertEqual(json.loads(answer.body)["type"], "not-serving")
+        self.assertEqual(echo.calls, 0)
--- /dev/null
+++ b/tests/routing/test_table.py
@@ -0,0 +1,44 @@
+"""Route matching."""
+
+import unittest
+
+from pewtertack.routing.outcomes import MethodNotAllowedError, RouteNotFoundError
+from pewtertack.routing.table import RouteTable
+from tests.node.proxy.harness import configuration, route
+
+
+class RouteTableTest(unittest.TestCase):
+    def setUp(self) -> None:
+        self.table = RouteTable(
+            configuration(
+                route("any", path_prefix="/"),
+                route("logs", path_prefix="/logs"),
+                route("upload", path_prefix="/logs", methods=("POST",)),
+                route("contest", path_prefix="/logs/contest/", methods=("GET",)),
+                route("rig", hosts=("rig.example",), path_prefix="/logs"),
+            )
+        )
+
+    def assert_route(self, name: str, host: str, path: str, method: str = "GET") -> None:
+        self.assertEqual(self.table.match(host, path, method).name, name)
+
+    def test_the_longest_prefix_at_a_segment_boundary_wins(self) -> None:
+        self.assert_route("logs", "x", "/logs/2026")
+        self.assert_route("any", "x", "/logs2")
+        self.assert_route("contest", "x", "/logs/contest")
+        self.assert_route("contest", "x", "/logs/contest/a//b/")
+
+    def test_a_named_method_goes_before_every_method(self) -> None:
+        self.assert_route("upload", "x", "/logs", "POST")
+        self.assert_route("upload", "x", "/logs/contest", "POST")
+
+    def test_a_named_host_goes_before_every_host(self) -> None:
+        self.assert_route("rig", "rig.example", "/logs/contest")
+        self.assert_route("any", "rig.example", "/")
+
+    def test_no_match_is_told_apart_from_a_wrong_method(self) -> None:
+        table = RouteTable(configuration(route(path_prefix="/a", methods=("GET",))))
+        with self.assertRaises(MethodNotAllowedError):
+            table.match("x", "/a/b", "PUT")
+        with self.assertRaises(RouteNotFoundError):
+            table.match("x", "/b", "GET")
