Daemon: settings, frames, transport, platform reader, runtime and admin interface

Frames carry a keyed blake2b tag that is checked before the cbor2 decoder sees a byte, and a window of counters per process.

--- a/src/pewtertack/events.py
+++ b/src/pewtertack/events.py
@@ -18,6 +18,7 @@
     NODE_DRAINING = (104, "The node takes no new work and finishes what is in flight.")
     NODE_STOPPED = (105, "The node has finished and exits.")
     NODE_WOKE = (106, "The process was paused longer than allowed and joins again.")
+    NODE_FAILED = (108, "An unexpected error ended the process with exit code 1.")
     REVISION_HELD = (201, "A revision is stored whole, valid, and not yet in force.")
     REVISION_COMMITTED = (202, "A quorum of replicas holds the revision.")
     REVISION_IN_FORCE = (203, "The proxy serves by this revision from now on.")
--- /dev/null
+++ b/src/pewtertack/node/daemon.py
@@ -0,0 +1,150 @@
+"""The life of one node process: bind, serve, drain, exit."""
+
+from __future__ import annotations
+
+import signal
+from collections.abc import Awaitable, Callable
+from contextlib import AsyncExitStack
+from dataclasses import dataclass
+from typing import Any, Protocol
+
+import anyio
+from anyio.abc import TaskGroup
+
+from pewtertack.events import Event
+from pewtertack.log import EventLog
+from pewtertack.node.http_server import EmbeddedServer, embedded_server
+from pewtertack.node.runtime import Runtime
+from pewtertack.node.sockets import NodeSockets, address_of
+from pewtertack.node.transport import PeerTransport
+from pewtertack.settings import Settings
+
+EXIT_FINISHED = 0
+EXIT_FAILED = 1
+LEAVE_TIME = 0.5
+"""Seconds for which a draining node goes on ticking, so that peers hear of it."""
+
+AsgiApplication = Callable[..., Awaitable[None]]
+
+
+class DrainableProxy(Protocol):
+    """The proxy application, as the daemon's life sees it."""
+
+    async def __call__(self, scope: Any, receive: Any, send: Any) -> None:
+        """Serve one request."""
+
+    def start_draining(self) -> None:
+        """Refuse new requests; finish those in flight."""
+
+    async def wait_drained(self) -> None:
+        """Return when nothing is in flight."""
+
+
+@dataclass(frozen=True, slots=True)
+class NodeParts:
+    """Everything that a node process runs, put together but not started."""
+
+    settings: Settings
+    sockets: NodeSockets
+    runtime: Runtime
+    transport: PeerTransport
+    admin: AsgiApplication
+    proxy: DrainableProxy | None
+    log: EventLog
+    close: Callable[[], Awaitable[None]]
+    """Closes the connections to the platform."""
+
+
+async def run_node(parts: NodeParts) -> int:
+    """Run until SIGTERM or SIGINT, drain, and return the exit code."""
+    failures: list[BaseException] = []
+    try:
+        async with AsyncExitStack() as stack:
+            stack.callback(parts.sockets.close)
+            stack.push_async_callback(parts.close)
+            await _run_until_drained(parts)
+    except* Exception as group:
+        failures = _leaves(group)
+    for failure in failures:
+        parts.log.record(Event.NODE_FAILED, type=type(failure).__name__, reason=str(failure))
+    if failures:
+        return EXIT_FAILED
+    parts.log.record(Event.NODE_STOPPED)
+    return EXIT_FINISHED
+
+
+async def _run_until_drained(parts: NodeParts) -> None:
+    keep_alive = parts.settings.limits.keep_alive.seconds
+    with anyio.open_signal_receiver(signal.SIGTERM, signal.SIGINT) as signals:
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(parts.transport.run, parts.runtime.receive, parts.runtime.refuse)
+            tasks.start_soon(parts.runtime.run)
+            admin = embedded_server(parts.admin, keep_alive)
+            tasks.start_soon(admin.serve, [parts.sockets.admin])
+            proxy_server = _start_proxy(parts, tasks, keep_alive)
+            _log_ready(parts)
+            async for _ in signals:
+                break
+            await _drain(parts, proxy_server)
+            tasks.cancel_scope.cancel()
+
+
+class _ProxyServer:
+    """The proxy's server; ``stopped`` is set once every answer has gone out."""
+
+    def __init__(self, proxy: DrainableProxy, keep_alive: float) -> None:
+        self.proxy = proxy
+        self.stopped = anyio.Event()
+        self._server: EmbeddedServer = embedded_server(proxy, keep_alive)
+
+    async def serve(self, sockets: NodeSockets) -> None:
+        """Accept callers until told to stop."""
+        await self._server.serve([sockets.proxy] if sockets.proxy is not None else [])
+        self.stopped.set()
+
+    async def drain(self) -> None:
+        """Finish what is in flight, then close the listener and the connections."""
+        await self.proxy.wait_drained()
+        self._server.should_exit = True
+        await self.stopped.wait()
+
+
+def _start_proxy(parts: NodeParts, tasks: TaskGroup, keep_alive: float) -> _ProxyServer | None:
+    if parts.proxy is None:
+        return None
+    server = _ProxyServer(parts.proxy, keep_alive)
+    tasks.start_soon(server.serve, parts.sockets)
+    return server
+
+
+def _log_ready(parts: NodeParts) -> None:
+    proxy = parts.sockets.proxy
+    parts.log.record(
+        Event.NODE_READY,
+        zone=parts.settings.node.zone.text,
+        region=parts.settings.node.region.text,
+        peer=str(address_of(parts.sockets.peer_streams)),
+        admin=str(address_of(parts.sockets.admin)),
+        proxy=str(address_of(proxy)) if proxy is not None else "",
+    )
+
+
+async def _drain(parts: NodeParts, server: _ProxyServer | None) -> None:
+    """Tell peers, refuse new requests, finish what is in flight, close."""
+    parts.runtime.drain()
+    if server is not None:
+        server.proxy.start_draining()
+    await anyio.sleep(LEAVE_TIME)
+    if server is None:
+        return
+    limit = parts.settings.limits.drain_timeout
+    with anyio.move_on_after(limit.seconds if limit is not None else None):
+        await server.drain()
+
+
+def _leaves(group: BaseExceptionGroup[BaseException]) -> list[BaseException]:
+    """Return the exceptions of a group that are no groups themselves."""
+    found: list[BaseException] = []
+    for item in group.exceptions:
+        found += _leaves(item) if isinstance(item, BaseExceptionGroup) else [item]
+    return found
--- /dev/null
+++ b/src/pewtertack/node/http_server.py
@@ -0,0 +1,43 @@
+"""uvicorn inside a process that has a life and signal handlers of its own."""
+
+from __future__ import annotations
+
+import contextlib
+from collections.abc import Iterator
+from typing import Any
+
+import uvicorn
+
+
+class EmbeddedServer(uvicorn.Server):
+    """A uvicorn server that leaves signals to the process.
+
+    Run ``serve(sockets=[...])`` in a task; set ``should_exit`` to stop it: it
+    closes idle connections and waits for answers under way.
+    """
+
+    @contextlib.contextmanager
+    def capture_signals(self) -> Iterator[None]:
+        """Leave the process's signal handlers as they are."""
+        yield
+
+
+def embedded_server(application: Any, keep_alive: float) -> EmbeddedServer:
+    """Return a server for an ASGI application.
+
+    ``keep_alive`` is how many seconds an idle connection stays open. The loop is
+    named because uvicorn would otherwise take uvloop where it finds one.
+    """
+    config = uvicorn.Config(
+        application,
+        http="httptools",
+        loop="asyncio",
+        ws="none",
+        lifespan="off",
+        log_config=None,
+        access_log=False,
+        proxy_headers=False,
+        server_header=False,
+        timeout_keep_alive=max(1, round(keep_alive)),
+    )
+    return EmbeddedServer(config)
--- /dev/null
+++ b/src/pewtertack/node/metrics.py
@@ -0,0 +1,72 @@
+"""Coordination metrics, computed when they are scraped."""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Iterator
+
+from prometheus_client.core import CounterMetricFamily, GaugeMetricFamily
+from prometheus_client.metrics_core import Metric
+from prometheus_client.registry import Collector
+
+from pewtertack.node.status import NodeStatus
+from pewtertack.node.traffic import Traffic
+
+FLOW_LABELS = ["direction", "kind", "purpose"]
+
+
+class CoordinationCollector(Collector):
+    """Turns a node's status and traffic into metric families."""
+
+    def __init__(self, status: Callable[[], NodeStatus], traffic: Traffic) -> None:
+        self._status = status
+        self._traffic = traffic
+
+    def describe(self) -> Iterator[Metric]:
+        """Name no family in advance, so that registering asks for no status."""
+        return iter(())
+
+    def collect(self) -> Iterator[Metric]:
+        """Yield every family."""
+        yield from self._state()
+        yield from self._peer_traffic()
+
+    def _state(self) -> Iterator[Metric]:
+        status = self._status()
+        yield _gauge("serving", "Whether callers are served.", float(status.serving))
+        yield _gauge("reading", "Whether the node reads the platform.", float(status.reading))
+        yield _gauge("held_revision", "Newest revision held whole.", status.held.number)
+        yield _gauge("committed_revision", "Newest committed revision.", status.committed.number)
+        yield _gauge("in_force_revision", "Revision in force.", status.in_force.number)
+        yield _gauge("machine_list_number", "Machine list in use.", status.machine_list_number)
+        if status.source_age is not None:
+            yield _gauge("source_age_seconds", "Since the source answered.", status.source_age)
+        peers = GaugeMetricFamily("pewtertack_peers", "Known peers by status.", labels=["status"])
+        for name, count in status.peers.items():
+            peers.add_metric([name], count)
+        yield peers
+
+    def _peer_traffic(self) -> Iterator[Metric]:
+        messages = CounterMetricFamily(
+            "pewtertack_peer_messages", "Messages from and to peers.", labels=FLOW_LABELS
+        )
+        sizes = CounterMetricFamily(
+            "pewtertack_peer_bytes", "Bytes of frames from and to peers.", labels=FLOW_LABELS
+        )
+        for flow, count in self._traffic.messages.items():
+            messages.add_metric(list(flow), count)
+            sizes.add_metric(list(flow), self._traffic.bytes[flow])
+        refused = CounterMetricFamily(
+            "pewtertack_frames_refused", "Frames refused, by type.", labels=["type"]
+        )
+        for code, count in self._traffic.refused.items():
+            refused.add_metric([code], count)
+        unsent = CounterMetricFamily(
+            "pewtertack_messages_unsent", "Messages not sent, by reason.", labels=["reason"]
+        )
+        for reason, count in self._traffic.unsent.items():
+            unsent.add_metric([reason], count)
+        yield from (messages, sizes, refused, unsent)
+
+
+def _gauge(name: str, documentation: str, value: float) -> GaugeMetricFamily:
+    return GaugeMetricFamily(f"pewtertack_{name}", documentation, value=value)
--- /dev/null
+++ b/src/pewtertack/node/platform.py
@@ -0,0 +1,186 @@
+"""Reads the configuration source and the machine list over HTTP by long poll."""
+
+from __future__ import annotations
+
+import math
+from dataclasses import dataclass
+from typing import Annotated, Any, ClassVar
+
+import anyio
+import httpcore
+import msgspec
+
+from pewtertack.core.effects import ReadDocument
+from pewtertack.core.inputs import DocumentRead, DocumentReadFailed, DocumentUnchanged
+from pewtertack.errors import PlatformError
+from pewtertack.wire.messages import DocumentKind
+
+STATUS_OK = 200
+STATUS_NOT_MODIFIED = 304
+STATUS_BUSY = 503
+RETRY_AFTER_MAX = 300.0
+"""Longest come-back time, in seconds, that a service may ask for."""
+
+_HTTP_ERRORS = (
+    httpcore.TimeoutException,
+    httpcore.NetworkError,
+    httpcore.ProtocolError,
+    httpcore.UnsupportedProtocol,
+    OSError,
+)
+
+
+class PlatformUnreachableError(PlatformError):
+    """The service did not accept a connection, hung up or was too slow."""
+
+    code: ClassVar[str] = "platform-unreachable"
+
+
+class PlatformBusyError(PlatformError):
+    """The service has too many readers; ``retry_after`` in seconds when it said so."""
+
+    code: ClassVar[str] = "platform-busy"
+
+    def __init__(self, retry_after: float | None) -> None:
+        self.retry_after = retry_after
+        super().__init__("the service has too many readers")
+
+
+class PlatformStatusError(PlatformError):
+    """The service answered with a status that is not in its interface."""
+
+    code: ClassVar[str] = "platform-status"
+
+
+class PlatformBodyError(PlatformError):
+    """The answer's body is no document."""
+
+    code: ClassVar[str] = "platform-body"
+
+
+class PlatformBodyTooLargeError(PlatformError):
+    """The answer's body is longer than ``limits.document_size``."""
+
+    code: ClassVar[str] = "platform-body-too-large"
+
+
+_DocumentNumber = Annotated[int, msgspec.Meta(ge=1)]
+
+
+class _TreeAnswer(msgspec.Struct, frozen=True):
+    number: _DocumentNumber
+    tree: dict[str, Any]
+
+
+class _MachinesAnswer(msgspec.Struct, frozen=True):
+    number: _DocumentNumber
+    machines: dict[str, dict[str, Any]]
+
+
+@dataclass(frozen=True, slots=True)
+class PlatformLimits:
+    """``timeout`` in seconds beyond the long poll, ``body_bytes`` of one answer."""
+
+    timeout: float
+    body_bytes: int
+
+
+class PlatformReader:
+    """Answers the core's ``ReadDocument`` effects. ``urls`` are without trailing slash."""
+
+    def __init__(
+        self,
+        source_url: str,
+        machines_url: str,
+        local_host: str,
+        limits: PlatformLimits,
+    ) -> None:
+        self._urls = {
+            DocumentKind.CONFIGURATION: f"{source_url}/v1/tree",
+            DocumentKind.MACHINE_LIST: f"{machines_url}/v1/machines",
+        }
+        self._limits = limits
+        self._pool = httpcore.AsyncConnectionPool(
+            max_connections=len(self._urls), local_address=local_host
+        )
+
+    async def close(self) -> None:
+        """Close the connections."""
+        await self._pool.aclose()
+
+    async def read(
+        self, effect: ReadDocument
+    ) -> DocumentRead | DocumentUnchanged | DocumentReadFailed:
+        """Do one read; every failure becomes ``DocumentReadFailed``."""
+        try:
+            with anyio.fail_after(effect.wait + 2 * self._limits.timeout):
+                return await self._read(effect)
+        except PlatformBusyError as error:
+            return DocumentReadFailed(effect.kind, error.code, error.retry_after)
+        except PlatformError as error:
+            return DocumentReadFailed(effect.kind, f"{error.code}: {error}")
+        except TimeoutError:
+            return DocumentReadFailed(effect.kind, PlatformUnreachableError.code)
+
+    async def _read(self, effect: ReadDocument) -> DocumentRead | DocumentUnchanged:
+        try:
+            async with self._pool.stream(
+                "GET",
+                f"{self._urls[effect.kind]}?after={effect.after}&wait={effect.wait:g}",
+                headers={"if-none-match": f'"{effect.after}"'},
+                extensions={"timeout": self._timeouts(effect.wait)},
+            ) as response:
+                _check_status(response)
+                body = await self._body_of(response)
+        except _HTTP_ERRORS as error:
+            problem = f"{type(error).__name__}: {error}"
+            raise PlatformUnreachableError(problem) from error
+        if response.status == STATUS_NOT_MODIFIED:
+            return DocumentUnchanged(effect.kind)
+        return _document_from(effect.kind, body)
+
+    def _timeouts(self, wait: float) -> dict[str, float]:
+        timeout = self._limits.timeout
+        return {"connect": timeout, "pool": timeout, "write": timeout, "read": wait + timeout}
+
+    async def _body_of(self, response: httpcore.Response) -> bytes:
+        body = bytearray()
+        async for chunk in response.aiter_stream():
+            body += chunk
+            if len(body) > self._limits.body_bytes:
+                raise PlatformBodyTooLargeError(f"more than {self._limits.body_bytes} bytes")
+        return bytes(body)
+
+
+def _check_status(response: httpcore.Response) -> None:
+    if response.status == STATUS_BUSY:
+        raise PlatformBusyError(_retry_after(response))
+    if response.status not in (STATUS_OK, STATUS_NOT_MODIFIED):
+        raise PlatformStatusError(f"status {response.status}")
+
+
+def _retry_after(response: httpcore.Response) -> float | None:
+    for name, value in response.headers:
+        if name.lower() == b"retry-after":
+            return _seconds(value)
+    return None
+
+
+def _seconds(text: bytes) -> float | None:
+    """Read the seconds form of ``Retry-After``; the date form is not used here."""
+    try:
+        seconds = float(text)
+    except ValueError:
+        return None
+    return min(max(seconds, 0.0), RETRY_AFTER_MAX) if math.isfinite(seconds) else None
+
+
+def _document_from(kind: DocumentKind, body: bytes) -> DocumentRead:
+    try:
+        if kind == DocumentKind.CONFIGURATION:
+            tree = msgspec.json.decode(body, type=_TreeAnswer)
+            return DocumentRead(kind, tree.number, tree.tree)
+        machines = msgspec.json.decode(body, type=_MachinesAnswer)
+        return DocumentRead(kind, machines.number, machines.machines)
+    except (msgspec.MsgspecError, RecursionError) as error:
+        raise PlatformBodyError(str(error)) from error
--- /dev/null
+++ b/src/pewtertack/node/runtime.py
@@ -0,0 +1,197 @@
+"""Drives the coordination core: feeds it inputs and carries out its effects."""
+
+from __future__ import annotations
+
+from collections import Counter
+from typing import Protocol
+
+import anyio
+from anyio.abc import TaskGroup
+
+from pewtertack.core.configuration.resolved import ResolvedConfiguration
+from pewtertack.core.effects import (
+    BringIntoForce,
+    Effect,
+    Log,
+    ReadDocument,
+    Send,
+    SetServing,
+    UseMachines,
+)
+from pewtertack.core.inputs import (
+    DocumentRead,
+    DocumentReadFailed,
+    DocumentUnchanged,
+    DrainRequested,
+    Input,
+    MessageReceived,
+    Ticked,
+)
+from pewtertack.core.machines import MachineList
+from pewtertack.errors import ProtocolError
+from pewtertack.events import Event
+from pewtertack.log import EventLog
+from pewtertack.node import clock
+from pewtertack.wire.frames import Envelope
+from pewtertack.wire.messages import Message
+
+REFUSAL_LOG_INTERVAL = 1.0
+"""Refused frames of one type are logged at most once in so many seconds."""
+
+
+class Core(Protocol):
+    """The coordination core, as the runtime sees it."""
+
+    def handle(self, now: float, event: Input) -> list[Effect]:
+        """Advance by one input and return what must be done."""
+
+
+class Transport(Protocol):
+    """Where messages to peers go."""
+
+    def send(self, address: str, message: Message) -> None:
+        """Send best effort, without waiting."""
+
+
+class DocumentReader(Protocol):
+    """Where documents of the platform come from."""
+
+    async def read(
+        self, effect: ReadDocument
+    ) -> DocumentRead | DocumentUnchanged | DocumentReadFailed:
+        """Do one read and return its outcome."""
+
+
+class Proxy(Protocol):
+    """What the core tells the proxy."""
+
+    def use_configuration(self, configuration: ResolvedConfiguration) -> None:
+        """Serve requests that begin from now on by ``configuration``."""
+
+    def use_machines(self, machines: MachineList) -> None:
+        """Choose back ends from ``machines``."""
+
+    def set_serving(self, serving: bool, retry_after: float = 1.0) -> None:
+        """Accept requests or refuse them as not run."""
+
+
+class Runtime:
+    """Feeds one core. All methods run in the event loop's thread.
+
+    Args:
+        core: the state machine.
+        tick: seconds between ``Ticked`` inputs.
+        pause_threshold: seconds without a tick after which callers are refused.
+        transport, reader, proxy: where effects go; ``proxy`` is absent on a node
+            that only replicates.
+        log: receives the core's events.
+    """
+
+    def __init__(
+        self,
+        core: Core,
+        tick: float,
+        pause_threshold: float,
+        transport: Transport,
+        reader: DocumentReader,
+        proxy: Proxy | None,
+        log: EventLog,
+    ) -> None:
+        self._core = core
+        self._tick = tick
+        self._pause_threshold = pause_threshold
+        self._transport = transport
+        self._reader = reader
+        self._proxy = proxy
+        self._log = log
+        self._tasks: TaskGroup | None = None
+        self._last_tick = clock.now()
+        self._refusals_logged: dict[str, float] = {}
+        self.failed_messages: Counter[str] = Counter()
+        """Messages whose handling failed, by the type of the error."""
+        self.serving = False
+        self.in_force_since: float | None = None
+        """Unix time of the last swap."""
+
+    def may_serve(self) -> bool:
+        """Tell whether callers may be served now.
+
+        A process that was paused refuses until its ticker ran and the core
+        looked at the gap.
+        """
+        return self.serving and clock.now() - self._last_tick <= self._pause_threshold
+
+    async def run(self) -> None:
+        """Tick until cancelled."""
+        async with anyio.create_task_group() as tasks:
+            self._tasks = tasks
+            while True:
+                self.feed(Ticked())
+                self._last_tick = clock.now()
+                await anyio.sleep(self._tick)
+
+    def feed(self, event: Input) -> None:
+        """Give the core one input and carry out the effects."""
+        for effect in self._core.handle(clock.now(), event):
+            self._carry_out(effect)
+
+    def drain(self) -> None:
+        """Tell the core that the process has been asked to stop."""
+        self.serving = False
+        self.feed(DrainRequested())
+
+    def receive(self, envelope: Envelope) -> None:
+        """Take in a peer's message. A message that cannot be handled is dropped."""
+        event = MessageReceived(
+            envelope.sender, envelope.address, envelope.incarnation, envelope.message
+        )
+        try:
+            self.feed(event)
+        except Exception as error:  # one peer's message must not end a whole fleet
+            name = type(error).__name__
+            self.failed_messages[name] += 1
+            self._log_refusal(name, f"{type(envelope.message).__name__}: {error}")
+
+    def refuse(self, error: ProtocolError) -> None:
+        """Log a refused frame; the transport has counted it."""
+        self._log_refusal(error.code, str(error))
+
+    def _log_refusal(self, code: str, reason: str) -> None:
+        now = clock.now()
+        if now - self._refusals_logged.get(code, -REFUSAL_LOG_INTERVAL) < REFUSAL_LOG_INTERVAL:
+            return
+        self._refusals_logged[code] = now
+        self._log.record(Event.FRAME_REFUSED, type=code, reason=reason)
+
+    def _carry_out(self, effect: Effect) -> None:
+        match effect:
+            case Send(_, address, message):
+                self._transport.send(address, message)
+            case ReadDocument():
+                self._start_read(effect)
+            case BringIntoForce(configuration):
+                self._bring_into_force(configuration)
+            case UseMachines(machines):
+                if self._proxy is not None:
+                    self._proxy.use_machines(machines)
+            case SetServing(serving, retry_after):
+                self._set_serving(serving, retry_after)
+            case Log(event, fields):
+                self._log.record(event, **fields)
+
+    def _bring_into_force(self, configuration: ResolvedConfiguration) -> None:
+        if self._proxy is not None:
+            self._proxy.use_configuration(configuration)
+        self.in_force_since = clock.unix_time()
+
+    def _set_serving(self, serving: bool, retry_after: float) -> None:
+        self.serving = serving
+        if self._proxy is not None:
+            self._proxy.set_serving(serving, retry_after)
+
+    def _start_read(self, effect: ReadDocument) -> None:
+        assert self._tasks is not None, "the core asks for reads in ticks only"
+        self._tasks.start_soon(self._read, effect)
+
+    async def _read(self, effect: ReadDocument) -> None:
+        self.feed(await self._reader.read(effect))
--- /dev/null
+++ b/src/pewtertack/node/sockets.py
@@ -0,0 +1,110 @@
+"""Binding of all listeners before anything else starts."""
+
+from __future__ import annotations
+
+import errno
+import socket
+from contextlib import ExitStack
+from dataclasses import dataclass
+
+from pewtertack.settings import Address, Settings
+from pewtertack.settings.errors import AddressInUseError, AddressUnavailableError
+
+BACKLOG = 2048
+DATAGRAM_BUFFER_BYTES = 1024 * 1024
+"""Asked of the kernel, so that a storm of datagrams waits instead of being lost."""
+_PEER_BIND_ATTEMPTS = 16
+"""With port 0, UDP may find the port taken that TCP was given."""
+
+
+@dataclass(frozen=True, slots=True)
+class NodeSockets:
+    """Bound, listening, non-blocking sockets of one node."""
+
+    peer_datagrams: socket.socket
+    peer_streams: socket.socket
+    admin: socket.socket
+    proxy: socket.socket | None
+
+    def close(self) -> None:
+        """Close all of them."""
+        for bound in (self.peer_datagrams, self.peer_streams, self.admin, self.proxy):
+            if bound is not None:
+                bound.close()
+
+
+def address_of(bound: socket.socket) -> Address:
+    """Return the address that ``bound`` listens on."""
+    host, port = bound.getsockname()[:2]
+    return Address(host, port)
+
+
+def bind_sockets(settings: Settings, place: str) -> NodeSockets:
+    """Bind every address of ``settings``, which came from the file ``place``.
+
+    Raises:
+        AddressInUseError, AddressUnavailableError: none stays bound then.
+    """
+    listen = settings.listen
+    with ExitStack() as opened:
+        datagrams, streams = _bind_peer(listen.peer, place)
+        opened.enter_context(datagrams)
+        opened.enter_context(streams)
+        admin = opened.enter_context(_listen(listen.admin, place, "listen.admin"))
+        proxy = None
+        if listen.proxy is not None:
+            proxy = opened.enter_context(_listen(listen.proxy, place, "listen.proxy"))
+        opened.pop_all()
+    return NodeSockets(datagrams, streams, admin, proxy)
+
+
+def _bind_peer(address: Address, place: str) -> tuple[socket.socket, socket.socket]:
+    """Bind UDP and TCP on one port."""
+    attempts = 1 if address.port else _PEER_BIND_ATTEMPTS
+    for attempt in range(attempts):
+        streams = _listen(address, place, "listen.peer")
+        try:
+            return _bind_datagrams(address_of(streams), place), streams
+        except AddressInUseError:
+            streams.close()
+            if attempt == attempts - 1:
+                raise
+        except BaseException:
+            streams.close()
+            raise
+    raise AssertionError("unreachable")
+
+
+def _listen(address: Address, place: str, key: str) -> socket.socket:
+    bound = _new_socket(address, socket.SOCK_STREAM)
+    bound.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+    _bind(bound, address, place, key)
+    return bound
+
+
+def _bind_datagrams(address: Address, place: str) -> socket.socket:
+    bound = _new_socket(address, socket.SOCK_DGRAM)
+    bound.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, DATAGRAM_BUFFER_BYTES)
+    _bind(bound, address, place, "listen.peer")
+    return bound
+
+
+def _new_socket(address: Address, kind: socket.SocketKind) -> socket.socket:
+    family = socket.AF_INET6 if ":" in address.host else socket.AF_INET
+    created = socket.socket(family, kind)
+    created.setblocking(False)
+    return created
+
+
+def _bind(bound: socket.socket, address: Address, place: str, key: str) -> None:
+    try:
+        bound.bind((address.host, address.port))
+        if bound.type == socket.SOCK_STREAM:
+            bound.listen(BACKLOG)
+    except OSError as error:
+        bound.close()
+        problem = f"{address}: {error.strerror}"
+        if error.errno == errno.EADDRINUSE:
+            raise AddressInUseError(place, key, problem, "a free address") from error
+        accepted = "an IP number of this machine and a port that may be bound"
+        raise AddressUnavailableError(place, key, problem, accepted) from error
--- /dev/null
+++ b/src/pewtertack/node/status.py
@@ -0,0 +1,105 @@
+"""What a node tells operators about itself: the body of ``GET /status``."""
+
+from __future__ import annotations
+
+import msgspec
+
+
+class RevisionStatus(msgspec.Struct, frozen=True):
+    """One revision; number 0 stands for none."""
+
+    number: int = 0
+    digest: str = ""
+
+
+class FindingStatus(msgspec.Struct, frozen=True):
+    """One reason for a rejection: its type, place in the tree and explanation."""
+
+    code: str
+    path: str
+    message: str
+
+
+class RejectionStatus(msgspec.Struct, frozen=True):
+    """The last refused revision and why."""
+
+    revision: RevisionStatus
+    findings: tuple[FindingStatus, ...]
+
+
+class ByteStatus(msgspec.Struct, frozen=True):
+    """Bytes of frames exchanged with peers since the start."""
+
+    sent: int
+    received: int
+
+
+class TrafficStatus(msgspec.Struct, frozen=True):
+    """Peer traffic by purpose, and frames refused by type."""
+
+    control: ByteStatus
+    configuration: ByteStatus
+    machine_list: ByteStatus
+    refused: dict[str, int]
+    unsent: dict[str, int]
+    failed: dict[str, int]
+
+
+class AddressStatus(msgspec.Struct, frozen=True):
+    """Where the node listens, as ``ip:port``; ``proxy`` is empty without a proxy part."""
+
+    peer: str
+    advertised: str
+    admin: str
+    proxy: str
+
+
+class NodeStatus(msgspec.Struct, frozen=True):
+    """Everything of one node. Times are Unix seconds, ages and spans seconds."""
+
+    name: str
+    zone: str
+    region: str
+    incarnation: int
+    profile: str
+    phase: str
+    """``joining``, ``serving``, ``leaving`` or ``superseded``."""
+    serving: bool
+    """Whether callers are served at this moment."""
+    uptime: float
+    addresses: AddressStatus
+    held: RevisionStatus
+    committed: RevisionStatus
+    in_force: RevisionStatus
+    in_force_since: float | None
+    reading: bool
+    """Whether this node reads the platform for its zone."""
+    source_age: float | None
+    """Since this node's last usable answer of the source; none without one."""
+    machine_list_age: float | None
+    machine_list_number: int
+    peers: dict[str, int]
+    """Known peers by status."""
+    last_rejection: RejectionStatus | None
+    stale_answers: int
+    """Answers of the source that were older than what is held."""
+    conflicts: int
+    """Documents that came under a number already held with another digest."""
+    in_flight: int
+    """Callers' requests under way."""
+    traffic: TrafficStatus
+
+
+class MemberView(msgspec.Struct, frozen=True):
+    """What this node believes of one peer; one item of ``GET /members``."""
+
+    name: str
+    address: str
+    zone: str
+    region: str
+    incarnation: int
+    status: str
+    held: int
+    """The newest revision number that the peer said it holds."""
+    changed: float
+    """Seconds since the belief changed."""
--- /dev/null
+++ b/src/pewtertack/settings/__init__.py
@@ -0,0 +1,15 @@
+"""Checked settings of a node: flags over a TOML file over defaults."""
+
+from pewtertack.settings.checks import advertised_address
+from pewtertack.settings.loading import SettingKey, load_settings
+from pewtertack.settings.schema import ProfileName, Settings
+from pewtertack.settings.values import Address
+
+__all__ = [
+    "Address",
+    "ProfileName",
+    "SettingKey",
+    "Settings",
+    "advertised_address",
+    "load_settings",
+]
--- /dev/null
+++ b/src/pewtertack/settings/checks.py
@@ -0,0 +1,91 @@
+"""Rules over several settings, and bounds of numbers."""
+
+from __future__ import annotations
+
+import ipaddress
+
+from pewtertack.settings.errors import (
+    AddressRepeatedError,
+    AdvertisedAddressError,
+    PortRangeError,
+    ValueRangeError,
+)
+from pewtertack.settings.schema import Settings
+from pewtertack.settings.values import Address
+
+STREAMS_MAX = 1024
+DOCUMENT_BYTES_MIN = 1024
+DOCUMENT_BYTES_MAX = 64 * 1024 * 1024
+TIMEOUT_SECONDS_MIN = 0.01
+TIMEOUT_SECONDS_MAX = 3600.0
+
+
+def check_settings(settings: Settings, place: str) -> None:
+    """Check what single values cannot show.
+
+    Raises:
+        SettingError: the first rule that is broken.
+    """
+    _check_listeners(settings, place)
+    _check_peer_addresses(settings, place)
+    _check_limits(settings, place)
+
+
+def advertised_address(settings: Settings) -> Address:
+    """Return the address that peers are told, ``listen.peer`` by default."""
+    return settings.advertise.peer or settings.listen.peer
+
+
+def _check_listeners(settings: Settings, place: str) -> None:
+    listen = settings.listen
+    seen: set[Address] = set()
+    for key, address in (("peer", listen.peer), ("admin", listen.admin), ("proxy", listen.proxy)):
+        if address is None:
+            continue
+        if address in seen and address.port:
+            problem = f"{address} is another listener's"
+            raise AddressRepeatedError(place, f"listen.{key}", problem, "an address of its own")
+        seen.add(address)
+
+
+def _check_peer_addresses(settings: Settings, place: str) -> None:
+    advertised = advertised_address(settings)
+    if ipaddress.ip_address(advertised.host).is_unspecified:
+        key = "advertise.peer" if settings.advertise.peer else "listen.peer"
+        problem = f"{advertised} reaches no machine"
+        accepted = "an IP number of this machine, or advertise.peer beside it"
+        raise AdvertisedAddressError(place, key, problem, accepted)
+    named = [("peers.seeds", seed) for seed in settings.peers.seeds]
+    if settings.advertise.peer:
+        named.append(("advertise.peer", settings.advertise.peer))
+    for key, address in named:
+        if address.port == 0:
+            raise PortRangeError(place, key, f"{address}", "a port of 1 or more")
+
+
+def _check_limits(settings: Settings, place: str) -> None:
+    limits = settings.limits
+    _check_range(place, "limits.streams", limits.streams, 1, STREAMS_MAX)
+    _check_range(
+        place,
+        "limits.document_size",
+        limits.document_size.bytes,
+        DOCUMENT_BYTES_MIN,
+        DOCUMENT_BYTES_MAX,
+    )
+    timeouts = {
+        "platform_timeout": limits.platform_timeout,
+        "stream_timeout": limits.stream_timeout,
+        "keep_alive": limits.keep_alive,
+        "drain_timeout": limits.drain_timeout,
+    }
+    for key, duration in timeouts.items():
+        if duration is not None:
+            _check_range(
+                place, f"limits.{key}", duration.seconds, TIMEOUT_SECONDS_MIN, TIMEOUT_SECONDS_MAX
+            )
+
+
+def _check_range(place: str, key: str, value: float, lowest: float, highest: float) -> None:
+    if not lowest <= value <= highest:
+        raise ValueRangeError(place, key, f"{value:g}", f"{lowest:g} to {highest:g}")
--- /dev/null
+++ b/src/pewtertack/settings/loading.py
@@ -0,0 +1,196 @@
+"""Read settings: flags over the file over defaults, every mistake a typed error."""
+
+from __future__ import annotations
+
+import tomllib
+from collections.abc import Mapping
+from enum import Enum
+from pathlib import Path
+from types import UnionType
+from typing import Any, get_args, get_origin
+
+import msgspec
+
+from pewtertack.settings.checks import check_settings
+from pewtertack.settings.errors import (
+    FileEncodingError,
+    FileSyntaxError,
+    FileUnreadableError,
+    MissingKeyError,
+    MissingSectionError,
+    ProfileUnknownError,
+    SectionTypeError,
+    UnknownKeyError,
+    UnknownSectionError,
+    ValueTypeError,
+)
+from pewtertack.settings.schema import ProfileName, Settings
+from pewtertack.settings.values import PARSED_TYPES, ValueProblemError
+
+FLAG_PLACE = "flag"
+
+
+class SettingKey(msgspec.Struct, frozen=True):
+    """The place of one setting: ``section.key``."""
+
+    section: str
+    key: str
+
+    def __str__(self) -> str:
+        return f"{self.section}.{self.key}"
+
+
+Flags = Mapping[SettingKey, Any]
+"""Values given on the command line; they win over the file's."""
+
+
+def load_settings(path: Path, flags: Flags | None = None) -> Settings:
+    """Return the settings of the file at ``path`` with ``flags`` over them.
+
+    Raises:
+        SettingError: one of the types of ``pewtertack.settings.errors``.
+    """
+    return build_settings(read_toml(path), str(path), flags or {})
+
+
+def read_toml(path: Path) -> dict[str, Any]:
+    """Return the tables of a TOML file.
+
+    Raises:
+        FileUnreadableError, FileEncodingError, FileSyntaxError: as they say.
+    """
+    try:
+        text = path.read_bytes().decode()
+    except OSError as error:
+        problem = error.strerror or "cannot be read"
+        raise FileUnreadableError(str(path), "", problem, "a readable TOML file") from error
+    except UnicodeDecodeError as error:
+        raise FileEncodingError(str(path), "", "not UTF-8", "UTF-8 text") from error
+    try:
+        return tomllib.loads(text)
+    except (tomllib.TOMLDecodeError, RecursionError) as error:
+        raise FileSyntaxError(str(path), "", str(error), "TOML 1.0") from error
+
+
+def build_settings(tables: Mapping[str, Any], place: str, flags: Flags) -> Settings:
+    """Check ``tables`` of the file ``place`` under ``flags`` and return the settings.
+
+    Raises:
+        SettingError: one of the types of ``pewtertack.settings.errors``.
+    """
+    sections = {field.name: field for field in msgspec.structs.fields(Settings)}
+    _check_section_names(tables, sections, place)
+    values: dict[str, Any] = {}
+    for name, field in sections.items():
+        reader = _SectionReader(name, place, flags)
+        table = tables.get(name)
+        if table is None and field.required and not reader.has_flags:
+            raise MissingSectionError(place, name, "is missing", reader.accepted_keys(field.type))
+        values[name] = reader.read(table or {}, field.type)
+    settings = Settings(**values)
+    check_settings(settings, place)
+    return settings
+
+
+def _check_section_names(
+    tables: Mapping[str, Any], sections: Mapping[str, Any], place: str
+) -> None:
+    for name, table in tables.items():
+        if name not in sections:
+            accepted = ", ".join(sections)
+            raise UnknownSectionError(place, name, "no such section", accepted)
+        if not isinstance(table, dict):
+            raise SectionTypeError(place, name, "a plain value", f"a table [{name}]")
+
+
+class _SectionReader:
+    """Turns one TOML table into its struct."""
+
+    def __init__(self, section: str, place: str, flags: Flags) -> None:
+        self._section = section
+        self._place = place
+        self._flags = {key.key: value for key, value in flags.items() if key.section == section}
+
+    @property
+    def has_flags(self) -> bool:
+        return bool(self._flags)
+
+    def accepted_keys(self, section_type: Any) -> str:
+        return ", ".join(field.name for field in msgspec.structs.fields(section_type))
+
+    def read(self, table: Mapping[str, Any], section_type: Any) -> Any:
+        fields = msgspec.structs.fields(section_type)
+        names = {field.name for field in fields}
+        for key in table:
+            if key not in names:
+                accepted = self.accepted_keys(section_type)
+                raise UnknownKeyError(self._place, self._key(key), "no such key", accepted)
+        given = {**table, **self._flags}
+        values = {}
+        for field in fields:
+            if field.name in given:
+                values[field.name] = self._value(field.name, given[field.name], field.type)
+            elif field.required:
+                raise MissingKeyError(
+                    self._place, self._key(field.name), "is missing", describe_type(field.type)
+                )
+        return section_type(**values)
+
+    def _value(self, name: str, raw: Any, value_type: Any) -> Any:
+        place = FLAG_PLACE if name in self._flags else self._place
+        try:
+            return _convert(raw, value_type)
+        except ValueProblemError as error:
+            raise error.kind(place, self._key(name), error.problem, error.accepted) from error
+
+    def _key(self, name: str) -> str:
+        return f"{self._section}.{name}"
+
+
+def _convert(raw: Any, value_type: Any) -> Any:
+    """Return ``raw`` of the file as a value of ``value_type``.
+
+    Raises:
+        ValueProblemError: it is none. Messages never repeat a value of the wrong
+            type, which may be a secret.
+    """
+    if isinstance(value_type, UnionType):
+        value_type = get_args(value_type)[0]
+    if value_type in PARSED_TYPES:
+        return value_type.parse(_string(raw, value_type))
+    if get_origin(value_type) is tuple:
+        if not isinstance(raw, list | tuple):
+            raise _wrong_type(raw, value_type)
+        return tuple(_convert(item, get_args(value_type)[0]) for item in raw)
+    try:
+        return msgspec.convert(raw, value_type)
+    except msgspec.ValidationError as error:
+        if value_type is ProfileName and isinstance(raw, str):
+            accepted = describe_type(value_type)
+            raise ValueProblemError(ProfileUnknownError, repr(raw), accepted) from error
+        raise _wrong_type(raw, value_type) from error
+
+
+def _string(raw: Any, value_type: Any) -> str:
+    if not isinstance(raw, str):
+        raise _wrong_type(raw, value_type)
+    return raw
+
+
+def _wrong_type(raw: Any, value_type: Any) -> ValueProblemError:
+    problem = f"a value of type {type(raw).__name__}"
+    return ValueProblemError(ValueTypeError, problem, describe_type(value_type))
+
+
+def describe_type(value_type: Any) -> str:
+    """Return the accepted values of a setting's type in words."""
+    if isinstance(value_type, UnionType):
+        parts = (part for part in get_args(value_type) if part is not type(None))
+        return " or ".join(describe_type(part) for part in parts)
+    if value_type in PARSED_TYPES:
+        return str(value_type.accepted)
+    if isinstance(value_type, type) and issubclass(value_type, Enum):
+        return ", ".join(f'"{member.value}"' for member in value_type)
+    if arguments := get_args(value_type):
+        return f"a list of {describe_type(arguments[0])}"
+    return {int: "a whole number", str: "a string", bool: "true or false"}[value_type]
--- /dev/null
+++ b/src/pewtertack/wire/frames.py
@@ -0,0 +1,166 @@
+"""Authenticated frames: how one message travels between two nodes.
+
+A frame is a tag of 16 bytes (blake2b, keyed with the fleet key, over the body)
+and a body, which is a CBOR array: protocol version, sender, the sender's
+advertised address, its incarnation, its frame counter, message. The tag is
+checked before the body is decoded, so only holders of the key reach the decoder.
+
+A frame is not bound to its receiver and carries no time: a recorded frame can be
+replayed to a node that never got it. Messages are idempotent, so this does no harm.
+"""
+
+from __future__ import annotations
+
+import hashlib
+import hmac
+from dataclasses import dataclass
+from typing import Any, NoReturn, get_args
+
+import cbor2
+import msgspec
+
+from pewtertack.wire.errors import (
+    MalformedFrameError,
+    OversizedFrameError,
+    StrangerFrameError,
+    TruncatedFrameError,
+    UnknownMessageError,
+    WrongVersionError,
+)
+from pewtertack.wire.messages import Message
+from pewtertack.wire.replay import ReplayGuard
+
+PROTOCOL_VERSION = 1
+TAG_BYTES = 16
+KEY_BYTES_MIN = 16
+KEY_BYTES_MAX = hashlib.blake2b.MAX_KEY_SIZE
+DATAGRAM_BYTES_MAX = 1200
+"""Largest frame sent by UDP: fits every usual path without fragmentation."""
+STREAM_BYTES_MAX = 4 * 1024 * 1024
+"""Largest frame sent over TCP."""
+
+_ENVELOPE_ITEMS = 6
+_DEPTH_MAX = 64
+"""Nesting of containers in a body, a few levels above the deepest valid tree."""
+_CBOR_TAGS_ALLOWED = frozenset({2, 3})
+"""Big integers; every other CBOR tag makes values that no JSON tree holds."""
+_MESSAGE_TAGS: frozenset[int] = frozenset(kind.__struct_config__.tag for kind in get_args(Message))
+
+
+@dataclass(frozen=True, slots=True)
+class Envelope:
+    """A message with its sender. ``address`` is the sender's advertised ``ip:port``."""
+
+    sender: str
+    address: str
+    incarnation: int
+    counter: int
+    message: Message
+
+
+class _EnvelopeBody(msgspec.Struct, frozen=True, array_like=True, forbid_unknown_fields=True):
+    version: int
+    sender: str
+    address: str
+    incarnation: int
+    counter: int
+    message: Message
+
+
+def encode_frame(envelope: Envelope, key: bytes) -> bytes:
+    """Return the frame of ``envelope``.
+
+    Raises:
+        OversizedFrameError: the frame would not even fit a stream.
+    """
+    fields = _EnvelopeBody(
+        PROTOCOL_VERSION,
+        envelope.sender,
+        envelope.address,
+        envelope.incarnation,
+        envelope.counter,
+        envelope.message,
+    )
+    body: bytes = cbor2.dumps(msgspec.to_builtins(fields, builtin_types=(bytes,)))
+    if TAG_BYTES + len(body) > STREAM_BYTES_MAX:
+        raise OversizedFrameError(f"{len(body)} bytes, {STREAM_BYTES_MAX} are allowed")
+    return tag_of(body, key) + body
+
+
+class FrameReader:
+    """Checks and decodes frames; remembers counters to refuse repeated ones."""
+
+    def __init__(self, key: bytes, guard: ReplayGuard | None = None) -> None:
+        self._key = key
+        self._guard = guard or ReplayGuard()
+
+    def read(self, frame: bytes, size_limit: int = STREAM_BYTES_MAX) -> Envelope:
+        """Return the envelope of ``frame``.
+
+        Raises:
+            ProtocolError: one of the types of ``pewtertack.wire.errors``.
+        """
+        body = self._authenticate(frame, size_limit)
+        envelope = _envelope_from(_decode(body))
+        self._guard.accept(envelope.sender, envelope.incarnation, envelope.counter)
+        return envelope
+
+    def _authenticate(self, frame: bytes, size_limit: int) -> bytes:
+        if len(frame) > size_limit:
+            raise OversizedFrameError(f"{len(frame)} bytes, {size_limit} are allowed")
+        if len(frame) <= TAG_BYTES:
+            raise TruncatedFrameError(f"{len(frame)} bytes hold no message")
+        body = frame[TAG_BYTES:]
+        if not hmac.compare_digest(frame[:TAG_BYTES], tag_of(body, self._key)):
+            raise StrangerFrameError("the tag does not match the fleet key")
+        return body
+
+
+def tag_of(body: bytes, key: bytes) -> bytes:
+    """Return the authentication tag of a frame's body."""
+    return hashlib.blake2b(body, key=key, digest_size=TAG_BYTES).digest()
+
+
+def _refuse_cbor_tag(*_: Any) -> NoReturn:
+    raise MalformedFrameError("a CBOR tag that no message uses")
+
+
+_SEMANTIC_DECODERS = {
+    number: _refuse_cbor_tag for number in range(1024) if number not in _CBOR_TAGS_ALLOWED
+}
+
+
+def _decode(body: bytes) -> Any:
+    try:
+        return cbor2.loads(
+            body,
+            max_depth=_DEPTH_MAX,
+            allow_indefinite=False,
+            allow_duplicate_keys=False,
+            strict_hashable_types=True,
+            tag_hook=_refuse_cbor_tag,
+            semantic_decoders=_SEMANTIC_DECODERS,
+        )
+    except (cbor2.CBORError, ValueError, OverflowError) as error:
+        raise MalformedFrameError(str(error)) from error
+
+
+def _envelope_from(items: Any) -> Envelope:
+    if not isinstance(items, list) or not items:
+        raise MalformedFrameError("the body is no array")
+    if items[0] != PROTOCOL_VERSION:
+        raise WrongVersionError(f"version {items[0]!r}, {PROTOCOL_VERSION} is spoken")
+    _check_message_tag(items)
+    try:
+        body = msgspec.convert(items, _EnvelopeBody)
+    except (msgspec.ValidationError, OverflowError) as error:
+        raise MalformedFrameError(str(error)) from error
+    return Envelope(body.sender, body.address, body.incarnation, body.counter, body.message)
+
+
+def _check_message_tag(items: list[Any]) -> None:
+    if len(items) != _ENVELOPE_ITEMS or not isinstance(items[-1], list) or not items[-1]:
+        raise MalformedFrameError("the envelope holds no message")
+    tag = items[-1][0]
+    if not isinstance(tag, int) or tag not in _MESSAGE_TAGS:
+        raise UnknownMessageError(f"message {tag!r}")
--- /dev/null
+++ b/tests/settings/test_loading.py
@@ -0,0 +1,121 @@
+"""Settings: defaults, flags over file, and 20 bad files with a type each."""
+
+import tempfile
+import unittest
+from pathlib import Path
+
+from pewtertack.settings import SettingKey, load_settings
+from pewtertack.settings.errors import SettingError
+from pewtertack.settings.schema import ProfileName, Settings
+from pewtertack.settings.values import Address
+
+GOOD = """\
+[node]
+name = "yaba-1"
+zone = "yaba"
+region = "lagos"
+[listen]
+proxy = "127.0.0.1:7000"
+peer = "127.0.0.1:7001"
+admin = "127.0.0.1:7002"
+[source]
+url = "http://127.0.0.1:9000/"
+[machines]
+url = "http://127.0.0.1:9001"
+[peers]
+key = "00112233445566778899aabbccddeeff"
+seeds = ["127.0.0.2:7001"]
+[limits]
+stream_timeout = "500ms"
+document_size = "64KiB"
+"""
+
+BAD_FILES: dict[str, tuple[str, str, str]] = {
+    # code: (old text, new text, key that the message names)
+    "settings-file-syntax": ("[node]", "[node", ""),
+    "section-unknown": ("[limits]", "[limit]", "limit"),
+    "section-type": ("[node]", "profile = 1\n[node]", "profile"),
+    "section-missing": ('[source]\nurl = "http://127.0.0.1:9000/"\n', "", "source"),
+    "key-unknown": ("region =", "regions =", "node.regions"),
+    "key-missing": ('zone = "yaba"\n', "", "node.zone"),
+    "value-type": ('"yaba-1"', "1", "node.name"),
+    "value-range": ('"500ms"', '"0s"', "limits.stream_timeout"),
+    "name-format": ('"yaba-1"', '"yaba 1"', "node.name"),
+    "address-format": ('"127.0.0.1:7001"', '"127.0.0.1"', "listen.peer"),
+    "address-host-name": ('"127.0.0.1:7001"', '"localhost:7001"', "listen.peer"),
+    "address-port": ('"127.0.0.1:7001"', '"127.0.0.1:70010"', "listen.peer"),
+    "address-not-advertisable": ('"127.0.0.1:7001"', '"0.0.0.0:7001"', "listen.peer"),
+    "address-repeated": ('"127.0.0.1:7002"', '"127.0.0.1:7000"', "listen.proxy"),
+    "url-format": ("http://127.0.0.1:9000/", "http://127.0.0.1:9000/?a=b", "source.url"),
+    "url-scheme": ("http://127.0.0.1:9000/", "https://127.0.0.1:9000", "source.url"),
+    "fleet-key-format": ("00112233", "hex", "peers.key"),
+    "fleet-key-length": ("00112233", "", "peers.key"),
+    "profile-unknown": ("[limits]", '[profile]\nname = "slow"\n[limits]', "profile.name"),
+    "duration-unit": ('"500ms"', '"500"', "limits.stream_timeout"),
+    "size-unit": ('"64KiB"', '"64KB"', "limits.document_size"),
+}
+
+
+class SettingsTest(unittest.TestCase):
+    def setUp(self) -> None:
+        directory = tempfile.TemporaryDirectory()
+        self.addCleanup(directory.cleanup)
+        self.path = Path(directory.name) / "node.toml"
+
+    def load(self, text: str, flags: dict[SettingKey, object] | None = None) -> Settings:
+        self.path.write_text(text)
+        return load_settings(self.path, flags)
+
+    def test_a_good_file_is_read_with_defaults(self) -> None:
+        settings = self.load(GOOD)
+        self.assertEqual(settings.listen.peer, Address("127.0.0.1", 7001))
+        self.assertEqual(settings.source.url.text, "http://127.0.0.1:9000")
+        self.assertEqual(settings.limits.stream_timeout.seconds, 0.5)
+        self.assertEqual(settings.limits.document_size.bytes, 65536)
+        self.assertIs(settings.profile.name, ProfileName.FAST)
+        self.assertIsNone(settings.limits.drain_timeout)
+
+    def test_flags_win_over_the_file(self) -> None:
+        flags: dict[SettingKey, object] = {
+            SettingKey("listen", "peer"): "[::1]:8001",
+            SettingKey("peers", "seeds"): ["127.0.0.3:1"],
+        }
+        settings = self.load(GOOD, flags)
+        self.assertEqual(str(settings.listen.peer), "[::1]:8001")
+        self.assertEqual(settings.peers.seeds, (Address("127.0.0.3", 1),))
+
+    def test_each_bad_file_has_its_own_code_and_names_file_key_and_values(self) -> None:
+        self.assertGreaterEqual(len(BAD_FILES), 20)
+        for code, (old, new, key) in BAD_FILES.items():
+            with self.subTest(code):
+                self.assertIn(old, GOOD)
+                with self.assertRaises(SettingError) as caught:
+                    self.load(GOOD.replace(old, new, 1))
+                self.assertEqual(caught.exception.code, code)
+                self.assertEqual(caught.exception.key, key)
+                self.assertIn(str(self.path), str(caught.exception))
+                self.assertRegex(str(caught.exception), "; accepted: .+")
+
+    def test_a_file_that_cannot_be_read(self) -> None:
+        for path, code in ((self.path, "settings-file-unreadable"), (self.path.parent, None)):
+            with self.subTest(path), self.assertRaises(SettingError) as caught:
+                load_settings(path)
+            self.assertEqual(caught.exception.code, code or "settings-file-unreadable")
+        self.path.write_bytes(b"\xff\xfe")
+        with self.assertRaises(SettingError) as caught:
+            load_settings(self.path)
+        self.assertEqual(caught.exception.code, "settings-file-encoding")
+
+    def test_a_bad_flag_is_named_as_the_flag(self) -> None:
+        with self.assertRaises(SettingError) as caught:
+            self.load(GOOD, {SettingKey("listen", "admin"): "host:1"})
+        self.assertEqual((caught.exception.place, caught.exception.key), ("flag", "listen.admin"))
+
+    def test_the_fleet_key_is_not_printed(self) -> None:
+        self.assertNotIn("0011", repr(self.load(GOOD)).lower())
+        with self.assertRaises(SettingError) as caught:
+            self.load(GOOD.replace('"00112233445566778899aabbccddeeff"', '"77secret"'))
+        self.assertNotIn("secret", str(caught.exception))
+        with self.assertRaises(SettingError) as caught:
+            self.load(GOOD.replace('"00112233445566778899aabbccddeeff"', "778899"))
+        self.assertNotIn("7788", str(caught.exception))
