Judge histories by every promise

Each check is shown to fail on a planted violation.

Weighed: judging obligations by whole-fleet quiet periods only (simple, but a run under constant churn would judge nothing) against one undisturbed stretch per process; the second judges far more events. A whole-fleet quiet period is kept for edits that nobody ever brought into force.

Conclusion: python -m unittest tests.lab.history passes.

--- /dev/null
+++ b/src/pewtertack/lab/history/__init__.py
@@ -0,0 +1,1 @@
+"""Reading, judging and writing the histories of concurrent runs."""
--- /dev/null
+++ b/src/pewtertack/lab/history/checker.py
@@ -0,0 +1,88 @@
+"""Judges a history by every promise, and reads histories from files."""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Iterable, Sequence
+from enum import StrEnum
+from pathlib import Path
+from typing import ClassVar
+
+from pewtertack.errors import LabError
+from pewtertack.lab.history import acceptance_checks, configuration_checks, request_checks
+from pewtertack.lab.history.timeline import Timeline
+from pewtertack.lab.history.verdicts import CheckBounds, Judgement, Verdict
+from pewtertack.lab.records import HistoryLine, read_history
+
+Check = Callable[[Timeline, CheckBounds], Verdict]
+
+
+class HistoryFileError(LabError):
+    """A history file cannot be opened."""
+
+    code: ClassVar[str] = "history-file"
+
+
+class CheckGroup(StrEnum):
+    """Which promises to judge."""
+
+    ALL = "all"
+    CONFIGURATION = "configuration"
+    REQUESTS = "requests"
+
+
+CONFIGURATION_CHECKS: tuple[Check, ...] = (
+    configuration_checks.check_never_back,
+    configuration_checks.check_routes_complete,
+    configuration_checks.check_revisions_whole,
+    configuration_checks.check_rejected_unused,
+    acceptance_checks.check_in_force_everywhere,
+    acceptance_checks.check_never_reverted,
+)
+REQUEST_CHECKS: tuple[Check, ...] = (
+    request_checks.check_answers_whole_and_own,
+    request_checks.check_not_run_is_true,
+    request_checks.check_at_most_once,
+    request_checks.check_leaving_unused,
+    request_checks.check_stop_cuts_nothing,
+)
+CHECKS = {
+    CheckGroup.ALL: (*CONFIGURATION_CHECKS, *REQUEST_CHECKS),
+    CheckGroup.CONFIGURATION: CONFIGURATION_CHECKS,
+    CheckGroup.REQUESTS: REQUEST_CHECKS,
+}
+DEFAULT_BOUNDS = CheckBounds()
+
+
+def check_history(
+    lines: Iterable[HistoryLine],
+    bounds: CheckBounds = DEFAULT_BOUNDS,
+    group: CheckGroup = CheckGroup.ALL,
+) -> list[Verdict]:
+    """Return one verdict for each promise of ``group``."""
+    timeline = Timeline(lines)
+    return [check(timeline, bounds) for check in CHECKS[group]]
+
+
+def check_files(
+    paths: Sequence[Path],
+    bounds: CheckBounds = DEFAULT_BOUNDS,
+    group: CheckGroup = CheckGroup.ALL,
+) -> list[Verdict]:
+    """Judge the history that the files hold together.
+
+    Raises:
+        HistoryFileError: a file cannot be opened.
+        HistoryFormatError: a line is no record of a history.
+    """
+    lines: list[HistoryLine] = []
+    for path in paths:
+        try:
+            lines.extend(read_history(path.read_bytes().splitlines()))
+        except OSError as error:
+            raise HistoryFileError(f"{path}: {error.strerror}") from error
+    return check_history(lines, bounds, group)
+
+
+def all_held(verdicts: Iterable[Verdict]) -> bool:
+    """Tell whether every promise was judged and held."""
+    return all(verdict.judgement is Judgement.HELD for verdict in verdicts)
--- /dev/null
+++ b/src/pewtertack/lab/history/configuration_checks.py
@@ -0,0 +1,73 @@
+"""Checks of single changes: order, completeness, wholeness, validity."""
+
+from __future__ import annotations
+
+from collections.abc import Iterator
+
+from pewtertack.lab.history.timeline import Timeline
+from pewtertack.lab.history.verdicts import CheckBounds, Offence, Promise, Verdict, judge
+from pewtertack.lab.records import RevisionInForce
+
+
+def check_never_back(timeline: Timeline, _bounds: CheckBounds) -> Verdict:
+    """No node name ever has an older revision in force than before, in any process."""
+    events = list(timeline.in_force())
+    return judge(Promise.NEVER_BACK, len(events), _steps_back(events))
+
+
+def _steps_back(events: list[RevisionInForce]) -> Iterator[Offence]:
+    newest: dict[str, int] = {}
+    for event in events:
+        before = newest.get(event.node, 0)
+        if event.revision < before:
+            message = f"revision {event.revision} in force after {before}"
+            yield Offence(event.time, event.node, message)
+        newest[event.node] = max(before, event.revision)
+
+
+def check_routes_complete(timeline: Timeline, _bounds: CheckBounds) -> Verdict:
+    """Every route in force finds its service and its secrets on the same proxy."""
+    judged = 0
+    offences: list[Offence] = []
+    for event in timeline.in_force():
+        judged += len(event.routes)
+        offences += _incomplete_routes(event)
+    return judge(Promise.ROUTES_COMPLETE, judged, offences)
+
+
+def _incomplete_routes(event: RevisionInForce) -> Iterator[Offence]:
+    for name, route in event.routes.items():
+        missing = [secret for secret in route.secrets if secret not in event.secrets]
+        if route.service not in event.services:
+            missing.append(route.service)
+        if missing:
+            message = f"route {name} of revision {event.revision} lacks {', '.join(missing)}"
+            yield Offence(event.time, event.node, message)
+
+
+def check_revisions_whole(timeline: Timeline, _bounds: CheckBounds) -> Verdict:
+    """What is in force is a whole edit, the same under one number everywhere."""
+    known = {edit.revision: edit.digest for edit in timeline.edits}
+    judged = 0
+    offences: list[Offence] = []
+    for event in timeline.in_force():
+        judged += 1
+        digest = known.get(event.revision)
+        if digest is None:
+            message = f"revision {event.revision} was never edited"
+            offences.append(Offence(event.time, event.node, message))
+        elif digest != event.digest:
+            message = f"revision {event.revision} has digest {event.digest}, edited as {digest}"
+            offences.append(Offence(event.time, event.node, message))
+    return judge(Promise.REVISIONS_WHOLE, judged, offences)
+
+
+def check_rejected_unused(timeline: Timeline, _bounds: CheckBounds) -> Verdict:
+    """No invalid revision is ever in force. Judged are the invalid edits."""
+    invalid = {edit.revision for edit in timeline.edits if not edit.valid}
+    offences = (
+        Offence(event.time, event.node, f"invalid revision {event.revision} in force")
+        for event in timeline.in_force()
+        if event.revision in invalid
+    )
+    return judge(Promise.REJECTED_UNUSED, len(invalid), offences)
--- /dev/null
+++ b/src/pewtertack/lab/history/request_checks.py
@@ -0,0 +1,102 @@
+"""Checks of requests: whole and own answers, truth of refusals, stops and leaving."""
+
+from __future__ import annotations
+
+from collections import Counter
+from collections.abc import Iterator
+
+from pewtertack.lab.history.timeline import Timeline
+from pewtertack.lab.history.verdicts import CheckBounds, Offence, Promise, Verdict, judge
+from pewtertack.lab.records import (
+    BackendLeaving,
+    ExecutionStart,
+    NodeKill,
+    NodeStop,
+    Told,
+    ToldOutcome,
+)
+
+NEVER_BEGUN = (ToldOutcome.NOT_RUN, ToldOutcome.NOT_CONNECTED)
+
+
+def check_answers_whole_and_own(timeline: Timeline, _bounds: CheckBounds) -> Verdict:
+    """Every answer arrives whole and belongs to the request that got it."""
+    answered = [told for told in _told(timeline) if told.outcome is ToldOutcome.ANSWERED]
+    offences: list[Offence] = []
+    for told in answered:
+        if not told.checksum_ok:
+            offences.append(Offence(told.time, told.request_id, "answer with a wrong checksum"))
+        if not told.own_answer:
+            offences.append(Offence(told.time, told.request_id, "answer to another request"))
+    return judge(Promise.ANSWERS_WHOLE_AND_OWN, len(answered), offences)
+
+
+def check_not_run_is_true(timeline: Timeline, _bounds: CheckBounds) -> Verdict:
+    """A request refused as not run was never executed by any back end."""
+    refused = [told for told in _told(timeline) if told.outcome in NEVER_BEGUN]
+    executed = {start.request_id: start.backend for start in _executions(timeline)}
+    offences = (
+        Offence(
+            told.time, told.request_id, f"{told.outcome}, but ran on {executed[told.request_id]}"
+        )
+        for told in refused
+        if told.request_id in executed
+    )
+    return judge(Promise.NOT_RUN_IS_TRUE, len(refused), offences)
+
+
+def check_at_most_once(timeline: Timeline, _bounds: CheckBounds) -> Verdict:
+    """A request that may not be repeated is executed at most once."""
+    single = {told.request_id: told.time for told in _told(timeline) if not told.repeatable}
+    runs = Counter(start.request_id for start in _executions(timeline))
+    offences = (
+        Offence(time, request_id, f"ran {runs[request_id]} times")
+        for request_id, time in single.items()
+        if runs[request_id] > 1
+    )
+    return judge(Promise.AT_MOST_ONCE, sum(1 for name in single if runs[name]), offences)
+
+
+def check_leaving_unused(timeline: Timeline, bounds: CheckBounds) -> Verdict:
+    """A leaving back end gets no new work after the bound."""
+    leaving = {
+        line.backend: line.time for line in timeline.lines if isinstance(line, BackendLeaving)
+    }
+    offences = (
+        Offence(start.time, start.backend, f"request {start.request_id} after it began to leave")
+        for start in _executions(timeline)
+        if start.backend in leaving and start.time > leaving[start.backend] + bounds.leaving
+    )
+    return judge(Promise.LEAVING_UNUSED, len(leaving), offences)
+
+
+def check_stop_cuts_nothing(timeline: Timeline, _bounds: CheckBounds) -> Verdict:
+    """No exchange that was in flight when its node was asked to stop breaks off."""
+    judged = 0
+    offences: list[Offence] = []
+    for told, stop in _in_flight_at_stop(timeline):
+        judged += 1
+        if told.outcome is ToldOutcome.CUT:
+            message = f"cut {told.time - stop.time:.3f} s into the stop of {stop.node}"
+            offences.append(Offence(told.time, told.request_id, message))
+    return judge(Promise.STOP_CUTS_NOTHING, judged, offences)
+
+
+def _in_flight_at_stop(timeline: Timeline) -> Iterator[tuple[Told, NodeStop]]:
+    stops = [line for line in timeline.lines if isinstance(line, NodeStop)]
+    kills = [line for line in timeline.lines if isinstance(line, NodeKill)]
+    for stop in stops:
+        killed_at = [kill.time for kill in kills if kill.node == stop.node]
+        for told in _told(timeline):
+            began = told.time - told.latency
+            in_flight = told.node == stop.node and began <= stop.time <= told.time
+            if in_flight and not any(began <= time <= told.time for time in killed_at):
+                yield told, stop
+
+
+def _told(timeline: Timeline) -> Iterator[Told]:
+    return (line for line in timeline.lines if isinstance(line, Told))
+
+
+def _executions(timeline: Timeline) -> Iterator[ExecutionStart]:
+    return (line for line in timeline.lines if isinstance(line, ExecutionStart))
--- /dev/null
+++ b/src/pewtertack/lab/history/timeline.py
@@ -0,0 +1,187 @@
+"""A history arranged for judging: lives of processes, cuts and source faults."""
+
+from __future__ import annotations
+
+import bisect
+import math
+from collections.abc import Iterable, Iterator
+from dataclasses import dataclass, field
+
+from pewtertack.events import Event
+from pewtertack.lab.records import (
+    Cut,
+    Edit,
+    Heal,
+    HistoryLine,
+    NodeEvent,
+    NodeExit,
+    NodeKill,
+    NodePause,
+    NodeResume,
+    NodeStart,
+    NodeStop,
+    RevisionInForce,
+    SourceFault,
+)
+
+NO_FAULT = "none"
+"""The value of ``SourceFault.fault`` that ends a fault."""
+
+STOPS_SERVING = (Event.NODE_JOINING.name, Event.NODE_WOKE.name, Event.NODE_DRAINING.name)
+
+
+@dataclass(slots=True)
+class Interval:
+    """A span of time, in seconds; ``end`` is infinite while it lasts."""
+
+    start: float
+    end: float = math.inf
+
+    def overlaps(self, start: float, end: float) -> bool:
+        """Tell whether the span shares a moment with ``start`` to ``end``."""
+        return self.start <= end and self.end >= start
+
+
+@dataclass(slots=True)
+class Life:
+    """One process of a node, from its start to its kill, stop or the history's end."""
+
+    node: str
+    zone: str
+    span: Interval
+    in_force: list[RevisionInForce] = field(default_factory=list)
+    pauses: list[Interval] = field(default_factory=list)
+    serving: list[Interval] = field(default_factory=list)
+    killed: bool = False
+
+    def number_at(self, time: float) -> int:
+        """Return the number of the revision in force at ``time``; 0 for none."""
+        index = bisect.bisect_right(self.in_force, time, key=lambda event: event.time)
+        return self.in_force[index - 1].revision if index else 0
+
+    def is_serving_at(self, time: float) -> bool:
+        """Tell whether the process accepted callers' requests at ``time``."""
+        return any(span.start <= time < span.end for span in self.serving)
+
+    def end(self, time: float) -> None:
+        """Close every span that is open."""
+        self.span.end = min(self.span.end, time)
+        for span in (*self.pauses, *self.serving):
+            span.end = min(span.end, time)
+
+
+@dataclass(slots=True)
+class ZoneCut:
+    """A span during which messages from one zone to another were lost."""
+
+    from_zone: str
+    to_zone: str
+    span: Interval
+
+
+class Timeline:
+    """The events of one run, indexed by process. Lines may come in any order."""
+
+    def __init__(self, lines: Iterable[HistoryLine]) -> None:
+        self.lines = sorted(lines, key=lambda line: line.time)
+        self.lives: list[Life] = []
+        self.cuts: list[ZoneCut] = []
+        self.source_faults: list[Interval] = []
+        self.edits: list[Edit] = []
+        self._current: dict[str, Life] = {}
+        self._recorded = {line.node for line in self.lines if isinstance(line, NodeStart)}
+        self._open_faults: dict[str, Interval] = {}
+        for line in self.lines:
+            self._take(line)
+
+    @property
+    def end(self) -> float:
+        """The time of the last line."""
+        return self.lines[-1].time if self.lines else 0.0
+
+    def in_force(self) -> Iterator[RevisionInForce]:
+        """Yield every change of what a proxy serves by, in the order of time."""
+        return (line for line in self.lines if isinstance(line, RevisionInForce))
+
+    def first_in_force(self) -> dict[int, float]:
+        """Return when each revision was first in force on any proxy."""
+        first: dict[int, float] = {}
+        for event in self.in_force():
+            first.setdefault(event.revision, event.time)
+        return first
+
+    def lives_of(self, node: str) -> list[Life]:
+        """Return the processes of ``node`` in the order of their starts."""
+        return [life for life in self.lives if life.node == node]
+
+    def cuts_around(self, zone: str) -> list[Interval]:
+        """Return the spans during which ``zone`` could not talk with every other."""
+        return [cut.span for cut in self.cuts if zone in (cut.from_zone, cut.to_zone)]
+
+    def _take(self, line: HistoryLine) -> None:
+        match line:
+            case NodeEvent():
+                self._take_node_event(line)
+            case NodeStart():
+                self._start_life(line.node, line.zone, line.time)
+            case NodeKill() | NodeExit() | NodeStop():
+                self._end_life(line.node, line.time, isinstance(line, NodeKill))
+            case NodePause():
+                self._life(line.node, line.time).pauses.append(Interval(line.time))
+            case NodeResume():
+                self._resume(line.node, line.time)
+            case Edit():
+                self.edits.append(line)
+            case Cut() | Heal():
+                self._take_cut(line)
+            case SourceFault():
+                self._take_source_fault(line)
+
+    def _life(self, node: str, time: float) -> Life:
+        """Return the running process of ``node``; one begins if no start was recorded."""
+        if node not in self._current:
+            self._start_life(node, "", time)
+        return self._current[node]
+
+    def _start_life(self, node: str, zone: str, time: float) -> None:
+        self._end_life(node, time, killed=False)
+        life = Life(node, zone, Interval(time))
+        self.lives.append(life)
+        self._current[node] = life
+
+    def _end_life(self, node: str, time: float, killed: bool) -> None:
+        life = self._current.pop(node, None)
+        if life is not None:
+            life.killed = killed
+            life.end(time)
+
+    def _resume(self, node: str, time: float) -> None:
+        for span in self._life(node, time).pauses:
+            span.end = min(span.end, time)
+
+    def _take_node_event(self, event: NodeEvent) -> None:
+        if event.node not in self._current and event.node in self._recorded:
+            return  # the process drains, or its last lines came after its end
+        life = self._life(event.node, event.time)
+        if isinstance(event, RevisionInForce):
+            life.in_force.append(event)
+        elif event.event == Event.NODE_SERVING.name:
+            life.serving.append(Interval(event.time))
+        elif event.event in STOPS_SERVING:
+            for span in life.serving:
+                span.end = min(span.end, event.time)
+
+    def _take_cut(self, line: Cut | Heal) -> None:
+        if isinstance(line, Cut):
+            self.cuts.append(ZoneCut(line.from_zone, line.to_zone, Interval(line.time)))
+            return
+        for cut in self.cuts:
+            cut.span.end = min(cut.span.end, line.time)
+
+    def _take_source_fault(self, line: SourceFault) -> None:
+        running = self._open_faults.pop(line.service, None)
+        if running is not None:
+            running.end = line.time
+        if line.fault != NO_FAULT:
+            self._open_faults[line.service] = Interval(line.time)
+            self.source_faults.append(self._open_faults[line.service])
--- /dev/null
+++ b/tests/lab/history/test_planted_violations.py
@@ -0,0 +1,242 @@
+"""Each promise's check holds on a sound history and fails on a planted violation."""
+
+import unittest
+from dataclasses import dataclass
+
+from pewtertack.events import Event
+from pewtertack.lab.history.checker import all_held, check_history
+from pewtertack.lab.history.verdicts import CheckBounds, Judgement, Promise
+from pewtertack.lab.records import (
+    BackendLeaving,
+    Cut,
+    Edit,
+    ExecutionStart,
+    Heal,
+    HistoryLine,
+    NodeEvent,
+    NodeKill,
+    NodePause,
+    NodeResume,
+    NodeStart,
+    NodeStop,
+    RevisionInForce,
+    RouteInForce,
+    SourceFault,
+    Told,
+    ToldOutcome,
+)
+
+BOUNDS = CheckBounds(convergence=5.0, recovery=20.0, wake_grace=1.0, leaving=5.0)
+ROUTES = {"lookup": RouteInForce(service="logbook", secrets=("key",))}
+
+
+def in_force(time: float, node: str, revision: int, **changes: object) -> RevisionInForce:
+    values: dict = {
+        "digest": f"d{revision}",
+        "routes": ROUTES,
+        "services": ("logbook",),
+        "secrets": ("key",),
+        **changes,
+    }
+    name = Event.REVISION_IN_FORCE
+    return RevisionInForce(
+        time=time,
+        number=name.number,
+        event=name.name,
+        node=node,
+        incarnation=1,
+        revision=revision,
+        **values,
+    )
+
+
+def event(time: float, node: str, name: Event) -> NodeEvent:
+    return NodeEvent(time=time, number=name.number, event=name.name, node=node, incarnation=1)
+
+
+def told(time: float, request: str, outcome: ToldOutcome, **changes: object) -> Told:
+    values: dict = {
+        "node": "b",
+        "route": "lookup",
+        "status": 200,
+        "checksum_ok": True,
+        "own_answer": True,
+        "repeatable": False,
+        "latency": 1.0,
+        **changes,
+    }
+    return Told(time=time, request_id=request, outcome=outcome, **values)
+
+
+def started(*nodes: str) -> list[HistoryLine]:
+    return [NodeStart(time=0.0, node=node, zone=f"zone-{node}") for node in nodes]
+
+
+def sound_history() -> list[HistoryLine]:
+    return [
+        *started("a", "b"),
+        Edit(time=1.0, revision=1, digest="d1", valid=True),
+        in_force(2.0, "a", 1),
+        in_force(2.5, "b", 1),
+        event(3.0, "a", Event.NODE_SERVING),
+        event(3.0, "b", Event.NODE_SERVING),
+        Edit(time=30.0, revision=2, digest="d2", valid=False),
+        Edit(time=31.0, revision=3, digest="d3", valid=True),
+        in_force(32.0, "a", 3),
+        in_force(33.0, "b", 3),
+        ExecutionStart(time=40.0, request_id="r1", backend="x"),
+        told(41.0, "r1", ToldOutcome.ANSWERED),
+        told(42.0, "r2", ToldOutcome.NOT_RUN, status=503),
+        BackendLeaving(time=43.0, backend="x"),
+        ExecutionStart(time=59.8, request_id="r3", backend="y"),
+        NodeStop(time=60.0, node="b"),
+        told(60.5, "r3", ToldOutcome.ANSWERED),
+        event(61.0, "b", Event.NODE_STOPPED),
+    ]
+
+
+@dataclass
+class Planted:
+    promise: Promise
+    lines: list[HistoryLine]
+
+
+PLANTED = {
+    "a replacement serves by an older revision": Planted(
+        Promise.NEVER_BACK,
+        [
+            NodeKill(time=34.0, node="a"),
+            NodeStart(time=34.1, node="a", zone="zone-a"),
+            in_force(34.5, "a", 1),
+            in_force(34.6, "a", 3),
+        ],
+    ),
+    "a route lacks its service": Planted(
+        Promise.ROUTES_COMPLETE, [in_force(34.0, "a", 3, services=())]
+    ),
+    "a route lacks its secret": Planted(
+        Promise.ROUTES_COMPLETE, [in_force(34.0, "a", 3, secrets=())]
+    ),
+    "a revision is in force in part": Planted(
+        Promise.REVISIONS_WHOLE, [in_force(34.0, "a", 3, digest="other")]
+    ),
+    "an invalid revision is in force": Planted(
+        Promise.REJECTED_UNUSED, [in_force(30.5, "a", 2), in_force(30.5, "b", 2)]
+    ),
+    "an accepted revision does not reach a node": Planted(
+        Promise.IN_FORCE_EVERYWHERE,
+        [Edit(time=34.0, revision=4, digest="d4", valid=True), in_force(35.0, "a", 4)],
+    ),
+    "a valid edit is never in force": Planted(
+        Promise.IN_FORCE_EVERYWHERE, [Edit(time=34.0, revision=4, digest="d4", valid=True)]
+    ),
+    "a valid edit is not in force after a source fault and a cut": Planted(
+        Promise.IN_FORCE_EVERYWHERE,
+        [
+            SourceFault(time=33.5, service="source", fault="outage"),
+            Cut(time=33.6, from_zone="zone-a", to_zone="zone-b"),
+            Edit(time=34.0, revision=4, digest="d4", valid=True),
+            SourceFault(time=35.0, service="source", fault="none"),
+            Heal(time=36.0),
+        ],
+    ),
+    "a new node serves without what was accepted": Planted(
+        Promise.NEVER_REVERTED,
+        [
+            NodeStart(time=45.0, node="c", zone="zone-c"),
+            in_force(45.5, "c", 1),
+            event(45.6, "c", Event.NODE_SERVING),
+            in_force(46.0, "c", 3),
+        ],
+    ),
+    "a woken node serves by what it had": Planted(
+        Promise.NEVER_REVERTED,
+        [
+            NodePause(time=33.5, node="b"),
+            Edit(time=34.0, revision=4, digest="d4", valid=True),
+            in_force(34.5, "a", 4),
+            NodeResume(time=45.0, node="b"),
+            in_force(48.0, "b", 4),
+        ],
+    ),
+    "an answer is damaged": Planted(
+        Promise.ANSWERS_WHOLE_AND_OWN,
+        [told(41.0, "r4", ToldOutcome.ANSWERED, checksum_ok=False)],
+    ),
+    "an answer belongs to another request": Planted(
+        Promise.ANSWERS_WHOLE_AND_OWN,
+        [told(41.0, "r4", ToldOutcome.ANSWERED, own_answer=False)],
+    ),
+    "a request refused as not run has run": Planted(
+        Promise.NOT_RUN_IS_TRUE, [ExecutionStart(time=42.5, request_id="r2", backend="x")]
+    ),
+    "a request that may not be repeated runs twice": Planted(
+        Promise.AT_MOST_ONCE, [ExecutionStart(time=40.5, request_id="r1", backend="y")]
+    ),
+    "a leaving back end gets new work": Planted(
+        Promise.LEAVING_UNUSED, [ExecutionStart(time=49.0, request_id="r5", backend="x")]
+    ),
+    "a planned stop cuts a request": Planted(
+        Promise.STOP_CUTS_NOTHING, [told(60.6, "r6", ToldOutcome.CUT, status=0)]
+    ),
+}
+
+
+class PlantedViolationTest(unittest.TestCase):
+    def test_every_promise_holds_on_a_sound_history(self) -> None:
+        verdicts = check_history(sound_history(), BOUNDS)
+        self.assertEqual({verdict.promise for verdict in verdicts}, set(Promise))
+        self.assertTrue(all_held(verdicts), verdicts)
+
+    def test_each_planted_violation_breaks_its_promise_and_no_other(self) -> None:
+        for name, planted in PLANTED.items():
+            with self.subTest(name):
+                verdicts = check_history([*sound_history(), *planted.lines], BOUNDS)
+                broken = [v.promise for v in verdicts if v.judgement is Judgement.VIOLATED]
+                self.assertEqual(broken, [planted.promise])
+
+    def test_every_promise_has_a_planted_violation(self) -> None:
+        self.assertEqual({planted.promise for planted in PLANTED.values()}, set(Promise))
+
+    def test_an_empty_history_is_too_thin_for_every_promise(self) -> None:
+        verdicts = check_history([], BOUNDS)
+        self.assertEqual({v.judgement for v in verdicts}, {Judgement.TOO_THIN})
+
+
+class ObligationTest(unittest.TestCase):
+    """Who does not owe a revision: the paused, the cut off, the short-lived."""
+
+    def verdict(self, promise: Promise, lines: list[HistoryLine]) -> Judgement:
+        verdicts = check_history([*sound_history(), *lines], BOUNDS)
+        return next(v.judgement for v in verdicts if v.promise is promise)
+
+    def test_a_paused_process_owes_nothing_until_it_wakes(self) -> None:
+        lines = [
+            NodePause(time=33.5, node="b"),
+            Edit(time=34.0, revision=4, digest="d4", valid=True),
+            in_force(34.5, "a", 4),
+            NodeResume(time=58.0, node="b"),
+            event(58.1, "b", Event.NODE_WOKE),
+        ]
+        self.assertIs(self.verdict(Promise.IN_FORCE_EVERYWHERE, lines), Judgement.HELD)
+        self.assertIs(self.verdict(Promise.NEVER_REVERTED, lines), Judgement.HELD)
+
+    def test_a_cut_off_zone_owes_nothing_until_it_heals(self) -> None:
+        lines = [
+            Cut(time=33.5, from_zone="zone-a", to_zone="zone-b"),
+            Edit(time=34.0, revision=4, digest="d4", valid=True),
+            in_force(34.5, "a", 4),
+            Heal(time=58.0),
+        ]
+        self.assertIs(self.verdict(Promise.IN_FORCE_EVERYWHERE, lines), Judgement.HELD)
+
+    def test_a_killed_process_owes_nothing(self) -> None:
+        lines = [
+            NodeStart(time=34.0, node="c", zone="zone-c"),
+            NodeKill(time=38.0, node="c"),
+        ]
+        self.assertIs(self.verdict(Promise.IN_FORCE_EVERYWHERE, lines), Judgement.HELD)
+
+
+if __name__ == "__main__":
+    unittest.main()
