--- a/tests/wire/test_frames.py
+++ b/tests/wire/test_frames.py
@@ -59,7 +59,7 @@
     Busy(DocumentKind.CONFIGURATION, 200),
     HeldReport(REVISION),
     JoinRequest(MEMBER),
-    JoinAnswer(STATE, (MEMBER, MEMBER)),
+    JoinAnswer(STATE, MEMBER, (MEMBER, MEMBER)),
 )
 
 
