--- a/src/pewtertack/__main__.py
+++ b/src/pewtertack/__main__.py
@@ -4,11 +4,9 @@
 
 import sys
 
+from pewtertack.cli.exit_codes import ExitCode
 from pewtertack.errors import PewtertackError
 
-EXIT_UNUSABLE_INPUT = 2
-"""Usage errors, unreadable files and wrong settings end with this exit code."""
-
 
 def main() -> None:
     """Run the command line; an error of this library ends with exit code 2, no traceback."""
@@ -18,7 +16,7 @@
         app()
     except PewtertackError as error:
         print(f"pewtertack: {error.code}: {error}", file=sys.stderr)
-        sys.exit(EXIT_UNUSABLE_INPUT)
+        sys.exit(ExitCode.UNUSABLE_INPUT)
 
 
 if __name__ == "__main__":
--- /dev/null
+++ b/src/pewtertack/core/configuration/changes.py
@@ -0,0 +1,113 @@
+"""What differs between two resolved configurations of one zone."""
+
+from __future__ import annotations
+
+from collections.abc import Iterator, Mapping
+from dataclasses import dataclass, fields
+from enum import StrEnum
+from typing import Any
+
+from pewtertack.core.configuration.model import Section
+from pewtertack.core.configuration.resolved import (
+    ResolvedConfiguration,
+    ResolvedRoute,
+    ResolvedService,
+)
+
+MASKED = "(masked)"
+"""Stands for the value of a secret."""
+
+_TREE_NAMES: Mapping[str, str] = {"work_class": "class"}
+"""Fields whose setting has another name in the tree."""
+
+
+class ChangeKind(StrEnum):
+    """What happened to a route, service, secret or to one of its settings."""
+
+    ADDED = "added"
+    REMOVED = "removed"
+    CHANGED = "changed"
+
+
+@dataclass(frozen=True, slots=True)
+class Change:
+    """One difference between two resolved configurations.
+
+    ``setting`` is empty when the whole route, service or secret was added or
+    removed, and for secrets. Durations are in seconds; secrets are masked.
+    """
+
+    kind: ChangeKind
+    section: Section
+    name: str
+    setting: str = ""
+    old: Any = None
+    new: Any = None
+
+
+def compare_resolved(old: ResolvedConfiguration, new: ResolvedConfiguration) -> tuple[Change, ...]:
+    """Return what ``new`` changes against ``old``: services, secrets, then routes, by name."""
+    return (
+        *_compare_tables(Section.SERVICES, old.services, new.services),
+        *_compare_secrets(old.secrets, new.secrets),
+        *_compare_tables(Section.ROUTES, _routes_by_name(old), _routes_by_name(new)),
+    )
+
+
+def _routes_by_name(configuration: ResolvedConfiguration) -> Mapping[str, ResolvedRoute]:
+    return {route.name: route for route in configuration.routes}
+
+
+def _compare_tables(
+    section: Section,
+    old: Mapping[str, ResolvedRoute] | Mapping[str, ResolvedService],
+    new: Mapping[str, ResolvedRoute] | Mapping[str, ResolvedService],
+) -> Iterator[Change]:
+    for name in sorted({*old, *new}):
+        if name not in old:
+            yield Change(ChangeKind.ADDED, section, name, new=_plain_settings(new[name]))
+        elif name not in new:
+            yield Change(ChangeKind.REMOVED, section, name, old=_plain_settings(old[name]))
+        else:
+            yield from _compare_settings(section, name, old[name], new[name])
+
+
+def _compare_settings(
+    section: Section,
+    name: str,
+    old: ResolvedRoute | ResolvedService,
+    new: ResolvedRoute | ResolvedService,
+) -> Iterator[Change]:
+    old_settings = _plain_settings(old)
+    new_settings = _plain_settings(new)
+    for setting, old_value in old_settings.items():
+        new_value = new_settings[setting]
+        if old_value != new_value:
+            yield Change(ChangeKind.CHANGED, section, name, setting, old_value, new_value)
+
+
+def _compare_secrets(old: Mapping[str, str], new: Mapping[str, str]) -> Iterator[Change]:
+    for name in sorted({*old, *new}):
+        if name not in old:
+            yield Change(ChangeKind.ADDED, Section.SECRETS, name, new=MASKED)
+        elif name not in new:
+            yield Change(ChangeKind.REMOVED, Section.SECRETS, name, old=MASKED)
+        elif old[name] != new[name]:
+            yield Change(ChangeKind.CHANGED, Section.SECRETS, name, old=MASKED, new=MASKED)
+
+
+def _plain_settings(resolved: ResolvedRoute | ResolvedService) -> dict[str, Any]:
+    """Return the settings of ``resolved`` as JSON values under their names in the tree."""
+    return {
+        _TREE_NAMES.get(field.name, field.name): _plain(getattr(resolved, field.name))
+        for field in fields(resolved)
+        if field.name != "name"
+    }
+
+
+def _plain(value: Any) -> Any:
+    if isinstance(value, tuple):
+        return list(value)
+    if isinstance(value, Mapping):
+        return dict(value)
+    return value
--- a/src/pewtertack/core/configuration/findings.py
+++ b/src/pewtertack/core/configuration/findings.py
@@ -88,3 +88,9 @@
     """A route that was asked about does not exist in the zone."""
 
     code: ClassVar[str] = "unknown-route"
+
+
+class UnknownServiceError(ConfigurationError):
+    """A service that was asked about does not exist in the zone."""
+
+    code: ClassVar[str] = "unknown-service"
--- a/src/pewtertack/core/configuration/resolution.py
+++ b/src/pewtertack/core/configuration/resolution.py
@@ -58,7 +58,7 @@
 
 
 def _resolve_route(scope: Scope, name: str) -> ResolvedRoute:
-    values = merge(scope.route_layers(name))
+    values = scope.route_values(name)
     return ResolvedRoute(
         name=name,
         service=values["service"],
--- /dev/null
+++ b/src/pewtertack/core/configuration/schema.py
@@ -0,0 +1,136 @@
+"""The published JSON schema of the tree, made from the model.
+
+The schema covers one tree as it is written. Rules across tables (a route's
+service and secrets exist, no identical matches, targets of deletion) are
+those of ``validation`` alone.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Mapping
+from typing import Any
+
+from pewtertack.core.configuration.model import (
+    DELETE,
+    DURATION_PATTERN,
+    HEADER_PATTERN,
+    HOST_LENGTH_LIMIT,
+    HOST_PATTERN,
+    LIST_LENGTH_LIMIT,
+    NAME_PATTERN,
+    PATH_LENGTH_LIMIT,
+    PATH_PREFIX_PATTERN,
+    RESERVED_HEADERS,
+    ROUTE_DEFAULT_SETTINGS,
+    ROUTE_SETTINGS,
+    SECRET_LENGTH_LIMIT,
+    SECRET_PATTERN,
+    SERVICE_SETTINGS,
+    ZONES,
+    Section,
+    Setting,
+    ValueKind,
+)
+
+SCHEMA_DIALECT = "https://json-schema.org/draft/2020-12/schema"
+
+Schema = dict[str, Any]
+
+
+def json_schema() -> Schema:
+    """Return the JSON schema of a tree."""
+    sections = _sections()
+    zone_properties = {**sections, DELETE: {"type": "array", "items": {"type": "string"}}}
+    zone = _closed_object(zone_properties)
+    return {
+        "$schema": SCHEMA_DIALECT,
+        "title": "pewtertack configuration tree",
+        **_closed_object({**sections, ZONES: _named(zone)}),
+    }
+
+
+def _sections() -> Schema:
+    secret = {
+        "type": "string",
+        "pattern": _whole(SECRET_PATTERN),
+        "maxLength": SECRET_LENGTH_LIMIT,
+    }
+    route_defaults = _settings(ROUTE_DEFAULT_SETTINGS)
+    service = _closed_object(
+        {**_properties(SERVICE_SETTINGS), Section.ROUTE_DEFAULTS.value: route_defaults}
+    )
+    return {
+        Section.ROUTE_DEFAULTS.value: route_defaults,
+        Section.SERVICE_DEFAULTS.value: _settings(SERVICE_SETTINGS),
+        Section.SECRETS.value: _named(secret),
+        Section.SERVICES.value: _named(service),
+        Section.ROUTES.value: _named(_settings(ROUTE_SETTINGS)),
+    }
+
+
+def _settings(settings: Mapping[str, Setting]) -> Schema:
+    return _closed_object(_properties(settings))
+
+
+def _properties(settings: Mapping[str, Setting]) -> Schema:
+    return {name: _setting_schema(setting) for name, setting in settings.items()}
+
+
+def _setting_schema(setting: Setting) -> Schema:
+    schema = {"description": f"{setting.meaning} Accepted: {setting.accepted}."}
+    schema.update(_value_schema(setting))
+    if setting.default is not None:
+        schema["default"] = setting.default
+    return schema
+
+
+def _value_schema(setting: Setting) -> Schema:
+    bounds = {"minimum": setting.minimum, "maximum": setting.maximum}
+    schemas: Mapping[ValueKind, Schema] = {
+        ValueKind.DURATION: {"type": "string", "pattern": _whole(DURATION_PATTERN)},
+        ValueKind.INTEGER: {"type": "integer", **bounds},
+        ValueKind.RATIO: {"type": "number", **bounds},
+        ValueKind.BOOLEAN: {"type": "boolean"},
+        ValueKind.CHOICE: {"enum": list(setting.choices)},
+        ValueKind.NAME: {"type": "string", "pattern": _whole(NAME_PATTERN)},
+        ValueKind.PATH_PREFIX: {
+            "type": "string",
+            "pattern": _whole(PATH_PREFIX_PATTERN),
+            "maxLength": PATH_LENGTH_LIMIT,
+        },
+        ValueKind.HOSTS: _list_schema(
+            {"type": "string", "pattern": _whole(HOST_PATTERN), "maxLength": HOST_LENGTH_LIMIT}
+        ),
+        ValueKind.METHODS: _list_schema({"enum": list(setting.choices)}),
+        ValueKind.HEADER_SECRETS: {
+            "type": "object",
+            "propertyNames": {
+                "pattern": _whole(HEADER_PATTERN),
+                "not": {"enum": sorted(RESERVED_HEADERS)},
+            },
+            "additionalProperties": {"type": "string", "pattern": _whole(NAME_PATTERN)},
+        },
+    }
+    return schemas[setting.kind]
+
+
+def _list_schema(items: Schema) -> Schema:
+    return {"type": "array", "items": items, "uniqueItems": True, "maxItems": LIST_LENGTH_LIMIT}
+
+
+def _closed_object(properties: Schema) -> Schema:
+    return {"type": "object", "properties": properties, "additionalProperties": False}
+
+
+def _named(values: Schema) -> Schema:
+    """Return the schema of a table whose keys operators choose."""
+    return {
+        "type": "object",
+        "propertyNames": {"pattern": _whole(NAME_PATTERN)},
+        "additionalProperties": values,
+    }
+
+
+def _whole(pattern: str) -> str:
+    """Anchor ``pattern`` at both ends, since a schema's patterns may match anywhere."""
+    return f"^(?:{pattern})$"
--- a/src/pewtertack/core/configuration/scopes.py
+++ b/src/pewtertack/core/configuration/scopes.py
@@ -73,12 +73,16 @@
     sees the root's sections as they are.
     """
 
-    def __init__(self, document: Document, zone: str | None) -> None:
+    def __init__(
+        self, document: Document, zone: str | None, *, apply_deletions: bool = True
+    ) -> None:
         self.zone = zone
         named = zone is not None and zone in document.get(ZONES, _NOTHING)
         self._own: Mapping[str, Any] = document[ZONES][zone] if named else _NOTHING
         self._own_path: Path = (ZONES, zone) if zone is not None else ()
-        self._root = without_targets(document, self._own.get(DELETE, ()))
+        targets = self._own.get(DELETE, ()) if apply_deletions else ()
+        self._root = without_targets(document, targets)
+        self._default_values: dict[str | None, Mapping[str, Any]] = {}
 
     def route_names(self) -> list[str]:
         """Return the names of the routes of this scope, sorted."""
@@ -106,6 +110,16 @@
         own = self._layers(Level.ROUTE, Level.ZONE_ROUTE, Section.ROUTES, name)
         return (*self.default_layers(merge(own).get("service")), *own)
 
+    def route_values(self, name: str) -> dict[str, Any]:
+        """Return the values of the route ``name``: ``merge(route_layers(name))``, but faster."""
+        root_routes = self._root.get(Section.ROUTES, _NOTHING)
+        own_routes = self._own.get(Section.ROUTES, _NOTHING)
+        own = {**root_routes.get(name, _NOTHING), **own_routes.get(name, _NOTHING)}
+        service = own.get("service")
+        if service not in self._default_values:
+            self._default_values[service] = merge(self.default_layers(service))
+        return {**self._default_values[service], **own}
+
     def default_layers(self, service: str | None) -> Layers:
         """Return the layers that every route to ``service`` inherits."""
         layers = (
--- a/src/pewtertack/core/configuration/validation.py
+++ b/src/pewtertack/core/configuration/validation.py
@@ -6,12 +6,12 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterator, Mapping
+from collections.abc import Iterable, Iterator, Mapping
 from typing import Any
 
 from pewtertack.core.configuration.findings import Finding, FindingCode
 from pewtertack.core.configuration.model import ZONES, Section
-from pewtertack.core.configuration.scopes import Layers, Scope, merge, scopes_of, winning_path
+from pewtertack.core.configuration.scopes import Scope, scopes_of, winning_path
 from pewtertack.core.configuration.structure import check_plain, check_structure
 from pewtertack.core.configuration.values import kind_of
 from pewtertack.core.revision import Document
@@ -19,6 +19,12 @@
 ANY = "*"
 """Stands in a match for every host or every method."""
 
+NAMES_SHOWN = 20
+"""Existing names that a finding about a missing one lists at most."""
+
+_Match = tuple[str, str, str]
+"""Host, path prefix and method."""
+
 
 def check_document(document: Document) -> tuple[Finding, ...]:
     """Return all findings of the first stage that has any; empty for a valid tree.
@@ -45,7 +51,7 @@
 
 
 def _check_scopes(document: Document) -> Iterator[Finding]:
-    """Yield what is broken in any scope; a zone's finding only where the root lacks it."""
+    """Yield what is broken in any scope; what one scope reported is not said again."""
     reported: set[tuple[FindingCode, tuple[str, ...], str]] = set()
     for scope in scopes_of(document):
         for finding in _check_scope(scope):
@@ -58,57 +64,57 @@
 def _check_scope(scope: Scope) -> Iterator[Finding]:
     services = frozenset(scope.service_names())
     secrets = scope.secrets()
-    matches: dict[tuple[str, str, str], str] = {}
+    matches: dict[_Match, str] = {}
     for name in scope.route_names():
-        layers = scope.route_layers(name)
-        values = merge(layers)
-        yield from _check_service(scope, name, layers, values, services)
-        yield from _check_secrets(scope, layers, values, secrets)
-        yield from _check_match(scope, name, layers, values, matches)
+        values = scope.route_values(name)
+        yield from _check_service(scope, name, values, services)
+        yield from _check_secrets(scope, name, values, secrets)
+        yield from _check_match(scope, name, values, matches)
 
 
 def _check_service(
-    scope: Scope, name: str, layers: Layers, values: Mapping[str, Any], services: frozenset[str]
+    scope: Scope, name: str, values: Mapping[str, Any], services: frozenset[str]
 ) -> Iterator[Finding]:
     service = values.get("service")
     if service is None:
-        path = (*layers[-1].path, "service")
+        path = (*scope.route_layers(name)[-1].path, "service")
         message = f"route {name} names no service"
         yield Finding(FindingCode.MISSING_SETTING, path, message, zone=scope.zone)
     elif service not in services:
-        path = winning_path(layers, "service")
+        path = winning_path(scope.route_layers(name), "service")
         message = f"there is no service {service}"
-        accepted = "one of " + ", ".join(sorted(services)[:20]) if services else ""
+        accepted = _some_of(services)
         yield Finding(FindingCode.MISSING_SERVICE, path, message, accepted, scope.zone)
 
 
 def _check_secrets(
-    scope: Scope, layers: Layers, values: Mapping[str, Any], secrets: Mapping[str, str]
+    scope: Scope, name: str, values: Mapping[str, Any], secrets: Mapping[str, str]
 ) -> Iterator[Finding]:
     for header, secret in values["header_secrets"].items():
         if secret not in secrets:
-            path = (*winning_path(layers, "header_secrets"), header)
-            message = f"there is no secret {secret}"
-            yield Finding(FindingCode.MISSING_SECRET, path, message, zone=scope.zone)
+            path = (*winning_path(scope.route_layers(name), "header_secrets"), header)
+            message = f"route {name} needs secret {secret}, which does not exist"
+            accepted = _some_of(secrets)
+            yield Finding(FindingCode.MISSING_SECRET, path, message, accepted, scope.zone)
 
 
 def _check_match(
-    scope: Scope,
-    name: str,
-    layers: Layers,
-    values: Mapping[str, Any],
-    matches: dict[tuple[str, str, str], str],
+    scope: Scope, name: str, values: Mapping[str, Any], matches: dict[_Match, str]
 ) -> Iterator[Finding]:
     """Yield a finding when another route matches the same host, path and method alike."""
     rivals = set()
     for host in values["hosts"] or (ANY,):
         for method in values["methods"] or (ANY,):
-            key = (host.lower(), values["path_prefix"], method)
-            rival = matches.setdefault(key, name)
+            rival = matches.setdefault((host.lower(), values["path_prefix"], method), name)
             if rival != name:
                 rivals.add(rival)
     for rival in sorted(rivals):
-        path = layers[-1].path
+        path = scope.route_layers(name)[-1].path
         message = f"matches what route {rival} matches"
         accepted = "routes that differ in host, path_prefix or method"
         yield Finding(FindingCode.IDENTICAL_MATCH, path, message, accepted, scope.zone)
+
+
+def _some_of(names: Iterable[str]) -> str:
+    shown = sorted(names)[:NAMES_SHOWN]
+    return "one of " + ", ".join(shown) if shown else ""
