--- a/src/pewtertack/cli/lab.py
+++ b/src/pewtertack/cli/lab.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import json
+import math
 from pathlib import Path
 from typing import Annotated, Any
 
@@ -10,8 +11,8 @@
 import msgspec
 import typer
 
+from pewtertack.lab.address import Address
 from pewtertack.lab.errors import LabUsageError
-from pewtertack.lab.serving import Address
 
 app = typer.Typer(no_args_is_help=True, help="Stand-ins, fleets, load and scenarios.")
 
@@ -123,3 +124,28 @@
 
     listed = msgspec.json.decode(nodes.read_bytes(), type=tuple[RelayedNode, ...])
     anyio.run(Relay(listed, Address.parse(control), seed).run)
+
+
+@app.command()
+def load(
+    tree: Annotated[Path, typer.Option(help="JSON file with the tree whose routes are used.")],
+    node: Annotated[list[str], typer.Option(help="name=ip:port of a proxy, once for each.")],
+    rate: Annotated[float, typer.Option(help="Requests begun per second.")] = 50.0,
+    seconds: Annotated[float, typer.Option(help="Endless by default; SIGTERM ends it.")] = math.inf,
+    seed: int = 0,
+    prefix: Annotated[str, typer.Option(help="Begins each request's id.")] = "load",
+) -> None:
+    """Send an open-loop load and print what each caller was told."""
+    from pewtertack.lab.load.caller import Target
+    from pewtertack.lab.load.generator import LoadGenerator
+    from pewtertack.lab.load.mix import mix_of_tree
+    from pewtertack.lab.records import Told, encode_record
+    from pewtertack.lab.serving import print_line, print_ready
+
+    def record(told: Told) -> None:
+        print_line(encode_record(told))
+
+    targets = [Target(*_named_address(text)) for text in node]
+    mix = mix_of_tree(read_json_object(tree))
+    print_ready()
+    anyio.run(LoadGenerator(targets, mix, rate, seed, prefix, record).run, seconds)
--- a/src/pewtertack/cli/main.py
+++ b/src/pewtertack/cli/main.py
@@ -8,6 +8,8 @@
 
 import typer
 
+from pewtertack.cli import lab
+
 app = typer.Typer(
     name="pewtertack",
     help="Configuration distribution for a service mesh on machines that may vanish.",
@@ -20,3 +22,6 @@
 @app.callback()
 def _commands() -> None:
     """Distribute configuration to the proxies of a service mesh."""
+
+
+app.add_typer(lab.app, name="lab")
--- a/src/pewtertack/lab/fleet/ports.py
+++ b/src/pewtertack/lab/fleet/ports.py
@@ -6,8 +6,8 @@
 import random
 import socket
 
+from pewtertack.lab.address import Address
 from pewtertack.lab.errors import LabUsageError
-from pewtertack.lab.serving import Address
 
 FIRST_PORT = 20_000
 LAST_PORT = 32_000
--- /dev/null
+++ b/src/pewtertack/lab/fleet/processes.py
@@ -0,0 +1,104 @@
+"""The processes of a fleet by name: what each is started with."""
+
+from __future__ import annotations
+
+from collections.abc import Mapping
+from pathlib import Path
+
+import msgspec
+
+from pewtertack.events import Event
+from pewtertack.lab.address import Address
+from pewtertack.lab.fleet.plan import FleetPlan
+from pewtertack.lab.fleet.process import LabProcess, LineHandler
+from pewtertack.lab.fleet.settings import machines_path, relay_path, settings_path, tree_path
+
+READY_PREFIX = b'{"ready":'
+
+
+class _EventName(msgspec.Struct):
+    event: str = ""
+
+
+def _is_stand_in_ready(line: bytes) -> bool:
+    return line.startswith(READY_PREFIX)
+
+
+def _is_node_ready(line: bytes) -> bool:
+    try:
+        return msgspec.json.decode(line, type=_EventName).event == Event.NODE_READY.name
+    except msgspec.MsgspecError:
+        return False
+
+
+class ProcessFactory:
+    """Makes the processes of a plan, not started.
+
+    Args:
+        plan: the fleet.
+        directory: holds the files that the processes read.
+        handle_line: gets every line of their output.
+    """
+
+    def __init__(self, plan: FleetPlan, directory: Path, handle_line: LineHandler) -> None:
+        self._plan = plan
+        self._directory = directory
+        self._handle_line = handle_line
+
+    def stand_ins(self) -> list[LabProcess]:
+        """Return the platform, the relay where there is one, and the back ends."""
+        processes = [self._source(), self._machines()]
+        if self._plan.shape.has_relay:
+            processes.append(self._relay())
+        return processes + [self.backend(name) for name in self._plan.backend_controls]
+
+    def node(self, name: str) -> LabProcess:
+        """Return one node's process."""
+        arguments = ["node", "--settings", str(settings_path(self._directory, name))]
+        return LabProcess(name, arguments, self._directory, self._handle_line, _is_node_ready)
+
+    def backend(self, process: str) -> LabProcess:
+        """Return the process that hosts one or more back ends."""
+        hosted = self._plan.hosted_by(process)
+        hosts = [f"--host={backend.name}={backend.address}" for backend in hosted]
+        capacity = self._plan.shape.capacity
+        limits = [
+            f"--slots={capacity.slots}",
+            f"--connections={capacity.connections}",
+            f"--queue={capacity.queue}",
+            f"--work-ms={capacity.work_time * 1000}",
+            f"--cold-ms={capacity.cold_period * 1000}",
+        ]
+        control = f"--control={self._plan.backend_controls[process]}"
+        return self._stand_in(process, ["backend", *hosts, control, *limits])
+
+    def load(self, name: str, rate: float, seed: int, nodes: Mapping[str, Address]) -> LabProcess:
+        """Return a process of callers; requests' ids begin with its name."""
+        targets = [f"--node={node}={proxy}" for node, proxy in nodes.items()]
+        tree = f"--tree={tree_path(self._directory)}"
+        numbers = [f"--rate={rate}", f"--seed={seed}"]
+        return self._stand_in(name, ["load", tree, *targets, *numbers, f"--prefix={name}"])
+
+    def _source(self) -> LabProcess:
+        tree = f"--tree={tree_path(self._directory)}"
+        listen = f"--listen={self._plan.source.listen}"
+        control = f"--control={self._plan.source.control}"
+        limit = f"--max-readers={self._plan.shape.reader_limit}"
+        return self._stand_in("source", ["source", tree, listen, control, limit])
+
+    def _machines(self) -> LabProcess:
+        file = f"--file={machines_path(self._directory)}"
+        listen = f"--listen={self._plan.machines.listen}"
+        control = f"--control={self._plan.machines.control}"
+        lag = f"--lag={self._plan.shape.machine_list_lag}"
+        limit = f"--max-readers={self._plan.shape.reader_limit}"
+        return self._stand_in("machines", ["machines", file, listen, control, lag, limit])
+
+    def _relay(self) -> LabProcess:
+        nodes = f"--nodes={relay_path(self._directory)}"
+        return self._stand_in("relay", ["relay", nodes, f"--control={self._plan.relay_control}"])
+
+    def _stand_in(self, name: str, arguments: list[str]) -> LabProcess:
+        return LabProcess(
+            name, ["lab", *arguments], self._directory, self._handle_line, _is_stand_in_ready
+        )
--- /dev/null
+++ b/src/pewtertack/lab/load/caller.py
@@ -0,0 +1,127 @@
+"""One caller's exchange with a node, and what it concludes from it."""
+
+from __future__ import annotations
+
+import time
+from collections.abc import Mapping
+from dataclasses import dataclass
+
+import httpcore
+
+from pewtertack.lab.address import Address
+from pewtertack.lab.backend.answers import checksum, expected_body
+from pewtertack.lab.load.mix import CallKind
+from pewtertack.lab.records import Told, ToldOutcome
+
+CONNECT_SECONDS = 2.0
+OUTCOME_HEADER = "x-outcome"
+CONNECTIONS_PER_NODE = 200
+STATUS_OK = 200
+
+
+@dataclass(frozen=True, slots=True)
+class Target:
+    """A node that callers may ask."""
+
+    name: str
+    proxy: Address
+
+
+@dataclass(frozen=True, slots=True)
+class _Conclusion:
+    """What one exchange came to."""
+
+    outcome: ToldOutcome
+    status: int = 0
+    checksum_ok: bool = True
+    own_answer: bool = True
+    retry_after: float | None = None
+
+
+class Caller:
+    """Asks one node over pooled connections; never repeats a request."""
+
+    def __init__(self, target: Target) -> None:
+        self._target = target
+        self._pool = httpcore.AsyncConnectionPool(
+            max_connections=CONNECTIONS_PER_NODE, keepalive_expiry=2.0
+        )
+
+    async def close(self) -> None:
+        """Close the connections."""
+        await self._pool.aclose()
+
+    async def ask(self, kind: CallKind, request_id: str) -> Told:
+        """Send one request and return what the caller was told."""
+        began = time.monotonic()
+        conclusion = await self._exchange(kind, request_id)
+        return Told(
+            time=time.time(),
+            request_id=request_id,
+            node=self._target.name,
+            route=kind.route,
+            status=conclusion.status,
+            outcome=conclusion.outcome,
+            checksum_ok=conclusion.checksum_ok,
+            own_answer=conclusion.own_answer,
+            repeatable=kind.repeatable,
+            latency=time.monotonic() - began,
+            retry_after=conclusion.retry_after,
+        )
+
+    async def _exchange(self, kind: CallKind, request_id: str) -> _Conclusion:
+        try:
+            answer = await self._send(kind, request_id)
+        except (httpcore.ConnectError, httpcore.ConnectTimeout, httpcore.PoolTimeout):
+            return _Conclusion(ToldOutcome.NOT_CONNECTED)
+        except httpcore.TimeoutException:
+            return _Conclusion(ToldOutcome.TIMED_OUT)
+        except (httpcore.NetworkError, httpcore.ProtocolError):
+            return _Conclusion(ToldOutcome.CUT)
+        return _conclude(kind, request_id, answer)
+
+    async def _send(self, kind: CallKind, request_id: str) -> httpcore.Response:
+        headers = [
+            (b"host", kind.host.encode()),
+            (b"x-request-id", request_id.encode()),
+            (b"x-work-ms", str(kind.work_milliseconds).encode()),
+            (b"x-answer-bytes", str(kind.answer_bytes).encode()),
+            (b"content-length", str(kind.body_bytes).encode()),
+        ]
+        timeouts = {
+            "connect": CONNECT_SECONDS,
+            "pool": CONNECT_SECONDS,
+            "read": kind.patience,
+            "write": kind.patience,
+        }
+        return await self._pool.request(
+            kind.method,
+            f"http://{self._target.proxy}{kind.path}",
+            headers=headers,
+            content=bytes(kind.body_bytes),
+            extensions={"timeout": timeouts},
+        )
+
+
+def _conclude(kind: CallKind, request_id: str, answer: httpcore.Response) -> _Conclusion:
+    headers = {
+        name.decode("latin-1").lower(): value.decode("latin-1") for name, value in answer.headers
+    }
+    if OUTCOME_HEADER in headers:
+        outcome = ToldOutcome(headers[OUTCOME_HEADER])
+        return _Conclusion(outcome, answer.status, retry_after=_retry_after(headers))
+    body = answer.content
+    expected = expected_body(request_id, kind.answer_bytes) if answer.status == STATUS_OK else b""
+    return _Conclusion(
+        ToldOutcome.ANSWERED,
+        answer.status,
+        checksum_ok=headers.get("x-checksum") == checksum(body),
+        own_answer=headers.get("x-request-id") == request_id and body == expected,
+    )
+
+
+def _retry_after(headers: Mapping[str, str]) -> float | None:
+    try:
+        return float(headers["retry-after"])
+    except (KeyError, ValueError):
+        return None
--- a/src/pewtertack/lab/relay/links.py
+++ b/src/pewtertack/lab/relay/links.py
@@ -6,8 +6,8 @@
 
 import msgspec
 
+from pewtertack.lab.address import Address
 from pewtertack.lab.errors import LabUsageError
-from pewtertack.lab.serving import Address
 
 
 class RelayedNode(msgspec.Struct, frozen=True):
--- a/src/pewtertack/lab/relay/service.py
+++ b/src/pewtertack/lab/relay/service.py
@@ -9,9 +9,10 @@
 import anyio.abc
 import msgspec
 
+from pewtertack.lab.address import Address
 from pewtertack.lab.asgi import Answer, HandlerTable, Request, json_answer
 from pewtertack.lab.relay.links import LinkSettings, LinkTable, RelayedNode
-from pewtertack.lab.serving import Address, Listener, print_ready
+from pewtertack.lab.serving import Listener, print_ready
 
 CHUNK_BYTES = 65536
 
--- a/src/pewtertack/lab/serving.py
+++ b/src/pewtertack/lab/serving.py
@@ -14,6 +14,7 @@
 import uvicorn
 from uvicorn.protocols.http.httptools_impl import HttpToolsProtocol
 
+from pewtertack.lab.address import Address
 from pewtertack.lab.asgi import Application
 from pewtertack.lab.errors import LabUsageError
 
@@ -23,28 +24,6 @@
 START_POLL = 0.005
 
 
-class Address(msgspec.Struct, frozen=True):
-    """An IP number and a port."""
-
-    ip: str
-    port: int
-
-    def __str__(self) -> str:
-        return f"{self.ip}:{self.port}"
-
-    @classmethod
-    def parse(cls, text: str) -> Address:
-        """Read ``ip:port``.
-
-        Raises:
-            LabUsageError: the text has another form.
-        """
-        ip, colon, port = text.rpartition(":")
-        if not colon or not ip or not port.isdigit():
-            raise LabUsageError(f"{text!r} is no address; write ip:port")
-        return cls(ip, int(port))
-
-
 class _Server(uvicorn.Server):
     """A uvicorn server that leaves the process's signals alone."""
 
--- a/tests/lab/relay/test_service.py
+++ b/tests/lab/relay/test_service.py
@@ -8,10 +8,10 @@
 import anyio
 import anyio.abc
 
+from pewtertack.lab.address import Address
 from pewtertack.lab.errors import LabUsageError
 from pewtertack.lab.relay.links import Link, LinkSettings, LinkTable, RelayedNode
 from pewtertack.lab.relay.service import Relay
-from pewtertack.lab.serving import Address
 
 RELAY_IP = "127.0.200.1"
 YABA_TO_LEKKI = LinkSettings(cuts=(Link("yaba", "lekki"),))
--- a/tests/lab/source/test_service.py
+++ b/tests/lab/source/test_service.py
@@ -8,7 +8,7 @@
 import httpcore
 import msgspec
 
-from pewtertack.lab.serving import Address
+from pewtertack.lab.address import Address
 from pewtertack.lab.source.service import ConfigurationSource
 
 ANY = Address("127.0.0.1", 0)
