--- /dev/null
+++ b/src/pewtertack/lab/report/__init__.py
@@ -0,0 +1,1 @@
+"""Figures of a run, taken from its history and from the nodes' metrics."""
--- /dev/null
+++ b/src/pewtertack/lab/report/convergence.py
@@ -0,0 +1,84 @@
+"""How long edits took until they were in force."""
+
+from __future__ import annotations
+
+import math
+from collections.abc import Iterator
+
+import msgspec
+
+from pewtertack.lab.history.timeline import Interval, Life, Timeline
+from pewtertack.lab.records import Edit
+from pewtertack.lab.report.statistics import Distribution, distribution_of
+
+
+class Convergence(msgspec.Struct, frozen=True):
+    """Seconds from valid edits to when they, or newer ones, were in force.
+
+    A pair of an edit and a process that ran at its time counts in ``each_node``
+    unless the process was disturbed meanwhile: paused, cut off, or the source at
+    fault. ``whole_fleet`` has one value for each edit: its slowest such process.
+    """
+
+    each_node: Distribution
+    whole_fleet: Distribution
+    disturbed: int
+    """Pairs left out."""
+    missing: int
+    """Undisturbed pairs where the edit was not in force at the end of the history."""
+
+
+def measure_convergence(timeline: Timeline) -> Convergence:
+    """Measure all valid edits but the first tree."""
+    each: list[float] = []
+    slowest: list[float] = []
+    disturbed = missing = 0
+    for edit in timeline.edits:
+        if not edit.valid or edit.revision == 1:
+            continue
+        delays, left_out, absent = _measure_edit(timeline, edit)
+        each += delays
+        slowest += [max(delays)] if delays else []
+        disturbed += left_out
+        missing += absent
+    return Convergence(distribution_of(each), distribution_of(slowest), disturbed, missing)
+
+
+def _measure_edit(timeline: Timeline, edit: Edit) -> tuple[list[float], int, int]:
+    """Return the delays of one edit, the disturbed pairs and the missing ones."""
+    delays: list[float] = []
+    disturbed = missing = 0
+    for life in timeline.lives:
+        if not life.span.start < edit.time < life.span.end or not _had_any(life, edit.time):
+            continue
+        reached = _reached(life, edit.revision)
+        if _is_disturbed(timeline, life, edit.time, reached):
+            disturbed += 1
+        elif reached != math.inf:
+            delays.append(reached - edit.time)
+        elif life.span.end < math.inf:
+            disturbed += 1
+        else:
+            missing += 1
+    return delays, disturbed, missing
+
+
+def _had_any(life: Life, time: float) -> bool:
+    """Tell whether the process had joined: something was in force on it."""
+    return life.number_at(time) > 0
+
+
+def _reached(life: Life, revision: int) -> float:
+    times = (event.time for event in life.in_force if event.revision >= revision)
+    return min(times, default=math.inf)
+
+
+def _is_disturbed(timeline: Timeline, life: Life, start: float, end: float) -> bool:
+    spans = _disturbances(timeline, life)
+    return any(span.overlaps(start, end) for span in spans)
+
+
+def _disturbances(timeline: Timeline, life: Life) -> Iterator[Interval]:
+    yield from life.pauses
+    yield from timeline.cuts_around(life.zone)
+    yield from timeline.source_faults
