--- a/src/pewtertack/cli/main.py
+++ b/src/pewtertack/cli/main.py
@@ -8,7 +8,7 @@
 
 import typer
 
-from pewtertack.cli import tree
+from pewtertack.cli import lab, tree
 
 app = typer.Typer(
     name="pewtertack",
@@ -27,3 +27,4 @@
 app.command("check")(tree.check)
 app.command("explain")(tree.explain)
 app.command("diff")(tree.diff)
+app.add_typer(lab.app, name="lab")
