--- a/src/pewtertack/node/proxy/application.py
+++ b/src/pewtertack/node/proxy/application.py
@@ -12,23 +12,20 @@
 from pewtertack.core.machines import MachineList
 from pewtertack.events import Event
 from pewtertack.node.proxy.answers import Receive, Scope, Send, send_failure
-from pewtertack.node.proxy.exchange import CallerGoneError, Exchange, TruncatedAnswerError
+from pewtertack.node.proxy.body import CallerGoneError
+from pewtertack.node.proxy.exchange import TruncatedAnswerError
+from pewtertack.node.proxy.forwarding import Forwarding, ForwardingParts
 from pewtertack.node.proxy.headers import RequestHead, read_head
 from pewtertack.node.proxy.upstream import ConnectionStore
-from pewtertack.routing.backend import Backend
-from pewtertack.routing.choice import choose
 from pewtertack.routing.deadlines import deadline_of
+from pewtertack.routing.dispatcher import BackendChanged, Dispatcher
 from pewtertack.routing.outcomes import (
-    BackendUnreachableError,
-    DeadlineExceededError,
     DrainingError,
     InvalidRequestError,
-    NoBackendError,
     NotServingError,
     ProtocolVersionError,
     RequestFailedError,
 )
-from pewtertack.routing.registry import BackendRegistry
 from pewtertack.routing.table import RouteTable
 
 EventLog = Callable[[Event, dict[str, object]], None]
@@ -71,8 +68,8 @@
         self._may_serve = may_serve
         self._log = log
         self._table: RouteTable | None = None
-        self._backends = BackendRegistry()
-        self._connections = ConnectionStore(clock)
+        dispatcher = Dispatcher(random, self._log_backend_change)
+        self._parts = ForwardingParts(clock, dispatcher, ConnectionStore(clock))
         self._serving = False
         self._retry_after = 1.0
         self._draining = False
@@ -87,10 +84,11 @@
     def use_configuration(self, configuration: ResolvedConfiguration) -> None:
         """Serve requests that begin from now on by ``configuration``."""
         self._table = RouteTable(configuration)
+        self._parts.dispatcher.use_zone(configuration.zone)
 
     def use_machines(self, machines: MachineList) -> None:
         """Take over a newer machine list; an older one is ignored."""
-        self._backends.update(machines)
+        self._parts.dispatcher.use_machines(machines, self._clock())
 
     def set_serving(self, serving: bool, retry_after: float = 1.0) -> None:
         """Accept requests, or refuse them as not run, to come back after ``retry_after`` s."""
@@ -106,7 +104,7 @@
     async def wait_drained(self) -> None:
         """Return when draining has begun and nothing is in flight."""
         await self._idle.wait()
-        await self._connections.close_idle()
+        await self._parts.connections.close_idle()
 
     async def __call__(self, scope: Scope, receive: Receive, send: Send) -> None:
         """Serve one request (ASGI entry point)."""
@@ -135,6 +133,10 @@
         except (CallerGoneError, TruncatedAnswerError):
             return  # uvicorn closes a connection whose answer was left incomplete
 
+    def _log_backend_change(self, change: BackendChanged) -> None:
+        event = Event.BACKEND_EJECTED if change.ejected else Event.BACKEND_RETURNED
+        self._log(event, {"backend": change.backend.name, "service": change.backend.service})
+
     def _check_serving(self) -> None:
         if self._draining:
             raise DrainingError("the node is stopping")
@@ -145,29 +147,8 @@
         assert self._table is not None
         configuration = self._table.configuration
         route = self._table.match(head.host, scope["path"], scope["method"])
-        now = self._clock()
-        deadline = deadline_of(now, head.deadline, route.timeout)
-        exchange = Exchange(scope, receive, send, head, configuration, route)
-        backend = choose(self._backends.of_service(route.service), self._random)
-        if backend is None:
-            raise NoBackendError(f"service {route.service} has no back end")
-        with anyio.move_on_after(deadline - now):
-            await self._attempt(exchange, backend, deadline)
-            return
-        if not exchange.started:
-            raise DeadlineExceededError("the deadline passed")
-
-    async def _attempt(self, exchange: Exchange, backend: Backend, deadline: float) -> None:
-        backend.in_flight += 1
-        try:
-            try:
-                connection = await self._connections.take(backend.address)
-            except BackendUnreachableError:
-                raise
-            try:
-                answer = await exchange.attempt(connection, self._clock(), deadline)
-            finally:
-                await self._connections.give_back(connection)
-            backend.said_leaving = backend.said_leaving or answer.leaving
-        finally:
-            backend.in_flight -= 1
+        deadline = deadline_of(self._clock(), head.deadline, route.timeout)
+        forwarding = Forwarding(
+            self._parts, scope, receive, send, head, configuration, route, deadline
+        )
+        await forwarding.run()
--- /dev/null
+++ b/src/pewtertack/node/proxy/body.py
@@ -0,0 +1,75 @@
+"""The caller's request body: streamed, and replayable while it is small."""
+
+from __future__ import annotations
+
+from collections.abc import AsyncIterator
+
+import anyio
+
+from pewtertack.node.proxy.answers import Receive
+from pewtertack.routing.outcomes import SlowRequestError
+
+REPLAY_BYTES = 64 * 1024
+"""A longer body cannot be sent a second time."""
+IDLE_SECONDS = 10.0
+"""A caller that sends nothing of its body for this long is refused."""
+
+
+class CallerGoneError(Exception):
+    """The caller closed its connection before its request was read."""
+
+
+class RequestBody:
+    """Reads the body on demand, so that the caller is slowed to the back end's pace."""
+
+    def __init__(self, receive: Receive, expected: bool) -> None:
+        self.complete = not expected
+        """Whether all of it has been received."""
+        self._receive = receive
+        self._kept: list[bytes] | None = []
+        self._kept_bytes = 0
+
+    @property
+    def replayable(self) -> bool:
+        """Whether everything received so far can be sent again."""
+        return self._kept is not None
+
+    async def stream(self) -> AsyncIterator[bytes]:
+        """Yield the body from its beginning.
+
+        Raises:
+            CallerGoneError: the caller has gone.
+            SlowRequestError: the caller sent nothing for ``IDLE_SECONDS``.
+        """
+        assert self._kept is not None
+        for chunk in tuple(self._kept):
+            yield chunk
+        while not self.complete:
+            chunk = await self._next_chunk()
+            self._keep(chunk)
+            if chunk:
+                yield chunk
+
+    async def _next_chunk(self) -> bytes:
+        with anyio.move_on_after(IDLE_SECONDS) as scope:
+            message = await self._receive()
+        if scope.cancelled_caught:
+            raise SlowRequestError("the request body came too slowly")
+        if message["type"] == "http.disconnect":
+            raise CallerGoneError
+        self.complete = not message.get("more_body", False)
+        return bytes(message.get("body", b""))
+
+    def _keep(self, chunk: bytes) -> None:
+        self._kept_bytes += len(chunk)
+        if self._kept_bytes > REPLAY_BYTES:
+            self._kept = None
+        elif self._kept is not None and chunk:
+            self._kept.append(chunk)
+
+    async def wait_disconnect(self) -> None:
+        """Return when the caller has gone; what it still sends is dropped."""
+        while True:
+            message = await self._receive()
+            if message["type"] == "http.disconnect":
+                return
--- a/src/pewtertack/node/proxy/exchange.py
+++ b/src/pewtertack/node/proxy/exchange.py
@@ -1,36 +1,37 @@
-"""One caller's request from its head to the end of its answer."""
+"""One attempt: a caller's request over one connection to a back end."""
 
 from __future__ import annotations
 
-from collections.abc import AsyncIterator
+from collections.abc import AsyncIterable, Callable
 
+import anyio
 import httpcore
 
-from pewtertack.core.configuration.resolved import ResolvedConfiguration, ResolvedRoute
-from pewtertack.node.proxy.answers import Receive, Scope, Send
+from pewtertack.node.proxy.answers import Scope, Send
+from pewtertack.node.proxy.body import RequestBody
 from pewtertack.node.proxy.headers import (
     REQUEST_ID,
     AnswerHead,
     RawHeaders,
     RequestHead,
-    deadline_header,
-    forwarded_headers,
     read_answer,
 )
 from pewtertack.node.proxy.upstream import BackendConnection
 from pewtertack.routing.outcomes import (
+    DEFAULT_RETRY_AFTER,
     BackendFailedError,
     BackendShedError,
     CrossedAnswerError,
     InvalidRequestError,
-    RequestFailedError,
+    Outcome,
 )
 
 NO_BODY_STATUSES = frozenset({204, 304})
-
-
-class CallerGoneError(Exception):
-    """The caller closed its connection while its request was read."""
+SHED_STATUS = 503
+SHED_BODY_BYTES = 64 * 1024
+SHED_BODY_SECONDS = 0.02
+"""A shed answer's body is read for this long at most, to keep the connection."""
+LONGEST_RETRY_AFTER = 3600.0
 
 
 class TruncatedAnswerError(Exception):
@@ -38,93 +39,121 @@
 
 
 class Exchange:
-    """Carries one request over one connection at a time."""
+    """Sends the request and passes the answer on, at the pace of the slower side."""
 
     def __init__(
         self,
         scope: Scope,
-        receive: Receive,
         send: Send,
         head: RequestHead,
-        configuration: ResolvedConfiguration,
-        route: ResolvedRoute,
+        body: RequestBody,
+        on_answer: Callable[[AnswerHead], None],
     ) -> None:
-        self.head = head
         self.started = False
-        """Whether the head of the answer has been passed to the caller."""
+        """Whether the head of an answer has been passed to the caller."""
+        self.status = 0
         self._scope = scope
-        self._receive = receive
         self._send = send
-        self._headers = forwarded_headers(scope["headers"], head, configuration, route)
+        self._head = head
+        self._body = body
+        self._on_answer = on_answer
 
-    async def attempt(
-        self, connection: BackendConnection, now: float, deadline: float
-    ) -> AnswerHead:
-        """Run one attempt and pass the answer on.
+    async def run(self, connection: BackendConnection, headers: RawHeaders) -> None:
+        """Run one attempt.
 
         Raises:
-            RequestFailedError: the attempt ended before its answer began.
+            RequestFailedError: the attempt ended before its answer was passed on.
             TruncatedAnswerError: it broke off after the answer's head was passed on.
             CallerGoneError: the caller has gone.
         """
-        request = self._request(connection, [*self._headers, deadline_header(now, deadline)])
+        request = self._request(connection, headers)
         try:
             response = await connection.exchange(request)
         except httpcore.LocalProtocolError as error:
-            raise InvalidRequestError(str(error)) from error
+            refusal = InvalidRequestError(str(error))
+            raise refusal.with_outcome(_outcome(connection)) from error
         except (httpcore.ProtocolError, httpcore.NetworkError) as error:
-            raise BackendFailedError(f"the exchange broke: {error}") from error
+            failure = BackendFailedError(f"the exchange broke: {error}")
+            raise failure.with_outcome(_outcome(connection)) from error
         answer = read_answer(response.headers)
-        try:
-            self._check(response, answer)
-        except RequestFailedError:
+        if answer.request_id is not None and answer.request_id != self._head.request_id:
             await connection.close()
-            raise
+            raise CrossedAnswerError("the back end answered another request")
+        self._on_answer(answer)
+        await self._refuse_unusable(connection, response, answer)
         await self._relay(response, answer)
-        return answer
 
     def _request(self, connection: BackendConnection, headers: RawHeaders) -> httpcore.Request:
         target = self._scope["raw_path"]
         if self._scope["query_string"]:
             target += b"?" + self._scope["query_string"]
         origin = connection.origin
-        url = httpcore.URL(scheme="http", host=origin.host, port=origin.port, target=target)
-        return httpcore.Request(
-            self._scope["method"], url, headers=headers, content=self._request_body()
-        )
+        url = httpcore.URL(scheme=b"http", host=origin.host, port=origin.port, target=target)
+        content = self._body.stream()
+        return httpcore.Request(self._scope["method"], url, headers=headers, content=content)
 
-    async def _request_body(self) -> AsyncIterator[bytes]:
-        more = self.head.has_body
-        while more:
-            message = await self._receive()
-            if message["type"] == "http.disconnect":
-                raise CallerGoneError
-            more = message.get("more_body", False)
-            if message["body"]:
-                yield message["body"]
-
-    def _check(self, response: httpcore.Response, answer: AnswerHead) -> None:
-        if answer.request_id is not None and answer.request_id != self.head.request_id:
-            raise CrossedAnswerError("the back end answered another request")
-        if response.status == 503 and answer.outcome == "not-run":
-            raise BackendShedError("the back end did not run the request")
+    async def _refuse_unusable(
+        self, connection: BackendConnection, response: httpcore.Response, answer: AnswerHead
+    ) -> None:
+        if response.status == SHED_STATUS and answer.outcome == Outcome.NOT_RUN:
+            await _finish_shed(connection, response)
+            raise BackendShedError(
+                "the back end did not run the request", _seconds(answer.retry_after)
+            )
         bodiless = self._scope["method"] == "HEAD" or response.status in NO_BODY_STATUSES
         if not (answer.framed or bodiless):
+            await connection.close()
             raise BackendFailedError("the end of the back end's answer cannot be told")
 
     async def _relay(self, response: httpcore.Response, answer: AnswerHead) -> None:
-        headers = [*answer.headers, (REQUEST_ID, self.head.request_id.encode())]
+        headers = [*answer.headers, (REQUEST_ID, self._head.request_id.encode())]
         if response.status in NO_BODY_STATUSES:
             headers = [item for item in headers if item[0] != b"content-length"]
         self.started = True
+        self.status = response.status
         await self._send(
             {"type": "http.response.start", "status": response.status, "headers": headers}
         )
         try:
-            async for chunk in response.aiter_stream():
-                body = {"type": "http.response.body", "body": chunk, "more_body": True}
-                await self._send(body)
+            async for chunk in _stream(response):
+                event = {"type": "http.response.body", "body": chunk, "more_body": True}
+                await self._send(event)
         except (httpcore.ProtocolError, httpcore.NetworkError) as error:
             raise TruncatedAnswerError(str(error)) from error
         await response.aclose()
         await self._send({"type": "http.response.body", "body": b""})
+
+
+async def _finish_shed(connection: BackendConnection, response: httpcore.Response) -> None:
+    """Read the small body of a shed answer, or else close the connection."""
+    received = 0
+    with anyio.move_on_after(SHED_BODY_SECONDS):
+        try:
+            async for chunk in _stream(response):
+                received += len(chunk)
+                if received > SHED_BODY_BYTES:
+                    break
+            else:
+                await response.aclose()
+                return
+        except (httpcore.ProtocolError, httpcore.NetworkError):
+            pass  # the head said all that matters; the connection is closed below
+    await connection.close()
+
+
+def _outcome(connection: BackendConnection) -> Outcome:
+    """Return what is known of an exchange that broke."""
+    return Outcome.UNKNOWN if connection.sent else Outcome.NOT_RUN
+
+
+def _seconds(retry_after: str | None) -> float:
+    """Read a back end's ``Retry-After`` in seconds; dates are not understood."""
+    if retry_after is None or not retry_after.strip().isdecimal():
+        return DEFAULT_RETRY_AFTER
+    return min(float(retry_after), LONGEST_RETRY_AFTER)
+
+
+def _stream(response: httpcore.Response) -> AsyncIterable[bytes]:
+    """Return the body's stream without httpcore's extra generator around it."""
+    assert isinstance(response.stream, AsyncIterable)
+    return response.stream
--- /dev/null
+++ b/src/pewtertack/node/proxy/forwarding.py
@@ -0,0 +1,198 @@
+"""One caller's request: admission, attempts, retries and the deadline over all of them."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from dataclasses import dataclass
+
+import anyio
+
+from pewtertack.core.configuration.resolved import ResolvedConfiguration, ResolvedRoute
+from pewtertack.node.proxy.answers import Receive, Scope, Send
+from pewtertack.node.proxy.body import CallerGoneError, RequestBody
+from pewtertack.node.proxy.exchange import Exchange, TruncatedAnswerError
+from pewtertack.node.proxy.headers import (
+    AnswerHead,
+    RequestHead,
+    deadline_header,
+    forwarded_headers,
+)
+from pewtertack.node.proxy.upstream import ConnectionStore
+from pewtertack.node.proxy.watch import DisconnectWatch
+from pewtertack.routing.backend import Backend, parse_load
+from pewtertack.routing.dispatcher import AttemptEnd, Dispatcher
+from pewtertack.routing.outcomes import (
+    BackendShedError,
+    BackendUnreachableError,
+    CrossedAnswerError,
+    DeadlineExceededError,
+    Outcome,
+    RequestFailedError,
+)
+from pewtertack.routing.queueing import Ticket
+
+FAILED_STATUSES = frozenset({500, 502, 503, 504})
+
+
+@dataclass(frozen=True, slots=True)
+class ForwardingParts:
+    """What all requests of a proxy share."""
+
+    clock: Callable[[], float]
+    dispatcher: Dispatcher
+    connections: ConnectionStore
+
+
+class Forwarding:
+    """Carries one request to its end by the snapshot that it began with."""
+
+    def __init__(
+        self,
+        parts: ForwardingParts,
+        scope: Scope,
+        receive: Receive,
+        send: Send,
+        head: RequestHead,
+        configuration: ResolvedConfiguration,
+        route: ResolvedRoute,
+        deadline: float,
+    ) -> None:
+        self.retries = 0
+        self._parts = parts
+        self._route = route
+        self._deadline = deadline
+        self._headers = forwarded_headers(scope["headers"], head, configuration, route)
+        self._service = configuration.services[route.service]
+        self._body = RequestBody(receive, head.has_body)
+        self._exchange = Exchange(scope, send, head, self._body, self._note_answer)
+        self._ticket = Ticket(route, self._service, deadline)
+        self._watch: DisconnectWatch
+        self._sent = False
+        """Whether an attempt may have run."""
+
+    @property
+    def status(self) -> int:
+        """Status of the answer that was passed on, 0 without one."""
+        return self._exchange.status
+
+    async def run(self) -> None:
+        """Carry the request to its end.
+
+        Raises:
+            RequestFailedError: it ended without an answer; outcome as known of all attempts.
+            TruncatedAnswerError: its answer broke off; the caller's connection must be cut.
+            CallerGoneError: the caller has gone.
+        """
+        with anyio.CancelScope() as scope:
+            scope.deadline = anyio.current_time() + self._deadline - self._parts.clock()
+            self._watch = DisconnectWatch(self._body, scope)
+            try:
+                await self._run_attempts()
+                return
+            except RequestFailedError as error:
+                raise error.with_outcome(Outcome.UNKNOWN if self._sent else error.outcome) from None
+            finally:
+                self._watch.stop()
+        self._raise_cancelled()
+
+    def _raise_cancelled(self) -> None:
+        if self._watch.caller_gone:
+            raise CallerGoneError
+        if self._exchange.started:
+            raise TruncatedAnswerError("the deadline passed during the answer")
+        outcome = Outcome.UNKNOWN if self._sent else Outcome.NOT_RUN
+        raise DeadlineExceededError("the deadline passed").with_outcome(outcome)
+
+    async def _run_attempts(self) -> None:
+        while True:
+            await self._wait_for_backend()
+            try:
+                await self._attempt()
+                return
+            except RequestFailedError as error:
+                self._sent = self._sent or error.outcome is Outcome.UNKNOWN
+                now = self._parts.clock()
+                ticket = self._parts.dispatcher.retry(
+                    self._ticket, error, now, self._body.replayable
+                )
+                if ticket is None:
+                    raise
+                self._ticket = ticket
+                self.retries += 1
+
+    async def _wait_for_backend(self) -> None:
+        dispatcher = self._parts.dispatcher
+        ticket = self._ticket
+        dispatcher.submit(ticket, self._parts.clock())
+        if ticket.backend is not None:
+            return
+        granted = anyio.Event()
+        ticket.wake = granted.set
+        try:
+            while not granted.is_set():
+                now = self._parts.clock()
+                look_at = dispatcher.look(ticket, now)
+                with anyio.move_on_after(look_at - now):
+                    await granted.wait()
+        except BaseException:
+            self._give_up_place()
+            raise
+        if ticket.refusal is not None:
+            raise ticket.refusal
+
+    def _give_up_place(self) -> None:
+        if self._ticket.backend is None:
+            self._parts.dispatcher.withdraw(self._ticket)
+        else:
+            self._finish(AttemptEnd.CANCELLED)
+
+    async def _attempt(self) -> None:
+        backend = self._ticket.backend
+        assert backend is not None
+        end = AttemptEnd.CANCELLED
+        try:
+            await self._exchange_with(backend)
+            failed = self._exchange.status in FAILED_STATUSES
+            end = AttemptEnd.FAILED_STATUS if failed else AttemptEnd.ANSWERED
+        except RequestFailedError as error:
+            end = _end_of(error)
+            raise
+        except TruncatedAnswerError:
+            end = AttemptEnd.BROKEN
+            raise
+        except anyio.get_cancelled_exc_class():
+            end = AttemptEnd.CANCELLED if self._watch.caller_gone else AttemptEnd.TIMED_OUT
+            raise
+        finally:
+            self._finish(end)
+
+    async def _exchange_with(self, backend: Backend) -> None:
+        connections = self._parts.connections
+        connection = await connections.take(backend.address, self._service.connect_timeout)
+        try:
+            deadline = deadline_header(self._parts.clock(), self._deadline)
+            await self._exchange.run(connection, [*self._headers, deadline])
+        except anyio.get_cancelled_exc_class():
+            self._sent = self._sent or connection.sent
+            raise
+        finally:
+            await connections.give_back(connection)
+
+    def _note_answer(self, answer: AnswerHead) -> None:
+        self._watch.abandon_body()
+        self._parts.dispatcher.note_answer(
+            self._ticket, self._parts.clock(), parse_load(answer.load), answer.leaving
+        )
+
+    def _finish(self, end: AttemptEnd) -> None:
+        self._parts.dispatcher.finish(self._ticket, self._parts.clock(), end)
+
+
+def _end_of(error: RequestFailedError) -> AttemptEnd:
+    if isinstance(error, BackendShedError):
+        return AttemptEnd.SHED
+    if isinstance(error, BackendUnreachableError):
+        return AttemptEnd.UNREACHABLE
+    if isinstance(error, CrossedAnswerError):
+        return AttemptEnd.BROKEN
+    return AttemptEnd.BROKEN if error.code == "backend-failed" else AttemptEnd.CANCELLED
--- a/src/pewtertack/node/proxy/upstream.py
+++ b/src/pewtertack/node/proxy/upstream.py
@@ -5,6 +5,7 @@
 from collections import deque
 from collections.abc import Callable
 
+import anyio
 import httpcore
 
 from pewtertack.node.proxy import network
@@ -54,7 +55,7 @@
         self._clock = clock
         self._idle: dict[str, deque[tuple[float, BackendConnection]]] = {}
 
-    async def take(self, address: str) -> BackendConnection:
+    async def take(self, address: str, connect_timeout: float) -> BackendConnection:
         """Return an idle connection that is alive, or a new one.
 
         Raises:
@@ -66,15 +67,7 @@
             if connection.reusable:
                 return connection
             await connection.close()
-        return await self._connect(address)
-
-    async def _connect(self, address: str) -> BackendConnection:
-        host, _, port = address.rpartition(":")
-        try:
-            stream = await network.connect(host, int(port))
-        except OSError as error:
-            raise BackendUnreachableError(f"cannot connect to the back end: {error}") from error
-        return BackendConnection(address, stream)
+        return await _connect(address, connect_timeout)
 
     async def give_back(self, connection: BackendConnection) -> None:
         """Keep the connection for reuse when its exchange ended cleanly, else close it."""
@@ -96,3 +89,13 @@
     async def close_idle(self) -> None:
         """Close all idle connections."""
         await self.retire(lambda _: False)
+
+
+async def _connect(address: str, timeout: float) -> BackendConnection:
+    host, _, port = address.rpartition(":")
+    try:
+        with anyio.fail_after(timeout):
+            stream = await network.connect(host, int(port))
+    except (OSError, ValueError) as error:
+        raise BackendUnreachableError(f"cannot connect to the back end: {error}") from error
+    return BackendConnection(address, stream)
--- a/src/pewtertack/routing/backend.py
+++ b/src/pewtertack/routing/backend.py
@@ -2,10 +2,45 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
+import math
+from dataclasses import dataclass, field
 
+from pewtertack.core.configuration.resolved import ResolvedService
+from pewtertack.routing.health import Health
+from pewtertack.routing.limit import AdaptiveLimit
 
-@dataclass(slots=True)
+REPORT_HALF_LIFE = 0.5
+"""Seconds after which a load report counts half."""
+REPORT_EXPIRY = 3.0
+"""Seconds after which a load report no longer counts."""
+COLD_SHARE = 0.1
+"""Share of the work that a back end takes at the beginning of its slow start."""
+STALL_SECONDS = 1.0
+"""Without any sign for this long while requests wait there, a back end is avoided."""
+STALL_PENALTY = 8.0
+MAXIMUM_REPORT = 1_000_000
+
+
+@dataclass(frozen=True, slots=True)
+class LoadReport:
+    """A back end's ``x-backend-load: <in flight>/<slots>``."""
+
+    in_flight: int
+    slots: int
+
+
+def parse_load(text: str | None) -> LoadReport | None:
+    """Read a load report; ``None`` for one that is missing or makes no sense."""
+    if text is None:
+        return None
+    in_flight, _, slots = text.strip().partition("/")
+    if not (in_flight.isdecimal() and slots.isdecimal() and len(text) < 20):
+        return None
+    report = LoadReport(int(in_flight), int(slots))
+    return report if 0 < report.slots <= MAXIMUM_REPORT else None
+
+
+@dataclass(slots=True, eq=False)
 class Backend:
     """One incarnation of a back end: a machine's name at one address."""
 
@@ -14,13 +49,74 @@
     address: str
     """``ip:port``."""
     zone: str
+    first_seen: float
+    settings: ResolvedService | None = None
+    limit: AdaptiveLimit = field(default_factory=lambda: AdaptiveLimit(1))
+    health: Health = field(default_factory=Health)
     in_flight: int = 0
     """Requests of this proxy at the back end."""
-    listed_live: bool = True
-    said_leaving: bool = False
-    """Sticky: a back end never takes a leaving back within one incarnation."""
-
-    @property
-    def leaving(self) -> bool:
-        """Whether the back end gets no new work, by the list or by its own answers."""
-        return self.said_leaving or not self.listed_live
+    leaving: bool = False
+    """Gets no new work, by the list or its own answers. Sticky for an incarnation."""
+    removed: bool = False
+    """Gone from the list, or replaced by another incarnation."""
+    last_progress: float = float("-inf")
+    others: int = 0
+    """Requests of other callers at the back end when it last reported."""
+    slots: int = 0
+    reported_at: float = float("-inf")
+
+    def configure(self, settings: ResolvedService) -> None:
+        """Use the service's settings; the first ones set the limit up."""
+        if settings is self.settings:
+            return
+        ceiling = min(settings.slots_per_backend, settings.connections_per_backend)
+        if self.settings is None:
+            self.limit = AdaptiveLimit(ceiling)
+        else:
+            self.limit.set_ceiling(ceiling)
+        self.settings = settings
+
+    def usable(self, now: float) -> bool:
+        """Tell whether a request may start here now."""
+        return (
+            not self.leaving
+            and not self.removed
+            and self.limit.allows(now, self.in_flight)
+            and self.health.admits(now)
+        )
+
+    def note_report(self, now: float, report: LoadReport) -> None:
+        """Take over a load report; it includes this proxy's own requests."""
+        self.others = max(0, report.in_flight - self.in_flight)
+        self.slots = report.slots
+        self.reported_at = now
+
+    def occupancy(self, now: float) -> float:
+        """Return the estimated share of the back end's slots that are taken.
+
+        Own requests count in full; others' by the last report, which loses
+        half its weight every ``REPORT_HALF_LIFE``.
+        """
+        age = now - self.reported_at
+        weight = math.exp2(-age / REPORT_HALF_LIFE) if age < REPORT_EXPIRY else 0.0
+        assert self.settings is not None
+        return (self.in_flight + self.others * weight) / (
+            self.slots or self.settings.slots_per_backend
+        )
+
+    def score(self, now: float) -> float:
+        """Return how unattractive the back end is for one more request."""
+        assert self.settings is not None
+        slots = self.slots or self.settings.slots_per_backend
+        score = (self.occupancy(now) + 1 / slots) / self._warmth(now)
+        if self.in_flight and now - self.last_progress > STALL_SECONDS:
+            score *= STALL_PENALTY
+        return score
+
+    def _warmth(self, now: float) -> float:
+        """Return the share of work, below 1 during the slow start."""
+        assert self.settings is not None
+        began = max(self.first_seen, self.health.returned_at)
+        if self.settings.slow_start <= 0 or now - began >= self.settings.slow_start:
+            return 1.0
+        return COLD_SHARE + (1 - COLD_SHARE) * (now - began) / self.settings.slow_start
--- /dev/null
+++ b/src/pewtertack/routing/dispatcher.py
@@ -0,0 +1,209 @@
+"""The request path's decisions in one place: who goes where, who waits, who is refused.
+
+The caller (the proxy, or a simulation) submits a ticket for every attempt,
+waits for its ``wake`` when it was neither granted nor refused at once, and
+reports what became of the attempt.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from dataclasses import dataclass
+from enum import Enum
+from random import Random
+
+from pewtertack.core.machines import MachineList
+from pewtertack.routing.backend import Backend, LoadReport
+from pewtertack.routing.outcomes import RequestFailedError
+from pewtertack.routing.queueing import Ticket
+from pewtertack.routing.registry import BackendRegistry
+from pewtertack.routing.retries import AttemptRecord, RetryBudget, may_retry
+from pewtertack.routing.service import ServiceDispatcher
+
+SIGNIFICANT_SECONDS = 1.0
+"""A timeout or cancellation earlier than this says nothing of the back end."""
+
+
+class AttemptEnd(Enum):
+    """What became of an attempt, as far as it tells something of the back end."""
+
+    ANSWERED = "answered"
+    FAILED_STATUS = "failed-status"
+    """An answer of status 500, 502, 503 or 504, other than a shed request."""
+    SHED = "shed"
+    UNREACHABLE = "unreachable"
+    BROKEN = "broken"
+    TIMED_OUT = "timed-out"
+    CANCELLED = "cancelled"
+
+
+FAILURES = {
+    AttemptEnd.FAILED_STATUS,
+    AttemptEnd.UNREACHABLE,
+    AttemptEnd.BROKEN,
+    AttemptEnd.TIMED_OUT,
+    AttemptEnd.CANCELLED,
+}
+
+
+@dataclass(frozen=True, slots=True)
+class BackendChanged:
+    """A back end was ejected, or came back."""
+
+    backend: Backend
+    ejected: bool
+
+
+def _ignore_change(change: BackendChanged) -> None:
+    """Tell nobody."""
+
+
+class Dispatcher:
+    """All services of one proxy."""
+
+    def __init__(
+        self, random: Random, notify: Callable[[BackendChanged], None] = _ignore_change
+    ) -> None:
+        self._random = random
+        self._notify = notify
+        self._zone = ""
+        self._registry = BackendRegistry()
+        self._services: dict[str, ServiceDispatcher] = {}
+        self._budgets: dict[str, RetryBudget] = {}
+
+    def use_zone(self, zone: str) -> None:
+        """Prefer back ends of this zone."""
+        if zone != self._zone:
+            self._zone = zone
+            self._spread_backends()
+
+    def use_machines(self, machines: MachineList, now: float) -> None:
+        """Take over a newer machine list; an older one is ignored."""
+        if self._registry.update(machines, now):
+            self._spread_backends()
+            for service in self._services.values():
+                service.pump(now)
+
+    def _spread_backends(self) -> None:
+        for name, service in self._services.items():
+            service.use_backends(self._registry.of_service(name), self._zone)
+
+    def keeps(self, address: str) -> bool:
+        """Tell whether idle connections to an address are worth keeping."""
+        return self._registry.keeps(address)
+
+    def service(self, name: str) -> ServiceDispatcher:
+        """Return the dispatcher of one service."""
+        found = self._services.get(name)
+        if found is None:
+            found = self._services[name] = ServiceDispatcher(name, self._random)
+            found.use_backends(self._registry.of_service(name), self._zone)
+        return found
+
+    def submit(self, ticket: Ticket, now: float) -> None:
+        """Grant the ticket or let it wait; see ``ServiceDispatcher.submit``."""
+        if not ticket.excluded:
+            self._budget(ticket).note_first_attempt(ticket.route.retry_budget)
+        self.service(ticket.route.service).submit(ticket, now)
+
+    def look(self, ticket: Ticket, now: float) -> float:
+        """See what a waiting ticket can do now; return when to look again."""
+        service = self.service(ticket.route.service)
+        service.pump(now)
+        service.expire(ticket, now)
+        return service.next_look(ticket, now)
+
+    def withdraw(self, ticket: Ticket) -> None:
+        """Take a waiting ticket out, since its caller has gone."""
+        self.service(ticket.route.service).withdraw(ticket)
+
+    def note_answer(
+        self, ticket: Ticket, now: float, report: LoadReport | None, leaving: bool
+    ) -> None:
+        """The head of a back end's answer has come."""
+        backend = ticket.backend
+        assert backend is not None
+        ticket.answered = True
+        backend.last_progress = now
+        backend.leaving = backend.leaving or leaving
+        if report is not None:
+            backend.note_report(now, report)
+
+    def finish(self, ticket: Ticket, now: float, end: AttemptEnd) -> None:
+        """An attempt has ended; its place goes to the next that waits."""
+        backend = ticket.backend
+        if backend is None or ticket.finished:
+            return
+        ticket.finished = True
+        backend.in_flight -= 1
+        service = self.service(ticket.route.service)
+        if end is AttemptEnd.ANSWERED:
+            service.note_time(ticket.route.name, now - ticket.started_at)
+        self._adapt_limit(backend, ticket, now, end)
+        self._judge(service, backend, ticket, now, end)
+        service.pump(now)
+
+    def _adapt_limit(self, backend: Backend, ticket: Ticket, now: float, end: AttemptEnd) -> None:
+        limit = backend.limit
+        if end is AttemptEnd.SHED:
+            limit.note_shed(now, ticket.started_at, self._random.random())
+        elif end in (AttemptEnd.TIMED_OUT, AttemptEnd.UNREACHABLE, AttemptEnd.BROKEN):
+            limit.note_overload(now, ticket.started_at)
+        elif end in (AttemptEnd.ANSWERED, AttemptEnd.FAILED_STATUS):
+            occupancy = backend.occupancy(now)
+            if occupancy > 1:
+                limit.note_overload(now, ticket.started_at)
+            elif occupancy < 1:
+                limit.note_room(backend.in_flight)
+            else:
+                limit.note_full()
+
+    def _judge(
+        self,
+        service: ServiceDispatcher,
+        backend: Backend,
+        ticket: Ticket,
+        now: float,
+        end: AttemptEnd,
+    ) -> None:
+        """Let the end of an attempt count for or against the back end's health."""
+        if not _tells_of_backend(ticket, now, end):
+            backend.health.abandon(ticket.trial)
+        elif end in FAILURES:
+            may_eject = end is not AttemptEnd.FAILED_STATUS or service.may_eject()
+            settings = ticket.service
+            if backend.health.fail(
+                now, ticket.trial, settings.ejection_failures, settings.ejection_time, may_eject
+            ):
+                self._notify(BackendChanged(backend, ejected=True))
+        elif backend.health.succeed(now, ticket.trial):
+            self._notify(BackendChanged(backend, ejected=False))
+
+    def retry(
+        self, ticket: Ticket, error: RequestFailedError, now: float, replayable: bool
+    ) -> Ticket | None:
+        """Return a ticket for one more attempt, or ``None`` when the request ends here."""
+        assert ticket.backend is not None
+        service = self.service(ticket.route.service)
+        record = AttemptRecord(
+            ticket.route,
+            len(ticket.excluded),
+            ticket.deadline,
+            service.expected_time(ticket.route.name),
+            replayable,
+        )
+        if not may_retry(record, error, now) or not self._budget(ticket).withdraw():
+            return None
+        excluded = (*ticket.excluded, ticket.backend.name)
+        return Ticket(ticket.route, ticket.service, ticket.deadline, excluded, ticket.wake)
+
+    def _budget(self, ticket: Ticket) -> RetryBudget:
+        return self._budgets.setdefault(ticket.route.name, RetryBudget())
+
+
+def _tells_of_backend(ticket: Ticket, now: float, end: AttemptEnd) -> bool:
+    if end is AttemptEnd.SHED:
+        return ticket.trial
+    if end not in (AttemptEnd.TIMED_OUT, AttemptEnd.CANCELLED):
+        return True
+    return not ticket.answered and now - ticket.started_at >= SIGNIFICANT_SECONDS
--- /dev/null
+++ b/src/pewtertack/routing/health.py
@@ -0,0 +1,75 @@
+"""Ejection of a back end by the proxy's own observation, and its careful return.
+
+A health endpoint is not asked: it lags or misleads, and what happened to this
+proxy's own requests outranks it.
+"""
+
+from __future__ import annotations
+
+MAXIMUM_DOUBLINGS = 4
+FORGIVEN_AFTER = 10
+"""Ejections are forgotten after this many ejection times without a failure."""
+
+
+class Health:
+    """Circuit breaker: closed, open for a while, then half open for one trial."""
+
+    def __init__(self) -> None:
+        self.ejected = False
+        self.returned_at = float("-inf")
+        self.retry_at = float("-inf")
+        """While ejected, the time from which one trial is allowed."""
+        self._trial_running = False
+        self._failures = 0
+        self._ejections = 0
+        self._failed_at = float("-inf")
+
+    def admits(self, now: float) -> bool:
+        """Tell whether a request, or a trial, may start."""
+        if not self.ejected:
+            return True
+        return now >= self.retry_at and not self._trial_running
+
+    def begin(self) -> bool:
+        """Note that a request starts; return whether it is a trial."""
+        self._trial_running = self._trial_running or self.ejected
+        return self.ejected
+
+    def abandon(self, trial: bool) -> None:
+        """A request ended without telling anything of the back end."""
+        if trial:
+            self._trial_running = False
+
+    def succeed(self, now: float, trial: bool) -> bool:
+        """A request succeeded; return whether the back end comes back by this.
+
+        Only a trial brings it back: late answers to requests from before the
+        ejection do not.
+        """
+        if not self.ejected:
+            self._failures = 0
+            return False
+        if not trial:
+            return False
+        self.ejected = self._trial_running = False
+        self._failures = 0
+        self.returned_at = now
+        return True
+
+    def fail(
+        self, now: float, trial: bool, threshold: int, ejection_time: float, may_eject: bool
+    ) -> bool:
+        """A request failed; return whether the back end is ejected by this."""
+        if now - self._failed_at > FORGIVEN_AFTER * ejection_time:
+            self._ejections = 0
+        self._failed_at = now
+        self._failures += 1
+        if self.ejected and not trial:
+            return False
+        if not trial and (self._failures < threshold or not may_eject):
+            return False
+        self.ejected = True
+        self._trial_running = False
+        self.retry_at = now + ejection_time * 2 ** min(self._ejections, MAXIMUM_DOUBLINGS)
+        self._ejections += 1
+        return not trial
--- /dev/null
+++ b/src/pewtertack/routing/queueing.py
@@ -0,0 +1,138 @@
+"""Requests that wait for a back end of one service, by class of work.
+
+Classes share the service's capacity by weight (self-clocked fair queueing): an
+urgent request hardly waits for others, and a background request still moves.
+Within a class the order is that of arrival.
+"""
+
+from __future__ import annotations
+
+from collections import deque
+from collections.abc import Callable
+from dataclasses import dataclass, field
+
+from pewtertack.core.configuration.resolved import ResolvedRoute, ResolvedService, WorkClass
+from pewtertack.routing.backend import Backend
+from pewtertack.routing.outcomes import RequestFailedError
+
+WEIGHTS = {
+    WorkClass.URGENT: 64,
+    WorkClass.INTERACTIVE: 16,
+    WorkClass.BULK: 4,
+    WorkClass.BACKGROUND: 1,
+}
+MAXIMUM_WAIT = {
+    WorkClass.URGENT: 1.0,
+    WorkClass.INTERACTIVE: 3.0,
+    WorkClass.BULK: 10.0,
+    WorkClass.BACKGROUND: 10.0,
+}
+"""Seconds that a request waits at most, however late its deadline is."""
+
+
+def _nobody_waits() -> None:
+    """Wake nobody."""
+
+
+@dataclass(slots=True, eq=False)
+class Ticket:
+    """The place of one attempt: waiting, granted (``backend``) or refused (``refusal``)."""
+
+    route: ResolvedRoute
+    service: ResolvedService
+    deadline: float
+    excluded: tuple[str, ...] = ()
+    """Back ends that earlier attempts of the request have tried."""
+    wake: Callable[[], None] = _nobody_waits
+    """Called when a waiting ticket is granted or refused."""
+    backend: Backend | None = None
+    refusal: RequestFailedError | None = None
+    trial: bool = False
+    started_at: float = 0.0
+    expires_at: float = 0.0
+    answered: bool = False
+    """Whether the back end's answer has begun."""
+    finished: bool = False
+
+
+@dataclass(slots=True)
+class _Lane:
+    step: float
+    """Virtual time that one request takes: the inverse of the class's weight."""
+    tickets: deque[Ticket] = field(default_factory=deque)
+    position: float = 0.0
+    """Virtual time at which the first ticket is due."""
+
+
+class ClassQueue:
+    """Waiting tickets of one service."""
+
+    def __init__(self) -> None:
+        self._lanes = {work_class: _Lane(1 / weight) for work_class, weight in WEIGHTS.items()}
+        self._position = 0.0
+        self._by_route: dict[str, int] = {}
+        self._length = 0
+
+    def __len__(self) -> int:
+        return self._length
+
+    def length_of_route(self, route: str) -> int:
+        """Return how many requests of a route wait."""
+        return self._by_route.get(route, 0)
+
+    def length_of_class(self, work_class: WorkClass) -> int:
+        """Return how many requests of a class wait."""
+        return len(self._lanes[work_class].tickets)
+
+    def ahead_of(self, work_class: WorkClass) -> float:
+        """Return about how many requests are served before a new one of this class."""
+        own = len(self._lanes[work_class].tickets)
+        weight = WEIGHTS[work_class]
+        others = (
+            min(len(lane.tickets), (own + 1) * WEIGHTS[other] / weight)
+            for other, lane in self._lanes.items()
+            if other is not work_class
+        )
+        return own + sum(others)
+
+    def push(self, ticket: Ticket) -> None:
+        """Append a ticket to its class."""
+        lane = self._lanes[ticket.route.work_class]
+        if not lane.tickets:
+            lane.position = max(lane.position, self._position) + lane.step
+        lane.tickets.append(ticket)
+        self._count(ticket, 1)
+
+    def remove(self, ticket: Ticket) -> None:
+        """Take out a ticket which has not been popped."""
+        self._lanes[ticket.route.work_class].tickets.remove(ticket)
+        self._count(ticket, -1)
+
+    def peek(self) -> Ticket | None:
+        """Return the ticket which is next."""
+        lane = self._next_lane()
+        return lane.tickets[0] if lane else None
+
+    def pop(self) -> Ticket:
+        """Take out the ticket which is next; the queue must not be empty."""
+        lane = self._next_lane()
+        assert lane is not None
+        self._position = lane.position
+        ticket = lane.tickets.popleft()
+        if lane.tickets:
+            lane.position += lane.step
+        self._count(ticket, -1)
+        return ticket
+
+    def _next_lane(self) -> _Lane | None:
+        waiting = [lane for lane in self._lanes.values() if lane.tickets]
+        return min(waiting, key=lambda lane: lane.position, default=None)
+
+    def _count(self, ticket: Ticket, change: int) -> None:
+        name = ticket.route.name
+        left = self._by_route.get(name, 0) + change
+        self._length += change
+        if left:
+            self._by_route[name] = left
+        else:
+            self._by_route.pop(name, None)
--- a/src/pewtertack/routing/registry.py
+++ b/src/pewtertack/routing/registry.py
@@ -16,28 +16,37 @@
         self._backends: dict[str, Backend] = {}
         self._services: dict[str, tuple[Backend, ...]] = {}
 
-    def update(self, machines: MachineList) -> None:
-        """Take over a newer list; an older one is ignored.
+    def update(self, machines: MachineList, now: float) -> bool:
+        """Take over a newer list; return false for an older one, which is ignored.
 
         A back end that is gone from the list, or changed its address, starts
         anew when it comes back: what was learnt of it does not carry over.
         """
         if machines.number < self._number:
-            return
+            return False
         self._number = machines.number
         listed = [machine for machine in machines.machines if machine.role is MachineRole.BACKEND]
-        self._backends = {machine.name: self._current(machine) for machine in listed}
+        for backend in self._backends.values():
+            backend.removed = True
+        self._backends = {machine.name: self._current(machine, now) for machine in listed}
         self._services = _by_service(self._backends.values())
+        return True
 
-    def _current(self, machine: Machine) -> Backend:
+    def _current(self, machine: Machine, now: float) -> Backend:
         backend = self._backends.get(machine.name)
         incarnation = (machine.address, machine.service)
         if backend is None or (backend.address, backend.service) != incarnation:
-            backend = Backend(machine.name, machine.service, machine.address, machine.zone)
+            backend = Backend(machine.name, machine.service, machine.address, machine.zone, now)
         backend.zone = machine.zone
-        backend.listed_live = machine.state is MachineState.LIVE
+        backend.leaving = backend.leaving or machine.state is MachineState.LEAVING
+        backend.removed = False
         return backend
 
+    def keeps(self, address: str) -> bool:
+        """Tell whether a listed back end that is not leaving has this address."""
+        backends = self._backends.values()
+        return any(item.address == address and not item.leaving for item in backends)
+
     def of_service(self, service: str) -> tuple[Backend, ...]:
         """Return all listed back ends of ``service``, leaving ones too."""
         return self._services.get(service, ())
--- /dev/null
+++ b/src/pewtertack/routing/service.py
@@ -0,0 +1,169 @@
+"""Admission and placement of the requests for one service."""
+
+from __future__ import annotations
+
+from collections.abc import Iterable
+from random import Random
+
+from pewtertack.core.configuration.resolved import ResolvedService
+from pewtertack.routing.backend import Backend
+from pewtertack.routing.choice import choose
+from pewtertack.routing.outcomes import (
+    DeadlineUnmeetableError,
+    NoBackendError,
+    QueueFullError,
+    RequestFailedError,
+)
+from pewtertack.routing.queueing import MAXIMUM_WAIT, ClassQueue, Ticket
+
+SMOOTHING = 0.1
+"""Weight of the newest attempt in the mean attempt times."""
+MINIMUM_RETRY_AFTER = 0.1
+MAXIMUM_RETRY_AFTER = 30.0
+POLL_SECONDS = 0.25
+"""While nothing can start, waiting requests look again after this long at most."""
+
+
+class ServiceDispatcher:
+    """Places tickets on the back ends of one service; what cannot start waits, bounded."""
+
+    def __init__(self, name: str, random: Random) -> None:
+        self.name = name
+        self.queue = ClassQueue()
+        self._random = random
+        self._local: list[Backend] = []
+        self._remote: list[Backend] = []
+        self._mean_time = 0.0
+        self._route_times: dict[str, float] = {}
+
+    def use_backends(self, backends: Iterable[Backend], zone: str) -> None:
+        """Take over the back ends of a newer machine list."""
+        members = list(backends)
+        self._local = [backend for backend in members if backend.zone == zone]
+        self._remote = [backend for backend in members if backend.zone != zone]
+
+    def configure(self, settings: ResolvedService) -> None:
+        """Use the service's settings for all back ends."""
+        for backend in (*self._local, *self._remote):
+            backend.configure(settings)
+
+    def expected_time(self, route: str) -> float:
+        """Return the mean time of the route's attempts, 0 while unknown."""
+        return self._route_times.get(route, 0.0)
+
+    def note_time(self, route: str, seconds: float) -> None:
+        """Take the time of an answered attempt into the means."""
+        self._mean_time = _smoothed(self._mean_time, seconds)
+        self._route_times[route] = _smoothed(self._route_times.get(route, 0.0), seconds)
+
+    def submit(self, ticket: Ticket, now: float) -> None:
+        """Grant the ticket or let it wait.
+
+        Raises:
+            NoBackendError: no back end may take work now or soon.
+            QueueFullError: as many requests of the route wait as may.
+            DeadlineUnmeetableError: its turn would come too late.
+        """
+        self.configure(ticket.service)
+        if not self.queue and self._grant(ticket, now):
+            return
+        self._check_backends(now)
+        wait = self._expected_wait(ticket, now)
+        if self.queue.length_of_route(ticket.route.name) >= ticket.route.queue_limit:
+            raise QueueFullError("too many requests wait", self.retry_after(wait))
+        ticket.expires_at = self._latest_start(ticket, now)
+        if now + wait >= ticket.expires_at:
+            raise DeadlineUnmeetableError(
+                "no back end comes free before the deadline", self.retry_after(wait)
+            )
+        self.queue.push(ticket)
+        self.pump(now)
+
+    def _check_backends(self, now: float) -> None:
+        members = [*self._local, *self._remote]
+        open_to_work = [item for item in members if not (item.leaving or item.removed)]
+        if not open_to_work:
+            raise NoBackendError(f"service {self.name} has no back end")
+        if all(item.health.ejected and not item.health.admits(now) for item in open_to_work):
+            soonest = min(item.health.retry_at for item in open_to_work) - now
+            raise NoBackendError(
+                f"all back ends of {self.name} are ejected", self.retry_after(soonest)
+            )
+
+    def _expected_wait(self, ticket: Ticket, now: float) -> float:
+        ahead = self.queue.ahead_of(ticket.route.work_class) + 1
+        return ahead * self._mean_time / max(1, self._capacity(now))
+
+    def _capacity(self, now: float) -> int:
+        """Return how many requests this proxy may have in flight at the service."""
+        working = (
+            item
+            for item in (*self._local, *self._remote)
+            if not (item.leaving or item.removed or item.health.ejected)
+        )
+        return sum(int(item.limit.value) for item in working if item.limit.paused_until <= now)
+
+    def _latest_start(self, ticket: Ticket, now: float) -> float:
+        by_deadline = ticket.deadline - self.expected_time(ticket.route.name)
+        return min(by_deadline, now + MAXIMUM_WAIT[ticket.route.work_class])
+
+    def retry_after(self, wait: float) -> float:
+        """Return when to come back after a refusal: the expected wait, spread at random."""
+        spread = max(wait, MINIMUM_RETRY_AFTER) * (1 + self._random.random())
+        return round(min(spread, MAXIMUM_RETRY_AFTER), 3)
+
+    def pump(self, now: float) -> None:
+        """Grant what can start now, in order, and refuse what can start no longer."""
+        while (ticket := self.queue.peek()) is not None:
+            if ticket.expires_at <= now:
+                self._refuse(self.queue.pop(), now)
+            elif self._grant(ticket, now):
+                self.queue.pop()
+                ticket.wake()
+            else:
+                return
+
+    def expire(self, ticket: Ticket, now: float) -> None:
+        """Refuse a waiting ticket whose time to start has passed."""
+        if ticket.backend is None and ticket.refusal is None and ticket.expires_at <= now:
+            self.queue.remove(ticket)
+            self._refuse(ticket, now)
+
+    def _refuse(self, ticket: Ticket, now: float) -> None:
+        wait = self._expected_wait(ticket, now)
+        ticket.refusal = DeadlineUnmeetableError(
+            "no back end came free in time", self.retry_after(wait)
+        )
+        ticket.wake()
+
+    def withdraw(self, ticket: Ticket) -> None:
+        """Take a waiting ticket out, since its caller has gone."""
+        if ticket.backend is None and ticket.refusal is None:
+            ticket.refusal = RequestFailedError("withdrawn")
+            self.queue.remove(ticket)
+
+    def next_look(self, ticket: Ticket, now: float) -> float:
+        """Return when a waiting ticket should be looked at again, at the latest."""
+        return min(ticket.expires_at, now + POLL_SECONDS)
+
+    def _grant(self, ticket: Ticket, now: float) -> bool:
+        backend = choose(self._local, self._remote, now, self._random, ticket.excluded)
+        if backend is None:
+            return False
+        if backend.in_flight == 0:
+            backend.last_progress = now
+        backend.in_flight += 1
+        ticket.trial = backend.health.begin()
+        ticket.backend = backend
+        ticket.started_at = now
+        return True
+
+    def may_eject(self) -> bool:
+        """Tell whether answered failures may eject one more: never more than half."""
+        members = [*self._local, *self._remote]
+        ejected = sum(item.health.ejected for item in members)
+        return (ejected + 1) * 2 <= len(members)
+
+
+def _smoothed(mean: float, value: float) -> float:
+    return value if mean == 0 else mean + SMOOTHING * (value - mean)
--- a/tests/node/proxy/harness.py
+++ b/tests/node/proxy/harness.py
@@ -4,74 +4,17 @@
 import time
 import unittest
 from random import Random
-from types import MappingProxyType
 from typing import Any
 
-from pewtertack.core.configuration.resolved import (
-    ResolvedConfiguration,
-    ResolvedRoute,
-    ResolvedService,
-    WorkClass,
-)
-from pewtertack.core.machines import Machine, MachineList, MachineRole, MachineState
-from pewtertack.core.revision import RevisionId
+from pewtertack.core.configuration.resolved import ResolvedConfiguration
+from pewtertack.core.machines import MachineList
 from pewtertack.node.proxy.application import ProxyApplication
 from pewtertack.node.proxy.server import bound_socket, embedded_server
+from tests.routing.samples import backend, configuration
 
 LOOPBACK = "127.0.0.1"
 
 
-def service(name: str = "logbook", **changes: Any) -> ResolvedService:
-    values: dict[str, Any] = {
-        "slots_per_backend": 6,
-        "connections_per_backend": 130,
-        "connect_timeout": 1.0,
-        "slow_start": 0.0,
-        "ejection_failures": 3,
-        "ejection_time": 5.0,
-    }
-    return ResolvedService(name, **{**values, **changes})
-
-
-def route(name: str = "lookup", **changes: Any) -> ResolvedRoute:
-    values: dict[str, Any] = {
-        "service": "logbook",
-        "hosts": (),
-        "path_prefix": "/",
-        "methods": (),
-        "work_class": WorkClass.INTERACTIVE,
-        "timeout": 5.0,
-        "repeatable": False,
-        "retry_limit": 2,
-        "retry_budget": 0.1,
-        "queue_limit": 20,
-        "header_secrets": MappingProxyType({}),
-    }
-    return ResolvedRoute(name, **{**values, **changes})
-
-
-def configuration(
-    *routes: ResolvedRoute,
-    services: tuple[ResolvedService, ...] = (),
-    secrets: dict[str, str] | None = None,
-    number: int = 1,
-) -> ResolvedConfiguration:
-    by_name = {item.name: item for item in services or (service(),)}
-    return ResolvedConfiguration(
-        RevisionId(number, b"x"), "ikeja", routes or (route(),), by_name, secrets or {}
-    )
-
-
-def backend(
-    name: str,
-    address: str,
-    zone: str = "ikeja",
-    state: MachineState = MachineState.LIVE,
-    service: str = "logbook",
-) -> Machine:
-    return Machine(name, MachineRole.BACKEND, zone, address, service, state)
-
-
 class ProxyTestCase(unittest.IsolatedAsyncioTestCase):
     """Starts servers on free ports and stops them with the test."""
 
--- a/tests/node/proxy/test_forwarding.py
+++ b/tests/node/proxy/test_forwarding.py
@@ -5,13 +5,12 @@
 
 from tests.node.proxy.harness import (
     ProxyTestCase,
-    configuration,
     raw_call,
     read_body,
     request_bytes,
     respond,
-    route,
 )
+from tests.routing.samples import configuration, route
 
 
 class Echo:
--- /dev/null
+++ b/tests/routing/test_dispatcher.py
@@ -0,0 +1,219 @@
+"""Limits, queues, ejection and retries, in virtual time."""
+
+import unittest
+
+from pewtertack.core.configuration.resolved import WorkClass
+from pewtertack.routing.backend import LoadReport
+from pewtertack.routing.dispatcher import AttemptEnd, Dispatcher
+from pewtertack.routing.outcomes import (
+    BackendFailedError,
+    BackendUnreachableError,
+    DeadlineUnmeetableError,
+    NoBackendError,
+    QueueFullError,
+    RequestFailedError,
+)
+from pewtertack.routing.queueing import Ticket
+from tests.routing.samples import dispatcher, service, ticket
+
+
+def submitted(subject: Dispatcher, now: float, request: Ticket) -> Ticket:
+    subject.submit(request, now)
+    return request
+
+
+def end(subject: Dispatcher, request: Ticket, now: float, how: AttemptEnd) -> None:
+    if how is AttemptEnd.ANSWERED:
+        subject.note_answer(request, now, None, leaving=False)
+    subject.finish(request, now, how)
+
+
+def fail_until_ejected(subject: Dispatcher, now: float = 0.0) -> None:
+    for _ in range(3):
+        end(subject, submitted(subject, now, ticket(now + 5)), now, AttemptEnd.UNREACHABLE)
+
+
+class LimitTest(unittest.TestCase):
+    def test_the_limit_grows_to_the_slots_and_shrinks_when_shed(self) -> None:
+        subject = dispatcher("a")
+        for turn in range(40):
+            requests = [ticket(turn + 5.0) for _ in range(8)]
+            for request in requests:
+                subject.submit(request, float(turn))
+            for request in [item for item in requests if item.backend]:
+                end(subject, request, turn + 0.5, AttemptEnd.ANSWERED)
+            for request in requests:
+                if request.backend and not request.finished:
+                    end(subject, request, turn + 0.9, AttemptEnd.ANSWERED)
+        requests = [submitted(subject, 100.0, ticket(105.0)) for _ in range(8)]
+        granted = [request for request in requests if request.backend]
+        self.assertEqual(len(granted), 6)
+        for request in granted:
+            end(subject, request, 100.1, AttemptEnd.SHED)
+        assert granted[0].backend is not None
+        self.assertLess(granted[0].backend.limit.value, 6)
+
+    def test_a_back_end_over_its_slots_shrinks_the_limit(self) -> None:
+        subject = dispatcher("a")
+        request = submitted(subject, 0.0, ticket())
+        assert request.backend is not None
+        subject.note_answer(request, 0.1, LoadReport(9, 6), leaving=False)
+        subject.finish(request, 0.1, AttemptEnd.ANSWERED)
+        self.assertLess(request.backend.limit.value, 2)
+
+    def test_a_back_end_that_sheds_a_single_request_rests(self) -> None:
+        subject = dispatcher("a")
+        for _ in range(2):
+            end(subject, submitted(subject, 0.0, ticket()), 0.0, AttemptEnd.SHED)
+        waiting = submitted(subject, 0.0, ticket())
+        self.assertIsNone(waiting.backend)
+        subject.look(waiting, 1.5)
+        self.assertIsNotNone(waiting.backend)
+
+
+class QueueTest(unittest.TestCase):
+    def setUp(self) -> None:
+        self.subject = dispatcher("a")
+        self.running = [submitted(self.subject, 0.0, ticket(50.0)) for _ in range(2)]
+
+    def test_urgent_requests_overtake_and_background_still_moves(self) -> None:
+        waiting = [
+            submitted(
+                self.subject,
+                0.0,
+                ticket(50.0, work_class=work_class, name=work_class, queue_limit=200),
+            )
+            for work_class in (WorkClass.BACKGROUND, WorkClass.URGENT)
+            for _ in range(150)
+        ]
+        order = []
+        running = self.running
+        while len(order) < 100:
+            end(self.subject, running.pop(0), 0.1, AttemptEnd.ANSWERED)
+            granted = [item for item in waiting if item.backend and item not in running]
+            fresh = [item for item in granted if not item.finished]
+            running.extend(fresh)
+            order.extend(item.route.work_class for item in fresh)
+        self.assertEqual(set(order[:10]), {WorkClass.URGENT})
+        self.assertTrue(1 <= order.count(WorkClass.BACKGROUND) <= 4)
+
+    def test_a_full_queue_refuses_at_once_and_says_when_to_come_back(self) -> None:
+        for _ in range(3):
+            submitted(self.subject, 0.0, ticket(queue_limit=3))
+        with self.assertRaises(QueueFullError) as caught:
+            submitted(self.subject, 0.0, ticket(queue_limit=3))
+        self.assertGreater(caught.exception.retry_after or 0, 0)
+
+    def test_a_deadline_that_cannot_be_met_is_refused_early(self) -> None:
+        end(self.subject, self.running[0], 1.0, AttemptEnd.ANSWERED)
+        for _ in range(3):
+            submitted(self.subject, 1.0, ticket(60.0))
+        submitted(self.subject, 1.0, ticket(4.5))
+        with self.assertRaises(DeadlineUnmeetableError):
+            submitted(self.subject, 1.0, ticket(3.5))
+
+    def test_nothing_waits_without_bound(self) -> None:
+        waiting = submitted(self.subject, 0.0, ticket(1000.0))
+        look_at = 0.0
+        while waiting.refusal is None and look_at < 20:
+            look_at = self.subject.look(waiting, look_at)
+        self.assertIsInstance(waiting.refusal, DeadlineUnmeetableError)
+        self.assertLessEqual(look_at, 3.5)
+
+    def test_a_caller_that_goes_leaves_the_queue(self) -> None:
+        waiting = submitted(self.subject, 0.0, ticket(50.0))
+        self.subject.withdraw(waiting)
+        end(self.subject, self.running[0], 0.1, AttemptEnd.ANSWERED)
+        self.assertIsNone(waiting.backend)
+
+
+class EjectionTest(unittest.TestCase):
+    def test_a_failing_back_end_is_ejected_and_returns_by_one_trial(self) -> None:
+        subject = dispatcher("a")
+        fail_until_ejected(subject)
+        with self.assertRaises(NoBackendError) as caught:
+            subject.submit(ticket(), 1.0)
+        self.assertGreaterEqual(caught.exception.retry_after or 0, 4.0)
+        trial = submitted(subject, 6.0, ticket(20.0))
+        self.assertTrue(trial.trial)
+        second = submitted(subject, 6.0, ticket(20.0)) if trial.backend is None else None
+        self.assertIsNone(second)
+        end(subject, trial, 6.1, AttemptEnd.ANSWERED)
+        self.assertFalse(submitted(subject, 6.2, ticket(20.0)).trial)
+
+    def test_a_failed_trial_ejects_for_longer(self) -> None:
+        subject = dispatcher("a")
+        fail_until_ejected(subject)
+        end(subject, submitted(subject, 6.0, ticket(20.0)), 6.0, AttemptEnd.UNREACHABLE)
+        with self.assertRaises(NoBackendError):
+            subject.submit(ticket(20.0), 12.0)
+        self.assertTrue(submitted(subject, 16.5, ticket(20.0)).trial)
+
+    def test_a_late_answer_does_not_bring_an_ejected_back_end_back(self) -> None:
+        subject = dispatcher("a")
+        settings = service(ejection_failures=1)
+        early, failing = (submitted(subject, 0.0, ticket(50.0, settings)) for _ in range(2))
+        end(subject, failing, 0.0, AttemptEnd.BROKEN)
+        end(subject, early, 1.0, AttemptEnd.ANSWERED)
+        with self.assertRaises(NoBackendError):
+            subject.submit(ticket(), 1.0)
+
+    def test_failing_answers_eject_at_most_half_of_the_back_ends(self) -> None:
+        subject = dispatcher("a", "b", "c", "d")
+        for _ in range(60):
+            end(subject, submitted(subject, 0.0, ticket()), 0.0, AttemptEnd.FAILED_STATUS)
+        members = {submitted(subject, 0.0, ticket(queue_limit=50)).backend for _ in range(4)}
+        self.assertEqual(len({item.name for item in members if item}), 2)
+
+    def test_short_deadlines_do_not_eject(self) -> None:
+        subject = dispatcher("a")
+        for _ in range(10):
+            end(subject, submitted(subject, 0.0, ticket()), 0.1, AttemptEnd.TIMED_OUT)
+        self.assertFalse(submitted(subject, 1.0, ticket()).trial)
+
+
+class RetryTest(unittest.TestCase):
+    def retried(
+        self, error: RequestFailedError, replayable: bool = True, now: float = 0.0, **route: object
+    ) -> Ticket | None:
+        subject = dispatcher("a", "b")
+        request = submitted(subject, 0.0, ticket(**route))  # type: ignore[arg-type]
+        subject.finish(request, now, AttemptEnd.BROKEN)
+        return subject.retry(request, error, now, replayable)
+
+    def test_only_what_certainly_did_not_run_or_may_be_repeated(self) -> None:
+        unknown, not_run = BackendFailedError("x"), BackendUnreachableError("x")
+        self.assertIsNone(self.retried(unknown))
+        self.assertIsNotNone(self.retried(unknown, repeatable=True))
+        self.assertIsNotNone(self.retried(not_run))
+        self.assertIsNone(self.retried(not_run, replayable=False))
+        self.assertIsNone(self.retried(not_run, retry_limit=0))
+        self.assertIsNone(self.retried(not_run, now=6.0))
+
+    def test_another_back_end_is_tried(self) -> None:
+        subject = dispatcher("a", "b", "c")
+        request = submitted(subject, 0.0, ticket())
+        tried = []
+        while request is not None:
+            assert request.backend is not None
+            tried.append(request.backend.name)
+            subject.finish(request, 0.0, AttemptEnd.UNREACHABLE)
+            following = subject.retry(request, BackendUnreachableError("x"), 0.0, True)
+            if following is None:
+                break
+            request = submitted(subject, 0.0, following)
+        self.assertEqual(sorted(tried), ["a", "b", "c"])
+
+    def test_retries_stay_within_the_budget(self) -> None:
+        subject = dispatcher("a", "b")
+        retries = 0
+        settings = service(ejection_failures=10**6)
+        for turn in range(1000):
+            now = turn * 10.0
+            request = submitted(subject, now, ticket(now + 5, settings))
+            if request.backend is None:
+                continue
+            subject.finish(request, now, AttemptEnd.UNREACHABLE)
+            again = subject.retry(request, BackendUnreachableError("x"), now, True)
+            retries += again is not None
+        self.assertTrue(90 <= retries <= 115, retries)
--- a/tests/routing/test_table.py
+++ b/tests/routing/test_table.py
@@ -4,7 +4,7 @@
 
 from pewtertack.routing.outcomes import MethodNotAllowedError, RouteNotFoundError
 from pewtertack.routing.table import RouteTable
-from tests.node.proxy.harness import configuration, route
+from tests.routing.samples import configuration, route
 
 
 class RouteTableTest(unittest.TestCase):
