--- a/src/pewtertack/__main__.py
+++ b/src/pewtertack/__main__.py
@@ -9,17 +9,32 @@
 EXIT_UNUSABLE_INPUT = 2
 """Usage errors, unreadable files and wrong settings end with this exit code."""
 
+NODE_COMMAND = "node"
+
 
 def main() -> None:
     """Run the command line; an error of this library ends with exit code 2, no traceback."""
-    from pewtertack.cli.main import app
-
     try:
-        app()
+        if sys.argv[1:2] == [NODE_COMMAND]:
+            _run_node()
+        _run_application()
     except PewtertackError as error:
         print(f"pewtertack: {error.code}: {error}", file=sys.stderr)
         sys.exit(EXIT_UNUSABLE_INPUT)
 
 
+def _run_node() -> None:
+    """Run a node without loading typer and what it brings."""
+    from pewtertack.cli.node import run
+
+    sys.exit(run(sys.argv[2:]))
+
+
+def _run_application() -> None:
+    from pewtertack.cli.main import app
+
+    app()
+
+
 if __name__ == "__main__":
     main()
--- /dev/null
+++ b/src/pewtertack/cli/node.py
@@ -0,0 +1,74 @@
+"""``pewtertack node``: run one node until it is told to stop.
+
+This command reads its flags with argparse instead of typer: the node's memory
+is bounded, and typer brings libraries that it does not need
+(docs/decisions/0003-daemon.md).
+"""
+
+from __future__ import annotations
+
+import argparse
+from collections.abc import Sequence
+from pathlib import Path
+from typing import Any, NoReturn
+
+from pewtertack.settings import SettingKey, load_settings
+from pewtertack.settings.errors import FlagFormatError
+
+FLAGS: dict[str, tuple[SettingKey, str]] = {
+    "--name": (SettingKey("node", "name"), "this node's name"),
+    "--zone": (SettingKey("node", "zone"), "its zone"),
+    "--region": (SettingKey("node", "region"), "its region"),
+    "--listen-proxy": (SettingKey("listen", "proxy"), "ip:port for callers"),
+    "--listen-peer": (SettingKey("listen", "peer"), "ip:port for other nodes, UDP and TCP"),
+    "--listen-admin": (SettingKey("listen", "admin"), "ip:port of the admin interface"),
+    "--advertise-peer": (SettingKey("advertise", "peer"), "ip:port that other nodes are told"),
+    "--source-url": (SettingKey("source", "url"), "http://ip:port of the configuration source"),
+    "--machines-url": (SettingKey("machines", "url"), "http://ip:port of the machine list"),
+    "--profile": (SettingKey("profile", "name"), "fast or frugal"),
+}
+SEEDS = SettingKey("peers", "seeds")
+
+
+class _Parser(argparse.ArgumentParser):
+    """Raises a typed error where argparse would exit."""
+
+    def error(self, message: str) -> NoReturn:
+        raise FlagFormatError("flag", "", message, "see pewtertack node --help")
+
+
+def _parser() -> argparse.ArgumentParser:
+    parser = _Parser(
+        prog="pewtertack node",
+        description="Run one node. Flags win over the settings file.",
+        allow_abbrev=False,
+    )
+    parser.add_argument("--settings", type=Path, required=True, help="the settings file (TOML)")
+    for flag, (key, meaning) in FLAGS.items():
+        parser.add_argument(flag, dest=str(key), help=f"{meaning} ({key})")
+    parser.add_argument(
+        "--seed", action="append", dest=str(SEEDS), help=f"ip:port of a peer ({SEEDS}), repeatable"
+    )
+    return parser
+
+
+def run(arguments: Sequence[str]) -> int:
+    """Run a node with these command-line arguments and return its exit code.
+
+    Raises:
+        SettingError: a flag or the settings file is wrong.
+    """
+    given = vars(_parser().parse_args(arguments))
+    path: Path = given.pop("settings")
+    keys = [key for key, _ in FLAGS.values()] + [SEEDS]
+    flags: dict[SettingKey, Any] = {
+        key: given[str(key)] for key in keys if given[str(key)] is not None
+    }
+    settings = load_settings(path, flags)
+
+    import anyio
+
+    from pewtertack.node.assembly import assemble_node
+    from pewtertack.node.daemon import run_node
+
+    return anyio.run(run_node, assemble_node(settings, str(path)))
--- a/src/pewtertack/node/admin.py
+++ b/src/pewtertack/node/admin.py
@@ -6,7 +6,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Awaitable, Callable, MutableMapping
+from collections.abc import Awaitable, Callable, Mapping, MutableMapping
 from typing import Any, NamedTuple, Protocol
 
 import msgspec
@@ -103,12 +103,21 @@
 
 def masked(configuration: ResolvedConfiguration) -> dict[str, Any]:
     """Return the configuration as plain data, the secrets' values masked."""
-    plain: dict[str, Any] = msgspec.to_builtins(configuration, builtin_types=(bytes,))
+    plain: dict[str, Any] = msgspec.to_builtins(
+        configuration, builtin_types=(bytes,), enc_hook=_plain_mapping
+    )
     revision = configuration.revision
     plain["revision"] = {"number": revision.number, "digest": revision.digest.hex()}
     plain["secrets"] = dict.fromkeys(sorted(configuration.secrets), MASK)
     return plain
 
 
+def _plain_mapping(value: Any) -> Any:
+    """Turn the read-only mappings of a configuration into plain ones."""
+    if isinstance(value, Mapping):
+        return dict(value)
+    raise NotImplementedError(f"{type(value).__name__} is in no configuration")
+
+
 def _json(value: Any, status: int = 200) -> Answer:
     return Answer(status, JSON_TYPE, msgspec.json.encode(value))
--- /dev/null
+++ b/src/pewtertack/node/assembly.py
@@ -0,0 +1,94 @@
+"""Puts the parts of one node together from its settings."""
+
+from __future__ import annotations
+
+from random import Random
+
+from prometheus_client import CollectorRegistry
+
+from pewtertack.core.identity import NodeIdentity
+from pewtertack.core.node import NodeCore
+from pewtertack.core.profile import PROFILES
+from pewtertack.log import EventLog
+from pewtertack.node import clock
+from pewtertack.node.admin import AdminApplication
+from pewtertack.node.daemon import NodeParts
+from pewtertack.node.metrics import CoordinationCollector
+from pewtertack.node.platform import PlatformLimits, PlatformReader
+from pewtertack.node.runtime import Runtime
+from pewtertack.node.sockets import NodeSockets, address_of, bind_sockets
+from pewtertack.node.status import AddressStatus
+from pewtertack.node.traffic import Traffic
+from pewtertack.node.transport import PeerTransport, Sender, StreamLimits
+from pewtertack.node.view import NodeView
+from pewtertack.settings import Settings
+
+
+def assemble_node(settings: Settings, place: str) -> NodeParts:
+    """Bind the node's sockets and build its parts; ``place`` is the settings file.
+
+    Raises:
+        SettingError: an address cannot be bound.
+    """
+    sockets = bind_sockets(settings, place)
+    started = clock.now()
+    random = Random()
+    identity = _identity(settings, sockets)
+    log = EventLog(identity.name, identity.incarnation)
+    traffic = Traffic()
+    registry = CollectorRegistry()
+    transport = _transport(settings, sockets, identity, traffic)
+    platform = _platform(settings)
+    seeds = tuple(str(seed) for seed in settings.peers.seeds)
+    profile = PROFILES[settings.profile.name.value]
+    core = NodeCore(identity, profile, random, started, seeds)
+    runtime = Runtime(core, profile.tick, profile.pause_threshold, transport, platform, None, log)
+    addresses = _addresses(sockets, identity)
+    view = NodeView(core, runtime, traffic, addresses, lambda: 0, started)
+    registry.register(CoordinationCollector(view.status, traffic))
+    admin = AdminApplication(view, registry)
+    return NodeParts(settings, sockets, runtime, transport, admin, None, log, platform.close)
+
+
+def _identity(settings: Settings, sockets: NodeSockets) -> NodeIdentity:
+    advertised = settings.advertise.peer or address_of(sockets.peer_streams)
+    node = settings.node
+    return NodeIdentity(
+        node.name.text,
+        str(advertised),
+        node.zone.text,
+        node.region.text,
+        clock.new_incarnation(),
+    )
+
+
+def _transport(
+    settings: Settings, sockets: NodeSockets, identity: NodeIdentity, traffic: Traffic
+) -> PeerTransport:
+    sender = Sender(
+        identity.name, identity.address, identity.incarnation, settings.peers.key.secret
+    )
+    limits = StreamLimits(settings.limits.streams, settings.limits.stream_timeout.seconds)
+    return PeerTransport(sockets.peer_datagrams, sockets.peer_streams, sender, limits, traffic)
+
+
+def _platform(settings: Settings) -> PlatformReader:
+    limits = PlatformLimits(
+        settings.limits.platform_timeout.seconds, settings.limits.document_size.bytes
+    )
+    return PlatformReader(
+        settings.source.url.text,
+        settings.machines.url.text,
+        settings.listen.peer.host,
+        limits,
+    )
+
+
+def _addresses(sockets: NodeSockets, identity: NodeIdentity) -> AddressStatus:
+    proxy = sockets.proxy
+    return AddressStatus(
+        peer=str(address_of(sockets.peer_streams)),
+        advertised=identity.address,
+        admin=str(address_of(sockets.admin)),
+        proxy=str(address_of(proxy)) if proxy is not None else "",
+    )
--- a/src/pewtertack/node/status.py
+++ b/src/pewtertack/node/status.py
@@ -99,7 +99,5 @@
     region: str
     incarnation: int
     status: str
-    held: int
-    """The newest revision number that the peer said it holds."""
     changed: float
     """Seconds since the belief changed."""
--- /dev/null
+++ b/src/pewtertack/node/view.py
@@ -0,0 +1,138 @@
+"""Reads the running parts of a node for its operators."""
+
+from __future__ import annotations
+
+from collections import Counter
+from collections.abc import Callable
+from dataclasses import dataclass
+
+from pewtertack.core.configuration.findings import Finding
+from pewtertack.core.configuration.resolved import ResolvedConfiguration
+from pewtertack.core.node import NodeCore
+from pewtertack.core.replication.replica import Rejection
+from pewtertack.core.revision import NO_REVISION, RevisionId
+from pewtertack.node import clock
+from pewtertack.node.runtime import Runtime
+from pewtertack.node.status import (
+    AddressStatus,
+    ByteStatus,
+    FindingStatus,
+    MemberView,
+    NodeStatus,
+    RejectionStatus,
+    RevisionStatus,
+    TrafficStatus,
+)
+from pewtertack.node.traffic import Direction, Purpose, Traffic
+from pewtertack.wire.messages import DocumentKind
+
+
+@dataclass(frozen=True, slots=True)
+class NodeView:
+    """The admin interface's source. ``in_flight`` counts callers' requests."""
+
+    core: NodeCore
+    runtime: Runtime
+    traffic: Traffic
+    addresses: AddressStatus
+    in_flight: Callable[[], int]
+    started: float
+
+    def status(self) -> NodeStatus:
+        """Return the node's state now."""
+        now = clock.now()
+        identity = self.core.identity
+        replication = self.core.replication
+        replica = replication.replica
+        in_force = replica.in_force
+        answers = replication.reader.last_answer_at
+        return NodeStatus(
+            name=identity.name,
+            zone=identity.zone,
+            region=identity.region,
+            incarnation=identity.incarnation,
+            profile=self.core.profile.name,
+            phase=self.core.phase.value,
+            serving=self.runtime.may_serve(),
+            uptime=round(now - self.started, 3),
+            addresses=self.addresses,
+            held=_revision(replica.held),
+            committed=_revision(replica.committed),
+            in_force=_revision(in_force.revision if in_force is not None else NO_REVISION),
+            in_force_since=self.runtime.in_force_since,
+            reading=replication.reader.reading,
+            source_age=_age(now, answers.get(DocumentKind.CONFIGURATION)),
+            machine_list_age=_age(now, answers.get(DocumentKind.MACHINE_LIST)),
+            machine_list_number=replication.machines.number,
+            peers=self._peers_by_status(),
+            last_rejection=_rejection(replica.last_rejection),
+            stale_answers=replica.stale_answers,
+            conflicts=replica.conflicts,
+            in_flight=self.in_flight(),
+            traffic=self._traffic_status(),
+        )
+
+    def members(self) -> tuple[MemberView, ...]:
+        """Return the peers that the node knows, by name."""
+        now = clock.now()
+        members = self.core.membership.table.all()
+        views = (
+            MemberView(
+                name=member.update.name,
+                address=member.update.address,
+                zone=member.update.zone,
+                region=member.update.region,
+                incarnation=member.update.incarnation,
+                status=member.status.name.lower(),
+                changed=round(now - member.changed_at, 3),
+            )
+            for member in members
+        )
+        return tuple(sorted(views, key=lambda view: view.name))
+
+    def in_force(self) -> ResolvedConfiguration | None:
+        """Return the configuration by which the proxy serves."""
+        return self.core.replication.replica.in_force
+
+    def may_serve(self) -> bool:
+        """Tell whether callers are served now."""
+        return self.runtime.may_serve()
+
+    def _peers_by_status(self) -> dict[str, int]:
+        members = self.core.membership.table.all()
+        return dict(Counter(member.status.name.lower() for member in members))
+
+    def _traffic_status(self) -> TrafficStatus:
+        return TrafficStatus(
+            control=self._bytes(Purpose.CONTROL),
+            configuration=self._bytes(Purpose.CONFIGURATION),
+            machine_list=self._bytes(Purpose.MACHINE_LIST),
+            refused=dict(self.traffic.refused),
+            unsent=dict(self.traffic.unsent),
+            failed=dict(self.runtime.failed_messages),
+        )
+
+    def _bytes(self, purpose: Purpose) -> ByteStatus:
+        return ByteStatus(
+            self.traffic.bytes_for(Direction.SENT, purpose),
+            self.traffic.bytes_for(Direction.RECEIVED, purpose),
+        )
+
+
+def _revision(revision: RevisionId) -> RevisionStatus:
+    return RevisionStatus(revision.number, revision.digest.hex())
+
+
+def _age(now: float, answered_at: float | None) -> float | None:
+    return None if answered_at is None else round(now - answered_at, 3)
+
+
+def _rejection(rejection: Rejection | None) -> RejectionStatus | None:
+    if rejection is None:
+        return None
+    findings = tuple(_finding(finding) for finding in rejection.findings)
+    return RejectionStatus(_revision(rejection.revision), findings)
+
+
+def _finding(finding: Finding) -> FindingStatus:
+    return FindingStatus(finding.code.label, finding.place, finding.message)
