--- a/tests/wire/test_frames.py
+++ b/tests/wire/test_frames.py
@@ -53,13 +53,13 @@
     PingRequest(1, "b"),
     IndirectAcknowledge(1, "b"),
     Announce(STATE, DELTA),
-    Pull(DocumentKind.CONFIGURATION, REVISION),
+    Pull(DocumentKind.CONFIGURATION, REVISION, REVISION),
     DeltaAnswer(DocumentKind.CONFIGURATION, (DELTA,)),
     SnapshotAnswer(DocumentKind.MACHINE_LIST, REVISION, {"a": {"b": 2**70}}),
     Busy(DocumentKind.CONFIGURATION, 200),
     HeldReport(REVISION),
     JoinRequest(MEMBER),
-    JoinAnswer(STATE, (MEMBER, MEMBER)),
+    JoinAnswer(STATE, MEMBER, (MEMBER, MEMBER)),
 )
 
 
