--- a/examples/embedding/three_replicas.py
+++ b/examples/embedding/three_replicas.py
@@ -31,10 +31,12 @@
         }
 
     def feed(self, now: float, name: str, event: Input) -> None:
+        """Advance one core and carry out its effects."""
         for effect in self.cores[name].handle(now, event):
             self.carry_out(now, name, effect)
 
     def carry_out(self, now: float, name: str, effect: Effect) -> None:
+        """Deliver a message, answer a read, or note what came into force."""
         match effect:
             case Send(_, address, message):
                 receiver = next(key for key, value in ADDRESSES.items() if value == address)
@@ -45,6 +47,7 @@
                 self.in_force[name] = configuration.revision.number
 
     def run(self, seconds: float) -> None:
+        """Tick every core for ``seconds`` of virtual time."""
         for step in range(int(seconds / FAST.tick)):
             for name in self.cores:
                 self.feed(step * FAST.tick, name, Ticked())
