--- a/src/pewtertack/core/configuration/findings.py
+++ b/src/pewtertack/core/configuration/findings.py
@@ -80,7 +80,7 @@
     code: ClassVar[str] = "tree-rejected"
 
     def __init__(self, findings: Sequence[Finding]) -> None:
-        super().__init__(f"{len(findings)} findings, first: {findings[0]}")
+        super().__init__(f"the tree has {len(findings)} findings, the first: {findings[0]}")
         self.findings = tuple(findings)
 
 
--- a/src/pewtertack/core/configuration/structure.py
+++ b/src/pewtertack/core/configuration/structure.py
@@ -32,8 +32,14 @@
 DEPTH_LIMIT = 8
 """Nesting of tables and lists; the deepest table of a valid tree stands at depth 6."""
 
-VALUE_COUNT_LIMIT = 100_000
-"""Tables, lists and plain values in one tree."""
+SIZE_LIMIT = 3 * 1024 * 1024
+"""Bytes of one tree, by the estimate below; a snapshot must fit into one frame of 4 MiB."""
+
+VALUE_SIZE = 32
+"""Bytes reckoned for each table, list and plain value beside its text; CBOR needs fewer."""
+
+CHARACTER_SIZE = 4
+"""Bytes reckoned for a character of a text that is not ASCII."""
 
 STRING_LENGTH_LIMIT = 4096
 INTEGER_LIMIT = 2**63
@@ -50,13 +56,12 @@
     Ends early when the tree is too large; safe for any nesting.
     """
     pending: list[tuple[Any, Path]] = [(document, ())]
-    count = 0
+    size = 0
     while pending:
         value, path = pending.pop()
-        count += 1
-        if count > VALUE_COUNT_LIMIT:
-            limit = f"at most {VALUE_COUNT_LIMIT} values"
-            yield Finding(FindingCode.TOO_LARGE, (), "too many values", limit)
+        size += VALUE_SIZE + _text_size(value) + (_text_size(path[-1]) if path else 0)
+        if size > SIZE_LIMIT:
+            yield Finding(FindingCode.TOO_LARGE, (), "too large", f"at most {SIZE_LIMIT} bytes")
             return
         if not isinstance(value, dict | list | tuple):
             yield from _check_plain_value(value, path)
@@ -74,6 +79,12 @@
             pending.extend((child, (*path, str(index))) for index, child in enumerate(value))
 
 
+def _text_size(value: Any) -> int:
+    if not isinstance(value, str):
+        return 0
+    return len(value) if value.isascii() else CHARACTER_SIZE * len(value)
+
+
 def _check_key(key: Any, path: Path) -> Finding | None:
     if not isinstance(key, str):
         return Finding(FindingCode.NON_STRING_KEY, path, f"a key of type {type(key).__name__}")
--- a/src/pewtertack/core/configuration/validation.py
+++ b/src/pewtertack/core/configuration/validation.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 from collections.abc import Iterable, Iterator, Mapping
+from itertools import islice
 from typing import Any
 
 from pewtertack.core.configuration.findings import Finding, FindingCode
@@ -19,6 +20,9 @@
 ANY = "*"
 """Stands in a match for every host or every method."""
 
+FINDINGS_LIMIT = 1_000
+"""Bounds what a replica keeps of a refused tree."""
+
 NAMES_SHOWN = 20
 """Existing names that a finding about a missing one lists at most."""
 
@@ -27,17 +31,18 @@
 
 
 def check_document(document: Document) -> tuple[Finding, ...]:
-    """Return all findings of the first stage that has any; empty for a valid tree.
+    """Return the findings of the first stage that has any; empty for a valid tree.
 
-    The stages are: plain values, structure, resolved scopes. Accepts any value
-    that a JSON, TOML or CBOR decoder yields and never raises on one.
+    The stages are: plain values, structure, resolved scopes. At most
+    ``FINDINGS_LIMIT`` findings are returned. Accepts any value that a JSON, TOML
+    or CBOR decoder yields and never raises on one.
     """
     plain: Any = dict(document) if isinstance(document, Mapping) else document
     if not isinstance(plain, dict):
         message = f"{kind_of(plain)} instead of a table"
         return (Finding(FindingCode.NOT_A_TABLE, (), message),)
     for stage in (check_plain, check_structure, _check_not_empty, _check_scopes):
-        findings = tuple(stage(plain))
+        findings = tuple(islice(stage(plain), FINDINGS_LIMIT))
         if findings:
             return findings
     return ()
--- a/tests/core/configuration/test_examples.py
+++ b/tests/core/configuration/test_examples.py
@@ -15,6 +15,10 @@
     "kolkata": ("salt-lake", "new-town", "howrah", "garia"),
 }
 NEVER_REPEATED = {"lagos": "confirm", "kolkata": "legal-hold"}
+CLASSES = {
+    "lagos": set(WorkClass),
+    "kolkata": set(WorkClass) - {WorkClass.BACKGROUND},
+}
 
 
 class ExampleTreeTest(unittest.TestCase):
@@ -29,9 +33,8 @@
                     resolved = resolve_document(document, identify(1, document), zone)
                     routes = {route.name: route for route in resolved.routes}
                     self.assertFalse(routes[NEVER_REPEATED[deployment]].repeatable)
-                    self.assertEqual(
-                        4, len({r.work_class for r in routes.values()} | {WorkClass.BACKGROUND})
-                    )
+                    classes = {route.work_class for route in resolved.routes}
+                    self.assertEqual(CLASSES[deployment], classes)
 
 
 if __name__ == "__main__":
--- /dev/null
+++ b/tests/core/configuration/trees.py
@@ -0,0 +1,31 @@
+"""Trees for the tests of the configuration."""
+
+from hypothesis import settings
+
+PROPERTY = settings(derandomize=True, deadline=None, max_examples=200, database=None)
+"""Settings of every property test: the same examples in every run."""
+
+VALID_TREE = {
+    "service_defaults": {"connect_timeout": "50ms"},
+    "secrets": {"token": "x", "spare": "y"},
+    "services": {"logbook": {}, "archive": {"route_defaults": {"timeout": "9s"}}},
+    "routes": {
+        "lookup": {
+            "service": "logbook",
+            "path_prefix": "/contacts",
+            "header_secrets": {"x-token": "token"},
+        },
+        "records": {"service": "archive", "path_prefix": "/records"},
+    },
+    "zones": {"yaba": {}, "lekki": {"route_defaults": {"timeout": "4s"}}},
+}
+
+
+def with_value(document, path, value):
+    """Return a copy of ``document`` with ``value`` at ``path``, joined by dots."""
+    if not path:
+        return value
+    key, _, rest = path.partition(".")
+    copy = dict(document) if isinstance(document, dict) else {}
+    copy[key] = with_value(copy.get(key, {}), rest, value)
+    return copy
