Add the scenarios, their runner and the demo

A scenario fails on a violated promise, on a promise that it should have put to the test and did not, on a condition that never came true, and on anything that a node writes to standard error.

--- a/src/pewtertack/cli/lab.py
+++ b/src/pewtertack/cli/lab.py
@@ -4,6 +4,7 @@
 
 import json
 import math
+import tempfile
 from pathlib import Path
 from typing import Annotated, Any
 
@@ -149,3 +150,55 @@
     mix = mix_of_tree(read_json_object(tree))
     print_ready()
     anyio.run(LoadGenerator(targets, mix, rate, seed, prefix, record).run, seconds)
+
+
+@app.command()
+def scenarios() -> None:
+    """List the scenarios of ``pewtertack lab run``."""
+    from pewtertack.lab.scenarios.catalogue import SCENARIOS
+
+    for scenario in SCENARIOS.values():
+        typer.echo(f"{scenario.name:26} {scenario.description}")
+
+
+@app.command()
+def run(
+    scenario: Annotated[str, typer.Argument(help="One of `pewtertack lab scenarios`.")],
+    seed: int = 1,
+    report: Annotated[Path | None, typer.Option(help="Takes the report as JSON.")] = None,
+    history: Annotated[Path | None, typer.Option(help="Takes the history, JSON lines.")] = None,
+    deployment: Annotated[str, typer.Option(help="lagos or kolkata.")] = "lagos",
+    nodes_per_zone: int = 2,
+    examples: Annotated[Path, typer.Option(help="Directory of the trees.")] = Path("examples"),
+) -> None:
+    """Run a scenario in real processes; exit code 1 when anything is off."""
+    from pewtertack.lab.deployments import shape_of
+    from pewtertack.lab.report.table import format_report
+    from pewtertack.lab.scenarios.catalogue import find_scenario
+    from pewtertack.lab.scenarios.runner import run_scenario
+
+    found = find_scenario(scenario)
+    shape = shape_of(deployment, examples, nodes_per_zone)
+    with tempfile.TemporaryDirectory() as directory:
+        path = history or Path(directory) / "history.jsonl"
+        result = anyio.run(run_scenario, found, shape, seed, path)
+    if report is not None:
+        report.write_bytes(msgspec.json.format(msgspec.json.encode(result)))
+    typer.echo(format_report(result))
+    typer.echo("passed" if result.passed else "failed")
+    raise typer.Exit(0 if result.passed else 1)
+
+
+@app.command()
+def demo(
+    deployment: Annotated[str, typer.Option(help="lagos or kolkata.")] = "lagos",
+    nodes_per_zone: int = 2,
+    examples: Annotated[Path, typer.Option(help="Directory of the trees.")] = Path("examples"),
+) -> None:
+    """Run a four-zone fleet, one edit, and requests around it; exit code 1 when anything is off."""
+    from pewtertack.lab.demo import format_demo, run_demo
+    from pewtertack.lab.deployments import shape_of
+
+    result = anyio.run(run_demo, shape_of(deployment, examples, nodes_per_zone))
+    typer.echo(format_demo(result))
+    raise typer.Exit(1 if result.problems() else 0)
--- /dev/null
+++ b/src/pewtertack/lab/demo.py
@@ -0,0 +1,220 @@
+"""The demo: a four-zone fleet, one edit, and requests before, during and after it."""
+
+from __future__ import annotations
+
+import tempfile
+import time
+from collections import Counter
+from collections.abc import Iterator, Sequence
+from dataclasses import dataclass, replace
+from enum import StrEnum
+from pathlib import Path
+
+import anyio
+import msgspec
+
+from pewtertack.lab.fleet.fleet import Fleet
+from pewtertack.lab.fleet.history import HistoryRecorder
+from pewtertack.lab.fleet.plan import FleetShape, plan_fleet
+from pewtertack.lab.history.verdicts import CheckBounds, Judgement, Verdict
+from pewtertack.lab.load.caller import Caller, Target
+from pewtertack.lab.load.mix import CallKind
+from pewtertack.lab.records import Edit, HistoryLine, Told, ToldOutcome
+from pewtertack.lab.report.convergence import Convergence
+from pewtertack.lab.report.report import convergence_of, judge_lines
+from pewtertack.lab.report.statistics import distribution_of
+from pewtertack.lab.report.table import format_table, format_verdicts
+from pewtertack.lab.report.traffic import PeerTraffic, sample_traffic, traffic_between
+from pewtertack.lab.scenarios.edits import TreeEditor
+
+PHASE_SECONDS = 4.0
+RATE = 80.0
+CONVERGENCE_SECONDS = 15.0
+BOUNDS = CheckBounds(convergence=3.0, recovery=3.5)
+STATUS_OK = 200
+
+NEW_ROUTE = "demo"
+NEW_CALL = CallKind(
+    route=NEW_ROUTE,
+    host="demo.example",
+    path="/demo/1",
+    method="GET",
+    repeatable=True,
+    weight=1.0,
+    work_milliseconds=2.0,
+    answer_bytes=256,
+    body_bytes=0,
+    patience=5.0,
+)
+
+
+class Phase(StrEnum):
+    """When a request ended, relative to the edit."""
+
+    BEFORE = "before"
+    DURING = "during"
+    AFTER = "after"
+
+
+@dataclass(frozen=True, slots=True)
+class DemoResult:
+    """What the demo measured."""
+
+    edit: Edit
+    in_force_at: float
+    """When the lab saw the edit in force on every node; Unix time."""
+    new_route_before: list[Told]
+    new_route_after: list[Told]
+    convergence: Convergence
+    traffic: PeerTraffic
+    tree_bytes: int
+    lines: Sequence[HistoryLine]
+    verdicts: list[Verdict]
+
+    def told(self, phase: Phase) -> Iterator[Told]:
+        """Yield what the load's callers were told in one phase."""
+        for line in self.lines:
+            if isinstance(line, Told) and line.route != NEW_ROUTE and self._phase(line) is phase:
+                yield line
+
+    def _phase(self, told: Told) -> Phase:
+        if told.time < self.edit.time:
+            return Phase.BEFORE
+        return Phase.DURING if told.time < self.in_force_at else Phase.AFTER
+
+    def problems(self) -> list[str]:
+        """Return everything that is off; empty for a good run."""
+        found = []
+        for phase in Phase:
+            told = list(self.told(phase))
+            failed = [line for line in told if not is_good_answer(line)]
+            if failed:
+                found.append(f"{len(failed)} of {len(told)} requests failed {phase} the edit")
+        if not any(self.told(Phase.BEFORE)) or not any(self.told(Phase.AFTER)):
+            found.append("no requests before or after the edit")
+        if not all(line.outcome is ToldOutcome.NOT_RUN for line in self.new_route_before):
+            found.append("the new route was served before the edit")
+        if not all(is_good_answer(line) for line in self.new_route_after):
+            found.append("the new route failed on a node after the edit")
+        if self.convergence.missing:
+            found.append("the edit is not in force on every node")
+        violated = [v.promise for v in self.verdicts if v.judgement is Judgement.VIOLATED]
+        return found + [f"violated: {promise}" for promise in violated]
+
+
+def is_good_answer(told: Told) -> bool:
+    """Tell whether a caller got the whole answer to its own request."""
+    answered = told.outcome is ToldOutcome.ANSWERED and told.status == STATUS_OK
+    return answered and told.checksum_ok and told.own_answer
+
+
+async def run_demo(shape: FleetShape) -> DemoResult:
+    """Run the demo's fleet.
+
+    Raises:
+        LabError: a process failed, or the edit did not get everywhere in time.
+    """
+    plan = plan_fleet(replace(shape, has_relay=False))
+    with (
+        tempfile.TemporaryDirectory(prefix="pewtertack-demo-") as directory,
+        HistoryRecorder(Path(directory) / "history.jsonl") as recorder,
+    ):
+        async with Fleet(plan, Path(directory), recorder) as fleet:
+            await fleet.start_nodes()
+            await fleet.wait_serving()
+            await fleet.wait_in_force(1)
+            return await _edit_under_load(fleet)
+
+
+async def _edit_under_load(fleet: Fleet) -> DemoResult:
+    first = await sample_traffic(fleet)
+    load = await fleet.start_load("demo", RATE)
+    await anyio.sleep(PHASE_SECONDS)
+    before = await _ask_every_node(fleet, "before")
+    edit = await fleet.platform.put_tree(_tree_with_new_route(fleet))
+    await fleet.wait_in_force(edit.revision, seconds=CONVERGENCE_SECONDS)
+    in_force_at = time.time()
+    after = await _ask_every_node(fleet, "after")
+    await anyio.sleep(PHASE_SECONDS)
+    await fleet.stop_load(load)
+    last = await sample_traffic(fleet)
+    lines = list(fleet.recorder.lines)
+    return DemoResult(
+        edit=edit,
+        in_force_at=in_force_at,
+        new_route_before=before,
+        new_route_after=after,
+        convergence=convergence_of(lines),
+        traffic=traffic_between(first, last),
+        tree_bytes=len(msgspec.json.encode(fleet.plan.shape.tree)),
+        lines=lines,
+        verdicts=judge_lines(lines, BOUNDS),
+    )
+
+
+def _tree_with_new_route(fleet: Fleet) -> dict[str, object]:
+    shape = fleet.plan.shape
+    route = {
+        "service": sorted(shape.services)[0],
+        "hosts": [NEW_CALL.host],
+        "path_prefix": "/demo",
+        "methods": ["GET"],
+        "repeatable": True,
+    }
+    return TreeEditor(shape.tree, 0).with_route(NEW_ROUTE, route)
+
+
+async def _ask_every_node(fleet: Fleet, prefix: str) -> list[Told]:
+    """Ask every node once for the route that the edit adds."""
+    answers = []
+    for node in fleet.plan.nodes.values():
+        caller = Caller(Target(node.name, node.proxy))
+        told = await caller.ask(NEW_CALL, f"{prefix}-{node.name}")
+        await caller.close()
+        fleet.recorder.record(told)
+        answers.append(told)
+    return answers
+
+
+def format_demo(result: DemoResult) -> str:
+    """Return the demo's output as text."""
+    delay = result.convergence.each_node
+    edit, traffic = result.edit, result.traffic
+    lines = [
+        f"edit {edit.revision} in force on all {delay.count} nodes after {delay.max:.3f} s"
+        f" (p50 {delay.p50:.3f} s)",
+        f"peer bytes sent per node: control {traffic.control:.0f} B/s,"
+        f" configuration {traffic.configuration_bytes:.0f} B for the one edit"
+        f" (the whole tree is {result.tree_bytes} B as JSON)",
+        "",
+        _outcome_table(result),
+        "",
+        format_verdicts(result.verdicts),
+        *[f"problem: {problem}" for problem in result.problems()],
+    ]
+    return "\n".join(lines)
+
+
+def _outcome_table(result: DemoResult) -> str:
+    rows = []
+    for phase in Phase:
+        told = list(result.told(phase))
+        counts = Counter(line.outcome for line in told)
+        latency = distribution_of(line.latency * 1000 for line in told)
+        rows.append(
+            [
+                phase,
+                len(told),
+                sum(map(is_good_answer, told)),
+                counts[ToldOutcome.NOT_RUN],
+                counts[ToldOutcome.UNKNOWN],
+                sum(counts[outcome] for outcome in _BROKEN),
+                f"{latency.p50:.1f}",
+                f"{latency.p99:.1f}",
+            ]
+        )
+    header = ("phase", "requests", "whole", "not run", "unknown", "broken", "p50 ms", "p99 ms")
+    return format_table(header, rows)
+
+
+_BROKEN = (ToldOutcome.NOT_CONNECTED, ToldOutcome.CUT, ToldOutcome.TIMED_OUT)
--- a/src/pewtertack/lab/fleet/fleet.py
+++ b/src/pewtertack/lab/fleet/fleet.py
@@ -22,6 +22,7 @@
 from pewtertack.lab.fleet.settings import write_files
 from pewtertack.lab.records import (
     BackendFault,
+    BackendLeaving,
     NodeExit,
     NodeKill,
     NodePause,
@@ -177,6 +178,11 @@
         self.recorder.record(NodeExit(time=time.time(), node=name, code=code))
         return code
 
+    async def leave_by_list(self, backend: str) -> None:
+        """Mark a back end as leaving in the machine list only; it does not say so itself."""
+        self.recorder.record(BackendLeaving(time=time.time(), backend=backend))
+        await self.platform.mark_leaving(backend)
+
     async def kill_backend_process(self, name: str) -> None:
         """Kill the process of a back end (SIGKILL)."""
         self._signal_backend(name, signal.SIGKILL, "killed")
--- /dev/null
+++ b/src/pewtertack/lab/scenarios/__init__.py
@@ -0,0 +1,1 @@
+"""Named failure scenarios over a fleet of real processes."""
--- /dev/null
+++ b/src/pewtertack/lab/scenarios/catalogue.py
@@ -0,0 +1,73 @@
+"""All scenarios by name."""
+
+from __future__ import annotations
+
+from dataclasses import replace
+
+from pewtertack.lab.backend.state import Capacity
+from pewtertack.lab.errors import UnknownScenarioError
+from pewtertack.lab.fleet.plan import FleetShape
+from pewtertack.lab.history.verdicts import Promise
+from pewtertack.lab.scenarios import configuration, requests, storm
+from pewtertack.lab.scenarios.scenario import (
+    CONFIGURATION_PROMISES,
+    REQUEST_PROMISES,
+    Body,
+    Scenario,
+)
+
+REQUEST_RATE = 80.0
+COLD_SECONDS = 2.0
+
+
+def _separate_backends(shape: FleetShape) -> FleetShape:
+    return replace(shape, separate_backends=True, capacity=Capacity(cold_period=COLD_SECONDS))
+
+
+def _describe(body: Body) -> str:
+    return (body.__doc__ or "").strip().splitlines()[0]
+
+
+def _configuration(name: str, body: Body, *promises: Promise) -> Scenario:
+    required = (*CONFIGURATION_PROMISES, *REQUEST_PROMISES, *promises)
+    return Scenario(name, _describe(body), body, required)
+
+
+def _requests(name: str, body: Body, *promises: Promise) -> Scenario:
+    required = (*REQUEST_PROMISES, *promises)
+    return Scenario(name, _describe(body), body, required, _separate_backends, REQUEST_RATE)
+
+
+_ALL = (
+    _configuration("steady-edits", configuration.steady_edits),
+    _configuration("herd-killed", configuration.herd_killed),
+    _configuration("nodes-paused", configuration.nodes_paused),
+    _configuration("zone-cut-off", configuration.zone_cut_off),
+    _configuration("one-way-cut", configuration.one_way_cut),
+    _configuration("source-down", configuration.source_down),
+    _configuration("source-stale", configuration.source_stale),
+    _configuration("machine-list-down", configuration.machine_list_down),
+    _configuration("bad-revisions", configuration.bad_revisions, Promise.REJECTED_UNUSED),
+    _requests("backends-killed", requests.backends_killed),
+    _requests("backends-frozen", requests.backends_frozen),
+    _requests("backends-shedding", requests.backends_shedding),
+    _requests("backends-leaving", requests.backends_leaving, Promise.LEAVING_UNUSED),
+    _requests("backends-lying", requests.backends_lying),
+    _requests("answers-late-and-crossed", requests.answers_late_and_crossed),
+    _requests("nodes-stopped", requests.nodes_stopped, Promise.STOP_CUTS_NOTHING),
+    _requests("routes-moved", requests.routes_moved, *CONFIGURATION_PROMISES),
+    _requests("storm", storm.storm, *CONFIGURATION_PROMISES),
+)
+
+SCENARIOS = {scenario.name: scenario for scenario in _ALL}
+
+
+def find_scenario(name: str) -> Scenario:
+    """Return a scenario.
+
+    Raises:
+        UnknownScenarioError: there is none of this name.
+    """
+    if name not in SCENARIOS:
+        raise UnknownScenarioError(f"no scenario {name!r}; there are {', '.join(SCENARIOS)}")
+    return SCENARIOS[name]
--- /dev/null
+++ b/src/pewtertack/lab/scenarios/context.py
@@ -0,0 +1,69 @@
+"""What the body of a scenario works with."""
+
+from __future__ import annotations
+
+import random
+from dataclasses import dataclass, field
+
+import anyio
+
+from pewtertack.lab.fleet.fleet import Fleet
+from pewtertack.lab.records import Edit
+from pewtertack.lab.scenarios.edits import TreeEditor
+
+
+@dataclass(slots=True)
+class ScenarioContext:
+    """A running fleet with callers, a seeded generator, and the operators' edits."""
+
+    fleet: Fleet
+    random: random.Random
+    editor: TreeEditor
+    newest_valid: int = 1
+    problems: list[str] = field(default_factory=list)
+
+    async def edit(self) -> Edit:
+        """Make a good edit."""
+        return self._remember(await self.fleet.platform.put_tree(self.editor.good()))
+
+    async def edit_moving_a_route(self) -> Edit:
+        """Make an edit that moves a route to another service."""
+        return self._remember(await self.fleet.platform.put_tree(self.editor.moved()))
+
+    async def edit_badly(self) -> Edit:
+        """Make an edit that must be rejected."""
+        return self._remember(await self.fleet.platform.put_tree(self.editor.bad()))
+
+    def _remember(self, edit: Edit) -> Edit:
+        if edit.valid:
+            self.newest_valid = edit.revision
+        return edit
+
+    async def edit_for(self, seconds: float, pause: float) -> None:
+        """Make good edits for a while, with random gaps around ``pause`` seconds."""
+        with anyio.move_on_after(seconds):
+            while True:
+                with anyio.CancelScope(shield=True):
+                    await self.edit()
+                await anyio.sleep(self.random.uniform(0.5, 1.5) * pause)
+
+    async def wait_for_newest(self) -> None:
+        """Wait until the newest good edit is in force on every running node."""
+        await self.fleet.wait_in_force(self.newest_valid)
+
+    def some_nodes(self, count: int) -> list[str]:
+        """Pick ``count`` of all nodes."""
+        return self.random.sample(sorted(self.fleet.plan.nodes), count)
+
+    def half_of_the_nodes(self) -> list[str]:
+        """Pick half of all nodes."""
+        return self.some_nodes(len(self.fleet.plan.nodes) // 2)
+
+    def some_backends(self, count: int) -> list[str]:
+        """Pick ``count`` back ends."""
+        return self.random.sample(sorted(self.fleet.plan.backends), count)
+
+    def expect(self, holds: bool, problem: str) -> None:
+        """Note ``problem`` unless ``holds``."""
+        if not holds:
+            self.problems.append(problem)
--- /dev/null
+++ b/src/pewtertack/lab/scenarios/runner.py
@@ -0,0 +1,120 @@
+"""Runs a scenario: fleet, callers, body, settling, report."""
+
+from __future__ import annotations
+
+import random
+import tempfile
+import time
+from dataclasses import dataclass
+from pathlib import Path
+
+import anyio
+
+from pewtertack.errors import LabError
+from pewtertack.lab.fleet.fleet import Fleet
+from pewtertack.lab.fleet.history import HistoryRecorder
+from pewtertack.lab.fleet.plan import FleetPlan, FleetShape, plan_fleet
+from pewtertack.lab.history.verdicts import CheckBounds
+from pewtertack.lab.platform.application import Counters
+from pewtertack.lab.records import Edit
+from pewtertack.lab.report.report import Report, convergence_of, judge_lines, routes_of
+from pewtertack.lab.report.traffic import PeerTraffic, sample_traffic, traffic_between
+from pewtertack.lab.scenarios.context import ScenarioContext
+from pewtertack.lab.scenarios.edits import TreeEditor
+from pewtertack.lab.scenarios.scenario import Scenario
+
+BOUNDS = CheckBounds(convergence=6.0, recovery=20.0)
+"""Tighter than the defaults: the fleet is small. Loose enough for a busy machine."""
+SETTLE_SECONDS = BOUNDS.convergence + 1.0
+"""Undisturbed time at the end, so that the last edits are judged."""
+SCENARIO_SECONDS = 180.0
+
+
+@dataclass(frozen=True, slots=True)
+class _Outcome:
+    """What was measured while the fleet ran."""
+
+    traffic: PeerTraffic
+    source: Counters
+    problems: list[str]
+
+
+async def run_scenario(scenario: Scenario, shape: FleetShape, seed: int, history: Path) -> Report:
+    """Run ``scenario`` and write its history to the file ``history``.
+
+    Raises:
+        LabError: the fleet could not be started.
+    """
+    plan = plan_fleet(scenario.adjust(shape))
+    began = time.monotonic()
+    with (
+        tempfile.TemporaryDirectory(prefix="pewtertack-lab-") as directory,
+        HistoryRecorder(history) as recorder,
+    ):
+        async with Fleet(plan, Path(directory), recorder) as fleet:
+            outcome = await _run(scenario, fleet, seed)
+        problems = [*outcome.problems, *_errors_written(plan, Path(directory))]
+    lines = recorder.lines
+    return Report(
+        scenario=scenario.name,
+        seed=seed,
+        seconds=round(time.monotonic() - began, 3),
+        nodes=len(plan.nodes),
+        backends=len(plan.backends),
+        edits=sum(1 for line in lines if isinstance(line, Edit)) - 1,
+        convergence=convergence_of(lines),
+        traffic=outcome.traffic,
+        source=outcome.source,
+        routes=routes_of(lines),
+        verdicts=judge_lines(lines, BOUNDS),
+        required=list(scenario.required),
+        problems=problems,
+        stray_lines=recorder.stray_lines,
+    )
+
+
+async def _run(scenario: Scenario, fleet: Fleet, seed: int) -> _Outcome:
+    await fleet.start_nodes()
+    await fleet.wait_serving()
+    await fleet.wait_in_force(1)
+    load = await fleet.start_load("callers", scenario.rate, seed)
+    first = await sample_traffic(fleet)
+    editor = TreeEditor(fleet.plan.shape.tree, seed)
+    context = ScenarioContext(fleet, random.Random(f"scenario:{seed}"), editor)
+    await _run_body(scenario, context)
+    await anyio.sleep(SETTLE_SECONDS)
+    last = await sample_traffic(fleet)
+    code = await fleet.stop_load(load)
+    context.expect(code == 0, f"the callers ended with exit code {code}: {load.error_tail()}")
+    for name in sorted(set(fleet.plan.nodes) - set(fleet.running_nodes())):
+        context.problems.append(f"{name} does not run at the end")
+    source = await fleet.platform.source_counters()
+    return _Outcome(traffic_between(first, last), source, context.problems)
+
+
+async def _run_body(scenario: Scenario, context: ScenarioContext) -> None:
+    """Run the body; a condition that never came true becomes a problem of the report."""
+    try:
+        with anyio.fail_after(SCENARIO_SECONDS):
+            await scenario.body(context)
+    except* (LabError, TimeoutError) as group:
+        context.problems += [f"{type(error).__name__}: {error}" for error in leaves_of(group)]
+
+
+def leaves_of(group: BaseExceptionGroup[BaseException]) -> list[BaseException]:
+    """Return the exceptions of a group that are no groups themselves."""
+    found: list[BaseException] = []
+    for error in group.exceptions:
+        found += leaves_of(error) if isinstance(error, BaseExceptionGroup) else [error]
+    return found
+
+
+def _errors_written(plan: FleetPlan, directory: Path) -> list[str]:
+    """Return what nodes wrote to standard error."""
+    found = []
+    for name in plan.nodes:
+        path = directory / f"{name}.stderr"
+        text = path.read_text(errors="replace").strip() if path.exists() else ""
+        if text:
+            found.append(f"{name} wrote to standard error: {text[-1000:]}")
+    return found
