--- a/src/pewtertack/cli/lab.py
+++ b/src/pewtertack/cli/lab.py
@@ -12,6 +12,7 @@
 import msgspec
 import typer
 
+from pewtertack.cli.exit_codes import ExitCode
 from pewtertack.lab.address import Address
 from pewtertack.lab.errors import LabUsageError
 
@@ -186,7 +187,7 @@
         report.write_bytes(msgspec.json.format(msgspec.json.encode(result)))
     typer.echo(format_report(result))
     typer.echo("passed" if result.passed else "failed")
-    raise typer.Exit(0 if result.passed else 1)
+    raise typer.Exit(ExitCode.OK if result.passed else ExitCode.FOUND)
 
 
 @app.command()
@@ -201,4 +202,4 @@
 
     result = anyio.run(run_demo, shape_of(deployment, examples, nodes_per_zone))
     typer.echo(format_demo(result))
-    raise typer.Exit(1 if result.problems() else 0)
+    raise typer.Exit(ExitCode.FOUND if result.problems() else ExitCode.OK)
--- a/src/pewtertack/cli/main.py
+++ b/src/pewtertack/cli/main.py
@@ -8,7 +8,7 @@
 
 import typer
 
-from pewtertack.cli import lab
+from pewtertack.cli import lab, tree
 
 app = typer.Typer(
     name="pewtertack",
@@ -24,4 +24,7 @@
     """Distribute configuration to the proxies of a service mesh."""
 
 
+app.command("check")(tree.check)
+app.command("explain")(tree.explain)
+app.command("diff")(tree.diff)
 app.add_typer(lab.app, name="lab")
