--- a/src/pewtertack/node/daemon.py
+++ b/src/pewtertack/node/daemon.py
@@ -14,6 +14,7 @@
 from pewtertack.events import Event
 from pewtertack.log import EventLog
 from pewtertack.node.http_server import EmbeddedServer, embedded_server
+from pewtertack.node.proxy.protocol import GuardedHttpProtocol
 from pewtertack.node.runtime import Runtime
 from pewtertack.node.sockets import NodeSockets, address_of
 from pewtertack.node.transport import PeerTransport
@@ -95,7 +96,7 @@
     def __init__(self, proxy: DrainableProxy, keep_alive: float) -> None:
         self.proxy = proxy
         self.stopped = anyio.Event()
-        self._server: EmbeddedServer = embedded_server(proxy, keep_alive)
+        self._server: EmbeddedServer = embedded_server(proxy, keep_alive, GuardedHttpProtocol)
 
     async def serve(self, sockets: NodeSockets) -> None:
         """Accept callers until told to stop."""
--- a/src/pewtertack/node/http_server.py
+++ b/src/pewtertack/node/http_server.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import asyncio
 import contextlib
 from collections.abc import Iterator
 from typing import Any
@@ -22,16 +23,20 @@
         yield
 
 
-def embedded_server(application: Any, keep_alive: float) -> EmbeddedServer:
+def embedded_server(
+    application: Any, keep_alive: float, protocol: type[asyncio.Protocol] | None = None
+) -> EmbeddedServer:
     """Return a server for an ASGI application.
 
-    ``keep_alive`` is how many seconds an idle connection stays open. The loop is
-    named because uvicorn would otherwise take uvloop where it finds one.
+    ``keep_alive`` is how many seconds an idle connection stays open; ``protocol``
+    replaces uvicorn's protocol for a connection. The loop is named because
+    uvicorn would otherwise take uvloop where it finds one.
     """
     config = uvicorn.Config(
         application,
-        http="httptools",
+        http=protocol or "httptools",
         loop="asyncio",
+        interface="asgi3",
         ws="none",
         lifespan="off",
         log_config=None,
--- a/src/pewtertack/node/proxy/application.py
+++ b/src/pewtertack/node/proxy/application.py
@@ -4,6 +4,7 @@
 
 from collections.abc import Callable
 from random import Random
+from typing import Any, Protocol
 
 import anyio
 from prometheus_client import CollectorRegistry
@@ -28,15 +29,19 @@
 )
 from pewtertack.routing.table import RouteTable
 
-EventLog = Callable[[Event, dict[str, object]], None]
-"""Called with an event and its fields, for the node's log."""
+
+class RecordEvent(Protocol):
+    """``pewtertack.log.EventLog.record``."""
+
+    def __call__(self, event: Event, **fields: Any) -> None:
+        """Record an event with its fields."""
 
 
 def _always() -> bool:
     return True
 
 
-def _ignore_event(event: Event, fields: dict[str, object]) -> None:
+def _ignore_event(event: Event, **fields: Any) -> None:
     """Log nothing."""
 
 
@@ -61,7 +66,7 @@
         *,
         may_serve: Callable[[], bool] = _always,
         registry: CollectorRegistry | None = None,
-        log: EventLog = _ignore_event,
+        log: RecordEvent = _ignore_event,
     ) -> None:
         self._clock = clock
         self._random = random
@@ -128,14 +133,19 @@
             head.request_id = head.request_id or f"{self._random.getrandbits(128):032x}"
             await self._forward(scope, receive, send, head)
         except RequestFailedError as error:
-            self._log(Event.REQUEST_REFUSED, {"type": error.code, "request": head.request_id})
+            self._log(
+                Event.REQUEST_REFUSED,
+                type=error.code,
+                outcome=error.outcome,
+                request=head.request_id,
+            )
             await send_failure(send, error, head.request_id)
         except (CallerGoneError, TruncatedAnswerError):
             return  # uvicorn closes a connection whose answer was left incomplete
 
     def _log_backend_change(self, change: BackendChanged) -> None:
         event = Event.BACKEND_EJECTED if change.ejected else Event.BACKEND_RETURNED
-        self._log(event, {"backend": change.backend.name, "service": change.backend.service})
+        self._log(event, backend=change.backend.name, service=change.backend.service)
 
     def _check_serving(self) -> None:
         if self._draining:
--- a/src/pewtertack/node/proxy/forwarding.py
+++ b/src/pewtertack/node/proxy/forwarding.py
@@ -31,7 +31,7 @@
 )
 from pewtertack.routing.queueing import Ticket
 
-FAILED_STATUSES = frozenset({500, 502, 503, 504})
+FAILED_STATUSES = frozenset({500, 502, 503})
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/pewtertack/node/proxy/headers.py
+++ b/src/pewtertack/node/proxy/headers.py
@@ -6,7 +6,7 @@
 
 from pewtertack.core.configuration.resolved import ResolvedConfiguration, ResolvedRoute
 from pewtertack.routing.deadlines import DEADLINE_HEADER, header_for
-from pewtertack.routing.outcomes import InvalidRequestError
+from pewtertack.routing.outcomes import InvalidRequestError, UpgradeRefusedError
 
 RawHeaders = list[tuple[bytes, bytes]]
 
@@ -50,9 +50,10 @@
 
     Raises:
         InvalidRequestError: not exactly one host, or ambiguous body framing.
+        UpgradeRefusedError: the caller asks for another protocol.
     """
     head = RequestHead()
-    hosts = lengths = 0
+    hosts = lengths = codings = 0
     for name, value in headers:
         if name == b"host":
             hosts += 1
@@ -61,20 +62,32 @@
             lengths += 1
             head.has_body = head.has_body or value.strip() != b"0"
         elif name == b"transfer-encoding":
-            head.chunked = head.has_body = True
+            codings += 1
+            head.chunked = head.has_body = is_plain_chunked(value)
         elif name == REQUEST_ID:
             head.request_id = _usable_request_id(value)
         elif name == DEADLINE:
             head.deadline = value.decode("latin-1")
         elif name == b"connection":
             head.connection_options |= _options(value)
-    if hosts != 1:
-        raise InvalidRequestError("a request needs exactly one host header")
-    if lengths > 1 or (lengths and head.chunked):
+    if lengths + codings > 1 or head.chunked != bool(codings):
         raise InvalidRequestError("ambiguous body length")
+    _check_shape(head, hosts)
     return head
 
 
+def is_plain_chunked(transfer_encoding: bytes) -> bool:
+    """Tell whether the only transfer coding is "chunked"."""
+    return transfer_encoding.strip().lower() == b"chunked"
+
+
+def _check_shape(head: RequestHead, hosts: int) -> None:
+    if hosts != 1:
+        raise InvalidRequestError("a request needs exactly one host header")
+    if b"upgrade" in head.connection_options:
+        raise UpgradeRefusedError("no other protocol is spoken here")
+
+
 def _host_name(value: bytes) -> str:
     text = value.decode("latin-1").strip().lower()
     if text.startswith("["):
--- a/src/pewtertack/routing/dispatcher.py
+++ b/src/pewtertack/routing/dispatcher.py
@@ -29,7 +29,7 @@
 
     ANSWERED = "answered"
     FAILED_STATUS = "failed-status"
-    """An answer of status 500, 502, 503 or 504, other than a shed request."""
+    """An answer of status 500, 502 or 503, other than a shed request."""
     SHED = "shed"
     UNREACHABLE = "unreachable"
     BROKEN = "broken"
--- a/src/pewtertack/routing/outcomes.py
+++ b/src/pewtertack/routing/outcomes.py
@@ -90,6 +90,13 @@
     status: ClassVar[int] = 505
 
 
+class UpgradeRefusedError(InvalidRequestError):
+    """The caller asks to change the protocol of its connection."""
+
+    code: ClassVar[str] = "upgrade-refused"
+    close_connection: ClassVar[bool] = True
+
+
 class SlowRequestError(RequestFailedError):
     """The caller sent its request too slowly."""
 
