--- a/src/pewtertack/node/assembly.py
+++ b/src/pewtertack/node/assembly.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
 from random import Random
 
 from prometheus_client import CollectorRegistry
@@ -13,8 +14,10 @@
 from pewtertack.node import clock
 from pewtertack.node.admin import AdminApplication
 from pewtertack.node.daemon import NodeParts
+from pewtertack.node.gate import ServingGate
 from pewtertack.node.metrics import CoordinationCollector
 from pewtertack.node.platform import PlatformLimits, PlatformReader
+from pewtertack.node.proxy.application import ProxyApplication
 from pewtertack.node.runtime import Runtime
 from pewtertack.node.sockets import NodeSockets, address_of, bind_sockets
 from pewtertack.node.status import AddressStatus
@@ -32,7 +35,6 @@
     """
     sockets = bind_sockets(settings, place)
     started = clock.now()
-    random = Random()
     identity = _identity(settings, sockets)
     log = EventLog(identity.name, identity.incarnation)
     traffic = Traffic()
@@ -41,13 +43,29 @@
     platform = _platform(settings)
     seeds = tuple(str(seed) for seed in settings.peers.seeds)
     profile = PROFILES[settings.profile.name.value]
-    core = NodeCore(identity, profile, random, started, seeds)
-    runtime = Runtime(core, profile.tick, profile.pause_threshold, transport, platform, None, log)
+    gate = ServingGate(profile.pause_threshold)
+    proxy = _proxy(settings, gate, registry, log)
+    core = NodeCore(identity, profile, Random(), started, seeds)
+    runtime = Runtime(core, profile.tick, gate, transport, platform, proxy, log)
     addresses = _addresses(sockets, identity)
-    view = NodeView(core, runtime, traffic, addresses, lambda: 0, started)
+    view = NodeView(core, runtime, gate, traffic, addresses, _in_flight_of(proxy), started)
     registry.register(CoordinationCollector(view.status, traffic))
     admin = AdminApplication(view, registry)
-    return NodeParts(settings, sockets, runtime, transport, admin, None, log, platform.close)
+    return NodeParts(settings, sockets, runtime, transport, admin, proxy, log, platform.close)
+
+
+def _proxy(
+    settings: Settings, gate: ServingGate, registry: CollectorRegistry, log: EventLog
+) -> ProxyApplication | None:
+    if settings.listen.proxy is None:
+        return None
+    return ProxyApplication(
+        clock.now, Random(), may_serve=gate.may_serve, registry=registry, log=log.record
+    )
+
+
+def _in_flight_of(proxy: ProxyApplication | None) -> Callable[[], int]:
+    return lambda: proxy.in_flight if proxy is not None else 0
 
 
 def _identity(settings: Settings, sockets: NodeSockets) -> NodeIdentity:
--- a/src/pewtertack/node/runtime.py
+++ b/src/pewtertack/node/runtime.py
@@ -32,6 +32,7 @@
 from pewtertack.events import Event
 from pewtertack.log import EventLog
 from pewtertack.node import clock
+from pewtertack.node.gate import ServingGate
 from pewtertack.wire.frames import Envelope
 from pewtertack.wire.messages import Message
 
@@ -81,7 +82,7 @@
     Args:
         core: the state machine.
         tick: seconds between ``Ticked`` inputs.
-        pause_threshold: seconds without a tick after which callers are refused.
+        gate: told of ticks and of the core's word on serving.
         transport, reader, proxy: where effects go; ``proxy`` is absent on a node
             that only replicates.
         log: receives the core's events.
@@ -91,7 +92,7 @@
         self,
         core: Core,
         tick: float,
-        pause_threshold: float,
+        gate: ServingGate,
         transport: Transport,
         reader: DocumentReader,
         proxy: Proxy | None,
@@ -99,35 +100,25 @@
     ) -> None:
         self._core = core
         self._tick = tick
-        self._pause_threshold = pause_threshold
+        self._gate = gate
         self._transport = transport
         self._reader = reader
         self._proxy = proxy
         self._log = log
         self._tasks: TaskGroup | None = None
-        self._last_tick = clock.now()
         self._refusals_logged: dict[str, float] = {}
         self.failed_messages: Counter[str] = Counter()
         """Messages whose handling failed, by the type of the error."""
-        self.serving = False
         self.in_force_since: float | None = None
         """Unix time of the last swap."""
 
-    def may_serve(self) -> bool:
-        """Tell whether callers may be served now.
-
-        A process that was paused refuses until its ticker ran and the core
-        looked at the gap.
-        """
-        return self.serving and clock.now() - self._last_tick <= self._pause_threshold
-
     async def run(self) -> None:
         """Tick until cancelled."""
         async with anyio.create_task_group() as tasks:
             self._tasks = tasks
             while True:
                 self.feed(Ticked())
-                self._last_tick = clock.now()
+                self._gate.ticked()
                 await anyio.sleep(self._tick)
 
     def feed(self, event: Input) -> None:
@@ -137,7 +128,7 @@
 
     def drain(self) -> None:
         """Tell the core that the process has been asked to stop."""
-        self.serving = False
+        self._gate.set_serving(False)
         self.feed(DrainRequested())
 
     def receive(self, envelope: Envelope) -> None:
@@ -185,7 +176,7 @@
         self.in_force_since = clock.unix_time()
 
     def _set_serving(self, serving: bool, retry_after: float) -> None:
-        self.serving = serving
+        self._gate.set_serving(serving)
         if self._proxy is not None:
             self._proxy.set_serving(serving, retry_after)
 
--- a/src/pewtertack/node/view.py
+++ b/src/pewtertack/node/view.py
@@ -12,6 +12,7 @@
 from pewtertack.core.replication.replica import Rejection
 from pewtertack.core.revision import NO_REVISION, RevisionId
 from pewtertack.node import clock
+from pewtertack.node.gate import ServingGate
 from pewtertack.node.runtime import Runtime
 from pewtertack.node.status import (
     AddressStatus,
@@ -33,6 +34,7 @@
 
     core: NodeCore
     runtime: Runtime
+    gate: ServingGate
     traffic: Traffic
     addresses: AddressStatus
     in_flight: Callable[[], int]
@@ -53,7 +55,7 @@
             incarnation=identity.incarnation,
             profile=self.core.profile.name,
             phase=self.core.phase.value,
-            serving=self.runtime.may_serve(),
+            serving=self.gate.may_serve(),
             uptime=round(now - self.started, 3),
             addresses=self.addresses,
             held=_revision(replica.held),
@@ -96,7 +98,7 @@
 
     def may_serve(self) -> bool:
         """Tell whether callers are served now."""
-        return self.runtime.may_serve()
+        return self.gate.may_serve()
 
     def _peers_by_status(self) -> dict[str, int]:
         members = self.core.membership.table.all()
