Relay: let one sender reach many at once; notice stand-ins that end by themselves

Cause: two receivers' loops sent from one sender's socket at the same moment and anyio refuses the second; the relay ended and the fleet waited 40 s for nodes to serve. Sends from one socket now take turns, and a stand-in that ends by itself fails the run at once. The test fails without the change.

--- a/src/pewtertack/lab/fleet/fleet.py
+++ b/src/pewtertack/lab/fleet/fleet.py
@@ -11,6 +11,7 @@
 import anyio
 import anyio.abc
 
+from pewtertack.lab.errors import ProcessFailedError
 from pewtertack.lab.fleet.backends import BackendControl
 from pewtertack.lab.fleet.control import ControlClient
 from pewtertack.lab.fleet.history import HistoryRecorder
@@ -108,6 +109,20 @@
             self._processes.append(process)
             await process.start(self._tasks)
             await process.wait_ready()
+            self._tasks.start_soon(self._guard, process)
+
+    async def _guard(self, process: LabProcess) -> None:
+        """Record a node that ends by itself.
+
+        Raises:
+            ProcessFailedError: a stand-in ended by itself.
+        """
+        code = await process.wait_ended()
+        if process.end_expected:
+            return
+        if process.name not in self.plan.nodes:
+            raise ProcessFailedError(f"{process.name} ended: {process.error_tail()}")
+        self.recorder.record(NodeExit(time=time.time(), node=process.name, code=code))
 
     async def start_nodes(self, names: Iterable[str] | None = None) -> None:
         """Start nodes, all by default, and wait until each is ready (not yet serving)."""
--- a/src/pewtertack/lab/fleet/process.py
+++ b/src/pewtertack/lab/fleet/process.py
@@ -19,6 +19,7 @@
 MAX_LINE_BYTES = 4 * 1024 * 1024
 READY_SECONDS = 30.0
 ERROR_TAIL_BYTES = 2000
+ENDING_SIGNALS = (signal.SIGKILL, signal.SIGTERM)
 
 LineHandler = Callable[[str, bytes], None]
 """Takes the process's name and one line of its standard output."""
@@ -51,6 +52,8 @@
         self._ready = anyio.Event()
         self._ended = anyio.Event()
         self._process: anyio.abc.Process | None = None
+        self.end_expected = False
+        """Whether the lab has asked the process to end."""
 
     @property
     def is_running(self) -> bool:
@@ -102,6 +105,8 @@
 
     def send_signal(self, number: signal.Signals) -> None:
         """Signal the process; nothing happens once it has ended."""
+        if number in ENDING_SIGNALS:
+            self.end_expected = True
         if self.is_running and self._process is not None:
             self._process.send_signal(number)
 
--- a/src/pewtertack/lab/relay/service.py
+++ b/src/pewtertack/lab/relay/service.py
@@ -50,6 +50,7 @@
         self._links = LinkTable(nodes, seed)
         self._changed = anyio.Event()
         self._sockets: dict[str, anyio.abc.UDPSocket] = {}
+        self._sending = {node.name: anyio.Lock() for node in nodes}
         self.counters = RelayCounters()
         handlers = {("PUT", "/links"): self._set_links, ("GET", "/counters"): self._get_counters}
         self.control = Listener(HandlerTable(dict(handlers)), control)
@@ -111,8 +112,9 @@
         if delay:
             await anyio.sleep(delay)
         self.counters.datagrams += 1
-        with contextlib.suppress(*STREAM_ERRORS):
-            await self._sockets[sender.name].sendto(data, node.listen.ip, node.listen.port)
+        async with self._sending[sender.name]:
+            with contextlib.suppress(*STREAM_ERRORS):
+                await self._sockets[sender.name].sendto(data, node.listen.ip, node.listen.port)
 
     async def _open_streams(self, node: RelayedNode, task_group: anyio.abc.TaskGroup) -> None:
         listener = await anyio.create_tcp_listener(
--- a/tests/lab/relay/test_service.py
+++ b/tests/lab/relay/test_service.py
@@ -63,6 +63,18 @@
             data, sender = await yaba.receive()
             self.assertEqual((data, sender), (b"pong", (RELAY_IP, self.lekki.advertised.port)))
 
+    async def test_one_sender_may_reach_many_at_once(self) -> None:
+        others = [make_node(f"o{index}", "lekki", f"127.0.202.{index}") for index in range(2, 6)]
+        async with running_relay(self.yaba, *others):
+            sockets = [await udp_socket(node) for node in others]
+            with contextlib.closing(socket.socket(socket.AF_INET, socket.SOCK_DGRAM)) as yaba:
+                yaba.bind((self.yaba.listen.ip, self.yaba.listen.port))
+                for node in others:
+                    yaba.sendto(b"ping", (RELAY_IP, node.advertised.port))
+            for receiving in sockets:
+                async with receiving:
+                    self.assertEqual((await receiving.receive())[0], b"ping")
+
     async def test_a_one_way_cut_drops_datagrams_in_one_direction(self) -> None:
         async with (
             running_relay(self.yaba, self.lekki) as relay,
