Demo and a real-process test of the whole path

The demo runs three nodes a zone: with two, every node reads the source and nothing is spread between peers. Requests 'during' are those in flight while the edit comes into force, since that takes tens of milliseconds.

--- a/src/pewtertack/cli/lab.py
+++ b/src/pewtertack/cli/lab.py
@@ -169,7 +169,7 @@
     report: Annotated[Path | None, typer.Option(help="Takes the report as JSON.")] = None,
     history: Annotated[Path | None, typer.Option(help="Takes the history, JSON lines.")] = None,
     deployment: Annotated[str, typer.Option(help="lagos or kolkata.")] = "lagos",
-    nodes_per_zone: int = 2,
+    nodes_per_zone: int = 3,
     examples: Annotated[Path, typer.Option(help="Directory of the trees.")] = Path("examples"),
 ) -> None:
     """Run a scenario in real processes; exit code 1 when anything is off."""
@@ -193,7 +193,7 @@
 @app.command()
 def demo(
     deployment: Annotated[str, typer.Option(help="lagos or kolkata.")] = "lagos",
-    nodes_per_zone: int = 2,
+    nodes_per_zone: int = 3,
     examples: Annotated[Path, typer.Option(help="Directory of the trees.")] = Path("examples"),
 ) -> None:
     """Run a four-zone fleet, one edit, and requests around it; exit code 1 when anything is off."""
--- /dev/null
+++ b/tests/lab/fleet/test_fleet.py
@@ -0,0 +1,70 @@
+"""A small fleet of real processes: an edit under load, and a node that knows only peers."""
+
+import tempfile
+import unittest
+from dataclasses import replace
+from pathlib import Path
+
+from pewtertack.lab.demo import NEW_CALL, is_good_answer
+from pewtertack.lab.deployments import shape_of
+from pewtertack.lab.fleet.fleet import Fleet
+from pewtertack.lab.fleet.history import HistoryRecorder
+from pewtertack.lab.fleet.plan import FleetPlan, plan_fleet
+from pewtertack.lab.load.caller import Caller, Target
+from pewtertack.lab.platform.store import Availability, Faults
+from pewtertack.lab.records import Told
+from pewtertack.lab.scenarios.edits import TreeEditor
+
+EXAMPLES = Path(__file__).resolve().parents[3] / "examples"
+ENOUGH_REQUESTS = 30
+SECONDS = 60.0
+
+
+def plan_of_four_nodes() -> FleetPlan:
+    shape = shape_of("lagos", EXAMPLES)
+    return plan_fleet(
+        replace(shape, zones=shape.zones[:2], services={"logbook": 2, "archive": 2}, profile="fast")
+    )
+
+
+class FleetTest(unittest.IsolatedAsyncioTestCase):
+    async def test_an_edit_reaches_every_node_and_no_request_fails(self) -> None:
+        plan = plan_of_four_nodes()
+        *first, last = plan.nodes
+        with (
+            tempfile.TemporaryDirectory() as directory,
+            HistoryRecorder(Path(directory) / "history.jsonl") as recorder,
+        ):
+            async with Fleet(plan, Path(directory), recorder) as fleet:
+                await fleet.start_nodes(first)
+                await fleet.wait_serving(first)
+                await self.edit_under_load(fleet, first)
+                await self.start_without_source(fleet, last)
+            told = [line for line in recorder.lines if isinstance(line, Told)]
+            self.assertEqual([line for line in told if not is_good_answer(line)], [])
+            self.assertEqual(recorder.stray_lines, [])
+
+    async def edit_under_load(self, fleet: Fleet, nodes: list[str]) -> None:
+        load = await fleet.start_load("callers", 40.0, nodes=nodes)
+        await self.wait_for_requests(fleet, ENOUGH_REQUESTS)
+        route = {"service": "logbook", "hosts": ["demo.example"], "path_prefix": "/demo"}
+        tree = TreeEditor(fleet.plan.shape.tree, 1).with_route("demo", route)
+        edit = await fleet.platform.put_tree(tree)
+        await fleet.wait_in_force(edit.revision, nodes, SECONDS)
+        await self.wait_for_requests(fleet, 2 * ENOUGH_REQUESTS)
+        self.assertEqual(await fleet.stop_load(load), 0)
+
+    async def wait_for_requests(self, fleet: Fleet, count: int) -> None:
+        def enough(_: object) -> bool:
+            return sum(isinstance(line, Told) for line in fleet.recorder.lines) >= count
+
+        await fleet.recorder.wait_until(enough, SECONDS, f"{count} requests")
+
+    async def start_without_source(self, fleet: Fleet, name: str) -> None:
+        """Start a node while the source refuses connections; it serves the edited route."""
+        await fleet.platform.fail_source(Faults(availability=Availability.CLOSED), "closed")
+        await fleet.start_nodes([name])
+        await fleet.wait_serving([name], SECONDS)
+        caller = Caller(Target(name, fleet.plan.nodes[name].proxy))
+        fleet.recorder.record(await caller.ask(NEW_CALL, "from-a-peer"))
+        await caller.close()
