Send answers at once: no Nagle delay on accepted connections

Cause: asyncio sets TCP_NODELAY only on sockets made with their protocol named; the node's and the stand-ins' listeners are made without, so an answer in two writes waited 40 ms for a delayed acknowledgement. Weighed: naming the protocol when the socket is made; the option on the listener says what is meant and accepted connections inherit it.

--- a/src/pewtertack/lab/serving.py
+++ b/src/pewtertack/lab/serving.py
@@ -83,6 +83,7 @@
     def _bind(self) -> socket.socket:
         listening = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
         listening.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        listening.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         try:
             listening.bind((self.address.ip, self.address.port))
         except OSError as error:
--- a/src/pewtertack/node/sockets.py
+++ b/src/pewtertack/node/sockets.py
@@ -78,6 +78,10 @@
 def _listen(address: Address, place: str, key: str) -> socket.socket:
     bound = _new_socket(address, socket.SOCK_STREAM)
     bound.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+    # Accepted connections inherit this. asyncio sets it only where the socket was made
+    # with its protocol named, and an answer in two writes otherwise waits 40 ms for the
+    # delayed acknowledgement of the first.
+    bound.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
     _bind(bound, address, place, key)
     return bound
 
