--- a/src/pewtertack/node/proxy/application.py
+++ b/src/pewtertack/node/proxy/application.py
@@ -9,7 +9,7 @@
 import anyio
 from prometheus_client import CollectorRegistry
 
-from pewtertack.core.configuration.resolved import ResolvedConfiguration
+from pewtertack.core.configuration.resolved import ResolvedConfiguration, ResolvedRoute
 from pewtertack.core.machines import MachineList
 from pewtertack.events import Event
 from pewtertack.node.proxy.answers import Receive, Scope, Send, send_failure
@@ -17,6 +17,12 @@
 from pewtertack.node.proxy.exchange import TruncatedAnswerError
 from pewtertack.node.proxy.forwarding import Forwarding, ForwardingParts
 from pewtertack.node.proxy.headers import RequestHead, read_head
+from pewtertack.node.proxy.metrics import (
+    CALLER_GONE,
+    TRUNCATED,
+    DispatcherCollector,
+    RequestMetrics,
+)
 from pewtertack.node.proxy.upstream import ConnectionStore
 from pewtertack.routing.deadlines import deadline_of
 from pewtertack.routing.dispatcher import BackendChanged, Dispatcher
@@ -29,6 +35,9 @@
 )
 from pewtertack.routing.table import RouteTable
 
+REFUSAL_LOG_INTERVAL = 1.0
+"""Refusals of one type are logged at most once in so many seconds; metrics count all."""
+
 
 class RecordEvent(Protocol):
     """``pewtertack.log.EventLog.record``."""
@@ -75,11 +84,15 @@
         self._table: RouteTable | None = None
         dispatcher = Dispatcher(random, self._log_backend_change)
         self._parts = ForwardingParts(clock, dispatcher, ConnectionStore(clock))
+        registry = registry or CollectorRegistry()
+        self._metrics = RequestMetrics(registry)
+        registry.register(DispatcherCollector(dispatcher, lambda: self._in_flight))
         self._serving = False
         self._retry_after = 1.0
         self._draining = False
         self._in_flight = 0
         self._idle = anyio.Event()
+        self._logged_at: dict[str, float] = {}
 
     @property
     def in_flight(self) -> int:
@@ -133,15 +146,27 @@
             head.request_id = head.request_id or f"{self._random.getrandbits(128):032x}"
             await self._forward(scope, receive, send, head)
         except RequestFailedError as error:
+            await self._refuse(send, error, head, None)
+
+    async def _refuse(
+        self,
+        send: Send,
+        error: RequestFailedError,
+        head: RequestHead,
+        route: ResolvedRoute | None,
+    ) -> None:
+        """Answer with a failure; count it, and log it once a second for each type."""
+        self._metrics.note_failed(route, error.code)
+        now = self._clock()
+        if now - self._logged_at.get(error.code, float("-inf")) >= REFUSAL_LOG_INTERVAL:
+            self._logged_at[error.code] = now
             self._log(
                 Event.REQUEST_REFUSED,
                 type=error.code,
                 outcome=error.outcome,
                 request=head.request_id,
             )
-            await send_failure(send, error, head.request_id)
-        except (CallerGoneError, TruncatedAnswerError):
-            return  # uvicorn closes a connection whose answer was left incomplete
+        await send_failure(send, error, head.request_id)
 
     def _log_backend_change(self, change: BackendChanged) -> None:
         event = Event.BACKEND_EJECTED if change.ejected else Event.BACKEND_RETURNED
@@ -157,8 +182,20 @@
         assert self._table is not None
         configuration = self._table.configuration
         route = self._table.match(head.host, scope["path"], scope["method"])
-        deadline = deadline_of(self._clock(), head.deadline, route.timeout)
+        began = self._clock()
+        deadline = deadline_of(began, head.deadline, route.timeout)
         forwarding = Forwarding(
             self._parts, scope, receive, send, head, configuration, route, deadline
         )
-        await forwarding.run()
+        try:
+            await forwarding.run()
+            self._metrics.note_answered(route, self._clock() - began)
+        except RequestFailedError as error:
+            await self._refuse(send, error, head, route)
+        except CallerGoneError:
+            self._metrics.note_failed(route, CALLER_GONE)
+        except TruncatedAnswerError:
+            # uvicorn cuts a connection whose answer was left incomplete
+            self._metrics.note_failed(route, TRUNCATED)
+        finally:
+            self._metrics.note_retries(route, forwarding.retries)
--- a/src/pewtertack/routing/dispatcher.py
+++ b/src/pewtertack/routing/dispatcher.py
@@ -100,6 +100,10 @@
             found.use_backends(self._registry.of_service(name), self._zone)
         return found
 
+    def services(self) -> tuple[ServiceDispatcher, ...]:
+        """Return the dispatchers of all services that were asked for."""
+        return tuple(self._services.values())
+
     def submit(self, ticket: Ticket, now: float) -> None:
         """Grant the ticket or let it wait; see ``ServiceDispatcher.submit``."""
         if not ticket.excluded:
--- a/src/pewtertack/routing/queueing.py
+++ b/src/pewtertack/routing/queueing.py
@@ -80,9 +80,9 @@
         """Return how many requests of a route wait."""
         return self._by_route.get(route, 0)
 
-    def length_of_class(self, work_class: WorkClass) -> int:
-        """Return how many requests of a class wait."""
-        return len(self._lanes[work_class].tickets)
+    def lengths(self) -> dict[WorkClass, int]:
+        """Return how many requests of each class wait."""
+        return {work_class: len(lane.tickets) for work_class, lane in self._lanes.items()}
 
     def ahead_of(self, work_class: WorkClass) -> float:
         """Return about how many requests are served before a new one of this class."""
--- a/src/pewtertack/routing/service.py
+++ b/src/pewtertack/routing/service.py
@@ -42,9 +42,14 @@
         self._local = [backend for backend in members if backend.zone == zone]
         self._remote = [backend for backend in members if backend.zone != zone]
 
+    @property
+    def backends(self) -> tuple[Backend, ...]:
+        """All listed back ends, the own zone's first."""
+        return (*self._local, *self._remote)
+
     def configure(self, settings: ResolvedService) -> None:
         """Use the service's settings for all back ends."""
-        for backend in (*self._local, *self._remote):
+        for backend in self.backends:
             backend.configure(settings)
 
     def expected_time(self, route: str) -> float:
@@ -80,8 +85,7 @@
         self.pump(now)
 
     def _check_backends(self, now: float) -> None:
-        members = [*self._local, *self._remote]
-        open_to_work = [item for item in members if not (item.leaving or item.removed)]
+        open_to_work = [item for item in self.backends if not (item.leaving or item.removed)]
         if not open_to_work:
             raise NoBackendError(f"service {self.name} has no back end")
         if all(item.health.ejected and not item.health.admits(now) for item in open_to_work):
@@ -98,7 +102,7 @@
         """Return how many requests this proxy may have in flight at the service."""
         working = (
             item
-            for item in (*self._local, *self._remote)
+            for item in self.backends
             if not (item.leaving or item.removed or item.health.ejected)
         )
         return sum(int(item.limit.value) for item in working if item.limit.paused_until <= now)
@@ -160,9 +164,8 @@
 
     def may_eject(self) -> bool:
         """Tell whether answered failures may eject one more: never more than half."""
-        members = [*self._local, *self._remote]
-        ejected = sum(item.health.ejected for item in members)
-        return (ejected + 1) * 2 <= len(members)
+        ejected = sum(item.health.ejected for item in self.backends)
+        return (ejected + 1) * 2 <= len(self.backends)
 
 
 def _smoothed(mean: float, value: float) -> float:
--- a/tests/node/proxy/harness.py
+++ b/tests/node/proxy/harness.py
@@ -37,7 +37,7 @@
         task = asyncio.create_task(server.serve(sockets=[listener]))
 
         async def stop() -> None:
-            server.should_exit = True
+            server.should_exit = server.force_exit = True
             await task
 
         self.addAsyncCleanup(stop)
@@ -50,7 +50,7 @@
         **proxy_settings: Any,
     ) -> str:
         """Run back ends and a serving proxy (``self.proxy``); return the proxy's address."""
-        addresses = [await self.serve(application) for application in backend_applications]
+        addresses = [await self._address(item) for item in backend_applications]
         machines = [backend(f"b{index}", address) for index, address in enumerate(addresses)]
         self.proxy = self.make_proxy(**proxy_settings)
         self.proxy.use_configuration(settings or configuration())
@@ -58,6 +58,14 @@
         self.proxy.set_serving(True)
         return await self.serve(self.proxy)
 
+    async def _address(self, item: Any) -> str:
+        """Start an ASGI application or a raw back end; an address stands for itself."""
+        if isinstance(item, str):
+            return item
+        if isinstance(item, RawBackend):
+            return await item.start(self)
+        return await self.serve(item)
+
 
 class Answer:
     """A raw HTTP answer: status, headers in lower case and what followed them."""
@@ -110,3 +118,45 @@
     head = {"type": "http.response.start", "status": status, "headers": [length, *headers]}
     await send(head)
     await send({"type": "http.response.body", "body": body})
+
+
+class RawBackend:
+    """A back end that reads one request head at a time and follows a script.
+
+    ``script(reader, writer, head)`` answers one request; returning false closes
+    the connection.
+    """
+
+    def __init__(self, script: Any) -> None:
+        self.calls = 0
+        self.connections = 0
+        self._script = script
+
+    async def start(self, case: unittest.IsolatedAsyncioTestCase) -> str:
+        server = await asyncio.start_server(self._handle, LOOPBACK, 0)
+        case.addAsyncCleanup(server.wait_closed)
+        case.addCleanup(server.close)
+        host, port = server.sockets[0].getsockname()
+        return f"{host}:{port}"
+
+    async def _handle(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        self.connections += 1
+        try:
+            while True:
+                head = await reader.readuntil(b"\r\n\r\n")
+                self.calls += 1
+                if not await self._script(reader, writer, head.decode("latin-1").lower()):
+                    break
+        except (asyncio.IncompleteReadError, asyncio.CancelledError, ConnectionError):
+            pass
+        finally:
+            writer.close()
+
+
+def request_id_of(head: str) -> bytes:
+    return head.split("x-request-id: ")[1].split("\r\n")[0].encode()
+
+
+def answer_bytes(body: bytes = b"ok", *headers: bytes, status: bytes = b"200 OK") -> bytes:
+    lines = [b"HTTP/1.1 " + status, b"content-length: %d" % len(body), *headers]
+    return b"\r\n".join([*lines, b"", body])
--- /dev/null
+++ b/tests/node/proxy/test_failures.py
@@ -0,0 +1,285 @@
+"""Back ends that break, shed, cross and stall; callers that go away."""
+
+import asyncio
+import json
+import socket
+from typing import Any
+
+from tests.node.proxy.harness import (
+    LOOPBACK,
+    Answer,
+    ProxyTestCase,
+    RawBackend,
+    answer_bytes,
+    raw_call,
+    request_bytes,
+    request_id_of,
+)
+from tests.routing.samples import configuration, route
+
+POST = request_bytes("POST", "/hold", b"number")
+REPEATABLE = configuration(route(repeatable=True, retry_limit=1))
+
+
+async def answer_well(reader: Any, writer: Any, head: str) -> bool:
+    await read_content(reader, head)
+    writer.write(answer_bytes(b"ok", b"x-request-id: " + request_id_of(head)))
+    return True
+
+
+async def hang_up(reader: Any, writer: Any, head: str) -> bool:
+    return False
+
+
+async def shed(reader: Any, writer: Any, head: str) -> bool:
+    await read_content(reader, head)
+    headers = (b"x-outcome: not-run", b"retry-after: 7")
+    writer.write(answer_bytes(b"busy", *headers, status=b"503 Shed"))
+    return True
+
+
+async def cross(reader: Any, writer: Any, head: str) -> bool:
+    writer.write(answer_bytes(b"another's", b"x-request-id: someone-else"))
+    return True
+
+
+async def read_content(reader: Any, head: str) -> None:
+    if "content-length: " in head:
+        await reader.readexactly(int(head.split("content-length: ")[1].split("\r\n")[0]))
+
+
+def unused_address() -> str:
+    with socket.socket() as probe:
+        probe.bind((LOOPBACK, 0))
+        return f"{LOOPBACK}:{probe.getsockname()[1]}"
+
+
+class AttemptsTest(ProxyTestCase):
+    def assert_failure(self, answer: Answer, status: int, code: str, outcome: str) -> None:
+        self.assertEqual((answer.status, json.loads(answer.body)["type"]), (status, code))
+        self.assertEqual(answer.headers["x-outcome"], outcome)
+        self.assertIn("retry-after", answer.headers)
+
+    async def test_what_may_not_be_repeated_is_sent_once(self) -> None:
+        broken, well = RawBackend(hang_up), RawBackend(answer_well)
+        address = await self.start(broken, well)
+        answers = [await raw_call(address, POST) for _ in range(12)]
+        failed = [answer for answer in answers if answer.status != 200]
+        self.assertEqual(broken.calls, len(failed))
+        self.assertEqual(broken.calls + well.calls, 12)
+        self.assertTrue(failed)
+        for answer in failed:
+            self.assert_failure(answer, 502, "backend-failed", "unknown")
+
+    async def test_what_may_be_repeated_is_repeated_elsewhere(self) -> None:
+        broken, well = RawBackend(hang_up), RawBackend(answer_well)
+        address = await self.start(broken, well, settings=REPEATABLE)
+        for _ in range(12):
+            self.assertEqual((await raw_call(address, POST)).status, 200)
+        self.assertTrue(broken.calls)
+
+    async def test_a_connection_never_made_did_not_run_and_is_tried_elsewhere(self) -> None:
+        address = await self.start(unused_address(), RawBackend(answer_well))
+        for _ in range(8):
+            self.assertEqual((await raw_call(address, POST)).status, 200)
+        address = await self.start(unused_address())
+        answer = await raw_call(address, POST)
+        self.assert_failure(answer, 503, "backend-unreachable", "not-run")
+
+    async def test_a_shed_request_is_replayed_elsewhere_with_its_body(self) -> None:
+        bodies = []
+
+        async def keep(reader: Any, writer: Any, head: str) -> bool:
+            bodies.append(await reader.readexactly(6))
+            writer.write(answer_bytes())
+            return True
+
+        shedding = RawBackend(shed)
+        address = await self.start(shedding, RawBackend(keep))
+        for _ in range(8):
+            self.assertEqual((await raw_call(address, POST)).status, 200)
+        self.assertEqual(set(bodies), {b"number"})
+        self.assertTrue(shedding.calls)
+        self.assertEqual(shedding.connections, 1)
+
+    async def test_a_large_body_is_not_replayed_and_the_caller_is_told_not_run(self) -> None:
+        well = RawBackend(answer_well)
+        address = await self.start(RawBackend(shed), settings=REPEATABLE)
+        answer = await raw_call(address, request_bytes("POST", "/", b"x" * 100_000))
+        self.assert_failure(answer, 503, "backend-shed", "not-run")
+        self.assertEqual(answer.headers["retry-after"], "7")
+        self.assertEqual(well.calls, 0)
+
+    async def test_not_run_is_never_claimed_after_an_attempt_that_may_have_run(self) -> None:
+        scripts = [hang_up, shed]
+
+        async def first_break_then_shed(reader: Any, writer: Any, head: str) -> bool:
+            return await scripts.pop(0)(reader, writer, head)
+
+        backend = RawBackend(first_break_then_shed)
+        address = await self.start(backend, settings=REPEATABLE)
+        answer = await raw_call(address, POST)
+        self.assertEqual(backend.calls, 2)
+        self.assert_failure(answer, 503, "backend-shed", "unknown")
+
+    async def test_an_answer_to_another_request_is_not_passed_on(self) -> None:
+        crossed = RawBackend(cross)
+        address = await self.start(crossed)
+        for _ in range(2):
+            self.assert_failure(await raw_call(address, POST), 502, "crossed-answer", "unknown")
+        self.assertEqual(crossed.connections, 2)
+
+    async def test_an_answer_without_an_end_is_not_passed_on(self) -> None:
+        async def unframed(reader: Any, writer: Any, head: str) -> bool:
+            writer.write(b"HTTP/1.1 200 OK\r\n\r\nhalf of i")
+            return False
+
+        address = await self.start(RawBackend(unframed))
+        self.assert_failure(await raw_call(address, POST), 502, "backend-failed", "unknown")
+
+    async def test_a_deadline_in_the_exchange_ends_it_as_unknown(self) -> None:
+        ended = asyncio.Event()
+
+        async def stall(reader: Any, writer: Any, head: str) -> bool:
+            await read_content(reader, head)
+            await reader.read()
+            ended.set()
+            return False
+
+        address = await self.start(RawBackend(stall))
+        raw = request_bytes("POST", "/", b"x", headers=("x-deadline-ms: 150",))
+        self.assert_failure(await raw_call(address, raw), 504, "deadline-exceeded", "unknown")
+        await asyncio.wait_for(ended.wait(), 5)
+
+    async def test_an_idle_connection_that_the_back_end_closed_is_not_used(self) -> None:
+        async def answer_and_close(reader: Any, writer: Any, head: str) -> bool:
+            await answer_well(reader, writer, head)
+            return False
+
+        address = await self.start(RawBackend(answer_and_close))
+        for _ in range(5):
+            self.assertEqual((await raw_call(address, POST)).status, 200)
+
+
+class StreamTest(ProxyTestCase):
+    async def test_a_truncated_answer_never_ends_cleanly(self) -> None:
+        framings = {
+            "length": b"content-length: 100\r\n\r\nhalf",
+            "chunks": b"transfer-encoding: chunked\r\n\r\n4\r\nhalf\r\n",
+        }
+        for name, rest in framings.items():
+            with self.subTest(name):
+
+                async def truncate(reader: Any, writer: Any, head: str, rest: bytes = rest) -> bool:
+                    writer.write(b"HTTP/1.1 200 OK\r\n" + rest)
+                    await writer.drain()
+                    return False
+
+                address = await self.start(RawBackend(truncate), settings=REPEATABLE)
+                answer = await raw_call(address, request_bytes())
+                self.assertEqual(answer.status, 200)
+                self.assertFalse(answer.body.endswith(b"0\r\n\r\n"))
+                self.assertLess(len(answer.body), 100)
+
+    async def test_a_caller_that_goes_ends_the_exchange(self) -> None:
+        begun, ended = asyncio.Event(), asyncio.Event()
+
+        async def stall(reader: Any, writer: Any, head: str) -> bool:
+            begun.set()
+            await reader.read()
+            ended.set()
+            return False
+
+        address = await self.start(RawBackend(stall))
+        host, _, port = address.rpartition(":")
+        _, writer = await asyncio.open_connection(host, int(port))
+        writer.write(request_bytes())
+        await asyncio.wait_for(begun.wait(), 5)
+        writer.close()
+        await asyncio.wait_for(ended.wait(), 5)
+        while self.proxy.in_flight:
+            await asyncio.sleep(0.01)
+
+    async def test_an_upload_goes_at_the_pace_of_the_back_end(self) -> None:
+        go_on = asyncio.Event()
+        received = 0
+
+        async def slow(reader: Any, writer: Any, head: str) -> bool:
+            nonlocal received
+            await go_on.wait()
+            while received < 30_000_000:
+                received += len(await reader.read(1 << 20))
+            writer.write(answer_bytes())
+            return True
+
+        address = await self.start(RawBackend(slow))
+        host, _, port = address.rpartition(":")
+        reader, writer = await asyncio.open_connection(host, int(port))
+        writer.write(b"POST / HTTP/1.1\r\nhost: a\r\ncontent-length: 30000000\r\n\r\n")
+        sent = 0
+        try:
+            async with asyncio.timeout(0.5):
+                while sent < 30_000_000:
+                    writer.write(b"x" * 100_000)
+                    sent += 100_000
+                    await writer.drain()
+        except TimeoutError:
+            pass
+        self.assertLess(sent, 16_000_000)
+        go_on.set()
+        writer.write(b"x" * (30_000_000 - sent))
+        self.assertIn(b"200", await asyncio.wait_for(reader.readline(), 10))
+        self.assertEqual(received, 30_000_000)
+        writer.close()
+
+    async def test_an_early_answer_ends_an_upload(self) -> None:
+        async def refuse(reader: Any, writer: Any, head: str) -> bool:
+            writer.write(answer_bytes(b"no", status=b"413 Too Large"))
+            await writer.drain()
+            await asyncio.sleep(0.2)
+            return False
+
+        address = await self.start(RawBackend(refuse))
+        host, _, port = address.rpartition(":")
+        reader, writer = await asyncio.open_connection(host, int(port))
+        writer.write(b"POST / HTTP/1.1\r\nhost: a\r\ncontent-length: 30000000\r\n\r\n")
+        for _ in range(30):
+            writer.write(b"x" * 1_000_000)
+            await asyncio.sleep(0.01)
+        self.assertIn(b"413", await asyncio.wait_for(reader.readline(), 10))
+        writer.close()
+
+    async def test_answers_without_a_body(self) -> None:
+        async def bodiless(reader: Any, writer: Any, head: str) -> bool:
+            status = b"304 Not Modified" if "/304" in head else b"204 No Content"
+            length = b"content-length: 9\r\n" if "/204" not in head else b""
+            writer.write(b"HTTP/1.1 " + status + b"\r\n" + length + b"\r\n")
+            return True
+
+        address = await self.start(RawBackend(bodiless))
+        for method, path, status in (("GET", "/304", 304), ("GET", "/204", 204)):
+            answer = await raw_call(address, request_bytes(method, path))
+            self.assertEqual((answer.status, answer.body), (status, b""))
+
+
+class DrainTest(ProxyTestCase):
+    async def test_what_is_in_flight_is_finished_and_new_work_refused(self) -> None:
+        begun, go_on = asyncio.Event(), asyncio.Event()
+
+        async def wait(reader: Any, writer: Any, head: str) -> bool:
+            begun.set()
+            await go_on.wait()
+            return await answer_well(reader, writer, head)
+
+        address = await self.start(RawBackend(wait))
+        running = asyncio.create_task(raw_call(address, POST))
+        await begun.wait()
+        self.proxy.start_draining()
+        drained = asyncio.create_task(self.proxy.wait_drained())
+        refused = await raw_call(address, POST.replace(b"connection: close\r\n", b""))
+        self.assertEqual((refused.status, refused.headers["x-outcome"]), (503, "not-run"))
+        self.assertEqual(refused.headers["connection"], "close")
+        self.assertFalse(drained.done())
+        go_on.set()
+        self.assertEqual((await running).status, 200)
+        await asyncio.wait_for(drained, 5)
