--- a/src/pewtertack/cli/lab.py
+++ b/src/pewtertack/cli/lab.py
@@ -3,6 +3,8 @@
 from __future__ import annotations
 
 import json
+import math
+import tempfile
 from pathlib import Path
 from typing import Annotated, Any
 
@@ -10,8 +12,9 @@
 import msgspec
 import typer
 
+from pewtertack.cli.exit_codes import ExitCode
+from pewtertack.lab.address import Address
 from pewtertack.lab.errors import LabUsageError
-from pewtertack.lab.serving import Address
 
 app = typer.Typer(no_args_is_help=True, help="Stand-ins, fleets, load and scenarios.")
 
@@ -123,3 +126,80 @@
 
     listed = msgspec.json.decode(nodes.read_bytes(), type=tuple[RelayedNode, ...])
     anyio.run(Relay(listed, Address.parse(control), seed).run)
+
+
+@app.command()
+def load(
+    tree: Annotated[Path, typer.Option(help="JSON file with the tree whose routes are used.")],
+    node: Annotated[list[str], typer.Option(help="name=ip:port of a proxy, once for each.")],
+    rate: Annotated[float, typer.Option(help="Requests begun per second.")] = 50.0,
+    seconds: Annotated[float, typer.Option(help="Endless by default; SIGTERM ends it.")] = math.inf,
+    seed: int = 0,
+    prefix: Annotated[str, typer.Option(help="Begins each request's id.")] = "load",
+) -> None:
+    """Send an open-loop load and print what each caller was told."""
+    from pewtertack.lab.load.caller import Target
+    from pewtertack.lab.load.generator import LoadGenerator
+    from pewtertack.lab.load.mix import mix_of_tree
+    from pewtertack.lab.records import Told, encode_record
+    from pewtertack.lab.serving import print_line, print_ready
+
+    def record(told: Told) -> None:
+        print_line(encode_record(told))
+
+    targets = [Target(*_named_address(text)) for text in node]
+    mix = mix_of_tree(read_json_object(tree))
+    print_ready()
+    anyio.run(LoadGenerator(targets, mix, rate, seed, prefix, record).run, seconds)
+
+
+@app.command()
+def scenarios() -> None:
+    """List the scenarios of ``pewtertack lab run``."""
+    from pewtertack.lab.scenarios.catalogue import SCENARIOS
+
+    for scenario in SCENARIOS.values():
+        typer.echo(f"{scenario.name:26} {scenario.description}")
+
+
+@app.command()
+def run(
+    scenario: Annotated[str, typer.Argument(help="One of `pewtertack lab scenarios`.")],
+    seed: int = 1,
+    report: Annotated[Path | None, typer.Option(help="Takes the report as JSON.")] = None,
+    history: Annotated[Path | None, typer.Option(help="Takes the history, JSON lines.")] = None,
+    deployment: Annotated[str, typer.Option(help="lagos or kolkata.")] = "lagos",
+    nodes_per_zone: int = 2,
+    examples: Annotated[Path, typer.Option(help="Directory of the trees.")] = Path("examples"),
+) -> None:
+    """Run a scenario in real processes; exit code 1 when anything is off."""
+    from pewtertack.lab.deployments import shape_of
+    from pewtertack.lab.report.table import format_report
+    from pewtertack.lab.scenarios.catalogue import find_scenario
+    from pewtertack.lab.scenarios.runner import run_scenario
+
+    found = find_scenario(scenario)
+    shape = shape_of(deployment, examples, nodes_per_zone)
+    with tempfile.TemporaryDirectory() as directory:
+        path = history or Path(directory) / "history.jsonl"
+        result = anyio.run(run_scenario, found, shape, seed, path)
+    if report is not None:
+        report.write_bytes(msgspec.json.format(msgspec.json.encode(result)))
+    typer.echo(format_report(result))
+    typer.echo("passed" if result.passed else "failed")
+    raise typer.Exit(ExitCode.OK if result.passed else ExitCode.FOUND)
+
+
+@app.command()
+def demo(
+    deployment: Annotated[str, typer.Option(help="lagos or kolkata.")] = "lagos",
+    nodes_per_zone: int = 2,
+    examples: Annotated[Path, typer.Option(help="Directory of the trees.")] = Path("examples"),
+) -> None:
+    """Run a four-zone fleet, one edit, and requests around it; exit code 1 when anything is off."""
+    from pewtertack.lab.demo import format_demo, run_demo
+    from pewtertack.lab.deployments import shape_of
+
+    result = anyio.run(run_demo, shape_of(deployment, examples, nodes_per_zone))
+    typer.echo(format_demo(result))
+    raise typer.Exit(ExitCode.FOUND if result.problems() else ExitCode.OK)
--- a/tests/wire/test_frames.py
+++ b/tests/wire/test_frames.py
@@ -53,7 +53,7 @@
     PingRequest(1, "b"),
     IndirectAcknowledge(1, "b"),
     Announce(STATE, DELTA),
-    Pull(DocumentKind.CONFIGURATION, REVISION),
+    Pull(DocumentKind.CONFIGURATION, REVISION, REVISION),
     DeltaAnswer(DocumentKind.CONFIGURATION, (DELTA,)),
     SnapshotAnswer(DocumentKind.MACHINE_LIST, REVISION, {"a": {"b": 2**70}}),
     Busy(DocumentKind.CONFIGURATION, 200),
