Simulate fleets in virtual time under schedules of faults

Weighed: real processes only (slow, not repeatable) against a stateful hypothesis machine against schedules as data; the last are kept as JSON files once found.

--- /dev/null
+++ b/src/pewtertack/lab/simulation/__init__.py
@@ -0,0 +1,1 @@
+"""A fleet of real coordination cores on a simulated network, in virtual time."""
--- /dev/null
+++ b/src/pewtertack/lab/simulation/network.py
@@ -0,0 +1,164 @@
+"""A simulated network: latency, loss, repetition, reordering and cuts between zones."""
+
+from __future__ import annotations
+
+from collections import Counter, defaultdict
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from random import Random
+
+import cbor2
+import msgspec
+
+from pewtertack.lab.simulation.scheduler import Scheduler
+from pewtertack.wire.messages import Message
+
+ENVELOPE_BYTES = 60
+"""Tag, version, sender, address, incarnation and counter around a message."""
+
+DATAGRAM_HEADER_BYTES = 28
+"""IPv4 and UDP headers; counted because links carry them."""
+
+REORDER_DELAY = 0.2
+"""Greatest extra delay of a message while the network reorders, in seconds."""
+
+
+@dataclass(frozen=True, slots=True)
+class Place:
+    """Where a process runs."""
+
+    zone: str
+    region: str
+
+
+@dataclass(frozen=True, slots=True)
+class Latencies:
+    """One-way delays in seconds; each message takes up to ``jitter`` (a share) longer."""
+
+    same_zone: float = 0.0003
+    same_region: float = 0.0015
+    between_regions: float = 0.04
+    jitter: float = 0.3
+
+
+@dataclass(slots=True)
+class Weather:
+    """How badly the network behaves now. The values are probabilities, 0 to 1."""
+
+    loss: float = 0.0
+    duplication: float = 0.0
+    reordering: float = 0.0
+
+
+@dataclass(slots=True)
+class Traffic:
+    """What one node sent and received: messages and bytes, by type of message."""
+
+    sent_messages: Counter[str] = field(default_factory=Counter)
+    sent_bytes: Counter[str] = field(default_factory=Counter)
+    received_messages: Counter[str] = field(default_factory=Counter)
+    received_bytes: Counter[str] = field(default_factory=Counter)
+
+
+@dataclass(frozen=True, slots=True)
+class Packet:
+    """A message on its way."""
+
+    sender: str
+    sender_address: str
+    incarnation: int
+    target_address: str
+    message: Message
+
+
+Deliver = Callable[[Packet], None]
+
+
+def encoded_size(message: Message) -> int:
+    """Return the bytes that ``message`` takes on a link."""
+    body = cbor2.dumps(msgspec.to_builtins(message, builtin_types=(bytes,)))
+    return len(body) + ENVELOPE_BYTES + DATAGRAM_HEADER_BYTES
+
+
+class SimulatedNetwork:
+    """Carries packets between addresses whose places are known.
+
+    ``deliver`` gets each packet when it arrives. ``measure`` counts bytes, which
+    costs an encoding for each message.
+    """
+
+    def __init__(
+        self,
+        scheduler: Scheduler,
+        random: Random,
+        deliver: Deliver,
+        latencies: Latencies | None = None,
+        measure: bool = False,
+    ) -> None:
+        self._scheduler = scheduler
+        self._random = random
+        self._deliver = deliver
+        self._latencies = latencies or Latencies()
+        self._measure = measure
+        self._places: dict[str, Place] = {}
+        self._cut: set[tuple[str, str]] = set()
+        self.weather = Weather()
+        self.traffic: defaultdict[str, Traffic] = defaultdict(Traffic)
+
+    def place(self, address: str, place: Place) -> None:
+        """Tell where the process behind ``address`` runs."""
+        self._places[address] = place
+
+    def cut(self, from_zone: str, to_zone: str) -> None:
+        """Lose every message from one zone to another."""
+        self._cut.add((from_zone, to_zone))
+
+    def heal(self) -> None:
+        """End every cut."""
+        self._cut.clear()
+
+    def send(self, packet: Packet) -> None:
+        """Carry ``packet``, unless it is lost."""
+        size = encoded_size(packet.message) if self._measure else 0
+        if self._measure:
+            kind = type(packet.message).__name__
+            traffic = self.traffic[packet.sender_address]
+            traffic.sent_messages[kind] += 1
+            traffic.sent_bytes[kind] += size
+        self._carry(packet, size)
+        if self._random.random() < self.weather.duplication:
+            self._carry(packet, size)
+
+    def _carry(self, packet: Packet, size: int) -> None:
+        source = self._places[packet.sender_address]
+        target = self._places.get(packet.target_address)
+        if target is None or self._random.random() < self.weather.loss:
+            return
+        if (source.zone, target.zone) in self._cut:
+            return
+        delay = self._delay(source, target)
+        self._scheduler.after(delay, lambda: self._arrive(packet, target.zone, size))
+
+    def _delay(self, source: Place, target: Place) -> float:
+        if source.zone == target.zone:
+            base = self._latencies.same_zone
+        elif source.region == target.region:
+            base = self._latencies.same_region
+        else:
+            base = self._latencies.between_regions
+        delay = base * (1 + self._latencies.jitter * self._random.random())
+        if self._random.random() < self.weather.reordering:
+            delay += REORDER_DELAY * self._random.random()
+        return delay
+
+    def _arrive(self, packet: Packet, target_zone: str, size: int) -> None:
+        """Deliver unless the link was cut while the packet was on its way."""
+        source = self._places[packet.sender_address]
+        if (source.zone, target_zone) in self._cut:
+            return
+        if self._measure:
+            kind = type(packet.message).__name__
+            traffic = self.traffic[packet.target_address]
+            traffic.received_messages[kind] += 1
+            traffic.received_bytes[kind] += size
+        self._deliver(packet)
--- /dev/null
+++ b/src/pewtertack/lab/simulation/platform.py
@@ -0,0 +1,152 @@
+"""The platform in virtual time: numbered documents read by long poll.
+
+One class stands for the configuration source and for the machine list.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from random import Random
+
+from pewtertack.core.inputs import DocumentRead, DocumentReadFailed, DocumentUnchanged
+from pewtertack.core.revision import Document
+from pewtertack.lab.simulation.scheduler import Scheduler
+from pewtertack.wire.messages import DocumentKind
+
+ANSWER_TIME = 0.005
+"""One way between a reader and the platform, in seconds."""
+
+BUSY_RETRY_AFTER = 1.0
+
+Answer = DocumentRead | DocumentUnchanged | DocumentReadFailed
+Reply = Callable[[Answer], None]
+
+
+@dataclass(frozen=True, slots=True)
+class Version:
+    """A document under its number, visible to readers from ``visible_at`` on."""
+
+    number: int
+    document: Document
+    visible_at: float
+
+
+@dataclass(eq=False, slots=True)
+class Read:
+    """One read that the service has not answered."""
+
+    after: int
+    reply: Reply
+    done: bool = False
+
+
+@dataclass(slots=True)
+class ReadCounts:
+    """What the service saw. ``most_at_once`` counts admitted and refused reads."""
+
+    total: int = 0
+    refused: int = 0
+    at_once: int = 0
+    most_at_once: int = 0
+
+
+@dataclass(slots=True)
+class NumberedService:
+    """Gives out the newest visible version of one document.
+
+    ``lag`` is how long a new version stays invisible. During an outage every
+    read fails; ``stale_number`` hides all versions above it; ``older_share`` is
+    the probability that an answer holds the version before the visible one.
+    """
+
+    scheduler: Scheduler
+    random: Random
+    kind: DocumentKind
+    readers_limit: int
+    lag: float = 0.0
+    down: bool = False
+    stale_number: int | None = None
+    older_share: float = 0.0
+    versions: list[Version] = field(default_factory=list)
+    counts: ReadCounts = field(default_factory=ReadCounts)
+    _reads: list[Read] = field(default_factory=list)
+
+    def put(self, document: Document) -> int:
+        """Take a new version and return its number."""
+        number = len(self.versions) + 1
+        self.versions.append(Version(number, document, self.scheduler.now + self.lag))
+        self.scheduler.after(self.lag, self._answer_waiting)
+        return number
+
+    def fail(self) -> None:
+        """Begin an outage; open reads break."""
+        self.down = True
+        for read in list(self._reads):
+            self._finish(read, DocumentReadFailed(self.kind, "outage"))
+
+    def turn_stale(self, number: int) -> None:
+        """Show nothing newer than ``number`` from now on."""
+        self.stale_number = number
+
+    def recover(self) -> None:
+        """Answer currently again."""
+        self.down = False
+        self.stale_number = None
+        self.older_share = 0.0
+        self._answer_waiting()
+
+    def read(self, after: int, wait: float, reply: Reply) -> None:
+        """Answer now if there is another version than ``after``, else within ``wait``."""
+        self.scheduler.after(ANSWER_TIME, lambda: self._admit(after, wait, reply))
+
+    def _admit(self, after: int, wait: float, reply: Reply) -> None:
+        read = Read(after, reply)
+        self._reads.append(read)
+        self.counts.total += 1
+        self.counts.at_once = len(self._reads)
+        self.counts.most_at_once = max(self.counts.most_at_once, self.counts.at_once)
+        if self.down:
+            self._finish(read, DocumentReadFailed(self.kind, "outage"))
+        elif len(self._reads) > self.readers_limit:
+            self.counts.refused += 1
+            self._finish(read, DocumentReadFailed(self.kind, "busy", BUSY_RETRY_AFTER))
+        elif not self._answer(read):
+            self.scheduler.after(wait, lambda: self._finish(read, DocumentUnchanged(self.kind)))
+
+    def _visible(self) -> Version | None:
+        shown = [
+            version
+            for version in self.versions
+            if version.visible_at <= self.scheduler.now
+            and (self.stale_number is None or version.number <= self.stale_number)
+        ]
+        if len(shown) > 1 and self.random.random() < self.older_share:
+            return shown[-2]
+        return shown[-1] if shown else None
+
+    def _answer(self, read: Read) -> bool:
+        version = self._visible()
+        if version is None or version.number == read.after:
+            return False
+        self._finish(read, DocumentRead(self.kind, version.number, version.document))
+        return True
+
+    def _answer_waiting(self) -> None:
+        if not self.down:
+            for read in list(self._reads):
+                self._answer(read)
+
+    def _finish(self, read: Read, answer: Answer) -> None:
+        if read.done:
+            return
+        read.done = True
+        self._reads.remove(read)
+        self.counts.at_once = len(self._reads)
+        self.scheduler.after(ANSWER_TIME, lambda: read.reply(answer))
+
+    def abandon(self, reply: Reply) -> None:
+        """Drop the open reads of a reader that died."""
+        for read in [read for read in self._reads if read.reply == reply]:
+            read.done = True
+            self._reads.remove(read)
--- a/tests/lab/history/test_planted_violations.py
+++ b/tests/lab/history/test_planted_violations.py
@@ -230,6 +230,10 @@
         ]
         self.assertIs(self.verdict(Promise.IN_FORCE_EVERYWHERE, lines), Judgement.HELD)
 
+    def test_a_process_paused_while_it_stops_owes_nothing(self) -> None:
+        lines = [NodePause(time=61.2, node="b"), NodeResume(time=61.3, node="b"), Heal(time=99.0)]
+        self.assertIs(self.verdict(Promise.IN_FORCE_EVERYWHERE, lines), Judgement.HELD)
+
     def test_a_killed_process_owes_nothing(self) -> None:
         lines = [
             NodeStart(time=34.0, node="c", zone="zone-c"),
--- /dev/null
+++ b/tests/lab/simulation/test_simulated_parts.py
@@ -0,0 +1,113 @@
+"""Virtual time, the simulated network and the simulated platform."""
+
+import unittest
+from random import Random
+
+from pewtertack.core.inputs import DocumentRead, DocumentReadFailed, DocumentUnchanged
+from pewtertack.core.revision import NO_REVISION
+from pewtertack.lab.simulation.network import Packet, Place, SimulatedNetwork
+from pewtertack.lab.simulation.platform import Answer, NumberedService
+from pewtertack.lab.simulation.scheduler import Scheduler
+from pewtertack.wire.messages import DocumentKind, Pull
+
+MESSAGE = Pull(DocumentKind.CONFIGURATION, NO_REVISION)
+
+
+class NetworkTest(unittest.TestCase):
+    def setUp(self) -> None:
+        self.scheduler = Scheduler()
+        self.arrived: list[Packet] = []
+        self.network = SimulatedNetwork(
+            self.scheduler, Random(1), self.arrived.append, measure=True
+        )
+        self.network.place("a", Place("zone-a", "east"))
+        self.network.place("b", Place("zone-b", "east"))
+
+    def send(self) -> None:
+        self.network.send(Packet("a", "a", 1, "b", MESSAGE))
+
+    def test_a_message_takes_the_latency_between_its_zones(self) -> None:
+        self.send()
+        self.scheduler.run_until(0.0014)
+        self.assertEqual(self.arrived, [])
+        self.scheduler.run_until(0.002)
+        self.assertEqual(len(self.arrived), 1)
+
+    def test_a_cut_loses_one_way_only_and_also_what_is_on_its_way(self) -> None:
+        self.send()
+        self.network.cut("zone-a", "zone-b")
+        self.network.send(Packet("b", "b", 1, "a", MESSAGE))
+        self.scheduler.run_until(1.0)
+        self.assertEqual([packet.sender for packet in self.arrived], ["b"])
+
+    def test_weather_loses_and_repeats(self) -> None:
+        self.network.weather.duplication = 1.0
+        self.send()
+        self.network.weather.loss = 1.0
+        self.send()
+        self.scheduler.run_until(1.0)
+        self.assertEqual(len(self.arrived), 2)
+
+    def test_traffic_is_counted_where_it_is_sent_and_where_it_arrives(self) -> None:
+        self.send()
+        self.scheduler.run_until(1.0)
+        self.assertEqual(self.network.traffic["a"].sent_messages["Pull"], 1)
+        sent = self.network.traffic["a"].sent_bytes["Pull"]
+        self.assertEqual(self.network.traffic["b"].received_bytes["Pull"], sent)
+
+
+class PlatformTest(unittest.TestCase):
+    def setUp(self) -> None:
+        self.scheduler = Scheduler()
+        self.service = NumberedService(
+            self.scheduler, Random(1), DocumentKind.CONFIGURATION, readers_limit=2
+        )
+        self.service.put({"a": 1})
+        self.scheduler.run_until(1.0)
+        self.answers: list[Answer] = []
+
+    def read(self, after: int) -> None:
+        self.service.read(after, 5.0, self.answers.append)
+
+    def pass_time(self, seconds: float) -> None:
+        self.scheduler.run_until(self.scheduler.now + seconds)
+
+    def test_a_read_waits_for_the_next_version(self) -> None:
+        self.read(after=1)
+        self.pass_time(1.0)
+        self.assertEqual(self.answers, [])
+        self.service.put({"a": 2})
+        self.pass_time(0.1)
+        expected = DocumentRead(DocumentKind.CONFIGURATION, 2, {"a": 2})
+        self.assertEqual(self.answers, [expected])
+
+    def test_a_read_ends_unchanged_after_its_wait(self) -> None:
+        self.read(after=1)
+        self.pass_time(6.0)
+        self.assertEqual(self.answers, [DocumentUnchanged(DocumentKind.CONFIGURATION)])
+
+    def test_an_outage_breaks_open_reads(self) -> None:
+        self.read(after=1)
+        self.pass_time(1.0)
+        self.service.fail()
+        self.pass_time(1.0)
+        self.assertIsInstance(self.answers[0], DocumentReadFailed)
+
+    def test_a_stale_source_answers_with_an_older_version(self) -> None:
+        self.service.put({"a": 2})
+        self.service.turn_stale(1)
+        self.read(after=2)
+        self.pass_time(1.0)
+        expected = DocumentRead(DocumentKind.CONFIGURATION, 1, {"a": 1})
+        self.assertEqual(self.answers, [expected])
+
+    def test_too_many_readers_are_refused_and_counted(self) -> None:
+        for _ in range(3):
+            self.read(after=1)
+        self.pass_time(1.0)
+        self.assertEqual(self.service.counts.refused, 1)
+        self.assertEqual(self.service.counts.most_at_once, 3)
+
+
+if __name__ == "__main__":
+    unittest.main()
