--- a/src/pewtertack/cli/main.py
+++ b/src/pewtertack/cli/main.py
@@ -8,7 +8,7 @@
 
 import typer
 
-from pewtertack.cli import lab, tree
+from pewtertack.cli import lab, lab_proofs, tree
 
 app = typer.Typer(
     name="pewtertack",
@@ -27,4 +27,6 @@
 app.command("check")(tree.check)
 app.command("explain")(tree.explain)
 app.command("diff")(tree.diff)
+lab.app.command("check")(lab_proofs.check)
+lab.app.command("explore")(lab_proofs.explore)
 app.add_typer(lab.app, name="lab")
--- a/src/pewtertack/lab/history/checker.py
+++ b/src/pewtertack/lab/history/checker.py
@@ -30,6 +30,12 @@
     REQUESTS = "requests"
 
 
+class UnknownGroupError(LabError):
+    """There is no group of promises of this name."""
+
+    code: ClassVar[str] = "unknown-promises"
+
+
 CONFIGURATION_CHECKS: tuple[Check, ...] = (
     configuration_checks.check_never_back,
     configuration_checks.check_routes_complete,
@@ -86,3 +92,15 @@
 def all_held(verdicts: Iterable[Verdict]) -> bool:
     """Tell whether every promise was judged and held."""
     return all(verdict.judgement is Judgement.HELD for verdict in verdicts)
+
+
+def check_group(name: str) -> CheckGroup:
+    """Return the group called ``name``.
+
+    Raises:
+        UnknownGroupError: there is none.
+    """
+    try:
+        return CheckGroup(name)
+    except ValueError:
+        raise UnknownGroupError(f"{name!r}; there are {', '.join(CheckGroup)}") from None
--- a/src/pewtertack/lab/simulation/strategies.py
+++ b/src/pewtertack/lab/simulation/strategies.py
@@ -19,6 +19,8 @@
 )
 
 NODES = 9
+"""Usual size of a fleet; node numbers wrap round in smaller ones."""
+
 ZONES = 3
 STEPS_LIMIT = 12
 
@@ -71,6 +73,7 @@
         Schedule,
         seed=st.integers(0, 2**16),
         steps=st.lists(steps(), min_size=1, max_size=STEPS_LIMIT).map(tuple),
-        nodes=st.just(NODES),
-        zones=st.just(ZONES),
+        nodes=st.sampled_from((NODES, 4, 6, 13)),
+        zones=st.sampled_from((ZONES, 1, 2, 4)),
+        profile=st.sampled_from(("fast", "frugal")),
     )
