--- /dev/null
+++ b/tests/lab/load/test_caller.py
@@ -0,0 +1,79 @@
+"""What callers conclude from answers, against a back end stand-in and worse."""
+
+import contextlib
+import unittest
+from collections.abc import AsyncIterator
+
+import anyio
+
+from pewtertack.lab.address import Address
+from pewtertack.lab.asgi import Application, Receive, Scope, Send, send_head
+from pewtertack.lab.backend.application import BackendApplication
+from pewtertack.lab.backend.state import BackendFaults, BackendState, Capacity
+from pewtertack.lab.demo import NEW_CALL
+from pewtertack.lab.load.caller import Caller, Target
+from pewtertack.lab.load.generator import LoadGenerator
+from pewtertack.lab.records import Record, Told, ToldOutcome
+from pewtertack.lab.serving import Listener
+
+
+@contextlib.asynccontextmanager
+async def caller_of(application: Application) -> AsyncIterator[Caller]:
+    listener = Listener(application, Address("127.0.0.1", 0))
+    async with anyio.create_task_group() as task_group:
+        await listener.open(task_group)
+        caller = Caller(Target("n1", listener.address))
+        yield caller
+        await caller.close()
+        listener.close()
+
+
+async def mixed_up(scope: Scope, receive: Receive, send: Send) -> None:
+    await send_head(send, 200, {"x-request-id": "other", "x-checksum": "none"})
+    await send({"type": "http.response.body", "body": b"?"})
+
+
+class CallerTest(unittest.IsolatedAsyncioTestCase):
+    def setUp(self) -> None:
+        self.records: list[Record] = []
+        self.state = BackendState(Capacity(), 0.0)
+        self.backend = BackendApplication("b1", self.state, self.records.append)
+
+    async def ask(self, application: Application) -> Told:
+        async with caller_of(application) as caller:
+            return await caller.ask(NEW_CALL, "r1")
+
+    async def test_a_whole_answer(self) -> None:
+        told = await self.ask(self.backend)
+        self.assertEqual((told.outcome, told.status), (ToldOutcome.ANSWERED, 200))
+        self.assertTrue(told.checksum_ok and told.own_answer)
+
+    async def test_a_shed_request_is_not_run(self) -> None:
+        self.state.set_faults(BackendFaults(shedding_share=1.0), 0.0)
+        told = await self.ask(self.backend)
+        self.assertEqual((told.outcome, told.retry_after), (ToldOutcome.NOT_RUN, 1.0))
+
+    async def test_a_broken_answer_is_cut(self) -> None:
+        self.state.set_faults(BackendFaults(die_mid_answer_share=1.0), 0.0)
+        self.assertIs((await self.ask(self.backend)).outcome, ToldOutcome.CUT)
+
+    async def test_anothers_answer_is_noticed(self) -> None:
+        told = await self.ask(mixed_up)
+        self.assertFalse(told.checksum_ok or told.own_answer)
+
+    async def test_nobody_listens(self) -> None:
+        caller = Caller(Target("n1", Address("127.0.0.1", 1)))
+        told = await caller.ask(NEW_CALL, "r1")
+        self.assertIs(told.outcome, ToldOutcome.NOT_CONNECTED)
+
+    async def test_the_load_finishes_what_it_began(self) -> None:
+        told: list[Told] = []
+        listener = Listener(self.backend, Address("127.0.0.1", 0))
+        async with anyio.create_task_group() as task_group:
+            await listener.open(task_group)
+            target = Target("n1", listener.address)
+            load = LoadGenerator([target], [NEW_CALL], 200.0, 1, "x", told.append)
+            await load.run(seconds=0.2)
+            listener.close()
+        self.assertGreater(len(told), 0)
+        self.assertEqual({line.outcome for line in told}, {ToldOutcome.ANSWERED})
