Proxy: no lock and no poll around an exchange that has one owner

httpcore's lock costs two turns of the event loop each time it is taken, twice an exchange; the dispatcher grants a connection to one exchange at a time. The poll before reuse found nothing that the event loop had not read already.

--- a/src/pewtertack/node/proxy/network.py
+++ b/src/pewtertack/node/proxy/network.py
@@ -8,7 +8,6 @@
 from __future__ import annotations
 
 import asyncio
-import select
 from typing import Any
 
 import httpcore
@@ -116,17 +115,15 @@
         self._transport.abort()
 
     def get_extra_info(self, info: str) -> Any:
-        """Answer httpcore's question for "is_readable"; the rest is the transport's."""
+        """Answer httpcore's question for "is_readable"; the rest is the transport's.
+
+        The kernel is not asked: a task runs after the event loop has read every
+        end of stream that came before it.
+        """
         if info == "is_readable":
-            return bool(self._received) or self._ended or self._socket_is_readable()
+            return bool(self._received) or self._ended
         return self._transport.get_extra_info(info)
 
-    def _socket_is_readable(self) -> bool:
-        """Ask the kernel: after a pause the event loop may not have seen the end yet."""
-        poller = select.poll()
-        poller.register(self._transport.get_extra_info("socket").fileno(), select.POLLIN)
-        return bool(poller.poll(0))
-
 
 def _wake(future: asyncio.Future[None] | None) -> None:
     if future is not None and not future.done():
--- a/src/pewtertack/node/proxy/upstream.py
+++ b/src/pewtertack/node/proxy/upstream.py
@@ -17,6 +17,24 @@
 SWEEP_SECONDS = 1.0
 
 
+class _NoLock:
+    """Stands in for httpcore's lock, which costs two turns of the event loop each time."""
+
+    async def __aenter__(self) -> None:
+        """Enter at once."""
+
+    async def __aexit__(self, *_: object) -> None:
+        """Leave at once."""
+
+
+class _SingleOwnerConnection(httpcore.AsyncHTTP11Connection):
+    """httpcore's connection for one exchange at a time, as the dispatcher grants them."""
+
+    def __init__(self, origin: httpcore.Origin, stream: network.BackendStream) -> None:
+        super().__init__(origin, stream, keepalive_expiry=IDLE_SECONDS)
+        self._state_lock = _NoLock()  # type: ignore[assignment]
+
+
 class BackendConnection:
     """One connection with its stream, which tells whether anything was sent."""
 
@@ -25,9 +43,7 @@
         self.address = address
         self.stream = stream
         self.origin = httpcore.Origin(b"http", host.encode(), port)
-        self._http = httpcore.AsyncHTTP11Connection(
-            self.origin, stream, keepalive_expiry=IDLE_SECONDS
-        )
+        self._http = _SingleOwnerConnection(self.origin, stream)
         self._sent_before = 0
 
     @property
