--- a/src/pewtertack/core/replication/replica.py
+++ b/src/pewtertack/core/replication/replica.py
@@ -5,7 +5,7 @@
 from dataclasses import dataclass
 
 from pewtertack.core.configuration.findings import Finding
-from pewtertack.core.configuration.resolution import resolve_document
+from pewtertack.core.configuration.resolution import resolve_checked
 from pewtertack.core.configuration.resolved import ResolvedConfiguration
 from pewtertack.core.configuration.validation import check_document
 from pewtertack.core.delta import Delta, DeltaMismatchError
@@ -136,7 +136,7 @@
         if not findings:
             return None
         self.last_rejection = Rejection(revision, findings)
-        reasons = [f"{finding.path}: {finding.message}" for finding in findings]
+        reasons = [str(finding) for finding in findings]
         log = self._log(Event.REVISION_REJECTED, revision)
         log.fields["findings"] = reasons[:REPORTED_FINDINGS]
         return [log]
@@ -161,7 +161,7 @@
         document = self.store.recent(target)
         if document is None:
             return None
-        self.in_force = resolve_document(document, target, self._zone)
+        self.in_force = resolve_checked(document, target, self._zone)
         return self.in_force
 
     def _log_held(self) -> Log:
