--- a/src/pewtertack/cli/status.py
+++ b/src/pewtertack/cli/status.py
@@ -16,6 +16,9 @@
 AdminOption = Annotated[
     list[str], typer.Option("--admin", help="http://ip:port of a node's admin interface.")
 ]
+OthersArgument = Annotated[
+    list[str] | None, typer.Argument(metavar="[URL]...", help="More of them, without --admin.")
+]
 JsonOption = Annotated[bool, typer.Option("--json", help="Print one JSON array.")]
 TimeoutOption = Annotated[float, typer.Option(help="Seconds to wait for each node.")]
 
@@ -26,13 +29,18 @@
 NOTHING = "-"
 
 
-def status(admin: AdminOption, as_json: JsonOption = False, timeout: TimeoutOption = 3.0) -> None:
+def status(
+    admin: AdminOption,
+    others: OthersArgument = None,
+    as_json: JsonOption = False,
+    timeout: TimeoutOption = 3.0,
+) -> None:
     """Print the state of nodes; exit code 1 when one does not answer."""
     import msgspec
 
     from pewtertack.cli.status_reports import read_reports
 
-    reports = anyio.run(read_reports, tuple(admin), timeout)
+    reports = anyio.run(read_reports, (*admin, *(others or ())), timeout)
     if as_json:
         typer.echo(msgspec.json.format(msgspec.json.encode(reports), indent=2).decode())
     else:
--- a/tests/settings/test_loading.py
+++ b/tests/settings/test_loading.py
@@ -75,6 +75,9 @@
         self.assertIs(settings.profile.name, ProfileName.FAST)
         self.assertIsNone(settings.limits.drain_timeout)
 
+    def test_without_a_proxy_address_the_node_only_replicates(self) -> None:
+        self.assertIsNone(self.load(GOOD.replace('proxy = "127.0.0.1:7000"\n', "")).listen.proxy)
+
     def test_flags_win_over_the_file(self) -> None:
         flags: dict[SettingKey, object] = {
             SettingKey("listen", "peer"): "[::1]:8001",
