Checker: judge what a node serves by in the order of its log

Cause: a process that woke, served by an old revision and caught up in the same virtual instant passed; lines of one instant now count in their order. A process that starts while half of the fleet is paused owes nothing until a majority runs: it cannot learn what is in force and refuses callers, which is the design of docs/ARCHITECTURE.md, so the check of liveness names that limit.

--- a/src/pewtertack/lab/history/timeline.py
+++ b/src/pewtertack/lab/history/timeline.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import bisect
+import itertools
 import math
 from collections.abc import Iterable, Iterator
 from dataclasses import dataclass, field
@@ -27,7 +28,12 @@
 NO_FAULT = "none"
 """The value of ``SourceFault.fault`` that ends a fault."""
 
-STOPS_SERVING = (Event.NODE_JOINING.name, Event.NODE_WOKE.name, Event.NODE_DRAINING.name)
+STOPS_SERVING = (
+    Event.NODE_JOINING.name,
+    Event.NODE_WOKE.name,
+    Event.NODE_DRAINING.name,
+    Event.NODE_SUPERSEDED.name,
+)
 
 
 @dataclass(slots=True)
@@ -42,6 +48,14 @@
         return self.start <= end and self.end >= start
 
 
+@dataclass(slots=True)
+class ServingSpan(Interval):
+    """A span during which a process accepted callers' requests."""
+
+    number: int = 0
+    """The revision in force when the span began; later events of that instant do not count."""
+
+
 @dataclass(slots=True)
 class Life:
     """One process of a node, from its start to its kill, stop or the history's end."""
@@ -51,7 +65,7 @@
     span: Interval
     in_force: list[RevisionInForce] = field(default_factory=list)
     pauses: list[Interval] = field(default_factory=list)
-    serving: list[Interval] = field(default_factory=list)
+    serving: list[ServingSpan] = field(default_factory=list)
     killed: bool = False
 
     def number_at(self, time: float) -> int:
@@ -63,6 +77,10 @@
         """Tell whether the process accepted callers' requests at ``time``."""
         return any(span.start <= time < span.end for span in self.serving)
 
+    def is_paused_at(self, time: float) -> bool:
+        """Tell whether the process was paused at ``time``."""
+        return any(span.start <= time < span.end for span in self.pauses)
+
     def end(self, time: float) -> None:
         """Close every span that is open."""
         self.span.end = min(self.span.end, time)
@@ -118,6 +136,21 @@
         """Return the spans during which ``zone`` could not talk with every other."""
         return [cut.span for cut in self.cuts if zone in (cut.from_zone, cut.to_zone)]
 
+    def without_majority(self) -> list[Interval]:
+        """Return the spans during which paused processes left no majority of the others.
+
+        A node that starts then cannot learn what a majority knows, and refuses
+        callers until it can.
+        """
+        moments = sorted({time for life in self.lives for time in _changes_of(life)})
+        found: list[Interval] = []
+        for start, end in itertools.pairwise([*moments, math.inf]):
+            running = [life for life in self.lives if life.span.start <= start < life.span.end]
+            paused = sum(1 for life in running if life.is_paused_at(start))
+            if running and 2 * paused >= len(running):
+                found.append(Interval(start, end))
+        return found
+
     def _take(self, line: HistoryLine) -> None:
         match line:
             case NodeEvent():
@@ -172,7 +205,8 @@
         if isinstance(event, RevisionInForce):
             life.in_force.append(event)
         elif event.event == Event.NODE_SERVING.name:
-            life.serving.append(Interval(event.time))
+            number = life.in_force[-1].revision if life.in_force else 0
+            life.serving.append(ServingSpan(event.time, number=number))
         elif event.event in STOPS_SERVING:
             for span in life.serving:
                 span.end = min(span.end, event.time)
@@ -191,3 +225,11 @@
         if line.fault != NO_FAULT:
             self._open_faults[line.service] = Interval(line.time)
             self.source_faults.append(self._open_faults[line.service])
+
+
+def _changes_of(life: Life) -> Iterator[float]:
+    """Yield when the process started, ended, was paused and ran on."""
+    for span in (life.span, *life.pauses):
+        yield span.start
+        if span.end != math.inf:
+            yield span.end
--- a/tests/lab/history/test_planted_violations.py
+++ b/tests/lab/history/test_planted_violations.py
@@ -159,6 +159,18 @@
             in_force(48.0, "b", 4),
         ],
     ),
+    "a new node serves and catches up in the same instant": Planted(
+        Promise.NEVER_REVERTED,
+        [
+            Edit(time=34.0, revision=4, digest="d4", valid=True),
+            in_force(34.5, "a", 4),
+            in_force(34.6, "b", 4),
+            NodeStart(time=45.0, node="c", zone="zone-c"),
+            in_force(45.5, "c", 3),
+            event(45.6, "c", Event.NODE_SERVING),
+            in_force(45.6, "c", 4),
+        ],
+    ),
     "an answer is damaged": Planted(
         Promise.ANSWERS_WHOLE_AND_OWN,
         [told(41.0, "r4", ToldOutcome.ANSWERED, checksum_ok=False)],
@@ -234,6 +246,18 @@
         lines = [NodePause(time=61.2, node="b"), NodeResume(time=61.3, node="b"), Heal(time=99.0)]
         self.assertIs(self.verdict(Promise.IN_FORCE_EVERYWHERE, lines), Judgement.HELD)
 
+    def test_who_starts_while_half_of_the_fleet_is_paused_owes_nothing_until_it_wakes(self) -> None:
+        lines = [
+            NodePause(time=33.5, node="a"),
+            NodePause(time=33.5, node="b"),
+            NodeStart(time=34.0, node="c", zone="zone-c"),
+            NodeResume(time=58.0, node="a"),
+            NodeResume(time=58.0, node="b"),
+        ]
+        self.assertIs(self.verdict(Promise.IN_FORCE_EVERYWHERE, lines), Judgement.HELD)
+        lines.append(Heal(time=63.1))
+        self.assertIs(self.verdict(Promise.IN_FORCE_EVERYWHERE, lines), Judgement.VIOLATED)
+
     def test_a_killed_process_owes_nothing(self) -> None:
         lines = [
             NodeStart(time=34.0, node="c", zone="zone-c"),
