Checker: a node that starts without a majority owes nothing yet

That is the core's stated rule, so the liveness check names it. Nodes that died without a replacement count as members until the recovery bound has passed.

--- a/src/pewtertack/lab/history/acceptance_checks.py
+++ b/src/pewtertack/lab/history/acceptance_checks.py
@@ -2,8 +2,8 @@
 
 A revision counts as accepted from the moment when the first proxy serves by it.
 A process owes a revision once it had one undisturbed stretch of the bound:
-running, not paused, its zone not cut from any other, and not half of the fleet
-paused, because a node that starts then has no majority to ask.
+running, not paused, its zone not cut from any other, and a majority of the
+members running, because a node that starts without one has nobody to ask.
 """
 
 from __future__ import annotations
@@ -33,7 +33,7 @@
 def _deadlines_of_accepted(
     timeline: Timeline, bounds: CheckBounds
 ) -> Iterator[tuple[Life, int, float]]:
-    no_majority = timeline.without_majority()
+    no_majority = timeline.without_majority(bounds.recovery)
     for number, accepted_at in timeline.first_in_force().items():
         for life in timeline.lives:
             disturbances = [*life.pauses, *timeline.cuts_around(life.zone), *no_majority]
