Prove each mechanism of the core by switching it off

Six schedules break their promises without the mechanism and hold with it.

Core fault mended: with monotonic_numbers off the replica still never went back, because a lower revision was kept beside the held one whatever it was; only the skipped committed revision may be kept that way. The commit mark covers for monotonic numbers too, so that proof has the quorum gate off on both sides.

Ruled out: letting commit marks go back with the switch off; gossip of two marks would then swap them without end.

--- a/src/pewtertack/core/replication/replica.py
+++ b/src/pewtertack/core/replication/replica.py
@@ -86,7 +86,7 @@
         rejected = self._reject_invalid(revision, document)
         if rejected is not None:
             return rejected
-        if revision.number < self.held.number:
+        if revision.number < self.held.number and revision == self.missing_committed:
             self.store.keep(revision, document)
             return []
         self.store.put(revision, document)
--- /dev/null
+++ b/tests/lab/simulation/test_mechanisms.py
@@ -0,0 +1,66 @@
+"""Each mechanism's proof: a promise breaks without it and holds with it.
+
+The schedules stand in ``mechanisms/NAME.json``.
+"""
+
+import dataclasses
+import unittest
+from dataclasses import dataclass
+from pathlib import Path
+
+from pewtertack.core.profile import PROFILES, Mechanisms
+from pewtertack.lab.history.verdicts import Promise
+from pewtertack.lab.simulation.execution import run_schedule, without_mechanism
+from pewtertack.lab.simulation.schedules import decode_schedule
+
+DIRECTORY = Path(__file__).parent / "mechanisms"
+
+
+@dataclass(frozen=True)
+class Proof:
+    """What breaks without a mechanism; ``also_off`` are others that would cover for it."""
+
+    broken: frozenset[Promise]
+    also_off: tuple[str, ...] = ()
+
+
+PROOFS = {
+    "quorum_gate": Proof(frozenset({Promise.NEVER_BACK, Promise.IN_FORCE_EVERYWHERE})),
+    "join_before_serving": Proof(frozenset({Promise.NEVER_REVERTED})),
+    "pause_detection": Proof(frozenset({Promise.NEVER_REVERTED})),
+    "validation": Proof(frozenset({Promise.ROUTES_COMPLETE, Promise.REJECTED_UNUSED})),
+    "monotonic_numbers": Proof(
+        frozenset({Promise.NEVER_BACK, Promise.IN_FORCE_EVERYWHERE}), also_off=("quorum_gate",)
+    ),
+    "lazy_repair": Proof(frozenset({Promise.IN_FORCE_EVERYWHERE})),
+}
+
+
+def broken_promises(name: str, switched_off: tuple[str, ...]) -> frozenset[Promise]:
+    schedule = decode_schedule((DIRECTORY / f"{name}.json").read_bytes())
+    profile = PROFILES[schedule.profile]
+    for mechanism in switched_off:
+        profile = without_mechanism(profile, mechanism)
+    result = run_schedule(schedule, profile)
+    return frozenset(verdict.promise for verdict in result.violations)
+
+
+class MechanismTest(unittest.TestCase):
+    def test_every_mechanism_has_a_proof(self) -> None:
+        names = {field.name for field in dataclasses.fields(Mechanisms)}
+        self.assertEqual(set(PROOFS), names)
+
+    def test_promises_break_without_the_mechanism(self) -> None:
+        for name, proof in PROOFS.items():
+            with self.subTest(name):
+                self.assertEqual(broken_promises(name, (name, *proof.also_off)), proof.broken)
+
+    def test_promises_hold_with_the_mechanism(self) -> None:
+        for name, proof in PROOFS.items():
+            with self.subTest(name):
+                self.assertEqual(broken_promises(name, ()), frozenset())
+                self.assertEqual(broken_promises(name, proof.also_off), frozenset())
+
+
+if __name__ == "__main__":
+    unittest.main()
