--- a/src/pewtertack/routing/limit.py
+++ b/src/pewtertack/routing/limit.py
@@ -18,7 +18,7 @@
 SERVICE_START = 1.0
 SERVICE_YIELD = 0.03
 SERVICE_PROBE = 0.02
-SERVICE_DECREASE = 0.9
+SERVICE_DECREASE = 0.85
 SHED_MEMORY = 1.0
 """Seconds for which a shed request makes reports of full back ends credible."""
 URGENT_HEADROOM = 0.25
@@ -113,13 +113,15 @@
     def note_full(self, now: float, in_flight: int) -> None:
         """A back end answered with all slots taken: leave room for urgent requests.
 
-        Reports may mislead: they shrink the limit only while back ends shed too,
-        and never below 1.
+        Reports may mislead: they shrink the limit only while back ends shed too.
         """
         if now - self._shed_at > SHED_MEMORY:
             self._grow(in_flight, SERVICE_PROBE)
-        elif self.value > 1:
-            self.value = max(1.0, self.value - SERVICE_YIELD * self._step())
+        else:
+            self._shrink_to(self.value - SERVICE_YIELD * self._step())
+
+    def _shrink_to(self, value: float) -> None:
+        self.value = max(MINIMUM_SERVICE_LIMIT, value)
 
     def _grow(self, in_flight: int, rate: float) -> None:
         if in_flight + 2 > self.value:
@@ -134,4 +136,4 @@
         self._shed_at = now
         if started_at >= self._decreased_at:
             self._decreased_at = now
-            self.value = max(MINIMUM_SERVICE_LIMIT, self.value * SERVICE_DECREASE)
+            self._shrink_to(self.value * SERVICE_DECREASE)
