Queue: give a waiting request up as soon as its turn is expected too late

The users do not accept a refusal that is held back until near the deadline. The expected wait now also counts how fast the class has moved lately, and is looked at again while a request waits.

--- a/src/pewtertack/routing/dispatcher.py
+++ b/src/pewtertack/routing/dispatcher.py
@@ -114,7 +114,7 @@
         """See what a waiting ticket can do now; return when to look again."""
         service = self.service(ticket.route.service)
         service.pump(now)
-        service.expire(ticket, now)
+        service.give_up(ticket, now)
         return service.next_look(ticket, now)
 
     def withdraw(self, ticket: Ticket) -> None:
--- a/src/pewtertack/routing/queueing.py
+++ b/src/pewtertack/routing/queueing.py
@@ -15,6 +15,8 @@
 from pewtertack.routing.backend import Backend, LoadReport
 from pewtertack.routing.outcomes import RequestFailedError
 
+SMOOTHING = 0.1
+"""Weight of the newest value in exponentially weighted means."""
 WEIGHTS = {
     WorkClass.URGENT: 64,
     WorkClass.INTERACTIVE: 16,
@@ -57,6 +59,11 @@
     finished: bool = False
 
 
+def smoothed(mean: float, value: float) -> float:
+    """Return the exponentially weighted mean with a newest value; 0 means "none yet"."""
+    return value if mean == 0 else mean + SMOOTHING * (value - mean)
+
+
 @dataclass(slots=True)
 class _Lane:
     step: float
@@ -64,6 +71,15 @@
     tickets: deque[Ticket] = field(default_factory=deque)
     position: float = 0.0
     """Virtual time at which the first ticket is due."""
+    interval: float = 0.0
+    """Mean seconds from one ticket's turn to the next; 0 while unknown."""
+    served_at: float = 0.0
+    """When the class's last turn was, or its first ticket came."""
+
+    def note_turn(self, now: float) -> None:
+        """A ticket has had its turn."""
+        self.interval = smoothed(self.interval, now - self.served_at)
+        self.served_at = now
 
 
 class ClassQueue:
@@ -86,21 +102,40 @@
         """Return how many requests of each class wait."""
         return {work_class: len(lane.tickets) for work_class, lane in self._lanes.items()}
 
-    def ahead_of(self, work_class: WorkClass) -> float:
-        """Return about how many requests are served before a new one of this class."""
-        own = len(self._lanes[work_class].tickets)
+    def place_of(self, ticket: Ticket) -> int:
+        """Return how many of the ticket's class go before it, waiting or yet to come."""
+        tickets = self._lanes[ticket.route.work_class].tickets
+        return tickets.index(ticket) if ticket in tickets else len(tickets)
+
+    def expected_wait(
+        self, work_class: WorkClass, place: int, per_turn: float, now: float
+    ) -> float:
+        """Return in how many seconds the ticket at ``place`` of its class has its turn.
+
+        ``per_turn`` is the time from one turn to the next over all classes. What
+        the class has seen lately counts when it is worse: more pressing requests
+        that are still to come go before.
+        """
+        lane = self._lanes[work_class]
+        by_weight = per_turn * (place + 1 + self._others_before(work_class, place))
+        if not lane.tickets or not lane.interval:
+            return by_weight
+        seen = (place + 1) * lane.interval - (now - lane.served_at)
+        return max(by_weight, seen)
+
+    def _others_before(self, work_class: WorkClass, place: int) -> float:
         weight = WEIGHTS[work_class]
-        others = (
-            min(len(lane.tickets), (own + 1) * WEIGHTS[other] / weight)
+        return sum(
+            min(len(lane.tickets), (place + 1) * WEIGHTS[other] / weight)
             for other, lane in self._lanes.items()
             if other is not work_class
         )
-        return own + sum(others)
 
-    def push(self, ticket: Ticket) -> None:
+    def push(self, ticket: Ticket, now: float) -> None:
         """Append a ticket to its class."""
         lane = self._lanes[ticket.route.work_class]
         if not lane.tickets:
+            lane.served_at = now
             lane.position = max(lane.position, self._position) + lane.step
         lane.tickets.append(ticket)
         self._count(ticket, 1)
@@ -120,10 +155,16 @@
         tickets = self._lanes[work_class].tickets
         return tickets[0] if tickets else None
 
-    def pop(self) -> Ticket:
+    def take_overtaking(self, ticket: Ticket, now: float) -> None:
+        """Take out a ticket which has its turn before it is next."""
+        self._lanes[ticket.route.work_class].note_turn(now)
+        self.remove(ticket)
+
+    def pop(self, now: float) -> Ticket:
         """Take out the ticket which is next; the queue must not be empty."""
         lane = self._next_lane()
         assert lane is not None
+        lane.note_turn(now)
         self._position = lane.position
         ticket = lane.tickets.popleft()
         if lane.tickets:
--- a/src/pewtertack/routing/service.py
+++ b/src/pewtertack/routing/service.py
@@ -16,10 +16,8 @@
     QueueFullError,
     RequestFailedError,
 )
-from pewtertack.routing.queueing import MAXIMUM_WAIT, ClassQueue, Ticket
+from pewtertack.routing.queueing import MAXIMUM_WAIT, ClassQueue, Ticket, smoothed
 
-SMOOTHING = 0.1
-"""Weight of the newest attempt in the mean attempt times."""
 MINIMUM_RETRY_AFTER = 0.1
 MAXIMUM_RETRY_AFTER = 30.0
 MINIMUM_CAPACITY = 0.1
@@ -63,8 +61,8 @@
 
     def note_time(self, route: str, seconds: float) -> None:
         """Take the time of an answered attempt into the means."""
-        self._mean_time = _smoothed(self._mean_time, seconds)
-        self._route_times[route] = _smoothed(self._route_times.get(route, 0.0), seconds)
+        self._mean_time = smoothed(self._mean_time, seconds)
+        self._route_times[route] = smoothed(self._route_times.get(route, 0.0), seconds)
 
     def submit(self, ticket: Ticket, now: float) -> None:
         """Grant the ticket or let it wait.
@@ -86,7 +84,7 @@
             raise DeadlineUnmeetableError(
                 "no back end comes free before the deadline", self.retry_after(wait)
             )
-        self.queue.push(ticket)
+        self.queue.push(ticket, now)
         self.pump(now)
 
     def _check_backends(self, now: float) -> None:
@@ -100,8 +98,9 @@
             )
 
     def _expected_wait(self, ticket: Ticket, now: float) -> float:
-        ahead = self.queue.ahead_of(ticket.route.work_class) + 1
-        return ahead * self._mean_time / max(MINIMUM_CAPACITY, self._capacity(now))
+        per_turn = self._mean_time / max(MINIMUM_CAPACITY, self._capacity(now))
+        place = self.queue.place_of(ticket)
+        return self.queue.expected_wait(ticket.route.work_class, place, per_turn, now)
 
     def _capacity(self, now: float) -> float:
         """Return how many requests this proxy may have in flight at the service."""
@@ -126,9 +125,10 @@
         """Grant what can start now, in order, and refuse what can start no longer."""
         while (ticket := self.queue.peek()) is not None:
             if ticket.expires_at <= now:
-                self._refuse(self.queue.pop(), now)
+                self.queue.remove(ticket)
+                self._refuse(ticket, now)
             elif self._grant(ticket, now):
-                self.queue.pop()
+                self.queue.pop(now)
                 ticket.wake()
             elif not self._grant_urgent(now):
                 return
@@ -138,13 +138,15 @@
         urgent = self.queue.first_of(WorkClass.URGENT)
         if urgent is None or urgent is self.queue.peek() or not self._grant(urgent, now):
             return False
-        self.queue.remove(urgent)
+        self.queue.take_overtaking(urgent, now)
         urgent.wake()
         return True
 
-    def expire(self, ticket: Ticket, now: float) -> None:
-        """Refuse a waiting ticket whose time to start has passed."""
-        if ticket.backend is None and ticket.refusal is None and ticket.expires_at <= now:
+    def give_up(self, ticket: Ticket, now: float) -> None:
+        """Refuse a waiting ticket as soon as its turn is expected too late."""
+        if ticket.backend is not None or ticket.refusal is not None:
+            return
+        if now + self._expected_wait(ticket, now) >= ticket.expires_at:
             self.queue.remove(ticket)
             self._refuse(ticket, now)
 
@@ -186,7 +188,3 @@
         """Tell whether answered failures may eject one more: never more than half."""
         ejected = sum(item.health.ejected for item in self.backends)
         return (ejected + 1) * 2 <= len(self.backends)
-
-
-def _smoothed(mean: float, value: float) -> float:
-    return value if mean == 0 else mean + SMOOTHING * (value - mean)
