A member that left by plan no longer counts once it is found dead

A member that said it was leaving has stopped; it cannot come back from behind a cut without a new incarnation.

--- a/src/pewtertack/core/membership/table.py
+++ b/src/pewtertack/core/membership/table.py
@@ -26,12 +26,14 @@
 
     ``process`` is the incarnation with which its newest process known here was
     started, from the envelope of its own messages; 0 before any. Refutations
-    raise ``update.incarnation`` but leave ``process`` as it is.
+    raise ``update.incarnation`` but leave ``process`` as it is. ``left`` tells that
+    the member said it was leaving before it was found dead.
     """
 
     update: MemberUpdate
     changed_at: float
     process: int = 0
+    left: bool = False
 
     @property
     def status(self) -> MemberStatus:
@@ -104,10 +106,12 @@
     def _replace(self, update: MemberUpdate, now: float) -> None:
         known = self._members.get(update.name)
         process = 0
+        left = False
         if known is not None:
             self._unindex(known.update)
             process = known.process
-        self._members[update.name] = Member(update, now, process)
+            left = _ended_by_plan(known, update)
+        self._members[update.name] = Member(update, now, process, left)
         if update.status in REACHABLE:
             self.reachable.add(update.name)
             self.zone(update.zone).add(update.name)
@@ -168,7 +172,12 @@
                 del self._members[name]
 
     def _dead_counts(self, member: Member, now: float) -> bool:
-        """A machine that is unreachable but listed may live on behind a cut."""
+        """A machine that is unreachable but listed may live on behind a cut.
+
+        One that said it was leaving has stopped by plan and may not.
+        """
+        if member.left:
+            return False
         age = now - member.changed_at
         if not self.list_known:
             return age < self._forget_after
@@ -198,3 +207,10 @@
     if new.incarnation != old.incarnation:
         return new.incarnation > old.incarnation
     return new.status > old.status
+
+
+def _ended_by_plan(known: Member, update: MemberUpdate) -> bool:
+    """Tell whether a member found dead had said it was leaving."""
+    if update.status is not MemberStatus.DEAD or update.incarnation != known.update.incarnation:
+        return False
+    return known.left or known.status is MemberStatus.LEAVING
--- a/tests/core/membership/test_table.py
+++ b/tests/core/membership/test_table.py
@@ -43,6 +43,15 @@
         self.table.merge(update("one", 5, MemberStatus.LEAVING), 0.0)
         self.assertEqual(self.table.quorum_members(0.0).majority, 1)
 
+    def test_a_member_that_left_by_plan_does_not_count_once_it_is_found_dead(self) -> None:
+        self.table.use_list([listed("one")], 0.0)
+        self.table.merge(update("one", 5, MemberStatus.LEAVING), 0.0)
+        self.table.merge(update("one", 5, MemberStatus.DEAD), 1.0)
+        self.assertNotIn("one", self.table.quorum_members(1.0).zone_of)
+        self.table.merge(update("one", 6, MemberStatus.ALIVE), 2.0)
+        self.table.merge(update("one", 6, MemberStatus.DEAD), 3.0)
+        self.assertIn("one", self.table.quorum_members(3.0).zone_of)
+
     def test_a_message_of_a_newer_process_shows_that_it_lives(self) -> None:
         self.table.use_list([listed("one")], 0.0)
         self.table.merge(update("one", 0, MemberStatus.DEAD), 0.0)
