--- a/src/pewtertack/core/node.py
+++ b/src/pewtertack/core/node.py
@@ -15,8 +15,8 @@
 from enum import StrEnum
 from random import Random
 
-from pewtertack.core.configuration.resolved import ResolvedConfiguration
 from pewtertack.core.effects import BringIntoForce, Effect, Log, Send, SetServing
+from pewtertack.core.history import in_force_fields
 from pewtertack.core.identity import NodeIdentity
 from pewtertack.core.inputs import (
     BackendLeavingObserved,
@@ -101,7 +101,7 @@
         ``now`` is monotonic seconds and must not decrease.
         """
         effects = self._notice_pause(now)
-        self.replication.may_commit = self._may_commit(now)
+        self.replication.quorum.may_commit = self._may_commit(now)
         effects += self._dispatch(now, event)
         effects += self._notice_replacement()
         if self.phase is NodePhase.JOINING:
@@ -213,7 +213,7 @@
         replica = self.replication.replica
         if replica.committed.number == 0 or replica.store.recent(replica.committed) is None:
             return False
-        if self._joiner.newest_machine_list and self.replication.machines.number == 0:
+        if self._joiner.newest_machine_list and self.replication.machine_list.machines.number == 0:
             return False
         if not self._joiner.held_wait_over(now, replica.committed):
             return False
@@ -309,20 +309,3 @@
         if not self.profile.mechanisms.lazy_repair:
             return []
         return self.replication.learn(now, event.sender, event.sender_address, state)
-
-
-def in_force_fields(configuration: ResolvedConfiguration) -> dict[str, object]:
-    """Return what the history of a run needs to know of a configuration in force."""
-    return {
-        "revision": configuration.revision.number,
-        "digest": configuration.revision.digest.hex(),
-        "routes": {
-            route.name: {
-                "service": route.service,
-                "secrets": sorted(set(route.header_secrets.values())),
-            }
-            for route in configuration.routes
-        },
-        "services": sorted(configuration.services),
-        "secrets": sorted(configuration.secrets),
-    }
--- a/src/pewtertack/core/replication/service.py
+++ b/src/pewtertack/core/replication/service.py
@@ -11,16 +11,14 @@
 from pewtertack.core.delta import Delta, DeltaMismatchError
 from pewtertack.core.effects import Effect, Log, Send, UseMachines
 from pewtertack.core.identity import NodeIdentity
-from pewtertack.core.machines import MachineList, MachineRole, machine_list_from_document
 from pewtertack.core.membership.service import Membership
 from pewtertack.core.profile import TimingProfile
 from pewtertack.core.replication.answers import PullServer
-from pewtertack.core.replication.commit import CommitTally
-from pewtertack.core.replication.leaving import LeavingBackends
+from pewtertack.core.replication.machine_lists import MachineListReplica
 from pewtertack.core.replication.puller import Puller, PullSource
+from pewtertack.core.replication.quorum import QuorumCommit
 from pewtertack.core.replication.reader import PlatformReader
 from pewtertack.core.replication.replica import ConfigurationReplica
-from pewtertack.core.replication.store import DocumentStore
 from pewtertack.core.revision import Document, RevisionId, identify
 from pewtertack.events import Event
 from pewtertack.wire.messages import (
@@ -61,33 +59,28 @@
         self._membership = membership
         self._random = random
         self.replica = ConfigurationReplica(identity.zone, profile.mechanisms)
-        self.machine_store = DocumentStore()
-        self.machines = MachineList(0, ())
-        self._leaving = LeavingBackends()
+        self.machine_list = MachineListReplica()
         stores = {
             DocumentKind.CONFIGURATION: self.replica.store,
-            DocumentKind.MACHINE_LIST: self.machine_store,
+            DocumentKind.MACHINE_LIST: self.machine_list.store,
         }
         self._server = PullServer(stores, profile, random, now)
         self._pullers = {kind: Puller(profile.pull_timeout) for kind in DocumentKind}
-        self._tally = CommitTally()
-        self._report_round = 0
-        self._next_report_at = now
+        self.quorum = QuorumCommit(identity, profile, membership, now)
         self.reader = PlatformReader(identity, profile, membership.table, random, now)
         self.serving = False
-        self.may_commit = False
 
     def state(self) -> VersionState:
         """Return the versions to tell peers."""
         return VersionState(
-            self.replica.held, self.replica.committed, self.machine_store.revision, self.serving
+            self.replica.held, self.replica.committed, self.machine_list.revision, self.serving
         )
 
     def held_number(self, kind: DocumentKind) -> int:
         """Return the number of the newest held revision of a document."""
         if kind is DocumentKind.CONFIGURATION:
             return self.replica.held.number
-        return self.machine_store.revision.number
+        return self.machine_list.revision.number
 
     def tick(self, now: float, may_read: bool) -> list[Effect]:
         """Return the reads, pulls and reports that are due."""
@@ -95,9 +88,9 @@
         effects = self.reader.tick(now, may_read, numbers)
         for kind in DocumentKind:
             effects += self._pull_if_due(now, kind)
-        if self._has_uncommitted() and now >= self._next_report_at:
-            effects += self._report_held(now)
-            effects += self._commit_if_quorum(now, self.replica.held)
+        if self._has_uncommitted():
+            effects += self.quorum.report_again(now, self.replica.held)
+            effects += self._commit_if_reached(now, self.replica.held)
         return effects
 
     # The platform's answers.
@@ -108,7 +101,8 @@
         """Take in a document that this node read."""
         self.reader.answered_with(now, kind, number, self.held_number(kind))
         if kind is DocumentKind.MACHINE_LIST:
-            return self._take_machine_list(now, identify(number, document), document)
+            offered = self.machine_list.offer(identify(number, document), document)
+            return self._after_machine_list(now, offered)
         return self._after_offer(now, lambda: self.replica.offer_document(number, document))
 
     def on_read_failed(
@@ -127,7 +121,7 @@
             self._offer_pull(DocumentKind.CONFIGURATION, sender, address, state.held)
         elif state.committed == self.replica.missing_committed:
             self._offer_pull(DocumentKind.CONFIGURATION, sender, address, state.committed)
-        if state.machine_list.number > self.machine_store.revision.number:
+        if state.machine_list.number > self.machine_list.revision.number:
             self._offer_pull(DocumentKind.MACHINE_LIST, sender, address, state.machine_list)
         for kind in DocumentKind:
             effects += self._pull_if_due(now, kind)
@@ -154,7 +148,7 @@
         if source is None:
             return []
         if kind is DocumentKind.MACHINE_LIST:
-            pull = Pull(kind, self.machine_store.revision)
+            pull = Pull(kind, self.machine_list.revision)
         else:
             pull = self._configuration_pull(source.revision)
         return [Send(source.name, source.address, pull)]
@@ -180,11 +174,7 @@
         self._pullers[answer.kind].finish()
         if answer.kind is DocumentKind.CONFIGURATION:
             return self._take_deltas(now, answer.deltas)
-        try:
-            revision, document = self.machine_store.preview(answer.deltas)
-        except DeltaMismatchError as error:
-            return [Log(Event.MACHINE_LIST_FAILED, {"reason": str(error)})]
-        return self._take_machine_list(now, revision, document)
+        return self._after_machine_list(now, self.machine_list.offer_deltas(answer.deltas))
 
     def on_snapshot(self, now: float, answer: SnapshotAnswer) -> list[Effect]:
         """Take in a whole document, if its digest is right."""
@@ -192,7 +182,8 @@
         if identify(answer.revision.number, answer.document) != answer.revision:
             return [Log(Event.FRAME_REFUSED, {"reason": "snapshot digest"})]
         if answer.kind is DocumentKind.MACHINE_LIST:
-            return self._take_machine_list(now, answer.revision, answer.document)
+            offered = self.machine_list.offer(answer.revision, answer.document)
+            return self._after_machine_list(now, offered)
         return self._after_offer(now, lambda: self.replica.offer(answer.revision, answer.document))
 
     def on_busy(self, now: float, busy: Busy) -> None:
@@ -205,64 +196,43 @@
         except DeltaMismatchError as error:
             return [Log(Event.FRAME_REFUSED, {"reason": str(error)})]
 
-    # Holding, reporting, committing.
+    # Holding and committing.
 
     def _after_offer(self, now: float, offer: Offer) -> list[Effect]:
         """Make an offer to the replica and tell others if it now holds something new."""
         before = self.replica.held
         effects = offer()
-        self._pullers[DocumentKind.CONFIGURATION].forget_up_to(self.replica.held.number)
-        if self.replica.held == before:
+        held = self.replica.held
+        self._pullers[DocumentKind.CONFIGURATION].forget_up_to(held.number)
+        if held == before:
             return effects
-        self._report_round = 0
         if self._has_uncommitted():
-            effects += self._report_held(now)
+            effects += self.quorum.report(now, held)
         effects += self._announce(self._inline_delta())
-        effects += self._commit_if_quorum(now, self.replica.held)
+        effects += self._commit_if_reached(now, held)
         return effects
 
     def _has_uncommitted(self) -> bool:
         return self.replica.held.number > self.replica.committed.number
 
-    def _report_held(self, now: float) -> list[Effect]:
-        """Report to the coordinators of this round; a later round asks the next ones."""
-        held = self.replica.held
-        self._tally.record(self._identity.name, self._identity.incarnation, held)
-        count = self._profile.commit_coordinators
-        names = self._membership.table.reachable.successors(
-            str(held.number), self._report_round * count, count
-        )
-        self._report_round += 1
-        self._next_report_at = now + self._profile.report_retry
-        report = HeldReport(held)
-        return [effect for name in names for effect in self._membership.send(name, report)]
-
     def on_held_report(
-        self, now: float, sender: str, incarnation: int, report: HeldReport
+        self, now: float, sender: str, process: int, report: HeldReport
     ) -> list[Effect]:
         """Count a holder; commit when a quorum holds the revision."""
         if report.revision.number <= self.replica.committed.number:
             return self._membership.send(sender, Announce(self.state()))
-        self._tally.record(sender, incarnation, report.revision)
-        return self._commit_if_quorum(now, report.revision)
+        self.quorum.record(sender, process, report.revision)
+        return self._commit_if_reached(now, report.revision)
 
-    def _commit_if_quorum(self, now: float, revision: RevisionId) -> list[Effect]:
-        table = self._membership.table
-        if not self.may_commit or revision.number <= self.replica.committed.number:
-            return []
-        if self._tally.reports(revision) < (len(table.reachable) + 1) // 2 + 1:
+    def _commit_if_reached(self, now: float, revision: RevisionId) -> list[Effect]:
+        if revision.number <= self.replica.committed.number:
             return []
-        quorum = table.quorum_members(now)
-        processes = table.reachable_processes()
-        processes[self._identity.name] = self._identity.incarnation
-        if not self._tally.is_held_by_quorum(revision, quorum, processes):
-            return []
-        return self._adopt_commit(revision)
+        return self._adopt_commit(revision) if self.quorum.reached(now, revision) else []
 
     def _adopt_commit(self, revision: RevisionId) -> list[Effect]:
         if not self.replica.mark_committed(revision):
             return []
-        self._tally.drop_up_to(revision)
+        self.quorum.decided(revision)
         fields = {"revision": revision.number, "digest": revision.digest.hex()}
         return [Log(Event.REVISION_COMMITTED, fields), *self._announce(None)]
 
@@ -304,27 +274,19 @@
 
     # The machine list.
 
-    def _take_machine_list(
-        self, now: float, revision: RevisionId, document: Document
-    ) -> list[Effect]:
-        """Use a newer list; one that cannot be read leaves the older in use."""
-        if revision.number <= self.machine_store.revision.number:
-            return []
-        try:
-            machines = machine_list_from_document(revision.number, document)
-        except msgspec.ValidationError as error:
-            return [Log(Event.MACHINE_LIST_FAILED, {"reason": str(error)})]
-        self.machine_store.put(revision, document)
-        self.machines = self._leaving.apply(machines)
-        self._pullers[DocumentKind.MACHINE_LIST].forget_up_to(revision.number)
-        nodes = [entry for entry in machines.machines if entry.role is MachineRole.NODE]
-        self._membership.use_list(nodes, now)
-        return [UseMachines(self.machines), *self._announce(None)]
+    def _after_machine_list(self, now: float, effects: list[Effect]) -> list[Effect]:
+        """Seed the members from a list that came into use, and announce it."""
+        if not any(isinstance(effect, UseMachines) for effect in effects):
+            return effects
+        number = self.machine_list.revision.number
+        self._pullers[DocumentKind.MACHINE_LIST].forget_up_to(number)
+        self._membership.use_list(self.machine_list.nodes(), now)
+        return [*effects, *self._announce(None)]
 
     def on_backends_leaving(self, notices: tuple[LeavingBackend, ...]) -> list[Effect]:
         """Take back ends out of use before the list says so, and pass it on once."""
-        news = self._leaving.observe(notices, self.machines)
+        news = self.machine_list.note_leaving(notices)
         if not news:
             return []
-        self.machines = self._leaving.apply(self.machines)
-        return [UseMachines(self.machines), *self._send_to_targets(BackendsLeaving(news))]
+        machines = self.machine_list.machines
+        return [UseMachines(machines), *self._send_to_targets(BackendsLeaving(news))]
--- a/src/pewtertack/node/view.py
+++ b/src/pewtertack/node/view.py
@@ -65,7 +65,7 @@
             reading=replication.reader.reading,
             source_age=_age(now, answers.get(DocumentKind.CONFIGURATION)),
             machine_list_age=_age(now, answers.get(DocumentKind.MACHINE_LIST)),
-            machine_list_number=replication.machines.number,
+            machine_list_number=replication.machine_list.machines.number,
             peers=self._peers_by_status(),
             last_rejection=_rejection(replica.last_rejection),
             stale_answers=replica.stale_answers,
