Every limit has a flag; addresses of both IP versions side by side

A node that listens on IPv6 could not read a platform on IPv4: the read was bound to the listen address. It is now bound only where the versions agree.

--- a/src/pewtertack/cli/node.py
+++ b/src/pewtertack/cli/node.py
@@ -26,6 +26,12 @@
     "--source-url": (SettingKey("source", "url"), "http://ip:port of the configuration source"),
     "--machines-url": (SettingKey("machines", "url"), "http://ip:port of the machine list"),
     "--profile": (SettingKey("profile", "name"), "fast or frugal"),
+    "--document-size": (SettingKey("limits", "document_size"), "largest answer of the platform"),
+    "--platform-timeout": (SettingKey("limits", "platform_timeout"), "for the platform"),
+    "--stream-timeout": (SettingKey("limits", "stream_timeout"), "for one peer frame over TCP"),
+    "--streams": (SettingKey("limits", "streams"), "peer frames over TCP at once"),
+    "--keep-alive": (SettingKey("limits", "keep_alive"), "for idle connections of callers"),
+    "--drain-timeout": (SettingKey("limits", "drain_timeout"), "for requests in flight at a stop"),
 }
 SEEDS = SettingKey("peers", "seeds")
 
--- a/src/pewtertack/node/assembly.py
+++ b/src/pewtertack/node/assembly.py
@@ -97,11 +97,18 @@
     return PlatformReader(
         settings.source.url.text,
         settings.machines.url.text,
-        settings.listen.peer.host,
+        _platform_local_host(settings),
         limits,
     )
 
 
+def _platform_local_host(settings: Settings) -> str | None:
+    """Return the host to read the platform from: the peer listener's, if that can be."""
+    local = settings.listen.peer
+    remotes = (settings.source.url.address, settings.machines.url.address)
+    return local.host if all(local.is_ipv6 == remote.is_ipv6 for remote in remotes) else None
+
+
 def _addresses(sockets: NodeSockets, identity: NodeIdentity) -> AddressStatus:
     proxy = sockets.proxy
     return AddressStatus(
--- a/src/pewtertack/node/platform.py
+++ b/src/pewtertack/node/platform.py
@@ -86,13 +86,19 @@
 
 
 class PlatformReader:
-    """Answers the core's ``ReadDocument`` effects. ``urls`` are without trailing slash."""
+    """Answers the core's ``ReadDocument`` effects.
+
+    Args:
+        source_url, machines_url: base URLs without a trailing slash.
+        local_host: IP number to connect from; ``None`` leaves it to the system.
+        limits: bounds of time and size.
+    """
 
     def __init__(
         self,
         source_url: str,
         machines_url: str,
-        local_host: str,
+        local_host: str | None,
         limits: PlatformLimits,
     ) -> None:
         self._urls = {
--- a/src/pewtertack/node/sockets.py
+++ b/src/pewtertack/node/sockets.py
@@ -94,7 +94,7 @@
 
 
 def _new_socket(address: Address, kind: socket.SocketKind) -> socket.socket:
-    family = socket.AF_INET6 if ":" in address.host else socket.AF_INET
+    family = socket.AF_INET6 if address.is_ipv6 else socket.AF_INET
     protocol = socket.IPPROTO_TCP if kind == socket.SOCK_STREAM else socket.IPPROTO_UDP
     created = socket.socket(family, kind, protocol)  # asyncio sets TCP_NODELAY by the protocol
     created.setblocking(False)
--- a/src/pewtertack/node/streams.py
+++ b/src/pewtertack/node/streams.py
@@ -54,7 +54,7 @@
     Raises:
         OSError: the peer cannot be reached.
     """
-    family = socket.AF_INET6 if ":" in remote.host else socket.AF_INET
+    family = socket.AF_INET6 if remote.is_ipv6 else socket.AF_INET
     raw = socket.socket(family, socket.SOCK_STREAM)
     try:
         raw.setblocking(False)
--- a/src/pewtertack/settings/loading.py
+++ b/src/pewtertack/settings/loading.py
@@ -137,9 +137,10 @@
         return section_type(**values)
 
     def _value(self, name: str, raw: Any, value_type: Any) -> Any:
-        place = FLAG_PLACE if name in self._flags else self._place
+        is_flag = name in self._flags
+        place = FLAG_PLACE if is_flag else self._place
         try:
-            return _convert(raw, value_type)
+            return _convert(raw, value_type, strict=not is_flag)
         except ValueProblemError as error:
             raise error.kind(place, self._key(name), error.problem, error.accepted) from error
 
@@ -147,8 +148,8 @@
         return f"{self._section}.{name}"
 
 
-def _convert(raw: Any, value_type: Any) -> Any:
-    """Return ``raw`` of the file as a value of ``value_type``.
+def _convert(raw: Any, value_type: Any, strict: bool) -> Any:
+    """Return ``raw`` as a value of ``value_type``; unless ``strict``, numbers may be text.
 
     Raises:
         ValueProblemError: it is none. Messages never repeat a value of the wrong
@@ -161,9 +162,9 @@
     if get_origin(value_type) is tuple:
         if not isinstance(raw, list | tuple):
             raise _wrong_type(raw, value_type)
-        return tuple(_convert(item, get_args(value_type)[0]) for item in raw)
+        return tuple(_convert(item, get_args(value_type)[0], strict) for item in raw)
     try:
-        return msgspec.convert(raw, value_type)
+        return msgspec.convert(raw, value_type, strict=strict)
     except msgspec.ValidationError as error:
         if value_type is ProfileName and isinstance(raw, str):
             accepted = describe_type(value_type)
--- a/src/pewtertack/settings/values.py
+++ b/src/pewtertack/settings/values.py
@@ -63,9 +63,14 @@
     port: int
 
     def __str__(self) -> str:
-        host = f"[{self.host}]" if ":" in self.host else self.host
+        host = f"[{self.host}]" if self.is_ipv6 else self.host
         return f"{host}:{self.port}"
 
+    @property
+    def is_ipv6(self) -> bool:
+        """Whether the IP number is of version 6."""
+        return ":" in self.host
+
     @classmethod
     def parse(cls, text: str) -> Address:
         """Read ``ip:port``; an IPv6 number stands in brackets."""
--- a/tests/settings/test_loading.py
+++ b/tests/settings/test_loading.py
@@ -82,10 +82,12 @@
         flags: dict[SettingKey, object] = {
             SettingKey("listen", "peer"): "[::1]:8001",
             SettingKey("peers", "seeds"): ["127.0.0.3:1"],
+            SettingKey("limits", "streams"): "8",
         }
         settings = self.load(GOOD, flags)
         self.assertEqual(str(settings.listen.peer), "[::1]:8001")
         self.assertEqual(settings.peers.seeds, (Address("127.0.0.3", 1),))
+        self.assertEqual(settings.limits.streams, 8)
 
     def test_each_bad_file_has_its_own_code_and_names_file_key_and_values(self) -> None:
         self.assertGreaterEqual(len(BAD_FILES), 20)
@@ -113,6 +115,9 @@
         with self.assertRaises(SettingError) as caught:
             self.load(GOOD, {SettingKey("listen", "admin"): "host:1"})
         self.assertEqual((caught.exception.place, caught.exception.key), ("flag", "listen.admin"))
+        with self.assertRaises(SettingError) as caught:
+            self.load(GOOD, {SettingKey("limits", "streams"): "many"})
+        self.assertEqual(caught.exception.code, "value-type")
 
     def test_the_fleet_key_is_not_printed(self) -> None:
         self.assertNotIn("0011", repr(self.load(GOOD)).lower())
