Record the HTTP server's messages as numbered events; stop nodes with long requests in flight

The scenario nodes-stopped judged no request in flight at a stop: callers' requests are too short. It now has a 16 MB upload and long answers in flight at each stop.

--- a/src/pewtertack/events.py
+++ b/src/pewtertack/events.py
@@ -39,6 +39,7 @@
     REQUEST_REFUSED = (601, "A request ended without the back end's answer.")
     BACKEND_EJECTED = (602, "A back end failed repeatedly and gets no work for a while.")
     BACKEND_RETURNED = (603, "An ejected back end gets work again.")
+    HTTP_SERVER_WARNING = (604, "The HTTP server cut an answer short or met an error.")
 
     def __init__(self, number: int, meaning: str) -> None:
         self.number = number
--- a/src/pewtertack/lab/demo.py
+++ b/src/pewtertack/lab/demo.py
@@ -19,7 +19,6 @@
 from pewtertack.lab.fleet.history import HistoryRecorder
 from pewtertack.lab.fleet.plan import FleetShape, plan_fleet
 from pewtertack.lab.history.verdicts import CheckBounds, Judgement, Verdict
-from pewtertack.lab.load.caller import Caller, Target
 from pewtertack.lab.load.mix import CallKind, mix_of_tree
 from pewtertack.lab.records import Edit, HistoryLine, Told, ToldOutcome
 from pewtertack.lab.report.convergence import Convergence
@@ -181,22 +180,13 @@
     for name in fleet.plan.nodes:
         for index, kind in enumerate(itertools.islice(kinds, SPANNING_CALLS)):
             call = msgspec.structs.replace(kind, work_milliseconds=SPANNING_WORK_MILLISECONDS)
-            tasks.start_soon(_ask, fleet, name, call, f"spanning-{name}-{index}")
+            tasks.start_soon(fleet.ask, name, call, f"spanning-{name}-{index}")
 
 
 async def _ask_every_node(fleet: Fleet, prefix: str) -> list[Told]:
     """Ask every node once for the route that the edit adds."""
-    return [
-        await _ask(fleet, name, NEW_CALL, f"{prefix}-{name}") for name in sorted(fleet.plan.nodes)
-    ]
-
-
-async def _ask(fleet: Fleet, name: str, kind: CallKind, request_id: str) -> Told:
-    caller = Caller(Target(name, fleet.plan.nodes[name].proxy))
-    told = await caller.ask(kind, request_id)
-    await caller.close()
-    fleet.recorder.record(told)
-    return told
+    names = sorted(fleet.plan.nodes)
+    return [await fleet.ask(name, NEW_CALL, f"{prefix}-{name}") for name in names]
 
 
 def format_demo(result: DemoResult) -> str:
--- a/src/pewtertack/lab/fleet/fleet.py
+++ b/src/pewtertack/lab/fleet/fleet.py
@@ -21,6 +21,8 @@
 from pewtertack.lab.fleet.process import LabProcess
 from pewtertack.lab.fleet.processes import ProcessFactory
 from pewtertack.lab.fleet.settings import write_files
+from pewtertack.lab.load.caller import Caller, Target
+from pewtertack.lab.load.mix import CallKind
 from pewtertack.lab.records import (
     BackendFault,
     BackendLeaving,
@@ -30,6 +32,7 @@
     NodeResume,
     NodeStart,
     NodeStop,
+    Told,
 )
 
 SERVING_SECONDS = 40.0
@@ -232,6 +235,14 @@
         await self._start([process])
         return process
 
+    async def ask(self, node: str, kind: CallKind, request_id: str) -> Told:
+        """Send one request to a node and record what the caller was told."""
+        caller = Caller(Target(node, self.plan.nodes[node].proxy))
+        told = await caller.ask(kind, request_id)
+        await caller.close()
+        self.recorder.record(told)
+        return told
+
     async def stop_load(self, process: LabProcess) -> int:
         """Begin no more requests, wait for those in flight, return the exit code."""
         process.send_signal(signal.SIGTERM)
--- a/src/pewtertack/lab/scenarios/context.py
+++ b/src/pewtertack/lab/scenarios/context.py
@@ -6,8 +6,10 @@
 from dataclasses import dataclass, field
 
 import anyio
+import msgspec
 
 from pewtertack.lab.fleet.fleet import Fleet
+from pewtertack.lab.load.mix import PATIENCE_SECONDS, CallKind, mix_of_tree
 from pewtertack.lab.records import Edit
 from pewtertack.lab.scenarios.edits import TreeEditor
 
@@ -63,6 +65,19 @@
         """Pick ``count`` back ends."""
         return self.random.sample(sorted(self.fleet.plan.backends), count)
 
+    def long_calls(self, work_milliseconds: float, upload_bytes: int) -> list[CallKind]:
+        """Return a long request for each route whose timeout allows it; uploads are large."""
+        kinds = mix_of_tree(self.fleet.plan.shape.tree)
+        return [
+            msgspec.structs.replace(
+                kind,
+                work_milliseconds=work_milliseconds,
+                body_bytes=upload_bytes if kind.body_bytes else 0,
+            )
+            for kind in kinds
+            if kind.patience - PATIENCE_SECONDS >= 2 * work_milliseconds / 1000
+        ]
+
     def expect(self, holds: bool, problem: str) -> None:
         """Note ``problem`` unless ``holds``."""
         if not holds:
--- a/src/pewtertack/lab/scenarios/requests.py
+++ b/src/pewtertack/lab/scenarios/requests.py
@@ -11,6 +11,10 @@
 LEAVING_SECONDS = 9.0
 STOPPED_BACKEND_SECONDS = 2.0
 EDIT_PAUSE = 0.7
+LONG_WORK_MILLISECONDS = 1500.0
+UPLOAD_BYTES = 16 * 1024 * 1024
+IN_FLIGHT_SECONDS = 0.3
+"""Between the begin of the long requests and the stop."""
 
 
 async def backends_killed(context: ScenarioContext) -> None:
@@ -106,10 +110,17 @@
 
 
 async def _stop_and_start(context: ScenarioContext, name: str) -> None:
-    code = await context.fleet.stop_node(name)
-    context.expect(code == 0, f"{name} ended its planned stop with exit code {code}")
-    await context.fleet.start_nodes([name])
-    await context.fleet.wait_serving([name])
+    """Stop a node with uploads and long answers in flight, then start it again."""
+    fleet = context.fleet
+    async with anyio.create_task_group() as callers:
+        for index, kind in enumerate(context.long_calls(LONG_WORK_MILLISECONDS, UPLOAD_BYTES)):
+            request_id = f"long-{name}-{index}-{context.newest_valid}"
+            callers.start_soon(fleet.ask, name, kind, request_id)
+        await anyio.sleep(IN_FLIGHT_SECONDS)
+        code = await fleet.stop_node(name)
+        context.expect(code == 0, f"{name} ended its planned stop with exit code {code}")
+    await fleet.start_nodes([name])
+    await fleet.wait_serving([name])
 
 
 async def routes_moved(context: ScenarioContext) -> None:
--- a/src/pewtertack/node/daemon.py
+++ b/src/pewtertack/node/daemon.py
@@ -14,6 +14,7 @@
 from pewtertack.events import Event
 from pewtertack.log import EventLog
 from pewtertack.node.http_server import EmbeddedServer, embedded_server
+from pewtertack.node.library_log import record_library_log
 from pewtertack.node.proxy.protocol import GuardedHttpProtocol
 from pewtertack.node.runtime import Runtime
 from pewtertack.node.sockets import NodeSockets, address_of
@@ -76,6 +77,7 @@
 
 async def _run_until_drained(parts: NodeParts) -> None:
     keep_alive = parts.settings.limits.keep_alive.seconds
+    record_library_log(parts.log)
     with anyio.open_signal_receiver(signal.SIGTERM, signal.SIGINT) as signals:
         async with anyio.create_task_group() as tasks:
             tasks.start_soon(parts.transport.run, parts.runtime.receive, parts.runtime.refuse)
