--- a/src/pewtertack/cli/lab.py
+++ b/src/pewtertack/cli/lab.py
@@ -5,6 +5,7 @@
 import json
 import math
 import tempfile
+from dataclasses import replace
 from pathlib import Path
 from typing import Annotated, Any
 
@@ -171,15 +172,19 @@
     deployment: Annotated[str, typer.Option(help="lagos or kolkata.")] = "lagos",
     nodes_per_zone: int = 3,
     examples: Annotated[Path, typer.Option(help="Directory of the trees.")] = Path("examples"),
+    without: Annotated[str, typer.Option(help="Mechanism to switch off in all nodes.")] = "",
 ) -> None:
     """Run a scenario in real processes; exit code 1 when anything is off."""
     from pewtertack.lab.deployments import shape_of
     from pewtertack.lab.report.table import format_report
     from pewtertack.lab.scenarios.catalogue import find_scenario
     from pewtertack.lab.scenarios.runner import run_scenario
+    from pewtertack.lab.weakening import check_mechanism
 
     found = find_scenario(scenario)
-    shape = shape_of(deployment, examples, nodes_per_zone)
+    if without:
+        check_mechanism(without)
+    shape = replace(shape_of(deployment, examples, nodes_per_zone), without=without)
     with tempfile.TemporaryDirectory() as directory:
         path = history or Path(directory) / "history.jsonl"
         result = anyio.run(run_scenario, found, shape, seed, path)
@@ -230,3 +235,16 @@
         anyio.run(run_backend)
     else:
         anyio.run(run_proxy, [Address.parse(text) for text in backend or []])
+
+
+@app.command()
+def weak_node(
+    without: Annotated[str, typer.Argument(help="The mechanism that is switched off.")],
+    settings: Annotated[Path, typer.Option(help="The node's settings file.")],
+) -> None:
+    """Run a node with one mechanism switched off, to prove a scenario."""
+    from pewtertack.cli.node import run as run_node
+    from pewtertack.lab.weakening import switch_off
+
+    switch_off(without)
+    raise typer.Exit(run_node(["--settings", str(settings)]))
--- a/src/pewtertack/lab/fleet/plan.py
+++ b/src/pewtertack/lab/fleet/plan.py
@@ -36,6 +36,8 @@
     has_relay: bool = True
     separate_backends: bool = False
     """A process for each back end rather than for each service."""
+    without: str = ""
+    """A mechanism that is switched off in all nodes, see ``lab.weakening``."""
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/pewtertack/lab/fleet/processes.py
+++ b/src/pewtertack/lab/fleet/processes.py
@@ -54,7 +54,9 @@
 
     def node(self, name: str) -> LabProcess:
         """Return one node's process."""
-        arguments = ["node", "--settings", str(settings_path(self._directory, name))]
+        without = self._plan.shape.without
+        command = ["lab", "weak-node", without] if without else ["node"]
+        arguments = [*command, "--settings", str(settings_path(self._directory, name))]
         return LabProcess(name, arguments, self._directory, self._handle_line, _is_node_ready)
 
     def backend(self, process: str) -> LabProcess:
--- a/src/pewtertack/lab/report/report.py
+++ b/src/pewtertack/lab/report/report.py
@@ -30,6 +30,8 @@
 
     scenario: str
     seed: int
+    without: str
+    """The mechanism that was switched off; empty for none."""
     seconds: float
     nodes: int
     backends: int
--- a/src/pewtertack/lab/report/table.py
+++ b/src/pewtertack/lab/report/table.py
@@ -41,7 +41,8 @@
     convergence, traffic = report.convergence, report.traffic
     fleet, node = convergence.whole_fleet, convergence.each_node
     lines = [
-        f"scenario {report.scenario}, seed {report.seed}, {report.seconds:.1f} s,"
+        f"scenario {report.scenario}{_weakness(report)}, seed {report.seed},"
+        f" {report.seconds:.1f} s,"
         f" {report.nodes} nodes, {report.backends} back ends, {report.edits} edits",
         f"convergence, each node:   p50 {node.p50:.3f} s, p99 {node.p99:.3f} s,"
         f" max {node.max:.3f} s ({node.count} samples, {convergence.disturbed} disturbed,"
@@ -60,6 +61,10 @@
     return "\n".join(lines)
 
 
+def _weakness(report: Report) -> str:
+    return f" without {report.without}" if report.without else ""
+
+
 def _outcome_table(report: Report) -> str:
     outcomes = sorted({name for route in report.routes.values() for name in route.outcomes})
     rows = [
--- a/src/pewtertack/lab/scenarios/runner.py
+++ b/src/pewtertack/lab/scenarios/runner.py
@@ -58,6 +58,7 @@
     return Report(
         scenario=scenario.name,
         seed=seed,
+        without=shape.without,
         seconds=round(time.monotonic() - began, 3),
         nodes=len(plan.nodes),
         backends=len(plan.backends),
--- /dev/null
+++ b/src/pewtertack/lab/weakening.py
@@ -0,0 +1,149 @@
+"""Nodes with one mechanism switched off, to show that a scenario notices its absence.
+
+Such a node runs the same program; one part of it is replaced at its start.
+"""
+
+from __future__ import annotations
+
+import dataclasses
+import os
+from collections.abc import Awaitable, Callable, Mapping, Sequence
+from typing import Any
+
+import msgspec
+
+from pewtertack.core import profile
+from pewtertack.core.machines import Machine, MachineList, MachineState
+from pewtertack.core.profile import Mechanisms
+from pewtertack.lab.errors import LabUsageError
+from pewtertack.node.proxy import exchange
+from pewtertack.node.proxy.application import ProxyApplication
+from pewtertack.node.proxy.headers import AnswerHead, RawHeaders
+from pewtertack.node.proxy.upstream import BackendConnection
+from pewtertack.routing import dispatcher
+from pewtertack.routing.outcomes import Outcome, RequestFailedError
+from pewtertack.routing.retries import AttemptRecord
+
+AnswerReader = Callable[[RawHeaders], AnswerHead]
+RetryRule = Callable[[AttemptRecord, RequestFailedError, float], bool]
+MachinesUser = Callable[[ProxyApplication, MachineList], None]
+
+CORE_MECHANISMS = tuple(field.name for field in dataclasses.fields(Mechanisms))
+
+
+def _switch_off_in_core(name: str) -> None:
+    for key, timing in tuple(profile.PROFILES.items()):
+        mechanisms = dataclasses.replace(timing.mechanisms, **{name: False})
+        profile.PROFILES[key] = dataclasses.replace(timing, mechanisms=mechanisms)
+
+
+def _wrap(owner: object, name: str, wrapper: Callable[[Any], Callable[..., Any]]) -> None:
+    """Replace the function ``name`` of a module or class by what ``wrapper`` makes of it."""
+    setattr(owner, name, wrapper(getattr(owner, name)))
+
+
+def _accept_crossed_answers() -> None:
+    """Pass an answer on without a look at the request that it belongs to."""
+
+    def wrapper(read_answer: AnswerReader) -> AnswerReader:
+        def read_without_id(headers: RawHeaders) -> AnswerHead:
+            answer = read_answer(headers)
+            answer.request_id = None
+            return answer
+
+        return read_without_id
+
+    _wrap(exchange, "read_answer", wrapper)
+
+
+def _retry_whatever_may_have_run() -> None:
+    """Repeat attempts of unknown outcome of any request."""
+
+    def wrapper(may_retry: RetryRule) -> RetryRule:
+        def may_retry_all(record: AttemptRecord, error: RequestFailedError, now: float) -> bool:
+            route = dataclasses.replace(record.route, repeatable=True)
+            return may_retry(dataclasses.replace(record, route=route), error, now)
+
+        return may_retry_all
+
+    _wrap(dispatcher, "may_retry", wrapper)
+
+
+def _call_broken_exchanges_not_run() -> None:
+    """Tell callers "not run" of every exchange that broke."""
+
+    def wrapper(_: object) -> Callable[[BackendConnection], Outcome]:
+        return lambda connection: Outcome.NOT_RUN
+
+    _wrap(exchange, "_outcome", wrapper)
+
+
+def _ignore_leaving() -> None:
+    """Give work to back ends that say, or are listed, as leaving."""
+
+    def wrap_reader(read_answer: AnswerReader) -> AnswerReader:
+        def read_as_staying(headers: RawHeaders) -> AnswerHead:
+            answer = read_answer(headers)
+            answer.leaving = False
+            return answer
+
+        return read_as_staying
+
+    def wrap_use(use_machines: MachinesUser) -> MachinesUser:
+        def use_all_as_live(proxy: ProxyApplication, machines: MachineList) -> None:
+            live = tuple(_as_live(machine) for machine in machines.machines)
+            use_machines(proxy, MachineList(machines.number, live))
+
+        return use_all_as_live
+
+    _wrap(exchange, "read_answer", wrap_reader)
+    _wrap(ProxyApplication, "use_machines", wrap_use)
+
+
+def _as_live(machine: Machine) -> Machine:
+    return msgspec.structs.replace(machine, state=MachineState.LIVE)
+
+
+def _stop_without_draining() -> None:
+    """End a planned stop without a wait for what is in flight."""
+
+    def wrapper(_: object) -> Callable[[ProxyApplication], Awaitable[None]]:
+        async def end_at_once(proxy: ProxyApplication) -> None:
+            os._exit(0)
+
+        return end_at_once
+
+    _wrap(ProxyApplication, "wait_drained", wrapper)
+
+
+REQUEST_MECHANISMS: Mapping[str, Callable[[], None]] = {
+    "answer_identity": _accept_crossed_answers,
+    "retry_proof": _retry_whatever_may_have_run,
+    "refusal_truth": _call_broken_exchanges_not_run,
+    "leaving": _ignore_leaving,
+    "drain": _stop_without_draining,
+}
+MECHANISMS: Sequence[str] = (*CORE_MECHANISMS, *REQUEST_MECHANISMS)
+
+
+def check_mechanism(name: str) -> None:
+    """Accept the name of a mechanism.
+
+    Raises:
+        LabUsageError: there is none of this name.
+    """
+    if name not in MECHANISMS:
+        raise LabUsageError(f"no mechanism {name!r}; there are {', '.join(MECHANISMS)}")
+
+
+def switch_off(name: str) -> None:
+    """Switch one mechanism off in this process, before its node is put together.
+
+    Raises:
+        LabUsageError: there is no such mechanism.
+    """
+    check_mechanism(name)
+    if name in REQUEST_MECHANISMS:
+        REQUEST_MECHANISMS[name]()
+    else:
+        _switch_off_in_core(name)
--- /dev/null
+++ b/tests/lab/test_weakening.py
@@ -0,0 +1,30 @@
+"""Mechanisms that can be switched off for a proof."""
+
+import unittest
+from typing import Any
+from unittest import mock
+
+from pewtertack.core import profile
+from pewtertack.lab.errors import LabUsageError
+from pewtertack.lab.weakening import CORE_MECHANISMS, MECHANISMS, switch_off
+from pewtertack.node.proxy import exchange
+
+
+class WeakeningTest(unittest.TestCase):
+    def test_every_core_mechanism_can_be_switched_off(self) -> None:
+        for name in CORE_MECHANISMS:
+            with mock.patch.dict(profile.PROFILES):
+                switch_off(name)
+                for timing in profile.PROFILES.values():
+                    self.assertFalse(getattr(timing.mechanisms, name))
+
+    def test_the_answers_identity_is_no_longer_read(self) -> None:
+        with mock.patch.dict(vars(exchange)):
+            switch_off("answer_identity")
+            read: Any = vars(exchange)["read_answer"]
+            self.assertIsNone(read([(b"x-request-id", b"r1")]).request_id)
+
+    def test_unknown_names_are_typed_errors(self) -> None:
+        self.assertEqual(len(MECHANISMS), len(set(MECHANISMS)))
+        with self.assertRaises(LabUsageError):
+            switch_off("luck")
