--- /dev/null
+++ b/src/pewtertack/lab/simulation/codec.py
@@ -0,0 +1,52 @@
+"""Real frames on the simulated network: what travels is what the daemon would send."""
+
+from __future__ import annotations
+
+from pewtertack.core.identity import NodeIdentity
+from pewtertack.core.inputs import MessageReceived
+from pewtertack.wire.errors import ReplayedFrameError
+from pewtertack.wire.frames import DATAGRAM_BYTES_MAX, Envelope, FrameReader, encode_frame
+from pewtertack.wire.messages import Message
+
+FLEET_KEY = bytes(range(32))
+
+DATAGRAM_HEADER_BYTES = 28
+"""IPv4 and UDP headers."""
+
+STREAM_OVERHEAD_BYTES = 400
+"""Headers of a TCP exchange: handshake, acknowledgements and close, some ten segments."""
+
+
+class ProcessCodec:
+    """Encodes and decodes the frames of one process."""
+
+    def __init__(self, identity: NodeIdentity) -> None:
+        self._identity = identity
+        self._counter = 0
+        self._reader = FrameReader(FLEET_KEY)
+
+    def encode(self, message: Message) -> bytes:
+        """Return the frame that carries ``message`` to a peer."""
+        self._counter += 1
+        identity = self._identity
+        envelope = Envelope(
+            identity.name, identity.address, identity.incarnation, self._counter, message
+        )
+        return encode_frame(envelope, FLEET_KEY)
+
+    def decode(self, frame: bytes) -> MessageReceived | None:
+        """Return the input that ``frame`` makes, or nothing for a repeated frame."""
+        try:
+            envelope = self._reader.read(frame)
+        except ReplayedFrameError:
+            return None
+        return MessageReceived(
+            envelope.sender, envelope.address, envelope.incarnation, envelope.message
+        )
+
+
+def bytes_on_link(frame: bytes) -> int:
+    """Return the bytes that a frame takes on a link, headers included."""
+    if len(frame) <= DATAGRAM_BYTES_MAX:
+        return len(frame) + DATAGRAM_HEADER_BYTES
+    return len(frame) + STREAM_OVERHEAD_BYTES
--- a/src/pewtertack/lab/simulation/fleet.py
+++ b/src/pewtertack/lab/simulation/fleet.py
@@ -29,9 +29,10 @@
     RouteInForce,
     SourceFault,
 )
+from pewtertack.lab.simulation.codec import ProcessCodec
 from pewtertack.lab.simulation.network import Latencies, Packet, Place, SimulatedNetwork
 from pewtertack.lab.simulation.platform import NumberedService
-from pewtertack.lab.simulation.process import SimulatedProcess, Surroundings
+from pewtertack.lab.simulation.process import Recorder, SimulatedProcess, Surroundings
 from pewtertack.lab.simulation.scheduler import Scheduler
 from pewtertack.wire.messages import DocumentKind
 
@@ -57,7 +58,8 @@
     list_lag: float = 3.0
     readers_limit: int = 32
     latencies: Latencies = field(default_factory=Latencies)
-    measure: bool = False
+    frames: bool = False
+    """Whether messages travel as real frames, and traffic and processor time are measured."""
 
     def zone_of(self, index: int) -> str:
         """Return the zone of node ``index``."""
@@ -71,19 +73,21 @@
 class SimulatedFleet:
     """Starts, kills, pauses and stops processes, edits the tree, and writes the history."""
 
-    def __init__(self, settings: FleetSettings, document: Document) -> None:
+    def __init__(
+        self, settings: FleetSettings, document: Document, recorder: Recorder | None = None
+    ) -> None:
         self.settings = settings
         self.scheduler = Scheduler()
         self.random = Random(settings.seed)
         self.lines: list[HistoryLine] = []
         self.processes: dict[str, SimulatedProcess] = {}
         self.network = SimulatedNetwork(
-            self.scheduler, self.random, self._deliver, settings.latencies, settings.measure
+            self.scheduler, self.random, self._deliver, settings.latencies
         )
         self.source = self._service(DocumentKind.CONFIGURATION, 0.0)
         self.machine_list = self._service(DocumentKind.MACHINE_LIST, settings.list_lag)
         platform = {service.kind: service for service in (self.source, self.machine_list)}
-        self._around = Surroundings(self.scheduler, self.network, platform, self)
+        self._around = Surroundings(self.scheduler, self.network, platform, recorder or self)
         self._by_address: dict[str, SimulatedProcess] = {}
         self._machines: dict[str, dict[str, Any]] = {}
         self.names = [f"node-{index}" for index in range(settings.nodes)]
@@ -119,7 +123,8 @@
         self.network.place(identity.address, Place(identity.zone, identity.region))
         random = Random(f"{self.settings.seed}/{name}/{identity.incarnation}")
         core = NodeCore(identity, self.settings.profile, random, self.now, self._seeds())
-        process = SimulatedProcess(identity, core, self._around, self.settings.profile.tick)
+        codec = ProcessCodec(identity) if self.settings.frames else None
+        process = SimulatedProcess(identity, core, self._around, self.settings.profile.tick, codec)
         self.processes[name] = process
         self._by_address[identity.address] = process
         self._machines[name] = {
--- a/src/pewtertack/lab/simulation/network.py
+++ b/src/pewtertack/lab/simulation/network.py
@@ -7,17 +7,9 @@
 from dataclasses import dataclass, field
 from random import Random
 
-import cbor2
-import msgspec
-
+from pewtertack.lab.simulation.codec import bytes_on_link
 from pewtertack.lab.simulation.scheduler import Scheduler
-from pewtertack.wire.messages import Message
-
-ENVELOPE_BYTES = 60
-"""Tag, version, sender, address, incarnation and counter around a message."""
-
-DATAGRAM_HEADER_BYTES = 28
-"""IPv4 and UDP headers; counted because links carry them."""
+from pewtertack.wire.messages import Announce, DeltaAnswer, Message, SnapshotAnswer
 
 REORDER_DELAY = 0.2
 """Greatest extra delay of a message while the network reorders, in seconds."""
@@ -62,29 +54,34 @@
 
 @dataclass(frozen=True, slots=True)
 class Packet:
-    """A message on its way."""
+    """A message on its way, with its frame where real frames are used."""
 
     sender: str
     sender_address: str
     incarnation: int
     target_address: str
     message: Message
+    frame: bytes | None = None
 
 
 Deliver = Callable[[Packet], None]
 
 
-def encoded_size(message: Message) -> int:
-    """Return the bytes that ``message`` takes on a link."""
-    body = cbor2.dumps(msgspec.to_builtins(message, builtin_types=(bytes,)))
-    return len(body) + ENVELOPE_BYTES + DATAGRAM_HEADER_BYTES
+def kind_of(message: Message) -> str:
+    """Return the type of ``message``, with what distinguishes its size."""
+    name = type(message).__name__
+    if isinstance(message, DeltaAnswer | SnapshotAnswer):
+        return f"{name}:{message.kind.name.lower()}"
+    if isinstance(message, Announce) and message.delta is not None:
+        return f"{name}:delta"
+    return name
 
 
 class SimulatedNetwork:
     """Carries packets between addresses whose places are known.
 
-    ``deliver`` gets each packet when it arrives. ``measure`` counts bytes, which
-    costs an encoding for each message.
+    ``deliver`` gets each packet when it arrives. Packets with frames are counted
+    in ``traffic``, by the address of the node.
     """
 
     def __init__(
@@ -93,13 +90,11 @@
         random: Random,
         deliver: Deliver,
         latencies: Latencies | None = None,
-        measure: bool = False,
     ) -> None:
         self._scheduler = scheduler
         self._random = random
         self._deliver = deliver
         self._latencies = latencies or Latencies()
-        self._measure = measure
         self._places: dict[str, Place] = {}
         self._cut: set[tuple[str, str]] = set()
         self.weather = Weather()
@@ -119,25 +114,27 @@
 
     def send(self, packet: Packet) -> None:
         """Carry ``packet``, unless it is lost."""
-        size = encoded_size(packet.message) if self._measure else 0
-        if self._measure:
-            kind = type(packet.message).__name__
+        if packet.frame is not None:
             traffic = self.traffic[packet.sender_address]
+            kind = kind_of(packet.message)
             traffic.sent_messages[kind] += 1
-            traffic.sent_bytes[kind] += size
-        self._carry(packet, size)
-        if self._random.random() < self.weather.duplication:
-            self._carry(packet, size)
+            traffic.sent_bytes[kind] += bytes_on_link(packet.frame)
+        self._carry(packet)
+        if self.weather.duplication and self._random.random() < self.weather.duplication:
+            self._carry(packet)
 
-    def _carry(self, packet: Packet, size: int) -> None:
+    def _carry(self, packet: Packet) -> None:
         source = self._places[packet.sender_address]
         target = self._places.get(packet.target_address)
-        if target is None or self._random.random() < self.weather.loss:
+        if target is None or self._is_lost():
             return
         if (source.zone, target.zone) in self._cut:
             return
         delay = self._delay(source, target)
-        self._scheduler.after(delay, lambda: self._arrive(packet, target.zone, size))
+        self._scheduler.after(delay, lambda: self._arrive(packet, target.zone))
+
+    def _is_lost(self) -> bool:
+        return bool(self.weather.loss) and self._random.random() < self.weather.loss
 
     def _delay(self, source: Place, target: Place) -> float:
         if source.zone == target.zone:
@@ -147,18 +144,18 @@
         else:
             base = self._latencies.between_regions
         delay = base * (1 + self._latencies.jitter * self._random.random())
-        if self._random.random() < self.weather.reordering:
+        if self.weather.reordering and self._random.random() < self.weather.reordering:
             delay += REORDER_DELAY * self._random.random()
         return delay
 
-    def _arrive(self, packet: Packet, target_zone: str, size: int) -> None:
+    def _arrive(self, packet: Packet, target_zone: str) -> None:
         """Deliver unless the link was cut while the packet was on its way."""
         source = self._places[packet.sender_address]
         if (source.zone, target_zone) in self._cut:
             return
-        if self._measure:
-            kind = type(packet.message).__name__
+        if packet.frame is not None:
             traffic = self.traffic[packet.target_address]
+            kind = kind_of(packet.message)
             traffic.received_messages[kind] += 1
-            traffic.received_bytes[kind] += size
+            traffic.received_bytes[kind] += bytes_on_link(packet.frame)
         self._deliver(packet)
--- a/src/pewtertack/lab/simulation/process.py
+++ b/src/pewtertack/lab/simulation/process.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import time
 from collections import deque
 from dataclasses import dataclass, field
 from typing import Protocol
@@ -10,10 +11,11 @@
 from pewtertack.core.identity import NodeIdentity
 from pewtertack.core.inputs import DrainRequested, Input, MessageReceived, Ticked
 from pewtertack.core.node import NodeCore
+from pewtertack.lab.simulation.codec import ProcessCodec
 from pewtertack.lab.simulation.network import Packet, SimulatedNetwork
 from pewtertack.lab.simulation.platform import Answer, NumberedService
 from pewtertack.lab.simulation.scheduler import Scheduler
-from pewtertack.wire.messages import DocumentKind
+from pewtertack.wire.messages import DocumentKind, Message
 
 MAILBOX_LIMIT = 64
 """Messages that the kernel keeps for a paused process; later ones are lost."""
@@ -36,14 +38,27 @@
     recorder: Recorder
 
 
+@dataclass(slots=True)
+class ProcessorTime:
+    """Real seconds of processor time that one process took."""
+
+    core: float = 0.0
+    codec: float = 0.0
+
+
 @dataclass(eq=False, slots=True)
 class SimulatedProcess:
-    """Drives one core as the daemon does: one input at a time."""
+    """Drives one core as the daemon does: one input at a time.
+
+    With a codec its messages travel as real frames, and processor time is measured.
+    """
 
     identity: NodeIdentity
     core: NodeCore
     around: Surroundings
     tick: float
+    codec: ProcessCodec | None = None
+    processor_time: ProcessorTime = field(default_factory=ProcessorTime)
     serving: bool = False
     alive: bool = True
     paused: bool = False
@@ -81,11 +96,18 @@
 
     def receive(self, packet: Packet) -> None:
         """Take a message from the network."""
-        self.take(
-            MessageReceived(
-                packet.sender, packet.sender_address, packet.incarnation, packet.message
+        if self.codec is None or packet.frame is None:
+            self.take(
+                MessageReceived(
+                    packet.sender, packet.sender_address, packet.incarnation, packet.message
+                )
             )
-        )
+            return
+        began = time.process_time()
+        received = self.codec.decode(packet.frame)
+        self.processor_time.codec += time.process_time() - began
+        if received is not None:
+            self.take(received)
 
     def take(self, item: Input) -> None:
         """Handle an input now, or keep it while paused."""
@@ -108,16 +130,30 @@
         self._schedule_tick(self.tick)
 
     def _handle(self, item: Input) -> None:
-        for effect in self.core.handle(self.around.scheduler.now, item):
+        if self.codec is None:
+            effects = self.core.handle(self.around.scheduler.now, item)
+        else:
+            began = time.process_time()
+            effects = self.core.handle(self.around.scheduler.now, item)
+            self.processor_time.core += time.process_time() - began
+        for effect in effects:
             self._carry_out(effect)
 
+    def _send(self, address: str, message: Message) -> None:
+        identity = self.identity
+        frame = None
+        if self.codec is not None:
+            began = time.process_time()
+            frame = self.codec.encode(message)
+            self.processor_time.codec += time.process_time() - began
+        self.around.network.send(
+            Packet(identity.name, identity.address, identity.incarnation, address, message, frame)
+        )
+
     def _carry_out(self, effect: Effect) -> None:
         match effect:
             case Send(_, address, message):
-                identity = self.identity
-                self.around.network.send(
-                    Packet(identity.name, identity.address, identity.incarnation, address, message)
-                )
+                self._send(address, message)
             case ReadDocument(kind, after, wait):
                 self.around.platform[kind].read(after, wait, self._on_answer)
             case Log():
--- a/tests/lab/simulation/test_simulated_parts.py
+++ b/tests/lab/simulation/test_simulated_parts.py
@@ -5,6 +5,9 @@
 
 from pewtertack.core.inputs import DocumentRead, DocumentReadFailed, DocumentUnchanged
 from pewtertack.core.revision import NO_REVISION
+from pewtertack.lab.simulation.codec import bytes_on_link
+from pewtertack.lab.simulation.documents import tree_for_edit
+from pewtertack.lab.simulation.fleet import FleetSettings, SimulatedFleet
 from pewtertack.lab.simulation.network import Packet, Place, SimulatedNetwork
 from pewtertack.lab.simulation.platform import Answer, NumberedService
 from pewtertack.lab.simulation.scheduler import Scheduler
@@ -17,9 +20,7 @@
     def setUp(self) -> None:
         self.scheduler = Scheduler()
         self.arrived: list[Packet] = []
-        self.network = SimulatedNetwork(
-            self.scheduler, Random(1), self.arrived.append, measure=True
-        )
+        self.network = SimulatedNetwork(self.scheduler, Random(1), self.arrived.append)
         self.network.place("a", Place("zone-a", "east"))
         self.network.place("b", Place("zone-b", "east"))
 
@@ -49,11 +50,26 @@
         self.assertEqual(len(self.arrived), 2)
 
     def test_traffic_is_counted_where_it_is_sent_and_where_it_arrives(self) -> None:
-        self.send()
+        frame = b"x" * 100
+        self.network.send(Packet("a", "a", 1, "b", MESSAGE, frame))
         self.scheduler.run_until(1.0)
         self.assertEqual(self.network.traffic["a"].sent_messages["Pull"], 1)
-        sent = self.network.traffic["a"].sent_bytes["Pull"]
-        self.assertEqual(self.network.traffic["b"].received_bytes["Pull"], sent)
+        self.assertEqual(self.network.traffic["a"].sent_bytes["Pull"], bytes_on_link(frame))
+        self.assertEqual(self.network.traffic["b"].received_bytes["Pull"], bytes_on_link(frame))
+
+
+class FramesTest(unittest.TestCase):
+    def test_a_fleet_on_real_frames_serves_and_its_traffic_is_counted(self) -> None:
+        fleet = SimulatedFleet(FleetSettings(nodes=4, zones=2, frames=True), tree_for_edit(1))
+        fleet.start_all()
+        fleet.run(6.0)
+        self.assertTrue(all(process.serving for process in fleet.processes.values()))
+        self.assertEqual(len(fleet.network.traffic), 4)
+        snapshots = sum(
+            traffic.received_messages["SnapshotAnswer:configuration"]
+            for traffic in fleet.network.traffic.values()
+        )
+        self.assertGreater(snapshots, 0)
 
 
 class PlatformTest(unittest.TestCase):
