--- /dev/null
+++ b/src/pewtertack/lab/scale/report.py
@@ -0,0 +1,162 @@
+"""What a scale run measured. Rates are a second of virtual time and for one node."""
+
+from __future__ import annotations
+
+from pathlib import Path
+from typing import ClassVar
+
+import msgspec
+
+from pewtertack.errors import LabError
+from pewtertack.lab.report.statistics import Distribution
+
+
+class ScaleReportError(LabError):
+    """A file holds no report of a scale run."""
+
+    code: ClassVar[str] = "scale-report"
+
+
+class RoleRates(msgspec.Struct, frozen=True, kw_only=True):
+    """Rates of the nodes of one role during one phase.
+
+    Bytes include headers of UDP, or an estimate for TCP. ``processor_share`` is
+    the share of one core that core and codec took: real seconds on the machine of
+    the run for each virtual second.
+    """
+
+    nodes: int
+    sent_messages: float
+    received_messages: float
+    sent_bytes_mean: float
+    sent_bytes: Distribution
+    received_bytes_mean: float
+    received_bytes: Distribution
+    core_processor_share: float
+    codec_processor_share: float
+
+
+class ConfigurationBytes(msgspec.Struct, frozen=True, kw_only=True):
+    """Bytes of configuration which all nodes received, against one copy each.
+
+    ``floor`` is one frame with the delta for each node and edit, and one frame
+    with a snapshot for each process that started.
+    """
+
+    received: int
+    floor: int
+    ratio: float
+
+
+class PhaseReport(msgspec.Struct, frozen=True, kw_only=True):
+    """One phase of a run. ``convergence`` is in seconds from the edit at the source."""
+
+    name: str
+    seconds: float
+    edits: int
+    restarts: int
+    roles: dict[str, RoleRates]
+    bytes_by_kind: dict[str, float]
+    """Received bytes a node and second, by type of message."""
+    configuration: ConfigurationBytes
+    convergence: Distribution
+    missing: int
+    """Pairs of an edit and a running node which never had it in force."""
+    rejoin: Distribution
+    """Seconds from the start of a process until it served."""
+    never_served: int
+    source_reads: int
+    source_reads_at_once: int
+    list_reads_at_once: int
+
+
+class PollingBaseline(msgspec.Struct, frozen=True, kw_only=True):
+    """Every node polls the source for the whole tree, every ``interval`` seconds."""
+
+    interval: float
+    snapshot_bytes: int
+    bytes_per_second: float
+    reads_per_second: float
+    convergence_max: float
+
+
+class ScaleReport(msgspec.Struct, frozen=True, kw_only=True):
+    """A whole run."""
+
+    nodes: int
+    zones: int
+    regions: int
+    services: int
+    seed: int
+    profile: str
+    real_seconds: float
+    memory_bytes_per_node: int
+    """Growth of the process's resident memory from no node to all serving, by node."""
+    peak_memory_bytes: int
+    delta_bytes: int
+    snapshot_bytes: int
+    phases: list[PhaseReport]
+    baselines: list[PollingBaseline]
+
+    def phase(self, name: str) -> PhaseReport:
+        """Return the phase called ``name``.
+
+        Raises:
+            ScaleReportError: the run had none.
+        """
+        for phase in self.phases:
+            if phase.name == name:
+                return phase
+        raise ScaleReportError(f"no phase {name!r}")
+
+
+def read_report(path: Path) -> ScaleReport:
+    """Read the report of a scale run.
+
+    Raises:
+        ScaleReportError: the file cannot be read or holds something else.
+    """
+    try:
+        return msgspec.json.decode(path.read_bytes(), type=ScaleReport)
+    except (OSError, msgspec.MsgspecError) as error:
+        raise ScaleReportError(f"{path}: {error}") from error
+
+
+def write_report(report: ScaleReport, path: Path) -> None:
+    """Write ``report`` as indented JSON."""
+    path.write_bytes(msgspec.json.format(msgspec.json.encode(report), indent=1) + b"\n")
+
+
+def format_summary(report: ScaleReport) -> str:
+    """Return a table of the phases for a terminal."""
+    lines = [
+        f"{report.nodes} nodes, {report.zones} zones, {report.regions} regions, "
+        f"{report.services} services, profile {report.profile}, seed {report.seed}: "
+        f"{report.real_seconds:.0f} s real, {report.memory_bytes_per_node >> 10} KB a node",
+        f"{'phase':10} {'role':8} {'nodes':>5} {'sent B/s':>9} {'recv B/s':>9} {'recv p99':>9} "
+        f"{'msg/s':>7} {'core %':>7} {'codec %':>7}",
+    ]
+    for phase in report.phases:
+        lines += [_role_line(phase.name, role, rates) for role, rates in phase.roles.items()]
+        lines.append(_phase_line(phase))
+    return "\n".join(lines)
+
+
+def _role_line(phase: str, role: str, rates: RoleRates) -> str:
+    return (
+        f"{phase:10} {role:8} {rates.nodes:5} {rates.sent_bytes_mean:9.0f} "
+        f"{rates.received_bytes_mean:9.0f} {rates.received_bytes.p99:9.0f} "
+        f"{rates.sent_messages:7.2f} {100 * rates.core_processor_share:7.3f} "
+        f"{100 * rates.codec_processor_share:7.3f}"
+    )
+
+
+def _phase_line(phase: PhaseReport) -> str:
+    spread = phase.convergence
+    return (
+        f"{'':10} {phase.edits} edits in force p50 {spread.p50:.3f} p99 {spread.p99:.3f} "
+        f"max {spread.max:.3f} s, {phase.missing} missing; {phase.restarts} starts, serving "
+        f"p50 {phase.rejoin.p50:.2f} max {phase.rejoin.max:.2f} s, {phase.never_served} never; "
+        f"reads at once {phase.source_reads_at_once}; "
+        f"configuration bytes {phase.configuration.ratio:.2f} x floor"
+    )
--- a/src/pewtertack/lab/simulation/fleet.py
+++ b/src/pewtertack/lab/simulation/fleet.py
@@ -240,6 +240,11 @@
             self.lines.append(NodeEvent(**common))
 
 
+def start_time_of(incarnation: int) -> float:
+    """Return when the process ``incarnation`` started, in virtual seconds."""
+    return (incarnation - EPOCH_MILLISECONDS) / 1000
+
+
 def _in_force_line(common: dict[str, Any], fields: dict[str, Any]) -> RevisionInForce:
     routes = {
         name: RouteInForce(service=route["service"], secrets=tuple(route["secrets"]))
