--- a/src/pewtertack/node/proxy/protocol.py
+++ b/src/pewtertack/node/proxy/protocol.py
@@ -71,17 +71,19 @@
         if self._reading_head:
             self._head_bytes += len(data)
         super().data_received(data)
-        if self._reading_head and self._head_bytes > HEAD_BYTES:
+        if not self._reading_head or self._head_bytes == 0:
+            return
+        if self._head_bytes > HEAD_BYTES:
             self._refuse(HeadersTooLargeError(f"the head exceeds {HEAD_BYTES} bytes"))
+        elif self._guard is None:
+            self._start_guard(HEAD_SECONDS, self._refuse_slow_head)
 
     # Parser callbacks
 
     def on_message_begin(self) -> None:
-        """Give the head its time."""
+        """Note that a request has begun."""
         super().on_message_begin()
         self._message_complete = False
-        if self._guard is None:
-            self._start_guard(HEAD_SECONDS, self._refuse_slow_head)
 
     def on_headers_complete(self) -> None:
         """Check what httptools leaves unchecked, then start the request."""
