--- a/src/pewtertack/lab/scenarios/catalogue.py
+++ b/src/pewtertack/lab/scenarios/catalogue.py
@@ -39,6 +39,7 @@
 
 
 _ALL = (
+    _configuration("quiet", configuration.quiet),
     _configuration("steady-edits", configuration.steady_edits),
     _configuration("herd-killed", configuration.herd_killed),
     _configuration("nodes-paused", configuration.nodes_paused),
--- a/src/pewtertack/lab/scenarios/configuration.py
+++ b/src/pewtertack/lab/scenarios/configuration.py
@@ -16,6 +16,14 @@
 DEAD_SECONDS = 1.5
 OUTAGE_SECONDS = 5.0
 RACES = 5
+QUIET_SECONDS = 15.0
+
+
+async def quiet(context: ScenarioContext) -> None:
+    """One edit and then none: what the nodes send each other all the time."""
+    await context.edit()
+    await context.wait_for_newest()
+    await anyio.sleep(QUIET_SECONDS)
 
 
 async def steady_edits(context: ScenarioContext) -> None:
--- a/src/pewtertack/lab/scenarios/requests.py
+++ b/src/pewtertack/lab/scenarios/requests.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import anyio
+import anyio.abc
 
 from pewtertack.lab.backend.state import BackendFaults, HealthReport
 from pewtertack.lab.scenarios.context import ScenarioContext
@@ -12,9 +13,11 @@
 STOPPED_BACKEND_SECONDS = 2.0
 EDIT_PAUSE = 0.7
 LONG_WORK_MILLISECONDS = 1500.0
+LASTING_WORK_MILLISECONDS = 600.0
+LASTING_BODY_BYTES = 4096
 UPLOAD_BYTES = 16 * 1024 * 1024
 IN_FLIGHT_SECONDS = 0.3
-"""Between the begin of the long requests and the stop."""
+"""Between the begin of the long requests and the stop or fault."""
 
 
 async def backends_killed(context: ScenarioContext) -> None:
@@ -23,22 +26,39 @@
     faults = BackendFaults(die_mid_answer_share=0.3)
     await context.fleet.backends.fail(breaking, faults, "breaks answers off")
     for name in killed:
-        await context.fleet.kill_backend_process(name)
+        async with anyio.create_task_group() as callers:
+            await _fill_backends(context, callers, f"killed-{name}")
+            await context.fleet.kill_backend_process(name)
         await anyio.sleep(STOPPED_BACKEND_SECONDS)
         await context.fleet.start_backend_process(name)
     await context.fleet.backends.heal(breaking)
     await anyio.sleep(FAULT_SECONDS)
 
 
+async def _fill_backends(
+    context: ScenarioContext, callers: anyio.abc.TaskGroup, prefix: str
+) -> None:
+    """Begin requests that last, on every node, and wait until they are in the back ends."""
+    kinds = context.long_calls(LASTING_WORK_MILLISECONDS, LASTING_BODY_BYTES)
+    once_only = [kind for kind in kinds if not kind.repeatable]
+    for name in context.fleet.plan.nodes:
+        for kind in (*once_only, context.random.choice(kinds)):
+            request_id = f"{prefix}-{name}-{kind.route}-{context.random.randrange(10**9)}"
+            callers.start_soon(context.fleet.ask, name, kind, request_id)
+    await anyio.sleep(IN_FLIGHT_SECONDS)
+
+
 async def backends_frozen(context: ScenarioContext) -> None:
     """Back ends freeze with requests in them, and run on later."""
-    for _ in range(2):
+    for turn in range(2):
         frozen = context.some_backends(2)
-        for name in frozen:
-            context.fleet.pause_backend_process(name)
-        await anyio.sleep(FAULT_SECONDS)
-        for name in frozen:
-            context.fleet.resume_backend_process(name)
+        async with anyio.create_task_group() as callers:
+            await _fill_backends(context, callers, f"frozen-{turn}")
+            for name in frozen:
+                context.fleet.pause_backend_process(name)
+            await anyio.sleep(FAULT_SECONDS)
+            for name in frozen:
+                context.fleet.resume_backend_process(name)
         await anyio.sleep(1.0)
 
 
