--- a/src/pewtertack/lab/scenarios/catalogue.py
+++ b/src/pewtertack/lab/scenarios/catalogue.py
@@ -43,6 +43,7 @@
     _configuration("steady-edits", configuration.steady_edits),
     _configuration("herd-killed", configuration.herd_killed),
     _configuration("nodes-paused", configuration.nodes_paused),
+    _configuration("holders-killed", configuration.holders_killed),
     _configuration("zone-cut-off", configuration.zone_cut_off),
     _configuration("one-way-cut", configuration.one_way_cut),
     _configuration("source-down", configuration.source_down),
--- a/src/pewtertack/lab/scenarios/configuration.py
+++ b/src/pewtertack/lab/scenarios/configuration.py
@@ -14,6 +14,8 @@
 """Longer than the gap by which a node finds that it was paused."""
 CUT_SECONDS = 6.0
 DEAD_SECONDS = 1.5
+HOLDING_SECONDS = 3.0
+STALE_SECONDS = 8.0
 OUTAGE_SECONDS = 5.0
 RACES = 5
 QUIET_SECONDS = 15.0
@@ -86,6 +88,30 @@
         await context.fleet.wait_serving(paused)
 
 
+async def holders_killed(context: ScenarioContext) -> None:
+    """All that hold a new edit die while the rest is paused; the source answers stale."""
+    fleet = context.fleet
+    zone = context.random.choice(fleet.plan.shape.zones)
+    holders = [name for name, node in fleet.plan.nodes.items() if node.zone == zone]
+    others = [name for name in fleet.plan.nodes if name not in holders]
+    await context.edit()
+    await context.wait_for_newest()
+    before = context.newest_valid
+    for name in others:
+        fleet.pause_node(name)
+    await context.edit()
+    await anyio.sleep(HOLDING_SECONDS)
+    await fleet.platform.fail_source(Faults(stale_number=before), "stale")
+    await fleet.kill_nodes(holders)
+    for name in others:
+        fleet.resume_node(name)
+    await fleet.start_nodes(holders)
+    await fleet.wait_serving()
+    await anyio.sleep(STALE_SECONDS)
+    await fleet.platform.heal_source()
+    await context.wait_for_newest()
+
+
 async def zone_cut_off(context: ScenarioContext) -> None:
     """A zone is cut off from all others under edits, then the cut heals."""
     zone = context.random.choice(context.fleet.plan.shape.zones)
