--- /dev/null
+++ b/src/pewtertack/cli/lab_scale.py
@@ -0,0 +1,32 @@
+"""``pewtertack lab scale`` and ``lab report``: runs at fleet size, and their pages."""
+
+from __future__ import annotations
+
+from pathlib import Path
+from typing import Annotated
+
+import typer
+
+
+def scale(
+    nodes: Annotated[int, typer.Option(help="Hollow nodes, all in this process.")] = 200,
+    zones: int = 5,
+    regions: int = 2,
+    services: Annotated[
+        int, typer.Option(help="Services of the tree, with two routes each.")
+    ] = 240,
+    edits: Annotated[int, typer.Option(help="Edits of the phase of that name.")] = 4,
+    seed: int = 1,
+    profile: Annotated[str, typer.Option(help="fast or frugal.")] = "fast",
+    report: Annotated[Path | None, typer.Option(help="Takes the report as JSON.")] = None,
+    quiet: Annotated[bool, typer.Option(help="Print no progress.")] = False,
+) -> None:
+    """Run hollow nodes in virtual time and measure bytes, processor time and convergence."""
+    from pewtertack.lab.scale.report import format_summary, write_report
+    from pewtertack.lab.scale.run import ScaleSettings, run_scale
+
+    settings = ScaleSettings(nodes, zones, regions, services, edits, seed, profile)
+    result = run_scale(settings, lambda line: None if quiet else typer.echo(line, err=True))
+    if report is not None:
+        write_report(result, report)
+    typer.echo(format_summary(result))
--- a/src/pewtertack/lab/simulation/fleet.py
+++ b/src/pewtertack/lab/simulation/fleet.py
@@ -56,6 +56,8 @@
     profile: TimingProfile = FAST
     seed: int = 0
     list_lag: float = 3.0
+    list_interval: float = 0.5
+    """The platform makes a new machine list at most this often, in seconds."""
     readers_limit: int = 32
     latencies: Latencies = field(default_factory=Latencies)
     frames: bool = False
@@ -90,6 +92,8 @@
         self._around = Surroundings(self.scheduler, self.network, platform, recorder or self)
         self._by_address: dict[str, SimulatedProcess] = {}
         self._machines: dict[str, dict[str, Any]] = {}
+        self._list_due = False
+        self._next_list_at = 0.0
         self.names = [f"node-{index}" for index in range(settings.nodes)]
         self.edit(document, valid=True)
 
@@ -192,6 +196,15 @@
             self._publish_machines()
 
     def _publish_machines(self) -> None:
+        """Let the platform make a new list at its next time for that."""
+        if self._list_due:
+            return
+        self._list_due = True
+        self.scheduler.at(self._next_list_at, self._put_machine_list)
+
+    def _put_machine_list(self) -> None:
+        self._list_due = False
+        self._next_list_at = self.now + self.settings.list_interval
         self.machine_list.put({name: dict(entry) for name, entry in self._machines.items()})
 
     def _deliver(self, packet: Packet) -> None:
--- /dev/null
+++ b/tests/lab/scale/test_scale.py
@@ -0,0 +1,56 @@
+"""A small scale run: every phase is measured, and the same seed gives the same bytes."""
+
+import tempfile
+import unittest
+from pathlib import Path
+
+from pewtertack.lab.scale.report import (
+    ScaleReport,
+    ScaleReportError,
+    format_summary,
+    read_report,
+    write_report,
+)
+from pewtertack.lab.scale.run import ScaleSettings, run_scale
+
+SETTINGS = ScaleSettings(nodes=15, zones=5, regions=2, services=3, edits=2)
+
+
+class ScaleTest(unittest.TestCase):
+    report: ScaleReport
+
+    @classmethod
+    def setUpClass(cls) -> None:
+        cls.report = run_scale(SETTINGS)
+
+    def test_every_phase_converges_and_every_start_serves(self) -> None:
+        names = [phase.name for phase in self.report.phases]
+        self.assertEqual(names, ["formation", "idle", "edits", "churn", "storm"])
+        for phase in self.report.phases:
+            self.assertEqual((phase.missing, phase.never_served), (0, 0), phase.name)
+
+    def test_each_node_has_one_role_and_an_idle_one_is_quiet(self) -> None:
+        for phase in self.report.phases:
+            self.assertEqual(sum(rates.nodes for rates in phase.roles.values()), SETTINGS.nodes)
+        idle = self.report.phase("idle")
+        edits = self.report.phase("edits")
+        self.assertLess(
+            idle.roles["replica"].sent_bytes_mean, edits.roles["replica"].sent_bytes_mean
+        )
+
+    def test_configuration_is_received_at_least_once(self) -> None:
+        self.assertGreaterEqual(self.report.phase("edits").configuration.ratio, 0.9)
+
+    def test_a_report_is_read_as_it_was_written(self) -> None:
+        with tempfile.TemporaryDirectory() as directory:
+            path = Path(directory) / "report.json"
+            write_report(self.report, path)
+            self.assertEqual(read_report(path), self.report)
+            path.write_text("{}")
+            with self.assertRaises(ScaleReportError):
+                read_report(path)
+        self.assertIn("storm", format_summary(self.report))
+
+
+if __name__ == "__main__":
+    unittest.main()
