--- a/src/pewtertack/lab/simulation/fleet.py
+++ b/src/pewtertack/lab/simulation/fleet.py
@@ -29,9 +29,10 @@
     RouteInForce,
     SourceFault,
 )
+from pewtertack.lab.simulation.codec import ProcessCodec
 from pewtertack.lab.simulation.network import Latencies, Packet, Place, SimulatedNetwork
 from pewtertack.lab.simulation.platform import NumberedService
-from pewtertack.lab.simulation.process import SimulatedProcess, Surroundings
+from pewtertack.lab.simulation.process import Recorder, SimulatedProcess, Surroundings
 from pewtertack.lab.simulation.scheduler import Scheduler
 from pewtertack.wire.messages import DocumentKind
 
@@ -55,9 +56,12 @@
     profile: TimingProfile = FAST
     seed: int = 0
     list_lag: float = 3.0
+    list_interval: float = 0.5
+    """The platform makes a new machine list at most this often, in seconds."""
     readers_limit: int = 32
     latencies: Latencies = field(default_factory=Latencies)
-    measure: bool = False
+    frames: bool = False
+    """Whether messages travel as real frames, and traffic and processor time are measured."""
 
     def zone_of(self, index: int) -> str:
         """Return the zone of node ``index``."""
@@ -71,21 +75,25 @@
 class SimulatedFleet:
     """Starts, kills, pauses and stops processes, edits the tree, and writes the history."""
 
-    def __init__(self, settings: FleetSettings, document: Document) -> None:
+    def __init__(
+        self, settings: FleetSettings, document: Document, recorder: Recorder | None = None
+    ) -> None:
         self.settings = settings
         self.scheduler = Scheduler()
         self.random = Random(settings.seed)
         self.lines: list[HistoryLine] = []
         self.processes: dict[str, SimulatedProcess] = {}
         self.network = SimulatedNetwork(
-            self.scheduler, self.random, self._deliver, settings.latencies, settings.measure
+            self.scheduler, self.random, self._deliver, settings.latencies
         )
         self.source = self._service(DocumentKind.CONFIGURATION, 0.0)
         self.machine_list = self._service(DocumentKind.MACHINE_LIST, settings.list_lag)
         platform = {service.kind: service for service in (self.source, self.machine_list)}
-        self._around = Surroundings(self.scheduler, self.network, platform, self)
+        self._around = Surroundings(self.scheduler, self.network, platform, recorder or self)
         self._by_address: dict[str, SimulatedProcess] = {}
         self._machines: dict[str, dict[str, Any]] = {}
+        self._list_due = False
+        self._next_list_at = 0.0
         self.names = [f"node-{index}" for index in range(settings.nodes)]
         self.edit(document, valid=True)
 
@@ -119,7 +127,8 @@
         self.network.place(identity.address, Place(identity.zone, identity.region))
         random = Random(f"{self.settings.seed}/{name}/{identity.incarnation}")
         core = NodeCore(identity, self.settings.profile, random, self.now, self._seeds())
-        process = SimulatedProcess(identity, core, self._around, self.settings.profile.tick)
+        codec = ProcessCodec(identity) if self.settings.frames else None
+        process = SimulatedProcess(identity, core, self._around, self.settings.profile.tick, codec)
         self.processes[name] = process
         self._by_address[identity.address] = process
         self._machines[name] = {
@@ -187,6 +196,15 @@
             self._publish_machines()
 
     def _publish_machines(self) -> None:
+        """Let the platform make a new list at its next time for that."""
+        if self._list_due:
+            return
+        self._list_due = True
+        self.scheduler.at(self._next_list_at, self._put_machine_list)
+
+    def _put_machine_list(self) -> None:
+        self._list_due = False
+        self._next_list_at = self.now + self.settings.list_interval
         self.machine_list.put({name: dict(entry) for name, entry in self._machines.items()})
 
     def _deliver(self, packet: Packet) -> None:
@@ -235,6 +253,11 @@
             self.lines.append(NodeEvent(**common))
 
 
+def start_time_of(incarnation: int) -> float:
+    """Return when the process ``incarnation`` started, in virtual seconds."""
+    return (incarnation - EPOCH_MILLISECONDS) / 1000
+
+
 def _in_force_line(common: dict[str, Any], fields: dict[str, Any]) -> RevisionInForce:
     routes = {
         name: RouteInForce(service=route["service"], secrets=tuple(route["secrets"]))
