--- a/src/pewtertack/lab/fleet/fleet.py
+++ b/src/pewtertack/lab/fleet/fleet.py
@@ -163,6 +163,10 @@
         """Return the names of the nodes whose processes run, paused or not."""
         return [name for name, process in self._nodes.items() if process.is_running]
 
+    def node_pids(self) -> list[int]:
+        """Return the process ids of the nodes that run."""
+        return [self._nodes[name].pid for name in self.running_nodes()]
+
     async def kill_nodes(self, names: Iterable[str]) -> None:
         """Kill nodes at once (SIGKILL) and wait for their ends."""
         processes = [self._nodes[name] for name in names]
--- a/src/pewtertack/lab/report/report.py
+++ b/src/pewtertack/lab/report/report.py
@@ -13,6 +13,7 @@
 from pewtertack.lab.platform.application import Counters
 from pewtertack.lab.records import HistoryLine, Told, ToldOutcome
 from pewtertack.lab.report.convergence import Convergence, measure_convergence
+from pewtertack.lab.report.resources import NodeResources
 from pewtertack.lab.report.statistics import Distribution, distribution_of
 from pewtertack.lab.report.traffic import PeerTraffic
 
@@ -38,6 +39,7 @@
     edits: int
     convergence: Convergence
     traffic: PeerTraffic
+    resources: NodeResources
     source: Counters
     routes: dict[str, RouteOutcomes]
     verdicts: list[Verdict]
--- a/src/pewtertack/lab/report/table.py
+++ b/src/pewtertack/lab/report/table.py
@@ -39,6 +39,7 @@
 def format_report(report: Report) -> str:
     """Return the report as text."""
     convergence, traffic = report.convergence, report.traffic
+    cores, memory = report.resources.core_share, report.resources.resident_megabytes
     fleet, node = convergence.whole_fleet, convergence.each_node
     lines = [
         f"scenario {report.scenario}{_weakness(report)}, seed {report.seed},"
@@ -51,7 +52,10 @@
         f"peer bytes sent per node and second: control {traffic.control:.0f},"
         f" configuration {traffic.configuration:.0f}, machine list {traffic.machine_list:.0f}"
         f" ({traffic.nodes} nodes over {traffic.seconds:.1f} s)",
-        f"most readers of the source at once: {report.source.peak_readers}",
+        f"nodes, callers' requests included: {cores.p50:.1%} of a core, max {cores.max:.1%};"
+        f" {memory.p50:.1f} MB, max {memory.max:.1f} MB",
+        f"source: at most {report.source.peak_readers} readers at once,"
+        f" {report.source.bytes_served} bytes served",
         "",
         _outcome_table(report),
         "",
--- a/src/pewtertack/lab/scenarios/runner.py
+++ b/src/pewtertack/lab/scenarios/runner.py
@@ -18,6 +18,7 @@
 from pewtertack.lab.platform.application import Counters
 from pewtertack.lab.records import Edit
 from pewtertack.lab.report.report import Report, convergence_of, judge_lines, routes_of
+from pewtertack.lab.report.resources import NodeResources, resources_between, sample_resources
 from pewtertack.lab.report.traffic import PeerTraffic, sample_traffic, traffic_between
 from pewtertack.lab.scenarios.context import ScenarioContext
 from pewtertack.lab.scenarios.edits import TreeEditor
@@ -35,6 +36,7 @@
     """What was measured while the fleet ran."""
 
     traffic: PeerTraffic
+    resources: NodeResources
     source: Counters
     problems: list[str]
 
@@ -65,6 +67,7 @@
         edits=sum(1 for line in lines if isinstance(line, Edit)) - 1,
         convergence=convergence_of(lines),
         traffic=outcome.traffic,
+        resources=outcome.resources,
         source=outcome.source,
         routes=routes_of(lines),
         verdicts=judge_lines(lines, BOUNDS),
@@ -80,17 +83,19 @@
     await fleet.wait_in_force(1)
     load = await fleet.start_load("callers", scenario.rate, seed)
     first = await sample_traffic(fleet)
+    resources_at_first = sample_resources(fleet)
     editor = TreeEditor(fleet.plan.shape.tree, seed)
     context = ScenarioContext(fleet, random.Random(f"scenario:{seed}"), editor)
     await _run_body(scenario, context)
     await anyio.sleep(SETTLE_SECONDS)
     last = await sample_traffic(fleet)
+    resources = resources_between(resources_at_first, sample_resources(fleet))
     code = await fleet.stop_load(load)
     context.expect(code == 0, f"the callers ended with exit code {code}: {load.error_tail()}")
     for name in sorted(set(fleet.plan.nodes) - set(fleet.running_nodes())):
         context.problems.append(f"{name} does not run at the end")
     source = await fleet.platform.source_counters()
-    return _Outcome(traffic_between(first, last), source, context.problems)
+    return _Outcome(traffic_between(first, last), resources, source, context.problems)
 
 
 async def _run_body(scenario: Scenario, context: ScenarioContext) -> None:
--- /dev/null
+++ b/tests/lab/report/test_resources.py
@@ -0,0 +1,25 @@
+"""Processor time and memory between two samples."""
+
+import os
+import unittest
+
+from pewtertack.lab.report.resources import (
+    ProcessSample,
+    ResourceSample,
+    read_process,
+    resources_between,
+)
+
+
+class ResourcesTest(unittest.TestCase):
+    def test_this_process_is_read(self) -> None:
+        own = read_process(os.getpid())
+        self.assertGreater(own.processor_seconds, 0.0)
+        self.assertGreater(own.resident_bytes, 1_000_000)
+
+    def test_only_processes_of_both_samples_count(self) -> None:
+        first = ResourceSample(0.0, {1: ProcessSample(1.0, 0), 2: ProcessSample(9.0, 0)})
+        last = ResourceSample(10.0, {1: ProcessSample(1.5, 20_000_000), 3: ProcessSample(5.0, 0)})
+        found = resources_between(first, last)
+        self.assertEqual((found.core_share.count, found.core_share.max), (1, 0.05))
+        self.assertEqual(found.resident_megabytes.p50, 20.0)
