End all processes of a fleet when the lab gets SIGTERM

Cause: Python's default action for SIGTERM ended the lab at once and left the fleet's processes running.

--- a/src/pewtertack/cli/lab.py
+++ b/src/pewtertack/cli/lab.py
@@ -5,20 +5,24 @@
 import json
 import math
 import tempfile
+from collections.abc import Awaitable, Callable
 from dataclasses import replace
 from pathlib import Path
-from typing import Annotated, Any
+from typing import Annotated, Any, TypeVar
 
 import anyio
 import msgspec
 import typer
 
 from pewtertack.cli.exit_codes import ExitCode
+from pewtertack.errors import LabError
 from pewtertack.lab.address import Address
-from pewtertack.lab.errors import LabUsageError
+from pewtertack.lab.errors import LabUsageError, leaves_of
 
 app = typer.Typer(no_args_is_help=True, help="Stand-ins, fleets, load and scenarios.")
 
+Result = TypeVar("Result")
+
 ANY_PORT = "127.0.0.1:0"
 
 Listen = Annotated[str, typer.Option(help="Address for the readers, ip:port.")]
@@ -40,6 +44,21 @@
     return value
 
 
+def run_fleet(function: Callable[..., Awaitable[Result]], *arguments: object) -> Result:
+    """Run a coroutine that runs a fleet.
+
+    Raises:
+        LabError: the first error of the fleet, out of the groups around it.
+    """
+    try:
+        return anyio.run(function, *arguments)
+    except BaseExceptionGroup as group:
+        errors = [error for error in leaves_of(group) if isinstance(error, LabError)]
+        if not errors:
+            raise
+        raise errors[0] from group
+
+
 @app.command()
 def source(
     tree: Annotated[Path, typer.Option(help="JSON file with the first tree.")],
@@ -187,7 +206,7 @@
     shape = replace(shape_of(deployment, examples, nodes_per_zone), without=without)
     with tempfile.TemporaryDirectory() as directory:
         path = history or Path(directory) / "history.jsonl"
-        result = anyio.run(run_scenario, found, shape, seed, path)
+        result = run_fleet(run_scenario, found, shape, seed, path)
     if report is not None:
         report.write_bytes(msgspec.json.format(msgspec.json.encode(result)))
     typer.echo(format_report(result))
@@ -205,7 +224,7 @@
     from pewtertack.lab.demo import format_demo, run_demo
     from pewtertack.lab.deployments import shape_of
 
-    result = anyio.run(run_demo, shape_of(deployment, examples, nodes_per_zone))
+    result = run_fleet(run_demo, shape_of(deployment, examples, nodes_per_zone))
     typer.echo(format_demo(result))
     raise typer.Exit(ExitCode.FOUND if result.problems() else ExitCode.OK)
 
--- a/src/pewtertack/lab/errors.py
+++ b/src/pewtertack/lab/errors.py
@@ -41,3 +41,17 @@
     """No scenario has the given name."""
 
     code: ClassVar[str] = "unknown-scenario"
+
+
+class FleetInterruptedError(LabError):
+    """The lab was asked to stop (SIGTERM) while a fleet ran."""
+
+    code: ClassVar[str] = "fleet-interrupted"
+
+
+def leaves_of(group: BaseExceptionGroup[BaseException]) -> list[BaseException]:
+    """Return the exceptions of a group that are no groups themselves."""
+    found: list[BaseException] = []
+    for error in group.exceptions:
+        found += leaves_of(error) if isinstance(error, BaseExceptionGroup) else [error]
+    return found
--- a/src/pewtertack/lab/fleet/fleet.py
+++ b/src/pewtertack/lab/fleet/fleet.py
@@ -11,7 +11,7 @@
 import anyio
 import anyio.abc
 
-from pewtertack.lab.errors import ProcessFailedError
+from pewtertack.lab.errors import FleetInterruptedError, ProcessFailedError
 from pewtertack.lab.fleet.backends import BackendControl
 from pewtertack.lab.fleet.control import ControlClient
 from pewtertack.lab.fleet.history import HistoryRecorder
@@ -40,11 +40,24 @@
 STARTS_AT_ONCE = 6
 
 
+async def _raise_on_sigterm(task_status: anyio.abc.TaskStatus[None]) -> None:
+    """Wait for SIGTERM.
+
+    Raises:
+        FleetInterruptedError: it came.
+    """
+    with anyio.open_signal_receiver(signal.SIGTERM) as signals:
+        task_status.started()
+        async for _ in signals:
+            raise FleetInterruptedError("the lab was asked to stop")
+
+
 class Fleet:
     """The processes of one plan. Use as an asynchronous context manager.
 
     Entering starts the stand-ins; nodes are started by `start_nodes`. Leaving
-    ends every process that is still running, by its own id.
+    ends every process that is still running, by its own id; SIGTERM and SIGINT
+    to the lab lead there as well.
 
     Args:
         plan: what to run.
@@ -69,6 +82,7 @@
     async def __aenter__(self) -> Fleet:
         await self._tasks.__aenter__()
         try:
+            await self._tasks.start(_raise_on_sigterm)
             write_files(self.plan, self._directory)
             await self._start_stand_ins()
         except BaseException:
--- a/src/pewtertack/lab/scenarios/runner.py
+++ b/src/pewtertack/lab/scenarios/runner.py
@@ -11,6 +11,7 @@
 import anyio
 
 from pewtertack.errors import LabError
+from pewtertack.lab.errors import leaves_of
 from pewtertack.lab.fleet.fleet import Fleet
 from pewtertack.lab.fleet.history import HistoryRecorder
 from pewtertack.lab.fleet.plan import FleetPlan, FleetShape, plan_fleet
@@ -107,14 +108,6 @@
         context.problems += [f"{type(error).__name__}: {error}" for error in leaves_of(group)]
 
 
-def leaves_of(group: BaseExceptionGroup[BaseException]) -> list[BaseException]:
-    """Return the exceptions of a group that are no groups themselves."""
-    found: list[BaseException] = []
-    for error in group.exceptions:
-        found += leaves_of(error) if isinstance(error, BaseExceptionGroup) else [error]
-    return found
-
-
 def _errors_written(plan: FleetPlan, directory: Path) -> list[str]:
     """Return what nodes wrote to standard error."""
     found = []
--- a/tests/lab/fleet/test_fleet.py
+++ b/tests/lab/fleet/test_fleet.py
@@ -1,12 +1,17 @@
 """A small fleet of real processes: an edit under load, and a node that knows only peers."""
 
+import os
+import signal
 import tempfile
 import unittest
 from dataclasses import replace
 from pathlib import Path
 
+import anyio
+
 from pewtertack.lab.demo import NEW_CALL, is_good_answer
 from pewtertack.lab.deployments import shape_of
+from pewtertack.lab.errors import FleetInterruptedError
 from pewtertack.lab.fleet.fleet import Fleet
 from pewtertack.lab.fleet.history import HistoryRecorder
 from pewtertack.lab.fleet.plan import FleetPlan, plan_fleet
@@ -44,6 +49,24 @@
             self.assertEqual([line for line in told if not is_good_answer(line)], [])
             self.assertEqual(recorder.stray_lines, [])
 
+    async def test_sigterm_to_the_lab_ends_all_processes(self) -> None:
+        pids: list[int] = []
+        with (
+            tempfile.TemporaryDirectory() as directory,
+            HistoryRecorder(Path(directory) / "history.jsonl") as recorder,
+            self.assertRaises(ExceptionGroup) as caught,
+        ):
+            async with Fleet(plan_of_four_nodes(), Path(directory), recorder) as fleet:
+                await fleet.start_nodes(["ikeja-1"])
+                pids += fleet.node_pids()
+                os.kill(os.getpid(), signal.SIGTERM)
+                await anyio.sleep(SECONDS)
+        self.assertEqual(
+            [type(error) for error in caught.exception.exceptions], [FleetInterruptedError]
+        )
+        with self.assertRaises(ProcessLookupError):
+            os.kill(pids[0], 0)
+
     async def edit_under_load(self, fleet: Fleet, nodes: list[str]) -> None:
         load = await fleet.start_load("callers", 40.0, nodes=nodes)
         await self.wait_for_requests(fleet, ENOUGH_REQUESTS)
