Tell peers of a back end whose own answer says that it leaves

The core spread such notices already, but nothing told it: the proxy kept what it learnt to itself, and every other node went on choosing the back end until it met the answer itself or the lagging list said so. The dispatcher now reports it as an event, once for each incarnation of a back end, and the proxy application hands it to the runtime.

Ruled out: a call from routing into the runtime (routing knows no runtime); telling again on each answer (the notice is sticky in the core as well).

Shown by tests.node.test_process: two node processes, the back end says leaving to node a only, node b stops choosing it while the list still has it as live.

--- a/src/pewtertack/lab/weakening.py
+++ b/src/pewtertack/lab/weakening.py
@@ -104,6 +104,15 @@
     return msgspec.structs.replace(machine, state=MachineState.LIVE)
 
 
+def _keep_leaving_to_itself() -> None:
+    """Tell no peer of a back end that says that it leaves."""
+
+    def wrapper(_: object) -> Callable[[ProxyApplication, object], None]:
+        return lambda proxy, observer: None
+
+    _wrap(ProxyApplication, "watch_leaving", wrapper)
+
+
 def _stop_without_draining() -> None:
     """End a planned stop without a wait for what is in flight."""
 
@@ -121,6 +130,7 @@
     "retry_proof": _retry_whatever_may_have_run,
     "refusal_truth": _call_broken_exchanges_not_run,
     "leaving": _ignore_leaving,
+    "leaving_notices": _keep_leaving_to_itself,
     "drain": _stop_without_draining,
 }
 MECHANISMS: Sequence[str] = (*CORE_MECHANISMS, *REQUEST_MECHANISMS)
--- a/src/pewtertack/node/assembly.py
+++ b/src/pewtertack/node/assembly.py
@@ -47,6 +47,8 @@
     proxy = _proxy(settings, gate, registry, log)
     core = NodeCore(identity, profile, Random(), started, seeds)
     runtime = Runtime(core, profile.tick, gate, transport, platform, proxy, log)
+    if proxy is not None:
+        proxy.watch_leaving(runtime.note_backend_leaving)
     addresses = _addresses(sockets, identity)
     view = NodeView(core, runtime, gate, traffic, addresses, _in_flight_of(proxy), started)
     registry.register(CoordinationCollector(view.status, traffic))
--- a/src/pewtertack/node/proxy/application.py
+++ b/src/pewtertack/node/proxy/application.py
@@ -25,7 +25,7 @@
 )
 from pewtertack.node.proxy.upstream import ConnectionStore
 from pewtertack.routing.deadlines import deadline_of
-from pewtertack.routing.dispatcher import BackendChanged, Dispatcher
+from pewtertack.routing.dispatcher import BackendChanged, BackendEvent, BackendLeaving, Dispatcher
 from pewtertack.routing.outcomes import (
     DrainingError,
     InvalidRequestError,
@@ -54,6 +54,14 @@
     """Log nothing."""
 
 
+LeavingObserver = Callable[[str, str], None]
+"""Told the name and the address of a back end whose own answer says that it leaves."""
+
+
+def _ignore_leaving(name: str, address: str) -> None:
+    """Tell nobody."""
+
+
 class ProxyApplication:
     """Forwards callers' requests to back ends by the configuration in force.
 
@@ -82,7 +90,7 @@
         self._may_serve = may_serve
         self._log = log
         self._table: RouteTable | None = None
-        dispatcher = Dispatcher(random, self._log_backend_change)
+        dispatcher = Dispatcher(random, self._note_backend_event)
         self._parts = ForwardingParts(clock, dispatcher, ConnectionStore(clock))
         registry = registry or CollectorRegistry()
         self._metrics = RequestMetrics(registry)
@@ -93,12 +101,17 @@
         self._in_flight = 0
         self._idle = anyio.Event()
         self._logged_at: dict[str, float] = {}
+        self._tell_leaving: LeavingObserver = _ignore_leaving
 
     @property
     def in_flight(self) -> int:
         """Requests that have been accepted and are not finished."""
         return self._in_flight
 
+    def watch_leaving(self, observer: LeavingObserver) -> None:
+        """Tell ``observer`` once of each back end that says in an answer that it leaves."""
+        self._tell_leaving = observer
+
     def use_configuration(self, configuration: ResolvedConfiguration) -> None:
         """Serve requests that begin from now on by ``configuration``."""
         self._table = RouteTable(configuration)
@@ -169,9 +182,13 @@
             )
         await send_failure(send, error, head.request_id)
 
-    def _log_backend_change(self, change: BackendChanged) -> None:
-        event = Event.BACKEND_EJECTED if change.ejected else Event.BACKEND_RETURNED
-        self._log(event, backend=change.backend.name, service=change.backend.service)
+    def _note_backend_event(self, change: BackendEvent) -> None:
+        match change:
+            case BackendLeaving(backend):
+                self._tell_leaving(backend.name, backend.address)
+            case BackendChanged(backend, ejected):
+                event = Event.BACKEND_EJECTED if ejected else Event.BACKEND_RETURNED
+                self._log(event, backend=backend.name, service=backend.service)
 
     def _check_serving(self) -> None:
         if self._draining:
--- a/src/pewtertack/node/runtime.py
+++ b/src/pewtertack/node/runtime.py
@@ -19,6 +19,7 @@
     UseMachines,
 )
 from pewtertack.core.inputs import (
+    BackendLeavingObserved,
     DocumentRead,
     DocumentReadFailed,
     DocumentUnchanged,
@@ -131,6 +132,10 @@
         self._gate.set_serving(False)
         self.feed(DrainRequested())
 
+    def note_backend_leaving(self, name: str, address: str) -> None:
+        """Let the core pass on what a back end has said of itself to this node's proxy."""
+        self.feed(BackendLeavingObserved(name, address))
+
     def receive(self, envelope: Envelope) -> None:
         """Take in a peer's message. A message that cannot be handled is dropped."""
         event = MessageReceived(
--- a/src/pewtertack/routing/dispatcher.py
+++ b/src/pewtertack/routing/dispatcher.py
@@ -54,7 +54,17 @@
     ejected: bool
 
 
-def _ignore_change(change: BackendChanged) -> None:
+@dataclass(frozen=True, slots=True)
+class BackendLeaving:
+    """A back end's own answer said that it leaves; told once for an incarnation."""
+
+    backend: Backend
+
+
+BackendEvent = BackendChanged | BackendLeaving
+
+
+def _ignore_event(event: BackendEvent) -> None:
     """Tell nobody."""
 
 
@@ -62,7 +72,7 @@
     """All services of one proxy."""
 
     def __init__(
-        self, random: Random, notify: Callable[[BackendChanged], None] = _ignore_change
+        self, random: Random, notify: Callable[[BackendEvent], None] = _ignore_event
     ) -> None:
         self._random = random
         self._notify = notify
@@ -129,10 +139,13 @@
         assert backend is not None
         ticket.answered = True
         backend.last_progress = now
-        backend.leaving = backend.leaving or leaving
         ticket.report = report
         if report is not None:
             backend.note_report(now, report)
+        if leaving and not backend.leaving:
+            backend.leaving = True
+            if not backend.removed:
+                self._notify(BackendLeaving(backend))
 
     def finish(self, ticket: Ticket, now: float, end: AttemptEnd) -> None:
         """An attempt has ended; its place goes to the next that waits."""
--- a/tests/node/test_process.py
+++ b/tests/node/test_process.py
@@ -20,6 +20,7 @@
 from pewtertack.lab.source.service import ConfigurationSource
 from tests.node.processes import (
     NOBODY,
+    PATIENCE,
     NodeProcess,
     get,
     get_until,
@@ -48,8 +49,10 @@
             self.asked.set()
             if scope["path"] == "/slow":
                 await self.release.wait()
-            length = [(b"content-length", b"2")]
-            await send({"type": "http.response.start", "status": 200, "headers": length})
+            headers = [(b"content-length", b"2")]
+            if scope["path"] == "/leaving":
+                headers.append((b"x-backend-state", b"leaving"))
+            await send({"type": "http.response.start", "status": 200, "headers": headers})
             await send({"type": "http.response.body", "body": b"ok"})
 
         address = await self.serve(backend)
@@ -92,6 +95,18 @@
             self.assertEqual(self.token, b"hush2")
             await self.check_admin(ready["admin"])
 
+    async def test_a_node_hears_from_its_peer_that_a_back_end_leaves(self) -> None:
+        async with self.fleet() as (a, b):
+            ready_a, ready_b = a.lines[0], await b.wait_event("NODE_READY")
+            await b.wait_event("NODE_SERVING")
+            for ready in (ready_a, ready_b):
+                await get_until(ready["admin"], "/status", lambda page: page["machine_list_number"])
+            self.assertEqual((await get(ready_b["proxy"], "/contacts"))[0], 200)
+            self.assertEqual((await get(ready_a["proxy"], "/leaving"))[0], 200)
+            with anyio.fail_after(PATIENCE):
+                while (await get(ready_b["proxy"], "/contacts"))[0] != 503:
+                    await anyio.sleep(0.02)
+
     async def edit(self) -> None:
         tree = copy.deepcopy(TREE)
         tree["secrets"]["token"] = "hush2"
--- a/tests/routing/test_dispatcher.py
+++ b/tests/routing/test_dispatcher.py
@@ -1,10 +1,11 @@
 """Limits, queues, ejection and retries, in virtual time."""
 
 import unittest
+from random import Random
 
 from pewtertack.core.configuration.resolved import WorkClass
 from pewtertack.routing.backend import LoadReport
-from pewtertack.routing.dispatcher import AttemptEnd, Dispatcher
+from pewtertack.routing.dispatcher import AttemptEnd, BackendEvent, BackendLeaving, Dispatcher
 from pewtertack.routing.limit import ServiceLimit
 from pewtertack.routing.outcomes import (
     BackendFailedError,
@@ -15,7 +16,7 @@
     RequestFailedError,
 )
 from pewtertack.routing.queueing import Ticket
-from tests.routing.samples import dispatcher, service, ticket
+from tests.routing.samples import dispatcher, machines, service, ticket
 
 
 def submitted(subject: Dispatcher, now: float, request: Ticket) -> Ticket:
@@ -161,6 +162,26 @@
         self.assertIsNone(waiting.backend)
 
 
+class LeavingTest(unittest.TestCase):
+    def test_a_back_end_that_leaves_is_told_of_once_for_an_incarnation(self) -> None:
+        told: list[BackendEvent] = []
+        subject = Dispatcher(Random(1), told.append)
+        subject.use_machines(machines("b1"), 0.0)
+        requests = [ticket(), ticket()]
+        for request in requests:
+            subject.submit(request, 0.0)
+        for request in requests:
+            subject.note_answer(request, 0.1, None, leaving=True)
+        first = requests[0].backend
+        assert first is not None
+        self.assertEqual(told, [BackendLeaving(first)])
+        subject.use_machines(machines("b1", number=2, address="127.0.0.1:2"), 1.0)
+        replaced = ticket()
+        subject.submit(replaced, 1.0)
+        subject.note_answer(replaced, 1.1, None, leaving=True)
+        self.assertEqual(len(told), 2)
+
+
 class EjectionTest(unittest.TestCase):
     def test_a_failing_back_end_is_ejected_and_returns_by_one_trial(self) -> None:
         subject = dispatcher("a")
