Accept further fleet keys, so that the key can be changed under load

Two keys at once were not supported: a change of the fleet key split the fleet in two halves that refused each other's frames. The own key is tried first: a usual frame costs one tag as before (tests.wire.test_frames counts them).

--- a/src/pewtertack/node/assembly.py
+++ b/src/pewtertack/node/assembly.py
@@ -50,7 +50,9 @@
     if proxy is not None:
         proxy.watch_leaving(runtime.note_backend_leaving)
     addresses = _addresses(sockets, identity)
-    view = NodeView(core, runtime, gate, traffic, addresses, _in_flight_of(proxy), started)
+    view = NodeView(
+        core, runtime, transport, gate, traffic, addresses, _in_flight_of(proxy), started
+    )
     registry.register(CoordinationCollector(view.status, traffic))
     admin = AdminApplication(view, registry)
     return NodeParts(settings, sockets, runtime, transport, admin, proxy, log, platform.close)
@@ -86,7 +88,11 @@
     settings: Settings, sockets: NodeSockets, identity: NodeIdentity, traffic: Traffic
 ) -> PeerTransport:
     sender = Sender(
-        identity.name, identity.address, identity.incarnation, settings.peers.key.secret
+        identity.name,
+        identity.address,
+        identity.incarnation,
+        settings.peers.key.secret,
+        tuple(key.secret for key in settings.peers.accepted_keys),
     )
     limits = StreamLimits(settings.limits.streams, settings.limits.stream_timeout.seconds)
     return PeerTransport(sockets.peer_datagrams, sockets.peer_streams, sender, limits, traffic)
--- a/src/pewtertack/node/status.py
+++ b/src/pewtertack/node/status.py
@@ -43,6 +43,8 @@
     refused: dict[str, int]
     unsent: dict[str, int]
     failed: dict[str, int]
+    by_accepted_keys: int = 0
+    """Frames signed with one of ``peers.accepted_keys``."""
 
 
 class AddressStatus(msgspec.Struct, frozen=True):
--- a/src/pewtertack/node/transport.py
+++ b/src/pewtertack/node/transport.py
@@ -38,12 +38,16 @@
 
 @dataclass(frozen=True, slots=True)
 class Sender:
-    """How this node signs its frames. ``address`` is the one it advertises."""
+    """How this node signs its frames. ``address`` is the one it advertises.
+
+    Frames that ``accepted_keys`` signed are accepted; nothing is signed with them.
+    """
 
     name: str
     address: str
     incarnation: int
     key: bytes
+    accepted_keys: tuple[bytes, ...] = ()
 
 
 @dataclass(frozen=True, slots=True)
@@ -71,7 +75,7 @@
         self._sender = sender
         self._limits = limits
         self._traffic = traffic
-        self._reader = FrameReader(sender.key)
+        self._reader = FrameReader(sender.key, sender.accepted_keys)
         self._counter = 0
         self._inbound = StreamBudget(limits.streams, INBOUND_BYTES_MAX)
         self._outbound = StreamBudget(limits.streams, INBOUND_BYTES_MAX)
@@ -79,6 +83,11 @@
         self._receive: EnvelopeHandler = lambda _: None
         self._refuse: RefusalHandler = lambda _: None
 
+    @property
+    def frames_by_accepted_keys(self) -> int:
+        """Frames received that another accepted key signed."""
+        return self._reader.frames_by_accepted_keys
+
     async def run(self, receive: EnvelopeHandler, refuse: RefusalHandler) -> None:
         """Serve until cancelled; ``receive`` and ``refuse`` must not block."""
         self._receive = receive
--- a/src/pewtertack/node/view.py
+++ b/src/pewtertack/node/view.py
@@ -25,6 +25,7 @@
     TrafficStatus,
 )
 from pewtertack.node.traffic import Direction, Purpose, Traffic
+from pewtertack.node.transport import PeerTransport
 from pewtertack.wire.messages import DocumentKind
 
 
@@ -34,6 +35,7 @@
 
     core: NodeCore
     runtime: Runtime
+    transport: PeerTransport
     gate: ServingGate
     traffic: Traffic
     addresses: AddressStatus
@@ -112,6 +114,7 @@
             refused=dict(self.traffic.refused),
             unsent=dict(self.traffic.unsent),
             failed=dict(self.runtime.failed_messages),
+            by_accepted_keys=self.transport.frames_by_accepted_keys,
         )
 
     def _bytes(self, purpose: Purpose) -> ByteStatus:
--- a/src/pewtertack/settings/checks.py
+++ b/src/pewtertack/settings/checks.py
@@ -7,6 +7,7 @@
 from pewtertack.settings.errors import (
     AddressRepeatedError,
     AdvertisedAddressError,
+    FleetKeyRepeatedError,
     PortRangeError,
     ValueRangeError,
 )
@@ -14,6 +15,8 @@
 from pewtertack.settings.values import Address
 
 STREAMS_MAX = 1024
+ACCEPTED_KEYS_MAX = 3
+"""Each costs one more tag for a stranger's frame."""
 DOCUMENT_BYTES_MIN = 1024
 DOCUMENT_BYTES_MAX = 64 * 1024 * 1024
 TIMEOUT_SECONDS_MIN = 0.01
@@ -28,6 +31,7 @@
     """
     _check_listeners(settings, place)
     _check_peer_addresses(settings, place)
+    _check_accepted_keys(settings, place)
     _check_limits(settings, place)
 
 
@@ -63,6 +67,16 @@
             raise PortRangeError(place, key, f"{address}", "a port of 1 or more")
 
 
+def _check_accepted_keys(settings: Settings, place: str) -> None:
+    key = "peers.accepted_keys"
+    keys = settings.peers.accepted_keys
+    if len(keys) > ACCEPTED_KEYS_MAX:
+        raise ValueRangeError(place, key, f"{len(keys)} keys", f"at most {ACCEPTED_KEYS_MAX} keys")
+    if len({settings.peers.key, *keys}) <= len(keys):
+        accepted = "each key once, without peers.key"
+        raise FleetKeyRepeatedError(place, key, "a key is repeated", accepted)
+
+
 def _check_limits(settings: Settings, place: str) -> None:
     limits = settings.limits
     _check_range(place, "limits.streams", limits.streams, 1, STREAMS_MAX)
--- a/src/pewtertack/settings/errors.py
+++ b/src/pewtertack/settings/errors.py
@@ -157,6 +157,12 @@
     code: ClassVar[str] = "fleet-key-length"
 
 
+class FleetKeyRepeatedError(SettingError):
+    """An accepted key is the fleet key, or stands twice."""
+
+    code: ClassVar[str] = "fleet-key-repeated"
+
+
 class ProfileUnknownError(SettingError):
     """There is no such timing profile."""
 
--- a/src/pewtertack/settings/schema.py
+++ b/src/pewtertack/settings/schema.py
@@ -54,6 +54,8 @@
     """The other nodes: the fleet key and addresses to ask first."""
 
     key: FleetKey
+    accepted_keys: tuple[FleetKey, ...] = ()
+    """Keys of frames that are accepted besides ``key``; none signs a frame."""
     seeds: tuple[Address, ...] = ()
 
 
--- a/src/pewtertack/wire/frames.py
+++ b/src/pewtertack/wire/frames.py
@@ -4,6 +4,7 @@
 and a body, which is a CBOR array: protocol version, sender, the sender's
 advertised address, its incarnation, its frame counter, message. The tag is
 checked before the body is decoded, so only holders of the key reach the decoder.
+While a fleet changes its key a reader accepts further keys, which sign nothing.
 
 A frame is not bound to its receiver and carries no time: a recorded frame can be
 replayed to a node that never got it. Messages are idempotent, so this does no harm.
@@ -88,11 +89,25 @@
 
 
 class FrameReader:
-    """Checks and decodes frames; remembers counters to refuse repeated ones."""
+    """Checks and decodes frames; remembers counters to refuse repeated ones.
 
-    def __init__(self, key: bytes, guard: ReplayGuard | None = None) -> None:
+    Args:
+        key: tried first.
+        accepted_keys: tried only on frames that ``key`` did not sign.
+        guard: the counters seen.
+    """
+
+    def __init__(
+        self,
+        key: bytes,
+        accepted_keys: tuple[bytes, ...] = (),
+        guard: ReplayGuard | None = None,
+    ) -> None:
         self._key = key
+        self._accepted_keys = accepted_keys
         self._guard = guard or ReplayGuard()
+        self.frames_by_accepted_keys = 0
+        """Frames that another key than the own one signed."""
 
     def read(self, frame: bytes, size_limit: int = STREAM_BYTES_MAX) -> Envelope:
         """Return the envelope of ``frame``.
@@ -111,10 +126,18 @@
         if len(frame) <= TAG_BYTES:
             raise TruncatedFrameError(f"{len(frame)} bytes hold no message")
         body = frame[TAG_BYTES:]
-        if not hmac.compare_digest(frame[:TAG_BYTES], tag_of(body, self._key)):
-            raise StrangerFrameError("the tag does not match the fleet key")
+        tag = frame[:TAG_BYTES]
+        if not hmac.compare_digest(tag, tag_of(body, self._key)):
+            self._check_accepted_keys(tag, body)
         return body
 
+    def _check_accepted_keys(self, tag: bytes, body: bytes) -> None:
+        for key in self._accepted_keys:
+            if hmac.compare_digest(tag, tag_of(body, key)):
+                self.frames_by_accepted_keys += 1
+                return
+        raise StrangerFrameError("the tag does not match the fleet key")
+
 
 def tag_of(body: bytes, key: bytes) -> bytes:
     """Return the authentication tag of a frame's body."""
--- a/tests/node/test_transport.py
+++ b/tests/node/test_transport.py
@@ -25,7 +25,14 @@
 class Peer:
     """One transport with what it received and refused."""
 
-    def __init__(self, name: str, streams: int = 2, timeout: float = 30.0) -> None:
+    def __init__(
+        self,
+        name: str,
+        streams: int = 2,
+        timeout: float = 30.0,
+        key: bytes = KEY,
+        accepted_keys: tuple[bytes, ...] = (),
+    ) -> None:
         stream_socket = socket.create_server(("127.0.0.1", 0))
         stream_socket.setblocking(False)
         self.address = address_of(stream_socket)
@@ -36,7 +43,7 @@
         self.traffic = Traffic()
         self.received: list[Envelope] = []
         self.refused: list[ProtocolError] = []
-        sender = Sender(name, str(self.address), 1, KEY)
+        sender = Sender(name, str(self.address), 1, key, accepted_keys)
         limits = StreamLimits(streams, timeout)
         self.transport = PeerTransport(*self.sockets, sender, limits, self.traffic)
 
@@ -64,6 +71,25 @@
 
 
 class TransportTest(unittest.IsolatedAsyncioTestCase):
+    async def test_the_key_changes_in_three_steps_and_no_message_is_refused(self) -> None:
+        old, new = KEY, b"n" * 16
+        steps = (
+            ((old, ()), (old, (new,))),
+            ((old, (new,)), (new, (old,))),
+            ((new, (old,)), (new, ())),
+        )
+        for number, (before, after) in enumerate(steps):
+            a = Peer("a", key=before[0], accepted_keys=before[1])
+            b = Peer("b", key=after[0], accepted_keys=after[1])
+            with self.subTest(step=number + 1):
+                async with running(a, b):
+                    a.transport.send(str(b.address), SMALL)
+                    b.transport.send(str(a.address), SMALL)
+                    await until(lambda a=a, b=b: a.received and b.received)
+                self.assertEqual((a.refused, b.refused), ([], []))
+                foreign = int(before[0] != after[0])
+                self.assertEqual(b.transport.frames_by_accepted_keys, foreign)
+
     async def test_small_messages_go_by_datagram_and_large_ones_by_stream(self) -> None:
         a, b = Peer("a"), Peer("b")
         async with running(a, b):
--- a/tests/settings/test_loading.py
+++ b/tests/settings/test_loading.py
@@ -25,6 +25,7 @@
 [peers]
 key = "00112233445566778899aabbccddeeff"
 seeds = ["127.0.0.2:7001"]
+accepted_keys = ["ff112233445566778899aabbccddeeff"]
 [limits]
 stream_timeout = "500ms"
 document_size = "64KiB"
@@ -50,6 +51,7 @@
     "url-scheme": ("http://127.0.0.1:9000/", "https://127.0.0.1:9000", "source.url"),
     "fleet-key-format": ("00112233", "hex", "peers.key"),
     "fleet-key-length": ("00112233", "", "peers.key"),
+    "fleet-key-repeated": ('["ff', '["00', "peers.accepted_keys"),
     "profile-unknown": ("[limits]", '[profile]\nname = "slow"\n[limits]', "profile.name"),
     "duration-unit": ('"500ms"', '"500"', "limits.stream_timeout"),
     "size-unit": ('"64KiB"', '"64KB"', "limits.document_size"),
@@ -72,6 +74,8 @@
         self.assertEqual(settings.source.url.text, "http://127.0.0.1:9000")
         self.assertEqual(settings.limits.stream_timeout.seconds, 0.5)
         self.assertEqual(settings.limits.document_size.bytes, 65536)
+        accepted = [key.secret.hex() for key in settings.peers.accepted_keys]
+        self.assertEqual(accepted, ["ff112233445566778899aabbccddeeff"])
         self.assertIs(settings.profile.name, ProfileName.FAST)
         self.assertIsNone(settings.limits.drain_timeout)
 
@@ -119,6 +123,12 @@
             self.load(GOOD, {SettingKey("limits", "streams"): "many"})
         self.assertEqual(caught.exception.code, "value-type")
 
+    def test_accepted_keys_are_few(self) -> None:
+        keys = ", ".join(f'"{index:032x}"' for index in range(4))
+        with self.assertRaises(SettingError) as caught:
+            self.load(GOOD.replace('["ff', f'[{keys}, "ff'))
+        self.assertEqual(caught.exception.code, "value-range")
+
     def test_the_fleet_key_is_not_printed(self) -> None:
         self.assertNotIn("0011", repr(self.load(GOOD)).lower())
         with self.assertRaises(SettingError) as caught:
--- a/tests/wire/test_frames.py
+++ b/tests/wire/test_frames.py
@@ -2,6 +2,7 @@
 
 import unittest
 from typing import get_args
+from unittest import mock
 
 import cbor2
 from hypothesis import given, settings
@@ -115,6 +116,21 @@
                 with self.subTest(kind.code, index=index), self.assertRaises(kind):
                     FrameReader(KEY).read(frame, DATAGRAM_BYTES_MAX)
 
+    def test_accepted_keys_are_tried_after_the_own_one(self) -> None:
+        old, older = b"o" * 16, b"p" * 16
+        reader = FrameReader(KEY, (old, older))
+        for counter, key in enumerate((KEY, old, older)):
+            frame = encode_frame(envelope(counter), key)
+            self.assertEqual(reader.read(frame), envelope(counter))
+        self.assertEqual(reader.frames_by_accepted_keys, 2)
+        with self.assertRaises(errors.StrangerFrameError):
+            reader.read(encode_frame(envelope(9), b"k" * 16))
+        with self.assertRaises(errors.ReplayedFrameError):
+            reader.read(encode_frame(envelope(1), KEY))
+        with mock.patch("pewtertack.wire.frames.tag_of", wraps=tag_of) as tagged:
+            reader.read(encode_frame(envelope(10), KEY))
+        self.assertEqual(tagged.call_count, 2, "one tag made and one checked")
+
     def test_a_frame_that_fits_no_stream_is_not_made(self) -> None:
         document = {"a": "x" * STREAM_BYTES_MAX}
         message = SnapshotAnswer(DocumentKind.CONFIGURATION, REVISION, document)
