Measure what one real node costs: lab node-cost

The tool runs a small fleet in real processes without relay, warms it up, and measures in turn a node without proxy and a whole node at rest, then the whole node under calls; request work is the difference of the last two.

--- /dev/null
+++ b/src/pewtertack/cli/lab_cost.py
@@ -0,0 +1,37 @@
+"""``pewtertack lab node-cost``: what one node costs its machine."""
+
+from __future__ import annotations
+
+from pathlib import Path
+from typing import Annotated
+
+import anyio
+import msgspec
+import typer
+
+
+def node_cost(
+    deployment: Annotated[str, typer.Option(help="lagos or kolkata.")] = "lagos",
+    nodes_per_zone: int = 2,
+    rate: Annotated[float, typer.Option(help="Calls per second at one node.")] = 45.0,
+    rounds: Annotated[int, typer.Option(help="Windows of each state.")] = 3,
+    seconds: Annotated[float, typer.Option(help="Length of one window.")] = 15.0,
+    seed: int = 1,
+    report: Annotated[Path | None, typer.Option(help="Takes the report as JSON.")] = None,
+    examples: Annotated[Path, typer.Option(help="Directory of the trees.")] = Path("examples"),
+) -> None:
+    """Measure memory and processor time of real nodes, at rest and under calls."""
+    from pewtertack.lab.cost.measurement import CostSettings, measure_node_cost
+    from pewtertack.lab.cost.report import format_cost
+    from pewtertack.lab.deployments import shape_of
+
+    shape = shape_of(deployment, examples, nodes_per_zone)
+    settings = CostSettings(rate=rate, rounds=rounds, seconds=seconds, seed=seed)
+
+    def progress(line: str) -> None:
+        typer.echo(line, err=True)
+
+    result = anyio.run(measure_node_cost, shape, settings, progress)
+    if report is not None:
+        report.write_bytes(msgspec.json.format(msgspec.json.encode(result)))
+    typer.echo(format_cost(result))
--- a/src/pewtertack/cli/main.py
+++ b/src/pewtertack/cli/main.py
@@ -8,7 +8,7 @@
 
 import typer
 
-from pewtertack.cli import lab, lab_proofs, lab_scale, status, tree
+from pewtertack.cli import lab, lab_cost, lab_proofs, lab_scale, status, tree
 
 app = typer.Typer(
     name="pewtertack",
@@ -41,5 +41,6 @@
 app.command("diff")(tree.diff)
 lab.app.command("check")(lab_proofs.check)
 lab.app.command("explore")(lab_proofs.explore)
+lab.app.command("node-cost")(lab_cost.node_cost)
 lab.app.command("scale")(lab_scale.scale)
 app.add_typer(lab.app, name="lab")
--- /dev/null
+++ b/src/pewtertack/lab/cost/__init__.py
@@ -0,0 +1,1 @@
+"""Memory and processor time of one real node, against the budget of a node."""
--- a/src/pewtertack/lab/fleet/fleet.py
+++ b/src/pewtertack/lab/fleet/fleet.py
@@ -163,6 +163,10 @@
         """Return the names of the nodes whose processes run, paused or not."""
         return [name for name, process in self._nodes.items() if process.is_running]
 
+    def node_pid(self, name: str) -> int:
+        """Return the process id of a node that was started."""
+        return self._nodes[name].pid
+
     async def kill_nodes(self, names: Iterable[str]) -> None:
         """Kill nodes at once (SIGKILL) and wait for their ends."""
         processes = [self._nodes[name] for name in names]
--- a/src/pewtertack/lab/fleet/plan.py
+++ b/src/pewtertack/lab/fleet/plan.py
@@ -38,6 +38,8 @@
     """A process for each back end rather than for each service."""
     without: str = ""
     """A mechanism that is switched off in all nodes, see ``lab.weakening``."""
+    nodes_without_proxy: tuple[str, ...] = ()
+    """Names of nodes that only replicate."""
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/pewtertack/lab/fleet/settings.py
+++ b/src/pewtertack/lab/fleet/settings.py
@@ -15,8 +15,7 @@
 region = "{region}"
 
 [listen]
-proxy = "{proxy}"
-peer = "{peer}"
+{proxy}peer = "{peer}"
 admin = "{admin}"
 
 [advertise]
@@ -43,7 +42,7 @@
         name=node.name,
         zone=node.zone,
         region=plan.shape.region,
-        proxy=node.proxy,
+        proxy=_proxy_line(plan, node),
         peer=node.peer,
         admin=node.admin,
         advertised=node.advertised,
@@ -55,6 +54,12 @@
     )
 
 
+def _proxy_line(plan: FleetPlan, node: NodePlan) -> str:
+    if node.name in plan.shape.nodes_without_proxy:
+        return ""
+    return f'proxy = "{node.proxy}"\n'
+
+
 def write_files(plan: FleetPlan, directory: Path) -> None:
     """Write the tree, the machine list, the relay's nodes and all settings files."""
     relayed = [node.relayed() for node in plan.nodes.values()]
