Load the proxy's modules only in a node that has a proxy

A node without proxy loaded routing and the proxy application all the same. They are imported where the proxy part is made.

--- a/src/pewtertack/node/assembly.py
+++ b/src/pewtertack/node/assembly.py
@@ -4,6 +4,7 @@
 
 from collections.abc import Callable
 from random import Random
+from typing import TYPE_CHECKING
 
 from prometheus_client import CollectorRegistry
 
@@ -17,7 +18,6 @@
 from pewtertack.node.gate import ServingGate
 from pewtertack.node.metrics import CoordinationCollector
 from pewtertack.node.platform import PlatformLimits, PlatformReader
-from pewtertack.node.proxy.application import ProxyApplication
 from pewtertack.node.runtime import Runtime
 from pewtertack.node.sockets import NodeSockets, address_of, bind_sockets
 from pewtertack.node.status import AddressStatus
@@ -26,6 +26,9 @@
 from pewtertack.node.view import NodeView
 from pewtertack.settings import Settings
 
+if TYPE_CHECKING:
+    from pewtertack.node.proxy.application import ProxyApplication
+
 
 def assemble_node(settings: Settings, place: str) -> NodeParts:
     """Bind the node's sockets and build its parts; ``place`` is the settings file.
@@ -61,8 +64,11 @@
 def _proxy(
     settings: Settings, gate: ServingGate, registry: CollectorRegistry, log: EventLog
 ) -> ProxyApplication | None:
+    """Return the proxy part; its modules are loaded only where there is one."""
     if settings.listen.proxy is None:
         return None
+    from pewtertack.node.proxy.application import ProxyApplication
+
     return ProxyApplication(
         clock.now, Random(), may_serve=gate.may_serve, registry=registry, log=log.record
     )
--- a/src/pewtertack/node/daemon.py
+++ b/src/pewtertack/node/daemon.py
@@ -15,7 +15,6 @@
 from pewtertack.log import EventLog
 from pewtertack.node.http_server import EmbeddedServer, embedded_server
 from pewtertack.node.library_log import record_library_log
-from pewtertack.node.proxy.protocol import GuardedHttpProtocol
 from pewtertack.node.runtime import Runtime
 from pewtertack.node.sockets import NodeSockets, address_of
 from pewtertack.node.transport import PeerTransport
@@ -97,6 +96,8 @@
 
     def __init__(self, proxy: DrainableProxy, keep_alive: float) -> None:
         self.proxy = proxy
+        from pewtertack.node.proxy.protocol import GuardedHttpProtocol  # a proxy's node alone
+
         self.stopped = anyio.Event()
         self._server: EmbeddedServer = embedded_server(proxy, keep_alive, GuardedHttpProtocol)
 
--- /dev/null
+++ b/tests/node/test_memory.py
@@ -0,0 +1,24 @@
+"""What a node loads into memory."""
+
+import os
+import subprocess
+import sys
+import unittest
+
+from tests.node.processes import SOURCE_DIRECTORY
+
+PROXY_PACKAGES = ("pewtertack.node.proxy", "pewtertack.routing")
+NEVER_LOADED = ("pewtertack.lab", "typer", "pydantic", "uvloop", "matplotlib")
+
+
+class LoadedModulesTest(unittest.TestCase):
+    def test_a_node_without_proxy_loads_nothing_of_it(self) -> None:
+        modules = "pewtertack.cli.node, pewtertack.node.assembly, pewtertack.node.daemon"
+        command = [sys.executable, "-c", f"import sys, {modules}; print(*sys.modules)"]
+        environment = os.environ | {"PYTHONPATH": str(SOURCE_DIRECTORY)}
+        output = subprocess.run(command, env=environment, capture_output=True, check=True).stdout
+        loaded = output.decode().split()
+        self.assertIn("pewtertack.node.assembly", loaded)
+        for name in (*PROXY_PACKAGES, *NEVER_LOADED):
+            with self.subTest(name):
+                self.assertEqual([module for module in loaded if module.startswith(name)], [])
