--- a/src/pewtertack/lab/fleet/fleet.py
+++ b/src/pewtertack/lab/fleet/fleet.py
@@ -181,6 +181,10 @@
         """Return the process ids of the nodes that run."""
         return [self._nodes[name].pid for name in self.running_nodes()]
 
+    def node_pid(self, name: str) -> int:
+        """Return the process id of a node that was started."""
+        return self._nodes[name].pid
+
     async def kill_nodes(self, names: Iterable[str]) -> None:
         """Kill nodes at once (SIGKILL) and wait for their ends."""
         processes = [self._nodes[name] for name in names]
