--- a/src/pewtertack/cli/lab_scale.py
+++ b/src/pewtertack/cli/lab_scale.py
@@ -30,3 +30,14 @@
     if report is not None:
         write_report(result, report)
     typer.echo(format_summary(result))
+
+
+def report(
+    files: Annotated[list[Path], typer.Argument(help="Reports of lab scale and lab run.")],
+    out: Annotated[Path, typer.Option(help="Directory of the page.")],
+) -> None:
+    """Write a page with tables and plots; the first and last scale run are compared."""
+    from pewtertack.lab.pages.inputs import read_reports
+    from pewtertack.lab.pages.page import write_page
+
+    typer.echo(f"wrote {write_page(read_reports(files), out)}")
--- a/src/pewtertack/lab/scale/meter.py
+++ b/src/pewtertack/lab/scale/meter.py
@@ -6,7 +6,7 @@
 from collections.abc import Iterable
 from dataclasses import dataclass, field
 
-from pewtertack.lab.report.statistics import distribution_of
+from pewtertack.lab.report.statistics import distribution_of, percentile
 from pewtertack.lab.scale.observer import Observer, Process
 from pewtertack.lab.scale.report import ConfigurationBytes, PhaseReport, RoleRates
 from pewtertack.lab.simulation.fleet import SimulatedFleet, start_time_of
@@ -117,6 +117,7 @@
             },
             configuration=self._configuration(kinds),
             convergence=distribution_of(delays),
+            convergence_percentiles=_percentiles(delays),
             missing=missing,
             rejoin=distribution_of(rejoin),
             never_served=never,
@@ -211,6 +212,14 @@
         return delays, never
 
 
+def _percentiles(values: list[float]) -> tuple[float, ...]:
+    """Return the percentiles 0 to 100, or nothing for no values."""
+    ordered = sorted(values)
+    if not ordered:
+        return ()
+    return tuple(round(percentile(ordered, share / 100), 6) for share in range(101))
+
+
 def _rates(group: list[Counts], seconds: float) -> RoleRates:
     size = len(group) * seconds
     return RoleRates(
--- a/src/pewtertack/lab/scale/report.py
+++ b/src/pewtertack/lab/scale/report.py
@@ -60,6 +60,8 @@
     """Received bytes a node and second, by type of message."""
     configuration: ConfigurationBytes
     convergence: Distribution
+    convergence_percentiles: tuple[float, ...] = ()
+    """The percentiles 0, 1, 2 ... 100 of the convergence; empty without edits."""
     missing: int
     """Pairs of an edit and a running node which never had it in force."""
     rejoin: Distribution
