Readers: a fleet that starts at once no longer crowds the source

Cause: lab scale found 17 to 21 reads standing at the source at once when 200 nodes start together, 31 to 33 for 400 (promise: 16): before a node knows the machine list its view of its zone is too small to agree by. Now the first three seeds read for everyone until the list is known; others of a large fleet wait ten times as long; the choice begins anew when the list arrives. Ruled out: longer settling alone; it delays every bootstrap and views of a fleet of 1,700 still differ after it.

--- a/src/pewtertack/core/node.py
+++ b/src/pewtertack/core/node.py
@@ -54,6 +54,8 @@
 
 MEMBERS_PER_JOIN_ANSWER = 8
 JOIN_RETRY_AFTER = 1.0
+READING_SEEDS = 3
+"""So many of the seeds read the platform for a fleet that starts from nothing."""
 
 
 class NodePhase(StrEnum):
@@ -90,7 +92,8 @@
         self._random = random
         self._last_tick = now
         self.membership = Membership(identity, profile, random, now)
-        self.replication = Replication(identity, profile, self.membership, random, now)
+        is_seed = identity.address in seeds[:READING_SEEDS]
+        self.replication = Replication(identity, profile, self.membership, random, now, is_seed)
         other_seeds = tuple(seed for seed in seeds if seed != identity.address)
         self._joiner = Joiner(identity.zone, profile, self.membership.table, other_seeds, random)
         self._joiner.start(now)
--- a/src/pewtertack/core/replication/reader.py
+++ b/src/pewtertack/core/replication/reader.py
@@ -20,6 +20,13 @@
 ELECTION_INTERVAL = 0.5
 BACKOFF_FACTOR = 2.0
 
+UNLISTED_SETTLE_FACTOR = 10.0
+"""How many times longer a node of a large fleet must be chosen before it knows the
+machine list: a fleet that starts at once has views too small to agree by."""
+
+SMALL_FLEET = 32
+"""A node that knows fewer members does not wait for the list: few can be wrong."""
+
 
 class PlatformReader:
     """Issues reads of both documents while this node is chosen to."""
@@ -31,13 +38,16 @@
         table: MemberTable,
         random: Random,
         now: float,
+        is_seed: bool = False,
     ) -> None:
+        self._is_seed = is_seed
         self._identity = identity
         self._profile = profile
         self._table = table
         self._random = random
         self._score = score_of(identity.name)
         self._chosen_since: float | None = None
+        self._elected_by_list = False
         self._next_election_at = now
         self._outstanding: set[DocumentKind] = set()
         self._not_before = dict.fromkeys(DocumentKind, now)
@@ -49,26 +59,40 @@
 
     def tick(self, now: float, allowed: bool, numbers: dict[DocumentKind, int]) -> list[Effect]:
         """Return the reads that are due; ``numbers`` are those already held."""
-        if now >= self._next_election_at:
+        list_is_new = self._table.list_known and not self._elected_by_list
+        if now >= self._next_election_at or list_is_new:
             self._next_election_at = now + ELECTION_INTERVAL
             self._elect(now)
-        settled = (
-            self._chosen_since is not None
-            and now - self._chosen_since >= self._profile.reader_settle
-        )
-        effects = self._switch(allowed and settled)
+        effects = self._switch(allowed and self._is_settled(now))
         if self.reading:
             effects += self._due_reads(now, numbers)
         return effects
 
+    def _is_settled(self, now: float) -> bool:
+        """Tell whether the node has been chosen for long enough to trust its view."""
+        if self._chosen_since is None:
+            return False
+        needed = self._profile.reader_settle
+        if not (self._is_seed or self._table.list_known or len(self._table) < SMALL_FLEET):
+            needed *= UNLISTED_SETTLE_FACTOR
+        return now - self._chosen_since >= needed
+
     def _elect(self, now: float) -> None:
+        if self._elected_by_list != self._table.list_known:
+            self._elected_by_list = self._table.list_known
+            self._chosen_since = None
         if not self._is_chosen():
             self._chosen_since = None
         elif self._chosen_since is None:
             self._chosen_since = now
 
     def _is_chosen(self) -> bool:
-        """Tell whether fewer than a zone's share of members score lower than this node."""
+        """Tell whether fewer than a zone's share of members score lower than this node.
+
+        Before anybody knows the machine list, the seeds read for everyone.
+        """
+        if self._is_seed and not self._table.list_known:
+            return True
         zones = len(set(self._table.zones()) | {self._identity.zone})
         share = min(self._profile.readers_per_zone, self._profile.readers_total // zones)
         first = self._table.zone(self._identity.zone).first(max(share, 1))
--- a/src/pewtertack/core/replication/service.py
+++ b/src/pewtertack/core/replication/service.py
@@ -53,6 +53,7 @@
         membership: Membership,
         random: Random,
         now: float,
+        is_seed: bool = False,
     ) -> None:
         self._identity = identity
         self._profile = profile
@@ -67,7 +68,7 @@
         self._server = PullServer(stores, profile, random, now)
         self._pullers = {kind: Puller(profile.pull_timeout) for kind in DocumentKind}
         self.quorum = QuorumCommit(identity, profile, membership, now)
-        self.reader = PlatformReader(identity, profile, membership.table, random, now)
+        self.reader = PlatformReader(identity, profile, membership.table, random, now, is_seed)
         self.serving = False
 
     def state(self) -> VersionState:
