Join: ask again when old answers did not suffice

During a one-way cut they had 16 answers, all of their own zone, and asked nobody else, also after the heal. Answers now expire after join_answer_lifetime (5 s). Ruled out: asking only the zones that are missing; answers from before a long cut would still count as knowing what is in force.

--- a/src/pewtertack/core/node.py
+++ b/src/pewtertack/core/node.py
@@ -242,7 +242,7 @@
         self, now: float, event: MessageReceived, answer: JoinAnswer
     ) -> list[Effect]:
         effects = self.membership.take_updates(now, (answer.member, *answer.members))
-        self._joiner.answered(event.sender, answer.member.zone, answer.state)
+        self._joiner.answered(now, event.sender, answer.member.zone, answer.state)
         effects += self.replication.learn(now, event.sender, event.sender_address, answer.state)
         return effects
 
--- a/src/pewtertack/core/profile.py
+++ b/src/pewtertack/core/profile.py
@@ -67,6 +67,8 @@
     join_retry: float = 0.3
     join_peers: int = 16
     """Answers that suffice to join a fleet of any size."""
+    join_answer_lifetime: float = 5.0
+    """After this long without joining, peers that answered are asked again."""
     join_patience: float = 1.5
     """After this long, peers which do not answer no longer hold up joining."""
     join_hold_wait: float = 2.0
--- a/src/pewtertack/core/replication/join.py
+++ b/src/pewtertack/core/replication/join.py
@@ -22,6 +22,7 @@
 
     zone: str
     state: VersionState
+    at: float
 
 
 class Joiner:
@@ -56,14 +57,22 @@
         self._started_at = now
         self._next_ask_at = now
 
-    def answered(self, name: str, zone: str, state: VersionState) -> None:
+    def answered(self, now: float, name: str, zone: str, state: VersionState) -> None:
         """Take in a peer's versions."""
-        self._answers[name] = PeerAnswer(zone, state)
+        self._answers[name] = PeerAnswer(zone, state, now)
+
+    def _forget_old_answers(self, now: float) -> None:
+        """Ask anew: an old answer says little, and all may have come from one side of a cut."""
+        oldest = now - self._profile.join_answer_lifetime
+        for name, answer in list(self._answers.items()):
+            if answer.at < oldest:
+                del self._answers[name]
 
     def addresses_to_ask(self, now: float) -> list[tuple[str, str]]:
         """Return (name, address) of the peers to ask now; seeds have no name yet."""
         if now < self._next_ask_at:
             return []
+        self._forget_old_answers(now)
         self._next_ask_at = now + self._profile.join_retry * self._random.uniform(0.8, 1.2)
         targets = {name: self._address(name) for name in self._stratified_sample()}
         known = set(targets.values())
