--- a/src/pewtertack/lab/history/acceptance_checks.py
+++ b/src/pewtertack/lab/history/acceptance_checks.py
@@ -46,9 +46,10 @@
     timeline: Timeline, bounds: CheckBounds
 ) -> Iterator[tuple[Life, int, float]]:
     disturbances = list(_all_disturbances(timeline))
+    digests = timeline.edited_digests()
     for edit in timeline.edits:
-        if not edit.valid:
-            continue
+        if not edit.valid or len(digests[edit.revision]) > 1:
+            continue  # two trees under one number: a newer number ends the conflict
         for life in timeline.lives:
             start = _undisturbed(edit.time, life, disturbances, bounds.recovery)
             if start + bounds.recovery <= timeline.end:
--- a/src/pewtertack/lab/history/timeline.py
+++ b/src/pewtertack/lab/history/timeline.py
@@ -129,6 +129,13 @@
             first.setdefault(event.revision, event.time)
         return first
 
+    def edited_digests(self) -> dict[int, set[str]]:
+        """Return the digests that the source gave out under each number; two if it forked."""
+        digests: dict[int, set[str]] = {}
+        for edit in self.edits:
+            digests.setdefault(edit.revision, set()).add(edit.digest)
+        return digests
+
     def lives_of(self, node: str) -> list[Life]:
         """Return the processes of ``node`` in the order of their starts."""
         return [life for life in self.lives if life.node == node]
--- a/src/pewtertack/lab/simulation/fleet.py
+++ b/src/pewtertack/lab/simulation/fleet.py
@@ -217,9 +217,17 @@
     def edit(self, document: Document, valid: bool) -> int:
         """Put a new tree at the source; ``valid`` tells whether nodes should accept it."""
         number = self.source.put(document)
+        self._record_edit(number, document, valid)
+        return number
+
+    def fork(self, number: int, document: Document) -> None:
+        """Let the source give out a second, valid tree under the number of the first."""
+        self.source.fork(number, document)
+        self._record_edit(number, document, valid=True)
+
+    def _record_edit(self, number: int, document: Document, valid: bool) -> None:
         digest = digest_of(document).hex()
         self.lines.append(Edit(time=self.now, revision=number, digest=digest, valid=valid))
-        return number
 
     def cut(self, from_zone: str, to_zone: str) -> None:
         """Lose every message from one zone to another."""
--- a/src/pewtertack/lab/simulation/platform.py
+++ b/src/pewtertack/lab/simulation/platform.py
@@ -57,7 +57,8 @@
 
     ``lag`` is how long a new version stays invisible. During an outage every
     read fails; ``stale_number`` hides all versions above it; ``older_share`` is
-    the probability that an answer holds the version before the visible one.
+    the probability that an answer holds the version before the visible one. A number
+    in ``forks`` has a second document, which ``fork_share`` of the answers hold.
     """
 
     scheduler: Scheduler
@@ -68,6 +69,8 @@
     down: bool = False
     stale_number: int | None = None
     older_share: float = 0.0
+    fork_share: float = 0.5
+    forks: dict[int, Document] = field(default_factory=dict)
     versions: list[Version] = field(default_factory=list)
     counts: ReadCounts = field(default_factory=ReadCounts)
     _reads: list[Read] = field(default_factory=list)
@@ -79,6 +82,10 @@
         self.scheduler.after(self.lag, self._answer_waiting)
         return number
 
+    def fork(self, number: int, document: Document) -> None:
+        """Give some readers ``document`` under a number that others see another for."""
+        self.forks[number] = document
+
     def fail(self) -> None:
         """Begin an outage; open reads break."""
         self.down = True
@@ -129,7 +136,10 @@
         version = self._visible()
         if version is None or version.number == read.after:
             return False
-        self._finish(read, DocumentRead(self.kind, version.number, version.document))
+        document = version.document
+        if version.number in self.forks and self.random.random() < self.fork_share:
+            document = self.forks[version.number]
+        self._finish(read, DocumentRead(self.kind, version.number, document))
         return True
 
     def _answer_waiting(self) -> None:
--- a/tests/lab/history/test_planted_violations.py
+++ b/tests/lab/history/test_planted_violations.py
@@ -120,6 +120,13 @@
     "a revision is in force in part": Planted(
         Promise.REVISIONS_WHOLE, [in_force(34.0, "a", 3, digest="other")]
     ),
+    "one number is in force with two digests": Planted(
+        Promise.REVISIONS_WHOLE,
+        [
+            Edit(time=31.0, revision=3, digest="other", valid=True),
+            in_force(34.0, "a", 3, digest="other"),
+        ],
+    ),
     "an invalid revision is in force": Planted(
         Promise.REJECTED_UNUSED, [in_force(30.5, "a", 2), in_force(30.5, "b", 2)]
     ),
