--- a/src/pewtertack/core/profile.py
+++ b/src/pewtertack/core/profile.py
@@ -47,7 +47,7 @@
     """Peers in the own zone that an announcement goes to."""
     far_fan_out: int = 1
     """Peers in other zones that an announcement goes to."""
-    inline_delta_bytes: int = 300
+    inline_delta_bytes: int = 0
     """Largest delta sent along with an announcement; 0 switches this off."""
     pull_timeout: float = 0.5
     snapshots_per_second: float = 8.0
@@ -67,6 +67,8 @@
     join_retry: float = 0.3
     join_peers: int = 16
     """Answers that suffice to join a fleet of any size."""
+    join_answer_lifetime: float = 5.0
+    """After this long without joining, peers that answered are asked again."""
     join_patience: float = 1.5
     """After this long, peers which do not answer no longer hold up joining."""
     join_hold_wait: float = 2.0
@@ -88,7 +90,6 @@
     acknowledge_timeout=1.0,
     reconnect_interval=6.0,
     fan_out=3,
-    inline_delta_bytes=0,
     read_wait=15.0,
     join_retry=0.6,
     join_patience=3.0,
