--- a/src/pewtertack/node/proxy/application.py
+++ b/src/pewtertack/node/proxy/application.py
@@ -28,6 +28,7 @@
 from pewtertack.routing.dispatcher import BackendChanged, BackendEvent, BackendLeaving, Dispatcher
 from pewtertack.routing.outcomes import (
     DrainingError,
+    InternalError,
     InvalidRequestError,
     NotServingError,
     ProtocolVersionError,
@@ -215,5 +216,9 @@
         except TruncatedAnswerError:
             # uvicorn cuts a connection whose answer was left incomplete
             self._metrics.note_failed(route, TRUNCATED)
+        except Exception:
+            if forwarding.status == 0:
+                await self._refuse(send, InternalError("unexpected error"), head, route)
+            raise  # uvicorn logs it and closes the connection
         finally:
             self._metrics.note_retries(route, forwarding.retries)
--- a/src/pewtertack/routing/outcomes.py
+++ b/src/pewtertack/routing/outcomes.py
@@ -165,3 +165,11 @@
 
     code: ClassVar[str] = "deadline-exceeded"
     status: ClassVar[int] = 504
+
+
+class InternalError(RequestFailedError):
+    """An unexpected error in the node; the log says more."""
+
+    code: ClassVar[str] = "internal-error"
+    status: ClassVar[int] = 500
+    close_connection: ClassVar[bool] = True
--- a/tests/node/proxy/test_forwarding.py
+++ b/tests/node/proxy/test_forwarding.py
@@ -3,8 +3,10 @@
 import asyncio
 import json
 import socket
+import unittest.mock
 from typing import Any
 
+from pewtertack.node.proxy.exchange import Exchange
 from tests.node.proxy.harness import (
     ProxyTestCase,
     raw_call,
@@ -91,3 +93,11 @@
         accepted = connection.transport.get_extra_info("socket")
         self.assertTrue(accepted.getsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY))
         writer.close()
+
+    async def test_an_unexpected_error_has_a_type_too(self) -> None:
+        address = await self.start(Echo())
+        with unittest.mock.patch.object(Exchange, "run", side_effect=ZeroDivisionError):
+            answer = await raw_call(address, request_bytes())
+        self.assertEqual((answer.status, answer.headers["x-outcome"]), (500, "unknown"))
+        self.assertEqual(json.loads(answer.body)["type"], "internal-error")
+        self.assertEqual(self.proxy.in_flight, 0)
--- /dev/null
+++ b/tests/routing/test_properties.py
@@ -0,0 +1,89 @@
+"""Whatever callers and back ends do: counts, limits and places stay right."""
+
+import unittest
+
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from pewtertack.core.configuration.resolved import WorkClass
+from pewtertack.core.machines import MachineList, MachineState
+from pewtertack.routing.backend import LoadReport
+from pewtertack.routing.dispatcher import AttemptEnd, Dispatcher
+from pewtertack.routing.outcomes import NotRunError
+from pewtertack.routing.queueing import Ticket
+from tests.routing.samples import backend, dispatcher, service, ticket
+
+NAMES = ("a", "b", "c")
+STEPS = st.lists(
+    st.tuples(
+        st.sampled_from(["submit", "submit", "submit", "finish", "finish", "look", "leave"]),
+        st.integers(0, 20),
+        st.sampled_from(list(AttemptEnd)),
+        st.sampled_from(list(WorkClass)),
+        st.floats(0, 0.5),
+    ),
+    max_size=80,
+)
+
+
+class DispatcherProperties(unittest.TestCase):
+    @settings(max_examples=150, deadline=None, derandomize=True)
+    @given(STEPS)
+    def test_counts_limits_and_places(self, steps: list) -> None:
+        subject, now = dispatcher(*NAMES), 0.0
+        tickets: list[Ticket] = []
+        leaving: set[str] = set()
+        for action, pick, how, work_class, pause in steps:
+            now += pause
+            granted_before = {item for item in tickets if item.backend}
+            if action == "submit":
+                self.submit(subject, tickets, ticket(now + 2, work_class=work_class), now)
+            elif action == "finish":
+                self.finish(subject, tickets, pick, how, now)
+            elif action == "look":
+                for item in [item for item in tickets if not (item.backend or item.refusal)]:
+                    subject.look(item, now)
+            elif len(leaving) < 2:
+                leaving.add(NAMES[pick % 3])
+                listed = [self.listed(name, leaving) for name in NAMES]
+                subject.use_machines(MachineList(2, tuple(listed)), now)
+            fresh = {item for item in tickets if item.backend} - granted_before
+            self.assertFalse(leaving & {item.backend.name for item in fresh if item.backend})
+            self.check(subject, tickets)
+        for item in tickets:
+            if not (item.backend or item.refusal):
+                subject.look(item, now + 20)
+        self.assertTrue(all(item.backend or item.refusal for item in tickets))
+
+    def listed(self, name: str, leaving: set[str]) -> object:
+        state = MachineState.LEAVING if name in leaving else MachineState.LIVE
+        return backend(name, state=state)
+
+    def submit(self, subject: Dispatcher, tickets: list, item: Ticket, now: float) -> None:
+        try:
+            subject.submit(item, now)
+        except NotRunError:
+            return
+        tickets.append(item)
+
+    def finish(
+        self, subject: Dispatcher, tickets: list, pick: int, how: AttemptEnd, now: float
+    ) -> None:
+        running = [item for item in tickets if item.backend and not item.finished]
+        if running:
+            item = running[pick % len(running)]
+            if how is AttemptEnd.ANSWERED:
+                subject.note_answer(item, now, LoadReport(pick % 9, 6), leaving=False)
+            subject.finish(item, now, how)
+
+    def check(self, subject: Dispatcher, tickets: list[Ticket]) -> None:
+        running = [item for item in tickets if item.backend and not item.finished]
+        state = subject.service("logbook")
+        self.assertEqual(state.in_flight, len(running))
+        for item in state.backends:
+            own = sum(one.backend is item for one in running)
+            self.assertEqual(item.in_flight, own)
+            self.assertLessEqual(own, service().slots_per_backend)
+        waiting = [item for item in tickets if not (item.backend or item.refusal)]
+        self.assertEqual(len(state.queue), len(waiting))
+        self.assertLessEqual(len(waiting), 20)
