--- a/tests/node/proxy/harness.py
+++ b/tests/node/proxy/harness.py
@@ -82,12 +82,18 @@
         self.headers = {name.lower(): value.strip() for name, _, value in pairs}
 
 
-async def raw_call(address: str, raw: bytes, timeout: float = 10.0) -> Answer:
-    """Send bytes on a new connection and read to the end of the stream."""
+async def begin_call(address: str, raw: bytes) -> tuple[asyncio.StreamReader, asyncio.StreamWriter]:
+    """Send bytes on a new connection."""
     host, _, port = address.rpartition(":")
     reader, writer = await asyncio.open_connection(host, int(port))
+    writer.write(raw)
+    return reader, writer
+
+
+async def raw_call(address: str, raw: bytes, timeout: float = 10.0) -> Answer:
+    """Send bytes on a new connection and read to the end of the stream."""
+    reader, writer = await begin_call(address, raw)
     try:
-        writer.write(raw)
         async with asyncio.timeout(timeout):
             return Answer(await reader.read())
     finally:
