--- a/src/pewtertack/lab/scenarios/catalogue.py
+++ b/src/pewtertack/lab/scenarios/catalogue.py
@@ -18,12 +18,17 @@
 
 REQUEST_RATE = 80.0
 COLD_SECONDS = 2.0
+CROWDED_READERS = 3
 
 
 def _separate_backends(shape: FleetShape) -> FleetShape:
     return replace(shape, separate_backends=True, capacity=Capacity(cold_period=COLD_SECONDS))
 
 
+def _crowd_source(shape: FleetShape) -> FleetShape:
+    return replace(shape, reader_limit=CROWDED_READERS)
+
+
 def _describe(body: Body) -> str:
     return (body.__doc__ or "").strip().splitlines()[0]
 
@@ -48,6 +53,13 @@
     _configuration("one-way-cut", configuration.one_way_cut),
     _configuration("source-down", configuration.source_down),
     _configuration("source-stale", configuration.source_stale),
+    Scenario(
+        "source-crowded",
+        _describe(configuration.source_crowded),
+        configuration.source_crowded,
+        (*CONFIGURATION_PROMISES, *REQUEST_PROMISES),
+        _crowd_source,
+    ),
     _configuration("machine-list-down", configuration.machine_list_down),
     _configuration("bad-revisions", configuration.bad_revisions, Promise.REJECTED_UNUSED),
     _requests("backends-killed", requests.backends_killed),
--- a/src/pewtertack/lab/scenarios/configuration.py
+++ b/src/pewtertack/lab/scenarios/configuration.py
@@ -17,6 +17,7 @@
 HOLDING_SECONDS = 3.0
 STALE_SECONDS = 8.0
 OUTAGE_SECONDS = 5.0
+LAG_SECONDS = 1.0
 RACES = 5
 QUIET_SECONDS = 15.0
 
@@ -167,6 +168,18 @@
     await context.wait_for_newest()
 
 
+async def source_crowded(context: ScenarioContext) -> None:
+    """The source takes a few readers at once only, then shows edits late as well."""
+    await context.edit_for(OUTAGE_SECONDS, EDIT_PAUSE)
+    await context.wait_for_newest()
+    await context.fleet.platform.fail_source(Faults(lag=LAG_SECONDS), "lagging")
+    await context.edit_for(OUTAGE_SECONDS, EDIT_PAUSE)
+    await context.wait_for_newest()
+    await context.fleet.platform.heal_source()
+    counters = await context.fleet.platform.source_counters()
+    context.expect(counters.refused > 0, "the source refused no reader")
+
+
 async def machine_list_down(context: ScenarioContext) -> None:
     """The machine list is down while half of the fleet is replaced under edits."""
     await context.fleet.platform.fail_machine_list(Availability.CLOSED)
