--- a/src/pewtertack/cli/lab.py
+++ b/src/pewtertack/cli/lab.py
@@ -16,8 +16,9 @@
 
 from pewtertack.cli.exit_codes import ExitCode
 from pewtertack.errors import LabError
-from pewtertack.lab.address import Address
+from pewtertack.lab.address import parse_address
 from pewtertack.lab.errors import LabUsageError, leaves_of
+from pewtertack.settings import Address
 
 app = typer.Typer(no_args_is_help=True, help="Stand-ins, fleets, load and scenarios.")
 
@@ -72,8 +73,8 @@
 
     stand_in = ConfigurationSource(
         read_json_object(tree),
-        Address.parse(listen),
-        Address.parse(control),
+        parse_address(listen),
+        parse_address(control),
         max_readers,
         seed,
     )
@@ -93,8 +94,8 @@
 
     stand_in = MachineListService(
         read_json_object(file),
-        Address.parse(listen),
-        Address.parse(control),
+        parse_address(listen),
+        parse_address(control),
         lag,
         max_readers,
     )
@@ -124,14 +125,14 @@
         cold_period=cold_ms / 1000,
     )
     named = dict(_named_address(text) for text in host)
-    anyio.run(BackendProcess(named, Address.parse(control), capacity, seed).run)
+    anyio.run(BackendProcess(named, parse_address(control), capacity, seed).run)
 
 
 def _named_address(text: str) -> tuple[str, Address]:
     name, equals, address = text.partition("=")
     if not equals:
         raise LabUsageError(f"{text!r}: write name=ip:port")
-    return name, Address.parse(address)
+    return name, parse_address(address)
 
 
 @app.command()
@@ -145,7 +146,7 @@
     from pewtertack.lab.relay.service import Relay
 
     listed = msgspec.json.decode(nodes.read_bytes(), type=tuple[RelayedNode, ...])
-    anyio.run(Relay(listed, Address.parse(control), seed).run)
+    anyio.run(Relay(listed, parse_address(control), seed).run)
 
 
 @app.command()
@@ -253,7 +254,7 @@
     if role == "backend":
         anyio.run(run_backend)
     else:
-        anyio.run(run_proxy, [Address.parse(text) for text in backend or []])
+        anyio.run(run_proxy, [parse_address(text) for text in backend or []])
 
 
 @app.command()
--- a/src/pewtertack/lab/backend/process.py
+++ b/src/pewtertack/lab/backend/process.py
@@ -9,13 +9,13 @@
 import anyio.abc
 import msgspec
 
-from pewtertack.lab.address import Address
 from pewtertack.lab.asgi import Answer, HandlerTable, Request, json_answer
 from pewtertack.lab.backend.application import BackendApplication
 from pewtertack.lab.backend.state import BackendFaults, BackendState, Capacity
 from pewtertack.lab.errors import LabUsageError
 from pewtertack.lab.records import Record, encode_record
 from pewtertack.lab.serving import Listener, print_line, print_ready
+from pewtertack.settings import Address
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/pewtertack/lab/fleet/backends.py
+++ b/src/pewtertack/lab/fleet/backends.py
@@ -5,12 +5,12 @@
 import time
 from dataclasses import dataclass
 
-from pewtertack.lab.address import Address
 from pewtertack.lab.backend.state import BackendFaults
 from pewtertack.lab.fleet.control import ControlClient
 from pewtertack.lab.fleet.history import HistoryRecorder
 from pewtertack.lab.fleet.plan import FleetPlan
 from pewtertack.lab.records import BackendFault, BackendLeaving
+from pewtertack.settings import Address
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/pewtertack/lab/fleet/control.py
+++ b/src/pewtertack/lab/fleet/control.py
@@ -5,8 +5,8 @@
 import httpcore
 import msgspec
 
-from pewtertack.lab.address import Address
 from pewtertack.lab.errors import ControlRefusedError, NumberConflictError
+from pewtertack.settings import Address
 
 TIMEOUTS = {"connect": 5.0, "read": 20.0, "write": 5.0, "pool": 20.0}
 STATUS_CONFLICT = 409
--- a/src/pewtertack/lab/fleet/plan.py
+++ b/src/pewtertack/lab/fleet/plan.py
@@ -6,10 +6,10 @@
 from dataclasses import dataclass
 from typing import Any
 
-from pewtertack.lab.address import Address
 from pewtertack.lab.backend.state import Capacity
 from pewtertack.lab.fleet.ports import PortAllocator
 from pewtertack.lab.relay.links import RelayedNode
+from pewtertack.settings import Address
 
 PLATFORM_IP = "127.0.0.1"
 RELAY_IP = "127.0.200.1"
--- a/src/pewtertack/lab/fleet/ports.py
+++ b/src/pewtertack/lab/fleet/ports.py
@@ -6,8 +6,8 @@
 import random
 import socket
 
-from pewtertack.lab.address import Address
 from pewtertack.lab.errors import LabUsageError
+from pewtertack.settings import Address
 
 FIRST_PORT = 20_000
 LAST_PORT = 32_000
@@ -40,7 +40,7 @@
     for kind in (socket.SOCK_STREAM, socket.SOCK_DGRAM):
         with contextlib.closing(socket.socket(socket.AF_INET, kind)) as probe:
             try:
-                probe.bind((address.ip, address.port))
+                probe.bind((address.host, address.port))
             except OSError:
                 return False
     return True
--- a/src/pewtertack/lab/fleet/processes.py
+++ b/src/pewtertack/lab/fleet/processes.py
@@ -8,10 +8,10 @@
 import msgspec
 
 from pewtertack.events import Event
-from pewtertack.lab.address import Address
 from pewtertack.lab.fleet.plan import FleetPlan
 from pewtertack.lab.fleet.process import LabProcess, LineHandler
 from pewtertack.lab.fleet.settings import machines_path, relay_path, settings_path, tree_path
+from pewtertack.settings import Address
 
 READY_PREFIX = b'{"ready":'
 
--- a/src/pewtertack/lab/hop/caller.py
+++ b/src/pewtertack/lab/hop/caller.py
@@ -6,7 +6,7 @@
 import time
 
 from pewtertack.errors import LabError
-from pewtertack.lab.address import Address
+from pewtertack.settings import Address
 
 REQUEST = b"GET /measured HTTP/1.1\r\nhost: measured.example\r\naccept: */*\r\n\r\n"
 READ_BYTES = 65536
@@ -23,7 +23,7 @@
     """One connection that is kept open."""
 
     def __init__(self, address: Address) -> None:
-        self._socket = socket.create_connection((address.ip, address.port), TIMEOUT)
+        self._socket = socket.create_connection((address.host, address.port), TIMEOUT)
         self._socket.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
 
     def call(self) -> float:
--- a/src/pewtertack/lab/hop/measurement.py
+++ b/src/pewtertack/lab/hop/measurement.py
@@ -14,10 +14,11 @@
 import anyio
 import msgspec
 
-from pewtertack.lab.address import Address
+from pewtertack.lab.address import parse_address
 from pewtertack.lab.fleet.process import LabProcess
 from pewtertack.lab.fleet.processes import READY_PREFIX
 from pewtertack.lab.hop.caller import BlockingCaller
+from pewtertack.settings import Address
 
 WARM_UP_CALLS = 50
 MILLISECONDS = 1000
@@ -171,7 +172,7 @@
                 await proxy.start(tasks)
                 await proxy.wait_ready()
                 yield Targets(
-                    Address.parse(ready["backend"]), Address.parse(ready["proxy"]), proxy.pid
+                    parse_address(ready["backend"]), parse_address(ready["proxy"]), proxy.pid
                 )
             finally:
                 await proxy.end()
--- a/src/pewtertack/lab/hop/targets.py
+++ b/src/pewtertack/lab/hop/targets.py
@@ -16,12 +16,12 @@
 )
 from pewtertack.core.machines import Machine, MachineList, MachineRole
 from pewtertack.core.revision import RevisionId
-from pewtertack.lab.address import Address
 from pewtertack.lab.asgi import Receive, Scope, Send, read_body
 from pewtertack.lab.serving import Listener, print_ready
 from pewtertack.node.http_server import embedded_server
 from pewtertack.node.proxy.application import ProxyApplication
 from pewtertack.node.proxy.protocol import GuardedHttpProtocol
+from pewtertack.settings import Address
 
 BODY = b"x" * 256
 ANY_PORT = Address("127.0.0.1", 0)
@@ -52,7 +52,7 @@
     proxy.use_configuration(_configuration())
     proxy.use_machines(_machines(backends))
     proxy.set_serving(True)
-    listening = socket.create_server((ANY_PORT.ip, ANY_PORT.port))
+    listening = socket.create_server((ANY_PORT.host, ANY_PORT.port))
     print_ready(proxy=Address(*listening.getsockname()))
     await embedded_server(proxy, KEEP_ALIVE, GuardedHttpProtocol).serve([listening])
 
--- a/src/pewtertack/lab/load/caller.py
+++ b/src/pewtertack/lab/load/caller.py
@@ -8,10 +8,10 @@
 
 import httpcore
 
-from pewtertack.lab.address import Address
 from pewtertack.lab.backend.answers import checksum, expected_body
 from pewtertack.lab.load.mix import CallKind
 from pewtertack.lab.records import Told, ToldOutcome
+from pewtertack.settings import Address
 
 CONNECT_SECONDS = 2.0
 OUTCOME_HEADER = "x-outcome"
--- a/src/pewtertack/lab/machines/service.py
+++ b/src/pewtertack/lab/machines/service.py
@@ -8,12 +8,12 @@
 import msgspec
 
 from pewtertack.core.machines import MachineState, machine_list_from_document
-from pewtertack.lab.address import Address
 from pewtertack.lab.asgi import Answer, Request, json_answer
 from pewtertack.lab.errors import LabUsageError
 from pewtertack.lab.platform.application import ReadApplication
 from pewtertack.lab.platform.control import PlatformService
 from pewtertack.lab.platform.store import DocumentStore, Faults
+from pewtertack.settings import Address
 
 READ_PATH = "/v1/machines"
 DEFAULT_READER_LIMIT = 32
--- a/src/pewtertack/lab/platform/control.py
+++ b/src/pewtertack/lab/platform/control.py
@@ -6,11 +6,11 @@
 import anyio.abc
 import msgspec
 
-from pewtertack.lab.address import Address
 from pewtertack.lab.asgi import Answer, Handler, HandlerTable, Request, json_answer
 from pewtertack.lab.platform.application import ReadApplication
 from pewtertack.lab.platform.store import Availability, DocumentStore, Faults
 from pewtertack.lab.serving import Listener, print_ready
+from pewtertack.settings import Address
 
 
 class PlatformService:
--- a/src/pewtertack/lab/relay/links.py
+++ b/src/pewtertack/lab/relay/links.py
@@ -6,8 +6,8 @@
 
 import msgspec
 
-from pewtertack.lab.address import Address
 from pewtertack.lab.errors import LabUsageError
+from pewtertack.settings import Address
 
 
 class RelayedNode(msgspec.Struct, frozen=True):
@@ -51,7 +51,7 @@
     """
 
     def __init__(self, nodes: tuple[RelayedNode, ...], seed: int = 0) -> None:
-        self._by_ip = {node.listen.ip: node for node in nodes}
+        self._by_ip = {node.listen.host: node for node in nodes}
         if len(self._by_ip) < len(nodes):
             raise LabUsageError("relayed nodes need a listening IP number each")
         self._random = random.Random(seed)
--- a/src/pewtertack/lab/relay/service.py
+++ b/src/pewtertack/lab/relay/service.py
@@ -9,10 +9,10 @@
 import anyio.abc
 import msgspec
 
-from pewtertack.lab.address import Address
 from pewtertack.lab.asgi import Answer, HandlerTable, Request, json_answer
 from pewtertack.lab.relay.links import LinkSettings, LinkTable, RelayedNode
 from pewtertack.lab.serving import Listener, print_ready
+from pewtertack.settings import Address
 
 CHUNK_BYTES = 65536
 
@@ -60,7 +60,7 @@
         for node in self._nodes:
             self._sockets[node.name] = await anyio.create_udp_socket(
                 family=socket.AF_INET,
-                local_host=node.advertised.ip,
+                local_host=node.advertised.host,
                 local_port=node.advertised.port,
             )
         for node in self._nodes:
@@ -114,11 +114,11 @@
         self.counters.datagrams += 1
         async with self._sending[sender.name]:
             with contextlib.suppress(*STREAM_ERRORS):
-                await self._sockets[sender.name].sendto(data, node.listen.ip, node.listen.port)
+                await self._sockets[sender.name].sendto(data, node.listen.host, node.listen.port)
 
     async def _open_streams(self, node: RelayedNode, task_group: anyio.abc.TaskGroup) -> None:
         listener = await anyio.create_tcp_listener(
-            local_host=node.advertised.ip, local_port=node.advertised.port
+            local_host=node.advertised.host, local_port=node.advertised.port
         )
 
         async def relay_stream(stream: anyio.abc.SocketStream) -> None:
@@ -139,7 +139,7 @@
             return
         await self._wait_for_link(sender.zone, node.zone)
         with contextlib.suppress(*STREAM_ERRORS):
-            async with await anyio.connect_tcp(node.listen.ip, node.listen.port) as onward:
+            async with await anyio.connect_tcp(node.listen.host, node.listen.port) as onward:
                 await self._pump_both(sender.zone, node.zone, stream, onward)
 
     async def _pump_both(
--- a/src/pewtertack/lab/serving.py
+++ b/src/pewtertack/lab/serving.py
@@ -14,9 +14,9 @@
 import uvicorn
 from uvicorn.protocols.http.httptools_impl import HttpToolsProtocol
 
-from pewtertack.lab.address import Address
 from pewtertack.lab.asgi import Application
 from pewtertack.lab.errors import LabUsageError
+from pewtertack.settings import Address
 
 KEEP_ALIVE_SECONDS = 30
 SHUTDOWN_SECONDS = 1
@@ -85,7 +85,7 @@
         listening.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
         listening.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         try:
-            listening.bind((self.address.ip, self.address.port))
+            listening.bind((self.address.host, self.address.port))
         except OSError as error:
             listening.close()
             raise LabUsageError(f"cannot listen on {self.address}: {error}") from error
--- a/src/pewtertack/lab/source/service.py
+++ b/src/pewtertack/lab/source/service.py
@@ -7,11 +7,11 @@
 
 import msgspec
 
-from pewtertack.lab.address import Address
 from pewtertack.lab.asgi import Answer, Request, json_answer
 from pewtertack.lab.platform.application import ReadApplication
 from pewtertack.lab.platform.control import PlatformService
 from pewtertack.lab.platform.store import DocumentStore
+from pewtertack.settings import Address
 
 READ_PATH = "/v1/tree"
 DEFAULT_READER_LIMIT = 32
--- a/tests/lab/load/test_caller.py
+++ b/tests/lab/load/test_caller.py
@@ -6,7 +6,6 @@
 
 import anyio
 
-from pewtertack.lab.address import Address
 from pewtertack.lab.asgi import Application, Receive, Scope, Send, send_head
 from pewtertack.lab.backend.application import BackendApplication
 from pewtertack.lab.backend.state import BackendFaults, BackendState, Capacity
@@ -15,6 +14,7 @@
 from pewtertack.lab.load.generator import LoadGenerator
 from pewtertack.lab.records import Record, Told, ToldOutcome
 from pewtertack.lab.serving import Listener
+from pewtertack.settings import Address
 
 
 @contextlib.asynccontextmanager
--- a/tests/lab/machines/test_service.py
+++ b/tests/lab/machines/test_service.py
@@ -4,8 +4,8 @@
 
 import msgspec
 
-from pewtertack.lab.address import Address
 from pewtertack.lab.machines.service import MachineListService
+from pewtertack.settings import Address
 from tests.lab.asgi_client import call
 
 ANY = Address("127.0.0.1", 0)
--- a/tests/lab/relay/test_service.py
+++ b/tests/lab/relay/test_service.py
@@ -8,10 +8,10 @@
 import anyio
 import anyio.abc
 
-from pewtertack.lab.address import Address
 from pewtertack.lab.errors import LabUsageError
 from pewtertack.lab.relay.links import Link, LinkSettings, LinkTable, RelayedNode
 from pewtertack.lab.relay.service import Relay
+from pewtertack.settings import Address
 
 RELAY_IP = "127.0.200.1"
 YABA_TO_LEKKI = LinkSettings(cuts=(Link("yaba", "lekki"),))
@@ -41,7 +41,7 @@
 
 async def udp_socket(node: RelayedNode) -> anyio.abc.UDPSocket:
     return await anyio.create_udp_socket(
-        family=socket.AF_INET, local_host=node.listen.ip, local_port=node.listen.port
+        family=socket.AF_INET, local_host=node.listen.host, local_port=node.listen.port
     )
 
 
@@ -68,7 +68,7 @@
         async with running_relay(self.yaba, *others):
             sockets = [await udp_socket(node) for node in others]
             with contextlib.closing(socket.socket(socket.AF_INET, socket.SOCK_DGRAM)) as yaba:
-                yaba.bind((self.yaba.listen.ip, self.yaba.listen.port))
+                yaba.bind((self.yaba.listen.host, self.yaba.listen.port))
                 for node in others:
                     yaba.sendto(b"ping", (RELAY_IP, node.advertised.port))
             for receiving in sockets:
@@ -97,7 +97,7 @@
                 await stream.send(b"echo " + await stream.receive())
 
         listener = await anyio.create_tcp_listener(
-            local_host=self.lekki.listen.ip, local_port=self.lekki.listen.port
+            local_host=self.lekki.listen.host, local_port=self.lekki.listen.port
         )
         async with (
             running_relay(self.yaba, self.lekki) as relay,
@@ -106,9 +106,11 @@
         ):
             tasks.start_soon(listener.serve, echo)
             relay.set_links(YABA_TO_LEKKI)
-            local = self.yaba.listen.ip
+            local = self.yaba.listen.host
             target = self.lekki.advertised
-            async with await anyio.connect_tcp(target.ip, target.port, local_host=local) as stream:
+            async with await anyio.connect_tcp(
+                target.host, target.port, local_host=local
+            ) as stream:
                 await stream.send(b"hello")
                 with anyio.move_on_after(0.05):
                     await stream.receive()
@@ -129,4 +131,4 @@
 
     def test_nodes_need_an_ip_number_each(self) -> None:
         with self.assertRaises(LabUsageError):
-            LinkTable((self.yaba, make_node("n3", "yaba", self.yaba.listen.ip)))
+            LinkTable((self.yaba, make_node("n3", "yaba", self.yaba.listen.host)))
--- a/tests/lab/source/test_service.py
+++ b/tests/lab/source/test_service.py
@@ -8,8 +8,8 @@
 import httpcore
 import msgspec
 
-from pewtertack.lab.address import Address
 from pewtertack.lab.source.service import ConfigurationSource
+from pewtertack.settings import Address
 
 ANY = Address("127.0.0.1", 0)
 
--- a/tests/lab/test_serving.py
+++ b/tests/lab/test_serving.py
@@ -6,10 +6,10 @@
 import anyio
 import httpcore
 
-from pewtertack.lab.address import Address
 from pewtertack.lab.asgi import HandlerTable
 from pewtertack.lab.errors import LabUsageError
 from pewtertack.lab.serving import Listener
+from pewtertack.settings import Address
 
 ANY = Address("127.0.0.1", 0)
 
--- a/tests/node/test_process.py
+++ b/tests/node/test_process.py
@@ -15,9 +15,9 @@
 
 from pewtertack.cli.status import format_reports
 from pewtertack.cli.status_reports import AdminUrlError, read_reports
-from pewtertack.lab.address import Address
 from pewtertack.lab.machines.service import MachineListService
 from pewtertack.lab.source.service import ConfigurationSource
+from pewtertack.settings import Address
 from tests.node.processes import (
     NOBODY,
     PATIENCE,
