Join: ask other peers than the last time

With few answers missing a joiner asked the same two members each time, as members came in the ring's order and zones by name; both were dead. Both are shuffled now. Run: python -m unittest tests.lab.simulation and tests/core pass.

--- a/src/pewtertack/core/replication/join.py
+++ b/src/pewtertack/core/replication/join.py
@@ -88,6 +88,7 @@
     def _stratified_sample(self) -> list[str]:
         """Return unanswered members, as evenly over the zones as they allow."""
         pools = [self._unanswered(zone) for zone in self._table.zones()]
+        self._random.shuffle(pools)
         chosen: list[str] = []
         wanted = self._profile.join_peers - len(self._answers)
         while any(pools) and len(chosen) < wanted:
@@ -98,7 +99,9 @@
 
     def _unanswered(self, zone: str) -> list[str]:
         names = self._table.zone(zone).sample(self._random, 2 * self._profile.join_peers)
-        return [name for name in names if name not in self._answers]
+        unanswered = [name for name in names if name not in self._answers]
+        self._random.shuffle(unanswered)
+        return unanswered
 
     @property
     def heard_serving_peer(self) -> bool:
