--- a/src/pewtertack/lab/simulation/execution.py
+++ b/src/pewtertack/lab/simulation/execution.py
@@ -29,7 +29,7 @@
 SETTLE_TIME = 6.0
 """Virtual seconds before the first step, for the fleet to form."""
 
-SIMULATION_BOUNDS = CheckBounds(convergence=12.0, recovery=45.0)
+SIMULATION_BOUNDS = CheckBounds(convergence=8.0, recovery=40.0)
 
 RECOVERY_TIME = SIMULATION_BOUNDS.recovery + SIMULATION_BOUNDS.convergence + 1.0
 """Virtual seconds after the last fault, so that every bound passes."""
