--- a/src/pewtertack/node/proxy/application.py
+++ b/src/pewtertack/node/proxy/application.py
@@ -117,6 +117,8 @@
         """Serve requests that begin from now on by ``configuration``."""
         self._table = RouteTable(configuration)
         self._parts.dispatcher.use_zone(configuration.zone)
+        routes = frozenset(route.name for route in configuration.routes)
+        self._parts.dispatcher.keep_only(routes, configuration.services)
 
     def use_machines(self, machines: MachineList) -> None:
         """Take over a newer machine list; an older one is ignored."""
--- a/src/pewtertack/routing/dispatcher.py
+++ b/src/pewtertack/routing/dispatcher.py
@@ -7,7 +7,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable
+from collections.abc import Callable, Container
 from dataclasses import dataclass
 from enum import Enum
 from random import Random
@@ -87,6 +87,15 @@
             self._zone = zone
             self._spread_backends()
 
+    def keep_only(self, routes: Container[str], services: Container[str]) -> None:
+        """Forget what was learnt of routes and idle services that are in force no longer."""
+        self._budgets = {name: item for name, item in self._budgets.items() if name in routes}
+        self._services = {
+            name: service
+            for name, service in self._services.items()
+            if name in services or service.in_flight or service.queue
+        }
+
     def use_machines(self, machines: MachineList, now: float) -> None:
         """Take over a newer machine list; an older one is ignored."""
         if self._registry.update(machines, now):
--- a/tests/routing/test_dispatcher.py
+++ b/tests/routing/test_dispatcher.py
@@ -281,3 +281,14 @@
             again = subject.retry(request, BackendUnreachableError("x"), now, True)
             retries += again is not None
         self.assertTrue(90 <= retries <= 115, retries)
+
+
+class ForgettingTest(unittest.TestCase):
+    def test_a_service_out_of_force_is_forgotten_once_idle(self) -> None:
+        subject = dispatcher("a")
+        request = submitted(subject, 0.0, ticket())
+        subject.keep_only((), ())
+        self.assertEqual(len(subject.services()), 1)
+        subject.finish(request, 0.1, AttemptEnd.ANSWERED)
+        subject.keep_only((), ())
+        self.assertEqual(subject.services(), ())
