--- a/src/pewtertack/lab/cost/report.py
+++ b/src/pewtertack/lab/cost/report.py
@@ -110,7 +110,11 @@
         for cost in report.states
     ]
     header = ("state", "% of a core", "resident MB", "private MB")
-    limits = ("budget", f"{budget.processor_share * 100:.1f}", f"{budget.resident / MEGABYTE:.0f}")
+    limits = (
+        "budget of control work",
+        f"{budget.processor_share * 100:.1f}",
+        f"{budget.resident / MEGABYTE:.0f}",
+    )
     return "\n".join(
         [
             f"{report.deployment}, {report.profile}, {report.nodes} nodes,"
