Delta comparison: skip what both documents share

Cause: lab scale spends most of its churn on machine lists of 1,700 entries; a node that applied a delta compared both lists entry by entry again. Documents made by deltas share what did not change.

--- a/src/pewtertack/core/delta.py
+++ b/src/pewtertack/core/delta.py
@@ -59,6 +59,8 @@
         here = (*path, key)
         if key not in old:
             yield SetValue(here, new[key])
+        elif old[key] is new[key]:
+            continue  # documents that came about by deltas share what did not change
         elif isinstance(old[key], dict) and isinstance(new[key], dict):
             yield from _edits_between(old[key], new[key], here)
         elif not _same_value(old[key], new[key]):
