Join: a fleet's first joiners commit only if they know its size

Two nodes of a cut-off zone were replaced during the cut, heard only each other, read the source, and committed as a fleet of two. A stale source would have taken them back the same way. A joiner now commits only with the machine list, or without one when every seed has answered. Ruled out: requiring the list in any case; an embedded fleet without a list could never start.

--- a/src/pewtertack/core/replication/join.py
+++ b/src/pewtertack/core/replication/join.py
@@ -131,8 +131,19 @@
         return not self.heard_serving_peer and waited >= self._profile.bootstrap_delay
 
     def may_commit(self, now: float) -> bool:
-        """Whether a joiner may decide a commit: the first fleet has nobody else to."""
-        return self.may_bootstrap(now) and not self._isolated()
+        """Whether a joiner may decide a commit: the first fleet has nobody else to.
+
+        The machine list tells it the size of the fleet; without one every seed must
+        have answered. Joiners that hear just each other may be the smaller side of a
+        cut.
+        """
+        if not self.may_bootstrap(now):
+            return False
+        return self._table.list_known or self._heard_every_seed()
+
+    def _heard_every_seed(self) -> bool:
+        heard = {self._address(name) for name in self._answers}
+        return heard.issuperset(self._seeds)
 
     def knows_enough(self, now: float, quorum: QuorumMembers) -> bool:
         """Whether enough peers answered to know every revision in force."""
