--- a/tests/lab/simulation/test_total_loss.py
+++ b/tests/lab/simulation/test_total_loss.py
@@ -81,6 +81,28 @@
         fleet.heal()
         self.assertEqual(violated(fleet), [])
 
+    def test_a_cut_off_zone_whose_nodes_are_all_replaced_starts_no_fleet_of_its_own(self) -> None:
+        fleet = SimulatedFleet(FleetSettings(nodes=9, zones=3), tree_for_edit(1))
+        fleet.start_all()
+        fleet.run(6.0)
+        fleet.edit(tree_for_edit(2), valid=True)
+        fleet.run(3.0)
+        for other in ("zone-1", "zone-2"):
+            fleet.cut("zone-0", other)
+            fleet.cut(other, "zone-0")
+        fleet.source.turn_stale(1)
+        zone = fleet.names[::3]
+        fleet.kill(zone)
+        fleet.run(0.5)
+        fleet.start(zone)
+        fleet.run(30.0)
+        self.assertEqual(serving(fleet), 6)
+        fleet.heal()
+        fleet.run(SIMULATION_BOUNDS.convergence)
+        self.assertEqual(serving(fleet), 9)
+        fleet.heal()
+        self.assertEqual(violated(fleet), [])
+
     def in_force(self, fleet: SimulatedFleet, zones: tuple[str, ...]) -> set[int]:
         return {
             process.core.replication.replica.in_force_number
