A failure is retried by the nearest node only: x-retries: spent

Cause: a back end that hands on its own node's 'not-run' refusal looked like a back end that sheds, so every level above retried it and slowed that back end down.

The node marks failures of requests that it tried to forward; a marked failing answer is passed on as it is, is not retried and tells nothing of the back end's health. Weighed: a request header that carries the number of retries left; it gives the retries to the topmost failure instead of the one nearest to it and needs every back end to divide it over its calls. Left unmarked: not-serving and draining, where another node does better.

--- a/src/pewtertack/node/proxy/answers.py
+++ b/src/pewtertack/node/proxy/answers.py
@@ -8,8 +8,8 @@
 
 import msgspec
 
-from pewtertack.node.proxy.headers import REQUEST_ID, RawHeaders
-from pewtertack.routing.outcomes import OUTCOME_HEADER, RequestFailedError
+from pewtertack.node.proxy.headers import REQUEST_ID, RETRIES, RawHeaders
+from pewtertack.routing.outcomes import OUTCOME_HEADER, RETRIES_SPENT, RequestFailedError
 
 Scope = MutableMapping[str, Any]
 """ASGI connection scope."""
@@ -39,6 +39,8 @@
         headers.append((REQUEST_ID, request_id.encode()))
     if error.retry_after is not None:
         headers.append((b"retry-after", str(max(1, math.ceil(error.retry_after))).encode()))
+    if error.retries_spent:
+        headers.append((RETRIES, RETRIES_SPENT.encode()))
     if error.close_connection:
         headers.append((b"connection", b"close"))
     return headers
--- a/src/pewtertack/node/proxy/application.py
+++ b/src/pewtertack/node/proxy/application.py
@@ -212,7 +212,7 @@
             await forwarding.run()
             self._metrics.note_answered(route, self._clock() - began)
         except RequestFailedError as error:
-            await self._refuse(send, error, head, route)
+            await self._refuse(send, error.with_retries_spent(), head, route)
         except CallerGoneError:
             self._metrics.note_failed(route, CALLER_GONE)
         except TruncatedAnswerError:
--- a/src/pewtertack/node/proxy/exchange.py
+++ b/src/pewtertack/node/proxy/exchange.py
@@ -17,6 +17,8 @@
     read_answer,
 )
 from pewtertack.node.proxy.upstream import BackendConnection
+from pewtertack.routing.answers import end_of_answer
+from pewtertack.routing.dispatcher import AttemptEnd
 from pewtertack.routing.outcomes import (
     DEFAULT_RETRY_AFTER,
     BackendFailedError,
@@ -27,7 +29,6 @@
 )
 
 NO_BODY_STATUSES = frozenset({204, 304})
-SHED_STATUS = 503
 SHED_BODY_BYTES = 64 * 1024
 SHED_BODY_SECONDS = 0.02
 """A shed answer's body is read for this long at most, to keep the connection."""
@@ -65,6 +66,8 @@
         self.started = False
         """Whether the head of an answer has been passed to the caller."""
         self.status = 0
+        self.end = AttemptEnd.CANCELLED
+        """What the last answer's head told of its attempt."""
         self._scope = scope
         self._send = send
         self._head = head
@@ -108,7 +111,8 @@
     async def _refuse_unusable(
         self, connection: BackendConnection, response: httpcore.Response, answer: AnswerHead
     ) -> None:
-        if response.status == SHED_STATUS and answer.outcome == Outcome.NOT_RUN:
+        self.end = end_of_answer(response.status, answer.outcome, answer.retries)
+        if self.end is AttemptEnd.SHED:
             await _finish_shed(connection, response)
             raise BackendShedError(
                 "the back end did not run the request", _seconds(answer.retry_after)
--- a/src/pewtertack/node/proxy/forwarding.py
+++ b/src/pewtertack/node/proxy/forwarding.py
@@ -31,8 +31,6 @@
 )
 from pewtertack.routing.queueing import Ticket
 
-FAILED_STATUSES = frozenset({500, 502, 503})
-
 
 @dataclass(frozen=True, slots=True)
 class ForwardingParts:
@@ -152,8 +150,7 @@
         end = AttemptEnd.CANCELLED
         try:
             await self._exchange_with(backend)
-            failed = self._exchange.status in FAILED_STATUSES
-            end = AttemptEnd.FAILED_STATUS if failed else AttemptEnd.ANSWERED
+            end = self._exchange.end
         except RequestFailedError as error:
             end = _end_of(error)
             raise
--- a/src/pewtertack/node/proxy/headers.py
+++ b/src/pewtertack/node/proxy/headers.py
@@ -6,7 +6,7 @@
 
 from pewtertack.core.configuration.resolved import ResolvedConfiguration, ResolvedRoute
 from pewtertack.routing.deadlines import DEADLINE_HEADER, header_for
-from pewtertack.routing.outcomes import InvalidRequestError, UpgradeRefusedError
+from pewtertack.routing.outcomes import RETRIES_HEADER, InvalidRequestError, UpgradeRefusedError
 
 RawHeaders = list[tuple[bytes, bytes]]
 
@@ -14,6 +14,7 @@
 DEADLINE = DEADLINE_HEADER.encode()
 BACKEND_LOAD = b"x-backend-load"
 BACKEND_STATE = b"x-backend-state"
+RETRIES = RETRIES_HEADER.encode()
 MAXIMUM_REQUEST_ID = 128
 
 HOP_BY_HOP = frozenset(
@@ -147,6 +148,7 @@
     load: str | None = None
     leaving: bool = False
     outcome: str | None = None
+    retries: str | None = None
     retry_after: str | None = None
     framed: bool = False
     """Whether the end of the body can be told from a broken connection."""
@@ -182,5 +184,7 @@
         answer.leaving = text.strip().lower() == "leaving"
     elif name == b"x-outcome":
         answer.outcome = text
+    elif name == RETRIES:
+        answer.retries = text
     elif name == b"retry-after":
         answer.retry_after = text
--- /dev/null
+++ b/src/pewtertack/routing/answers.py
@@ -0,0 +1,32 @@
+"""What a back end's answer tells of its attempt: the status and two headers.
+
+A back end may itself be a caller: it serves its request by calling the next
+service through its own node. When that node gives up, it marks its failure with
+``x-retries: spent`` and the back end hands the mark on with its own failing
+answer. A failure is thus retried by one node only, the one nearest to it.
+"""
+
+from __future__ import annotations
+
+from pewtertack.routing.dispatcher import AttemptEnd
+from pewtertack.routing.outcomes import RETRIES_SPENT, Outcome
+
+SHED_STATUS = 503
+FAILED_STATUSES = frozenset({500, 502, 503})
+LOWEST_FAILING_STATUS = 500
+
+
+def end_of_answer(status: int, outcome: str | None, retries: str | None) -> AttemptEnd:
+    """Return how an attempt ended whose answer has this status.
+
+    Args:
+        status: HTTP status of the back end's answer.
+        outcome: its ``x-outcome`` header, if any.
+        retries: its ``x-retries`` header, if any.
+    """
+    spent = retries is not None and retries.strip().lower() == RETRIES_SPENT
+    if spent and status >= LOWEST_FAILING_STATUS:
+        return AttemptEnd.FAILED_BELOW
+    if status == SHED_STATUS and outcome == Outcome.NOT_RUN:
+        return AttemptEnd.SHED
+    return AttemptEnd.FAILED_STATUS if status in FAILED_STATUSES else AttemptEnd.ANSWERED
--- a/src/pewtertack/routing/dispatcher.py
+++ b/src/pewtertack/routing/dispatcher.py
@@ -30,6 +30,8 @@
     ANSWERED = "answered"
     FAILED_STATUS = "failed-status"
     """An answer of status 500, 502 or 503, other than a shed request."""
+    FAILED_BELOW = "failed-below"
+    """A failure that a node below the back end gave; tells nothing of the back end."""
     SHED = "shed"
     UNREACHABLE = "unreachable"
     BROKEN = "broken"
@@ -186,7 +188,7 @@
             service.limit.note_shed(now, ticket.started_at)
         elif end in (AttemptEnd.TIMED_OUT, AttemptEnd.UNREACHABLE, AttemptEnd.BROKEN):
             limit.note_overload(now, ticket.started_at)
-        elif end in (AttemptEnd.ANSWERED, AttemptEnd.FAILED_STATUS):
+        elif end in (AttemptEnd.ANSWERED, AttemptEnd.FAILED_STATUS, AttemptEnd.FAILED_BELOW):
             _adapt_to_load(service, backend, ticket, now)
 
     def _judge(
@@ -233,6 +235,8 @@
 
 
 def _tells_of_backend(ticket: Ticket, now: float, end: AttemptEnd) -> bool:
+    if end is AttemptEnd.FAILED_BELOW:
+        return False
     if end is AttemptEnd.SHED:
         return ticket.trial
     if end not in (AttemptEnd.TIMED_OUT, AttemptEnd.CANCELLED):
--- a/src/pewtertack/routing/outcomes.py
+++ b/src/pewtertack/routing/outcomes.py
@@ -14,6 +14,9 @@
 from pewtertack.errors import RequestError
 
 OUTCOME_HEADER = "x-outcome"
+RETRIES_HEADER = "x-retries"
+RETRIES_SPENT = "spent"
+"""Value of ``x-retries``: the node nearest to the failure has made all retries."""
 DEFAULT_RETRY_AFTER = 1.0
 
 
@@ -37,12 +40,19 @@
         self.message = message
         self.retry_after = retry_after
         self.outcome = self.default_outcome
+        self.retries_spent = False
+        """Whether nodes above must leave this failure alone."""
 
     def with_outcome(self, outcome: Outcome) -> Self:
         """Set the outcome of the whole request and return the error itself."""
         self.outcome = outcome
         return self
 
+    def with_retries_spent(self) -> Self:
+        """Say that this node has made all retries, and return the error itself."""
+        self.retries_spent = True
+        return self
+
 
 class NotRunError(RequestFailedError):
     """The request certainly did not run."""
