--- a/src/pewtertack/cli/main.py
+++ b/src/pewtertack/cli/main.py
@@ -8,7 +8,7 @@
 
 import typer
 
-from pewtertack.cli import lab, lab_cost, lab_proofs, lab_scale, status, tree
+from pewtertack.cli import lab, lab_cost, lab_depth, lab_proofs, lab_scale, status, tree
 
 app = typer.Typer(
     name="pewtertack",
@@ -42,6 +42,7 @@
 lab.app.command("check")(lab_proofs.check)
 lab.app.command("explore")(lab_proofs.explore)
 lab.app.command("node-cost")(lab_cost.node_cost)
+lab.app.command("depth")(lab_depth.depth)
 lab.app.command("scale")(lab_scale.scale)
 lab.app.command("report")(lab_scale.report)
 app.add_typer(lab.app, name="lab")
