Drain: a leaving node commits nothing and swaps nothing in

A draining node counted itself, committed a forked number with a bare majority, brought it into force and exited; its zone's outgoing messages were cut, so the mark died with it. The same hazard of a node killed at that moment remains, for forked numbers only.

--- a/src/pewtertack/core/node.py
+++ b/src/pewtertack/core/node.py
@@ -109,7 +109,7 @@
         effects += self._notice_replacement()
         if self.phase is NodePhase.JOINING:
             effects += self._finish_joining(now)
-        elif self.phase is not NodePhase.SUPERSEDED:
+        elif self.phase is NodePhase.SERVING:
             effects += self._advance_in_force()
         return effects
 
@@ -148,7 +148,7 @@
     def _may_commit(self, now: float) -> bool:
         if self.phase is NodePhase.JOINING:
             return self._joiner.may_commit(now)
-        return self.phase is not NodePhase.SUPERSEDED
+        return self.phase is NodePhase.SERVING
 
     # Pauses and replacements.
 
