--- a/src/pewtertack/core/membership/detector.py
+++ b/src/pewtertack/core/membership/detector.py
@@ -16,6 +16,9 @@
 from pewtertack.core.profile import TimingProfile
 from pewtertack.wire.messages import MemberStatus, MemberUpdate
 
+RECONNECT_PROBERS = 8
+"""How many nodes probe an unreachable member in one reconnect interval, on average."""
+
 RELAYS_LIMIT = 64
 """Indirect probes which one node runs for others at a time."""
 
@@ -175,10 +178,15 @@
         )
 
     def _start_reconnect(self, now: float) -> list[DetectorAction]:
-        """Probe one unreachable member, so that a healed cut is noticed."""
+        """Probe one unreachable member, so that a healed cut is noticed.
+
+        In a large fleet only a share of the nodes does, or the few that are dead in
+        everybody's view would be probed by all.
+        """
         self._next_reconnect_at = now + self._profile.reconnect_interval
         names = self._table.unreachable()
-        if not names:
+        share = RECONNECT_PROBERS * len(names) / (len(self._table) + 1)
+        if self._random.random() >= share:
             return []
         return [ProbeDirect(self._random.choice(names), self._new_sequence())]
 
--- a/tests/core/membership/test_detector.py
+++ b/tests/core/membership/test_detector.py
@@ -54,6 +54,19 @@
                 if isinstance(action, ProbeDirect):
                     self.detector.acknowledged(action.sequence)
 
+    def test_few_of_a_large_fleet_probe_the_only_unreachable_member(self) -> None:
+        for index in range(1000):
+            status = MemberStatus.DEAD if index == 0 else MemberStatus.ALIVE
+            member = MemberUpdate(f"n{index}", "127.0.0.1:99", "a", "r", 1, status)
+            self.table.merge(member, 0.0)
+        probes = [
+            action
+            for action in self.run_silently(until=500 * PROFILE.reconnect_interval)
+            if isinstance(action, ProbeDirect) and action.target == "n0"
+        ]
+        self.assertGreater(len(probes), 0)
+        self.assertLess(len(probes), 50, "each node probed it in every interval")
+
     def test_a_node_that_was_paused_buries_nobody_for_its_own_silence(self) -> None:
         self.run_silently(until=3.0)
         self.detector.after_pause(500.0)
