--- a/src/pewtertack/cli/lab.py
+++ b/src/pewtertack/cli/lab.py
@@ -235,12 +235,15 @@
     calls: Annotated[int, typer.Option(help="Pairs of a direct and a proxied call.")] = 900,
     rate: Annotated[float, typer.Option(help="Pairs per second.")] = 45.0,
     saturated_seconds: Annotated[float, typer.Option(help="Length of the saturated run.")] = 3.0,
+    samples: Annotated[Path | None, typer.Option(help="Takes all times as JSON.")] = None,
 ) -> None:
     """Measure what one hop through the proxy adds to a call, and print it as JSON."""
     from pewtertack.lab.hop.measurement import measure_hop
 
-    result = anyio.run(measure_hop, calls, rate, saturated_seconds)
-    typer.echo(msgspec.json.format(msgspec.json.encode(result)).decode())
+    measurement = anyio.run(measure_hop, calls, rate, saturated_seconds)
+    typer.echo(msgspec.json.format(msgspec.json.encode(measurement.result)).decode())
+    if samples is not None:
+        samples.write_bytes(msgspec.json.encode(measurement.samples))
 
 
 @app.command(hidden=True)
--- a/src/pewtertack/lab/hop/measurement.py
+++ b/src/pewtertack/lab/hop/measurement.py
@@ -48,6 +48,20 @@
     saturated_processor_per_call: float
 
 
+class HopSamples(msgspec.Struct, frozen=True):
+    """Times of all calls in milliseconds, in the order of their turns."""
+
+    direct: tuple[float, ...]
+    proxied: tuple[float, ...]
+
+
+class HopMeasurement(msgspec.Struct, frozen=True):
+    """The result and the times that it sums up."""
+
+    result: HopResult
+    samples: HopSamples
+
+
 @dataclass(frozen=True, slots=True)
 class Targets:
     """The running processes of a measurement."""
@@ -61,13 +75,13 @@
     ready: dict[str, str]
 
 
-async def measure_hop(calls: int, rate: float, saturated_seconds: float) -> HopResult:
+async def measure_hop(calls: int, rate: float, saturated_seconds: float) -> HopMeasurement:
     """Measure ``calls`` pairs, ``rate`` per second, then the proxy at saturation."""
     async with _targets() as targets:
         return await anyio.to_thread.run_sync(_measure, targets, calls, rate, saturated_seconds)
 
 
-def _measure(targets: Targets, calls: int, rate: float, saturated_seconds: float) -> HopResult:
+def _measure(targets: Targets, calls: int, rate: float, saturated_seconds: float) -> HopMeasurement:
     direct, proxied = BlockingCaller(targets.backend), BlockingCaller(targets.proxy)
     _take_turns(direct, proxied, WARM_UP_CALLS, rate)
     before = processor_seconds(targets.proxy_pid)
@@ -77,7 +91,7 @@
     proxied.close()
     saturated_rate, saturated_cost = _saturate(targets, saturated_seconds)
     direct_quantiles, proxied_quantiles = _quantiles(direct_times), _quantiles(proxied_times)
-    return HopResult(
+    result = HopResult(
         calls=calls,
         rate=rate,
         direct=direct_quantiles,
@@ -90,6 +104,12 @@
         saturated_rate=round(saturated_rate, 1),
         saturated_processor_per_call=round(saturated_cost, 3),
     )
+    samples = HopSamples(_milliseconds(direct_times), _milliseconds(proxied_times))
+    return HopMeasurement(result, samples)
+
+
+def _milliseconds(seconds: list[float]) -> tuple[float, ...]:
+    return tuple(round(item * MILLISECONDS, 4) for item in seconds)
 
 
 def _take_turns(
