Join: wait for a held revision without limit, unless its number is forked

After join_hold_wait (2 s) it served the older one: a proxy went back, if marks and reports were lost for that long. A majority holds such a revision, and joiners report as holders too, so it is committed again as soon as members reach each other. Ruled out: no limit at all; with two digests under one number perhaps neither is ever committed, and joiners would refuse until the next edit. That case keeps the limit and its hazard.

--- a/src/pewtertack/core/profile.py
+++ b/src/pewtertack/core/profile.py
@@ -72,7 +72,7 @@
     join_patience: float = 1.5
     """After this long, peers which do not answer no longer hold up joining."""
     join_hold_wait: float = 2.0
-    """How long a joiner waits for a held revision to be committed."""
+    """How long a joiner waits for one of two digests of a number to be committed."""
     bootstrap_delay: float = 1.0
     """A joiner reads the platform when no serving peer answered for this long."""
     pause_threshold: float = 2.0
--- a/src/pewtertack/core/replication/join.py
+++ b/src/pewtertack/core/replication/join.py
@@ -168,9 +168,20 @@
     def held_wait_over(self, now: float, committed: RevisionId) -> bool:
         """Whether a newer held revision no longer holds up joining.
 
-        A peer may hold a revision that a quorum already has in force. Its mark
-        arrives within moments; what stays uncommitted for long is not in force.
+        A peer may hold a revision that a quorum already has in force, of which
+        only the dead knew the commit. A majority holds it then, and commits it
+        again as soon as its members reach each other: this is waited for without
+        limit. Of two digests of one number perhaps neither is ever committed;
+        these are waited for ``join_hold_wait`` only.
         """
-        if self.newest_held.number <= committed.number:
+        newest = self.newest_held
+        if newest.number <= committed.number:
             return True
+        if not self._is_forked(newest.number):
+            return False
         return now - self._started_at >= self._profile.join_hold_wait
+
+    def _is_forked(self, number: int) -> bool:
+        """Whether peers hold different digests of one number."""
+        held = {answer.state.held for answer in self._answers.values()}
+        return sum(1 for revision in held if revision.number == number) > 1
--- /dev/null
+++ b/tests/core/replication/test_join.py
@@ -0,0 +1,57 @@
+"""When a joiner knows enough to serve."""
+
+import unittest
+from random import Random
+
+from pewtertack.core.identity import NodeIdentity
+from pewtertack.core.membership.table import MemberTable, QuorumMembers
+from pewtertack.core.profile import FAST
+from pewtertack.core.replication.join import Joiner
+from pewtertack.core.revision import RevisionId
+from pewtertack.wire.messages import VersionState
+
+COMMITTED = RevisionId(5, b"c")
+LONG = 1000.0
+FIVE = QuorumMembers({"self": "a", "a1": "a", "a2": "a", "b1": "b", "b2": "b"})
+
+
+class JoinerTest(unittest.TestCase):
+    def setUp(self) -> None:
+        identity = NodeIdentity("self", "127.0.0.1:1", "a", "", 1)
+        table = MemberTable(identity, FAST.dead_retention, FAST.forget_after)
+        self.joiner = Joiner("a", FAST, table, (), Random(1))
+        self.joiner.start(0.0)
+
+    def answer(self, name: str, held: RevisionId = COMMITTED, serving: bool = True) -> None:
+        state = VersionState.of(held, COMMITTED, 1, serving)
+        self.joiner.answered(0.0, name, name[0], state)
+
+    def test_a_held_revision_is_waited_for_until_it_is_committed(self) -> None:
+        held = RevisionId(6, b"x")
+        self.answer("a1", held)
+        self.answer("b1")
+        self.assertFalse(self.joiner.held_wait_over(LONG, COMMITTED))
+        self.assertTrue(self.joiner.held_wait_over(0.0, held))
+
+    def test_two_digests_of_one_number_are_not_waited_for_without_limit(self) -> None:
+        self.answer("a1", RevisionId(6, b"x"))
+        self.answer("b1", RevisionId(6, b"y"))
+        self.assertFalse(self.joiner.held_wait_over(0.0, COMMITTED))
+        self.assertTrue(self.joiner.held_wait_over(FAST.join_hold_wait, COMMITTED))
+
+    def test_a_majority_of_one_zone_is_not_enough(self) -> None:
+        for name in ("a1", "a2", "a3"):
+            self.answer(name)
+        self.assertFalse(self.joiner.knows_enough(LONG, FIVE))
+        self.answer("b1")
+        self.assertTrue(self.joiner.knows_enough(0.0, FIVE))
+
+    def test_other_joiners_count_only_after_patience(self) -> None:
+        for name in ("a1", "b1"):
+            self.answer(name, serving=False)
+        self.assertFalse(self.joiner.knows_enough(0.0, FIVE))
+        self.assertTrue(self.joiner.knows_enough(FAST.join_patience, FIVE))
+
+
+if __name__ == "__main__":
+    unittest.main()
