--- a/src/pewtertack/lab/cost/sampling.py
+++ b/src/pewtertack/lab/cost/sampling.py
@@ -6,7 +6,7 @@
 from dataclasses import dataclass
 from pathlib import Path
 
-from pewtertack.lab.hop.measurement import processor_seconds
+from pewtertack.lab.process_statistics import read_process
 
 KIBIBYTE = 1024
 
@@ -31,7 +31,9 @@
 def sample_process(pid: int) -> ProcessSample:
     """Read a running process."""
     rollup = Path(f"/proc/{pid}/smaps_rollup").read_text()
-    return ProcessSample(time.monotonic(), processor_seconds(pid), parse_memory(rollup))
+    return ProcessSample(
+        time.monotonic(), read_process(pid).processor_seconds, parse_memory(rollup)
+    )
 
 
 def parse_memory(smaps_rollup: str) -> ProcessMemory:
--- a/src/pewtertack/lab/hop/measurement.py
+++ b/src/pewtertack/lab/hop/measurement.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import os
 import tempfile
 import threading
 import time
@@ -18,6 +17,7 @@
 from pewtertack.lab.fleet.process import LabProcess
 from pewtertack.lab.fleet.processes import READY_PREFIX
 from pewtertack.lab.hop.caller import BlockingCaller
+from pewtertack.lab.process_statistics import read_process
 from pewtertack.settings import Address
 
 WARM_UP_CALLS = 50
@@ -84,9 +84,9 @@
 def _measure(targets: Targets, calls: int, rate: float, saturated_seconds: float) -> HopMeasurement:
     direct, proxied = BlockingCaller(targets.backend), BlockingCaller(targets.proxy)
     _take_turns(direct, proxied, WARM_UP_CALLS, rate)
-    before = processor_seconds(targets.proxy_pid)
+    before = read_process(targets.proxy_pid).processor_seconds
     direct_times, proxied_times = _take_turns(direct, proxied, calls, rate)
-    used = processor_seconds(targets.proxy_pid) - before
+    used = read_process(targets.proxy_pid).processor_seconds - before
     direct.close()
     proxied.close()
     saturated_rate, saturated_cost = _saturate(targets, saturated_seconds)
@@ -142,13 +142,13 @@
             counts[index] += 1
         caller.close()
 
-    before = processor_seconds(targets.proxy_pid)
+    before = read_process(targets.proxy_pid).processor_seconds
     threads = [threading.Thread(target=call_on, args=(index,)) for index in range(len(counts))]
     for thread in threads:
         thread.start()
     for thread in threads:
         thread.join()
-    used = processor_seconds(targets.proxy_pid) - before
+    used = read_process(targets.proxy_pid).processor_seconds - before
     total = max(1, sum(counts))
     return total / seconds, used / total * MILLISECONDS
 
@@ -159,13 +159,6 @@
     return Quantiles(round(p50 * MILLISECONDS, 3), round(p99 * MILLISECONDS, 3))
 
 
-def processor_seconds(pid: int) -> float:
-    """Return the processor time that a process of the lab has used."""
-    fields = Path(f"/proc/{pid}/stat").read_text().rpartition(")")[2].split()
-    user, system = int(fields[11]), int(fields[12])
-    return (user + system) / os.sysconf("SC_CLK_TCK")
-
-
 @asynccontextmanager
 async def _targets() -> AsyncIterator[Targets]:
     """Run the back end and the proxy."""
--- a/src/pewtertack/lab/report/resources.py
+++ b/src/pewtertack/lab/report/resources.py
@@ -2,23 +2,16 @@
 
 from __future__ import annotations
 
-import os
 import time
 from collections.abc import Mapping
 from dataclasses import dataclass
-from pathlib import Path
 
 import msgspec
 
 from pewtertack.lab.fleet.fleet import Fleet
+from pewtertack.lab.process_statistics import ProcessSample, read_process
 from pewtertack.lab.report.statistics import Distribution, distribution_of
 
-PROCESSES = Path("/proc")
-TICKS_PER_SECOND = os.sysconf("SC_CLK_TCK")
-PAGE_BYTES = os.sysconf("SC_PAGE_SIZE")
-USER_TICKS_FIELD, SYSTEM_TICKS_FIELD, RESIDENT_PAGES_FIELD = 11, 12, 21
-"""Positions in ``/proc/PID/stat`` after the command's name, see proc(5)."""
-
 
 class NodeResources(msgspec.Struct, frozen=True):
     """Over the nodes whose processes ran through the whole measurement.
@@ -31,14 +24,6 @@
     """At the end of the measurement."""
 
 
-@dataclass(frozen=True, slots=True)
-class ProcessSample:
-    """Processor seconds so far and resident bytes of one process."""
-
-    processor_seconds: float
-    resident_bytes: int
-
-
 @dataclass(frozen=True, slots=True)
 class ResourceSample:
     """The nodes' processes at one time, by process id."""
@@ -53,18 +38,6 @@
     return ResourceSample(time.monotonic(), samples)
 
 
-def read_process(pid: int) -> ProcessSample:
-    """Read one process of the lab.
-
-    Raises:
-        OSError: it has ended.
-    """
-    fields = (PROCESSES / str(pid) / "stat").read_text().rpartition(") ")[2].split()
-    ticks = int(fields[USER_TICKS_FIELD]) + int(fields[SYSTEM_TICKS_FIELD])
-    resident = int(fields[RESIDENT_PAGES_FIELD]) * PAGE_BYTES
-    return ProcessSample(ticks / TICKS_PER_SECOND, resident)
-
-
 def resources_between(first: ResourceSample, last: ResourceSample) -> NodeResources:
     """Return what the processes of both samples used in between."""
     seconds = last.time - first.time
--- a/tests/lab/report/test_resources.py
+++ b/tests/lab/report/test_resources.py
@@ -3,10 +3,9 @@
 import os
 import unittest
 
+from pewtertack.lab.process_statistics import ProcessSample, read_process
 from pewtertack.lab.report.resources import (
-    ProcessSample,
     ResourceSample,
-    read_process,
     resources_between,
 )
 
