--- a/src/pewtertack/lab/demo.py
+++ b/src/pewtertack/lab/demo.py
@@ -201,6 +201,7 @@
         f" (the whole tree is {result.tree_bytes} B as JSON)",
         "",
         _outcome_table(result),
+        f"(during: in flight across the edit, {SPANNING_WORK_MILLISECONDS:.0f} ms of work each)",
         "",
         format_verdicts(result.verdicts),
         *[f"problem: {problem}" for problem in result.problems()],
