--- a/src/pewtertack/cli/node.py
+++ b/src/pewtertack/cli/node.py
@@ -10,11 +10,14 @@
 import argparse
 from collections.abc import Sequence
 from pathlib import Path
-from typing import Any, NoReturn
+from typing import TYPE_CHECKING, Any, NoReturn
 
 from pewtertack.settings import SettingKey, load_settings
 from pewtertack.settings.errors import FlagFormatError
 
+if TYPE_CHECKING:
+    from pewtertack.node.assembly import ReaderFactory
+
 FLAGS: dict[str, tuple[SettingKey, str]] = {
     "--name": (SettingKey("node", "name"), "this node's name"),
     "--zone": (SettingKey("node", "zone"), "its zone"),
@@ -58,9 +61,11 @@
     return parser
 
 
-def run(arguments: Sequence[str]) -> int:
+def run(arguments: Sequence[str], make_reader: ReaderFactory | None = None) -> int:
     """Run a node with these command-line arguments and return its exit code.
 
+    ``make_reader`` replaces the reader of pewtertack's own source interface.
+
     Raises:
         SettingError: a flag or the settings file is wrong.
     """
@@ -77,4 +82,4 @@
     from pewtertack.node.assembly import assemble_node
     from pewtertack.node.daemon import run_node
 
-    return anyio.run(run_node, assemble_node(settings, str(path)))
+    return anyio.run(run_node, assemble_node(settings, str(path), make_reader, flags))
--- a/src/pewtertack/core/configuration/model.py
+++ b/src/pewtertack/core/configuration/model.py
@@ -71,6 +71,7 @@
     HOSTS = "list of host names"
     METHODS = "list of methods"
     HEADER_SECRETS = "table of header to secret"
+    WEIGHTS = "table of service to weight"
 
 
 @dataclass(frozen=True, slots=True)
@@ -112,6 +113,8 @@
     ValueKind.METHODS: "a list of different methods out of {choices}",
     ValueKind.HEADER_SECRETS: f"a table of at most {LIST_LENGTH_LIMIT} header names in lower case,"
     " each with the name of a secret",
+    ValueKind.WEIGHTS: f"a table of at most {LIST_LENGTH_LIMIT} services, each with a weight,"
+    " a whole number, {low} to {high}, at least one above 0",
 }
 
 
@@ -130,6 +133,13 @@
     Setting("service", ValueKind.NAME, None, "Service whose back ends answer."),
     Setting("hosts", ValueKind.HOSTS, [], "Host names that match; empty matches every host."),
     Setting("path_prefix", ValueKind.PATH_PREFIX, "/", "Path below which requests match."),
+    Setting(
+        "split",
+        ValueKind.WEIGHTS,
+        {},
+        "Services that share the requests by weight; empty sends all to `service`.",
+        maximum=1_000_000,
+    ),
     Setting(
         "methods",
         ValueKind.METHODS,
@@ -147,6 +157,20 @@
         "Class of work; the most pressing class is served first.",
         choices=tuple(work_class.value for work_class in WorkClass),
     ),
+    Setting(
+        "priority",
+        ValueKind.INTEGER,
+        0,
+        "Rank within the class where a gateway's queue is ordered; 0 goes first.",
+        maximum=1_000,
+    ),
+    Setting(
+        "target_latency",
+        ValueKind.DURATION,
+        "0s",
+        "Time within which an answer is wanted; 0s stands for half of `timeout`.",
+        maximum=3600,
+    ),
     Setting(
         "timeout",
         ValueKind.DURATION,
--- a/src/pewtertack/core/configuration/resolution.py
+++ b/src/pewtertack/core/configuration/resolution.py
@@ -72,6 +72,9 @@
         retry_budget=float(values["retry_budget"]),
         queue_limit=values["queue_limit"],
         header_secrets=MappingProxyType(dict(values["header_secrets"])),
+        split=MappingProxyType(dict(values["split"])),
+        priority=values["priority"],
+        target_latency=_seconds(values, "target_latency"),
     )
 
 
--- a/src/pewtertack/core/configuration/resolved.py
+++ b/src/pewtertack/core/configuration/resolved.py
@@ -6,7 +6,7 @@
 from __future__ import annotations
 
 from collections.abc import Mapping
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from enum import StrEnum
 
 from pewtertack.core.revision import RevisionId
@@ -60,6 +60,17 @@
     """Requests of this route which may wait for a back end on one node."""
     header_secrets: Mapping[str, str]
     """Header added to the request towards the back end -> name of a secret."""
+    split: Mapping[str, int] = field(default_factory=dict)
+    """Service -> weight of its share of the requests; empty sends all to ``service``."""
+    priority: int = 0
+    """Rank in a gateway's queue; 0 goes first."""
+    target_latency: float = 0.0
+    """Time within which an answer is wanted; 0 stands for half of ``timeout``."""
+
+    @property
+    def objective(self) -> float:
+        """Seconds within which an answer is wanted."""
+        return self.target_latency or self.timeout / 2
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/pewtertack/core/configuration/schema.py
+++ b/src/pewtertack/core/configuration/schema.py
@@ -115,6 +115,12 @@
             "additionalProperties": {"type": "string", "pattern": _whole(NAME_PATTERN)},
             "maxProperties": LIST_LENGTH_LIMIT,
         },
+        ValueKind.WEIGHTS: {
+            "type": "object",
+            "propertyNames": {"pattern": _whole(NAME_PATTERN)},
+            "additionalProperties": {"type": "integer", **bounds},
+            "maxProperties": LIST_LENGTH_LIMIT,
+        },
     }
     return schemas[setting.kind]
 
--- a/src/pewtertack/core/configuration/validation.py
+++ b/src/pewtertack/core/configuration/validation.py
@@ -76,6 +76,7 @@
     for name in scope.route_names():
         values = scope.route_values(name)
         yield from _check_service(scope, name, values, services)
+        yield from _check_split(scope, name, values, services)
         yield from _check_secrets(scope, name, values, secrets)
         routes_by_prefix.setdefault(values["path_prefix"], []).append((name, values))
     yield from _check_matches(scope, routes_by_prefix)
@@ -96,6 +97,17 @@
         yield Finding(FindingCode.MISSING_SERVICE, path, message, accepted, scope.zone)
 
 
+def _check_split(
+    scope: Scope, name: str, values: Mapping[str, Any], services: frozenset[str]
+) -> Iterator[Finding]:
+    for service in values["split"]:
+        if service not in services:
+            path = (*winning_path(scope.route_layers(name), "split"), service)
+            message = f"there is no service {service}"
+            accepted = _some_of(services)
+            yield Finding(FindingCode.MISSING_SERVICE, path, message, accepted, scope.zone)
+
+
 def _check_secrets(
     scope: Scope, name: str, values: Mapping[str, Any], secrets: Mapping[str, str]
 ) -> Iterator[Finding]:
--- a/src/pewtertack/core/configuration/values.py
+++ b/src/pewtertack/core/configuration/values.py
@@ -215,6 +215,22 @@
             yield FindingCode.BAD_NAME, f"{shown(secret)} is not a name", (header,)
 
 
+def _check_weights(setting: Setting, value: Any) -> Iterator[_Check]:
+    if not isinstance(value, dict):
+        yield _wrong_type(value)
+        return
+    if len(value) > LIST_LENGTH_LIMIT:
+        yield FindingCode.TOO_LARGE, f"{len(value)} services", ()
+        return
+    for service, weight in value.items():
+        if not is_name(service):
+            yield FindingCode.BAD_NAME, f"{shown(service)} is not a name", (service,)
+        for code, message, _ in _check_integer(setting, weight):
+            yield code, message, (service,)
+    if value and not any(value.values()):
+        yield FindingCode.OUT_OF_RANGE, "all weights are 0", ()
+
+
 _CHECKS: Mapping[ValueKind, Callable[[Setting, Any], Iterator[_Check]]] = {
     ValueKind.DURATION: _check_duration,
     ValueKind.INTEGER: _check_integer,
@@ -226,4 +242,5 @@
     ValueKind.HOSTS: _check_hosts,
     ValueKind.METHODS: _check_methods,
     ValueKind.HEADER_SECRETS: _check_header_secrets,
+    ValueKind.WEIGHTS: _check_weights,
 }
--- a/src/pewtertack/core/machines.py
+++ b/src/pewtertack/core/machines.py
@@ -27,7 +27,10 @@
     """One machine of the list. ``address`` is ``ip:port``.
 
     For a node the address is the peer address which it advertises; ``service``
-    is empty. For a back end it is the HTTP address and ``service`` its service.
+    is empty. For a back end it is the HTTP address and ``service`` its service;
+    ``gateway`` is the ``ip:port`` of the node beside it, empty when others may call
+    the back end itself, and ``slots`` how many requests it works on at once, 0 when
+    the service's settings say so.
     """
 
     name: str
@@ -37,6 +40,8 @@
     service: str = ""
     state: MachineState = MachineState.LIVE
     region: str = ""
+    gateway: str = ""
+    slots: int = 0
 
 
 class MachineList(msgspec.Struct, frozen=True):
--- a/src/pewtertack/core/node.py
+++ b/src/pewtertack/core/node.py
@@ -29,7 +29,7 @@
     Ticked,
 )
 from pewtertack.core.membership.service import Membership
-from pewtertack.core.profile import TimingProfile
+from pewtertack.core.profile import SourceProperties, TimingProfile
 from pewtertack.core.replication.join import Joiner
 from pewtertack.core.replication.service import Replication
 from pewtertack.events import Event
@@ -39,6 +39,7 @@
     BackendsLeaving,
     Busy,
     DeltaAnswer,
+    DocumentKind,
     HeldReport,
     IndirectAcknowledge,
     JoinAnswer,
@@ -76,6 +77,7 @@
         random: the node's only source of randomness.
         now: monotonic seconds.
         seeds: peer addresses (``ip:port``) to ask first.
+        source: what is promised of the configuration source.
     """
 
     def __init__(
@@ -85,15 +87,19 @@
         random: Random,
         now: float,
         seeds: tuple[str, ...] = (),
+        source: SourceProperties | None = None,
     ) -> None:
         self.identity = identity
         self.profile = profile
         self.phase = NodePhase.JOINING
+        self.source = source or SourceProperties()
         self._random = random
         self._last_tick = now
         self.membership = Membership(identity, profile, random, now)
         is_seed = identity.address in seeds[:READING_SEEDS]
-        self.replication = Replication(identity, profile, self.membership, random, now, is_seed)
+        self.replication = Replication(
+            identity, profile, self.membership, random, now, is_seed, self.source
+        )
         other_seeds = tuple(seed for seed in seeds if seed != identity.address)
         self._joiner = Joiner(identity.zone, profile, self.membership.table, other_seeds, random)
         self._joiner.start(now)
@@ -134,13 +140,16 @@
     def _tick(self, now: float) -> list[Effect]:
         self._last_tick = now
         effects = self.membership.tick(now, self.replication.state())
-        effects += self.replication.tick(now, self._may_read(now))
+        joining = self.phase is NodePhase.JOINING
+        effects += self.replication.tick(now, self._may_read(now), joining)
         if self.phase is NodePhase.JOINING:
             effects += self._ask_peers(now)
         return effects
 
     def _may_read(self, now: float) -> bool:
         """Joiners leave the platform alone unless no peer could answer them."""
+        if self.source.durable:
+            return self.phase in (NodePhase.JOINING, NodePhase.SERVING)
         if self.phase is NodePhase.JOINING:
             return self._joiner.may_bootstrap(now)
         return self.phase is NodePhase.SERVING
@@ -218,10 +227,29 @@
             return False
         if self._joiner.newest_machine_list and self.replication.machine_list.machines.number == 0:
             return False
+        if self.source.durable:
+            return self._knows_durable_source(now)
         if not self._joiner.held_wait_over(now, replica.committed):
             return False
         return self._joiner.knows_enough(now, self.membership.table.quorum_members(now))
 
+    def _knows_durable_source(self, now: float) -> bool:
+        """Whether the source or a serving peer has told the newest revision since the start.
+
+        A node that has waited for both in vain serves by what it holds: nothing newer
+        can be in force at any node that it could ask.
+        """
+        replication = self.replication
+        read_at = replication.reader.last_answer_at
+        if all(self._joiner.began_before(read_at.get(kind)) for kind in DocumentKind):
+            return True
+        if replication.machine_list.machines.number == 0:
+            return False
+        if self._joiner.heard_serving_peer:
+            newest = self._joiner.newest_committed
+            return replication.replica.committed.number >= newest.number
+        return self._joiner.waited_in_vain(now)
+
     def _on_join_request(
         self, now: float, sender: MessageReceived, request: JoinRequest
     ) -> list[Effect]:
--- a/src/pewtertack/core/profile.py
+++ b/src/pewtertack/core/profile.py
@@ -26,6 +26,17 @@
     """Learn of newer versions from probes, besides announcements."""
 
 
+@dataclass(frozen=True, slots=True)
+class SourceProperties:
+    """What the operators of the platform promise of the configuration source."""
+
+    durable: bool = False
+    """It is linearizable and never forgets or forks a revision that it has answered with.
+
+    Such a revision is committed as soon as one node has read it: no majority is needed.
+    """
+
+
 @dataclass(frozen=True, slots=True)
 class TimingProfile:
     """Every period and bound of the coordination core."""
@@ -98,4 +109,21 @@
 )
 """Fewest control bytes: for volunteers' links."""
 
-PROFILES = {profile.name: profile for profile in (FAST, FRUGAL)}
+DIRECT = TimingProfile(
+    name="direct",
+    fan_out=1,
+    far_fan_out=0,
+    readers_per_zone=10_000,
+    readers_total=100_000,
+    reader_settle=0.0,
+    read_wait=10.0,
+    read_gap=0.3,
+    read_backoff=0.1,
+    read_backoff_limit=1.0,
+    join_retry=0.2,
+    join_patience=1.0,
+    bootstrap_delay=0.0,
+)
+"""Every node reads a source that bears it; peers are the second way to each document."""
+
+PROFILES = {profile.name: profile for profile in (FAST, FRUGAL, DIRECT)}
--- a/src/pewtertack/core/replication/join.py
+++ b/src/pewtertack/core/replication/join.py
@@ -130,6 +130,15 @@
         waited = now - self._started_at
         return not self.heard_serving_peer and waited >= self._profile.bootstrap_delay
 
+    def began_before(self, moment: float | None) -> bool:
+        """Whether this round of joining began before ``moment``."""
+        return moment is not None and self._started_at <= moment
+
+    def waited_in_vain(self, now: float) -> bool:
+        """Whether nobody that serves has answered for as long as peers are waited for."""
+        waited = now - self._started_at
+        return not self.heard_serving_peer and waited >= self._profile.join_patience
+
     def may_commit(self, now: float) -> bool:
         """Whether a joiner may decide a commit: the first fleet has nobody else to.
 
--- a/src/pewtertack/core/replication/reader.py
+++ b/src/pewtertack/core/replication/reader.py
@@ -57,13 +57,18 @@
         self._stale: dict[DocumentKind, int] = {}
         self.reading = False
 
-    def tick(self, now: float, allowed: bool, numbers: dict[DocumentKind, int]) -> list[Effect]:
-        """Return the reads that are due; ``numbers`` are those already held."""
+    def tick(
+        self, now: float, allowed: bool, numbers: dict[DocumentKind, int], urgent: bool = False
+    ) -> list[Effect]:
+        """Return the reads that are due; ``numbers`` are those already held.
+
+        ``urgent`` makes this node read whether it is chosen or not.
+        """
         list_is_new = self._table.list_known and not self._elected_by_list
         if now >= self._next_election_at or list_is_new:
             self._next_election_at = now + ELECTION_INTERVAL
             self._elect(now)
-        effects = self._switch(allowed and self._is_settled(now))
+        effects = self._switch(urgent or (allowed and self._is_settled(now)))
         if self.reading:
             effects += self._due_reads(now, numbers)
         return effects
--- a/src/pewtertack/core/replication/service.py
+++ b/src/pewtertack/core/replication/service.py
@@ -12,7 +12,7 @@
 from pewtertack.core.effects import Effect, Log, Send, UseMachines
 from pewtertack.core.identity import NodeIdentity
 from pewtertack.core.membership.service import Membership
-from pewtertack.core.profile import TimingProfile
+from pewtertack.core.profile import SourceProperties, TimingProfile
 from pewtertack.core.replication.answers import PullServer
 from pewtertack.core.replication.machine_lists import MachineListReplica
 from pewtertack.core.replication.puller import Puller, PullSource
@@ -57,11 +57,13 @@
         random: Random,
         now: float,
         is_seed: bool = False,
+        source: SourceProperties | None = None,
     ) -> None:
         self._identity = identity
         self._profile = profile
         self._membership = membership
         self._random = random
+        self._source = source or SourceProperties()
         self.replica = ConfigurationReplica(identity.zone, profile.mechanisms)
         self.machine_list = MachineListReplica()
         stores = {
@@ -89,10 +91,13 @@
             return self.replica.held.number
         return self.machine_list.revision.number
 
-    def tick(self, now: float, may_read: bool) -> list[Effect]:
-        """Return the reads, pulls and reports that are due."""
+    def tick(self, now: float, may_read: bool, joining: bool = False) -> list[Effect]:
+        """Return the reads, pulls and reports that are due.
+
+        A joiner reads a durable source itself, since that alone lets it serve.
+        """
         numbers = {kind: self.held_number(kind) for kind in DocumentKind}
-        effects = self.reader.tick(now, may_read, numbers)
+        effects = self.reader.tick(now, may_read, numbers, joining and self._source.durable)
         for kind in DocumentKind:
             effects += self._pull_if_due(now, kind)
         if self._has_uncommitted():
@@ -214,7 +219,7 @@
         self._pullers[DocumentKind.CONFIGURATION].forget_up_to(held.number)
         if held == before:
             return effects
-        if self._has_uncommitted():
+        if self._has_uncommitted() and not self._source.durable:
             effects += self.quorum.report(now, held)
         effects += self._announce(self._inline_delta())
         effects += self._commit_if_reached(now, held)
@@ -235,7 +240,9 @@
     def _commit_if_reached(self, now: float, revision: RevisionId) -> list[Effect]:
         if revision.number <= self.replica.committed.number:
             return []
-        return self._adopt_commit(revision) if self.quorum.reached(now, revision) else []
+        if self._source.durable or self.quorum.reached(now, revision):
+            return self._adopt_commit(revision)
+        return []
 
     def _adopt_commit(self, revision: RevisionId) -> list[Effect]:
         if not self.replica.mark_committed(revision):
--- a/src/pewtertack/events.py
+++ b/src/pewtertack/events.py
@@ -20,6 +20,8 @@
     NODE_WOKE = (106, "The process was paused longer than allowed and joins again.")
     NODE_SUPERSEDED = (107, "Another process lives under this name; this one serves no more.")
     NODE_FAILED = (108, "An unexpected error ended the process with exit code 1.")
+    SETTINGS_RELOADED = (109, "The settings file was read again; some changes need a restart.")
+    SETTINGS_REFUSED = (110, "The settings file is wrong; the settings in use stay.")
     REVISION_HELD = (201, "A revision is stored whole, valid, and not yet in force.")
     REVISION_COMMITTED = (202, "A quorum of replicas holds the revision.")
     REVISION_IN_FORCE = (203, "The proxy serves by this revision from now on.")
--- a/src/pewtertack/node/admin.py
+++ b/src/pewtertack/node/admin.py
@@ -44,8 +44,8 @@
     def in_force(self) -> ResolvedConfiguration | None:
         """Return the configuration by which the proxy serves."""
 
-    def may_serve(self) -> bool:
-        """Tell whether callers are served now."""
+    def is_ready(self) -> bool:
+        """Tell whether callers should be sent here."""
 
 
 class AdminApplication:
@@ -94,7 +94,7 @@
         return _json(masked(configuration))
 
     def _ready(self) -> Answer:
-        ready = self._source.may_serve()
+        ready = self._source.is_ready()
         return _json({"ready": ready}, status=200 if ready else 503)
 
     def _metrics(self) -> Answer:
--- a/src/pewtertack/node/assembly.py
+++ b/src/pewtertack/node/assembly.py
@@ -3,14 +3,15 @@
 from __future__ import annotations
 
 from collections.abc import Callable
+from pathlib import Path
 from random import Random
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, Protocol
 
 from prometheus_client import CollectorRegistry
 
 from pewtertack.core.identity import NodeIdentity
 from pewtertack.core.node import NodeCore
-from pewtertack.core.profile import PROFILES
+from pewtertack.core.profile import PROFILES, SourceProperties
 from pewtertack.log import EventLog
 from pewtertack.node import clock
 from pewtertack.node.admin import AdminApplication
@@ -18,21 +19,43 @@
 from pewtertack.node.gate import ServingGate
 from pewtertack.node.metrics import CoordinationCollector
 from pewtertack.node.platform import PlatformLimits, PlatformReader
-from pewtertack.node.runtime import Runtime
+from pewtertack.node.runtime import DocumentReader, Runtime
+from pewtertack.node.settings_file import SettingsFile
 from pewtertack.node.sockets import NodeSockets, address_of, bind_sockets
 from pewtertack.node.status import AddressStatus
 from pewtertack.node.traffic import Traffic
 from pewtertack.node.transport import PeerTransport, Sender, StreamLimits
 from pewtertack.node.view import NodeView
 from pewtertack.settings import Settings
+from pewtertack.settings.loading import Flags
 
 if TYPE_CHECKING:
+    from pewtertack.node.gateway.application import GatewayApplication
     from pewtertack.node.proxy.application import ProxyApplication
+    from pewtertack.node.proxy.edge import EdgeHeaders
 
 
-def assemble_node(settings: Settings, place: str) -> NodeParts:
+class ClosableReader(DocumentReader, Protocol):
+    """A document reader with connections of its own."""
+
+    async def close(self) -> None:
+        """Close the connections."""
+
+
+ReaderFactory = Callable[[Settings], ClosableReader]
+"""Makes the part that reads the source and the machine list."""
+
+
+def assemble_node(
+    settings: Settings,
+    place: str,
+    make_reader: ReaderFactory | None = None,
+    flags: Flags | None = None,
+) -> NodeParts:
     """Bind the node's sockets and build its parts; ``place`` is the settings file.
 
+    ``make_reader`` replaces the reader of pewtertack's own source interface.
+
     Raises:
         SettingError: an address cannot be bound.
     """
@@ -43,13 +66,15 @@
     traffic = Traffic()
     registry = CollectorRegistry()
     transport = _transport(settings, sockets, identity, traffic)
-    platform = _platform(settings)
+    reader = (make_reader or _platform)(settings)
     seeds = tuple(str(seed) for seed in settings.peers.seeds)
     profile = PROFILES[settings.profile.name.value]
     gate = ServingGate(profile.pause_threshold)
     proxy = _proxy(settings, gate, registry, log)
-    core = NodeCore(identity, profile, Random(), started, seeds)
-    runtime = Runtime(core, profile.tick, gate, transport, platform, proxy, log)
+    gateway = _gateway(settings)
+    source = SourceProperties(settings.source.durable)
+    core = NodeCore(identity, profile, Random(), started, seeds, source)
+    runtime = Runtime(core, profile.tick, gate, transport, reader, proxy, log, gateway)
     if proxy is not None:
         proxy.watch_leaving(runtime.note_backend_leaving)
     addresses = _addresses(sockets, identity)
@@ -58,7 +83,12 @@
     )
     registry.register(CoordinationCollector(view.status, traffic))
     admin = AdminApplication(view, registry)
-    return NodeParts(settings, sockets, runtime, transport, admin, proxy, log, platform.close)
+    settings_file = SettingsFile(Path(place), flags or {}, settings, log)
+    if gateway is not None:
+        settings_file.tell(gateway.use_settings)
+    return NodeParts(
+        settings_file, sockets, runtime, transport, admin, proxy, log, reader.close, gateway
+    )
 
 
 def _proxy(
@@ -70,7 +100,38 @@
     from pewtertack.node.proxy.application import ProxyApplication
 
     return ProxyApplication(
-        clock.now, Random(), may_serve=gate.may_serve, registry=registry, log=log.record
+        clock.now,
+        Random(),
+        may_serve=gate.may_serve,
+        registry=registry,
+        log=log.record,
+        edge=_edge(settings),
+        caller_service=settings.backend.service,
+    )
+
+
+def _gateway(settings: Settings) -> GatewayApplication | None:
+    """Return the gateway part, where a back end is beside the node."""
+    if settings.listen.gateway is None or settings.backend.address is None:
+        return None
+    from pewtertack.node.gateway.application import GatewayApplication
+
+    return GatewayApplication(clock.now, str(settings.backend.address), _edge(settings))
+
+
+def _edge(settings: Settings) -> EdgeHeaders:
+    from pewtertack.node.proxy.edge import EdgeHeaders
+
+    headers = settings.headers
+    return EdgeHeaders(
+        request_id=headers.request_id.lower().encode(),
+        deadline=headers.deadline.lower().encode(),
+        expected_backend=headers.expected_backend.lower().encode(),
+        caller_service=headers.caller_service.lower().encode(),
+        not_run=headers.not_run.lower().encode(),
+        identified_answers=headers.identified_answers,
+        unframed_answers=headers.unframed_answers,
+        fractional_retry_after=headers.fractional_retry_after,
     )
 
 
--- a/src/pewtertack/node/daemon.py
+++ b/src/pewtertack/node/daemon.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import signal
+import socket
 from collections.abc import Awaitable, Callable
 from contextlib import AsyncExitStack
 from dataclasses import dataclass
@@ -16,9 +17,9 @@
 from pewtertack.node.http_server import EmbeddedServer, embedded_server
 from pewtertack.node.library_log import record_library_log
 from pewtertack.node.runtime import Runtime
+from pewtertack.node.settings_file import SettingsFile
 from pewtertack.node.sockets import NodeSockets, address_of
 from pewtertack.node.transport import PeerTransport
-from pewtertack.settings import Settings
 
 EXIT_FINISHED = 0
 EXIT_FAILED = 1
@@ -34,6 +35,9 @@
     async def __call__(self, scope: Any, receive: Any, send: Any) -> None:
         """Serve one request."""
 
+    def start_leaving(self) -> None:
+        """Prepare for the stop without refusing callers yet."""
+
     def start_draining(self) -> None:
         """Refuse new requests; finish those in flight."""
 
@@ -45,7 +49,7 @@
 class NodeParts:
     """Everything that a node process runs, put together but not started."""
 
-    settings: Settings
+    settings: SettingsFile
     sockets: NodeSockets
     runtime: Runtime
     transport: PeerTransport
@@ -54,6 +58,7 @@
     log: EventLog
     close: Callable[[], Awaitable[None]]
     """Closes the connections to the platform."""
+    gateway: DrainableProxy | None = None
 
 
 async def run_node(parts: NodeParts) -> int:
@@ -75,75 +80,95 @@
 
 
 async def _run_until_drained(parts: NodeParts) -> None:
-    keep_alive = parts.settings.limits.keep_alive.seconds
+    keep_alive = parts.settings.current.limits.keep_alive.seconds
     record_library_log(parts.log)
-    with anyio.open_signal_receiver(signal.SIGTERM, signal.SIGINT) as signals:
+    with anyio.open_signal_receiver(signal.SIGTERM, signal.SIGINT, signal.SIGHUP) as signals:
         async with anyio.create_task_group() as tasks:
             tasks.start_soon(parts.transport.run, parts.runtime.receive, parts.runtime.refuse)
             tasks.start_soon(parts.runtime.run)
+            tasks.start_soon(parts.settings.run)
             admin = embedded_server(parts.admin, keep_alive)
             tasks.start_soon(admin.serve, [parts.sockets.admin])
-            proxy_server = _start_proxy(parts, tasks, keep_alive)
+            servers = _start_servers(parts, tasks, keep_alive)
             _log_ready(parts)
-            async for _ in signals:
-                break
-            await _drain(parts, proxy_server)
+            async for received in signals:
+                if received is not signal.SIGHUP:
+                    break
+                parts.settings.reload()
+            await _drain(parts, servers)
             tasks.cancel_scope.cancel()
 
 
-class _ProxyServer:
-    """The proxy's server; ``stopped`` is set once every answer has gone out."""
+class _RequestServer:
+    """The proxy's or gateway's server; ``stopped`` is set once every answer has gone out."""
 
-    def __init__(self, proxy: DrainableProxy, keep_alive: float) -> None:
-        self.proxy = proxy
+    def __init__(
+        self, application: DrainableProxy, listener: socket.socket, keep_alive: float
+    ) -> None:
+        self.application = application
+        self._listener = listener
         from pewtertack.node.proxy.protocol import GuardedHttpProtocol  # a proxy's node alone
 
         self.stopped = anyio.Event()
-        self._server: EmbeddedServer = embedded_server(proxy, keep_alive, GuardedHttpProtocol)
+        self._server: EmbeddedServer = embedded_server(application, keep_alive, GuardedHttpProtocol)
 
-    async def serve(self, sockets: NodeSockets) -> None:
+    async def serve(self) -> None:
         """Accept callers until told to stop."""
-        await self._server.serve([sockets.proxy] if sockets.proxy is not None else [])
+        await self._server.serve([self._listener])
         self.stopped.set()
 
     async def drain(self) -> None:
         """Finish what is in flight, then close the listener and the connections."""
-        await self.proxy.wait_drained()
+        await self.application.wait_drained()
         self._server.should_exit = True
         await self.stopped.wait()
 
 
-def _start_proxy(parts: NodeParts, tasks: TaskGroup, keep_alive: float) -> _ProxyServer | None:
-    if parts.proxy is None:
-        return None
-    server = _ProxyServer(parts.proxy, keep_alive)
-    tasks.start_soon(server.serve, parts.sockets)
-    return server
+def _start_servers(
+    parts: NodeParts, tasks: TaskGroup, keep_alive: float
+) -> tuple[_RequestServer, ...]:
+    """Start the servers of the proxy and of the gateway, where there are such."""
+    sockets = parts.sockets
+    pairs = ((parts.proxy, sockets.proxy), (parts.gateway, sockets.gateway))
+    servers = tuple(
+        _RequestServer(application, listener, keep_alive)
+        for application, listener in pairs
+        if application is not None and listener is not None
+    )
+    for server in servers:
+        tasks.start_soon(server.serve)
+    return servers
 
 
 def _log_ready(parts: NodeParts) -> None:
     proxy = parts.sockets.proxy
     parts.log.record(
         Event.NODE_READY,
-        zone=parts.settings.node.zone.text,
-        region=parts.settings.node.region.text,
+        zone=parts.settings.current.node.zone.text,
+        region=parts.settings.current.node.region.text,
         peer=str(address_of(parts.sockets.peer_streams)),
         admin=str(address_of(parts.sockets.admin)),
         proxy=str(address_of(proxy)) if proxy is not None else "",
     )
 
 
-async def _drain(parts: NodeParts, server: _ProxyServer | None) -> None:
-    """Tell peers, refuse new requests, finish what is in flight, close."""
-    parts.runtime.drain()
-    if server is not None:
-        server.proxy.start_draining()
-    await anyio.sleep(LEAVE_TIME)
-    if server is None:
-        return
-    limit = parts.settings.limits.drain_timeout
-    with anyio.move_on_after(limit.seconds if limit is not None else None):
-        await server.drain()
+async def _drain(parts: NodeParts, servers: tuple[_RequestServer, ...]) -> None:
+    """Tell peers, be not ready, refuse new requests, finish what is in flight, close."""
+    parts.runtime.start_leaving()
+    for server in servers:
+        server.application.start_leaving()
+    limits = parts.settings.current.limits
+    if limits.drain_notice.seconds > 0:
+        await anyio.sleep(limits.drain_notice.seconds)
+    parts.runtime.stop_serving()
+    for server in servers:
+        server.application.start_draining()
+    if limits.drain_notice.seconds < LEAVE_TIME:
+        await anyio.sleep(LEAVE_TIME)
+    with anyio.move_on_after(limits.drain_timeout.seconds if limits.drain_timeout else None):
+        async with anyio.create_task_group() as tasks:
+            for server in servers:
+                tasks.start_soon(server.drain)
 
 
 def _leaves(group: BaseExceptionGroup[BaseException]) -> list[BaseException]:
--- a/src/pewtertack/node/gate.py
+++ b/src/pewtertack/node/gate.py
@@ -20,6 +20,7 @@
         self._pause_threshold = pause_threshold
         self._last_tick = clock.now()
         self._serving = False
+        self._leaving = False
 
     def set_serving(self, serving: bool) -> None:
         """Take over the core's decision."""
@@ -29,6 +30,14 @@
         """Note that the core has seen the time."""
         self._last_tick = clock.now()
 
+    def start_leaving(self) -> None:
+        """Be not ready from now on; callers that come all the same are served."""
+        self._leaving = True
+
+    def is_ready(self) -> bool:
+        """Tell whether callers should be sent here."""
+        return not self._leaving and self.may_serve()
+
     def may_serve(self) -> bool:
         """Tell whether callers may be served now."""
         return self._serving and clock.now() - self._last_tick <= self._pause_threshold
--- /dev/null
+++ b/src/pewtertack/node/gateway/application.py
@@ -0,0 +1,180 @@
+"""The gateway's ASGI application: requests of other nodes for the back end beside this one."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from dataclasses import dataclass, replace
+
+import anyio
+
+from pewtertack.core.machines import Machine, MachineList, MachineRole, MachineState
+from pewtertack.node.gateway.forwarding import GatewayForwarding, GatewayParts, load_headers
+from pewtertack.node.gateway.hop import HopRequest, failure_header, read_hop
+from pewtertack.node.proxy.answers import Receive, Scope, Send, closing, send_failure
+from pewtertack.node.proxy.body import CallerGoneError
+from pewtertack.node.proxy.edge import NODE_EDGE, EdgeHeaders
+from pewtertack.node.proxy.exchange import TruncatedAnswerError
+from pewtertack.node.proxy.headers import RawHeaders, RequestHead, read_head
+from pewtertack.node.proxy.upstream import ConnectionStore
+from pewtertack.routing.admission import Admission
+from pewtertack.routing.deadlines import deadline_of
+from pewtertack.routing.outcomes import (
+    BackendGoneError,
+    DrainingError,
+    InternalError,
+    RequestFailedError,
+)
+from pewtertack.settings import Settings
+
+DEFAULT_SLOTS = 6
+"""Slots of a back end of which the machine list does not tell them yet."""
+LONGEST_TIME = 3600.0
+"""Seconds that a request without a deadline may take; proxies always send one."""
+
+
+@dataclass(slots=True)
+class _Incarnation:
+    """One back end that has lived at the address beside this node."""
+
+    admission: Admission
+    gone: bool = False
+
+
+class GatewayApplication:
+    """Admits requests for one address, whichever incarnation of a back end lives there.
+
+    An ASGI 3 application. All methods are called in the event loop's thread.
+
+    Args:
+        clock: monotonic time in seconds.
+        address: ``ip:port`` of the back end beside this node.
+        edge: header names of the back end.
+    """
+
+    def __init__(self, clock: Callable[[], float], address: str, edge: EdgeHeaders) -> None:
+        self._clock = clock
+        self._address = address
+        self._parts = GatewayParts(clock, ConnectionStore(clock), edge, address)
+        self._incarnations: dict[str, _Incarnation] = {}
+        self._draining = False
+        self._in_flight = 0
+        self._idle = anyio.Event()
+
+    @property
+    def in_flight(self) -> int:
+        """Requests that have been accepted and are not finished."""
+        return self._in_flight
+
+    def use_settings(self, settings: Settings) -> None:
+        """Serve another address from now on, if the settings name another."""
+        address = str(settings.backend.address)
+        if settings.backend.address is None or address == self._address:
+            return
+        self._address = address
+        self._parts = replace(self._parts, address=address)
+
+    def use_machines(self, machines: MachineList) -> None:
+        """Learn which back ends live, leave or have gone at the address."""
+        listed = {
+            machine.name: machine
+            for machine in machines.machines
+            if machine.role is MachineRole.BACKEND and machine.address == self._address
+        }
+        for name, incarnation in list(self._incarnations.items()):
+            if name not in listed:
+                incarnation.gone = True
+        for name, machine in listed.items():
+            self._learn(name, machine)
+
+    def _learn(self, name: str, machine: Machine) -> None:
+        incarnation = self._incarnation(name)
+        incarnation.admission.slots = machine.slots or DEFAULT_SLOTS
+        incarnation.gone = machine.state is MachineState.LEAVING
+
+    def _incarnation(self, name: str) -> _Incarnation:
+        found = self._incarnations.get(name)
+        if found is None:
+            found = self._incarnations[name] = _Incarnation(Admission(DEFAULT_SLOTS))
+        return found
+
+    def start_leaving(self) -> None:
+        """Refuse new requests: other nodes ask another gateway."""
+        self._draining = True
+
+    def start_draining(self) -> None:
+        """Note that the node stops once nothing is in flight."""
+        self._draining = True
+        if self._in_flight == 0:
+            self._idle.set()
+
+    async def wait_drained(self) -> None:
+        """Return when draining has begun and nothing is in flight."""
+        await self._idle.wait()
+        self._parts.connections.keep_only(())
+
+    async def __call__(self, scope: Scope, receive: Receive, send: Send) -> None:
+        """Serve one request (ASGI entry point)."""
+        self._in_flight += 1
+        try:
+            await self._serve(scope, receive, closing(send) if self._draining else send)
+        finally:
+            self._in_flight -= 1
+            if self._draining and self._in_flight == 0:
+                self._idle.set()
+
+    async def _serve(self, scope: Scope, receive: Receive, send: Send) -> None:
+        head = RequestHead()
+        request: HopRequest | None = None
+        try:
+            head = read_head(scope["headers"], NODE_EDGE)
+            request = read_hop(scope["headers"])
+            await self._forward(scope, receive, send, head, request)
+        except RequestFailedError as error:
+            await _refuse(send, error, head, self._load_of(request))
+
+    def _load_of(self, request: HopRequest | None) -> RawHeaders:
+        found = self._incarnations.get(request.backend) if request is not None else None
+        return load_headers(found.admission) if found is not None else []
+
+    async def _forward(
+        self, scope: Scope, receive: Receive, send: Send, head: RequestHead, request: HopRequest
+    ) -> None:
+        incarnation = self._admit(request)
+        now = self._clock()
+        deadline = deadline_of(now, head.deadline, LONGEST_TIME)
+        forwarding = GatewayForwarding(
+            self._parts, incarnation.admission, scope, receive, send, head, request, deadline
+        )
+        try:
+            await forwarding.run()
+        except BackendGoneError:
+            incarnation.gone = True
+            raise
+        except RequestFailedError:
+            raise
+        except (CallerGoneError, TruncatedAnswerError):
+            pass  # uvicorn cuts a connection whose answer was left incomplete
+        except Exception:
+            if forwarding.status == 0:
+                await _refuse(send, InternalError("unexpected error"), head, [])
+            raise  # uvicorn logs it and closes the connection
+
+    def _admit(self, request: HopRequest) -> _Incarnation:
+        if self._draining:
+            raise _not_offered(DrainingError("the node beside the back end is stopping"))
+        incarnation = self._incarnation(request.backend)
+        if incarnation.gone:
+            raise _not_offered(BackendGoneError("the back end is leaving or gone"))
+        return incarnation
+
+
+def _not_offered(error: RequestFailedError) -> RequestFailedError:
+    error.offered = False
+    return error
+
+
+async def _refuse(
+    send: Send, error: RequestFailedError, head: RequestHead, load: RawHeaders
+) -> None:
+    headers = [failure_header(error), *load]
+    await send_failure(send, error, head.request_id, NODE_EDGE, headers)
--- /dev/null
+++ b/src/pewtertack/node/gateway/forwarding.py
@@ -0,0 +1,170 @@
+"""One request at a gateway: admission, one attempt at the back end, the answer back."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from dataclasses import dataclass
+
+import anyio
+
+from pewtertack.node.gateway import hop
+from pewtertack.node.gateway.hop import HopRequest
+from pewtertack.node.proxy.answers import Receive, Scope, Send
+from pewtertack.node.proxy.body import CallerGoneError, RequestBody
+from pewtertack.node.proxy.edge import NODE_EDGE, EdgeHeaders
+from pewtertack.node.proxy.exchange import Exchange, TruncatedAnswerError
+from pewtertack.node.proxy.headers import (
+    BACKEND_LOAD,
+    AnswerHead,
+    RawHeaders,
+    RequestHead,
+    attempt_headers,
+    backend_headers,
+    without_names,
+)
+from pewtertack.node.proxy.lifetime import LifeEnd, RequestLife
+from pewtertack.node.proxy.upstream import ConnectionStore
+from pewtertack.routing.admission import Admission, AdmissionTicket
+from pewtertack.routing.outcomes import DeadlineExceededError, Outcome, RequestFailedError
+
+CONNECT_SECONDS = 0.25
+"""For a connection to the back end, which is on the same machine."""
+
+
+@dataclass(frozen=True, slots=True)
+class GatewayParts:
+    """What all requests of a gateway share."""
+
+    clock: Callable[[], float]
+    connections: ConnectionStore
+    edge: EdgeHeaders
+    address: str
+
+
+class GatewayForwarding:
+    """Carries one request of another node to the back end and its answer back."""
+
+    def __init__(
+        self,
+        parts: GatewayParts,
+        admission: Admission,
+        scope: Scope,
+        receive: Receive,
+        send: Send,
+        head: RequestHead,
+        request: HopRequest,
+        deadline: float,
+    ) -> None:
+        self._parts = parts
+        self._admission = admission
+        self._request = request
+        self._request_id = head.request_id
+        self._deadline = deadline
+        self._headers = without_names(scope["headers"], head, parts.edge.own)
+        self._body = RequestBody(receive, head.has_body)
+        self._life = RequestLife(self._body, deadline, parts.clock)
+        self._ticket = AdmissionTicket(
+            request.route, request.rank, parts.clock() + request.objective, deadline
+        )
+        self._exchange = Exchange(
+            scope, send, head, self._body, self._note_answer, NODE_EDGE, self._answer_headers
+        )
+        self._sent = False
+
+    @property
+    def status(self) -> int:
+        """Status of the answer that was passed on, 0 without one."""
+        return self._exchange.status
+
+    async def run(self) -> None:
+        """Carry the request to its end.
+
+        Raises:
+            RequestFailedError: it ended without an answer.
+            TruncatedAnswerError: its answer broke off; the connection must be cut.
+            CallerGoneError: the other node has given it up.
+        """
+        end = await self._life.run(self._admit_and_exchange)
+        if end is LifeEnd.FINISHED:
+            return
+        if end is LifeEnd.CALLER_GONE:
+            raise CallerGoneError
+        if self._exchange.started:
+            raise TruncatedAnswerError("the deadline passed during the answer")
+        error = DeadlineExceededError("the deadline passed")
+        error.offered = self._sent
+        raise error.with_outcome(Outcome.UNKNOWN if self._sent else Outcome.NOT_RUN)
+
+    async def _admit_and_exchange(self) -> None:
+        await self._wait_for_slot()
+        answered = False
+        try:
+            await self._attempt()
+            answered = True
+        finally:
+            self._admission.finish(self._ticket, self._parts.clock(), answered)
+
+    async def _wait_for_slot(self) -> None:
+        ticket = self._ticket
+        try:
+            self._admission.submit(ticket, self._parts.clock())
+        except RequestFailedError as error:
+            error.offered = False
+            raise
+        if ticket.granted:
+            return
+        try:
+            await self._wait_for_grant()
+        except BaseException:
+            self._give_up_place()
+            raise
+        if ticket.refusal is not None:
+            ticket.refusal.offered = False
+            raise ticket.refusal
+
+    async def _wait_for_grant(self) -> None:
+        decided = anyio.Event()
+        self._ticket.wake = decided.set
+        while not decided.is_set():
+            now = self._parts.clock()
+            with anyio.move_on_after(max(0.0, self._admission.expires_at(self._ticket) - now)):
+                await decided.wait()
+            self._admission.expire(self._ticket, self._parts.clock())
+
+    def _give_up_place(self) -> None:
+        if self._ticket.granted:
+            self._admission.finish(self._ticket, self._parts.clock(), answered=False)
+        else:
+            self._admission.withdraw(self._ticket)
+
+    async def _attempt(self) -> None:
+        connections = self._parts.connections
+        connection = await connections.take(self._parts.address, CONNECT_SECONDS)
+        try:
+            await self._exchange.run(connection, self._backend_headers(), self._parts.edge)
+        except anyio.get_cancelled_exc_class():
+            self._sent = self._sent or connection.sent
+            raise
+        finally:
+            connections.give_back(connection)
+
+    def _backend_headers(self) -> RawHeaders:
+        edge = self._parts.edge
+        now = self._parts.clock()
+        return [
+            *self._headers,
+            *attempt_headers(edge, self._request_id, now, self._deadline),
+            *backend_headers(edge, self._request.backend, self._request.caller_service),
+        ]
+
+    def _note_answer(self, answer: AnswerHead) -> None:
+        self._life.abandon_body()
+
+    def _answer_headers(self) -> RawHeaders:
+        queued = int(self._ticket.queued * 1000)
+        return [*load_headers(self._admission), (hop.QUEUED, b"%d" % queued)]
+
+
+def load_headers(admission: Admission) -> RawHeaders:
+    """Return the header that tells the back end's load, waiting requests included."""
+    return [(BACKEND_LOAD, f"{admission.load}/{admission.slots}".encode())]
--- /dev/null
+++ b/src/pewtertack/node/gateway/hop.py
@@ -0,0 +1,119 @@
+"""Headers that two nodes of a fleet add to a request and its answer between them.
+
+A proxy sends the request's head and body as its caller gave them, with
+``NODE_EDGE``'s names for id and deadline and the names below. A gateway answers with the
+back end's answer, or with its own failure: only the latter carries ``FAILURE``.
+"""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+
+from pewtertack.core.configuration.resolved import ResolvedRoute, WorkClass
+from pewtertack.node.proxy.edge import NODE_EDGE
+from pewtertack.routing.outcomes import (
+    BackendFailedError,
+    BackendShedError,
+    BackendUnreachableError,
+    DeadlineExceededError,
+    GatewayRefusedError,
+    InvalidRequestError,
+    Outcome,
+    RequestFailedError,
+)
+
+Headers = list[tuple[bytes, bytes]]
+
+BACKEND = b"x-pewtertack-backend"
+"""Name of the back end that the proxy has chosen."""
+SERVICE = b"x-pewtertack-service"
+ROUTE = b"x-pewtertack-route"
+RANK = b"x-pewtertack-rank"
+"""``<class>.<priority>``: the place in the gateway's queue; smaller goes first."""
+OBJECTIVE = b"x-pewtertack-objective-ms"
+"""Milliseconds left of the time within which an answer is wanted."""
+CALLER_SERVICE = b"x-pewtertack-caller-service"
+FAILURE = b"x-pewtertack-failure"
+"""In an answer: ``<code> <outcome> <offered>`` of the gateway's own failure."""
+QUEUED = b"x-pewtertack-queued-ms"
+"""In an answer: how long the request waited at the gateway."""
+
+REQUEST_NAMES = frozenset({BACKEND, SERVICE, ROUTE, RANK, OBJECTIVE, CALLER_SERVICE})
+ANSWER_NAMES = frozenset({FAILURE, QUEUED})
+OFFERED = "offered"
+NOT_OFFERED = "not-offered"
+LONGEST_TEXT = 256
+_CLASS_RANKS = {work_class: rank for rank, work_class in enumerate(WorkClass)}
+
+
+@dataclass(frozen=True, slots=True)
+class HopRequest:
+    """What a proxy tells the gateway of a request. ``objective`` in seconds from now."""
+
+    backend: str
+    service: str
+    route: str
+    rank: tuple[int, int]
+    objective: float
+    caller_service: str
+
+
+def hop_headers(route: ResolvedRoute, backend: str, objective: float, caller: str) -> Headers:
+    """Return the headers of a request to the gateway beside ``backend``."""
+    rank = f"{_CLASS_RANKS[route.work_class]}.{route.priority}"
+    return [
+        (BACKEND, backend.encode()),
+        (SERVICE, route.service.encode()),
+        (ROUTE, route.name.encode()),
+        (RANK, rank.encode()),
+        (OBJECTIVE, b"%d" % max(0, int(objective * 1000))),
+        (CALLER_SERVICE, caller.encode()),
+    ]
+
+
+def read_hop(headers: Headers) -> HopRequest:
+    """Read what ``hop_headers`` wrote.
+
+    Raises:
+        InvalidRequestError: a header is missing or makes no sense.
+    """
+    found = {name: value.decode("latin-1") for name, value in headers if name in REQUEST_NAMES}
+    if len(found) < len(REQUEST_NAMES) or any(len(text) > LONGEST_TEXT for text in found.values()):
+        raise InvalidRequestError("the request does not come from a node of the fleet")
+    work_class, _, priority = found[RANK].partition(".")
+    objective = found[OBJECTIVE]
+    if not all(text.isdecimal() for text in (work_class, priority, objective)):
+        raise InvalidRequestError("the request's rank or objective is no number")
+    return HopRequest(
+        backend=found[BACKEND],
+        service=found[SERVICE],
+        route=found[ROUTE],
+        rank=(int(work_class), int(priority)),
+        objective=int(objective) / 1000,
+        caller_service=found[CALLER_SERVICE],
+    )
+
+
+def failure_header(error: RequestFailedError) -> tuple[bytes, bytes]:
+    """Return the header that marks a gateway's own failure."""
+    offered = OFFERED if error.offered else NOT_OFFERED
+    return FAILURE, f"{error.code} {error.outcome} {offered}".encode()
+
+
+def failure_of(text: str, status: int, retry_after: float | None) -> RequestFailedError:
+    """Return the proxy's error for a gateway's own failure."""
+    code, _, rest = text.partition(" ")
+    outcome, _, offered = rest.partition(" ")
+    message = f"the gateway failed: {code}"
+    if outcome != Outcome.NOT_RUN:
+        if status == DeadlineExceededError.status:
+            return DeadlineExceededError(message)
+        return BackendFailedError(message)
+    if offered == OFFERED:
+        return BackendShedError(message, retry_after)
+    if code == BackendUnreachableError.code:
+        return BackendUnreachableError(message, retry_after)
+    return GatewayRefusedError(message, retry_after, code)
+
+
+__all__ = ["NODE_EDGE", "HopRequest", "failure_header", "failure_of", "hop_headers", "read_hop"]
--- a/src/pewtertack/node/proxy/answers.py
+++ b/src/pewtertack/node/proxy/answers.py
@@ -8,7 +8,8 @@
 
 import msgspec
 
-from pewtertack.node.proxy.headers import REQUEST_ID, RETRIES, RawHeaders
+from pewtertack.node.proxy.edge import PRODUCT_EDGE, EdgeHeaders
+from pewtertack.node.proxy.headers import RETRIES, RawHeaders
 from pewtertack.routing.outcomes import OUTCOME_HEADER, RETRIES_SPENT, RequestFailedError
 
 Scope = MutableMapping[str, Any]
@@ -28,7 +29,9 @@
     retry_after: float | None
 
 
-def failure_head(error: RequestFailedError, request_id: str, length: int) -> RawHeaders:
+def failure_head(
+    error: RequestFailedError, request_id: str, length: int, edge: EdgeHeaders = PRODUCT_EDGE
+) -> RawHeaders:
     """Return the headers of a typed failure whose body has ``length`` bytes."""
     headers = [
         (b"content-type", b"application/json"),
@@ -36,9 +39,9 @@
         (OUTCOME_HEADER.encode(), error.outcome.encode()),
     ]
     if request_id:
-        headers.append((REQUEST_ID, request_id.encode()))
+        headers.append((edge.request_id, request_id.encode()))
     if error.retry_after is not None:
-        headers.append((b"retry-after", str(max(1, math.ceil(error.retry_after))).encode()))
+        headers.append((b"retry-after", _seconds(error.retry_after, edge).encode()))
     if error.retries_spent:
         headers.append((RETRIES, RETRIES_SPENT.encode()))
     if error.close_connection:
@@ -46,15 +49,40 @@
     return headers
 
 
+def _seconds(retry_after: float, edge: EdgeHeaders) -> str:
+    if edge.fractional_retry_after:
+        return f"{retry_after:.3f}"
+    return str(max(1, math.ceil(retry_after)))
+
+
 def failure_body(error: RequestFailedError) -> bytes:
     """Return the JSON body of a typed failure."""
     body = FailureBody(error.code, error.outcome, error.message, error.retry_after)
     return msgspec.json.encode(body)
 
 
-async def send_failure(send: Send, error: RequestFailedError, request_id: str) -> None:
+async def send_failure(
+    send: Send,
+    error: RequestFailedError,
+    request_id: str,
+    edge: EdgeHeaders = PRODUCT_EDGE,
+    more_headers: RawHeaders | None = None,
+) -> None:
     """Answer the caller with a typed failure, at once."""
     body = failure_body(error)
-    headers = failure_head(error, request_id, len(body))
-    await send({"type": "http.response.start", "status": error.status, "headers": headers})
+    headers = failure_head(error, request_id, len(body), edge) + (more_headers or [])
+    status = error.answer_status
+    await send({"type": "http.response.start", "status": status, "headers": headers})
     await send({"type": "http.response.body", "body": body})
+
+
+def closing(send: Send) -> Send:
+    """Return a ``send`` which asks the caller to close its connection after the answer."""
+
+    async def send_closing(message: Message) -> None:
+        if message["type"] == "http.response.start":
+            headers = [*message["headers"], (b"connection", b"close")]
+            message = {**message, "headers": headers}
+        await send(message)
+
+    return send_closing
--- a/src/pewtertack/node/proxy/application.py
+++ b/src/pewtertack/node/proxy/application.py
@@ -12,8 +12,9 @@
 from pewtertack.core.configuration.resolved import ResolvedConfiguration, ResolvedRoute
 from pewtertack.core.machines import MachineList
 from pewtertack.events import Event
-from pewtertack.node.proxy.answers import Receive, Scope, Send, send_failure
+from pewtertack.node.proxy.answers import Receive, Scope, Send, closing, send_failure
 from pewtertack.node.proxy.body import CallerGoneError
+from pewtertack.node.proxy.edge import PRODUCT_EDGE, EdgeHeaders
 from pewtertack.node.proxy.exchange import TruncatedAnswerError
 from pewtertack.node.proxy.forwarding import Forwarding, ForwardingParts
 from pewtertack.node.proxy.headers import RequestHead, read_head
@@ -75,6 +76,8 @@
         may_serve: asked before every request; false refuses it as not run.
         registry: where the metrics are registered; ``None`` keeps none.
         log: receives events of the 6xx numbers.
+        edge: header names towards callers, and back ends without a gateway.
+        caller_service: the service of the back end beside this node.
     """
 
     def __init__(
@@ -85,20 +88,26 @@
         may_serve: Callable[[], bool] = _always,
         registry: CollectorRegistry | None = None,
         log: RecordEvent = _ignore_event,
+        edge: EdgeHeaders = PRODUCT_EDGE,
+        caller_service: str = "",
     ) -> None:
         self._clock = clock
+        self._edge = edge
         self._random = random
         self._may_serve = may_serve
         self._log = log
         self._table: RouteTable | None = None
         dispatcher = Dispatcher(random, self._note_backend_event)
-        self._parts = ForwardingParts(clock, dispatcher, ConnectionStore(clock))
+        self._parts = ForwardingParts(
+            clock, dispatcher, ConnectionStore(clock), edge, caller_service
+        )
         registry = registry or CollectorRegistry()
         self._metrics = RequestMetrics(registry)
         registry.register(DispatcherCollector(dispatcher, lambda: self._in_flight))
         self._serving = False
         self._retry_after = 1.0
         self._draining = False
+        self._leaving = False
         self._in_flight = 0
         self._idle = anyio.Event()
         self._logged_at: dict[str, float] = {}
@@ -130,6 +139,10 @@
         self._serving = serving
         self._retry_after = retry_after
 
+    def start_leaving(self) -> None:
+        """Go on serving, but ask callers to close their connections after each answer."""
+        self._leaving = True
+
     def start_draining(self) -> None:
         """Refuse new requests from now on; those in flight are finished."""
         self._draining = True
@@ -147,7 +160,7 @@
             raise InvalidRequestError(f"unsupported connection type {scope['type']}")
         self._in_flight += 1
         try:
-            await self._serve(scope, receive, send)
+            await self._serve(scope, receive, closing(send) if self._leaving else send)
         finally:
             self._in_flight -= 1
             if self._draining and self._in_flight == 0:
@@ -159,7 +172,7 @@
             self._check_serving()
             if scope["http_version"] != "1.1":
                 raise ProtocolVersionError("HTTP/1.1 is needed")
-            head = read_head(scope["headers"])
+            head = read_head(scope["headers"], self._edge)
             head.request_id = head.request_id or f"{self._random.getrandbits(128):032x}"
             await self._forward(scope, receive, send, head)
         except RequestFailedError as error:
@@ -183,7 +196,7 @@
                 outcome=error.outcome,
                 request=head.request_id,
             )
-        await send_failure(send, error, head.request_id)
+        await send_failure(send, error, head.request_id, self._edge)
 
     def _note_backend_event(self, change: BackendEvent) -> None:
         match change:
@@ -203,6 +216,7 @@
         assert self._table is not None
         configuration = self._table.configuration
         route = self._table.match(head.host, scope["path"], scope["method"])
+        route = self._parts.dispatcher.pick_service(route)
         began = self._clock()
         deadline = deadline_of(began, head.deadline, route.timeout)
         forwarding = Forwarding(
--- /dev/null
+++ b/src/pewtertack/node/proxy/edge.py
@@ -0,0 +1,35 @@
+"""Header names at one edge of a node: towards callers and back ends, or between nodes."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+
+REQUEST_ID = b"x-request-id"
+DEADLINE = b"x-deadline-ms"
+
+
+@dataclass(frozen=True, slots=True)
+class EdgeHeaders:
+    """Names in lower case; an empty name is not used. See ``settings.HeadersSection``."""
+
+    request_id: bytes = REQUEST_ID
+    deadline: bytes = DEADLINE
+    expected_backend: bytes = b""
+    caller_service: bytes = b""
+    not_run: bytes = b""
+    identified_answers: bool = False
+    unframed_answers: bool = False
+    fractional_retry_after: bool = False
+
+    @property
+    def own(self) -> frozenset[bytes]:
+        """Names that nodes set themselves: what a caller sends under them is dropped."""
+        names = (self.request_id, self.deadline, self.expected_backend, self.caller_service)
+        return frozenset(name for name in names if name)
+
+
+PRODUCT_EDGE = EdgeHeaders()
+"""Pewtertack's own names."""
+
+NODE_EDGE = EdgeHeaders(identified_answers=True, fractional_retry_after=True)
+"""Between the node beside a caller and the node beside a back end."""
--- a/src/pewtertack/node/proxy/exchange.py
+++ b/src/pewtertack/node/proxy/exchange.py
@@ -7,10 +7,11 @@
 import anyio
 import httpcore
 
+from pewtertack.node.gateway.hop import failure_of
 from pewtertack.node.proxy.answers import Scope, Send
 from pewtertack.node.proxy.body import RequestBody
+from pewtertack.node.proxy.edge import PRODUCT_EDGE, EdgeHeaders
 from pewtertack.node.proxy.headers import (
-    REQUEST_ID,
     AnswerHead,
     RawHeaders,
     RequestHead,
@@ -22,6 +23,7 @@
 from pewtertack.routing.outcomes import (
     DEFAULT_RETRY_AFTER,
     BackendFailedError,
+    BackendGoneError,
     BackendShedError,
     CrossedAnswerError,
     InvalidRequestError,
@@ -33,6 +35,9 @@
 SHED_BODY_SECONDS = 0.02
 """A shed answer's body is read for this long at most, to keep the connection."""
 LONGEST_RETRY_AFTER = 3600.0
+WRONG_BACKEND_STATUS = 421
+WHOLE_BODY_BYTES = 64 * 1024
+"""An answer of at most this length is passed on only when it is there to its end."""
 
 
 class TruncatedAnswerError(Exception):
@@ -62,6 +67,8 @@
         head: RequestHead,
         body: RequestBody,
         on_answer: Callable[[AnswerHead], None],
+        caller_edge: EdgeHeaders = PRODUCT_EDGE,
+        more_headers: Callable[[], RawHeaders] = list,
     ) -> None:
         self.started = False
         """Whether the head of an answer has been passed to the caller."""
@@ -73,15 +80,24 @@
         self._head = head
         self._body = body
         self._on_answer = on_answer
+        self._caller_edge = caller_edge
+        self._more_headers = more_headers
+        self._edge = PRODUCT_EDGE
 
-    async def run(self, connection: BackendConnection, headers: RawHeaders) -> None:
-        """Run one attempt.
+    async def run(
+        self,
+        connection: BackendConnection,
+        headers: RawHeaders,
+        edge: EdgeHeaders = PRODUCT_EDGE,
+    ) -> None:
+        """Run one attempt at a back end, or a gateway, which speaks by ``edge``.
 
         Raises:
             RequestFailedError: the attempt ended before its answer was passed on.
             TruncatedAnswerError: it broke off after the answer's head was passed on.
             CallerGoneError: the caller has gone.
         """
+        self._edge = edge
         request = self._request(connection, headers)
         try:
             response = await connection.exchange(request)
@@ -91,14 +107,28 @@
         except (httpcore.ProtocolError, httpcore.NetworkError) as error:
             failure = BackendFailedError(f"the exchange broke: {error}")
             raise failure.with_outcome(_outcome(connection)) from error
-        answer = read_answer(response.headers)
-        if answer.request_id is not None and answer.request_id != self._head.request_id:
+        answer = read_answer(response.headers, edge)
+        if self._is_crossed(response.status, answer):
             connection.abort()
             raise CrossedAnswerError("the back end answered another request")
         self._on_answer(answer)
+        if answer.failure is not None:
+            await _finish_shed(connection, response)
+            retry_after = _fraction(answer.retry_after)
+            raise failure_of(answer.failure, response.status, retry_after)
         await self._refuse_unusable(connection, response, answer)
         await self._relay(response, answer)
 
+    def _is_crossed(self, status: int, answer: AnswerHead) -> bool:
+        if answer.request_id is not None:
+            return answer.request_id != self._head.request_id
+        needs_id = self._edge.identified_answers and not self._is_not_run(status, answer)
+        return needs_id and answer.failure is None
+
+    def _is_not_run(self, status: int, answer: AnswerHead) -> bool:
+        wrong_backend = bool(self._edge.expected_backend) and status == WRONG_BACKEND_STATUS
+        return answer.not_run or wrong_backend
+
     def _request(self, connection: BackendConnection, headers: RawHeaders) -> httpcore.Request:
         target = self._scope["raw_path"]
         if self._scope["query_string"]:
@@ -112,25 +142,27 @@
         self, connection: BackendConnection, response: httpcore.Response, answer: AnswerHead
     ) -> None:
         self.end = end_of_answer(response.status, answer.outcome, answer.retries)
+        if self._is_not_run(response.status, answer):
+            self.end = AttemptEnd.SHED
         if self.end is AttemptEnd.SHED:
             await _finish_shed(connection, response)
+            if response.status == WRONG_BACKEND_STATUS:
+                raise BackendGoneError("another back end has the address")
             raise BackendShedError(
                 "the back end did not run the request", _seconds(answer.retry_after)
             )
         bodiless = self._scope["method"] == "HEAD" or response.status in NO_BODY_STATUSES
-        if not (answer.framed or bodiless):
+        if not (answer.framed or bodiless or self._edge.unframed_answers):
             connection.abort()
             raise BackendFailedError("the end of the back end's answer cannot be told")
 
     async def _relay(self, response: httpcore.Response, answer: AnswerHead) -> None:
-        headers = [*answer.headers, (REQUEST_ID, self._head.request_id.encode())]
-        if response.status in NO_BODY_STATUSES:
-            headers = [item for item in headers if item[0] != b"content-length"]
-        self.started = True
-        self.status = response.status
-        await self._send(
-            {"type": "http.response.start", "status": response.status, "headers": headers}
-        )
+        if answer.length is not None and answer.length <= WHOLE_BODY_BYTES:
+            whole = await _whole_body(response)
+            await self._start(response, answer)
+            await self._send({"type": "http.response.body", "body": whole})
+            return
+        await self._start(response, answer)
         try:
             async for chunk in _stream(response):
                 event = {"type": "http.response.body", "body": chunk, "more_body": True}
@@ -140,6 +172,31 @@
         await response.aclose()
         await self._send({"type": "http.response.body", "body": b""})
 
+    async def _start(self, response: httpcore.Response, answer: AnswerHead) -> None:
+        own = (self._caller_edge.request_id, self._head.request_id.encode())
+        headers = [*answer.headers, own, *self._more_headers()]
+        if response.status in NO_BODY_STATUSES:
+            headers = [item for item in headers if item[0] != b"content-length"]
+        self.started = True
+        self.status = response.status
+        await self._send(
+            {"type": "http.response.start", "status": response.status, "headers": headers}
+        )
+
+
+async def _whole_body(response: httpcore.Response) -> bytes:
+    """Return the body of an answer of which nothing was passed on yet.
+
+    Raises:
+        BackendFailedError: it broke off; the request may have run.
+    """
+    try:
+        chunks = [chunk async for chunk in _stream(response)]
+    except (httpcore.ProtocolError, httpcore.NetworkError) as error:
+        raise BackendFailedError(f"the answer broke off: {error}") from error
+    await response.aclose()
+    return b"".join(chunks)
+
 
 async def _finish_shed(connection: BackendConnection, response: httpcore.Response) -> None:
     """Read the small body of a shed answer, or else close the connection."""
@@ -170,6 +227,16 @@
     return min(float(retry_after), LONGEST_RETRY_AFTER)
 
 
+def _fraction(retry_after: str | None) -> float | None:
+    """Read a gateway's ``Retry-After``, which may have a fraction."""
+    if retry_after is None:
+        return None
+    try:
+        return min(max(float(retry_after), 0.0), LONGEST_RETRY_AFTER)
+    except ValueError:
+        return DEFAULT_RETRY_AFTER
+
+
 def _stream(response: httpcore.Response) -> AsyncIterable[bytes]:
     """Return the body's stream without httpcore's extra generator around it."""
     assert isinstance(response.stream, AsyncIterable)
--- a/src/pewtertack/node/proxy/forwarding.py
+++ b/src/pewtertack/node/proxy/forwarding.py
@@ -8,17 +8,21 @@
 import anyio
 
 from pewtertack.core.configuration.resolved import ResolvedConfiguration, ResolvedRoute
+from pewtertack.node.gateway.hop import hop_headers
 from pewtertack.node.proxy.answers import Receive, Scope, Send
 from pewtertack.node.proxy.body import CallerGoneError, RequestBody
+from pewtertack.node.proxy.edge import NODE_EDGE, PRODUCT_EDGE, EdgeHeaders
 from pewtertack.node.proxy.exchange import Exchange, TruncatedAnswerError
 from pewtertack.node.proxy.headers import (
     AnswerHead,
+    RawHeaders,
     RequestHead,
-    deadline_header,
+    attempt_headers,
+    backend_headers,
     forwarded_headers,
 )
+from pewtertack.node.proxy.lifetime import LifeEnd, RequestLife
 from pewtertack.node.proxy.upstream import ConnectionStore
-from pewtertack.node.proxy.watch import DisconnectWatch
 from pewtertack.routing.backend import Backend, parse_load
 from pewtertack.routing.dispatcher import AttemptEnd, Dispatcher
 from pewtertack.routing.outcomes import (
@@ -26,6 +30,7 @@
     BackendUnreachableError,
     CrossedAnswerError,
     DeadlineExceededError,
+    GatewayRefusedError,
     Outcome,
     RequestFailedError,
 )
@@ -39,6 +44,10 @@
     clock: Callable[[], float]
     dispatcher: Dispatcher
     connections: ConnectionStore
+    edge: EdgeHeaders = PRODUCT_EDGE
+    """Header names towards callers, and back ends without a gateway."""
+    caller_service: str = ""
+    """The service whose back end is beside this node."""
 
 
 class Forwarding:
@@ -59,12 +68,14 @@
         self._parts = parts
         self._route = route
         self._deadline = deadline
-        self._headers = forwarded_headers(scope["headers"], head, configuration, route)
+        self._head = head
+        self._headers = forwarded_headers(scope["headers"], head, configuration, route, parts.edge)
         self._service = configuration.services[route.service]
         self._body = RequestBody(receive, head.has_body)
-        self._exchange = Exchange(scope, send, head, self._body, self._note_answer)
+        self._exchange = Exchange(scope, send, head, self._body, self._note_answer, parts.edge)
         self._ticket = Ticket(route, self._service, deadline)
-        self._watch: DisconnectWatch
+        self._ticket.body_bytes = head.body_bytes
+        self._life = RequestLife(self._body, deadline, parts.clock)
         self._sent = False
         """Whether an attempt may have run."""
 
@@ -81,20 +92,15 @@
             TruncatedAnswerError: its answer broke off; the caller's connection must be cut.
             CallerGoneError: the caller has gone.
         """
-        with anyio.CancelScope() as scope:
-            scope.deadline = anyio.current_time() + self._deadline - self._parts.clock()
-            self._watch = DisconnectWatch(self._body, scope)
-            try:
-                await self._run_attempts()
-                return
-            except RequestFailedError as error:
-                raise error.with_outcome(Outcome.UNKNOWN if self._sent else error.outcome) from None
-            finally:
-                self._watch.stop()
-        self._raise_cancelled()
+        try:
+            end = await self._life.run(self._run_attempts)
+        except RequestFailedError as error:
+            raise error.with_outcome(Outcome.UNKNOWN if self._sent else error.outcome) from None
+        if end is not LifeEnd.FINISHED:
+            self._raise_cancelled(end)
 
-    def _raise_cancelled(self) -> None:
-        if self._watch.caller_gone:
+    def _raise_cancelled(self, end: LifeEnd) -> None:
+        if end is LifeEnd.CALLER_GONE:
             raise CallerGoneError
         if self._exchange.started:
             raise TruncatedAnswerError("the deadline passed during the answer")
@@ -158,25 +164,36 @@
             end = AttemptEnd.BROKEN
             raise
         except anyio.get_cancelled_exc_class():
-            end = AttemptEnd.CANCELLED if self._watch.caller_gone else AttemptEnd.TIMED_OUT
+            end = AttemptEnd.CANCELLED if self._life.caller_gone else AttemptEnd.TIMED_OUT
             raise
         finally:
             self._finish(end)
 
     async def _exchange_with(self, backend: Backend) -> None:
         connections = self._parts.connections
-        connection = await connections.take(backend.address, self._service.connect_timeout)
+        address = backend.gateway or backend.address
+        connection = await connections.take(address, self._service.connect_timeout)
         try:
-            deadline = deadline_header(self._parts.clock(), self._deadline)
-            await self._exchange.run(connection, [*self._headers, deadline])
+            edge = NODE_EDGE if backend.gateway else self._parts.edge
+            await self._exchange.run(connection, self._attempt_headers(backend, edge), edge)
         except anyio.get_cancelled_exc_class():
             self._sent = self._sent or connection.sent
             raise
         finally:
             connections.give_back(connection)
 
+    def _attempt_headers(self, backend: Backend, edge: EdgeHeaders) -> RawHeaders:
+        now = self._parts.clock()
+        own = attempt_headers(edge, self._head.request_id, now, self._deadline)
+        caller = self._parts.caller_service
+        if not backend.gateway:
+            return [*self._headers, *own, *backend_headers(edge, backend.name, caller)]
+        objective = self._ticket.arrived_at + self._route.objective - now
+        return [*self._headers, *own, *hop_headers(self._route, backend.name, objective, caller)]
+
     def _note_answer(self, answer: AnswerHead) -> None:
-        self._watch.abandon_body()
+        self._life.abandon_body()
+        self._ticket.queued = answer.queued
         self._parts.dispatcher.note_answer(
             self._ticket, self._parts.clock(), parse_load(answer.load), answer.leaving
         )
@@ -186,6 +203,8 @@
 
 
 def _end_of(error: RequestFailedError) -> AttemptEnd:
+    if isinstance(error, GatewayRefusedError):
+        return AttemptEnd.REFUSED
     if isinstance(error, BackendShedError):
         return AttemptEnd.SHED
     if isinstance(error, BackendUnreachableError):
--- a/src/pewtertack/node/proxy/headers.py
+++ b/src/pewtertack/node/proxy/headers.py
@@ -2,16 +2,17 @@
 
 from __future__ import annotations
 
+from collections.abc import Set
 from dataclasses import dataclass
 
 from pewtertack.core.configuration.resolved import ResolvedConfiguration, ResolvedRoute
-from pewtertack.routing.deadlines import DEADLINE_HEADER, header_for
+from pewtertack.node.gateway import hop
+from pewtertack.node.proxy.edge import DEADLINE, PRODUCT_EDGE, REQUEST_ID, EdgeHeaders
+from pewtertack.routing.deadlines import header_for
 from pewtertack.routing.outcomes import RETRIES_HEADER, InvalidRequestError, UpgradeRefusedError
 
 RawHeaders = list[tuple[bytes, bytes]]
 
-REQUEST_ID = b"x-request-id"
-DEADLINE = DEADLINE_HEADER.encode()
 BACKEND_LOAD = b"x-backend-load"
 BACKEND_STATE = b"x-backend-state"
 RETRIES = RETRIES_HEADER.encode()
@@ -30,8 +31,10 @@
         b"upgrade",
     }
 )
-NOT_FORWARDED = HOP_BY_HOP | {b"expect", REQUEST_ID, DEADLINE, BACKEND_LOAD, BACKEND_STATE}
-NOT_RETURNED = HOP_BY_HOP | {REQUEST_ID, BACKEND_LOAD, BACKEND_STATE}
+NOT_FORWARDED = (
+    HOP_BY_HOP | hop.REQUEST_NAMES | {b"expect", REQUEST_ID, DEADLINE, BACKEND_LOAD, BACKEND_STATE}
+)
+NOT_RETURNED = HOP_BY_HOP | hop.ANSWER_NAMES | {REQUEST_ID, BACKEND_LOAD, BACKEND_STATE}
 
 
 @dataclass(slots=True)
@@ -42,11 +45,13 @@
     request_id: str = ""
     deadline: str | None = None
     has_body: bool = False
+    body_bytes: int = 0
+    """Announced length of the body, 0 without one."""
     chunked: bool = False
     connection_options: frozenset[bytes] = frozenset()
 
 
-def read_head(headers: RawHeaders) -> RequestHead:
+def read_head(headers: RawHeaders, edge: EdgeHeaders = PRODUCT_EDGE) -> RequestHead:
     """Return what routing needs of the caller's headers (names in lower case).
 
     Raises:
@@ -62,12 +67,13 @@
         elif name == b"content-length":
             lengths += 1
             head.has_body = head.has_body or value.strip() != b"0"
+            head.body_bytes = int(value) if value.strip().isdigit() else 0
         elif name == b"transfer-encoding":
             codings += 1
             head.chunked = head.has_body = is_plain_chunked(value)
-        elif name == REQUEST_ID:
+        elif name == edge.request_id:
             head.request_id = _usable_request_id(value)
-        elif name == DEADLINE:
+        elif name == edge.deadline:
             head.deadline = value.decode("latin-1")
         elif name == b"connection":
             head.connection_options |= _options(value)
@@ -112,8 +118,9 @@
     head: RequestHead,
     configuration: ResolvedConfiguration,
     route: ResolvedRoute,
+    edge: EdgeHeaders = PRODUCT_EDGE,
 ) -> RawHeaders:
-    """Return the back end's headers, all but the deadline, which every attempt adds.
+    """Return what is forwarded of a caller's headers; every attempt adds its own.
 
     A header that carries one of the route's secrets is taken from the secret
     alone: the caller's is dropped.
@@ -122,20 +129,32 @@
         name.lower().encode(): configuration.secrets[secret].encode()
         for name, secret in route.header_secrets.items()
     }
-    dropped = NOT_FORWARDED | head.connection_options
-    result = [
-        (name, value) for name, value in headers if name not in dropped and name not in secrets
-    ]
+    result = without_names(headers, head, edge.own | secrets.keys())
+    result.extend(secrets.items())
+    return result
+
+
+def without_names(headers: RawHeaders, head: RequestHead, names: Set[bytes]) -> RawHeaders:
+    """Return ``headers`` without ``names`` and without those of one connection only."""
+    dropped = NOT_FORWARDED | head.connection_options | names
+    result = [(name, value) for name, value in headers if name not in dropped]
     if head.chunked:
         result.append((b"transfer-encoding", b"chunked"))
-    result.append((REQUEST_ID, head.request_id.encode()))
-    result.extend(secrets.items())
     return result
 
 
-def deadline_header(now: float, deadline: float) -> tuple[bytes, bytes]:
-    """Return the header that passes the time left to a back end."""
-    return DEADLINE, header_for(now, deadline).encode()
+def attempt_headers(edge: EdgeHeaders, request_id: str, now: float, deadline: float) -> RawHeaders:
+    """Return the headers that tell the request's id and the time left."""
+    return [
+        (edge.request_id, request_id.encode()),
+        (edge.deadline, header_for(now, deadline).encode()),
+    ]
+
+
+def backend_headers(edge: EdgeHeaders, backend: str, caller_service: str) -> RawHeaders:
+    """Return the headers that tell a back end whom the request is for and who asks."""
+    named = ((edge.expected_backend, backend), (edge.caller_service, caller_service))
+    return [(name, value.encode()) for name, value in named if name and value]
 
 
 @dataclass(slots=True)
@@ -150,11 +169,19 @@
     outcome: str | None = None
     retries: str | None = None
     retry_after: str | None = None
+    not_run: bool = False
+    """The back end says that it did not run the request, in the edge's own header."""
+    failure: str | None = None
+    """What a gateway says of a failure of its own."""
+    queued: float = 0.0
+    """Seconds that the request waited at a gateway."""
+    length: int | None = None
+    """Announced length of the body."""
     framed: bool = False
     """Whether the end of the body can be told from a broken connection."""
 
 
-def read_answer(headers: RawHeaders) -> AnswerHead:
+def read_answer(headers: RawHeaders, edge: EdgeHeaders = PRODUCT_EDGE) -> AnswerHead:
     """Sort a back end's headers into what is passed on and what is for the node."""
     answer = AnswerHead([])
     options: frozenset[bytes] = frozenset()
@@ -164,20 +191,33 @@
             options |= _options(value)
         elif name in (b"content-length", b"transfer-encoding"):
             answer.framed = True
-        _note(answer, name, value)
-        if name not in NOT_RETURNED:
+            if name == b"content-length" and value.strip().isdigit():
+                answer.length = int(value)
+        _note(answer, name, value, edge)
+        if name not in NOT_RETURNED and name != edge.request_id:
             answer.headers.append((name, value))
     if options - {b"close", b"keep-alive"}:
         answer.headers = [item for item in answer.headers if item[0] not in options]
     return answer
 
 
-def _note(answer: AnswerHead, name: bytes, value: bytes) -> None:
+def _note_gateway(answer: AnswerHead, name: bytes, text: str) -> None:
+    if name == hop.FAILURE:
+        answer.failure = text
+    else:
+        answer.queued = int(text) / 1000 if text.isdecimal() else 0.0
+
+
+def _note(answer: AnswerHead, name: bytes, value: bytes, edge: EdgeHeaders) -> None:
     if not name.startswith((b"x-", b"retry-")):
         return
     text = value.decode("latin-1")
-    if name == REQUEST_ID:
+    if name == edge.request_id:
         answer.request_id = text
+    elif name == edge.not_run:
+        answer.not_run = True
+    elif name in hop.ANSWER_NAMES:
+        _note_gateway(answer, name, text)
     elif name == BACKEND_LOAD:
         answer.load = text
     elif name == BACKEND_STATE:
--- /dev/null
+++ b/src/pewtertack/node/proxy/lifetime.py
@@ -0,0 +1,51 @@
+"""The bounds of one request's life: its deadline and its caller's patience."""
+
+from __future__ import annotations
+
+from collections.abc import Awaitable, Callable
+from enum import Enum
+
+import anyio
+
+from pewtertack.node.proxy.body import RequestBody
+from pewtertack.node.proxy.watch import DisconnectWatch
+
+
+class LifeEnd(Enum):
+    """How a request's work ended, where it raised nothing."""
+
+    FINISHED = "finished"
+    DEADLINE = "deadline"
+    CALLER_GONE = "caller-gone"
+
+
+class RequestLife:
+    """Runs a request's work until it ends, its deadline passes or its caller goes."""
+
+    def __init__(self, body: RequestBody, deadline: float, clock: Callable[[], float]) -> None:
+        self._body = body
+        self._deadline = deadline
+        self._clock = clock
+        self._watch: DisconnectWatch | None = None
+
+    @property
+    def caller_gone(self) -> bool:
+        """Whether the caller has left."""
+        return self._watch is not None and self._watch.caller_gone
+
+    def abandon_body(self) -> None:
+        """The rest of the body will not be read for the back end."""
+        if self._watch is not None:
+            self._watch.abandon_body()
+
+    async def run(self, work: Callable[[], Awaitable[None]]) -> LifeEnd:
+        """Do the work; what it raises passes through."""
+        with anyio.CancelScope() as scope:
+            scope.deadline = anyio.current_time() + self._deadline - self._clock()
+            self._watch = DisconnectWatch(self._body, scope)
+            try:
+                await work()
+                return LifeEnd.FINISHED
+            finally:
+                self._watch.stop()
+        return LifeEnd.CALLER_GONE if self.caller_gone else LifeEnd.DEADLINE
--- a/src/pewtertack/node/runtime.py
+++ b/src/pewtertack/node/runtime.py
@@ -64,6 +64,13 @@
         """Do one read and return its outcome."""
 
 
+class MachineListUser(Protocol):
+    """What the core tells the gateway."""
+
+    def use_machines(self, machines: MachineList) -> None:
+        """Serve the back ends of ``machines``."""
+
+
 class Proxy(Protocol):
     """What the core tells the proxy."""
 
@@ -85,7 +92,7 @@
         tick: seconds between ``Ticked`` inputs.
         gate: told of ticks and of the core's word on serving.
         transport, reader, proxy: where effects go; ``proxy`` is absent on a node
-            that only replicates.
+            that only replicates, ``gateway`` where no back end is beside the node.
         log: receives the core's events.
     """
 
@@ -98,6 +105,7 @@
         reader: DocumentReader,
         proxy: Proxy | None,
         log: EventLog,
+        gateway: MachineListUser | None = None,
     ) -> None:
         self._core = core
         self._tick = tick
@@ -105,6 +113,7 @@
         self._transport = transport
         self._reader = reader
         self._proxy = proxy
+        self._gateway = gateway
         self._log = log
         self._tasks: TaskGroup | None = None
         self._refusals_logged: dict[str, float] = {}
@@ -127,11 +136,15 @@
         for effect in self._core.handle(clock.now(), event):
             self._carry_out(effect)
 
-    def drain(self) -> None:
-        """Tell the core that the process has been asked to stop."""
-        self._gate.set_serving(False)
+    def start_leaving(self) -> None:
+        """The process has been asked to stop: be not ready, and tell peers."""
+        self._gate.start_leaving()
         self.feed(DrainRequested())
 
+    def stop_serving(self) -> None:
+        """Refuse callers from now on."""
+        self._gate.set_serving(False)
+
     def note_backend_leaving(self, name: str, address: str) -> None:
         """Let the core pass on what a back end has said of itself to this node's proxy."""
         self.feed(BackendLeavingObserved(name, address))
@@ -168,8 +181,9 @@
             case BringIntoForce(configuration):
                 self._bring_into_force(configuration)
             case UseMachines(machines):
-                if self._proxy is not None:
-                    self._proxy.use_machines(machines)
+                for user in (self._proxy, self._gateway):
+                    if user is not None:
+                        user.use_machines(machines)
             case SetServing(serving, retry_after):
                 self._set_serving(serving, retry_after)
             case Log(event, fields):
--- a/src/pewtertack/node/sockets.py
+++ b/src/pewtertack/node/sockets.py
@@ -25,10 +25,12 @@
     peer_streams: socket.socket
     admin: socket.socket
     proxy: socket.socket | None
+    gateway: socket.socket | None = None
 
     def close(self) -> None:
         """Close all of them."""
-        for bound in (self.peer_datagrams, self.peer_streams, self.admin, self.proxy):
+        sockets = (self.peer_datagrams, self.peer_streams, self.admin, self.proxy, self.gateway)
+        for bound in sockets:
             if bound is not None:
                 bound.close()
 
@@ -51,11 +53,13 @@
         opened.enter_context(datagrams)
         opened.enter_context(streams)
         admin = opened.enter_context(_listen(listen.admin, place, "listen.admin"))
-        proxy = None
+        proxy = gateway = None
         if listen.proxy is not None:
             proxy = opened.enter_context(_listen(listen.proxy, place, "listen.proxy"))
+        if listen.gateway is not None:
+            gateway = opened.enter_context(_listen(listen.gateway, place, "listen.gateway"))
         opened.pop_all()
-    return NodeSockets(datagrams, streams, admin, proxy)
+    return NodeSockets(datagrams, streams, admin, proxy, gateway)
 
 
 def _bind_peer(address: Address, place: str) -> tuple[socket.socket, socket.socket]:
--- a/src/pewtertack/node/view.py
+++ b/src/pewtertack/node/view.py
@@ -98,9 +98,9 @@
         """Return the configuration by which the proxy serves."""
         return self.core.replication.replica.in_force
 
-    def may_serve(self) -> bool:
-        """Tell whether callers are served now."""
-        return self.gate.may_serve()
+    def is_ready(self) -> bool:
+        """Tell whether callers should be sent here."""
+        return self.gate.is_ready()
 
     def _peers_by_status(self) -> dict[str, int]:
         members = self.core.membership.table.all()
--- /dev/null
+++ b/src/pewtertack/platform/store.py
@@ -0,0 +1,219 @@
+"""Reads the platform's metadata store: one item and one range, each by list and watch."""
+
+from __future__ import annotations
+
+import base64
+import socket
+from typing import ClassVar, TypeVar
+
+import anyio
+import httpcore
+import msgspec
+
+from pewtertack.core.effects import ReadDocument
+from pewtertack.core.inputs import DocumentRead, DocumentReadFailed, DocumentUnchanged
+from pewtertack.errors import PlatformError
+from pewtertack.platform.documents import machines_of, tree_of
+from pewtertack.settings import Settings
+from pewtertack.wire.messages import DocumentKind
+
+CONFIGURATION_KEY = "op/config"
+BACKENDS_PREFIX = "servers/"
+STATUS_OK = 200
+STATUS_HISTORY_GONE = 410
+STATUS_BUSY = (429, 503)
+ANSWER_SECONDS = 1.0
+"""For an answer of the store beyond the time for which a watch may wait."""
+KEEPALIVE_OPTIONS = (
+    (socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1),
+    (socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, 1),
+    (socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, 1),
+    (socket.IPPROTO_TCP, socket.TCP_KEEPCNT, 2),
+)
+"""A store behind a cut says nothing: unanswered probes end its connections."""
+
+Answer = TypeVar("Answer")
+
+_HTTP_ERRORS = (
+    httpcore.TimeoutException,
+    httpcore.NetworkError,
+    httpcore.ProtocolError,
+    OSError,
+)
+
+
+class StoreUnreachableError(PlatformError):
+    """The store did not answer."""
+
+    code: ClassVar[str] = "store-unreachable"
+
+
+class StoreBusyError(PlatformError):
+    """The store refuses or throttles calls."""
+
+    code: ClassVar[str] = "store-busy"
+
+
+class StoreStatusError(PlatformError):
+    """The store answered with a status that is not in its interface."""
+
+    code: ClassVar[str] = "store-status"
+
+
+class StoreBodyError(PlatformError):
+    """The store's answer is not what the platform's pages say."""
+
+    code: ClassVar[str] = "store-body"
+
+
+class _HistoryGoneError(PlatformError):
+    """The store has forgotten the changes after the cursor: list again."""
+
+    code: ClassVar[str] = "store-history-gone"
+
+
+class _Item(msgspec.Struct, frozen=True):
+    key: str = msgspec.field(name="PrivateKey")
+    revision: int = msgspec.field(name="Revision")
+    value: str = msgspec.field(name="Value", default="")
+    gone: bool = False
+
+
+class _Range(msgspec.Struct, frozen=True):
+    items: tuple[_Item, ...]
+    more: bool
+    at: int
+
+
+class _Events(msgspec.Struct, frozen=True):
+    events: tuple[_Item, ...]
+    at: int
+
+
+class _Mirror:
+    """The items below one prefix as of the store's revision ``at``; 0 before the first list."""
+
+    def __init__(self, prefix: str) -> None:
+        self.prefix = prefix
+        self.items: dict[str, bytes] = {}
+        self.at = 0
+
+    def take(self, item: _Item) -> None:
+        if item.gone:
+            self.items.pop(item.key, None)
+            return
+        try:
+            self.items[item.key] = base64.b64decode(item.value, validate=True)
+        except ValueError as error:
+            raise StoreBodyError(f"{item.key}: not base64") from error
+
+
+class StoreReader:
+    """Answers the core's ``ReadDocument`` effects; keeps a mirror for each document."""
+
+    def __init__(self, url: str, gateway_port: int, peer_port: int) -> None:
+        self._url = url
+        self._gateway_port = gateway_port
+        self._peer_port = peer_port
+        self._mirrors = {
+            DocumentKind.CONFIGURATION: _Mirror(CONFIGURATION_KEY),
+            DocumentKind.MACHINE_LIST: _Mirror(BACKENDS_PREFIX),
+        }
+        self._pool = httpcore.AsyncConnectionPool(
+            max_connections=len(self._mirrors), socket_options=KEEPALIVE_OPTIONS
+        )
+
+    async def close(self) -> None:
+        """Close the connections."""
+        await self._pool.aclose()
+
+    async def read(
+        self, effect: ReadDocument
+    ) -> DocumentRead | DocumentUnchanged | DocumentReadFailed:
+        """Do one read; every failure becomes ``DocumentReadFailed``."""
+        mirror = self._mirrors[effect.kind]
+        try:
+            changed = await self._refresh(mirror, effect.wait)
+            if not changed:
+                return DocumentUnchanged(effect.kind)
+            return self._document(effect.kind, mirror)
+        except PlatformError as error:
+            mirror.at = 0 if isinstance(error, _HistoryGoneError) else mirror.at
+            return DocumentReadFailed(effect.kind, f"{error.code}: {error}")
+
+    async def _refresh(self, mirror: _Mirror, wait: float) -> bool:
+        if mirror.at == 0:
+            await self._list(mirror)
+            return True
+        return await self._watch(mirror, wait)
+
+    async def _list(self, mirror: _Mirror) -> None:
+        """Read all items; what changes between two pages is seen by the watch that follows."""
+        fresh = _Mirror(mirror.prefix)
+        after = ""
+        while True:
+            path = f"/kv-range?PathPrefix={mirror.prefix}"
+            page = _decode(await self._get(path + (f"&after={after}" if after else "")), _Range)
+            fresh.at = fresh.at or page.at
+            for item in page.items:
+                fresh.take(item)
+            if not page.more or not page.items:
+                break
+            after = page.items[-1].key
+        mirror.items, mirror.at = fresh.items, fresh.at
+
+    async def _watch(self, mirror: _Mirror, wait: float) -> bool:
+        query = f"PathPrefix={mirror.prefix}&after={mirror.at}&WaitMs={int(wait * 1000)}"
+        found = _decode(await self._get(f"/kv-watch?{query}", wait), _Events)
+        for event in found.events:
+            mirror.take(event)
+        mirror.at = max(mirror.at, found.at)
+        return bool(found.events)
+
+    async def _get(self, path: str, wait: float = 0.0) -> bytes:
+        seconds = wait + ANSWER_SECONDS
+        timeouts = dict.fromkeys(("connect", "pool", "write"), ANSWER_SECONDS) | {"read": seconds}
+        try:
+            with anyio.fail_after(seconds + ANSWER_SECONDS):
+                answer = await self._pool.request(
+                    "GET", self._url + path, extensions={"timeout": timeouts}
+                )
+        except (TimeoutError, *_HTTP_ERRORS) as error:
+            raise StoreUnreachableError(type(error).__name__) from error
+        if answer.status == STATUS_HISTORY_GONE:
+            raise _HistoryGoneError("listing again")
+        if answer.status in STATUS_BUSY:
+            raise StoreBusyError(f"status {answer.status}")
+        if answer.status != STATUS_OK:
+            raise StoreStatusError(f"status {answer.status}")
+        return answer.content
+
+    def _document(self, kind: DocumentKind, mirror: _Mirror) -> DocumentRead | DocumentUnchanged:
+        if kind is DocumentKind.MACHINE_LIST:
+            entries = {
+                key.removeprefix(BACKENDS_PREFIX): value for key, value in mirror.items.items()
+            }
+            machines = machines_of(entries, self._gateway_port, self._peer_port)
+            return DocumentRead(kind, mirror.at, machines)
+        value = mirror.items.get(CONFIGURATION_KEY)
+        if value is None:
+            return DocumentUnchanged(kind)
+        number, tree = tree_of(value)
+        return DocumentRead(kind, number, tree)
+
+
+def _decode(body: bytes, answer_type: type[Answer]) -> Answer:
+    try:
+        return msgspec.json.decode(body, type=answer_type)
+    except msgspec.MsgspecError as error:
+        raise StoreBodyError(str(error)) from error
+
+
+def make_reader(settings: Settings) -> StoreReader:
+    """Return the reader for a node with these settings."""
+    gateway = settings.listen.gateway
+    return StoreReader(
+        settings.source.url.text,
+        gateway.port if gateway is not None else 0,
+        settings.listen.peer.port,
+    )
--- a/src/pewtertack/routing/backend.py
+++ b/src/pewtertack/routing/backend.py
@@ -18,6 +18,9 @@
 STALL_SECONDS = 1.0
 """Without any sign for this long while requests wait there, a back end is avoided."""
 STALL_PENALTY = 8.0
+SLOWNESS_WEIGHT = 0.1
+SLOWNESS_LIMIT = 8.0
+"""One answer counts as slower or faster than the mean by this factor at most."""
 MAXIMUM_REPORT = 1_000_000
 
 
@@ -64,6 +67,10 @@
     """Requests of other callers at the back end when it last reported."""
     slots: int = 0
     reported_at: float = float("-inf")
+    gateway: str = ""
+    """``ip:port`` of the node beside the back end, which admits; empty without one."""
+    slowness: float = 1.0
+    """Time that its answers take, as a multiple of the service's mean."""
 
     def configure(self, settings: ResolvedService) -> None:
         """Use the service's settings; the first ones set the limit up."""
@@ -81,10 +88,23 @@
         return (
             not self.leaving
             and not self.removed
-            and self.limit.allows(now, self.in_flight)
+            and (bool(self.gateway) or self.limit.allows(now, self.in_flight))
             and self.health.admits(now)
         )
 
+    def note_time(self, seconds: float, expected: float) -> None:
+        """Compare an answer's time with the service's mean for its route, 0 while unknown."""
+        if expected > 0:
+            ratio = min(max(seconds / expected, 1 / SLOWNESS_LIMIT), SLOWNESS_LIMIT)
+            self.slowness += SLOWNESS_WEIGHT * (ratio - self.slowness)
+
+    def expected_wait(self, now: float, mean_time: float) -> float:
+        """Return the seconds that one more request would wait at the gateway."""
+        assert self.settings is not None
+        slots = self.slots or self.settings.slots_per_backend
+        surplus = self.occupancy(now) * slots + 1 - slots
+        return max(0.0, surplus) * mean_time * self.slowness / slots
+
     def note_report(self, now: float, report: LoadReport) -> None:
         """Take over a load report; it includes this proxy's own requests."""
         self.others = max(0, report.in_flight - self.in_flight)
@@ -109,9 +129,11 @@
         assert self.settings is not None
         slots = self.slots or self.settings.slots_per_backend
         score = (self.occupancy(now) + 1 / slots) / self._warmth(now)
-        if self.in_flight and now - self.last_progress > STALL_SECONDS:
-            score *= STALL_PENALTY
-        return score
+        return score * STALL_PENALTY if self.stalled(now) else score
+
+    def stalled(self, now: float) -> bool:
+        """Tell whether requests wait there and nothing was heard for too long."""
+        return self.in_flight > 0 and now - self.last_progress > STALL_SECONDS
 
     def _warmth(self, now: float) -> float:
         """Return the share of work, below 1 during the slow start."""
--- a/src/pewtertack/routing/choice.py
+++ b/src/pewtertack/routing/choice.py
@@ -3,9 +3,10 @@
 from __future__ import annotations
 
 from collections.abc import Container, Sequence
+from dataclasses import dataclass
 from random import Random
 
-from pewtertack.routing.backend import Backend
+from pewtertack.routing.backend import STALL_PENALTY, Backend
 
 SATURATED = 1.0
 """Estimated occupancy from which a back end of the own zone is no longer preferred."""
@@ -72,3 +73,47 @@
     first = int(random.random() * count)
     second = int(random.random() * (count - 1))
     return backends[first], backends[second + (second >= first)]
+
+
+@dataclass(frozen=True, slots=True)
+class Wish:
+    """What a request asks of the back end beside whose node it will wait. Seconds."""
+
+    expected_time: float
+    """Mean time of the route's answers, 0 while unknown."""
+    mean_time: float
+    """Mean time of all answers of the service."""
+    patience: float
+    """How long the request may wait in its own zone, where no bytes cross zones."""
+    excluded: Container[str]
+
+
+def choose_gateway(
+    local: Sequence[Backend], remote: Sequence[Backend], wish: Wish, now: float
+) -> Backend | None:
+    """Return the back end whose gateway to ask, or ``None``.
+
+    The own zone is left only when the wait there is too long and shorter elsewhere.
+    Back ends in ``wish.excluded`` are taken only when no other is usable.
+    """
+    usable = [item for item in (*local, *remote) if item.usable(now)]
+    fresh = [item for item in usable if item.name not in wish.excluded] or usable
+    near = _soonest([item for item in fresh if item in local], wish, now)
+    if near is not None and near.expected_wait(now, wish.mean_time) <= wish.patience:
+        return near
+    far = _soonest([item for item in fresh if item not in local], wish, now)
+    if near is None or far is None:
+        return near or far
+    return min(near, far, key=lambda item: item.expected_wait(now, wish.mean_time))
+
+
+def _soonest(backends: Sequence[Backend], wish: Wish, now: float) -> Backend | None:
+    """Return the back end from which the answer is expected first."""
+
+    def cost(backend: Backend) -> tuple[float, float]:
+        wait = backend.expected_wait(now, wish.mean_time)
+        stalled = STALL_PENALTY if backend.stalled(now) else 1.0
+        slowness = backend.slowness * stalled
+        return wait + wish.expected_time * slowness, backend.occupancy(now) * stalled
+
+    return min(backends, key=cost, default=None)
--- a/src/pewtertack/routing/outcomes.py
+++ b/src/pewtertack/routing/outcomes.py
@@ -20,6 +20,10 @@
 DEFAULT_RETRY_AFTER = 1.0
 
 
+NOT_RUN_STATUSES = frozenset({421, 429, 503})
+"""Callers may take these to mean that the request has not run and never will."""
+
+
 class Outcome(StrEnum):
     """What is known of the request's execution."""
 
@@ -42,6 +46,15 @@
         self.outcome = self.default_outcome
         self.retries_spent = False
         """Whether nodes above must leave this failure alone."""
+        self.offered = True
+        """Whether a back end has seen the request, so that a further attempt is a retry."""
+
+    @property
+    def answer_status(self) -> int:
+        """The status to answer with: one that promises "not run" only if that is so."""
+        if self.outcome is Outcome.UNKNOWN and self.status in NOT_RUN_STATUSES:
+            return RequestFailedError.status
+        return self.status
 
     def with_outcome(self, outcome: Outcome) -> Self:
         """Set the outcome of the whole request and return the error itself."""
@@ -151,6 +164,28 @@
 
     code: ClassVar[str] = "backend-unreachable"
 
+    def __init__(self, message: str, retry_after: float | None = DEFAULT_RETRY_AFTER) -> None:
+        super().__init__(message, retry_after)
+        self.offered = False
+
+
+class GatewayRefusedError(NotRunError):
+    """The node beside the back end refused the request before the back end saw it."""
+
+    code: ClassVar[str] = "gateway-refused"
+
+    def __init__(self, message: str, retry_after: float | None, reason: str) -> None:
+        super().__init__(message, retry_after)
+        self.reason = reason
+        """Code of the refusal at the gateway."""
+        self.offered = False
+
+
+class BackendGoneError(NotRunError):
+    """The back end is leaving, has gone or was replaced by another incarnation."""
+
+    code: ClassVar[str] = "backend-gone"
+
 
 class BackendShedError(NotRunError):
     """The back end said that it did not run the request."""
--- a/src/pewtertack/routing/queueing.py
+++ b/src/pewtertack/routing/queueing.py
@@ -57,6 +57,19 @@
     report: LoadReport | None = None
     """What the back end said of its load with this answer."""
     finished: bool = False
+    refusals: int = 0
+    """Attempts that no back end has seen: gateways refused them or were not reached."""
+    arrived_at: float = 0.0
+    """When the request's first attempt was submitted."""
+    queued: float = 0.0
+    """Seconds that the request waited at the gateway, as told with the answer."""
+    body_bytes: int = 0
+    """Length of the request's body, as far as announced."""
+
+    @property
+    def retries(self) -> int:
+        """Earlier attempts that a back end may have seen."""
+        return len(self.excluded) - self.refusals
 
 
 def smoothed(mean: float, value: float) -> float:
--- a/src/pewtertack/routing/registry.py
+++ b/src/pewtertack/routing/registry.py
@@ -38,6 +38,8 @@
         if backend is None or (backend.address, backend.service) != incarnation:
             backend = Backend(machine.name, machine.service, machine.address, machine.zone, now)
         backend.zone = machine.zone
+        backend.gateway = machine.gateway
+        backend.slots = backend.slots or machine.slots
         backend.leaving = backend.leaving or machine.state is MachineState.LEAVING
         backend.removed = False
         return backend
--- a/src/pewtertack/routing/retries.py
+++ b/src/pewtertack/routing/retries.py
@@ -8,18 +8,36 @@
 from pewtertack.routing.outcomes import InvalidRequestError, Outcome, RequestFailedError
 
 BUDGET_BURST = 10.0
-"""Retries that may come at once after a quiet time."""
+"""Retries that one node may make at once after a quiet time."""
+FLEET_BURST = 36.0
+"""The same for all nodes of a fleet together, to one service."""
+MAXIMUM_REFUSALS = 3
+"""Gateways that may refuse one request before its caller is told to come back."""
+
+
+def burst_of(nodes: int) -> float:
+    """Return one node's part of the fleet's burst; ``nodes`` is 0 while unknown."""
+    return min(BUDGET_BURST, max(1.0, FLEET_BURST / nodes)) if nodes else BUDGET_BURST
 
 
 class RetryBudget:
-    """Retries as a share of first attempts, with a small burst."""
+    """Retries to one service as a share of first attempts, with a small burst.
+
+    Nodes share no counter: each keeps to its part of the fleet's burst.
+    """
+
+    def __init__(self, burst: float = BUDGET_BURST) -> None:
+        self._burst = burst
+        self._tokens = burst
 
-    def __init__(self) -> None:
-        self._tokens = BUDGET_BURST
+    def use_burst(self, burst: float) -> None:
+        """Take over another burst, as the fleet grows or shrinks."""
+        self._burst = burst
+        self._tokens = min(self._tokens, burst)
 
     def note_first_attempt(self, ratio: float) -> None:
         """A request's first attempt earns ``ratio`` of a retry."""
-        self._tokens = min(BUDGET_BURST, self._tokens + ratio)
+        self._tokens = min(self._burst, self._tokens + ratio)
 
     def withdraw(self) -> bool:
         """Take one retry out of the budget; false when there is none."""
--- a/src/pewtertack/routing/service.py
+++ b/src/pewtertack/routing/service.py
@@ -3,12 +3,12 @@
 from __future__ import annotations
 
 import math
-from collections.abc import Iterable
+from collections.abc import Container, Iterable
 from random import Random
 
 from pewtertack.core.configuration.resolved import ResolvedService, WorkClass
 from pewtertack.routing.backend import Backend
-from pewtertack.routing.choice import choose
+from pewtertack.routing.choice import Wish, choose, choose_gateway
 from pewtertack.routing.limit import ServiceLimit
 from pewtertack.routing.outcomes import (
     DeadlineUnmeetableError,
@@ -21,6 +21,8 @@
 MINIMUM_RETRY_AFTER = 0.1
 MAXIMUM_RETRY_AFTER = 30.0
 MINIMUM_CAPACITY = 0.1
+LARGE_BODY = 16 * 1024
+"""A request with a longer body goes to another zone only to meet its deadline."""
 POLL_SECONDS = 0.25
 """While nothing can start, waiting requests look again after this long at most."""
 
@@ -45,6 +47,10 @@
         self._local = [backend for backend in members if backend.zone == zone]
         self._remote = [backend for backend in members if backend.zone != zone]
 
+    def has_other(self, excluded: Container[str], now: float) -> bool:
+        """Tell whether a back end that the request has not tried may take it."""
+        return any(item.usable(now) and item.name not in excluded for item in self.backends)
+
     @property
     def backends(self) -> tuple[Backend, ...]:
         """All listed back ends, the own zone's first."""
@@ -170,9 +176,12 @@
 
     def _grant(self, ticket: Ticket, now: float) -> bool:
         urgent = ticket.route.work_class is WorkClass.URGENT
-        if not self.limit.allows(now, self.in_flight, urgent):
+        if any(item.gateway for item in self.backends):
+            backend = choose_gateway(self._local, self._remote, self._wish(ticket, now), now)
+        elif self.limit.allows(now, self.in_flight, urgent):
+            backend = choose(self._local, self._remote, now, self._random, ticket.excluded)
+        else:
             return False
-        backend = choose(self._local, self._remote, now, self._random, ticket.excluded)
         if backend is None:
             return False
         if backend.in_flight == 0:
@@ -184,6 +193,13 @@
         ticket.started_at = now
         return True
 
+    def _wish(self, ticket: Ticket, now: float) -> Wish:
+        expected = self.expected_time(ticket.route.name)
+        objective = ticket.arrived_at + ticket.route.objective
+        patient_until = ticket.deadline if ticket.body_bytes > LARGE_BODY else objective
+        patience = patient_until - now - expected
+        return Wish(expected, self._mean_time, max(0.0, patience), ticket.excluded)
+
     def may_eject(self) -> bool:
         """Tell whether answered failures may eject one more: never more than half."""
         ejected = sum(item.health.ejected for item in self.backends)
--- a/src/pewtertack/settings/checks.py
+++ b/src/pewtertack/settings/checks.py
@@ -43,7 +43,12 @@
 def _check_listeners(settings: Settings, place: str) -> None:
     listen = settings.listen
     seen: set[Address] = set()
-    for key, address in (("peer", listen.peer), ("admin", listen.admin), ("proxy", listen.proxy)):
+    for key, address in (
+        ("peer", listen.peer),
+        ("admin", listen.admin),
+        ("proxy", listen.proxy),
+        ("gateway", listen.gateway),
+    ):
         if address is None:
             continue
         if address in seen and address.port:
--- a/src/pewtertack/settings/schema.py
+++ b/src/pewtertack/settings/schema.py
@@ -10,10 +10,14 @@
 
 
 class ProfileName(StrEnum):
-    """Timing profiles: ``fast`` converges sooner, ``frugal`` sends fewer bytes."""
+    """Timing profiles: ``fast`` converges sooner, ``frugal`` sends fewer bytes.
+
+    With ``direct`` every node reads the source, which must bear so many readers.
+    """
 
     FAST = "fast"
     FRUGAL = "frugal"
+    DIRECT = "direct"
 
 
 class NodeSection(msgspec.Struct, frozen=True, kw_only=True):
@@ -25,11 +29,15 @@
 
 
 class ListenSection(msgspec.Struct, frozen=True, kw_only=True):
-    """Where the node listens. Without ``proxy`` it only replicates."""
+    """Where the node listens. Without ``proxy`` it only replicates.
+
+    ``gateway`` is for other nodes: requests for the back end beside this node.
+    """
 
     peer: Address
     admin: Address
     proxy: Address | None = None
+    gateway: Address | None = None
 
 
 class AdvertiseSection(msgspec.Struct, frozen=True, kw_only=True):
@@ -42,6 +50,8 @@
     """The configuration source."""
 
     url: Url
+    durable: bool = False
+    """It never forgets or forks a revision that it has answered with."""
 
 
 class MachinesSection(msgspec.Struct, frozen=True, kw_only=True):
@@ -50,6 +60,34 @@
     url: Url
 
 
+class BackendSection(msgspec.Struct, frozen=True, kw_only=True):
+    """The back end beside this node, which others reach through ``listen.gateway``."""
+
+    address: Address | None = None
+    service: str = ""
+    """Its service; told to back ends as the caller's service of its requests."""
+
+
+class HeadersSection(msgspec.Struct, frozen=True, kw_only=True):
+    """Names of headers that callers and back ends use; an empty name is not used."""
+
+    request_id: str = "x-request-id"
+    deadline: str = "x-deadline-ms"
+    """Time left in whole milliseconds."""
+    expected_backend: str = ""
+    """Sent to a back end: the name under which it is listed."""
+    caller_service: str = ""
+    """Sent to a back end: ``backend.service`` of the node that took the request in."""
+    not_run: str = ""
+    """In a back end's answer: it did not run the request, whatever the status."""
+    identified_answers: bool = False
+    """Every answer of a back end that ran the request carries its ``request_id``."""
+    unframed_answers: bool = False
+    """A back end's answer without a length is whole when its connection ends cleanly."""
+    fractional_retry_after: bool = False
+    """Callers understand fractions of a second in ``Retry-After``."""
+
+
 class PeersSection(msgspec.Struct, frozen=True, kw_only=True):
     """The other nodes: the fleet key and addresses to ask first."""
 
@@ -80,6 +118,8 @@
     """How long a caller's idle connection stays open."""
     drain_timeout: Duration | None = None
     """How long a stopping node waits for requests in flight; for ever by default."""
+    drain_notice: Duration = Duration(0.0)
+    """How long a stopping node, no longer ready, still accepts callers' requests."""
 
 
 class Settings(msgspec.Struct, frozen=True, kw_only=True):
@@ -91,5 +131,7 @@
     machines: MachinesSection
     peers: PeersSection
     advertise: AdvertiseSection = AdvertiseSection()
+    backend: BackendSection = BackendSection()
+    headers: HeadersSection = HeadersSection()
     profile: ProfileSection = ProfileSection()
     limits: LimitsSection = LimitsSection()
