Gateways: surplus bytes end a connection, leaving is for good; tests of the new parts

Cause, both found by the new gateway tests: a second answer in the same read as the first stayed in the parser and was taken for the next request's (a crossed answer: 502 for a request that had done nothing wrong); a late entry of the store could list a leaving back end as live again, at the gateway and, once unlisted, at the proxy. Ruled out: the id check, which did its part. Now a connection with bytes after its answer is closed, and an incarnation that was leaving stays so.

Also: a stand-in of the metadata store by its published interface, tests of the store client, the translation, admission, splits, durable sources and the boundary.

--- /dev/null
+++ b/src/pewtertack/lab/metadata_store/__init__.py
@@ -0,0 +1,1 @@
+"""Stand-in of the users' metadata store, by its published interface."""
--- /dev/null
+++ b/src/pewtertack/lab/metadata_store/application.py
@@ -0,0 +1,157 @@
+"""The store's read interface (PROTOCOL.md, "The platform's metadata store") over a dictionary.
+
+Writes are methods, since nodes can only read. ``faults`` brings about what the pages
+say may happen: refusals, throttling, slow and lost answers, forgotten history.
+"""
+
+from __future__ import annotations
+
+import base64
+from collections import deque
+from dataclasses import dataclass
+
+import anyio
+import msgspec
+
+from pewtertack.lab.asgi import Answer, HandlerTable, Request, json_answer
+
+PAGE_ITEMS = 50
+LONGEST_WAIT_MS = 30_000
+STATUS_GONE = 410
+LOST_ANSWER_SECONDS = 3600.0
+"""A lost answer is one that does not come as long as anybody waits."""
+
+
+class StoreFaults(msgspec.Struct, frozen=True):
+    """How the store misbehaves; the defaults are good behaviour."""
+
+    status: int = 0
+    """Answers every call with this status, 429 or 503."""
+    delay: float = 0.0
+    """Seconds before each answer."""
+    lost_answers: int = 0
+    """So many further calls are never answered."""
+    stale_by: int = 0
+    """Stale reads show the state so many changes ago."""
+
+
+@dataclass(frozen=True, slots=True)
+class _Change:
+    """One write or removal; ``value`` is ``None`` for a removal."""
+
+    key: str
+    revision: int
+    value: bytes | None
+
+
+class MetadataStore:
+    """Items under one revision counter, with the history that watches are answered from."""
+
+    def __init__(self) -> None:
+        self.faults = StoreFaults()
+        self.calls = 0
+        self._revision = 0
+        self._items: dict[str, _Change] = {}
+        self._history: deque[_Change] = deque()
+        self._forgotten = 0
+        self._changed = anyio.Event()
+        self.application = HandlerTable(
+            {
+                ("GET", "/kv-key"): self._answer_key,
+                ("GET", "/kv-range"): self._answer_range,
+                ("GET", "/kv-watch"): self._answer_watch,
+            }
+        )
+
+    def put(self, key: str, value: bytes) -> int:
+        """Write an item and return its revision."""
+        return self._apply(key, value)
+
+    def remove(self, key: str) -> int:
+        """Remove an item and return the revision of that."""
+        return self._apply(key, None)
+
+    def forget_history(self) -> None:
+        """Drop all history: watches from an earlier revision get 410."""
+        self._history.clear()
+        self._forgotten = self._revision
+        self._notify()
+
+    def _apply(self, key: str, value: bytes | None) -> int:
+        self._revision += 1
+        change = _Change(key, self._revision, value)
+        self._history.append(change)
+        if value is None:
+            self._items.pop(key, None)
+        else:
+            self._items[key] = change
+        self._notify()
+        return self._revision
+
+    def _notify(self) -> None:
+        self._changed.set()
+        self._changed = anyio.Event()
+
+    async def _misbehave(self) -> Answer | None:
+        self.calls += 1
+        faults = self.faults
+        if faults.lost_answers:
+            self.faults = msgspec.structs.replace(faults, lost_answers=faults.lost_answers - 1)
+            await anyio.sleep(LOST_ANSWER_SECONDS)
+        if faults.delay:
+            await anyio.sleep(faults.delay)
+        return json_answer({}, faults.status) if faults.status else None
+
+    async def _answer_key(self, request: Request) -> Answer:
+        refused = await self._misbehave()
+        found = self._items.get(request.query.get("PrivateKey", ""))
+        if refused is not None:
+            return refused
+        if found is None:
+            return json_answer({"at": self._revision}, 404)
+        return json_answer({**_encoded(found), "at": self._revision})
+
+    async def _answer_range(self, request: Request) -> Answer:
+        refused = await self._misbehave()
+        if refused is not None:
+            return refused
+        prefix, after = request.query.get("PathPrefix", ""), request.query.get("after", "")
+        newest = self._revision
+        if request.query.get("stale") == "1":
+            newest -= self.faults.stale_by
+        keys = sorted(
+            key
+            for key, change in self._items.items()
+            if key.startswith(prefix) and key > after and change.revision <= newest
+        )
+        items = [_encoded(self._items[key]) for key in keys[:PAGE_ITEMS]]
+        return json_answer({"items": items, "more": len(keys) > PAGE_ITEMS, "at": newest})
+
+    async def _answer_watch(self, request: Request) -> Answer:
+        refused = await self._misbehave()
+        if refused is not None:
+            return refused
+        prefix, after = request.query.get("PathPrefix", ""), int(request.query["after"])
+        wait = min(int(request.query.get("WaitMs", "0")), LONGEST_WAIT_MS) / 1000
+        with anyio.move_on_after(wait):
+            while not self._since(prefix, after) and after >= self._forgotten:
+                await self._changed.wait()
+        if after < self._forgotten:
+            return json_answer({"at": self._revision}, STATUS_GONE)
+        events = [_encoded(change) for change in self._since(prefix, after)]
+        return json_answer({"events": events, "at": self._revision})
+
+    def _since(self, prefix: str, after: int) -> list[_Change]:
+        return [
+            change
+            for change in self._history
+            if change.revision > after and change.key.startswith(prefix)
+        ]
+
+
+def _encoded(change: _Change) -> dict[str, object]:
+    item: dict[str, object] = {"PrivateKey": change.key, "Revision": change.revision}
+    if change.value is None:
+        return {**item, "gone": True}
+    value = base64.b64encode(change.value).decode()
+    return {**item, "Value": value, "made": change.revision, "lease": 0}
--- a/src/pewtertack/node/gateway/application.py
+++ b/src/pewtertack/node/gateway/application.py
@@ -37,7 +37,14 @@
     """One back end that has lived at the address beside this node."""
 
     admission: Admission
-    gone: bool = False
+    leaving: bool = False
+    """Said to leave, or replaced at its address; for good."""
+    listed: bool = True
+
+    @property
+    def takes_work(self) -> bool:
+        """Whether requests may still be sent to it."""
+        return self.listed and not self.leaving
 
 
 class GatewayApplication:
@@ -81,15 +88,14 @@
             if machine.role is MachineRole.BACKEND and machine.address == self._address
         }
         for name, incarnation in list(self._incarnations.items()):
-            if name not in listed:
-                incarnation.gone = True
+            incarnation.listed = name in listed
         for name, machine in listed.items():
             self._learn(name, machine)
 
     def _learn(self, name: str, machine: Machine) -> None:
         incarnation = self._incarnation(name)
         incarnation.admission.slots = machine.slots or DEFAULT_SLOTS
-        incarnation.gone = machine.state is MachineState.LEAVING
+        incarnation.leaving |= machine.state is MachineState.LEAVING
 
     def _incarnation(self, name: str) -> _Incarnation:
         found = self._incarnations.get(name)
@@ -148,7 +154,7 @@
         try:
             await forwarding.run()
         except BackendGoneError:
-            incarnation.gone = True
+            incarnation.leaving = True
             raise
         except RequestFailedError:
             raise
@@ -163,7 +169,7 @@
         if self._draining:
             raise _not_offered(DrainingError("the node beside the back end is stopping"))
         incarnation = self._incarnation(request.backend)
-        if incarnation.gone:
+        if not incarnation.takes_work:
             raise _not_offered(BackendGoneError("the back end is leaving or gone"))
         return incarnation
 
--- a/src/pewtertack/node/proxy/upstream.py
+++ b/src/pewtertack/node/proxy/upstream.py
@@ -34,6 +34,10 @@
         super().__init__(origin, stream, keepalive_expiry=IDLE_SECONDS)
         self._state_lock = _NoLock()  # type: ignore[assignment]
 
+    def has_surplus(self) -> bool:
+        """Tell whether bytes came after the last answer's end: no request is due them."""
+        return bool(self._h11_state.trailing_data[0])
+
 
 class BackendConnection:
     """One connection with its stream, which tells whether anything was sent."""
@@ -59,7 +63,8 @@
     @property
     def reusable(self) -> bool:
         """Whether the last exchange ended cleanly and the back end has not closed."""
-        return self._http.is_idle() and not self._http.has_expired()
+        http = self._http
+        return http.is_idle() and not http.has_surplus() and not http.has_expired()
 
     def abort(self) -> None:
         """Close the connection at once."""
--- a/src/pewtertack/routing/registry.py
+++ b/src/pewtertack/routing/registry.py
@@ -3,10 +3,22 @@
 from __future__ import annotations
 
 from collections.abc import Iterable
+from typing import NamedTuple
 
 from pewtertack.core.machines import Machine, MachineList, MachineRole, MachineState
 from pewtertack.routing.backend import Backend
 
+LEFT_KEPT = 4096
+"""Incarnations remembered as leaving."""
+
+
+class _Incarnation(NamedTuple):
+    """What tells one life of a back end from the next."""
+
+    name: str
+    address: str
+    service: str
+
 
 class BackendRegistry:
     """Keeps one ``Backend`` per incarnation across updates of the list."""
@@ -15,12 +27,14 @@
         self._number = 0
         self._backends: dict[str, Backend] = {}
         self._services: dict[str, tuple[Backend, ...]] = {}
+        self._left: dict[_Incarnation, None] = {}
 
     def update(self, machines: MachineList, now: float) -> bool:
         """Take over a newer list; return false for an older one, which is ignored.
 
         A back end that is gone from the list, or changed its address, starts
-        anew when it comes back: what was learnt of it does not carry over.
+        anew when it comes back: what was learnt of it does not carry over, but that
+        it was leaving: entries may be late.
         """
         if machines.number < self._number:
             return False
@@ -34,16 +48,24 @@
 
     def _current(self, machine: Machine, now: float) -> Backend:
         backend = self._backends.get(machine.name)
-        incarnation = (machine.address, machine.service)
-        if backend is None or (backend.address, backend.service) != incarnation:
+        incarnation = _Incarnation(machine.name, machine.address, machine.service)
+        if backend is None or _incarnation_of(backend) != incarnation:
             backend = Backend(machine.name, machine.service, machine.address, machine.zone, now)
+            backend.leaving = incarnation in self._left
         backend.zone = machine.zone
         backend.gateway = machine.gateway
         backend.slots = backend.slots or machine.slots
         backend.leaving = backend.leaving or machine.state is MachineState.LEAVING
         backend.removed = False
+        if backend.leaving:
+            self._remember_left(incarnation)
         return backend
 
+    def _remember_left(self, incarnation: _Incarnation) -> None:
+        self._left[incarnation] = None
+        if len(self._left) > LEFT_KEPT:
+            del self._left[next(iter(self._left))]
+
     def addresses(self) -> frozenset[str]:
         """Return the addresses of all listed back ends that are not leaving."""
         backends = self._backends.values()
@@ -54,6 +76,10 @@
         return self._services.get(service, ())
 
 
+def _incarnation_of(backend: Backend) -> _Incarnation:
+    return _Incarnation(backend.name, backend.address, backend.service)
+
+
 def _by_service(backends: Iterable[Backend]) -> dict[str, tuple[Backend, ...]]:
     services: dict[str, list[Backend]] = {}
     for backend in backends:
--- /dev/null
+++ b/tests/core/test_durable_source.py
@@ -0,0 +1,140 @@
+"""A source that acknowledges by itself: no majority, joining by it, peers while it is down."""
+
+import unittest
+from random import Random
+from typing import Any
+
+from pewtertack.core.effects import BringIntoForce, Effect, ReadDocument, Send, SetServing
+from pewtertack.core.identity import NodeIdentity
+from pewtertack.core.inputs import (
+    DocumentRead,
+    DocumentReadFailed,
+    Input,
+    MessageReceived,
+    Ticked,
+)
+from pewtertack.core.node import NodeCore, NodePhase
+from pewtertack.core.profile import DIRECT, SourceProperties
+from pewtertack.core.revision import NO_REVISION, RevisionId, identify
+from pewtertack.wire.messages import (
+    DocumentKind,
+    HeldReport,
+    JoinAnswer,
+    MemberStatus,
+    MemberUpdate,
+    SnapshotAnswer,
+    VersionState,
+)
+from tests.core.test_node import TREE
+
+PEER = MemberUpdate("peer", "127.0.0.1:2", "a", "", 500, MemberStatus.ALIVE)
+MACHINES = {
+    name: {"role": "node", "zone": "a", "address": address}
+    for name, address in (("self", "127.0.0.1:1"), ("peer", PEER.address), ("x", "127.0.0.1:3"))
+}
+DURABLE = SourceProperties(durable=True)
+
+
+def tree(service: str) -> dict[str, Any]:
+    return {**TREE, "services": {"archive": {}, service: {}}}
+
+
+class DurableSourceTest(unittest.TestCase):
+    def setUp(self) -> None:
+        self.now = 0.0
+        identity = NodeIdentity("self", "127.0.0.1:1", "a", "", 1000)
+        self.core = NodeCore(identity, DIRECT, Random(1), self.now, source=DURABLE)
+
+    def feed(self, event: Input) -> list[Effect]:
+        return self.core.handle(self.now, event)
+
+    def tick_for(self, seconds: float) -> list[Effect]:
+        effects: list[Effect] = []
+        for _ in range(round(seconds / DIRECT.tick)):
+            self.now += DIRECT.tick
+            effects += self.feed(Ticked())
+        return effects
+
+    def from_peer(self, message: Any) -> list[Effect]:
+        return self.feed(MessageReceived(PEER.name, PEER.address, PEER.incarnation, message))
+
+    def read(self, number: int, document: dict[str, Any]) -> list[Effect]:
+        return self.feed(DocumentRead(DocumentKind.CONFIGURATION, number, document))
+
+    def read_machines(self, number: int = 1) -> list[Effect]:
+        return self.feed(DocumentRead(DocumentKind.MACHINE_LIST, number, MACHINES))
+
+    def in_force(self) -> int:
+        return self.core.replication.replica.in_force_number
+
+    def test_a_starting_node_reads_at_its_first_tick(self) -> None:
+        kinds = {item.kind for item in self.feed(Ticked()) if isinstance(item, ReadDocument)}
+        self.assertEqual(kinds, set(DocumentKind))
+
+    def test_a_starting_node_serves_as_soon_as_it_has_read_both_documents(self) -> None:
+        self.feed(Ticked())
+        self.read(7, TREE)
+        self.assertEqual(self.core.phase, NodePhase.JOINING)
+        effects = self.read_machines()
+        self.assertIn(SetServing(True), effects)
+        self.assertEqual(self.in_force(), 7)
+
+    def test_a_revision_is_in_force_at_once_while_every_other_node_is_dark(self) -> None:
+        self.read(7, TREE)
+        self.read_machines()
+        effects = self.read(9, tree("new"))
+        swapped = [item for item in effects if isinstance(item, BringIntoForce)]
+        self.assertEqual([item.configuration.revision.number for item in swapped], [9])
+
+    def test_holders_are_not_counted(self) -> None:
+        self.read_machines()
+        effects = self.read(7, TREE)
+        reports = [
+            item
+            for item in effects
+            if isinstance(item, Send) and isinstance(item.message, HeldReport)
+        ]
+        self.assertEqual(reports, [])
+
+    def test_an_older_answer_of_the_source_changes_nothing(self) -> None:
+        self.read(9, TREE)
+        self.read_machines()
+        self.read(7, tree("old"))
+        self.assertEqual(self.in_force(), 9)
+
+    def fail_reads(self) -> None:
+        for kind in DocumentKind:
+            self.feed(DocumentReadFailed(kind, "down"))
+
+    def answer_join(self, held: RevisionId, machine_list: int, serving: bool = True) -> None:
+        state = VersionState.of(held, held, machine_list, serving)
+        self.from_peer(JoinAnswer(state, PEER, ()))
+
+    def test_a_starting_node_serves_by_a_peers_revision_while_the_source_is_down(self) -> None:
+        self.feed(Ticked())
+        self.fail_reads()
+        newest = identify(7, TREE)
+        self.answer_join(newest, 1)
+        self.assertEqual(self.core.phase, NodePhase.JOINING)
+        self.from_peer(SnapshotAnswer(DocumentKind.CONFIGURATION, newest, TREE))
+        listed = identify(1, MACHINES)
+        self.from_peer(SnapshotAnswer(DocumentKind.MACHINE_LIST, listed, MACHINES))
+        self.assertEqual((self.core.phase, self.in_force()), (NodePhase.SERVING, 7))
+
+    def test_a_node_that_knows_nothing_never_serves(self) -> None:
+        self.tick_for(0.5)
+        self.fail_reads()
+        self.answer_join(NO_REVISION, 0, serving=False)
+        self.tick_for(1.5)
+        self.assertEqual(self.core.phase, NodePhase.JOINING)
+
+    def test_a_woken_node_serves_by_what_it_holds_once_nobody_answers(self) -> None:
+        self.feed(Ticked())
+        self.read(7, TREE)
+        self.read_machines()
+        self.now += DIRECT.pause_threshold + 1
+        self.feed(Ticked())
+        self.assertEqual(self.core.phase, NodePhase.JOINING)
+        self.fail_reads()
+        self.tick_for(DIRECT.join_patience + 0.2)
+        self.assertEqual((self.core.phase, self.in_force()), (NodePhase.SERVING, 7))
--- /dev/null
+++ b/tests/node/gateway/test_gateway.py
@@ -0,0 +1,270 @@
+"""Two nodes in one event loop: a proxy, gateways, and the back ends beside them."""
+
+import asyncio
+import time
+from random import Random
+from typing import Any
+
+from pewtertack.core.machines import Machine, MachineList, MachineRole, MachineState
+from pewtertack.node.gateway.application import GatewayApplication
+from pewtertack.node.proxy.application import ProxyApplication
+from pewtertack.node.proxy.edge import EdgeHeaders
+from tests.node.proxy.harness import (
+    Answer,
+    ProxyTestCase,
+    RawBackend,
+    answer_bytes,
+    begin_call,
+    raw_call,
+    request_bytes,
+)
+from tests.routing.samples import configuration, route
+
+EDGE = EdgeHeaders(
+    request_id=b"x-call",
+    deadline=b"x-left",
+    expected_backend=b"x-wanted",
+    caller_service=b"x-from",
+    not_run=b"x-skipped",
+    identified_answers=True,
+    unframed_answers=True,
+    fractional_retry_after=True,
+)
+POST = request_bytes("POST", "/", b"log", ("x-call: call-1", "x-left: 4000"))
+
+
+def header(head: str, name: str) -> str:
+    return head.split(f"\r\n{name}: ")[1].split("\r\n")[0]
+
+
+async def answer_well(reader: Any, writer: Any, head: str) -> bool:
+    writer.write(answer_bytes(b"ok", b"x-call: " + header(head, "x-call").encode()))
+    return True
+
+
+class GatewayTestCase(ProxyTestCase):
+    async def start_fleet(self, *backends: Any, slots: int = 2, **changes: Any) -> str:
+        """Run a gateway beside each back end and one proxy; return the proxy's address."""
+        self.gateways: list[GatewayApplication] = []
+        self.heads: list[str] = []
+        self.machines: list[Machine] = []
+        for index, script in enumerate(backends):
+            await self.add_backend(f"b{index}", script, slots)
+        self.proxy = ProxyApplication(time.monotonic, Random(7), edge=EDGE, caller_service="desk")
+        self.proxy.use_configuration(configuration(route(**changes)))
+        self.proxy.set_serving(True)
+        self.use_machines()
+        return await self.serve(self.proxy)
+
+    async def add_backend(self, name: str, script: Any, slots: int) -> None:
+        async def recorded(reader: Any, writer: Any, head: str) -> bool:
+            self.heads.append(head)
+            length = int(header(head, "content-length")) if "content-length" in head else 0
+            await reader.readexactly(length)
+            return bool(await script(reader, writer, head))
+
+        address = await RawBackend(recorded).start(self)
+        gateway = GatewayApplication(time.monotonic, address, EDGE)
+        self.gateways.append(gateway)
+        self.machines.append(
+            Machine(
+                name,
+                MachineRole.BACKEND,
+                "ikeja",
+                address,
+                "logbook",
+                gateway=await self.serve(gateway),
+                slots=slots,
+            )
+        )
+
+    def use_machines(self, number: int = 1) -> None:
+        listed = MachineList(number, tuple(self.machines))
+        for user in (self.proxy, *self.gateways):
+            user.use_machines(listed)
+
+    def assert_refused(self, answer: Answer, status: int, outcome: str) -> None:
+        self.assertEqual((answer.status, answer.headers["x-outcome"]), (status, outcome))
+
+
+class WholePathTest(GatewayTestCase):
+    async def test_a_request_passes_two_nodes_and_arrives_as_it_was_sent(self) -> None:
+        address = await self.start_fleet(answer_well)
+        answer = await raw_call(address, POST)
+        self.assertEqual((answer.status, answer.body), (200, b"ok"))
+        self.assertEqual(answer.headers["x-call"], "call-1")
+        head = self.heads[0]
+        self.assertEqual([header(head, name) for name in ("x-wanted", "x-from")], ["b0", "desk"])
+        self.assertLessEqual(int(header(head, "x-left")), 4000)
+
+    async def test_no_header_between_nodes_reaches_caller_or_back_end(self) -> None:
+        address = await self.start_fleet(answer_well)
+        answer = await raw_call(address, POST)
+        self.assertNotIn("pewtertack", self.heads[0])
+        self.assertNotIn("x-request-id", self.heads[0])
+        self.assertEqual([name for name in answer.headers if "pewtertack" in name], [])
+        self.assertNotIn("x-backend-load", answer.headers)
+
+    async def test_what_a_caller_claims_to_be_is_dropped(self) -> None:
+        forged = ("x-call: call-1", "x-from: vault", "x-wanted: b9", "x-pewtertack-backend: b9")
+        address = await self.start_fleet(answer_well)
+        await raw_call(address, request_bytes(headers=forged))
+        self.assertEqual(self.heads[0].count("x-from"), 1)
+        self.assertEqual(
+            [header(self.heads[0], name) for name in ("x-wanted", "x-from")], ["b0", "desk"]
+        )
+
+    async def test_a_call_at_a_gateway_that_no_node_made_is_refused(self) -> None:
+        await self.start_fleet(answer_well)
+        answer = await raw_call(self.machines[0].gateway, POST)
+        self.assert_refused(answer, 400, "not-run")
+        self.assertEqual(self.heads, [])
+
+    async def test_an_answer_without_length_is_whole_when_its_connection_ends(self) -> None:
+        async def unframed(reader: Any, writer: Any, head: str) -> bool:
+            writer.write(b"HTTP/1.1 200 OK\r\nx-call: call-1\r\n\r\nall of it")
+            return False
+
+        address = await self.start_fleet(unframed)
+        answer = await raw_call(address, POST)
+        self.assertEqual(answer.status, 200)
+        self.assertIn(b"all of it", answer.body)
+        self.assertTrue(answer.body.endswith(b"0\r\n\r\n"))
+
+
+class RefusalTest(GatewayTestCase):
+    async def test_another_back_end_at_the_address_is_not_run_and_another_gateway_asked(
+        self,
+    ) -> None:
+        async def replaced(reader: Any, writer: Any, head: str) -> bool:
+            writer.write(answer_bytes(b"", status=b"421 Misdirected Request"))
+            return True
+
+        address = await self.start_fleet(replaced, answer_well)
+        for _ in range(6):
+            answer = await raw_call(address, POST)
+            self.assertEqual(answer.status, 200)
+        arrivals = [header(head, "x-wanted") for head in self.heads]
+        self.assertLessEqual(arrivals.count("b0"), 1)
+
+    async def test_a_back_end_that_says_it_did_not_run_the_request_is_believed(self) -> None:
+        async def skip(reader: Any, writer: Any, head: str) -> bool:
+            writer.write(answer_bytes(b"", b"x-skipped: 1", status=b"503 Service Unavailable"))
+            return True
+
+        address = await self.start_fleet(skip, retry_limit=0)
+        answer = await raw_call(address, POST)
+        self.assert_refused(answer, 503, "not-run")
+        self.assertIn(".", answer.headers["retry-after"])
+
+    async def test_a_leaving_back_end_is_refused_by_its_gateway_before_the_proxy_knows(
+        self,
+    ) -> None:
+        address = await self.start_fleet(answer_well)
+        entry = self.machines[0]
+        leaving = Machine(
+            entry.name, entry.role, entry.zone, entry.address, "logbook", MachineState.LEAVING
+        )
+        self.gateways[0].use_machines(MachineList(2, (leaving,)))
+        answer = await raw_call(address, POST)
+        self.assert_refused(answer, 503, "not-run")
+        self.assertEqual(self.heads, [])
+
+    async def test_a_back_end_once_leaving_stays_so_whatever_a_late_list_says(self) -> None:
+        address = await self.start_fleet(answer_well)
+        listed = self.machines[0]
+        leaving = Machine(
+            listed.name, listed.role, listed.zone, listed.address, "logbook", MachineState.LEAVING
+        )
+        self.gateways[0].use_machines(MachineList(2, (leaving,)))
+        self.gateways[0].use_machines(MachineList(3, (listed,)))
+        self.assert_refused(await raw_call(address, POST), 503, "not-run")
+
+    async def test_a_stopping_gateway_refuses_and_the_next_answers(self) -> None:
+        address = await self.start_fleet(answer_well, answer_well)
+        self.gateways[0].start_leaving()
+        for _ in range(4):
+            self.assertEqual((await raw_call(address, POST)).status, 200)
+        self.assertEqual({header(head, "x-wanted") for head in self.heads}, {"b1"})
+
+    async def test_a_dead_back_end_is_not_run_and_the_next_answers(self) -> None:
+        address = await self.start_fleet(answer_well)
+        dead = GatewayApplication(time.monotonic, "127.0.0.1:1", EDGE)
+        self.machines.insert(
+            0,
+            Machine(
+                "dead",
+                MachineRole.BACKEND,
+                "ikeja",
+                "127.0.0.1:1",
+                "logbook",
+                gateway=await self.serve(dead),
+            ),
+        )
+        self.use_machines(2)
+        for _ in range(4):
+            self.assertEqual((await raw_call(address, POST)).status, 200)
+
+
+class UnknownOutcomeTest(GatewayTestCase):
+    async def test_a_broken_exchange_is_not_repeated_where_it_may_have_run(self) -> None:
+        async def hang_up(reader: Any, writer: Any, head: str) -> bool:
+            return False
+
+        address = await self.start_fleet(hang_up, hang_up, repeatable=False)
+        self.assert_refused(await raw_call(address, POST), 502, "unknown")
+        self.assertEqual(len(self.heads), 1)
+
+    async def test_an_answer_with_another_id_or_none_is_not_passed_on(self) -> None:
+        for line in (b"x-call: call-9", b"x-other: 1"):
+
+            async def cross(reader: Any, writer: Any, head: str, line: bytes = line) -> bool:
+                writer.write(answer_bytes(b"not yours", line))
+                return True
+
+            with self.subTest(line):
+                address = await self.start_fleet(cross)
+                answer = await raw_call(address, POST)
+                self.assert_refused(answer, 502, "unknown")
+                self.assertNotIn(b"not yours", answer.body)
+
+    async def test_surplus_bytes_after_an_answer_belong_to_no_request(self) -> None:
+        async def surplus(reader: Any, writer: Any, head: str) -> bool:
+            call = header(head, "x-call").encode()
+            writer.write(answer_bytes(b"ok", b"x-call: " + call))
+            writer.write(answer_bytes(b"late", b"x-call: " + call))
+            return True
+
+        address = await self.start_fleet(surplus)
+        for index in range(5):
+            raw = request_bytes(headers=(f"x-call: call-{index}",))
+            answer = await raw_call(address, raw)
+            self.assertEqual((answer.status, answer.body), (200, b"ok"))
+
+
+class CancellationTest(GatewayTestCase):
+    async def test_a_caller_that_goes_frees_the_back_end_over_both_nodes(self) -> None:
+        begun, ended = asyncio.Event(), asyncio.Event()
+
+        async def stall(reader: Any, writer: Any, head: str) -> bool:
+            begun.set()
+            await reader.read(1)
+            ended.set()
+            return False
+
+        address = await self.start_fleet(stall)
+        _, writer = await begin_call(address, POST)
+        await asyncio.wait_for(begun.wait(), 5.0)
+        writer.close()
+        await asyncio.wait_for(ended.wait(), 5.0)
+
+    async def test_the_deadline_frees_the_slot_and_the_caller_is_told_at_once(self) -> None:
+        async def stall(reader: Any, writer: Any, head: str) -> bool:
+            await reader.read(1)
+            return False
+
+        address = await self.start_fleet(stall, slots=1)
+        raw = request_bytes(headers=("x-call: call-1", "x-left: 200"))
+        began = time.monotonic()
+        self.assert_refused(await raw_call(address, raw), 504, "unknown")
+        self.assertGreater(time.monotonic() - began, 0.19)
--- /dev/null
+++ b/tests/platform/test_documents.py
@@ -0,0 +1,104 @@
+"""The operator's configuration and the back ends' entries, translated."""
+
+import json
+import unittest
+from typing import Any
+
+from pewtertack.core.configuration.resolution import resolve_document
+from pewtertack.core.configuration.validation import check_document
+from pewtertack.core.machines import MachineRole, MachineState, machine_list_from_document
+from pewtertack.core.revision import identify
+from pewtertack.platform.documents import ItemFormatError, machines_of, tree_of
+
+ROUTE = {
+    "Name": "r-1",
+    "Host": "desk.example",
+    "PathPrefix": "/holds/",
+    "Kind": "unsafe",
+    "Timeout": "1200ms",
+    "TargetLatency": "800ms",
+    "Priority": 1,
+    "Service": "desk",
+    "MaxAttempts": 2,
+}
+SPLIT_ROUTE = {
+    **{key: value for key, value in ROUTE.items() if key != "Service"},
+    "Name": "r-2",
+    "PathPrefix": "/reads/",
+    "Kind": "safe",
+    "TrafficSplit": [{"Service": "desk", "Weight": 90}, {"Service": "vault", "Weight": 10}],
+}
+CONFIGURATION: dict[str, Any] = {
+    "Version": "r12",
+    "Routes": [ROUTE, SPLIT_ROUTE],
+    "Services": [
+        {"Name": "desk", "HealthPath": "/health", "ConnectionLimit": 130},
+        {"Name": "vault", "HealthPath": "/health", "ConnectionLimit": 130},
+    ],
+    "Limits": {
+        "MaxHeaderBytes": 16384,
+        "MaxBodyBytes": 67108864,
+        "HeaderTimeout": "3000ms",
+        "IdleTimeout": "15000ms",
+    },
+}
+ENTRY = {
+    "Service": "desk",
+    "Address": "10.1.0.8:8080",
+    "Zone": "garia",
+    "State": "ready",
+    "Slots": 6,
+    "Sequence": 4,
+}
+
+
+def encoded(value: Any) -> bytes:
+    return json.dumps(value).encode()
+
+
+class TreeTest(unittest.TestCase):
+    def test_a_configuration_becomes_a_valid_tree(self) -> None:
+        number, tree = tree_of(encoded(CONFIGURATION))
+        self.assertEqual(number, 12)
+        self.assertEqual(check_document(tree), ())
+        resolved = resolve_document(tree, identify(number, tree), "garia")
+        hold, read = sorted(resolved.routes, key=lambda route: route.name)
+        self.assertEqual((hold.service, hold.timeout, hold.objective), ("desk", 1.2, 0.8))
+        self.assertEqual((hold.repeatable, hold.retry_limit, hold.priority), (False, 1, 1))
+        self.assertEqual((read.repeatable, dict(read.split)), (True, {"desk": 90, "vault": 10}))
+
+    def test_a_configuration_that_is_wrong_is_refused_with_its_place(self) -> None:
+        broken = [
+            encoded(CONFIGURATION)[:-20],
+            encoded({**CONFIGURATION, "Version": "twelve"}),
+            encoded({**CONFIGURATION, "Routes": [{"Name": "r-1"}]}),
+            encoded({key: CONFIGURATION[key] for key in ("Version", "Routes", "Services")}),
+            b"[]",
+        ]
+        for value in broken:
+            with self.subTest(value[:40]), self.assertRaises(ItemFormatError):
+                tree_of(value)
+
+    def test_a_route_to_an_unknown_service_is_found_by_validation(self) -> None:
+        route = {**ROUTE, "Service": "nobody"}
+        _, tree = tree_of(encoded({**CONFIGURATION, "Routes": [route]}))
+        self.assertEqual([item.code.label for item in check_document(tree)], ["missing-service"])
+
+
+class MachinesTest(unittest.TestCase):
+    def test_an_entry_becomes_a_back_end_and_the_node_beside_it(self) -> None:
+        document = machines_of({"i-1": encoded(ENTRY)}, 8146, 7380)
+        machines = machine_list_from_document(3, document).machines
+        node, backend = sorted(machines, key=lambda machine: machine.role, reverse=True)
+        self.assertEqual((node.role, node.name), (MachineRole.NODE, "10.1.0.8"))
+        self.assertEqual(node.address, "10.1.0.8:7380")
+        self.assertEqual((backend.name, backend.gateway), ("i-1", "10.1.0.8:8146"))
+        self.assertEqual((backend.slots, backend.state), (6, MachineState.LIVE))
+
+    def test_a_draining_back_end_is_leaving(self) -> None:
+        document = machines_of({"i-1": encoded({**ENTRY, "State": "draining"})}, 1, 2)
+        self.assertEqual(document["i-1"]["state"], "leaving")
+
+    def test_an_entry_that_is_wrong_is_refused_with_its_name(self) -> None:
+        with self.assertRaisesRegex(ItemFormatError, "i-1"):
+            machines_of({"i-1": b'{"Service": "desk"}'}, 1, 2)
--- /dev/null
+++ b/tests/routing/test_admission.py
@@ -0,0 +1,83 @@
+"""Admission at the node beside a back end: exact slots, order of the queue, refusals."""
+
+import unittest
+from typing import Any
+
+from pewtertack.routing.admission import Admission, AdmissionTicket
+from pewtertack.routing.outcomes import DeadlineUnmeetableError, QueueFullError
+
+
+def ticket(rank: int = 0, objective: float = 1.0, deadline: float = 2.0, **rest: Any) -> Any:
+    return AdmissionTicket("lookup", (1, rank), objective, deadline, **rest)
+
+
+def busy(slots: int = 1, seconds: float = 0.2) -> Admission:
+    """Return an admission whose requests take ``seconds`` and whose slots are all taken."""
+    admission = Admission(slots)
+    for _ in range(slots):
+        warm = ticket()
+        admission.submit(warm, 0.0)
+        admission.finish(warm, seconds, answered=True)
+    for _ in range(slots):
+        admission.submit(ticket(), 0.0)
+    return admission
+
+
+class AdmissionTest(unittest.TestCase):
+    def test_no_more_run_than_there_are_slots(self) -> None:
+        admission = Admission(2)
+        tickets = [ticket() for _ in range(5)]
+        for item in tickets:
+            admission.submit(item, 0.0)
+        self.assertEqual([item.granted for item in tickets], [True, True, False, False, False])
+        self.assertEqual((admission.in_flight, admission.load), (2, 5))
+
+    def test_a_freed_slot_goes_to_the_smallest_rank_then_to_the_first_that_came(self) -> None:
+        admission = Admission(1)
+        running = ticket()
+        admission.submit(running, 0.0)
+        late, first, second = ticket(rank=2), ticket(rank=1), ticket(rank=1)
+        for item in (late, first, second):
+            admission.submit(item, 0.0)
+        admission.finish(running, 0.1, answered=True)
+        self.assertEqual([late.granted, first.granted, second.granted], [False, True, False])
+        admission.finish(first, 0.2, answered=True)
+        self.assertTrue(second.granted)
+
+    def test_what_cannot_end_in_time_is_refused_at_once_with_the_time_of_its_turn(self) -> None:
+        admission = busy(seconds=0.2)
+        with self.assertRaises(DeadlineUnmeetableError) as refused:
+            admission.submit(ticket(objective=0.1, deadline=0.3), 0.0)
+        self.assertAlmostEqual(refused.exception.retry_after or 0.0, 0.2)
+        self.assertEqual(admission.load, 1)
+
+    def test_a_waiting_request_may_go_halfway_from_its_objective_to_its_deadline(self) -> None:
+        admission = busy(seconds=0.2)
+        waiting = ticket(objective=0.35, deadline=0.55)
+        admission.submit(waiting, 0.0)
+        self.assertFalse(waiting.granted)
+        self.assertIsNone(waiting.refusal)
+
+    def test_a_request_whose_turn_has_come_too_late_is_refused_and_not_started(self) -> None:
+        admission = busy(seconds=0.2)
+        waiting = ticket(objective=0.9, deadline=1.0)
+        admission.submit(waiting, 0.0)
+        admission.expire(waiting, 0.81)
+        self.assertIsInstance(waiting.refusal, DeadlineUnmeetableError)
+        self.assertEqual(admission.load, 1)
+
+    def test_the_queue_is_bounded(self) -> None:
+        admission = Admission(1)
+        with self.assertRaises(QueueFullError):
+            for _ in range(1000):
+                admission.submit(ticket(objective=1e6, deadline=1e6), 0.0)
+
+    def test_a_caller_that_goes_leaves_its_place(self) -> None:
+        admission = Admission(1)
+        running, gone, waiting = ticket(), ticket(), ticket()
+        for item in (running, gone, waiting):
+            admission.submit(item, 0.0)
+        admission.withdraw(gone)
+        admission.finish(running, 0.1, answered=False)
+        self.assertTrue(waiting.granted)
+        self.assertFalse(gone.granted)
--- /dev/null
+++ b/tests/routing/test_gateway_choice.py
@@ -0,0 +1,143 @@
+"""Choice among back ends with gateways, and what their refusals cost."""
+
+import unittest
+from typing import Any
+
+import msgspec
+
+from pewtertack.core.machines import Machine, MachineList, MachineRole, MachineState
+from pewtertack.routing.backend import LoadReport
+from pewtertack.routing.dispatcher import AttemptEnd, Dispatcher
+from pewtertack.routing.outcomes import (
+    BackendFailedError,
+    BackendUnreachableError,
+    GatewayRefusedError,
+)
+from pewtertack.routing.queueing import Ticket
+from pewtertack.routing.retries import FLEET_BURST, burst_of
+from tests.routing.samples import dispatcher, route, service
+
+
+def gated(name: str, zone: str = "ikeja") -> Machine:
+    return Machine(
+        name, MachineRole.BACKEND, zone, f"10.0.0.1:{len(name)}", "logbook", gateway="g:1", slots=2
+    )
+
+
+def node(index: int) -> Machine:
+    return Machine(f"n{index}", MachineRole.NODE, "ikeja", f"10.0.1.{index}:1")
+
+
+def fleet(*machines: Machine) -> Dispatcher:
+    made = dispatcher()
+    made.use_machines(MachineList(2, machines), 0.0)
+    return made
+
+
+def submitted(made: Dispatcher, now: float = 0.0, **changes: Any) -> Ticket:
+    wanted = Ticket(route(repeatable=True, **changes), service(), now + 5.0)
+    made.submit(wanted, now)
+    return wanted
+
+
+def report(made: Dispatcher, ticket: Ticket, load: int, now: float = 0.0) -> None:
+    made.note_answer(ticket, now, LoadReport(load, 2), leaving=False)
+    made.finish(ticket, now + 0.5, AttemptEnd.ANSWERED)
+
+
+class ChoiceTest(unittest.TestCase):
+    def test_no_limit_is_guessed_where_a_gateway_admits(self) -> None:
+        made = fleet(gated("near"))
+        tickets = [submitted(made) for _ in range(20)]
+        self.assertTrue(all(item.backend is not None for item in tickets))
+
+    def test_the_own_zone_serves_while_its_wait_keeps_the_objective(self) -> None:
+        made = fleet(gated("near"), gated("far", zone="yaba"))
+        report(made, submitted(made), load=3)
+        chosen = submitted(made, now=0.5, target_latency=4.0)
+        self.assertEqual(chosen.backend and chosen.backend.name, "near")
+
+    def test_another_zone_serves_when_the_own_would_miss_the_objective(self) -> None:
+        made = fleet(gated("near"), gated("far", zone="yaba"))
+        report(made, submitted(made), load=8)
+        chosen = submitted(made, now=0.5, target_latency=0.6)
+        self.assertEqual(chosen.backend and chosen.backend.name, "far")
+
+    def test_a_long_body_leaves_its_zone_for_its_deadline_only(self) -> None:
+        made = fleet(gated("near"), gated("far", zone="yaba"))
+        report(made, submitted(made), load=8)
+        upload = Ticket(route(target_latency=0.6), service(), 5.5, body_bytes=60_000)
+        made.submit(upload, 0.5)
+        self.assertEqual(upload.backend and upload.backend.name, "near")
+
+
+class RefusalTest(unittest.TestCase):
+    def refuse(self, made: Dispatcher, ticket: Ticket) -> Ticket | None:
+        made.finish(ticket, 0.0, AttemptEnd.REFUSED)
+        error = GatewayRefusedError("full", 0.1, "queue-full")
+        return made.retry(ticket, error, 0.0, replayable=True)
+
+    def test_a_refusal_leads_to_another_gateway_beyond_limit_and_budget(self) -> None:
+        made = fleet(gated("a"), gated("bb"))
+        for _ in range(50):
+            ticket = submitted(made, retry_limit=0, retry_budget=0.0)
+            again = self.refuse(made, ticket)
+            assert again is not None
+            made.submit(again, 0.0)
+            assert again.backend is not None and ticket.backend is not None
+            self.assertNotEqual(again.backend.name, ticket.backend.name)
+            self.assertEqual(again.retries, 0)
+            made.finish(again, 0.1, AttemptEnd.ANSWERED)
+
+    def test_no_gateway_is_asked_twice(self) -> None:
+        made = fleet(gated("a"))
+        self.assertIsNone(self.refuse(made, submitted(made)))
+
+    def test_at_most_three_gateways_are_asked(self) -> None:
+        made = fleet(*(gated("x" * index) for index in range(1, 9)))
+        ticket: Ticket | None = submitted(made)
+        asked = 0
+        while ticket is not None:
+            asked += 1
+            ticket = self.refuse(made, ticket)
+            if ticket is not None:
+                made.submit(ticket, 0.0)
+        self.assertEqual(asked, 3)
+
+    def test_an_unreachable_gateway_is_left_alone_at_once(self) -> None:
+        made = fleet(gated("a"), gated("bb"))
+        ticket = submitted(made)
+        assert ticket.backend is not None
+        made.finish(ticket, 0.0, AttemptEnd.UNREACHABLE)
+        self.assertFalse(ticket.backend.usable(0.1))
+        self.assertIsNotNone(made.retry(ticket, BackendUnreachableError("down"), 0.0, True))
+
+
+class FleetBudgetTest(unittest.TestCase):
+    def test_the_bursts_of_all_nodes_add_up_to_the_fleets(self) -> None:
+        for nodes in (4, 12, 30):
+            self.assertLessEqual(nodes * burst_of(nodes), FLEET_BURST + 1e-9)
+
+    def test_retries_of_all_routes_of_a_service_draw_on_one_budget(self) -> None:
+        machines = [gated("a"), gated("bb"), *(node(index) for index in range(12))]
+        made = fleet(*machines)
+        granted = 0
+        for index in range(20):
+            ticket = submitted(made, name=f"route-{index % 5}", retry_budget=0.0)
+            made.finish(ticket, 0.0, AttemptEnd.FAILED_BELOW)
+            error = BackendFailedError("broke")
+            granted += made.retry(ticket, error, 0.0, replayable=True) is not None
+        self.assertEqual(granted, int(FLEET_BURST / 12))
+
+
+class LateEntryTest(unittest.TestCase):
+    def test_a_back_end_that_left_the_list_leaving_gets_no_work_when_a_late_entry_lists_it(
+        self,
+    ) -> None:
+        made = fleet(gated("near"), gated("far", zone="yaba"))
+        leaving = msgspec.structs.replace(gated("near"), state=MachineState.LEAVING)
+        far = gated("far", zone="yaba")
+        for number, listed in enumerate(((leaving, far), (far,), (gated("near"), far)), start=3):
+            made.use_machines(MachineList(number, listed), 0.0)
+        chosen = submitted(made)
+        self.assertEqual(chosen.backend and chosen.backend.name, "far")
