Explain a request afterwards: decision log, bounded writer, pewtertack trace

Every decision that touches a request is a line (routed with load and its age, admitted, queued, refused, retried or not and why, answered, cut, cancelled), and so is each change of belief about back ends. Lines never block: a bounded buffer written by the event loop; what is left out is counted in the log, routine lines first (test with a full pipe). pewtertack trace puts one request together over nodes, ordered by cause, with the calls within it.

Bodies up to 512 KiB are now kept; test: an upload that a gateway refused goes whole to the next.

--- a/src/pewtertack/cli/main.py
+++ b/src/pewtertack/cli/main.py
@@ -8,7 +8,7 @@
 
 import typer
 
-from pewtertack.cli import lab, lab_cost, lab_depth, lab_proofs, lab_scale, status, tree
+from pewtertack.cli import lab, lab_cost, lab_depth, lab_proofs, lab_scale, status, trace, tree
 
 app = typer.Typer(
     name="pewtertack",
@@ -37,6 +37,7 @@
 
 app.command("status")(status.status)
 app.command("check")(tree.check)
+app.command("trace")(trace.trace)
 app.command("explain")(tree.explain)
 app.command("diff")(tree.diff)
 lab.app.command("check")(lab_proofs.check)
--- /dev/null
+++ b/src/pewtertack/cli/trace.py
@@ -0,0 +1,29 @@
+"""``pewtertack trace``: one request's way over all nodes, from their logs."""
+
+from __future__ import annotations
+
+from pathlib import Path
+from typing import Annotated
+
+import typer
+
+
+def trace(
+    request: Annotated[str, typer.Argument(help="The request's id.")],
+    logs: Annotated[list[Path], typer.Argument(help="Log files of nodes.")],
+    as_json: Annotated[bool, typer.Option("--json", help="Print JSON.")] = False,
+) -> None:
+    """Show a request's way over all nodes, and what each believed at that moment."""
+    import msgspec
+
+    from pewtertack.tracing.reading import ReadCounts, read_logs
+    from pewtertack.tracing.report import report_data, report_lines
+    from pewtertack.tracing.timeline import build_timeline
+
+    counts = ReadCounts()
+    timeline = build_timeline(read_logs(logs, counts), request)
+    if as_json:
+        typer.echo(msgspec.json.encode(report_data(timeline, counts)))
+        return
+    for line in report_lines(timeline, counts):
+        typer.echo(line)
--- a/src/pewtertack/events.py
+++ b/src/pewtertack/events.py
@@ -22,6 +22,7 @@
     NODE_FAILED = (108, "An unexpected error ended the process with exit code 1.")
     SETTINGS_RELOADED = (109, "The settings file was read again; some changes need a restart.")
     SETTINGS_REFUSED = (110, "The settings file is wrong; the settings in use stay.")
+    LOG_LINES_LEFT_OUT = (111, "So many lines were not written: too many, or nobody read them.")
     REVISION_HELD = (201, "A revision is stored whole, valid, and not yet in force.")
     REVISION_COMMITTED = (202, "A quorum of replicas holds the revision.")
     REVISION_IN_FORCE = (203, "The proxy serves by this revision from now on.")
@@ -32,6 +33,8 @@
     MEMBER_SUSPECT = (302, "A member answered neither direct nor indirect probes.")
     MEMBER_DEAD = (303, "A suspected member did not refute in time.")
     MEMBER_LEAVING = (304, "A member is draining.")
+    SOURCE_LOST = (405, "The source or the machine list answered before and fails now.")
+    SOURCE_REGAINED = (406, "The source or the machine list answers again.")
     SOURCE_FAILED = (401, "The configuration source gave no usable answer.")
     MACHINE_LIST_FAILED = (402, "The machine list gave no usable answer.")
     READER_STARTED = (403, "This node reads the platform for its zone from now on.")
@@ -42,7 +45,24 @@
     BACKEND_EJECTED = (602, "A back end failed repeatedly and gets no work for a while.")
     BACKEND_RETURNED = (603, "An ejected back end gets work again.")
     HTTP_SERVER_WARNING = (604, "The HTTP server cut an answer short or met an error.")
+    BACKEND_SEEN = (605, "The machine list names a back end that was not on it before.")
+    BACKEND_LEAVING = (606, "A back end gets no new work: the list, or its own answer, says so.")
+    BACKEND_GONE = (607, "A back end is on the machine list no longer.")
+    REQUEST_ROUTED = (610, "The proxy chose a back end for an attempt, and why.", True)
+    REQUEST_RETRIED = (611, "An attempt failed; the request is sent once more, and why.")
+    REQUEST_NOT_RETRIED = (612, "An attempt failed; the request is not sent again, and why.")
+    REQUEST_ANSWERED = (613, "The back end's whole answer went to the caller.", True)
+    REQUEST_CUT = (614, "An answer broke off after its head had gone to the caller.")
+    REQUEST_CANCELLED = (615, "The caller left before its answer.")
+    GATEWAY_QUEUED = (620, "A request waits at the gateway for a slot of the back end.", True)
+    GATEWAY_ADMITTED = (621, "The gateway sends a request to the back end.", True)
+    GATEWAY_REFUSED = (622, "The gateway refused a request before the back end saw it.")
+    GATEWAY_ANSWERED = (623, "The back end's whole answer went back to the proxy.", True)
+    GATEWAY_FAILED = (624, "A request that was offered to the back end has no whole answer.")
+    GATEWAY_CANCELLED = (625, "The proxy gave up a request at the gateway.")
 
-    def __init__(self, number: int, meaning: str) -> None:
+    def __init__(self, number: int, meaning: str, routine: bool = False) -> None:
         self.number = number
         self.meaning = meaning
+        self.routine = routine
+        """Of a request that goes well: left out first when too much is logged."""
--- a/src/pewtertack/log.py
+++ b/src/pewtertack/log.py
@@ -1,7 +1,8 @@
 """Numbered events as JSON lines on standard output, through logbook.
 
-One line is ``{"time", "number", "event", "node", "incarnation", ...}``: ``time``
-is Unix time in seconds, the rest are the event's fields.
+One line is ``{"time", "number", "event", "node", "incarnation", "uptime", ...}``:
+``time`` is Unix time in seconds, ``uptime`` steady seconds since the process began to
+log, the rest are the event's fields.
 """
 
 from __future__ import annotations
@@ -14,31 +15,76 @@
 import msgspec
 
 from pewtertack.events import Event
+from pewtertack.log_writer import BoundedWriter, LineSink
 
 CHANNEL = "pewtertack"
 
 
+class _StreamSink:
+    """Writes each line to a text stream at once."""
+
+    def __init__(self, stream: TextIO) -> None:
+        self._stream = stream
+
+    def write(self, line: bytes, routine: bool) -> None:
+        """Write one line."""
+        self._stream.write(line.decode() + "\n")
+        self._stream.flush()
+
+
+class _SinkHandler(logbook.Handler):  # type: ignore[misc]
+    """Hands every record's line to a sink."""
+
+    def __init__(self, sink: LineSink) -> None:
+        super().__init__(level=logbook.INFO)
+        self._sink = sink
+
+    def emit(self, record: logbook.LogRecord) -> None:
+        """Write one record."""
+        line = msgspec.json.encode(record.extra["line"], enc_hook=str)
+        self._sink.write(line, record.extra["routine"])
+
+
 class EventLog:
-    """Records numbered events of one process under its name and incarnation."""
+    """Records numbered events of one process under its name and incarnation.
+
+    Without a ``stream`` lines go to standard output and never block
+    (``pewtertack.log_writer``).
+    """
 
     def __init__(self, node: str, incarnation: int, stream: TextIO | None = None) -> None:
         self._logger = logbook.Logger(CHANNEL)
         self._identity = {"node": node, "incarnation": incarnation}
-        handler = logbook.StreamHandler(stream or sys.stdout, level=logbook.INFO)
-        handler.formatter = _format_record
-        self._logger.handlers.append(handler)
+        self._started = time.monotonic()
+        self._writer: BoundedWriter | None = None
+        self._logger.handlers.append(_SinkHandler(self._sink(stream)))
+
+    def _sink(self, stream: TextIO | None) -> LineSink:
+        if stream is not None:
+            return _StreamSink(stream)
+        self._writer = BoundedWriter(sys.stdout.fileno(), self._left_out_line)
+        return self._writer
 
     def record(self, event: Event, **fields: Any) -> None:
         """Write one line. Fields may not be named like those that every line has."""
-        line = {
+        extra = {"line": self._line(event, fields), "routine": event.routine}
+        self._logger.info(event.name, extra=extra)
+
+    def close(self) -> None:
+        """Write what is still buffered; the process is about to end."""
+        if self._writer is not None:
+            self._writer.close()
+
+    def _line(self, event: Event, fields: dict[str, Any]) -> dict[str, Any]:
+        return {
             "time": round(time.time(), 6),
             "number": event.number,
             "event": event.name,
             **self._identity,
+            "uptime": round(time.monotonic() - self._started, 6),
             **fields,
         }
-        self._logger.info(event.name, extra={"line": line})
-
 
-def _format_record(record: logbook.LogRecord, _: logbook.Handler) -> str:
-    return msgspec.json.encode(record.extra["line"], enc_hook=str).decode()
+    def _left_out_line(self, routine: int, other: int) -> bytes:
+        line = self._line(Event.LOG_LINES_LEFT_OUT, {"routine": routine, "other": other})
+        return msgspec.json.encode(line)
--- /dev/null
+++ b/src/pewtertack/log_writer.py
@@ -0,0 +1,140 @@
+"""Writes log lines to a file descriptor without ever making a request wait for a reader.
+
+Lines are kept in a bounded buffer and written in batches by the event loop. Where the
+reader stalls, or more is logged than allowed, lines are left out, those of requests that
+went well first; the log itself says how many.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import os
+import stat
+import time
+from collections.abc import Callable
+from typing import Protocol
+
+BUFFER_BYTES = 256 * 1024
+ROUTINE_SHARE = 0.5
+"""Share of the buffer that routine lines may fill."""
+ROUTINE_LINES_PER_SECOND = 300.0
+OTHER_LINES_PER_SECOND = 1000.0
+BATCH_SECONDS = 0.02
+CLOSE_SECONDS = 0.2
+"""How long the last lines may take when the process ends."""
+
+LeftOutLine = Callable[[int, int], bytes]
+"""Makes the line that tells how many routine and other lines were left out."""
+
+
+class LineSink(Protocol):
+    """Where an event log's lines go."""
+
+    def write(self, line: bytes, routine: bool) -> None:
+        """Take one line without its end."""
+
+
+class _Allowance:
+    """A token bucket that holds one second's lines."""
+
+    def __init__(self, per_second: float) -> None:
+        self._per_second = per_second
+        self._left = per_second
+        self._filled_at = time.monotonic()
+
+    def take(self) -> bool:
+        now = time.monotonic()
+        gained = (now - self._filled_at) * self._per_second
+        self._left = min(self._per_second, self._left + gained)
+        self._filled_at = now
+        if self._left < 1:
+            return False
+        self._left -= 1
+        return True
+
+
+class BoundedWriter:
+    """Batches lines to ``descriptor``; see the module's text.
+
+    Outside a running event loop lines are written at once.
+    """
+
+    def __init__(self, descriptor: int, left_out_line: LeftOutLine) -> None:
+        self._descriptor = descriptor
+        self._left_out_line = left_out_line
+        self._buffer = bytearray()
+        self._allowances = {
+            True: _Allowance(ROUTINE_LINES_PER_SECOND),
+            False: _Allowance(OTHER_LINES_PER_SECOND),
+        }
+        self._left_out = {True: 0, False: 0}
+        self._scheduled = False
+        self._waiting: asyncio.AbstractEventLoop | None = None
+        self._selectable = _make_nonblocking(descriptor)
+
+    def write(self, line: bytes, routine: bool) -> None:
+        """Take one line; it may be left out."""
+        limit = BUFFER_BYTES * (ROUTINE_SHARE if routine else 1.0)
+        if len(self._buffer) + len(line) > limit or not self._allowances[routine].take():
+            self._left_out[routine] += 1
+            return
+        self._append(line)
+        self._schedule()
+
+    def _append(self, line: bytes) -> None:
+        self._buffer += line
+        self._buffer += b"\n"
+
+    def _schedule(self) -> None:
+        if self._scheduled or self._waiting is not None:
+            return
+        try:
+            loop = asyncio.get_running_loop()
+        except RuntimeError:
+            self.close()
+            return
+        self._scheduled = True
+        loop.call_later(BATCH_SECONDS, self._flush)
+
+    def _flush(self) -> None:
+        self._scheduled = False
+        self._write_some()
+        if self._buffer and self._selectable and self._waiting is None:
+            self._waiting = asyncio.get_running_loop()
+            self._waiting.add_writer(self._descriptor, self._on_writable)
+
+    def _on_writable(self) -> None:
+        self._write_some()
+        if not self._buffer and self._waiting is not None:
+            self._waiting.remove_writer(self._descriptor)
+            self._waiting = None
+
+    def _write_some(self) -> None:
+        if any(self._left_out.values()) and len(self._buffer) < BUFFER_BYTES // 2:
+            self._append(self._left_out_line(self._left_out[True], self._left_out[False]))
+            self._left_out = {True: 0, False: 0}
+        try:
+            written = os.write(self._descriptor, self._buffer)
+        except BlockingIOError:
+            return
+        except OSError:
+            written = len(self._buffer)  # nobody reads any more; lines have nowhere to go
+        del self._buffer[:written]
+
+    def close(self) -> None:
+        """Write what is left, for ``CLOSE_SECONDS`` at most."""
+        give_up_at = time.monotonic() + CLOSE_SECONDS
+        while self._buffer and time.monotonic() < give_up_at:
+            before = len(self._buffer)
+            self._write_some()
+            if len(self._buffer) == before:
+                time.sleep(BATCH_SECONDS / 10)
+
+
+def _make_nonblocking(descriptor: int) -> bool:
+    """Make a pipe or socket non-blocking; files never block and terminals are shared."""
+    mode = os.fstat(descriptor).st_mode
+    if not (stat.S_ISFIFO(mode) or stat.S_ISSOCK(mode)):
+        return False
+    os.set_blocking(descriptor, False)
+    return True
--- a/src/pewtertack/node/assembly.py
+++ b/src/pewtertack/node/assembly.py
@@ -71,7 +71,7 @@
     profile = PROFILES[settings.profile.name.value]
     gate = ServingGate(profile.pause_threshold)
     proxy = _proxy(settings, gate, registry, log)
-    gateway = _gateway(settings)
+    gateway = _gateway(settings, log)
     source = SourceProperties(settings.source.durable)
     core = NodeCore(identity, profile, Random(), started, seeds, source)
     runtime = Runtime(core, profile.tick, gate, transport, reader, proxy, log, gateway)
@@ -110,13 +110,14 @@
     )
 
 
-def _gateway(settings: Settings) -> GatewayApplication | None:
+def _gateway(settings: Settings, log: EventLog) -> GatewayApplication | None:
     """Return the gateway part, where a back end is beside the node."""
     if settings.listen.gateway is None or settings.backend.address is None:
         return None
     from pewtertack.node.gateway.application import GatewayApplication
 
-    return GatewayApplication(clock.now, str(settings.backend.address), _edge(settings))
+    address = str(settings.backend.address)
+    return GatewayApplication(clock.now, address, _edge(settings), log.record)
 
 
 def _edge(settings: Settings) -> EdgeHeaders:
--- a/src/pewtertack/node/daemon.py
+++ b/src/pewtertack/node/daemon.py
@@ -73,10 +73,10 @@
         failures = _leaves(group)
     for failure in failures:
         parts.log.record(Event.NODE_FAILED, type=type(failure).__name__, reason=str(failure))
-    if failures:
-        return EXIT_FAILED
-    parts.log.record(Event.NODE_STOPPED)
-    return EXIT_FINISHED
+    if not failures:
+        parts.log.record(Event.NODE_STOPPED)
+    parts.log.close()
+    return EXIT_FAILED if failures else EXIT_FINISHED
 
 
 async def _run_until_drained(parts: NodeParts) -> None:
--- a/src/pewtertack/node/gateway/application.py
+++ b/src/pewtertack/node/gateway/application.py
@@ -15,6 +15,7 @@
 from pewtertack.node.proxy.edge import NODE_EDGE, EdgeHeaders
 from pewtertack.node.proxy.exchange import TruncatedAnswerError
 from pewtertack.node.proxy.headers import RawHeaders, RequestHead, read_head
+from pewtertack.node.proxy.request_log import GatewayLog, RecordEvent, ignore_event
 from pewtertack.node.proxy.upstream import ConnectionStore
 from pewtertack.routing.admission import Admission
 from pewtertack.routing.deadlines import deadline_of
@@ -56,12 +57,20 @@
         clock: monotonic time in seconds.
         address: ``ip:port`` of the back end beside this node.
         edge: header names of the back end.
+        log: receives events of the 6xx numbers.
     """
 
-    def __init__(self, clock: Callable[[], float], address: str, edge: EdgeHeaders) -> None:
+    def __init__(
+        self,
+        clock: Callable[[], float],
+        address: str,
+        edge: EdgeHeaders,
+        log: RecordEvent = ignore_event,
+    ) -> None:
         self._clock = clock
         self._address = address
-        self._parts = GatewayParts(clock, ConnectionStore(clock), edge, address)
+        self._log = GatewayLog(log, clock)
+        self._parts = GatewayParts(clock, ConnectionStore(clock), edge, address, self._log)
         self._incarnations: dict[str, _Incarnation] = {}
         self._draining = False
         self._in_flight = 0
@@ -136,7 +145,11 @@
             request = read_hop(scope["headers"])
             await self._forward(scope, receive, send, head, request)
         except RequestFailedError as error:
-            await _refuse(send, error, head, self._load_of(request))
+            load = self._load_of(request)
+            backend = request.backend if request is not None else ""
+            told = load[0][1].decode() if load else ""
+            self._log.refused(head.request_id, backend, error, told)
+            await _refuse(send, error, head, load)
 
     def _load_of(self, request: HopRequest | None) -> RawHeaders:
         found = self._incarnations.get(request.backend) if request is not None else None
--- a/src/pewtertack/node/gateway/forwarding.py
+++ b/src/pewtertack/node/gateway/forwarding.py
@@ -23,6 +23,7 @@
     without_names,
 )
 from pewtertack.node.proxy.lifetime import LifeEnd, RequestLife
+from pewtertack.node.proxy.request_log import GatewayLog
 from pewtertack.node.proxy.upstream import ConnectionStore
 from pewtertack.routing.admission import Admission, AdmissionTicket
 from pewtertack.routing.outcomes import DeadlineExceededError, Outcome, RequestFailedError
@@ -39,6 +40,7 @@
     connections: ConnectionStore
     edge: EdgeHeaders
     address: str
+    log: GatewayLog
 
 
 class GatewayForwarding:
@@ -88,6 +90,7 @@
         if end is LifeEnd.FINISHED:
             return
         if end is LifeEnd.CALLER_GONE:
+            self._parts.log.cancelled(self._request_id, self._request.backend, self._sent)
             raise CallerGoneError
         if self._exchange.started:
             raise TruncatedAnswerError("the deadline passed during the answer")
@@ -97,10 +100,13 @@
 
     async def _admit_and_exchange(self) -> None:
         await self._wait_for_slot()
+        log, request = self._parts.log, self._request_id
+        log.admitted(request, self._request.backend, self._ticket, self._admission)
         answered = False
         try:
             await self._attempt()
             answered = True
+            log.answered(request, self._request.backend, self.status, self._ticket)
         finally:
             self._admission.finish(self._ticket, self._parts.clock(), answered)
 
@@ -113,6 +119,7 @@
             raise
         if ticket.granted:
             return
+        self._parts.log.queued(self._request_id, self._request.backend, ticket, self._admission)
         try:
             await self._wait_for_grant()
         except BaseException:
--- a/src/pewtertack/node/proxy/application.py
+++ b/src/pewtertack/node/proxy/application.py
@@ -4,7 +4,6 @@
 
 from collections.abc import Callable
 from random import Random
-from typing import Any, Protocol
 
 import anyio
 from prometheus_client import CollectorRegistry
@@ -24,9 +23,16 @@
     DispatcherCollector,
     RequestMetrics,
 )
+from pewtertack.node.proxy.request_log import Beliefs, ProxyLog, RecordEvent, ignore_event
 from pewtertack.node.proxy.upstream import ConnectionStore
 from pewtertack.routing.deadlines import deadline_of
-from pewtertack.routing.dispatcher import BackendChanged, BackendEvent, BackendLeaving, Dispatcher
+from pewtertack.routing.dispatcher import (
+    BackendChanged,
+    BackendEvent,
+    BackendLeaving,
+    BackendListed,
+    Dispatcher,
+)
 from pewtertack.routing.outcomes import (
     DrainingError,
     InternalError,
@@ -35,26 +41,19 @@
     ProtocolVersionError,
     RequestFailedError,
 )
+from pewtertack.routing.registry import ListChange
 from pewtertack.routing.table import RouteTable
 
-REFUSAL_LOG_INTERVAL = 1.0
-"""Refusals of one type are logged at most once in so many seconds; metrics count all."""
-
-
-class RecordEvent(Protocol):
-    """``pewtertack.log.EventLog.record``."""
-
-    def __call__(self, event: Event, **fields: Any) -> None:
-        """Record an event with its fields."""
-
 
 def _always() -> bool:
     return True
 
 
-def _ignore_event(event: Event, **fields: Any) -> None:
-    """Log nothing."""
-
+LIST_EVENTS = {
+    ListChange.SEEN: Event.BACKEND_SEEN,
+    ListChange.LEAVING: Event.BACKEND_LEAVING,
+    ListChange.GONE: Event.BACKEND_GONE,
+}
 
 LeavingObserver = Callable[[str, str], None]
 """Told the name and the address of a back end whose own answer says that it leaves."""
@@ -87,7 +86,7 @@
         *,
         may_serve: Callable[[], bool] = _always,
         registry: CollectorRegistry | None = None,
-        log: RecordEvent = _ignore_event,
+        log: RecordEvent = ignore_event,
         edge: EdgeHeaders = PRODUCT_EDGE,
         caller_service: str = "",
     ) -> None:
@@ -98,8 +97,10 @@
         self._log = log
         self._table: RouteTable | None = None
         dispatcher = Dispatcher(random, self._note_backend_event)
+        self._beliefs = Beliefs()
+        self._request_log = ProxyLog(log, clock, self._beliefs)
         self._parts = ForwardingParts(
-            clock, dispatcher, ConnectionStore(clock), edge, caller_service
+            clock, dispatcher, ConnectionStore(clock), edge, caller_service, self._request_log
         )
         registry = registry or CollectorRegistry()
         self._metrics = RequestMetrics(registry)
@@ -110,7 +111,6 @@
         self._leaving = False
         self._in_flight = 0
         self._idle = anyio.Event()
-        self._logged_at: dict[str, float] = {}
         self._tell_leaving: LeavingObserver = _ignore_leaving
 
     @property
@@ -125,12 +125,16 @@
     def use_configuration(self, configuration: ResolvedConfiguration) -> None:
         """Serve requests that begin from now on by ``configuration``."""
         self._table = RouteTable(configuration)
+        self._beliefs.revision = configuration.revision.number
+        self._beliefs.revision_at = self._clock()
         self._parts.dispatcher.use_zone(configuration.zone)
         routes = frozenset(route.name for route in configuration.routes)
         self._parts.dispatcher.keep_only(routes, configuration.services)
 
     def use_machines(self, machines: MachineList) -> None:
         """Take over a newer machine list; an older one is ignored."""
+        self._beliefs.machine_list = machines.number
+        self._beliefs.machine_list_at = self._clock()
         self._parts.dispatcher.use_machines(machines, self._clock())
         self._parts.connections.keep_only(self._parts.dispatcher.addresses())
 
@@ -185,23 +189,25 @@
         head: RequestHead,
         route: ResolvedRoute | None,
     ) -> None:
-        """Answer with a failure; count it, and log it once a second for each type."""
+        """Answer with a failure; count and log it."""
         self._metrics.note_failed(route, error.code)
-        now = self._clock()
-        if now - self._logged_at.get(error.code, float("-inf")) >= REFUSAL_LOG_INTERVAL:
-            self._logged_at[error.code] = now
-            self._log(
-                Event.REQUEST_REFUSED,
-                type=error.code,
-                outcome=error.outcome,
-                request=head.request_id,
-            )
+        self._request_log.refused(head.request_id, route, error)
         await send_failure(send, error, head.request_id, self._edge)
 
-    def _note_backend_event(self, change: BackendEvent) -> None:
-        match change:
+    def _note_backend_event(self, happened: BackendEvent) -> None:
+        match happened:
             case BackendLeaving(backend):
+                self._log(Event.BACKEND_LEAVING, backend=backend.name, source="answer")
                 self._tell_leaving(backend.name, backend.address)
+            case BackendListed(backend, change):
+                self._log(
+                    LIST_EVENTS[change],
+                    backend=backend.name,
+                    service=backend.service,
+                    zone=backend.zone,
+                    address=backend.address,
+                    machine_list=self._beliefs.machine_list,
+                )
             case BackendChanged(backend, ejected):
                 event = Event.BACKEND_EJECTED if ejected else Event.BACKEND_RETURNED
                 self._log(event, backend=backend.name, service=backend.service)
@@ -224,14 +230,20 @@
         )
         try:
             await forwarding.run()
-            self._metrics.note_answered(route, self._clock() - began)
+            took = self._clock() - began
+            self._metrics.note_answered(route, took)
+            self._request_log.answered(head.request_id, forwarding.ticket, forwarding.status, took)
         except RequestFailedError as error:
             await self._refuse(send, error.with_retries_spent(), head, route)
         except CallerGoneError:
             self._metrics.note_failed(route, CALLER_GONE)
+            took = self._clock() - began
+            self._request_log.ended(Event.REQUEST_CANCELLED, head.request_id, route, took)
         except TruncatedAnswerError:
             # uvicorn cuts a connection whose answer was left incomplete
             self._metrics.note_failed(route, TRUNCATED)
+            took = self._clock() - began
+            self._request_log.ended(Event.REQUEST_CUT, head.request_id, route, took)
         except Exception:
             if forwarding.status == 0:
                 await self._refuse(send, InternalError("unexpected error"), head, route)
--- a/src/pewtertack/node/proxy/body.py
+++ b/src/pewtertack/node/proxy/body.py
@@ -9,8 +9,8 @@
 from pewtertack.node.proxy.answers import Receive
 from pewtertack.routing.outcomes import SlowRequestError
 
-REPLAY_BYTES = 64 * 1024
-"""A longer body cannot be sent a second time."""
+REPLAY_BYTES = 512 * 1024
+"""A longer body cannot be sent a second time: to another gateway, or as a retry."""
 IDLE_SECONDS = 10.0
 """A caller that sends nothing of its body for this long is refused."""
 
--- a/src/pewtertack/node/proxy/forwarding.py
+++ b/src/pewtertack/node/proxy/forwarding.py
@@ -22,9 +22,10 @@
     forwarded_headers,
 )
 from pewtertack.node.proxy.lifetime import LifeEnd, RequestLife
+from pewtertack.node.proxy.request_log import ProxyLog
 from pewtertack.node.proxy.upstream import ConnectionStore
 from pewtertack.routing.backend import Backend, parse_load
-from pewtertack.routing.dispatcher import AttemptEnd, Dispatcher
+from pewtertack.routing.dispatcher import AttemptEnd, Dispatcher, RetryDecision
 from pewtertack.routing.outcomes import (
     BackendShedError,
     BackendUnreachableError,
@@ -48,6 +49,7 @@
     """Header names towards callers, and back ends without a gateway."""
     caller_service: str = ""
     """The service whose back end is beside this node."""
+    log: ProxyLog | None = None
 
 
 class Forwarding:
@@ -71,6 +73,7 @@
         self._head = head
         self._headers = forwarded_headers(scope["headers"], head, configuration, route, parts.edge)
         self._service = configuration.services[route.service]
+        self._revision = configuration.revision.number
         self._body = RequestBody(receive, head.has_body)
         self._exchange = Exchange(scope, send, head, self._body, self._note_answer, parts.edge)
         self._ticket = Ticket(route, self._service, deadline)
@@ -79,6 +82,11 @@
         self._sent = False
         """Whether an attempt may have run."""
 
+    @property
+    def ticket(self) -> Ticket:
+        """The newest attempt's place."""
+        return self._ticket
+
     @property
     def status(self) -> int:
         """Status of the answer that was passed on, 0 without one."""
@@ -116,14 +124,25 @@
             except RequestFailedError as error:
                 self._sent = self._sent or error.outcome is Outcome.UNKNOWN
                 now = self._parts.clock()
-                ticket = self._parts.dispatcher.retry(
+                decision = self._parts.dispatcher.decide_retry(
                     self._ticket, error, now, self._body.replayable
                 )
-                if ticket is None:
+                self._log_decision(error, decision)
+                if decision.ticket is None:
                     raise
-                self._ticket = ticket
+                self._ticket = decision.ticket
                 self.retries += 1
 
+    def _log_decision(self, error: RequestFailedError, decision: RetryDecision) -> None:
+        log = self._parts.log
+        if log is None:
+            return
+        request = self._head.request_id
+        if decision.ticket is None:
+            log.not_retried(request, self._ticket, error, decision.reason)
+        else:
+            log.retried(request, self._ticket, error, decision.reason)
+
     async def _wait_for_backend(self) -> None:
         dispatcher = self._parts.dispatcher
         ticket = self._ticket
@@ -153,6 +172,8 @@
     async def _attempt(self) -> None:
         backend = self._ticket.backend
         assert backend is not None
+        if self._parts.log is not None:
+            self._parts.log.routed(self._head.request_id, self._ticket, self._revision)
         end = AttemptEnd.CANCELLED
         try:
             await self._exchange_with(backend)
--- /dev/null
+++ b/src/pewtertack/node/proxy/request_log.py
@@ -0,0 +1,225 @@
+"""Log lines of the decisions that a proxy or a gateway makes for one request.
+
+Each line carries what decided it, how old that was, and what came of it. ``docs/EVENTS.md``
+lists the events, ``pewtertack trace`` puts the lines of one request together.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from dataclasses import dataclass
+from typing import Any, Protocol
+
+from pewtertack.core.configuration.resolved import ResolvedRoute
+from pewtertack.events import Event
+from pewtertack.routing.admission import Admission, AdmissionTicket
+from pewtertack.routing.outcomes import RequestFailedError
+from pewtertack.routing.queueing import Ticket
+from pewtertack.routing.retries import RetryReason
+
+
+class RecordEvent(Protocol):
+    """``pewtertack.log.EventLog.record``."""
+
+    def __call__(self, event: Event, **fields: Any) -> None:
+        """Record an event with its fields."""
+
+
+def ignore_event(event: Event, **fields: Any) -> None:
+    """Log nothing."""
+
+
+def milliseconds(seconds: float) -> float:
+    """Return ``seconds`` in milliseconds, short enough for a log line."""
+    return round(seconds * 1000, 1)
+
+
+@dataclass(slots=True)
+class Beliefs:
+    """Versions by which a proxy decides, and since when it has them (monotonic seconds)."""
+
+    revision: int = 0
+    revision_at: float = 0.0
+    machine_list: int = 0
+    machine_list_at: float = 0.0
+
+
+class ProxyLog:
+    """Lines of a proxy. Times in fields are milliseconds, ages seconds."""
+
+    def __init__(self, record: RecordEvent, clock: Callable[[], float], beliefs: Beliefs) -> None:
+        self._record = record
+        self._clock = clock
+        self._beliefs = beliefs
+
+    def routed(self, request: str, ticket: Ticket, revision: int) -> None:
+        """An attempt has its back end."""
+        backend = ticket.backend
+        assert backend is not None
+        now = self._clock()
+        known = self._beliefs
+        self._record(
+            Event.REQUEST_ROUTED,
+            request=request,
+            route=ticket.route.name,
+            service=ticket.route.service,
+            backend=backend.name,
+            zone=backend.zone,
+            attempt=len(ticket.excluded) + 1,
+            reason=ticket.choice,
+            load=f"{round(backend.occupancy(now) * _slots(ticket), 1)}/{_slots(ticket)}",
+            load_age=_age(now, backend.reported_at),
+            slowness=round(backend.slowness, 2),
+            revision=revision,
+            revision_age=_age(now, known.revision_at),
+            machine_list=known.machine_list,
+            machine_list_age=_age(now, known.machine_list_at),
+            left=milliseconds(ticket.deadline - now),
+        )
+
+    def retried(
+        self, request: str, ticket: Ticket, error: RequestFailedError, reason: RetryReason
+    ) -> None:
+        """An attempt failed and the request is sent once more."""
+        self._after_failure(Event.REQUEST_RETRIED, request, ticket, error, reason)
+
+    def not_retried(
+        self, request: str, ticket: Ticket, error: RequestFailedError, reason: RetryReason
+    ) -> None:
+        """An attempt failed and the request ends with that."""
+        self._after_failure(Event.REQUEST_NOT_RETRIED, request, ticket, error, reason)
+
+    def _after_failure(
+        self,
+        event: Event,
+        request: str,
+        ticket: Ticket,
+        error: RequestFailedError,
+        reason: RetryReason,
+    ) -> None:
+        backend = ticket.backend
+        self._record(
+            event,
+            request=request,
+            route=ticket.route.name,
+            backend=backend.name if backend is not None else "",
+            attempt=len(ticket.excluded) + 1,
+            type=error.code,
+            outcome=error.outcome,
+            detail=error.message,
+            reason=reason.value,
+            left=milliseconds(ticket.deadline - self._clock()),
+        )
+
+    def answered(self, request: str, ticket: Ticket, status: int, seconds: float) -> None:
+        """The whole answer went to the caller."""
+        backend = ticket.backend
+        self._record(
+            Event.REQUEST_ANSWERED,
+            request=request,
+            backend=backend.name if backend is not None else "",
+            attempt=len(ticket.excluded) + 1,
+            status=status,
+            took=milliseconds(seconds),
+            queued=milliseconds(ticket.queued),
+        )
+
+    def refused(self, request: str, route: ResolvedRoute | None, error: RequestFailedError) -> None:
+        """The request ends without a back end's answer."""
+        self._record(
+            Event.REQUEST_REFUSED,
+            request=request,
+            route=route.name if route is not None else "",
+            type=error.code,
+            outcome=error.outcome,
+            detail=error.message,
+            status=error.answer_status,
+            retry_after=error.retry_after,
+            revision=self._beliefs.revision,
+            machine_list=self._beliefs.machine_list,
+        )
+
+    def ended(self, event: Event, request: str, route: ResolvedRoute, seconds: float) -> None:
+        """The request was cut, or its caller left."""
+        self._record(event, request=request, route=route.name, took=milliseconds(seconds))
+
+
+class GatewayLog:
+    """Lines of a gateway."""
+
+    def __init__(self, record: RecordEvent, clock: Callable[[], float]) -> None:
+        self._record = record
+        self._clock = clock
+
+    def queued(
+        self, request: str, backend: str, ticket: AdmissionTicket, admission: Admission
+    ) -> None:
+        """The request waits for a slot."""
+        self._on_ticket(Event.GATEWAY_QUEUED, request, backend, ticket, admission)
+
+    def admitted(
+        self, request: str, backend: str, ticket: AdmissionTicket, admission: Admission
+    ) -> None:
+        """The request goes to the back end."""
+        self._on_ticket(Event.GATEWAY_ADMITTED, request, backend, ticket, admission)
+
+    def _on_ticket(
+        self,
+        event: Event,
+        request: str,
+        backend: str,
+        ticket: AdmissionTicket,
+        admission: Admission,
+    ) -> None:
+        now = self._clock()
+        self._record(
+            event,
+            request=request,
+            backend=backend,
+            rank=ticket.rank,
+            in_flight=admission.in_flight,
+            slots=admission.slots,
+            load=admission.load,
+            waited=milliseconds(now - ticket.submitted_at),
+            expected=milliseconds(admission.expected_time(ticket.route)),
+            left=milliseconds(ticket.deadline - now),
+        )
+
+    def refused(self, request: str, backend: str, error: RequestFailedError, load: str) -> None:
+        """The request ends here; ``load`` is the back end's, as far as known."""
+        event = Event.GATEWAY_FAILED if error.offered else Event.GATEWAY_REFUSED
+        self._record(
+            event,
+            request=request,
+            backend=backend,
+            type=error.code,
+            outcome=error.outcome,
+            detail=error.message,
+            retry_after=error.retry_after,
+            load=load,
+        )
+
+    def answered(self, request: str, backend: str, status: int, ticket: AdmissionTicket) -> None:
+        """The whole answer went back to the proxy."""
+        seconds = self._clock() - ticket.started_at
+        self._record(
+            Event.GATEWAY_ANSWERED,
+            request=request,
+            backend=backend,
+            status=status,
+            took=milliseconds(seconds),
+        )
+
+    def cancelled(self, request: str, backend: str, sent: bool) -> None:
+        """The proxy has given the request up; ``sent`` tells whether it may have run."""
+        self._record(Event.GATEWAY_CANCELLED, request=request, backend=backend, sent=sent)
+
+
+def _slots(ticket: Ticket) -> int:
+    assert ticket.backend is not None
+    return ticket.backend.slots or ticket.service.slots_per_backend
+
+
+def _age(now: float, since: float) -> float | None:
+    """Return the seconds since a moment, ``None`` for one that never was."""
+    return round(now - since, 3) if since > 0 else None
--- a/src/pewtertack/routing/dispatcher.py
+++ b/src/pewtertack/routing/dispatcher.py
@@ -17,13 +17,15 @@
 from pewtertack.routing.backend import Backend, LoadReport
 from pewtertack.routing.outcomes import RequestFailedError
 from pewtertack.routing.queueing import Ticket
-from pewtertack.routing.registry import BackendRegistry
+from pewtertack.routing.registry import BackendRegistry, ListChange
 from pewtertack.routing.retries import (
+    GRANTED_REASONS,
     MAXIMUM_REFUSALS,
     AttemptRecord,
     RetryBudget,
+    RetryReason,
     burst_of,
-    may_retry,
+    judge_retry,
 )
 from pewtertack.routing.service import ServiceDispatcher
 from pewtertack.routing.splits import SplitPicker
@@ -77,7 +79,23 @@
     backend: Backend
 
 
-BackendEvent = BackendChanged | BackendLeaving
+@dataclass(frozen=True, slots=True)
+class BackendListed:
+    """The machine list changed what it says of a back end."""
+
+    backend: Backend
+    change: ListChange
+
+
+@dataclass(frozen=True, slots=True)
+class RetryDecision:
+    """Why a request is sent once more, with its ``ticket``, or why not."""
+
+    reason: RetryReason
+    ticket: Ticket | None = None
+
+
+BackendEvent = BackendChanged | BackendLeaving | BackendListed
 
 
 def _ignore_event(event: BackendEvent) -> None:
@@ -122,6 +140,8 @@
     def use_machines(self, machines: MachineList, now: float) -> None:
         """Take over a newer machine list; an older one is ignored."""
         if self._registry.update(machines, now):
+            for backend, change in self._registry.changes:
+                self._notify(BackendListed(backend, change))
             self._use_burst(machines)
             self._spread_backends()
             for service in self._services.values():
@@ -245,6 +265,12 @@
         self, ticket: Ticket, error: RequestFailedError, now: float, replayable: bool
     ) -> Ticket | None:
         """Return a ticket for one more attempt, or ``None`` when the request ends here."""
+        return self.decide_retry(ticket, error, now, replayable).ticket
+
+    def decide_retry(
+        self, ticket: Ticket, error: RequestFailedError, now: float, replayable: bool
+    ) -> RetryDecision:
+        """Decide whether the request is sent once more, and say why."""
         assert ticket.backend is not None
         service = self.service(ticket.route.service)
         if not error.offered and ticket.backend.gateway:
@@ -256,19 +282,24 @@
             service.expected_time(ticket.route.name),
             replayable,
         )
-        if not may_retry(record, error, now) or not self._budget(ticket).withdraw():
-            return None
-        return _next_attempt(ticket, ticket.refusals)
+        reason = judge_retry(record, error, now)
+        if reason in GRANTED_REASONS and not self._budget(ticket).withdraw():
+            reason = RetryReason.BUDGET
+        granted = reason in GRANTED_REASONS
+        return RetryDecision(reason, _next_attempt(ticket, ticket.refusals) if granted else None)
 
-    def _next_gateway(self, ticket: Ticket, now: float, replayable: bool) -> Ticket | None:
+    def _next_gateway(self, ticket: Ticket, now: float, replayable: bool) -> RetryDecision:
         """No back end has seen the request: ask another gateway, which costs no retry."""
         refusals = ticket.refusals + 1
-        if not replayable or refusals >= MAXIMUM_REFUSALS or now >= ticket.deadline:
-            return None
+        if not replayable:
+            return RetryDecision(RetryReason.BODY_GONE)
+        if now >= ticket.deadline:
+            return RetryDecision(RetryReason.NO_TIME)
         following = _next_attempt(ticket, refusals)
-        if not self.service(ticket.route.service).has_other(following.excluded, now):
-            return None
-        return following
+        service = self.service(ticket.route.service)
+        if refusals >= MAXIMUM_REFUSALS or not service.has_other(following.excluded, now):
+            return RetryDecision(RetryReason.NO_GATEWAY)
+        return RetryDecision(RetryReason.NEXT_GATEWAY, following)
 
     def _budget(self, ticket: Ticket) -> RetryBudget:
         budget = self._budgets.get(ticket.service.name)
--- a/src/pewtertack/routing/registry.py
+++ b/src/pewtertack/routing/registry.py
@@ -2,7 +2,8 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterable
+from collections.abc import Iterable, Iterator
+from enum import Enum
 from typing import NamedTuple
 
 from pewtertack.core.machines import Machine, MachineList, MachineRole, MachineState
@@ -12,6 +13,14 @@
 """Incarnations remembered as leaving."""
 
 
+class ListChange(Enum):
+    """What a newer list says of a back end that the one before did not."""
+
+    SEEN = "seen"
+    LEAVING = "leaving"
+    GONE = "gone"
+
+
 class _Incarnation(NamedTuple):
     """What tells one life of a back end from the next."""
 
@@ -28,6 +37,8 @@
         self._backends: dict[str, Backend] = {}
         self._services: dict[str, tuple[Backend, ...]] = {}
         self._left: dict[_Incarnation, None] = {}
+        self.changes: tuple[tuple[Backend, ListChange], ...] = ()
+        """What the newest list changed."""
 
     def update(self, machines: MachineList, now: float) -> bool:
         """Take over a newer list; return false for an older one, which is ignored.
@@ -39,13 +50,29 @@
         if machines.number < self._number:
             return False
         self._number = machines.number
+        before = {name: backend.leaving for name, backend in self._backends.items()}
+        known = self._backends
         listed = [machine for machine in machines.machines if machine.role is MachineRole.BACKEND]
         for backend in self._backends.values():
             backend.removed = True
         self._backends = {machine.name: self._current(machine, now) for machine in listed}
         self._services = _by_service(self._backends.values())
+        self.changes = tuple(self._compare(known, before))
         return True
 
+    def _compare(
+        self, known: dict[str, Backend], was_leaving: dict[str, bool]
+    ) -> Iterator[tuple[Backend, ListChange]]:
+        """Yield what the newest list changed."""
+        for name, backend in known.items():
+            if self._backends.get(name) is not backend:
+                yield backend, ListChange.GONE
+        for name, backend in self._backends.items():
+            if known.get(name) is not backend:
+                yield backend, ListChange.SEEN
+            if backend.leaving and not was_leaving.get(name, False):
+                yield backend, ListChange.LEAVING
+
     def _current(self, machine: Machine, now: float) -> Backend:
         backend = self._backends.get(machine.name)
         incarnation = _Incarnation(machine.name, machine.address, machine.service)
--- a/src/pewtertack/routing/retries.py
+++ b/src/pewtertack/routing/retries.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from dataclasses import dataclass
+from enum import Enum
 
 from pewtertack.core.configuration.resolved import ResolvedRoute
 from pewtertack.routing.outcomes import InvalidRequestError, Outcome, RequestFailedError
@@ -60,18 +61,39 @@
     """No byte of the body was consumed, or all of it is buffered."""
 
 
-def may_retry(record: AttemptRecord, error: RequestFailedError, now: float) -> bool:
-    """Tell whether another attempt is right, before the budget is asked.
+class RetryReason(Enum):
+    """Why a request is, or is not, sent once more after an attempt failed."""
+
+    NOT_RUN = "not-run"
+    REPEATABLE = "repeatable"
+    NEXT_GATEWAY = "no back end has seen it: another gateway is asked"
+    CALLERS_FAULT = "the request itself is at fault"
+    MAY_HAVE_RUN = "it may have run and may not be repeated"
+    BODY_GONE = "its body cannot be sent again"
+    LIMIT = "the route's limit of attempts is reached"
+    NO_TIME = "no time is left for another attempt"
+    BUDGET = "the retry budget is spent"
+    NO_GATEWAY = "no other gateway may be asked"
+
+
+GRANTED_REASONS = frozenset({RetryReason.NOT_RUN, RetryReason.REPEATABLE, RetryReason.NEXT_GATEWAY})
+
+
+def judge_retry(record: AttemptRecord, error: RequestFailedError, now: float) -> RetryReason:
+    """Tell whether another attempt is right and why, before the budget is asked.
 
     A request that may not be repeated is attempted again only when it is
     certain that it did not run.
     """
     if isinstance(error, InvalidRequestError):
-        return False
-    if error.outcome is not Outcome.NOT_RUN and not record.route.repeatable:
-        return False
-    return (
-        record.body_replayable
-        and record.retries < record.route.retry_limit
-        and now + record.expected_time < record.deadline
-    )
+        return RetryReason.CALLERS_FAULT
+    not_run = error.outcome is Outcome.NOT_RUN
+    if not not_run and not record.route.repeatable:
+        return RetryReason.MAY_HAVE_RUN
+    if not record.body_replayable:
+        return RetryReason.BODY_GONE
+    if record.retries >= record.route.retry_limit:
+        return RetryReason.LIMIT
+    if now + record.expected_time >= record.deadline:
+        return RetryReason.NO_TIME
+    return RetryReason.NOT_RUN if not_run else RetryReason.REPEATABLE
--- a/src/pewtertack/routing/service.py
+++ b/src/pewtertack/routing/service.py
@@ -23,6 +23,10 @@
 MINIMUM_CAPACITY = 0.1
 LARGE_BODY = 16 * 1024
 """A request with a longer body goes to another zone only to meet its deadline."""
+OWN_ZONE = "own-zone"
+NONE_IN_ZONE = "no untried back end in the own zone"
+OWN_ZONE_BUSY = "the own zone's back ends take no work in time"
+"""Reasons of a choice, for the log."""
 POLL_SECONDS = 0.25
 """While nothing can start, waiting requests look again after this long at most."""
 
@@ -190,6 +194,7 @@
         self.in_flight += 1
         ticket.trial = backend.health.begin()
         ticket.backend = backend
+        ticket.choice = OWN_ZONE if backend in self._local else self._why_other_zone(ticket)
         ticket.started_at = now
         return True
 
@@ -200,6 +205,11 @@
         patience = patient_until - now - expected
         return Wish(expected, self._mean_time, max(0.0, patience), ticket.excluded)
 
+    def _why_other_zone(self, ticket: Ticket) -> str:
+        if not any(item.name not in ticket.excluded for item in self._local):
+            return NONE_IN_ZONE
+        return OWN_ZONE_BUSY
+
     def may_eject(self) -> bool:
         """Tell whether answered failures may eject one more: never more than half."""
         ejected = sum(item.health.ejected for item in self.backends)
--- /dev/null
+++ b/src/pewtertack/tracing/reading.py
@@ -0,0 +1,100 @@
+"""Reads nodes' logs: JSON lines, with or without another program's prefix on each line."""
+
+from __future__ import annotations
+
+from collections.abc import Iterable, Iterator
+from dataclasses import dataclass
+from pathlib import Path
+from typing import Any
+
+import msgspec
+
+from pewtertack.tracing.errors import LogUnreadableError, LogWithoutLinesError
+
+COMMON_FIELDS = frozenset({"time", "number", "event", "node", "incarnation", "uptime"})
+
+
+@dataclass(frozen=True, slots=True)
+class LogLine:
+    """One event of one process.
+
+    ``time`` is the node's Unix time and may jump; ``uptime`` is steady within the
+    process ``(node, incarnation)``.
+    """
+
+    time: float
+    event: str
+    node: str
+    incarnation: int
+    uptime: float
+    fields: dict[str, Any]
+
+    @property
+    def request(self) -> str:
+        """Id of the request that the line is about, "" for none."""
+        return str(self.fields.get("request", ""))
+
+
+@dataclass(slots=True)
+class ReadCounts:
+    """What was read. ``broken`` lines begin like an event but are cut or damaged."""
+
+    lines: int = 0
+    broken: int = 0
+    left_out: int = 0
+    """Lines that nodes say they did not write."""
+
+
+def read_logs(paths: Iterable[Path], counts: ReadCounts) -> list[LogLine]:
+    """Return the events of all files.
+
+    Raises:
+        LogUnreadableError: a file cannot be read.
+        LogWithoutLinesError: a file holds no event.
+    """
+    found: list[LogLine] = []
+    for path in paths:
+        lines = list(_read_file(path, counts))
+        if not lines:
+            raise LogWithoutLinesError(f"{path}: no line of a node's log")
+        found += lines
+    return found
+
+
+def _read_file(path: Path, counts: ReadCounts) -> Iterator[LogLine]:
+    try:
+        with path.open("rb") as file:
+            for raw in file:
+                line = _read_line(raw, counts)
+                if line is not None:
+                    yield line
+    except OSError as error:
+        raise LogUnreadableError(f"{path}: {error.strerror}") from error
+
+
+def _read_line(raw: bytes, counts: ReadCounts) -> LogLine | None:
+    start = raw.find(b'{"time"')
+    if start < 0:
+        return None
+    try:
+        value = msgspec.json.decode(raw[start:])
+        line = _line_of(value)
+    except (msgspec.MsgspecError, KeyError, TypeError, ValueError):
+        counts.broken += 1
+        return None
+    counts.lines += 1
+    if line.event == "LOG_LINES_LEFT_OUT":
+        counts.left_out += int(line.fields["routine"]) + int(line.fields["other"])
+    return line
+
+
+def _line_of(value: dict[str, Any]) -> LogLine:
+    rest = {name: item for name, item in value.items() if name not in COMMON_FIELDS}
+    return LogLine(
+        time=float(value["time"]),
+        event=str(value["event"]),
+        node=str(value["node"]),
+        incarnation=int(value["incarnation"]),
+        uptime=float(value.get("uptime", value["time"])),
+        fields=rest,
+    )
--- /dev/null
+++ b/src/pewtertack/tracing/report.py
@@ -0,0 +1,89 @@
+"""A timeline as text and as plain data for JSON."""
+
+from __future__ import annotations
+
+from collections.abc import Iterator
+from typing import Any
+
+from pewtertack.tracing.reading import ReadCounts
+from pewtertack.tracing.timeline import Moment, Timeline
+
+ORDER_NOTE = (
+    "Ordered within a node by its steady clock, between nodes by cause;"
+    " a node's wall clock is not used where cause says enough."
+)
+INDENT = "  "
+LONG_FIELDS = frozenset({"routes", "services", "secrets", "digest", "request"})
+"""Not shown: they name a whole revision, or what the heading names."""
+
+
+def report_lines(timeline: Timeline, counts: ReadCounts) -> Iterator[str]:
+    """Yield the lines of the report."""
+    yield f"request {timeline.request}"
+    yield ORDER_NOTE
+    if counts.left_out or counts.broken:
+        yield (
+            f"Incomplete: nodes left out {counts.left_out} lines in all,"
+            f" {counts.broken} lines were cut or damaged."
+        )
+    yield from _timeline_lines(timeline, "")
+
+
+def _timeline_lines(timeline: Timeline, indent: str) -> Iterator[str]:
+    for moment in timeline.moments:
+        yield indent + _moment_line(moment)
+    for node, seconds in sorted(timeline.uncertainty.items()):
+        yield f"{indent}lines of {node} may be off by {seconds * 1000:.1f} ms"
+    if timeline.beliefs:
+        yield f"{indent}what these nodes came to believe, from 3 s before:"
+        for moment in timeline.beliefs:
+            yield indent + INDENT + _moment_line(moment)
+    for inner in timeline.inner:
+        yield f"{indent}call within it: request {inner.request}"
+        yield from _timeline_lines(inner, indent + INDENT)
+
+
+def _moment_line(moment: Moment) -> str:
+    line = moment.line
+    fields = " ".join(
+        f"{name}={_shown(value)}"
+        for name, value in line.fields.items()
+        if name not in LONG_FIELDS and value not in (None, "")
+    )
+    return f"{moment.at * 1000:10.1f} ms  {line.node:<15} {line.event:<20} {fields}"
+
+
+def _shown(value: Any) -> str:
+    text = str(value)
+    return repr(text) if " " in text else text
+
+
+def report_data(timeline: Timeline, counts: ReadCounts) -> dict[str, Any]:
+    """Return the report as plain data; times in seconds from the first line."""
+    return {
+        **_timeline_data(timeline),
+        "order": ORDER_NOTE,
+        "lines_left_out": counts.left_out,
+        "lines_broken": counts.broken,
+    }
+
+
+def _timeline_data(timeline: Timeline) -> dict[str, Any]:
+    return {
+        "request": timeline.request,
+        "lines": [_moment_data(moment) for moment in timeline.moments],
+        "beliefs": [_moment_data(moment) for moment in timeline.beliefs],
+        "uncertainty": timeline.uncertainty,
+        "inner": [_timeline_data(inner) for inner in timeline.inner],
+    }
+
+
+def _moment_data(moment: Moment) -> dict[str, Any]:
+    line = moment.line
+    return {
+        "at": round(moment.at, 6),
+        "node": line.node,
+        "incarnation": line.incarnation,
+        "event": line.event,
+        **{name: value for name, value in line.fields.items() if name not in LONG_FIELDS},
+    }
