--- a/src/pewtertack/node/gateway/forwarding.py
+++ b/src/pewtertack/node/gateway/forwarding.py
@@ -66,7 +66,11 @@
         self._body = RequestBody(receive, head.has_body)
         self._life = RequestLife(self._body, deadline, parts.clock)
         self._ticket = AdmissionTicket(
-            request.route, request.rank, parts.clock() + request.objective, deadline
+            request.route,
+            request.rank,
+            parts.clock() + request.objective,
+            deadline,
+            request.may_be_late,
         )
         self._exchange = Exchange(
             scope, send, head, self._body, self._note_answer, NODE_EDGE, self._answer_headers
--- a/src/pewtertack/node/gateway/hop.py
+++ b/src/pewtertack/node/gateway/hop.py
@@ -32,14 +32,18 @@
 """``<class>.<priority>``: the place in the gateway's queue; smaller goes first."""
 OBJECTIVE = b"x-pewtertack-objective-ms"
 """Milliseconds left of the time within which an answer is wanted."""
+LATENESS = b"x-pewtertack-lateness"
+"""``allowed``, or ``refused``: rather refuse the request than answer after its objective."""
 CALLER_SERVICE = b"x-pewtertack-caller-service"
 FAILURE = b"x-pewtertack-failure"
 """In an answer: ``<code> <outcome> <offered>`` of the gateway's own failure."""
 QUEUED = b"x-pewtertack-queued-ms"
 """In an answer: how long the request waited at the gateway."""
 
-REQUEST_NAMES = frozenset({BACKEND, SERVICE, ROUTE, RANK, OBJECTIVE, CALLER_SERVICE})
+REQUEST_NAMES = frozenset({BACKEND, SERVICE, ROUTE, RANK, OBJECTIVE, LATENESS, CALLER_SERVICE})
 ANSWER_NAMES = frozenset({FAILURE, QUEUED})
+LATENESS_ALLOWED = "allowed"
+LATENESS_REFUSED = "refused"
 OFFERED = "offered"
 NOT_OFFERED = "not-offered"
 LONGEST_TEXT = 256
@@ -55,10 +59,13 @@
     route: str
     rank: tuple[int, int]
     objective: float
+    may_be_late: bool
     caller_service: str
 
 
-def hop_headers(route: ResolvedRoute, backend: str, objective: float, caller: str) -> Headers:
+def hop_headers(
+    route: ResolvedRoute, backend: str, objective: float, may_be_late: bool, caller: str
+) -> Headers:
     """Return the headers of a request to the gateway beside ``backend``."""
     rank = f"{_CLASS_RANKS[route.work_class]}.{route.priority}"
     return [
@@ -67,6 +74,7 @@
         (ROUTE, route.name.encode()),
         (RANK, rank.encode()),
         (OBJECTIVE, b"%d" % max(0, int(objective * 1000))),
+        (LATENESS, (LATENESS_ALLOWED if may_be_late else LATENESS_REFUSED).encode()),
         (CALLER_SERVICE, caller.encode()),
     ]
 
@@ -90,6 +98,7 @@
         route=found[ROUTE],
         rank=(int(work_class), int(priority)),
         objective=int(objective) / 1000,
+        may_be_late=found[LATENESS] == LATENESS_ALLOWED,
         caller_service=found[CALLER_SERVICE],
     )
 
--- a/src/pewtertack/node/proxy/forwarding.py
+++ b/src/pewtertack/node/proxy/forwarding.py
@@ -27,16 +27,21 @@
 from pewtertack.routing.backend import Backend, parse_load
 from pewtertack.routing.dispatcher import AttemptEnd, Dispatcher, RetryDecision
 from pewtertack.routing.outcomes import (
+    BackendGoneError,
     BackendShedError,
     BackendUnreachableError,
     CrossedAnswerError,
     DeadlineExceededError,
+    DrainingError,
     GatewayRefusedError,
     Outcome,
     RequestFailedError,
 )
 from pewtertack.routing.queueing import Ticket
 
+GONE_REASONS = frozenset({BackendGoneError.code, DrainingError.code})
+"""Refusals of a gateway that hold for other requests too: the back end cannot be reached."""
+
 
 @dataclass(frozen=True, slots=True)
 class ForwardingParts:
@@ -210,7 +215,9 @@
         if not backend.gateway:
             return [*self._headers, *own, *backend_headers(edge, backend.name, caller)]
         objective = self._ticket.arrived_at + self._route.objective - now
-        return [*self._headers, *own, *hop_headers(self._route, backend.name, objective, caller)]
+        may_be_late = self._ticket.may_be_late
+        hop = hop_headers(self._route, backend.name, objective, may_be_late, caller)
+        return [*self._headers, *own, *hop]
 
     def _note_answer(self, answer: AnswerHead) -> None:
         self._life.abandon_body()
@@ -225,7 +232,7 @@
 
 def _end_of(error: RequestFailedError) -> AttemptEnd:
     if isinstance(error, GatewayRefusedError):
-        return AttemptEnd.REFUSED
+        return AttemptEnd.UNREACHABLE if error.reason in GONE_REASONS else AttemptEnd.REFUSED
     if isinstance(error, BackendShedError):
         return AttemptEnd.SHED
     if isinstance(error, BackendUnreachableError):
--- a/src/pewtertack/routing/admission.py
+++ b/src/pewtertack/routing/admission.py
@@ -1,8 +1,11 @@
 """Admission of requests to the one back end beside a node.
 
 Every request to the back end passes its node, so the number in flight is exact.
-What finds no free slot waits, ordered by class, priority and arrival; what cannot end
-before its deadline is refused before the back end has seen a byte of it.
+What finds no free slot waits, ordered by class, priority and arrival. A request that can
+no longer be answered within its objective lets all that still can go first: in overload
+the back end's time goes to answers that are in time. What cannot end before its deadline,
+or would hold its caller for most of its time, is refused before the back end has seen a
+byte of it.
 
 The caller submits an ``AdmissionTicket`` for every request, waits for its ``wake``
 when it was neither granted nor refused at once, and reports its end.
@@ -19,8 +22,8 @@
 
 QUEUE_PER_SLOT = 20
 """Requests that may wait for each slot."""
-LATE_SHARE = 0.5
-"""A request may wait into this share of the time between its objective and its deadline."""
+HOLD_SHARE = 0.45
+"""A request waits for this share of its time at most: its caller can still go elsewhere."""
 MINIMUM_RETRY_AFTER = 0.05
 MAXIMUM_RETRY_AFTER = 10.0
 
@@ -39,6 +42,8 @@
     objective: float
     """When its answer is wanted."""
     deadline: float
+    may_be_late: bool = True
+    """Whether it may wait for a slot that lets it miss its objective."""
     wake: Callable[[], None] = _nobody_waits
     granted: bool = False
     refusal: NotRunError | None = None
@@ -85,38 +90,53 @@
             return
         self._arrivals += 1
         ticket.order = (*ticket.rank, self._arrivals)
-        place = bisect.bisect(self._queue, ticket.order, key=lambda item: item.order)
-        wait = self.expected_wait(place)
         if len(self._queue) >= QUEUE_PER_SLOT * self.slots:
-            raise QueueFullError("too many requests wait", self._retry_after(wait))
-        if now + wait > self._latest_start(ticket):
-            message = "no slot comes free before the deadline"
-            raise DeadlineUnmeetableError(message, self._retry_after(wait))
-        self._queue.insert(place, ticket)
-
-    def expected_wait(self, place: int) -> float:
-        """Return in how many seconds the waiting request at ``place`` starts."""
-        return (place + 1) * self._mean_time / self.slots
-
-    def _latest_start(self, ticket: AdmissionTicket) -> float:
-        patience = LATE_SHARE * max(0.0, ticket.deadline - ticket.objective)
-        latest_end = min(ticket.deadline, ticket.objective + patience)
-        return latest_end - self.expected_time(ticket.route)
-
-    def _retry_after(self, wait: float) -> float:
+            raise QueueFullError("too many requests wait", self._retry_after())
+        if not self._has_prospect(ticket, now):
+            message = "no slot comes free in time"
+            raise DeadlineUnmeetableError(message, self._retry_after())
+        bisect.insort(self._queue, ticket, key=lambda item: item.order)
+
+    def _has_prospect(self, ticket: AdmissionTicket, now: float) -> bool:
+        """Tell whether the ticket is expected to start while that is of use."""
+        ahead = sum(
+            item.order < ticket.order and not self._is_late(item, now) for item in self._queue
+        )
+        start = now + self.expected_wait(ahead)
+        if start <= self._last_timely_start(ticket):
+            return True
+        if not ticket.may_be_late:
+            return False
+        return now + self.expected_wait(len(self._queue)) <= self.expires_at(ticket)
+
+    def expected_wait(self, ahead: int) -> float:
+        """Return in how many seconds a request starts that lets ``ahead`` others go first."""
+        return (ahead + 1) * self._mean_time / self.slots
+
+    def _last_timely_start(self, ticket: AdmissionTicket) -> float:
+        return ticket.objective - self.expected_time(ticket.route)
+
+    def _is_late(self, ticket: AdmissionTicket, now: float) -> bool:
+        """Tell whether a request that starts now would miss its objective."""
+        return now > self._last_timely_start(ticket)
+
+    def _retry_after(self) -> float:
+        wait = self.expected_wait(len(self._queue))
         return min(max(wait, MINIMUM_RETRY_AFTER), MAXIMUM_RETRY_AFTER)
 
     def expires_at(self, ticket: AdmissionTicket) -> float:
-        """Return when a waiting ticket can no longer be served in time."""
-        return ticket.deadline - self.expected_time(ticket.route)
+        """Return when a waiting ticket is given up."""
+        time_given = ticket.deadline - ticket.submitted_at
+        held_enough = ticket.submitted_at + HOLD_SHARE * time_given
+        return min(held_enough, ticket.deadline - self.expected_time(ticket.route))
 
     def expire(self, ticket: AdmissionTicket, now: float) -> None:
         """Refuse a waiting ticket which can no longer be served in time."""
         if ticket.granted or ticket.refusal is not None or now < self.expires_at(ticket):
             return
         self._queue.remove(ticket)
-        wait = self._retry_after(self.expected_wait(0))
-        ticket.refusal = DeadlineUnmeetableError("no slot came free in time", wait)
+        message = "no slot came free in time"
+        ticket.refusal = DeadlineUnmeetableError(message, self._retry_after())
         ticket.wake()
 
     def withdraw(self, ticket: AdmissionTicket) -> None:
@@ -136,11 +156,11 @@
 
     def _grant_waiting(self, now: float) -> None:
         while self._queue and self.in_flight < self.slots:
-            ticket = self._queue[0]
+            ticket = min(self._queue, key=lambda item: (self._is_late(item, now), item.order))
             if now >= self.expires_at(ticket):
                 self.expire(ticket, now)
                 continue
-            del self._queue[0]
+            self._queue.remove(ticket)
             self._start(ticket, now)
             ticket.wake()
 
--- a/src/pewtertack/routing/choice.py
+++ b/src/pewtertack/routing/choice.py
@@ -93,7 +93,8 @@
 ) -> Backend | None:
     """Return the back end whose gateway to ask, or ``None``.
 
-    The own zone is left only when the wait there is too long and shorter elsewhere.
+    The own zone is left only when the wait there is too long and elsewhere it is not:
+    an answer that is late all the same is not worth the bytes between zones.
     Back ends in ``wish.excluded`` are taken only when no other is usable.
     """
     usable = [item for item in (*local, *remote) if item.usable(now)]
@@ -104,7 +105,7 @@
     far = _soonest([item for item in fresh if item not in local], wish, now)
     if near is None or far is None:
         return near or far
-    return min(near, far, key=lambda item: item.expected_wait(now, wish.mean_time))
+    return far if far.expected_wait(now, wish.mean_time) <= wish.patience else near
 
 
 def _soonest(backends: Sequence[Backend], wish: Wish, now: float) -> Backend | None:
--- a/src/pewtertack/routing/queueing.py
+++ b/src/pewtertack/routing/queueing.py
@@ -63,6 +63,8 @@
     """When the request's first attempt was submitted."""
     queued: float = 0.0
     """Seconds that the request waited at the gateway, as told with the answer."""
+    may_be_late: bool = True
+    """Whether the gateway should rather answer late than refuse."""
     choice: str = ""
     """Why this back end was chosen, for the log."""
     body_bytes: int = 0
--- a/src/pewtertack/routing/service.py
+++ b/src/pewtertack/routing/service.py
@@ -194,7 +194,9 @@
         self.in_flight += 1
         ticket.trial = backend.health.begin()
         ticket.backend = backend
-        ticket.choice = OWN_ZONE if backend in self._local else self._why_other_zone(ticket)
+        near = backend in self._local
+        ticket.choice = OWN_ZONE if near else self._why_other_zone(ticket)
+        ticket.may_be_late = near or ticket.choice == NONE_IN_ZONE
         ticket.started_at = now
         return True
 
