--- a/src/pewtertack/routing/service.py
+++ b/src/pewtertack/routing/service.py
@@ -21,6 +21,8 @@
 MINIMUM_RETRY_AFTER = 0.1
 MAXIMUM_RETRY_AFTER = 30.0
 MINIMUM_CAPACITY = 0.1
+UNCERTAINTY = 1.5
+"""Answers take up to so many times the mean often enough to plan for it."""
 LARGE_BODY = 16 * 1024
 """A request with a longer body goes to another zone only to meet its deadline."""
 OWN_ZONE = "own-zone"
@@ -204,7 +206,7 @@
         expected = self.expected_time(ticket.route.name)
         objective = ticket.arrived_at + ticket.route.objective
         patient_until = ticket.deadline if ticket.body_bytes > LARGE_BODY else objective
-        patience = patient_until - now - expected
+        patience = patient_until - now - expected * UNCERTAINTY
         return Wish(expected, self._mean_time, max(0.0, patience), ticket.excluded)
 
     def _why_other_zone(self, ticket: Ticket) -> str:
