--- a/src/pewtertack/node/assembly.py
+++ b/src/pewtertack/node/assembly.py
@@ -78,8 +78,9 @@
     if proxy is not None:
         proxy.watch_leaving(runtime.note_backend_leaving)
     addresses = _addresses(sockets, identity)
+    in_flight, reaches_all = _in_flight_of(proxy), _reach_of(proxy)
     view = NodeView(
-        core, runtime, transport, gate, traffic, addresses, _in_flight_of(proxy), started
+        core, runtime, transport, gate, traffic, addresses, in_flight, started, reaches_all
     )
     registry.register(CoordinationCollector(view.status, traffic))
     admin = AdminApplication(view, registry)
@@ -140,6 +141,10 @@
     return lambda: proxy.in_flight if proxy is not None else 0
 
 
+def _reach_of(proxy: ProxyApplication | None) -> Callable[[], bool]:
+    return lambda: proxy is None or proxy.reaches_all()
+
+
 def _identity(settings: Settings, sockets: NodeSockets) -> NodeIdentity:
     advertised = settings.advertise.peer or address_of(sockets.peer_streams)
     node = settings.node
--- a/src/pewtertack/node/proxy/application.py
+++ b/src/pewtertack/node/proxy/application.py
@@ -138,6 +138,16 @@
         self._parts.dispatcher.use_machines(machines, self._clock())
         self._parts.connections.keep_only(self._parts.dispatcher.addresses())
 
+    def reaches_all(self) -> bool:
+        """Tell whether a back end of every service in force may be reached.
+
+        A node that is cut off from all of a service's back ends is better left out.
+        """
+        if self._table is None:
+            return False
+        used = {route.service for route in self._table.configuration.routes}
+        return self._parts.dispatcher.reaches_all(used, self._clock())
+
     def set_serving(self, serving: bool, retry_after: float = 1.0) -> None:
         """Accept requests, or refuse them as not run, to come back after ``retry_after`` s."""
         self._serving = serving
--- a/src/pewtertack/node/proxy/network.py
+++ b/src/pewtertack/node/proxy/network.py
@@ -8,11 +8,23 @@
 from __future__ import annotations
 
 import asyncio
+import socket
 from typing import Any
 
 import httpcore
 
 READ_BUFFER_LIMIT = 256 * 1024
+UNACKNOWLEDGED_MILLISECONDS = 700
+"""Sent bytes that the other machine's kernel has not acknowledged for so long end the
+connection: the machine lost power or is cut off. A back end's silence does not."""
+PROBE_OPTIONS = (
+    (socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1),
+    (socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, 1),
+    (socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, 1),
+    (socket.IPPROTO_TCP, socket.TCP_KEEPCNT, 2),
+    (socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, UNACKNOWLEDGED_MILLISECONDS),
+)
+"""The same for a machine that falls silent while an answer is awaited."""
 
 
 class BackendStream(asyncio.Protocol, httpcore.AsyncNetworkStream):
@@ -35,6 +47,9 @@
         """Keep the transport."""
         assert isinstance(transport, asyncio.Transport)
         self._transport = transport
+        connected = transport.get_extra_info("socket")
+        for level, option, value in PROBE_OPTIONS:
+            connected.setsockopt(level, option, value)
 
     def data_received(self, data: bytes) -> None:
         """Buffer received bytes; stop reading from the socket when there are many."""
--- a/src/pewtertack/node/view.py
+++ b/src/pewtertack/node/view.py
@@ -41,6 +41,8 @@
     addresses: AddressStatus
     in_flight: Callable[[], int]
     started: float
+    reaches_all: Callable[[], bool]
+    """Whether the proxy can reach every service; true without a proxy."""
 
     def status(self) -> NodeStatus:
         """Return the node's state now."""
@@ -100,7 +102,7 @@
 
     def is_ready(self) -> bool:
         """Tell whether callers should be sent here."""
-        return self.gate.is_ready()
+        return self.gate.is_ready() and self.reaches_all()
 
     def _peers_by_status(self) -> dict[str, int]:
         members = self.core.membership.table.all()
--- a/src/pewtertack/routing/dispatcher.py
+++ b/src/pewtertack/routing/dispatcher.py
@@ -7,7 +7,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable, Container
+from collections.abc import Callable, Container, Iterable
 from dataclasses import dataclass
 from enum import Enum
 from random import Random
@@ -157,6 +157,13 @@
         for name, service in self._services.items():
             service.use_backends(self._registry.of_service(name), self._zone)
 
+    def reaches_all(self, services: Iterable[str], now: float) -> bool:
+        """Tell whether every one of the services has a back end that may be reached.
+
+        A service with no back end on the list counts as reached: no node is better off.
+        """
+        return all(self.service(name).may_reach(now) for name in services)
+
     def addresses(self) -> frozenset[str]:
         """Return the addresses to which idle connections are worth keeping."""
         return self._registry.addresses()
--- a/src/pewtertack/routing/service.py
+++ b/src/pewtertack/routing/service.py
@@ -57,6 +57,11 @@
         """Tell whether a back end that the request has not tried may take it."""
         return any(item.usable(now) and item.name not in excluded for item in self.backends)
 
+    def may_reach(self, now: float) -> bool:
+        """Tell whether any back end that takes work answers, or is due for a trial."""
+        working = [item for item in self.backends if not (item.leaving or item.removed)]
+        return not working or any(item.health.admits(now) for item in working)
+
     @property
     def backends(self) -> tuple[Backend, ...]:
         """All listed back ends, the own zone's first."""
--- a/tests/routing/test_gateway_choice.py
+++ b/tests/routing/test_gateway_choice.py
@@ -113,6 +113,19 @@
         self.assertIsNotNone(made.retry(ticket, BackendUnreachableError("down"), 0.0, True))
 
 
+class ReachTest(unittest.TestCase):
+    def test_a_service_is_out_of_reach_while_all_its_gateways_are_left_alone(self) -> None:
+        made = fleet(gated("a"), gated("bb"))
+        self.assertTrue(made.reaches_all(["logbook"], 0.0))
+        for _ in range(2):
+            made.finish(submitted(made), 0.0, AttemptEnd.UNREACHABLE)
+        self.assertFalse(made.reaches_all(["logbook"], 0.1))
+        self.assertTrue(made.reaches_all(["logbook"], 10.0))
+
+    def test_a_service_without_back_ends_does_not_make_a_node_unready(self) -> None:
+        self.assertTrue(fleet().reaches_all(["logbook"], 0.0))
+
+
 class FleetBudgetTest(unittest.TestCase):
     def test_the_bursts_of_all_nodes_add_up_to_the_fleets(self) -> None:
         for nodes in (4, 12, 30):
