Drain: a stopping gateway takes what ends well before the stop

Ruled out: the restart itself (0.6 s). Now it refuses only requests whose mean time, doubled, does not fit before the stop.

--- a/src/pewtertack/node/daemon.py
+++ b/src/pewtertack/node/daemon.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 import signal
 import socket
 from collections.abc import Awaitable, Callable
@@ -35,8 +36,8 @@
     async def __call__(self, scope: Any, receive: Any, send: Any) -> None:
         """Serve one request."""
 
-    def start_leaving(self) -> None:
-        """Prepare for the stop without refusing callers yet."""
+    def start_leaving(self, seconds: float) -> None:
+        """Prepare for the stop, which ends all requests in so many seconds at the latest."""
 
     def start_draining(self) -> None:
         """Refuse new requests; finish those in flight."""
@@ -155,9 +156,10 @@
 async def _drain(parts: NodeParts, servers: tuple[_RequestServer, ...]) -> None:
     """Tell peers, be not ready, refuse new requests, finish what is in flight, close."""
     parts.runtime.start_leaving()
-    for server in servers:
-        server.application.start_leaving()
     limits = parts.settings.current.limits
+    drain_seconds = limits.drain_timeout.seconds if limits.drain_timeout else math.inf
+    for server in servers:
+        server.application.start_leaving(limits.drain_notice.seconds + drain_seconds)
     if limits.drain_notice.seconds > 0:
         await anyio.sleep(limits.drain_notice.seconds)
     parts.runtime.stop_serving()
@@ -165,7 +167,7 @@
         server.application.start_draining()
     if limits.drain_notice.seconds < LEAVE_TIME:
         await anyio.sleep(LEAVE_TIME)
-    with anyio.move_on_after(limits.drain_timeout.seconds if limits.drain_timeout else None):
+    with anyio.move_on_after(drain_seconds):
         async with anyio.create_task_group() as tasks:
             for server in servers:
                 tasks.start_soon(server.drain)
--- a/src/pewtertack/node/gateway/application.py
+++ b/src/pewtertack/node/gateway/application.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 from collections.abc import Callable
 from dataclasses import dataclass, replace
 
@@ -29,6 +30,8 @@
 
 DEFAULT_SLOTS = 6
 """Slots of a back end of which the machine list does not tell them yet."""
+STOP_MARGIN = 2.0
+"""A stopping gateway takes requests whose mean time fits so often before the stop."""
 LONGEST_TIME = 3600.0
 """Seconds that a request without a deadline may take; proxies always send one."""
 
@@ -72,7 +75,9 @@
         self._log = GatewayLog(log, clock)
         self._parts = GatewayParts(clock, ConnectionStore(clock), edge, address, self._log)
         self._incarnations: dict[str, _Incarnation] = {}
+        self._leaving = False
         self._draining = False
+        self._stops_at = math.inf
         self._in_flight = 0
         self._idle = anyio.Event()
 
@@ -112,9 +117,10 @@
             found = self._incarnations[name] = _Incarnation(Admission(DEFAULT_SLOTS))
         return found
 
-    def start_leaving(self) -> None:
-        """Refuse new requests: other nodes ask another gateway."""
-        self._draining = True
+    def start_leaving(self, seconds: float) -> None:
+        """Take only requests that end well before the stop; others find another gateway."""
+        self._leaving = True
+        self._stops_at = self._clock() + seconds
 
     def start_draining(self) -> None:
         """Note that the node stops once nothing is in flight."""
@@ -131,7 +137,7 @@
         """Serve one request (ASGI entry point)."""
         self._in_flight += 1
         try:
-            await self._serve(scope, receive, closing(send) if self._draining else send)
+            await self._serve(scope, receive, closing(send) if self._leaving else send)
         finally:
             self._in_flight -= 1
             if self._draining and self._in_flight == 0:
@@ -179,13 +185,18 @@
             raise  # uvicorn logs it and closes the connection
 
     def _admit(self, request: HopRequest) -> _Incarnation:
-        if self._draining:
-            raise _not_offered(DrainingError("the node beside the back end is stopping"))
         incarnation = self._incarnation(request.backend)
+        if self._draining or not self._ends_in_time(incarnation, request):
+            raise _not_offered(DrainingError("the node beside the back end is stopping"))
         if not incarnation.takes_work:
             raise _not_offered(BackendGoneError("the back end is leaving or gone"))
         return incarnation
 
+    def _ends_in_time(self, incarnation: _Incarnation, request: HopRequest) -> bool:
+        """Tell whether the request will most likely have ended when the node stops."""
+        needed = incarnation.admission.expected_time(request.route) or request.objective
+        return self._clock() + needed * STOP_MARGIN < self._stops_at
+
 
 def _not_offered(error: RequestFailedError) -> RequestFailedError:
     error.offered = False
--- a/src/pewtertack/node/proxy/application.py
+++ b/src/pewtertack/node/proxy/application.py
@@ -153,7 +153,7 @@
         self._serving = serving
         self._retry_after = retry_after
 
-    def start_leaving(self) -> None:
+    def start_leaving(self, seconds: float) -> None:
         """Go on serving, but ask callers to close their connections after each answer."""
         self._leaving = True
 
--- a/tests/node/gateway/test_gateway.py
+++ b/tests/node/gateway/test_gateway.py
@@ -182,18 +182,26 @@
 
     async def test_a_stopping_gateway_refuses_and_the_next_answers(self) -> None:
         address = await self.start_fleet(answer_well, answer_well)
-        self.gateways[0].start_leaving()
+        self.gateways[0].start_draining()
         for _ in range(4):
             self.assertEqual((await raw_call(address, POST)).status, 200)
         self.assertEqual({header(head, "x-wanted") for head in self.heads}, {"b1"})
 
     async def test_an_upload_that_a_gateway_refused_goes_whole_to_the_next(self) -> None:
         address = await self.start_fleet(answer_well, answer_well)
-        self.gateways[0].start_leaving()
+        self.gateways[0].start_draining()
         raw = request_bytes("POST", "/", b"x" * 300_000, ("x-call: call-1", "x-left: 4000"))
         for _ in range(4):
             self.assertEqual((await raw_call(address, raw)).status, 200)
 
+    async def test_a_gateway_that_will_stop_takes_what_ends_before_it_and_no_more(self) -> None:
+        address = await self.start_fleet(answer_well, answer_well, target_latency=1.0)
+        self.gateways[0].start_leaving(60.0)
+        self.gateways[1].start_leaving(1.0)
+        for _ in range(4):
+            self.assertEqual((await raw_call(address, POST)).status, 200)
+        self.assertEqual({header(head, "x-wanted") for head in self.heads}, {"b0"})
+
     async def test_a_dead_back_end_is_not_run_and_the_next_answers(self) -> None:
         address = await self.start_fleet(answer_well)
         dead = GatewayApplication(time.monotonic, "127.0.0.1:1", EDGE)
