--- a/src/pewtertack/node/assembly.py
+++ b/src/pewtertack/node/assembly.py
@@ -71,7 +71,7 @@
     profile = PROFILES[settings.profile.name.value]
     gate = ServingGate(profile.pause_threshold)
     proxy = _proxy(settings, gate, registry, log)
-    gateway = _gateway(settings, log)
+    gateway = _gateway(settings, log, registry)
     source = SourceProperties(settings.source.durable)
     core = NodeCore(identity, profile, Random(), started, seeds, source)
     runtime = Runtime(core, profile.tick, gate, transport, reader, proxy, log, gateway)
@@ -111,14 +111,16 @@
     )
 
 
-def _gateway(settings: Settings, log: EventLog) -> GatewayApplication | None:
+def _gateway(
+    settings: Settings, log: EventLog, registry: CollectorRegistry
+) -> GatewayApplication | None:
     """Return the gateway part, where a back end is beside the node."""
     if settings.listen.gateway is None or settings.backend.address is None:
         return None
     from pewtertack.node.gateway.application import GatewayApplication
 
     address = str(settings.backend.address)
-    return GatewayApplication(clock.now, address, _edge(settings), log.record)
+    return GatewayApplication(clock.now, address, _edge(settings), log.record, registry)
 
 
 def _edge(settings: Settings) -> EdgeHeaders:
--- a/src/pewtertack/node/daemon.py
+++ b/src/pewtertack/node/daemon.py
@@ -89,7 +89,8 @@
             tasks.start_soon(parts.runtime.run)
             tasks.start_soon(parts.settings.run)
             admin = embedded_server(parts.admin, keep_alive)
-            tasks.start_soon(admin.serve, [parts.sockets.admin])
+            admin_sockets = [parts.sockets.admin, parts.sockets.metrics]
+            tasks.start_soon(admin.serve, [bound for bound in admin_sockets if bound is not None])
             servers = _start_servers(parts, tasks, keep_alive)
             _log_ready(parts)
             async for received in signals:
--- a/src/pewtertack/node/gateway/application.py
+++ b/src/pewtertack/node/gateway/application.py
@@ -7,10 +7,12 @@
 from dataclasses import dataclass, replace
 
 import anyio
+from prometheus_client import CollectorRegistry
 
 from pewtertack.core.machines import Machine, MachineList, MachineRole, MachineState
 from pewtertack.node.gateway.forwarding import GatewayForwarding, GatewayParts, load_headers
 from pewtertack.node.gateway.hop import HopRequest, failure_header, read_hop
+from pewtertack.node.gateway.metrics import GatewayMetrics
 from pewtertack.node.proxy.answers import Receive, Scope, Send, closing, send_failure
 from pewtertack.node.proxy.body import CallerGoneError
 from pewtertack.node.proxy.edge import NODE_EDGE, EdgeHeaders
@@ -61,6 +63,7 @@
         address: ``ip:port`` of the back end beside this node.
         edge: header names of the back end.
         log: receives events of the 6xx numbers.
+        registry: where the metrics are registered; ``None`` keeps none.
     """
 
     def __init__(
@@ -69,11 +72,15 @@
         address: str,
         edge: EdgeHeaders,
         log: RecordEvent = ignore_event,
+        registry: CollectorRegistry | None = None,
     ) -> None:
         self._clock = clock
         self._address = address
         self._log = GatewayLog(log, clock)
-        self._parts = GatewayParts(clock, ConnectionStore(clock), edge, address, self._log)
+        self._metrics = GatewayMetrics(registry or CollectorRegistry())
+        self._parts = GatewayParts(
+            clock, ConnectionStore(clock), edge, address, self._log, self._metrics
+        )
         self._incarnations: dict[str, _Incarnation] = {}
         self._leaving = False
         self._draining = False
@@ -155,6 +162,7 @@
             backend = request.backend if request is not None else ""
             told = load[0][1].decode() if load else ""
             self._log.refused(head.request_id, backend, error, told)
+            self._metrics.note_refused(error.code, error.offered)
             await _refuse(send, error, head, load)
 
     def _load_of(self, request: HopRequest | None) -> RawHeaders:
--- a/src/pewtertack/node/gateway/forwarding.py
+++ b/src/pewtertack/node/gateway/forwarding.py
@@ -9,6 +9,7 @@
 
 from pewtertack.node.gateway import hop
 from pewtertack.node.gateway.hop import HopRequest
+from pewtertack.node.gateway.metrics import GatewayMetrics
 from pewtertack.node.proxy.answers import Receive, Scope, Send
 from pewtertack.node.proxy.body import CallerGoneError, RequestBody
 from pewtertack.node.proxy.edge import NODE_EDGE, EdgeHeaders
@@ -41,6 +42,7 @@
     edge: EdgeHeaders
     address: str
     log: GatewayLog
+    metrics: GatewayMetrics
 
 
 class GatewayForwarding:
@@ -106,10 +108,13 @@
         await self._wait_for_slot()
         log, request = self._parts.log, self._request_id
         log.admitted(request, self._request.backend, self._ticket, self._admission)
+        metrics, route = self._parts.metrics, self._request.route
+        metrics.note_admitted(route, self._ticket.queued)
         answered = False
         try:
             await self._attempt()
             answered = True
+            metrics.note_answered(route, self._parts.clock() - self._ticket.started_at)
             log.answered(request, self._request.backend, self.status, self._ticket)
         finally:
             self._admission.finish(self._ticket, self._parts.clock(), answered)
--- a/src/pewtertack/node/metrics.py
+++ b/src/pewtertack/node/metrics.py
@@ -40,6 +40,11 @@
         yield _gauge("machine_list_number", "Machine list in use.", status.machine_list_number)
         if status.source_age is not None:
             yield _gauge("source_age_seconds", "Since the source answered.", status.source_age)
+        if status.machine_list_age is not None:
+            age = status.machine_list_age
+            yield _gauge(
+                "machine_list_age_seconds", "Since the machine list's source answered.", age
+            )
         peers = GaugeMetricFamily("pewtertack_peers", "Known peers by status.", labels=["status"])
         for name, count in status.peers.items():
             peers.add_metric([name], count)
--- a/src/pewtertack/node/proxy/application.py
+++ b/src/pewtertack/node/proxy/application.py
@@ -99,11 +99,17 @@
         dispatcher = Dispatcher(random, self._note_backend_event)
         self._beliefs = Beliefs()
         self._request_log = ProxyLog(log, clock, self._beliefs)
-        self._parts = ForwardingParts(
-            clock, dispatcher, ConnectionStore(clock), edge, caller_service, self._request_log
-        )
         registry = registry or CollectorRegistry()
         self._metrics = RequestMetrics(registry)
+        self._parts = ForwardingParts(
+            clock,
+            dispatcher,
+            ConnectionStore(clock),
+            edge,
+            caller_service,
+            self._request_log,
+            self._metrics,
+        )
         registry.register(DispatcherCollector(dispatcher, lambda: self._in_flight))
         self._serving = False
         self._retry_after = 1.0
@@ -242,6 +248,9 @@
             await forwarding.run()
             took = self._clock() - began
             self._metrics.note_answered(route, took)
+            backend = forwarding.ticket.backend
+            if backend is not None:
+                self._metrics.note_zone(backend.service, backend.zone)
             self._request_log.answered(head.request_id, forwarding.ticket, forwarding.status, took)
         except RequestFailedError as error:
             await self._refuse(send, error.with_retries_spent(), head, route)
--- a/src/pewtertack/node/proxy/forwarding.py
+++ b/src/pewtertack/node/proxy/forwarding.py
@@ -22,6 +22,7 @@
     forwarded_headers,
 )
 from pewtertack.node.proxy.lifetime import LifeEnd, RequestLife
+from pewtertack.node.proxy.metrics import RequestMetrics
 from pewtertack.node.proxy.request_log import ProxyLog
 from pewtertack.node.proxy.upstream import ConnectionStore
 from pewtertack.routing.backend import Backend, parse_load
@@ -55,6 +56,7 @@
     caller_service: str = ""
     """The service whose back end is beside this node."""
     log: ProxyLog | None = None
+    metrics: RequestMetrics | None = None
 
 
 class Forwarding:
@@ -139,6 +141,8 @@
                 self.retries += 1
 
     def _log_decision(self, error: RequestFailedError, decision: RetryDecision) -> None:
+        if self._parts.metrics is not None:
+            self._parts.metrics.note_decision(decision.reason.value)
         log = self._parts.log
         if log is None:
             return
--- a/src/pewtertack/node/proxy/metrics.py
+++ b/src/pewtertack/node/proxy/metrics.py
@@ -12,8 +12,8 @@
 from pewtertack.core.configuration.resolved import ResolvedRoute
 from pewtertack.routing.dispatcher import Dispatcher
 
-BUCKETS = (0.001, 0.0025, 0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1.0, 2.5, 10.0)
-"""Upper bounds of the latency histogram, in seconds."""
+BUCKETS = (0.005, 0.01, 0.025, 0.06, 0.1, 0.2, 0.4, 0.6, 0.8, 1.2, 2.5, 4.0, 6.0, 10.0)
+"""Upper bounds of the latency histograms, in seconds: for objectives of 60 ms to 6 s."""
 ANSWERED = "answered"
 CALLER_GONE = "caller-gone"
 TRUNCATED = "truncated"
@@ -41,6 +41,18 @@
         self._retries = Counter(
             "pewtertack_retries", "Second and later attempts.", labels, registry=registry
         )
+        self._decisions = Counter(
+            "pewtertack_retry_decisions",
+            "Failed attempts by why the request was, or was not, sent once more.",
+            ("reason",),
+            registry=registry,
+        )
+        self._zones = Counter(
+            "pewtertack_answers",
+            "Answered requests by the zone of the back end.",
+            ("service", "zone"),
+            registry=registry,
+        )
         self._answered: dict[tuple[str, str], tuple[Counter, Histogram]] = {}
 
     def note_answered(self, route: ResolvedRoute, seconds: float) -> None:
@@ -53,6 +65,14 @@
         metrics[0].inc()
         metrics[1].observe(seconds)
 
+    def note_zone(self, service: str, zone: str) -> None:
+        """A back end of ``zone`` answered."""
+        self._zones.labels(service, zone).inc()
+
+    def note_decision(self, reason: str) -> None:
+        """An attempt failed, and the request was or was not sent once more."""
+        self._decisions.labels(reason).inc()
+
     def note_failed(self, route: ResolvedRoute | None, result: str) -> None:
         """A request ended otherwise; ``route`` is ``None`` before it was matched."""
         if route is None:
@@ -85,6 +105,11 @@
         limits = _family("backend_limit", "Adaptive limit.", "backend")
         running = _family("backend_in_flight", "Requests at the back end.", "backend")
         ejected = _family("backend_ejected", "Whether it is ejected.", "backend")
+        budget = GaugeMetricFamily(
+            "pewtertack_retry_budget_left", "Retries that may come at once.", labels=("service",)
+        )
+        for name, left in self._dispatcher.budgets_left().items():
+            budget.add_metric([name], left)
         for service in self._dispatcher.services():
             for work_class, length in service.queue.lengths().items():
                 waiting.add_metric([service.name, work_class], length)
@@ -93,7 +118,7 @@
                 limits.add_metric(labels, backend.limit.value)
                 running.add_metric(labels, backend.in_flight)
                 ejected.add_metric(labels, backend.health.ejected)
-        yield from (waiting, limits, running, ejected)
+        yield from (waiting, limits, running, ejected, budget)
 
 
 def _family(name: str, documentation: str, label: str) -> GaugeMetricFamily:
--- a/src/pewtertack/node/sockets.py
+++ b/src/pewtertack/node/sockets.py
@@ -26,11 +26,12 @@
     admin: socket.socket
     proxy: socket.socket | None
     gateway: socket.socket | None = None
+    metrics: socket.socket | None = None
 
     def close(self) -> None:
         """Close all of them."""
-        sockets = (self.peer_datagrams, self.peer_streams, self.admin, self.proxy, self.gateway)
-        for bound in sockets:
+        required = (self.peer_datagrams, self.peer_streams, self.admin)
+        for bound in (*required, self.proxy, self.gateway, self.metrics):
             if bound is not None:
                 bound.close()
 
@@ -53,13 +54,16 @@
         opened.enter_context(datagrams)
         opened.enter_context(streams)
         admin = opened.enter_context(_listen(listen.admin, place, "listen.admin"))
-        proxy = gateway = None
-        if listen.proxy is not None:
-            proxy = opened.enter_context(_listen(listen.proxy, place, "listen.proxy"))
-        if listen.gateway is not None:
-            gateway = opened.enter_context(_listen(listen.gateway, place, "listen.gateway"))
+        optional = [
+            opened.enter_context(_listen(address, place, f"listen.{key}")) if address else None
+            for key, address in (
+                ("proxy", listen.proxy),
+                ("gateway", listen.gateway),
+                ("metrics", listen.metrics),
+            )
+        ]
         opened.pop_all()
-    return NodeSockets(datagrams, streams, admin, proxy, gateway)
+    return NodeSockets(datagrams, streams, admin, *optional)
 
 
 def _bind_peer(address: Address, place: str) -> tuple[socket.socket, socket.socket]:
--- a/src/pewtertack/routing/dispatcher.py
+++ b/src/pewtertack/routing/dispatcher.py
@@ -168,6 +168,10 @@
         """Return the addresses to which idle connections are worth keeping."""
         return self._registry.addresses()
 
+    def budgets_left(self) -> dict[str, float]:
+        """Return the retries that may come at once, by service."""
+        return {name: budget.left for name, budget in self._budgets.items()}
+
     def service(self, name: str) -> ServiceDispatcher:
         """Return the dispatcher of one service."""
         found = self._services.get(name)
--- a/src/pewtertack/routing/retries.py
+++ b/src/pewtertack/routing/retries.py
@@ -31,6 +31,11 @@
         self._burst = burst
         self._tokens = burst
 
+    @property
+    def left(self) -> float:
+        """Retries that may come at once."""
+        return self._tokens
+
     def use_burst(self, burst: float) -> None:
         """Take over another burst, as the fleet grows or shrinks."""
         self._burst = burst
--- a/src/pewtertack/settings/checks.py
+++ b/src/pewtertack/settings/checks.py
@@ -48,6 +48,7 @@
         ("admin", listen.admin),
         ("proxy", listen.proxy),
         ("gateway", listen.gateway),
+        ("metrics", listen.metrics),
     ):
         if address is None:
             continue
--- a/src/pewtertack/settings/schema.py
+++ b/src/pewtertack/settings/schema.py
@@ -38,6 +38,8 @@
     admin: Address
     proxy: Address | None = None
     gateway: Address | None = None
+    metrics: Address | None = None
+    """A second address of the admin interface, for collectors of metrics."""
 
 
 class AdvertiseSection(msgspec.Struct, frozen=True, kw_only=True):
--- a/tests/node/gateway/test_gateway.py
+++ b/tests/node/gateway/test_gateway.py
@@ -5,6 +5,9 @@
 from random import Random
 from typing import Any
 
+import msgspec
+from prometheus_client import CollectorRegistry, generate_latest
+
 from pewtertack.core.machines import Machine, MachineList, MachineRole, MachineState
 from pewtertack.node.gateway.application import GatewayApplication
 from pewtertack.node.proxy.application import ProxyApplication
@@ -257,6 +260,26 @@
             self.assertEqual((answer.status, answer.body), (200, b"ok"))
 
 
+class MetricsTest(GatewayTestCase):
+    async def test_waiting_and_working_refusals_and_zones_are_told_apart(self) -> None:
+        registry = CollectorRegistry()
+        address = await self.start_fleet(answer_well)
+        gateway = GatewayApplication(
+            time.monotonic, self.machines[0].address, EDGE, registry=registry
+        )
+        served = await self.serve(gateway)
+        self.machines[0] = msgspec.structs.replace(self.machines[0], gateway=served)
+        self.gateways[0] = gateway
+        self.use_machines(2)
+        await raw_call(address, POST)
+        gateway.start_draining()
+        await raw_call(address, POST)
+        text = generate_latest(registry).decode()
+        self.assertIn('pewtertack_gateway_queue_seconds_count{route="lookup"} 1.0', text)
+        self.assertIn('pewtertack_gateway_backend_seconds_count{route="lookup"} 1.0', text)
+        self.assertIn('refused_total{offered="false",reason="draining"} 1.0', text)
+
+
 class CancellationTest(GatewayTestCase):
     async def test_a_caller_that_goes_frees_the_back_end_over_both_nodes(self) -> None:
         begun, ended = asyncio.Event(), asyncio.Event()
