--- a/src/pewtertack/routing/admission.py
+++ b/src/pewtertack/routing/admission.py
@@ -155,10 +155,14 @@
             self._queue.remove(ticket)
 
     def finish(self, ticket: AdmissionTicket, now: float, answered: bool) -> None:
-        """A granted request has ended; its slot goes to the next that waits."""
+        """A granted request has ended; its slot goes to the next that waits.
+
+        One that ended without an answer tells how long it takes at least: a back end
+        that has turned slow answers only what is quick.
+        """
         self.in_flight -= 1
-        if answered:
-            seconds = now - ticket.started_at
+        seconds = now - ticket.started_at
+        if answered or seconds > self._time_of(ticket):
             self._mean_time = smoothed(self._mean_time, seconds)
             known = self._route_times.get(ticket.route, 0.0)
             self._route_times[ticket.route] = smoothed(known, seconds)
--- a/src/pewtertack/routing/dispatcher.py
+++ b/src/pewtertack/routing/dispatcher.py
@@ -64,6 +64,10 @@
 }
 
 
+UNANSWERED = {AttemptEnd.TIMED_OUT, AttemptEnd.CANCELLED, AttemptEnd.BROKEN}
+"""Ends that tell how long the answer would have taken at least."""
+
+
 @dataclass(frozen=True, slots=True)
 class BackendChanged:
     """A back end was ejected, or came back."""
@@ -228,10 +232,12 @@
         service = self.service(ticket.route.service)
         service.in_flight -= 1
         service.limit.note_finished(now, now - ticket.started_at)
+        seconds = max(0.0, now - ticket.started_at - ticket.queued)
+        expected = service.expected_time(ticket.route.name)
         if end is AttemptEnd.ANSWERED:
-            seconds = max(0.0, now - ticket.started_at - ticket.queued)
-            backend.note_time(seconds, service.expected_time(ticket.route.name))
             service.note_time(ticket.route.name, seconds)
+        if end is AttemptEnd.ANSWERED or (end in UNANSWERED and seconds > expected):
+            backend.note_time(seconds, expected)
         self._adapt_limits(service, backend, ticket, now, end)
         self._judge(service, backend, ticket, now, end)
         service.pump(now)
--- a/tests/routing/test_admission.py
+++ b/tests/routing/test_admission.py
@@ -98,6 +98,25 @@
         with self.assertRaises(DeadlineUnmeetableError):
             admission.submit(ticket(objective=1.0, deadline=1.2), 0.0)
 
+    def test_a_back_end_that_answers_only_what_is_quick_is_known_to_be_slow(self) -> None:
+        admission = Admission(1)
+        for _ in range(20):
+            quick, cut = ticket(), ticket()
+            admission.submit(quick, 0.0)
+            admission.finish(quick, 0.1, answered=True)
+            admission.submit(cut, 1.0)
+            admission.finish(cut, 2.0, answered=False)
+        self.assertGreater(admission.expected_time("lookup"), 0.4)
+
+    def test_a_request_that_was_cut_early_tells_nothing(self) -> None:
+        admission = Admission(1)
+        known, cut = ticket(), ticket()
+        admission.submit(known, 0.0)
+        admission.finish(known, 0.5, answered=True)
+        admission.submit(cut, 1.0)
+        admission.finish(cut, 1.01, answered=False)
+        self.assertEqual(admission.expected_time("lookup"), 0.5)
+
     def test_the_queue_is_bounded(self) -> None:
         admission = Admission(1)
         quick = ticket()
--- a/tests/routing/test_gateway_choice.py
+++ b/tests/routing/test_gateway_choice.py
@@ -71,6 +71,18 @@
         self.assertEqual(upload.backend and upload.backend.name, "near")
 
 
+class SlownessTest(unittest.TestCase):
+    def test_attempts_that_ran_into_their_deadline_count_as_slow(self) -> None:
+        made = fleet(gated("a"), gated("bb"))
+        for _ in range(20):
+            report(made, submitted(made), load=0)
+        slow = submitted(made)
+        assert slow.backend is not None
+        before = slow.backend.slowness
+        made.finish(slow, 5.0, AttemptEnd.TIMED_OUT)
+        self.assertGreater(slow.backend.slowness, before)
+
+
 class RefusalTest(unittest.TestCase):
     def refuse(self, made: Dispatcher, ticket: Ticket) -> Ticket | None:
         made.finish(ticket, 0.0, AttemptEnd.REFUSED)
