--- a/src/pewtertack/lab/simulation/fleet.py
+++ b/src/pewtertack/lab/simulation/fleet.py
@@ -11,7 +11,7 @@
 from pewtertack.core.identity import NodeIdentity
 from pewtertack.core.machines import MachineRole, MachineState
 from pewtertack.core.node import NodeCore
-from pewtertack.core.profile import FAST, TimingProfile
+from pewtertack.core.profile import FAST, SourceProperties, TimingProfile
 from pewtertack.core.revision import Document, digest_of
 from pewtertack.events import Event
 from pewtertack.lab.records import (
@@ -60,6 +60,8 @@
     """The platform makes a new machine list at most this often, in seconds."""
     readers_limit: int = 32
     latencies: Latencies = field(default_factory=Latencies)
+    source: SourceProperties = field(default_factory=SourceProperties)
+    """What nodes are told of the configuration source."""
     frames: bool = False
     """Whether messages travel as real frames, and traffic and processor time are measured."""
 
@@ -126,7 +128,10 @@
         identity = self._identity(name)
         self.network.place(identity.address, Place(identity.zone, identity.region))
         random = Random(f"{self.settings.seed}/{name}/{identity.incarnation}")
-        core = NodeCore(identity, self.settings.profile, random, self.now, self._seeds())
+        settings = self.settings
+        core = NodeCore(
+            identity, settings.profile, random, self.now, self._seeds(), settings.source
+        )
         codec = ProcessCodec(identity) if self.settings.frames else None
         process = SimulatedProcess(identity, core, self._around, self.settings.profile.tick, codec)
         self.processes[name] = process
--- a/tests/node/test_runtime.py
+++ b/tests/node/test_runtime.py
@@ -88,6 +88,7 @@
         self.assertTrue(self.gate.may_serve())
         line = self.lines()[0]
         self.assertGreater(line.pop("time"), 0)
+        self.assertGreaterEqual(line.pop("uptime"), 0)
         expected = {"number": 102, "event": "NODE_SERVING", "node": "n", "incarnation": 5, "x": 1}
         self.assertEqual(line, expected)
 
