Log: a refusal by a node that does not serve names its request

The head is read first now; the test fails without it. No decision changes but that a malformed request is called so by a stopping node, too.

--- a/src/pewtertack/node/proxy/application.py
+++ b/src/pewtertack/node/proxy/application.py
@@ -189,11 +189,11 @@
     async def _serve(self, scope: Scope, receive: Receive, send: Send) -> None:
         head = RequestHead()
         try:
-            self._check_serving()
             if scope["http_version"] != "1.1":
                 raise ProtocolVersionError("HTTP/1.1 is needed")
             head = read_head(scope["headers"], self._edge)
             head.request_id = head.request_id or f"{self._random.getrandbits(128):032x}"
+            self._check_serving()
             await self._forward(scope, receive, send, head)
         except RequestFailedError as error:
             await self._refuse(send, error, head, None)
--- a/tests/node/gateway/test_gateway.py
+++ b/tests/node/gateway/test_gateway.py
@@ -260,6 +260,23 @@
             self.assertEqual((answer.status, answer.body), (200, b"ok"))
 
 
+class LogTest(GatewayTestCase):
+    async def test_a_refusal_by_a_node_that_stops_names_its_request(self) -> None:
+        told: list[dict[str, Any]] = []
+        proxy = ProxyApplication(
+            time.monotonic,
+            Random(7),
+            edge=EDGE,
+            log=lambda event, **fields: told.append({"event": event.name, **fields}),
+        )
+        proxy.start_draining()
+        await raw_call(await self.serve(proxy), POST)
+        refused = [line for line in told if line["event"] == "REQUEST_REFUSED"]
+        self.assertEqual(
+            [(line["request"], line["type"]) for line in refused], [("call-1", "draining")]
+        )
+
+
 class MetricsTest(GatewayTestCase):
     async def test_waiting_and_working_refusals_and_zones_are_told_apart(self) -> None:
         registry = CollectorRegistry()
