--- a/src/pewtertack/node/gateway/application.py
+++ b/src/pewtertack/node/gateway/application.py
@@ -6,7 +6,6 @@
 from collections.abc import Callable
 from dataclasses import dataclass, replace
 
-import anyio
 from prometheus_client import CollectorRegistry
 
 from pewtertack.core.machines import Machine, MachineList, MachineRole, MachineState
@@ -18,6 +17,7 @@
 from pewtertack.node.proxy.edge import NODE_EDGE, EdgeHeaders
 from pewtertack.node.proxy.exchange import TruncatedAnswerError
 from pewtertack.node.proxy.headers import RawHeaders, RequestHead, read_head
+from pewtertack.node.proxy.in_flight import RequestsInFlight
 from pewtertack.node.proxy.request_log import GatewayLog, RecordEvent, ignore_event
 from pewtertack.node.proxy.upstream import ConnectionStore
 from pewtertack.routing.admission import Admission
@@ -83,15 +83,13 @@
         )
         self._incarnations: dict[str, _Incarnation] = {}
         self._leaving = False
-        self._draining = False
         self._stops_at = math.inf
-        self._in_flight = 0
-        self._idle = anyio.Event()
+        self._requests = RequestsInFlight()
 
     @property
     def in_flight(self) -> int:
         """Requests that have been accepted and are not finished."""
-        return self._in_flight
+        return self._requests.count
 
     def use_settings(self, settings: Settings) -> None:
         """Serve another address from now on, if the settings name another."""
@@ -131,24 +129,17 @@
 
     def start_draining(self) -> None:
         """Note that the node stops once nothing is in flight."""
-        self._draining = True
-        if self._in_flight == 0:
-            self._idle.set()
+        self._requests.start_draining()
 
     async def wait_drained(self) -> None:
         """Return when draining has begun and nothing is in flight."""
-        await self._idle.wait()
+        await self._requests.wait_drained()
         self._parts.connections.keep_only(())
 
     async def __call__(self, scope: Scope, receive: Receive, send: Send) -> None:
         """Serve one request (ASGI entry point)."""
-        self._in_flight += 1
-        try:
+        with self._requests.one():
             await self._serve(scope, receive, closing(send) if self._leaving else send)
-        finally:
-            self._in_flight -= 1
-            if self._draining and self._in_flight == 0:
-                self._idle.set()
 
     async def _serve(self, scope: Scope, receive: Receive, send: Send) -> None:
         head = RequestHead()
@@ -194,7 +185,7 @@
 
     def _admit(self, request: HopRequest) -> _Incarnation:
         incarnation = self._incarnation(request.backend)
-        if self._draining or not self._ends_in_time(incarnation, request):
+        if self._requests.draining or not self._ends_in_time(incarnation, request):
             raise _not_offered(DrainingError("the node beside the back end is stopping"))
         if not incarnation.takes_work:
             raise _not_offered(BackendGoneError("the back end is leaving or gone"))
--- a/src/pewtertack/node/proxy/application.py
+++ b/src/pewtertack/node/proxy/application.py
@@ -5,7 +5,6 @@
 from collections.abc import Callable
 from random import Random
 
-import anyio
 from prometheus_client import CollectorRegistry
 
 from pewtertack.core.configuration.resolved import ResolvedConfiguration, ResolvedRoute
@@ -17,6 +16,7 @@
 from pewtertack.node.proxy.exchange import TruncatedAnswerError
 from pewtertack.node.proxy.forwarding import Forwarding, ForwardingParts
 from pewtertack.node.proxy.headers import RequestHead, read_head
+from pewtertack.node.proxy.in_flight import RequestsInFlight
 from pewtertack.node.proxy.metrics import (
     CALLER_GONE,
     TRUNCATED,
@@ -110,19 +110,17 @@
             self._request_log,
             self._metrics,
         )
-        registry.register(DispatcherCollector(dispatcher, lambda: self._in_flight))
+        self._requests = RequestsInFlight()
+        registry.register(DispatcherCollector(dispatcher, lambda: self.in_flight))
         self._serving = False
         self._retry_after = 1.0
-        self._draining = False
         self._leaving = False
-        self._in_flight = 0
-        self._idle = anyio.Event()
         self._tell_leaving: LeavingObserver = _ignore_leaving
 
     @property
     def in_flight(self) -> int:
         """Requests that have been accepted and are not finished."""
-        return self._in_flight
+        return self._requests.count
 
     def watch_leaving(self, observer: LeavingObserver) -> None:
         """Tell ``observer`` once of each back end that says in an answer that it leaves."""
@@ -165,26 +163,19 @@
 
     def start_draining(self) -> None:
         """Refuse new requests from now on; those in flight are finished."""
-        self._draining = True
-        if self._in_flight == 0:
-            self._idle.set()
+        self._requests.start_draining()
 
     async def wait_drained(self) -> None:
         """Return when draining has begun and nothing is in flight."""
-        await self._idle.wait()
+        await self._requests.wait_drained()
         self._parts.connections.keep_only(())
 
     async def __call__(self, scope: Scope, receive: Receive, send: Send) -> None:
         """Serve one request (ASGI entry point)."""
         if scope["type"] != "http":
             raise InvalidRequestError(f"unsupported connection type {scope['type']}")
-        self._in_flight += 1
-        try:
+        with self._requests.one():
             await self._serve(scope, receive, closing(send) if self._leaving else send)
-        finally:
-            self._in_flight -= 1
-            if self._draining and self._in_flight == 0:
-                self._idle.set()
 
     async def _serve(self, scope: Scope, receive: Receive, send: Send) -> None:
         head = RequestHead()
@@ -229,7 +220,7 @@
                 self._log(event, backend=backend.name, service=backend.service)
 
     def _check_serving(self) -> None:
-        if self._draining:
+        if self._requests.draining:
             raise DrainingError("the node is stopping")
         if not self._serving or self._table is None or not self._may_serve():
             raise NotServingError("the node is not serving yet", self._retry_after)
