Log: a lost and a regained source are each told once

SOURCE_LOST and SOURCE_REGAINED stood in the catalogue and were not written. One line when reads of a document begin to fail and one when they succeed again; no decision changes. Test: a lost and a regained source are each told once.

--- a/src/pewtertack/core/node.py
+++ b/src/pewtertack/core/node.py
@@ -128,8 +128,7 @@
             case DocumentRead(kind, number, document):
                 return self.replication.on_document_read(now, kind, number, document)
             case DocumentUnchanged(kind):
-                self.replication.reader.answered(now, kind)
-                return []
+                return self.replication.on_document_unchanged(now, kind)
             case DocumentReadFailed(kind, reason, retry_after):
                 return self.replication.on_read_failed(now, kind, reason, retry_after)
             case BackendLeavingObserved(name, address):
--- a/src/pewtertack/core/replication/reader.py
+++ b/src/pewtertack/core/replication/reader.py
@@ -127,6 +127,10 @@
         """
         return self._stale.get(kind) or max(held, self._seen.get(kind, 0))
 
+    def is_failing(self, kind: DocumentKind) -> bool:
+        """Tell whether the last read of a document failed."""
+        return self._failures[kind] > 0
+
     def answered_with(self, now: float, kind: DocumentKind, number: int, held: int) -> None:
         """The platform answered with the document ``number`` while ``held`` was held."""
         self._seen[kind] = number
--- a/src/pewtertack/core/replication/service.py
+++ b/src/pewtertack/core/replication/service.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from collections.abc import Callable
+from functools import partial
 from random import Random
 
 import cbor2
@@ -111,18 +112,34 @@
         self, now: float, kind: DocumentKind, number: int, document: Document
     ) -> list[Effect]:
         """Take in a document that this node read."""
+        effects = self._note_regained(kind)
         self.reader.answered_with(now, kind, number, self.held_number(kind))
         if kind is DocumentKind.MACHINE_LIST:
             offered = self.machine_list.offer(identify(number, document), document)
-            return self._after_machine_list(now, offered)
-        return self._after_offer(now, lambda: self.replica.offer_document(number, document))
+            return effects + self._after_machine_list(now, offered)
+        offer = partial(self.replica.offer_document, number, document)
+        return effects + self._after_offer(now, offer)
+
+    def on_document_unchanged(self, now: float, kind: DocumentKind) -> list[Effect]:
+        """The source answered that the document has not changed."""
+        effects = self._note_regained(kind)
+        self.reader.answered(now, kind)
+        return effects
+
+    def _note_regained(self, kind: DocumentKind) -> list[Effect]:
+        if not self.reader.is_failing(kind):
+            return []
+        return [Log(Event.SOURCE_REGAINED, {"document": kind.name})]
 
     def on_read_failed(
         self, now: float, kind: DocumentKind, reason: str, retry_after: float | None
     ) -> list[Effect]:
         """Back off from the platform."""
+        effects: list[Effect] = [Log(FAILURE_EVENTS[kind], {"reason": reason})]
+        if not self.reader.is_failing(kind):
+            effects.append(Log(Event.SOURCE_LOST, {"document": kind.name}))
         self.reader.failed(now, kind, retry_after)
-        return [Log(FAILURE_EVENTS[kind], {"reason": reason})]
+        return effects
 
     # What peers say of their versions.
 
--- a/src/pewtertack/events.py
+++ b/src/pewtertack/events.py
@@ -33,7 +33,7 @@
     MEMBER_SUSPECT = (302, "A member answered neither direct nor indirect probes.")
     MEMBER_DEAD = (303, "A suspected member did not refute in time.")
     MEMBER_LEAVING = (304, "A member is draining.")
-    SOURCE_LOST = (405, "The source or the machine list answered before and fails now.")
+    SOURCE_LOST = (405, "Reads of the source or the machine list fail from now on.")
     SOURCE_REGAINED = (406, "The source or the machine list answers again.")
     SOURCE_FAILED = (401, "The configuration source gave no usable answer.")
     MACHINE_LIST_FAILED = (402, "The machine list gave no usable answer.")
--- a/tests/core/test_durable_source.py
+++ b/tests/core/test_durable_source.py
@@ -4,11 +4,12 @@
 from random import Random
 from typing import Any
 
-from pewtertack.core.effects import BringIntoForce, Effect, ReadDocument, Send, SetServing
+from pewtertack.core.effects import BringIntoForce, Effect, Log, ReadDocument, Send, SetServing
 from pewtertack.core.identity import NodeIdentity
 from pewtertack.core.inputs import (
     DocumentRead,
     DocumentReadFailed,
+    DocumentUnchanged,
     Input,
     MessageReceived,
     Ticked,
@@ -121,6 +122,16 @@
         self.from_peer(SnapshotAnswer(DocumentKind.MACHINE_LIST, listed, MACHINES))
         self.assertEqual((self.core.phase, self.in_force()), (NodePhase.SERVING, 7))
 
+    def test_a_lost_and_a_regained_source_are_each_told_once(self) -> None:
+        self.feed(Ticked())
+        effects: list[Effect] = []
+        for _ in range(3):
+            effects += self.feed(DocumentReadFailed(DocumentKind.CONFIGURATION, "down"))
+        for _ in range(2):
+            effects += self.feed(DocumentUnchanged(DocumentKind.CONFIGURATION))
+        told = [item.event.name for item in effects if isinstance(item, Log)]
+        self.assertEqual((told.count("SOURCE_LOST"), told.count("SOURCE_REGAINED")), (1, 1))
+
     def test_a_node_that_knows_nothing_never_serves(self) -> None:
         self.tick_for(0.5)
         self.fail_reads()
