Connections to gateways outlive a newer machine list

Cause: a newer list closed all idle connections to addresses that it does not name, and the addresses compared were those of back ends; behind gateways none is ever connected to. Every change of the list closed all idle connections between nodes. Ruled out: expiry of idle connections (3 s), which does not depend on the list. Test first: test_connections_to_gateways_outlive_a_newer_list.

--- a/src/pewtertack/routing/registry.py
+++ b/src/pewtertack/routing/registry.py
@@ -93,10 +93,16 @@
         if len(self._left) > LEFT_KEPT:
             del self._left[next(iter(self._left))]
 
+    def all(self) -> Iterable[Backend]:
+        """Return all listed back ends."""
+        return self._backends.values()
+
     def addresses(self) -> frozenset[str]:
-        """Return the addresses of all listed back ends that are not leaving."""
+        """Return where requests for listed back ends that are not leaving are sent."""
         backends = self._backends.values()
-        return frozenset(backend.address for backend in backends if not backend.leaving)
+        return frozenset(
+            backend.gateway or backend.address for backend in backends if not backend.leaving
+        )
 
     def of_service(self, service: str) -> tuple[Backend, ...]:
         """Return all listed back ends of ``service``, leaving ones too."""
--- a/tests/routing/test_gateway_choice.py
+++ b/tests/routing/test_gateway_choice.py
@@ -51,6 +51,10 @@
         tickets = [submitted(made) for _ in range(20)]
         self.assertTrue(all(item.backend is not None for item in tickets))
 
+    def test_connections_to_gateways_outlive_a_newer_list(self) -> None:
+        made = fleet(gated("near"), Machine("bare", MachineRole.BACKEND, "yaba", "10.0.0.2:1"))
+        self.assertEqual(made.addresses(), {"g:1", "10.0.0.2:1"})
+
     def test_the_own_zone_serves_while_its_wait_keeps_the_objective(self) -> None:
         made = fleet(gated("near"), gated("far", zone="yaba"))
         report(made, submitted(made), load=3)
