Silent gateways are noticed within 0.4 s, avoided, and brought back by probes

Change: unacknowledged bytes end a connection after 0.4 s; one such end ejects; probes over own connections bring back; silence of 2.5 times the mean answer is avoided and remembered.

--- a/src/pewtertack/node/daemon.py
+++ b/src/pewtertack/node/daemon.py
@@ -46,6 +46,13 @@
         """Return when nothing is in flight."""
 
 
+class RunningProxy(DrainableProxy, Protocol):
+    """A proxy with work of its own beside the requests."""
+
+    async def run(self) -> None:
+        """Do it until cancelled."""
+
+
 @dataclass(frozen=True, slots=True)
 class NodeParts:
     """Everything that a node process runs, put together but not started."""
@@ -55,7 +62,7 @@
     runtime: Runtime
     transport: PeerTransport
     admin: AsgiApplication
-    proxy: DrainableProxy | None
+    proxy: RunningProxy | None
     log: EventLog
     close: Callable[[], Awaitable[None]]
     """Closes the connections to the platform."""
@@ -88,6 +95,8 @@
             tasks.start_soon(parts.transport.run, parts.runtime.receive, parts.runtime.refuse)
             tasks.start_soon(parts.runtime.run)
             tasks.start_soon(parts.settings.run)
+            if parts.proxy is not None:
+                tasks.start_soon(parts.proxy.run)
             admin = embedded_server(parts.admin, keep_alive)
             admin_sockets = [parts.sockets.admin, parts.sockets.metrics]
             tasks.start_soon(admin.serve, [bound for bound in admin_sockets if bound is not None])
--- a/src/pewtertack/node/gateway/application.py
+++ b/src/pewtertack/node/gateway/application.py
@@ -10,7 +10,13 @@
 
 from pewtertack.core.machines import Machine, MachineList, MachineRole, MachineState
 from pewtertack.node.gateway.forwarding import GatewayForwarding, GatewayParts, load_headers
-from pewtertack.node.gateway.hop import HopRequest, failure_header, read_hop
+from pewtertack.node.gateway.hop import (
+    PROBE_ANSWERED,
+    HopRequest,
+    failure_header,
+    is_probe,
+    read_hop,
+)
 from pewtertack.node.gateway.metrics import GatewayMetrics
 from pewtertack.node.proxy.answers import Receive, Scope, Send, closing, send_failure
 from pewtertack.node.proxy.body import CallerGoneError
@@ -138,6 +144,9 @@
 
     async def __call__(self, scope: Scope, receive: Receive, send: Send) -> None:
         """Serve one request (ASGI entry point)."""
+        if is_probe(scope["headers"]):
+            await self._answer_probe(send)
+            return
         with self._requests.one():
             await self._serve(scope, receive, closing(send) if self._leaving else send)
 
@@ -156,6 +165,15 @@
             self._metrics.note_refused(error.code, error.offered)
             await _refuse(send, error, head, load)
 
+    async def _answer_probe(self, send: Send) -> None:
+        """Tell another node whether requests are taken."""
+        if self._leaving or self._requests.draining:
+            error = DrainingError("the node beside the back end is stopping")
+            await _refuse(send, error, RequestHead(), [])
+            return
+        await send({"type": "http.response.start", "status": PROBE_ANSWERED, "headers": []})
+        await send({"type": "http.response.body", "body": b""})
+
     def _load_of(self, request: HopRequest | None) -> RawHeaders:
         found = self._incarnations.get(request.backend) if request is not None else None
         return load_headers(found.admission) if found is not None else []
--- a/src/pewtertack/node/gateway/hop.py
+++ b/src/pewtertack/node/gateway/hop.py
@@ -40,12 +40,16 @@
 QUEUED = b"x-pewtertack-queued-ms"
 """In an answer: how long the request waited at the gateway."""
 
+PROBE = b"x-pewtertack-probe"
+"""In a request to a gateway that is for the gateway alone: does it take requests?"""
+
 REQUEST_NAMES = frozenset({BACKEND, SERVICE, ROUTE, RANK, OBJECTIVE, LATENESS, CALLER_SERVICE})
 ANSWER_NAMES = frozenset({FAILURE, QUEUED})
 LATENESS_ALLOWED = "allowed"
 LATENESS_REFUSED = "refused"
 OFFERED = "offered"
 NOT_OFFERED = "not-offered"
+PROBE_ANSWERED = 204
 LONGEST_TEXT = 256
 _CLASS_RANKS = {work_class: rank for rank, work_class in enumerate(WorkClass)}
 
@@ -103,6 +107,11 @@
     )
 
 
+def is_probe(headers: Headers) -> bool:
+    """Tell whether a request only asks whether the gateway takes requests."""
+    return any(name == PROBE for name, _ in headers)
+
+
 def failure_header(error: RequestFailedError) -> tuple[bytes, bytes]:
     """Return the header that marks a gateway's own failure."""
     offered = OFFERED if error.offered else NOT_OFFERED
--- a/src/pewtertack/node/proxy/application.py
+++ b/src/pewtertack/node/proxy/application.py
@@ -23,6 +23,7 @@
     DispatcherCollector,
     RequestMetrics,
 )
+from pewtertack.node.proxy.probing import GatewayProber
 from pewtertack.node.proxy.request_log import Beliefs, ProxyLog, RecordEvent, ignore_event
 from pewtertack.node.proxy.upstream import ConnectionStore
 from pewtertack.routing.deadlines import deadline_of
@@ -152,6 +153,10 @@
         used = {route.service for route in self._table.configuration.routes}
         return self._parts.dispatcher.reaches_all(used, self._clock())
 
+    async def run(self) -> None:
+        """Probe gateways out of reach until cancelled."""
+        await GatewayProber(self._parts.dispatcher, self._clock).run()
+
     def set_serving(self, serving: bool, retry_after: float = 1.0) -> None:
         """Accept requests, or refuse them as not run, to come back after ``retry_after`` s."""
         self._serving = serving
@@ -216,6 +221,8 @@
                     machine_list=self._beliefs.machine_list,
                 )
             case BackendChanged(backend, ejected):
+                if backend.unreachable:
+                    self._parts.connections.drop(backend.gateway)
                 event = Event.BACKEND_EJECTED if ejected else Event.BACKEND_RETURNED
                 self._log(event, backend=backend.name, service=backend.service)
 
--- a/src/pewtertack/node/proxy/exchange.py
+++ b/src/pewtertack/node/proxy/exchange.py
@@ -25,6 +25,7 @@
     BackendFailedError,
     BackendGoneError,
     BackendShedError,
+    BackendSilentError,
     CrossedAnswerError,
     InvalidRequestError,
     Outcome,
@@ -105,8 +106,10 @@
             refusal = InvalidRequestError(str(error))
             raise refusal.with_outcome(_outcome(connection)) from error
         except (httpcore.ProtocolError, httpcore.NetworkError) as error:
-            failure = BackendFailedError(f"the exchange broke: {error}")
-            raise failure.with_outcome(_outcome(connection)) from error
+            failure = BackendSilentError if connection.peer_silent else BackendFailedError
+            raise failure(f"the exchange broke: {error}").with_outcome(
+                _outcome(connection)
+            ) from error
         answer = read_answer(response.headers, edge)
         if self._is_crossed(response.status, answer):
             connection.abort()
--- a/src/pewtertack/node/proxy/forwarding.py
+++ b/src/pewtertack/node/proxy/forwarding.py
@@ -30,6 +30,7 @@
 from pewtertack.routing.outcomes import (
     BackendGoneError,
     BackendShedError,
+    BackendSilentError,
     BackendUnreachableError,
     CrossedAnswerError,
     DeadlineExceededError,
@@ -239,6 +240,8 @@
         return AttemptEnd.UNREACHABLE if error.reason in GONE_REASONS else AttemptEnd.REFUSED
     if isinstance(error, BackendShedError):
         return AttemptEnd.SHED
+    if isinstance(error, BackendSilentError):
+        return AttemptEnd.SILENT
     if isinstance(error, BackendUnreachableError):
         return AttemptEnd.UNREACHABLE
     if isinstance(error, CrossedAnswerError):
--- a/src/pewtertack/node/proxy/network.py
+++ b/src/pewtertack/node/proxy/network.py
@@ -8,15 +8,17 @@
 from __future__ import annotations
 
 import asyncio
+import errno
 import socket
 from typing import Any
 
 import httpcore
 
 READ_BUFFER_LIMIT = 256 * 1024
-UNACKNOWLEDGED_MILLISECONDS = 700
+UNACKNOWLEDGED_MILLISECONDS = 400
 """Sent bytes that the other machine's kernel has not acknowledged for so long end the
 connection: the machine lost power or is cut off. A back end's silence does not."""
+SILENT_ERRORS = frozenset({errno.ETIMEDOUT, errno.EHOSTUNREACH, errno.ENETUNREACH})
 PROBE_OPTIONS = (
     (socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1),
     (socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, 1),
@@ -81,6 +83,11 @@
         self._writing_paused = False
         _wake(self._writer)
 
+    @property
+    def peer_silent(self) -> bool:
+        """Whether the connection ended since the other machine acknowledged nothing."""
+        return isinstance(self._failure, OSError) and self._failure.errno in SILENT_ERRORS
+
     # httpcore.AsyncNetworkStream
 
     async def read(self, max_bytes: int, timeout: float | None = None) -> bytes:
--- /dev/null
+++ b/src/pewtertack/node/proxy/probing.py
@@ -0,0 +1,74 @@
+"""Probes of gateways that were out of reach, so that no request has to try them.
+
+A gateway whose machine lost power, is cut off or whose process ended is asked over a
+connection of its own until it answers. A request that tried it instead would lose most
+of its time, and one that may not be repeated its only attempt.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+
+import anyio
+import httpcore
+from anyio.abc import TaskGroup
+
+from pewtertack.node.gateway.hop import PROBE, PROBE_ANSWERED
+from pewtertack.node.proxy.upstream import BackendConnection, connect
+from pewtertack.routing.backend import Backend
+from pewtertack.routing.dispatcher import Dispatcher
+from pewtertack.routing.outcomes import BackendUnreachableError
+
+LOOK_SECONDS = 0.1
+PROBE_SECONDS = 0.3
+"""For connection and answer together."""
+
+
+class GatewayProber:
+    """Asks the gateways that the dispatcher says are due, each by a task of its own."""
+
+    def __init__(self, dispatcher: Dispatcher, clock: Callable[[], float]) -> None:
+        self._dispatcher = dispatcher
+        self._clock = clock
+
+    async def run(self) -> None:
+        """Probe until cancelled."""
+        async with anyio.create_task_group() as tasks:
+            while True:
+                self._start_due(tasks)
+                await anyio.sleep(LOOK_SECONDS)
+
+    def _start_due(self, tasks: TaskGroup) -> None:
+        for backend in self._dispatcher.probes_due(self._clock()):
+            tasks.start_soon(self._probe, backend)
+
+    async def _probe(self, backend: Backend) -> None:
+        answered = False
+        try:
+            with anyio.move_on_after(PROBE_SECONDS):
+                answered = await takes_requests(backend.gateway)
+        finally:
+            self._dispatcher.note_probe(backend, self._clock(), answered)
+
+
+async def takes_requests(gateway: str) -> bool:
+    """Ask the gateway at ``ip:port`` over a new connection; false when it cannot be asked."""
+    try:
+        connection = await connect(gateway, PROBE_SECONDS)
+    except BackendUnreachableError:
+        return False
+    try:
+        response = await connection.exchange(_question(connection))
+        return response.status == PROBE_ANSWERED
+    except (httpcore.ProtocolError, httpcore.NetworkError):
+        return False
+    finally:
+        connection.abort()
+
+
+def _question(connection: BackendConnection) -> httpcore.Request:
+    url = httpcore.URL(
+        scheme=b"http", host=connection.origin.host, port=connection.origin.port, target=b"/"
+    )
+    headers = [(b"host", connection.origin.host), (PROBE, b"1")]
+    return httpcore.Request("GET", url, headers=headers)
--- a/src/pewtertack/node/proxy/upstream.py
+++ b/src/pewtertack/node/proxy/upstream.py
@@ -66,6 +66,11 @@
         http = self._http
         return http.is_idle() and not http.has_surplus() and not http.has_expired()
 
+    @property
+    def peer_silent(self) -> bool:
+        """Whether the connection ended since the other machine acknowledged nothing."""
+        return self.stream.peer_silent
+
     def abort(self) -> None:
         """Close the connection at once."""
         self.stream.abort()
@@ -91,7 +96,7 @@
             if connection.reusable:
                 return connection
             connection.abort()
-        return await _connect(address, connect_timeout)
+        return await connect(address, connect_timeout)
 
     def give_back(self, connection: BackendConnection) -> None:
         """Keep the connection for reuse when its exchange ended cleanly, else close it."""
@@ -110,6 +115,11 @@
         if self._idle:
             self._sweep = asyncio.get_running_loop().call_later(SWEEP_SECONDS, self._retire_old)
 
+    def drop(self, address: str) -> None:
+        """Close idle connections to an address whose machine may be gone."""
+        for _, connection in self._idle.pop(address, ()):
+            connection.abort()
+
     def keep_only(self, addresses: Container[str]) -> None:
         """Close idle connections to all other addresses."""
         self._retire(float("-inf"), addresses)
@@ -122,7 +132,12 @@
                 del self._idle[address]
 
 
-async def _connect(address: str, timeout: float) -> BackendConnection:
+async def connect(address: str, timeout: float) -> BackendConnection:
+    """Return a new connection to ``ip:port``, made within ``timeout`` seconds.
+
+    Raises:
+        BackendUnreachableError: no connection was made.
+    """
     try:
         host, port = _split(address)
         with anyio.fail_after(timeout):
--- a/src/pewtertack/routing/backend.py
+++ b/src/pewtertack/routing/backend.py
@@ -17,7 +17,15 @@
 """Share of the work that a back end takes at the beginning of its slow start."""
 STALL_SECONDS = 1.0
 """Without any sign for this long while requests wait there, a back end is avoided."""
+GATEWAY_STALL_SECONDS = 0.15
+"""The same at least for a back end with a gateway, which tells its load with every answer."""
+GATEWAY_STALL_FACTOR = 2.5
+"""The same as a multiple of the time that the back end's answers take."""
+STALL_MEMORY = 3.0
+"""Seconds for which a stall counts after the last request there has been given up."""
 STALL_PENALTY = 8.0
+PROBE_GRACE = 0.5
+"""An unreachable gateway is tried by a request when no probe has been made for so long."""
 SLOWNESS_WEIGHT = 0.1
 SLOWNESS_LIMIT = 8.0
 """One answer counts as slower or faster than the mean by this factor at most."""
@@ -62,7 +70,10 @@
     """Gets no new work, by the list or its own answers. Sticky for an incarnation."""
     removed: bool = False
     """Gone from the list, or replaced by another incarnation."""
-    last_progress: float = float("-inf")
+    waiting_since: float | None = None
+    """Since when a request has waited there without any sign of the back end."""
+    unreachable: bool = False
+    """Ejected because its gateway's machine, or process, gave no sign."""
     others: int = 0
     """Requests of other callers at the back end when it last reported."""
     slots: int = 0
@@ -89,9 +100,29 @@
             not self.leaving
             and not self.removed
             and (bool(self.gateway) or self.limit.allows(now, self.in_flight))
-            and self.health.admits(now)
+            and self.reachable(now)
         )
 
+    def reachable(self, now: float) -> bool:
+        """Tell whether it is not ejected, or due for a request that tries it."""
+        return self.health.admits(now - PROBE_GRACE if self.unreachable else now)
+
+    def note_start(self, now: float) -> None:
+        """A request of this proxy starts there."""
+        self.in_flight += 1
+        if self.waiting_since is None:
+            self.waiting_since = now
+
+    def note_sign(self, now: float) -> None:
+        """The back end, or its gateway, has answered one of the requests there."""
+        self.waiting_since = now if self.in_flight > 1 else None
+
+    def note_end(self, now: float, mean_time: float) -> None:
+        """A request there has ended; a silence that is long already is not forgotten."""
+        self.in_flight -= 1
+        if self.in_flight == 0 and not self.stalled(now, mean_time):
+            self.waiting_since = None
+
     def note_time(self, seconds: float, expected: float) -> None:
         """Compare an answer's time with the service's mean for its route, 0 while unknown."""
         if expected > 0:
@@ -131,9 +162,24 @@
         score = (self.occupancy(now) + 1 / slots) / self._warmth(now)
         return score * STALL_PENALTY if self.stalled(now) else score
 
-    def stalled(self, now: float) -> bool:
-        """Tell whether requests wait there and nothing was heard for too long."""
-        return self.in_flight > 0 and now - self.last_progress > STALL_SECONDS
+    def stalled(self, now: float, mean_time: float = 0.0) -> bool:
+        """Tell whether requests wait, or waited, there and nothing was heard for too long.
+
+        Args:
+            now: monotonic seconds.
+            mean_time: seconds that the service's answers take, 0 while unknown.
+        """
+        if self.waiting_since is None:
+            return False
+        silent = now - self.waiting_since
+        if self.in_flight == 0 and silent > STALL_MEMORY:
+            return False
+        return silent > self._stall_limit(mean_time)
+
+    def _stall_limit(self, mean_time: float) -> float:
+        if not self.gateway or mean_time == 0:
+            return STALL_SECONDS
+        return max(GATEWAY_STALL_SECONDS, GATEWAY_STALL_FACTOR * mean_time * self.slowness)
 
     def _warmth(self, now: float) -> float:
         """Return the share of work, below 1 during the slow start."""
--- a/src/pewtertack/routing/choice.py
+++ b/src/pewtertack/routing/choice.py
@@ -113,7 +113,7 @@
 
     def cost(backend: Backend) -> tuple[float, float]:
         wait = backend.expected_wait(now, wish.mean_time)
-        stalled = STALL_PENALTY if backend.stalled(now) else 1.0
+        stalled = STALL_PENALTY if backend.stalled(now, wish.mean_time) else 1.0
         slowness = backend.slowness * stalled
         return wait + wish.expected_time * slowness, backend.occupancy(now) * stalled
 
--- a/src/pewtertack/routing/dispatcher.py
+++ b/src/pewtertack/routing/dispatcher.py
@@ -50,6 +50,8 @@
     REFUSED = "refused"
     """The gateway refused the request; tells nothing of the back end."""
     UNREACHABLE = "unreachable"
+    SILENT = "silent"
+    """The gateway's machine acknowledged nothing of what was sent to it."""
     BROKEN = "broken"
     TIMED_OUT = "timed-out"
     CANCELLED = "cancelled"
@@ -58,10 +60,13 @@
 FAILURES = {
     AttemptEnd.FAILED_STATUS,
     AttemptEnd.UNREACHABLE,
+    AttemptEnd.SILENT,
     AttemptEnd.BROKEN,
     AttemptEnd.TIMED_OUT,
     AttemptEnd.CANCELLED,
 }
+OUT_OF_REACH = {AttemptEnd.UNREACHABLE, AttemptEnd.SILENT}
+"""Ends after which a gateway's back end is asked for nothing until a probe is answered."""
 
 
 UNANSWERED = {AttemptEnd.TIMED_OUT, AttemptEnd.CANCELLED, AttemptEnd.BROKEN}
@@ -213,7 +218,7 @@
         backend = ticket.backend
         assert backend is not None
         ticket.answered = True
-        backend.last_progress = now
+        backend.note_sign(now)
         ticket.report = report
         if report is not None:
             backend.note_report(now, report)
@@ -228,8 +233,8 @@
         if backend is None or ticket.finished:
             return
         ticket.finished = True
-        backend.in_flight -= 1
         service = self.service(ticket.route.service)
+        backend.note_end(now, service.mean_time)
         service.in_flight -= 1
         service.limit.note_finished(now, now - ticket.started_at)
         seconds = max(0.0, now - ticket.started_at - ticket.queued)
@@ -254,7 +259,7 @@
         if end is AttemptEnd.SHED:
             limit.note_shed(now, ticket.started_at, self._random.random())
             service.limit.note_shed(now, ticket.started_at)
-        elif end in (AttemptEnd.TIMED_OUT, AttemptEnd.UNREACHABLE, AttemptEnd.BROKEN):
+        elif end in OUT_OF_REACH or end in (AttemptEnd.TIMED_OUT, AttemptEnd.BROKEN):
             limit.note_overload(now, ticket.started_at)
         elif end in (AttemptEnd.ANSWERED, AttemptEnd.FAILED_STATUS, AttemptEnd.FAILED_BELOW):
             _adapt_to_load(service, backend, ticket, now)
@@ -274,9 +279,34 @@
             may_eject = end is not AttemptEnd.FAILED_STATUS or service.may_eject()
             threshold, pause = _ejection_of(ticket, backend, end)
             if backend.health.fail(now, ticket.trial, threshold, pause, may_eject):
+                backend.unreachable = bool(backend.gateway) and end in OUT_OF_REACH
                 self._notify(BackendChanged(backend, ejected=True))
         elif backend.health.succeed(now, ticket.trial):
-            self._notify(BackendChanged(backend, ejected=False))
+            self._return(backend)
+
+    def _return(self, backend: Backend) -> None:
+        backend.unreachable = False
+        backend.waiting_since = None
+        self._notify(BackendChanged(backend, ejected=False))
+
+    def probes_due(self, now: float) -> list[Backend]:
+        """Return the back ends whose gateways to probe now; each is due once a probe."""
+        due = [
+            backend
+            for backend in self._registry.all()
+            if backend.unreachable and not backend.leaving and backend.health.admits(now)
+        ]
+        for backend in due:
+            backend.health.begin()
+        return due
+
+    def note_probe(self, backend: Backend, now: float, answered: bool) -> None:
+        """A probe of the back end's gateway has ended."""
+        if not answered:
+            backend.health.fail_probe(now, UNREACHABLE_PAUSE)
+        elif backend.health.succeed(now, True):
+            self._return(backend)
+            self.service(backend.service).pump(now)
 
     def retry(
         self, ticket: Ticket, error: RequestFailedError, now: float, replayable: bool
@@ -340,7 +370,7 @@
 
     A gateway that cannot be reached says so at once, and asking again costs little.
     """
-    if backend.gateway and end is AttemptEnd.UNREACHABLE:
+    if backend.gateway and end in OUT_OF_REACH:
         return 1, UNREACHABLE_PAUSE
     return ticket.service.ejection_failures, ticket.service.ejection_time
 
--- a/src/pewtertack/routing/health.py
+++ b/src/pewtertack/routing/health.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 MAXIMUM_DOUBLINGS = 4
+MAXIMUM_PROBE_DOUBLINGS = 2
 FORGIVEN_AFTER = 10
 """Ejections are forgotten after this many ejection times without a failure."""
 
@@ -22,6 +23,8 @@
         self._trial_running = False
         self._failures = 0
         self._ejections = 0
+        self._probes = 0
+        """Probes in a row that found nobody."""
         self._failed_at = float("-inf")
 
     def admits(self, now: float) -> bool:
@@ -52,10 +55,16 @@
         if not trial:
             return False
         self.ejected = self._trial_running = False
-        self._failures = 0
+        self._failures = self._probes = 0
         self.returned_at = now
         return True
 
+    def fail_probe(self, now: float, pause: float) -> None:
+        """A probe, which costs no request, found nobody: the next one follows soon."""
+        self._trial_running = False
+        self._probes += 1
+        self.retry_at = now + pause * 2 ** min(self._probes, MAXIMUM_PROBE_DOUBLINGS)
+
     def fail(
         self, now: float, trial: bool, threshold: int, ejection_time: float, may_eject: bool
     ) -> bool:
--- a/src/pewtertack/routing/outcomes.py
+++ b/src/pewtertack/routing/outcomes.py
@@ -199,6 +199,12 @@
     code: ClassVar[str] = "backend-failed"
 
 
+class BackendSilentError(BackendFailedError):
+    """The machine of the back end acknowledged nothing of what was sent to it."""
+
+    code: ClassVar[str] = "backend-silent"
+
+
 class CrossedAnswerError(RequestFailedError):
     """The back end's answer carries another request's id."""
 
--- a/src/pewtertack/routing/service.py
+++ b/src/pewtertack/routing/service.py
@@ -44,7 +44,8 @@
         self._random = random
         self._local: list[Backend] = []
         self._remote: list[Backend] = []
-        self._mean_time = 0.0
+        self.mean_time = 0.0
+        """Mean seconds of all answers, 0 while unknown."""
         self._route_times: dict[str, float] = {}
 
     def use_backends(self, backends: Iterable[Backend], zone: str) -> None:
@@ -58,9 +59,9 @@
         return any(item.usable(now) and item.name not in excluded for item in self.backends)
 
     def may_reach(self, now: float) -> bool:
-        """Tell whether any back end that takes work answers, or is due for a trial."""
+        """Tell whether any back end that takes work answers, or is overdue for a trial."""
         working = [item for item in self.backends if not (item.leaving or item.removed)]
-        return not working or any(item.health.admits(now) for item in working)
+        return not working or any(item.reachable(now) for item in working)
 
     @property
     def backends(self) -> tuple[Backend, ...]:
@@ -78,7 +79,7 @@
 
     def note_time(self, route: str, seconds: float) -> None:
         """Take the time of an answered attempt into the means."""
-        self._mean_time = smoothed(self._mean_time, seconds)
+        self.mean_time = smoothed(self.mean_time, seconds)
         self._route_times[route] = smoothed(self._route_times.get(route, 0.0), seconds)
 
     def submit(self, ticket: Ticket, now: float) -> None:
@@ -115,7 +116,7 @@
             )
 
     def _expected_wait(self, ticket: Ticket, now: float) -> float:
-        per_turn = self._mean_time / max(MINIMUM_CAPACITY, self._capacity(now))
+        per_turn = self.mean_time / max(MINIMUM_CAPACITY, self._capacity(now))
         place = self.queue.place_of(ticket)
         return self.queue.expected_wait(ticket.route.work_class, place, per_turn, now)
 
@@ -195,9 +196,7 @@
             return False
         if backend is None:
             return False
-        if backend.in_flight == 0:
-            backend.last_progress = now
-        backend.in_flight += 1
+        backend.note_start(now)
         self.in_flight += 1
         ticket.trial = backend.health.begin()
         ticket.backend = backend
@@ -212,7 +211,7 @@
         objective = ticket.arrived_at + ticket.route.objective
         patient_until = ticket.deadline if ticket.body_bytes > LARGE_BODY else objective
         patience = patient_until - now - expected * UNCERTAINTY
-        return Wish(expected, self._mean_time, max(0.0, patience), ticket.excluded)
+        return Wish(expected, self.mean_time, max(0.0, patience), ticket.excluded)
 
     def _why_other_zone(self, ticket: Ticket) -> str:
         if not any(item.name not in ticket.excluded for item in self._local):
--- /dev/null
+++ b/tests/node/proxy/test_probing.py
@@ -0,0 +1,73 @@
+"""Gateways out of reach are probed over connections of their own."""
+
+import asyncio
+import contextlib
+import errno
+import socket
+import time
+from typing import Any
+
+from pewtertack.node.proxy.network import BackendStream
+from pewtertack.node.proxy.probing import takes_requests
+from pewtertack.node.proxy.upstream import ConnectionStore
+from pewtertack.routing.dispatcher import AttemptEnd
+from pewtertack.routing.queueing import Ticket
+from tests.node.gateway.test_gateway import POST, GatewayTestCase, answer_well
+from tests.node.proxy.harness import LOOPBACK, RawBackend, raw_call
+from tests.routing.samples import route, service
+
+
+class ProbeTest(GatewayTestCase):
+    async def test_a_gateway_answers_without_asking_its_back_end(self) -> None:
+        await self.start_fleet(answer_well)
+        self.assertTrue(await takes_requests(self.machines[0].gateway))
+        self.assertEqual(self.heads, [])
+
+    async def test_a_gateway_that_stops_takes_no_requests(self) -> None:
+        await self.start_fleet(answer_well)
+        self.gateways[0].start_leaving(1.0)
+        self.assertFalse(await takes_requests(self.machines[0].gateway))
+
+    async def test_a_closed_port_takes_no_requests(self) -> None:
+        with socket.create_server((LOOPBACK, 0)) as listener:
+            host, port = listener.getsockname()
+        self.assertFalse(await takes_requests(f"{host}:{port}"))
+
+    async def test_a_gateway_comes_back_by_a_probe(self) -> None:
+        address = await self.start_fleet(answer_well)
+        dispatcher = self.proxy._parts.dispatcher
+        ticket = Ticket(route(), service(), time.monotonic() + 5)
+        dispatcher.submit(ticket, time.monotonic())
+        dispatcher.finish(ticket, time.monotonic(), AttemptEnd.SILENT)
+        self.assertEqual((await raw_call(address, POST)).status, 503)
+        prober = asyncio.create_task(self.proxy.run())
+        while dispatcher.service("logbook").backends[0].unreachable:
+            await asyncio.sleep(0.01)
+        prober.cancel()
+        with contextlib.suppress(asyncio.CancelledError):
+            await prober
+        self.assertEqual((await raw_call(address, POST)).status, 200)
+
+
+class SilentConnectionTest(GatewayTestCase):
+    async def test_only_a_machine_that_acknowledges_nothing_is_silent(self) -> None:
+        for failure, silent in (
+            (OSError(errno.ETIMEDOUT, "timed out"), True),
+            (ConnectionResetError(errno.ECONNRESET, "reset"), False),
+            (None, False),
+        ):
+            stream = BackendStream()
+            stream.connection_lost(failure)
+            self.assertEqual(stream.peer_silent, silent)
+
+    async def test_idle_connections_to_a_silent_gateway_are_closed(self) -> None:
+        async def wait_for_end(reader: Any, writer: Any, head: str) -> bool:
+            return True
+
+        backend = RawBackend(wait_for_end)
+        address = await backend.start(self)
+        store = ConnectionStore(time.monotonic)
+        first = await store.take(address, 1.0)
+        store.give_back(first)
+        store.drop(address)
+        self.assertIsNot(await store.take(address, 1.0), first)
