Admission: a full queue lets the least urgent go for what is more urgent

Cause: a gateway's full queue refused whatever came, urgent or not. Ruled out: the choice of gateways (refusals came from all of them) and the retry budget.

--- a/src/pewtertack/cli/lab.py
+++ b/src/pewtertack/cli/lab.py
@@ -279,9 +279,11 @@
     load: Annotated[float, typer.Option(help="Offered load, in capacities.")] = 2.0,
     seconds: Annotated[float, typer.Option(help="Virtual seconds.")] = 20.0,
     seed: int = 1,
+    gateways: Annotated[bool, typer.Option(help="A gateway beside each back end.")] = False,
 ) -> None:
     """Simulate an overload against round robin with fixed retries, and print it as JSON."""
-    from pewtertack.lab.overload.simulation import Shape, compare
+    from pewtertack.lab.overload.simulation import Shape, compare, simulate_gateways
 
-    result = compare(Shape(nodes=nodes, seconds=seconds), load, seed)
+    shape = Shape(nodes=nodes, seconds=seconds)
+    result = simulate_gateways(shape, load, seed) if gateways else compare(shape, load, seed)
     typer.echo(msgspec.json.format(msgspec.json.encode(result)).decode())
--- /dev/null
+++ b/src/pewtertack/lab/overload/gateways.py
@@ -0,0 +1,177 @@
+"""Two-node forwarding in virtual time: real choice, admission and retry decisions.
+
+Nodes drive ``pewtertack.routing.dispatcher`` as the proxy does, gateways drive
+``pewtertack.routing.admission``; only the network and the back ends' work are simulated.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Sequence
+from random import Random
+
+from pewtertack.core.configuration.resolved import ResolvedService
+from pewtertack.core.machines import Machine, MachineList, MachineRole
+from pewtertack.lab.overload.nodes import ROUTES
+from pewtertack.lab.overload.workload import SERVICE, SimulatedRequest
+from pewtertack.lab.overload.world import NETWORK_DELAY, VirtualTime
+from pewtertack.routing.admission import Admission, AdmissionTicket
+from pewtertack.routing.backend import LoadReport
+from pewtertack.routing.dispatcher import AttemptEnd, Dispatcher
+from pewtertack.routing.outcomes import GatewayRefusedError, NotRunError, RequestFailedError
+from pewtertack.routing.queueing import Ticket
+
+CLASS_ORDER = tuple(ROUTES)
+
+
+class GatewayJob:
+    """One attempt: a sender's ticket and the place that the gateway gives it."""
+
+    __slots__ = ("node", "place", "request", "ticket")
+
+    def __init__(self, node: GatewayNode, request: SimulatedRequest, ticket: Ticket) -> None:
+        self.node = node
+        self.request = request
+        self.ticket = ticket
+        now = node.time.now
+        rank = (CLASS_ORDER.index(request.profile.work_class), 0)
+        objective = request.began + ticket.route.objective
+        self.place = AdmissionTicket(
+            ticket.route.name, rank, objective, request.deadline, ticket.may_be_late
+        )
+        self.place.submitted_at = now
+
+
+class SimulatedGateway:
+    """A back end with the gateway beside it, which admits exactly."""
+
+    __slots__ = ("admission", "counted_until", "name", "time", "useful_work", "waits", "zone")
+
+    def __init__(self, time: VirtualTime, name: str, zone: str, slots: int) -> None:
+        self.time = time
+        self.name = name
+        self.zone = zone
+        self.admission = Admission(slots)
+        self.useful_work = 0.0
+        self.counted_until = float("inf")
+        self.waits: list[float] = []
+
+    def submit(self, job: GatewayJob) -> None:
+        """Take in a job of a node after the network's delay."""
+        self.time.at(self.time.now + NETWORK_DELAY, lambda: self._arrive(job))
+
+    def _arrive(self, job: GatewayJob) -> None:
+        job.place.wake = lambda: self._woken(job)
+        try:
+            self.admission.submit(job.place, self.time.now)
+        except NotRunError as error:
+            self._reply(job, error)
+            return
+        if job.place.granted:
+            self._start(job)
+        else:
+            self._look(job)
+
+    def _look(self, job: GatewayJob) -> None:
+        """Refuse a waiting job once its time is over, as the gateway's timer does."""
+        if job.place.granted or job.place.refusal is not None:
+            return
+        self.admission.expire(job.place, self.time.now)
+        if job.place.refusal is None:
+            self.time.at(self.admission.expires_at(job.place), lambda: self._look(job))
+
+    def _woken(self, job: GatewayJob) -> None:
+        if job.place.refusal is not None:
+            self._reply(job, job.place.refusal)
+        else:
+            self._start(job)
+
+    def _start(self, job: GatewayJob) -> None:
+        self.waits.append(job.place.queued)
+        ends = self.time.now + job.request.work
+        cut = job.request.deadline
+        self.time.at(min(ends, cut), lambda: self._finish(job, answered=ends <= cut))
+
+    def _finish(self, job: GatewayJob, answered: bool) -> None:
+        now = self.time.now
+        self.admission.finish(job.place, now, answered)
+        if answered and now <= self.counted_until:
+            self.useful_work += job.request.work
+        if answered:
+            self._reply(job, None)
+        else:
+            job.node.note_timeout(job)
+
+    def _reply(self, job: GatewayJob, error: NotRunError | None) -> None:
+        report = LoadReport(self.admission.load, self.admission.slots)
+        answer_at = self.time.now + NETWORK_DELAY
+        self.time.at(answer_at, lambda: job.node.replied(job, error, report))
+
+
+class GatewayNode:
+    """A proxy that decides by ``pewtertack.routing`` among back ends with gateways."""
+
+    __slots__ = ("_dispatcher", "_gateways", "_settings", "time")
+
+    def __init__(
+        self,
+        time: VirtualTime,
+        gateways: Sequence[SimulatedGateway],
+        zone: str,
+        settings: ResolvedService,
+        random: Random,
+    ) -> None:
+        self.time = time
+        self._gateways = {gateway.name: gateway for gateway in gateways}
+        self._settings = settings
+        self._dispatcher = Dispatcher(random)
+        self._dispatcher.use_zone(zone)
+        listed = (
+            Machine(
+                gateway.name,
+                MachineRole.BACKEND,
+                gateway.zone,
+                gateway.name,
+                SERVICE,
+                gateway=gateway.name,
+                slots=gateway.admission.slots,
+            )
+            for gateway in gateways
+        )
+        self._dispatcher.use_machines(MachineList(1, tuple(listed)), 0.0)
+
+    def begin(self, request: SimulatedRequest) -> None:
+        """Serve a caller's request."""
+        route = ROUTES[request.profile.work_class]
+        self._submit(request, Ticket(route, self._settings, request.deadline))
+
+    def _submit(self, request: SimulatedRequest, ticket: Ticket) -> None:
+        try:
+            self._dispatcher.submit(ticket, self.time.now)
+        except RequestFailedError:
+            request.ended = self.time.now
+            return
+        assert ticket.backend is not None, "a proxy queues nothing where gateways admit"
+        request.attempts += 1
+        self._gateways[ticket.backend.name].submit(GatewayJob(self, request, ticket))
+
+    def note_timeout(self, job: GatewayJob) -> None:
+        """The deadline passed while the back end was at work."""
+        job.request.ended = self.time.now
+        self._dispatcher.finish(job.ticket, self.time.now, AttemptEnd.TIMED_OUT)
+
+    def replied(self, job: GatewayJob, error: NotRunError | None, report: LoadReport) -> None:
+        """An answer or a refusal has come back."""
+        now = self.time.now
+        job.ticket.queued = job.place.queued if error is None else 0.0
+        self._dispatcher.note_answer(job.ticket, now, report, leaving=False)
+        end = AttemptEnd.ANSWERED if error is None else AttemptEnd.REFUSED
+        self._dispatcher.finish(job.ticket, now, end)
+        if error is None:
+            job.request.ended, job.request.answered = now, True
+            return
+        refusal = GatewayRefusedError(error.message, error.retry_after, error.code)
+        following = self._dispatcher.decide_retry(job.ticket, refusal, now, replayable=True).ticket
+        if following is None:
+            job.request.ended = now
+        else:
+            self._submit(job.request, following)
--- a/src/pewtertack/lab/overload/simulation.py
+++ b/src/pewtertack/lab/overload/simulation.py
@@ -3,11 +3,13 @@
 from __future__ import annotations
 
 from collections.abc import Sequence
+from functools import partial
 from random import Random
 
 import msgspec
 
 from pewtertack.core.configuration.resolved import WorkClass
+from pewtertack.lab.overload.gateways import GatewayNode, SimulatedGateway
 from pewtertack.lab.overload.nodes import DispatcherNode, RoundRobinNode, SimulatedNode
 from pewtertack.lab.overload.workload import (
     MEAN_WORK,
@@ -55,6 +57,8 @@
     extra_attempts: float
     """Attempts beyond the first as a share of requests offered."""
     classes: dict[WorkClass, ClassOutcome]
+    mean_wait: float = 0.0
+    """Milliseconds that a request which started had waited at a gateway."""
 
 
 class Comparison(msgspec.Struct, frozen=True):
@@ -98,6 +102,31 @@
     return _result(shape, load, requests, backends)
 
 
+def simulate_gateways(shape: Shape, load: float, seed: int) -> RunResult:
+    """Run one simulation in which every back end has a gateway beside it."""
+    time = VirtualTime()
+    gateways = [
+        SimulatedGateway(time, f"b{index}", ZONES[index % len(ZONES)], shape.slots)
+        for index in range(shape.backends)
+    ]
+    for gateway in gateways:
+        gateway.counted_until = shape.seconds
+    settings = service_settings(shape.slots)
+    nodes = [
+        GatewayNode(time, gateways, ZONES[index % len(ZONES)], settings, Random(f"{seed}:{index}"))
+        for index in range(shape.nodes)
+    ]
+    workload = arrivals(Random(seed), load * shape.capacity, shape.seconds, shape.nodes)
+    requests = list(workload)
+    for request in requests:
+        time.at(request.began, partial(nodes[request.node].begin, request))
+    time.run()
+    result = _result(shape, load, requests, gateways)
+    waits = [wait for gateway in gateways for wait in gateway.waits]
+    mean_wait = MILLISECONDS * sum(waits) / max(1, len(waits))
+    return msgspec.structs.replace(result, mean_wait=round(mean_wait, 2))
+
+
 def _nodes(
     time: VirtualTime,
     shape: Shape,
@@ -118,7 +147,7 @@
     shape: Shape,
     load: float,
     requests: Sequence[SimulatedRequest],
-    backends: Sequence[SimulatedBackend],
+    backends: Sequence[SimulatedBackend | SimulatedGateway],
 ) -> RunResult:
     slot_seconds = shape.backends * shape.slots * shape.seconds
     attempted = [request for request in requests if request.attempts]
--- a/src/pewtertack/routing/admission.py
+++ b/src/pewtertack/routing/admission.py
@@ -97,13 +97,27 @@
             return
         self._arrivals += 1
         ticket.order = (*ticket.rank, self._arrivals)
-        if len(self._queue) >= QUEUE_PER_SLOT * self.slots:
-            raise QueueFullError("too many requests wait", self._retry_after())
         if not self._has_prospect(ticket, now):
             message = "no slot comes free in time"
             raise DeadlineUnmeetableError(message, self._retry_after())
+        if len(self._queue) >= QUEUE_PER_SLOT * self.slots:
+            self._make_room_for(ticket)
         bisect.insort(self._queue, ticket, key=lambda item: item.order)
 
+    def _make_room_for(self, ticket: AdmissionTicket) -> None:
+        """Refuse the last that waits if it is less urgent, else the new one.
+
+        Raises:
+            QueueFullError: nothing less urgent than the ticket waits.
+        """
+        error = QueueFullError("too many requests wait", self._retry_after())
+        last = self._queue[-1]
+        if last.order < ticket.order:
+            raise error
+        self._queue.pop()
+        last.refusal = error
+        last.wake()
+
     def _has_prospect(self, ticket: AdmissionTicket, now: float) -> bool:
         """Tell whether the ticket is expected to start while that is of use."""
         ahead = sum(
--- a/tests/routing/test_admission.py
+++ b/tests/routing/test_admission.py
@@ -3,7 +3,7 @@
 import unittest
 from typing import Any
 
-from pewtertack.routing.admission import Admission, AdmissionTicket
+from pewtertack.routing.admission import QUEUE_PER_SLOT, Admission, AdmissionTicket
 from pewtertack.routing.outcomes import DeadlineUnmeetableError, QueueFullError
 
 
@@ -44,6 +44,25 @@
         admission.finish(first, 0.2, answered=True)
         self.assertTrue(second.granted)
 
+    def test_a_full_queue_lets_the_least_urgent_go_for_what_is_more_urgent(self) -> None:
+        admission = busy(seconds=0.01)
+        woken: list[int] = []
+        waiting = [
+            ticket(
+                rank=3, deadline=99.0, objective=90.0, wake=lambda index=index: woken.append(index)
+            )
+            for index in range(QUEUE_PER_SLOT)
+        ]
+        for item in waiting:
+            admission.submit(item, 0.0)
+        urgent = ticket(rank=1, deadline=99.0, objective=90.0)
+        admission.submit(urgent, 0.0)
+        self.assertIsInstance(waiting[-1].refusal, QueueFullError)
+        self.assertEqual(woken, [QUEUE_PER_SLOT - 1])
+        self.assertEqual(admission.load, 1 + QUEUE_PER_SLOT)
+        with self.assertRaises(QueueFullError):
+            admission.submit(ticket(rank=3, deadline=99.0, objective=90.0), 0.0)
+
     def test_what_cannot_end_in_time_is_refused_at_once_with_the_time_of_its_turn(self) -> None:
         admission = busy(seconds=0.2)
         with self.assertRaises(DeadlineUnmeetableError) as refused:
