Pipelined requests that may be repeated begin side by side; own protocol for callers

Cause: uvicorn's protocol begins a request of a connection when the last is answered.

Change: node.proxy.pipeline decides (pure) what may begin: repeatable requests side by side, 16 at most; one that may not be repeated when all before it are answered, and nothing behind it. node.proxy.cycle keeps answers until it is their turn, 256 KiB each. A leaving node answers what has begun and closes with the last of these; a malformed request behind others ends the connection after their answers; a caller that leaves frees all of its requests, told by the connection itself (the watching task of each request is gone). The connection is closed gently (FIN first), since a reset could take the last answer along.

A test was wrong: test_a_caller_that_goes_ends_the_exchange waited 60 s for the deadline in place of the caller's leaving (an answer of 9 bytes is passed on whole only); its answer is now long enough to be passed on at once, as it says.

--- a/src/pewtertack/node/gateway/application.py
+++ b/src/pewtertack/node/gateway/application.py
@@ -18,7 +18,7 @@
     read_hop,
 )
 from pewtertack.node.gateway.metrics import GatewayMetrics
-from pewtertack.node.proxy.answers import Receive, Scope, Send, closing, send_failure
+from pewtertack.node.proxy.answers import Receive, Scope, Send, send_failure
 from pewtertack.node.proxy.body import CallerGoneError
 from pewtertack.node.proxy.edge import NODE_EDGE, EdgeHeaders
 from pewtertack.node.proxy.exchange import TruncatedAnswerError
@@ -88,7 +88,8 @@
             clock, ConnectionStore(clock), edge, address, self._log, self._metrics
         )
         self._incarnations: dict[str, _Incarnation] = {}
-        self._leaving = False
+        self.leaving = False
+        """Whether other nodes are asked to close their connections after each answer."""
         self._stops_at = math.inf
         self._requests = RequestsInFlight()
 
@@ -130,7 +131,7 @@
 
     def start_leaving(self, seconds: float) -> None:
         """Take only requests that end well before the stop; others find another gateway."""
-        self._leaving = True
+        self.leaving = True
         self._stops_at = self._clock() + seconds
 
     def start_draining(self) -> None:
@@ -148,7 +149,7 @@
             await self._answer_probe(send)
             return
         with self._requests.one():
-            await self._serve(scope, receive, closing(send) if self._leaving else send)
+            await self._serve(scope, receive, send)
 
     async def _serve(self, scope: Scope, receive: Receive, send: Send) -> None:
         head = RequestHead()
@@ -167,7 +168,7 @@
 
     async def _answer_probe(self, send: Send) -> None:
         """Tell another node whether requests are taken."""
-        if self._leaving or self._requests.draining:
+        if self.leaving or self._requests.draining:
             error = DrainingError("the node beside the back end is stopping")
             await _refuse(send, error, RequestHead(), [])
             return
--- a/src/pewtertack/node/gateway/forwarding.py
+++ b/src/pewtertack/node/gateway/forwarding.py
@@ -66,7 +66,7 @@
         self._deadline = deadline
         self._headers = without_names(scope["headers"], head, parts.edge.own)
         self._body = RequestBody(receive, head.has_body)
-        self._life = RequestLife(self._body, deadline, parts.clock)
+        self._life = RequestLife(scope, deadline, parts.clock)
         self._ticket = AdmissionTicket(
             request.route,
             request.rank,
--- a/src/pewtertack/node/proxy/answers.py
+++ b/src/pewtertack/node/proxy/answers.py
@@ -74,15 +74,3 @@
     status = error.answer_status
     await send({"type": "http.response.start", "status": status, "headers": headers})
     await send({"type": "http.response.body", "body": body})
-
-
-def closing(send: Send) -> Send:
-    """Return a ``send`` which asks the caller to close its connection after the answer."""
-
-    async def send_closing(message: Message) -> None:
-        if message["type"] == "http.response.start":
-            headers = [*message["headers"], (b"connection", b"close")]
-            message = {**message, "headers": headers}
-        await send(message)
-
-    return send_closing
--- a/src/pewtertack/node/proxy/application.py
+++ b/src/pewtertack/node/proxy/application.py
@@ -10,7 +10,7 @@
 from pewtertack.core.configuration.resolved import ResolvedConfiguration, ResolvedRoute
 from pewtertack.core.machines import MachineList
 from pewtertack.events import Event
-from pewtertack.node.proxy.answers import Receive, Scope, Send, closing, send_failure
+from pewtertack.node.proxy.answers import Receive, Scope, Send, send_failure
 from pewtertack.node.proxy.body import CallerGoneError
 from pewtertack.node.proxy.edge import PRODUCT_EDGE, EdgeHeaders
 from pewtertack.node.proxy.exchange import TruncatedAnswerError
@@ -115,7 +115,8 @@
         registry.register(DispatcherCollector(dispatcher, lambda: self.in_flight))
         self._serving = False
         self._retry_after = 1.0
-        self._leaving = False
+        self.leaving = False
+        """Whether callers are asked to close their connections after each answer."""
         self._tell_leaving: LeavingObserver = _ignore_leaving
 
     @property
@@ -153,6 +154,20 @@
         used = {route.service for route in self._table.configuration.routes}
         return self._parts.dispatcher.reaches_all(used, self._clock())
 
+    def may_run_beside(self, scope: Scope) -> bool:
+        """Tell whether a request may run while another of its connection does.
+
+        Only what may be repeated: its caller cannot tell what has run when the connection
+        ends. What will be refused may be refused at once.
+        """
+        if self._table is None:
+            return True
+        try:
+            host = read_head(scope["headers"], self._edge).host
+            return self._table.match(host, scope["path"], scope["method"]).repeatable
+        except RequestFailedError:
+            return True
+
     async def run(self) -> None:
         """Probe gateways out of reach until cancelled."""
         await GatewayProber(self._parts.dispatcher, self._clock).run()
@@ -164,7 +179,7 @@
 
     def start_leaving(self, seconds: float) -> None:
         """Go on serving, but ask callers to close their connections after each answer."""
-        self._leaving = True
+        self.leaving = True
 
     def start_draining(self) -> None:
         """Refuse new requests from now on; those in flight are finished."""
@@ -180,7 +195,7 @@
         if scope["type"] != "http":
             raise InvalidRequestError(f"unsupported connection type {scope['type']}")
         with self._requests.one():
-            await self._serve(scope, receive, closing(send) if self._leaving else send)
+            await self._serve(scope, receive, send)
 
     async def _serve(self, scope: Scope, receive: Receive, send: Send) -> None:
         head = RequestHead()
--- a/src/pewtertack/node/proxy/body.py
+++ b/src/pewtertack/node/proxy/body.py
@@ -2,7 +2,8 @@
 
 from __future__ import annotations
 
-from collections.abc import AsyncIterator
+from collections.abc import AsyncIterator, Callable
+from typing import Protocol
 
 import anyio
 
@@ -15,6 +16,21 @@
 """A caller that sends nothing of its body for this long is refused."""
 
 
+CALLER = "pewtertack.caller"
+"""ASGI extension: the ``Caller`` of the request."""
+
+
+class Caller(Protocol):
+    """The sender of a request, who may leave before its answer (``node.proxy.cycle``)."""
+
+    gone: bool
+    on_gone: Callable[[], None] | None
+    """Called once when the caller leaves before its answer is complete."""
+
+    def drop_body(self) -> None:
+        """Nobody will read the rest of the request's body."""
+
+
 class CallerGoneError(Exception):
     """The caller closed its connection before its request was read."""
 
@@ -66,10 +82,3 @@
             self._kept = None
         elif self._kept is not None and chunk:
             self._kept.append(chunk)
-
-    async def wait_disconnect(self) -> None:
-        """Return when the caller has gone; what it still sends is dropped."""
-        while True:
-            message = await self._receive()
-            if message["type"] == "http.disconnect":
-                return
--- /dev/null
+++ b/src/pewtertack/node/proxy/cycle.py
@@ -0,0 +1,289 @@
+"""One request of a caller and its answer, as an ASGI application sees them.
+
+The answer's parts are kept while answers to earlier requests of the connection are due.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import http
+import logging
+from collections.abc import Callable
+from typing import Any, Protocol
+
+from pewtertack.node.proxy.answers import Message, Scope
+from pewtertack.node.proxy.body import CALLER
+
+BODY_BYTES = 64 * 1024
+"""Received bytes of a body that wait to be read before the caller is slowed down."""
+HELD_BYTES = 256 * 1024
+"""Bytes of an answer that may wait for earlier answers of its connection."""
+NO_BODY_STATUSES = frozenset({204, 304})
+CONTINUE = b"HTTP/1.1 100 Continue\r\n\r\n"
+CLOSE_HEADER = b"connection: close\r\n"
+LAST_CHUNK = b"0\r\n\r\n"
+
+logger = logging.getLogger("uvicorn.error")
+
+
+def _status_lines() -> dict[int, bytes]:
+    lines = {status: b"HTTP/1.1 %d \r\n" % status for status in range(100, 600)}
+    for known in http.HTTPStatus:
+        lines[known] = b"HTTP/1.1 %d %s\r\n" % (known, known.phrase.encode())
+    return lines
+
+
+STATUS_LINES = _status_lines()
+
+
+class CallerConnection(Protocol):
+    """What a cycle needs of its connection."""
+
+    write_paused: bool
+
+    def write(self, data: bytes) -> None:
+        """Send bytes."""
+
+    def default_headers(self) -> list[tuple[bytes, bytes]]:
+        """Return the headers that every answer has."""
+
+    def resume_reading(self) -> None:
+        """Receive more, as far as nothing else speaks against it."""
+
+    async def wait_writable(self) -> None:
+        """Wait until the caller has read enough."""
+
+    def leaving(self) -> bool:
+        """Tell whether the node stops and callers should go elsewhere."""
+
+    def close_after(self, cycle: RequestCycle) -> bool:
+        """Tell whether the connection ends with this cycle's answer."""
+
+    def end_after_answers(self) -> None:
+        """Begin no further request; end the connection after the answers that are due."""
+
+    def finish(self, cycle: RequestCycle) -> None:
+        """The whole answer was written."""
+
+    def cut(self) -> None:
+        """End the connection, since an answer cannot be completed."""
+
+
+class RequestCycle:
+    """Receives one request and sends its answer, in its turn."""
+
+    def __init__(
+        self,
+        connection: CallerConnection,
+        scope: Scope,
+        runs_beside_others: Callable[[Scope], bool],
+        expects_continue: bool,
+    ) -> None:
+        self.scope = scope
+        scope["extensions"] = {CALLER: self}
+        self.begun = False
+        self.first = False
+        """Whether the answer may be written."""
+        self.received = False
+        """Whether the whole request has come."""
+        self.gone = False
+        """Whether the caller has left."""
+        self.answer_begun = False
+        """Whether a part of the answer was given."""
+        self.answered = False
+        """Whether the whole answer was given; it may still wait for its turn."""
+        self.on_gone: Callable[[], None] | None = None
+        self.body = bytearray()
+        self._connection = connection
+        self._runs_beside_others = runs_beside_others
+        self._beside: bool | None = None
+        self._expects_continue = expects_continue
+        self._body_dropped = False
+        self._received_more = asyncio.Event()
+        self._held: list[Message] = []
+        self._held_bytes = 0
+        self._turn: asyncio.Event | None = None
+        self._length_left = 0
+        self._chunked = False
+        self._head = b""
+        self._broken = False
+
+    @property
+    def runs_beside_others(self) -> bool:
+        """Whether it may run while another request of its connection does."""
+        if self._beside is None:
+            self._beside = not self._expects_continue and self._runs_beside_others(self.scope)
+        return self._beside
+
+    # The connection's side
+
+    @property
+    def body_full(self) -> bool:
+        """Whether the caller should be slowed down."""
+        return len(self.body) > BODY_BYTES
+
+    def receive_body(self, data: bytes) -> None:
+        """A part of the body has come."""
+        if not self._body_dropped and not self.answered:
+            self.body += data
+        self._received_more.set()
+
+    def receive_end(self) -> None:
+        """The whole request has come."""
+        self.received = True
+        self._received_more.set()
+
+    def lose_caller(self) -> None:
+        """The connection has ended."""
+        self.gone = True
+        self._received_more.set()
+        if self._turn is not None:
+            self._turn.set()
+        if self.on_gone is not None and not self.answered:
+            self.on_gone()
+
+    def take_turn(self) -> None:
+        """Earlier requests are answered: write what was kept, and the rest as it comes."""
+        self.first = True
+        if self._broken:
+            self._connection.cut()
+            return
+        held, self._held = self._held, []
+        for message in held:
+            self._write(message)
+        if self._turn is not None:
+            self._turn.set()
+
+    # The application's side
+
+    def drop_body(self) -> None:
+        """Nobody will read the rest of the request's body."""
+        self._body_dropped = True
+        self.body.clear()
+        self._connection.resume_reading()
+
+    async def run(self, application: Callable[..., Any]) -> None:
+        """Let the application answer the request; what it leaves open cuts the connection."""
+        try:
+            await application(self.scope, self.receive, self.send)
+        except Exception as error:
+            logger.error("Exception in ASGI application", exc_info=error)
+        if self.answered or self.gone:
+            return
+        self._broken = True
+        if self.first:
+            self._connection.cut()
+
+    async def receive(self) -> Message:
+        """Return the next part of the request (ASGI)."""
+        if self._expects_continue and self.first and not self.answer_begun:
+            self._connection.write(CONTINUE)
+        self._expects_continue = False
+        if not self.gone and not self.answered:
+            if not self.body and not self.received:
+                self._connection.resume_reading()
+            await self._received_more.wait()
+            self._received_more.clear()
+        if self.gone or self.answered:
+            return {"type": "http.disconnect"}
+        body = bytes(self.body)
+        self.body.clear()
+        return {"type": "http.request", "body": body, "more_body": not self.received}
+
+    async def send(self, message: Message) -> None:
+        """Write, or keep, a part of the answer (ASGI)."""
+        if self.gone:
+            return
+        if self.first and self._connection.write_paused:
+            await self._connection.wait_writable()
+            if self.gone:
+                return
+        self._check(message)
+        if self.first:
+            self._write(message)
+        else:
+            await self._hold(message)
+
+    def _check(self, message: Message) -> None:
+        """Note how the answer goes on.
+
+        Raises:
+            RuntimeError: the application breaks the protocol or its own announcement.
+        """
+        starts = message["type"] == "http.response.start"
+        if self.answered or starts == self.answer_begun:
+            raise RuntimeError(f"unexpected ASGI message {message['type']}")
+        if starts:
+            self.answer_begun = True
+            self._note_framing(message)
+            return
+        if not self._chunked and self.scope["method"] != "HEAD":
+            self._length_left -= len(message.get("body", b""))
+        more = message.get("more_body", False)
+        if self._length_left < 0 or (self._length_left > 0 and not more):
+            raise RuntimeError("the answer's body has not the announced length")
+        self.answered = not more
+        if self.answered:
+            self._received_more.set()
+
+    def _note_framing(self, message: Message) -> None:
+        self._chunked = self.scope["method"] != "HEAD"
+        for name, value in message["headers"]:
+            if b"\n" in value or b"\r" in value:
+                raise RuntimeError("a header's value ends its line")
+            if name == b"content-length":
+                self._chunked = False
+                self._length_left = 0 if self.scope["method"] == "HEAD" else int(value)
+        if message["status"] in NO_BODY_STATUSES:
+            self._chunked = False
+
+    async def _hold(self, message: Message) -> None:
+        self._held.append(message)
+        self._held_bytes += len(message.get("body", b""))
+        if self._held_bytes > HELD_BYTES and not self.answered:
+            self._turn = asyncio.Event()
+            await self._turn.wait()
+
+    # Writing
+
+    def _write(self, message: Message) -> None:
+        if message["type"] == "http.response.start":
+            self._head = self._head_of(message)
+            asyncio.get_running_loop().call_soon(self._write_head)
+            return
+        more = message.get("more_body", False)
+        parts = [self._head, *self._framed(message.get("body", b""), more)]
+        self._head = b""
+        self._connection.write(b"".join(parts))
+        if not more:
+            self._connection.finish(self)
+
+    def _write_head(self) -> None:
+        """Write the head by itself, when no body has come along with it."""
+        if self._head and not self.gone:
+            self._connection.write(self._head)
+        self._head = b""
+
+    def _head_of(self, message: Message) -> bytes:
+        if self._connection.leaving():
+            self._connection.end_after_answers()
+        lines = [STATUS_LINES[message["status"]]]
+        for name, value in (*self._connection.default_headers(), *message["headers"]):
+            if name == b"connection":
+                self._connection.end_after_answers()
+            else:
+                lines.append(name + b": " + value + b"\r\n")
+        if self._chunked:
+            lines.append(b"transfer-encoding: chunked\r\n")
+        if self._connection.close_after(self):
+            lines.append(CLOSE_HEADER)
+        lines.append(b"\r\n")
+        return b"".join(lines)
+
+    def _framed(self, body: bytes, more: bool) -> tuple[bytes, ...]:
+        if self.scope["method"] == "HEAD":
+            return ()
+        if not self._chunked:
+            return (body,)
+        chunk = (b"%x\r\n" % len(body), body, b"\r\n") if body else ()
+        return chunk if more else (*chunk, LAST_CHUNK)
--- a/src/pewtertack/node/proxy/forwarding.py
+++ b/src/pewtertack/node/proxy/forwarding.py
@@ -86,7 +86,7 @@
         self._exchange = Exchange(scope, send, head, self._body, self._note_answer, parts.edge)
         self._ticket = Ticket(route, self._service, deadline)
         self._ticket.body_bytes = head.body_bytes
-        self._life = RequestLife(self._body, deadline, parts.clock)
+        self._life = RequestLife(scope, deadline, parts.clock)
         self._sent = False
         """Whether an attempt may have run."""
 
--- a/src/pewtertack/node/proxy/lifetime.py
+++ b/src/pewtertack/node/proxy/lifetime.py
@@ -7,8 +7,8 @@
 
 import anyio
 
-from pewtertack.node.proxy.body import RequestBody
-from pewtertack.node.proxy.watch import DisconnectWatch
+from pewtertack.node.proxy.answers import Scope
+from pewtertack.node.proxy.body import CALLER, Caller
 
 
 class LifeEnd(Enum):
@@ -22,30 +22,30 @@
 class RequestLife:
     """Runs a request's work until it ends, its deadline passes or its caller goes."""
 
-    def __init__(self, body: RequestBody, deadline: float, clock: Callable[[], float]) -> None:
-        self._body = body
+    def __init__(self, scope: Scope, deadline: float, clock: Callable[[], float]) -> None:
+        self._caller: Caller = scope["extensions"][CALLER]
         self._deadline = deadline
         self._clock = clock
-        self._watch: DisconnectWatch | None = None
 
     @property
     def caller_gone(self) -> bool:
         """Whether the caller has left."""
-        return self._watch is not None and self._watch.caller_gone
+        return self._caller.gone
 
     def abandon_body(self) -> None:
         """The rest of the body will not be read for the back end."""
-        if self._watch is not None:
-            self._watch.abandon_body()
+        self._caller.drop_body()
 
     async def run(self, work: Callable[[], Awaitable[None]]) -> LifeEnd:
         """Do the work; what it raises passes through."""
         with anyio.CancelScope() as scope:
             scope.deadline = anyio.current_time() + self._deadline - self._clock()
-            self._watch = DisconnectWatch(self._body, scope)
+            self._caller.on_gone = scope.cancel
+            if self._caller.gone:
+                scope.cancel()
             try:
                 await work()
                 return LifeEnd.FINISHED
             finally:
-                self._watch.stop()
+                self._caller.on_gone = None
         return LifeEnd.CALLER_GONE if self.caller_gone else LifeEnd.DEADLINE
--- /dev/null
+++ b/src/pewtertack/node/proxy/pipeline.py
@@ -0,0 +1,79 @@
+"""The order of requests on one caller's connection: what may begin, whose answer is due.
+
+A caller may send further requests before the first is answered (RFC 9112, section 9.3.2).
+Requests that may be repeated begin side by side; their answers leave in the order of the
+requests. One that may not be repeated begins when all before it are answered, and nothing
+begins behind it until then: if the connection ends, the caller must know what has run.
+"""
+
+from __future__ import annotations
+
+from collections import deque
+from typing import Generic, Protocol, TypeVar
+
+MOST_BEGUN = 16
+"""Requests of one connection that are served at once."""
+MOST_RECEIVED = 32
+"""Requests, begun or waiting, from which no more are read."""
+
+
+class PipelinedRequest(Protocol):
+    """What the order needs to know of a request."""
+
+    begun: bool
+
+    @property
+    def runs_beside_others(self) -> bool:
+        """Whether it may run while another request of its connection does."""
+
+
+R = TypeVar("R", bound=PipelinedRequest)
+
+
+class Pipeline(Generic[R]):
+    """Unanswered requests of one connection, the oldest first."""
+
+    def __init__(self) -> None:
+        self.requests: deque[R] = deque()
+        self.closed = False
+        """No further request begins: the connection ends after the answers to the begun."""
+
+    @property
+    def first(self) -> R | None:
+        """The request whose answer is due."""
+        return self.requests[0] if self.requests else None
+
+    @property
+    def full(self) -> bool:
+        """Whether no more requests should be read."""
+        return len(self.requests) >= MOST_RECEIVED
+
+    def add(self, request: R) -> None:
+        """Append a request that was received."""
+        self.requests.append(request)
+
+    def startable(self) -> list[R]:
+        """Mark the requests that may begin now as begun, and return them."""
+        if self.closed:
+            return []
+        started: list[R] = []
+        for place, request in enumerate(self.requests):
+            if place >= MOST_BEGUN or (place > 0 and not request.runs_beside_others):
+                break
+            if not request.begun:
+                request.begun = True
+                started.append(request)
+            if len(self.requests) > 1 and not request.runs_beside_others:
+                break
+        return started
+
+    def answered(self) -> R | None:
+        """Drop the first request, whose answer is complete; return the next that has begun."""
+        self.requests.popleft()
+        following = self.first
+        return following if following is not None and following.begun else None
+
+    @property
+    def more_begun(self) -> bool:
+        """Whether a request behind the first has begun, and will be answered."""
+        return len(self.requests) > 1 and self.requests[1].begun
--- a/src/pewtertack/node/proxy/protocol.py
+++ b/src/pewtertack/node/proxy/protocol.py
@@ -1,22 +1,28 @@
-"""uvicorn's httptools protocol with the guards that it lacks towards callers.
+"""One connection of a caller: httptools' parser, guards, and answers in order.
 
-Adds to ``uvicorn.protocols.http.httptools_impl``: a bound on the size of a
-request's head, a bound on the time that a head may take, typed refusals in
-place of plain text, and no refusal in the middle of another request's answer.
-httptools itself refuses ambiguous framing (content-length beside
-transfer-encoding, repeated content-length, bad chunks).
+uvicorn's server runs it in place of a protocol of its own, which begins a request only when
+the one before it is answered (``pewtertack.node.proxy.pipeline``) and lacks a bound on the
+size of a request's head, a bound on the time that a head may take, and typed refusals.
+httptools itself refuses ambiguous framing (content-length beside transfer-encoding,
+repeated content-length, bad chunks).
 """
 
 from __future__ import annotations
 
 import asyncio
 import socket
+import urllib.parse
+from collections.abc import Callable
 from typing import Any
 
-from uvicorn.protocols.http.httptools_impl import STATUS_LINE, HttpToolsProtocol
+import httptools
+import uvicorn
+from uvicorn.server import ServerState
 
-from pewtertack.node.proxy.answers import failure_body, failure_head
+from pewtertack.node.proxy.answers import Scope, failure_body, failure_head
+from pewtertack.node.proxy.cycle import CLOSE_HEADER, STATUS_LINES, RequestCycle
 from pewtertack.node.proxy.headers import is_plain_chunked
+from pewtertack.node.proxy.pipeline import Pipeline
 from pewtertack.routing.outcomes import (
     HeadersTooLargeError,
     InvalidRequestError,
@@ -31,10 +37,63 @@
 """A head must be complete this long after the connection, or its first byte, came."""
 DISCARD_SECONDS = 10.0
 """A refused request's body may go on arriving for this long."""
+LINGER_SECONDS = 0.5
+"""After the last answer the caller may take so long to close: closing at once while bytes of
+its next requests arrive would reset the connection, and the answer could be lost."""
+MAY_RUN_BESIDE = "may_run_beside"
+"""Method of an application that tells, by its scope, whether a request may be repeated."""
 
+LEAVING = "leaving"
+"""Attribute of an application: whether it asks callers to close their connections."""
 
-class GuardedHttpProtocol(HttpToolsProtocol):
-    """One connection of a caller."""
+
+def _never(scope: Scope) -> bool:
+    return False
+
+
+class GuardedHttpProtocol(asyncio.Protocol):
+    """One connection of a caller, made by uvicorn's server."""
+
+    def __init__(
+        self,
+        config: uvicorn.Config,
+        server_state: ServerState,
+        app_state: dict[str, Any],
+        _loop: asyncio.AbstractEventLoop | None = None,
+    ) -> None:
+        if not config.loaded:
+            config.load()
+        self.loop = _loop or asyncio.get_running_loop()
+        self.transport: asyncio.Transport
+        self.write_paused = False
+        self._application = config.loaded_app
+        self._runs_beside: Callable[[Scope], bool] = getattr(
+            self._application, MAY_RUN_BESIDE, _never
+        )
+        self._keep_alive_seconds = config.timeout_keep_alive
+        self._server_state = server_state
+        self._parser = httptools.HttpRequestParser(self)
+        self._parser.set_dangerous_leniencies(lenient_data_after_close=True)
+        self._pipeline: Pipeline[RequestCycle] = Pipeline()
+        self._writable = asyncio.Event()
+        self._reading_paused = False
+        self._guard: asyncio.TimerHandle | None = None
+        self._idle_timer: asyncio.TimerHandle | None = None
+        self._idle_since = 0.0
+        # The request that is being received
+        self._url = b""
+        self._headers: list[tuple[bytes, bytes]] = []
+        self._expects_continue = False
+        self._head_bytes = 0
+        self._reading_head = True
+        self._newest: RequestCycle | None = None
+        self._refusal: RequestFailedError | None = None
+        self._discarding = False
+        """Nothing that still comes is served."""
+        self._last_received = False
+        """The newest request is the connection's last, as the caller says."""
+
+    # asyncio.Protocol
 
     def connection_made(self, transport: asyncio.Transport) -> None:  # type: ignore[override]
         """Begin to wait for the first head.
@@ -42,60 +101,122 @@
         asyncio switches Nagle's algorithm off only where the listener names its
         protocol number; with it, a head and a body written apart take 40 ms.
         """
-        super().connection_made(transport)
+        self.transport = transport
+        self._server_state.connections.add(self)  # type: ignore[arg-type]
         accepted = transport.get_extra_info("socket")
         accepted.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-        self._head_bytes = 0
-        self._reading_head = True
-        self._message_complete = True
-        self._refusal: RequestFailedError | None = None
-        self._guard: asyncio.TimerHandle | None = None
         self._start_guard(HEAD_SECONDS, self._refuse_slow_head)
 
     def connection_lost(self, exc: Exception | None) -> None:
-        """Stop the timer with the connection."""
+        """Tell the requests under way that their caller has gone."""
+        self._server_state.connections.discard(self)
         self._stop_guard()
-        super().connection_lost(exc)
+        if self._idle_timer is not None:
+            self._idle_timer.cancel()
+        self._writable.set()
+        self._discarding = self._pipeline.closed = True
+        for cycle in self._pipeline.requests:
+            cycle.lose_caller()
 
-    def _start_guard(self, seconds: float, callback: Any) -> None:
-        self._stop_guard()
-        self._guard = self.loop.call_later(seconds, callback)
+    def eof_received(self) -> None:
+        """Close the connection: a caller that sends no more waits for no answer."""
 
-    def _stop_guard(self) -> None:
-        if self._guard is not None:
-            self._guard.cancel()
-            self._guard = None
+    def pause_writing(self) -> None:
+        """The caller reads too slowly."""
+        self.write_paused = True
+        self._writable.clear()
+
+    def resume_writing(self) -> None:
+        """The caller has read what was sent."""
+        self.write_paused = False
+        self._writable.set()
 
     def data_received(self, data: bytes) -> None:
         """Parse, and bound the head while it is incomplete."""
+        if self._discarding:
+            return
         if self._reading_head:
             self._head_bytes += len(data)
-        super().data_received(data)
-        if not self._reading_head or self._head_bytes == 0:
+        try:
+            self._parser.feed_data(data)
+        except httptools.HttpParserError:
+            self._refuse(self._refusal or InvalidRequestError("malformed request"))
+        except httptools.HttpParserUpgrade:
+            self._discarding = self._last_received = True  # the application refuses it
+        self._bound_head()
+        self._update_reading()
+
+    def _bound_head(self) -> None:
+        if not self._reading_head or self._head_bytes == 0 or self._discarding:
             return
         if self._head_bytes > HEAD_BYTES:
             self._refuse(HeadersTooLargeError(f"the head exceeds {HEAD_BYTES} bytes"))
         elif self._guard is None:
             self._start_guard(HEAD_SECONDS, self._refuse_slow_head)
 
-    # Parser callbacks
+    def _start_guard(self, seconds: float, callback: Callable[[], object]) -> None:
+        self._stop_guard()
+        self._guard = self.loop.call_later(seconds, callback)
+
+    def _stop_guard(self) -> None:
+        if self._guard is not None:
+            self._guard.cancel()
+            self._guard = None
+
+    # httptools' parser
 
     def on_message_begin(self) -> None:
-        """Note that a request has begun."""
-        super().on_message_begin()
-        self._message_complete = False
+        """A request begins."""
+        self._url = b""
+        self._headers = []
+        self._expects_continue = False
+
+    def on_url(self, url: bytes) -> None:
+        """Take a part of the request's target."""
+        self._url += url
+
+    def on_header(self, name: bytes, value: bytes) -> None:
+        """Take a header."""
+        name = name.lower()
+        if name == b"expect" and value.lower() == b"100-continue":
+            self._expects_continue = True
+        self._headers.append((name, value))
 
     def on_headers_complete(self) -> None:
-        """Check what httptools leaves unchecked, then start the request."""
+        """Check what httptools leaves unchecked, then start the request if it may begin."""
+        if self._discarding:
+            return
         self._check_head()
         self._reading_head = False
         self._stop_guard()
-        super().on_headers_complete()
+        cycle = RequestCycle(self, self._scope(), self._runs_beside, self._expects_continue)
+        self._newest = cycle
+        self._last_received = not self._parser.should_keep_alive()
+        self._pipeline.add(cycle)
+        cycle.first = self._pipeline.first is cycle
+        self._start_requests()
+
+    def on_body(self, body: bytes) -> None:
+        """Take a part of the newest request's body."""
+        if self._newest is not None and not self._discarding:
+            self._newest.receive_body(body)
+
+    def on_message_complete(self) -> None:
+        """Expect the next head."""
+        if self._discarding or self._newest is None:
+            return
+        self._newest.receive_end()
+        self._discarding = self._last_received
+        self._reading_head = True
+        self._head_bytes = 0
+        if not self._pipeline.requests:
+            self._stop_guard()
+            self._note_idle()
 
     def _check_head(self) -> None:
-        """Raise, and leave for ``send_400_response``, why the head is refused."""
-        size = len(self.url)
-        for name, value in self.headers:
+        """Raise, and leave for ``data_received``, why the head is refused."""
+        size = len(self._url)
+        for name, value in self._headers:
             size += len(name) + len(value)
             if name == b"transfer-encoding" and not is_plain_chunked(value):
                 self._refusal = InvalidRequestError("unknown transfer coding")
@@ -104,52 +225,162 @@
         if self._refusal is not None:
             raise self._refusal
 
-    def on_message_complete(self) -> None:
-        """Expect the next head; an answered connection is idle from now on."""
-        super().on_message_complete()
-        self._message_complete = True
-        self._reading_head = True
-        self._head_bytes = 0
-        if self.cycle is not None and self.cycle.response_complete:
-            self._stop_guard()
-            self._unset_keepalive_if_required()
-            self.timeout_keep_alive_task = self.loop.call_later(
-                self.timeout_keep_alive, self.timeout_keep_alive_handler
-            )
-
-    def on_response_complete(self) -> None:
-        """Bound the time for the rest of a body that nobody wants."""
-        super().on_response_complete()
-        if not self._message_complete:
+    def _scope(self) -> Scope:
+        target = httptools.parse_url(self._url)
+        path = target.path.decode("ascii")
+        return {
+            "type": "http",
+            "asgi": {"version": "3.0", "spec_version": "2.3"},
+            "http_version": self._parser.get_http_version(),
+            "method": self._parser.get_method().decode("ascii"),
+            "path": urllib.parse.unquote(path) if "%" in path else path,
+            "raw_path": target.path,
+            "query_string": target.query or b"",
+            "headers": self._headers,
+        }
+
+    # The order of requests and answers
+
+    def _start_requests(self) -> None:
+        for cycle in self._pipeline.startable():
+            task = self.loop.create_task(cycle.run(self._application))
+            self._server_state.tasks.add(task)
+            task.add_done_callback(self._server_state.tasks.discard)
+
+    def default_headers(self) -> list[tuple[bytes, bytes]]:
+        """Return the headers that every answer has."""
+        return self._server_state.default_headers
+
+    def write(self, data: bytes) -> None:
+        """Send bytes to the caller."""
+        if not self.transport.is_closing():
+            self.transport.write(data)
+
+    async def wait_writable(self) -> None:
+        """Wait until the caller has read enough."""
+        await self._writable.wait()
+
+    def resume_reading(self) -> None:
+        """Receive more, as far as the pipeline has room."""
+        self._update_reading()
+
+    def _update_reading(self) -> None:
+        newest = self._newest
+        body_full = newest is not None and newest.body_full
+        wanted = self._discarding or not (body_full or self._pipeline.full)
+        if wanted == (not self._reading_paused) or self.transport.is_closing():
+            return
+        self._reading_paused = not wanted
+        if wanted:
+            self.transport.resume_reading()
+        else:
+            self.transport.pause_reading()
+
+    def leaving(self) -> bool:
+        """Tell whether the application says that its node stops."""
+        return getattr(self._application, LEAVING, False)
+
+    def end_after_answers(self) -> None:
+        """Begin no further request; end the connection after the answers that are due."""
+        self._pipeline.closed = True
+
+    def close_after(self, cycle: RequestCycle) -> bool:
+        """Tell whether the connection ends with this cycle's answer."""
+        if self._pipeline.closed:
+            return not self._pipeline.more_begun
+        return self._last_received and cycle is self._newest
+
+    def finish(self, cycle: RequestCycle) -> None:
+        """An answer is complete: the next in order may be written."""
+        self._server_state.total_requests += 1
+        following = self._pipeline.answered()
+        if following is not None:
+            following.take_turn()
+        elif self._pipeline.closed or (self._last_received and cycle is self._newest):
+            self._end_gently()
+        else:
+            self._go_on(cycle)
+        self._update_reading()
+
+    def _go_on(self, cycle: RequestCycle) -> None:
+        """Begin what waited for ``cycle``; bound the time that its body or silence may take."""
+        waiting = self._pipeline.first
+        if waiting is not None:
+            waiting.first = True
+            self._start_requests()
+        elif not cycle.received:
+            cycle.drop_body()
             self._start_guard(DISCARD_SECONDS, self.transport.abort)
+        else:
+            self._note_idle()
+
+    def cut(self) -> None:
+        """End the connection, since an answer cannot be completed."""
+        self.transport.close()
+
+    def _end_gently(self) -> None:
+        """Close once the caller has; what it has sent behind the last answer is not read."""
+        self._discarding = True
+        if self.transport.is_closing():
+            return
+        if self.transport.can_write_eof():
+            self.transport.write_eof()
+        self._start_guard(LINGER_SECONDS, self.transport.close)
+
+    def _note_idle(self) -> None:
+        self._idle_since = self.loop.time()
+        if self._idle_timer is None:
+            self._idle_timer = self.loop.call_later(self._keep_alive_seconds, self._close_idle)
+
+    def _close_idle(self) -> None:
+        self._idle_timer = None
+        if self._pipeline.requests or self._head_bytes:
+            return
+        left = self._idle_since + self._keep_alive_seconds - self.loop.time()
+        if left <= 0:
+            self.transport.close()
+        else:
+            self._idle_timer = self.loop.call_later(left, self._close_idle)
+
+    def shutdown(self) -> None:
+        """End the connection, after the answers to what has begun (uvicorn's server)."""
+        self._pipeline.closed = True
+        if not any(cycle.begun for cycle in self._pipeline.requests):
+            self.transport.close()
 
     # Refusals
 
     def _refuse_slow_head(self) -> None:
         self._guard = None
-        if self._head_bytes == 0 and self._message_complete:
+        if self._head_bytes == 0 and not self._pipeline.requests:
             self.transport.close()
             return
         error = SlowRequestError("the request's head came too slowly")
         self._refuse(error.with_outcome(Outcome.NOT_RUN))
 
-    def send_400_response(self, msg: str) -> None:
-        """Refuse what the parser refused, with a type (called by ``data_received``)."""
-        self._refuse(self._refusal or InvalidRequestError("malformed request"))
-
     def _refuse(self, error: RequestFailedError) -> None:
-        """Answer with ``error`` and close; cut the connection if an answer is under way."""
-        if self.transport.is_closing():
+        """Answer what was received last with ``error``, if that is due, and end.
+
+        Behind answers that are due the connection just ends after them: its caller takes
+        what it has sent behind them as not read.
+        """
+        if self.transport.is_closing() or self._discarding:
             return
-        if self.cycle is not None and not self.cycle.response_complete:
-            if self.cycle.response_started or not self.cycle.more_body:
+        self._discarding = self._pipeline.closed = True
+        first, newest = self._pipeline.first, self._newest
+        if first is not None and (first is not newest or first.received):
+            return
+        if newest is not None and not newest.received:
+            if newest.answer_begun:
                 self.transport.abort()
                 return
             error.with_outcome(Outcome.UNKNOWN)
         body = failure_body(error)
-        head = [STATUS_LINE[error.status]]
-        headers = failure_head(error, "", len(body))
-        for name, value in (*headers, (b"connection", b"close")):
-            head.append(name + b": " + value + b"\r\n")
-        self.transport.write(b"".join([*head, b"\r\n", body]))
-        self.transport.close()
+        head = [STATUS_LINES[error.status]]
+        for name, value in failure_head(error, "", len(body)):
+            if name != b"connection":
+                head.append(name + b": " + value + b"\r\n")
+        self.transport.write(b"".join([*head, CLOSE_HEADER, b"\r\n", body]))
+        if newest is not None:
+            newest.lose_caller()
+        self._end_gently()
--- a/tests/node/proxy/test_failures.py
+++ b/tests/node/proxy/test_failures.py
@@ -206,7 +206,7 @@
 
         async def stall(reader: Any, writer: Any, head: str) -> bool:
             if "/early" in head:
-                writer.write(b"HTTP/1.1 200 OK\r\ncontent-length: 9\r\n\r\nhalf")
+                writer.write(b"HTTP/1.1 200 OK\r\ncontent-length: 100000\r\n\r\nhalf")
             begun.set()
             while await reader.read(100):
                 pass
