A node binds its sockets before it imports the rest

Change: sockets are bound right after the settings are read; callers that connect meanwhile wait in the backlog. assemble_node takes the bound sockets.

--- a/src/pewtertack/cli/node.py
+++ b/src/pewtertack/cli/node.py
@@ -14,6 +14,7 @@
 
 from pewtertack.node import collector
 from pewtertack.node.lean_imports import decline_unused
+from pewtertack.node.sockets import bind_sockets
 from pewtertack.settings import SettingKey, load_settings
 from pewtertack.settings.errors import FlagFormatError
 
@@ -81,11 +82,13 @@
 
     collector.pause()
     decline_unused()
+    # Callers that connect while the rest is imported wait for it, and are not turned away.
+    sockets = bind_sockets(settings, str(path))
     import anyio
 
     from pewtertack.node.assembly import assemble_node
     from pewtertack.node.daemon import run_node
 
-    parts = assemble_node(settings, str(path), make_reader, flags)
+    parts = assemble_node(settings, str(path), sockets, make_reader, flags)
     collector.resume()
     return anyio.run(run_node, parts)
--- a/src/pewtertack/node/assembly.py
+++ b/src/pewtertack/node/assembly.py
@@ -21,7 +21,7 @@
 from pewtertack.node.platform import PlatformLimits, PlatformReader
 from pewtertack.node.runtime import DocumentReader, Runtime
 from pewtertack.node.settings_file import SettingsFile
-from pewtertack.node.sockets import NodeSockets, address_of, bind_sockets
+from pewtertack.node.sockets import NodeSockets, address_of
 from pewtertack.node.status import AddressStatus
 from pewtertack.node.traffic import Traffic
 from pewtertack.node.transport import PeerTransport, Sender, StreamLimits
@@ -49,17 +49,14 @@
 def assemble_node(
     settings: Settings,
     place: str,
+    sockets: NodeSockets,
     make_reader: ReaderFactory | None = None,
     flags: Flags | None = None,
 ) -> NodeParts:
-    """Bind the node's sockets and build its parts; ``place`` is the settings file.
+    """Build a node's parts around its bound ``sockets``; ``place`` is the settings file.
 
     ``make_reader`` replaces the reader of pewtertack's own source interface.
-
-    Raises:
-        SettingError: an address cannot be bound.
     """
-    sockets = bind_sockets(settings, place)
     started = clock.now()
     identity = _identity(settings, sockets)
     log = EventLog(identity.name, identity.incarnation)
--- a/src/pewtertack/platform/__main__.py
+++ b/src/pewtertack/platform/__main__.py
@@ -8,11 +8,16 @@
 
 import os
 import sys
+from typing import TYPE_CHECKING
 
 from pewtertack.errors import PewtertackError
 from pewtertack.node import collector
 from pewtertack.node.lean_imports import decline_unused
 
+if TYPE_CHECKING:
+    from pewtertack.platform.store import StoreReader
+    from pewtertack.settings import Settings
+
 SETTINGS_VARIABLE = "PEWTERTACK_NODE_FILE"
 
 
@@ -23,14 +28,20 @@
     decline_unused()
     from pewtertack.cli.exit_codes import ExitCode
     from pewtertack.cli.node import run
-    from pewtertack.platform.store import make_reader
 
     try:
-        return run(["--settings", path], make_reader)
+        return run(["--settings", path], _make_reader)
     except PewtertackError as error:
         print(f"pewtertack: {error.code}: {error}", file=sys.stderr)
         return ExitCode.UNUSABLE_INPUT
 
 
+def _make_reader(settings: Settings) -> StoreReader:
+    """Return the reader of the platform's store; its modules load after the sockets are bound."""
+    from pewtertack.platform.store import make_reader
+
+    return make_reader(settings)
+
+
 if __name__ == "__main__":
     sys.exit(main())
