Overload: told at once to come back, fresh requests first; a refused upload keeps its body

Every request waited until its last timely start, so half of them ended late; those refused came back, and at their last attempt filled the queue before all fresh ones (of 16 granted in a second 1 was fresh, waits 150 ms); what waited with no hope counted as load, so that no other gateway was asked.

--- a/src/pewtertack/lab/overload/gateways.py
+++ b/src/pewtertack/lab/overload/gateways.py
@@ -36,7 +36,7 @@
         rank = (CLASS_ORDER.index(request.profile.work_class), 0)
         objective = request.began + ticket.route.objective
         self.place = AdmissionTicket(
-            ticket.route.name, rank, objective, request.deadline, ticket.may_be_late
+            ticket.route.name, rank, objective, request.deadline, ticket.lateness
         )
         self.place.submitted_at = now
 
--- a/src/pewtertack/node/gateway/forwarding.py
+++ b/src/pewtertack/node/gateway/forwarding.py
@@ -14,10 +14,9 @@
 from pewtertack.node.proxy.answers import Receive, Send
 from pewtertack.node.proxy.body import CallerGoneError, RequestBody
 from pewtertack.node.proxy.edge import NODE_EDGE, EdgeHeaders
-from pewtertack.node.proxy.exchange import Exchange, TruncatedAnswerError
+from pewtertack.node.proxy.exchange import Exchange, TruncatedAnswerError, ignore_answer
 from pewtertack.node.proxy.headers import (
     BACKEND_LOAD,
-    AnswerHead,
     RawHeaders,
     RequestHead,
     attempt_headers,
@@ -73,10 +72,10 @@
             request.rank,
             parts.clock() + request.objective,
             deadline,
-            request.may_be_late,
+            request.lateness,
         )
         self._exchange = Exchange(
-            scope, send, head, self._body, self._note_answer, NODE_EDGE, self._answer_headers
+            scope, send, head, self._body, ignore_answer, NODE_EDGE, self._answer_headers
         )
         self._sent = False
 
@@ -174,9 +173,6 @@
             *backend_headers(edge, self._request.backend, self._request.caller_service),
         ]
 
-    def _note_answer(self, answer: AnswerHead) -> None:
-        self._life.abandon_body()
-
     def _answer_headers(self) -> RawHeaders:
         queued = int(self._ticket.queued * 1000)
         return [*load_headers(self._admission), (hop.QUEUED, b"%d" % queued)]
--- a/src/pewtertack/node/gateway/hop.py
+++ b/src/pewtertack/node/gateway/hop.py
@@ -21,6 +21,7 @@
     Outcome,
     RequestFailedError,
 )
+from pewtertack.routing.patience import Lateness
 
 Headers = list[tuple[bytes, bytes]]
 
@@ -33,7 +34,7 @@
 OBJECTIVE = b"x-pewtertack-objective-ms"
 """Milliseconds left of the time within which an answer is wanted."""
 LATENESS = b"x-pewtertack-lateness"
-"""``allowed``, or ``refused``: rather refuse the request than answer after its objective."""
+"""``Lateness``: what to do with the request if it would have to wait."""
 CALLER_SERVICE = b"x-pewtertack-caller-service"
 FAILURE = b"x-pewtertack-failure"
 """In an answer: ``<code> <outcome> <offered>`` of the gateway's own failure."""
@@ -45,11 +46,10 @@
 
 REQUEST_NAMES = frozenset({BACKEND, SERVICE, ROUTE, RANK, OBJECTIVE, LATENESS, CALLER_SERVICE})
 ANSWER_NAMES = frozenset({FAILURE, QUEUED})
-LATENESS_ALLOWED = "allowed"
-LATENESS_REFUSED = "refused"
 OFFERED = "offered"
 NOT_OFFERED = "not-offered"
 PROBE_ANSWERED = 204
+LATENESS_WORDS = frozenset(item.value for item in Lateness)
 LONGEST_TEXT = 256
 _CLASS_RANKS = {work_class: rank for rank, work_class in enumerate(WorkClass)}
 
@@ -63,12 +63,12 @@
     route: str
     rank: tuple[int, int]
     objective: float
-    may_be_late: bool
+    lateness: Lateness
     caller_service: str
 
 
 def hop_headers(
-    route: ResolvedRoute, backend: str, objective: float, may_be_late: bool, caller: str
+    route: ResolvedRoute, backend: str, objective: float, lateness: Lateness, caller: str
 ) -> Headers:
     """Return the headers of a request to the gateway beside ``backend``."""
     rank = f"{_CLASS_RANKS[route.work_class]}.{route.priority}"
@@ -78,7 +78,7 @@
         (ROUTE, route.name.encode()),
         (RANK, rank.encode()),
         (OBJECTIVE, b"%d" % max(0, int(objective * 1000))),
-        (LATENESS, (LATENESS_ALLOWED if may_be_late else LATENESS_REFUSED).encode()),
+        (LATENESS, lateness.encode()),
         (CALLER_SERVICE, caller.encode()),
     ]
 
@@ -96,13 +96,15 @@
     objective = found[OBJECTIVE]
     if not all(text.isdecimal() for text in (work_class, priority, objective)):
         raise InvalidRequestError("the request's rank or objective is no number")
+    if found[LATENESS] not in LATENESS_WORDS:
+        raise InvalidRequestError("the request's lateness is none that is known")
     return HopRequest(
         backend=found[BACKEND],
         service=found[SERVICE],
         route=found[ROUTE],
         rank=(int(work_class), int(priority)),
         objective=int(objective) / 1000,
-        may_be_late=found[LATENESS] == LATENESS_ALLOWED,
+        lateness=Lateness(found[LATENESS]),
         caller_service=found[CALLER_SERVICE],
     )
 
--- a/src/pewtertack/node/proxy/exchange.py
+++ b/src/pewtertack/node/proxy/exchange.py
@@ -7,7 +7,7 @@
 import anyio
 
 from pewtertack.node.gateway.hop import failure_of
-from pewtertack.node.http.cycle import Scope
+from pewtertack.node.http.cycle import CALLER, Scope
 from pewtertack.node.proxy.answers import Send
 from pewtertack.node.proxy.body import RequestBody
 from pewtertack.node.proxy.connection import (
@@ -49,6 +49,10 @@
     """The back end's answer broke off after its head was passed on."""
 
 
+def ignore_answer(answer: AnswerHead) -> None:
+    """Learn nothing from the head of an answer."""
+
+
 class Exchange:
     """Sends the request and passes the answer on, at the pace of the slower side."""
 
@@ -148,6 +152,7 @@
     async def _relay(
         self, connection: BackendConnection, start: AnswerStart, answer: AnswerHead
     ) -> None:
+        self._scope["extensions"][CALLER].drop_body()  # no other attempt follows
         if answer.length is not None and answer.length <= WHOLE_BODY_BYTES:
             whole = await _whole_body(connection)
             await self._start(start.status, answer)
--- a/src/pewtertack/node/proxy/forwarding.py
+++ b/src/pewtertack/node/proxy/forwarding.py
@@ -27,6 +27,7 @@
 from pewtertack.node.proxy.request_log import ProxyLog
 from pewtertack.node.proxy.upstream import ConnectionStore
 from pewtertack.routing.backend import Backend, parse_load
+from pewtertack.routing.deadlines import caller_deadline_of
 from pewtertack.routing.dispatcher import AttemptEnd, Dispatcher, RetryDecision
 from pewtertack.routing.outcomes import (
     BackendGoneError,
@@ -87,6 +88,7 @@
         self._exchange = Exchange(scope, send, head, self._body, self._note_answer, parts.edge)
         self._ticket = Ticket(route, self._service, deadline)
         self._ticket.body_bytes = head.body_bytes
+        self._ticket.caller_deadline = caller_deadline_of(parts.clock(), head.deadline, deadline)
         self._life = RequestLife(scope, deadline, parts.clock)
         self._sent = False
         """Whether an attempt may have run."""
@@ -221,12 +223,11 @@
         if not backend.gateway:
             return [*self._headers, *own, *backend_headers(edge, backend.name, caller)]
         objective = self._ticket.arrived_at + self._route.objective - now
-        may_be_late = self._ticket.may_be_late
-        hop = hop_headers(self._route, backend.name, objective, may_be_late, caller)
+        lateness = self._ticket.lateness
+        hop = hop_headers(self._route, backend.name, objective, lateness, caller)
         return [*self._headers, *own, *hop]
 
     def _note_answer(self, answer: AnswerHead) -> None:
-        self._life.abandon_body()
         self._ticket.queued = answer.queued
         self._parts.dispatcher.note_answer(
             self._ticket, self._parts.clock(), parse_load(answer.load), answer.leaving
--- a/src/pewtertack/node/proxy/lifetime.py
+++ b/src/pewtertack/node/proxy/lifetime.py
@@ -32,10 +32,6 @@
         """Whether the caller has left."""
         return self._caller.gone
 
-    def abandon_body(self) -> None:
-        """The rest of the body will not be read for the back end."""
-        self._caller.drop_body()
-
     async def run(self, work: Callable[[], Awaitable[None]]) -> LifeEnd:
         """Do the work; what it raises passes through."""
         with anyio.CancelScope() as scope:
--- a/src/pewtertack/routing/admission.py
+++ b/src/pewtertack/routing/admission.py
@@ -1,11 +1,14 @@
 """Admission of requests to the one back end beside a node.
 
 Every request to the back end passes its node, so the number in flight is exact.
-What finds no free slot waits, ordered by class, priority and arrival. A request that can
-no longer be answered within its objective lets all that still can go first: in overload
-the back end's time goes to answers that are in time. What cannot end before its deadline,
-or would hold its caller for most of its time, is refused before the back end has seen a
-byte of it.
+What finds no free slot waits, ordered by class, priority and the start that its objective
+asks for: what a back end calls while it runs a request is short of time and goes first.
+A request whose caller may come back is told so at once when its turn would not come soon
+(``pewtertack.routing.patience``); those that came back and may wait do not hold it up.
+One that can no longer be answered within its objective lets all that still can go first:
+in overload the back end's time goes to answers that are in time. What cannot end before
+its deadline, or would hold its caller for most of its time, is refused before the back end
+has seen a byte of it.
 
 The caller submits an ``AdmissionTicket`` for every request, waits for its ``wake``
 when it was neither granted nor refused at once, and reports its end.
@@ -14,10 +17,12 @@
 from __future__ import annotations
 
 import bisect
+import math
 from collections.abc import Callable
 from dataclasses import dataclass, field
 
 from pewtertack.routing.outcomes import DeadlineUnmeetableError, NotRunError, QueueFullError
+from pewtertack.routing.patience import PROMPT_SHARE, Lateness
 from pewtertack.routing.queueing import smoothed
 
 TYPICAL_SHARE = 1 / 3
@@ -28,6 +33,14 @@
 """A request waits for this share of its time at most: its caller can still go elsewhere."""
 MINIMUM_RETRY_AFTER = 0.05
 MAXIMUM_RETRY_AFTER = 10.0
+SPREAD = 1.5
+"""Answers seldom take longer than the mean and so many times the mean deviation."""
+CALM_SECONDS = 1.0
+"""So long without a refusal, and an overload is over."""
+
+
+Turn = tuple[bool, tuple[int, int, float, int]]
+"""Whether others go first, then the order of tickets."""
 
 
 def _nobody_waits() -> None:
@@ -44,14 +57,17 @@
     objective: float
     """When its answer is wanted."""
     deadline: float
-    may_be_late: bool = True
-    """Whether it may wait for a slot that lets it miss its objective."""
+    lateness: Lateness = Lateness.ALLOWED
+    """What becomes of it when it would have to wait."""
     wake: Callable[[], None] = _nobody_waits
     granted: bool = False
     refusal: NotRunError | None = None
     submitted_at: float = 0.0
     started_at: float = 0.0
-    order: tuple[int, int, int] = field(default=(0, 0, 0))
+    wanted_start: float = 0.0
+    """Until when it should start."""
+    order: tuple[int, int, float, int] = field(default=(0, 0, 0.0, 0))
+    """Rank, wanted start, arrival."""
 
     @property
     def typical_time(self) -> float:
@@ -64,6 +80,19 @@
         return self.started_at - self.submitted_at
 
 
+@dataclass(slots=True)
+class _RouteTime:
+    """How long the back end takes for a route, in seconds."""
+
+    mean: float
+    deviation: float = 0.0
+    """Mean distance of a time from the mean."""
+
+    def note(self, seconds: float) -> None:
+        self.deviation = smoothed(self.deviation, abs(seconds - self.mean))
+        self.mean = smoothed(self.mean, seconds)
+
+
 class Admission:
     """Slots and queue of one incarnation of a back end."""
 
@@ -73,16 +102,19 @@
         self._queue: list[AdmissionTicket] = []
         self._arrivals = 0
         self._mean_time = 0.0
-        self._route_times: dict[str, float] = {}
+        self._refusing_since = -math.inf
+        self._refused_at = -math.inf
+        self._route_times: dict[str, _RouteTime] = {}
 
     @property
     def load(self) -> int:
-        """Requests at the back end and waiting for it."""
-        return self.in_flight + len(self._queue)
+        """Requests at the back end and waiting for it, without those that let others go first."""
+        return self.in_flight + sum(not item.lateness.yields for item in self._queue)
 
     def expected_time(self, route: str) -> float:
         """Return the mean time that the back end takes for the route, 0 while unknown."""
-        return self._route_times.get(route, 0.0)
+        known = self._route_times.get(route)
+        return known.mean if known is not None else 0.0
 
     def submit(self, ticket: AdmissionTicket, now: float) -> None:
         """Grant the ticket or let it wait.
@@ -96,21 +128,22 @@
             self._start(ticket, now)
             return
         self._arrivals += 1
-        ticket.order = (*ticket.rank, self._arrivals)
+        ticket.wanted_start = min(self._last_timely_start(ticket), self._prompt_until(ticket))
+        ticket.order = (*ticket.rank, ticket.wanted_start, self._arrivals)
         if not self._has_prospect(ticket, now):
             message = "no slot comes free in time"
-            raise DeadlineUnmeetableError(message, self._retry_after())
+            raise DeadlineUnmeetableError(message, self._retry_after(now))
         if len(self._queue) >= QUEUE_PER_SLOT * self.slots:
-            self._make_room_for(ticket)
+            self._make_room_for(ticket, now)
         bisect.insort(self._queue, ticket, key=lambda item: item.order)
 
-    def _make_room_for(self, ticket: AdmissionTicket) -> None:
+    def _make_room_for(self, ticket: AdmissionTicket, now: float) -> None:
         """Refuse the last that waits if it is less urgent, else the new one.
 
         Raises:
             QueueFullError: nothing less urgent than the ticket waits.
         """
-        error = QueueFullError("too many requests wait", self._retry_after())
+        error = QueueFullError("too many requests wait", self._retry_after(now))
         last = self._queue[-1]
         if last.order < ticket.order:
             raise error
@@ -120,13 +153,12 @@
 
     def _has_prospect(self, ticket: AdmissionTicket, now: float) -> bool:
         """Tell whether the ticket is expected to start while that is of use."""
-        ahead = sum(
-            item.order < ticket.order and not self._is_late(item, now) for item in self._queue
-        )
+        turn = self._turn(ticket, now)
+        ahead = sum(self._turn(item, now) < turn for item in self._queue)
         start = now + self._wait_behind(ahead, ticket)
-        if start <= self._last_timely_start(ticket):
+        if start <= ticket.wanted_start:
             return True
-        if not ticket.may_be_late:
+        if ticket.lateness is Lateness.REFUSED or ticket.lateness.prompt:
             return False
         return now + self._wait_behind(len(self._queue), ticket) <= self.expires_at(ticket)
 
@@ -140,19 +172,44 @@
     def _last_timely_start(self, ticket: AdmissionTicket) -> float:
         return ticket.objective - self._time_of(ticket)
 
+    def _prompt_until(self, ticket: AdmissionTicket) -> float:
+        """Return until when a request may wait whose caller is rather told to come back.
+
+        From then on it would often miss its objective.
+        """
+        if not ticket.lateness.prompt:
+            return math.inf
+        known = self._route_times.get(ticket.route)
+        spread = known.deviation * SPREAD if known is not None else 0.0
+        at_least = ticket.submitted_at + PROMPT_SHARE * (ticket.objective - ticket.submitted_at)
+        return max(self._last_timely_start(ticket) - spread, at_least)
+
+    def _turn(self, ticket: AdmissionTicket, now: float) -> Turn:
+        """Return the ticket's place among those that wait; the smallest goes first."""
+        return self._is_late(ticket, now), ticket.order
+
     def _is_late(self, ticket: AdmissionTicket, now: float) -> bool:
-        """Tell whether a request that starts now would miss its objective."""
-        return now > self._last_timely_start(ticket)
+        """Tell whether a request lets go first what may still be in time."""
+        return ticket.lateness.yields or now > self._last_timely_start(ticket)
+
+    def _retry_after(self, now: float) -> float:
+        """Note a refusal; return in how many seconds there will be room, as far as known.
 
-    def _retry_after(self) -> float:
-        wait = (len(self._queue) + 1) * self._mean_time / self.slots
-        return min(max(wait, MINIMUM_RETRY_AFTER), MAXIMUM_RETRY_AFTER)
+        An overload that has lasted for some time is taken to last as long again.
+        """
+        if now - self._refused_at > CALM_SECONDS:
+            self._refusing_since = now
+        self._refused_at = now
+        ahead = max(0, self.load - self.in_flight)
+        wait = (ahead + 1) * self._mean_time / self.slots
+        expected = max(wait, now - self._refusing_since, MINIMUM_RETRY_AFTER)
+        return min(expected, MAXIMUM_RETRY_AFTER)
 
     def expires_at(self, ticket: AdmissionTicket) -> float:
         """Return when a waiting ticket is given up."""
         time_given = ticket.deadline - ticket.submitted_at
         held_enough = ticket.submitted_at + HOLD_SHARE * time_given
-        return min(held_enough, ticket.deadline - self._time_of(ticket))
+        return min(held_enough, ticket.deadline - self._time_of(ticket), self._prompt_until(ticket))
 
     def expire(self, ticket: AdmissionTicket, now: float) -> None:
         """Refuse a waiting ticket which can no longer be served in time."""
@@ -160,7 +217,7 @@
             return
         self._queue.remove(ticket)
         message = "no slot came free in time"
-        ticket.refusal = DeadlineUnmeetableError(message, self._retry_after())
+        ticket.refusal = DeadlineUnmeetableError(message, self._retry_after(now))
         ticket.wake()
 
     def withdraw(self, ticket: AdmissionTicket) -> None:
@@ -178,13 +235,12 @@
         seconds = now - ticket.started_at
         if answered or seconds > self._time_of(ticket):
             self._mean_time = smoothed(self._mean_time, seconds)
-            known = self._route_times.get(ticket.route, 0.0)
-            self._route_times[ticket.route] = smoothed(known, seconds)
+            self._route_times.setdefault(ticket.route, _RouteTime(seconds)).note(seconds)
         self._grant_waiting(now)
 
     def _grant_waiting(self, now: float) -> None:
         while self._queue and self.in_flight < self.slots:
-            ticket = min(self._queue, key=lambda item: (self._is_late(item, now), item.order))
+            ticket = min(self._queue, key=lambda item: self._turn(item, now))
             if now >= self.expires_at(ticket):
                 self.expire(ticket, now)
                 continue
--- a/src/pewtertack/routing/deadlines.py
+++ b/src/pewtertack/routing/deadlines.py
@@ -19,6 +19,14 @@
     return now + min(_milliseconds(header) / 1000, route_timeout)
 
 
+def caller_deadline_of(now: float, header: str | None, deadline: float) -> float:
+    """Return until when the caller waits over all its attempts, whatever the route's timeout.
+
+    ``header`` was read by ``deadline_of`` before; without one ``deadline`` stands.
+    """
+    return deadline if header is None else now + _milliseconds(header) / 1000
+
+
 def _milliseconds(header: str) -> int:
     text = header.strip()
     if not (text.isascii() and text.isdigit() and len(text) <= MAXIMUM_DIGITS) or int(text) == 0:
--- a/src/pewtertack/routing/dispatcher.py
+++ b/src/pewtertack/routing/dispatcher.py
@@ -16,6 +16,7 @@
 from pewtertack.core.machines import MachineList, MachineRole
 from pewtertack.routing.backend import Backend, LoadReport
 from pewtertack.routing.outcomes import RequestFailedError
+from pewtertack.routing.patience import CallerPatience
 from pewtertack.routing.queueing import Ticket
 from pewtertack.routing.registry import BackendRegistry, ListChange
 from pewtertack.routing.retries import (
@@ -125,6 +126,7 @@
         self._budgets: dict[str, RetryBudget] = {}
         self._burst = burst_of(0)
         self._splits = SplitPicker()
+        self._patience = CallerPatience()
 
     def pick_service(self, route: ResolvedRoute) -> ResolvedRoute:
         """Return the route with the service that this request goes to."""
@@ -139,6 +141,7 @@
     def keep_only(self, routes: Container[str], services: Container[str]) -> None:
         """Forget what was learnt of routes and idle services that are in force no longer."""
         self._splits.keep_only(routes)
+        self._patience.keep_only(routes)
         self._budgets = {name: item for name, item in self._budgets.items() if name in services}
         self._services = {
             name: service
@@ -197,6 +200,9 @@
         """Grant the ticket or let it wait; see ``ServiceDispatcher.submit``."""
         if not ticket.excluded:
             ticket.arrived_at = now
+            ticket.caller_lateness = self._patience.classify(
+                ticket.route.name, ticket.route.objective, ticket.caller_deadline - now
+            )
             self._budget(ticket).note_first_attempt(ticket.route.retry_budget)
         self.service(ticket.route.service).submit(ticket, now)
 
@@ -346,6 +352,8 @@
         service = self.service(ticket.route.service)
         if refusals >= MAXIMUM_REFUSALS or not service.has_other(following.excluded, now):
             return RetryDecision(RetryReason.NO_GATEWAY)
+        if not service.has_prospect(following, now):
+            return RetryDecision(RetryReason.NO_PROSPECT)
         return RetryDecision(RetryReason.NEXT_GATEWAY, following)
 
     def _budget(self, ticket: Ticket) -> RetryBudget:
@@ -362,6 +370,8 @@
     following.refusals = refusals
     following.arrived_at = ticket.arrived_at
     following.body_bytes = ticket.body_bytes
+    following.caller_deadline = ticket.caller_deadline
+    following.caller_lateness = ticket.caller_lateness
     return following
 
 
--- a/src/pewtertack/routing/queueing.py
+++ b/src/pewtertack/routing/queueing.py
@@ -14,6 +14,7 @@
 from pewtertack.core.configuration.resolved import ResolvedRoute, ResolvedService, WorkClass
 from pewtertack.routing.backend import Backend, LoadReport
 from pewtertack.routing.outcomes import RequestFailedError
+from pewtertack.routing.patience import Lateness
 
 SMOOTHING = 0.1
 """Weight of the newest value in exponentially weighted means."""
@@ -63,13 +64,22 @@
     """When the request's first attempt was submitted."""
     queued: float = 0.0
     """Seconds that the request waited at the gateway, as told with the answer."""
-    may_be_late: bool = True
-    """Whether the gateway should rather answer late than refuse."""
+    lateness: Lateness = Lateness.ALLOWED
+    """What the gateway should do if the request would have to wait."""
+    caller_deadline: float = 0.0
+    """How long the caller will wait over all its attempts, 0 while unknown."""
+    caller_lateness: Lateness = Lateness.ALLOWED
+    """What its caller's patience speaks for, wherever the attempt goes."""
     choice: str = ""
     """Why this back end was chosen, for the log."""
     body_bytes: int = 0
     """Length of the request's body, as far as announced."""
 
+    @property
+    def caller_may_come_back(self) -> bool:
+        """Whether the caller, if refused, has time for another whole attempt."""
+        return self.caller_lateness.prompt
+
     @property
     def retries(self) -> int:
         """Earlier attempts that a back end may have seen."""
--- a/src/pewtertack/routing/retries.py
+++ b/src/pewtertack/routing/retries.py
@@ -79,6 +79,7 @@
     NO_TIME = "no time is left for another attempt"
     BUDGET = "the retry budget is spent"
     NO_GATEWAY = "no other gateway may be asked"
+    NO_PROSPECT = "no other gateway is expected to take it soon, and its caller may come back"
 
 
 GRANTED_REASONS = frozenset({RetryReason.NOT_RUN, RetryReason.REPEATABLE, RetryReason.NEXT_GATEWAY})
--- a/src/pewtertack/routing/service.py
+++ b/src/pewtertack/routing/service.py
@@ -16,6 +16,7 @@
     QueueFullError,
     RequestFailedError,
 )
+from pewtertack.routing.patience import PROMPT_SHARE, Lateness
 from pewtertack.routing.queueing import MAXIMUM_WAIT, ClassQueue, Ticket, smoothed
 
 MINIMUM_RETRY_AFTER = 0.1
@@ -23,6 +24,8 @@
 MINIMUM_CAPACITY = 0.1
 UNCERTAINTY = 1.5
 """Answers take up to so many times the mean often enough to plan for it."""
+CROSSING_SHARE = 0.05
+"""What crosses zones costs bytes: it does when it would wait for this share of its objective."""
 LARGE_BODY = 16 * 1024
 """A request with a longer body goes to another zone only to meet its deadline."""
 OWN_ZONE = "own-zone"
@@ -58,6 +61,17 @@
         """Tell whether a back end that the request has not tried may take it."""
         return any(item.usable(now) and item.name not in excluded for item in self.backends)
 
+    def has_prospect(self, ticket: Ticket, now: float) -> bool:
+        """Tell whether asking one more gateway is better than telling the caller to come back."""
+        if not ticket.caller_may_come_back:
+            return True
+        prompt_until = ticket.arrived_at + PROMPT_SHARE * ticket.route.objective
+        return any(
+            now + item.expected_wait(now, self.mean_time) < prompt_until
+            for item in self.backends
+            if item.usable(now) and item.name not in ticket.excluded
+        )
+
     def may_reach(self, now: float) -> bool:
         """Tell whether any back end that takes work answers, or is overdue for a trial."""
         working = [item for item in self.backends if not (item.leaving or item.removed)]
@@ -202,7 +216,7 @@
         ticket.backend = backend
         near = backend in self._local
         ticket.choice = OWN_ZONE if near else self._why_other_zone(ticket)
-        ticket.may_be_late = near or ticket.choice == NONE_IN_ZONE
+        ticket.lateness = _lateness_of(ticket, near or ticket.choice == NONE_IN_ZONE)
         ticket.started_at = now
         return True
 
@@ -211,6 +225,8 @@
         objective = ticket.arrived_at + ticket.route.objective
         patient_until = ticket.deadline if ticket.body_bytes > LARGE_BODY else objective
         patience = patient_until - now - expected * UNCERTAINTY
+        if ticket.caller_may_come_back and ticket.body_bytes <= LARGE_BODY:
+            patience = min(patience, CROSSING_SHARE * ticket.route.objective)
         return Wish(expected, self.mean_time, max(0.0, patience), ticket.excluded)
 
     def _why_other_zone(self, ticket: Ticket) -> str:
@@ -222,3 +238,10 @@
         """Tell whether answered failures may eject one more: never more than half."""
         ejected = sum(item.health.ejected for item in self.backends)
         return (ejected + 1) * 2 <= len(self.backends)
+
+
+def _lateness_of(ticket: Ticket, may_wait: bool) -> Lateness:
+    """Return what a gateway should do with the ticket; ``may_wait`` where it is the last hope."""
+    if ticket.caller_lateness is Lateness.ALLOWED and not may_wait:
+        return Lateness.REFUSED
+    return ticket.caller_lateness
--- a/tests/routing/test_admission.py
+++ b/tests/routing/test_admission.py
@@ -5,6 +5,7 @@
 
 from pewtertack.routing.admission import QUEUE_PER_SLOT, Admission, AdmissionTicket
 from pewtertack.routing.outcomes import DeadlineUnmeetableError, QueueFullError
+from pewtertack.routing.patience import Lateness
 
 
 def ticket(rank: int = 0, objective: float = 1.0, deadline: float = 2.0, **rest: Any) -> Any:
@@ -80,7 +81,7 @@
     def test_a_request_that_may_not_be_late_is_refused_when_it_would_be(self) -> None:
         admission = busy(seconds=0.2)
         with self.assertRaises(DeadlineUnmeetableError):
-            admission.submit(ticket(objective=0.3, deadline=1.0, may_be_late=False), 0.0)
+            admission.submit(ticket(objective=0.3, deadline=1.0, lateness=Lateness.REFUSED), 0.0)
 
     def test_what_can_still_be_in_time_goes_before_what_is_late_whatever_its_rank(self) -> None:
         admission = Admission(1)
@@ -154,3 +155,76 @@
         admission.finish(running, 0.1, answered=False)
         self.assertTrue(waiting.granted)
         self.assertFalse(gone.granted)
+
+
+class PatienceTest(unittest.TestCase):
+    """Requests whose callers may come back, beside those that have to wait."""
+
+    def prompt(self, **changes: Any) -> Any:
+        return ticket(**{"deadline": 9.0, "lateness": Lateness.PROMPT, **changes})
+
+    def test_it_is_refused_at_once_when_its_answer_would_often_be_late(self) -> None:
+        admission = busy(seconds=0.2)
+        for seconds in (0.05, 0.4, 0.05, 0.4):
+            other = ticket()
+            admission.slots += 1
+            admission.submit(other, 0.0)
+            admission.finish(other, seconds, answered=True)
+            admission.slots -= 1
+        with self.assertRaises(DeadlineUnmeetableError):
+            admission.submit(self.prompt(objective=0.6), 0.0)
+        admission.submit(ticket(objective=0.6), 0.0)
+
+    def test_it_waits_where_answers_take_the_same_time_always(self) -> None:
+        admission = busy(seconds=0.2)
+        waiting = self.prompt(objective=0.6)
+        admission.submit(waiting, 0.0)
+        self.assertIsNone(waiting.refusal)
+
+    def test_its_wait_ends_when_its_objective_becomes_unsafe(self) -> None:
+        admission = busy(seconds=0.2)
+        waiting = self.prompt(objective=0.6)
+        admission.submit(waiting, 0.0)
+        admission.expire(waiting, 0.39)
+        self.assertIsNone(waiting.refusal)
+        admission.expire(waiting, 0.41)
+        self.assertIsInstance(waiting.refusal, DeadlineUnmeetableError)
+
+    def test_one_that_came_back_waits_behind_all_that_may_be_in_time(self) -> None:
+        admission = busy(seconds=0.2)
+        back = ticket(objective=1.0, deadline=3.0, lateness=Lateness.YIELDING)
+        fresh = self.prompt(objective=1.5)
+        admission.submit(back, 0.0)
+        admission.submit(fresh, 0.0)
+        running = ticket()
+        admission._start(running, 0.0)
+        admission.finish(running, 0.1, answered=True)
+        admission.finish(running, 0.1, answered=True)
+        self.assertEqual((back.granted, fresh.granted), (False, True))
+
+    def test_what_yields_does_not_count_as_load(self) -> None:
+        admission = busy(seconds=0.2)
+        for lateness in (Lateness.ALLOWED, Lateness.YIELDING):
+            admission.submit(ticket(objective=1.0, deadline=9.0, lateness=lateness), 0.0)
+        self.assertEqual((admission.in_flight, admission.load), (1, 2))
+
+    def test_what_is_short_of_time_goes_before_others_of_its_rank(self) -> None:
+        admission = Admission(1)
+        running = ticket()
+        admission.submit(running, 0.0)
+        long, short = ticket(objective=1.0), ticket(objective=0.5)
+        admission.submit(long, 0.0)
+        admission.submit(short, 0.0)
+        admission.finish(running, 0.1, answered=True)
+        self.assertEqual((long.granted, short.granted), (False, True))
+
+    def test_an_overload_that_lasts_is_taken_to_last_as_long_again(self) -> None:
+        admission = busy(seconds=0.2)
+
+        def refused(now: float) -> float:
+            with self.assertRaises(DeadlineUnmeetableError) as caught:
+                admission.submit(ticket(objective=now + 0.1, deadline=now + 0.3), now)
+            return caught.exception.retry_after or 0.0
+
+        told = [round(refused(now), 3) for now in (0.0, 0.5, 1.0, 1.5, 9.0)]
+        self.assertEqual(told, [0.2, 0.5, 1.0, 1.5, 0.2])
--- a/tests/routing/test_gateway_choice.py
+++ b/tests/routing/test_gateway_choice.py
@@ -13,8 +13,9 @@
     BackendUnreachableError,
     GatewayRefusedError,
 )
+from pewtertack.routing.patience import Lateness
 from pewtertack.routing.queueing import Ticket
-from pewtertack.routing.retries import FLEET_BURST, burst_of
+from pewtertack.routing.retries import FLEET_BURST, RetryReason, burst_of
 from tests.routing.samples import dispatcher, route, service
 
 
@@ -75,6 +76,37 @@
         self.assertEqual(upload.backend and upload.backend.name, "near")
 
 
+class ComeBackTest(unittest.TestCase):
+    """Callers that have time for another attempt are told to come back rather than held."""
+
+    def refuse(self, made: Dispatcher, wanted: Ticket, now: float) -> RetryReason:
+        made.note_answer(wanted, now, LoadReport(9, 2), leaving=False)
+        made.finish(wanted, now, AttemptEnd.REFUSED)
+        error = GatewayRefusedError("refused", 0.1, "deadline-unmeetable")
+        error.offered = False
+        return made.decide_retry(wanted, error, now, True).reason
+
+    def busy_fleet(self) -> Dispatcher:
+        made = fleet(gated("near"), gated("also"))
+        for _ in range(2):
+            report(made, submitted(made), load=9)
+        return made
+
+    def test_no_second_gateway_is_asked_that_is_not_expected_to_take_it_soon(self) -> None:
+        made = self.busy_fleet()
+        wanted = Ticket(route(target_latency=0.4), service(), 1.7, caller_deadline=3.0)
+        made.submit(wanted, 0.5)
+        self.assertEqual(wanted.lateness, Lateness.PROMPT)
+        self.assertEqual(self.refuse(made, wanted, 0.5), RetryReason.NO_PROSPECT)
+
+    def test_a_caller_with_little_time_waits_and_all_gateways_are_asked(self) -> None:
+        made = self.busy_fleet()
+        wanted = Ticket(route(target_latency=0.4), service(), 1.7, caller_deadline=1.7)
+        made.submit(wanted, 0.5)
+        self.assertEqual(wanted.lateness, Lateness.ALLOWED)
+        self.assertEqual(self.refuse(made, wanted, 0.5), RetryReason.NEXT_GATEWAY)
+
+
 class SlownessTest(unittest.TestCase):
     def test_attempts_that_ran_into_their_deadline_count_as_slow(self) -> None:
         made = fleet(gated("a"), gated("bb"))
