Routing: ends of attempts in a module of their own

A pure move: AttemptEnd, its sets and the two rules on what an end tells of a back end are in routing.ends.

--- a/src/pewtertack/lab/depth/levels.py
+++ b/src/pewtertack/lab/depth/levels.py
@@ -18,7 +18,8 @@
 )
 from pewtertack.routing.answers import end_of_answer
 from pewtertack.routing.deadlines import deadline_of, header_for
-from pewtertack.routing.dispatcher import AttemptEnd, Dispatcher
+from pewtertack.routing.dispatcher import Dispatcher
+from pewtertack.routing.ends import AttemptEnd
 from pewtertack.routing.outcomes import (
     RETRIES_SPENT,
     BackendFailedError,
--- a/src/pewtertack/lab/overload/gateways.py
+++ b/src/pewtertack/lab/overload/gateways.py
@@ -16,7 +16,8 @@
 from pewtertack.lab.overload.world import NETWORK_DELAY, VirtualTime
 from pewtertack.routing.admission import Admission, AdmissionTicket
 from pewtertack.routing.backend import LoadReport
-from pewtertack.routing.dispatcher import AttemptEnd, Dispatcher
+from pewtertack.routing.dispatcher import Dispatcher
+from pewtertack.routing.ends import AttemptEnd
 from pewtertack.routing.outcomes import GatewayRefusedError, NotRunError, RequestFailedError
 from pewtertack.routing.queueing import Ticket
 
--- a/src/pewtertack/lab/overload/nodes.py
+++ b/src/pewtertack/lab/overload/nodes.py
@@ -16,7 +16,8 @@
 )
 from pewtertack.lab.overload.world import Job, SimulatedBackend, VirtualTime
 from pewtertack.routing.backend import LoadReport
-from pewtertack.routing.dispatcher import AttemptEnd, Dispatcher
+from pewtertack.routing.dispatcher import Dispatcher
+from pewtertack.routing.ends import AttemptEnd
 from pewtertack.routing.outcomes import BackendShedError, RequestFailedError
 from pewtertack.routing.queueing import Ticket
 
--- a/src/pewtertack/node/proxy/exchange.py
+++ b/src/pewtertack/node/proxy/exchange.py
@@ -24,7 +24,7 @@
     read_answer,
 )
 from pewtertack.routing.answers import end_of_answer
-from pewtertack.routing.dispatcher import AttemptEnd
+from pewtertack.routing.ends import AttemptEnd
 from pewtertack.routing.outcomes import (
     DEFAULT_RETRY_AFTER,
     BackendFailedError,
--- a/src/pewtertack/node/proxy/forwarding.py
+++ b/src/pewtertack/node/proxy/forwarding.py
@@ -28,7 +28,8 @@
 from pewtertack.node.proxy.upstream import ConnectionStore
 from pewtertack.routing.backend import Backend, parse_load
 from pewtertack.routing.deadlines import caller_deadline_of
-from pewtertack.routing.dispatcher import AttemptEnd, Dispatcher, RetryDecision
+from pewtertack.routing.dispatcher import Dispatcher, RetryDecision
+from pewtertack.routing.ends import AttemptEnd
 from pewtertack.routing.outcomes import (
     BackendGoneError,
     BackendShedError,
--- a/src/pewtertack/routing/answers.py
+++ b/src/pewtertack/routing/answers.py
@@ -8,7 +8,7 @@
 
 from __future__ import annotations
 
-from pewtertack.routing.dispatcher import AttemptEnd
+from pewtertack.routing.ends import AttemptEnd
 from pewtertack.routing.outcomes import RETRIES_SPENT, Outcome
 
 SHED_STATUS = 503
--- a/src/pewtertack/routing/dispatcher.py
+++ b/src/pewtertack/routing/dispatcher.py
@@ -9,12 +9,20 @@
 
 from collections.abc import Callable, Container, Iterable
 from dataclasses import dataclass
-from enum import Enum
 from random import Random
 
 from pewtertack.core.configuration.resolved import ResolvedRoute
 from pewtertack.core.machines import MachineList, MachineRole
 from pewtertack.routing.backend import Backend, LoadReport
+from pewtertack.routing.ends import (
+    FAILURES,
+    OUT_OF_REACH,
+    UNANSWERED,
+    UNREACHABLE_PAUSE,
+    AttemptEnd,
+    ejection_of,
+    tells_of_backend,
+)
 from pewtertack.routing.outcomes import RequestFailedError
 from pewtertack.routing.patience import CallerPatience
 from pewtertack.routing.queueing import Ticket
@@ -31,48 +39,6 @@
 from pewtertack.routing.service import ServiceDispatcher
 from pewtertack.routing.splits import SplitPicker
 
-SIGNIFICANT_SECONDS = 1.0
-"""A timeout or cancellation earlier than this says nothing of the back end."""
-
-
-UNREACHABLE_PAUSE = 0.4
-"""Seconds for which a gateway that could not be reached is left alone at first."""
-
-
-class AttemptEnd(Enum):
-    """What became of an attempt, as far as it tells something of the back end."""
-
-    ANSWERED = "answered"
-    FAILED_STATUS = "failed-status"
-    """An answer of status 500, 502 or 503, other than a shed request."""
-    FAILED_BELOW = "failed-below"
-    """A failure that a node below the back end gave; tells nothing of the back end."""
-    SHED = "shed"
-    REFUSED = "refused"
-    """The gateway refused the request; tells nothing of the back end."""
-    UNREACHABLE = "unreachable"
-    SILENT = "silent"
-    """The gateway's machine acknowledged nothing of what was sent to it."""
-    BROKEN = "broken"
-    TIMED_OUT = "timed-out"
-    CANCELLED = "cancelled"
-
-
-FAILURES = {
-    AttemptEnd.FAILED_STATUS,
-    AttemptEnd.UNREACHABLE,
-    AttemptEnd.SILENT,
-    AttemptEnd.BROKEN,
-    AttemptEnd.TIMED_OUT,
-    AttemptEnd.CANCELLED,
-}
-OUT_OF_REACH = {AttemptEnd.UNREACHABLE, AttemptEnd.SILENT}
-"""Ends after which a gateway's back end is asked for nothing until a probe is answered."""
-
-
-UNANSWERED = {AttemptEnd.TIMED_OUT, AttemptEnd.CANCELLED, AttemptEnd.BROKEN}
-"""Ends that tell how long the answer would have taken at least."""
-
 
 @dataclass(frozen=True, slots=True)
 class BackendChanged:
@@ -279,11 +245,11 @@
         end: AttemptEnd,
     ) -> None:
         """Let the end of an attempt count for or against the back end's health."""
-        if not _tells_of_backend(ticket, now, end):
+        if not tells_of_backend(ticket, now, end):
             backend.health.abandon(ticket.trial)
         elif end in FAILURES:
             may_eject = end is not AttemptEnd.FAILED_STATUS or service.may_eject()
-            threshold, pause = _ejection_of(ticket, backend, end)
+            threshold, pause = ejection_of(ticket, backend, end)
             if backend.health.fail(now, ticket.trial, threshold, pause, may_eject):
                 backend.unreachable = bool(backend.gateway) and end in OUT_OF_REACH
                 self._notify(BackendChanged(backend, ejected=True))
@@ -375,26 +341,6 @@
     return following
 
 
-def _ejection_of(ticket: Ticket, backend: Backend, end: AttemptEnd) -> tuple[int, float]:
-    """Return how many failures in a row eject the back end, and for how many seconds.
-
-    A gateway that cannot be reached says so at once, and asking again costs little.
-    """
-    if backend.gateway and end in OUT_OF_REACH:
-        return 1, UNREACHABLE_PAUSE
-    return ticket.service.ejection_failures, ticket.service.ejection_time
-
-
-def _tells_of_backend(ticket: Ticket, now: float, end: AttemptEnd) -> bool:
-    if end in (AttemptEnd.FAILED_BELOW, AttemptEnd.REFUSED):
-        return False
-    if end is AttemptEnd.SHED:
-        return ticket.trial
-    if end not in (AttemptEnd.TIMED_OUT, AttemptEnd.CANCELLED):
-        return True
-    return not ticket.answered and now - ticket.started_at >= SIGNIFICANT_SECONDS
-
-
 def _adapt_to_load(
     service: ServiceDispatcher, backend: Backend, ticket: Ticket, now: float
 ) -> None:
--- a/tests/node/proxy/test_probing.py
+++ b/tests/node/proxy/test_probing.py
@@ -10,7 +10,7 @@
 from pewtertack.node.proxy.connection import BackendConnection
 from pewtertack.node.proxy.probing import takes_requests
 from pewtertack.node.proxy.upstream import ConnectionStore
-from pewtertack.routing.dispatcher import AttemptEnd
+from pewtertack.routing.ends import AttemptEnd
 from pewtertack.routing.queueing import Ticket
 from tests.node.gateway.test_gateway import POST, GatewayTestCase, answer_well
 from tests.node.proxy.harness import LOOPBACK, RawBackend, raw_call
--- a/tests/routing/test_answers.py
+++ b/tests/routing/test_answers.py
@@ -3,7 +3,7 @@
 import unittest
 
 from pewtertack.routing.answers import end_of_answer
-from pewtertack.routing.dispatcher import AttemptEnd
+from pewtertack.routing.ends import AttemptEnd
 from tests.routing.samples import dispatcher, ticket
 
 
--- a/tests/routing/test_choice.py
+++ b/tests/routing/test_choice.py
@@ -6,7 +6,8 @@
 
 from pewtertack.core.machines import MachineList, MachineState
 from pewtertack.routing.backend import LoadReport, parse_load
-from pewtertack.routing.dispatcher import AttemptEnd, Dispatcher
+from pewtertack.routing.dispatcher import Dispatcher
+from pewtertack.routing.ends import AttemptEnd
 from pewtertack.routing.outcomes import NoBackendError
 from tests.routing.samples import backend, dispatcher, machines, service, ticket
 
--- a/tests/routing/test_dispatcher.py
+++ b/tests/routing/test_dispatcher.py
@@ -5,13 +5,8 @@
 
 from pewtertack.core.configuration.resolved import WorkClass
 from pewtertack.routing.backend import LoadReport
-from pewtertack.routing.dispatcher import (
-    AttemptEnd,
-    BackendEvent,
-    BackendLeaving,
-    BackendListed,
-    Dispatcher,
-)
+from pewtertack.routing.dispatcher import BackendEvent, BackendLeaving, BackendListed, Dispatcher
+from pewtertack.routing.ends import AttemptEnd
 from pewtertack.routing.limit import ServiceLimit
 from pewtertack.routing.outcomes import (
     BackendFailedError,
--- a/tests/routing/test_gateway_choice.py
+++ b/tests/routing/test_gateway_choice.py
@@ -7,7 +7,8 @@
 
 from pewtertack.core.machines import Machine, MachineList, MachineRole, MachineState
 from pewtertack.routing.backend import LoadReport
-from pewtertack.routing.dispatcher import AttemptEnd, Dispatcher
+from pewtertack.routing.dispatcher import Dispatcher
+from pewtertack.routing.ends import AttemptEnd
 from pewtertack.routing.outcomes import (
     BackendFailedError,
     BackendUnreachableError,
--- a/tests/routing/test_properties.py
+++ b/tests/routing/test_properties.py
@@ -8,7 +8,8 @@
 from pewtertack.core.configuration.resolved import WorkClass
 from pewtertack.core.machines import MachineList, MachineState
 from pewtertack.routing.backend import LoadReport
-from pewtertack.routing.dispatcher import AttemptEnd, Dispatcher
+from pewtertack.routing.dispatcher import Dispatcher
+from pewtertack.routing.ends import AttemptEnd
 from pewtertack.routing.outcomes import NotRunError
 from pewtertack.routing.queueing import Ticket
 from tests.routing.samples import backend, dispatcher, service, ticket
--- a/tests/routing/test_silence.py
+++ b/tests/routing/test_silence.py
@@ -3,7 +3,8 @@
 import unittest
 
 from pewtertack.routing.backend import GATEWAY_STALL_SECONDS, STALL_MEMORY, Backend
-from pewtertack.routing.dispatcher import AttemptEnd, Dispatcher
+from pewtertack.routing.dispatcher import Dispatcher
+from pewtertack.routing.ends import AttemptEnd
 from pewtertack.routing.queueing import Ticket
 from tests.routing.test_gateway_choice import fleet, gated, report, submitted
 
