A back end that the list brings while requests are under way has its service's settings

Back ends took their service's settings from the next submitted request only; one listed between a request's submission and its refusal, or while requests wait, was judged without.

Change: the service's dispatcher keeps the settings and hands them to new back ends. Ruled out: memory (49.6 MB of 200 at most), a settings change.

Tests that failed first: NewBackendTest, two cases.

--- a/src/pewtertack/routing/service.py
+++ b/src/pewtertack/routing/service.py
@@ -45,6 +45,7 @@
         self.limit = ServiceLimit()
         self.in_flight = 0
         self._random = random
+        self._settings: ResolvedService | None = None
         self._local: list[Backend] = []
         self._remote: list[Backend] = []
         self.mean_time = 0.0
@@ -56,6 +57,8 @@
         members = list(backends)
         self._local = [backend for backend in members if backend.zone == zone]
         self._remote = [backend for backend in members if backend.zone != zone]
+        if self._settings is not None:
+            self.configure(self._settings)
 
     def has_other(self, excluded: Container[str], now: float) -> bool:
         """Tell whether a back end that the request has not tried may take it."""
@@ -83,7 +86,8 @@
         return (*self._local, *self._remote)
 
     def configure(self, settings: ResolvedService) -> None:
-        """Use the service's settings for all back ends."""
+        """Use the service's settings for all back ends, and for those that are still to come."""
+        self._settings = settings
         for backend in self.backends:
             backend.configure(settings)
 
--- a/tests/routing/test_gateway_choice.py
+++ b/tests/routing/test_gateway_choice.py
@@ -108,6 +108,30 @@
         self.assertEqual(self.refuse(made, wanted, 0.5), RetryReason.NEXT_GATEWAY)
 
 
+class NewBackendTest(unittest.TestCase):
+    """The machine list may bring a back end while requests are under way."""
+
+    def test_it_takes_a_request_that_waits(self) -> None:
+        made = fleet(gated("near"))
+        made.finish(submitted(made), 0.1, AttemptEnd.UNREACHABLE)
+        waiting = Ticket(route(), service(), 5.0)
+        waiting.expires_at = 4.0
+        made.service("logbook").queue.push(waiting, 0.1)
+        made.use_machines(MachineList(3, (gated("near"), gated("fresh"))), 0.2)
+        self.assertEqual(waiting.backend and waiting.backend.name, "fresh")
+
+    def test_it_may_be_asked_after_a_refusal(self) -> None:
+        made = fleet(gated("near"))
+        wanted = Ticket(route(target_latency=0.4), service(), 1.7, caller_deadline=3.0)
+        made.submit(wanted, 0.0)
+        made.use_machines(MachineList(3, (gated("near"), gated("fresh"))), 0.0)
+        made.finish(wanted, 0.0, AttemptEnd.REFUSED)
+        error = GatewayRefusedError("refused", 0.1, "deadline-unmeetable")
+        error.offered = False
+        decision = made.decide_retry(wanted, error, 0.0, True)
+        self.assertEqual(decision.reason, RetryReason.NEXT_GATEWAY)
+
+
 class SlownessTest(unittest.TestCase):
     def test_attempts_that_ran_into_their_deadline_count_as_slow(self) -> None:
         made = fleet(gated("a"), gated("bb"))
