--- a/src/pewtertack/node/http/cycle.py
+++ b/src/pewtertack/node/http/cycle.py
@@ -11,6 +11,8 @@
 from collections.abc import Callable, MutableMapping
 from typing import Any, Protocol
 
+from pewtertack.node.http.framing import LAST_CHUNK, NO_BODY_STATUSES, chunk_of
+
 Scope = MutableMapping[str, Any]
 """ASGI connection scope."""
 Message = MutableMapping[str, Any]
@@ -22,11 +24,9 @@
 """Received bytes of a body that wait to be read before the caller is slowed down."""
 HELD_BYTES = 256 * 1024
 """Bytes of an answer that may wait for earlier answers of its connection."""
-NO_BODY_STATUSES = frozenset({204, 304})
 LOGGER = "pewtertack.http"
 CONTINUE = b"HTTP/1.1 100 Continue\r\n\r\n"
 CLOSE_HEADER = b"connection: close\r\n"
-LAST_CHUNK = b"0\r\n\r\n"
 
 logger = logging.getLogger(LOGGER)
 
@@ -294,5 +294,5 @@
             return ()
         if not self._chunked:
             return (body,)
-        chunk = (b"%x\r\n" % len(body), body, b"\r\n") if body else ()
+        chunk = (chunk_of(body),) if body else ()
         return chunk if more else (*chunk, LAST_CHUNK)
--- /dev/null
+++ b/src/pewtertack/node/http/framing.py
@@ -0,0 +1,13 @@
+"""How the body of an HTTP/1.1 message is framed, in either direction (RFC 9112, section 7)."""
+
+from __future__ import annotations
+
+NO_BODY_STATUSES = frozenset({204, 304})
+"""Answers that have no body, whatever their headers say."""
+LAST_CHUNK = b"0\r\n\r\n"
+"""Ends a chunked body."""
+
+
+def chunk_of(data: bytes) -> bytes:
+    """Return ``data``, which must not be empty, as one chunk."""
+    return b"%x\r\n%b\r\n" % (len(data), data)
--- a/src/pewtertack/node/proxy/exchange.py
+++ b/src/pewtertack/node/proxy/exchange.py
@@ -8,6 +8,7 @@
 
 from pewtertack.node.gateway.hop import failure_of
 from pewtertack.node.http.cycle import CALLER, Scope
+from pewtertack.node.http.framing import NO_BODY_STATUSES
 from pewtertack.node.proxy.answers import Send
 from pewtertack.node.proxy.body import RequestBody
 from pewtertack.node.proxy.connection import (
@@ -35,7 +36,6 @@
     Outcome,
 )
 
-NO_BODY_STATUSES = frozenset({204, 304})
 SHED_BODY_BYTES = 64 * 1024
 SHED_BODY_SECONDS = 0.02
 """A shed answer's body is read for this long at most, to keep the connection."""
