An early answer is taken though the back end reads no more of the body

Cause: reading the diff: a sender that waits until the back end reads on was woken by that or by the connection's end only; an answer that came before the whole body was noticed at the deadline if the back end kept the connection open (PROTOCOL.md lets it).

Test that failed first: test_an_early_answer_is_taken_though_nobody_reads_the_body.

--- a/src/pewtertack/node/proxy/connection.py
+++ b/src/pewtertack/node/proxy/connection.py
@@ -17,6 +17,7 @@
 import httptools
 
 from pewtertack.errors import PewtertackError
+from pewtertack.node.http.framing import LAST_CHUNK, chunk_of
 from pewtertack.node.http.reading import ReadingProtocol
 from pewtertack.node.proxy.headers import RawHeaders
 
@@ -37,7 +38,6 @@
 """The same for a machine that falls silent while an answer is awaited."""
 FRAMING_NAMES = frozenset({b"content-length", b"transfer-encoding"})
 FIRST_FINAL_STATUS = 200
-LAST_CHUNK = b"0\r\n\r\n"
 
 
 class ExchangeBrokenError(PewtertackError):
@@ -128,6 +128,8 @@
             self._reading_paused = True
             self._transport.pause_reading()
         _wake(self._waiter)
+        if self._answer is not None:
+            _wake(self._writer)  # the rest of the body is wanted no more
 
     def eof_received(self) -> bool:
         """Note the back end's end of stream, which may be the answer's end."""
@@ -221,9 +223,7 @@
             async for chunk in request.body:
                 if self._answer is not None or self._ended:
                     return
-                await self._write(
-                    b"%x\r\n%b\r\n" % (len(chunk), chunk) if request.chunked else chunk
-                )
+                await self._write(chunk_of(chunk) if request.chunked else chunk)
         await self._write(LAST_CHUNK if request.chunked else b"")
         self._request_sent = True
 
--- a/tests/node/proxy/test_connection.py
+++ b/tests/node/proxy/test_connection.py
@@ -110,6 +110,16 @@
         self.assertNotIn(b"second", self.written)
         self.assertFalse(self.connection.reusable)
 
+    async def test_an_early_answer_is_taken_though_nobody_reads_the_body(self) -> None:
+        async def body() -> AsyncIterator[bytes]:
+            yield b"first"
+            yield b"second"
+
+        self.connection.pause_writing()
+        async with asyncio.timeout(5):
+            self.assertEqual(await self.exchange(OK, method=b"POST", body=body()), (200, b"ok"))
+        self.assertFalse(self.connection.reusable)
+
     async def test_nothing_is_sent_on_a_connection_that_has_ended(self) -> None:
         self.connection.eof_received()
         with self.assertRaises(ExchangeBrokenError):
