One caller with an odd deadline does not make all others of its route yield

The longest time that a caller of a route had to give was kept for good; a single request with a deadline of a minute would have had every later one taken for one that came back. Shorter times now bring it down by a hundredth of the difference each.

--- a/src/pewtertack/routing/patience.py
+++ b/src/pewtertack/routing/patience.py
@@ -44,12 +44,14 @@
         return self in (Lateness.YIELDING, Lateness.PROMPT_YIELDING)
 
 
+FORGETTING = 0.01
+"""Each caller with less time brings the longest time down by this share of the difference."""
 CAME_BACK_SHARE = 0.95
 """A caller with less than this share of the time that others had has been here before."""
 
 
 class CallerPatience:
-    """The longest time for which callers of each route wait, as seen by one proxy."""
+    """The longest time for which callers of each route wait, as one proxy has seen lately."""
 
     __slots__ = ("longest",)
 
@@ -63,12 +65,19 @@
 
     def classify(self, route: str, objective: float, time_left: float) -> Lateness:
         """Note a request's arrival; return what to do with it when it would have to wait."""
-        longest = self.longest[route] = max(time_left, self.longest.get(route, 0.0))
+        longest = self._note(route, time_left)
         came_back = may_come_back(objective, longest) and time_left < CAME_BACK_SHARE * longest
         if may_come_back(objective, time_left):
             return Lateness.PROMPT_YIELDING if came_back else Lateness.PROMPT
         return Lateness.YIELDING if came_back else Lateness.ALLOWED
 
+    def _note(self, route: str, time_left: float) -> float:
+        """Return the longest time, which shorter ones bring down slowly."""
+        known = self.longest.get(route, time_left)
+        longest = max(time_left, known + FORGETTING * (time_left - known))
+        self.longest[route] = longest
+        return longest
+
 
 def may_come_back(objective: float, time_left: float) -> bool:
     """Tell whether a caller that is refused has time for another whole attempt.
--- a/tests/routing/test_patience.py
+++ b/tests/routing/test_patience.py
@@ -28,3 +28,16 @@
         patience.classify("status", 0.4, 2.5)
         patience.keep_only(())
         self.assertEqual(patience.classify("status", 0.4, 1.1), Lateness.ALLOWED)
+
+    def test_one_caller_with_an_odd_deadline_does_not_make_all_others_yield(self) -> None:
+        patience = CallerPatience()
+        patience.classify("status", 0.4, 60.0)
+        found = [patience.classify("status", 0.4, 2.5) for _ in range(1000)]
+        self.assertEqual(found[-1], Lateness.PROMPT)
+
+    def test_callers_that_came_back_are_known_among_few_fresh_ones(self) -> None:
+        patience = CallerPatience()
+        for _ in range(300):
+            self.assertEqual(patience.classify("status", 0.4, 2.5), Lateness.PROMPT)
+            for _ in range(3):
+                self.assertEqual(patience.classify("status", 0.4, 1.1), Lateness.YIELDING)
