Few readers of the store: two a zone read and tell the others how old its word is

Cause: with profile "direct" every node lists and watches both documents. The readers that the core has were left out for want of a word on how fresh they are.

Change: profile "leased". Readers send heartbeats with versions, digest, short deltas and the age of the source's word; a node whose word is older than its lease takes over by hash score; a start reads once what may be stale; a readership is a registry entry ("elected", "leased"). Fleets below 32 nodes read with every node as before.

--- a/src/pewtertack/core/effects.py
+++ b/src/pewtertack/core/effects.py
@@ -32,6 +32,8 @@
     kind: DocumentKind
     after: int
     wait: float
+    may_be_stale: bool = False
+    """A cheaper answer that is some seconds old will do, if the platform gives such."""
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/pewtertack/core/inputs.py
+++ b/src/pewtertack/core/inputs.py
@@ -30,6 +30,8 @@
     kind: DocumentKind
     number: int
     document: Document
+    stale: bool = False
+    """The answer may be some seconds old: it confirms nothing."""
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/pewtertack/core/membership/ring.py
+++ b/src/pewtertack/core/membership/ring.py
@@ -45,6 +45,10 @@
         """Return the ``count`` names with the lowest scores."""
         return [name for _, name in self._entries[:count]]
 
+    def count_below(self, score: int) -> int:
+        """Return how many names score lower."""
+        return bisect.bisect_left(self._entries, (score, ""))
+
     def successors(self, key: str, start: int, count: int) -> list[str]:
         """Return ``count`` names after the position of ``key``, skipping ``start`` first."""
         size = len(self._entries)
--- a/src/pewtertack/core/node.py
+++ b/src/pewtertack/core/node.py
@@ -49,12 +49,15 @@
     Ping,
     PingRequest,
     Pull,
+    ReaderHeartbeat,
     SnapshotAnswer,
     VersionState,
 )
 
 MEMBERS_PER_JOIN_ANSWER = 8
 JOIN_RETRY_AFTER = 1.0
+DEAF_AFTER_PAUSE = 0.3
+"""Seconds after a pause in which messages that came meanwhile are worked off."""
 READING_SEEDS = 3
 """So many of the seeds read the platform for a fleet that starts from nothing."""
 
@@ -117,7 +120,7 @@
             effects += self._finish_joining(now)
         elif self.phase is NodePhase.SERVING:
             effects += self._advance_in_force()
-        return effects
+        return effects + self.replication.heartbeats(now)
 
     def _dispatch(self, now: float, event: Input) -> list[Effect]:
         match event:
@@ -125,8 +128,8 @@
                 return self._tick(now)
             case MessageReceived():
                 return self._on_message(now, event)
-            case DocumentRead(kind, number, document):
-                return self.replication.on_document_read(now, kind, number, document)
+            case DocumentRead(kind, number, document, stale):
+                return self.replication.on_document_read(now, kind, number, document, stale)
             case DocumentUnchanged(kind):
                 return self.replication.on_document_unchanged(now, kind)
             case DocumentReadFailed(kind, reason, retry_after):
@@ -167,6 +170,7 @@
             return []
         self._last_tick = now
         self.membership.detector.after_pause(now)
+        self.replication.after_pause(now, DEAF_AFTER_PAUSE)
         if self.phase not in (NodePhase.JOINING, NodePhase.SERVING):
             return []
         self._joiner.start(now)
@@ -242,6 +246,8 @@
         read_at = replication.reader.last_answer_at
         if all(self._joiner.began_before(read_at.get(kind)) for kind in DocumentKind):
             return True
+        if replication.freshness.oldest(now) <= self.profile.reader_lease:
+            return True
         if replication.machine_list.machines.number == 0:
             return False
         if self._joiner.heard_serving_peer:
@@ -253,6 +259,7 @@
         self, now: float, sender: MessageReceived, request: JoinRequest
     ) -> list[Effect]:
         effects = self.membership.heard_from(now, request.member)
+        effects += self.replication.tell_joiner(now, sender.sender, sender.sender_address)
         members = self._members_for_joiner(sender.sender)
         answer = JoinAnswer(self.replication.state(), self.membership.own, members)
         effects.append(Send(sender.sender, sender.sender_address, answer))
@@ -328,6 +335,8 @@
             case HeldReport() as report:
                 incarnation = event.incarnation
                 return self.replication.on_held_report(now, sender, incarnation, report)
+            case ReaderHeartbeat() as heartbeat:
+                return self.replication.on_heartbeat(now, sender, address, heartbeat)
             case BackendsLeaving(backends):
                 return self.replication.on_backends_leaving(backends)
             case _:
--- a/src/pewtertack/core/profile.py
+++ b/src/pewtertack/core/profile.py
@@ -65,6 +65,24 @@
     report_retry: float = 0.5
     """How long a holder waits for a commit before it asks further coordinators."""
     commit_coordinators: int = 2
+    readership: str = "elected"
+    """Who reads the platform: a name of ``core.replication.readership``."""
+    heartbeat_interval: float = 0.5
+    """How often a reader tells its zone what it holds, where ``readership`` is "leased"."""
+    reader_lease: float = 1.3
+    """A reader unheard for this long, or whose word is this old, is replaced.
+
+    Two heartbeats may be lost. With the time between two reads, a node whose readers all
+    die right after an edit still has it within 2 s of the edit.
+    """
+    takeover_step: float = 0.1
+    """Each next node of a zone waits this much longer to take over: a read takes 0.05 s."""
+    takeover_candidates: int = 6
+    """So many nodes of a zone, readers included, try a source that answers none of them."""
+    late_takeover_step: float = 0.5
+    """What each node after them waits longer, so that a source in trouble meets no crowd."""
+    reads_alone_below: int = 32
+    """In a fleet smaller than this every node reads, where ``readership`` is "leased"."""
     readers_per_zone: int = 2
     readers_total: int = 16
     reader_settle: float = 1.0
@@ -126,4 +144,22 @@
 )
 """Every node reads a source that bears it; peers are the second way to each document."""
 
-PROFILES = {profile.name: profile for profile in (FAST, FRUGAL, DIRECT)}
+LEASED = TimingProfile(
+    name="leased",
+    readership="leased",
+    fan_out=1,
+    far_fan_out=0,
+    readers_per_zone=2,
+    read_wait=10.0,
+    read_gap=0.6,
+    read_backoff=0.1,
+    read_backoff_limit=1.0,
+    join_retry=0.2,
+    join_peers=3,
+    join_patience=1.0,
+    bootstrap_delay=0.0,
+)
+"""Two nodes a zone read a source that bears it and tell the others how old its word is;
+in a small fleet every node reads, as with ``DIRECT``."""
+
+PROFILES = {profile.name: profile for profile in (FAST, FRUGAL, DIRECT, LEASED)}
--- /dev/null
+++ b/src/pewtertack/core/replication/freshness.py
@@ -0,0 +1,56 @@
+"""How recently the source is known to have confirmed the documents that a node holds."""
+
+from __future__ import annotations
+
+import math
+
+from pewtertack.wire.messages import DocumentKind, SourceAges
+
+MILLISECONDS = 1000.0
+
+
+class SourceFreshness:
+    """The last moment, by document, at which what is held was the source's newest.
+
+    Times are monotonic seconds of this node. A peer's word counts from its arrival less the
+    age that it tells, so the time on its way makes a document look that much fresher.
+    """
+
+    __slots__ = ("_confirmed_at", "_deaf_until")
+
+    def __init__(self) -> None:
+        self._confirmed_at = dict.fromkeys(DocumentKind, -math.inf)
+        self._deaf_until = -math.inf
+
+    def confirm(self, kind: DocumentKind, at: float) -> None:
+        """The source confirmed the held document at ``at``, as this node saw itself."""
+        self._confirmed_at[kind] = max(self._confirmed_at[kind], at)
+
+    def hear(self, now: float, kind: DocumentKind, age_milliseconds: int) -> None:
+        """A peer's word of such an age covers the held document."""
+        if now >= self._deaf_until:
+            self.confirm(kind, now - age_milliseconds / MILLISECONDS)
+
+    def forget(self, now: float, deaf_for: float) -> None:
+        """Trust nothing confirmed so far, nor what peers say for ``deaf_for`` seconds.
+
+        For a process that was paused: words that came meanwhile are older than they say.
+        """
+        self._confirmed_at = dict.fromkeys(DocumentKind, -math.inf)
+        self._deaf_until = now + deaf_for
+
+    def age(self, now: float, kind: DocumentKind) -> float:
+        """Return the seconds since the last confirmation; infinite without one."""
+        return now - self._confirmed_at[kind]
+
+    def oldest(self, now: float) -> float:
+        """Return the age of the document confirmed longest ago."""
+        return max(self.age(now, kind) for kind in DocumentKind)
+
+    def ages(self, now: float) -> SourceAges:
+        """Return both ages in the form that peers are told."""
+        return SourceAges(*(_milliseconds(self.age(now, kind)) for kind in DocumentKind))
+
+
+def _milliseconds(age: float) -> int | None:
+    return None if math.isinf(age) else round(max(0.0, age) * MILLISECONDS)
--- /dev/null
+++ b/src/pewtertack/core/replication/heartbeats.py
@@ -0,0 +1,104 @@
+"""What a reader of the source tells its zone, and which peers it tells."""
+
+from __future__ import annotations
+
+import math
+
+import cbor2
+import msgspec
+
+from pewtertack.core.effects import Effect, Send
+from pewtertack.core.identity import NodeIdentity
+from pewtertack.core.membership.ring import score_of
+from pewtertack.core.membership.service import Membership
+from pewtertack.core.profile import TimingProfile
+from pewtertack.core.replication.freshness import SourceFreshness
+from pewtertack.core.replication.store import DocumentStore
+from pewtertack.core.revision import RevisionId
+from pewtertack.wire.messages import (
+    DeltaAnswer,
+    DocumentKind,
+    ReaderHeartbeat,
+    VersionState,
+)
+
+DELTAS_BYTES_MAX = 800
+"""Deltas that ride on a heartbeat: a frame of 1,200 bytes fits one datagram, of which the
+versions, digests and the envelope take up to 300."""
+
+
+class HeartbeatSender:
+    """Sends a reader's heartbeats: regularly, and at once with what is new.
+
+    They go to all members of the own zone, and to one reader of each other zone.
+    """
+
+    def __init__(
+        self,
+        identity: NodeIdentity,
+        profile: TimingProfile,
+        membership: Membership,
+        freshness: SourceFreshness,
+        stores: dict[DocumentKind, DocumentStore],
+    ) -> None:
+        self._identity = identity
+        self._profile = profile
+        self._membership = membership
+        self._freshness = freshness
+        self._stores = stores
+        self._score = score_of(identity.name)
+        self._told = {kind: store.revision for kind, store in stores.items()}
+        self._next_at = -math.inf
+
+    def due(self, now: float, state: VersionState) -> list[Effect]:
+        """Return the heartbeats to send now, with every change since the last ones."""
+        news = any(self._told[kind] != store.revision for kind, store in self._stores.items())
+        if not news and now < self._next_at:
+            return []
+        self._next_at = now + self._profile.heartbeat_interval
+        heartbeat = self._heartbeat(now, state, self._deltas())
+        self._told = {kind: store.revision for kind, store in self._stores.items()}
+        return [
+            effect for name in self._targets() for effect in self._membership.send(name, heartbeat)
+        ]
+
+    def for_joiner(self, now: float, name: str, address: str, state: VersionState) -> list[Effect]:
+        """Return the word for one joining peer, if the source's word is within its lease."""
+        if self._freshness.oldest(now) > self._profile.reader_lease:
+            return []
+        return [Send(name, address, self._heartbeat(now, state, ()))]
+
+    def _heartbeat(
+        self, now: float, state: VersionState, deltas: tuple[DeltaAnswer, ...]
+    ) -> ReaderHeartbeat:
+        digest = self._stores[DocumentKind.MACHINE_LIST].revision.digest
+        return ReaderHeartbeat(state, digest, self._freshness.ages(now), deltas)
+
+    def _deltas(self) -> tuple[DeltaAnswer, ...]:
+        """Return what has changed since the last heartbeats, if that is short."""
+        changed = tuple(
+            answer
+            for kind, store in self._stores.items()
+            for answer in self._chain(kind, store, self._told[kind])
+        )
+        if not changed:
+            return ()
+        size = len(cbor2.dumps(msgspec.to_builtins(changed, builtin_types=(bytes,))))
+        return changed if size <= DELTAS_BYTES_MAX else ()
+
+    def _chain(
+        self, kind: DocumentKind, store: DocumentStore, told: RevisionId
+    ) -> tuple[DeltaAnswer, ...]:
+        deltas = store.deltas_since(told) if told != store.revision else None
+        return (DeltaAnswer(kind, deltas),) if deltas else ()
+
+    def _targets(self) -> list[str]:
+        table = self._membership.table
+        own = table.zone(self._identity.zone)
+        rank = own.count_below(self._score)
+        targets = own.first(len(own))
+        for zone in table.zones():
+            if zone != self._identity.zone:
+                readers = table.zone(zone).first(self._profile.readers_per_zone)
+                targets.append(readers[rank % len(readers)])
+        return targets
--- a/src/pewtertack/core/replication/machine_lists.py
+++ b/src/pewtertack/core/replication/machine_lists.py
@@ -60,6 +60,16 @@
         self.machines = self._leaving.apply(machines)
         return [UseMachines(self.machines)]
 
+    def renumber(self, revision: RevisionId) -> None:
+        """Take over the higher number of a list with the same content.
+
+        The platform numbers its answers, so two readers may know one list by two numbers.
+        """
+        held = self.revision
+        if held.digest == revision.digest and revision.number > held.number > 0:
+            self.store.put_deltas([Delta(held, revision, ())])
+            self.machines = MachineList(revision.number, self.machines.machines)
+
     def note_leaving(self, notices: tuple[LeavingBackend, ...]) -> tuple[LeavingBackend, ...]:
         """Take back ends out of use ahead of the list; return those that were news."""
         news = self._leaving.observe(notices, self.machines)
--- a/src/pewtertack/core/replication/reader.py
+++ b/src/pewtertack/core/replication/reader.py
@@ -1,55 +1,51 @@
-"""Reading the platform: which nodes do, and when.
-
-The reachable members of a zone with the lowest hash scores read for it. A node
-starts only after it has been chosen for a while, so that views which differ in a
-storm do not add up to a crowd at the source.
-"""
+"""Reading the platform: when reads are due, and what their answers say."""
 
 from __future__ import annotations
 
 from random import Random
 
 from pewtertack.core.effects import Effect, Log, ReadDocument
-from pewtertack.core.identity import NodeIdentity
-from pewtertack.core.membership.ring import score_of
-from pewtertack.core.membership.table import MemberTable
 from pewtertack.core.profile import TimingProfile
+from pewtertack.core.replication.freshness import SourceFreshness
+from pewtertack.core.replication.readership import Readership
 from pewtertack.events import Event
 from pewtertack.wire.messages import DocumentKind
 
-ELECTION_INTERVAL = 0.5
 BACKOFF_FACTOR = 2.0
+OVERDUE = 2.0
+"""Seconds beyond its wait after which a read that is still open confirms nothing."""
+
+
+class _OpenRead:
+    """A read that the platform has not answered."""
 
-UNLISTED_SETTLE_FACTOR = 10.0
-"""How many times longer a node of a large fleet must be chosen before it knows the
-machine list: a fleet that starts at once has views too small to agree by."""
+    __slots__ = ("confirms", "may_be_stale")
 
-SMALL_FLEET = 32
-"""A node that knows fewer members does not wait for the list: few can be wrong."""
+    def __init__(self, may_be_stale: bool) -> None:
+        self.may_be_stale = may_be_stale
+        self.confirms = not may_be_stale
+        """Whether its being open says that the platform has nothing newer."""
 
 
 class PlatformReader:
-    """Issues reads of both documents while this node is chosen to."""
+    """Issues reads of both documents while its readership tells this node to.
+
+    What the platform has confirmed goes into ``freshness``.
+    """
 
     def __init__(
         self,
-        identity: NodeIdentity,
         profile: TimingProfile,
-        table: MemberTable,
+        readership: Readership,
+        freshness: SourceFreshness,
         random: Random,
         now: float,
-        is_seed: bool = False,
     ) -> None:
-        self._is_seed = is_seed
-        self._identity = identity
+        self.readership = readership
         self._profile = profile
-        self._table = table
+        self._freshness = freshness
         self._random = random
-        self._score = score_of(identity.name)
-        self._chosen_since: float | None = None
-        self._elected_by_list = False
-        self._next_election_at = now
-        self._outstanding: set[DocumentKind] = set()
+        self._open: dict[DocumentKind, _OpenRead] = {}
         self._not_before = dict.fromkeys(DocumentKind, now)
         self._failures = dict.fromkeys(DocumentKind, 0)
         self.last_answer_at: dict[DocumentKind, float] = {}
@@ -58,66 +54,62 @@
         self.reading = False
 
     def tick(
-        self, now: float, allowed: bool, numbers: dict[DocumentKind, int], urgent: bool = False
+        self,
+        now: float,
+        allowed: bool,
+        numbers: dict[DocumentKind, int],
+        joining: bool = False,
     ) -> list[Effect]:
         """Return the reads that are due; ``numbers`` are those already held.
 
-        ``urgent`` makes this node read whether it is chosen or not.
+        ``joining`` tells that the node joins a fleet whose source is durable.
         """
-        list_is_new = self._table.list_known and not self._elected_by_list
-        if now >= self._next_election_at or list_is_new:
-            self._next_election_at = now + ELECTION_INTERVAL
-            self._elect(now)
-        effects = self._switch(urgent or (allowed and self._is_settled(now)))
-        if self.reading:
-            effects += self._due_reads(now, numbers)
+        effects = self._switch(self.readership.reads(now, allowed, joining))
+        self._confirm_by_open_reads(now)
+        looking = self.readership.looks_first and (allowed or joining)
+        for kind in DocumentKind:
+            if looking and numbers[kind] == 0:
+                effects += self._read_if_due(now, kind, 0, may_be_stale=True)
+            elif self.reading:
+                effects += self._read_if_due(now, kind, numbers[kind], may_be_stale=False)
         return effects
 
-    def _is_settled(self, now: float) -> bool:
-        """Tell whether the node has been chosen for long enough to trust its view."""
-        if self._chosen_since is None:
-            return False
-        needed = self._profile.reader_settle
-        if not (self._is_seed or self._table.list_known or len(self._table) < SMALL_FLEET):
-            needed *= UNLISTED_SETTLE_FACTOR
-        return now - self._chosen_since >= needed
-
-    def _elect(self, now: float) -> None:
-        if self._elected_by_list != self._table.list_known:
-            self._elected_by_list = self._table.list_known
-            self._chosen_since = None
-        if not self._is_chosen():
-            self._chosen_since = None
-        elif self._chosen_since is None:
-            self._chosen_since = now
-
-    def _is_chosen(self) -> bool:
-        """Tell whether fewer than a zone's share of members score lower than this node.
-
-        Before anybody knows the machine list, the seeds read for everyone.
-        """
-        if self._is_seed and not self._table.list_known:
-            return True
-        zones = len(set(self._table.zones()) | {self._identity.zone})
-        share = min(self._profile.readers_per_zone, self._profile.readers_total // zones)
-        first = self._table.zone(self._identity.zone).first(max(share, 1))
-        lower = sum(1 for name in first if score_of(name) < self._score)
-        return lower < max(share, 1)
-
     def _switch(self, reading: bool) -> list[Effect]:
         if reading == self.reading:
             return []
         self.reading = reading
         return [Log(Event.READER_STARTED if reading else Event.READER_STOPPED, {})]
 
-    def _due_reads(self, now: float, numbers: dict[DocumentKind, int]) -> list[Effect]:
-        effects: list[Effect] = []
-        for kind in DocumentKind:
-            if kind not in self._outstanding and now >= self._not_before[kind]:
-                self._outstanding.add(kind)
-                after = self._known_number(kind, numbers[kind])
-                effects.append(ReadDocument(kind, after, self._profile.read_wait))
-        return effects
+    def _confirm_by_open_reads(self, now: float) -> None:
+        """While the platform holds a read open, it has nothing newer.
+
+        A connection that has silently gone is noticed by the platform adapter.
+        """
+        for kind, open_read in self._open.items():
+            answered_at = self.last_answer_at.get(kind)
+            if not open_read.confirms or answered_at is None or self._failures[kind]:
+                continue
+            if now - answered_at <= self._profile.read_wait + OVERDUE:
+                self._freshness.confirm(kind, now)
+
+    def after_pause(self) -> None:
+        """What is open since before a pause of this process confirms nothing."""
+        for open_read in self._open.values():
+            open_read.confirms = False
+
+    def _read_if_due(
+        self, now: float, kind: DocumentKind, held: int, may_be_stale: bool
+    ) -> list[Effect]:
+        if kind in self._open or now < self._not_before[kind]:
+            return []
+        self._open[kind] = _OpenRead(may_be_stale)
+        after = self._known_number(kind, held)
+        return [ReadDocument(kind, after, self._wait(kind, may_be_stale), may_be_stale)]
+
+    def _wait(self, kind: DocumentKind, may_be_stale: bool) -> float:
+        """After a stale answer the first read is to confirm it, not to wait for a change."""
+        unconfirmed = self.readership.looks_first and kind not in self.last_answer_at
+        return 0.0 if may_be_stale or unconfirmed else self._profile.read_wait
 
     def _known_number(self, kind: DocumentKind, held: int) -> int:
         """Return the number to wait for a change of.
@@ -142,14 +134,21 @@
 
     def answered(self, now: float, kind: DocumentKind) -> None:
         """The platform gave a usable answer."""
-        self._outstanding.discard(kind)
+        self._open.pop(kind, None)
         self._failures[kind] = 0
         self._not_before[kind] = now + self._profile.read_gap
         self.last_answer_at[kind] = now
+        self._freshness.confirm(kind, now)
+
+    def answered_stale(self, now: float, kind: DocumentKind) -> None:
+        """The platform gave an answer that may be old."""
+        self._open.pop(kind, None)
+        self._failures[kind] = 0
+        self._not_before[kind] = now
 
     def failed(self, now: float, kind: DocumentKind, retry_after: float | None) -> None:
         """Wait before the next read: what the platform asked for, or longer each time."""
-        self._outstanding.discard(kind)
+        self._open.pop(kind, None)
         backoff = self._profile.read_backoff * BACKOFF_FACTOR ** self._failures[kind]
         backoff = min(backoff, self._profile.read_backoff_limit)
         delay = max(retry_after or 0.0, backoff) * self._random.uniform(0.5, 1.5)
--- /dev/null
+++ b/src/pewtertack/core/replication/readership.py
@@ -0,0 +1,218 @@
+"""Who reads the platform for a fleet.
+
+A registry of the ways to decide it; a profile names one. The reader asks at every tick.
+"""
+
+from __future__ import annotations
+
+import math
+from collections.abc import Callable
+from typing import Protocol
+
+from pewtertack.core.identity import NodeIdentity
+from pewtertack.core.membership.ring import score_of
+from pewtertack.core.membership.table import MemberTable
+from pewtertack.core.profile import TimingProfile
+from pewtertack.core.replication.freshness import SourceFreshness
+
+ELECTION_INTERVAL = 0.5
+
+UNLISTED_SETTLE_FACTOR = 10.0
+"""How many times longer a node of a large fleet must be chosen before it knows the
+machine list: a fleet that starts at once has views too small to agree by."""
+
+SMALL_FLEET = 32
+"""A node that knows fewer members does not wait for the list: few can be wrong."""
+
+
+class ReadershipParts:
+    """What a way to decide the readership may look at."""
+
+    __slots__ = ("freshness", "identity", "is_seed", "profile", "table")
+
+    def __init__(
+        self,
+        identity: NodeIdentity,
+        profile: TimingProfile,
+        table: MemberTable,
+        freshness: SourceFreshness,
+        is_seed: bool,
+    ) -> None:
+        self.identity = identity
+        self.profile = profile
+        self.table = table
+        self.freshness = freshness
+        self.is_seed = is_seed
+
+
+class Readership(Protocol):
+    """Decides whether this node reads the platform."""
+
+    looks_first: bool
+    """Whether a node that holds nothing begins with a read that may be stale."""
+
+    @property
+    def tells_peers(self) -> bool:
+        """Whether readers send heartbeats, by which the others know that they need not read."""
+
+    def reads(self, now: float, allowed: bool, joining: bool) -> bool:
+        """Tell whether to read now.
+
+        Args:
+            now: monotonic seconds.
+            allowed: whether the node's phase lets it read for others.
+            joining: whether it joins a fleet whose source is durable.
+        """
+
+    def heard(self, now: float, name: str, in_own_zone: bool) -> None:
+        """A reader whose word is fresh has sent a heartbeat."""
+
+
+READERSHIPS: dict[str, Callable[[ReadershipParts], Readership]] = {}
+"""The ways to decide it, by the name that a profile gives."""
+
+
+def readership(
+    name: str,
+) -> Callable[[Callable[[ReadershipParts], Readership]], Callable[[ReadershipParts], Readership]]:
+    """Register a way to decide the readership under ``name``."""
+
+    def register(
+        made: Callable[[ReadershipParts], Readership],
+    ) -> Callable[[ReadershipParts], Readership]:
+        READERSHIPS[name] = made
+        return made
+
+    return register
+
+
+@readership("elected")
+class ElectedReadership:
+    """The reachable members of a zone with the lowest hash scores read for it.
+
+    A node starts only after it has been chosen for a while, so that views which differ in
+    a storm do not add up to a crowd at the source. A joiner reads a durable source itself.
+    """
+
+    looks_first = False
+    tells_peers = False
+
+    def __init__(self, parts: ReadershipParts) -> None:
+        self._parts = parts
+        self._score = score_of(parts.identity.name)
+        self._chosen_since: float | None = None
+        self._elected_by_list = False
+        self._next_election_at = -math.inf
+
+    def reads(self, now: float, allowed: bool, joining: bool) -> bool:
+        """Tell whether to read now."""
+        list_is_new = self._parts.table.list_known and not self._elected_by_list
+        if now >= self._next_election_at or list_is_new:
+            self._next_election_at = now + ELECTION_INTERVAL
+            self._elect(now)
+        return joining or (allowed and self._is_settled(now))
+
+    def heard(self, now: float, name: str, in_own_zone: bool) -> None:
+        """Heartbeats decide nothing here."""
+
+    def _is_settled(self, now: float) -> bool:
+        """Tell whether the node has been chosen for long enough to trust its view."""
+        if self._chosen_since is None:
+            return False
+        table = self._parts.table
+        needed = self._parts.profile.reader_settle
+        if not (self._parts.is_seed or table.list_known or len(table) < SMALL_FLEET):
+            needed *= UNLISTED_SETTLE_FACTOR
+        return now - self._chosen_since >= needed
+
+    def _elect(self, now: float) -> None:
+        list_known = self._parts.table.list_known
+        if self._elected_by_list != list_known:
+            self._elected_by_list = list_known
+            self._chosen_since = None
+        if not self._is_chosen():
+            self._chosen_since = None
+        elif self._chosen_since is None:
+            self._chosen_since = now
+
+    def _is_chosen(self) -> bool:
+        """Tell whether fewer than a zone's share of members score lower than this node.
+
+        Before anybody knows the machine list, the seeds read for everyone.
+        """
+        table, profile = self._parts.table, self._parts.profile
+        if self._parts.is_seed and not table.list_known:
+            return True
+        zone = self._parts.identity.zone
+        zones = len(set(table.zones()) | {zone})
+        share = max(1, min(profile.readers_per_zone, profile.readers_total // zones))
+        return table.zone(zone).count_below(self._score) < share
+
+
+@readership("leased")
+class LeasedReadership:
+    """Two members of a zone read for it; others do when they no longer hear from the source.
+
+    Whoever reads sends heartbeats with the age of the source's word. A node whose own word
+    has grown older than the lease takes over, the next by hash score first, and goes on
+    until enough readers before it are heard again. A source that answers nobody is asked
+    by a few nodes of each zone only; the rest come in one by one.
+    """
+
+    looks_first = True
+
+    def __init__(self, parts: ReadershipParts) -> None:
+        self._parts = parts
+        self._score = score_of(parts.identity.name)
+        self._started_at: float | None = None
+        self._taking_over = False
+        self._heard_before: dict[str, float] = {}
+        """Readers of the own zone with a lower score: when each was last heard."""
+
+    def reads(self, now: float, allowed: bool, joining: bool) -> bool:
+        """Tell whether to read now."""
+        if self._started_at is None:
+            self._started_at = now
+        if not (allowed or joining):
+            return False
+        if not self.tells_peers:
+            return True
+        table, profile = self._parts.table, self._parts.profile
+        rank = table.zone(self._parts.identity.zone).count_below(self._score)
+        if rank < profile.readers_per_zone:
+            return True
+        if self._taking_over:
+            self._taking_over = self._readers_before(now) < profile.readers_per_zone
+        else:
+            self._taking_over = self._unconfirmed_for(now) > self._patience(rank)
+        return self._taking_over
+
+    @property
+    def tells_peers(self) -> bool:
+        """Whether the fleet is so large that not every node reads."""
+        return len(self._parts.table) + 1 >= self._parts.profile.reads_alone_below
+
+    def heard(self, now: float, name: str, in_own_zone: bool) -> None:
+        """Note a reader that goes before this node."""
+        if in_own_zone and score_of(name) < self._score:
+            self._heard_before[name] = now
+
+    def _unconfirmed_for(self, now: float) -> float:
+        """Return for how long nothing has confirmed what is held, at most since the start."""
+        assert self._started_at is not None
+        return min(self._parts.freshness.oldest(now), now - self._started_at)
+
+    def _patience(self, rank: int) -> float:
+        """Return how old the source's word may be before the node of this rank takes over."""
+        profile = self._parts.profile
+        early = min(rank, profile.takeover_candidates) - profile.readers_per_zone
+        late = max(0, rank - profile.takeover_candidates)
+        waited = early * profile.takeover_step + late * profile.late_takeover_step
+        return profile.reader_lease + waited
+
+    def _readers_before(self, now: float) -> int:
+        oldest = now - self._parts.profile.reader_lease
+        self._heard_before = {
+            name: heard_at for name, heard_at in self._heard_before.items() if heard_at >= oldest
+        }
+        return len(self._heard_before)
--- a/src/pewtertack/core/replication/service.py
+++ b/src/pewtertack/core/replication/service.py
@@ -15,10 +15,13 @@
 from pewtertack.core.membership.service import Membership
 from pewtertack.core.profile import SourceProperties, TimingProfile
 from pewtertack.core.replication.answers import PullServer
+from pewtertack.core.replication.freshness import SourceFreshness
+from pewtertack.core.replication.heartbeats import HeartbeatSender
 from pewtertack.core.replication.machine_lists import MachineListReplica
 from pewtertack.core.replication.puller import Puller, PullSource
 from pewtertack.core.replication.quorum import QuorumCommit
 from pewtertack.core.replication.reader import PlatformReader
+from pewtertack.core.replication.readership import READERSHIPS, ReadershipParts
 from pewtertack.core.replication.replica import ConfigurationReplica
 from pewtertack.core.revision import Document, RevisionId, identify
 from pewtertack.events import Event
@@ -32,6 +35,7 @@
     LeavingBackend,
     Message,
     Pull,
+    ReaderHeartbeat,
     SnapshotAnswer,
     VersionState,
 )
@@ -74,7 +78,11 @@
         self._server = PullServer(stores, profile, random, now)
         self._pullers = {kind: Puller(profile.pull_timeout) for kind in DocumentKind}
         self.quorum = QuorumCommit(identity, profile, membership, now)
-        self.reader = PlatformReader(identity, profile, membership.table, random, now, is_seed)
+        self.freshness = SourceFreshness()
+        parts = ReadershipParts(identity, profile, membership.table, self.freshness, is_seed)
+        readership = READERSHIPS[profile.readership](parts)
+        self.reader = PlatformReader(profile, readership, self.freshness, random, now)
+        self._heartbeats = HeartbeatSender(identity, profile, membership, self.freshness, stores)
         self.serving = False
 
     def state(self) -> VersionState:
@@ -86,6 +94,11 @@
             self.serving,
         )
 
+    def after_pause(self, now: float, deaf_for: float) -> None:
+        """Trust nothing that the source said before, nor peers' words of meanwhile."""
+        self.freshness.forget(now, deaf_for)
+        self.reader.after_pause()
+
     def held_number(self, kind: DocumentKind) -> int:
         """Return the number of the newest held revision of a document."""
         if kind is DocumentKind.CONFIGURATION:
@@ -109,11 +122,19 @@
     # The platform's answers.
 
     def on_document_read(
-        self, now: float, kind: DocumentKind, number: int, document: Document
+        self,
+        now: float,
+        kind: DocumentKind,
+        number: int,
+        document: Document,
+        stale: bool = False,
     ) -> list[Effect]:
-        """Take in a document that this node read."""
+        """Take in a document that this node read; ``stale`` if it may be some seconds old."""
         effects = self._note_regained(kind)
-        self.reader.answered_with(now, kind, number, self.held_number(kind))
+        if stale:
+            self.reader.answered_stale(now, kind)
+        else:
+            self.reader.answered_with(now, kind, number, self.held_number(kind))
         if kind is DocumentKind.MACHINE_LIST:
             offered = self.machine_list.offer(identify(number, document), document)
             return effects + self._after_machine_list(now, offered)
@@ -157,6 +178,48 @@
             effects += self._pull_if_due(now, kind)
         return effects
 
+    def on_heartbeat(
+        self, now: float, sender: str, address: str, heartbeat: ReaderHeartbeat
+    ) -> list[Effect]:
+        """Take in what a reader tells: its changes, its versions, how old the source's word is."""
+        effects: list[Effect] = []
+        for answer in heartbeat.deltas:
+            effects += self._take_delta_answer(now, answer)
+        listed = RevisionId(heartbeat.state.machine_list, heartbeat.list_digest)
+        self.machine_list.renumber(listed)
+        effects += self.learn(now, sender, address, heartbeat.state)
+        self._hear_ages(now, heartbeat)
+        lease = self._profile.reader_lease
+        ages = (heartbeat.ages.of(kind) for kind in DocumentKind)
+        if all(age is not None and age <= lease * MILLISECONDS for age in ages):
+            member = self._membership.table.get(sender)
+            near = member is not None and member.update.zone == self._identity.zone
+            self.reader.readership.heard(now, sender, near)
+        return effects
+
+    def _hear_ages(self, now: float, heartbeat: ReaderHeartbeat) -> None:
+        """A peer's word covers what is held here if that is no older than what the peer holds."""
+        told = {
+            DocumentKind.CONFIGURATION: heartbeat.state.held.number,
+            DocumentKind.MACHINE_LIST: heartbeat.state.machine_list,
+        }
+        for kind, number in told.items():
+            age = heartbeat.ages.of(kind)
+            if age is not None and self.held_number(kind) >= number:
+                self.freshness.hear(now, kind, age)
+
+    def heartbeats(self, now: float) -> list[Effect]:
+        """Return the heartbeats that a reader has to send now."""
+        if not (self.reader.reading and self.reader.readership.tells_peers):
+            return []
+        return self._heartbeats.due(now, self.state())
+
+    def tell_joiner(self, now: float, name: str, address: str) -> list[Effect]:
+        """Return the source's word for a joining peer, if it is recent here."""
+        if not self.reader.readership.tells_peers:
+            return []
+        return self._heartbeats.for_joiner(now, name, address, self.state())
+
     def on_announce(self, now: float, sender: str, address: str, message: Announce) -> list[Effect]:
         """Take in an eager notice, with its inline delta if it fits."""
         effects: list[Effect] = []
@@ -202,6 +265,9 @@
     def on_deltas(self, now: float, answer: DeltaAnswer) -> list[Effect]:
         """Apply the deltas that a peer sent."""
         self._pullers[answer.kind].finish()
+        return self._take_delta_answer(now, answer)
+
+    def _take_delta_answer(self, now: float, answer: DeltaAnswer) -> list[Effect]:
         if answer.kind is DocumentKind.CONFIGURATION:
             return self._take_deltas(now, answer.deltas)
         return self._after_machine_list(now, self.machine_list.offer_deltas(answer.deltas))
@@ -271,6 +337,9 @@
     # Spreading.
 
     def _announce(self, delta: Delta | None) -> list[Effect]:
+        """Tell peers of something new; readers that send heartbeats tell by these."""
+        if self.reader.readership.tells_peers:
+            return []
         return self._send_to_targets(Announce(self.state(), delta))
 
     def _send_to_targets(self, message: Message) -> list[Effect]:
--- a/src/pewtertack/lab/metadata_store/application.py
+++ b/src/pewtertack/lab/metadata_store/application.py
@@ -50,6 +50,8 @@
     def __init__(self) -> None:
         self.faults = StoreFaults()
         self.calls = 0
+        self.stale_calls = 0
+        """How many of them asked for no more than a stale answer."""
         self._revision = 0
         self._items: dict[str, _Change] = {}
         self._history: deque[_Change] = deque()
@@ -115,6 +117,7 @@
         refused = await self._misbehave()
         if refused is not None:
             return refused
+        self.stale_calls += request.query.get("stale") == "1"
         prefix, after = request.query.get("PathPrefix", ""), request.query.get("after", "")
         newest = self._revision
         if request.query.get("stale") == "1":
--- a/src/pewtertack/lab/simulation/platform.py
+++ b/src/pewtertack/lab/simulation/platform.py
@@ -49,6 +49,8 @@
     refused: int = 0
     at_once: int = 0
     most_at_once: int = 0
+    stale: int = 0
+    """Reads whom a stale answer would do; not in ``total``."""
 
 
 @dataclass(slots=True)
@@ -69,6 +71,8 @@
     down: bool = False
     stale_number: int | None = None
     older_share: float = 0.0
+    stale_lag: float = 0.0
+    """How old answers are to readers whom a stale one will do."""
     fork_share: float = 0.5
     forks: dict[int, Document] = field(default_factory=dict)
     versions: list[Version] = field(default_factory=list)
@@ -103,9 +107,23 @@
         self.older_share = 0.0
         self._answer_waiting()
 
-    def read(self, after: int, wait: float, reply: Reply) -> None:
+    def read(self, after: int, wait: float, reply: Reply, may_be_stale: bool = False) -> None:
         """Answer now if there is another version than ``after``, else within ``wait``."""
-        self.scheduler.after(ANSWER_TIME, lambda: self._admit(after, wait, reply))
+        if may_be_stale:
+            self.scheduler.after(ANSWER_TIME, lambda: self._answer_stale(reply))
+        else:
+            self.scheduler.after(ANSWER_TIME, lambda: self._admit(after, wait, reply))
+
+    def _answer_stale(self, reply: Reply) -> None:
+        """Answer with what was visible ``stale_lag`` ago; costs the platform next to nothing."""
+        self.counts.stale += 1
+        oldest = self.scheduler.now - self.stale_lag
+        shown = [version for version in self.versions if version.visible_at <= oldest]
+        answer: Answer = DocumentReadFailed(self.kind, "outage")
+        if shown and not self.down:
+            newest = shown[-1]
+            answer = DocumentRead(self.kind, newest.number, newest.document, stale=True)
+        self.scheduler.after(ANSWER_TIME, lambda: reply(answer))
 
     def _admit(self, after: int, wait: float, reply: Reply) -> None:
         read = Read(after, reply)
--- a/src/pewtertack/lab/simulation/process.py
+++ b/src/pewtertack/lab/simulation/process.py
@@ -154,8 +154,8 @@
         match effect:
             case Send(_, address, message):
                 self._send(address, message)
-            case ReadDocument(kind, after, wait):
-                self.around.platform[kind].read(after, wait, self._on_answer)
+            case ReadDocument(kind, after, wait, may_be_stale):
+                self.around.platform[kind].read(after, wait, self._on_answer, may_be_stale)
             case Log():
                 identity = self.identity
                 self.around.recorder.record_log(identity.name, identity.incarnation, effect)
--- a/src/pewtertack/platform/store.py
+++ b/src/pewtertack/platform/store.py
@@ -66,6 +66,12 @@
     code: ClassVar[str] = "store-body"
 
 
+class StoreEmptyError(PlatformError):
+    """The store, or the old state of it that a stale read shows, lacks what was asked for."""
+
+    code: ClassVar[str] = "store-empty"
+
+
 class _HistoryGoneError(PlatformError):
     """The store has forgotten the changes after the cursor: list again."""
 
@@ -97,6 +103,14 @@
         self.prefix = prefix
         self.items: dict[str, bytes] = {}
         self.at = 0
+        """From which revision a watch goes on."""
+        self.number = 0
+        """The revision of the newest change that is known to be in ``items``.
+
+        Readers that follow the store without a gap number a change alike.
+        """
+        self.stale = False
+        """Whether it comes from a stale list that no watch has followed yet."""
 
     def take(self, item: _Item) -> None:
         if item.gone:
@@ -133,6 +147,11 @@
         """Do one read; every failure becomes ``DocumentReadFailed``."""
         mirror = self._mirrors[effect.kind]
         try:
+            if effect.may_be_stale:
+                await self._list(mirror, stale=True)
+                if not mirror.items:
+                    raise StoreEmptyError(mirror.prefix)
+                return self._document(effect.kind, mirror, stale=True)
             changed = await self._refresh(mirror, effect.wait)
             if not changed:
                 return DocumentUnchanged(effect.kind)
@@ -145,29 +164,44 @@
         if mirror.at == 0:
             await self._list(mirror)
             return True
-        return await self._watch(mirror, wait)
+        try:
+            return await self._watch(mirror, wait)
+        except _HistoryGoneError:
+            if not mirror.stale:
+                raise
+            await self._list(mirror)
+            return True
+
+    async def _list(self, mirror: _Mirror, stale: bool = False) -> None:
+        """Read all items; what changes between two pages is seen by the watch that follows.
 
-    async def _list(self, mirror: _Mirror) -> None:
-        """Read all items; what changes between two pages is seen by the watch that follows."""
+        Pages of a stale list may be of different ages, and what revision each shows is not
+        told: the watch goes on from the newest item of the page that is the furthest back.
+        """
         fresh = _Mirror(mirror.prefix)
+        fresh.stale = stale
         after = ""
         while True:
-            path = f"/kv-range?PathPrefix={mirror.prefix}"
-            page = _decode(await self._get(path + (f"&after={after}" if after else "")), _Range)
-            fresh.at = fresh.at or page.at
+            path = f"/kv-range?PathPrefix={mirror.prefix}" + (f"&after={after}" if after else "")
+            page = _decode(await self._get(path + ("&stale=1" if stale else "")), _Range)
+            shown = min(page.at, _newest_of(page)) if stale else page.at
+            fresh.at = min(fresh.at, shown) if stale and fresh.at else fresh.at or shown
             for item in page.items:
                 fresh.take(item)
             if not page.more or not page.items:
                 break
             after = page.items[-1].key
-        mirror.items, mirror.at = fresh.items, fresh.at
+        mirror.items, mirror.at, mirror.stale = fresh.items, fresh.at, fresh.stale
+        mirror.number = fresh.at
 
     async def _watch(self, mirror: _Mirror, wait: float) -> bool:
         query = f"PathPrefix={mirror.prefix}&after={mirror.at}&WaitMs={int(wait * 1000)}"
         found = _decode(await self._get(f"/kv-watch?{query}", wait), _Events)
         for event in found.events:
             mirror.take(event)
+            mirror.number = max(mirror.number, event.revision)
         mirror.at = max(mirror.at, found.at)
+        mirror.stale = False
         return bool(found.events)
 
     async def _get(self, path: str, wait: float = 0.0) -> bytes:
@@ -188,18 +222,24 @@
             raise StoreStatusError(f"status {answer.status}")
         return answer.content
 
-    def _document(self, kind: DocumentKind, mirror: _Mirror) -> DocumentRead | DocumentUnchanged:
+    def _document(
+        self, kind: DocumentKind, mirror: _Mirror, stale: bool = False
+    ) -> DocumentRead | DocumentUnchanged:
         if kind is DocumentKind.MACHINE_LIST:
             entries = {
                 key.removeprefix(BACKENDS_PREFIX): value for key, value in mirror.items.items()
             }
             machines = machines_of(entries, self._gateway_port, self._peer_port)
-            return DocumentRead(kind, mirror.at, machines)
+            return DocumentRead(kind, mirror.number, machines, stale)
         value = mirror.items.get(CONFIGURATION_KEY)
         if value is None:
             return DocumentUnchanged(kind)
         number, tree = tree_of(value)
-        return DocumentRead(kind, number, tree)
+        return DocumentRead(kind, number, tree, stale)
+
+
+def _newest_of(page: _Range) -> int:
+    return max((item.revision for item in page.items), default=0)
 
 
 def _decode(body: bytes, answer_type: type[Answer]) -> Answer:
--- a/src/pewtertack/settings/schema.py
+++ b/src/pewtertack/settings/schema.py
@@ -12,12 +12,15 @@
 class ProfileName(StrEnum):
     """Timing profiles: ``fast`` converges sooner, ``frugal`` sends fewer bytes.
 
-    With ``direct`` every node reads the source, which must bear so many readers.
+    With ``direct`` every node reads the source, which must bear so many readers. With
+    ``leased`` two a zone do and tell the others how old the source's word is; in a small
+    fleet every node.
     """
 
     FAST = "fast"
     FRUGAL = "frugal"
     DIRECT = "direct"
+    LEASED = "leased"
 
 
 class NodeSection(msgspec.Struct, frozen=True, kw_only=True):
--- a/src/pewtertack/wire/messages.py
+++ b/src/pewtertack/wire/messages.py
@@ -8,7 +8,7 @@
 from __future__ import annotations
 
 from enum import IntEnum
-from typing import Any
+from typing import Annotated, Any
 
 import msgspec
 
@@ -182,6 +182,36 @@
     backends: tuple[LeavingBackend, ...]
 
 
+Milliseconds = Annotated[int, msgspec.Meta(ge=0)]
+
+
+class SourceAges(msgspec.Struct, frozen=True, array_like=True):
+    """How long ago the source confirmed each document that the sender holds.
+
+    ``None`` where it has not. Time on the way is not counted.
+    """
+
+    configuration: Milliseconds | None
+    machine_list: Milliseconds | None
+
+    def of(self, kind: DocumentKind) -> int | None:
+        """Return the age of one document's confirmation in milliseconds."""
+        return self.configuration if kind is DocumentKind.CONFIGURATION else self.machine_list
+
+
+class ReaderHeartbeat(msgspec.Struct, frozen=True, array_like=True, tag=14):
+    """A reader of the source tells what it holds and how old the source's word on it is.
+
+    ``deltas`` bring the newest changes along when they fit one datagram.
+    """
+
+    state: VersionState
+    list_digest: bytes
+    """Digest of the machine list, whose number stands in ``state``."""
+    ages: SourceAges
+    deltas: tuple[DeltaAnswer, ...] = ()
+
+
 Message = (
     Ping
     | Acknowledge
@@ -196,4 +226,5 @@
     | JoinRequest
     | JoinAnswer
     | BackendsLeaving
+    | ReaderHeartbeat
 )
--- /dev/null
+++ b/tests/core/replication/test_readership.py
@@ -0,0 +1,122 @@
+"""Which nodes read the platform, by heartbeats of readers and the age of the source's word."""
+
+import unittest
+
+from pewtertack.core.identity import NodeIdentity
+from pewtertack.core.machines import Machine, MachineRole
+from pewtertack.core.membership.ring import score_of
+from pewtertack.core.membership.table import MemberTable
+from pewtertack.core.profile import LEASED
+from pewtertack.core.replication.freshness import SourceFreshness
+from pewtertack.core.replication.readership import LeasedReadership, ReadershipParts
+from pewtertack.wire.messages import DocumentKind
+
+NAMES = sorted((f"node-{index}" for index in range(40)), key=score_of)
+"""By rank: the first two read."""
+
+
+class LeasedReadershipTest(unittest.TestCase):
+    def setUp(self) -> None:
+        self.freshness = SourceFreshness()
+
+    def node(self, rank: int, names: list[str] | None = None) -> LeasedReadership:
+        identity = NodeIdentity(NAMES[rank], "127.0.0.1:1", "a", "", 1)
+        table = MemberTable(identity, 20.0, 600.0)
+        machines = [Machine(name, MachineRole.NODE, "a", "127.0.0.1:2") for name in names or NAMES]
+        table.use_list([item for item in machines if item.name != identity.name], 0.0)
+        parts = ReadershipParts(identity, LEASED, table, self.freshness, False)
+        return LeasedReadership(parts)
+
+    def confirm(self, at: float) -> None:
+        for kind in DocumentKind:
+            self.freshness.confirm(kind, at)
+
+    def first_read(self, node: LeasedReadership, until: float) -> float | None:
+        """Return when the node begins to read, asked at every tick."""
+        for tick in range(round(until / LEASED.tick) + 1):
+            if node.reads(tick * LEASED.tick, True, False):
+                return tick * LEASED.tick
+        return None
+
+    def test_two_of_a_zone_read_at_once_and_the_others_do_not(self) -> None:
+        self.assertEqual(self.first_read(self.node(0), 1.0), 0.0)
+        self.assertEqual(self.first_read(self.node(1), 1.0), 0.0)
+        self.assertIsNone(self.first_read(self.node(2), LEASED.reader_lease - 0.1))
+
+    def test_every_node_of_a_small_fleet_reads(self) -> None:
+        few = NAMES[: LEASED.reads_alone_below - 1]
+        self.assertTrue(self.node(len(few) - 1, few).reads(0.0, True, False))
+
+    def test_a_node_that_may_not_read_does_not(self) -> None:
+        self.assertFalse(self.node(0).reads(0.0, False, False))
+
+    def test_while_the_sources_word_is_recent_nobody_takes_over(self) -> None:
+        node = self.node(2)
+        for tick in range(100):
+            self.confirm(tick * 0.1)
+            self.assertFalse(node.reads(tick * 0.1, True, False))
+
+    def test_silent_readers_are_replaced_in_the_order_of_rank(self) -> None:
+        begun = [self.first_read(self.node(rank), 30.0) for rank in (2, 3, 5, 20)]
+        self.assertTrue(all(moment is not None for moment in begun))
+        self.assertEqual(begun, sorted(begun, key=lambda moment: moment or 0.0))
+        self.assertLessEqual(begun[0] or 0.0, LEASED.reader_lease + 0.2)
+
+    def test_a_source_that_answers_nobody_is_asked_by_few_at_first(self) -> None:
+        asking = [self.first_read(self.node(rank), 4.0) for rank in range(40)]
+        self.assertLessEqual(sum(moment is not None for moment in asking), 12)
+
+    def test_one_that_took_over_stops_when_two_before_it_are_heard(self) -> None:
+        node = self.node(4)
+        took_over = self.first_read(node, 5.0)
+        assert took_over is not None
+        self.confirm(took_over)
+        self.assertTrue(node.reads(took_over + 0.1, True, False))
+        node.heard(took_over + 0.2, NAMES[0], True)
+        node.heard(took_over + 0.2, NAMES[9], True)  # after it by score: it yields itself
+        node.heard(took_over + 0.2, NAMES[1], False)  # another zone's
+        self.assertTrue(node.reads(took_over + 0.3, True, False))
+        node.heard(took_over + 0.4, NAMES[3], True)
+        self.confirm(took_over + 0.4)
+        self.assertFalse(node.reads(took_over + 0.5, True, False))
+
+    def test_readers_that_fall_silent_again_do_not_count(self) -> None:
+        node = self.node(4)
+        took_over = self.first_read(node, 5.0)
+        assert took_over is not None
+        node.heard(took_over, NAMES[0], True)
+        later = took_over + LEASED.reader_lease + 0.1
+        node.heard(later, NAMES[1], True)
+        self.confirm(later)
+        self.assertTrue(node.reads(later, True, False))
+
+
+class SourceFreshnessTest(unittest.TestCase):
+    def setUp(self) -> None:
+        self.freshness = SourceFreshness()
+
+    def test_nothing_is_known_at_first(self) -> None:
+        ages = self.freshness.ages(5.0)
+        self.assertEqual((ages.configuration, ages.machine_list), (None, None))
+
+    def test_the_oldest_document_counts(self) -> None:
+        self.freshness.confirm(DocumentKind.CONFIGURATION, 4.0)
+        self.freshness.hear(5.0, DocumentKind.MACHINE_LIST, 3000)
+        self.assertEqual(self.freshness.oldest(5.0), 3.0)
+
+    def test_an_older_word_does_not_take_a_newer_one_back(self) -> None:
+        for age in (100, 2000):
+            self.freshness.hear(5.0, DocumentKind.CONFIGURATION, age)
+        self.assertAlmostEqual(self.freshness.age(5.0, DocumentKind.CONFIGURATION), 0.1)
+
+    def test_words_that_came_during_a_pause_count_for_nothing(self) -> None:
+        self.freshness.confirm(DocumentKind.CONFIGURATION, 1.0)
+        self.freshness.forget(9.0, 0.3)
+        self.freshness.hear(9.1, DocumentKind.CONFIGURATION, 0)
+        self.assertIsNone(self.freshness.ages(9.1).configuration)
+        self.freshness.hear(9.4, DocumentKind.CONFIGURATION, 50)
+        self.assertEqual(self.freshness.ages(9.4).configuration, 50)
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/tests/wire/test_frames.py
+++ b/tests/wire/test_frames.py
@@ -39,7 +39,9 @@
     Ping,
     PingRequest,
     Pull,
+    ReaderHeartbeat,
     SnapshotAnswer,
+    SourceAges,
     VersionState,
 )
 from pewtertack.wire.replay import WINDOW_COUNTERS, ReplayGuard
@@ -65,6 +67,9 @@
     JoinRequest(MEMBER),
     JoinAnswer(STATE, MEMBER, (MEMBER, MEMBER)),
     BackendsLeaving((LeavingBackend("b-1", "127.0.0.1:9100"),)),
+    ReaderHeartbeat(
+        STATE, b"d" * 16, SourceAges(120, None), (DeltaAnswer(DocumentKind.MACHINE_LIST, (DELTA,)),)
+    ),
 )
 
 
@@ -104,6 +109,7 @@
                 signed([*body[:-1], [1]]),
                 signed([1, b"name", *body[2:]]),
                 signed([*body[:-1], [1, 1, [], []]]),
+                signed([*body[:-1], [14, body[-1][2], b"d" * 16, [-1, 0], []]]),
                 signed(cbor2.CBORTag(0, "2026-01-01T00:00:00Z")),
                 tag_of(b"\x9f", KEY) + b"\x9f",
                 tag_of(b"\x81" * 900, KEY) + b"\x81" * 900,
