--- a/src/pewtertack/core/configuration/changes.py
+++ b/src/pewtertack/core/configuration/changes.py
@@ -3,10 +3,11 @@
 from __future__ import annotations
 
 from collections.abc import Iterator, Mapping
-from dataclasses import dataclass, fields
 from enum import StrEnum
 from typing import Any
 
+import msgspec
+
 from pewtertack.core.configuration.model import Section
 from pewtertack.core.configuration.resolved import (
     ResolvedConfiguration,
@@ -29,8 +30,7 @@
     CHANGED = "changed"
 
 
-@dataclass(frozen=True, slots=True)
-class Change:
+class Change(msgspec.Struct, frozen=True):
     """One difference between two resolved configurations.
 
     ``setting`` is empty when the whole route, service or secret was added or
@@ -100,7 +100,7 @@
     """Return the settings of ``resolved`` as JSON values under their names in the tree."""
     return {
         _TREE_NAMES.get(field.name, field.name): _plain(getattr(resolved, field.name))
-        for field in fields(resolved)
+        for field in msgspec.structs.fields(resolved)
         if field.name != "name"
     }
 
--- a/src/pewtertack/core/configuration/explanation.py
+++ b/src/pewtertack/core/configuration/explanation.py
@@ -2,9 +2,10 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
 from typing import Any
 
+import msgspec
+
 from pewtertack.core.configuration.findings import (
     Path,
     TreeRejectedError,
@@ -17,8 +18,7 @@
 from pewtertack.core.revision import Document
 
 
-@dataclass(frozen=True, slots=True)
-class LevelValue:
+class LevelValue(msgspec.Struct, frozen=True):
     """What one level says of a setting, as written in the tree.
 
     ``path`` is the value's place in the tree, empty for a built-in default.
@@ -31,8 +31,7 @@
     deleted: bool = False
 
 
-@dataclass(frozen=True, slots=True)
-class ExplainedValue:
+class ExplainedValue(msgspec.Struct, frozen=True):
     """The value of one setting in force, and those that lose, the most specific first."""
 
     setting: str
--- a/src/pewtertack/core/configuration/findings.py
+++ b/src/pewtertack/core/configuration/findings.py
@@ -3,10 +3,11 @@
 from __future__ import annotations
 
 from collections.abc import Sequence
-from dataclasses import dataclass
 from enum import Enum
 from typing import ClassVar
 
+import msgspec
+
 from pewtertack.errors import ConfigurationError
 
 Path = tuple[str, ...]
@@ -49,8 +50,7 @@
         self.meaning = meaning
 
 
-@dataclass(frozen=True, slots=True)
-class Finding:
+class Finding(msgspec.Struct, frozen=True):
     """One reason to refuse a tree. Never holds the value of a secret.
 
     ``zone`` names the zone in whose resolved view the rule is broken; it is None
--- a/src/pewtertack/core/configuration/model.py
+++ b/src/pewtertack/core/configuration/model.py
@@ -7,10 +7,11 @@
 from __future__ import annotations
 
 from collections.abc import Mapping
-from dataclasses import dataclass
 from enum import StrEnum
 from typing import Any
 
+import msgspec
+
 from pewtertack.core.configuration.resolved import WorkClass
 
 NAME_PATTERN = "[a-z0-9][a-z0-9_-]{0,62}"
@@ -74,8 +75,7 @@
     WEIGHTS = "table of service to weight"
 
 
-@dataclass(frozen=True, slots=True)
-class Setting:
+class Setting(msgspec.Struct, frozen=True):
     """One setting. ``minimum`` and ``maximum`` are inclusive, for durations in seconds.
 
     ``default`` is written as in the tree; None marks a setting without default,
--- a/src/pewtertack/core/configuration/resolved.py
+++ b/src/pewtertack/core/configuration/resolved.py
@@ -6,9 +6,10 @@
 from __future__ import annotations
 
 from collections.abc import Mapping
-from dataclasses import dataclass, field
 from enum import StrEnum
 
+import msgspec
+
 from pewtertack.core.revision import RevisionId
 
 
@@ -21,8 +22,7 @@
     BACKGROUND = "background"
 
 
-@dataclass(frozen=True, slots=True)
-class ResolvedService:
+class ResolvedService(msgspec.Struct, frozen=True):
     """How back ends of one service are used. Durations are in seconds."""
 
     name: str
@@ -37,8 +37,7 @@
     ejection_time: float
 
 
-@dataclass(frozen=True, slots=True)
-class ResolvedRoute:
+class ResolvedRoute(msgspec.Struct, frozen=True):
     """One route with every inherited value filled in. Durations are in seconds."""
 
     name: str
@@ -60,7 +59,7 @@
     """Requests of this route which may wait for a back end on one node."""
     header_secrets: Mapping[str, str]
     """Header added to the request towards the back end -> name of a secret."""
-    split: Mapping[str, int] = field(default_factory=dict)
+    split: Mapping[str, int] = msgspec.field(default_factory=dict)
     """Service -> weight of its share of the requests; empty sends all to ``service``."""
     priority: int = 0
     """Rank in a gateway's queue; 0 goes first."""
@@ -73,8 +72,7 @@
         return self.target_latency or self.timeout / 2
 
 
-@dataclass(frozen=True, slots=True)
-class ResolvedConfiguration:
+class ResolvedConfiguration(msgspec.Struct, frozen=True):
     """All that a proxy in ``zone`` needs from one revision.
 
     Every route's service is in ``services`` and every secret that a route names
--- a/src/pewtertack/core/configuration/scopes.py
+++ b/src/pewtertack/core/configuration/scopes.py
@@ -13,10 +13,11 @@
 from __future__ import annotations
 
 from collections.abc import Iterable, Mapping
-from dataclasses import dataclass
 from enum import StrEnum
 from typing import Any
 
+import msgspec
+
 from pewtertack.core.configuration.deletion import without_targets
 from pewtertack.core.configuration.findings import Path
 from pewtertack.core.configuration.model import (
@@ -42,8 +43,7 @@
     ZONE_ROUTE = "route in zone"
 
 
-@dataclass(frozen=True, slots=True)
-class Layer:
+class Layer(msgspec.Struct, frozen=True):
     """Values that one table of the tree, at ``path``, gives."""
 
     level: Level
--- a/src/pewtertack/core/effects.py
+++ b/src/pewtertack/core/effects.py
@@ -2,17 +2,17 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
 from typing import Any
 
+import msgspec
+
 from pewtertack.core.configuration.resolved import ResolvedConfiguration
 from pewtertack.core.machines import MachineList
 from pewtertack.events import Event
 from pewtertack.wire.messages import DocumentKind, Message
 
 
-@dataclass(frozen=True, slots=True)
-class Send:
+class Send(msgspec.Struct, frozen=True):
     """Send ``message`` to the peer ``name`` at ``address``, best effort."""
 
     name: str
@@ -20,8 +20,7 @@
     message: Message
 
 
-@dataclass(frozen=True, slots=True)
-class ReadDocument:
+class ReadDocument(msgspec.Struct, frozen=True):
     """Read a document from the platform, unless number ``after`` is still current.
 
     At most one read of a kind is outstanding; the runtime answers each with one
@@ -36,30 +35,26 @@
     """A cheaper answer that is some seconds old will do, if the platform gives such."""
 
 
-@dataclass(frozen=True, slots=True)
-class BringIntoForce:
+class BringIntoForce(msgspec.Struct, frozen=True):
     """Swap the proxy to this configuration in one step."""
 
     configuration: ResolvedConfiguration
 
 
-@dataclass(frozen=True, slots=True)
-class UseMachines:
+class UseMachines(msgspec.Struct, frozen=True):
     """Choose back ends from this list from now on."""
 
     machines: MachineList
 
 
-@dataclass(frozen=True, slots=True)
-class SetServing:
+class SetServing(msgspec.Struct, frozen=True):
     """Accept callers' requests, or refuse them as not run with ``retry_after`` seconds."""
 
     serving: bool
     retry_after: float = 1.0
 
 
-@dataclass(frozen=True, slots=True)
-class Log:
+class Log(msgspec.Struct, frozen=True):
     """Record a numbered event with its fields."""
 
     event: Event
--- a/src/pewtertack/core/identity.py
+++ b/src/pewtertack/core/identity.py
@@ -2,11 +2,10 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
+import msgspec
 
 
-@dataclass(frozen=True, slots=True)
-class NodeIdentity:
+class NodeIdentity(msgspec.Struct, frozen=True):
     """Name, advertised peer address and place of one process.
 
     ``incarnation`` is the start time of the process in milliseconds since the
--- a/src/pewtertack/core/inputs.py
+++ b/src/pewtertack/core/inputs.py
@@ -2,19 +2,17 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
+import msgspec
 
 from pewtertack.core.revision import Document
 from pewtertack.wire.messages import DocumentKind, Message
 
 
-@dataclass(frozen=True, slots=True)
-class Ticked:
+class Ticked(msgspec.Struct, frozen=True):
     """The runtime's periodic call, every ``TimingProfile.tick`` seconds."""
 
 
-@dataclass(frozen=True, slots=True)
-class MessageReceived:
+class MessageReceived(msgspec.Struct, frozen=True):
     """An authenticated message from the process ``incarnation`` of the peer ``sender``."""
 
     sender: str
@@ -23,8 +21,7 @@
     message: Message
 
 
-@dataclass(frozen=True, slots=True)
-class DocumentRead:
+class DocumentRead(msgspec.Struct, frozen=True):
     """The platform answered a ``ReadDocument`` with a document under its number."""
 
     kind: DocumentKind
@@ -34,15 +31,13 @@
     """The answer may be some seconds old: it confirms nothing."""
 
 
-@dataclass(frozen=True, slots=True)
-class DocumentUnchanged:
+class DocumentUnchanged(msgspec.Struct, frozen=True):
     """The platform answered a ``ReadDocument`` with "not modified"."""
 
     kind: DocumentKind
 
 
-@dataclass(frozen=True, slots=True)
-class DocumentReadFailed:
+class DocumentReadFailed(msgspec.Struct, frozen=True):
     """The platform gave no usable answer to a ``ReadDocument``."""
 
     kind: DocumentKind
@@ -50,16 +45,14 @@
     retry_after: float | None = None
 
 
-@dataclass(frozen=True, slots=True)
-class BackendLeavingObserved:
+class BackendLeavingObserved(msgspec.Struct, frozen=True):
     """A back end's own answer said that it is leaving."""
 
     name: str
     address: str
 
 
-@dataclass(frozen=True, slots=True)
-class DrainRequested:
+class DrainRequested(msgspec.Struct, frozen=True):
     """The process has been asked to stop."""
 
 
--- a/src/pewtertack/core/membership/detector.py
+++ b/src/pewtertack/core/membership/detector.py
@@ -7,7 +7,6 @@
 from __future__ import annotations
 
 import math
-from dataclasses import dataclass, replace
 from random import Random
 
 import msgspec
@@ -23,16 +22,14 @@
 """Indirect probes which one node runs for others at a time."""
 
 
-@dataclass(frozen=True, slots=True)
-class ProbeDirect:
+class ProbeDirect(msgspec.Struct, frozen=True):
     """Send a ping with ``sequence`` to ``target``."""
 
     target: str
     sequence: int
 
 
-@dataclass(frozen=True, slots=True)
-class ProbeIndirect:
+class ProbeIndirect(msgspec.Struct, frozen=True):
     """Ask each of ``helpers`` to probe ``target``."""
 
     target: str
@@ -40,15 +37,13 @@
     sequence: int
 
 
-@dataclass(frozen=True, slots=True)
-class StatusChanged:
+class StatusChanged(msgspec.Struct, frozen=True):
     """The detector changed its belief about a member."""
 
     update: MemberUpdate
 
 
-@dataclass(frozen=True, slots=True)
-class RelayAnswered:
+class RelayAnswered(msgspec.Struct, frozen=True):
     """A member probed on behalf of ``requester`` answered."""
 
     requester: str
@@ -59,16 +54,14 @@
 DetectorAction = ProbeDirect | ProbeIndirect | StatusChanged
 
 
-@dataclass(frozen=True, slots=True)
-class _Probe:
+class _Probe(msgspec.Struct, frozen=True):
     target: str
     sequence: int
     sent_at: float
     indirect: bool = False
 
 
-@dataclass(frozen=True, slots=True)
-class _Relay:
+class _Relay(msgspec.Struct, frozen=True):
     requester: str
     sequence: int
     target: str
@@ -141,7 +134,7 @@
             self._probe = None
             return self._suspect(probe.target, now)
         if waited >= self._profile.acknowledge_timeout and not probe.indirect:
-            self._probe = replace(probe, indirect=True)
+            self._probe = msgspec.structs.replace(probe, indirect=True)
             return self._ask_helpers(probe)
         return []
 
--- a/src/pewtertack/core/membership/table.py
+++ b/src/pewtertack/core/membership/table.py
@@ -7,8 +7,6 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
-
 import msgspec
 
 from pewtertack.core.identity import NodeIdentity
@@ -20,8 +18,7 @@
 REACHABLE = (MemberStatus.ALIVE, MemberStatus.SUSPECT)
 
 
-@dataclass(slots=True)
-class Member:
+class Member(msgspec.Struct):
     """One peer.
 
     ``process`` is the incarnation with which its newest process known here was
@@ -41,8 +38,7 @@
         return self.update.status
 
 
-@dataclass(frozen=True, slots=True)
-class QuorumMembers:
+class QuorumMembers(msgspec.Struct, frozen=True):
     """The members whose majority decides, as names by zone."""
 
     zone_of: dict[str, str]
--- a/src/pewtertack/core/profile.py
+++ b/src/pewtertack/core/profile.py
@@ -5,11 +5,10 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass, field
+import msgspec
 
 
-@dataclass(frozen=True, slots=True)
-class Mechanisms:
+class Mechanisms(msgspec.Struct, frozen=True):
     """Switches that exist for proofs only: a check must fail with one switched off."""
 
     quorum_gate: bool = True
@@ -26,8 +25,7 @@
     """Learn of newer versions from probes, besides announcements."""
 
 
-@dataclass(frozen=True, slots=True)
-class SourceProperties:
+class SourceProperties(msgspec.Struct, frozen=True):
     """What the operators of the platform promise of the configuration source."""
 
     durable: bool = False
@@ -35,10 +33,11 @@
 
     Such a revision is committed as soon as one node has read it: no majority is needed.
     """
+    first_start: bool = False
+    """The fleet starts for the first time: the machine list fills while its nodes start."""
 
 
-@dataclass(frozen=True, slots=True)
-class TimingProfile:
+class TimingProfile(msgspec.Struct, frozen=True):
     """Every period and bound of the coordination core."""
 
     name: str = "fast"
@@ -102,11 +101,13 @@
     """After this long, peers which do not answer no longer hold up joining."""
     join_hold_wait: float = 2.0
     """How long a joiner waits for one of two digests of a number to be committed."""
+    first_start_delay: float = 0.0
+    """How long a node of a fleet that starts for the first time waits for the machine list."""
     bootstrap_delay: float = 1.0
     """A joiner reads the platform when no serving peer answered for this long."""
     pause_threshold: float = 2.0
     """A gap between ticks which means that the process was paused."""
-    mechanisms: Mechanisms = field(default_factory=Mechanisms)
+    mechanisms: Mechanisms = msgspec.field(default_factory=Mechanisms)
 
 
 FAST = TimingProfile()
@@ -156,6 +157,7 @@
     read_backoff_limit=1.0,
     join_retry=0.2,
     join_peers=3,
+    first_start_delay=2.0,
     join_patience=1.0,
     bootstrap_delay=0.0,
 )
--- a/src/pewtertack/core/replication/join.py
+++ b/src/pewtertack/core/replication/join.py
@@ -7,17 +7,17 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
 from random import Random
 
+import msgspec
+
 from pewtertack.core.membership.table import MemberTable, QuorumMembers
 from pewtertack.core.profile import TimingProfile
 from pewtertack.core.revision import NO_REVISION, RevisionId
 from pewtertack.wire.messages import VersionState
 
 
-@dataclass(frozen=True, slots=True)
-class PeerAnswer:
+class PeerAnswer(msgspec.Struct, frozen=True):
     """What one peer answered in this round of joining."""
 
     zone: str
--- a/src/pewtertack/core/replication/puller.py
+++ b/src/pewtertack/core/replication/puller.py
@@ -3,15 +3,15 @@
 from __future__ import annotations
 
 from collections import OrderedDict
-from dataclasses import dataclass
+
+import msgspec
 
 from pewtertack.core.revision import RevisionId
 
 SOURCES_KEPT = 8
 
 
-@dataclass(frozen=True, slots=True)
-class PullSource:
+class PullSource(msgspec.Struct, frozen=True):
     """A peer that holds a revision."""
 
     name: str
--- a/src/pewtertack/core/replication/reader.py
+++ b/src/pewtertack/core/replication/reader.py
@@ -39,14 +39,14 @@
         readership: Readership,
         freshness: SourceFreshness,
         random: Random,
-        now: float,
+        first_read_at: float,
     ) -> None:
         self.readership = readership
         self._profile = profile
         self._freshness = freshness
         self._random = random
         self._open: dict[DocumentKind, _OpenRead] = {}
-        self._not_before = dict.fromkeys(DocumentKind, now)
+        self._not_before = dict.fromkeys(DocumentKind, first_read_at)
         self._failures = dict.fromkeys(DocumentKind, 0)
         self.last_answer_at: dict[DocumentKind, float] = {}
         self._seen: dict[DocumentKind, int] = {}
@@ -107,8 +107,9 @@
         return [ReadDocument(kind, after, self._wait(kind, may_be_stale), may_be_stale)]
 
     def _wait(self, kind: DocumentKind, may_be_stale: bool) -> float:
-        """After a stale answer the first read is to confirm it, not to wait for a change."""
-        unconfirmed = self.readership.looks_first and kind not in self.last_answer_at
+        """After a stale answer or a failure a read is to confirm, not to wait for a change."""
+        unconfirmed = kind not in self.last_answer_at or self._failures[kind] > 0
+        unconfirmed = unconfirmed and self.readership.looks_first
         return 0.0 if may_be_stale or unconfirmed else self._profile.read_wait
 
     def _known_number(self, kind: DocumentKind, held: int) -> int:
--- a/src/pewtertack/core/replication/readership.py
+++ b/src/pewtertack/core/replication/readership.py
@@ -28,7 +28,7 @@
 class ReadershipParts:
     """What a way to decide the readership may look at."""
 
-    __slots__ = ("freshness", "identity", "is_seed", "profile", "table")
+    __slots__ = ("first_read_at", "freshness", "identity", "is_seed", "profile", "table")
 
     def __init__(
         self,
@@ -37,7 +37,10 @@
         table: MemberTable,
         freshness: SourceFreshness,
         is_seed: bool,
+        first_read_at: float = 0.0,
     ) -> None:
+        """``first_read_at``: before this moment no node of the fleet reads."""
+        self.first_read_at = first_read_at
         self.identity = identity
         self.profile = profile
         self.table = table
@@ -164,19 +167,20 @@
     def __init__(self, parts: ReadershipParts) -> None:
         self._parts = parts
         self._score = score_of(parts.identity.name)
-        self._started_at: float | None = None
+        self._large_since: float | None = None
+        """Since when the node knows that not every one reads."""
         self._taking_over = False
         self._heard_before: dict[str, float] = {}
         """Readers of the own zone with a lower score: when each was last heard."""
 
     def reads(self, now: float, allowed: bool, joining: bool) -> bool:
         """Tell whether to read now."""
-        if self._started_at is None:
-            self._started_at = now
         if not (allowed or joining):
             return False
         if not self.tells_peers:
             return True
+        if self._large_since is None:
+            self._large_since = max(now, self._parts.first_read_at)
         table, profile = self._parts.table, self._parts.profile
         rank = table.zone(self._parts.identity.zone).count_below(self._score)
         if rank < profile.readers_per_zone:
@@ -198,9 +202,9 @@
             self._heard_before[name] = now
 
     def _unconfirmed_for(self, now: float) -> float:
-        """Return for how long nothing has confirmed what is held, at most since the start."""
-        assert self._started_at is not None
-        return min(self._parts.freshness.oldest(now), now - self._started_at)
+        """Return for how long nothing has confirmed what is held, while others were to."""
+        assert self._large_since is not None
+        return min(self._parts.freshness.oldest(now), now - self._large_since)
 
     def _patience(self, rank: int) -> float:
         """Return how old the source's word may be before the node of this rank takes over."""
--- a/src/pewtertack/core/replication/replica.py
+++ b/src/pewtertack/core/replication/replica.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
+import msgspec
 
 from pewtertack.core.configuration.findings import Finding
 from pewtertack.core.configuration.memory import CheckedTables, ResolvedRoutes
@@ -25,8 +25,7 @@
 REPORTED_FINDINGS = 5
 
 
-@dataclass(frozen=True, slots=True)
-class Rejection:
+class Rejection(msgspec.Struct, frozen=True):
     """A refused revision and why."""
 
     revision: RevisionId
--- a/src/pewtertack/core/replication/service.py
+++ b/src/pewtertack/core/replication/service.py
@@ -42,6 +42,8 @@
 
 Offer = Callable[[], list[Effect]]
 MILLISECONDS = 1000.0
+FIRST_START_SPREAD = 1.25
+"""Nodes that wait for the list do not all read at one moment."""
 UNKNOWN_DIGEST = b""
 """Peers tell only the number of their machine list."""
 
@@ -79,12 +81,21 @@
         self._pullers = {kind: Puller(profile.pull_timeout) for kind in DocumentKind}
         self.quorum = QuorumCommit(identity, profile, membership, now)
         self.freshness = SourceFreshness()
-        parts = ReadershipParts(identity, profile, membership.table, self.freshness, is_seed)
+        first_read_at = now + self._first_read_delay()
+        parts = ReadershipParts(
+            identity, profile, membership.table, self.freshness, is_seed, first_read_at
+        )
         readership = READERSHIPS[profile.readership](parts)
-        self.reader = PlatformReader(profile, readership, self.freshness, random, now)
+        self.reader = PlatformReader(profile, readership, self.freshness, random, first_read_at)
         self._heartbeats = HeartbeatSender(identity, profile, membership, self.freshness, stores)
         self.serving = False
 
+    def _first_read_delay(self) -> float:
+        """Return how long a fleet that starts for the first time waits for its machine list."""
+        if not self._source.first_start:
+            return 0.0
+        return self._profile.first_start_delay * self._random.uniform(1.0, FIRST_START_SPREAD)
+
     def state(self) -> VersionState:
         """Return the versions to tell peers."""
         return VersionState.of(
--- a/src/pewtertack/lab/simulation/execution.py
+++ b/src/pewtertack/lab/simulation/execution.py
@@ -2,7 +2,9 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass, replace
+from dataclasses import dataclass
+
+import msgspec
 
 from pewtertack.core.profile import PROFILES, TimingProfile
 from pewtertack.lab.history.checker import CheckGroup, check_history
@@ -186,4 +188,6 @@
 
 def without_mechanism(profile: TimingProfile, mechanism: str) -> TimingProfile:
     """Return ``profile`` with one mechanism switched off, for proofs."""
-    return replace(profile, mechanisms=replace(profile.mechanisms, **{mechanism: False}))
+    return msgspec.structs.replace(
+        profile, mechanisms=msgspec.structs.replace(profile.mechanisms, **{mechanism: False})
+    )
--- a/src/pewtertack/lab/simulation/exploration.py
+++ b/src/pewtertack/lab/simulation/exploration.py
@@ -111,7 +111,7 @@
     Raises:
         UnknownMechanismError: ``without`` is no mechanism.
     """
-    names = [field.name for field in dataclasses.fields(Mechanisms)]
+    names = [field.name for field in msgspec.structs.fields(Mechanisms)]
     if without is not None and without not in names:
         raise UnknownMechanismError(f"{without!r}; there are {', '.join(names)}")
     results: list[BatchResult] = []
--- a/src/pewtertack/lab/weakening.py
+++ b/src/pewtertack/lab/weakening.py
@@ -5,7 +5,6 @@
 
 from __future__ import annotations
 
-import dataclasses
 import os
 from collections.abc import Awaitable, Callable, Mapping, Sequence
 from typing import Any
@@ -16,11 +15,12 @@
 from pewtertack.core.machines import Machine, MachineList, MachineState
 from pewtertack.core.profile import Mechanisms
 from pewtertack.lab.errors import LabUsageError
+from pewtertack.node.http.connection import BackendConnection
+from pewtertack.node.http.framing import RawHeaders
 from pewtertack.node.proxy import exchange
 from pewtertack.node.proxy.application import ProxyApplication
-from pewtertack.node.proxy.connection import BackendConnection
 from pewtertack.node.proxy.edge import PRODUCT_EDGE, EdgeHeaders
-from pewtertack.node.proxy.headers import AnswerHead, RawHeaders
+from pewtertack.node.proxy.headers import AnswerHead
 from pewtertack.routing import dispatcher
 from pewtertack.routing.outcomes import Outcome, RequestFailedError
 from pewtertack.routing.retries import AttemptRecord, RetryReason
@@ -29,13 +29,13 @@
 RetryRule = Callable[[AttemptRecord, RequestFailedError, float], RetryReason]
 MachinesUser = Callable[[ProxyApplication, MachineList], None]
 
-CORE_MECHANISMS = tuple(field.name for field in dataclasses.fields(Mechanisms))
+CORE_MECHANISMS = tuple(field.name for field in msgspec.structs.fields(Mechanisms))
 
 
 def _switch_off_in_core(name: str) -> None:
     for key, timing in tuple(profile.PROFILES.items()):
-        mechanisms = dataclasses.replace(timing.mechanisms, **{name: False})
-        profile.PROFILES[key] = dataclasses.replace(timing, mechanisms=mechanisms)
+        mechanisms = msgspec.structs.replace(timing.mechanisms, **{name: False})
+        profile.PROFILES[key] = msgspec.structs.replace(timing, mechanisms=mechanisms)
 
 
 def _wrap(owner: object, name: str, wrapper: Callable[[Any], Callable[..., Any]]) -> None:
@@ -64,8 +64,8 @@
         def judge_as_repeatable(
             record: AttemptRecord, error: RequestFailedError, now: float
         ) -> RetryReason:
-            route = dataclasses.replace(record.route, repeatable=True)
-            return judge_retry(dataclasses.replace(record, route=route), error, now)
+            route = msgspec.structs.replace(record.route, repeatable=True)
+            return judge_retry(msgspec.structs.replace(record, route=route), error, now)
 
         return judge_as_repeatable
 
--- a/src/pewtertack/node/admin.py
+++ b/src/pewtertack/node/admin.py
@@ -7,15 +7,17 @@
 from __future__ import annotations
 
 from collections.abc import Awaitable, Callable, Mapping, MutableMapping
-from typing import Any, NamedTuple, Protocol
+from typing import TYPE_CHECKING, Any, NamedTuple, Protocol
 
 import msgspec
-from prometheus_client import CollectorRegistry
-from prometheus_client.exposition import CONTENT_TYPE_PLAIN_0_0_4, generate_latest
 
 from pewtertack.core.configuration.resolved import ResolvedConfiguration
+from pewtertack.node.counting import MetricsRegistry
 from pewtertack.node.status import MemberView, NodeStatus
 
+if TYPE_CHECKING:
+    from pewtertack.node.exposition import Exposition
+
 Scope = MutableMapping[str, Any]
 Receive = Callable[[], Awaitable[MutableMapping[str, Any]]]
 Send = Callable[[MutableMapping[str, Any]], Awaitable[None]]
@@ -51,9 +53,10 @@
 class AdminApplication:
     """ASGI 3 application over a ``StatusSource`` and a metrics registry."""
 
-    def __init__(self, source: StatusSource, registry: CollectorRegistry) -> None:
+    def __init__(self, source: StatusSource, registry: MetricsRegistry) -> None:
         self._source = source
         self._registry = registry
+        self._exposition: Exposition | None = None
         self._pages: dict[str, Callable[[], Answer]] = {
             "/status": self._status,
             "/members": self._members,
@@ -98,7 +101,11 @@
         return _json({"ready": ready}, status=200 if ready else 503)
 
     def _metrics(self) -> Answer:
-        return Answer(200, CONTENT_TYPE_PLAIN_0_0_4, generate_latest(self._registry))
+        from pewtertack.node.exposition import CONTENT_TYPE, Exposition
+
+        if self._exposition is None:
+            self._exposition = Exposition(self._registry)
+        return Answer(200, CONTENT_TYPE, self._exposition.render())
 
 
 def masked(configuration: ResolvedConfiguration) -> dict[str, Any]:
--- a/src/pewtertack/node/assembly.py
+++ b/src/pewtertack/node/assembly.py
@@ -7,17 +7,15 @@
 from random import Random
 from typing import TYPE_CHECKING, Protocol
 
-from prometheus_client import CollectorRegistry
-
 from pewtertack.core.identity import NodeIdentity
 from pewtertack.core.node import NodeCore
 from pewtertack.core.profile import PROFILES, SourceProperties
 from pewtertack.log import EventLog
 from pewtertack.node import clock
 from pewtertack.node.admin import AdminApplication
+from pewtertack.node.counting import MetricsRegistry
 from pewtertack.node.daemon import NodeParts
 from pewtertack.node.gate import ServingGate
-from pewtertack.node.metrics import CoordinationCollector
 from pewtertack.node.platform import PlatformLimits, PlatformReader
 from pewtertack.node.runtime import DocumentReader, Runtime
 from pewtertack.node.settings_file import SettingsFile
@@ -30,6 +28,8 @@
 from pewtertack.settings.loading import Flags
 
 if TYPE_CHECKING:
+    from prometheus_client.registry import Collector
+
     from pewtertack.node.gateway.application import GatewayApplication
     from pewtertack.node.proxy.application import ProxyApplication
     from pewtertack.node.proxy.edge import EdgeHeaders
@@ -61,7 +61,7 @@
     identity = _identity(settings, sockets)
     log = EventLog(identity.name, identity.incarnation)
     traffic = Traffic()
-    registry = CollectorRegistry()
+    registry = MetricsRegistry()
     transport = _transport(settings, sockets, identity, traffic)
     reader = (make_reader or _platform)(settings)
     seeds = tuple(str(seed) for seed in settings.peers.seeds)
@@ -69,7 +69,7 @@
     gate = ServingGate(profile.pause_threshold)
     proxy = _proxy(settings, gate, registry, log)
     gateway = _gateway(settings, log, registry)
-    source = SourceProperties(settings.source.durable)
+    source = SourceProperties(settings.source.durable, settings.node.first_start)
     core = NodeCore(identity, profile, Random(), started, seeds, source)
     runtime = Runtime(core, profile.tick, gate, transport, reader, proxy, log, gateway)
     if proxy is not None:
@@ -79,7 +79,7 @@
     view = NodeView(
         core, runtime, transport, gate, traffic, addresses, in_flight, started, reaches_all
     )
-    registry.register(CoordinationCollector(view.status, traffic))
+    registry.add_collector(lambda: _collector_of(view, traffic))
     admin = AdminApplication(view, registry)
     settings_file = SettingsFile(Path(place), flags or {}, settings, log)
     if gateway is not None:
@@ -89,8 +89,15 @@
     )
 
 
+def _collector_of(view: NodeView, traffic: Traffic) -> Collector:
+    """Return the coordination's collector; its library loads when metrics are asked for."""
+    from pewtertack.node.metrics import CoordinationCollector
+
+    return CoordinationCollector(view.status, traffic)
+
+
 def _proxy(
-    settings: Settings, gate: ServingGate, registry: CollectorRegistry, log: EventLog
+    settings: Settings, gate: ServingGate, registry: MetricsRegistry, log: EventLog
 ) -> ProxyApplication | None:
     """Return the proxy part; its modules are loaded only where there is one."""
     if settings.listen.proxy is None:
@@ -109,7 +116,7 @@
 
 
 def _gateway(
-    settings: Settings, log: EventLog, registry: CollectorRegistry
+    settings: Settings, log: EventLog, registry: MetricsRegistry
 ) -> GatewayApplication | None:
     """Return the gateway part, where a back end is beside the node."""
     if settings.listen.gateway is None or settings.backend.address is None:
@@ -175,8 +182,8 @@
         settings.limits.platform_timeout.seconds, settings.limits.document_size.bytes
     )
     return PlatformReader(
-        settings.source.url.text,
-        settings.machines.url.text,
+        settings.source.url,
+        settings.machines.url,
         _platform_local_host(settings),
         limits,
     )
--- a/src/pewtertack/node/daemon.py
+++ b/src/pewtertack/node/daemon.py
@@ -7,10 +7,10 @@
 import socket
 from collections.abc import Awaitable, Callable
 from contextlib import AsyncExitStack
-from dataclasses import dataclass
 from typing import Any, Protocol
 
 import anyio
+import msgspec
 from anyio.abc import TaskGroup
 
 from pewtertack.events import Event
@@ -53,8 +53,7 @@
         """Do it until cancelled."""
 
 
-@dataclass(frozen=True, slots=True)
-class NodeParts:
+class NodeParts(msgspec.Struct, frozen=True):
     """Everything that a node process runs, put together but not started."""
 
     settings: SettingsFile
--- a/src/pewtertack/node/gateway/application.py
+++ b/src/pewtertack/node/gateway/application.py
@@ -4,11 +4,11 @@
 
 import math
 from collections.abc import Callable
-from dataclasses import dataclass, replace
 
-from prometheus_client import CollectorRegistry
+import msgspec
 
 from pewtertack.core.machines import Machine, MachineList, MachineRole, MachineState
+from pewtertack.node.counting import MetricsRegistry
 from pewtertack.node.gateway.forwarding import GatewayForwarding, GatewayParts, load_headers
 from pewtertack.node.gateway.hop import (
     PROBE_ANSWERED,
@@ -19,11 +19,12 @@
 )
 from pewtertack.node.gateway.metrics import GatewayMetrics
 from pewtertack.node.http.cycle import Scope
+from pewtertack.node.http.framing import RawHeaders
 from pewtertack.node.proxy.answers import Receive, Send, send_failure
 from pewtertack.node.proxy.body import CallerGoneError
 from pewtertack.node.proxy.edge import NODE_EDGE, EdgeHeaders
 from pewtertack.node.proxy.exchange import TruncatedAnswerError
-from pewtertack.node.proxy.headers import RawHeaders, RequestHead, read_head
+from pewtertack.node.proxy.headers import RequestHead, read_head
 from pewtertack.node.proxy.in_flight import RequestsInFlight
 from pewtertack.node.proxy.request_log import GatewayLog, RecordEvent, ignore_event
 from pewtertack.node.proxy.upstream import ConnectionStore
@@ -45,8 +46,7 @@
 """Seconds that a request without a deadline may take; proxies always send one."""
 
 
-@dataclass(slots=True)
-class _Incarnation:
+class _Incarnation(msgspec.Struct):
     """One back end that has lived at the address beside this node."""
 
     admission: Admission
@@ -79,12 +79,12 @@
         address: str,
         edge: EdgeHeaders,
         log: RecordEvent = ignore_event,
-        registry: CollectorRegistry | None = None,
+        registry: MetricsRegistry | None = None,
     ) -> None:
         self._clock = clock
         self._address = address
         self._log = GatewayLog(log, clock)
-        self._metrics = GatewayMetrics(registry or CollectorRegistry())
+        self._metrics = GatewayMetrics(registry or MetricsRegistry())
         self._parts = GatewayParts(
             clock, ConnectionStore(clock), edge, address, self._log, self._metrics
         )
@@ -105,7 +105,7 @@
         if settings.backend.address is None or address == self._address:
             return
         self._address = address
-        self._parts = replace(self._parts, address=address)
+        self._parts = msgspec.structs.replace(self._parts, address=address)
 
     def use_machines(self, machines: MachineList) -> None:
         """Learn which back ends live, leave or have gone at the address."""
--- a/src/pewtertack/node/gateway/forwarding.py
+++ b/src/pewtertack/node/gateway/forwarding.py
@@ -4,21 +4,21 @@
 
 import asyncio
 from collections.abc import Callable
-from dataclasses import dataclass
 
 import anyio
+import msgspec
 
 from pewtertack.node.gateway import hop
 from pewtertack.node.gateway.hop import HopRequest
 from pewtertack.node.gateway.metrics import GatewayMetrics
 from pewtertack.node.http.cycle import Scope
+from pewtertack.node.http.framing import RawHeaders
 from pewtertack.node.proxy.answers import Receive, Send
 from pewtertack.node.proxy.body import CallerGoneError, RequestBody
 from pewtertack.node.proxy.edge import NODE_EDGE, EdgeHeaders
 from pewtertack.node.proxy.exchange import Exchange, TruncatedAnswerError, ignore_answer
 from pewtertack.node.proxy.headers import (
     BACKEND_LOAD,
-    RawHeaders,
     RequestHead,
     attempt_headers,
     backend_headers,
@@ -36,8 +36,7 @@
 """For a connection to the back end, which is on the same machine."""
 
 
-@dataclass(frozen=True, slots=True)
-class GatewayParts:
+class GatewayParts(msgspec.Struct, frozen=True):
     """What all requests of a gateway share."""
 
     clock: Callable[[], float]
--- a/src/pewtertack/node/gateway/hop.py
+++ b/src/pewtertack/node/gateway/hop.py
@@ -7,7 +7,7 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
+import msgspec
 
 from pewtertack.core.configuration.resolved import ResolvedRoute, WorkClass
 from pewtertack.node.proxy.edge import NODE_EDGE
@@ -54,8 +54,7 @@
 _CLASS_RANKS = {work_class: rank for rank, work_class in enumerate(WorkClass)}
 
 
-@dataclass(frozen=True, slots=True)
-class HopRequest:
+class HopRequest(msgspec.Struct, frozen=True):
     """What a proxy tells the gateway of a request. ``objective`` in seconds from now."""
 
     backend: str
--- /dev/null
+++ b/src/pewtertack/node/http/client.py
@@ -0,0 +1,133 @@
+"""Reads of the platform over HTTP/1.1, on the request path's own connections.
+
+One connection at a time carries each read; idle ones are kept for the next. A service that
+falls silent is noticed by the connection's probes (``node.http.connection``).
+"""
+
+from __future__ import annotations
+
+import anyio
+import msgspec
+
+from pewtertack.errors import PlatformError
+from pewtertack.node.http.connection import (
+    AnswerStart,
+    BackendConnection,
+    ExchangeBrokenError,
+    OutgoingRequest,
+    connect,
+)
+from pewtertack.node.http.framing import NO_BODY_STATUSES, RawHeaders
+
+IDLE_CONNECTIONS = 2
+"""One for each of the two documents."""
+
+
+class ServiceUnreachableError(PlatformError):
+    """The service did not accept a connection, hung up or was too slow."""
+
+    code = "service-unreachable"
+
+
+class AnswerTooLargeError(PlatformError):
+    """An answer's body is longer than allowed."""
+
+    code = "answer-too-large"
+
+
+class ServiceAnswer(msgspec.Struct, frozen=True):
+    """One whole answer."""
+
+    status: int
+    headers: RawHeaders
+    body: bytes
+
+    def header(self, name: bytes) -> bytes | None:
+        """Return the first value of a header; ``name`` in lower case."""
+        return next((value for key, value in self.headers if key.lower() == name), None)
+
+
+class ServiceTimeouts(msgspec.Struct, frozen=True):
+    """Seconds for a new connection, and for the whole answer on one that stands."""
+
+    connect: float
+    answer: float
+
+
+class HttpClient:
+    """Gets documents from one service.
+
+    Args:
+        address: ``ip:port``.
+        body_bytes: the longest body that is read.
+        local_host: IP number to connect from; ``None`` leaves it to the system.
+    """
+
+    def __init__(self, address: str, body_bytes: int, local_host: str | None = None) -> None:
+        self._address = address
+        self._body_bytes = body_bytes
+        self._local_host = local_host
+        self._idle: list[BackendConnection] = []
+
+    def close(self) -> None:
+        """Close the idle connections."""
+        for connection in self._idle:
+            connection.abort()
+        self._idle.clear()
+
+    async def get(
+        self, target: str, timeouts: ServiceTimeouts, headers: RawHeaders | None = None
+    ) -> ServiceAnswer:
+        """Return the answer to ``GET target``.
+
+        An idle connection that the service has closed meanwhile is replaced once.
+
+        Raises:
+            ServiceUnreachableError: no whole answer came in time.
+            AnswerTooLargeError: its body is too long.
+        """
+        request = OutgoingRequest(
+            b"GET", target.encode(), [(b"host", self._address.encode()), *(headers or [])]
+        )
+        while self._idle:
+            connection = self._idle.pop()
+            if connection.reusable:
+                return await self._exchange(connection, request, timeouts.answer)
+            connection.abort()
+        try:
+            connection = await connect(self._address, timeouts.connect, self._local_host)
+        except (OSError, ValueError) as error:
+            raise ServiceUnreachableError(f"cannot connect: {error}") from error
+        return await self._exchange(connection, request, timeouts.answer)
+
+    async def _exchange(
+        self, connection: BackendConnection, request: OutgoingRequest, seconds: float
+    ) -> ServiceAnswer:
+        try:
+            with anyio.fail_after(seconds):
+                start = await connection.exchange(request)
+                body = await self._body_of(connection, start)
+        except (TimeoutError, ExchangeBrokenError) as error:
+            reason = str(error) or f"no answer within {seconds:g} s"
+            raise ServiceUnreachableError(reason) from error
+        finally:
+            self._give_back(connection)
+        return ServiceAnswer(start.status, start.headers, body)
+
+    async def _body_of(self, connection: BackendConnection, start: AnswerStart) -> bytes:
+        if start.status in NO_BODY_STATUSES:
+            return b""
+        if not start.framed:
+            raise ExchangeBrokenError("an answer without a length")
+        body = bytearray()
+        while chunk := await connection.read_chunk():
+            body += chunk
+            if len(body) > self._body_bytes:
+                raise AnswerTooLargeError(f"more than {self._body_bytes} bytes")
+        return bytes(body)
+
+    def _give_back(self, connection: BackendConnection) -> None:
+        if connection.reusable and len(self._idle) < IDLE_CONNECTIONS:
+            self._idle.append(connection)
+        else:
+            connection.abort()
--- a/src/pewtertack/node/http/framing.py
+++ b/src/pewtertack/node/http/framing.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+RawHeaders = list[tuple[bytes, bytes]]
+"""Names and values as they stand on the wire."""
 NO_BODY_STATUSES = frozenset({204, 304})
 """Answers that have no body, whatever their headers say."""
 LAST_CHUNK = b"0\r\n\r\n"
--- a/src/pewtertack/node/platform.py
+++ b/src/pewtertack/node/platform.py
@@ -3,16 +3,22 @@
 from __future__ import annotations
 
 import math
-from dataclasses import dataclass
 from typing import Annotated, Any, ClassVar
 
 import anyio
-import httpcore
 import msgspec
 
 from pewtertack.core.effects import ReadDocument
 from pewtertack.core.inputs import DocumentRead, DocumentReadFailed, DocumentUnchanged
 from pewtertack.errors import PlatformError
+from pewtertack.node.http.client import (
+    AnswerTooLargeError,
+    HttpClient,
+    ServiceAnswer,
+    ServiceTimeouts,
+    ServiceUnreachableError,
+)
+from pewtertack.settings import Url
 from pewtertack.wire.messages import DocumentKind
 
 STATUS_OK = 200
@@ -21,14 +27,6 @@
 RETRY_AFTER_MAX = 300.0
 """Longest come-back time, in seconds, that a service may ask for."""
 
-_HTTP_ERRORS = (
-    httpcore.TimeoutException,
-    httpcore.NetworkError,
-    httpcore.ProtocolError,
-    httpcore.UnsupportedProtocol,
-    OSError,
-)
-
 
 class PlatformUnreachableError(PlatformError):
     """The service did not accept a connection, hung up or was too slow."""
@@ -77,8 +75,7 @@
     machines: dict[str, dict[str, Any]]
 
 
-@dataclass(frozen=True, slots=True)
-class PlatformLimits:
+class PlatformLimits(msgspec.Struct, frozen=True):
     """``timeout`` in seconds beyond the long poll, ``body_bytes`` of one answer."""
 
     timeout: float
@@ -96,23 +93,28 @@
 
     def __init__(
         self,
-        source_url: str,
-        machines_url: str,
+        source_url: Url,
+        machines_url: Url,
         local_host: str | None,
         limits: PlatformLimits,
     ) -> None:
-        self._urls = {
-            DocumentKind.CONFIGURATION: f"{source_url}/v1/tree",
-            DocumentKind.MACHINE_LIST: f"{machines_url}/v1/machines",
-        }
         self._limits = limits
-        self._pool = httpcore.AsyncConnectionPool(
-            max_connections=len(self._urls), local_address=local_host
-        )
+        self._services = {
+            kind: HttpClient(str(url.address), limits.body_bytes, local_host)
+            for kind, url in (
+                (DocumentKind.CONFIGURATION, source_url),
+                (DocumentKind.MACHINE_LIST, machines_url),
+            )
+        }
+        self._targets = {
+            DocumentKind.CONFIGURATION: f"{source_url.path}/v1/tree",
+            DocumentKind.MACHINE_LIST: f"{machines_url.path}/v1/machines",
+        }
 
     async def close(self) -> None:
         """Close the connections."""
-        await self._pool.aclose()
+        for service in self._services.values():
+            service.close()
 
     async def read(
         self, effect: ReadDocument
@@ -129,47 +131,32 @@
             return DocumentReadFailed(effect.kind, PlatformUnreachableError.code)
 
     async def _read(self, effect: ReadDocument) -> DocumentRead | DocumentUnchanged:
+        target = f"{self._targets[effect.kind]}?after={effect.after}&wait={effect.wait:g}"
+        timeout = self._limits.timeout
+        timeouts = ServiceTimeouts(timeout, effect.wait + timeout)
+        known = (b"if-none-match", f'"{effect.after}"'.encode())
         try:
-            async with self._pool.stream(
-                "GET",
-                f"{self._urls[effect.kind]}?after={effect.after}&wait={effect.wait:g}",
-                headers={"if-none-match": f'"{effect.after}"'},
-                extensions={"timeout": self._timeouts(effect.wait)},
-            ) as response:
-                _check_status(response)
-                body = await self._body_of(response)
-        except _HTTP_ERRORS as error:
-            problem = f"{type(error).__name__}: {error}"
-            raise PlatformUnreachableError(problem) from error
-        if response.status == STATUS_NOT_MODIFIED:
+            answer = await self._services[effect.kind].get(target, timeouts, [known])
+        except ServiceUnreachableError as error:
+            raise PlatformUnreachableError(str(error)) from error
+        except AnswerTooLargeError as error:
+            raise PlatformBodyTooLargeError(str(error)) from error
+        _check_status(answer)
+        if answer.status == STATUS_NOT_MODIFIED:
             return DocumentUnchanged(effect.kind)
-        return _document_from(effect.kind, body)
-
-    def _timeouts(self, wait: float) -> dict[str, float]:
-        timeout = self._limits.timeout
-        return {"connect": timeout, "pool": timeout, "write": timeout, "read": wait + timeout}
-
-    async def _body_of(self, response: httpcore.Response) -> bytes:
-        body = bytearray()
-        async for chunk in response.aiter_stream():
-            body += chunk
-            if len(body) > self._limits.body_bytes:
-                raise PlatformBodyTooLargeError(f"more than {self._limits.body_bytes} bytes")
-        return bytes(body)
+        return _document_from(effect.kind, answer.body)
 
 
-def _check_status(response: httpcore.Response) -> None:
-    if response.status == STATUS_BUSY:
-        raise PlatformBusyError(_retry_after(response))
-    if response.status not in (STATUS_OK, STATUS_NOT_MODIFIED):
-        raise PlatformStatusError(f"status {response.status}")
+def _check_status(answer: ServiceAnswer) -> None:
+    if answer.status == STATUS_BUSY:
+        raise PlatformBusyError(_retry_after(answer))
+    if answer.status not in (STATUS_OK, STATUS_NOT_MODIFIED):
+        raise PlatformStatusError(f"status {answer.status}")
 
 
-def _retry_after(response: httpcore.Response) -> float | None:
-    for name, value in response.headers:
-        if name.lower() == b"retry-after":
-            return _seconds(value)
-    return None
+def _retry_after(answer: ServiceAnswer) -> float | None:
+    value = answer.header(b"retry-after")
+    return _seconds(value) if value is not None else None
 
 
 def _seconds(text: bytes) -> float | None:
--- a/src/pewtertack/node/proxy/answers.py
+++ b/src/pewtertack/node/proxy/answers.py
@@ -8,8 +8,9 @@
 import msgspec
 
 from pewtertack.node.http.cycle import Message
+from pewtertack.node.http.framing import RawHeaders
 from pewtertack.node.proxy.edge import PRODUCT_EDGE, EdgeHeaders
-from pewtertack.node.proxy.headers import RETRIES, RawHeaders
+from pewtertack.node.proxy.headers import RETRIES
 from pewtertack.routing.outcomes import OUTCOME_HEADER, RETRIES_SPENT, RequestFailedError
 
 Receive = Callable[[], Awaitable[Message]]
--- a/src/pewtertack/node/proxy/application.py
+++ b/src/pewtertack/node/proxy/application.py
@@ -4,12 +4,12 @@
 
 from collections.abc import Callable
 from random import Random
-
-from prometheus_client import CollectorRegistry
+from typing import TYPE_CHECKING
 
 from pewtertack.core.configuration.resolved import ResolvedConfiguration, ResolvedRoute
 from pewtertack.core.machines import MachineList
 from pewtertack.events import Event
+from pewtertack.node.counting import MetricsRegistry
 from pewtertack.node.http.cycle import Scope
 from pewtertack.node.proxy.answers import Receive, Send, send_failure
 from pewtertack.node.proxy.body import CallerGoneError
@@ -21,7 +21,6 @@
 from pewtertack.node.proxy.metrics import (
     CALLER_GONE,
     TRUNCATED,
-    DispatcherCollector,
     RequestMetrics,
 )
 from pewtertack.node.proxy.probing import GatewayProber
@@ -46,6 +45,9 @@
 from pewtertack.routing.registry import ListChange
 from pewtertack.routing.table import RouteTable
 
+if TYPE_CHECKING:
+    from prometheus_client.registry import Collector
+
 
 def _always() -> bool:
     return True
@@ -87,7 +89,7 @@
         random: Random,
         *,
         may_serve: Callable[[], bool] = _always,
-        registry: CollectorRegistry | None = None,
+        registry: MetricsRegistry | None = None,
         log: RecordEvent = ignore_event,
         edge: EdgeHeaders = PRODUCT_EDGE,
         caller_service: str = "",
@@ -101,7 +103,7 @@
         dispatcher = Dispatcher(random, self._note_backend_event)
         self._beliefs = Beliefs()
         self._request_log = ProxyLog(log, clock, self._beliefs)
-        registry = registry or CollectorRegistry()
+        registry = registry or MetricsRegistry()
         self._metrics = RequestMetrics(registry)
         self._parts = ForwardingParts(
             clock,
@@ -113,7 +115,7 @@
             self._metrics,
         )
         self._requests = RequestsInFlight()
-        registry.register(DispatcherCollector(dispatcher, lambda: self.in_flight))
+        registry.add_collector(lambda: _collector_of(dispatcher, lambda: self.in_flight))
         self._serving = False
         self._retry_after = 1.0
         self.leaving = False
@@ -283,3 +285,10 @@
             raise  # the server logs it and closes the connection
         finally:
             self._metrics.note_retries(route, forwarding.retries)
+
+
+def _collector_of(dispatcher: Dispatcher, in_flight: Callable[[], int]) -> Collector:
+    """Return the dispatcher's collector; its library loads when metrics are asked for."""
+    from pewtertack.node.proxy.dispatcher_metrics import DispatcherCollector
+
+    return DispatcherCollector(dispatcher, in_flight)
--- a/src/pewtertack/node/proxy/edge.py
+++ b/src/pewtertack/node/proxy/edge.py
@@ -2,14 +2,13 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
+import msgspec
 
 REQUEST_ID = b"x-request-id"
 DEADLINE = b"x-deadline-ms"
 
 
-@dataclass(frozen=True, slots=True)
-class EdgeHeaders:
+class EdgeHeaders(msgspec.Struct, frozen=True):
     """Names in lower case; an empty name is not used. See ``settings.HeadersSection``."""
 
     request_id: bytes = REQUEST_ID
--- a/src/pewtertack/node/proxy/exchange.py
+++ b/src/pewtertack/node/proxy/exchange.py
@@ -7,20 +7,19 @@
 import anyio
 
 from pewtertack.node.gateway.hop import failure_of
-from pewtertack.node.http.cycle import CALLER, Scope
-from pewtertack.node.http.framing import NO_BODY_STATUSES
-from pewtertack.node.proxy.answers import Send
-from pewtertack.node.proxy.body import RequestBody
-from pewtertack.node.proxy.connection import (
+from pewtertack.node.http.connection import (
     AnswerStart,
     BackendConnection,
     ExchangeBrokenError,
     OutgoingRequest,
 )
+from pewtertack.node.http.cycle import CALLER, Scope
+from pewtertack.node.http.framing import NO_BODY_STATUSES, RawHeaders
+from pewtertack.node.proxy.answers import Send
+from pewtertack.node.proxy.body import RequestBody
 from pewtertack.node.proxy.edge import PRODUCT_EDGE, EdgeHeaders
 from pewtertack.node.proxy.headers import (
     AnswerHead,
-    RawHeaders,
     RequestHead,
     read_answer,
 )
--- a/src/pewtertack/node/proxy/forwarding.py
+++ b/src/pewtertack/node/proxy/forwarding.py
@@ -3,20 +3,20 @@
 from __future__ import annotations
 
 from collections.abc import Callable
-from dataclasses import dataclass
 
 import anyio
+import msgspec
 
 from pewtertack.core.configuration.resolved import ResolvedConfiguration, ResolvedRoute
 from pewtertack.node.gateway.hop import hop_headers
 from pewtertack.node.http.cycle import Scope
+from pewtertack.node.http.framing import RawHeaders
 from pewtertack.node.proxy.answers import Receive, Send
 from pewtertack.node.proxy.body import CallerGoneError, RequestBody
 from pewtertack.node.proxy.edge import NODE_EDGE, PRODUCT_EDGE, EdgeHeaders
 from pewtertack.node.proxy.exchange import Exchange, TruncatedAnswerError
 from pewtertack.node.proxy.headers import (
     AnswerHead,
-    RawHeaders,
     RequestHead,
     attempt_headers,
     backend_headers,
@@ -48,8 +48,7 @@
 """Refusals of a gateway that hold for other requests too: the back end cannot be reached."""
 
 
-@dataclass(frozen=True, slots=True)
-class ForwardingParts:
+class ForwardingParts(msgspec.Struct, frozen=True):
     """What all requests of a proxy share."""
 
     clock: Callable[[], float]
--- a/src/pewtertack/node/proxy/headers.py
+++ b/src/pewtertack/node/proxy/headers.py
@@ -3,16 +3,16 @@
 from __future__ import annotations
 
 from collections.abc import Set
-from dataclasses import dataclass
+
+import msgspec
 
 from pewtertack.core.configuration.resolved import ResolvedConfiguration, ResolvedRoute
 from pewtertack.node.gateway import hop
+from pewtertack.node.http.framing import RawHeaders
 from pewtertack.node.proxy.edge import DEADLINE, PRODUCT_EDGE, REQUEST_ID, EdgeHeaders
 from pewtertack.routing.deadlines import header_for
 from pewtertack.routing.outcomes import RETRIES_HEADER, InvalidRequestError, UpgradeRefusedError
 
-RawHeaders = list[tuple[bytes, bytes]]
-
 BACKEND_LOAD = b"x-backend-load"
 BACKEND_STATE = b"x-backend-state"
 RETRIES = RETRIES_HEADER.encode()
@@ -37,8 +37,7 @@
 NOT_RETURNED = HOP_BY_HOP | hop.ANSWER_NAMES | {REQUEST_ID, BACKEND_LOAD, BACKEND_STATE}
 
 
-@dataclass(slots=True)
-class RequestHead:
+class RequestHead(msgspec.Struct):
     """What the proxy reads from a caller's headers before it forwards anything."""
 
     host: str = ""
@@ -157,8 +156,7 @@
     return [(name, value.encode()) for name, value in named if name and value]
 
 
-@dataclass(slots=True)
-class AnswerHead:
+class AnswerHead(msgspec.Struct):
     """What the proxy reads from a back end's headers."""
 
     headers: RawHeaders
--- a/src/pewtertack/node/proxy/request_log.py
+++ b/src/pewtertack/node/proxy/request_log.py
@@ -7,9 +7,10 @@
 from __future__ import annotations
 
 from collections.abc import Callable
-from dataclasses import dataclass
 from typing import Any, Protocol
 
+import msgspec
+
 from pewtertack.core.configuration.resolved import ResolvedRoute
 from pewtertack.events import Event
 from pewtertack.routing.admission import Admission, AdmissionTicket
@@ -34,8 +35,7 @@
     return round(seconds * 1000, 1)
 
 
-@dataclass(slots=True)
-class Beliefs:
+class Beliefs(msgspec.Struct):
     """Versions by which a proxy decides, and since when it has them (monotonic seconds)."""
 
     revision: int = 0
--- a/src/pewtertack/node/proxy/upstream.py
+++ b/src/pewtertack/node/proxy/upstream.py
@@ -6,9 +6,8 @@
 from collections import deque
 from collections.abc import Callable, Container
 
-import anyio
-
-from pewtertack.node.proxy.connection import BackendConnection
+from pewtertack.node.http import connection as connections
+from pewtertack.node.http.connection import BackendConnection
 from pewtertack.routing.outcomes import BackendUnreachableError
 
 IDLE_SECONDS = 3.0
@@ -79,18 +78,6 @@
         BackendUnreachableError: no connection was made.
     """
     try:
-        host, port = _split(address)
-        loop = asyncio.get_running_loop()
-        with anyio.fail_after(timeout):
-            _, connection = await loop.create_connection(
-                lambda: BackendConnection(address), host, port
-            )
+        return await connections.connect(address, timeout)
     except (OSError, ValueError) as error:
         raise BackendUnreachableError(f"cannot connect to the back end: {error}") from error
-    return connection
-
-
-def _split(address: str) -> tuple[str, int]:
-    """Return host and port of ``ip:port``; an IPv6 number stands in brackets."""
-    host, _, port = address.rpartition(":")
-    return host.strip("[]"), int(port)
--- a/src/pewtertack/node/sockets.py
+++ b/src/pewtertack/node/sockets.py
@@ -5,7 +5,8 @@
 import errno
 import socket
 from contextlib import ExitStack
-from dataclasses import dataclass
+
+import msgspec
 
 from pewtertack.settings import Address, Settings
 from pewtertack.settings.errors import AddressInUseError, AddressUnavailableError
@@ -17,8 +18,7 @@
 """With port 0, UDP may find the port taken that TCP was given."""
 
 
-@dataclass(frozen=True, slots=True)
-class NodeSockets:
+class NodeSockets(msgspec.Struct, frozen=True):
     """Bound, listening, non-blocking sockets of one node."""
 
     peer_datagrams: socket.socket
--- a/src/pewtertack/node/transport.py
+++ b/src/pewtertack/node/transport.py
@@ -4,10 +4,10 @@
 
 import socket
 from collections.abc import Callable
-from dataclasses import dataclass
 from functools import lru_cache
 
 import anyio
+import msgspec
 from anyio.abc import SocketListener, SocketStream, TaskGroup
 
 from pewtertack.errors import ProtocolError
@@ -36,8 +36,7 @@
 RefusalHandler = Callable[[ProtocolError], None]
 
 
-@dataclass(frozen=True, slots=True)
-class Sender:
+class Sender(msgspec.Struct, frozen=True):
     """How this node signs its frames. ``address`` is the one it advertises.
 
     Frames that ``accepted_keys`` signed are accepted; nothing is signed with them.
@@ -50,8 +49,7 @@
     accepted_keys: tuple[bytes, ...] = ()
 
 
-@dataclass(frozen=True, slots=True)
-class StreamLimits:
+class StreamLimits(msgspec.Struct, frozen=True):
     """Bounds of frames over TCP; ``timeout`` in seconds for one frame."""
 
     streams: int
--- a/src/pewtertack/node/view.py
+++ b/src/pewtertack/node/view.py
@@ -4,7 +4,8 @@
 
 from collections import Counter
 from collections.abc import Callable
-from dataclasses import dataclass
+
+import msgspec
 
 from pewtertack.core.configuration.findings import Finding
 from pewtertack.core.configuration.resolved import ResolvedConfiguration
@@ -29,8 +30,7 @@
 from pewtertack.wire.messages import DocumentKind
 
 
-@dataclass(frozen=True, slots=True)
-class NodeView:
+class NodeView(msgspec.Struct, frozen=True):
     """The admin interface's source. ``in_flight`` counts callers' requests."""
 
     core: NodeCore
--- a/src/pewtertack/platform/store.py
+++ b/src/pewtertack/platform/store.py
@@ -3,16 +3,14 @@
 from __future__ import annotations
 
 import base64
-import socket
 from typing import ClassVar, TypeVar
 
-import anyio
-import httpcore
 import msgspec
 
 from pewtertack.core.effects import ReadDocument
 from pewtertack.core.inputs import DocumentRead, DocumentReadFailed, DocumentUnchanged
 from pewtertack.errors import PlatformError
+from pewtertack.node.http.client import HttpClient, ServiceTimeouts, ServiceUnreachableError
 from pewtertack.platform.documents import machines_of, tree_of
 from pewtertack.settings import Settings
 from pewtertack.wire.messages import DocumentKind
@@ -24,23 +22,11 @@
 STATUS_BUSY = (429, 503)
 ANSWER_SECONDS = 1.0
 """For an answer of the store beyond the time for which a watch may wait."""
-KEEPALIVE_OPTIONS = (
-    (socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1),
-    (socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, 1),
-    (socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, 1),
-    (socket.IPPROTO_TCP, socket.TCP_KEEPCNT, 2),
-)
-"""A store behind a cut says nothing: unanswered probes end its connections."""
+ANSWER_BYTES = 16 * 1024 * 1024
+"""The longest answer that is read; a page of the store has 1 MB or so, a watch may have more."""
 
 Answer = TypeVar("Answer")
 
-_HTTP_ERRORS = (
-    httpcore.TimeoutException,
-    httpcore.NetworkError,
-    httpcore.ProtocolError,
-    OSError,
-)
-
 
 class StoreUnreachableError(PlatformError):
     """The store did not answer."""
@@ -125,21 +111,18 @@
 class StoreReader:
     """Answers the core's ``ReadDocument`` effects; keeps a mirror for each document."""
 
-    def __init__(self, url: str, gateway_port: int, peer_port: int) -> None:
-        self._url = url
+    def __init__(self, address: str, gateway_port: int, peer_port: int) -> None:
         self._gateway_port = gateway_port
         self._peer_port = peer_port
         self._mirrors = {
             DocumentKind.CONFIGURATION: _Mirror(CONFIGURATION_KEY),
             DocumentKind.MACHINE_LIST: _Mirror(BACKENDS_PREFIX),
         }
-        self._pool = httpcore.AsyncConnectionPool(
-            max_connections=len(self._mirrors), socket_options=KEEPALIVE_OPTIONS
-        )
+        self._client = HttpClient(address, ANSWER_BYTES)
 
     async def close(self) -> None:
         """Close the connections."""
-        await self._pool.aclose()
+        self._client.close()
 
     async def read(
         self, effect: ReadDocument
@@ -205,22 +188,18 @@
         return bool(found.events)
 
     async def _get(self, path: str, wait: float = 0.0) -> bytes:
-        seconds = wait + ANSWER_SECONDS
-        timeouts = dict.fromkeys(("connect", "pool", "write"), ANSWER_SECONDS) | {"read": seconds}
+        timeouts = ServiceTimeouts(ANSWER_SECONDS, wait + ANSWER_SECONDS)
         try:
-            with anyio.fail_after(seconds + ANSWER_SECONDS):
-                answer = await self._pool.request(
-                    "GET", self._url + path, extensions={"timeout": timeouts}
-                )
-        except (TimeoutError, *_HTTP_ERRORS) as error:
-            raise StoreUnreachableError(type(error).__name__) from error
+            answer = await self._client.get(path, timeouts)
+        except ServiceUnreachableError as error:
+            raise StoreUnreachableError(str(error)) from error
         if answer.status == STATUS_HISTORY_GONE:
             raise _HistoryGoneError("listing again")
         if answer.status in STATUS_BUSY:
             raise StoreBusyError(f"status {answer.status}")
         if answer.status != STATUS_OK:
             raise StoreStatusError(f"status {answer.status}")
-        return answer.content
+        return answer.body
 
     def _document(
         self, kind: DocumentKind, mirror: _Mirror, stale: bool = False
@@ -253,7 +232,7 @@
     """Return the reader for a node with these settings."""
     gateway = settings.listen.gateway
     return StoreReader(
-        settings.source.url.text,
+        str(settings.source.url.address),
         gateway.port if gateway is not None else 0,
         settings.listen.peer.port,
     )
--- a/src/pewtertack/routing/admission.py
+++ b/src/pewtertack/routing/admission.py
@@ -19,7 +19,8 @@
 import bisect
 import math
 from collections.abc import Callable
-from dataclasses import dataclass, field
+
+import msgspec
 
 from pewtertack.routing.outcomes import DeadlineUnmeetableError, NotRunError, QueueFullError
 from pewtertack.routing.patience import PROMPT_SHARE, Lateness
@@ -47,8 +48,7 @@
     """Wake nobody."""
 
 
-@dataclass(slots=True, eq=False)
-class AdmissionTicket:
+class AdmissionTicket(msgspec.Struct, eq=False):
     """One request's place: waiting, granted or refused. Times are monotonic seconds."""
 
     route: str
@@ -66,7 +66,7 @@
     started_at: float = 0.0
     wanted_start: float = 0.0
     """Until when it should start."""
-    order: tuple[int, int, float, int] = field(default=(0, 0, 0.0, 0))
+    order: tuple[int, int, float, int] = msgspec.field(default=(0, 0, 0.0, 0))
     """Rank, wanted start, arrival."""
 
     @property
@@ -88,8 +88,7 @@
         return self.started_at - self.submitted_at
 
 
-@dataclass(slots=True)
-class _RouteTime:
+class _RouteTime(msgspec.Struct):
     """How long the back end takes for a route, in seconds."""
 
     mean: float
--- a/src/pewtertack/routing/backend.py
+++ b/src/pewtertack/routing/backend.py
@@ -3,7 +3,8 @@
 from __future__ import annotations
 
 import math
-from dataclasses import dataclass, field
+
+import msgspec
 
 from pewtertack.core.configuration.resolved import ResolvedService
 from pewtertack.routing.health import Health
@@ -32,8 +33,7 @@
 MAXIMUM_REPORT = 1_000_000
 
 
-@dataclass(frozen=True, slots=True)
-class LoadReport:
+class LoadReport(msgspec.Struct, frozen=True):
     """A back end's ``x-backend-load: <in flight>/<slots>``."""
 
     in_flight: int
@@ -51,8 +51,7 @@
     return report if 0 < report.slots <= MAXIMUM_REPORT else None
 
 
-@dataclass(slots=True, eq=False)
-class Backend:
+class Backend(msgspec.Struct, eq=False):
     """One incarnation of a back end: a machine's name at one address."""
 
     name: str
@@ -62,8 +61,8 @@
     zone: str
     first_seen: float
     settings: ResolvedService | None = None
-    limit: AdaptiveLimit = field(default_factory=lambda: AdaptiveLimit(1))
-    health: Health = field(default_factory=Health)
+    limit: AdaptiveLimit = msgspec.field(default_factory=lambda: AdaptiveLimit(1))
+    health: Health = msgspec.field(default_factory=Health)
     in_flight: int = 0
     """Requests of this proxy at the back end."""
     leaving: bool = False
--- a/src/pewtertack/routing/choice.py
+++ b/src/pewtertack/routing/choice.py
@@ -3,9 +3,10 @@
 from __future__ import annotations
 
 from collections.abc import Container, Sequence
-from dataclasses import dataclass
 from random import Random
 
+import msgspec
+
 from pewtertack.routing.backend import STALL_PENALTY, Backend
 
 SATURATED = 1.0
@@ -75,8 +76,7 @@
     return backends[first], backends[second + (second >= first)]
 
 
-@dataclass(frozen=True, slots=True)
-class Wish:
+class Wish(msgspec.Struct, frozen=True):
     """What a request asks of the back end beside whose node it will wait. Seconds."""
 
     expected_time: float
--- a/src/pewtertack/routing/dispatcher.py
+++ b/src/pewtertack/routing/dispatcher.py
@@ -8,9 +8,10 @@
 from __future__ import annotations
 
 from collections.abc import Callable, Container, Iterable
-from dataclasses import dataclass
 from random import Random
 
+import msgspec
+
 from pewtertack.core.configuration.resolved import ResolvedRoute
 from pewtertack.core.machines import MachineList, MachineRole
 from pewtertack.routing.backend import Backend, LoadReport
@@ -40,31 +41,27 @@
 from pewtertack.routing.splits import SplitPicker
 
 
-@dataclass(frozen=True, slots=True)
-class BackendChanged:
+class BackendChanged(msgspec.Struct, frozen=True):
     """A back end was ejected, or came back."""
 
     backend: Backend
     ejected: bool
 
 
-@dataclass(frozen=True, slots=True)
-class BackendLeaving:
+class BackendLeaving(msgspec.Struct, frozen=True):
     """A back end's own answer said that it leaves; told once for an incarnation."""
 
     backend: Backend
 
 
-@dataclass(frozen=True, slots=True)
-class BackendListed:
+class BackendListed(msgspec.Struct, frozen=True):
     """The machine list changed what it says of a back end."""
 
     backend: Backend
     change: ListChange
 
 
-@dataclass(frozen=True, slots=True)
-class RetryDecision:
+class RetryDecision(msgspec.Struct, frozen=True):
     """Why a request is sent once more, with its ``ticket``, or why not."""
 
     reason: RetryReason
--- a/src/pewtertack/routing/queueing.py
+++ b/src/pewtertack/routing/queueing.py
@@ -9,7 +9,8 @@
 
 from collections import deque
 from collections.abc import Callable
-from dataclasses import dataclass, field
+
+import msgspec
 
 from pewtertack.core.configuration.resolved import ResolvedRoute, ResolvedService, WorkClass
 from pewtertack.routing.backend import Backend, LoadReport
@@ -37,8 +38,7 @@
     """Wake nobody."""
 
 
-@dataclass(slots=True, eq=False)
-class Ticket:
+class Ticket(msgspec.Struct, eq=False):
     """The place of one attempt: waiting, granted (``backend``) or refused (``refusal``)."""
 
     route: ResolvedRoute
@@ -99,11 +99,10 @@
     return value if mean == 0 else mean + SMOOTHING * (value - mean)
 
 
-@dataclass(slots=True)
-class _Lane:
+class _Lane(msgspec.Struct):
     step: float
     """Virtual time that one request takes: the inverse of the class's weight."""
-    tickets: deque[Ticket] = field(default_factory=deque)
+    tickets: deque[Ticket] = msgspec.field(default_factory=deque)
     position: float = 0.0
     """Virtual time at which the first ticket is due."""
     interval: float = 0.0
--- a/src/pewtertack/routing/retries.py
+++ b/src/pewtertack/routing/retries.py
@@ -2,9 +2,10 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
 from enum import Enum
 
+import msgspec
+
 from pewtertack.core.configuration.resolved import ResolvedRoute
 from pewtertack.routing.outcomes import InvalidRequestError, Outcome, RequestFailedError
 
@@ -53,8 +54,7 @@
         return True
 
 
-@dataclass(frozen=True, slots=True)
-class AttemptRecord:
+class AttemptRecord(msgspec.Struct, frozen=True):
     """What a retry decision needs of the request so far. Times are monotonic seconds."""
 
     route: ResolvedRoute
--- a/src/pewtertack/routing/splits.py
+++ b/src/pewtertack/routing/splits.py
@@ -7,7 +7,8 @@
 from __future__ import annotations
 
 from collections.abc import Container
-from dataclasses import replace
+
+import msgspec
 
 from pewtertack.core.configuration.resolved import ResolvedRoute
 
@@ -20,7 +21,7 @@
         self._weights = {name: weight for name, weight in route.split.items() if weight}
         self._total = sum(self._weights.values())
         self._credits = dict.fromkeys(self._weights, 0)
-        self._parts = {name: replace(route, service=name) for name in self._weights}
+        self._parts = {name: msgspec.structs.replace(route, service=name) for name in self._weights}
 
     def next(self) -> ResolvedRoute:
         for name, weight in self._weights.items():
@@ -44,7 +45,9 @@
         if turns is None or (turns.route is not route and turns.route.split != route.split):
             turns = self._turns[route.name] = _Turns(route)
         part = turns.next()
-        return part if turns.route is route else replace(route, service=part.service)
+        return (
+            part if turns.route is route else msgspec.structs.replace(route, service=part.service)
+        )
 
     def keep_only(self, routes: Container[str]) -> None:
         """Forget routes that are in force no longer."""
--- a/src/pewtertack/settings/schema.py
+++ b/src/pewtertack/settings/schema.py
@@ -29,6 +29,8 @@
     name: Name
     zone: Name
     region: Name
+    first_start: bool = False
+    """The whole fleet starts for the first time; not set for a replaced or restarted node."""
 
 
 class ListenSection(msgspec.Struct, frozen=True, kw_only=True):
--- a/src/pewtertack/settings/values.py
+++ b/src/pewtertack/settings/values.py
@@ -8,10 +8,11 @@
 
 import ipaddress
 import re
-from dataclasses import dataclass, field
 from typing import ClassVar
 from urllib.parse import urlsplit
 
+import msgspec
+
 from pewtertack.settings.errors import (
     AddressFormatError,
     DurationUnitError,
@@ -53,8 +54,7 @@
         super().__init__(problem)
 
 
-@dataclass(frozen=True, slots=True)
-class Address:
+class Address(msgspec.Struct, frozen=True):
     """An IP number and a port; port 0 lets the system choose one."""
 
     accepted: ClassVar[str] = ACCEPTED_ADDRESS
@@ -88,14 +88,15 @@
             ) from None
 
 
-@dataclass(frozen=True, slots=True)
-class Url:
+class Url(msgspec.Struct, frozen=True):
     """The base URL of a platform service, without a trailing slash."""
 
     accepted: ClassVar[str] = ACCEPTED_URL
 
     text: str
     address: Address
+    path: str = ""
+    """What comes after the port, without a trailing slash."""
 
     @classmethod
     def parse(cls, text: str) -> Url:
@@ -106,15 +107,14 @@
         if parts.query or parts.fragment or not parts.netloc:
             raise ValueProblemError(UrlFormatError, f"{text!r}", ACCEPTED_URL)
         netloc = parts.netloc if _has_port(parts.netloc) else f"{parts.netloc}:80"
-        return cls(text.rstrip("/"), Address.parse(netloc))
+        return cls(text.rstrip("/"), Address.parse(netloc), parts.path.rstrip("/"))
 
 
 def _has_port(netloc: str) -> bool:
     return ":" in netloc.rpartition("]")[2]
 
 
-@dataclass(frozen=True, slots=True)
-class Duration:
+class Duration(msgspec.Struct, frozen=True):
     """A length of time."""
 
     accepted: ClassVar[str] = ACCEPTED_DURATION
@@ -127,8 +127,7 @@
         return cls(_quantity(text, _SECONDS, DurationUnitError, ACCEPTED_DURATION))
 
 
-@dataclass(frozen=True, slots=True)
-class Size:
+class Size(msgspec.Struct, frozen=True):
     """A number of bytes."""
 
     accepted: ClassVar[str] = ACCEPTED_SIZE
@@ -150,8 +149,7 @@
     return float(found[1]) * units[found[2]]
 
 
-@dataclass(frozen=True, slots=True)
-class Name:
+class Name(msgspec.Struct, frozen=True):
     """A node's, zone's or region's name."""
 
     accepted: ClassVar[str] = ACCEPTED_NAME
@@ -166,13 +164,15 @@
         return cls(text)
 
 
-@dataclass(frozen=True, slots=True)
-class FleetKey:
+class FleetKey(msgspec.Struct, frozen=True):
     """The secret that all nodes of a fleet share. It is never printed."""
 
     accepted: ClassVar[str] = ACCEPTED_KEY
 
-    secret: bytes = field(repr=False)
+    secret: bytes
+
+    def __repr__(self) -> str:
+        return "FleetKey()"
 
     @classmethod
     def parse(cls, text: str) -> FleetKey:
--- a/src/pewtertack/wire/frames.py
+++ b/src/pewtertack/wire/frames.py
@@ -14,7 +14,6 @@
 
 import hashlib
 import hmac
-from dataclasses import dataclass
 from typing import Any, NoReturn, get_args
 
 import cbor2
@@ -48,8 +47,7 @@
 _MESSAGE_TAGS: frozenset[int] = frozenset(kind.__struct_config__.tag for kind in get_args(Message))
 
 
-@dataclass(frozen=True, slots=True)
-class Envelope:
+class Envelope(msgspec.Struct, frozen=True):
     """A message with its sender. ``address`` is the sender's advertised ``ip:port``."""
 
     sender: str
--- a/src/pewtertack/wire/replay.py
+++ b/src/pewtertack/wire/replay.py
@@ -3,7 +3,8 @@
 from __future__ import annotations
 
 from collections import OrderedDict
-from dataclasses import dataclass
+
+import msgspec
 
 from pewtertack.wire.errors import ReplayedFrameError
 
@@ -21,8 +22,7 @@
 """Name and incarnation of a sending process."""
 
 
-@dataclass(slots=True)
-class _Window:
+class _Window(msgspec.Struct):
     """Bit ``n`` of ``seen`` stands for the counter ``newest - n``."""
 
     newest: int
--- a/tests/lab/simulation/test_leased_readers.py
+++ b/tests/lab/simulation/test_leased_readers.py
@@ -1,9 +1,10 @@
 """A large fleet whose few readers tell the others how old the source's word is."""
 
 import unittest
-from dataclasses import replace
 from random import Random
 
+import msgspec
+
 from pewtertack.core.profile import LEASED, SourceProperties, TimingProfile
 from pewtertack.lab.history.checker import CheckGroup, check_history
 from pewtertack.lab.history.verdicts import Judgement
@@ -70,7 +71,7 @@
         self.assertLessEqual(len(self.readers(made)), READERS)
 
     def test_without_a_takeover_the_readers_death_keeps_the_edit_from_their_zones(self) -> None:
-        made = self.fleet(replace(LEASED, reader_lease=60.0))
+        made = self.fleet(msgspec.structs.replace(LEASED, reader_lease=60.0))
         made.kill(self.readers(made))
         number = self.edit(made)
         made.run(EDIT_BOUND)
--- a/tests/lab/simulation/test_mechanisms.py
+++ b/tests/lab/simulation/test_mechanisms.py
@@ -3,11 +3,12 @@
 The schedules stand in ``mechanisms/NAME.json``.
 """
 
-import dataclasses
 import unittest
 from dataclasses import dataclass
 from pathlib import Path
 
+import msgspec
+
 from pewtertack.core.profile import PROFILES, Mechanisms
 from pewtertack.lab.history.verdicts import Promise
 from pewtertack.lab.simulation.execution import run_schedule, without_mechanism
@@ -49,7 +50,7 @@
 
 class MechanismTest(unittest.TestCase):
     def test_every_mechanism_has_a_proof(self) -> None:
-        names = {field.name for field in dataclasses.fields(Mechanisms)}
+        names = {field.name for field in msgspec.structs.fields(Mechanisms)}
         self.assertEqual(set(PROOFS), names)
 
     def test_promises_break_without_the_mechanism(self) -> None:
--- a/tests/node/gateway/test_gateway.py
+++ b/tests/node/gateway/test_gateway.py
@@ -6,9 +6,10 @@
 from typing import Any
 
 import msgspec
-from prometheus_client import CollectorRegistry, generate_latest
 
 from pewtertack.core.machines import Machine, MachineList, MachineRole, MachineState
+from pewtertack.node.counting import MetricsRegistry
+from pewtertack.node.exposition import Exposition
 from pewtertack.node.gateway.application import GatewayApplication
 from pewtertack.node.proxy.application import ProxyApplication
 from pewtertack.node.proxy.edge import EdgeHeaders
@@ -279,7 +280,7 @@
 
 class MetricsTest(GatewayTestCase):
     async def test_waiting_and_working_refusals_and_zones_are_told_apart(self) -> None:
-        registry = CollectorRegistry()
+        registry = MetricsRegistry()
         address = await self.start_fleet(answer_well)
         gateway = GatewayApplication(
             time.monotonic, self.machines[0].address, EDGE, registry=registry
@@ -291,7 +292,7 @@
         await raw_call(address, POST)
         gateway.start_draining()
         await raw_call(address, POST)
-        text = generate_latest(registry).decode()
+        text = Exposition(registry).render().decode()
         self.assertIn('pewtertack_gateway_queue_seconds_count{route="lookup"} 1.0', text)
         self.assertIn('pewtertack_gateway_backend_seconds_count{route="lookup"} 1.0', text)
         self.assertIn('refused_total{offered="false",reason="draining"} 1.0', text)
--- a/tests/node/proxy/test_probing.py
+++ b/tests/node/proxy/test_probing.py
@@ -7,7 +7,7 @@
 import time
 from typing import Any
 
-from pewtertack.node.proxy.connection import BackendConnection
+from pewtertack.node.http.connection import BackendConnection
 from pewtertack.node.proxy.probing import takes_requests
 from pewtertack.node.proxy.upstream import ConnectionStore
 from pewtertack.routing.ends import AttemptEnd
--- a/tests/node/test_platform.py
+++ b/tests/node/test_platform.py
@@ -6,6 +6,7 @@
 from pewtertack.core.effects import ReadDocument
 from pewtertack.core.inputs import DocumentRead, DocumentReadFailed, DocumentUnchanged
 from pewtertack.node.platform import PlatformLimits, PlatformReader
+from pewtertack.settings import Url
 from pewtertack.wire.messages import DocumentKind
 from tests.node.proxy.harness import ProxyTestCase
 
@@ -26,7 +27,7 @@
             await send(start)
             await send({"type": "http.response.body", "body": body})
 
-        url = f"http://{await self.serve(application)}"
+        url = Url.parse(f"http://{await self.serve(application)}")
         reader = PlatformReader(url, url, "127.0.0.1", PlatformLimits(10.0, 1000))
         self.addAsyncCleanup(reader.close)
         return await reader.read(ReadDocument(kind, 6, 1.5))
@@ -80,7 +81,7 @@
 
         down = "127.0.0.1:1"
         for address in (down, await self.serve(silent), await self.serve(broken)):
-            url = f"http://{address}"
+            url = Url.parse(f"http://{address}")
             reader = PlatformReader(url, url, "127.0.0.1", PlatformLimits(0.2, 1000))
             answer = await reader.read(ReadDocument(TREE, 0, 0.0))
             await reader.close()
--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -22,7 +22,7 @@
         self.store = MetadataStore()
         self.store.put("op/config", encoded(CONFIGURATION))
         self.store.put("servers/i-1", encoded(ENTRY))
-        self.reader = StoreReader(f"http://{await self.serve(self.store.application)}", 8146, 7380)
+        self.reader = StoreReader(await self.serve(self.store.application), 8146, 7380)
         self.addAsyncCleanup(self.reader.close)
 
     async def read(self, kind: DocumentKind, wait: float = 0.0) -> Any:
@@ -93,7 +93,7 @@
         self.assertEqual((await self.read(CONFIG)).number, 20)
 
     async def test_a_closed_store_is_a_typed_failure(self) -> None:
-        reader = StoreReader("http://127.0.0.1:1", 8146, 7380)
+        reader = StoreReader("127.0.0.1:1", 8146, 7380)
         self.addAsyncCleanup(reader.close)
         failed = await reader.read(ReadDocument(CONFIG, 0, 0.0))
         assert isinstance(failed, DocumentReadFailed)
