--- a/src/pewtertack/core/profile.py
+++ b/src/pewtertack/core/profile.py
@@ -150,7 +150,7 @@
     readership="leased",
     fan_out=1,
     far_fan_out=0,
-    readers_per_zone=2,
+    readers_per_zone=1,
     read_wait=10.0,
     read_gap=0.6,
     read_backoff=0.1,
@@ -161,7 +161,7 @@
     join_patience=1.0,
     bootstrap_delay=0.0,
 )
-"""Two nodes a zone read a source that bears it and tell the others how old its word is;
+"""One node a zone reads a source that bears it and tells the others how old its word is;
 in a small fleet every node reads, as with ``DIRECT``."""
 
 PROFILES = {profile.name: profile for profile in (FAST, FRUGAL, DIRECT, LEASED)}
--- a/src/pewtertack/core/replication/readership.py
+++ b/src/pewtertack/core/replication/readership.py
@@ -154,7 +154,7 @@
 
 @readership("leased")
 class LeasedReadership:
-    """Two members of a zone read for it; others do when they no longer hear from the source.
+    """Few members of a zone read for it; others do when they no longer hear from the source.
 
     Whoever reads sends heartbeats with the age of the source's word. A node whose own word
     has grown older than the lease takes over, the next by hash score first, and goes on
--- a/src/pewtertack/settings/schema.py
+++ b/src/pewtertack/settings/schema.py
@@ -13,7 +13,7 @@
     """Timing profiles: ``fast`` converges sooner, ``frugal`` sends fewer bytes.
 
     With ``direct`` every node reads the source, which must bear so many readers. With
-    ``leased`` two a zone do and tell the others how old the source's word is; in a small
+    ``leased`` one a zone does and tells the others how old the source's word is; in a small
     fleet every node.
     """
 
--- a/tests/core/replication/test_readership.py
+++ b/tests/core/replication/test_readership.py
@@ -2,15 +2,18 @@
 
 import unittest
 
+import msgspec
+
 from pewtertack.core.identity import NodeIdentity
 from pewtertack.core.machines import Machine, MachineRole
 from pewtertack.core.membership.ring import score_of
 from pewtertack.core.membership.table import MemberTable
-from pewtertack.core.profile import LEASED
+from pewtertack.core.profile import LEASED as ONE_READER
 from pewtertack.core.replication.freshness import SourceFreshness
 from pewtertack.core.replication.readership import LeasedReadership, ReadershipParts
 from pewtertack.wire.messages import DocumentKind
 
+LEASED = msgspec.structs.replace(ONE_READER, readers_per_zone=2)
 NAMES = sorted((f"node-{index}" for index in range(40)), key=score_of)
 """By rank: the first two read."""
 
