Long answers to pulls travel compressed; announcing in a module of its own

Change: answers of more than 1 KB are compressed (zlib, of MessagePack), once for all pullers of the same answer. Content that is cut, too long once unpacked, of another document or no answer at all is refused with a typed error and logged.

--- a/src/pewtertack/core/node.py
+++ b/src/pewtertack/core/node.py
@@ -15,6 +15,8 @@
 from enum import StrEnum
 from random import Random
 
+import msgspec
+
 from pewtertack.core.effects import BringIntoForce, Effect, Log, Send, SetServing
 from pewtertack.core.history import in_force_fields
 from pewtertack.core.identity import NodeIdentity
@@ -32,6 +34,7 @@
 from pewtertack.core.profile import SourceProperties, TimingProfile
 from pewtertack.core.replication.join import Joiner
 from pewtertack.core.replication.service import Replication
+from pewtertack.errors import ProtocolError
 from pewtertack.events import Event
 from pewtertack.wire.messages import (
     Acknowledge,
@@ -46,6 +49,7 @@
     JoinRequest,
     LeavingBackend,
     MemberUpdate,
+    PackedAnswer,
     Ping,
     PingRequest,
     Pull,
@@ -53,6 +57,7 @@
     SnapshotAnswer,
     VersionState,
 )
+from pewtertack.wire.packing import unpack
 
 MEMBERS_PER_JOIN_ANSWER = 8
 JOIN_RETRY_AFTER = 1.0
@@ -329,6 +334,8 @@
                 return self.replication.on_deltas(now, answer)
             case SnapshotAnswer() as answer:
                 return self.replication.on_snapshot(now, answer)
+            case PackedAnswer() as packed:
+                return self._on_packed_answer(now, event, packed)
             case Busy() as busy:
                 self.replication.on_busy(now, busy)
                 return []
@@ -342,6 +349,15 @@
             case _:
                 return []
 
+    def _on_packed_answer(
+        self, now: float, event: MessageReceived, packed: PackedAnswer
+    ) -> list[Effect]:
+        try:
+            answer = unpack(packed)
+        except ProtocolError as error:
+            return [Log(Event.FRAME_REFUSED, {"reason": f"{error.code}: {error}"})]
+        return self._on_replication_message(now, msgspec.structs.replace(event, message=answer))
+
     def _learn_lazily(
         self, now: float, event: MessageReceived, state: VersionState
     ) -> list[Effect]:
--- a/src/pewtertack/core/replication/answers.py
+++ b/src/pewtertack/core/replication/answers.py
@@ -7,12 +7,37 @@
 from pewtertack.core.profile import TimingProfile
 from pewtertack.core.replication.store import DocumentStore
 from pewtertack.core.revision import Document, RevisionId
-from pewtertack.wire.messages import Busy, DeltaAnswer, DocumentKind, Message, Pull, SnapshotAnswer
+from pewtertack.wire.messages import (
+    Busy,
+    DeltaAnswer,
+    DocumentKind,
+    Message,
+    PackedAnswer,
+    Pull,
+    SnapshotAnswer,
+)
+from pewtertack.wire.packing import PullAnswer, pack
 
 RETRY_AFTER_MILLISECONDS = (200, 800)
 """Range from which a refused puller's come-back time is drawn."""
 
 
+class _LastPacked:
+    """The answer that was packed last: at an edit, a whole zone pulls the same one."""
+
+    __slots__ = ("answer", "packed")
+
+    def __init__(self) -> None:
+        self.answer: PullAnswer | None = None
+        self.packed: PackedAnswer | None = None
+
+    def of(self, answer: PullAnswer) -> PackedAnswer | None:
+        """Return ``answer`` packed; ``None`` if it goes as it is."""
+        if answer != self.answer:
+            self.answer, self.packed = answer, pack(answer)
+        return self.packed
+
+
 class PullServer:
     """Serves the documents of one node to its peers.
 
@@ -31,6 +56,7 @@
         self._tokens = self._rate
         self._filled_at = now
         self._random = random
+        self._packed = {kind: _LastPacked() for kind in DocumentKind}
 
     def answer(self, now: float, pull: Pull) -> Message | None:
         """Return the answer to ``pull``, or nothing when there is nothing newer."""
@@ -43,7 +69,8 @@
             return None
         deltas = store.deltas_since(pull.have)
         if deltas is not None:
-            return DeltaAnswer(pull.kind, deltas)
+            answer = DeltaAnswer(pull.kind, deltas)
+            return self._packed[pull.kind].of(answer) or answer
         return self._snapshot(now, pull.kind, store.revision, store.document)
 
     def _answer_exact(self, now: float, kind: DocumentKind, revision: RevisionId) -> Message | None:
@@ -57,7 +84,8 @@
     ) -> Message:
         if not self._take_token(now):
             return Busy(kind, self._random.randint(*RETRY_AFTER_MILLISECONDS))
-        return SnapshotAnswer(kind, revision, dict(document))
+        answer = SnapshotAnswer(kind, revision, dict(document))
+        return self._packed[kind].of(answer) or answer
 
     def _take_token(self, now: float) -> bool:
         self._tokens = min(self._rate, self._tokens + (now - self._filled_at) * self._rate)
--- a/src/pewtertack/core/replication/service.py
+++ b/src/pewtertack/core/replication/service.py
@@ -6,14 +6,12 @@
 from functools import partial
 from random import Random
 
-import cbor2
-import msgspec
-
 from pewtertack.core.delta import Delta, DeltaMismatchError
 from pewtertack.core.effects import Effect, Log, Send, UseMachines
 from pewtertack.core.identity import NodeIdentity
 from pewtertack.core.membership.service import Membership
 from pewtertack.core.profile import SourceProperties, TimingProfile
+from pewtertack.core.replication.announcing import Announcer
 from pewtertack.core.replication.answers import PullServer
 from pewtertack.core.replication.freshness import SourceFreshness
 from pewtertack.core.replication.heartbeats import HeartbeatSender
@@ -33,7 +31,6 @@
     DocumentKind,
     HeldReport,
     LeavingBackend,
-    Message,
     Pull,
     ReaderHeartbeat,
     SnapshotAnswer,
@@ -87,6 +84,7 @@
         )
         readership = READERSHIPS[profile.readership](parts)
         self.reader = PlatformReader(profile, readership, self.freshness, random, first_read_at)
+        self._announcer = Announcer(identity, profile, membership, random)
         self._heartbeats = HeartbeatSender(identity, profile, membership, self.freshness, stores)
         self.serving = False
 
@@ -315,7 +313,7 @@
             return effects
         if self._has_uncommitted() and not self._source.durable:
             effects += self.quorum.report(now, held)
-        effects += self._announce(self._inline_delta())
+        effects += self._announce(self._announcer.inline_delta(self.replica.store))
         effects += self._commit_if_reached(now, held)
         return effects
 
@@ -351,38 +349,7 @@
         """Tell peers of something new; readers that send heartbeats tell by these."""
         if self.reader.readership.tells_peers:
             return []
-        return self._send_to_targets(Announce(self.state(), delta))
-
-    def _send_to_targets(self, message: Message) -> list[Effect]:
-        return [
-            effect
-            for name in self._announce_targets()
-            for effect in self._membership.send(name, message)
-        ]
-
-    def _announce_targets(self) -> list[str]:
-        """Random members spread fast; the ring's successor leaves nobody out."""
-        table = self._membership.table
-        own_zone = table.zone(self._identity.zone)
-        successor = own_zone.successors(self._identity.name, 0, 1)
-        others = own_zone.sample(self._random, self._profile.fan_out - 1)
-        near = list(dict.fromkeys(successor + others))
-        far_zones = [zone for zone in table.zones() if zone != self._identity.zone]
-        self._random.shuffle(far_zones)
-        far = [
-            name
-            for zone in far_zones[: self._profile.far_fan_out]
-            for name in table.zone(zone).sample(self._random, 1)
-        ]
-        return near + far
-
-    def _inline_delta(self) -> Delta | None:
-        delta = self.replica.store.last_delta
-        limit = self._profile.inline_delta_bytes
-        if delta is None or limit == 0 or delta.target != self.replica.held:
-            return None
-        size = len(cbor2.dumps(msgspec.to_builtins(delta, builtin_types=(bytes,))))
-        return delta if size <= limit else None
+        return self._announcer.send(Announce(self.state(), delta))
 
     # The machine list.
 
@@ -401,4 +368,4 @@
         if not news:
             return []
         machines = self.machine_list.machines
-        return [UseMachines(machines), *self._send_to_targets(BackendsLeaving(news))]
+        return [UseMachines(machines), *self._announcer.send(BackendsLeaving(news))]
--- a/src/pewtertack/lab/scale/meter.py
+++ b/src/pewtertack/lab/scale/meter.py
@@ -15,6 +15,7 @@
     "Announce:delta",
     "DeltaAnswer:configuration",
     "SnapshotAnswer:configuration",
+    "PackedAnswer:configuration",
 )
 """Messages that carry configuration; an announcement counts whole if it does."""
 
--- a/src/pewtertack/lab/simulation/network.py
+++ b/src/pewtertack/lab/simulation/network.py
@@ -9,7 +9,13 @@
 
 from pewtertack.lab.simulation.codec import bytes_on_link
 from pewtertack.lab.simulation.scheduler import Scheduler
-from pewtertack.wire.messages import Announce, DeltaAnswer, Message, SnapshotAnswer
+from pewtertack.wire.messages import (
+    Announce,
+    DeltaAnswer,
+    Message,
+    PackedAnswer,
+    SnapshotAnswer,
+)
 
 REORDER_DELAY = 0.2
 """Greatest extra delay of a message while the network reorders, in seconds."""
@@ -70,7 +76,7 @@
 def kind_of(message: Message) -> str:
     """Return the type of ``message``, with what distinguishes its size."""
     name = type(message).__name__
-    if isinstance(message, DeltaAnswer | SnapshotAnswer):
+    if isinstance(message, DeltaAnswer | SnapshotAnswer | PackedAnswer):
         return f"{name}:{message.kind.name.lower()}"
     if isinstance(message, Announce) and message.delta is not None:
         return f"{name}:delta"
--- a/src/pewtertack/node/lean_imports.py
+++ b/src/pewtertack/node/lean_imports.py
@@ -1,8 +1,8 @@
 """Keeps libraries that a node never uses out of its start.
 
-``httpcore`` imports ``trio`` where it finds it, though only programs that run on trio
-need it. On a machine that has it this is a fifth of a node's start (measured: 138 of
-650 ms), and a node that starts refuses requests.
+Libraries import ``trio`` where they find it, though only programs that run on trio need
+it. On a machine that has it this was a fifth of a node's start while httpcore was part of
+it (measured: 138 of 650 ms), and a node that starts refuses requests.
 """
 
 from __future__ import annotations
--- a/src/pewtertack/node/traffic.py
+++ b/src/pewtertack/node/traffic.py
@@ -15,6 +15,8 @@
     DeltaAnswer,
     DocumentKind,
     Message,
+    PackedAnswer,
+    ReaderHeartbeat,
     SnapshotAnswer,
 )
 
@@ -46,7 +48,9 @@
     """Tell document bodies from control traffic."""
     if isinstance(message, Announce) and message.delta is not None:
         return Purpose.CONFIGURATION
-    if isinstance(message, DeltaAnswer | SnapshotAnswer):
+    if isinstance(message, ReaderHeartbeat) and message.deltas:
+        return purpose_of(message.deltas[0])
+    if isinstance(message, DeltaAnswer | SnapshotAnswer | PackedAnswer):
         if message.kind == DocumentKind.MACHINE_LIST:
             return Purpose.MACHINE_LIST
         return Purpose.CONFIGURATION
--- a/src/pewtertack/wire/messages.py
+++ b/src/pewtertack/wire/messages.py
@@ -142,6 +142,13 @@
     document: dict[str, Any]
 
 
+class PackedAnswer(msgspec.Struct, frozen=True, array_like=True, tag=15):
+    """A long ``DeltaAnswer`` or ``SnapshotAnswer``, compressed (``wire.packing``)."""
+
+    kind: DocumentKind
+    content: bytes
+
+
 class Busy(msgspec.Struct, frozen=True, array_like=True, tag=9):
     """The sender serves as many snapshots as it may; pull again after this long."""
 
@@ -227,4 +234,5 @@
     | JoinAnswer
     | BackendsLeaving
     | ReaderHeartbeat
+    | PackedAnswer
 )
