An answer older than what is held confirms nothing

Cause: found by reading. A reader whose source answered with an older number than the one held told its zone that the source had just confirmed it; so did the read that it opened next.

Change: such an answer, and a read opened after it, leave the age of the source's word alone.

Before and after: tests of the reader (one of them fails on the code before this commit).

--- a/src/pewtertack/core/replication/reader.py
+++ b/src/pewtertack/core/replication/reader.py
@@ -87,7 +87,9 @@
         """
         for kind, open_read in self._open.items():
             answered_at = self.last_answer_at.get(kind)
-            if not open_read.confirms or answered_at is None or self._failures[kind]:
+            if not open_read.confirms or answered_at is None:
+                continue
+            if self._failures[kind] or kind in self._stale:
                 continue
             if now - answered_at <= self._profile.read_wait + OVERDUE:
                 self._freshness.confirm(kind, now)
@@ -129,17 +131,21 @@
         self._seen[kind] = number
         if number < held:
             self._stale[kind] = number
+            self._note_answer(now, kind)
         else:
             self._stale.pop(kind, None)
-        self.answered(now, kind)
+            self.answered(now, kind)
 
     def answered(self, now: float, kind: DocumentKind) -> None:
-        """The platform gave a usable answer."""
+        """The platform gave a usable answer that is no older than what is held."""
+        self._note_answer(now, kind)
+        self._freshness.confirm(kind, now)
+
+    def _note_answer(self, now: float, kind: DocumentKind) -> None:
         self._open.pop(kind, None)
         self._failures[kind] = 0
         self._not_before[kind] = now + self._profile.read_gap
         self.last_answer_at[kind] = now
-        self._freshness.confirm(kind, now)
 
     def answered_stale(self, now: float, kind: DocumentKind) -> None:
         """The platform gave an answer that may be old."""
--- /dev/null
+++ b/tests/core/replication/test_reader.py
@@ -0,0 +1,91 @@
+"""When the platform is read, and which of its answers confirm what is held."""
+
+import unittest
+from random import Random
+
+from pewtertack.core.effects import ReadDocument
+from pewtertack.core.profile import LEASED
+from pewtertack.core.replication.freshness import SourceFreshness
+from pewtertack.core.replication.reader import OVERDUE, PlatformReader
+from pewtertack.wire.messages import DocumentKind
+
+KIND = DocumentKind.CONFIGURATION
+
+
+class AlwaysReads:
+    """A readership that tells its node to read."""
+
+    looks_first = True
+    tells_peers = True
+
+    def reads(self, now: float, allowed: bool, joining: bool) -> bool:
+        return True
+
+    def heard(self, now: float, name: str, in_own_zone: bool) -> None:
+        pass
+
+
+class PlatformReaderTest(unittest.TestCase):
+    def setUp(self) -> None:
+        self.freshness = SourceFreshness()
+        self.reader = PlatformReader(LEASED, AlwaysReads(), self.freshness, Random(1), 0.0)
+
+    def read(self, now: float, held: int) -> ReadDocument | None:
+        numbers = dict.fromkeys(DocumentKind, held)
+        effects = self.reader.tick(now, True, numbers)
+        return next(
+            (item for item in effects if isinstance(item, ReadDocument) and item.kind is KIND), None
+        )
+
+    def wait_asked(self, now: float, held: int = 5) -> tuple[bool, float]:
+        effect = self.read(now, held)
+        assert effect is not None
+        return effect.may_be_stale, effect.wait
+
+    def test_a_node_that_holds_nothing_begins_with_what_may_be_stale(self) -> None:
+        self.assertEqual(self.wait_asked(0.0, held=0), (True, 0.0))
+        self.reader.answered_stale(0.1, KIND)
+        self.assertIsNone(self.freshness.ages(0.1).configuration)
+
+    def test_the_first_read_after_that_confirms_and_does_not_wait(self) -> None:
+        self.assertEqual(self.wait_asked(0.0), (False, 0.0))
+        self.reader.answered(0.1, KIND)
+        self.assertEqual(self.wait_asked(1.0), (False, LEASED.read_wait))
+
+    def test_nor_does_the_first_one_after_a_failure(self) -> None:
+        self.read(0.0, 5)
+        self.reader.answered(0.1, KIND)
+        self.read(1.0, 5)
+        self.reader.failed(1.1, KIND, None)
+        self.assertEqual(self.wait_asked(5.0), (False, 0.0))
+
+    def test_a_read_that_stays_open_confirms_until_it_is_overdue(self) -> None:
+        self.read(0.0, 5)
+        self.reader.answered(0.1, KIND)
+        self.read(1.0, 5)
+        self.read(8.0, 5)
+        self.assertEqual(self.freshness.ages(8.0).configuration, 0)
+        late = LEASED.read_wait + OVERDUE + 1.0
+        self.read(late, 5)
+        self.assertEqual(self.freshness.ages(late).configuration, round((late - 8.0) * 1000))
+
+    def test_one_opened_before_a_pause_does_not(self) -> None:
+        self.read(0.0, 5)
+        self.reader.answered(0.1, KIND)
+        self.read(1.0, 5)
+        self.freshness.forget(4.0, 0.0)
+        self.reader.after_pause()
+        self.read(4.1, 5)
+        self.assertIsNone(self.freshness.ages(4.1).configuration)
+
+    def test_an_answer_older_than_what_is_held_confirms_nothing(self) -> None:
+        self.read(0.0, 5)
+        self.reader.answered_with(0.1, KIND, 4, 5)
+        self.assertIsNone(self.freshness.ages(0.1).configuration)
+        self.read(1.0, 5)
+        self.read(2.0, 5)
+        self.assertIsNone(self.freshness.ages(2.0).configuration)
+
+
+if __name__ == "__main__":
+    unittest.main()
