--- /dev/null
+++ b/tests/node/http/test_client.py
@@ -0,0 +1,81 @@
+"""Reads of the platform: connections that are kept, closed, silent or too talkative."""
+
+import asyncio
+import unittest
+
+from pewtertack.node.http.client import (
+    AnswerTooLargeError,
+    HttpClient,
+    ServiceTimeouts,
+    ServiceUnreachableError,
+)
+
+PROMPT = ServiceTimeouts(1.0, 0.3)
+WHOLE = b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"
+
+
+class HttpClientTest(unittest.IsolatedAsyncioTestCase):
+    async def client_of(self, *answers: bytes, closes: bool = False) -> HttpClient:
+        """Return a client of a service that gives these answers in turn, over any connections."""
+        self.connections = 0
+        left = list(answers)
+
+        async def serve(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+            self.connections += 1
+            while left:
+                try:
+                    await reader.readuntil(b"\r\n\r\n")
+                except asyncio.IncompleteReadError:
+                    break
+                writer.write(left.pop(0))
+                await writer.drain()
+                if closes:
+                    break
+            writer.close()
+
+        server = await asyncio.start_server(serve, "127.0.0.1", 0)
+        self.addCleanup(server.close)
+        client = HttpClient(f"127.0.0.1:{server.sockets[0].getsockname()[1]}", 100)
+        self.addCleanup(client.close)
+        return client
+
+    async def test_a_connection_serves_one_read_after_the_other(self) -> None:
+        client = await self.client_of(WHOLE, WHOLE, WHOLE)
+        bodies = [(await client.get("/a", PROMPT)).body for _ in range(3)]
+        self.assertEqual((bodies, self.connections), ([b"ok"] * 3, 1))
+
+    async def test_one_that_the_service_has_closed_is_replaced(self) -> None:
+        client = await self.client_of(WHOLE, WHOLE, closes=True)
+        for _ in range(2):
+            self.assertEqual((await client.get("/a", PROMPT)).status, 200)
+            await asyncio.sleep(0.05)
+        self.assertEqual(self.connections, 2)
+
+    async def test_a_connection_with_a_lost_answer_is_used_no_more(self) -> None:
+        client = await self.client_of(b"", WHOLE)
+        with self.assertRaises(ServiceUnreachableError):
+            await client.get("/a", PROMPT)
+        self.assertEqual((await client.get("/a", PROMPT)).body, b"ok")
+        self.assertEqual(self.connections, 2)
+
+    async def test_an_answer_that_is_cut_or_has_no_length_is_none(self) -> None:
+        for answer in (WHOLE[:-1], b"HTTP/1.1 200 OK\r\n\r\nok", b"nonsense\r\n\r\n"):
+            with self.subTest(answer):
+                client = await self.client_of(answer, closes=True)
+                with self.assertRaises(ServiceUnreachableError):
+                    await client.get("/a", PROMPT)
+
+    async def test_an_answer_without_a_body_needs_no_length(self) -> None:
+        client = await self.client_of(b"HTTP/1.1 304 Not Modified\r\n\r\n")
+        self.assertEqual((await client.get("/a", PROMPT)).status, 304)
+
+    async def test_a_body_beyond_the_limit_ends_the_read(self) -> None:
+        client = await self.client_of(
+            b"HTTP/1.1 200 OK\r\nContent-Length: 101\r\n\r\n" + bytes(101)
+        )
+        with self.assertRaises(AnswerTooLargeError):
+            await client.get("/a", PROMPT)
+
+
+if __name__ == "__main__":
+    unittest.main()
