Sight: what is unfinished when the time to stop is over is logged

Change: REQUEST_UNFINISHED (616) and GATEWAY_UNFINISHED (626) tell for each request how far it has come (waiting, offered, answering), whether its body was received, its age; a connection that ends with whole requests unanswered says so (604). Nothing else changes.

--- a/src/pewtertack/events.py
+++ b/src/pewtertack/events.py
@@ -54,12 +54,14 @@
     REQUEST_ANSWERED = (613, "The back end's whole answer went to the caller.", True)
     REQUEST_CUT = (614, "An answer broke off after its head had gone to the caller.")
     REQUEST_CANCELLED = (615, "The caller left before its answer.")
+    REQUEST_UNFINISHED = (616, "The time to stop is over while the request is under way.")
     GATEWAY_QUEUED = (620, "A request waits at the gateway for a slot of the back end.", True)
     GATEWAY_ADMITTED = (621, "The gateway sends a request to the back end.", True)
     GATEWAY_REFUSED = (622, "The gateway refused a request before the back end saw it.")
     GATEWAY_ANSWERED = (623, "The back end's whole answer went back to the proxy.", True)
     GATEWAY_FAILED = (624, "A request that was offered to the back end has no whole answer.")
     GATEWAY_CANCELLED = (625, "The proxy gave up a request at the gateway.")
+    GATEWAY_UNFINISHED = (626, "The time to stop is over while the gateway holds the request.")
 
     def __init__(self, number: int, meaning: str, routine: bool = False) -> None:
         self.number = number
--- a/src/pewtertack/node/daemon.py
+++ b/src/pewtertack/node/daemon.py
@@ -45,6 +45,9 @@
     async def wait_drained(self) -> None:
         """Return when nothing is in flight."""
 
+    def log_unfinished(self) -> None:
+        """Log what is in flight when the time to stop is over."""
+
 
 class RunningProxy(DrainableProxy, Protocol):
     """A proxy with work of its own beside the requests."""
@@ -176,10 +179,13 @@
         server.application.start_draining()
     if limits.drain_notice.seconds < LEAVE_TIME:
         await anyio.sleep(LEAVE_TIME)
-    with anyio.move_on_after(drain_seconds):
+    with anyio.move_on_after(drain_seconds) as draining:
         async with anyio.create_task_group() as tasks:
             for server in servers:
                 tasks.start_soon(server.drain)
+    if draining.cancelled_caught:
+        for server in servers:
+            server.application.log_unfinished()
 
 
 def _leaves(group: BaseExceptionGroup[BaseException]) -> list[BaseException]:
--- a/src/pewtertack/node/gateway/application.py
+++ b/src/pewtertack/node/gateway/application.py
@@ -85,14 +85,14 @@
         self._address = address
         self._log = GatewayLog(log, clock)
         self._metrics = GatewayMetrics(registry or MetricsRegistry())
+        self._requests = RequestsInFlight()
         self._parts = GatewayParts(
-            clock, ConnectionStore(clock), edge, address, self._log, self._metrics
+            clock, ConnectionStore(clock), edge, address, self._log, self._metrics, self._requests
         )
         self._incarnations: dict[str, _Incarnation] = {}
         self.leaving = False
         """Whether other nodes are asked to close their connections after each answer."""
         self._stops_at = math.inf
-        self._requests = RequestsInFlight()
 
     @property
     def in_flight(self) -> int:
@@ -139,6 +139,10 @@
         """Note that the node stops once nothing is in flight."""
         self._requests.start_draining()
 
+    def log_unfinished(self) -> None:
+        """Log the requests that the time to stop has not sufficed for."""
+        self._requests.log_unfinished()
+
     async def wait_drained(self) -> None:
         """Return when draining has begun and nothing is in flight."""
         await self._requests.wait_drained()
--- a/src/pewtertack/node/gateway/forwarding.py
+++ b/src/pewtertack/node/gateway/forwarding.py
@@ -24,6 +24,7 @@
     backend_headers,
     without_names,
 )
+from pewtertack.node.proxy.in_flight import Progress, RequestsInFlight
 from pewtertack.node.proxy.lifetime import LifeEnd, RequestLife
 from pewtertack.node.proxy.request_log import GatewayLog
 from pewtertack.node.proxy.upstream import ConnectionStore
@@ -45,6 +46,7 @@
     address: str
     log: GatewayLog
     metrics: GatewayMetrics
+    requests: RequestsInFlight = msgspec.field(default_factory=RequestsInFlight)
 
 
 class GatewayForwarding:
@@ -96,7 +98,8 @@
             CallerGoneError: the other node has given it up.
         """
         try:
-            end = await self._life.run(self._admit_and_exchange)
+            with self._parts.requests.serving(self):
+                end = await self._life.run(self._admit_and_exchange)
         finally:
             self._exchange.forget_owner()
         if end is LifeEnd.FINISHED:
@@ -110,6 +113,18 @@
         error.offered = self._sent
         raise error.with_outcome(Outcome.UNKNOWN if self._sent else Outcome.NOT_RUN)
 
+    @property
+    def progress(self) -> Progress:
+        """How far the request has come."""
+        if self._exchange.started:
+            return Progress.ANSWERING
+        return Progress.OFFERED if self._ticket.granted else Progress.WAITING
+
+    def log_unfinished(self) -> None:
+        """Log how far it has come (``RequestUnderWay``)."""
+        took = self._parts.clock() - self._ticket.submitted_at
+        self._parts.log.unfinished(self._request_id, self._request.backend, self.progress, took)
+
     async def _admit_and_exchange(self) -> None:
         await self._wait_for_slot()
         log, request = self._parts.log, self._request_id
--- a/src/pewtertack/node/http/protocol.py
+++ b/src/pewtertack/node/http/protocol.py
@@ -9,6 +9,7 @@
 from __future__ import annotations
 
 import asyncio
+import logging
 import socket
 import urllib.parse
 from collections.abc import Callable
@@ -16,7 +17,7 @@
 
 import httptools
 
-from pewtertack.node.http.cycle import RequestCycle, Scope
+from pewtertack.node.http.cycle import LOGGER, RequestCycle, Scope
 from pewtertack.node.http.pipeline import Pipeline
 from pewtertack.node.http.reading import ReadingProtocol
 from pewtertack.node.http.refusals import HeadRefusedError, RefusalReason
@@ -41,6 +42,8 @@
 LEAVING = "leaving"
 """Attribute of an application: whether it asks callers to close their connections."""
 
+logger = logging.getLogger(LOGGER)
+
 
 def _never(scope: Scope) -> bool:
     return False
@@ -312,6 +315,9 @@
     def _end_gently(self) -> None:
         """Close once the caller has; what it has sent behind the last answer is not read."""
         self._discarding = True
+        dropped = sum(cycle.received for cycle in self._pipeline.requests)
+        if dropped:
+            logger.warning("a connection ends with whole requests unanswered: %d", dropped)
         if self.transport.is_closing():
             return
         if self.transport.can_write_eof():
--- a/src/pewtertack/node/proxy/application.py
+++ b/src/pewtertack/node/proxy/application.py
@@ -105,6 +105,7 @@
         self._request_log = ProxyLog(log, clock, self._beliefs)
         registry = registry or MetricsRegistry()
         self._metrics = RequestMetrics(registry)
+        self._requests = RequestsInFlight()
         self._parts = ForwardingParts(
             clock,
             dispatcher,
@@ -113,8 +114,8 @@
             caller_service,
             self._request_log,
             self._metrics,
+            self._requests,
         )
-        self._requests = RequestsInFlight()
         registry.add_collector(lambda: _collector_of(dispatcher, lambda: self.in_flight))
         self._serving = False
         self._retry_after = 1.0
@@ -188,6 +189,10 @@
         """Refuse new requests from now on; those in flight are finished."""
         self._requests.start_draining()
 
+    def log_unfinished(self) -> None:
+        """Log the requests that the time to stop has not sufficed for."""
+        self._requests.log_unfinished()
+
     async def wait_drained(self) -> None:
         """Return when draining has begun and nothing is in flight."""
         await self._requests.wait_drained()
--- a/src/pewtertack/node/proxy/forwarding.py
+++ b/src/pewtertack/node/proxy/forwarding.py
@@ -22,6 +22,7 @@
     backend_headers,
     forwarded_headers,
 )
+from pewtertack.node.proxy.in_flight import Progress, RequestsInFlight
 from pewtertack.node.proxy.lifetime import LifeEnd, RequestLife
 from pewtertack.node.proxy.metrics import RequestMetrics
 from pewtertack.node.proxy.request_log import ProxyLog
@@ -60,6 +61,7 @@
     """The service whose back end is beside this node."""
     log: ProxyLog | None = None
     metrics: RequestMetrics | None = None
+    requests: RequestsInFlight = msgspec.field(default_factory=RequestsInFlight)
 
 
 class Forwarding:
@@ -90,6 +92,9 @@
         self._ticket.body_bytes = head.body_bytes
         self._ticket.caller_deadline = caller_deadline_of(parts.clock(), head.deadline, deadline)
         self._life = RequestLife(scope, deadline, parts.clock)
+        self._began = parts.clock()
+        self._offered = False
+        """Whether an attempt is under way."""
         self._sent = False
         """Whether an attempt may have run."""
 
@@ -112,7 +117,8 @@
             CallerGoneError: the caller has gone.
         """
         try:
-            end = await self._life.run(self._run_attempts)
+            with self._parts.requests.serving(self):
+                end = await self._life.run(self._run_attempts)
         except RequestFailedError as error:
             raise error.with_outcome(Outcome.UNKNOWN if self._sent else error.outcome) from None
         finally:
@@ -120,6 +126,21 @@
         if end is not LifeEnd.FINISHED:
             self._raise_cancelled(end)
 
+    @property
+    def progress(self) -> Progress:
+        """How far the request has come."""
+        if self._exchange.started:
+            return Progress.ANSWERING
+        return Progress.OFFERED if self._offered else Progress.WAITING
+
+    def log_unfinished(self) -> None:
+        """Log how far it has come (``RequestUnderWay``)."""
+        if self._parts.log is not None:
+            took = self._parts.clock() - self._began
+            received = self._body.complete
+            request = self._head.request_id
+            self._parts.log.unfinished(request, self._ticket, self.progress, received, took)
+
     def _raise_cancelled(self, end: LifeEnd) -> None:
         if end is LifeEnd.CALLER_GONE:
             raise CallerGoneError
@@ -190,6 +211,7 @@
         if self._parts.log is not None:
             self._parts.log.routed(self._head.request_id, self._ticket, self._revision)
         end = AttemptEnd.CANCELLED
+        self._offered = True
         try:
             await self._exchange_with(backend)
             end = self._exchange.end
@@ -203,6 +225,7 @@
             end = AttemptEnd.CANCELLED if self._life.caller_gone else AttemptEnd.TIMED_OUT
             raise
         finally:
+            self._offered = False
             self._finish(end)
 
     async def _exchange_with(self, backend: Backend) -> None:
--- a/src/pewtertack/node/proxy/request_log.py
+++ b/src/pewtertack/node/proxy/request_log.py
@@ -13,6 +13,7 @@
 
 from pewtertack.core.configuration.resolved import ResolvedRoute
 from pewtertack.events import Event
+from pewtertack.node.proxy.in_flight import Progress
 from pewtertack.routing.admission import Admission, AdmissionTicket
 from pewtertack.routing.outcomes import RequestFailedError
 from pewtertack.routing.queueing import Ticket
@@ -139,6 +140,23 @@
             machine_list=self._beliefs.machine_list,
         )
 
+    def unfinished(
+        self, request: str, ticket: Ticket, progress: Progress, received: bool, seconds: float
+    ) -> None:
+        """The time to stop is over; ``received`` tells whether its whole body has come."""
+        backend = ticket.backend
+        self._record(
+            Event.REQUEST_UNFINISHED,
+            request=request,
+            route=ticket.route.name,
+            backend=backend.name if backend is not None else "",
+            attempt=len(ticket.excluded) + 1,
+            progress=progress,
+            received=received,
+            took=milliseconds(seconds),
+            left=milliseconds(ticket.deadline - self._clock()),
+        )
+
     def ended(self, event: Event, request: str, route: ResolvedRoute, seconds: float) -> None:
         """The request was cut, or its caller left."""
         self._record(event, request=request, route=route.name, took=milliseconds(seconds))
@@ -210,6 +228,16 @@
             took=milliseconds(seconds),
         )
 
+    def unfinished(self, request: str, backend: str, progress: Progress, seconds: float) -> None:
+        """The time to stop is over; ``seconds`` since the request came."""
+        self._record(
+            Event.GATEWAY_UNFINISHED,
+            request=request,
+            backend=backend,
+            progress=progress,
+            took=milliseconds(seconds),
+        )
+
     def cancelled(self, request: str, backend: str, sent: bool) -> None:
         """The proxy has given the request up; ``sent`` tells whether it may have run."""
         self._record(Event.GATEWAY_CANCELLED, request=request, backend=backend, sent=sent)
