A stopping node answers what it has read behind an earlier request

Cause: a node that leaves ended a connection with the answer in turn, and forgot what was read whole behind it, up to seconds before; its caller got neither an answer nor a refusal. Change: a connection ends with the first answer behind which nothing is due; what was read whole is begun in its turn (served, or refused by the draining node). Requests that come after the head that says so cross it and are not begun.

--- a/src/pewtertack/node/http/cycle.py
+++ b/src/pewtertack/node/http/cycle.py
@@ -65,7 +65,7 @@
         """Tell whether the connection ends with this cycle's answer."""
 
     def end_after_answers(self) -> None:
-        """Begin no further request; end the connection after the answers that are due."""
+        """End the connection after the answers that are due, those to come included."""
 
     def finish(self, cycle: RequestCycle) -> None:
         """The whole answer was written."""
--- a/src/pewtertack/node/http/pipeline.py
+++ b/src/pewtertack/node/http/pipeline.py
@@ -21,6 +21,8 @@
     """What the order needs to know of a request."""
 
     begun: bool
+    received: bool
+    """Whether the whole request has come."""
 
     @property
     def runs_beside_others(self) -> bool:
@@ -36,7 +38,7 @@
     def __init__(self) -> None:
         self.requests: deque[R] = deque()
         self.closed = False
-        """No further request begins: the connection ends after the answers to the begun."""
+        """No further request begins: the answer that ends the connection is being written."""
 
     @property
     def first(self) -> R | None:
@@ -74,6 +76,11 @@
         return following if following is not None and following.begun else None
 
     @property
-    def more_begun(self) -> bool:
-        """Whether a request behind the first has begun, and will be answered."""
-        return len(self.requests) > 1 and self.requests[1].begun
+    def more_due(self) -> bool:
+        """Whether an answer is due behind the first: what was read is never just dropped."""
+        return len(self.requests) > 1 and (self.requests[1].begun or self.requests[1].received)
+
+    def drop_unread(self) -> None:
+        """Forget the last request if it has neither begun nor come whole."""
+        if self.requests and not (self.requests[-1].begun or self.requests[-1].received):
+            self.requests.pop()
--- a/src/pewtertack/node/http/protocol.py
+++ b/src/pewtertack/node/http/protocol.py
@@ -82,6 +82,8 @@
         """Nothing that still comes is served."""
         self._last_received = False
         """The newest request is the connection's last, as the caller says."""
+        self._end_wanted = False
+        """The connection ends as soon as no answer is due."""
 
     # asyncio.Protocol
 
@@ -276,26 +278,35 @@
         return getattr(self._application, LEAVING, False)
 
     def end_after_answers(self) -> None:
-        """Begin no further request; end the connection after the answers that are due."""
-        self._pipeline.closed = True
+        """End the connection after the answers that are due, those to come included."""
+        self._end_wanted = True
 
     def close_after(self, cycle: RequestCycle) -> bool:
-        """Tell whether the connection ends with this cycle's answer."""
-        if self._pipeline.closed:
-            return not self._pipeline.more_begun
-        return self._last_received and cycle is self._newest
+        """Tell whether the connection ends with this cycle's answer.
+
+        What has been read whole behind it is served first: dropped, its caller could not
+        tell whether it has run. What comes after the answer's head crosses it.
+        """
+        if self._end_wanted and not self._pipeline.more_due:
+            self._pipeline.closed = True
+        return self._pipeline.closed or (self._last_received and cycle is self._newest)
 
     def finish(self, cycle: RequestCycle) -> None:
         """An answer is complete: the next in order may be written."""
         following = self._pipeline.answered()
         if following is not None:
             following.take_turn()
-        elif self._pipeline.closed or (self._last_received and cycle is self._newest):
+        elif self._ends_with(cycle):
             self._end_gently()
         else:
             self._go_on(cycle)
         self._update_reading()
 
+    def _ends_with(self, cycle: RequestCycle) -> bool:
+        if self._end_wanted and not self._pipeline.requests:
+            return True
+        return self._pipeline.closed or (self._last_received and cycle is self._newest)
+
     def _go_on(self, cycle: RequestCycle) -> None:
         """Begin what waited for ``cycle``; bound the time that its body or silence may take."""
         waiting = self._pipeline.first
@@ -344,9 +355,10 @@
         await self._closed.wait()
 
     def shutdown(self) -> None:
-        """End the connection, after the answers to what has begun."""
-        self._pipeline.closed = True
-        if not any(cycle.begun for cycle in self._pipeline.requests):
+        """End the connection, after the answers to what has been read."""
+        self._end_wanted = True
+        if not self._pipeline.requests:
+            self._pipeline.closed = True
             self.transport.close()
 
     # Refusals
@@ -366,10 +378,12 @@
         """
         if self.transport.is_closing() or self._discarding:
             return
-        self._discarding = self._pipeline.closed = True
+        self._discarding = self._end_wanted = True
         first, newest = self._pipeline.first, self._newest
         if first is not None and (first is not newest or first.received):
+            self._pipeline.drop_unread()
             return
+        self._pipeline.closed = True
         begun = newest is not None and not newest.received
         if newest is not None and begun and newest.answer_begun:
             self.transport.abort()
