A planned stop answers every request it has read

Change: 0.75 s before the end what no back end works on is refused as not run: here, and at the gateway it was sent to, which a message of the stopping node asks to hand it back (the refusal comes over the request's own connection, so it is true). 0.25 s before the end what still runs is answered as of unknown outcome. A stopping gateway hands back what waits in the same way, and another gateway may serve it. Found by the new tests: a caller's own probe header reached the gateway, which then answered without its back end; callers' headers of that kind are dropped.

--- a/src/pewtertack/node/daemon.py
+++ b/src/pewtertack/node/daemon.py
@@ -22,6 +22,11 @@
 from pewtertack.node.sockets import NodeSockets, address_of
 from pewtertack.node.transport import PeerTransport
 
+WITHDRAW_SECONDS = 0.75
+"""So long before a stop's end what no back end works on is refused: what runs by then has the
+time of a usual answer, and a refusal the time to reach its caller."""
+LAST_ANSWERS_SECONDS = 0.25
+"""So long before a stop's end what still runs is answered as of unknown outcome."""
 EXIT_FINISHED = 0
 EXIT_FAILED = 1
 LEAVE_TIME = 0.5
@@ -45,9 +50,15 @@
     async def wait_drained(self) -> None:
         """Return when nothing is in flight."""
 
+    async def withdraw_waiting(self) -> None:
+        """Refuse what no back end works on."""
+
     def log_unfinished(self) -> None:
         """Log what is in flight when the time to stop is over."""
 
+    def stop_requests(self) -> None:
+        """End what is in flight, with an answer."""
+
 
 class RunningProxy(DrainableProxy, Protocol):
     """A proxy with work of its own beside the requests."""
@@ -179,13 +190,37 @@
         server.application.start_draining()
     if limits.drain_notice.seconds < LEAVE_TIME:
         await anyio.sleep(LEAVE_TIME)
-    with anyio.move_on_after(drain_seconds) as draining:
+    await _finish_requests(servers, drain_seconds)
+
+
+async def _finish_requests(servers: tuple[_RequestServer, ...], seconds: float) -> None:
+    """Wait until every request has its answer; see to it that it has one in time."""
+    with anyio.move_on_after(max(0.0, seconds - LAST_ANSWERS_SECONDS)) as finishing:
         async with anyio.create_task_group() as tasks:
-            for server in servers:
-                tasks.start_soon(server.drain)
-    if draining.cancelled_caught:
+            tasks.start_soon(_withdraw_late, servers, max(0.0, seconds - WITHDRAW_SECONDS))
+            await _drain_all(servers)
+            tasks.cancel_scope.cancel()
+    if not finishing.cancelled_caught:
+        return
+    for server in servers:
+        server.application.log_unfinished()
+        server.application.stop_requests()
+    with anyio.move_on_after(LAST_ANSWERS_SECONDS):
+        await _drain_all(servers)
+
+
+async def _withdraw_late(servers: tuple[_RequestServer, ...], seconds: float) -> None:
+    """Refuse what still waits after so many seconds."""
+    await anyio.sleep(seconds)
+    async with anyio.create_task_group() as tasks:
+        for server in servers:
+            tasks.start_soon(server.application.withdraw_waiting)
+
+
+async def _drain_all(servers: tuple[_RequestServer, ...]) -> None:
+    async with anyio.create_task_group() as tasks:
         for server in servers:
-            server.application.log_unfinished()
+            tasks.start_soon(server.drain)
 
 
 def _leaves(group: BaseExceptionGroup[BaseException]) -> list[BaseException]:
--- a/src/pewtertack/node/gateway/application.py
+++ b/src/pewtertack/node/gateway/application.py
@@ -12,9 +12,10 @@
 from pewtertack.node.gateway.forwarding import GatewayForwarding, GatewayParts, load_headers
 from pewtertack.node.gateway.hop import (
     PROBE_ANSWERED,
+    WITHDRAW,
     HopRequest,
     failure_header,
-    is_probe,
+    for_gateway_alone,
     read_hop,
 )
 from pewtertack.node.gateway.metrics import GatewayMetrics
@@ -139,6 +140,14 @@
         """Note that the node stops once nothing is in flight."""
         self._requests.start_draining()
 
+    async def withdraw_waiting(self) -> None:
+        """Hand back what waits for the back end: another gateway may still serve it."""
+        await self._requests.withdraw()
+
+    def stop_requests(self) -> None:
+        """End what is still under way, with an answer."""
+        self._requests.stop()
+
     def log_unfinished(self) -> None:
         """Log the requests that the time to stop has not sufficed for."""
         self._requests.log_unfinished()
@@ -150,8 +159,9 @@
 
     async def __call__(self, scope: Scope, receive: Receive, send: Send) -> None:
         """Serve one request (ASGI entry point)."""
-        if is_probe(scope["headers"]):
-            await self._answer_probe(send)
+        own = for_gateway_alone(scope["headers"])
+        if own is not None:
+            await self._answer_own(send, *own)
             return
         with self._requests.one():
             await self._serve(scope, receive, send)
@@ -171,9 +181,11 @@
             self._metrics.note_refused(error.code, error.offered)
             await _refuse(send, error, head, load)
 
-    async def _answer_probe(self, send: Send) -> None:
-        """Tell another node whether requests are taken."""
-        if self.leaving or self._requests.draining:
+    async def _answer_own(self, send: Send, name: bytes, value: bytes) -> None:
+        """Do what another node asks of the gateway itself."""
+        if name == WITHDRAW:
+            await self._requests.withdraw_one(value.decode("latin-1"))
+        elif self.leaving or self._requests.draining:
             error = DrainingError("the node beside the back end is stopping")
             await _refuse(send, error, RequestHead(), [])
             return
--- a/src/pewtertack/node/gateway/forwarding.py
+++ b/src/pewtertack/node/gateway/forwarding.py
@@ -25,11 +25,17 @@
     without_names,
 )
 from pewtertack.node.proxy.in_flight import Progress, RequestsInFlight
-from pewtertack.node.proxy.lifetime import LifeEnd, RequestLife
+from pewtertack.node.proxy.lifetime import LifeEnd, RequestLife, end_error
 from pewtertack.node.proxy.request_log import GatewayLog
 from pewtertack.node.proxy.upstream import ConnectionStore
 from pewtertack.routing.admission import Admission, AdmissionTicket
-from pewtertack.routing.outcomes import DeadlineExceededError, Outcome, RequestFailedError
+from pewtertack.routing.outcomes import (
+    DrainingError,
+    NotRunError,
+    Outcome,
+    RequestFailedError,
+    WithdrawnError,
+)
 
 SHORTEST_LOOK = 0.001
 """Seconds between two looks at a waiting request, where a timer has fired too early."""
@@ -66,7 +72,7 @@
         self._parts = parts
         self._admission = admission
         self._request = request
-        self._request_id = head.request_id
+        self.request_id = head.request_id
         self._deadline = deadline
         self._headers = without_names(scope["headers"], head, parts.edge.own)
         self._body = RequestBody(receive, head.has_body)
@@ -105,11 +111,11 @@
         if end is LifeEnd.FINISHED:
             return
         if end is LifeEnd.CALLER_GONE:
-            self._parts.log.cancelled(self._request_id, self._request.backend, self._sent)
+            self._parts.log.cancelled(self.request_id, self._request.backend, self._sent)
             raise CallerGoneError
         if self._exchange.started:
-            raise TruncatedAnswerError("the deadline passed during the answer")
-        error = DeadlineExceededError("the deadline passed")
+            raise TruncatedAnswerError("the time was over during the answer")
+        error = end_error(end)
         error.offered = self._sent
         raise error.with_outcome(Outcome.UNKNOWN if self._sent else Outcome.NOT_RUN)
 
@@ -120,14 +126,26 @@
             return Progress.ANSWERING
         return Progress.OFFERED if self._ticket.granted else Progress.WAITING
 
+    async def withdraw(self) -> None:
+        """Refuse the request if it still waits (``RequestUnderWay``)."""
+        if self._parts.requests.draining:
+            refusal: NotRunError = DrainingError("the node beside the back end is stopping")
+        else:
+            refusal = WithdrawnError("the node that sent the request is stopping")
+        self._admission.refuse(self._ticket, refusal)
+
+    def stop(self) -> None:
+        """End the request now (``RequestUnderWay``)."""
+        self._life.stop()
+
     def log_unfinished(self) -> None:
         """Log how far it has come (``RequestUnderWay``)."""
         took = self._parts.clock() - self._ticket.submitted_at
-        self._parts.log.unfinished(self._request_id, self._request.backend, self.progress, took)
+        self._parts.log.unfinished(self.request_id, self._request.backend, self.progress, took)
 
     async def _admit_and_exchange(self) -> None:
         await self._wait_for_slot()
-        log, request = self._parts.log, self._request_id
+        log, request = self._parts.log, self.request_id
         log.admitted(request, self._request.backend, self._ticket, self._admission)
         metrics, route = self._parts.metrics, self._request.route
         metrics.note_admitted(route, self._ticket.queued)
@@ -149,7 +167,7 @@
             raise
         if ticket.granted:
             return
-        self._parts.log.queued(self._request_id, self._request.backend, ticket, self._admission)
+        self._parts.log.queued(self.request_id, self._request.backend, ticket, self._admission)
         try:
             await self._wait_for_grant()
         except BaseException:
@@ -197,7 +215,7 @@
         now = self._parts.clock()
         return [
             *self._headers,
-            *attempt_headers(edge, self._request_id, now, self._deadline),
+            *attempt_headers(edge, self.request_id, now, self._deadline),
             *backend_headers(edge, self._request.backend, self._request.caller_service),
         ]
 
--- a/src/pewtertack/node/gateway/hop.py
+++ b/src/pewtertack/node/gateway/hop.py
@@ -10,6 +10,7 @@
 import msgspec
 
 from pewtertack.core.configuration.resolved import ResolvedRoute, WorkClass
+from pewtertack.node.http.connection import OutgoingRequest
 from pewtertack.node.proxy.edge import NODE_EDGE
 from pewtertack.routing.outcomes import (
     BackendFailedError,
@@ -43,12 +44,18 @@
 
 PROBE = b"x-pewtertack-probe"
 """In a request to a gateway that is for the gateway alone: does it take requests?"""
+WITHDRAW = b"x-pewtertack-withdraw"
+"""In a request that is for the gateway alone: the id of one of the sender's requests, to be
+refused if it still waits. The refusal answers that request itself."""
 
+GATEWAY_NAMES = frozenset({PROBE, WITHDRAW})
+"""Headers that make a request one for the gateway; only nodes send them."""
 REQUEST_NAMES = frozenset({BACKEND, SERVICE, ROUTE, RANK, OBJECTIVE, LATENESS, CALLER_SERVICE})
 ANSWER_NAMES = frozenset({FAILURE, QUEUED})
 OFFERED = "offered"
 NOT_OFFERED = "not-offered"
 PROBE_ANSWERED = 204
+"""Answers what is for the gateway alone."""
 LATENESS_WORDS = frozenset(item.value for item in Lateness)
 LONGEST_TEXT = 256
 _CLASS_RANKS = {work_class: rank for rank, work_class in enumerate(WorkClass)}
@@ -108,9 +115,18 @@
     )
 
 
-def is_probe(headers: Headers) -> bool:
-    """Tell whether a request only asks whether the gateway takes requests."""
-    return any(name == PROBE for name, _ in headers)
+def for_gateway_alone(headers: Headers) -> tuple[bytes, bytes] | None:
+    """Return the header that makes a request one for the gateway, not for its back end."""
+    for item in headers:
+        if item[0] in GATEWAY_NAMES:
+            return item
+    return None
+
+
+def withdrawal(gateway: str, request_id: str) -> OutgoingRequest:
+    """Return the request that takes another one back, if it still waits at the gateway."""
+    headers = [(b"host", gateway.encode()), (WITHDRAW, request_id.encode())]
+    return OutgoingRequest(b"GET", b"/", headers)
 
 
 def failure_header(error: RequestFailedError) -> tuple[bytes, bytes]:
--- a/src/pewtertack/node/proxy/application.py
+++ b/src/pewtertack/node/proxy/application.py
@@ -189,6 +189,14 @@
         """Refuse new requests from now on; those in flight are finished."""
         self._requests.start_draining()
 
+    async def withdraw_waiting(self) -> None:
+        """Refuse what no back end works on: there is no time left for it at this node."""
+        await self._requests.withdraw()
+
+    def stop_requests(self) -> None:
+        """End what is still under way, with an answer that tells what is known of it."""
+        self._requests.stop()
+
     def log_unfinished(self) -> None:
         """Log the requests that the time to stop has not sufficed for."""
         self._requests.log_unfinished()
--- a/src/pewtertack/node/proxy/forwarding.py
+++ b/src/pewtertack/node/proxy/forwarding.py
@@ -23,9 +23,10 @@
     forwarded_headers,
 )
 from pewtertack.node.proxy.in_flight import Progress, RequestsInFlight
-from pewtertack.node.proxy.lifetime import LifeEnd, RequestLife
+from pewtertack.node.proxy.lifetime import LifeEnd, RequestLife, end_error
 from pewtertack.node.proxy.metrics import RequestMetrics
 from pewtertack.node.proxy.request_log import ProxyLog
+from pewtertack.node.proxy.taking_back import take_back
 from pewtertack.node.proxy.upstream import ConnectionStore
 from pewtertack.routing.backend import Backend, parse_load
 from pewtertack.routing.deadlines import caller_deadline_of
@@ -37,7 +38,6 @@
     BackendSilentError,
     BackendUnreachableError,
     CrossedAnswerError,
-    DeadlineExceededError,
     DrainingError,
     GatewayRefusedError,
     Outcome,
@@ -97,6 +97,8 @@
         """Whether an attempt is under way."""
         self._sent = False
         """Whether an attempt may have run."""
+        self._withdrawn = False
+        """Whether no further attempt may begin: the node stops."""
 
     @property
     def ticket(self) -> Ticket:
@@ -126,6 +128,11 @@
         if end is not LifeEnd.FINISHED:
             self._raise_cancelled(end)
 
+    @property
+    def request_id(self) -> str:
+        """The request's id (``RequestUnderWay``)."""
+        return self._head.request_id
+
     @property
     def progress(self) -> Progress:
         """How far the request has come."""
@@ -133,21 +140,31 @@
             return Progress.ANSWERING
         return Progress.OFFERED if self._offered else Progress.WAITING
 
+    async def withdraw(self) -> None:
+        """Begin no further attempt; take back one that waits (``RequestUnderWay``)."""
+        self._withdrawn = True
+        self._parts.dispatcher.refuse(self._ticket, DrainingError("the node is stopping"))
+        backend = self._ticket.backend
+        if self.progress is Progress.OFFERED and backend is not None and backend.gateway:
+            await take_back(self._parts.connections, backend.gateway, self.request_id)
+
+    def stop(self) -> None:
+        """End the request now (``RequestUnderWay``)."""
+        self._life.stop()
+
     def log_unfinished(self) -> None:
         """Log how far it has come (``RequestUnderWay``)."""
         if self._parts.log is not None:
             took = self._parts.clock() - self._began
             received = self._body.complete
-            request = self._head.request_id
-            self._parts.log.unfinished(request, self._ticket, self.progress, received, took)
+            self._parts.log.unfinished(self.request_id, self._ticket, self.progress, received, took)
 
     def _raise_cancelled(self, end: LifeEnd) -> None:
         if end is LifeEnd.CALLER_GONE:
             raise CallerGoneError
         if self._exchange.started:
-            raise TruncatedAnswerError("the deadline passed during the answer")
-        outcome = Outcome.UNKNOWN if self._sent else Outcome.NOT_RUN
-        raise DeadlineExceededError("the deadline passed").with_outcome(outcome)
+            raise TruncatedAnswerError("the time was over during the answer")
+        raise end_error(end).with_outcome(Outcome.UNKNOWN if self._sent else Outcome.NOT_RUN)
 
     async def _run_attempts(self) -> None:
         while True:
@@ -157,6 +174,8 @@
                 return
             except RequestFailedError as error:
                 self._sent = self._sent or error.outcome is Outcome.UNKNOWN
+                if self._withdrawn and error.outcome is Outcome.NOT_RUN:
+                    raise DrainingError("the node is stopping") from None
                 now = self._parts.clock()
                 decision = self._parts.dispatcher.decide_retry(
                     self._ticket, error, now, self._body.replayable
--- a/src/pewtertack/node/proxy/in_flight.py
+++ b/src/pewtertack/node/proxy/in_flight.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import contextlib
-from collections.abc import Iterator
+from collections.abc import Iterable, Iterator
 from enum import StrEnum
 from typing import Protocol
 
@@ -24,9 +24,19 @@
 class RequestUnderWay(Protocol):
     """One request that is being served."""
 
+    @property
+    def request_id(self) -> str:
+        """The caller's id, or the one that this node gave it."""
+
     def log_unfinished(self) -> None:
         """Log how far it has come: the time to stop is over."""
 
+    async def withdraw(self) -> None:
+        """Refuse it as not run if no back end has it, here or at the node it was sent to."""
+
+    def stop(self) -> None:
+        """End it now, with a failure that tells what is known of it."""
+
 
 class RequestsInFlight:
     """Counts requests; after ``start_draining`` it tells when none is left."""
@@ -67,6 +77,26 @@
         for request in self.under_way:
             request.log_unfinished()
 
+    async def withdraw(self) -> None:
+        """Have those that no back end works on refused; the others go on."""
+        await self._withdraw(tuple(self.under_way))
+
+    async def withdraw_one(self, request_id: str) -> None:
+        """Have the request of that id refused, if no back end works on it."""
+        await self._withdraw(
+            [request for request in self.under_way if request.request_id == request_id]
+        )
+
+    async def _withdraw(self, requests: Iterable[RequestUnderWay]) -> None:
+        async with anyio.create_task_group() as tasks:
+            for request in requests:
+                tasks.start_soon(request.withdraw)
+
+    def stop(self) -> None:
+        """End what is still under way."""
+        for request in tuple(self.under_way):
+            request.stop()
+
     async def wait_drained(self) -> None:
         """Return when draining has begun and nothing is in flight."""
         await self._idle.wait()
--- a/src/pewtertack/routing/admission.py
+++ b/src/pewtertack/routing/admission.py
@@ -231,6 +231,13 @@
         if ticket in self._queue:
             self._queue.remove(ticket)
 
+    def refuse(self, ticket: AdmissionTicket, refusal: NotRunError) -> None:
+        """End a ticket's waiting with ``refusal``; one that does not wait is left alone."""
+        if ticket in self._queue:
+            self._queue.remove(ticket)
+            ticket.refusal = refusal
+            ticket.wake()
+
     def finish(self, ticket: AdmissionTicket, now: float, answered: bool) -> None:
         """A granted request has ended; its slot goes to the next that waits.
 
--- a/src/pewtertack/routing/dispatcher.py
+++ b/src/pewtertack/routing/dispatcher.py
@@ -180,6 +180,13 @@
         """Take a waiting ticket out, since its caller has gone."""
         self.service(ticket.route.service).withdraw(ticket)
 
+    def refuse(self, ticket: Ticket, refusal: RequestFailedError) -> None:
+        """End a ticket's waiting with ``refusal``; one that does not wait is left alone."""
+        if ticket.backend is None and ticket.refusal is None:
+            self.withdraw(ticket)
+            ticket.refusal = refusal
+            ticket.wake()
+
     def note_answer(
         self, ticket: Ticket, now: float, report: LoadReport | None, leaving: bool
     ) -> None:
--- a/src/pewtertack/routing/outcomes.py
+++ b/src/pewtertack/routing/outcomes.py
@@ -141,6 +141,16 @@
     close_connection: ClassVar[bool] = True
 
 
+class WithdrawnError(NotRunError):
+    """The node that sent the request on, which stops, took it back before a back end saw it."""
+
+    code: ClassVar[str] = "withdrawn"
+
+    def __init__(self, message: str, retry_after: float | None = DEFAULT_RETRY_AFTER) -> None:
+        super().__init__(message, retry_after)
+        self.offered = False
+
+
 class QueueFullError(NotRunError):
     """As many requests of the route wait as may wait."""
 
--- /dev/null
+++ b/tests/node/gateway/test_stop.py
@@ -0,0 +1,155 @@
+"""A proxy or a gateway that has no more time for the requests that it holds."""
+
+import asyncio
+from typing import Any
+from unittest import mock
+
+from pewtertack.node.gateway.hop import GATEWAY_NAMES, withdrawal
+from pewtertack.node.proxy.in_flight import Progress
+from pewtertack.routing.outcomes import BackendUnreachableError
+from tests.node.gateway.test_gateway import GatewayTestCase, answer_well
+from tests.node.proxy.harness import Answer, RawBackend, raw_call, request_bytes
+from tests.routing.samples import configuration, route
+
+FEW_SECONDS = 5.0
+
+
+def upload(name: str) -> bytes:
+    return request_bytes("POST", "/", b"log", (f"x-call: {name}", "x-left: 30000"))
+
+
+class Held:
+    """A back end that answers when the test lets it."""
+
+    def __init__(self) -> None:
+        self.calls: list[str] = []
+        self.go_on = asyncio.Event()
+
+    async def __call__(self, reader: Any, writer: Any, head: str) -> bool:
+        self.calls.append(head.split("x-call: ")[1].split("\r\n")[0])
+        await self.go_on.wait()
+        return await answer_well(reader, writer, head)
+
+
+class StopTest(GatewayTestCase):
+    async def begin(self, *backends: Any, **changes: Any) -> None:
+        """Have ``run-1`` at work and ``wait-1`` behind it, at the first back end."""
+        changes = {"timeout": 30.0, "target_latency": 20.0} | changes
+        self.held = Held()
+        self.address = await self.start_fleet(self.held, *backends, slots=1, **changes)
+        self.running = await self.call("run-1")
+        self.waiting = await self.call("wait-1")
+        await self.until(lambda: self.progress_at(0) == ["offered", "waiting"])
+
+    def progress_at(self, gateway: int) -> list[str]:
+        under_way: Any = self.gateways[gateway]._requests.under_way
+        return sorted(request.progress for request in under_way)
+
+    async def call(self, name: str) -> asyncio.Task[Answer]:
+        task = asyncio.create_task(raw_call(self.address, upload(name), 30.0))
+        self.addCleanup(task.cancel)
+        await asyncio.sleep(0.05)
+        return task
+
+    async def until(self, condition: Any) -> None:
+        async with asyncio.timeout(FEW_SECONDS):
+            while not condition():
+                await asyncio.sleep(0.005)
+
+    async def answer_of(self, task: asyncio.Task[Answer]) -> Answer:
+        return await asyncio.wait_for(task, FEW_SECONDS)
+
+    async def test_a_stopping_proxy_takes_back_what_waits_and_lets_go_on_what_runs(self) -> None:
+        await self.begin()
+        self.proxy.start_draining()
+        await self.proxy.withdraw_waiting()
+        self.assert_refused(await self.answer_of(self.waiting), 503, "not-run")
+        self.held.go_on.set()
+        self.assertEqual((await self.answer_of(self.running)).status, 200)
+        self.assertEqual(self.held.calls, ["run-1"])
+
+    async def test_what_was_taken_back_is_not_tried_elsewhere(self) -> None:
+        await self.begin()
+        await self.add_backend("b1", answer_well, 1)
+        self.use_machines(2)
+        await self.proxy.withdraw_waiting()
+        self.assert_refused(await self.answer_of(self.waiting), 503, "not-run")
+        self.assertNotIn("b1", [head.split("x-wanted: ")[1][:2] for head in self.heads])
+
+    async def test_what_runs_at_the_end_is_answered_as_unknown_and_frees_the_back_end(self) -> None:
+        await self.begin()
+        self.proxy.start_draining()
+        await self.proxy.withdraw_waiting()
+        self.proxy.stop_requests()
+        answer = await self.answer_of(self.running)
+        self.assert_refused(answer, 502, "unknown")
+        self.assertIn(b'"draining"', answer.body)
+        await asyncio.wait_for(self.proxy.wait_drained(), FEW_SECONDS)
+        await self.until(lambda: self.progress_at(0) == [])
+
+    async def test_what_no_gateway_could_be_asked_of_is_answered_as_unknown(self) -> None:
+        await self.begin()
+        unreachable = BackendUnreachableError("no connection")
+        with mock.patch.object(self.proxy._parts.connections, "take", side_effect=unreachable):
+            await self.proxy.withdraw_waiting()
+        self.proxy.stop_requests()
+        for task in (self.running, self.waiting):
+            self.assert_refused(await self.answer_of(task), 502, "unknown")
+
+    async def test_a_stopping_gateway_hands_back_what_waits_and_another_answers(self) -> None:
+        await self.begin()
+        await self.add_backend("b1", answer_well, 1)
+        self.use_machines(2)
+        self.gateways[0].start_draining()
+        await self.gateways[0].withdraw_waiting()
+        self.assertEqual((await self.answer_of(self.waiting)).status, 200)
+        self.held.go_on.set()
+        self.assertEqual((await self.answer_of(self.running)).status, 200)
+
+    async def test_a_gateway_out_of_time_says_that_what_runs_may_have_run(self) -> None:
+        await self.begin()
+        self.gateways[0].start_draining()
+        await self.gateways[0].withdraw_waiting()
+        self.gateways[0].stop_requests()
+        self.assert_refused(await self.answer_of(self.running), 502, "unknown")
+        self.assert_refused(await self.answer_of(self.waiting), 503, "not-run")
+
+    async def test_only_the_request_that_is_named_is_taken_back(self) -> None:
+        await self.begin()
+        gateway = self.machines[0].gateway
+        for name in ("run-1", "nobody"):
+            raw = withdrawal(gateway, name).head().replace(b"\r\n\r\n", b"\r\nconnection: close")
+            self.assertEqual((await raw_call(gateway, raw + b"\r\n\r\n")).status, 204)
+        self.assertEqual(self.progress_at(0), [Progress.OFFERED, Progress.WAITING])
+
+    async def test_a_caller_cannot_ask_a_gateway_for_what_only_nodes_may(self) -> None:
+        await self.begin()
+        for name in GATEWAY_NAMES:
+            forged = (f"{name.decode()}: wait-1", "x-call: call-1", "x-left: 100")
+            answer = await raw_call(self.address, request_bytes(headers=forged))
+            self.assert_refused(answer, 503, "not-run")
+        self.assertEqual(self.progress_at(0), [Progress.OFFERED, Progress.WAITING])
+
+
+class OwnQueueTest(GatewayTestCase):
+    async def test_what_waits_at_the_node_itself_is_refused_as_not_run(self) -> None:
+        held = Held()
+
+        async def script(reader: Any, writer: Any, head: str) -> bool:
+            await reader.readexactly(3)
+            held.calls.append(head)
+            return not await held.go_on.wait()
+
+        settings = configuration(route(timeout=30.0, queue_limit=50))
+        address = await self.start(RawBackend(script), settings=settings)
+        calls = [asyncio.create_task(raw_call(address, upload(f"c{n}"), 30.0)) for n in range(20)]
+        async with asyncio.timeout(FEW_SECONDS):
+            while self.proxy.in_flight < len(calls):
+                await asyncio.sleep(0.01)
+        self.proxy.start_draining()
+        await self.proxy.withdraw_waiting()
+        self.proxy.stop_requests()
+        answers = await asyncio.wait_for(asyncio.gather(*calls), FEW_SECONDS)
+        statuses = sorted(answer.status for answer in answers)
+        self.assertEqual(statuses, [502] * len(held.calls) + [503] * (20 - len(held.calls)))
+        self.assertLess(len(held.calls), 20)
