--- a/src/pewtertack/routing/outcomes.py
+++ b/src/pewtertack/routing/outcomes.py
@@ -23,6 +23,9 @@
 NOT_RUN_STATUSES = frozenset({421, 429, 503})
 """Callers may take these to mean that the request has not run and never will."""
 
+UNKNOWN_STATUSES = frozenset({502, 504})
+"""Callers can take nothing from these: what may not be repeated is lost with them."""
+
 
 class Outcome(StrEnum):
     """What is known of the request's execution."""
@@ -51,9 +54,11 @@
 
     @property
     def answer_status(self) -> int:
-        """The status to answer with: one that promises "not run" only if that is so."""
+        """The status to answer with: it promises "not run" where that is so, and only there."""
         if self.outcome is Outcome.UNKNOWN and self.status in NOT_RUN_STATUSES:
             return RequestFailedError.status
+        if self.outcome is Outcome.NOT_RUN and self.status in UNKNOWN_STATUSES:
+            return NotRunError.status
         return self.status
 
     def with_outcome(self, outcome: Outcome) -> Self:
