Long bodies cross between nodes on demand

Change: bodies over 16 KiB wait for '100 Continue', which a gateway gives with the slot; it sends its back end nothing before. What breaks, expires or is withdrawn before is certainly not run.

--- a/src/pewtertack/node/http/connection.py
+++ b/src/pewtertack/node/http/connection.py
@@ -37,7 +37,9 @@
 )
 """The same for a machine that falls silent while an answer is awaited."""
 FRAMING_NAMES = frozenset({b"content-length", b"transfer-encoding"})
+CONTINUE_STATUS = 100
 FIRST_FINAL_STATUS = 200
+EXPECT = (b"expect", b"100-continue")
 
 
 class ExchangeBrokenError(PewtertackError):
@@ -55,11 +57,17 @@
     body: AsyncIterator[bytes] | None = None
     """Parts of the body, ``None`` for a request without one."""
     chunked: bool = False
+    body_on_demand: bool = False
+    """The body is sent only once the other end has asked for it (RFC 9110, section 10.1.1)."""
+    head_with_body: bool = False
+    """The head waits for the first part of the body: without one nothing has begun."""
 
     def head(self) -> bytes:
         """Return the request line and the headers with their end."""
         lines = [self.method + b" " + self.target + b" HTTP/1.1\r\n"]
         lines += [name + b": " + value + b"\r\n" for name, value in self.headers]
+        if self.body_on_demand:
+            lines.append(b": ".join(EXPECT) + b"\r\n")
         return b"".join(lines) + b"\r\n"
 
 
@@ -81,7 +89,7 @@
     def __init__(self, address: str = "") -> None:
         self.address = address
         self.sent = False
-        """Whether a byte of the current exchange was sent."""
+        """Whether the other end may have begun with the current exchange."""
         self._transport: asyncio.Transport
         self._parser = httptools.HttpResponseParser(self)
         self._waiter: asyncio.Future[None] | None = None
@@ -100,6 +108,7 @@
         self._bodiless = False
         self._complete = True
         self._request_sent = True
+        self._body_asked_for = False
         self._keep = True
         """Whether the connection may carry another exchange, as far as is known."""
 
@@ -173,6 +182,8 @@
     def on_headers_complete(self) -> None:
         """Take the head, unless it is a provisional one."""
         status = self._parser.get_status_code()
+        if status == CONTINUE_STATUS:
+            self._body_asked_for = True
         if self._complete or status < FIRST_FINAL_STATUS:
             return
         self._answer = AnswerStart(status, self._headers)
@@ -207,7 +218,7 @@
         self._chunks.clear()
         self._buffered = 0
         self._bodiless = request.method == b"HEAD"
-        self._complete = self._request_sent = False
+        self._complete = self._request_sent = self._body_asked_for = False
         await self._send(request)
         while self._answer is None:
             await self._wait()
@@ -217,7 +228,10 @@
         """Send head and body; an early answer ends it before the end of the body."""
         self._unsent = request.head()
         if request.body is not None:
-            asyncio.get_running_loop().call_soon(self._send_head)
+            if request.body_on_demand and not await self._wait_for_demand():
+                return
+            if not request.head_with_body:
+                asyncio.get_running_loop().call_soon(self._send_head)
             async for chunk in request.body:
                 if self._answer is not None or self._ended:
                     return
@@ -225,6 +239,14 @@
         await self._write(LAST_CHUNK if request.chunked else b"")
         self._request_sent = True
 
+    async def _wait_for_demand(self) -> bool:
+        """Send the head; tell whether its body was asked for, and not answered without it."""
+        self._transport.write(self._unsent)
+        self._unsent = b""
+        while not self._body_asked_for and self._answer is None:
+            await self._wait()
+        return self._answer is None
+
     def _send_head(self) -> None:
         """Send the head by itself, when no part of the body was there to go along with it."""
         if self._unsent and not self._ended:
--- a/src/pewtertack/node/proxy/exchange.py
+++ b/src/pewtertack/node/proxy/exchange.py
@@ -33,6 +33,7 @@
     BackendSilentError,
     CrossedAnswerError,
     Outcome,
+    RequestFailedError,
 )
 
 SHED_BODY_BYTES = 64 * 1024
@@ -89,9 +90,12 @@
         connection: BackendConnection,
         headers: RawHeaders,
         edge: EdgeHeaders = PRODUCT_EDGE,
+        body_on_demand: bool = False,
     ) -> None:
         """Run one attempt at a back end, or a gateway, which speaks by ``edge``.
 
+        With ``body_on_demand`` the body leaves this node only when the other end has room.
+
         Raises:
             RequestFailedError: the attempt ended before its answer was passed on.
             TruncatedAnswerError: it broke off after the answer's head was passed on.
@@ -99,12 +103,9 @@
         """
         self._edge = edge
         try:
-            start = await connection.exchange(self._request(headers))
+            start = await connection.exchange(self._request(headers, body_on_demand))
         except ExchangeBrokenError as error:
-            failure = BackendSilentError if connection.peer_silent else BackendFailedError
-            raise failure(f"the exchange broke: {error}").with_outcome(
-                _outcome(connection)
-            ) from error
+            raise _failure(connection, error) from error
         answer = read_answer(start.headers, edge)
         if self._is_crossed(start.status, answer):
             connection.abort()
@@ -127,13 +128,21 @@
         wrong_backend = bool(self._edge.expected_backend) and status == WRONG_BACKEND_STATUS
         return answer.not_run or wrong_backend
 
-    def _request(self, headers: RawHeaders) -> OutgoingRequest:
+    def _request(self, headers: RawHeaders, body_on_demand: bool) -> OutgoingRequest:
         target = self._scope["raw_path"]
         if self._scope["query_string"]:
             target += b"?" + self._scope["query_string"]
         method = self._scope["method"].encode("ascii")
         body = self._body.stream() if self._head.has_body else None
-        return OutgoingRequest(method, target, headers, body, self._head.chunked)
+        return OutgoingRequest(
+            method,
+            target,
+            headers,
+            body,
+            self._head.chunked,
+            body_on_demand=body_on_demand and body is not None,
+            head_with_body=self._head.expects_continue,
+        )
 
     async def _refuse_unusable(
         self, connection: BackendConnection, start: AnswerStart, answer: AnswerHead
@@ -209,9 +218,12 @@
     connection.abort()
 
 
-def _outcome(connection: BackendConnection) -> Outcome:
-    """Return what is known of an exchange that broke."""
-    return Outcome.UNKNOWN if connection.sent else Outcome.NOT_RUN
+def _failure(connection: BackendConnection, broken: ExchangeBrokenError) -> RequestFailedError:
+    """Return the failure of an exchange that broke before its answer."""
+    kind = BackendSilentError if connection.peer_silent else BackendFailedError
+    error = kind(f"the exchange broke: {broken}")
+    error.offered = connection.sent
+    return error.with_outcome(Outcome.UNKNOWN if connection.sent else Outcome.NOT_RUN)
 
 
 def _seconds(retry_after: str | None) -> float:
--- a/src/pewtertack/node/proxy/forwarding.py
+++ b/src/pewtertack/node/proxy/forwarding.py
@@ -9,6 +9,7 @@
 
 from pewtertack.core.configuration.resolved import ResolvedConfiguration, ResolvedRoute
 from pewtertack.node.gateway.hop import hop_headers
+from pewtertack.node.http.connection import BackendConnection
 from pewtertack.node.http.cycle import Scope
 from pewtertack.node.http.framing import RawHeaders
 from pewtertack.node.proxy.answers import Receive, Send
@@ -97,6 +98,8 @@
         """Whether an attempt is under way."""
         self._sent = False
         """Whether an attempt may have run."""
+        self._connection: BackendConnection | None = None
+        """What carries the attempt under way."""
         self._withdrawn = False
         """Whether no further attempt may begin: the node stops."""
 
@@ -145,7 +148,11 @@
         self._withdrawn = True
         self._parts.dispatcher.refuse(self._ticket, DrainingError("the node is stopping"))
         backend = self._ticket.backend
-        if self.progress is Progress.OFFERED and backend is not None and backend.gateway:
+        if self.progress is not Progress.OFFERED or backend is None:
+            return
+        if self._connection is None or not self._connection.sent:
+            self.stop()
+        elif backend.gateway:
             await take_back(self._parts.connections, backend.gateway, self.request_id)
 
     def stop(self) -> None:
@@ -253,11 +260,15 @@
         connection = await connections.take(address, self._service.connect_timeout)
         try:
             edge = NODE_EDGE if backend.gateway else self._parts.edge
-            await self._exchange.run(connection, self._attempt_headers(backend, edge), edge)
+            self._connection = connection
+            headers = self._attempt_headers(backend, edge)
+            on_demand = bool(backend.gateway) and self._head.body_is_large
+            await self._exchange.run(connection, headers, edge, on_demand)
         except anyio.get_cancelled_exc_class():
             self._sent = self._sent or connection.sent
             raise
         finally:
+            self._connection = None
             connections.give_back(connection, long_lived=bool(backend.gateway))
 
     def _attempt_headers(self, backend: Backend, edge: EdgeHeaders) -> RawHeaders:
--- a/src/pewtertack/node/proxy/headers.py
+++ b/src/pewtertack/node/proxy/headers.py
@@ -12,6 +12,7 @@
 from pewtertack.node.proxy.edge import DEADLINE, PRODUCT_EDGE, REQUEST_ID, EdgeHeaders
 from pewtertack.routing.deadlines import header_for
 from pewtertack.routing.outcomes import RETRIES_HEADER, InvalidRequestError, UpgradeRefusedError
+from pewtertack.routing.service import LARGE_BODY
 
 BACKEND_LOAD = b"x-backend-load"
 BACKEND_STATE = b"x-backend-state"
@@ -50,8 +51,15 @@
     body_bytes: int = 0
     """Announced length of the body, 0 without one."""
     chunked: bool = False
+    expects_continue: bool = False
+    """The sender waits with the body until it is asked for."""
     connection_options: frozenset[bytes] = frozenset()
 
+    @property
+    def body_is_large(self) -> bool:
+        """Whether the body is long, or its length unknown."""
+        return self.chunked or self.body_bytes > LARGE_BODY
+
 
 def read_head(headers: RawHeaders, edge: EdgeHeaders = PRODUCT_EDGE) -> RequestHead:
     """Return what routing needs of the caller's headers (names in lower case).
@@ -77,6 +85,8 @@
             head.request_id = _usable_request_id(value)
         elif name == edge.deadline:
             head.deadline = value.decode("latin-1")
+        elif name == b"expect":
+            head.expects_continue = value.lower() == b"100-continue"
         elif name == b"connection":
             head.connection_options |= _options(value)
     if lengths + codings > 1 or head.chunked != bool(codings):
--- /dev/null
+++ b/tests/node/gateway/test_body_on_demand.py
@@ -0,0 +1,173 @@
+"""Long bodies cross between nodes only when the gateway has a slot for the request."""
+
+import asyncio
+import contextlib
+from typing import Any
+
+import msgspec
+
+from pewtertack.node.proxy.in_flight import Progress
+from tests.node.gateway.test_gateway import GatewayTestCase, answer_well, header
+from tests.node.gateway.test_stop import FEW_SECONDS, Held
+from tests.node.proxy.harness import Answer, RawBackend, raw_call, request_bytes
+
+SIZE = 300_000
+HEAD_BYTES = 4096
+"""More than any head between two nodes takes."""
+
+
+def upload(name: str, size: int = SIZE) -> bytes:
+    return request_bytes("POST", "/", b"x" * size, (f"x-call: {name}", "x-left: 30000"))
+
+
+class Relay:
+    """Stands before a gateway and counts what is sent to it; can end its connections."""
+
+    def __init__(self, gateway: str) -> None:
+        self.gateway = gateway
+        self.received = 0
+        self.asked_for_bodies = 0
+        self.writers: list[asyncio.StreamWriter] = []
+
+    async def start(self, case: GatewayTestCase) -> str:
+        server = await asyncio.start_server(self.pass_on, "127.0.0.1", 0)
+        case.addCleanup(server.close)
+        host, port = server.sockets[0].getsockname()
+        return f"{host}:{port}"
+
+    async def pass_on(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        host, _, port = self.gateway.rpartition(":")
+        far_reader, far_writer = await asyncio.open_connection(host, int(port))
+        self.writers += [writer, far_writer]
+        with contextlib.suppress(ConnectionError):  # of connections that the test has cut
+            await asyncio.gather(self.there(reader, far_writer), self.back(far_reader, writer))
+
+    async def there(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        while data := await reader.read(65536):
+            self.received += len(data)
+            writer.write(data)
+        writer.close()
+
+    async def back(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        while data := await reader.read(65536):
+            self.asked_for_bodies += data.count(b" 100 Continue")
+            writer.write(data)
+        writer.close()
+
+    def cut(self) -> None:
+        for writer in self.writers:
+            writer.transport.abort()
+
+
+class BodyOnDemandTest(GatewayTestCase):
+    async def begin(self, *backends: Any, **changes: Any) -> None:
+        """Run back ends of one slot; what goes to the first one's gateway passes a relay."""
+        changes = {"timeout": 30.0, "target_latency": 20.0} | changes
+        self.address = await self.start_fleet(*backends, slots=1, **changes)
+        self.relay = Relay(self.machines[0].gateway)
+        through = await self.relay.start(self)
+        self.machines[0] = msgspec.structs.replace(self.machines[0], gateway=through)
+        self.use_machines(2)
+
+    async def call(self, raw: bytes) -> asyncio.Task[Answer]:
+        task = asyncio.create_task(raw_call(self.address, raw, 30.0))
+        self.addCleanup(task.cancel)
+        await asyncio.sleep(0.05)
+        return task
+
+    async def until_waiting(self, count: int) -> None:
+        under_way: Any = self.gateways[0]._requests.under_way
+        async with asyncio.timeout(FEW_SECONDS):
+            while sum(item.progress is Progress.WAITING for item in under_way) < count:
+                await asyncio.sleep(0.005)
+
+    async def test_a_body_is_sent_whole_once_there_is_a_slot(self) -> None:
+        held = Held()
+        await self.begin(held)
+        first = await self.call(upload("run-1"))
+        second = await self.call(upload("wait-1"))
+        await self.until_waiting(1)
+        self.assertEqual(self.relay.asked_for_bodies, 1)
+        self.assertLess(self.relay.received, SIZE + 2 * HEAD_BYTES)
+        held.go_on.set()
+        for task in (first, second):
+            self.assertEqual((await asyncio.wait_for(task, FEW_SECONDS)).status, 200)
+        self.assertGreater(self.relay.received, 2 * SIZE)
+        self.assertNotIn("expect", "".join(self.heads).lower())
+
+    async def test_a_gateway_that_refuses_is_sent_no_body_and_the_next_gets_it_whole(self) -> None:
+        await self.begin(answer_well, answer_well)
+        self.gateways[0].start_draining()
+        for number in range(4):
+            answer = await asyncio.wait_for(await self.call(upload(f"c{number}")), FEW_SECONDS)
+            self.assertEqual(answer.status, 200)
+        self.assertEqual({header(head, "x-wanted") for head in self.heads}, {"b1"})
+        self.assertLess(self.relay.received, HEAD_BYTES)
+
+    async def test_a_connection_that_breaks_before_the_body_was_asked_for_ran_nothing(self) -> None:
+        held = Held()
+        await self.begin(held)
+        await self.call(upload("run-1"))
+        waiting = await self.call(upload("wait-1"))
+        await self.until_waiting(1)
+        self.relay.cut()
+        answer = await asyncio.wait_for(waiting, FEW_SECONDS)
+        self.assert_refused(answer, 503, "not-run")
+        held.go_on.set()
+        await asyncio.sleep(0.1)
+        self.assertEqual(held.calls, ["run-1"])
+
+    async def test_one_that_breaks_later_may_have_run(self) -> None:
+        held = Held()
+        await self.begin(held)
+        running = await self.call(upload("run-1"))
+        async with asyncio.timeout(FEW_SECONDS):
+            while not held.calls:
+                await asyncio.sleep(0.005)
+        self.relay.cut()
+        self.assert_refused(await asyncio.wait_for(running, FEW_SECONDS), 502, "unknown")
+
+    async def test_a_deadline_before_the_body_was_asked_for_is_not_run(self) -> None:
+        async def silent(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+            self.relay.received += len(await reader.read())
+            writer.close()
+
+        await self.begin(answer_well, timeout=0.5, target_latency=0.4)
+        server = await asyncio.start_server(silent, "127.0.0.1", 0)
+        self.addCleanup(server.close)
+        nobody = f"127.0.0.1:{server.sockets[0].getsockname()[1]}"
+        self.machines[0] = msgspec.structs.replace(self.machines[0], gateway=nobody)
+        self.use_machines(3)
+        answer = await asyncio.wait_for(await self.call(upload("c")), FEW_SECONDS)
+        self.assert_refused(answer, 503, "not-run")
+        await asyncio.sleep(0.05)
+        self.assertLess(self.relay.received, HEAD_BYTES)
+
+    async def test_a_stopping_proxy_ends_at_once_what_no_body_was_asked_for(self) -> None:
+        await self.begin(Held())
+        running = await self.call(upload("run-1"))
+        waiting = await self.call(upload("wait-1"))
+        await self.until_waiting(1)
+        await self.proxy.withdraw_waiting()
+        self.assert_refused(await asyncio.wait_for(waiting, FEW_SECONDS), 503, "not-run")
+        self.assertFalse(running.done())
+
+    async def test_a_short_body_goes_along_with_its_head(self) -> None:
+        await self.begin(answer_well)
+        answer = await asyncio.wait_for(await self.call(upload("c", 1000)), FEW_SECONDS)
+        self.assertEqual((answer.status, self.relay.asked_for_bodies), (200, 0))
+
+
+class DirectTest(GatewayTestCase):
+    async def test_a_back_end_without_a_gateway_is_sent_the_body_at_once(self) -> None:
+        heads: list[str] = []
+
+        async def script(reader: Any, writer: Any, head: str) -> bool:
+            heads.append(head)
+            await reader.readexactly(SIZE)
+            writer.write(b"HTTP/1.1 200 OK\r\ncontent-length: 0\r\n\r\n")
+            return True
+
+        address = await self.start(RawBackend(script))
+        self.assertEqual((await raw_call(address, upload("c"))).status, 200)
+        self.assertNotIn("expect", heads[0])
