The time to stop comes from the platform's own bound

Cause: deploy/node.toml.template fixed 3 s of notice and 2.5 s of drain, which fits a grace of 6 s; where the platform gives 10 s (the large sites) a node that stops broke work off 4.5 s early, which counts as lost.

--- a/src/pewtertack/cli/node.py
+++ b/src/pewtertack/cli/node.py
@@ -38,6 +38,7 @@
     "--streams": (SettingKey("limits", "streams"), "peer frames over TCP at once"),
     "--keep-alive": (SettingKey("limits", "keep_alive"), "for idle connections of callers"),
     "--drain-timeout": (SettingKey("limits", "drain_timeout"), "for requests in flight at a stop"),
+    "--stop-within": (SettingKey("limits", "stop_within"), "from the signal to the process's end"),
 }
 SEEDS = SettingKey("peers", "seeds")
 
--- a/src/pewtertack/node/daemon.py
+++ b/src/pewtertack/node/daemon.py
@@ -21,12 +21,15 @@
 from pewtertack.node.settings_file import SettingsFile
 from pewtertack.node.sockets import NodeSockets, address_of
 from pewtertack.node.transport import PeerTransport
+from pewtertack.settings.schema import LimitsSection
 
 WITHDRAW_SECONDS = 0.75
 """So long before a stop's end what no back end works on is refused: what runs by then has the
 time of a usual answer, and a refusal the time to reach its caller."""
 LAST_ANSWERS_SECONDS = 0.25
 """So long before a stop's end what still runs is answered as of unknown outcome."""
+EXIT_SECONDS = 0.5
+"""What the process itself needs to end before ``limits.stop_within``, on a busy machine."""
 EXIT_FINISHED = 0
 EXIT_FAILED = 1
 LEAVE_TIME = 0.5
@@ -176,11 +179,20 @@
     )
 
 
+def drain_time(limits: LimitsSection) -> float:
+    """Return how many seconds requests in flight have, once new ones are refused."""
+    longest = limits.drain_timeout.seconds if limits.drain_timeout else math.inf
+    if limits.stop_within is None:
+        return longest
+    left = limits.stop_within.seconds - limits.drain_notice.seconds - EXIT_SECONDS
+    return max(0.0, min(longest, left))
+
+
 async def _drain(parts: NodeParts, servers: tuple[_RequestServer, ...]) -> None:
     """Tell peers, be not ready, refuse new requests, finish what is in flight, close."""
     parts.runtime.start_leaving()
     limits = parts.settings.current.limits
-    drain_seconds = limits.drain_timeout.seconds if limits.drain_timeout else math.inf
+    drain_seconds = drain_time(limits)
     for server in servers:
         server.application.start_leaving(limits.drain_notice.seconds + drain_seconds)
     if limits.drain_notice.seconds > 0:
--- a/src/pewtertack/settings/checks.py
+++ b/src/pewtertack/settings/checks.py
@@ -98,6 +98,7 @@
         "stream_timeout": limits.stream_timeout,
         "keep_alive": limits.keep_alive,
         "drain_timeout": limits.drain_timeout,
+        "stop_within": limits.stop_within,
     }
     for key, duration in timeouts.items():
         if duration is not None:
--- a/src/pewtertack/settings/schema.py
+++ b/src/pewtertack/settings/schema.py
@@ -125,6 +125,9 @@
     """How long a caller's idle connection stays open."""
     drain_timeout: Duration | None = None
     """How long a stopping node waits for requests in flight; for ever by default."""
+    stop_within: Duration | None = None
+    """When a process that was told to stop is ended, from the signal on. Notice and drain fit
+    in; without ``drain_timeout`` the drain takes what is left."""
     drain_notice: Duration = Duration(0.0)
     """How long a stopping node, no longer ready, still accepts callers' requests."""
 
