What is being read behind an answer is due too; a lingering connection is left to linger

Cause: a leaving node counted only what had been read whole when an answer's head was written, and dropped an upload whose body was still coming; a server told to stop closed connections that lingered after their last answer, which resets callers that still send. Change: a request whose head was read is due; shutdown leaves lingering ones alone. Tests: two of tests/node/http/test_server.py, both fail before.

--- a/src/pewtertack/node/http/pipeline.py
+++ b/src/pewtertack/node/http/pipeline.py
@@ -77,8 +77,8 @@
 
     @property
     def more_due(self) -> bool:
-        """Whether an answer is due behind the first: what was read is never just dropped."""
-        return len(self.requests) > 1 and (self.requests[1].begun or self.requests[1].received)
+        """Whether an answer is due behind the first: what was begun to be read is not dropped."""
+        return len(self.requests) > 1
 
     def drop_unread(self) -> None:
         """Forget the last request if it has neither begun nor come whole."""
--- a/src/pewtertack/node/http/protocol.py
+++ b/src/pewtertack/node/http/protocol.py
@@ -84,6 +84,8 @@
         """The newest request is the connection's last, as the caller says."""
         self._end_wanted = False
         """The connection ends as soon as no answer is due."""
+        self._lingering = False
+        """The last answer has gone; the caller has ``LINGER_SECONDS`` to close."""
 
     # asyncio.Protocol
 
@@ -284,8 +286,8 @@
     def close_after(self, cycle: RequestCycle) -> bool:
         """Tell whether the connection ends with this cycle's answer.
 
-        What has been read whole behind it is served first: dropped, its caller could not
-        tell whether it has run. What comes after the answer's head crosses it.
+        What has been read behind it, or is being read, is served first: dropped, its caller
+        could not tell whether it has run. What comes after the answer's head crosses it.
         """
         if self._end_wanted and not self._pipeline.more_due:
             self._pipeline.closed = True
@@ -325,7 +327,7 @@
 
     def _end_gently(self) -> None:
         """Close once the caller has; what it has sent behind the last answer is not read."""
-        self._discarding = True
+        self._discarding = self._lingering = True
         dropped = sum(cycle.received for cycle in self._pipeline.requests)
         if dropped:
             logger.warning("a connection ends with whole requests unanswered: %d", dropped)
@@ -357,7 +359,7 @@
     def shutdown(self) -> None:
         """End the connection, after the answers to what has been read."""
         self._end_wanted = True
-        if not self._pipeline.requests:
+        if not self._pipeline.requests and not self._lingering:
             self._pipeline.closed = True
             self.transport.close()
 
--- a/tests/node/http/test_server.py
+++ b/tests/node/http/test_server.py
@@ -46,3 +46,67 @@
                     pass
                 clock.return_value += 86400.0
         await self.stop()
+
+
+class LeavingApplication:
+    """Answers in two parts, and asks callers to close."""
+
+    leaving = True
+
+    def __init__(self) -> None:
+        self.served: list[str] = []
+        self.beside = False
+
+    def may_run_beside(self, scope: Any) -> bool:
+        return self.beside
+
+    async def __call__(self, scope: Any, receive: Any, send: Any) -> None:
+        self.served.append(scope["path"])
+        if scope["path"] == "/upload":
+            while (await receive()).get("more_body"):
+                pass
+        await asyncio.sleep(0.05)
+        headers = [(b"content-length", b"4")]
+        await send({"type": "http.response.start", "status": 200, "headers": headers})
+        await send({"type": "http.response.body", "body": b"ab", "more_body": True})
+        await asyncio.sleep(0.2)
+        await send({"type": "http.response.body", "body": b"cd"})
+
+
+class LeavingServerTest(unittest.IsolatedAsyncioTestCase):
+    async def asyncSetUp(self) -> None:
+        self.application = LeavingApplication()
+        listener = socket.create_server(("127.0.0.1", 0))
+        self.server = http_server.HttpServer(self.application, 5.0)
+        task = asyncio.create_task(self.server.serve([listener]))
+        self.addAsyncCleanup(asyncio.wait_for, task, 10)
+        self.reader, self.writer = await asyncio.open_connection(*listener.getsockname())
+        self.addCleanup(self.writer.close)
+
+    def send_head(self, path: str, length: int) -> None:
+        head = f"POST /{path} HTTP/1.1\r\nhost: a\r\ncontent-length: {length}\r\n\r\n"
+        self.writer.write(head.encode())
+
+    async def test_an_upload_that_is_being_read_behind_an_answer_is_served(self) -> None:
+        self.send_head("first", 0)
+        self.send_head("upload", 1000)
+        self.writer.write(b"x" * 500)
+        await asyncio.sleep(0.1)
+        self.writer.write(b"x" * 500)
+        data = await asyncio.wait_for(self.reader.read(), 5)
+        self.writer.close()
+        self.server.should_exit = True
+        self.assertEqual(data.count(b"HTTP/1.1 200"), 2)
+        self.assertEqual(self.application.served, ["/first", "/upload"])
+
+    async def test_a_caller_that_still_sends_is_not_reset_by_the_server_s_stop(self) -> None:
+        self.send_head("ignored", 400_000)
+        self.writer.write(b"x" * 150_000)
+        answer = await asyncio.wait_for(self.reader.readuntil(b"abcd"), 5)
+        self.server.should_exit = True
+        for _ in range(10):
+            self.writer.write(b"x" * 25_000)
+            await self.writer.drain()
+            await asyncio.sleep(0.005)
+        self.assertIn(b"connection: close", answer)
+        self.assertEqual(await asyncio.wait_for(self.reader.read(), 5), b"")
