A withdrawal stops nothing else; a leaving back end's queue is handed back

A request that ended in the very turn of the withdrawal made it raise, which ended the drain and cut all others. A ticket is refused only while it waits, and whatever a withdrawal raises, the last answers are given. 2. The same cause elsewhere: what waited at a gateway whose back end had begun to leave was sent to it seconds later. It is handed back at once; other gateways serve it. 4. A notice that does not fit stop_within is cut short. Last answers come 0.5 s before the end, as connections linger so long; withdrawal 1 s before it.

--- a/src/pewtertack/node/daemon.py
+++ b/src/pewtertack/node/daemon.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import logging
 import math
 import signal
 import socket
@@ -15,6 +16,7 @@
 
 from pewtertack.events import Event
 from pewtertack.log import EventLog
+from pewtertack.node.http.cycle import LOGGER
 from pewtertack.node.http.server import HttpServer
 from pewtertack.node.library_log import record_library_log
 from pewtertack.node.runtime import Runtime
@@ -23,12 +25,15 @@
 from pewtertack.node.transport import PeerTransport
 from pewtertack.settings.schema import LimitsSection
 
-WITHDRAW_SECONDS = 0.75
+logger = logging.getLogger(LOGGER)
+
+WITHDRAW_SECONDS = 1.0
 """So long before a stop's end what no back end works on is refused: what runs by then has the
 time of a usual answer, and a refusal the time to reach its caller."""
-LAST_ANSWERS_SECONDS = 0.25
-"""So long before a stop's end what still runs is answered as of unknown outcome."""
-EXIT_SECONDS = 0.5
+LAST_ANSWERS_SECONDS = 0.5
+"""So long before a stop's end what still runs is answered as of unknown outcome; connections
+linger as long (``node.http.protocol``)."""
+EXIT_SECONDS = 0.3
 """What the process itself needs to end before ``limits.stop_within``, on a busy machine."""
 EXIT_FINISHED = 0
 EXIT_FAILED = 1
@@ -184,23 +189,32 @@
     longest = limits.drain_timeout.seconds if limits.drain_timeout else math.inf
     if limits.stop_within is None:
         return longest
-    left = limits.stop_within.seconds - limits.drain_notice.seconds - EXIT_SECONDS
+    left = limits.stop_within.seconds - notice_time(limits) - EXIT_SECONDS
     return max(0.0, min(longest, left))
 
 
+def notice_time(limits: LimitsSection) -> float:
+    """Return for how many seconds a stopping node still takes requests."""
+    notice = limits.drain_notice.seconds
+    if limits.stop_within is None:
+        return notice
+    return min(notice, max(0.0, limits.stop_within.seconds - EXIT_SECONDS - WITHDRAW_SECONDS))
+
+
 async def _drain(parts: NodeParts, servers: tuple[_RequestServer, ...]) -> None:
     """Tell peers, be not ready, refuse new requests, finish what is in flight, close."""
     parts.runtime.start_leaving()
     limits = parts.settings.current.limits
     drain_seconds = drain_time(limits)
+    notice = notice_time(limits)
     for server in servers:
-        server.application.start_leaving(limits.drain_notice.seconds + drain_seconds)
-    if limits.drain_notice.seconds > 0:
-        await anyio.sleep(limits.drain_notice.seconds)
+        server.application.start_leaving(notice + drain_seconds - LAST_ANSWERS_SECONDS)
+    if notice > 0:
+        await anyio.sleep(notice)
     parts.runtime.stop_serving()
     for server in servers:
         server.application.start_draining()
-    if limits.drain_notice.seconds < LEAVE_TIME:
+    if notice < LEAVE_TIME:
         await anyio.sleep(LEAVE_TIME)
     await _finish_requests(servers, drain_seconds)
 
@@ -224,9 +238,14 @@
 async def _withdraw_late(servers: tuple[_RequestServer, ...], seconds: float) -> None:
     """Refuse what still waits after so many seconds."""
     await anyio.sleep(seconds)
-    async with anyio.create_task_group() as tasks:
-        for server in servers:
-            tasks.start_soon(server.application.withdraw_waiting)
+    try:
+        async with anyio.create_task_group() as tasks:
+            for server in servers:
+                tasks.start_soon(server.application.withdraw_waiting)
+    except* Exception as errors:
+        # Whatever went wrong, the other requests have their answers to come.
+        for error in _leaves(errors):
+            logger.error("requests could not be withdrawn", exc_info=error)
 
 
 async def _drain_all(servers: tuple[_RequestServer, ...]) -> None:
--- a/src/pewtertack/node/gateway/application.py
+++ b/src/pewtertack/node/gateway/application.py
@@ -60,6 +60,11 @@
         """Whether requests may still be sent to it."""
         return self.listed and not self.leaving
 
+    def hand_back_waiting(self) -> None:
+        """Have what waits for a back end that takes no more work served elsewhere."""
+        if not self.takes_work:
+            self.admission.refuse_all(_gone)
+
 
 class GatewayApplication:
     """Admits requests for one address, whichever incarnation of a back end lives there.
@@ -119,6 +124,8 @@
             incarnation.listed = name in listed
         for name, machine in listed.items():
             self._learn(name, machine)
+        for incarnation in self._incarnations.values():
+            incarnation.hand_back_waiting()
 
     def _learn(self, name: str, machine: Machine) -> None:
         incarnation = self._incarnation(name)
@@ -209,6 +216,7 @@
             await forwarding.run()
         except BackendGoneError:
             incarnation.leaving = True
+            incarnation.hand_back_waiting()
             raise
         except RequestFailedError:
             raise
@@ -224,7 +232,7 @@
         if self._requests.draining or not self._ends_in_time(incarnation, request):
             raise _not_offered(DrainingError("the node beside the back end is stopping"))
         if not incarnation.takes_work:
-            raise _not_offered(BackendGoneError("the back end is leaving or gone"))
+            raise _gone()
         return incarnation
 
     def _ends_in_time(self, incarnation: _Incarnation, request: HopRequest) -> bool:
@@ -233,6 +241,12 @@
         return self._clock() + needed * STOP_MARGIN < self._stops_at
 
 
+def _gone() -> BackendGoneError:
+    error = BackendGoneError("the back end is leaving or gone")
+    error.offered = False
+    return error
+
+
 def _not_offered(error: RequestFailedError) -> RequestFailedError:
     error.offered = False
     return error
--- a/src/pewtertack/node/proxy/in_flight.py
+++ b/src/pewtertack/node/proxy/in_flight.py
@@ -90,7 +90,11 @@
     async def _withdraw(self, requests: Iterable[RequestUnderWay]) -> None:
         async with anyio.create_task_group() as tasks:
             for request in requests:
-                tasks.start_soon(request.withdraw)
+                tasks.start_soon(self._withdraw_one, request)
+
+    async def _withdraw_one(self, request: RequestUnderWay) -> None:
+        if request in self.under_way:  # it may have ended since
+            await request.withdraw()
 
     def stop(self) -> None:
         """End what is still under way."""
--- a/src/pewtertack/routing/admission.py
+++ b/src/pewtertack/routing/admission.py
@@ -238,6 +238,11 @@
             ticket.refusal = refusal
             ticket.wake()
 
+    def refuse_all(self, refusal_of: Callable[[], NotRunError]) -> None:
+        """End the waiting of all tickets, each with a refusal of its own."""
+        for ticket in tuple(self._queue):
+            self.refuse(ticket, refusal_of())
+
     def finish(self, ticket: AdmissionTicket, now: float, answered: bool) -> None:
         """A granted request has ended; its slot goes to the next that waits.
 
--- a/src/pewtertack/routing/dispatcher.py
+++ b/src/pewtertack/routing/dispatcher.py
@@ -155,6 +155,10 @@
             found.use_backends(self._registry.of_service(name), self._zone)
         return found
 
+    def has_gateways(self, service: str) -> bool:
+        """Tell whether nodes beside the service's back ends admit requests for them."""
+        return self.service(service).has_gateways
+
     def services(self) -> tuple[ServiceDispatcher, ...]:
         """Return the dispatchers of all services that were asked for."""
         return tuple(self._services.values())
@@ -182,10 +186,7 @@
 
     def refuse(self, ticket: Ticket, refusal: RequestFailedError) -> None:
         """End a ticket's waiting with ``refusal``; one that does not wait is left alone."""
-        if ticket.backend is None and ticket.refusal is None:
-            self.withdraw(ticket)
-            ticket.refusal = refusal
-            ticket.wake()
+        self.service(ticket.route.service).refuse(ticket, refusal)
 
     def note_answer(
         self, ticket: Ticket, now: float, report: LoadReport | None, leaving: bool
--- a/src/pewtertack/routing/queueing.py
+++ b/src/pewtertack/routing/queueing.py
@@ -125,6 +125,9 @@
         self._by_route: dict[str, int] = {}
         self._length = 0
 
+    def __contains__(self, ticket: Ticket) -> bool:
+        return ticket in self._lanes[ticket.route.work_class].tickets
+
     def __len__(self) -> int:
         return self._length
 
--- a/src/pewtertack/routing/service.py
+++ b/src/pewtertack/routing/service.py
@@ -49,7 +49,7 @@
         self._zone = ""
         self._local: list[Backend] = []
         self._remote: list[Backend] = []
-        self._has_gateways = False
+        self.has_gateways = False
         self.mean_time = 0.0
         """Mean seconds of all answers, 0 while unknown."""
         self._route_times: dict[str, float] = {}
@@ -58,7 +58,7 @@
         """Take over the back ends of a newer machine list."""
         members = list(backends)
         self._zone = zone
-        self._has_gateways = any(item.gateway for item in members)
+        self.has_gateways = any(item.gateway for item in members)
         self._local = [backend for backend in members if backend.zone == zone]
         self._remote = [backend for backend in members if backend.zone != zone]
         if self._settings is not None:
@@ -204,6 +204,13 @@
             ticket.refusal = RequestFailedError("withdrawn")
             self.queue.remove(ticket)
 
+    def refuse(self, ticket: Ticket, refusal: RequestFailedError) -> None:
+        """End a ticket's waiting with ``refusal``; one that does not wait is left alone."""
+        if ticket in self.queue:
+            self.queue.remove(ticket)
+            ticket.refusal = refusal
+            ticket.wake()
+
     def next_look(self, ticket: Ticket, now: float) -> float:
         """Return when a waiting ticket should be looked at again, at the latest."""
         rested = self.limit.next_start()
@@ -211,7 +218,7 @@
 
     def _grant(self, ticket: Ticket, now: float) -> bool:
         urgent = ticket.route.work_class is WorkClass.URGENT
-        if self._has_gateways:
+        if self.has_gateways:
             wish = self._wish(ticket, now)
             backend = choose_gateway(self._local, self._remote, wish, now, self._random)
         elif self.limit.allows(now, self.in_flight, urgent):
