Long bodies: received from the caller first, few at a time at a gateway

Cause: the slot was held idle while the body crossed, and all bodies at once shared the link with small calls. Change: a proxy receives a long body (up to 448 KiB) before it asks a gateway; a gateway asks for two bodies at a time, of requests with a slot first, then of up to six that wait, in the order of the queue (node.gateway.reception). No attempt begins after a withdrawal.

--- a/src/pewtertack/node/gateway/forwarding.py
+++ b/src/pewtertack/node/gateway/forwarding.py
@@ -11,6 +11,7 @@
 from pewtertack.node.gateway import hop
 from pewtertack.node.gateway.hop import HopRequest
 from pewtertack.node.gateway.metrics import GatewayMetrics
+from pewtertack.node.gateway.reception import BodyReception
 from pewtertack.node.http.cycle import Scope
 from pewtertack.node.http.framing import RawHeaders
 from pewtertack.node.proxy.answers import Receive, Send
@@ -53,6 +54,7 @@
     log: GatewayLog
     metrics: GatewayMetrics
     requests: RequestsInFlight = msgspec.field(default_factory=RequestsInFlight)
+    reception: BodyReception = msgspec.field(default_factory=BodyReception)
 
 
 class GatewayForwarding:
@@ -76,6 +78,7 @@
         self._deadline = deadline
         self._headers = without_names(scope["headers"], head, parts.edge.own)
         self._body = RequestBody(receive, head.has_body)
+        self._body_on_demand = head.expects_continue
         self._life = RequestLife(scope, deadline, parts.clock)
         self._ticket = AdmissionTicket(
             request.route,
@@ -144,7 +147,34 @@
         self._parts.log.unfinished(self.request_id, self._request.backend, self.progress, took)
 
     async def _admit_and_exchange(self) -> None:
-        await self._wait_for_slot()
+        if self._body_on_demand:
+            await self._wait_for_slot_and_body()
+        else:
+            await self._wait_for_slot()
+        await self._exchange_admitted()
+
+    async def _wait_for_slot_and_body(self) -> None:
+        """Receive the body in its turn, which may come before the slot or after."""
+        reception = self._parts.reception
+        self._submit()
+        receiving = asyncio.ensure_future(reception.receive(self._ticket, self._body.read_ahead))
+        receiving.add_done_callback(_take_note)
+        try:
+            await self._wait_until_granted()
+            reception.start_next()
+            await self._wait_for_body(receiving)
+        finally:
+            receiving.cancel()
+            reception.forget(self._ticket)
+
+    async def _wait_for_body(self, receiving: asyncio.Future[None]) -> None:
+        try:
+            await receiving
+        except BaseException:
+            self._admission.finish(self._ticket, self._parts.clock(), answered=False)
+            raise
+
+    async def _exchange_admitted(self) -> None:
         log, request = self._parts.log, self.request_id
         log.admitted(request, self._request.backend, self._ticket, self._admission)
         metrics, route = self._parts.metrics, self._request.route
@@ -159,12 +189,18 @@
             self._admission.finish(self._ticket, self._parts.clock(), answered)
 
     async def _wait_for_slot(self) -> None:
-        ticket = self._ticket
+        self._submit()
+        await self._wait_until_granted()
+
+    def _submit(self) -> None:
         try:
-            self._admission.submit(ticket, self._parts.clock())
+            self._admission.submit(self._ticket, self._parts.clock())
         except RequestFailedError as error:
             error.offered = False
             raise
+
+    async def _wait_until_granted(self) -> None:
+        ticket = self._ticket
         if ticket.granted:
             return
         self._parts.log.queued(self.request_id, self._request.backend, ticket, self._admission)
@@ -224,6 +260,12 @@
         return [*load_headers(self._admission), (hop.QUEUED, b"%d" % queued)]
 
 
+def _take_note(receiving: asyncio.Future[None]) -> None:
+    """See the end of a body whose request was refused: what it raises concerns nobody."""
+    if not receiving.cancelled():
+        receiving.exception()
+
+
 def load_headers(admission: Admission) -> RawHeaders:
     """Return the header that tells the back end's load, waiting requests included."""
     return [(BACKEND_LOAD, f"{admission.load}/{admission.slots}".encode())]
--- a/src/pewtertack/node/proxy/body.py
+++ b/src/pewtertack/node/proxy/body.py
@@ -8,10 +8,13 @@
 import anyio
 
 from pewtertack.node.proxy.answers import Receive
-from pewtertack.routing.outcomes import SlowRequestError
+from pewtertack.routing.outcomes import Outcome, SlowRequestError
 
 REPLAY_BYTES = 512 * 1024
 """A longer body cannot be sent a second time: to another gateway, or as a retry."""
+AHEAD_BYTES = REPLAY_BYTES - 64 * 1024
+"""So much of a long body is received before another node is asked for room: as long as its
+caller sends, nobody need wait for it, and that a caller has gone is seen only while reading."""
 IDLE_SECONDS = 10.0
 """A caller that sends nothing of its body for this long is refused."""
 
@@ -46,6 +49,19 @@
         """Whether everything received so far can be sent again."""
         return self._kept is not None
 
+    async def read_ahead(self) -> None:
+        """Receive the body, or the first ``AHEAD_BYTES`` of it, before it is streamed.
+
+        Raises:
+            CallerGoneError: the caller has gone.
+            SlowRequestError: the caller sent nothing for ``IDLE_SECONDS``; nothing has run.
+        """
+        try:
+            while not self.complete and self._kept_bytes < AHEAD_BYTES:
+                self._keep(await self._next_chunk())
+        except SlowRequestError as error:
+            raise error.with_outcome(Outcome.NOT_RUN) from None
+
     async def stream(self) -> AsyncIterator[bytes]:
         """Yield the body from its beginning.
 
--- a/src/pewtertack/node/proxy/forwarding.py
+++ b/src/pewtertack/node/proxy/forwarding.py
@@ -174,15 +174,23 @@
         raise end_error(end).with_outcome(Outcome.UNKNOWN if self._sent else Outcome.NOT_RUN)
 
     async def _run_attempts(self) -> None:
+        if self._head.body_is_large and self._parts.dispatcher.has_gateways(self._route.service):
+            await self._body.read_ahead()
         while True:
+            self._check_withdrawn()
             await self._wait_for_backend()
+            if self._withdrawn:
+                self._finish(AttemptEnd.CANCELLED)
+            self._check_withdrawn()
             try:
                 await self._attempt()
                 return
             except RequestFailedError as error:
                 self._sent = self._sent or error.outcome is Outcome.UNKNOWN
-                if self._withdrawn and error.outcome is Outcome.NOT_RUN:
-                    raise DrainingError("the node is stopping") from None
+                if error.outcome is Outcome.NOT_RUN:
+                    self._check_withdrawn()
+                if self._withdrawn:
+                    raise
                 now = self._parts.clock()
                 decision = self._parts.dispatcher.decide_retry(
                     self._ticket, error, now, self._body.replayable
@@ -193,6 +201,10 @@
                 self._ticket = decision.ticket
                 self.retries += 1
 
+    def _check_withdrawn(self) -> None:
+        if self._withdrawn:
+            raise DrainingError("the node is stopping")
+
     def _log_decision(self, error: RequestFailedError, decision: RetryDecision) -> None:
         if self._parts.metrics is not None:
             self._parts.metrics.note_decision(decision.reason.value)
