Nodes with wide links read the source ahead of others; few readers wait less

Change: node.link_mbps; with profile leased a node of 50 Mbit/s and more volunteers, later the more members are before it, and those chosen by hash alone stop while they hear it. Heartbeats say so in a last, optional field. Where few nodes read they pause 0.1 s. Small fleets are as before. Tests: tests/core/replication/test_readership.py (WideLinkTest).

--- a/src/pewtertack/core/profile.py
+++ b/src/pewtertack/core/profile.py
@@ -35,6 +35,8 @@
     """
     first_start: bool = False
     """The fleet starts for the first time: the machine list fills while its nodes start."""
+    wide_link: bool = False
+    """This node's link carries a long document quickly: where few nodes read, it goes first."""
 
 
 class TimingProfile(msgspec.Struct, frozen=True):
@@ -80,6 +82,11 @@
     """So many nodes of a zone, readers included, try a source that answers none of them."""
     late_takeover_step: float = 0.5
     """What each node after them waits longer, so that a source in trouble meets no crowd."""
+    volunteer_step: float = 0.25
+    """A node with a wide link begins to read this much later for each member before it: by
+    then it has heard the heartbeats of the first."""
+    few_readers_gap: float = 0.1
+    """``read_gap`` where few nodes read: the source is asked once a change, by few."""
     reads_alone_below: int = 32
     """In a fleet smaller than this every node reads, where ``readership`` is "leased"."""
     readers_per_zone: int = 2
--- a/src/pewtertack/core/replication/heartbeats.py
+++ b/src/pewtertack/core/replication/heartbeats.py
@@ -40,7 +40,9 @@
         membership: Membership,
         freshness: SourceFreshness,
         stores: dict[DocumentKind, DocumentStore],
+        wide_link: bool = False,
     ) -> None:
+        self._wide_link = wide_link
         self._identity = identity
         self._profile = profile
         self._membership = membership
@@ -72,7 +74,8 @@
         self, now: float, state: VersionState, deltas: tuple[DeltaAnswer, ...]
     ) -> ReaderHeartbeat:
         digest = self._stores[DocumentKind.MACHINE_LIST].revision.digest
-        return ReaderHeartbeat(state, digest, self._freshness.ages(now), deltas)
+        ages = self._freshness.ages(now)
+        return ReaderHeartbeat(state, digest, ages, deltas, self._wide_link)
 
     def _deltas(self) -> tuple[DeltaAnswer, ...]:
         """Return what has changed since the last heartbeats, if that is short."""
--- a/src/pewtertack/core/replication/reader.py
+++ b/src/pewtertack/core/replication/reader.py
@@ -144,7 +144,9 @@
     def _note_answer(self, now: float, kind: DocumentKind) -> None:
         self._open.pop(kind, None)
         self._failures[kind] = 0
-        self._not_before[kind] = now + self._profile.read_gap
+        few_read = self.readership.tells_peers
+        gap = self._profile.few_readers_gap if few_read else self._profile.read_gap
+        self._not_before[kind] = now + gap
         self.last_answer_at[kind] = now
 
     def answered_stale(self, now: float, kind: DocumentKind) -> None:
--- a/src/pewtertack/core/replication/readership.py
+++ b/src/pewtertack/core/replication/readership.py
@@ -28,7 +28,15 @@
 class ReadershipParts:
     """What a way to decide the readership may look at."""
 
-    __slots__ = ("first_read_at", "freshness", "identity", "is_seed", "profile", "table")
+    __slots__ = (
+        "first_read_at",
+        "freshness",
+        "identity",
+        "is_seed",
+        "profile",
+        "table",
+        "wide_link",
+    )
 
     def __init__(
         self,
@@ -38,8 +46,10 @@
         freshness: SourceFreshness,
         is_seed: bool,
         first_read_at: float = 0.0,
+        wide_link: bool = False,
     ) -> None:
         """``first_read_at``: before this moment no node of the fleet reads."""
+        self.wide_link = wide_link
         self.first_read_at = first_read_at
         self.identity = identity
         self.profile = profile
@@ -67,7 +77,7 @@
             joining: whether it joins a fleet whose source is durable.
         """
 
-    def heard(self, now: float, name: str, in_own_zone: bool) -> None:
+    def heard(self, now: float, name: str, in_own_zone: bool, wide_link: bool = False) -> None:
         """A reader whose word is fresh has sent a heartbeat."""
 
 
@@ -115,7 +125,7 @@
             self._elect(now)
         return joining or (allowed and self._is_settled(now))
 
-    def heard(self, now: float, name: str, in_own_zone: bool) -> None:
+    def heard(self, now: float, name: str, in_own_zone: bool, wide_link: bool = False) -> None:
         """Heartbeats decide nothing here."""
 
     def _is_settled(self, now: float) -> bool:
@@ -160,6 +170,10 @@
     has grown older than the lease takes over, the next by hash score first, and goes on
     until enough readers before it are heard again. A source that answers nobody is asked
     by a few nodes of each zone only; the rest come in one by one.
+
+    Members with wide links go before all others: a long document takes a narrow link most of
+    a second, and everyone waits for it. One that has heard of none before it begins to read,
+    and who was chosen by hash score alone stops when it hears of it.
     """
 
     looks_first = True
@@ -171,7 +185,7 @@
         """Since when the node knows that not every one reads."""
         self._taking_over = False
         self._heard_before: dict[str, float] = {}
-        """Readers of the own zone with a lower score: when each was last heard."""
+        """Readers of the own zone that go before this node: when each was last heard."""
 
     def reads(self, now: float, allowed: bool, joining: bool) -> bool:
         """Tell whether to read now."""
@@ -183,8 +197,8 @@
             self._large_since = max(now, self._parts.first_read_at)
         table, profile = self._parts.table, self._parts.profile
         rank = table.zone(self._parts.identity.zone).count_below(self._score)
-        if rank < profile.readers_per_zone:
-            return True
+        if rank < profile.readers_per_zone or self._volunteers(now, rank):
+            return self._readers_before(now) < profile.readers_per_zone
         if self._taking_over:
             self._taking_over = self._readers_before(now) < profile.readers_per_zone
         else:
@@ -196,11 +210,20 @@
         """Whether the fleet is so large that not every node reads."""
         return len(self._parts.table) + 1 >= self._parts.profile.reads_alone_below
 
-    def heard(self, now: float, name: str, in_own_zone: bool) -> None:
+    def heard(self, now: float, name: str, in_own_zone: bool, wide_link: bool = False) -> None:
         """Note a reader that goes before this node."""
-        if in_own_zone and score_of(name) < self._score:
+        alike = wide_link == self._parts.wide_link
+        before = score_of(name) < self._score if alike else wide_link
+        if in_own_zone and before:
             self._heard_before[name] = now
 
+    def _volunteers(self, now: float, rank: int) -> bool:
+        """Tell whether this node, whatever its rank, is one to read."""
+        if not self._parts.wide_link:
+            return False
+        assert self._large_since is not None
+        return now - self._large_since >= (rank + 1) * self._parts.profile.volunteer_step
+
     def _unconfirmed_for(self, now: float) -> float:
         """Return for how long nothing has confirmed what is held, while others were to."""
         assert self._large_since is not None
--- a/src/pewtertack/core/replication/service.py
+++ b/src/pewtertack/core/replication/service.py
@@ -80,12 +80,20 @@
         self.freshness = SourceFreshness()
         first_read_at = now + self._first_read_delay()
         parts = ReadershipParts(
-            identity, profile, membership.table, self.freshness, is_seed, first_read_at
+            identity,
+            profile,
+            membership.table,
+            self.freshness,
+            is_seed,
+            first_read_at,
+            self._source.wide_link,
         )
         readership = READERSHIPS[profile.readership](parts)
         self.reader = PlatformReader(profile, readership, self.freshness, random, first_read_at)
         self._announcer = Announcer(identity, profile, membership, random)
-        self._heartbeats = HeartbeatSender(identity, profile, membership, self.freshness, stores)
+        self._heartbeats = HeartbeatSender(
+            identity, profile, membership, self.freshness, stores, self._source.wide_link
+        )
         self.serving = False
 
     def _first_read_delay(self) -> float:
@@ -203,7 +211,7 @@
         if all(age is not None and age <= lease * MILLISECONDS for age in ages):
             member = self._membership.table.get(sender)
             near = member is not None and member.update.zone == self._identity.zone
-            self.reader.readership.heard(now, sender, near)
+            self.reader.readership.heard(now, sender, near, heartbeat.wide_link)
         return effects
 
     def _hear_ages(self, now: float, heartbeat: ReaderHeartbeat) -> None:
--- a/src/pewtertack/node/assembly.py
+++ b/src/pewtertack/node/assembly.py
@@ -35,6 +35,10 @@
     from pewtertack.node.proxy.edge import EdgeHeaders
 
 
+WIDE_LINK_MBPS = 50.0
+"""From this on a link carries a tree of 2,000 routes (some 600 KB) within 0.1 s."""
+
+
 class ClosableReader(DocumentReader, Protocol):
     """A document reader with connections of its own."""
 
@@ -69,7 +73,11 @@
     gate = ServingGate(profile.pause_threshold)
     proxy = _proxy(settings, gate, registry, log)
     gateway = _gateway(settings, log, registry)
-    source = SourceProperties(settings.source.durable, settings.node.first_start)
+    source = SourceProperties(
+        settings.source.durable,
+        settings.node.first_start,
+        settings.node.link_mbps >= WIDE_LINK_MBPS,
+    )
     core = NodeCore(identity, profile, Random(), started, seeds, source)
     runtime = Runtime(core, profile.tick, gate, transport, reader, proxy, log, gateway)
     if proxy is not None:
--- a/src/pewtertack/settings/checks.py
+++ b/src/pewtertack/settings/checks.py
@@ -19,6 +19,7 @@
 """Each costs one more tag for a stranger's frame."""
 DOCUMENT_BYTES_MIN = 1024
 DOCUMENT_BYTES_MAX = 64 * 1024 * 1024
+LINK_MBPS_MAX = 1_000_000.0
 TIMEOUT_SECONDS_MIN = 0.01
 TIMEOUT_SECONDS_MAX = 3600.0
 
@@ -85,6 +86,7 @@
 
 def _check_limits(settings: Settings, place: str) -> None:
     limits = settings.limits
+    _check_range(place, "node.link_mbps", settings.node.link_mbps, 0.0, LINK_MBPS_MAX)
     _check_range(place, "limits.streams", limits.streams, 1, STREAMS_MAX)
     _check_range(
         place,
--- a/src/pewtertack/settings/schema.py
+++ b/src/pewtertack/settings/schema.py
@@ -31,6 +31,8 @@
     region: Name
     first_start: bool = False
     """The whole fleet starts for the first time; not set for a replaced or restarted node."""
+    link_mbps: float = 0.0
+    """Megabits a second of the machine's link, 0 while unknown."""
 
 
 class ListenSection(msgspec.Struct, frozen=True, kw_only=True):
--- a/src/pewtertack/wire/messages.py
+++ b/src/pewtertack/wire/messages.py
@@ -217,6 +217,8 @@
     """Digest of the machine list, whose number stands in ``state``."""
     ages: SourceAges
     deltas: tuple[DeltaAnswer, ...] = ()
+    wide_link: bool = False
+    """Whether the sender goes before readers with narrow links."""
 
 
 Message = (
--- a/tests/core/replication/test_reader.py
+++ b/tests/core/replication/test_reader.py
@@ -21,7 +21,7 @@
     def reads(self, now: float, allowed: bool, joining: bool) -> bool:
         return True
 
-    def heard(self, now: float, name: str, in_own_zone: bool) -> None:
+    def heard(self, now: float, name: str, in_own_zone: bool, wide_link: bool = False) -> None:
         pass
 
 
--- a/tests/core/replication/test_readership.py
+++ b/tests/core/replication/test_readership.py
@@ -14,20 +14,23 @@
 from pewtertack.wire.messages import DocumentKind
 
 LEASED = msgspec.structs.replace(ONE_READER, readers_per_zone=2)
+STEP = LEASED.volunteer_step
 NAMES = sorted((f"node-{index}" for index in range(40)), key=score_of)
 """By rank: the first two read."""
 
 
-class LeasedReadershipTest(unittest.TestCase):
+class ReadershipTestCase(unittest.TestCase):
     def setUp(self) -> None:
         self.freshness = SourceFreshness()
 
-    def node(self, rank: int, names: list[str] | None = None) -> LeasedReadership:
+    def node(
+        self, rank: int, names: list[str] | None = None, wide_link: bool = False
+    ) -> LeasedReadership:
         identity = NodeIdentity(NAMES[rank], "127.0.0.1:1", "a", "", 1)
         table = MemberTable(identity, 20.0, 600.0)
         machines = [Machine(name, MachineRole.NODE, "a", "127.0.0.1:2") for name in names or NAMES]
         table.use_list([item for item in machines if item.name != identity.name], 0.0)
-        parts = ReadershipParts(identity, LEASED, table, self.freshness, False)
+        parts = ReadershipParts(identity, LEASED, table, self.freshness, False, wide_link=wide_link)
         return LeasedReadership(parts)
 
     def confirm(self, at: float) -> None:
@@ -41,6 +44,8 @@
                 return tick * LEASED.tick
         return None
 
+
+class LeasedReadershipTest(ReadershipTestCase):
     def test_two_of_a_zone_read_at_once_and_the_others_do_not(self) -> None:
         self.assertEqual(self.first_read(self.node(0), 1.0), 0.0)
         self.assertEqual(self.first_read(self.node(1), 1.0), 0.0)
@@ -123,3 +128,46 @@
 
 if __name__ == "__main__":
     unittest.main()
+
+
+class WideLinkTest(ReadershipTestCase):
+    """Nodes whose links are wide go before all others of their zone."""
+
+    def test_one_far_down_the_ranks_begins_to_read_after_those_before_it_could(self) -> None:
+        for rank in (3, 20):
+            begun = self.first_read(self.node(rank, wide_link=True), 30.0)
+            self.assertIsNotNone(begun)
+            self.assertLessEqual(begun or 0.0, LEASED.reader_lease + (rank + 1) * STEP)
+
+    def test_the_chosen_by_hash_stop_while_enough_with_wide_links_are_heard(self) -> None:
+        chosen = self.node(0)
+        self.assertTrue(chosen.reads(0.0, True, False))
+        for reader in (10, 30):
+            chosen.heard(1.0, NAMES[reader], True, wide_link=True)
+        self.assertFalse(chosen.reads(1.1, True, False))
+        self.assertTrue(chosen.reads(1.1 + LEASED.reader_lease, True, False))
+
+    def test_readers_of_other_zones_or_with_narrow_links_stop_nobody_before_them(self) -> None:
+        chosen = self.node(0)
+        for reader in (10, 30):
+            chosen.heard(1.0, NAMES[reader], False, wide_link=True)
+            chosen.heard(1.0, NAMES[reader], True, wide_link=False)
+        self.assertTrue(chosen.reads(1.1, True, False))
+
+    def test_of_many_with_wide_links_only_the_first_read(self) -> None:
+        late = self.node(20, wide_link=True)
+        for tick in range(200):
+            now = tick * 0.1
+            self.confirm(now)
+            for rank in (0, 1):
+                late.heard(now, NAMES[rank], True, wide_link=True)
+            self.assertFalse(late.reads(now, True, False))
+
+    def test_one_with_a_wide_link_does_not_wait_for_those_with_narrow_ones(self) -> None:
+        wide = self.node(5, wide_link=True)
+        wide.reads(0.0, True, False)
+        now = 6 * STEP
+        self.confirm(now)
+        for rank in (0, 1):
+            wide.heard(now, NAMES[rank], True, wide_link=False)
+        self.assertTrue(wide.reads(now, True, False))
