Lab: fleets whose back ends are reached through gateways

Change: FleetShape.gateways puts a node of its zone beside each back end (machine list entries with gateway and slots, [backend] and [limits] in settings); Fleet.reload_node, stay_by_list and lasting callers; a Told record may say for how long its request had been sent whole. What a caller concludes from an answer is shared by both kinds of callers. The lab's processes have a session of their own, so that Ctrl-C reaches the lab alone, which ends them by id.

Shown by: tests/lab/fleet/test_plan.py.

--- a/src/pewtertack/cli/lab.py
+++ b/src/pewtertack/cli/lab.py
@@ -124,11 +124,16 @@
         work_time=work_ms / 1000,
         cold_period=cold_ms / 1000,
     )
-    named = dict(_named_address(text) for text in host)
+    named = dict(named_address(text) for text in host)
     anyio.run(BackendProcess(named, parse_address(control), capacity, seed).run)
 
 
-def _named_address(text: str) -> tuple[str, Address]:
+def named_address(text: str) -> tuple[str, Address]:
+    """Read ``name=ip:port``.
+
+    Raises:
+        LabUsageError: the text has another form.
+    """
     name, equals, address = text.partition("=")
     if not equals:
         raise LabUsageError(f"{text!r}: write name=ip:port")
@@ -168,7 +173,7 @@
     def record(told: Told) -> None:
         print_line(encode_record(told))
 
-    targets = [Target(*_named_address(text)) for text in node]
+    targets = [Target(*named_address(text)) for text in node]
     mix = mix_of_tree(read_json_object(tree))
     print_ready()
     anyio.run(LoadGenerator(targets, mix, rate, seed, prefix, record).run, seconds)
--- a/src/pewtertack/lab/fleet/fleet.py
+++ b/src/pewtertack/lab/fleet/fleet.py
@@ -26,9 +26,11 @@
 from pewtertack.lab.records import (
     BackendFault,
     BackendLeaving,
+    BackendReturn,
     NodeExit,
     NodeKill,
     NodePause,
+    NodeReload,
     NodeResume,
     NodeStart,
     NodeStop,
@@ -204,6 +206,11 @@
         self._nodes[name].send_signal(signal.SIGCONT)
         self.recorder.record(NodeResume(time=time.time(), node=name))
 
+    def reload_node(self, name: str) -> None:
+        """Ask a node to read its settings again (SIGHUP)."""
+        self.recorder.record(NodeReload(time=time.time(), node=name))
+        self._nodes[name].send_signal(signal.SIGHUP)
+
     async def stop_node(self, name: str, seconds: float = STOP_SECONDS) -> int:
         """Ask a node to stop by plan (SIGTERM) and return its exit code.
 
@@ -223,6 +230,11 @@
         self.recorder.record(BackendLeaving(time=time.time(), backend=backend))
         await self.platform.mark_leaving(backend)
 
+    async def stay_by_list(self, backend: str) -> None:
+        """Mark a back end that was leaving as live again in the machine list."""
+        self.recorder.record(BackendReturn(time=time.time(), backend=backend))
+        await self.platform.add_machine(backend)
+
     async def kill_backend_process(self, name: str) -> None:
         """Kill the process of a back end (SIGKILL)."""
         self._signal_backend(name, signal.SIGKILL, "killed")
@@ -257,6 +269,13 @@
         await self._start([process])
         return process
 
+    async def start_lasting_callers(self, name: str, seed: int, callers: int) -> LabProcess:
+        """Start callers that keep their connections; requests' ids begin with ``name``."""
+        proxies = {node: plan.proxy for node, plan in self.plan.nodes.items()}
+        process = self._factory.lasting_callers(name, seed, callers, proxies)
+        await self._start([process])
+        return process
+
     async def ask(self, node: str, kind: CallKind, request_id: str) -> Told:
         """Send one request to a node and record what the caller was told."""
         caller = Caller(Target(node, self.plan.nodes[node].proxy))
--- a/src/pewtertack/lab/fleet/plan.py
+++ b/src/pewtertack/lab/fleet/plan.py
@@ -2,11 +2,12 @@
 
 from __future__ import annotations
 
-from collections.abc import Mapping
-from dataclasses import dataclass
+from collections.abc import Iterable, Mapping
+from dataclasses import dataclass, field, replace
 from typing import Any
 
 from pewtertack.lab.backend.state import Capacity
+from pewtertack.lab.errors import LabUsageError
 from pewtertack.lab.fleet.ports import PortAllocator
 from pewtertack.lab.relay.links import RelayedNode
 from pewtertack.settings import Address
@@ -40,6 +41,10 @@
     """A mechanism that is switched off in all nodes, see ``lab.weakening``."""
     nodes_without_proxy: tuple[str, ...] = ()
     """Names of nodes that only replicate."""
+    gateways: bool = False
+    """Each back end has a node of its zone beside it, which others reach it through."""
+    limits: Mapping[str, str] = field(default_factory=dict)
+    """The section ``[limits]`` of every node's settings."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -52,6 +57,8 @@
     peer: Address
     admin: Address
     advertised: Address
+    gateway: Address | None = None
+    """Where others reach the back end beside the node."""
 
     def relayed(self) -> RelayedNode:
         """Return what the relay must know."""
@@ -67,6 +74,8 @@
     zone: str
     address: Address
     process: str
+    beside: str = ""
+    """The node through whose gateway others reach it; empty when they call it themselves."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -89,13 +98,31 @@
     backends: Mapping[str, BackendPlan]
     backend_controls: Mapping[str, Address]
 
-    def machine_list(self) -> dict[str, dict[str, str]]:
+    def machine_list(self) -> dict[str, dict[str, str | int]]:
         """Return the platform's list with everything live."""
         machines = {node.name: _node_entry(node, self.shape.region) for node in self.nodes.values()}
         for backend in self.backends.values():
-            machines[backend.name] = _backend_entry(backend, self.shape.region)
+            machines[backend.name] = self._backend_entry(backend)
         return machines
 
+    def backend_beside(self, node: str) -> BackendPlan | None:
+        """Return the back end that others reach through a node's gateway."""
+        beside = (backend for backend in self.backends.values() if backend.beside == node)
+        return next(beside, None)
+
+    def _backend_entry(self, backend: BackendPlan) -> dict[str, str | int]:
+        entry: dict[str, str | int] = {
+            "role": "backend",
+            "zone": backend.zone,
+            "region": self.shape.region,
+            "address": str(backend.address),
+            "service": backend.service,
+        }
+        if backend.beside:
+            entry["gateway"] = str(self.nodes[backend.beside].gateway)
+            entry["slots"] = self.shape.capacity.slots
+        return entry
+
     def seeds(self) -> tuple[Address, ...]:
         """Return the advertised addresses of a few nodes, spread over the zones."""
         by_index = sorted(self.nodes.values(), key=lambda node: node.name.rpartition("-")[2])
@@ -115,6 +142,8 @@
     ports = PortAllocator()
     nodes = _plan_nodes(shape, ports)
     backends = _plan_backends(shape, ports)
+    if shape.gateways:
+        nodes, backends = _join_backends_to_nodes(nodes, backends, ports)
     processes = dict.fromkeys(backend.process for backend in backends)
     return FleetPlan(
         shape=shape,
@@ -151,15 +180,29 @@
     return backends
 
 
-def _node_entry(node: NodePlan, region: str) -> dict[str, str]:
-    return {"role": "node", "zone": node.zone, "region": region, "address": str(node.advertised)}
+def _join_backends_to_nodes(
+    nodes: list[NodePlan], backends: list[BackendPlan], ports: PortAllocator
+) -> tuple[list[NodePlan], list[BackendPlan]]:
+    """Give each back end a node of its zone with a gateway.
+
+    Raises:
+        LabUsageError: a zone has fewer nodes than back ends.
+    """
+    joined = {node.name: node for node in nodes}
+    for index, backend in enumerate(backends):
+        node = _first_without_gateway(joined.values(), backend.zone)
+        gateway = ports.allocate(node.proxy.host)
+        joined[node.name] = replace(node, gateway=gateway)
+        backends[index] = replace(backend, beside=node.name)
+    return list(joined.values()), backends
+
 
+def _first_without_gateway(nodes: Iterable[NodePlan], zone: str) -> NodePlan:
+    for node in nodes:
+        if node.zone == zone and node.gateway is None:
+            return node
+    raise LabUsageError(f"zone {zone} has fewer nodes than back ends")
 
-def _backend_entry(backend: BackendPlan, region: str) -> dict[str, str]:
-    return {
-        "role": "backend",
-        "zone": backend.zone,
-        "region": region,
-        "address": str(backend.address),
-        "service": backend.service,
-    }
+
+def _node_entry(node: NodePlan, region: str) -> dict[str, str | int]:
+    return {"role": "node", "zone": node.zone, "region": region, "address": str(node.advertised)}
--- a/src/pewtertack/lab/fleet/process.py
+++ b/src/pewtertack/lab/fleet/process.py
@@ -79,6 +79,7 @@
                 stdin=subprocess.DEVNULL,
                 stdout=subprocess.PIPE,
                 stderr=errors,
+                start_new_session=True,
                 env=os.environ | {"PYTHONUNBUFFERED": "1"},
             )
         task_group.start_soon(self._read_output, self._process)
--- a/src/pewtertack/lab/fleet/settings.py
+++ b/src/pewtertack/lab/fleet/settings.py
@@ -15,7 +15,7 @@
 region = "{region}"
 
 [listen]
-{proxy}peer = "{peer}"
+{proxy}{gateway}peer = "{peer}"
 admin = "{admin}"
 
 [advertise]
@@ -33,7 +33,7 @@
 
 [profile]
 name = "{profile}"
-"""
+{backend}{limits}"""
 
 
 def node_settings(plan: FleetPlan, node: NodePlan) -> str:
@@ -43,6 +43,7 @@
         zone=node.zone,
         region=plan.shape.region,
         proxy=_proxy_line(plan, node),
+        gateway=_gateway_line(node),
         peer=node.peer,
         admin=node.admin,
         advertised=node.advertised,
@@ -51,6 +52,8 @@
         seeds=", ".join(f'"{seed}"' for seed in plan.seeds() if seed != node.advertised),
         key=FLEET_KEY,
         profile=plan.shape.profile,
+        backend=_backend_section(plan, node),
+        limits=_limits_section(plan),
     )
 
 
@@ -60,6 +63,24 @@
     return f'proxy = "{node.proxy}"\n'
 
 
+def _gateway_line(node: NodePlan) -> str:
+    return "" if node.gateway is None else f'gateway = "{node.gateway}"\n'
+
+
+def _backend_section(plan: FleetPlan, node: NodePlan) -> str:
+    backend = plan.backend_beside(node.name)
+    if backend is None:
+        return ""
+    return f'\n[backend]\naddress = "{backend.address}"\nservice = "{backend.service}"\n'
+
+
+def _limits_section(plan: FleetPlan) -> str:
+    if not plan.shape.limits:
+        return ""
+    lines = (f'{name} = "{value}"\n' for name, value in plan.shape.limits.items())
+    return "\n[limits]\n" + "".join(lines)
+
+
 def write_files(plan: FleetPlan, directory: Path) -> None:
     """Write the tree, the machine list, the relay's nodes and all settings files."""
     relayed = [node.relayed() for node in plan.nodes.values()]
--- a/src/pewtertack/lab/load/caller.py
+++ b/src/pewtertack/lab/load/caller.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import time
-from collections.abc import Mapping
+from collections.abc import Iterable, Mapping
 from dataclasses import dataclass
 
 import httpcore
@@ -28,7 +28,7 @@
 
 
 @dataclass(frozen=True, slots=True)
-class _Conclusion:
+class Conclusion:
     """What one exchange came to."""
 
     outcome: ToldOutcome
@@ -55,39 +55,20 @@
         """Send one request and return what the caller was told."""
         began = time.monotonic()
         conclusion = await self._exchange(kind, request_id)
-        return Told(
-            time=time.time(),
-            request_id=request_id,
-            node=self._target.name,
-            route=kind.route,
-            status=conclusion.status,
-            outcome=conclusion.outcome,
-            checksum_ok=conclusion.checksum_ok,
-            own_answer=conclusion.own_answer,
-            repeatable=kind.repeatable,
-            latency=time.monotonic() - began,
-            retry_after=conclusion.retry_after,
-        )
+        return told_of(self._target, kind, request_id, conclusion, time.monotonic() - began)
 
-    async def _exchange(self, kind: CallKind, request_id: str) -> _Conclusion:
+    async def _exchange(self, kind: CallKind, request_id: str) -> Conclusion:
         try:
             answer = await self._send(kind, request_id)
         except (httpcore.ConnectError, httpcore.ConnectTimeout, httpcore.PoolTimeout):
-            return _Conclusion(ToldOutcome.NOT_CONNECTED)
+            return Conclusion(ToldOutcome.NOT_CONNECTED)
         except httpcore.TimeoutException:
-            return _Conclusion(ToldOutcome.TIMED_OUT)
+            return Conclusion(ToldOutcome.TIMED_OUT)
         except (httpcore.NetworkError, httpcore.ProtocolError):
-            return _Conclusion(ToldOutcome.CUT)
-        return _conclude(kind, request_id, answer)
+            return Conclusion(ToldOutcome.CUT)
+        return conclude(kind, request_id, answer.status, answer.headers, answer.content)
 
     async def _send(self, kind: CallKind, request_id: str) -> httpcore.Response:
-        headers = [
-            (b"host", kind.host.encode()),
-            (b"x-request-id", request_id.encode()),
-            (b"x-work-ms", str(kind.work_milliseconds).encode()),
-            (b"x-answer-bytes", str(kind.answer_bytes).encode()),
-            (b"content-length", str(kind.body_bytes).encode()),
-        ]
         timeouts = {
             "connect": CONNECT_SECONDS,
             "pool": CONNECT_SECONDS,
@@ -97,24 +78,66 @@
         return await self._pool.request(
             kind.method,
             f"http://{self._target.proxy}{kind.path}",
-            headers=headers,
+            headers=request_headers(kind, request_id),
             content=bytes(kind.body_bytes),
             extensions={"timeout": timeouts},
         )
 
 
-def _conclude(kind: CallKind, request_id: str, answer: httpcore.Response) -> _Conclusion:
+def request_headers(kind: CallKind, request_id: str) -> list[tuple[bytes, bytes]]:
+    """Return the headers that tell a back end stand-in what to do."""
+    return [
+        (b"host", kind.host.encode()),
+        (b"x-request-id", request_id.encode()),
+        (b"x-work-ms", str(kind.work_milliseconds).encode()),
+        (b"x-answer-bytes", str(kind.answer_bytes).encode()),
+        (b"content-length", str(kind.body_bytes).encode()),
+    ]
+
+
+def told_of(
+    target: Target,
+    kind: CallKind,
+    request_id: str,
+    conclusion: Conclusion,
+    latency: float,
+    whole_for: float | None = None,
+) -> Told:
+    """Return the record of an exchange that ends now."""
+    return Told(
+        time=time.time(),
+        request_id=request_id,
+        node=target.name,
+        route=kind.route,
+        status=conclusion.status,
+        outcome=conclusion.outcome,
+        checksum_ok=conclusion.checksum_ok,
+        own_answer=conclusion.own_answer,
+        repeatable=kind.repeatable,
+        latency=latency,
+        retry_after=conclusion.retry_after,
+        whole_for=whole_for,
+    )
+
+
+def conclude(
+    kind: CallKind,
+    request_id: str,
+    status: int,
+    raw_headers: Iterable[tuple[bytes, bytes]],
+    body: bytes,
+) -> Conclusion:
+    """Return what a whole answer to a request comes to."""
     headers = {
-        name.decode("latin-1").lower(): value.decode("latin-1") for name, value in answer.headers
+        name.decode("latin-1").lower(): value.decode("latin-1") for name, value in raw_headers
     }
     if OUTCOME_HEADER in headers:
         outcome = ToldOutcome(headers[OUTCOME_HEADER])
-        return _Conclusion(outcome, answer.status, retry_after=_retry_after(headers))
-    body = answer.content
-    expected = expected_body(request_id, kind.answer_bytes) if answer.status == STATUS_OK else b""
-    return _Conclusion(
+        return Conclusion(outcome, status, retry_after=_retry_after(headers))
+    expected = expected_body(request_id, kind.answer_bytes) if status == STATUS_OK else b""
+    return Conclusion(
         ToldOutcome.ANSWERED,
-        answer.status,
+        status,
         checksum_ok=headers.get("x-checksum") == checksum(body),
         own_answer=headers.get("x-request-id") == request_id and body == expected,
     )
--- a/src/pewtertack/lab/records.py
+++ b/src/pewtertack/lab/records.py
@@ -93,6 +93,12 @@
     node: str
 
 
+class NodeReload(LabRecord, frozen=True, kw_only=True, tag="node-reload"):
+    """The lab asked a node to read its settings again (SIGHUP)."""
+
+    node: str
+
+
 class NodeExit(LabRecord, frozen=True, kw_only=True, tag="node-exit"):
     """A node's process ended; ``code`` is negative for a signal."""
 
@@ -131,6 +137,12 @@
     fault: str
 
 
+class BackendReturn(LabRecord, frozen=True, kw_only=True, tag="backend-return"):
+    """A back end that was leaving stays after all: it may get new work."""
+
+    backend: str
+
+
 class ExecutionStart(LabRecord, frozen=True, kw_only=True, tag="execution-start"):
     """A back end began to work on a request."""
 
@@ -165,6 +177,9 @@
     repeatable: bool
     latency: float
     retry_after: float | None = None
+    whole_for: float | None = None
+    """For how long the whole request had been sent when the exchange ended, less the delays
+    of the caller's own process; None when it was not sent whole, or this was not measured."""
 
 
 Record = (
@@ -174,11 +189,13 @@
     | NodePause
     | NodeResume
     | NodeStop
+    | NodeReload
     | NodeExit
     | Cut
     | Heal
     | SourceFault
     | BackendLeaving
+    | BackendReturn
     | BackendFault
     | ExecutionStart
     | ExecutionEnd
--- a/src/pewtertack/lab/scenarios/runner.py
+++ b/src/pewtertack/lab/scenarios/runner.py
@@ -56,7 +56,7 @@
     ):
         async with Fleet(plan, Path(directory), recorder) as fleet:
             outcome = await _run(scenario, fleet, seed)
-        problems = [*outcome.problems, *_errors_written(plan, Path(directory))]
+        problems = [*outcome.problems, *errors_written(plan, Path(directory))]
     lines = recorder.lines
     return Report(
         scenario=scenario.name,
@@ -108,7 +108,7 @@
         context.problems += [f"{type(error).__name__}: {error}" for error in leaves_of(group)]
 
 
-def _errors_written(plan: FleetPlan, directory: Path) -> list[str]:
+def errors_written(plan: FleetPlan, directory: Path) -> list[str]:
     """Return what nodes wrote to standard error."""
     found = []
     for name in plan.nodes:
--- /dev/null
+++ b/tests/lab/fleet/test_plan.py
@@ -0,0 +1,54 @@
+"""Fleets whose back ends have a node beside them."""
+
+import tomllib
+import unittest
+from dataclasses import replace
+
+from pewtertack.core.machines import machine_list_from_document
+from pewtertack.lab.errors import LabUsageError
+from pewtertack.lab.fleet.plan import FleetShape, plan_fleet
+from pewtertack.lab.fleet.settings import node_settings
+
+SHAPE = FleetShape(
+    zones=("ikeja", "yaba"),
+    services={"logbook": 3},
+    tree={},
+    gateways=True,
+    limits={"drain_notice": "600ms"},
+)
+
+
+class GatewayPlanTest(unittest.TestCase):
+    def test_every_back_end_has_a_node_of_its_zone_for_itself(self) -> None:
+        plan = plan_fleet(SHAPE)
+        beside = [plan.nodes[backend.beside] for backend in plan.backends.values()]
+        self.assertEqual(len({node.name for node in beside}), 3)
+        listed = {
+            machine.name: machine
+            for machine in machine_list_from_document(1, plan.machine_list()).machines
+        }
+        for backend, node in zip(plan.backends.values(), beside, strict=True):
+            self.assertEqual(backend.zone, node.zone)
+            self.assertEqual(listed[backend.name].gateway, str(node.gateway))
+            self.assertEqual(listed[backend.name].slots, SHAPE.capacity.slots)
+
+    def test_settings_name_the_gateway_its_back_end_and_the_limits(self) -> None:
+        plan = plan_fleet(SHAPE)
+        alone = 0
+        for node in plan.nodes.values():
+            settings = tomllib.loads(node_settings(plan, node))
+            self.assertEqual(settings["limits"], SHAPE.limits)
+            backend = plan.backend_beside(node.name)
+            if backend is None:
+                alone += 1
+                self.assertNotIn("backend", settings)
+                continue
+            self.assertEqual(settings["listen"]["gateway"], str(node.gateway))
+            self.assertEqual(
+                settings["backend"], {"address": str(backend.address), "service": "logbook"}
+            )
+        self.assertEqual(alone, 1)
+
+    def test_more_back_ends_than_nodes_in_a_zone_are_refused(self) -> None:
+        with self.assertRaises(LabUsageError):
+            plan_fleet(replace(SHAPE, nodes_per_zone=1))
