Checks: what was sent whole is answered, around planned stops and otherwise

Cause: planned-stop-cuts-nothing judges only exchanges that were under way at SIGTERM. A request that was sent on a kept connection during the notice or the drain, and got no answer, was not seen; nor was one left without an answer by a node that runs.

Change: planned-stop-answers-what-was-sent and answered-while-node-runs judge every exchange whose last byte was sent 200 ms (CheckBounds.unread) before its end; kills and pauses of the node excuse what they cut.

--- a/src/pewtertack/lab/history/checker.py
+++ b/src/pewtertack/lab/history/checker.py
@@ -8,7 +8,12 @@
 from typing import ClassVar
 
 from pewtertack.errors import LabError
-from pewtertack.lab.history import acceptance_checks, configuration_checks, request_checks
+from pewtertack.lab.history import (
+    acceptance_checks,
+    configuration_checks,
+    request_checks,
+    stop_checks,
+)
 from pewtertack.lab.history.timeline import Timeline
 from pewtertack.lab.history.verdicts import CheckBounds, Judgement, Verdict
 from pewtertack.lab.records import HistoryLine, read_history
@@ -50,6 +55,8 @@
     request_checks.check_at_most_once,
     request_checks.check_leaving_unused,
     request_checks.check_stop_cuts_nothing,
+    stop_checks.check_stop_answers_all,
+    stop_checks.check_sent_is_answered,
 )
 CHECKS = {
     CheckGroup.ALL: (*CONFIGURATION_CHECKS, *REQUEST_CHECKS),
--- /dev/null
+++ b/src/pewtertack/lab/history/stop_checks.py
@@ -0,0 +1,137 @@
+"""Checks of requests that were sent whole: around planned stops and at all other times.
+
+A request counts as read by its node when its last byte was sent `CheckBounds.unread` before
+the connection ended. Not judged is what was cut by a kill of the node, or around its pause.
+"""
+
+from __future__ import annotations
+
+import math
+from collections.abc import Iterator
+
+from pewtertack.lab.history.timeline import Interval, Timeline
+from pewtertack.lab.history.verdicts import CheckBounds, Offence, Promise, Verdict, judge
+from pewtertack.lab.records import (
+    NodeExit,
+    NodeKill,
+    NodePause,
+    NodeResume,
+    NodeStart,
+    NodeStop,
+    Told,
+    ToldOutcome,
+)
+
+EXIT_GRACE = 1.0
+"""How much later than the process's end a caller may see its connection end, in seconds."""
+
+LEFT_WITHOUT = (ToldOutcome.CUT, ToldOutcome.TIMED_OUT)
+"""Ends without an answer. The callers that are judged here wait longer than any node may take."""
+
+
+class _NodeSpans:
+    """The planned stops of one node, and its kills and pauses."""
+
+    __slots__ = ("disturbances", "stops")
+
+    def __init__(self) -> None:
+        self.stops: list[Interval] = []
+        self.disturbances: list[Interval] = []
+
+    def stop_around(self, told: Told) -> Interval | None:
+        """Return the planned stop during which an exchange was under way."""
+        began = told.time - told.latency
+        for stop in self.stops:
+            if stop.overlaps(began, told.time):
+                return stop
+        return None
+
+    def disturbed(self, told: Told, unplanned: float) -> bool:
+        """Tell whether the node was killed or paused during an exchange or just before."""
+        began = told.time - told.latency - unplanned
+        return any(span.overlaps(began, told.time) for span in self.disturbances)
+
+
+def check_stop_answers_all(timeline: Timeline, bounds: CheckBounds) -> Verdict:
+    """What a node had read when it was stopped by plan, or read since, is answered or refused."""
+    judged = 0
+    offences: list[Offence] = []
+    for told, stop in _read_exchanges(timeline, bounds):
+        if stop is None:
+            continue
+        judged += 1
+        if told.outcome in LEFT_WITHOUT:
+            after = told.time - stop.start
+            message = f"no answer from {told.node}, {_sent(told)}, {after:.3f} s after SIGTERM"
+            offences.append(Offence(told.time, told.request_id, message))
+    return judge(Promise.STOP_ANSWERS_ALL, judged, offences)
+
+
+def check_sent_is_answered(timeline: Timeline, bounds: CheckBounds) -> Verdict:
+    """What a node read while it ran undisturbed is answered or refused."""
+    judged = 0
+    offences: list[Offence] = []
+    for told, stop in _read_exchanges(timeline, bounds):
+        if stop is not None:
+            continue
+        judged += 1
+        if told.outcome in LEFT_WITHOUT:
+            message = f"no answer from {told.node}, {_sent(told)}"
+            offences.append(Offence(told.time, told.request_id, message))
+    return judge(Promise.SENT_IS_ANSWERED, judged, offences)
+
+
+def _sent(told: Told) -> str:
+    return f"{told.route} sent whole {told.whole_for or 0.0:.3f} s before the end"
+
+
+def _read_exchanges(
+    timeline: Timeline, bounds: CheckBounds
+) -> Iterator[tuple[Told, Interval | None]]:
+    """Yield the exchanges that are judged, with the planned stop that they fell into."""
+    spans = _spans_by_node(timeline)
+    for told in timeline.lines:
+        if not isinstance(told, Told) or not _was_read(told, bounds):
+            continue
+        node = spans.get(told.node, _NodeSpans())
+        if not node.disturbed(told, bounds.unplanned):
+            yield told, node.stop_around(told)
+
+
+def _was_read(told: Told, bounds: CheckBounds) -> bool:
+    """Tell whether the node has certainly read the request."""
+    if told.outcome in LEFT_WITHOUT:
+        return told.whole_for is not None and told.whole_for >= bounds.unread
+    return told.outcome is not ToldOutcome.NOT_CONNECTED
+
+
+def _spans_by_node(timeline: Timeline) -> dict[str, _NodeSpans]:
+    spans: dict[str, _NodeSpans] = {}
+    for line in timeline.lines:
+        if isinstance(line, NodeStart | NodeStop | NodeExit | NodeKill | NodePause | NodeResume):
+            _take(spans.setdefault(line.node, _NodeSpans()), line)
+    return spans
+
+
+def _take(
+    node: _NodeSpans,
+    line: NodeStart | NodeStop | NodeExit | NodeKill | NodePause | NodeResume,
+) -> None:
+    match line:
+        case NodeStop():
+            node.stops.append(Interval(line.time))
+        case NodeStart() | NodeExit():
+            _end(node.stops, line.time + EXIT_GRACE)
+        case NodeKill():
+            _end(node.stops, line.time + EXIT_GRACE)
+            node.disturbances.append(Interval(line.time, line.time + EXIT_GRACE))
+        case NodePause():
+            node.disturbances.append(Interval(line.time))
+        case NodeResume():
+            _end(node.disturbances, line.time)
+
+
+def _end(spans: list[Interval], time: float) -> None:
+    """End the last span if it lasts."""
+    if spans and spans[-1].end == math.inf:
+        spans[-1].end = time
--- a/src/pewtertack/lab/history/verdicts.py
+++ b/src/pewtertack/lab/history/verdicts.py
@@ -22,6 +22,8 @@
     AT_MOST_ONCE = "non-repeatable-at-most-once"
     LEAVING_UNUSED = "leaving-gets-no-new-work"
     STOP_CUTS_NOTHING = "planned-stop-cuts-nothing"
+    STOP_ANSWERS_ALL = "planned-stop-answers-what-was-sent"
+    SENT_IS_ANSWERED = "answered-while-node-runs"
 
 
 class Judgement(StrEnum):
@@ -62,6 +64,10 @@
     """How long a resumed process may take to find out that it was paused."""
     leaving: float = 5.0
     """After this long a leaving back end gets no new work."""
+    unread: float = 0.2
+    """A request sent whole this long before its connection ended has been read."""
+    unplanned: float = 1.0
+    """What was sent within this time of a pause of its node is not judged by its cut."""
 
 
 def judge(promise: Promise, judged: int, offences: Iterable[Offence]) -> Verdict:
--- a/tests/lab/history/test_planted_violations.py
+++ b/tests/lab/history/test_planted_violations.py
@@ -198,6 +198,14 @@
     "a planned stop cuts a request": Planted(
         Promise.STOP_CUTS_NOTHING, [told(60.6, "r6", ToldOutcome.CUT, status=0)]
     ),
+    "a request sent during a planned stop gets no answer": Planted(
+        Promise.STOP_ANSWERS_ALL,
+        [told(62.0, "r6", ToldOutcome.CUT, status=0, latency=0.5, whole_for=0.4)],
+    ),
+    "a request sent to a node that runs gets no answer": Planted(
+        Promise.SENT_IS_ANSWERED,
+        [told(50.0, "r6", ToldOutcome.TIMED_OUT, status=0, whole_for=0.9)],
+    ),
 }
 
 
