A body that nobody read does not hold up its connection

Cause: a whole request whose body of more than 64 KiB was not read (refused for lack of back ends or room) left its bytes with the answered request. They went on counting against reading, which stayed paused for good: what the caller sent next lay in the socket until the connection ended.

Change: an answered request drops its body.

Shown by: tests.node.http.test_server, which ends after the keep-alive time without the change. Ruled out: the caller's side (its bytes were sent whole, the node never logged the request).

--- a/src/pewtertack/node/http/cycle.py
+++ b/src/pewtertack/node/http/cycle.py
@@ -233,6 +233,7 @@
             raise RuntimeError("the answer's body has not the announced length")
         self.answered = not more
         if self.answered:
+            self.body.clear()  # nobody reads it any more
             self._received_more.set()
 
     def _note_framing(self, message: Message) -> None:
--- a/tests/node/http/test_server.py
+++ b/tests/node/http/test_server.py
@@ -8,10 +8,18 @@
 
 import anyio
 
+from pewtertack.node.http import cycle
 from pewtertack.node.http import server as http_server
 from tests.node.processes import get
 
 
+async def answer_when_received(scope: Any, receive: Any, send: Any) -> None:
+    """Answer once the whole request has come, without reading its body."""
+    while not scope["extensions"][cycle.CALLER].received:
+        await asyncio.sleep(0.001)
+    await answer(scope, receive, send)
+
+
 async def answer(scope: Any, receive: Any, send: Any) -> None:
     headers = [(b"content-length", b"0")]
     await send({"type": "http.response.start", "status": 200, "headers": headers})
@@ -25,6 +33,19 @@
         self.server = http_server.HttpServer(answer, 5.0)
         self.task = asyncio.create_task(self.server.serve([listener]))
 
+    async def test_a_body_that_nobody_read_does_not_hold_up_the_next_request(self) -> None:
+        self.server.application = answer_when_received
+        body = bytes(cycle.BODY_BYTES + 1)
+        head = f"POST / HTTP/1.1\r\nhost: a\r\ncontent-length: {len(body)}\r\n\r\n"
+        host, _, port = self.address.partition(":")
+        reader, writer = await asyncio.open_connection(host, int(port))
+        with anyio.fail_after(60):
+            for _ in range(2):
+                writer.write(head.encode() + body)
+                self.assertIn(b" 200 ", await reader.readuntil(b"\r\n\r\n"))
+        writer.close()
+        await self.stop()
+
     async def stop(self) -> None:
         self.server.should_exit = True
         with anyio.fail_after(60):
