A fault soak: stops, kills, pauses and edits in overlapping series

Cause: lab run storm makes faults one at a time against nodes without gateways, its callers stop using a node as soon as it drains, and nobody presses beyond what back ends hold.

The lab's fleet, stand-ins, relay, edits and checks are reused; new are callers that keep their connections and measure for how long a request had been sent whole, kinds of faults in a registry by lanes, a watch on memory and descriptors, and a verdict as exit code.

--- a/src/pewtertack/cli/main.py
+++ b/src/pewtertack/cli/main.py
@@ -8,7 +8,17 @@
 
 import typer
 
-from pewtertack.cli import lab, lab_cost, lab_depth, lab_proofs, lab_scale, status, trace, tree
+from pewtertack.cli import (
+    lab,
+    lab_cost,
+    lab_depth,
+    lab_proofs,
+    lab_scale,
+    lab_soak,
+    status,
+    trace,
+    tree,
+)
 
 app = typer.Typer(
     name="pewtertack",
@@ -47,4 +57,6 @@
 lab.app.command("depth-latency")(lab_depth.depth_latency)
 lab.app.command("scale")(lab_scale.scale)
 lab.app.command("report")(lab_scale.report)
+lab.app.command("soak")(lab_soak.soak)
+lab.app.command("soak-callers", hidden=True)(lab_soak.soak_callers)
 app.add_typer(lab.app, name="lab")
--- a/src/pewtertack/lab/errors.py
+++ b/src/pewtertack/lab/errors.py
@@ -13,6 +13,12 @@
     code: ClassVar[str] = "lab-usage"
 
 
+class SoakOptionError(LabUsageError):
+    """An option of a soak makes no sense, or the machine is too small for it."""
+
+    code: ClassVar[str] = "soak-option"
+
+
 class ProcessFailedError(LabError):
     """A process of the fleet ended or did not become ready."""
 
--- /dev/null
+++ b/src/pewtertack/lab/soak/context.py
@@ -0,0 +1,81 @@
+"""What the faults of a soak work with: the running fleet, and which nodes are free."""
+
+from __future__ import annotations
+
+import contextlib
+import random
+from collections import Counter
+from collections.abc import AsyncIterator
+
+import anyio
+
+from pewtertack.lab.fleet.fleet import Fleet
+from pewtertack.lab.scenarios.context import ScenarioContext
+
+CALLERS_PER_NODE = 3
+SURGE_CALLERS_PER_NODE = 3
+SERVING_SECONDS = 60.0
+
+
+class SoakContext:
+    """A running fleet under faults. Each node takes part in one fault at a time.
+
+    Args:
+        scenario: fleet, edits and problems found.
+        seed: decides the requests of callers.
+    """
+
+    def __init__(self, scenario: ScenarioContext, seed: int) -> None:
+        self.scenario = scenario
+        self.seed = seed
+        self.made: Counter[str] = Counter()
+        """How many faults of each kind were begun."""
+        self._claimed: set[str] = set()
+        self._released = anyio.Event()
+        self._surges = 0
+
+    @property
+    def fleet(self) -> Fleet:
+        """The fleet."""
+        return self.scenario.fleet
+
+    @property
+    def most_claimed(self) -> int:
+        """How many nodes may take part in faults at once, so that a majority runs."""
+        return (len(self.fleet.plan.nodes) - 1) // 2
+
+    @contextlib.asynccontextmanager
+    async def claim_nodes(self, chooser: random.Random, count: int) -> AsyncIterator[list[str]]:
+        """Wait for ``count`` nodes, or as many as may be, that take part in no other fault."""
+        count = min(count, self.most_claimed)
+        order = chooser.sample(sorted(self.fleet.plan.nodes), len(self.fleet.plan.nodes))
+        while len(self._claimed) + count > self.most_claimed:
+            await self._released.wait()
+        chosen = [name for name in order if name not in self._claimed][:count]
+        self._claimed.update(chosen)
+        try:
+            yield chosen
+        finally:
+            self._claimed.difference_update(chosen)
+            self._released.set()
+            self._released = anyio.Event()
+
+    def some_backend(self, chooser: random.Random) -> str:
+        """Pick a back end."""
+        return chooser.choice(sorted(self.fleet.plan.backends))
+
+    async def start_again(self, names: list[str]) -> None:
+        """Start nodes that have ended, and wait until they serve."""
+        await self.fleet.start_nodes(names)
+        await self.fleet.wait_serving(names, SERVING_SECONDS)
+
+    async def surge(self, seconds: float) -> None:
+        """Let more callers press on the fleet for a while."""
+        self._surges += 1
+        name = f"surge{self._surges}"
+        process = await self.fleet.start_lasting_callers(
+            name, self.seed + self._surges, SURGE_CALLERS_PER_NODE
+        )
+        await anyio.sleep(seconds)
+        code = await self.fleet.stop_load(process)
+        self.scenario.expect(code == 0, f"{name} ended with {code}: {process.error_tail()}")
--- /dev/null
+++ b/src/pewtertack/lab/soak/platform_faults.py
@@ -0,0 +1,100 @@
+"""Edits, faults of the platform's services, cuts between zones, and back ends that leave.
+
+What a node must learn from the machine list in time shares a lane with the list's faults and
+the cuts, so that the two never overlap.
+"""
+
+from __future__ import annotations
+
+import random
+
+import anyio
+
+from pewtertack.lab.platform.store import Availability, Faults
+from pewtertack.lab.relay.links import Link
+from pewtertack.lab.soak.context import SoakContext
+from pewtertack.lab.soak.faults import Lane, fault
+
+SHORT, LONG = 1.0, 6.0
+LEAVING_SECONDS = 8.0
+"""Longer than a leaving back end may get new work."""
+OLDER_SHARE = 0.5
+
+
+async def _fail_source(
+    soak: SoakContext, chooser: random.Random, faults: Faults, description: str
+) -> None:
+    await soak.fleet.platform.fail_source(faults, description)
+    await anyio.sleep(chooser.uniform(SHORT, LONG))
+    await soak.fleet.platform.heal_source()
+
+
+@fault("source-closed", Lane.PLATFORM)
+async def source_closed(soak: SoakContext, chooser: random.Random) -> None:
+    """The source takes no connections."""
+    await _fail_source(soak, chooser, Faults(availability=Availability.CLOSED), "closed")
+
+
+@fault("source-unavailable", Lane.PLATFORM)
+async def source_unavailable(soak: SoakContext, chooser: random.Random) -> None:
+    """The source refuses every read."""
+    await _fail_source(soak, chooser, Faults(availability=Availability.UNAVAILABLE), "unavailable")
+
+
+@fault("source-stale", Lane.PLATFORM)
+async def source_stale(soak: SoakContext, chooser: random.Random) -> None:
+    """The source shows nothing newer than an older edit."""
+    stale = max(1, soak.scenario.newest_valid - chooser.randint(0, 2))
+    await _fail_source(soak, chooser, Faults(stale_number=stale), "stale")
+
+
+@fault("source-older", Lane.PLATFORM)
+async def source_older(soak: SoakContext, chooser: random.Random) -> None:
+    """The source gives the version before in half of its answers."""
+    await _fail_source(soak, chooser, Faults(older_share=OLDER_SHARE), "older")
+
+
+@fault("list-down", Lane.PLATFORM)
+async def list_down(soak: SoakContext, chooser: random.Random) -> None:
+    """The machine list cannot be read."""
+    down = chooser.choice((Availability.CLOSED, Availability.UNAVAILABLE))
+    await soak.fleet.platform.fail_machine_list(down)
+    await anyio.sleep(chooser.uniform(SHORT, LONG))
+    await soak.fleet.platform.heal_machine_list()
+
+
+@fault("zones-apart", Lane.PLATFORM)
+async def zones_apart(soak: SoakContext, chooser: random.Random) -> None:
+    """Nodes of the two zones do not hear each other, one way or both ways."""
+    first, second = chooser.sample(soak.fleet.plan.shape.zones, 2)
+    links = [Link(first, second), Link(second, first)][: chooser.randint(1, 2)]
+    await soak.fleet.links.cut(links)
+    await anyio.sleep(chooser.uniform(SHORT, LONG))
+    await soak.fleet.links.heal()
+
+
+@fault("leaving", Lane.PLATFORM, weight=2.0)
+async def leaving(soak: SoakContext, chooser: random.Random) -> None:
+    """A back end is marked as leaving in the lagging list, and stays after all."""
+    name = soak.some_backend(chooser)
+    await soak.fleet.leave_by_list(name)
+    await anyio.sleep(LEAVING_SECONDS)
+    await soak.fleet.stay_by_list(name)
+
+
+@fault("edit", Lane.EDITS, weight=4.0)
+async def edit(soak: SoakContext, chooser: random.Random) -> None:
+    """An operator makes a good edit."""
+    await soak.scenario.edit()
+
+
+@fault("move-route", Lane.EDITS)
+async def move_route(soak: SoakContext, chooser: random.Random) -> None:
+    """An operator moves a route to the other service."""
+    await soak.scenario.edit_moving_a_route()
+
+
+@fault("edit-badly", Lane.EDITS)
+async def edit_badly(soak: SoakContext, chooser: random.Random) -> None:
+    """An operator makes an edit that must be rejected."""
+    await soak.scenario.edit_badly()
--- /dev/null
+++ b/src/pewtertack/lab/soak/run.py
@@ -0,0 +1,173 @@
+"""Runs a soak: fleet, callers, lanes of faults, settling, verdicts."""
+
+from __future__ import annotations
+
+import math
+import random
+import signal
+import tempfile
+import time
+from collections.abc import Callable
+from pathlib import Path
+
+import anyio
+
+from pewtertack.errors import LabError
+from pewtertack.lab.errors import leaves_of
+from pewtertack.lab.fleet.fleet import Fleet
+from pewtertack.lab.fleet.history import HistoryRecorder
+from pewtertack.lab.fleet.plan import plan_fleet
+from pewtertack.lab.fleet.process import LabProcess
+from pewtertack.lab.history.checker import check_history
+from pewtertack.lab.history.verdicts import CheckBounds
+from pewtertack.lab.report.report import routes_of
+from pewtertack.lab.scenarios.context import ScenarioContext
+from pewtertack.lab.scenarios.edits import TreeEditor
+from pewtertack.lab.scenarios.runner import errors_written
+from pewtertack.lab.soak.context import CALLERS_PER_NODE, SoakContext
+from pewtertack.lab.soak.faults import DrawnFault, Lane, draw_faults
+from pewtertack.lab.soak.options import SoakOptions
+from pewtertack.lab.soak.progress import Progress
+from pewtertack.lab.soak.resources import ResourceWatch
+from pewtertack.lab.soak.result import SoakResult
+from pewtertack.lab.soak.shape import shape_of_soak
+
+BOUNDS = CheckBounds(convergence=12.0, recovery=30.0)
+"""The users' bound of 12 s, and room for a node that starts while the source is down."""
+SETTLE_SECONDS = BOUNDS.convergence + 1.0
+"""Undisturbed time at the end, so that the last edits are judged."""
+
+Printer = Callable[[str], None]
+
+
+class SoakRun:
+    """One soak on a fleet that is entered but has no nodes yet.
+
+    Args:
+        fleet: the fleet.
+        options: what was asked.
+        print_line: takes lines of progress.
+    """
+
+    def __init__(self, fleet: Fleet, options: SoakOptions, print_line: Printer) -> None:
+        self.options = options
+        self.watch = ResourceWatch(fleet)
+        self.interrupted_at: float | None = None
+        """When SIGINT came; what happens later is the end of the processes."""
+        self._fleet = fleet
+        editor = TreeEditor(fleet.plan.shape.tree, options.seed)
+        scenario = ScenarioContext(fleet, random.Random(f"soak:{options.seed}"), editor)
+        self.context = SoakContext(scenario, options.seed)
+        self._progress = Progress(fleet.recorder, self.context.made, BOUNDS, print_line)
+
+    async def run(self) -> None:
+        """Run to the end, or until SIGINT."""
+        async with anyio.create_task_group() as tasks:
+            await tasks.start(self._watch_interrupt, tasks.cancel_scope)
+            await self._fleet.start_nodes()
+            await self._fleet.wait_serving()
+            tasks.start_soon(self.watch.run)
+            tasks.start_soon(self._progress.run)
+            callers = await self._start_callers()
+            await self._make_faults()
+            await self._settle(callers)
+            tasks.cancel_scope.cancel()
+
+    async def _watch_interrupt(
+        self, scope: anyio.CancelScope, *, task_status: anyio.abc.TaskStatus[None]
+    ) -> None:
+        with anyio.open_signal_receiver(signal.SIGINT) as signals:
+            task_status.started()
+            async for _ in signals:
+                self.interrupted_at = time.time()
+                scope.cancel()
+                return
+
+    async def _start_callers(self) -> LabProcess:
+        return await self._fleet.start_lasting_callers(
+            "callers", self.options.seed, CALLERS_PER_NODE
+        )
+
+    async def _make_faults(self) -> None:
+        end = time.monotonic() + self.options.seconds
+        async with anyio.create_task_group() as lanes:
+            for lane in Lane:
+                lanes.start_soon(self._run_lane, lane, end)
+
+    async def _run_lane(self, lane: Lane, end: float) -> None:
+        """Make one fault after the other; the last one begun is also ended."""
+        for drawn in draw_faults(lane, self.options.seed):
+            await anyio.sleep(drawn.gap)
+            if time.monotonic() >= end:
+                return
+            await self._make(drawn)
+
+    async def _make(self, drawn: DrawnFault) -> None:
+        self.context.made[drawn.kind.name] += 1
+        try:
+            await drawn.kind.body(self.context, random.Random(drawn.seed))
+        except* (LabError, TimeoutError) as group:
+            self.context.scenario.problems += [
+                f"{drawn.kind.name}: {type(error).__name__}: {error}" for error in leaves_of(group)
+            ]
+
+    async def _settle(self, callers: LabProcess) -> None:
+        """Wait until all is well, then for the bound of the last edits, then for the callers."""
+        context = self.context.scenario
+        try:
+            await self._fleet.wait_serving()
+            await context.edit()
+            await context.wait_for_newest()
+        except LabError as error:
+            context.problems.append(f"{type(error).__name__}: {error}")
+        await anyio.sleep(SETTLE_SECONDS)
+        code = await self._fleet.stop_load(callers)
+        context.expect(code == 0, f"the callers ended with {code}: {callers.error_tail()}")
+        for name in sorted(set(self._fleet.plan.nodes) - set(self._fleet.running_nodes())):
+            context.problems.append(f"{name} does not run at the end")
+
+
+async def run_soak(options: SoakOptions, history: Path | None, print_line: Printer) -> SoakResult:
+    """Run a soak; its history goes into the file ``history`` where one is given.
+
+    Raises:
+        LabError: the fleet could not be started.
+    """
+    plan = plan_fleet(shape_of_soak(options))
+    began = time.monotonic()
+    with tempfile.TemporaryDirectory(prefix="pewtertack-soak-") as name:
+        directory = Path(name)
+        with HistoryRecorder(history or directory / "history.jsonl") as recorder:
+            async with Fleet(plan, directory, recorder) as fleet:
+                run = SoakRun(fleet, options, print_line)
+                await run.run()
+            problems = [
+                *run.context.scenario.problems,
+                *run.watch.problems(),
+                *recorder.stray_lines,
+                *errors_written(plan, directory),
+            ]
+    return _result(run, recorder, problems, time.monotonic() - began)
+
+
+def _result(
+    run: SoakRun, recorder: HistoryRecorder, problems: list[str], seconds: float
+) -> SoakResult:
+    options = run.options
+    until = math.inf if run.interrupted_at is None else run.interrupted_at
+    lines = [line for line in recorder.lines if line.time <= until]
+    uses = [use for uses in run.watch.uses.values() for use in uses]
+    return SoakResult(
+        minutes=options.minutes,
+        seed=options.seed,
+        nodes=options.nodes,
+        without=options.without,
+        seconds=round(seconds, 1),
+        interrupted=run.interrupted_at is not None,
+        faults=dict(sorted(run.context.made.items())),
+        routes=routes_of(lines),
+        verdicts=check_history(lines, BOUNDS),
+        problems=problems,
+        resident_megabytes=max((use.resident_bytes / 1_000_000 for use in uses), default=0.0),
+        descriptors=max((use.descriptors for use in uses), default=0),
+    )
--- /dev/null
+++ b/src/pewtertack/lab/soak/shape.py
@@ -0,0 +1,76 @@
+"""The fleet of a soak: two zones, and a back end of few slots beside most nodes."""
+
+from __future__ import annotations
+
+from collections.abc import Mapping
+from typing import Any
+
+from pewtertack.lab.backend.state import Capacity
+from pewtertack.lab.fleet.plan import FleetShape
+from pewtertack.lab.soak.options import ZONES, SoakOptions
+
+SERVICES = {"logbook": 2, "archive": 2}
+"""Back ends by service, one in each zone."""
+CAPACITY = Capacity(slots=1, queue=2)
+NOTICE_SECONDS = 0.6
+DRAIN_SECONDS = 1.5
+LIMITS = {
+    "drain_notice": f"{NOTICE_SECONDS * 1000:.0f}ms",
+    "drain_timeout": f"{DRAIN_SECONDS * 1000:.0f}ms",
+}
+"""Shorter than in production, in about the same proportion."""
+TREE: Mapping[str, Any] = {
+    "route_defaults": {"timeout": "4s", "repeatable": False, "retry_limit": 2, "queue_limit": 32},
+    "secrets": {"mesh-token": "soak-token"},
+    "services": {"logbook": {}, "archive": {}},
+    "routes": {
+        "lookup": {
+            "service": "logbook",
+            "hosts": ["logbook.example"],
+            "path_prefix": "/contacts",
+            "methods": ["GET", "HEAD"],
+            "class": "urgent",
+            "timeout": "3s",
+            "repeatable": True,
+        },
+        "records": {
+            "service": "archive",
+            "hosts": ["archive.example"],
+            "path_prefix": "/records",
+            "methods": ["GET", "HEAD"],
+            "timeout": "6s",
+            "repeatable": True,
+        },
+        "confirm": {
+            "service": "logbook",
+            "hosts": ["logbook.example"],
+            "path_prefix": "/confirmations",
+            "methods": ["POST"],
+        },
+        "upload": {
+            "service": "archive",
+            "hosts": ["archive.example"],
+            "path_prefix": "/logs",
+            "methods": ["POST"],
+            "class": "bulk",
+            "timeout": "20s",
+            "target_latency": "15s",
+        },
+    },
+    "zones": {zone: {} for zone in ZONES},
+}
+
+
+def shape_of_soak(options: SoakOptions) -> FleetShape:
+    """Return the fleet of a soak."""
+    return FleetShape(
+        zones=ZONES,
+        services=SERVICES,
+        tree=TREE,
+        nodes_per_zone=options.nodes // len(ZONES),
+        capacity=CAPACITY,
+        separate_backends=True,
+        without=options.without,
+        gateways=True,
+        limits=LIMITS,
+    )
