A connection accepted while the server stops is not left open

Cause: asyncio (3.11) accepts a connection in one round of its loop and makes its transport in the next. When the listener closes in between, the transport's making fails without a word, and a reference cycle keeps the socket open until the process ends: its caller waits for nothing.

Change: the server first stops accepting, lets the connections accepted last begin, then closes its listeners and all connections, this one included.

Ruled out: a pipelined request (its connection was new), the order of answers.

--- a/src/pewtertack/node/http/server.py
+++ b/src/pewtertack/node/http/server.py
@@ -23,6 +23,8 @@
 DATE_FORMAT = "%a, %d %b %Y %H:%M:%S GMT"
 BACKLOG = 2048
 """Connections that wait to be accepted."""
+ACCEPTING_ROUNDS = 3
+"""Rounds of the event loop from an accepted connection to its protocol."""
 
 
 class HttpServer:
@@ -72,6 +74,7 @@
         ]
         try:
             await self._wait_for_exit()
+            await self._stop_accepting(sockets)
         finally:
             for listener in listeners:
                 listener.close()
@@ -84,6 +87,17 @@
                     await self._exit.wait()
             self._renew_date()
 
+    async def _stop_accepting(self, sockets: Sequence[socket]) -> None:
+        """Accept no more, and let the connections accepted last begin.
+
+        asyncio forgets one whose listener closes in between, and leaves it open.
+        """
+        loop = asyncio.get_running_loop()
+        for bound in sockets:
+            loop.remove_reader(bound)
+        for _ in range(ACCEPTING_ROUNDS):
+            await asyncio.sleep(0)
+
     def _renew_date(self) -> None:
         self.default_headers = [
             (b"date", time.strftime(DATE_FORMAT, time.gmtime(time.time())).encode())
--- a/tests/node/http/test_server.py
+++ b/tests/node/http/test_server.py
@@ -1,6 +1,7 @@
 """The server inside a node's process: it stops when told and keeps its date."""
 
 import asyncio
+import contextlib
 import socket
 import unittest
 from typing import Any
@@ -46,6 +47,17 @@
         writer.close()
         await self.stop()
 
+    async def test_a_connection_that_comes_as_the_server_stops_is_not_left_open(self) -> None:
+        await asyncio.sleep(0.01)
+        host, _, port = self.address.partition(":")
+        caller = socket.create_connection((host, int(port)))
+        caller.setblocking(False)
+        await asyncio.sleep(0)  # in this round the server accepts it
+        await self.stop()
+        with anyio.fail_after(60), contextlib.suppress(ConnectionError):
+            self.assertEqual(await asyncio.get_running_loop().sock_recv(caller, 1), b"")
+        caller.close()
+
     async def stop(self) -> None:
         self.server.should_exit = True
         with anyio.fail_after(60):
