--- a/src/pewtertack/lab/soak/callers.py
+++ b/src/pewtertack/lab/soak/callers.py
@@ -82,18 +82,12 @@
             await anyio.sleep(self._random.expovariate(1 / THINK_SECONDS))
 
     def _next_calls(self) -> list[Call]:
-        """Return one request, or some that may be repeated with a short one at the end.
-
-        No upload is sent behind another request: a node reads a part of it only until its turn.
-        """
-        kinds = list(self._mix)
+        """Return one request, or some that may be repeated with any one at the end."""
+        last = self._random.choices(self._mix, [WEIGHTS.get(kind.route, 1.0) for kind in self._mix])
         before: list[CallKind] = []
         if self._random.random() < PIPELINED_SHARE:
-            repeatable = [kind for kind in kinds if kind.repeatable]
+            repeatable = [kind for kind in self._mix if kind.repeatable]
             before = self._random.choices(repeatable, k=self._random.randint(1, MOST_PIPELINED))
-            kinds = [kind for kind in kinds if kind.route != UPLOAD]
-        weights = [WEIGHTS.get(kind.route, 1.0) for kind in kinds]
-        last = self._random.choices(kinds, weights)
         return [self._call(kind) for kind in (*before, *last)]
 
     def _call(self, kind: CallKind) -> Call:
