--- a/src/pewtertack/lab/overload/workload.py
+++ b/src/pewtertack/lab/overload/workload.py
@@ -2,8 +2,9 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterator
+from collections.abc import Callable, Iterator
 from dataclasses import dataclass
+from functools import cache
 from random import Random
 
 from pewtertack.core.configuration.resolved import ResolvedRoute, ResolvedService, WorkClass
@@ -19,6 +20,18 @@
     share: float
     mean_work: float
     deadline: float
+    name: str = ""
+    """Of its route; empty stands for the class of work."""
+    objective: float = 0.0
+    """Within which an answer is wanted; 0 stands for half the deadline."""
+    worth: float = 1.0
+    """What an answer in time is worth."""
+    retries: int = 0
+    """How often a caller tries again that obeys."""
+
+
+def _nobody_listens() -> None:
+    """Tell nobody."""
 
 
 PROFILES = (
@@ -42,6 +55,17 @@
     attempts: int = 0
     ended: float | None = None
     answered: bool = False
+    offered_at: float | None = None
+    """When a back end began to work on it."""
+    retry_after: float | None = None
+    """What its refusal told the caller."""
+    at_end: Callable[[], None] = _nobody_listens
+
+    def end(self, now: float, answered: bool = False, retry_after: float | None = None) -> None:
+        """Note how it ended, once, and tell the caller."""
+        if self.ended is None:
+            self.ended, self.answered, self.retry_after = now, answered, retry_after
+            self.at_end()
 
 
 def arrivals(random: Random, rate: float, seconds: float, nodes: int) -> Iterator[SimulatedRequest]:
@@ -55,13 +79,14 @@
         now += random.expovariate(rate)
 
 
+@cache
 def route_of(profile: ClassProfile) -> ResolvedRoute:
     """Return the route of a class, with the default limits."""
     return ResolvedRoute(
-        name=profile.work_class.value,
+        name=profile.name or profile.work_class.value,
         service=SERVICE,
         hosts=(),
-        path_prefix="/" + profile.work_class.value,
+        path_prefix="/" + (profile.name or profile.work_class.value),
         methods=(),
         work_class=profile.work_class,
         timeout=profile.deadline,
@@ -70,6 +95,7 @@
         retry_budget=0.1,
         queue_limit=50,
         header_secrets={},
+        target_latency=profile.objective,
     )
 
 
