--- a/src/pewtertack/lab/overload/gateways.py
+++ b/src/pewtertack/lab/overload/gateways.py
@@ -14,11 +14,12 @@
 from pewtertack.lab.overload.nodes import ROUTES
 from pewtertack.lab.overload.workload import SERVICE, SimulatedRequest, route_of
 from pewtertack.lab.overload.world import NETWORK_DELAY, VirtualTime
-from pewtertack.routing.admission import Admission, AdmissionTicket
+from pewtertack.routing.admission import Admission
 from pewtertack.routing.backend import LoadReport
 from pewtertack.routing.dispatcher import Dispatcher
 from pewtertack.routing.ends import AttemptEnd
 from pewtertack.routing.outcomes import GatewayRefusedError, NotRunError, RequestFailedError
+from pewtertack.routing.places import AdmissionTicket
 from pewtertack.routing.queueing import Ticket
 
 CLASS_ORDER = tuple(ROUTES)
--- a/src/pewtertack/node/gateway/forwarding.py
+++ b/src/pewtertack/node/gateway/forwarding.py
@@ -29,7 +29,7 @@
 from pewtertack.node.proxy.lifetime import LifeEnd, RequestLife, end_error
 from pewtertack.node.proxy.request_log import GatewayLog
 from pewtertack.node.proxy.upstream import ConnectionStore
-from pewtertack.routing.admission import Admission, AdmissionTicket
+from pewtertack.routing.admission import Admission
 from pewtertack.routing.outcomes import (
     DrainingError,
     NotRunError,
@@ -37,6 +37,7 @@
     RequestFailedError,
     WithdrawnError,
 )
+from pewtertack.routing.places import AdmissionTicket
 
 SHORTEST_LOOK = 0.001
 """Seconds between two looks at a waiting request, where a timer has fired too early."""
--- a/src/pewtertack/node/gateway/reception.py
+++ b/src/pewtertack/node/gateway/reception.py
@@ -11,7 +11,7 @@
 import asyncio
 from collections.abc import Awaitable, Callable
 
-from pewtertack.routing.admission import AdmissionTicket
+from pewtertack.routing.places import AdmissionTicket
 
 RECEIVED_AT_ONCE = 2
 """Long bodies on their way to one gateway: two fill a link of 10 Mbit/s in windows of 32 KB."""
--- a/src/pewtertack/node/proxy/request_log.py
+++ b/src/pewtertack/node/proxy/request_log.py
@@ -14,8 +14,9 @@
 from pewtertack.core.configuration.resolved import ResolvedRoute
 from pewtertack.events import Event
 from pewtertack.node.proxy.in_flight import Progress
-from pewtertack.routing.admission import Admission, AdmissionTicket
+from pewtertack.routing.admission import Admission
 from pewtertack.routing.outcomes import RequestFailedError
+from pewtertack.routing.places import AdmissionTicket
 from pewtertack.routing.queueing import Ticket
 from pewtertack.routing.retries import RetryReason
 
--- a/src/pewtertack/routing/admission.py
+++ b/src/pewtertack/routing/admission.py
@@ -20,22 +20,17 @@
 import math
 from collections.abc import Callable
 
-import msgspec
-
 from pewtertack.routing.outcomes import DeadlineUnmeetableError, NotRunError, QueueFullError
 from pewtertack.routing.patience import PROMPT_SHARE, Lateness
-from pewtertack.routing.queueing import smoothed
+from pewtertack.routing.places import AdmissionTicket
+from pewtertack.routing.service_times import ServiceTimes
 
-TYPICAL_SHARE = 1 / 3
-"""Share of its objective that a request of unknown route is taken to need."""
 QUEUE_PER_SLOT = 20
 """Requests that may wait for each slot."""
 HOLD_SHARE = 0.45
 """A request waits for this share of its time at most: its caller can still go elsewhere."""
 MINIMUM_RETRY_AFTER = 0.05
 MAXIMUM_RETRY_AFTER = 10.0
-SPREAD = 1.5
-"""Answers seldom take longer than the mean and so many times the mean deviation."""
 CALM_SECONDS = 1.0
 """So long without a refusal, and an overload is over."""
 
@@ -44,62 +39,6 @@
 """Whether others go first, then the order of tickets."""
 
 
-def _nobody_waits() -> None:
-    """Wake nobody."""
-
-
-class AdmissionTicket(msgspec.Struct, eq=False):
-    """One request's place: waiting, granted or refused. Times are monotonic seconds."""
-
-    route: str
-    rank: tuple[int, int]
-    """Class of work and priority within it; smaller goes first."""
-    objective: float
-    """When its answer is wanted."""
-    deadline: float
-    lateness: Lateness = Lateness.ALLOWED
-    """What becomes of it when it would have to wait."""
-    wake: Callable[[], None] = _nobody_waits
-    granted: bool = False
-    refusal: NotRunError | None = None
-    submitted_at: float = 0.0
-    started_at: float = 0.0
-    wanted_start: float = 0.0
-    """Until when it should start."""
-    order: tuple[int, int, float, int] = msgspec.field(default=(0, 0, 0.0, 0))
-    """Rank, wanted start, arrival."""
-
-    @property
-    def typical_time(self) -> float:
-        """What the back end is taken to need while nothing is known of the route."""
-        return TYPICAL_SHARE * max(0.0, self.objective - self.submitted_at)
-
-    def take_refusal(self) -> NotRunError:
-        """Return why it was refused, and forget it: raised, it refers to who waited."""
-        assert self.refusal is not None
-        try:
-            return self.refusal
-        finally:
-            self.refusal = None
-
-    @property
-    def queued(self) -> float:
-        """Seconds between its arrival and its start."""
-        return self.started_at - self.submitted_at
-
-
-class _RouteTime(msgspec.Struct):
-    """How long the back end takes for a route, in seconds."""
-
-    mean: float
-    deviation: float = 0.0
-    """Mean distance of a time from the mean."""
-
-    def note(self, seconds: float) -> None:
-        self.deviation = smoothed(self.deviation, abs(seconds - self.mean))
-        self.mean = smoothed(self.mean, seconds)
-
-
 class Admission:
     """Slots and queue of one incarnation of a back end."""
 
@@ -108,10 +47,9 @@
         self.in_flight = 0
         self._queue: list[AdmissionTicket] = []
         self._arrivals = 0
-        self._mean_time = 0.0
+        self._times = ServiceTimes()
         self._refusing_since = -math.inf
         self._refused_at = -math.inf
-        self._route_times: dict[str, _RouteTime] = {}
 
     @property
     def load(self) -> int:
@@ -120,8 +58,7 @@
 
     def expected_time(self, route: str) -> float:
         """Return the mean time that the back end takes for the route, 0 while unknown."""
-        known = self._route_times.get(route)
-        return known.mean if known is not None else 0.0
+        return self._times.mean_of(route)
 
     def submit(self, ticket: AdmissionTicket, now: float) -> None:
         """Grant the ticket or let it wait.
@@ -170,7 +107,7 @@
 
     def _wait_behind(self, ahead: int, ticket: AdmissionTicket) -> float:
         """Return in how many seconds a request starts that lets ``ahead`` others go first."""
-        return (ahead + 1) * (self._mean_time or ticket.typical_time) / self.slots
+        return (ahead + 1) * (self._times.mean or ticket.typical_time) / self.slots
 
     def _time_of(self, ticket: AdmissionTicket) -> float:
         return self.expected_time(ticket.route) or ticket.typical_time
@@ -185,8 +122,7 @@
         """
         if not ticket.lateness.prompt:
             return math.inf
-        known = self._route_times.get(ticket.route)
-        spread = known.deviation * SPREAD if known is not None else 0.0
+        spread = self._times.spread_of(ticket.route)
         at_least = ticket.submitted_at + PROMPT_SHARE * (ticket.objective - ticket.submitted_at)
         return max(self._last_timely_start(ticket) - spread, at_least)
 
@@ -207,7 +143,7 @@
             self._refusing_since = now
         self._refused_at = now
         ahead = max(0, self.load - self.in_flight)
-        wait = (ahead + 1) * self._mean_time / self.slots
+        wait = (ahead + 1) * self._times.mean / self.slots
         expected = max(wait, now - self._refusing_since, MINIMUM_RETRY_AFTER)
         return min(expected, MAXIMUM_RETRY_AFTER)
 
@@ -252,8 +188,7 @@
         self.in_flight -= 1
         seconds = now - ticket.started_at
         if answered or seconds > self._time_of(ticket):
-            self._mean_time = smoothed(self._mean_time, seconds)
-            self._route_times.setdefault(ticket.route, _RouteTime(seconds)).note(seconds)
+            self._times.note(ticket.route, seconds)
         self._grant_waiting(now)
 
     def _grant_waiting(self, now: float) -> None:
--- /dev/null
+++ b/src/pewtertack/routing/places.py
@@ -0,0 +1,57 @@
+"""The place of one request at the node beside a back end."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+
+import msgspec
+
+from pewtertack.routing.outcomes import NotRunError
+from pewtertack.routing.patience import Lateness
+
+TYPICAL_SHARE = 1 / 3
+"""Share of its objective that a request of unknown route is taken to need."""
+
+
+def _nobody_waits() -> None:
+    """Wake nobody."""
+
+
+class AdmissionTicket(msgspec.Struct, eq=False):
+    """One request's place: waiting, granted or refused. Times are monotonic seconds."""
+
+    route: str
+    rank: tuple[int, int]
+    """Class of work and priority within it; smaller goes first."""
+    objective: float
+    """When its answer is wanted."""
+    deadline: float
+    lateness: Lateness = Lateness.ALLOWED
+    """What becomes of it when it would have to wait."""
+    wake: Callable[[], None] = _nobody_waits
+    granted: bool = False
+    refusal: NotRunError | None = None
+    submitted_at: float = 0.0
+    started_at: float = 0.0
+    wanted_start: float = 0.0
+    """Until when it should start."""
+    order: tuple[int, int, float, int] = msgspec.field(default=(0, 0, 0.0, 0))
+    """Rank, wanted start, arrival."""
+
+    @property
+    def typical_time(self) -> float:
+        """What the back end is taken to need while nothing is known of the route."""
+        return TYPICAL_SHARE * max(0.0, self.objective - self.submitted_at)
+
+    def take_refusal(self) -> NotRunError:
+        """Return why it was refused, and forget it: raised, it refers to who waited."""
+        assert self.refusal is not None
+        try:
+            return self.refusal
+        finally:
+            self.refusal = None
+
+    @property
+    def queued(self) -> float:
+        """Seconds between its arrival and its start."""
+        return self.started_at - self.submitted_at
--- a/tests/node/gateway/test_reception.py
+++ b/tests/node/gateway/test_reception.py
@@ -4,7 +4,7 @@
 import unittest
 
 from pewtertack.node.gateway.reception import MOST_AHEAD, RECEIVED_AT_ONCE, BodyReception
-from pewtertack.routing.admission import AdmissionTicket
+from pewtertack.routing.places import AdmissionTicket
 
 
 def ticket(place: int, granted: bool = False) -> AdmissionTicket:
--- a/tests/routing/test_admission.py
+++ b/tests/routing/test_admission.py
@@ -3,9 +3,10 @@
 import unittest
 from typing import Any
 
-from pewtertack.routing.admission import QUEUE_PER_SLOT, Admission, AdmissionTicket
+from pewtertack.routing.admission import QUEUE_PER_SLOT, Admission
 from pewtertack.routing.outcomes import DeadlineUnmeetableError, QueueFullError
 from pewtertack.routing.patience import Lateness
+from pewtertack.routing.places import AdmissionTicket
 
 
 def ticket(rank: int = 0, objective: float = 1.0, deadline: float = 2.0, **rest: Any) -> Any:
