A gateway keeps what is expected to be served and refuses it when that ends

PROMPT_SHARE (in admission) and HOLD_SHARE were fixed shares, set when a request that came back was worth as much as a fresh one. Now a request is kept while its place, the mean and the spread of the back end's times say that it starts in time; or, where its caller has no whole attempt left or came back, late: behind all that may be in time, in what their arrivals (less two standard deviations) leave free. That is judged every 50 ms while it waits. A back end that has not begun or ended anything for three mean times gives no estimate: nothing late waits for it. A fresh request whose caller may come back is refused in the moment in which it can't be in time any longer, as before.

One refused twice is still refused twice: no Retry-After outlasts the overload.

--- a/src/pewtertack/routing/admission.py
+++ b/src/pewtertack/routing/admission.py
@@ -3,11 +3,14 @@
 Every request to the back end passes its node, so the number in flight is exact.
 What finds no free slot waits, ordered by class, priority and the start that its objective
 asks for: what a back end calls while it runs a request is short of time and goes first.
-A request whose caller may come back is told so at once when its turn would not come soon
-(``pewtertack.routing.patience``); those that came back and may wait do not hold it up.
-One that can no longer be answered within its objective lets all that still can go first:
-in overload the back end's time goes to answers that are in time. What cannot end before
-its deadline, or would hold its caller for most of its time, is refused before the back end
+One that can no longer be answered within its objective, or whose caller came back
+(``pewtertack.routing.patience``), lets all go first that still can: in overload the back
+end's time goes to answers that are in time.
+
+A request is kept while it is expected to be served: in time; or late, where its caller has no
+time for another whole attempt or came back. That is judged on arrival and again while it
+waits, by its place, the mean and the spread of the back end's times, and what those that go
+first leave free. It is refused as soon as it is not expected any longer, before the back end
 has seen a byte of it.
 
 The caller submits an ``AdmissionTicket`` for every request, waits for its ``wake``
@@ -20,15 +23,21 @@
 import math
 from collections.abc import Callable
 
+from pewtertack.routing.arrivals import ArrivalRate
 from pewtertack.routing.outcomes import DeadlineUnmeetableError, NotRunError, QueueFullError
-from pewtertack.routing.patience import PROMPT_SHARE, Lateness
+from pewtertack.routing.patience import Lateness
 from pewtertack.routing.places import AdmissionTicket
 from pewtertack.routing.service_times import ServiceTimes
 
 QUEUE_PER_SLOT = 20
 """Requests that may wait for each slot."""
-HOLD_SHARE = 0.45
-"""A request waits for this share of its time at most: its caller can still go elsewhere."""
+STALL_TIMES = 3.0
+"""A back end that began and ended nothing for so many mean times stands still. Assumed."""
+LOOK_SECONDS = 0.05
+"""How often the prospects of a late request that waits are judged anew: an eighth of an
+objective of 0.4 s, up to which the users' price list takes waiting for nothing."""
+AFTER = 0.001
+"""Seconds after the last timely start at which a waiting request is judged as late."""
 MINIMUM_RETRY_AFTER = 0.05
 MAXIMUM_RETRY_AFTER = 10.0
 CALM_SECONDS = 1.0
@@ -47,7 +56,10 @@
         self.in_flight = 0
         self._queue: list[AdmissionTicket] = []
         self._arrivals = 0
+        self._going_first = ArrivalRate()
         self._times = ServiceTimes()
+        self._moved_at = -math.inf
+        """When a request last started or ended."""
         self._refusing_since = -math.inf
         self._refused_at = -math.inf
 
@@ -68,17 +80,20 @@
             DeadlineUnmeetableError: its turn would come too late.
         """
         ticket.submitted_at = now
+        if not ticket.lateness.yields:
+            self._going_first.note(now)
         if self.in_flight < self.slots and not self._queue:
             self._start(ticket, now)
             return
         self._arrivals += 1
-        ticket.wanted_start = min(self._last_timely_start(ticket), self._prompt_until(ticket))
+        ticket.wanted_start = self._last_timely_start(ticket)
         ticket.order = (*ticket.rank, ticket.wanted_start, self._arrivals)
         if not self._has_prospect(ticket, now):
             message = "no slot comes free in time"
             raise DeadlineUnmeetableError(message, self._retry_after(now))
         if len(self._queue) >= QUEUE_PER_SLOT * self.slots:
             self._make_room_for(ticket, now)
+        ticket.look_at = self._next_look(ticket, now)
         bisect.insort(self._queue, ticket, key=lambda item: item.order)
 
     def _make_room_for(self, ticket: AdmissionTicket, now: float) -> None:
@@ -96,14 +111,34 @@
 
     def _has_prospect(self, ticket: AdmissionTicket, now: float) -> bool:
         """Tell whether the ticket is expected to start while that is of use."""
-        turn = self._turn(ticket, now)
-        ahead = sum(self._turn(item, now) < turn for item in self._queue)
-        start = now + self._wait_behind(ahead, ticket)
-        if start <= ticket.wanted_start:
-            return True
-        if ticket.lateness is Lateness.REFUSED or ticket.lateness.prompt:
+        if not self._is_late(ticket, now):
+            turn = (False, ticket.order)
+            ahead = sum(self._turn(item, now) < turn for item in self._queue)
+            if now + self._wait_behind(ahead, ticket) <= ticket.wanted_start:
+                return True
+        if ticket.lateness in (Lateness.REFUSED, Lateness.PROMPT) or self._stalls(now):
             return False
-        return now + self._wait_behind(len(self._queue), ticket) <= self.expires_at(ticket)
+        return now + self._late_wait(ticket, now) <= self._last_start(ticket)
+
+    def _late_wait(self, ticket: AdmissionTicket, now: float) -> float:
+        """Return the wait of a request behind all that may still be in time.
+
+        Those that go first keep coming; what they leave free serves the others.
+        """
+        free = 1 - self._going_first.at_least(now) * self._times.mean / self.slots
+        if free <= 0:
+            return math.inf
+        turn = (True, ticket.order)
+        ahead = sum(self._turn(item, now) < turn for item in self._queue)
+        return self._wait_behind(ahead, ticket) / free
+
+    def _stalls(self, now: float) -> bool:
+        """Tell whether the back end stands still, so that nothing is known of any wait."""
+        return now - self._moved_at > STALL_TIMES * self._times.mean > 0
+
+    def _last_start(self, ticket: AdmissionTicket) -> float:
+        """Return until when it should start: later, it would often miss its deadline."""
+        return ticket.deadline - self._time_of(ticket) - self._times.spread_of(ticket.route)
 
     def _wait_behind(self, ahead: int, ticket: AdmissionTicket) -> float:
         """Return in how many seconds a request starts that lets ``ahead`` others go first."""
@@ -113,18 +148,9 @@
         return self.expected_time(ticket.route) or ticket.typical_time
 
     def _last_timely_start(self, ticket: AdmissionTicket) -> float:
-        return ticket.objective - self._time_of(ticket)
-
-    def _prompt_until(self, ticket: AdmissionTicket) -> float:
-        """Return until when a request may wait whose caller is rather told to come back.
-
-        From then on it would often miss its objective.
-        """
-        if not ticket.lateness.prompt:
-            return math.inf
-        spread = self._times.spread_of(ticket.route)
-        at_least = ticket.submitted_at + PROMPT_SHARE * (ticket.objective - ticket.submitted_at)
-        return max(self._last_timely_start(ticket) - spread, at_least)
+        """Return until when it should start: later, it would often miss its objective."""
+        wanted = min(ticket.objective, ticket.deadline)
+        return wanted - self._time_of(ticket) - self._times.spread_of(ticket.route)
 
     def _turn(self, ticket: AdmissionTicket, now: float) -> Turn:
         """Return the ticket's place among those that wait; the smallest goes first."""
@@ -132,7 +158,7 @@
 
     def _is_late(self, ticket: AdmissionTicket, now: float) -> bool:
         """Tell whether a request lets go first what may still be in time."""
-        return ticket.lateness.yields or now > self._last_timely_start(ticket)
+        return ticket.lateness.yields or now > ticket.wanted_start
 
     def _retry_after(self, now: float) -> float:
         """Note a refusal; return in how many seconds there will be room, as far as known.
@@ -148,20 +174,29 @@
         return min(expected, MAXIMUM_RETRY_AFTER)
 
     def expires_at(self, ticket: AdmissionTicket) -> float:
-        """Return when a waiting ticket is given up."""
-        time_given = ticket.deadline - ticket.submitted_at
-        held_enough = ticket.submitted_at + HOLD_SHARE * time_given
-        return min(held_enough, ticket.deadline - self._time_of(ticket), self._prompt_until(ticket))
+        """Return when to look at a waiting ticket again."""
+        return ticket.look_at
 
     def expire(self, ticket: AdmissionTicket, now: float) -> None:
-        """Refuse a waiting ticket which can no longer be served in time."""
-        if ticket.granted or ticket.refusal is not None or now < self.expires_at(ticket):
+        """Refuse a waiting ticket which is not expected to be served in time any longer."""
+        if ticket.granted or ticket.refusal is not None or now < ticket.look_at:
             return
+        if self._has_prospect(ticket, now):
+            ticket.look_at = self._next_look(ticket, now)
+            return
+        self._refuse_late(ticket, now)
+
+    def _refuse_late(self, ticket: AdmissionTicket, now: float) -> None:
         self._queue.remove(ticket)
         message = "no slot came free in time"
         ticket.refusal = DeadlineUnmeetableError(message, self._retry_after(now))
         ticket.wake()
 
+    def _next_look(self, ticket: AdmissionTicket, now: float) -> float:
+        if not self._is_late(ticket, now):
+            return ticket.wanted_start + AFTER
+        return now + LOOK_SECONDS
+
     def withdraw(self, ticket: AdmissionTicket) -> None:
         """Take a waiting ticket out, since its caller has gone."""
         if ticket in self._queue:
@@ -186,6 +221,7 @@
         that has turned slow answers only what is quick.
         """
         self.in_flight -= 1
+        self._moved_at = now
         seconds = now - ticket.started_at
         if answered or seconds > self._time_of(ticket):
             self._times.note(ticket.route, seconds)
@@ -194,8 +230,8 @@
     def _grant_waiting(self, now: float) -> None:
         while self._queue and self.in_flight < self.slots:
             ticket = min(self._queue, key=lambda item: self._turn(item, now))
-            if now >= self.expires_at(ticket):
-                self.expire(ticket, now)
+            if now > self._last_start(ticket):
+                self._refuse_late(ticket, now)
                 continue
             self._queue.remove(ticket)
             self._start(ticket, now)
@@ -203,5 +239,6 @@
 
     def _start(self, ticket: AdmissionTicket, now: float) -> None:
         self.in_flight += 1
+        self._moved_at = now
         ticket.granted = True
         ticket.started_at = now
--- a/src/pewtertack/routing/patience.py
+++ b/src/pewtertack/routing/patience.py
@@ -15,8 +15,7 @@
 ROOM = 4.0
 """A caller may come back when the time it has left is so many times its objective."""
 PROMPT_SHARE = 0.25
-"""A request whose caller may come back waits for this share of its objective, or longer where
-its answer is safe to be in time all the same."""
+"""A further gateway is asked that is expected to take it within this share of the objective."""
 
 
 class Lateness(StrEnum):
--- a/src/pewtertack/routing/places.py
+++ b/src/pewtertack/routing/places.py
@@ -35,6 +35,8 @@
     started_at: float = 0.0
     wanted_start: float = 0.0
     """Until when it should start."""
+    look_at: float = 0.0
+    """When to judge anew whether it is worth waiting."""
     order: tuple[int, int, float, int] = msgspec.field(default=(0, 0, 0.0, 0))
     """Rank, wanted start, arrival."""
 
--- a/tests/lab/test_overload_returning.py
+++ b/tests/lab/test_overload_returning.py
@@ -67,6 +67,12 @@
         for name, item in run(0.6).classes.items():
             self.assertGreaterEqual(item.in_time, 0.99, name)
 
+    def test_beyond_capacity_hardly_anything_is_held_in_vain(self) -> None:
+        result = run(1.5)
+        for name, item in result.classes.items():
+            self.assertLessEqual(item.held, 0.03, name)
+        self.assertGreaterEqual(result.earned, 0.65, result)
+
     def test_equal_seeds_give_equal_results(self) -> None:
         self.assertEqual(run(1.2), run(1.2))
 
--- a/tests/routing/test_admission.py
+++ b/tests/routing/test_admission.py
@@ -72,6 +72,11 @@
         self.assertAlmostEqual(refused.exception.retry_after or 0.0, 0.2)
         self.assertEqual(admission.load, 1)
 
+    def test_an_objective_beyond_the_deadline_does_not_count(self) -> None:
+        admission = busy(seconds=0.2)
+        with self.assertRaises(DeadlineUnmeetableError):
+            admission.submit(ticket(objective=20.0, deadline=0.1), 0.0)
+
     def test_a_request_that_may_be_late_waits_while_its_caller_has_time(self) -> None:
         admission = busy(seconds=0.2)
         waiting = ticket(objective=0.3, deadline=1.0)
@@ -229,3 +234,44 @@
 
         told = [round(refused(now), 3) for now in (0.0, 0.5, 1.0, 1.5, 9.0)]
         self.assertEqual(told, [0.2, 0.5, 1.0, 1.5, 0.2])
+
+
+class LateTest(unittest.TestCase):
+    """Requests that cannot be in time any longer, beside others that keep coming."""
+
+    def late(self) -> Any:
+        return ticket(objective=0.3, deadline=3.0, lateness=Lateness.YIELDING)
+
+    def press(self, admission: Admission, until: float) -> None:
+        """Let requests that go first come 20 times a second, four times what one slot takes."""
+        for step in range(round(until * 20)):
+            admission._going_first.note(step / 20)
+            admission._moved_at = step / 20
+
+    def test_it_is_refused_at_once_where_others_take_all_there_is(self) -> None:
+        admission = busy(seconds=0.2)
+        admission.submit(self.late(), 0.0)
+        self.press(admission, until=1.0)
+        with self.assertRaises(DeadlineUnmeetableError):
+            admission.submit(self.late(), 1.0)
+
+    def test_one_that_waits_is_refused_when_others_have_come_to_take_all(self) -> None:
+        admission = busy(seconds=0.2)
+        waiting = self.late()
+        admission.submit(waiting, 0.0)
+        admission.expire(waiting, 0.1)
+        self.assertIsNone(waiting.refusal)
+        self.press(admission, until=1.5)
+        admission.expire(waiting, 1.5)
+        self.assertIsInstance(waiting.refusal, DeadlineUnmeetableError)
+        self.assertEqual(admission.load, 1)
+
+    def test_it_is_kept_for_more_than_half_its_time_while_a_slot_may_come_free(self) -> None:
+        admission = busy(seconds=0.2)
+        waiting = self.late()
+        admission.submit(waiting, 0.0)
+        admission._moved_at = 1.6
+        admission.expire(waiting, 1.7)
+        self.assertIsNone(waiting.refusal)
+        admission.expire(waiting, 2.9)
+        self.assertIsInstance(waiting.refusal, DeadlineUnmeetableError)
--- /dev/null
+++ b/tests/routing/test_arrivals.py
@@ -0,0 +1,25 @@
+"""How often requests come, and how sure that is."""
+
+import unittest
+
+from pewtertack.routing.arrivals import ArrivalRate
+
+
+class ArrivalRateTest(unittest.TestCase):
+    def test_what_few_arrivals_tell_may_be_chance(self) -> None:
+        rate = ArrivalRate()
+        for _ in range(4):
+            rate.note(0.0)
+        self.assertEqual(rate.at_least(0.0), 0.0)
+
+    def test_many_at_an_even_pace_are_held_for_sure_less_a_part(self) -> None:
+        rate = ArrivalRate()
+        for step in range(500):
+            rate.note(step / 100)
+        self.assertAlmostEqual(rate.at_least(5.0), 80.0, delta=2.0)
+
+    def test_old_arrivals_are_forgotten(self) -> None:
+        rate = ArrivalRate()
+        for step in range(500):
+            rate.note(step / 100)
+        self.assertEqual(rate.at_least(10.0), 0.0)
