A further gateway is asked where a slot is believed free

PROMPT_SHARE was left in this question alone: a quarter of the objective from the caller's arrival. A request that one gateway could not have in time is now sent on only where it would not wait; no share is left. Nothing is gained or lost in virtual time: it stands for what it makes simpler.

--- a/src/pewtertack/routing/patience.py
+++ b/src/pewtertack/routing/patience.py
@@ -14,8 +14,6 @@
 
 ROOM = 4.0
 """A caller may come back when the time it has left is so many times its objective."""
-PROMPT_SHARE = 0.25
-"""A further gateway is asked that is expected to take it within this share of the objective."""
 
 
 class Lateness(StrEnum):
--- a/src/pewtertack/routing/service.py
+++ b/src/pewtertack/routing/service.py
@@ -16,7 +16,7 @@
     QueueFullError,
     RequestFailedError,
 )
-from pewtertack.routing.patience import PROMPT_SHARE, Lateness
+from pewtertack.routing.patience import Lateness
 from pewtertack.routing.queueing import MAXIMUM_WAIT, ClassQueue, Ticket, smoothed
 
 MINIMUM_RETRY_AFTER = 0.1
@@ -72,9 +72,8 @@
         """Tell whether asking one more gateway is better than telling the caller to come back."""
         if not ticket.caller_may_come_back:
             return True
-        prompt_until = ticket.arrived_at + PROMPT_SHARE * ticket.route.objective
         return any(
-            now + item.expected_wait(now, self.mean_time) < prompt_until
+            item.expected_wait(now, self.mean_time) <= 0
             for item in self.backends
             if item.usable(now) and item.name not in ticket.excluded
         )
