--- a/src/pewtertack/routing/admission.py
+++ b/src/pewtertack/routing/admission.py
@@ -3,11 +3,14 @@
 Every request to the back end passes its node, so the number in flight is exact.
 What finds no free slot waits, ordered by class, priority and the start that its objective
 asks for: what a back end calls while it runs a request is short of time and goes first.
-A request whose caller may come back is told so at once when its turn would not come soon
-(``pewtertack.routing.patience``); those that came back and may wait do not hold it up.
-One that can no longer be answered within its objective lets all that still can go first:
-in overload the back end's time goes to answers that are in time. What cannot end before
-its deadline, or would hold its caller for most of its time, is refused before the back end
+One that can no longer be answered within its objective, or whose caller came back
+(``pewtertack.routing.patience``), lets all go first that still can: in overload the back
+end's time goes to answers that are in time.
+
+A request is kept while it is expected to be served: in time; or late, where its caller has no
+time for another whole attempt or came back. That is judged on arrival and again while it
+waits, by its place, the mean and the spread of the back end's times, and what those that go
+first leave free. It is refused as soon as it is not expected any longer, before the back end
 has seen a byte of it.
 
 The caller submits an ``AdmissionTicket`` for every request, waits for its ``wake``
@@ -20,22 +23,23 @@
 import math
 from collections.abc import Callable
 
-import msgspec
-
+from pewtertack.routing.arrivals import ArrivalRate
 from pewtertack.routing.outcomes import DeadlineUnmeetableError, NotRunError, QueueFullError
-from pewtertack.routing.patience import PROMPT_SHARE, Lateness
-from pewtertack.routing.queueing import smoothed
+from pewtertack.routing.patience import Lateness
+from pewtertack.routing.places import AdmissionTicket
+from pewtertack.routing.service_times import ServiceTimes
 
-TYPICAL_SHARE = 1 / 3
-"""Share of its objective that a request of unknown route is taken to need."""
 QUEUE_PER_SLOT = 20
 """Requests that may wait for each slot."""
-HOLD_SHARE = 0.45
-"""A request waits for this share of its time at most: its caller can still go elsewhere."""
+STALL_TIMES = 3.0
+"""A back end that began and ended nothing for so many mean times stands still. Assumed."""
+LOOK_SECONDS = 0.05
+"""How often the prospects of a late request that waits are judged anew: an eighth of an
+objective of 0.4 s, up to which the users' price list takes waiting for nothing."""
+AFTER = 0.001
+"""Seconds after the last timely start at which a waiting request is judged as late."""
 MINIMUM_RETRY_AFTER = 0.05
 MAXIMUM_RETRY_AFTER = 10.0
-SPREAD = 1.5
-"""Answers seldom take longer than the mean and so many times the mean deviation."""
 CALM_SECONDS = 1.0
 """So long without a refusal, and an overload is over."""
 
@@ -44,62 +48,6 @@
 """Whether others go first, then the order of tickets."""
 
 
-def _nobody_waits() -> None:
-    """Wake nobody."""
-
-
-class AdmissionTicket(msgspec.Struct, eq=False):
-    """One request's place: waiting, granted or refused. Times are monotonic seconds."""
-
-    route: str
-    rank: tuple[int, int]
-    """Class of work and priority within it; smaller goes first."""
-    objective: float
-    """When its answer is wanted."""
-    deadline: float
-    lateness: Lateness = Lateness.ALLOWED
-    """What becomes of it when it would have to wait."""
-    wake: Callable[[], None] = _nobody_waits
-    granted: bool = False
-    refusal: NotRunError | None = None
-    submitted_at: float = 0.0
-    started_at: float = 0.0
-    wanted_start: float = 0.0
-    """Until when it should start."""
-    order: tuple[int, int, float, int] = msgspec.field(default=(0, 0, 0.0, 0))
-    """Rank, wanted start, arrival."""
-
-    @property
-    def typical_time(self) -> float:
-        """What the back end is taken to need while nothing is known of the route."""
-        return TYPICAL_SHARE * max(0.0, self.objective - self.submitted_at)
-
-    def take_refusal(self) -> NotRunError:
-        """Return why it was refused, and forget it: raised, it refers to who waited."""
-        assert self.refusal is not None
-        try:
-            return self.refusal
-        finally:
-            self.refusal = None
-
-    @property
-    def queued(self) -> float:
-        """Seconds between its arrival and its start."""
-        return self.started_at - self.submitted_at
-
-
-class _RouteTime(msgspec.Struct):
-    """How long the back end takes for a route, in seconds."""
-
-    mean: float
-    deviation: float = 0.0
-    """Mean distance of a time from the mean."""
-
-    def note(self, seconds: float) -> None:
-        self.deviation = smoothed(self.deviation, abs(seconds - self.mean))
-        self.mean = smoothed(self.mean, seconds)
-
-
 class Admission:
     """Slots and queue of one incarnation of a back end."""
 
@@ -108,10 +56,12 @@
         self.in_flight = 0
         self._queue: list[AdmissionTicket] = []
         self._arrivals = 0
-        self._mean_time = 0.0
+        self._going_first = ArrivalRate()
+        self._times = ServiceTimes()
+        self._moved_at = -math.inf
+        """When a request last started or ended."""
         self._refusing_since = -math.inf
         self._refused_at = -math.inf
-        self._route_times: dict[str, _RouteTime] = {}
 
     @property
     def load(self) -> int:
@@ -120,8 +70,7 @@
 
     def expected_time(self, route: str) -> float:
         """Return the mean time that the back end takes for the route, 0 while unknown."""
-        known = self._route_times.get(route)
-        return known.mean if known is not None else 0.0
+        return self._times.mean_of(route)
 
     def submit(self, ticket: AdmissionTicket, now: float) -> None:
         """Grant the ticket or let it wait.
@@ -131,17 +80,20 @@
             DeadlineUnmeetableError: its turn would come too late.
         """
         ticket.submitted_at = now
+        if not ticket.lateness.yields:
+            self._going_first.note(now)
         if self.in_flight < self.slots and not self._queue:
             self._start(ticket, now)
             return
         self._arrivals += 1
-        ticket.wanted_start = min(self._last_timely_start(ticket), self._prompt_until(ticket))
+        ticket.wanted_start = self._last_timely_start(ticket)
         ticket.order = (*ticket.rank, ticket.wanted_start, self._arrivals)
         if not self._has_prospect(ticket, now):
             message = "no slot comes free in time"
             raise DeadlineUnmeetableError(message, self._retry_after(now))
         if len(self._queue) >= QUEUE_PER_SLOT * self.slots:
             self._make_room_for(ticket, now)
+        ticket.look_at = self._next_look(ticket, now)
         bisect.insort(self._queue, ticket, key=lambda item: item.order)
 
     def _make_room_for(self, ticket: AdmissionTicket, now: float) -> None:
@@ -159,36 +111,46 @@
 
     def _has_prospect(self, ticket: AdmissionTicket, now: float) -> bool:
         """Tell whether the ticket is expected to start while that is of use."""
-        turn = self._turn(ticket, now)
-        ahead = sum(self._turn(item, now) < turn for item in self._queue)
-        start = now + self._wait_behind(ahead, ticket)
-        if start <= ticket.wanted_start:
-            return True
-        if ticket.lateness is Lateness.REFUSED or ticket.lateness.prompt:
+        if not self._is_late(ticket, now):
+            turn = (False, ticket.order)
+            ahead = sum(self._turn(item, now) < turn for item in self._queue)
+            if now + self._wait_behind(ahead, ticket) <= ticket.wanted_start:
+                return True
+        if ticket.lateness in (Lateness.REFUSED, Lateness.PROMPT) or self._stalls(now):
             return False
-        return now + self._wait_behind(len(self._queue), ticket) <= self.expires_at(ticket)
+        return now + self._late_wait(ticket, now) <= self._last_start(ticket)
+
+    def _late_wait(self, ticket: AdmissionTicket, now: float) -> float:
+        """Return the wait of a request behind all that may still be in time.
+
+        Those that go first keep coming; what they leave free serves the others.
+        """
+        free = 1 - self._going_first.at_least(now) * self._times.mean / self.slots
+        if free <= 0:
+            return math.inf
+        turn = (True, ticket.order)
+        ahead = sum(self._turn(item, now) < turn for item in self._queue)
+        return self._wait_behind(ahead, ticket) / free
+
+    def _stalls(self, now: float) -> bool:
+        """Tell whether the back end stands still, so that nothing is known of any wait."""
+        return now - self._moved_at > STALL_TIMES * self._times.mean > 0
+
+    def _last_start(self, ticket: AdmissionTicket) -> float:
+        """Return until when it should start: later, it would often miss its deadline."""
+        return ticket.deadline - self._time_of(ticket) - self._times.spread_of(ticket.route)
 
     def _wait_behind(self, ahead: int, ticket: AdmissionTicket) -> float:
         """Return in how many seconds a request starts that lets ``ahead`` others go first."""
-        return (ahead + 1) * (self._mean_time or ticket.typical_time) / self.slots
+        return (ahead + 1) * (self._times.mean or ticket.typical_time) / self.slots
 
     def _time_of(self, ticket: AdmissionTicket) -> float:
         return self.expected_time(ticket.route) or ticket.typical_time
 
     def _last_timely_start(self, ticket: AdmissionTicket) -> float:
-        return ticket.objective - self._time_of(ticket)
-
-    def _prompt_until(self, ticket: AdmissionTicket) -> float:
-        """Return until when a request may wait whose caller is rather told to come back.
-
-        From then on it would often miss its objective.
-        """
-        if not ticket.lateness.prompt:
-            return math.inf
-        known = self._route_times.get(ticket.route)
-        spread = known.deviation * SPREAD if known is not None else 0.0
-        at_least = ticket.submitted_at + PROMPT_SHARE * (ticket.objective - ticket.submitted_at)
-        return max(self._last_timely_start(ticket) - spread, at_least)
+        """Return until when it should start: later, it would often miss its objective."""
+        wanted = min(ticket.objective, ticket.deadline)
+        return wanted - self._time_of(ticket) - self._times.spread_of(ticket.route)
 
     def _turn(self, ticket: AdmissionTicket, now: float) -> Turn:
         """Return the ticket's place among those that wait; the smallest goes first."""
@@ -196,7 +158,7 @@
 
     def _is_late(self, ticket: AdmissionTicket, now: float) -> bool:
         """Tell whether a request lets go first what may still be in time."""
-        return ticket.lateness.yields or now > self._last_timely_start(ticket)
+        return ticket.lateness.yields or now > ticket.wanted_start
 
     def _retry_after(self, now: float) -> float:
         """Note a refusal; return in how many seconds there will be room, as far as known.
@@ -207,25 +169,34 @@
             self._refusing_since = now
         self._refused_at = now
         ahead = max(0, self.load - self.in_flight)
-        wait = (ahead + 1) * self._mean_time / self.slots
+        wait = (ahead + 1) * self._times.mean / self.slots
         expected = max(wait, now - self._refusing_since, MINIMUM_RETRY_AFTER)
         return min(expected, MAXIMUM_RETRY_AFTER)
 
     def expires_at(self, ticket: AdmissionTicket) -> float:
-        """Return when a waiting ticket is given up."""
-        time_given = ticket.deadline - ticket.submitted_at
-        held_enough = ticket.submitted_at + HOLD_SHARE * time_given
-        return min(held_enough, ticket.deadline - self._time_of(ticket), self._prompt_until(ticket))
+        """Return when to look at a waiting ticket again."""
+        return ticket.look_at
 
     def expire(self, ticket: AdmissionTicket, now: float) -> None:
-        """Refuse a waiting ticket which can no longer be served in time."""
-        if ticket.granted or ticket.refusal is not None or now < self.expires_at(ticket):
+        """Refuse a waiting ticket which is not expected to be served in time any longer."""
+        if ticket.granted or ticket.refusal is not None or now < ticket.look_at:
             return
+        if self._has_prospect(ticket, now):
+            ticket.look_at = self._next_look(ticket, now)
+            return
+        self._refuse_late(ticket, now)
+
+    def _refuse_late(self, ticket: AdmissionTicket, now: float) -> None:
         self._queue.remove(ticket)
         message = "no slot came free in time"
         ticket.refusal = DeadlineUnmeetableError(message, self._retry_after(now))
         ticket.wake()
 
+    def _next_look(self, ticket: AdmissionTicket, now: float) -> float:
+        if not self._is_late(ticket, now):
+            return ticket.wanted_start + AFTER
+        return now + LOOK_SECONDS
+
     def withdraw(self, ticket: AdmissionTicket) -> None:
         """Take a waiting ticket out, since its caller has gone."""
         if ticket in self._queue:
@@ -250,17 +221,17 @@
         that has turned slow answers only what is quick.
         """
         self.in_flight -= 1
+        self._moved_at = now
         seconds = now - ticket.started_at
         if answered or seconds > self._time_of(ticket):
-            self._mean_time = smoothed(self._mean_time, seconds)
-            self._route_times.setdefault(ticket.route, _RouteTime(seconds)).note(seconds)
+            self._times.note(ticket.route, seconds)
         self._grant_waiting(now)
 
     def _grant_waiting(self, now: float) -> None:
         while self._queue and self.in_flight < self.slots:
             ticket = min(self._queue, key=lambda item: self._turn(item, now))
-            if now >= self.expires_at(ticket):
-                self.expire(ticket, now)
+            if now > self._last_start(ticket):
+                self._refuse_late(ticket, now)
                 continue
             self._queue.remove(ticket)
             self._start(ticket, now)
@@ -268,5 +239,6 @@
 
     def _start(self, ticket: AdmissionTicket, now: float) -> None:
         self.in_flight += 1
+        self._moved_at = now
         ticket.granted = True
         ticket.started_at = now
