--- a/src/pewtertack/node/gateway/application.py
+++ b/src/pewtertack/node/gateway/application.py
@@ -26,7 +26,7 @@
 from pewtertack.node.proxy.edge import NODE_EDGE, EdgeHeaders
 from pewtertack.node.proxy.exchange import TruncatedAnswerError
 from pewtertack.node.proxy.headers import RequestHead, read_head
-from pewtertack.node.proxy.in_flight import RequestsInFlight
+from pewtertack.node.proxy.in_flight import RequestHolder
 from pewtertack.node.proxy.request_log import GatewayLog, RecordEvent, ignore_event
 from pewtertack.node.proxy.upstream import ConnectionStore
 from pewtertack.routing.admission import Admission
@@ -66,7 +66,7 @@
             self.admission.refuse_all(_gone)
 
 
-class GatewayApplication:
+class GatewayApplication(RequestHolder):
     """Admits requests for one address, whichever incarnation of a back end lives there.
 
     An ASGI 3 application. All methods are called in the event loop's thread.
@@ -91,20 +91,13 @@
         self._address = address
         self._log = GatewayLog(log, clock)
         self._metrics = GatewayMetrics(registry or MetricsRegistry())
-        self._requests = RequestsInFlight()
+        super().__init__(ConnectionStore(clock))
         self._parts = GatewayParts(
-            clock, ConnectionStore(clock), edge, address, self._log, self._metrics, self._requests
+            clock, self.connections, edge, address, self._log, self._metrics, self.requests
         )
         self._incarnations: dict[str, _Incarnation] = {}
-        self.leaving = False
-        """Whether other nodes are asked to close their connections after each answer."""
         self._stops_at = math.inf
 
-    @property
-    def in_flight(self) -> int:
-        """Requests that have been accepted and are not finished."""
-        return self._requests.count
-
     def use_settings(self, settings: Settings) -> None:
         """Serve another address from now on, if the settings name another."""
         address = str(settings.backend.address)
@@ -143,34 +136,13 @@
         self.leaving = True
         self._stops_at = self._clock() + seconds
 
-    def start_draining(self) -> None:
-        """Note that the node stops once nothing is in flight."""
-        self._requests.start_draining()
-
-    async def withdraw_waiting(self) -> None:
-        """Hand back what waits for the back end: another gateway may still serve it."""
-        await self._requests.withdraw()
-
-    def stop_requests(self) -> None:
-        """End what is still under way, with an answer."""
-        self._requests.stop()
-
-    def log_unfinished(self) -> None:
-        """Log the requests that the time to stop has not sufficed for."""
-        self._requests.log_unfinished()
-
-    async def wait_drained(self) -> None:
-        """Return when draining has begun and nothing is in flight."""
-        await self._requests.wait_drained()
-        self._parts.connections.keep_only(())
-
     async def __call__(self, scope: Scope, receive: Receive, send: Send) -> None:
         """Serve one request (ASGI entry point)."""
         own = for_gateway_alone(scope["headers"])
         if own is not None:
             await self._answer_own(send, *own)
             return
-        with self._requests.one():
+        with self.requests.one():
             await self._serve(scope, receive, send)
 
     async def _serve(self, scope: Scope, receive: Receive, send: Send) -> None:
@@ -191,8 +163,8 @@
     async def _answer_own(self, send: Send, name: bytes, value: bytes) -> None:
         """Do what another node asks of the gateway itself."""
         if name == WITHDRAW:
-            await self._requests.withdraw_one(value.decode("latin-1"))
-        elif self.leaving or self._requests.draining:
+            await self.requests.withdraw_one(value.decode("latin-1"))
+        elif self.leaving or self.requests.draining:
             error = DrainingError("the node beside the back end is stopping")
             await _refuse(send, error, RequestHead(), [])
             return
@@ -229,7 +201,7 @@
 
     def _admit(self, request: HopRequest) -> _Incarnation:
         incarnation = self._incarnation(request.backend)
-        if self._requests.draining or not self._ends_in_time(incarnation, request):
+        if self.requests.draining or not self._ends_in_time(incarnation, request):
             raise _not_offered(DrainingError("the node beside the back end is stopping"))
         if not incarnation.takes_work:
             raise _gone()
--- a/src/pewtertack/node/proxy/application.py
+++ b/src/pewtertack/node/proxy/application.py
@@ -17,7 +17,7 @@
 from pewtertack.node.proxy.exchange import TruncatedAnswerError
 from pewtertack.node.proxy.forwarding import Forwarding, ForwardingParts
 from pewtertack.node.proxy.headers import RequestHead, read_head
-from pewtertack.node.proxy.in_flight import RequestsInFlight
+from pewtertack.node.proxy.in_flight import RequestHolder
 from pewtertack.node.proxy.metrics import (
     CALLER_GONE,
     TRUNCATED,
@@ -67,7 +67,7 @@
     """Tell nobody."""
 
 
-class ProxyApplication:
+class ProxyApplication(RequestHolder):
     """Forwards callers' requests to back ends by the configuration in force.
 
     An ASGI 3 application (``node.http.server``). All methods are
@@ -105,29 +105,22 @@
         self._request_log = ProxyLog(log, clock, self._beliefs)
         registry = registry or MetricsRegistry()
         self._metrics = RequestMetrics(registry)
-        self._requests = RequestsInFlight()
+        super().__init__(ConnectionStore(clock))
         self._parts = ForwardingParts(
             clock,
             dispatcher,
-            ConnectionStore(clock),
+            self.connections,
             edge,
             caller_service,
             self._request_log,
             self._metrics,
-            self._requests,
+            self.requests,
         )
         registry.add_collector(lambda: _collector_of(dispatcher, lambda: self.in_flight))
         self._serving = False
         self._retry_after = 1.0
-        self.leaving = False
-        """Whether callers are asked to close their connections after each answer."""
         self._tell_leaving: LeavingObserver = _ignore_leaving
 
-    @property
-    def in_flight(self) -> int:
-        """Requests that have been accepted and are not finished."""
-        return self._requests.count
-
     def watch_leaving(self, observer: LeavingObserver) -> None:
         """Tell ``observer`` once of each back end that says in an answer that it leaves."""
         self._tell_leaving = observer
@@ -185,32 +178,11 @@
         """Go on serving, but ask callers to close their connections after each answer."""
         self.leaving = True
 
-    def start_draining(self) -> None:
-        """Refuse new requests from now on; those in flight are finished."""
-        self._requests.start_draining()
-
-    async def withdraw_waiting(self) -> None:
-        """Refuse what no back end works on: there is no time left for it at this node."""
-        await self._requests.withdraw()
-
-    def stop_requests(self) -> None:
-        """End what is still under way, with an answer that tells what is known of it."""
-        self._requests.stop()
-
-    def log_unfinished(self) -> None:
-        """Log the requests that the time to stop has not sufficed for."""
-        self._requests.log_unfinished()
-
-    async def wait_drained(self) -> None:
-        """Return when draining has begun and nothing is in flight."""
-        await self._requests.wait_drained()
-        self._parts.connections.keep_only(())
-
     async def __call__(self, scope: Scope, receive: Receive, send: Send) -> None:
         """Serve one request (ASGI entry point)."""
         if scope["type"] != "http":
             raise InvalidRequestError(f"unsupported connection type {scope['type']}")
-        with self._requests.one():
+        with self.requests.one():
             await self._serve(scope, receive, send)
 
     async def _serve(self, scope: Scope, receive: Receive, send: Send) -> None:
@@ -258,7 +230,7 @@
                 self._log(event, backend=backend.name, service=backend.service)
 
     def _check_serving(self) -> None:
-        if self._requests.draining:
+        if self.requests.draining:
             raise DrainingError("the node is stopping")
         if not self._serving or self._table is None or not self._may_serve():
             raise NotServingError("the node is not serving yet", self._retry_after)
--- a/src/pewtertack/node/proxy/in_flight.py
+++ b/src/pewtertack/node/proxy/in_flight.py
@@ -9,6 +9,8 @@
 
 import anyio
 
+from pewtertack.node.proxy.upstream import ConnectionStore
+
 
 class Progress(StrEnum):
     """How far a request has come at this node."""
@@ -108,3 +110,43 @@
     def _notice_idle(self) -> None:
         if self.draining and self.count == 0:
             self._idle.set()
+
+
+class RequestHolder:
+    """An application that serves requests and sees to their ends at a planned stop.
+
+    Args:
+        connections: to those that it sends requests on to.
+    """
+
+    def __init__(self, connections: ConnectionStore) -> None:
+        self.connections = connections
+        self.requests = RequestsInFlight()
+        self.leaving = False
+        """Whether callers are asked to close their connections after each answer."""
+
+    @property
+    def in_flight(self) -> int:
+        """Requests that have been accepted and are not finished."""
+        return self.requests.count
+
+    def start_draining(self) -> None:
+        """Refuse new requests from now on; those in flight are finished."""
+        self.requests.start_draining()
+
+    async def withdraw_waiting(self) -> None:
+        """Refuse what no back end works on: there is no time left for it at this node."""
+        await self.requests.withdraw()
+
+    def log_unfinished(self) -> None:
+        """Log the requests that the time to stop has not sufficed for."""
+        self.requests.log_unfinished()
+
+    def stop_requests(self) -> None:
+        """End what is still under way, with an answer that tells what is known of it."""
+        self.requests.stop()
+
+    async def wait_drained(self) -> None:
+        """Return when draining has begun and nothing is in flight."""
+        await self.requests.wait_drained()
+        self.connections.keep_only(())
--- a/tests/node/gateway/test_body_on_demand.py
+++ b/tests/node/gateway/test_body_on_demand.py
@@ -88,7 +88,7 @@
         return task
 
     async def until_waiting(self, count: int) -> None:
-        under_way: Any = self.gateways[0]._requests.under_way
+        under_way: Any = self.gateways[0].requests.under_way
         async with asyncio.timeout(FEW_SECONDS):
             while sum(item.progress is Progress.WAITING for item in under_way) < count:
                 await asyncio.sleep(0.005)
--- a/tests/node/gateway/test_stop.py
+++ b/tests/node/gateway/test_stop.py
@@ -45,7 +45,7 @@
         await self.until(lambda: self.progress_at(0) == ["offered", "waiting"])
 
     def progress_at(self, gateway: int) -> list[str]:
-        under_way: Any = self.gateways[gateway]._requests.under_way
+        under_way: Any = self.gateways[gateway].requests.under_way
         return sorted(request.progress for request in under_way)
 
     async def call(self, name: str) -> asyncio.Task[Answer]:
