--- a/src/pewtertack/lab/weakening.py
+++ b/src/pewtertack/lab/weakening.py
@@ -15,8 +15,11 @@
 from pewtertack.core.machines import Machine, MachineList, MachineState
 from pewtertack.core.profile import Mechanisms
 from pewtertack.lab.errors import LabUsageError
+from pewtertack.node.daemon import DrainableProxy
+from pewtertack.node.gateway.application import GatewayApplication
 from pewtertack.node.http.connection import BackendConnection
 from pewtertack.node.http.framing import RawHeaders
+from pewtertack.node.http.pipeline import Pipeline
 from pewtertack.node.proxy import exchange
 from pewtertack.node.proxy.application import ProxyApplication
 from pewtertack.node.proxy.edge import PRODUCT_EDGE, EdgeHeaders
@@ -128,6 +131,32 @@
     _wrap(ProxyApplication, "wait_drained", wrapper)
 
 
+def _leave_waiting_requests() -> None:
+    """Hand back and answer nothing when the time to stop is over."""
+
+    def withdraw_nothing(_: object) -> Callable[[DrainableProxy], Awaitable[None]]:
+        async def withdraw(application: DrainableProxy) -> None:
+            return None
+
+        return withdraw
+
+    def stop_nothing(_: object) -> Callable[[DrainableProxy], None]:
+        return lambda application: None
+
+    for owner in (ProxyApplication, GatewayApplication):
+        _wrap(owner, "withdraw_waiting", withdraw_nothing)
+        _wrap(owner, "stop_requests", stop_nothing)
+
+
+def _drop_what_was_read_behind() -> None:
+    """End a connection behind an answer though more requests were read."""
+
+    def is_next_begun(pipeline: Pipeline[Any]) -> bool:
+        return len(pipeline.requests) > 1 and pipeline.requests[1].begun
+
+    setattr(Pipeline, "more_due", property(is_next_begun))  # noqa: B010 (a property is replaced)
+
+
 REQUEST_MECHANISMS: Mapping[str, Callable[[], None]] = {
     "answer_identity": _accept_crossed_answers,
     "retry_proof": _retry_whatever_may_have_run,
@@ -135,6 +164,8 @@
     "leaving": _ignore_leaving,
     "leaving_notices": _keep_leaving_to_itself,
     "drain": _stop_without_draining,
+    "stop_answers": _leave_waiting_requests,
+    "pipelined_stop_answers": _drop_what_was_read_behind,
 }
 MECHANISMS: Sequence[str] = (*CORE_MECHANISMS, *REQUEST_MECHANISMS)
 
