--- a/tests/routing/test_gateway_choice.py
+++ b/tests/routing/test_gateway_choice.py
@@ -102,6 +102,12 @@
         self.assertEqual(wanted.lateness, Lateness.PROMPT)
         self.assertEqual(self.refuse(made, wanted, 0.5), RetryReason.NO_PROSPECT)
 
+    def test_a_second_gateway_is_asked_only_where_a_slot_is_believed_free(self) -> None:
+        made = self.busy_fleet()
+        wanted = Ticket(route(target_latency=40.0), service(), 200.0, caller_deadline=200.0)
+        made.submit(wanted, 0.5)
+        self.assertEqual(self.refuse(made, wanted, 0.5), RetryReason.NO_PROSPECT)
+
     def test_a_caller_with_little_time_waits_and_all_gateways_are_asked(self) -> None:
         made = self.busy_fleet()
         wanted = Ticket(route(target_latency=0.4), service(), 1.7, caller_deadline=1.7)
