--- a/src/pewtertack/routing/patience.py
+++ b/src/pewtertack/routing/patience.py
@@ -2,7 +2,8 @@
 
 A caller with time for a whole further attempt is better told at once to come back than made
 to wait until its answer is late: what waits long makes all behind it late as well, and an
-overload outlasts its cause. A caller with little time left cannot come back; it may wait.
+overload outlasts its cause. A caller with little time left cannot come back; it may wait
+while it is expected to be served.
 Where callers of the route usually have more time, it has been refused before: it goes
 behind those that have not, or in a lasting overload everyone would have to come back.
 """
