Sight: a gateway logs that its back end has ended, and what it ran

Change: BACKEND_CRASHED (608) with id and fingerprint of what ran. The fingerprint (method, host, target, who asks, the first 64 KB of the body) stays when a request comes again. A broken exchange counts as an end when nobody listens at the address afterwards; back ends that reset connections while full, or lose answers, do listen. A counter in the gateway's metrics.

--- a/src/pewtertack/node/gateway/application.py
+++ b/src/pewtertack/node/gateway/application.py
@@ -9,6 +9,7 @@
 
 from pewtertack.core.machines import Machine, MachineList, MachineRole, MachineState
 from pewtertack.node.counting import MetricsRegistry
+from pewtertack.node.gateway.crashes import BrokenExchange, CrashWatch
 from pewtertack.node.gateway.forwarding import GatewayForwarding, GatewayParts, load_headers
 from pewtertack.node.gateway.hop import (
     PROBE_ANSWERED,
@@ -93,7 +94,14 @@
         self._metrics = GatewayMetrics(registry or MetricsRegistry())
         super().__init__(ConnectionStore(clock))
         self._parts = GatewayParts(
-            clock, self.connections, edge, address, self._log, self._metrics, self.requests
+            clock,
+            self.connections,
+            edge,
+            address,
+            self._log,
+            self._metrics,
+            CrashWatch(self._note_crash),
+            self.requests,
         )
         self._incarnations: dict[str, _Incarnation] = {}
         self._stops_at = math.inf
@@ -145,6 +153,13 @@
         with self.requests.one():
             await self._serve(scope, receive, send)
 
+    def _note_crash(self, backend: str, broken: tuple[BrokenExchange, ...]) -> None:
+        """The back end has ended; one that was leaving may have done so by plan."""
+        if not self._incarnation(backend).takes_work:
+            return
+        self._log.crashed(backend, broken)
+        self._metrics.note_crashed()
+
     async def _serve(self, scope: Scope, receive: Receive, send: Send) -> None:
         head = RequestHead()
         request: HopRequest | None = None
--- a/src/pewtertack/node/gateway/forwarding.py
+++ b/src/pewtertack/node/gateway/forwarding.py
@@ -9,6 +9,7 @@
 import msgspec
 
 from pewtertack.node.gateway import hop
+from pewtertack.node.gateway.crashes import BrokenExchange, CrashWatch
 from pewtertack.node.gateway.hop import HopRequest
 from pewtertack.node.gateway.metrics import GatewayMetrics
 from pewtertack.node.gateway.reception import BodyReception
@@ -30,7 +31,10 @@
 from pewtertack.node.proxy.request_log import GatewayLog
 from pewtertack.node.proxy.upstream import ConnectionStore
 from pewtertack.routing.admission import Admission
+from pewtertack.routing.fingerprint import fingerprint_of, head_digest
 from pewtertack.routing.outcomes import (
+    BackendFailedError,
+    BackendSilentError,
     DrainingError,
     NotRunError,
     Outcome,
@@ -54,6 +58,7 @@
     address: str
     log: GatewayLog
     metrics: GatewayMetrics
+    crashes: CrashWatch
     requests: RequestsInFlight = msgspec.field(default_factory=RequestsInFlight)
     reception: BodyReception = msgspec.field(default_factory=BodyReception)
 
@@ -73,6 +78,7 @@
         deadline: float,
     ) -> None:
         self._parts = parts
+        self._scope = scope
         self._admission = admission
         self._request = request
         self.request_id = head.request_id
@@ -241,12 +247,29 @@
         connection = await connections.take(self._parts.address, CONNECT_SECONDS)
         try:
             await self._exchange.run(connection, self._backend_headers(), self._parts.edge)
+        except (BackendFailedError, TruncatedAnswerError) as error:
+            if connection.sent and not isinstance(error, BackendSilentError):
+                self._note_broken()
+            raise
         except anyio.get_cancelled_exc_class():
             self._sent = self._sent or connection.sent
             raise
         finally:
             connections.give_back(connection)
 
+    def _note_broken(self) -> None:
+        broken = BrokenExchange(self.request_id, self._fingerprint())
+        self._parts.crashes.note_broken(self._request.backend, self._parts.address, broken)
+
+    def _fingerprint(self) -> bytes | None:
+        beginning = self._body.beginning
+        if beginning is None:
+            return None
+        scope = self._scope
+        target = scope["raw_path"] + b"?" + scope["query_string"]
+        head = head_digest(scope["method"], target, self._headers)
+        return fingerprint_of(head, beginning)
+
     def _backend_headers(self) -> RawHeaders:
         edge = self._parts.edge
         now = self._parts.clock()
--- a/src/pewtertack/node/gateway/metrics.py
+++ b/src/pewtertack/node/gateway/metrics.py
@@ -28,6 +28,16 @@
             ("reason", "offered"),
         )
 
+        self._crashed = registry.counter(
+            "pewtertack_gateway_backend_crashes",
+            "Ends of the back end while it ran requests.",
+            (),
+        )
+
+    def note_crashed(self) -> None:
+        """The back end ended while it ran requests."""
+        self._crashed.inc(())
+
     def note_admitted(self, route: str, queued: float) -> None:
         """A request went to the back end."""
         self._queued.observe((route,), queued)
--- a/src/pewtertack/node/proxy/body.py
+++ b/src/pewtertack/node/proxy/body.py
@@ -8,6 +8,7 @@
 import anyio
 
 from pewtertack.node.proxy.answers import Receive
+from pewtertack.routing.fingerprint import BEGINNING_BYTES
 from pewtertack.routing.outcomes import Outcome, SlowRequestError
 
 REPLAY_BYTES = 512 * 1024
@@ -43,6 +44,16 @@
         self._receive = receive
         self._kept: list[bytes] | None = []
         self._kept_bytes = 0
+        self._beginning: bytes | None = None
+        """What counts of a body that is kept no longer."""
+
+    @property
+    def beginning(self) -> bytes | None:
+        """The first ``BEGINNING_BYTES``, or all of a shorter body; ``None`` until it has come."""
+        if self._kept is None:
+            return self._beginning
+        beginning = b"".join(self._kept)[:BEGINNING_BYTES]
+        return beginning if self.complete or len(beginning) == BEGINNING_BYTES else None
 
     @property
     def replayable(self) -> bool:
@@ -91,6 +102,8 @@
     def _keep(self, chunk: bytes) -> None:
         self._kept_bytes += len(chunk)
         if self._kept_bytes > REPLAY_BYTES:
+            if self._kept is not None:
+                self._beginning = b"".join((*self._kept, chunk))[:BEGINNING_BYTES]
             self._kept = None
         elif self._kept is not None and chunk:
             self._kept.append(chunk)
--- a/src/pewtertack/node/proxy/request_log.py
+++ b/src/pewtertack/node/proxy/request_log.py
@@ -6,13 +6,14 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 from typing import Any, Protocol
 
 import msgspec
 
 from pewtertack.core.configuration.resolved import ResolvedRoute
 from pewtertack.events import Event
+from pewtertack.node.gateway.crashes import BrokenExchange
 from pewtertack.node.proxy.in_flight import Progress
 from pewtertack.routing.admission import Admission
 from pewtertack.routing.outcomes import RequestFailedError
@@ -218,6 +219,11 @@
             load=load,
         )
 
+    def crashed(self, backend: str, broken: Iterable[BrokenExchange]) -> None:
+        """The back end has ended; ``requests`` holds the id and fingerprint of what it ran."""
+        requests = [(item.request_id, (item.fingerprint or b"").hex()) for item in broken]
+        self._record(Event.BACKEND_CRASHED, backend=backend, requests=requests)
+
     def answered(self, request: str, backend: str, status: int, ticket: AdmissionTicket) -> None:
         """The whole answer went back to the proxy."""
         seconds = self._clock() - ticket.started_at
