--- /dev/null
+++ b/tests/node/test_crashing_request.py
@@ -0,0 +1,125 @@
+"""Real node processes, each beside a back end that one request of one caller ends."""
+
+import asyncio
+import contextlib
+from collections.abc import AsyncIterator
+from typing import Any
+
+import anyio
+
+from pewtertack.lab.fleet.ports import PortAllocator
+from pewtertack.lab.machines.service import MachineListService
+from pewtertack.lab.source.service import ConfigurationSource
+from pewtertack.settings import Address
+from tests.node.crashing_backend import CrashingBackend
+from tests.node.processes import NodeProcess, get_until, settings_text
+from tests.node.proxy.harness import Answer, ProxyTestCase, raw_call, request_bytes
+
+ANY = Address("127.0.0.1", 0)
+NODES = ("a", "b", "c")
+TREE: dict[str, Any] = {
+    "services": {"archive": {}},
+    "routes": {
+        "read": {
+            "service": "archive",
+            "path_prefix": "/",
+            "repeatable": True,
+            "retry_limit": 1,
+            "timeout": "2s",
+        }
+    },
+}
+REPEAT_SECONDS = 0.2
+ORDINARY_SECONDS = 0.05
+LASTS_SECONDS = 8.0
+ENDED_THE_THIRD = 3
+MORE_ALLOWED = 3
+"""Ends after the third, by attempts that were on their way."""
+
+
+class CrashingRequestTest(ProxyTestCase):
+    async def asyncSetUp(self) -> None:
+        self.backends = {name: CrashingBackend() for name in NODES}
+        for backend in self.backends.values():
+            await backend.start()
+            self.addAsyncCleanup(backend.stop)
+
+    @property
+    def crashes(self) -> list[float]:
+        return sorted(at for backend in self.backends.values() for at in backend.crashed_at)
+
+    @contextlib.asynccontextmanager
+    async def fleet(self) -> AsyncIterator[list[NodeProcess]]:
+        ports = PortAllocator()
+        gateways = {name: str(ports.allocate("127.0.0.1")) for name in NODES}
+        peers = {name: str(ports.allocate("127.0.0.1")) for name in NODES}
+        machines = {
+            f"backend-{name}": {
+                "role": "backend",
+                "zone": "yaba",
+                "address": self.backends[name].address,
+                "service": "archive",
+                "gateway": gateways[name],
+                "slots": 6,
+            }
+            for name in NODES
+        }
+        source = ConfigurationSource(TREE, ANY, ANY).service
+        listed = MachineListService(machines, ANY, ANY).service
+        async with anyio.create_task_group() as tasks, contextlib.AsyncExitStack() as stack:
+            await source.open(tasks)
+            await listed.open(tasks)
+            platform = (str(source.readers.address), str(listed.readers.address))
+            nodes = []
+            for name in NODES:
+                text = settings_text(name, "yaba", *platform, *peers.values())
+                text = text.replace(
+                    'peer = "127.0.0.1:0"',
+                    f'peer = "{peers[name]}", gateway = "{gateways[name]}"',
+                )
+                beside = f'\n        backend = {{address = "{self.backends[name].address}"}}\n'
+                nodes.append(await stack.enter_async_context(NodeProcess(text + beside)))
+            for node in nodes:
+                await node.wait_event("NODE_SERVING")
+                admin = node.lines[0]["admin"]
+                await get_until(admin, "/status", lambda page: page["machine_list_number"])
+            yield nodes
+            tasks.cancel_scope.cancel()
+            for service in (source, listed):
+                service.readers.close()
+                service.control.close()
+
+    async def call(self, node: NodeProcess, path: str) -> Answer:
+        return await raw_call(node.lines[0]["proxy"], request_bytes(path=path))
+
+    async def repeat(self, nodes: list[NodeProcess], until: float) -> list[Answer]:
+        """One caller sends the request that ends back ends again and again, at any machine."""
+        answers = []
+        loop = asyncio.get_running_loop()
+        while loop.time() < until:
+            answers.append(await self.call(nodes[len(answers) % len(nodes)], "/read/crash"))
+            await anyio.sleep(REPEAT_SECONDS)
+        return answers
+
+    async def test_a_request_that_ends_back_ends_is_not_sent_on_without_end(self) -> None:
+        async with self.fleet() as nodes:
+            until = asyncio.get_running_loop().time() + LASTS_SECONDS
+            answers = await self.repeat(nodes, until)
+        self.assertLessEqual(len(self.crashes), ENDED_THE_THIRD + MORE_ALLOWED)
+        self.assertEqual((answers[-1].status, answers[-1].headers["x-outcome"]), (503, "not-run"))
+
+    async def test_others_are_served_meanwhile(self) -> None:
+        async with self.fleet() as nodes:
+            until = asyncio.get_running_loop().time() + LASTS_SECONDS
+            repeating = asyncio.ensure_future(self.repeat(nodes, until))
+            others = []
+            sent = 0
+            while asyncio.get_running_loop().time() < until:
+                sent += 1
+                ordinary = self.call(nodes[sent % len(nodes)], f"/read/{sent}")
+                others.append(asyncio.ensure_future(ordinary))
+                await anyio.sleep(ORDINARY_SECONDS)
+            answers = await asyncio.gather(*others)
+            await repeating
+        served = sum(answer.status == 200 for answer in answers)
+        self.assertGreaterEqual(served / len(answers), 0.85)
