Time goes on while the machine is suspended, for timers and connections too

What was armed before a suspension fired late by all of it: a deadline, a read of the source, an idle connection's end. A connection that stood meanwhile may have been given up by the other end; a request sent on it that may not be repeated ends as of unknown outcome.

What the core does after a gap of its ticks (join again before it serves) stays.

No machine here can be suspended: not run for real.

--- a/src/pewtertack/cli/node.py
+++ b/src/pewtertack/cli/node.py
@@ -89,7 +89,8 @@
 
     from pewtertack.node.assembly import assemble_node
     from pewtertack.node.daemon import run_node
+    from pewtertack.node.event_loop import SuspendedTimeLoop
 
     parts = assemble_node(settings, str(path), sockets, make_reader, flags)
     collector.resume()
-    return anyio.run(run_node, parts)
+    return anyio.run(run_node, parts, backend_options={"loop_factory": SuspendedTimeLoop})
--- a/src/pewtertack/log.py
+++ b/src/pewtertack/log.py
@@ -20,6 +20,11 @@
 CHANNEL = "pewtertack"
 
 
+def _steady() -> float:
+    """Return seconds that also pass while the machine is suspended, as the node's clock's do."""
+    return time.clock_gettime(time.CLOCK_BOOTTIME)
+
+
 class _StreamSink:
     """Writes each line to a text stream at once."""
 
@@ -58,7 +63,7 @@
     def __init__(self, node: str, incarnation: int, stream: TextIO | None = None) -> None:
         self._logger = logbook.Logger(CHANNEL)
         self._identity = {"node": node, "incarnation": incarnation}
-        self._started = time.monotonic()
+        self._started = _steady()
         self._writer: BoundedWriter | None = None
         self._sink = self._sink_of(stream)
         self._logger.handlers.append(_SinkHandler(self._sink))
@@ -92,7 +97,7 @@
             "number": event.number,
             "event": event.name,
             **self._identity,
-            "uptime": round(time.monotonic() - self._started, 6),
+            "uptime": round(_steady() - self._started, 6),
             **fields,
         }
 
--- a/src/pewtertack/node/clock.py
+++ b/src/pewtertack/node/clock.py
@@ -10,6 +10,14 @@
     return time.clock_gettime(time.CLOCK_BOOTTIME)
 
 
+def suspended_seconds() -> float:
+    """Return for how long the machine has been suspended since it started.
+
+    The steady clock stands still meanwhile and the one of ``now`` goes on.
+    """
+    return now() - time.monotonic()
+
+
 def unix_time() -> float:
     """Return Unix time in seconds."""
     return time.time()
--- a/src/pewtertack/node/http/connection.py
+++ b/src/pewtertack/node/http/connection.py
@@ -18,6 +18,7 @@
 import msgspec
 
 from pewtertack.errors import PewtertackError
+from pewtertack.node import clock
 from pewtertack.node.http.framing import LAST_CHUNK, RawHeaders, chunk_of
 from pewtertack.node.http.reading import ReadingProtocol
 
@@ -26,6 +27,11 @@
 UNACKNOWLEDGED_MILLISECONDS = 400
 """Sent bytes that the other machine's kernel has not acknowledged for so long end the
 connection: the machine lost power or is cut off. A back end's silence does not."""
+DOUBTED_AFTER_SUSPENSION = 0.3
+"""A connection that stood while the machine was suspended for so long carries no further
+request: the other end may have given it up, and a request sent on it, which may not be sent
+again, would end as of unknown outcome. The steady clock and the one that counts suspensions
+are read one after the other; being preempted between them must not look like one."""
 SILENT_ERRORS = frozenset({errno.ETIMEDOUT, errno.EHOSTUNREACH, errno.ENETUNREACH})
 PROBE_OPTIONS = (
     (socket.IPPROTO_TCP, socket.TCP_NODELAY, 1),
@@ -90,6 +96,8 @@
         self.address = address
         self.sent = False
         """Whether the other end may have begun with the current exchange."""
+        self._suspended = clock.suspended_seconds()
+        """What the clock of suspensions said when the last exchange began."""
         self._transport: asyncio.Transport
         self._parser = httptools.HttpResponseParser(self)
         self._waiter: asyncio.Future[None] | None = None
@@ -214,6 +222,7 @@
             ExchangeBrokenError: no answer came; ``sent`` tells whether it may have run.
         """
         self.sent = False
+        self._suspended = clock.suspended_seconds()
         self._answer = None
         self._chunks.clear()
         self._buffered = 0
@@ -305,8 +314,10 @@
 
     @property
     def reusable(self) -> bool:
-        """Whether the last exchange ended cleanly and the back end has not closed."""
-        return self._keep and self._complete and self._request_sent and not self._ended
+        """Whether the last exchange ended cleanly, and the other end still stands by it."""
+        clean = self._keep and self._complete and self._request_sent and not self._ended
+        slept = clock.suspended_seconds() - self._suspended
+        return clean and slept < DOUBTED_AFTER_SUSPENSION
 
     @property
     def peer_silent(self) -> bool:
--- a/src/pewtertack/node/runtime.py
+++ b/src/pewtertack/node/runtime.py
@@ -37,6 +37,8 @@
 from pewtertack.wire.frames import Envelope
 from pewtertack.wire.messages import Message
 
+SUSPENSION_SECONDS = 0.1
+"""Shorter suspensions are not told from the time between two readings of two clocks."""
 REFUSAL_LOG_INTERVAL = 1.0
 """Refused frames of one type are logged at most once in so many seconds."""
 
@@ -119,6 +121,9 @@
         self._refusals_logged: dict[str, float] = {}
         self.failed_messages: Counter[str] = Counter()
         """Messages whose handling failed, by the type of the error."""
+        self.suspended_seconds = 0.0
+        """For how long the machine was suspended since the node began."""
+        self._suspended_at_start = clock.suspended_seconds()
         self.in_force_since: float | None = None
         """Unix time of the last swap."""
 
@@ -127,10 +132,19 @@
         async with anyio.create_task_group() as tasks:
             self._tasks = tasks
             while True:
+                self._note_suspension()
                 self.feed(Ticked())
                 self._gate.ticked()
                 await anyio.sleep(self._tick)
 
+    def _note_suspension(self) -> None:
+        total = clock.suspended_seconds() - self._suspended_at_start
+        seconds = total - self.suspended_seconds
+        if seconds < SUSPENSION_SECONDS:
+            return
+        self.suspended_seconds = total
+        self._log.record(Event.NODE_SUSPENDED, seconds=round(seconds, 3))
+
     def feed(self, event: Input) -> None:
         """Give the core one input and carry out the effects."""
         for effect in self._core.handle(clock.now(), event):
