Status and metrics tell which requests are refused since back ends ended under them

Cause: an operator who asks why a request is refused saw a typed refusal in the log alone.

Change: GET /status holds refused_requests (fingerprint, ends, since the first, since the last) and the time for which the machine was suspended; `pewtertack status` has a line for each below its table; gauges pewtertack_requests_held and pewtertack_suspended_seconds.

--- a/src/pewtertack/cli/status.py
+++ b/src/pewtertack/cli/status.py
@@ -12,6 +12,7 @@
 
 if TYPE_CHECKING:
     from pewtertack.cli.status_reports import NodeReport
+    from pewtertack.node.status import NodeStatus
 
 AdminOption = Annotated[
     list[str], typer.Option("--admin", help="http://ip:port of a node's admin interface.")
@@ -85,10 +86,22 @@
 def _notes(report: NodeReport) -> list[str]:
     if report.status is None:
         return [f"{report.admin}: {report.problem}"]
-    rejection = report.status.last_rejection
+    return _rejection_notes(report.status) + _refused_notes(report.status)
+
+
+def _refused_notes(node: NodeStatus) -> list[str]:
+    return [
+        f"{node.name}: request {item.fingerprint} is refused: {item.ends} back ends ended while "
+        f"they ran it, the first {item.since:.0f} s ago, the last {item.last:.0f} s"
+        for item in node.refused_requests
+    ]
+
+
+def _rejection_notes(node: NodeStatus) -> list[str]:
+    rejection = node.last_rejection
     if rejection is None:
         return []
-    start = f"{report.status.name}: revision {rejection.revision.number} refused"
+    start = f"{node.name}: revision {rejection.revision.number} refused"
     return [
         f"{start}: {finding.path}: {finding.code}: {finding.message}"
         for finding in rejection.findings
--- a/src/pewtertack/node/metrics.py
+++ b/src/pewtertack/node/metrics.py
@@ -33,6 +33,14 @@
     def _state(self) -> Iterator[Metric]:
         status = self._status()
         yield _gauge("serving", "Whether callers are served.", float(status.serving))
+        yield _gauge(
+            "suspended_seconds", "For how long the machine was suspended.", status.suspended
+        )
+        yield _gauge(
+            "requests_held",
+            "Requests refused since back ends ended under them.",
+            len(status.refused_requests),
+        )
         yield _gauge("reading", "Whether the node reads the platform.", float(status.reading))
         yield _gauge("held_revision", "Newest revision held whole.", status.held.number)
         yield _gauge("committed_revision", "Newest committed revision.", status.committed.number)
--- a/src/pewtertack/node/status.py
+++ b/src/pewtertack/node/status.py
@@ -56,6 +56,18 @@
     proxy: str
 
 
+class RefusedRequestStatus(msgspec.Struct, frozen=True):
+    """A request under which back ends have ended, by its fingerprint."""
+
+    fingerprint: str
+    ends: int
+    """Back ends that ended under it since it was last answered."""
+    since: float
+    """Seconds since the first of them."""
+    last: float
+    """Seconds since the last."""
+
+
 class NodeStatus(msgspec.Struct, frozen=True):
     """Everything of one node. Times are Unix seconds, ages and spans seconds."""
 
@@ -90,6 +102,10 @@
     in_flight: int
     """Callers' requests under way."""
     traffic: TrafficStatus
+    suspended: float = 0.0
+    """Seconds for which the machine was suspended since the node began."""
+    refused_requests: tuple[RefusedRequestStatus, ...] = ()
+    """Requests under which so many back ends have ended that they are refused."""
 
 
 class MemberView(msgspec.Struct, frozen=True):
--- a/src/pewtertack/node/view.py
+++ b/src/pewtertack/node/view.py
@@ -8,7 +8,7 @@
 import msgspec
 
 from pewtertack.core.configuration.findings import Finding
-from pewtertack.core.configuration.resolved import ResolvedConfiguration
+from pewtertack.core.configuration.resolved import DEFAULT_CRASH_LIMIT, ResolvedConfiguration
 from pewtertack.core.node import NodeCore
 from pewtertack.core.replication.replica import Rejection
 from pewtertack.core.revision import NO_REVISION, RevisionId
@@ -21,6 +21,7 @@
     FindingStatus,
     MemberView,
     NodeStatus,
+    RefusedRequestStatus,
     RejectionStatus,
     RevisionStatus,
     TrafficStatus,
@@ -76,6 +77,8 @@
             conflicts=replica.conflicts,
             in_flight=self.in_flight(),
             traffic=self._traffic_status(),
+            suspended=round(self.runtime.suspended_seconds, 3),
+            refused_requests=self._refused_requests(now),
         )
 
     def members(self) -> tuple[MemberView, ...]:
@@ -108,6 +111,19 @@
         members = self.core.membership.table.all()
         return dict(Counter(member.status.name.lower() for member in members))
 
+    def _refused_requests(self, now: float) -> tuple[RefusedRequestStatus, ...]:
+        ledger = self.core.crashes.ledger
+        held = [item for item in ledger if item.count >= DEFAULT_CRASH_LIMIT]
+        return tuple(
+            RefusedRequestStatus(
+                item.fingerprint.hex(),
+                item.count,
+                round(now - min(item.ends.values()), 3),
+                round(now - item.last_end, 3),
+            )
+            for item in sorted(held, key=lambda item: item.last_end, reverse=True)
+        )
+
     def _traffic_status(self) -> TrafficStatus:
         return TrafficStatus(
             control=self._bytes(Purpose.CONTROL),
