Ends of back ends that nodes reach themselves are told as well; proxy and gateway share the rest

Change: what both do about one request under which back ends end is one class (Suspicion), with the watch for ends (node.crash_watch) below it. An end is reported only when nobody listens 10 ms later either: a back end that refuses one connection for want of room has not ended. A refusal names the fingerprint, so that the log lines of the ends are found by it.

--- a/src/pewtertack/core/crashes/spreading.py
+++ b/src/pewtertack/core/crashes/spreading.py
@@ -48,9 +48,15 @@
         self._random = random
         self._next_report_at = -math.inf
 
-    def crashed(self, now: float, fingerprints: Iterable[bytes]) -> list[Effect]:
-        """The back end beside this node ended while it ran these requests."""
-        number = self._random.getrandbits(63)
+    def crashed(
+        self, now: float, fingerprints: Iterable[bytes], number: int | None = None
+    ) -> list[Effect]:
+        """A back end ended while it ran these requests.
+
+        Without a ``number`` this node alone can have seen it, and makes one up.
+        """
+        if number is None:
+            number = self._random.getrandbits(63)
         news = [item for item in fingerprints if self.ledger.note_end(item, number, now)]
         return self._spread(now, news)
 
--- a/src/pewtertack/core/inputs.py
+++ b/src/pewtertack/core/inputs.py
@@ -53,9 +53,11 @@
 
 
 class BackendCrashed(msgspec.Struct, frozen=True):
-    """The back end beside this node ended while it ran the requests of these fingerprints."""
+    """A back end ended while it ran the requests of these fingerprints."""
 
     fingerprints: tuple[bytes, ...]
+    number: int | None = None
+    """The end's number, where other nodes may have seen the same one."""
 
 
 class SuspectAnswered(msgspec.Struct, frozen=True):
--- a/src/pewtertack/core/node.py
+++ b/src/pewtertack/core/node.py
@@ -147,8 +147,8 @@
                 return self.replication.on_read_failed(now, kind, reason, retry_after)
             case BackendLeavingObserved(name, address):
                 return self.replication.on_backends_leaving((LeavingBackend(name, address),))
-            case BackendCrashed(fingerprints):
-                return self.crashes.crashed(now, fingerprints)
+            case BackendCrashed(fingerprints, number):
+                return self.crashes.crashed(now, fingerprints, number)
             case SuspectAnswered(fingerprint):
                 return self.crashes.answered(now, fingerprint)
             case DrainRequested():
--- a/src/pewtertack/events.py
+++ b/src/pewtertack/events.py
@@ -49,7 +49,7 @@
     BACKEND_SEEN = (605, "The machine list names a back end that was not on it before.")
     BACKEND_LEAVING = (606, "A back end gets no new work: the list, or its own answer, says so.")
     BACKEND_GONE = (607, "A back end is on the machine list no longer.")
-    BACKEND_CRASHED = (608, "The back end beside this node ended while it ran these requests.")
+    BACKEND_CRASHED = (608, "A back end ended while it ran these requests.")
     REQUEST_ENDS_BACKENDS = (609, "So many back ends ended while they ran one request.")
     REQUEST_ROUTED = (610, "The proxy chose a back end for an attempt, and why.", True)
     REQUEST_RETRIED = (611, "An attempt failed; the request is sent once more, and why.")
--- a/src/pewtertack/node/gateway/crashes.py
+++ b/src/pewtertack/node/crash_watch.py
@@ -1,4 +1,4 @@
-"""Notices that the back end beside this node has ended while it ran requests.
+"""Notices that a back end has ended while it ran requests.
 
 A broken connection alone does not say so: back ends reset connections when they are full, and
 lose answers. One that has ended has nobody who listens.
@@ -16,7 +16,9 @@
 
 GATHER_SECONDS = 0.01
 """For so long after the first broken exchange others count as broken by the same end: the
-resets of one end come in one turn of the loop or two."""
+resets of one end come in one turn of the loop or two. Then it is asked once more whether anybody
+listens: one that refused a single connection for want of room has not ended, and the resets of
+one that has may come ahead of its listener's end."""
 CONNECT_SECONDS = 0.25
 """For the question whether anybody listens, on the same machine."""
 
@@ -29,10 +31,20 @@
     """``None`` where its body had not come as far as that counts."""
 
 
+def fingerprints_of(broken: tuple[BrokenExchange, ...]) -> tuple[bytes, ...]:
+    """Return the fingerprints that are known, each once."""
+    known = (item.fingerprint for item in broken if item.fingerprint is not None)
+    return tuple(dict.fromkeys(known))
+
+
 CrashObserver = Callable[[str, tuple[BrokenExchange, ...]], None]
 """Told the name of a back end that has ended, and what it ran."""
 
 
+def _tell_nobody(backend: str, broken: tuple[BrokenExchange, ...]) -> None:
+    """Tell nobody."""
+
+
 class _Break:
     """Exchanges with one back end that broke together."""
 
@@ -51,7 +63,7 @@
         tell: told of each end.
     """
 
-    def __init__(self, tell: CrashObserver) -> None:
+    def __init__(self, tell: CrashObserver = _tell_nobody) -> None:
         self._tell = tell
         self._breaks: dict[tuple[str, str], _Break] = {}
         """Not told yet, by the back end's name and address."""
@@ -70,10 +82,9 @@
         backend, address = key
         ended = False
         try:
-            ended = await nobody_listens(address)
-            found.ended.set_result(ended)
+            found.ended.set_result(await nobody_listens(address))
             await anyio.sleep(GATHER_SECONDS)
-            ended = ended or await nobody_listens(address)
+            ended = await nobody_listens(address)
         finally:
             if not found.ended.done():
                 found.ended.set_result(False)
--- a/src/pewtertack/node/gateway/application.py
+++ b/src/pewtertack/node/gateway/application.py
@@ -10,7 +10,12 @@
 from pewtertack.core.machines import Machine, MachineList, MachineRole, MachineState
 from pewtertack.node.counting import MetricsRegistry
 from pewtertack.node.crash_desk import CrashDesk
-from pewtertack.node.gateway.crashes import BrokenExchange, CrashWatch, nobody_listens
+from pewtertack.node.crash_watch import (
+    BrokenExchange,
+    CrashWatch,
+    fingerprints_of,
+    nobody_listens,
+)
 from pewtertack.node.gateway.forwarding import GatewayForwarding, GatewayParts, load_headers
 from pewtertack.node.gateway.hop import (
     PROBE_ANSWERED,
@@ -169,8 +174,7 @@
             return
         self._log.crashed(backend, broken)
         self._metrics.note_crashed()
-        known = (item.fingerprint for item in broken if item.fingerprint is not None)
-        self._desk.report_crash(tuple(dict.fromkeys(known)))
+        self._desk.report_crash(fingerprints_of(broken))
 
     async def _serve(self, scope: Scope, receive: Receive, send: Send) -> None:
         head = RequestHead()
--- a/src/pewtertack/node/gateway/forwarding.py
+++ b/src/pewtertack/node/gateway/forwarding.py
@@ -9,8 +9,8 @@
 import msgspec
 
 from pewtertack.node.crash_desk import CrashDesk
+from pewtertack.node.crash_watch import CrashWatch
 from pewtertack.node.gateway import hop
-from pewtertack.node.gateway.crashes import BrokenExchange, CrashWatch
 from pewtertack.node.gateway.hop import HopRequest
 from pewtertack.node.gateway.metrics import GatewayMetrics
 from pewtertack.node.gateway.reception import BodyReception
@@ -31,24 +31,19 @@
 from pewtertack.node.proxy.in_flight import Progress, RequestsInFlight
 from pewtertack.node.proxy.lifetime import LifeEnd, RequestLife, end_error
 from pewtertack.node.proxy.request_log import GatewayLog
+from pewtertack.node.proxy.suspicion import Suspicion
 from pewtertack.node.proxy.upstream import ConnectionStore
 from pewtertack.routing.admission import Admission
 from pewtertack.routing.outcomes import (
-    BackendCrashedError,
     BackendFailedError,
-    BackendSilentError,
     DrainingError,
     NotRunError,
     Outcome,
-    RequestEndsBackendsError,
     RequestFailedError,
     WithdrawnError,
 )
 from pewtertack.routing.places import AdmissionTicket
 
-FAILING_STATUS = 500
-"""From this status on an answer tells nothing in favour of its request: a back end that is
-about to end may have given it."""
 SHORTEST_LOOK = 0.001
 """Seconds between two looks at a waiting request, where a timer has fired too early."""
 CONNECT_SECONDS = 0.25
@@ -91,7 +86,8 @@
         self._deadline = deadline
         self._headers = without_names(scope["headers"], head, parts.edge.own)
         self._body = RequestBody(receive, head.has_body)
-        self._content = RequestContent(scope, self._headers, self._body)
+        content = RequestContent(scope, self._headers, self._body)
+        self._suspicion = Suspicion(content, parts.desk, parts.crashes)
         self._body_on_demand = head.expects_continue
         self._life = RequestLife(scope, deadline, parts.clock)
         self._ticket = AdmissionTicket(
@@ -197,7 +193,7 @@
         try:
             await self._attempt()
             answered = True
-            self._clear_suspect()
+            self._suspicion.note_answered(self.status)
             metrics.note_answered(route, self._parts.clock() - self._ticket.started_at)
             log.answered(request, self._request.backend, self.status, self._ticket)
         finally:
@@ -250,33 +246,17 @@
         else:
             self._admission.withdraw(self._ticket)
 
-    async def _refuse_suspect(self) -> None:
-        """Refuse what ends the back ends that run it, also if that came out while it waited."""
-        ledger = self._parts.desk.ledger
-        fingerprint = await self._content.among(ledger)
-        if fingerprint is None:
-            return
-        if ledger.holds(fingerprint, self._request.crash_limit, self._parts.clock()):
-            raise RequestEndsBackendsError("back ends ended while they ran this request")
-
-    def _clear_suspect(self) -> None:
-        """Tell that the back end has answered a request under which others ended."""
-        desk = self._parts.desk
-        if self.status >= FAILING_STATUS or not self._content.may_be_among(desk.ledger):
-            return
-        fingerprint = self._content.fingerprint
-        if fingerprint is not None and desk.ledger.count(fingerprint):
-            desk.report_answer(fingerprint)
-
     async def _attempt(self) -> None:
-        await self._refuse_suspect()
+        # Others may have come to know what it does while it waited here.
+        await self._suspicion.refuse_held(self._request.crash_limit, self._parts.clock())
         connections = self._parts.connections
         connection = await connections.take(self._parts.address, CONNECT_SECONDS)
         try:
             await self._exchange.run(connection, self._backend_headers(), self._parts.edge)
         except (BackendFailedError, TruncatedAnswerError) as error:
-            if connection.sent and not isinstance(error, BackendSilentError):
-                await self._look_for_crash(error)
+            if connection.sent:
+                backend, address = self._request.backend, self._parts.address
+                await self._suspicion.look_for_end(self.request_id, backend, address, error)
             raise
         except anyio.get_cancelled_exc_class():
             self._sent = self._sent or connection.sent
@@ -284,18 +264,6 @@
         finally:
             connections.give_back(connection)
 
-    async def _look_for_crash(self, error: BackendFailedError | TruncatedAnswerError) -> None:
-        """Find out whether the exchange broke since the back end has ended.
-
-        Raises:
-            BackendCrashedError: it has, and no answer of it was passed on.
-        """
-        broken = BrokenExchange(self.request_id, self._content.fingerprint)
-        parts = self._parts
-        ended = await parts.crashes.has_ended(self._request.backend, parts.address, broken)
-        if ended and isinstance(error, BackendFailedError):
-            raise BackendCrashedError("the back end has ended") from error
-
     def _backend_headers(self) -> RawHeaders:
         edge = self._parts.edge
         now = self._parts.clock()
--- a/src/pewtertack/node/proxy/application.py
+++ b/src/pewtertack/node/proxy/application.py
@@ -11,6 +11,7 @@
 from pewtertack.events import Event
 from pewtertack.node.counting import MetricsRegistry
 from pewtertack.node.crash_desk import CrashDesk
+from pewtertack.node.crash_watch import BrokenExchange, CrashWatch, fingerprints_of
 from pewtertack.node.http.cycle import Scope
 from pewtertack.node.proxy.answers import Receive, Send, send_failure
 from pewtertack.node.proxy.body import CallerGoneError
@@ -109,6 +110,7 @@
         registry = registry or MetricsRegistry()
         self._metrics = RequestMetrics(registry)
         super().__init__(ConnectionStore(clock))
+        self._desk = desk or CrashDesk()
         self._parts = ForwardingParts(
             clock,
             dispatcher,
@@ -118,7 +120,8 @@
             self._request_log,
             self._metrics,
             self.requests,
-            desk or CrashDesk(),
+            self._desk,
+            CrashWatch(self._note_crash),
         )
         registry.add_collector(lambda: _collector_of(dispatcher, lambda: self.in_flight))
         self._serving = False
@@ -233,6 +236,11 @@
                 event = Event.BACKEND_EJECTED if ejected else Event.BACKEND_RETURNED
                 self._log(event, backend=backend.name, service=backend.service)
 
+    def _note_crash(self, backend: str, broken: tuple[BrokenExchange, ...]) -> None:
+        """A back end without a gateway has ended."""
+        self._request_log.crashed(backend, broken)
+        self._desk.report_far_crash(backend, fingerprints_of(broken))
+
     def _check_serving(self) -> None:
         if self.requests.draining:
             raise DrainingError("the node is stopping")
--- a/src/pewtertack/node/proxy/forwarding.py
+++ b/src/pewtertack/node/proxy/forwarding.py
@@ -9,6 +9,7 @@
 
 from pewtertack.core.configuration.resolved import ResolvedConfiguration, ResolvedRoute
 from pewtertack.node.crash_desk import CrashDesk
+from pewtertack.node.crash_watch import CrashWatch
 from pewtertack.node.gateway.hop import hop_headers
 from pewtertack.node.http.connection import BackendConnection
 from pewtertack.node.http.cycle import Scope
@@ -29,6 +30,7 @@
 from pewtertack.node.proxy.lifetime import LifeEnd, RequestLife, end_error
 from pewtertack.node.proxy.metrics import RequestMetrics
 from pewtertack.node.proxy.request_log import ProxyLog
+from pewtertack.node.proxy.suspicion import Suspicion
 from pewtertack.node.proxy.taking_back import take_back
 from pewtertack.node.proxy.upstream import ConnectionStore
 from pewtertack.routing.backend import Backend, parse_load
@@ -37,6 +39,7 @@
 from pewtertack.routing.ends import AttemptEnd
 from pewtertack.routing.outcomes import (
     BackendCrashedError,
+    BackendFailedError,
     BackendGoneError,
     BackendShedError,
     BackendSilentError,
@@ -45,7 +48,6 @@
     DrainingError,
     GatewayRefusedError,
     Outcome,
-    RequestEndsBackendsError,
     RequestFailedError,
 )
 from pewtertack.routing.queueing import Ticket
@@ -69,6 +71,8 @@
     metrics: RequestMetrics | None = None
     requests: RequestsInFlight = msgspec.field(default_factory=RequestsInFlight)
     desk: CrashDesk = msgspec.field(default_factory=CrashDesk)
+    crashes: CrashWatch = msgspec.field(default_factory=CrashWatch)
+    """For back ends without a gateway; a gateway sees to its own."""
 
 
 class Forwarding:
@@ -94,9 +98,8 @@
         self._service = configuration.services[route.service]
         self._revision = configuration.revision.number
         self._body = RequestBody(receive, head.has_body)
-        self._content = RequestContent(scope, self._headers, self._body)
-        self._ends = 0
-        """Back ends known to have ended under the request, other callers' and its own."""
+        content = RequestContent(scope, self._headers, self._body)
+        self._suspicion = Suspicion(content, parts.desk, parts.crashes)
         self._exchange = Exchange(scope, send, head, self._body, self._note_answer, parts.edge)
         self._ticket = Ticket(route, self._service, deadline)
         self._ticket.body_bytes = head.body_bytes
@@ -187,7 +190,8 @@
             await self._body.read_ahead()
         while True:
             self._check_withdrawn()
-            await self._refuse_suspect()
+            limit = self._route.crash_limit
+            await self._suspicion.refuse_unless_admitted(limit, self._parts.clock())
             await self._wait_for_backend()
             if self._withdrawn:
                 self._finish(AttemptEnd.CANCELLED)
@@ -210,22 +214,12 @@
 
     def _decide_retry(self, error: RequestFailedError) -> RetryDecision:
         if isinstance(error, BackendCrashedError):
-            self._ends += 1
-            if 0 < self._route.crash_limit <= self._ends:
+            self._suspicion.ends += 1
+            if 0 < self._route.crash_limit <= self._suspicion.ends:
                 return RetryDecision(RetryReason.ENDS_BACKENDS)
         now, replayable = self._parts.clock(), self._body.replayable
         return self._parts.dispatcher.decide_retry(self._ticket, error, now, replayable)
 
-    async def _refuse_suspect(self) -> None:
-        """Refuse what ends the back ends that run it."""
-        ledger = self._parts.desk.ledger
-        fingerprint = await self._content.among(ledger)
-        if fingerprint is None:
-            return
-        self._ends = max(self._ends, ledger.count(fingerprint))
-        if not ledger.admits(fingerprint, self._route.crash_limit, self._parts.clock()):
-            raise RequestEndsBackendsError(f"{self._ends} back ends ended while they ran it")
-
     def _check_withdrawn(self) -> None:
         if self._withdrawn:
             raise DrainingError("the node is stopping")
@@ -278,6 +272,8 @@
         try:
             await self._exchange_with(backend)
             end = self._exchange.end
+            if not backend.gateway:
+                self._suspicion.note_answered(self.status)
         except RequestFailedError as error:
             end = _end_of(error)
             raise
@@ -301,6 +297,11 @@
             headers = self._attempt_headers(backend, edge)
             on_demand = bool(backend.gateway) and self._head.body_is_large
             await self._exchange.run(connection, headers, edge, on_demand)
+        except (BackendFailedError, TruncatedAnswerError) as error:
+            if connection.sent and not backend.gateway:
+                name = backend.name
+                await self._suspicion.look_for_end(self.request_id, name, backend.address, error)
+            raise
         except anyio.get_cancelled_exc_class():
             self._sent = self._sent or connection.sent
             raise
--- a/src/pewtertack/node/proxy/request_log.py
+++ b/src/pewtertack/node/proxy/request_log.py
@@ -13,7 +13,7 @@
 
 from pewtertack.core.configuration.resolved import ResolvedRoute
 from pewtertack.events import Event
-from pewtertack.node.gateway.crashes import BrokenExchange
+from pewtertack.node.crash_watch import BrokenExchange
 from pewtertack.node.proxy.in_flight import Progress
 from pewtertack.routing.admission import Admission
 from pewtertack.routing.outcomes import RequestFailedError
@@ -159,6 +159,10 @@
             left=milliseconds(ticket.deadline - self._clock()),
         )
 
+    def crashed(self, backend: str, broken: Iterable[BrokenExchange]) -> None:
+        """A back end without a gateway has ended."""
+        _record_crash(self._record, backend, broken)
+
     def ended(self, event: Event, request: str, route: ResolvedRoute, seconds: float) -> None:
         """The request was cut, or its caller left."""
         self._record(event, request=request, route=route.name, took=milliseconds(seconds))
@@ -220,9 +224,8 @@
         )
 
     def crashed(self, backend: str, broken: Iterable[BrokenExchange]) -> None:
-        """The back end has ended; ``requests`` holds the id and fingerprint of what it ran."""
-        requests = [(item.request_id, (item.fingerprint or b"").hex()) for item in broken]
-        self._record(Event.BACKEND_CRASHED, backend=backend, requests=requests)
+        """The back end has ended."""
+        _record_crash(self._record, backend, broken)
 
     def answered(self, request: str, backend: str, status: int, ticket: AdmissionTicket) -> None:
         """The whole answer went back to the proxy."""
@@ -250,6 +253,12 @@
         self._record(Event.GATEWAY_CANCELLED, request=request, backend=backend, sent=sent)
 
 
+def _record_crash(record: RecordEvent, backend: str, broken: Iterable[BrokenExchange]) -> None:
+    """Record an end; ``requests`` holds the id and fingerprint of what ran."""
+    requests = [(item.request_id, (item.fingerprint or b"").hex()) for item in broken]
+    record(Event.BACKEND_CRASHED, backend=backend, requests=requests)
+
+
 def _slots(ticket: Ticket) -> int:
     assert ticket.backend is not None
     return ticket.backend.slots or ticket.service.slots_per_backend
--- /dev/null
+++ b/src/pewtertack/node/proxy/suspicion.py
@@ -0,0 +1,96 @@
+"""What proxy and gateway do about one request under which back ends may end."""
+
+from __future__ import annotations
+
+from pewtertack.node.crash_desk import CrashDesk
+from pewtertack.node.crash_watch import BrokenExchange, CrashWatch
+from pewtertack.node.proxy.content import RequestContent
+from pewtertack.node.proxy.exchange import TruncatedAnswerError
+from pewtertack.routing.outcomes import (
+    BackendCrashedError,
+    BackendFailedError,
+    BackendSilentError,
+    RequestEndsBackendsError,
+)
+
+FAILING_STATUS = 500
+"""From this status on an answer tells nothing in favour of its request: a back end that is
+about to end may have given it."""
+
+
+class Suspicion:
+    """The node's knowledge of ends, asked and added to for one request.
+
+    Args:
+        content: of the request.
+        desk: what the node knows.
+        watch: tells whether a back end has ended.
+    """
+
+    __slots__ = ("_content", "_desk", "_watch", "ends")
+
+    def __init__(self, content: RequestContent, desk: CrashDesk, watch: CrashWatch) -> None:
+        self._content = content
+        self._desk = desk
+        self._watch = watch
+        self.ends = 0
+        """Back ends known to have ended under the request, at its own attempts too."""
+
+    async def refuse_held(self, limit: int, now: float) -> None:
+        """Refuse what no node may send to a back end.
+
+        Raises:
+            RequestEndsBackendsError: it is held.
+        """
+        fingerprint = await self._fingerprint_if_suspect()
+        if fingerprint is not None and self._desk.ledger.holds(fingerprint, limit, now):
+            raise self._refusal(fingerprint)
+
+    async def refuse_unless_admitted(self, limit: int, now: float) -> None:
+        """Refuse what this node may not send on, which is the trial of a held request too.
+
+        Raises:
+            RequestEndsBackendsError: it may not.
+        """
+        fingerprint = await self._fingerprint_if_suspect()
+        if fingerprint is not None and not self._desk.ledger.admits(fingerprint, limit, now):
+            raise self._refusal(fingerprint)
+
+    def note_answered(self, status: int) -> None:
+        """A back end has answered the request; tell so if others ended under it."""
+        ledger = self._desk.ledger
+        if status >= FAILING_STATUS or not self._content.may_be_among(ledger):
+            return
+        fingerprint = self._content.fingerprint
+        if fingerprint is not None and ledger.count(fingerprint):
+            self._desk.report_answer(fingerprint)
+
+    async def look_for_end(
+        self,
+        request_id: str,
+        backend: str,
+        address: str,
+        error: BackendFailedError | TruncatedAnswerError,
+    ) -> None:
+        """Find out whether an exchange broke since its back end, at ``address``, has ended.
+
+        Raises:
+            BackendCrashedError: it has, and nothing of an answer was passed on.
+        """
+        if isinstance(error, BackendSilentError):
+            return
+        broken = BrokenExchange(request_id, self._content.fingerprint)
+        ended = await self._watch.has_ended(backend, address, broken)
+        if ended and isinstance(error, BackendFailedError):
+            raise BackendCrashedError("the back end has ended") from error
+
+    async def _fingerprint_if_suspect(self) -> bytes | None:
+        ledger = self._desk.ledger
+        fingerprint = await self._content.among(ledger)
+        if fingerprint is not None:
+            self.ends = max(self.ends, ledger.count(fingerprint))
+        return fingerprint
+
+    def _refusal(self, fingerprint: bytes) -> RequestEndsBackendsError:
+        ran = f"they ran request {fingerprint.hex()}"
+        return RequestEndsBackendsError(f"{self.ends} back ends ended while {ran}")
--- a/tests/node/gateway/test_crashes.py
+++ b/tests/node/test_crash_watch.py
@@ -3,7 +3,7 @@
 import asyncio
 import unittest
 
-from pewtertack.node.gateway.crashes import BrokenExchange, CrashWatch, nobody_listens
+from pewtertack.node.crash_watch import BrokenExchange, CrashWatch, nobody_listens
 
 BROKEN = BrokenExchange("call-1", b"f" * 16)
 
@@ -18,6 +18,10 @@
         host, port = self.server.sockets[0].getsockname()
         self.address = f"{host}:{port}"
 
+    def accept(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        self.asked.set()
+        writer.close()
+
     async def asyncTearDown(self) -> None:
         self.server.close()
 
@@ -53,6 +57,7 @@
     ) -> None:
         looking = asyncio.ensure_future(self.watch.has_ended("b", self.address, BROKEN))
         self.assertFalse(await looking)
+        await self.asked.wait()
         self.server.close()
         await asyncio.sleep(0.05)
         self.assertEqual(self.told, [("b", (BROKEN,))])
--- a/tests/node/test_crashing_request.py
+++ b/tests/node/test_crashing_request.py
@@ -49,7 +49,7 @@
         return sorted(at for backend in self.backends.values() for at in backend.crashed_at)
 
     @contextlib.asynccontextmanager
-    async def fleet(self) -> AsyncIterator[list[NodeProcess]]:
+    async def fleet(self, with_gateways: bool = True) -> AsyncIterator[list[NodeProcess]]:
         ports = PortAllocator()
         gateways = {name: str(ports.allocate("127.0.0.1")) for name in NODES}
         peers = {name: str(ports.allocate("127.0.0.1")) for name in NODES}
@@ -59,7 +59,7 @@
                 "zone": "yaba",
                 "address": self.backends[name].address,
                 "service": "archive",
-                "gateway": gateways[name],
+                "gateway": gateways[name] if with_gateways else "",
                 "slots": 6,
             }
             for name in NODES
@@ -117,6 +117,13 @@
         self.assertLessEqual(len(self.crashes), ENDED_THE_THIRD + MORE_ALLOWED)
         self.assertEqual((answers[-1].status, answers[-1].headers["x-outcome"]), (503, "not-run"))
 
+    async def test_nor_where_every_node_reaches_every_back_end_itself(self) -> None:
+        async with self.fleet(with_gateways=False) as nodes:
+            until = asyncio.get_running_loop().time() + LASTS_SECONDS
+            answers = await self.repeat(nodes, until)
+        self.assertLessEqual(len(self.crashes), ENDED_THE_THIRD + MORE_ALLOWED)
+        self.assertEqual((answers[-1].status, answers[-1].headers["x-outcome"]), (503, "not-run"))
+
     async def test_others_are_served_meanwhile(self) -> None:
         async with self.fleet() as nodes:
             until = asyncio.get_running_loop().time() + LASTS_SECONDS
