--- a/tests/node/test_crash_watch.py
+++ b/tests/node/test_crash_watch.py
@@ -12,9 +12,8 @@
     async def asyncSetUp(self) -> None:
         self.told: list[tuple[str, tuple[BrokenExchange, ...]]] = []
         self.watch = CrashWatch(lambda backend, broken: self.told.append((backend, broken)))
-        self.server = await asyncio.start_server(
-            lambda reader, writer: writer.close(), "127.0.0.1", 0
-        )
+        self.asked = asyncio.Event()
+        self.server = await asyncio.start_server(self.accept, "127.0.0.1", 0)
         host, port = self.server.sockets[0].getsockname()
         self.address = f"{host}:{port}"
 
