--- a/tests/wire/test_frames.py
+++ b/tests/wire/test_frames.py
@@ -26,8 +26,11 @@
     Announce,
     BackendsLeaving,
     Busy,
+    CrashedRequest,
+    CrashReports,
     DeltaAnswer,
     DocumentKind,
+    EndedBackend,
     HeldReport,
     IndirectAcknowledge,
     JoinAnswer,
@@ -69,6 +72,7 @@
     JoinRequest(MEMBER),
     JoinAnswer(STATE, MEMBER, (MEMBER, MEMBER)),
     BackendsLeaving((LeavingBackend("b-1", "127.0.0.1:9100"),)),
+    CrashReports((CrashedRequest(b"f" * 16, (EndedBackend(7, 120),), None),)),
     ReaderHeartbeat(
         STATE, b"d" * 16, SourceAges(120, None), (DeltaAnswer(DocumentKind.MACHINE_LIST, (DELTA,)),)
     ),
