Soak: a lane of requests that end their back ends; a proof switch that had stopped working

Found beside it: the switch refusal_truth replaced a function that is there no longer (AttributeError), so that its proof failed for the wrong reason; no test switched it.

Promise ending-requests-held: at most the route's limit and three more ends, counted from the back ends' own records; planted violation in the checker's test. Mechanism crash_ledger. Every request mechanism is switched off in a test (refusal_truth fails it on the code before).

--- a/src/pewtertack/lab/backend/application.py
+++ b/src/pewtertack/lab/backend/application.py
@@ -29,6 +29,14 @@
 NO_DEADLINE = float("inf")
 
 
+ENDS_BACKEND = "ends-back-ends"
+"""A request whose path holds this ends the back end that has run it."""
+
+
+class BackendEndedError(Exception):
+    """The back end has ended under the request."""
+
+
 class BrokenAnswerError(Exception):
     """Ends an answer in the middle; uvicorn closes the connection on it."""
 
@@ -50,6 +58,8 @@
         self.state = state
         self._record = record
         self._random = random.Random(f"{seed}:{name}")
+        self.end = _go_on
+        """Called when a request ends the back end."""
         self._slots = anyio.Semaphore(state.capacity.slots)
         self._exchange = AnswerExchange()
 
@@ -96,7 +106,7 @@
         result = ExecutionResult.CANCELLED
         try:
             result = await self._work(request, receive, send, deadline)
-        except BrokenAnswerError:
+        except (BrokenAnswerError, BackendEndedError):
             result = ExecutionResult.DIED
             raise
         finally:
@@ -119,6 +129,9 @@
         if seconds > left:
             await send_answer(send, self._answer(request, 504, b""))
             return ExecutionResult.DEADLINE
+        if ENDS_BACKEND in request.path:
+            self.end()
+            raise BackendEndedError
         return await self._send_result(request, receive, send)
 
     async def _send_result(self, request: Request, receive: Receive, send: Send) -> ExecutionResult:
@@ -159,6 +172,10 @@
         return json_answer({"well": well, "load": load}, 200 if well else 503)
 
 
+def _go_on() -> None:
+    """Serve on: nothing sees to the back end's end."""
+
+
 def _deadline(request: Request) -> float:
     """Return the deadline on the monotonic clock; infinity without one."""
     milliseconds = request.headers.get("x-deadline-ms")
--- a/src/pewtertack/lab/backend/process.py
+++ b/src/pewtertack/lab/backend/process.py
@@ -4,6 +4,7 @@
 
 import time
 from dataclasses import dataclass
+from functools import partial
 
 import anyio
 import anyio.abc
@@ -26,6 +27,10 @@
     listener: Listener
 
 
+AWAY_SECONDS = 1.0
+"""A back end that a request has ended listens again after so long."""
+
+
 def _print_record(record: Record) -> None:
     print_line(encode_record(record))
 
@@ -49,13 +54,16 @@
             state = BackendState(capacity, started)
             application = BackendApplication(name, state, _print_record, seed)
             listener = Listener(application, address, capacity.connections)
-            self._hosted[name] = HostedBackend(application, listener)
+            hosted = self._hosted[name] = HostedBackend(application, listener)
+            application.end = partial(self._end, hosted)
         handlers = {("POST", "/faults/"): self._set_faults, ("POST", "/close/"): self._close}
+        self._tasks: anyio.abc.TaskGroup | None = None
         self._control = Listener(HandlerTable(dict(handlers)), control)
 
     async def run(self) -> None:
         """Serve until the process is ended."""
         async with anyio.create_task_group() as task_group:
+            self._tasks = task_group
             for hosted in self._hosted.values():
                 await hosted.listener.open(task_group)
             await self._control.open(task_group)
@@ -63,6 +71,17 @@
             print_ready(control=self._control.address, **addresses)
             await anyio.sleep_forever()
 
+    def _end(self, hosted: HostedBackend) -> None:
+        """Reset all connections of a back end, which is back after ``AWAY_SECONDS``."""
+        hosted.listener.close()
+        if self._tasks is not None:
+            self._tasks.start_soon(self._come_back, hosted)
+
+    async def _come_back(self, hosted: HostedBackend) -> None:
+        await anyio.sleep(AWAY_SECONDS)
+        if self._tasks is not None and not hosted.listener.is_open:
+            await hosted.listener.open(self._tasks)
+
     async def _set_faults(self, request: Request) -> Answer:
         faults = msgspec.json.decode(request.body, type=BackendFaults)
         self._find(request).application.state.set_faults(faults, time.monotonic())
--- a/src/pewtertack/lab/history/checker.py
+++ b/src/pewtertack/lab/history/checker.py
@@ -11,6 +11,7 @@
 from pewtertack.lab.history import (
     acceptance_checks,
     configuration_checks,
+    crash_checks,
     request_checks,
     stop_checks,
 )
@@ -59,7 +60,11 @@
     stop_checks.check_sent_is_answered,
 )
 CHECKS = {
-    CheckGroup.ALL: (*CONFIGURATION_CHECKS, *REQUEST_CHECKS),
+    CheckGroup.ALL: (
+        *CONFIGURATION_CHECKS,
+        *REQUEST_CHECKS,
+        crash_checks.check_ending_requests_held,
+    ),
     CheckGroup.CONFIGURATION: CONFIGURATION_CHECKS,
     CheckGroup.REQUESTS: REQUEST_CHECKS,
 }
--- a/src/pewtertack/lab/history/verdicts.py
+++ b/src/pewtertack/lab/history/verdicts.py
@@ -24,6 +24,7 @@
     STOP_CUTS_NOTHING = "planned-stop-cuts-nothing"
     STOP_ANSWERS_ALL = "planned-stop-answers-what-was-sent"
     SENT_IS_ANSWERED = "answered-while-node-runs"
+    ENDING_REQUESTS_HELD = "ending-requests-held"
 
 
 class Judgement(StrEnum):
--- a/src/pewtertack/lab/soak/faults.py
+++ b/src/pewtertack/lab/soak/faults.py
@@ -22,12 +22,14 @@
     PLATFORM = "platform"
     BACKENDS = "backends"
     EDITS = "edits"
+    REQUESTS = "requests"
 
 
 FAULT_MODULES = (
     "pewtertack.lab.soak.node_faults",
     "pewtertack.lab.soak.platform_faults",
     "pewtertack.lab.soak.backend_faults",
+    "pewtertack.lab.soak.request_faults",
 )
 MEAN_GAP_SECONDS = {
     Lane.NODES: 0.7,
@@ -35,6 +37,7 @@
     Lane.PLATFORM: 2.0,
     Lane.BACKENDS: 1.5,
     Lane.EDITS: 1.5,
+    Lane.REQUESTS: 6.0,
 }
 """Between the end of one fault and the next, on average."""
 
--- a/src/pewtertack/lab/soak/result.py
+++ b/src/pewtertack/lab/soak/result.py
@@ -17,6 +17,7 @@
     Promise.NOT_RUN_IS_TRUE,
     Promise.STOP_ANSWERS_ALL,
     Promise.SENT_IS_ANSWERED,
+    Promise.ENDING_REQUESTS_HELD,
 )
 """Promises that a soak must put to the test."""
 
--- a/src/pewtertack/lab/weakening.py
+++ b/src/pewtertack/lab/weakening.py
@@ -12,12 +12,13 @@
 import msgspec
 
 from pewtertack.core import profile
+from pewtertack.core.crashes.ledger import CrashLedger
 from pewtertack.core.machines import Machine, MachineList, MachineState
 from pewtertack.core.profile import Mechanisms
 from pewtertack.lab.errors import LabUsageError
 from pewtertack.node.daemon import DrainableProxy
 from pewtertack.node.gateway.application import GatewayApplication
-from pewtertack.node.http.connection import BackendConnection
+from pewtertack.node.http.connection import BackendConnection, ExchangeBrokenError
 from pewtertack.node.http.framing import RawHeaders
 from pewtertack.node.http.pipeline import Pipeline
 from pewtertack.node.proxy import exchange
@@ -29,6 +30,7 @@
 from pewtertack.routing.retries import AttemptRecord, RetryReason
 
 AnswerReader = Callable[[RawHeaders, EdgeHeaders], AnswerHead]
+BreakReader = Callable[[BackendConnection, ExchangeBrokenError], RequestFailedError]
 RetryRule = Callable[[AttemptRecord, RequestFailedError, float], RetryReason]
 MachinesUser = Callable[[ProxyApplication, MachineList], None]
 
@@ -78,10 +80,15 @@
 def _call_broken_exchanges_not_run() -> None:
     """Tell callers "not run" of every exchange that broke."""
 
-    def wrapper(_: object) -> Callable[[BackendConnection], Outcome]:
-        return lambda connection: Outcome.NOT_RUN
+    def wrapper(failure: BreakReader) -> BreakReader:
+        def fail_as_not_run(
+            connection: BackendConnection, broken: ExchangeBrokenError
+        ) -> RequestFailedError:
+            return failure(connection, broken).with_outcome(Outcome.NOT_RUN)
 
-    _wrap(exchange, "_outcome", wrapper)
+        return fail_as_not_run
+
+    _wrap(exchange, "_failure", wrapper)
 
 
 def _ignore_leaving() -> None:
@@ -148,6 +155,15 @@
         _wrap(owner, "stop_requests", stop_nothing)
 
 
+def _forget_crashes() -> None:
+    """Note no end of a back end under a request."""
+
+    def wrapper(_: object) -> Callable[[CrashLedger, bytes, int, float], bool]:
+        return lambda ledger, fingerprint, number, at: False
+
+    _wrap(CrashLedger, "note_end", wrapper)
+
+
 def _drop_what_was_read_behind() -> None:
     """End a connection behind an answer though more requests were read."""
 
@@ -166,6 +182,7 @@
     "drain": _stop_without_draining,
     "stop_answers": _leave_waiting_requests,
     "pipelined_stop_answers": _drop_what_was_read_behind,
+    "crash_ledger": _forget_crashes,
 }
 MECHANISMS: Sequence[str] = (*CORE_MECHANISMS, *REQUEST_MECHANISMS)
 
--- a/tests/lab/history/test_planted_violations.py
+++ b/tests/lab/history/test_planted_violations.py
@@ -10,6 +10,8 @@
     BackendLeaving,
     Cut,
     Edit,
+    ExecutionEnd,
+    ExecutionResult,
     ExecutionStart,
     Heal,
     HistoryLine,
@@ -68,6 +70,11 @@
     return Told(time=time, request_id=request, outcome=outcome, **values)
 
 
+def ended(time: float, request: str) -> ExecutionEnd:
+    """A back end has ended under a request."""
+    return ExecutionEnd(time=time, request_id=request, backend="x", result=ExecutionResult.DIED)
+
+
 def started(*nodes: str) -> list[HistoryLine]:
     return [NodeStart(time=0.0, node=node, zone=f"zone-{node}") for node in nodes]
 
@@ -88,6 +95,7 @@
         told(41.0, "r1", ToldOutcome.ANSWERED),
         told(42.0, "r2", ToldOutcome.NOT_RUN, status=503),
         BackendLeaving(time=43.0, backend="x"),
+        *(ended(44.0 + attempt, f"ending-1-{attempt}") for attempt in range(6)),
         ExecutionStart(time=59.8, request_id="r3", backend="y"),
         NodeStop(time=60.0, node="b"),
         told(60.5, "r3", ToldOutcome.ANSWERED),
@@ -206,6 +214,10 @@
         Promise.SENT_IS_ANSWERED,
         [told(50.0, "r6", ToldOutcome.TIMED_OUT, status=0, whole_for=0.9)],
     ),
+    "a request ends one back end after the other": Planted(
+        Promise.ENDING_REQUESTS_HELD,
+        [ended(50.0 + attempt, f"ending-2-{attempt}") for attempt in range(7)],
+    ),
 }
 
 
--- a/tests/lab/test_weakening.py
+++ b/tests/lab/test_weakening.py
@@ -1,14 +1,20 @@
 """Mechanisms that can be switched off for a proof."""
 
+import os
+import subprocess
+import sys
 import unittest
+from pathlib import Path
 from typing import Any
 from unittest import mock
 
 from pewtertack.core import profile
 from pewtertack.lab.errors import LabUsageError
-from pewtertack.lab.weakening import CORE_MECHANISMS, MECHANISMS, switch_off
+from pewtertack.lab.weakening import CORE_MECHANISMS, MECHANISMS, REQUEST_MECHANISMS, switch_off
 from pewtertack.node.proxy import exchange
 
+SOURCE_DIRECTORY = Path(__file__).resolve().parents[2] / "src"
+
 
 class WeakeningTest(unittest.TestCase):
     def test_every_core_mechanism_can_be_switched_off(self) -> None:
@@ -24,6 +30,16 @@
             read: Any = vars(exchange)["read_answer"]
             self.assertIsNone(read([(b"x-request-id", b"r1")]).request_id)
 
+    def test_every_request_mechanism_can_be_switched_off(self) -> None:
+        for name in REQUEST_MECHANISMS:
+            with self.subTest(name):
+                code = f"from pewtertack.lab.weakening import switch_off; switch_off({name!r})"
+                environment = os.environ | {"PYTHONPATH": str(SOURCE_DIRECTORY)}
+                ended = subprocess.run(
+                    [sys.executable, "-c", code], env=environment, capture_output=True, text=True
+                )
+                self.assertEqual(ended.returncode, 0, ended.stderr)
+
     def test_unknown_names_are_typed_errors(self) -> None:
         self.assertEqual(len(MECHANISMS), len(set(MECHANISMS)))
         with self.assertRaises(LabUsageError):
