--- a/tests/node/test_crashing_request.py
+++ b/tests/node/test_crashing_request.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import contextlib
+import json
 from collections.abc import AsyncIterator
 from typing import Any
 
@@ -26,9 +27,12 @@
             "repeatable": True,
             "retry_limit": 1,
             "timeout": "2s",
-        }
+        },
+        "write": {"service": "archive", "path_prefix": "/write", "timeout": "2s"},
     },
 }
+LONG_BODY = b"b" * 100_000
+"""Longer than what is kept of a body to tell requests apart."""
 REPEAT_SECONDS = 0.2
 ORDINARY_SECONDS = 0.05
 LASTS_SECONDS = 10.0
@@ -98,15 +102,18 @@
             await get_until(admin, "/status", lambda page: page["machine_list_number"])
         return nodes
 
-    async def call(self, node: NodeProcess, path: str) -> Answer:
-        return await raw_call(node.lines[0]["proxy"], request_bytes(path=path))
+    async def call(self, node: NodeProcess, path: str, body: bytes = b"") -> Answer:
+        method = "POST" if body else "GET"
+        return await raw_call(node.lines[0]["proxy"], request_bytes(method, path, body))
 
-    async def repeat(self, nodes: list[NodeProcess], until: float) -> list[Answer]:
+    async def repeat(
+        self, nodes: list[NodeProcess], until: float, path: str = "/read/crash", body: bytes = b""
+    ) -> list[Answer]:
         """One caller sends the request that ends back ends again and again, at any machine."""
         answers = []
         loop = asyncio.get_running_loop()
         while loop.time() < until:
-            answers.append(await self.call(nodes[len(answers) % len(nodes)], "/read/crash"))
+            answers.append(await self.call(nodes[len(answers) % len(nodes)], path, body))
             await anyio.sleep(REPEAT_SECONDS)
         return answers
 
@@ -117,6 +124,18 @@
         self.assertLessEqual(len(self.crashes), ENDED_THE_THIRD + MORE_ALLOWED)
         self.assertEqual((answers[-1].status, answers[-1].headers["x-outcome"]), (503, "not-run"))
 
+    async def test_its_body_tells_it_from_others_of_the_same_path(self) -> None:
+        async with self.fleet() as nodes:
+            until = asyncio.get_running_loop().time() + LASTS_SECONDS / 2
+            answers = await self.repeat(nodes, until, "/write/crash", LONG_BODY)
+            self.assertLessEqual(len(self.crashes), ENDED_THE_THIRD)
+            self.assertEqual(answers[0].status, 502)
+            self.assertEqual(answers[-1].headers["x-outcome"], "not-run")
+            self.assertEqual(json.loads(answers[-1].body)["type"], "request-ends-back-ends")
+            ends = len(self.crashes)
+            await self.call(nodes[0], "/write/crash", LONG_BODY.upper())
+            self.assertEqual(len(self.crashes), ends + 1)
+
     async def test_nor_where_every_node_reaches_every_back_end_itself(self) -> None:
         async with self.fleet(with_gateways=False) as nodes:
             until = asyncio.get_running_loop().time() + LASTS_SECONDS
