Full ledgers of ended back ends do not tell each other for ever of what they drop

Cause: nodes date an end some milliseconds apart, each later than whom it heard it from. A ledger that held as many ends of a request as it keeps dropped the oldest for each that it heard of, and took that as news to pass on; others had just dropped what this one told. In a fleet: a storm of datagrams.

Change: what is full takes in only what is a second newer than what it would drop, for the ends of one request and for the requests; each node tells at most 10 news a second at once, beyond a burst of 40, and leaves the rest to the regular reports.

--- a/src/pewtertack/core/crashes/ledger.py
+++ b/src/pewtertack/core/crashes/ledger.py
@@ -26,6 +26,11 @@
 """Each further end doubles the hold so often at most (16 minutes)."""
 TRIAL_SECONDS = 5.0
 """A trial without an outcome holds up the next one for so long."""
+NEWER_SECONDS = 1.0
+"""What is full takes in only what is so much newer than what it would drop. Nodes date an end
+some milliseconds apart, each a little later than whom it heard it from: without this distance
+two full ledgers would tell each other for ever of what the other has just dropped (measured in
+virtual time, 74 nodes and 40 ends within a second: no end of messages)."""
 FORGET_SECONDS = 1200.0
 """Without a further end for so long, a request is forgotten."""
 
@@ -65,12 +70,14 @@
         return self.last_end + HOLD_SECONDS * 2.0**doublings
 
     def add_end(self, number: int, at: float) -> bool:
-        """Note an end; false where it was known."""
+        """Note an end; false where it was known, or tells nothing that many others do not."""
         if number in self.ends:
             return False
-        self.ends[number] = at
-        if len(self.ends) > ENDS_MAX:
+        if len(self.ends) >= ENDS_MAX:
+            if at < self.last_end + NEWER_SECONDS:
+                return False
             del self.ends[min(self.ends, key=lambda item: self.ends[item])]
+        self.ends[number] = at
         return True
 
 
@@ -121,8 +128,14 @@
         return True
 
     def note_end(self, fingerprint: bytes, number: int, at: float) -> bool:
-        """A back end ended at ``at`` while it ran the request; false where that was known."""
-        return self._suspect(fingerprint).add_end(number, at)
+        """A back end ended at ``at`` while it ran the request; false where that is no news."""
+        suspect = self._suspects.get(fingerprint)
+        if suspect is None:
+            if not self._make_room(at):
+                return False
+            suspect = self._suspects[fingerprint] = Suspect(fingerprint)
+            self._heads[head_of(fingerprint)] += 1
+        return suspect.add_end(number, at)
 
     def note_answered(self, fingerprint: bytes, at: float) -> bool:
         """A back end answered the request; false where it is no suspect."""
@@ -139,15 +152,15 @@
         for suspect in old:
             self._drop(suspect)
 
-    def _suspect(self, fingerprint: bytes) -> Suspect:
-        found = self._suspects.get(fingerprint)
-        if found is not None:
-            return found
-        if len(self._suspects) >= SUSPECTS_MAX:
-            self._drop(min(self, key=lambda item: (item.count, item.changed_at)))
-        self._heads[head_of(fingerprint)] += 1
-        found = self._suspects[fingerprint] = Suspect(fingerprint)
-        return found
+    def _make_room(self, at: float) -> bool:
+        """Drop a suspect of few and old ends for one that ended its first at ``at``."""
+        if len(self._suspects) < SUSPECTS_MAX:
+            return True
+        least = min(self, key=lambda item: (item.count, item.changed_at))
+        if least.count > 1 or least.changed_at + NEWER_SECONDS > at:
+            return False
+        self._drop(least)
+        return True
 
     def _drop(self, suspect: Suspect) -> None:
         del self._suspects[suspect.fingerprint]
--- a/src/pewtertack/core/crashes/spreading.py
+++ b/src/pewtertack/core/crashes/spreading.py
@@ -21,6 +21,10 @@
 
 FAN_OUT = 8
 """Peers that news goes to at once: a random one of many is missed with e^-8, 1 in 3,000."""
+NEWS_PER_SECOND = 10.0
+"""News that one node tells at once, beyond a burst of ``NEWS_BURST``; more than that is left to
+the regular reports. So many ends a second bear 10 KB a second and node at most."""
+NEWS_BURST = 40.0
 REPORT_INTERVAL = 1.0
 REPORT_PEERS = 3
 """Peers that hear a regular report: one that returns from a cut misses all of the next three
@@ -47,6 +51,9 @@
         self._membership = membership
         self._random = random
         self._next_report_at = -math.inf
+        self._news = NEWS_BURST
+        """News that may be told at once."""
+        self._news_at = -math.inf
 
     def crashed(
         self, now: float, fingerprints: Iterable[bytes], number: int | None = None
@@ -104,8 +111,19 @@
         if not fingerprints:
             return []
         suspects = [item for item in self.ledger if item.fingerprint in fingerprints]
-        effects = self._send(self._sample(FAN_OUT), self._reports(now, suspects))
-        return [*effects, *map(_log, filter(_is_logged, suspects))]
+        effects: list[Effect] = [_log(item) for item in suspects if item.count >= LOGGED_FROM]
+        if self._may_tell_at_once(now):
+            effects += self._send(self._sample(FAN_OUT), self._reports(now, suspects))
+        return effects
+
+    def _may_tell_at_once(self, now: float) -> bool:
+        earned = (now - self._news_at) * NEWS_PER_SECOND
+        self._news = min(NEWS_BURST, self._news + earned)
+        self._news_at = now
+        if self._news < 1:
+            return False
+        self._news -= 1
+        return True
 
     def _sample(self, count: int) -> list[str]:
         return self._membership.table.reachable.sample(self._random, count)
@@ -149,10 +167,6 @@
     return max(0, int((now - at) * MILLISECONDS))
 
 
-def _is_logged(suspect: Suspect) -> bool:
-    return suspect.count >= LOGGED_FROM
-
-
 def _log(suspect: Suspect) -> Log:
     fields = {"fingerprint": suspect.fingerprint.hex(), "ends": suspect.count}
     return Log(Event.REQUEST_ENDS_BACKENDS, fields)
--- a/tests/core/crashes/test_ledger.py
+++ b/tests/core/crashes/test_ledger.py
@@ -97,12 +97,25 @@
         self.assertEqual(self.ledger.count(REQUEST), 3)
         self.assertFalse(self.ledger.knows_head(head_digest("GET", b"/0", [])))
 
+    def test_a_full_ledger_takes_nothing_of_the_same_time_as_what_it_holds(self) -> None:
+        for number in range(SUSPECTS_MAX):
+            self.end(10.0 + number / 1000, fingerprint=other(number))
+        self.assertFalse(self.ledger.note_end(REQUEST, 1, 10.5))
+        self.assertTrue(self.ledger.note_end(REQUEST, 1, 11.5))
+        self.assertFalse(self.ledger.note_end(other(0), 10_000, 10.0))
+
     def test_the_ends_of_one_request_are_bounded_and_the_newest_stay(self) -> None:
         self.end(*map(float, range(1, 3 * ENDS_MAX)))
         self.assertEqual(self.ledger.count(REQUEST), ENDS_MAX)
         suspect = next(iter(self.ledger))
         self.assertEqual(suspect.last_end, 3.0 * ENDS_MAX - 1)
 
+    def test_more_ends_at_once_than_are_remembered_are_no_news(self) -> None:
+        news = [self.ledger.note_end(REQUEST, number, number / 100) for number in range(60)]
+        self.assertEqual(sum(news), ENDS_MAX)
+        self.assertFalse(self.ledger.note_end(REQUEST, 40, 0.7))
+        self.assertTrue(self.ledger.note_end(REQUEST, 99, 2.0))
+
     def test_the_head_tells_suspects_from_others_without_their_bodies(self) -> None:
         self.end(1.0)
         self.assertTrue(self.ledger.knows_head(HEAD))
