--- a/src/pewtertack/lab/soak/faults.py
+++ b/src/pewtertack/lab/soak/faults.py
@@ -37,7 +37,7 @@
     Lane.PLATFORM: 2.0,
     Lane.BACKENDS: 1.5,
     Lane.EDITS: 1.5,
-    Lane.REQUESTS: 6.0,
+    Lane.REQUESTS: 2.0,
 }
 """Between the end of one fault and the next, on average."""
 
