--- a/src/pewtertack/cli/main.py
+++ b/src/pewtertack/cli/main.py
@@ -11,6 +11,7 @@
 from pewtertack.cli import (
     lab,
     lab_cost,
+    lab_crashes,
     lab_depth,
     lab_proofs,
     lab_scale,
@@ -53,6 +54,7 @@
 lab.app.command("check")(lab_proofs.check)
 lab.app.command("explore")(lab_proofs.explore)
 lab.app.command("node-cost")(lab_cost.node_cost)
+lab.app.command("crashes")(lab_crashes.crashes)
 lab.app.command("depth")(lab_depth.depth)
 lab.app.command("depth-latency")(lab_depth.depth_latency)
 lab.app.command("scale")(lab_scale.scale)
--- /dev/null
+++ b/src/pewtertack/lab/crashes/__init__.py
@@ -0,0 +1,1 @@
+"""Requests that end back ends, in virtual time."""
--- a/src/pewtertack/lab/pages/plots.py
+++ b/src/pewtertack/lab/pages/plots.py
@@ -12,6 +12,7 @@
 from matplotlib import pyplot  # noqa: E402
 from matplotlib.figure import Figure  # noqa: E402
 
+from pewtertack.lab.crashes.simulation import CrashResult  # noqa: E402
 from pewtertack.lab.pages.inputs import NamedScale, NamedScenario  # noqa: E402
 from pewtertack.lab.scale.report import PhaseReport  # noqa: E402
 
@@ -83,6 +84,22 @@
     _save(figure, path)
 
 
+def plot_crashes(results: Sequence[CrashResult], path: Path) -> None:
+    """Plot back ends that ended, and the share of ordinary requests served, by second."""
+    figure, (ends, served) = pyplot.subplots(2, 1, sharex=True, figsize=FIGURE_INCHES)
+    for result in results:
+        seconds = [second for second in result.by_second if second.ordinary]
+        told = "told" if result.shape.ledger else "not told"
+        label = f"{result.shape.nodes} nodes, ends {told}"
+        ends.plot([second.ends for second in seconds], label=label)
+        served.plot([100 * second.served / second.ordinary for second in seconds], label=label)
+    ends.set_ylabel("back ends ended")
+    served.set_ylabel("% of others served")
+    served.set_xlabel("seconds")
+    ends.legend(fontsize="small")
+    _save(figure, path)
+
+
 def _share(outcomes: dict[str, int], kind: str) -> float:
     total = sum(outcomes.values())
     return 100 * outcomes.get(kind, 0) / total if total else 0.0
