Trace: the ends of back ends that speak against a request, whichever id it came under

Cause: an operator who asks why a request is refused had to search fingerprints by hand. Change: `pewtertack trace` lists the BACKEND_CRASHED lines whose fingerprints the request shares, by a refusal that names it or by an end that it ran at.

--- a/src/pewtertack/tracing/report.py
+++ b/src/pewtertack/tracing/report.py
@@ -5,6 +5,7 @@
 from collections.abc import Iterator
 from typing import Any
 
+from pewtertack.tracing.ends import requests_run
 from pewtertack.tracing.reading import ReadCounts
 from pewtertack.tracing.timeline import Moment, Timeline
 
@@ -38,6 +39,12 @@
         yield f"{indent}what these nodes came to believe, from 3 s before:"
         for moment in timeline.beliefs:
             yield indent + INDENT + _moment_line(moment)
+    if timeline.ends:
+        yield f"{indent}back ends that ended while they ran this request, under whichever id:"
+        for line in timeline.ends:
+            ran = ", ".join(name for name, _ in requests_run(line))
+            ended = f"{line.time:.3f}  {line.node:<15} {line.fields.get('backend')} ran {ran}"
+            yield indent + INDENT + ended
     for inner in timeline.inner:
         yield f"{indent}call within it: request {inner.request}"
         yield from _timeline_lines(inner, indent + INDENT)
@@ -74,6 +81,7 @@
         "lines": [_moment_data(moment) for moment in timeline.moments],
         "beliefs": [_moment_data(moment) for moment in timeline.beliefs],
         "uncertainty": timeline.uncertainty,
+        "ends": [{"time": line.time, "node": line.node, **line.fields} for line in timeline.ends],
         "inner": [_timeline_data(inner) for inner in timeline.inner],
     }
 
--- a/src/pewtertack/tracing/timeline.py
+++ b/src/pewtertack/tracing/timeline.py
@@ -11,6 +11,7 @@
 from collections.abc import Iterable, Sequence
 from dataclasses import dataclass, field
 
+from pewtertack.tracing.ends import ends_under
 from pewtertack.tracing.errors import RequestUnknownError
 from pewtertack.tracing.reading import LogLine
 
@@ -59,6 +60,8 @@
     """Seconds by which a node's lines may be off against the first node's."""
     inner: tuple[Timeline, ...] = ()
     """Calls that the back end made while it ran the request."""
+    ends: tuple[LogLine, ...] = ()
+    """Ends of back ends that speak against the request, whichever id it came under."""
 
 
 @dataclass(slots=True)
@@ -87,7 +90,8 @@
     moments = tuple(Moment(clocks.at(line) - begin, line) for line in ordered)
     beliefs = _beliefs(lines, clocks, begin, moments[-1].at)
     inner = tuple(build_timeline(lines, name) for name in _inner_requests(lines, request))
-    return Timeline(request, moments, beliefs, clocks.uncertainty, inner)
+    ends = ends_under(lines, request)
+    return Timeline(request, moments, beliefs, clocks.uncertainty, inner, ends)
 
 
 def _process(line: LogLine) -> Process:
--- a/tests/tracing/test_trace.py
+++ b/tests/tracing/test_trace.py
@@ -55,6 +55,30 @@
             self.write("b.log", FIRST_GATEWAY),
         ]
 
+    def test_ends_of_back_ends_are_found_whichever_id_the_request_came_under(self) -> None:
+        same, other = "ab" * 16, "cd" * 16
+        detail = f"3 back ends ended while they ran request {same}"
+        refused = line(
+            "a", 20.0, "REQUEST_REFUSED", request="r9", type="request-ends-back-ends", detail=detail
+        )
+        ends = [
+            line("c", 9.0, "BACKEND_CRASHED", time=1003.0, backend="b3", requests=[["r4", same]]),
+            line("b", 9.0, "BACKEND_CRASHED", time=1002.0, backend="b2", requests=[["r5", other]]),
+            line(
+                "b",
+                8.0,
+                "BACKEND_CRASHED",
+                time=1001.0,
+                backend="b2",
+                requests=[["r2", same], ["r3", ""], "cut"],
+            ),
+        ]
+        lines = read_logs([self.write("a.log", [refused, *ends])], ReadCounts())
+        found = [item.fields["backend"] for item in build_timeline(lines, "r9").ends]
+        self.assertEqual(found, ["b2", "b3"])
+        printed = CliRunner().invoke(app, ["trace", "r9", str(self.directory / "a.log")])
+        self.assertIn("b3 ran r4", printed.output)
+
     def test_lines_are_ordered_by_cause_where_clocks_disagree(self) -> None:
         timeline = build_timeline(read_logs(self.write_all(), ReadCounts()), "r1")
         events = [(moment.line.node, moment.line.event) for moment in timeline.moments]
