--- a/src/pewtertack/cli/lab.py
+++ b/src/pewtertack/cli/lab.py
@@ -276,34 +276,3 @@
 
     switch_off(without)
     raise typer.Exit(run_node(["--settings", str(settings)]))
-
-
-@app.command()
-def overload(
-    nodes: Annotated[int, typer.Option(help="Proxies that share the back ends.")] = 8,
-    load: Annotated[float, typer.Option(help="Offered load, in capacities.")] = 2.0,
-    seconds: Annotated[float, typer.Option(help="Virtual seconds.")] = 20.0,
-    seed: int = 1,
-    gateways: Annotated[bool, typer.Option(help="A gateway beside each back end.")] = False,
-    returning: Annotated[
-        bool, typer.Option(help="With --gateways: callers that come back; worth is counted.")
-    ] = False,
-    burst: Annotated[float, typer.Option(min=0, help="Seconds of a burst, returning only.")] = 0,
-    slowness: Annotated[
-        float, typer.Option(min=1, help="One back end slower for 3 s, returning only.")
-    ] = 1,
-) -> None:
-    """Simulate an overload against round robin with fixed retries, and print it as JSON."""
-    from pewtertack.lab.overload.returning import ReturningShape, simulate_returning
-    from pewtertack.lab.overload.simulation import Shape, compare, simulate_gateways
-
-    shape = Shape(nodes=nodes, seconds=seconds)
-    if returning and not gateways:
-        raise typer.BadParameter("--returning needs --gateways")
-    result: msgspec.Struct
-    if returning:
-        world = ReturningShape(seconds=seconds, load=load, burst=burst, slowness=slowness)
-        result = simulate_returning(world, seed)
-    else:
-        result = simulate_gateways(shape, load, seed) if gateways else compare(shape, load, seed)
-    typer.echo(msgspec.json.format(msgspec.json.encode(result)).decode())
--- a/src/pewtertack/cli/main.py
+++ b/src/pewtertack/cli/main.py
@@ -11,11 +11,11 @@
 from pewtertack.cli import (
     lab,
     lab_cost,
-    lab_crashes,
     lab_depth,
     lab_proofs,
     lab_scale,
     lab_soak,
+    lab_virtual_time,
     status,
     trace,
     tree,
@@ -54,7 +54,8 @@
 lab.app.command("check")(lab_proofs.check)
 lab.app.command("explore")(lab_proofs.explore)
 lab.app.command("node-cost")(lab_cost.node_cost)
-lab.app.command("crashes")(lab_crashes.crashes)
+lab.app.command("crashes")(lab_virtual_time.crashes)
+lab.app.command("overload")(lab_virtual_time.overload)
 lab.app.command("depth")(lab_depth.depth)
 lab.app.command("depth-latency")(lab_depth.depth_latency)
 lab.app.command("scale")(lab_scale.scale)
