--- a/src/pewtertack/node/assembly.py
+++ b/src/pewtertack/node/assembly.py
@@ -14,7 +14,7 @@
 from pewtertack.node import clock
 from pewtertack.node.admin import AdminApplication
 from pewtertack.node.counting import MetricsRegistry
-from pewtertack.node.crash_desk import CrashDesk
+from pewtertack.node.crash_reporter import CrashReporter
 from pewtertack.node.daemon import NodeParts
 from pewtertack.node.gate import ServingGate
 from pewtertack.node.platform import PlatformLimits, PlatformReader
@@ -72,9 +72,9 @@
     seeds = tuple(str(seed) for seed in settings.peers.seeds)
     profile = PROFILES[settings.profile.name.value]
     gate = ServingGate(profile.pause_threshold)
-    desk = CrashDesk()
-    proxy = _proxy(settings, gate, registry, log, desk)
-    gateway = _gateway(settings, log, registry, desk)
+    reporter = CrashReporter()
+    proxy = _proxy(settings, gate, registry, log, reporter)
+    gateway = _gateway(settings, log, registry, reporter)
     source = SourceProperties(
         settings.source.durable,
         settings.node.first_start,
@@ -82,7 +82,7 @@
     )
     core = NodeCore(identity, profile, Random(), started, seeds, source)
     runtime = Runtime(core, profile.tick, gate, transport, reader, proxy, log, gateway)
-    desk.connect(core.crashes.ledger, runtime.feed)
+    reporter.connect(core.crashes.ledger, runtime.feed)
     if proxy is not None:
         proxy.watch_leaving(runtime.note_backend_leaving)
     addresses = _addresses(sockets, identity)
@@ -112,7 +112,7 @@
     gate: ServingGate,
     registry: MetricsRegistry,
     log: EventLog,
-    desk: CrashDesk,
+    reporter: CrashReporter,
 ) -> ProxyApplication | None:
     """Return the proxy part; its modules are loaded only where there is one."""
     if settings.listen.proxy is None:
@@ -127,12 +127,12 @@
         log=log.record,
         edge=_edge(settings),
         caller_service=settings.backend.service,
-        desk=desk,
+        reporter=reporter,
     )
 
 
 def _gateway(
-    settings: Settings, log: EventLog, registry: MetricsRegistry, desk: CrashDesk
+    settings: Settings, log: EventLog, registry: MetricsRegistry, reporter: CrashReporter
 ) -> GatewayApplication | None:
     """Return the gateway part, where a back end is beside the node."""
     if settings.listen.gateway is None or settings.backend.address is None:
@@ -140,7 +140,7 @@
     from pewtertack.node.gateway.application import GatewayApplication
 
     address = str(settings.backend.address)
-    return GatewayApplication(clock.now, address, _edge(settings), log.record, registry, desk)
+    return GatewayApplication(clock.now, address, _edge(settings), log.record, registry, reporter)
 
 
 def _edge(settings: Settings) -> EdgeHeaders:
--- a/src/pewtertack/node/crash_desk.py
+++ b/src/pewtertack/node/crash_reporter.py
@@ -23,7 +23,7 @@
     return False
 
 
-class CrashDesk:
+class CrashReporter:
     """The node's ledger, and where the request path reports what it saw.
 
     A node without a core keeps a ledger that stays empty.
--- a/src/pewtertack/node/gateway/application.py
+++ b/src/pewtertack/node/gateway/application.py
@@ -9,7 +9,7 @@
 
 from pewtertack.core.machines import Machine, MachineList, MachineRole, MachineState
 from pewtertack.node.counting import MetricsRegistry
-from pewtertack.node.crash_desk import CrashDesk
+from pewtertack.node.crash_reporter import CrashReporter
 from pewtertack.node.crash_watch import (
     BrokenExchange,
     CrashWatch,
@@ -86,7 +86,7 @@
         edge: header names of the back end.
         log: receives events of the 6xx numbers.
         registry: where the metrics are registered; ``None`` keeps none.
-        desk: what the node knows of requests that end back ends.
+        reporter: what the node knows of requests that end back ends.
     """
 
     def __init__(
@@ -96,14 +96,14 @@
         edge: EdgeHeaders,
         log: RecordEvent = ignore_event,
         registry: MetricsRegistry | None = None,
-        desk: CrashDesk | None = None,
+        reporter: CrashReporter | None = None,
     ) -> None:
         self._clock = clock
         self._address = address
         self._log = GatewayLog(log, clock)
         self._metrics = GatewayMetrics(registry or MetricsRegistry())
         super().__init__(ConnectionStore(clock))
-        self._desk = desk or CrashDesk()
+        self._reporter = reporter or CrashReporter()
         self._backend_down = False
         """Whether nobody listened at the back end's address when it was last needed."""
         self._parts = GatewayParts(
@@ -114,7 +114,7 @@
             self._log,
             self._metrics,
             CrashWatch(self._note_crash),
-            self._desk,
+            self._reporter,
             self.requests,
         )
         self._incarnations: dict[str, _Incarnation] = {}
@@ -174,7 +174,7 @@
             return
         self._log.crashed(backend, broken)
         self._metrics.note_crashed()
-        self._desk.report_crash(fingerprints_of(broken))
+        self._reporter.report_crash(fingerprints_of(broken))
 
     async def _serve(self, scope: Scope, receive: Receive, send: Send) -> None:
         head = RequestHead()
--- a/src/pewtertack/node/gateway/forwarding.py
+++ b/src/pewtertack/node/gateway/forwarding.py
@@ -8,7 +8,7 @@
 import anyio
 import msgspec
 
-from pewtertack.node.crash_desk import CrashDesk
+from pewtertack.node.crash_reporter import CrashReporter
 from pewtertack.node.crash_watch import CrashWatch
 from pewtertack.node.gateway import hop
 from pewtertack.node.gateway.hop import HopRequest
@@ -60,7 +60,7 @@
     log: GatewayLog
     metrics: GatewayMetrics
     crashes: CrashWatch
-    desk: CrashDesk
+    reporter: CrashReporter
     requests: RequestsInFlight = msgspec.field(default_factory=RequestsInFlight)
     reception: BodyReception = msgspec.field(default_factory=BodyReception)
 
@@ -87,7 +87,7 @@
         self._headers = without_names(scope["headers"], head, parts.edge.own)
         self._body = RequestBody(receive, head.has_body)
         content = RequestContent(scope, self._headers, self._body)
-        self._suspicion = Suspicion(content, parts.desk, parts.crashes)
+        self._suspicion = Suspicion(content, parts.reporter, parts.crashes)
         self._body_on_demand = head.expects_continue
         self._life = RequestLife(scope, deadline, parts.clock)
         self._ticket = AdmissionTicket(
--- a/src/pewtertack/node/proxy/application.py
+++ b/src/pewtertack/node/proxy/application.py
@@ -10,7 +10,7 @@
 from pewtertack.core.machines import MachineList
 from pewtertack.events import Event
 from pewtertack.node.counting import MetricsRegistry
-from pewtertack.node.crash_desk import CrashDesk
+from pewtertack.node.crash_reporter import CrashReporter
 from pewtertack.node.crash_watch import BrokenExchange, CrashWatch, fingerprints_of
 from pewtertack.node.http.cycle import Scope
 from pewtertack.node.proxy.answers import Receive, Send, send_failure
@@ -83,7 +83,7 @@
         log: receives events of the 6xx numbers.
         edge: header names towards callers, and back ends without a gateway.
         caller_service: the service of the back end beside this node.
-        desk: what the node knows of requests that end back ends.
+        reporter: what the node knows of requests that end back ends.
     """
 
     def __init__(
@@ -96,7 +96,7 @@
         log: RecordEvent = ignore_event,
         edge: EdgeHeaders = PRODUCT_EDGE,
         caller_service: str = "",
-        desk: CrashDesk | None = None,
+        reporter: CrashReporter | None = None,
     ) -> None:
         self._clock = clock
         self._edge = edge
@@ -110,7 +110,7 @@
         registry = registry or MetricsRegistry()
         self._metrics = RequestMetrics(registry)
         super().__init__(ConnectionStore(clock))
-        self._desk = desk or CrashDesk()
+        self._reporter = reporter or CrashReporter()
         self._parts = ForwardingParts(
             clock,
             dispatcher,
@@ -120,7 +120,7 @@
             self._request_log,
             self._metrics,
             self.requests,
-            self._desk,
+            self._reporter,
             CrashWatch(self._note_crash),
         )
         registry.add_collector(lambda: _collector_of(dispatcher, lambda: self.in_flight))
@@ -239,7 +239,7 @@
     def _note_crash(self, backend: str, broken: tuple[BrokenExchange, ...]) -> None:
         """A back end without a gateway has ended."""
         self._request_log.crashed(backend, broken)
-        self._desk.report_far_crash(backend, fingerprints_of(broken))
+        self._reporter.report_far_crash(backend, fingerprints_of(broken))
 
     def _check_serving(self) -> None:
         if self.requests.draining:
--- /dev/null
+++ b/src/pewtertack/node/proxy/attempt_ends.py
@@ -0,0 +1,34 @@
+"""What the failure of an attempt tells of its back end."""
+
+from __future__ import annotations
+
+from pewtertack.routing.ends import AttemptEnd
+from pewtertack.routing.outcomes import (
+    BackendCrashedError,
+    BackendGoneError,
+    BackendShedError,
+    BackendSilentError,
+    BackendUnreachableError,
+    CrossedAnswerError,
+    DrainingError,
+    GatewayRefusedError,
+    RequestFailedError,
+)
+
+GONE_REASONS = frozenset({BackendGoneError.code, DrainingError.code})
+"""Refusals of a gateway that hold for other requests too: the back end cannot be reached."""
+
+
+def end_of_failure(error: RequestFailedError) -> AttemptEnd:
+    """Return how the attempt that failed with ``error`` counts."""
+    if isinstance(error, GatewayRefusedError):
+        return AttemptEnd.UNREACHABLE if error.reason in GONE_REASONS else AttemptEnd.REFUSED
+    if isinstance(error, BackendShedError):
+        return AttemptEnd.SHED
+    if isinstance(error, BackendSilentError):
+        return AttemptEnd.SILENT
+    if isinstance(error, (BackendUnreachableError, BackendCrashedError)):
+        return AttemptEnd.UNREACHABLE
+    if isinstance(error, CrossedAnswerError):
+        return AttemptEnd.BROKEN
+    return AttemptEnd.BROKEN if error.code == "backend-failed" else AttemptEnd.CANCELLED
--- a/src/pewtertack/node/proxy/content.py
+++ b/src/pewtertack/node/proxy/content.py
@@ -32,19 +32,19 @@
         beginning = self._body.beginning
         return fingerprint_of(self._digest_head(), beginning) if beginning is not None else None
 
-    async def among(self, ledger: CrashLedger) -> bytes | None:
+    async def fingerprint_in(self, ledger: CrashLedger) -> bytes | None:
         """Return the fingerprint if the request may be a suspect, ``None`` if it is none.
 
         Raises:
             CallerGoneError: the caller has gone.
             SlowRequestError: the body, which tells suspects apart, did not come.
         """
-        if not self.may_be_among(ledger):
+        if not self.may_be_in(ledger):
             return None
         await self._body.read_ahead(BEGINNING_BYTES)
         return self.fingerprint
 
-    def may_be_among(self, ledger: CrashLedger) -> bool:
+    def may_be_in(self, ledger: CrashLedger) -> bool:
         """Tell whether a suspect has this request's head; costs nothing while there is none."""
         return len(ledger) > 0 and ledger.knows_head(self._digest_head())
 
--- a/src/pewtertack/node/proxy/forwarding.py
+++ b/src/pewtertack/node/proxy/forwarding.py
@@ -8,13 +8,14 @@
 import msgspec
 
 from pewtertack.core.configuration.resolved import ResolvedConfiguration, ResolvedRoute
-from pewtertack.node.crash_desk import CrashDesk
+from pewtertack.node.crash_reporter import CrashReporter
 from pewtertack.node.crash_watch import CrashWatch
 from pewtertack.node.gateway.hop import hop_headers
 from pewtertack.node.http.connection import BackendConnection
 from pewtertack.node.http.cycle import Scope
 from pewtertack.node.http.framing import RawHeaders
 from pewtertack.node.proxy.answers import Receive, Send
+from pewtertack.node.proxy.attempt_ends import end_of_failure
 from pewtertack.node.proxy.body import CallerGoneError, RequestBody
 from pewtertack.node.proxy.content import RequestContent
 from pewtertack.node.proxy.edge import NODE_EDGE, PRODUCT_EDGE, EdgeHeaders
@@ -40,22 +41,13 @@
 from pewtertack.routing.outcomes import (
     BackendCrashedError,
     BackendFailedError,
-    BackendGoneError,
-    BackendShedError,
-    BackendSilentError,
-    BackendUnreachableError,
-    CrossedAnswerError,
     DrainingError,
-    GatewayRefusedError,
     Outcome,
     RequestFailedError,
 )
 from pewtertack.routing.queueing import Ticket
 from pewtertack.routing.retries import RetryReason
 
-GONE_REASONS = frozenset({BackendGoneError.code, DrainingError.code})
-"""Refusals of a gateway that hold for other requests too: the back end cannot be reached."""
-
 
 class ForwardingParts(msgspec.Struct, frozen=True):
     """What all requests of a proxy share."""
@@ -70,7 +62,7 @@
     log: ProxyLog | None = None
     metrics: RequestMetrics | None = None
     requests: RequestsInFlight = msgspec.field(default_factory=RequestsInFlight)
-    desk: CrashDesk = msgspec.field(default_factory=CrashDesk)
+    reporter: CrashReporter = msgspec.field(default_factory=CrashReporter)
     crashes: CrashWatch = msgspec.field(default_factory=CrashWatch)
     """For back ends without a gateway; a gateway sees to its own."""
 
@@ -99,7 +91,7 @@
         self._revision = configuration.revision.number
         self._body = RequestBody(receive, head.has_body)
         content = RequestContent(scope, self._headers, self._body)
-        self._suspicion = Suspicion(content, parts.desk, parts.crashes)
+        self._suspicion = Suspicion(content, parts.reporter, parts.crashes)
         self._exchange = Exchange(scope, send, head, self._body, self._note_answer, parts.edge)
         self._ticket = Ticket(route, self._service, deadline)
         self._ticket.body_bytes = head.body_bytes
@@ -275,7 +267,7 @@
             if not backend.gateway:
                 self._suspicion.note_answered(self.status)
         except RequestFailedError as error:
-            end = _end_of(error)
+            end = end_of_failure(error)
             raise
         except TruncatedAnswerError:
             end = AttemptEnd.BROKEN
@@ -328,17 +320,3 @@
 
     def _finish(self, end: AttemptEnd) -> None:
         self._parts.dispatcher.finish(self._ticket, self._parts.clock(), end)
-
-
-def _end_of(error: RequestFailedError) -> AttemptEnd:
-    if isinstance(error, GatewayRefusedError):
-        return AttemptEnd.UNREACHABLE if error.reason in GONE_REASONS else AttemptEnd.REFUSED
-    if isinstance(error, BackendShedError):
-        return AttemptEnd.SHED
-    if isinstance(error, BackendSilentError):
-        return AttemptEnd.SILENT
-    if isinstance(error, (BackendUnreachableError, BackendCrashedError)):
-        return AttemptEnd.UNREACHABLE
-    if isinstance(error, CrossedAnswerError):
-        return AttemptEnd.BROKEN
-    return AttemptEnd.BROKEN if error.code == "backend-failed" else AttemptEnd.CANCELLED
--- a/src/pewtertack/node/proxy/suspicion.py
+++ b/src/pewtertack/node/proxy/suspicion.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from pewtertack.node.crash_desk import CrashDesk
+from pewtertack.node.crash_reporter import CrashReporter
 from pewtertack.node.crash_watch import BrokenExchange, CrashWatch
 from pewtertack.node.proxy.content import RequestContent
 from pewtertack.node.proxy.exchange import TruncatedAnswerError
@@ -23,15 +23,15 @@
 
     Args:
         content: of the request.
-        desk: what the node knows.
+        reporter: what the node knows.
         watch: tells whether a back end has ended.
     """
 
-    __slots__ = ("_content", "_desk", "_watch", "ends")
+    __slots__ = ("_content", "_reporter", "_watch", "ends")
 
-    def __init__(self, content: RequestContent, desk: CrashDesk, watch: CrashWatch) -> None:
+    def __init__(self, content: RequestContent, reporter: CrashReporter, watch: CrashWatch) -> None:
         self._content = content
-        self._desk = desk
+        self._reporter = reporter
         self._watch = watch
         self.ends = 0
         """Back ends known to have ended under the request, at its own attempts too."""
@@ -43,7 +43,7 @@
             RequestEndsBackendsError: it is held.
         """
         fingerprint = await self._fingerprint_if_suspect()
-        if fingerprint is not None and self._desk.ledger.holds(fingerprint, limit, now):
+        if fingerprint is not None and self._reporter.ledger.holds(fingerprint, limit, now):
             raise self._refusal(fingerprint)
 
     async def refuse_unless_admitted(self, limit: int, now: float) -> None:
@@ -53,17 +53,17 @@
             RequestEndsBackendsError: it may not.
         """
         fingerprint = await self._fingerprint_if_suspect()
-        if fingerprint is not None and not self._desk.ledger.admits(fingerprint, limit, now):
+        if fingerprint is not None and not self._reporter.ledger.admits(fingerprint, limit, now):
             raise self._refusal(fingerprint)
 
     def note_answered(self, status: int) -> None:
         """A back end has answered the request; tell so if others ended under it."""
-        ledger = self._desk.ledger
-        if status >= FAILING_STATUS or not self._content.may_be_among(ledger):
+        ledger = self._reporter.ledger
+        if status >= FAILING_STATUS or not self._content.may_be_in(ledger):
             return
         fingerprint = self._content.fingerprint
         if fingerprint is not None and ledger.count(fingerprint):
-            self._desk.report_answer(fingerprint)
+            self._reporter.report_answer(fingerprint)
 
     async def look_for_end(
         self,
@@ -85,8 +85,8 @@
             raise BackendCrashedError("the back end has ended") from error
 
     async def _fingerprint_if_suspect(self) -> bytes | None:
-        ledger = self._desk.ledger
-        fingerprint = await self._content.among(ledger)
+        ledger = self._reporter.ledger
+        fingerprint = await self._content.fingerprint_in(ledger)
         if fingerprint is not None:
             self.ends = max(self.ends, ledger.count(fingerprint))
         return fingerprint
