--- a/src/pewtertack/core/configuration/changes.py
+++ b/src/pewtertack/core/configuration/changes.py
@@ -8,7 +8,7 @@
 
 import msgspec
 
-from pewtertack.core.configuration.model import Section
+from pewtertack.core.configuration.model import RootSection, Section
 from pewtertack.core.configuration.resolved import (
     ResolvedConfiguration,
     ResolvedRoute,
@@ -38,7 +38,7 @@
     """
 
     kind: ChangeKind
-    section: Section
+    section: Section | RootSection
     name: str
     setting: str = ""
     old: Any = None
@@ -46,8 +46,9 @@
 
 
 def compare_resolved(old: ResolvedConfiguration, new: ResolvedConfiguration) -> tuple[Change, ...]:
-    """Return what ``new`` changes against ``old``: services, secrets, then routes, by name."""
+    """Return what ``new`` changes against ``old``: evacuations, services, secrets, routes."""
     return (
+        *_compare_evacuations(old.evacuated, new.evacuated),
         *_compare_tables(Section.SERVICES, old.services, new.services),
         *_compare_secrets(old.secrets, new.secrets),
         *_compare_tables(Section.ROUTES, _routes_by_name(old), _routes_by_name(new)),
@@ -58,6 +59,12 @@
     return {route.name: route for route in configuration.routes}
 
 
+def _compare_evacuations(old: frozenset[str], new: frozenset[str]) -> Iterator[Change]:
+    for zone in sorted(old ^ new):
+        kind = ChangeKind.ADDED if zone in new else ChangeKind.REMOVED
+        yield Change(kind, RootSection.EVACUATED_ZONES, zone)
+
+
 def _compare_tables(
     section: Section,
     old: Mapping[str, ResolvedRoute] | Mapping[str, ResolvedService],
--- a/src/pewtertack/core/configuration/model.py
+++ b/src/pewtertack/core/configuration/model.py
@@ -17,6 +17,9 @@
 NAME_PATTERN = "[a-z0-9][a-z0-9_-]{0,62}"
 """Names of zones, services, routes and secrets; without dots, so that paths are unambiguous."""
 
+ZONE_NAME_PATTERN = "[A-Za-z0-9](?:[A-Za-z0-9._-]{0,61}[A-Za-z0-9])?"
+"""A zone as nodes name it in their settings, which is wider than a table's name."""
+
 _HOST_LABEL = "[A-Za-z0-9](?:[A-Za-z0-9-]{0,61}[A-Za-z0-9])?"
 HOST_PATTERN = rf"{_HOST_LABEL}(?:\.{_HOST_LABEL})*"
 HOST_LENGTH_LIMIT = 253
@@ -270,6 +273,26 @@
         minimum=0.001,
         maximum=3600,
     ),
+    Setting(
+        "health_path",
+        ValueKind.PATH_PREFIX,
+        "/",
+        "Path at which a back end tells how it is, where the node beside it has to ask.",
+    ),
+    Setting(
+        "cold_start",
+        ValueKind.DURATION,
+        "0s",
+        "Time for which a back end that has just started bears only `cold_rate`.",
+        maximum=3600,
+    ),
+    Setting(
+        "cold_rate",
+        ValueKind.RATIO,
+        0,
+        "Requests a second that a cold back end bears; 0 bounds nothing.",
+        maximum=1_000_000,
+    ),
 )
 
 
@@ -300,5 +323,13 @@
 ZONES = "zones"
 """Key of the root: table of zone name to the zone's sections."""
 
+
+class RootSection(StrEnum):
+    """Keys of the root that say something of the whole fleet, and that no zone overrides."""
+
+    EVACUATED_ZONES = "evacuated_zones"
+    """List of zones whose back ends are to be sent nothing."""
+
+
 DELETE = "delete"
 """Key of a zone: list of paths of the root's sections that the zone does not inherit."""
--- a/src/pewtertack/core/configuration/resolution.py
+++ b/src/pewtertack/core/configuration/resolution.py
@@ -8,6 +8,7 @@
 
 from pewtertack.core.configuration.findings import TreeRejectedError
 from pewtertack.core.configuration.memory import ResolvedRoutes
+from pewtertack.core.configuration.model import RootSection
 from pewtertack.core.configuration.resolved import (
     ResolvedConfiguration,
     ResolvedRoute,
@@ -50,6 +51,7 @@
         routes=tuple(_resolve_known(scope, name, memory) for name in names),
         services=MappingProxyType(services),
         secrets=MappingProxyType(scope.secrets()),
+        evacuated=frozenset(document.get(RootSection.EVACUATED_ZONES, ())),
     )
 
 
@@ -63,6 +65,9 @@
         slow_start=_seconds(values, "slow_start"),
         ejection_failures=values["ejection_failures"],
         ejection_time=_seconds(values, "ejection_time"),
+        health_path=values["health_path"],
+        cold_start=_seconds(values, "cold_start"),
+        cold_rate=float(values["cold_rate"]),
     )
 
 
--- a/src/pewtertack/core/configuration/resolved.py
+++ b/src/pewtertack/core/configuration/resolved.py
@@ -35,6 +35,11 @@
     ejection_failures: int
     """Consecutive failures after which a back end is ejected."""
     ejection_time: float
+    health_path: str = "/"
+    cold_start: float = 0.0
+    """A back end that has just started bears only ``cold_rate`` for this long."""
+    cold_rate: float = 0.0
+    """Requests a second that a cold back end bears; 0 bounds nothing."""
 
 
 DEFAULT_CRASH_LIMIT = 3
@@ -90,3 +95,5 @@
     routes: tuple[ResolvedRoute, ...]
     services: Mapping[str, ResolvedService]
     secrets: Mapping[str, str]
+    evacuated: frozenset[str] = frozenset()
+    """Zones, in this or another region, whose back ends are to be sent nothing."""
--- a/src/pewtertack/core/configuration/schema.py
+++ b/src/pewtertack/core/configuration/schema.py
@@ -29,7 +29,9 @@
     SECRET_PATTERN,
     SERVICE_SETTINGS,
     ZONE_LIMIT,
+    ZONE_NAME_PATTERN,
     ZONES,
+    RootSection,
     Section,
     Setting,
     ValueKind,
@@ -49,7 +51,7 @@
     return {
         "$schema": SCHEMA_DIALECT,
         "title": "pewtertack configuration tree",
-        **_closed_object({**sections, ZONES: _named(zone, ZONE_LIMIT)}),
+        **_closed_object({**sections, **_root_sections(), ZONES: _named(zone, ZONE_LIMIT)}),
     }
 
 
@@ -72,6 +74,12 @@
     }
 
 
+def _root_sections() -> Schema:
+    zones = _list_schema({"type": "string", "pattern": _whole(ZONE_NAME_PATTERN)})
+    zones["description"] = "Zones whose back ends are to be sent nothing."
+    return {RootSection.EVACUATED_ZONES.value: zones}
+
+
 def _settings(settings: Mapping[str, Setting]) -> Schema:
     return _closed_object(_properties(settings))
 
--- a/src/pewtertack/core/configuration/structure.py
+++ b/src/pewtertack/core/configuration/structure.py
@@ -21,12 +21,14 @@
     SERVICE_SETTINGS,
     ZONE_LIMIT,
     ZONES,
+    RootSection,
     Section,
     Setting,
 )
 from pewtertack.core.configuration.values import (
     check_secret,
     check_value,
+    check_zone_names,
     is_name,
     kind_of,
     shown,
@@ -151,6 +153,8 @@
         if key == ZONES:
             check_zone = partial(_check_zone, document, checked)
             yield from _check_named_tables(value, (ZONES,), check_zone, ZONE_LIMIT)
+        elif key == RootSection.EVACUATED_ZONES:
+            yield from check_zone_names(value, (key,))
         else:
             yield from _check_section(key, value, (), checked)
 
@@ -180,7 +184,7 @@
         yield from _check_named_tables(value, path, check_route, checked=checked)
     else:
         known = [section.value for section in Section]
-        known.append(DELETE if scope else ZONES)
+        known += [DELETE] if scope else [ZONES, *(section.value for section in RootSection)]
         yield _unknown_key(path, known)
 
 
--- a/src/pewtertack/core/configuration/values.py
+++ b/src/pewtertack/core/configuration/values.py
@@ -20,13 +20,16 @@
     RESERVED_HEADERS,
     SECRET_LENGTH_LIMIT,
     SECRET_PATTERN,
+    ZONE_NAME_PATTERN,
     Setting,
     ValueKind,
 )
 
 SHOWN_CHARACTERS = 60
+ACCEPTED_ZONES = f"a list of at most {LIST_LENGTH_LIMIT} different zones, as nodes name theirs"
 
 _NAME = re.compile(NAME_PATTERN)
+_ZONE_NAME = re.compile(ZONE_NAME_PATTERN)
 _HOST = re.compile(HOST_PATTERN)
 _PATH_PREFIX = re.compile(PATH_PREFIX_PATTERN)
 _HEADER = re.compile(HEADER_PATTERN)
@@ -51,6 +54,11 @@
     return _NAME.fullmatch(value) is not None
 
 
+def is_zone_name(value: str) -> bool:
+    """Tell whether ``value`` may be a zone as nodes name theirs."""
+    return _ZONE_NAME.fullmatch(value) is not None
+
+
 def duration_seconds(value: str) -> float | None:
     """Return the seconds that ``value`` such as ``"250ms"`` means, None without known unit."""
     match = _DURATION.fullmatch(value)
@@ -188,6 +196,18 @@
     return _check_list(value, check_host)
 
 
+def check_zone_names(value: Any, path: Path) -> Iterator[Finding]:
+    """Yield what is wrong with a list of zones as nodes name them."""
+
+    def check_zone(item: str) -> Problem | None:
+        if is_zone_name(item):
+            return None
+        return FindingCode.BAD_NAME, f"{shown(item)} is not a zone's name"
+
+    for code, message, suffix in _check_list(value, check_zone):
+        yield Finding(code, (*path, *suffix), message, ACCEPTED_ZONES)
+
+
 def _check_methods(setting: Setting, value: Any) -> Iterator[_Check]:
     def check_method(item: str) -> Problem | None:
         if item in setting.choices:
--- a/src/pewtertack/core/machines.py
+++ b/src/pewtertack/core/machines.py
@@ -42,6 +42,8 @@
     region: str = ""
     gateway: str = ""
     slots: int = 0
+    cold: bool = False
+    """The back end said, when it last wrote, that it does not bear its full share yet."""
 
 
 class MachineList(msgspec.Struct, frozen=True):
--- a/src/pewtertack/node/assembly.py
+++ b/src/pewtertack/node/assembly.py
@@ -137,10 +137,17 @@
     """Return the gateway part, where a back end is beside the node."""
     if settings.listen.gateway is None or settings.backend.address is None:
         return None
-    from pewtertack.node.gateway.application import GatewayApplication
+    from pewtertack.node.gateway.application import GatewayApplication, GatewayPlace
 
     address = str(settings.backend.address)
-    return GatewayApplication(clock.now, address, _edge(settings), log.record, registry, reporter)
+    place = GatewayPlace(
+        address,
+        settings.backend.service,
+        settings.node.zone.text,
+        settings.limits.cold_overage,
+        settings.limits.cold_slack,
+    )
+    return GatewayApplication(clock.now, place, _edge(settings), log.record, registry, reporter)
 
 
 def _edge(settings: Settings) -> EdgeHeaders:
@@ -153,6 +160,7 @@
         expected_backend=headers.expected_backend.lower().encode(),
         caller_service=headers.caller_service.lower().encode(),
         not_run=headers.not_run.lower().encode(),
+        cold_milliseconds=headers.cold_milliseconds.lower().encode(),
         identified_answers=headers.identified_answers,
         unframed_answers=headers.unframed_answers,
         fractional_retry_after=headers.fractional_retry_after,
--- a/src/pewtertack/node/daemon.py
+++ b/src/pewtertack/node/daemon.py
@@ -87,7 +87,7 @@
     log: EventLog
     close: Callable[[], Awaitable[None]]
     """Closes the connections to the platform."""
-    gateway: DrainableProxy | None = None
+    gateway: RunningProxy | None = None
 
 
 async def run_node(parts: NodeParts) -> int:
@@ -116,8 +116,9 @@
             tasks.start_soon(parts.transport.run, parts.runtime.receive, parts.runtime.refuse)
             tasks.start_soon(parts.runtime.run)
             tasks.start_soon(parts.settings.run)
-            if parts.proxy is not None:
-                tasks.start_soon(parts.proxy.run)
+            for application in (parts.proxy, parts.gateway):
+                if application is not None:
+                    tasks.start_soon(application.run)
             admin = HttpServer(parts.admin, keep_alive)
             admin_sockets = [parts.sockets.admin, parts.sockets.metrics]
             tasks.start_soon(admin.serve, [bound for bound in admin_sockets if bound is not None])
--- a/src/pewtertack/node/gateway/application.py
+++ b/src/pewtertack/node/gateway/application.py
@@ -7,6 +7,7 @@
 
 import msgspec
 
+from pewtertack.core.configuration.resolved import ResolvedConfiguration, ResolvedService
 from pewtertack.core.machines import Machine, MachineList, MachineRole, MachineState
 from pewtertack.node.counting import MetricsRegistry
 from pewtertack.node.crash_reporter import CrashReporter
@@ -16,6 +17,7 @@
     fingerprints_of,
     nobody_listens,
 )
+from pewtertack.node.gateway.cold_watch import ColdWatch
 from pewtertack.node.gateway.forwarding import GatewayForwarding, GatewayParts, load_headers
 from pewtertack.node.gateway.hop import (
     PROBE_ANSWERED,
@@ -37,6 +39,7 @@
 from pewtertack.node.proxy.request_log import GatewayLog, RecordEvent, ignore_event
 from pewtertack.node.proxy.upstream import ConnectionStore
 from pewtertack.routing.admission import Admission
+from pewtertack.routing.cold import ColdBounds, ColdStart
 from pewtertack.routing.deadlines import deadline_of
 from pewtertack.routing.outcomes import (
     BackendGoneError,
@@ -45,6 +48,7 @@
     InternalError,
     NotRunError,
     RequestFailedError,
+    ZoneEvacuatedError,
 )
 from pewtertack.settings import Settings
 
@@ -56,10 +60,26 @@
 """Seconds that a request without a deadline may take; proxies always send one."""
 
 
+class GatewayPlace(msgspec.Struct, frozen=True):
+    """Where the gateway stands, from the node's settings."""
+
+    address: str
+    """``ip:port`` of the back end beside this node."""
+    service: str = ""
+    """The back end's service; empty where the settings do not name it."""
+    zone: str = ""
+    cold_overage: float = 1.0
+    cold_slack: float = 0.0
+    """See ``settings.LimitsSection``."""
+
+
 class _Incarnation(msgspec.Struct):
     """One back end that has lived at the address beside this node."""
 
     admission: Admission
+    cold: ColdStart
+    listed_cold: bool = False
+    """Whether the newest list says that it is cold."""
     leaving: bool = False
     """Said to leave, or replaced at its address; for good."""
     listed: bool = True
@@ -82,7 +102,7 @@
 
     Args:
         clock: monotonic time in seconds.
-        address: ``ip:port`` of the back end beside this node.
+        place: the back end beside this node.
         edge: header names of the back end.
         log: receives events of the 6xx numbers.
         registry: where the metrics are registered; ``None`` keeps none.
@@ -92,14 +112,14 @@
     def __init__(
         self,
         clock: Callable[[], float],
-        address: str,
+        place: GatewayPlace,
         edge: EdgeHeaders,
         log: RecordEvent = ignore_event,
         registry: MetricsRegistry | None = None,
         reporter: CrashReporter | None = None,
     ) -> None:
         self._clock = clock
-        self._address = address
+        self._place = place
         self._log = GatewayLog(log, clock)
         self._metrics = GatewayMetrics(registry or MetricsRegistry())
         super().__init__(ConnectionStore(clock))
@@ -110,7 +130,7 @@
             clock,
             self.connections,
             edge,
-            address,
+            place.address,
             self._log,
             self._metrics,
             CrashWatch(self._note_crash),
@@ -119,21 +139,71 @@
         )
         self._incarnations: dict[str, _Incarnation] = {}
         self._stops_at = math.inf
+        self._evacuated = False
+        self._bounds: ColdBounds | None = None
+        self.service: ResolvedService | None = None
+        self._cold_watch = ColdWatch(self, edge.cold_milliseconds, clock)
+
+    @property
+    def address(self) -> str:
+        """``ip:port`` of the back end beside this node."""
+        return self._place.address
+
+    async def run(self) -> None:
+        """Ask the back end whether it is cold, whenever that is due, until cancelled."""
+        await self._cold_watch.run()
 
     def use_settings(self, settings: Settings) -> None:
         """Serve another address from now on, if the settings name another."""
         address = str(settings.backend.address)
-        if settings.backend.address is None or address == self._address:
+        if settings.backend.address is None or address == self.address:
             return
-        self._address = address
+        self._place = msgspec.structs.replace(self._place, address=address)
         self._parts = msgspec.structs.replace(self._parts, address=address)
 
+    def use_configuration(self, configuration: ResolvedConfiguration) -> None:
+        """Keep to the service's settings, and to the operator's word on this zone."""
+        self.service = configuration.services.get(self._place.service)
+        self._use_bounds(self.service)
+        evacuated = self._place.zone in configuration.evacuated
+        if evacuated != self._evacuated:
+            self._evacuated = evacuated
+            self._note_evacuation()
+
+    def _use_bounds(self, service: ResolvedService | None) -> None:
+        """Bound a cold back end as its service says; one of no known service says nothing."""
+        place = self._place
+        rate, length = (service.cold_rate, service.cold_start) if service is not None else (0, 0)
+        self._bounds = ColdBounds(rate, length, place.cold_overage, place.cold_slack)
+        now = self._clock()
+        for incarnation in self._incarnations.values():
+            incarnation.cold.use_bounds(self._bounds, now)
+
+    def _note_evacuation(self) -> None:
+        """The zone is evacuated from now on, or is no longer: then its back ends may be cold."""
+        if not self._evacuated:
+            self.after_suspension()
+            return
+        for incarnation in self._incarnations.values():
+            incarnation.admission.refuse_all(_evacuated)
+
+    def after_suspension(self) -> None:
+        """The back end may have turned cold, unseen by this node."""
+        now = self._clock()
+        for incarnation in self._incarnations.values():
+            incarnation.cold.forget(now)
+
+    def cold_starts(self) -> list[ColdStart]:
+        """Return what is known of the back ends that take work (``WatchedBackend``)."""
+        working = [item for item in self._incarnations.values() if item.takes_work]
+        return [item.cold for item in working]
+
     def use_machines(self, machines: MachineList) -> None:
         """Learn which back ends live, leave or have gone at the address."""
         listed = {
             machine.name: machine
             for machine in machines.machines
-            if machine.role is MachineRole.BACKEND and machine.address == self._address
+            if machine.role is MachineRole.BACKEND and machine.address == self.address
         }
         for name, incarnation in list(self._incarnations.items()):
             incarnation.listed = name in listed
@@ -144,13 +214,19 @@
 
     def _learn(self, name: str, machine: Machine) -> None:
         incarnation = self._incarnation(name)
-        incarnation.admission.slots = machine.slots or DEFAULT_SLOTS
+        slots = machine.slots or DEFAULT_SLOTS
+        incarnation.admission.slots = incarnation.cold.slots = slots
+        if machine.cold and not incarnation.listed_cold:
+            incarnation.cold.forget(self._clock())
+        incarnation.listed_cold = machine.cold
         incarnation.leaving |= machine.state is MachineState.LEAVING
 
     def _incarnation(self, name: str) -> _Incarnation:
         found = self._incarnations.get(name)
         if found is None:
-            found = self._incarnations[name] = _Incarnation(Admission(DEFAULT_SLOTS))
+            cold = ColdStart(DEFAULT_SLOTS, self._clock(), self._bounds)
+            found = _Incarnation(Admission(DEFAULT_SLOTS, cold), cold)
+            self._incarnations[name] = found
         return found
 
     def start_leaving(self, seconds: float) -> None:
@@ -199,6 +275,9 @@
             error: NotRunError = DrainingError("the node beside the back end is stopping")
             await _refuse(send, error, RequestHead(), [])
             return
+        elif self._evacuated:
+            await _refuse(send, _evacuated(), RequestHead(), [])
+            return
         elif await self._is_backend_down():
             error = BackendUnreachableError("nobody listens at the back end's address")
             await _refuse(send, error, RequestHead(), [])
@@ -208,12 +287,12 @@
 
     async def _is_backend_down(self) -> bool:
         """Ask for a back end that had ended whether it is back, so that no request need to."""
-        self._backend_down = self._backend_down and await nobody_listens(self._address)
+        self._backend_down = self._backend_down and await nobody_listens(self.address)
         return self._backend_down
 
     def _load_of(self, request: HopRequest | None) -> RawHeaders:
         found = self._incarnations.get(request.backend) if request is not None else None
-        return load_headers(found.admission) if found is not None else []
+        return load_headers(found.admission, self._clock()) if found is not None else []
 
     async def _forward(
         self, scope: Scope, receive: Receive, send: Send, head: RequestHead, request: HopRequest
@@ -248,6 +327,8 @@
             raise _not_offered(DrainingError("the node beside the back end is stopping"))
         if not incarnation.takes_work:
             raise _gone()
+        if self._evacuated:
+            raise _evacuated()
         return incarnation
 
     def _ends_in_time(self, incarnation: _Incarnation, request: HopRequest) -> bool:
@@ -262,6 +343,10 @@
     return error
 
 
+def _evacuated() -> ZoneEvacuatedError:
+    return ZoneEvacuatedError("the zone is evacuated")
+
+
 def _not_offered(error: RequestFailedError) -> RequestFailedError:
     error.offered = False
     return error
--- a/src/pewtertack/node/gateway/forwarding.py
+++ b/src/pewtertack/node/gateway/forwarding.py
@@ -275,7 +275,7 @@
 
     def _answer_headers(self) -> RawHeaders:
         queued = int(self._ticket.queued * 1000)
-        return [*load_headers(self._admission), (hop.QUEUED, b"%d" % queued)]
+        return [*load_headers(self._admission, self._parts.clock()), (hop.QUEUED, b"%d" % queued)]
 
 
 def _take_note(receiving: asyncio.Future[None]) -> None:
@@ -284,6 +284,6 @@
         receiving.exception()
 
 
-def load_headers(admission: Admission) -> RawHeaders:
+def load_headers(admission: Admission, now: float) -> RawHeaders:
     """Return the header that tells the back end's load, waiting requests included."""
-    return [(BACKEND_LOAD, f"{admission.load}/{admission.slots}".encode())]
+    return [(BACKEND_LOAD, f"{admission.load}/{admission.told_slots(now)}".encode())]
--- a/src/pewtertack/node/http/client.py
+++ b/src/pewtertack/node/http/client.py
@@ -64,7 +64,7 @@
     """
 
     def __init__(self, address: str, body_bytes: int, local_host: str | None = None) -> None:
-        self._address = address
+        self.address = address
         self._body_bytes = body_bytes
         self._local_host = local_host
         self._idle: list[BackendConnection] = []
@@ -87,7 +87,7 @@
             AnswerTooLargeError: its body is too long.
         """
         request = OutgoingRequest(
-            b"GET", target.encode(), [(b"host", self._address.encode()), *(headers or [])]
+            b"GET", target.encode(), [(b"host", self.address.encode()), *(headers or [])]
         )
         while self._idle:
             connection = self._idle.pop()
@@ -95,7 +95,7 @@
                 return await self._exchange(connection, request, timeouts.answer)
             connection.abort()
         try:
-            connection = await connect(self._address, timeouts.connect, self._local_host)
+            connection = await connect(self.address, timeouts.connect, self._local_host)
         except (OSError, ValueError) as error:
             raise ServiceUnreachableError(f"cannot connect: {error}") from error
         return await self._exchange(connection, request, timeouts.answer)
--- a/src/pewtertack/node/proxy/application.py
+++ b/src/pewtertack/node/proxy/application.py
@@ -140,6 +140,12 @@
         self._parts.dispatcher.use_zone(configuration.zone)
         routes = frozenset(route.name for route in configuration.routes)
         self._parts.dispatcher.keep_only(routes, configuration.services)
+        if self._parts.dispatcher.use_evacuated(configuration.evacuated, self._clock()):
+            self._log(
+                Event.ZONES_EVACUATED,
+                zones=sorted(configuration.evacuated),
+                unserved=self._parts.dispatcher.unserved(configuration.services),
+            )
 
     def use_machines(self, machines: MachineList) -> None:
         """Take over a newer machine list; an older one is ignored."""
--- a/src/pewtertack/node/proxy/attempt_ends.py
+++ b/src/pewtertack/node/proxy/attempt_ends.py
@@ -13,9 +13,10 @@
     DrainingError,
     GatewayRefusedError,
     RequestFailedError,
+    ZoneEvacuatedError,
 )
 
-GONE_REASONS = frozenset({BackendGoneError.code, DrainingError.code})
+GONE_REASONS = frozenset({BackendGoneError.code, DrainingError.code, ZoneEvacuatedError.code})
 """Refusals of a gateway that hold for other requests too: the back end cannot be reached."""
 
 
--- a/src/pewtertack/node/proxy/edge.py
+++ b/src/pewtertack/node/proxy/edge.py
@@ -16,6 +16,7 @@
     expected_backend: bytes = b""
     caller_service: bytes = b""
     not_run: bytes = b""
+    cold_milliseconds: bytes = b""
     identified_answers: bool = False
     unframed_answers: bool = False
     fractional_retry_after: bool = False
--- a/src/pewtertack/node/runtime.py
+++ b/src/pewtertack/node/runtime.py
@@ -66,9 +66,15 @@
         """Do one read and return its outcome."""
 
 
-class MachineListUser(Protocol):
+class Gateway(Protocol):
     """What the core tells the gateway."""
 
+    def use_configuration(self, configuration: ResolvedConfiguration) -> None:
+        """Admit requests by ``configuration`` from now on."""
+
+    def after_suspension(self) -> None:
+        """Take nothing for granted that may have changed while the machine was suspended."""
+
     def use_machines(self, machines: MachineList) -> None:
         """Serve the back ends of ``machines``."""
 
@@ -107,7 +113,7 @@
         reader: DocumentReader,
         proxy: Proxy | None,
         log: EventLog,
-        gateway: MachineListUser | None = None,
+        gateway: Gateway | None = None,
     ) -> None:
         self._core = core
         self._tick = tick
@@ -143,6 +149,8 @@
         if seconds < SUSPENSION_SECONDS:
             return
         self.suspended_seconds = total
+        if self._gateway is not None:
+            self._gateway.after_suspension()
         self._log.record(Event.NODE_SUSPENDED, seconds=round(seconds, 3))
 
     def feed(self, event: Input) -> None:
@@ -204,8 +212,9 @@
                 self._log.record(event, **fields)
 
     def _bring_into_force(self, configuration: ResolvedConfiguration) -> None:
-        if self._proxy is not None:
-            self._proxy.use_configuration(configuration)
+        for user in (self._proxy, self._gateway):
+            if user is not None:
+                user.use_configuration(configuration)
         self.in_force_since = clock.unix_time()
 
     def _set_serving(self, serving: bool, retry_after: float) -> None:
--- a/src/pewtertack/node/status.py
+++ b/src/pewtertack/node/status.py
@@ -86,6 +86,8 @@
     committed: RevisionStatus
     in_force: RevisionStatus
     in_force_since: float | None
+    evacuated: tuple[str, ...]
+    """Zones whose back ends are sent nothing, by the revision in force."""
     reading: bool
     """Whether this node reads the platform for its zone."""
     source_age: float | None
--- a/src/pewtertack/node/view.py
+++ b/src/pewtertack/node/view.py
@@ -67,6 +67,7 @@
             committed=_revision(replica.committed),
             in_force=_revision(in_force.revision if in_force is not None else NO_REVISION),
             in_force_since=self.runtime.in_force_since,
+            evacuated=tuple(sorted(in_force.evacuated)) if in_force is not None else (),
             reading=replication.reader.reading,
             source_age=_age(now, answers.get(DocumentKind.CONFIGURATION)),
             machine_list_age=_age(now, answers.get(DocumentKind.MACHINE_LIST)),
--- a/src/pewtertack/platform/documents.py
+++ b/src/pewtertack/platform/documents.py
@@ -2,16 +2,20 @@
 
 from __future__ import annotations
 
-from collections.abc import Mapping
+from collections.abc import Iterable, Mapping
 from typing import Any, ClassVar
 
 import msgspec
 
+from pewtertack.core.configuration.model import RootSection
+from pewtertack.core.configuration.values import is_zone_name
 from pewtertack.core.machines import MachineRole, MachineState
 from pewtertack.errors import PlatformError
 
 REPEATABLE_KIND = "safe"
 DRAINING = "draining"
+NO_TIME = ("ms", "s")
+"""What is left of a length of time without the zeros of its number."""
 
 
 class ItemFormatError(PlatformError):
@@ -41,6 +45,9 @@
 class _Service(msgspec.Struct, frozen=True, rename="pascal"):
     name: str
     connection_limit: int
+    health_path: str = "/"
+    cold_start: str = "0s"
+    cold_per_s: float = msgspec.field(name="ColdPerS", default=0.0)
 
 
 class _Limits(msgspec.Struct, frozen=True, rename="pascal"):
@@ -63,25 +70,39 @@
     zone: str
     state: str
     slots: int = 0
+    cold_remaining: str = "0s"
 
 
-def tree_of(value: bytes) -> tuple[int, dict[str, Any]]:
-    """Return the number and the tree of a configuration.
+def tree_of(value: bytes, evacuated: Iterable[str] = ()) -> tuple[int, dict[str, Any]]:
+    """Return the version and the tree of a configuration while some zones are evacuated.
+
+    Names that are none of a zone are passed over: they must not refuse the whole tree.
 
     Raises:
         ItemFormatError: it lacks a field, or one has a wrong value.
     """
     try:
         given = msgspec.json.decode(value, type=_Configuration)
-        number = int(given.version.removeprefix("r"))
+        version = int(given.version.removeprefix("r"))
     except (msgspec.MsgspecError, ValueError) as error:
         raise ItemFormatError(f"configuration: {error}") from error
-    return number, {
-        "services": {
-            item.name: {"connections_per_backend": item.connection_limit} for item in given.services
-        },
+    tree: dict[str, Any] = {
+        "services": {item.name: _service_of(item) for item in given.services},
         "routes": {item.name: _route_of(item) for item in given.routes},
     }
+    zones = sorted(zone for zone in evacuated if is_zone_name(zone))
+    if zones:
+        tree[RootSection.EVACUATED_ZONES.value] = zones
+    return version, tree
+
+
+def _service_of(service: _Service) -> dict[str, Any]:
+    tree: dict[str, Any] = {"connections_per_backend": service.connection_limit}
+    if service.cold_per_s > 0:
+        tree["health_path"] = service.health_path.rstrip("/") or "/"
+        tree["cold_start"] = service.cold_start
+        tree["cold_rate"] = service.cold_per_s
+    return tree
 
 
 def _route_of(route: _Route) -> dict[str, Any]:
@@ -124,6 +145,8 @@
             "gateway": f"{host}:{gateway_port}",
             "slots": backend.slots,
         }
+        if backend.cold_remaining.strip("0.") not in NO_TIME:
+            machines[name]["cold"] = True
         machines[host] = {
             "role": MachineRole.NODE.value,
             "zone": backend.zone,
--- a/src/pewtertack/platform/store.py
+++ b/src/pewtertack/platform/store.py
@@ -15,11 +15,18 @@
 from pewtertack.settings import Settings
 from pewtertack.wire.messages import DocumentKind
 
+OPERATOR_PREFIX = "op/"
 CONFIGURATION_KEY = "op/config"
+EVACUATIONS_PREFIX = "op/evacuate/"
+"""Below it lies an item for each zone whose back ends are to be sent nothing."""
 BACKENDS_PREFIX = "servers/"
 STATUS_OK = 200
 STATUS_HISTORY_GONE = 410
 STATUS_BUSY = (429, 503)
+VERSION_STEP = 1_000_000_000
+"""A tree's number is the operator's version times this, plus the store's revision as of which
+the evacuations are known, where any play a part. An evacuation does not change the version;
+all readers must number the same tree alike, and never two trees."""
 ANSWER_SECONDS = 1.0
 """For an answer of the store beyond the time for which a watch may wait."""
 ANSWER_BYTES = 16 * 1024 * 1024
@@ -95,6 +102,8 @@
 
         Readers that follow the store without a gap number a change alike.
         """
+        self.told = 0
+        """The number of the newest tree that was made of it."""
         self.stale = False
         """Whether it comes from a stale list that no watch has followed yet."""
 
@@ -115,7 +124,7 @@
         self._gateway_port = gateway_port
         self._peer_port = peer_port
         self._mirrors = {
-            DocumentKind.CONFIGURATION: _Mirror(CONFIGURATION_KEY),
+            DocumentKind.CONFIGURATION: _Mirror(OPERATOR_PREFIX),
             DocumentKind.MACHINE_LIST: _Mirror(BACKENDS_PREFIX),
         }
         self._client = HttpClient(address, ANSWER_BYTES)
@@ -134,11 +143,14 @@
                 await self._list(mirror, stale=True)
                 if not mirror.items:
                     raise StoreEmptyError(mirror.prefix)
-                return self._document(effect.kind, mirror, stale=True)
+                if not _evacuated(mirror):
+                    return self._document(effect, mirror, stale=True)
+                # which evacuations hold as of which revision a stale answer does not tell
+                mirror.at = 0
             changed = await self._refresh(mirror, effect.wait)
-            if not changed:
+            if not changed and not _lacks_return(effect, mirror):
                 return DocumentUnchanged(effect.kind)
-            return self._document(effect.kind, mirror)
+            return self._document(effect, mirror)
         except PlatformError as error:
             mirror.at = 0 if isinstance(error, _HistoryGoneError) else mirror.at
             return DocumentReadFailed(effect.kind, f"{error.code}: {error}")
@@ -176,6 +188,8 @@
             after = page.items[-1].key
         mirror.items, mirror.at, mirror.stale = fresh.items, fresh.at, fresh.stale
         mirror.number = fresh.at
+        if after and not stale and mirror.prefix == OPERATOR_PREFIX:
+            await self._watch(mirror, 0.0)  # pages are no snapshot; their number must be exact
 
     async def _watch(self, mirror: _Mirror, wait: float) -> bool:
         query = f"PathPrefix={mirror.prefix}&after={mirror.at}&WaitMs={int(wait * 1000)}"
@@ -202,8 +216,9 @@
         return answer.body
 
     def _document(
-        self, kind: DocumentKind, mirror: _Mirror, stale: bool = False
+        self, effect: ReadDocument, mirror: _Mirror, stale: bool = False
     ) -> DocumentRead | DocumentUnchanged:
+        kind = effect.kind
         if kind is DocumentKind.MACHINE_LIST:
             entries = {
                 key.removeprefix(BACKENDS_PREFIX): value for key, value in mirror.items.items()
@@ -213,10 +228,43 @@
         value = mirror.items.get(CONFIGURATION_KEY)
         if value is None:
             return DocumentUnchanged(kind)
-        number, tree = tree_of(value)
+        evacuated = _evacuated(mirror)
+        version, tree = tree_of(value, evacuated)
+        number = version * VERSION_STEP
+        version_held, known_until = divmod(effect.after, VERSION_STEP)
+        returned = version_held == version and mirror.number >= known_until > 0
+        if evacuated or returned:
+            number += mirror.number
+        mirror.told = number
         return DocumentRead(kind, number, tree, stale)
 
 
+def _lacks_return(effect: ReadDocument, mirror: _Mirror) -> bool:
+    """Tell whether who asks may hold an evacuation that is over.
+
+    An item that was gone before the first list has left no trace there. The state that the
+    mirror is known to show, as of its cursor, is newer than what is held.
+    """
+    if effect.kind is not DocumentKind.CONFIGURATION or mirror.told >= effect.after:
+        return False
+    version, known_until = divmod(effect.after, VERSION_STEP)
+    if mirror.told // VERSION_STEP != version or _evacuated(mirror):
+        return False
+    if not 0 < known_until < mirror.at:
+        return False
+    mirror.number = mirror.at
+    return True
+
+
+def _evacuated(mirror: _Mirror) -> list[str]:
+    """Return the zones whose evacuation the mirror shows."""
+    return [
+        key.removeprefix(EVACUATIONS_PREFIX)
+        for key in mirror.items
+        if key.startswith(EVACUATIONS_PREFIX)
+    ]
+
+
 def _newest_of(page: _Range) -> int:
     return max((item.revision for item in page.items), default=0)
 
--- a/src/pewtertack/routing/admission.py
+++ b/src/pewtertack/routing/admission.py
@@ -24,6 +24,7 @@
 from collections.abc import Callable
 
 from pewtertack.routing.arrivals import ArrivalRate
+from pewtertack.routing.cold import WINDOW, ColdStart
 from pewtertack.routing.outcomes import DeadlineUnmeetableError, NotRunError, QueueFullError
 from pewtertack.routing.patience import Lateness
 from pewtertack.routing.places import AdmissionTicket
@@ -49,10 +50,16 @@
 
 
 class Admission:
-    """Slots and queue of one incarnation of a back end."""
+    """Slots and queue of one incarnation of a back end.
 
-    def __init__(self, slots: int) -> None:
+    Args:
+        slots: requests that the back end works on at once.
+        cold: what it may be given while it is cold; ``None`` bounds nothing.
+    """
+
+    def __init__(self, slots: int, cold: ColdStart | None = None) -> None:
         self.slots = max(1, slots)
+        self.cold = cold
         self.in_flight = 0
         self._queue: list[AdmissionTicket] = []
         self._arrivals = 0
@@ -68,6 +75,12 @@
         """Requests at the back end and waiting for it, without those that let others go first."""
         return self.in_flight + sum(not item.lateness.yields for item in self._queue)
 
+    def told_slots(self, now: float) -> int:
+        """Return the slots to tell other nodes: while it is cold, how many its rate keeps busy."""
+        if self.cold is None or not self.cold.is_cold(now):
+            return self.slots
+        return max(1, min(self.slots, round(self.cold.per_second * self._times.mean)))
+
     def expected_time(self, route: str) -> float:
         """Return the mean time that the back end takes for the route, 0 while unknown."""
         return self._times.mean_of(route)
@@ -82,7 +95,7 @@
         ticket.submitted_at = now
         if not ticket.lateness.yields:
             self._going_first.note(now)
-        if self.in_flight < self.slots and not self._queue:
+        if self._has_room(now) and not self._queue:
             self._start(ticket, now)
             return
         self._arrivals += 1
@@ -96,6 +109,10 @@
         ticket.look_at = self._next_look(ticket, now)
         bisect.insort(self._queue, ticket, key=lambda item: item.order)
 
+    def _has_room(self, now: float) -> bool:
+        """Tell whether the back end may be given one more request now."""
+        return self.in_flight < self.slots and (self.cold is None or self.cold.may_start(now))
+
     def _make_room_for(self, ticket: AdmissionTicket, now: float) -> None:
         """Refuse the last that waits if it is less urgent, else the new one.
 
@@ -114,7 +131,7 @@
         if not self._is_late(ticket, now):
             turn = (False, ticket.order)
             ahead = sum(self._turn(item, now) < turn for item in self._queue)
-            if now + self._wait_behind(ahead, ticket) <= ticket.wanted_start:
+            if now + self._wait_behind(ahead, ticket, now) <= ticket.wanted_start:
                 return True
         if ticket.lateness in (Lateness.REFUSED, Lateness.PROMPT) or self._stalls(now):
             return False
@@ -125,12 +142,12 @@
 
         Those that go first keep coming; what they leave free serves the others.
         """
-        free = 1 - self._going_first.at_least(now) * self._times.mean / self.slots
+        free = 1 - self._going_first.at_least(now) * self._turn_time(self._times.mean, now)
         if free <= 0:
             return math.inf
         turn = (True, ticket.order)
         ahead = sum(self._turn(item, now) < turn for item in self._queue)
-        return self._wait_behind(ahead, ticket) / free
+        return self._wait_behind(ahead, ticket, now) / free
 
     def _stalls(self, now: float) -> bool:
         """Tell whether the back end stands still, so that nothing is known of any wait."""
@@ -140,9 +157,16 @@
         """Return until when it should start: later, it would often miss its deadline."""
         return ticket.deadline - self._time_of(ticket) - self._times.spread_of(ticket.route)
 
-    def _wait_behind(self, ahead: int, ticket: AdmissionTicket) -> float:
+    def _wait_behind(self, ahead: int, ticket: AdmissionTicket, now: float) -> float:
         """Return in how many seconds a request starts that lets ``ahead`` others go first."""
-        return (ahead + 1) * (self._times.mean or ticket.typical_time) / self.slots
+        return (ahead + 1) * self._turn_time(self._times.mean or ticket.typical_time, now)
+
+    def _turn_time(self, mean: float, now: float) -> float:
+        """Return the seconds from one request's start to the next, where all slots are taken."""
+        by_slots = mean / self.slots
+        if self.cold is None or not self.cold.is_cold(now):
+            return by_slots
+        return max(by_slots, WINDOW / self.cold.per_second)
 
     def _time_of(self, ticket: AdmissionTicket) -> float:
         return self.expected_time(ticket.route) or ticket.typical_time
@@ -169,7 +193,7 @@
             self._refusing_since = now
         self._refused_at = now
         ahead = max(0, self.load - self.in_flight)
-        wait = (ahead + 1) * self._times.mean / self.slots
+        wait = (ahead + 1) * self._turn_time(self._times.mean, now)
         expected = max(wait, now - self._refusing_since, MINIMUM_RETRY_AFTER)
         return min(expected, MAXIMUM_RETRY_AFTER)
 
@@ -181,6 +205,9 @@
         """Refuse a waiting ticket which is not expected to be served in time any longer."""
         if ticket.granted or ticket.refusal is not None or now < ticket.look_at:
             return
+        self._grant_waiting(now)
+        if ticket.granted or ticket.refusal is not None:
+            return
         if self._has_prospect(ticket, now):
             ticket.look_at = self._next_look(ticket, now)
             return
@@ -193,9 +220,11 @@
         ticket.wake()
 
     def _next_look(self, ticket: AdmissionTicket, now: float) -> float:
-        if not self._is_late(ticket, now):
-            return ticket.wanted_start + AFTER
-        return now + LOOK_SECONDS
+        late = self._is_late(ticket, now)
+        look_at = now + LOOK_SECONDS if late else ticket.wanted_start + AFTER
+        if self.cold is None or self.in_flight >= self.slots or self.cold.may_start(now):
+            return look_at
+        return min(look_at, self.cold.next_start(now) + AFTER)
 
     def withdraw(self, ticket: AdmissionTicket) -> None:
         """Take a waiting ticket out, since its caller has gone."""
@@ -228,7 +257,7 @@
         self._grant_waiting(now)
 
     def _grant_waiting(self, now: float) -> None:
-        while self._queue and self.in_flight < self.slots:
+        while self._queue and self._has_room(now):
             ticket = min(self._queue, key=lambda item: self._turn(item, now))
             if now > self._last_start(ticket):
                 self._refuse_late(ticket, now)
@@ -238,6 +267,8 @@
             ticket.wake()
 
     def _start(self, ticket: AdmissionTicket, now: float) -> None:
+        if self.cold is not None:
+            self.cold.note_start(now)
         self.in_flight += 1
         self._moved_at = now
         ticket.granted = True
--- a/src/pewtertack/routing/backend.py
+++ b/src/pewtertack/routing/backend.py
@@ -79,6 +79,8 @@
     reported_at: float = float("-inf")
     gateway: str = ""
     """``ip:port`` of the node beside the back end, which admits; empty without one."""
+    listed_cold: bool = False
+    """Whether the newest list says that it is cold."""
     slowness: float = 1.0
     """Time that its answers take, as a multiple of the service's mean."""
 
@@ -141,6 +143,16 @@
         self.slots = report.slots
         self.reported_at = now
 
+    def assume_cold(self, now: float) -> None:
+        """Take it for full and small until it reports: it does not bear its share yet.
+
+        All proxies hear of a new back end at once. That none has a request there yet must not
+        make each of them send one.
+        """
+        self.slots = 1
+        self.others = 1
+        self.reported_at = now
+
     def occupancy(self, now: float) -> float:
         """Return the estimated share of the back end's slots that are taken.
 
--- a/src/pewtertack/routing/dispatcher.py
+++ b/src/pewtertack/routing/dispatcher.py
@@ -84,6 +84,7 @@
         self._random = random
         self._notify = notify
         self._zone = ""
+        self._evacuated: frozenset[str] = frozenset()
         self._registry = BackendRegistry()
         self._services: dict[str, ServiceDispatcher] = {}
         self._budgets: dict[str, RetryBudget] = {}
@@ -101,6 +102,34 @@
             self._zone = zone
             self._spread_backends()
 
+    def use_evacuated(self, zones: frozenset[str], now: float) -> bool:
+        """Send nothing to the back ends of these zones; return whether that is news.
+
+        Those of a zone that is evacuated no longer may have turned cold.
+        """
+        returned = self._evacuated - zones
+        if zones == self._evacuated:
+            return False
+        self._evacuated = zones
+        for backend in self._registry.all():
+            if backend.zone in returned:
+                backend.assume_cold(now)
+        self._spread_backends()
+        return True
+
+    def unserved(self, services: Iterable[str]) -> list[str]:
+        """Return which of the services have back ends in evacuated zones alone."""
+        return [
+            name
+            for name in sorted(services)
+            if self._registry.of_service(name) and not self._open_backends(name)
+        ]
+
+    def _open_backends(self, service: str) -> list[Backend]:
+        """Return the back ends of the service that lie in no evacuated zone."""
+        members = self._registry.of_service(service)
+        return [item for item in members if item.zone not in self._evacuated]
+
     def keep_only(self, routes: Container[str], services: Container[str]) -> None:
         """Forget what was learnt of routes and idle services that are in force no longer."""
         self._splits.keep_only(routes)
@@ -130,7 +159,7 @@
 
     def _spread_backends(self) -> None:
         for name, service in self._services.items():
-            service.use_backends(self._registry.of_service(name), self._zone)
+            service.use_backends(self._open_backends(name), self._zone)
 
     def reaches_all(self, services: Iterable[str], now: float) -> bool:
         """Tell whether every one of the services has a back end that may be reached.
@@ -152,7 +181,7 @@
         found = self._services.get(name)
         if found is None:
             found = self._services[name] = ServiceDispatcher(name, self._random)
-            found.use_backends(self._registry.of_service(name), self._zone)
+            found.use_backends(self._open_backends(name), self._zone)
         return found
 
     def has_gateways(self, service: str) -> bool:
--- a/src/pewtertack/routing/outcomes.py
+++ b/src/pewtertack/routing/outcomes.py
@@ -202,6 +202,16 @@
     code: ClassVar[str] = "backend-gone"
 
 
+class ZoneEvacuatedError(NotRunError):
+    """The operator has asked that the zone's back ends be sent nothing."""
+
+    code: ClassVar[str] = "zone-evacuated"
+
+    def __init__(self, message: str, retry_after: float | None = DEFAULT_RETRY_AFTER) -> None:
+        super().__init__(message, retry_after)
+        self.offered = False
+
+
 class BackendShedError(NotRunError):
     """The back end said that it did not run the request."""
 
--- a/src/pewtertack/routing/registry.py
+++ b/src/pewtertack/routing/registry.py
@@ -82,6 +82,9 @@
         backend.zone = machine.zone
         backend.gateway = machine.gateway
         backend.slots = backend.slots or machine.slots
+        if machine.cold and not backend.listed_cold:
+            backend.assume_cold(now)
+        backend.listed_cold = machine.cold
         backend.leaving = backend.leaving or machine.state is MachineState.LEAVING
         backend.removed = False
         if backend.leaving:
--- a/src/pewtertack/settings/loading.py
+++ b/src/pewtertack/settings/loading.py
@@ -194,4 +194,6 @@
         return ", ".join(f'"{member.value}"' for member in value_type)
     if arguments := get_args(value_type):
         return f"a list of {describe_type(arguments[0])}"
-    return {int: "a whole number", str: "a string", bool: "true or false"}[value_type]
+    return {int: "a whole number", float: "a number", str: "a string", bool: "true or false"}[
+        value_type
+    ]
--- a/src/pewtertack/settings/schema.py
+++ b/src/pewtertack/settings/schema.py
@@ -93,6 +93,8 @@
     """Every answer of a back end that ran the request carries its ``request_id``."""
     unframed_answers: bool = False
     """A back end's answer without a length is whole when its connection ends cleanly."""
+    cold_milliseconds: str = ""
+    """In a back end's health answer: for how many more milliseconds it is cold."""
     fractional_retry_after: bool = False
     """Callers understand fractions of a second in ``Retry-After``."""
 
@@ -130,6 +132,10 @@
     stop_within: Duration | None = None
     """When a process that was told to stop is ended, from the signal on. Notice and drain fit
     in; without ``drain_timeout`` the drain takes what is left."""
+    cold_overage: float = 1.0
+    """How many times its service's ``cold_rate`` a cold back end may be given."""
+    cold_slack: float = 0.0
+    """How many requests more than that may reach it within one second."""
     drain_notice: Duration = Duration(0.0)
     """How long a stopping node, no longer ready, still accepts callers' requests."""
 
--- a/tests/node/gateway/test_gateway.py
+++ b/tests/node/gateway/test_gateway.py
@@ -10,7 +10,7 @@
 from pewtertack.core.machines import Machine, MachineList, MachineRole, MachineState
 from pewtertack.node.counting import MetricsRegistry
 from pewtertack.node.exposition import Exposition
-from pewtertack.node.gateway.application import GatewayApplication
+from pewtertack.node.gateway.application import GatewayApplication, GatewayPlace
 from pewtertack.node.proxy.application import ProxyApplication
 from pewtertack.node.proxy.edge import EdgeHeaders
 from tests.node.proxy.harness import (
@@ -46,6 +46,14 @@
     return True
 
 
+def gateway_beside(address: str, **rest: Any) -> GatewayApplication:
+    """Return a gateway that knows its service, as a node does that serves."""
+    place = rest.pop("place", None) or GatewayPlace(address, "logbook", "ikeja")
+    gateway = GatewayApplication(time.monotonic, place, EDGE, **rest)
+    gateway.use_configuration(configuration())
+    return gateway
+
+
 class GatewayTestCase(ProxyTestCase):
     async def start_fleet(self, *backends: Any, slots: int = 2, **changes: Any) -> str:
         """Run a gateway beside each back end and one proxy; return the proxy's address."""
@@ -68,7 +76,7 @@
             return bool(await script(reader, writer, head))
 
         address = await RawBackend(recorded).start(self)
-        gateway = GatewayApplication(time.monotonic, address, EDGE)
+        gateway = gateway_beside(address)
         self.gateways.append(gateway)
         self.machines.append(
             Machine(
@@ -208,7 +216,7 @@
 
     async def test_a_dead_back_end_is_not_run_and_the_next_answers(self) -> None:
         address = await self.start_fleet(answer_well)
-        dead = GatewayApplication(time.monotonic, "127.0.0.1:1", EDGE)
+        dead = gateway_beside("127.0.0.1:1")
         self.machines.insert(
             0,
             Machine(
@@ -282,9 +290,7 @@
     async def test_waiting_and_working_refusals_and_zones_are_told_apart(self) -> None:
         registry = MetricsRegistry()
         address = await self.start_fleet(answer_well)
-        gateway = GatewayApplication(
-            time.monotonic, self.machines[0].address, EDGE, registry=registry
-        )
+        gateway = gateway_beside(self.machines[0].address, registry=registry)
         served = await self.serve(gateway)
         self.machines[0] = msgspec.structs.replace(self.machines[0], gateway=served)
         self.gateways[0] = gateway
--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -1,6 +1,7 @@
 """The store client against the stand-in, with every trouble that the pages name."""
 
 import json
+from random import Random
 from typing import Any
 
 import anyio
@@ -8,7 +9,7 @@
 from pewtertack.core.effects import ReadDocument
 from pewtertack.core.inputs import DocumentRead, DocumentReadFailed, DocumentUnchanged
 from pewtertack.lab.metadata_store.application import MetadataStore, StoreFaults
-from pewtertack.platform.store import StoreReader
+from pewtertack.platform.store import VERSION_STEP, StoreReader
 from pewtertack.wire.messages import DocumentKind
 from tests.node.proxy.harness import ProxyTestCase
 from tests.platform.test_documents import CONFIGURATION, ENTRY, encoded
@@ -30,10 +31,10 @@
 
     async def test_the_first_read_lists_and_the_next_watches(self) -> None:
         first = await self.read(CONFIG)
-        self.assertEqual((type(first), first.number), (DocumentRead, 12))
+        self.assertEqual((type(first), first.number), (DocumentRead, 12 * VERSION_STEP))
         self.assertIsInstance(await self.read(CONFIG), DocumentUnchanged)
         self.store.put("op/config", encoded({**CONFIGURATION, "Version": "r15"}))
-        self.assertEqual((await self.read(CONFIG, 5.0)).number, 15)
+        self.assertEqual((await self.read(CONFIG, 5.0)).number, 15 * VERSION_STEP)
 
     async def test_a_change_answers_a_waiting_watch(self) -> None:
         await self.read(MACHINES)
@@ -81,7 +82,7 @@
             self.assertIn("store-busy", failed.reason)
         self.store.put("op/config", encoded({**CONFIGURATION, "Version": "r20"}))
         self.store.faults = StoreFaults()
-        self.assertEqual((await self.read(CONFIG)).number, 20)
+        self.assertEqual((await self.read(CONFIG)).number, 20 * VERSION_STEP)
 
     async def test_a_lost_answer_ends_in_time_and_its_connection_is_not_used_again(self) -> None:
         await self.read(CONFIG)
@@ -90,7 +91,7 @@
             failed = await self.read(CONFIG)
         self.assertIn("store-unreachable", failed.reason)
         self.store.put("op/config", encoded({**CONFIGURATION, "Version": "r20"}))
-        self.assertEqual((await self.read(CONFIG)).number, 20)
+        self.assertEqual((await self.read(CONFIG)).number, 20 * VERSION_STEP)
 
     async def test_a_closed_store_is_a_typed_failure(self) -> None:
         reader = StoreReader("127.0.0.1:1", 8146, 7380)
@@ -105,4 +106,112 @@
         failed = await self.read(CONFIG)
         self.assertIn("platform-item", failed.reason)
         self.store.put("op/config", encoded({**CONFIGURATION, "Version": "r21"}))
-        self.assertEqual((await self.read(CONFIG)).number, 21)
+        self.assertEqual((await self.read(CONFIG)).number, 21 * VERSION_STEP)
+
+
+class EvacuationTest(ProxyTestCase):
+    """Evacuations change the tree, not the operator's version; all readers number alike."""
+
+    async def asyncSetUp(self) -> None:
+        self.store = MetadataStore()
+        for revision in range(5):
+            self.store.put(f"servers/i-{revision}", encoded(ENTRY))
+        self.store.put("op/config", encoded(CONFIGURATION))
+        self.address = await self.serve(self.store.application)
+
+    def reader(self) -> StoreReader:
+        reader = StoreReader(self.address, 8146, 7380)
+        self.addAsyncCleanup(reader.close)
+        return reader
+
+    async def read(self, reader: StoreReader, after: int = 0, stale: bool = False) -> Any:
+        return await reader.read(ReadDocument(CONFIG, after, 0.0, stale))
+
+    async def test_asked_and_taken_back_are_two_newer_trees(self) -> None:
+        reader = self.reader()
+        first = await self.read(reader)
+        asked_at = self.store.put("op/evacuate/garia", b"{}")
+        asked = await self.read(reader, first.number)
+        self.assertEqual(asked.document["evacuated_zones"], ["garia"])
+        self.assertEqual(asked.number, 12 * VERSION_STEP + asked_at)
+        taken_back_at = self.store.remove("op/evacuate/garia")
+        taken_back = await self.read(reader, asked.number)
+        self.assertEqual(taken_back.document, first.document)
+        self.assertEqual(taken_back.number, 12 * VERSION_STEP + taken_back_at)
+        self.assertIsInstance(await self.read(reader, taken_back.number), DocumentUnchanged)
+
+    async def test_a_newer_version_is_newer_than_any_evacuation_of_the_one_before(self) -> None:
+        reader = self.reader()
+        await self.read(reader)
+        self.store.put("op/evacuate/garia", b"{}")
+        asked = await self.read(reader)
+        self.store.put("op/config", encoded({**CONFIGURATION, "Version": "r13"}))
+        newer = await self.read(reader, asked.number)
+        self.assertGreater(newer.number, asked.number)
+        self.assertEqual(newer.document["evacuated_zones"], ["garia"])
+
+    async def test_who_begins_to_read_after_it_was_taken_back_ends_it_for_all(self) -> None:
+        self.store.put("op/evacuate/garia", b"{}")
+        asked = await self.read(self.reader())
+        self.store.remove("op/evacuate/garia")
+        self.store.put("servers/i-9", encoded(ENTRY))
+        successor = self.reader()
+        found = await self.read(successor)
+        self.assertEqual(found.number, 12 * VERSION_STEP)
+        ended = await self.read(successor, asked.number)
+        self.assertNotIn("evacuated_zones", ended.document)
+        self.assertGreater(ended.number, asked.number)
+        self.assertIsInstance(await self.read(successor, ended.number), DocumentUnchanged)
+
+    async def test_forgotten_history_hides_neither_the_asking_nor_the_taking_back(self) -> None:
+        reader = self.reader()
+        held = (await self.read(reader)).number
+        for change, zones in (
+            (lambda: self.store.put("op/evacuate/garia", b"{}"), ["garia"]),
+            (lambda: self.store.remove("op/evacuate/garia"), None),
+        ):
+            change()
+            self.store.forget_history()
+            self.assertIsInstance(await self.read(reader, held), DocumentReadFailed)
+            listed = await self.read(reader, held)
+            self.assertEqual(listed.document.get("evacuated_zones"), zones)
+            self.assertGreater(listed.number, held)
+            held = listed.number
+
+    async def test_one_number_never_stands_for_two_trees(self) -> None:
+        """Readers that come and go while zones are asked and taken back, in random order."""
+        for seed in range(40):
+            random = Random(seed)
+            trees: dict[int, Any] = {}
+            readers = [(self.reader(), 0)]
+            for _ in range(30):
+                self._change(random)
+                if random.random() < 0.3:
+                    readers.append((self.reader(), 0))
+                index = random.randrange(len(readers))
+                reader, held = readers[index]
+                found = await self.read(reader, held, stale=held == 0 and random.random() < 0.5)
+                if isinstance(found, DocumentRead):
+                    self.assertEqual(trees.setdefault(found.number, found.document), found.document)
+                    held = max(
+                        held, found.number, *(random.choice([0, number]) for number in trees)
+                    )
+                    readers[index] = (reader, held)
+
+    def _change(self, random: Random) -> None:
+        zone = random.choice(["garia", "howrah"])
+        version = f"r{12 + self.store.calls}"
+        random.choice(
+            [
+                lambda: self.store.put(f"op/evacuate/{zone}", b"{}"),
+                lambda: self.store.remove(f"op/evacuate/{zone}"),
+                lambda: self.store.put("op/config", encoded({**CONFIGURATION, "Version": version})),
+                lambda: self.store.put("servers/i-1", encoded(ENTRY)),
+            ]
+        )()
+
+    async def test_an_item_that_names_no_zone_refuses_nothing(self) -> None:
+        self.store.put("op/evacuate/..", b"{}")
+        self.store.put("op/other", b"not ours")
+        found = await self.read(self.reader())
+        self.assertNotIn("evacuated_zones", found.document)
--- /dev/null
+++ b/tests/routing/test_cold.py
@@ -0,0 +1,216 @@
+"""What a cold back end is given, whoever sends: no second holds more than it bears."""
+
+import random
+import unittest
+from typing import Any
+
+from pewtertack.routing.admission import Admission
+from pewtertack.routing.backend import Backend
+from pewtertack.routing.choice import Wish, choose_gateway
+from pewtertack.routing.cold import WINDOW, ColdBounds, ColdStart
+from pewtertack.routing.outcomes import DeadlineUnmeetableError
+from pewtertack.routing.places import AdmissionTicket
+from tests.routing.samples import service
+
+SLOTS = 7
+BOUNDS = ColdBounds(rate=6.5, length=3.0, overage=1.5, slack=8.0)
+"""A published rate of 6.5 a second; operators count more than 17.75 in a second as a fault."""
+BROKEN_ABOVE = 17
+SECONDS = 0.25
+"""What one request takes."""
+
+
+def ticket(now: float, patience: float = 1.0, rank: int = 1) -> AdmissionTicket:
+    return AdmissionTicket("lookup", (1, rank), now + patience, now + 2 * patience)
+
+
+def most_in_a_window(times: list[float]) -> int:
+    return max(
+        (sum(begin <= time < begin + WINDOW for time in times) for begin in times), default=0
+    )
+
+
+class Played:
+    """Callers that come at random at one gateway, in virtual time."""
+
+    def __init__(self, cold: ColdStart | None, seed: int) -> None:
+        self.random = random.Random(seed)
+        self.admission = Admission(SLOTS, cold)
+        self.starts: list[float] = []
+        self.refused = 0
+        self.waiting: list[AdmissionTicket] = []
+        self.running: list[tuple[float, AdmissionTicket]] = []
+
+    def play(
+        self, seconds: float, per_second: float, begin: float = 0.0, step: float = 0.005
+    ) -> None:
+        now = begin
+        while now < begin + seconds:
+            self._end_due(now)
+            for item in list(self.waiting):
+                self.admission.expire(item, now)
+            if self.random.random() < per_second * step:
+                self._arrive(now)
+            self._note_granted(now)
+            now += step
+
+    def _arrive(self, now: float) -> None:
+        item = ticket(now, rank=self.random.randint(0, 3))
+        try:
+            self.admission.submit(item, now)
+        except DeadlineUnmeetableError:
+            self.refused += 1
+        else:
+            self.waiting.append(item)
+
+    def _end_due(self, now: float) -> None:
+        for ends_at, item in list(self.running):
+            if ends_at <= now:
+                self.running.remove((ends_at, item))
+                self.admission.finish(item, now, answered=True)
+
+    def _note_granted(self, now: float) -> None:
+        for item in list(self.waiting):
+            if item.granted:
+                self.starts.append(now)
+                self.running.append((now + SECONDS * self.random.uniform(0.5, 2.0), item))
+            if item.granted or item.refusal is not None:
+                self.waiting.remove(item)
+
+
+class ColdStartTest(unittest.TestCase):
+    def test_a_back_end_of_which_nothing_is_known_is_taken_for_cold(self) -> None:
+        cold = ColdStart(SLOTS, 10.0, BOUNDS)
+        self.assertTrue(cold.is_cold(12.9))
+        self.assertFalse(cold.is_cold(13.1))
+        cold.learn(10.1, 10.2, 0.0)
+        self.assertFalse(cold.is_cold(10.3))
+
+    def test_before_the_service_is_known_it_is_given_one_request_for_each_slot(self) -> None:
+        cold = ColdStart(SLOTS, 0.0)
+        for _ in range(SLOTS):
+            self.assertTrue(cold.may_start(0.5))
+            cold.note_start(0.5)
+        self.assertFalse(cold.may_start(1.4))
+        self.assertTrue(cold.may_start(1.6))
+
+    def test_what_is_granted_and_sent_later_still_fits_below_the_bound(self) -> None:
+        self.assertEqual(BOUNDS.per_second(SLOTS), 9)
+        self.assertLessEqual(BOUNDS.per_second(SLOTS) + SLOTS, BROKEN_ABOVE)
+        self.assertLessEqual(ColdBounds(6.5, 3.0, 1.5, 4.0).per_second(SLOTS) + SLOTS, 13)
+        self.assertEqual(ColdBounds(0.2, 3.0).per_second(SLOTS), 1)
+
+    def test_an_answer_to_a_question_of_before_says_nothing(self) -> None:
+        cold = ColdStart(SLOTS, 0.0, BOUNDS)
+        cold.learn(0.0, 0.1, 0.0)
+        cold.forget(5.0)
+        cold.learn(4.9, 5.1, 0.0)
+        self.assertTrue(cold.is_cold(5.2))
+
+    def test_a_warm_one_is_asked_only_while_it_gets_much(self) -> None:
+        cold = ColdStart(SLOTS, 0.0, BOUNDS)
+        self.assertTrue(cold.asks(0.0))
+        self.assertFalse(cold.asks(0.1))
+        cold.learn(0.0, 0.1, 0.0)
+        self.assertFalse(cold.asks(5.0))
+        for _ in range(6):
+            cold.note_start(5.0)
+        self.assertTrue(cold.asks(5.1))
+        self.assertFalse(cold.asks(5.3))
+        self.assertTrue(cold.asks(5.7))
+
+    def test_one_whose_health_is_silent_is_asked_no_longer_once_it_counts_as_warm(self) -> None:
+        cold = ColdStart(SLOTS, 0.0, BOUNDS)
+        self.assertEqual(
+            [cold.asks(at) for at in (0.0, 1.0, 2.0, 4.0, 5.0)], [True] * 3 + [False] * 2
+        )
+
+    def test_a_service_that_publishes_no_rate_bounds_nothing(self) -> None:
+        cold = ColdStart(SLOTS, 0.0, ColdBounds(0.0, 0.0))
+        for _ in range(100):
+            self.assertTrue(cold.may_start(0.0))
+            cold.note_start(0.0)
+        self.assertFalse(cold.asks(9.0))
+
+
+class ColdAdmissionTest(unittest.TestCase):
+    def test_no_second_holds_more_than_a_cold_one_bears_on_a_thousand_schedules(self) -> None:
+        worst = 0
+        for seed in range(1000):
+            cold = ColdStart(SLOTS, 0.0, BOUNDS)
+            played = Played(cold, seed)
+            played.play(1.5, per_second=30 + seed % 50, step=0.01)
+            worst = max(worst, most_in_a_window(played.starts))
+        self.assertEqual(worst, BOUNDS.per_second(SLOTS))
+
+    def test_without_the_bound_the_same_load_breaks_it(self) -> None:
+        played = Played(None, 1)
+        played.play(3.0, per_second=45)
+        self.assertGreater(most_in_a_window(played.starts), BROKEN_ABOVE)
+
+    def test_turning_cold_under_full_load_counts_what_was_given_before(self) -> None:
+        cold = ColdStart(SLOTS, 0.0, BOUNDS)
+        cold.learn(0.0, 0.0, 0.0)
+        played = Played(cold, 3)
+        played.play(2.0, per_second=28)
+        cold.learn(2.0, 2.0, 3.0)
+        before = list(played.starts)
+        played.play(3.0, per_second=28, begin=2.0)
+        since = [time for time in played.starts if time >= 2.0]
+        self.assertGreater(most_in_a_window(before), BOUNDS.per_second(SLOTS))
+        self.assertLessEqual(most_in_a_window(since), BOUNDS.per_second(SLOTS))
+
+    def test_what_it_does_not_bear_is_refused_at_once_and_what_it_bears_is_served(self) -> None:
+        cold = ColdStart(SLOTS, 0.0, BOUNDS)
+        played = Played(cold, 5)
+        played.play(3.0, per_second=30)
+        self.assertGreaterEqual(len(played.starts), 3 * BOUNDS.per_second(SLOTS) - 2)
+        self.assertGreater(played.refused, 30)
+        self.assertLess(len(played.waiting), 12)
+
+    def test_the_most_urgent_that_waits_gets_the_next_start(self) -> None:
+        admission = Admission(SLOTS, ColdStart(SLOTS, 0.0, ColdBounds(1.0, 3.0, 1.0, 99.0)))
+        first, usual, urgent = ticket(0.0), ticket(0.0, 2.0, rank=2), ticket(0.0, 2.0, rank=0)
+        for item in (first, usual, urgent):
+            admission.submit(item, 0.0)
+        self.assertEqual([item.granted for item in (first, usual, urgent)], [True, False, False])
+        admission.finish(first, 0.2, answered=True)
+        self.assertFalse(urgent.granted)
+        admission.expire(usual, usual.look_at)
+        self.assertEqual([usual.granted, urgent.granted], [False, True])
+
+    def test_a_refusal_tells_when_the_cold_one_has_room(self) -> None:
+        admission = Admission(SLOTS, ColdStart(SLOTS, 0.0, ColdBounds(1.0, 9.0, 1.0, 99.0)))
+        admission.submit(ticket(0.0), 0.0)
+        with self.assertRaises(DeadlineUnmeetableError) as refused:
+            admission.submit(ticket(0.0, patience=0.4), 0.0)
+        self.assertAlmostEqual(refused.exception.retry_after or 0.0, 1.0)
+
+    def test_it_tells_other_nodes_that_little_fits(self) -> None:
+        admission = Admission(SLOTS, ColdStart(SLOTS, 0.0, BOUNDS))
+        warm = ticket(0.0)
+        admission.submit(warm, 0.0)
+        self.assertEqual(admission.told_slots(0.0), 1)
+        admission.finish(warm, SECONDS, answered=True)
+        self.assertEqual(admission.told_slots(1.0), 2)
+        self.assertEqual(admission.told_slots(3.1), SLOTS)
+
+
+class PlacementTest(unittest.TestCase):
+    def backend(self, name: str) -> Any:
+        made = Backend(name, "logbook", "127.0.0.1:1", "ikeja", 0.0, gateway="127.0.0.1:2")
+        made.configure(service())
+        made.slots = SLOTS
+        return made
+
+    def test_a_new_cold_back_end_is_not_everybodys_first_choice(self) -> None:
+        warm, new = self.backend("warm"), self.backend("new")
+        warm.in_flight = 4
+        new.assume_cold(10.0)
+        wish = Wish(0.2, 0.2, 1.0, frozenset())
+        chosen = choose_gateway([warm, new], [], wish, 10.05, random.Random(1))
+        self.assertIs(chosen, warm)
+
+
+if __name__ == "__main__":
+    unittest.main()
