A further gateway is asked only while such asks succeed

Change: routing.asking keeps for each route how often a further gateway accepted lately; below 0.3 none is asked, one request in ten excepted.

--- a/src/pewtertack/node/gateway/cold_watch.py
+++ b/src/pewtertack/node/gateway/cold_watch.py
@@ -24,7 +24,7 @@
 
 logger = logging.getLogger(__name__)
 
-LOOK_SECONDS = 0.05
+LOOK_SECONDS = 0.1
 """Between two looks whether a question is due."""
 LOOK_UNBOUNDED_SECONDS = 1.0
 """The same while its service bounds nothing."""
--- a/src/pewtertack/routing/dispatcher.py
+++ b/src/pewtertack/routing/dispatcher.py
@@ -14,6 +14,7 @@
 
 from pewtertack.core.configuration.resolved import ResolvedRoute
 from pewtertack.core.machines import MachineList, MachineRole
+from pewtertack.routing.asking import FurtherAsks
 from pewtertack.routing.backend import Backend, LoadReport
 from pewtertack.routing.ends import (
     FAILURES,
@@ -91,6 +92,7 @@
         self._burst = burst_of(0)
         self._splits = SplitPicker()
         self._patience = CallerPatience()
+        self._asks = FurtherAsks(random)
 
     def pick_service(self, route: ResolvedRoute) -> ResolvedRoute:
         """Return the route with the service that this request goes to."""
@@ -134,6 +136,7 @@
         """Forget what was learnt of routes and idle services that are in force no longer."""
         self._splits.keep_only(routes)
         self._patience.keep_only(routes)
+        self._asks.keep_only(routes)
         self._budgets = {name: item for name, item in self._budgets.items() if name in services}
         self._services = {
             name: service
@@ -242,6 +245,8 @@
         service = self.service(ticket.route.service)
         backend.note_end(now, service.mean_time)
         service.in_flight -= 1
+        if ticket.refusals and end not in OUT_OF_REACH:
+            self._asks.note(ticket.route.name, now, end is not AttemptEnd.REFUSED)
         service.limit.note_finished(now, now - ticket.started_at)
         seconds = max(0.0, now - ticket.started_at - ticket.queued)
         expected = service.expected_time(ticket.route.name)
@@ -356,6 +361,8 @@
             return RetryDecision(RetryReason.NO_GATEWAY)
         if not service.has_prospect(following, now):
             return RetryDecision(RetryReason.NO_PROSPECT)
+        if not self._asks.worth_it(ticket.route.name, now):
+            return RetryDecision(RetryReason.NO_ODDS)
         return RetryDecision(RetryReason.NEXT_GATEWAY, following)
 
     def _budget(self, ticket: Ticket) -> RetryBudget:
--- a/src/pewtertack/routing/retries.py
+++ b/src/pewtertack/routing/retries.py
@@ -80,6 +80,7 @@
     BUDGET = "the retry budget is spent"
     ENDS_BACKENDS = "as many back ends have ended under it as its route allows"
     NO_GATEWAY = "no other gateway may be asked"
+    NO_ODDS = "further gateways have refused such requests lately"
     NO_PROSPECT = "no other gateway is expected to take it soon, and its caller may come back"
 
 
