--- a/src/pewtertack/core/configuration/memory.py
+++ b/src/pewtertack/core/configuration/memory.py
@@ -27,7 +27,7 @@
 Tables = tuple[Values | None, Values | None]
 """A route's own values at the root and in the zone."""
 Derived = TypeVar("Derived")
-SizeOf = Callable[[Table], int]
+SizeOf = Callable[[Any], int]
 _TableKey = tuple[int, str, int]
 """Identity of a table, its section and its depth."""
 
@@ -153,15 +153,25 @@
     def remember(self, document: Document, size_of: SizeOf) -> None:
         """Take over an accepted document; ``size_of(table)`` reckons a table's bytes."""
         self.document = document
-        self.size = size_of(dict(document))
         tables: dict[_TableKey, tuple[Table, int]] = {}
         for section, depth, table in _named_tables(document):
             key = (id(table), section, depth)
             tables[key] = self._tables.get(key) or (table, size_of(table))
         self._tables = tables
+        self.size = _size_of_shell(document, size_of) + sum(size for _, size in tables.values())
         self._scopes, self._under_check = self._under_check, {}
 
 
+def _size_of_shell(document: Document, size_of: SizeOf) -> int:
+    """Return the reckoned bytes of a document without those of its named tables."""
+    shell = {
+        section: dict.fromkeys(tables, "") if section in NAMED_SECTIONS else tables
+        for section, tables in document.items()
+    }
+    named = sum(len(document.get(section, {})) for section in NAMED_SECTIONS)
+    return size_of(shell) - named * size_of("")
+
+
 def _named_tables(document: Document) -> Iterator[tuple[str, int, Table]]:
     levels = [(document, ROOT_DEPTH)]
     levels += [(zone, ZONE_DEPTH) for zone in document.get(ZONES, {}).values()]
--- a/src/pewtertack/routing/choice.py
+++ b/src/pewtertack/routing/choice.py
@@ -18,6 +18,11 @@
 or three bring the mean wait from 26 to 7 to 10 ms."""
 DRAWS = 12
 """Attempts to draw them; those that are not usable do not count."""
+CROWDING = 1.5
+"""How much longer an answer is taken to need at a back end whose slots are all taken. Without
+it all fill the fastest one first and meet there, since reports are old by the time that others
+read them. In virtual time (8 senders, 7 gateways, seeds 1 and 2) the mean wait falls from
+10.6 and 15.2 ms to 9.7 and 14.2 at half load, from 79 and 85 to 79 and 80 at 0.95."""
 NONE_EXCLUDED: frozenset[str] = frozenset()
 
 
@@ -169,6 +174,8 @@
         wait = backend.expected_wait(now, wish.mean_time)
         stalled = STALL_PENALTY if backend.stalled(now, wish.mean_time) else 1.0
         slowness = backend.slowness * stalled
-        return wait + wish.expected_time * slowness, backend.occupancy(now) * stalled
+        occupancy = backend.occupancy(now)
+        crowding = 1 + CROWDING * occupancy * occupancy
+        return wait + wish.expected_time * slowness * crowding, occupancy * stalled
 
     return min(backends, key=cost, default=None)
--- a/tests/core/configuration/test_memory.py
+++ b/tests/core/configuration/test_memory.py
@@ -113,6 +113,19 @@
         moved = {**document, "services": {**document["services"], "r1": document["routes"]["r1"]}}
         self.assertNotEqual(check_document(moved, checked), ())
 
+    def test_the_reckoned_size_is_that_of_the_whole_tree_after_any_edits(self) -> None:
+        for seed in range(40):
+            random, checked, store = Random(seed), CheckedTables(), DocumentStore()
+            document: Any = {key: value for key, value in tree().items() if key != "zones"}
+            for number in range(1, 20):
+                offered = edited({**document, "zones": {ZONE: {"routes": {}}}}, random)
+                offered.pop("zones", None)
+                shared = store.share(offered)
+                if not check_document(shared, checked):
+                    document = offered
+                    store.put(identify(number, offered), shared)
+                    self.assertEqual(checked.size, size_of(offered), f"seed {seed}, {number}")
+
     def test_a_tree_that_grows_table_by_table_is_still_bounded(self) -> None:
         checked = CheckedTables()
         big = {"hosts": ["x" * 4000] * 60}
