--- a/src/pewtertack/events.py
+++ b/src/pewtertack/events.py
@@ -8,6 +8,9 @@
 
 from enum import Enum
 
+REQUEST_EVENTS = 6
+"""The first digit of their numbers."""
+
 
 class Event(Enum):
     """Number and meaning of each log event."""
@@ -72,3 +75,8 @@
         self.meaning = meaning
         self.routine = routine
         """Of a request that goes well: left out first when too much is logged."""
+
+    @property
+    def of_request(self) -> bool:
+        """Whether it tells of a request or a back end; an overload has many of them."""
+        return self.number // 100 == REQUEST_EVENTS
--- a/src/pewtertack/log.py
+++ b/src/pewtertack/log.py
@@ -77,12 +77,12 @@
     def record(self, event: Event, **fields: Any) -> None:
         """Write one line. Fields may not be named like those that every line has.
 
-        Routine lines, several a request, go to the sink without logbook's record, which
-        took a tenth of a request's processor time.
+        Lines of requests, several each, go to the sink without logbook's record, which took
+        a tenth of a served request's processor time; a refused one has as many.
         """
         line = self._line(event, fields)
-        if event.routine:
-            self._sink.write(_encoded(line), True)
+        if event.of_request:
+            self._sink.write(_encoded(line), event.routine)
         else:
             self._logger.info(event.name, extra={"line": line, "routine": False})
 
