Soak: zones are evacuated and taken back; a promise that evacuated zones get nothing

A fault of the lane of edits, and once without faults at the end of every soak so that the promise is put to the test. Judged is what begins while every living node has had the evacuation in force for 1 s. Planted violations break it and nothing else.

--- a/src/pewtertack/lab/history/checker.py
+++ b/src/pewtertack/lab/history/checker.py
@@ -12,6 +12,7 @@
     acceptance_checks,
     configuration_checks,
     crash_checks,
+    evacuation_checks,
     request_checks,
     stop_checks,
 )
@@ -64,6 +65,7 @@
         *CONFIGURATION_CHECKS,
         *REQUEST_CHECKS,
         crash_checks.check_ending_requests_held,
+        evacuation_checks.check_evacuated_unused,
     ),
     CheckGroup.CONFIGURATION: CONFIGURATION_CHECKS,
     CheckGroup.REQUESTS: REQUEST_CHECKS,
--- a/src/pewtertack/lab/history/verdicts.py
+++ b/src/pewtertack/lab/history/verdicts.py
@@ -25,6 +25,7 @@
     STOP_ANSWERS_ALL = "planned-stop-answers-what-was-sent"
     SENT_IS_ANSWERED = "answered-while-node-runs"
     ENDING_REQUESTS_HELD = "ending-requests-held"
+    EVACUATED_UNUSED = "evacuated-gets-nothing"
 
 
 class Judgement(StrEnum):
@@ -65,6 +66,8 @@
     """How long a resumed process may take to find out that it was paused."""
     leaving: float = 5.0
     """After this long a leaving back end gets no new work."""
+    evacuated: float = 1.0
+    """What a node had sent when an evacuation came into force there has begun after this long."""
     unread: float = 0.2
     """A request sent whole this long before its connection ended has been read."""
     unplanned: float = 1.0
--- a/src/pewtertack/lab/records.py
+++ b/src/pewtertack/lab/records.py
@@ -130,6 +130,21 @@
     backend: str
 
 
+class ZoneEvacuated(LabRecord, frozen=True, kw_only=True, tag="zone-evacuated"):
+    """From ``revision`` on, the back ends of a zone are to be sent nothing."""
+
+    zone: str
+    backends: tuple[str, ...]
+    revision: int
+
+
+class ZoneTakenBack(LabRecord, frozen=True, kw_only=True, tag="zone-taken-back"):
+    """From ``revision`` on, the back ends of the zone may be sent requests again."""
+
+    zone: str
+    revision: int
+
+
 class BackendFault(LabRecord, frozen=True, kw_only=True, tag="backend-fault"):
     """A back end was made to misbehave; ``backend`` is its name."""
 
@@ -197,6 +212,8 @@
     | BackendLeaving
     | BackendReturn
     | BackendFault
+    | ZoneEvacuated
+    | ZoneTakenBack
     | ExecutionStart
     | ExecutionEnd
     | Told
--- a/src/pewtertack/lab/scenarios/context.py
+++ b/src/pewtertack/lab/scenarios/context.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import random
+import time
 from dataclasses import dataclass, field
 
 import anyio
@@ -10,7 +11,7 @@
 
 from pewtertack.lab.fleet.fleet import Fleet
 from pewtertack.lab.load.mix import PATIENCE_SECONDS, CallKind, mix_of_tree
-from pewtertack.lab.records import Edit
+from pewtertack.lab.records import Edit, ZoneEvacuated, ZoneTakenBack
 from pewtertack.lab.scenarios.edits import TreeEditor
 
 
@@ -36,6 +37,22 @@
         """Make an edit that must be rejected."""
         return self._remember(await self.fleet.platform.put_tree(self.editor.bad()))
 
+    async def evacuate(self, zone: str) -> None:
+        """Ask that nothing more be sent to a zone's back ends."""
+        edit = self._remember(await self.fleet.platform.put_tree(self.editor.evacuated(zone)))
+        backends = tuple(
+            sorted(item.name for item in self.fleet.plan.backends.values() if item.zone == zone)
+        )
+        self.fleet.recorder.record(
+            ZoneEvacuated(time=edit.time, zone=zone, backends=backends, revision=edit.revision)
+        )
+
+    async def take_back(self, zone: str) -> None:
+        """End the evacuation of a zone."""
+        before = time.time()
+        edit = self._remember(await self.fleet.platform.put_tree(self.editor.evacuated()))
+        self.fleet.recorder.record(ZoneTakenBack(time=before, zone=zone, revision=edit.revision))
+
     def _remember(self, edit: Edit) -> Edit:
         if edit.valid:
             self.newest_valid = edit.revision
--- a/src/pewtertack/lab/scenarios/edits.py
+++ b/src/pewtertack/lab/scenarios/edits.py
@@ -48,6 +48,14 @@
 
         return self._edit(add)
 
+    def evacuated(self, *zones: str) -> Tree:
+        """Evacuate just these zones, none to take all back, and return the whole tree."""
+
+        def evacuate(tree: Tree) -> None:
+            tree["evacuated_zones"] = list(zones)
+
+        return self._edit(evacuate)
+
     def _edit(self, change: Callable[[Tree], None]) -> Tree:
         self._count += 1
         tree = copy.deepcopy(self._tree)
--- a/src/pewtertack/lab/soak/platform_faults.py
+++ b/src/pewtertack/lab/soak/platform_faults.py
@@ -18,6 +18,8 @@
 SHORT, LONG = 1.0, 6.0
 LEAVING_SECONDS = 8.0
 """Longer than a leaving back end may get new work."""
+EVACUATED_SECONDS = 6.0
+"""Long enough for all nodes to serve by it, and for some requests then."""
 OLDER_SHARE = 0.5
 
 
@@ -94,6 +96,15 @@
     await soak.scenario.edit_moving_a_route()
 
 
+@fault("evacuation", Lane.EDITS, weight=1.5)
+async def evacuation(soak: SoakContext, chooser: random.Random) -> None:
+    """An operator evacuates a zone for a while and takes it back."""
+    zone = chooser.choice(soak.fleet.plan.shape.zones)
+    await soak.scenario.evacuate(zone)
+    await anyio.sleep(EVACUATED_SECONDS)
+    await soak.scenario.take_back(zone)
+
+
 @fault("edit-badly", Lane.EDITS)
 async def edit_badly(soak: SoakContext, chooser: random.Random) -> None:
     """An operator makes an edit that must be rejected."""
--- a/src/pewtertack/lab/soak/run.py
+++ b/src/pewtertack/lab/soak/run.py
@@ -118,6 +118,7 @@
             await self._fleet.wait_serving()
             await context.edit()
             await context.wait_for_newest()
+            await self._evacuate_calmly()
         except LabError as error:
             context.problems.append(f"{type(error).__name__}: {error}")
         await anyio.sleep(SETTLE_SECONDS)
@@ -126,6 +127,16 @@
         for name in sorted(set(self._fleet.plan.nodes) - set(self._fleet.running_nodes())):
             context.problems.append(f"{name} does not run at the end")
 
+    async def _evacuate_calmly(self) -> None:
+        """Evacuate a zone once without faults, so that each soak puts it to the test."""
+        context = self.context.scenario
+        zone = context.random.choice(self._fleet.plan.shape.zones)
+        await context.evacuate(zone)
+        await context.wait_for_newest()
+        await anyio.sleep(2 * BOUNDS.evacuated)
+        await context.take_back(zone)
+        await context.wait_for_newest()
+
 
 async def run_soak(options: SoakOptions, history: Path | None, print_line: Printer) -> SoakResult:
     """Run a soak; its history goes into the file ``history`` where one is given.
--- a/src/pewtertack/lab/weakening.py
+++ b/src/pewtertack/lab/weakening.py
@@ -12,6 +12,7 @@
 import msgspec
 
 from pewtertack.core import profile
+from pewtertack.core.configuration.resolved import ResolvedConfiguration
 from pewtertack.core.crashes.ledger import CrashLedger
 from pewtertack.core.machines import Machine, MachineList, MachineState
 from pewtertack.core.profile import Mechanisms
@@ -34,6 +35,8 @@
 RetryRule = Callable[[AttemptRecord, RequestFailedError, float], RetryReason]
 MachinesUser = Callable[[ProxyApplication, MachineList], None]
 
+ConfigurationUser = Callable[[Any, ResolvedConfiguration], None]
+
 CORE_MECHANISMS = tuple(field.name for field in msgspec.structs.fields(Mechanisms))
 
 
@@ -164,6 +167,19 @@
     _wrap(CrashLedger, "note_end", wrapper)
 
 
+def _ignore_evacuations() -> None:
+    """Send and admit requests whatever zones are evacuated."""
+
+    def wrapper(use: ConfigurationUser) -> ConfigurationUser:
+        def use_all_zones(application: Any, configuration: ResolvedConfiguration) -> None:
+            use(application, msgspec.structs.replace(configuration, evacuated=frozenset()))
+
+        return use_all_zones
+
+    for owner in (ProxyApplication, GatewayApplication):
+        _wrap(owner, "use_configuration", wrapper)
+
+
 def _drop_what_was_read_behind() -> None:
     """End a connection behind an answer though more requests were read."""
 
@@ -183,6 +199,7 @@
     "stop_answers": _leave_waiting_requests,
     "pipelined_stop_answers": _drop_what_was_read_behind,
     "crash_ledger": _forget_crashes,
+    "evacuation": _ignore_evacuations,
 }
 MECHANISMS: Sequence[str] = (*CORE_MECHANISMS, *REQUEST_MECHANISMS)
 
--- a/tests/lab/history/test_planted_violations.py
+++ b/tests/lab/history/test_planted_violations.py
@@ -26,6 +26,8 @@
     SourceFault,
     Told,
     ToldOutcome,
+    ZoneEvacuated,
+    ZoneTakenBack,
 )
 
 BOUNDS = CheckBounds(convergence=5.0, recovery=20.0, wake_grace=1.0, leaving=5.0)
@@ -89,6 +91,7 @@
         event(3.0, "b", Event.NODE_SERVING),
         Edit(time=30.0, revision=2, digest="d2", valid=False),
         Edit(time=31.0, revision=3, digest="d3", valid=True),
+        ZoneEvacuated(time=31.0, zone="zone-z", backends=("z",), revision=3),
         in_force(32.0, "a", 3),
         in_force(33.0, "b", 3),
         ExecutionStart(time=40.0, request_id="r1", backend="x"),
@@ -214,6 +217,9 @@
         Promise.SENT_IS_ANSWERED,
         [told(50.0, "r6", ToldOutcome.TIMED_OUT, status=0, whole_for=0.9)],
     ),
+    "a back end of an evacuated zone gets a request": Planted(
+        Promise.EVACUATED_UNUSED, [ExecutionStart(time=50.0, request_id="r7", backend="z")]
+    ),
     "a request ends one back end after the other": Planted(
         Promise.ENDING_REQUESTS_HELD,
         [ended(50.0 + attempt, f"ending-2-{attempt}") for attempt in range(7)],
@@ -242,6 +248,31 @@
         self.assertEqual({v.judgement for v in verdicts}, {Judgement.TOO_THIN})
 
 
+class EvacuationTest(unittest.TestCase):
+    """When a request at a back end of an evacuated zone is no offence."""
+
+    def verdict(self, time: float, *lines: HistoryLine) -> Judgement:
+        reached = ExecutionStart(time=time, request_id="r7", backend="z")
+        verdicts = check_history([*sound_history(), reached, *lines], BOUNDS)
+        return next(v.judgement for v in verdicts if v.promise is Promise.EVACUATED_UNUSED)
+
+    def test_before_every_node_has_it_in_force_for_long_enough(self) -> None:
+        self.assertEqual(self.verdict(32.5), Judgement.HELD)
+        self.assertEqual(self.verdict(33.9), Judgement.HELD)
+        self.assertEqual(self.verdict(34.1), Judgement.VIOLATED)
+
+    def test_once_it_is_taken_back(self) -> None:
+        back = ZoneTakenBack(time=45.0, zone="zone-z", revision=4)
+        self.assertEqual(self.verdict(46.0, back), Judgement.HELD)
+        self.assertEqual(self.verdict(44.0, back), Judgement.VIOLATED)
+
+    def test_while_a_node_starts_or_is_paused(self) -> None:
+        started_late = NodeStart(time=49.8, node="c", zone="zone-c")
+        self.assertEqual(self.verdict(50.0, started_late), Judgement.HELD)
+        paused = (NodePause(time=49.0, node="b"), NodeResume(time=49.9, node="b"))
+        self.assertEqual(self.verdict(50.0, *paused), Judgement.HELD)
+
+
 class ObligationTest(unittest.TestCase):
     """Who does not owe a revision: the paused, the cut off, the short-lived."""
 
