--- a/src/pewtertack/routing/cold.py
+++ b/src/pewtertack/routing/cold.py
@@ -42,11 +42,10 @@
     def per_second(self, slots: int) -> int:
         """Return how many requests may start within any second.
 
-        What is granted a slot may reach the back end later, as many as have slots: where the
-        slack does not hold those, that many fewer are granted.
+        What is granted a slot may reach the back end later, as many as have slots: so many fewer
+        are granted than operators allow.
         """
-        most = self.rate * self.overage + min(0.0, self.slack - slots)
-        return max(1, int(most))
+        return max(1, int(self.rate * self.overage + self.slack - slots))
 
 
 class ColdStart:
