Few nodes read the store from 16 nodes on, in place of 32

Below 32 nodes each read the store by itself: half a megabyte of configuration, given up after 1 s and begun again, 181 times in the first 6 s, which kept every link full.

Change: profile leased reads with every node below 16 nodes.

Sites of 12 and 13 machines read as before.

--- a/src/pewtertack/core/profile.py
+++ b/src/pewtertack/core/profile.py
@@ -87,8 +87,11 @@
     then it has heard the heartbeats of the first."""
     few_readers_gap: float = 0.1
     """``read_gap`` where few nodes read: the source is asked once a change, by few."""
-    reads_alone_below: int = 32
-    """In a fleet smaller than this every node reads, where ``readership`` is "leased"."""
+    reads_alone_below: int = 16
+    """In a fleet smaller than this every node reads, where ``readership`` is "leased". What all
+    read they read over their own links: with 20 nodes on links of 2.5 Mbit/s, half a megabyte
+    of configuration and 32 here, a third of the hops between nodes took 0.3 s longer and 0.88 of
+    the worth was served on a quiet day; with 16 0.995, and a quarter of the calls."""
     readers_per_zone: int = 2
     readers_total: int = 16
     reader_settle: float = 1.0
