A long answer of the store over a narrow link is read to its end

Cause: a read was given up 1 s after it was asked for, however much of it had come: half a megabyte takes 1.7 s on a link of 2.5 Mbit/s, so a node there that had to read for itself began again for ever, never had the configuration from the store, and kept its link full.

Change: the time allowed is for each part of an answer; ten times as long for the whole.

Test: test_a_long_answer_over_a_narrow_link_is_read_to_its_end fails on the code before (ServiceUnreachableError). An answer that falls silent, or trickles without end, is given up.

--- a/src/pewtertack/node/http/client.py
+++ b/src/pewtertack/node/http/client.py
@@ -19,6 +19,9 @@
 )
 from pewtertack.node.http.framing import NO_BODY_STATUSES, RawHeaders
 
+ANSWER_FACTOR = 10.0
+"""An answer whose parts keep coming may take so many times the time for one part: 1 MB over a
+link of 1 Mbit/s, where 1 s is allowed for a part."""
 IDLE_CONNECTIONS = 2
 """One for each of the two documents."""
 
@@ -48,7 +51,11 @@
 
 
 class ServiceTimeouts(msgspec.Struct, frozen=True):
-    """Seconds for a new connection, and for the whole answer on one that stands."""
+    """Seconds for a new connection, and without a further part of the answer on one that stands.
+
+    A long answer over a narrow link takes its time; given up and asked for again it would fill
+    the link for good. `HttpClient` bounds the whole by ``ANSWER_FACTOR`` times as long.
+    """
 
     connect: float
     answer: float
@@ -106,7 +113,8 @@
         try:
             with anyio.fail_after(seconds):
                 start = await connection.exchange(request)
-                body = await self._body_of(connection, start)
+            with anyio.fail_after(seconds * ANSWER_FACTOR):
+                body = await self._body_of(connection, start, seconds)
         except (TimeoutError, ExchangeBrokenError) as error:
             reason = str(error) or f"no answer within {seconds:g} s"
             raise ServiceUnreachableError(reason) from error
@@ -114,13 +122,19 @@
             self._give_back(connection)
         return ServiceAnswer(start.status, start.headers, body)
 
-    async def _body_of(self, connection: BackendConnection, start: AnswerStart) -> bytes:
+    async def _body_of(
+        self, connection: BackendConnection, start: AnswerStart, seconds: float
+    ) -> bytes:
         if start.status in NO_BODY_STATUSES:
             return b""
         if not start.framed:
             raise ExchangeBrokenError("an answer without a length")
         body = bytearray()
-        while chunk := await connection.read_chunk():
+        while True:
+            with anyio.fail_after(seconds):
+                chunk = await connection.read_chunk()
+            if not chunk:
+                break
             body += chunk
             if len(body) > self._body_bytes:
                 raise AnswerTooLargeError(f"more than {self._body_bytes} bytes")
--- a/tests/node/http/test_client.py
+++ b/tests/node/http/test_client.py
@@ -69,6 +69,36 @@
         client = await self.client_of(b"HTTP/1.1 304 Not Modified\r\n\r\n")
         self.assertEqual((await client.get("/a", PROMPT)).status, 304)
 
+    async def client_of_parts(self, parts: int, gap: float) -> HttpClient:
+        """Return a client of a service that sends its answer part by part."""
+
+        async def serve(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+            await reader.readuntil(b"\r\n\r\n")
+            writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n" % parts)
+            for _ in range(parts):
+                await asyncio.sleep(gap)
+                writer.write(b"x")
+            writer.close()
+
+        server = await asyncio.start_server(serve, "127.0.0.1", 0)
+        self.addCleanup(server.close)
+        client = HttpClient(f"127.0.0.1:{server.sockets[0].getsockname()[1]}", 100)
+        self.addCleanup(client.close)
+        return client
+
+    async def test_a_long_answer_over_a_narrow_link_is_read_to_its_end(self) -> None:
+        """0.1 s are allowed for a part, and 0.4 s the whole takes."""
+        client = await self.client_of_parts(8, 0.05)
+        self.assertEqual((await client.get("/a", ServiceTimeouts(1.0, 0.1))).body, b"x" * 8)
+
+    async def test_one_that_falls_silent_or_never_ends_is_given_up(self) -> None:
+        for parts, gap in ((2, 0.5), (90, 0.02)):
+            client = await self.client_of_parts(parts, gap)
+            began = asyncio.get_running_loop().time()
+            with self.assertRaises(ServiceUnreachableError):
+                await client.get("/a", ServiceTimeouts(1.0, 0.1))
+            self.assertLess(asyncio.get_running_loop().time() - began, 1.3)
+
     async def test_a_body_beyond_the_limit_ends_the_read(self) -> None:
         client = await self.client_of(
             b"HTTP/1.1 200 OK\r\nContent-Length: 101\r\n\r\n" + bytes(101)
