A start on a narrow link leaves the configuration to its peers for a second

Cause: a node that starts read both documents from the source at once. Half a megabyte of configuration fills a link of 2.5 Mbit/s for 1.7 s, and what the peers send, packed, waits behind it: after a herd the fleet served little for some seconds.

--- a/src/pewtertack/core/profile.py
+++ b/src/pewtertack/core/profile.py
@@ -37,6 +37,8 @@
     """The fleet starts for the first time: the machine list fills while its nodes start."""
     wide_link: bool = False
     """This node's link carries a long document quickly: where few nodes read, it goes first."""
+    narrow_link: bool = False
+    """It is known to carry a long document slowly: peers are asked first."""
 
 
 class TimingProfile(msgspec.Struct, frozen=True):
@@ -85,6 +87,10 @@
     volunteer_step: float = 0.25
     """A node with a wide link begins to read this much later for each member before it: by
     then it has heard the heartbeats of the first."""
+    narrow_patience: float = 1.0
+    """So long a node with a narrow link that starts leaves the configuration to its peers, which
+    send it packed: read from the source it fills the link (0.5 MB, 1.7 s at 2.5 Mbit/s), and
+    what the peers send waits behind it."""
     few_readers_gap: float = 0.1
     """``read_gap`` where few nodes read: the source is asked once a change, by few."""
     reads_alone_below: int = 16
--- a/src/pewtertack/core/replication/reader.py
+++ b/src/pewtertack/core/replication/reader.py
@@ -40,6 +40,7 @@
         freshness: SourceFreshness,
         random: Random,
         first_read_at: float,
+        narrow_link: bool = False,
     ) -> None:
         self.readership = readership
         self._profile = profile
@@ -47,6 +48,8 @@
         self._random = random
         self._open: dict[DocumentKind, _OpenRead] = {}
         self._not_before = dict.fromkeys(DocumentKind, first_read_at)
+        if narrow_link:
+            self._not_before[DocumentKind.CONFIGURATION] += profile.narrow_patience
         self._failures = dict.fromkeys(DocumentKind, 0)
         self.last_answer_at: dict[DocumentKind, float] = {}
         self._seen: dict[DocumentKind, int] = {}
--- a/src/pewtertack/core/replication/service.py
+++ b/src/pewtertack/core/replication/service.py
@@ -89,7 +89,14 @@
             self._source.wide_link,
         )
         readership = READERSHIPS[profile.readership](parts)
-        self.reader = PlatformReader(profile, readership, self.freshness, random, first_read_at)
+        self.reader = PlatformReader(
+            profile,
+            readership,
+            self.freshness,
+            random,
+            first_read_at,
+            self._source.narrow_link,
+        )
         self._announcer = Announcer(identity, profile, membership, random)
         self._heartbeats = HeartbeatSender(
             identity, profile, membership, self.freshness, stores, self._source.wide_link
--- a/tests/core/replication/test_reader.py
+++ b/tests/core/replication/test_reader.py
@@ -87,5 +87,24 @@
         self.assertIsNone(self.freshness.ages(2.0).configuration)
 
 
+class NarrowLinkTest(unittest.TestCase):
+    """A node whose link a long document fills leaves it to its peers for a moment."""
+
+    def asked(self, now: float, held: dict[DocumentKind, int], narrow: bool) -> set[DocumentKind]:
+        reader = PlatformReader(LEASED, AlwaysReads(), SourceFreshness(), Random(1), 0.0, narrow)
+        effects = reader.tick(now, True, held)
+        return {item.kind for item in effects if isinstance(item, ReadDocument)}
+
+    def test_at_its_start_it_reads_the_machine_list_alone(self) -> None:
+        nothing = dict.fromkeys(DocumentKind, 0)
+        self.assertEqual(self.asked(0.0, nothing, narrow=True), {DocumentKind.MACHINE_LIST})
+        self.assertEqual(self.asked(0.0, nothing, narrow=False), set(DocumentKind))
+
+    def test_it_reads_the_configuration_when_no_peer_has_sent_it(self) -> None:
+        nothing = dict.fromkeys(DocumentKind, 0)
+        later = LEASED.narrow_patience + 0.01
+        self.assertEqual(self.asked(later, nothing, narrow=True), set(DocumentKind))
+
+
 if __name__ == "__main__":
     unittest.main()
