--- a/src/pewtertack/core/configuration/validation.py
+++ b/src/pewtertack/core/configuration/validation.py
@@ -59,7 +59,7 @@
     """
     known = checked if checked is not None else CheckedTables()
     known.begin()
-    if _is_valid_edit(document, known):
+    if _accept_edit(document, known):
         return ()
     plain: Any = dict(document) if isinstance(document, Mapping) else document
     if not isinstance(plain, dict):
@@ -80,12 +80,12 @@
     return ()
 
 
-def _is_valid_edit(document: Document, known: CheckedTables) -> bool:
-    """Tell whether the document changes routes of the newest accepted one, and validly so.
+def _accept_edit(document: Document, known: CheckedTables) -> bool:
+    """Take over a document that changes routes of the newest accepted one, if validly so.
 
-    Checks what it changes alone: 1,600 routes of which one changes take 2 ms in place of
-    23 (measured by alternating runs in one process). What is not found valid here is left
-    to the whole check, which says why.
+    Returns whether it was taken over. Only what it changes is checked: 1,600 routes of which
+    one changes take 2.5 ms in place of 23 (process time, mean of 10 edits). What is not found
+    valid here is left to the whole check, which says why.
     """
     edit = edit_of_routes(known.document, document) if isinstance(document, dict) else None
     scope = known.scope(None)
--- a/src/pewtertack/routing/admission.py
+++ b/src/pewtertack/routing/admission.py
@@ -208,7 +208,7 @@
         self._grant_waiting(now)
         if ticket.granted or ticket.refusal is not None:
             return
-        if self._has_prospect(ticket, now):
+        if not self._is_late(ticket, now) or self._has_prospect(ticket, now):
             ticket.look_at = self._next_look(ticket, now)
             return
         self._refuse_late(ticket, now)
@@ -220,11 +220,11 @@
         ticket.wake()
 
     def _next_look(self, ticket: AdmissionTicket, now: float) -> float:
-        late = self._is_late(ticket, now)
-        look_at = now + LOOK_SECONDS if late else ticket.wanted_start + AFTER
-        if self.cold is None or self.in_flight >= self.slots or self.cold.may_start(now):
-            return look_at
-        return min(look_at, self.cold.next_start(now) + AFTER)
+        """Return when to judge it anew; a cold back end has room without any request's end."""
+        cold = self.cold is not None and self.cold.is_cold(now)
+        if cold or self._is_late(ticket, now):
+            return now + LOOK_SECONDS
+        return ticket.wanted_start + AFTER
 
     def withdraw(self, ticket: AdmissionTicket) -> None:
         """Take a waiting ticket out, since its caller has gone."""
--- a/src/pewtertack/routing/cold.py
+++ b/src/pewtertack/routing/cold.py
@@ -116,12 +116,6 @@
         """Tell whether it may be given one more request."""
         return not self.is_cold(now) or self._room(now) > 0
 
-    def next_start(self, now: float) -> float:
-        """Return when it may be given one more request, as far as the bound goes."""
-        if self.may_start(now):
-            return now
-        return min(self._starts[-self.per_second] + WINDOW, self.cold_until)
-
     def asks(self, now: float) -> bool:
         """Tell whether to ask it now how long it stays cold; if so, the question is asked."""
         if self.bounds is None or not self.bounded:
