Ways of deciding as a registry, chosen by the settings' [policies] table

Cause: decisions under load that have several ways stood as constants; an operator could neither list nor choose them. Change: PolicyKind, a registry that decorators fill, the settings' [policies] table, `pewtertack policies`.

--- a/src/pewtertack/cli/main.py
+++ b/src/pewtertack/cli/main.py
@@ -16,6 +16,7 @@
     lab_scale,
     lab_soak,
     lab_virtual_time,
+    policies,
     status,
     trace,
     tree,
@@ -51,6 +52,7 @@
 app.command("trace")(trace.trace)
 app.command("explain")(tree.explain)
 app.command("diff")(tree.diff)
+app.command("policies")(policies.policies)
 lab.app.command("check")(lab_proofs.check)
 lab.app.command("explore")(lab_proofs.explore)
 lab.app.command("node-cost")(lab_cost.node_cost)
--- a/src/pewtertack/node/assembly.py
+++ b/src/pewtertack/node/assembly.py
@@ -129,6 +129,7 @@
         edge=_edge(settings),
         caller_service=settings.backend.service,
         reporter=reporter,
+        policies=settings.policies,
     )
 
 
@@ -148,7 +149,9 @@
         settings.limits.cold_overage,
         settings.limits.cold_slack,
     )
-    return GatewayApplication(clock.now, place, _edge(settings), log.record, registry, reporter)
+    return GatewayApplication(
+        clock.now, place, _edge(settings), log.record, registry, reporter, settings.policies
+    )
 
 
 def _edge(settings: Settings) -> EdgeHeaders:
--- a/src/pewtertack/node/gateway/application.py
+++ b/src/pewtertack/node/gateway/application.py
@@ -50,6 +50,7 @@
     RequestFailedError,
     ZoneEvacuatedError,
 )
+from pewtertack.routing.policies import DEFAULT_POLICIES, Policies
 from pewtertack.settings import Settings
 
 STOP_MARGIN = 2.0
@@ -83,6 +84,7 @@
         log: receives events of the 6xx numbers.
         registry: where the metrics are registered; ``None`` keeps none.
         reporter: what the node knows of requests that end back ends.
+        policies: the way of each decision that has several.
     """
 
     def __init__(
@@ -93,6 +95,7 @@
         log: RecordEvent = ignore_event,
         registry: MetricsRegistry | None = None,
         reporter: CrashReporter | None = None,
+        policies: Policies = DEFAULT_POLICIES,
     ) -> None:
         self._clock = clock
         self._place = place
@@ -113,7 +116,7 @@
             self._reporter,
             self.requests,
         )
-        self._incarnations = Incarnations(clock)
+        self._incarnations = Incarnations(clock, policies)
         self._stops_at = math.inf
         self._evacuated = False
         self.service: ResolvedService | None = None
--- a/src/pewtertack/node/gateway/incarnations.py
+++ b/src/pewtertack/node/gateway/incarnations.py
@@ -10,6 +10,7 @@
 from pewtertack.routing.admission import Admission
 from pewtertack.routing.cold import ColdBounds, ColdStart
 from pewtertack.routing.outcomes import BackendGoneError, NotRunError
+from pewtertack.routing.policies import DEFAULT_POLICIES, Policies
 
 DEFAULT_SLOTS = 6
 """Slots of a back end of which the machine list does not tell them yet."""
@@ -42,10 +43,12 @@
 
     Args:
         clock: monotonic time in seconds.
+        policies: the way of each decision that has several.
     """
 
-    def __init__(self, clock: Callable[[], float]) -> None:
+    def __init__(self, clock: Callable[[], float], policies: Policies = DEFAULT_POLICIES) -> None:
         self._clock = clock
+        self._policies = policies
         self._bounds: ColdBounds | None = None
         self._known: dict[str, Incarnation] = {}
 
@@ -58,7 +61,9 @@
         found = self._known.get(name)
         if found is None:
             cold = ColdStart(DEFAULT_SLOTS, self._clock(), self._bounds)
-            found = self._known[name] = Incarnation(Admission(DEFAULT_SLOTS, cold), cold)
+            found = self._known[name] = Incarnation(
+                Admission(DEFAULT_SLOTS, cold, self._policies), cold
+            )
         return found
 
     def use_listed(self, listed: Mapping[str, Machine]) -> None:
--- a/src/pewtertack/node/proxy/application.py
+++ b/src/pewtertack/node/proxy/application.py
@@ -44,6 +44,7 @@
     ProtocolVersionError,
     RequestFailedError,
 )
+from pewtertack.routing.policies import DEFAULT_POLICIES, Policies
 from pewtertack.routing.registry import ListChange
 from pewtertack.routing.table import RouteTable
 
@@ -84,6 +85,7 @@
         edge: header names towards callers, and back ends without a gateway.
         caller_service: the service of the back end beside this node.
         reporter: what the node knows of requests that end back ends.
+        policies: the way of each decision that has several.
     """
 
     def __init__(
@@ -97,6 +99,7 @@
         edge: EdgeHeaders = PRODUCT_EDGE,
         caller_service: str = "",
         reporter: CrashReporter | None = None,
+        policies: Policies = DEFAULT_POLICIES,
     ) -> None:
         self._clock = clock
         self._edge = edge
@@ -104,7 +107,7 @@
         self._may_serve = may_serve
         self._log = log
         self._table: RouteTable | None = None
-        dispatcher = Dispatcher(random, self._note_backend_event)
+        dispatcher = Dispatcher(random, self._note_backend_event, policies)
         self._beliefs = Beliefs()
         self._request_log = ProxyLog(log, clock, self._beliefs)
         registry = registry or MetricsRegistry()
--- a/src/pewtertack/routing/admission.py
+++ b/src/pewtertack/routing/admission.py
@@ -28,6 +28,7 @@
 from pewtertack.routing.outcomes import DeadlineUnmeetableError, NotRunError, QueueFullError
 from pewtertack.routing.patience import Lateness
 from pewtertack.routing.places import AdmissionTicket
+from pewtertack.routing.policies import DEFAULT_POLICIES, Policies
 from pewtertack.routing.service_times import ServiceTimes
 
 QUEUE_PER_SLOT = 20
@@ -55,9 +56,16 @@
     Args:
         slots: requests that the back end works on at once.
         cold: what it may be given while it is cold; ``None`` bounds nothing.
+        policies: the way of each decision that has several.
     """
 
-    def __init__(self, slots: int, cold: ColdStart | None = None) -> None:
+    def __init__(
+        self,
+        slots: int,
+        cold: ColdStart | None = None,
+        policies: Policies = DEFAULT_POLICIES,
+    ) -> None:
+        self.policies = policies
         self.slots = max(1, slots)
         self.cold = cold
         self.in_flight = 0
--- a/src/pewtertack/routing/dispatcher.py
+++ b/src/pewtertack/routing/dispatcher.py
@@ -27,6 +27,7 @@
 )
 from pewtertack.routing.outcomes import RequestEndsBackendsError, RequestFailedError
 from pewtertack.routing.patience import CallerPatience
+from pewtertack.routing.policies import DEFAULT_POLICIES, Policies
 from pewtertack.routing.queueing import Ticket
 from pewtertack.routing.registry import BackendRegistry, ListChange
 from pewtertack.routing.retries import (
@@ -80,9 +81,13 @@
     """All services of one proxy."""
 
     def __init__(
-        self, random: Random, notify: Callable[[BackendEvent], None] = _ignore_event
+        self,
+        random: Random,
+        notify: Callable[[BackendEvent], None] = _ignore_event,
+        policies: Policies = DEFAULT_POLICIES,
     ) -> None:
         self._random = random
+        self._policies = policies
         self._notify = notify
         self._zone = ""
         self._evacuated: frozenset[str] = frozenset()
--- a/src/pewtertack/settings/schema.py
+++ b/src/pewtertack/settings/schema.py
@@ -6,6 +6,7 @@
 
 import msgspec
 
+from pewtertack.routing.policies import Policies
 from pewtertack.settings.values import Address, Duration, FleetKey, Name, Size, Url
 
 
@@ -153,3 +154,5 @@
     headers: HeadersSection = HeadersSection()
     profile: ProfileSection = ProfileSection()
     limits: LimitsSection = LimitsSection()
+    policies: Policies = Policies()
+    """Which way of deciding is in force, for each decision that has several."""
