Entries that make no sense name no machine and harm no other

Cause: machines_of raised for one entry with a missing field, another type or unreadable bytes (RecursionError for deeply nested bytes), so one spoilt entry refused the whole machine list; an unknown state counted as live, and a bad address made a node of the empty name. A value that is no base64, or an item in another form, refused the whole answer of the store. After a configuration that cannot be read no evacuation was seen either.

The last configuration that could be read holds, and evacuations go on beside it. Names that would have the whole tree refused (no zone's, another's but for case, the 65th) are passed over. The order of a machine's entries is that of their making.

--- a/src/pewtertack/core/inputs.py
+++ b/src/pewtertack/core/inputs.py
@@ -4,6 +4,7 @@
 
 import msgspec
 
+from pewtertack.core.items import ItemFinding
 from pewtertack.core.revision import Document
 from pewtertack.wire.messages import DocumentKind, Message
 
@@ -29,6 +30,8 @@
     document: Document
     stale: bool = False
     """The answer may be some seconds old: it confirms nothing."""
+    findings: tuple[ItemFinding, ...] = ()
+    """What was passed over since it cannot be understood."""
 
 
 class DocumentUnchanged(msgspec.Struct, frozen=True):
--- /dev/null
+++ b/src/pewtertack/core/items.py
@@ -0,0 +1,127 @@
+"""Items of the platform that cannot be understood: what is wrong, and who has been told."""
+
+from __future__ import annotations
+
+from collections.abc import Iterable, Sequence
+from enum import StrEnum
+from typing import ClassVar
+
+import msgspec
+
+from pewtertack.core.configuration.model import LIST_LENGTH_LIMIT
+from pewtertack.core.configuration.values import is_zone_name
+from pewtertack.core.effects import Effect, Log
+from pewtertack.errors import PlatformError
+from pewtertack.events import Event
+from pewtertack.wire.messages import DocumentKind
+
+REMEMBERED_ITEMS = 1024
+"""Items of a document of which a node remembers what it has said; a fleet of 1,700 machines
+has as many. What is wrong with further ones is not told."""
+LOGGED_AT_ONCE = 16
+"""Events for one reading of a document: a fleet's whole list may be spoilt in one write."""
+SHOWN_CHARACTERS = 120
+UNREADABLE = (msgspec.MsgspecError, ValueError, RecursionError)
+"""What reading bytes of any kind as a typed document may raise."""
+
+
+class ItemProblem(StrEnum):
+    """Why an item is passed over."""
+
+    UNREADABLE = "unreadable"
+    """Its bytes are no document."""
+    FIELD = "field"
+    """A field is missing, or has a wrong type or a value that is none of the known."""
+    ADDRESS = "address"
+    """It names no address that a back end may have."""
+    NAME = "name"
+    """It has a name that no item of its kind may have."""
+    CLAIMED = "claimed"
+    """It says what another item has said of itself first."""
+
+
+class ItemFinding(msgspec.Struct, frozen=True):
+    """One item that was passed over; the others of its document hold."""
+
+    item: str
+    problem: ItemProblem
+    detail: str = ""
+
+
+class ItemFormatError(PlatformError):
+    """One item makes no sense."""
+
+    code: ClassVar[str] = "platform-item"
+
+    def __init__(self, problem: ItemProblem, detail: str) -> None:
+        self.problem = problem
+        super().__init__(detail)
+
+    def about(self, item: str) -> ItemFinding:
+        """Return the finding about ``item``."""
+        return ItemFinding(item, self.problem, str(self))
+
+
+def item_error(error: Exception) -> ItemFormatError:
+    """Return the error for one of ``UNREADABLE``."""
+    is_field = isinstance(error, msgspec.ValidationError)
+    return ItemFormatError(ItemProblem.FIELD if is_field else ItemProblem.UNREADABLE, str(error))
+
+
+def evacuated_zones_of(names: Iterable[str]) -> tuple[list[str], tuple[ItemFinding, ...]]:
+    """Return the zones that may stand in a tree, and findings about the other names.
+
+    A name that is none of a zone, another's but for its case, or one too many would have
+    the whole tree refused.
+    """
+    zones: dict[str, str] = {}
+    findings: list[ItemFinding] = []
+    for name in sorted(names, reverse=True):
+        if not is_zone_name(name):
+            findings.append(ItemFinding(name, ItemProblem.NAME, "no zone has such a name"))
+        elif name.lower() in zones or len(zones) == LIST_LENGTH_LIMIT:
+            findings.append(
+                ItemFinding(name, ItemProblem.CLAIMED, "evacuated already, or too many")
+            )
+        else:
+            zones[name.lower()] = name
+    return sorted(zones.values()), tuple(findings)
+
+
+class PassedOver:
+    """What one reader has found and logged; an item counts again when what is wrong changes."""
+
+    __slots__ = ("_known", "total")
+
+    def __init__(self) -> None:
+        self._known: dict[DocumentKind, dict[str, ItemFinding]] = {}
+        self.total = 0
+        """Findings since the start, each change of one counted once."""
+
+    @property
+    def current(self) -> int:
+        """How many items were passed over when each document was last read."""
+        return sum(map(len, self._known.values()))
+
+    def note(self, kind: DocumentKind, findings: Sequence[ItemFinding]) -> list[Effect]:
+        """Take in what is wrong with a document just read; return the events of what is new."""
+        before = self._known.get(kind, {})
+        known = {finding.item: finding for finding in findings[:REMEMBERED_ITEMS]}
+        news = [finding for name, finding in known.items() if before.get(name) != finding]
+        self._known[kind] = known
+        self.total += len(news)
+        effects: list[Effect] = [_event_of(kind, finding) for finding in news[:LOGGED_AT_ONCE]]
+        if len(news) > LOGGED_AT_ONCE:
+            fields = {"document": kind.name, "further": len(news) - LOGGED_AT_ONCE}
+            effects.append(Log(Event.ITEM_PASSED_OVER, fields))
+        return effects
+
+
+def _event_of(kind: DocumentKind, finding: ItemFinding) -> Log:
+    fields = {
+        "document": kind.name,
+        "item": finding.item[:SHOWN_CHARACTERS],
+        "problem": finding.problem.value,
+        "detail": finding.detail[:SHOWN_CHARACTERS],
+    }
+    return Log(Event.ITEM_PASSED_OVER, fields)
--- a/src/pewtertack/core/machines.py
+++ b/src/pewtertack/core/machines.py
@@ -2,12 +2,17 @@
 
 from __future__ import annotations
 
+import ipaddress
+import re
 from collections.abc import Mapping
 from enum import StrEnum
 from typing import Any
 
 import msgspec
 
+_ADDRESS = re.compile(r"(?P<host>[0-9.]{7,15}|\[[0-9A-Fa-f:.]{2,45}\]):(?P<port>[0-9]{1,5})")
+PORT_MAX = 65535
+
 
 class MachineState(StrEnum):
     """What the platform says of one machine."""
@@ -53,6 +58,26 @@
     machines: tuple[Machine, ...]
 
 
+def is_ip_number(text: str) -> bool:
+    """Tell whether ``text`` is an IP number, as which nodes may be named."""
+    try:
+        ipaddress.ip_address(text.strip("[]"))
+    except ValueError:
+        return False
+    return True
+
+
+def machine_address(text: str) -> str | None:
+    """Return ``ip:port`` as nodes write it, or ``None`` where no machine can have it."""
+    found = _ADDRESS.fullmatch(text)
+    if found is None or not is_ip_number(found["host"]):
+        return None
+    number, port = ipaddress.ip_address(found["host"].strip("[]")), int(found["port"])
+    if not 0 < port <= PORT_MAX or number.is_unspecified or number.is_multicast:
+        return None
+    return f"[{number}]:{port}" if number.version == 6 else f"{number}:{port}"
+
+
 def machine_list_from_document(number: int, document: Mapping[str, Any]) -> MachineList:
     """Read a list from its document form ``{name: {role, zone, address, ...}}``.
 
--- a/src/pewtertack/core/node.py
+++ b/src/pewtertack/core/node.py
@@ -139,8 +139,8 @@
                 return self._tick(now)
             case MessageReceived():
                 return self._on_message(now, event)
-            case DocumentRead(kind, number, document, stale):
-                return self.replication.on_document_read(now, kind, number, document, stale)
+            case DocumentRead():
+                return self.replication.on_document_read(now, event)
             case DocumentUnchanged(kind):
                 return self.replication.on_document_unchanged(now, kind)
             case DocumentReadFailed(kind, reason, retry_after):
--- a/src/pewtertack/core/replication/service.py
+++ b/src/pewtertack/core/replication/service.py
@@ -9,6 +9,8 @@
 from pewtertack.core.delta import Delta, DeltaMismatchError
 from pewtertack.core.effects import Effect, Log, Send, UseMachines
 from pewtertack.core.identity import NodeIdentity
+from pewtertack.core.inputs import DocumentRead
+from pewtertack.core.items import PassedOver
 from pewtertack.core.membership.service import Membership
 from pewtertack.core.profile import SourceProperties, TimingProfile
 from pewtertack.core.replication.announcing import Announcer
@@ -21,7 +23,7 @@
 from pewtertack.core.replication.reader import PlatformReader
 from pewtertack.core.replication.readership import READERSHIPS, ReadershipParts
 from pewtertack.core.replication.replica import ConfigurationReplica
-from pewtertack.core.revision import Document, RevisionId, identify
+from pewtertack.core.revision import RevisionId, identify
 from pewtertack.events import Event
 from pewtertack.wire.messages import (
     Announce,
@@ -101,6 +103,7 @@
         self._heartbeats = HeartbeatSender(
             identity, profile, membership, self.freshness, stores, self._source.wide_link
         )
+        self.passed_over = PassedOver()
         self.serving = False
 
     def _first_read_delay(self) -> float:
@@ -145,17 +148,11 @@
 
     # The platform's answers.
 
-    def on_document_read(
-        self,
-        now: float,
-        kind: DocumentKind,
-        number: int,
-        document: Document,
-        stale: bool = False,
-    ) -> list[Effect]:
-        """Take in a document that this node read; ``stale`` if it may be some seconds old."""
-        effects = self._note_regained(kind)
-        if stale:
+    def on_document_read(self, now: float, read: DocumentRead) -> list[Effect]:
+        """Take in a document that this node read."""
+        kind, number, document = read.kind, read.number, read.document
+        effects = self._note_regained(kind) + self.passed_over.note(kind, read.findings)
+        if read.stale:
             self.reader.answered_stale(now, kind)
         else:
             self.reader.answered_with(now, kind, number, self.held_number(kind))
--- a/src/pewtertack/node/metrics.py
+++ b/src/pewtertack/node/metrics.py
@@ -45,6 +45,16 @@
         yield _gauge("held_revision", "Newest revision held whole.", status.held.number)
         yield _gauge("committed_revision", "Newest committed revision.", status.committed.number)
         yield _gauge("in_force_revision", "Revision in force.", status.in_force.number)
+        yield _gauge(
+            "items_passed_over",
+            "Items of the platform that could not be understood when they were last read here.",
+            float(status.items_passed_over),
+        )
+        yield CounterMetricFamily(
+            "pewtertack_items_found_wrong",
+            "Findings about items of the platform, each change of one counted once.",
+            value=status.items_found_wrong,
+        )
         yield _gauge("machine_list_number", "Machine list in use.", status.machine_list_number)
         if status.source_age is not None:
             yield _gauge("source_age_seconds", "Since the source answered.", status.source_age)
--- a/src/pewtertack/node/status.py
+++ b/src/pewtertack/node/status.py
@@ -108,6 +108,10 @@
     """Seconds for which the machine was suspended since the node began."""
     refused_requests: tuple[RefusedRequestStatus, ...] = ()
     """Requests under which so many back ends have ended that they are refused."""
+    items_passed_over: int = 0
+    """Items of the platform that made no sense when they were last read here."""
+    items_found_wrong: int = 0
+    """Findings about such items since the start."""
 
 
 class MemberView(msgspec.Struct, frozen=True):
--- a/src/pewtertack/node/view.py
+++ b/src/pewtertack/node/view.py
@@ -80,6 +80,8 @@
             traffic=self._traffic_status(),
             suspended=round(self.runtime.suspended_seconds, 3),
             refused_requests=self._refused_requests(now),
+            items_passed_over=replication.passed_over.current,
+            items_found_wrong=replication.passed_over.total,
         )
 
     def members(self) -> tuple[MemberView, ...]:
--- a/src/pewtertack/platform/documents.py
+++ b/src/pewtertack/platform/documents.py
@@ -1,27 +1,16 @@
-"""The operator's configuration as a tree, the back ends' entries as a machine list."""
+"""The operator's configuration and evacuations as a tree."""
 
 from __future__ import annotations
 
-from collections.abc import Iterable, Mapping
-from typing import Any, ClassVar
+from collections.abc import Sequence
+from typing import Annotated, Any
 
 import msgspec
 
 from pewtertack.core.configuration.model import RootSection
-from pewtertack.core.configuration.values import is_zone_name
-from pewtertack.core.machines import MachineRole, MachineState
-from pewtertack.errors import PlatformError
+from pewtertack.core.items import UNREADABLE, item_error
 
 REPEATABLE_KIND = "safe"
-DRAINING = "draining"
-NO_TIME = ("ms", "s")
-"""What is left of a length of time without the zeros of its number."""
-
-
-class ItemFormatError(PlatformError):
-    """An item of the store is not what the platform's pages say."""
-
-    code: ClassVar[str] = "platform-item"
 
 
 class _Share(msgspec.Struct, frozen=True, rename="pascal"):
@@ -58,41 +47,29 @@
 
 
 class _Configuration(msgspec.Struct, frozen=True, rename="pascal"):
-    version: str
+    version: Annotated[str, msgspec.Meta(pattern=r"\A(r)?[0-9]{1,9}\Z")]
     routes: tuple[_Route, ...]
     services: tuple[_Service, ...]
     limits: _Limits
 
 
-class _Backend(msgspec.Struct, frozen=True, rename="pascal"):
-    service: str
-    address: str
-    zone: str
-    state: str
-    slots: int = 0
-    cold_remaining: str = "0s"
-
-
-def tree_of(value: bytes, evacuated: Iterable[str] = ()) -> tuple[int, dict[str, Any]]:
+def tree_of(value: bytes, zones: Sequence[str] = ()) -> tuple[int, dict[str, Any]]:
     """Return the version and the tree of a configuration while some zones are evacuated.
 
-    Names that are none of a zone are passed over: they must not refuse the whole tree.
-
     Raises:
         ItemFormatError: it lacks a field, or one has a wrong value.
     """
     try:
         given = msgspec.json.decode(value, type=_Configuration)
-        version = int(given.version.removeprefix("r"))
-    except (msgspec.MsgspecError, ValueError) as error:
-        raise ItemFormatError(f"configuration: {error}") from error
+    except UNREADABLE as error:
+        raise item_error(error) from error
+    version = int(given.version.removeprefix("r"))
     tree: dict[str, Any] = {
         "services": {item.name: _service_of(item) for item in given.services},
         "routes": {item.name: _route_of(item) for item in given.routes},
     }
-    zones = sorted(zone for zone in evacuated if is_zone_name(zone))
     if zones:
-        tree[RootSection.EVACUATED_ZONES.value] = zones
+        tree[RootSection.EVACUATED_ZONES.value] = list(zones)
     return version, tree
 
 
@@ -118,45 +95,3 @@
         "retry_limit": max(0, route.max_attempts - 1),
         "split": split,
     }
-
-
-def machines_of(
-    entries: Mapping[str, bytes], gateway_port: int, peer_port: int
-) -> dict[str, dict[str, Any]]:
-    """Return the machine list of the back ends ``{id: entry}`` and the nodes beside them.
-
-    Nodes have the same ports on all machines and are named by their IP numbers.
-
-    Raises:
-        ItemFormatError: an entry lacks a field, or one has a wrong value.
-    """
-    machines: dict[str, dict[str, Any]] = {}
-    for name, value in entries.items():
-        backend = _backend_of(name, value)
-        host = backend.address.rpartition(":")[0]
-        machines[name] = {
-            "role": MachineRole.BACKEND.value,
-            "zone": backend.zone,
-            "address": backend.address,
-            "service": backend.service,
-            "state": (
-                MachineState.LEAVING if backend.state == DRAINING else MachineState.LIVE
-            ).value,
-            "gateway": f"{host}:{gateway_port}",
-            "slots": backend.slots,
-        }
-        if backend.cold_remaining.strip("0.") not in NO_TIME:
-            machines[name]["cold"] = True
-        machines[host] = {
-            "role": MachineRole.NODE.value,
-            "zone": backend.zone,
-            "address": f"{host}:{peer_port}",
-        }
-    return machines
-
-
-def _backend_of(name: str, value: bytes) -> _Backend:
-    try:
-        return msgspec.json.decode(value, type=_Backend)
-    except msgspec.MsgspecError as error:
-        raise ItemFormatError(f"back end {name}: {error}") from error
--- a/src/pewtertack/platform/store.py
+++ b/src/pewtertack/platform/store.py
@@ -3,15 +3,24 @@
 from __future__ import annotations
 
 import base64
-from typing import ClassVar, TypeVar
+import contextlib
+from collections.abc import Iterable
+from typing import Any, ClassVar, TypeVar
 
 import msgspec
 
 from pewtertack.core.effects import ReadDocument
 from pewtertack.core.inputs import DocumentRead, DocumentReadFailed, DocumentUnchanged
+from pewtertack.core.items import (
+    UNREADABLE,
+    ItemFinding,
+    ItemFormatError,
+    evacuated_zones_of,
+)
 from pewtertack.errors import PlatformError
 from pewtertack.node.http.client import HttpClient, ServiceTimeouts, ServiceUnreachableError
-from pewtertack.platform.documents import machines_of, tree_of
+from pewtertack.platform.documents import tree_of
+from pewtertack.platform.entries import machines_of
 from pewtertack.settings import Settings
 from pewtertack.wire.messages import DocumentKind
 
@@ -32,6 +41,9 @@
 ANSWER_BYTES = 16 * 1024 * 1024
 """The longest answer that is read; a page of the store has 1 MB or so, a watch may have more."""
 
+SPOILT = b""
+"""Stands for a value that cannot be told: no document of the pages is empty."""
+
 Answer = TypeVar("Answer")
 
 
@@ -71,21 +83,25 @@
     code: ClassVar[str] = "store-history-gone"
 
 
-class _Item(msgspec.Struct, frozen=True):
+class _Key(msgspec.Struct, frozen=True):
     key: str = msgspec.field(name="PrivateKey")
+
+
+class _Item(_Key, frozen=True, kw_only=True):
     revision: int = msgspec.field(name="Revision")
     value: str = msgspec.field(name="Value", default="")
+    made: int = 0
     gone: bool = False
 
 
 class _Range(msgspec.Struct, frozen=True):
-    items: tuple[_Item, ...]
+    items: tuple[msgspec.Raw, ...]
     more: bool
     at: int
 
 
 class _Events(msgspec.Struct, frozen=True):
-    events: tuple[_Item, ...]
+    events: tuple[msgspec.Raw, ...]
     at: int
 
 
@@ -95,6 +111,11 @@
     def __init__(self, prefix: str) -> None:
         self.prefix = prefix
         self.items: dict[str, bytes] = {}
+        """Their bytes; ``SPOILT`` for one that the store hands out in no known form."""
+        self.made: dict[str, int] = {}
+        """The revisions of their creation."""
+        self.readable = b""
+        """The last configuration that could be read; it holds while a newer one cannot."""
         self.at = 0
         """From which revision a watch goes on."""
         self.number = 0
@@ -110,11 +131,19 @@
     def take(self, item: _Item) -> None:
         if item.gone:
             self.items.pop(item.key, None)
+            self.made.pop(item.key, None)
             return
         try:
             self.items[item.key] = base64.b64decode(item.value, validate=True)
-        except ValueError as error:
-            raise StoreBodyError(f"{item.key}: not base64") from error
+        except ValueError:
+            self.items[item.key] = SPOILT
+        self.made[item.key] = item.made
+
+    def by_age(self, prefix: str) -> dict[str, bytes]:
+        """Return the values of the items below ``prefix``, the oldest item first."""
+        keys = [key for key in self.items if key.startswith(prefix)]
+        keys.sort(key=lambda key: (self.made[key], key))
+        return {key.removeprefix(prefix): self.items[key] for key in keys}
 
 
 class StoreReader:
@@ -179,14 +208,16 @@
         while True:
             path = f"/kv-range?PathPrefix={mirror.prefix}" + (f"&after={after}" if after else "")
             page = _decode(await self._get(path + ("&stale=1" if stale else "")), _Range)
-            shown = min(page.at, _newest_of(page)) if stale else page.at
+            items = _items_of(page.items)
+            shown = min(page.at, _newest_of(items)) if stale else page.at
             fresh.at = min(fresh.at, shown) if stale and fresh.at else fresh.at or shown
-            for item in page.items:
+            for item in items:
                 fresh.take(item)
-            if not page.more or not page.items:
+            if not page.more or not items:
                 break
-            after = page.items[-1].key
+            after = items[-1].key
         mirror.items, mirror.at, mirror.stale = fresh.items, fresh.at, fresh.stale
+        mirror.made = fresh.made
         mirror.number = fresh.at
         if after and not stale and mirror.prefix == OPERATOR_PREFIX:
             await self._watch(mirror, 0.0)  # pages are no snapshot; their number must be exact
@@ -194,7 +225,7 @@
     async def _watch(self, mirror: _Mirror, wait: float) -> bool:
         query = f"PathPrefix={mirror.prefix}&after={mirror.at}&WaitMs={int(wait * 1000)}"
         found = _decode(await self._get(f"/kv-watch?{query}", wait), _Events)
-        for event in found.events:
+        for event in _items_of(found.events):
             mirror.take(event)
             mirror.number = max(mirror.number, event.revision)
         mirror.at = max(mirror.at, found.at)
@@ -220,23 +251,45 @@
     ) -> DocumentRead | DocumentUnchanged:
         kind = effect.kind
         if kind is DocumentKind.MACHINE_LIST:
-            entries = {
-                key.removeprefix(BACKENDS_PREFIX): value for key, value in mirror.items.items()
-            }
-            machines = machines_of(entries, self._gateway_port, self._peer_port)
-            return DocumentRead(kind, mirror.number, machines, stale)
-        value = mirror.items.get(CONFIGURATION_KEY)
-        if value is None:
+            entries = mirror.by_age(BACKENDS_PREFIX)
+            machines, findings = machines_of(entries, self._gateway_port, self._peer_port)
+            return DocumentRead(kind, mirror.number, machines, stale, findings)
+        evacuated, findings = evacuated_zones_of(_evacuated(mirror))
+        read = _read_tree(mirror, evacuated)
+        if read is None:
             return DocumentUnchanged(kind)
-        evacuated = _evacuated(mirror)
-        version, tree = tree_of(value, evacuated)
+        version, tree, unreadable = read
         number = version * VERSION_STEP
         version_held, known_until = divmod(effect.after, VERSION_STEP)
         returned = version_held == version and mirror.number >= known_until > 0
         if evacuated or returned:
             number += mirror.number
+        if unreadable and number < effect.after:
+            return DocumentUnchanged(kind)  # others have read a newer one before it was spoilt
         mirror.told = number
-        return DocumentRead(kind, number, tree, stale)
+        return DocumentRead(kind, number, tree, stale, (*unreadable, *findings))
+
+
+def _read_tree(
+    mirror: _Mirror, evacuated: list[str]
+) -> tuple[int, dict[str, Any], tuple[ItemFinding, ...]] | None:
+    """Return the version and the tree of the newest configuration that can be read.
+
+    Raises:
+        ItemFormatError: there is one, but none that can be read.
+    """
+    value = mirror.items.get(CONFIGURATION_KEY, mirror.readable or None)
+    if value is None:
+        return None
+    try:
+        version, tree = tree_of(value, evacuated)
+    except ItemFormatError as error:
+        if not mirror.readable:
+            raise
+        version, tree = tree_of(mirror.readable, evacuated)
+        return version, tree, (error.about(CONFIGURATION_KEY),)
+    mirror.readable = value
+    return version, tree, ()
 
 
 def _lacks_return(effect: ReadDocument, mirror: _Mirror) -> bool:
@@ -265,8 +318,20 @@
     ]
 
 
-def _newest_of(page: _Range) -> int:
-    return max((item.revision for item in page.items), default=0)
+def _items_of(parts: Iterable[msgspec.Raw]) -> list[_Item]:
+    """Return the items of an answer; one in no known form is ``SPOILT``, or nobody's."""
+    items: list[_Item] = []
+    for part in parts:
+        try:
+            items.append(msgspec.json.decode(part, type=_Item))
+        except UNREADABLE:
+            with contextlib.suppress(*UNREADABLE):
+                items.append(_Item(msgspec.json.decode(part, type=_Key).key, revision=0))
+    return items
+
+
+def _newest_of(items: list[_Item]) -> int:
+    return max((item.revision for item in items), default=0)
 
 
 def _decode(body: bytes, answer_type: type[Answer]) -> Answer:
--- /dev/null
+++ b/tests/core/test_items.py
@@ -0,0 +1,72 @@
+"""What a node logs of items that make no sense: once for each change, and not without end."""
+
+import unittest
+from random import Random
+
+from pewtertack.core.effects import Effect, Log
+from pewtertack.core.identity import NodeIdentity
+from pewtertack.core.inputs import DocumentRead
+from pewtertack.core.items import (
+    LOGGED_AT_ONCE,
+    REMEMBERED_ITEMS,
+    SHOWN_CHARACTERS,
+    ItemFinding,
+    ItemProblem,
+    PassedOver,
+)
+from pewtertack.core.node import NodeCore
+from pewtertack.core.profile import PROFILES
+from pewtertack.events import Event
+from pewtertack.wire.messages import DocumentKind
+
+MACHINES = DocumentKind.MACHINE_LIST
+SPOILT = ItemFinding("i-1", ItemProblem.FIELD, "no `Slots`")
+
+
+def logged(effects: list[Effect]) -> list[dict[str, object]]:
+    return [
+        effect.fields
+        for effect in effects
+        if isinstance(effect, Log) and effect.event is Event.ITEM_PASSED_OVER
+    ]
+
+
+class PassedOverTest(unittest.TestCase):
+    def setUp(self) -> None:
+        self.passed_over = PassedOver()
+
+    def test_an_item_is_told_once_for_each_change(self) -> None:
+        for finding in (SPOILT, ItemFinding("i-1", ItemProblem.UNREADABLE), SPOILT):
+            self.assertEqual(len(self.passed_over.note(MACHINES, (finding,))), 1)
+            self.assertEqual(self.passed_over.note(MACHINES, (finding,)), [])
+        self.assertEqual((self.passed_over.total, self.passed_over.current), (3, 1))
+
+    def test_an_item_that_was_mended_is_told_again(self) -> None:
+        self.passed_over.note(MACHINES, (SPOILT,))
+        self.assertEqual(self.passed_over.note(MACHINES, ()), [])
+        self.assertEqual(self.passed_over.current, 0)
+        self.assertEqual(len(self.passed_over.note(MACHINES, (SPOILT,))), 1)
+
+    def test_documents_are_kept_apart(self) -> None:
+        self.passed_over.note(MACHINES, (SPOILT,))
+        self.passed_over.note(DocumentKind.CONFIGURATION, ())
+        self.assertEqual(self.passed_over.current, 1)
+
+    def test_many_and_long_items_are_bounded(self) -> None:
+        many = tuple(
+            ItemFinding(f"{index}" + "x" * 5000, ItemProblem.NAME, "y" * 5000)
+            for index in range(2 * REMEMBERED_ITEMS)
+        )
+        told = logged(self.passed_over.note(MACHINES, many))
+        self.assertEqual(len(told), LOGGED_AT_ONCE + 1)
+        self.assertEqual(told[-1]["further"], REMEMBERED_ITEMS - LOGGED_AT_ONCE)
+        self.assertLessEqual(max(len(str(value)) for value in told[0].values()), SHOWN_CHARACTERS)
+        self.assertEqual(self.passed_over.note(MACHINES, many), [])
+        self.assertEqual(self.passed_over.current, REMEMBERED_ITEMS)
+
+    def test_the_core_logs_what_a_read_passed_over(self) -> None:
+        identity = NodeIdentity("10.1.0.8", "10.1.0.8:7380", "garia", "kolkata", 1)
+        core = NodeCore(identity, PROFILES["leased"], Random(1), 0.0)
+        read = DocumentRead(MACHINES, 5, {}, findings=(SPOILT,))
+        self.assertEqual([item["item"] for item in logged(core.handle(0.1, read))], ["i-1"])
+        self.assertEqual(logged(core.handle(0.2, read)), [])
