A back end that starts again under its name is another life

Cause: nothing read the start of a back end. One that crashed or left and started again under its id and address kept what was believed of its former life: in flight, ejected, leaving (sticky for good), load, slowness, warmth, notices of leaving; a late entry of the former life took the new one out.

Change: Machine.started_at, part of what makes an incarnation, told apart by the registry, the gateway's incarnations and the notices between nodes. What ends at a removed life no longer counts against anybody, nor drops idle connections to its gateway (dispatcher, one condition). Idle connections to the former life are dropped. What waits there is handed back as not run.

Off where no entry tells a start: documents and digests are as before.

Tests changed: none eased; frames and leaving notices got further cases.

--- a/src/pewtertack/core/inputs.py
+++ b/src/pewtertack/core/inputs.py
@@ -53,6 +53,7 @@
 
     name: str
     address: str
+    started_at: int = 0
 
 
 class BackendCrashed(msgspec.Struct, frozen=True):
--- a/src/pewtertack/core/items.py
+++ b/src/pewtertack/core/items.py
@@ -4,7 +4,7 @@
 
 from collections.abc import Iterable, Sequence
 from enum import StrEnum
-from typing import ClassVar
+from typing import ClassVar, TypeVar
 
 import msgspec
 
@@ -21,8 +21,8 @@
 LOGGED_AT_ONCE = 16
 """Events for one reading of a document: a fleet's whole list may be spoilt in one write."""
 SHOWN_CHARACTERS = 120
-UNREADABLE = (msgspec.MsgspecError, ValueError, RecursionError)
-"""What reading bytes of any kind as a typed document may raise."""
+
+Item = TypeVar("Item")
 
 
 class ItemProblem(StrEnum):
@@ -62,10 +62,18 @@
         return ItemFinding(item, self.problem, str(self))
 
 
-def item_error(error: Exception) -> ItemFormatError:
-    """Return the error for one of ``UNREADABLE``."""
-    is_field = isinstance(error, msgspec.ValidationError)
-    return ItemFormatError(ItemProblem.FIELD if is_field else ItemProblem.UNREADABLE, str(error))
+def read_item(value: bytes | msgspec.Raw, kind: type[Item]) -> Item:
+    """Read bytes of any kind as a typed document.
+
+    Raises:
+        ItemFormatError: they are none.
+    """
+    try:
+        return msgspec.json.decode(value, type=kind)
+    except msgspec.ValidationError as error:
+        raise ItemFormatError(ItemProblem.FIELD, str(error)) from error
+    except (msgspec.MsgspecError, ValueError, RecursionError) as error:
+        raise ItemFormatError(ItemProblem.UNREADABLE, str(error)) from error
 
 
 def evacuated_zones_of(names: Iterable[str]) -> tuple[list[str], tuple[ItemFinding, ...]]:
--- a/src/pewtertack/core/machines.py
+++ b/src/pewtertack/core/machines.py
@@ -12,6 +12,10 @@
 
 _ADDRESS = re.compile(r"(?P<host>[0-9.]{7,15}|\[[0-9A-Fa-f:.]{2,45}\]):(?P<port>[0-9]{1,5})")
 PORT_MAX = 65535
+MAXIMUM_SLOTS = 4096
+"""Each request takes a connection on both sides, and a machine has 8,192 descriptors at most."""
+LATEST_START = 2**52
+"""Milliseconds. No back end starts then; JSON's numbers are exact up to it."""
 
 
 class MachineState(StrEnum):
@@ -49,6 +53,22 @@
     slots: int = 0
     cold: bool = False
     """The back end said, when it last wrote, that it does not bear its full share yet."""
+    started_at: int = 0
+    """Unix milliseconds of the back end's start, 0 where its platform does not tell it.
+
+    One that starts again under its name holds and knows nothing of what was before.
+    """
+
+    def is_of_life_before(self, started_at: int) -> bool:
+        """Tell whether this is said of a life that had ended when the one at ``started_at`` began.
+
+        Entries may be written or read late.
+        """
+        return 0 < self.started_at < started_at
+
+    def is_of_life_after(self, started_at: int) -> bool:
+        """Tell whether this is said of a life after the one that began at ``started_at``."""
+        return 0 < started_at < self.started_at
 
 
 class MachineList(msgspec.Struct, frozen=True):
--- a/src/pewtertack/core/node.py
+++ b/src/pewtertack/core/node.py
@@ -145,8 +145,9 @@
                 return self.replication.on_document_unchanged(now, kind)
             case DocumentReadFailed(kind, reason, retry_after):
                 return self.replication.on_read_failed(now, kind, reason, retry_after)
-            case BackendLeavingObserved(name, address):
-                return self.replication.on_backends_leaving((LeavingBackend(name, address),))
+            case BackendLeavingObserved(name, address, started_at):
+                notice = LeavingBackend(name, address, started_at)
+                return self.replication.on_backends_leaving((notice,))
             case BackendCrashed(fingerprints, number):
                 return self.crashes.crashed(now, fingerprints, number)
             case SuspectAnswered(fingerprint):
--- a/src/pewtertack/core/replication/leaving.py
+++ b/src/pewtertack/core/replication/leaving.py
@@ -1,7 +1,7 @@
 """Back ends that said they are leaving, ahead of the platform's lagging list.
 
 A notice is about one back end at one address and is sticky: a replacement has
-another address, and the list drops what is gone.
+another address, or another start, and the list drops what is gone.
 """
 
 from __future__ import annotations
@@ -39,14 +39,16 @@
         return MachineList(machines.number, tuple(map(self._mark, machines.machines)))
 
     def _mark(self, machine: Machine) -> Machine:
-        if LeavingBackend(machine.name, machine.address) not in self._leaving:
+        if _notice_of(machine) not in self._leaving:
             return machine
         return msgspec.structs.replace(machine, state=MachineState.LEAVING)
 
 
 def _backends(machines: MachineList) -> set[LeavingBackend]:
     return {
-        LeavingBackend(machine.name, machine.address)
-        for machine in machines.machines
-        if machine.role is MachineRole.BACKEND
+        _notice_of(machine) for machine in machines.machines if machine.role is MachineRole.BACKEND
     }
+
+
+def _notice_of(machine: Machine) -> LeavingBackend:
+    return LeavingBackend(machine.name, machine.address, machine.started_at)
--- a/src/pewtertack/node/gateway/application.py
+++ b/src/pewtertack/node/gateway/application.py
@@ -174,7 +174,8 @@
         """Learn which back ends live, leave or have gone at the address."""
         here = (machine for machine in machines.machines if machine.address == self.address)
         backends = (machine for machine in here if machine.role is MachineRole.BACKEND)
-        self._incarnations.use_listed({machine.name: machine for machine in backends})
+        if self._incarnations.use_listed({machine.name: machine for machine in backends}):
+            self.connections.drop(self.address)
 
     def start_leaving(self, seconds: float) -> None:
         """Take only requests that end well before the stop; others find another gateway."""
--- a/src/pewtertack/node/gateway/incarnations.py
+++ b/src/pewtertack/node/gateway/incarnations.py
@@ -26,6 +26,8 @@
     leaving: bool = False
     """Said to leave, or replaced at its address; for good."""
     listed: bool = True
+    started_at: int = 0
+    """Unix milliseconds of its start, 0 while unknown."""
 
     @property
     def takes_work(self) -> bool:
@@ -66,17 +68,38 @@
             )
         return found
 
-    def use_listed(self, listed: Mapping[str, Machine]) -> None:
-        """Learn from a newer list which live, leave or have gone."""
+    def use_listed(self, listed: Mapping[str, Machine]) -> bool:
+        """Learn from a newer list which live, leave or have gone.
+
+        Return whether one of them has started again. What is said late of the life before
+        changes nothing.
+        """
+        restarted = [name for name, machine in listed.items() if self._end_life_before(machine)]
         for name, incarnation in self._known.items():
-            incarnation.listed = name in listed
+            if name not in listed:
+                incarnation.listed = False
         for name, machine in listed.items():
             self._learn(name, machine)
         for incarnation in self._known.values():
             incarnation.hand_back_waiting()
+        return bool(restarted)
+
+    def _end_life_before(self, machine: Machine) -> bool:
+        """Forget a life that has ended: what waits is handed back, what runs there ends itself."""
+        known = self._known.get(machine.name)
+        if known is None or not machine.is_of_life_after(known.started_at):
+            return False
+        known.listed = False
+        known.hand_back_waiting()
+        del self._known[machine.name]
+        return True
 
     def _learn(self, name: str, machine: Machine) -> None:
         incarnation = self.get(name)
+        if machine.is_of_life_before(incarnation.started_at):
+            return
+        incarnation.listed = True
+        incarnation.started_at = machine.started_at or incarnation.started_at
         slots = machine.slots or DEFAULT_SLOTS
         incarnation.admission.slots = incarnation.cold.slots = slots
         if machine.cold and not incarnation.listed_cold:
--- a/src/pewtertack/node/proxy/application.py
+++ b/src/pewtertack/node/proxy/application.py
@@ -62,11 +62,11 @@
     ListChange.GONE: Event.BACKEND_GONE,
 }
 
-LeavingObserver = Callable[[str, str], None]
-"""Told the name and the address of a back end whose own answer says that it leaves."""
+LeavingObserver = Callable[[str, str, int], None]
+"""Told the name, the address and the start of a back end whose own answer says that it leaves."""
 
 
-def _ignore_leaving(name: str, address: str) -> None:
+def _ignore_leaving(name: str, address: str, started_at: int) -> None:
     """Tell nobody."""
 
 
@@ -230,8 +230,10 @@
         match happened:
             case BackendLeaving(backend):
                 self._log(Event.BACKEND_LEAVING, backend=backend.name, source="answer")
-                self._tell_leaving(backend.name, backend.address)
+                self._tell_leaving(backend.name, backend.address, backend.started_at)
             case BackendListed(backend, change):
+                if change is ListChange.GONE:
+                    self._parts.connections.drop(backend.address)
                 self._log(
                     LIST_EVENTS[change],
                     backend=backend.name,
--- a/src/pewtertack/node/runtime.py
+++ b/src/pewtertack/node/runtime.py
@@ -167,9 +167,9 @@
         """Refuse callers from now on."""
         self._gate.set_serving(False)
 
-    def note_backend_leaving(self, name: str, address: str) -> None:
+    def note_backend_leaving(self, name: str, address: str, started_at: int) -> None:
         """Let the core pass on what a back end has said of itself to this node's proxy."""
-        self.feed(BackendLeavingObserved(name, address))
+        self.feed(BackendLeavingObserved(name, address, started_at))
 
     def receive(self, envelope: Envelope) -> None:
         """Take in a peer's message. A message that cannot be handled is dropped."""
--- a/src/pewtertack/platform/documents.py
+++ b/src/pewtertack/platform/documents.py
@@ -8,7 +8,7 @@
 import msgspec
 
 from pewtertack.core.configuration.model import RootSection
-from pewtertack.core.items import UNREADABLE, item_error
+from pewtertack.core.items import read_item
 
 REPEATABLE_KIND = "safe"
 
@@ -59,10 +59,7 @@
     Raises:
         ItemFormatError: it lacks a field, or one has a wrong value.
     """
-    try:
-        given = msgspec.json.decode(value, type=_Configuration)
-    except UNREADABLE as error:
-        raise item_error(error) from error
+    given = read_item(value, _Configuration)
     version = int(given.version.removeprefix("r"))
     tree: dict[str, Any] = {
         "services": {item.name: _service_of(item) for item in given.services},
--- a/src/pewtertack/platform/entries.py
+++ b/src/pewtertack/platform/entries.py
@@ -9,23 +9,22 @@
 import msgspec
 
 from pewtertack.core.configuration.model import ZONE_NAME_PATTERN
-from pewtertack.core.items import (
-    UNREADABLE,
-    ItemFinding,
-    ItemFormatError,
-    ItemProblem,
-    item_error,
+from pewtertack.core.items import ItemFinding, ItemFormatError, ItemProblem, read_item
+from pewtertack.core.machines import (
+    LATEST_START,
+    MAXIMUM_SLOTS,
+    MachineRole,
+    MachineState,
+    is_ip_number,
+    machine_address,
 )
-from pewtertack.core.machines import MachineRole, MachineState, is_ip_number, machine_address
 
 DRAINING = "draining"
+NODE = MachineRole.NODE.value
 NO_TIME = ("ms", "s")
 """What is left of a length of time without the zeros of its number."""
-MAXIMUM_SLOTS = 4096
-"""Each request takes a connection on both sides, and a machine has 8,192 descriptors at most."""
 _ENTRY_NAME = re.compile("[!-~]{1,200}")
 """It goes into a header, as it is."""
-
 _Name = Annotated[str, msgspec.Meta(pattern=rf"\A{ZONE_NAME_PATTERN}\Z")]
 
 
@@ -40,6 +39,9 @@
     state: Literal["ready", "draining"]
     cold_remaining: Annotated[str, msgspec.Meta(pattern=r"\A[0-9]{1,9}(\.[0-9]{1,9})?m?s\Z")]
     sequence: Annotated[int, msgspec.Meta(ge=0)]
+    born: Annotated[int, msgspec.Meta(ge=0, le=LATEST_START)] = msgspec.field(
+        name="born", default=0
+    )
 
 
 def machines_of(
@@ -62,11 +64,7 @@
             continue
         host = address.rpartition(":")[0]
         machines[name] = _backend_of(entry, address, f"{host}:{gateway_port}")
-        node = {
-            "role": MachineRole.NODE.value,
-            "zone": entry.zone,
-            "address": f"{host}:{peer_port}",
-        }
+        node = {"role": NODE, "zone": entry.zone, "address": f"{host}:{peer_port}"}
         if machines.setdefault(host, node)["zone"] != entry.zone:
             claimed = f"zone {entry.zone}, where {machines[host]['zone']} was named first"
             findings.append(ItemFinding(name, ItemProblem.CLAIMED, claimed))
@@ -84,6 +82,8 @@
         "gateway": gateway,
         "slots": entry.slots,
     }
+    if entry.born:
+        backend["started_at"] = entry.born
     if entry.cold_remaining.strip("0.") not in NO_TIME:
         backend["cold"] = True
     return backend
@@ -93,10 +93,7 @@
     """Return a back end's entry, and its address as nodes write addresses."""
     if not _ENTRY_NAME.fullmatch(name) or is_ip_number(name):
         raise ItemFormatError(ItemProblem.NAME, "no name that a back end may have")
-    try:
-        entry = msgspec.json.decode(value, type=_Entry)
-    except UNREADABLE as error:
-        raise item_error(error) from error
+    entry = read_item(value, _Entry)
     address = machine_address(entry.address)
     if address is None:
         raise ItemFormatError(ItemProblem.ADDRESS, entry.address)
--- a/src/pewtertack/platform/store.py
+++ b/src/pewtertack/platform/store.py
@@ -11,12 +11,7 @@
 
 from pewtertack.core.effects import ReadDocument
 from pewtertack.core.inputs import DocumentRead, DocumentReadFailed, DocumentUnchanged
-from pewtertack.core.items import (
-    UNREADABLE,
-    ItemFinding,
-    ItemFormatError,
-    evacuated_zones_of,
-)
+from pewtertack.core.items import ItemFinding, ItemFormatError, evacuated_zones_of, read_item
 from pewtertack.errors import PlatformError
 from pewtertack.node.http.client import HttpClient, ServiceTimeouts, ServiceUnreachableError
 from pewtertack.platform.documents import tree_of
@@ -323,10 +318,10 @@
     items: list[_Item] = []
     for part in parts:
         try:
-            items.append(msgspec.json.decode(part, type=_Item))
-        except UNREADABLE:
-            with contextlib.suppress(*UNREADABLE):
-                items.append(_Item(msgspec.json.decode(part, type=_Key).key, revision=0))
+            items.append(read_item(part, _Item))
+        except ItemFormatError:
+            with contextlib.suppress(ItemFormatError):
+                items.append(_Item(read_item(part, _Key).key, revision=0))
     return items
 
 
--- a/src/pewtertack/routing/backend.py
+++ b/src/pewtertack/routing/backend.py
@@ -81,6 +81,8 @@
     """``ip:port`` of the node beside the back end, which admits; empty without one."""
     listed_cold: bool = False
     """Whether the newest list says that it is cold."""
+    started_at: int = 0
+    """Unix milliseconds of its start, 0 while unknown; another start is another incarnation."""
     slowness: float = 1.0
     """Time that its answers take, as a multiple of the service's mean."""
 
--- a/src/pewtertack/routing/dispatcher.py
+++ b/src/pewtertack/routing/dispatcher.py
@@ -288,8 +288,11 @@
         now: float,
         end: AttemptEnd,
     ) -> None:
-        """Let the end of an attempt count for or against the back end's health."""
-        if not tells_of_backend(ticket, now, end):
+        """Let the end of an attempt count for or against the back end's health.
+
+        What ends at a former life says nothing of the next one, nor of its gateway.
+        """
+        if backend.removed or not tells_of_backend(ticket, now, end):
             backend.health.abandon(ticket.trial)
         elif end in FAILURES:
             may_eject = end is not AttemptEnd.FAILED_STATUS or service.may_eject()
--- a/src/pewtertack/routing/registry.py
+++ b/src/pewtertack/routing/registry.py
@@ -11,6 +11,8 @@
 
 LEFT_KEPT = 4096
 """Incarnations remembered as leaving."""
+STARTS_KEPT = 4096
+"""Back ends whose newest start is remembered, for entries that come late."""
 
 
 class ListChange(Enum):
@@ -27,6 +29,7 @@
     name: str
     address: str
     service: str
+    started_at: int = 0
 
 
 class BackendRegistry:
@@ -37,6 +40,8 @@
         self._backends: dict[str, Backend] = {}
         self._services: dict[str, tuple[Backend, ...]] = {}
         self._left: dict[_Incarnation, None] = {}
+        self._starts: dict[str, int] = {}
+        """The newest start of each back end whose start is told, the latest told last."""
         self.changes: tuple[tuple[Backend, ListChange], ...] = ()
         """What the newest list changed."""
 
@@ -45,7 +50,8 @@
 
         A back end that is gone from the list, or changed its address, starts
         anew when it comes back: what was learnt of it does not carry over, but that
-        it was leaving: entries may be late.
+        it was leaving: entries may be late. One that has started again under its name is
+        another: nothing carries over, and what is said late of the life before changes nothing.
         """
         if machines.number < self._number:
             return False
@@ -55,7 +61,8 @@
         listed = [machine for machine in machines.machines if machine.role is MachineRole.BACKEND]
         for backend in self._backends.values():
             backend.removed = True
-        self._backends = {machine.name: self._current(machine, now) for machine in listed}
+        current = (self._current(machine, now) for machine in listed)
+        self._backends = {backend.name: backend for backend in current if backend is not None}
         self._services = _by_service(self._backends.values())
         self.changes = tuple(self._compare(known, before))
         return True
@@ -73,12 +80,19 @@
             if backend.leaving and not was_leaving.get(name, False):
                 yield backend, ListChange.LEAVING
 
-    def _current(self, machine: Machine, now: float) -> Backend:
+    def _current(self, machine: Machine, now: float) -> Backend | None:
         backend = self._backends.get(machine.name)
-        incarnation = _Incarnation(machine.name, machine.address, machine.service)
-        if backend is None or _incarnation_of(backend) != incarnation:
+        if machine.is_of_life_before(self._starts.get(machine.name, 0)):
+            if backend is not None:
+                backend.removed = False
+            return backend
+        self._remember_start(machine)
+        started_at = machine.started_at or (backend.started_at if backend is not None else 0)
+        incarnation = _Incarnation(machine.name, machine.address, machine.service, started_at)
+        if backend is None or not _is_same(backend, incarnation):
             backend = Backend(machine.name, machine.service, machine.address, machine.zone, now)
             backend.leaving = incarnation in self._left
+        backend.started_at = started_at
         backend.zone = machine.zone
         backend.gateway = machine.gateway
         backend.slots = backend.slots or machine.slots
@@ -91,6 +105,14 @@
             self._remember_left(incarnation)
         return backend
 
+    def _remember_start(self, machine: Machine) -> None:
+        if machine.started_at == 0:
+            return
+        self._starts.pop(machine.name, None)
+        self._starts[machine.name] = machine.started_at
+        if len(self._starts) > STARTS_KEPT:
+            del self._starts[next(iter(self._starts))]
+
     def _remember_left(self, incarnation: _Incarnation) -> None:
         self._left[incarnation] = None
         if len(self._left) > LEFT_KEPT:
@@ -112,8 +134,10 @@
         return self._services.get(service, ())
 
 
-def _incarnation_of(backend: Backend) -> _Incarnation:
-    return _Incarnation(backend.name, backend.address, backend.service)
+def _is_same(backend: Backend, incarnation: _Incarnation) -> bool:
+    """Tell whether the back end is this incarnation; a start told for the first time is its own."""
+    started_at = backend.started_at or incarnation.started_at
+    return incarnation == _Incarnation(backend.name, backend.address, backend.service, started_at)
 
 
 def _by_service(backends: Iterable[Backend]) -> dict[str, tuple[Backend, ...]]:
--- a/src/pewtertack/wire/messages.py
+++ b/src/pewtertack/wire/messages.py
@@ -177,10 +177,12 @@
 
 
 class LeavingBackend(msgspec.Struct, frozen=True, array_like=True):
-    """A back end, by name and address, that takes no new work."""
+    """A back end, by name, address and start, that takes no new work."""
 
     name: str
     address: str
+    started_at: int = 0
+    """``Machine.started_at``: what is told of one life says nothing of the next."""
 
 
 class BackendsLeaving(msgspec.Struct, frozen=True, array_like=True, tag=13):
--- a/tests/core/replication/test_leaving.py
+++ b/tests/core/replication/test_leaving.py
@@ -33,5 +33,16 @@
         machines = MachineList(2, (replacement,))
         self.assertEqual(self.leaving.apply(machines), machines)
 
+    def test_a_notice_of_one_life_says_nothing_of_the_next(self) -> None:
+        def living(started_at: int) -> MachineList:
+            role = MachineRole.BACKEND
+            machine = Machine("b-1", role, "a", "1", "archive", started_at=started_at)
+            return MachineList(1, (machine,))
+
+        notice = LeavingBackend("b-1", "1", 7)
+        self.assertEqual(self.leaving.observe([notice], living(7)), (notice,))
+        self.assertEqual(self.leaving.apply(living(8)), living(8))
+        self.assertEqual(self.leaving.observe([notice], living(8)), ())
+
     def test_notices_about_unlisted_back_ends_take_no_memory(self) -> None:
         self.assertEqual(self.leaving.observe([LeavingBackend("x", "y")], list_of("1")), ())
--- /dev/null
+++ b/tests/node/gateway/test_lives.py
@@ -0,0 +1,135 @@
+"""A gateway whose back end starts again under its name."""
+
+import time
+import unittest
+from typing import Any
+
+import anyio
+import msgspec
+
+from pewtertack.core.machines import Machine, MachineRole, MachineState
+from pewtertack.node.gateway.incarnations import Incarnations
+from pewtertack.routing.cold import ColdBounds
+from pewtertack.routing.outcomes import BackendGoneError
+from pewtertack.routing.patience import Lateness
+from pewtertack.routing.places import AdmissionTicket
+from tests.node.gateway.test_gateway import POST, GatewayTestCase, answer_well, raw_call
+
+BEFORE, AFTER = 1_700_000_000_000, 1_700_000_005_000
+LIVING = Machine("b1", MachineRole.BACKEND, "ikeja", "127.0.0.1:1", "logbook", slots=2)
+
+
+def said(started_at: int, **changes: Any) -> dict[str, Machine]:
+    return {"b1": msgspec.structs.replace(LIVING, started_at=started_at, **changes)}
+
+
+def request() -> AdmissionTicket:
+    return AdmissionTicket("lookup", (0, 0), 5.0, 9.0, Lateness.ALLOWED)
+
+
+class IncarnationsTest(unittest.TestCase):
+    def setUp(self) -> None:
+        self.subject = Incarnations(lambda: 0.0)
+        self.subject.use_bounds(ColdBounds(0.0, 0.0))
+
+    def test_what_runs_at_the_former_life_takes_no_place_of_the_next(self) -> None:
+        self.subject.use_listed(said(BEFORE))
+        former = self.subject.get("b1")
+        running = [request() for _ in range(3)]
+        for item in running:
+            former.admission.submit(item, 0.0)
+        waiting = running[2]
+        self.assertFalse(waiting.granted)
+        self.assertTrue(self.subject.use_listed(said(AFTER)))
+        self.assertIsInstance(waiting.refusal, BackendGoneError)
+        heir = self.subject.get("b1")
+        self.assertIsNot(heir, former)
+        self.assertEqual((heir.admission.load, heir.admission.slots), (0, 2))
+        former.admission.finish(running[0], 1.0, answered=False)
+        self.assertEqual(heir.admission.load, 0)
+
+    def test_one_that_was_leaving_takes_work_again(self) -> None:
+        self.subject.use_listed(said(BEFORE, state=MachineState.LEAVING))
+        self.assertFalse(self.subject.get("b1").takes_work)
+        self.assertFalse(self.subject.use_listed(said(BEFORE)))
+        self.assertFalse(self.subject.get("b1").takes_work)
+        self.subject.use_listed(said(AFTER))
+        self.assertTrue(self.subject.get("b1").takes_work)
+
+    def test_a_new_life_is_cold_until_it_says_otherwise(self) -> None:
+        self.subject.use_bounds(ColdBounds(5.0, 3.0))
+        self.subject.use_listed(said(BEFORE))
+        self.subject.get("b1").cold.learn(0.0, 0.0, 0.0)
+        self.assertFalse(self.subject.get("b1").cold.is_cold(0.0))
+        self.subject.use_listed(said(AFTER))
+        self.assertTrue(self.subject.get("b1").cold.is_cold(0.0))
+
+    def test_a_late_entry_of_the_life_before_changes_nothing(self) -> None:
+        self.subject.use_listed(said(AFTER))
+        heir = self.subject.get("b1")
+        late = said(BEFORE, state=MachineState.LEAVING, slots=1, cold=True)
+        self.assertFalse(self.subject.use_listed(late))
+        self.assertIs(self.subject.get("b1"), heir)
+        self.assertEqual((heir.takes_work, heir.admission.slots), (True, 2))
+        self.subject.use_listed({})
+        self.subject.use_listed(late)
+        self.assertFalse(heir.takes_work)
+
+    def test_a_start_that_is_told_for_the_first_time_is_no_new_life(self) -> None:
+        unknown = self.subject.get("b1")
+        self.assertFalse(self.subject.use_listed(said(BEFORE)))
+        self.subject.use_listed(said(0))
+        self.assertIs(self.subject.get("b1"), unknown)
+
+
+class RestartTest(GatewayTestCase):
+    def restart(self, number: int, started_at: int) -> None:
+        self.machines = [
+            msgspec.structs.replace(machine, started_at=started_at) for machine in self.machines
+        ]
+        self.use_machines(number)
+
+    async def test_what_was_sent_to_the_former_life_is_never_sent_on(self) -> None:
+        ended = anyio.Event()
+
+        async def end_while_running(reader: Any, writer: Any, head: str) -> bool:
+            if len(self.heads) > 1:
+                return await answer_well(reader, writer, head)
+            await ended.wait()
+            return False
+
+        address = await self.start_fleet(end_while_running)
+        self.restart(2, BEFORE)
+        answers: list[Any] = []
+
+        async def call() -> None:
+            answers.append(await raw_call(address, POST))
+
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(call)
+            with anyio.fail_after(5.0):
+                while not self.heads:
+                    await anyio.sleep(0.01)
+            self.restart(3, AFTER)
+            await anyio.sleep(0.05)
+            ended.set()
+        self.assert_refused(answers[0], 502, "unknown")
+        self.assertEqual(len(self.heads), 1)
+        self.assertEqual((await raw_call(address, POST)).status, 200)
+        self.assertEqual(len(self.heads), 2)
+
+    async def test_one_that_left_and_came_back_gets_work_at_once(self) -> None:
+        address = await self.start_fleet(answer_well)
+        self.restart(2, BEFORE)
+        self.machines = [
+            msgspec.structs.replace(item, state=MachineState.LEAVING) for item in self.machines
+        ]
+        self.use_machines(3)
+        self.assertEqual((await raw_call(address, POST)).status, 503)
+        self.machines = [
+            msgspec.structs.replace(item, state=MachineState.LIVE) for item in self.machines
+        ]
+        self.restart(4, AFTER)
+        began = time.monotonic()
+        self.assertEqual((await raw_call(address, POST)).status, 200)
+        self.assertLess(time.monotonic() - began, 1.0)
--- a/tests/platform/test_documents.py
+++ b/tests/platform/test_documents.py
@@ -103,6 +103,19 @@
         document, _ = machines_of({"i-1": encoded({**ENTRY, "State": "draining"})}, 1, 2)
         self.assertEqual(document["i-1"]["state"], "leaving")
 
+    def test_the_start_is_told_where_the_entry_has_it(self) -> None:
+        document, _ = machines_of({"i-1": encoded(ENTRY)}, 1, 2)
+        self.assertNotIn("started_at", document["i-1"])
+        document, _ = machines_of({"i-1": encoded({**ENTRY, "born": 1_700_000_000_000})}, 1, 2)
+        machine = machine_list_from_document(3, {"i-1": document["i-1"]}).machines[0]
+        self.assertEqual(machine.started_at, 1_700_000_000_000)
+
+    def test_a_start_that_is_no_whole_number_names_no_back_end(self) -> None:
+        for born in (None, "1700000000000", 1.5, -1, True, 2**60, [5]):
+            with self.subTest(born=born):
+                document, findings = machines_of({"i-1": encoded({**ENTRY, "born": born})}, 1, 2)
+                self.assertEqual((document, len(findings)), ({}, 1))
+
     def test_an_entry_that_is_wrong_is_a_finding_with_its_name(self) -> None:
         document, findings = machines_of({"i-1": b'{"Service": "desk"}'}, 1, 2)
         self.assertEqual(document, {})
--- a/tests/platform/test_spoilt_items.py
+++ b/tests/platform/test_spoilt_items.py
@@ -15,11 +15,11 @@
     ItemProblem,
     evacuated_zones_of,
 )
-from pewtertack.core.machines import machine_list_from_document
+from pewtertack.core.machines import MAXIMUM_SLOTS, machine_list_from_document
 from pewtertack.core.revision import identify
 from pewtertack.lab.metadata_store.application import MetadataStore
 from pewtertack.platform.documents import tree_of
-from pewtertack.platform.entries import MAXIMUM_SLOTS, machines_of
+from pewtertack.platform.entries import machines_of
 from pewtertack.platform.store import VERSION_STEP, StoreReader
 from pewtertack.wire.messages import DocumentKind
 from tests.node.proxy.harness import ProxyTestCase
--- a/tests/wire/test_frames.py
+++ b/tests/wire/test_frames.py
@@ -72,6 +72,7 @@
     JoinRequest(MEMBER),
     JoinAnswer(STATE, MEMBER, (MEMBER, MEMBER)),
     BackendsLeaving((LeavingBackend("b-1", "127.0.0.1:9100"),)),
+    BackendsLeaving((LeavingBackend("b-1", "127.0.0.1:9100", 1_700_000_000_000),)),
     CrashReports((CrashedRequest(b"f" * 16, (EndedBackend(7, 120),), None),)),
     ReaderHeartbeat(
         STATE, b"d" * 16, SourceAges(120, None), (DeltaAnswer(DocumentKind.MACHINE_LIST, (DELTA,)),)
