--- a/src/pewtertack/core/node.py
+++ b/src/pewtertack/core/node.py
@@ -139,14 +139,15 @@
                 return self._tick(now)
             case MessageReceived():
                 return self._on_message(now, event)
-            case DocumentRead(kind, number, document, stale):
-                return self.replication.on_document_read(now, kind, number, document, stale)
+            case DocumentRead():
+                return self.replication.on_document_read(now, event)
             case DocumentUnchanged(kind):
                 return self.replication.on_document_unchanged(now, kind)
             case DocumentReadFailed(kind, reason, retry_after):
                 return self.replication.on_read_failed(now, kind, reason, retry_after)
-            case BackendLeavingObserved(name, address):
-                return self.replication.on_backends_leaving((LeavingBackend(name, address),))
+            case BackendLeavingObserved(name, address, started_at):
+                notice = LeavingBackend(name, address, started_at)
+                return self.replication.on_backends_leaving((notice,))
             case BackendCrashed(fingerprints, number):
                 return self.crashes.crashed(now, fingerprints, number)
             case SuspectAnswered(fingerprint):
