Long answers take turns on a machine's link

Cause: downloads of 90 kB were written to their connections at once and filled the line of a link of 10 Mbit/s.

Change: [policies] long_bodies = "in-turns": with node.link_mbps known, bodies over 16 KiB leave in parts, by rank and then in order, at 0.8 of the link's rate; short ones wait for none. Long answers are received whole before their turn (256 KiB each, 4 MiB a node). A request whose long answer would leave too late is refused.

--- a/src/pewtertack/node/assembly.py
+++ b/src/pewtertack/node/assembly.py
@@ -148,6 +148,7 @@
         settings.node.zone.text,
         settings.limits.cold_overage,
         settings.limits.cold_slack,
+        settings.node.link_mbps,
     )
     return GatewayApplication(
         clock.now, place, _edge(settings), log.record, registry, reporter, settings.policies
--- a/src/pewtertack/node/gateway/application.py
+++ b/src/pewtertack/node/gateway/application.py
@@ -31,6 +31,7 @@
 from pewtertack.node.gateway.metrics import GatewayMetrics
 from pewtertack.node.http.cycle import Scope
 from pewtertack.node.http.framing import RawHeaders
+from pewtertack.node.pacing import LinkPacer
 from pewtertack.node.proxy.answers import Receive, Send, send_failure
 from pewtertack.node.proxy.body import CallerGoneError
 from pewtertack.node.proxy.edge import NODE_EDGE, EdgeHeaders
@@ -41,6 +42,7 @@
 from pewtertack.node.proxy.upstream import ConnectionStore
 from pewtertack.routing.cold import ColdBounds, ColdStart
 from pewtertack.routing.deadlines import deadline_of
+from pewtertack.routing.link import LinkShare
 from pewtertack.routing.outcomes import (
     BackendGoneError,
     BackendUnreachableError,
@@ -50,7 +52,7 @@
     RequestFailedError,
     ZoneEvacuatedError,
 )
-from pewtertack.routing.policies import DEFAULT_POLICIES, Policies
+from pewtertack.routing.policies import DEFAULT_POLICIES, LongBodies, Policies
 from pewtertack.settings import Settings
 
 STOP_MARGIN = 2.0
@@ -70,6 +72,8 @@
     cold_overage: float = 1.0
     cold_slack: float = 0.0
     """See ``settings.LimitsSection``."""
+    link_mbps: float = 0.0
+    """Rate of the machine's link, 0 while unknown."""
 
 
 class GatewayApplication(RequestHolder):
@@ -115,6 +119,7 @@
             CrashWatch(self._note_crash),
             self._reporter,
             self.requests,
+            pacer=_pacer_of(clock, place, policies),
         )
         self._incarnations = Incarnations(clock, policies)
         self._stops_at = math.inf
@@ -284,6 +289,15 @@
         return self._clock() + needed * STOP_MARGIN < self._stops_at
 
 
+def _pacer_of(
+    clock: Callable[[], float], place: GatewayPlace, policies: Policies
+) -> LinkPacer | None:
+    """Return what paces long answers; ``None`` where they leave at once."""
+    if policies.long_bodies is not LongBodies.IN_TURNS or not place.link_mbps:
+        return None
+    return LinkPacer(clock, LinkShare(place.link_mbps))
+
+
 def _evacuated() -> ZoneEvacuatedError:
     return ZoneEvacuatedError("the zone is evacuated")
 
--- a/src/pewtertack/node/gateway/forwarding.py
+++ b/src/pewtertack/node/gateway/forwarding.py
@@ -14,8 +14,10 @@
 from pewtertack.node.gateway.hop import HopRequest
 from pewtertack.node.gateway.metrics import GatewayMetrics
 from pewtertack.node.gateway.reception import BodyReception
+from pewtertack.node.gateway.sending import AnswerSender, HeldBytes
 from pewtertack.node.http.cycle import Scope
 from pewtertack.node.http.framing import RawHeaders
+from pewtertack.node.pacing import LinkPacer
 from pewtertack.node.proxy.answers import Receive, Send
 from pewtertack.node.proxy.body import CallerGoneError, RequestBody
 from pewtertack.node.proxy.content import RequestContent
@@ -36,12 +38,14 @@
 from pewtertack.routing.admission import Admission
 from pewtertack.routing.outcomes import (
     BackendFailedError,
+    DeadlineUnmeetableError,
     DrainingError,
     NotRunError,
     Outcome,
     RequestFailedError,
     WithdrawnError,
 )
+from pewtertack.routing.patience import Lateness
 from pewtertack.routing.places import AdmissionTicket
 
 SHORTEST_LOOK = 0.001
@@ -63,6 +67,9 @@
     reporter: CrashReporter
     requests: RequestsInFlight = msgspec.field(default_factory=RequestsInFlight)
     reception: BodyReception = msgspec.field(default_factory=BodyReception)
+    pacer: LinkPacer | None = None
+    """``None`` where long answers leave at once."""
+    held: HeldBytes = msgspec.field(default_factory=HeldBytes)
 
 
 class GatewayForwarding:
@@ -97,8 +104,17 @@
             deadline,
             request.lateness,
         )
+        self._sender: AnswerSender | None = None
+        if parts.pacer is not None:
+            self._sender = AnswerSender(send, parts.pacer, parts.held, request.rank, request.route)
         self._exchange = Exchange(
-            scope, send, head, self._body, ignore_answer, NODE_EDGE, self._answer_headers
+            scope,
+            self._sender or send,
+            head,
+            self._body,
+            ignore_answer,
+            NODE_EDGE,
+            self._answer_headers,
         )
         self._sent = False
         self._timer: asyncio.TimerHandle
@@ -121,6 +137,8 @@
                 end = await self._life.run(self._admit_and_exchange)
         finally:
             self._exchange.forget_owner()
+            if self._sender is not None:
+                self._sender.forget()
         if end is LifeEnd.FINISHED:
             return
         if end is LifeEnd.CALLER_GONE:
@@ -162,6 +180,8 @@
         else:
             await self._wait_for_slot()
         await self._exchange_admitted()
+        if self._sender is not None:
+            await self._sender.finish()
 
     async def _wait_for_slot_and_body(self) -> None:
         """Receive the body in its turn, which may come before the slot or after."""
@@ -205,11 +225,27 @@
 
     def _submit(self) -> None:
         try:
+            self._check_link()
             self._admission.submit(self._ticket, self._parts.clock())
         except RequestFailedError as error:
             error.offered = False
             raise
 
+    def _check_link(self) -> None:
+        """Refuse at once what would be answered too late because the link is taken.
+
+        Raises:
+            DeadlineUnmeetableError: its long answer would leave too late.
+        """
+        if self._parts.pacer is None:
+            return
+        wait = self._parts.pacer.answer_time(self._request.route, self._request.rank)
+        ticket, now = self._ticket, self._parts.clock()
+        strict = ticket.lateness.prompt or ticket.lateness is Lateness.REFUSED
+        needed = wait + self._admission.expected_time(ticket.route)
+        if wait and now + needed > (ticket.objective if strict else ticket.deadline):
+            raise DeadlineUnmeetableError("the link is taken for too long", wait)
+
     async def _wait_until_granted(self) -> None:
         ticket = self._ticket
         if ticket.granted:
--- /dev/null
+++ b/src/pewtertack/node/pacing.py
@@ -0,0 +1,78 @@
+"""Long bodies take turns on this machine's link (``pewtertack.routing.link``)."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import AsyncIterator, Callable
+from types import TracebackType
+
+from pewtertack.routing.link import PART_BYTES, LinkShare, LongBody, Rank
+
+
+class LinkPacer:
+    """Lets the event loop's tasks wait for their turns.
+
+    Args:
+        clock: monotonic time in seconds.
+        share: who may send when.
+    """
+
+    __slots__ = ("_clock", "share")
+
+    def __init__(self, clock: Callable[[], float], share: LinkShare) -> None:
+        self._clock = clock
+        self.share = share
+
+    def note_sent(self, size: int) -> None:
+        """Something short was sent."""
+        self.share.note_sent(size, self._clock())
+
+    def answer_time(self, route: str, rank: Rank) -> float:
+        """See ``LinkShare.answer_time``."""
+        return self.share.answer_time(route, rank, self._clock())
+
+    def turns(self, rank: Rank, size: int) -> BodyTurns:
+        """Return the turns of one long body, to be used as a context."""
+        return BodyTurns(self._clock, self.share, rank, size)
+
+
+class BodyTurns:
+    """The place of one long body in the line, from its entry to its end."""
+
+    __slots__ = ("_body", "_changed", "_clock", "_share")
+
+    def __init__(self, clock: Callable[[], float], share: LinkShare, rank: Rank, size: int) -> None:
+        self._clock = clock
+        self._share = share
+        self._changed = asyncio.Event()
+        self._body: LongBody = share.enter(rank, size, self._changed.set)
+
+    def __enter__(self) -> BodyTurns:
+        return self
+
+    def __exit__(
+        self,
+        kind: type[BaseException] | None,
+        error: BaseException | None,
+        trace: TracebackType | None,
+    ) -> None:
+        self._share.leave(self._body)
+
+    async def parts(self, data: bytes) -> AsyncIterator[bytes]:
+        """Yield the data in parts, each when it may be sent."""
+        for start in range(0, len(data), PART_BYTES):
+            await self._wait()
+            part = data[start : start + PART_BYTES]
+            self._share.note_part(self._body, len(part), self._clock())
+            yield part
+
+    async def _wait(self) -> None:
+        while True:
+            wait = self._share.wait_of(self._body, self._clock())
+            if wait is None:
+                self._changed.clear()
+                await self._changed.wait()
+            elif wait > 0:
+                await asyncio.sleep(wait)
+            else:
+                return
--- a/src/pewtertack/routing/policies.py
+++ b/src/pewtertack/routing/policies.py
@@ -17,7 +17,10 @@
 
 Made = TypeVar("Made")
 
-MODULES: tuple[str, ...] = ()
+MODULES: tuple[str, ...] = (
+    "pewtertack.routing.crowding",
+    "pewtertack.routing.link",
+)
 """Modules that fill the registry."""
 
 
@@ -28,6 +31,7 @@
     REFUSALS = "refusals"
     CALLS_WITHIN = "calls_within"
     RETRY_BUDGET = "retry_budget"
+    LONG_BODIES = "long_bodies"
 
 
 class CrowdedGateways(StrEnum):
@@ -58,6 +62,13 @@
     WINDOW = "window"
 
 
+class LongBodies(StrEnum):
+    """How long bodies leave a machine."""
+
+    AT_ONCE = "at-once"
+    IN_TURNS = "in-turns"
+
+
 class Policies(msgspec.Struct, frozen=True, kw_only=True):
     """The way in force of each kind."""
 
@@ -65,6 +76,7 @@
     refusals: Refusals = Refusals.ASKED
     calls_within: CallsWithin = CallsWithin.ALIKE
     retry_budget: RetryBudgeting = RetryBudgeting.SHARE
+    long_bodies: LongBodies = LongBodies.AT_ONCE
 
 
 DEFAULT_POLICIES = Policies()
