--- a/src/pewtertack/node/proxy/attempt_ends.py
+++ b/src/pewtertack/node/proxy/attempt_ends.py
@@ -9,6 +9,7 @@
     BackendShedError,
     BackendSilentError,
     BackendUnreachableError,
+    ConnectionLateError,
     CrossedAnswerError,
     DrainingError,
     GatewayRefusedError,
@@ -28,6 +29,8 @@
         return AttemptEnd.SHED
     if isinstance(error, BackendSilentError):
         return AttemptEnd.SILENT
+    if isinstance(error, ConnectionLateError):
+        return AttemptEnd.LATE
     if isinstance(error, (BackendUnreachableError, BackendCrashedError)):
         return AttemptEnd.UNREACHABLE
     if isinstance(error, CrossedAnswerError):
