--- a/src/pewtertack/routing/link.py
+++ b/src/pewtertack/routing/link.py
@@ -21,9 +21,12 @@
 """A longer body takes turns; 13 ms of a link of 10 Mbit/s."""
 PART_BYTES = 16 * 1024
 """A long body leaves in parts of this length."""
-LINK_SHARE = 0.8
+LINK_SHARE = 0.9
 """Share of the link's rate that long bodies and what is noted beside them may fill: the rest
 is for heads, acknowledgements and messages between nodes, which nobody counts."""
+AHEAD_BYTES = PART_BYTES
+"""So much may still be in the link's line when the next part follows, or the link stands idle
+while a process with half a core gets its turn."""
 BITS = 8
 MEGA = 1_000_000
 
@@ -88,7 +91,7 @@
         """Return in how many seconds it may send a part; ``None`` while others go first."""
         if self._line[0] is not body:
             return None
-        return max(0.0, self._free_at - now)
+        return max(0.0, self._free_at - AHEAD_BYTES / self.bytes_per_second - now)
 
     def note_part(self, body: LongBody, size: int, now: float) -> None:
         """A part of the body was sent."""
