--- a/src/pewtertack/routing/policies.py
+++ b/src/pewtertack/routing/policies.py
@@ -14,6 +14,7 @@
     DEFAULT_POLICIES,
     CallsWithin,
     CrowdedGateways,
+    LongBodies,
     Policies,
     PolicyKind,
     Refusals,
@@ -25,6 +26,7 @@
     "REGISTRY",
     "CallsWithin",
     "CrowdedGateways",
+    "LongBodies",
     "Parameter",
     "Policies",
     "Policy",
@@ -37,7 +39,12 @@
 
 Made = TypeVar("Made")
 
-MODULES: tuple[str, ...] = ("pewtertack.routing.retries", "pewtertack.routing.retry_window")
+MODULES: tuple[str, ...] = (
+    "pewtertack.routing.crowding",
+    "pewtertack.routing.link",
+    "pewtertack.routing.retries",
+    "pewtertack.routing.retry_window",
+)
 """Modules that fill the registry."""
 
 
