--- a/src/pewtertack/routing/queueing.py
+++ b/src/pewtertack/routing/queueing.py
@@ -74,6 +74,8 @@
     """Why this back end was chosen, for the log."""
     body_bytes: int = 0
     """Length of the request's body, as far as announced."""
+    within: bool = False
+    """A back end makes it while it runs another request."""
 
     @property
     def caller_may_come_back(self) -> bool:
