Calls within go first: found out by who is silent, kept while their deadline can be met

Cause: a call that a back end makes while it runs a request counts by its own objective (200 ms on the deployments looked at), behind everything that can still be in time, and is refused with its deadline (600 ms) far off; the run that waits for it is lost with its slot.

Change: a gateway finds out which routes are called within (a service that should have sent ten requests of a route and sent none does not make them), tells the senders, and keeps such requests before others of their rank until their deadline cannot be met. Senders always ask further gateways for them and give them the rank of the runs beside them. Setting [policies] calls_within, default "first".

--- a/src/pewtertack/events.py
+++ b/src/pewtertack/events.py
@@ -70,6 +70,8 @@
     GATEWAY_CANCELLED = (625, "The proxy gave up a request at the gateway.")
     GATEWAY_UNFINISHED = (626, "The time to stop is over while the gateway holds the request.")
 
+    ROUTE_ORIGIN = (627, "The gateway has found who calls a route: callers, or back ends that run.")
+
     def __init__(self, number: int, meaning: str, routine: bool = False) -> None:
         self.number = number
         self.meaning = meaning
--- a/src/pewtertack/node/assembly.py
+++ b/src/pewtertack/node/assembly.py
@@ -25,6 +25,7 @@
 from pewtertack.node.traffic import Traffic
 from pewtertack.node.transport import PeerTransport, Sender, StreamLimits
 from pewtertack.node.view import NodeView
+from pewtertack.routing.runs import RunsBeside
 from pewtertack.settings import Settings
 from pewtertack.settings.loading import Flags
 
@@ -73,8 +74,9 @@
     profile = PROFILES[settings.profile.name.value]
     gate = ServingGate(profile.pause_threshold)
     reporter = CrashReporter()
-    proxy = _proxy(settings, gate, registry, log, reporter)
-    gateway = _gateway(settings, log, registry, reporter)
+    runs = RunsBeside()
+    proxy = _proxy(settings, gate, registry, log, reporter, runs)
+    gateway = _gateway(settings, log, registry, reporter, runs)
     source = SourceProperties(
         settings.source.durable,
         settings.node.first_start,
@@ -114,6 +116,7 @@
     registry: MetricsRegistry,
     log: EventLog,
     reporter: CrashReporter,
+    runs: RunsBeside,
 ) -> ProxyApplication | None:
     """Return the proxy part; its modules are loaded only where there is one."""
     if settings.listen.proxy is None:
@@ -130,11 +133,16 @@
         caller_service=settings.backend.service,
         reporter=reporter,
         policies=settings.policies,
+        runs=runs,
     )
 
 
 def _gateway(
-    settings: Settings, log: EventLog, registry: MetricsRegistry, reporter: CrashReporter
+    settings: Settings,
+    log: EventLog,
+    registry: MetricsRegistry,
+    reporter: CrashReporter,
+    runs: RunsBeside,
 ) -> GatewayApplication | None:
     """Return the gateway part, where a back end is beside the node."""
     if settings.listen.gateway is None or settings.backend.address is None:
@@ -150,7 +158,7 @@
         settings.limits.cold_slack,
     )
     return GatewayApplication(
-        clock.now, place, _edge(settings), log.record, registry, reporter, settings.policies
+        clock.now, place, _edge(settings), log.record, registry, reporter, settings.policies, runs
     )
 
 
--- a/src/pewtertack/node/gateway/application.py
+++ b/src/pewtertack/node/gateway/application.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import math
+from collections import Counter
 from collections.abc import Callable
 
 import msgspec
@@ -18,7 +19,12 @@
     nobody_listens,
 )
 from pewtertack.node.gateway.cold_watch import ColdWatch
-from pewtertack.node.gateway.forwarding import GatewayForwarding, GatewayParts, load_headers
+from pewtertack.node.gateway.forwarding import (
+    GatewayForwarding,
+    GatewayParts,
+    load_headers,
+    origin_headers,
+)
 from pewtertack.node.gateway.hop import (
     PROBE_ANSWERED,
     WITHDRAW,
@@ -41,6 +47,7 @@
 from pewtertack.node.proxy.upstream import ConnectionStore
 from pewtertack.routing.cold import ColdBounds, ColdStart
 from pewtertack.routing.deadlines import deadline_of
+from pewtertack.routing.origins import watch_for
 from pewtertack.routing.outcomes import (
     BackendGoneError,
     BackendUnreachableError,
@@ -51,6 +58,7 @@
     ZoneEvacuatedError,
 )
 from pewtertack.routing.policies import DEFAULT_POLICIES, Policies
+from pewtertack.routing.runs import RunsBeside
 from pewtertack.settings import Settings
 
 STOP_MARGIN = 2.0
@@ -85,6 +93,7 @@
         registry: where the metrics are registered; ``None`` keeps none.
         reporter: what the node knows of requests that end back ends.
         policies: the way of each decision that has several.
+        runs: what the back end beside this node runs.
     """
 
     def __init__(
@@ -96,6 +105,7 @@
         registry: MetricsRegistry | None = None,
         reporter: CrashReporter | None = None,
         policies: Policies = DEFAULT_POLICIES,
+        runs: RunsBeside | None = None,
     ) -> None:
         self._clock = clock
         self._place = place
@@ -105,6 +115,8 @@
         self._reporter = reporter or CrashReporter()
         self._backend_down = False
         """Whether nobody listened at the back end's address when it was last needed."""
+        self.origins = watch_for(policies)
+        """Who calls each route, as far as known."""
         self._parts = GatewayParts(
             clock,
             self.connections,
@@ -114,6 +126,8 @@
             self._metrics,
             CrashWatch(self._note_crash),
             self._reporter,
+            self.origins,
+            runs or RunsBeside(),
             self.requests,
         )
         self._incarnations = Incarnations(clock, policies)
@@ -175,6 +189,11 @@
         here = (machine for machine in machines.machines if machine.address == self.address)
         backends = (machine for machine in here if machine.role is MachineRole.BACKEND)
         self._incarnations.use_listed({machine.name: machine for machine in backends})
+        if self.origins is not None:
+            beside = [item for item in machines.machines if item.gateway]
+            zone = self._place.zone
+            near = Counter(item.service for item in beside if item.zone == zone)
+            self.origins.use_machines(near, len({item.service for item in beside}))
 
     def start_leaving(self, seconds: float) -> None:
         """Take only requests that end well before the stop; others find another gateway."""
@@ -205,6 +224,7 @@
         try:
             head = read_head(scope["headers"], NODE_EDGE)
             request = read_hop(scope["headers"])
+            self._note_origin(request)
             await self._forward(scope, receive, send, head, request)
         except RequestFailedError as error:
             load = self._load_of(request)
@@ -212,7 +232,21 @@
             told = load[0][1].decode() if load else ""
             self._log.refused(head.request_id, backend, error, told)
             self._metrics.note_refused(error.code, error.offered)
-            await _refuse(send, error, head, load)
+            origin = self._note_refused(request)
+            await _refuse(send, error, head, [*load, *origin])
+
+    def _note_origin(self, request: HopRequest) -> None:
+        route, origins = request.route, self.origins
+        if origins is not None and origins.note(route, request.caller_service, self._clock()):
+            self._log.origin_known(route, origins.origin(route) or "")
+
+    def _note_refused(self, request: HopRequest | None) -> RawHeaders:
+        """Count a refused call within; return what to tell its sender of the route's origin."""
+        if request is None or self.origins is None:
+            return []
+        if self.origins.is_within(request.route, request.within):
+            self._metrics.note_within(request.route, admitted=False)
+        return origin_headers(self.origins, request)
 
     async def _answer_own(self, send: Send, name: bytes, value: bytes) -> None:
         """Do what another node asks of the gateway itself."""
--- a/src/pewtertack/node/gateway/forwarding.py
+++ b/src/pewtertack/node/gateway/forwarding.py
@@ -34,6 +34,7 @@
 from pewtertack.node.proxy.suspicion import Suspicion
 from pewtertack.node.proxy.upstream import ConnectionStore
 from pewtertack.routing.admission import Admission
+from pewtertack.routing.origins import OriginWatch
 from pewtertack.routing.outcomes import (
     BackendFailedError,
     DrainingError,
@@ -43,6 +44,7 @@
     WithdrawnError,
 )
 from pewtertack.routing.places import AdmissionTicket
+from pewtertack.routing.runs import RunsBeside
 
 SHORTEST_LOOK = 0.001
 """Seconds between two looks at a waiting request, where a timer has fired too early."""
@@ -61,6 +63,9 @@
     metrics: GatewayMetrics
     crashes: CrashWatch
     reporter: CrashReporter
+    origins: OriginWatch | None = None
+    """Who calls each route; ``None`` where calls within are treated as all others."""
+    runs: RunsBeside = msgspec.field(default_factory=RunsBeside)
     requests: RequestsInFlight = msgspec.field(default_factory=RequestsInFlight)
     reception: BodyReception = msgspec.field(default_factory=BodyReception)
 
@@ -96,6 +101,7 @@
             parts.clock() + request.objective,
             deadline,
             request.lateness,
+            parts.origins is not None and parts.origins.is_within(request.route, request.within),
         )
         self._exchange = Exchange(
             scope, send, head, self._body, ignore_answer, NODE_EDGE, self._answer_headers
@@ -189,7 +195,10 @@
         log.admitted(request, self._request.backend, self._ticket, self._admission)
         metrics, route = self._parts.metrics, self._request.route
         metrics.note_admitted(route, self._ticket.queued)
+        if self._ticket.within:
+            metrics.note_within(route, admitted=True)
         answered = False
+        self._parts.runs.begin(self._ticket.rank)
         try:
             await self._attempt()
             answered = True
@@ -197,6 +206,7 @@
             metrics.note_answered(route, self._parts.clock() - self._ticket.started_at)
             log.answered(request, self._request.backend, self.status, self._ticket)
         finally:
+            self._parts.runs.end(self._ticket.rank)
             self._admission.finish(self._ticket, self._parts.clock(), answered)
 
     async def _wait_for_slot(self) -> None:
@@ -275,7 +285,11 @@
 
     def _answer_headers(self) -> RawHeaders:
         queued = int(self._ticket.queued * 1000)
-        return [*load_headers(self._admission, self._parts.clock()), (hop.QUEUED, b"%d" % queued)]
+        return [
+            *load_headers(self._admission, self._parts.clock()),
+            *origin_headers(self._parts.origins, self._request),
+            (hop.QUEUED, b"%d" % queued),
+        ]
 
 
 def _take_note(receiving: asyncio.Future[None]) -> None:
@@ -287,3 +301,9 @@
 def load_headers(admission: Admission, now: float) -> RawHeaders:
     """Return the header that tells the back end's load, waiting requests included."""
     return [(BACKEND_LOAD, f"{admission.load}/{admission.told_slots(now)}".encode())]
+
+
+def origin_headers(origins: OriginWatch | None, request: HopRequest) -> RawHeaders:
+    """Return the header that tells who calls the request's route, where the sender needs it."""
+    told = origins.to_tell(request.route, request.within) if origins is not None else None
+    return [(hop.ORIGIN, told.encode())] if told is not None else []
--- a/src/pewtertack/node/gateway/hop.py
+++ b/src/pewtertack/node/gateway/hop.py
@@ -25,6 +25,7 @@
     RequestFailedError,
 )
 from pewtertack.routing.patience import Lateness
+from pewtertack.routing.runs import Rank
 
 Headers = list[tuple[bytes, bytes]]
 
@@ -41,11 +42,17 @@
 CALLER_SERVICE = b"x-pewtertack-caller-service"
 CRASH_LIMIT = b"x-pewtertack-crash-limit"
 """The route's ``crash_limit``, where it is not the usual one."""
+WITHIN = b"x-pewtertack-within"
+"""There when the proxy takes the request for one that a back end makes while it runs another;
+its rank is then that of the run."""
 FAILURE = b"x-pewtertack-failure"
 """In an answer: ``<code> <outcome> <offered>`` of the gateway's own failure."""
 QUEUED = b"x-pewtertack-queued-ms"
 """In an answer: how long the request waited at the gateway."""
 
+ORIGIN = b"x-pewtertack-origin"
+"""In an answer: ``Origin`` of the route's requests, where that is to be told."""
+
 PROBE = b"x-pewtertack-probe"
 """In a request to a gateway that is for the gateway alone: does it take requests?"""
 WITHDRAW = b"x-pewtertack-withdraw"
@@ -55,8 +62,8 @@
 GATEWAY_NAMES = frozenset({PROBE, WITHDRAW})
 """Headers that make a request one for the gateway; only nodes send them."""
 NEEDED_NAMES = frozenset({BACKEND, SERVICE, ROUTE, RANK, OBJECTIVE, LATENESS, CALLER_SERVICE})
-REQUEST_NAMES = NEEDED_NAMES | {CRASH_LIMIT}
-ANSWER_NAMES = frozenset({FAILURE, QUEUED})
+REQUEST_NAMES = NEEDED_NAMES | {CRASH_LIMIT, WITHIN}
+ANSWER_NAMES = frozenset({FAILURE, QUEUED, ORIGIN})
 OFFERED = "offered"
 NOT_OFFERED = "not-offered"
 PROBE_ANSWERED = 204
@@ -77,15 +84,30 @@
     lateness: Lateness
     caller_service: str
     crash_limit: int = DEFAULT_CRASH_LIMIT
+    within: bool = False
+    """The proxy takes it for one that a back end makes while it runs another request."""
 
 
 def hop_headers(
-    route: ResolvedRoute, backend: str, objective: float, lateness: Lateness, caller: str
+    route: ResolvedRoute,
+    backend: str,
+    objective: float,
+    lateness: Lateness,
+    caller: str,
+    within: bool = False,
+    run_rank: Rank | None = None,
 ) -> Headers:
-    """Return the headers of a request to the gateway beside ``backend``."""
-    rank = f"{_CLASS_RANKS[route.work_class]}.{route.priority}"
+    """Return the headers of a request to the gateway beside ``backend``.
+
+    ``run_rank`` is the rank of the runs beside the proxy, which a call within carries.
+    """
+    work_class, priority = _CLASS_RANKS[route.work_class], route.priority
+    if within and run_rank is not None:
+        work_class, priority = run_rank
+    rank = f"{work_class}.{priority}"
     unusual = route.crash_limit != DEFAULT_CRASH_LIMIT
     return [
+        *([(WITHIN, b"1")] if within else ()),
         *([(CRASH_LIMIT, b"%d" % route.crash_limit)] if unusual else ()),
         (BACKEND, backend.encode()),
         (SERVICE, route.service.encode()),
@@ -122,6 +144,7 @@
         lateness=Lateness(found[LATENESS]),
         caller_service=found[CALLER_SERVICE],
         crash_limit=int(crash_limit),
+        within=WITHIN in found,
     )
 
 
--- a/src/pewtertack/node/gateway/metrics.py
+++ b/src/pewtertack/node/gateway/metrics.py
@@ -27,13 +27,21 @@
             "Requests that ended at the gateway, by reason and by whether a back end saw them.",
             ("reason", "offered"),
         )
-
+        self._within = registry.counter(
+            "pewtertack_gateway_calls_within",
+            "Requests that a back end made while it ran another, by what became of them here.",
+            ("route", "end"),
+        )
         self._crashed = registry.counter(
             "pewtertack_gateway_backend_crashes",
             "Ends of the back end while it ran requests.",
             (),
         )
 
+    def note_within(self, route: str, admitted: bool) -> None:
+        """A call within has gone to the back end, or has ended without an answer."""
+        self._within.inc((route, "admitted" if admitted else "refused"))
+
     def note_crashed(self) -> None:
         """The back end ended while it ran requests."""
         self._crashed.inc(())
--- a/src/pewtertack/node/proxy/application.py
+++ b/src/pewtertack/node/proxy/application.py
@@ -46,6 +46,7 @@
 )
 from pewtertack.routing.policies import DEFAULT_POLICIES, Policies
 from pewtertack.routing.registry import ListChange
+from pewtertack.routing.runs import RunsBeside
 from pewtertack.routing.table import RouteTable
 
 if TYPE_CHECKING:
@@ -86,6 +87,7 @@
         caller_service: the service of the back end beside this node.
         reporter: what the node knows of requests that end back ends.
         policies: the way of each decision that has several.
+        runs: what the back end beside this node runs.
     """
 
     def __init__(
@@ -100,6 +102,7 @@
         caller_service: str = "",
         reporter: CrashReporter | None = None,
         policies: Policies = DEFAULT_POLICIES,
+        runs: RunsBeside | None = None,
     ) -> None:
         self._clock = clock
         self._edge = edge
@@ -124,6 +127,7 @@
             self._metrics,
             self.requests,
             self._reporter,
+            runs or RunsBeside(),
             CrashWatch(self._note_crash),
         )
         registry.add_collector(lambda: _collector_of(dispatcher, lambda: self.in_flight))
--- a/src/pewtertack/node/proxy/forwarding.py
+++ b/src/pewtertack/node/proxy/forwarding.py
@@ -47,6 +47,7 @@
 )
 from pewtertack.routing.queueing import Ticket
 from pewtertack.routing.retries import RetryReason
+from pewtertack.routing.runs import RunsBeside
 
 
 class ForwardingParts(msgspec.Struct, frozen=True):
@@ -63,6 +64,8 @@
     metrics: RequestMetrics | None = None
     requests: RequestsInFlight = msgspec.field(default_factory=RequestsInFlight)
     reporter: CrashReporter = msgspec.field(default_factory=CrashReporter)
+    runs: RunsBeside = msgspec.field(default_factory=RunsBeside)
+    """What the back end beside this node runs."""
     crashes: CrashWatch = msgspec.field(default_factory=CrashWatch)
     """For back ends without a gateway; a gateway sees to its own."""
 
@@ -309,11 +312,16 @@
             return [*self._headers, *own, *backend_headers(edge, backend.name, caller)]
         objective = self._ticket.arrived_at + self._route.objective - now
         lateness = self._ticket.lateness
-        hop = hop_headers(self._route, backend.name, objective, lateness, caller)
+        within = self._ticket.within
+        run_rank = self._parts.runs.usual_rank() if within else None
+        hop = hop_headers(self._route, backend.name, objective, lateness, caller, within, run_rank)
         return [*self._headers, *own, *hop]
 
     def _note_answer(self, answer: AnswerHead) -> None:
         self._ticket.queued = answer.queued
+        if answer.origin is not None:
+            told, now = answer.origin, self._parts.clock()
+            self._parts.dispatcher.note_origin(self._route.name, told, now)
         self._parts.dispatcher.note_answer(
             self._ticket, self._parts.clock(), parse_load(answer.load), answer.leaving
         )
--- a/src/pewtertack/node/proxy/headers.py
+++ b/src/pewtertack/node/proxy/headers.py
@@ -186,6 +186,8 @@
     """What a gateway says of a failure of its own."""
     queued: float = 0.0
     """Seconds that the request waited at a gateway."""
+    origin: str | None = None
+    """Who makes the route's requests, as a gateway knows it."""
     length: int | None = None
     """Announced length of the body."""
     framed: bool = False
@@ -215,6 +217,8 @@
 def _note_gateway(answer: AnswerHead, name: bytes, text: str) -> None:
     if name == hop.FAILURE:
         answer.failure = text
+    elif name == hop.ORIGIN:
+        answer.origin = text
     else:
         answer.queued = int(text) / 1000 if text.isdecimal() else 0.0
 
--- a/src/pewtertack/node/proxy/request_log.py
+++ b/src/pewtertack/node/proxy/request_log.py
@@ -187,6 +187,10 @@
         """The request goes to the back end."""
         self._on_ticket(Event.GATEWAY_ADMITTED, request, backend, ticket, admission)
 
+    def origin_known(self, route: str, origin: str) -> None:
+        """The gateway judges anew who makes the route's requests; empty where it cannot tell."""
+        self._record(Event.ROUTE_ORIGIN, route=route, origin=origin)
+
     def _on_ticket(
         self,
         event: Event,
@@ -201,6 +205,7 @@
             request=request,
             backend=backend,
             rank=ticket.rank,
+            within=ticket.within,
             in_flight=admission.in_flight,
             slots=admission.slots,
             load=admission.load,
--- a/src/pewtertack/routing/admission.py
+++ b/src/pewtertack/routing/admission.py
@@ -7,6 +7,10 @@
 (``pewtertack.routing.patience``), lets all go first that still can: in overload the back
 end's time goes to answers that are in time.
 
+A call that a back end makes while it runs another request has no worth of its own, but the
+run that waits for it is lost without it (``pewtertack.routing.origins``). It goes before others
+of its rank, is never late, and is refused only when its deadline cannot be met.
+
 A request is kept while it is expected to be served: in time; or late, where its caller has no
 time for another whole attempt or came back. That is judged on arrival and again while it
 waits, by its place, the mean and the spread of the back end's times, and what those that go
@@ -28,7 +32,10 @@
 from pewtertack.routing.outcomes import DeadlineUnmeetableError, NotRunError, QueueFullError
 from pewtertack.routing.patience import Lateness
 from pewtertack.routing.places import AdmissionTicket
-from pewtertack.routing.policies import DEFAULT_POLICIES, Policies
+from pewtertack.routing.policies import (
+    DEFAULT_POLICIES,
+    Policies,
+)
 from pewtertack.routing.service_times import ServiceTimes
 
 QUEUE_PER_SLOT = 20
@@ -46,7 +53,7 @@
 """So long without a refusal, and an overload is over."""
 
 
-Turn = tuple[bool, tuple[int, int, float, int]]
+Turn = tuple[bool, tuple[int, int, bool, float, int]]
 """Whether others go first, then the order of tickets."""
 
 
@@ -81,7 +88,7 @@
     @property
     def load(self) -> int:
         """Requests at the back end and waiting for it, without those that let others go first."""
-        return self.in_flight + sum(not item.lateness.yields for item in self._queue)
+        return self.in_flight + sum(not item.yields for item in self._queue)
 
     def told_slots(self, now: float) -> int:
         """Return the slots to tell other nodes: while it is cold, how many its rate keeps busy."""
@@ -101,14 +108,14 @@
             DeadlineUnmeetableError: its turn would come too late.
         """
         ticket.submitted_at = now
-        if not ticket.lateness.yields:
+        if not ticket.yields:
             self._going_first.note(now)
         if self._has_room(now) and not self._queue:
             self._start(ticket, now)
             return
         self._arrivals += 1
         ticket.wanted_start = self._last_timely_start(ticket)
-        ticket.order = (*ticket.rank, ticket.wanted_start, self._arrivals)
+        ticket.order = (*ticket.rank, not ticket.within, ticket.wanted_start, self._arrivals)
         if not self._has_prospect(ticket, now):
             message = "no slot comes free in time"
             raise DeadlineUnmeetableError(message, self._retry_after(now))
@@ -141,6 +148,8 @@
             ahead = sum(self._turn(item, now) < turn for item in self._queue)
             if now + self._wait_behind(ahead, ticket, now) <= ticket.wanted_start:
                 return True
+        if ticket.within:
+            return False
         if ticket.lateness in (Lateness.REFUSED, Lateness.PROMPT) or self._stalls(now):
             return False
         return now + self._late_wait(ticket, now) <= self._last_start(ticket)
@@ -181,6 +190,8 @@
 
     def _last_timely_start(self, ticket: AdmissionTicket) -> float:
         """Return until when it should start: later, it would often miss its objective."""
+        if ticket.within:
+            return self._last_start(ticket)
         wanted = min(ticket.objective, ticket.deadline)
         return wanted - self._time_of(ticket) - self._times.spread_of(ticket.route)
 
@@ -190,7 +201,7 @@
 
     def _is_late(self, ticket: AdmissionTicket, now: float) -> bool:
         """Tell whether a request lets go first what may still be in time."""
-        return ticket.lateness.yields or now > ticket.wanted_start
+        return ticket.yields or now > ticket.wanted_start
 
     def _retry_after(self, now: float) -> float:
         """Note a refusal; return in how many seconds there will be room, as far as known.
@@ -216,11 +227,20 @@
         self._grant_waiting(now)
         if ticket.granted or ticket.refusal is not None:
             return
-        if not self._is_late(ticket, now) or self._has_prospect(ticket, now):
+        if self._stays(ticket, now):
             ticket.look_at = self._next_look(ticket, now)
             return
         self._refuse_late(ticket, now)
 
+    def _stays(self, ticket: AdmissionTicket, now: float) -> bool:
+        """Tell whether a ticket may go on waiting; a call within that may not has time to ask
+        another gateway.
+        """
+        if ticket.within:
+            stalls = self.in_flight >= self.slots and self._stalls(now)
+            return not stalls and self._has_prospect(ticket, now)
+        return not self._is_late(ticket, now) or self._has_prospect(ticket, now)
+
     def _refuse_late(self, ticket: AdmissionTicket, now: float) -> None:
         self._queue.remove(ticket)
         message = "no slot came free in time"
@@ -230,7 +250,7 @@
     def _next_look(self, ticket: AdmissionTicket, now: float) -> float:
         """Return when to judge it anew; a cold back end has room without any request's end."""
         cold = self.cold is not None and self.cold.is_cold(now)
-        if cold or self._is_late(ticket, now):
+        if cold or ticket.within or self._is_late(ticket, now):
             return now + LOOK_SECONDS
         return ticket.wanted_start + AFTER
 
--- a/src/pewtertack/routing/dispatcher.py
+++ b/src/pewtertack/routing/dispatcher.py
@@ -25,9 +25,10 @@
     ejection_of,
     tells_of_backend,
 )
+from pewtertack.routing.origins import ORIGIN_WORDS, Origin, OriginBeliefs
 from pewtertack.routing.outcomes import RequestEndsBackendsError, RequestFailedError
-from pewtertack.routing.patience import CallerPatience
-from pewtertack.routing.policies import DEFAULT_POLICIES, Policies
+from pewtertack.routing.patience import CallerPatience, Lateness
+from pewtertack.routing.policies import DEFAULT_POLICIES, CallsWithin, Policies
 from pewtertack.routing.queueing import Ticket
 from pewtertack.routing.registry import BackendRegistry, ListChange
 from pewtertack.routing.retries import (
@@ -98,6 +99,8 @@
         self._splits = SplitPicker()
         self._patience = CallerPatience()
         self._asks = FurtherAsks(random)
+        self.origins = OriginBeliefs()
+        """Which routes back ends call while they run other requests."""
 
     def pick_service(self, route: ResolvedRoute) -> ResolvedRoute:
         """Return the route with the service that this request goes to."""
@@ -142,6 +145,7 @@
         self._splits.keep_only(routes)
         self._patience.keep_only(routes)
         self._asks.keep_only(routes)
+        self.origins.keep_only(routes)
         self._budgets = {name: item for name, item in self._budgets.items() if name in services}
         self._services = {
             name: service
@@ -207,9 +211,21 @@
             ticket.caller_lateness = self._patience.classify(
                 ticket.route.name, ticket.route.objective, ticket.caller_deadline - now
             )
+            ticket.within = self._is_within(ticket.route.name, now)
+            if ticket.within:
+                ticket.caller_lateness = Lateness.ALLOWED  # whoever waits for it is a run
             self._budget(ticket).note_first_attempt(ticket.route.retry_budget)
         self.service(ticket.route.service).submit(ticket, now)
 
+    def _is_within(self, route: str, now: float) -> bool:
+        first = self._policies.calls_within is CallsWithin.FIRST
+        return first and self.origins.is_within(route, now)
+
+    def note_origin(self, route: str, told: str, now: float) -> None:
+        """A gateway has told who makes the route's requests."""
+        if told in ORIGIN_WORDS:
+            self.origins.note_told(route, Origin(told), now)
+
     def look(self, ticket: Ticket, now: float) -> float:
         """See what a waiting ticket can do now; return when to look again."""
         service = self.service(ticket.route.service)
@@ -368,6 +384,8 @@
         service = self.service(ticket.route.service)
         if refusals >= MAXIMUM_REFUSALS or not service.has_other(following.excluded, now):
             return RetryDecision(RetryReason.NO_GATEWAY)
+        if following.within:
+            return RetryDecision(RetryReason.NEXT_GATEWAY, following)
         if not service.has_prospect(following, now):
             return RetryDecision(RetryReason.NO_PROSPECT)
         if not self._asks.worth_it(ticket.route.name, now):
@@ -390,6 +408,7 @@
     following.body_bytes = ticket.body_bytes
     following.caller_deadline = ticket.caller_deadline
     following.caller_lateness = ticket.caller_lateness
+    following.within = ticket.within
     return following
 
 
--- a/src/pewtertack/routing/places.py
+++ b/src/pewtertack/routing/places.py
@@ -28,6 +28,8 @@
     deadline: float
     lateness: Lateness = Lateness.ALLOWED
     """What becomes of it when it would have to wait."""
+    within: bool = False
+    """A back end makes it while it runs another request: only its deadline counts."""
     wake: Callable[[], None] = _nobody_waits
     granted: bool = False
     refusal: NotRunError | None = None
@@ -37,8 +39,13 @@
     """Until when it should start."""
     look_at: float = 0.0
     """When to judge anew whether it is worth waiting."""
-    order: tuple[int, int, float, int] = msgspec.field(default=(0, 0, 0.0, 0))
-    """Rank, wanted start, arrival."""
+    order: tuple[int, int, bool, float, int] = msgspec.field(default=(0, 0, False, 0.0, 0))
+    """Rank, whether it is a request of its own, wanted start, arrival."""
+
+    @property
+    def yields(self) -> bool:
+        """Whether it lets go first all that may be in time."""
+        return self.lateness.yields and not self.within
 
     @property
     def typical_time(self) -> float:
--- a/src/pewtertack/routing/policies.py
+++ b/src/pewtertack/routing/policies.py
@@ -17,7 +17,7 @@
 
 Made = TypeVar("Made")
 
-MODULES: tuple[str, ...] = ()
+MODULES: tuple[str, ...] = ("pewtertack.routing.origins",)
 """Modules that fill the registry."""
 
 
@@ -63,7 +63,7 @@
 
     crowded_gateways: CrowdedGateways = CrowdedGateways.EJECTED
     refusals: Refusals = Refusals.ASKED
-    calls_within: CallsWithin = CallsWithin.ALIKE
+    calls_within: CallsWithin = CallsWithin.FIRST
     retry_budget: RetryBudgeting = RetryBudgeting.SHARE
 
 
--- a/tests/routing/test_admission.py
+++ b/tests/routing/test_admission.py
@@ -1,9 +1,11 @@
 """Admission at the node beside a back end: exact slots, order of the queue, refusals."""
 
+import contextlib
 import unittest
 from typing import Any
 
 from pewtertack.routing.admission import QUEUE_PER_SLOT, Admission
+from pewtertack.routing.cold import ColdBounds, ColdStart
 from pewtertack.routing.outcomes import DeadlineUnmeetableError, QueueFullError
 from pewtertack.routing.patience import Lateness
 from pewtertack.routing.places import AdmissionTicket
@@ -275,3 +277,118 @@
         self.assertIsNone(waiting.refusal)
         admission.expire(waiting, 2.9)
         self.assertIsInstance(waiting.refusal, DeadlineUnmeetableError)
+
+
+class CallsWithinTest(unittest.TestCase):
+    """Calls that a back end makes while it runs another request, beside callers' requests.
+
+    Slots are taken for 0.2 s; a call wants its answer after 0.3 s and has 0.9 s.
+    """
+
+    def call(self, now: float = 0.0, rank: int = 1, **rest: Any) -> Any:
+        given = {"objective": now + 0.3, "deadline": now + 0.9, "within": True, **rest}
+        return ticket(rank=rank, **given)
+
+    def order(self, admission: Admission, *waiting: Any) -> list[int]:
+        """Return in which order the waiting get the one slot, a request ending each 0.2 s."""
+        began: list[int] = []
+        for index, item in enumerate(waiting):
+            item.wake = lambda index=index: began.append(index)
+            admission.submit(item, 0.0)
+        for step in range(1, 1 + len(waiting)):
+            self.end_one(admission, step * 0.2)
+        return began
+
+    def end_one(self, admission: Admission, now: float) -> None:
+        """End a request that has run for 0.2 s."""
+        running = ticket()
+        running.started_at = now - 0.2
+        admission.finish(running, now, answered=True)
+
+    def test_it_goes_before_requests_of_its_rank_that_came_before_it(self) -> None:
+        fresh = [ticket(rank=rank, objective=0.5, deadline=4.0) for rank in (2, 1)]
+        self.assertEqual(self.order(busy(), *fresh, self.call())[0], 2)
+
+    def test_it_does_not_go_before_more_urgent_ones(self) -> None:
+        urgent = [ticket(rank=0, objective=4.0, deadline=9.0) for _ in range(2)]
+        self.assertEqual(self.order(busy(), self.call(), *urgent), [1, 2, 0])
+
+    def test_its_objective_does_not_make_it_late(self) -> None:
+        admission = busy()
+        bulk = ticket(rank=2, objective=3.0, deadline=9.0)
+        call = self.call()
+        for item in (bulk, call):
+            admission.submit(item, 0.0)
+        self.end_one(admission, 0.35)
+        self.assertEqual((call.granted, bulk.granted), (True, False))
+
+    def test_what_its_sender_says_of_a_callers_patience_does_not_make_it_yield(self) -> None:
+        for lateness in Lateness:
+            admission = busy()
+            call = self.call(lateness=lateness)
+            admission.submit(ticket(rank=1, objective=0.5, deadline=9.0), 0.0)
+            admission.submit(call, 0.0)
+            self.end_one(admission, 0.2)
+            self.assertTrue(call.granted, lateness)
+
+    def test_it_is_refused_only_when_its_deadline_cannot_be_met(self) -> None:
+        admission = busy()
+        calls = [self.call() for _ in range(3)]
+        for call in calls:
+            admission.submit(call, 0.0)
+        with self.assertRaises(DeadlineUnmeetableError):
+            admission.submit(self.call(), 0.0)
+        for step in (1, 2, 3):
+            self.end_one(admission, step * 0.2)
+        self.assertTrue(all(call.granted for call in calls))
+
+    def test_it_is_told_to_go_elsewhere_while_there_is_time_when_the_back_end_stalls(self) -> None:
+        admission = busy()
+        call = self.call(deadline=2.0)
+        admission.submit(call, 0.0)
+        admission.expire(call, 0.59)
+        self.assertIsNone(call.refusal)
+        admission.expire(call, 0.81)
+        self.assertIsInstance(call.refusal, DeadlineUnmeetableError)
+
+    def test_a_cold_back_end_that_may_begin_nothing_yet_does_not_stall(self) -> None:
+        admission = busy()
+        call = self.call(deadline=2.0)
+        admission.submit(call, 0.0)
+        admission.in_flight = 0
+        admission.cold = ColdStart(1, 0.0, ColdBounds(1.0, 9.0, 1.0, 4.0))
+        for _ in range(4):
+            admission.cold.note_start(0.5)
+        admission.expire(call, 0.81)
+        self.assertIsNone(call.refusal)
+
+    def test_it_is_told_to_go_elsewhere_when_urgent_ones_have_taken_its_turn(self) -> None:
+        admission = busy()
+        call = self.call()
+        admission.submit(call, 0.0)
+        for _ in range(4):
+            admission.submit(ticket(rank=0, objective=4.0, deadline=9.0), 0.01)
+        admission.expire(call, 0.06)
+        self.assertIsInstance(call.refusal, DeadlineUnmeetableError)
+
+    def test_urgent_requests_keep_their_place_however_many_calls_come(self) -> None:
+        """Two slots take 20 requests a second; 80 calls come, and five urgent requests."""
+        admission = busy(slots=2, seconds=0.1)
+        running = [ticket(), ticket()]
+        calls: list[Any] = []
+        urgent: list[Any] = []
+        for step in range(400):
+            now = step * 0.0125
+            if step % 4 == 0 and step:
+                admission.finish(running.pop(0), now, answered=True)
+            calls.append(self.call(now))
+            with contextlib.suppress(DeadlineUnmeetableError):
+                admission.submit(calls[-1], now)
+            if step % 16 == 0:
+                urgent.append(ticket(rank=0, objective=now + 0.5, deadline=now + 2))
+                admission.submit(urgent[-1], now)
+            begun = [item for item in calls + urgent if item.granted and item not in running]
+            running += [item for item in begun if item.started_at == now]
+        self.assertEqual(sum(item.granted for item in urgent), 25)
+        self.assertLessEqual(max(item.queued for item in urgent), 0.1)
+        self.assertGreater(sum(item.granted for item in calls), 65)
