--- a/src/pewtertack/node/proxy/application.py
+++ b/src/pewtertack/node/proxy/application.py
@@ -47,6 +47,7 @@
 from pewtertack.routing.policies import DEFAULT_POLICIES, CrowdedGateways, Policies
 from pewtertack.routing.registry import ListChange
 from pewtertack.routing.retry_window import NO_RETRY_LIMITS, RetryLimits
+from pewtertack.routing.runs import RunsBeside
 from pewtertack.routing.table import RouteTable
 
 if TYPE_CHECKING:
@@ -88,6 +89,7 @@
         reporter: what the node knows of requests that end back ends.
         policies: the way of each decision that has several.
         retry_limits: what operators allow a service over all nodes, where the policies ask.
+        runs: what the back end beside this node runs.
     """
 
     def __init__(
@@ -103,6 +105,7 @@
         reporter: CrashReporter | None = None,
         policies: Policies = DEFAULT_POLICIES,
         retry_limits: RetryLimits = NO_RETRY_LIMITS,
+        runs: RunsBeside | None = None,
     ) -> None:
         self._clock = clock
         self._edge = edge
@@ -127,6 +130,7 @@
             self._metrics,
             self.requests,
             self._reporter,
+            runs or RunsBeside(),
             CrashWatch(self._note_crash),
             policies.crowded_gateways is CrowdedGateways.KEPT,
         )
--- a/src/pewtertack/routing/policies.py
+++ b/src/pewtertack/routing/policies.py
@@ -42,6 +42,7 @@
 MODULES: tuple[str, ...] = (
     "pewtertack.routing.crowding",
     "pewtertack.routing.link",
+    "pewtertack.routing.origins",
     "pewtertack.routing.retries",
     "pewtertack.routing.retry_window",
 )
