Lab: request-cost, the processor time of a hop over two nodes by what it makes them do

Change: proxy and gateway in one process, back end and caller in others; this process's clock of processor time divided by the calls. Served and refused hops, connections opened, probe, log line; `--rate` leaves the process idle between calls, `--profile` shows where the time goes.

--- a/src/pewtertack/cli/lab_cost.py
+++ b/src/pewtertack/cli/lab_cost.py
@@ -35,3 +35,25 @@
     if report is not None:
         report.write_bytes(msgspec.json.format(msgspec.json.encode(result)))
     typer.echo(format_cost(result))
+
+
+def request_cost(
+    calls: Annotated[int, typer.Option(help="Calls of each kind.")] = 2000,
+    rate: Annotated[float, typer.Option(help="Calls per second; 0: one after another.")] = 0.0,
+    profile: Annotated[bool, typer.Option(help="Print where the time goes as well.")] = False,
+    kind: Annotated[list[str] | None, typer.Option(help="Only these parts.")] = None,
+) -> None:
+    """Measure what a served and a refused hop over two nodes cost in processor time."""
+    from pewtertack.lab.cost.calls import CallKind
+    from pewtertack.lab.cost.requests import CostSettings, format_costs, measure_requests
+
+    kinds = tuple(CallKind(text) for text in kind) if kind else tuple(CallKind)
+    costs, profiles = measure_requests(CostSettings(calls, rate, kinds, profile))
+    typer.echo(profiles + format_costs(costs))
+
+
+def cost_caller(plan: Annotated[str, typer.Argument(help="The plan as JSON.")]) -> None:
+    """Make the calls of ``request-cost``."""
+    from pewtertack.lab.cost.calls import CallPlan, make_calls
+
+    make_calls(msgspec.json.decode(plan, type=CallPlan))
--- a/src/pewtertack/lab/hop/caller.py
+++ b/src/pewtertack/lab/hop/caller.py
@@ -35,7 +35,7 @@
         began = time.perf_counter()
         self._socket.sendall(REQUEST)
         received = self._socket.recv(READ_BYTES)
-        while not _is_whole(received):
+        while not is_whole(received):
             more = self._socket.recv(READ_BYTES)
             if not more:
                 raise MeasuredCallFailedError("the answer broke off")
@@ -50,7 +50,8 @@
         self._socket.close()
 
 
-def _is_whole(received: bytes) -> bool:
+def is_whole(received: bytes) -> bool:
+    """Tell whether a whole answer has come."""
     head, separator, body = received.partition(b"\r\n\r\n")
     if not separator:
         return False
--- a/src/pewtertack/lab/hop/targets.py
+++ b/src/pewtertack/lab/hop/targets.py
@@ -28,11 +28,15 @@
 KEEP_ALIVE = 75.0
 ZONE = "here"
 SERVICE = "measured"
+HOLD_PATH = "/hold"
+"""What asks for this stays at the back end."""
 
 
 async def _answer(scope: Scope, receive: Receive, send: Send) -> None:
-    """Answer every request with the same small body."""
+    """Answer every request with the same small body, but what is to be held."""
     await read_body(receive)
+    if scope["path"] == HOLD_PATH:
+        await anyio.sleep_forever()
     headers = [(b"content-length", str(len(BODY)).encode()), (b"x-backend-load", b"1/6")]
     await send({"type": "http.response.start", "status": 200, "headers": headers})
     await send({"type": "http.response.body", "body": BODY})
@@ -49,7 +53,7 @@
 async def run_proxy(backends: list[Address]) -> None:
     """Serve a proxy to ``backends`` until the process is ended."""
     proxy = ProxyApplication(time.monotonic, Random(1))
-    proxy.use_configuration(_configuration())
+    proxy.use_configuration(measured_configuration())
     proxy.use_machines(_machines(backends))
     proxy.set_serving(True)
     listening = socket.create_server((ANY_PORT.host, ANY_PORT.port))
@@ -57,7 +61,8 @@
     await HttpServer(proxy, KEEP_ALIVE, typed_refusal).serve([listening])
 
 
-def _configuration() -> ResolvedConfiguration:
+def measured_configuration() -> ResolvedConfiguration:
+    """Return the one route and service of the measurements."""
     service = ResolvedService(SERVICE, 6, 130, 1.0, 0.0, 5, 5.0)
     route = ResolvedRoute(
         name="all",
