A hop: rounding without decimals, news of a body without an event, headers looked at once

Cause: a profile by functions. round() to six digits of a Unix time takes 5 us and stood twice in each of four log lines; to one digit 1 us, a dozen times a hop. An event object each request for bodies that most do not have; sets of names put together for each request; each head walked three times. Change: times in lines by whole numbers (the same to the microsecond), an event's constant fields kept; a future where a body is waited for; what an edge strips worked out once; an answer that is there whole taken out in one step; the task's end noted by the task itself.

--- a/src/pewtertack/log.py
+++ b/src/pewtertack/log.py
@@ -14,15 +14,15 @@
 import logbook
 import msgspec
 
-from pewtertack.events import Event
+from pewtertack.events import REQUEST_EVENTS, Event
 from pewtertack.log_writer import BoundedWriter, LineSink
 
 CHANNEL = "pewtertack"
 
 
-def _steady() -> float:
-    """Return seconds that also pass while the machine is suspended, as the node's clock's do."""
-    return time.clock_gettime(time.CLOCK_BOOTTIME)
+def _steady() -> int:
+    """Return nanoseconds that also pass while the machine is suspended, as on the node's clock."""
+    return time.clock_gettime_ns(time.CLOCK_BOOTTIME)
 
 
 class _StreamSink:
@@ -37,8 +37,12 @@
         self._stream.flush()
 
 
-def _encoded(line: dict[str, Any]) -> bytes:
-    return msgspec.json.encode(line, enc_hook=str)
+def _microseconds(nanoseconds: int) -> float:
+    """Return seconds to the microsecond; ``round(seconds, 6)`` takes 5 us, this 0.2."""
+    return (nanoseconds + 500) // 1000 / 1_000_000
+
+
+_encode = msgspec.json.Encoder(enc_hook=str).encode
 
 
 class _SinkHandler(logbook.Handler):  # type: ignore[misc]
@@ -50,7 +54,7 @@
 
     def emit(self, record: logbook.LogRecord) -> None:
         """Write one record."""
-        self._sink.write(_encoded(record.extra["line"]), record.extra["routine"])
+        self._sink.write(_encode(record.extra["line"]), record.extra["routine"])
 
 
 class EventLog:
@@ -63,6 +67,8 @@
     def __init__(self, node: str, incarnation: int, stream: TextIO | None = None) -> None:
         self._logger = logbook.Logger(CHANNEL)
         self._identity = {"node": node, "incarnation": incarnation}
+        self._constants: dict[int, dict[str, Any]] = {}
+        """What every line of an event has, by the event's number."""
         self._started = _steady()
         self._writer: BoundedWriter | None = None
         self._sink = self._sink_of(stream)
@@ -81,8 +87,8 @@
         a tenth of a served request's processor time; a refused one has as many.
         """
         line = self._line(event, fields)
-        if event.of_request:
-            self._sink.write(_encoded(line), event.routine)
+        if event.number // 100 == REQUEST_EVENTS:
+            self._sink.write(_encode(line), event.routine)
         else:
             self._logger.info(event.name, extra={"line": line, "routine": False})
 
@@ -92,12 +98,14 @@
             self._writer.close()
 
     def _line(self, event: Event, fields: dict[str, Any]) -> dict[str, Any]:
+        constants = self._constants.get(event.number)
+        if constants is None:
+            constants = {"number": event.number, "event": event.name, **self._identity}
+            self._constants[event.number] = constants
         return {
-            "time": round(time.time(), 6),
-            "number": event.number,
-            "event": event.name,
-            **self._identity,
-            "uptime": round(_steady() - self._started, 6),
+            "time": _microseconds(time.time_ns()),
+            **constants,
+            "uptime": _microseconds(_steady() - self._started),
             **fields,
         }
 
--- a/src/pewtertack/node/http/connection.py
+++ b/src/pewtertack/node/http/connection.py
@@ -70,11 +70,13 @@
 
     def head(self) -> bytes:
         """Return the request line and the headers with their end."""
-        lines = [self.method + b" " + self.target + b" HTTP/1.1\r\n"]
-        lines += [name + b": " + value + b"\r\n" for name, value in self.headers]
+        lines = [self.method, b" ", self.target, b" HTTP/1.1\r\n"]
+        for name, value in self.headers:
+            lines += name, b": ", value, b"\r\n"
         if self.body_on_demand:
-            lines.append(b": ".join(EXPECT) + b"\r\n")
-        return b"".join(lines) + b"\r\n"
+            lines += b": ".join(EXPECT), b"\r\n"
+        lines.append(b"\r\n")
+        return b"".join(lines)
 
 
 class AnswerStart(msgspec.Struct, frozen=True):
@@ -301,12 +303,24 @@
             self._transport.resume_reading()
         return chunk
 
+    def take_whole(self) -> bytes | None:
+        """Return the rest of the answer's body if it has come to its end, else ``None``."""
+        if not self._complete or self._reading_paused:
+            return None
+        whole = self._chunks.popleft() if len(self._chunks) == 1 else b"".join(self._chunks)
+        self._chunks.clear()
+        self._buffered = 0
+        return whole
+
     async def read_whole(self) -> bytes:
         """Return the rest of the answer's body.
 
         Raises:
             ExchangeBrokenError: it broke off.
         """
+        whole = self.take_whole()
+        if whole is not None:
+            return whole
         parts = []
         while chunk := await self.read_chunk():
             parts.append(chunk)
--- a/src/pewtertack/node/http/cycle.py
+++ b/src/pewtertack/node/http/cycle.py
@@ -107,7 +107,9 @@
         self._beside: bool | None = None
         self._expects_continue = expects_continue
         self._body_dropped = False
-        self._received_more = asyncio.Event()
+        self._news = False
+        """Whether something has come since the application last looked."""
+        self._news_awaited: asyncio.Future[None] | None = None
         self._held: list[Message] = []
         self._held_bytes = 0
         self._turn: asyncio.Event | None = None
@@ -115,6 +117,9 @@
         self._chunked = False
         self._head = b""
         self._broken = False
+        self._task: asyncio.Task[None] | None = None
+        """What runs the application, while it does."""
+        self._tasks: set[asyncio.Task[None]]
 
     @property
     def runs_beside_others(self) -> bool:
@@ -134,22 +139,34 @@
         """A part of the body has come."""
         if not self._body_dropped and not self.answered:
             self.body += data
-        self._received_more.set()
+        self._tell_news()
 
     def receive_end(self) -> None:
         """The whole request has come."""
         self.received = True
-        self._received_more.set()
+        self._tell_news()
 
     def lose_caller(self) -> None:
         """The connection has ended."""
         self.gone = True
-        self._received_more.set()
+        self._tell_news()
         if self._turn is not None:
             self._turn.set()
         if self.on_gone is not None and not self.answered:
             self.on_gone()
 
+    def _tell_news(self) -> None:
+        self._news = True
+        awaited = self._news_awaited
+        if awaited is not None and not awaited.done():
+            awaited.set_result(None)
+
+    async def _wait_for_news(self) -> None:
+        while not self._news:
+            self._news_awaited = asyncio.get_running_loop().create_future()
+            await self._news_awaited
+        self._news = False
+
     def take_turn(self) -> None:
         """Earlier requests are answered: write what was kept, and the rest as it comes."""
         self.first = True
@@ -170,6 +187,17 @@
         self.body.clear()
         self._connection.resume_reading()
 
+    def begin(
+        self,
+        loop: asyncio.AbstractEventLoop,
+        application: Callable[..., Any],
+        tasks: set[asyncio.Task[None]],
+    ) -> None:
+        """Let the application answer by a task that is among ``tasks`` while it runs."""
+        self._tasks = tasks
+        self._task = loop.create_task(self.run(application))
+        tasks.add(self._task)
+
     async def run(self, application: Callable[..., Any]) -> None:
         """Let the application answer the request; what it leaves open cuts the connection."""
         try:
@@ -177,15 +205,20 @@
         except Exception as error:
             logger.error("the application failed", exc_info=error)
         finally:
-            self.scope[
-                "extensions"
-            ] = {}  # refers to this object, which would wait for the collector
+            self._forget()
         if self.answered or self.gone:
             return
         self._broken = True
         if self.first:
             self._connection.cut()
 
+    def _forget(self) -> None:
+        """Drop what refers to this object, which would wait for the collector with it."""
+        self.scope["extensions"] = {}
+        if self._task is not None:
+            self._tasks.discard(self._task)
+            self._task = None
+
     async def receive(self) -> Message:
         """Return the next part of the request (ASGI)."""
         if self._expects_continue and self.first and not self.answer_begun:
@@ -194,8 +227,7 @@
         if not self.gone and not self.answered:
             if not self.body and not self.received:
                 self._connection.resume_reading()
-            await self._received_more.wait()
-            self._received_more.clear()
+            await self._wait_for_news()
         if self.gone or self.answered:
             return {"type": "http.disconnect"}
         body = bytes(self.body)
@@ -237,7 +269,7 @@
         self.answered = not more
         if self.answered:
             self.body.clear()  # nobody reads it any more
-            self._received_more.set()
+            self._tell_news()
 
     def _note_framing(self, message: Message) -> None:
         self._chunked = self.scope["method"] != "HEAD"
@@ -286,7 +318,7 @@
             if name == b"connection":
                 self._connection.end_after_answers()
             else:
-                lines.append(name + b": " + value + b"\r\n")
+                lines += name, b": ", value, b"\r\n"
         if self._chunked:
             lines.append(b"transfer-encoding: chunked\r\n")
         if self._connection.close_after(self):
--- a/src/pewtertack/node/http/pipeline.py
+++ b/src/pewtertack/node/http/pipeline.py
@@ -58,6 +58,8 @@
         """Mark the requests that may begin now as begun, and return them."""
         if self.closed:
             return []
+        if len(self.requests) == 1:
+            return self._only()
         started: list[R] = []
         for place, request in enumerate(self.requests):
             if place >= MOST_BEGUN or (place > 0 and not request.runs_beside_others):
@@ -69,6 +71,14 @@
                 break
         return started
 
+    def _only(self) -> list[R]:
+        """Begin the one request that there is, as nearly always."""
+        request = self.requests[0]
+        if request.begun:
+            return []
+        request.begun = True
+        return [request]
+
     def answered(self) -> R | None:
         """Drop the first request, whose answer is complete; return the next that has begun."""
         self.requests.popleft()
--- a/src/pewtertack/node/http/protocol.py
+++ b/src/pewtertack/node/http/protocol.py
@@ -36,6 +36,9 @@
 LINGER_SECONDS = 0.5
 """After the last answer the caller may take so long to close: closing at once while bytes of
 its next requests arrive would reset the connection, and the answer could be lost."""
+EXAMINED_NAMES = frozenset({b"expect", b"transfer-encoding"})
+"""Headers that are of the connection's concern."""
+ASGI = {"version": "3.0", "spec_version": "2.3"}
 MAY_RUN_BESIDE = "may_run_beside"
 """Method of an application that tells, by its scope, whether a request may be repeated."""
 
@@ -73,6 +76,8 @@
         # The request that is being received
         self._url = b""
         self._headers: list[tuple[bytes, bytes]] = []
+        self._headers_bytes = 0
+        self._unknown_coding = False
         self._expects_continue = False
         self._head_bytes = 0
         self._reading_head = True
@@ -168,6 +173,8 @@
         """A request begins."""
         self._url = b""
         self._headers = []
+        self._headers_bytes = 0
+        self._unknown_coding = False
         self._expects_continue = False
 
     def on_url(self, url: bytes) -> None:
@@ -177,10 +184,17 @@
     def on_header(self, name: bytes, value: bytes) -> None:
         """Take a header."""
         name = name.lower()
-        if name == b"expect" and value.lower() == b"100-continue":
-            self._expects_continue = True
+        if name in EXAMINED_NAMES:
+            self._examine(name, value)
+        self._headers_bytes += len(name) + len(value)
         self._headers.append((name, value))
 
+    def _examine(self, name: bytes, value: bytes) -> None:
+        if name == b"expect":
+            self._expects_continue = self._expects_continue or value.lower() == b"100-continue"
+        elif value.strip().lower() != PLAIN_CODING:
+            self._unknown_coding = True
+
     def on_headers_complete(self) -> None:
         """Check what httptools leaves unchecked, then start the request if it may begin."""
         if self._discarding:
@@ -214,12 +228,9 @@
 
     def _check_head(self) -> None:
         """Raise, and leave for ``data_received``, why the head is refused."""
-        size = len(self._url)
-        for name, value in self._headers:
-            size += len(name) + len(value)
-            if name == b"transfer-encoding" and value.strip().lower() != PLAIN_CODING:
-                self._refusal = RefusalReason.UNKNOWN_CODING
-        if size > HEAD_BYTES:
+        if self._unknown_coding:
+            self._refusal = RefusalReason.UNKNOWN_CODING
+        if len(self._url) + self._headers_bytes > HEAD_BYTES:
             self._refusal = RefusalReason.HEAD_TOO_LARGE
         if self._refusal is not RefusalReason.MALFORMED:
             raise HeadRefusedError(self._refusal)
@@ -229,7 +240,7 @@
         path = target.path.decode("ascii")
         return {
             "type": "http",
-            "asgi": {"version": "3.0", "spec_version": "2.3"},
+            "asgi": ASGI,
             "http_version": self._parser.get_http_version(),
             "method": self._parser.get_method().decode("ascii"),
             "path": urllib.parse.unquote(path) if "%" in path else path,
@@ -242,9 +253,7 @@
 
     def _start_requests(self) -> None:
         for cycle in self._pipeline.startable():
-            task = self.loop.create_task(cycle.run(self._application))
-            self._server.tasks.add(task)
-            task.add_done_callback(self._server.tasks.discard)
+            cycle.begin(self.loop, self._application, self._server.tasks)
 
     def default_headers(self) -> list[tuple[bytes, bytes]]:
         """Return the headers that every answer has."""
--- a/src/pewtertack/node/proxy/edge.py
+++ b/src/pewtertack/node/proxy/edge.py
@@ -20,12 +20,14 @@
     identified_answers: bool = False
     unframed_answers: bool = False
     fractional_retry_after: bool = False
+    own: frozenset[bytes] = frozenset()
+    """Names that nodes set themselves: what a caller sends under them is dropped. Worked out."""
 
-    @property
-    def own(self) -> frozenset[bytes]:
-        """Names that nodes set themselves: what a caller sends under them is dropped."""
+    def __post_init__(self) -> None:
+        """Work out once what every request needs."""
         names = (self.request_id, self.deadline, self.expected_backend, self.caller_service)
-        return frozenset(name for name in names if name)
+        own = frozenset(name for name in names if name)
+        msgspec.structs.force_setattr(self, "own", own)
 
 
 PRODUCT_EDGE = EdgeHeaders()
--- a/src/pewtertack/node/proxy/exchange.py
+++ b/src/pewtertack/node/proxy/exchange.py
@@ -207,6 +207,11 @@
 
 async def _finish_shed(connection: BackendConnection) -> None:
     """Read the small body of a shed answer, or else close the connection."""
+    whole = connection.take_whole()
+    if whole is not None:
+        if len(whole) > SHED_BODY_BYTES:
+            connection.abort()
+        return
     received = 0
     with anyio.move_on_after(SHED_BODY_SECONDS):
         try:
--- a/src/pewtertack/node/proxy/headers.py
+++ b/src/pewtertack/node/proxy/headers.py
@@ -38,6 +38,9 @@
     | hop.GATEWAY_NAMES
     | {b"expect", REQUEST_ID, DEADLINE, BACKEND_LOAD, BACKEND_STATE}
 )
+FRAMING = frozenset({b"content-length", b"transfer-encoding"})
+NOTED_PREFIXES = (b"x-", b"retry-")
+"""Of the names in an answer that say something to the node."""
 NOT_RETURNED = HOP_BY_HOP | hop.ANSWER_NAMES | {REQUEST_ID, BACKEND_LOAD, BACKEND_STATE}
 
 
@@ -137,6 +140,8 @@
     A header that carries one of the route's secrets is taken from the secret
     alone: the caller's is dropped.
     """
+    if not route.header_secrets:
+        return without_names(headers, head, edge.own)
     secrets = {
         name.lower().encode(): configuration.secrets[secret].encode()
         for name, secret in route.header_secrets.items()
@@ -148,8 +153,12 @@
 
 def without_names(headers: RawHeaders, head: RequestHead, names: Set[bytes]) -> RawHeaders:
     """Return ``headers`` without ``names`` and without those of one connection only."""
-    dropped = NOT_FORWARDED | head.connection_options | names
-    result = [(name, value) for name, value in headers if name not in dropped]
+    options = head.connection_options
+    result = [
+        item
+        for item in headers
+        if item[0] not in NOT_FORWARDED and item[0] not in names and item[0] not in options
+    ]
     if head.chunked:
         result.append((b"transfer-encoding", b"chunked"))
     return result
@@ -196,16 +205,18 @@
     """Sort a back end's headers into what is passed on and what is for the node."""
     answer = AnswerHead([])
     options: frozenset[bytes] = frozenset()
+    request_id = edge.request_id
     for raw_name, value in headers:
         name = raw_name.lower()
-        if name == b"connection":
-            options |= _options(value)
-        elif name in (b"content-length", b"transfer-encoding"):
+        if name in FRAMING:
             answer.framed = True
             if name == b"content-length" and value.strip().isdigit():
                 answer.length = int(value)
-        _note(answer, name, value, edge)
-        if name not in NOT_RETURNED and name != edge.request_id:
+        elif name.startswith(NOTED_PREFIXES):
+            _note(answer, name, value, edge)
+        elif name == b"connection":
+            options |= _options(value)
+        if name not in NOT_RETURNED and name != request_id:
             answer.headers.append((name, value))
     if options - {b"close", b"keep-alive"}:
         answer.headers = [item for item in answer.headers if item[0] not in options]
@@ -220,8 +231,6 @@
 
 
 def _note(answer: AnswerHead, name: bytes, value: bytes, edge: EdgeHeaders) -> None:
-    if not name.startswith((b"x-", b"retry-")):
-        return
     text = value.decode("latin-1")
     if name == edge.request_id:
         answer.request_id = text
--- a/src/pewtertack/node/proxy/request_log.py
+++ b/src/pewtertack/node/proxy/request_log.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 from collections.abc import Callable, Iterable
+from math import floor
 from typing import Any, Protocol
 
 import msgspec
@@ -35,7 +36,18 @@
 
 def milliseconds(seconds: float) -> float:
     """Return ``seconds`` in milliseconds, short enough for a log line."""
-    return round(seconds * 1000, 1)
+    return parts_of(seconds * 1000, 10)
+
+
+def parts_of(value: float, parts: int) -> float:
+    """Return ``value`` to whole parts of 1, halves upwards.
+
+    ``round`` with digits works in decimals and takes 1 us, this 0.3; a hop has a dozen.
+    """
+    try:
+        return floor(value * parts + 0.5) / parts
+    except (OverflowError, ValueError):
+        return value  # endless, or no number
 
 
 class Beliefs(msgspec.Struct):
@@ -70,9 +82,9 @@
             zone=backend.zone,
             attempt=len(ticket.excluded) + 1,
             reason=ticket.choice,
-            load=f"{round(backend.occupancy(now) * _slots(ticket), 1)}/{_slots(ticket)}",
+            load=f"{parts_of(backend.occupancy(now) * _slots(ticket), 10)}/{_slots(ticket)}",
             load_age=_age(now, backend.reported_at),
-            slowness=round(backend.slowness, 2),
+            slowness=parts_of(backend.slowness, 100),
             revision=revision,
             revision_age=_age(now, known.revision_at),
             machine_list=known.machine_list,
@@ -266,4 +278,4 @@
 
 def _age(now: float, since: float) -> float | None:
     """Return the seconds since a moment, ``None`` for one that never was."""
-    return round(now - since, 3) if since > 0 else None
+    return parts_of(now - since, 1000) if since > 0 else None
