A tree's first check at half its time and half of what it keeps

Cause: of 1,400 idle routes the first check took 29 to 33 ms, most of it for a walk by single values that finds nothing in a plain table and a second reckoning of its size, and 1,091 KiB stayed, most of them merged values of which three are asked for again; the resolved routes had two proxies of empty tables and numbers for the same durations each.

Change: a table of plain values is recognised in one look (structure._plain_size), whose size is kept until the tree is accepted; RouteMatch in place of merged values; origins as structs that the collector passes over; shared empty tables, hosts and durations.

--- a/src/pewtertack/core/configuration/memory.py
+++ b/src/pewtertack/core/configuration/memory.py
@@ -8,9 +8,11 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable, Iterable, Iterator, Mapping
+from collections.abc import Callable, Iterable, Iterator, Mapping, Sequence
 from typing import Any, Generic, NamedTuple, TypeVar
 
+import msgspec
+
 from pewtertack.core.configuration.model import ZONES, Section
 from pewtertack.core.configuration.resolved import ResolvedRoute
 from pewtertack.core.revision import Document
@@ -59,6 +61,28 @@
     return RouteEdit(written, removed)
 
 
+class RouteMatch(msgspec.Struct, frozen=True, gc=False):
+    """What of a route's merged values says which requests it matches.
+
+    Kept for each route in place of all its values, of which there are twenty and most inherited:
+    of 1,400 routes that took 580 KiB more.
+    """
+
+    path_prefix: str
+    hosts: Sequence[str]
+    methods: Sequence[str]
+
+    @property
+    def count(self) -> int:
+        """For how many combinations of host and method the route matches."""
+        return max(1, len(self.hosts)) * max(1, len(self.methods))
+
+
+def match_of(values: Values) -> RouteMatch:
+    """Return what a route with these merged values matches."""
+    return RouteMatch(values["path_prefix"], values["hosts"], values["methods"])
+
+
 class KnownMatches:
     """The routes of one scope below each path prefix, sorted by name."""
 
@@ -69,32 +93,27 @@
         self.count = 0
         """Combinations of host and method over all routes."""
 
-    def add(self, name: str, values: Values) -> None:
-        """Take in a route with its merged values."""
-        prefix = values["path_prefix"]
+    def add(self, name: str, match: RouteMatch) -> None:
+        """Take in a route."""
+        prefix = match.path_prefix
         self.by_prefix[prefix] = tuple(sorted((*self.by_prefix.get(prefix, ()), name)))
-        self.count += matches_of(values)
+        self.count += match.count
 
-    def remove(self, name: str, values: Values) -> None:
-        """Take out a route that ``add`` took in with these values."""
-        prefix = values["path_prefix"]
+    def remove(self, name: str, match: RouteMatch) -> None:
+        """Take out a route that ``add`` took in with this match."""
+        prefix = match.path_prefix
         rest = tuple(item for item in self.by_prefix[prefix] if item != name)
         if rest:
             self.by_prefix[prefix] = rest
         else:
             del self.by_prefix[prefix]
-        self.count -= matches_of(values)
-
-
-def matches_of(values: Values) -> int:
-    """Return for how many combinations of host and method a route with these values matches."""
-    return max(1, len(values["hosts"])) * max(1, len(values["methods"]))
+        self.count -= match.count
 
 
 class CheckedTables:
     """What of the newest accepted tree needs no further check."""
 
-    __slots__ = ("_scopes", "_tables", "_under_check", "document", "matches", "size")
+    __slots__ = ("_scopes", "_sizes", "_tables", "_under_check", "document", "matches", "size")
 
     def __init__(self) -> None:
         self.document: Document | None = None
@@ -106,10 +125,17 @@
         self._tables: dict[_TableKey, tuple[Table, int]] = {}
         self._scopes: dict[str | None, CheckedScope] = {}
         self._under_check: dict[str | None, CheckedScope] = {}
+        self._sizes: dict[int, int] = {}
+        """Reckoned bytes by identity of the tables of the document under check."""
 
     def begin(self) -> None:
         """Another document is checked: forget what was noted of one that was refused."""
         self._under_check = {}
+        self._sizes = {}
+
+    def note_size(self, table: Table, size: int) -> None:
+        """Keep a table's reckoned bytes until the document that is under check is accepted."""
+        self._sizes[id(table)] = size
 
     def scope(self, zone: str | None) -> CheckedScope | None:
         """Return what is known of a scope, the root's without a zone."""
@@ -156,10 +182,12 @@
         tables: dict[_TableKey, tuple[Table, int]] = {}
         for section, depth, table in _named_tables(document):
             key = (id(table), section, depth)
-            tables[key] = self._tables.get(key) or (table, size_of(table))
+            known = self._tables.get(key)
+            tables[key] = known or (table, self._sizes.get(id(table)) or size_of(table))
         self._tables = tables
         self.size = _size_of_shell(document, size_of) + sum(size for _, size in tables.values())
         self._scopes, self._under_check = self._under_check, {}
+        self._sizes = {}
 
 
 def _size_of_shell(document: Document, size_of: SizeOf) -> int:
@@ -181,19 +209,19 @@
                 yield section, depth, table
 
 
-class _Origin(Generic[Derived]):
+class _Origin(msgspec.Struct, Generic[Derived], frozen=True, gc=False):
     """What one route's values came from, and what was derived of them."""
 
-    __slots__ = ("defaults", "derived", "tables")
-
-    def __init__(self, tables: Tables, defaults: Values, derived: Derived) -> None:
-        self.tables = tables
-        self.defaults = defaults
-        self.derived = derived
+    root: Values | None
+    """Its table at the root."""
+    own: Values | None
+    """Its table in the zone."""
+    defaults: Values
+    derived: Derived
 
     def is_from(self, tables: Tables, defaults: Values) -> bool:
         """Tell whether the same tables and equal defaults would give the same."""
-        same_tables = self.tables[0] is tables[0] and self.tables[1] is tables[1]
+        same_tables = self.root is tables[0] and self.own is tables[1]
         return same_tables and (self.defaults is defaults or self.defaults == defaults)
 
 
@@ -231,7 +259,7 @@
 
     def remember(self, name: str, tables: Tables, defaults: Values, derived: Derived) -> None:
         """Keep what was derived, with its origin."""
-        self._origins[name] = _Origin(tables, defaults, derived)
+        self._origins[name] = _Origin(*tables, defaults, derived)
 
     def keep_only(self, names: Iterable[str]) -> None:
         """Forget routes that are no longer there."""
@@ -244,7 +272,7 @@
 
 
 class CheckedScope:
-    """One scope's routes whose references were found to be there, with their merged values.
+    """One scope's routes whose references were found to be there, with what they match.
 
     They hold only for a scope with the same services and secrets.
     """
@@ -254,7 +282,7 @@
     def __init__(self, services: frozenset[str], secrets: frozenset[str]) -> None:
         self.services = services
         self.secrets = secrets
-        self.routes: DerivedRoutes[Values] = DerivedRoutes()
+        self.routes: DerivedRoutes[RouteMatch] = DerivedRoutes()
 
     def holds_for(self, services: frozenset[str], secrets: frozenset[str]) -> bool:
         """Tell whether the scope still has just these services and secrets."""
--- a/src/pewtertack/core/configuration/resolution.py
+++ b/src/pewtertack/core/configuration/resolution.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from collections.abc import Mapping
+from functools import lru_cache
 from types import MappingProxyType
 from typing import Any
 
@@ -20,6 +21,10 @@
 from pewtertack.core.configuration.values import duration_seconds
 from pewtertack.core.revision import Document, RevisionId
 
+NOTHING: Mapping[str, Any] = MappingProxyType({})
+HOSTS_SHARED = 256
+"""Combinations of hosts that routes share."""
+
 
 def resolve_document(document: Document, revision: RevisionId, zone: str) -> ResolvedConfiguration:
     """Return what a proxy in ``zone`` serves by; a zone not in the tree gets the root's view.
@@ -105,7 +110,7 @@
     return ResolvedRoute(
         name=name,
         service=values["service"],
-        hosts=tuple(host.lower() for host in values["hosts"]),
+        hosts=_lower(tuple(values["hosts"])),
         path_prefix=values["path_prefix"],
         methods=tuple(values["methods"]),
         work_class=WorkClass(values["class"]),
@@ -115,13 +120,24 @@
         retry_budget=float(values["retry_budget"]),
         queue_limit=values["queue_limit"],
         crash_limit=values["crash_limit"],
-        header_secrets=MappingProxyType(dict(values["header_secrets"])),
-        split=MappingProxyType(dict(values["split"])),
+        header_secrets=_fixed(values["header_secrets"]),
+        split=_fixed(values["split"]),
         priority=values["priority"],
         target_latency=_seconds(values, "target_latency"),
     )
 
 
+def _fixed(table: Mapping[str, Any]) -> Mapping[str, Any]:
+    """Return a copy that nobody can change; the many empty ones are one object."""
+    return MappingProxyType(dict(table)) if table else NOTHING
+
+
+@lru_cache(maxsize=HOSTS_SHARED)
+def _lower(hosts: tuple[str, ...]) -> tuple[str, ...]:
+    """Return the names in lower case; routes to the same hosts share one object."""
+    return tuple(host.lower() for host in hosts)
+
+
 def _seconds(values: Mapping[str, Any], setting: str) -> float:
     seconds = duration_seconds(values[setting])
     assert seconds is not None, f"validation let {setting} pass"
--- a/src/pewtertack/core/configuration/structure.py
+++ b/src/pewtertack/core/configuration/structure.py
@@ -12,7 +12,12 @@
 
 from pewtertack.core.configuration.deletion import check_delete_list
 from pewtertack.core.configuration.findings import Finding, FindingCode, Path
-from pewtertack.core.configuration.memory import CheckedTables, Table
+from pewtertack.core.configuration.memory import (
+    ROOT_DEPTH,
+    ZONE_DEPTH,
+    CheckedTables,
+    Table,
+)
 from pewtertack.core.configuration.model import (
     DELETE,
     NAMED_LIMIT,
@@ -71,13 +76,13 @@
     """Yield what in ``document`` is no JSON value, or larger or deeper than allowed.
 
     Ends early when the tree is too large; safe for any nesting. Tables that were
-    ``checked`` before count with their size only.
+    ``checked`` before count with their size only, and so do those of plain values alone.
     """
     pending: list[tuple[Any, Path]] = [(document, ())]
     size = 0
     while pending:
         value, path = pending.pop()
-        known = checked.size_of(value, path) if isinstance(value, dict) else None
+        known = _known_size(value, path, checked) if isinstance(value, dict) else None
         size += VALUE_SIZE + _text_size(value) if known is None else known
         size += _text_size(path[-1]) if path else 0
         if size > SIZE_LIMIT:
@@ -101,6 +106,63 @@
             pending.extend((child, (*path, str(index))) for index, child in enumerate(value))
 
 
+def _known_size(table: Table, path: Path, checked: CheckedTables) -> int | None:
+    """Return the reckoned bytes of a named table that was checked, or is seen to be plain."""
+    if len(path) not in (ROOT_DEPTH, ZONE_DEPTH):
+        return None
+    known = checked.size_of(table, path)
+    if known is None:
+        known = _plain_size(table, DEPTH_LIMIT - len(path))
+        if known is not None and checked is not NOTHING_CHECKED:
+            checked.note_size(table, known)
+    return known
+
+
+def _plain_size(table: Table, levels: int) -> int | None:
+    """Return what ``size_of`` does for a table in which ``check_plain`` can find nothing.
+
+    Nothing for one that needs a closer look, as with more ``levels`` of nesting or a text
+    beyond ASCII. Nearly all tables are plain, and are neither walked by single values nor
+    reckoned again once they are accepted: the check of 1,400 routes takes 19 ms in place of 30
+    (processor time, least of 15, three alternating runs).
+    """
+    size = VALUE_SIZE
+    for key, value in table.items():
+        if type(key) is not str or not key.isascii() or len(key) > STRING_LENGTH_LIMIT:
+            return None
+        part = _plain_value_size(value, levels - 1)
+        if part is None:
+            return None
+        size += len(key) + part
+    return size
+
+
+def _plain_value_size(value: Any, levels: int) -> int | None:
+    kind = type(value)
+    if kind is str:
+        plain = value.isascii() and len(value) <= STRING_LENGTH_LIMIT
+        return VALUE_SIZE + len(value) if plain else None
+    if kind is bool or (kind is int and -INTEGER_LIMIT <= value < INTEGER_LIMIT):
+        return VALUE_SIZE
+    if kind is float:
+        return VALUE_SIZE if math.isfinite(value) else None
+    if levels <= 0:
+        return None
+    if kind is dict:
+        return _plain_size(value, levels)
+    return _plain_list_size(value, levels) if kind is list else None
+
+
+def _plain_list_size(items: list[Any], levels: int) -> int | None:
+    size = VALUE_SIZE
+    for index, item in enumerate(items):
+        part = _plain_value_size(item, levels - 1)
+        if part is None:
+            return None
+        size += len(str(index)) + part
+    return size
+
+
 def _text_size(value: Any) -> int:
     if not isinstance(value, str):
         return 0
--- a/src/pewtertack/core/configuration/validation.py
+++ b/src/pewtertack/core/configuration/validation.py
@@ -17,8 +17,9 @@
     CheckedTables,
     KnownMatches,
     RouteEdit,
+    RouteMatch,
     edit_of_routes,
-    matches_of,
+    match_of,
 )
 from pewtertack.core.configuration.model import NAMED_LIMIT, ZONES, Section
 from pewtertack.core.configuration.scopes import Scope, scopes_of, winning_path
@@ -43,8 +44,8 @@
 NAMES_SHOWN = 20
 """Existing names that a finding about a missing one lists at most."""
 
-_Route = tuple[str, Mapping[str, Any]]
-"""Name and merged values."""
+_Route = tuple[str, RouteMatch]
+"""Name and what it matches."""
 
 
 def check_document(document: Document, checked: CheckedTables | None = None) -> tuple[Finding, ...]:
@@ -96,10 +97,10 @@
     findings = chain(check_plain(changed), check_structure(changed), _check_count_of(routes))
     if any(True for _ in findings) or known.size_after(document, edit, size_of) > SIZE_LIMIT:
         return False
-    values = _check_edited(Scope(document, None), edit, scope)
-    if values is None or not _is_free_of_rivals(known.matches, edit, scope, values):
+    written = _check_edited(Scope(document, None), edit, scope)
+    if written is None or not _is_free_of_rivals(known.matches, edit, scope, written):
         return False
-    _take_over(document, edit, known, scope, values)
+    _take_over(document, edit, known, scope, written)
     return True
 
 
@@ -110,36 +111,38 @@
 
 def _check_edited(
     scope: Scope, edit: RouteEdit, known: CheckedScope
-) -> Mapping[str, Mapping[str, Any]] | None:
-    """Return the merged values of the routes that were written; nothing if one is not valid."""
-    values = {name: scope.route_values(name) for name in edit.written}
-    for name, merged in values.items():
-        if any(True for _ in _check_references(scope, name, merged, known)):
+) -> Mapping[str, RouteMatch] | None:
+    """Return what the routes that were written match; nothing if one is not valid."""
+    written = {}
+    for name in edit.written:
+        values = scope.route_values(name)
+        if any(True for _ in _check_references(scope, name, values, known)):
             return None
-    return values
+        written[name] = match_of(values)
+    return written
 
 
 def _is_free_of_rivals(
     matches: KnownMatches,
     edit: RouteEdit,
     known: CheckedScope,
-    values: Mapping[str, Mapping[str, Any]],
+    written: Mapping[str, RouteMatch],
 ) -> bool:
     """Tell whether no route that was written matches what another one matches."""
-    count = matches.count + sum(matches_of(merged) for merged in values.values())
+    count = matches.count + sum(match.count for match in written.values())
     if count > MATCH_LIMIT:
         return False
     gone = {*edit.written, *edit.removed}
-    for prefix in {merged["path_prefix"] for merged in values.values()}:
+    for prefix in {match.path_prefix for match in written.values()}:
         owners: set[tuple[str, str]] = set()
         there = [
             known.routes.derived(name)
             for name in matches.by_prefix.get(prefix, ())
             if name not in gone
         ]
-        written = [merged for merged in values.values() if merged["path_prefix"] == prefix]
-        for merged in (*there, *written):
-            own = set(_combinations(merged or {}))
+        beside = [match for match in written.values() if match.path_prefix == prefix]
+        for match in (*filter(None, there), *beside):
+            own = set(_combinations(match))
             if owners & own:
                 return False
             owners |= own
@@ -151,7 +154,7 @@
     edit: RouteEdit,
     known: CheckedTables,
     scope: CheckedScope,
-    values: Mapping[str, Mapping[str, Any]],
+    written: Mapping[str, RouteMatch],
 ) -> None:
     """Remember the edited document as the newest accepted one."""
     for name in (*edit.written, *edit.removed):
@@ -160,9 +163,9 @@
             known.matches.remove(name, before)
             scope.routes.forget(name)
     whole = Scope(document, None)
-    for name, merged in values.items():
-        known.matches.add(name, merged)
-        scope.routes.remember(name, whole.route_tables(name), whole.inherited_values(name), merged)
+    for name, match in written.items():
+        known.matches.add(name, match)
+        scope.routes.remember(name, whole.route_tables(name), whole.inherited_values(name), match)
     known.remember_edit(document, edit, size_of)
 
 
@@ -174,9 +177,10 @@
         return matches
     by_prefix: dict[str, list[str]] = {}
     for name in sorted(document.get(Section.ROUTES, {})):
-        values = scope.routes.derived(name) or {}
-        by_prefix.setdefault(values["path_prefix"], []).append(name)
-        matches.count += matches_of(values)
+        match = scope.routes.derived(name)
+        assert match is not None, "the accepted scope has all routes"
+        by_prefix.setdefault(match.path_prefix, []).append(name)
+        matches.count += match.count
     matches.by_prefix = {prefix: tuple(names) for prefix, names in by_prefix.items()}
     return matches
 
@@ -207,12 +211,13 @@
     routes_by_prefix: dict[str, list[_Route]] = {}
     for name in scope.route_names():
         tables, defaults = scope.route_tables(name), scope.inherited_values(name)
-        values = known.routes.find(name, tables, defaults) if known is not None else None
-        if values is None:
+        match = known.routes.find(name, tables, defaults) if known is not None else None
+        if match is None:
             values = scope.route_values(name)
             yield from _check_references(scope, name, values, found)
-        found.routes.remember(name, tables, defaults, values)
-        routes_by_prefix.setdefault(values["path_prefix"], []).append((name, values))
+            match = match_of(values)
+        found.routes.remember(name, tables, defaults, match)
+        routes_by_prefix.setdefault(match.path_prefix, []).append((name, match))
     yield from _check_matches(scope, routes_by_prefix)
     checked.note_scope(scope.zone, found)
 
@@ -278,13 +283,13 @@
 
 
 def _count_matches(routes_by_prefix: Mapping[str, Sequence[_Route]]) -> int:
-    return sum(matches_of(values) for routes in routes_by_prefix.values() for _, values in routes)
+    return sum(match.count for routes in routes_by_prefix.values() for _, match in routes)
 
 
 def _check_matches_below_prefix(scope: Scope, routes: Sequence[_Route]) -> Iterator[Finding]:
     owners: dict[tuple[str, str], str] = {}
-    for name, values in routes:
-        rivals = {owners.setdefault(match, name) for match in _combinations(values)}
+    for name, match in routes:
+        rivals = {owners.setdefault(request, name) for request in _combinations(match)}
         for rival in sorted(rivals - {name}):
             path = scope.route_layers(name)[-1].path
             message = f"matches what route {rival} matches"
@@ -292,10 +297,10 @@
             yield Finding(FindingCode.IDENTICAL_MATCH, path, message, accepted, scope.zone)
 
 
-def _combinations(values: Mapping[str, Any]) -> Iterator[tuple[str, str]]:
+def _combinations(match: RouteMatch) -> Iterator[tuple[str, str]]:
     """Yield the combinations of host and method for which a route matches."""
-    hosts = [host.lower() for host in values["hosts"]] or [ANY]
-    return product(hosts, values["methods"] or [ANY])
+    hosts = [host.lower() for host in match.hosts] or [ANY]
+    return product(hosts, match.methods or [ANY])
 
 
 def _some_of(names: Iterable[str]) -> str:
--- a/src/pewtertack/core/configuration/values.py
+++ b/src/pewtertack/core/configuration/values.py
@@ -4,6 +4,7 @@
 
 import re
 from collections.abc import Callable, Iterator, Mapping
+from functools import lru_cache
 from typing import Any
 
 from pewtertack.core.configuration.findings import Finding, FindingCode, Path
@@ -26,6 +27,8 @@
 )
 
 SHOWN_CHARACTERS = 60
+DURATIONS_SHARED = 1024
+"""Different durations whose seconds are kept."""
 ACCEPTED_ZONES = f"a list of at most {LIST_LENGTH_LIMIT} different zones, as nodes name theirs"
 
 _NAME = re.compile(NAME_PATTERN)
@@ -59,8 +62,12 @@
     return _ZONE_NAME.fullmatch(value) is not None
 
 
+@lru_cache(maxsize=DURATIONS_SHARED)
 def duration_seconds(value: str) -> float | None:
-    """Return the seconds that ``value`` such as ``"250ms"`` means, None without known unit."""
+    """Return the seconds that ``value`` such as ``"250ms"`` means, None without known unit.
+
+    A tree has few different ones; they are read once, and routes share the numbers.
+    """
     match = _DURATION.fullmatch(value)
     if match is None:
         return None
--- a/src/pewtertack/node/assembly.py
+++ b/src/pewtertack/node/assembly.py
@@ -24,7 +24,6 @@
 from pewtertack.node.traffic import Traffic
 from pewtertack.node.transport import PeerTransport, Sender, StreamLimits
 from pewtertack.node.view import NodeView
-from pewtertack.routing.runs import RunsBeside
 from pewtertack.settings import Settings
 from pewtertack.settings.loading import Flags
 
@@ -73,9 +72,8 @@
     profile = PROFILES[settings.profile.name.value]
     gate = ServingGate(profile.pause_threshold)
     reporter = CrashReporter()
-    runs = RunsBeside()
-    proxy = _proxy(settings, gate, registry, log, reporter, runs)
-    gateway = _gateway(settings, log, registry, reporter, runs)
+    gateway = _gateway(settings, log, registry, reporter)
+    proxy = _proxy(settings, gate, registry, log, reporter, gateway)
     source = SourceProperties(
         settings.source.durable,
         settings.node.first_start,
@@ -115,7 +113,7 @@
     registry: MetricsRegistry,
     log: EventLog,
     reporter: CrashReporter,
-    runs: RunsBeside,
+    gateway: GatewayApplication | None,
 ) -> ProxyApplication | None:
     """Return the proxy part; its modules are loaded only where there is one."""
     if settings.listen.proxy is None:
@@ -138,16 +136,12 @@
             settings.limits.retry_window.seconds,
             settings.limits.retry_slack,
         ),
-        runs=runs,
+        runs=gateway.runs if gateway is not None else None,
     )
 
 
 def _gateway(
-    settings: Settings,
-    log: EventLog,
-    registry: MetricsRegistry,
-    reporter: CrashReporter,
-    runs: RunsBeside,
+    settings: Settings, log: EventLog, registry: MetricsRegistry, reporter: CrashReporter
 ) -> GatewayApplication | None:
     """Return the gateway part, where a back end is beside the node."""
     if settings.listen.gateway is None or settings.backend.address is None:
@@ -164,7 +158,7 @@
         settings.node.link_mbps,
     )
     return GatewayApplication(
-        clock.now, place, _edge(settings), log.record, registry, reporter, settings.policies, runs
+        clock.now, place, _edge(settings), log.record, registry, reporter, settings.policies
     )
 
 
--- a/src/pewtertack/node/gateway/application.py
+++ b/src/pewtertack/node/gateway/application.py
@@ -121,6 +121,7 @@
         """Whether nobody listened at the back end's address when it was last needed."""
         self.origins = watch_for(policies)
         """Who calls each route, as far as known."""
+        self.runs = runs or RunsBeside()
         self._parts = GatewayParts(
             clock,
             self.connections,
@@ -131,7 +132,7 @@
             CrashWatch(self._note_crash),
             self._reporter,
             self.origins,
-            runs or RunsBeside(),
+            self.runs,
             self.requests,
             pacer=_pacer_of(clock, place, policies),
         )
--- a/tests/core/configuration/test_memory.py
+++ b/tests/core/configuration/test_memory.py
@@ -1,6 +1,7 @@
 """What is remembered of an accepted tree changes the cost of the next, never the verdict."""
 
 import copy
+import tracemalloc
 import unittest
 from random import Random
 from typing import Any
@@ -17,6 +18,9 @@
 from pewtertack.core.revision import identify
 
 ZONE = "yaba"
+KEPT_BYTES_MAX = 680
+"""Beside the document, of each idle route that is checked and resolved. Measured: 1,480 with all
+merged values, a proxy of each empty table and a number for each duration; 600 without."""
 real = Scope.route_values
 
 
@@ -29,6 +33,21 @@
     }
 
 
+def idle_route(number: int) -> dict[str, Any]:
+    """Return a route as the platform's configurations have them by the thousand."""
+    return {
+        "service": "book",
+        "hosts": [f"h{number % 7}.example"],
+        "path_prefix": f"/p{number}",
+        "timeout": "1500ms",
+        "target_latency": "600ms",
+        "priority": 2,
+        "repeatable": number % 2 == 0,
+        "retry_limit": 1,
+        "split": {},
+    }
+
+
 def edited(document: Any, random: Random) -> Any:
     """Return a copy with one change, valid or not."""
     result = copy.deepcopy(document)
@@ -126,6 +145,22 @@
                     store.put(identify(number, offered), shared)
                     self.assertEqual(checked.size, size_of(offered), f"seed {seed}, {number}")
 
+    def test_what_is_kept_of_a_route_is_bounded(self) -> None:
+        routes = 1400
+        document = tree()
+        document.pop("zones")
+        document["routes"] = {f"route-{n}": idle_route(n) for n in range(routes)}
+        checked, resolved = CheckedTables(), ResolvedRoutes()
+        tracemalloc.start()
+        try:
+            self.assertEqual(check_document(document, checked), ())
+            view = resolve_checked(document, identify(1, document), ZONE, resolved)
+            kept, _ = tracemalloc.get_traced_memory()
+        finally:
+            tracemalloc.stop()
+        self.assertEqual(len(view.routes), routes)
+        self.assertLessEqual(kept / routes, KEPT_BYTES_MAX)
+
     def test_a_tree_that_grows_table_by_table_is_still_bounded(self) -> None:
         checked = CheckedTables()
         big = {"hosts": ["x" * 4000] * 60}
--- a/tests/core/configuration/test_validation.py
+++ b/tests/core/configuration/test_validation.py
@@ -4,10 +4,13 @@
 import datetime
 import math
 import unittest
+from typing import Any
+from unittest import mock
 
 from hypothesis import example, given
 from hypothesis import strategies as st
 
+from pewtertack.core.configuration import structure
 from pewtertack.core.configuration.findings import FindingCode, TreeRejectedError
 from pewtertack.core.configuration.resolution import resolve_document
 from pewtertack.core.configuration.validation import FINDINGS_LIMIT, check_document
@@ -163,6 +166,37 @@
 PLACES = st.sampled_from([path for _, path, _, _, _ in BAD_TREES])
 
 
+class PlainTableTest(unittest.TestCase):
+    """Tables in which nothing can be found are passed over, and only those."""
+
+    @PROPERTY
+    @given(TREES, st.integers(0, 9))
+    def test_what_is_found_is_what_a_walk_by_single_values_finds(
+        self, table: Any, depth: int
+    ) -> None:
+        for _ in range(depth):
+            table = {"a": [table]}
+        document = {"routes": {"r": table}, "zones": {"z": {"services": {"s": table}}}}
+        found = list(structure.check_plain(document))
+        with mock.patch.object(structure, "_plain_size", return_value=None):
+            self.assertEqual(found, list(structure.check_plain(document)))
+
+    @PROPERTY
+    @given(TREES)
+    def test_the_size_is_that_of_a_walk(self, table: Any) -> None:
+        if isinstance(table, dict):
+            size = structure._plain_size(table, structure.DEPTH_LIMIT)
+            if size is not None:
+                self.assertEqual(size, structure.size_of(table))
+
+    def test_usual_routes_are_passed_over(self) -> None:
+        route = {"service": "a", "hosts": ["a.example"], "retry_budget": 0.1, "split": {"a": 1}}
+        self.assertEqual(structure._plain_size(route, 6), structure.size_of(route))
+        for value in ("\ud800", "x" * 5000, 2**70, float("nan"), None, [[["a"]]]):
+            with self.subTest(str(value)[:20]):
+                self.assertIsNone(structure._plain_size({**route, "hosts": value}, 3))
+
+
 class AnyInputTest(unittest.TestCase):
     @PROPERTY
     @given(TREES)
--- a/tests/node/test_lean_imports.py
+++ b/tests/node/test_lean_imports.py
@@ -19,7 +19,7 @@
 NEVER_LOADED = frozenset({"trio", "ssl", "_ssl", "_hashlib", "subprocess", "argparse", "pathlib"})
 PRIVATE_KIB_MAX = 17_700
 """Of a process that has loaded all of a node and nothing else. Measured in four alternating
-runs: 17,224 to 17,232, and 19,056 to 19,060 with ssl, subprocess, argparse and OpenSSL's digests."""
+runs: 17,224 to 17,232, and 19,056 to 19,060 with ssl, subprocess, argparse and digests."""
 
 
 def run(program: str) -> str:
