After a loss of power joiners with wide links ask the source at once

Change: while it joins and hears of no reader, a node with a wide link waits 0.02 s for each, and reads on once it serves.

--- a/src/pewtertack/core/profile.py
+++ b/src/pewtertack/core/profile.py
@@ -87,6 +87,9 @@
     volunteer_step: float = 0.25
     """A node with a wide link begins to read this much later for each member before it: by
     then it has heard the heartbeats of the first."""
+    joiner_step: float = 0.02
+    """The same while the node joins and has heard of no reader: after a loss of power nobody
+    serves until one has asked the source, which takes 0.1 s, and told the others."""
     narrow_patience: float = 1.0
     """So long a node with a narrow link that starts leaves the configuration to its peers, which
     send it packed: read from the source it fills the link (0.5 MB, 1.7 s at 2.5 Mbit/s), and
--- a/src/pewtertack/core/replication/readership.py
+++ b/src/pewtertack/core/replication/readership.py
@@ -184,6 +184,8 @@
         self._large_since: float | None = None
         """Since when the node knows that not every one reads."""
         self._taking_over = False
+        self._volunteered = False
+        """Whether a wide link has made it one to read, as it stays until others go before it."""
         self._heard_before: dict[str, float] = {}
         """Readers of the own zone that go before this node: when each was last heard."""
 
@@ -197,7 +199,7 @@
             self._large_since = max(now, self._parts.first_read_at)
         table, profile = self._parts.table, self._parts.profile
         rank = table.zone(self._parts.identity.zone).count_below(self._score)
-        if rank < profile.readers_per_zone or self._volunteers(now, rank):
+        if rank < profile.readers_per_zone or self._volunteers(now, rank, joining):
             return self._readers_before(now) < profile.readers_per_zone
         if self._taking_over:
             self._taking_over = self._readers_before(now) < profile.readers_per_zone
@@ -217,12 +219,18 @@
         if in_own_zone and before:
             self._heard_before[name] = now
 
-    def _volunteers(self, now: float, rank: int) -> bool:
-        """Tell whether this node, whatever its rank, is one to read."""
-        if not self._parts.wide_link:
-            return False
+    def _volunteers(self, now: float, rank: int, joining: bool) -> bool:
+        """Tell whether this node, whatever its rank, is one to read.
+
+        One that joins comes in sooner, and reads on once it serves: others have it by its word.
+        """
+        if not self._parts.wide_link or self._volunteered:
+            return self._volunteered
         assert self._large_since is not None
-        return now - self._large_since >= (rank + 1) * self._parts.profile.volunteer_step
+        profile, waited = self._parts.profile, now - self._large_since
+        wait = rank * profile.joiner_step if joining else (rank + 1) * profile.volunteer_step
+        self._volunteered = waited >= wait
+        return self._volunteered
 
     def _unconfirmed_for(self, now: float) -> float:
         """Return for how long nothing has confirmed what is held, while others were to."""
--- a/tests/core/replication/test_readership.py
+++ b/tests/core/replication/test_readership.py
@@ -163,6 +163,23 @@
                 late.heard(now, NAMES[rank], True, wide_link=True)
             self.assertFalse(late.reads(now, True, False))
 
+    def test_one_that_joins_and_hears_of_no_reader_begins_at_once_and_goes_on(self) -> None:
+        for rank in (3, 20):
+            joiner = self.node(rank, wide_link=True)
+            begun = [tick for tick in range(200) if joiner.reads(tick * 0.01, False, True)][0]
+            self.assertLessEqual(begun * 0.01, rank * LEASED.joiner_step + 0.01)
+            self.confirm(begun * 0.01)
+            self.assertTrue(joiner.reads(begun * 0.01 + 0.01, True, False))
+
+    def test_one_that_joins_where_readers_are_heard_does_not(self) -> None:
+        joiner = self.node(20, wide_link=True)
+        for tick in range(100):
+            now = tick * 0.1
+            self.confirm(now)
+            for rank in (0, 1):
+                joiner.heard(now, NAMES[rank], True, wide_link=True)
+            self.assertFalse(joiner.reads(now, False, True))
+
     def test_one_with_a_wide_link_does_not_wait_for_those_with_narrow_ones(self) -> None:
         wide = self.node(5, wide_link=True)
         wide.reads(0.0, True, False)
