Back ends with a successor at their address, or gone for good, get no work

In 2.5 s gateways refused some 450 requests as 'backend-gone', each an attempt and a retry; the proxy took the refusal for a gateway out of reach, whose probe is answered, and chose the same back end again 0.4 s later.

Change: the list tells when the platform was first told of a back end (listed_at, the creation of its entry); of several at one address all but the latest get nothing while that one takes work. A gateway that knows that a back end has left for good says 'backend-left'; the proxy asks for that incarnation no more and tells its peers.

Tests: routing.test_successors; a false claim of an address costs one attempt.

--- a/src/pewtertack/core/machines.py
+++ b/src/pewtertack/core/machines.py
@@ -59,6 +59,9 @@
     One that starts again under its name holds and knows nothing of what was before.
     """
 
+    listed_at: int = 0
+    """When the platform was first told of the back end, as a number that grows; 0 if unknown."""
+
     def is_of_life_before(self, started_at: int) -> bool:
         """Tell whether this is said of a life that had ended when the one at ``started_at`` began.
 
--- a/src/pewtertack/node/gateway/application.py
+++ b/src/pewtertack/node/gateway/application.py
@@ -33,7 +33,7 @@
     for_gateway_alone,
     read_hop,
 )
-from pewtertack.node.gateway.incarnations import Incarnation, Incarnations, backend_gone
+from pewtertack.node.gateway.incarnations import Incarnation, Incarnations
 from pewtertack.node.gateway.metrics import GatewayMetrics
 from pewtertack.node.http.cycle import Scope
 from pewtertack.node.http.framing import RawHeaders
@@ -314,7 +314,7 @@
         if self.requests.draining or not self._ends_in_time(incarnation, request):
             raise _not_offered(DrainingError("the node beside the back end is stopping"))
         if not incarnation.takes_work:
-            raise backend_gone()
+            raise incarnation.gone()
         if self._evacuated:
             raise _evacuated()
         return incarnation
--- a/src/pewtertack/node/gateway/incarnations.py
+++ b/src/pewtertack/node/gateway/incarnations.py
@@ -9,7 +9,7 @@
 from pewtertack.core.machines import Machine, MachineState
 from pewtertack.routing.admission import Admission
 from pewtertack.routing.cold import ColdBounds, ColdStart
-from pewtertack.routing.outcomes import BackendGoneError, NotRunError
+from pewtertack.routing.outcomes import BackendGoneError, BackendLeftError, NotRunError
 from pewtertack.routing.policies import DEFAULT_POLICIES, Policies
 
 DEFAULT_SLOTS = 6
@@ -37,7 +37,14 @@
     def hand_back_waiting(self) -> None:
         """Have what waits for a back end that takes no more work served elsewhere."""
         if not self.takes_work:
-            self.admission.refuse_all(backend_gone)
+            self.admission.refuse_all(self.gone)
+
+    def gone(self) -> NotRunError:
+        """Return the refusal of what no back end has seen, since this one takes no work."""
+        kind = BackendLeftError if self.leaving else BackendGoneError
+        error = kind("the back end is leaving or gone")
+        error.offered = False
+        return error
 
 
 class Incarnations:
@@ -128,10 +135,3 @@
         """End the waiting of all requests, each with a refusal of its own."""
         for incarnation in self._known.values():
             incarnation.admission.refuse_all(refusal_of)
-
-
-def backend_gone() -> BackendGoneError:
-    """Return the refusal of what no back end has seen, since the one it names takes no work."""
-    error = BackendGoneError("the back end is leaving or gone")
-    error.offered = False
-    return error
--- a/src/pewtertack/node/proxy/attempt_ends.py
+++ b/src/pewtertack/node/proxy/attempt_ends.py
@@ -6,6 +6,7 @@
 from pewtertack.routing.outcomes import (
     BackendCrashedError,
     BackendGoneError,
+    BackendLeftError,
     BackendShedError,
     BackendSilentError,
     BackendUnreachableError,
@@ -23,6 +24,8 @@
 
 def end_of_failure(error: RequestFailedError) -> AttemptEnd:
     """Return how the attempt that failed with ``error`` counts."""
+    if isinstance(error, GatewayRefusedError) and error.reason == BackendLeftError.code:
+        return AttemptEnd.GONE
     if isinstance(error, GatewayRefusedError):
         return AttemptEnd.UNREACHABLE if error.reason in GONE_REASONS else AttemptEnd.REFUSED
     if isinstance(error, BackendShedError):
--- a/src/pewtertack/platform/entries.py
+++ b/src/pewtertack/platform/entries.py
@@ -45,14 +45,18 @@
 
 
 def machines_of(
-    entries: Mapping[str, bytes], gateway_port: int, peer_port: int
+    entries: Mapping[str, bytes],
+    gateway_port: int,
+    peer_port: int,
+    made: Mapping[str, int] | None = None,
 ) -> tuple[dict[str, dict[str, Any]], tuple[ItemFinding, ...]]:
     """Return the machine list of the back ends ``{id: entry}`` and the nodes beside them.
 
     Nodes have the same ports on all machines and are named by their IP numbers. An entry that
     cannot be understood is among the findings and names no machine. Several may name one
     address, since that of a back end that has ended is given to another before its entry
-    goes; where they differ on the machine's zone, the first of ``entries`` holds.
+    goes; where they differ on the machine's zone, the first of ``entries`` holds. ``made`` are
+    the revisions of their creation, which tell who has an address now.
     """
     machines: dict[str, dict[str, Any]] = {}
     findings: list[ItemFinding] = []
@@ -64,6 +68,8 @@
             continue
         host = address.rpartition(":")[0]
         machines[name] = _backend_of(entry, address, f"{host}:{gateway_port}")
+        if made and made.get(name):
+            machines[name]["listed_at"] = made[name]
         node = {"role": NODE, "zone": entry.zone, "address": f"{host}:{peer_port}"}
         if machines.setdefault(host, node)["zone"] != entry.zone:
             claimed = f"zone {entry.zone}, where {machines[host]['zone']} was named first"
--- a/src/pewtertack/platform/store.py
+++ b/src/pewtertack/platform/store.py
@@ -247,7 +247,8 @@
         kind = effect.kind
         if kind is DocumentKind.MACHINE_LIST:
             entries = mirror.by_age(BACKENDS_PREFIX)
-            machines, findings = machines_of(entries, self._gateway_port, self._peer_port)
+            made = {name: mirror.made.get(BACKENDS_PREFIX + name, 0) for name in entries}
+            machines, findings = machines_of(entries, self._gateway_port, self._peer_port, made)
             return DocumentRead(kind, mirror.number, machines, stale, findings)
         evacuated, findings = evacuated_zones_of(_evacuated(mirror))
         read = _read_tree(mirror, evacuated)
--- a/src/pewtertack/routing/backend.py
+++ b/src/pewtertack/routing/backend.py
@@ -90,6 +90,9 @@
     """Whether the newest list says that it is cold."""
     started_at: int = 0
     """Unix milliseconds of its start, 0 while unknown; another start is another incarnation."""
+    successor: Backend | None = None
+    """Listed at the same address later. This one has ended then, and its entry is still to go:
+    after a loss of power half of the list may be such entries for some seconds."""
     slowness: float = 1.0
     """Time that its answers take, as a multiple of the service's mean."""
 
@@ -104,11 +107,20 @@
             self.limit.set_ceiling(ceiling)
         self.settings = settings
 
+    @property
+    def takes_work(self) -> bool:
+        """Whether it is listed, and neither leaves nor has a successor that takes work.
+
+        The successor may be nobody: an entry can claim an address that is another's.
+        """
+        if self.leaving or self.removed:
+            return False
+        return self.successor is None or not self.successor.takes_work
+
     def usable(self, now: float) -> bool:
         """Tell whether a request may start here now."""
         return (
-            not self.leaving
-            and not self.removed
+            self.takes_work
             and (bool(self.gateway) or self.limit.allows(now, self.in_flight))
             and self.reachable(now)
         )
@@ -119,8 +131,7 @@
 
     def crowded(self, now: float) -> bool:
         """Tell whether its gateway is left alone but was heard lately."""
-        listed = not (self.leaving or self.removed)
-        return listed and self.late and now - self.heard_at < HEARD_SECONDS
+        return self.takes_work and self.late and now - self.heard_at < HEARD_SECONDS
 
     def note_start(self, now: float) -> None:
         """A request of this proxy starts there."""
--- a/src/pewtertack/routing/dispatcher.py
+++ b/src/pewtertack/routing/dispatcher.py
@@ -263,7 +263,11 @@
         ticket.report = report
         if report is not None:
             backend.note_report(now, report)
-        if leaving and not backend.leaving:
+        if leaving:
+            self._note_leaving(backend)
+
+    def _note_leaving(self, backend: Backend) -> None:
+        if not backend.leaving:
             backend.leaving = True
             if not backend.removed:
                 self._notify(BackendLeaving(backend))
@@ -277,7 +281,9 @@
         service = self.service(ticket.route.service)
         backend.note_end(now, service.mean_time)
         service.in_flight -= 1
-        if ticket.refusals and end not in OUT_OF_REACH:
+        if end is AttemptEnd.GONE:
+            self._note_leaving(backend)
+        elif ticket.refusals and end not in OUT_OF_REACH:
             self._asks.note(ticket.route.name, now, end is not AttemptEnd.REFUSED)
         service.limit.note_finished(now, now - ticket.started_at)
         seconds = max(0.0, now - ticket.started_at - ticket.queued)
--- a/src/pewtertack/routing/ends.py
+++ b/src/pewtertack/routing/ends.py
@@ -27,6 +27,8 @@
     SHED = "shed"
     REFUSED = "refused"
     """The gateway refused the request; tells nothing of the back end."""
+    GONE = "gone"
+    """The gateway says that the back end has left for good; tells nothing of the gateway."""
     UNREACHABLE = "unreachable"
     LATE = "late"
     """No connection to the gateway came up in time: it is gone, or crowded."""
@@ -66,7 +68,7 @@
 
 def tells_of_backend(ticket: Ticket, now: float, end: AttemptEnd) -> bool:
     """Tell whether the end of an attempt speaks for or against its back end."""
-    if end in (AttemptEnd.FAILED_BELOW, AttemptEnd.REFUSED):
+    if end in (AttemptEnd.FAILED_BELOW, AttemptEnd.REFUSED, AttemptEnd.GONE):
         return False
     if end is AttemptEnd.SHED:
         return ticket.trial
--- a/src/pewtertack/routing/outcomes.py
+++ b/src/pewtertack/routing/outcomes.py
@@ -208,6 +208,12 @@
     code: ClassVar[str] = "backend-gone"
 
 
+class BackendLeftError(BackendGoneError):
+    """The same, for good: this incarnation takes no work any more, whatever a list says."""
+
+    code: ClassVar[str] = "backend-left"
+
+
 class ZoneEvacuatedError(NotRunError):
     """The operator has asked that the zone's back ends be sent nothing."""
 
--- a/src/pewtertack/routing/registry.py
+++ b/src/pewtertack/routing/registry.py
@@ -63,10 +63,25 @@
             backend.removed = True
         current = (self._current(machine, now) for machine in listed)
         self._backends = {backend.name: backend for backend in current if backend is not None}
+        self._note_successors(listed)
         self._services = _by_service(self._backends.values())
         self.changes = tuple(self._compare(known, before))
         return True
 
+    def _note_successors(self, listed: Iterable[Machine]) -> None:
+        """Tell the back ends whose address has been given to a later one."""
+        newest: dict[str, Machine] = {}
+        for machine in listed:
+            known = newest.get(machine.address)
+            if known is None or machine.listed_at > known.listed_at:
+                newest[machine.address] = machine
+        for machine in listed:
+            backend = self._backends.get(machine.name)
+            if backend is not None:
+                last = newest[machine.address]
+                replaced = 0 < machine.listed_at < last.listed_at
+                backend.successor = self._backends.get(last.name) if replaced else None
+
     def _compare(
         self, known: dict[str, Backend], was_leaving: dict[str, bool]
     ) -> Iterator[tuple[Backend, ListChange]]:
--- a/src/pewtertack/routing/service.py
+++ b/src/pewtertack/routing/service.py
@@ -84,7 +84,7 @@
 
     def may_reach(self, now: float) -> bool:
         """Tell whether any back end that takes work answers, or is overdue for a trial."""
-        working = [item for item in self.backends if not (item.leaving or item.removed)]
+        working = [item for item in self.backends if item.takes_work]
         if not working or any(item.reachable(now) for item in working):
             return True
         return any(self._asks_crowded(item, now) for item in working)
@@ -134,7 +134,7 @@
         self.pump(now)
 
     def _check_backends(self, now: float) -> None:
-        open_to_work = [item for item in self.backends if not (item.leaving or item.removed)]
+        open_to_work = [item for item in self.backends if item.takes_work]
         if not open_to_work:
             raise NoBackendError(f"service {self.name} has no back end")
         if any(self._asks_crowded(item, now) for item in open_to_work):
@@ -152,11 +152,7 @@
 
     def _capacity(self, now: float) -> float:
         """Return how many requests this proxy may have in flight at the service."""
-        working = (
-            item
-            for item in self.backends
-            if not (item.leaving or item.removed or item.health.ejected)
-        )
+        working = (item for item in self.backends if item.takes_work and not item.health.ejected)
         places = sum(int(item.limit.value) for item in working if item.limit.paused_until <= now)
         return min(float(places), self.limit.value)
 
--- a/tests/node/gateway/test_lives.py
+++ b/tests/node/gateway/test_lives.py
@@ -10,7 +10,7 @@
 from pewtertack.core.machines import Machine, MachineRole, MachineState
 from pewtertack.node.gateway.incarnations import Incarnations
 from pewtertack.routing.cold import ColdBounds
-from pewtertack.routing.outcomes import BackendGoneError
+from pewtertack.routing.outcomes import BackendGoneError, BackendLeftError
 from pewtertack.routing.patience import Lateness
 from pewtertack.routing.places import AdmissionTicket
 from tests.node.gateway.test_gateway import POST, GatewayTestCase, answer_well, raw_call
@@ -56,6 +56,14 @@
         self.subject.use_listed(said(AFTER))
         self.assertTrue(self.subject.get("b1").takes_work)
 
+    def test_who_has_left_for_good_is_told_from_who_is_not_listed(self) -> None:
+        self.subject.use_listed(said(BEFORE))
+        found = self.subject.get("b1")
+        self.subject.use_listed({})
+        self.assertNotIsInstance(found.gone(), BackendLeftError)
+        self.subject.use_listed(said(BEFORE, state=MachineState.LEAVING))
+        self.assertIsInstance(found.gone(), BackendLeftError)
+
     def test_a_new_life_is_cold_until_it_says_otherwise(self) -> None:
         self.subject.use_bounds(ColdBounds(5.0, 3.0))
         self.subject.use_listed(said(BEFORE))
--- /dev/null
+++ b/tests/routing/test_successors.py
@@ -0,0 +1,108 @@
+"""Back ends that have ended get no work while their entries are still in the list."""
+
+import unittest
+from random import Random
+from typing import Any
+
+import msgspec
+
+from pewtertack.core.machines import Machine, MachineList, MachineRole, MachineState
+from pewtertack.node.proxy.attempt_ends import end_of_failure
+from pewtertack.routing.dispatcher import BackendEvent, BackendLeaving, Dispatcher
+from pewtertack.routing.ends import AttemptEnd
+from pewtertack.routing.outcomes import (
+    BackendGoneError,
+    BackendLeftError,
+    GatewayRefusedError,
+    NoBackendError,
+)
+from tests.routing.samples import dispatcher, ticket
+
+SAID = Machine(
+    "", MachineRole.BACKEND, "ikeja", "127.0.0.1:1", "logbook", gateway="127.0.0.1:9", slots=4
+)
+
+
+def entry(name: str, listed_at: int, **changes: Any) -> Machine:
+    return msgspec.structs.replace(SAID, name=name, listed_at=listed_at, **changes)
+
+
+class SuccessorTest(unittest.TestCase):
+    def setUp(self) -> None:
+        self.subject = dispatcher()
+        self.number = 1
+
+    def use(self, *entries: Machine) -> None:
+        self.number += 1
+        self.subject.use_machines(MachineList(self.number, entries), 0.0)
+
+    def takers(self) -> list[str]:
+        backends = self.subject.service("logbook").backends
+        return sorted(item.name for item in backends if item.usable(0.0))
+
+    def test_of_two_at_one_address_the_later_one_takes_work(self) -> None:
+        for entries in ((entry("a", 7), entry("b", 9)), (entry("b", 9), entry("a", 7))):
+            self.use(*entries)
+            self.assertEqual(self.takers(), ["b"])
+        self.use(entry("a", 7), entry("b", 9), entry("c", 12))
+        self.assertEqual(self.takers(), ["c"])
+
+    def test_others_and_those_of_which_the_order_is_not_told_are_left_alone(self) -> None:
+        self.use(entry("a", 7), entry("b", 9, address="127.0.0.1:2"))
+        self.assertEqual(self.takers(), ["a", "b"])
+        self.use(entry("a", 0), entry("b", 0), entry("c", 9))
+        self.assertEqual(self.takers(), ["a", "b", "c"])
+
+    def test_one_of_another_service_is_a_successor_too(self) -> None:
+        self.use(entry("a", 7), entry("b", 9, service="archive"))
+        self.assertEqual(self.takers(), [])
+        with self.assertRaises(NoBackendError):
+            self.subject.submit(ticket(), 0.0)
+
+    def test_the_former_takes_work_again_when_the_later_turns_out_to_be_nobody(self) -> None:
+        self.use(entry("a", 7), entry("b", 9))
+        wanted = ticket()
+        self.subject.submit(wanted, 0.0)
+        assert wanted.backend is not None
+        self.assertEqual(wanted.backend.name, "b")
+        self.subject.finish(wanted, 0.1, AttemptEnd.GONE)
+        self.assertEqual(self.takers(), ["a"])
+        self.use(entry("a", 7), entry("b", 9))
+        self.assertEqual(self.takers(), ["a"])
+        self.use(entry("a", 7))
+        self.assertEqual(self.takers(), ["a"])
+
+    def test_one_whose_successor_leaves_the_list_takes_work_again(self) -> None:
+        self.use(entry("a", 7), entry("b", 9, state=MachineState.LEAVING))
+        self.assertEqual(self.takers(), ["a"])
+
+
+class LeftForGoodTest(unittest.TestCase):
+    def refused(self, code: str) -> AttemptEnd:
+        return end_of_failure(GatewayRefusedError("refused", None, code))
+
+    def test_a_gateway_tells_gone_for_good_from_not_listed(self) -> None:
+        self.assertEqual(self.refused(BackendLeftError.code), AttemptEnd.GONE)
+        self.assertEqual(self.refused(BackendGoneError.code), AttemptEnd.UNREACHABLE)
+
+    def test_one_that_left_is_asked_once_and_others_are_told(self) -> None:
+        told: list[BackendEvent] = []
+        subject = Dispatcher(Random(1), told.append)
+        subject.use_zone("ikeja")
+        machines = (entry("a", 7), entry("b", 9, address="127.0.0.1:2"))
+        subject.use_machines(MachineList(2, machines), 0.0)
+        first = ticket()
+        subject.submit(first, 0.0)
+        assert first.backend is not None
+        subject.finish(first, 0.1, AttemptEnd.GONE)
+        self.assertFalse(first.backend.health.ejected)
+        self.assertFalse(first.backend.unreachable)
+        self.assertEqual(told[-1], BackendLeaving(first.backend))
+        names = set()
+        for _ in range(20):
+            wanted = ticket()
+            subject.submit(wanted, 0.2)
+            assert wanted.backend is not None
+            names.add(wanted.backend.name)
+            subject.finish(wanted, 0.3, AttemptEnd.ANSWERED)
+        self.assertNotIn(first.backend.name, names)
