A request on which its back end has most likely hung is left for another

Cause: a back end that never answers a part of its requests kept each of them, and its slot at the gateway, until the deadline; the proxy then ejected it for all.

Change, by [policies] hanging = "left" (default: as before): the gateway weighs each request that runs by the measured times of answers, as multiples of the route's mean, against the share of requests that hang (routing/hanging.py, pure). Its end ejects nobody, says nothing of answers' times, and the gateway tells of fewer slots by the share that hangs.

Tests: without the setting 6 calls that hang end 504 at their deadline (kept as a test); with the proxies counting it as a failure the back end got 0 of 80 later calls.

--- a/src/pewtertack/node/gateway/forwarding.py
+++ b/src/pewtertack/node/gateway/forwarding.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import asyncio
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
 
 import anyio
 import msgspec
@@ -11,6 +11,7 @@
 from pewtertack.node.crash_reporter import CrashReporter
 from pewtertack.node.crash_watch import CrashWatch
 from pewtertack.node.gateway import hop
+from pewtertack.node.gateway.hang_looks import HangLooks
 from pewtertack.node.gateway.hop import HopRequest
 from pewtertack.node.gateway.metrics import GatewayMetrics
 from pewtertack.node.gateway.reception import BodyReception
@@ -298,7 +299,9 @@
         connections = self._parts.connections
         connection = await connections.take(self._parts.address, CONNECT_SECONDS)
         try:
-            await self._exchange.run(connection, self._backend_headers(), self._parts.edge)
+            await self._unless_hung(
+                self._exchange.run(connection, self._backend_headers(), self._parts.edge)
+            )
         except (BackendFailedError, TruncatedAnswerError) as error:
             if connection.sent:
                 backend, address = self._request.backend, self._parts.address
@@ -310,6 +313,15 @@
         finally:
             connections.give_back(connection)
 
+    async def _unless_hung(self, work: Awaitable[None]) -> None:
+        """Do the work; leave it when it hangs and the request may be sent elsewhere."""
+        hangs = self._admission.hangs
+        if hangs is None or not self._request.elsewhere:
+            await work
+            return
+        looks = HangLooks(hangs, self._ticket, self._parts.clock, lambda: self._exchange.started)
+        await looks.over(work)
+
     def _backend_headers(self) -> RawHeaders:
         edge = self._parts.edge
         now = self._parts.clock()
--- a/src/pewtertack/node/gateway/hop.py
+++ b/src/pewtertack/node/gateway/hop.py
@@ -15,6 +15,7 @@
 from pewtertack.routing.outcomes import (
     BackendCrashedError,
     BackendFailedError,
+    BackendHungError,
     BackendShedError,
     BackendUnreachableError,
     DeadlineExceededError,
@@ -42,6 +43,8 @@
 CALLER_SERVICE = b"x-pewtertack-caller-service"
 CRASH_LIMIT = b"x-pewtertack-crash-limit"
 """The route's ``crash_limit``, where it is not the usual one."""
+ELSEWHERE = b"x-pewtertack-elsewhere"
+"""There when the request may be sent to another back end should this one hang on it."""
 WITHIN = b"x-pewtertack-within"
 """There when the proxy takes the request for one that a back end makes while it runs another;
 its rank is then that of the run."""
@@ -62,7 +65,7 @@
 GATEWAY_NAMES = frozenset({PROBE, WITHDRAW})
 """Headers that make a request one for the gateway; only nodes send them."""
 NEEDED_NAMES = frozenset({BACKEND, SERVICE, ROUTE, RANK, OBJECTIVE, LATENESS, CALLER_SERVICE})
-REQUEST_NAMES = NEEDED_NAMES | {CRASH_LIMIT, WITHIN}
+REQUEST_NAMES = NEEDED_NAMES | {CRASH_LIMIT, ELSEWHERE, WITHIN}
 ANSWER_NAMES = frozenset({FAILURE, QUEUED, ORIGIN})
 OFFERED = "offered"
 NOT_OFFERED = "not-offered"
@@ -84,6 +87,8 @@
     lateness: Lateness
     caller_service: str
     crash_limit: int = DEFAULT_CRASH_LIMIT
+    elsewhere: bool = False
+    """It may be sent to another back end should this one hang on it."""
     within: bool = False
     """The proxy takes it for one that a back end makes while it runs another request."""
 
@@ -144,6 +149,7 @@
         lateness=Lateness(found[LATENESS]),
         caller_service=found[CALLER_SERVICE],
         crash_limit=int(crash_limit),
+        elsewhere=ELSEWHERE in found,
         within=WITHIN in found,
     )
 
@@ -176,6 +182,8 @@
     if outcome != Outcome.NOT_RUN:
         if status == DeadlineExceededError.status:
             return DeadlineExceededError(message)
+        if code == BackendHungError.code:
+            return BackendHungError(message)
         if code == BackendCrashedError.code:
             return BackendCrashedError(message)
         return BackendFailedError(message)
--- a/src/pewtertack/node/proxy/attempt_ends.py
+++ b/src/pewtertack/node/proxy/attempt_ends.py
@@ -6,6 +6,7 @@
 from pewtertack.routing.outcomes import (
     BackendCrashedError,
     BackendGoneError,
+    BackendHungError,
     BackendShedError,
     BackendSilentError,
     BackendUnreachableError,
@@ -25,6 +26,8 @@
     """Return how the attempt that failed with ``error`` counts."""
     if isinstance(error, GatewayRefusedError):
         return AttemptEnd.UNREACHABLE if error.reason in GONE_REASONS else AttemptEnd.REFUSED
+    if isinstance(error, BackendHungError):
+        return AttemptEnd.HUNG
     if isinstance(error, BackendShedError):
         return AttemptEnd.SHED
     if isinstance(error, BackendSilentError):
--- a/src/pewtertack/node/proxy/forwarding.py
+++ b/src/pewtertack/node/proxy/forwarding.py
@@ -10,7 +10,7 @@
 from pewtertack.core.configuration.resolved import ResolvedConfiguration, ResolvedRoute
 from pewtertack.node.crash_reporter import CrashReporter
 from pewtertack.node.crash_watch import CrashWatch
-from pewtertack.node.gateway.hop import hop_headers
+from pewtertack.node.gateway.hop import ELSEWHERE, hop_headers
 from pewtertack.node.http.connection import BackendConnection
 from pewtertack.node.http.cycle import Scope
 from pewtertack.node.http.framing import RawHeaders
@@ -329,6 +329,8 @@
         within = self._ticket.within
         run_rank = self._parts.runs.usual_rank() if within else None
         hop = hop_headers(self._route, backend.name, objective, lateness, caller, within, run_rank)
+        if self._parts.dispatcher.may_leave(self._ticket, now) and not self._head.has_body:
+            hop.append((ELSEWHERE, b"1"))
         return [*self._headers, *own, *hop]
 
     def _note_answer(self, answer: AnswerHead) -> None:
--- a/src/pewtertack/policies.py
+++ b/src/pewtertack/policies.py
@@ -18,6 +18,7 @@
     REFUSALS = "refusals"
     CALLS_WITHIN = "calls_within"
     RETRY_BUDGET = "retry_budget"
+    HANGING = "hanging"
     LONG_BODIES = "long_bodies"
 
 
@@ -49,6 +50,13 @@
     WINDOW = "window"
 
 
+class Hanging(StrEnum):
+    """What becomes of a request that a back end has most likely hung on."""
+
+    AWAITED = "awaited"
+    LEFT = "left"
+
+
 class LongBodies(StrEnum):
     """How long bodies leave a machine."""
 
@@ -63,6 +71,7 @@
     refusals: Refusals = Refusals.ASKED
     calls_within: CallsWithin = CallsWithin.ALIKE
     retry_budget: RetryBudgeting = RetryBudgeting.SHARE
+    hanging: Hanging = Hanging.AWAITED
     long_bodies: LongBodies = LongBodies.AT_ONCE
 
 
--- a/src/pewtertack/routing/admission.py
+++ b/src/pewtertack/routing/admission.py
@@ -29,13 +29,11 @@
 
 from pewtertack.routing.arrivals import ArrivalRate
 from pewtertack.routing.cold import WINDOW, ColdStart
+from pewtertack.routing.hanging import HangWatch
 from pewtertack.routing.outcomes import DeadlineUnmeetableError, NotRunError, QueueFullError
 from pewtertack.routing.patience import Lateness
 from pewtertack.routing.places import AdmissionTicket
-from pewtertack.routing.policies import (
-    DEFAULT_POLICIES,
-    Policies,
-)
+from pewtertack.routing.policies import DEFAULT_POLICIES, Hanging, Policies
 from pewtertack.routing.service_times import ServiceTimes
 
 QUEUE_PER_SLOT = 20
@@ -80,6 +78,7 @@
         self._arrivals = 0
         self._going_first = ArrivalRate()
         self._times = ServiceTimes()
+        self.hangs = HangWatch() if policies.hanging is Hanging.LEFT else None
         self._moved_at = -math.inf
         """When a request last started or ended."""
         self._refusing_since = -math.inf
@@ -91,9 +90,12 @@
         return self.in_flight + sum(not item.yields for item in self._queue)
 
     def told_slots(self, now: float) -> int:
-        """Return the slots to tell other nodes: while it is cold, how many its rate keeps busy."""
+        """Return the slots to tell other nodes: while it is cold, how many its rate keeps busy.
+
+        Of one that hangs on a part of its requests: as many as the others need.
+        """
         if self.cold is None or not self.cold.is_cold(now):
-            return self.slots
+            return self.slots if self.hangs is None else self.hangs.told_slots(self.slots, now)
         return max(1, min(self.slots, round(self.cold.per_second * self._times.mean)))
 
     def expected_time(self, route: str) -> float:
@@ -280,7 +282,9 @@
         self.in_flight -= 1
         self._moved_at = now
         seconds = now - ticket.started_at
-        if answered or seconds > self._time_of(ticket):
+        if self.hangs is not None:
+            self.hangs.end(ticket, now, answered)
+        if answered or not ticket.hung and seconds > self._time_of(ticket):
             self._times.note(ticket.route, seconds)
         self._grant_waiting(now)
 
@@ -301,3 +305,5 @@
         self._moved_at = now
         ticket.granted = True
         ticket.started_at = now
+        if self.hangs is not None:
+            self.hangs.begin(ticket)
--- a/src/pewtertack/routing/dispatcher.py
+++ b/src/pewtertack/routing/dispatcher.py
@@ -32,7 +32,13 @@
     RequestFailedError,
 )
 from pewtertack.routing.patience import CallerPatience, Lateness
-from pewtertack.routing.policies import DEFAULT_POLICIES, CallsWithin, Policies, RetryBudgeting
+from pewtertack.routing.policies import (
+    DEFAULT_POLICIES,
+    CallsWithin,
+    Hanging,
+    Policies,
+    RetryBudgeting,
+)
 from pewtertack.routing.queueing import Ticket
 from pewtertack.routing.registry import BackendRegistry, ListChange
 from pewtertack.routing.retries import (
@@ -402,6 +408,18 @@
         granted = reason in GRANTED_REASONS
         return RetryDecision(reason, _next_attempt(ticket, ticket.refusals) if granted else None)
 
+    def may_leave(self, ticket: Ticket, now: float) -> bool:
+        """Tell whether an attempt that begins may be made elsewhere should its back end hang."""
+        if self._policies.hanging is not Hanging.LEFT or not ticket.route.repeatable:
+            return False
+        assert ticket.backend is not None
+        tried = (*ticket.excluded, ticket.backend.name)
+        return (
+            ticket.retries < ticket.route.retry_limit
+            and self._budget(ticket).left(now) >= 1
+            and self.service(ticket.route.service).has_other(tried, now)
+        )
+
     def _next_gateway(self, ticket: Ticket, now: float, replayable: bool) -> RetryDecision:
         """No back end has seen the request: ask another gateway, which costs no retry."""
         refusals = ticket.refusals + 1
--- a/src/pewtertack/routing/ends.py
+++ b/src/pewtertack/routing/ends.py
@@ -24,6 +24,9 @@
     """An answer of status 500, 502 or 503, other than a shed request."""
     FAILED_BELOW = "failed-below"
     """A failure that a node below the back end gave; tells nothing of the back end."""
+    HUNG = "hung"
+    """The gateway gave it up as one of those on which the back end hangs. The gateway tells of
+    fewer slots for it, by the share that hangs; that others fail too it does not say."""
     SHED = "shed"
     REFUSED = "refused"
     """The gateway refused the request; tells nothing of the back end."""
@@ -66,7 +69,7 @@
 
 def tells_of_backend(ticket: Ticket, now: float, end: AttemptEnd) -> bool:
     """Tell whether the end of an attempt speaks for or against its back end."""
-    if end in (AttemptEnd.FAILED_BELOW, AttemptEnd.REFUSED):
+    if end in (AttemptEnd.FAILED_BELOW, AttemptEnd.REFUSED, AttemptEnd.HUNG):
         return False
     if end is AttemptEnd.SHED:
         return ticket.trial
--- a/src/pewtertack/routing/outcomes.py
+++ b/src/pewtertack/routing/outcomes.py
@@ -230,6 +230,12 @@
     code: ClassVar[str] = "backend-failed"
 
 
+class BackendHungError(RequestFailedError):
+    """The back end has most likely hung on the request: given up while it can be had elsewhere."""
+
+    code: ClassVar[str] = "backend-hung"
+
+
 class BackendCrashedError(BackendFailedError):
     """The back end ended while it ran the request, perhaps because of it."""
 
--- a/src/pewtertack/routing/places.py
+++ b/src/pewtertack/routing/places.py
@@ -33,6 +33,8 @@
     wake: Callable[[], None] = _nobody_waits
     granted: bool = False
     refusal: NotRunError | None = None
+    hung: bool = False
+    """Given up since the back end has most likely hung on it: says nothing of its times."""
     submitted_at: float = 0.0
     started_at: float = 0.0
     wanted_start: float = 0.0
--- a/src/pewtertack/routing/policies.py
+++ b/src/pewtertack/routing/policies.py
@@ -14,6 +14,7 @@
     DEFAULT_POLICIES,
     CallsWithin,
     CrowdedGateways,
+    Hanging,
     LongBodies,
     Policies,
     PolicyKind,
@@ -26,6 +27,7 @@
     "REGISTRY",
     "CallsWithin",
     "CrowdedGateways",
+    "Hanging",
     "LongBodies",
     "Parameter",
     "Policies",
@@ -41,6 +43,7 @@
 
 MODULES: tuple[str, ...] = (
     "pewtertack.routing.crowding",
+    "pewtertack.routing.hanging",
     "pewtertack.routing.link",
     "pewtertack.routing.origins",
     "pewtertack.routing.retries",
--- a/tests/node/gateway/test_gateway.py
+++ b/tests/node/gateway/test_gateway.py
@@ -3,7 +3,7 @@
 import asyncio
 import time
 from random import Random
-from typing import Any
+from typing import Any, ClassVar
 
 import msgspec
 
@@ -55,6 +55,9 @@
 
 
 class GatewayTestCase(ProxyTestCase):
+    parts: ClassVar[dict[str, Any]] = {}
+    """Further arguments of all gateways and the proxy."""
+
     async def start_fleet(self, *backends: Any, slots: int = 2, **changes: Any) -> str:
         """Run a gateway beside each back end and one proxy; return the proxy's address."""
         self.gateways: list[GatewayApplication] = []
@@ -62,7 +65,9 @@
         self.machines: list[Machine] = []
         for index, script in enumerate(backends):
             await self.add_backend(f"b{index}", script, slots)
-        self.proxy = ProxyApplication(time.monotonic, Random(7), edge=EDGE, caller_service="desk")
+        self.proxy = ProxyApplication(
+            time.monotonic, Random(7), edge=EDGE, caller_service="desk", **self.parts
+        )
         self.proxy.use_configuration(configuration(route(**changes)))
         self.proxy.set_serving(True)
         self.use_machines()
@@ -76,7 +81,7 @@
             return bool(await script(reader, writer, head))
 
         address = await RawBackend(recorded).start(self)
-        gateway = gateway_beside(address)
+        gateway = gateway_beside(address, **self.parts)
         self.gateways.append(gateway)
         self.machines.append(
             Machine(
