Late long answers let go first what can be in time; those to come are reckoned with

Change: by rank; then what has begun, what can leave within its objective by that objective, what is late.

--- a/src/pewtertack/node/gateway/forwarding.py
+++ b/src/pewtertack/node/gateway/forwarding.py
@@ -106,7 +106,7 @@
         )
         self._sender: AnswerSender | None = None
         if parts.pacer is not None:
-            self._sender = AnswerSender(send, parts.pacer, parts.held, request.rank, request.route)
+            self._sender = AnswerSender(send, parts.pacer, parts.held, self._ticket)
         self._exchange = Exchange(
             scope,
             self._sender or send,
@@ -245,6 +245,8 @@
         needed = wait + self._admission.expected_time(ticket.route)
         if wait and now + needed > (ticket.objective if strict else ticket.deadline):
             raise DeadlineUnmeetableError("the link is taken for too long", wait)
+        if self._sender is not None:
+            self._sender.promise()
 
     async def _wait_until_granted(self) -> None:
         ticket = self._ticket
--- a/src/pewtertack/node/gateway/sending.py
+++ b/src/pewtertack/node/gateway/sending.py
@@ -9,7 +9,8 @@
 from pewtertack.node.http.cycle import Message
 from pewtertack.node.pacing import LinkPacer
 from pewtertack.node.proxy.answers import Send
-from pewtertack.routing.link import LONG_BYTES, Rank
+from pewtertack.routing.link import LONG_BYTES
+from pewtertack.routing.places import AdmissionTicket
 
 HELD_BYTES = 256 * 1024
 """So much of one answer is held; the back end waits with the rest of a longer one."""
@@ -33,8 +34,7 @@
         send: of the connection to the other node.
         pacer: the link's.
         held: what the node holds.
-        rank: the request's.
-        route: the request's, whose answers' lengths are learnt.
+        ticket: the request's place, which tells its rank, its route and its objective.
     """
 
     __slots__ = (
@@ -44,20 +44,19 @@
         "_long",
         "_pacer",
         "_parts",
-        "_rank",
-        "_route",
+        "_promised",
         "_send",
         "_size",
+        "_ticket",
     )
 
     def __init__(
-        self, send: Send, pacer: LinkPacer, held: HeldBytes, rank: Rank, route: str
+        self, send: Send, pacer: LinkPacer, held: HeldBytes, ticket: AdmissionTicket
     ) -> None:
         self._send = send
         self._pacer = pacer
         self._held = held
-        self._rank = rank
-        self._route = route
+        self._ticket = ticket
         self._head: Message | None = None
         self._parts: list[bytes] = []
         self._size = 0
@@ -65,6 +64,15 @@
         self._body_bytes = 0
         """Bytes of the body that came."""
         self._long = False
+        self._promised = 0.0
+
+    def promise(self) -> None:
+        """The request has its place: reckon with its answer."""
+        self._promised = self._pacer.share.promise(self._ticket.route, self._ticket.rank)
+
+    def _keep_promise(self) -> None:
+        self._pacer.share.keep(self._ticket.rank, self._promised)
+        self._promised = 0.0
 
     async def __call__(self, message: Message) -> None:
         """Send a part of the answer, or hold it until its turn."""
@@ -75,7 +83,7 @@
         more: bool = message.get("more_body", False)
         self._body_bytes += len(data)
         if not more:
-            self._pacer.share.note_answer(self._route, self._body_bytes)
+            self._pacer.share.note_answer(self._ticket.route, self._body_bytes)
         if not (self._long or more or self._body_bytes > LONG_BYTES):
             await self._send_short(message)
             return
@@ -101,11 +109,13 @@
 
     async def _send_held(self, more: bool) -> None:
         data = b"".join(self._parts)
-        with self._pacer.turns(self._rank, len(data)) as turns:
+        self._keep_promise()
+        ticket = self._ticket
+        with self._pacer.turns(ticket.rank, len(data), ticket.objective) as turns:
             async for part in turns.parts(data):
                 await self._send_head()
                 await self._send({"type": "http.response.body", "body": part, "more_body": True})
-        self.forget()
+        self._release()
         if not more:
             await self._send_head()
             await self._send({"type": "http.response.body", "body": b""})
@@ -116,7 +126,11 @@
             await self._send_held(more=False)
 
     def forget(self) -> None:
-        """Hold nothing any longer."""
+        """Hold nothing, and reckon with nothing, any longer."""
+        self._keep_promise()
+        self._release()
+
+    def _release(self) -> None:
         self._held.count -= self._size
         self._parts.clear()
         self._size = 0
--- a/src/pewtertack/node/pacing.py
+++ b/src/pewtertack/node/pacing.py
@@ -31,9 +31,9 @@
         """See ``LinkShare.answer_time``."""
         return self.share.answer_time(route, rank, self._clock())
 
-    def turns(self, rank: Rank, size: int) -> BodyTurns:
-        """Return the turns of one long body, to be used as a context."""
-        return BodyTurns(self._clock, self.share, rank, size)
+    def turns(self, rank: Rank, size: int, wanted: float) -> BodyTurns:
+        """Return the turns of one long body, to be used as a context; see ``LinkShare.enter``."""
+        return BodyTurns(self._clock, self.share, rank, size, wanted)
 
 
 class BodyTurns:
@@ -41,11 +41,13 @@
 
     __slots__ = ("_body", "_changed", "_clock", "_share")
 
-    def __init__(self, clock: Callable[[], float], share: LinkShare, rank: Rank, size: int) -> None:
+    def __init__(
+        self, clock: Callable[[], float], share: LinkShare, rank: Rank, size: int, wanted: float
+    ) -> None:
         self._clock = clock
         self._share = share
         self._changed = asyncio.Event()
-        self._body: LongBody = share.enter(rank, size, self._changed.set)
+        self._body: LongBody = share.enter(rank, size, wanted, self._changed.set)
 
     def __enter__(self) -> BodyTurns:
         return self
@@ -56,7 +58,7 @@
         error: BaseException | None,
         trace: TracebackType | None,
     ) -> None:
-        self._share.leave(self._body)
+        self._share.leave(self._body, self._clock())
 
     async def parts(self, data: bytes) -> AsyncIterator[bytes]:
         """Yield the data in parts, each when it may be sent."""
--- a/src/pewtertack/routing/link.py
+++ b/src/pewtertack/routing/link.py
@@ -6,12 +6,11 @@
 of them: with downloads of 90 kB on links of 10 Mbit/s answers of 400 bytes took 59 ms in the
 middle and 358 ms in a tenth of all cases from one node to another, and new connections over
 250 ms, where 2 ms are usual. So long bodies leave in parts, one after the other, at the
-link's pace: by rank, then in the order in which they came.
+link's pace: by rank; then what has begun, what can be in time, what is late.
 """
 
 from __future__ import annotations
 
-import bisect
 from collections.abc import Callable
 
 from pewtertack.routing.policies import LongBodies, Parameter, PolicyKind, policy
@@ -21,7 +20,7 @@
 """A longer body takes turns; 13 ms of a link of 10 Mbit/s."""
 PART_BYTES = 16 * 1024
 """A long body leaves in parts of this length."""
-LINK_SHARE = 0.9
+LINK_SHARE = 0.8
 """Share of the link's rate that long bodies and what is noted beside them may fill: the rest
 is for heads, acknowledgements and messages between nodes, which nobody counts."""
 AHEAD_BYTES = PART_BYTES
@@ -36,13 +35,20 @@
 class LongBody:
     """One long body on its way, or in line."""
 
-    __slots__ = ("left", "order", "wake")
+    __slots__ = ("arrival", "begun", "left", "rank", "wake", "wanted")
 
-    def __init__(self, order: tuple[Rank, int], size: int, wake: Callable[[], None]) -> None:
-        self.order = order
+    def __init__(
+        self, rank: Rank, size: int, wanted: float, arrival: int, wake: Callable[[], None]
+    ) -> None:
+        self.rank = rank
         self.left = size
         """Bytes that have not been sent, as far as announced."""
+        self.wanted = wanted
+        """When it should have left."""
+        self.arrival = arrival
         self.wake = wake
+        self.begun = False
+        """Whether a part was sent: it goes on, or the part was sent for nothing."""
 
 
 @policy(
@@ -59,7 +65,14 @@
         megabits: the link's rate in Mbit/s.
     """
 
-    __slots__ = ("_arrivals", "_free_at", "_line", "_sizes", "bytes_per_second")
+    __slots__ = (
+        "_arrivals",
+        "_free_at",
+        "_line",
+        "_promised",
+        "_sizes",
+        "bytes_per_second",
+    )
 
     def __init__(self, megabits: float) -> None:
         self.bytes_per_second = megabits * MEGA / BITS * LINK_SHARE
@@ -67,6 +80,8 @@
         """When the link will have carried all that was sent."""
         self._line: list[LongBody] = []
         self._arrivals = 0
+        self._promised: dict[Rank, float] = {}
+        """Bytes of long answers that are to come, by rank."""
         self._sizes: dict[str, float] = {}
         """Mean length of the long answers of each route; 0 bytes for routes without."""
 
@@ -74,27 +89,49 @@
         """Something was sent without waiting."""
         self._free_at = max(self._free_at, now) + size / self.bytes_per_second
 
-    def enter(self, rank: Rank, size: int, wake: Callable[[], None]) -> LongBody:
-        """Put a long body into the line; ``wake`` is called when its turn may have come."""
+    def enter(self, rank: Rank, size: int, wanted: float, wake: Callable[[], None]) -> LongBody:
+        """Put a long body into the line; ``wake`` is called when its turn may have come.
+
+        Args:
+            rank: the request's.
+            size: bytes.
+            wanted: when it should have left.
+            wake: must not block.
+        """
         self._arrivals += 1
-        body = LongBody((rank, self._arrivals), size, wake)
-        bisect.insort(self._line, body, key=lambda item: item.order)
+        body = LongBody(rank, size, wanted, self._arrivals, wake)
+        self._line.append(body)
         return body
 
-    def leave(self, body: LongBody) -> None:
+    def leave(self, body: LongBody, now: float) -> None:
         """The body has been sent, or will not be."""
         self._line.remove(body)
         if self._line:
-            self._line[0].wake()
+            self._first(now).wake()
+
+    def _first(self, now: float) -> LongBody:
+        """Return whose turn is next; what is late lets go first what can be in time."""
+
+        def turn(item: LongBody) -> tuple[Rank, bool, bool, float, int]:
+            late = now + item.left / self.bytes_per_second > item.wanted
+            return item.rank, not item.begun, late, item.wanted, item.arrival
+
+        return min(self._line, key=turn)
 
     def wait_of(self, body: LongBody, now: float) -> float | None:
-        """Return in how many seconds it may send a part; ``None`` while others go first."""
-        if self._line[0] is not body:
+        """Return in how many seconds it may send a part.
+
+        ``None`` while another goes first, which is woken: it may have become the first since.
+        """
+        first = self._first(now)
+        if first is not body:
+            first.wake()
             return None
         return max(0.0, self._free_at - AHEAD_BYTES / self.bytes_per_second - now)
 
     def note_part(self, body: LongBody, size: int, now: float) -> None:
         """A part of the body was sent."""
+        body.begun = True
         body.left = max(0, body.left - size)
         self.note_sent(size, now)
 
@@ -102,10 +139,23 @@
         """Learn how long the answers of a route are."""
         self._sizes[route] = smoothed(self._sizes.get(route, 0.0), float(size))
 
+    def promise(self, route: str, rank: Rank) -> float:
+        """An answer of the route is to come; return the bytes to reckon with, 0 if it is short."""
+        size = self._sizes.get(route, 0.0)
+        if size <= LONG_BYTES:
+            return 0.0
+        self._promised[rank] = self._promised.get(rank, 0.0) + size
+        return size
+
+    def keep(self, rank: Rank, promised: float) -> None:
+        """What was promised is in line now, or will not come."""
+        self._promised[rank] = max(0.0, self._promised.get(rank, 0.0) - promised)
+
     def answer_time(self, route: str, rank: Rank, now: float) -> float:
         """Return in how many seconds an answer of the route would have left; 0 if it is short."""
         size = self._sizes.get(route, 0.0)
         if size <= LONG_BYTES:
             return 0.0
-        ahead = sum(item.left for item in self._line if item.order[0] <= rank)
+        ahead = sum(float(item.left) for item in self._line if item.rank <= rank)
+        ahead += sum(total for other, total in self._promised.items() if other <= rank)
         return max(0.0, self._free_at - now) + (ahead + size) / self.bytes_per_second
--- a/tests/node/gateway/test_sending.py
+++ b/tests/node/gateway/test_sending.py
@@ -8,6 +8,7 @@
 from pewtertack.node.gateway.sending import HELD_BYTES, AnswerSender, HeldBytes
 from pewtertack.node.pacing import LinkPacer
 from pewtertack.routing.link import LONG_BYTES, LinkShare
+from pewtertack.routing.places import AdmissionTicket
 
 MEGABITS = 100.0
 BULK = (2, 0)
@@ -20,7 +21,9 @@
         self.pacer = LinkPacer(time.monotonic, LinkShare(MEGABITS))
 
     def make(self, route: str = "export") -> AnswerSender:
-        return AnswerSender(self.send, self.pacer, self.held, BULK, route)
+        now = time.monotonic()
+        ticket = AdmissionTicket(route, BULK, now + 1.0, now + 5.0)
+        return AnswerSender(self.send, self.pacer, self.held, ticket)
 
     async def send(self, message: Any) -> None:
         self.sent.append(message)
@@ -73,6 +76,21 @@
         self.assertLessEqual(most, HELD_BYTES)
         self.assertEqual(len(self.body()), 2 * HELD_BYTES)
 
+    async def test_what_is_to_come_is_reckoned_with_until_it_is_sent_or_given_up(self) -> None:
+        share = self.pacer.share
+        share.note_answer("export", HELD_BYTES)
+        alone = share.answer_time("export", BULK, time.monotonic())
+        sent, given_up = self.make(), self.make()
+        sent.promise()
+        given_up.promise()
+        self.assertAlmostEqual(share.answer_time("export", BULK, time.monotonic()), 3 * alone)
+        given_up.forget()
+        await self.answer(sent, b"x" * LONG_BYTES, b"x" * LONG_BYTES)
+        await sent.finish()
+        sent.forget()
+        after = share.answer_time("export", BULK, time.monotonic() + 1.0)
+        self.assertLess(after, 1.01 * alone)
+
     async def test_one_that_is_given_up_leaves_the_line(self) -> None:
         first, second = self.make(), self.make()
         data = b"x" * (HELD_BYTES // 2)
--- a/tests/routing/test_link.py
+++ b/tests/routing/test_link.py
@@ -1,5 +1,6 @@
 """Long bodies take turns on a machine's link."""
 
+import math
 import unittest
 
 from hypothesis import given
@@ -8,6 +9,7 @@
 from pewtertack.routing.link import (
     AHEAD_BYTES,
     BITS,
+    LINK_SHARE,
     LONG_BYTES,
     MEGA,
     PART_BYTES,
@@ -20,6 +22,8 @@
 """Bytes per second that the link carries."""
 DOWNLOAD = 90_000
 URGENT, BULK = (0, 0), (2, 0)
+SOON = 60.0
+"""Until when bodies are wanted that are not late."""
 
 
 def nobody() -> None:
@@ -48,7 +52,7 @@
             self.share.note_part(body, PART_BYTES, self.now)
             self.add(PART_BYTES)
             if not body.left:
-                self.share.leave(body)
+                self.share.leave(body, self.now)
                 self.finished.append(body)
         self.fail()
 
@@ -67,35 +71,55 @@
 class LineTest(unittest.TestCase):
     def test_a_short_answer_waits_for_two_parts_of_a_dozen_downloads(self) -> None:
         sending = Sending()
-        bodies = [sending.share.enter(BULK, DOWNLOAD, nobody) for _ in range(12)]
+        bodies = [sending.share.enter(BULK, DOWNLOAD, SOON, nobody) for _ in range(12)]
         sending.run(bodies)
         self.assertLessEqual(sending.longest, AHEAD_BYTES + PART_BYTES)
 
     def test_downloads_fill_most_of_the_link(self) -> None:
         sending = Sending()
-        bodies = [sending.share.enter(BULK, DOWNLOAD, nobody) for _ in range(12)]
+        bodies = [sending.share.enter(BULK, DOWNLOAD, SOON, nobody) for _ in range(12)]
         sending.run(bodies)
-        self.assertLess(sending.now, 1.2 * 12 * DOWNLOAD / RATE)
+        parts = math.ceil(DOWNLOAD / PART_BYTES)
+        self.assertLessEqual(sending.now, 12 * parts * PART_BYTES / (LINK_SHARE * RATE))
 
     def test_they_leave_one_after_the_other_the_more_urgent_first(self) -> None:
         sending = Sending()
-        first = sending.share.enter(BULK, DOWNLOAD, nobody)
-        second = sending.share.enter(BULK, DOWNLOAD, nobody)
-        urgent = sending.share.enter(URGENT, DOWNLOAD, nobody)
+        first = sending.share.enter(BULK, DOWNLOAD, SOON, nobody)
+        second = sending.share.enter(BULK, DOWNLOAD, SOON, nobody)
+        urgent = sending.share.enter(URGENT, DOWNLOAD, SOON, nobody)
         sending.run([first, second, urgent])
         self.assertEqual(sending.finished, [urgent, first, second])
 
+    def test_what_is_late_lets_go_first_what_can_be_in_time(self) -> None:
+        sending = Sending()
+        late = sending.share.enter(BULK, DOWNLOAD, 0.01, nobody)
+        later = sending.share.enter(BULK, DOWNLOAD, 50.0, nobody)
+        sooner = sending.share.enter(BULK, DOWNLOAD, 40.0, nobody)
+        sending.run([late, later, sooner])
+        self.assertEqual(sending.finished, [sooner, later, late])
+
+    def test_what_has_begun_goes_on_though_it_turns_late(self) -> None:
+        share = LinkShare(MEGABITS)
+        begun = share.enter(BULK, DOWNLOAD, 0.08, nobody)
+        self.assertEqual(share.wait_of(begun, 0.0), 0.0)
+        share.note_part(begun, PART_BYTES, 0.0)
+        other = share.enter(BULK, DOWNLOAD, SOON, nobody)
+        self.assertIsNone(share.wait_of(other, 1.0))
+        urgent = share.enter(URGENT, DOWNLOAD, SOON, nobody)
+        self.assertIsNone(share.wait_of(begun, 1.0))
+        self.assertIsNotNone(share.wait_of(urgent, 1.0))
+
     def test_who_leaves_the_line_wakes_the_next(self) -> None:
         woken: list[str] = []
         share = LinkShare(MEGABITS)
-        first = share.enter(BULK, DOWNLOAD, lambda: woken.append("first"))
-        share.enter(BULK, DOWNLOAD, lambda: woken.append("second"))
-        share.leave(first)
+        first = share.enter(BULK, DOWNLOAD, SOON, lambda: woken.append("first"))
+        share.enter(BULK, DOWNLOAD, SOON, lambda: woken.append("second"))
+        share.leave(first, 0.0)
         self.assertEqual(woken, ["second"])
 
     def test_short_answers_slow_long_ones_down(self) -> None:
         share = LinkShare(MEGABITS)
-        body = share.enter(BULK, DOWNLOAD, nobody)
+        body = share.enter(BULK, DOWNLOAD, SOON, nobody)
         self.assertEqual(share.wait_of(body, 0.0), 0.0)
         for _ in range(100):
             share.note_sent(5000, 0.0)
@@ -106,7 +130,7 @@
     @given(st.lists(st.tuples(st.integers(0, 3), st.integers(1, 300_000)), max_size=12))
     def test_the_line_of_the_link_never_grows(self, wanted: list[tuple[int, int]]) -> None:
         sending = Sending()
-        bodies = [sending.share.enter((rank, 0), size, nobody) for rank, size in wanted]
+        bodies = [sending.share.enter((rank, 0), size, SOON, nobody) for rank, size in wanted]
         sending.run(bodies)
         self.assertLessEqual(sending.longest, AHEAD_BYTES + PART_BYTES)
 
@@ -114,17 +138,28 @@
 class AnswerTimeTest(unittest.TestCase):
     def test_a_route_of_short_answers_waits_for_no_link(self) -> None:
         share = LinkShare(MEGABITS)
-        share.enter(BULK, 10_000_000, nobody)
+        share.enter(BULK, 10_000_000, SOON, nobody)
         share.note_answer("lookup", LONG_BYTES)
         self.assertEqual(share.answer_time("lookup", BULK, 0.0), 0.0)
         self.assertEqual(share.answer_time("unknown", BULK, 0.0), 0.0)
 
+    def test_what_was_promised_counts_until_it_is_kept(self) -> None:
+        share = LinkShare(MEGABITS)
+        share.note_answer("export", DOWNLOAD)
+        alone = share.answer_time("export", BULK, 0.0)
+        promised = share.promise("export", BULK)
+        self.assertAlmostEqual(share.answer_time("export", BULK, 0.0), 2 * alone)
+        self.assertAlmostEqual(share.answer_time("export", URGENT, 0.0), alone)
+        share.keep(BULK, promised)
+        self.assertAlmostEqual(share.answer_time("export", BULK, 0.0), alone)
+        self.assertEqual(share.promise("unknown", BULK), 0.0)
+
     def test_a_route_of_long_answers_waits_for_those_that_go_first(self) -> None:
         share = LinkShare(MEGABITS)
         share.note_answer("export", DOWNLOAD)
         alone = share.answer_time("export", BULK, 0.0)
         for _ in range(9):
-            share.enter(BULK, DOWNLOAD, nobody)
+            share.enter(BULK, DOWNLOAD, SOON, nobody)
         self.assertAlmostEqual(share.answer_time("export", BULK, 0.0), 10 * alone)
         self.assertAlmostEqual(share.answer_time("export", URGENT, 0.0), alone)
 
