Long answers are received while they wait for their turns; slow readers and back ends hold no place

A body whose reader was slow kept its place in the line.

Change: what comes is taken at once (256 KiB an answer, 4 MiB a node) and sent in turns beside; only a body whose next part is there is in the line. The length of a route's answers is learnt where the back end is faster than the link. Metric pewtertack_gateway_link_seconds.

--- a/src/pewtertack/node/gateway/forwarding.py
+++ b/src/pewtertack/node/gateway/forwarding.py
@@ -180,8 +180,14 @@
         else:
             await self._wait_for_slot()
         await self._exchange_admitted()
-        if self._sender is not None:
-            await self._sender.finish()
+        if self._sender is not None and self._sender.sends:
+            await self._wait_for_link(self._sender)
+
+    async def _wait_for_link(self, sender: AnswerSender) -> None:
+        began = self._parts.clock()
+        await sender.finish()
+        seconds = self._parts.clock() - began
+        self._parts.metrics.note_sent(self._request.route, seconds)
 
     async def _wait_for_slot_and_body(self) -> None:
         """Receive the body in its turn, which may come before the slot or after."""
--- a/src/pewtertack/node/gateway/metrics.py
+++ b/src/pewtertack/node/gateway/metrics.py
@@ -28,6 +28,12 @@
             ("reason", "offered"),
         )
 
+        self._sending = registry.histogram(
+            "pewtertack_gateway_link_seconds",
+            "Time that long answers took from the back end's end to the machine's link.",
+            ("route",),
+            BUCKETS,
+        )
         self._crashed = registry.counter(
             "pewtertack_gateway_backend_crashes",
             "Ends of the back end while it ran requests.",
@@ -46,6 +52,10 @@
         """The back end answered whole."""
         self._working.observe((route,), seconds)
 
+    def note_sent(self, route: str, seconds: float) -> None:
+        """A long answer has left, so long after it was whole."""
+        self._sending.observe((route,), seconds)
+
     def note_refused(self, reason: str, offered: bool) -> None:
         """A request ended without an answer."""
         self._refused.inc((reason, str(offered).lower()))
--- a/src/pewtertack/node/gateway/sending.py
+++ b/src/pewtertack/node/gateway/sending.py
@@ -1,11 +1,13 @@
 """Answers of a back end on their way to the other node, the long ones in turns.
 
-A long answer is received whole before its turn on the link, so that neither the back end nor
-its slot waits for the link.
+A long answer is received while it waits for its turn on the link, so that neither the back end
+nor its slot waits for the link.
 """
 
 from __future__ import annotations
 
+import asyncio
+
 from pewtertack.node.http.cycle import Message
 from pewtertack.node.pacing import LinkPacer
 from pewtertack.node.proxy.answers import Send
@@ -28,7 +30,7 @@
 
 
 class AnswerSender:
-    """Sends one answer (ASGI ``send``); ``finish`` sends what is still held.
+    """Sends one answer (ASGI ``send``); ``finish`` waits until all of it has left.
 
     Args:
         send: of the connection to the other node.
@@ -38,15 +40,18 @@
     """
 
     __slots__ = (
+        "_began",
         "_body_bytes",
-        "_head",
+        "_changed",
+        "_ended",
         "_held",
-        "_long",
         "_pacer",
         "_parts",
         "_promised",
         "_send",
+        "_sending",
         "_size",
+        "_space",
         "_ticket",
     )
 
@@ -57,14 +62,18 @@
         self._pacer = pacer
         self._held = held
         self._ticket = ticket
-        self._head: Message | None = None
+        self._promised = 0.0
+        self._began = 0.0
+        self._body_bytes = 0
+        """Bytes of the body that came."""
         self._parts: list[bytes] = []
         self._size = 0
         """Bytes held."""
-        self._body_bytes = 0
-        """Bytes of the body that came."""
-        self._long = False
-        self._promised = 0.0
+        self._ended = False
+        self._changed = asyncio.Event()
+        """There is more to send, or the answer has ended."""
+        self._space = asyncio.Event()
+        self._sending: asyncio.Future[None] | None = None
 
     def promise(self) -> None:
         """The request has its place: reckon with its answer."""
@@ -75,62 +84,82 @@
         self._promised = 0.0
 
     async def __call__(self, message: Message) -> None:
-        """Send a part of the answer, or hold it until its turn."""
+        """Send a part of the answer, or take it to be sent in its turn."""
         if message["type"] == "http.response.start":
-            self._head = message
+            self._began = self._pacer.now()
+            await self._send(message)
             return
         data: bytes = message.get("body", b"")
-        more: bool = message.get("more_body", False)
         self._body_bytes += len(data)
-        if not more:
-            self._pacer.share.note_answer(self._ticket.route, self._body_bytes)
-        if not (self._long or more or self._body_bytes > LONG_BYTES):
-            await self._send_short(message)
+        self._ended = not message.get("more_body", False)
+        if self._ended:
+            self._learn()
+        if self._body_bytes <= LONG_BYTES:
+            self._pacer.note_sent(len(data))
+            await self._send(message)
             return
-        self._long = True
-        self._hold(data)
-        if more and (self._size >= HELD_BYTES or self._held.count >= ALL_HELD_BYTES):
-            await self._send_held(more=True)
-
-    async def _send_short(self, message: Message) -> None:
-        self._pacer.note_sent(self._body_bytes)
-        await self._send_head()
-        await self._send(message)
-
-    async def _send_head(self) -> None:
-        head, self._head = self._head, None
-        if head is not None:
-            await self._send(head)
-
-    def _hold(self, data: bytes) -> None:
+        await self._take(data)
+
+    def _learn(self) -> None:
+        """Learn the length, unless the back end itself was slower than the link."""
+        seconds = self._pacer.now() - self._began
+        if seconds * self._pacer.share.bytes_per_second <= self._body_bytes:
+            self._pacer.share.note_answer(self._ticket.route, self._body_bytes)
+
+    async def _take(self, data: bytes) -> None:
         self._parts.append(data)
         self._size += len(data)
         self._held.count += len(data)
+        self._changed.set()
+        if self._sending is None:
+            self._keep_promise()
+            self._sending = asyncio.ensure_future(self._send_taken())
+        while not self._ended and self._is_full and not self._sending.done():
+            self._space.clear()
+            await self._space.wait()
+
+    @property
+    def _is_full(self) -> bool:
+        return self._size > HELD_BYTES or (self._size > 0 and self._held.count > ALL_HELD_BYTES)
+
+    async def _send_taken(self) -> None:
+        """Send what is there, in turns; no place is held in the line for what is to come."""
+        try:
+            while self._parts or not self._ended:
+                self._changed.clear()
+                await self._send_parts(b"".join(self._parts))
+                if not self._parts and not self._ended:
+                    await self._changed.wait()
+            await self._send({"type": "http.response.body", "body": b""})
+        finally:
+            self._space.set()
 
-    async def _send_held(self, more: bool) -> None:
-        data = b"".join(self._parts)
-        self._keep_promise()
+    async def _send_parts(self, data: bytes) -> None:
+        self._parts.clear()
         ticket = self._ticket
         with self._pacer.turns(ticket.rank, len(data), ticket.objective) as turns:
             async for part in turns.parts(data):
-                await self._send_head()
                 await self._send({"type": "http.response.body", "body": part, "more_body": True})
-        self._release()
-        if not more:
-            await self._send_head()
-            await self._send({"type": "http.response.body", "body": b""})
+                self._release(len(part))
+
+    def _release(self, size: int) -> None:
+        self._size -= size
+        self._held.count -= size
+        self._space.set()
+
+    @property
+    def sends(self) -> bool:
+        """Whether some of the answer has not left."""
+        return self._sending is not None
 
     async def finish(self) -> None:
-        """Send the rest of a whole answer."""
-        if self._long:
-            await self._send_held(more=False)
+        """Wait until all of the answer has left."""
+        if self._sending is not None:
+            await self._sending
 
     def forget(self) -> None:
-        """Hold nothing, and reckon with nothing, any longer."""
+        """Send nothing, and reckon with nothing, any longer."""
         self._keep_promise()
-        self._release()
-
-    def _release(self) -> None:
-        self._held.count -= self._size
-        self._parts.clear()
-        self._size = 0
+        if self._sending is not None:
+            self._sending.cancel()
+        self._release(self._size)
--- a/src/pewtertack/node/pacing.py
+++ b/src/pewtertack/node/pacing.py
@@ -23,6 +23,10 @@
         self._clock = clock
         self.share = share
 
+    def now(self) -> float:
+        """Return monotonic seconds."""
+        return self._clock()
+
     def note_sent(self, size: int) -> None:
         """Something short was sent."""
         self.share.note_sent(size, self._clock())
--- a/src/pewtertack/routing/link.py
+++ b/src/pewtertack/routing/link.py
@@ -35,7 +35,7 @@
 class LongBody:
     """One long body on its way, or in line."""
 
-    __slots__ = ("arrival", "begun", "left", "rank", "wake", "wanted")
+    __slots__ = ("arrival", "begun", "left", "rank", "waits", "wake", "wanted")
 
     def __init__(
         self, rank: Rank, size: int, wanted: float, arrival: int, wake: Callable[[], None]
@@ -47,6 +47,8 @@
         """When it should have left."""
         self.arrival = arrival
         self.wake = wake
+        self.waits = False
+        """Whether its next part is there and may go; else its reader or its sender is slow."""
         self.begun = False
         """Whether a part was sent: it goes on, or the part was sent for nothing."""
 
@@ -106,34 +108,40 @@
     def leave(self, body: LongBody, now: float) -> None:
         """The body has been sent, or will not be."""
         self._line.remove(body)
-        if self._line:
-            self._first(now).wake()
+        self._wake_first(now)
 
-    def _first(self, now: float) -> LongBody:
+    def _wake_first(self, now: float) -> None:
+        first = self._first(now)
+        if first is not None:
+            first.wake()
+
+    def _first(self, now: float) -> LongBody | None:
         """Return whose turn is next; what is late lets go first what can be in time."""
 
         def turn(item: LongBody) -> tuple[Rank, bool, bool, float, int]:
             late = now + item.left / self.bytes_per_second > item.wanted
             return item.rank, not item.begun, late, item.wanted, item.arrival
 
-        return min(self._line, key=turn)
+        return min((item for item in self._line if item.waits), key=turn, default=None)
 
     def wait_of(self, body: LongBody, now: float) -> float | None:
         """Return in how many seconds it may send a part.
 
         ``None`` while another goes first, which is woken: it may have become the first since.
         """
-        first = self._first(now)
-        if first is not body:
-            first.wake()
+        body.waits = True
+        if self._first(now) is not body:
+            self._wake_first(now)
             return None
         return max(0.0, self._free_at - AHEAD_BYTES / self.bytes_per_second - now)
 
     def note_part(self, body: LongBody, size: int, now: float) -> None:
         """A part of the body was sent."""
         body.begun = True
+        body.waits = False
         body.left = max(0, body.left - size)
         self.note_sent(size, now)
+        self._wake_first(now)
 
     def note_answer(self, route: str, size: int) -> None:
         """Learn how long the answers of a route are."""
