--- a/src/pewtertack/node/gateway/forwarding.py
+++ b/src/pewtertack/node/gateway/forwarding.py
@@ -113,7 +113,7 @@
         )
         self._sender: AnswerSender | None = None
         if parts.pacer is not None:
-            self._sender = AnswerSender(send, parts.pacer, parts.held, request.rank, request.route)
+            self._sender = AnswerSender(send, parts.pacer, parts.held, self._ticket)
         self._exchange = Exchange(
             scope,
             self._sender or send,
@@ -187,8 +187,14 @@
         else:
             await self._wait_for_slot()
         await self._exchange_admitted()
-        if self._sender is not None:
-            await self._sender.finish()
+        if self._sender is not None and self._sender.sends:
+            await self._wait_for_link(self._sender)
+
+    async def _wait_for_link(self, sender: AnswerSender) -> None:
+        began = self._parts.clock()
+        await sender.finish()
+        seconds = self._parts.clock() - began
+        self._parts.metrics.note_sent(self._request.route, seconds)
 
     async def _wait_for_slot_and_body(self) -> None:
         """Receive the body in its turn, which may come before the slot or after."""
@@ -256,6 +262,8 @@
         needed = wait + self._admission.expected_time(ticket.route)
         if wait and now + needed > (ticket.objective if strict else ticket.deadline):
             raise DeadlineUnmeetableError("the link is taken for too long", wait)
+        if self._sender is not None:
+            self._sender.promise()
 
     async def _wait_until_granted(self) -> None:
         ticket = self._ticket
