Connections: a transport of their own, accepted and connected without tasks

Change: node.http.transport; servers accept in the loop's turn, connections are made by a socket's own connect.

--- a/src/pewtertack/node/http/connection.py
+++ b/src/pewtertack/node/http/connection.py
@@ -13,7 +13,6 @@
 from collections import deque
 from collections.abc import AsyncIterator
 
-import anyio
 import httptools
 import msgspec
 
@@ -21,6 +20,7 @@
 from pewtertack.node import clock
 from pewtertack.node.http.framing import LAST_CHUNK, RawHeaders, chunk_of
 from pewtertack.node.http.reading import ReadingProtocol
+from pewtertack.node.http.transport import StreamTransport, connect_socket
 
 READ_BUFFER_LIMIT = 256 * 1024
 """Received bytes that wait to be read before the back end is slowed down."""
@@ -359,14 +359,9 @@
         ValueError: the address is none.
     """
     host, port = _split(address)
-    loop = asyncio.get_running_loop()
-    with anyio.fail_after(timeout):
-        _, connection = await loop.create_connection(
-            lambda: BackendConnection(address),
-            host,
-            port,
-            local_addr=(local_host, 0) if local_host is not None else None,
-        )
+    connected = await connect_socket(host, port, timeout, local_host)
+    connection = BackendConnection(address)
+    StreamTransport(asyncio.get_running_loop(), connected, connection)
     return connection
 
 
--- a/src/pewtertack/node/http/reading.py
+++ b/src/pewtertack/node/http/reading.py
@@ -11,7 +11,8 @@
 
 BUFFER_BYTES = 64 * 1024
 
-_buffer = memoryview(bytearray(BUFFER_BYTES))
+buffer = memoryview(bytearray(BUFFER_BYTES))
+"""Holds what was received last, until the next read of any connection."""
 
 
 class ReadingProtocol(asyncio.BufferedProtocol):
@@ -19,11 +20,11 @@
 
     def get_buffer(self, sizehint: int) -> memoryview:
         """Return where the next bytes go."""
-        return _buffer
+        return buffer
 
     def buffer_updated(self, nbytes: int) -> None:
         """Take the bytes out before the next read."""
-        self.data_received(_buffer[:nbytes].tobytes())
+        self.data_received(buffer[:nbytes].tobytes())
 
     def data_received(self, data: bytes) -> None:
         """Take received bytes."""
--- a/src/pewtertack/node/http/server.py
+++ b/src/pewtertack/node/http/server.py
@@ -9,22 +9,33 @@
 
 import asyncio
 import contextlib
+import errno
+import logging
 import math
 import time
 from collections.abc import Sequence
 from socket import socket
 from typing import Any
 
+from pewtertack.node.http.cycle import LOGGER
 from pewtertack.node.http.protocol import GuardedHttpProtocol
 from pewtertack.node.http.refusals import RefusalWriter, plain_refusal
+from pewtertack.node.http.transport import StreamTransport
 
 DATE_SECONDS = 1.0
 """The ``date`` header's resolution."""
 DATE_FORMAT = "%a, %d %b %Y %H:%M:%S GMT"
 BACKLOG = 2048
 """Connections that wait to be accepted."""
-ACCEPTING_ROUNDS = 3
-"""Rounds of the event loop from an accepted connection to its protocol."""
+ACCEPTED_AT_ONCE = 16
+"""Connections accepted in one turn of the loop; others then have theirs."""
+NO_ROOM = frozenset({errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM})
+"""No connection can be accepted for want of descriptors or memory."""
+NO_ROOM_SECONDS = 1.0
+"""Nothing is accepted for so long after that: the listener stays ready, which would keep the
+loop busy with nothing else."""
+
+logger = logging.getLogger(LOGGER)
 
 
 class HttpServer:
@@ -66,20 +77,40 @@
         """Accept until told to stop, then finish the answers under way."""
         loop = asyncio.get_running_loop()
         self._renew_date()
-        listeners = [
-            await loop.create_server(
-                lambda: GuardedHttpProtocol(self, loop), sock=bound, backlog=BACKLOG
-            )
-            for bound in sockets
-        ]
+        for bound in sockets:
+            bound.setblocking(False)
+            bound.listen(BACKLOG)
+            self._listen(loop, bound)
         try:
             await self._wait_for_exit()
-            await self._stop_accepting(sockets)
         finally:
-            for listener in listeners:
-                listener.close()
+            for bound in sockets:
+                if bound.fileno() >= 0:
+                    loop.remove_reader(bound)
+                bound.close()
         await self._finish()
 
+    def _listen(self, loop: asyncio.AbstractEventLoop, bound: socket) -> None:
+        if bound.fileno() >= 0:
+            loop.add_reader(bound, self._accept, loop, bound)
+
+    def _accept(self, loop: asyncio.AbstractEventLoop, bound: socket) -> None:
+        """Accept what waits; each connection begins at once."""
+        for _ in range(ACCEPTED_AT_ONCE):
+            try:
+                accepted, _ = bound.accept()
+            except (BlockingIOError, InterruptedError, ConnectionAbortedError):
+                return
+            except OSError as error:
+                if error.errno not in NO_ROOM:
+                    raise
+                logger.error("no connection can be accepted", exc_info=error)
+                loop.remove_reader(bound)
+                loop.call_later(NO_ROOM_SECONDS, self._listen, loop, bound)
+                return
+            accepted.setblocking(False)
+            StreamTransport(loop, accepted, GuardedHttpProtocol(self, loop))
+
     async def _wait_for_exit(self) -> None:
         while not self.should_exit:
             with contextlib.suppress(TimeoutError):
@@ -87,17 +118,6 @@
                     await self._exit.wait()
             self._renew_date()
 
-    async def _stop_accepting(self, sockets: Sequence[socket]) -> None:
-        """Accept no more, and let the connections accepted last begin.
-
-        asyncio forgets one whose listener closes in between, and leaves it open.
-        """
-        loop = asyncio.get_running_loop()
-        for bound in sockets:
-            loop.remove_reader(bound)
-        for _ in range(ACCEPTING_ROUNDS):
-            await asyncio.sleep(0)
-
     def _renew_date(self) -> None:
         self.default_headers = [
             (b"date", time.strftime(DATE_FORMAT, time.gmtime(time.time())).encode())
