A hop: fewer coroutines where nothing waits

Cause: a request without a body was sent through two coroutines, its answer sorted and read through two more; the ledger of ends was asked through four functions while it holds nothing. Change: those are left out where nothing waits; reading is looked at only where it had stopped.

--- a/src/pewtertack/node/http/connection.py
+++ b/src/pewtertack/node/http/connection.py
@@ -230,11 +230,22 @@
         self._buffered = 0
         self._bodiless = request.method == b"HEAD"
         self._complete = self._request_sent = self._body_asked_for = False
-        await self._send(request)
+        if request.body is None and not request.chunked:
+            await self._send_bodiless(request)
+        else:
+            await self._send(request)
         while self._answer is None:
             await self._wait()
         return self._answer
 
+    async def _send_bodiless(self, request: OutgoingRequest) -> None:
+        if not self._ended:
+            self.sent = True
+            self._transport.write(request.head())
+            if self._writing_paused:
+                await self._wait_to_write()
+        self._request_sent = True
+
     async def _send(self, request: OutgoingRequest) -> None:
         """Send head and body; an early answer ends it before the end of the body."""
         self._unsent = request.head()
@@ -272,8 +283,11 @@
         self.sent = True
         self._transport.write(data)
         if self._writing_paused:
-            self._writer = asyncio.get_running_loop().create_future()
-            await self._writer
+            await self._wait_to_write()
+
+    async def _wait_to_write(self) -> None:
+        self._writer = asyncio.get_running_loop().create_future()
+        await self._writer
 
     async def _wait(self) -> None:
         """Wait for more of the answer.
--- a/src/pewtertack/node/http/protocol.py
+++ b/src/pewtertack/node/http/protocol.py
@@ -270,7 +270,8 @@
 
     def resume_reading(self) -> None:
         """Receive more, as far as the pipeline has room."""
-        self._update_reading()
+        if self._reading_paused:
+            self._update_reading()
 
     def _update_reading(self) -> None:
         newest = self._newest
@@ -311,7 +312,7 @@
             self._end_gently()
         else:
             self._go_on(cycle)
-        self._update_reading()
+        self.resume_reading()
 
     def _ends_with(self, cycle: RequestCycle) -> bool:
         if self._end_wanted and not self._pipeline.requests:
--- a/src/pewtertack/node/proxy/exchange.py
+++ b/src/pewtertack/node/proxy/exchange.py
@@ -115,7 +115,13 @@
             await _finish_shed(connection)
             retry_after = _fraction(answer.retry_after)
             raise failure_of(answer.failure, start.status, retry_after)
-        await self._refuse_unusable(connection, start, answer)
+        self.end = end_of_answer(start.status, answer.outcome, answer.retries)
+        if self._is_not_run(start.status, answer):
+            self.end = AttemptEnd.SHED
+        if self.end is AttemptEnd.SHED:
+            await _finish_shed(connection)
+            raise _shed_error(start, answer)
+        self._check_framing(connection, start, answer)
         await self._relay(connection, start, answer)
 
     def _is_crossed(self, status: int, answer: AnswerHead) -> bool:
@@ -144,19 +150,9 @@
             head_with_body=self._head.expects_continue,
         )
 
-    async def _refuse_unusable(
+    def _check_framing(
         self, connection: BackendConnection, start: AnswerStart, answer: AnswerHead
     ) -> None:
-        self.end = end_of_answer(start.status, answer.outcome, answer.retries)
-        if self._is_not_run(start.status, answer):
-            self.end = AttemptEnd.SHED
-        if self.end is AttemptEnd.SHED:
-            await _finish_shed(connection)
-            if start.status == WRONG_BACKEND_STATUS:
-                raise BackendGoneError("another back end has the address")
-            raise BackendShedError(
-                "the back end did not run the request", _seconds(answer.retry_after)
-            )
         bodiless = self._scope["method"] == "HEAD" or start.status in NO_BODY_STATUSES
         if not (answer.framed or bodiless or self._edge.unframed_answers):
             connection.abort()
@@ -167,7 +163,9 @@
     ) -> None:
         self._scope["extensions"][CALLER].drop_body()  # no other attempt follows
         if answer.length is not None and answer.length <= WHOLE_BODY_BYTES:
-            whole = await _whole_body(connection)
+            whole = connection.take_whole()
+            if whole is None:
+                whole = await _whole_body(connection)
             head = self._start(start.status, answer)
             head[BODY_FOLLOWS] = True
             await self._send(head)
@@ -226,6 +224,13 @@
     connection.abort()
 
 
+def _shed_error(start: AnswerStart, answer: AnswerHead) -> RequestFailedError:
+    """Return the failure of a request that the back end did not run."""
+    if start.status == WRONG_BACKEND_STATUS:
+        return BackendGoneError("another back end has the address")
+    return BackendShedError("the back end did not run the request", _seconds(answer.retry_after))
+
+
 def _failure(connection: BackendConnection, broken: ExchangeBrokenError) -> RequestFailedError:
     """Return the failure of an exchange that broke before its answer."""
     kind = BackendSilentError if connection.peer_silent else BackendFailedError
--- a/src/pewtertack/node/proxy/suspicion.py
+++ b/src/pewtertack/node/proxy/suspicion.py
@@ -42,6 +42,8 @@
         Raises:
             RequestEndsBackendsError: it is held.
         """
+        if not len(self._reporter.ledger):
+            return
         fingerprint = await self._fingerprint_if_suspect()
         if fingerprint is not None and self._reporter.ledger.holds(fingerprint, limit, now):
             raise self._refusal(fingerprint)
@@ -52,6 +54,8 @@
         Raises:
             RequestEndsBackendsError: it may not.
         """
+        if not len(self._reporter.ledger):
+            return
         fingerprint = await self._fingerprint_if_suspect()
         if fingerprint is not None and not self._reporter.ledger.admits(fingerprint, limit, now):
             raise self._refusal(fingerprint)
