A hop: answers that are there whole are looked at and written once; headers that nobody reads passed by

Cause: status and body of an answer that was there whole went through two messages, two checks and two writes; every header of a request was compared with seven names, its length counted. Change: a head may carry its whole body; names that an edge reads are a set; a head is measured only where it may be too long.

--- a/src/pewtertack/log.py
+++ b/src/pewtertack/log.py
@@ -71,8 +71,9 @@
         """What every line of an event has, by the event's number."""
         self._started = _steady()
         self._writer: BoundedWriter | None = None
-        self._sink = self._sink_of(stream)
-        self._logger.handlers.append(_SinkHandler(self._sink))
+        sink = self._sink_of(stream)
+        self._write = sink.write
+        self._logger.handlers.append(_SinkHandler(sink))
 
     def _sink_of(self, stream: TextIO | None) -> LineSink:
         if stream is not None:
@@ -88,7 +89,7 @@
         """
         line = self._line(event, fields)
         if event.number // 100 == REQUEST_EVENTS:
-            self._sink.write(_encode(line), event.routine)
+            self._write(_encode(line), event.routine)
         else:
             self._logger.info(event.name, extra={"line": line, "routine": False})
 
--- a/src/pewtertack/node/http/cycle.py
+++ b/src/pewtertack/node/http/cycle.py
@@ -20,9 +20,9 @@
 
 CALLER = "pewtertack.caller"
 """ASGI extension: the request's cycle, which tells when its caller leaves."""
-BODY_FOLLOWS = "pewtertack.body_follows"
-"""In a ``http.response.start``: its body's first part is sent at once, so that the head need
-not be seen to by itself, which took a callback and a round of the loop."""
+WHOLE = "pewtertack.whole"
+"""In a ``http.response.start``: the whole body, so that the answer is looked at and written once.
+Otherwise the head has to be seen to by itself, by a callback in a round of its own."""
 BODY_BYTES = 64 * 1024
 """Received bytes of a body that wait to be read before the caller is slowed down."""
 HELD_BYTES = 256 * 1024
@@ -260,10 +260,14 @@
         if starts:
             self.answer_begun = True
             self._note_framing(message)
+            if WHOLE in message:
+                self._note_body(message[WHOLE], False)
             return
+        self._note_body(message.get("body", b""), message.get("more_body", False))
+
+    def _note_body(self, body: bytes, more: bool) -> None:
         if not self._chunked and self.scope["method"] != "HEAD":
-            self._length_left -= len(message.get("body", b""))
-        more = message.get("more_body", False)
+            self._length_left -= len(body)
         if self._length_left < 0 or (self._length_left > 0 and not more):
             raise RuntimeError("the answer's body has not the announced length")
         self.answered = not more
@@ -284,7 +288,7 @@
 
     async def _hold(self, message: Message) -> None:
         self._held.append(message)
-        self._held_bytes += len(message.get("body", b""))
+        self._held_bytes += len(message.get(WHOLE) or message.get("body", b""))
         if self._held_bytes > HELD_BYTES and not self.answered:
             self._turn = asyncio.Event()
             await self._turn.wait()
@@ -294,11 +298,16 @@
     def _write(self, message: Message) -> None:
         if message["type"] == "http.response.start":
             self._head = self._head_of(message)
-            if BODY_FOLLOWS not in message:
+            if WHOLE in message:
+                self._write_body(message[WHOLE], False)
+            else:
                 asyncio.get_running_loop().call_soon(self._write_head)
             return
-        more = message.get("more_body", False)
-        parts = [self._head, *self._framed(message.get("body", b""), more)]
+        self._write_body(message.get("body", b""), message.get("more_body", False))
+
+    def _write_body(self, body: bytes, more: bool) -> None:
+        """Write a part of the body, and the head before the first one."""
+        parts = [self._head, *self._framed(body, more)]
         self._head = b""
         self._connection.write(b"".join(parts))
         if not more:
--- a/src/pewtertack/node/http/protocol.py
+++ b/src/pewtertack/node/http/protocol.py
@@ -76,7 +76,10 @@
         # The request that is being received
         self._url = b""
         self._headers: list[tuple[bytes, bytes]] = []
-        self._headers_bytes = 0
+        self._chunk_bytes = 0
+        """Of the bytes that were received last."""
+        self._head_most = 0
+        """No less than the bytes of the head."""
         self._unknown_coding = False
         self._expects_continue = False
         self._head_bytes = 0
@@ -139,8 +142,10 @@
         """Parse, and bound the head while it is incomplete."""
         if self._discarding:
             return
+        size = self._chunk_bytes = len(data)
         if self._reading_head:
-            self._head_bytes += len(data)
+            self._head_bytes += size
+            self._head_most += size
         try:
             self._parser.feed_data(data)
         except httptools.HttpParserError:
@@ -173,7 +178,7 @@
         """A request begins."""
         self._url = b""
         self._headers = []
-        self._headers_bytes = 0
+        self._head_most = self._chunk_bytes
         self._unknown_coding = False
         self._expects_continue = False
 
@@ -186,7 +191,6 @@
         name = name.lower()
         if name in EXAMINED_NAMES:
             self._examine(name, value)
-        self._headers_bytes += len(name) + len(value)
         self._headers.append((name, value))
 
     def _examine(self, name: bytes, value: bytes) -> None:
@@ -230,11 +234,14 @@
         """Raise, and leave for ``data_received``, why the head is refused."""
         if self._unknown_coding:
             self._refusal = RefusalReason.UNKNOWN_CODING
-        if len(self._url) + self._headers_bytes > HEAD_BYTES:
+        if self._head_most > HEAD_BYTES and self._measure_head() > HEAD_BYTES:
             self._refusal = RefusalReason.HEAD_TOO_LARGE
         if self._refusal is not RefusalReason.MALFORMED:
             raise HeadRefusedError(self._refusal)
 
+    def _measure_head(self) -> int:
+        return len(self._url) + sum(len(name) + len(value) for name, value in self._headers)
+
     def _scope(self) -> Scope:
         target = httptools.parse_url(self._url)
         path = target.path.decode("ascii")
--- a/src/pewtertack/node/proxy/edge.py
+++ b/src/pewtertack/node/proxy/edge.py
@@ -6,6 +6,8 @@
 
 REQUEST_ID = b"x-request-id"
 DEADLINE = b"x-deadline-ms"
+READ = frozenset({b"host", b"content-length", b"transfer-encoding", b"expect", b"connection"})
+"""Names that are read at every edge."""
 
 
 class EdgeHeaders(msgspec.Struct, frozen=True):
@@ -22,12 +24,15 @@
     fractional_retry_after: bool = False
     own: frozenset[bytes] = frozenset()
     """Names that nodes set themselves: what a caller sends under them is dropped. Worked out."""
+    read: frozenset[bytes] = frozenset()
+    """Names of a request's headers that a node reads. Worked out."""
 
     def __post_init__(self) -> None:
         """Work out once what every request needs."""
         names = (self.request_id, self.deadline, self.expected_backend, self.caller_service)
         own = frozenset(name for name in names if name)
         msgspec.structs.force_setattr(self, "own", own)
+        msgspec.structs.force_setattr(self, "read", READ | {self.request_id, self.deadline})
 
 
 PRODUCT_EDGE = EdgeHeaders()
--- a/src/pewtertack/node/proxy/exchange.py
+++ b/src/pewtertack/node/proxy/exchange.py
@@ -13,7 +13,7 @@
     ExchangeBrokenError,
     OutgoingRequest,
 )
-from pewtertack.node.http.cycle import BODY_FOLLOWS, CALLER, Message, Scope
+from pewtertack.node.http.cycle import CALLER, WHOLE, Message, Scope
 from pewtertack.node.http.framing import NO_BODY_STATUSES, RawHeaders
 from pewtertack.node.proxy.answers import Send
 from pewtertack.node.proxy.body import RequestBody
@@ -167,9 +167,8 @@
             if whole is None:
                 whole = await _whole_body(connection)
             head = self._start(start.status, answer)
-            head[BODY_FOLLOWS] = True
+            head[WHOLE] = whole
             await self._send(head)
-            await self._send({"type": "http.response.body", "body": whole})
             return
         await self._send(self._start(start.status, answer))
         try:
--- a/src/pewtertack/node/proxy/headers.py
+++ b/src/pewtertack/node/proxy/headers.py
@@ -73,7 +73,7 @@
     """
     head = RequestHead()
     hosts = lengths = codings = 0
-    for name, value in headers:
+    for name, value in _of_names(headers, edge.read):
         if name == b"host":
             hosts += 1
             head.host = _host_name(value)
@@ -98,6 +98,10 @@
     return head
 
 
+def _of_names(headers: RawHeaders, names: Set[bytes]) -> RawHeaders:
+    return [item for item in headers if item[0] in names]
+
+
 def is_plain_chunked(transfer_encoding: bytes) -> bool:
     """Tell whether the only transfer coding is "chunked"."""
     return transfer_encoding.strip().lower() == b"chunked"
--- a/src/pewtertack/node/proxy/request_log.py
+++ b/src/pewtertack/node/proxy/request_log.py
@@ -36,7 +36,10 @@
 
 def milliseconds(seconds: float) -> float:
     """Return ``seconds`` in milliseconds, short enough for a log line."""
-    return parts_of(seconds * 1000, 10)
+    try:
+        return floor(seconds * 10_000 + 0.5) / 10
+    except (OverflowError, ValueError):
+        return seconds  # endless, or no number
 
 
 def parts_of(value: float, parts: int) -> float:
