--- a/src/pewtertack/node/gateway/application.py
+++ b/src/pewtertack/node/gateway/application.py
@@ -57,8 +57,8 @@
     RequestFailedError,
     ZoneEvacuatedError,
 )
-from pewtertack.routing.policies import DEFAULT_POLICIES, Policies
-from pewtertack.routing.runs import RunsBeside
+from pewtertack.routing.policies import DEFAULT_POLICIES, BegunRuns, Policies
+from pewtertack.routing.runs import RunsBeside, none_in_vain
 from pewtertack.settings import Settings
 
 STOP_MARGIN = 2.0
@@ -115,6 +115,7 @@
         self._reporter = reporter or CrashReporter()
         self._backend_down = False
         """Whether nobody listened at the back end's address when it was last needed."""
+        runs = runs or RunsBeside()
         self.origins = watch_for(policies)
         """Who calls each route, as far as known."""
         self._parts = GatewayParts(
@@ -127,7 +128,8 @@
             CrashWatch(self._note_crash),
             self._reporter,
             self.origins,
-            runs or RunsBeside(),
+            runs,
+            runs.in_vain if policies.begun_runs is BegunRuns.FINISHABLE else none_in_vain,
             self.requests,
         )
         self._incarnations = Incarnations(clock, policies)
--- a/src/pewtertack/node/gateway/forwarding.py
+++ b/src/pewtertack/node/gateway/forwarding.py
@@ -44,7 +44,7 @@
     WithdrawnError,
 )
 from pewtertack.routing.places import AdmissionTicket
-from pewtertack.routing.runs import RunsBeside
+from pewtertack.routing.runs import RunsBeside, none_in_vain
 
 SHORTEST_LOOK = 0.001
 """Seconds between two looks at a waiting request, where a timer has fired too early."""
@@ -66,6 +66,8 @@
     origins: OriginWatch | None = None
     """Who calls each route; ``None`` where calls within are treated as all others."""
     runs: RunsBeside = msgspec.field(default_factory=RunsBeside)
+    in_vain: Callable[[str, float], bool] = none_in_vain
+    """Tells by route and time whether runs often end badly, since their calls are turned away."""
     requests: RequestsInFlight = msgspec.field(default_factory=RequestsInFlight)
     reception: BodyReception = msgspec.field(default_factory=BodyReception)
 
@@ -198,7 +200,7 @@
         if self._ticket.within:
             metrics.note_within(route, admitted=True)
         answered = False
-        self._parts.runs.begin(self._ticket.rank)
+        self._parts.runs.begin(route, self._ticket.rank)
         try:
             await self._attempt()
             answered = True
@@ -206,16 +208,21 @@
             metrics.note_answered(route, self._parts.clock() - self._ticket.started_at)
             log.answered(request, self._request.backend, self.status, self._ticket)
         finally:
-            self._parts.runs.end(self._ticket.rank)
-            self._admission.finish(self._ticket, self._parts.clock(), answered)
+            now = self._parts.clock()
+            self._parts.runs.end(route, self._ticket.rank, now - self._ticket.started_at)
+            self._admission.finish(self._ticket, now, answered)
 
     async def _wait_for_slot(self) -> None:
         self._submit()
         await self._wait_until_granted()
 
     def _submit(self) -> None:
+        ticket, now = self._ticket, self._parts.clock()
+        if not ticket.within and self._parts.in_vain(ticket.route, now):
+            ticket.lateness = ticket.lateness.yielding
+            self._parts.metrics.note_in_vain(ticket.route)
         try:
-            self._admission.submit(self._ticket, self._parts.clock())
+            self._admission.submit(ticket, now)
         except RequestFailedError as error:
             error.offered = False
             raise
--- a/src/pewtertack/node/gateway/metrics.py
+++ b/src/pewtertack/node/gateway/metrics.py
@@ -32,6 +32,11 @@
             "Requests that a back end made while it ran another, by what became of them here.",
             ("route", "end"),
         )
+        self._in_vain = registry.counter(
+            "pewtertack_gateway_runs_in_vain",
+            "Requests that let others go first, since calls of such runs were turned away.",
+            ("route",),
+        )
         self._crashed = registry.counter(
             "pewtertack_gateway_backend_crashes",
             "Ends of the back end while it ran requests.",
@@ -42,6 +47,10 @@
         """A call within has gone to the back end, or has ended without an answer."""
         self._within.inc((route, "admitted" if admitted else "refused"))
 
+    def note_in_vain(self, route: str) -> None:
+        """A request lets others go first: runs of its route often end badly now."""
+        self._in_vain.inc((route,))
+
     def note_crashed(self) -> None:
         """The back end ended while it ran requests."""
         self._crashed.inc(())
--- a/src/pewtertack/node/proxy/application.py
+++ b/src/pewtertack/node/proxy/application.py
@@ -272,8 +272,10 @@
         forwarding = Forwarding(
             self._parts, scope, receive, send, head, configuration, route, deadline
         )
+        failed = True
         try:
             await forwarding.run()
+            failed = forwarding.status >= InternalError.status
             took = self._clock() - began
             self._metrics.note_answered(route, took)
             backend = forwarding.ticket.backend
@@ -283,6 +285,7 @@
         except RequestFailedError as error:
             await self._refuse(send, error.with_retries_spent(), head, route)
         except CallerGoneError:
+            failed = False  # nothing is known of its end
             self._metrics.note_failed(route, CALLER_GONE)
             took = self._clock() - began
             self._request_log.ended(Event.REQUEST_CANCELLED, head.request_id, route, took)
@@ -297,6 +300,8 @@
             raise  # the server logs it and closes the connection
         finally:
             self._metrics.note_retries(route, forwarding.retries)
+            if forwarding.ticket.within:
+                self._parts.runs.note_call(route.name, self._clock(), failed)
 
 
 def _collector_of(dispatcher: Dispatcher, in_flight: Callable[[], int]) -> Collector:
--- a/src/pewtertack/node/proxy/request_log.py
+++ b/src/pewtertack/node/proxy/request_log.py
@@ -206,6 +206,7 @@
             backend=backend,
             rank=ticket.rank,
             within=ticket.within,
+            yields=ticket.yields,
             in_flight=admission.in_flight,
             slots=admission.slots,
             load=admission.load,
--- a/src/pewtertack/routing/patience.py
+++ b/src/pewtertack/routing/patience.py
@@ -41,6 +41,16 @@
         """Whether requests whose callers did not come back go first."""
         return self in (Lateness.YIELDING, Lateness.PROMPT_YIELDING)
 
+    @property
+    def yielding(self) -> Lateness:
+        """The same for a request that lets others go first for another reason."""
+        return YIELDING_ALSO.get(self, self)
+
+
+YIELDING_ALSO = {
+    Lateness.ALLOWED: Lateness.YIELDING,
+    Lateness.PROMPT: Lateness.PROMPT_YIELDING,
+}
 
 FORGETTING = 0.01
 """Each caller with less time brings the longest time down by this share of the difference."""
--- a/src/pewtertack/routing/policies.py
+++ b/src/pewtertack/routing/policies.py
@@ -17,7 +17,7 @@
 
 Made = TypeVar("Made")
 
-MODULES: tuple[str, ...] = ("pewtertack.routing.origins",)
+MODULES: tuple[str, ...] = ("pewtertack.routing.origins", "pewtertack.routing.runs")
 """Modules that fill the registry."""
 
 
@@ -27,6 +27,7 @@
     CROWDED_GATEWAYS = "crowded_gateways"
     REFUSALS = "refusals"
     CALLS_WITHIN = "calls_within"
+    BEGUN_RUNS = "begun_runs"
     RETRY_BUDGET = "retry_budget"
 
 
@@ -51,6 +52,13 @@
     FIRST = "first"
 
 
+class BegunRuns(StrEnum):
+    """Which requests take a slot first while calls that runs make are turned away."""
+
+    ALL = "all"
+    FINISHABLE = "finishable"
+
+
 class RetryBudgeting(StrEnum):
     """How many retries there may be."""
 
@@ -64,6 +72,7 @@
     crowded_gateways: CrowdedGateways = CrowdedGateways.EJECTED
     refusals: Refusals = Refusals.ASKED
     calls_within: CallsWithin = CallsWithin.FIRST
+    begun_runs: BegunRuns = BegunRuns.FINISHABLE
     retry_budget: RetryBudgeting = RetryBudgeting.SHARE
 
 
--- a/tests/node/gateway/test_origins.py
+++ b/tests/node/gateway/test_origins.py
@@ -87,7 +87,7 @@
             answer = await raw_call(ledger, CALL)
         self.assertNotIn("x-pewtertack-origin", answer.headers)
         self.assertEqual(sorted(self.origins), [("fee", "back-ends"), ("verify", "callers")])
-        self.runs.begin((1, 2))
+        self.runs.begin("history", (1, 2))
         await raw_call(ledger, CALL)
         await raw_call(ledger, OWN)
         told = [(item["within"], item["rank"]) for item in self.admitted]
