--- a/src/pewtertack/lab/overload/gateways.py
+++ b/src/pewtertack/lab/overload/gateways.py
@@ -189,6 +189,7 @@
         try:
             self._dispatcher.submit(ticket, self.time.now)
         except RequestFailedError as error:
+            self._dispatcher.note_failed(ticket.route.name, self.time.now)
             request.end(self.time.now, retry_after=error.retry_after)
             return
         assert ticket.backend is not None, "a proxy queues nothing where gateways admit"
@@ -218,6 +219,7 @@
         refusal = GatewayRefusedError(error.message, error.retry_after, error.code)
         following = self._dispatcher.decide_retry(job.ticket, refusal, now, replayable=True).ticket
         if following is None:
+            self._dispatcher.note_failed(job.ticket.route.name, now)
             job.request.end(now, retry_after=error.retry_after)
         else:
             self._submit(job.request, following)
--- a/src/pewtertack/lab/overload/returning.py
+++ b/src/pewtertack/lab/overload/returning.py
@@ -34,6 +34,8 @@
     burst: float = 0.0
     slowness: float = 1.0
     """So many times slower one back end is for some time."""
+    deadline_spread: float = 0.0
+    """Callers' deadlines are drawn evenly from so much of their mean, half up and half down."""
 
     @property
     def capacity(self) -> float:
@@ -105,6 +107,7 @@
 
 def _arrivals(shape: ReturningShape, random: Random) -> Iterator[SimulatedRequest]:
     now = 0.0
+    drawn = Random(shape.deadline_spread)
     weights = [profile.share for profile in SHOPPERS]
     while True:
         now += random.expovariate(shape.load_at(now) * shape.capacity)
@@ -112,7 +115,8 @@
             return
         profile = random.choices(SHOPPERS, weights)[0]
         work = random.gammavariate(WORK_SHAPE, profile.mean_work / WORK_SHAPE)
-        yield SimulatedRequest(profile, 0, now, work, now + profile.deadline)
+        deadline = profile.deadline * (1 + shape.deadline_spread * (drawn.random() - 0.5))
+        yield SimulatedRequest(profile, 0, now, work, now + deadline)
 
 
 def _result(shape: ReturningShape, seed: int, callers: Sequence[Caller]) -> ReturningResult:
--- a/src/pewtertack/node/proxy/application.py
+++ b/src/pewtertack/node/proxy/application.py
@@ -226,6 +226,8 @@
         route: ResolvedRoute | None,
     ) -> None:
         """Answer with a failure; count and log it."""
+        if route is not None:
+            self._parts.dispatcher.note_failed(route.name, self._clock())
         self._metrics.note_failed(route, error.code)
         self._request_log.refused(head.request_id, route, error)
         await send_failure(send, error, head.request_id, self._edge)
@@ -276,6 +278,8 @@
         try:
             await forwarding.run()
             failed = forwarding.status >= InternalError.status
+            if failed:
+                self._parts.dispatcher.note_failed(route.name, self._clock())
             took = self._clock() - began
             self._metrics.note_answered(route, took)
             backend = forwarding.ticket.backend
--- a/src/pewtertack/routing/dispatcher.py
+++ b/src/pewtertack/routing/dispatcher.py
@@ -209,7 +209,7 @@
         if not ticket.excluded:
             ticket.arrived_at = now
             ticket.caller_lateness = self._patience.classify(
-                ticket.route.name, ticket.route.objective, ticket.caller_deadline - now
+                ticket.route.name, ticket.route.objective, ticket.caller_deadline - now, now
             )
             ticket.within = self._is_within(ticket.route.name, now)
             if ticket.within:
@@ -226,6 +226,10 @@
         if told in ORIGIN_WORDS:
             self.origins.note_told(route, Origin(told), now)
 
+    def note_failed(self, route: str, now: float) -> None:
+        """A request of the route ended without a good answer: its caller may come back."""
+        self._patience.note_failed(route, now)
+
     def look(self, ticket: Ticket, now: float) -> float:
         """See what a waiting ticket can do now; return when to look again."""
         service = self.service(ticket.route.service)
--- a/src/pewtertack/routing/patience.py
+++ b/src/pewtertack/routing/patience.py
@@ -4,12 +4,16 @@
 to wait until its answer is late: what waits long makes all behind it late as well, and an
 overload outlasts its cause. A caller with little time left cannot come back; it may wait
 while it is expected to be served.
-Where callers of the route usually have more time, it has been refused before: it goes
-behind those that have not, or in a lasting overload everyone would have to come back.
+Where callers of the route usually have more time, and some were refused lately, it has been
+refused before: it goes behind those that have not, or in a lasting overload everyone would have
+to come back. How little time callers have that come for the first time is learned while nobody
+can have come back: where their time is drawn from a range of 16 in 100, taking the longest of
+it for usual made every second request go last, on a quiet day as well.
 """
 
 from __future__ import annotations
 
+import math
 from collections.abc import Container
 from enum import StrEnum
 
@@ -55,36 +59,81 @@
 FORGETTING = 0.01
 """Each caller with less time brings the longest time down by this share of the difference."""
 CAME_BACK_SHARE = 0.95
-"""A caller with less than this share of the time that others had has been here before."""
+"""A caller with less than this share of the least time that others had has been here before."""
+SHORTENING = 0.25
+"""Each caller with less time, while nobody can have come back, brings the least time down by this
+share of the difference. With ``FORGETTING`` it stays at a fifth of the range from which callers'
+times are drawn, if they are drawn evenly."""
+
+FRESH_LEAST = 10
+"""So many callers must have come while nobody can have come back to know their times."""
+GUESSED_SHARE = 0.85
+"""Before that the least time is taken to be at most this share of the longest. Assumed."""
+
+
+class _Known:
+    """What is known of one route's callers. Times in seconds."""
+
+    __slots__ = ("failed_at", "fresh", "longest", "shortest")
+
+    def __init__(self, time_left: float) -> None:
+        self.longest = time_left
+        self.shortest = time_left
+        """Of those that came for the first time."""
+        self.fresh = 0
+        """How many of those were seen."""
+        self.failed_at = -math.inf
+        """When a request last ended so that its caller may come back."""
+
+    @property
+    def usual(self) -> float:
+        """The least time that a caller has who comes for the first time."""
+        least = 1.0 if self.fresh >= FRESH_LEAST else GUESSED_SHARE
+        return min(self.shortest, least * self.longest)
 
 
 class CallerPatience:
-    """The longest time for which callers of each route wait, as one proxy has seen lately."""
+    """For how long callers of each route wait, as one proxy has seen lately."""
 
-    __slots__ = ("longest",)
+    __slots__ = ("_routes",)
 
     def __init__(self) -> None:
-        self.longest: dict[str, float] = {}
-        """Seconds by the route's name."""
+        self._routes: dict[str, _Known] = {}
 
     def keep_only(self, routes: Container[str]) -> None:
         """Forget routes that are in force no longer."""
-        self.longest = {name: item for name, item in self.longest.items() if name in routes}
+        self._routes = {name: item for name, item in self._routes.items() if name in routes}
+
+    def note_failed(self, route: str, now: float) -> None:
+        """A request of the route ended without a good answer: its caller may come back."""
+        known = self._routes.get(route)
+        if known is not None:
+            known.failed_at = now
 
-    def classify(self, route: str, objective: float, time_left: float) -> Lateness:
+    def classify(self, route: str, objective: float, time_left: float, now: float) -> Lateness:
         """Note a request's arrival; return what to do with it when it would have to wait."""
-        longest = self._note(route, time_left)
-        came_back = may_come_back(objective, longest) and time_left < CAME_BACK_SHARE * longest
+        known = self._note(route, time_left, now)
+        came_back = (
+            may_come_back(objective, known.longest)
+            and time_left < CAME_BACK_SHARE * known.usual
+            and now <= known.failed_at + known.longest
+        )
         if may_come_back(objective, time_left):
             return Lateness.PROMPT_YIELDING if came_back else Lateness.PROMPT
         return Lateness.YIELDING if came_back else Lateness.ALLOWED
 
-    def _note(self, route: str, time_left: float) -> float:
-        """Return the longest time, which shorter ones bring down slowly."""
-        known = self.longest.get(route, time_left)
-        longest = max(time_left, known + FORGETTING * (time_left - known))
-        self.longest[route] = longest
-        return longest
+    def _note(self, route: str, time_left: float, now: float) -> _Known:
+        """Return what is known: the longest time comes down slowly, the shortest goes up so."""
+        known = self._routes.get(route)
+        if known is None:
+            known = self._routes[route] = _Known(time_left)
+        known.longest = max(time_left, known.longest + FORGETTING * (time_left - known.longest))
+        if now > known.failed_at + known.longest:
+            weight = FORGETTING if time_left > known.shortest else SHORTENING
+            known.shortest += weight * (time_left - known.shortest)
+            known.fresh += 1
+        known.shortest = min(known.shortest, known.longest)
+        return known
 
 
 def may_come_back(objective: float, time_left: float) -> bool:
