--- a/src/pewtertack/node/assembly.py
+++ b/src/pewtertack/node/assembly.py
@@ -25,7 +25,6 @@
 from pewtertack.node.traffic import Traffic
 from pewtertack.node.transport import PeerTransport, Sender, StreamLimits
 from pewtertack.node.view import NodeView
-from pewtertack.routing.runs import RunsBeside
 from pewtertack.settings import Settings
 from pewtertack.settings.loading import Flags
 
@@ -35,6 +34,7 @@
     from pewtertack.node.gateway.application import GatewayApplication
     from pewtertack.node.proxy.application import ProxyApplication
     from pewtertack.node.proxy.edge import EdgeHeaders
+    from pewtertack.routing.runs import RunsBeside
 
 
 WIDE_LINK_MBPS = 50.0
@@ -74,7 +74,7 @@
     profile = PROFILES[settings.profile.name.value]
     gate = ServingGate(profile.pause_threshold)
     reporter = CrashReporter()
-    runs = RunsBeside()
+    runs = _runs_beside(settings)
     proxy = _proxy(settings, gate, registry, log, reporter, runs)
     gateway = _gateway(settings, log, registry, reporter, runs)
     source = SourceProperties(
@@ -110,18 +110,28 @@
     return CoordinationCollector(view.status, traffic)
 
 
+def _runs_beside(settings: Settings) -> RunsBeside | None:
+    """Return what proxy and gateway know in common; only where there are both is it loaded."""
+    if settings.listen.proxy is None or settings.listen.gateway is None:
+        return None
+    from pewtertack.routing.runs import RunsBeside
+
+    return RunsBeside()
+
+
 def _proxy(
     settings: Settings,
     gate: ServingGate,
     registry: MetricsRegistry,
     log: EventLog,
     reporter: CrashReporter,
-    runs: RunsBeside,
+    runs: RunsBeside | None,
 ) -> ProxyApplication | None:
     """Return the proxy part; its modules are loaded only where there is one."""
     if settings.listen.proxy is None:
         return None
     from pewtertack.node.proxy.application import ProxyApplication
+    from pewtertack.routing.retry_window import RetryLimits
 
     return ProxyApplication(
         clock.now,
@@ -133,6 +143,11 @@
         caller_service=settings.backend.service,
         reporter=reporter,
         policies=settings.policies,
+        retry_limits=RetryLimits(
+            settings.limits.retry_ratio,
+            settings.limits.retry_window.seconds,
+            settings.limits.retry_slack,
+        ),
         runs=runs,
     )
 
@@ -142,7 +157,7 @@
     log: EventLog,
     registry: MetricsRegistry,
     reporter: CrashReporter,
-    runs: RunsBeside,
+    runs: RunsBeside | None,
 ) -> GatewayApplication | None:
     """Return the gateway part, where a back end is beside the node."""
     if settings.listen.gateway is None or settings.backend.address is None:
