Who was shed by a back end with free slots is told to come back soon

Change: without a word of its own, a back end that reports free slots has its callers told an eighth of the route's objective; one that is full 1 s as before. Test: seen to fail with 1.000.

--- a/src/pewtertack/node/proxy/exchange.py
+++ b/src/pewtertack/node/proxy/exchange.py
@@ -226,9 +226,11 @@
     return error.with_outcome(Outcome.UNKNOWN if connection.sent else Outcome.NOT_RUN)
 
 
-def _seconds(retry_after: str | None) -> float:
-    """Read a back end's ``Retry-After`` in seconds; dates are not understood."""
-    if retry_after is None or not retry_after.strip().isdecimal():
+def _seconds(retry_after: str | None) -> float | None:
+    """Read a back end's ``Retry-After`` in seconds, ``None`` without one; not dates."""
+    if retry_after is None:
+        return None
+    if not retry_after.strip().isdecimal():
         return DEFAULT_RETRY_AFTER
     return min(float(retry_after), LONGEST_RETRY_AFTER)
 
--- a/src/pewtertack/routing/dispatcher.py
+++ b/src/pewtertack/routing/dispatcher.py
@@ -26,8 +26,12 @@
     tells_of_backend,
 )
 from pewtertack.routing.origins import ORIGIN_WORDS, Origin, OriginBeliefs
-from pewtertack.routing.outcomes import RequestEndsBackendsError, RequestFailedError
-from pewtertack.routing.patience import CallerPatience, Lateness
+from pewtertack.routing.outcomes import (
+    BackendShedError,
+    RequestEndsBackendsError,
+    RequestFailedError,
+)
+from pewtertack.routing.patience import CallerPatience, Lateness, pause_after_shedding
 from pewtertack.routing.policies import (
     DEFAULT_POLICIES,
     CallsWithin,
@@ -368,6 +372,10 @@
         """Decide whether the request is sent once more, and say why."""
         assert ticket.backend is not None
         service = self.service(ticket.route.service)
+        if isinstance(error, BackendShedError) and error.retry_after is None:
+            report = ticket.report
+            has_room = report is not None and report.in_flight < report.slots
+            error.retry_after = pause_after_shedding(ticket.route.objective, has_room)
         if isinstance(error, RequestEndsBackendsError):
             return RetryDecision(RetryReason.ENDS_BACKENDS)
         if not error.offered and ticket.backend.gateway:
--- a/src/pewtertack/routing/patience.py
+++ b/src/pewtertack/routing/patience.py
@@ -17,6 +17,8 @@
 from collections.abc import Container
 from enum import StrEnum
 
+from pewtertack.routing.outcomes import DEFAULT_RETRY_AFTER
+
 ROOM = 4.0
 """A caller may come back when the time it has left is so many times its objective."""
 
@@ -65,6 +67,9 @@
 share of the difference. With ``FORGETTING`` it stays at a fifth of the range from which callers'
 times are drawn, if they are drawn evenly."""
 
+SOON_SHARE = 1 / 8
+"""Share of its objective after which a caller comes back that might be served at once: the
+users' price list takes waiting so long for nothing."""
 FRESH_LEAST = 10
 """So many callers must have come while nobody can have come back to know their times."""
 GUESSED_SHARE = 0.85
@@ -136,6 +141,15 @@
         return known
 
 
+def pause_after_shedding(objective: float, has_room: bool) -> float:
+    """Return when a caller is to come back whose request a back end shed without saying when.
+
+    One that has free slots sheds for another reason than want of room: the next attempt may well
+    end in time, if its caller is not told to come after the objective.
+    """
+    return SOON_SHARE * objective if has_room else DEFAULT_RETRY_AFTER
+
+
 def may_come_back(objective: float, time_left: float) -> bool:
     """Tell whether a caller that is refused has time for another whole attempt.
 
--- a/tests/node/gateway/test_gateway.py
+++ b/tests/node/gateway/test_gateway.py
@@ -169,6 +169,21 @@
         self.assert_refused(answer, 503, "not-run")
         self.assertIn(".", answer.headers["retry-after"])
 
+    async def test_who_was_shed_by_a_back_end_with_free_slots_is_told_to_come_back_soon(
+        self,
+    ) -> None:
+        told: dict[bytes, str] = {}
+        for said in (b"", b"retry-after: 2"):
+
+            async def skip(reader: Any, writer: Any, head: str, said: bytes = said) -> bool:
+                lines = [b"x-skipped: 1", *([said] if said else [])]
+                writer.write(answer_bytes(b"", *lines, status=b"503 Service Unavailable"))
+                return True
+
+            address = await self.start_fleet(skip, retry_limit=0, target_latency=0.8)
+            told[said] = (await raw_call(address, POST)).headers["retry-after"]
+        self.assertEqual(list(told.values()), ["0.100", "2.000"])
+
     async def test_a_leaving_back_end_is_refused_by_its_gateway_before_the_proxy_knows(
         self,
     ) -> None:
--- a/tests/routing/test_patience.py
+++ b/tests/routing/test_patience.py
@@ -3,7 +3,8 @@
 import unittest
 from random import Random
 
-from pewtertack.routing.patience import CallerPatience, Lateness
+from pewtertack.routing.outcomes import DEFAULT_RETRY_AFTER
+from pewtertack.routing.patience import CallerPatience, Lateness, pause_after_shedding
 
 
 class CallerPatienceTest(unittest.TestCase):
@@ -80,6 +81,10 @@
             for _ in range(3):
                 self.assertEqual(patience.classify("status", 0.4, 1.1, now), Lateness.YIELDING)
 
+    def test_a_back_end_that_sheds_for_want_of_room_is_left_alone_for_longer(self) -> None:
+        self.assertEqual(pause_after_shedding(0.8, has_room=True), 0.1)
+        self.assertEqual(pause_after_shedding(0.8, has_room=False), DEFAULT_RETRY_AFTER)
+
 
 if __name__ == "__main__":
     unittest.main()
