--- a/src/pewtertack/policies.py
+++ b/src/pewtertack/policies.py
@@ -17,6 +17,7 @@
     CROWDED_GATEWAYS = "crowded_gateways"
     REFUSALS = "refusals"
     CALLS_WITHIN = "calls_within"
+    BEGUN_RUNS = "begun_runs"
     RETRY_BUDGET = "retry_budget"
     HANGING = "hanging"
     LONG_BODIES = "long_bodies"
@@ -43,6 +44,13 @@
     FIRST = "first"
 
 
+class BegunRuns(StrEnum):
+    """Which requests take a slot first while calls that runs make are turned away."""
+
+    ALL = "all"
+    FINISHABLE = "finishable"
+
+
 class RetryBudgeting(StrEnum):
     """How many retries there may be."""
 
@@ -70,6 +78,7 @@
     crowded_gateways: CrowdedGateways = CrowdedGateways.EJECTED
     refusals: Refusals = Refusals.ASKED
     calls_within: CallsWithin = CallsWithin.ALIKE
+    begun_runs: BegunRuns = BegunRuns.ALL
     retry_budget: RetryBudgeting = RetryBudgeting.SHARE
     hanging: Hanging = Hanging.AWAITED
     long_bodies: LongBodies = LongBodies.AT_ONCE
