--- a/src/pewtertack/routing/policies.py
+++ b/src/pewtertack/routing/policies.py
@@ -10,7 +10,7 @@
 from collections.abc import Callable
 from typing import TypeVar
 
-from pewtertack.policies import (
+from pewtertack.core.policies import (
     DEFAULT_POLICIES,
     BegunRuns,
     CallsWithin,
--- a/src/pewtertack/settings/checks.py
+++ b/src/pewtertack/settings/checks.py
@@ -4,7 +4,7 @@
 
 import ipaddress
 
-from pewtertack.policies import RetryBudgeting
+from pewtertack.core.policies import RetryBudgeting
 from pewtertack.settings.errors import (
     AddressRepeatedError,
     AdvertisedAddressError,
--- a/src/pewtertack/settings/schema.py
+++ b/src/pewtertack/settings/schema.py
@@ -6,7 +6,7 @@
 
 import msgspec
 
-from pewtertack.policies import Policies
+from pewtertack.core.policies import Policies
 from pewtertack.settings.values import Address, Duration, FleetKey, Name, Size, Url
 
 
--- a/tests/node/gateway/test_hanging.py
+++ b/tests/node/gateway/test_hanging.py
@@ -6,8 +6,8 @@
 from typing import Any, ClassVar
 
 from pewtertack.core.machines import MachineList
+from pewtertack.core.policies import Hanging, Policies
 from pewtertack.node.proxy.application import ProxyApplication
-from pewtertack.policies import Hanging, Policies
 from tests.node.gateway.test_gateway import EDGE, GatewayTestCase, answer_well, header
 from tests.node.proxy.harness import raw_call, request_bytes
 from tests.routing.samples import configuration, route
