A long answer that comes whole with its head takes its turn on the link too

Change: the sender takes a whole body out of its head where it is long. Test: failed before (the body left with the head).

--- a/src/pewtertack/node/gateway/sending.py
+++ b/src/pewtertack/node/gateway/sending.py
@@ -8,7 +8,7 @@
 
 import asyncio
 
-from pewtertack.node.http.cycle import Message
+from pewtertack.node.http.cycle import WHOLE, Message
 from pewtertack.node.pacing import LinkPacer
 from pewtertack.node.proxy.answers import Send
 from pewtertack.routing.link import LONG_BYTES
@@ -87,8 +87,25 @@
         """Send a part of the answer, or take it to be sent in its turn."""
         if message["type"] == "http.response.start":
             self._began = self._pacer.now()
-            await self._send(message)
+            await self._send_head(message)
             return
+        await self._send_or_take(message)
+
+    async def _send_head(self, head: Message) -> None:
+        """Send the head; a whole body that comes with it counts, and waits, as any other."""
+        whole: bytes | None = head.get(WHOLE)
+        if whole is None:
+            await self._send(head)
+        elif len(whole) <= LONG_BYTES:
+            self._pacer.note_sent(len(whole))
+            self._pacer.share.note_answer(self._ticket.route, len(whole))
+            await self._send(head)
+        else:
+            del head[WHOLE]
+            await self._send(head)
+            await self._send_or_take({"type": "http.response.body", "body": whole})
+
+    async def _send_or_take(self, message: Message) -> None:
         data: bytes = message.get("body", b"")
         self._body_bytes += len(data)
         self._ended = not message.get("more_body", False)
