--- a/src/pewtertack/node/assembly.py
+++ b/src/pewtertack/node/assembly.py
@@ -33,6 +33,7 @@
     from pewtertack.node.gateway.application import GatewayApplication
     from pewtertack.node.proxy.application import ProxyApplication
     from pewtertack.node.proxy.edge import EdgeHeaders
+    from pewtertack.routing.runs import RunsBeside
 
 
 WIDE_LINK_MBPS = 50.0
@@ -72,8 +73,9 @@
     profile = PROFILES[settings.profile.name.value]
     gate = ServingGate(profile.pause_threshold)
     reporter = CrashReporter()
-    gateway = _gateway(settings, log, registry, reporter)
-    proxy = _proxy(settings, gate, registry, log, reporter, gateway)
+    runs = _runs_beside(settings)
+    proxy = _proxy(settings, gate, registry, log, reporter, runs)
+    gateway = _gateway(settings, log, registry, reporter, runs)
     source = SourceProperties(
         settings.source.durable,
         settings.node.first_start,
@@ -107,13 +109,22 @@
     return CoordinationCollector(view.status, traffic)
 
 
+def _runs_beside(settings: Settings) -> RunsBeside | None:
+    """Return what proxy and gateway know in common; only where there are both is it loaded."""
+    if settings.listen.proxy is None or settings.listen.gateway is None:
+        return None
+    from pewtertack.routing.runs import RunsBeside
+
+    return RunsBeside()
+
+
 def _proxy(
     settings: Settings,
     gate: ServingGate,
     registry: MetricsRegistry,
     log: EventLog,
     reporter: CrashReporter,
-    gateway: GatewayApplication | None,
+    runs: RunsBeside | None,
 ) -> ProxyApplication | None:
     """Return the proxy part; its modules are loaded only where there is one."""
     if settings.listen.proxy is None:
@@ -136,12 +147,16 @@
             settings.limits.retry_window.seconds,
             settings.limits.retry_slack,
         ),
-        runs=gateway.runs if gateway is not None else None,
+        runs=runs,
     )
 
 
 def _gateway(
-    settings: Settings, log: EventLog, registry: MetricsRegistry, reporter: CrashReporter
+    settings: Settings,
+    log: EventLog,
+    registry: MetricsRegistry,
+    reporter: CrashReporter,
+    runs: RunsBeside | None,
 ) -> GatewayApplication | None:
     """Return the gateway part, where a back end is beside the node."""
     if settings.listen.gateway is None or settings.backend.address is None:
--- a/src/pewtertack/node/gateway/application.py
+++ b/src/pewtertack/node/gateway/application.py
@@ -33,7 +33,7 @@
     for_gateway_alone,
     read_hop,
 )
-from pewtertack.node.gateway.incarnations import Incarnation, Incarnations, backend_gone
+from pewtertack.node.gateway.incarnations import Incarnation, Incarnations
 from pewtertack.node.gateway.metrics import GatewayMetrics
 from pewtertack.node.http.cycle import Scope
 from pewtertack.node.http.framing import RawHeaders
@@ -59,8 +59,8 @@
     RequestFailedError,
     ZoneEvacuatedError,
 )
-from pewtertack.routing.policies import DEFAULT_POLICIES, LongBodies, Policies
-from pewtertack.routing.runs import RunsBeside
+from pewtertack.routing.policies import DEFAULT_POLICIES, BegunRuns, LongBodies, Policies
+from pewtertack.routing.runs import RunsBeside, none_in_vain
 from pewtertack.settings import Settings
 
 STOP_MARGIN = 2.0
@@ -119,9 +119,9 @@
         self._reporter = reporter or CrashReporter()
         self._backend_down = False
         """Whether nobody listened at the back end's address when it was last needed."""
+        runs = runs or RunsBeside()
         self.origins = watch_for(policies)
         """Who calls each route, as far as known."""
-        self.runs = runs or RunsBeside()
         self._parts = GatewayParts(
             clock,
             self.connections,
@@ -132,7 +132,8 @@
             CrashWatch(self._note_crash),
             self._reporter,
             self.origins,
-            self.runs,
+            runs,
+            runs.in_vain if policies.begun_runs is BegunRuns.FINISHABLE else none_in_vain,
             self.requests,
             pacer=_pacer_of(clock, place, policies),
         )
@@ -314,7 +315,7 @@
         if self.requests.draining or not self._ends_in_time(incarnation, request):
             raise _not_offered(DrainingError("the node beside the back end is stopping"))
         if not incarnation.takes_work:
-            raise backend_gone()
+            raise incarnation.gone()
         if self._evacuated:
             raise _evacuated()
         return incarnation
--- a/src/pewtertack/node/gateway/metrics.py
+++ b/src/pewtertack/node/gateway/metrics.py
@@ -32,6 +32,17 @@
             "Requests that a back end made while it ran another, by what became of them here.",
             ("route", "end"),
         )
+        self._sending = registry.histogram(
+            "pewtertack_gateway_link_seconds",
+            "Time that long answers took from the back end's end to the machine's link.",
+            ("route",),
+            BUCKETS,
+        )
+        self._in_vain = registry.counter(
+            "pewtertack_gateway_runs_in_vain",
+            "Requests that let others go first, since calls of such runs were turned away.",
+            ("route",),
+        )
         self._crashed = registry.counter(
             "pewtertack_gateway_backend_crashes",
             "Ends of the back end while it ran requests.",
@@ -42,6 +53,10 @@
         """A call within has gone to the back end, or has ended without an answer."""
         self._within.inc((route, "admitted" if admitted else "refused"))
 
+    def note_in_vain(self, route: str) -> None:
+        """A request lets others go first: runs of its route often end badly now."""
+        self._in_vain.inc((route,))
+
     def note_crashed(self) -> None:
         """The back end ended while it ran requests."""
         self._crashed.inc(())
@@ -54,6 +69,10 @@
         """The back end answered whole."""
         self._working.observe((route,), seconds)
 
+    def note_sent(self, route: str, seconds: float) -> None:
+        """A long answer has left, so long after it was whole."""
+        self._sending.observe((route,), seconds)
+
     def note_refused(self, reason: str, offered: bool) -> None:
         """A request ended without an answer."""
         self._refused.inc((reason, str(offered).lower()))
--- a/src/pewtertack/node/http/connection.py
+++ b/src/pewtertack/node/http/connection.py
@@ -13,7 +13,6 @@
 from collections import deque
 from collections.abc import AsyncIterator
 
-import anyio
 import httptools
 import msgspec
 
@@ -21,6 +20,7 @@
 from pewtertack.node import clock
 from pewtertack.node.http.framing import LAST_CHUNK, RawHeaders, chunk_of
 from pewtertack.node.http.reading import ReadingProtocol
+from pewtertack.node.http.transport import StreamTransport, connect_socket
 
 READ_BUFFER_LIMIT = 64 * 1024
 """Received bytes that wait to be read before the back end is slowed down. asyncio receives up to
@@ -232,11 +232,22 @@
         self._buffered = 0
         self._bodiless = request.method == b"HEAD"
         self._complete = self._request_sent = self._body_asked_for = False
-        await self._send(request)
+        if request.body is None and not request.chunked:
+            await self._send_bodiless(request)
+        else:
+            await self._send(request)
         while self._answer is None:
             await self._wait()
         return self._answer
 
+    async def _send_bodiless(self, request: OutgoingRequest) -> None:
+        if not self._ended:
+            self.sent = True
+            self._transport.write(request.head())
+            if self._writing_paused:
+                await self._wait_to_write()
+        self._request_sent = True
+
     async def _send(self, request: OutgoingRequest) -> None:
         """Send head and body; an early answer ends it before the end of the body."""
         self._unsent = request.head()
@@ -274,8 +285,11 @@
         self.sent = True
         self._transport.write(data)
         if self._writing_paused:
-            self._writer = asyncio.get_running_loop().create_future()
-            await self._writer
+            await self._wait_to_write()
+
+    async def _wait_to_write(self) -> None:
+        self._writer = asyncio.get_running_loop().create_future()
+        await self._writer
 
     async def _wait(self) -> None:
         """Wait for more of the answer.
@@ -361,14 +375,9 @@
         ValueError: the address is none.
     """
     host, port = _split(address)
-    loop = asyncio.get_running_loop()
-    with anyio.fail_after(timeout):
-        _, connection = await loop.create_connection(
-            lambda: BackendConnection(address),
-            host,
-            port,
-            local_addr=(local_host, 0) if local_host is not None else None,
-        )
+    connected = await connect_socket(host, port, timeout, local_host)
+    connection = BackendConnection(address)
+    StreamTransport(asyncio.get_running_loop(), connected, connection)
     return connection
 
 
--- a/src/pewtertack/node/proxy/application.py
+++ b/src/pewtertack/node/proxy/application.py
@@ -230,6 +230,8 @@
         route: ResolvedRoute | None,
     ) -> None:
         """Answer with a failure; count and log it."""
+        if route is not None:
+            self._parts.dispatcher.note_failed(route.name, self._clock())
         self._metrics.note_failed(route, error.code)
         self._request_log.refused(head.request_id, route, error)
         await send_failure(send, error, head.request_id, self._edge)
@@ -279,8 +281,12 @@
         forwarding = Forwarding(
             self._parts, scope, receive, send, head, configuration, route, deadline
         )
+        failed = True
         try:
             await forwarding.run()
+            failed = forwarding.status >= InternalError.status
+            if failed:
+                self._parts.dispatcher.note_failed(route.name, self._clock())
             took = self._clock() - began
             self._metrics.note_answered(route, took)
             backend = forwarding.ticket.backend
@@ -290,6 +296,7 @@
         except RequestFailedError as error:
             await self._refuse(send, error.with_retries_spent(), head, route)
         except CallerGoneError:
+            failed = False  # nothing is known of its end
             self._metrics.note_failed(route, CALLER_GONE)
             took = self._clock() - began
             self._request_log.ended(Event.REQUEST_CANCELLED, head.request_id, route, took)
@@ -304,6 +311,8 @@
             raise  # the server logs it and closes the connection
         finally:
             self._metrics.note_retries(route, forwarding.retries)
+            if forwarding.ticket.within:
+                self._parts.runs.note_call(route.name, self._clock(), failed)
 
 
 def _collector_of(
--- a/src/pewtertack/routing/dispatcher.py
+++ b/src/pewtertack/routing/dispatcher.py
@@ -27,11 +27,12 @@
 )
 from pewtertack.routing.origins import ORIGIN_WORDS, Origin, OriginBeliefs
 from pewtertack.routing.outcomes import (
+    BackendShedError,
     ConnectionLateError,
     RequestEndsBackendsError,
     RequestFailedError,
 )
-from pewtertack.routing.patience import CallerPatience, Lateness
+from pewtertack.routing.patience import CallerPatience, Lateness, pause_after_shedding
 from pewtertack.routing.policies import (
     DEFAULT_POLICIES,
     CallsWithin,
@@ -225,7 +226,7 @@
         if not ticket.excluded:
             ticket.arrived_at = now
             ticket.caller_lateness = self._patience.classify(
-                ticket.route.name, ticket.route.objective, ticket.caller_deadline - now
+                ticket.route.name, ticket.route.objective, ticket.caller_deadline - now, now
             )
             ticket.within = self._is_within(ticket.route.name, now)
             if ticket.within:
@@ -242,6 +243,10 @@
         if told in ORIGIN_WORDS:
             self.origins.note_told(route, Origin(told), now)
 
+    def note_failed(self, route: str, now: float) -> None:
+        """A request of the route ended without a good answer: its caller may come back."""
+        self._patience.note_failed(route, now)
+
     def look(self, ticket: Ticket, now: float) -> float:
         """See what a waiting ticket can do now; return when to look again."""
         service = self.service(ticket.route.service)
@@ -269,7 +274,11 @@
         ticket.report = report
         if report is not None:
             backend.note_report(now, report)
-        if leaving and not backend.leaving:
+        if leaving:
+            self._note_leaving(backend)
+
+    def _note_leaving(self, backend: Backend) -> None:
+        if not backend.leaving:
             backend.leaving = True
             if not backend.removed:
                 self._notify(BackendLeaving(backend))
@@ -283,7 +292,9 @@
         service = self.service(ticket.route.service)
         backend.note_end(now, service.mean_time)
         service.in_flight -= 1
-        if ticket.refusals and end not in OUT_OF_REACH:
+        if end is AttemptEnd.GONE:
+            self._note_leaving(backend)
+        elif ticket.refusals and end not in OUT_OF_REACH:
             self._asks.note(ticket.route.name, now, end is not AttemptEnd.REFUSED)
         service.limit.note_finished(now, now - ticket.started_at)
         seconds = max(0.0, now - ticket.started_at - ticket.queued)
@@ -389,6 +400,10 @@
         """Decide whether the request is sent once more, and say why."""
         assert ticket.backend is not None
         service = self.service(ticket.route.service)
+        if isinstance(error, BackendShedError) and error.retry_after is None:
+            report = ticket.report
+            has_room = report is not None and report.in_flight < report.slots
+            error.retry_after = pause_after_shedding(ticket.route.objective, has_room)
         if isinstance(error, RequestEndsBackendsError):
             return RetryDecision(RetryReason.ENDS_BACKENDS)
         if not error.offered and ticket.backend.gateway:
--- a/src/pewtertack/routing/policies.py
+++ b/src/pewtertack/routing/policies.py
@@ -10,8 +10,9 @@
 from collections.abc import Callable
 from typing import TypeVar
 
-from pewtertack.policies import (
+from pewtertack.core.policies import (
     DEFAULT_POLICIES,
+    BegunRuns,
     CallsWithin,
     CrowdedGateways,
     Hanging,
@@ -25,6 +26,7 @@
 __all__ = [
     "DEFAULT_POLICIES",
     "REGISTRY",
+    "BegunRuns",
     "CallsWithin",
     "CrowdedGateways",
     "Hanging",
@@ -48,6 +50,7 @@
     "pewtertack.routing.origins",
     "pewtertack.routing.retries",
     "pewtertack.routing.retry_window",
+    "pewtertack.routing.runs",
 )
 """Modules that fill the registry."""
 
