What a gateway says of a former life takes no later one out

Cause: a gateway that still knows only a back end's former life, which has left, refuses with backend-left; the sender, whose newer list names the next life under the same name, took that life out for good and told its peers. And of two entries at one address the later made one counted as the successor, also where the other has started again since and so has the address.

Change: the hop names the life that the sender means, where the platform tells it; of a later one than its own a gateway says backend-gone, which passes. Of two whose starts are told the later start is the successor.

Tests: the sender told its peers of the new life before (seen to fail); the same life is still taken out; successors by start.

--- a/src/pewtertack/node/gateway/application.py
+++ b/src/pewtertack/node/gateway/application.py
@@ -315,7 +315,7 @@
         if self.requests.draining or not self._ends_in_time(incarnation, request):
             raise _not_offered(DrainingError("the node beside the back end is stopping"))
         if not incarnation.takes_work:
-            raise incarnation.gone()
+            raise incarnation.gone(request.started_at)
         if self._evacuated:
             raise _evacuated()
         return incarnation
--- a/src/pewtertack/node/gateway/hop.py
+++ b/src/pewtertack/node/gateway/hop.py
@@ -48,6 +48,9 @@
 WITHIN = b"x-pewtertack-within"
 """There when the proxy takes the request for one that a back end makes while it runs another;
 its rank is then that of the run."""
+LIFE = b"x-pewtertack-life"
+"""``Machine.started_at`` of the back end as the proxy knows it, where the platform tells it. A
+gateway that knows only a life before must not say of this one that it has left."""
 FAILURE = b"x-pewtertack-failure"
 """In an answer: ``<code> <outcome> <offered>`` of the gateway's own failure."""
 QUEUED = b"x-pewtertack-queued-ms"
@@ -65,7 +68,7 @@
 GATEWAY_NAMES = frozenset({PROBE, WITHDRAW})
 """Headers that make a request one for the gateway; only nodes send them."""
 NEEDED_NAMES = frozenset({BACKEND, SERVICE, ROUTE, RANK, OBJECTIVE, LATENESS, CALLER_SERVICE})
-REQUEST_NAMES = NEEDED_NAMES | {CRASH_LIMIT, ELSEWHERE, WITHIN}
+REQUEST_NAMES = NEEDED_NAMES | {CRASH_LIMIT, ELSEWHERE, LIFE, WITHIN}
 ANSWER_NAMES = frozenset({FAILURE, QUEUED, ORIGIN})
 OFFERED = "offered"
 NOT_OFFERED = "not-offered"
@@ -87,6 +90,8 @@
     lateness: Lateness
     caller_service: str
     crash_limit: int = DEFAULT_CRASH_LIMIT
+    started_at: int = 0
+    """``Machine.started_at`` of the back end as the proxy knows it, 0 where it is not told."""
     elsewhere: bool = False
     """It may be sent to another back end should this one hang on it."""
     within: bool = False
@@ -136,7 +141,9 @@
     work_class, _, priority = found[RANK].partition(".")
     objective = found[OBJECTIVE]
     crash_limit = found.get(CRASH_LIMIT, str(DEFAULT_CRASH_LIMIT))
-    if not all(text.isdecimal() for text in (work_class, priority, objective, crash_limit)):
+    life = found.get(LIFE, "0")
+    numbers = (work_class, priority, objective, crash_limit, life)
+    if not all(text.isdecimal() for text in numbers):
         raise InvalidRequestError("the request's rank, objective or limit is no number")
     if found[LATENESS] not in LATENESS_WORDS:
         raise InvalidRequestError("the request's lateness is none that is known")
@@ -149,6 +156,7 @@
         lateness=Lateness(found[LATENESS]),
         caller_service=found[CALLER_SERVICE],
         crash_limit=int(crash_limit),
+        started_at=int(life),
         elsewhere=ELSEWHERE in found,
         within=WITHIN in found,
     )
--- a/src/pewtertack/node/gateway/incarnations.py
+++ b/src/pewtertack/node/gateway/incarnations.py
@@ -39,9 +39,13 @@
         if not self.takes_work:
             self.admission.refuse_all(self.gone)
 
-    def gone(self) -> NotRunError:
-        """Return the refusal of what no back end has seen, since this one takes no work."""
-        kind = BackendLeftError if self.leaving else BackendGoneError
+    def gone(self, wanted: int = 0) -> NotRunError:
+        """Return the refusal of what no back end has seen, since this one takes no work.
+
+        Of a life that began later, at ``wanted``, it says nothing for good.
+        """
+        of_later_life = 0 < self.started_at < wanted
+        kind = BackendLeftError if self.leaving and not of_later_life else BackendGoneError
         error = kind("the back end is leaving or gone")
         error.offered = False
         return error
--- a/src/pewtertack/routing/registry.py
+++ b/src/pewtertack/routing/registry.py
@@ -73,13 +73,14 @@
         newest: dict[str, Machine] = {}
         for machine in listed:
             known = newest.get(machine.address)
-            if known is None or machine.listed_at > known.listed_at:
+            if known is None or _is_later(machine, known):
                 newest[machine.address] = machine
         for machine in listed:
             backend = self._backends.get(machine.name)
             if backend is not None:
                 last = newest[machine.address]
-                replaced = 0 < machine.listed_at < last.listed_at
+                is_told = machine.listed_at > 0 or machine.started_at > 0
+                replaced = is_told and _is_later(last, machine)
                 backend.successor = self._backends.get(last.name) if replaced else None
 
     def _compare(
@@ -149,6 +150,16 @@
         return self._services.get(service, ())
 
 
+def _is_later(machine: Machine, other: Machine) -> bool:
+    """Tell whether a back end came to the address after the other, as far as that is told.
+
+    One that starts again keeps its entry: where both starts are told, these say it.
+    """
+    if machine.started_at and other.started_at:
+        return machine.started_at > other.started_at
+    return machine.listed_at > other.listed_at
+
+
 def _is_same(backend: Backend, incarnation: _Incarnation) -> bool:
     """Tell whether the back end is this incarnation; a start told for the first time is its own."""
     started_at = backend.started_at or incarnation.started_at
--- a/tests/node/gateway/test_lives.py
+++ b/tests/node/gateway/test_lives.py
@@ -1,5 +1,6 @@
 """A gateway whose back end starts again under its name."""
 
+import asyncio
 import time
 import unittest
 from typing import Any
@@ -7,7 +8,7 @@
 import anyio
 import msgspec
 
-from pewtertack.core.machines import Machine, MachineRole, MachineState
+from pewtertack.core.machines import Machine, MachineList, MachineRole, MachineState
 from pewtertack.node.gateway.incarnations import Incarnations
 from pewtertack.routing.cold import ColdBounds
 from pewtertack.routing.outcomes import BackendGoneError, BackendLeftError
@@ -141,3 +142,34 @@
         began = time.monotonic()
         self.assertEqual((await raw_call(address, POST)).status, 200)
         self.assertLess(time.monotonic() - began, 1.0)
+
+    async def test_a_gateway_that_knows_the_former_life_takes_no_later_one_out(self) -> None:
+        address = await self.start_fleet(answer_well)
+        self.restart(2, BEFORE)
+        self.machines = [
+            msgspec.structs.replace(item, state=MachineState.LEAVING) for item in self.machines
+        ]
+        self.gateways[0].use_machines(MachineList(3, tuple(self.machines)))
+        self.machines = [
+            msgspec.structs.replace(item, state=MachineState.LIVE, started_at=AFTER)
+            for item in self.machines
+        ]
+        told: list[str] = []
+        self.proxy.watch_leaving(lambda name, address, started_at: told.append(name))
+        self.proxy.use_machines(MachineList(4, tuple(self.machines)))
+        self.assertEqual((await raw_call(address, POST)).status, 503)
+        self.assertEqual(told, [])
+        self.gateways[0].use_machines(MachineList(4, tuple(self.machines)))
+        async with asyncio.timeout(5.0):
+            while (await raw_call(address, POST)).status != 200:
+                await anyio.sleep(0.05)
+
+    async def test_a_gateway_that_knows_the_same_life_takes_it_out(self) -> None:
+        address = await self.start_fleet(answer_well)
+        self.restart(2, BEFORE)
+        leaving = msgspec.structs.replace(self.machines[0], state=MachineState.LEAVING)
+        self.gateways[0].use_machines(MachineList(3, (leaving,)))
+        told: list[str] = []
+        self.proxy.watch_leaving(lambda name, address, started_at: told.append(name))
+        self.assertEqual((await raw_call(address, POST)).status, 503)
+        self.assertEqual(told, ["b0"])
--- a/tests/routing/test_successors.py
+++ b/tests/routing/test_successors.py
@@ -47,11 +47,21 @@
         self.use(entry("a", 7), entry("b", 9), entry("c", 12))
         self.assertEqual(self.takers(), ["c"])
 
+    def test_one_that_started_again_is_the_later_one_whatever_its_entrys_age(self) -> None:
+        self.use(entry("a", 7, started_at=10), entry("b", 9, started_at=20))
+        self.assertEqual(self.takers(), ["b"])
+        self.use(entry("a", 7, started_at=30), entry("b", 9, started_at=20))
+        self.assertEqual(self.takers(), ["a"])
+        self.use(entry("a", 7, started_at=30), entry("b", 9))
+        self.assertEqual(self.takers(), ["b"])
+
     def test_others_and_those_of_which_the_order_is_not_told_are_left_alone(self) -> None:
         self.use(entry("a", 7), entry("b", 9, address="127.0.0.1:2"))
         self.assertEqual(self.takers(), ["a", "b"])
         self.use(entry("a", 0), entry("b", 0), entry("c", 9))
         self.assertEqual(self.takers(), ["a", "b", "c"])
+        self.use(entry("a", 0), entry("b", 5), entry("c", 9))
+        self.assertEqual(self.takers(), ["a", "c"])
 
     def test_one_of_another_service_is_a_successor_too(self) -> None:
         self.use(entry("a", 7), entry("b", 9, service="archive"))
