--- a/src/pewtertack/node/http/server.py
+++ b/src/pewtertack/node/http/server.py
@@ -21,6 +21,7 @@
 from pewtertack.node.http.protocol import GuardedHttpProtocol
 from pewtertack.node.http.refusals import RefusalWriter, plain_refusal
 from pewtertack.node.http.transport import StreamTransport
+from pewtertack.node.http.unread import UnreadAnswers
 
 DATE_SECONDS = 1.0
 """The ``date`` header's resolution."""
@@ -55,6 +56,7 @@
         self.keep_alive = max(1.0, keep_alive)
         self.refuse = refuse
         self.connections: set[GuardedHttpProtocol] = set()
+        self.unread = UnreadAnswers()
         self.tasks: set[asyncio.Task[None]] = set()
         self._dated: list[tuple[bytes, bytes]] = []
         self._date_number = -1.0
