A joiner asks peers that did not serve when they answered again

Below 16 nodes there are no heartbeats; a peer's answer that it serves would do, but those asked had all answered that they did not yet, and were left alone for 5 s.

Change: while none that has answered serves, three of them are asked again each round.

Test: asked again until one serves (failed before).

--- a/src/pewtertack/core/replication/join.py
+++ b/src/pewtertack/core/replication/join.py
@@ -16,6 +16,10 @@
 from pewtertack.core.revision import NO_REVISION, RevisionId
 from pewtertack.wire.messages import VersionState
 
+ASKED_AGAIN = 3
+"""Peers that did not serve when they answered which are asked again in one round: all may have
+started together, and a serving one may know what the joiner waits for."""
+
 
 class PeerAnswer(msgspec.Struct, frozen=True):
     """What one peer answered in this round of joining."""
@@ -79,7 +83,15 @@
         asked = list(targets.items())
         if len(self._answers) < self._profile.join_peers:
             asked += [("", seed) for seed in self._seeds if seed not in known]
-        return asked
+        return asked + self._to_ask_again()
+
+    def _to_ask_again(self) -> list[tuple[str, str]]:
+        """Return some of those that have answered, while none of them served."""
+        if self.heard_serving_peer or not self._answers:
+            return []
+        names = self._random.sample(sorted(self._answers), min(ASKED_AGAIN, len(self._answers)))
+        asked = [(name, self._address(name)) for name in names]
+        return [(name, address) for name, address in asked if address]
 
     def _address(self, name: str) -> str:
         member = self._table.get(name)
--- a/tests/core/replication/test_join.py
+++ b/tests/core/replication/test_join.py
@@ -4,6 +4,7 @@
 from random import Random
 
 from pewtertack.core.identity import NodeIdentity
+from pewtertack.core.machines import Machine, MachineRole
 from pewtertack.core.membership.table import MemberTable, QuorumMembers
 from pewtertack.core.profile import FAST
 from pewtertack.core.replication.join import Joiner
@@ -19,6 +20,8 @@
     def setUp(self) -> None:
         identity = NodeIdentity("self", "127.0.0.1:1", "a", "", 1)
         table = MemberTable(identity, FAST.dead_retention, FAST.forget_after)
+        nodes = [Machine(f"a{n}", MachineRole.NODE, "a", f"127.0.0.1:{n}") for n in (1, 2)]
+        table.use_list(nodes, 0.0)
         self.joiner = Joiner("a", FAST, table, (), Random(1))
         self.joiner.start(0.0)
 
@@ -46,6 +49,14 @@
         self.answer("b1")
         self.assertTrue(self.joiner.knows_enough(0.0, FIVE))
 
+    def test_peers_that_did_not_serve_are_asked_again_until_one_does(self) -> None:
+        self.answer("a1", serving=False)
+        self.answer("a2", serving=False)
+        asked = {name for name, _ in self.joiner.addresses_to_ask(2 * FAST.join_retry)}
+        self.assertEqual(asked, {"a1", "a2"})
+        self.answer("a1")
+        self.assertEqual(self.joiner.addresses_to_ask(4 * FAST.join_retry), [])
+
     def test_other_joiners_count_only_after_patience(self) -> None:
         for name in ("a1", "b1"):
             self.answer(name, serving=False)
