--- a/src/pewtertack/node/gateway/forwarding.py
+++ b/src/pewtertack/node/gateway/forwarding.py
@@ -45,7 +45,6 @@
     RequestFailedError,
     WithdrawnError,
 )
-from pewtertack.routing.patience import Lateness
 from pewtertack.routing.places import AdmissionTicket
 
 SHORTEST_LOOK = 0.001
@@ -247,9 +246,8 @@
             return
         wait = self._parts.pacer.answer_time(self._request.route, self._request.rank)
         ticket, now = self._ticket, self._parts.clock()
-        strict = ticket.lateness.prompt or ticket.lateness is Lateness.REFUSED
         needed = wait + self._admission.expected_time(ticket.route)
-        if wait and now + needed > (ticket.objective if strict else ticket.deadline):
+        if wait and now + needed > min(ticket.objective, ticket.deadline):
             raise DeadlineUnmeetableError("the link is taken for too long", wait)
         if self._sender is not None:
             self._sender.promise()
