--- a/src/pewtertack/node/proxy/application.py
+++ b/src/pewtertack/node/proxy/application.py
@@ -44,7 +44,7 @@
     ProtocolVersionError,
     RequestFailedError,
 )
-from pewtertack.routing.policies import DEFAULT_POLICIES, CrowdedGateways, Policies
+from pewtertack.routing.policies import DEFAULT_POLICIES, Policies
 from pewtertack.routing.registry import ListChange
 from pewtertack.routing.table import RouteTable
 
@@ -125,7 +125,6 @@
             self.requests,
             self._reporter,
             CrashWatch(self._note_crash),
-            policies.crowded_gateways is CrowdedGateways.KEPT,
         )
         registry.add_collector(lambda: _collector_of(dispatcher, lambda: self.in_flight))
         self._prober = GatewayProber(dispatcher, clock)
@@ -244,7 +243,6 @@
             case BackendChanged(backend, ejected):
                 if backend.unreachable:
                     self._prober.wake()
-                if backend.unreachable and not backend.late:
                     self._parts.connections.drop(backend.gateway)
                 event = Event.BACKEND_EJECTED if ejected else Event.BACKEND_RETURNED
                 self._log(event, backend=backend.name, service=backend.service)
--- a/src/pewtertack/node/proxy/attempt_ends.py
+++ b/src/pewtertack/node/proxy/attempt_ends.py
@@ -9,7 +9,6 @@
     BackendShedError,
     BackendSilentError,
     BackendUnreachableError,
-    ConnectionLateError,
     CrossedAnswerError,
     DrainingError,
     GatewayRefusedError,
@@ -29,8 +28,6 @@
         return AttemptEnd.SHED
     if isinstance(error, BackendSilentError):
         return AttemptEnd.SILENT
-    if isinstance(error, ConnectionLateError):
-        return AttemptEnd.LATE
     if isinstance(error, (BackendUnreachableError, BackendCrashedError)):
         return AttemptEnd.UNREACHABLE
     if isinstance(error, CrossedAnswerError):
--- a/src/pewtertack/node/proxy/forwarding.py
+++ b/src/pewtertack/node/proxy/forwarding.py
@@ -65,8 +65,6 @@
     reporter: CrashReporter = msgspec.field(default_factory=CrashReporter)
     crashes: CrashWatch = msgspec.field(default_factory=CrashWatch)
     """For back ends without a gateway; a gateway sees to its own."""
-    shares_connections: bool = False
-    """Whether requests wait for each other's connections to gateways (``node.proxy.opening``)."""
 
 
 class Forwarding:
@@ -283,7 +281,8 @@
 
     async def _exchange_with(self, backend: Backend) -> None:
         connections = self._parts.connections
-        connection = await self._connect(backend)
+        address = backend.gateway or backend.address
+        connection = await connections.take(address, self._service.connect_timeout)
         try:
             edge = NODE_EDGE if backend.gateway else self._parts.edge
             self._connection = connection
@@ -302,18 +301,6 @@
             self._connection = None
             connections.give_back(connection, long_lived=bool(backend.gateway))
 
-    async def _connect(self, backend: Backend) -> BackendConnection:
-        connections = self._parts.connections
-        timeout = self._service.connect_timeout
-        if not (backend.gateway and self._parts.shares_connections):
-            return await connections.take(backend.gateway or backend.address, timeout)
-        asked_at = self._parts.clock()
-        connection = await connections.take_shared(backend.gateway, timeout)
-        now = self._parts.clock()
-        if now > asked_at:
-            self._parts.dispatcher.note_connected(self._ticket, now)
-        return connection
-
     def _attempt_headers(self, backend: Backend, edge: EdgeHeaders) -> RawHeaders:
         now = self._parts.clock()
         own = attempt_headers(edge, self._head.request_id, now, self._deadline)
--- a/src/pewtertack/node/proxy/probing.py
+++ b/src/pewtertack/node/proxy/probing.py
@@ -22,9 +22,6 @@
 LOOK_SECONDS = 0.1
 PROBE_SECONDS = 0.3
 """For connection and answer together."""
-CROWDED_PROBE_SECONDS = 1.0
-"""The same for a gateway of which nothing is known but that connections come up late: probes
-given up after 0.3 s left crowded ones alone for 3 s at a time."""
 
 
 class GatewayProber:
@@ -60,17 +57,16 @@
     async def _probe(self, backend: Backend) -> None:
         answered = False
         try:
-            seconds = CROWDED_PROBE_SECONDS if backend.late else PROBE_SECONDS
-            with anyio.move_on_after(seconds):
-                answered = await takes_requests(backend.gateway, seconds)
+            with anyio.move_on_after(PROBE_SECONDS):
+                answered = await takes_requests(backend.gateway)
         finally:
             self._dispatcher.note_probe(backend, self._clock(), answered)
 
 
-async def takes_requests(gateway: str, seconds: float = PROBE_SECONDS) -> bool:
+async def takes_requests(gateway: str) -> bool:
     """Ask the gateway at ``ip:port`` over a new connection; false when it cannot be asked."""
     try:
-        connection = await connect(gateway, seconds)
+        connection = await connect(gateway, PROBE_SECONDS)
     except BackendUnreachableError:
         return False
     try:
--- a/src/pewtertack/node/proxy/upstream.py
+++ b/src/pewtertack/node/proxy/upstream.py
@@ -8,7 +8,6 @@
 
 from pewtertack.node.http import connection as connections
 from pewtertack.node.http.connection import BackendConnection
-from pewtertack.node.proxy.opening import ConnectionOpener
 from pewtertack.routing.outcomes import BackendUnreachableError
 
 IDLE_SECONDS = 3.0
@@ -27,7 +26,6 @@
         self._idle: dict[str, deque[tuple[float, BackendConnection]]] = {}
         """When each expires, in ascending order; the last used is reused first."""
         self._sweep: asyncio.TimerHandle | None = None
-        self._opener = ConnectionOpener(self._keep)
 
     async def take(self, address: str, connect_timeout: float) -> BackendConnection:
         """Return an idle connection that is alive, or a new one.
@@ -35,25 +33,13 @@
         Raises:
             BackendUnreachableError: no connection was made.
         """
-        return self._take_idle(address) or await connect(address, connect_timeout)
-
-    async def take_shared(self, address: str, connect_timeout: float) -> BackendConnection:
-        """Return an idle connection to a gateway, or the first that comes up or free.
-
-        Raises:
-            BackendUnreachableError: nobody listens at the address.
-            ConnectionLateError: none came up in time.
-        """
-        return self._take_idle(address) or await self._opener.wait(address, connect_timeout)
-
-    def _take_idle(self, address: str) -> BackendConnection | None:
         idle = self._idle.get(address)
         while idle:
             expires_at, connection = idle.pop()
             if connection.reusable and self._clock() < expires_at:
                 return connection
             connection.abort()
-        return None
+        return await connect(address, connect_timeout)
 
     def give_back(self, connection: BackendConnection, long_lived: bool = False) -> None:
         """Keep the connection for reuse when its exchange ended cleanly, else close it.
@@ -63,12 +49,8 @@
         if not connection.reusable:
             connection.abort()
             return
-        if long_lived and self._opener.hand_over(connection):
-            return
-        self._keep(connection, GATEWAY_IDLE_SECONDS if long_lived else IDLE_SECONDS)
-
-    def _keep(self, connection: BackendConnection, seconds: float = GATEWAY_IDLE_SECONDS) -> None:
         idle = self._idle.setdefault(connection.address, deque())
+        seconds = GATEWAY_IDLE_SECONDS if long_lived else IDLE_SECONDS
         idle.append((self._clock() + seconds, connection))
         if self._sweep is None:
             self._sweep = asyncio.get_running_loop().call_later(SWEEP_SECONDS, self._retire_old)
--- a/src/pewtertack/routing/backend.py
+++ b/src/pewtertack/routing/backend.py
@@ -27,9 +27,6 @@
 STALL_PENALTY = 8.0
 PROBE_GRACE = 0.5
 """An unreachable gateway is tried by a request when no probe has been made for so long."""
-HEARD_SECONDS = 3.0
-"""For so long after its last sign a gateway is taken to be crowded rather than gone when all
-that is known against it is that connections come up late: within that time it is probed."""
 SLOWNESS_WEIGHT = 0.1
 SLOWNESS_LIMIT = 8.0
 """One answer counts as slower or faster than the mean by this factor at most."""
@@ -76,10 +73,6 @@
     """Since when a request has waited there without any sign of the back end."""
     unreachable: bool = False
     """Ejected because its gateway's machine, or process, gave no sign."""
-    late: bool = False
-    """Ejected only because connections to its gateway did not come up in time."""
-    heard_at: float = float("-inf")
-    """When its gateway last gave any sign."""
     others: int = 0
     """Requests of other callers at the back end when it last reported."""
     slots: int = 0
@@ -115,11 +108,6 @@
         """Tell whether it is not ejected, or due for a request that tries it."""
         return self.health.admits(now - PROBE_GRACE if self.unreachable else now)
 
-    def crowded(self, now: float) -> bool:
-        """Tell whether its gateway is left alone but was heard lately."""
-        listed = not (self.leaving or self.removed)
-        return listed and self.late and now - self.heard_at < HEARD_SECONDS
-
     def note_start(self, now: float) -> None:
         """A request of this proxy starts there."""
         self.in_flight += 1
@@ -128,7 +116,6 @@
 
     def note_sign(self, now: float) -> None:
         """The back end, or its gateway, has answered one of the requests there."""
-        self.heard_at = now
         self.waiting_since = now if self.in_flight > 1 else None
 
     def note_end(self, now: float, mean_time: float) -> None:
--- a/src/pewtertack/routing/dispatcher.py
+++ b/src/pewtertack/routing/dispatcher.py
@@ -25,11 +25,7 @@
     ejection_of,
     tells_of_backend,
 )
-from pewtertack.routing.outcomes import (
-    ConnectionLateError,
-    RequestEndsBackendsError,
-    RequestFailedError,
-)
+from pewtertack.routing.outcomes import RequestEndsBackendsError, RequestFailedError
 from pewtertack.routing.patience import CallerPatience
 from pewtertack.routing.policies import DEFAULT_POLICIES, Policies
 from pewtertack.routing.queueing import Ticket
@@ -46,9 +42,6 @@
 from pewtertack.routing.service import ServiceDispatcher
 from pewtertack.routing.splits import SplitPicker
 
-ELSEWHERE = frozenset({RetryReason.NO_GATEWAY, RetryReason.NO_ODDS, RetryReason.NO_PROSPECT})
-"""Why no other gateway is asked, though there is time and the request can be sent again."""
-
 
 class BackendChanged(msgspec.Struct, frozen=True):
     """A back end was ejected, or came back."""
@@ -195,7 +188,7 @@
         """Return the dispatcher of one service."""
         found = self._services.get(name)
         if found is None:
-            found = self._services[name] = ServiceDispatcher(name, self._random, self._policies)
+            found = self._services[name] = ServiceDispatcher(name, self._random)
             found.use_backends(self._open_backends(name), self._zone)
         return found
 
@@ -240,7 +233,6 @@
         assert backend is not None
         ticket.answered = True
         backend.note_sign(now)
-        self._return_late(backend, now)
         ticket.report = report
         if report is not None:
             backend.note_report(now, report)
@@ -304,23 +296,12 @@
             threshold, pause = ejection_of(ticket, backend, end)
             if backend.health.fail(now, ticket.trial, threshold, pause, may_eject):
                 backend.unreachable = bool(backend.gateway) and end in OUT_OF_REACH
-                backend.late = end is AttemptEnd.LATE
                 self._notify(BackendChanged(backend, ejected=True))
         elif backend.health.succeed(now, ticket.trial):
             self._return(backend)
 
-    def note_connected(self, ticket: Ticket, now: float) -> None:
-        """A connection that the attempt waited for came up, or was left by another request."""
-        assert ticket.backend is not None
-        ticket.backend.heard_at = now
-
-    def _return_late(self, backend: Backend, now: float) -> None:
-        """Bring a gateway back by any sign, if nothing but late connections spoke against it."""
-        if backend.late and backend.health.succeed(now, True):
-            self._return(backend)
-
     def _return(self, backend: Backend) -> None:
-        backend.unreachable = backend.late = False
+        backend.unreachable = False
         backend.waiting_since = None
         self._notify(BackendChanged(backend, ejected=False))
 
@@ -343,9 +324,7 @@
         """A probe of the back end's gateway has ended."""
         if not answered:
             backend.health.fail_probe(now, UNREACHABLE_PAUSE)
-            return
-        backend.heard_at = now
-        if backend.health.succeed(now, True):
+        elif backend.health.succeed(now, True):
             self._return(backend)
             self.service(backend.service).pump(now)
 
@@ -364,9 +343,7 @@
         if isinstance(error, RequestEndsBackendsError):
             return RetryDecision(RetryReason.ENDS_BACKENDS)
         if not error.offered and ticket.backend.gateway:
-            decision = self._next_gateway(ticket, now, replayable)
-            late = isinstance(error, ConnectionLateError)
-            return self._same_gateway(ticket, now, decision) if late else decision
+            return self._next_gateway(ticket, now, replayable)
         record = AttemptRecord(
             ticket.route,
             ticket.retries,
@@ -397,19 +374,6 @@
             return RetryDecision(RetryReason.NO_ODDS)
         return RetryDecision(RetryReason.NEXT_GATEWAY, following)
 
-    def _same_gateway(self, ticket: Ticket, now: float, decision: RetryDecision) -> RetryDecision:
-        """No other gateway is asked: wait on for this one's connection if it lives."""
-        backend = ticket.backend
-        assert backend is not None
-        refusals = ticket.refusals + 1
-        lives = backend.usable(now) or backend.crowded(now)
-        in_time = now < min(ticket.deadline, ticket.arrived_at + ticket.route.objective)
-        if decision.reason not in ELSEWHERE or refusals >= MAXIMUM_REFUSALS:
-            return decision
-        if not (lives and in_time):
-            return decision
-        return RetryDecision(RetryReason.SAME_GATEWAY, _next_attempt(ticket, refusals))
-
     def _budget(self, ticket: Ticket) -> RetryBudget:
         budget = self._budgets.get(ticket.service.name)
         if budget is None:
--- a/src/pewtertack/routing/ends.py
+++ b/src/pewtertack/routing/ends.py
@@ -5,7 +5,6 @@
 from enum import Enum
 
 from pewtertack.routing.backend import Backend
-from pewtertack.routing.crowding import shows_life
 from pewtertack.routing.queueing import Ticket
 
 SIGNIFICANT_SECONDS = 1.0
@@ -28,8 +27,6 @@
     REFUSED = "refused"
     """The gateway refused the request; tells nothing of the back end."""
     UNREACHABLE = "unreachable"
-    LATE = "late"
-    """No connection to the gateway came up in time: it is gone, or crowded."""
     SILENT = "silent"
     """The gateway's machine acknowledged nothing of what was sent to it."""
     BROKEN = "broken"
@@ -40,13 +37,12 @@
 FAILURES = {
     AttemptEnd.FAILED_STATUS,
     AttemptEnd.UNREACHABLE,
-    AttemptEnd.LATE,
     AttemptEnd.SILENT,
     AttemptEnd.BROKEN,
     AttemptEnd.TIMED_OUT,
     AttemptEnd.CANCELLED,
 }
-OUT_OF_REACH = {AttemptEnd.UNREACHABLE, AttemptEnd.LATE, AttemptEnd.SILENT}
+OUT_OF_REACH = {AttemptEnd.UNREACHABLE, AttemptEnd.SILENT}
 """Ends after which a gateway's back end is asked for nothing until a probe is answered."""
 
 
@@ -70,8 +66,6 @@
         return False
     if end is AttemptEnd.SHED:
         return ticket.trial
-    if end is AttemptEnd.LATE:
-        return not shows_life(ticket)
     if end not in (AttemptEnd.TIMED_OUT, AttemptEnd.CANCELLED):
         return True
     return not ticket.answered and now - ticket.started_at >= SIGNIFICANT_SECONDS
--- a/src/pewtertack/routing/outcomes.py
+++ b/src/pewtertack/routing/outcomes.py
@@ -184,12 +184,6 @@
         self.offered = False
 
 
-class ConnectionLateError(BackendUnreachableError):
-    """No connection to the gateway came up in time, and nothing says that it is gone."""
-
-    code: ClassVar[str] = "connection-late"
-
-
 class GatewayRefusedError(NotRunError):
     """The node beside the back end refused the request before the back end saw it."""
 
--- a/src/pewtertack/routing/policies.py
+++ b/src/pewtertack/routing/policies.py
@@ -17,37 +17,18 @@
 
 Made = TypeVar("Made")
 
-MODULES: tuple[str, ...] = (
-    "pewtertack.routing.crowding",
-    "pewtertack.routing.link",
-)
+MODULES: tuple[str, ...] = ("pewtertack.routing.link",)
 """Modules that fill the registry."""
 
 
 class PolicyKind(StrEnum):
     """Decisions that can be made in more than one way; the names of settings."""
 
-    CROWDED_GATEWAYS = "crowded_gateways"
-    REFUSALS = "refusals"
     CALLS_WITHIN = "calls_within"
     RETRY_BUDGET = "retry_budget"
     LONG_BODIES = "long_bodies"
 
 
-class CrowdedGateways(StrEnum):
-    """What becomes of a gateway to which connections do not come up in time."""
-
-    EJECTED = "ejected"
-    KEPT = "kept"
-
-
-class Refusals(StrEnum):
-    """What a sender does after a gateway has refused for lack of room."""
-
-    ASKED = "asked"
-    REMEMBERED = "remembered"
-
-
 class CallsWithin(StrEnum):
     """How requests are treated that a back end makes while it runs another one."""
 
@@ -72,8 +53,6 @@
 class Policies(msgspec.Struct, frozen=True, kw_only=True):
     """The way in force of each kind."""
 
-    crowded_gateways: CrowdedGateways = CrowdedGateways.EJECTED
-    refusals: Refusals = Refusals.ASKED
     calls_within: CallsWithin = CallsWithin.ALIKE
     retry_budget: RetryBudgeting = RetryBudgeting.SHARE
     long_bodies: LongBodies = LongBodies.AT_ONCE
--- a/src/pewtertack/routing/retries.py
+++ b/src/pewtertack/routing/retries.py
@@ -72,7 +72,6 @@
     NOT_RUN = "not-run"
     REPEATABLE = "repeatable"
     NEXT_GATEWAY = "no back end has seen it: another gateway is asked"
-    SAME_GATEWAY = "no back end has seen it: the connection to its gateway is waited for"
     CALLERS_FAULT = "the request itself is at fault"
     MAY_HAVE_RUN = "it may have run and may not be repeated"
     BODY_GONE = "its body cannot be sent again"
--- a/src/pewtertack/routing/service.py
+++ b/src/pewtertack/routing/service.py
@@ -9,7 +9,6 @@
 from pewtertack.core.configuration.resolved import ResolvedService, WorkClass
 from pewtertack.routing.backend import Backend
 from pewtertack.routing.choice import Wish, choose, choose_gateway
-from pewtertack.routing.crowding import asked_while_heard, never_asked
 from pewtertack.routing.limit import ServiceLimit
 from pewtertack.routing.outcomes import (
     DeadlineUnmeetableError,
@@ -18,7 +17,6 @@
     RequestFailedError,
 )
 from pewtertack.routing.patience import Lateness
-from pewtertack.routing.policies import DEFAULT_POLICIES, CrowdedGateways, Policies
 from pewtertack.routing.queueing import MAXIMUM_WAIT, ClassQueue, Ticket, smoothed
 
 MINIMUM_RETRY_AFTER = 0.1
@@ -41,10 +39,8 @@
 class ServiceDispatcher:
     """Places tickets on the back ends of one service; what cannot start waits, bounded."""
 
-    def __init__(self, name: str, random: Random, policies: Policies = DEFAULT_POLICIES) -> None:
+    def __init__(self, name: str, random: Random) -> None:
         self.name = name
-        kept = policies.crowded_gateways is CrowdedGateways.KEPT
-        self._asks_crowded = asked_while_heard if kept else never_asked
         self.queue = ClassQueue()
         self.limit = ServiceLimit()
         self.in_flight = 0
@@ -85,9 +81,7 @@
     def may_reach(self, now: float) -> bool:
         """Tell whether any back end that takes work answers, or is overdue for a trial."""
         working = [item for item in self.backends if not (item.leaving or item.removed)]
-        if not working or any(item.reachable(now) for item in working):
-            return True
-        return any(self._asks_crowded(item, now) for item in working)
+        return not working or any(item.reachable(now) for item in working)
 
     @property
     def backends(self) -> tuple[Backend, ...]:
@@ -137,8 +131,6 @@
         open_to_work = [item for item in self.backends if not (item.leaving or item.removed)]
         if not open_to_work:
             raise NoBackendError(f"service {self.name} has no back end")
-        if any(self._asks_crowded(item, now) for item in open_to_work):
-            return
         if all(item.health.ejected and not item.health.admits(now) for item in open_to_work):
             soonest = min(item.health.retry_at for item in open_to_work) - now
             raise NoBackendError(
@@ -228,7 +220,6 @@
         if self.has_gateways:
             wish = self._wish(ticket, now)
             backend = choose_gateway(self._local, self._remote, wish, now, self._random)
-            backend = backend or self._least_crowded(ticket, now)
         elif self.limit.allows(now, self.in_flight, urgent):
             backend = choose(self._local, self._remote, now, self._random, ticket.excluded)
         else:
@@ -237,7 +228,7 @@
             return False
         backend.note_start(now)
         self.in_flight += 1
-        ticket.trial = backend.reachable(now) and backend.health.begin()
+        ticket.trial = backend.health.begin()
         ticket.backend = backend
         near = backend.zone == self._zone
         ticket.choice = OWN_ZONE if near else self._why_other_zone(ticket)
@@ -245,15 +236,6 @@
         ticket.started_at = now
         return True
 
-    def _least_crowded(self, ticket: Ticket, now: float) -> Backend | None:
-        """Return the gateway to ask where none is usable, one not asked yet if there is one."""
-        crowded = (item for item in self.backends if self._asks_crowded(item, now))
-        return min(
-            crowded,
-            key=lambda item: (item.name in ticket.excluded, item.in_flight),
-            default=None,
-        )
-
     def _wish(self, ticket: Ticket, now: float) -> Wish:
         expected = self.expected_time(ticket.route.name)
         objective = ticket.arrived_at + ticket.route.objective
