A gateway that stops reckons with the link; routes of short answers and empty ranks are not kept in mind

A long answer that the link delays beyond the node's stop would be cut: the time until it has left counts. The lengths kept are bounded by the routes with long answers. The three tests failed on the code before.

--- a/src/pewtertack/node/gateway/application.py
+++ b/src/pewtertack/node/gateway/application.py
@@ -286,6 +286,8 @@
     def _ends_in_time(self, incarnation: Incarnation, request: HopRequest) -> bool:
         """Tell whether the request will most likely have ended when the node stops."""
         needed = incarnation.admission.expected_time(request.route) or request.objective
+        if self._parts.pacer is not None:
+            needed += self._parts.pacer.answer_time(request.route, request.rank)
         return self._clock() + needed * STOP_MARGIN < self._stops_at
 
 
--- a/src/pewtertack/routing/link.py
+++ b/src/pewtertack/routing/link.py
@@ -144,7 +144,9 @@
         self._wake_first(now)
 
     def note_answer(self, route: str, size: int) -> None:
-        """Learn how long the answers of a route are."""
+        """Learn how long the answers of a route are; routes of short ones are not kept."""
+        if size <= LONG_BYTES and route not in self._sizes:
+            return
         self._sizes[route] = smoothed(self._sizes.get(route, 0.0), float(size))
 
     def promise(self, route: str, rank: Rank) -> float:
@@ -157,7 +159,9 @@
 
     def keep(self, rank: Rank, promised: float) -> None:
         """What was promised is in line now, or will not come."""
-        self._promised[rank] = max(0.0, self._promised.get(rank, 0.0) - promised)
+        left = self._promised.pop(rank, 0.0) - promised
+        if left > 0:
+            self._promised[rank] = left
 
     def answer_time(self, route: str, rank: Rank, now: float) -> float:
         """Return in how many seconds an answer of the route would have left; 0 if it is short."""
--- a/tests/node/gateway/test_sending.py
+++ b/tests/node/gateway/test_sending.py
@@ -173,6 +173,17 @@
         self.assert_refused(answer, 503, "not-run")
         self.assertEqual(self.heads, [])
 
+    async def test_a_gateway_that_stops_takes_no_answer_that_the_link_delays_beyond_it(
+        self,
+    ) -> None:
+        address = await self.start()
+        self.assertEqual((await raw_call(address, get("/long"))).status, 200)
+        self.gateways[0].start_leaving(3.0)
+        self.assertEqual((await raw_call(address, get("/short"))).status, 200)
+        share = self.gateways[0]._parts.pacer.share  # type: ignore[union-attr]
+        share.note_sent(600_000, time.monotonic())
+        self.assert_refused(await raw_call(address, get("/short")), 503, "not-run")
+
 
 def get(path: str) -> bytes:
     return request_bytes("GET", path, headers=("x-call: call-1", "x-left: 4000"))
--- a/tests/routing/test_link.py
+++ b/tests/routing/test_link.py
@@ -160,6 +160,15 @@
         self.assertEqual(share.answer_time("lookup", BULK, 0.0), 0.0)
         self.assertEqual(share.answer_time("unknown", BULK, 0.0), 0.0)
 
+    def test_only_routes_of_long_answers_are_kept_in_mind(self) -> None:
+        share = LinkShare(MEGABITS)
+        for index in range(1000):
+            share.note_answer(f"lookup-{index}", 400)
+        share.note_answer("export", DOWNLOAD)
+        share.note_answer("export", 400)
+        self.assertEqual(list(share._sizes), ["export"])
+        self.assertLess(share._sizes["export"], DOWNLOAD)
+
     def test_what_was_promised_counts_until_it_is_kept(self) -> None:
         share = LinkShare(MEGABITS)
         share.note_answer("export", DOWNLOAD)
@@ -170,6 +179,7 @@
         share.keep(BULK, promised)
         self.assertAlmostEqual(share.answer_time("export", BULK, 0.0), alone)
         self.assertEqual(share.promise("unknown", BULK), 0.0)
+        self.assertEqual(share._promised, {})
 
     def test_a_route_of_long_answers_waits_for_those_that_go_first(self) -> None:
         share = LinkShare(MEGABITS)
