--- a/src/pewtertack/routing/policies.py
+++ b/src/pewtertack/routing/policies.py
@@ -14,12 +14,10 @@
     DEFAULT_POLICIES,
     BegunRuns,
     CallsWithin,
-    CrowdedGateways,
     Hanging,
     LongBodies,
     Policies,
     PolicyKind,
-    Refusals,
     RetryBudgeting,
 )
 
@@ -28,14 +26,12 @@
     "REGISTRY",
     "BegunRuns",
     "CallsWithin",
-    "CrowdedGateways",
     "Hanging",
     "LongBodies",
     "Parameter",
     "Policies",
     "Policy",
     "PolicyKind",
-    "Refusals",
     "RetryBudgeting",
     "all_policies",
     "policy",
@@ -44,7 +40,6 @@
 Made = TypeVar("Made")
 
 MODULES: tuple[str, ...] = (
-    "pewtertack.routing.crowding",
     "pewtertack.routing.hanging",
     "pewtertack.routing.link",
     "pewtertack.routing.origins",
