Deadlines: one timer of the loop for all requests of a process

Cause: a timer a request at either node, made and cancelled by nine functions of asyncio, of which nearly none fires. Change: node.proxy.deadlines, a heap with one timer for its first; those taken back are cleared away once they are the most.

--- a/src/pewtertack/cli/lab_cost.py
+++ b/src/pewtertack/cli/lab_cost.py
@@ -46,7 +46,9 @@
     """Measure what a served and a refused hop over two nodes cost in processor time."""
     from pewtertack.lab.cost.calls import CallKind
     from pewtertack.lab.cost.requests import CostSettings, format_costs, measure_requests
+    from pewtertack.node import collector
 
+    collector.resume()
     kinds = tuple(CallKind(text) for text in kind) if kind else tuple(CallKind)
     costs, profiles = measure_requests(CostSettings(calls, rate, kinds, profile))
     typer.echo(profiles + format_costs(costs))
--- a/src/pewtertack/lab/cost/requests.py
+++ b/src/pewtertack/lab/cost/requests.py
@@ -30,7 +30,7 @@
 from pewtertack.lab.hop.targets import ANY_PORT, KEEP_ALIVE, SERVICE, ZONE, measured_configuration
 from pewtertack.lab.report.table import format_table
 from pewtertack.log import EventLog
-from pewtertack.node import clock, collector
+from pewtertack.node import clock
 from pewtertack.node.event_loop import SuspendedTimeLoop
 from pewtertack.node.gateway.application import GatewayApplication, GatewayPlace
 from pewtertack.node.http.cycle import Scope
@@ -51,6 +51,8 @@
 
     part: str
     microseconds: float
+    functions: float | None = None
+    """Calls of functions, where they were counted; that lengthens the processor time."""
 
 
 class CostSettings(msgspec.Struct, frozen=True):
@@ -126,7 +128,6 @@
 
 def measure_requests(settings: CostSettings) -> tuple[list[PartCost], str]:
     """Measure every kind; return the costs and, where one was asked for, the profile."""
-    collector.resume()
     with asyncio.Runner(loop_factory=SuspendedTimeLoop) as runner:
         return runner.run(_measure(settings))
 
@@ -141,7 +142,7 @@
             nodes.front.closing = kind is CallKind.SERVED_CONNECTING
             tasks = nodes.serve()
             plan = CallPlan(kind, nodes.proxy, nodes.gateway, settings.calls, settings.rate)
-            costs.append(PartCost(kind.value, await _cost_of(plan, profiler)))
+            costs.append(await _cost_of(plan, profiler))
             for task in tasks:
                 task.cancel()
             await asyncio.gather(*tasks, return_exceptions=True)
@@ -151,8 +152,8 @@
     return costs, "\n".join(profiles)
 
 
-async def _cost_of(plan: CallPlan, profiler: cProfile.Profile | None) -> float:
-    """Have the planned calls made; return the microseconds of this process for one."""
+async def _cost_of(plan: CallPlan, profiler: cProfile.Profile | None) -> PartCost:
+    """Have the planned calls made; return what one costs this process."""
     text = msgspec.json.encode(plan).decode()
     caller = await asyncio.create_subprocess_exec(
         *COMMAND, "lab", "cost-caller", text, stdout=subprocess.PIPE
@@ -167,7 +168,10 @@
     if profiler is not None:
         profiler.disable()
     await caller.wait()
-    return used / plan.calls * MICROSECONDS
+    functions = None
+    if profiler is not None:
+        functions = sum(entry.callcount for entry in profiler.getstats()) / plan.calls
+    return PartCost(plan.kind.value, used / plan.calls * MICROSECONDS, functions)
 
 
 async def _next_step(steps: asyncio.StreamReader) -> CallStep:
@@ -223,5 +227,12 @@
 
 def format_costs(costs: list[PartCost]) -> str:
     """Return the costs as a table."""
-    rows = [(cost.part, f"{cost.microseconds:.1f}") for cost in costs]
-    return format_table(("part", "µs of processor time"), rows)
+    rows = [
+        (
+            cost.part,
+            f"{cost.microseconds:.1f}",
+            f"{cost.functions:.0f}" if cost.functions is not None else "",
+        )
+        for cost in costs
+    ]
+    return format_table(("part", "µs of processor time", "calls of functions"), rows)
--- a/src/pewtertack/node/proxy/lifetime.py
+++ b/src/pewtertack/node/proxy/lifetime.py
@@ -8,6 +8,7 @@
 
 from pewtertack.node.http.cycle import CALLER, Scope
 from pewtertack.node.proxy.body import Caller
+from pewtertack.node.proxy.deadlines import deadlines
 from pewtertack.routing.outcomes import (
     DeadlineExceededError,
     DrainingError,
@@ -70,13 +71,13 @@
         """Do the work; what it raises passes through."""
         task = asyncio.current_task()
         assert task is not None
-        loop = asyncio.get_running_loop()
         self._task = task
         cancelled_before = task.cancelling()
-        timer = loop.call_later(self._deadline - self._clock(), self._cut)
+        others = deadlines()
+        deadline = others.add(self._deadline - self._clock(), self._cut)
         self._caller.on_gone = self._cut
         if self._caller.gone or self._stopped:
-            loop.call_soon(self._cut)
+            others.loop.call_soon(self._cut)
         try:
             await work()
             return LifeEnd.FINISHED
@@ -85,7 +86,7 @@
                 raise  # the server ends the task itself
         finally:
             self._caller.on_gone = self._task = None
-            timer.cancel()
+            others.take_back(deadline)
             if self._cut_short:
                 task.uncancel()
         if self.caller_gone:
--- /dev/null
+++ b/tests/node/proxy/test_deadlines.py
@@ -0,0 +1,70 @@
+"""One timer for many deadlines: each passes in its time, those taken back never."""
+
+import asyncio
+import unittest
+from random import Random
+
+from pewtertack.node.proxy.deadlines import MANY, Deadlines, deadlines
+
+
+class DeadlinesTest(unittest.IsolatedAsyncioTestCase):
+    async def asyncSetUp(self) -> None:
+        self.loop = asyncio.get_running_loop()
+        self.deadlines = Deadlines(self.loop)
+        self.passed: list[tuple[int, float]] = []
+
+    def add(self, number: int, seconds: float) -> object:
+        due = self.loop.time() + seconds
+
+        def pass_() -> None:
+            self.passed.append((number, self.loop.time() - due))
+
+        return self.deadlines.add(seconds, pass_)
+
+    async def test_each_passes_in_its_time_whatever_the_order(self) -> None:
+        seconds = [0.06, 0.02, 0.04, -1.0, 0.02]
+        for number, item in enumerate(seconds):
+            self.add(number, item)
+        await asyncio.sleep(0.1)
+        self.assertEqual([number for number, _ in self.passed], [3, 1, 4, 2, 0])
+        for number, late in self.passed[1:]:
+            self.assertGreater(late, -0.001, number)
+            self.assertLess(late, 0.03, number)
+
+    async def test_taken_back_it_never_passes_and_the_others_do(self) -> None:
+        first, _, third = self.add(0, 0.01), self.add(1, 0.02), self.add(2, 0.03)
+        self.deadlines.take_back(first)
+        self.deadlines.take_back(third)
+        self.deadlines.take_back(third)
+        await asyncio.sleep(0.06)
+        self.assertEqual([number for number, _ in self.passed], [1])
+
+    async def test_taken_back_by_one_that_passes(self) -> None:
+        second = None
+
+        def pass_first() -> None:
+            self.deadlines.take_back(second)
+
+        self.deadlines.add(0.01, pass_first)
+        second = self.add(1, 0.01)
+        await asyncio.sleep(0.04)
+        self.assertEqual(self.passed, [])
+
+    async def test_one_added_by_one_that_passes(self) -> None:
+        self.deadlines.add(0.01, lambda: self.add(1, 0.01))
+        await asyncio.sleep(0.05)
+        self.assertEqual([number for number, _ in self.passed], [1])
+
+    async def test_what_is_taken_back_is_not_kept(self) -> None:
+        random = Random(1)
+        kept = [self.add(number, 0.05) for number in range(3)]
+        for _ in range(20 * MANY):
+            self.deadlines.take_back(self.add(9, random.uniform(10.0, 3600.0)))
+        self.assertLessEqual(len(self.deadlines._heap), 2 * MANY + len(kept))
+        await asyncio.sleep(0.1)
+        self.assertEqual([number for number, _ in self.passed], [0, 1, 2])
+
+    async def test_a_loop_has_its_own(self) -> None:
+        found = deadlines()
+        self.assertIs(found, deadlines())
+        self.assertIs(found.loop, self.loop)
