--- a/src/pewtertack/lab/cost/requests.py
+++ b/src/pewtertack/lab/cost/requests.py
@@ -42,6 +42,8 @@
 
 MICROSECONDS = 1_000_000
 LOG_LINES = 20_000
+STOP_SECONDS = 0.2
+"""For what is held at the back end when the measurement ends."""
 LOG_PART = "log line"
 PROFILED_FUNCTIONS = 45
 
@@ -120,8 +122,16 @@
             application.use_machines(machines)
         self._proxy.set_serving(True)
 
+    def stop(self) -> None:
+        """Accept no more, and end what is open."""
+        for server in self._servers:
+            server.shutdown_seconds = STOP_SECONDS
+            server.should_exit = True
+        for application in (self._gateway, self._proxy):
+            application.connections.keep_only(())
+
     def serve(self) -> list[asyncio.Task[None]]:
-        """Accept calls until the tasks are cancelled."""
+        """Accept calls until told to stop."""
         pairs = zip(self._servers, self._sockets, strict=True)
         return [asyncio.ensure_future(server.serve([bound])) for server, bound in pairs]
 
@@ -143,9 +153,8 @@
             tasks = nodes.serve()
             plan = CallPlan(kind, nodes.proxy, nodes.gateway, settings.calls, settings.rate)
             costs.append(await _cost_of(plan, profiler))
-            for task in tasks:
-                task.cancel()
-            await asyncio.gather(*tasks, return_exceptions=True)
+            nodes.stop()
+            await asyncio.gather(*tasks)
         if profiler is not None:
             profiles.append(f"{kind.value}\n{_profile_text(profiler)}")
     costs.append(PartCost(LOG_PART, _log_cost(nodes.log)))
--- a/tests/node/http/test_server.py
+++ b/tests/node/http/test_server.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import contextlib
+import errno
 import socket
 import unittest
 from typing import Any
@@ -58,6 +59,42 @@
             self.assertEqual(await asyncio.get_running_loop().sock_recv(caller, 1), b"")
         caller.close()
 
+    async def test_it_goes_on_accepting_when_there_is_room_again(self) -> None:
+        accept = socket.socket.accept
+        tries: list[float] = []
+
+        def accept_once_there_is_room(bound: socket.socket) -> Any:
+            tries.append(asyncio.get_running_loop().time())
+            if len(tries) < 3:
+                raise OSError(errno.EMFILE, "too many open files")
+            return accept(bound)
+
+        with (
+            mock.patch.object(socket.socket, "accept", accept_once_there_is_room),
+            mock.patch.object(http_server, "NO_ROOM_SECONDS", 0.05),
+            self.assertLogs(cycle.LOGGER, "ERROR"),
+            anyio.fail_after(60),
+        ):
+            self.assertEqual((await get(self.address, "/"))[0], 200)
+        self.assertGreater(tries[1] - tries[0], 0.04)
+        self.assertGreater(tries[2] - tries[1], 0.04)
+        await self.stop()
+
+    async def test_stopped_while_there_is_no_room(self) -> None:
+        no_room = mock.Mock(side_effect=OSError(errno.EMFILE, "too many open files"))
+        with (
+            mock.patch.object(socket.socket, "accept", no_room),
+            mock.patch.object(http_server, "NO_ROOM_SECONDS", 0.05),
+            self.assertLogs(cycle.LOGGER, "ERROR"),
+        ):
+            host, _, port = self.address.partition(":")
+            with socket.create_connection((host, int(port))):
+                while not no_room.called:
+                    await asyncio.sleep(0.001)
+                await self.stop()
+                await asyncio.sleep(0.1)
+        no_room.assert_called_once()
+
     async def stop(self) -> None:
         self.server.should_exit = True
         with anyio.fail_after(60):
