What was sent stays what may have run, also when the look for its end is cut short

Cause: after a broken exchange a node looks whether the back end still listens; a stop or a deadline during that look was taken for one before anything was sent: a request that may not be repeated ran twice, or ended 503 'not run' though it had run. Change: that it was sent is noted before the look, at the gateway and at the proxy.

--- a/src/pewtertack/node/gateway/forwarding.py
+++ b/src/pewtertack/node/gateway/forwarding.py
@@ -317,6 +317,7 @@
             )
         except (BackendFailedError, TruncatedAnswerError) as error:
             if connection.sent:
+                self._sent = True  # the look for its end may be cut short
                 backend, address = self._request.backend, self._parts.address
                 await self._suspicion.look_for_end(self.request_id, backend, address, error)
             raise
--- a/src/pewtertack/node/proxy/forwarding.py
+++ b/src/pewtertack/node/proxy/forwarding.py
@@ -295,6 +295,7 @@
             await self._exchange.run(connection, headers, edge, on_demand)
         except (BackendFailedError, TruncatedAnswerError) as error:
             if connection.sent and not backend.gateway:
+                self._sent = True  # the look for its end may be cut short
                 name = backend.name
                 await self._suspicion.look_for_end(self.request_id, name, backend.address, error)
             raise
