--- a/src/pewtertack/node/gateway/forwarding.py
+++ b/src/pewtertack/node/gateway/forwarding.py
@@ -255,18 +255,27 @@
             raise
 
     def _check_link(self) -> None:
-        """Refuse at once what would be answered too late because the link is taken.
+        """Refuse at once what would be answered too late because others take the link.
+
+        What would be late with the link to itself is not refused for its objective, and but for
+        a probe a second for its deadline, or its route's times and lengths, which answers alone
+        teach, would stay as they are for good.
 
         Raises:
             DeadlineUnmeetableError: its long answer would leave too late.
         """
         if self._parts.pacer is None:
             return
-        wait = self._parts.pacer.answer_time(self._request.route, self._request.rank)
         ticket, now = self._ticket, self._parts.clock()
-        needed = wait + self._admission.expected_time(ticket.route)
-        if wait and now + needed > min(ticket.objective, ticket.deadline):
-            raise DeadlineUnmeetableError("the link is taken for too long", wait)
+        share = self._parts.pacer.share
+        own = share.own_time(ticket.route)
+        if own:
+            ahead = share.time_ahead(ticket.rank, now)
+            alone = now + own + self._admission.expected_time(ticket.route)
+            wanted = ticket.deadline if ticket.within else min(ticket.objective, ticket.deadline)
+            latest = wanted if alone <= wanted else ticket.deadline
+            if alone + ahead > latest and not (ahead == 0 and share.may_probe(ticket.route, now)):
+                raise DeadlineUnmeetableError("the link is taken for too long", ahead + own)
         if self._sender is not None:
             self._sender.promise()
 
--- a/src/pewtertack/node/gateway/sending.py
+++ b/src/pewtertack/node/gateway/sending.py
@@ -131,13 +131,16 @@
         if self._sending is None:
             self._keep_promise()
             self._sending = asyncio.ensure_future(self._send_taken())
-        while not self._ended and self._is_full and not self._sending.done():
+        while self._must_wait and not self._sending.done():
             self._space.clear()
             await self._space.wait()
 
     @property
-    def _is_full(self) -> bool:
-        return self._size > HELD_BYTES or (self._size > 0 and self._held.count > ALL_HELD_BYTES)
+    def _must_wait(self) -> bool:
+        """Whether the back end has to wait; one that has ended, only for the sum of all."""
+        if self._size > HELD_BYTES and not self._ended:
+            return True
+        return self._size > 0 and self._held.count > ALL_HELD_BYTES
 
     async def _send_taken(self) -> None:
         """Send what is there, in turns; no place is held in the line for what is to come."""
--- a/src/pewtertack/node/http/connection.py
+++ b/src/pewtertack/node/http/connection.py
@@ -344,8 +344,13 @@
 
     @property
     def reusable(self) -> bool:
-        """Whether the last exchange ended cleanly, and the other end still stands by it."""
+        """Whether the last exchange ended cleanly, and the other end still stands by it.
+
+        Where an answer's reader has gone, reading may still be paused, and the next answer would
+        never come in.
+        """
         clean = self._keep and self._complete and self._request_sent and not self._ended
+        clean = clean and not self._reading_paused and not self._chunks
         slept = clock.suspended_seconds() - self._suspended
         return clean and slept < DOUBTED_AFTER_SUSPENSION
 
--- a/src/pewtertack/node/http/transport.py
+++ b/src/pewtertack/node/http/transport.py
@@ -20,6 +20,9 @@
 """Bytes that wait to be sent; beyond them the protocol is told to pause."""
 FEW_UNSENT = 16 * 1024
 """It may go on from here."""
+UNTAKEN_SECONDS = 4.0
+"""A connection that is closed ends once nothing of what is unsent was taken for so long: the
+other end may have stopped reading for good, and a node that stops would wait for it."""
 ANY_PORT = 0
 LAST_PORT = 65535
 NO_FLOW = 0
@@ -182,6 +185,20 @@
         self._stop_reading()
         if not self._unsent:
             self._lose(None)
+        else:
+            self._watch_unsent(len(self._unsent))
+
+    def _watch_unsent(self, left: int) -> None:
+        """End the connection unless some of the bytes that are left is taken in time."""
+        self._loop.call_later(UNTAKEN_SECONDS, self._look_at_unsent, left)
+
+    def _look_at_unsent(self, left: int) -> None:
+        if self._ended:
+            return
+        if len(self._unsent) >= left:
+            self.abort()
+        else:
+            self._watch_unsent(len(self._unsent))
 
     def abort(self) -> None:
         """End the connection now."""
--- a/src/pewtertack/routing/link.py
+++ b/src/pewtertack/routing/link.py
@@ -26,6 +26,12 @@
 AHEAD_BYTES = PART_BYTES
 """So much may still be in the link's line when the next part follows, or the link stands idle
 while a process with half a core gets its turn."""
+PROBE_SECONDS = 1.0
+"""Of a route whose answers are too long for any deadline one request in so long is let through:
+answers alone teach how long they are."""
+SLOW_READER_SECONDS = 0.5
+"""A body of which nothing has left for so long waits for its reader, not for the link: eight
+parts of a link of 2.5 Mbit/s have gone meanwhile."""
 BITS = 8
 MEGA = 1_000_000
 
@@ -35,7 +41,7 @@
 class LongBody:
     """One long body on its way, or in line."""
 
-    __slots__ = ("arrival", "begun", "left", "rank", "waits", "wake", "wanted")
+    __slots__ = ("arrival", "begun", "left", "rank", "sent_at", "waits", "wake", "wanted")
 
     def __init__(
         self, rank: Rank, size: int, wanted: float, arrival: int, wake: Callable[[], None]
@@ -51,6 +57,8 @@
         """Whether its next part is there and may go; else its reader or its sender is slow."""
         self.begun = False
         """Whether a part was sent: it goes on, or the part was sent for nothing."""
+        self.sent_at = 0.0
+        """When the newest part was sent."""
 
 
 @policy(
@@ -71,6 +79,7 @@
         "_arrivals",
         "_free_at",
         "_line",
+        "_probed_at",
         "_promised",
         "_sizes",
         "bytes_per_second",
@@ -84,6 +93,8 @@
         self._arrivals = 0
         self._promised: dict[Rank, float] = {}
         """Bytes of long answers that are to come, by rank."""
+        self._probed_at: dict[str, float] = {}
+        """When a request of a route too long was last let through, or first refused."""
         self._sizes: dict[str, float] = {}
         """Mean length of the long answers of each route; 0 bytes for routes without."""
 
@@ -139,6 +150,7 @@
         """A part of the body was sent."""
         body.begun = True
         body.waits = False
+        body.sent_at = now
         body.left = max(0, body.left - size)
         self.note_sent(size, now)
         self._wake_first(now)
@@ -163,11 +175,33 @@
         if left > 0:
             self._promised[rank] = left
 
-    def answer_time(self, route: str, rank: Rank, now: float) -> float:
-        """Return in how many seconds an answer of the route would have left; 0 if it is short."""
+    def own_time(self, route: str) -> float:
+        """Return the seconds that an answer of the route takes alone; 0 if it is short."""
         size = self._sizes.get(route, 0.0)
-        if size <= LONG_BYTES:
-            return 0.0
-        ahead = sum(float(item.left) for item in self._line if item.rank <= rank)
+        return size / self.bytes_per_second if size > LONG_BYTES else 0.0
+
+    def may_probe(self, route: str, now: float) -> bool:
+        """Tell whether to let a request through although answers of its route are too long."""
+        if now - self._probed_at.setdefault(route, now) < PROBE_SECONDS:
+            return False
+        self._probed_at[route] = now
+        return True
+
+    def time_ahead(self, rank: Rank, now: float) -> float:
+        """Return the seconds for which others take the link before a long answer of the rank."""
+        ahead = sum(
+            float(item.left)
+            for item in self._line
+            if item.rank <= rank and not self._is_held_up(item, now)
+        )
         ahead += sum(total for other, total in self._promised.items() if other <= rank)
-        return max(0.0, self._free_at - now) + (ahead + size) / self.bytes_per_second
+        return max(0.0, self._free_at - now) + ahead / self.bytes_per_second
+
+    def _is_held_up(self, item: LongBody, now: float) -> bool:
+        """Tell whether its reader, or its sender, is slow, so that it takes nobody's time."""
+        return item.begun and not item.waits and now - item.sent_at >= SLOW_READER_SECONDS
+
+    def answer_time(self, route: str, rank: Rank, now: float) -> float:
+        """Return in how many seconds an answer of the route would have left; 0 if it is short."""
+        own = self.own_time(route)
+        return own + self.time_ahead(rank, now) if own else 0.0
--- a/tests/node/http/test_connection.py
+++ b/tests/node/http/test_connection.py
@@ -7,6 +7,7 @@
 from unittest import mock
 
 from pewtertack.node.http.connection import (
+    READ_BUFFER_LIMIT,
     BackendConnection,
     ExchangeBrokenError,
     OutgoingRequest,
@@ -47,6 +48,18 @@
         self.assertTrue(self.connection.reusable)
         self.assertEqual(self.written, b"GET / HTTP/1.1\r\nhost: a\r\n\r\n")
 
+    async def test_one_whose_answer_nobody_took_is_not_used_again(self) -> None:
+        request = OutgoingRequest(b"GET", b"/", [(b"host", b"a")], None)
+        waiting = asyncio.ensure_future(self.connection.exchange(request))
+        await asyncio.sleep(0)
+        body = b"x" * (2 * READ_BUFFER_LIMIT)
+        self.connection.data_received(b"HTTP/1.1 200 OK\r\ncontent-length: %d\r\n\r\n" % len(body))
+        for start in range(0, len(body), 16 * 1024):
+            self.connection.data_received(body[start : start + 16 * 1024])
+        await waiting
+        self.transport.pause_reading.assert_called_once_with()
+        self.assertFalse(self.connection.reusable)
+
     async def test_one_exchange_after_the_other(self) -> None:
         for _ in range(3):
             self.assertEqual(await self.exchange(OK), (200, b"ok"))
--- a/tests/node/http/test_transport.py
+++ b/tests/node/http/test_transport.py
@@ -4,6 +4,7 @@
 import socket
 import unittest
 from typing import Any
+from unittest import mock
 
 from pewtertack.node.http.reading import ReadingProtocol
 from pewtertack.node.http.transport import (
@@ -95,6 +96,23 @@
             await asyncio.sleep(0)
         self.assertFalse(self.transport.is_closing())
 
+    async def test_closed_it_ends_though_the_other_end_reads_no_more(self) -> None:
+        self.transport.write(b"x" * 10_000_000)
+        with mock.patch("pewtertack.node.http.transport.UNTAKEN_SECONDS", 0.05):
+            self.transport.close()
+            self.assertIsNone(await asyncio.wait_for(self.protocol.lost, 2))
+
+    async def test_closed_it_goes_on_while_the_other_end_reads(self) -> None:
+        data = b"x" * 3_000_000
+        self.transport.write(data)
+        with mock.patch("pewtertack.node.http.transport.UNTAKEN_SECONDS", 0.2):
+            self.transport.close()
+            received = 0
+            while part := await self.loop.sock_recv(self.other, 1 << 16):
+                received += len(part)
+                await asyncio.sleep(0.01)
+        self.assertEqual(received, len(data))
+
     async def test_aborted_it_drops_what_waits(self) -> None:
         self.transport.write(LARGE)
         self.transport.abort()
--- a/tests/routing/test_link.py
+++ b/tests/routing/test_link.py
@@ -181,6 +181,18 @@
         self.assertEqual(share.promise("unknown", BULK), 0.0)
         self.assertEqual(share._promised, {})
 
+    def test_bodies_whose_readers_have_stopped_take_nobody_s_time(self) -> None:
+        share = LinkShare(MEGABITS)
+        share.note_answer("export", DOWNLOAD)
+        alone = share.answer_time("export", BULK, 0.0)
+        for _ in range(16):
+            body = share.enter(BULK, DOWNLOAD, SOON, nobody)
+            share.wait_of(body, 0.0)
+            share.note_part(body, 1000, 0.0)
+        self.assertGreater(share.answer_time("export", BULK, 0.1), 10 * alone)
+        self.assertAlmostEqual(share.answer_time("export", BULK, 10.0), alone)
+        self.assertEqual(share.time_ahead(BULK, 10.0), 0.0)
+
     def test_a_route_of_long_answers_waits_for_those_that_go_first(self) -> None:
         share = LinkShare(MEGABITS)
         share.note_answer("export", DOWNLOAD)
