--- a/src/pewtertack/node/proxy/application.py
+++ b/src/pewtertack/node/proxy/application.py
@@ -28,14 +28,14 @@
 from pewtertack.node.proxy.probing import GatewayProber
 from pewtertack.node.proxy.request_log import Beliefs, ProxyLog, RecordEvent, ignore_event
 from pewtertack.node.proxy.upstream import ConnectionStore
-from pewtertack.routing.deadlines import deadline_of
-from pewtertack.routing.dispatcher import (
+from pewtertack.routing.backend_events import (
     BackendChanged,
     BackendEvent,
     BackendLeaving,
     BackendListed,
-    Dispatcher,
 )
+from pewtertack.routing.deadlines import deadline_of
+from pewtertack.routing.dispatcher import Dispatcher
 from pewtertack.routing.outcomes import (
     DrainingError,
     InternalError,
--- /dev/null
+++ b/src/pewtertack/routing/budgets.py
@@ -0,0 +1,62 @@
+"""The retry budgets of one proxy, one a service, made in the way that the settings name."""
+
+from __future__ import annotations
+
+from collections.abc import Container
+
+from pewtertack.routing.policies import RetryBudgeting
+from pewtertack.routing.retries import Budget, RetryBudget
+from pewtertack.routing.retry_window import RetryLimits, WindowBudget
+
+
+class ServiceBudgets:
+    """All budgets by service. Times are monotonic seconds.
+
+    Args:
+        way: how many retries there may be.
+        limits: what operators allow a service over all nodes, for ``window``.
+    """
+
+    __slots__ = ("_began", "_budgets", "_nodes", "limits", "way")
+
+    def __init__(self, way: RetryBudgeting, limits: RetryLimits) -> None:
+        self.way = way
+        self.limits = limits
+        self._budgets: dict[str, Budget] = {}
+        self._began: float | None = None
+        """When the first machine list came: what this process may have sent before is unknown."""
+        self._nodes = 0
+        """Nodes of the fleet, 0 while unknown."""
+
+    def use_nodes(self, nodes: int, now: float) -> None:
+        """Take over the fleet's size from a machine list."""
+        if self._began is None:
+            self._began = now
+        self._nodes = nodes
+        for budget in self._budgets.values():
+            budget.use_nodes(nodes, now)
+
+    def of(self, service: str, now: float) -> Budget:
+        """Return the service's budget."""
+        budget = self._budgets.get(service)
+        if budget is None:
+            budget = self._budgets[service] = self._new(now)
+            budget.use_nodes(self._nodes, now)
+        return budget
+
+    def _new(self, now: float) -> Budget:
+        if self.way is RetryBudgeting.WINDOW:
+            return WindowBudget(self.limits, now if self._began is None else self._began)
+        return RetryBudget()
+
+    def left(self, now: float) -> dict[str, float]:
+        """Return the retries that may come at once, by service."""
+        return {name: budget.left(now) for name, budget in self._budgets.items()}
+
+    def keep_only(self, services: Container[str], now: float) -> None:
+        """Forget services that are in force no longer, once nothing has to be remembered."""
+        self._budgets = {
+            name: budget
+            for name, budget in self._budgets.items()
+            if name in services or not budget.is_idle(now)
+        }
--- a/src/pewtertack/routing/dispatcher.py
+++ b/src/pewtertack/routing/dispatcher.py
@@ -16,6 +16,14 @@
 from pewtertack.core.machines import MachineList, MachineRole
 from pewtertack.routing.asking import FurtherAsks
 from pewtertack.routing.backend import Backend, LoadReport
+from pewtertack.routing.backend_events import (
+    BackendChanged,
+    BackendEvent,
+    BackendLeaving,
+    BackendListed,
+    ignore_event,
+)
+from pewtertack.routing.budgets import ServiceBudgets
 from pewtertack.routing.ends import (
     FAILURES,
     OUT_OF_REACH,
@@ -37,44 +45,21 @@
     CallsWithin,
     Hanging,
     Policies,
-    RetryBudgeting,
 )
 from pewtertack.routing.queueing import Ticket
-from pewtertack.routing.registry import BackendRegistry, ListChange
+from pewtertack.routing.registry import BackendRegistry
 from pewtertack.routing.retries import (
     GRANTED_REASONS,
     MAXIMUM_REFUSALS,
     AttemptRecord,
-    Budget,
-    RetryBudget,
     RetryReason,
     judge_retry,
 )
-from pewtertack.routing.retry_window import NO_RETRY_LIMITS, RetryLimits, WindowBudget
+from pewtertack.routing.retry_window import NO_RETRY_LIMITS, RetryLimits
 from pewtertack.routing.service import ServiceDispatcher
 from pewtertack.routing.splits import SplitPicker
 
 
-class BackendChanged(msgspec.Struct, frozen=True):
-    """A back end was ejected, or came back."""
-
-    backend: Backend
-    ejected: bool
-
-
-class BackendLeaving(msgspec.Struct, frozen=True):
-    """A back end's own answer said that it leaves; told once for an incarnation."""
-
-    backend: Backend
-
-
-class BackendListed(msgspec.Struct, frozen=True):
-    """The machine list changed what it says of a back end."""
-
-    backend: Backend
-    change: ListChange
-
-
 class RetryDecision(msgspec.Struct, frozen=True):
     """Why a request is sent once more, with its ``ticket``, or why not."""
 
@@ -82,20 +67,13 @@
     ticket: Ticket | None = None
 
 
-BackendEvent = BackendChanged | BackendLeaving | BackendListed
-
-
-def _ignore_event(event: BackendEvent) -> None:
-    """Tell nobody."""
-
-
 class Dispatcher:
     """All services of one proxy."""
 
     def __init__(
         self,
         random: Random,
-        notify: Callable[[BackendEvent], None] = _ignore_event,
+        notify: Callable[[BackendEvent], None] = ignore_event,
         policies: Policies = DEFAULT_POLICIES,
         retry_limits: RetryLimits = NO_RETRY_LIMITS,
     ) -> None:
@@ -106,12 +84,7 @@
         self._evacuated: frozenset[str] = frozenset()
         self._registry = BackendRegistry()
         self._services: dict[str, ServiceDispatcher] = {}
-        self._retry_limits = retry_limits
-        self._budgets: dict[str, Budget] = {}
-        self._began: float | None = None
-        """When the first machine list came: what this process may have sent before is unknown."""
-        self._nodes = 0
-        """Nodes of the fleet, 0 while unknown."""
+        self._budgets = ServiceBudgets(policies.retry_budget, retry_limits)
         self._splits = SplitPicker()
         self._patience = CallerPatience()
         self._asks = FurtherAsks(random)
@@ -162,11 +135,7 @@
         self._patience.keep_only(routes)
         self._asks.keep_only(routes)
         self.origins.keep_only(routes)
-        self._budgets = {
-            name: item
-            for name, item in self._budgets.items()
-            if name in services or not item.is_idle(now)
-        }
+        self._budgets.keep_only(services, now)
         self._services = {
             name: service
             for name, service in self._services.items()
@@ -175,8 +144,6 @@
 
     def use_machines(self, machines: MachineList, now: float) -> None:
         """Take over a newer machine list; an older one is ignored."""
-        if self._began is None:
-            self._began = now
         if self._registry.update(machines, now):
             for backend, change in self._registry.changes:
                 self._notify(BackendListed(backend, change))
@@ -186,9 +153,8 @@
                 service.pump(now)
 
     def _count_nodes(self, machines: MachineList, now: float) -> None:
-        self._nodes = sum(machine.role is MachineRole.NODE for machine in machines.machines)
-        for budget in self._budgets.values():
-            budget.use_nodes(self._nodes, now)
+        nodes = sum(machine.role is MachineRole.NODE for machine in machines.machines)
+        self._budgets.use_nodes(nodes, now)
 
     def _spread_backends(self) -> None:
         for name, service in self._services.items():
@@ -207,7 +173,7 @@
 
     def budgets_left(self, now: float) -> dict[str, float]:
         """Return the retries that may come at once, by service."""
-        return {name: budget.left(now) for name, budget in self._budgets.items()}
+        return self._budgets.left(now)
 
     def service(self, name: str) -> ServiceDispatcher:
         """Return the dispatcher of one service."""
@@ -235,7 +201,8 @@
             ticket.within = self._is_within(ticket.route.name, now)
             if ticket.within:
                 ticket.caller_lateness = Lateness.ALLOWED  # whoever waits for it is a run
-            self._budget(ticket, now).note_first_attempt(now, ticket.route.retry_budget)
+            budget = self._budgets.of(ticket.service.name, now)
+            budget.note_first_attempt(now, ticket.route.retry_budget)
         self.service(ticket.route.service).submit(ticket, now)
 
     def _is_within(self, route: str, now: float) -> bool:
@@ -406,10 +373,12 @@
             replayable,
         )
         reason = judge_retry(record, error, now)
-        if reason in GRANTED_REASONS and not self._budget(ticket, now).withdraw(now, ticket.within):
+        if reason in GRANTED_REASONS and not self._budgets.of(ticket.service.name, now).withdraw(
+            now, ticket.within
+        ):
             reason = RetryReason.BUDGET
         granted = reason in GRANTED_REASONS
-        return RetryDecision(reason, _next_attempt(ticket, ticket.refusals) if granted else None)
+        return RetryDecision(reason, ticket.following(ticket.refusals) if granted else None)
 
     def may_leave(self, ticket: Ticket, now: float) -> bool:
         """Tell whether an attempt that begins may be made elsewhere should its back end hang."""
@@ -419,7 +388,7 @@
         tried = (*ticket.excluded, ticket.backend.name)
         return (
             ticket.retries < ticket.route.retry_limit
-            and self._budget(ticket, now).left(now, ticket.within) >= 1
+            and self._budgets.of(ticket.service.name, now).left(now, ticket.within) >= 1
             and self.service(ticket.route.service).has_other(tried, now)
         )
 
@@ -430,7 +399,7 @@
             return RetryDecision(RetryReason.BODY_GONE)
         if now >= ticket.deadline:
             return RetryDecision(RetryReason.NO_TIME)
-        following = _next_attempt(ticket, refusals)
+        following = ticket.following(refusals)
         service = self.service(ticket.route.service)
         if refusals >= MAXIMUM_REFUSALS or not service.has_other(following.excluded, now):
             return RetryDecision(RetryReason.NO_GATEWAY)
@@ -442,32 +411,6 @@
             return RetryDecision(RetryReason.NO_ODDS)
         return RetryDecision(RetryReason.NEXT_GATEWAY, following)
 
-    def _budget(self, ticket: Ticket, now: float) -> Budget:
-        name = ticket.service.name
-        budget = self._budgets.get(name)
-        if budget is None:
-            budget = self._budgets[name] = self._new_budget(now)
-            budget.use_nodes(self._nodes, now)
-        return budget
-
-    def _new_budget(self, now: float) -> Budget:
-        if self._policies.retry_budget is RetryBudgeting.WINDOW:
-            return WindowBudget(self._retry_limits, self._began if self._began is not None else now)
-        return RetryBudget()
-
-
-def _next_attempt(ticket: Ticket, refusals: int) -> Ticket:
-    assert ticket.backend is not None
-    excluded = (*ticket.excluded, ticket.backend.name)
-    following = Ticket(ticket.route, ticket.service, ticket.deadline, excluded, ticket.wake)
-    following.refusals = refusals
-    following.arrived_at = ticket.arrived_at
-    following.body_bytes = ticket.body_bytes
-    following.caller_deadline = ticket.caller_deadline
-    following.caller_lateness = ticket.caller_lateness
-    following.within = ticket.within
-    return following
-
 
 def _adapt_to_load(
     service: ServiceDispatcher, backend: Backend, ticket: Ticket, now: float
--- a/src/pewtertack/routing/queueing.py
+++ b/src/pewtertack/routing/queueing.py
@@ -90,6 +90,19 @@
         finally:
             self.refusal = None
 
+    def following(self, refusals: int) -> Ticket:
+        """Return the ticket of one more attempt, after so many that no back end has seen."""
+        assert self.backend is not None
+        excluded = (*self.excluded, self.backend.name)
+        ticket = Ticket(self.route, self.service, self.deadline, excluded, self.wake)
+        ticket.refusals = refusals
+        ticket.arrived_at = self.arrived_at
+        ticket.body_bytes = self.body_bytes
+        ticket.caller_deadline = self.caller_deadline
+        ticket.caller_lateness = self.caller_lateness
+        ticket.within = self.within
+        return ticket
+
     @property
     def retries(self) -> int:
         """Earlier attempts that a back end may have seen."""
--- a/tests/routing/test_dispatcher.py
+++ b/tests/routing/test_dispatcher.py
@@ -5,7 +5,8 @@
 
 from pewtertack.core.configuration.resolved import WorkClass
 from pewtertack.routing.backend import LoadReport
-from pewtertack.routing.dispatcher import BackendEvent, BackendLeaving, BackendListed, Dispatcher
+from pewtertack.routing.backend_events import BackendEvent, BackendLeaving, BackendListed
+from pewtertack.routing.dispatcher import Dispatcher
 from pewtertack.routing.ends import AttemptEnd
 from pewtertack.routing.limit import ServiceLimit
 from pewtertack.routing.outcomes import (
--- a/tests/routing/test_lives.py
+++ b/tests/routing/test_lives.py
@@ -6,7 +6,8 @@
 
 from pewtertack.core.machines import Machine, MachineList, MachineState
 from pewtertack.routing.backend import Backend, LoadReport
-from pewtertack.routing.dispatcher import BackendEvent, BackendListed, Dispatcher
+from pewtertack.routing.backend_events import BackendEvent, BackendListed
+from pewtertack.routing.dispatcher import Dispatcher
 from pewtertack.routing.ends import AttemptEnd
 from pewtertack.routing.queueing import Ticket
 from pewtertack.routing.registry import BackendRegistry, ListChange
--- a/tests/routing/test_successors.py
+++ b/tests/routing/test_successors.py
@@ -8,7 +8,8 @@
 
 from pewtertack.core.machines import Machine, MachineList, MachineRole, MachineState
 from pewtertack.node.proxy.attempt_ends import end_of_failure
-from pewtertack.routing.dispatcher import BackendEvent, BackendLeaving, Dispatcher
+from pewtertack.routing.backend_events import BackendEvent, BackendLeaving
+from pewtertack.routing.dispatcher import Dispatcher
 from pewtertack.routing.ends import AttemptEnd
 from pewtertack.routing.outcomes import (
     BackendGoneError,
