A long answer of which something has left goes on before those that have not begun

A bulk-export (90 kB and more) ran from 22.906 to 22.954 s; its answer reached the caller in part and was cut at 28.367 s, when the caller's node, told to stop at 23.162 s, had no time left. An answer that its back end hands over in pieces took a new place in the link's line for each, as one that has not begun: late by then, it let all that could be in time go first, for five seconds. Change: that some of an answer has left goes with it to its next place. Test: failed before (a fresh answer went between the pieces).

--- a/src/pewtertack/node/gateway/sending.py
+++ b/src/pewtertack/node/gateway/sending.py
@@ -45,6 +45,7 @@
         "_changed",
         "_ended",
         "_held",
+        "_left",
         "_pacer",
         "_parts",
         "_promised",
@@ -66,6 +67,9 @@
         self._began = 0.0
         self._body_bytes = 0
         """Bytes of the body that came."""
+        self._left = 0
+        """Bytes of it that have left: what has begun goes on before what has not, or a late
+        answer would be broken off where the other end's time is over."""
         self._parts: list[bytes] = []
         self._size = 0
         """Bytes held."""
@@ -114,6 +118,7 @@
         if self._body_bytes <= LONG_BYTES:
             self._pacer.note_sent(len(data))
             await self._send(message)
+            self._left += len(data)
             return
         await self._take(data)
 
@@ -157,9 +162,11 @@
     async def _send_parts(self, data: bytes) -> None:
         self._parts.clear()
         ticket = self._ticket
-        with self._pacer.turns(ticket.rank, len(data), ticket.objective) as turns:
+        begun = self._left > 0
+        with self._pacer.turns(ticket.rank, len(data), ticket.objective, begun) as turns:
             async for part in turns.parts(data):
                 await self._send({"type": "http.response.body", "body": part, "more_body": True})
+                self._left += len(part)
                 self._release(len(part))
 
     def _release(self, size: int) -> None:
--- a/src/pewtertack/node/pacing.py
+++ b/src/pewtertack/node/pacing.py
@@ -35,9 +35,9 @@
         """See ``LinkShare.answer_time``."""
         return self.share.answer_time(route, rank, self._clock())
 
-    def turns(self, rank: Rank, size: int, wanted: float) -> BodyTurns:
+    def turns(self, rank: Rank, size: int, wanted: float, begun: bool = False) -> BodyTurns:
         """Return the turns of one long body, to be used as a context; see ``LinkShare.enter``."""
-        return BodyTurns(self._clock, self.share, rank, size, wanted)
+        return BodyTurns(self._clock, self.share, rank, size, wanted, begun)
 
 
 class BodyTurns:
@@ -46,12 +46,18 @@
     __slots__ = ("_body", "_changed", "_clock", "_share")
 
     def __init__(
-        self, clock: Callable[[], float], share: LinkShare, rank: Rank, size: int, wanted: float
+        self,
+        clock: Callable[[], float],
+        share: LinkShare,
+        rank: Rank,
+        size: int,
+        wanted: float,
+        begun: bool = False,
     ) -> None:
         self._clock = clock
         self._share = share
         self._changed = asyncio.Event()
-        self._body: LongBody = share.enter(rank, size, wanted, self._changed.set)
+        self._body: LongBody = share.enter(rank, size, wanted, self._changed.set, begun)
 
     def __enter__(self) -> BodyTurns:
         return self
--- a/src/pewtertack/routing/link.py
+++ b/src/pewtertack/routing/link.py
@@ -11,6 +11,7 @@
 
 from __future__ import annotations
 
+import math
 from collections.abc import Callable
 
 from pewtertack.routing.policies import LongBodies, Parameter, PolicyKind, policy
@@ -57,8 +58,8 @@
         """Whether its next part is there and may go; else its reader or its sender is slow."""
         self.begun = False
         """Whether a part was sent: it goes on, or the part was sent for nothing."""
-        self.sent_at = 0.0
-        """When the newest part was sent."""
+        self.sent_at = math.inf
+        """When the newest part was sent; never, at first."""
 
 
 @policy(
@@ -102,7 +103,14 @@
         """Something was sent without waiting."""
         self._free_at = max(self._free_at, now) + size / self.bytes_per_second
 
-    def enter(self, rank: Rank, size: int, wanted: float, wake: Callable[[], None]) -> LongBody:
+    def enter(
+        self,
+        rank: Rank,
+        size: int,
+        wanted: float,
+        wake: Callable[[], None],
+        begun: bool = False,
+    ) -> LongBody:
         """Put a long body into the line; ``wake`` is called when its turn may have come.
 
         Args:
@@ -110,9 +118,11 @@
             size: bytes.
             wanted: when it should have left.
             wake: must not block.
+            begun: some of the same answer has left before.
         """
         self._arrivals += 1
         body = LongBody(rank, size, wanted, self._arrivals, wake)
+        body.begun = begun
         self._line.append(body)
         return body
 
@@ -199,7 +209,7 @@
 
     def _is_held_up(self, item: LongBody, now: float) -> bool:
         """Tell whether its reader, or its sender, is slow, so that it takes nobody's time."""
-        return item.begun and not item.waits and now - item.sent_at >= SLOW_READER_SECONDS
+        return not item.waits and now - item.sent_at >= SLOW_READER_SECONDS
 
     def answer_time(self, route: str, rank: Rank, now: float) -> float:
         """Return in how many seconds an answer of the route would have left; 0 if it is short."""
--- a/tests/node/gateway/test_sending.py
+++ b/tests/node/gateway/test_sending.py
@@ -99,6 +99,36 @@
         self.assertEqual(sum(not item.get("more_body", False) for item in self.sent[1:]), 1)
         self.assertEqual(self.pacer.answer_time("export", BULK), 0.0)
 
+    async def test_a_late_answer_that_comes_in_pieces_goes_on_before_one_that_has_not_begun(
+        self,
+    ) -> None:
+        now = time.monotonic()
+        late = AdmissionTicket("export", BULK, now - 1.0, now + 5.0)
+        order: list[str] = []
+
+        async def send(message: Any) -> None:
+            if message.get("body"):
+                order.append(chr(message["body"][0]))
+
+        def piece(letter: bytes, size: int) -> dict[str, Any]:
+            return {"type": "http.response.body", "body": letter * size, "more_body": True}
+
+        begun = AnswerSender(send, self.pacer, self.held, late)
+        timely = AdmissionTicket("other", BULK, now + 50.0, now + 60.0)
+        fresh = AnswerSender(send, self.pacer, self.held, timely)
+        await self.begin(begun, 20 * LONG_BYTES)
+        await begun(piece(b"l", LONG_BYTES // 2))
+        await begun(piece(b"l", 4 * LONG_BYTES))
+        await asyncio.sleep(0)
+        await self.begin(fresh, 20 * LONG_BYTES)
+        await fresh(piece(b"f", 8 * LONG_BYTES))
+        await begun(piece(b"l", 8 * LONG_BYTES))
+        for sender in (begun, fresh):
+            await sender({"type": "http.response.body", "body": b""})
+        await begun.finish()
+        await fresh.finish()
+        self.assertEqual(order.index("f"), order.count("l"))
+
     async def test_a_back_end_slower_than_the_link_holds_nobody_up(self) -> None:
         slow, quick = self.make(), self.make("other")
         await self.begin(slow, 4 * LONG_BYTES)
