A stopping server reads what has come before it closes a kept connection

Change: what has come by the time of the stop is read first, and answered. Test: failed before (connection reset by peer).

--- a/src/pewtertack/node/http/protocol.py
+++ b/src/pewtertack/node/http/protocol.py
@@ -21,6 +21,7 @@
 from pewtertack.node.http.pipeline import Pipeline
 from pewtertack.node.http.reading import ReadingProtocol
 from pewtertack.node.http.refusals import HeadRefusedError, RefusalReason
+from pewtertack.node.http.transport import StreamTransport
 
 if TYPE_CHECKING:
     from pewtertack.node.http.server import HttpServer
@@ -400,8 +401,13 @@
         await self._closed.wait()
 
     def shutdown(self) -> None:
-        """End the connection, after the answers to what has been read."""
+        """End the connection, after the answers to what has been read, or has come by now.
+
+        Closed with bytes unread, it would be reset: its caller could not tell whether they ran.
+        """
         self._end_wanted = True
+        if isinstance(self.transport, StreamTransport):
+            self.transport.read_now()
         if not self._pipeline.requests and not self._lingering:
             self._pipeline.closed = True
             self.transport.close()
--- a/src/pewtertack/node/http/transport.py
+++ b/src/pewtertack/node/http/transport.py
@@ -87,6 +87,11 @@
         except Exception as error:
             self._fail(error)
 
+    def read_now(self) -> None:
+        """Take what has come already, before the loop would look for it."""
+        if self.is_reading():
+            self._read()
+
     def is_reading(self) -> bool:
         """Tell whether received bytes go to the protocol."""
         return self._reading and not self._closing
--- a/tests/node/http/test_server.py
+++ b/tests/node/http/test_server.py
@@ -59,6 +59,23 @@
             self.assertEqual(await asyncio.get_running_loop().sock_recv(caller, 1), b"")
         caller.close()
 
+    async def test_a_request_that_has_come_as_the_server_stops_is_answered(self) -> None:
+        host, _, port = self.address.partition(":")
+        caller = socket.create_connection((host, int(port)))
+        caller.setblocking(False)
+        loop = asyncio.get_running_loop()
+        request = b"GET / HTTP/1.1\r\nhost: a\r\n\r\n"
+        with anyio.fail_after(60):
+            await loop.sock_sendall(caller, request)
+            self.assertIn(b" 200 ", await loop.sock_recv(caller, 4096))
+            (connection,) = self.server.connections
+            caller.send(request)  # it lies in the system's buffer, unread, when the stop comes
+            connection.shutdown()
+            self.assertIn(b" 200 ", await loop.sock_recv(caller, 4096))
+            self.assertEqual(await loop.sock_recv(caller, 1), b"")
+        caller.close()
+        await self.stop()
+
     async def test_it_goes_on_accepting_when_there_is_room_again(self) -> None:
         accept = socket.socket.accept
         tries: list[float] = []
