Failing test: a stop ends requests whose answers wait on another node's link

Symptom: after SIGTERM to the node that took a download from its caller, the caller gets 502, or an answer cut in the middle, at the end of the stop, though its back end had answered at once.

--- /dev/null
+++ b/tests/node/stopping_fleet.py
@@ -0,0 +1,71 @@
+"""Real nodes around one back end: one is its gateway, on a narrow link, the others have callers."""
+
+from __future__ import annotations
+
+import contextlib
+from collections.abc import AsyncIterator
+from typing import Any
+
+import anyio
+
+from pewtertack.lab.fleet.ports import PortAllocator
+from pewtertack.lab.machines.service import MachineListService
+from pewtertack.lab.source.service import ConfigurationSource
+from pewtertack.settings import Address
+from tests.node.processes import NodeProcess, get_until, settings_text
+
+ANY = Address("127.0.0.1", 0)
+ZONE = "yaba"
+GATEWAY = "b"
+
+
+@contextlib.asynccontextmanager
+async def fleet_on_a_narrow_link(
+    tree: dict[str, Any], backend: str, slots: int, megabits: float, limits: str, *callers: str
+) -> AsyncIterator[list[NodeProcess]]:
+    """Run the gateway beside ``backend`` and a node of each name in ``callers``; yield them.
+
+    Args:
+        tree: the configuration.
+        backend: ``ip:port``.
+        slots: of the back end.
+        megabits: a second, of the gateway's link; long answers take turns on it.
+        limits: the settings' table of that name, for all nodes.
+        callers: names of the other nodes.
+    """
+    gateway = PortAllocator().allocate("127.0.0.1")
+    machine = {
+        "role": "backend",
+        "zone": ZONE,
+        "address": backend,
+        "service": next(iter(tree["services"])),
+        "gateway": str(gateway),
+        "slots": slots,
+    }
+    source = ConfigurationSource(tree, ANY, ANY).service
+    machines = MachineListService({GATEWAY: machine}, ANY, ANY).service
+    async with anyio.create_task_group() as tasks, contextlib.AsyncExitStack() as stack:
+        for service in (source, machines):
+            await service.open(tasks)
+            stack.callback(service.readers.close)
+            stack.callback(service.control.close)
+        stack.callback(tasks.cancel_scope.cancel)
+        platform = (str(source.readers.address), str(machines.readers.address))
+        texts = [settings_text(name, ZONE, *platform) + limits for name in callers]
+        texts.insert(0, _gateway_settings(platform, str(gateway), backend, megabits) + limits)
+        nodes = [await stack.enter_async_context(NodeProcess(text)) for text in texts]
+        for node in nodes:
+            await node.wait_event("NODE_SERVING")
+            admin = node.lines[0]["admin"]
+            await get_until(admin, "/status", lambda page: page["machine_list_number"])
+        yield nodes
+
+
+def _gateway_settings(
+    platform: tuple[str, str], gateway: str, backend: str, megabits: float
+) -> str:
+    text = settings_text(GATEWAY, ZONE, *platform)
+    text = text.replace('region = "r"', f'region = "r", link_mbps = {megabits}')
+    text = text.replace("listen = {", f'listen = {{gateway = "{gateway}", ')
+    beside = f'\n        backend = {{address = "{backend}"}}\n'
+    return text + beside + '        policies = {long_bodies = "in-turns"}\n'
