A stopping node tells gateways until when it carries answers, and such answers leave first

What callers saw: a download cut in the middle, or 502, 5.2 s after SIGTERM to the node that had taken it, though its back end had answered within a tenth of a second.

Cause: the end of a stop is fixed at its first moment, and only the stopping node knew it. The gateway kept the answer in its link's line behind answers for other nodes, and admitted, in the notice, what could not be carried any longer. Class: a time limit at which work is dropped, known to one of the two nodes that work on it. Ruled out: a slow caller, a slow back end (the gateway's log has its end long before), the daemon's own order of ending.

Change: each hop of a stopping node carries x-pewtertack-gone-in-ms; what was sent before is named to its gateways at the stop's beginning (x-pewtertack-leave-by). Such answers go before all others on the link; a request whose answer could not leave by then is refused before it takes a slot, as not run. Answers that have begun are not ended at the stop's last half second, where they could only be cut. A word that makes no sense is as if it weren't there, and counted. Events GATEWAY_SENT and SENDER_STOPS tell where a long answer was, which the logs could not.

--- a/src/pewtertack/events.py
+++ b/src/pewtertack/events.py
@@ -73,6 +73,9 @@
 
     ROUTE_ORIGIN = (627, "The gateway has found who calls a route: callers, or back ends that run.")
 
+    GATEWAY_SENT = (628, "All of a long answer has left the gateway.", True)
+    SENDER_STOPS = (629, "A node that stops says until when it carries answers to its requests.")
+
     def __init__(self, number: int, meaning: str, routine: bool = False) -> None:
         self.number = number
         self.meaning = meaning
--- a/src/pewtertack/node/daemon.py
+++ b/src/pewtertack/node/daemon.py
@@ -52,6 +52,9 @@
     def start_leaving(self, seconds: float) -> None:
         """Prepare for the stop, which ends all requests in so many seconds at the latest."""
 
+    async def announce_stop(self) -> None:
+        """Tell other nodes that have requests of this one how much time is left."""
+
     def start_draining(self) -> None:
         """Refuse new requests; finish those in flight."""
 
@@ -210,14 +213,27 @@
     notice = notice_time(limits)
     for server in servers:
         server.application.start_leaving(notice + drain_seconds - LAST_ANSWERS_SECONDS)
-    if notice > 0:
-        await anyio.sleep(notice)
-    parts.runtime.stop_serving()
-    for server in servers:
-        server.application.start_draining()
-    if notice < LEAVE_TIME:
-        await anyio.sleep(LEAVE_TIME)
-    await _finish_requests(servers, drain_seconds)
+    async with anyio.create_task_group() as tasks:
+        for server in servers:
+            tasks.start_soon(_announce_stop, server.application)
+        if notice > 0:
+            await anyio.sleep(notice)
+        parts.runtime.stop_serving()
+        for server in servers:
+            server.application.start_draining()
+        if notice < LEAVE_TIME:
+            await anyio.sleep(LEAVE_TIME)
+        await _finish_requests(servers, drain_seconds)
+        tasks.cancel_scope.cancel()
+
+
+async def _announce_stop(application: DrainableProxy) -> None:
+    """Have other nodes told; the stop goes on whatever becomes of it."""
+    try:
+        await application.announce_stop()
+    except* Exception as errors:
+        for error in _leaves(errors):
+            logger.error("other nodes could not be told of the stop", exc_info=error)
 
 
 async def _finish_requests(servers: tuple[_RequestServer, ...], seconds: float) -> None:
--- a/src/pewtertack/node/gateway/application.py
+++ b/src/pewtertack/node/gateway/application.py
@@ -26,12 +26,14 @@
     origin_headers,
 )
 from pewtertack.node.gateway.hop import (
+    LEAVE_BY,
     PROBE_ANSWERED,
     WITHDRAW,
     HopRequest,
     failure_header,
     for_gateway_alone,
     read_hop,
+    read_leave_by,
 )
 from pewtertack.node.gateway.incarnations import Incarnation, Incarnations
 from pewtertack.node.gateway.metrics import GatewayMetrics
@@ -232,6 +234,8 @@
         try:
             head = read_head(scope["headers"], NODE_EDGE)
             request = read_hop(scope["headers"])
+            if request.senseless_time:
+                self._metrics.note_senseless_time()
             self._note_origin(request)
             await self._forward(scope, receive, send, head, request)
         except RequestFailedError as error:
@@ -260,6 +264,8 @@
         """Do what another node asks of the gateway itself."""
         if name == WITHDRAW:
             await self.requests.withdraw_one(value.decode("latin-1"))
+        elif name == LEAVE_BY:
+            self._note_stopping_sender(value)
         elif self.leaving or self.requests.draining:
             error: NotRunError = DrainingError("the node beside the back end is stopping")
             await _refuse(send, error, RequestHead(), [])
@@ -274,6 +280,18 @@
         await send({"type": "http.response.start", "status": PROBE_ANSWERED, "headers": []})
         await send({"type": "http.response.body", "body": b""})
 
+    def _note_stopping_sender(self, value: bytes) -> None:
+        """A node that has sent requests stops: answer those before it has."""
+        seconds, ids = read_leave_by(value)
+        if not ids:
+            self._metrics.note_senseless_time()
+            return
+        moment = self._clock() + seconds
+        named = [item for item in self.requests.under_way if item.request_id in ids]
+        for request in named:
+            request.leave_by(moment)
+        self._log.sender_stops(seconds, len(ids), len(named))
+
     async def _is_backend_down(self) -> bool:
         """Ask for a back end that had ended whether it is back, so that no request need to."""
         self._backend_down = self._backend_down and await nobody_listens(self.address)
--- a/src/pewtertack/node/gateway/forwarding.py
+++ b/src/pewtertack/node/gateway/forwarding.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import math
 from collections.abc import Awaitable, Callable
 
 import anyio
@@ -37,6 +38,7 @@
 from pewtertack.node.proxy.suspicion import Suspicion
 from pewtertack.node.proxy.upstream import ConnectionStore
 from pewtertack.routing.admission import Admission
+from pewtertack.routing.link import RECEIVER_STOPS
 from pewtertack.routing.origins import OriginWatch
 from pewtertack.routing.outcomes import (
     BackendFailedError,
@@ -104,10 +106,13 @@
         self._suspicion = Suspicion(content, parts.reporter, parts.crashes)
         self._body_on_demand = head.expects_continue
         self._life = RequestLife(scope, deadline, parts.clock)
+        now = parts.clock()
+        self._gone_at = now + request.gone_in
+        """When the node that sent the request will carry its answer no longer."""
         self._ticket = AdmissionTicket(
             request.route,
             request.rank,
-            parts.clock() + request.objective,
+            now + request.objective,
             deadline,
             request.lateness,
             parts.origins is not None and parts.origins.is_within(request.route, request.within),
@@ -115,6 +120,8 @@
         self._sender: AnswerSender | None = None
         if parts.pacer is not None:
             self._sender = AnswerSender(send, parts.pacer, parts.held, self._ticket)
+            if self.sender_stops:
+                self._sender.leave_by(self._gone_at)
         self._exchange = Exchange(
             scope,
             self._sender or send,
@@ -158,6 +165,23 @@
         error.offered = self._sent
         raise error.with_outcome(Outcome.UNKNOWN if self._sent else Outcome.NOT_RUN)
 
+    @property
+    def sender_stops(self) -> bool:
+        """Whether the node that sent the request has been told to stop."""
+        return self._gone_at < math.inf
+
+    @property
+    def gateway(self) -> str:
+        """This node is the gateway (``RequestUnderWay``)."""
+        return ""
+
+    def leave_by(self, moment: float) -> None:
+        """Answer before that moment, at which the node that sent the request has stopped."""
+        self._gone_at = min(self._gone_at, moment)
+        self._bound_end(self._gone_at)
+        if self._sender is not None:
+            self._sender.leave_by(self._gone_at)
+
     @property
     def progress(self) -> Progress:
         """How far the request has come."""
@@ -196,6 +220,7 @@
         await sender.finish()
         seconds = self._parts.clock() - began
         self._parts.metrics.note_sent(self._request.route, seconds)
+        self._parts.log.sent(self.request_id, self._request.backend, seconds)
 
     async def _wait_for_slot_and_body(self) -> None:
         """Receive the body in its turn, which may come before the slot or after."""
@@ -265,20 +290,36 @@
             DeadlineUnmeetableError: its long answer would leave too late.
         """
         if self._parts.pacer is None:
+            self._bound_end(self._gone_at)
             return
         ticket, now = self._ticket, self._parts.clock()
         share = self._parts.pacer.share
         own = share.own_time(ticket.route)
+        ahead = 0.0
         if own:
-            ahead = share.time_ahead(ticket.rank, now)
+            rank = RECEIVER_STOPS if self.sender_stops else ticket.rank
+            ahead = share.time_ahead(rank, now)
             alone = now + own + self._admission.expected_time(ticket.route)
-            wanted = ticket.deadline if ticket.within else min(ticket.objective, ticket.deadline)
-            latest = wanted if alone <= wanted else ticket.deadline
-            if alone + ahead > latest and not (ahead == 0 and share.may_probe(ticket.route, now)):
+            last = min(ticket.deadline, self._gone_at)
+            wanted = last if ticket.within else min(ticket.objective, last)
+            latest = wanted if alone <= wanted else last
+            if alone + ahead > latest and not self._may_probe(ahead, now):
                 raise DeadlineUnmeetableError("the link is taken for too long", ahead + own)
+        self._bound_end(self._gone_at - own - ahead)
         if self._sender is not None:
             self._sender.promise()
 
+    def _bound_end(self, moment: float) -> None:
+        """Judge by an earlier end, where it is known how long the back end takes."""
+        if self._admission.expected_time(self._ticket.route):
+            self._ticket.deadline = min(self._ticket.deadline, moment)
+
+    def _may_probe(self, ahead: float, now: float) -> bool:
+        """Tell whether its answer may be let through to learn how long such answers are."""
+        assert self._parts.pacer is not None
+        share = self._parts.pacer.share
+        return ahead == 0 and not self.sender_stops and share.may_probe(self._ticket.route, now)
+
     async def _wait_until_granted(self) -> None:
         ticket = self._ticket
         if ticket.granted:
--- a/src/pewtertack/node/gateway/hop.py
+++ b/src/pewtertack/node/gateway/hop.py
@@ -7,6 +7,9 @@
 
 from __future__ import annotations
 
+import math
+from collections.abc import Sequence
+
 import msgspec
 
 from pewtertack.core.configuration.resolved import DEFAULT_CRASH_LIMIT, ResolvedRoute, WorkClass
@@ -51,6 +54,8 @@
 LIFE = b"x-pewtertack-life"
 """``Machine.started_at`` of the back end as the proxy knows it, where the platform tells it. A
 gateway that knows only a life before must not say of this one that it has left."""
+GONE_IN = b"x-pewtertack-gone-in-ms"
+"""There when the proxy's node stops: in how many milliseconds it will carry answers no longer."""
 FAILURE = b"x-pewtertack-failure"
 """In an answer: ``<code> <outcome> <offered>`` of the gateway's own failure."""
 QUEUED = b"x-pewtertack-queued-ms"
@@ -65,10 +70,16 @@
 """In a request that is for the gateway alone: the id of one of the sender's requests, to be
 refused if it still waits. The refusal answers that request itself."""
 
-GATEWAY_NAMES = frozenset({PROBE, WITHDRAW})
+LEAVE_BY = b"x-pewtertack-leave-by"
+"""In a request that is for the gateway alone: ``<milliseconds> <id> ...``. The sender's node
+stops, and carries answers to these of its requests for so much longer."""
+MOST_IDS = 100
+"""Requests named in one such word; more are told in several."""
+
+GATEWAY_NAMES = frozenset({PROBE, WITHDRAW, LEAVE_BY})
 """Headers that make a request one for the gateway; only nodes send them."""
 NEEDED_NAMES = frozenset({BACKEND, SERVICE, ROUTE, RANK, OBJECTIVE, LATENESS, CALLER_SERVICE})
-REQUEST_NAMES = NEEDED_NAMES | {CRASH_LIMIT, ELSEWHERE, LIFE, WITHIN}
+REQUEST_NAMES = NEEDED_NAMES | {CRASH_LIMIT, ELSEWHERE, GONE_IN, LIFE, WITHIN}
 ANSWER_NAMES = frozenset({FAILURE, QUEUED, ORIGIN})
 OFFERED = "offered"
 NOT_OFFERED = "not-offered"
@@ -96,6 +107,10 @@
     """It may be sent to another back end should this one hang on it."""
     within: bool = False
     """The proxy takes it for one that a back end makes while it runs another request."""
+    gone_in: float = math.inf
+    """In how many seconds the proxy's node will carry its answer no longer."""
+    senseless_time: bool = False
+    """``GONE_IN`` made no sense and is taken as not there."""
 
 
 def hop_headers(
@@ -142,6 +157,7 @@
     objective = found[OBJECTIVE]
     crash_limit = found.get(CRASH_LIMIT, str(DEFAULT_CRASH_LIMIT))
     life = found.get(LIFE, "0")
+    gone_in = _gone_in(found.get(GONE_IN))
     numbers = (work_class, priority, objective, crash_limit, life)
     if not all(text.isdecimal() for text in numbers):
         raise InvalidRequestError("the request's rank, objective or limit is no number")
@@ -159,9 +175,18 @@
         started_at=int(life),
         elsewhere=ELSEWHERE in found,
         within=WITHIN in found,
+        gone_in=gone_in,
+        senseless_time=GONE_IN in found and gone_in == math.inf,
     )
 
 
+def _gone_in(text: str | None) -> float:
+    """Return the seconds of ``GONE_IN``; infinite where it is not there or makes no sense."""
+    if text is None or not text.isdecimal() or int(text) == 0:
+        return math.inf
+    return int(text) / 1000
+
+
 def for_gateway_alone(headers: Headers) -> tuple[bytes, bytes] | None:
     """Return the header that makes a request one for the gateway, not for its back end."""
     for item in headers:
@@ -176,6 +201,23 @@
     return OutgoingRequest(b"GET", b"/", headers)
 
 
+def leave_by_words(gateway: str, seconds: float, ids: Sequence[str]) -> list[OutgoingRequest]:
+    """Return the requests that tell a gateway until when answers to ``ids`` are carried."""
+    words = []
+    for start in range(0, len(ids), MOST_IDS):
+        text = " ".join([str(int(seconds * 1000)), *ids[start : start + MOST_IDS]])
+        headers = [(b"host", gateway.encode()), (LEAVE_BY, text.encode("latin-1"))]
+        words.append(OutgoingRequest(b"GET", b"/", headers))
+    return words
+
+
+def read_leave_by(value: bytes) -> tuple[float, frozenset[str]]:
+    """Return the seconds and the ids of such a word; infinite and none if it makes no sense."""
+    milliseconds, *ids = value.decode("latin-1").split(" ")
+    seconds = _gone_in(milliseconds)
+    return seconds, frozenset(ids) if seconds < math.inf else frozenset()
+
+
 def failure_header(error: RequestFailedError) -> tuple[bytes, bytes]:
     """Return the header that marks a gateway's own failure."""
     offered = OFFERED if error.offered else NOT_OFFERED
--- a/src/pewtertack/node/gateway/metrics.py
+++ b/src/pewtertack/node/gateway/metrics.py
@@ -43,6 +43,11 @@
             "Requests that let others go first, since calls of such runs were turned away.",
             ("route",),
         )
+        self._senseless_times = registry.counter(
+            "pewtertack_gateway_senseless_times",
+            "Words of other nodes on when they stop that made no sense and were ignored.",
+            (),
+        )
         self._crashed = registry.counter(
             "pewtertack_gateway_backend_crashes",
             "Ends of the back end while it ran requests.",
@@ -57,6 +62,10 @@
         """A request lets others go first: runs of its route often end badly now."""
         self._in_vain.inc((route,))
 
+    def note_senseless_time(self) -> None:
+        """A node's word on when it stops made no sense."""
+        self._senseless_times.inc(())
+
     def note_crashed(self) -> None:
         """The back end ended while it ran requests."""
         self._crashed.inc(())
--- a/src/pewtertack/node/gateway/sending.py
+++ b/src/pewtertack/node/gateway/sending.py
@@ -9,9 +9,9 @@
 import asyncio
 
 from pewtertack.node.http.cycle import WHOLE, Message
-from pewtertack.node.pacing import LinkPacer
+from pewtertack.node.pacing import BodyTurns, LinkPacer
 from pewtertack.node.proxy.answers import Send
-from pewtertack.routing.link import LONG_BYTES
+from pewtertack.routing.link import LONG_BYTES, RECEIVER_STOPS
 from pewtertack.routing.places import AdmissionTicket
 
 HELD_BYTES = 256 * 1024
@@ -49,11 +49,14 @@
         "_pacer",
         "_parts",
         "_promised",
+        "_rank",
         "_send",
         "_sending",
         "_size",
         "_space",
         "_ticket",
+        "_turns",
+        "_wanted",
     )
 
     def __init__(
@@ -63,6 +66,10 @@
         self._pacer = pacer
         self._held = held
         self._ticket = ticket
+        self._rank = ticket.rank
+        self._wanted = ticket.objective
+        self._turns: BodyTurns | None = None
+        """Its place in the line, while it has one."""
         self._promised = 0.0
         self._began = 0.0
         self._body_bytes = 0
@@ -81,12 +88,25 @@
 
     def promise(self) -> None:
         """The request has its place: reckon with its answer."""
-        self._promised = self._pacer.share.promise(self._ticket.route, self._ticket.rank)
+        self._promised = self._pacer.share.promise(self._ticket.route, self._rank)
 
     def _keep_promise(self) -> None:
-        self._pacer.share.keep(self._ticket.rank, self._promised)
+        self._pacer.share.keep(self._rank, self._promised)
         self._promised = 0.0
 
+    def leave_by(self, moment: float) -> None:
+        """Send the answer before all others: its receiver's node stops at that moment.
+
+        Left in its place it would go on waiting until the end of that node, and be cut.
+        """
+        promised = self._promised > 0
+        self._keep_promise()
+        self._rank, self._wanted = RECEIVER_STOPS, moment
+        if promised:
+            self.promise()
+        if self._turns is not None:
+            self._turns.hasten(self._rank, self._wanted)
+
     async def __call__(self, message: Message) -> None:
         """Send a part of the answer, or take it to be sent in its turn."""
         if message["type"] == "http.response.start":
@@ -161,13 +181,17 @@
 
     async def _send_parts(self, data: bytes) -> None:
         self._parts.clear()
-        ticket = self._ticket
         begun = self._left > 0
-        with self._pacer.turns(ticket.rank, len(data), ticket.objective, begun) as turns:
-            async for part in turns.parts(data):
-                await self._send({"type": "http.response.body", "body": part, "more_body": True})
-                self._left += len(part)
-                self._release(len(part))
+        with self._pacer.turns(self._rank, len(data), self._wanted, begun) as turns:
+            self._turns = turns
+            try:
+                async for part in turns.parts(data):
+                    message = {"type": "http.response.body", "body": part, "more_body": True}
+                    await self._send(message)
+                    self._left += len(part)
+                    self._release(len(part))
+            finally:
+                self._turns = None
 
     def _release(self, size: int) -> None:
         self._size -= size
--- a/src/pewtertack/node/proxy/application.py
+++ b/src/pewtertack/node/proxy/application.py
@@ -27,6 +27,7 @@
 )
 from pewtertack.node.proxy.probing import GatewayProber
 from pewtertack.node.proxy.request_log import Beliefs, ProxyLog, RecordEvent, ignore_event
+from pewtertack.node.proxy.stop_time import tell_gateways
 from pewtertack.node.proxy.upstream import ConnectionStore
 from pewtertack.routing.backend_events import (
     BackendChanged,
@@ -201,6 +202,11 @@
     def start_leaving(self, seconds: float) -> None:
         """Go on serving, but ask callers to close their connections after each answer."""
         self.leaving = True
+        self._parts.stop.begin(self._clock() + seconds)
+
+    async def announce_stop(self) -> None:
+        """Tell the gateways that have requests of this node until when it carries answers."""
+        await tell_gateways(self._parts.stop, self._clock, self.connections, self.requests)
 
     async def __call__(self, scope: Scope, receive: Receive, send: Send) -> None:
         """Serve one request (ASGI entry point)."""
--- a/src/pewtertack/node/proxy/forwarding.py
+++ b/src/pewtertack/node/proxy/forwarding.py
@@ -10,7 +10,7 @@
 from pewtertack.core.configuration.resolved import ResolvedConfiguration, ResolvedRoute
 from pewtertack.node.crash_reporter import CrashReporter
 from pewtertack.node.crash_watch import CrashWatch
-from pewtertack.node.gateway.hop import ELSEWHERE, LIFE, hop_headers
+from pewtertack.node.gateway.hop import ELSEWHERE, GONE_IN, LIFE, hop_headers
 from pewtertack.node.http.connection import BackendConnection
 from pewtertack.node.http.cycle import Scope
 from pewtertack.node.http.framing import RawHeaders
@@ -31,6 +31,7 @@
 from pewtertack.node.proxy.lifetime import LifeEnd, RequestLife, end_error
 from pewtertack.node.proxy.metrics import RequestMetrics
 from pewtertack.node.proxy.request_log import ProxyLog
+from pewtertack.node.proxy.stop_time import StopTime
 from pewtertack.node.proxy.suspicion import Suspicion
 from pewtertack.node.proxy.taking_back import take_back
 from pewtertack.node.proxy.upstream import ConnectionStore
@@ -68,6 +69,7 @@
     """What the back end beside this node runs."""
     crashes: CrashWatch = msgspec.field(default_factory=CrashWatch)
     """For back ends without a gateway; a gateway sees to its own."""
+    stop: StopTime = msgspec.field(default_factory=StopTime)
 
 
 class Forwarding:
@@ -151,6 +153,17 @@
             return Progress.ANSWERING
         return Progress.OFFERED if self._offered else Progress.WAITING
 
+    @property
+    def gateway(self) -> str:
+        """``ip:port`` of the gateway that has the request (``RequestUnderWay``)."""
+        backend = self._ticket.backend
+        if self._connection is None or not self._connection.sent or backend is None:
+            return ""
+        return backend.gateway
+
+    def leave_by(self, moment: float) -> None:
+        """Its caller is no node that stops (``RequestUnderWay``)."""
+
     async def withdraw(self) -> None:
         """Begin no further attempt; take back one that waits (``RequestUnderWay``)."""
         self._withdrawn = True
@@ -321,6 +334,8 @@
             hop.append((ELSEWHERE, b"1"))
         if backend.started_at:
             hop.append((LIFE, b"%d" % backend.started_at))
+        if self._parts.stop.begun:
+            hop.append((GONE_IN, b"%d" % int(self._parts.stop.seconds_left(now) * 1000)))
         return [*self._headers, *own, *hop]
 
     def _note_answer(self, answer: AnswerHead) -> None:
--- a/src/pewtertack/node/proxy/in_flight.py
+++ b/src/pewtertack/node/proxy/in_flight.py
@@ -30,6 +30,17 @@
     def request_id(self) -> str:
         """The caller's id, or the one that this node gave it."""
 
+    @property
+    def progress(self) -> Progress:
+        """How far it has come."""
+
+    @property
+    def gateway(self) -> str:
+        """``ip:port`` of the other node that has it now; empty if none has."""
+
+    def leave_by(self, moment: float) -> None:
+        """Have its answer leave by then: the node that sent the request stops."""
+
     def log_unfinished(self) -> None:
         """Log how far it has come: the time to stop is over."""
 
@@ -134,9 +145,13 @@
             await request.withdraw()
 
     def stop(self) -> None:
-        """End what is still under way."""
+        """End what is still under way, but for answers that have begun.
+
+        Those could only be cut: they go on until the process itself ends.
+        """
         for request in tuple(self.under_way):
-            request.stop()
+            if request.progress is not Progress.ANSWERING:
+                request.stop()
 
     async def wait_drained(self) -> None:
         """Return when draining has begun and nothing is in flight."""
@@ -166,6 +181,9 @@
         """Requests that have been accepted and are not finished."""
         return self.requests.count
 
+    async def announce_stop(self) -> None:
+        """Tell the nodes that have requests of this one until when it carries answers."""
+
     def start_draining(self) -> None:
         """Refuse new requests from now on; those in flight are finished."""
         self.requests.start_draining()
--- a/src/pewtertack/node/proxy/request_log.py
+++ b/src/pewtertack/node/proxy/request_log.py
@@ -259,6 +259,16 @@
             took=milliseconds(seconds),
         )
 
+    def sent(self, request: str, backend: str, seconds: float) -> None:
+        """All of a long answer has left, ``seconds`` after the back end's end with it."""
+        took = milliseconds(seconds)
+        self._record(Event.GATEWAY_SENT, request=request, backend=backend, took=took)
+
+    def sender_stops(self, seconds: float, named: int, found: int) -> None:
+        """Another node stops in so many seconds; of the requests it named some are here."""
+        left = milliseconds(seconds)
+        self._record(Event.SENDER_STOPS, left=left, named=named, found=found)
+
     def unfinished(self, request: str, backend: str, progress: Progress, seconds: float) -> None:
         """The time to stop is over; ``seconds`` since the request came."""
         self._record(
--- /dev/null
+++ b/src/pewtertack/node/proxy/stop_time.py
@@ -0,0 +1,79 @@
+"""Until when a node that stops carries answers, and its word on that to other nodes.
+
+A stopping node closes its callers' connections at a moment that is known from the start.
+An answer that waits elsewhere, on a link or for a slot, would not know of it and be cut there:
+so each request that is sent on says how much time is left, and those that were sent before are
+named to the gateways that have them.
+"""
+
+from __future__ import annotations
+
+import logging
+import math
+from collections import defaultdict
+from collections.abc import Callable
+
+import anyio
+
+from pewtertack.node.gateway.hop import leave_by_words
+from pewtertack.node.http.connection import ExchangeBrokenError, OutgoingRequest
+from pewtertack.node.http.cycle import LOGGER
+from pewtertack.node.proxy.in_flight import RequestsInFlight
+from pewtertack.node.proxy.taking_back import ask_gateway
+from pewtertack.node.proxy.upstream import ConnectionStore
+from pewtertack.routing.outcomes import BackendUnreachableError
+
+TELL_SECONDS = 1.0
+"""For connection and answer together: a gateway out of reach for longer answers nothing in time."""
+
+logger = logging.getLogger(LOGGER)
+
+
+class StopTime:
+    """When the node will carry answers no longer, in monotonic seconds; never, at first."""
+
+    __slots__ = ("ends_at",)
+
+    def __init__(self) -> None:
+        self.ends_at = math.inf
+
+    def begin(self, ends_at: float) -> None:
+        """The node has been told to stop."""
+        self.ends_at = ends_at
+
+    @property
+    def begun(self) -> bool:
+        """Whether the node stops."""
+        return self.ends_at < math.inf
+
+    def seconds_left(self, now: float) -> float:
+        """Return for how much longer answers are carried."""
+        return max(0.0, self.ends_at - now)
+
+
+async def tell_gateways(
+    stop: StopTime,
+    clock: Callable[[], float],
+    connections: ConnectionStore,
+    requests: RequestsInFlight,
+) -> None:
+    """Tell each gateway that has requests of this node until when their answers are carried."""
+    ids: dict[str, list[str]] = defaultdict(list)
+    for request in requests.under_way:
+        ids[request.gateway].append(request.request_id)
+    ids.pop("", None)
+    async with anyio.create_task_group() as tasks:
+        for gateway, named in ids.items():
+            for word in leave_by_words(gateway, stop.seconds_left(clock()), named):
+                tasks.start_soon(_tell, connections, gateway, word)
+
+
+async def _tell(connections: ConnectionStore, gateway: str, word: OutgoingRequest) -> None:
+    try:
+        with anyio.move_on_after(TELL_SECONDS) as telling:
+            await ask_gateway(connections, gateway, word)
+    except (BackendUnreachableError, ExchangeBrokenError) as error:
+        logger.warning("a gateway could not be told of the stop: %s", error)
+        return
+    if telling.cancelled_caught:
+        logger.warning("a gateway could not be told of the stop in time: %s", gateway)
--- a/src/pewtertack/node/proxy/taking_back.py
+++ b/src/pewtertack/node/proxy/taking_back.py
@@ -11,7 +11,7 @@
 import anyio
 
 from pewtertack.node.gateway.hop import withdrawal
-from pewtertack.node.http.connection import ExchangeBrokenError
+from pewtertack.node.http.connection import ExchangeBrokenError, OutgoingRequest
 from pewtertack.node.http.cycle import LOGGER
 from pewtertack.node.proxy.upstream import ConnectionStore
 from pewtertack.routing.outcomes import BackendUnreachableError
@@ -29,15 +29,21 @@
     """
     try:
         with anyio.move_on_after(TAKE_BACK_SECONDS):
-            await _ask(connections, gateway, request_id)
+            await ask_gateway(connections, gateway, withdrawal(gateway, request_id))
     except (BackendUnreachableError, ExchangeBrokenError) as error:
         logger.warning("a request could not be taken back: %s", error)
 
 
-async def _ask(connections: ConnectionStore, gateway: str, request_id: str) -> None:
+async def ask_gateway(connections: ConnectionStore, gateway: str, request: OutgoingRequest) -> None:
+    """Send a request that is for the gateway at ``ip:port`` alone, and read its answer.
+
+    Raises:
+        BackendUnreachableError: no connection was made.
+        ExchangeBrokenError: no answer came.
+    """
     connection = await connections.take(gateway, TAKE_BACK_SECONDS)
     try:
-        await connection.exchange(withdrawal(gateway, request_id))
+        await connection.exchange(request)
         await connection.read_whole()
     finally:
         connections.give_back(connection, long_lived=True)
--- a/src/pewtertack/routing/link.py
+++ b/src/pewtertack/routing/link.py
@@ -38,6 +38,10 @@
 
 Rank = tuple[int, int]
 
+RECEIVER_STOPS: Rank = (-1, 0)
+"""Rank of answers for a node that stops, before all others: what leaves after its end is lost,
+while all others are only later."""
+
 
 class LongBody:
     """One long body on its way, or in line."""
@@ -126,6 +130,12 @@
         self._line.append(body)
         return body
 
+    def hasten(self, body: LongBody, rank: Rank, wanted: float, now: float) -> None:
+        """Give a body another place, since it must have left sooner than was known."""
+        body.rank = rank
+        body.wanted = wanted
+        self._wake_first(now)
+
     def leave(self, body: LongBody, now: float) -> None:
         """The body has been sent, or will not be."""
         self._line.remove(body)
--- a/tests/node/gateway/test_link_check.py
+++ b/tests/node/gateway/test_link_check.py
@@ -1,6 +1,7 @@
 """Requests of long answers are refused for what others put on the link, for nothing else."""
 
 import contextlib
+import math
 import unittest
 from types import SimpleNamespace
 from typing import Any
@@ -40,6 +41,7 @@
         forwarding._ticket = made
         forwarding._admission = self.admission
         forwarding._sender = None
+        forwarding._gone_at = math.inf
         forwarding._submit()
         return made
 
--- a/tests/node/test_stop_and_long_answers.py
+++ b/tests/node/test_stop_and_long_answers.py
@@ -3,7 +3,10 @@
 What callers saw: a download was cut in the middle though its back end had answered within a
 tenth of a second. Order of events: the node that had taken the request was told to stop; the
 answer lay in the line of the link of the back end's node, behind answers for other nodes; at
-the end of its time to stop the caller's node closed the connection.
+the end of its time to stop the caller's node closed the connection, or answered that nothing
+was known. Cause: the end of a stop is known from its first moment, to the stopping node alone.
+Evidence: the gateway's log has the back end's end long before, then nothing until the request
+is cancelled at that end; told of it, the gateway sends the same answer in time.
 """
 
 import asyncio
@@ -52,15 +55,16 @@
     """Callers are at the nodes a, which stops, and c; the only back end is beside b."""
 
     async def asyncSetUp(self) -> None:
+        self.size = DOWNLOAD
         self.ran: list[str] = []
         self.address = await self.serve(self.backend)
         self.tasks: list[asyncio.Task[Answer]] = []
 
     async def backend(self, scope: Any, receive: Any, send: Any) -> None:
         self.ran.append(scope["path"])
-        headers = [(b"content-length", b"%d" % DOWNLOAD)]
+        headers = [(b"content-length", b"%d" % self.size)]
         await send({"type": "http.response.start", "status": 200, "headers": headers})
-        await send({"type": "http.response.body", "body": b"e" * DOWNLOAD})
+        await send({"type": "http.response.body", "body": b"e" * self.size})
 
     @contextlib.asynccontextmanager
     async def fleet(self) -> Any:
@@ -113,6 +117,16 @@
             self.assertEqual((answer.status, len(answer.body)), (200, DOWNLOAD))
             self.assertEqual(await a.wait_exit(), 0)
 
+    async def test_an_answer_that_is_too_long_to_be_held_back_is_not_cut_either(self) -> None:
+        self.size = 150_000
+        async with self.fleet() as (a, _, c):
+            await self.begin_until_running(c, *(f"other-{number}" for number in range(6)))
+            own = await self.begin(a, "own")
+            await anyio.sleep(0.3)
+            a.signal(signal.SIGTERM)
+            answer = await asyncio.wait_for(own, PATIENCE)
+            self.assertEqual((answer.status, len(answer.body)), (200, self.size))
+
     async def test_what_comes_during_the_notice_is_answered_whole_or_refused(self) -> None:
         async with self.fleet() as (a, _, c):
             await self.begin_until_running(c, *(f"other-{number}" for number in range(6)))
--- a/tests/routing/test_link.py
+++ b/tests/routing/test_link.py
@@ -13,6 +13,7 @@
     LONG_BYTES,
     MEGA,
     PART_BYTES,
+    RECEIVER_STOPS,
     LinkShare,
     LongBody,
 )
@@ -134,6 +135,26 @@
         share.leave(first, 0.0)
         self.assertEqual(woken, ["second"])
 
+    def test_what_is_for_a_node_that_stops_goes_before_all_others(self) -> None:
+        sending = Sending()
+        urgent = sending.share.enter(URGENT, DOWNLOAD, SOON, nobody)
+        bulk = sending.share.enter(BULK, DOWNLOAD, SOON, nobody)
+        last = sending.share.enter(BULK, DOWNLOAD, SOON, nobody)
+        sending.share.hasten(last, RECEIVER_STOPS, 1.0, 0.0)
+        sending.run([urgent, bulk, last])
+        self.assertEqual(sending.finished, [last, urgent, bulk])
+
+    def test_who_is_hastened_is_woken(self) -> None:
+        woken: list[str] = []
+        share = LinkShare(MEGABITS)
+        first = share.enter(BULK, DOWNLOAD, SOON, lambda: woken.append("first"))
+        second = share.enter(BULK, DOWNLOAD, SOON, lambda: woken.append("second"))
+        share.wait_of(first, 0.0)
+        self.assertIsNone(share.wait_of(second, 0.0))
+        woken.clear()
+        share.hasten(second, RECEIVER_STOPS, 1.0, 0.0)
+        self.assertEqual(woken, ["second"])
+
     def test_short_answers_slow_long_ones_down(self) -> None:
         share = LinkShare(MEGABITS)
         body = share.enter(BULK, DOWNLOAD, SOON, nobody)
