Reproduced: a stop resets connections whose callers sent their request whole (three failing tests)

Real sockets; the third with real node processes. On the code as it is a stopping node's callers see, with a request that was sent whole: the connection reset while it waits to be accepted; the connection reset instead of the refusal of an upload that takes over 0.5 s; an answer of 120 kB cut after 71,974 bytes at the process's end, where the link takes 4 kB at a time.

--- /dev/null
+++ b/tests/node/http/test_server_stop.py
@@ -0,0 +1,101 @@
+"""A server that stops: who sent a request before gets an answer, or a refusal, that arrives.
+
+Real sockets. Callers saw their connections reset, or ended in the middle of an answer, at a
+planned stop of a node, with requests that they had sent whole.
+"""
+
+import asyncio
+import contextlib
+import socket
+import time
+import unittest
+from typing import Any
+
+import anyio
+
+from pewtertack.node.http import server as http_server
+
+REQUEST = b"GET / HTTP/1.1\r\nhost: a\r\n\r\n"
+BODY_BYTES = 600_000
+BODY_PARTS = 30
+PART_SECONDS = 0.04
+PATIENCE = 20.0
+
+
+class Application:
+    """Refuses an upload without its body; answers anything else."""
+
+    leaving = False
+
+    def __init__(self) -> None:
+        self.answered = 0
+
+    async def __call__(self, scope: Any, receive: Any, send: Any) -> None:
+        status = 503 if scope["path"] == "/upload" else 200
+        headers = [(b"content-length", b"0")]
+        await send({"type": "http.response.start", "status": status, "headers": headers})
+        await send({"type": "http.response.body"})
+        self.answered += 1
+
+
+class ServerStopTest(unittest.IsolatedAsyncioTestCase):
+    async def asyncSetUp(self) -> None:
+        self.application = Application()
+        listener = socket.create_server(("127.0.0.1", 0))
+        self.target = listener.getsockname()
+        self.server = http_server.HttpServer(self.application, 5.0)
+        self.task = asyncio.create_task(self.server.serve([listener]))
+        self.addAsyncCleanup(self.end)
+        await asyncio.sleep(0)
+
+    async def end(self) -> None:
+        self.task.cancel()
+        with contextlib.suppress(asyncio.CancelledError):
+            await self.task
+
+    async def stopped(self) -> None:
+        with anyio.fail_after(PATIENCE):
+            await self.task
+
+    def connect(self) -> socket.socket:
+        caller = socket.create_connection(self.target, PATIENCE)
+        self.addCleanup(caller.close)
+        return caller
+
+    async def test_callers_that_wait_to_be_accepted_are_answered(self) -> None:
+        """What callers saw: connected, sent a request whole, and had the connection reset.
+
+        Real nodes, 12 callers that ask all the time, 30 stops: 46 requests sent and reset.
+        Cause: the listener was closed with connections in its queue, which the system resets.
+        """
+        callers = [self.connect() for _ in range(2 * http_server.ACCEPTED_AT_ONCE + 1)]
+        for caller in callers:
+            caller.sendall(REQUEST)
+        self.server.should_exit = True
+        await self.stopped()
+        for caller in callers:
+            self.assertIn(b" 200 ", caller.recv(4096))
+
+    async def test_a_refusal_reaches_a_caller_whose_body_takes_its_time(self) -> None:
+        """What callers saw: an upload's connection reset instead of 503, nothing had run.
+
+        Cause: the connection of a refused upload was closed 0.5 s after the refusal, with its
+        body still on the way; a caller that reads once all is sent never saw the refusal.
+        """
+        self.application.leaving = True
+        calling = asyncio.create_task(asyncio.to_thread(self.upload_slowly))
+        while not self.application.answered:
+            await asyncio.sleep(0.01)
+        self.server.should_exit = True
+        self.assertIn(b" 503 ", await calling)
+        await self.stopped()
+
+    def upload_slowly(self) -> bytes:
+        """Send a body for over a second, then look for the answer."""
+        caller = self.connect()
+        head = f"POST /upload HTTP/1.1\r\nhost: a\r\ncontent-length: {BODY_BYTES}\r\n\r\n"
+        caller.sendall(head.encode())
+        for _ in range(BODY_PARTS):
+            caller.sendall(b"p" * (BODY_BYTES // BODY_PARTS))
+            time.sleep(PART_SECONDS)
+        return caller.recv(4096)
--- a/tests/node/test_planned_stop.py
+++ b/tests/node/test_planned_stop.py
@@ -3,6 +3,7 @@
 import asyncio
 import contextlib
 import signal
+import socket
 from collections.abc import AsyncIterator
 from typing import Any
 
@@ -33,6 +34,11 @@
         drain_timeout = "2s"
 """
 SLOTS = 1
+LONG_BYTES = 120_000
+ETHERNET_SEGMENT = 1400
+"""Bytes. With loopback's own segments the system keeps megabytes for each connection."""
+SMALL_WINDOW = 4096
+"""Bytes that the system takes for a caller that does not read yet."""
 
 
 def upload(number: int, *headers: str, size: int = 60_000) -> bytes:
@@ -72,6 +78,9 @@
         while (await receive()).get("more_body", False):
             pass
         self.ran.append(scope["path"])
+        if scope["path"] == "/long":
+            await respond(send, 200, b"b" * LONG_BYTES)
+            return
         await self.release.wait()
         await respond(send, 200, b"ok")
 
@@ -172,3 +181,37 @@
             with anyio.fail_after(PATIENCE):
                 self.assert_ended(await read_answer(waiting), 503, "not-run")
         self.assertEqual(self.ran, ["/1"])
+
+    async def test_an_answer_goes_on_over_a_narrow_link_after_its_node_has_ended(self) -> None:
+        """What callers saw: an answer of 120 kB cut in the middle, at the end of a stop.
+
+        The caller's side of the link takes 4 kB and then nothing until the node has ended, as
+        a full link does. Cause: what the system had not taken of the answer was in the process.
+        """
+        async with self.fleet() as (a, _):
+            caller = self.slow_caller(a)
+            caller.sendall(b"GET /long HTTP/1.1\r\nhost: guild.example\r\n\r\n")
+            await self.until_running(1)
+            await anyio.sleep(0.1)
+            a.signal(signal.SIGTERM)
+            self.assertEqual(await a.wait_exit(), 0)
+            _, _, body = (await asyncio.to_thread(read_to_end, caller)).partition(b"\r\n\r\n")
+            self.assertEqual(len(body), LONG_BYTES)
+
+    def slow_caller(self, node: NodeProcess) -> socket.socket:
+        caller = socket.socket()
+        self.addCleanup(caller.close)
+        caller.settimeout(PATIENCE)
+        caller.setsockopt(socket.IPPROTO_TCP, socket.TCP_MAXSEG, ETHERNET_SEGMENT)
+        caller.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, SMALL_WINDOW)
+        host, _, port = node.lines[0]["proxy"].rpartition(":")
+        caller.connect((host, int(port)))
+        return caller
+
+
+def read_to_end(caller: socket.socket) -> bytes:
+    """Return all that still comes."""
+    parts = []
+    while part := caller.recv(4096):
+        parts.append(part)
+    return b"".join(parts)
