A connection's end waits for a caller that still sends

What callers saw: an upload that was refused without its body, by a node that stops, ended with a reset connection instead of 503 "not run": nothing had run, but its caller couldn't know. Cause: 0.5 s after the last answer the connection was closed, whatever of the body was still on its way; the system answers that with a reset, which drops the refusal, and who sends on a reset connection fails before it reads. A body of 600 kB has 0.96 s of a link of 5 Mbit/s. Change: the 0.5 s begin anew while something comes, for the 10 s at most for which any refused request's body may go on arriving. A stop's own limits hold beside that.

--- a/src/pewtertack/node/http/protocol.py
+++ b/src/pewtertack/node/http/protocol.py
@@ -35,8 +35,9 @@
 DISCARD_SECONDS = 10.0
 """A refused request's body may go on arriving for this long."""
 LINGER_SECONDS = 0.5
-"""After the last answer the caller may take so long to close: closing at once while bytes of
-its next requests arrive would reset the connection, and the answer could be lost."""
+"""After the last answer the caller may take so long to close, from the last that came of it, at
+most ``DISCARD_SECONDS``: closing while bytes of its body or of next requests arrive would reset
+the connection, and the answer could be lost."""
 EXAMINED_NAMES = frozenset({b"expect", b"transfer-encoding"})
 """Headers that are of the connection's concern."""
 ASGI = {"version": "3.0", "spec_version": "2.3"}
@@ -96,6 +97,8 @@
         """The connection ends as soon as no answer is due."""
         self._lingering = False
         """The last answer has gone; the caller has ``LINGER_SECONDS`` to close."""
+        self._discarded = False
+        """Something that is not served has come since it was last asked."""
 
     # asyncio.Protocol
 
@@ -168,6 +171,7 @@
     def data_received(self, data: bytes) -> None:
         """Parse, and bound the head while it is incomplete."""
         if self._discarding:
+            self._discarded = True
             return
         size = self._chunk_bytes = len(data)
         if self._reading_head:
@@ -379,7 +383,18 @@
             return
         if self.transport.can_write_eof():
             self.transport.write_eof()
-        self._start_guard(LINGER_SECONDS, self.transport.close)
+        self._linger(self.loop.time() + DISCARD_SECONDS)
+
+    def _linger(self, until: float) -> None:
+        self._discarded = False
+        self._start_guard(LINGER_SECONDS, lambda: self._end_linger(until))
+
+    def _end_linger(self, until: float) -> None:
+        """Close, unless the caller still sends."""
+        if self._discarded and self.loop.time() < until:
+            self._linger(until)
+        else:
+            self.transport.close()
 
     def _note_idle(self) -> None:
         self._idle_since = self.loop.time()
