An answer that a stopping node has outlasts the process on a slow link

What callers saw: an answer cut in the middle at the end of a stop, however long before it had been given, where the link took it slowly. Cause: the last answers have a fixed time, then the process ends. What the system has taken of an answer it sends on after that; what it has not waits in the process, up to 64 KiB and what the application still holds, and ends with it. The system takes about twice the window, 72 kB here. Change: from the drain's beginning on the server asks the system to take up to 1 MiB for each connection over a slow link; connections for which it takes 256 KiB or more stay as they are, as a fixed size would narrow them. Answers then leave the process as fast as they come. What it does not reach: bytes that another node still holds; a platform that takes the machine's network away with the process.

--- a/src/pewtertack/node/daemon.py
+++ b/src/pewtertack/node/daemon.py
@@ -150,6 +150,11 @@
         await self._server.serve([self._listener])
         self.stopped.set()
 
+    def start_draining(self) -> None:
+        """Refuse new requests; let answers under way outlast the process."""
+        self.application.start_draining()
+        self._server.widen()
+
     async def drain(self) -> None:
         """Finish what is in flight, then close the listener and the connections."""
         await self.application.wait_drained()
@@ -214,7 +219,7 @@
         await anyio.sleep(notice)
     parts.runtime.stop_serving()
     for server in servers:
-        server.application.start_draining()
+        server.start_draining()
     if notice < LEAVE_TIME:
         await anyio.sleep(LEAVE_TIME)
     await _finish_requests(servers, drain_seconds)
--- a/src/pewtertack/node/http/server.py
+++ b/src/pewtertack/node/http/server.py
@@ -20,6 +20,7 @@
 from pewtertack.node.http.cycle import LOGGER
 from pewtertack.node.http.protocol import GuardedHttpProtocol
 from pewtertack.node.http.refusals import RefusalWriter, plain_refusal
+from pewtertack.node.http.system_buffer import widen
 from pewtertack.node.http.transport import StreamTransport
 from pewtertack.node.http.unread import UnreadAnswers
 
@@ -132,6 +133,11 @@
         StreamTransport(loop, accepted, GuardedHttpProtocol(self, loop))
         return True
 
+    def widen(self) -> None:
+        """Have the system take what answers have to send: the process ends before a slow link."""
+        for connection in self.connections:
+            widen(connection.transport.get_extra_info("socket"))
+
     @property
     def default_headers(self) -> list[tuple[bytes, bytes]]:
         """The headers that every answer has: its date, renewed when one is asked for.
--- /dev/null
+++ b/src/pewtertack/node/http/system_buffer.py
@@ -0,0 +1,22 @@
+"""How much of its answers the system takes from a process that is about to end.
+
+What it has taken it sends on after that; what waits in the process ends with it.
+"""
+
+from __future__ import annotations
+
+import contextlib
+import socket
+
+WIDE_BYTES = 256 * 1024
+"""What the system takes unasked on a fast link, by its own count, which is about twice the
+payload. To ask for less than it takes already would narrow the connection."""
+ASKED_BYTES = 1024 * 1024
+"""What is asked for; the system grants less where ``net.core.wmem_max`` says so."""
+
+
+def widen(connected: socket.socket) -> None:
+    """Have the system take more of what is sent on a connection over a slow link."""
+    with contextlib.suppress(OSError):  # it has ended meanwhile
+        if connected.getsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF) < WIDE_BYTES:
+            connected.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, ASKED_BYTES)
--- a/tests/node/test_planned_stop.py
+++ b/tests/node/test_planned_stop.py
@@ -186,7 +186,8 @@
         """What callers saw: an answer of 120 kB cut in the middle, at the end of a stop.
 
         The caller's side of the link takes 4 kB and then nothing until the node has ended, as
-        a full link does. Cause: what the system had not taken of the answer was in the process.
+        a full link does. Cause: what the system had not taken of the answer was in the process
+        and ended with it; 71,974 bytes had arrived.
         """
         async with self.fleet() as (a, _):
             caller = self.slow_caller(a)
