--- a/tests/node/http/test_server_stop.py
+++ b/tests/node/http/test_server_stop.py
@@ -14,6 +14,7 @@
 import anyio
 
 from pewtertack.node.http import server as http_server
+from pewtertack.node.http.protocol import LINGER_SECONDS
 
 REQUEST = b"GET / HTTP/1.1\r\nhost: a\r\n\r\n"
 BODY_BYTES = 600_000
@@ -77,6 +78,31 @@
         for caller in callers:
             self.assertIn(b" 200 ", caller.recv(4096))
 
+    async def test_a_request_that_is_on_its_way_is_answered(self) -> None:
+        """What callers saw: connected, or half a head sent, then the end, unanswered.
+
+        Cause: the server that stops looked at each connection once and closed those without a
+        whole head, while the rest came in.
+        """
+        callers = {self.connect(): begun for begun in (0, 10)}
+        for caller, begun in callers.items():
+            caller.sendall(REQUEST[:begun])
+        await asyncio.sleep(0.05)
+        self.server.should_exit = True
+        await asyncio.sleep(0.05)
+        for caller, begun in callers.items():
+            caller.sendall(REQUEST[begun:])
+        await self.stopped()
+        for caller in callers:
+            self.assertIn(b" 200 ", caller.recv(4096))
+
+    async def test_who_sends_nothing_does_not_hold_up_the_stop(self) -> None:
+        self.connect()
+        await asyncio.sleep(0.05)
+        self.server.should_exit = True
+        async with asyncio.timeout(5 * LINGER_SECONDS):
+            await self.task
+
     async def test_a_refusal_reaches_a_caller_whose_body_takes_its_time(self) -> None:
         """What callers saw: an upload's connection reset instead of 503, nothing had run.
 
--- a/tests/node/test_planned_stop.py
+++ b/tests/node/test_planned_stop.py
@@ -33,6 +33,13 @@
         drain_notice = "500ms"
         drain_timeout = "2s"
 """
+WITHIN = 3.0
+"""Seconds after which the platform ends a process that it told to stop."""
+STOP_WITHIN = f"""
+        [limits]
+        stop_within = "{WITHIN:.0f}s"
+        drain_notice = """
+PAUSE_SECONDS = 1.0
 SLOTS = 1
 LONG_BYTES = 120_000
 ETHERNET_SEGMENT = 1400
@@ -85,7 +92,7 @@
         await respond(send, 200, b"ok")
 
     @contextlib.asynccontextmanager
-    async def fleet(self) -> AsyncIterator[tuple[NodeProcess, NodeProcess]]:
+    async def fleet(self, limits: str = STOP) -> AsyncIterator[tuple[NodeProcess, NodeProcess]]:
         gateway = PortAllocator().allocate("127.0.0.1")
         machine = {
             "role": "backend",
@@ -107,7 +114,7 @@
             )
             async with (
                 NodeProcess(text + beside + STOP) as b,
-                NodeProcess(settings_text("a", "yaba", *platform) + STOP) as a,
+                NodeProcess(settings_text("a", "yaba", *platform) + limits) as a,
             ):
                 for node in (a, b):
                     await node.wait_event("NODE_SERVING")
@@ -182,6 +189,53 @@
                 self.assert_ended(await read_answer(waiting), 503, "not-run")
         self.assertEqual(self.ran, ["/1"])
 
+    async def test_a_stop_without_a_notice_ends_within_its_time(self) -> None:
+        """What callers saw: nothing yet; a platform that ends the process at the time it named
+        would cut last answers on their way.
+
+        Cause: the time in which peers hear of the stop was added to the drain, 2.7 s and 0.5 s.
+        """
+        async with self.fleet(f'{STOP_WITHIN}"0s"\n') as (a, _):
+            await self.send(a, upload(1))
+            await self.until_running(1)
+            a.signal(signal.SIGTERM)
+            with anyio.fail_after(WITHIN):
+                self.assertEqual(await a.wait_exit(), 0)
+
+    async def test_a_node_that_was_paused_while_it_stops_ends_within_its_time(self) -> None:
+        """The same where the process stands still for a second of its notice, as on a machine
+        that has none to give.
+
+        Cause: each stage of a stop was measured from the end of the one before.
+        """
+        async with self.fleet(f'{STOP_WITHIN}"1s"\n') as (a, _):
+            working = await self.send(a, upload(1))
+            await self.until_running(1)
+            a.signal(signal.SIGTERM)
+            with anyio.fail_after(WITHIN):
+                await anyio.sleep(PAUSE_SECONDS / 2)
+                a.signal(signal.SIGSTOP)
+                await anyio.sleep(PAUSE_SECONDS)
+                a.signal(signal.SIGCONT)
+                self.assert_ended(await read_answer(working), 502, "unknown")
+                self.assertEqual(await a.wait_exit(), 0)
+
+    async def test_told_to_stop_again_and_to_reload_meanwhile(self) -> None:
+        async with self.fleet() as (a, b):
+            working = await self.send(a, upload(1))
+            await self.until_running(1)
+            waiting = await self.send(a, upload(2))
+            await b.wait_event("GATEWAY_QUEUED", request="call-2")
+            a.signal(signal.SIGTERM)
+            for _ in range(18):
+                a.signal(signal.SIGHUP)
+                a.signal(signal.SIGTERM)
+                await anyio.sleep(0.1)
+            with anyio.fail_after(PATIENCE):
+                self.assert_ended(await read_answer(waiting), 503, "not-run")
+                self.assert_ended(await read_answer(working), 502, "unknown")
+                self.assertEqual(await a.wait_exit(), 0)
+
     async def test_an_answer_goes_on_over_a_narrow_link_after_its_node_has_ended(self) -> None:
         """What callers saw: an answer of 120 kB cut in the middle, at the end of a stop.
 
