A stopping server takes the request of who has just connected, or has begun one

What callers saw: the connection closed, or reset, as they sent the first request on it, or with half of its head sent. Cause: the server looked at each connection once and closed those without a whole head. Change: a connection on which nothing has come yet has the 0.5 s for which connections linger; one on which a head has begun has the time of any head. Both are answered with what the application says of a request at that time. A kept connection without a request is closed as before. What is left is a connection made between the last look at the queue and the listener's end, or a request that crosses the end of a kept connection, which HTTP/1.1 can't tell its caller.

--- a/src/pewtertack/node/http/protocol.py
+++ b/src/pewtertack/node/http/protocol.py
@@ -419,13 +419,28 @@
         """End the connection, after the answers to what has been read, or has come by now.
 
         Closed with bytes unread, it would be reset: its caller could not tell whether they ran.
+        Who has begun a request, or has just connected to send one, may do so.
         """
         self._end_wanted = True
         if isinstance(self.transport, StreamTransport):
             self.transport.read_now()
-        if not self._pipeline.requests and not self._lingering:
-            self._pipeline.closed = True
-            self.transport.close()
+        if self._pipeline.requests or self._lingering or self._head_bytes:
+            return
+        if self._newest is None:
+            self._start_guard(LINGER_SECONDS, self._close_unused)
+        else:
+            self._close_idle_now()
+
+    def _close_unused(self) -> None:
+        """Close unless a first request has begun to come, which ``HEAD_SECONDS`` bounds."""
+        if self._head_bytes:
+            self._start_guard(HEAD_SECONDS, self._refuse_slow_head)
+        else:
+            self._close_idle_now()
+
+    def _close_idle_now(self) -> None:
+        self._pipeline.closed = True
+        self.transport.close()
 
     # Refusals
 
