--- a/tests/node/test_daemon.py
+++ b/tests/node/test_daemon.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import math
+import time
 import unittest
 from typing import Any
 
@@ -60,7 +61,38 @@
             await asyncio.sleep(0.01)
 
 
+class SlowToAnswer(Application):
+    """Has an answer to give, some turns of the loop after it was told to; the loop is busy."""
+
+    TURNS = 20
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.answered = False
+        self._answering: asyncio.Task[None]
+
+    def stop_requests(self) -> None:
+        self._answering = asyncio.create_task(self._answer())
+        asyncio.get_running_loop().call_soon(time.sleep, 1.2 * daemon.LAST_ANSWERS_SECONDS)
+
+    async def _answer(self) -> None:
+        for _ in range(self.TURNS):
+            await asyncio.sleep(0)
+        self.answered = True
+
+
 class FinishTest(unittest.IsolatedAsyncioTestCase):
+    async def test_last_answers_are_given_though_the_loop_was_held_up_for_their_time(self) -> None:
+        """What callers saw: the connection's end without an answer, at the end of a stop.
+
+        Cause: the time for last answers passed in one long turn of the loop, in which none of
+        the requests that had been told to end could do so.
+        """
+        server: Any = Server()
+        server.application = SlowToAnswer()
+        await daemon._finish_requests((server,), daemon.WITHDRAW_SECONDS)
+        self.assertTrue(server.application.answered)
+
     async def test_a_withdrawal_that_fails_leaves_the_last_answers_alone(self) -> None:
         server: Any = Server()
         with self.assertLogs(daemon.LOGGER, "ERROR") as logs:
