Last answers have turns of the loop, not time alone

What callers could see: a connection's end without an answer at the end of a stop, though the node had decided to answer. Requests behind it could be lost. Cause: the time for last answers passes while a callback, or a machine without processor time, holds the loop; the drain's end then comes before what was told to end has run. Change: where the time is over, 100 turns follow; idle ones take microseconds each.

--- a/src/pewtertack/node/daemon.py
+++ b/src/pewtertack/node/daemon.py
@@ -33,6 +33,10 @@
 LAST_ANSWERS_SECONDS = 0.5
 """So long before a stop's end what still runs is answered as of unknown outcome; connections
 linger as long (``node.http.protocol``)."""
+LAST_TURNS = 100
+"""Turns of the loop that what was told to end has in any case: where something held the loop up
+until the time was over, the answers are not late but undone. One takes a turn, each that waits
+behind it on its connection one more."""
 EXIT_SECONDS = 0.3
 """What the process itself needs to end before ``limits.stop_within``, on a busy machine."""
 EXIT_FINISHED = 0
@@ -237,8 +241,11 @@
     for server in servers:
         server.application.log_unfinished()
         server.application.stop_requests()
-    with anyio.move_on_after(LAST_ANSWERS_SECONDS):
+    with anyio.move_on_after(LAST_ANSWERS_SECONDS) as answering:
         await _drain_all(servers)
+    if answering.cancelled_caught:
+        for _ in range(LAST_TURNS):
+            await anyio.sleep(0)
 
 
 async def _withdraw_late(servers: tuple[_RequestServer, ...], seconds: float) -> None:
