A stop ends within the platform's time, whatever its stages take

What callers could see: last answers cut by a platform that ends the process at the time it named. Cause: each stage was measured from the end of the one before. Without a notice, or with one under 0.5 s, the 0.5 s in which peers hear of the stop came on top; a pause of the process as well. With stop_within = "2s" a node with a request at work was gone 2.22 s after the signal. Change: what requests in flight have left is counted from the signal when the drain begins, and the last answers end with it. A stop without stop_within takes what it took, but for a drain_timeout under 0.5 s, whose last answers had 0.5 s and now have just that, and 100 turns.

--- a/src/pewtertack/node/daemon.py
+++ b/src/pewtertack/node/daemon.py
@@ -196,10 +196,15 @@
 
 def drain_time(limits: LimitsSection) -> float:
     """Return how many seconds requests in flight have, once new ones are refused."""
+    return time_left(limits, notice_time(limits))
+
+
+def time_left(limits: LimitsSection, gone: float) -> float:
+    """Return how many seconds requests in flight still have, ``gone`` seconds into the stop."""
     longest = limits.drain_timeout.seconds if limits.drain_timeout else math.inf
     if limits.stop_within is None:
         return longest
-    left = limits.stop_within.seconds - notice_time(limits) - EXIT_SECONDS
+    left = limits.stop_within.seconds - gone - EXIT_SECONDS
     return max(0.0, min(longest, left))
 
 
@@ -213,6 +218,7 @@
 
 async def _drain(parts: NodeParts, servers: tuple[_RequestServer, ...]) -> None:
     """Tell peers, be not ready, refuse new requests, finish what is in flight, close."""
+    began = anyio.current_time()
     parts.runtime.start_leaving()
     limits = parts.settings.current.limits
     drain_seconds = drain_time(limits)
@@ -226,11 +232,13 @@
         server.start_draining()
     if notice < LEAVE_TIME:
         await anyio.sleep(LEAVE_TIME)
-    await _finish_requests(servers, drain_seconds)
+    # What came before may have taken longer; the platform counts from the signal all the same.
+    await _finish_requests(servers, time_left(limits, anyio.current_time() - began))
 
 
 async def _finish_requests(servers: tuple[_RequestServer, ...], seconds: float) -> None:
     """Wait until every request has its answer; see to it that it has one in time."""
+    end = anyio.current_time() + seconds
     with anyio.move_on_after(max(0.0, seconds - LAST_ANSWERS_SECONDS)) as finishing:
         async with anyio.create_task_group() as tasks:
             tasks.start_soon(_withdraw_late, servers, max(0.0, seconds - WITHDRAW_SECONDS))
@@ -241,7 +249,7 @@
     for server in servers:
         server.application.log_unfinished()
         server.application.stop_requests()
-    with anyio.move_on_after(LAST_ANSWERS_SECONDS) as answering:
+    with anyio.CancelScope(deadline=end) as answering:
         await _drain_all(servers)
     if answering.cancelled_caught:
         for _ in range(LAST_TURNS):
