--- a/src/pewtertack/node/daemon.py
+++ b/src/pewtertack/node/daemon.py
@@ -33,6 +33,10 @@
 LAST_ANSWERS_SECONDS = 0.5
 """So long before a stop's end what still runs is answered as of unknown outcome; connections
 linger as long (``node.http.protocol``)."""
+LAST_TURNS = 100
+"""Turns of the loop that what was told to end has in any case: where something held the loop up
+until the time was over, the answers are not late but undone. One takes a turn, each that waits
+behind it on its connection one more."""
 EXIT_SECONDS = 0.3
 """What the process itself needs to end before ``limits.stop_within``, on a busy machine."""
 EXIT_FINISHED = 0
@@ -153,6 +157,11 @@
         await self._server.serve([self._listener])
         self.stopped.set()
 
+    def start_draining(self) -> None:
+        """Refuse new requests; let answers under way outlast the process."""
+        self.application.start_draining()
+        self._server.widen()
+
     async def drain(self) -> None:
         """Finish what is in flight, then close the listener and the connections."""
         await self.application.wait_drained()
@@ -190,10 +199,15 @@
 
 def drain_time(limits: LimitsSection) -> float:
     """Return how many seconds requests in flight have, once new ones are refused."""
+    return time_left(limits, notice_time(limits))
+
+
+def time_left(limits: LimitsSection, gone: float) -> float:
+    """Return how many seconds requests in flight still have, ``gone`` seconds into the stop."""
     longest = limits.drain_timeout.seconds if limits.drain_timeout else math.inf
     if limits.stop_within is None:
         return longest
-    left = limits.stop_within.seconds - notice_time(limits) - EXIT_SECONDS
+    left = limits.stop_within.seconds - gone - EXIT_SECONDS
     return max(0.0, min(longest, left))
 
 
@@ -207,6 +221,7 @@
 
 async def _drain(parts: NodeParts, servers: tuple[_RequestServer, ...]) -> None:
     """Tell peers, be not ready, refuse new requests, finish what is in flight, close."""
+    began = anyio.current_time()
     parts.runtime.start_leaving()
     limits = parts.settings.current.limits
     drain_seconds = drain_time(limits)
@@ -220,10 +235,11 @@
             await anyio.sleep(notice)
         parts.runtime.stop_serving()
         for server in servers:
-            server.application.start_draining()
+            server.start_draining()
         if notice < LEAVE_TIME:
             await anyio.sleep(LEAVE_TIME)
-        await _finish_requests(servers, drain_seconds)
+        # What came before may have taken longer; the platform counts from the signal all the same.
+        await _finish_requests(servers, time_left(limits, anyio.current_time() - began))
         tasks.cancel_scope.cancel()
 
 
@@ -238,6 +254,7 @@
 
 async def _finish_requests(servers: tuple[_RequestServer, ...], seconds: float) -> None:
     """Wait until every request has its answer; see to it that it has one in time."""
+    end = anyio.current_time() + seconds
     with anyio.move_on_after(max(0.0, seconds - LAST_ANSWERS_SECONDS)) as finishing:
         async with anyio.create_task_group() as tasks:
             tasks.start_soon(_withdraw_late, servers, max(0.0, seconds - WITHDRAW_SECONDS))
@@ -248,8 +265,11 @@
     for server in servers:
         server.application.log_unfinished()
         server.application.stop_requests()
-    with anyio.move_on_after(LAST_ANSWERS_SECONDS):
+    with anyio.CancelScope(deadline=end) as answering:
         await _drain_all(servers)
+    if answering.cancelled_caught:
+        for _ in range(LAST_TURNS):
+            await anyio.sleep(0)
 
 
 async def _withdraw_late(servers: tuple[_RequestServer, ...], seconds: float) -> None:
