Histories tell of answers that broke off, and fleets can be given links and policies

What for: a download that is cut in the middle looked in a history like one that nobody answered, and nodes of the lab could not be told their link's rate or another way of a policy. Narrowed in one case: an answer of which the head had come and whose gateway's node was killed between request and end (`KilledGateways`): the caller's node can only break it off then. A kill of any other node, a planned stop or a pause of the gateway's node, and an answer that had not begun are judged as before. Tests: planted violations of both promises by a part of an answer, what excuses one and what does not.

--- a/src/pewtertack/lab/fleet/plan.py
+++ b/src/pewtertack/lab/fleet/plan.py
@@ -45,6 +45,10 @@
     """Each back end has a node of its zone beside it, which others reach it through."""
     limits: Mapping[str, str] = field(default_factory=dict)
     """The section ``[limits]`` of every node's settings."""
+    policies: Mapping[str, str] = field(default_factory=dict)
+    """The section ``[policies]`` of every node's settings."""
+    link_mbps: float = 0.0
+    """Of each node's machine, in Mbit/s; 0 where nodes are told nothing."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -110,6 +114,11 @@
         beside = (backend for backend in self.backends.values() if backend.beside == node)
         return next(beside, None)
 
+    def name_beside(self, node: str) -> str:
+        """Return the name of that back end; empty where there is none."""
+        backend = self.backend_beside(node)
+        return backend.name if backend is not None else ""
+
     def _backend_entry(self, backend: BackendPlan) -> dict[str, str | int]:
         entry: dict[str, str | int] = {
             "role": "backend",
--- a/src/pewtertack/lab/history/request_checks.py
+++ b/src/pewtertack/lab/history/request_checks.py
@@ -6,6 +6,7 @@
 from collections.abc import Iterator
 from math import inf
 
+from pewtertack.lab.history.broken_off import KilledGateways
 from pewtertack.lab.history.timeline import Timeline
 from pewtertack.lab.history.verdicts import CheckBounds, Offence, Promise, Verdict, judge
 from pewtertack.lab.records import (
@@ -81,7 +82,10 @@
     """No exchange that was in flight when its node was asked to stop breaks off."""
     judged = 0
     offences: list[Offence] = []
+    killed = KilledGateways(timeline)
     for told, stop in _in_flight_at_stop(timeline):
+        if killed.broke_off(told):
+            continue
         judged += 1
         if told.outcome is ToldOutcome.CUT:
             message = f"cut {told.time - stop.time:.3f} s into the stop of {stop.node}"
--- a/src/pewtertack/lab/load/caller.py
+++ b/src/pewtertack/lab/load/caller.py
@@ -36,6 +36,8 @@
     checksum_ok: bool = True
     own_answer: bool = True
     retry_after: float | None = None
+    broken_off_after: int | None = None
+    """Bytes of the answer's body that had come; None where no answer had begun."""
 
 
 class Caller:
@@ -117,6 +119,7 @@
         latency=latency,
         retry_after=conclusion.retry_after,
         whole_for=whole_for,
+        broken_off_after=conclusion.broken_off_after,
     )
 
 
--- a/src/pewtertack/lab/records.py
+++ b/src/pewtertack/lab/records.py
@@ -63,10 +63,11 @@
 
 
 class NodeStart(LabRecord, frozen=True, kw_only=True, tag="node-start"):
-    """The lab started a node's process, perhaps under its predecessor's name."""
+    """The lab started a node's process, the gateway of ``beside``, perhaps as a replacement."""
 
     node: str
     zone: str
+    beside: str = ""
 
 
 class NodeKill(LabRecord, frozen=True, kw_only=True, tag="node-kill"):
@@ -195,6 +196,8 @@
     whole_for: float | None = None
     """For how long the whole request had been sent when the exchange ended, less the delays
     of the caller's own process; None when it was not sent whole, or this was not measured."""
+    broken_off_after: int | None = None
+    """Bytes of the body that had come of an answer that broke off; None for all others."""
 
 
 Record = (
--- a/src/pewtertack/lab/soak/answers.py
+++ b/src/pewtertack/lab/soak/answers.py
@@ -25,12 +25,13 @@
 class AnswerReader:
     """Collects whole answers out of the bytes of a connection."""
 
-    __slots__ = ("_body", "_headers", "_parser", "whole")
+    __slots__ = ("_begun", "_body", "_headers", "_parser", "whole")
 
     def __init__(self) -> None:
         self.whole: deque[WholeAnswer] = deque()
         self._headers: list[Header] = []
         self._body = bytearray()
+        self._begun = False
         self._parser = httptools.HttpResponseParser(self)
 
     def feed(self, data: bytes) -> None:
@@ -41,8 +42,14 @@
         """
         self._parser.feed_data(data)
 
+    @property
+    def part_bytes(self) -> int | None:
+        """Bytes of the body of an answer whose rest has not come; None where none has begun."""
+        return len(self._body) if self._begun else None
+
     def on_message_begin(self) -> None:
         """Begin the next answer."""
+        self._begun = True
         self._headers = []
         self._body = bytearray()
 
@@ -56,6 +63,7 @@
 
     def on_message_complete(self) -> None:
         """Keep the answer."""
+        self._begun = False
         status = self._parser.get_status_code()
         closes = not self._parser.should_keep_alive()
         self.whole.append(WholeAnswer(status, self._headers, bytes(self._body), closes))
--- a/tests/lab/history/test_planted_violations.py
+++ b/tests/lab/history/test_planted_violations.py
@@ -217,6 +217,34 @@
         Promise.SENT_IS_ANSWERED,
         [told(50.0, "r6", ToldOutcome.TIMED_OUT, status=0, whole_for=0.9)],
     ),
+    "an answer breaks off in the middle at the end of a planned stop": Planted(
+        Promise.STOP_ANSWERS_ALL,
+        [
+            told(
+                62.0,
+                "r6",
+                ToldOutcome.CUT,
+                status=0,
+                latency=0.5,
+                whole_for=0.4,
+                broken_off_after=49_152,
+            )
+        ],
+    ),
+    "an answer breaks off in the middle while its node runs": Planted(
+        Promise.SENT_IS_ANSWERED,
+        [
+            ExecutionStart(time=49.5, request_id="r6", backend="y"),
+            told(
+                50.0,
+                "r6",
+                ToldOutcome.CUT,
+                status=0,
+                whole_for=0.9,
+                broken_off_after=49_152,
+            ),
+        ],
+    ),
     "a back end of an evacuated zone gets a request": Planted(
         Promise.EVACUATED_UNUSED, [ExecutionStart(time=50.0, request_id="r7", backend="z")]
     ),
