--- a/src/pewtertack/cli/lab_soak.py
+++ b/src/pewtertack/cli/lab_soak.py
@@ -41,6 +41,7 @@
     callers: Annotated[int, typer.Option(help="Callers of each node.")] = 2,
     seed: int = 0,
     prefix: Annotated[str, typer.Option(help="Begins each request's id.")] = "callers",
+    downloads: Annotated[bool, typer.Option("--downloads", help="Long answers only.")] = False,
 ) -> None:
     """Run callers that keep their connections, and print what each was told."""
     import anyio
@@ -51,12 +52,14 @@
     from pewtertack.lab.records import Told, encode_record
     from pewtertack.lab.serving import print_line, print_ready
     from pewtertack.lab.soak.callers import LastingCallers
+    from pewtertack.lab.soak.mix import Downloads, MixedRequests
 
     def record(told: Told) -> None:
         print_line(encode_record(told))
 
     targets = [Target(*named_address(text)) for text in node]
     mix = mix_of_tree(read_json_object(tree))
+    kind = Downloads if downloads else MixedRequests
     print_ready()
-    anyio.run(LastingCallers(targets, callers, mix, seed, prefix, record).run)
+    anyio.run(LastingCallers(targets, callers, mix, seed, prefix, record, kind).run)
     raise typer.Exit(ExitCode.OK)
--- a/src/pewtertack/lab/soak/context.py
+++ b/src/pewtertack/lab/soak/context.py
@@ -14,6 +14,8 @@
 
 CALLERS_PER_NODE = 3
 SURGE_CALLERS_PER_NODE = 3
+DOWNLOADS_PER_NODE = 8
+"""At once. So many fill the lines of the links of the two gateways that answer them for seconds."""
 SERVING_SECONDS = 60.0
 
 
@@ -33,6 +35,7 @@
         self._claimed: set[str] = set()
         self._released = anyio.Event()
         self._surges = 0
+        self._downloads = 0
 
     @property
     def fleet(self) -> Fleet:
@@ -72,9 +75,21 @@
     async def surge(self, seconds: float) -> None:
         """Let more callers press on the fleet for a while."""
         self._surges += 1
-        name = f"surge{self._surges}"
+        await self._press(f"surge{self._surges}", SURGE_CALLERS_PER_NODE, seconds)
+
+    async def download(self, seconds: float) -> None:
+        """Let callers ask for long answers for a while."""
+        self._downloads += 1
+        name = f"downloads{self._downloads}"
+        await self._press(name, DOWNLOADS_PER_NODE, seconds, downloads=True)
+
+    async def _press(
+        self, name: str, callers: int, seconds: float, downloads: bool = False
+    ) -> None:
+        """Run a process of callers, so many a node; what they have begun ends afterwards."""
+        index = self._downloads if downloads else self._surges
         process = await self.fleet.start_lasting_callers(
-            name, self.seed + self._surges, SURGE_CALLERS_PER_NODE
+            name, self.seed + index, callers, downloads
         )
         await anyio.sleep(seconds)
         code = await self.fleet.stop_load(process)
--- a/src/pewtertack/lab/soak/faults.py
+++ b/src/pewtertack/lab/soak/faults.py
@@ -23,6 +23,7 @@
     BACKENDS = "backends"
     EDITS = "edits"
     REQUESTS = "requests"
+    DOWNLOADS = "downloads"
 
 
 FAULT_MODULES = (
@@ -30,6 +31,7 @@
     "pewtertack.lab.soak.platform_faults",
     "pewtertack.lab.soak.backend_faults",
     "pewtertack.lab.soak.request_faults",
+    "pewtertack.lab.soak.downloads",
 )
 MEAN_GAP_SECONDS = {
     Lane.NODES: 0.7,
@@ -38,6 +40,7 @@
     Lane.BACKENDS: 1.5,
     Lane.EDITS: 1.5,
     Lane.REQUESTS: 2.0,
+    Lane.DOWNLOADS: 0.5,
 }
 """Between the end of one fault and the next, on average."""
 
--- a/src/pewtertack/lab/soak/shape.py
+++ b/src/pewtertack/lab/soak/shape.py
@@ -7,6 +7,7 @@
 
 from pewtertack.lab.backend.state import Capacity
 from pewtertack.lab.fleet.plan import FleetShape
+from pewtertack.lab.soak.mix import DOWNLOAD
 from pewtertack.lab.soak.options import ZONES, SoakOptions
 
 SERVICES = {"logbook": 2, "archive": 2}
@@ -14,6 +15,9 @@
 CAPACITY = Capacity(slots=1, queue=2)
 NOTICE_SECONDS = 0.6
 DRAIN_SECONDS = 1.5
+LINK_MBPS = 4.0
+"""Of every machine, as nodes are told; the lab's own network has room."""
+POLICIES = {"long_bodies": "in-turns"}
 LIMITS = {
     "drain_notice": f"{NOTICE_SECONDS * 1000:.0f}ms",
     "drain_timeout": f"{DRAIN_SECONDS * 1000:.0f}ms",
@@ -56,6 +60,16 @@
             "timeout": "20s",
             "target_latency": "15s",
         },
+        DOWNLOAD: {
+            "service": "logbook",
+            "hosts": ["logbook.example"],
+            "path_prefix": "/exports",
+            "methods": ["GET", "HEAD"],
+            "class": "bulk",
+            "timeout": "20s",
+            "target_latency": "6s",
+            "repeatable": True,
+        },
     },
     "zones": {zone: {} for zone in ZONES},
 }
@@ -73,4 +87,6 @@
         without=options.without,
         gateways=True,
         limits=LIMITS,
+        policies=POLICIES,
+        link_mbps=LINK_MBPS,
     )
--- a/tests/lab/soak/test_soak.py
+++ b/tests/lab/soak/test_soak.py
@@ -2,6 +2,11 @@
 
 The seed's series hold planned stops that overlap, kills, reloads, a frozen back end, a surge of
 callers, and faults of the source; the fleet is the smallest in which two nodes may stop at once.
+
+Callers of long answers saw them break off in the middle: a back end had answered, the answer waited
+in the line of its gateway's link, and at the end of its drain the node that stopped, the caller's
+or the gateway's, cut it. The history shows the execution's end, the SIGTERM, then `REQUEST_CUT` at
+the caller's node with nothing between, and `told` with the bytes that had come.
 """
 
 import os
