Failing test: a late answer waits on its machine's link until its caller's deadline

Callers of long answers got nothing until their deadline of some six seconds, though the back end had answered within 0.2 s.

Cause: among bodies that have not begun, one that can't be in time any more goes after all that can; where requests come as fast as the link carries, new ones that can be in time never end.

--- a/tests/node/gateway/test_sending.py
+++ b/tests/node/gateway/test_sending.py
@@ -20,6 +20,10 @@
 LONG_BODY = 200_000
 
 
+async def ignore(message: Any) -> None:
+    """Take what is sent."""
+
+
 class SenderTest(unittest.IsolatedAsyncioTestCase):
     def setUp(self) -> None:
         self.sent: list[Any] = []
@@ -129,6 +133,40 @@
         await fresh.finish()
         self.assertEqual(order.index("f"), order.count("l"))
 
+    async def test_a_late_answer_leaves_before_its_deadline_though_others_keep_coming(
+        self,
+    ) -> None:
+        """Callers of downloads got nothing until their deadline, though the run had ended soon.
+
+        Where a link is asked for all it can carry, its line is always so long that an answer
+        which proves longer than reckoned makes those behind it late. Each newer one that could
+        still be in time went before the late ones, and newer ones came without end: the late
+        waited with no part sent until their callers' time was over, some seconds later.
+        """
+        self.pacer = LinkPacer(time.monotonic, LinkShare(20.0))
+        now = time.monotonic()
+        late = AdmissionTicket("export", BULK, now - 0.1, now + 1.0)
+        sender = AnswerSender(self.send, self.pacer, self.held, late)
+
+        async def keep_coming() -> None:
+            while True:
+                now = time.monotonic()
+                timely = AdmissionTicket("export", BULK, now + 0.3, now + 1.4)
+                newer = AnswerSender(ignore, self.pacer, self.held, timely)
+                await self.answer(newer, b"n" * 4 * LONG_BYTES)
+                await newer.finish()
+
+        others = [asyncio.ensure_future(keep_coming()) for _ in range(3)]
+        await asyncio.sleep(0)
+        await self.answer(sender, b"x" * 4 * LONG_BYTES)
+        try:
+            async with asyncio.timeout_at(asyncio.get_running_loop().time() + 1.0):
+                await sender.finish()
+        finally:
+            for other in others:
+                other.cancel()
+            await asyncio.gather(*others, return_exceptions=True)
+
     async def test_a_back_end_slower_than_the_link_holds_nobody_up(self) -> None:
         slow, quick = self.make(), self.make("other")
         await self.begin(slow, 4 * LONG_BYTES)
