Failing test: a link's line knows only the first piece of an answer

Downloads were taken that the link could not carry by their objective.

Cause, as far as the trace tells: an answer of 90 kB comes from its back end in pieces, the first of them 65 kB at most; its place in the line has the length of what had come when it entered, and what was promised for it before is taken back then.

--- a/tests/node/gateway/test_sending.py
+++ b/tests/node/gateway/test_sending.py
@@ -172,6 +172,48 @@
                 other.cancel()
             await asyncio.gather(*others, return_exceptions=True)
 
+    async def test_the_line_reckons_with_all_of_an_answer_of_which_a_piece_has_come(
+        self,
+    ) -> None:
+        """Requests were taken that the link could not answer in time, and their answers came late.
+
+        An answer of some hundred kilobytes comes from its back end in pieces. Its place in the
+        line told the length of the piece that had come first, while what it was reckoned with
+        before was taken back: until the piece had left, nobody knew of the rest, and a gateway
+        took more requests than its link could answer by their objectives.
+        """
+        share = self.pacer.share
+        share.note_sent(HELD_BYTES, time.monotonic())
+        sender = self.make()
+        size = 10 * LONG_BYTES
+        await self.begin(sender, size)
+        for _ in range(3):
+            piece = {"type": "http.response.body", "body": b"x" * 2 * LONG_BYTES}
+            await sender(piece | {"more_body": True})
+            await asyncio.sleep(0)
+            seconds = share.time_ahead(BULK, time.monotonic() + 60.0)
+            self.assertAlmostEqual(seconds * share.bytes_per_second, size, delta=1)
+        sender.forget()
+
+    async def test_an_answer_of_unknown_length_is_reckoned_with_as_usual_until_it_is_whole(
+        self,
+    ) -> None:
+        share = self.pacer.share
+        share.note_answer("export", 10 * LONG_BYTES)
+        share.note_sent(HELD_BYTES, time.monotonic())
+        sender = self.make()
+        sender.promise()
+        await sender({"type": "http.response.start", "status": 200, "headers": []})
+        piece = {"type": "http.response.body", "body": b"x" * 2 * LONG_BYTES}
+        await sender(piece | {"more_body": True})
+        await asyncio.sleep(0)
+        seconds = share.time_ahead(BULK, time.monotonic() + 60.0)
+        self.assertAlmostEqual(seconds * share.bytes_per_second, 10 * LONG_BYTES, delta=1)
+        await sender({"type": "http.response.body", "body": b""})
+        await sender.finish()
+        self.assertEqual(len(self.body()), 2 * LONG_BYTES)
+        self.assertEqual(share.time_ahead(BULK, time.monotonic() + 60.0), 0.0)
+
     async def test_a_back_end_slower_than_the_link_holds_nobody_up(self) -> None:
         slow, quick = self.make(), self.make("other")
         await self.begin(slow, 4 * LONG_BYTES)
