--- a/src/pewtertack/node/gateway/sending.py
+++ b/src/pewtertack/node/gateway/sending.py
@@ -45,7 +45,9 @@
         "_changed",
         "_ended",
         "_held",
+        "_latest",
         "_left",
+        "_length",
         "_pacer",
         "_parts",
         "_promised",
@@ -68,12 +70,15 @@
         self._ticket = ticket
         self._rank = ticket.rank
         self._wanted = ticket.objective
+        self._latest = ticket.deadline
         self._turns: BodyTurns | None = None
         """Its place in the line, while it has one."""
         self._promised = 0.0
         self._began = 0.0
         self._body_bytes = 0
         """Bytes of the body that came."""
+        self._length = 0
+        """Bytes of it to reckon with: as announced, else as usual for the route; 0 if unknown."""
         self._left = 0
         """Bytes of it that have left: what has begun goes on before what has not, or a late
         answer would be broken off where the other end's time is over."""
@@ -101,7 +106,8 @@
         """
         promised = self._promised > 0
         self._keep_promise()
-        self._rank, self._wanted = RECEIVER_STOPS, moment
+        self._rank = RECEIVER_STOPS
+        self._wanted = self._latest = moment
         if promised:
             self.promise()
         if self._turns is not None:
@@ -111,6 +117,7 @@
         """Send a part of the answer, or take it to be sent in its turn."""
         if message["type"] == "http.response.start":
             self._began = self._pacer.now()
+            self._length = _announced_length(message) or round(self._promised)
             await self._send_head(message)
             return
         await self._send_or_take(message)
@@ -182,7 +189,11 @@
     async def _send_parts(self, data: bytes) -> None:
         self._parts.clear()
         begun = self._left > 0
-        with self._pacer.turns(self._rank, len(data), self._wanted, begun) as turns:
+        # With what has not come yet, or more would be taken than the link carries in time.
+        whole = self._body_bytes if self._ended else max(self._length, self._body_bytes)
+        size = whole - self._left
+        place = self._pacer.turns(self._rank, size, self._wanted, begun, latest=self._latest)
+        with place as turns:
             self._turns = turns
             try:
                 async for part in turns.parts(data):
@@ -214,3 +225,11 @@
         if self._sending is not None:
             self._sending.cancel()
         self._release(self._size)
+
+
+def _announced_length(head: Message) -> int:
+    """Return the length in bytes that a head announces for its body, 0 if it does not."""
+    for name, value in head["headers"]:
+        if name == b"content-length":
+            return int(value)
+    return 0
--- a/tests/node/gateway/test_sending.py
+++ b/tests/node/gateway/test_sending.py
@@ -20,6 +20,10 @@
 LONG_BODY = 200_000
 
 
+async def ignore(message: Any) -> None:
+    """Take what is sent."""
+
+
 class SenderTest(unittest.IsolatedAsyncioTestCase):
     def setUp(self) -> None:
         self.sent: list[Any] = []
@@ -129,6 +133,88 @@
         await fresh.finish()
         self.assertEqual(order.index("f"), order.count("l"))
 
+    async def test_a_late_answer_leaves_before_its_deadline_though_others_keep_coming(
+        self,
+    ) -> None:
+        """Callers of downloads got nothing until their deadline, though the run had ended soon.
+
+        Where a link is asked for all it can carry, its line is always so long that an answer
+        which proves longer than reckoned makes those behind it late. Each newer one that could
+        still be in time went before the late ones, and newer ones came without end: the late
+        waited with no part sent until their callers' time was over, some seconds later.
+
+        Cause: the line's order put what was late behind all that was not, for good. Evidence:
+        of the answers that a back end had given and no caller got, none had sent a part; their
+        lines were full all that time, with answers that had come later; and with the time by
+        which a late one is due as the only change, all of them arrived.
+        """
+        self.pacer = LinkPacer(time.monotonic, LinkShare(20.0))
+        now = time.monotonic()
+        late = AdmissionTicket("export", BULK, now - 0.1, now + 1.0)
+        sender = AnswerSender(self.send, self.pacer, self.held, late)
+
+        async def keep_coming() -> None:
+            while True:
+                now = time.monotonic()
+                timely = AdmissionTicket("export", BULK, now + 0.3, now + 1.4)
+                newer = AnswerSender(ignore, self.pacer, self.held, timely)
+                await self.answer(newer, b"n" * 4 * LONG_BYTES)
+                await newer.finish()
+
+        others = [asyncio.ensure_future(keep_coming()) for _ in range(3)]
+        await asyncio.sleep(0)
+        await self.answer(sender, b"x" * 4 * LONG_BYTES)
+        try:
+            async with asyncio.timeout_at(asyncio.get_running_loop().time() + 1.0):
+                await sender.finish()
+        finally:
+            for other in others:
+                other.cancel()
+            await asyncio.gather(*others, return_exceptions=True)
+
+    async def test_the_line_reckons_with_all_of_an_answer_of_which_a_piece_has_come(
+        self,
+    ) -> None:
+        """Requests were taken that the link could not answer in time, and their answers came late.
+
+        An answer of some hundred kilobytes comes from its back end in pieces. Its place in the
+        line told the length of the piece that had come first, while what it was reckoned with
+        before was taken back: until the piece had left, nobody knew of the rest, and a gateway
+        took more requests than its link could answer by their objectives. Evidence: what gateways
+        reckoned beside the time that each answer took, and fewer late ones with this alone changed.
+        """
+        share = self.pacer.share
+        share.note_sent(HELD_BYTES, time.monotonic())
+        sender = self.make()
+        size = 10 * LONG_BYTES
+        await self.begin(sender, size)
+        for _ in range(3):
+            piece = {"type": "http.response.body", "body": b"x" * 2 * LONG_BYTES}
+            await sender(piece | {"more_body": True})
+            await asyncio.sleep(0)
+            seconds = share.time_ahead(BULK, time.monotonic() + 60.0)
+            self.assertAlmostEqual(seconds * share.bytes_per_second, size, delta=1)
+        sender.forget()
+
+    async def test_an_answer_of_unknown_length_is_reckoned_with_as_usual_until_it_is_whole(
+        self,
+    ) -> None:
+        share = self.pacer.share
+        share.note_answer("export", 10 * LONG_BYTES)
+        share.note_sent(HELD_BYTES, time.monotonic())
+        sender = self.make()
+        sender.promise()
+        await sender({"type": "http.response.start", "status": 200, "headers": []})
+        piece = {"type": "http.response.body", "body": b"x" * 2 * LONG_BYTES}
+        await sender(piece | {"more_body": True})
+        await asyncio.sleep(0)
+        seconds = share.time_ahead(BULK, time.monotonic() + 60.0)
+        self.assertAlmostEqual(seconds * share.bytes_per_second, 10 * LONG_BYTES, delta=1)
+        await sender({"type": "http.response.body", "body": b""})
+        await sender.finish()
+        self.assertEqual(len(self.body()), 2 * LONG_BYTES)
+        self.assertEqual(share.time_ahead(BULK, time.monotonic() + 60.0), 0.0)
+
     async def test_a_back_end_slower_than_the_link_holds_nobody_up(self) -> None:
         slow, quick = self.make(), self.make("other")
         await self.begin(slow, 4 * LONG_BYTES)
@@ -172,17 +258,19 @@
 
     async def test_one_that_is_given_up_leaves_the_line(self) -> None:
         first, second = self.make(), self.make()
-        data = b"x" * (HELD_BYTES // 2)
-        for sender in (first, second):
-            await self.answer(sender, data[: LONG_BYTES + 1], data[LONG_BYTES + 1 :])
+        size = HELD_BYTES // 2
+        for sender, letter in ((first, b"f"), (second, b"s")):
+            await self.answer(sender, letter * (LONG_BYTES + 1), letter * (size - LONG_BYTES - 1))
         going = asyncio.create_task(first.finish())
         await asyncio.sleep(0)
         going.cancel()
         await asyncio.gather(going, return_exceptions=True)
         first.forget()
-        self.sent.clear()
+        sent = self.body().count(b"f")
+        self.assertLess(sent, size)
         await second.finish()
-        self.assertEqual(self.body(), data)
+        self.assertEqual(self.body().count(b"f"), sent)
+        self.assertEqual(self.body().replace(b"f", b""), b"s" * size)
         self.assertEqual(self.held.count, 0)
 
 
