--- a/tests/node/gateway/test_hanging.py
+++ b/tests/node/gateway/test_hanging.py
@@ -50,9 +50,12 @@
 
 
 class HangingTestCase(GatewayTestCase):
+    def make_backend(self) -> HangingBackend:
+        return HangingBackend()
+
     async def begin(self, **changes: Any) -> str:
         """Start a back end that hangs and one that does not; let both be learnt."""
-        self.hanging = HangingBackend()
+        self.hanging = self.make_backend()
         settings = {"repeatable": True, "retry_limit": 1, "retry_budget": 1.0, **changes}
         address = await self.start_fleet(self.hanging.answer, answer_in_time, slots=8, **settings)
         await self.add_other_proxy(settings)
