What a back end runs is left for hanging only as its sender decides at that moment

What callers saw: after a SIGTERM of the node that took a request, its gateway took a run of ten mean times for hung and broke it off; the caller got 502.

Cause: whether a run may be left was decided once, when it was sent. The gateway ended it by itself later, and knew nothing of a retry spent since, of another back end that is gone, or of a sender that stops; the sender could only refuse.

Change: the gateway ends nothing. It says ahead of any answer that the back end has most likely hung (102 Processing, with its load, every 0.25 s at most). The sender asks the same questions anew, takes the retry in the same turn and closes the connection, or stays. A node that has been told to stop stays always, and sends no 'elsewhere'; a gateway that has been told says nothing. What is awaited to its deadline so ejects its back end as little as what was left. GATEWAY_CANCELLED tells whether the sender had been told (hung).

Conclusion: it holds since the one that answers the caller is the one that decides, at the moment of leaving; no message about stops has to arrive before.

--- a/src/pewtertack/node/gateway/application.py
+++ b/src/pewtertack/node/gateway/application.py
@@ -205,7 +205,7 @@
 
     def start_leaving(self, seconds: float) -> None:
         """Take only requests that end well before the stop; others find another gateway."""
-        self.leaving = True
+        self.requests.leaving = True
         self._stops_at = self._clock() + seconds
 
     async def __call__(self, scope: Scope, receive: Receive, send: Send) -> None:
--- a/src/pewtertack/node/gateway/forwarding.py
+++ b/src/pewtertack/node/gateway/forwarding.py
@@ -16,11 +16,11 @@
 from pewtertack.node.gateway.metrics import GatewayMetrics
 from pewtertack.node.gateway.reception import BodyReception
 from pewtertack.node.gateway.sending import AnswerSender, HeldBytes
-from pewtertack.node.http.cycle import Scope
+from pewtertack.node.http.cycle import CALLER, Scope
 from pewtertack.node.http.framing import RawHeaders
 from pewtertack.node.pacing import LinkPacer
 from pewtertack.node.proxy.answers import Receive, Send
-from pewtertack.node.proxy.body import CallerGoneError, RequestBody
+from pewtertack.node.proxy.body import Caller, CallerGoneError, RequestBody
 from pewtertack.node.proxy.content import RequestContent
 from pewtertack.node.proxy.edge import NODE_EDGE, EdgeHeaders
 from pewtertack.node.proxy.exchange import Exchange, TruncatedAnswerError, ignore_answer
@@ -40,6 +40,7 @@
 from pewtertack.routing.origins import OriginWatch
 from pewtertack.routing.outcomes import (
     BackendFailedError,
+    BackendHungError,
     DeadlineUnmeetableError,
     DrainingError,
     NotRunError,
@@ -103,6 +104,7 @@
         content = RequestContent(scope, self._headers, self._body)
         self._suspicion = Suspicion(content, parts.reporter, parts.crashes)
         self._body_on_demand = head.expects_continue
+        self._caller: Caller = scope["extensions"][CALLER]
         self._life = RequestLife(scope, deadline, parts.clock)
         self._ticket = AdmissionTicket(
             request.route,
@@ -150,7 +152,7 @@
         if end is LifeEnd.FINISHED:
             return
         if end is LifeEnd.CALLER_GONE:
-            self._parts.log.cancelled(self.request_id, self._request.backend, self._sent)
+            self._note_cancelled()
             raise CallerGoneError
         if self._exchange.started:
             raise TruncatedAnswerError("the time was over during the answer")
@@ -158,6 +160,12 @@
         error.offered = self._sent
         raise error.with_outcome(Outcome.UNKNOWN if self._sent else Outcome.NOT_RUN)
 
+    def _note_cancelled(self) -> None:
+        hung = self._ticket.hung
+        self._parts.log.cancelled(self.request_id, self._request.backend, self._sent, hung)
+        if hung:
+            self._parts.metrics.note_refused(BackendHungError.code, self._sent)
+
     @property
     def progress(self) -> Progress:
         """How far the request has come."""
@@ -337,14 +345,20 @@
             connections.give_back(connection)
 
     async def _unless_hung(self, work: Awaitable[None]) -> None:
-        """Do the work; leave it when it hangs and the request may be sent elsewhere."""
+        """Do the work; tell the sender when it hangs, if the request may be sent elsewhere."""
         hangs = self._admission.hangs
         if hangs is None or not self._request.elsewhere:
             await work
             return
-        looks = HangLooks(hangs, self._ticket, self._parts.clock, lambda: self._exchange.started)
+        clock = self._parts.clock
+        looks = HangLooks(hangs, self._ticket, clock, lambda: self._exchange.started, self._doubt)
         await looks.over(work)
 
+    def _doubt(self) -> None:
+        """Have the request given up, unless a stop of this node would then break off its run."""
+        if not self._parts.requests.leaving:
+            self._caller.doubt(load_headers(self._admission, self._parts.clock()))
+
     def _backend_headers(self) -> RawHeaders:
         edge = self._parts.edge
         now = self._parts.clock()
--- a/src/pewtertack/node/gateway/hang_looks.py
+++ b/src/pewtertack/node/gateway/hang_looks.py
@@ -1,16 +1,21 @@
-"""Ends the work for a request on which the back end has most likely hung."""
+"""Tells the sender of a request that the back end has most likely hung on it.
+
+The sender alone knows whether it can still be had elsewhere and whether its node stops, and only
+at this moment: what was so when it sent the request may not be so any longer. So the run goes on
+here until the sender gives it up.
+"""
 
 from __future__ import annotations
 
 import asyncio
 from collections.abc import Awaitable, Callable
 
-import anyio
-
 from pewtertack.routing.hanging import HangWatch
-from pewtertack.routing.outcomes import BackendHungError
 from pewtertack.routing.places import AdmissionTicket
 
+TELL_AGAIN = 0.25
+"""Seconds between two tellings: a sender that lacks a retry may have one by then."""
+
 
 class HangLooks:
     """Looks at one request from time to time while the back end runs it.
@@ -20,9 +25,10 @@
         ticket: the request's place.
         clock: monotonic time in seconds.
         is_answering: tells whether some of its answer was passed on, after which it is let be.
+        tell: tells the sender, which may give the request up.
     """
 
-    __slots__ = ("_clock", "_hangs", "_is_answering", "_scope", "_ticket", "_timer")
+    __slots__ = ("_clock", "_hangs", "_is_answering", "_tell", "_ticket", "_timer")
 
     def __init__(
         self,
@@ -30,29 +36,23 @@
         ticket: AdmissionTicket,
         clock: Callable[[], float],
         is_answering: Callable[[], bool],
+        tell: Callable[[], None],
     ) -> None:
         self._hangs = hangs
         self._ticket = ticket
         self._clock = clock
         self._is_answering = is_answering
-        self._scope = anyio.CancelScope()
+        self._tell = tell
         self._timer: asyncio.TimerHandle | None = None
 
     async def over(self, work: Awaitable[None]) -> None:
-        """Do the work unless it is found to hang.
-
-        Raises:
-            BackendHungError: it was given up.
-        """
+        """Do the work, and look whether it hangs while it lasts."""
         self._arm(self._hangs.first_look(self._ticket))
         try:
-            with self._scope:
-                await work
+            await work
         finally:
             if self._timer is not None:
                 self._timer.cancel()
-        if self._scope.cancelled_caught:
-            raise BackendHungError("the back end hangs on the request")
 
     def _arm(self, seconds: float | None) -> None:
         if seconds is not None:
@@ -63,6 +63,7 @@
             return
         if self._hangs.hangs(self._ticket, self._clock()):
             self._ticket.hung = True
-            self._scope.cancel()
+            self._tell()
+            self._arm(max(TELL_AGAIN, self._hangs.next_look(self._ticket)))
         else:
             self._arm(self._hangs.next_look(self._ticket))
--- a/src/pewtertack/node/gateway/hop.py
+++ b/src/pewtertack/node/gateway/hop.py
@@ -44,7 +44,8 @@
 CRASH_LIMIT = b"x-pewtertack-crash-limit"
 """The route's ``crash_limit``, where it is not the usual one."""
 ELSEWHERE = b"x-pewtertack-elsewhere"
-"""There when the request may be sent to another back end should this one hang on it."""
+"""There when the request may be sent to another back end should this one hang on it: the sender
+wants to be told (``102 Processing``), and then decides anew."""
 WITHIN = b"x-pewtertack-within"
 """There when the proxy takes the request for one that a back end makes while it runs another;
 its rank is then that of the run."""
--- a/src/pewtertack/node/http/connection.py
+++ b/src/pewtertack/node/http/connection.py
@@ -11,13 +11,14 @@
 import errno
 import socket
 from collections import deque
-from collections.abc import AsyncIterator
+from collections.abc import AsyncIterator, Callable
 
 import httptools
 import msgspec
 
 from pewtertack.errors import PewtertackError
 from pewtertack.node import clock
+from pewtertack.node.http.cycle import PROCESSING
 from pewtertack.node.http.framing import LAST_CHUNK, RawHeaders, chunk_of
 from pewtertack.node.http.reading import ReadingProtocol
 from pewtertack.node.http.transport import StreamTransport, connect_socket
@@ -56,6 +57,21 @@
     code = "exchange-broken"
 
 
+class ExchangeLeftError(ExchangeBrokenError):
+    """The other end doubts that it will answer, and the request is better given up."""
+
+    code = "exchange-left"
+
+
+MayLeave = Callable[[RawHeaders], bool]
+"""Tells, by what the other end says of its doubt, whether to give the request up."""
+
+
+def stay(doubt: RawHeaders) -> bool:
+    """Give no request up, whatever the other end doubts."""
+    return False
+
+
 class OutgoingRequest(msgspec.Struct, frozen=True):
     """A request as it is written."""
 
@@ -121,6 +137,8 @@
         self._complete = True
         self._request_sent = True
         self._body_asked_for = False
+        self._doubt: RawHeaders | None = None
+        """What the other end has said of a doubt since that was last looked at."""
         self._keep = True
         """Whether the connection may carry another exchange, as far as is known."""
 
@@ -196,6 +214,8 @@
         status = self._parser.get_status_code()
         if status == CONTINUE_STATUS:
             self._body_asked_for = True
+        elif status == PROCESSING:
+            self._doubt = self._headers
         if self._complete or status < FIRST_FINAL_STATUS:
             return
         self._answer = AnswerStart(status, self._headers)
@@ -219,10 +239,13 @@
 
     # The exchange
 
-    async def exchange(self, request: OutgoingRequest) -> AnswerStart:
+    async def exchange(self, request: OutgoingRequest, may_leave: MayLeave = stay) -> AnswerStart:
         """Send the request and return the head of its answer.
 
+        ``may_leave`` is asked whenever the other end doubts that it will answer.
+
         Raises:
+            ExchangeLeftError: the exchange was left for such a doubt.
             ExchangeBrokenError: no answer came; ``sent`` tells whether it may have run.
         """
         self.sent = False
@@ -232,14 +255,21 @@
         self._buffered = 0
         self._bodiless = request.method == b"HEAD"
         self._complete = self._request_sent = self._body_asked_for = False
+        self._doubt = None
         if request.body is None and not request.chunked:
             await self._send_bodiless(request)
         else:
             await self._send(request)
         while self._answer is None:
             await self._wait()
+            self._leave_in_doubt(may_leave)
         return self._answer
 
+    def _leave_in_doubt(self, may_leave: MayLeave) -> None:
+        doubt, self._doubt = self._doubt, None
+        if doubt is not None and self._answer is None and may_leave(doubt):
+            raise ExchangeLeftError("the other end doubts that it will answer")
+
     async def _send_bodiless(self, request: OutgoingRequest) -> None:
         if not self._ended:
             self.sent = True
--- a/src/pewtertack/node/http/cycle.py
+++ b/src/pewtertack/node/http/cycle.py
@@ -11,7 +11,7 @@
 from collections.abc import Callable, MutableMapping
 from typing import Any, Protocol
 
-from pewtertack.node.http.framing import LAST_CHUNK, NO_BODY_STATUSES, chunk_of
+from pewtertack.node.http.framing import LAST_CHUNK, NO_BODY_STATUSES, RawHeaders, chunk_of
 
 Scope = MutableMapping[str, Any]
 """ASGI connection scope."""
@@ -29,6 +29,8 @@
 """Bytes of an answer that may wait for earlier answers of its connection."""
 LOGGER = "pewtertack.http"
 CONTINUE = b"HTTP/1.1 100 Continue\r\n\r\n"
+PROCESSING = 102
+"""Status of a provisional answer: the request may never be answered."""
 CLOSE_HEADER = b"connection: close\r\n"
 
 logger = logging.getLogger(LOGGER)
@@ -187,6 +189,15 @@
         self.body.clear()
         self._connection.resume_reading()
 
+    def doubt(self, headers: RawHeaders) -> None:
+        """Tell the caller, ahead of any answer, that its request may never be answered."""
+        if not self.first or self.answer_begun or self.gone:
+            return
+        lines = [STATUS_LINES[PROCESSING]]
+        for name, value in headers:
+            lines += name, b": ", value, b"\r\n"
+        self._connection.write(b"".join([*lines, b"\r\n"]))
+
     def begin(
         self,
         loop: asyncio.AbstractEventLoop,
--- a/src/pewtertack/node/proxy/application.py
+++ b/src/pewtertack/node/proxy/application.py
@@ -200,7 +200,7 @@
 
     def start_leaving(self, seconds: float) -> None:
         """Go on serving, but ask callers to close their connections after each answer."""
-        self.leaving = True
+        self.requests.leaving = True
 
     async def __call__(self, scope: Scope, receive: Receive, send: Send) -> None:
         """Serve one request (ASGI entry point)."""
--- a/src/pewtertack/node/proxy/body.py
+++ b/src/pewtertack/node/proxy/body.py
@@ -8,6 +8,7 @@
 import anyio
 
 from pewtertack.core.crashes.fingerprint import BEGINNING_BYTES
+from pewtertack.node.http.framing import RawHeaders
 from pewtertack.node.proxy.answers import Receive
 from pewtertack.routing.outcomes import Outcome, SlowRequestError
 
@@ -30,6 +31,9 @@
     def drop_body(self) -> None:
         """Nobody will read the rest of the request's body."""
 
+    def doubt(self, headers: RawHeaders) -> None:
+        """Tell it, ahead of any answer, that its request may never be answered."""
+
 
 class CallerGoneError(Exception):
     """The caller closed its connection before its request was read."""
--- a/src/pewtertack/node/proxy/exchange.py
+++ b/src/pewtertack/node/proxy/exchange.py
@@ -11,7 +11,10 @@
     AnswerStart,
     BackendConnection,
     ExchangeBrokenError,
+    ExchangeLeftError,
+    MayLeave,
     OutgoingRequest,
+    stay,
 )
 from pewtertack.node.http.cycle import CALLER, WHOLE, Message, Scope
 from pewtertack.node.http.framing import NO_BODY_STATUSES, RawHeaders
@@ -29,6 +32,7 @@
     DEFAULT_RETRY_AFTER,
     BackendFailedError,
     BackendGoneError,
+    BackendHungError,
     BackendShedError,
     BackendSilentError,
     CrossedAnswerError,
@@ -75,6 +79,8 @@
         """What the last answer's head told of its attempt."""
         self.holds_back = False
         """Whether the request may be sent once more if its answer breaks off in time."""
+        self.may_leave: MayLeave = stay
+        """Asked when a gateway takes its back end to hang on the request."""
         self._scope = scope
         self._send = send
         self._head = head
@@ -88,6 +94,7 @@
         """Drop the callbacks: no attempt follows, and the owner need not wait for the collector."""
         self._on_answer = ignore_answer
         self._more_headers = list
+        self.may_leave = stay
 
     async def run(
         self,
@@ -107,7 +114,10 @@
         """
         self._edge = edge
         try:
-            start = await connection.exchange(self._request(headers, body_on_demand))
+            request = self._request(headers, body_on_demand)
+            start = await connection.exchange(request, self.may_leave)
+        except ExchangeLeftError as error:
+            raise BackendHungError("the back end hangs on the request") from error
         except ExchangeBrokenError as error:
             raise _failure(connection, error) from error
         answer = read_answer(start.headers, edge)
--- a/src/pewtertack/node/proxy/forwarding.py
+++ b/src/pewtertack/node/proxy/forwarding.py
@@ -21,6 +21,7 @@
 from pewtertack.node.proxy.edge import NODE_EDGE, PRODUCT_EDGE, EdgeHeaders
 from pewtertack.node.proxy.exchange import Exchange, TruncatedAnswerError
 from pewtertack.node.proxy.headers import (
+    BACKEND_LOAD,
     AnswerHead,
     RequestHead,
     attempt_headers,
@@ -97,6 +98,7 @@
         self._suspicion = Suspicion(content, parts.reporter, parts.crashes)
         self._exchange = Exchange(scope, send, head, self._body, self._note_answer, parts.edge)
         self._exchange.holds_back = route.repeatable and route.retry_limit > 0
+        self._exchange.may_leave = self._leave_hung
         self._ticket = Ticket(route, self._service, deadline)
         self._ticket.body_bytes = head.body_bytes
         self._ticket.caller_deadline = caller_deadline_of(parts.clock(), head.deadline, deadline)
@@ -317,12 +319,32 @@
         within = self._ticket.within
         run_rank = self._parts.runs.usual_rank() if within else None
         hop = hop_headers(self._route, backend.name, objective, lateness, caller, within, run_rank)
-        if self._parts.dispatcher.may_leave(self._ticket, now) and not self._head.has_body:
+        if self._may_leave():
             hop.append((ELSEWHERE, b"1"))
         if backend.started_at:
             hop.append((LIFE, b"%d" % backend.started_at))
         return [*self._headers, *own, *hop]
 
+    def _leave_hung(self, doubt: RawHeaders) -> bool:
+        """Learn that the back end has most likely hung on the attempt; tell whether to leave it."""
+        load = dict(doubt).get(BACKEND_LOAD, b"").decode("latin-1")
+        now = self._parts.clock()
+        self._parts.dispatcher.note_hung(self._ticket, now, parse_load(load))
+        return self._may_leave()
+
+    def _may_leave(self) -> bool:
+        """Tell whether the attempt under way is better made elsewhere if its back end hangs.
+
+        A node that stops leaves none: the back end may be at work after all, and its answer is
+        the only one that is sure to come while this node lasts.
+        """
+        backend = self._ticket.backend
+        if backend is None or not backend.gateway:
+            return False
+        if self._parts.requests.leaving or self._head.has_body:
+            return False
+        return self._parts.dispatcher.may_leave(self._ticket, self._parts.clock())
+
     def _note_answer(self, answer: AnswerHead) -> None:
         self._ticket.queued = answer.queued
         if answer.origin is not None:
--- a/src/pewtertack/node/proxy/in_flight.py
+++ b/src/pewtertack/node/proxy/in_flight.py
@@ -92,6 +92,8 @@
     def __init__(self) -> None:
         self.count = 0
         self.draining = False
+        self.leaving = False
+        """Whether the node has been told to stop."""
         self.under_way: set[RequestUnderWay] = set()
         """Those of the counted that are being served."""
         self._idle = anyio.Event()
@@ -158,8 +160,11 @@
     def __init__(self, connections: ConnectionStore) -> None:
         self.connections = connections
         self.requests = RequestsInFlight()
-        self.leaving = False
+
+    @property
+    def leaving(self) -> bool:
         """Whether callers are asked to close their connections after each answer."""
+        return self.requests.leaving
 
     @property
     def in_flight(self) -> int:
--- a/src/pewtertack/node/proxy/request_log.py
+++ b/src/pewtertack/node/proxy/request_log.py
@@ -269,9 +269,14 @@
             took=milliseconds(seconds),
         )
 
-    def cancelled(self, request: str, backend: str, sent: bool) -> None:
-        """The proxy has given the request up; ``sent`` tells whether it may have run."""
-        self._record(Event.GATEWAY_CANCELLED, request=request, backend=backend, sent=sent)
+    def cancelled(self, request: str, backend: str, sent: bool, hung: bool) -> None:
+        """The proxy has given the request up; ``sent`` tells whether it may have run.
+
+        ``hung`` tells whether the proxy was told that the back end hangs on it.
+        """
+        self._record(
+            Event.GATEWAY_CANCELLED, request=request, backend=backend, sent=sent, hung=hung
+        )
 
 
 def _record_crash(record: RecordEvent, backend: str, broken: Iterable[BrokenExchange]) -> None:
--- a/src/pewtertack/routing/dispatcher.py
+++ b/src/pewtertack/routing/dispatcher.py
@@ -247,6 +247,15 @@
         if leaving:
             self._note_leaving(backend)
 
+    def note_hung(self, ticket: Ticket, now: float, report: LoadReport | None) -> None:
+        """The gateway, which lives, takes its back end to hang on the attempt."""
+        backend = ticket.backend
+        assert backend is not None
+        ticket.hung = True
+        backend.note_sign(now)
+        if report is not None:
+            backend.note_report(now, report)
+
     def _note_leaving(self, backend: Backend) -> None:
         if not backend.leaving:
             backend.leaving = True
@@ -259,6 +268,8 @@
         if backend is None or ticket.finished:
             return
         ticket.finished = True
+        if ticket.hung and end in (AttemptEnd.TIMED_OUT, AttemptEnd.CANCELLED):
+            end = AttemptEnd.HUNG  # it was awaited for want of a better place
         service = self.service(ticket.route.service)
         backend.note_end(now, service.mean_time)
         service.in_flight -= 1
@@ -381,13 +392,15 @@
         return RetryDecision(reason, ticket.following(ticket.refusals) if granted else None)
 
     def may_leave(self, ticket: Ticket, now: float) -> bool:
-        """Tell whether an attempt that begins may be made elsewhere should its back end hang."""
+        """Tell whether an attempt would now be made elsewhere if its back end hangs on it."""
         if self._policies.hanging is not Hanging.LEFT or not ticket.route.repeatable:
             return False
         assert ticket.backend is not None
         tried = (*ticket.excluded, ticket.backend.name)
+        expected = self.service(ticket.route.service).expected_time(ticket.route.name)
         return (
             ticket.retries < ticket.route.retry_limit
+            and now + expected < ticket.deadline
             and self._budgets.of(ticket.service.name, now).left(now, ticket.within) >= 1
             and self.service(ticket.route.service).has_other(tried, now)
         )
--- a/src/pewtertack/routing/ends.py
+++ b/src/pewtertack/routing/ends.py
@@ -24,8 +24,8 @@
     FAILED_BELOW = "failed-below"
     """A failure that a node below the back end gave; tells nothing of the back end."""
     HUNG = "hung"
-    """The gateway gave it up as one of those on which the back end hangs. The gateway tells of
-    fewer slots for it, by the share that hangs; that others fail too it does not say."""
+    """The gateway takes it for one of those on which the back end hangs, and tells of fewer slots
+    by the share that does; that others fail too it does not say."""
     SHED = "shed"
     REFUSED = "refused"
     """The gateway refused the request; tells nothing of the back end."""
--- a/src/pewtertack/routing/queueing.py
+++ b/src/pewtertack/routing/queueing.py
@@ -55,6 +55,8 @@
     expires_at: float = 0.0
     answered: bool = False
     """Whether the back end's answer has begun."""
+    hung: bool = False
+    """Whether the gateway takes the back end to hang on it."""
     report: LoadReport | None = None
     """What the back end said of its load with this answer."""
     finished: bool = False
--- a/tests/node/http/test_connection.py
+++ b/tests/node/http/test_connection.py
@@ -10,6 +10,7 @@
     READ_BUFFER_LIMIT,
     BackendConnection,
     ExchangeBrokenError,
+    ExchangeLeftError,
     OutgoingRequest,
 )
 
@@ -70,6 +71,33 @@
         self.assertEqual(await self.exchange(provisional + OK), (200, b"ok"))
         self.assertTrue(self.connection.reusable)
 
+    async def test_a_doubt_of_the_other_end_is_asked_about_once_and_only_without_an_answer(
+        self,
+    ) -> None:
+        doubt = b"HTTP/1.1 102 Processing\r\nx-backend-load: 1/6\r\n\r\n"
+        asked: list[Any] = []
+
+        def leave(headers: Any) -> bool:
+            asked.append(headers)
+            return len(asked) == 2
+
+        request = OutgoingRequest(b"GET", b"/", [(b"host", b"a")])
+        answered = asyncio.ensure_future(self.connection.exchange(request, leave))
+        await asyncio.sleep(0)
+        for data in (doubt, doubt + OK):
+            self.connection.data_received(data)
+            await asyncio.sleep(0)
+        self.assertEqual((await answered).status, 200)
+        self.assertEqual(asked, [[(b"x-backend-load", b"1/6")]])
+        self.connection.take_whole()
+        left = asyncio.ensure_future(self.connection.exchange(request, leave))
+        await asyncio.sleep(0)
+        self.connection.data_received(doubt)
+        with self.assertRaises(ExchangeLeftError):
+            await left
+        self.assertTrue(self.connection.sent)
+        self.assertFalse(self.connection.reusable)
+
     async def test_bytes_behind_the_answer_end_the_connection_s_use(self) -> None:
         self.assertEqual(await self.exchange(OK + OK), (200, b"ok"))
         self.assertFalse(self.connection.reusable)
--- a/tests/routing/test_dispatcher.py
+++ b/tests/routing/test_dispatcher.py
@@ -236,6 +236,17 @@
         members = {submitted(subject, 0.0, ticket(queue_limit=50)).backend for _ in range(4)}
         self.assertEqual(len({item.name for item in members if item}), 2)
 
+    def test_what_a_back_end_hangs_on_until_the_deadline_does_not_eject_it(self) -> None:
+        for hung in (False, True):
+            subject = dispatcher("a")
+            for _ in range(3):
+                request = submitted(subject, 0.0, ticket())
+                if hung:
+                    subject.note_hung(request, 2.0, LoadReport(1, 6))
+                end(subject, request, 5.0, AttemptEnd.TIMED_OUT)
+            assert request.backend is not None
+            self.assertEqual(request.backend.health.admits(5.0), hung)
+
     def test_short_deadlines_do_not_eject(self) -> None:
         subject = dispatcher("a")
         for _ in range(10):
