A receiver without room for a long body is not taken for a machine that is gone

What callers saw: uploads ended after 0.7 to 0.8 s with 502, of unknown outcome, although their back ends took them and every machine lived; beside a stop that is a run broken off for an answer of ours. The sender also took the gateway for out of reach and sent it nothing until a probe.

Cause: TCP_USER_TIMEOUT (0.4 s) on connections to gateways and back ends. The system ends a connection by it also while the receiver's window is closed, though that answers every probe: a back end that reads late, or the end of a full link that reads slowly, is enough.

Change: beyond 32 KiB of one body the bound is lifted until all that was sent is acknowledged, and TCP_INFO is looked at every 0.1 s (node/http/acknowledgement): segments sent after the last word of the other machine, or two unanswered probes, for 0.4 s. Small requests are bound as before. Also a test that what runs is not cut when its gateway goes from the list or its idle connections are closed; that one passed before.

Conclusion: what counts is what the other machine fails to answer, not what it fails to take. Left: without room it may be noticed late, as probes are spread.

--- a/src/pewtertack/node/http/connection.py
+++ b/src/pewtertack/node/http/connection.py
@@ -18,6 +18,7 @@
 
 from pewtertack.errors import PewtertackError
 from pewtertack.node import clock
+from pewtertack.node.http.acknowledgement import AcknowledgementWatch, bound_silence
 from pewtertack.node.http.cycle import PROCESSING
 from pewtertack.node.http.framing import LAST_CHUNK, RawHeaders, chunk_of
 from pewtertack.node.http.reading import ReadingProtocol
@@ -27,9 +28,9 @@
 """Received bytes that wait to be read before the back end is slowed down. asyncio receives up to
 256 KiB at once. For 40 callers that read nothing, two nodes held 14.1 MB here with 256 KiB and
 7.7 MB with 64 KiB."""
-UNACKNOWLEDGED_MILLISECONDS = 400
-"""Sent bytes that the other machine's kernel has not acknowledged for so long end the
-connection: the machine lost power or is cut off. A back end's silence does not."""
+LONG_BODY_BYTES = 32 * 1024
+"""A longer body may find no room at the other end, which is no sign of a machine that is gone:
+from then on that is told otherwise (``acknowledgement``). Every receiver has room for less."""
 DOUBTED_AFTER_SUSPENSION = 0.3
 """A connection that stood while the machine was suspended for so long carries no further
 request: the other end may have given it up, and a request sent on it, which may not be sent
@@ -42,9 +43,9 @@
     (socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, 1),
     (socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, 1),
     (socket.IPPROTO_TCP, socket.TCP_KEEPCNT, 2),
-    (socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, UNACKNOWLEDGED_MILLISECONDS),
 )
-"""The same for a machine that falls silent while an answer is awaited."""
+"""For a machine that falls silent while an answer is awaited. One that lost power or is cut off
+ends its connections; a back end's silence does not."""
 FRAMING_NAMES = frozenset({b"content-length", b"transfer-encoding"})
 CONTINUE_STATUS = 100
 FIRST_FINAL_STATUS = 200
@@ -126,7 +127,11 @@
         self._reading_paused = False
         self._ended = False
         self._failure: Exception | None = None
+        self._watch: AcknowledgementWatch | None = None
+        """Made for the first long body."""
         # The current exchange
+        self._body_bytes = 0
+        """Sent of the body, with the head."""
         self._answer: AnswerStart | None = None
         self._unsent = b""
         """The request's head, until it is written."""
@@ -151,6 +156,7 @@
         connected = transport.get_extra_info("socket")
         for level, option, value in PROBE_OPTIONS:
             connected.setsockopt(level, option, value)
+        bound_silence(connected)
 
     def data_received(self, data: bytes) -> None:
         """Parse what came; nothing may come while no answer is awaited."""
@@ -179,6 +185,9 @@
     def connection_lost(self, exc: Exception | None) -> None:
         """Note that the connection is gone."""
         self._end(exc)
+        if self._watch is not None:
+            self._watch.stop()
+            self._watch = None  # refers to this object
         del self._parser  # refers to this object
 
     def _end(self, failure: Exception | None) -> None:
@@ -256,6 +265,7 @@
         self._bodiless = request.method == b"HEAD"
         self._complete = self._request_sent = self._body_asked_for = False
         self._doubt = None
+        self._body_bytes = 0
         if request.body is None and not request.chunked:
             await self._send_bodiless(request)
         else:
@@ -313,10 +323,24 @@
         if self._ended or not data:
             return
         self.sent = True
+        self._body_bytes += len(data)
+        if self._body_bytes > LONG_BODY_BYTES:
+            self._watch_acknowledgements()
         self._transport.write(data)
         if self._writing_paused:
             await self._wait_to_write()
 
+    def _watch_acknowledgements(self) -> None:
+        if self._watch is None:
+            connected = self._transport.get_extra_info("socket")
+            self._watch = AcknowledgementWatch(connected, self._end_silent)
+        self._watch.begin()
+
+    def _end_silent(self, failure: OSError) -> None:
+        """The other machine acknowledges nothing."""
+        self._end(failure)
+        self._transport.abort()
+
     async def _wait_to_write(self) -> None:
         self._writer = asyncio.get_running_loop().create_future()
         await self._writer
--- a/tests/node/gateway/test_slow_back_ends.py
+++ b/tests/node/gateway/test_slow_back_ends.py
@@ -7,7 +7,8 @@
 The cause: sent bytes that are not acknowledged for 0.4 s end a connection, so that a machine that
 is gone is noticed (``TCP_USER_TIMEOUT``). The system ends it by the same bound while the receiver
 has no room: it acknowledges every probe then, but takes nothing. A buffer that is full for 0.4 s,
-and the probe behind, is enough.
+and the probe behind, is enough. So the system's bound is lifted while a long body is under way,
+and only what is sent and not answered counts (``node.http.acknowledgement``).
 
 The evidence: with a receiver on this machine that reads nothing for 0.3 s bodies of 256 KiB to
 8 MB arrive; with 1 s and 2 s all of them that are longer than its buffer end after 0.67 to 0.70 s
@@ -20,7 +21,7 @@
 from tests.node.gateway.test_gateway import GatewayTestCase, answer_well
 from tests.node.proxy.harness import raw_call, request_bytes
 
-PAUSE_SECONDS = 1.5
+PAUSE_SECONDS = 3.0
 PART = b"x" * 65536
 
 
--- a/tests/node/gateway/test_stop.py
+++ b/tests/node/gateway/test_stop.py
@@ -149,6 +149,22 @@
         self.assertEqual((await self.answer_of(self.running)).status, 200)
         self.assertEqual(self.held.calls, ["run-1"])
 
+    async def test_what_runs_is_not_cut_when_its_gateway_goes_from_the_list_or_out_of_reach(
+        self,
+    ) -> None:
+        await self.begin()
+        await self.add_backend("b1", answer_well, 1)
+        former, gateway = self.machines.pop(0), self.machines[0].gateway
+        self.use_machines(2)
+        for connections in (self.proxy.connections, self.gateways[0].connections):
+            connections.keep_only((gateway,))
+            for address in (former.gateway, former.address):
+                connections.drop(address)
+        self.assertEqual((await self.answer_of(self.waiting)).status, 200)
+        self.held.go_on.set()
+        self.assertEqual((await self.answer_of(self.running)).status, 200)
+        self.assertEqual(self.held.calls, ["run-1"])
+
     async def test_only_the_request_that_is_named_is_taken_back(self) -> None:
         await self.begin()
         gateway = self.machines[0].gateway
--- a/tests/node/http/test_slow_receivers.py
+++ b/tests/node/http/test_slow_receivers.py
@@ -6,11 +6,20 @@
 """
 
 import asyncio
+import ctypes
 import socket
+import struct
+import time
 import unittest
 from collections.abc import AsyncIterator
 
-from pewtertack.node.http.connection import OutgoingRequest, connect
+from pewtertack.node.http.acknowledgement import SILENT_SECONDS, Acknowledged, SilenceJudge
+from pewtertack.node.http.connection import (
+    BackendConnection,
+    ExchangeBrokenError,
+    OutgoingRequest,
+    connect,
+)
 
 READ_SECONDS = 0.05
 PART = b"x" * 65536
@@ -18,6 +27,16 @@
 ANSWER = b"HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\nok"
 
 
+SO_ATTACH_FILTER = 26
+DROP_ALL = struct.pack("HBBI", 0x06, 0, 0, 0)
+"""A packet filter of one instruction: keep nothing."""
+MOST_SECONDS = 3 * SILENT_SECONDS
+MOST_SECONDS_WITHOUT_ROOM = 0.8 + 1.6 + MOST_SECONDS
+"""The system's next two probes come so far apart after a second without room."""
+LOST_PARTS = 400
+"""More than the kernels of a connection hold."""
+
+
 async def body() -> AsyncIterator[bytes]:
     for _ in range(PARTS):
         yield PART
@@ -51,3 +70,85 @@
         self.assertEqual(answer.status, 200)
         self.assertEqual(await connection.read_whole(), b"ok")
         self.assertTrue(connection.reusable)
+
+
+def fall_silent(connection: socket.socket) -> None:
+    """Have the system drop all that comes, unacknowledged, as if the machine were gone."""
+    program = ctypes.create_string_buffer(DROP_ALL)
+    filters = struct.pack("HP", 1, ctypes.addressof(program))
+    connection.setsockopt(socket.SOL_SOCKET, SO_ATTACH_FILTER, filters)
+
+
+class SilentReceiverTest(unittest.IsolatedAsyncioTestCase):
+    """Machines that go while a long body is under way: noticed as soon as ever."""
+
+    async def asyncSetUp(self) -> None:
+        listener = socket.create_server(("127.0.0.1", 0))
+        self.addCleanup(listener.close)
+        listener.setblocking(False)
+        accepting = asyncio.create_task(asyncio.get_running_loop().sock_accept(listener))
+        self.connection: BackendConnection = await connect(
+            f"127.0.0.1:{listener.getsockname()[1]}", 1.0
+        )
+        self.addCleanup(self.connection.abort)
+        self.receiver, _ = await accepting
+        self.addCleanup(self.receiver.close)
+
+    async def parts(self, pause: float) -> AsyncIterator[bytes]:
+        for _ in range(LOST_PARTS):
+            yield PART
+            await asyncio.sleep(pause)
+
+    async def begin(self, pause: float) -> asyncio.Task[object]:
+        headers = [(b"host", b"a"), (b"content-length", b"%d" % (LOST_PARTS * len(PART)))]
+        request = OutgoingRequest(b"POST", b"/", headers, self.parts(pause))
+        task = asyncio.create_task(self.connection.exchange(request))
+        self.addCleanup(task.cancel)
+        return task
+
+    async def assert_silence_is_noticed(
+        self, task: asyncio.Task[object], seconds: float = MOST_SECONDS
+    ) -> None:
+        fell_at = time.monotonic()
+        fall_silent(self.receiver)
+        with self.assertRaises(ExchangeBrokenError):
+            await asyncio.wait_for(task, seconds)
+        self.assertTrue(self.connection.peer_silent)
+        self.assertGreater(time.monotonic() - fell_at, SILENT_SECONDS / 2)
+
+    async def test_one_that_took_what_came(self) -> None:
+        task = await self.begin(0.02)
+        loop = asyncio.get_running_loop()
+        for _ in range(20):
+            await loop.sock_recv(self.receiver, len(PART))
+        await self.assert_silence_is_noticed(task)
+
+    async def test_one_that_had_no_room(self) -> None:
+        task = await self.begin(0)
+        await asyncio.sleep(1.0)
+        self.assertFalse(task.done())
+        await self.assert_silence_is_noticed(task, MOST_SECONDS_WITHOUT_ROOM)
+
+
+class SilenceJudgeTest(unittest.TestCase):
+    def test_only_what_stays_unanswered_is_silence(self) -> None:
+        cases = (
+            (Acknowledged(4, 0, 0.2, 1.0), True),
+            (Acknowledged(0, 2, 1.0, 1.0), True),
+            (Acknowledged(0, 0, 9.0, 9.0), False),
+            (Acknowledged(0, 1, 9.0, 9.0), False),
+            (Acknowledged(0, 2, 9.0, 0.1), False),
+            (Acknowledged(4, 0, 0.8, 0.8), False),
+            (Acknowledged(4, 0, 0.0, 0.1), False),
+        )
+        for seen, silent in cases:
+            judge = SilenceJudge()
+            self.assertFalse(judge.is_silent(5.0, seen))
+            self.assertEqual((seen, judge.is_silent(5.5, seen)), (seen, silent))
+
+    def test_an_answer_begins_it_anew(self) -> None:
+        judge = SilenceJudge()
+        unanswered, answered = Acknowledged(4, 0, 0.2, 1.0), Acknowledged(0, 0, 0.0, 0.0)
+        told = [judge.is_silent(at, seen) for at, seen in ((0.0, unanswered), (0.3, answered))]
+        told += [judge.is_silent(at, unanswered) for at in (0.5, 0.8, 1.0)]
+        self.assertEqual(told, [False, False, False, False, True])
