--- a/src/pewtertack/node/proxy/application.py
+++ b/src/pewtertack/node/proxy/application.py
@@ -201,7 +201,7 @@
 
     def start_leaving(self, seconds: float) -> None:
         """Go on serving, but ask callers to close their connections after each answer."""
-        self.leaving = True
+        self.requests.leaving = True
         self._parts.stop.begin(self._clock() + seconds)
 
     async def announce_stop(self) -> None:
