--- a/tests/node/stopping_fleet.py
+++ b/tests/node/stopping_fleet.py
@@ -1,9 +1,9 @@
-"""Real nodes around one back end: one is its gateway, on a narrow link, the others have callers."""
+"""Real nodes: gateways on narrow links, each beside its back end; the others have callers."""
 
 from __future__ import annotations
 
 import contextlib
-from collections.abc import AsyncIterator
+from collections.abc import AsyncIterator, Mapping
 from typing import Any
 
 import anyio
@@ -33,17 +33,40 @@
         limits: the settings' table of that name, for all nodes.
         callers: names of the other nodes.
     """
-    gateway = PortAllocator().allocate("127.0.0.1")
-    machine = {
-        "role": "backend",
-        "zone": ZONE,
-        "address": backend,
-        "service": next(iter(tree["services"])),
-        "gateway": str(gateway),
-        "slots": slots,
+    backends = {GATEWAY: backend}
+    async with fleet_on_narrow_links(tree, backends, slots, megabits, limits, *callers) as nodes:
+        yield nodes
+
+
+@contextlib.asynccontextmanager
+async def fleet_on_narrow_links(
+    tree: dict[str, Any],
+    backends: Mapping[str, str],
+    slots: int,
+    megabits: float,
+    limits: str,
+    *callers: str,
+) -> AsyncIterator[list[NodeProcess]]:
+    """Run a gateway beside each of several back ends; see ``fleet_on_a_narrow_link``.
+
+    Args:
+        backends: ``ip:port`` by the name of the node beside it; all of one service.
+    """
+    ports = PortAllocator()
+    gateways = {name: str(ports.allocate("127.0.0.1")) for name in backends}
+    listed = {
+        name: {
+            "role": "backend",
+            "zone": ZONE,
+            "address": backend,
+            "service": next(iter(tree["services"])),
+            "gateway": gateways[name],
+            "slots": slots,
+        }
+        for name, backend in backends.items()
     }
     source = ConfigurationSource(tree, ANY, ANY).service
-    machines = MachineListService({GATEWAY: machine}, ANY, ANY).service
+    machines = MachineListService(listed, ANY, ANY).service
     async with anyio.create_task_group() as tasks, contextlib.AsyncExitStack() as stack:
         for service in (source, machines):
             await service.open(tasks)
@@ -51,8 +74,11 @@
             stack.callback(service.control.close)
         stack.callback(tasks.cancel_scope.cancel)
         platform = (str(source.readers.address), str(machines.readers.address))
-        texts = [settings_text(name, ZONE, *platform) + limits for name in callers]
-        texts.insert(0, _gateway_settings(platform, str(gateway), backend, megabits) + limits)
+        texts = [
+            _gateway_settings(name, platform, gateways[name], backend, megabits) + limits
+            for name, backend in backends.items()
+        ]
+        texts += [settings_text(name, ZONE, *platform) + limits for name in callers]
         nodes = [await stack.enter_async_context(NodeProcess(text)) for text in texts]
         for node in nodes:
             await node.wait_event("NODE_SERVING")
@@ -62,9 +88,9 @@
 
 
 def _gateway_settings(
-    platform: tuple[str, str], gateway: str, backend: str, megabits: float
+    name: str, platform: tuple[str, str], gateway: str, backend: str, megabits: float
 ) -> str:
-    text = settings_text(GATEWAY, ZONE, *platform)
+    text = settings_text(name, ZONE, *platform)
     text = text.replace('region = "r"', f'region = "r", link_mbps = {megabits}')
     text = text.replace("listen = {", f'listen = {{gateway = "{gateway}", ')
     beside = f'\n        backend = {{address = "{backend}"}}\n'
--- a/tests/node/test_stop_and_long_answers.py
+++ b/tests/node/test_stop_and_long_answers.py
@@ -13,6 +13,7 @@
 import contextlib
 import signal
 import unittest
+from collections.abc import AsyncIterator
 from typing import Any
 
 import anyio
@@ -51,13 +52,12 @@
     return "\r\n".join([*lines, "x-deadline-ms: 50000", "", ""]).encode()
 
 
-class LongAnswersTest(ProxyTestCase):
-    """Callers are at the nodes a, which stops, and c; the only back end is beside b."""
+class DownloadTestCase(ProxyTestCase):
+    """Callers who ask for long answers; ``ran`` has the requests that back ends were given."""
 
     async def asyncSetUp(self) -> None:
         self.size = DOWNLOAD
         self.ran: list[str] = []
-        self.address = await self.serve(self.backend)
         self.tasks: list[asyncio.Task[Answer]] = []
 
     async def backend(self, scope: Any, receive: Any, send: Any) -> None:
@@ -67,12 +67,10 @@
         await send({"type": "http.response.body", "body": b"e" * self.size})
 
     @contextlib.asynccontextmanager
-    async def fleet(self) -> Any:
-        fleet = fleet_on_a_narrow_link(TREE, self.address, SLOTS, MEGABITS, LIMITS, "a", "c")
-        async with fleet as (b, a, c):
-            # The gateway learns how long the route's answers are.
-            self.assertEqual((await self.read(*await self.send(c, "first"))).status, 200)
-            yield a, b, c
+    async def calls_ended(self) -> AsyncIterator[None]:
+        try:
+            yield
+        finally:
             for task in self.tasks:
                 task.cancel()
             await asyncio.gather(*self.tasks, return_exceptions=True)
@@ -105,6 +103,22 @@
             while not {f"/{name}" for name in names} <= set(self.ran):
                 await anyio.sleep(0.01)
 
+
+class LongAnswersTest(DownloadTestCase):
+    """Callers are at the nodes a, which stops, and c; the only back end is beside b."""
+
+    async def asyncSetUp(self) -> None:
+        await super().asyncSetUp()
+        self.address = await self.serve(self.backend)
+
+    @contextlib.asynccontextmanager
+    async def fleet(self) -> Any:
+        fleet = fleet_on_a_narrow_link(TREE, self.address, SLOTS, MEGABITS, LIMITS, "a", "c")
+        async with fleet as (b, a, c), self.calls_ended():
+            # The gateway learns how long the route's answers are.
+            self.assertEqual((await self.read(*await self.send(c, "first"))).status, 200)
+            yield a, b, c
+
     async def test_what_waits_on_the_link_for_a_node_that_stops_goes_before_the_others(
         self,
     ) -> None:
