A stopping gateway gives back at once what its link can't carry before the stop's end

What callers saw: a download cut in the middle, after 64 KiB or more, at the end of the stop of the node beside the back end, 0.5 to 5 s after the back end's end with it.

Cause: the line of a link knew of no end. At a stop it went on beginning one answer after the other; the one under way at the end was broken off, and as its caller's node passes on what it has of it from 64 KiB on, no other gateway could give it any more. Class: a time limit at which work is dropped, unknown to what hands the work out.

Change: LinkShare.end_at. Of what the line can't carry by then, all is given back at once of which the other node holds the beginning back (new hop header x-pewtertack-holds-back; Exchange.holds_back; less than 64 KiB sent): the connection is cut, the other node asks another gateway or answers 502. What can't be given back goes on, before all others. The line is looked at anew at each turn, so what comes later is judged too. Who gets a slot while the answer could not leave any more is refused as not run. Event GATEWAY_GAVE_BACK.

Limits: what may not be repeated, or whose head tells no length, and doesn't fit, is cut as before, as is what a caller reads too slowly.

--- a/src/pewtertack/events.py
+++ b/src/pewtertack/events.py
@@ -75,6 +75,10 @@
 
     GATEWAY_SENT = (628, "All of a long answer has left the gateway.", True)
     SENDER_STOPS = (629, "A node that stops says until when it carries answers to its requests.")
+    GATEWAY_GAVE_BACK = (
+        630,
+        "The node stops before a long answer could leave; its sender asks another gateway.",
+    )
 
     def __init__(self, number: int, meaning: str, routine: bool = False) -> None:
         self.number = number
--- a/src/pewtertack/node/gateway/application.py
+++ b/src/pewtertack/node/gateway/application.py
@@ -209,6 +209,8 @@
         """Take only requests that end well before the stop; others find another gateway."""
         self.leaving = True
         self._stops_at = self._clock() + seconds
+        if self._parts.pacer is not None:
+            self._parts.pacer.end_at(self._stops_at)
 
     async def __call__(self, scope: Scope, receive: Receive, send: Send) -> None:
         """Serve one request (ASGI entry point)."""
--- a/src/pewtertack/node/gateway/forwarding.py
+++ b/src/pewtertack/node/gateway/forwarding.py
@@ -19,7 +19,7 @@
 from pewtertack.node.gateway.sending import AnswerSender, HeldBytes
 from pewtertack.node.http.cycle import Scope
 from pewtertack.node.http.framing import RawHeaders
-from pewtertack.node.pacing import LinkPacer
+from pewtertack.node.pacing import LinkEndsError, LinkPacer
 from pewtertack.node.proxy.answers import Receive, Send
 from pewtertack.node.proxy.body import CallerGoneError, RequestBody
 from pewtertack.node.proxy.content import RequestContent
@@ -38,7 +38,7 @@
 from pewtertack.node.proxy.suspicion import Suspicion
 from pewtertack.node.proxy.upstream import ConnectionStore
 from pewtertack.routing.admission import Admission
-from pewtertack.routing.link import RECEIVER_STOPS
+from pewtertack.routing.long_body import RECEIVER_STOPS
 from pewtertack.routing.origins import OriginWatch
 from pewtertack.routing.outcomes import (
     BackendFailedError,
@@ -119,7 +119,9 @@
         )
         self._sender: AnswerSender | None = None
         if parts.pacer is not None:
-            self._sender = AnswerSender(send, parts.pacer, parts.held, self._ticket)
+            self._sender = AnswerSender(
+                send, parts.pacer, parts.held, self._ticket, request.holds_back
+            )
             if self.sender_stops:
                 self._sender.leave_by(self._gone_at)
         self._exchange = Exchange(
@@ -211,9 +213,13 @@
             await self._wait_for_slot_and_body()
         else:
             await self._wait_for_slot()
-        await self._exchange_admitted()
-        if self._sender is not None and self._sender.sends:
-            await self._wait_for_link(self._sender)
+        try:
+            await self._exchange_admitted()
+            if self._sender is not None and self._sender.sends:
+                await self._wait_for_link(self._sender)
+        except LinkEndsError as error:
+            self._parts.log.gave_back(self.request_id, self._request.backend)
+            raise TruncatedAnswerError(str(error)) from error
 
     async def _wait_for_link(self, sender: AnswerSender) -> None:
         began = self._parts.clock()
@@ -356,7 +362,22 @@
         else:
             self._admission.withdraw(self._ticket)
 
+    def _check_stop(self) -> None:
+        """Refuse what waited for its slot, and could not leave any more before the node stops.
+
+        Raises:
+            DrainingError: it has not run, and another gateway may be asked.
+        """
+        pacer, route = self._parts.pacer, self._request.route
+        run_seconds = self._admission.expected_time(route)
+        rank = RECEIVER_STOPS if self.sender_stops else self._ticket.rank
+        if pacer is not None and pacer.ends_before(route, rank, run_seconds):
+            error = DrainingError("the node beside the back end is stopping")
+            error.offered = False
+            raise error
+
     async def _attempt(self) -> None:
+        self._check_stop()
         # Others may have come to know what it does while it waited here.
         await self._suspicion.refuse_held(self._request.crash_limit, self._parts.clock())
         connections = self._parts.connections
--- a/src/pewtertack/node/gateway/hop.py
+++ b/src/pewtertack/node/gateway/hop.py
@@ -56,6 +56,9 @@
 gateway that knows only a life before must not say of this one that it has left."""
 GONE_IN = b"x-pewtertack-gone-in-ms"
 """There when the proxy's node stops: in how many milliseconds it will carry answers no longer."""
+HOLDS_BACK = b"x-pewtertack-holds-back"
+"""There when the proxy holds the beginning of a long answer back (``Exchange.holds_back``): should
+it break off there, it asks another gateway, or its caller is told so; it is not cut."""
 FAILURE = b"x-pewtertack-failure"
 """In an answer: ``<code> <outcome> <offered>`` of the gateway's own failure."""
 QUEUED = b"x-pewtertack-queued-ms"
@@ -79,7 +82,7 @@
 GATEWAY_NAMES = frozenset({PROBE, WITHDRAW, LEAVE_BY})
 """Headers that make a request one for the gateway; only nodes send them."""
 NEEDED_NAMES = frozenset({BACKEND, SERVICE, ROUTE, RANK, OBJECTIVE, LATENESS, CALLER_SERVICE})
-REQUEST_NAMES = NEEDED_NAMES | {CRASH_LIMIT, ELSEWHERE, GONE_IN, LIFE, WITHIN}
+REQUEST_NAMES = NEEDED_NAMES | {CRASH_LIMIT, ELSEWHERE, GONE_IN, HOLDS_BACK, LIFE, WITHIN}
 ANSWER_NAMES = frozenset({FAILURE, QUEUED, ORIGIN})
 OFFERED = "offered"
 NOT_OFFERED = "not-offered"
@@ -109,6 +112,8 @@
     """The proxy takes it for one that a back end makes while it runs another request."""
     gone_in: float = math.inf
     """In how many seconds the proxy's node will carry its answer no longer."""
+    holds_back: bool = False
+    """Its answer may break off until the proxy passes its beginning on."""
     senseless_time: bool = False
     """``GONE_IN`` made no sense and is taken as not there."""
 
@@ -176,6 +181,7 @@
         elsewhere=ELSEWHERE in found,
         within=WITHIN in found,
         gone_in=gone_in,
+        holds_back=HOLDS_BACK in found,
         senseless_time=GONE_IN in found and gone_in == math.inf,
     )
 
--- a/src/pewtertack/node/gateway/sending.py
+++ b/src/pewtertack/node/gateway/sending.py
@@ -9,9 +9,11 @@
 import asyncio
 
 from pewtertack.node.http.cycle import WHOLE, Message
-from pewtertack.node.pacing import BodyTurns, LinkPacer
+from pewtertack.node.pacing import BodyTurns, LinkEndsError, LinkPacer
 from pewtertack.node.proxy.answers import Send
-from pewtertack.routing.link import LONG_BYTES, RECEIVER_STOPS
+from pewtertack.node.proxy.exchange import WHOLE_BODY_BYTES
+from pewtertack.routing.link import LONG_BYTES
+from pewtertack.routing.long_body import RECEIVER_STOPS
 from pewtertack.routing.places import AdmissionTicket
 
 HELD_BYTES = 256 * 1024
@@ -37,6 +39,7 @@
         pacer: the link's.
         held: what the node holds.
         ticket: the request's place, which tells its rank, its route and its objective.
+        holds_back: the other node passes nothing on should the answer break off early.
     """
 
     __slots__ = (
@@ -44,7 +47,9 @@
         "_body_bytes",
         "_changed",
         "_ended",
+        "_given_back",
         "_held",
+        "_holds_back",
         "_latest",
         "_left",
         "_length",
@@ -62,7 +67,12 @@
     )
 
     def __init__(
-        self, send: Send, pacer: LinkPacer, held: HeldBytes, ticket: AdmissionTicket
+        self,
+        send: Send,
+        pacer: LinkPacer,
+        held: HeldBytes,
+        ticket: AdmissionTicket,
+        holds_back: bool = False,
     ) -> None:
         self._send = send
         self._pacer = pacer
@@ -71,6 +81,9 @@
         self._rank = ticket.rank
         self._wanted = ticket.objective
         self._latest = ticket.deadline
+        self._holds_back = holds_back
+        self._given_back = False
+        """Whether the rest is not sent, since this node stops too early for it."""
         self._turns: BodyTurns | None = None
         """Its place in the line, while it has one."""
         self._promised = 0.0
@@ -117,7 +130,10 @@
         """Send a part of the answer, or take it to be sent in its turn."""
         if message["type"] == "http.response.start":
             self._began = self._pacer.now()
-            self._length = _announced_length(message) or round(self._promised)
+            announced = _announced_length(message)
+            # One whose head tells no length is passed on by the other node as it comes.
+            self._holds_back = self._holds_back and announced > 0
+            self._length = announced or round(self._promised)
             await self._send_head(message)
             return
         await self._send_or_take(message)
@@ -166,6 +182,8 @@
         while self._must_wait and not self._sending.done():
             self._space.clear()
             await self._space.wait()
+        if self._given_back:
+            await self._sending
 
     @property
     def _must_wait(self) -> bool:
@@ -183,6 +201,9 @@
                 if not self._parts and not self._ended:
                     await self._changed.wait()
             await self._send({"type": "http.response.body", "body": b""})
+        except LinkEndsError:
+            self._given_back = True
+            raise
         finally:
             self._space.set()
 
@@ -192,7 +213,8 @@
         # With what has not come yet, or more would be taken than the link carries in time.
         whole = self._body_bytes if self._ended else max(self._length, self._body_bytes)
         size = whole - self._left
-        place = self._pacer.turns(self._rank, size, self._wanted, begun, latest=self._latest)
+        returnable = max(0, WHOLE_BODY_BYTES - self._left) if self._holds_back else 0
+        place = self._pacer.turns(self._rank, size, self._wanted, begun, self._latest, returnable)
         with place as turns:
             self._turns = turns
             try:
@@ -224,6 +246,8 @@
         self._keep_promise()
         if self._sending is not None:
             self._sending.cancel()
+            if self._given_back:
+                self._sending.exception()  # seen, also where the request has ended otherwise
         self._release(self._size)
 
 
--- a/src/pewtertack/node/pacing.py
+++ b/src/pewtertack/node/pacing.py
@@ -7,7 +7,13 @@
 from collections.abc import AsyncIterator, Callable
 from types import TracebackType
 
-from pewtertack.routing.link import PART_BYTES, LinkShare, LongBody, Rank
+from pewtertack.errors import PewtertackError
+from pewtertack.routing.link import PART_BYTES, LinkShare
+from pewtertack.routing.long_body import LongBody, Rank
+
+
+class LinkEndsError(PewtertackError):
+    """The node stops before a long body could leave, which can be had elsewhere."""
 
 
 class LinkPacer:
@@ -32,6 +38,14 @@
         """Something short was sent."""
         self.share.note_sent(size, self._clock())
 
+    def end_at(self, moment: float) -> None:
+        """See ``LinkShare.end_at``."""
+        self.share.end_at(moment, self._clock())
+
+    def ends_before(self, route: str, rank: Rank, run_seconds: float) -> bool:
+        """See ``LinkShare.ends_before``."""
+        return self.share.ends_before(route, rank, self._clock(), run_seconds)
+
     def answer_time(self, route: str, rank: Rank) -> float:
         """See ``LinkShare.answer_time``."""
         return self.share.answer_time(route, rank, self._clock())
@@ -43,9 +57,15 @@
         wanted: float,
         begun: bool = False,
         latest: float = math.inf,
+        returnable: int = 0,
     ) -> BodyTurns:
         """Return the turns of one long body, to be used as a context; see ``LinkShare.enter``."""
-        return BodyTurns(self._clock, self.share, rank, size, wanted, begun, latest)
+        enter = self.share.enter
+        return BodyTurns(
+            self._clock,
+            self.share,
+            lambda wake: enter(rank, size, wanted, wake, begun, latest, returnable),
+        )
 
 
 class BodyTurns:
@@ -57,16 +77,12 @@
         self,
         clock: Callable[[], float],
         share: LinkShare,
-        rank: Rank,
-        size: int,
-        wanted: float,
-        begun: bool = False,
-        latest: float = math.inf,
+        enter: Callable[[Callable[[], None]], LongBody],
     ) -> None:
         self._clock = clock
         self._share = share
         self._changed = asyncio.Event()
-        self._body: LongBody = share.enter(rank, size, wanted, self._changed.set, begun, latest)
+        self._body = enter(self._changed.set)
 
     def __enter__(self) -> BodyTurns:
         return self
@@ -84,7 +100,11 @@
         self._share.hasten(self._body, rank, wanted, self._clock())
 
     async def parts(self, data: bytes) -> AsyncIterator[bytes]:
-        """Yield the data in parts, each when it may be sent."""
+        """Yield the data in parts, each when it may be sent.
+
+        Raises:
+            LinkEndsError: the node stops too early for it (``LinkShare.end_at``).
+        """
         for start in range(0, len(data), PART_BYTES):
             await self._wait()
             part = data[start : start + PART_BYTES]
@@ -94,6 +114,8 @@
     async def _wait(self) -> None:
         while True:
             wait = self._share.wait_of(self._body, self._clock())
+            if self._body.given_back:
+                raise LinkEndsError("the node stops before the body could leave")
             if wait is None:
                 self._changed.clear()
                 await self._changed.wait()
--- a/src/pewtertack/node/proxy/forwarding.py
+++ b/src/pewtertack/node/proxy/forwarding.py
@@ -10,7 +10,7 @@
 from pewtertack.core.configuration.resolved import ResolvedConfiguration, ResolvedRoute
 from pewtertack.node.crash_reporter import CrashReporter
 from pewtertack.node.crash_watch import CrashWatch
-from pewtertack.node.gateway.hop import ELSEWHERE, GONE_IN, LIFE, hop_headers
+from pewtertack.node.gateway.hop import ELSEWHERE, GONE_IN, HOLDS_BACK, LIFE, hop_headers
 from pewtertack.node.http.connection import BackendConnection
 from pewtertack.node.http.cycle import Scope
 from pewtertack.node.http.framing import RawHeaders
@@ -332,6 +332,8 @@
         hop = hop_headers(self._route, backend.name, objective, lateness, caller, within, run_rank)
         if self._parts.dispatcher.may_leave(self._ticket, now) and not self._head.has_body:
             hop.append((ELSEWHERE, b"1"))
+        if self._exchange.holds_back:
+            hop.append((HOLDS_BACK, b"1"))
         if backend.started_at:
             hop.append((LIFE, b"%d" % backend.started_at))
         if self._parts.stop.begun:
--- a/src/pewtertack/node/proxy/request_log.py
+++ b/src/pewtertack/node/proxy/request_log.py
@@ -264,6 +264,10 @@
         took = milliseconds(seconds)
         self._record(Event.GATEWAY_SENT, request=request, backend=backend, took=took)
 
+    def gave_back(self, request: str, backend: str) -> None:
+        """A long answer will not leave before the node stops, and can be had elsewhere."""
+        self._record(Event.GATEWAY_GAVE_BACK, request=request, backend=backend)
+
     def sender_stops(self, seconds: float, named: int, found: int) -> None:
         """Another node stops in so many seconds; of the requests it named some are here."""
         left = milliseconds(seconds)
--- a/src/pewtertack/routing/link.py
+++ b/src/pewtertack/routing/link.py
@@ -15,6 +15,7 @@
 import math
 from collections.abc import Callable
 
+from pewtertack.routing.long_body import LongBody, Rank, Turn
 from pewtertack.routing.policies import LongBodies, Parameter, PolicyKind, policy
 from pewtertack.routing.queueing import smoothed
 
@@ -37,60 +38,6 @@
 BITS = 8
 MEGA = 1_000_000
 
-Rank = tuple[int, int]
-
-RECEIVER_STOPS: Rank = (-1, 0)
-"""Rank of answers for a node that stops, before all others: what leaves after its end is lost,
-while all others are only later."""
-
-
-class LongBody:
-    """One long body on its way, or in line."""
-
-    __slots__ = (
-        "arrival",
-        "begun",
-        "latest",
-        "left",
-        "rank",
-        "sent_at",
-        "waits",
-        "wake",
-        "wanted",
-    )
-
-    def __init__(
-        self, rank: Rank, size: int, wanted: float, arrival: int, wake: Callable[[], None]
-    ) -> None:
-        self.rank = rank
-        self.left = size
-        """Bytes that have not been sent, as far as announced."""
-        self.wanted = wanted
-        """When it should have left."""
-        self.latest = math.inf
-        """Until when it must have left: then nobody takes it any more."""
-        self.arrival = arrival
-        self.wake = wake
-        self.waits = False
-        """Whether its next part is there and may go; else its reader or its sender is slow."""
-        self.begun = False
-        """Whether a part was sent: it goes on, or the part was sent for nothing."""
-        self.sent_at = math.inf
-        """When the newest part was sent; never, at first."""
-
-    def due(self, end: float) -> float:
-        """Return by when it should go first, sent alone until ``end``.
-
-        What is late lets go first what can be in time. But where a link is asked for all that
-        it carries, new ones that can be in time never end: half of the time that a late one
-        still has is left to them, the other half is for what stands in line by then.
-        """
-        if end <= self.wanted:
-            return self.wanted
-        if end > self.latest:
-            return math.inf
-        return (self.wanted + self.latest) / 2
-
 
 @policy(
     PolicyKind.LONG_BODIES,
@@ -108,6 +55,7 @@
 
     __slots__ = (
         "_arrivals",
+        "_ends_at",
         "_free_at",
         "_line",
         "_probed_at",
@@ -120,6 +68,8 @@
         self.bytes_per_second = megabits * MEGA / BITS * LINK_SHARE
         self._free_at = 0.0
         """When the link will have carried all that was sent."""
+        self._ends_at = math.inf
+        """When the link's node carries nothing any longer."""
         self._line: list[LongBody] = []
         self._arrivals = 0
         self._promised: dict[Rank, float] = {}
@@ -141,6 +91,7 @@
         wake: Callable[[], None],
         begun: bool = False,
         latest: float = math.inf,
+        returnable: int = 0,
     ) -> LongBody:
         """Put a long body into the line; ``wake`` is called when its turn may have come.
 
@@ -151,11 +102,13 @@
             wake: must not block.
             begun: some of the same answer has left before.
             latest: until when it must have left, or it is sent for nothing.
+            returnable: see ``LongBody.returnable``.
         """
         self._arrivals += 1
         body = LongBody(rank, size, min(wanted, latest), self._arrivals, wake)
         body.begun = begun
         body.latest = latest
+        body.returnable = returnable
         self._line.append(body)
         return body
 
@@ -167,9 +120,44 @@
 
     def leave(self, body: LongBody, now: float) -> None:
         """The body has been sent, or will not be."""
-        self._line.remove(body)
+        if not body.given_back:
+            self._line.remove(body)
         self._wake_first(now)
 
+    def end_at(self, moment: float, now: float) -> None:
+        """The link's node stops, and carries nothing after ``moment``.
+
+        What has begun goes on, before all others. What can't leave by then is given back while
+        it can be had elsewhere: begun shortly before the end, it would be broken off there.
+        """
+        self._ends_at = moment
+        self._give_back(now)
+
+    def _give_back(self, now: float) -> None:
+        """Take out of the line what will not leave before the node stops, as far as it may be."""
+        if self._ends_at == math.inf:
+            return
+        free_at = max(now, self._free_at)
+        for body in sorted(self._line, key=lambda item: self._turn(item, now)):
+            if self._is_held_up(body, now):
+                continue
+            left_at = free_at + body.left / self.bytes_per_second
+            if left_at <= self._ends_at or not body.returnable:
+                free_at = left_at
+                continue
+            self._line.remove(body)
+            body.given_back = True
+            body.wake()
+
+    def ends_before(self, route: str, rank: Rank, now: float, run_seconds: float) -> bool:
+        """Tell whether the node stops before an answer of the route, not run yet, has left."""
+        own = self.own_time(route)
+        if not own or self._ends_at == math.inf:
+            return False
+        ahead = self._line_bytes(rank, now) / self.bytes_per_second
+        turn_at = max(now, self._free_at) + ahead
+        return max(turn_at, now + run_seconds) + own > self._ends_at
+
     def _wake_first(self, now: float) -> None:
         first = self._first(now)
         if first is not None:
@@ -177,12 +165,17 @@
 
     def _first(self, now: float) -> LongBody | None:
         """Return whose turn is next."""
+        waiting = (item for item in self._line if item.waits)
+        return min(waiting, key=lambda item: self._turn(item, now), default=None)
 
-        def turn(item: LongBody) -> tuple[Rank, bool, float, int]:
-            due = item.due(now + item.left / self.bytes_per_second)
-            return item.rank, not item.begun, due, item.arrival
+    def _turn(self, item: LongBody, now: float) -> Turn:
+        """Return the body's place in the line; the smallest goes first.
 
-        return min((item for item in self._line if item.waits), key=turn, default=None)
+        Where the node stops, what can be had elsewhere lets all go first that can not.
+        """
+        lets_go_first = self._ends_at < math.inf and item.returnable > 0
+        due = item.due(now + item.left / self.bytes_per_second)
+        return lets_go_first, item.rank, not item.begun, due, item.arrival
 
     def wait_of(self, body: LongBody, now: float) -> float | None:
         """Return in how many seconds it may send a part.
@@ -190,6 +183,7 @@
         ``None`` while another goes first, which is woken: it may have become the first since.
         """
         body.waits = True
+        self._give_back(now)
         if self._first(now) is not body:
             self._wake_first(now)
             return None
@@ -201,6 +195,7 @@
         body.waits = False
         body.sent_at = now
         body.left = max(0, body.left - size)
+        body.returnable = max(0, body.returnable - size)
         self.note_sent(size, now)
         self._wake_first(now)
 
@@ -238,13 +233,17 @@
 
     def time_ahead(self, rank: Rank, now: float) -> float:
         """Return the seconds for which others take the link before a long answer of the rank."""
-        ahead = sum(
+        ahead = self._line_bytes(rank, now)
+        ahead += sum(total for other, total in self._promised.items() if other <= rank)
+        return max(0.0, self._free_at - now) + ahead / self.bytes_per_second
+
+    def _line_bytes(self, rank: Rank, now: float) -> float:
+        """Return the bytes in line of what goes before a long answer of the rank."""
+        return sum(
             float(item.left)
             for item in self._line
             if item.rank <= rank and not self._is_held_up(item, now)
         )
-        ahead += sum(total for other, total in self._promised.items() if other <= rank)
-        return max(0.0, self._free_at - now) + ahead / self.bytes_per_second
 
     def _is_held_up(self, item: LongBody, now: float) -> bool:
         """Tell whether its reader, or its sender, is slow, so that it takes nobody's time."""
--- /dev/null
+++ b/tests/node/gateway/test_own_stop.py
@@ -0,0 +1,118 @@
+"""What a gateway does at its own node's stop with answers that its link can't carry in time."""
+
+import asyncio
+import time
+from typing import Any
+
+import msgspec
+
+from pewtertack.events import Event
+from pewtertack.node.gateway.hop import HOLDS_BACK, hop_headers, read_hop
+from pewtertack.node.pacing import LinkPacer
+from pewtertack.routing.link import LinkShare
+from pewtertack.routing.patience import Lateness
+from tests.node.gateway.test_gateway import GatewayTestCase, header
+from tests.node.proxy.harness import Answer, answer_bytes, raw_call, request_bytes
+from tests.routing.samples import route
+
+DOWNLOAD = 100_000
+MEGABITS = 2.0
+"""Of each gateway's link: a download takes 0.5 s of it."""
+RUN_SECONDS = 0.05
+CALLS = 6
+STOP_SECONDS = 0.8
+"""One answer leaves in time, and not the second."""
+PATIENCE = 20.0
+
+
+class OwnStopTestCase(GatewayTestCase):
+    """Downloads from two gateways on narrow links; one of them stops."""
+
+    slots = 20
+    run_seconds = RUN_SECONDS
+    backends = 2
+
+    async def begin(self, calls: int = CALLS, **changes: Any) -> None:
+        async def script(reader: Any, writer: Any, head: str) -> bool:
+            await asyncio.sleep(self.run_seconds)
+            name = header(head, "x-call").encode()
+            writer.write(answer_bytes(b"x" * DOWNLOAD, b"x-call: " + name))
+            return True
+
+        usual = {"timeout": 30.0, "target_latency": 25.0, "repeatable": True}
+        address = await self.start_fleet(
+            *[script] * self.backends, slots=self.slots, **usual | changes
+        )
+        self.address = address
+        self.events: list[Event] = []
+        for gateway in self.gateways:
+            gateway._log._record = lambda event, **_: self.events.append(event)
+            pacer = LinkPacer(time.monotonic, LinkShare(MEGABITS))
+            gateway._parts = msgspec.structs.replace(gateway._parts, pacer=pacer)
+        self.calls = [asyncio.create_task(self.call(f"own-{n}")) for n in range(calls)]
+        self.addCleanup(lambda: [task.cancel() for task in self.calls])
+
+    async def until_sent(self, count: int) -> None:
+        async with asyncio.timeout(5.0):
+            while len(self.heads) < count:
+                await asyncio.sleep(0.01)
+        await asyncio.sleep(2 * RUN_SECONDS)
+
+    async def call(self, name: str) -> Answer:
+        headers = (f"x-call: {name}", "x-left: 25000")
+        return await raw_call(self.address, request_bytes("GET", "/", headers=headers), PATIENCE)
+
+    async def answers(self) -> list[tuple[int, int]]:
+        async with asyncio.timeout(PATIENCE):
+            return [(item.status, len(item.body)) for item in await asyncio.gather(*self.calls)]
+
+
+class OwnStopTest(OwnStopTestCase):
+    """All of them run at once."""
+
+    async def test_what_can_not_leave_in_time_is_given_back_at_once(self) -> None:
+        await self.begin()
+        await self.until_sent(CALLS)
+        self.gateways[0].start_leaving(STOP_SECONDS)
+        await asyncio.sleep(0.2)
+        self.assertIn(Event.GATEWAY_GAVE_BACK, self.events)
+        self.assertLessEqual(self.gateways[0].in_flight, 1)
+        self.assertEqual(await self.answers(), [(200, DOWNLOAD)] * CALLS)
+
+    async def test_what_may_not_be_repeated_is_not_given_back(self) -> None:
+        await self.begin(repeatable=False)
+        await self.until_sent(CALLS)
+        self.gateways[0].start_leaving(STOP_SECONDS)
+        self.assertEqual(await self.answers(), [(200, DOWNLOAD)] * CALLS)
+        self.assertNotIn(Event.GATEWAY_GAVE_BACK, self.events)
+        self.assertEqual(len(self.heads), CALLS)
+
+
+class FullBackendTest(OwnStopTestCase):
+    """One gateway, whose back end has one slot: a call waits for it when the stop begins."""
+
+    slots = 1
+    run_seconds = 0.3
+    backends = 1
+
+    async def test_what_gets_its_slot_too_late_is_refused_before_it_runs(self) -> None:
+        await self.begin(repeatable=False, calls=0)
+        self.assertEqual((await self.call("first")).status, 200)
+        running = asyncio.create_task(self.call("running"))
+        await asyncio.sleep(0.05)
+        waiting = asyncio.create_task(self.call("waiting"))
+        await asyncio.sleep(0.05)
+        self.gateways[0].start_leaving(STOP_SECONDS)
+        began = time.monotonic()
+        self.assert_refused(await waiting, 503, "not-run")
+        self.assertLess(time.monotonic() - began, STOP_SECONDS)
+        answer = await running
+        self.assertEqual((answer.status, len(answer.body)), (200, DOWNLOAD))
+        self.assertEqual(len(self.heads), 2)
+
+
+class WordTest(GatewayTestCase):
+    async def test_a_gateway_is_told_which_answers_can_be_had_elsewhere(self) -> None:
+        headers = hop_headers(route(), "b0", 1.0, Lateness.ALLOWED, "desk")
+        self.assertFalse(read_hop(headers).holds_back)
+        self.assertTrue(read_hop([*headers, (HOLDS_BACK, b"1")]).holds_back)
--- a/tests/routing/test_link.py
+++ b/tests/routing/test_link.py
@@ -13,10 +13,9 @@
     LONG_BYTES,
     MEGA,
     PART_BYTES,
-    RECEIVER_STOPS,
     LinkShare,
-    LongBody,
 )
+from pewtertack.routing.long_body import RECEIVER_STOPS, LongBody
 
 MEGABITS = 10.0
 RATE = MEGABITS * MEGA / BITS
--- a/tests/routing/test_link_order.py
+++ b/tests/routing/test_link_order.py
@@ -8,7 +8,8 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from pewtertack.routing.link import LONG_BYTES, PART_BYTES, LinkShare, LongBody, Rank
+from pewtertack.routing.link import LONG_BYTES, PART_BYTES, LinkShare
+from pewtertack.routing.long_body import LongBody, Rank
 
 MEGABITS = 5.0
 DOWNLOAD = 90_000
