--- a/src/pewtertack/lab/metadata_store/application.py
+++ b/src/pewtertack/lab/metadata_store/application.py
@@ -18,6 +18,8 @@
 PAGE_ITEMS = 50
 LONGEST_WAIT_MS = 30_000
 STATUS_GONE = 410
+ERA_HEADER = "store_era"
+"""As `json_answer` takes it: header names are the same in any case."""
 LOST_ANSWER_SECONDS = 3600.0
 """A lost answer is one that does not come as long as anybody waits."""
 
@@ -33,6 +35,8 @@
     """So many further calls are never answered."""
     stale_by: int = 0
     """Stale reads show the state so many changes ago."""
+    era: str | None = None
+    """Stands in the header of all answers in place of the store's own era."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -42,12 +46,28 @@
     key: str
     revision: int
     value: bytes | None
+    made: int = 0
+
+
+@dataclass(frozen=True, slots=True)
+class StoreCopy:
+    """The store as it was at one moment."""
+
+    revision: int
+    forgotten: int
+    items: dict[str, _Change]
+    history: tuple[_Change, ...]
 
 
 class MetadataStore:
-    """Items under one revision counter, with the history that watches are answered from."""
+    """Items under one revision counter, with the history that watches are answered from.
+
+    Args:
+        era: told in all answers, ``None`` for a store that has no eras.
+    """
 
-    def __init__(self) -> None:
+    def __init__(self, era: int | None = None) -> None:
+        self.era = era
         self.faults = StoreFaults()
         self.calls = 0
         self.stale_calls = 0
@@ -85,9 +105,22 @@
         self._forgotten = self._revision
         self._notify()
 
+    def copy(self) -> StoreCopy:
+        """Return a copy of the present state, to come back from."""
+        return StoreCopy(self._revision, self._forgotten, dict(self._items), tuple(self._history))
+
+    def come_back_from(self, copy: StoreCopy) -> None:
+        """Lose what was written since ``copy``: revisions go back, the era rises by one."""
+        self._revision, self._forgotten = copy.revision, copy.forgotten
+        self._items, self._history = dict(copy.items), deque(copy.history)
+        self.era = (self.era or 0) + 1
+        self._notify()
+
     def _apply(self, key: str, value: bytes | None) -> int:
         self._revision += 1
-        change = _Change(key, self._revision, value)
+        known = self._items.get(key)
+        made = known.made if known is not None else self._revision
+        change = _Change(key, self._revision, value, made)
         self._history.append(change)
         if value is None:
             self._items.pop(key, None)
@@ -108,7 +141,12 @@
             await anyio.sleep(LOST_ANSWER_SECONDS)
         if faults.delay:
             await anyio.sleep(faults.delay)
-        return json_answer({}, faults.status) if faults.status else None
+        return self._told({}, faults.status) if faults.status else None
+
+    def _told(self, value: object, status: int = 200) -> Answer:
+        """Return an answer with the era, where there are eras."""
+        era = self.faults.era if self.faults.era is not None else self.era
+        return json_answer(value, status, **({} if era is None else {ERA_HEADER: str(era)}))
 
     async def _answer_key(self, request: Request) -> Answer:
         refused = await self._misbehave()
@@ -116,8 +154,8 @@
         if refused is not None:
             return refused
         if found is None:
-            return json_answer({"at": self._revision}, 404)
-        return json_answer({**_encoded(found), "at": self._revision})
+            return self._told({"at": self._revision}, 404)
+        return self._told({**_encoded(found), "at": self._revision})
 
     async def _answer_range(self, request: Request) -> Answer:
         refused = await self._misbehave()
@@ -134,7 +172,7 @@
             if key.startswith(prefix) and key > after and change.revision <= newest
         )
         items = [self._encoded(self._items[key]) for key in keys[:PAGE_ITEMS]]
-        return json_answer({"items": items, "more": len(keys) > PAGE_ITEMS, "at": newest})
+        return self._told({"items": items, "more": len(keys) > PAGE_ITEMS, "at": newest})
 
     async def _answer_watch(self, request: Request) -> Answer:
         refused = await self._misbehave()
@@ -143,12 +181,16 @@
         prefix, after = request.query.get("PathPrefix", ""), int(request.query["after"])
         wait = min(int(request.query.get("WaitMs", "0")), LONGEST_WAIT_MS) / 1000
         with anyio.move_on_after(wait):
-            while not self._since(prefix, after) and after >= self._forgotten:
+            while self._has(after) and not self._since(prefix, after):
                 await self._changed.wait()
-        if after < self._forgotten:
-            return json_answer({"at": self._revision}, STATUS_GONE)
+        if not self._has(after):
+            return self._told({"at": self._revision}, STATUS_GONE)
         events = [self._encoded(change) for change in self._since(prefix, after)]
-        return json_answer({"events": events, "at": self._revision})
+        return self._told({"events": events, "at": self._revision})
+
+    def _has(self, revision: int) -> bool:
+        """Tell whether the changes after ``revision`` are known."""
+        return self._forgotten <= revision <= self._revision
 
     def _encoded(self, change: _Change) -> dict[str, object]:
         return {**_encoded(change), **self._spoilt.get(change.key, {})}
@@ -166,4 +208,4 @@
     if change.value is None:
         return {**item, "gone": True}
     value = base64.b64encode(change.value).decode()
-    return {**item, "Value": value, "made": change.revision, "lease": 0}
+    return {**item, "Value": value, "made": change.made, "lease": 0}
--- /dev/null
+++ b/tests/platform/returning_fleet.py
@@ -0,0 +1,156 @@
+"""Cores with store readers around one stand-in of the store, on a clock of their own."""
+
+from __future__ import annotations
+
+from random import Random
+from typing import Any
+
+import msgspec
+
+from pewtertack.core.effects import BringIntoForce, Effect, Log, ReadDocument, Send, UseMachines
+from pewtertack.core.identity import NodeIdentity
+from pewtertack.core.inputs import Input, MessageReceived, Ticked
+from pewtertack.core.machines import MachineList, MachineState
+from pewtertack.core.node import NodeCore, NodePhase
+from pewtertack.core.profile import LEASED, SourceProperties
+from pewtertack.lab.asgi import Request
+from pewtertack.lab.metadata_store.application import MetadataStore
+from pewtertack.node.http.client import ServiceAnswer, ServiceUnreachableError
+from pewtertack.platform.store import StoreReader
+from tests.platform.test_documents import CONFIGURATION, ENTRY, encoded
+
+ZONE = "garia"
+FEW_READERS = msgspec.structs.replace(LEASED, reads_alone_below=1)
+"""One node of a zone reads, however few there are."""
+
+
+def entry(number: int, **fields: object) -> bytes:
+    """Return a back end's entry at an address of its own."""
+    return encoded({**ENTRY, "Address": f"10.1.2.{number}:8080", **fields})
+
+
+def configuration(version: int) -> bytes:
+    return encoded({**CONFIGURATION, "Version": f"r{version}"})
+
+
+class StoreCalls:
+    """Calls the stand-in as `HttpClient` calls a service."""
+
+    def __init__(self, store: MetadataStore) -> None:
+        self._store = store
+        self.cut = False
+        self.fresh = True
+
+    def close(self) -> None:
+        self.fresh = True
+
+    async def get(self, target: str, *_: object) -> ServiceAnswer:
+        if self.cut:
+            self.fresh = True
+            raise ServiceUnreachableError("cut off")
+        path, _, query = target.partition("?")
+        pairs = dict(part.partition("=")[::2] for part in query.split("&"))
+        answer = await self._store.application._answer(Request("GET", path, pairs, {}))
+        headers = [(name.encode(), value.encode()) for name, value in answer.headers.items()]
+        fresh, self.fresh = self.fresh, False
+        found = ServiceAnswer(answer.status, headers, answer.body)
+        if hasattr(found, "fresh"):
+            found = msgspec.structs.replace(found, fresh=fresh)
+        return found
+
+
+class FleetNode:
+    """One node: its core, its reader, and what it was told to use."""
+
+    def __init__(self, fleet: ReturningFleet, name: str, number: int) -> None:
+        self.address = f"127.0.0.1:{number}"
+        identity = NodeIdentity(name, self.address, ZONE, "", 1000 + number)
+        source = SourceProperties(durable=True)
+        self.name = name
+        self.calls = StoreCalls(fleet.store)
+        self.reader = StoreReader("127.0.0.1:1", 8146, 7380)
+        self.reader._client = self.calls  # type: ignore[assignment]
+        seeds = tuple(node.address for node in fleet.nodes)
+        self.core = NodeCore(identity, fleet.profile, Random(number), fleet.now, seeds, source)
+        self.machines = MachineList(0, ())
+        self.versions: list[int] = []
+        self.list_numbers: list[int] = []
+        self.logged: list[Log] = []
+
+    @property
+    def serving(self) -> bool:
+        return self.core.phase is NodePhase.SERVING
+
+    @property
+    def ready(self) -> list[str]:
+        """The back ends that get new work."""
+        return sorted(
+            machine.name
+            for machine in self.machines.machines
+            if machine.service and machine.state is MachineState.LIVE
+        )
+
+    @property
+    def version(self) -> int:
+        return self.versions[-1] if self.versions else 0
+
+    @property
+    def evacuated(self) -> frozenset[str]:
+        in_force = self.core.replication.replica.in_force
+        return frozenset(in_force.evacuated) if in_force is not None else frozenset()
+
+
+class ReturningFleet:
+    """Steps nodes over a common clock; messages arrive at the step after they were sent."""
+
+    def __init__(self, era: int | None = 0, profile: Any = FEW_READERS) -> None:
+        self.store = MetadataStore(era)
+        self.profile = profile
+        self.now = 100.0
+        self.nodes: list[FleetNode] = []
+        self.dark: set[str] = set()
+        """Nodes whose messages are lost."""
+        self._under_way: list[tuple[FleetNode, Send]] = []
+
+    def start_node(self) -> FleetNode:
+        node = FleetNode(self, f"n{len(self.nodes)}", 7001 + len(self.nodes))
+        self.nodes.append(node)
+        return node
+
+    async def run(self, seconds: float) -> None:
+        for _ in range(round(seconds / self.profile.tick)):
+            await self.step()
+
+    async def step(self) -> None:
+        self.now += self.profile.tick
+        arriving, self._under_way = self._under_way, []
+        for sender, send in arriving:
+            await self._deliver(sender, send)
+        for node in self.nodes:
+            await self._feed(node, Ticked())
+
+    async def _deliver(self, sender: FleetNode, send: Send) -> None:
+        for node in self.nodes:
+            if node.address == send.address and not {node.name, sender.name} & self.dark:
+                own = sender.core.identity
+                event = MessageReceived(own.name, own.address, own.incarnation, send.message)
+                await self._feed(node, event)
+
+    async def _feed(self, node: FleetNode, event: Input) -> None:
+        for effect in node.core.handle(self.now, event):
+            await self._carry_out(node, effect)
+
+    async def _carry_out(self, node: FleetNode, effect: Effect) -> None:
+        match effect:
+            case Send():
+                self._under_way.append((node, effect))
+            case ReadDocument():
+                answer = await node.reader.read(msgspec.structs.replace(effect, wait=0.0))
+                await self._feed(node, answer)
+            case UseMachines(machines):
+                node.machines = machines
+                node.list_numbers.append(machines.number)
+            case BringIntoForce(configuration):
+                node.versions.append(configuration.revision.number // 10**9)
+            case Log():
+                node.logged.append(effect)
