Readers know the store's eras: numbers order (era, revision), cursors end with their era

Cause: a reader went on from a revision that the returned store gives out again, and numbered what it read by revisions that had gone back. Change: core/eras.py makes and takes apart numbers: lists by (era, revision), trees by (version, era, revision of the evacuations); era 0 gives the numbers of before. SourceEra believes a rise of a connection's first answer, finds what is empty, negative, no number, falling, missing or differs on one connection (ItemProblem.ERA), and lets no answer be used that was asked for in another era. A mirror's cursor is of one era: in another the items are listed anew. A failed read after a rise spreads the readers by the core's random backoff. In an era above 0 a version below the held one is no answer, and evacuations that were known hold for source.hold_after_return. The boundary test knows the header's name.

--- a/src/pewtertack/core/effects.py
+++ b/src/pewtertack/core/effects.py
@@ -33,6 +33,10 @@
     wait: float
     may_be_stale: bool = False
     """A cheaper answer that is some seconds old will do, if the platform gives such."""
+    era: int = 0
+    """The latest era of the source that this node has heard of (`core.eras`)."""
+    evacuated: tuple[str, ...] = ()
+    """The zones that the held tree names as evacuated."""
 
 
 class BringIntoForce(msgspec.Struct, frozen=True):
--- a/src/pewtertack/core/inputs.py
+++ b/src/pewtertack/core/inputs.py
@@ -32,12 +32,15 @@
     """The answer may be some seconds old: it confirms nothing."""
     findings: tuple[ItemFinding, ...] = ()
     """What was passed over since it cannot be understood."""
+    about_answers: tuple[ItemFinding, ...] = ()
+    """What is wrong with the platform's answers themselves."""
 
 
 class DocumentUnchanged(msgspec.Struct, frozen=True):
     """The platform answered a ``ReadDocument`` with "not modified"."""
 
     kind: DocumentKind
+    about_answers: tuple[ItemFinding, ...] = ()
 
 
 class DocumentReadFailed(msgspec.Struct, frozen=True):
@@ -46,6 +49,7 @@
     kind: DocumentKind
     reason: str
     retry_after: float | None = None
+    about_answers: tuple[ItemFinding, ...] = ()
 
 
 class BackendLeavingObserved(msgspec.Struct, frozen=True):
--- a/src/pewtertack/core/items.py
+++ b/src/pewtertack/core/items.py
@@ -38,6 +38,8 @@
     """It has a name that no item of its kind may have."""
     CLAIMED = "claimed"
     """It says what another item has said of itself first."""
+    ERA = "era"
+    """The source's era, told with an answer, is none, or none that can follow the one before."""
 
 
 class ItemFinding(msgspec.Struct, frozen=True):
@@ -99,10 +101,11 @@
 class PassedOver:
     """What one reader has found and logged; an item counts again when what is wrong changes."""
 
-    __slots__ = ("_known", "total")
+    __slots__ = ("_about_answers", "_known", "total")
 
     def __init__(self) -> None:
         self._known: dict[DocumentKind, dict[str, ItemFinding]] = {}
+        self._about_answers: dict[DocumentKind, tuple[ItemFinding, ...]] = {}
         self.total = 0
         """Findings since the start, each change of one counted once."""
 
@@ -124,6 +127,14 @@
             effects.append(Log(Event.ITEM_PASSED_OVER, fields))
         return effects
 
+    def note_answer(self, kind: DocumentKind, findings: tuple[ItemFinding, ...]) -> list[Effect]:
+        """Take in what is wrong with an answer itself; return the events of what is new."""
+        if findings == self._about_answers.get(kind, ()):
+            return []
+        self._about_answers[kind] = findings
+        self.total += len(findings)
+        return [_event_of(kind, finding) for finding in findings]
+
 
 def _event_of(kind: DocumentKind, finding: ItemFinding) -> Log:
     fields = {
--- a/src/pewtertack/core/profile.py
+++ b/src/pewtertack/core/profile.py
@@ -39,6 +39,8 @@
     """This node's link carries a long document quickly: where few nodes read, it goes first."""
     narrow_link: bool = False
     """It is known to carry a long document slowly: peers are asked first."""
+    hold_after_return: float = 6.0
+    """Seconds for which what was known holds against a source that has come back from a copy."""
 
 
 class TimingProfile(msgspec.Struct, frozen=True):
--- /dev/null
+++ b/src/pewtertack/core/source_trees.py
@@ -0,0 +1,143 @@
+"""The tree that the operator's items make, and its number.
+
+An evacuation changes the tree but not the operator's version: all readers must number the same
+tree alike, and never two trees. In an era that began with a copy, what is held goes before what
+the copy says: a version never goes back, and evacuations that were known hold for a while.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Sequence
+from typing import Any
+
+from pewtertack.core.effects import ReadDocument
+from pewtertack.core.eras import moment_of, tree_number, tree_parts
+from pewtertack.core.inputs import DocumentRead, DocumentUnchanged
+from pewtertack.core.items import ItemFinding, ItemFormatError, evacuated_zones_of
+from pewtertack.core.source_mirror import Mirror
+
+TreeReader = Callable[[bytes, Sequence[str]], tuple[int, dict[str, Any]]]
+"""Reads a configuration's bytes as version and tree while some zones are evacuated."""
+
+
+def tree_document(
+    effect: ReadDocument,
+    mirror: Mirror,
+    key: str,
+    tree_of: TreeReader,
+    holds: bool,
+    stale: bool = False,
+) -> DocumentRead | DocumentUnchanged:
+    """Return the mirror's tree, or that it says nothing newer than what is held.
+
+    Args:
+        effect: what is asked, and what is held.
+        mirror: the operator's items.
+        key: of the configuration among them.
+        tree_of: reads it.
+        holds: whether the mirror's era has just begun: evacuations known before it hold.
+        stale: whether the mirror may be some seconds old.
+
+    Raises:
+        ItemFormatError: there is a configuration, but none that can be read.
+    """
+    kind, era = effect.kind, mirror.era or 0
+    evacuated, findings = evacuated_zones_of(_zones(effect, mirror, holds))
+    read = _read_tree(mirror, key, tree_of, evacuated)
+    if read is None:
+        return DocumentUnchanged(kind)
+    version, tree, unreadable = read
+    version_held, known_until = tree_parts(effect.after)
+    moment = moment_of(era, mirror.number)
+    returned = version_held == version and moment >= known_until > 0
+    number = tree_number(version, moment if evacuated or returned else 0)
+    if unreadable and number < effect.after:
+        return DocumentUnchanged(kind)  # others have read a newer one before it was spoilt
+    if era and _says_nothing_new(effect, number, evacuated):
+        return DocumentUnchanged(kind)
+    mirror.told = number
+    return DocumentRead(kind, number, tree, stale, (*unreadable, *findings))
+
+
+def lacks_change(effect: ReadDocument, mirror: Mirror, holds: bool) -> bool:
+    """Tell whether who asks holds other evacuations than the mirror, which has not changed.
+
+    The mirror's state is that of its cursor, which is newer than what is held: its tree is
+    numbered by that from now on.
+    """
+    if mirror.era:
+        return _lacks_evacuations(effect, mirror, holds)
+    return _lacks_return(effect, mirror)
+
+
+def _lacks_return(effect: ReadDocument, mirror: Mirror) -> bool:
+    """Tell whether who asks may hold an evacuation that is over.
+
+    An item that was gone before the first list has left no trace there.
+    """
+    if mirror.told >= effect.after:
+        return False
+    version, known_until = tree_parts(effect.after)
+    if tree_parts(mirror.told)[0] != version or mirror.evacuated():
+        return False
+    if not 0 < known_until < mirror.at:
+        return False
+    mirror.number = mirror.at
+    return True
+
+
+def _lacks_evacuations(effect: ReadDocument, mirror: Mirror, holds: bool) -> bool:
+    evacuated, _ = evacuated_zones_of(_zones(effect, mirror, holds))
+    if evacuated == sorted(effect.evacuated):
+        return False
+    if moment_of(mirror.era or 0, mirror.at) <= tree_parts(effect.after)[1]:
+        return False
+    mirror.number = mirror.at
+    return True
+
+
+def _zones(effect: ReadDocument, mirror: Mirror, holds: bool) -> list[str]:
+    """Return the zones that the tree is to name.
+
+    A node that holds nothing asks for the version alone: which evacuations held before the
+    era its peers know.
+    """
+    shown = mirror.evacuated()
+    if not mirror.era:
+        return shown
+    if effect.after == 0:
+        return []
+    return sorted({*shown, *effect.evacuated}) if holds else shown
+
+
+def _says_nothing_new(effect: ReadDocument, number: int, evacuated: list[str]) -> bool:
+    same_version = tree_parts(number)[0] == tree_parts(effect.after)[0]
+    if same_version and evacuated == sorted(effect.evacuated):
+        return True
+    return number <= effect.after
+
+
+def _read_tree(
+    mirror: Mirror, key: str, tree_of: TreeReader, evacuated: list[str]
+) -> tuple[int, dict[str, Any], tuple[ItemFinding, ...]] | None:
+    """Return the version and the tree of the newest configuration that can be read.
+
+    Raises:
+        ItemFormatError: there is one, but none that can be read.
+    """
+    value = mirror.items.get(key, mirror.readable or None)
+    if value is None:
+        return None
+    try:
+        version, tree = tree_of(value, evacuated)
+    except ItemFormatError as error:
+        if not mirror.readable:
+            raise
+        version, tree = tree_of(mirror.readable, evacuated)
+        return version, tree, (error.about(key),)
+    if mirror.era and mirror.readable:
+        version_known, tree_known = tree_of(mirror.readable, evacuated)
+        if version_known > version:
+            return version_known, tree_known, ()  # acknowledged before the copy's came back
+    mirror.readable = value
+    return version, tree, ()
--- a/src/pewtertack/node/assembly.py
+++ b/src/pewtertack/node/assembly.py
@@ -81,6 +81,7 @@
         settings.node.first_start,
         settings.node.link_mbps >= WIDE_LINK_MBPS,
         0 < settings.node.link_mbps < WIDE_LINK_MBPS,
+        settings.source.hold_after_return.seconds,
     )
     core = NodeCore(identity, profile, Random(), started, seeds, source)
     runtime = Runtime(core, profile.tick, gate, transport, reader, proxy, log, gateway)
--- a/src/pewtertack/node/http/client.py
+++ b/src/pewtertack/node/http/client.py
@@ -44,6 +44,8 @@
     status: int
     headers: RawHeaders
     body: bytes
+    fresh: bool = True
+    """Whether it is the first answer on its connection."""
 
     def header(self, name: bytes) -> bytes | None:
         """Return the first value of a header; ``name`` in lower case."""
@@ -99,7 +101,7 @@
         while self._idle:
             connection = self._idle.pop()
             if connection.reusable:
-                return await self._exchange(connection, request, timeouts.answer)
+                return await self._exchange(connection, request, timeouts.answer, fresh=False)
             connection.abort()
         try:
             connection = await connect(self.address, timeouts.connect, self._local_host)
@@ -108,7 +110,11 @@
         return await self._exchange(connection, request, timeouts.answer)
 
     async def _exchange(
-        self, connection: BackendConnection, request: OutgoingRequest, seconds: float
+        self,
+        connection: BackendConnection,
+        request: OutgoingRequest,
+        seconds: float,
+        fresh: bool = True,
     ) -> ServiceAnswer:
         try:
             with anyio.fail_after(seconds):
@@ -120,7 +126,7 @@
             raise ServiceUnreachableError(reason) from error
         finally:
             self._give_back(connection)
-        return ServiceAnswer(start.status, start.headers, body)
+        return ServiceAnswer(start.status, start.headers, body, fresh)
 
     async def _body_of(
         self, connection: BackendConnection, start: AnswerStart, seconds: float
--- /dev/null
+++ b/src/pewtertack/platform/items.py
@@ -0,0 +1,51 @@
+"""Items as the store hands them out."""
+
+from __future__ import annotations
+
+import base64
+import contextlib
+from collections.abc import Iterable
+
+import msgspec
+
+from pewtertack.core.items import ItemFormatError, read_item
+from pewtertack.core.source_mirror import SPOILT
+
+
+class _Key(msgspec.Struct, frozen=True):
+    key: str = msgspec.field(name="PrivateKey")
+
+
+class StoreItem(_Key, frozen=True, kw_only=True):
+    """An item, or the word that it is gone."""
+
+    revision: int = msgspec.field(name="Revision")
+    value: str = msgspec.field(name="Value", default="")
+    made: int = 0
+    gone: bool = False
+
+    def content(self) -> bytes | None:
+        """Return the item's bytes; ``None`` if it is gone, ``SPOILT`` if they cannot be told."""
+        if self.gone:
+            return None
+        try:
+            return base64.b64decode(self.value, validate=True)
+        except ValueError:
+            return SPOILT
+
+
+def items_of(parts: Iterable[msgspec.Raw]) -> list[StoreItem]:
+    """Return the items of an answer; one in no known form is ``SPOILT``, or nobody's."""
+    items: list[StoreItem] = []
+    for part in parts:
+        try:
+            items.append(read_item(part, StoreItem))
+        except ItemFormatError:
+            with contextlib.suppress(ItemFormatError):
+                items.append(StoreItem(read_item(part, _Key).key, revision=0))
+    return items
+
+
+def newest_of(items: list[StoreItem]) -> int:
+    """Return the revision of the item that was written last."""
+    return max((item.revision for item in items), default=0)
--- a/src/pewtertack/settings/checks.py
+++ b/src/pewtertack/settings/checks.py
@@ -22,6 +22,7 @@
 DOCUMENT_BYTES_MIN = 1024
 DOCUMENT_BYTES_MAX = 64 * 1024 * 1024
 LINK_MBPS_MAX = 1_000_000.0
+HOLD_SECONDS_MAX = 600.0
 COLD_OVERAGE_MAX = 100.0
 COLD_SLACK_MAX = 100_000.0
 RETRY_RATIO_MAX = 10.0
@@ -96,6 +97,8 @@
 def _check_limits(settings: Settings, place: str) -> None:
     limits = settings.limits
     _check_range(place, "node.link_mbps", settings.node.link_mbps, 0.0, LINK_MBPS_MAX)
+    hold = settings.source.hold_after_return.seconds
+    _check_range(place, "source.hold_after_return", hold, 0.0, HOLD_SECONDS_MAX)
     _check_range(place, "limits.cold_overage", limits.cold_overage, 0.0, COLD_OVERAGE_MAX)
     _check_range(place, "limits.cold_slack", limits.cold_slack, 0.0, COLD_SLACK_MAX)
     _check_range(place, "limits.streams", limits.streams, 1, STREAMS_MAX)
--- a/src/pewtertack/settings/schema.py
+++ b/src/pewtertack/settings/schema.py
@@ -62,6 +62,10 @@
     url: Url
     durable: bool = False
     """It never forgets or forks a revision that it has answered with."""
+    hold_after_return: Duration = Duration(6.0)
+    """After the source has come back from an older copy of itself: for how long back ends and
+    evacuations hold that were known before and that the copy lacks, and back ends stay away
+    that were known to have left. Callers gain that no service is emptied by the gap."""
 
 
 class MachinesSection(msgspec.Struct, frozen=True, kw_only=True):
--- a/tests/platform/returning_fleet.py
+++ b/tests/platform/returning_fleet.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 from random import Random
-from typing import Any
 
 import msgspec
 
@@ -12,7 +11,7 @@
 from pewtertack.core.inputs import Input, MessageReceived, Ticked
 from pewtertack.core.machines import MachineList, MachineState
 from pewtertack.core.node import NodeCore, NodePhase
-from pewtertack.core.profile import LEASED, SourceProperties
+from pewtertack.core.profile import LEASED, SourceProperties, TimingProfile
 from pewtertack.lab.asgi import Request
 from pewtertack.lab.metadata_store.application import MetadataStore
 from pewtertack.node.http.client import ServiceAnswer, ServiceUnreachableError
@@ -53,10 +52,7 @@
         answer = await self._store.application._answer(Request("GET", path, pairs, {}))
         headers = [(name.encode(), value.encode()) for name, value in answer.headers.items()]
         fresh, self.fresh = self.fresh, False
-        found = ServiceAnswer(answer.status, headers, answer.body)
-        if hasattr(found, "fresh"):
-            found = msgspec.structs.replace(found, fresh=fresh)
-        return found
+        return ServiceAnswer(answer.status, headers, answer.body, fresh)
 
 
 class FleetNode:
@@ -65,10 +61,11 @@
     def __init__(self, fleet: ReturningFleet, name: str, number: int) -> None:
         self.address = f"127.0.0.1:{number}"
         identity = NodeIdentity(name, self.address, ZONE, "", 1000 + number)
-        source = SourceProperties(durable=True)
+        source = SourceProperties(durable=True, hold_after_return=fleet.hold_after_return)
         self.name = name
         self.calls = StoreCalls(fleet.store)
-        self.reader = StoreReader("127.0.0.1:1", 8146, 7380)
+        hold, now = fleet.hold_after_return, fleet.clock
+        self.reader = StoreReader("127.0.0.1:1", 8146, 7380, hold, now)
         self.reader._client = self.calls  # type: ignore[assignment]
         seeds = tuple(node.address for node in fleet.nodes)
         self.core = NodeCore(identity, fleet.profile, Random(number), fleet.now, seeds, source)
@@ -103,7 +100,9 @@
 class ReturningFleet:
     """Steps nodes over a common clock; messages arrive at the step after they were sent."""
 
-    def __init__(self, era: int | None = 0, profile: Any = FEW_READERS) -> None:
+    hold_after_return = 6.0
+
+    def __init__(self, era: int | None = 0, profile: TimingProfile = FEW_READERS) -> None:
         self.store = MetadataStore(era)
         self.profile = profile
         self.now = 100.0
@@ -112,6 +111,9 @@
         """Nodes whose messages are lost."""
         self._under_way: list[tuple[FleetNode, Send]] = []
 
+    def clock(self) -> float:
+        return self.now
+
     def start_node(self) -> FleetNode:
         node = FleetNode(self, f"n{len(self.nodes)}", 7001 + len(self.nodes))
         self.nodes.append(node)
--- a/tests/platform/test_boundary.py
+++ b/tests/platform/test_boundary.py
@@ -8,7 +8,7 @@
 WORDS = re.compile(
     r"X-(Attempt-Id|Deadline-Milliseconds|Server-Signature|Server-Load|Expected-Instance"
     r"|Not-Executed|Caller-Service|Instance-Id)\b|kv-(key|range|watch)|PEWTERTACK_NODE_FILE"
-    r"|op/config|PathPrefix|TrafficSplit|TargetLatency|ColdRemaining",
+    r"|op/config|PathPrefix|TrafficSplit|TargetLatency|ColdRemaining|Store-Era",
     re.IGNORECASE,
 )
 ALLOWED = ("platform", "lab")
--- a/tests/platform/test_spoilt_items.py
+++ b/tests/platform/test_spoilt_items.py
@@ -8,6 +8,7 @@
 from hypothesis import strategies as st
 
 from pewtertack.core.effects import ReadDocument
+from pewtertack.core.eras import VERSION_STEP
 from pewtertack.core.inputs import DocumentRead, DocumentReadFailed, DocumentUnchanged
 from pewtertack.core.items import (
     LIST_LENGTH_LIMIT,
@@ -20,7 +21,7 @@
 from pewtertack.lab.metadata_store.application import MetadataStore
 from pewtertack.platform.documents import tree_of
 from pewtertack.platform.entries import machines_of
-from pewtertack.platform.store import VERSION_STEP, StoreReader
+from pewtertack.platform.store import StoreReader
 from pewtertack.wire.messages import DocumentKind
 from tests.node.proxy.harness import ProxyTestCase
 from tests.platform.test_documents import CONFIGURATION, ENTRY, encoded
--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -7,9 +7,10 @@
 import anyio
 
 from pewtertack.core.effects import ReadDocument
+from pewtertack.core.eras import VERSION_STEP
 from pewtertack.core.inputs import DocumentRead, DocumentReadFailed, DocumentUnchanged
 from pewtertack.lab.metadata_store.application import MetadataStore, StoreFaults
-from pewtertack.platform.store import VERSION_STEP, StoreReader
+from pewtertack.platform.store import StoreReader
 from pewtertack.wire.messages import DocumentKind
 from tests.node.proxy.harness import ProxyTestCase
 from tests.platform.test_documents import CONFIGURATION, ENTRY, encoded
