What was known holds for a while against a list of a new era; who starts asks its peers

Cause: the copy's list was believed at once: who came since was dropped, who had left or was leaving got requests again; a node that started in the gap served by the copy's older version. Change: core/returned_lists.py lays what each node knew over the lists of a new era, for source.hold_after_return (6 s): who the copy lacks is kept, who had left stays away until its entry is made anew, leaving and a later life stay, an address keeps its newer owner. Returns in series keep nobody for longer. An open read of an earlier era confirms nothing once a later one is heard of, nor does a reader's word; reads tell the era that peers have told. In an era above 0 a joiner waits for a serving peer's word (or join_patience in vain).

--- a/src/pewtertack/core/node.py
+++ b/src/pewtertack/core/node.py
@@ -141,10 +141,10 @@
                 return self._on_message(now, event)
             case DocumentRead():
                 return self.replication.on_document_read(now, event)
-            case DocumentUnchanged(kind):
-                return self.replication.on_document_unchanged(now, kind)
-            case DocumentReadFailed(kind, reason, retry_after):
-                return self.replication.on_read_failed(now, kind, reason, retry_after)
+            case DocumentUnchanged():
+                return self.replication.on_document_unchanged(now, event)
+            case DocumentReadFailed():
+                return self.replication.on_read_failed(now, event)
             case BackendLeavingObserved(name, address, started_at):
                 notice = LeavingBackend(name, address, started_at)
                 return self.replication.on_backends_leaving((notice,))
@@ -260,16 +260,25 @@
         can be in force at any node that it could ask.
         """
         replication = self.replication
+        if replication.era:
+            return self._knows_by_peers(now)
         read_at = replication.reader.last_answer_at
         if all(self._joiner.began_before(read_at.get(kind)) for kind in DocumentKind):
             return True
         if replication.freshness.oldest(now) <= self.profile.reader_lease:
             return True
-        if replication.machine_list.machines.number == 0:
+        return self._knows_by_peers(now)
+
+    def _knows_by_peers(self, now: float) -> bool:
+        """Whether peers have told what is in force, or nobody could.
+
+        A source that has come back from a copy may show less than they hold.
+        """
+        if self.replication.machine_list.machines.number == 0:
             return False
         if self._joiner.heard_serving_peer:
             newest = self._joiner.newest_committed
-            return replication.replica.committed.number >= newest.number
+            return self.replication.replica.committed.number >= newest.number
         return self._joiner.waited_in_vain(now)
 
     def _on_join_request(
--- a/src/pewtertack/core/replication/machine_lists.py
+++ b/src/pewtertack/core/replication/machine_lists.py
@@ -10,6 +10,7 @@
 
 from pewtertack.core.delta import Delta, DeltaMismatchError
 from pewtertack.core.effects import Effect, Log, UseMachines
+from pewtertack.core.eras import era_of
 from pewtertack.core.machines import (
     Machine,
     MachineList,
@@ -18,16 +19,26 @@
 )
 from pewtertack.core.replication.leaving import LeavingBackends
 from pewtertack.core.replication.store import DocumentStore
+from pewtertack.core.returned_lists import EraChange, ReturnedLists
 from pewtertack.core.revision import Document, RevisionId
 from pewtertack.events import Event
 from pewtertack.wire.messages import LeavingBackend
 
 
 class MachineListReplica:
-    """Holds the newest list; numbers only grow."""
+    """Holds the newest list; numbers only grow.
 
-    def __init__(self) -> None:
+    Args:
+        hold_after_return: seconds for which what was known goes before what lists of a new era
+            of the source say (`core.returned_lists`).
+    """
+
+    def __init__(self, hold_after_return: float = 0.0) -> None:
         self.store = DocumentStore()
+        self.returned = ReturnedLists(hold_after_return)
+        self.era_change: EraChange | None = None
+        """What the last change of era brought, until it is told."""
+        self._listed = MachineList(0, ())
         self.machines = MachineList(0, ())
         self._leaving = LeavingBackends()
 
@@ -36,19 +47,24 @@
         """The revision of the list in use."""
         return self.store.revision
 
+    @property
+    def era(self) -> int:
+        """The era of the list in use."""
+        return era_of(self.revision.number)
+
     def nodes(self) -> list[Machine]:
         """Return the nodes of the list in use."""
         return [entry for entry in self.machines.machines if entry.role is MachineRole.NODE]
 
-    def offer_deltas(self, deltas: tuple[Delta, ...]) -> list[Effect]:
+    def offer_deltas(self, now: float, deltas: tuple[Delta, ...]) -> list[Effect]:
         """Use the end of a chain if it is newer; a chain that does not fit changes nothing."""
         try:
             revision, document = self.store.preview(deltas)
         except DeltaMismatchError as error:
             return [Log(Event.MACHINE_LIST_FAILED, {"reason": str(error)})]
-        return self.offer(revision, document)
+        return self.offer(now, revision, document)
 
-    def offer(self, revision: RevisionId, document: Document) -> list[Effect]:
+    def offer(self, now: float, revision: RevisionId, document: Document) -> list[Effect]:
         """Use a newer list; one that cannot be read leaves the older in use."""
         if revision.number <= self.revision.number:
             return []
@@ -57,18 +73,32 @@
         except msgspec.ValidationError as error:
             return [Log(Event.MACHINE_LIST_FAILED, {"reason": str(error)})]
         self.store.put(revision, document)
-        self.machines = self._leaving.apply(machines)
+        self._listed = machines
+        self.era_change = self.returned.take(now, machines) or self.era_change
+        return self._use(now)
+
+    def tick(self, now: float) -> list[Effect]:
+        """Believe the list again where what was held against it holds no longer."""
+        return self._use(now) if self.returned.is_due(now) else []
+
+    def _use(self, now: float) -> list[Effect]:
+        self.machines = self._leaving.apply(self.returned.believed(now, self._listed))
         return [UseMachines(self.machines)]
 
-    def renumber(self, revision: RevisionId) -> None:
+    def renumber(self, now: float, revision: RevisionId) -> list[Effect]:
         """Take over the higher number of a list with the same content.
 
         The platform numbers its answers, so two readers may know one list by two numbers.
         """
         held = self.revision
-        if held.digest == revision.digest and revision.number > held.number > 0:
-            self.store.put_deltas([Delta(held, revision, ())])
-            self.machines = MachineList(revision.number, self.machines.machines)
+        if held.digest != revision.digest or not revision.number > held.number > 0:
+            return []
+        if era_of(revision.number) != self.era:
+            return self.offer(now, revision, self.store.document)
+        self.store.put_deltas([Delta(held, revision, ())])
+        self._listed = MachineList(revision.number, self._listed.machines)
+        self.machines = MachineList(revision.number, self.machines.machines)
+        return []
 
     def note_leaving(self, notices: tuple[LeavingBackend, ...]) -> tuple[LeavingBackend, ...]:
         """Take back ends out of use ahead of the list; return those that were news."""
--- a/src/pewtertack/core/replication/reader.py
+++ b/src/pewtertack/core/replication/reader.py
@@ -4,6 +4,8 @@
 
 from random import Random
 
+import msgspec
+
 from pewtertack.core.effects import Effect, Log, ReadDocument
 from pewtertack.core.profile import TimingProfile
 from pewtertack.core.replication.freshness import SourceFreshness
@@ -16,13 +18,27 @@
 """Seconds beyond its wait after which a read that is still open confirms nothing."""
 
 
+class HeldOfSource(msgspec.Struct, frozen=True):
+    """What a read is told of what this node holds, beside the numbers."""
+
+    era: int = 0
+    """The latest era of the source that the node has heard of."""
+    evacuated: tuple[str, ...] = ()
+    """The zones that the held tree names as evacuated."""
+
+
+NOTHING_HELD = HeldOfSource()
+
+
 class _OpenRead:
     """A read that the platform has not answered."""
 
-    __slots__ = ("confirms", "may_be_stale")
+    __slots__ = ("confirms", "era", "may_be_stale")
 
-    def __init__(self, may_be_stale: bool) -> None:
+    def __init__(self, may_be_stale: bool, era: int) -> None:
         self.may_be_stale = may_be_stale
+        self.era = era
+        """The latest era known when it began."""
         self.confirms = not may_be_stale
         """Whether its being open says that the platform has nothing newer."""
 
@@ -55,6 +71,7 @@
         self._seen: dict[DocumentKind, int] = {}
         self._stale: dict[DocumentKind, int] = {}
         self.reading = False
+        self._held = NOTHING_HELD
 
     def tick(
         self,
@@ -62,11 +79,13 @@
         allowed: bool,
         numbers: dict[DocumentKind, int],
         joining: bool = False,
+        held: HeldOfSource = NOTHING_HELD,
     ) -> list[Effect]:
         """Return the reads that are due; ``numbers`` are those already held.
 
         ``joining`` tells that the node joins a fleet whose source is durable.
         """
+        self._held = held
         effects = self._switch(self.readership.reads(now, allowed, joining))
         self._confirm_by_open_reads(now)
         looking = self.readership.looks_first and (allowed or joining)
@@ -92,6 +111,8 @@
             answered_at = self.last_answer_at.get(kind)
             if not open_read.confirms or answered_at is None:
                 continue
+            if open_read.era < self._held.era:
+                continue  # it was opened by a cursor of an era that is over
             if self._failures[kind] or kind in self._stale:
                 continue
             if now - answered_at <= self._profile.read_wait + OVERDUE:
@@ -107,9 +128,10 @@
     ) -> list[Effect]:
         if kind in self._open or now < self._not_before[kind]:
             return []
-        self._open[kind] = _OpenRead(may_be_stale)
-        after = self._known_number(kind, held)
-        return [ReadDocument(kind, after, self._wait(kind, may_be_stale), may_be_stale)]
+        era = self._held.era
+        self._open[kind] = _OpenRead(may_be_stale, era)
+        after, wait = self._known_number(kind, held), self._wait(kind, may_be_stale)
+        return [ReadDocument(kind, after, wait, may_be_stale, era, self._held.evacuated)]
 
     def _wait(self, kind: DocumentKind, may_be_stale: bool) -> float:
         """After a stale answer or a failure a read is to confirm, not to wait for a change."""
--- a/src/pewtertack/core/replication/service.py
+++ b/src/pewtertack/core/replication/service.py
@@ -2,14 +2,19 @@
 
 from __future__ import annotations
 
+import math
 from collections.abc import Callable
 from functools import partial
 from random import Random
 
+import msgspec
+
+from pewtertack.core.configuration.model import RootSection
 from pewtertack.core.delta import Delta, DeltaMismatchError
 from pewtertack.core.effects import Effect, Log, Send, UseMachines
+from pewtertack.core.eras import era_of
 from pewtertack.core.identity import NodeIdentity
-from pewtertack.core.inputs import DocumentRead
+from pewtertack.core.inputs import DocumentRead, DocumentReadFailed, DocumentUnchanged
 from pewtertack.core.items import PassedOver
 from pewtertack.core.membership.service import Membership
 from pewtertack.core.profile import SourceProperties, TimingProfile
@@ -20,7 +25,7 @@
 from pewtertack.core.replication.machine_lists import MachineListReplica
 from pewtertack.core.replication.puller import Puller, PullSource
 from pewtertack.core.replication.quorum import QuorumCommit
-from pewtertack.core.replication.reader import PlatformReader
+from pewtertack.core.replication.reader import NOTHING_HELD, HeldOfSource, PlatformReader
 from pewtertack.core.replication.readership import READERSHIPS, ReadershipParts
 from pewtertack.core.replication.replica import ConfigurationReplica
 from pewtertack.core.revision import RevisionId, identify
@@ -71,7 +76,11 @@
         self._random = random
         self._source = source or SourceProperties()
         self.replica = ConfigurationReplica(identity.zone, profile.mechanisms)
-        self.machine_list = MachineListReplica()
+        self.machine_list = MachineListReplica(self._source.hold_after_return)
+        self.era = 0
+        """The latest era of the source that this node has heard of."""
+        self._away = math.inf
+        """Seconds between the source's last word and the first of this era."""
         stores = {
             DocumentKind.CONFIGURATION: self.replica.store,
             DocumentKind.MACHINE_LIST: self.machine_list.store,
@@ -138,7 +147,10 @@
         A joiner reads a durable source itself, since that alone lets it serve.
         """
         numbers = {kind: self.held_number(kind) for kind in DocumentKind}
-        effects = self.reader.tick(now, may_read, numbers, joining and self._source.durable)
+        effects = self.machine_list.tick(now)
+        effects += self.reader.tick(
+            now, may_read, numbers, joining and self._source.durable, self._held_of_source()
+        )
         for kind in DocumentKind:
             effects += self._pull_if_due(now, kind)
         if self._has_uncommitted():
@@ -146,25 +158,36 @@
             effects += self._commit_if_reached(now, self.replica.held)
         return effects
 
+    def _held_of_source(self) -> HeldOfSource:
+        if self.era == 0:
+            return NOTHING_HELD
+        evacuated = self.replica.store.document.get(RootSection.EVACUATED_ZONES.value, ())
+        return HeldOfSource(self.era, tuple(evacuated))
+
     # The platform's answers.
 
     def on_document_read(self, now: float, read: DocumentRead) -> list[Effect]:
         """Take in a document that this node read."""
         kind, number, document = read.kind, read.number, read.document
+        if kind is DocumentKind.MACHINE_LIST:
+            self._hear_era(now, number)
         effects = self._note_regained(kind) + self.passed_over.note(kind, read.findings)
+        effects += self.passed_over.note_answer(kind, read.about_answers)
         if read.stale:
             self.reader.answered_stale(now, kind)
         else:
             self.reader.answered_with(now, kind, number, self.held_number(kind))
         if kind is DocumentKind.MACHINE_LIST:
-            offered = self.machine_list.offer(identify(number, document), document)
+            offered = self.machine_list.offer(now, identify(number, document), document)
             return effects + self._after_machine_list(now, offered)
         offer = partial(self.replica.offer_document, number, document)
         return effects + self._after_offer(now, offer)
 
-    def on_document_unchanged(self, now: float, kind: DocumentKind) -> list[Effect]:
+    def on_document_unchanged(self, now: float, answer: DocumentUnchanged) -> list[Effect]:
         """The source answered that the document has not changed."""
+        kind = answer.kind
         effects = self._note_regained(kind)
+        effects += self.passed_over.note_answer(kind, answer.about_answers)
         self.reader.answered(now, kind)
         return effects
 
@@ -173,14 +196,15 @@
             return []
         return [Log(Event.SOURCE_REGAINED, {"document": kind.name})]
 
-    def on_read_failed(
-        self, now: float, kind: DocumentKind, reason: str, retry_after: float | None
-    ) -> list[Effect]:
+    def on_read_failed(self, now: float, failed: DocumentReadFailed) -> list[Effect]:
         """Back off from the platform."""
-        effects: list[Effect] = [Log(FAILURE_EVENTS[kind], {"reason": reason})]
+        kind = failed.kind
+        effects: list[Effect] = [Log(FAILURE_EVENTS[kind], {"reason": failed.reason})]
+        if failed.about_answers:
+            effects += self.passed_over.note_answer(kind, failed.about_answers)
         if not self.reader.is_failing(kind):
             effects.append(Log(Event.SOURCE_LOST, {"document": kind.name}))
-        self.reader.failed(now, kind, retry_after)
+        self.reader.failed(now, kind, failed.retry_after)
         return effects
 
     # What peers say of their versions.
@@ -188,6 +212,7 @@
     def learn(self, now: float, sender: str, address: str, state: VersionState) -> list[Effect]:
         """Take in a peer's versions: adopt its commit mark, pull what is newer."""
         effects = self._adopt_commit(state.committed)
+        self._hear_era(now, state.machine_list)
         if self.replica.wants(state.held):
             self._offer_pull(DocumentKind.CONFIGURATION, sender, address, state.held)
         elif state.committed == self.replica.missing_committed:
@@ -207,8 +232,11 @@
         for answer in heartbeat.deltas:
             effects += self._take_delta_answer(now, answer)
         listed = RevisionId(heartbeat.state.machine_list, heartbeat.list_digest)
-        self.machine_list.renumber(listed)
+        self._hear_era(now, listed.number)
+        effects += self._after_machine_list(now, self.machine_list.renumber(now, listed))
         effects += self.learn(now, sender, address, heartbeat.state)
+        if era_of(listed.number) < self.era:
+            return effects  # the word of a source that has come back since confirms nothing
         self._hear_ages(now, heartbeat)
         lease = self._profile.reader_lease
         ages = (heartbeat.ages.of(kind) for kind in DocumentKind)
@@ -218,6 +246,12 @@
             self.reader.readership.heard(now, sender, near, heartbeat.wide_link)
         return effects
 
+    def _hear_era(self, now: float, number: int) -> None:
+        """A machine list of this number exists: its era has begun."""
+        if era_of(number) > self.era:
+            self.era = era_of(number)
+            self._away = self.freshness.age(now, DocumentKind.MACHINE_LIST)
+
     def _hear_ages(self, now: float, heartbeat: ReaderHeartbeat) -> None:
         """A peer's word covers what is held here if that is no older than what the peer holds."""
         told = {
@@ -291,7 +325,7 @@
     def _take_delta_answer(self, now: float, answer: DeltaAnswer) -> list[Effect]:
         if answer.kind is DocumentKind.CONFIGURATION:
             return self._take_deltas(now, answer.deltas)
-        return self._after_machine_list(now, self.machine_list.offer_deltas(answer.deltas))
+        return self._after_machine_list(now, self.machine_list.offer_deltas(now, answer.deltas))
 
     def on_snapshot(self, now: float, answer: SnapshotAnswer) -> list[Effect]:
         """Take in a whole document, if its digest is right."""
@@ -299,7 +333,7 @@
         if identify(answer.revision.number, answer.document) != answer.revision:
             return [Log(Event.FRAME_REFUSED, {"reason": "snapshot digest"})]
         if answer.kind is DocumentKind.MACHINE_LIST:
-            offered = self.machine_list.offer(answer.revision, answer.document)
+            offered = self.machine_list.offer(now, answer.revision, answer.document)
             return self._after_machine_list(now, offered)
         return self._after_offer(now, lambda: self.replica.offer(answer.revision, answer.document))
 
@@ -370,9 +404,19 @@
         if not any(isinstance(effect, UseMachines) for effect in effects):
             return effects
         number = self.machine_list.revision.number
+        self._hear_era(now, number)
         self._pullers[DocumentKind.MACHINE_LIST].forget_up_to(number)
         self._membership.use_list(self.machine_list.nodes(), now)
-        return [*effects, *self._announce(None)]
+        return [*effects, *self._tell_era_change(now), *self._announce(None)]
+
+    def _tell_era_change(self, now: float) -> list[Effect]:
+        change, self.machine_list.era_change = self.machine_list.era_change, None
+        if change is None:
+            return []
+        fields = msgspec.structs.asdict(change)
+        if not math.isinf(self._away):
+            fields["away_seconds"] = round(self._away, 3)
+        return [Log(Event.SOURCE_RETURNED, fields)]
 
     def on_backends_leaving(self, notices: tuple[LeavingBackend, ...]) -> list[Effect]:
         """Take back ends out of use before the list says so, and pass it on once."""
--- a/tests/platform/returning_fleet.py
+++ b/tests/platform/returning_fleet.py
@@ -72,7 +72,9 @@
         self.machines = MachineList(0, ())
         self.versions: list[int] = []
         self.list_numbers: list[int] = []
+        self.once_ready: set[str] = set()
         self.logged: list[Log] = []
+        self.reads: list[ReadDocument] = []
 
     @property
     def serving(self) -> bool:
@@ -107,6 +109,7 @@
         self.profile = profile
         self.now = 100.0
         self.nodes: list[FleetNode] = []
+        self._started = 0
         self.dark: set[str] = set()
         """Nodes whose messages are lost."""
         self._under_way: list[tuple[FleetNode, Send]] = []
@@ -115,7 +118,8 @@
         return self.now
 
     def start_node(self) -> FleetNode:
-        node = FleetNode(self, f"n{len(self.nodes)}", 7001 + len(self.nodes))
+        self._started += 1
+        node = FleetNode(self, f"n{self._started}", 7000 + self._started)
         self.nodes.append(node)
         return node
 
@@ -147,11 +151,13 @@
             case Send():
                 self._under_way.append((node, effect))
             case ReadDocument():
+                node.reads.append(effect)
                 answer = await node.reader.read(msgspec.structs.replace(effect, wait=0.0))
                 await self._feed(node, answer)
             case UseMachines(machines):
                 node.machines = machines
                 node.list_numbers.append(machines.number)
+                node.once_ready.update(node.ready)
             case BringIntoForce(configuration):
                 node.versions.append(configuration.revision.number // 10**9)
             case Log():
--- /dev/null
+++ b/tests/platform/test_told_eras.py
@@ -0,0 +1,111 @@
+"""The era that the store tells with its answers: none, a good one, and any other text."""
+
+import unittest
+from typing import Any
+
+import msgspec
+
+from pewtertack.core.effects import ReadDocument
+from pewtertack.core.inputs import DocumentRead, DocumentReadFailed
+from pewtertack.core.items import ItemProblem
+from pewtertack.events import Event
+from pewtertack.lab.metadata_store.application import MetadataStore, StoreFaults
+from pewtertack.platform.entries import machines_of
+from pewtertack.platform.store import StoreReader
+from pewtertack.wire.messages import DocumentKind
+from tests.node.proxy.harness import ProxyTestCase
+from tests.platform.returning_fleet import ReturningFleet, configuration, entry
+
+CONFIG = DocumentKind.CONFIGURATION
+MACHINES = DocumentKind.MACHINE_LIST
+
+
+class ToldErasTest(ProxyTestCase):
+    """Over real connections."""
+
+    async def asyncSetUp(self) -> None:
+        self.store = MetadataStore(3)
+        self.store.put("op/config", configuration(12))
+        self.store.put("servers/i-1", entry(1))
+        self.reader = StoreReader(await self.serve(self.store.application), 8146, 7380)
+        self.addAsyncCleanup(self.reader.close)
+        await self.read()
+        self.calls = self.store.calls
+
+    async def read(self, kind: DocumentKind = MACHINES) -> Any:
+        return await self.reader.read(ReadDocument(kind, 0, 0.0))
+
+    async def test_an_era_that_cannot_be_read_is_found_and_writes_are_seen(self) -> None:
+        for number, text in enumerate(("", "-1", "two", "9" * 40), 2):
+            self.store.faults = StoreFaults(era=text)
+            self.store.put(f"servers/i-{number}", entry(number))
+            found = await self.read()
+            self.assertIn(f"i-{number}", found.document)
+            self.assertEqual([item.problem for item in found.about_answers], [ItemProblem.ERA])
+
+    async def test_a_header_that_is_told_no_more_is_found(self) -> None:
+        self.store.era = None
+        found = await self.read()
+        self.assertEqual([item.problem for item in found.about_answers], [ItemProblem.ERA])
+
+    async def test_an_answer_of_an_earlier_era_is_not_used(self) -> None:
+        self.store.faults = StoreFaults(era="2")
+        self.store.put("servers/i-2", entry(2))
+        failed = await self.read()
+        self.assertIsInstance(failed, DocumentReadFailed)
+        self.assertEqual([item.problem for item in failed.about_answers], [ItemProblem.ERA])
+        self.store.faults = StoreFaults()
+        self.assertIn("i-2", (await self.read()).document)
+
+    async def test_a_rise_on_one_connection_is_found_and_asked_for_on_another(self) -> None:
+        self.store.put("servers/i-2", entry(2))
+        self.store.come_back_from(self.store.copy())
+        failed = await self.read()
+        self.assertEqual([item.problem for item in failed.about_answers], [ItemProblem.ERA])
+        await self.read()
+        found = await self.read()
+        assert isinstance(found, DocumentRead)
+        self.assertIn("i-2", found.document)
+        self.assertEqual(found.about_answers, ())
+        self.assertLessEqual(self.store.calls - self.calls, 3)
+
+
+class LoggedTest(unittest.IsolatedAsyncioTestCase):
+    async def test_a_node_logs_what_is_wrong_once_and_goes_on(self) -> None:
+        fleet = ReturningFleet(era=3)
+        fleet.store.put("op/config", configuration(12))
+        fleet.store.put("servers/i-1", entry(1))
+        node = fleet.start_node()
+        await fleet.run(3.0)
+        fleet.store.faults = StoreFaults(era="three")
+        await fleet.run(3.0)
+        fleet.store.put("op/config", configuration(13))
+        await fleet.run(3.0)
+        told = [
+            log.fields["document"] for log in node.logged if log.event is Event.ITEM_PASSED_OVER
+        ]
+        self.assertEqual(sorted(told), ["CONFIGURATION", "MACHINE_LIST"])
+        self.assertEqual((node.version, node.serving), (13, True))
+
+
+class WithoutErasTest(unittest.IsolatedAsyncioTestCase):
+    async def test_nothing_differs_where_none_is_told_or_it_is_0(self) -> None:
+        """Numbers, documents, what peers are told, reads: as they were before there were eras."""
+        told = []
+        for era in (None, 0):
+            fleet = ReturningFleet(era=era)
+            fleet.store.put("op/config", configuration(12))
+            revision = fleet.store.put("servers/i-1", entry(1))
+            asked_at = fleet.store.put("op/evacuate/howrah", b"{}")
+            nodes = [fleet.start_node() for _ in range(2)]
+            await fleet.run(5.0)
+            state = nodes[1].core.replication.state()
+            self.assertEqual(state.held.number, 12 * 1_000_000_000 + asked_at)
+            self.assertEqual(state.machine_list, revision)
+            machines, _ = machines_of({"i-1": entry(1)}, 8146, 7380, {"i-1": revision})
+            store = nodes[1].core.replication.machine_list.store
+            self.assertEqual(store.document, machines)
+            reads = [effect for node in nodes for effect in node.reads]
+            self.assertEqual({(read.era, read.evacuated) for read in reads}, {(0, ())})
+            told.append((msgspec.msgpack.encode(state), store.revision, reads))
+        self.assertEqual(*told)
