--- a/src/pewtertack/node/metrics.py
+++ b/src/pewtertack/node/metrics.py
@@ -56,6 +56,12 @@
             value=status.items_found_wrong,
         )
         yield _gauge("machine_list_number", "Machine list in use.", status.machine_list_number)
+        yield _gauge("source_era", "Latest era of the source known here.", status.source_era)
+        yield _gauge(
+            "machines_kept",
+            "Machines believed in although a new era's list lacks them.",
+            status.machines_kept,
+        )
         if status.source_age is not None:
             yield _gauge("source_age_seconds", "Since the source answered.", status.source_age)
         if status.machine_list_age is not None:
--- a/src/pewtertack/node/status.py
+++ b/src/pewtertack/node/status.py
@@ -94,6 +94,7 @@
     """Since this node's last usable answer of the source; none without one."""
     machine_list_age: float | None
     machine_list_number: int
+    """Within the era of the source."""
     peers: dict[str, int]
     """Known peers by status."""
     last_rejection: RejectionStatus | None
@@ -112,6 +113,10 @@
     """Items of the platform that made no sense when they were last read here."""
     items_found_wrong: int = 0
     """Findings about such items since the start."""
+    source_era: int = 0
+    """The latest era of the source that is known here; 0 without eras."""
+    machines_kept: int = 0
+    """Machines still believed in although the list of a new era lacks them."""
 
 
 class MemberView(msgspec.Struct, frozen=True):
--- a/src/pewtertack/node/view.py
+++ b/src/pewtertack/node/view.py
@@ -9,6 +9,7 @@
 
 from pewtertack.core.configuration.findings import Finding
 from pewtertack.core.configuration.resolved import DEFAULT_CRASH_LIMIT, ResolvedConfiguration
+from pewtertack.core.eras import revision_of
 from pewtertack.core.node import NodeCore
 from pewtertack.core.replication.replica import Rejection
 from pewtertack.core.revision import NO_REVISION, RevisionId
@@ -71,7 +72,7 @@
             reading=replication.reader.reading,
             source_age=_age(now, answers.get(DocumentKind.CONFIGURATION)),
             machine_list_age=_age(now, answers.get(DocumentKind.MACHINE_LIST)),
-            machine_list_number=replication.machine_list.machines.number,
+            machine_list_number=revision_of(replication.machine_list.machines.number),
             peers=self._peers_by_status(),
             last_rejection=_rejection(replica.last_rejection),
             stale_answers=replica.stale_answers,
@@ -82,6 +83,8 @@
             refused_requests=self._refused_requests(now),
             items_passed_over=replication.passed_over.current,
             items_found_wrong=replication.passed_over.total,
+            source_era=replication.era,
+            machines_kept=replication.machine_list.returned.kept,
         )
 
     def members(self) -> tuple[MemberView, ...]:
