What a new era itself says of an evacuation is believed at once

Cause: evacuations known before an era held against all that the era said within the time; one that the era had named and taken back was held as well, and a node that began to read in a later era took it for a new one, so that taking back was late by up to source.hold_after_return (seen in review: garia still evacuated 1.5 s after it was taken back). Change: the mirror remembers which evacuations its era has named; only others are held. The lab's store can be away (503, waiting watches end) before it comes back.

--- a/src/pewtertack/core/source_mirror.py
+++ b/src/pewtertack/core/source_mirror.py
@@ -17,6 +17,7 @@
     def __init__(self, prefix: str, evacuations: str = "") -> None:
         self.prefix = prefix
         self._evacuations = evacuations
+        self._named: set[str] = set()
         self.items: dict[str, bytes] = {}
         """Their bytes; ``SPOILT`` for one that the source hands out in no known form."""
         self.made: dict[str, int] = {}
@@ -37,8 +38,14 @@
         self.stale = False
         """Whether it comes from a stale list that no watch has followed yet."""
 
+    def empty(self) -> Mirror:
+        """Return an empty mirror of the same items."""
+        return Mirror(self.prefix, self._evacuations)
+
     def take(self, key: str, value: bytes | None, made: int) -> None:
         """Take in one item; ``value`` is ``None`` where it is gone."""
+        if self._evacuations and key.startswith(self._evacuations):
+            self._named.add(key)
         if value is None:
             self.items.pop(key, None)
             self.made.pop(key, None)
@@ -49,6 +56,7 @@
     def take_list(self, listed: Mirror) -> None:
         """Take over what a whole list shows."""
         self.items, self.made = listed.items, listed.made
+        self._named = listed._named if listed.era != self.era else self._named | listed._named
         self.at, self.era, self.stale = listed.at, listed.era, listed.stale
         self.number = listed.at
 
@@ -58,6 +66,10 @@
         keys.sort(key=lambda key: (self.made[key], key))
         return {key.removeprefix(prefix): self.items[key] for key in keys}
 
+    def has_named(self, zone: str) -> bool:
+        """Tell whether the present era has said anything of the zone's evacuation."""
+        return self._evacuations + zone in self._named
+
     def evacuated(self) -> list[str]:
         """Return the zones whose evacuation the mirror shows."""
         prefix = self._evacuations
--- a/src/pewtertack/core/source_trees.py
+++ b/src/pewtertack/core/source_trees.py
@@ -35,7 +35,8 @@
         mirror: the operator's items.
         key: of the configuration among them.
         tree_of: reads it.
-        holds: whether the mirror's era has just begun: evacuations known before it hold.
+        holds: whether the mirror's era has just begun: evacuations known before it hold until it
+            says anything of them.
         stale: whether the mirror may be some seconds old.
 
     Raises:
@@ -107,7 +108,9 @@
         return shown
     if effect.after == 0:
         return []
-    return sorted({*shown, *effect.evacuated}) if holds else shown
+    if not holds:
+        return shown
+    return sorted({*shown, *(zone for zone in effect.evacuated if not mirror.has_named(zone))})
 
 
 def _says_nothing_new(effect: ReadDocument, number: int, evacuated: list[str]) -> bool:
--- a/src/pewtertack/lab/metadata_store/application.py
+++ b/src/pewtertack/lab/metadata_store/application.py
@@ -18,6 +18,7 @@
 PAGE_ITEMS = 50
 LONGEST_WAIT_MS = 30_000
 STATUS_GONE = 410
+STATUS_AWAY = 503
 ERA_HEADER = "store_era"
 """As `json_answer` takes it: header names are the same in any case."""
 LOST_ANSWER_SECONDS = 3600.0
@@ -109,8 +110,14 @@
         """Return a copy of the present state, to come back from."""
         return StoreCopy(self._revision, self._forgotten, dict(self._items), tuple(self._history))
 
+    def go_away(self) -> None:
+        """Answer all calls with 503, waiting watches too, until the faults are others."""
+        self.faults = msgspec.structs.replace(self.faults, status=STATUS_AWAY)
+        self._notify()
+
     def come_back_from(self, copy: StoreCopy) -> None:
         """Lose what was written since ``copy``: revisions go back, the era rises by one."""
+        self.faults = msgspec.structs.replace(self.faults, status=0)
         self._revision, self._forgotten = copy.revision, copy.forgotten
         self._items, self._history = dict(copy.items), deque(copy.history)
         self.era = (self.era or 0) + 1
@@ -181,13 +188,19 @@
         prefix, after = request.query.get("PathPrefix", ""), int(request.query["after"])
         wait = min(int(request.query.get("WaitMs", "0")), LONGEST_WAIT_MS) / 1000
         with anyio.move_on_after(wait):
-            while self._has(after) and not self._since(prefix, after):
+            while self._may_wait(prefix, after):
                 await self._changed.wait()
+        if self.faults.status:
+            return self._told({}, self.faults.status)
         if not self._has(after):
             return self._told({"at": self._revision}, STATUS_GONE)
         events = [self._encoded(change) for change in self._since(prefix, after)]
         return self._told({"events": events, "at": self._revision})
 
+    def _may_wait(self, prefix: str, after: int) -> bool:
+        known = self._has(after) and not self._since(prefix, after)
+        return known and not self.faults.status
+
     def _has(self, revision: int) -> bool:
         """Tell whether the changes after ``revision`` are known."""
         return self._forgotten <= revision <= self._revision
--- a/src/pewtertack/platform/store.py
+++ b/src/pewtertack/platform/store.py
@@ -182,7 +182,7 @@
         Pages of a stale list may be of different ages, and what revision each shows is not
         told: the watch goes on from the newest item of the page that is the furthest back.
         """
-        fresh = Mirror(mirror.prefix)
+        fresh = mirror.empty()
         fresh.stale = stale
         after = ""
         while True:
--- a/tests/node/proxy/harness.py
+++ b/tests/node/proxy/harness.py
@@ -32,9 +32,9 @@
     def make_proxy(self, **settings: Any) -> ProxyApplication:
         return ProxyApplication(time.monotonic, Random(7), **settings)
 
-    async def serve(self, application: Any) -> str:
-        """Run an ASGI application and return its address."""
-        listener = socket.create_server((LOOPBACK, 0))
+    async def serve(self, application: Any, at: str = LOOPBACK) -> str:
+        """Run an ASGI application at an IP number of this machine and return its address."""
+        listener = socket.create_server((at, 0))
         host, port = listener.getsockname()
         server = HttpServer(application, KEEP_ALIVE, typed_refusal)
         server.shutdown_seconds = 0.1
--- a/tests/platform/test_returned_store.py
+++ b/tests/platform/test_returned_store.py
@@ -108,5 +108,18 @@
         await self.fleet.run(1.5)
         self.assertEqual(self.evacuated(), [{"garia", "howrah"}] * 3)
         self.store.remove("op/evacuate/garia")
-        await self.fleet.run(10.0)
+        await self.fleet.run(1.5)
         self.assertEqual(self.evacuated(), [{"howrah"}] * 3)
+
+    async def test_what_the_new_era_itself_takes_back_is_not_held(self) -> None:
+        """A node that has just begun to read cannot tell an old era from a new one."""
+        self.fleet = ReturningFleet(era=3)
+        self.fleet.store.put("op/config", configuration(12))
+        self.fleet.store.put("servers/i-1", entry(1))
+        self.fleet.store.put("op/evacuate/garia", b"{}")
+        self.nodes = [self.fleet.start_node()]
+        await self.fleet.run(2.0)
+        self.assertEqual(self.evacuated(), [{"garia"}])
+        self.fleet.store.remove("op/evacuate/garia")
+        await self.fleet.run(1.5)
+        self.assertEqual(self.evacuated(), [set()])
