Real nodes around a store that comes back from a copy (one test, three processes)

One back end came and one left after the copy was taken, an edit was acknowledged, a node starts in the gap. Callers get 200 alone, nobody asks the one that left, the edit stays in force, a further one is in force within 2 s everywhere.

--- a/tests/node/processes.py
+++ b/tests/node/processes.py
@@ -19,6 +19,7 @@
 
 SOURCE_DIRECTORY = Path(__file__).resolve().parents[2] / "src"
 PATIENCE = 60.0
+SETTINGS_VARIABLE = "PEWTERTACK_NODE_FILE"
 NOBODY = "127.0.0.1:1"
 LOOPBACK = "127.0.0.1:0"
 
@@ -47,10 +48,14 @@
         self._directory = tempfile.TemporaryDirectory()
         path = Path(self._directory.name) / "node.toml"
         path.write_text(self._settings)
-        command = [sys.executable, "-m", "pewtertack", "node", "--settings", str(path)]
-        environment = os.environ | {"PYTHONPATH": str(SOURCE_DIRECTORY)}
+        environment = os.environ | {
+            "PYTHONPATH": str(SOURCE_DIRECTORY),
+            SETTINGS_VARIABLE: str(path),
+        }
         self._process = await anyio.open_process(
-            [*command, *self._flags], stderr=subprocess.PIPE, env=environment
+            [sys.executable, "-m", *self.command(str(path)), *self._flags],
+            stderr=subprocess.PIPE,
+            env=environment,
         )
         assert self._process.stdout is not None
         self._output = BufferedByteReceiveStream(self._process.stdout)
@@ -62,6 +67,10 @@
         await self._process.aclose()
         self._directory.cleanup()
 
+    def command(self, path: str) -> list[str]:
+        """Return the module that runs, and its arguments."""
+        return ["pewtertack", "node", "--settings", path]
+
     def signal(self, number: signal.Signals) -> None:
         self._process.send_signal(number)
 
@@ -83,6 +92,13 @@
             return await self._process.wait()
 
 
+class StoreNodeProcess(NodeProcess):
+    """One node that reads the platform's store."""
+
+    def command(self, path: str) -> list[str]:
+        return ["pewtertack.platform"]
+
+
 async def get(
     address: str, path: str, headers: dict[str, str] | None = None
 ) -> tuple[int, dict[bytes, bytes], bytes]:
--- /dev/null
+++ b/tests/node/test_returned_store.py
@@ -0,0 +1,128 @@
+"""Real nodes around a store that comes back from a copy some seconds old.
+
+A back end came and another left after the copy was taken, and an edit was acknowledged. Callers
+must see neither: who left gets nothing, who came goes on, the edit stays in force.
+"""
+
+import asyncio
+import contextlib
+from typing import Any
+
+import anyio
+
+from pewtertack.core.eras import VERSION_STEP
+from pewtertack.lab.fleet.ports import PortAllocator
+from pewtertack.lab.metadata_store.application import MetadataStore
+from tests.node.processes import PATIENCE, StoreNodeProcess, get, get_until
+from tests.node.proxy.harness import ProxyTestCase
+from tests.platform.test_documents import CONFIGURATION, ENTRY, encoded
+
+HOSTS = ("127.0.0.21", "127.0.0.22", "127.0.0.23")
+CALLER = {"host": "desk.example"}
+AWAY_SECONDS = 0.7
+BOUND = 2.0
+"""Seconds within which an edit is in force everywhere."""
+
+
+def configuration(version: int) -> bytes:
+    return encoded({**CONFIGURATION, "Version": f"r{version}"})
+
+
+class ReturnedStoreTest(ProxyTestCase):
+    """Three nodes, a back end beside each; callers ask the first node."""
+
+    async def asyncSetUp(self) -> None:
+        self.store = MetadataStore(0)
+        self.ran: list[str] = []
+        self.store_address = await self.serve(self.store.application)
+        self.addresses = [await self.serve(self.backend(host), host) for host in HOSTS]
+        self.ports = [PortAllocator().allocate(HOSTS[0]).port for _ in range(2)]
+        self.store.put("op/config", configuration(12))
+        for number in (0, 1):
+            self.put(number)
+
+    def backend(self, host: str) -> Any:
+        async def application(scope: Any, receive: Any, send: Any) -> None:
+            if scope["type"] != "http":
+                return
+            while (await receive()).get("more_body"):
+                pass
+            if scope["path"].startswith("/holds/"):
+                self.ran.append(host)
+            await send({"type": "http.response.start", "status": 200, "headers": []})
+            await send({"type": "http.response.body", "body": b"done"})
+
+        return application
+
+    def put(self, number: int) -> None:
+        fields = {"Address": self.addresses[number], "born": 1000 + number}
+        self.store.put(f"servers/i-{number}", encoded({**ENTRY, **fields}))
+
+    def settings(self, number: int, seed: int) -> str:
+        host, (peer, gateway) = HOSTS[number], self.ports
+        return f"""
+            node = {{name = "{host}", zone = "garia", region = "r"}}
+            source = {{url = "http://{self.store_address}", durable = true}}
+            machines = {{url = "http://{self.store_address}"}}
+            peers = {{key = "{"ab" * 16}", seeds = ["{HOSTS[seed]}:{peer}"]}}
+            profile = {{name = "leased"}}
+            backend = {{address = "{self.addresses[number]}", service = "desk"}}
+            [listen]
+            proxy = "{host}:0"
+            admin = "{host}:0"
+            peer = "{host}:{peer}"
+            gateway = "{host}:{gateway}"
+        """
+
+    async def status_until(self, nodes: list[StoreNodeProcess], **wanted: Any) -> None:
+        def holds(page: Any) -> bool:
+            shown = {**page, "version": page["in_force"]["number"] // VERSION_STEP}
+            return all(shown[key] == value for key, value in wanted.items())
+
+        for node in nodes:
+            await get_until(node.lines[0]["admin"], "/status", holds)
+
+    async def call(self, node: StoreNodeProcess, seconds: float) -> list[int]:
+        """Return the statuses of requests that a caller makes for so long."""
+        statuses = []
+        with anyio.move_on_after(seconds):
+            while True:
+                status, _, _ = await get(node.lines[0]["proxy"], "/holds/1", CALLER)
+                statuses.append(status)
+                await anyio.sleep(0.02)
+        return statuses
+
+    async def test_callers_see_nothing_of_the_return(self) -> None:
+        async with contextlib.AsyncExitStack() as stack:
+            nodes = []
+            for number in range(2):
+                process = StoreNodeProcess(self.settings(number, 1 - number))
+                nodes.append(await stack.enter_async_context(process))
+            for node in nodes:
+                await node.wait_event("NODE_SERVING")
+            copy = self.store.copy()
+            self.put(2)
+            self.store.remove("servers/i-0")
+            self.store.put("op/config", configuration(13))
+            await self.status_until(nodes, version=13)
+            await self.call(nodes[0], 0.5)
+            self.store.go_away()
+            await anyio.sleep(AWAY_SECONDS)
+            self.ran.clear()
+            self.store.come_back_from(copy)
+            late = StoreNodeProcess(self.settings(2, 0))
+            nodes.append(await stack.enter_async_context(late))
+            statuses = await self.call(nodes[0], 2.0)
+            self.assertEqual(set(statuses), {200})
+            self.assertEqual(set(self.ran), {HOSTS[1], HOSTS[2]})
+            await late.wait_event("NODE_SERVING")
+            await self.status_until(nodes, version=13, source_era=1)
+            told = await asyncio.wait_for(nodes[0].wait_event("SOURCE_RETURNED"), PATIENCE)
+            shown = {key: told[key] for key in ("old", "new", "lost", "kept", "came_back")}
+            expected = {"old": 0, "new": 1, "lost": 1, "kept": 1, "came_back": 1}
+            self.assertEqual(shown, expected)
+            self.put(2)
+            self.store.remove("servers/i-0")
+            self.store.put("op/config", configuration(14))
+            with anyio.fail_after(BOUND):
+                await self.status_until(nodes, version=14)
