--- /dev/null
+++ b/tests/node/gateway/test_words_of_a_stop.py
@@ -0,0 +1,153 @@
+"""The word of a stop reaches each request that another node has, and bounds those that wait.
+
+What callers saw: nothing yet; found by reading, brought about here. A node that stops names its
+requests to their gateways. Not named, or named in vain, a request went on as if there were no
+end: it was begun, or its answer put in line, and then cut at the end of its caller's node.
+"""
+
+import asyncio
+import math
+import time
+import unittest
+from typing import Any
+from unittest import mock
+
+import msgspec
+
+from pewtertack.node.gateway.hop import GONE_IN, LEAVE_BY, leave_by_words, read_leave_by
+from pewtertack.node.gateway.reception import MOST_AHEAD
+from pewtertack.node.pacing import LinkPacer
+from pewtertack.node.proxy.stop_time import StopTime, tell_gateways
+from pewtertack.routing.link import LinkShare
+from tests.node.gateway.test_gateway import GatewayTestCase, header
+from tests.node.proxy.harness import Answer, answer_bytes, raw_call, request_bytes
+
+RUN_SECONDS = 0.3
+LARGE_BODY = 300_000
+"""Bytes; such a body is sent to a gateway only when that asks for it."""
+DOWNLOAD = 200_000
+MEGABITS = 1.0
+"""Of the gateway's link: a download takes 2 s of it."""
+FEW_SECONDS = 5.0
+GATEWAY = "127.0.0.1:1"
+
+
+def named(words: Any) -> frozenset[str]:
+    return frozenset().union(*(read_leave_by(dict(word.headers)[LEAVE_BY])[1] for word in words))
+
+
+class WordTest(unittest.IsolatedAsyncioTestCase):
+    def test_an_id_with_a_space_is_named_whole(self) -> None:
+        ids = ["order 7", "call-1"]
+        self.assertEqual(named(leave_by_words(GATEWAY, 2.0, ids)), frozenset(ids))
+
+    def test_no_time_left_is_not_taken_for_time_without_end(self) -> None:
+        for seconds in (0.0, 0.0004):
+            value = dict(leave_by_words(GATEWAY, seconds, ["call-1"])[0].headers)[LEAVE_BY]
+            self.assertLess(read_leave_by(value)[0], math.inf)
+
+    async def test_a_stop_without_an_end_tells_nobody(self) -> None:
+        stop, connections = StopTime(), mock.Mock()
+        stop.begin(math.inf)
+        request = mock.Mock(gateway=GATEWAY, request_id="call-1")
+        requests = mock.Mock(under_way={request})
+        await tell_gateways(stop, time.monotonic, connections, requests)
+        connections.take.assert_not_called()
+
+    async def test_the_time_left_is_that_at_which_the_word_is_sent(self) -> None:
+        """A connection that takes long to be made made the end look that much later."""
+        sent: list[Any] = []
+        connection = mock.Mock(exchange=mock.AsyncMock(side_effect=sent.append))
+        connection.read_whole = mock.AsyncMock(return_value=b"")
+
+        async def take(*_: Any) -> Any:
+            await asyncio.sleep(0.4)
+            return connection
+
+        stop = StopTime()
+        ends_at = time.monotonic() + 2.0
+        stop.begin(ends_at)
+        requests = mock.Mock(under_way={mock.Mock(gateway=GATEWAY, request_id="call-1")})
+        await tell_gateways(stop, time.monotonic, mock.Mock(take=take), requests)
+        seconds, _ = read_leave_by(dict(sent[0].headers)[LEAVE_BY])
+        self.assertLessEqual(seconds, ends_at - time.monotonic() + 0.1)
+
+
+class NamedRequestTest(GatewayTestCase):
+    async def asyncSetUp(self) -> None:
+        self.seconds = RUN_SECONDS
+        self.size = 2
+        self.address = await self.start_fleet(
+            self.script, slots=1, timeout=30.0, target_latency=20.0, retry_limit=0
+        )
+
+    async def script(self, _: Any, writer: Any, head: str) -> bool:
+        await asyncio.sleep(self.seconds)
+        writer.write(answer_bytes(b"x" * self.size, b"x-call: " + header(head, "x-call").encode()))
+        return True
+
+    async def begin(self, name: str, body: bytes = b"") -> asyncio.Task[Answer]:
+        headers = (f"x-call: {name}", "x-left: 25000")
+        method = "POST" if body else "GET"
+        raw = request_bytes(method, "/", body, headers=headers)
+        task = asyncio.create_task(raw_call(self.address, raw, 20.0))
+        self.addCleanup(task.cancel)
+        await asyncio.sleep(0.05)
+        return task
+
+    async def until_at_gateway(self, count: int) -> None:
+        async with asyncio.timeout(FEW_SECONDS):
+            while len(self.gateways[0].requests.under_way) < count:
+                await asyncio.sleep(0.005)
+
+    async def stop_in(self, seconds: float) -> None:
+        self.proxy.start_leaving(seconds)
+        await self.proxy.announce_stop()
+
+    async def test_an_upload_that_waits_for_a_slot_before_its_body_is_sent_is_named(self) -> None:
+        """Cause: only requests on connections whose back end may have begun were named."""
+        self.assertEqual((await (await self.begin("first"))).status, 200)
+        self.seconds = FEW_SECONDS
+        names = ["runs", *(f"upload-{number}" for number in range(MOST_AHEAD + 1))]
+        for name in names:
+            await self.begin(name, b"x" * LARGE_BODY)
+        await self.until_at_gateway(len(names))
+        await self.stop_in(3.0)
+        under_way: Any = self.gateways[0].requests.under_way
+        told = [item.request_id for item in under_way if item.sender_stops]
+        self.assertEqual(sorted(told), names)
+
+    async def test_what_waits_and_cannot_be_answered_in_time_is_refused_before_it_runs(
+        self,
+    ) -> None:
+        """Cause: the earlier end was set on the ticket, which was judged by its old one."""
+        self.assertEqual((await (await self.begin("first"))).status, 200)
+        self.seconds = 3 * RUN_SECONDS
+        await self.begin("runs")
+        self.seconds = RUN_SECONDS
+        waiting = await self.begin("waits")
+        await self.until_at_gateway(2)
+        await self.stop_in(3 * RUN_SECONDS)
+        answer = await waiting
+        self.assert_refused(answer, 503, "not-run")
+        self.assertEqual(len(self.heads), 2)
+
+    async def test_what_waits_is_refused_when_its_answer_would_leave_too_late(self) -> None:
+        """The same for a download, which needs time on the link after its run."""
+        pacer = LinkPacer(time.monotonic, LinkShare(MEGABITS))
+        gateway = self.gateways[0]
+        gateway._parts = msgspec.structs.replace(gateway._parts, pacer=pacer)
+        self.seconds, self.size = 0.05, DOWNLOAD
+        self.assertEqual((await (await self.begin("first"))).status, 200)
+        self.seconds, self.size = 0.5, 2
+        await self.begin("runs")
+        self.seconds, self.size = 0.05, DOWNLOAD
+        waiting = await self.begin("waits")
+        await self.until_at_gateway(2)
+        await self.stop_in(1.8)
+        self.assert_refused(await waiting, 503, "not-run")
+        self.assertEqual(len(self.heads), 2)
+
+
+if __name__ == "__main__":
+    unittest.main()
