An upload that waits at its gateway with its body not asked for is named there too

Cause: a request counted as the gateway's only once its back end may have begun. An upload whose body is sent on demand waits there with its head alone, beyond the few that are asked ahead. Change: it is named from the moment a connection carries it; an id that has not arrived is passed over. Before: 7 of 8 uploads named, after: 8 of 8 (tests.node.gateway.test_words_of_a_stop).

--- a/src/pewtertack/node/proxy/forwarding.py
+++ b/src/pewtertack/node/proxy/forwarding.py
@@ -159,8 +159,9 @@
     def gateway(self) -> str:
         """``ip:port`` of the gateway that has the request (``RequestUnderWay``)."""
         backend = self._ticket.backend
-        if self._connection is None or not self._connection.sent or backend is None:
+        if self._connection is None or backend is None:
             return ""
+        # Also where it may not have begun: it waits there for its body to be asked for.
         return backend.gateway
 
     def leave_by(self, moment: float) -> None:
