What waits for a slot when its sender's node is told to stop is judged with its answer's time on the link

Cause: the word set the earlier end on the ticket without the time that a long answer needs on the link after its run; a request that comes with the time left is judged with it. Change: the same for one that waits already. Before: a download of 2 s, granted 1.4 s before its sender's end, ran; after: it is refused as not run (tests.node.gateway.test_words_of_a_stop).

--- a/src/pewtertack/node/gateway/forwarding.py
+++ b/src/pewtertack/node/gateway/forwarding.py
@@ -186,7 +186,9 @@
     def leave_by(self, moment: float) -> None:
         """Answer before that moment, at which the node that sent the request has stopped."""
         self._gone_at = min(self._gone_at, moment)
-        self._bound_end(self._gone_at)
+        pacer = self._parts.pacer
+        own = pacer.share.own_time(self._ticket.route) if pacer is not None else 0.0
+        self._bound_end(self._gone_at - own)
         if self._sender is not None:
             self._sender.leave_by(self._gone_at)
 
