A stop without an end tells nobody of it

Cause: without drain_timeout and stop_within the time left is infinite, which int() refuses; the OverflowError was caught and logged as an error at each such stop with requests under way. Change: nothing is told. (tests.node.gateway.test_words_of_a_stop)

--- a/src/pewtertack/node/proxy/stop_time.py
+++ b/src/pewtertack/node/proxy/stop_time.py
@@ -58,6 +58,8 @@
     requests: RequestsInFlight,
 ) -> None:
     """Tell each gateway that has requests of this node until when their answers are carried."""
+    if not stop.begun:
+        return  # it waits for all answers, without end
     ids: dict[str, list[str]] = defaultdict(list)
     for request in requests.under_way:
         ids[request.gateway].append(request.request_id)
--- a/tests/node/gateway/test_words_of_a_stop.py
+++ b/tests/node/gateway/test_words_of_a_stop.py
@@ -14,7 +14,7 @@
 
 import msgspec
 
-from pewtertack.node.gateway.hop import GONE_IN, LEAVE_BY, leave_by_words, read_leave_by
+from pewtertack.node.gateway.hop import LEAVE_BY, leave_by_words, read_leave_by
 from pewtertack.node.gateway.reception import MOST_AHEAD
 from pewtertack.node.pacing import LinkPacer
 from pewtertack.node.proxy.stop_time import StopTime, tell_gateways
