No time left is said as 1 ms, not as 0, which counts as no word

Cause: a sender past its end, as with a drain_timeout below 0.5 s, said 0; gateways take that as a word without sense and the request as one without an end. Change: at least 1 is said. (tests.node.gateway.test_words_of_a_stop)

--- a/src/pewtertack/node/gateway/hop.py
+++ b/src/pewtertack/node/gateway/hop.py
@@ -181,6 +181,11 @@
     )
 
 
+def gone_in_text(seconds: float) -> str:
+    """Return ``GONE_IN``'s value; at least 1, as 0 makes no sense and would count as no word."""
+    return str(max(1, int(seconds * 1000)))
+
+
 def _gone_in(text: str | None) -> float:
     """Return the seconds of ``GONE_IN``; infinite where it is not there or makes no sense."""
     if text is None or not text.isdecimal() or int(text) == 0:
@@ -206,7 +211,7 @@
     """Return the requests that tell a gateway until when answers to ``ids`` are carried."""
     words = []
     for start in range(0, len(ids), MOST_IDS):
-        text = " ".join([str(int(seconds * 1000)), *ids[start : start + MOST_IDS]])
+        text = " ".join([gone_in_text(seconds), *ids[start : start + MOST_IDS]])
         headers = [(b"host", gateway.encode()), (LEAVE_BY, text.encode("latin-1"))]
         words.append(OutgoingRequest(b"GET", b"/", headers))
     return words
--- a/src/pewtertack/node/proxy/forwarding.py
+++ b/src/pewtertack/node/proxy/forwarding.py
@@ -10,7 +10,7 @@
 from pewtertack.core.configuration.resolved import ResolvedConfiguration, ResolvedRoute
 from pewtertack.node.crash_reporter import CrashReporter
 from pewtertack.node.crash_watch import CrashWatch
-from pewtertack.node.gateway.hop import ELSEWHERE, GONE_IN, LIFE, hop_headers
+from pewtertack.node.gateway.hop import ELSEWHERE, GONE_IN, LIFE, gone_in_text, hop_headers
 from pewtertack.node.http.connection import BackendConnection
 from pewtertack.node.http.cycle import Scope
 from pewtertack.node.http.framing import RawHeaders
@@ -338,7 +338,8 @@
         if backend.started_at:
             hop.append((LIFE, b"%d" % backend.started_at))
         if self._parts.stop.begun:
-            hop.append((GONE_IN, b"%d" % int(self._parts.stop.seconds_left(now) * 1000)))
+            left = self._parts.stop.seconds_left(now)
+            hop.append((GONE_IN, gone_in_text(left).encode()))
         return [*self._headers, *own, *hop]
 
     def _leave_hung(self, doubt: RawHeaders) -> bool:
