An id with a space is one id in a stop's word

Cause: time and ids were separated by spaces, which ids may have; such a request was not found. Change: by tabs, which no id has. Two tests of words without sense are written with tabs, so that they still have an id each. (tests.node.gateway.test_words_of_a_stop)

--- a/src/pewtertack/node/gateway/hop.py
+++ b/src/pewtertack/node/gateway/hop.py
@@ -72,11 +72,14 @@
 refused if it still waits. The refusal answers that request itself."""
 
 LEAVE_BY = b"x-pewtertack-leave-by"
-"""In a request that is for the gateway alone: ``<milliseconds> <id> ...``. The sender's node
+"""In a request that is for the gateway alone: milliseconds and ids. The sender's node
 stops, and carries answers to these of its requests for so much longer."""
 MOST_IDS = 100
 """Requests named in one such word; more are told in several."""
 
+ID_SEPARATOR = "\t"
+"""Between time and ids of such a word; an id may have spaces, and nothing that is not printable."""
+
 GATEWAY_NAMES = frozenset({PROBE, WITHDRAW, LEAVE_BY})
 """Headers that make a request one for the gateway; only nodes send them."""
 NEEDED_NAMES = frozenset({BACKEND, SERVICE, ROUTE, RANK, OBJECTIVE, LATENESS, CALLER_SERVICE})
@@ -211,7 +214,7 @@
     """Return the requests that tell a gateway until when answers to ``ids`` are carried."""
     words = []
     for start in range(0, len(ids), MOST_IDS):
-        text = " ".join([gone_in_text(seconds), *ids[start : start + MOST_IDS]])
+        text = ID_SEPARATOR.join([gone_in_text(seconds), *ids[start : start + MOST_IDS]])
         headers = [(b"host", gateway.encode()), (LEAVE_BY, text.encode("latin-1"))]
         words.append(OutgoingRequest(b"GET", b"/", headers))
     return words
@@ -219,7 +222,7 @@
 
 def read_leave_by(value: bytes) -> tuple[float, frozenset[str]]:
     """Return the seconds and the ids of such a word; infinite and none if it makes no sense."""
-    milliseconds, *ids = value.decode("latin-1").split(" ")
+    milliseconds, *ids = value.decode("latin-1").split(ID_SEPARATOR)
     seconds = _gone_in(milliseconds)
     return seconds, frozenset(ids) if seconds < math.inf else frozenset()
 
--- a/tests/node/gateway/test_stopping_senders.py
+++ b/tests/node/gateway/test_stopping_senders.py
@@ -50,7 +50,7 @@
                 request = self.read(text)
                 self.assertEqual(request.gone_in, math.inf)
                 self.assertTrue(request.senseless_time)
-                self.assertEqual(read_leave_by(text + b" call-1"), (math.inf, frozenset()))
+                self.assertEqual(read_leave_by(text + b"\tcall-1"), (math.inf, frozenset()))
 
     def test_without_the_word_nothing_is_counted(self) -> None:
         request = read_hop(hop_headers(route(), "b0", 1.0, Lateness.ALLOWED, "desk"))
@@ -137,7 +137,7 @@
         self.assertEqual(len((await self.others[0]).body), DOWNLOAD)
 
     async def test_a_senseless_word_changes_nothing_and_is_counted(self) -> None:
-        for text in (b"soon other-1", b"0 other-1", b"500"):
+        for text in (b"soon\tother-1", b"0\tother-1", b"500"):
             self.gateway._note_stopping_sender(text)
         self.assertNotIn(Event.SENDER_STOPS, self.events)
         counted = self.gateway._metrics._senseless_times.values
--- a/tests/node/gateway/test_words_of_a_stop.py
+++ b/tests/node/gateway/test_words_of_a_stop.py
@@ -108,7 +108,7 @@
         """Cause: only requests on connections whose back end may have begun were named."""
         self.assertEqual((await (await self.begin("first"))).status, 200)
         self.seconds = FEW_SECONDS
-        names = ["runs", *(f"upload-{number}" for number in range(MOST_AHEAD + 1))]
+        names = ["runs it", *(f"upload-{number}" for number in range(MOST_AHEAD + 1))]
         for name in names:
             await self.begin(name, b"x" * LARGE_BODY)
         await self.until_at_gateway(len(names))
