A stop's word says how much time is left when it is sent

Cause: the time was written before the connection was made, which may take up to 1 s: the gateway took the end for that much later, twice the 0.5 s that a stop keeps for last answers. Change: the word is made once there is a connection. The test of many names asks for the groups and the words apart, as strict. (tests.node.gateway.test_words_of_a_stop)

--- a/src/pewtertack/node/gateway/hop.py
+++ b/src/pewtertack/node/gateway/hop.py
@@ -210,14 +210,16 @@
     return OutgoingRequest(b"GET", b"/", headers)
 
 
-def leave_by_words(gateway: str, seconds: float, ids: Sequence[str]) -> list[OutgoingRequest]:
-    """Return the requests that tell a gateway until when answers to ``ids`` are carried."""
-    words = []
-    for start in range(0, len(ids), MOST_IDS):
-        text = ID_SEPARATOR.join([gone_in_text(seconds), *ids[start : start + MOST_IDS]])
-        headers = [(b"host", gateway.encode()), (LEAVE_BY, text.encode("latin-1"))]
-        words.append(OutgoingRequest(b"GET", b"/", headers))
-    return words
+def leave_by_groups(ids: Sequence[str]) -> list[Sequence[str]]:
+    """Return the ids in as many groups as there are words needed to name them."""
+    return [ids[start : start + MOST_IDS] for start in range(0, len(ids), MOST_IDS)]
+
+
+def leave_by_word(gateway: str, seconds: float, ids: Sequence[str]) -> OutgoingRequest:
+    """Return the request that tells a gateway until when answers to ``ids`` are carried."""
+    text = ID_SEPARATOR.join([gone_in_text(seconds), *ids])
+    headers = [(b"host", gateway.encode()), (LEAVE_BY, text.encode("latin-1"))]
+    return OutgoingRequest(b"GET", b"/", headers)
 
 
 def read_leave_by(value: bytes) -> tuple[float, frozenset[str]]:
--- a/src/pewtertack/node/proxy/stop_time.py
+++ b/src/pewtertack/node/proxy/stop_time.py
@@ -11,11 +11,11 @@
 import logging
 import math
 from collections import defaultdict
-from collections.abc import Callable
+from collections.abc import Callable, Sequence
 
 import anyio
 
-from pewtertack.node.gateway.hop import leave_by_words
+from pewtertack.node.gateway.hop import leave_by_groups, leave_by_word
 from pewtertack.node.http.connection import ExchangeBrokenError, OutgoingRequest
 from pewtertack.node.http.cycle import LOGGER
 from pewtertack.node.proxy.in_flight import RequestsInFlight
@@ -66,11 +66,17 @@
     ids.pop("", None)
     async with anyio.create_task_group() as tasks:
         for gateway, named in ids.items():
-            for word in leave_by_words(gateway, stop.seconds_left(clock()), named):
+            for group in leave_by_groups(named):
+
+                def word(gateway: str = gateway, group: Sequence[str] = group) -> OutgoingRequest:
+                    return leave_by_word(gateway, stop.seconds_left(clock()), group)
+
                 tasks.start_soon(_tell, connections, gateway, word)
 
 
-async def _tell(connections: ConnectionStore, gateway: str, word: OutgoingRequest) -> None:
+async def _tell(
+    connections: ConnectionStore, gateway: str, word: Callable[[], OutgoingRequest]
+) -> None:
     try:
         with anyio.move_on_after(TELL_SECONDS) as telling:
             await ask_gateway(connections, gateway, word)
--- a/src/pewtertack/node/proxy/taking_back.py
+++ b/src/pewtertack/node/proxy/taking_back.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 import logging
+from collections.abc import Callable
 
 import anyio
 
@@ -29,21 +30,25 @@
     """
     try:
         with anyio.move_on_after(TAKE_BACK_SECONDS):
-            await ask_gateway(connections, gateway, withdrawal(gateway, request_id))
+            await ask_gateway(connections, gateway, lambda: withdrawal(gateway, request_id))
     except (BackendUnreachableError, ExchangeBrokenError) as error:
         logger.warning("a request could not be taken back: %s", error)
 
 
-async def ask_gateway(connections: ConnectionStore, gateway: str, request: OutgoingRequest) -> None:
+async def ask_gateway(
+    connections: ConnectionStore, gateway: str, make: Callable[[], OutgoingRequest]
+) -> None:
     """Send a request that is for the gateway at ``ip:port`` alone, and read its answer.
 
+    It is made once there is a connection for it: what it says of time holds then.
+
     Raises:
         BackendUnreachableError: no connection was made.
         ExchangeBrokenError: no answer came.
     """
     connection = await connections.take(gateway, TAKE_BACK_SECONDS)
     try:
-        await connection.exchange(request)
+        await connection.exchange(make())
         await connection.read_whole()
     finally:
         connections.give_back(connection, long_lived=True)
--- a/tests/node/gateway/test_stopping_senders.py
+++ b/tests/node/gateway/test_stopping_senders.py
@@ -14,7 +14,8 @@
     LEAVE_BY,
     MOST_IDS,
     hop_headers,
-    leave_by_words,
+    leave_by_groups,
+    leave_by_word,
     read_hop,
     read_leave_by,
 )
@@ -58,7 +59,7 @@
 
     def test_many_requests_are_named_in_several_words(self) -> None:
         ids = [f"call-{number}" for number in range(2 * MOST_IDS + 1)]
-        words = leave_by_words("127.0.0.1:1", 2.5, ids)
+        words = [leave_by_word("127.0.0.1:1", 2.5, group) for group in leave_by_groups(ids)]
         read = [read_leave_by(dict(word.headers)[LEAVE_BY]) for word in words]
         self.assertEqual([len(named) for _, named in read], [MOST_IDS, MOST_IDS, 1])
         self.assertEqual({seconds for seconds, _ in read}, {2.5})
--- a/tests/node/gateway/test_words_of_a_stop.py
+++ b/tests/node/gateway/test_words_of_a_stop.py
@@ -14,7 +14,7 @@
 
 import msgspec
 
-from pewtertack.node.gateway.hop import LEAVE_BY, leave_by_words, read_leave_by
+from pewtertack.node.gateway.hop import LEAVE_BY, leave_by_word, read_leave_by
 from pewtertack.node.gateway.reception import MOST_AHEAD
 from pewtertack.node.pacing import LinkPacer
 from pewtertack.node.proxy.stop_time import StopTime, tell_gateways
@@ -32,18 +32,15 @@
 GATEWAY = "127.0.0.1:1"
 
 
-def named(words: Any) -> frozenset[str]:
-    return frozenset().union(*(read_leave_by(dict(word.headers)[LEAVE_BY])[1] for word in words))
-
-
 class WordTest(unittest.IsolatedAsyncioTestCase):
     def test_an_id_with_a_space_is_named_whole(self) -> None:
         ids = ["order 7", "call-1"]
-        self.assertEqual(named(leave_by_words(GATEWAY, 2.0, ids)), frozenset(ids))
+        value = dict(leave_by_word(GATEWAY, 2.0, ids).headers)[LEAVE_BY]
+        self.assertEqual(read_leave_by(value), (2.0, frozenset(ids)))
 
     def test_no_time_left_is_not_taken_for_time_without_end(self) -> None:
         for seconds in (0.0, 0.0004):
-            value = dict(leave_by_words(GATEWAY, seconds, ["call-1"])[0].headers)[LEAVE_BY]
+            value = dict(leave_by_word(GATEWAY, seconds, ["call-1"]).headers)[LEAVE_BY]
             self.assertLess(read_leave_by(value)[0], math.inf)
 
     async def test_a_stop_without_an_end_tells_nobody(self) -> None:
