--- a/tests/node/gateway/test_sending.py
+++ b/tests/node/gateway/test_sending.py
@@ -133,6 +133,38 @@
         await fresh.finish()
         self.assertEqual(order.index("f"), order.count("l"))
 
+    async def test_answers_for_a_node_that_stops_keep_their_own_ends_where_those_are_earlier(
+        self,
+    ) -> None:
+        """Found by reading, brought about here: all for one node were due at its end, so that one
+        whose caller had 0.3 s left went behind all that had entered the line before it.
+        """
+        now = time.monotonic()
+        order: list[str] = []
+
+        async def send(message: Any) -> None:
+            if message.get("body"):
+                order.append(chr(message["body"][0]))
+
+        self.pacer.note_sent(10 * LONG_BODY)  # the link is taken: neither begins
+        senders = []
+        for letter, left in ((b"p", 20.0), (b"u", 0.3)):
+            ticket = AdmissionTicket("export", BULK, now + left / 2, now + left)
+            sender = AnswerSender(send, self.pacer, self.held, ticket)
+            await self.begin(sender, LONG_BODY)
+            await sender(
+                {"type": "http.response.body", "body": letter * LONG_BODY, "more_body": True}
+            )
+            senders.append(sender)
+        for sender in senders:
+            await sender({"type": "http.response.body", "body": b""})
+        await asyncio.sleep(0)
+        for sender in senders:
+            sender.leave_by(now + 5.0)
+        for sender in senders:
+            await sender.finish()
+        self.assertEqual(order[0], "u")
+
     async def test_a_late_answer_leaves_before_its_deadline_though_others_keep_coming(
         self,
     ) -> None:
