Answers for a node that stops keep their own ends where those are earlier

Cause: the word of a stop set both moments of an answer in line to that of the stop, also where its caller had less time: all for one node were due at once and left as they had come. Change: the earlier of both counts. Two calls in test_link name both moments, which are the same there.

--- a/src/pewtertack/node/gateway/sending.py
+++ b/src/pewtertack/node/gateway/sending.py
@@ -107,11 +107,12 @@
         promised = self._promised > 0
         self._keep_promise()
         self._rank = RECEIVER_STOPS
-        self._wanted = self._latest = moment
+        self._wanted = min(self._wanted, moment)
+        self._latest = min(self._latest, moment)
         if promised:
             self.promise()
         if self._turns is not None:
-            self._turns.hasten(self._rank, self._wanted)
+            self._turns.hasten(self._rank, self._wanted, self._latest)
 
     async def __call__(self, message: Message) -> None:
         """Send a part of the answer, or take it to be sent in its turn."""
--- a/src/pewtertack/node/pacing.py
+++ b/src/pewtertack/node/pacing.py
@@ -79,9 +79,9 @@
     ) -> None:
         self._share.leave(self._body, self._clock())
 
-    def hasten(self, rank: Rank, wanted: float) -> None:
+    def hasten(self, rank: Rank, wanted: float, latest: float) -> None:
         """Give the body another place (``LinkShare.hasten``)."""
-        self._share.hasten(self._body, rank, wanted, self._clock())
+        self._share.hasten(self._body, rank, wanted, latest, self._clock())
 
     async def parts(self, data: bytes) -> AsyncIterator[bytes]:
         """Yield the data in parts, each when it may be sent."""
--- a/src/pewtertack/routing/link.py
+++ b/src/pewtertack/routing/link.py
@@ -162,10 +162,11 @@
         self._line.append(body)
         return body
 
-    def hasten(self, body: LongBody, rank: Rank, wanted: float, now: float) -> None:
-        """Give a body another place, since it must have left by ``wanted``, or not at all."""
+    def hasten(self, body: LongBody, rank: Rank, wanted: float, latest: float, now: float) -> None:
+        """Give a body another place, since it must have left earlier than it said (``enter``)."""
         body.rank = rank
-        body.wanted = body.latest = wanted
+        body.wanted = min(wanted, latest)
+        body.latest = latest
         self._wake_first(now)
 
     def leave(self, body: LongBody, now: float) -> None:
--- a/tests/routing/test_link.py
+++ b/tests/routing/test_link.py
@@ -140,7 +140,7 @@
         urgent = sending.share.enter(URGENT, DOWNLOAD, SOON, nobody)
         bulk = sending.share.enter(BULK, DOWNLOAD, SOON, nobody)
         last = sending.share.enter(BULK, DOWNLOAD, SOON, nobody)
-        sending.share.hasten(last, RECEIVER_STOPS, 1.0, 0.0)
+        sending.share.hasten(last, RECEIVER_STOPS, 1.0, 1.0, 0.0)
         sending.run([urgent, bulk, last])
         self.assertEqual(sending.finished, [last, urgent, bulk])
 
@@ -152,7 +152,7 @@
         share.wait_of(first, 0.0)
         self.assertIsNone(share.wait_of(second, 0.0))
         woken.clear()
-        share.hasten(second, RECEIVER_STOPS, 1.0, 0.0)
+        share.hasten(second, RECEIVER_STOPS, 1.0, 1.0, 0.0)
         self.assertEqual(woken, ["second"])
 
     def test_short_answers_slow_long_ones_down(self) -> None:
