--- a/src/pewtertack/node/gateway/hop.py
+++ b/src/pewtertack/node/gateway/hop.py
@@ -75,11 +75,14 @@
 refused if it still waits. The refusal answers that request itself."""
 
 LEAVE_BY = b"x-pewtertack-leave-by"
-"""In a request that is for the gateway alone: ``<milliseconds> <id> ...``. The sender's node
+"""In a request that is for the gateway alone: milliseconds and ids. The sender's node
 stops, and carries answers to these of its requests for so much longer."""
 MOST_IDS = 100
 """Requests named in one such word; more are told in several."""
 
+ID_SEPARATOR = "\t"
+"""Between time and ids of such a word; an id may have spaces, and nothing that is not printable."""
+
 GATEWAY_NAMES = frozenset({PROBE, WITHDRAW, LEAVE_BY})
 """Headers that make a request one for the gateway; only nodes send them."""
 NEEDED_NAMES = frozenset({BACKEND, SERVICE, ROUTE, RANK, OBJECTIVE, LATENESS, CALLER_SERVICE})
@@ -187,6 +190,11 @@
     )
 
 
+def gone_in_text(seconds: float) -> str:
+    """Return ``GONE_IN``'s value; at least 1, as 0 makes no sense and would count as no word."""
+    return str(max(1, int(seconds * 1000)))
+
+
 def _gone_in(text: str | None) -> float:
     """Return the seconds of ``GONE_IN``; infinite where it is not there or makes no sense."""
     if text is None or not text.isdecimal() or int(text) == 0:
@@ -208,19 +216,21 @@
     return OutgoingRequest(b"GET", b"/", headers)
 
 
-def leave_by_words(gateway: str, seconds: float, ids: Sequence[str]) -> list[OutgoingRequest]:
-    """Return the requests that tell a gateway until when answers to ``ids`` are carried."""
-    words = []
-    for start in range(0, len(ids), MOST_IDS):
-        text = " ".join([str(int(seconds * 1000)), *ids[start : start + MOST_IDS]])
-        headers = [(b"host", gateway.encode()), (LEAVE_BY, text.encode("latin-1"))]
-        words.append(OutgoingRequest(b"GET", b"/", headers))
-    return words
+def leave_by_groups(ids: Sequence[str]) -> list[Sequence[str]]:
+    """Return the ids in as many groups as there are words needed to name them."""
+    return [ids[start : start + MOST_IDS] for start in range(0, len(ids), MOST_IDS)]
+
+
+def leave_by_word(gateway: str, seconds: float, ids: Sequence[str]) -> OutgoingRequest:
+    """Return the request that tells a gateway until when answers to ``ids`` are carried."""
+    text = ID_SEPARATOR.join([gone_in_text(seconds), *ids])
+    headers = [(b"host", gateway.encode()), (LEAVE_BY, text.encode("latin-1"))]
+    return OutgoingRequest(b"GET", b"/", headers)
 
 
 def read_leave_by(value: bytes) -> tuple[float, frozenset[str]]:
     """Return the seconds and the ids of such a word; infinite and none if it makes no sense."""
-    milliseconds, *ids = value.decode("latin-1").split(" ")
+    milliseconds, *ids = value.decode("latin-1").split(ID_SEPARATOR)
     seconds = _gone_in(milliseconds)
     return seconds, frozenset(ids) if seconds < math.inf else frozenset()
 
--- a/src/pewtertack/node/proxy/forwarding.py
+++ b/src/pewtertack/node/proxy/forwarding.py
@@ -10,7 +10,14 @@
 from pewtertack.core.configuration.resolved import ResolvedConfiguration, ResolvedRoute
 from pewtertack.node.crash_reporter import CrashReporter
 from pewtertack.node.crash_watch import CrashWatch
-from pewtertack.node.gateway.hop import ELSEWHERE, GONE_IN, HOLDS_BACK, LIFE, hop_headers
+from pewtertack.node.gateway.hop import (
+    ELSEWHERE,
+    GONE_IN,
+    HOLDS_BACK,
+    LIFE,
+    gone_in_text,
+    hop_headers,
+)
 from pewtertack.node.http.connection import BackendConnection
 from pewtertack.node.http.cycle import Scope
 from pewtertack.node.http.framing import RawHeaders
@@ -159,8 +166,9 @@
     def gateway(self) -> str:
         """``ip:port`` of the gateway that has the request (``RequestUnderWay``)."""
         backend = self._ticket.backend
-        if self._connection is None or not self._connection.sent or backend is None:
+        if self._connection is None or backend is None:
             return ""
+        # Also where it may not have begun: it waits there for its body to be asked for.
         return backend.gateway
 
     def leave_by(self, moment: float) -> None:
@@ -339,7 +347,8 @@
         if backend.started_at:
             hop.append((LIFE, b"%d" % backend.started_at))
         if self._parts.stop.begun:
-            hop.append((GONE_IN, b"%d" % int(self._parts.stop.seconds_left(now) * 1000)))
+            left = self._parts.stop.seconds_left(now)
+            hop.append((GONE_IN, gone_in_text(left).encode()))
         return [*self._headers, *own, *hop]
 
     def _leave_hung(self, doubt: RawHeaders) -> bool:
--- a/src/pewtertack/routing/link.py
+++ b/src/pewtertack/routing/link.py
@@ -58,6 +58,7 @@
         "_ends_at",
         "_free_at",
         "_line",
+        "_open",
         "_probed_at",
         "_promised",
         "_sizes",
@@ -71,6 +72,8 @@
         self._ends_at = math.inf
         """When the link's node carries nothing any longer."""
         self._line: list[LongBody] = []
+        self._open = False
+        """Whether nothing waits any longer."""
         self._arrivals = 0
         self._promised: dict[Rank, float] = {}
         """Bytes of long answers that are to come, by rank."""
@@ -112,10 +115,11 @@
         self._line.append(body)
         return body
 
-    def hasten(self, body: LongBody, rank: Rank, wanted: float, now: float) -> None:
-        """Give a body another place, since it must have left by ``wanted``, or not at all."""
+    def hasten(self, body: LongBody, rank: Rank, wanted: float, latest: float, now: float) -> None:
+        """Give a body another place, since it must have left earlier than it said (``enter``)."""
         body.rank = rank
-        body.wanted = body.latest = wanted
+        body.wanted = min(wanted, latest)
+        body.latest = latest
         self._wake_first(now)
 
     def leave(self, body: LongBody, now: float) -> None:
@@ -183,12 +187,22 @@
         ``None`` while another goes first, which is woken: it may have become the first since.
         """
         body.waits = True
+        if self._open:
+            return 0.0
         self._give_back(now)
         if self._first(now) is not body:
             self._wake_first(now)
             return None
         return max(0.0, self._free_at - AHEAD_BYTES / self.bytes_per_second - now)
 
+    def open(self) -> None:
+        """Let everything go at once from now on: what this process keeps ends with it, while the
+        system goes on sending what it was given.
+        """
+        self._open = True
+        for body in sorted(self._line, key=lambda item: (item.rank, not item.begun)):
+            body.wake()
+
     def note_part(self, body: LongBody, size: int, now: float) -> None:
         """A part of the body was sent."""
         body.begun = True
--- a/tests/node/gateway/test_stopping_senders.py
+++ b/tests/node/gateway/test_stopping_senders.py
@@ -14,7 +14,8 @@
     LEAVE_BY,
     MOST_IDS,
     hop_headers,
-    leave_by_words,
+    leave_by_groups,
+    leave_by_word,
     read_hop,
     read_leave_by,
 )
@@ -50,7 +51,7 @@
                 request = self.read(text)
                 self.assertEqual(request.gone_in, math.inf)
                 self.assertTrue(request.senseless_time)
-                self.assertEqual(read_leave_by(text + b" call-1"), (math.inf, frozenset()))
+                self.assertEqual(read_leave_by(text + b"\tcall-1"), (math.inf, frozenset()))
 
     def test_without_the_word_nothing_is_counted(self) -> None:
         request = read_hop(hop_headers(route(), "b0", 1.0, Lateness.ALLOWED, "desk"))
@@ -58,7 +59,7 @@
 
     def test_many_requests_are_named_in_several_words(self) -> None:
         ids = [f"call-{number}" for number in range(2 * MOST_IDS + 1)]
-        words = leave_by_words("127.0.0.1:1", 2.5, ids)
+        words = [leave_by_word("127.0.0.1:1", 2.5, group) for group in leave_by_groups(ids)]
         read = [read_leave_by(dict(word.headers)[LEAVE_BY]) for word in words]
         self.assertEqual([len(named) for _, named in read], [MOST_IDS, MOST_IDS, 1])
         self.assertEqual({seconds for seconds, _ in read}, {2.5})
@@ -137,7 +138,7 @@
         self.assertEqual(len((await self.others[0]).body), DOWNLOAD)
 
     async def test_a_senseless_word_changes_nothing_and_is_counted(self) -> None:
-        for text in (b"soon other-1", b"0 other-1", b"500"):
+        for text in (b"soon\tother-1", b"0\tother-1", b"500"):
             self.gateway._note_stopping_sender(text)
         self.assertNotIn(Event.SENDER_STOPS, self.events)
         counted = self.gateway._metrics._senseless_times.values
--- a/tests/routing/test_link.py
+++ b/tests/routing/test_link.py
@@ -139,7 +139,7 @@
         urgent = sending.share.enter(URGENT, DOWNLOAD, SOON, nobody)
         bulk = sending.share.enter(BULK, DOWNLOAD, SOON, nobody)
         last = sending.share.enter(BULK, DOWNLOAD, SOON, nobody)
-        sending.share.hasten(last, RECEIVER_STOPS, 1.0, 0.0)
+        sending.share.hasten(last, RECEIVER_STOPS, 1.0, 1.0, 0.0)
         sending.run([urgent, bulk, last])
         self.assertEqual(sending.finished, [last, urgent, bulk])
 
@@ -151,7 +151,7 @@
         share.wait_of(first, 0.0)
         self.assertIsNone(share.wait_of(second, 0.0))
         woken.clear()
-        share.hasten(second, RECEIVER_STOPS, 1.0, 0.0)
+        share.hasten(second, RECEIVER_STOPS, 1.0, 1.0, 0.0)
         self.assertEqual(woken, ["second"])
 
     def test_short_answers_slow_long_ones_down(self) -> None:
@@ -222,6 +222,24 @@
         self.assertAlmostEqual(share.answer_time("export", BULK, 0.0), 10 * alone)
         self.assertAlmostEqual(share.answer_time("export", URGENT, 0.0), alone)
 
+    def test_where_the_node_ends_nothing_waits_any_longer_and_what_is_urgent_is_woken_first(
+        self,
+    ) -> None:
+        share, woken = LinkShare(MEGABITS), []
+        names: dict[str, tuple[int, int]] = {
+            "bulk": BULK,
+            "urgent": URGENT,
+            "stops": RECEIVER_STOPS,
+        }
+        bodies = [
+            share.enter(rank, DOWNLOAD, SOON, lambda name=name: woken.append(name))  # type: ignore[misc]
+            for name, rank in names.items()
+        ]
+        share.note_sent(10 * DOWNLOAD, 0.0)
+        share.open()
+        self.assertEqual(woken, ["stops", "urgent", "bulk"])
+        self.assertEqual([share.wait_of(body, 0.0) for body in bodies], [0.0] * len(bodies))
+
 
 if __name__ == "__main__":
     unittest.main()
