Test: whatever becomes of long answers, nothing of them stays in a link's reckoning

Refused, broken off, given up in the middle, whole; with and without a length announced, 30 seeds of eight at once: the line is empty, no promise and no held byte is left.

--- a/tests/node/gateway/test_sending.py
+++ b/tests/node/gateway/test_sending.py
@@ -1,6 +1,7 @@
 """Long answers are held until their turn on the link; short ones are not."""
 
 import asyncio
+import random
 import time
 import unittest
 from typing import Any
@@ -256,6 +257,41 @@
         after = share.answer_time("export", BULK, time.monotonic() + 1.0)
         self.assertLess(after, 1.01 * alone)
 
+    async def test_whatever_becomes_of_answers_nothing_of_them_is_reckoned_with_for_good(
+        self,
+    ) -> None:
+        for seed in range(30):
+            chance = random.Random(seed)
+            self.pacer.share.note_answer("export", 5 * LONG_BYTES)
+            await asyncio.gather(*(self.some_end(chance) for _ in range(8)))
+            share = self.pacer.share
+            self.assertEqual((share._line, self.held.count), ([], 0), f"seed {seed}")
+            self.assertLess(sum(share._promised.values()), 0.001, f"seed {seed}")
+
+    async def some_end(self, chance: random.Random) -> None:
+        """Take an answer to some end: refused, broken off, given up while it is sent, whole."""
+        sender = self.make()
+        sender.promise()
+        pieces = chance.randrange(5)
+        announced = [(b"content-length", b"%d" % (4 * LONG_BYTES))] if chance.random() < 0.5 else []
+        try:
+            async with asyncio.timeout(chance.uniform(0.0, 0.02)):
+                await asyncio.sleep(chance.uniform(0.0, 0.005))
+                head = {"type": "http.response.start", "status": 200, "headers": announced}
+                await sender(head)
+                for _ in range(pieces):
+                    piece = {"type": "http.response.body", "body": b"x" * LONG_BYTES}
+                    await sender(piece | {"more_body": True})
+                    await asyncio.sleep(chance.uniform(0.0, 0.002))
+                if chance.random() < 0.5:
+                    await sender({"type": "http.response.body", "body": b""})
+                    await sender.finish()
+        except TimeoutError:
+            pass
+        finally:
+            sender.forget()
+        await asyncio.sleep(0)
+
     async def test_one_that_is_given_up_leaves_the_line(self) -> None:
         first, second = self.make(), self.make()
         size = HELD_BYTES // 2
