A long answer that may be broken off at its deadline is refused before it runs; link checks in a module of their own

Change: for the deadline what stands ahead counts 1.5 times; for the objective as before. The test fails without the margin. node/gateway/link_check.py holds the checks by the link that stood in node/gateway/forwarding.py; the module's own test no longer makes half a forwarding.

--- a/src/pewtertack/node/gateway/forwarding.py
+++ b/src/pewtertack/node/gateway/forwarding.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import asyncio
-import math
 from collections.abc import Awaitable, Callable
 
 import anyio
@@ -14,6 +13,7 @@
 from pewtertack.node.gateway import hop
 from pewtertack.node.gateway.hang_looks import HangLooks
 from pewtertack.node.gateway.hop import HopRequest
+from pewtertack.node.gateway.link_check import LinkCheck
 from pewtertack.node.gateway.metrics import GatewayMetrics
 from pewtertack.node.gateway.reception import BodyReception
 from pewtertack.node.gateway.sending import AnswerSender, HeldBytes
@@ -38,12 +38,10 @@
 from pewtertack.node.proxy.suspicion import Suspicion
 from pewtertack.node.proxy.upstream import ConnectionStore
 from pewtertack.routing.admission import Admission
-from pewtertack.routing.long_body import RECEIVER_STOPS
 from pewtertack.routing.origins import OriginWatch
 from pewtertack.routing.outcomes import (
     BackendFailedError,
     BackendHungError,
-    DeadlineUnmeetableError,
     DrainingError,
     NotRunError,
     Outcome,
@@ -109,8 +107,6 @@
         self._caller: Caller = scope["extensions"][CALLER]
         self._life = RequestLife(scope, deadline, parts.clock)
         now = parts.clock()
-        self._gone_at = now + request.gone_in
-        """When the node that sent the request will carry its answer no longer."""
         self._ticket = AdmissionTicket(
             request.route,
             request.rank,
@@ -119,13 +115,15 @@
             request.lateness,
             parts.origins is not None and parts.origins.is_within(request.route, request.within),
         )
+        gone_at = now + request.gone_in
+        self._link = LinkCheck(parts.pacer, admission, self._ticket, gone_at)
         self._sender: AnswerSender | None = None
         if parts.pacer is not None:
             self._sender = AnswerSender(
                 send, parts.pacer, parts.held, self._ticket, request.holds_back
             )
             if self.sender_stops:
-                self._sender.leave_by(self._gone_at)
+                self._sender.leave_by(gone_at)
         self._exchange = Exchange(
             scope,
             self._sender or send,
@@ -178,7 +176,7 @@
     @property
     def sender_stops(self) -> bool:
         """Whether the node that sent the request has been told to stop."""
-        return self._gone_at < math.inf
+        return self._link.sender_stops
 
     @property
     def gateway(self) -> str:
@@ -187,12 +185,9 @@
 
     def leave_by(self, moment: float) -> None:
         """Answer before that moment, at which the node that sent the request has stopped."""
-        self._gone_at = min(self._gone_at, moment)
-        pacer = self._parts.pacer
-        own = pacer.share.own_time(self._ticket.route) if pacer is not None else 0.0
-        self._bound_end(self._gone_at - own)
+        self._link.leave_by(moment)
         if self._sender is not None:
-            self._sender.leave_by(self._gone_at)
+            self._sender.leave_by(self._link.gone_at)
 
     @property
     def progress(self) -> Progress:
@@ -289,53 +284,14 @@
             ticket.lateness = ticket.lateness.yielding
             self._parts.metrics.note_in_vain(ticket.route)
         try:
-            self._check_link()
+            self._link.check(now)
+            if self._sender is not None:
+                self._sender.promise()
             self._admission.submit(ticket, now)
         except RequestFailedError as error:
             error.offered = False
             raise
 
-    def _check_link(self) -> None:
-        """Refuse at once what would be answered too late because others take the link.
-
-        What would be late with the link to itself is not refused for its objective, and but for
-        a probe a second for its deadline, or its route's times and lengths, which answers alone
-        teach, would stay as they are for good.
-
-        Raises:
-            DeadlineUnmeetableError: its long answer would leave too late.
-        """
-        if self._parts.pacer is None:
-            self._bound_end(self._gone_at)
-            return
-        ticket, now = self._ticket, self._parts.clock()
-        share = self._parts.pacer.share
-        own = share.own_time(ticket.route)
-        ahead = 0.0
-        if own:
-            rank = RECEIVER_STOPS if self.sender_stops else ticket.rank
-            ahead = share.time_ahead(rank, now)
-            alone = now + own + self._admission.expected_time(ticket.route)
-            last = min(ticket.deadline, self._gone_at)
-            wanted = last if ticket.within else min(ticket.objective, last)
-            latest = wanted if alone <= wanted else last
-            if alone + ahead > latest and not self._may_probe(ahead, now):
-                raise DeadlineUnmeetableError("the link is taken for too long", ahead + own)
-        self._bound_end(self._gone_at - own - ahead)
-        if self._sender is not None:
-            self._sender.promise()
-
-    def _bound_end(self, moment: float) -> None:
-        """Judge by an earlier end, where it is known how long the back end takes."""
-        if self._admission.expected_time(self._ticket.route):
-            self._ticket.deadline = min(self._ticket.deadline, moment)
-
-    def _may_probe(self, ahead: float, now: float) -> bool:
-        """Tell whether its answer may be let through to learn how long such answers are."""
-        assert self._parts.pacer is not None
-        share = self._parts.pacer.share
-        return ahead == 0 and not self.sender_stops and share.may_probe(self._ticket.route, now)
-
     async def _wait_until_granted(self) -> None:
         ticket = self._ticket
         if ticket.granted:
@@ -372,22 +328,8 @@
         else:
             self._admission.withdraw(self._ticket)
 
-    def _check_stop(self) -> None:
-        """Refuse what waited for its slot, and could not leave any more before the node stops.
-
-        Raises:
-            DrainingError: it has not run, and another gateway may be asked.
-        """
-        pacer, route = self._parts.pacer, self._request.route
-        run_seconds = self._admission.expected_time(route)
-        rank = RECEIVER_STOPS if self.sender_stops else self._ticket.rank
-        if pacer is not None and pacer.ends_before(route, rank, run_seconds):
-            error = DrainingError("the node beside the back end is stopping")
-            error.offered = False
-            raise error
-
     async def _attempt(self) -> None:
-        self._check_stop()
+        self._link.check_slot()
         # Others may have come to know what it does while it waited here.
         await self._suspicion.refuse_held(self._request.crash_limit, self._parts.clock())
         connections = self._parts.connections
--- a/tests/node/gateway/test_link_check.py
+++ b/tests/node/gateway/test_link_check.py
@@ -1,12 +1,9 @@
 """Requests of long answers are refused for what others put on the link, for nothing else."""
 
 import contextlib
-import math
 import unittest
-from types import SimpleNamespace
-from typing import Any
 
-from pewtertack.node.gateway.forwarding import GatewayForwarding
+from pewtertack.node.gateway.link_check import LinkCheck
 from pewtertack.node.pacing import LinkPacer
 from pewtertack.routing.admission import Admission
 from pewtertack.routing.link import LinkShare
@@ -34,15 +31,8 @@
         """Submit a request as a gateway does."""
         made = AdmissionTicket("export", RANK, self.now + objective, self.now + DEADLINE)
         made.within = within
-        forwarding: Any = object.__new__(GatewayForwarding)
-        forwarding._parts = SimpleNamespace(
-            pacer=self.pacer, clock=lambda: self.now, in_vain=lambda route, now: False
-        )
-        forwarding._ticket = made
-        forwarding._admission = self.admission
-        forwarding._sender = None
-        forwarding._gone_at = math.inf
-        forwarding._submit()
+        LinkCheck(self.pacer, self.admission, made).check(self.now)
+        self.admission.submit(made, self.now)
         return made
 
     def serve(self, seconds: float) -> None:
@@ -71,6 +61,28 @@
             self.now += 0.05
         self.assertIn(passed, (3, 4))
 
+    def test_what_may_be_broken_off_at_its_deadline_is_refused(self) -> None:
+        """An answer that had run was cut at its caller's deadline, close behind its objective.
+
+        What stood before it took somewhat longer than reckoned.
+        """
+        self.serve(0.05)
+        own = self.share.own_time("export")
+        while self.share.time_ahead(RANK, self.now) < 1.0:
+            self.share.enter(RANK, DOWNLOAD, self.now + 60.0, nobody)
+        ahead = self.share.time_ahead(RANK, self.now)
+        run = self.admission.expected_time("export")
+        for deadline, taken in ((run + own + ahead * 1.1, False), (run + own + ahead * 2, True)):
+            made = AdmissionTicket("export", RANK, self.now + 60.0, self.now + deadline)
+            with self.subTest(deadline=deadline):
+                check = LinkCheck(self.pacer, self.admission, made)
+                with (
+                    contextlib.nullcontext()
+                    if taken
+                    else self.assertRaises(DeadlineUnmeetableError)
+                ):
+                    check.check(self.now)
+
     def test_what_others_make_late_is_refused_and_calls_within_by_their_deadline(self) -> None:
         self.serve(0.05)
         for _ in range(10):
