Reproduced: a request that has come behind the last answer is dropped (a failing test)

A caller's second request lies whole in the system's buffer when a leaving node gives its first answer; the connection ends behind that. A long body with a request behind it, both unread as the server is told to stop, is answered (passes on this code).

--- a/tests/node/http/test_server_stop.py
+++ b/tests/node/http/test_server_stop.py
@@ -7,8 +7,10 @@
 import asyncio
 import contextlib
 import socket
+import threading
 import time
 import unittest
+from collections.abc import Callable
 from typing import Any
 
 import anyio
@@ -24,14 +26,19 @@
 
 
 class Application:
-    """Refuses an upload without its body; answers anything else."""
+    """Refuses an upload without its body; answers anything else, once its body has come."""
 
     leaving = False
 
     def __init__(self) -> None:
         self.answered = 0
+        self.before_answer: Callable[[], None] = lambda: None
 
     async def __call__(self, scope: Any, receive: Any, send: Any) -> None:
+        if scope["path"] == "/read":
+            while (await receive()).get("more_body", False):
+                pass
+        self.before_answer()
         status = 503 if scope["path"] == "/upload" else 200
         headers = [(b"content-length", b"0")]
         await send({"type": "http.response.start", "status": status, "headers": headers})
@@ -96,6 +103,43 @@
         for caller in callers:
             self.assertIn(b" 200 ", caller.recv(4096))
 
+    async def test_a_request_that_lies_behind_the_last_answer_is_answered(self) -> None:
+        """What callers saw: two requests sent behind one another, the second whole before the
+        first was answered; then one answer and the connection's end.
+
+        Cause: a leaving server ends a connection with the answer behind which nothing was read,
+        and did not look whether something had come.
+        """
+        self.application.leaving = True
+        caller = self.connect()
+        rest = [REQUEST]
+        self.application.before_answer = lambda: caller.sendall(rest.pop() if rest else b"")
+        caller.sendall(REQUEST)
+        received = await asyncio.to_thread(self.read_to_end, caller)
+        self.assertEqual(received.count(b" 200 "), 2)
+
+    def read_to_end(self, caller: socket.socket) -> bytes:
+        received = b""
+        while part := caller.recv(4096):
+            received += part
+        return received
+
+    async def test_a_long_request_that_waits_to_be_read_is_answered(self) -> None:
+        """Several reads long, and another one behind it."""
+        caller = self.connect()
+        caller.sendall(REQUEST)
+        self.assertIn(b" 200 ", await asyncio.to_thread(caller.recv, 4096))
+        head = f"POST /read HTTP/1.1\r\nhost: a\r\ncontent-length: {BODY_BYTES}\r\n\r\n"
+        whole = head.encode() + b"p" * BODY_BYTES + REQUEST
+        sending = threading.Thread(target=caller.sendall, args=(whole,))
+        sending.start()
+        time.sleep(0.1)  # the loop reads nothing meanwhile
+        self.server.should_exit = True
+        await self.stopped()
+        sending.join()
+        received = await asyncio.to_thread(self.read_to_end, caller)
+        self.assertEqual(received.count(b" 200 "), 2)
+
     async def test_who_sends_nothing_does_not_hold_up_the_stop(self) -> None:
         self.connect()
         await asyncio.sleep(0.05)
