A leaving node looks for what has come before an answer ends the connection

What callers saw: two requests sent behind one another to a node that stops, the second whole before the first was answered, then one answer and the end. The answer's "connection: close" told them so, but the request had come in time. Cause: whether another answer is due was judged by what had been read, not by what had come. Change: the connection is read once more before an answer is made its last.

--- a/src/pewtertack/node/http/protocol.py
+++ b/src/pewtertack/node/http/protocol.py
@@ -334,11 +334,12 @@
     def close_after(self, cycle: RequestCycle) -> bool:
         """Tell whether the connection ends with this cycle's answer.
 
-        What has been read behind it, or is being read, is served first: dropped, its caller
-        could not tell whether it has run. What comes after the answer's head crosses it.
+        What has come behind it, or is coming, is served first: dropped, its caller could not tell
+        whether it has run. What comes after the answer's head crosses it.
         """
         if self._end_wanted and not self._pipeline.more_due:
-            self._pipeline.closed = True
+            self._read_now()
+            self._pipeline.closed = self._pipeline.closed or not self._pipeline.more_due
         return self._pipeline.closed or (self._last_received and cycle is self._newest)
 
     def finish(self, cycle: RequestCycle) -> None:
@@ -422,8 +423,7 @@
         Who has begun a request, or has just connected to send one, may do so.
         """
         self._end_wanted = True
-        if isinstance(self.transport, StreamTransport):
-            self.transport.read_now()
+        self._read_now()
         if self._pipeline.requests or self._lingering or self._head_bytes:
             return
         if self._newest is None:
@@ -431,6 +431,10 @@
         else:
             self._close_idle_now()
 
+    def _read_now(self) -> None:
+        if isinstance(self.transport, StreamTransport):
+            self.transport.read_now()
+
     def _close_unused(self) -> None:
         """Close unless a first request has begun to come, which ``HEAD_SECONDS`` bounds."""
         if self._head_bytes:
