--- a/src/pewtertack/lab/weakening.py
+++ b/src/pewtertack/lab/weakening.py
@@ -26,6 +26,7 @@
 from pewtertack.node.proxy.application import ProxyApplication
 from pewtertack.node.proxy.edge import PRODUCT_EDGE, EdgeHeaders
 from pewtertack.node.proxy.headers import AnswerHead
+from pewtertack.node.proxy.stop_time import StopTime
 from pewtertack.routing import dispatcher
 from pewtertack.routing.outcomes import Outcome, RequestFailedError
 from pewtertack.routing.retries import AttemptRecord, RetryReason
@@ -158,6 +159,22 @@
         _wrap(owner, "stop_requests", stop_nothing)
 
 
+def _keep_stops_to_itself() -> None:
+    """Tell no gateway until when a stopping node carries answers, of new requests or old."""
+
+    def begin_nothing(_: object) -> Callable[[StopTime, float], None]:
+        return lambda stop, ends_at: None
+
+    def announce_nothing(_: object) -> Callable[[ProxyApplication], Awaitable[None]]:
+        async def announce(proxy: ProxyApplication) -> None:
+            return None
+
+        return announce
+
+    _wrap(StopTime, "begin", begin_nothing)
+    _wrap(ProxyApplication, "announce_stop", announce_nothing)
+
+
 def _forget_crashes() -> None:
     """Note no end of a back end under a request."""
 
@@ -196,6 +213,7 @@
     "leaving": _ignore_leaving,
     "leaving_notices": _keep_leaving_to_itself,
     "drain": _stop_without_draining,
+    "stop_announcements": _keep_stops_to_itself,
     "stop_answers": _leave_waiting_requests,
     "pipelined_stop_answers": _drop_what_was_read_behind,
     "crash_ledger": _forget_crashes,
--- a/tests/lab/test_weakening.py
+++ b/tests/lab/test_weakening.py
@@ -1,10 +1,12 @@
 """Mechanisms that can be switched off for a proof."""
 
+import asyncio
 import os
 import subprocess
 import sys
 import unittest
 from pathlib import Path
+from random import Random
 from typing import Any
 from unittest import mock
 
@@ -12,6 +14,8 @@
 from pewtertack.lab.errors import LabUsageError
 from pewtertack.lab.weakening import CORE_MECHANISMS, MECHANISMS, REQUEST_MECHANISMS, switch_off
 from pewtertack.node.proxy import exchange
+from pewtertack.node.proxy.application import ProxyApplication
+from pewtertack.node.proxy.stop_time import StopTime
 
 SOURCE_DIRECTORY = Path(__file__).resolve().parents[2] / "src"
 
@@ -30,6 +34,20 @@
             read: Any = vars(exchange)["read_answer"]
             self.assertIsNone(read([(b"x-request-id", b"r1")]).request_id)
 
+    def test_gateways_are_not_told_that_a_node_stops(self) -> None:
+        with (
+            mock.patch.object(StopTime, "begin", StopTime.begin),
+            mock.patch.object(ProxyApplication, "announce_stop", ProxyApplication.announce_stop),
+        ):
+            switch_off("stop_announcements")
+            proxy = ProxyApplication(lambda: 5.0, Random(7))
+            with mock.patch("pewtertack.node.proxy.application.tell_gateways") as tell:
+                proxy.start_leaving(2.0)
+                asyncio.run(proxy.announce_stop())
+            tell.assert_not_called()
+            self.assertTrue(proxy.leaving)
+            self.assertFalse(proxy._parts.stop.begun)
+
     def test_every_request_mechanism_can_be_switched_off(self) -> None:
         for name in REQUEST_MECHANISMS:
             with self.subTest(name):
