A gateway gives back what can't leave before its receiver's node stops, too

Cause: several callers' answers moved to one other gateway at the stop of their node (its own gateway refused them), all with the same end and the rank before all others; together they were more than the link carries until then. The last one began all the same, passed 64 KiB, and was cut. Class: as in, a link's line that begins what it can't end.

Change: what has the rank of a stopping receiver is judged by that receiver's end in the same way, and given back while none of it was passed on.

--- a/src/pewtertack/events.py
+++ b/src/pewtertack/events.py
@@ -77,7 +77,7 @@
     SENDER_STOPS = (629, "A node that stops says until when it carries answers to its requests.")
     GATEWAY_GAVE_BACK = (
         630,
-        "The node stops before a long answer could leave; its sender asks another gateway.",
+        "The gateway's or the sender's node stops before a long answer could leave: not sent on.",
     )
 
     def __init__(self, number: int, meaning: str, routine: bool = False) -> None:
--- a/src/pewtertack/node/pacing.py
+++ b/src/pewtertack/node/pacing.py
@@ -13,7 +13,7 @@
 
 
 class LinkEndsError(PewtertackError):
-    """The node stops before a long body could leave, which can be had elsewhere."""
+    """The node, or the one it is for, stops before a long body could leave."""
 
 
 class LinkPacer:
@@ -103,7 +103,7 @@
         """Yield the data in parts, each when it may be sent.
 
         Raises:
-            LinkEndsError: the node stops too early for it (``LinkShare.end_at``).
+            LinkEndsError: a node stops too early for it (``LinkShare.end_at``).
         """
         for start in range(0, len(data), PART_BYTES):
             await self._wait()
@@ -115,7 +115,7 @@
         while True:
             wait = self._share.wait_of(self._body, self._clock())
             if self._body.given_back:
-                raise LinkEndsError("the node stops before the body could leave")
+                raise LinkEndsError("a node stops before the body could leave")
             if wait is None:
                 self._changed.clear()
                 await self._changed.wait()
--- a/src/pewtertack/node/proxy/request_log.py
+++ b/src/pewtertack/node/proxy/request_log.py
@@ -265,7 +265,7 @@
         self._record(Event.GATEWAY_SENT, request=request, backend=backend, took=took)
 
     def gave_back(self, request: str, backend: str) -> None:
-        """A long answer will not leave before the node stops, and can be had elsewhere."""
+        """A long answer will not leave before this node or its receiver stops, and is not cut."""
         self._record(Event.GATEWAY_GAVE_BACK, request=request, backend=backend)
 
     def sender_stops(self, seconds: float, named: int, found: int) -> None:
--- a/src/pewtertack/routing/link.py
+++ b/src/pewtertack/routing/link.py
@@ -134,15 +134,16 @@
         self._give_back(now)
 
     def _give_back(self, now: float) -> None:
-        """Take out of the line what will not leave before the node stops, as far as it may be."""
-        if self._ends_at == math.inf:
+        """Take out of the line what will not leave before a node stops, as far as it may be."""
+        if self._ends_at == math.inf and not any(item.receiver_stops for item in self._line):
             return
         free_at = max(now, self._free_at)
         for body in sorted(self._line, key=lambda item: self._turn(item, now)):
             if self._is_held_up(body, now):
                 continue
             left_at = free_at + body.left / self.bytes_per_second
-            if left_at <= self._ends_at or not body.returnable:
+            ends_at = min(self._ends_at, body.latest) if body.receiver_stops else self._ends_at
+            if left_at <= ends_at or not body.returnable:
                 free_at = left_at
                 continue
             self._line.remove(body)
--- a/src/pewtertack/routing/long_body.py
+++ b/src/pewtertack/routing/long_body.py
@@ -53,7 +53,12 @@
         """While more than 0, who waits for it has passed none of it on, and can have it elsewhere;
         that ends when so many bytes more have been sent."""
         self.given_back = False
-        """Whether it is to be had elsewhere, since this node stops too early for it."""
+        """Whether it is to be had elsewhere, since this node, or its receiver, stops too early."""
+
+    @property
+    def receiver_stops(self) -> bool:
+        """Whether it is for a node that stops at ``latest``."""
+        return self.rank == RECEIVER_STOPS
 
     def due(self, end: float) -> float:
         """Return by when it should go first, sent alone until ``end``.
--- a/tests/routing/test_link_end.py
+++ b/tests/routing/test_link_end.py
@@ -12,7 +12,7 @@
     SLOW_READER_SECONDS,
     LinkShare,
 )
-from pewtertack.routing.long_body import LongBody, Rank
+from pewtertack.routing.long_body import RECEIVER_STOPS, LongBody, Rank
 
 MEGABITS = 5.0
 URGENT, BULK = (0, 0), (2, 0)
@@ -117,6 +117,16 @@
         self.share.end_at(1.0, SLOW_READER_SECONDS)
         self.assertFalse(other.given_back)
 
+    def test_what_can_not_leave_before_its_receiver_stops_is_given_back(self) -> None:
+        first, second, other = (self.line.enter(100_000) for _ in range(3))
+        ends_at = self.line.seconds(150_000)
+        for body in (first, second):
+            self.share.hasten(body, RECEIVER_STOPS, ends_at, 0.0)
+        self.line.send_all()
+        self.assertEqual([body.given_back for body in self.line.bodies], [False, True, False])
+        self.assertEqual(list(self.line.left_at), [first, other])
+        self.assertLessEqual(self.line.left_at[first], ends_at)
+
     def test_what_is_given_back_leaves_the_line_once(self) -> None:
         first, second = self.line.enter(100_000), self.line.enter(100_000)
         self.share.end_at(0.0, 0.0)
