A back end whose entry lapsed while requests waited takes work again

Cause: when the machine list lacks a back end, its gateway hands back what waits as BackendGoneError. GatewayApplication takes that class for the back end's own 421 and marks the incarnation as leaving, for good: from then on the gateway refuses as backend-left, every node that is told so takes the back end out, and its entry changes nothing when it comes back. Entries lapse whenever heartbeats do not reach the store (a node cut from it, the store down); hit are back ends with a queue, those in demand.

Change: a back end that the list lacks is told as BackendUnlistedError, with the same code on the wire (backend-gone, which passes). BackendGoneError stays for a life that has ended and for the 421; BackendLeftError is unchanged.

--- a/src/pewtertack/node/gateway/incarnations.py
+++ b/src/pewtertack/node/gateway/incarnations.py
@@ -9,7 +9,12 @@
 from pewtertack.core.machines import Machine, MachineState
 from pewtertack.routing.admission import Admission
 from pewtertack.routing.cold import ColdBounds, ColdStart
-from pewtertack.routing.outcomes import BackendGoneError, BackendLeftError, NotRunError
+from pewtertack.routing.outcomes import (
+    BackendGoneError,
+    BackendLeftError,
+    BackendUnlistedError,
+    NotRunError,
+)
 from pewtertack.routing.policies import DEFAULT_POLICIES, Policies
 
 DEFAULT_SLOTS = 6
@@ -26,6 +31,8 @@
     leaving: bool = False
     """Said to leave, or replaced at its address; for good."""
     listed: bool = True
+    ended: bool = False
+    """Another life has begun under its name."""
     started_at: int = 0
     """Unix milliseconds of its start, 0 while unknown."""
 
@@ -42,14 +49,19 @@
     def gone(self, wanted: int = 0) -> NotRunError:
         """Return the refusal of what no back end has seen, since this one takes no work.
 
-        Of a life that began later, at ``wanted``, it says nothing for good.
+        Of a life that began later, at ``wanted``, it says nothing for good. Nor does a list that
+        lacks it: its entry goes while its heartbeats do not reach the store, and comes back then.
         """
-        of_later_life = 0 < self.started_at < wanted
-        kind = BackendLeftError if self.leaving and not of_later_life else BackendGoneError
-        error = kind("the back end is leaving or gone")
+        error = self._kind_of_end(wanted)("the back end is leaving or gone")
         error.offered = False
         return error
 
+    def _kind_of_end(self, wanted: int) -> type[NotRunError]:
+        of_later_life = 0 < self.started_at < wanted
+        if self.leaving and not of_later_life:
+            return BackendLeftError
+        return BackendGoneError if self.leaving or self.ended else BackendUnlistedError
+
 
 class Incarnations:
     """All of them by name; one that nobody has told of yet is made when it is asked for.
@@ -101,6 +113,7 @@
         if known is None or not machine.is_of_life_after(known.started_at):
             return False
         known.listed = False
+        known.ended = True
         known.hand_back_waiting()
         del self._known[machine.name]
         return True
--- a/src/pewtertack/routing/outcomes.py
+++ b/src/pewtertack/routing/outcomes.py
@@ -202,6 +202,12 @@
     code: ClassVar[str] = "backend-gone"
 
 
+class BackendUnlistedError(NotRunError):
+    """The machine list does not name the back end now; it takes work again if it comes back."""
+
+    code: ClassVar[str] = BackendGoneError.code
+
+
 class BackendLeftError(BackendGoneError):
     """The same, for good: this incarnation takes no work any more, whatever a list says."""
 
