A back end's own 102 says nothing of a hang

Cause: what a gateway says by 102 was read on every connection, those to back ends without a gateway too, where 102 means that they are at work; the attempt was marked as hung on. Change: only a gateway's word is read. Before: marked; after: not (tests.node.proxy.test_forwarding, written first and seen to fail).

--- a/src/pewtertack/node/proxy/forwarding.py
+++ b/src/pewtertack/node/proxy/forwarding.py
@@ -343,7 +343,13 @@
         return [*self._headers, *own, *hop]
 
     def _leave_hung(self, doubt: RawHeaders) -> bool:
-        """Learn that the back end has most likely hung on the attempt; tell whether to leave it."""
+        """Learn that the back end has most likely hung on the attempt; tell whether to leave it.
+
+        A back end itself says by the same status that it is at work.
+        """
+        backend = self._ticket.backend
+        if backend is None or not backend.gateway:
+            return False
         load = dict(doubt).get(BACKEND_LOAD, b"").decode("latin-1")
         now = self._parts.clock()
         self._parts.dispatcher.note_hung(self._ticket, now, parse_load(load))
--- a/tests/node/proxy/test_forwarding.py
+++ b/tests/node/proxy/test_forwarding.py
@@ -9,10 +9,13 @@
 from pewtertack.node.proxy.exchange import Exchange
 from tests.node.proxy.harness import (
     ProxyTestCase,
+    RawBackend,
+    answer_bytes,
     begin_call,
     raw_call,
     read_body,
     request_bytes,
+    request_id_of,
     respond,
 )
 from tests.routing.samples import configuration, route
@@ -43,6 +46,23 @@
         self.assertEqual((answer.status, answer.body), (200, b"abc" * 100_000))
         self.assertEqual(answer.headers["x-request-id"], echo.headers["x-request-id"])
 
+    async def test_a_back_end_s_own_102_says_nothing_of_a_hang(self) -> None:
+        """Found by reading, brought about here: ``102 Processing`` of a back end that has no
+        gateway was taken for a gateway's word that it hangs; the attempt, given up by its caller
+        later, counted against it. Its meaning elsewhere is "I am at work".
+        """
+
+        async def work(_: Any, writer: Any, head: str) -> bool:
+            writer.write(b"HTTP/1.1 102 Processing\r\n\r\n")
+            await asyncio.sleep(0.05)
+            writer.write(answer_bytes(b"ok", b"x-request-id: " + request_id_of(head)))
+            return True
+
+        address = await self.start(RawBackend(work))
+        with unittest.mock.patch.object(self.proxy._parts.dispatcher, "note_hung") as told:
+            self.assertEqual((await raw_call(address, request_bytes())).status, 200)
+        told.assert_not_called()
+
     async def test_the_deadline_is_passed_on_shortened(self) -> None:
         echo = Echo()
         address = await self.start(echo)
