--- a/tests/node/gateway/test_words_of_a_stop.py
+++ b/tests/node/gateway/test_words_of_a_stop.py
@@ -14,13 +14,15 @@
 
 import msgspec
 
+from pewtertack.node.daemon import _announce_stop
 from pewtertack.node.gateway.hop import LEAVE_BY, leave_by_word, read_leave_by
 from pewtertack.node.gateway.reception import MOST_AHEAD
 from pewtertack.node.pacing import LinkPacer
 from pewtertack.node.proxy.stop_time import StopTime, tell_gateways
 from pewtertack.routing.link import LinkShare
+from pewtertack.routing.outcomes import BackendUnreachableError
 from tests.node.gateway.test_gateway import GatewayTestCase, header
-from tests.node.proxy.harness import Answer, answer_bytes, raw_call, request_bytes
+from tests.node.proxy.harness import Answer, answer_bytes, begin_call, raw_call, request_bytes
 
 RUN_SECONDS = 0.3
 LARGE_BODY = 300_000
@@ -110,9 +112,46 @@
             await self.begin(name, b"x" * LARGE_BODY)
         await self.until_at_gateway(len(names))
         await self.stop_in(3.0)
+        self.assertEqual(sorted(self.told()), names)
+
+    def told(self) -> list[str]:
         under_way: Any = self.gateways[0].requests.under_way
-        told = [item.request_id for item in under_way if item.sender_stops]
-        self.assertEqual(sorted(told), names)
+        return [item.request_id for item in under_way if item.sender_stops]
+
+    async def test_a_word_that_was_lost_is_said_again(self) -> None:
+        """Cause: it was said once; a gateway out of reach at that moment never heard of the stop."""
+        self.seconds = FEW_SECONDS
+        await self.begin("runs")
+        await self.until_at_gateway(1)
+        take, lost = self.proxy.connections.take, [BackendUnreachableError("no connection")]
+
+        async def lose_first(address: str, seconds: float) -> Any:
+            if lost:
+                raise lost.pop()
+            return await take(address, seconds)
+
+        self.proxy.start_leaving(3.0)
+        with mock.patch.object(self.proxy.connections, "take", lose_first):
+            await _announce_stop(self.proxy)
+        self.assertEqual(self.told(), ["runs"])
+
+    async def test_what_reaches_its_gateway_after_the_word_without_the_time_left_is_named_again(
+        self,
+    ) -> None:
+        """Its head is written with the first part of its body, as its caller waits to be asked
+        for that; the time left was not known yet when the head was made.
+        """
+        self.seconds = FEW_SECONDS
+        lines = ("x-call: late", "x-left: 25000", "expect: 100-continue", "content-length: 3")
+        reader, writer = await begin_call(self.address, request_bytes("POST", "/", headers=lines))
+        self.addCleanup(writer.close)
+        await reader.readuntil(b"100 Continue\r\n\r\n")
+        self.proxy.start_leaving(3.0)
+        announced = asyncio.create_task(_announce_stop(self.proxy))
+        await asyncio.sleep(0.1)
+        writer.write(b"log")
+        await announced
+        self.assertEqual(self.told(), ["late"])
 
     async def test_what_waits_and_cannot_be_answered_in_time_is_refused_before_it_runs(
         self,
