A stop's word is said three times

Cause: it was said once, at the stop's first moment: a gateway out of reach just then never heard it, nor one that the request reached after the word, its head made before (one whose caller waits to be asked for the body). Change: it is said again 0.5 s and 1.5 s later, with those under way then. Before: such requests were not named; after: they are (tests.node.gateway.test_words_of_a_stop).

--- a/src/pewtertack/node/daemon.py
+++ b/src/pewtertack/node/daemon.py
@@ -39,6 +39,9 @@
 behind it on its connection one more."""
 EXIT_SECONDS = 0.3
 """What the process itself needs to end before ``limits.stop_within``, on a busy machine."""
+ANNOUNCEMENT_PAUSES = (0.0, 0.5, 1.0)
+"""Seconds before each telling of other nodes. A word may be lost, and come before the request that
+it names; said again it changes nothing for those that heard it."""
 EXIT_FINISHED = 0
 EXIT_FAILED = 1
 LEAVE_TIME = 0.5
@@ -244,7 +247,13 @@
 
 
 async def _announce_stop(application: DrainableProxy) -> None:
-    """Have other nodes told; the stop goes on whatever becomes of it."""
+    """Have other nodes told, and told again; the stop goes on whatever becomes of it."""
+    for pause in ANNOUNCEMENT_PAUSES:
+        await anyio.sleep(pause)
+        await _announce_once(application)
+
+
+async def _announce_once(application: DrainableProxy) -> None:
     try:
         await application.announce_stop()
     except* Exception as errors:
