--- a/tests/node/gateway/test_words_of_a_stop.py
+++ b/tests/node/gateway/test_words_of_a_stop.py
@@ -119,7 +119,7 @@
         return [item.request_id for item in under_way if item.sender_stops]
 
     async def test_a_word_that_was_lost_is_said_again(self) -> None:
-        """Cause: it was said once; a gateway out of reach at that moment never heard of the stop."""
+        """Cause: it was said once; a gateway out of reach just then never heard of the stop."""
         self.seconds = FEW_SECONDS
         await self.begin("runs")
         await self.until_at_gateway(1)
