--- a/src/pewtertack/node/gateway/application.py
+++ b/src/pewtertack/node/gateway/application.py
@@ -209,6 +209,8 @@
         """Take only requests that end well before the stop; others find another gateway."""
         self.requests.leaving = True
         self._stops_at = self._clock() + seconds
+        if self._parts.pacer is not None:
+            self._parts.pacer.end_at(self._stops_at)
 
     def stop_requests(self) -> None:
         """Also give the system what answers wait for their turns on the link."""
