--- a/tests/node/test_gateway_stop_and_long_answers.py
+++ b/tests/node/test_gateway_stop_and_long_answers.py
@@ -45,6 +45,26 @@
             self.assertEqual(await b.wait_exit(), 0)
             self.assertGreater(len(self.ran), DOWNLOADS)  # it was put to the test
 
+    async def test_what_may_not_be_had_elsewhere_is_given_to_the_system_before_the_end(
+        self,
+    ) -> None:
+        """Found by reading, brought about here: answers of requests that may not be repeated were
+        cut, of which the gateway held the whole: it let them go at its link's pace until its
+        process ended, while the system goes on sending what a process that ends has given it.
+        """
+        route = TREE["routes"]["export"] | {"repeatable": False}
+        tree = TREE | {"routes": {"export": route}}
+        backends = {"b": await self.serve(self.backend)}
+        fleet = fleet_on_narrow_links(tree, backends, SLOTS, MEGABITS, LIMITS, "c")
+        async with fleet as (b, c), self.calls_ended():
+            await self.begin_until_running(c, *(f"own-{number}" for number in range(DOWNLOADS)))
+            b.signal(signal.SIGTERM)
+            with anyio.fail_after(PATIENCE):
+                answers = [await task for task in self.tasks]
+            ended = [(answer.status, len(answer.body)) for answer in answers]
+            self.assertEqual(ended, [(200, self.size)] * DOWNLOADS)
+            self.assertEqual(await b.wait_exit(), 0)
+
 
 if __name__ == "__main__":
     unittest.main()
