Returns of the store in series against real nodes: a lane of its own

lab returns: four nodes on the metadata store's stand-in, returns from copies up to 2.5 s old beside edits, stops, back ends that leave and others that follow them. It is not a lane of lab soak, whose nodes read a source without eras.

--- a/src/pewtertack/cli/main.py
+++ b/src/pewtertack/cli/main.py
@@ -13,6 +13,7 @@
     lab_cost,
     lab_depth,
     lab_proofs,
+    lab_returns,
     lab_scale,
     lab_soak,
     lab_virtual_time,
@@ -66,4 +67,6 @@
 lab.app.command("report")(lab_scale.report)
 lab.app.command("soak")(lab_soak.soak)
 lab.app.command("soak-callers", hidden=True)(lab_soak.soak_callers)
+lab.app.command("returns")(lab_returns.returns)
+lab.app.command("store-node", hidden=True)(lab_returns.store_node)
 app.add_typer(lab.app, name="lab")
--- a/src/pewtertack/lab/metadata_store/application.py
+++ b/src/pewtertack/lab/metadata_store/application.py
@@ -95,6 +95,10 @@
         """Remove an item and return the revision of that."""
         return self._apply(key, None)
 
+    def names(self, prefix: str) -> set[str]:
+        """Return the keys below ``prefix``, without it."""
+        return {key.removeprefix(prefix) for key in self._items if key.startswith(prefix)}
+
     def spoil(self, key: str, form: dict[str, object]) -> None:
         """Write an item and hand it out with some of its parts replaced from now on."""
         self._spoilt[key] = form
