--- a/tests/routing/test_link_end.py
+++ b/tests/routing/test_link_end.py
@@ -121,7 +121,7 @@
         first, second, other = (self.line.enter(100_000) for _ in range(3))
         ends_at = self.line.seconds(150_000)
         for body in (first, second):
-            self.share.hasten(body, RECEIVER_STOPS, ends_at, 0.0)
+            self.share.hasten(body, RECEIVER_STOPS, ends_at, ends_at, 0.0)
         self.line.send_all()
         self.assertEqual([body.given_back for body in self.line.bodies], [False, True, False])
         self.assertEqual(list(self.line.left_at), [first, other])
