--- a/tests/node/test_stop_and_long_answers.py
+++ b/tests/node/test_stop_and_long_answers.py
@@ -119,27 +119,25 @@
             self.assertEqual((await self.read(*await self.send(c, "first"))).status, 200)
             yield a, b, c
 
-    async def test_what_waits_on_the_link_for_a_node_that_stops_goes_before_the_others(
-        self,
-    ) -> None:
+    async def assert_own_answer_is_whole(self) -> None:
+        """Stop node a while its answer stands behind others in the line of b's link."""
         async with self.fleet() as (a, _, c):
             await self.begin_until_running(c, *(f"other-{number}" for number in range(6)))
             own = await self.begin(a, "own")
             await anyio.sleep(0.3)
             a.signal(signal.SIGTERM)
             answer = await asyncio.wait_for(own, PATIENCE)
-            self.assertEqual((answer.status, len(answer.body)), (200, DOWNLOAD))
+            self.assertEqual((answer.status, len(answer.body)), (200, self.size))
             self.assertEqual(await a.wait_exit(), 0)
 
+    async def test_what_waits_on_the_link_for_a_node_that_stops_goes_before_the_others(
+        self,
+    ) -> None:
+        await self.assert_own_answer_is_whole()
+
     async def test_an_answer_that_is_too_long_to_be_held_back_is_not_cut_either(self) -> None:
         self.size = 150_000
-        async with self.fleet() as (a, _, c):
-            await self.begin_until_running(c, *(f"other-{number}" for number in range(6)))
-            own = await self.begin(a, "own")
-            await anyio.sleep(0.3)
-            a.signal(signal.SIGTERM)
-            answer = await asyncio.wait_for(own, PATIENCE)
-            self.assertEqual((answer.status, len(answer.body)), (200, self.size))
+        await self.assert_own_answer_is_whole()
 
     async def test_what_comes_during_the_notice_is_answered_whole_or_refused(self) -> None:
         async with self.fleet() as (a, _, c):
