A stopping gateway gives back what the stopping node that waits for it takes no longer

Cause: where both nodes stop, the line judged by the gateway's end alone: an answer for a node that stops earlier waited behind what may not be had elsewhere, until that node had ended. Change: of its receiver's end and its own the earlier counts. Before: kept, to leave after its receiver's end; after: given back at once (tests.routing.test_link_end, seen to fail first). Seen in the line alone, not between real nodes.

--- a/src/pewtertack/routing/link.py
+++ b/src/pewtertack/routing/link.py
@@ -15,7 +15,7 @@
 import math
 from collections.abc import Callable
 
-from pewtertack.routing.long_body import LongBody, Rank, Turn
+from pewtertack.routing.long_body import RECEIVER_STOPS, LongBody, Rank, Turn
 from pewtertack.routing.policies import LongBodies, Parameter, PolicyKind, policy
 from pewtertack.routing.queueing import smoothed
 
@@ -149,13 +149,20 @@
             if self._is_held_up(body, now):
                 continue
             left_at = free_at + body.left / self.bytes_per_second
-            if left_at <= self._ends_at or not body.returnable:
+            if left_at <= self._end_for(body) or not body.returnable:
                 free_at = left_at
                 continue
             self._line.remove(body)
             body.given_back = True
             body.wake()
 
+    def _end_for(self, body: LongBody) -> float:
+        """Return when the node carries the body no longer, or its receiver's node takes it no more.
+
+        That one would not live to see it late; the others at least wait until their deadlines.
+        """
+        return min(self._ends_at, body.latest) if body.rank == RECEIVER_STOPS else self._ends_at
+
     def ends_before(self, route: str, rank: Rank, now: float, run_seconds: float) -> bool:
         """Tell whether the node stops before an answer of the route, not run yet, has left."""
         own = self.own_time(route)
--- a/tests/routing/test_link_end.py
+++ b/tests/routing/test_link_end.py
@@ -12,7 +12,7 @@
     SLOW_READER_SECONDS,
     LinkShare,
 )
-from pewtertack.routing.long_body import LongBody, Rank
+from pewtertack.routing.long_body import RECEIVER_STOPS, LongBody, Rank
 
 MEGABITS = 5.0
 URGENT, BULK = (0, 0), (2, 0)
@@ -69,6 +69,18 @@
         self.line = Line()
         self.share = self.line.share
 
+    def test_what_its_own_receiver_takes_no_longer_is_given_back_too(self) -> None:
+        """Found by reading, brought about here: a node stops beside another that waits for an
+        answer, and ends later. The answer could leave before the end of the sender, behind what
+        may not be had elsewhere, but not before that of its receiver, where it was then lost.
+        """
+        seconds = self.line.seconds
+        self.line.enter(400_000, returnable=0)
+        own = self.line.enter(100_000)
+        self.share.hasten(own, RECEIVER_STOPS, seconds(200_000), seconds(200_000), 0.0)
+        self.share.end_at(seconds(600_000), 0.0)
+        self.assertTrue(own.given_back)
+
     def test_what_can_not_leave_is_given_back_at_once_and_the_others_leave(self) -> None:
         bodies = [self.line.enter(100_000) for _ in range(5)]
         self.share.end_at(self.line.seconds(250_000), 0.0)
