--- a/src/pewtertack/cli/lab_cost.py
+++ b/src/pewtertack/cli/lab_cost.py
@@ -9,6 +9,8 @@
 import msgspec
 import typer
 
+from pewtertack.lab.errors import LabUsageError
+
 
 def node_cost(
     deployment: Annotated[str, typer.Option(help="lagos or kolkata.")] = "lagos",
@@ -49,7 +51,11 @@
     from pewtertack.node import collector
 
     collector.resume()
-    kinds = tuple(CallKind(text) for text in kind) if kind else tuple(CallKind)
+    try:
+        kinds = tuple(CallKind(text) for text in kind) if kind else tuple(CallKind)
+    except ValueError as error:
+        known = ", ".join(repr(item.value) for item in CallKind)
+        raise LabUsageError(f"{error}; there are {known}") from None
     costs, profiles = measure_requests(CostSettings(calls, rate, kinds, profile))
     typer.echo(profiles + format_costs(costs))
 
--- a/src/pewtertack/node/proxy/stop_time.py
+++ b/src/pewtertack/node/proxy/stop_time.py
@@ -12,6 +12,7 @@
 import math
 from collections import defaultdict
 from collections.abc import Callable, Sequence
+from functools import partial
 
 import anyio
 
@@ -67,11 +68,15 @@
     async with anyio.create_task_group() as tasks:
         for gateway, named in ids.items():
             for group in leave_by_groups(named):
+                word = partial(_word, stop, clock, gateway, group)
+                tasks.start_soon(_tell, connections, gateway, word)
 
-                def word(gateway: str = gateway, group: Sequence[str] = group) -> OutgoingRequest:
-                    return leave_by_word(gateway, stop.seconds_left(clock()), group)
 
-                tasks.start_soon(_tell, connections, gateway, word)
+def _word(
+    stop: StopTime, clock: Callable[[], float], gateway: str, ids: Sequence[str]
+) -> OutgoingRequest:
+    """Return the word on some requests; the time left is that of the moment."""
+    return leave_by_word(gateway, stop.seconds_left(clock()), ids)
 
 
 async def _tell(
