--- a/src/pewtertack/node/http/acknowledgement.py
+++ b/src/pewtertack/node/http/acknowledgement.py
@@ -23,15 +23,13 @@
 import msgspec
 
 from pewtertack.node.http.cycle import LOGGER
+from pewtertack.node.http.transport import MILLISECONDS, SILENT_SECONDS, bound_silence
 
-SILENT_SECONDS = 0.4
-"""A machine that acknowledges nothing for so long has lost power or is cut off."""
 LOOK_SECONDS = 0.1
 """Between two looks at a connection that carries a long body."""
 UNANSWERED_PROBES = 2
 """A system answers at most one in 0.5 s, and so may leave the second, 0.4 s after the first,
 unanswered while it lives."""
-MILLISECONDS = 1000
 NO_BOUND = 0
 TCP_INFO_BYTES = 60
 PROBES_AT = 3
@@ -130,12 +128,6 @@
             self._arm()
 
 
-def bound_silence(connected: socket.socket, seconds: float = SILENT_SECONDS) -> None:
-    """Have the system end the connection when nothing is acknowledged for so long."""
-    milliseconds = int(seconds * MILLISECONDS)
-    connected.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, milliseconds)
-
-
 def acknowledged(connected: socket.socket) -> Acknowledged:
     """Ask the system what it knows of a connection."""
     told = connected.getsockopt(socket.IPPROTO_TCP, socket.TCP_INFO, TCP_INFO_BYTES)
--- a/src/pewtertack/node/http/connection.py
+++ b/src/pewtertack/node/http/connection.py
@@ -12,17 +12,20 @@
 import socket
 from collections import deque
 from collections.abc import AsyncIterator, Callable
+from typing import TYPE_CHECKING
 
 import httptools
 import msgspec
 
 from pewtertack.errors import PewtertackError
 from pewtertack.node import clock
-from pewtertack.node.http.acknowledgement import AcknowledgementWatch, bound_silence
 from pewtertack.node.http.cycle import PROCESSING
 from pewtertack.node.http.framing import LAST_CHUNK, RawHeaders, chunk_of
 from pewtertack.node.http.reading import ReadingProtocol
-from pewtertack.node.http.transport import StreamTransport, connect_socket
+from pewtertack.node.http.transport import StreamTransport, bound_silence, connect_socket
+
+if TYPE_CHECKING:
+    from pewtertack.node.http.acknowledgement import AcknowledgementWatch
 
 READ_BUFFER_LIMIT = 64 * 1024
 """Received bytes that wait to be read before the back end is slowed down. asyncio receives up to
@@ -332,6 +335,9 @@
 
     def _watch_acknowledgements(self) -> None:
         if self._watch is None:
+            # Loaded for the first long body: a node that carries none need not hold it.
+            from pewtertack.node.http.acknowledgement import AcknowledgementWatch
+
             connected = self._transport.get_extra_info("socket")
             self._watch = AcknowledgementWatch(connected, self._end_silent)
         self._watch.begin()
--- a/src/pewtertack/node/http/transport.py
+++ b/src/pewtertack/node/http/transport.py
@@ -23,6 +23,9 @@
 UNTAKEN_SECONDS = 4.0
 """A connection that is closed ends once nothing of what is unsent was taken for so long: the
 other end may have stopped reading for good, and a node that stops would wait for it."""
+SILENT_SECONDS = 0.4
+"""A machine that acknowledges nothing for so long has lost power or is cut off."""
+MILLISECONDS = 1000
 ANY_PORT = 0
 LAST_PORT = 65535
 NO_FLOW = 0
@@ -244,6 +247,12 @@
             del self._protocol  # refers to this object
 
 
+def bound_silence(connected: socket.socket, seconds: float = SILENT_SECONDS) -> None:
+    """Have the system end the connection when nothing is acknowledged for so long; 0: never."""
+    milliseconds = int(seconds * MILLISECONDS)
+    connected.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, milliseconds)
+
+
 async def connect_socket(
     host: str, port: int, timeout: float, local_host: str | None = None
 ) -> socket.socket:
