--- a/src/pewtertack/node/gateway/hop.py
+++ b/src/pewtertack/node/gateway/hop.py
@@ -166,7 +166,7 @@
     objective = found[OBJECTIVE]
     crash_limit = found.get(CRASH_LIMIT, str(DEFAULT_CRASH_LIMIT))
     life = found.get(LIFE, "0")
-    gone_in = _gone_in(found.get(GONE_IN))
+    gone_in = _gone_in(found[GONE_IN]) if GONE_IN in found else math.inf
     numbers = (work_class, priority, objective, crash_limit, life)
     if not all(text.isdecimal() for text in numbers):
         raise InvalidRequestError("the request's rank, objective or limit is no number")
@@ -195,9 +195,9 @@
     return str(max(1, int(seconds * 1000)))
 
 
-def _gone_in(text: str | None) -> float:
-    """Return the seconds of ``GONE_IN``; infinite where it is not there or makes no sense."""
-    if text is None or not text.isdecimal() or int(text) == 0:
+def _gone_in(text: str) -> float:
+    """Return the seconds of ``GONE_IN``; infinite where it makes no sense."""
+    if not text.isdecimal() or int(text) == 0:
         return math.inf
     return int(text) / 1000
 
--- a/src/pewtertack/node/gateway/link_check.py
+++ b/src/pewtertack/node/gateway/link_check.py
@@ -68,6 +68,8 @@
         Raises:
             DeadlineUnmeetableError: its long answer would leave too late.
         """
+        if self._pacer is None and self.gone_at == math.inf:
+            return
         own, ahead = self._own_time, 0.0
         if own and self._pacer is not None:
             ahead = self._pacer.share.time_ahead(self.rank, now)
@@ -110,9 +112,11 @@
         Raises:
             DrainingError: it has not run, and another gateway may be asked.
         """
+        if self._pacer is None:
+            return
         route = self._ticket.route
         run_seconds = self._admission.expected_time(route)
-        if self._pacer is not None and self._pacer.ends_before(route, self.rank, run_seconds):
+        if self._pacer.ends_before(route, self.rank, run_seconds):
             error = DrainingError("the node beside the back end is stopping")
             error.offered = False
             raise error
--- a/src/pewtertack/node/http/connection.py
+++ b/src/pewtertack/node/http/connection.py
@@ -275,7 +275,8 @@
             await self._send(request)
         while self._answer is None:
             await self._wait()
-            self._leave_in_doubt(may_leave)
+            if self._doubt is not None:
+                self._leave_in_doubt(may_leave)
         return self._answer
 
     def _leave_in_doubt(self, may_leave: MayLeave) -> None:
