--- a/src/pewtertack/core/source_era.py
+++ b/src/pewtertack/core/source_era.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import math
-import re
 from typing import ClassVar
 
 from pewtertack.core.eras import LATEST_ERA
@@ -11,7 +10,8 @@
 from pewtertack.errors import PlatformError
 
 SHOWN_CHARACTERS = 40
-_ERA = re.compile(rb"[0-9]{1,18}")
+LONGEST_ERA = 18
+"""Digits of what is read as a number at all."""
 
 
 class SourceEraError(PlatformError):
@@ -87,7 +87,8 @@
             if self._told:
                 raise ItemFormatError(ItemProblem.ERA, "not told any more")
             return self.number
-        if not _ERA.fullmatch(value) or int(value) > LATEST_ERA:
+        is_number = value.isdigit() and len(value) <= LONGEST_ERA
+        if not is_number or int(value) > LATEST_ERA:
             shown = value[:SHOWN_CHARACTERS].decode("latin-1")
             raise ItemFormatError(ItemProblem.ERA, f"no number up to {LATEST_ERA}: {shown!r}")
         self._told = True
