Requests and answer heads to other machines are a module of their own

Nothing is changed by it; the tests of connections, import boundaries, slow receivers and probes pass.

--- a/src/pewtertack/node/gateway/hop.py
+++ b/src/pewtertack/node/gateway/hop.py
@@ -13,7 +13,7 @@
 import msgspec
 
 from pewtertack.core.configuration.resolved import DEFAULT_CRASH_LIMIT, ResolvedRoute, WorkClass
-from pewtertack.node.http.connection import OutgoingRequest
+from pewtertack.node.http.messages import OutgoingRequest
 from pewtertack.node.proxy.edge import NODE_EDGE
 from pewtertack.routing.outcomes import (
     BackendCrashedError,
--- a/src/pewtertack/node/http/client.py
+++ b/src/pewtertack/node/http/client.py
@@ -10,14 +10,9 @@
 import msgspec
 
 from pewtertack.errors import PlatformError
-from pewtertack.node.http.connection import (
-    AnswerStart,
-    BackendConnection,
-    ExchangeBrokenError,
-    OutgoingRequest,
-    connect,
-)
+from pewtertack.node.http.connection import BackendConnection, ExchangeBrokenError, connect
 from pewtertack.node.http.framing import NO_BODY_STATUSES, RawHeaders
+from pewtertack.node.http.messages import AnswerStart, OutgoingRequest
 
 ANSWER_FACTOR = 10.0
 """An answer whose parts keep coming may take so many times the time for one part: 1 MB over a
--- a/src/pewtertack/node/http/connection.py
+++ b/src/pewtertack/node/http/connection.py
@@ -11,16 +11,16 @@
 import errno
 import socket
 from collections import deque
-from collections.abc import AsyncIterator, Callable
+from collections.abc import Callable
 from typing import TYPE_CHECKING
 
 import httptools
-import msgspec
 
 from pewtertack.errors import PewtertackError
 from pewtertack.node import clock
 from pewtertack.node.http.cycle import PROCESSING
 from pewtertack.node.http.framing import LAST_CHUNK, RawHeaders, chunk_of
+from pewtertack.node.http.messages import AnswerStart, OutgoingRequest
 from pewtertack.node.http.reading import ReadingProtocol
 from pewtertack.node.http.transport import StreamTransport, bound_silence, connect_socket
 
@@ -49,10 +49,8 @@
 )
 """For a machine that falls silent while an answer is awaited. One that lost power or is cut off
 ends its connections; a back end's silence does not."""
-FRAMING_NAMES = frozenset({b"content-length", b"transfer-encoding"})
 CONTINUE_STATUS = 100
 FIRST_FINAL_STATUS = 200
-EXPECT = (b"expect", b"100-continue")
 
 
 class ExchangeBrokenError(PewtertackError):
@@ -76,43 +74,6 @@
     return False
 
 
-class OutgoingRequest(msgspec.Struct, frozen=True):
-    """A request as it is written."""
-
-    method: bytes
-    target: bytes
-    headers: RawHeaders
-    body: AsyncIterator[bytes] | None = None
-    """Parts of the body, ``None`` for a request without one."""
-    chunked: bool = False
-    body_on_demand: bool = False
-    """The body is sent only once the other end has asked for it (RFC 9110, section 10.1.1)."""
-    head_with_body: bool = False
-    """The head waits for the first part of the body: without one nothing has begun."""
-
-    def head(self) -> bytes:
-        """Return the request line and the headers with their end."""
-        lines = [self.method, b" ", self.target, b" HTTP/1.1\r\n"]
-        for name, value in self.headers:
-            lines += name, b": ", value, b"\r\n"
-        if self.body_on_demand:
-            lines += b": ".join(EXPECT), b"\r\n"
-        lines.append(b"\r\n")
-        return b"".join(lines)
-
-
-class AnswerStart(msgspec.Struct, frozen=True):
-    """Status and headers of an answer."""
-
-    status: int
-    headers: RawHeaders
-
-    @property
-    def framed(self) -> bool:
-        """Whether the end of the body can be told from the connection's."""
-        return any(name.lower() in FRAMING_NAMES for name, _ in self.headers)
-
-
 class BackendConnection(ReadingProtocol):
     """Carries one exchange after the other. The whole request has one timeout, set outside."""
 
--- /dev/null
+++ b/src/pewtertack/node/http/messages.py
@@ -0,0 +1,49 @@
+"""A request as it is written to another machine, and the head of the answer to it."""
+
+from __future__ import annotations
+
+from collections.abc import AsyncIterator
+
+import msgspec
+
+from pewtertack.node.http.framing import RawHeaders
+
+FRAMING_NAMES = frozenset({b"content-length", b"transfer-encoding"})
+EXPECT = (b"expect", b"100-continue")
+
+
+class OutgoingRequest(msgspec.Struct, frozen=True):
+    """A request as it is written."""
+
+    method: bytes
+    target: bytes
+    headers: RawHeaders
+    body: AsyncIterator[bytes] | None = None
+    """Parts of the body, ``None`` for a request without one."""
+    chunked: bool = False
+    body_on_demand: bool = False
+    """The body is sent only once the other end has asked for it (RFC 9110, section 10.1.1)."""
+    head_with_body: bool = False
+    """The head waits for the first part of the body: without one nothing has begun."""
+
+    def head(self) -> bytes:
+        """Return the request line and the headers with their end."""
+        lines = [self.method, b" ", self.target, b" HTTP/1.1\r\n"]
+        for name, value in self.headers:
+            lines += name, b": ", value, b"\r\n"
+        if self.body_on_demand:
+            lines += b": ".join(EXPECT), b"\r\n"
+        lines.append(b"\r\n")
+        return b"".join(lines)
+
+
+class AnswerStart(msgspec.Struct, frozen=True):
+    """Status and headers of an answer."""
+
+    status: int
+    headers: RawHeaders
+
+    @property
+    def framed(self) -> bool:
+        """Whether the end of the body can be told from the connection's."""
+        return any(name.lower() in FRAMING_NAMES for name, _ in self.headers)
--- a/src/pewtertack/node/proxy/exchange.py
+++ b/src/pewtertack/node/proxy/exchange.py
@@ -8,16 +8,15 @@
 
 from pewtertack.node.gateway.hop import failure_of
 from pewtertack.node.http.connection import (
-    AnswerStart,
     BackendConnection,
     ExchangeBrokenError,
     ExchangeLeftError,
     MayLeave,
-    OutgoingRequest,
     stay,
 )
 from pewtertack.node.http.cycle import CALLER, WHOLE, Message, Scope
 from pewtertack.node.http.framing import NO_BODY_STATUSES, RawHeaders
+from pewtertack.node.http.messages import AnswerStart, OutgoingRequest
 from pewtertack.node.proxy.answers import Send
 from pewtertack.node.proxy.body import RequestBody
 from pewtertack.node.proxy.edge import PRODUCT_EDGE, EdgeHeaders
--- a/src/pewtertack/node/proxy/stop_time.py
+++ b/src/pewtertack/node/proxy/stop_time.py
@@ -17,8 +17,9 @@
 import anyio
 
 from pewtertack.node.gateway.hop import leave_by_groups, leave_by_word
-from pewtertack.node.http.connection import ExchangeBrokenError, OutgoingRequest
+from pewtertack.node.http.connection import ExchangeBrokenError
 from pewtertack.node.http.cycle import LOGGER
+from pewtertack.node.http.messages import OutgoingRequest
 from pewtertack.node.proxy.in_flight import RequestsInFlight
 from pewtertack.node.proxy.taking_back import ask_gateway
 from pewtertack.node.proxy.upstream import ConnectionStore
--- a/src/pewtertack/node/proxy/taking_back.py
+++ b/src/pewtertack/node/proxy/taking_back.py
@@ -12,8 +12,9 @@
 import anyio
 
 from pewtertack.node.gateway.hop import withdrawal
-from pewtertack.node.http.connection import ExchangeBrokenError, OutgoingRequest
+from pewtertack.node.http.connection import ExchangeBrokenError
 from pewtertack.node.http.cycle import LOGGER
+from pewtertack.node.http.messages import OutgoingRequest
 from pewtertack.node.proxy.upstream import ConnectionStore
 from pewtertack.routing.outcomes import BackendUnreachableError
 
--- a/tests/node/http/test_connection.py
+++ b/tests/node/http/test_connection.py
@@ -11,8 +11,8 @@
     BackendConnection,
     ExchangeBrokenError,
     ExchangeLeftError,
-    OutgoingRequest,
 )
+from pewtertack.node.http.messages import OutgoingRequest
 
 OK = b"HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\nok"
 
--- a/tests/node/http/test_slow_receivers.py
+++ b/tests/node/http/test_slow_receivers.py
@@ -23,13 +23,9 @@
     AcknowledgementWatch,
     SilenceJudge,
 )
-from pewtertack.node.http.connection import (
-    BackendConnection,
-    ExchangeBrokenError,
-    OutgoingRequest,
-    connect,
-)
+from pewtertack.node.http.connection import BackendConnection, ExchangeBrokenError, connect
 from pewtertack.node.http.cycle import LOGGER
+from pewtertack.node.http.messages import OutgoingRequest
 
 READ_SECONDS = 0.05
 PART = b"x" * 65536
--- a/tests/node/test_suspension.py
+++ b/tests/node/test_suspension.py
@@ -13,7 +13,8 @@
 from pewtertack.node import clock
 from pewtertack.node.event_loop import SuspendedTimeLoop
 from pewtertack.node.gate import ServingGate
-from pewtertack.node.http.connection import BackendConnection, OutgoingRequest
+from pewtertack.node.http.connection import BackendConnection
+from pewtertack.node.http.messages import OutgoingRequest
 from pewtertack.node.runtime import Runtime
 
 TICK = 0.02
