Tests: connections that end with their test are not told as errors

A whole test run printed 31 tracebacks between its dots, 30 of the relay of test_body_on_demand and one of test_client: asyncio's streams ask a cancelled task for its exception and print what that raises. Such a listener serves in tasks of its own now and ends them itself (tests/node/listening.py), so that what is printed at a run is news.

--- a/tests/node/gateway/test_body_on_demand.py
+++ b/tests/node/gateway/test_body_on_demand.py
@@ -10,6 +10,7 @@
 from pewtertack.node.proxy.in_flight import Progress
 from tests.node.gateway.test_gateway import GatewayTestCase, answer_well, header
 from tests.node.gateway.test_stop import FEW_SECONDS, Held
+from tests.node.listening import Listener
 from tests.node.proxy.harness import Answer, RawBackend, begin_call, raw_call, request_bytes
 
 SIZE = 300_000
@@ -31,10 +32,7 @@
         self.writers: list[asyncio.StreamWriter] = []
 
     async def start(self, case: GatewayTestCase) -> str:
-        server = await asyncio.start_server(self.pass_on, "127.0.0.1", 0)
-        case.addCleanup(server.close)
-        host, port = server.sockets[0].getsockname()
-        return f"{host}:{port}"
+        return await Listener(self.pass_on).start(case)
 
     async def pass_on(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         host, _, port = self.gateway.rpartition(":")
@@ -145,9 +143,7 @@
             writer.close()
 
         await self.begin(answer_well, timeout=0.5, target_latency=0.4)
-        server = await asyncio.start_server(silent, "127.0.0.1", 0)
-        self.addCleanup(server.close)
-        nobody = f"127.0.0.1:{server.sockets[0].getsockname()[1]}"
+        nobody = await Listener(silent).start(self)
         self.machines[0] = msgspec.structs.replace(self.machines[0], gateway=nobody)
         self.use_machines(3)
         answer = await asyncio.wait_for(await self.call(upload("c")), FEW_SECONDS)
--- a/tests/node/http/test_client.py
+++ b/tests/node/http/test_client.py
@@ -9,6 +9,7 @@
     ServiceTimeouts,
     ServiceUnreachableError,
 )
+from tests.node.listening import Listener, Serve
 
 PROMPT = ServiceTimeouts(1.0, 0.3)
 WHOLE = b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"
@@ -33,9 +34,10 @@
                     break
             writer.close()
 
-        server = await asyncio.start_server(serve, "127.0.0.1", 0)
-        self.addCleanup(server.close)
-        client = HttpClient(f"127.0.0.1:{server.sockets[0].getsockname()[1]}", 100)
+        return await self.client_at(serve)
+
+    async def client_at(self, serve: Serve) -> HttpClient:
+        client = HttpClient(await Listener(serve).start(self), 100)
         self.addCleanup(client.close)
         return client
 
@@ -80,11 +82,7 @@
                 writer.write(b"x")
             writer.close()
 
-        server = await asyncio.start_server(serve, "127.0.0.1", 0)
-        self.addCleanup(server.close)
-        client = HttpClient(f"127.0.0.1:{server.sockets[0].getsockname()[1]}", 100)
-        self.addCleanup(client.close)
-        return client
+        return await self.client_at(serve)
 
     async def test_a_long_answer_over_a_narrow_link_is_read_to_its_end(self) -> None:
         """0.1 s are allowed for a part, and 0.4 s the whole takes."""
