What a proxy keeps of request bodies is bounded in sum

Cause: up to 512 KiB of every upload are kept, to send it to another gateway, until its request ends; where back ends read nothing, their sum had no bound (design/slow-readers, open). Change: an account of 16 MiB a proxy. While it is full nothing more is received ahead, copies of what is being passed on are dropped, and further bodies over 16 KiB are refused at once as not run, before they are read. The beginning that tells requests apart in the ledger of ended back ends is kept in any case.

--- a/src/pewtertack/node/proxy/body.py
+++ b/src/pewtertack/node/proxy/body.py
@@ -10,13 +10,16 @@
 from pewtertack.core.crashes.fingerprint import BEGINNING_BYTES
 from pewtertack.node.http.framing import RawHeaders
 from pewtertack.node.proxy.answers import Receive
-from pewtertack.routing.outcomes import Outcome, SlowRequestError
+from pewtertack.routing.outcomes import BodiesFullError, Outcome, SlowRequestError
 
 REPLAY_BYTES = 512 * 1024
 """A longer body cannot be sent a second time: to another gateway, or as a retry."""
 AHEAD_BYTES = REPLAY_BYTES - 64 * 1024
 """So much of a long body is received before another node is asked for room: as long as its
 caller sends, nobody need wait for it, and that a caller has gone is seen only while reading."""
+ALL_KEPT_BYTES = 16 * 1024 * 1024
+"""What is kept of all requests' bodies together. Back ends that read nothing would have copies of
+hundreds kept; a node has 20 MB at rest, and 200 where it has least."""
 IDLE_SECONDS = 10.0
 """A caller that sends nothing of its body for this long is refused."""
 
@@ -39,14 +42,45 @@
     """The caller closed its connection before its request was read."""
 
 
+class KeptBodies:
+    """How many bytes of all requests' bodies one application keeps."""
+
+    __slots__ = ("count",)
+
+    def __init__(self) -> None:
+        self.count = 0
+
+    @property
+    def full(self) -> bool:
+        """Whether no more should be kept."""
+        return self.count >= ALL_KEPT_BYTES
+
+    def check(self) -> None:
+        """Refuse a long body at once while there is no room to keep it.
+
+        Raises:
+            BodiesFullError: nothing of the request has run.
+        """
+        if self.full:
+            raise BodiesFullError("too many request bodies wait to be read")
+
+
 class RequestBody:
-    """Reads the body on demand, so that the caller is slowed to the back end's pace."""
+    """Reads the body on demand, so that the caller is slowed to the back end's pace.
 
-    def __init__(self, receive: Receive, expected: bool) -> None:
+    Args:
+        receive: gives the next part (ASGI).
+        expected: whether there is a body.
+        bodies: what is kept of all of them; the request's own share until ``forget``.
+    """
+
+    def __init__(self, receive: Receive, expected: bool, bodies: KeptBodies | None = None) -> None:
         self.complete = not expected
         """Whether all of it has been received."""
         self._receive = receive
+        self._bodies = bodies or KeptBodies()
         self._kept: list[bytes] | None = []
+        self._received_bytes = 0
         self._kept_bytes = 0
         self._beginning: bytes | None = None
         """What counts of a body that is kept no longer."""
@@ -67,12 +101,14 @@
     async def read_ahead(self, size: int = AHEAD_BYTES) -> None:
         """Receive the body, or the first ``size`` bytes of it, before it is streamed.
 
+        Less where no more may be kept of all bodies: the rest comes at the back end's pace.
+
         Raises:
             CallerGoneError: the caller has gone.
             SlowRequestError: the caller sent nothing for ``IDLE_SECONDS``; nothing has run.
         """
         try:
-            while not self.complete and self._kept_bytes < size:
+            while not self.complete and self._received_bytes < size and self._may_keep:
                 self._keep(await self._next_chunk())
         except SlowRequestError as error:
             raise error.with_outcome(Outcome.NOT_RUN) from None
@@ -90,9 +126,22 @@
         while not self.complete:
             chunk = await self._next_chunk()
             self._keep(chunk)
+            if not self._may_keep:
+                self._drop_kept()
             if chunk:
                 yield chunk
 
+    @property
+    def _may_keep(self) -> bool:
+        """Whether to keep more; the beginning, which tells requests apart, is kept in any case."""
+        return self._received_bytes < BEGINNING_BYTES or not self._bodies.full
+
+    def forget(self) -> None:
+        """The request has ended: nothing of its body is kept any longer."""
+        self._bodies.count -= self._kept_bytes
+        self._kept_bytes = 0
+        self._kept = None
+
     async def _next_chunk(self) -> bytes:
         with anyio.move_on_after(IDLE_SECONDS) as scope:
             message = await self._receive()
@@ -104,10 +153,17 @@
         return bytes(message.get("body", b""))
 
     def _keep(self, chunk: bytes) -> None:
+        self._received_bytes += len(chunk)
+        if self._kept is None or not chunk:
+            return
+        self._kept.append(chunk)
         self._kept_bytes += len(chunk)
-        if self._kept_bytes > REPLAY_BYTES:
-            if self._kept is not None:
-                self._beginning = b"".join((*self._kept, chunk))[:BEGINNING_BYTES]
-            self._kept = None
-        elif self._kept is not None and chunk:
-            self._kept.append(chunk)
+        self._bodies.count += len(chunk)
+        if self._received_bytes > REPLAY_BYTES:
+            self._drop_kept()
+
+    def _drop_kept(self) -> None:
+        """Keep nothing but what counts of it: it can't be sent a second time any more."""
+        if self._kept is not None:
+            self._beginning = b"".join(self._kept)[:BEGINNING_BYTES]
+        self.forget()
--- a/src/pewtertack/node/proxy/forwarding.py
+++ b/src/pewtertack/node/proxy/forwarding.py
@@ -23,7 +23,7 @@
 from pewtertack.node.http.framing import RawHeaders
 from pewtertack.node.proxy.answers import Receive, Send
 from pewtertack.node.proxy.attempt_ends import end_of_failure
-from pewtertack.node.proxy.body import CallerGoneError, RequestBody
+from pewtertack.node.proxy.body import CallerGoneError, KeptBodies, RequestBody
 from pewtertack.node.proxy.content import RequestContent
 from pewtertack.node.proxy.edge import NODE_EDGE, PRODUCT_EDGE, EdgeHeaders
 from pewtertack.node.proxy.exchange import Exchange, TruncatedAnswerError
@@ -78,6 +78,7 @@
     crashes: CrashWatch = msgspec.field(default_factory=CrashWatch)
     """For back ends without a gateway; a gateway sees to its own."""
     stop: StopTime = msgspec.field(default_factory=StopTime)
+    bodies: KeptBodies = msgspec.field(default_factory=KeptBodies)
 
 
 class Forwarding:
@@ -102,7 +103,7 @@
         self._headers = forwarded_headers(scope["headers"], head, configuration, route, parts.edge)
         self._service = configuration.services[route.service]
         self._revision = configuration.revision.number
-        self._body = RequestBody(receive, head.has_body)
+        self._body = RequestBody(receive, head.has_body, parts.bodies)
         content = RequestContent(scope, self._headers, self._body)
         self._suspicion = Suspicion(content, parts.reporter, parts.crashes)
         self._exchange = Exchange(scope, send, head, self._body, self._note_answer, parts.edge)
@@ -147,6 +148,7 @@
             raise error.with_outcome(Outcome.UNKNOWN if self._sent else error.outcome) from None
         finally:
             self._exchange.forget_owner()
+            self._body.forget()
         if end is not LifeEnd.FINISHED:
             self._raise_cancelled(end)
 
@@ -205,6 +207,8 @@
         raise end_error(end).with_outcome(Outcome.UNKNOWN if self._sent else Outcome.NOT_RUN)
 
     async def _run_attempts(self) -> None:
+        if self._head.body_is_large:
+            self._parts.bodies.check()
         if self._head.body_is_large and self._parts.dispatcher.has_gateways(self._route.service):
             await self._body.read_ahead()
         while True:
--- a/src/pewtertack/routing/outcomes.py
+++ b/src/pewtertack/routing/outcomes.py
@@ -162,6 +162,12 @@
     code: ClassVar[str] = "queue-full"
 
 
+class BodiesFullError(NotRunError):
+    """As many bytes of requests' bodies wait to be read by back ends as a node keeps."""
+
+    code: ClassVar[str] = "bodies-full"
+
+
 class DeadlineUnmeetableError(NotRunError):
     """No back end comes free early enough for the request's deadline."""
 
--- a/tests/node/gateway/test_body_on_demand.py
+++ b/tests/node/gateway/test_body_on_demand.py
@@ -3,10 +3,12 @@
 import asyncio
 import contextlib
 from typing import Any
+from unittest import mock
 
 import msgspec
 
 from pewtertack.node.gateway.reception import MOST_AHEAD
+from pewtertack.node.proxy import body as bodies
 from pewtertack.node.proxy.in_flight import Progress
 from tests.node.gateway.test_gateway import GatewayTestCase, answer_well, header
 from tests.node.gateway.test_stop import FEW_SECONDS, Held
@@ -105,6 +107,21 @@
         self.assertGreater(self.relay.received, len(calls) * SIZE)
         self.assertNotIn("expect", "".join(self.heads).lower())
 
+    async def test_no_more_are_taken_while_as_many_wait_as_a_node_keeps(self) -> None:
+        with mock.patch.object(bodies, "ALL_KEPT_BYTES", 2 * SIZE):
+            held = await self.begin_held()
+            calls = [await self.call(upload(f"kept-{number}")) for number in range(2)]
+            await self.until_waiting(1)
+            refused = await asyncio.wait_for(await self.call(upload("late")), FEW_SECONDS)
+            self.assert_refused(refused, 503, "not-run")
+            self.assertIn(b"bodies-full", refused.body)
+            calls.append(await self.call(upload("small", 100)))
+            held.go_on.set()
+            for task in calls:
+                self.assertEqual((await asyncio.wait_for(task, FEW_SECONDS)).status, 200)
+            again = await asyncio.wait_for(await self.call(upload("again")), FEW_SECONDS)
+            self.assertEqual(again.status, 200)
+
     async def test_a_gateway_that_refuses_is_sent_no_body_and_the_next_gets_it_whole(self) -> None:
         await self.begin(answer_well, answer_well)
         self.gateways[0].start_draining()
