--- a/src/pewtertack/node/gateway/forwarding.py
+++ b/src/pewtertack/node/gateway/forwarding.py
@@ -21,7 +21,7 @@
 from pewtertack.node.http.framing import RawHeaders
 from pewtertack.node.pacing import LinkEndsError, LinkPacer
 from pewtertack.node.proxy.answers import Receive, Send
-from pewtertack.node.proxy.body import Caller, CallerGoneError, RequestBody
+from pewtertack.node.proxy.body import Caller, CallerGoneError, KeptBodies, RequestBody
 from pewtertack.node.proxy.content import RequestContent
 from pewtertack.node.proxy.edge import NODE_EDGE, EdgeHeaders
 from pewtertack.node.proxy.exchange import Exchange, TruncatedAnswerError, ignore_answer
@@ -78,6 +78,7 @@
     pacer: LinkPacer | None = None
     """``None`` where long answers leave at once."""
     held: HeldBytes = msgspec.field(default_factory=HeldBytes)
+    bodies: KeptBodies = msgspec.field(default_factory=KeptBodies)
 
 
 class GatewayForwarding:
@@ -100,7 +101,7 @@
         self.request_id = head.request_id
         self._deadline = deadline
         self._headers = without_names(scope["headers"], head, parts.edge.own)
-        self._body = RequestBody(receive, head.has_body)
+        self._body = RequestBody(receive, head.has_body, parts.bodies)
         content = RequestContent(scope, self._headers, self._body)
         self._suspicion = Suspicion(content, parts.reporter, parts.crashes)
         self._body_on_demand = head.expects_continue
@@ -154,6 +155,7 @@
                 end = await self._life.run(self._admit_and_exchange)
         finally:
             self._exchange.forget_owner()
+            self._body.forget()
             if self._sender is not None:
                 self._sender.forget()
         if end is LifeEnd.FINISHED:
--- a/src/pewtertack/node/proxy/body.py
+++ b/src/pewtertack/node/proxy/body.py
@@ -74,11 +74,11 @@
         bodies: what is kept of all of them; the request's own share until ``forget``.
     """
 
-    def __init__(self, receive: Receive, expected: bool, bodies: KeptBodies | None = None) -> None:
+    def __init__(self, receive: Receive, expected: bool, bodies: KeptBodies) -> None:
         self.complete = not expected
         """Whether all of it has been received."""
         self._receive = receive
-        self._bodies = bodies or KeptBodies()
+        self._bodies = bodies
         self._kept: list[bytes] | None = []
         self._received_bytes = 0
         self._kept_bytes = 0
--- a/src/pewtertack/node/proxy/forwarding.py
+++ b/src/pewtertack/node/proxy/forwarding.py
@@ -148,7 +148,8 @@
             raise error.with_outcome(Outcome.UNKNOWN if self._sent else error.outcome) from None
         finally:
             self._exchange.forget_owner()
-            self._body.forget()
+            if self._head.has_body:
+                self._body.forget()
         if end is not LifeEnd.FINISHED:
             self._raise_cancelled(end)
 
