Reading the head of a request is a module of its own

Nothing is changed by it; 33 tests of protocol, pipeline, server, its stop and import boundaries pass.

--- a/src/pewtertack/node/http/protocol.py
+++ b/src/pewtertack/node/http/protocol.py
@@ -1,9 +1,7 @@
 """One connection of a caller: httptools' parser, guards, and answers in order.
 
 A request begins as the ``pipeline`` says; its head is bounded in size and time; what is no
-request is refused in words that the server knows (``refusals``). httptools itself refuses
-ambiguous framing (content-length beside transfer-encoding, repeated content-length, bad
-chunks).
+request is refused in words that the server knows (``refusals``).
 """
 
 from __future__ import annotations
@@ -11,25 +9,20 @@
 import asyncio
 import logging
 import socket
-import urllib.parse
 from collections.abc import Callable
 from typing import TYPE_CHECKING
 
 import httptools
 
 from pewtertack.node.http.cycle import LOGGER, RequestCycle, Scope
+from pewtertack.node.http.heads import HEAD_BYTES, HeadReadingProtocol
 from pewtertack.node.http.pipeline import Pipeline
-from pewtertack.node.http.reading import ReadingProtocol
-from pewtertack.node.http.refusals import HeadRefusedError, RefusalReason
+from pewtertack.node.http.refusals import RefusalReason
 from pewtertack.node.http.transport import StreamTransport
 
 if TYPE_CHECKING:
     from pewtertack.node.http.server import HttpServer
 
-PLAIN_CODING = b"chunked"
-"""The only transfer coding that is understood."""
-HEAD_BYTES = 32 * 1024
-"""Largest request line and headers together."""
 HEAD_SECONDS = 10.0
 """A head must be complete this long after the connection, or its first byte, came."""
 DISCARD_SECONDS = 10.0
@@ -38,9 +31,6 @@
 """After the last answer the caller may take so long to close, from the last that came of it, at
 most ``DISCARD_SECONDS``: closing while bytes of its body or of next requests arrive would reset
 the connection, and the answer could be lost."""
-EXAMINED_NAMES = frozenset({b"expect", b"transfer-encoding"})
-"""Headers that are of the connection's concern."""
-ASGI = {"version": "3.0", "spec_version": "2.3"}
 MAY_RUN_BESIDE = "may_run_beside"
 """Method of an application that tells, by its scope, whether a request may be repeated."""
 
@@ -54,10 +44,11 @@
     return False
 
 
-class GuardedHttpProtocol(ReadingProtocol):
+class GuardedHttpProtocol(HeadReadingProtocol):
     """One connection of a caller."""
 
     def __init__(self, server: HttpServer, loop: asyncio.AbstractEventLoop) -> None:
+        super().__init__()
         self.loop = loop
         self.transport: asyncio.Transport
         self.write_paused = False
@@ -67,8 +58,6 @@
             self._application, MAY_RUN_BESIDE, _never
         )
         self._closed = asyncio.Event()
-        self._parser = httptools.HttpRequestParser(self)
-        self._parser.set_dangerous_leniencies(lenient_data_after_close=True)
         self._pipeline: Pipeline[RequestCycle] = Pipeline()
         self._writable = asyncio.Event()
         self._reading_paused = False
@@ -76,19 +65,9 @@
         self._idle_timer: asyncio.TimerHandle | None = None
         self._unread_timer: asyncio.TimerHandle | None = None
         self._idle_since = 0.0
-        # The request that is being received
-        self._url = b""
-        self._headers: list[tuple[bytes, bytes]] = []
-        self._chunk_bytes = 0
-        """Of the bytes that were received last."""
-        self._head_most = 0
-        """No less than the bytes of the head."""
-        self._unknown_coding = False
-        self._expects_continue = False
         self._head_bytes = 0
         self._reading_head = True
         self._newest: RequestCycle | None = None
-        self._refusal = RefusalReason.MALFORMED
         self._discarding = False
         """Nothing that still comes is served."""
         self._last_received = False
@@ -205,31 +184,6 @@
 
     # httptools' parser
 
-    def on_message_begin(self) -> None:
-        """A request begins."""
-        self._url = b""
-        self._headers = []
-        self._head_most = self._chunk_bytes
-        self._unknown_coding = False
-        self._expects_continue = False
-
-    def on_url(self, url: bytes) -> None:
-        """Take a part of the request's target."""
-        self._url += url
-
-    def on_header(self, name: bytes, value: bytes) -> None:
-        """Take a header."""
-        name = name.lower()
-        if name in EXAMINED_NAMES:
-            self._examine(name, value)
-        self._headers.append((name, value))
-
-    def _examine(self, name: bytes, value: bytes) -> None:
-        if name == b"expect":
-            self._expects_continue = self._expects_continue or value.lower() == b"100-continue"
-        elif value.strip().lower() != PLAIN_CODING:
-            self._unknown_coding = True
-
     def on_headers_complete(self) -> None:
         """Check what httptools leaves unchecked, then start the request if it may begin."""
         if self._discarding:
@@ -261,32 +215,6 @@
             self._stop_guard()
             self._note_idle()
 
-    def _check_head(self) -> None:
-        """Raise, and leave for ``data_received``, why the head is refused."""
-        if self._unknown_coding:
-            self._refusal = RefusalReason.UNKNOWN_CODING
-        if self._head_most > HEAD_BYTES and self._measure_head() > HEAD_BYTES:
-            self._refusal = RefusalReason.HEAD_TOO_LARGE
-        if self._refusal is not RefusalReason.MALFORMED:
-            raise HeadRefusedError(self._refusal)
-
-    def _measure_head(self) -> int:
-        return len(self._url) + sum(len(name) + len(value) for name, value in self._headers)
-
-    def _scope(self) -> Scope:
-        target = httptools.parse_url(self._url)
-        path = target.path.decode("ascii")
-        return {
-            "type": "http",
-            "asgi": ASGI,
-            "http_version": self._parser.get_http_version(),
-            "method": self._parser.get_method().decode("ascii"),
-            "path": urllib.parse.unquote(path) if "%" in path else path,
-            "raw_path": target.path,
-            "query_string": target.query or b"",
-            "headers": self._headers,
-        }
-
     # The order of requests and answers
 
     def _start_requests(self) -> None:
