What has its slot but not its body is taken back, and handed on when its back end closes

Cause: an upload that had its slot counted as run, though its body is received first, at the pace of the link. A stopping node's withdrawal did nothing for it, so that its caller got 502 at the end of the stop (its own gateway's stop ended it as late); and a back end that was said to leave, or whose zone was evacuated, meanwhile was still given it, however late. Change: a withdrawal ends the receiving, as not run; what may be given to the back end is asked once more when the body is there.

--- a/src/pewtertack/node/gateway/application.py
+++ b/src/pewtertack/node/gateway/application.py
@@ -316,7 +316,15 @@
         now = self._clock()
         deadline = deadline_of(now, head.deadline, LONGEST_TIME)
         forwarding = GatewayForwarding(
-            self._parts, incarnation.admission, scope, receive, send, head, request, deadline
+            self._parts,
+            incarnation.admission,
+            scope,
+            receive,
+            send,
+            head,
+            request,
+            deadline,
+            lambda: self._check_open(incarnation, request),
         )
         try:
             await forwarding.run()
@@ -340,11 +348,15 @@
         incarnation = self._incarnations.get(request.backend)
         if self.requests.draining or not self._ends_in_time(incarnation, request):
             raise _not_offered(DrainingError("the node beside the back end is stopping"))
+        self._check_open(incarnation, request)
+        return incarnation
+
+    def _check_open(self, incarnation: Incarnation, request: HopRequest) -> None:
+        """Raise why a back end is given no more requests, where that is so."""
         if not incarnation.takes_work:
             raise incarnation.gone(request.started_at)
         if self._evacuated:
             raise _evacuated()
-        return incarnation
 
     def _ends_in_time(self, incarnation: Incarnation, request: HopRequest) -> bool:
         """Tell whether the request will most likely have ended when the node stops."""
--- a/src/pewtertack/node/gateway/forwarding.py
+++ b/src/pewtertack/node/gateway/forwarding.py
@@ -57,6 +57,10 @@
 """For a connection to the back end, which is on the same machine."""
 
 
+def _always_open() -> None:
+    """Let all go on to the back end."""
+
+
 class GatewayParts(msgspec.Struct, frozen=True):
     """What all requests of a gateway share."""
 
@@ -93,8 +97,11 @@
         head: RequestHead,
         request: HopRequest,
         deadline: float,
+        check_open: Callable[[], None] = _always_open,
     ) -> None:
         self._parts = parts
+        self._check_open = check_open
+        """Raises why the back end is given nothing more, where it is not."""
         self._admission = admission
         self._request = request
         self.request_id = head.request_id
@@ -134,6 +141,10 @@
             self._answer_headers,
         )
         self._sent = False
+        self._receiving: asyncio.Future[None] | None = None
+        """What receives the body, while the request may not go on without it."""
+        self._taken_back: NotRunError | None = None
+        """Why a request that had its slot is refused before its body has come."""
         self._timer: asyncio.TimerHandle
 
     @property
@@ -203,6 +214,10 @@
         else:
             refusal = WithdrawnError("the node that sent the request is stopping")
         self._admission.refuse(self._ticket, refusal)
+        # What has its slot has not run as long as its body comes, which may take seconds.
+        if self._ticket.granted and self._receiving is not None and not self._receiving.done():
+            self._taken_back = refusal
+            self._receiving.cancel()
 
     def stop(self) -> None:
         """End the request now (``RequestUnderWay``)."""
@@ -239,17 +254,27 @@
         self._submit()
         receiving = asyncio.ensure_future(reception.receive(self._ticket, self._body.read_ahead))
         receiving.add_done_callback(_take_note)
+        self._receiving = receiving
         try:
             await self._wait_until_granted()
             reception.start_next()
             await self._wait_for_body(receiving)
         finally:
             receiving.cancel()
+            self._receiving = None  # may refer to what refers to this object
             reception.forget(self._ticket)
 
     async def _wait_for_body(self, receiving: asyncio.Future[None]) -> None:
         try:
             await receiving
+            self._check_open()  # what was said while it came ended the waiting of others alone
+        except asyncio.CancelledError:
+            self._admission.finish(self._ticket, self._parts.clock(), answered=False)
+            taken_back, self._taken_back = self._taken_back, None
+            if taken_back is None:
+                raise
+            taken_back.offered = False
+            raise taken_back from None
         except BaseException:
             self._admission.finish(self._ticket, self._parts.clock(), answered=False)
             raise
