A stopping gateway gives back only what another gateway may be asked for

What callers saw: 502 for downloads that the stopping gateway held whole, where it was the only one of its service, or where the request had its last attempt there. Cause: the word that a node holds the beginning of an answer back was taken for a word that it can have it elsewhere. Given back, such an answer became a 502; what is kept is given to the system at the process's end, and arrives. Change: the sender says so (x-pewtertack-only-here) by what holds when it sends: no retry, time or budget left, or no other back end that may take it. For a receiver that stops nothing changes: there a 502 still stands for a cut.

--- a/src/pewtertack/node/gateway/forwarding.py
+++ b/src/pewtertack/node/gateway/forwarding.py
@@ -127,7 +127,12 @@
         self._sender: AnswerSender | None = None
         if parts.pacer is not None:
             self._sender = AnswerSender(
-                send, parts.pacer, parts.held, self._ticket, request.holds_back
+                send,
+                parts.pacer,
+                parts.held,
+                self._ticket,
+                request.holds_back,
+                request.only_here,
             )
             if self.sender_stops:
                 self._sender.leave_by(gone_at)
--- a/src/pewtertack/node/gateway/hop.py
+++ b/src/pewtertack/node/gateway/hop.py
@@ -60,6 +60,10 @@
 HOLDS_BACK = b"x-pewtertack-holds-back"
 """There when the proxy holds the beginning of a long answer back (``Exchange.holds_back``): should
 it break off there, it asks another gateway, or its caller is told so; it is not cut."""
+ONLY_HERE = b"x-pewtertack-only-here"
+"""There beside it when the proxy would not ask another gateway for the answer: no other back end
+may take the request, or it has no retry left. Then it is not given back for this node's own stop,
+at whose end the system is given what the link has not carried."""
 FAILURE = b"x-pewtertack-failure"
 """In an answer: ``<code> <outcome> <offered>`` of the gateway's own failure."""
 QUEUED = b"x-pewtertack-queued-ms"
@@ -86,7 +90,15 @@
 GATEWAY_NAMES = frozenset({PROBE, WITHDRAW, LEAVE_BY})
 """Headers that make a request one for the gateway; only nodes send them."""
 NEEDED_NAMES = frozenset({BACKEND, SERVICE, ROUTE, RANK, OBJECTIVE, LATENESS, CALLER_SERVICE})
-REQUEST_NAMES = NEEDED_NAMES | {CRASH_LIMIT, ELSEWHERE, GONE_IN, HOLDS_BACK, LIFE, WITHIN}
+REQUEST_NAMES = NEEDED_NAMES | {
+    CRASH_LIMIT,
+    ELSEWHERE,
+    GONE_IN,
+    HOLDS_BACK,
+    LIFE,
+    ONLY_HERE,
+    WITHIN,
+}
 ANSWER_NAMES = frozenset({FAILURE, QUEUED, ORIGIN})
 OFFERED = "offered"
 NOT_OFFERED = "not-offered"
@@ -118,6 +130,8 @@
     """In how many seconds the proxy's node will carry its answer no longer."""
     holds_back: bool = False
     """Its answer may break off until the proxy passes its beginning on."""
+    only_here: bool = False
+    """Should its answer break off, it would not be had from another gateway."""
     senseless_time: bool = False
     """``GONE_IN`` made no sense and is taken as not there."""
 
@@ -186,6 +200,7 @@
         within=WITHIN in found,
         gone_in=gone_in,
         holds_back=HOLDS_BACK in found,
+        only_here=ONLY_HERE in found,
         senseless_time=GONE_IN in found and gone_in == math.inf,
     )
 
--- a/src/pewtertack/node/gateway/sending.py
+++ b/src/pewtertack/node/gateway/sending.py
@@ -40,6 +40,7 @@
         held: what the node holds.
         ticket: the request's place, which tells its rank, its route and its objective.
         holds_back: the other node passes nothing on should the answer break off early.
+        only_here: it would not have the answer from another gateway.
     """
 
     __slots__ = (
@@ -53,6 +54,7 @@
         "_latest",
         "_left",
         "_length",
+        "_only_here",
         "_pacer",
         "_parts",
         "_promised",
@@ -73,6 +75,7 @@
         held: HeldBytes,
         ticket: AdmissionTicket,
         holds_back: bool = False,
+        only_here: bool = False,
     ) -> None:
         self._send = send
         self._pacer = pacer
@@ -82,6 +85,7 @@
         self._wanted = ticket.objective
         self._latest = ticket.deadline
         self._holds_back = holds_back
+        self._only_here = only_here
         self._given_back = False
         """Whether the rest is not sent, since this node stops too early for it."""
         self._turns: BodyTurns | None = None
@@ -215,8 +219,9 @@
         whole = self._body_bytes if self._ended else max(self._length, self._body_bytes)
         size = whole - self._left
         returnable = max(0, WHOLE_BODY_BYTES - self._left) if self._holds_back else 0
-        place = self._pacer.turns(self._rank, size, self._wanted, begun, self._latest, returnable)
-        with place as turns:
+        with self._pacer.turns(
+            self._rank, size, self._wanted, begun, self._latest, returnable, self._only_here
+        ) as turns:
             self._turns = turns
             try:
                 async for part in turns.parts(data):
--- a/src/pewtertack/node/pacing.py
+++ b/src/pewtertack/node/pacing.py
@@ -58,13 +58,14 @@
         begun: bool = False,
         latest: float = math.inf,
         returnable: int = 0,
+        only_here: bool = False,
     ) -> BodyTurns:
         """Return the turns of one long body, to be used as a context; see ``LinkShare.enter``."""
         enter = self.share.enter
         return BodyTurns(
             self._clock,
             self.share,
-            lambda wake: enter(rank, size, wanted, wake, begun, latest, returnable),
+            lambda wake: enter(rank, size, wanted, wake, begun, latest, returnable, only_here),
         )
 
 
--- a/src/pewtertack/node/proxy/forwarding.py
+++ b/src/pewtertack/node/proxy/forwarding.py
@@ -15,6 +15,7 @@
     GONE_IN,
     HOLDS_BACK,
     LIFE,
+    ONLY_HERE,
     gone_in_text,
     hop_headers,
 )
@@ -344,6 +345,8 @@
             hop.append((ELSEWHERE, b"1"))
         if self._exchange.holds_back:
             hop.append((HOLDS_BACK, b"1"))
+            if not self._parts.dispatcher.may_follow(self._ticket, now):
+                hop.append((ONLY_HERE, b"1"))
         if backend.started_at:
             hop.append((LIFE, b"%d" % backend.started_at))
         if self._parts.stop.begun:
--- a/src/pewtertack/routing/link.py
+++ b/src/pewtertack/routing/link.py
@@ -98,6 +98,7 @@
         begun: bool = False,
         latest: float = math.inf,
         returnable: int = 0,
+        only_here: bool = False,
     ) -> LongBody:
         """Put a long body into the line; ``wake`` is called when its turn may have come.
 
@@ -108,13 +109,14 @@
             wake: must not block.
             begun: some of the same answer has left before.
             latest: until when it must have left, or it is sent for nothing.
-            returnable: see ``LongBody.returnable``.
+            returnable, only_here: see ``LongBody``.
         """
         self._arrivals += 1
         body = LongBody(rank, size, min(wanted, latest), self._arrivals, wake)
         body.begun = begun
         body.latest = latest
         body.returnable = returnable
+        body.only_here = only_here
         self._line.append(body)
         return body
 
@@ -160,8 +162,10 @@
         """Return when the node carries the body no longer, or its receiver's node takes it no more.
 
         That one would not live to see it late; the others at least wait until their deadlines.
+        What could be had nowhere else is better given to the system at this node's end (``open``).
         """
-        return min(self._ends_at, body.latest) if body.receiver_stops else self._ends_at
+        own_end = math.inf if body.only_here else self._ends_at
+        return min(own_end, body.latest) if body.receiver_stops else own_end
 
     def ends_before(self, route: str, rank: Rank, now: float, run_seconds: float) -> bool:
         """Tell whether the node stops before an answer of the route, not run yet, has left."""
@@ -187,7 +191,8 @@
 
         Where the node stops, what can be had elsewhere lets all go first that can not.
         """
-        lets_go_first = self._ends_at < math.inf and item.returnable > 0
+        returns = item.returnable > 0 and not item.only_here
+        lets_go_first = self._ends_at < math.inf and returns
         end = now + item.left / self.bytes_per_second
         goes_on = item.begun and end <= item.latest + OVERDUE_SECONDS
         return lets_go_first, item.rank, not goes_on, item.due(end), item.arrival
--- a/src/pewtertack/routing/long_body.py
+++ b/src/pewtertack/routing/long_body.py
@@ -23,6 +23,7 @@
         "given_back",
         "latest",
         "left",
+        "only_here",
         "rank",
         "returnable",
         "sent_at",
@@ -50,8 +51,10 @@
         self.sent_at = math.inf
         """When the newest part was sent; never, at first."""
         self.returnable = 0
-        """While more than 0, who waits for it has passed none of it on, and can have it elsewhere;
-        that ends when so many bytes more have been sent."""
+        """While more than 0, who waits for it has passed none of it on; that ends when so many
+        bytes more have been sent."""
+        self.only_here = False
+        """Whether who waits for it could not have it elsewhere."""
         self.given_back = False
         """Whether it is to be had elsewhere, since this node, or its receiver, stops too early."""
 
--- a/tests/node/gateway/test_own_stop.py
+++ b/tests/node/gateway/test_own_stop.py
@@ -7,7 +7,7 @@
 import msgspec
 
 from pewtertack.events import Event
-from pewtertack.node.gateway.hop import HOLDS_BACK, hop_headers, read_hop
+from pewtertack.node.gateway.hop import HOLDS_BACK, ONLY_HERE, hop_headers, read_hop
 from pewtertack.node.pacing import LinkPacer
 from pewtertack.routing.link import LinkShare
 from pewtertack.routing.patience import Lateness
@@ -79,6 +79,19 @@
         self.assertLessEqual(self.gateways[0].in_flight, 1)
         self.assertEqual(await self.answers(), [(200, DOWNLOAD)] * CALLS)
 
+    async def test_what_was_given_back_once_is_not_given_back_by_the_last_gateway_too(self) -> None:
+        """Two gateways stop one after the other: who comes from the first has no other to ask."""
+        await self.begin()
+        await self.until_sent(CALLS)
+        self.gateways[0].start_leaving(STOP_SECONDS)
+        await self.until_sent(CALLS + 1)
+        self.gateways[1].start_leaving(STOP_SECONDS)
+        await self.answers()
+        names = [header(head, "x-call") for head in self.heads]
+        twice = [task.result() for n, task in enumerate(self.calls) if names.count(f"own-{n}") > 1]
+        self.assertTrue(twice)
+        self.assertEqual({(item.status, len(item.body)) for item in twice}, {(200, DOWNLOAD)})
+
     async def test_what_may_not_be_repeated_is_not_given_back(self) -> None:
         await self.begin(repeatable=False)
         await self.until_sent(CALLS)
@@ -116,3 +129,5 @@
         headers = hop_headers(route(), "b0", 1.0, Lateness.ALLOWED, "desk")
         self.assertFalse(read_hop(headers).holds_back)
         self.assertTrue(read_hop([*headers, (HOLDS_BACK, b"1")]).holds_back)
+        self.assertFalse(read_hop(headers).only_here)
+        self.assertTrue(read_hop([*headers, (ONLY_HERE, b"1")]).only_here)
