A node keeps signals that come while it starts until it can act on them

What callers saw: their connections reset. A node's sockets listen some 0.15 s before anything handles signals; SIGHUP or SIGTERM in that time ended the process on the spot (exit -1 or -15, no line logged), with who waited at its sockets, and a SIGHUP with the whole node. Change: the system holds SIGTERM, SIGINT and SIGHUP from the first line of start_node until their handlers stand. What comes before that line, while Python itself starts, ends the process as before; nothing listens then.

--- a/src/pewtertack/node/daemon.py
+++ b/src/pewtertack/node/daemon.py
@@ -16,6 +16,7 @@
 
 from pewtertack.events import Event
 from pewtertack.log import EventLog
+from pewtertack.node.early_signals import release_signals
 from pewtertack.node.http.cycle import LOGGER
 from pewtertack.node.http.server import HttpServer
 from pewtertack.node.library_log import record_library_log
@@ -122,6 +123,7 @@
     keep_alive = parts.settings.current.limits.keep_alive.seconds
     record_library_log(parts.log)
     with anyio.open_signal_receiver(signal.SIGTERM, signal.SIGINT, signal.SIGHUP) as signals:
+        release_signals()
         async with anyio.create_task_group() as tasks:
             tasks.start_soon(parts.transport.run, parts.runtime.receive, parts.runtime.refuse)
             tasks.start_soon(parts.runtime.run)
--- a/src/pewtertack/node/start.py
+++ b/src/pewtertack/node/start.py
@@ -4,7 +4,7 @@
 
 from typing import TYPE_CHECKING
 
-from pewtertack.node import collector, lean_imports
+from pewtertack.node import collector, early_signals, lean_imports
 from pewtertack.node.sockets import bind_sockets
 from pewtertack.settings import load_settings
 from pewtertack.settings.loading import Flags
@@ -21,6 +21,14 @@
     Raises:
         SettingError: a flag or the settings file is wrong.
     """
+    early_signals.hold_signals()
+    try:
+        return _run(path, flags, make_reader)
+    finally:
+        early_signals.release_signals()  # where nothing has begun to act on them
+
+
+def _run(path: str, flags: Flags, make_reader: ReaderFactory | None) -> int:
     settings = load_settings(path, flags)
     collector.pause()
     lean_imports.decline_unused()
