--- a/src/pewtertack/node/gateway/sending.py
+++ b/src/pewtertack/node/gateway/sending.py
@@ -219,8 +219,10 @@
         whole = self._body_bytes if self._ended else max(self._length, self._body_bytes)
         size = whole - self._left
         returnable = max(0, WHOLE_BODY_BYTES - self._left) if self._holds_back else 0
+        # The back end has a longer one in part when the process ends: it would be cut after all.
+        only_here = self._only_here and whole <= HELD_BYTES
         with self._pacer.turns(
-            self._rank, size, self._wanted, begun, self._latest, returnable, self._only_here
+            self._rank, size, self._wanted, begun, self._latest, returnable, only_here
         ) as turns:
             self._turns = turns
             try:
--- a/tests/node/gateway/test_own_stop.py
+++ b/tests/node/gateway/test_own_stop.py
@@ -8,6 +8,7 @@
 
 from pewtertack.events import Event
 from pewtertack.node.gateway.hop import HOLDS_BACK, ONLY_HERE, hop_headers, read_hop
+from pewtertack.node.gateway.sending import HELD_BYTES
 from pewtertack.node.pacing import LinkPacer
 from pewtertack.routing.link import LinkShare
 from pewtertack.routing.patience import Lateness
@@ -31,12 +32,13 @@
     slots = 20
     run_seconds = RUN_SECONDS
     backends = 2
+    size = DOWNLOAD
 
     async def begin(self, calls: int = CALLS, **changes: Any) -> None:
         async def script(reader: Any, writer: Any, head: str) -> bool:
             await asyncio.sleep(self.run_seconds)
             name = header(head, "x-call").encode()
-            writer.write(answer_bytes(b"x" * DOWNLOAD, b"x-call: " + name))
+            writer.write(answer_bytes(b"x" * self.size, b"x-call: " + name))
             return True
 
         usual = {"timeout": 30.0, "target_latency": 25.0, "repeatable": True}
@@ -101,6 +103,29 @@
         self.assertEqual(len(self.heads), CALLS)
 
 
+class OnlyGatewayTest(OwnStopTestCase):
+    """There is no other to ask, and what the process holds is given to the system at its end."""
+
+    backends = 1
+
+    async def begin_to_stop(self) -> None:
+        await self.begin()
+        await self.until_sent(CALLS)
+        self.gateways[0].start_leaving(STOP_SECONDS)
+        await asyncio.sleep(0.2)
+
+    async def test_nothing_is_given_back(self) -> None:
+        await self.begin_to_stop()
+        self.assertEqual(self.gateways[0].in_flight, CALLS)
+        self.assertEqual(await self.answers(), [(200, DOWNLOAD)] * CALLS)
+
+    async def test_but_what_is_too_long_to_be_held_whole_is(self) -> None:
+        self.size = HELD_BYTES + DOWNLOAD
+        await self.begin_to_stop()
+        self.assertIn(Event.GATEWAY_GAVE_BACK, self.events)
+        self.assertLessEqual(self.gateways[0].in_flight, 1)
+
+
 class FullBackendTest(OwnStopTestCase):
     """One gateway, whose back end has one slot: a call waits for it when the stop begins."""
 
