A reader that has not read the version in force shows evacuations of a new era on it

Cause: in an era above 0 an older version of the copy is nothing new; only an adapter that had itself read the newer one could show the era's evacuations on it. A reader that took over during the return showed none until the operator had written that version again (test_returned_evacuations, first test, failed). Change: the read carries the held tree, from era 1 on; it stands in for an older version of the copy. After: that test passes; with it come tests of edits written again one by one, of a fleet that starts as a whole in the gap, of readers that change hands at the return, which passed before as well.

--- a/src/pewtertack/core/effects.py
+++ b/src/pewtertack/core/effects.py
@@ -8,6 +8,7 @@
 
 from pewtertack.core.configuration.resolved import ResolvedConfiguration
 from pewtertack.core.machines import MachineList
+from pewtertack.core.revision import NO_REVISION, Document, RevisionId
 from pewtertack.events import Event
 from pewtertack.wire.messages import DocumentKind, Message
 
@@ -37,6 +38,10 @@
     """The latest era of the source that this node has heard of (`core.eras`)."""
     evacuated: tuple[str, ...] = ()
     """The zones that the held tree names as evacuated."""
+    held: RevisionId = NO_REVISION
+    """Of the held tree."""
+    tree: Document | None = None
+    """The held tree: a source that has come back may know an older version alone."""
 
 
 class BringIntoForce(msgspec.Struct, frozen=True):
--- a/src/pewtertack/core/replication/reader.py
+++ b/src/pewtertack/core/replication/reader.py
@@ -10,6 +10,7 @@
 from pewtertack.core.profile import TimingProfile
 from pewtertack.core.replication.freshness import SourceFreshness
 from pewtertack.core.replication.readership import Readership
+from pewtertack.core.revision import NO_REVISION, Document, RevisionId
 from pewtertack.events import Event
 from pewtertack.wire.messages import DocumentKind
 
@@ -25,6 +26,9 @@
     """The latest era of the source that the node has heard of."""
     evacuated: tuple[str, ...] = ()
     """The zones that the held tree names as evacuated."""
+    held: RevisionId = NO_REVISION
+    """Of the held tree."""
+    tree: Document | None = None
 
 
 NOTHING_HELD = HeldOfSource()
@@ -128,10 +132,19 @@
     ) -> list[Effect]:
         if kind in self._open or now < self._not_before[kind]:
             return []
-        era = self._held.era
-        self._open[kind] = _OpenRead(may_be_stale, era)
-        after, wait = self._known_number(kind, held), self._wait(kind, may_be_stale)
-        return [ReadDocument(kind, after, wait, may_be_stale, era, self._held.evacuated)]
+        of_source = self._held
+        self._open[kind] = _OpenRead(may_be_stale, of_source.era)
+        read = ReadDocument(
+            kind,
+            self._known_number(kind, held),
+            self._wait(kind, may_be_stale),
+            may_be_stale,
+            of_source.era,
+            of_source.evacuated,
+            of_source.held,
+            of_source.tree,
+        )
+        return [read]
 
     def _wait(self, kind: DocumentKind, may_be_stale: bool) -> float:
         """After a stale answer or a failure a read is to confirm, not to wait for a change."""
--- a/src/pewtertack/core/replication/service.py
+++ b/src/pewtertack/core/replication/service.py
@@ -161,8 +161,9 @@
     def _held_of_source(self) -> HeldOfSource:
         if self.era == 0:
             return NOTHING_HELD
-        evacuated = self.replica.store.document.get(RootSection.EVACUATED_ZONES.value, ())
-        return HeldOfSource(self.era, tuple(evacuated))
+        held, tree = self.replica.held, self.replica.store.document
+        evacuated = tree.get(RootSection.EVACUATED_ZONES.value, ())
+        return HeldOfSource(self.era, tuple(evacuated), held, tree if held.number else None)
 
     # The platform's answers.
 
--- a/src/pewtertack/core/source_trees.py
+++ b/src/pewtertack/core/source_trees.py
@@ -10,6 +10,7 @@
 from collections.abc import Callable, Sequence
 from typing import Any
 
+from pewtertack.core.configuration.model import RootSection
 from pewtertack.core.effects import ReadDocument
 from pewtertack.core.eras import moment_of, tree_number, tree_parts
 from pewtertack.core.inputs import DocumentRead, DocumentUnchanged
@@ -18,6 +19,8 @@
 
 TreeReader = Callable[[bytes, Sequence[str]], tuple[int, dict[str, Any]]]
 """Reads a configuration's bytes as version and tree while some zones are evacuated."""
+_Read = tuple[int, dict[str, Any], tuple[ItemFinding, ...]]
+"""A version, its tree, and what was passed over."""
 
 
 def tree_document(
@@ -47,7 +50,7 @@
     read = _read_tree(mirror, key, tree_of, evacuated)
     if read is None:
         return DocumentUnchanged(kind)
-    version, tree, unreadable = read
+    version, tree, unreadable = _held_if_newer(effect, read, evacuated) if era else read
     version_held, known_until = tree_parts(effect.after)
     moment = moment_of(era, mirror.number)
     returned = version_held == version and moment >= known_until > 0
@@ -120,9 +123,21 @@
     return number <= effect.after
 
 
-def _read_tree(
-    mirror: Mirror, key: str, tree_of: TreeReader, evacuated: list[str]
-) -> tuple[int, dict[str, Any], tuple[ItemFinding, ...]] | None:
+def _held_if_newer(effect: ReadDocument, read: _Read, evacuated: list[str]) -> _Read:
+    """Return the held tree in place of an older version of a copy.
+
+    So that evacuations of the new era show on the version in force, whoever has read it.
+    """
+    version_held = tree_parts(effect.held.number)[0]
+    if effect.tree is None or version_held <= read[0]:
+        return read
+    tree = {**effect.tree, RootSection.EVACUATED_ZONES.value: list(evacuated)}
+    if not evacuated:
+        del tree[RootSection.EVACUATED_ZONES.value]
+    return version_held, tree, ()
+
+
+def _read_tree(mirror: Mirror, key: str, tree_of: TreeReader, evacuated: list[str]) -> _Read | None:
     """Return the version and the tree of the newest configuration that can be read.
 
     Raises:
