The first read of a new era knows what is held; a copy does not bring back an ended evacuation

Cause, one place: a read told what is held from era 1 on only, but the read that finds the new era is asked in era 0. So evacuations that the copy lacked were dropped where the copy showed another (seen: {garia} after {garia, howrah}); and an evacuation taken back was believed again by the copy's word at any reader. Change: reads tell what is held in every era (nothing of it is sent to anybody); each node remembers, of evacuations that ended, up to which revision their item was made, and the first list of an era that shows such an item is not believed about it for hold_after_return, unless a watch or a peer says otherwise. That documents, state, number of reads are equal with and without era 0 is checked as before.

--- a/src/pewtertack/core/effects.py
+++ b/src/pewtertack/core/effects.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Mapping
 from typing import Any
 
 import msgspec
@@ -38,6 +39,8 @@
     """The latest era of the source that this node has heard of (`core.eras`)."""
     evacuated: tuple[str, ...] = ()
     """The zones that the held tree names as evacuated."""
+    ended: Mapping[str, int] = {}
+    """Those that it names no longer (`core.ended_evacuations`)."""
     held: RevisionId = NO_REVISION
     """Of the held tree."""
     tree: Document | None = None
--- /dev/null
+++ b/src/pewtertack/core/ended_evacuations.py
@@ -0,0 +1,40 @@
+"""Evacuations that a node has seen to end: a source's older copy may show them again."""
+
+from __future__ import annotations
+
+from collections.abc import Iterable, Mapping
+
+from pewtertack.core.eras import moment_of
+
+ENDED_KEPT = 64
+"""Zones remembered; a copy is no older than some seconds."""
+
+
+class EndedEvacuations:
+    """Follows the zones that the held tree names as evacuated, one tree after the other."""
+
+    __slots__ = ("_began", "_ended")
+
+    def __init__(self) -> None:
+        self._began: dict[str, int] = {}
+        self._ended: dict[str, int] = {}
+
+    @property
+    def ended(self) -> Mapping[str, int]:
+        """The zones that are evacuated no longer.
+
+        Each with a revision up to which the source's item of the evacuation that ended was made.
+        """
+        return self._ended
+
+    def note(self, zones: Iterable[str], moment: int, era: int) -> None:
+        """Take in the zones that a newer tree names, with the moment in its number."""
+        named = set(zones)
+        revision = max(0, moment - moment_of(era, 0))
+        for zone in named:
+            self._began.setdefault(zone, revision)
+            self._ended.pop(zone, None)
+        for zone in self._began.keys() - named:
+            self._ended[zone] = self._began.pop(zone)
+        while len(self._ended) > ENDED_KEPT:
+            del self._ended[next(iter(self._ended))]
--- a/src/pewtertack/core/replication/reader.py
+++ b/src/pewtertack/core/replication/reader.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Mapping
 from random import Random
 
 import msgspec
@@ -26,6 +27,8 @@
     """The latest era of the source that the node has heard of."""
     evacuated: tuple[str, ...] = ()
     """The zones that the held tree names as evacuated."""
+    ended: Mapping[str, int] = {}
+    """Those that it names no longer (`core.ended_evacuations`)."""
     held: RevisionId = NO_REVISION
     """Of the held tree."""
     tree: Document | None = None
@@ -141,6 +144,7 @@
             may_be_stale,
             of_source.era,
             of_source.evacuated,
+            of_source.ended,
             of_source.held,
             of_source.tree,
         )
--- a/src/pewtertack/core/replication/service.py
+++ b/src/pewtertack/core/replication/service.py
@@ -12,7 +12,8 @@
 from pewtertack.core.configuration.model import RootSection
 from pewtertack.core.delta import Delta, DeltaMismatchError
 from pewtertack.core.effects import Effect, Log, Send, UseMachines
-from pewtertack.core.eras import era_of
+from pewtertack.core.ended_evacuations import EndedEvacuations
+from pewtertack.core.eras import era_of, tree_parts
 from pewtertack.core.identity import NodeIdentity
 from pewtertack.core.inputs import DocumentRead, DocumentReadFailed, DocumentUnchanged
 from pewtertack.core.items import PassedOver
@@ -25,7 +26,7 @@
 from pewtertack.core.replication.machine_lists import MachineListReplica
 from pewtertack.core.replication.puller import Puller, PullSource
 from pewtertack.core.replication.quorum import QuorumCommit
-from pewtertack.core.replication.reader import NOTHING_HELD, HeldOfSource, PlatformReader
+from pewtertack.core.replication.reader import HeldOfSource, PlatformReader
 from pewtertack.core.replication.readership import READERSHIPS, ReadershipParts
 from pewtertack.core.replication.replica import ConfigurationReplica
 from pewtertack.core.revision import RevisionId, identify
@@ -79,6 +80,7 @@
         self.machine_list = MachineListReplica(self._source.hold_after_return)
         self.era = 0
         """The latest era of the source that this node has heard of."""
+        self._ended = EndedEvacuations()
         self._away = math.inf
         """Seconds between the source's last word and the first of this era."""
         stores = {
@@ -159,11 +161,16 @@
         return effects
 
     def _held_of_source(self) -> HeldOfSource:
-        if self.era == 0:
-            return NOTHING_HELD
-        held, tree = self.replica.held, self.replica.store.document
-        evacuated = tree.get(RootSection.EVACUATED_ZONES.value, ())
-        return HeldOfSource(self.era, tuple(evacuated), held, tree if held.number else None)
+        """Return what a read is told, in era 0 too: the read may be the first of a new one."""
+        held = self.replica.held
+        if held.number == 0:
+            return HeldOfSource(self.era)
+        tree, ended = self.replica.store.document, dict(self._ended.ended)
+        return HeldOfSource(self.era, self._evacuated(), ended, held, tree)
+
+    def _evacuated(self) -> tuple[str, ...]:
+        """Return the zones that the held tree names."""
+        return tuple(self.replica.store.document.get(RootSection.EVACUATED_ZONES.value, ()))
 
     # The platform's answers.
 
@@ -358,6 +365,7 @@
         self._pullers[DocumentKind.CONFIGURATION].forget_up_to(held.number)
         if held == before:
             return effects
+        self._ended.note(self._evacuated(), tree_parts(held.number)[1], self.era)
         if self._has_uncommitted() and not self._source.durable:
             effects += self.quorum.report(now, held)
         effects += self._announce(self._announcer.inline_delta(self.replica.store))
--- a/src/pewtertack/core/source_mirror.py
+++ b/src/pewtertack/core/source_mirror.py
@@ -18,6 +18,8 @@
         self.prefix = prefix
         self._evacuations = evacuations
         self._named: set[str] = set()
+        self._copied: dict[str, int] = {}
+        """Evacuations that the era's first list showed, by key, with their items' creation."""
         self.items: dict[str, bytes] = {}
         """Their bytes; ``SPOILT`` for one that the source hands out in no known form."""
         self.made: dict[str, int] = {}
@@ -46,6 +48,7 @@
         """Take in one item; ``value`` is ``None`` where it is gone."""
         if self._evacuations and key.startswith(self._evacuations):
             self._named.add(key)
+            self._copied.pop(key, None)
         if value is None:
             self.items.pop(key, None)
             self.made.pop(key, None)
@@ -55,6 +58,8 @@
 
     def take_list(self, listed: Mirror) -> None:
         """Take over what a whole list shows."""
+        if listed.era != self.era:
+            self._copied = {key: listed.made[key] for key in listed._named}
         self.items, self.made = listed.items, listed.made
         self._named = listed._named if listed.era != self.era else self._named | listed._named
         self.at, self.era, self.stale = listed.at, listed.era, listed.stale
@@ -70,6 +75,12 @@
         """Tell whether the present era has said anything of the zone's evacuation."""
         return self._evacuations + zone in self._named
 
+    def has_copied(self, zone: str, until: int) -> bool:
+        """Tell whether an evacuation stands here as it was before the era, made by ``until``."""
+        key = self._evacuations + zone
+        made = self._copied.get(key)
+        return made is not None and self.made.get(key) == made <= until
+
     def evacuated(self) -> list[str]:
         """Return the zones whose evacuation the mirror shows."""
         prefix = self._evacuations
--- a/src/pewtertack/core/source_trees.py
+++ b/src/pewtertack/core/source_trees.py
@@ -113,7 +113,17 @@
         return []
     if not holds:
         return shown
-    return sorted({*shown, *(zone for zone in effect.evacuated if not mirror.has_named(zone))})
+    held = {zone for zone in effect.evacuated if not mirror.has_named(zone)}
+    return sorted(held | {zone for zone in shown if not _has_ended(effect, mirror, zone)})
+
+
+def _has_ended(effect: ReadDocument, mirror: Mirror, zone: str) -> bool:
+    """Tell whether a copy shows an evacuation that had ended.
+
+    Unless it is held: another node, who had not seen the end, has shown it.
+    """
+    until = effect.ended.get(zone)
+    return until is not None and zone not in effect.evacuated and mirror.has_copied(zone, until)
 
 
 def _says_nothing_new(effect: ReadDocument, number: int, evacuated: list[str]) -> bool:
--- a/tests/platform/test_returned_evacuations.py
+++ b/tests/platform/test_returned_evacuations.py
@@ -68,6 +68,20 @@
         await self.fleet.run(USUAL_BOUND)
         self.assertEqual([node.version for node in self.fleet.nodes], [14] * 2)
 
+    async def test_the_first_read_of_an_era_keeps_what_is_held_beside_what_the_copy_shows(
+        self,
+    ) -> None:
+        """It is asked before this node has heard of the era."""
+        self.store.put("op/evacuate/garia", b"{}")
+        await self.fleet.run(USUAL_BOUND)
+        copy = self.store.copy()
+        self.store.put("op/evacuate/howrah", b"{}")
+        await self.fleet.run(USUAL_BOUND)
+        await self.come_back(copy)
+        for _ in range(20):
+            await self.fleet.run(0.1)
+            self.assertEqual(self.evacuated(), [{"garia", "howrah"}] * 3)
+
     async def test_an_evacuation_that_was_taken_back_stays_so_against_the_copy(self) -> None:
         self.store.put("op/evacuate/garia", b"{}")
         await self.fleet.run(USUAL_BOUND)
