Over a return an address never goes back to a life before its last known owner

Cause: at a node that began after a back end had left, nothing barred that back end's entry in the copy; it was believed beside, or after, the later owner of its address, also while that one was leaving or had left in the new era's own word. Shown by the new test of tests/core/test_returned_lists.py (failed before). Change: the latest start known at each address goes before entries of earlier starts for hold_after_return. Where starts are not told the list's word holds as before.

--- a/src/pewtertack/core/returned_lists.py
+++ b/src/pewtertack/core/returned_lists.py
@@ -44,6 +44,49 @@
         """Whether the new era has named it: from then on its absence is believed."""
 
 
+class AddressOwners:
+    """The latest start known of a back end at each address: no life before it comes back.
+
+    A node that began after a life had ended knows nothing of it but that another followed.
+    """
+
+    __slots__ = ("_until", "known")
+
+    def __init__(self) -> None:
+        self.known: dict[str, int] = {}
+        """Starts, as back ends tell them, by address; empty once the time is over."""
+        self._until = 0.0
+
+    def begin(self, until: float, machines: Iterable[Machine]) -> None:
+        """Begin anew with what was known before an era; it holds ``until``."""
+        self.known = {}
+        self._until = until
+        self._take(machines)
+
+    def note(self, machines: Iterable[Machine]) -> None:
+        """Take in what the present era lists."""
+        if self.known:
+            self._take(machines)
+
+    def have_followed(self, machine: Machine) -> bool:
+        """Tell whether a later life than the machine's has had its address."""
+        started_at = self.known.get(machine.address, 0)
+        return _is_backend(machine) and machine.is_of_life_before(started_at)
+
+    def is_due(self, now: float) -> bool:
+        """Tell whether what is known holds no longer."""
+        return bool(self.known) and self._until <= now
+
+    def forget(self) -> None:
+        """Hold nothing any more."""
+        self.known = {}
+
+    def _take(self, machines: Iterable[Machine]) -> None:
+        for machine in machines:
+            if _is_backend(machine) and machine.started_at > self.known.get(machine.address, 0):
+                self.known[machine.address] = machine.started_at
+
+
 class ReturnedLists:
     """Lays what was known before the present era over its lists.
 
@@ -62,6 +105,7 @@
         """Machines that went off the list, by name, the latest last."""
         self._barred: dict[str, tuple[Machine, float]] = {}
         """Those of them that a new era may show again."""
+        self._owners = AddressOwners()
         self.kept = 0
         """Machines that are believed in although the list lacks them."""
 
@@ -91,6 +135,7 @@
         self._barred = {
             name: (machine, until) for name, machine in self._gone.items() if _is_backend(machine)
         }
+        self._owners.begin(until, (*self._gone.values(), *self._believed.values()))
 
     def _note_listed(self, names: dict[str, Machine]) -> None:
         """Note who is named now; who was named in this era and is no longer has gone."""
@@ -101,6 +146,7 @@
                 del self._known[name]
         for name in self._barred.keys() - names.keys():
             del self._barred[name]
+        self._owners.note(names.values())
 
     def believed(self, now: float, listed: MachineList) -> MachineList:
         """Return the list with what is still held against it."""
@@ -108,12 +154,17 @@
         names = {machine.name: machine for machine in listed.machines}
         result = listed
         self.kept = 0
-        if self._known or self._barred:
+        if self._known or self._barred or self._owners.known:
             current = {
                 name: self._current(machine)
                 for name, machine in names.items()
                 if not self._is_barred(machine)
             }
+            current = {
+                name: machine
+                for name, machine in current.items()
+                if not self._owners.have_followed(machine)
+            }
             kept = self._kept_of(names)
             self.kept = len(kept)
             machines = {**current, **kept}
@@ -126,11 +177,13 @@
         """Tell whether something that is held against the list holds no longer."""
         moments = [known.until for known in self._known.values()]
         moments += [until for _, until in self._barred.values()]
-        return any(until <= now for until in moments)
+        return self._owners.is_due(now) or any(until <= now for until in moments)
 
     def _forget(self, now: float) -> None:
         self._known = {name: known for name, known in self._known.items() if known.until > now}
         self._barred = {name: held for name, held in self._barred.items() if held[1] > now}
+        if self._owners.is_due(now):
+            self._owners.forget()
 
     def _remember(self, machines: Iterable[Machine]) -> None:
         """Remember who is believed in now, and who is not any more."""
@@ -165,7 +218,8 @@
         """Return the known machines that the list lacks and that nobody has followed."""
         owners: dict[str, Machine] = {}
         for machine in names.values():
-            if _is_backend(machine) and not self._is_barred(machine):
+            is_gone = self._is_barred(machine) or self._owners.have_followed(machine)
+            if _is_backend(machine) and not is_gone:
                 owners[machine.address] = machine
         return {
             name: known.machine
--- a/tests/core/test_returned_lists.py
+++ b/tests/core/test_returned_lists.py
@@ -97,6 +97,30 @@
             newest = machine("c", address="10.0.0.1:80", started_at=12)
             self.assertEqual(list(self.take(2.0, listed(1, 6, newest))), ["c"])
 
+    def test_an_address_never_goes_back_to_a_life_before_its_last_known_owner(self) -> None:
+        """This node began after the life before had left: it cannot know that entry as gone."""
+        before = machine("z", address="10.0.0.1:80", started_at=3)
+        for state in (MachineState.LIVE, MachineState.LEAVING):
+            self.returned = ReturnedLists(HOLD)
+            owner = machine("b", address="10.0.0.1:80", service="other", started_at=8, state=state)
+            self.take(0.0, listed(0, 9, owner))
+            copy = listed(1, 5, before)
+            with self.subTest("the copy lacks the owner", state=state):
+                self.assertEqual(self.take(1.0, copy), {"b": owner})
+            with self.subTest("the owner is named beside it", state=state):
+                self.assertEqual(self.take(2.0, listed(1, 6, before, owner)), {"b": owner})
+            with self.subTest("the owner leaves", state=state):
+                self.assertEqual(self.take(3.0, listed(1, 7, before)), {})
+            newest = machine("c", address="10.0.0.1:80", started_at=12)
+            with self.subTest("another follows, and leaves", state=state):
+                self.assertEqual(self.take(4.0, listed(1, 8, before, newest)), {"c": newest})
+                self.assertEqual(self.take(4.5, listed(1, 9, before)), {})
+            self.assertTrue(self.returned.is_due(1.0 + HOLD))
+            with self.subTest("the time is over", state=state):
+                late = listed(1, 9, before)
+                self.assertEqual(self.believed(1.0 + HOLD, late), {"z": before})
+                self.assertFalse(self.returned.is_due(99.0))
+
     def test_a_node_that_knows_nothing_of_before_believes_the_first_list(self) -> None:
         self.assertEqual(list(self.take(0.0, listed(4, 5, machine("a")))), ["a"])
         self.assertIsNone(self.change)
