--- /dev/null
+++ b/tests/core/test_ended_evacuations.py
@@ -0,0 +1,34 @@
+"""Which evacuations have ended, and up to which revision their items were made."""
+
+import unittest
+
+from pewtertack.core.ended_evacuations import ENDED_KEPT, EndedEvacuations
+from pewtertack.core.eras import moment_of
+
+
+class EndedEvacuationsTest(unittest.TestCase):
+    def setUp(self) -> None:
+        self.seen = EndedEvacuations()
+
+    def test_an_end_is_known_with_the_revision_of_its_beginning(self) -> None:
+        self.seen.note(["garia"], 50, 0)
+        self.seen.note(["garia", "howrah"], 60, 0)
+        self.assertEqual(self.seen.ended, {})
+        self.seen.note(["howrah"], 70, 0)
+        self.assertEqual(self.seen.ended, {"garia": 50})
+        self.seen.note([], 0, 0)
+        self.assertEqual(self.seen.ended, {"garia": 50, "howrah": 60})
+
+    def test_one_that_begins_again_has_not_ended(self) -> None:
+        self.seen.note(["garia"], 50, 0)
+        self.seen.note([], 60, 0)
+        self.seen.note(["garia"], moment_of(2, 40), 2)
+        self.assertEqual(self.seen.ended, {})
+        self.seen.note([], moment_of(2, 45), 2)
+        self.assertEqual(self.seen.ended, {"garia": 40})
+
+    def test_no_more_than_so_many_are_remembered(self) -> None:
+        for number in range(ENDED_KEPT + 5):
+            self.seen.note([f"z-{number}"], number, 0)
+        self.assertEqual(len(self.seen.ended), ENDED_KEPT)
+        self.assertNotIn("z-0", self.seen.ended)
--- a/tests/platform/test_returns_in_series.py
+++ b/tests/platform/test_returns_in_series.py
@@ -102,9 +102,10 @@
             self.look_at(node, before[node.name], known[node.name])
             if self.asked and not evacuated[node.name] <= node.evacuated:
                 self.wrong.append(f"{node.name}: evacuates {set(node.evacuated)}")
-        self.store.put("op/config", configuration(self.version))
         self.ask(self.asked)
-        await self.fleet.run(WRITTEN_AGAIN / 2)
+        await self.fleet.run(WRITTEN_AGAIN / 4)
+        self.store.put("op/config", configuration(self.version))
+        await self.fleet.run(WRITTEN_AGAIN / 4)
         for name in self.entries:
             self.put(name)
         for key in list(self.store._items):
