A request may wait for half the time a usual answer leaves, where answers' times differ much

Cause: a request counts as in time until its objective less mean and two mean deviations of its route's times. Where that is more than the objective it never counts as in time: a caller that may come back is refused unless a slot is free that very moment, and what may wait goes behind everything else. A slot that comes free waits for whoever arrives next.

Change: `[policies] margin`, `spread` (the default, what stands) or `half`: the spread takes at most half of the time that a usual answer leaves from the arrival on.

--- a/src/pewtertack/core/policies.py
+++ b/src/pewtertack/core/policies.py
@@ -19,6 +19,7 @@
     RETRY_BUDGET = "retry_budget"
     HANGING = "hanging"
     LONG_BODIES = "long_bodies"
+    MARGIN = "margin"
 
 
 class CallsWithin(StrEnum):
@@ -56,6 +57,13 @@
     IN_TURNS = "in-turns"
 
 
+class Margin(StrEnum):
+    """What of the time that a request may wait is kept for an answer that takes long."""
+
+    SPREAD = "spread"
+    HALF = "half"
+
+
 class Policies(msgspec.Struct, frozen=True, kw_only=True):
     """The way in force of each kind."""
 
@@ -64,6 +72,7 @@
     retry_budget: RetryBudgeting = RetryBudgeting.SHARE
     hanging: Hanging = Hanging.AWAITED
     long_bodies: LongBodies = LongBodies.AT_ONCE
+    margin: Margin = Margin.SPREAD
 
 
 DEFAULT_POLICIES = Policies()
--- a/src/pewtertack/lab/overload/gateways.py
+++ b/src/pewtertack/lab/overload/gateways.py
@@ -20,6 +20,7 @@
 from pewtertack.routing.ends import AttemptEnd
 from pewtertack.routing.outcomes import GatewayRefusedError, NotRunError, RequestFailedError
 from pewtertack.routing.places import AdmissionTicket
+from pewtertack.routing.policies import DEFAULT_POLICIES, Policies
 from pewtertack.routing.queueing import Ticket
 
 CLASS_ORDER = tuple(ROUTES)
@@ -59,11 +60,18 @@
         "zone",
     )
 
-    def __init__(self, time: VirtualTime, name: str, zone: str, slots: int) -> None:
+    def __init__(
+        self,
+        time: VirtualTime,
+        name: str,
+        zone: str,
+        slots: int,
+        policies: Policies = DEFAULT_POLICIES,
+    ) -> None:
         self.time = time
         self.name = name
         self.zone = zone
-        self.admission = Admission(slots)
+        self.admission = Admission(slots, policies=policies)
         self.slowness = 1.0
         """So many times its work a request takes that starts now."""
         self.useful_work = 0.0
--- a/src/pewtertack/lab/overload/returning.py
+++ b/src/pewtertack/lab/overload/returning.py
@@ -11,10 +11,13 @@
 from pewtertack.lab.overload.gateways import GatewayNode, SimulatedGateway
 from pewtertack.lab.overload.workload import ClassProfile, SimulatedRequest, service_settings
 from pewtertack.lab.overload.world import VirtualTime
+from pewtertack.routing.policies import DEFAULT_POLICIES, Policies
 
 ZONES = ("heights", "harbour", "hills")
 WORK_SHAPE = 4.0
 """Shape of the gamma distribution of work: its spread is half its mean."""
+LONG_TIMES = 7.0
+"""So many times its work a request takes that takes long."""
 BURST_START = 3.0
 """Seconds from the start of a run to its burst."""
 BURST_LOAD = 2.0
@@ -34,6 +37,11 @@
     burst: float = 0.0
     slowness: float = 1.0
     """So many times slower one back end is for some time."""
+    speeds: tuple[float, ...] = (1.0,)
+    """Back ends of each zone have them in turn."""
+    long_share: float = 0.0
+    """Share of requests that take ``LONG_TIMES`` times their work."""
+    policies: Policies = DEFAULT_POLICIES
     deadline_spread: float = 0.0
     """Callers' deadlines are drawn evenly from so much of their mean, half up and half down."""
 
@@ -41,7 +49,12 @@
     def capacity(self) -> float:
         """Requests per second that keep every slot busy."""
         mean_work = sum(profile.share * profile.mean_work for profile in SHOPPERS)
-        return self.backends * self.slots / mean_work
+        mean_work *= 1 + self.long_share * (LONG_TIMES - 1)
+        return self.slots * sum(map(self.speed_of, range(self.backends))) / mean_work
+
+    def speed_of(self, index: int) -> float:
+        """Return how fast a back end works."""
+        return self.speeds[index // len(ZONES) % len(self.speeds)]
 
     def load_at(self, now: float) -> float:
         """Return the offered load at a time."""
@@ -74,9 +87,11 @@
     """Run one simulation; equal seeds give equal first attempts."""
     time = VirtualTime()
     gateways = [
-        SimulatedGateway(time, f"b{index}", ZONES[index % len(ZONES)], shape.slots)
+        SimulatedGateway(time, f"b{index}", ZONES[index % len(ZONES)], shape.slots, shape.policies)
         for index in range(shape.backends)
     ]
+    for index, gateway in enumerate(gateways):
+        gateway.slowness = 1 / shape.speed_of(index)
     nodes = [
         GatewayNode(
             time,
@@ -98,8 +113,10 @@
 
 
 def _slow_down(time: VirtualTime, gateway: SimulatedGateway, slowness: float) -> None:
+    usual = gateway.slowness
+
     def use(factor: float) -> None:
-        gateway.slowness = factor
+        gateway.slowness = usual * factor
 
     time.at(BURST_START, lambda: use(slowness))
     time.at(BURST_START + SLOW_SECONDS, lambda: use(1.0))
@@ -108,6 +125,7 @@
 def _arrivals(shape: ReturningShape, random: Random) -> Iterator[SimulatedRequest]:
     now = 0.0
     drawn = Random(shape.deadline_spread)
+    long = Random(shape.long_share)
     weights = [profile.share for profile in SHOPPERS]
     while True:
         now += random.expovariate(shape.load_at(now) * shape.capacity)
@@ -115,6 +133,8 @@
             return
         profile = random.choices(SHOPPERS, weights)[0]
         work = random.gammavariate(WORK_SHAPE, profile.mean_work / WORK_SHAPE)
+        if long.random() < shape.long_share:
+            work *= LONG_TIMES
         deadline = profile.deadline * (1 + shape.deadline_spread * (drawn.random() - 0.5))
         yield SimulatedRequest(profile, 0, now, work, now + deadline)
 
--- a/src/pewtertack/routing/admission.py
+++ b/src/pewtertack/routing/admission.py
@@ -30,6 +30,7 @@
 from pewtertack.routing.arrivals import ArrivalRate
 from pewtertack.routing.cold import WINDOW, ColdStart
 from pewtertack.routing.hanging import HangWatch
+from pewtertack.routing.margins import MARGINS
 from pewtertack.routing.outcomes import DeadlineUnmeetableError, NotRunError, QueueFullError
 from pewtertack.routing.patience import Lateness
 from pewtertack.routing.places import AdmissionTicket
@@ -79,6 +80,7 @@
         self._going_first = ArrivalRate()
         self._times = ServiceTimes()
         self.hangs = HangWatch() if policies.hanging is Hanging.LEFT else None
+        self._start_with_margin = MARGINS[policies.margin]
         self._moved_at = -math.inf
         """When a request last started or ended."""
         self._refusing_since = -math.inf
@@ -194,8 +196,9 @@
         """Return until when it should start: later, it would often miss its objective."""
         if ticket.within:
             return self._last_start(ticket)
-        wanted = min(ticket.objective, ticket.deadline)
-        return wanted - self._time_of(ticket) - self._times.spread_of(ticket.route)
+        latest = min(ticket.objective, ticket.deadline) - self._time_of(ticket)
+        spread = self._times.spread_of(ticket.route)
+        return self._start_with_margin(ticket.submitted_at, latest, spread)
 
     def _turn(self, ticket: AdmissionTicket, now: float) -> Turn:
         """Return the ticket's place among those that wait; the smallest goes first."""
--- a/src/pewtertack/routing/policies.py
+++ b/src/pewtertack/routing/policies.py
@@ -16,6 +16,7 @@
     CallsWithin,
     Hanging,
     LongBodies,
+    Margin,
     Policies,
     PolicyKind,
     RetryBudgeting,
@@ -28,6 +29,7 @@
     "CallsWithin",
     "Hanging",
     "LongBodies",
+    "Margin",
     "Parameter",
     "Policies",
     "Policy",
@@ -42,6 +44,7 @@
 MODULES: tuple[str, ...] = (
     "pewtertack.routing.hanging",
     "pewtertack.routing.link",
+    "pewtertack.routing.margins",
     "pewtertack.routing.origins",
     "pewtertack.routing.retries",
     "pewtertack.routing.retry_window",
