More slots on the machine list are granted to what waits at once

Cause: the gateway took over the number and granted nothing until a request ended or the next look. The first new test fails without the change: of four requests at two slots, three listed, the third waits.

--- a/src/pewtertack/node/gateway/incarnations.py
+++ b/src/pewtertack/node/gateway/incarnations.py
@@ -125,11 +125,13 @@
         incarnation.listed = True
         incarnation.started_at = machine.started_at or incarnation.started_at
         slots = machine.slots or DEFAULT_SLOTS
-        incarnation.admission.slots = incarnation.cold.slots = slots
+        incarnation.cold.slots = slots
         if machine.cold and not incarnation.listed_cold:
             incarnation.cold.forget(self._clock())
         incarnation.listed_cold = machine.cold
         incarnation.leaving |= machine.state is MachineState.LEAVING
+        incarnation.hand_back_waiting()
+        incarnation.admission.use_slots(slots, self._clock())
 
     def use_bounds(self, bounds: ColdBounds) -> None:
         """Bound those that are cold from now on."""
--- a/src/pewtertack/routing/admission.py
+++ b/src/pewtertack/routing/admission.py
@@ -100,6 +100,11 @@
             return self.slots if self.hangs is None else self.hangs.told_slots(self.slots, now)
         return max(1, min(self.slots, round(self.cold.per_second * self._times.mean)))
 
+    def use_slots(self, slots: int, now: float) -> None:
+        """Work with so many slots from now on; what waits gets those that are new."""
+        self.slots = max(1, slots)
+        self._grant_waiting(now)
+
     def expected_time(self, route: str) -> float:
         """Return the mean time that the back end takes for the route, 0 while unknown."""
         return self._times.mean_of(route)
--- a/tests/node/gateway/test_lives.py
+++ b/tests/node/gateway/test_lives.py
@@ -84,6 +84,25 @@
         self.subject.use_listed(late)
         self.assertFalse(heir.takes_work)
 
+    def test_what_waits_gets_the_slots_of_a_newer_list_at_once(self) -> None:
+        self.subject.use_listed(said(BEFORE))
+        admission = self.subject.get("b1").admission
+        asked = [request() for _ in range(4)]
+        for item in asked:
+            admission.submit(item, 0.0)
+        self.subject.use_listed(said(BEFORE, slots=3))
+        self.assertEqual([item.granted for item in asked], [True, True, True, False])
+
+    def test_more_slots_grant_nothing_at_one_that_leaves(self) -> None:
+        self.subject.use_listed(said(BEFORE))
+        admission = self.subject.get("b1").admission
+        asked = [request() for _ in range(3)]
+        for item in asked:
+            admission.submit(item, 0.0)
+        self.subject.use_listed(said(BEFORE, slots=9, state=MachineState.LEAVING))
+        self.assertFalse(asked[2].granted)
+        self.assertIsInstance(asked[2].refusal, BackendGoneError)
+
     def test_a_start_that_is_told_for_the_first_time_is_no_new_life(self) -> None:
         unknown = self.subject.get("b1")
         self.assertFalse(self.subject.use_listed(said(BEFORE)))
