A gateway forgets names that it was once asked for

Cause: what is asked for under any name was kept for the life of the process. Change: of back ends that the newest list does not name, 256 are kept; those with requests never go, those that a list has named go last.

--- a/src/pewtertack/node/gateway/incarnations.py
+++ b/src/pewtertack/node/gateway/incarnations.py
@@ -19,6 +19,9 @@
 
 DEFAULT_SLOTS = 6
 """Slots of a back end of which the machine list does not tell them yet."""
+NAMES_KEPT = 256
+"""Back ends that the newest list does not name and of which something is known. Senders may ask
+for any name: without a bound each would take memory for good."""
 
 
 class Incarnation(msgspec.Struct):
@@ -31,6 +34,8 @@
     leaving: bool = False
     """Said to leave, or replaced at its address; for good."""
     listed: bool = True
+    told: bool = False
+    """Whether a list has named it."""
     ended: bool = False
     """Another life has begun under its name."""
     started_at: int = 0
@@ -41,6 +46,11 @@
         """Whether requests may still be sent to it."""
         return self.listed and not self.leaving
 
+    @property
+    def may_be_forgotten(self) -> bool:
+        """Whether the newest list lacks it and nobody's request is here for it."""
+        return not (self.told and self.listed) and self.admission.is_idle
+
     def hand_back_waiting(self) -> None:
         """Have what waits for a back end that takes no more work served elsewhere."""
         if not self.takes_work:
@@ -77,6 +87,9 @@
         self._bounds: ColdBounds | None = None
         self._known: dict[str, Incarnation] = {}
 
+    def __len__(self) -> int:
+        return len(self._known)
+
     def find(self, name: str) -> Incarnation | None:
         """Return the back end if anything is known of it."""
         return self._known.get(name)
@@ -84,13 +97,27 @@
     def get(self, name: str) -> Incarnation:
         """Return the back end, for which nothing has to be known yet."""
         found = self._known.get(name)
+        if found is not None and not found.told:
+            self._known[name] = self._known.pop(name)  # the last asked for is forgotten last
         if found is None:
+            self._forget_some()
             cold = ColdStart(DEFAULT_SLOTS, self._clock(), self._bounds)
             found = self._known[name] = Incarnation(
                 Admission(DEFAULT_SLOTS, cold, self._policies), cold
             )
         return found
 
+    def _forget_some(self) -> None:
+        """Forget whom no list names beyond those kept: first the one least lately asked for that
+        no list has ever named.
+        """
+        if len(self._known) < NAMES_KEPT:
+            return
+        idle = [name for name, item in self._known.items() if item.may_be_forgotten]
+        idle.sort(key=lambda name: self._known[name].told)
+        for name in idle[: max(0, len(idle) + 1 - NAMES_KEPT)]:
+            del self._known[name]
+
     def use_listed(self, listed: Mapping[str, Machine]) -> bool:
         """Learn from a newer list which live, leave or have gone.
 
@@ -122,7 +149,7 @@
         incarnation = self.get(name)
         if machine.is_of_life_before(incarnation.started_at):
             return
-        incarnation.listed = True
+        incarnation.listed = incarnation.told = True
         incarnation.started_at = machine.started_at or incarnation.started_at
         slots = machine.slots or DEFAULT_SLOTS
         incarnation.cold.slots = slots
--- a/src/pewtertack/routing/admission.py
+++ b/src/pewtertack/routing/admission.py
@@ -91,6 +91,11 @@
         """Requests at the back end and waiting for it, without those that let others go first."""
         return self.in_flight + sum(not item.yields for item in self._queue)
 
+    @property
+    def is_idle(self) -> bool:
+        """Whether no request is at the back end or waits for it."""
+        return not self.in_flight and not self._queue
+
     def told_slots(self, now: float) -> int:
         """Return the slots to tell other nodes: while it is cold, how many its rate keeps busy.
 
