A start far in the future hides no back end

Cause: the newest start told under a name stands, so an entry with a start far ahead, written by another under a living back end's name, made all that this one says be taken for said of an earlier life. Change: a start more than an hour after the node's own time is taken as untold, where a list reaches proxy and gateway (every reader still makes the same document). Without it the new test sees 2^51 in place of the back end's own start.

--- a/src/pewtertack/core/machines.py
+++ b/src/pewtertack/core/machines.py
@@ -80,6 +80,24 @@
     number: int
     machines: tuple[Machine, ...]
 
+    def without_starts_after(self, latest: int) -> MachineList:
+        """Return the list with starts after ``latest``, in Unix milliseconds, as if untold.
+
+        Such a start is no back end's own: whatever the one that lives under the name says would
+        be taken for said of an earlier life, until its start is later.
+        """
+        if all(machine.started_at <= latest for machine in self.machines):
+            return self
+        return MachineList(
+            self.number,
+            tuple(
+                machine
+                if machine.started_at <= latest
+                else msgspec.structs.replace(machine, started_at=0)
+                for machine in self.machines
+            ),
+        )
+
 
 def is_ip_number(text: str) -> bool:
     """Tell whether ``text`` is an IP number, as which nodes may be named."""
--- a/src/pewtertack/node/runtime.py
+++ b/src/pewtertack/node/runtime.py
@@ -39,10 +39,18 @@
 
 SUSPENSION_SECONDS = 0.1
 """Shorter suspensions are not told from the time between two readings of two clocks."""
+CLOCKS_APART = 3600.0
+"""A start so many seconds after this node's time is taken as untold. Clocks may jump: one that is
+further behind tells no lives apart, which is what nodes do where starts are not told."""
 REFUSAL_LOG_INTERVAL = 1.0
 """Refused frames of one type are logged at most once in so many seconds."""
 
 
+def _latest_start() -> int:
+    """Return the latest start, in Unix milliseconds, that a back end may have."""
+    return int((clock.unix_time() + CLOCKS_APART) * 1000)
+
+
 class Core(Protocol):
     """The coordination core, as the runtime sees it."""
 
@@ -202,7 +210,8 @@
                 self._start_read(effect)
             case BringIntoForce(configuration):
                 self._bring_into_force(configuration)
-            case UseMachines(machines):
+            case UseMachines(told):
+                machines = told.without_starts_after(_latest_start())
                 for user in (self._proxy, self._gateway):
                     if user is not None:
                         user.use_machines(machines)
--- a/tests/node/test_runtime.py
+++ b/tests/node/test_runtime.py
@@ -2,12 +2,14 @@
 
 import io
 import json
+import time
 import unittest
 from types import MappingProxyType
 from typing import Any
 from unittest import mock
 
 import anyio
+import msgspec
 
 from pewtertack.core.effects import (
     BringIntoForce,
@@ -24,11 +26,13 @@
 from pewtertack.log import EventLog
 from pewtertack.node.admin import masked
 from pewtertack.node.gate import ServingGate
+from pewtertack.node.gateway.incarnations import Incarnations
 from pewtertack.node.runtime import Runtime
+from pewtertack.routing.registry import BackendRegistry
 from pewtertack.wire.errors import StrangerFrameError
 from pewtertack.wire.frames import Envelope
 from pewtertack.wire.messages import Busy, DocumentKind
-from tests.routing.samples import configuration
+from tests.routing.samples import backend, configuration
 
 BUSY = Busy(DocumentKind.CONFIGURATION, 1)
 
@@ -60,6 +64,31 @@
     def lines(self) -> list[dict[str, Any]]:
         return [json.loads(line) for line in self.output.getvalue().splitlines()]
 
+    async def test_a_start_far_in_the_future_hides_no_back_end(self) -> None:
+        """Another wrote an entry under a living back end's name; then that one says its own."""
+        now = int(time.time() * 1000)
+        registry, gateway = BackendRegistry(), Incarnations(lambda: 0.0)
+
+        def use(machines: MachineList) -> None:
+            registry.update(machines, 0.0)
+            gateway.use_listed({item.name: item for item in machines.machines})
+
+        self.proxy.use_machines = use
+        runtime = self.runtime()
+        for number, (started_at, slots) in enumerate([(now, 2), (2**51, 3), (now, 4)], 1):
+            entry = msgspec.structs.replace(backend("b1"), started_at=started_at, slots=slots)
+            runtime._carry_out(UseMachines(MachineList(number, (entry,))))
+        (known,) = registry.all()
+        self.assertEqual(known.started_at, now)
+        self.assertEqual(gateway.get("b1").started_at, now)
+        self.assertEqual(gateway.get("b1").admission.slots, 4)
+
+    async def test_a_start_by_a_clock_that_is_ahead_is_believed(self) -> None:
+        start = int(time.time() * 1000) + 600_000
+        machines = MachineList(1, (msgspec.structs.replace(backend("b1"), started_at=start),))
+        self.runtime()._carry_out(UseMachines(machines))
+        self.proxy.use_machines.assert_called_once_with(machines)
+
     async def test_each_effect_is_carried_out(self) -> None:
         machines = MachineList(1, ())
         resolved = configuration()
