--- a/src/pewtertack/cli/lab_virtual_time.py
+++ b/src/pewtertack/cli/lab_virtual_time.py
@@ -2,12 +2,15 @@
 
 from __future__ import annotations
 
+import math
 from pathlib import Path
 from typing import Annotated
 
 import msgspec
 import typer
 
+from pewtertack.core.policies import Margin, Policies
+
 
 def crashes(
     nodes: Annotated[int, typer.Option(help="Nodes, a back end of the service beside each.")] = 12,
@@ -53,6 +56,16 @@
     slowness: Annotated[
         float, typer.Option(min=1, help="One back end slower for 3 s, returning only.")
     ] = 1,
+    speeds: Annotated[
+        str, typer.Option(help="Of each zone's back ends in turn, as 0.5,1.4, returning only.")
+    ] = "1",
+    long_share: Annotated[
+        float,
+        typer.Option(min=0, max=1, help="Requests that take seven times as long, returning only."),
+    ] = 0,
+    margin: Annotated[
+        Margin, typer.Option(help="Until when requests may wait, returning only.")
+    ] = Margin.SPREAD,
 ) -> None:
     """Simulate an overload against round robin with fixed retries, and print it as JSON."""
     from pewtertack.lab.overload.returning import ReturningShape, simulate_returning
@@ -63,12 +76,30 @@
         raise typer.BadParameter("--returning needs --gateways")
     result: msgspec.Struct
     if returning:
-        world = ReturningShape(seconds=seconds, load=load, burst=burst, slowness=slowness)
+        world = ReturningShape(
+            seconds=seconds,
+            load=load,
+            burst=burst,
+            slowness=slowness,
+            speeds=_speeds_of(speeds),
+            long_share=long_share,
+            policies=Policies(margin=margin),
+        )
         result = simulate_returning(world, seed)
     else:
         result = simulate_gateways(shape, load, seed) if gateways else compare(shape, load, seed)
     _print(result)
 
 
+def _speeds_of(text: str) -> tuple[float, ...]:
+    try:
+        speeds = tuple(float(part) for part in text.split(","))
+    except ValueError:
+        speeds = ()
+    if not speeds or not all(0 < speed < math.inf for speed in speeds):
+        raise typer.BadParameter("speeds are positive numbers, separated by commas")
+    return speeds
+
+
 def _print(result: msgspec.Struct) -> None:
     typer.echo(msgspec.json.format(msgspec.json.encode(result)).decode())
