--- a/src/pewtertack/routing/admission.py
+++ b/src/pewtertack/routing/admission.py
@@ -30,6 +30,7 @@
 from pewtertack.routing.arrivals import ArrivalRate
 from pewtertack.routing.cold import WINDOW, ColdStart
 from pewtertack.routing.hanging import HangWatch
+from pewtertack.routing.margins import MARGINS
 from pewtertack.routing.outcomes import DeadlineUnmeetableError, NotRunError, QueueFullError
 from pewtertack.routing.patience import Lateness
 from pewtertack.routing.places import AdmissionTicket
@@ -79,6 +80,7 @@
         self._going_first = ArrivalRate()
         self._times = ServiceTimes()
         self.hangs = HangWatch() if policies.hanging is Hanging.LEFT else None
+        self._start_with_margin = MARGINS[policies.margin]
         self._moved_at = -math.inf
         """When a request last started or ended."""
         self._refusing_since = -math.inf
@@ -89,6 +91,11 @@
         """Requests at the back end and waiting for it, without those that let others go first."""
         return self.in_flight + sum(not item.yields for item in self._queue)
 
+    @property
+    def is_idle(self) -> bool:
+        """Whether no request is at the back end or waits for it."""
+        return not self.in_flight and not self._queue
+
     def told_slots(self, now: float) -> int:
         """Return the slots to tell other nodes: while it is cold, how many its rate keeps busy.
 
@@ -98,6 +105,11 @@
             return self.slots if self.hangs is None else self.hangs.told_slots(self.slots, now)
         return max(1, min(self.slots, round(self.cold.per_second * self._times.mean)))
 
+    def use_slots(self, slots: int, now: float) -> None:
+        """Work with so many slots from now on; what waits gets those that are new."""
+        self.slots = max(1, slots)
+        self._grant_waiting(now)
+
     def expected_time(self, route: str) -> float:
         """Return the mean time that the back end takes for the route, 0 while unknown."""
         return self._times.mean_of(route)
@@ -194,8 +206,9 @@
         """Return until when it should start: later, it would often miss its objective."""
         if ticket.within:
             return self._last_start(ticket)
-        wanted = min(ticket.objective, ticket.deadline)
-        return wanted - self._time_of(ticket) - self._times.spread_of(ticket.route)
+        latest = min(ticket.objective, ticket.deadline) - self._time_of(ticket)
+        spread = self._times.spread_of(ticket.route)
+        return self._start_with_margin(ticket.submitted_at, latest, spread)
 
     def _turn(self, ticket: AdmissionTicket, now: float) -> Turn:
         """Return the ticket's place among those that wait; the smallest goes first."""
