A stopping gateway gives an answer back only where it can be had elsewhere

Cause: the word that a node holds the beginning of an answer back was sent with every attempt of a repeatable route with retries. The gateway took it for a word that the answer can be had elsewhere, and broke it off, also where no other gateway was there, the retry budget was spent, the route's limit was reached or the request's body was too long to be sent again: 502 at once to callers whose run had ended and whose answer was on its way.

The word is as of the moment when the request is sent; a budget spent later is not told.

--- a/src/pewtertack/node/gateway/hop.py
+++ b/src/pewtertack/node/gateway/hop.py
@@ -58,8 +58,8 @@
 GONE_IN = b"x-pewtertack-gone-in-ms"
 """There when the proxy's node stops: in how many milliseconds it will carry answers no longer."""
 HOLDS_BACK = b"x-pewtertack-holds-back"
-"""There when the proxy holds the beginning of a long answer back (``Exchange.holds_back``): should
-it break off there, it asks another gateway, or its caller is told so; it is not cut."""
+"""There when the proxy holds the beginning of a long answer back (``Exchange.holds_back``), and has
+a retry left and another gateway to ask should it break off there."""
 FAILURE = b"x-pewtertack-failure"
 """In an answer: ``<code> <outcome> <offered>`` of the gateway's own failure."""
 QUEUED = b"x-pewtertack-queued-ms"
--- a/src/pewtertack/routing/dispatcher.py
+++ b/src/pewtertack/routing/dispatcher.py
@@ -393,7 +393,11 @@
 
     def may_leave(self, ticket: Ticket, now: float) -> bool:
         """Tell whether an attempt would now be made elsewhere if its back end hangs on it."""
-        if self._policies.hanging is not Hanging.LEFT or not ticket.route.repeatable:
+        return self._policies.hanging is Hanging.LEFT and self.may_repeat(ticket, now)
+
+    def may_repeat(self, ticket: Ticket, now: float) -> bool:
+        """Tell whether an attempt that fails now would be made elsewhere."""
+        if not ticket.route.repeatable:
             return False
         assert ticket.backend is not None
         tried = (*ticket.excluded, ticket.backend.name)
--- a/tests/node/gateway/test_own_stop.py
+++ b/tests/node/gateway/test_own_stop.py
@@ -9,6 +9,7 @@
 from pewtertack.events import Event
 from pewtertack.node.gateway.hop import HOLDS_BACK, hop_headers, read_hop
 from pewtertack.node.pacing import LinkPacer
+from pewtertack.node.proxy.body import REPLAY_BYTES
 from pewtertack.routing.link import LinkShare
 from pewtertack.routing.patience import Lateness
 from tests.node.gateway.test_gateway import GatewayTestCase, header
@@ -31,6 +32,7 @@
     slots = 20
     run_seconds = RUN_SECONDS
     backends = 2
+    body = b""
 
     async def begin(self, calls: int = CALLS, **changes: Any) -> None:
         async def script(reader: Any, writer: Any, head: str) -> bool:
@@ -49,7 +51,10 @@
             gateway._log._record = lambda event, **_: self.events.append(event)
             pacer = LinkPacer(time.monotonic, LinkShare(MEGABITS))
             gateway._parts = msgspec.structs.replace(gateway._parts, pacer=pacer)
-        self.calls = [asyncio.create_task(self.call(f"own-{n}")) for n in range(calls)]
+        self.start_calls(calls)
+
+    def start_calls(self, count: int) -> None:
+        self.calls = [asyncio.create_task(self.call(f"own-{n}")) for n in range(count)]
         self.addCleanup(lambda: [task.cancel() for task in self.calls])
 
     async def until_sent(self, count: int) -> None:
@@ -60,7 +65,9 @@
 
     async def call(self, name: str) -> Answer:
         headers = (f"x-call: {name}", "x-left: 25000")
-        return await raw_call(self.address, request_bytes("GET", "/", headers=headers), PATIENCE)
+        method = "POST" if self.body else "GET"
+        raw = request_bytes(method, "/", self.body, headers)
+        return await raw_call(self.address, raw, PATIENCE)
 
     async def answers(self) -> list[tuple[int, int]]:
         async with asyncio.timeout(PATIENCE):
@@ -88,6 +95,40 @@
         self.assertEqual(len(self.heads), CALLS)
 
 
+class NowhereElseTest(OwnStopTestCase):
+    """What is given back is lost where the other node can't have it elsewhere."""
+
+    async def assert_none_given_back(self) -> None:
+        await self.until_sent(CALLS)
+        self.gateways[0].start_leaving(STOP_SECONDS)
+        self.assertEqual(await self.answers(), [(200, DOWNLOAD)] * CALLS)
+        self.assertNotIn(Event.GATEWAY_GAVE_BACK, self.events)
+
+    async def test_the_only_gateway_gives_nothing_back(self) -> None:
+        """What callers saw: 502 at once, of answers of which the beginning had been sent.
+
+        Cause: that a node holds an answer's beginning back was taken for a word that it can have
+        the answer elsewhere.
+        """
+        self.backends = 1
+        await self.begin()
+        await self.assert_none_given_back()
+
+    async def test_nothing_is_given_back_once_the_retry_budget_is_spent(self) -> None:
+        await self.begin(calls=0)
+        now = time.monotonic()
+        budget = self.proxy._parts.dispatcher._budgets.of("logbook", now)
+        while budget.withdraw(now):
+            pass
+        self.start_calls(CALLS)
+        await self.assert_none_given_back()
+
+    async def test_nothing_is_given_back_whose_body_can_not_be_sent_again(self) -> None:
+        self.body = b"p" * (REPLAY_BYTES + 1)
+        await self.begin()
+        await self.assert_none_given_back()
+
+
 class FullBackendTest(OwnStopTestCase):
     """One gateway, whose back end has one slot: a call waits for it when the stop begins."""
 
