--- a/tests/node/http/test_server_stop.py
+++ b/tests/node/http/test_server_stop.py
@@ -12,6 +12,7 @@
 import unittest
 from collections.abc import Callable
 from typing import Any
+from unittest import mock
 
 import anyio
 
@@ -85,6 +86,67 @@
         for caller in callers:
             self.assertIn(b" 200 ", caller.recv(4096))
 
+    async def test_nobody_connects_behind_the_last_look_at_the_listener(self) -> None:
+        """What callers saw: connected, sent a request whole, and had the connection reset.
+
+        Cause: the system went on making connections until the listener ended, also after the
+        server had accepted the last one.
+        """
+        reached = []
+
+        def connect_late(*arguments: Any) -> None:
+            accept_rest(*arguments)
+            with contextlib.suppress(TimeoutError):
+                late = socket.create_connection(self.target, 0.2)
+                self.addCleanup(late.close)
+                reached.append(late)
+
+        accept_rest = self.server._accept_rest
+        with mock.patch.object(self.server, "_accept_rest", connect_late):
+            self.server.should_exit = True
+            await self.stopped()
+        self.assertEqual(reached, [])
+
+    async def test_an_idle_connection_ends_at_the_last_look_at_it(self) -> None:
+        """What callers saw: a request sent on a kept connection, and reset.
+
+        Cause: the connection's end was told to its caller a turn of the loop after the last look,
+        and that turn saw to all other connections.
+        """
+        caller = self.connect()
+        caller.sendall(REQUEST)
+        self.assertIn(b" 200 ", await asyncio.to_thread(caller.recv, 4096))
+        (connection,) = self.server.connections
+        connection.shutdown()
+        caller.settimeout(0.1)  # the loop has no turn meanwhile
+        self.assertEqual(caller.recv(4096), b"")
+
+    async def test_a_request_that_has_come_when_a_connection_was_idle_too_long(self) -> None:
+        """What callers saw: a request sent on a kept connection, and reset.
+
+        Cause: the connection was closed by a timer, with the request in the system's buffer.
+        """
+        caller = self.connect()
+        caller.sendall(REQUEST)
+        self.assertIn(b" 200 ", await asyncio.to_thread(caller.recv, 4096))
+        (connection,) = self.server.connections
+        connection._idle_since -= 2 * self.server.keep_alive
+        caller.sendall(REQUEST)
+        connection._close_idle()
+        self.assertIn(b" 200 ", await asyncio.to_thread(caller.recv, 4096))
+
+    async def test_a_first_request_that_has_come_when_the_wait_for_it_ends(self) -> None:
+        """The same on a new connection."""
+        for ended in ("_refuse_slow_head", "_close_unused"):
+            caller = self.connect()
+            await asyncio.sleep(0.05)
+            (connection,) = self.server.connections
+            caller.sendall(REQUEST)
+            getattr(connection, ended)()
+            self.assertIn(b" 200 ", await asyncio.to_thread(caller.recv, 4096))
+            caller.close()
+            await connection.wait_closed()
+
     async def test_a_request_that_is_on_its_way_is_answered(self) -> None:
         """What callers saw: connected, or half a head sent, then the end, unanswered.
 
