An idle connection ends in the same moment as the last look at it

Cause: three ways in which a request that had come whole was reset unread. At a stop the end of an idle connection was told to its caller one turn of the loop after the last look at what it had sent, a turn that sees to all other connections. The timers of idle connections and of new ones that send nothing closed without a look; the node's loop looks at sockets only before every second round, so that a timer could come first.

Change: each of them looks, and ends the stream at once where nothing has come.

A request that crosses the end on its way is still lost: no server can answer what comes behind its end.

--- a/src/pewtertack/node/http/protocol.py
+++ b/src/pewtertack/node/http/protocol.py
@@ -404,11 +404,12 @@
 
     def _close_idle(self) -> None:
         self._idle_timer = None
+        self._read_now()
         if self._pipeline.requests or self._head_bytes:
             return
         left = self._idle_since + self._server.keep_alive - self.loop.time()
         if left <= 0:
-            self.transport.close()
+            self._close_idle_now()
         else:
             self._idle_timer = self.loop.call_later(left, self._close_idle)
 
@@ -437,23 +438,32 @@
 
     def _close_unused(self) -> None:
         """Close unless a first request has begun to come, which ``HEAD_SECONDS`` bounds."""
-        if self._head_bytes:
-            self._start_guard(HEAD_SECONDS, self._refuse_slow_head)
-        else:
+        self._guard = None
+        self._read_now()
+        if self._pipeline.requests:
+            return
+        if not self._head_bytes:
             self._close_idle_now()
+        elif self._guard is None:
+            self._start_guard(HEAD_SECONDS, self._refuse_slow_head)
 
     def _close_idle_now(self) -> None:
+        """Tell the end in the same moment as the last look was made: what comes later is reset."""
         self._pipeline.closed = True
+        self.transport.write_eof()
         self.transport.close()
 
     # Refusals
 
     def _refuse_slow_head(self) -> None:
         self._guard = None
-        if self._head_bytes == 0 and not self._pipeline.requests:
-            self.transport.close()
-            return
-        self._refuse(RefusalReason.SLOW_HEAD)
+        slow = self._head_bytes > 0
+        self._read_now()
+        if slow and self._reading_head and self._head_bytes:
+            self._refuse(RefusalReason.SLOW_HEAD)
+        elif not (self._head_bytes or self._pipeline.requests):
+            self._close_idle_now()
+        # else the head has come at the last moment, or has begun to
 
     def _refuse(self, reason: RefusalReason) -> None:
         """Answer what was received last, if that is due, and end the connection.
