What runs for other nodes is ended at a stop's last moment, and not 0.5 s before

Cause: a stop ended what still ran 0.5 s before its end, the time that callers have to take their last answers and to end their connections. At a gateway the callers are nodes, which need none of it: a run whose back end was at work was broken off, and its caller got 502, sooner than necessary.

Change: a gateway's requests are ended 0.2 s before the stop's end. Long answers that wait for their turns are given to the system 0.5 s before it, as until now. Where the loop was held up past that moment they are ended at the end all the same.

--- a/src/pewtertack/lab/weakening.py
+++ b/src/pewtertack/lab/weakening.py
@@ -156,6 +156,7 @@
 
     for owner in (ProxyApplication, GatewayApplication):
         _wrap(owner, "withdraw_waiting", withdraw_nothing)
+        _wrap(owner, "hurry_answers", stop_nothing)
         _wrap(owner, "stop_requests", stop_nothing)
 
 
--- a/src/pewtertack/node/daemon.py
+++ b/src/pewtertack/node/daemon.py
@@ -33,6 +33,9 @@
 LAST_ANSWERS_SECONDS = 0.5
 """So long before a stop's end what still runs is answered as of unknown outcome; connections
 linger as long (``node.http.protocol``)."""
+GATEWAY_LAST_SECONDS = 0.2
+"""The same for what runs beside this node for others: those are nodes, which take an answer and
+end the connection at once. A run that goes on until then is not broken off sooner."""
 LAST_TURNS = 100
 """Turns of the loop that what was told to end has in any case: where something held the loop up
 until the time was over, the answers are not late but undone. One takes a turn, each that waits
@@ -74,8 +77,11 @@
     def log_unfinished(self) -> None:
         """Log what is in flight when the time to stop is over."""
 
+    def hurry_answers(self) -> None:
+        """Give the system what waits to be sent."""
+
     def stop_requests(self) -> None:
-        """End what is in flight, with an answer."""
+        """End what is in flight, with an answer; may be called again."""
 
 
 class RunningProxy(DrainableProxy, Protocol):
@@ -146,9 +152,15 @@
     """The proxy's or gateway's server; ``stopped`` is set once every answer has gone out."""
 
     def __init__(
-        self, application: DrainableProxy, listener: socket.socket, keep_alive: float
+        self,
+        application: DrainableProxy,
+        listener: socket.socket,
+        keep_alive: float,
+        last_answers: float = LAST_ANSWERS_SECONDS,
     ) -> None:
         self.application = application
+        self.last_answers = last_answers
+        """So many seconds before a stop's end what still runs is ended."""
         self._listener = listener
         from pewtertack.node.proxy.refusals import typed_refusal  # a proxy's node alone
 
@@ -177,10 +189,13 @@
 ) -> tuple[_RequestServer, ...]:
     """Start the servers of the proxy and of the gateway, where there are such."""
     sockets = parts.sockets
-    pairs = ((parts.proxy, sockets.proxy), (parts.gateway, sockets.gateway))
+    parties = (
+        (parts.proxy, sockets.proxy, LAST_ANSWERS_SECONDS),
+        (parts.gateway, sockets.gateway, GATEWAY_LAST_SECONDS),
+    )
     servers = tuple(
-        _RequestServer(application, listener, keep_alive)
-        for application, listener in pairs
+        _RequestServer(application, listener, keep_alive, last_answers)
+        for application, listener, last_answers in parties
         if application is not None and listener is not None
     )
     for server in servers:
@@ -271,16 +286,28 @@
             tasks.cancel_scope.cancel()
     if not finishing.cancelled_caught:
         return
-    for server in servers:
-        server.application.log_unfinished()
-        server.application.stop_requests()
     with anyio.CancelScope(deadline=end) as answering:
-        await _drain_all(servers)
+        async with anyio.create_task_group() as tasks:
+            for server in servers:
+                tasks.start_soon(_end_requests, server, end)
     if answering.cancelled_caught:
+        for server in servers:
+            server.application.stop_requests()  # the loop may have been held up until now
         for _ in range(LAST_TURNS):
             await anyio.sleep(0)
 
 
+async def _end_requests(server: _RequestServer, end: float) -> None:
+    """End what still runs as late as its answers allow."""
+    server.application.log_unfinished()
+    server.application.hurry_answers()
+    with anyio.CancelScope(deadline=end - server.last_answers) as finishing:
+        await server.drain()
+    if finishing.cancelled_caught:
+        server.application.stop_requests()
+        await server.drain()
+
+
 async def _withdraw_late(servers: tuple[_RequestServer, ...], seconds: float) -> None:
     """Refuse what still waits after so many seconds."""
     await anyio.sleep(seconds)
--- a/src/pewtertack/node/gateway/application.py
+++ b/src/pewtertack/node/gateway/application.py
@@ -212,9 +212,8 @@
         if self._parts.pacer is not None:
             self._parts.pacer.end_at(self._stops_at)
 
-    def stop_requests(self) -> None:
-        """Also give the system what answers wait for their turns on the link."""
-        super().stop_requests()
+    def hurry_answers(self) -> None:
+        """Let all answers go that wait for their turns on the link."""
         if self._parts.pacer is not None:
             self._parts.pacer.share.open()
 
--- a/src/pewtertack/node/proxy/in_flight.py
+++ b/src/pewtertack/node/proxy/in_flight.py
@@ -201,6 +201,9 @@
         """Log the requests that the time to stop has not sufficed for."""
         self.requests.log_unfinished()
 
+    def hurry_answers(self) -> None:
+        """Give the system what waits to be sent: this process ends soon."""
+
     def stop_requests(self) -> None:
         """End what is still under way, with an answer that tells what is known of it."""
         self.requests.stop()
--- a/tests/node/test_daemon.py
+++ b/tests/node/test_daemon.py
@@ -48,13 +48,17 @@
     def log_unfinished(self) -> None:
         pass
 
+    def hurry_answers(self) -> None:
+        pass
+
     def stop_requests(self) -> None:
         self.stopped = True
 
 
 class Server:
-    def __init__(self) -> None:
+    def __init__(self, last_answers: float = daemon.LAST_ANSWERS_SECONDS) -> None:
         self.application = Application()
+        self.last_answers = last_answers
 
     async def drain(self) -> None:
         while not self.application.stopped:
@@ -93,6 +97,42 @@
         await daemon._finish_requests((server,), daemon.WITHDRAW_SECONDS)
         self.assertTrue(server.application.answered)
 
+    async def test_what_runs_for_other_nodes_is_ended_at_the_last_moment(self) -> None:
+        """What callers saw: 502 for a run whose back end was at work, before the stop's end.
+
+        Cause: the time that callers have to take a last answer and to end their connections was
+        left to other nodes as well, which need none.
+        """
+        ended: dict[str, float] = {}
+
+        class Noting(Application):
+            def __init__(self, name: str) -> None:
+                super().__init__()
+                self.name = name
+
+            async def withdraw_waiting(self) -> None:
+                pass
+
+            def stop_requests(self) -> None:
+                ended.setdefault(self.name, end - time.monotonic())
+                super().stop_requests()
+
+        servers: Any = (Server(), Server(daemon.GATEWAY_LAST_SECONDS))
+        for server, name in zip(servers, ("proxy", "gateway"), strict=True):
+            server.application = Noting(name)
+        end = time.monotonic() + daemon.WITHDRAW_SECONDS
+        await daemon._finish_requests(servers, daemon.WITHDRAW_SECONDS)
+        self.assertAlmostEqual(ended["proxy"], daemon.LAST_ANSWERS_SECONDS, delta=0.15)
+        self.assertLessEqual(ended["gateway"], daemon.GATEWAY_LAST_SECONDS)
+
+    async def test_what_was_not_ended_in_time_is_ended_all_the_same(self) -> None:
+        server: Any = Server(daemon.GATEWAY_LAST_SECONDS)
+        held_up = daemon.WITHDRAW_SECONDS - daemon.LAST_ANSWERS_SECONDS + 0.1
+        asyncio.get_running_loop().call_later(held_up, time.sleep, 2 * daemon.LAST_ANSWERS_SECONDS)
+        with self.assertLogs(daemon.LOGGER, "ERROR"):
+            await daemon._finish_requests((server,), daemon.WITHDRAW_SECONDS)
+        self.assertTrue(server.application.stopped)
+
     async def test_a_withdrawal_that_fails_leaves_the_last_answers_alone(self) -> None:
         server: Any = Server()
         with self.assertLogs(daemon.LOGGER, "ERROR") as logs:
