At a stop's end it is told how much of the answers has not left the process

An answer is logged as sent once the application has given it; what the system does not take of it waits in the process, and ends with it. Nothing told so: of an answer that was not with its caller 4.8 s after it was logged it can't be said where it was. Now a line at the stop's end tells how many connections and bytes that are.

--- a/src/pewtertack/node/daemon.py
+++ b/src/pewtertack/node/daemon.py
@@ -177,6 +177,10 @@
         self.application.start_draining()
         self._server.widen()
 
+    def log_unsent(self) -> None:
+        """Log what of answers, said to be sent, has not left this process."""
+        self._server.log_unsent()
+
     async def drain(self) -> None:
         """Finish what is in flight, then close the listener and the connections."""
         await self.application.wait_drained()
@@ -295,6 +299,8 @@
             server.application.stop_requests()  # the loop may have been held up until now
         for _ in range(LAST_TURNS):
             await anyio.sleep(0)
+    for server in servers:
+        server.log_unsent()
 
 
 async def _end_requests(server: _RequestServer, end: float) -> None:
--- a/src/pewtertack/node/http/server.py
+++ b/src/pewtertack/node/http/server.py
@@ -149,6 +149,14 @@
         for connection in self.connections:
             widen(connection.transport.get_extra_info("socket"))
 
+    def log_unsent(self) -> None:
+        """Log what of answers the system has not taken: it ends with the process."""
+        unsent = [item.unsent for item in self.connections if item.unsent]
+        if unsent:
+            logger.warning(
+                "answers end with the process: %d connections, %d bytes", len(unsent), sum(unsent)
+            )
+
     @property
     def default_headers(self) -> list[tuple[bytes, bytes]]:
         """The headers that every answer has: its date, renewed when one is asked for.
--- a/tests/node/http/test_server_stop.py
+++ b/tests/node/http/test_server_stop.py
@@ -24,6 +24,8 @@
 BODY_PARTS = 30
 PART_SECONDS = 0.04
 PATIENCE = 20.0
+LONG_BYTES = 32 * 1024 * 1024
+"""More than the system takes for a caller that reads nothing."""
 
 
 class Application:
@@ -34,6 +36,7 @@
     def __init__(self) -> None:
         self.answered = 0
         self.before_answer: Callable[[], None] = lambda: None
+        self.body = b""
 
     async def __call__(self, scope: Any, receive: Any, send: Any) -> None:
         if scope["path"] == "/read":
@@ -41,9 +44,9 @@
                 pass
         self.before_answer()
         status = 503 if scope["path"] == "/upload" else 200
-        headers = [(b"content-length", b"0")]
+        headers = [(b"content-length", b"%d" % len(self.body))]
         await send({"type": "http.response.start", "status": status, "headers": headers})
-        await send({"type": "http.response.body"})
+        await send({"type": "http.response.body", "body": self.body})
         self.answered += 1
 
 
@@ -202,6 +205,20 @@
         received = await asyncio.to_thread(self.read_to_end, caller)
         self.assertEqual(received.count(b" 200 "), 2)
 
+    async def test_what_of_an_answer_ends_with_the_process_is_told(self) -> None:
+        """An answer that the application has given, and so is logged, may not have left yet."""
+        self.application.body = b"b" * LONG_BYTES
+        caller = self.connect()
+        caller.sendall(REQUEST)
+        with anyio.fail_after(PATIENCE):
+            while not self.application.answered:
+                await asyncio.sleep(0.01)
+        (connection,) = self.server.connections
+        with self.assertLogs(http_server.logger, "WARNING") as logs:
+            self.server.log_unsent()
+        self.assertIn(f"1 connections, {connection.unsent} bytes", logs.output[0])
+        connection.transport.abort()
+
     async def test_who_sends_nothing_does_not_hold_up_the_stop(self) -> None:
         self.connect()
         await asyncio.sleep(0.05)
--- a/tests/node/test_daemon.py
+++ b/tests/node/test_daemon.py
@@ -60,6 +60,9 @@
         self.application = Application()
         self.last_answers = last_answers
 
+    def log_unsent(self) -> None:
+        pass
+
     async def drain(self) -> None:
         while not self.application.stopped:
             await asyncio.sleep(0.01)
