--- a/src/pewtertack/node/gateway/hop.py
+++ b/src/pewtertack/node/gateway/hop.py
@@ -62,8 +62,8 @@
 it break off there, it asks another gateway, or its caller is told so; it is not cut."""
 ONLY_HERE = b"x-pewtertack-only-here"
 """There beside it when the proxy would not ask another gateway for the answer: no other back end
-may take the request, or it has no retry left. Then it is not given back for this node's own stop,
-at whose end the system is given what the link has not carried."""
+may take the request, its body can't be sent again, or it has no retry left. Then it is not given
+back for this node's own stop, at whose end the system is given what the link has not carried."""
 FAILURE = b"x-pewtertack-failure"
 """In an answer: ``<code> <outcome> <offered>`` of the gateway's own failure."""
 QUEUED = b"x-pewtertack-queued-ms"
--- a/src/pewtertack/node/http/server.py
+++ b/src/pewtertack/node/http/server.py
@@ -18,6 +18,7 @@
 from typing import Any
 
 from pewtertack.node.http.cycle import LOGGER
+from pewtertack.node.http.listener_end import SETTLE_SECONDS, leave_unanswered
 from pewtertack.node.http.protocol import GuardedHttpProtocol
 from pewtertack.node.http.refusals import RefusalWriter, plain_refusal
 from pewtertack.node.http.system_buffer import widen
@@ -87,8 +88,7 @@
             self._listen(loop, bound)
         try:
             await self._exit.wait()
-            for bound in sockets:
-                self._accept_rest(loop, bound)
+            await self._end_listening(loop, sockets)
         finally:
             for bound in sockets:
                 if bound.fileno() >= 0:
@@ -96,6 +96,17 @@
                 bound.close()
         await self._finish()
 
+    async def _end_listening(
+        self, loop: asyncio.AbstractEventLoop, sockets: Sequence[socket]
+    ) -> None:
+        """See to it that who connects is accepted, or has not connected."""
+        for bound in sockets:
+            if bound.fileno() >= 0:
+                leave_unanswered(bound)
+        await asyncio.sleep(SETTLE_SECONDS)
+        for bound in sockets:
+            self._accept_rest(loop, bound)
+
     def _listen(self, loop: asyncio.AbstractEventLoop, bound: socket) -> None:
         if bound.fileno() >= 0:
             loop.add_reader(bound, self._accept, loop, bound)
@@ -138,6 +149,14 @@
         for connection in self.connections:
             widen(connection.transport.get_extra_info("socket"))
 
+    def log_unsent(self) -> None:
+        """Log what of answers the system has not taken: it ends with the process."""
+        unsent = [item.unsent for item in self.connections if item.unsent]
+        if unsent:
+            logger.warning(
+                "answers end with the process: %d connections, %d bytes", len(unsent), sum(unsent)
+            )
+
     @property
     def default_headers(self) -> list[tuple[bytes, bytes]]:
         """The headers that every answer has: its date, renewed when one is asked for.
--- a/src/pewtertack/routing/dispatcher.py
+++ b/src/pewtertack/routing/dispatcher.py
@@ -393,10 +393,10 @@
 
     def may_leave(self, ticket: Ticket, now: float) -> bool:
         """Tell whether an attempt would now be made elsewhere if its back end hangs on it."""
-        return self._policies.hanging is Hanging.LEFT and self.may_follow(ticket, now)
+        return self._policies.hanging is Hanging.LEFT and self.may_repeat(ticket, now)
 
-    def may_follow(self, ticket: Ticket, now: float) -> bool:
-        """Tell whether an attempt that breaks off now would be made once more elsewhere."""
+    def may_repeat(self, ticket: Ticket, now: float) -> bool:
+        """Tell whether an attempt that fails now would be made elsewhere."""
         if not ticket.route.repeatable:
             return False
         assert ticket.backend is not None
