Not kept: a filter on the listener at a stop's end

Tried: new connections are left unanswered for the last 0.05 s, so that nobody connects behind the last look at the listener. Who comes in those 0.05 s waits a second for the system's next try, and is then refused, where it is refused at once without the filter; the gap that it closes is the moment between two calls of one turn of the loop.

--- a/src/pewtertack/node/http/server.py
+++ b/src/pewtertack/node/http/server.py
@@ -18,7 +18,6 @@
 from typing import Any
 
 from pewtertack.node.http.cycle import LOGGER
-from pewtertack.node.http.listener_end import SETTLE_SECONDS, leave_unanswered
 from pewtertack.node.http.protocol import GuardedHttpProtocol
 from pewtertack.node.http.refusals import RefusalWriter, plain_refusal
 from pewtertack.node.http.system_buffer import widen
@@ -88,7 +87,8 @@
             self._listen(loop, bound)
         try:
             await self._exit.wait()
-            await self._end_listening(loop, sockets)
+            for bound in sockets:
+                self._accept_rest(loop, bound)
         finally:
             for bound in sockets:
                 if bound.fileno() >= 0:
@@ -96,17 +96,6 @@
                 bound.close()
         await self._finish()
 
-    async def _end_listening(
-        self, loop: asyncio.AbstractEventLoop, sockets: Sequence[socket]
-    ) -> None:
-        """See to it that who connects is accepted, or has not connected."""
-        for bound in sockets:
-            if bound.fileno() >= 0:
-                leave_unanswered(bound)
-        await asyncio.sleep(SETTLE_SECONDS)
-        for bound in sockets:
-            self._accept_rest(loop, bound)
-
     def _listen(self, loop: asyncio.AbstractEventLoop, bound: socket) -> None:
         if bound.fileno() >= 0:
             loop.add_reader(bound, self._accept, loop, bound)
