Request cost: counted without the machine's time

Cause: test_a_served_hop failed once, 1109.02 calls of functions, bound 1090. Two causes of what the machine's time adds, both traced by profiles of by function (100 or 300 calls each): - The back end of the measurement (uvicorn) writes head and body apart. Whether the measured process reads them at once is chance: each reading more takes some 55 calls.

Change: the back end answers by one write, or by two that lie 3 ms apart for a part of its own ("answer in two pieces"); the log's time passes by its lines, 5 ms each, so none is left out and those of two hops are written together; callers that connect anew keep connection, request and end apart; the collector is run before, and not while, calls are counted; asyncio's debug mode is off.

--- a/src/pewtertack/lab/cost/calls.py
+++ b/src/pewtertack/lab/cost/calls.py
@@ -15,11 +15,16 @@
 
 from pewtertack.errors import LabError
 from pewtertack.lab.hop.caller import READ_BYTES, TIMEOUT, is_whole
+from pewtertack.lab.hop.targets import HOLD_PATH, PIECES_PATH
 from pewtertack.lab.serving import print_line
 from pewtertack.node.gateway import hop
 from pewtertack.settings import Address
 
 WARM_UP_CALLS = 200
+PATH = "/measured"
+APART_SECONDS = 0.003
+"""Between connection, request and the connection's end, where each call has one of its own: else
+it would be chance whether the measured process sees to two of them in one round."""
 BODY = b"b" * 1024
 HELD_CALLS = 6
 """One at the back end's only slot and enough behind it that no further one is worth waiting."""
@@ -29,6 +34,7 @@
     """What one call makes the measured nodes do."""
 
     SERVED = "served hop"
+    SERVED_PIECES = "served hop, answer in two pieces"
     SERVED_BODY = "served hop, body of 1 KB"
     SERVED_CONNECTING = "served hop, both onward connections new"
     CONNECTION = "served hop, caller's connection new"
@@ -74,6 +80,7 @@
     def call(self) -> None:
         if self.connection is None:
             self.connection = _connect(self.address)
+            time.sleep(APART_SECONDS)
         self.connection.sendall(self.request)
         received = self.connection.recv(READ_BYTES)
         while received and not is_whole(received):
@@ -83,6 +90,7 @@
         if not self.kept:
             self.connection.close()
             self.connection = None
+            time.sleep(APART_SECONDS)
 
 
 def make_calls(plan: CallPlan) -> None:
@@ -118,12 +126,13 @@
         length = (b"content-length", b"%d" % len(BODY))
         request = _request(b"POST", [*common, length]) + BODY
     else:
-        request = _request(b"GET", common)
+        path = PIECES_PATH if plan.kind is CallKind.SERVED_PIECES else PATH
+        request = _request(b"GET", common, path)
     return _Caller(_address(plan.proxy), request, plan.kind)
 
 
-def _request(method: bytes, headers: list[tuple[bytes, bytes]]) -> bytes:
-    lines = [method + b" /measured HTTP/1.1", b"host: measured.example"]
+def _request(method: bytes, headers: list[tuple[bytes, bytes]], path: str = PATH) -> bytes:
+    lines = [b"%s %s HTTP/1.1" % (method, path.encode()), b"host: measured.example"]
     lines += [name + b": " + value for name, value in headers]
     return b"\r\n".join([*lines, b"", b""])
 
@@ -132,7 +141,7 @@
     """Have requests stay at the back end and in the gateway's queue."""
     request = b"\r\n".join(
         [
-            b"GET /hold HTTP/1.1",
+            b"GET %s HTTP/1.1" % HOLD_PATH.encode(),
             b"host: measured.example",
             b"x-request-id: held",
             b"x-deadline-ms: 3000000",
--- a/src/pewtertack/lab/cost/requests.py
+++ b/src/pewtertack/lab/cost/requests.py
@@ -10,6 +10,7 @@
 import asyncio
 import contextlib
 import cProfile
+import gc
 import io
 import os
 import pstats
@@ -45,6 +46,8 @@
 STOP_SECONDS = 0.2
 """For what is held at the back end when the measurement ends."""
 LOG_PART = "log line"
+LINE_SECONDS = 0.005
+"""So many pass with each line of the log: four lines a hop, 50 hops a second."""
 PROFILED_FUNCTIONS = 45
 
 
@@ -72,6 +75,21 @@
     code = "measured-calls-failed"
 
 
+class _LineClock:
+    """The log's time, which passes by its lines.
+
+    By the machine's time lines would be left out where calls are made fast, and be written one
+    by one where they are slow; so none is left out, and the lines of two hops leave together.
+    """
+
+    def __init__(self) -> None:
+        self._now = 0.0
+
+    def __call__(self) -> float:
+        self._now += LINE_SECONDS
+        return self._now
+
+
 class _ConnectingProxy:
     """A proxy whose idle connections to gateways, and theirs to back ends, are closed first."""
 
@@ -97,7 +115,7 @@
     def __init__(self, backend: str) -> None:
         self._nowhere = Path(os.devnull).open("w")  # noqa: SIM115 - as long as the log
         with contextlib.redirect_stdout(self._nowhere):
-            self.log = EventLog("measured", 1)
+            self.log = EventLog("measured", 1, clock=_LineClock())
         self._gateway = GatewayApplication(
             clock.now, GatewayPlace(backend, SERVICE, ZONE), PRODUCT_EDGE, self.log.record
         )
@@ -138,7 +156,7 @@
 
 def measure_requests(settings: CostSettings) -> tuple[list[PartCost], str]:
     """Measure every kind; return the costs and, where one was asked for, the profile."""
-    with asyncio.Runner(loop_factory=SuspendedTimeLoop) as runner:
+    with asyncio.Runner(debug=False, loop_factory=SuspendedTimeLoop) as runner:
         return runner.run(_measure(settings))
 
 
@@ -169,13 +187,10 @@
     )
     assert caller.stdout is not None
     await _next_step(caller.stdout)
-    if profiler is not None:
-        profiler.enable()
-    began = time.process_time()
-    await _next_step(caller.stdout)
-    used = time.process_time() - began
-    if profiler is not None:
-        profiler.disable()
+    with _counted_by(profiler):
+        began = time.process_time()
+        await _next_step(caller.stdout)
+        used = time.process_time() - began
     await caller.wait()
     functions = None
     if profiler is not None:
@@ -183,6 +198,27 @@
     return PartCost(plan.kind.value, used / plan.calls * MICROSECONDS, functions)
 
 
+@contextlib.contextmanager
+def _counted_by(profiler: cProfile.Profile | None) -> Iterator[None]:
+    """Count calls of functions, where asked for, without those that what was left before ends with.
+
+    The collector would find objects of other work of this process, whose ends are calls too.
+    """
+    if profiler is None:
+        yield
+        return
+    collects = gc.isenabled()
+    gc.collect()
+    gc.disable()
+    profiler.enable()
+    try:
+        yield
+    finally:
+        profiler.disable()
+        if collects:
+            gc.enable()
+
+
 async def _next_step(steps: asyncio.StreamReader) -> CallStep:
     line = await steps.readline()
     if not line:
--- a/src/pewtertack/lab/hop/targets.py
+++ b/src/pewtertack/lab/hop/targets.py
@@ -2,12 +2,11 @@
 
 from __future__ import annotations
 
+import asyncio
 import socket
 import time
 from random import Random
 
-import anyio
-
 from pewtertack.core.configuration.resolved import (
     ResolvedConfiguration,
     ResolvedRoute,
@@ -16,8 +15,8 @@
 )
 from pewtertack.core.machines import Machine, MachineList, MachineRole
 from pewtertack.core.revision import RevisionId
-from pewtertack.lab.asgi import Receive, Scope, Send, read_body
-from pewtertack.lab.serving import Listener, print_ready
+from pewtertack.lab.hop.caller import is_whole
+from pewtertack.lab.serving import print_ready
 from pewtertack.node.http.server import HttpServer
 from pewtertack.node.proxy.application import ProxyApplication
 from pewtertack.node.proxy.refusals import typed_refusal
@@ -28,26 +27,54 @@
 KEEP_ALIVE = 75.0
 ZONE = "here"
 SERVICE = "measured"
+HEAD = b"HTTP/1.1 200 OK\r\ncontent-length: %d\r\nx-backend-load: 1/6\r\n\r\n" % len(BODY)
 HOLD_PATH = "/hold"
 """What asks for this stays at the back end."""
+PIECES_PATH = "/pieces"
+"""What asks for this gets its answer's body some time after the head."""
+PIECES_SECONDS = 0.003
+"""Long enough that the head is read by itself."""
+
+
+class _TrivialBackend(asyncio.Protocol):
+    """Answers every request of a connection with the same small body, but what is to be held.
+
+    Head and body are one write, or two that lie apart: written one right after the other, it
+    would be chance whether who measures reads them at once, which takes a tenth less.
+    """
+
+    def __init__(self) -> None:
+        self._received = b""
+        self._transport: asyncio.Transport
 
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """Keep the transport."""
+        assert isinstance(transport, asyncio.Transport)
+        self._transport = transport
 
-async def _answer(scope: Scope, receive: Receive, send: Send) -> None:
-    """Answer every request with the same small body, but what is to be held."""
-    await read_body(receive)
-    if scope["path"] == HOLD_PATH:
-        await anyio.sleep_forever()
-    headers = [(b"content-length", str(len(BODY)).encode()), (b"x-backend-load", b"1/6")]
-    await send({"type": "http.response.start", "status": 200, "headers": headers})
-    await send({"type": "http.response.body", "body": BODY})
+    def data_received(self, data: bytes) -> None:
+        """Answer once the whole request has come."""
+        self._received += data
+        if not is_whole(self._received):
+            return
+        path = self._received.split(b" ", 2)[1].decode()
+        self._received = b""
+        if path == HOLD_PATH:
+            return
+        if path == PIECES_PATH:
+            self._transport.write(HEAD)
+            loop = asyncio.get_running_loop()
+            loop.call_later(PIECES_SECONDS, self._transport.write, BODY)
+        else:
+            self._transport.write(HEAD + BODY)
 
 
 async def run_backend() -> None:
     """Serve the trivial back end until the process is ended."""
-    async with anyio.create_task_group() as tasks:
-        listener = Listener(_answer, ANY_PORT)
-        await listener.open(tasks)
-        print_ready(backend=listener.address)
+    loop = asyncio.get_running_loop()
+    server = await loop.create_server(_TrivialBackend, ANY_PORT.host, ANY_PORT.port)
+    print_ready(backend=Address(*server.sockets[0].getsockname()))
+    await server.serve_forever()
 
 
 async def run_proxy(backends: list[Address]) -> None:
--- a/src/pewtertack/log.py
+++ b/src/pewtertack/log.py
@@ -9,6 +9,7 @@
 
 import sys
 import time
+from collections.abc import Callable
 from typing import Any, TextIO
 
 import logbook
@@ -61,24 +62,30 @@
     """Records numbered events of one process under its name and incarnation.
 
     Without a ``stream`` lines go to standard output and never block
-    (``pewtertack.log_writer``).
+    (``pewtertack.log_writer``), whose monotonic time is ``clock``.
     """
 
-    def __init__(self, node: str, incarnation: int, stream: TextIO | None = None) -> None:
+    def __init__(
+        self,
+        node: str,
+        incarnation: int,
+        stream: TextIO | None = None,
+        clock: Callable[[], float] = time.monotonic,
+    ) -> None:
         self._logger = logbook.Logger(CHANNEL)
         self._identity = {"node": node, "incarnation": incarnation}
         self._constants: dict[int, dict[str, Any]] = {}
         """What every line of an event has, by the event's number."""
         self._started = _steady()
         self._writer: BoundedWriter | None = None
-        sink = self._sink_of(stream)
+        sink = self._sink_of(stream, clock)
         self._write = sink.write
         self._logger.handlers.append(_SinkHandler(sink))
 
-    def _sink_of(self, stream: TextIO | None) -> LineSink:
+    def _sink_of(self, stream: TextIO | None, clock: Callable[[], float]) -> LineSink:
         if stream is not None:
             return _StreamSink(stream)
-        self._writer = BoundedWriter(sys.stdout.fileno(), self._left_out_line)
+        self._writer = BoundedWriter(sys.stdout.fileno(), self._left_out_line, clock)
         return self._writer
 
     def record(self, event: Event, **fields: Any) -> None:
--- a/src/pewtertack/log_writer.py
+++ b/src/pewtertack/log_writer.py
@@ -44,10 +44,10 @@
 class _Allowance:
     """A token bucket that holds one second's lines."""
 
-    def __init__(self, per_second: float) -> None:
+    def __init__(self, per_second: float, now: float) -> None:
         self._per_second = per_second
         self._left = per_second
-        self._filled_at = time.monotonic()
+        self._filled_at = now
 
     def take(self, now: float) -> bool:
         gained = (now - self._filled_at) * self._per_second
@@ -62,16 +62,24 @@
 class BoundedWriter:
     """Batches lines to ``descriptor``; see the module's text.
 
-    Outside a running event loop lines are written at once.
+    Outside a running event loop lines are written at once. ``clock`` tells how many lines are
+    left out, and how long they wait for others, in monotonic seconds.
     """
 
-    def __init__(self, descriptor: int, left_out_line: LeftOutLine) -> None:
+    def __init__(
+        self,
+        descriptor: int,
+        left_out_line: LeftOutLine,
+        clock: Callable[[], float] = time.monotonic,
+    ) -> None:
         self._descriptor = descriptor
         self._left_out_line = left_out_line
         self._buffer = bytearray()
+        self._clock = clock
+        now = clock()
         self._allowances = {
-            True: _Allowance(ROUTINE_LINES_PER_SECOND),
-            False: _Allowance(OTHER_LINES_PER_SECOND),
+            True: _Allowance(ROUTINE_LINES_PER_SECOND, now),
+            False: _Allowance(OTHER_LINES_PER_SECOND, now),
         }
         self._left_out = {True: 0, False: 0}
         self._timer: asyncio.Handle | None = None
@@ -83,7 +91,7 @@
 
     def write(self, line: bytes, routine: bool) -> None:
         """Take one line; it may be left out."""
-        now = time.monotonic()
+        now = self._clock()
         limit = BUFFER_BYTES * (ROUTINE_SHARE if routine else 1.0)
         if len(self._buffer) + len(line) > limit or not self._allowances[routine].take(now):
             self._left_out[routine] += 1
--- a/tests/test_log_writer.py
+++ b/tests/test_log_writer.py
@@ -77,6 +77,20 @@
         lines = await self.read_until_quiet()
         self.assertEqual(sum(line.startswith(b"failure") for line in lines), 500)
 
+    async def test_what_is_left_out_goes_by_the_clock_that_was_given(self) -> None:
+        now, per_second = 0.0, int(log_writer.ROUTINE_LINES_PER_SECOND)
+        writer = BoundedWriter(self.writer._descriptor, left_out, lambda: now)
+        for _ in range(per_second + 5):
+            writer.write(b"still", routine=True)
+        for _ in range(per_second):
+            now += 1 / per_second
+            writer.write(b"going", routine=True)
+        lines = await self.read_until_quiet()
+        self.assertEqual(lines.count(b"still"), per_second)
+        self.assertGreaterEqual(lines.count(b"going"), per_second - 1)  # by rounding
+        told = [json.loads(line)["left_out"] for line in lines if line.startswith(b"{")]
+        self.assertEqual(sum(map(sum, told)) + len(lines) - len(told), 2 * per_second + 5)
+
     async def test_the_buffer_is_bounded(self) -> None:
         for _ in range(5000):
             self.writer.write(LINE, routine=False)
