A connection to the same machine is made without a wait

Cause: a connection that does not block is "in progress" even where the other end has taken it already, so each took a writer, a timer and a round of the loop. Change: the system is asked once more at once; only where it says "already" is there a wait, as before.

--- a/src/pewtertack/node/http/transport.py
+++ b/src/pewtertack/node/http/transport.py
@@ -275,6 +275,10 @@
             connected.bind((local_host, ANY_PORT))
         problem = connected.connect_ex(target)
         if problem == errno.EINPROGRESS:
+            # It is made already where the other end is on the same machine, and the system says so
+            # when asked again: that saves a timer, a writer and a round of the loop.
+            problem = connected.connect_ex(target)
+        if problem == errno.EALREADY:
             await _wait_writable(connected, timeout)
             problem = connected.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR)
         if problem:
--- a/tests/node/http/test_transport.py
+++ b/tests/node/http/test_transport.py
@@ -6,6 +6,7 @@
 from typing import Any
 from unittest import mock
 
+from pewtertack.node.http import transport
 from pewtertack.node.http.reading import ReadingProtocol
 from pewtertack.node.http.transport import (
     FEW_UNSENT,
@@ -178,6 +179,15 @@
                     connected = await connect_socket(*address, 0.05)
                     self.addCleanup(connected.close)
 
+    async def test_one_to_the_same_machine_is_made_without_a_wait(self) -> None:
+        with (
+            socket.create_server(("127.0.0.1", 0)) as listening,
+            mock.patch.object(transport, "_wait_writable", side_effect=AssertionError),
+        ):
+            connected = await connect_socket(*listening.getsockname(), 5.0)
+            self.addCleanup(connected.close)
+            self.assertEqual(connected.getpeername(), listening.getsockname())
+
     async def test_it_comes_from_the_host_that_is_asked_for(self) -> None:
         with socket.create_server(("127.0.0.1", 0)) as listening:
             connected = await connect_socket(*listening.getsockname(), 5.0, "127.0.0.2")
