--- a/src/pewtertack/node/gateway/sending.py
+++ b/src/pewtertack/node/gateway/sending.py
@@ -86,7 +86,7 @@
         """Whether the rest is not sent, since this node stops too early for it."""
         self._turns: BodyTurns | None = None
         """Its place in the line, while it has one."""
-        self._promised = 0.0
+        self._promised = 0
         self._began = 0.0
         self._body_bytes = 0
         """Bytes of the body that came."""
@@ -110,7 +110,7 @@
 
     def _keep_promise(self) -> None:
         self._pacer.share.keep(self._rank, self._promised)
-        self._promised = 0.0
+        self._promised = 0
 
     def leave_by(self, moment: float) -> None:
         """Send the answer before all others: its receiver's node stops at that moment.
@@ -134,7 +134,7 @@
             announced = _announced_length(message)
             # One whose head tells no length is passed on by the other node as it comes.
             self._holds_back = self._holds_back and announced > 0
-            self._length = announced or round(self._promised)
+            self._length = announced or self._promised
             await self._send_head(message)
             return
         await self._send_or_take(message)
--- a/src/pewtertack/routing/link.py
+++ b/src/pewtertack/routing/link.py
@@ -78,8 +78,8 @@
         self._open = False
         """Whether nothing waits any longer."""
         self._arrivals = 0
-        self._promised: dict[Rank, float] = {}
-        """Bytes of long answers that are to come, by rank."""
+        self._promised: dict[Rank, int] = {}
+        """Bytes of long answers that are to come, by rank; whole ones, so that they add up."""
         self._probed_at: dict[str, float] = {}
         """When a request of a route too long was last let through, or first refused."""
         self._sizes: dict[str, float] = {}
@@ -230,17 +230,17 @@
             return
         self._sizes[route] = smoothed(self._sizes.get(route, 0.0), float(size))
 
-    def promise(self, route: str, rank: Rank) -> float:
+    def promise(self, route: str, rank: Rank) -> int:
         """An answer of the route is to come; return the bytes to reckon with, 0 if it is short."""
-        size = self._sizes.get(route, 0.0)
+        size = round(self._sizes.get(route, 0.0))
         if size <= LONG_BYTES:
-            return 0.0
-        self._promised[rank] = self._promised.get(rank, 0.0) + size
+            return 0
+        self._promised[rank] = self._promised.get(rank, 0) + size
         return size
 
-    def keep(self, rank: Rank, promised: float) -> None:
+    def keep(self, rank: Rank, promised: int) -> None:
         """What was promised is in line now, or will not come."""
-        left = self._promised.pop(rank, 0.0) - promised
+        left = self._promised.pop(rank, 0) - promised
         if left > 0:
             self._promised[rank] = left
 
