--- a/src/pewtertack/node/gateway/forwarding.py
+++ b/src/pewtertack/node/gateway/forwarding.py
@@ -108,6 +108,7 @@
         self.request_id = head.request_id
         self._deadline = deadline
         self._headers = without_names(scope["headers"], head, parts.edge.own)
+        self._has_body = head.has_body
         self._body = RequestBody(receive, head.has_body, parts.bodies)
         content = RequestContent(scope, self._headers, self._body)
         self._suspicion = Suspicion(content, parts.reporter, parts.crashes)
@@ -171,7 +172,8 @@
                 end = await self._life.run(self._admit_and_exchange)
         finally:
             self._exchange.forget_owner()
-            self._body.forget()
+            if self._has_body:
+                self._body.forget()
             if self._sender is not None:
                 self._sender.forget()
         if end is LifeEnd.FINISHED:
--- a/src/pewtertack/node/proxy/forwarding.py
+++ b/src/pewtertack/node/proxy/forwarding.py
@@ -350,7 +350,7 @@
             hop.append((ELSEWHERE, b"1"))
         if self._exchange.holds_back:
             hop.append((HOLDS_BACK, b"1"))
-            if not self._may_repeat(now):
+            if self._is_only_here(now):
                 hop.append((ONLY_HERE, b"1"))
         if backend.started_at:
             hop.append((LIFE, b"%d" % backend.started_at))
@@ -359,10 +359,16 @@
             hop.append((GONE_IN, gone_in_text(left).encode()))
         return [*self._headers, *own, *hop]
 
-    def _may_repeat(self, now: float) -> bool:
-        """Tell whether an answer that breaks off could be had elsewhere; else it would be lost."""
+    def _is_only_here(self, now: float) -> bool:
+        """Tell whether a long answer that breaks off could not be had elsewhere.
+
+        Short ones wait for no link, and are not worth the look.
+        """
+        dispatcher = self._parts.dispatcher
+        if not dispatcher.expects_long_answer(self._route.name):
+            return False
         fits = not self._head.chunked and self._head.body_bytes <= REPLAY_BYTES
-        return fits and self._parts.dispatcher.may_repeat(self._ticket, now)
+        return not (fits and dispatcher.may_repeat(self._ticket, now))
 
     def _leave_hung(self, doubt: RawHeaders) -> bool:
         """Learn that the back end has most likely hung on the attempt; tell whether to leave it.
@@ -392,6 +398,8 @@
 
     def _note_answer(self, answer: AnswerHead) -> None:
         self._ticket.queued = answer.queued
+        if answer.failure is None:
+            self._parts.dispatcher.note_length(self._route.name, answer.length)
         if answer.origin is not None:
             told, now = answer.origin, self._parts.clock()
             self._parts.dispatcher.note_origin(self._route.name, told, now)
--- a/src/pewtertack/routing/dispatcher.py
+++ b/src/pewtertack/routing/dispatcher.py
@@ -33,6 +33,7 @@
     ejection_of,
     tells_of_backend,
 )
+from pewtertack.routing.link import LONG_BYTES
 from pewtertack.routing.origins import ORIGIN_WORDS, Origin, OriginBeliefs
 from pewtertack.routing.outcomes import (
     BackendShedError,
@@ -88,6 +89,8 @@
         self._splits = SplitPicker()
         self._patience = CallerPatience()
         self._asks = FurtherAsks(random)
+        self._short_answers: set[str] = set()
+        """Routes whose last answer was short."""
         self.origins = OriginBeliefs()
         """Which routes back ends call while they run other requests."""
 
@@ -134,6 +137,7 @@
         self._splits.keep_only(routes)
         self._patience.keep_only(routes)
         self._asks.keep_only(routes)
+        self._short_answers = {name for name in self._short_answers if name in routes}
         self.origins.keep_only(routes)
         self._budgets.keep_only(services, now)
         self._services = {
@@ -391,6 +395,17 @@
         granted = reason in GRANTED_REASONS
         return RetryDecision(reason, ticket.following(ticket.refusals) if granted else None)
 
+    def note_length(self, route: str, length: int | None) -> None:
+        """An answer of the route announces so many bytes, ``None`` where it tells none."""
+        if length is not None and length <= LONG_BYTES:
+            self._short_answers.add(route)
+        else:
+            self._short_answers.discard(route)
+
+    def expects_long_answer(self, route: str) -> bool:
+        """Tell whether the route's next answer may take a gateway's link for long."""
+        return route not in self._short_answers
+
     def may_leave(self, ticket: Ticket, now: float) -> bool:
         """Tell whether an attempt would now be made elsewhere if its back end hangs on it."""
         return self._policies.hanging is Hanging.LEFT and self.may_repeat(ticket, now)
@@ -400,13 +415,12 @@
         if not ticket.route.repeatable:
             return False
         assert ticket.backend is not None
-        tried = (*ticket.excluded, ticket.backend.name)
-        expected = self.service(ticket.route.service).expected_time(ticket.route.name)
+        service = self.service(ticket.route.service)
         return (
-            ticket.retries < ticket.route.retry_limit
-            and now + expected < ticket.deadline
+            service.has_other((*ticket.excluded, ticket.backend.name), now)
+            and ticket.retries < ticket.route.retry_limit
+            and now + service.expected_time(ticket.route.name) < ticket.deadline
             and self._budgets.of(ticket.service.name, now).left(now, ticket.within) >= 1
-            and self.service(ticket.route.service).has_other(tried, now)
         )
 
     def _next_gateway(self, ticket: Ticket, now: float, replayable: bool) -> RetryDecision:
--- a/src/pewtertack/routing/service.py
+++ b/src/pewtertack/routing/service.py
@@ -66,7 +66,7 @@
 
     def has_other(self, excluded: Container[str], now: float) -> bool:
         """Tell whether a back end that the request has not tried may take it."""
-        return any(item.usable(now) and item.name not in excluded for item in self.backends)
+        return any(item.name not in excluded and item.usable(now) for item in self.backends)
 
     def has_prospect(self, ticket: Ticket, now: float) -> bool:
         """Tell whether asking one more gateway is better than telling the caller to come back."""
