A first attempt tells without asking whether it is the last hope

Change: a service notes with each machine list whether one back end at most takes work; only later attempts, which are few, ask whether another may follow. Lost by it: at a first attempt, other back ends that are listed but ejected, and a budget that is spent, are not seen.

--- a/src/pewtertack/node/proxy/forwarding.py
+++ b/src/pewtertack/node/proxy/forwarding.py
@@ -345,7 +345,9 @@
             hop.append((ELSEWHERE, b"1"))
         if self._exchange.holds_back:
             hop.append((HOLDS_BACK, b"1"))
-            if not self._parts.dispatcher.may_follow(self._ticket, now):
+            # Of a first attempt that is seen without asking: each function called here costs.
+            ticket, dispatcher = self._ticket, self._parts.dispatcher
+            if ticket.lone or (ticket.excluded and not dispatcher.may_follow(ticket, now)):
                 hop.append((ONLY_HERE, b"1"))
         if backend.started_at:
             hop.append((LIFE, b"%d" % backend.started_at))
--- a/src/pewtertack/routing/queueing.py
+++ b/src/pewtertack/routing/queueing.py
@@ -50,6 +50,8 @@
     """Called when a waiting ticket is granted or refused."""
     backend: Backend | None = None
     refusal: RequestFailedError | None = None
+    lone: bool = False
+    """Whether no other back end takes work."""
     trial: bool = False
     started_at: float = 0.0
     expires_at: float = 0.0
--- a/src/pewtertack/routing/service.py
+++ b/src/pewtertack/routing/service.py
@@ -50,6 +50,8 @@
         self._local: list[Backend] = []
         self._remote: list[Backend] = []
         self.has_gateways = False
+        self._lone = False
+        """Whether one back end at most takes work, as the list says."""
         self.mean_time = 0.0
         """Mean seconds of all answers, 0 while unknown."""
         self._route_times: dict[str, float] = {}
@@ -59,6 +61,7 @@
         members = list(backends)
         self._zone = zone
         self.has_gateways = any(item.gateway for item in members)
+        self._lone = sum(item.takes_work for item in members) <= 1
         self._local = [backend for backend in members if backend.zone == zone]
         self._remote = [backend for backend in members if backend.zone != zone]
         if self._settings is not None:
@@ -226,6 +229,7 @@
         self.in_flight += 1
         ticket.trial = backend.health.begin()
         ticket.backend = backend
+        ticket.lone = self._lone
         near = backend.zone == self._zone
         ticket.choice = OWN_ZONE if near else self._why_other_zone(ticket)
         ticket.lateness = _lateness_of(ticket, near or ticket.choice == NONE_IN_ZONE)
