--- a/src/pewtertack/node/gateway/forwarding.py
+++ b/src/pewtertack/node/gateway/forwarding.py
@@ -298,16 +298,21 @@
             await receiving
             self._check_open()  # what was said while it came ended the waiting of others alone
         except asyncio.CancelledError:
-            self._admission.finish(self._ticket, self._parts.clock(), answered=False)
+            self._give_slot_back()
             taken_back, self._taken_back = self._taken_back, None
             if taken_back is None:
                 raise
             taken_back.offered = False
             raise taken_back from None
         except BaseException:
-            self._admission.finish(self._ticket, self._parts.clock(), answered=False)
+            self._give_slot_back()
             raise
 
+    def _give_slot_back(self) -> None:
+        """Nothing has run: how long the body took tells nothing of the back end's time."""
+        self._ticket.started_at = self._parts.clock()
+        self._admission.finish(self._ticket, self._ticket.started_at, answered=False)
+
     async def _exchange_admitted(self) -> None:
         log, request = self._parts.log, self.request_id
         log.admitted(request, self._request.backend, self._ticket, self._admission)
--- a/tests/node/gateway/test_bodies_under_way.py
+++ b/tests/node/gateway/test_bodies_under_way.py
@@ -20,6 +20,7 @@
 from tests.routing.samples import configuration, route
 
 ZONE = "ikeja"
+QUICK = 0.02
 
 
 class SlowRelay(Relay):
@@ -100,6 +101,16 @@
         self.assert_refused(await self.answer_of(task), 503, "not-run")
         self.assertEqual(self.heads, [])
 
+    async def test_the_time_for_which_it_had_its_slot_tells_nothing_of_the_back_end(self) -> None:
+        task = await self.begin()
+        admission = self.gateways[0]._incarnations.get("b0").admission
+        admission._times.note("lookup", QUICK)
+        await asyncio.sleep(5 * QUICK)
+        await self.proxy.withdraw_waiting()
+        self.assert_refused(await self.answer_of(task), 503, "not-run")
+        self.assertEqual(admission.expected_time("lookup"), QUICK)
+        await self.let_body_come()
+
     async def test_nothing_said_it_is_answered(self) -> None:
         task = await self.begin()
         self.relay.go_on.set()
