--- a/tests/node/gateway/test_own_stop.py
+++ b/tests/node/gateway/test_own_stop.py
@@ -13,7 +13,7 @@
 from pewtertack.routing.link import LinkShare
 from pewtertack.routing.patience import Lateness
 from tests.node.gateway.test_gateway import GatewayTestCase, header
-from tests.node.proxy.harness import Answer, answer_bytes, raw_call, request_bytes
+from tests.node.proxy.harness import Answer, answer_bytes, begin_call, raw_call, request_bytes
 from tests.routing.samples import route
 
 DOWNLOAD = 100_000
@@ -24,6 +24,7 @@
 STOP_SECONDS = 0.8
 """One answer leaves in time, and not the second."""
 PATIENCE = 20.0
+CLOSE = b"connection: close\r\n"
 
 
 class OwnStopTestCase(GatewayTestCase):
@@ -61,8 +62,11 @@
         await asyncio.sleep(2 * RUN_SECONDS)
 
     async def call(self, name: str) -> Answer:
+        return await raw_call(self.address, self.request(name), PATIENCE)
+
+    def request(self, name: str) -> bytes:
         headers = (f"x-call: {name}", "x-left: 25000")
-        return await raw_call(self.address, request_bytes("GET", "/", headers=headers), PATIENCE)
+        return request_bytes("GET", "/", headers=headers)
 
     async def answers(self) -> list[tuple[int, int]]:
         async with asyncio.timeout(PATIENCE):
@@ -94,6 +98,25 @@
         self.assertTrue(twice)
         self.assertEqual({(item.status, len(item.body)) for item in twice}, {(200, DOWNLOAD)})
 
+    async def test_what_stands_behind_it_on_its_caller_s_connection_is_answered_in_turn(
+        self,
+    ) -> None:
+        await self.begin(calls=0)
+        names = [f"own-{number}" for number in range(CALLS)]
+        reader, writer = await begin_call(
+            self.address, b"".join(self.request(name).replace(CLOSE, b"") for name in names)
+        )
+        self.addCleanup(writer.close)
+        await self.until_sent(CALLS)
+        self.gateways[0].start_leaving(STOP_SECONDS)
+        async with asyncio.timeout(PATIENCE):
+            for name in names:
+                answer = Answer(await reader.readuntil(b"\r\n\r\n"))
+                answer.body = await reader.readexactly(int(answer.headers["content-length"]))
+                self.assertEqual((answer.status, len(answer.body)), (200, DOWNLOAD))
+                self.assertEqual(answer.headers["x-call"], name)
+        self.assertIn(Event.GATEWAY_GAVE_BACK, self.events)
+
     async def test_what_may_not_be_repeated_is_not_given_back(self) -> None:
         await self.begin(repeatable=False)
         await self.until_sent(CALLS)
