--- a/tests/node/gateway/test_bodies_under_way.py
+++ b/tests/node/gateway/test_bodies_under_way.py
@@ -20,6 +20,7 @@
 from tests.routing.samples import configuration, route
 
 ZONE = "ikeja"
+QUICK = 0.02
 
 
 class SlowRelay(Relay):
@@ -40,7 +41,7 @@
         writer.close()
 
 
-class BodiesUnderWayTest(GatewayTestCase):
+class BodiesUnderWayTestCase(GatewayTestCase):
     """One upload has its slot at the first gateway, and its body is held up before it."""
 
     async def begin(self, *more_backends: Any) -> asyncio.Task[Answer]:
@@ -59,15 +60,20 @@
         self.use_machines(3)
         return task
 
+    async def let_body_come(self) -> None:
+        self.relay.go_on.set()
+        await asyncio.sleep(0.1)
+
     async def answer_of(self, task: asyncio.Task[Answer]) -> Answer:
         return await asyncio.wait_for(task, FEW_SECONDS)
 
+
+class BodiesUnderWayTest(BodiesUnderWayTestCase):
     async def test_a_stopping_proxy_takes_it_back(self) -> None:
         task = await self.begin()
         await self.proxy.withdraw_waiting()
         self.assert_refused(await self.answer_of(task), 503, "not-run")
-        self.relay.go_on.set()
-        await asyncio.sleep(0.1)
+        await self.let_body_come()
         self.assertEqual(self.heads, [])
 
     async def test_a_stopping_gateway_gives_it_back_and_another_answers(self) -> None:
@@ -75,6 +81,7 @@
         self.gateways[0].start_draining()
         await self.gateways[0].withdraw_waiting()
         self.assertEqual((await self.answer_of(task)).status, 200)
+        await self.let_body_come()
         self.assertEqual([header(head, "x-wanted") for head in self.heads], ["b1"])
 
     async def test_a_back_end_that_leaves_meanwhile_does_not_get_it(self) -> None:
@@ -94,6 +101,16 @@
         self.assert_refused(await self.answer_of(task), 503, "not-run")
         self.assertEqual(self.heads, [])
 
+    async def test_the_time_for_which_it_had_its_slot_tells_nothing_of_the_back_end(self) -> None:
+        task = await self.begin()
+        admission = self.gateways[0]._incarnations.get("b0").admission
+        admission._times.note("lookup", QUICK)
+        await asyncio.sleep(5 * QUICK)
+        await self.proxy.withdraw_waiting()
+        self.assert_refused(await self.answer_of(task), 503, "not-run")
+        self.assertEqual(admission.expected_time("lookup"), QUICK)
+        await self.let_body_come()
+
     async def test_nothing_said_it_is_answered(self) -> None:
         task = await self.begin()
         self.relay.go_on.set()
