A connection that was made is not given up since the loop was held up

Cause: a node's loop looks at its sockets before every second round only. After a round as long as the time allowed for a connection the timer came before the look, and the connection, made long since, was given up: the gateway counted as out of reach and was asked nothing for 0.4 s.

Change: the timer looks at the socket itself first.

Test: test_one_that_is_there_is_not_given_up_since_the_loop_was_held_up, TimeoutError before. Found while reasoning about one call of six that ended 502 at a stop (tests.node.gateway. test_own_stop); it is not its cause, that test runs on a loop that looks before each round.

--- a/src/pewtertack/node/http/transport.py
+++ b/src/pewtertack/node/http/transport.py
@@ -12,6 +12,7 @@
 import asyncio
 import contextlib
 import errno
+import select
 import socket
 
 from pewtertack.node.http.reading import ReadingProtocol, buffer
@@ -289,7 +290,7 @@
     loop = asyncio.get_running_loop()
     writable: asyncio.Future[None] = loop.create_future()
     loop.add_writer(connected.fileno(), _settle, writable, None)
-    timer = loop.call_later(timeout, _settle, writable, TimeoutError())
+    timer = loop.call_later(timeout, _give_up, writable, connected)
     try:
         await writable
     finally:
@@ -297,6 +298,13 @@
         loop.remove_writer(connected.fileno())
 
 
+def _give_up(writable: asyncio.Future[None], connected: socket.socket) -> None:
+    """End the wait, unless the loop was held up and has not looked at the socket since."""
+    looked = select.poll()
+    looked.register(connected, select.POLLOUT)
+    _settle(writable, None if looked.poll(0) else TimeoutError())
+
+
 def _settle(writable: asyncio.Future[None], problem: OSError | None) -> None:
     if writable.done():
         return
--- a/tests/node/http/test_transport.py
+++ b/tests/node/http/test_transport.py
@@ -1,11 +1,15 @@
 """A socket in the event loop: bytes that wait, ends from either side, failures."""
 
 import asyncio
+import contextlib
 import socket
+import time
 import unittest
+from collections.abc import Iterator
 from typing import Any
 from unittest import mock
 
+from pewtertack.node.event_loop import SuspendedTimeLoop
 from pewtertack.node.http.reading import ReadingProtocol
 from pewtertack.node.http.transport import (
     FEW_UNSENT,
@@ -50,6 +54,12 @@
         self.lost.set_result(exc)
 
 
+@contextlib.contextmanager
+def listening() -> Iterator[tuple[str, int]]:
+    with socket.create_server(("127.0.0.1", 0)) as listener:
+        yield listener.getsockname()
+
+
 class StreamTransportTest(unittest.IsolatedAsyncioTestCase):
     async def asyncSetUp(self) -> None:
         self.loop = asyncio.get_running_loop()
@@ -178,6 +188,23 @@
                     connected = await connect_socket(*address, 0.05)
                     self.addCleanup(connected.close)
 
+    def test_one_that_is_there_is_not_given_up_since_the_loop_was_held_up(self) -> None:
+        """What nodes saw: a gateway taken to be out of reach, and left alone, that had answered.
+
+        Cause: the loop of a node looks at sockets before every second round only; after a round
+        as long as the time for the connection the timer came before the look.
+        """
+        with asyncio.Runner(loop_factory=SuspendedTimeLoop) as runner, listening() as address:
+            for rounds in range(4):
+                runner.run(self.connect_while_held_up(address, rounds))
+
+    async def connect_while_held_up(self, address: tuple[str, int], rounds: int) -> None:
+        for _ in range(rounds):
+            await asyncio.sleep(0)
+        connecting = asyncio.create_task(connect_socket(*address, timeout=0.05))
+        asyncio.get_running_loop().call_soon(time.sleep, 0.1)  # in the same round, behind it
+        (await connecting).close()
+
     async def test_it_comes_from_the_host_that_is_asked_for(self) -> None:
         with socket.create_server(("127.0.0.1", 0)) as listening:
             connected = await connect_socket(*listening.getsockname(), 5.0, "127.0.0.2")
