A gateway whose answer broke off is asked again where the last untried one refuses

Cause: a retry goes to a gateway that was not tried yet. If that one refuses, as one does that stops, and all have been tried then, the request ended 502 with its retry granted and a gateway there that answers.

Change: a ticket knows which gateways have refused the request. One that has broken it off is better than none and may be asked again; what has refused comes last. Refusals stay bounded by three, and the attempt is the one that limit and budget granted.

--- a/src/pewtertack/routing/choice.py
+++ b/src/pewtertack/routing/choice.py
@@ -98,6 +98,9 @@
     patience: float
     """How long the request may wait in its own zone, where no bytes cross zones."""
     excluded: Container[str]
+    """Those that earlier attempts have tried."""
+    refused: Container[str] = NONE_EXCLUDED
+    """Those of them that have refused it."""
 
 
 def choose_gateway(
@@ -113,12 +116,14 @@
     one they believe free, and reports are old where each sender has many to hear from.
     The own zone is left only when the wait there is too long and elsewhere it is not:
     an answer that is late all the same is not worth the bytes between zones.
-    Back ends in ``wish.excluded`` are taken only when no other is usable.
+    Back ends in ``wish.excluded`` are taken only when no other is usable, and those in
+    ``wish.refused`` last: what has refused a request will do so again.
     """
     chosen = _choose_untried(local, remote, wish, now, random)
-    if chosen is None and wish.excluded:
-        anyone = msgspec.structs.replace(wish, excluded=NONE_EXCLUDED)
-        chosen = _choose_untried(local, remote, anyone, now, random)
+    for excluded in (wish.refused, NONE_EXCLUDED):
+        if chosen is None and wish.excluded:
+            others = msgspec.structs.replace(wish, excluded=excluded)
+            chosen = _choose_untried(local, remote, others, now, random)
     return chosen
 
 
--- a/src/pewtertack/routing/dispatcher.py
+++ b/src/pewtertack/routing/dispatcher.py
@@ -418,7 +418,8 @@
             return RetryDecision(RetryReason.NO_TIME)
         following = ticket.following(refusals)
         service = self.service(ticket.route.service)
-        if refusals >= MAXIMUM_REFUSALS or not service.has_other(following.excluded, now):
+        # One that has broken the request off is better than none: the attempt was granted.
+        if refusals >= MAXIMUM_REFUSALS or not service.has_other(following.refused, now):
             return RetryDecision(RetryReason.NO_GATEWAY)
         if following.within:
             return RetryDecision(RetryReason.NEXT_GATEWAY, following)
--- a/src/pewtertack/routing/queueing.py
+++ b/src/pewtertack/routing/queueing.py
@@ -46,6 +46,8 @@
     deadline: float
     excluded: tuple[str, ...] = ()
     """Back ends that earlier attempts of the request have tried."""
+    refused: tuple[str, ...] = ()
+    """Those of them whose gateways refused it, or were not reached."""
     wake: Callable[[], None] = _nobody_waits
     """Called when a waiting ticket is granted or refused."""
     backend: Backend | None = None
@@ -96,7 +98,9 @@
         """Return the ticket of one more attempt, after so many that no back end has seen."""
         assert self.backend is not None
         excluded = (*self.excluded, self.backend.name)
-        ticket = Ticket(self.route, self.service, self.deadline, excluded, self.wake)
+        newly = (self.backend.name,) if refusals > self.refusals else ()
+        refused = (*self.refused, *newly)
+        ticket = Ticket(self.route, self.service, self.deadline, excluded, refused, self.wake)
         ticket.refusals = refusals
         ticket.arrived_at = self.arrived_at
         ticket.body_bytes = self.body_bytes
--- a/src/pewtertack/routing/service.py
+++ b/src/pewtertack/routing/service.py
@@ -75,7 +75,7 @@
         return any(
             item.expected_wait(now, self.mean_time) <= 0
             for item in self.backends
-            if item.usable(now) and item.name not in ticket.excluded
+            if item.usable(now) and item.name not in ticket.refused
         )
 
     def may_reach(self, now: float) -> bool:
@@ -239,7 +239,7 @@
         patience = patient_until - now - expected * UNCERTAINTY
         if ticket.caller_may_come_back and ticket.body_bytes <= LARGE_BODY:
             patience = min(patience, CROSSING_SHARE * ticket.route.objective)
-        return Wish(expected, self.mean_time, max(0.0, patience), ticket.excluded)
+        return Wish(expected, self.mean_time, max(0.0, patience), ticket.excluded, ticket.refused)
 
     def _why_other_zone(self, ticket: Ticket) -> str:
         if not any(item.name not in ticket.excluded for item in self._local):
--- a/tests/node/gateway/test_own_stop.py
+++ b/tests/node/gateway/test_own_stop.py
@@ -37,10 +37,14 @@
     async def begin(self, calls: int = CALLS, **changes: Any) -> None:
         async def script(reader: Any, writer: Any, head: str) -> bool:
             await asyncio.sleep(self.run_seconds)
+            if self.breaks_next.pop(header(head, "x-wanted"), False):
+                return False
             name = header(head, "x-call").encode()
             writer.write(answer_bytes(b"x" * DOWNLOAD, b"x-call: " + name))
             return True
 
+        self.breaks_next: dict[str, bool] = {}
+        """Back ends that break their next answer off."""
         usual = {"timeout": 30.0, "target_latency": 25.0, "repeatable": True}
         address = await self.start_fleet(
             *[script] * self.backends, slots=self.slots, **usual | changes
@@ -129,6 +133,26 @@
         await self.assert_none_given_back()
 
 
+class BrokenOnceTest(OwnStopTestCase):
+    """One gateway stops; an attempt at the only other one is broken off once."""
+
+    async def test_it_is_asked_again_when_the_one_that_stops_refuses(self) -> None:
+        """What callers saw: 502, with a retry left and a gateway there that answers.
+
+        Cause: the retry went to the gateway that was not tried yet. That one refused, and as all
+        had been tried then, the request ended.
+        """
+        await self.begin(calls=0)
+        for number in range(CALLS):
+            self.assertEqual((await self.call(f"first-{number}")).status, 200)
+        self.gateways[0].start_leaving(0.0)
+        stopping, _ = self.proxy._parts.dispatcher.service("logbook").backends
+        stopping.slowness = 8.0  # so that the other one is tried first
+        self.breaks_next["b1"] = True
+        self.assertEqual((await self.call("own")).status, 200)
+        self.assertEqual(self.breaks_next, {})
+
+
 class FullBackendTest(OwnStopTestCase):
     """One gateway, whose back end has one slot: a call waits for it when the stop begins."""
 
