A test of a gateway's own stop prints what its nodes told

When one of its calls ended 502 nothing was kept that tells why. Its nodes tell for each failed attempt how it failed and why it was or wasn't repeated; the test now prints that where an answer is missing. What it asks is unchanged.

--- a/tests/node/gateway/test_own_stop.py
+++ b/tests/node/gateway/test_own_stop.py
@@ -10,6 +10,7 @@
 from pewtertack.node.gateway.hop import HOLDS_BACK, hop_headers, read_hop
 from pewtertack.node.pacing import LinkPacer
 from pewtertack.node.proxy.body import REPLAY_BYTES
+from pewtertack.node.proxy.request_log import RecordEvent
 from pewtertack.routing.link import LinkShare
 from pewtertack.routing.patience import Lateness
 from tests.node.gateway.test_gateway import GatewayTestCase, header
@@ -51,12 +52,28 @@
         )
         self.address = address
         self.events: list[Event] = []
-        for gateway in self.gateways:
-            gateway._log._record = lambda event, **_: self.events.append(event)
+        """What the gateways have told."""
+        self.story: list[str] = []
+        """What all nodes have told, and when: an attempt that failed says why."""
+        self.proxy._request_log._record = self.recorder("proxy")
+        for gateway, machine in zip(self.gateways, self.machines, strict=True):
+            gateway._log._record = self.recorder(machine.name)
             pacer = LinkPacer(time.monotonic, LinkShare(MEGABITS))
             gateway._parts = msgspec.structs.replace(gateway._parts, pacer=pacer)
         self.start_calls(calls)
 
+    def recorder(self, node: str) -> RecordEvent:
+        def record(event: Event, **fields: Any) -> None:
+            if node != "proxy":
+                self.events.append(event)
+            self.story.append(f"{time.monotonic():.3f} {node} {event.name} {fields}")
+
+        return record
+
+    def assert_all_answered(self, answers: list[tuple[int, int]]) -> None:
+        expected = [(200, DOWNLOAD)] * len(self.calls)
+        self.assertEqual(answers, expected, "\n".join(["", *self.story]))
+
     def start_calls(self, count: int) -> None:
         self.calls = [asyncio.create_task(self.call(f"own-{n}")) for n in range(count)]
         self.addCleanup(lambda: [task.cancel() for task in self.calls])
@@ -88,13 +105,13 @@
         await asyncio.sleep(0.2)
         self.assertIn(Event.GATEWAY_GAVE_BACK, self.events)
         self.assertLessEqual(self.gateways[0].in_flight, 1)
-        self.assertEqual(await self.answers(), [(200, DOWNLOAD)] * CALLS)
+        self.assert_all_answered(await self.answers())
 
     async def test_what_may_not_be_repeated_is_not_given_back(self) -> None:
         await self.begin(repeatable=False)
         await self.until_sent(CALLS)
         self.gateways[0].start_leaving(STOP_SECONDS)
-        self.assertEqual(await self.answers(), [(200, DOWNLOAD)] * CALLS)
+        self.assert_all_answered(await self.answers())
         self.assertNotIn(Event.GATEWAY_GAVE_BACK, self.events)
         self.assertEqual(len(self.heads), CALLS)
 
@@ -105,7 +122,7 @@
     async def assert_none_given_back(self) -> None:
         await self.until_sent(CALLS)
         self.gateways[0].start_leaving(STOP_SECONDS)
-        self.assertEqual(await self.answers(), [(200, DOWNLOAD)] * CALLS)
+        self.assert_all_answered(await self.answers())
         self.assertNotIn(Event.GATEWAY_GAVE_BACK, self.events)
 
     async def test_the_only_gateway_gives_nothing_back(self) -> None:
