--- a/tests/node/proxy/test_failures.py
+++ b/tests/node/proxy/test_failures.py
@@ -105,6 +105,40 @@
         self.assertTrue(shedding.calls)
         self.assertEqual(shedding.connections, 1)
 
+    async def test_a_body_that_still_comes_is_sent_whole_after_an_early_answer_broke_off(
+        self,
+    ) -> None:
+        """What callers would see: 504 at their deadline instead of an answer. Found by reading.
+
+        Cause: the rest of a request's body was dropped as soon as the head of an answer had come,
+        since no other attempt was expected then. One whose answer breaks off is repeated.
+        """
+        begun = asyncio.Event()
+
+        async def break_off_early(reader: Any, writer: Any, head: str) -> bool:
+            if not begun.is_set():
+                lines = b"x-request-id: " + request_id_of(head)
+                writer.write(answer_bytes(b"ok", lines)[:-1])
+                begun.set()
+                await go_on.wait()
+                return False
+            return await answer_well(reader, writer, head)
+
+        go_on = asyncio.Event()
+        address = await self.start(
+            RawBackend(break_off_early), RawBackend(break_off_early), settings=REPEATABLE
+        )
+        raw = request_bytes("POST", "/", b"p" * 1000)
+        reader, writer = await begin_call(address, raw[:-600])
+        await begun.wait()
+        for part in (raw[-600:-300], raw[-300:]):
+            await asyncio.sleep(0.05)
+            writer.write(part)
+        await asyncio.sleep(0.05)
+        go_on.set()
+        self.assertEqual(Answer(await reader.read()).status, 200)
+        writer.close()
+
     async def test_a_large_body_is_not_replayed_and_the_caller_is_told_not_run(self) -> None:
         shedding = RawBackend(shed)
         address = await self.start(shedding, settings=REPEATABLE)
