Tests: what may not be repeated and can't leave before a stop is refused before it runs

By the gateway that stops, by the gateway of a node that stops, and while it waits for its slot as its sender is told to stop. They pass without a change: that end of the list of what is left is whole where lengths are known.

--- a/tests/node/gateway/test_own_stop.py
+++ b/tests/node/gateway/test_own_stop.py
@@ -24,6 +24,8 @@
 CALLS = 6
 STOP_SECONDS = 0.8
 """One answer leaves in time, and not the second."""
+OWN_SECONDS = 0.4
+"""Too short for an answer, though nothing else is on the link."""
 PATIENCE = 20.0
 
 
@@ -170,6 +172,44 @@
         self.assertEqual(self.breaks_next, {})
 
 
+class TooLongTest(OwnStopTestCase):
+    """What may not be repeated and is known to be too long is refused before it runs."""
+
+    backends = 1
+
+    async def begin_known(self) -> None:
+        """Let the gateway learn how long answers are."""
+        await self.begin(repeatable=False, calls=0)
+        for number in range(3):
+            self.assertEqual((await self.call(f"known-{number}")).status, 200)
+        self.heads.clear()
+
+    async def test_by_the_gateway_that_stops(self) -> None:
+        await self.begin_known()
+        self.gateways[0].start_leaving(OWN_SECONDS)
+        self.assert_refused(await self.call("own"), 503, "not-run")
+        self.assertEqual(self.heads, [])
+
+    async def test_by_the_gateway_of_a_node_that_stops(self) -> None:
+        await self.begin_known()
+        self.proxy.start_leaving(OWN_SECONDS)
+        self.assert_refused(await self.call("own"), 503, "not-run")
+        self.assertEqual(self.heads, [])
+
+    async def test_while_it_waits_for_its_slot_and_its_sender_is_told_to_stop(self) -> None:
+        self.slots, self.run_seconds = 1, 0.3
+        await self.begin_known()
+        running = asyncio.create_task(self.call("running"))
+        await asyncio.sleep(0.05)
+        waiting = asyncio.create_task(self.call("waiting"))
+        await asyncio.sleep(0.05)
+        self.proxy.start_leaving(STOP_SECONDS)
+        await self.proxy.announce_stop()
+        self.assert_refused(await waiting, 503, "not-run")
+        self.assertEqual((await running).status, 200)
+        self.assertEqual(len(self.heads), 1)
+
+
 class FullBackendTest(OwnStopTestCase):
     """One gateway, whose back end has one slot: a call waits for it when the stop begins."""
 
