--- a/tests/node/gateway/test_own_stop.py
+++ b/tests/node/gateway/test_own_stop.py
@@ -11,6 +11,7 @@
 from pewtertack.node.gateway.sending import HELD_BYTES
 from pewtertack.node.pacing import LinkPacer
 from pewtertack.node.proxy.body import REPLAY_BYTES
+from pewtertack.node.proxy.request_log import RecordEvent
 from pewtertack.routing.link import LinkShare
 from pewtertack.routing.patience import Lateness
 from tests.node.gateway.test_gateway import GatewayTestCase, header
@@ -24,6 +25,8 @@
 CALLS = 6
 STOP_SECONDS = 0.8
 """One answer leaves in time, and not the second."""
+OWN_SECONDS = 0.4
+"""Too short for an answer, though nothing else is on the link."""
 PATIENCE = 20.0
 CLOSE = b"connection: close\r\n"
 
@@ -40,22 +43,42 @@
     async def begin(self, calls: int = CALLS, **changes: Any) -> None:
         async def script(reader: Any, writer: Any, head: str) -> bool:
             await asyncio.sleep(self.run_seconds)
+            if self.breaks_next.pop(header(head, "x-wanted"), False):
+                return False
             name = header(head, "x-call").encode()
             writer.write(answer_bytes(b"x" * self.size, b"x-call: " + name))
             return True
 
+        self.breaks_next: dict[str, bool] = {}
+        """Back ends that break their next answer off."""
         usual = {"timeout": 30.0, "target_latency": 25.0, "repeatable": True}
         address = await self.start_fleet(
             *[script] * self.backends, slots=self.slots, **usual | changes
         )
         self.address = address
         self.events: list[Event] = []
-        for gateway in self.gateways:
-            gateway._log._record = lambda event, **_: self.events.append(event)
+        """What the gateways have told."""
+        self.story: list[str] = []
+        """What all nodes have told, and when: an attempt that failed says why."""
+        self.proxy._request_log._record = self.recorder("proxy")
+        for gateway, machine in zip(self.gateways, self.machines, strict=True):
+            gateway._log._record = self.recorder(machine.name)
             pacer = LinkPacer(time.monotonic, LinkShare(MEGABITS))
             gateway._parts = msgspec.structs.replace(gateway._parts, pacer=pacer)
         self.start_calls(calls)
 
+    def recorder(self, node: str) -> RecordEvent:
+        def record(event: Event, **fields: Any) -> None:
+            if node != "proxy":
+                self.events.append(event)
+            self.story.append(f"{time.monotonic():.3f} {node} {event.name} {fields}")
+
+        return record
+
+    def assert_all_answered(self, answers: list[tuple[int, int]]) -> None:
+        expected = [(200, DOWNLOAD)] * len(self.calls)
+        self.assertEqual(answers, expected, "\n".join(["", *self.story]))
+
     def start_calls(self, count: int) -> None:
         self.calls = [asyncio.create_task(self.call(f"own-{n}")) for n in range(count)]
         self.addCleanup(lambda: [task.cancel() for task in self.calls])
@@ -89,7 +112,7 @@
         await asyncio.sleep(0.2)
         self.assertIn(Event.GATEWAY_GAVE_BACK, self.events)
         self.assertLessEqual(self.gateways[0].in_flight, 1)
-        self.assertEqual(await self.answers(), [(200, DOWNLOAD)] * CALLS)
+        self.assert_all_answered(await self.answers())
 
     async def test_what_was_given_back_once_is_not_given_back_by_the_last_gateway_too(self) -> None:
         """Two gateways stop one after the other: who comes from the first has no other to ask."""
@@ -127,7 +150,7 @@
         await self.begin(repeatable=False)
         await self.until_sent(CALLS)
         self.gateways[0].start_leaving(STOP_SECONDS)
-        self.assertEqual(await self.answers(), [(200, DOWNLOAD)] * CALLS)
+        self.assert_all_answered(await self.answers())
         self.assertNotIn(Event.GATEWAY_GAVE_BACK, self.events)
         self.assertEqual(len(self.heads), CALLS)
 
@@ -161,7 +184,7 @@
     async def assert_none_given_back(self) -> None:
         await self.until_sent(CALLS)
         self.gateways[0].start_leaving(STOP_SECONDS)
-        self.assertEqual(await self.answers(), [(200, DOWNLOAD)] * CALLS)
+        self.assert_all_answered(await self.answers())
         self.assertNotIn(Event.GATEWAY_GAVE_BACK, self.events)
 
     async def test_the_only_gateway_gives_nothing_back(self) -> None:
@@ -189,6 +212,64 @@
         await self.assert_none_given_back()
 
 
+class BrokenOnceTest(OwnStopTestCase):
+    """One gateway stops; an attempt at the only other one is broken off once."""
+
+    async def test_it_is_asked_again_when_the_one_that_stops_refuses(self) -> None:
+        """What callers saw: 502, with a retry left and a gateway there that answers.
+
+        Cause: the retry went to the gateway that was not tried yet. That one refused, and as all
+        had been tried then, the request ended.
+        """
+        await self.begin(calls=0)
+        for number in range(CALLS):
+            self.assertEqual((await self.call(f"first-{number}")).status, 200)
+        self.gateways[0].start_leaving(0.0)
+        stopping, _ = self.proxy._parts.dispatcher.service("logbook").backends
+        stopping.slowness = 8.0  # so that the other one is tried first
+        self.breaks_next["b1"] = True
+        self.assertEqual((await self.call("own")).status, 200)
+        self.assertEqual(self.breaks_next, {})
+
+
+class TooLongTest(OwnStopTestCase):
+    """What may not be repeated and is known to be too long is refused before it runs."""
+
+    backends = 1
+
+    async def begin_known(self) -> None:
+        """Let the gateway learn how long answers are."""
+        await self.begin(repeatable=False, calls=0)
+        for number in range(3):
+            self.assertEqual((await self.call(f"known-{number}")).status, 200)
+        self.heads.clear()
+
+    async def test_by_the_gateway_that_stops(self) -> None:
+        await self.begin_known()
+        self.gateways[0].start_leaving(OWN_SECONDS)
+        self.assert_refused(await self.call("own"), 503, "not-run")
+        self.assertEqual(self.heads, [])
+
+    async def test_by_the_gateway_of_a_node_that_stops(self) -> None:
+        await self.begin_known()
+        self.proxy.start_leaving(OWN_SECONDS)
+        self.assert_refused(await self.call("own"), 503, "not-run")
+        self.assertEqual(self.heads, [])
+
+    async def test_while_it_waits_for_its_slot_and_its_sender_is_told_to_stop(self) -> None:
+        self.slots, self.run_seconds = 1, 0.3
+        await self.begin_known()
+        running = asyncio.create_task(self.call("running"))
+        await asyncio.sleep(0.05)
+        waiting = asyncio.create_task(self.call("waiting"))
+        await asyncio.sleep(0.05)
+        self.proxy.start_leaving(STOP_SECONDS)
+        await self.proxy.announce_stop()
+        self.assert_refused(await waiting, 503, "not-run")
+        self.assertEqual((await running).status, 200)
+        self.assertEqual(len(self.heads), 1)
+
+
 class FullBackendTest(OwnStopTestCase):
     """One gateway, whose back end has one slot: a call waits for it when the stop begins."""
 
