A reader that takes over long after a return holds nothing against the store

Cause: for how long an era has been known was the adapter's alone; one that reads for the first time took the era for new, so an evacuation that ended while readers changed was held for hold_after_return (6 s). Change: a read tells since when its node has known the era, by whomever; the earlier moment counts. Test: test_returned_evacuations, a_reader_that_takes_over_long_after_a_return (failed before).

--- a/src/pewtertack/core/effects.py
+++ b/src/pewtertack/core/effects.py
@@ -37,6 +37,8 @@
     """A cheaper answer that is some seconds old will do, if the platform gives such."""
     era: int = 0
     """The latest era of the source that this node has heard of (`core.eras`)."""
+    era_since: float = 0.0
+    """When the node heard of it, in monotonic seconds."""
     evacuated: tuple[str, ...] = ()
     """The zones that the held tree names as evacuated."""
     ended: Mapping[str, int] = {}
--- a/src/pewtertack/core/replication/reader.py
+++ b/src/pewtertack/core/replication/reader.py
@@ -25,6 +25,8 @@
 
     era: int = 0
     """The latest era of the source that the node has heard of."""
+    era_since: float = 0.0
+    """When the node heard of it, in monotonic seconds."""
     evacuated: tuple[str, ...] = ()
     """The zones that the held tree names as evacuated."""
     ended: Mapping[str, int] = {}
@@ -143,6 +145,7 @@
             self._wait(kind, may_be_stale),
             may_be_stale,
             of_source.era,
+            of_source.era_since,
             of_source.evacuated,
             of_source.ended,
             of_source.held,
--- a/src/pewtertack/core/replication/service.py
+++ b/src/pewtertack/core/replication/service.py
@@ -80,6 +80,7 @@
         self.machine_list = MachineListReplica(self._source.hold_after_return)
         self.era = 0
         """The latest era of the source that this node has heard of."""
+        self._era_since = now
         self._ended = EndedEvacuations()
         self._away = math.inf
         """Seconds between the source's last word and the first of this era."""
@@ -164,9 +165,10 @@
         """Return what a read is told, in era 0 too: the read may be the first of a new one."""
         held = self.replica.held
         if held.number == 0:
-            return HeldOfSource(self.era)
+            return HeldOfSource(self.era, self._era_since)
         tree, ended = self.replica.store.document, dict(self._ended.ended)
-        return HeldOfSource(self.era, self._evacuated(), ended, held, tree)
+        evacuated = self._evacuated()
+        return HeldOfSource(self.era, self._era_since, evacuated, ended, held, tree)
 
     def _evacuated(self) -> tuple[str, ...]:
         """Return the zones that the held tree names."""
@@ -258,6 +260,7 @@
         """A machine list of this number exists: its era has begun."""
         if era_of(number) > self.era:
             self.era = era_of(number)
+            self._era_since = now
             self._away = self.freshness.age(now, DocumentKind.MACHINE_LIST)
 
     def _hear_ages(self, now: float, heartbeat: ReaderHeartbeat) -> None:
--- a/src/pewtertack/platform/store.py
+++ b/src/pewtertack/platform/store.py
@@ -158,11 +158,17 @@
     def _lacks_change(self, effect: ReadDocument, mirror: Mirror) -> bool:
         if effect.kind is not DocumentKind.CONFIGURATION:
             return False
-        return lacks_change(effect, mirror, self._holds())
+        return lacks_change(effect, mirror, self._holds(effect))
 
-    def _holds(self) -> bool:
-        """Tell whether the era has begun so shortly ago that what was known before it holds."""
-        return self._now() < self._era.since + self._hold_after_return
+    def _holds(self, effect: ReadDocument) -> bool:
+        """Tell whether the era has begun so shortly ago that what was known before it holds.
+
+        This node may have read nothing of it for long and have heard of it by others.
+        """
+        since = self._era.since
+        if effect.era == self._era.number:
+            since = min(since, effect.era_since)
+        return self._now() < since + self._hold_after_return
 
     async def _refresh(self, mirror: Mirror, wait: float) -> bool:
         if mirror.at == 0 or mirror.era != self._era.known:
@@ -246,7 +252,8 @@
         self, effect: ReadDocument, mirror: Mirror, stale: bool = False
     ) -> DocumentRead | DocumentUnchanged:
         if effect.kind is DocumentKind.CONFIGURATION:
-            return tree_document(effect, mirror, CONFIGURATION_KEY, tree_of, self._holds(), stale)
+            holds = self._holds(effect)
+            return tree_document(effect, mirror, CONFIGURATION_KEY, tree_of, holds, stale)
         entries = mirror.by_age(BACKENDS_PREFIX)
         made = {name: mirror.made.get(BACKENDS_PREFIX + name, 0) for name in entries}
         machines, findings = machines_of(entries, self._gateway_port, self._peer_port, made)
--- a/tests/platform/test_returned_evacuations.py
+++ b/tests/platform/test_returned_evacuations.py
@@ -11,6 +11,8 @@
 from tests.platform.returning_fleet import ReturningFleet, configuration, entry
 
 USUAL_BOUND = 1.5
+TAKEN_OVER = 2.0
+"""Seconds until another node reads in place of one that has ended."""
 
 
 class ReturnedEvacuationsTest(unittest.IsolatedAsyncioTestCase):
@@ -112,6 +114,19 @@
             self.store.put("servers/i-1", entry(1))
         self.assertEqual(self.evacuated(), [{"garia"}] * 3)
 
+    async def test_a_reader_that_takes_over_long_after_a_return_holds_nothing_against_the_store(
+        self,
+    ) -> None:
+        self.store.put("op/evacuate/garia", b"{}")
+        await self.fleet.run(USUAL_BOUND)
+        await self.come_back(self.store.copy())
+        await self.fleet.run(self.fleet.hold_after_return + 4.0)
+        self.assertEqual(self.evacuated(), [{"garia"}] * 3)
+        self.stop_readers()
+        self.store.remove("op/evacuate/garia")
+        await self.fleet.run(TAKEN_OVER + USUAL_BOUND)
+        self.assertEqual(self.evacuated(), [set()] * 2)
+
     async def test_edits_written_again_one_by_one_and_one_made_before_all_are(self) -> None:
         copy = self.store.copy()
         for version in (13, 14):
