--- a/src/pewtertack/cli/lab.py
+++ b/src/pewtertack/cli/lab.py
@@ -276,3 +276,18 @@
 
     switch_off(without)
     raise typer.Exit(run_node(["--settings", str(settings)]))
+
+
+@app.command(hidden=True)
+def era_node(
+    settings: Annotated[Path, typer.Option(help="The node's settings file.")],
+    without: Annotated[str, typer.Option(help="The mechanism that is switched off.")] = "",
+) -> None:
+    """Run a node that reads the eras of the lab's platform."""
+    from pewtertack.lab.source.era_reader import make_era_reader
+    from pewtertack.lab.weakening import switch_off
+    from pewtertack.node.start import start_node
+
+    if without:
+        switch_off(without)
+    raise typer.Exit(start_node(str(settings), {}, make_era_reader))
--- a/src/pewtertack/lab/fleet/fleet.py
+++ b/src/pewtertack/lab/fleet/fleet.py
@@ -230,13 +230,15 @@
 
     async def leave_by_list(self, backend: str) -> None:
         """Mark a back end as leaving in the machine list only; it does not say so itself."""
-        self.recorder.record(BackendLeaving(time=time.time(), backend=backend))
-        await self.platform.mark_leaving(backend)
+        async with self.platform.writing:
+            self.recorder.record(BackendLeaving(time=time.time(), backend=backend))
+            await self.platform.mark_leaving(backend)
 
     async def stay_by_list(self, backend: str) -> None:
         """Mark a back end that was leaving as live again in the machine list."""
-        self.recorder.record(BackendReturn(time=time.time(), backend=backend))
-        await self.platform.add_machine(backend)
+        async with self.platform.writing:
+            self.recorder.record(BackendReturn(time=time.time(), backend=backend))
+            await self.platform.add_machine(backend)
 
     async def kill_backend_process(self, name: str) -> None:
         """Kill the process of a back end (SIGKILL)."""
--- a/src/pewtertack/lab/fleet/plan.py
+++ b/src/pewtertack/lab/fleet/plan.py
@@ -39,6 +39,8 @@
     """A process for each back end rather than for each service."""
     without: str = ""
     """A mechanism that is switched off in all nodes, see ``lab.weakening``."""
+    eras: bool = False
+    """Nodes read the eras of the platform's services (`lab.source.era_reader`)."""
     nodes_without_proxy: tuple[str, ...] = ()
     """Names of nodes that only replicate."""
     gateways: bool = False
--- a/src/pewtertack/lab/fleet/platform.py
+++ b/src/pewtertack/lab/fleet/platform.py
@@ -4,16 +4,17 @@
 
 import time
 from collections.abc import Mapping
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from typing import Any
 
+import anyio
 import msgspec
 
 from pewtertack.core.configuration.validation import check_document
 from pewtertack.core.revision import digest_of
 from pewtertack.lab.fleet.control import ControlClient
 from pewtertack.lab.fleet.history import HistoryRecorder
-from pewtertack.lab.fleet.plan import FleetPlan
+from pewtertack.lab.fleet.plan import FleetPlan, ServicePlan
 from pewtertack.lab.platform.application import Counters
 from pewtertack.lab.platform.store import Availability, Faults
 from pewtertack.lab.records import Edit, SourceFault
@@ -34,6 +35,8 @@
     plan: FleetPlan
     client: ControlClient
     recorder: HistoryRecorder
+    writing: anyio.Lock = field(default_factory=anyio.Lock)
+    """Held while the platform is away: nothing is acknowledged then."""
 
     def record_first_tree(self) -> None:
         """Record the tree that the source starts with."""
@@ -46,10 +49,11 @@
             NumberConflictError: ``expected`` is given and no longer current.
         """
         path = "/tree" if expected is None else f"/tree?expected={expected}"
-        began = time.time()
-        answer = await self.client.request("PUT", self.plan.source.control, path, tree)
-        number = msgspec.json.decode(answer, type=_Numbered).number
-        return self._record_edit(number, tree, began)
+        async with self.writing:
+            began = time.time()
+            answer = await self.client.request("PUT", self.plan.source.control, path, tree)
+            number = msgspec.json.decode(answer, type=_Numbered).number
+            return self._record_edit(number, tree, began)
 
     def _record_edit(self, number: int, tree: Mapping[str, Any], when: float) -> Edit:
         valid = not check_document(tree)
@@ -79,6 +83,26 @@
         await self.client.request("POST", self.plan.machines.control, "/faults", faults)
         self.recorder.record(SourceFault(time=time.time(), service=MACHINES, fault=NO_FAULT))
 
+    async def come_back(self, away: float, age: float) -> None:
+        """Let both services be away, then come back from copies ``age`` seconds old, in a new era.
+
+        What was written since is lost until it is written again (`write_again`).
+        """
+        services = (self.plan.source.control, self.plan.machines.control)
+        async with self.writing:
+            copied_at = time.time() - age
+            for control in services:
+                await self.client.request("POST", control, "/away")
+            await anyio.sleep(away)
+            for control in services:
+                await self.client.request("POST", control, f"/return?copied_at={copied_at}")
+
+    async def write_again(self, *services: ServicePlan) -> None:
+        """Let writers write again what a service has lost."""
+        for service in services:
+            async with self.writing:
+                await self.client.request("POST", service.control, "/write-again")
+
     async def mark_leaving(self, machine: str) -> None:
         """Mark a machine as leaving in the list."""
         await self.client.request("POST", self.plan.machines.control, f"/leaving/{machine}")
--- a/src/pewtertack/lab/fleet/processes.py
+++ b/src/pewtertack/lab/fleet/processes.py
@@ -54,8 +54,10 @@
 
     def node(self, name: str) -> LabProcess:
         """Return one node's process."""
-        without = self._plan.shape.without
-        command = ["lab", "weak-node", without] if without else ["node"]
+        shape = self._plan.shape
+        command = ["lab", "weak-node", shape.without] if shape.without else ["node"]
+        if shape.eras:
+            command = ["lab", "era-node", f"--without={shape.without}"]
         arguments = [*command, "--settings", str(settings_path(self._directory, name))]
         return LabProcess(name, arguments, self._directory, self._handle_line, _is_node_ready)
 
--- a/src/pewtertack/lab/machines/service.py
+++ b/src/pewtertack/lab/machines/service.py
@@ -39,6 +39,8 @@
         reader_limit: int = DEFAULT_READER_LIMIT,
     ) -> None:
         self._store = DocumentStore(_checked(machines))
+        self._truth = machines
+        """The list as it was written last, whatever the store has lost since."""
         self._store.set_faults(Faults(lag=lag))
         reading = ReadApplication(self._store, "machines", reader_limit)
         handlers = {
@@ -46,6 +48,8 @@
             ("PUT", "/machines/"): self._put_machine,
             ("DELETE", "/machines/"): self._remove,
             ("POST", "/leaving/"): self._mark_leaving,
+            ("POST", "/return"): self._come_back,
+            ("POST", "/write-again"): self._write_again,
         }
         self.service = PlatformService(
             self._store, reading, READ_PATH, listen, control, dict(handlers)
@@ -55,24 +59,46 @@
         return self._put(msgspec.json.decode(request.body, type=dict[str, Any]))
 
     async def _put_machine(self, request: Request) -> Answer:
-        entry = msgspec.json.decode(request.body, type=dict[str, Any])
-        return self._put({**self._store.newest.document, _name(request): entry})
+        return self._put_entry(_name(request), msgspec.json.decode(request.body, type=dict))
 
     async def _remove(self, request: Request) -> Answer:
-        machines = dict(self._store.newest.document)
-        if machines.pop(_name(request), None) is None:
-            raise LabUsageError(f"no machine {_name(request)}")
-        return self._put(machines)
+        name = _name(request)
+        if name not in self._truth:
+            raise LabUsageError(f"no machine {name}")
+        return self._put_entry(name, None)
 
     async def _mark_leaving(self, request: Request) -> Answer:
-        machines = dict(self._store.newest.document)
-        if _name(request) not in machines:
-            raise LabUsageError(f"no machine {_name(request)}")
-        machines[_name(request)] = {**machines[_name(request)], "state": MachineState.LEAVING}
-        return self._put(machines)
+        name = _name(request)
+        if name not in self._truth:
+            raise LabUsageError(f"no machine {name}")
+        return self._put_entry(name, {**self._truth[name], "state": MachineState.LEAVING})
+
+    async def _come_back(self, request: Request) -> Answer:
+        lost = self._store.come_back(float(request.query["copied_at"]))
+        return json_answer({"lost": len(lost)})
+
+    async def _write_again(self, request: Request) -> Answer:
+        """Write one after the other what the store lacks since it has come back."""
+        listed = self._store.newest.document
+        for name in self._truth.keys() | listed.keys():
+            if self._truth.get(name) != listed.get(name):
+                self._put_entry(name, self._truth.get(name))
+        return json_answer({})
+
+    def _put_entry(self, name: str, entry: dict[str, Any] | None) -> Answer:
+        """Write a machine's entry, or its removal."""
+        self._truth = _checked(_with(self._truth, name, entry))
+        machines = _with(self._store.newest.document, name, entry)
+        return json_answer({"number": self._store.put(machines, time.time())})
 
     def _put(self, machines: dict[str, Any]) -> Answer:
-        return json_answer({"number": self._store.put(_checked(machines), time.time())})
+        self._truth = _checked(machines)
+        return json_answer({"number": self._store.put(machines, time.time())})
+
+
+def _with(machines: dict[str, Any], name: str, entry: dict[str, Any] | None) -> dict[str, Any]:
+    others = {key: value for key, value in machines.items() if key != name}
+    return others if entry is None else {**others, name: entry}
 
 
 def _name(request: Request) -> str:
--- a/src/pewtertack/lab/platform/application.py
+++ b/src/pewtertack/lab/platform/application.py
@@ -12,6 +12,8 @@
 
 RETRY_AFTER_SECONDS = 1
 LONGEST_WAIT = 60.0
+ERA_HEADER = "store-era"
+"""In all answers of the document itself; readers that know of no eras pass it over."""
 
 
 class Counters(msgspec.Struct):
@@ -61,7 +63,7 @@
     async def _poll(self, known: int | None, wait: float) -> Answer:
         deadline = time.monotonic() + wait
         while True:
-            if self._store.faults.availability is not Availability.UP:
+            if self._store.away or self._store.faults.availability is not Availability.UP:
                 self.counters.unavailable += 1
                 return _come_back("unavailable")
             shown = self._store.answer(time.time())
@@ -69,10 +71,12 @@
             if shown.number != known:
                 self.counters.changed += 1
                 body = {"number": shown.number, self._body_key: shown.document}
-                return self._counted(json_answer(body, etag=f'"{shown.number}"'))
+                era = str(self._store.era)
+                return self._counted(json_answer(body, etag=f'"{shown.number}"', store_era=era))
             if left <= 0:
                 self.counters.unchanged += 1
-                return Answer(304, b"", {"etag": f'"{shown.number}"'})
+                headers = {"etag": f'"{shown.number}"', ERA_HEADER: str(self._store.era)}
+                return Answer(304, b"", headers)
             await self._store.wait_for_change(
                 min(left, self._store.next_visibility(time.time()) + 0.001)
             )
--- a/src/pewtertack/lab/platform/control.py
+++ b/src/pewtertack/lab/platform/control.py
@@ -40,6 +40,7 @@
         common: dict[tuple[str, str], Handler] = {
             ("POST", "/faults"): self._set_faults,
             ("GET", "/counters"): self._counters,
+            ("POST", "/away"): self._go_away,
         }
         self.control = Listener(HandlerTable({**common, **handlers}), control)
         self._task_group: anyio.abc.TaskGroup | None = None
@@ -67,5 +68,9 @@
             await self.readers.open(self._task_group)
         return json_answer(faults)
 
+    async def _go_away(self, request: Request) -> Answer:
+        self._store.go_away()
+        return json_answer({})
+
     async def _counters(self, request: Request) -> Answer:
         return json_answer(self._reading.counters)
--- a/src/pewtertack/lab/platform/store.py
+++ b/src/pewtertack/lab/platform/store.py
@@ -56,6 +56,10 @@
         self._random = random.Random(seed)
         self._changed = anyio.Event()
         self.faults = Faults()
+        self.era = 0
+        """How often it has come back from a copy."""
+        self.away = False
+        """Whether it answers nothing, beside its faults."""
 
     @property
     def newest(self) -> NumberedDocument:
@@ -75,6 +79,25 @@
         self._notify()
         return current + 1
 
+    def go_away(self) -> None:
+        """Answer nothing until it comes back; waiting reads end."""
+        self.away = True
+        self._notify()
+
+    def come_back(self, copied_at: float) -> list[NumberedDocument]:
+        """Come back as of ``copied_at``, in a new era; return the versions that are lost.
+
+        Their numbers are given out again.
+        """
+        kept = [version for version in self._versions if version.time <= copied_at]
+        kept = kept or self._versions[:1]
+        lost = self._versions[len(kept) :]
+        self._versions = kept
+        self.era += 1
+        self.away = False
+        self._notify()
+        return lost
+
     def set_faults(self, faults: Faults) -> None:
         """Misbehave like this from now on; waiting reads look again."""
         self.faults = faults
--- a/src/pewtertack/lab/soak/context.py
+++ b/src/pewtertack/lab/soak/context.py
@@ -32,6 +32,9 @@
         self.seed = seed
         self.made: Counter[str] = Counter()
         """How many faults of each kind were begun."""
+        self.learning = anyio.Lock()
+        """Held while nodes must learn of a leaving back end from the list in time: a return of the
+        platform, which may lose what no node has seen, waits."""
         self._claimed: set[str] = set()
         self._released = anyio.Event()
         self._surges = 0
--- a/src/pewtertack/lab/soak/faults.py
+++ b/src/pewtertack/lab/soak/faults.py
@@ -24,6 +24,7 @@
     EDITS = "edits"
     REQUESTS = "requests"
     DOWNLOADS = "downloads"
+    RETURNS = "returns"
 
 
 FAULT_MODULES = (
@@ -32,6 +33,7 @@
     "pewtertack.lab.soak.backend_faults",
     "pewtertack.lab.soak.request_faults",
     "pewtertack.lab.soak.downloads",
+    "pewtertack.lab.soak.returns",
 )
 MEAN_GAP_SECONDS = {
     Lane.NODES: 0.7,
@@ -41,6 +43,7 @@
     Lane.EDITS: 1.5,
     Lane.REQUESTS: 2.0,
     Lane.DOWNLOADS: 0.5,
+    Lane.RETURNS: 2.0,
 }
 """Between the end of one fault and the next, on average."""
 
--- a/src/pewtertack/lab/soak/platform_faults.py
+++ b/src/pewtertack/lab/soak/platform_faults.py
@@ -16,6 +16,8 @@
 from pewtertack.lab.soak.faults import Lane, fault
 
 SHORT, LONG = 1.0, 6.0
+LEAVING_SEEN_SECONDS = 5.5
+"""After so long a leaving back end gets nothing more."""
 LEAVING_SECONDS = 8.0
 """Longer than a leaving back end may get new work."""
 EVACUATED_SECONDS = 6.0
@@ -79,8 +81,10 @@
 async def leaving(soak: SoakContext, chooser: random.Random) -> None:
     """A back end is marked as leaving in the lagging list, and stays after all."""
     name = soak.some_backend(chooser)
-    await soak.fleet.leave_by_list(name)
-    await anyio.sleep(LEAVING_SECONDS)
+    async with soak.learning:
+        await soak.fleet.leave_by_list(name)
+        await anyio.sleep(LEAVING_SEEN_SECONDS)
+    await anyio.sleep(LEAVING_SECONDS - LEAVING_SEEN_SECONDS)
     await soak.fleet.stay_by_list(name)
 
 
--- /dev/null
+++ b/src/pewtertack/lab/soak/returns.py
@@ -0,0 +1,69 @@
+"""The platform comes back from older copies of itself, again and again."""
+
+from __future__ import annotations
+
+import random
+import time
+
+import anyio
+
+from pewtertack.lab.fleet.plan import BackendPlan
+from pewtertack.lab.soak.context import SoakContext
+from pewtertack.lab.soak.faults import Lane, fault
+from pewtertack.lab.soak.platform_faults import LEAVING_SEEN_SECONDS
+
+AWAY_SECONDS = (0.1, 0.8)
+COPY_AGE = (0.5, 12.0)
+"""Seconds; the longest lacks a back end's whole leaving, or its beginning alone."""
+WRITTEN_AGAIN = (0.0, 0.8)
+"""Seconds after the return of the one, then of the other service: within the time for which what
+was known holds (``source.hold_after_return``)."""
+
+LEAVING_UNUSED_SECONDS = 2.0
+"""For which that is looked at in the end."""
+MORE_WRITES = 3
+"""Writes that change nothing: what follows them has higher revisions than what follows a return."""
+LATER = 0.8
+"""Seconds after a return until the machine list is written again."""
+
+
+@fault("return", Lane.RETURNS)
+async def come_back(soak: SoakContext, chooser: random.Random) -> None:
+    """Source and machine list come back from copies, and are written again one after the other."""
+    platform = soak.fleet.platform
+    services = [platform.plan.source, platform.plan.machines]
+    chooser.shuffle(services)
+    async with soak.learning:
+        await platform.come_back(chooser.uniform(*AWAY_SECONDS), chooser.uniform(*COPY_AGE))
+        for service in services:
+            await anyio.sleep(chooser.uniform(*WRITTEN_AGAIN))
+            await platform.write_again(service)
+
+
+@fault("leaving-over-return", Lane.PLATFORM, weight=3.0)
+async def leaving_over_return(soak: SoakContext, chooser: random.Random) -> None:
+    """A leaving back end is live in the copy that comes back; another leaves after the return."""
+    backends = sorted(soak.fleet.plan.backends.values(), key=lambda backend: backend.name)
+    first = chooser.choice(backends)
+    others = [backend for backend in backends if backend.service != first.service]
+    second = chooser.choice(others)
+    async with soak.learning:
+        await _leave_over_return(soak, chooser, first, second)
+    for backend in (first, second):
+        await soak.fleet.stay_by_list(backend.name)
+
+
+async def _leave_over_return(
+    soak: SoakContext, chooser: random.Random, first: BackendPlan, second: BackendPlan
+) -> None:
+    platform = soak.fleet.platform
+    copied_at = time.monotonic()
+    for _ in range(MORE_WRITES):
+        await soak.fleet.stay_by_list(first.name)
+    await soak.fleet.leave_by_list(first.name)
+    await anyio.sleep(LEAVING_SEEN_SECONDS)
+    await platform.come_back(chooser.uniform(*AWAY_SECONDS), time.monotonic() - copied_at)
+    await anyio.sleep(LATER)
+    await platform.write_again(platform.plan.machines, platform.plan.source)
+    await soak.fleet.leave_by_list(second.name)
+    await anyio.sleep(LEAVING_SEEN_SECONDS + LEAVING_UNUSED_SECONDS)
--- a/src/pewtertack/lab/soak/run.py
+++ b/src/pewtertack/lab/soak/run.py
@@ -30,6 +30,7 @@
 from pewtertack.lab.soak.progress import Progress
 from pewtertack.lab.soak.resources import ResourceWatch
 from pewtertack.lab.soak.result import SoakResult
+from pewtertack.lab.soak.returns import leaving_over_return
 from pewtertack.lab.soak.shape import shape_of_soak
 
 BOUNDS = CheckBounds(convergence=12.0, recovery=30.0)
@@ -119,6 +120,7 @@
             await context.edit()
             await context.wait_for_newest()
             await self._evacuate_calmly()
+            await leaving_over_return(self.context, context.random)
         except LabError as error:
             context.problems.append(f"{type(error).__name__}: {error}")
         await anyio.sleep(SETTLE_SECONDS)
--- a/src/pewtertack/lab/soak/shape.py
+++ b/src/pewtertack/lab/soak/shape.py
@@ -86,6 +86,7 @@
         separate_backends=True,
         without=options.without,
         gateways=True,
+        eras=True,
         limits=LIMITS,
         policies=POLICIES,
         link_mbps=LINK_MBPS,
--- a/src/pewtertack/lab/source/service.py
+++ b/src/pewtertack/lab/source/service.py
@@ -10,7 +10,7 @@
 from pewtertack.lab.asgi import Answer, Request, json_answer
 from pewtertack.lab.platform.application import ReadApplication
 from pewtertack.lab.platform.control import PlatformService
-from pewtertack.lab.platform.store import DocumentStore
+from pewtertack.lab.platform.store import DocumentStore, NumberedDocument
 from pewtertack.settings import Address
 
 READ_PATH = "/v1/tree"
@@ -38,17 +38,40 @@
     ) -> None:
         self._store = DocumentStore(tree, seed)
         reading = ReadApplication(self._store, "tree", reader_limit)
-        handlers = {("PUT", "/tree"): self._put_tree, ("GET", "/tree"): self._get_tree}
+        self._lost: list[NumberedDocument] = []
+        """What the operators have to write again."""
+        handlers = {
+            ("PUT", "/tree"): self._put_tree,
+            ("GET", "/tree"): self._get_tree,
+            ("POST", "/return"): self._come_back,
+            ("POST", "/write-again"): self._write_again,
+        }
         self.service = PlatformService(
             self._store, reading, READ_PATH, listen, control, dict(handlers)
         )
 
     async def _put_tree(self, request: Request) -> Answer:
         tree = msgspec.json.decode(request.body, type=dict[str, Any])
+        self._put_lost()  # operators write what was lost before anything else
         expected = request.query.get("expected")
         number = self._store.put(tree, time.time(), int(expected) if expected else None)
         return json_answer({"number": number})
 
+    async def _come_back(self, request: Request) -> Answer:
+        lost = self._store.come_back(float(request.query["copied_at"]))
+        self._lost = [*lost, *self._lost]
+        return json_answer({"lost": len(lost)})
+
+    async def _write_again(self, request: Request) -> Answer:
+        self._put_lost()
+        return json_answer({})
+
+    def _put_lost(self) -> None:
+        """Write lost trees again, in their order: each gets the number that it had."""
+        for version in self._lost:
+            self._store.put(version.document, time.time())
+        self._lost = []
+
     async def _get_tree(self, request: Request) -> Answer:
         newest = self._store.newest
         return json_answer({"number": newest.number, "tree": newest.document})
--- a/src/pewtertack/lab/weakening.py
+++ b/src/pewtertack/lab/weakening.py
@@ -16,6 +16,8 @@
 from pewtertack.core.crashes.ledger import CrashLedger
 from pewtertack.core.machines import Machine, MachineList, MachineState
 from pewtertack.core.profile import Mechanisms
+from pewtertack.core.returned_lists import ReturnedLists
+from pewtertack.core.source_era import SourceEra
 from pewtertack.lab.errors import LabUsageError
 from pewtertack.node.daemon import DrainableProxy
 from pewtertack.node.gateway.application import GatewayApplication
@@ -197,6 +199,24 @@
         _wrap(owner, "use_configuration", wrapper)
 
 
+def _ignore_eras() -> None:
+    """Read on over a return of the source as if its revisions never went back."""
+
+    def take_nothing(_: object) -> Callable[..., None]:
+        return lambda era, now, value, sent_in, fresh: None
+
+    _wrap(SourceEra, "take", take_nothing)
+
+
+def _hold_nothing_after_returns() -> None:
+    """Believe the first list of a new era at once."""
+
+    def wrapper(start: Callable[[ReturnedLists, float], None]) -> Callable[..., None]:
+        return lambda returned, seconds: start(returned, 0.0)
+
+    _wrap(ReturnedLists, "__init__", wrapper)
+
+
 def _drop_what_was_read_behind() -> None:
     """End a connection behind an answer though more requests were read."""
 
@@ -218,6 +238,8 @@
     "pipelined_stop_answers": _drop_what_was_read_behind,
     "crash_ledger": _forget_crashes,
     "evacuation": _ignore_evacuations,
+    "eras": _ignore_eras,
+    "hold_after_return": _hold_nothing_after_returns,
 }
 MECHANISMS: Sequence[str] = (*CORE_MECHANISMS, *REQUEST_MECHANISMS)
 
--- a/src/pewtertack/node/platform.py
+++ b/src/pewtertack/node/platform.py
@@ -131,20 +131,23 @@
             return DocumentReadFailed(effect.kind, PlatformUnreachableError.code)
 
     async def _read(self, effect: ReadDocument) -> DocumentRead | DocumentUnchanged:
+        answer = await self._ask(effect)
+        _check_status(answer)
+        if answer.status == STATUS_NOT_MODIFIED:
+            return DocumentUnchanged(effect.kind)
+        return _document_from(effect.kind, answer.body)
+
+    async def _ask(self, effect: ReadDocument) -> ServiceAnswer:
         target = f"{self._targets[effect.kind]}?after={effect.after}&wait={effect.wait:g}"
         timeout = self._limits.timeout
         timeouts = ServiceTimeouts(timeout, effect.wait + timeout)
         known = (b"if-none-match", f'"{effect.after}"'.encode())
         try:
-            answer = await self._services[effect.kind].get(target, timeouts, [known])
+            return await self._services[effect.kind].get(target, timeouts, [known])
         except ServiceUnreachableError as error:
             raise PlatformUnreachableError(str(error)) from error
         except AnswerTooLargeError as error:
             raise PlatformBodyTooLargeError(str(error)) from error
-        _check_status(answer)
-        if answer.status == STATUS_NOT_MODIFIED:
-            return DocumentUnchanged(effect.kind)
-        return _document_from(effect.kind, answer.body)
 
 
 def _check_status(answer: ServiceAnswer) -> None:
--- a/tests/lab/machines/test_service.py
+++ b/tests/lab/machines/test_service.py
@@ -37,3 +37,18 @@
         self.assertEqual(await self.control("PUT", "/machines/m2", {"role": "king"}), 400)
         self.assertEqual(await self.control("DELETE", "/machines/m9"), 400)
         self.assertEqual(list(await self.machines()), ["m1"])
+
+    async def test_after_a_return_what_differs_is_written_again(self) -> None:
+        await self.control("POST", "/leaving/m1")
+        await self.control("PUT", "/machines/m2", MACHINE)
+        written = await self.machines()
+        self.assertEqual(await self.control("POST", "/away"), 200)
+        away = await call(self.list.service.readers.application, "GET", "/v1/machines")
+        self.assertEqual(away.status, 503)
+        self.assertEqual(await self.control("POST", "/return?copied_at=0"), 200)
+        self.assertEqual(list(await self.machines()), ["m1"])
+        self.assertNotIn("state", (await self.machines())["m1"])
+        await self.control("POST", "/leaving/m2")
+        self.assertEqual(await self.control("POST", "/write-again"), 200)
+        written["m2"] = {**written["m2"], "state": "leaving"}
+        self.assertEqual(await self.machines(), written)
--- a/tests/lab/platform/test_store.py
+++ b/tests/lab/platform/test_store.py
@@ -34,3 +34,16 @@
         self.store.set_faults(Faults(older_share=0.5))
         numbers = {self.store.answer(1.0).number for _ in range(50)}
         self.assertEqual(numbers, {1, 2})
+
+    def test_what_is_lost_with_a_copy_has_numbers_that_are_given_out_again(self) -> None:
+        for moment in (1.0, 2.0, 3.0):
+            self.store.put({"at": moment}, moment)
+        self.store.go_away()
+        self.assertTrue(self.store.away)
+        lost = self.store.come_back(1.5)
+        self.assertEqual([version.number for version in lost], [3, 4])
+        self.assertEqual((self.store.era, self.store.away), (1, False))
+        self.assertEqual(self.store.visible(9.0).document, {"at": 1.0})
+        self.assertEqual(self.store.put({"new": True}, 9.0), 3)
+        self.assertEqual([version.number for version in self.store.come_back(-1.0)], [2, 3])
+        self.assertEqual((self.store.newest.number, self.store.era), (1, 2))
--- a/tests/lab/soak/test_soak.py
+++ b/tests/lab/soak/test_soak.py
@@ -1,7 +1,8 @@
 """A short soak of real processes: it holds, it can be interrupted, senseless options start nothing.
 
 The seed's series hold planned stops that overlap, kills, reloads, a frozen back end, a surge of
-callers, and faults of the source; the fleet is the smallest in which two nodes may stop at once.
+callers, faults of the source, and its returns from older copies; the fleet is the smallest in which
+two nodes may stop at once.
 
 Callers of long answers saw them break off in the middle: a back end had answered, the answer waited
 in the line of its gateway's link, and at the end of its drain the node that stopped, the caller's
@@ -59,6 +60,8 @@
             self.assertEqual(process.returncode, ExitCode.OK, output + progress)
             self.assertIn("nothing violated so far", progress)
             self.assertIn("# Soak: held", report.read_text())
+            self.assertRegex(output, r"\breturn [2-9]")
+            self.assertRegex(output, r"leaving-gets-no-new-work +held +judged")
 
     def test_an_interrupted_soak_reports_and_leaves_nothing_running(self) -> None:
         process = start("--minutes=30")
--- a/tests/lab/source/test_service.py
+++ b/tests/lab/source/test_service.py
@@ -88,3 +88,19 @@
         async with running_source() as (source, pool):
             answer = await self.control(source, pool, "POST", "/faults", {"lagg": 1})
             self.assertEqual(answer.status, 400)
+
+    async def test_trees_lost_with_a_copy_are_written_again_under_their_numbers(self) -> None:
+        async with running_source() as (source, pool):
+            for number in (2, 3):
+                await self.control(source, pool, "PUT", "/tree", {"a": number})
+            await self.control(source, pool, "POST", "/away")
+            self.assertEqual((await self.read(source, pool)).status, 503)
+            await self.control(source, pool, "POST", "/return?copied_at=0")
+            first = await self.read(source, pool)
+            self.assertEqual(dict(first.headers)[b"store-era"], b"1")
+            self.assertEqual(msgspec.json.decode(first.content), {"number": 1, "tree": {"a": 1}})
+            put = await self.control(source, pool, "PUT", "/tree", {"a": 9})
+            self.assertEqual(msgspec.json.decode(put.content), {"number": 4})
+            await self.control(source, pool, "POST", "/write-again")
+            now = await self.read(source, pool)
+            self.assertEqual(msgspec.json.decode(now.content), {"number": 4, "tree": {"a": 9}})
