--- a/src/pewtertack/core/policies.py
+++ b/src/pewtertack/core/policies.py
@@ -20,6 +20,7 @@
     HANGING = "hanging"
     LONG_BODIES = "long_bodies"
     MARGIN = "margin"
+    RETURNING = "returning"
 
 
 class CallsWithin(StrEnum):
@@ -64,6 +65,13 @@
     HALF = "half"
 
 
+class Returning(StrEnum):
+    """Which callers are rather told to come back than made to wait until their answer is late."""
+
+    FOUR = "four"
+    TWO = "two"
+
+
 class Policies(msgspec.Struct, frozen=True, kw_only=True):
     """The way in force of each kind."""
 
@@ -73,6 +81,7 @@
     hanging: Hanging = Hanging.AWAITED
     long_bodies: LongBodies = LongBodies.AT_ONCE
     margin: Margin = Margin.SPREAD
+    returning: Returning = Returning.FOUR
 
 
 DEFAULT_POLICIES = Policies()
--- a/src/pewtertack/lab/overload/gateways.py
+++ b/src/pewtertack/lab/overload/gateways.py
@@ -157,12 +157,13 @@
         zone: str,
         settings: ResolvedService,
         random: Random,
+        policies: Policies = DEFAULT_POLICIES,
     ) -> None:
         self.time = time
         self._gateways = {gateway.name: gateway for gateway in gateways}
         self._jobs: dict[SimulatedRequest, GatewayJob] = {}
         self._settings = settings
-        self._dispatcher = Dispatcher(random)
+        self._dispatcher = Dispatcher(random, policies=policies)
         self._dispatcher.use_zone(zone)
         listed = (
             Machine(
--- a/src/pewtertack/lab/overload/returning.py
+++ b/src/pewtertack/lab/overload/returning.py
@@ -99,6 +99,7 @@
             ZONES[index % len(ZONES)],
             service_settings(shape.slots),
             Random(f"{seed}:{index}"),
+            shape.policies,
         )
         for index in range(shape.nodes)
     ]
--- a/src/pewtertack/routing/dispatcher.py
+++ b/src/pewtertack/routing/dispatcher.py
@@ -86,7 +86,7 @@
         self._services: dict[str, ServiceDispatcher] = {}
         self._budgets = ServiceBudgets(policies.retry_budget, retry_limits)
         self._splits = SplitPicker()
-        self._patience = CallerPatience()
+        self._patience = CallerPatience(policies.returning)
         self._asks = FurtherAsks(random)
         self.origins = OriginBeliefs()
         """Which routes back ends call while they run other requests."""
--- a/src/pewtertack/routing/patience.py
+++ b/src/pewtertack/routing/patience.py
@@ -18,9 +18,39 @@
 from enum import StrEnum
 
 from pewtertack.routing.outcomes import DEFAULT_RETRY_AFTER
+from pewtertack.routing.policies import Parameter, PolicyKind, Returning, policy
 
 ROOM = 4.0
 """A caller may come back when the time it has left is so many times its objective."""
+LEAST_ROOM = 2.0
+"""The same where as many are told to come back as can: an answer within the objective, after a
+pause as long. Late answers of those that cannot take slots in which others of their rank could be
+in time, and what is less urgent has few of these in an overload."""
+
+
+@policy(
+    PolicyKind.RETURNING,
+    Returning.FOUR,
+    "who has four times its objective left is told to come back; others wait and may be late",
+    Parameter("room", ROOM, "objectives", "assumed"),
+)
+def room_of_four() -> float:
+    """Return how many times its objective a caller must have left to come back."""
+    return ROOM
+
+
+@policy(
+    PolicyKind.RETURNING,
+    Returning.TWO,
+    "who has twice its objective left is told to come back; others wait and may be late",
+    Parameter("room", LEAST_ROOM, "objectives", "an answer in time after a pause as long"),
+)
+def room_of_two() -> float:
+    """Return the same."""
+    return LEAST_ROOM
+
+
+ROOMS = {Returning.FOUR: room_of_four(), Returning.TWO: room_of_two()}
 
 
 class Lateness(StrEnum):
@@ -100,9 +130,10 @@
 class CallerPatience:
     """For how long callers of each route wait, as one proxy has seen lately."""
 
-    __slots__ = ("_routes",)
+    __slots__ = ("_room", "_routes")
 
-    def __init__(self) -> None:
+    def __init__(self, returning: Returning = Returning.FOUR) -> None:
+        self._room = ROOMS[returning]
         self._routes: dict[str, _Known] = {}
 
     def keep_only(self, routes: Container[str]) -> None:
@@ -119,11 +150,11 @@
         """Note a request's arrival; return what to do with it when it would have to wait."""
         known = self._note(route, time_left, now)
         came_back = (
-            may_come_back(objective, known.longest)
+            may_come_back(objective, known.longest, self._room)
             and time_left < CAME_BACK_SHARE * known.usual
             and now <= known.failed_at + known.longest
         )
-        if may_come_back(objective, time_left):
+        if may_come_back(objective, time_left, self._room):
             return Lateness.PROMPT_YIELDING if came_back else Lateness.PROMPT
         return Lateness.YIELDING if came_back else Lateness.ALLOWED
 
@@ -150,11 +181,12 @@
     return SOON_SHARE * objective if has_room else DEFAULT_RETRY_AFTER
 
 
-def may_come_back(objective: float, time_left: float) -> bool:
+def may_come_back(objective: float, time_left: float, room: float = ROOM) -> bool:
     """Tell whether a caller that is refused has time for another whole attempt.
 
     Args:
         objective: seconds within which an answer is wanted.
         time_left: seconds for which the caller will wait, over all its attempts.
+        room: how many times its objective that must be.
     """
-    return time_left >= ROOM * objective
+    return time_left >= room * objective
--- a/src/pewtertack/routing/policies.py
+++ b/src/pewtertack/routing/policies.py
@@ -20,6 +20,7 @@
     Policies,
     PolicyKind,
     RetryBudgeting,
+    Returning,
 )
 
 __all__ = [
@@ -35,6 +36,7 @@
     "Policy",
     "PolicyKind",
     "RetryBudgeting",
+    "Returning",
     "all_policies",
     "policy",
 ]
@@ -46,6 +48,7 @@
     "pewtertack.routing.link",
     "pewtertack.routing.margins",
     "pewtertack.routing.origins",
+    "pewtertack.routing.patience",
     "pewtertack.routing.retries",
     "pewtertack.routing.retry_window",
     "pewtertack.routing.runs",
