--- a/src/pewtertack/lab/overload/returning.py
+++ b/src/pewtertack/lab/overload/returning.py
@@ -42,6 +42,8 @@
     long_share: float = 0.0
     """Share of requests that take ``LONG_TIMES`` times their work."""
     policies: Policies = DEFAULT_POLICIES
+    deadlines: float = 1.0
+    """Callers' deadlines, in those of their kinds."""
     deadline_spread: float = 0.0
     """Callers' deadlines are drawn evenly from so much of their mean, half up and half down."""
 
@@ -136,7 +138,11 @@
         work = random.gammavariate(WORK_SHAPE, profile.mean_work / WORK_SHAPE)
         if long.random() < shape.long_share:
             work *= LONG_TIMES
-        deadline = profile.deadline * (1 + shape.deadline_spread * (drawn.random() - 0.5))
+        deadline = (
+            shape.deadlines
+            * profile.deadline
+            * (1 + shape.deadline_spread * (drawn.random() - 0.5))
+        )
         yield SimulatedRequest(profile, 0, now, work, now + deadline)
 
 
--- a/tests/routing/test_margins.py
+++ b/tests/routing/test_margins.py
@@ -8,13 +8,17 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from pewtertack.lab.overload.returning import ReturningShape, simulate_returning
+from pewtertack.lab.overload.returning import (
+    ReturningResult,
+    ReturningShape,
+    simulate_returning,
+)
 from pewtertack.routing.admission import Admission
 from pewtertack.routing.margins import keep_half, keep_spread
 from pewtertack.routing.outcomes import DeadlineUnmeetableError
 from pewtertack.routing.patience import Lateness
 from pewtertack.routing.places import AdmissionTicket
-from pewtertack.routing.policies import Margin, Policies
+from pewtertack.routing.policies import Margin, Policies, Returning
 
 SECONDS = st.floats(0.0, 100.0)
 
@@ -95,5 +99,32 @@
         self.assertGreater(self.worth(Margin.HALF, 0.7), self.worth(Margin.SPREAD, 0.7) - 0.01)
 
 
+class ReturningLoadTest(unittest.TestCase):
+    """Callers that have some 2.5 times their objective, more than back ends can do."""
+
+    def fates(self, returning: Returning, load: float) -> ReturningResult:
+        shape = ReturningShape(
+            nodes=18,
+            backends=18,
+            slots=6,
+            seconds=4.0,
+            load=load,
+            speeds=(0.7, 1.0, 1.3),
+            deadlines=0.4,
+            policies=Policies(margin=Margin.HALF, returning=returning),
+        )
+        return simulate_returning(shape, seed=1)
+
+    def test_more_are_served_in_time_where_nobody_waits_to_be_late(self) -> None:
+        four, two = (self.fates(returning, 1.3) for returning in Returning)
+        self.assertGreater(two.worth, four.worth + 0.05)
+        for kind in ("status", "reserve"):
+            self.assertGreater(two.classes[kind].in_time, four.classes[kind].in_time)
+
+    def test_it_changes_little_where_there_is_room(self) -> None:
+        four, two = (self.fates(returning, 0.8) for returning in Returning)
+        self.assertGreater(two.worth, four.worth - 0.01)
+
+
 if __name__ == "__main__":
     unittest.main()
--- a/tests/routing/test_patience.py
+++ b/tests/routing/test_patience.py
@@ -5,6 +5,7 @@
 
 from pewtertack.routing.outcomes import DEFAULT_RETRY_AFTER
 from pewtertack.routing.patience import CallerPatience, Lateness, pause_after_shedding
+from pewtertack.routing.policies import Returning
 
 
 class CallerPatienceTest(unittest.TestCase):
@@ -15,6 +16,12 @@
         patience.note_failed("status", 1.0)
         return patience
 
+    def test_by_the_other_way_one_with_twice_its_objective_may(self) -> None:
+        patience = CallerPatience(Returning.TWO)
+        self.assertIs(patience.classify("lookup", 1.0, 2.0, 0.0), Lateness.PROMPT)
+        self.assertIs(patience.classify("other", 1.0, 1.9, 0.0), Lateness.ALLOWED)
+        self.assertIs(CallerPatience().classify("lookup", 1.0, 3.9, 0.0), Lateness.ALLOWED)
+
     def test_a_caller_with_much_time_may_come_back(self) -> None:
         patience = self.after_a_refusal()
         self.assertEqual(patience.classify("status", 0.4, 2.5, 1.1), Lateness.PROMPT)
