--- a/src/pewtertack/routing/dispatcher.py
+++ b/src/pewtertack/routing/dispatcher.py
@@ -87,7 +87,7 @@
         self._services: dict[str, ServiceDispatcher] = {}
         self._budgets = ServiceBudgets(policies.retry_budget, retry_limits)
         self._splits = SplitPicker()
-        self._patience = CallerPatience()
+        self._patience = CallerPatience(policies.returning)
         self._asks = FurtherAsks(random)
         self._short_answers: set[str] = set()
         """Routes whose last answer was short."""
