Gateways tell how long the line of their link is, and senders take a back end whose link is free

Cause: whoever sends a request chose a back end by its slots, which a long answer gives back before it has left.

Change: a gateway that paces long answers says with answers and refusals, which pass anyway, `x-pewtertack-link-ms: <ahead>/<own>`: its line, and what an answer of the route takes alone; nothing where both are 0. The sender counts the line down as time passes, adds what it sends itself, and learns from the word which routes are long and how long they run without their wait. For these alone the choice takes the later of slot and link, and leaves the zone where its links would make the answer late. A word that makes no sense counts as none, and is counted (pewtertack_senseless_links).

--- a/src/pewtertack/node/gateway/application.py
+++ b/src/pewtertack/node/gateway/application.py
@@ -22,6 +22,7 @@
 from pewtertack.node.gateway.forwarding import (
     GatewayForwarding,
     GatewayParts,
+    link_headers,
     load_headers,
     origin_headers,
 )
@@ -253,7 +254,8 @@
             self._log.refused(head.request_id, backend, error, told)
             self._metrics.note_refused(error.code, error.offered)
             origin = self._note_refused(request)
-            await _refuse(send, error, head, [*load, *origin])
+            link = link_headers(self._parts.pacer, request.route) if request is not None else []
+            await _refuse(send, error, head, [*load, *origin, *link])
 
     def _note_origin(self, request: HopRequest) -> None:
         route, origins = request.route, self.origins
--- a/src/pewtertack/node/gateway/forwarding.py
+++ b/src/pewtertack/node/gateway/forwarding.py
@@ -380,6 +380,7 @@
         return [
             *load_headers(self._admission, self._parts.clock()),
             *origin_headers(self._parts.origins, self._request),
+            *link_headers(self._parts.pacer, self._request.route),
             (hop.QUEUED, b"%d" % queued),
         ]
 
@@ -395,6 +396,12 @@
     return [(BACKEND_LOAD, f"{admission.load}/{admission.told_slots(now)}".encode())]
 
 
+def link_headers(pacer: LinkPacer | None, route: str) -> RawHeaders:
+    """Return the header that tells how long the link's line is, where long answers are paced."""
+    told = pacer.word(route) if pacer is not None else None
+    return [(hop.LINK, told.encode())] if told is not None else []
+
+
 def origin_headers(origins: OriginWatch | None, request: HopRequest) -> RawHeaders:
     """Return the header that tells who calls the request's route, where the sender needs it."""
     told = origins.to_tell(request.route, request.within) if origins is not None else None
--- a/src/pewtertack/node/gateway/hop.py
+++ b/src/pewtertack/node/gateway/hop.py
@@ -68,6 +68,11 @@
 ORIGIN = b"x-pewtertack-origin"
 """In an answer: ``Origin`` of the route's requests, where that is to be told."""
 
+LINK = b"x-pewtertack-link-ms"
+"""In an answer of a gateway that paces long ones: ``<ahead>/<own>``, how long its link's line is,
+and what an answer of the route takes alone (``pewtertack.routing.link_words``). Not there where
+both are 0."""
+
 PROBE = b"x-pewtertack-probe"
 """In a request to a gateway that is for the gateway alone: does it take requests?"""
 WITHDRAW = b"x-pewtertack-withdraw"
@@ -87,7 +92,7 @@
 """Headers that make a request one for the gateway; only nodes send them."""
 NEEDED_NAMES = frozenset({BACKEND, SERVICE, ROUTE, RANK, OBJECTIVE, LATENESS, CALLER_SERVICE})
 REQUEST_NAMES = NEEDED_NAMES | {CRASH_LIMIT, ELSEWHERE, GONE_IN, HOLDS_BACK, LIFE, WITHIN}
-ANSWER_NAMES = frozenset({FAILURE, QUEUED, ORIGIN})
+ANSWER_NAMES = frozenset({FAILURE, QUEUED, ORIGIN, LINK})
 OFFERED = "offered"
 NOT_OFFERED = "not-offered"
 PROBE_ANSWERED = 204
--- a/src/pewtertack/node/pacing.py
+++ b/src/pewtertack/node/pacing.py
@@ -9,6 +9,7 @@
 
 from pewtertack.errors import PewtertackError
 from pewtertack.routing.link import PART_BYTES, LinkShare
+from pewtertack.routing.link_words import link_text
 from pewtertack.routing.long_body import LongBody, Rank
 
 
@@ -50,6 +51,10 @@
         """See ``LinkShare.answer_time``."""
         return self.share.answer_time(route, rank, self._clock())
 
+    def word(self, route: str) -> str | None:
+        """Return what to tell senders of the link, asked for an answer of the route."""
+        return link_text(self.share.line_time(self._clock()), self.share.own_time(route))
+
     def turns(
         self,
         rank: Rank,
--- a/src/pewtertack/node/proxy/forwarding.py
+++ b/src/pewtertack/node/proxy/forwarding.py
@@ -47,6 +47,7 @@
 from pewtertack.routing.deadlines import caller_deadline_of
 from pewtertack.routing.dispatcher import Dispatcher, RetryDecision
 from pewtertack.routing.ends import AttemptEnd
+from pewtertack.routing.link_words import parse_link
 from pewtertack.routing.outcomes import (
     BackendCrashedError,
     BackendFailedError,
@@ -385,6 +386,16 @@
         self._parts.dispatcher.note_answer(
             self._ticket, self._parts.clock(), parse_load(answer.load), answer.leaving
         )
+        if answer.link is not None:
+            self._note_link(answer.link, begun=answer.failure is None)
+
+    def _note_link(self, told: str, begun: bool) -> None:
+        """A gateway has told how long the line of its link is; nonsense counts as no word."""
+        word = parse_link(told)
+        if word is not None:
+            self._parts.dispatcher.note_link(self._ticket, word, self._parts.clock(), begun)
+        elif self._parts.metrics is not None:
+            self._parts.metrics.note_senseless_link()
 
     def _finish(self, end: AttemptEnd) -> None:
         self._parts.dispatcher.finish(self._ticket, self._parts.clock(), end)
--- a/src/pewtertack/node/proxy/headers.py
+++ b/src/pewtertack/node/proxy/headers.py
@@ -201,6 +201,8 @@
     """Seconds that the request waited at a gateway."""
     origin: str | None = None
     """Who makes the route's requests, as a gateway knows it."""
+    link: str | None = None
+    """What a gateway tells of its link."""
     length: int | None = None
     """Announced length of the body."""
     framed: bool = False
@@ -234,6 +236,8 @@
         answer.failure = text
     elif name == hop.ORIGIN:
         answer.origin = text
+    elif name == hop.LINK:
+        answer.link = text
     else:
         answer.queued = int(text) / 1000 if text.isdecimal() else 0.0
 
--- a/src/pewtertack/node/proxy/metrics.py
+++ b/src/pewtertack/node/proxy/metrics.py
@@ -36,12 +36,21 @@
             "Failed attempts by why the request was, or was not, sent once more.",
             ("reason",),
         )
+        self._senseless_links = registry.counter(
+            "pewtertack_senseless_links",
+            "Words of gateways on the lines of their links that made no sense and were ignored.",
+            (),
+        )
         self._zones = registry.counter(
             "pewtertack_answers",
             "Answered requests by the zone of the back end.",
             ("service", "zone"),
         )
 
+    def note_senseless_link(self) -> None:
+        """A gateway's word on its link made no sense."""
+        self._senseless_links.inc(())
+
     def note_answered(self, route: ResolvedRoute, seconds: float) -> None:
         """A request was answered whole."""
         labels = (route.name, route.work_class.value)
--- a/src/pewtertack/routing/backend.py
+++ b/src/pewtertack/routing/backend.py
@@ -86,6 +86,8 @@
     successor: Backend | None = None
     """Listed at the same address later. This one has ended then, and its entry is still to go:
     after a loss of power half of the list may be such entries for some seconds."""
+    link_free_at: float = 0.0
+    """When its gateway's link has carried all that it has told of, and that was asked for since."""
     slowness: float = 1.0
     """Time that its answers take, as a multiple of the service's mean."""
 
@@ -157,6 +159,14 @@
         self.slots = report.slots
         self.reported_at = now
 
+    def note_link(self, now: float, ahead: float) -> None:
+        """Its gateway has told how long the line of its link is."""
+        self.link_free_at = now + ahead
+
+    def link_wait(self, now: float) -> float:
+        """Return for how long a long answer would wait for its gateway's link."""
+        return max(0.0, self.link_free_at - now)
+
     def assume_cold(self, now: float) -> None:
         """Take it for full and small until it reports: it does not bear its share yet.
 
--- a/src/pewtertack/routing/choice.py
+++ b/src/pewtertack/routing/choice.py
@@ -98,6 +98,8 @@
     patience: float
     """How long the request may wait in its own zone, where no bytes cross zones."""
     excluded: Container[str]
+    link_time: float = 0.0
+    """What its answer takes the link of the back end's node alone; 0 if it is short."""
 
 
 def choose_gateway(
@@ -143,6 +145,8 @@
 
 
 def _is_soon(backend: Backend, wish: Wish, now: float) -> bool:
+    if wish.link_time and backend.link_wait(now) - wish.expected_time > wish.patience:
+        return False  # its answer will have to wait longer for the link
     return backend.expected_wait(now, wish.mean_time) <= wish.patience
 
 
@@ -176,6 +180,9 @@
         slowness = backend.slowness * stalled
         occupancy = backend.occupancy(now)
         crowding = 1 + CROWDING * occupancy * occupancy
-        return wait + wish.expected_time * slowness * crowding, occupancy * stalled
+        ready = wait + wish.expected_time * slowness * crowding
+        if wish.link_time:
+            ready = max(ready, backend.link_wait(now))
+        return ready, occupancy * stalled
 
     return min(backends, key=cost, default=None)
--- a/src/pewtertack/routing/dispatcher.py
+++ b/src/pewtertack/routing/dispatcher.py
@@ -33,6 +33,7 @@
     ejection_of,
     tells_of_backend,
 )
+from pewtertack.routing.link_words import LinkWord
 from pewtertack.routing.origins import ORIGIN_WORDS, Origin, OriginBeliefs
 from pewtertack.routing.outcomes import (
     BackendShedError,
@@ -247,6 +248,10 @@
         if leaving:
             self._note_leaving(backend)
 
+    def note_link(self, ticket: Ticket, word: LinkWord, now: float, begun: bool) -> None:
+        """A gateway has told of its link (``ServiceDispatcher.note_link``)."""
+        self.service(ticket.route.service).note_link(ticket, word, now, begun)
+
     def note_hung(self, ticket: Ticket, now: float, report: LoadReport | None) -> None:
         """The gateway, which lives, takes its back end to hang on the attempt."""
         backend = ticket.backend
--- a/src/pewtertack/routing/link.py
+++ b/src/pewtertack/routing/link.py
@@ -13,6 +13,7 @@
 from __future__ import annotations
 
 import math
+import sys
 from collections.abc import Callable
 
 from pewtertack.routing.long_body import LongBody, Rank, Turn
@@ -38,6 +39,7 @@
 OVERDUE_SECONDS = 0.5
 """What has begun and would end so much later than it is of use is sent for nothing: it lets all
 others go first. A node that stops keeps as long for last answers."""
+LAST_RANK: Rank = (sys.maxsize, sys.maxsize)
 BITS = 8
 MEGA = 1_000_000
 
@@ -262,6 +264,10 @@
         ahead += sum(total for other, total in self._promised.items() if other <= rank)
         return max(0.0, self._free_at - now) + ahead / self.bytes_per_second
 
+    def line_time(self, now: float) -> float:
+        """Return the seconds that all take the link that stand in its line or are to come."""
+        return self.time_ahead(LAST_RANK, now)
+
     def _line_bytes(self, rank: Rank, now: float) -> float:
         """Return the bytes in line of what goes before a long answer of the rank."""
         return sum(
--- a/src/pewtertack/routing/service.py
+++ b/src/pewtertack/routing/service.py
@@ -10,6 +10,7 @@
 from pewtertack.routing.backend import Backend
 from pewtertack.routing.choice import Wish, choose, choose_gateway
 from pewtertack.routing.limit import ServiceLimit
+from pewtertack.routing.link_words import LinkWord, LongRoute
 from pewtertack.routing.outcomes import (
     DeadlineUnmeetableError,
     NoBackendError,
@@ -53,6 +54,8 @@
         self.mean_time = 0.0
         """Mean seconds of all answers, 0 while unknown."""
         self._route_times: dict[str, float] = {}
+        self._long_routes: dict[str, LongRoute] = {}
+        """Routes whose answers wait for a gateway's link, as gateways have told."""
 
     def use_backends(self, backends: Iterable[Backend], zone: str) -> None:
         """Take over the back ends of a newer machine list."""
@@ -103,6 +106,17 @@
         self.mean_time = smoothed(self.mean_time, seconds)
         self._route_times[route] = smoothed(self._route_times.get(route, 0.0), seconds)
 
+    def note_link(self, ticket: Ticket, word: LinkWord, now: float, begun: bool) -> None:
+        """A gateway has told of its link, with an answer that has begun or with a refusal."""
+        assert ticket.backend is not None
+        ticket.backend.note_link(now, word.ahead)
+        route = ticket.route.name
+        if not word.own:
+            self._long_routes.pop(route, None)
+        elif begun:
+            run = max(0.0, now - ticket.started_at - ticket.queued)
+            self._long_routes.setdefault(route, LongRoute()).note(word.own, run)
+
     def submit(self, ticket: Ticket, now: float) -> None:
         """Grant the ticket or let it wait.
 
@@ -226,6 +240,7 @@
         self.in_flight += 1
         ticket.trial = backend.health.begin()
         ticket.backend = backend
+        self._note_long(ticket, backend, now)
         near = backend.zone == self._zone
         ticket.choice = OWN_ZONE if near else self._why_other_zone(ticket)
         ticket.lateness = _lateness_of(ticket, near or ticket.choice == NONE_IN_ZONE)
@@ -233,14 +248,26 @@
         return True
 
     def _wish(self, ticket: Ticket, now: float) -> Wish:
-        expected = self.expected_time(ticket.route.name)
         objective = ticket.arrived_at + ticket.route.objective
+        long_route = self._long_routes.get(ticket.route.name)
+        if long_route is not None:
+            own, run = long_route.own, long_route.run
+            patience = max(0.0, objective - now - own - run * UNCERTAINTY)
+            return Wish(run, self.mean_time, patience, ticket.excluded, own)
+        expected = self.expected_time(ticket.route.name)
         patient_until = ticket.deadline if ticket.body_bytes > LARGE_BODY else objective
         patience = patient_until - now - expected * UNCERTAINTY
         if ticket.caller_may_come_back and ticket.body_bytes <= LARGE_BODY:
             patience = min(patience, CROSSING_SHARE * ticket.route.objective)
         return Wish(expected, self.mean_time, max(0.0, patience), ticket.excluded)
 
+    def _note_long(self, ticket: Ticket, backend: Backend, now: float) -> None:
+        """Reckon with the answer, until the gateway's next word does."""
+        long_route = self._long_routes.get(ticket.route.name)
+        if long_route is not None:
+            ready_at = max(backend.link_free_at, now)
+            backend.link_free_at = ready_at + long_route.own
+
     def _why_other_zone(self, ticket: Ticket) -> str:
         if not any(item.name not in ticket.excluded for item in self._local):
             return NONE_IN_ZONE
--- /dev/null
+++ b/tests/node/gateway/test_link_words.py
@@ -0,0 +1,94 @@
+"""Gateways that pace long answers tell senders how long the line of their link is."""
+
+import asyncio
+import unittest
+from typing import Any, ClassVar
+from unittest import mock
+
+from pewtertack.core.policies import LongBodies, Policies
+from pewtertack.node.gateway.application import GatewayPlace
+from pewtertack.node.pacing import LinkPacer
+from pewtertack.routing.backend import Backend
+from tests.node.gateway.test_gateway import GatewayTestCase, header
+from tests.node.proxy.harness import answer_bytes, raw_call, request_bytes
+
+GET = request_bytes(headers=("x-call: call-1",))
+LENGTH = 60_000
+LINK_MBPS = 10.0
+
+
+class Answers:
+    """A back end whose answers have any length."""
+
+    def __init__(self, length: int) -> None:
+        self.length = length
+
+    async def __call__(self, _reader: Any, writer: Any, head: str) -> bool:
+        call = b"x-call: " + header(head, "x-call").encode()
+        writer.write(answer_bytes(bytes(self.length), call))
+        return True
+
+
+class LinkWordsTest(GatewayTestCase):
+    parts: ClassVar[dict[str, Any]] = {"policies": Policies(long_bodies=LongBodies.IN_TURNS)}
+
+    async def start_one(self, length: int, megabits: float) -> str:
+        """Run one gateway on a link of its own and a proxy; return the proxy's address."""
+
+        def place(address: str, service: str, zone: str) -> GatewayPlace:
+            return GatewayPlace(address, service, zone, link_mbps=megabits)
+
+        with mock.patch("tests.node.gateway.test_gateway.GatewayPlace", place):
+            return await self.start_fleet(Answers(length))
+
+    @property
+    def backend(self) -> Backend:
+        """What the proxy knows of the one back end."""
+        return self.proxy._parts.dispatcher.service("logbook").backends[0]
+
+    @property
+    def pacer(self) -> LinkPacer:
+        pacer = self.gateways[0]._parts.pacer
+        assert pacer is not None
+        return pacer
+
+    async def test_a_sender_learns_of_the_line_and_of_the_route_s_own_time(self) -> None:
+        address = await self.start_one(LENGTH, LINK_MBPS)
+        await raw_call(address, GET)
+        self.assertEqual(self.proxy._parts.dispatcher.service("logbook")._long_routes, {})
+        answers = await asyncio.gather(*(raw_call(address, GET) for _ in range(3)))
+        self.assertEqual([len(item.body) for item in answers], [LENGTH] * 3)
+        self.assertEqual([item for item in answers[0].headers if "pewtertack" in item], [])
+        (long_route,) = self.proxy._parts.dispatcher.service("logbook")._long_routes.values()
+        own = LENGTH / self.pacer.share.bytes_per_second
+        self.assertAlmostEqual(long_route.own, own, places=2)
+        self.assertGreater(self.backend.link_free_at, 0.0)
+
+    async def test_a_refusal_tells_of_the_line_too(self) -> None:
+        address = await self.start_one(100, LINK_MBPS)
+        self.pacer.note_sent(2_000_000)
+        self.gateways[0].start_leaving(0.0)
+        answer = await raw_call(address, GET)
+        self.assertEqual(answer.status, 503)
+        self.assertGreater(self.backend.link_wait(self.pacer.now()), 1.0)
+
+    async def test_nothing_is_told_where_nothing_is_paced_or_nothing_is_long(self) -> None:
+        for length, megabits in ((LENGTH, 0.0), (100, LINK_MBPS)):
+            with self.subTest(length):
+                address = await self.start_one(length, megabits)
+                for _ in range(2):
+                    await raw_call(address, GET)
+                    await asyncio.sleep(0.01)
+                self.assertEqual(self.backend.link_free_at, 0.0)
+
+    async def test_a_senseless_word_changes_nothing_and_is_counted(self) -> None:
+        address = await self.start_one(100, LINK_MBPS)
+        with mock.patch.object(LinkPacer, "word", lambda _self, _route: "soon"):
+            answer = await raw_call(address, GET)
+        self.assertEqual(answer.status, 200)
+        self.assertEqual(self.backend.link_free_at, 0.0)
+        self.assertEqual(list(self.proxy._metrics._senseless_links.values.values()), [1.0])
+
+
+if __name__ == "__main__":
+    unittest.main()
