--- a/src/pewtertack/node/http/server.py
+++ b/src/pewtertack/node/http/server.py
@@ -83,9 +83,6 @@
         loop = asyncio.get_running_loop()
         for bound in sockets:
             bound.setblocking(False)
-            # Accepted sockets take it over from the listener. With Nagle's algorithm a head and
-            # a body written apart take 40 ms.
-            bound.setsockopt(IPPROTO_TCP, TCP_NODELAY, 1)
             bound.listen(BACKLOG)
             self._listen(loop, bound)
         try:
@@ -133,6 +130,9 @@
             loop.call_later(NO_ROOM_SECONDS, self._listen, loop, bound)
             return False
         accepted.setblocking(False)
+        # Not taken over from the listener by who connected before it had the option. With Nagle's
+        # algorithm a head and a body written apart take 40 ms.
+        accepted.setsockopt(IPPROTO_TCP, TCP_NODELAY, 1)
         StreamTransport(loop, accepted, GuardedHttpProtocol(self, loop))
         return True
 
