Nodes log their processor time by part where asked for; lab parts adds it up

Change: settings [log] parts_every: the event loop's callbacks are timed by name, tasks by their function, some functions within them apart, and NODE_PARTS tells all so far. Nothing of it is loaded where it is not asked for. pewtertack lab parts reads the last such line of each process, whole lines behind and before those that a killed process has cut, and prints parts, shares and times.

--- a/src/pewtertack/cli/lab_cost.py
+++ b/src/pewtertack/cli/lab_cost.py
@@ -65,3 +65,18 @@
     from pewtertack.lab.cost.calls import CallPlan, make_calls
 
     make_calls(msgspec.json.decode(plan, type=CallPlan))
+
+
+def parts(
+    log: Annotated[Path, typer.Argument(help="Logs of nodes with ``log.parts_every``.")],
+) -> None:
+    """Tell what a fleet's processor time was spent for, by part."""
+    from pewtertack.lab.cost.parts import format_shares, read_parts, shares_of
+
+    try:
+        with log.open(errors="replace") as lines:
+            told, cut = read_parts(lines)
+    except OSError as error:
+        raise LabUsageError(f"cannot read {log}: {error}") from error
+    typer.echo(f"{len(told)} processes, {cut} lines cut")
+    typer.echo(format_shares(shares_of(told)))
--- a/src/pewtertack/events.py
+++ b/src/pewtertack/events.py
@@ -27,6 +27,7 @@
     SETTINGS_REFUSED = (110, "The settings file is wrong; the settings in use stay.")
     LOG_LINES_LEFT_OUT = (111, "So many lines were not written: too many, or nobody read them.")
     NODE_SUSPENDED = (112, "The machine was suspended; what ran out meanwhile ends now.")
+    NODE_PARTS = (113, "What the process took of processor time so far, by part; where asked for.")
     REVISION_HELD = (201, "A revision is stored whole, valid, and not yet in force.")
     REVISION_COMMITTED = (202, "A quorum of replicas holds the revision.")
     REVISION_IN_FORCE = (203, "The proxy serves by this revision from now on.")
--- a/src/pewtertack/node/start.py
+++ b/src/pewtertack/node/start.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import time
 from typing import TYPE_CHECKING
 
 from pewtertack.node import collector, lean_imports
@@ -11,6 +12,8 @@
 
 if TYPE_CHECKING:
     from pewtertack.node.assembly import ReaderFactory
+    from pewtertack.node.sockets import NodeSockets
+    from pewtertack.settings import Settings
 
 
 def start_node(path: str, flags: Flags, make_reader: ReaderFactory | None = None) -> int:
@@ -21,6 +24,7 @@
     Raises:
         SettingError: a flag or the settings file is wrong.
     """
+    began = time.process_time()
     settings = load_settings(path, flags)
     collector.pause()
     lean_imports.decline_unused()
@@ -33,7 +37,44 @@
     from pewtertack.node.daemon import run_node
     from pewtertack.node.event_loop import SuspendedTimeLoop
 
+    if settings.log.parts_every is not None:
+        return _run_timed(settings, path, sockets, make_reader, flags, began)
     parts = assemble_node(settings, path, sockets, make_reader, flags)
     lean_imports.finish()
     collector.resume()
     return anyio.run(run_node, parts, backend_options={"loop_factory": SuspendedTimeLoop})
+
+
+def _run_timed(
+    settings: Settings,
+    path: str,
+    sockets: NodeSockets,
+    make_reader: ReaderFactory | None,
+    flags: Flags,
+    began: float,
+) -> int:
+    """Run a node that logs from time to time what its parts took."""
+    import anyio
+
+    from pewtertack.node.assembly import assemble_node
+    from pewtertack.node.daemon import run_node
+    from pewtertack.node.part_times import PartTimes, TimedLoop, record_every, time_functions
+
+    times = PartTimes(began)
+    time_functions(times)  # before anyone keeps one of them
+    parts = assemble_node(settings, path, sockets, make_reader, flags)
+    lean_imports.finish()
+    collector.resume()
+
+    every = settings.log.parts_every
+    assert every is not None
+
+    async def run() -> int:
+        times.end_start()
+        record_every(every.seconds, times, parts.log)
+        try:
+            return await run_node(parts)
+        finally:
+            times.record(parts.log)
+
+    return anyio.run(run, backend_options={"loop_factory": lambda: TimedLoop(times)})
--- a/src/pewtertack/settings/checks.py
+++ b/src/pewtertack/settings/checks.py
@@ -29,6 +29,7 @@
 RETRY_SLACK_MAX = 1_000_000.0
 RETRY_WINDOW_MIN = 0.1
 RETRY_WINDOW_MAX = 600.0
+PARTS_EVERY_MIN = 0.1
 TIMEOUT_SECONDS_MIN = 0.01
 TIMEOUT_SECONDS_MAX = 3600.0
 
@@ -109,6 +110,9 @@
         DOCUMENT_BYTES_MIN,
         DOCUMENT_BYTES_MAX,
     )
+    if settings.log.parts_every is not None:
+        every = settings.log.parts_every.seconds
+        _check_range(place, "log.parts_every", every, PARTS_EVERY_MIN, TIMEOUT_SECONDS_MAX)
     timeouts = {
         "platform_timeout": limits.platform_timeout,
         "stream_timeout": limits.stream_timeout,
--- a/src/pewtertack/settings/schema.py
+++ b/src/pewtertack/settings/schema.py
@@ -151,6 +151,13 @@
     """How long a stopping node, no longer ready, still accepts callers' requests."""
 
 
+class LogSection(msgspec.Struct, frozen=True, kw_only=True):
+    """What the node logs beside its events."""
+
+    parts_every: Duration | None = None
+    """How often it logs what its parts took of processor time; not at all by default."""
+
+
 class Settings(msgspec.Struct, frozen=True, kw_only=True):
     """All settings of one node, checked."""
 
@@ -164,5 +171,6 @@
     headers: HeadersSection = HeadersSection()
     profile: ProfileSection = ProfileSection()
     limits: LimitsSection = LimitsSection()
+    log: LogSection = LogSection()
     policies: Policies = Policies()
     """Which way of deciding is in force, for each decision that has several."""
--- a/tests/settings/test_loading.py
+++ b/tests/settings/test_loading.py
@@ -143,6 +143,16 @@
             self.load(GOOD.replace('["ff', f'[{keys}, "ff'))
         self.assertEqual(caught.exception.code, "value-range")
 
+    def test_parts_are_logged_as_often_as_asked_for_and_not_without_end(self) -> None:
+        self.assertIsNone(self.load(GOOD).log.parts_every)
+        asked = self.load(GOOD + '[log]\nparts_every = "2s"\n').log.parts_every
+        assert asked is not None
+        self.assertEqual(asked.seconds, 2.0)
+        with self.assertRaises(SettingError) as caught:
+            self.load(GOOD + '[log]\nparts_every = "10ms"\n')
+        self.assertEqual(caught.exception.code, "value-range")
+        self.assertIn("log.parts_every", str(caught.exception))
+
     def test_the_fleet_key_is_not_printed(self) -> None:
         self.assertNotIn("0011", repr(self.load(GOOD)).lower())
         with self.assertRaises(SettingError) as caught:
