--- a/src/pewtertack/lab/cost/parts.py
+++ b/src/pewtertack/lab/cost/parts.py
@@ -60,11 +60,13 @@
         "Runtime.feed DocumentRead",
         "Runtime.feed JoinAnswer",
         "Runtime.feed PackedAnswer",
+        "Runtime.feed ReaderHeartbeat with news",
     ),
     "list change": ("ProxyApplication.use_machines", "GatewayApplication.use_machines"),
     "peer message": (
         "PeerTransport.send",
         "PeerTransport._receive_datagrams",
+        "AsyncIOBackend.wait_readable.<locals>.cb",
         "PeerTransport._receive_stream",
         "PeerTransport._send_stream",
         "Runtime.feed Acknowledge",
--- a/src/pewtertack/node/part_times.py
+++ b/src/pewtertack/node/part_times.py
@@ -25,6 +25,7 @@
 from pewtertack.node.proxy.application import ProxyApplication
 from pewtertack.node.runtime import Runtime
 from pewtertack.node.transport import PeerTransport
+from pewtertack.wire.messages import ReaderHeartbeat
 
 START = "start"
 LOOP = "loop"
@@ -33,6 +34,8 @@
 UNNAMED = "Task-"
 """So the names of tasks begin to which none was given."""
 DIGITS = 6
+WITH_NEWS = " with news"
+"""Behind the name of a heartbeat that brings a version or a list."""
 EVENT = "event "
 """Before the name of an event of the log, of which there is a count alone."""
 
@@ -151,7 +154,8 @@
 
     def timed_feed(self: Runtime, event: Any) -> None:
         told = event.message if isinstance(event, MessageReceived) else event
-        times.run(f"Runtime.feed {type(told).__name__}", feed, self, event)
+        news = WITH_NEWS if isinstance(told, ReaderHeartbeat) and told.deltas else ""
+        times.run(f"Runtime.feed {type(told).__name__}{news}", feed, self, event)
 
     _replace(EventLog, "record", timed_record)
     _replace(Runtime, "feed", timed_feed)
