What the merged parts add to a hop: looks made only where they say something

A body was dropped twice on its way, words on links were asked of gateways that pace nothing, and a few lines called functions for one comparison.

--- a/src/pewtertack/node/gateway/application.py
+++ b/src/pewtertack/node/gateway/application.py
@@ -252,9 +252,10 @@
             told = load[0][1].decode() if load else ""
             self._log.refused(head.request_id, backend, error, told)
             self._metrics.note_refused(error.code, error.offered)
-            origin = self._note_refused(request)
-            link = link_headers(self._parts.pacer, request.route) if request is not None else []
-            await _refuse(send, error, head, [*load, *origin, *link])
+            headers = [*load, *self._note_refused(request)]
+            if request is not None and self._parts.pacer is not None:
+                headers += link_headers(self._parts.pacer, request.route)
+            await _refuse(send, error, head, headers)
 
     def _note_origin(self, request: HopRequest) -> None:
         route, origins = request.route, self.origins
--- a/src/pewtertack/node/gateway/forwarding.py
+++ b/src/pewtertack/node/gateway/forwarding.py
@@ -441,12 +441,14 @@
     def _answer_headers(self) -> RawHeaders:
         self._ticket.answering = True
         queued = int(self._ticket.queued * 1000)
-        return [
+        headers = [
             *load_headers(self._admission, self._parts.clock()),
             *origin_headers(self._parts.origins, self._request),
-            *link_headers(self._parts.pacer, self._request.route),
             (hop.QUEUED, b"%d" % queued),
         ]
+        if self._parts.pacer is not None:
+            headers += link_headers(self._parts.pacer, self._request.route)
+        return headers
 
 
 def _take_note(receiving: asyncio.Future[None]) -> None:
@@ -460,9 +462,9 @@
     return [(BACKEND_LOAD, f"{admission.load}/{admission.told_slots(now)}".encode())]
 
 
-def link_headers(pacer: LinkPacer | None, route: str) -> RawHeaders:
-    """Return the header that tells how long the link's line is, where long answers are paced."""
-    told = pacer.word(route) if pacer is not None else None
+def link_headers(pacer: LinkPacer, route: str) -> RawHeaders:
+    """Return the header that tells how long the link's line is, where it is to be told."""
+    told = pacer.word(route)
     return [(hop.LINK, told.encode())] if told is not None else []
 
 
--- a/src/pewtertack/node/proxy/exchange.py
+++ b/src/pewtertack/node/proxy/exchange.py
@@ -174,20 +174,23 @@
     async def _relay(
         self, connection: BackendConnection, start: AnswerStart, answer: AnswerHead
     ) -> None:
+        caller = self._scope["extensions"][CALLER]
         if not self.holds_back:
-            self._drop_body()
+            caller.drop_body()  # no other attempt follows that would need it
         if answer.length is not None and answer.length <= WHOLE_BODY_BYTES:
             whole = connection.take_whole()
             if whole is None:
                 whole = await _whole_body(connection)
-            self._drop_body()
+            if self.holds_back:
+                caller.drop_body()
             head = self._start(start.status, answer)
             head[WHOLE] = whole
             await self._send(head)
             return
         hold = self.holds_back and answer.length is not None  # one without may be a stream
         first = await _first_part(connection) if hold else b""
-        self._drop_body()
+        if self.holds_back:
+            caller.drop_body()
         await self._send(self._start(start.status, answer))
         if first:
             await self._send({"type": "http.response.body", "body": first, "more_body": True})
@@ -200,10 +203,6 @@
             raise TruncatedAnswerError(str(error)) from error
         await self._send({"type": "http.response.body", "body": b""})
 
-    def _drop_body(self) -> None:
-        """Let the rest of the request go: no other attempt follows that would need it."""
-        self._scope["extensions"][CALLER].drop_body()
-
     def _start(self, status: int, answer: AnswerHead) -> Message:
         """Return the head to pass on, as begun."""
         own = (self._caller_edge.request_id, self._head.request_id.encode())
--- a/src/pewtertack/node/proxy/forwarding.py
+++ b/src/pewtertack/node/proxy/forwarding.py
@@ -212,8 +212,8 @@
     async def _run_attempts(self) -> None:
         if self._head.body_is_large:
             self._parts.bodies.check()
-        if self._head.body_is_large and self._parts.dispatcher.has_gateways(self._route.service):
-            await self._body.read_ahead()
+            if self._parts.dispatcher.has_gateways(self._route.service):
+                await self._body.read_ahead()
         while True:
             self._check_withdrawn()
             limit = self._route.crash_limit
@@ -351,7 +351,9 @@
             hop.append((ELSEWHERE, b"1"))
         if self._exchange.holds_back:
             hop.append((HOLDS_BACK, b"1"))
-            if self._is_only_here(now):
+            # Short answers wait for no link, and are not worth the look.
+            long = self._route.name not in self._parts.dispatcher.short_answers
+            if long and not self._may_repeat(now):
                 hop.append((ONLY_HERE, b"1"))
         if backend.started_at:
             hop.append((LIFE, b"%d" % backend.started_at))
@@ -360,16 +362,10 @@
             hop.append((GONE_IN, gone_in_text(left).encode()))
         return [*self._headers, *own, *hop]
 
-    def _is_only_here(self, now: float) -> bool:
-        """Tell whether a long answer that breaks off could not be had elsewhere.
-
-        Short ones wait for no link, and are not worth the look.
-        """
-        dispatcher = self._parts.dispatcher
-        if not dispatcher.expects_long_answer(self._route.name):
-            return False
+    def _may_repeat(self, now: float) -> bool:
+        """Tell whether an answer that breaks off could be had elsewhere; else it would be lost."""
         fits = not self._head.chunked and self._head.body_bytes <= REPLAY_BYTES
-        return not (fits and dispatcher.may_repeat(self._ticket, now))
+        return fits and self._parts.dispatcher.may_repeat(self._ticket, now)
 
     def _leave_hung(self, doubt: RawHeaders) -> bool:
         """Learn that the back end has most likely hung on the attempt; tell whether to leave it.
--- a/src/pewtertack/routing/dispatcher.py
+++ b/src/pewtertack/routing/dispatcher.py
@@ -90,8 +90,8 @@
         self._splits = SplitPicker()
         self._patience = CallerPatience(policies.returning)
         self._asks = FurtherAsks(random)
-        self._short_answers: set[str] = set()
-        """Routes whose last answer was short."""
+        self.short_answers: set[str] = set()
+        """Routes whose last answer was short: their next won't take a gateway's link for long."""
         self.origins = OriginBeliefs()
         """Which routes back ends call while they run other requests."""
 
@@ -138,7 +138,7 @@
         self._splits.keep_only(routes)
         self._patience.keep_only(routes)
         self._asks.keep_only(routes)
-        self._short_answers = {name for name in self._short_answers if name in routes}
+        self.short_answers = {name for name in self.short_answers if name in routes}
         self.origins.keep_only(routes)
         self._budgets.keep_only(services, now)
         self._services = {
@@ -403,13 +403,9 @@
     def note_length(self, route: str, length: int | None) -> None:
         """An answer of the route announces so many bytes, ``None`` where it tells none."""
         if length is not None and length <= LONG_BYTES:
-            self._short_answers.add(route)
+            self.short_answers.add(route)
         else:
-            self._short_answers.discard(route)
-
-    def expects_long_answer(self, route: str) -> bool:
-        """Tell whether the route's next answer may take a gateway's link for long."""
-        return route not in self._short_answers
+            self.short_answers.discard(route)
 
     def may_leave(self, ticket: Ticket, now: float) -> bool:
         """Tell whether an attempt would now be made elsewhere if its back end hangs on it."""
--- a/src/pewtertack/routing/service.py
+++ b/src/pewtertack/routing/service.py
@@ -240,7 +240,8 @@
         self.in_flight += 1
         ticket.trial = backend.health.begin()
         ticket.backend = backend
-        self._note_long(ticket, backend, now)
+        if self._long_routes:
+            self._note_long(ticket, backend, now)
         near = backend.zone == self._zone
         ticket.choice = OWN_ZONE if near else self._why_other_zone(ticket)
         ticket.lateness = _lateness_of(ticket, near or ticket.choice == NONE_IN_ZONE)
