A long answer counts for its link without a gap from its promise to its place in line

Cause: the promise of an answer was taken back when the answer came, and the answer got its place in line a turn of the loop later. A request that was judged in that turn saw a free link: in the log the fourth is admitted with 1,684 ms left, as the first was, though two answers of 1 s stood before it. It was given back 2 ms later. So it was on every paced link, also with no stop: requests taken that had to be late. Change: the promise is kept until the place is taken.

--- a/src/pewtertack/node/gateway/sending.py
+++ b/src/pewtertack/node/gateway/sending.py
@@ -182,7 +182,6 @@
         self._held.count += len(data)
         self._changed.set()
         if self._sending is None:
-            self._keep_promise()
             self._sending = asyncio.ensure_future(self._send_taken())
         while self._must_wait and not self._sending.done():
             self._space.clear()
@@ -224,6 +223,8 @@
         with self._pacer.turns(
             self._rank, size, self._wanted, begun, self._latest, returnable, only_here
         ) as turns:
+            # Not sooner: a request that came meanwhile would be taken as if the link were free.
+            self._keep_promise()
             self._turns = turns
             try:
                 async for part in turns.parts(data):
--- a/tests/node/gateway/test_sending.py
+++ b/tests/node/gateway/test_sending.py
@@ -71,6 +71,36 @@
         self.assertFalse(self.sent[-1].get("more_body", False))
         self.assertEqual(self.held.count, 0)
 
+    async def test_an_answer_counts_from_its_promise_to_its_place_in_line_without_a_gap(
+        self,
+    ) -> None:
+        """What callers saw: 502 for a download that came while a node stopped, in place of 503.
+
+        Order of events: answers for it had come, and in the same turn of the loop one more request
+        was admitted, as if nobody took the link; it could not leave before the node's end and was
+        given back. Cause: what had been promised was taken back when the answer came, and it got
+        its place in line a turn later. Evidence: the gateway's log tells a request that came just
+        after two others "left 1684 ms", as the first, and not -316.
+        """
+        size = 50 * LONG_BYTES
+        share = self.pacer.share
+        share.note_answer("export", size)
+        sender = self.make()
+        sender.promise()
+        own = share.own_time("export")
+        self.assertAlmostEqual(share.time_ahead(BULK, time.monotonic()), own, delta=0.001)
+        await self.begin(sender, size)
+        for _ in range(size // LONG_BYTES):
+            part = {"type": "http.response.body", "body": b"x" * LONG_BYTES, "more_body": True}
+            await sender(part)
+            ahead = share.time_ahead(BULK, time.monotonic())
+            self.assertGreater(ahead, own * 0.9 - LONG_BYTES / share.bytes_per_second)
+            if len(self.sent) > 4:
+                break
+        sender.forget()
+        await asyncio.sleep(0.01)
+        self.assertEqual(share.time_ahead(BULK, time.monotonic() + 1.0), 0.0)
+
     async def test_a_long_answer_that_comes_whole_with_its_head_takes_its_turn(self) -> None:
         data = bytes(index % 251 for index in range(3 * LONG_BYTES))
         sender = self.make()
