--- a/src/pewtertack/routing/service.py
+++ b/src/pewtertack/routing/service.py
@@ -16,7 +16,7 @@
     QueueFullError,
     RequestFailedError,
 )
-from pewtertack.routing.patience import Lateness
+from pewtertack.routing.patience import Lateness, may_come_back
 from pewtertack.routing.queueing import MAXIMUM_WAIT, ClassQueue, Ticket, smoothed
 
 MINIMUM_RETRY_AFTER = 0.1
@@ -237,7 +237,7 @@
         objective = ticket.arrived_at + ticket.route.objective
         patient_until = ticket.deadline if ticket.body_bytes > LARGE_BODY else objective
         patience = patient_until - now - expected * UNCERTAINTY
-        if ticket.caller_may_come_back and ticket.body_bytes <= LARGE_BODY:
+        if _may_cross_early(ticket) and ticket.body_bytes <= LARGE_BODY:
             patience = min(patience, CROSSING_SHARE * ticket.route.objective)
         return Wish(expected, self.mean_time, max(0.0, patience), ticket.excluded)
 
@@ -252,6 +252,18 @@
         return (ejected + 1) * 2 <= len(self.backends)
 
 
+def _may_cross_early(ticket: Ticket) -> bool:
+    """Tell whether rather bytes cross zones than the request waits in its own.
+
+    Who has less time than ``ROOM`` asks for is told to come back as well where operators choose
+    so, and would then cross as early: bytes between zones doubled by it.
+    """
+    if not ticket.caller_may_come_back:
+        return False
+    caller_time = ticket.caller_deadline - ticket.arrived_at
+    return may_come_back(ticket.route.objective, caller_time)
+
+
 def _lateness_of(ticket: Ticket, may_wait: bool) -> Lateness:
     """Return what a gateway should do with the ticket; ``may_wait`` where it is the last hope."""
     if ticket.caller_lateness is Lateness.ALLOWED and not may_wait:
--- a/tests/routing/test_gateway_choice.py
+++ b/tests/routing/test_gateway_choice.py
@@ -20,6 +20,7 @@
     GatewayRefusedError,
 )
 from pewtertack.routing.patience import Lateness
+from pewtertack.routing.policies import Policies, Returning
 from pewtertack.routing.queueing import Ticket
 from pewtertack.routing.retries import FLEET_BURST, RetryReason, burst_of
 from tests.routing.samples import dispatcher, route, service
@@ -74,6 +75,19 @@
         chosen = submitted(made, now=0.5, target_latency=0.6)
         self.assertEqual(chosen.backend and chosen.backend.name, "far")
 
+    def test_only_callers_with_much_time_leave_their_zone_for_a_short_wait(self) -> None:
+        """Who has twice its objective may be told to come back, but bytes do not cross for it."""
+        for caller_time, zone in ((10.0, "near"), (17.0, "far")):
+            made = Dispatcher(Random(1), policies=Policies(returning=Returning.TWO))
+            made.use_zone("ikeja")
+            made.use_machines(MachineList(2, (gated("near"), gated("far", zone="yaba"))), 0.0)
+            report(made, submitted(made), load=6)
+            wanted = Ticket(route(target_latency=4.0), service(), 9.0)
+            wanted.caller_deadline = 0.5 + caller_time
+            made.submit(wanted, 0.5)
+            self.assertTrue(wanted.caller_may_come_back)
+            self.assertEqual(wanted.backend and wanted.backend.name, zone)
+
     def test_a_long_body_leaves_its_zone_for_its_deadline_only(self) -> None:
         made = fleet(gated("near"), gated("far", zone="yaba"))
         report(made, submitted(made), load=8)
