--- a/src/pewtertack/routing/link.py
+++ b/src/pewtertack/routing/link.py
@@ -13,7 +13,6 @@
 from __future__ import annotations
 
 import math
-import sys
 from collections.abc import Callable
 
 from pewtertack.routing.long_body import LongBody, Rank, Turn
@@ -39,7 +38,8 @@
 OVERDUE_SECONDS = 0.5
 """What has begun and would end so much later than it is of use is sent for nothing: it lets all
 others go first. A node that stops keeps as long for last answers."""
-LAST_RANK: Rank = (sys.maxsize, sys.maxsize)
+LAST_RANK: Rank = (1 << 62, 0)
+"""Behind every rank that there is."""
 BITS = 8
 MEGA = 1_000_000
 
