--- a/src/pewtertack/lab/cost/parts.py
+++ b/src/pewtertack/lab/cost/parts.py
@@ -61,6 +61,7 @@
         "Runtime.feed JoinAnswer",
         "Runtime.feed PackedAnswer",
         "Runtime.feed ReaderHeartbeat with news",
+        "Runtime._read",
     ),
     "list change": ("ProxyApplication.use_machines", "GatewayApplication.use_machines"),
     "peer message": (
@@ -82,7 +83,8 @@
     "log line": ("EventLog.record", "BoundedWriter._flush"),
     "probe": ("GatewayProber.run", "GatewayProber._probe"),
     "idle second": (
-        "ColdWatch.run",
+        "GatewayApplication.run",
+        "ProxyApplication.run",
         "Runtime.run",
         "Runtime.feed Ticked",
         "_set_result_unless_cancelled",
