--- a/src/pewtertack/node/proxy/forwarding.py
+++ b/src/pewtertack/node/proxy/forwarding.py
@@ -362,6 +362,11 @@
             hop.append((GONE_IN, gone_in_text(left).encode()))
         return [*self._headers, *own, *hop]
 
+    def _may_repeat(self, now: float) -> bool:
+        """Tell whether an answer that breaks off could be had elsewhere; else it would be lost."""
+        fits = not self._head.chunked and self._head.body_bytes <= REPLAY_BYTES
+        return fits and self._parts.dispatcher.may_repeat(self._ticket, now)
+
     def _leave_hung(self, doubt: RawHeaders) -> bool:
         """Learn that the back end has most likely hung on the attempt; tell whether to leave it.
 
