--- a/src/pewtertack/node/gateway/application.py
+++ b/src/pewtertack/node/gateway/application.py
@@ -19,13 +19,7 @@
     nobody_listens,
 )
 from pewtertack.node.gateway.cold_watch import ColdWatch
-from pewtertack.node.gateway.forwarding import (
-    GatewayForwarding,
-    GatewayParts,
-    link_headers,
-    load_headers,
-    origin_headers,
-)
+from pewtertack.node.gateway.forwarding import GatewayForwarding
 from pewtertack.node.gateway.hop import (
     LEAVE_BY,
     PROBE_ANSWERED,
@@ -38,6 +32,8 @@
 )
 from pewtertack.node.gateway.incarnations import Incarnation, Incarnations
 from pewtertack.node.gateway.metrics import GatewayMetrics
+from pewtertack.node.gateway.parts import GatewayParts
+from pewtertack.node.gateway.told import link_headers, load_headers, origin_headers
 from pewtertack.node.http.cycle import Scope
 from pewtertack.node.http.framing import RawHeaders
 from pewtertack.node.pacing import LinkPacer
--- a/src/pewtertack/node/gateway/forwarding.py
+++ b/src/pewtertack/node/gateway/forwarding.py
@@ -7,39 +7,32 @@
 from collections.abc import Awaitable, Callable
 
 import anyio
-import msgspec
 
-from pewtertack.node.crash_reporter import CrashReporter
-from pewtertack.node.crash_watch import CrashWatch
 from pewtertack.node.gateway import hop
 from pewtertack.node.gateway.hang_looks import HangLooks
 from pewtertack.node.gateway.hop import HopRequest
 from pewtertack.node.gateway.link_check import LinkCheck
-from pewtertack.node.gateway.metrics import GatewayMetrics
-from pewtertack.node.gateway.reception import BodyReception
-from pewtertack.node.gateway.sending import AnswerSender, HeldBytes
+from pewtertack.node.gateway.parts import GatewayParts
+from pewtertack.node.gateway.sending import AnswerSender
+from pewtertack.node.gateway.told import link_headers, load_headers, origin_headers
 from pewtertack.node.http.cycle import CALLER, Scope
 from pewtertack.node.http.framing import RawHeaders
-from pewtertack.node.pacing import LinkEndsError, LinkPacer
+from pewtertack.node.pacing import LinkEndsError
 from pewtertack.node.proxy.answers import Receive, Send
-from pewtertack.node.proxy.body import Caller, CallerGoneError, KeptBodies, RequestBody
+from pewtertack.node.proxy.body import Caller, CallerGoneError, RequestBody
 from pewtertack.node.proxy.content import RequestContent
-from pewtertack.node.proxy.edge import NODE_EDGE, EdgeHeaders
+from pewtertack.node.proxy.edge import NODE_EDGE
 from pewtertack.node.proxy.exchange import Exchange, TruncatedAnswerError, ignore_answer
 from pewtertack.node.proxy.headers import (
-    BACKEND_LOAD,
     RequestHead,
     attempt_headers,
     backend_headers,
     without_names,
 )
-from pewtertack.node.proxy.in_flight import Progress, RequestsInFlight
+from pewtertack.node.proxy.in_flight import Progress
 from pewtertack.node.proxy.lifetime import LifeEnd, RequestLife, end_error
-from pewtertack.node.proxy.request_log import GatewayLog
 from pewtertack.node.proxy.suspicion import Suspicion
-from pewtertack.node.proxy.upstream import ConnectionStore
 from pewtertack.routing.admission import Admission
-from pewtertack.routing.origins import OriginWatch
 from pewtertack.routing.outcomes import (
     BackendFailedError,
     BackendHungError,
@@ -50,7 +43,6 @@
     WithdrawnError,
 )
 from pewtertack.routing.places import AdmissionTicket
-from pewtertack.routing.runs import RunsBeside, none_in_vain
 
 SHORTEST_LOOK = 0.001
 """Seconds between two looks at a waiting request, where a timer has fired too early."""
@@ -65,30 +57,6 @@
     """Let all go on to the back end."""
 
 
-class GatewayParts(msgspec.Struct, frozen=True):
-    """What all requests of a gateway share."""
-
-    clock: Callable[[], float]
-    connections: ConnectionStore
-    edge: EdgeHeaders
-    address: str
-    log: GatewayLog
-    metrics: GatewayMetrics
-    crashes: CrashWatch
-    reporter: CrashReporter
-    origins: OriginWatch | None = None
-    """Who calls each route; ``None`` where calls within are treated as all others."""
-    runs: RunsBeside = msgspec.field(default_factory=RunsBeside)
-    in_vain: Callable[[str, float], bool] = none_in_vain
-    """Tells by route and time whether runs often end badly, since their calls are turned away."""
-    requests: RequestsInFlight = msgspec.field(default_factory=RequestsInFlight)
-    reception: BodyReception = msgspec.field(default_factory=BodyReception)
-    pacer: LinkPacer | None = None
-    """``None`` where long answers leave at once."""
-    held: HeldBytes = msgspec.field(default_factory=HeldBytes)
-    bodies: KeptBodies = msgspec.field(default_factory=KeptBodies)
-
-
 class GatewayForwarding:
     """Carries one request of another node to the back end and its answer back."""
 
@@ -455,20 +423,3 @@
     """See the end of a body whose request was refused: what it raises concerns nobody."""
     if not receiving.cancelled():
         receiving.exception()
-
-
-def load_headers(admission: Admission, now: float) -> RawHeaders:
-    """Return the header that tells the back end's load, waiting requests included."""
-    return [(BACKEND_LOAD, f"{admission.load}/{admission.told_slots(now)}".encode())]
-
-
-def link_headers(pacer: LinkPacer, route: str) -> RawHeaders:
-    """Return the header that tells how long the link's line is, where it is to be told."""
-    told = pacer.word(route)
-    return [(hop.LINK, told.encode())] if told is not None else []
-
-
-def origin_headers(origins: OriginWatch | None, request: HopRequest) -> RawHeaders:
-    """Return the header that tells who calls the request's route, where the sender needs it."""
-    told = origins.to_tell(request.route, request.within) if origins is not None else None
-    return [(hop.ORIGIN, told.encode())] if told is not None else []
--- /dev/null
+++ b/src/pewtertack/node/gateway/parts.py
@@ -0,0 +1,45 @@
+"""What all requests of a gateway share."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+
+import msgspec
+
+from pewtertack.node.crash_reporter import CrashReporter
+from pewtertack.node.crash_watch import CrashWatch
+from pewtertack.node.gateway.metrics import GatewayMetrics
+from pewtertack.node.gateway.reception import BodyReception
+from pewtertack.node.gateway.sending import HeldBytes
+from pewtertack.node.pacing import LinkPacer
+from pewtertack.node.proxy.body import KeptBodies
+from pewtertack.node.proxy.edge import EdgeHeaders
+from pewtertack.node.proxy.in_flight import RequestsInFlight
+from pewtertack.node.proxy.request_log import GatewayLog
+from pewtertack.node.proxy.upstream import ConnectionStore
+from pewtertack.routing.origins import OriginWatch
+from pewtertack.routing.runs import RunsBeside, none_in_vain
+
+
+class GatewayParts(msgspec.Struct, frozen=True):
+    """What all requests of a gateway share."""
+
+    clock: Callable[[], float]
+    connections: ConnectionStore
+    edge: EdgeHeaders
+    address: str
+    log: GatewayLog
+    metrics: GatewayMetrics
+    crashes: CrashWatch
+    reporter: CrashReporter
+    origins: OriginWatch | None = None
+    """Who calls each route; ``None`` where calls within are treated as all others."""
+    runs: RunsBeside = msgspec.field(default_factory=RunsBeside)
+    in_vain: Callable[[str, float], bool] = none_in_vain
+    """Tells by route and time whether runs often end badly, since their calls are turned away."""
+    requests: RequestsInFlight = msgspec.field(default_factory=RequestsInFlight)
+    reception: BodyReception = msgspec.field(default_factory=BodyReception)
+    pacer: LinkPacer | None = None
+    """``None`` where long answers leave at once."""
+    held: HeldBytes = msgspec.field(default_factory=HeldBytes)
+    bodies: KeptBodies = msgspec.field(default_factory=KeptBodies)
