Test: no node refuses the largest configuration that the source accepts

Fails: a configuration of 1 MiB, the most that the store takes as a value, has 6,024 usual routes, of which 5,000 are allowed; with the shortest routes it has 10,588, and is reckoned at more than 3 MiB. Every node refuses it, and callers get 404 for the routes that it adds.

--- /dev/null
+++ b/tests/platform/test_largest_configuration.py
@@ -0,0 +1,48 @@
+"""The largest configurations that the platform's store takes come into force on every node."""
+
+import json
+import unittest
+from typing import Any
+
+from pewtertack.core.configuration.validation import check_document
+from pewtertack.core.revision import Document
+from pewtertack.platform.documents import tree_of
+from tests.platform.test_documents import CONFIGURATION, ROUTE
+
+VALUE_BYTES = 1024 * 1024
+"""The longest value that the store accepts."""
+FEWEST_FIELDS = ("Name", "Host", "PathPrefix", "Kind", "Timeout", "Service")
+
+
+def usual_route(number: int) -> dict[str, Any]:
+    return {**ROUTE, "Name": f"r-{number:06d}", "PathPrefix": f"/{number:08d}/"}
+
+
+def short_route(number: int) -> dict[str, Any]:
+    route = {**ROUTE, "Name": f"{number:x}", "PathPrefix": f"/{number:x}/", "Host": "a"}
+    return {key: route[key] for key in FEWEST_FIELDS} | {"Timeout": "1s"}
+
+
+def encoded(routes: list[dict[str, Any]]) -> bytes:
+    configuration = {**CONFIGURATION, "Routes": routes}
+    return json.dumps(configuration, separators=(",", ":")).encode()
+
+
+def largest(route_of: Any) -> bytes:
+    """Return the longest configuration of such routes that fits the store's value."""
+    room = VALUE_BYTES - len(encoded([]))
+    size = len(encoded([route_of(0xFFFFF)])) - len(encoded([])) + 1
+    return encoded([route_of(number) for number in range(room // size)])
+
+
+class LargestConfigurationTest(unittest.TestCase):
+    def trees(self) -> list[Document]:
+        values = [largest(usual_route), largest(short_route)]
+        self.assertTrue(all(0.9 * VALUE_BYTES < len(value) <= VALUE_BYTES for value in values))
+        return [tree_of(value)[1] for value in values]
+
+    def test_no_node_refuses_it(self) -> None:
+        for tree in self.trees():
+            with self.subTest(routes=len(tree["routes"])):
+                self.assertGreater(len(tree["routes"]), 5_000)
+                self.assertEqual(check_document(tree), ())
