Nodes accept whatever configuration the source accepts

What callers saw: 404 at every node for the routes of a version that the source had acknowledged 2.5 s before and longer; all else was served.

Cause: a tree may have 5,000 routes and be reckoned at 3 MiB. The source takes values of 1 MiB, which hold 6,024 usual routes and 10,588 short ones. A version beyond the product's own bound is refused by every node, whatever was acknowledged, and so is each one after it.

--- a/src/pewtertack/core/configuration/structure.py
+++ b/src/pewtertack/core/configuration/structure.py
@@ -42,8 +42,9 @@
 DEPTH_LIMIT = 8
 """Nesting of tables and lists; the deepest table of a valid tree stands at depth 6."""
 
-SIZE_LIMIT = 3 * 1024 * 1024
-"""Bytes of one tree, by the estimate below; a snapshot must fit into one frame of 4 MiB."""
+SIZE_LIMIT = 8 * 1024 * 1024
+"""Bytes of one tree, by the estimate below. Whatever a source accepts must stay below it: a
+version that is refused is refused by every node."""
 
 VALUE_SIZE = 32
 """Bytes reckoned for each table, list and plain value beside its text; CBOR needs fewer."""
--- a/src/pewtertack/wire/frames.py
+++ b/src/pewtertack/wire/frames.py
@@ -19,6 +19,7 @@
 import cbor2
 import msgspec
 
+from pewtertack.core.configuration.structure import SIZE_LIMIT
 from pewtertack.wire.errors import (
     MalformedFrameError,
     OversizedFrameError,
@@ -36,8 +37,10 @@
 KEY_BYTES_MAX = hashlib.blake2b.MAX_KEY_SIZE
 DATAGRAM_BYTES_MAX = 1200
 """Largest frame sent by UDP: fits every usual path without fragmentation."""
-STREAM_BYTES_MAX = 4 * 1024 * 1024
-"""Largest frame sent over TCP."""
+ENVELOPE_BYTES_MAX = 64 * 1024
+STREAM_BYTES_MAX = SIZE_LIMIT + ENVELOPE_BYTES_MAX
+"""Largest frame sent over TCP: a snapshot of the largest tree. A tree is reckoned with more
+bytes than it has when encoded."""
 
 _ENVELOPE_ITEMS = 6
 _DEPTH_MAX = 64
--- a/src/pewtertack/wire/packing.py
+++ b/src/pewtertack/wire/packing.py
@@ -18,8 +18,9 @@
 """Of zlib: measured on 1,360 routes, see the test; higher ones take longer for little."""
 PLAIN_BYTES_MAX = 1024
 """Up to this length an answer fits one datagram as it is."""
-UNPACKED_BYTES_MAX = 4 * STREAM_BYTES_MAX
-"""Longer content is refused before it is decoded."""
+UNPACKED_BYTES_MAX = 2 * STREAM_BYTES_MAX
+"""Longer content is refused before it is decoded. A chain of deltas may be longer than the tree
+that it leads to."""
 
 PullAnswer = DeltaAnswer | SnapshotAnswer
 
--- a/tests/platform/test_largest_configuration.py
+++ b/tests/platform/test_largest_configuration.py
@@ -4,13 +4,20 @@
 import unittest
 from typing import Any
 
+from pewtertack.core.configuration.memory import CheckedTables
+from pewtertack.core.configuration.resolution import resolve_document
 from pewtertack.core.configuration.validation import check_document
-from pewtertack.core.revision import Document
+from pewtertack.core.revision import Document, identify
 from pewtertack.platform.documents import tree_of
+from pewtertack.routing.table import RouteTable
+from pewtertack.wire.frames import Envelope, FrameReader, encode_frame
+from pewtertack.wire.messages import DocumentKind, SnapshotAnswer
+from pewtertack.wire.packing import pack, unpack
 from tests.platform.test_documents import CONFIGURATION, ROUTE
 
 VALUE_BYTES = 1024 * 1024
 """The longest value that the store accepts."""
+KEY = b"k" * 32
 FEWEST_FIELDS = ("Name", "Host", "PathPrefix", "Kind", "Timeout", "Service")
 
 
@@ -46,3 +53,29 @@
             with self.subTest(routes=len(tree["routes"])):
                 self.assertGreater(len(tree["routes"]), 5_000)
                 self.assertEqual(check_document(tree), ())
+
+    def test_no_node_refuses_what_grows_to_it_by_edits(self) -> None:
+        for tree in self.trees():
+            names = list(tree["routes"])
+            checked = CheckedTables()
+            for count in (len(names) // 2, len(names) - 1, len(names)):
+                routes = {name: tree["routes"][name] for name in names[:count]}
+                self.assertEqual(check_document({**tree, "routes": routes}, checked), ())
+
+    def test_all_its_routes_are_served(self) -> None:
+        for tree in self.trees():
+            resolved = resolve_document(tree, identify(1, tree), "garia")
+            table = RouteTable(resolved)
+            for name, route in list(tree["routes"].items())[::997]:
+                found = table.match(route["hosts"][0], route["path_prefix"] + "/x", "GET")
+                self.assertEqual(found.name, name)
+
+    def test_a_snapshot_of_it_reaches_a_peer(self) -> None:
+        for tree in self.trees():
+            answer = SnapshotAnswer(DocumentKind.CONFIGURATION, identify(1, tree), dict(tree))
+            packed = pack(answer)
+            assert packed is not None
+            for message in (answer, packed):
+                frame = encode_frame(Envelope("a", "127.0.0.1:1", 1, 1, message), KEY)
+                self.assertEqual(FrameReader(KEY).read(frame).message, message)
+            self.assertEqual(unpack(packed), answer)
