A slow source is read to its end, and read on while it answers

Cause: a read that had no answer after 1 s was given up, whatever the source's answers take, and so was the next. One read of a document was open at a time, so that what changed while a slow answer was on its way was in the answer after that.

A read that takes longer than usual is overdue: it stays open, and another is opened beside it (core.replication.open_reads; 8 at most), so that a lost answer is still made good within the same second. Answers carry the number of their read and their time; a mirror takes in watches that overlap. What the source does not answer at all fails after 8 s with a type of its own (store-silent), answers that stop midway (answer-stalled) too. The test of a lost answer names the new type, within the same bound.

--- a/src/pewtertack/core/effects.py
+++ b/src/pewtertack/core/effects.py
@@ -25,9 +25,9 @@
 class ReadDocument(msgspec.Struct, frozen=True):
     """Read a document from the platform, unless number ``after`` is still current.
 
-    At most one read of a kind is outstanding; the runtime answers each with one
-    of the three document inputs. ``wait`` is how long the platform may hold the
-    read open while nothing changes (long poll), in seconds.
+    The runtime answers each with one of the three document inputs. One read of a kind is
+    outstanding at a time, unless the source is slow or silent. ``wait`` is how long the platform
+    may hold the read open while nothing changes (long poll), in seconds.
     """
 
     kind: DocumentKind
@@ -47,6 +47,8 @@
     """Of the held tree."""
     tree: Document | None = None
     """The held tree: a source that has come back may know an older version alone."""
+    read: int = 0
+    """Tells this read from the others; its answer carries the same."""
 
 
 class BringIntoForce(msgspec.Struct, frozen=True):
--- a/src/pewtertack/core/inputs.py
+++ b/src/pewtertack/core/inputs.py
@@ -34,6 +34,10 @@
     """What was passed over since it cannot be understood."""
     about_answers: tuple[ItemFinding, ...] = ()
     """What is wrong with the platform's answers themselves."""
+    read: int = 0
+    """``ReadDocument.read``; 0 where the oldest open read is meant."""
+    took: float | None = None
+    """Seconds that the source needed beyond the wait, where that is known."""
 
 
 class DocumentUnchanged(msgspec.Struct, frozen=True):
@@ -41,6 +45,8 @@
 
     kind: DocumentKind
     about_answers: tuple[ItemFinding, ...] = ()
+    read: int = 0
+    took: float | None = None
 
 
 class DocumentReadFailed(msgspec.Struct, frozen=True):
@@ -50,6 +56,8 @@
     reason: str
     retry_after: float | None = None
     about_answers: tuple[ItemFinding, ...] = ()
+    read: int = 0
+    took: float | None = None
 
 
 class BackendLeavingObserved(msgspec.Struct, frozen=True):
--- a/src/pewtertack/core/profile.py
+++ b/src/pewtertack/core/profile.py
@@ -115,6 +115,11 @@
     """Long-poll time asked of the platform."""
     read_gap: float = 0.05
     """Least time between an answer of the platform and the next read."""
+    read_patience: float = 0.0
+    """An answer of the source that takes longer, and longer than usual, is overdue: another read
+    is opened beside it. 0 opens one read of a document at a time."""
+    read_overlap: float = 2.0
+    """How often a read is opened while a slow source answers others."""
     read_backoff: float = 0.5
     read_backoff_limit: float = 8.0
     join_retry: float = 0.3
@@ -162,6 +167,7 @@
     reader_settle=0.0,
     read_wait=10.0,
     read_gap=0.6,
+    read_patience=1.0,
     read_backoff=0.1,
     read_backoff_limit=1.0,
     join_retry=0.2,
@@ -178,6 +184,7 @@
     readers_per_zone=1,
     read_wait=10.0,
     read_gap=0.6,
+    read_patience=1.0,
     read_backoff=0.1,
     read_backoff_limit=1.0,
     join_retry=0.2,
--- /dev/null
+++ b/src/pewtertack/core/replication/open_reads.py
@@ -0,0 +1,90 @@
+"""The reads of one document that the source has not answered."""
+
+from __future__ import annotations
+
+from collections.abc import Iterator
+
+from pewtertack.core.effects import ReadDocument
+
+READS_MOST = 8
+"""Reads of one document that are open at once."""
+LONGEST_GAP = 2.0
+"""Seconds between two reads of a source that answers none, unless it is known to be slow."""
+
+
+class OpenRead:
+    """A read that the platform has not answered."""
+
+    __slots__ = ("allowed", "confirms", "effect", "opened_at")
+
+    def __init__(self, effect: ReadDocument, opened_at: float, allowed: float) -> None:
+        self.effect = effect
+        self.opened_at = opened_at
+        """Monotonic seconds."""
+        self.allowed = allowed
+        """Seconds within which the answer is due, the wait included."""
+        self.confirms = not effect.may_be_stale
+        """Whether its being open says that the platform has nothing newer."""
+
+    def is_overdue(self, now: float) -> bool:
+        """Tell whether the answer should have come."""
+        return now > self.opened_at + self.allowed
+
+
+class OpenReads:
+    """The open reads of one document, the oldest first.
+
+    One that is overdue stays open, since its answer may be on its way; another is opened beside
+    it, and the first answer counts.
+    """
+
+    __slots__ = ("_reads", "unanswered")
+
+    def __init__(self) -> None:
+        self._reads: list[OpenRead] = []
+        self.unanswered = 0
+        """Reads that were opened beside overdue ones since the last answer."""
+
+    def __iter__(self) -> Iterator[OpenRead]:
+        return iter(self._reads)
+
+    @property
+    def newest(self) -> OpenRead | None:
+        """The read that was opened last and is still open."""
+        return self._reads[-1] if self._reads else None
+
+    @property
+    def is_full(self) -> bool:
+        """Whether no more may be opened."""
+        return len(self._reads) >= READS_MOST
+
+    def open(self, effect: ReadDocument, now: float, patience: float) -> None:
+        """Note a read; ``patience`` is how long an answer may take beyond its wait, in seconds."""
+        if self._reads and self.is_any_overdue(now):
+            self.unanswered += 1
+        if self.unanswered:
+            patience = max(patience, LONGEST_GAP)
+        read = OpenRead(effect, now, effect.wait + patience)
+        if self.unanswered:
+            read.confirms = False
+        self._reads.append(read)
+
+    def is_any_overdue(self, now: float) -> bool:
+        """Tell whether an answer should have come that has not."""
+        return any(read.is_overdue(now) for read in self._reads)
+
+    def is_any_due(self, now: float) -> bool:
+        """Tell whether an answer may still come in time."""
+        return any(not read.is_overdue(now) for read in self._reads)
+
+    def close(self, number: int) -> None:
+        """Take out the read of this number; the oldest where the number is not told."""
+        for index, read in enumerate(self._reads):
+            if number in (0, read.effect.read):
+                del self._reads[index]
+                return
+
+    def answered(self, number: int) -> None:
+        """Take out an answered read: the source answers."""
+        self.close(number)
+        self.unanswered = 0
--- a/src/pewtertack/core/replication/reader.py
+++ b/src/pewtertack/core/replication/reader.py
@@ -8,8 +8,11 @@
 import msgspec
 
 from pewtertack.core.effects import Effect, Log, ReadDocument
+from pewtertack.core.inputs import DocumentRead, DocumentReadFailed, DocumentUnchanged
 from pewtertack.core.profile import TimingProfile
+from pewtertack.core.replication.answer_times import AnswerTimes
 from pewtertack.core.replication.freshness import SourceFreshness
+from pewtertack.core.replication.open_reads import OpenRead, OpenReads
 from pewtertack.core.replication.readership import Readership
 from pewtertack.core.revision import NO_REVISION, Document, RevisionId
 from pewtertack.events import Event
@@ -39,19 +42,6 @@
 NOTHING_HELD = HeldOfSource()
 
 
-class _OpenRead:
-    """A read that the platform has not answered."""
-
-    __slots__ = ("confirms", "era", "may_be_stale")
-
-    def __init__(self, may_be_stale: bool, era: int) -> None:
-        self.may_be_stale = may_be_stale
-        self.era = era
-        """The latest era known when it began."""
-        self.confirms = not may_be_stale
-        """Whether its being open says that the platform has nothing newer."""
-
-
 class PlatformReader:
     """Issues reads of both documents while its readership tells this node to.
 
@@ -71,11 +61,13 @@
         self._profile = profile
         self._freshness = freshness
         self._random = random
-        self._open: dict[DocumentKind, _OpenRead] = {}
+        self._open = {kind: OpenReads() for kind in DocumentKind}
+        self._reads = 0
         self._not_before = dict.fromkeys(DocumentKind, first_read_at)
         if narrow_link:
             self._not_before[DocumentKind.CONFIGURATION] += profile.narrow_patience
         self._failures = dict.fromkeys(DocumentKind, 0)
+        self.answer_times = AnswerTimes(profile.read_patience)
         self.last_answer_at: dict[DocumentKind, float] = {}
         self._seen: dict[DocumentKind, int] = {}
         self._stale: dict[DocumentKind, int] = {}
@@ -116,33 +108,37 @@
 
         A connection that has silently gone is noticed by the platform adapter.
         """
-        for kind, open_read in self._open.items():
+        overdue = max(OVERDUE, self.answer_times.patience)
+        for kind, reads in self._open.items():
             answered_at = self.last_answer_at.get(kind)
-            if not open_read.confirms or answered_at is None:
+            if answered_at is None or not any(self._confirms(read) for read in reads):
                 continue
-            if open_read.era < self._held.era:
-                continue  # it was opened by a cursor of an era that is over
             if self._failures[kind] or kind in self._stale:
                 continue
-            if now - answered_at <= self._profile.read_wait + OVERDUE:
+            if now - answered_at <= self._profile.read_wait + overdue:
                 self._freshness.confirm(kind, now)
 
+    def _confirms(self, read: OpenRead) -> bool:
+        """Tell whether a read speaks for the present; not if its cursor is of an ended era."""
+        return read.confirms and read.effect.era >= self._held.era
+
     def after_pause(self) -> None:
         """What is open since before a pause of this process confirms nothing."""
-        for open_read in self._open.values():
-            open_read.confirms = False
+        for reads in self._open.values():
+            for read in reads:
+                read.confirms = False
 
     def _read_if_due(
         self, now: float, kind: DocumentKind, held: int, may_be_stale: bool
     ) -> list[Effect]:
-        if kind in self._open or now < self._not_before[kind]:
+        if now < self._not_before[kind] or not self._may_open(now, kind):
             return []
+        self._reads += 1
         of_source = self._held
-        self._open[kind] = _OpenRead(may_be_stale, of_source.era)
         read = ReadDocument(
             kind,
             self._known_number(kind, held),
-            self._wait(kind, may_be_stale),
+            self._wait(now, kind, may_be_stale),
             may_be_stale,
             of_source.era,
             of_source.era_since,
@@ -150,14 +146,42 @@
             of_source.ended,
             of_source.held,
             of_source.tree,
+            self._reads,
         )
+        self._open[kind].open(read, now, self.answer_times.patience)
         return [read]
 
-    def _wait(self, kind: DocumentKind, may_be_stale: bool) -> float:
-        """After a stale answer or a failure a read is to confirm, not to wait for a change."""
+    def _may_open(self, now: float, kind: DocumentKind) -> bool:
+        """Tell whether a read may be opened beside those that are open.
+
+        Beside overdue ones, and while a slow source may be answering the newest: what changes
+        meanwhile is in no answer that has begun.
+        """
+        reads = self._open[kind]
+        newest = reads.newest
+        if newest is None:
+            return True
+        if self._profile.read_patience == 0 or reads.is_full:
+            return False
+        if not reads.is_any_due(now):
+            return True
+        return self._overlaps(kind) and now - newest.opened_at >= self._profile.read_overlap
+
+    def _overlaps(self, kind: DocumentKind) -> bool:
+        return self.answer_times.is_slow and kind in self.last_answer_at
+
+    def _wait(self, now: float, kind: DocumentKind, may_be_stale: bool) -> float:
+        """Return for how long a read is to be held open, in seconds.
+
+        After a stale answer or a failure a read is to confirm, not to wait for a change, and so
+        is one beside an overdue one. A slow source holds a read until the next one comes.
+        """
         unconfirmed = kind not in self.last_answer_at or self._failures[kind] > 0
         unconfirmed = unconfirmed and self.readership.looks_first
-        return 0.0 if may_be_stale or unconfirmed else self._profile.read_wait
+        if may_be_stale or unconfirmed or self._open[kind].is_any_overdue(now):
+            return 0.0
+        longest = self._profile.read_wait
+        return min(longest, self._profile.read_overlap) if self._overlaps(kind) else longest
 
     def _known_number(self, kind: DocumentKind, held: int) -> int:
         """Return the number to wait for a change of.
@@ -171,38 +195,51 @@
         """Tell whether the last read of a document failed."""
         return self._failures[kind] > 0
 
-    def answered_with(self, now: float, kind: DocumentKind, number: int, held: int) -> None:
-        """The platform answered with the document ``number`` while ``held`` was held."""
+    def answered_with(self, now: float, answer: DocumentRead, held: int) -> None:
+        """The platform answered with a document while the number ``held`` was held."""
+        kind, number = answer.kind, answer.number
         self._seen[kind] = number
         if number < held:
             self._stale[kind] = number
-            self._note_answer(now, kind)
+            self._note_answer(now, answer)
         else:
             self._stale.pop(kind, None)
-            self.answered(now, kind)
+            self.answered(now, answer)
 
-    def answered(self, now: float, kind: DocumentKind) -> None:
+    def answered(self, now: float, answer: DocumentRead | DocumentUnchanged) -> None:
         """The platform gave a usable answer that is no older than what is held."""
-        self._note_answer(now, kind)
-        self._freshness.confirm(kind, now)
+        self._note_answer(now, answer)
+        self._freshness.confirm(answer.kind, now)
 
-    def _note_answer(self, now: float, kind: DocumentKind) -> None:
-        self._open.pop(kind, None)
+    def _note_answer(self, now: float, answer: DocumentRead | DocumentUnchanged) -> None:
+        kind = answer.kind
+        self._end_read(answer)
         self._failures[kind] = 0
         few_read = self.readership.tells_peers
         gap = self._profile.few_readers_gap if few_read else self._profile.read_gap
         self._not_before[kind] = now + gap
         self.last_answer_at[kind] = now
 
-    def answered_stale(self, now: float, kind: DocumentKind) -> None:
+    def _end_read(self, answer: DocumentRead | DocumentUnchanged) -> None:
+        self._open[answer.kind].answered(answer.read)
+        self._note_time(answer.took)
+
+    def _note_time(self, seconds: float | None) -> None:
+        if seconds is not None:
+            self.answer_times.note(seconds)
+
+    def answered_stale(self, now: float, answer: DocumentRead) -> None:
         """The platform gave an answer that may be old."""
-        self._open.pop(kind, None)
+        kind = answer.kind
+        self._end_read(answer)
         self._failures[kind] = 0
         self._not_before[kind] = now
 
-    def failed(self, now: float, kind: DocumentKind, retry_after: float | None) -> None:
+    def failed(self, now: float, failed: DocumentReadFailed) -> None:
         """Wait before the next read: what the platform asked for, or longer each time."""
-        self._open.pop(kind, None)
+        kind, retry_after = failed.kind, failed.retry_after
+        self._open[kind].close(failed.read)
+        self._note_time(failed.took)
         backoff = self._profile.read_backoff * BACKOFF_FACTOR ** self._failures[kind]
         backoff = min(backoff, self._profile.read_backoff_limit)
         delay = max(retry_after or 0.0, backoff) * self._random.uniform(0.5, 1.5)
--- a/src/pewtertack/core/replication/service.py
+++ b/src/pewtertack/core/replication/service.py
@@ -184,9 +184,9 @@
         effects = self._note_regained(kind) + self.passed_over.note(kind, read.findings)
         effects += self.passed_over.note_answer(kind, read.about_answers)
         if read.stale:
-            self.reader.answered_stale(now, kind)
+            self.reader.answered_stale(now, read)
         else:
-            self.reader.answered_with(now, kind, number, self.held_number(kind))
+            self.reader.answered_with(now, read, self.held_number(kind))
         if kind is DocumentKind.MACHINE_LIST:
             offered = self.machine_list.offer(now, identify(number, document), document)
             return effects + self._after_machine_list(now, offered)
@@ -198,7 +198,7 @@
         kind = answer.kind
         effects = self._note_regained(kind)
         effects += self.passed_over.note_answer(kind, answer.about_answers)
-        self.reader.answered(now, kind)
+        self.reader.answered(now, answer)
         return effects
 
     def _note_regained(self, kind: DocumentKind) -> list[Effect]:
@@ -214,7 +214,7 @@
             effects += self.passed_over.note_answer(kind, failed.about_answers)
         if not self.reader.is_failing(kind):
             effects.append(Log(Event.SOURCE_LOST, {"document": kind.name}))
-        self.reader.failed(now, kind, failed.retry_after)
+        self.reader.failed(now, failed)
         return effects
 
     # What peers say of their versions.
--- a/src/pewtertack/core/source_mirror.py
+++ b/src/pewtertack/core/source_mirror.py
@@ -2,10 +2,41 @@
 
 from __future__ import annotations
 
+from collections.abc import Iterable
+from enum import Enum
+from typing import Protocol
+
 SPOILT = b""
 """Stands for a value that cannot be told: no document is empty."""
 
 
+class Refreshed(Enum):
+    """What a read has found."""
+
+    SAME = "the mirror shows what the source does"
+    CHANGED = "the mirror has changed, or is new"
+    OVERTAKEN = "another read has already told more than this one"
+
+
+class Change(Protocol):
+    """One item as it was written, or the word that it is gone."""
+
+    @property
+    def key(self) -> str:
+        """The item's key."""
+
+    @property
+    def revision(self) -> int:
+        """The revision of the write; 0 where it cannot be told."""
+
+    @property
+    def made(self) -> int:
+        """The revision of the item's creation."""
+
+    def content(self) -> bytes | None:
+        """Return its bytes; ``None`` where it is gone."""
+
+
 class Mirror:
     """The items below one prefix as of the source's revision ``at``; 0 before the first list.
 
@@ -56,8 +87,28 @@
         self.items[key] = value
         self.made[key] = made
 
+    def take_changes(self, after: int, at: int, changes: Iterable[Change]) -> Refreshed:
+        """Take in the answer to a watch; several may be under way at once.
+
+        Args:
+            after: the revision from which the watch was asked.
+            at: the revision as of which it was answered.
+            changes: since ``after``, in their order.
+        """
+        if after < self.at >= at:
+            return Refreshed.OVERTAKEN
+        news = [change for change in changes if not 0 < change.revision <= self.at]
+        for change in news:
+            self.take(change.key, change.content(), change.made)
+            self.number = max(self.number, change.revision)
+        self.at = max(self.at, at)
+        self.stale = False
+        return Refreshed.CHANGED if news else Refreshed.SAME
+
     def take_list(self, listed: Mirror) -> None:
-        """Take over what a whole list shows."""
+        """Take over what a whole list shows, unless watches have gone beyond it meanwhile."""
+        if listed.era == self.era and not self.stale and listed.at < self.at:
+            return
         if listed.era != self.era:
             self._copied = {key: listed.made[key] for key in listed._named}
         self.items, self.made = listed.items, listed.made
--- a/src/pewtertack/node/gateway/cold_watch.py
+++ b/src/pewtertack/node/gateway/cold_watch.py
@@ -28,6 +28,7 @@
 LOOK_UNBOUNDED_SECONDS = 1.0
 """The same while its service bounds nothing."""
 ANSWER_SECONDS = 0.4
+TIMEOUTS = ServiceTimeouts(ANSWER_SECONDS, ANSWER_SECONDS, ANSWER_SECONDS)
 """For connection and answer; a back end whose slots are all taken answers in its turn."""
 BODY_BYTES = 64 * 1024
 MILLISECONDS = 1000.0
@@ -88,7 +89,7 @@
         client = self._client_for(self._backend.address)
         asked_at = self._clock()
         try:
-            answer = await client.get(path, ServiceTimeouts(ANSWER_SECONDS, ANSWER_SECONDS))
+            answer = await client.get(path, TIMEOUTS)
         except (ServiceUnreachableError, AnswerTooLargeError) as error:
             logger.debug("no health answer of %s: %s", self._backend.address, error)
             return  # it is asked again; meanwhile what was known holds
--- a/src/pewtertack/node/http/client.py
+++ b/src/pewtertack/node/http/client.py
@@ -10,6 +10,7 @@
 import msgspec
 
 from pewtertack.errors import PlatformError
+from pewtertack.node import clock
 from pewtertack.node.http.connection import BackendConnection, ExchangeBrokenError, connect
 from pewtertack.node.http.framing import NO_BODY_STATUSES, RawHeaders
 from pewtertack.node.http.messages import AnswerStart, OutgoingRequest
@@ -17,8 +18,9 @@
 ANSWER_FACTOR = 10.0
 """An answer whose parts keep coming may take so many times the time for one part: 1 MB over a
 link of 1 Mbit/s, where 1 s is allowed for a part."""
-IDLE_CONNECTIONS = 2
-"""One for each of the two documents."""
+IDLE_CONNECTIONS = 4
+"""Two for each of the two documents: while a service is slow, further reads begin before the
+answers to the first have come."""
 
 
 class ServiceUnreachableError(PlatformError):
@@ -27,6 +29,18 @@
     code = "service-unreachable"
 
 
+class ServiceSilentError(ServiceUnreachableError):
+    """The connection stands, and no answer came in time."""
+
+    code = "service-silent"
+
+
+class AnswerStalledError(ServiceUnreachableError):
+    """An answer began and did not go on, or not to its end, in time."""
+
+    code = "answer-stalled"
+
+
 class AnswerTooLargeError(PlatformError):
     """An answer's body is longer than allowed."""
 
@@ -41,6 +55,8 @@
     body: bytes
     fresh: bool = True
     """Whether it is the first answer on its connection."""
+    took: float = 0.0
+    """Seconds from the request to the answer's head."""
 
     def header(self, name: bytes) -> bytes | None:
         """Return the first value of a header; ``name`` in lower case."""
@@ -48,7 +64,7 @@
 
 
 class ServiceTimeouts(msgspec.Struct, frozen=True):
-    """Seconds for a new connection, and without a further part of the answer on one that stands.
+    """Seconds for a new connection, for the head of an answer, and between two parts of its body.
 
     A long answer over a narrow link takes its time; given up and asked for again it would fill
     the link for good. `HttpClient` bounds the whole by ``ANSWER_FACTOR`` times as long.
@@ -56,6 +72,7 @@
 
     connect: float
     answer: float
+    part: float
 
 
 class HttpClient:
@@ -96,32 +113,49 @@
         while self._idle:
             connection = self._idle.pop()
             if connection.reusable:
-                return await self._exchange(connection, request, timeouts.answer, fresh=False)
+                return await self._exchange(connection, request, timeouts, fresh=False)
             connection.abort()
         try:
             connection = await connect(self.address, timeouts.connect, self._local_host)
         except (OSError, ValueError) as error:
             raise ServiceUnreachableError(f"cannot connect: {error}") from error
-        return await self._exchange(connection, request, timeouts.answer)
+        return await self._exchange(connection, request, timeouts)
 
     async def _exchange(
         self,
         connection: BackendConnection,
         request: OutgoingRequest,
-        seconds: float,
+        timeouts: ServiceTimeouts,
         fresh: bool = True,
     ) -> ServiceAnswer:
+        began = clock.now()
         try:
-            with anyio.fail_after(seconds):
-                start = await connection.exchange(request)
-            with anyio.fail_after(seconds * ANSWER_FACTOR):
-                body = await self._body_of(connection, start, seconds)
-        except (TimeoutError, ExchangeBrokenError) as error:
-            reason = str(error) or f"no answer within {seconds:g} s"
-            raise ServiceUnreachableError(reason) from error
+            start = await self._start_of(connection, request, timeouts.answer)
+            took = clock.now() - began
+            body = await self._whole_body_of(connection, start, timeouts.part)
+        except ExchangeBrokenError as error:
+            raise ServiceUnreachableError(str(error)) from error
         finally:
             self._give_back(connection)
-        return ServiceAnswer(start.status, start.headers, body, fresh)
+        return ServiceAnswer(start.status, start.headers, body, fresh, took)
+
+    async def _start_of(
+        self, connection: BackendConnection, request: OutgoingRequest, seconds: float
+    ) -> AnswerStart:
+        try:
+            with anyio.fail_after(seconds):
+                return await connection.exchange(request)
+        except TimeoutError as error:
+            raise ServiceSilentError(f"no answer within {seconds:g} s") from error
+
+    async def _whole_body_of(
+        self, connection: BackendConnection, start: AnswerStart, seconds: float
+    ) -> bytes:
+        try:
+            with anyio.fail_after(seconds * ANSWER_FACTOR):
+                return await self._body_of(connection, start, seconds)
+        except TimeoutError as error:
+            raise AnswerStalledError("the answer began and did not end in time") from error
 
     async def _body_of(
         self, connection: BackendConnection, start: AnswerStart, seconds: float
--- a/src/pewtertack/node/platform.py
+++ b/src/pewtertack/node/platform.py
@@ -140,7 +140,7 @@
     async def _ask(self, effect: ReadDocument) -> ServiceAnswer:
         target = f"{self._targets[effect.kind]}?after={effect.after}&wait={effect.wait:g}"
         timeout = self._limits.timeout
-        timeouts = ServiceTimeouts(timeout, effect.wait + timeout)
+        timeouts = ServiceTimeouts(timeout, effect.wait + timeout, effect.wait + timeout)
         known = (b"if-none-match", f'"{effect.after}"'.encode())
         try:
             return await self._services[effect.kind].get(target, timeouts, [known])
--- a/src/pewtertack/node/runtime.py
+++ b/src/pewtertack/node/runtime.py
@@ -6,6 +6,7 @@
 from typing import Protocol
 
 import anyio
+import msgspec
 from anyio.abc import TaskGroup
 
 from pewtertack.core.configuration.resolved import ResolvedConfiguration
@@ -236,4 +237,5 @@
         self._tasks.start_soon(self._read, effect)
 
     async def _read(self, effect: ReadDocument) -> None:
-        self.feed(await self._reader.read(effect))
+        answer = await self._reader.read(effect)
+        self.feed(msgspec.structs.replace(answer, read=effect.read))
--- a/src/pewtertack/platform/store.py
+++ b/src/pewtertack/platform/store.py
@@ -11,13 +11,14 @@
 from pewtertack.core.eras import list_number
 from pewtertack.core.inputs import DocumentRead, DocumentReadFailed, DocumentUnchanged
 from pewtertack.core.source_era import SourceEra, SourceEraError
-from pewtertack.core.source_mirror import Mirror
+from pewtertack.core.source_mirror import Mirror, Refreshed
 from pewtertack.core.source_trees import lacks_change, tree_document
 from pewtertack.errors import PlatformError
 from pewtertack.node import clock
 from pewtertack.node.http.client import (
     HttpClient,
     ServiceAnswer,
+    ServiceSilentError,
     ServiceTimeouts,
     ServiceUnreachableError,
 )
@@ -38,8 +39,11 @@
 STATUS_BUSY = (429, 503)
 STATUS_OF_STORE = (STATUS_OK, STATUS_HISTORY_GONE)
 """What the store itself answers: with its era, where it has any."""
-ANSWER_SECONDS = 1.0
-"""For an answer of the store beyond the time for which a watch may wait."""
+CONNECT_SECONDS = 1.0
+ANSWER_SECONDS = 8.0
+"""For the head of an answer, beyond the time for which a watch may wait."""
+PART_SECONDS = 3.0
+"""Without a further part of an answer that has begun."""
 ANSWER_BYTES = 16 * 1024 * 1024
 """The longest answer that is read; a page of the store has 1 MB or so, a watch may have more."""
 
@@ -52,6 +56,12 @@
     code: ClassVar[str] = "store-unreachable"
 
 
+class StoreSilentError(StoreUnreachableError):
+    """The store has taken a call and did not answer it."""
+
+    code: ClassVar[str] = "store-silent"
+
+
 class StoreBusyError(PlatformError):
     """The store refuses or throttles calls."""
 
@@ -115,6 +125,8 @@
             DocumentKind.MACHINE_LIST: Mirror(BACKENDS_PREFIX),
         }
         self._client = HttpClient(address, ANSWER_BYTES)
+        self._took: float | None = None
+        """Seconds that the store needed for the last answer whose time is known."""
 
     async def close(self) -> None:
         """Close the connections."""
@@ -128,10 +140,8 @@
             answer = await self._read(effect, self._mirrors[effect.kind])
         except PlatformError as error:
             answer = DocumentReadFailed(effect.kind, f"{error.code}: {error}")
-        about_answers = self._era.take_findings()
-        if not about_answers:
-            return answer
-        return msgspec.structs.replace(answer, about_answers=about_answers)
+        found, took, self._took = self._era.take_findings(), self._took, None
+        return msgspec.structs.replace(answer, about_answers=found, took=took)
 
     async def _read(
         self, effect: ReadDocument, mirror: Mirror
@@ -145,13 +155,14 @@
             # which evacuations hold as of which revision a stale answer does not tell
             mirror.at = 0
         try:
-            changed = await self._refresh(mirror, effect.wait)
+            refreshed = await self._refresh(mirror, effect.wait)
         except _HistoryGoneError:
             mirror.at = 0
             raise
         if effect.era > self._era.number:
             raise SourceEraError(f"of era {self._era.number}; peers have heard of {effect.era}")
-        if not changed and not self._lacks_change(effect, mirror):
+        same = refreshed is Refreshed.SAME and not self._lacks_change(effect, mirror)
+        if same or refreshed is Refreshed.OVERTAKEN:
             return DocumentUnchanged(effect.kind)
         return self._document(effect, mirror)
 
@@ -170,17 +181,17 @@
             since = min(since, effect.era_since)
         return self._now() < since + self._hold_after_return
 
-    async def _refresh(self, mirror: Mirror, wait: float) -> bool:
+    async def _refresh(self, mirror: Mirror, wait: float) -> Refreshed:
         if mirror.at == 0 or mirror.era != self._era.known:
             await self._list(mirror)
-            return True
+            return Refreshed.CHANGED
         try:
             return await self._watch(mirror, wait)
         except _HistoryGoneError:
             if not mirror.stale:
                 raise
             await self._list(mirror)
-            return True
+            return Refreshed.CHANGED
 
     async def _list(self, mirror: Mirror, stale: bool = False) -> None:
         """Read all items; what changes between two pages is seen by the watch that follows.
@@ -207,23 +218,29 @@
         if after and not stale and mirror.prefix == OPERATOR_PREFIX:
             await self._watch(mirror, 0.0)  # pages are no snapshot; their number must be exact
 
-    async def _watch(self, mirror: Mirror, wait: float) -> bool:
-        query = f"PathPrefix={mirror.prefix}&after={mirror.at}&WaitMs={int(wait * 1000)}"
+    async def _watch(self, mirror: Mirror, wait: float) -> Refreshed:
+        """Take in what has changed; other reads may have changed the mirror meanwhile."""
+        after = mirror.at
+        query = f"PathPrefix={mirror.prefix}&after={after}&WaitMs={int(wait * 1000)}"
         found = _decode(await self._get(f"/kv-watch?{query}", wait), _Events)
-        for event in items_of(found.events):
-            mirror.take(event.key, event.content(), event.made)
-            mirror.number = max(mirror.number, event.revision)
-        mirror.at = max(mirror.at, found.at)
-        mirror.stale = False
-        return bool(found.events)
+        if wait and found.events:
+            self._took = None  # a change has ended the wait
+        if mirror.at == 0:
+            await self._list(mirror)
+            return Refreshed.CHANGED
+        return mirror.take_changes(after, found.at, items_of(found.events))
 
     async def _get(self, path: str, wait: float = 0.0) -> bytes:
-        timeouts = ServiceTimeouts(ANSWER_SECONDS, wait + ANSWER_SECONDS)
+        timeouts = ServiceTimeouts(CONNECT_SECONDS, wait + ANSWER_SECONDS, PART_SECONDS)
         sent_in = self._era.known
         try:
             answer = await self._client.get(path, timeouts)
+        except ServiceSilentError as error:
+            raise StoreSilentError(str(error)) from error
         except ServiceUnreachableError as error:
             raise StoreUnreachableError(str(error)) from error
+        if answer.took >= wait:
+            self._took = answer.took - wait
         self._note_era(answer, sent_in)
         if answer.status == STATUS_HISTORY_GONE:
             raise _HistoryGoneError("listing again")
--- a/tests/core/replication/test_reader.py
+++ b/tests/core/replication/test_reader.py
@@ -4,6 +4,7 @@
 from random import Random
 
 from pewtertack.core.effects import ReadDocument
+from pewtertack.core.inputs import DocumentRead, DocumentReadFailed, DocumentUnchanged
 from pewtertack.core.profile import LEASED
 from pewtertack.core.replication.freshness import SourceFreshness
 from pewtertack.core.replication.reader import OVERDUE, PlatformReader
@@ -44,24 +45,24 @@
 
     def test_a_node_that_holds_nothing_begins_with_what_may_be_stale(self) -> None:
         self.assertEqual(self.wait_asked(0.0, held=0), (True, 0.0))
-        self.reader.answered_stale(0.1, KIND)
+        self.reader.answered_stale(0.1, DocumentRead(KIND, 4, {}, stale=True))
         self.assertIsNone(self.freshness.ages(0.1).configuration)
 
     def test_the_first_read_after_that_confirms_and_does_not_wait(self) -> None:
         self.assertEqual(self.wait_asked(0.0), (False, 0.0))
-        self.reader.answered(0.1, KIND)
+        self.reader.answered(0.1, DocumentUnchanged(KIND))
         self.assertEqual(self.wait_asked(1.0), (False, LEASED.read_wait))
 
     def test_nor_does_the_first_one_after_a_failure(self) -> None:
         self.read(0.0, 5)
-        self.reader.answered(0.1, KIND)
+        self.reader.answered(0.1, DocumentUnchanged(KIND))
         self.read(1.0, 5)
-        self.reader.failed(1.1, KIND, None)
+        self.reader.failed(1.1, DocumentReadFailed(KIND, "down"))
         self.assertEqual(self.wait_asked(5.0), (False, 0.0))
 
     def test_a_read_that_stays_open_confirms_until_it_is_overdue(self) -> None:
         self.read(0.0, 5)
-        self.reader.answered(0.1, KIND)
+        self.reader.answered(0.1, DocumentUnchanged(KIND))
         self.read(1.0, 5)
         self.read(8.0, 5)
         self.assertEqual(self.freshness.ages(8.0).configuration, 0)
@@ -71,7 +72,7 @@
 
     def test_one_opened_before_a_pause_does_not(self) -> None:
         self.read(0.0, 5)
-        self.reader.answered(0.1, KIND)
+        self.reader.answered(0.1, DocumentUnchanged(KIND))
         self.read(1.0, 5)
         self.freshness.forget(4.0, 0.0)
         self.reader.after_pause()
@@ -80,7 +81,7 @@
 
     def test_an_answer_older_than_what_is_held_confirms_nothing(self) -> None:
         self.read(0.0, 5)
-        self.reader.answered_with(0.1, KIND, 4, 5)
+        self.reader.answered_with(0.1, DocumentRead(KIND, 4, {}), 5)
         self.assertIsNone(self.freshness.ages(0.1).configuration)
         self.read(1.0, 5)
         self.read(2.0, 5)
--- /dev/null
+++ b/tests/core/replication/test_slow_source.py
@@ -0,0 +1,159 @@
+"""Reads of a source that is slow, silent or gone: when the next one begins, in virtual time."""
+
+import heapq
+import unittest
+from collections.abc import Callable
+from random import Random
+
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from pewtertack.core.effects import ReadDocument
+from pewtertack.core.inputs import DocumentRead, DocumentReadFailed, DocumentUnchanged
+from pewtertack.core.profile import LEASED
+from pewtertack.core.replication.freshness import SourceFreshness
+from pewtertack.core.replication.open_reads import READS_MOST
+from pewtertack.core.replication.reader import PlatformReader
+from pewtertack.wire.messages import DocumentKind
+from tests.core.replication.test_reader import AlwaysReads
+
+KIND = DocumentKind.CONFIGURATION
+GIVEN_UP = 8.0
+"""Seconds beyond its wait after which a read without an answer fails."""
+Delay = Callable[[float], float | None]
+
+
+class VirtualSource:
+    """One reader and a source that answers late: a change ends the reads that are held open.
+
+    Args:
+        delay: seconds that an answer begun at a moment takes; ``None`` where it is lost.
+        changes: the moments at which the document changes.
+    """
+
+    def __init__(self, delay: Delay, changes: tuple[float, ...] = ()) -> None:
+        self.freshness = SourceFreshness()
+        self.reader = PlatformReader(LEASED, AlwaysReads(), self.freshness, Random(1), 0.0)
+        self.reads: list[tuple[float, ReadDocument]] = []
+        self.told: dict[int, float] = {}
+        """By number of the change, when the reader heard of it."""
+        self.open = self.open_most = 0
+        self.now = 0.0
+        self._delay = delay
+        self._changes = changes
+        self._answers: list[tuple[float, int, DocumentRead | DocumentUnchanged | None]] = []
+
+    def run(self, until: float) -> None:
+        while self.now < until:
+            self._take_answers()
+            numbers = dict.fromkeys(DocumentKind, max(self.told, default=1))
+            for effect in self.reader.tick(self.now, True, numbers):
+                if isinstance(effect, ReadDocument) and effect.kind is KIND:
+                    self._begin(effect)
+            self.now += LEASED.tick
+
+    def _number_at(self, moment: float) -> int:
+        return 1 + sum(change <= moment for change in self._changes)
+
+    def _begin(self, read: ReadDocument) -> None:
+        self.reads.append((self.now, read))
+        self.open += 1
+        self.open_most = max(self.open_most, self.open)
+        later = (change for change in self._changes if self.now < change <= self.now + read.wait)
+        held_until = self.now if self._number_at(self.now) != read.after else min(later, default=-1)
+        found = held_until if held_until >= 0 else self.now + read.wait
+        delay = self._delay(found)
+        number = self._number_at(found)
+        took = delay if held_until < 0 or read.wait == 0 else None
+        answer: DocumentRead | DocumentUnchanged | None = None
+        if delay is not None and delay <= GIVEN_UP:
+            answer = DocumentUnchanged(KIND, read=read.read, took=took)
+            if number != read.after:
+                answer = DocumentRead(KIND, number, {}, read=read.read, took=took)
+        ends = found + delay if answer is not None and delay is not None else None
+        ends = ends if ends is not None else self.now + read.wait + GIVEN_UP
+        heapq.heappush(self._answers, (ends, read.read, answer))
+
+    def _take_answers(self) -> None:
+        while self._answers and self._answers[0][0] <= self.now:
+            _, number, answer = heapq.heappop(self._answers)
+            self.open -= 1
+            if answer is None:
+                self.reader.failed(self.now, DocumentReadFailed(KIND, "silent", read=number))
+            elif isinstance(answer, DocumentUnchanged):
+                self.reader.answered(self.now, answer)
+            else:
+                held = max(self.told, default=1)
+                self.reader.answered_with(self.now, answer, held)
+                self.told.setdefault(answer.number, self.now)
+
+    def latency(self, number: int) -> float:
+        """Return how long after it happened a change was known, or a newer one."""
+        known = min(moment for told, moment in self.told.items() if told >= number)
+        return known - self._changes[number - 2]
+
+
+class SlowSourceTest(unittest.TestCase):
+    def test_an_answer_on_its_way_is_not_given_up(self) -> None:
+        for seconds in (1.2, 1.9, 3.8):
+            source = VirtualSource(lambda now, d=seconds: d if now > 6.0 else 0.004, (8.0,))
+            source.run(30.0)
+            self.assertLessEqual(source.latency(2), seconds + 0.2)
+
+    def test_a_change_during_a_slow_answer_is_told_by_the_next_read_not_the_one_after(self) -> None:
+        source = VirtualSource(lambda now: 3.8 if now > 6.0 else 0.004, (20.0, 20.5, 22.0))
+        source.run(40.0)
+        for number in (2, 3, 4):
+            overlap = LEASED.read_overlap + 0.2
+            self.assertLessEqual(source.latency(number), 3.8 + overlap)
+
+    def test_a_lost_answer_costs_no_more_than_a_read_that_is_given_up(self) -> None:
+        source = VirtualSource(lambda now: None if 0.5 < now < 11.0 else 0.004, (11.0,))
+        source.run(20.0)
+        self.assertLessEqual(source.latency(2), 2.3)
+
+    def test_a_silent_source_is_asked_by_few_reads_at_once_and_at_a_bounded_rate(self) -> None:
+        source = VirtualSource(lambda now: 0.004 if now < 1.0 else None)
+        source.run(60.0)
+        self.assertLessEqual(source.open_most, READS_MOST)
+        self.assertLessEqual(len(source.reads), 40)
+
+    def test_it_is_not_claimed_to_be_current(self) -> None:
+        source = VirtualSource(lambda now: 0.004 if now < 1.0 else None)
+        source.run(40.0)
+        age = source.freshness.age(40.0, KIND)
+        self.assertGreater(age, 40.0 - 1.0 - LEASED.read_wait - 4.0)
+
+    def test_a_slow_source_that_answers_is_claimed_to_be_current(self) -> None:
+        source = VirtualSource(lambda now: 3.8)
+        source.run(12.0)
+        for _ in range(200):
+            source.run(source.now + LEASED.tick)
+            self.assertLess(source.freshness.age(source.now, KIND), LEASED.reader_lease)
+
+    def test_a_calm_source_is_asked_once_in_the_time_it_may_hold_a_read(self) -> None:
+        source = VirtualSource(lambda now: 0.004)
+        source.run(100.0)
+        self.assertLessEqual(len(source.reads), 100.0 / LEASED.read_wait + 2)
+        self.assertEqual(source.open_most, 1)
+
+    @settings(max_examples=40, deadline=None)
+    @given(
+        st.lists(st.floats(0.0, 6.0), min_size=1, max_size=6),
+        st.lists(st.floats(2.0, 50.0), min_size=1, max_size=6, unique=True),
+    )
+    def test_every_change_is_told_and_reads_are_bounded(
+        self, delays: list[float], moments: list[float]
+    ) -> None:
+        changes = tuple(sorted(moments))
+        source = VirtualSource(lambda now: delays[int(now / 7.0) % len(delays)], changes)
+        source.run(100.0)
+        slowest = max(delays)
+        for number in range(2, len(changes) + 2):
+            bound = 2 * slowest + LEASED.read_overlap + 2.0
+            self.assertLessEqual(source.latency(number), bound)
+        self.assertLessEqual(source.open_most, READS_MOST)
+
+
+if __name__ == "__main__":
+    unittest.main()
--- /dev/null
+++ b/tests/core/test_source_mirror.py
@@ -0,0 +1,61 @@
+"""Watches of one prefix that are under way at once, answered in any order."""
+
+import unittest
+
+from hypothesis import given
+from hypothesis import strategies as st
+
+from pewtertack.core.source_mirror import Mirror, Refreshed
+
+KEYS = ("x/a", "x/b", "x/c")
+
+
+class Write:
+    """One write of a source that numbers them from 1 on."""
+
+    def __init__(self, key: str, revision: int, is_gone: bool) -> None:
+        self.key = key
+        self.revision = revision
+        self.made = revision
+        self.is_gone = is_gone
+
+    def content(self) -> bytes | None:
+        return None if self.is_gone else str(self.revision).encode()
+
+
+WRITES = st.lists(st.tuples(st.sampled_from(KEYS), st.booleans()), min_size=1, max_size=12)
+
+
+class OverlappingWatchesTest(unittest.TestCase):
+    @given(WRITES, st.data())
+    def test_they_lead_to_the_same_items_as_one_after_the_other(
+        self, written: list[tuple[str, bool]], data: st.DataObject
+    ) -> None:
+        writes = [Write(key, number, gone) for number, (key, gone) in enumerate(written, 2)]
+        last = len(writes) + 1
+        expected, mirror = Mirror("x/"), Mirror("x/")
+        expected.at = mirror.at = 1
+        expected.take_changes(1, last, writes)
+        while mirror.at < last:
+            after = mirror.at
+            ends = st.lists(st.integers(after, last), min_size=1, max_size=4)
+            for at in data.draw(ends):
+                before = mirror.at
+                told = [write for write in writes if after < write.revision <= at]
+                refreshed = mirror.take_changes(after, at, told)
+                self.assertEqual(refreshed is Refreshed.CHANGED, at > before)
+                self.assertEqual(mirror.at, max(before, at))
+            if mirror.at == after:
+                mirror.take_changes(after, last, [item for item in writes if item.revision > after])
+        self.assertEqual((mirror.items, mirror.number), (expected.items, expected.number))
+
+    def test_a_list_that_was_overtaken_takes_nothing_back(self) -> None:
+        mirror, listed = Mirror("x/"), Mirror("x/")
+        mirror.at = listed.at = 1
+        mirror.take_changes(1, 3, [Write("x/a", 3, False)])
+        mirror.take_list(listed)
+        self.assertEqual((mirror.at, set(mirror.items)), (3, {"x/a"}))
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/tests/node/http/test_client.py
+++ b/tests/node/http/test_client.py
@@ -11,7 +11,7 @@
 )
 from tests.node.listening import Listener, Serve
 
-PROMPT = ServiceTimeouts(1.0, 0.3)
+PROMPT = ServiceTimeouts(1.0, 0.3, 0.3)
 WHOLE = b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"
 
 
@@ -87,14 +87,14 @@
     async def test_a_long_answer_over_a_narrow_link_is_read_to_its_end(self) -> None:
         """0.1 s are allowed for a part, and 0.4 s the whole takes."""
         client = await self.client_of_parts(8, 0.05)
-        self.assertEqual((await client.get("/a", ServiceTimeouts(1.0, 0.1))).body, b"x" * 8)
+        self.assertEqual((await client.get("/a", ServiceTimeouts(1.0, 0.1, 0.1))).body, b"x" * 8)
 
     async def test_one_that_falls_silent_or_never_ends_is_given_up(self) -> None:
         for parts, gap in ((2, 0.5), (90, 0.02)):
             client = await self.client_of_parts(parts, gap)
             began = asyncio.get_running_loop().time()
             with self.assertRaises(ServiceUnreachableError):
-                await client.get("/a", ServiceTimeouts(1.0, 0.1))
+                await client.get("/a", ServiceTimeouts(1.0, 0.1, 0.1))
             self.assertLess(asyncio.get_running_loop().time() - began, 1.3)
 
     async def test_a_body_beyond_the_limit_ends_the_read(self) -> None:
--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -90,10 +90,35 @@
         self.store.faults = StoreFaults(lost_answers=1)
         with anyio.fail_after(10.0):
             failed = await self.read(CONFIG)
-        self.assertIn("store-unreachable", failed.reason)
+        self.assertIn("store-silent", failed.reason)
         self.store.put("op/config", encoded({**CONFIGURATION, "Version": "r20"}))
         self.assertEqual((await self.read(CONFIG)).number, 20 * VERSION_STEP)
 
+    async def test_reads_under_way_at_once_tell_a_change_once_and_lose_none(self) -> None:
+        await self.read(MACHINES)
+        answers: list[Any] = []
+
+        async def wait_for_change() -> None:
+            answers.append(await self.read(MACHINES, 20.0))
+
+        async with anyio.create_task_group() as tasks:
+            for calls in (2, 3):
+                tasks.start_soon(wait_for_change)
+                while self.store.calls < calls:
+                    await anyio.sleep(0.001)
+            self.store.put("servers/i-2", encoded({**ENTRY, "Address": "10.1.0.9:8080"}))
+        kinds = sorted(type(answer).__name__ for answer in answers)
+        self.assertEqual(kinds, ["DocumentRead", "DocumentUnchanged"])
+        self.store.remove("servers/i-1")
+        self.assertEqual(sorted((await self.read(MACHINES)).document), ["10.1.0.9", "i-2"])
+
+    async def test_a_slow_answer_is_read_to_its_end_and_its_time_is_told(self) -> None:
+        await self.read(CONFIG)
+        self.store.faults = StoreFaults(delay=1.3)
+        unchanged = await self.read(CONFIG)
+        self.assertIsInstance(unchanged, DocumentUnchanged)
+        self.assertAlmostEqual(unchanged.took, 1.3, delta=0.5)
+
     async def test_a_closed_store_is_a_typed_failure(self) -> None:
         reader = StoreReader("127.0.0.1:1", 8146, 7380)
         self.addAsyncCleanup(reader.close)
