A node that hears readers but is behind them does not begin and stop reading by turns

Cause: a node takes over when its own word of the source is older than the lease, and stopped as soon as readers before it were heard, at the next turn. One that hears them but has not got what they hold yet meets both conditions for as long as it is behind.

Change: while readers are heard it is theirs to bring it, and a node takes over 2.7 s later than without them; one that has begun goes on until its own word is recent as well.

--- a/src/pewtertack/core/profile.py
+++ b/src/pewtertack/core/profile.py
@@ -84,6 +84,8 @@
     Two heartbeats may be lost. With the time between two reads, a node whose readers all
     die right after an edit still has it within 2 s of the edit.
     """
+    behind_patience: float = 2.7
+    """So much longer a node waits that hears readers, but has not got what they hold."""
     takeover_step: float = 0.1
     """Each next node of a zone waits this much longer to take over: a read takes 0.05 s."""
     takeover_candidates: int = 6
--- a/src/pewtertack/core/replication/readership.py
+++ b/src/pewtertack/core/replication/readership.py
@@ -168,8 +168,10 @@
 
     Whoever reads sends heartbeats with the age of the source's word. A node whose own word
     has grown older than the lease takes over, the next by hash score first, and goes on
-    until enough readers before it are heard again. A source that answers nobody is asked
-    by a few nodes of each zone only; the rest come in one by one.
+    until enough readers before it are heard again and its own word is recent. A source that
+    answers nobody is asked by a few nodes of each zone only; the rest come in one by one.
+
+    A node that hears readers but is behind them has it from them before it reads for itself.
 
     Members with wide links go before all others: a long document takes a narrow link most of
     a second, and everyone waits for it. One that has heard of none before it begins to read,
@@ -201,10 +203,13 @@
         rank = table.zone(self._parts.identity.zone).count_below(self._score)
         if rank < profile.readers_per_zone or self._volunteers(now, rank, joining):
             return self._readers_before(now) < profile.readers_per_zone
+        unconfirmed = self._unconfirmed_for(now)
+        replaced = self._readers_before(now) >= profile.readers_per_zone
         if self._taking_over:
-            self._taking_over = self._readers_before(now) < profile.readers_per_zone
+            self._taking_over = not (replaced and unconfirmed <= profile.reader_lease)
         else:
-            self._taking_over = self._unconfirmed_for(now) > self._patience(rank)
+            behind = profile.behind_patience if replaced else 0.0
+            self._taking_over = unconfirmed > self._patience(rank) + behind
         return self._taking_over
 
     @property
--- a/tests/core/replication/test_readership.py
+++ b/tests/core/replication/test_readership.py
@@ -3,6 +3,8 @@
 import unittest
 
 import msgspec
+from hypothesis import given, settings
+from hypothesis import strategies as st
 
 from pewtertack.core.identity import NodeIdentity
 from pewtertack.core.machines import Machine, MachineRole
@@ -99,6 +101,53 @@
         self.assertTrue(node.reads(later, True, False))
 
 
+class ReaderChangesTest(ReadershipTestCase):
+    """A reader that is heard is not replaced, and a node that has begun to read goes on."""
+
+    def changes(self, node: LeasedReadership, seconds: float, heard: bool, every: float) -> int:
+        """Return how often a node begins or ends to read; its word is confirmed ``every`` s."""
+        count, reading = 0, False
+        for tick in range(round(seconds / LEASED.tick)):
+            now = tick * LEASED.tick
+            if heard:
+                for rank in (0, 1):
+                    node.heard(now, NAMES[rank], True)
+            if now % every < LEASED.tick:
+                self.confirm(now)
+            if node.reads(now, True, False) != reading:
+                count, reading = count + 1, not reading
+        return count
+
+    def test_who_is_behind_the_readers_it_hears_leaves_the_source_alone_for_a_while(self) -> None:
+        self.assertEqual(self.changes(self.node(4), 60.0, True, 3.5), 0)
+
+    def test_one_that_stays_behind_them_reads_for_itself_and_does_not_waver(self) -> None:
+        self.assertLessEqual(self.changes(self.node(4), 60.0, True, 7.0), 60 / 7 * 2 + 1)
+        self.assertLessEqual(self.changes(self.node(4), 60.0, True, 100.0), 2)
+
+    def test_a_source_that_answers_nobody_changes_the_readers_once(self) -> None:
+        self.assertLessEqual(self.changes(self.node(4), 60.0, False, 100.0), 1)
+
+    @settings(max_examples=60, deadline=None)
+    @given(st.integers(2, 12), st.lists(st.tuples(st.booleans(), st.booleans()), min_size=400))
+    def test_changes_are_bounded_whatever_is_heard_and_confirmed(
+        self, rank: int, ticks: list[tuple[bool, bool]]
+    ) -> None:
+        self.freshness = SourceFreshness()
+        node, count, reading = self.node(rank), 0, False
+        for tick, (heard, confirmed) in enumerate(ticks):
+            now = tick * LEASED.tick
+            if heard:
+                node.heard(now, NAMES[0], True)
+                node.heard(now, NAMES[1], True)
+            if confirmed:
+                self.confirm(now)
+            if node.reads(now, True, False) != reading:
+                count, reading = count + 1, not reading
+        seconds = len(ticks) * LEASED.tick
+        self.assertLessEqual(count, 2 * (seconds / LEASED.reader_lease + 1))
+
+
 class SourceFreshnessTest(unittest.TestCase):
     def setUp(self) -> None:
         self.freshness = SourceFreshness()
