Failed reads say how far the answer had come

SOURCE_FAILED and MACHINE_LIST_FAILED carried one sentence: "no answer within 1 s" stood for a source that was slow and for a machine that was gone alike, and a read given up in the middle of its answer looked like a lost connection.

The adapters now tell a ReadFailure (no-connection, refused, slow, unfinished, silent, closed, unusable), which goes into the log as `failure`, with `seconds` since the read began as the core's own inputs show it. "slow" means that the connection stood, "silent" that the other machine acknowledged nothing more. The core keeps, by document, the open read and the failures in a row.

The test of a busy source compared whole answers, which now say "refused"; the comparison stays whole. No test told these apart before.

--- a/src/pewtertack/core/inputs.py
+++ b/src/pewtertack/core/inputs.py
@@ -6,6 +6,7 @@
 
 from pewtertack.core.items import ItemFinding
 from pewtertack.core.revision import Document
+from pewtertack.errors import ReadFailure
 from pewtertack.wire.messages import DocumentKind, Message
 
 
@@ -50,6 +51,8 @@
     reason: str
     retry_after: float | None = None
     about_answers: tuple[ItemFinding, ...] = ()
+    failure: ReadFailure | None = None
+    """How the read ended, where the reader tells."""
 
 
 class BackendLeavingObserved(msgspec.Struct, frozen=True):
--- a/src/pewtertack/core/replication/service.py
+++ b/src/pewtertack/core/replication/service.py
@@ -26,6 +26,7 @@
 from pewtertack.core.replication.machine_lists import MachineListReplica
 from pewtertack.core.replication.puller import Puller, PullSource
 from pewtertack.core.replication.quorum import QuorumCommit
+from pewtertack.core.replication.read_log import ReadLogs
 from pewtertack.core.replication.reader import HeldOfSource, PlatformReader
 from pewtertack.core.replication.readership import READERSHIPS, ReadershipParts
 from pewtertack.core.replication.replica import ConfigurationReplica
@@ -116,6 +117,7 @@
             identity, profile, membership, self.freshness, stores, self._source.wide_link
         )
         self.passed_over = PassedOver()
+        self.reads = ReadLogs()
         self.serving = False
 
     def _first_read_delay(self) -> float:
@@ -154,6 +156,7 @@
         effects += self.reader.tick(
             now, may_read, numbers, joining and self._source.durable, self._held_of_source()
         )
+        self.reads.note(now, effects)
         for kind in DocumentKind:
             effects += self._pull_if_due(now, kind)
         if self._has_uncommitted():
@@ -183,6 +186,7 @@
             self._hear_era(now, number)
         effects = self._note_regained(kind) + self.passed_over.note(kind, read.findings)
         effects += self.passed_over.note_answer(kind, read.about_answers)
+        self.reads.of[kind].answer()
         if read.stale:
             self.reader.answered_stale(now, kind)
         else:
@@ -198,6 +202,7 @@
         kind = answer.kind
         effects = self._note_regained(kind)
         effects += self.passed_over.note_answer(kind, answer.about_answers)
+        self.reads.of[kind].answer()
         self.reader.answered(now, kind)
         return effects
 
@@ -209,7 +214,8 @@
     def on_read_failed(self, now: float, failed: DocumentReadFailed) -> list[Effect]:
         """Back off from the platform."""
         kind = failed.kind
-        effects: list[Effect] = [Log(FAILURE_EVENTS[kind], {"reason": failed.reason})]
+        fields = self.reads.of[kind].fail(now, failed)
+        effects: list[Effect] = [Log(FAILURE_EVENTS[kind], fields)]
         if failed.about_answers:
             effects += self.passed_over.note_answer(kind, failed.about_answers)
         if not self.reader.is_failing(kind):
--- a/src/pewtertack/errors.py
+++ b/src/pewtertack/errors.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+from enum import StrEnum
 from typing import ClassVar
 
 
@@ -39,11 +40,33 @@
     code: ClassVar[str] = "coordination-error"
 
 
+class ReadFailure(StrEnum):
+    """How a read of the configuration source or the machine list ended without a usable answer."""
+
+    NO_CONNECTION = "no-connection"
+    """No connection was made."""
+    REFUSED = "refused"
+    """The service answered that it does not serve the read."""
+    SLOW = "slow"
+    """Given up before the answer began, on a connection that stood."""
+    UNFINISHED = "unfinished"
+    """Given up, or cut off, after the answer had begun."""
+    SILENT = "silent"
+    """The other machine acknowledged nothing more on the connection."""
+    CLOSED = "closed"
+    """The other end closed the connection before the answer began."""
+    UNUSABLE = "unusable"
+    """A whole answer came that must not or cannot be used."""
+
+
 class PlatformError(PewtertackError):
     """The configuration source or the machine list gave no usable answer."""
 
     code: ClassVar[str] = "platform-error"
 
+    failure = ReadFailure.UNUSABLE
+    """How the read ended."""
+
 
 class RequestError(PewtertackError):
     """A caller's request ends without the back end's answer."""
--- a/src/pewtertack/node/http/client.py
+++ b/src/pewtertack/node/http/client.py
@@ -9,7 +9,7 @@
 import anyio
 import msgspec
 
-from pewtertack.errors import PlatformError
+from pewtertack.errors import PlatformError, ReadFailure
 from pewtertack.node.http.connection import BackendConnection, ExchangeBrokenError, connect
 from pewtertack.node.http.framing import NO_BODY_STATUSES, RawHeaders
 from pewtertack.node.http.messages import AnswerStart, OutgoingRequest
@@ -26,6 +26,10 @@
 
     code = "service-unreachable"
 
+    def __init__(self, reason: str, failure: ReadFailure) -> None:
+        self.failure = failure
+        super().__init__(reason)
+
 
 class AnswerTooLargeError(PlatformError):
     """An answer's body is longer than allowed."""
@@ -101,7 +105,8 @@
         try:
             connection = await connect(self.address, timeouts.connect, self._local_host)
         except (OSError, ValueError) as error:
-            raise ServiceUnreachableError(f"cannot connect: {error}") from error
+            failure = ReadFailure.NO_CONNECTION
+            raise ServiceUnreachableError(f"cannot connect: {error}", failure) from error
         return await self._exchange(connection, request, timeouts.answer)
 
     async def _exchange(
@@ -111,6 +116,7 @@
         seconds: float,
         fresh: bool = True,
     ) -> ServiceAnswer:
+        start = None
         try:
             with anyio.fail_after(seconds):
                 start = await connection.exchange(request)
@@ -118,7 +124,8 @@
                 body = await self._body_of(connection, start, seconds)
         except (TimeoutError, ExchangeBrokenError) as error:
             reason = str(error) or f"no answer within {seconds:g} s"
-            raise ServiceUnreachableError(reason) from error
+            failure = _failure_of(connection, start, isinstance(error, TimeoutError))
+            raise ServiceUnreachableError(reason, failure) from error
         finally:
             self._give_back(connection)
         return ServiceAnswer(start.status, start.headers, body, fresh)
@@ -146,3 +153,14 @@
             self._idle.append(connection)
         else:
             connection.abort()
+
+
+def _failure_of(
+    connection: BackendConnection, start: AnswerStart | None, given_up: bool
+) -> ReadFailure:
+    """Return how an exchange failed; ``given_up`` tells that its time was over."""
+    if connection.peer_silent:
+        return ReadFailure.SILENT
+    if start is not None:
+        return ReadFailure.UNFINISHED
+    return ReadFailure.SLOW if given_up else ReadFailure.CLOSED
--- a/src/pewtertack/node/platform.py
+++ b/src/pewtertack/node/platform.py
@@ -10,7 +10,7 @@
 
 from pewtertack.core.effects import ReadDocument
 from pewtertack.core.inputs import DocumentRead, DocumentReadFailed, DocumentUnchanged
-from pewtertack.errors import PlatformError
+from pewtertack.errors import PlatformError, ReadFailure
 from pewtertack.node.http.client import (
     AnswerTooLargeError,
     HttpClient,
@@ -33,11 +33,16 @@
 
     code: ClassVar[str] = "platform-unreachable"
 
+    def __init__(self, reason: str, failure: ReadFailure) -> None:
+        self.failure = failure
+        super().__init__(reason)
+
 
 class PlatformBusyError(PlatformError):
     """The service has too many readers; ``retry_after`` in seconds when it said so."""
 
     code: ClassVar[str] = "platform-busy"
+    failure = ReadFailure.REFUSED
 
     def __init__(self, retry_after: float | None) -> None:
         self.retry_after = retry_after
@@ -48,6 +53,7 @@
     """The service answered with a status that is not in its interface."""
 
     code: ClassVar[str] = "platform-status"
+    failure = ReadFailure.REFUSED
 
 
 class PlatformBodyError(PlatformError):
@@ -124,11 +130,14 @@
             with anyio.fail_after(effect.wait + 2 * self._limits.timeout):
                 return await self._read(effect)
         except PlatformBusyError as error:
-            return DocumentReadFailed(effect.kind, error.code, error.retry_after)
+            code, after = error.code, error.retry_after
+            return DocumentReadFailed(effect.kind, code, after, failure=error.failure)
         except PlatformError as error:
-            return DocumentReadFailed(effect.kind, f"{error.code}: {error}")
+            reason = f"{error.code}: {error}"
+            return DocumentReadFailed(effect.kind, reason, failure=error.failure)
         except TimeoutError:
-            return DocumentReadFailed(effect.kind, PlatformUnreachableError.code)
+            code = PlatformUnreachableError.code
+            return DocumentReadFailed(effect.kind, code, failure=ReadFailure.UNFINISHED)
 
     async def _read(self, effect: ReadDocument) -> DocumentRead | DocumentUnchanged:
         answer = await self._ask(effect)
@@ -145,7 +154,7 @@
         try:
             return await self._services[effect.kind].get(target, timeouts, [known])
         except ServiceUnreachableError as error:
-            raise PlatformUnreachableError(str(error)) from error
+            raise PlatformUnreachableError(str(error), error.failure) from error
         except AnswerTooLargeError as error:
             raise PlatformBodyTooLargeError(str(error)) from error
 
--- a/src/pewtertack/platform/store.py
+++ b/src/pewtertack/platform/store.py
@@ -13,7 +13,7 @@
 from pewtertack.core.source_era import SourceEra, SourceEraError
 from pewtertack.core.source_mirror import Mirror
 from pewtertack.core.source_trees import lacks_change, tree_document
-from pewtertack.errors import PlatformError
+from pewtertack.errors import PlatformError, ReadFailure
 from pewtertack.node import clock
 from pewtertack.node.http.client import (
     HttpClient,
@@ -51,17 +51,23 @@
 
     code: ClassVar[str] = "store-unreachable"
 
+    def __init__(self, reason: str, failure: ReadFailure) -> None:
+        self.failure = failure
+        super().__init__(reason)
+
 
 class StoreBusyError(PlatformError):
     """The store refuses or throttles calls."""
 
     code: ClassVar[str] = "store-busy"
+    failure = ReadFailure.REFUSED
 
 
 class StoreStatusError(PlatformError):
     """The store answered with a status that is not in its interface."""
 
     code: ClassVar[str] = "store-status"
+    failure = ReadFailure.REFUSED
 
 
 class StoreBodyError(PlatformError):
@@ -127,7 +133,8 @@
         try:
             answer = await self._read(effect, self._mirrors[effect.kind])
         except PlatformError as error:
-            answer = DocumentReadFailed(effect.kind, f"{error.code}: {error}")
+            reason = f"{error.code}: {error}"
+            answer = DocumentReadFailed(effect.kind, reason, failure=error.failure)
         about_answers = self._era.take_findings()
         if not about_answers:
             return answer
@@ -223,7 +230,7 @@
         try:
             answer = await self._client.get(path, timeouts)
         except ServiceUnreachableError as error:
-            raise StoreUnreachableError(str(error)) from error
+            raise StoreUnreachableError(str(error), error.failure) from error
         self._note_era(answer, sent_in)
         if answer.status == STATUS_HISTORY_GONE:
             raise _HistoryGoneError("listing again")
--- /dev/null
+++ b/tests/core/test_reads_of_node.py
@@ -0,0 +1,60 @@
+"""What a node tells of its reads of the source."""
+
+import unittest
+from random import Random
+from typing import Any
+
+from pewtertack.core.effects import Effect, Log
+from pewtertack.core.identity import NodeIdentity
+from pewtertack.core.inputs import (
+    DocumentRead,
+    DocumentReadFailed,
+    DocumentUnchanged,
+    Input,
+    Ticked,
+)
+from pewtertack.core.node import NodeCore
+from pewtertack.core.profile import DIRECT
+from pewtertack.errors import ReadFailure
+from pewtertack.events import Event
+from pewtertack.wire.messages import DocumentKind
+from tests.core.test_durable_source import DURABLE
+from tests.core.test_node import TREE
+
+
+class ReadsOfNodeTest(unittest.TestCase):
+    def setUp(self) -> None:
+        self.now = 0.0
+        identity = NodeIdentity("self", "127.0.0.1:1", "a", "", 1000)
+        self.core = NodeCore(identity, DIRECT, Random(1), self.now, source=DURABLE)
+        self.read = self.core.replication.reads.of[DocumentKind.CONFIGURATION]
+
+    def feed(self, event: Input) -> list[Effect]:
+        return self.core.handle(self.now, event)
+
+    def fail(self, failure: ReadFailure | None) -> dict[str, Any]:
+        kind = DocumentKind.CONFIGURATION
+        effects = self.feed(DocumentReadFailed(kind, "reason", failure=failure))
+        logs = [item for item in effects if isinstance(item, Log)]
+        return next(item.fields for item in logs if item.event is Event.SOURCE_FAILED)
+
+    def test_a_failed_read_tells_how_it_ended_and_how_long_it_took(self) -> None:
+        self.feed(Ticked())
+        self.assertEqual(self.read.opened_at, 0.0)
+        self.now = 1.5
+        fields = self.fail(ReadFailure.SLOW)
+        self.assertEqual(fields, {"reason": "reason", "failure": "slow", "seconds": 1.5})
+        self.assertEqual((self.read.opened_at, self.read.failures), (None, 1))
+        self.assertEqual(self.fail(None), {"reason": "reason"})
+        self.assertEqual(self.read.failures, 2)
+
+    def test_an_answer_ends_the_failures(self) -> None:
+        kind = DocumentKind.CONFIGURATION
+        for answer in (DocumentUnchanged(kind), DocumentRead(kind, 7, TREE)):
+            self.fail(ReadFailure.SILENT)
+            self.feed(answer)
+            self.assertEqual((self.read.failures, self.read.last_failure), (0, None))
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/tests/node/http/test_client.py
+++ b/tests/node/http/test_client.py
@@ -1,14 +1,18 @@
 """Reads of the platform: connections that are kept, closed, silent or too talkative."""
 
 import asyncio
+import errno
 import unittest
+from unittest import mock
 
+from pewtertack.errors import ReadFailure
 from pewtertack.node.http.client import (
     AnswerTooLargeError,
     HttpClient,
     ServiceTimeouts,
     ServiceUnreachableError,
 )
+from pewtertack.node.http.connection import BackendConnection, ExchangeBrokenError
 from tests.node.listening import Listener, Serve
 
 PROMPT = ServiceTimeouts(1.0, 0.3)
@@ -97,6 +101,39 @@
                 await client.get("/a", ServiceTimeouts(1.0, 0.1))
             self.assertLess(asyncio.get_running_loop().time() - began, 1.3)
 
+    async def failure_of(self, client: HttpClient) -> ReadFailure:
+        with self.assertRaises(ServiceUnreachableError) as raised:
+            await client.get("/a", ServiceTimeouts(1.0, 0.1))
+        return raised.exception.failure
+
+    async def test_a_failure_tells_how_far_the_answer_had_come(self) -> None:
+        begun = b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\no"
+        self.assertEqual(await self.failure_of(HttpClient("127.0.0.1:1", 100)), "no-connection")
+        for answer, closes, failure in (
+            (b"", False, ReadFailure.SLOW),
+            (b"HTTP/1.1 200", False, ReadFailure.SLOW),
+            (b"", True, ReadFailure.CLOSED),
+            (begun, False, ReadFailure.UNFINISHED),
+            (begun, True, ReadFailure.UNFINISHED),
+        ):
+            with self.subTest(answer, closes=closes):
+                client = await self.client_of(answer, WHOLE, closes=closes)
+                self.assertIs(await self.failure_of(client), failure)
+
+    async def test_a_connection_that_falls_silent_is_told_from_a_slow_service(self) -> None:
+        for error, failure in (
+            (OSError(errno.ETIMEDOUT, "timed out"), ReadFailure.SILENT),
+            (OSError(errno.ECONNRESET, "reset"), ReadFailure.CLOSED),
+        ):
+            client = await self.client_of(b"", WHOLE)
+
+            async def exchange(connection: BackendConnection, _: object) -> None:
+                connection._end_silent(error)  # noqa: B023
+                raise ExchangeBrokenError("the connection ended")
+
+            with mock.patch.object(BackendConnection, "exchange", exchange):
+                self.assertIs(await self.failure_of(client), failure)
+
     async def test_a_body_beyond_the_limit_ends_the_read(self) -> None:
         client = await self.client_of(
             b"HTTP/1.1 200 OK\r\nContent-Length: 101\r\n\r\n" + bytes(101)
--- a/tests/node/test_platform.py
+++ b/tests/node/test_platform.py
@@ -5,6 +5,7 @@
 
 from pewtertack.core.effects import ReadDocument
 from pewtertack.core.inputs import DocumentRead, DocumentReadFailed, DocumentUnchanged
+from pewtertack.errors import ReadFailure
 from pewtertack.node.platform import PlatformLimits, PlatformReader
 from pewtertack.settings import Url
 from pewtertack.wire.messages import DocumentKind
@@ -49,7 +50,9 @@
     async def test_a_busy_source_says_when_to_come_back(self) -> None:
         for value, expected in ((b"2", 2.0), (b"nan", None), (b"Wed", None), (b"1e9", 300.0)):
             answer = await self.read(503, headers=((b"retry-after", value),))
-            self.assertEqual(answer, DocumentReadFailed(TREE, "platform-busy", expected))
+            refused = ReadFailure.REFUSED
+            failed = DocumentReadFailed(TREE, "platform-busy", expected, failure=refused)
+            self.assertEqual(answer, failed)
 
     async def test_each_failure_has_its_type(self) -> None:
         deep = b'{"number": 1, "tree": ' + b'{"a":' * 300 + b"1" + b"}" * 301
@@ -71,6 +74,9 @@
                     answer = await self.read(status, body)
                     assert isinstance(answer, DocumentReadFailed)
                     self.assertTrue(answer.reason.startswith(f"{code}:"), answer.reason)
+                    refused = code == "platform-status"
+                    failure = ReadFailure.REFUSED if refused else ReadFailure.UNUSABLE
+                    self.assertIs(answer.failure, failure)
 
     async def test_a_service_that_is_down_or_hangs_up_or_is_silent(self) -> None:
         async def silent(scope: Any, receive: Any, send: Any) -> None:
--- a/tests/platform/returning_fleet.py
+++ b/tests/platform/returning_fleet.py
@@ -12,6 +12,7 @@
 from pewtertack.core.machines import MachineList, MachineState
 from pewtertack.core.node import NodeCore, NodePhase
 from pewtertack.core.profile import LEASED, SourceProperties, TimingProfile
+from pewtertack.errors import ReadFailure
 from pewtertack.lab.asgi import Request
 from pewtertack.lab.metadata_store.application import MetadataStore
 from pewtertack.node.http.client import ServiceAnswer, ServiceUnreachableError
@@ -46,7 +47,7 @@
     async def get(self, target: str, *_: object) -> ServiceAnswer:
         if self.cut:
             self.fresh = True
-            raise ServiceUnreachableError("cut off")
+            raise ServiceUnreachableError("cut off", ReadFailure.NO_CONNECTION)
         path, _, query = target.partition("?")
         pairs = dict(part.partition("=")[::2] for part in query.split("&"))
         answer = await self._store.application._answer(Request("GET", path, pairs, {}))
--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -9,6 +9,7 @@
 from pewtertack.core.effects import ReadDocument
 from pewtertack.core.eras import VERSION_STEP
 from pewtertack.core.inputs import DocumentRead, DocumentReadFailed, DocumentUnchanged
+from pewtertack.errors import ReadFailure
 from pewtertack.lab.metadata_store.application import MetadataStore, StoreFaults
 from pewtertack.platform.store import StoreReader
 from pewtertack.wire.messages import DocumentKind
@@ -81,6 +82,7 @@
             failed = await self.read(CONFIG)
             self.assertIsInstance(failed, DocumentReadFailed)
             self.assertIn("store-busy", failed.reason)
+            self.assertIs(failed.failure, ReadFailure.REFUSED)
         self.store.put("op/config", encoded({**CONFIGURATION, "Version": "r20"}))
         self.store.faults = StoreFaults()
         self.assertEqual((await self.read(CONFIG)).number, 20 * VERSION_STEP)
@@ -91,6 +93,7 @@
         with anyio.fail_after(10.0):
             failed = await self.read(CONFIG)
         self.assertIn("store-unreachable", failed.reason)
+        self.assertIs(failed.failure, ReadFailure.SLOW)
         self.store.put("op/config", encoded({**CONFIGURATION, "Version": "r20"}))
         self.assertEqual((await self.read(CONFIG)).number, 20 * VERSION_STEP)
 
@@ -100,6 +103,7 @@
         failed = await reader.read(ReadDocument(CONFIG, 0, 0.0))
         assert isinstance(failed, DocumentReadFailed)
         self.assertIn("store-unreachable", failed.reason)
+        self.assertIs(failed.failure, ReadFailure.NO_CONNECTION)
 
     async def test_a_wrong_item_changes_nothing_until_it_is_mended(self) -> None:
         first = await self.read(CONFIG)
