Each node notes when a revision was heard of, held, committed and in force

A record could not tell at which stage a revision was at a node that answered by an older one: nothing said that it had heard of it, and REVISION_HELD and REVISION_IN_FORCE did not say how it came nor how long that took.

The core keeps the stages of the 16 latest revisions (StageLog, with the `now` of its inputs). The same goes to the histogram pewtertack_revision_stage_seconds by stage and way.

`GET /status` has newest_heard, behind_for, the stages of recent revisions and how reads of both documents fare; the gauges heard_revision, behind_seconds and read_failures say the same, and `pewtertack status` adds a line for a node that is behind or whose reads fail. Frames are unchanged.

--- a/src/pewtertack/cli/status.py
+++ b/src/pewtertack/cli/status.py
@@ -86,7 +86,29 @@
 def _notes(report: NodeReport) -> list[str]:
     if report.status is None:
         return [f"{report.admin}: {report.problem}"]
-    return _rejection_notes(report.status) + _refused_notes(report.status)
+    node = report.status
+    return [
+        *_behind_notes(node),
+        *_read_notes(node),
+        *_rejection_notes(node),
+        *_refused_notes(node),
+    ]
+
+
+def _behind_notes(node: NodeStatus) -> list[str]:
+    if node.behind_for is None:
+        return []
+    known = f"knows of revision {node.newest_heard} for {node.behind_for:.1f} s"
+    return [f"{node.name}: behind: {known}, has {node.in_force.number} in force"]
+
+
+def _read_notes(node: NodeStatus) -> list[str]:
+    return [
+        f"{node.name}: {read.failures} reads of {document} failed in a row, the last: "
+        f"{read.failure or 'unknown'}"
+        for document, read in node.reads.items()
+        if read.failures
+    ]
 
 
 def _refused_notes(node: NodeStatus) -> list[str]:
--- a/src/pewtertack/core/effects.py
+++ b/src/pewtertack/core/effects.py
@@ -9,6 +9,7 @@
 
 from pewtertack.core.configuration.resolved import ResolvedConfiguration
 from pewtertack.core.machines import MachineList
+from pewtertack.core.replication.stages import Stage, Way
 from pewtertack.core.revision import NO_REVISION, Document, RevisionId
 from pewtertack.events import Event
 from pewtertack.wire.messages import DocumentKind, Message
@@ -68,6 +69,14 @@
     retry_after: float = 1.0
 
 
+class StageReached(msgspec.Struct, frozen=True):
+    """A revision has reached a stage ``seconds`` after this node first heard of it."""
+
+    stage: Stage
+    way: Way
+    seconds: float
+
+
 class Log(msgspec.Struct, frozen=True):
     """Record a numbered event with its fields."""
 
@@ -75,4 +84,4 @@
     fields: dict[str, Any]
 
 
-Effect = Send | ReadDocument | BringIntoForce | UseMachines | SetServing | Log
+Effect = Send | ReadDocument | BringIntoForce | UseMachines | SetServing | StageReached | Log
--- a/src/pewtertack/core/node.py
+++ b/src/pewtertack/core/node.py
@@ -19,7 +19,6 @@
 
 from pewtertack.core.crashes.spreading import CrashSpreading
 from pewtertack.core.effects import BringIntoForce, Effect, Log, Send, SetServing
-from pewtertack.core.history import in_force_fields
 from pewtertack.core.identity import NodeIdentity
 from pewtertack.core.inputs import (
     BackendCrashed,
@@ -130,7 +129,7 @@
         if self.phase is NodePhase.JOINING:
             effects += self._finish_joining(now)
         elif self.phase is NodePhase.SERVING:
-            effects += self._advance_in_force()
+            effects += self._advance_in_force(now)
         return effects + self.replication.heartbeats(now)
 
     def _dispatch(self, now: float, event: Input) -> list[Effect]:
@@ -233,7 +232,7 @@
         """Serve once the newest committed version that peers know is ours to use."""
         if self.profile.mechanisms.join_before_serving and not self._knows_enough(now):
             return []
-        effects = self._advance_in_force()
+        effects = self._advance_in_force(now)
         if self.replication.replica.in_force is None:
             return effects
         self.phase = NodePhase.SERVING
@@ -309,14 +308,12 @@
 
     # Versions in force.
 
-    def _advance_in_force(self) -> list[Effect]:
+    def _advance_in_force(self, now: float) -> list[Effect]:
         configuration = self.replication.replica.next_in_force()
         if configuration is None:
             return []
-        return [
-            BringIntoForce(configuration),
-            Log(Event.REVISION_IN_FORCE, in_force_fields(configuration)),
-        ]
+        told = self.replication.stages.in_force(now, configuration)
+        return [BringIntoForce(configuration), *told]
 
     # Messages.
 
--- a/src/pewtertack/core/replication/service.py
+++ b/src/pewtertack/core/replication/service.py
@@ -30,6 +30,8 @@
 from pewtertack.core.replication.reader import HeldOfSource, PlatformReader
 from pewtertack.core.replication.readership import READERSHIPS, ReadershipParts
 from pewtertack.core.replication.replica import ConfigurationReplica
+from pewtertack.core.replication.stage_reports import StageReports
+from pewtertack.core.replication.stages import Way
 from pewtertack.core.revision import RevisionId, identify
 from pewtertack.events import Event
 from pewtertack.wire.messages import (
@@ -117,6 +119,7 @@
             identity, profile, membership, self.freshness, stores, self._source.wide_link
         )
         self.passed_over = PassedOver()
+        self.stages = StageReports()
         self.reads = ReadLogs()
         self.serving = False
 
@@ -194,8 +197,9 @@
         if kind is DocumentKind.MACHINE_LIST:
             offered = self.machine_list.offer(now, identify(number, document), document)
             return effects + self._after_machine_list(now, offered)
+        self.stages.log.hear(now, number)
         offer = partial(self.replica.offer_document, number, document)
-        return effects + self._after_offer(now, offer)
+        return effects + self._after_offer(now, offer, Way.SOURCE)
 
     def on_document_unchanged(self, now: float, answer: DocumentUnchanged) -> list[Effect]:
         """The source answered that the document has not changed."""
@@ -227,7 +231,8 @@
 
     def learn(self, now: float, sender: str, address: str, state: VersionState) -> list[Effect]:
         """Take in a peer's versions: adopt its commit mark, pull what is newer."""
-        effects = self._adopt_commit(state.committed)
+        effects = self.stages.heard(now, sender, state.newest)
+        effects += self._adopt_commit(now, state.committed)
         self._hear_era(now, state.machine_list)
         if self.replica.wants(state.held):
             self._offer_pull(DocumentKind.CONFIGURATION, sender, address, state.held)
@@ -246,7 +251,7 @@
         """Take in what a reader tells: its changes, its versions, how old the source's word is."""
         effects: list[Effect] = []
         for answer in heartbeat.deltas:
-            effects += self._take_delta_answer(now, answer)
+            effects += self._take_delta_answer(now, answer, Way.HEARTBEAT)
         listed = RevisionId(heartbeat.state.machine_list, heartbeat.list_digest)
         self._hear_era(now, listed.number)
         effects += self._after_machine_list(now, self.machine_list.renumber(now, listed))
@@ -297,7 +302,7 @@
         effects: list[Effect] = []
         delta = message.delta
         if delta is not None and delta.base == self.replica.held:
-            effects += self._take_deltas(now, (delta,))
+            effects += self._take_deltas(now, (delta,), Way.DELTA)
         effects += self.learn(now, sender, address, message.state)
         if message.state.held.number < self.replica.held.number:
             effects.append(Send(sender, address, Announce(self.state())))
@@ -337,11 +342,11 @@
     def on_deltas(self, now: float, answer: DeltaAnswer) -> list[Effect]:
         """Apply the deltas that a peer sent."""
         self._pullers[answer.kind].finish()
-        return self._take_delta_answer(now, answer)
+        return self._take_delta_answer(now, answer, Way.DELTA)
 
-    def _take_delta_answer(self, now: float, answer: DeltaAnswer) -> list[Effect]:
+    def _take_delta_answer(self, now: float, answer: DeltaAnswer, way: Way) -> list[Effect]:
         if answer.kind is DocumentKind.CONFIGURATION:
-            return self._take_deltas(now, answer.deltas)
+            return self._take_deltas(now, answer.deltas, way)
         return self._after_machine_list(now, self.machine_list.offer_deltas(now, answer.deltas))
 
     def on_snapshot(self, now: float, answer: SnapshotAnswer) -> list[Effect]:
@@ -352,21 +357,22 @@
         if answer.kind is DocumentKind.MACHINE_LIST:
             offered = self.machine_list.offer(now, answer.revision, answer.document)
             return self._after_machine_list(now, offered)
-        return self._after_offer(now, lambda: self.replica.offer(answer.revision, answer.document))
+        offer = partial(self.replica.offer, answer.revision, answer.document)
+        return self._after_offer(now, offer, Way.SNAPSHOT)
 
     def on_busy(self, now: float, busy: Busy) -> None:
         """Come back later, or to another peer."""
         self._pullers[busy.kind].postpone(now, busy.retry_after_milliseconds / MILLISECONDS)
 
-    def _take_deltas(self, now: float, deltas: tuple[Delta, ...]) -> list[Effect]:
+    def _take_deltas(self, now: float, deltas: tuple[Delta, ...], way: Way) -> list[Effect]:
         try:
-            return self._after_offer(now, lambda: self.replica.offer_deltas(deltas))
+            return self._after_offer(now, partial(self.replica.offer_deltas, deltas), way)
         except DeltaMismatchError as error:
             return [Log(Event.FRAME_REFUSED, {"reason": str(error)})]
 
     # Holding and committing.
 
-    def _after_offer(self, now: float, offer: Offer) -> list[Effect]:
+    def _after_offer(self, now: float, offer: Offer, way: Way) -> list[Effect]:
         """Make an offer to the replica and tell others if it now holds something new."""
         before = self.replica.held
         effects = offer()
@@ -374,6 +380,7 @@
         self._pullers[DocumentKind.CONFIGURATION].forget_up_to(held.number)
         if held == before:
             return effects
+        effects += self.stages.held(now, held.number, way, effects)
         self._ended.note(self._evacuated(), tree_parts(held.number)[1], self.era)
         if self._has_uncommitted() and not self._source.durable:
             effects += self.quorum.report(now, held)
@@ -390,22 +397,22 @@
         """Count a holder; commit when a quorum holds the revision."""
         if report.revision.number <= self.replica.committed.number:
             return self._membership.send(sender, Announce(self.state()))
+        effects = self.stages.heard(now, sender, report.revision)
         self.quorum.record(sender, process, report.revision)
-        return self._commit_if_reached(now, report.revision)
+        return effects + self._commit_if_reached(now, report.revision)
 
     def _commit_if_reached(self, now: float, revision: RevisionId) -> list[Effect]:
         if revision.number <= self.replica.committed.number:
             return []
         if self._source.durable or self.quorum.reached(now, revision):
-            return self._adopt_commit(revision)
+            return self._adopt_commit(now, revision)
         return []
 
-    def _adopt_commit(self, revision: RevisionId) -> list[Effect]:
+    def _adopt_commit(self, now: float, revision: RevisionId) -> list[Effect]:
         if not self.replica.mark_committed(revision):
             return []
         self.quorum.decided(revision)
-        fields = {"revision": revision.number, "digest": revision.digest.hex()}
-        return [Log(Event.REVISION_COMMITTED, fields), *self._announce(None)]
+        return [*self.stages.committed(now, revision), *self._announce(None)]
 
     # Spreading.
 
--- /dev/null
+++ b/src/pewtertack/core/replication/stages.py
@@ -0,0 +1,112 @@
+"""How far each recent revision has come at this node, and when."""
+
+from __future__ import annotations
+
+from enum import StrEnum
+
+REVISIONS_KEPT = 16
+
+
+class Stage(StrEnum):
+    """What a revision reaches at a node, in this order."""
+
+    HEARD = "heard"
+    """The source or a peer has told of its number."""
+    HELD = "held"
+    COMMITTED = "committed"
+    IN_FORCE = "in_force"
+
+
+class Way(StrEnum):
+    """How a revision came to be held."""
+
+    SOURCE = "source"
+    """This node read it."""
+    HEARTBEAT = "heartbeat"
+    """It came along with a reader's heartbeat."""
+    DELTA = "delta"
+    """A peer sent what had changed."""
+    SNAPSHOT = "snapshot"
+    """A peer sent the whole tree."""
+    UNKNOWN = "unknown"
+
+
+class RevisionStages:
+    """The moments of one revision; a stage that it has not reached is missing."""
+
+    __slots__ = ("number", "reached_at", "way")
+
+    def __init__(self, number: int, heard_at: float) -> None:
+        self.number = number
+        self.way = Way.UNKNOWN
+        self.reached_at = {Stage.HEARD: heard_at}
+        """In monotonic seconds."""
+
+    def seconds_to(self, stage: Stage) -> float:
+        """Return the seconds from the first word of the revision to a stage it has reached."""
+        return self.reached_at[stage] - self.reached_at[Stage.HEARD]
+
+
+class StageLog:
+    """The stages of the latest revisions, ``REVISIONS_KEPT`` at most."""
+
+    __slots__ = ("_by_number", "behind_since", "in_force", "newest_heard")
+
+    def __init__(self) -> None:
+        self.newest_heard = 0
+        """The highest number that anybody has told of."""
+        self.in_force = 0
+        self.behind_since: float | None = None
+        """Since when a newer number is known than is in force, in monotonic seconds."""
+        self._by_number: dict[int, RevisionStages] = {}
+
+    def recent(self) -> tuple[RevisionStages, ...]:
+        """Return the revisions that are kept, the newest first."""
+        return tuple(self._by_number[number] for number in sorted(self._by_number, reverse=True))
+
+    def hear(self, now: float, number: int) -> bool:
+        """Note that a revision exists; return whether none so new was known."""
+        if number <= self.newest_heard:
+            return False
+        self.newest_heard = number
+        self._stages_of(now, number)
+        if self.behind_since is None and number > self.in_force:
+            self.behind_since = now
+        return True
+
+    def hold(self, now: float, number: int, way: Way) -> RevisionStages:
+        """Note that a revision is held, and how it came."""
+        stages = self._reach(now, number, Stage.HELD)
+        if stages.way is Way.UNKNOWN:
+            stages.way = way
+        return stages
+
+    def commit(self, now: float, number: int) -> RevisionStages:
+        """Note that a revision is committed."""
+        return self._reach(now, number, Stage.COMMITTED)
+
+    def bring_into_force(self, now: float, number: int) -> RevisionStages:
+        """Note that the node serves by a revision."""
+        stages = self._reach(now, number, Stage.IN_FORCE)
+        self.in_force = number
+        newer = [item for item in self._by_number.values() if item.number > number]
+        since = [item.reached_at[Stage.HEARD] for item in newer]
+        self.behind_since = min(since, default=None)
+        return stages
+
+    def _reach(self, now: float, number: int, stage: Stage) -> RevisionStages:
+        self.hear(now, number)
+        stages = self._stages_of(now, number)
+        stages.reached_at.setdefault(stage, now)
+        return stages
+
+    def _stages_of(self, now: float, number: int) -> RevisionStages:
+        stages = self._by_number.get(number)
+        if stages is None:
+            stages = self._by_number[number] = RevisionStages(number, now)
+            self._forget_oldest(number)
+        return stages
+
+    def _forget_oldest(self, kept: int) -> None:
+        if len(self._by_number) > REVISIONS_KEPT:
+            del self._by_number[min(number for number in self._by_number if number != kept)]
--- a/src/pewtertack/events.py
+++ b/src/pewtertack/events.py
@@ -35,6 +35,7 @@
     REVISION_CONFLICT = (205, "Two digests for one revision number; neither replaces ours.")
     REVISION_STALE = (206, "The source answered with an older revision; ignored.")
     ZONES_EVACUATED = (207, "The zones changed whose back ends get nothing; who is left out.")
+    REVISION_HEARD = (208, "A peer tells of a newer revision than any known here.")
     MEMBER_ALIVE = (301, "A member joined or refuted a suspicion.")
     MEMBER_SUSPECT = (302, "A member answered neither direct nor indirect probes.")
     MEMBER_DEAD = (303, "A suspected member did not refute in time.")
--- a/src/pewtertack/node/assembly.py
+++ b/src/pewtertack/node/assembly.py
@@ -12,7 +12,7 @@
 from pewtertack.log import EventLog
 from pewtertack.node import clock
 from pewtertack.node.admin import AdminApplication
-from pewtertack.node.counting import MetricsRegistry
+from pewtertack.node.counting import Histogram, MetricsRegistry
 from pewtertack.node.crash_reporter import CrashReporter
 from pewtertack.node.daemon import NodeParts
 from pewtertack.node.gate import ServingGate
@@ -36,6 +36,8 @@
     from pewtertack.routing.runs import RunsBeside
 
 
+STAGE_BOUNDS = (0.05, 0.1, 0.25, 0.5, 1.0, 2.5, 5.0, 10.0, 30.0, 60.0)
+"""In seconds."""
 WIDE_LINK_MBPS = 50.0
 """From this on a link carries a tree of 2,000 routes (some 600 KB) within 0.1 s."""
 
@@ -84,7 +86,8 @@
         settings.source.hold_after_return.seconds,
     )
     core = NodeCore(identity, profile, Random(), started, seeds, source)
-    runtime = Runtime(core, profile.tick, gate, transport, reader, proxy, log, gateway)
+    stages = _stage_histogram(registry)
+    runtime = Runtime(core, profile.tick, gate, transport, reader, proxy, log, gateway, stages)
     reporter.connect(core.crashes.ledger, runtime.feed)
     if proxy is not None:
         proxy.watch_leaving(runtime.note_backend_leaving)
@@ -103,6 +106,15 @@
     )
 
 
+def _stage_histogram(registry: MetricsRegistry) -> Histogram:
+    return registry.histogram(
+        "pewtertack_revision_stage_seconds",
+        "From the first word of a revision at this node to each stage, by how it came.",
+        ("stage", "way"),
+        STAGE_BOUNDS,
+    )
+
+
 def _collector_of(view: NodeView, traffic: Traffic) -> Collector:
     """Return the coordination's collector; its library loads when metrics are asked for."""
     from pewtertack.node.metrics import CoordinationCollector
--- a/src/pewtertack/node/metrics.py
+++ b/src/pewtertack/node/metrics.py
@@ -8,7 +8,7 @@
 from prometheus_client.metrics_core import Metric
 from prometheus_client.registry import Collector
 
-from pewtertack.node.status import NodeStatus
+from pewtertack.node.status import NodeStatus, ReadStatus
 from pewtertack.node.traffic import Traffic
 
 FLOW_LABELS = ["direction", "kind", "purpose"]
@@ -45,6 +45,13 @@
         yield _gauge("held_revision", "Newest revision held whole.", status.held.number)
         yield _gauge("committed_revision", "Newest committed revision.", status.committed.number)
         yield _gauge("in_force_revision", "Revision in force.", status.in_force.number)
+        yield _gauge("heard_revision", "Newest revision known to exist.", status.newest_heard)
+        yield _gauge(
+            "behind_seconds",
+            "Since when a newer revision is known than is in force; 0 where none is.",
+            status.behind_for or 0.0,
+        )
+        yield from _reads(status.reads)
         yield _gauge(
             "items_passed_over",
             "Items of the platform that could not be understood when they were last read here.",
@@ -97,5 +104,17 @@
         yield from (messages, sizes, refused, unsent)
 
 
+def _reads(reads: dict[str, ReadStatus]) -> Iterator[Metric]:
+    failures = GaugeMetricFamily(
+        "pewtertack_read_failures",
+        "Failed reads of a document in a row, by how the last one ended.",
+        labels=["document", "failure"],
+    )
+    for document, read in reads.items():
+        if read.failures:
+            failures.add_metric([document, read.failure], read.failures)
+    yield failures
+
+
 def _gauge(name: str, documentation: str, value: float) -> GaugeMetricFamily:
     return GaugeMetricFamily(f"pewtertack_{name}", documentation, value=value)
--- a/src/pewtertack/node/runtime.py
+++ b/src/pewtertack/node/runtime.py
@@ -16,6 +16,7 @@
     ReadDocument,
     Send,
     SetServing,
+    StageReached,
     UseMachines,
 )
 from pewtertack.core.inputs import (
@@ -33,6 +34,7 @@
 from pewtertack.events import Event
 from pewtertack.log import EventLog
 from pewtertack.node import clock
+from pewtertack.node.counting import Histogram
 from pewtertack.node.gate import ServingGate
 from pewtertack.wire.frames import Envelope
 from pewtertack.wire.messages import Message
@@ -110,6 +112,7 @@
         transport, reader, proxy: where effects go; ``proxy`` is absent on a node
             that only replicates, ``gateway`` where no back end is beside the node.
         log: receives the core's events.
+        stages: observes how long revisions take to their stages.
     """
 
     def __init__(
@@ -122,6 +125,7 @@
         proxy: Proxy | None,
         log: EventLog,
         gateway: Gateway | None = None,
+        stages: Histogram | None = None,
     ) -> None:
         self._core = core
         self._tick = tick
@@ -131,6 +135,7 @@
         self._proxy = proxy
         self._gateway = gateway
         self._log = log
+        self._stages = stages
         self._tasks: TaskGroup | None = None
         self._refusals_logged: dict[str, float] = {}
         self.failed_messages: Counter[str] = Counter()
@@ -211,15 +216,24 @@
             case BringIntoForce(configuration):
                 self._bring_into_force(configuration)
             case UseMachines(told):
-                machines = told.without_starts_after(_latest_start())
-                for user in (self._proxy, self._gateway):
-                    if user is not None:
-                        user.use_machines(machines)
+                self._use_machines(told)
             case SetServing(serving, retry_after):
                 self._set_serving(serving, retry_after)
+            case StageReached():
+                self._observe(effect)
             case Log(event, fields):
                 self._log.record(event, **fields)
 
+    def _use_machines(self, told: MachineList) -> None:
+        machines = told.without_starts_after(_latest_start())
+        for user in (self._proxy, self._gateway):
+            if user is not None:
+                user.use_machines(machines)
+
+    def _observe(self, reached: StageReached) -> None:
+        if self._stages is not None:
+            self._stages.observe((reached.stage.value, reached.way.value), reached.seconds)
+
     def _bring_into_force(self, configuration: ResolvedConfiguration) -> None:
         for user in (self._proxy, self._gateway):
             if user is not None:
--- a/src/pewtertack/node/status.py
+++ b/src/pewtertack/node/status.py
@@ -68,6 +68,31 @@
     """Seconds since the last."""
 
 
+class StagesStatus(msgspec.Struct, frozen=True):
+    """When a revision reached its stages here, in Unix seconds; none where it has not."""
+
+    number: int
+    way: str
+    """How it came: ``source``, ``heartbeat``, ``delta``, ``snapshot`` or ``unknown``."""
+    heard: float
+    held: float | None = None
+    committed: float | None = None
+    in_force: float | None = None
+
+
+class ReadStatus(msgspec.Struct, frozen=True):
+    """How reads of one document fare."""
+
+    open_for: float | None = None
+    """Since the open read began; none without one."""
+    may_wait: float = 0.0
+    """For how long the source may keep that read open while nothing changes."""
+    failures: int = 0
+    """Failed reads since the last usable answer."""
+    failure: str = ""
+    """How the last of them ended (`pewtertack.errors.ReadFailure`); empty without one."""
+
+
 class NodeStatus(msgspec.Struct, frozen=True):
     """Everything of one node. Times are Unix seconds, ages and spans seconds."""
 
@@ -117,6 +142,14 @@
     """The latest era of the source that is known here; 0 without eras."""
     machines_kept: int = 0
     """Machines still believed in although the list of a new era lacks them."""
+    newest_heard: int = 0
+    """The newest revision of which the source or a peer has told."""
+    behind_for: float | None = None
+    """Since the node first heard of a newer revision than is in force; none without one."""
+    stages: tuple[StagesStatus, ...] = ()
+    """Of the latest revisions, the newest first."""
+    reads: dict[str, ReadStatus] = {}
+    """By document: ``configuration`` and ``machine_list``."""
 
 
 class MemberView(msgspec.Struct, frozen=True):
--- a/src/pewtertack/node/view.py
+++ b/src/pewtertack/node/view.py
@@ -11,7 +11,9 @@
 from pewtertack.core.configuration.resolved import DEFAULT_CRASH_LIMIT, ResolvedConfiguration
 from pewtertack.core.eras import revision_of
 from pewtertack.core.node import NodeCore
+from pewtertack.core.replication.read_log import ReadLog
 from pewtertack.core.replication.replica import Rejection
+from pewtertack.core.replication.stages import RevisionStages, Stage
 from pewtertack.core.revision import NO_REVISION, RevisionId
 from pewtertack.node import clock
 from pewtertack.node.gate import ServingGate
@@ -22,9 +24,11 @@
     FindingStatus,
     MemberView,
     NodeStatus,
+    ReadStatus,
     RefusedRequestStatus,
     RejectionStatus,
     RevisionStatus,
+    StagesStatus,
     TrafficStatus,
 )
 from pewtertack.node.traffic import Direction, Purpose, Traffic
@@ -54,6 +58,7 @@
         replica = replication.replica
         in_force = replica.in_force
         answers = replication.reader.last_answer_at
+        stages = replication.stages.log
         return NodeStatus(
             name=identity.name,
             zone=identity.zone,
@@ -85,6 +90,12 @@
             items_found_wrong=replication.passed_over.total,
             source_era=replication.era,
             machines_kept=replication.machine_list.returned.kept,
+            newest_heard=stages.newest_heard,
+            behind_for=_age(now, stages.behind_since),
+            stages=_stages(now, stages.recent()),
+            reads={
+                kind.name.lower(): _read(now, read) for kind, read in replication.reads.of.items()
+            },
         )
 
     def members(self) -> tuple[MemberView, ...]:
@@ -156,6 +167,30 @@
     return None if answered_at is None else round(now - answered_at, 3)
 
 
+def _stages(now: float, recent: tuple[RevisionStages, ...]) -> tuple[StagesStatus, ...]:
+    offset = clock.unix_time() - now
+    return tuple(
+        StagesStatus(
+            item.number,
+            item.way.value,
+            round(item.reached_at[Stage.HEARD] + offset, 3),
+            _unix(offset, item.reached_at.get(Stage.HELD)),
+            _unix(offset, item.reached_at.get(Stage.COMMITTED)),
+            _unix(offset, item.reached_at.get(Stage.IN_FORCE)),
+        )
+        for item in recent
+    )
+
+
+def _unix(offset: float, at: float | None) -> float | None:
+    return None if at is None else round(at + offset, 3)
+
+
+def _read(now: float, read: ReadLog) -> ReadStatus:
+    failure = read.last_failure.value if read.last_failure is not None else ""
+    return ReadStatus(_age(now, read.opened_at), read.waits_for, read.failures, failure)
+
+
 def _rejection(rejection: Rejection | None) -> RejectionStatus | None:
     if rejection is None:
         return None
--- a/src/pewtertack/wire/messages.py
+++ b/src/pewtertack/wire/messages.py
@@ -73,6 +73,12 @@
         """The newest revision known to be held by a quorum."""
         return self.held if self.committed_other is None else self.committed_other
 
+    @property
+    def newest(self) -> RevisionId:
+        """The newest revision that this tells of."""
+        committed = self.committed
+        return committed if committed.number > self.held.number else self.held
+
 
 class Ping(msgspec.Struct, frozen=True, array_like=True, tag=1):
     """Direct probe; ``sequence`` comes back in the acknowledgement."""
--- /dev/null
+++ b/tests/cli/node_samples.py
@@ -0,0 +1,62 @@
+"""What nodes tell of themselves, for tests of the commands that ask them."""
+
+from __future__ import annotations
+
+from typing import Any
+
+from pewtertack.cli.status_reports import NodeReport
+from pewtertack.node.status import (
+    AddressStatus,
+    ByteStatus,
+    NodeStatus,
+    RevisionStatus,
+    TrafficStatus,
+)
+
+NOW = 1000.0
+"""The Unix time of every answer."""
+NO_BYTES = ByteStatus(0, 0)
+
+
+def node_status(name: str, in_force: int = 7, **other: Any) -> NodeStatus:
+    """Return the status of a serving node; ``held`` and ``committed`` as numbers."""
+    held = other.pop("held", in_force)
+    committed = other.pop("committed", in_force)
+    fields: dict[str, Any] = {
+        "name": name,
+        "zone": "z",
+        "region": "r",
+        "incarnation": 1,
+        "profile": "direct",
+        "phase": "serving",
+        "serving": True,
+        "uptime": 100.0,
+        "addresses": AddressStatus("", "", "", ""),
+        "held": RevisionStatus(held),
+        "committed": RevisionStatus(committed),
+        "in_force": RevisionStatus(in_force),
+        "in_force_since": NOW - 50.0,
+        "evacuated": (),
+        "reading": False,
+        "source_age": None,
+        "machine_list_age": None,
+        "machine_list_number": 1,
+        "peers": {"alive": 1},
+        "last_rejection": None,
+        "stale_answers": 0,
+        "conflicts": 0,
+        "in_flight": 0,
+        "traffic": TrafficStatus(NO_BYTES, NO_BYTES, NO_BYTES, {}, {}, {}),
+        "newest_heard": max(in_force, held),
+    }
+    return NodeStatus(**{**fields, **other})
+
+
+def report(status: NodeStatus) -> NodeReport:
+    """Return the answer of a node."""
+    return NodeReport(f"http://{status.name}", status, "", NOW)
+
+
+def unreachable(name: str) -> NodeReport:
+    """Return what stands for a node that does not answer."""
+    return NodeReport(f"http://{name}", None, "no answer within 3 s", NOW)
--- a/tests/node/test_runtime.py
+++ b/tests/node/test_runtime.py
@@ -18,13 +18,16 @@
     ReadDocument,
     Send,
     SetServing,
+    StageReached,
     UseMachines,
 )
 from pewtertack.core.inputs import DocumentUnchanged, DrainRequested, Input, MessageReceived, Ticked
 from pewtertack.core.machines import MachineList
+from pewtertack.core.replication.stages import Stage, Way
 from pewtertack.events import Event
 from pewtertack.log import EventLog
 from pewtertack.node.admin import masked
+from pewtertack.node.counting import Histogram
 from pewtertack.node.gate import ServingGate
 from pewtertack.node.gateway.incarnations import Incarnations
 from pewtertack.node.runtime import Runtime
@@ -64,6 +67,14 @@
     def lines(self) -> list[dict[str, Any]]:
         return [json.loads(line) for line in self.output.getvalue().splitlines()]
 
+    async def test_the_stages_of_revisions_are_observed(self) -> None:
+        seen = Histogram("h", "", ("stage", "way"), (1.0, 2.0))
+        core = ScriptedCore({Ticked: [StageReached(Stage.HELD, Way.DELTA, 1.5)]})
+        log = EventLog("n", 5, self.output)
+        parts = (self.gate, self.transport, self.reader, self.proxy, log)
+        Runtime(core, 0.001, *parts, stages=seen).feed(Ticked())
+        self.assertEqual(seen.values[("held", "delta")].counts, [0, 1, 0])
+
     async def test_a_start_far_in_the_future_hides_no_back_end(self) -> None:
         """Another wrote an entry under a living back end's name; then that one says its own."""
         now = int(time.time() * 1000)
