A silent node no longer makes others look unreachable to the status command

The pool opens ten connections unless told otherwise, and a node's time ran while it waited for one: ten silent nodes took all, and every other was shown as unreachable. Up to 200 nodes are asked at once, and the time of each begins when it is asked.

The test, 30 silent nodes and one that answers, failed before: the one that answers was reported without a status.

--- a/src/pewtertack/cli/status_reports.py
+++ b/src/pewtertack/cli/status_reports.py
@@ -14,6 +14,8 @@
 from pewtertack.settings.values import Url, ValueProblemError
 
 STATUS_OK = 200
+NODES_AT_ONCE = 200
+"""A node's time begins when it is asked."""
 
 
 class AdminUrlError(SettingsError):
@@ -35,7 +37,7 @@
 
 
 async def read_reports(admins: tuple[str, ...], timeout: float) -> list[NodeReport]:
-    """Ask all nodes at once; ``timeout`` in seconds bounds each.
+    """Ask all nodes, ``NODES_AT_ONCE`` of them at a time; ``timeout`` in seconds bounds each.
 
     Raises:
         AdminUrlError: a URL is wrong.
@@ -44,9 +46,12 @@
     reports: dict[str, NodeReport] = {}
 
     async def read(url: str) -> None:
-        reports[url] = await _read_report(pool, url, timeout)
+        async with limiter:
+            reports[url] = await _read_report(pool, url, timeout)
 
-    async with httpcore.AsyncConnectionPool() as pool, anyio.create_task_group() as tasks:
+    limiter = anyio.CapacityLimiter(NODES_AT_ONCE)
+    connections = httpcore.AsyncConnectionPool(max_connections=NODES_AT_ONCE)
+    async with connections as pool, anyio.create_task_group() as tasks:
         for url in urls:
             tasks.start_soon(read, url)
     return [reports[url] for url in urls]
--- /dev/null
+++ b/tests/cli/test_status_reports.py
@@ -0,0 +1,37 @@
+"""Asking many nodes at once."""
+
+import asyncio
+import unittest
+
+import msgspec
+
+from pewtertack.cli.status_reports import read_reports
+from tests.cli.node_samples import node_status
+from tests.node.listening import Listener
+
+SILENT_NODES = 30
+"""More than the connections that a pool opens unless told otherwise."""
+
+
+class ReadReportsTest(unittest.IsolatedAsyncioTestCase):
+    async def test_nodes_that_are_silent_do_not_make_others_unreachable(self) -> None:
+        async def silent(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+            await reader.read()
+            writer.close()
+
+        async def node(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+            await reader.readuntil(b"\r\n\r\n")
+            body = msgspec.json.encode(node_status("a"))
+            writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n" % len(body) + body)
+            writer.close()
+
+        quiet = [await Listener(silent).start(self) for _ in range(SILENT_NODES)]
+        urls = [f"http://{address}" for address in (*quiet, await Listener(node).start(self))]
+        reports = await read_reports(tuple(urls), 1.0)
+        self.assertEqual([report.status is not None for report in reports][-1:], [True])
+        problems = {report.problem for report in reports[:-1]}
+        self.assertEqual(problems, {"no answer within 1 s"})
+
+
+if __name__ == "__main__":
+    unittest.main()
