pewtertack rollout: where a version is in force, and why not elsewhere

Operators had to compare the rows of `status` by hand, and nothing told why a node lacked a version. The command asks the admin interfaces of the given nodes how far a version has come (the newest that any of them has heard of, unless one is named): the nodes at each stage and the times from the first word at any node, how it came, and for each node without it a reason by type: unreachable, leaving, rejected with findings, source failing or slow, not heard, not held, not committed, not in force.

`--wait SECONDS` follows it, with a line of progress on standard error when counts change, and ends early when a rejection makes waiting useless. Exit codes: 0 everywhere, 1 not yet, 3 rejected, 4 unreachable nodes only; no revision at all is the error no-revision with exit code 2.

--- a/src/pewtertack/cli/main.py
+++ b/src/pewtertack/cli/main.py
@@ -18,6 +18,7 @@
     lab_soak,
     lab_virtual_time,
     policies,
+    rollout,
     status,
     trace,
     tree,
@@ -49,6 +50,7 @@
 
 
 app.command("status")(status.status)
+app.command("rollout")(rollout.rollout)
 app.command("check")(tree.check)
 app.command("trace")(trace.trace)
 app.command("explain")(tree.explain)
--- /dev/null
+++ b/src/pewtertack/cli/rollout.py
@@ -0,0 +1,186 @@
+"""``pewtertack rollout``: where a version is in force, and why not elsewhere."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from datetime import UTC, datetime
+from typing import TYPE_CHECKING, Annotated
+
+import anyio
+import typer
+
+from pewtertack.cli.exit_codes import ExitCode
+from pewtertack.cli.status import AdminOption, OthersArgument, TimeoutOption
+
+if TYPE_CHECKING:
+    from pewtertack.cli.rollout_causes import NodeLack
+    from pewtertack.cli.rollout_reports import RolloutReport, StageSummary
+    from pewtertack.node.status import ReadStatus
+
+VersionOption = Annotated[
+    int | None,
+    typer.Option(
+        "--version", min=1, help="Version to look for; else the newest that a node has heard of."
+    ),
+]
+WaitOption = Annotated[
+    float,
+    typer.Option("--wait", min=0.0, help="Seconds to wait until it is in force everywhere."),
+]
+JsonOption = Annotated[bool, typer.Option("--json", help="Print one JSON object.")]
+
+STAGE_HEADERS = ("STAGE", "NODES", "FIRST", "MEDIAN", "LAST")
+LACK_HEADERS = ("NODE", "ZONE", "IN FORCE", "HELD", "WHY", "DETAIL")
+NOTHING = "-"
+
+
+def rollout(
+    admin: AdminOption,
+    others: OthersArgument = None,
+    version: VersionOption = None,
+    wait: WaitOption = 0.0,
+    as_json: JsonOption = False,
+    timeout: TimeoutOption = 3.0,
+) -> None:
+    """Print how far a version has come, and which nodes lack it and why.
+
+    Exit code 0 when it is in force on every node, 1 when not, 3 when a node rejected it,
+    4 when only nodes that do not answer may lack it.
+    """
+    import msgspec
+
+    from pewtertack.cli.rollout_watch import follow_rollout
+    from pewtertack.cli.status_reports import read_reports
+
+    admins = tuple(dict.fromkeys((*admin, *(others or ()))))
+
+    async def follow() -> RolloutReport:
+        show = _progress() if wait > 0 else _show_nothing
+        return await follow_rollout(lambda: read_reports(admins, timeout), version, wait, show)
+
+    report = anyio.run(follow)
+    if as_json:
+        typer.echo(msgspec.json.format(msgspec.json.encode(report), indent=2).decode())
+    else:
+        typer.echo(format_rollout(report))
+    raise typer.Exit(exit_code_of(report))
+
+
+def exit_code_of(report: RolloutReport) -> ExitCode:
+    """Return the exit code that tells a rollout's outcome."""
+    from pewtertack.cli.rollout_reports import Outcome
+
+    codes = {
+        Outcome.COMPLETE: ExitCode.OK,
+        Outcome.INCOMPLETE: ExitCode.FOUND,
+        Outcome.REJECTED: ExitCode.REJECTED,
+        Outcome.UNREACHABLE: ExitCode.UNREACHABLE,
+    }
+    return codes[report.outcome]
+
+
+def _show_nothing(waited: float, report: RolloutReport) -> None:
+    """Show no progress."""
+
+
+def _progress() -> Callable[[float, RolloutReport], None]:
+    """Return what prints a line on standard error when the counts have changed."""
+    last = ""
+
+    def show(waited: float, report: RolloutReport) -> None:
+        nonlocal last
+        line = format_progress(report)
+        if line != last:
+            typer.echo(f"{waited:7.1f} s  {line}", err=True)
+        last = line
+
+    return show
+
+
+def format_progress(report: RolloutReport) -> str:
+    """Return the counts of nodes on one line."""
+    counts = [f"{_words(item.stage)} {item.nodes}" for item in report.stages]
+    return f"revision {report.revision} of {report.nodes} nodes: {', '.join(counts)}"
+
+
+def format_rollout(report: RolloutReport) -> str:
+    """Return the whole report as text."""
+    from pewtertack.cli.tables import format_table
+
+    in_force = report.stages[-1].nodes
+    lines = [
+        f"revision {report.revision}: {report.outcome}, in force on {in_force} of "
+        f"{report.nodes} nodes",
+        *_origin(report),
+        "",
+        format_table(STAGE_HEADERS, [_stage_row(item, report.nodes) for item in report.stages]),
+    ]
+    if report.lacking:
+        rows = [_lack_row(lack) for lack in report.lacking]
+        lines += ["", format_table(LACK_HEADERS, rows)]
+    return "\n".join([*lines, *_findings(report)])
+
+
+def _origin(report: RolloutReport) -> list[str]:
+    if report.first_heard is None:
+        return []
+    first = datetime.fromtimestamp(report.first_heard, UTC).isoformat(timespec="milliseconds")
+    ways = ", ".join(f"{way} {count}" for way, count in report.ways.items()) or NOTHING
+    return [f"first heard at {first}; came by: {ways}"]
+
+
+def _stage_row(item: StageSummary, nodes: int) -> tuple[str, ...]:
+    times = (_seconds(value) for value in (item.first, item.median, item.last))
+    return (_words(item.stage), f"{item.nodes}/{nodes}", *times)
+
+
+def _lack_row(lack: NodeLack) -> tuple[str, ...]:
+    return (
+        lack.node or lack.admin,
+        lack.zone or NOTHING,
+        str(lack.in_force or NOTHING),
+        str(lack.held or NOTHING),
+        lack.why,
+        _detail(lack),
+    )
+
+
+def _detail(lack: NodeLack) -> str:
+    parts = [lack.problem] if lack.problem else []
+    if lack.phase and lack.phase != "serving":
+        parts.append(lack.phase)
+    if lack.heard_for is not None:
+        parts.append(f"heard {_seconds(lack.heard_for)} ago")
+    if lack.read is not None:
+        parts += _read_details(lack.read)
+    if lack.source_age is not None:
+        parts.append(f"source answered {_seconds(lack.source_age)} ago")
+    return ", ".join(parts) or NOTHING
+
+
+def _read_details(read: ReadStatus) -> list[str]:
+    parts = []
+    if read.failures:
+        parts.append(f"{read.failures} reads failed in a row ({read.failure or 'unknown'})")
+    if read.open_for is not None:
+        parts.append(f"read open for {_seconds(read.open_for)} of {read.may_wait:g} s")
+    return parts
+
+
+def _findings(report: RolloutReport) -> list[str]:
+    """Return each finding once, with the number of nodes that refused the revision for it."""
+    nodes: dict[str, int] = {}
+    for lack in report.lacking:
+        for finding in lack.findings:
+            text = f"{finding.path}: {finding.code}: {finding.message}"
+            nodes[text] = nodes.get(text, 0) + 1
+    lines = [f"rejected on {count} nodes: {text}" for text, count in nodes.items()]
+    return ["", *lines] if lines else []
+
+
+def _words(stage: str) -> str:
+    return stage.replace("_", " ")
+
+
+def _seconds(value: float | None) -> str:
+    return NOTHING if value is None else f"{value:.1f} s"
--- /dev/null
+++ b/src/pewtertack/cli/rollout_reports.py
@@ -0,0 +1,163 @@
+"""How far a revision has come over several nodes, from what each tells of itself."""
+
+from __future__ import annotations
+
+from collections import Counter
+from collections.abc import Iterable, Sequence
+from enum import StrEnum
+from statistics import median
+from typing import ClassVar
+
+import msgspec
+
+from pewtertack.cli.rollout_causes import Lack, NodeLack, lack_of
+from pewtertack.cli.rollout_stages import moments_of, newest_heard, number_at
+from pewtertack.cli.status_reports import NodeReport
+from pewtertack.core.eras import VERSION_STEP, tree_number
+from pewtertack.core.replication.stages import Stage
+from pewtertack.errors import PewtertackError
+
+
+class RolloutError(PewtertackError):
+    """A rollout cannot be told of."""
+
+    code: ClassVar[str] = "rollout-error"
+
+
+class NoRevisionError(RolloutError):
+    """No node that answers has heard of a revision."""
+
+    code: ClassVar[str] = "no-revision"
+
+
+class Outcome(StrEnum):
+    """What a rollout has come to."""
+
+    COMPLETE = "complete"
+    """In force on every node that does not leave."""
+    INCOMPLETE = "incomplete"
+    REJECTED = "rejected"
+    """A node has refused it."""
+    UNREACHABLE = "unreachable"
+    """In force on every node that answers; others do not answer."""
+
+
+class StageSummary(msgspec.Struct, frozen=True):
+    """The nodes that a revision has reached at one stage.
+
+    Seconds count from the first word of the revision at any node, by the clocks of the machines.
+    """
+
+    stage: Stage
+    nodes: int
+    first: float | None = None
+    median: float | None = None
+    last: float | None = None
+
+
+class RolloutReport(msgspec.Struct, frozen=True):
+    """Where one revision is in force, and where not."""
+
+    revision: int
+    outcome: Outcome
+    nodes: int
+    """Nodes that were asked."""
+    first_heard: float | None
+    """Unix time of the first word of it at any node."""
+    stages: tuple[StageSummary, ...]
+    ways: dict[str, int]
+    """How it came, by the number of nodes."""
+    lacking: tuple[NodeLack, ...]
+
+    @property
+    def settled(self) -> bool:
+        """Whether waiting for longer cannot change the outcome."""
+        pending = {lack.why for lack in self.lacking} - {Lack.LEAVING}
+        if pending <= {Lack.REJECTED}:
+            return True
+        held = next(item.nodes for item in self.stages if item.stage is Stage.HELD)
+        return Lack.REJECTED in pending and held == 0
+
+
+def newest_revision(reports: Iterable[NodeReport]) -> int:
+    """Return the newest revision that any node has heard of; 0 without one."""
+    return max((newest_heard(report.status) for report in reports if report.status), default=0)
+
+
+def revision_of_version(version: int, reports: Iterable[NodeReport]) -> int:
+    """Return the lowest revision that carries ``version``.
+
+    Where the fleet reads a metadata store, a revision is a version with what follows from
+    evacuations; the operator's version is accepted there as well as the revision.
+    """
+    by_version = version < VERSION_STEP <= newest_revision(reports)
+    return tree_number(version) if by_version else version
+
+
+def rollout_report(revision: int, reports: Sequence[NodeReport]) -> RolloutReport:
+    """Return how far ``revision``, or a newer one, has come."""
+    nodes = [report for report in reports if report.status is not None]
+    moments = {
+        report.admin: moments_of(revision, report.status) for report in nodes if report.status
+    }
+    heard = [times[Stage.HEARD] for times in moments.values() if Stage.HEARD in times]
+    first_heard = min(heard, default=None)
+    lacking = tuple(
+        lack for lack in (lack_of(revision, report) for report in reports) if lack is not None
+    )
+    counted = [moments[report.admin] for report in nodes if _was_running(report, first_heard)]
+    return RolloutReport(
+        revision,
+        _outcome(lacking, len(reports)),
+        len(reports),
+        first_heard,
+        tuple(_summary(revision, stage, nodes, counted, first_heard) for stage in Stage),
+        _ways(revision, nodes),
+        lacking,
+    )
+
+
+def _was_running(report: NodeReport, first_heard: float | None) -> bool:
+    """Tell whether a node had started when the first node heard of the revision."""
+    if report.status is None or first_heard is None:
+        return False
+    return report.read_at - report.status.uptime <= first_heard
+
+
+def _summary(
+    revision: int,
+    stage: Stage,
+    nodes: Sequence[NodeReport],
+    counted: Sequence[dict[Stage, float]],
+    first_heard: float | None,
+) -> StageSummary:
+    reached = sum(
+        report.status is not None and number_at(report.status, stage) >= revision
+        for report in nodes
+    )
+    times = [moments[stage] for moments in counted if stage in moments]
+    if not times or first_heard is None:
+        return StageSummary(stage, reached)
+    seconds = [round(at - first_heard, 3) for at in times]
+    return StageSummary(stage, reached, min(seconds), round(median(seconds), 3), max(seconds))
+
+
+def _ways(revision: int, nodes: Sequence[NodeReport]) -> dict[str, int]:
+    ways: Counter[str] = Counter()
+    for report in nodes:
+        kept = report.status.stages if report.status is not None else ()
+        arrived = [item for item in kept if item.number >= revision and item.held is not None]
+        if arrived:
+            ways[min(arrived, key=lambda item: item.number).way] += 1
+    return dict(sorted(ways.items()))
+
+
+def _outcome(lacking: Sequence[NodeLack], asked: int) -> Outcome:
+    reasons = {lack.why for lack in lacking} - {Lack.LEAVING}
+    if not reasons:
+        return Outcome.COMPLETE if len(lacking) < asked else Outcome.INCOMPLETE
+    if Lack.REJECTED in reasons:
+        return Outcome.REJECTED
+    if reasons == {Lack.UNREACHABLE} and len(lacking) < asked:
+        return Outcome.UNREACHABLE
+    return Outcome.INCOMPLETE
