Status tells of reads only while the node reads, counts before the last failure

A node that handed its reading over after a failed read would have shown that failure for ever, in `status` and in the gauge read_failures, as nothing ends a row of failures but an answer. NodeView leaves the reads out where the node neither reads nor joins. The stage times of `rollout` have two decimals: on a fleet of six nodes all stages fell into 0.0 s.

Run: the tests of the view (new) and of the commands; six real nodes by hand with a source that answers after 8 s and reads given up after 6 s.

--- a/src/pewtertack/cli/rollout.py
+++ b/src/pewtertack/cli/rollout.py
@@ -130,7 +130,8 @@
 
 
 def _stage_row(item: StageSummary, nodes: int) -> tuple[str, ...]:
-    times = (_seconds(value) for value in (item.first, item.median, item.last))
+    moments = (item.first, item.median, item.last)
+    times = (NOTHING if value is None else f"{value:.2f} s" for value in moments)
     return (_words(item.stage), f"{item.nodes}/{nodes}", *times)
 
 
@@ -161,7 +162,9 @@
 def _read_details(read: ReadStatus) -> list[str]:
     parts = []
     if read.failures:
-        parts.append(f"{read.failures} reads failed in a row ({read.failure or 'unknown'})")
+        parts.append(
+            f"failed reads in a row: {read.failures}, the last {read.failure or 'unknown'}"
+        )
     if read.open_for is not None:
         parts.append(f"read open for {_seconds(read.open_for)} of {read.may_wait:g} s")
     return parts
@@ -182,5 +185,5 @@
     return stage.replace("_", " ")
 
 
-def _seconds(value: float | None) -> str:
-    return NOTHING if value is None else f"{value:.1f} s"
+def _seconds(value: float) -> str:
+    return f"{value:.1f} s"
--- a/src/pewtertack/cli/status.py
+++ b/src/pewtertack/cli/status.py
@@ -104,8 +104,8 @@
 
 def _read_notes(node: NodeStatus) -> list[str]:
     return [
-        f"{node.name}: {read.failures} reads of {document} failed in a row, the last: "
-        f"{read.failure or 'unknown'}"
+        f"{node.name}: failed reads of {document} in a row: {read.failures}, "
+        f"the last {read.failure or 'unknown'}"
         for document, read in node.reads.items()
         if read.failures
     ]
--- a/src/pewtertack/node/status.py
+++ b/src/pewtertack/node/status.py
@@ -149,7 +149,7 @@
     stages: tuple[StagesStatus, ...] = ()
     """Of the latest revisions, the newest first."""
     reads: dict[str, ReadStatus] = {}
-    """By document: ``configuration`` and ``machine_list``."""
+    """By document, ``configuration`` and ``machine_list``; empty while the node reads neither."""
 
 
 class MemberView(msgspec.Struct, frozen=True):
--- a/src/pewtertack/node/view.py
+++ b/src/pewtertack/node/view.py
@@ -10,7 +10,7 @@
 from pewtertack.core.configuration.findings import Finding
 from pewtertack.core.configuration.resolved import DEFAULT_CRASH_LIMIT, ResolvedConfiguration
 from pewtertack.core.eras import revision_of
-from pewtertack.core.node import NodeCore
+from pewtertack.core.node import NodeCore, NodePhase
 from pewtertack.core.replication.read_log import ReadLog
 from pewtertack.core.replication.replica import Rejection
 from pewtertack.core.replication.stages import RevisionStages, Stage
@@ -93,9 +93,7 @@
             newest_heard=stages.newest_heard,
             behind_for=_age(now, stages.behind_since),
             stages=_stages(now, stages.recent()),
-            reads={
-                kind.name.lower(): _read(now, read) for kind, read in replication.reads.of.items()
-            },
+            reads=self._reads(now),
         )
 
     def members(self) -> tuple[MemberView, ...]:
@@ -128,6 +126,13 @@
         members = self.core.membership.table.all()
         return dict(Counter(member.status.name.lower() for member in members))
 
+    def _reads(self, now: float) -> dict[str, ReadStatus]:
+        """Return how reads fare; failures of a node that reads no more are past."""
+        replication = self.core.replication
+        reads = replication.reader.reading or self.core.phase is NodePhase.JOINING
+        logs = replication.reads.of if reads else {}
+        return {kind.name.lower(): _read(now, log) for kind, log in logs.items()}
+
     def _refused_requests(self, now: float) -> tuple[RefusedRequestStatus, ...]:
         ledger = self.core.crashes.ledger
         held = [item for item in ledger if item.count >= DEFAULT_CRASH_LIMIT]
--- /dev/null
+++ b/tests/node/test_view.py
@@ -0,0 +1,96 @@
+"""What operators are told of a node's revisions and reads."""
+
+import unittest
+from random import Random
+from unittest import mock
+
+from pewtertack.core.identity import NodeIdentity
+from pewtertack.core.inputs import DocumentRead, DocumentReadFailed, MessageReceived, Ticked
+from pewtertack.core.node import NodeCore
+from pewtertack.core.profile import DIRECT
+from pewtertack.core.revision import identify
+from pewtertack.errors import ReadFailure
+from pewtertack.node import clock
+from pewtertack.node.gate import ServingGate
+from pewtertack.node.status import AddressStatus, NodeStatus, ReadStatus
+from pewtertack.node.traffic import Traffic
+from pewtertack.node.view import NodeView
+from pewtertack.wire.messages import Announce, DocumentKind, VersionState
+from tests.core.test_durable_source import DURABLE, MACHINES, PEER, tree
+from tests.core.test_node import TREE
+
+UNIX = 1_000_000.0
+"""Unix time when the clock of the node stands at 0."""
+
+
+class NodeViewTest(unittest.TestCase):
+    def setUp(self) -> None:
+        self.now = 0.0
+        identity = NodeIdentity("self", "127.0.0.1:1", "a", "", 1000)
+        self.core = NodeCore(identity, DIRECT, Random(1), self.now, source=DURABLE)
+        runtime = mock.Mock(failed_messages={}, suspended_seconds=0.0, in_force_since=None)
+        transport = mock.Mock(frames_by_accepted_keys=0)
+        addresses = AddressStatus("", "", "", "")
+        self.view = NodeView(
+            self.core,
+            runtime,
+            transport,
+            ServingGate(30.0),
+            Traffic(),
+            addresses,
+            lambda: 0,
+            0.0,
+            lambda: True,
+        )
+        for name, function in (
+            ("now", lambda: self.now),
+            ("unix_time", lambda: UNIX + self.now),
+        ):
+            patched = mock.patch.object(clock, name, function)
+            patched.start()
+            self.addCleanup(patched.stop)
+
+    def status(self) -> NodeStatus:
+        return self.view.status()
+
+    def serve(self) -> None:
+        self.core.handle(self.now, DocumentRead(DocumentKind.CONFIGURATION, 7, TREE))
+        self.core.handle(self.now, DocumentRead(DocumentKind.MACHINE_LIST, 1, MACHINES))
+
+    def test_a_node_that_is_behind(self) -> None:
+        self.serve()
+        self.assertIsNone(self.status().behind_for)
+        self.now = 0.25
+        newest = identify(9, tree("new"))
+        word = Announce(VersionState.of(newest, newest, 1, True))
+        self.core.handle(self.now, MessageReceived(PEER.name, PEER.address, 500, word))
+        self.now = 1.0
+        status = self.status()
+        self.assertEqual((status.newest_heard, status.behind_for), (9, 0.75))
+        newer, older = status.stages
+        self.assertEqual((newer.number, newer.heard, newer.held), (9, UNIX + 0.25, None))
+        self.assertEqual((older.number, older.way, older.in_force), (7, "source", UNIX))
+
+    def test_reads_are_told_of_by_a_node_that_reads(self) -> None:
+        self.core.handle(self.now, Ticked())
+        self.now = 0.5
+        self.assertEqual(self.status().reads["configuration"].open_for, 0.5)
+        kind = DocumentKind.CONFIGURATION
+        self.core.handle(self.now, DocumentReadFailed(kind, "", failure=ReadFailure.SILENT))
+        failed = self.status().reads["configuration"]
+        self.assertEqual((failed.open_for, failed.failures, failed.failure), (None, 1, "silent"))
+
+    def test_failures_of_a_node_that_reads_no_more_are_past(self) -> None:
+        kind = DocumentKind.CONFIGURATION
+        self.core.handle(self.now, DocumentReadFailed(kind, "", failure=ReadFailure.SILENT))
+        self.serve()
+        self.core.handle(self.now, DocumentReadFailed(kind, "", failure=ReadFailure.SILENT))
+        self.core.replication.reader.reading = False
+        self.assertEqual(self.status().reads, {})
+        self.core.replication.reader.reading = True
+        self.assertEqual(self.status().reads["configuration"].failures, 1)
+        self.assertEqual(self.status().reads["machine_list"], ReadStatus())
+
+
+if __name__ == "__main__":
+    unittest.main()
