A gauge tells of the last revision that a node refused

A version that validation refuses never comes into force, and of the metrics only behind_seconds, which grows for any other reason as well, showed it.

--- a/src/pewtertack/node/metrics.py
+++ b/src/pewtertack/node/metrics.py
@@ -45,6 +45,12 @@
         yield _gauge("held_revision", "Newest revision held whole.", status.held.number)
         yield _gauge("committed_revision", "Newest committed revision.", status.committed.number)
         yield _gauge("in_force_revision", "Revision in force.", status.in_force.number)
+        rejection = status.last_rejection
+        yield _gauge(
+            "rejected_revision",
+            "Last revision that validation refused here; 0 without one.",
+            rejection.revision.number if rejection is not None else 0,
+        )
         yield _gauge("heard_revision", "Newest revision known to exist.", status.newest_heard)
         yield _gauge(
             "behind_seconds",
