--- a/src/pewtertack/core/inputs.py
+++ b/src/pewtertack/core/inputs.py
@@ -6,6 +6,7 @@
 
 from pewtertack.core.items import ItemFinding
 from pewtertack.core.revision import Document
+from pewtertack.errors import ReadFailure
 from pewtertack.wire.messages import DocumentKind, Message
 
 
@@ -58,6 +59,8 @@
     about_answers: tuple[ItemFinding, ...] = ()
     read: int = 0
     took: float | None = None
+    failure: ReadFailure | None = None
+    """How the read ended, where the reader tells."""
 
 
 class BackendLeavingObserved(msgspec.Struct, frozen=True):
--- a/src/pewtertack/platform/store.py
+++ b/src/pewtertack/platform/store.py
@@ -13,12 +13,11 @@
 from pewtertack.core.source_era import SourceEra, SourceEraError
 from pewtertack.core.source_mirror import Mirror, Refreshed
 from pewtertack.core.source_trees import lacks_change, tree_document
-from pewtertack.errors import PlatformError
+from pewtertack.errors import PlatformError, ReadFailure
 from pewtertack.node import clock
 from pewtertack.node.http.client import (
     HttpClient,
     ServiceAnswer,
-    ServiceSilentError,
     ServiceTimeouts,
     ServiceUnreachableError,
 )
@@ -55,23 +54,23 @@
 
     code: ClassVar[str] = "store-unreachable"
 
-
-class StoreSilentError(StoreUnreachableError):
-    """The store has taken a call and did not answer it."""
-
-    code: ClassVar[str] = "store-silent"
+    def __init__(self, reason: str, failure: ReadFailure) -> None:
+        self.failure = failure
+        super().__init__(reason)
 
 
 class StoreBusyError(PlatformError):
     """The store refuses or throttles calls."""
 
     code: ClassVar[str] = "store-busy"
+    failure = ReadFailure.REFUSED
 
 
 class StoreStatusError(PlatformError):
     """The store answered with a status that is not in its interface."""
 
     code: ClassVar[str] = "store-status"
+    failure = ReadFailure.REFUSED
 
 
 class StoreBodyError(PlatformError):
@@ -139,7 +138,8 @@
         try:
             answer = await self._read(effect, self._mirrors[effect.kind])
         except PlatformError as error:
-            answer = DocumentReadFailed(effect.kind, f"{error.code}: {error}")
+            reason = f"{error.code}: {error}"
+            answer = DocumentReadFailed(effect.kind, reason, failure=error.failure)
         found, took, self._took = self._era.take_findings(), self._took, None
         return msgspec.structs.replace(answer, about_answers=found, took=took)
 
@@ -235,10 +235,8 @@
         sent_in = self._era.known
         try:
             answer = await self._client.get(path, timeouts)
-        except ServiceSilentError as error:
-            raise StoreSilentError(str(error)) from error
         except ServiceUnreachableError as error:
-            raise StoreUnreachableError(str(error)) from error
+            raise StoreUnreachableError(str(error), error.failure) from error
         if answer.took >= wait:
             self._took = answer.took - wait
         self._note_era(answer, sent_in)
