A large change costs what it changes: no table is copied once an edit, no route compared with each

`with_edits` copied the table of all routes for each edit (1,400 times 5,000 entries), `_is_free_of_rivals` compared each route that was written with each other one (1,400 times 1,400), the reckoned sizes of new tables were counted three times by the slow way, `compare` encoded both sides of each route with sorted keys, and a chain of deltas was applied and its digest computed twice, once to look and once to hold.

Change: edits share one copy of each table on their way; rivals are sought by prefix; sizes noted by `check_plain` are used; `have_same_content` encodes with sorted keys only where keys stand in another order; `DocumentStore.follow` returns the documents that `put_steps` holds.

--- a/src/pewtertack/core/configuration/memory.py
+++ b/src/pewtertack/core/configuration/memory.py
@@ -212,9 +212,16 @@
     def size_after(self, document: Document, edit: RouteEdit, size_of: SizeOf) -> int:
         """Return the reckoned bytes of a document that differs from the newest by ``edit``."""
         old, new = self._routes_of(self.document), self._routes_of(document)
-        added = {name: new[name] for name in edit.written}
-        lost = {name: old[name] for name in (*edit.written, *edit.removed) if name in old}
-        return self.size + size_of(added) - size_of(lost)
+        accepted = self._tables[_ROUTE_PLACE]
+        size, empty = self.size, size_of("")
+        for name in edit.written:
+            table = new[name]
+            size += size_of(name) - empty + (self._sizes.get(id(table)) or size_of(table))
+        for name in (*edit.written, *edit.removed):
+            if name in old:
+                known = accepted.get(id(old[name]))
+                size -= size_of(name) - empty + (known[1] if known else size_of(old[name]))
+        return size
 
     def remember_edit(self, document: Document, edit: RouteEdit, size_of: SizeOf) -> None:
         """Take over an accepted document that differs from the newest by ``edit``."""
@@ -226,8 +233,9 @@
                 tables.pop(id(old[name]), None)
         for name in edit.written:
             table = new[name]
-            tables[id(table)] = (table, size_of(table))
+            tables[id(table)] = (table, self._sizes.get(id(table)) or size_of(table))
         self.document = document
+        self._sizes = {}
 
     def _routes_of(self, document: Document | None) -> Mapping[str, Table]:
         found: Mapping[str, Table] = (document or {}).get(Section.ROUTES, {})
--- a/src/pewtertack/core/configuration/validation.py
+++ b/src/pewtertack/core/configuration/validation.py
@@ -95,7 +95,7 @@
         return False
     routes = document[Section.ROUTES]
     changed = {Section.ROUTES.value: {name: routes[name] for name in edit.written}}
-    findings = chain(check_plain(changed), check_structure(changed), _check_count_of(routes))
+    findings = chain(check_plain(changed, known), check_structure(changed), _check_count_of(routes))
     if any(True for _ in findings) or known.size_after(document, edit, size_of) > SIZE_LIMIT:
         return False
     known.share_values(changed)
@@ -135,15 +135,17 @@
     if count > MATCH_LIMIT:
         return False
     gone = {*edit.written, *edit.removed}
-    for prefix in {match.path_prefix for match in written.values()}:
+    beside: dict[str, list[RouteMatch]] = {}
+    for match in written.values():
+        beside.setdefault(match.path_prefix, []).append(match)
+    for prefix, added in beside.items():
         owners: set[tuple[str, str]] = set()
         there = [
             known.routes.derived(name)
             for name in matches.by_prefix.get(prefix, ())
             if name not in gone
         ]
-        beside = [match for match in written.values() if match.path_prefix == prefix]
-        for match in (*filter(None, there), *beside):
+        for match in (*filter(None, there), *added):
             own = set(_combinations(match))
             if owners & own:
                 return False
--- a/src/pewtertack/core/delta.py
+++ b/src/pewtertack/core/delta.py
@@ -6,12 +6,12 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterable, Iterator
+from collections.abc import Iterable, Iterator, Mapping
 from typing import Any, ClassVar
 
 import msgspec
 
-from pewtertack.core.revision import Document, RevisionId, encoded, identify
+from pewtertack.core.revision import Document, RevisionId, have_same_content, identify
 from pewtertack.errors import CoordinationError
 
 Path = tuple[str, ...]
@@ -62,7 +62,7 @@
         if key not in old:
             yield SetValue(here, new[key])
         elif isinstance(old[key], dict) and isinstance(new[key], dict):
-            if encoded(old[key]) != encoded(new[key]):
+            if len(old[key]) != len(new[key]) or not have_same_content(old[key], new[key]):
                 yield from _edits_between(old[key], new[key], here)
         elif not _same_value(old[key], new[key]):
             yield SetValue(here, new[key])
@@ -99,24 +99,49 @@
     Raises:
         DeltaMismatchError: an edit's path does not fit.
     """
-    result: Document = dict(document)
+    root = _TableCopy(document)
     for edit in edits:
-        result = _with_edit(result, edit, edit.path)
-    return result
+        root.do(edit)
+    return root.table
+
 
+class _TableCopy:
+    """The copy of a table under edit, with those of the tables in it that are under edit.
+
+    Each is made once, however many edits there are below it.
+    """
 
-def _with_edit(document: Any, edit: Edit, path: Path) -> dict[str, Any]:
-    """Return a copy of ``document`` with the edit done at ``path`` below it."""
-    if not path or not isinstance(document, dict):
-        raise DeltaMismatchError(f"no object at {'.'.join(edit.path)}")
-    key, rest = path[0], path[1:]
-    copy = dict(document)
-    if rest:
-        copy[key] = _with_edit(copy.get(key, {}), edit, rest)
-    elif isinstance(edit, SetValue):
-        copy[key] = edit.value
-    elif key in copy:
-        del copy[key]
-    else:
-        raise DeltaMismatchError(f"nothing to delete at {'.'.join(edit.path)}")
-    return copy
+    __slots__ = ("_children", "table")
+
+    def __init__(self, table: Mapping[str, Any]) -> None:
+        self.table = dict(table)
+        self._children: dict[str, _TableCopy] = {}
+
+    def do(self, edit: Edit) -> None:
+        """Do an edit whose path begins here.
+
+        Raises:
+            DeltaMismatchError: the path does not fit.
+        """
+        if not edit.path:
+            raise DeltaMismatchError("an edit without a path")
+        owner, key = self, edit.path[-1]
+        for name in edit.path[:-1]:
+            owner = owner._child(name, edit)
+        owner._children.pop(key, None)
+        if isinstance(edit, SetValue):
+            owner.table[key] = edit.value
+        elif key in owner.table:
+            del owner.table[key]
+        else:
+            raise DeltaMismatchError(f"nothing to delete at {'.'.join(edit.path)}")
+
+    def _child(self, name: str, edit: Edit) -> _TableCopy:
+        child = self._children.get(name)
+        if child is None:
+            table = self.table.get(name, {})
+            if not isinstance(table, dict):
+                raise DeltaMismatchError(f"no object at {'.'.join(edit.path)}")
+            child = self._children[name] = _TableCopy(table)
+            self.table[name] = child.table
+        return child
--- a/src/pewtertack/core/replication/machine_lists.py
+++ b/src/pewtertack/core/replication/machine_lists.py
@@ -18,7 +18,7 @@
     machine_list_from_document,
 )
 from pewtertack.core.replication.leaving import LeavingBackends
-from pewtertack.core.replication.store import DocumentStore
+from pewtertack.core.replication.store import DocumentStore, Step
 from pewtertack.core.returned_lists import EraChange, ReturnedLists
 from pewtertack.core.revision import Document, RevisionId
 from pewtertack.events import Event
@@ -59,10 +59,12 @@
     def offer_deltas(self, now: float, deltas: tuple[Delta, ...]) -> list[Effect]:
         """Use the end of a chain if it is newer; a chain that does not fit changes nothing."""
         try:
-            revision, document = self.store.preview(deltas)
+            steps = self.store.follow(deltas)
         except DeltaMismatchError as error:
             return [Log(Event.MACHINE_LIST_FAILED, {"reason": str(error)})]
-        return self.offer(now, revision, document)
+        if not steps:
+            return []
+        return self.offer(now, steps[-1].delta.target, steps[-1].document)
 
     def offer(self, now: float, revision: RevisionId, document: Document) -> list[Effect]:
         """Use a newer list; one that cannot be read leaves the older in use."""
@@ -95,7 +97,7 @@
             return []
         if era_of(revision.number) != self.era:
             return self.offer(now, revision, self.store.document)
-        self.store.put_deltas([Delta(held, revision, ())])
+        self.store.put_steps([Step(Delta(held, revision, ()), self.store.document)])
         self._listed = MachineList(revision.number, self._listed.machines)
         self.machines = MachineList(revision.number, self.machines.machines)
         return []
--- a/src/pewtertack/core/replication/replica.py
+++ b/src/pewtertack/core/replication/replica.py
@@ -104,16 +104,17 @@
             DeltaMismatchError: the chain starts at the held revision but an edit
                 does not fit or the result has another digest.
         """
-        revision, document = self.store.preview(deltas)
-        if revision == self.held:
+        steps = self.store.follow(deltas)
+        if not steps:
             return []
+        revision, document = steps[-1].delta.target, steps[-1].document
         refused = self._refuse_order(revision)
         if refused is not None:
             return refused
         rejected = self._reject_invalid(revision, document)
         if rejected is not None:
             return rejected
-        self.store.put_deltas(deltas)
+        self.store.put_steps(steps)
         return [self._log_held()]
 
     def _shared(self, document: Document) -> Document:
--- a/src/pewtertack/core/replication/store.py
+++ b/src/pewtertack/core/replication/store.py
@@ -4,6 +4,7 @@
 
 from collections import OrderedDict, deque
 from collections.abc import Iterable
+from typing import NamedTuple
 
 from pewtertack.core.delta import Delta, apply, compare, with_edits
 from pewtertack.core.revision import NO_REVISION, Document, RevisionId
@@ -15,6 +16,13 @@
 """Recent documents share most of their content, as edits copy only their path."""
 
 
+class Step(NamedTuple):
+    """A delta with the document that it leads to."""
+
+    delta: Delta
+    document: Document
+
+
 class DocumentStore:
     """The newest held revision of one document, with how it came about."""
 
@@ -33,32 +41,26 @@
         delta = Delta(self.revision, revision, compare(self.document, document))
         self._append(delta, document)
 
-    def put_deltas(self, deltas: Iterable[Delta]) -> bool:
-        """Apply the part of a chain that follows the held revision.
-
-        Returns whether anything was applied.
-
-        Raises:
-            DeltaMismatchError: an edit does not fit or yields another digest.
-        """
-        before = self.revision
-        for delta in deltas:
-            if delta.base == self.revision:
-                self._append(delta, apply(delta, self.document))
-        return self.revision != before
-
-    def preview(self, deltas: Iterable[Delta]) -> tuple[RevisionId, Document]:
+    def follow(self, deltas: Iterable[Delta]) -> tuple[Step, ...]:
         """Return where a chain leads from the held revision, changing nothing.
 
+        What comes before the held revision is left out.
+
         Raises:
             DeltaMismatchError: an edit does not fit or yields another digest.
         """
+        steps: list[Step] = []
         revision, document = self.revision, self.document
         for delta in deltas:
             if delta.base == revision:
-                document = apply(delta, document)
-                revision = delta.target
-        return revision, document
+                revision, document = delta.target, apply(delta, document)
+                steps.append(Step(delta, document))
+        return tuple(steps)
+
+    def put_steps(self, steps: Iterable[Step]) -> None:
+        """Hold the end of a chain that ``follow`` returned."""
+        for step in steps:
+            self._append(step.delta, step.document)
 
     def _append(self, delta: Delta, document: Document) -> None:
         if self.revision != NO_REVISION:
--- a/src/pewtertack/core/revision.py
+++ b/src/pewtertack/core/revision.py
@@ -60,6 +60,16 @@
         return cbor2.dumps(value, canonical=True)
 
 
+def have_same_content(left: Any, right: Any) -> bool:
+    """Tell whether two values are ``encoded`` alike, sooner where their keys stand alike."""
+    try:
+        if msgspec.msgpack.encode(left) == msgspec.msgpack.encode(right):
+            return True
+    except (TypeError, ValueError, OverflowError):
+        pass
+    return encoded(left) == encoded(right)
+
+
 def digest_of(document: Document) -> bytes:
     """Return the digest of the content of ``document``."""
     return hashlib.blake2b(encoded(document), digest_size=DIGEST_BYTES).digest()
--- a/tests/core/configuration/test_memory.py
+++ b/tests/core/configuration/test_memory.py
@@ -1,6 +1,7 @@
 """What is remembered of an accepted tree changes the cost of the next, never the verdict."""
 
 import copy
+import time
 import tracemalloc
 import unittest
 from random import Random
@@ -51,6 +52,21 @@
     }
 
 
+def least_check_of_added(count: int) -> float:
+    """Return the least processor time of five checks of so many routes more, in seconds."""
+    base = {"services": {"book": {}}, "routes": {"first": idle_route(0)}}
+    times = []
+    for _ in range(5):
+        checked = CheckedTables()
+        assert not check_document(base, checked)
+        added = {f"route-{n}": idle_route(n) for n in range(1, count)}
+        document = {**base, "routes": {**base["routes"], **added}}
+        began = time.process_time()
+        assert not check_document(document, checked)
+        times.append(time.process_time() - began)
+    return min(times)
+
+
 def edited(document: Any, random: Random) -> Any:
     """Return a copy with one change, valid or not."""
     result = copy.deepcopy(document)
@@ -148,6 +164,10 @@
                     store.put(identify(number, offered), shared)
                     self.assertEqual(checked.size, size_of(offered), f"seed {seed}, {number}")
 
+    def test_the_time_of_a_check_grows_no_faster_than_the_change(self) -> None:
+        few, many = (least_check_of_added(count) for count in (400, 4800))
+        self.assertLess(many, 2 * 12 * few)
+
     def test_what_is_kept_of_a_route_is_bounded(self) -> None:
         routes = 1400
         document = tree()
--- a/tests/core/test_delta.py
+++ b/tests/core/test_delta.py
@@ -1,12 +1,30 @@
 """Deltas between documents."""
 
+import time
 import unittest
+from collections.abc import Callable
+from functools import partial
 
 from hypothesis import given
 from hypothesis import strategies as st
 
-from pewtertack.core.delta import Delta, DeltaMismatchError, SetValue, apply, compare
-from pewtertack.core.revision import RevisionConflictError, RevisionId, identify
+from pewtertack.core.delta import (
+    DeleteValue,
+    Delta,
+    DeltaMismatchError,
+    SetValue,
+    apply,
+    compare,
+    with_edits,
+)
+from pewtertack.core.revision import (
+    Document,
+    RevisionConflictError,
+    RevisionId,
+    digest_of,
+    have_same_content,
+    identify,
+)
 
 LEAVES = st.one_of(st.booleans(), st.integers(0, 3), st.floats(0, 3), st.text("ab", max_size=2))
 DOCUMENTS = st.dictionaries(
@@ -38,6 +56,70 @@
         self.assertEqual(base, {"a": 1})
 
 
+class ManyEditsTest(unittest.TestCase):
+    """A large change costs what it changes, however many routes there are."""
+
+    def test_edits_in_any_order_give_what_one_by_one_gives(self) -> None:
+        edits = (
+            SetValue(("a", "b"), {"c": 1}),
+            SetValue(("a", "b", "d"), 2),
+            DeleteValue(("a", "x")),
+            SetValue(("a",), {"e": {"f": 3}}),
+            SetValue(("a", "e", "f"), 4),
+            SetValue(("new", "g"), 5),
+            DeleteValue(("new", "g")),
+        )
+        base = {"a": {"x": 0, "b": 7}, "y": {"z": 1}}
+        step: Document = base
+        for edit in edits:
+            step = with_edits(step, (edit,))
+        found = with_edits(base, edits)
+        self.assertEqual(found, step)
+        self.assertEqual(found, {"a": {"e": {"f": 4}}, "y": {"z": 1}, "new": {}})
+        self.assertIs(found["y"], base["y"])
+        self.assertEqual(base, {"a": {"x": 0, "b": 7}, "y": {"z": 1}})
+        self.assertEqual(edits[0].value, {"c": 1})
+        self.assertEqual(edits[3].value, {"e": {"f": 3}})
+
+    def test_an_edit_that_does_not_fit_is_refused(self) -> None:
+        base = {"a": 1}
+        for edit in (DeleteValue(("b",)), SetValue(("a", "b"), 1), SetValue((), 1)):
+            with self.subTest(edit), self.assertRaises(DeltaMismatchError):
+                with_edits(base, (edit,))
+
+    def test_the_time_grows_no_faster_than_the_number_of_edits(self) -> None:
+        few, many = (least_time(partial(add_routes, count)) for count in (500, 4000))
+        self.assertLess(many, 3 * 8 * few)
+
+
+def add_routes(count: int) -> None:
+    """Add so many routes to as many by edits."""
+    base = {"routes": {f"old{n}": {} for n in range(count)}}
+    with_edits(base, [SetValue(("routes", f"new{n}"), {}) for n in range(count)])
+
+
+def least_time(call: Callable[[], object]) -> float:
+    """Return the least processor time of five calls, in seconds."""
+    times = []
+    for _ in range(5):
+        began = time.process_time()
+        call()
+        times.append(time.process_time() - began)
+    return min(times)
+
+
+class ContentTest(unittest.TestCase):
+    @given(DOCUMENTS, DOCUMENTS)
+    def test_the_same_content_is_the_same_digest(self, left: dict, right: dict) -> None:
+        alike = digest_of(left) == digest_of(right)
+        self.assertEqual(have_same_content(left, right), alike)
+
+    def test_values_beyond_messagepack_and_other_orders(self) -> None:
+        self.assertTrue(have_same_content({"a": 2**70, "b": 1}, {"b": 1, "a": 2**70}))
+        self.assertFalse(have_same_content({"a": 2**70}, {"a": 2**71}))
+        self.assertFalse(have_same_content({"a": 1}, {"a": True}))
+
+
 class RevisionIdTest(unittest.TestCase):
     def test_one_number_with_two_digests_is_a_conflict(self) -> None:
         with self.assertRaises(RevisionConflictError):
