A pull whose answer is arriving is not asked for a second time

Cause: a pull that has no whole answer after 0.5 s was sent to the next peer that holds the version. Over a narrow link a long answer takes longer to arrive: 130 KB, the whole of 5,000 routes packed, take 0.2 s at 5 Mbit/s alone and a multiple while the sender answers its whole zone. The receiver then had the same bytes on its link twice.

Change: the transport tells of a frame that is arriving over TCP, by the peer's IP number, every 0.1 s at most while bytes come (input `FrameArriving`); the puller counts its time-out from the last such word of the peer asked. A silent peer still gives way after 0.5 s, and a frame ends after `limits.stream_timeout`, however slowly it drips.

Tests: `test_an_answer_that_is_arriving_is_not_asked_for_again` was seen to fail with the puller not told (a second pull went to the other peer); the puller alone; the transport with a frame in three parts.

Also: tools/measure_change.py collects garbage before each turn.

--- a/src/pewtertack/core/inputs.py
+++ b/src/pewtertack/core/inputs.py
@@ -22,6 +22,16 @@
     message: Message
 
 
+class FrameArriving(msgspec.Struct, frozen=True):
+    """Bytes of a frame that is not yet whole, nor authenticated, have come from ``host``.
+
+    Told of long frames from time to time, so that who waits for one knows of it.
+    """
+
+    host: str
+    """IP number of the peer."""
+
+
 class DocumentRead(msgspec.Struct, frozen=True):
     """The platform answered a ``ReadDocument`` with a document under its number."""
 
@@ -81,6 +91,7 @@
 Input = (
     Ticked
     | MessageReceived
+    | FrameArriving
     | DocumentRead
     | DocumentUnchanged
     | DocumentReadFailed
--- a/src/pewtertack/core/node.py
+++ b/src/pewtertack/core/node.py
@@ -28,6 +28,7 @@
     DocumentReadFailed,
     DocumentUnchanged,
     DrainRequested,
+    FrameArriving,
     Input,
     MessageReceived,
     SuspectAnswered,
@@ -139,6 +140,9 @@
                 return self._tick(now)
             case MessageReceived():
                 return self._on_message(now, event)
+            case FrameArriving(host):
+                self.replication.on_frame_arriving(now, host)
+                return []
             case DocumentRead():
                 return self.replication.on_document_read(now, event)
             case DocumentUnchanged():
@@ -148,12 +152,17 @@
             case BackendLeavingObserved(name, address, started_at):
                 notice = LeavingBackend(name, address, started_at)
                 return self.replication.on_backends_leaving((notice,))
+            case BackendCrashed() | SuspectAnswered():
+                return self._on_suspect(now, event)
+            case DrainRequested():
+                return self._drain()
+
+    def _on_suspect(self, now: float, event: BackendCrashed | SuspectAnswered) -> list[Effect]:
+        match event:
             case BackendCrashed(fingerprints, number):
                 return self.crashes.crashed(now, fingerprints, number)
             case SuspectAnswered(fingerprint):
                 return self.crashes.answered(now, fingerprint)
-            case DrainRequested():
-                return self._drain()
 
     def _tick(self, now: float) -> list[Effect]:
         self._last_tick = now
--- a/src/pewtertack/core/replication/puller.py
+++ b/src/pewtertack/core/replication/puller.py
@@ -18,15 +18,27 @@
     address: str
     revision: RevisionId
 
+    @property
+    def host(self) -> str:
+        """The IP number in ``address``."""
+        return self.address.rpartition(":")[0].strip("[]")
+
 
 class Puller:
-    """Chooses whom to pull from and when to try the next peer."""
+    """Chooses whom to pull from and when to try the next peer.
+
+    Args:
+        timeout: seconds without a sign of the answer after which another peer is asked. A long
+            answer over a narrow link takes longer to arrive; asked for twice it would take the
+            link twice.
+    """
 
     def __init__(self, timeout: float) -> None:
         self._timeout = timeout
         self._sources: OrderedDict[str, PullSource] = OrderedDict()
         self._outstanding: PullSource | None = None
-        self._asked_at = 0.0
+        self._heard_at = 0.0
+        """When the peer was asked, or something of its answer last came."""
         self._not_before = 0.0
 
     def offer(self, source: PullSource) -> None:
@@ -41,6 +53,11 @@
         self._outstanding = None
         self._not_before = now + delay
 
+    def arriving(self, now: float, host: str) -> None:
+        """A frame from ``host`` is arriving: the answer, if that is the peer asked."""
+        if self._outstanding is not None and self._outstanding.host == host:
+            self._heard_at = now
+
     def finish(self) -> None:
         """The outstanding pull was answered."""
         self._outstanding = None
@@ -53,11 +70,11 @@
 
     def next_source(self, now: float) -> PullSource | None:
         """Return the peer to pull from now, if a pull is due."""
-        if self._outstanding is not None and now - self._asked_at < self._timeout:
+        if self._outstanding is not None and now - self._heard_at < self._timeout:
             return None
         if now < self._not_before or not self._sources:
             return None
         name = max(self._sources, key=lambda key: self._sources[key].revision.number)
         self._outstanding = self._sources.pop(name)
-        self._asked_at = now
+        self._heard_at = now
         return self._outstanding
--- a/src/pewtertack/core/replication/service.py
+++ b/src/pewtertack/core/replication/service.py
@@ -328,6 +328,11 @@
             effects.append(Log(Event.PULL_REFUSED, {"peer": sender}))
         return effects
 
+    def on_frame_arriving(self, now: float, host: str) -> None:
+        """What a peer at ``host`` was asked for may be on its way."""
+        for puller in self._pullers.values():
+            puller.arriving(now, host)
+
     def on_deltas(self, now: float, answer: DeltaAnswer) -> list[Effect]:
         """Apply the deltas that a peer sent."""
         self._pullers[answer.kind].finish()
--- a/src/pewtertack/node/daemon.py
+++ b/src/pewtertack/node/daemon.py
@@ -131,7 +131,9 @@
     with anyio.open_signal_receiver(signal.SIGTERM, signal.SIGINT, signal.SIGHUP) as signals:
         release_signals()
         async with anyio.create_task_group() as tasks:
-            tasks.start_soon(parts.transport.run, parts.runtime.receive, parts.runtime.refuse)
+            runtime = parts.runtime
+            handlers = (runtime.receive, runtime.refuse, runtime.note_arriving)
+            tasks.start_soon(parts.transport.run, *handlers)
             tasks.start_soon(parts.runtime.run)
             tasks.start_soon(parts.settings.run)
             for application in (parts.proxy, parts.gateway):
--- a/src/pewtertack/node/runtime.py
+++ b/src/pewtertack/node/runtime.py
@@ -24,6 +24,7 @@
     DocumentReadFailed,
     DocumentUnchanged,
     DrainRequested,
+    FrameArriving,
     Input,
     MessageReceived,
     Ticked,
@@ -191,6 +192,10 @@
             self.failed_messages[name] += 1
             self._log_refusal(name, f"{type(envelope.message).__name__}: {error}")
 
+    def note_arriving(self, host: str) -> None:
+        """A frame is arriving from a peer at ``host``."""
+        self.feed(FrameArriving(host))
+
     def refuse(self, error: ProtocolError) -> None:
         """Log a refused frame; the transport has counted it."""
         self._log_refusal(error.code, str(error))
--- a/src/pewtertack/node/streams.py
+++ b/src/pewtertack/node/streams.py
@@ -4,6 +4,7 @@
 
 import os
 import socket
+from collections.abc import Callable
 
 import anyio
 from anyio.abc import ByteReceiveStream, SocketStream
@@ -16,6 +17,10 @@
 LENGTH_BYTES = 4
 
 
+def _ignore() -> None:
+    pass
+
+
 class StreamBudget:
     """Bounds the streams under way and the bytes that they may bring together."""
 
@@ -89,8 +94,10 @@
     return len(data)
 
 
-async def receive_frame(stream: ByteReceiveStream, budget: StreamBudget) -> bytes:
-    """Return the one frame of a connection.
+async def receive_frame(
+    stream: ByteReceiveStream, budget: StreamBudget, arriving: Callable[[], None] = _ignore
+) -> bytes:
+    """Return the one frame of a connection; ``arriving`` is called for each part of it.
 
     Raises:
         OversizedFrameError: its announced length is not allowed, or not now.
@@ -102,8 +109,12 @@
         if length > STREAM_BYTES_MAX or not budget.take_bytes(length):
             raise OversizedFrameError(f"{length} bytes announced")
         try:
-            return await buffered.receive_exactly(length)
+            frame = bytearray()
+            while len(frame) < length:
+                frame += await buffered.receive(length - len(frame))
+                arriving()
+            return bytes(frame)
         finally:
             budget.return_bytes(length)
-    except (anyio.IncompleteRead, anyio.BrokenResourceError) as error:
+    except (anyio.EndOfStream, anyio.IncompleteRead, anyio.BrokenResourceError) as error:
         raise TruncatedFrameError("the peer hung up early") from error
--- a/src/pewtertack/node/transport.py
+++ b/src/pewtertack/node/transport.py
@@ -8,7 +8,7 @@
 
 import anyio
 import msgspec
-from anyio.abc import SocketListener, SocketStream, TaskGroup
+from anyio.abc import SocketAttribute, SocketListener, SocketStream, TaskGroup
 
 from pewtertack.errors import ProtocolError
 from pewtertack.node.sockets import address_of
@@ -30,10 +30,14 @@
 """Datagrams taken at one wake-up before other tasks get their turn."""
 INBOUND_BYTES_MAX = 2 * STREAM_BYTES_MAX
 """Memory for frames that are arriving over TCP, from strangers too."""
+ARRIVAL_INTERVAL = 0.1
+"""Seconds between two words of one frame that is arriving."""
 _ADDRESSES_CACHED = 4096
 
 EnvelopeHandler = Callable[[Envelope], None]
 RefusalHandler = Callable[[ProtocolError], None]
+ArrivalHandler = Callable[[str], None]
+"""Is told the IP number from which a frame is arriving."""
 
 
 class Sender(msgspec.Struct, frozen=True):
@@ -80,16 +84,23 @@
         self._tasks: TaskGroup | None = None
         self._receive: EnvelopeHandler = lambda _: None
         self._refuse: RefusalHandler = lambda _: None
+        self._arriving: ArrivalHandler = lambda _: None
 
     @property
     def frames_by_accepted_keys(self) -> int:
         """Frames received that another accepted key signed."""
         return self._reader.frames_by_accepted_keys
 
-    async def run(self, receive: EnvelopeHandler, refuse: RefusalHandler) -> None:
-        """Serve until cancelled; ``receive`` and ``refuse`` must not block."""
+    async def run(
+        self,
+        receive: EnvelopeHandler,
+        refuse: RefusalHandler,
+        arriving: ArrivalHandler | None = None,
+    ) -> None:
+        """Serve until cancelled; the handlers must not block."""
         self._receive = receive
         self._refuse = refuse
+        self._arriving = arriving or self._arriving
         listener = await SocketListener.from_socket(self._streams)
         async with anyio.create_task_group() as tasks:
             self._tasks = tasks
@@ -159,7 +170,8 @@
                 return
             try:
                 with anyio.fail_after(self._limits.timeout):
-                    frame = await receive_frame(stream, self._inbound)
+                    teller = _ArrivalTeller(stream, self._arriving)
+                    frame = await receive_frame(stream, self._inbound, teller.tell)
             except TimeoutError:
                 self._refused(TruncatedFrameError("the frame did not end in time"))
             except ProtocolError as error:
@@ -183,6 +195,23 @@
         self._refuse(error)
 
 
+class _ArrivalTeller:
+    """Tells of one frame's arrival, not more often than every ``ARRIVAL_INTERVAL``."""
+
+    __slots__ = ("_handler", "_host", "_next_at")
+
+    def __init__(self, stream: SocketStream, handler: ArrivalHandler) -> None:
+        self._host = str(stream.extra(SocketAttribute.remote_address, ("",))[0])
+        self._handler = handler
+        self._next_at = 0.0
+
+    def tell(self) -> None:
+        now = anyio.current_time()
+        if now >= self._next_at:
+            self._next_at = now + ARRIVAL_INTERVAL
+            self._handler(self._host)
+
+
 @lru_cache(maxsize=_ADDRESSES_CACHED)
 def _parse_address(text: str) -> Address | None:
     try:
--- a/tests/core/test_durable_source.py
+++ b/tests/core/test_durable_source.py
@@ -10,6 +10,7 @@
     DocumentRead,
     DocumentReadFailed,
     DocumentUnchanged,
+    FrameArriving,
     Input,
     MessageReceived,
     Ticked,
@@ -18,11 +19,13 @@
 from pewtertack.core.profile import DIRECT, SourceProperties
 from pewtertack.core.revision import NO_REVISION, RevisionId, identify
 from pewtertack.wire.messages import (
+    Announce,
     DocumentKind,
     HeldReport,
     JoinAnswer,
     MemberStatus,
     MemberUpdate,
+    Pull,
     SnapshotAnswer,
     VersionState,
 )
@@ -40,6 +43,17 @@
     return {**TREE, "services": {"archive": {}, service: {}}}
 
 
+def _pulls(effects: list[Effect]) -> list[str]:
+    """Return who is asked for the configuration."""
+    return [
+        effect.name
+        for effect in effects
+        if isinstance(effect, Send)
+        and isinstance(effect.message, Pull)
+        and effect.message.kind is DocumentKind.CONFIGURATION
+    ]
+
+
 class DurableSourceTest(unittest.TestCase):
     def setUp(self) -> None:
         self.now = 0.0
@@ -68,6 +82,19 @@
     def in_force(self) -> int:
         return self.core.replication.replica.in_force_number
 
+    def test_an_answer_that_is_arriving_is_not_asked_for_again(self) -> None:
+        self.feed(Ticked())
+        self.read(7, TREE)
+        self.read_machines()
+        newer = identify(8, tree("new"))
+        state = VersionState.of(newer, newer, 1, True)
+        for name, host in (("other", "127.0.0.2"), (PEER.name, "127.0.0.1")):
+            self.feed(MessageReceived(name, f"{host}:2", 500, Announce(state)))
+        for _ in range(20):
+            self.feed(FrameArriving("127.0.0.2"))
+            self.assertEqual(_pulls(self.tick_for(0.2)), [])
+        self.assertEqual(_pulls(self.tick_for(1.0)), [PEER.name])
+
     def test_a_starting_node_reads_at_its_first_tick(self) -> None:
         kinds = {item.kind for item in self.feed(Ticked()) if isinstance(item, ReadDocument)}
         self.assertEqual(kinds, set(DocumentKind))
--- a/tests/node/test_transport.py
+++ b/tests/node/test_transport.py
@@ -12,7 +12,7 @@
 from pewtertack.node.sockets import address_of
 from pewtertack.node.streams import LENGTH_BYTES, connect
 from pewtertack.node.traffic import Direction, Purpose, Traffic
-from pewtertack.node.transport import PeerTransport, Sender, StreamLimits
+from pewtertack.node.transport import ARRIVAL_INTERVAL, PeerTransport, Sender, StreamLimits
 from pewtertack.settings import Address
 from pewtertack.wire.frames import STREAM_BYTES_MAX, Envelope, encode_frame
 from pewtertack.wire.messages import Busy, DocumentKind, SnapshotAnswer
@@ -43,12 +43,13 @@
         self.traffic = Traffic()
         self.received: list[Envelope] = []
         self.refused: list[ProtocolError] = []
+        self.arriving: list[str] = []
         sender = Sender(name, str(self.address), 1, key, accepted_keys)
         limits = StreamLimits(streams, timeout)
         self.transport = PeerTransport(*self.sockets, sender, limits, self.traffic)
 
     async def run(self) -> None:
-        await self.transport.run(self.received.append, self.refused.append)
+        await self.transport.run(self.received.append, self.refused.append, self.arriving.append)
 
 
 async def until(condition: Callable[[], object]) -> None:
@@ -131,6 +132,21 @@
         }
         self.assertEqual(dict(b.traffic.refused), expected)
 
+    async def test_a_frame_that_comes_slowly_is_told_of_while_it_arrives(self) -> None:
+        b = Peer("b")
+        frame = encode_frame(Envelope("x", "127.0.0.1:1", 1, 1, LARGE), KEY)
+        data = len(frame).to_bytes(LENGTH_BYTES, "big") + frame
+        async with running(b), await connect("127.0.0.1", b.address) as stream:
+            for count, part in enumerate((data[:50_000], data[50_000:100_000]), 1):
+                await stream.send(part)
+                await until(lambda count=count: len(b.arriving) >= count)
+                await anyio.sleep(2 * ARRIVAL_INTERVAL)
+            self.assertEqual(b.received, [])
+            await stream.send(data[100_000:])
+            await until(lambda: b.received)
+        self.assertEqual(b.received[0].message, LARGE)
+        self.assertEqual(set(b.arriving), {"127.0.0.1"})
+
     async def test_streams_are_bounded_and_silent_ones_time_out(self) -> None:
         b = Peer("b", streams=1, timeout=0.2)
         async with running(b):
--- a/tools/measure_change.py
+++ b/tools/measure_change.py
@@ -199,6 +199,7 @@
     best: dict[str, float] = {}
     for _ in range(RUNS):
         turn = prepare()
+        gc.collect()
         PARTS.seconds = {}
         PARTS.run(REST, turn)
         if not best or sum(PARTS.seconds.values()) < sum(best.values()):
