--- a/src/pewtertack/node/runtime.py
+++ b/src/pewtertack/node/runtime.py
@@ -26,6 +26,7 @@
     DocumentReadFailed,
     DocumentUnchanged,
     DrainRequested,
+    FrameArriving,
     Input,
     MessageReceived,
     Ticked,
@@ -197,6 +198,10 @@
             self.failed_messages[name] += 1
             self._log_refusal(name, f"{type(envelope.message).__name__}: {error}")
 
+    def note_arriving(self, host: str) -> None:
+        """A frame is arriving from a peer at ``host``."""
+        self.feed(FrameArriving(host))
+
     def refuse(self, error: ProtocolError) -> None:
         """Log a refused frame; the transport has counted it."""
         self._log_refusal(error.code, str(error))
