Who reads little of what the system holds is not taken for one that reads nothing

Cause (traced with a log of each look, tests.node.gateway.test_slow_readers): that a caller takes something was told by what the process held for it. The system takes more of that only once a third of its own buffer is free: 2.8 MB on loopback, 0.82 MB to be read first (measured). A caller that took less than that in 4 s had its connection ended though it read all the time, so had one whose connection was being closed (`StreamTransport.close`). No timer came early and no write was noted late: the looks were 0.5 s apart, and beside busy processes the caller merely read more slowly.

Change: both looks count what the system holds as well (TIOCOUTQ, asked at a look alone).

Tests, all of which failed before: tests.node.http.test_unread.SlowReaderTest, tests.node.http.test_transport.SlowReaderTest (two).

--- a/src/pewtertack/node/http/acknowledgement.py
+++ b/src/pewtertack/node/http/acknowledgement.py
@@ -12,17 +12,16 @@
 
 import asyncio
 import errno
-import fcntl
 import logging
 import os
 import socket
 import struct
-import termios
 from collections.abc import Callable
 
 import msgspec
 
 from pewtertack.node.http.cycle import LOGGER
+from pewtertack.node.http.outgoing import outgoing
 from pewtertack.node.http.transport import MILLISECONDS, SILENT_SECONDS, bound_silence
 
 LOOK_SECONDS = 0.1
@@ -38,7 +37,6 @@
 acknowledged, the sixth and the ninth the milliseconds since data was sent and since an
 acknowledgement came."""
 WORDS = struct.Struct("=9I")
-OUTGOING = struct.Struct("=i")
 
 logger = logging.getLogger(LOGGER)
 
@@ -138,9 +136,3 @@
         since_sent / MILLISECONDS,
         since_acknowledgement / MILLISECONDS,
     )
-
-
-def outgoing(connected: socket.socket) -> int:
-    """Return the bytes that the system has been given and that are not acknowledged."""
-    told = fcntl.ioctl(connected.fileno(), termios.TIOCOUTQ, OUTGOING.pack(0))
-    return int(OUTGOING.unpack(told)[0])
--- a/src/pewtertack/node/http/protocol.py
+++ b/src/pewtertack/node/http/protocol.py
@@ -121,12 +121,18 @@
 
     @property
     def unsent(self) -> int:
-        """Bytes that the caller has not taken (``unread.Connection``)."""
+        """Bytes that the system has not taken."""
         return self.transport.get_write_buffer_size()
 
+    @property
+    def untaken(self) -> int:
+        """Bytes that the caller has not taken (``unread.Connection``)."""
+        transport = self.transport
+        return transport.untaken if isinstance(transport, StreamTransport) else self.unsent
+
     def end_unread(self) -> None:
         """End the connection of a caller that does not read (``unread.Connection``)."""
-        logger.warning("a caller does not read its answer: %d bytes left", self.unsent)
+        logger.warning("a caller does not read its answer: %d bytes left", self.untaken)
         self.transport.abort()
 
     def _look_in(self, seconds: float | None) -> None:
--- a/src/pewtertack/node/http/transport.py
+++ b/src/pewtertack/node/http/transport.py
@@ -181,6 +181,19 @@
         """Return how many bytes are unsent."""
         return len(self._unsent)
 
+    @property
+    def untaken(self) -> int:
+        """Bytes that the other end has not taken: what is unsent, and what the system holds.
+
+        The system takes more of what is unsent only once a third of its own buffer, which may
+        have grown to megabytes, is free.
+        """
+        from pewtertack.node.http.outgoing import outgoing  # for slow readers alone
+
+        with contextlib.suppress(OSError):  # it has ended
+            return len(self._unsent) + outgoing(self._socket)
+        return len(self._unsent)
+
     # The end
 
     def is_closing(self) -> bool:
@@ -195,19 +208,20 @@
         if not self._unsent:
             self._lose(None)
         else:
-            self._watch_unsent(len(self._unsent))
+            self._watch_untaken(self.untaken)
 
-    def _watch_unsent(self, left: int) -> None:
+    def _watch_untaken(self, left: int) -> None:
         """End the connection unless some of the bytes that are left is taken in time."""
-        self._loop.call_later(UNTAKEN_SECONDS, self._look_at_unsent, left)
+        self._loop.call_later(UNTAKEN_SECONDS, self._look_at_untaken, left)
 
-    def _look_at_unsent(self, left: int) -> None:
+    def _look_at_untaken(self, left: int) -> None:
         if self._ended:
             return
-        if len(self._unsent) >= left:
+        untaken = self.untaken
+        if untaken >= left:
             self.abort()
         else:
-            self._watch_unsent(len(self._unsent))
+            self._watch_untaken(untaken)
 
     def abort(self) -> None:
         """End the connection now."""
--- a/src/pewtertack/node/http/unread.py
+++ b/src/pewtertack/node/http/unread.py
@@ -26,8 +26,8 @@
     """A connection whose caller reads too slowly."""
 
     @property
-    def unsent(self) -> int:
-        """Bytes that the caller has not taken."""
+    def untaken(self) -> int:
+        """Bytes that the caller has not taken, those that the system holds included."""
 
     def end_unread(self) -> None:
         """End the connection."""
@@ -36,11 +36,11 @@
 class _Silence:
     """Since when a caller has taken nothing."""
 
-    __slots__ = ("since", "unsent")
+    __slots__ = ("since", "untaken")
 
-    def __init__(self, since: float, unsent: int) -> None:
+    def __init__(self, since: float, untaken: int) -> None:
         self.since = since
-        self.unsent = unsent
+        self.untaken = untaken
 
 
 class UnreadAnswers:
@@ -57,7 +57,7 @@
 
     def begin(self, connection: Connection, now: float) -> float:
         """A caller does not keep up; return after how many seconds to look at it."""
-        self._silent[connection] = _Silence(now, connection.unsent)
+        self._silent[connection] = _Silence(now, connection.untaken)
         return CROWDED_SECONDS
 
     def end(self, connection: Connection) -> None:
@@ -69,10 +69,10 @@
         silence = self._silent.get(connection)
         if silence is None:
             return None
-        unsent = connection.unsent
-        if unsent != silence.unsent:
+        untaken = connection.untaken
+        if untaken != silence.untaken:
             del self._silent[connection]
-            self._silent[connection] = _Silence(now, unsent)
+            self._silent[connection] = _Silence(now, untaken)
             return CROWDED_SECONDS
         patience = CROWDED_SECONDS if self._is_one_too_many(connection) else UNREAD_SECONDS
         if now - silence.since >= patience:
--- a/tests/node/http/test_transport.py
+++ b/tests/node/http/test_transport.py
@@ -21,6 +21,10 @@
 
 LARGE = bytes(range(256)) * 40_000
 """More than the system keeps for a reader that does not read."""
+SMALL_BUFFER = 4096
+"""Bytes that a slow reader's system takes unread."""
+LITTLE = 64 * 1024
+"""Far less than makes the system ask for more."""
 
 
 class RecordingProtocol(ReadingProtocol):
@@ -174,6 +178,61 @@
         self.assertIsInstance(await self.wait_lost(), BrokenPipeError)
 
 
+class SlowReaderTest(unittest.IsolatedAsyncioTestCase):
+    """A reader that takes little at a time, on a connection of which the system holds much.
+
+    What callers saw: a long answer that ended early, though they read all the time.
+    Cause: only what the process held was looked at. The system takes more of that once a third of
+    its own buffer, of megabytes, is free.
+    """
+
+    async def asyncSetUp(self) -> None:
+        self.loop = asyncio.get_running_loop()
+        self.reader = socket.socket()
+        self.addCleanup(self.reader.close)
+        self.reader.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, SMALL_BUFFER)
+        with socket.create_server(("127.0.0.1", 0)) as listener:
+            self.reader.connect(listener.getsockname())
+            accepted, _ = listener.accept()
+        self.reader.setblocking(False)
+        accepted.setblocking(False)
+        self.protocol = RecordingProtocol()
+        self.transport = StreamTransport(self.loop, accepted, self.protocol)
+        self.addCleanup(accepted.close)
+        self.transport.write(LARGE)
+
+    async def read(self, count: int, pause: float = 0.0) -> bytes:
+        received = bytearray()
+        while len(received) < count:
+            part = await self.loop.sock_recv(self.reader, LITTLE)
+            if not part:
+                break
+            received += part
+            if pause:
+                await asyncio.sleep(pause)
+        return bytes(received)
+
+    async def test_what_it_takes_counts_while_the_system_asks_for_no_more(self) -> None:
+        unsent, untaken = self.transport.get_write_buffer_size(), self.transport.untaken
+        self.assertLess(unsent, untaken)
+        await self.read(LITTLE)
+        self.assertEqual(self.transport.get_write_buffer_size(), unsent)
+        self.assertLess(self.transport.untaken, untaken)
+        self.transport.abort()
+
+    async def test_closed_it_goes_on_while_little_is_taken(self) -> None:
+        unsent = self.transport.get_write_buffer_size()
+        with mock.patch.object(transport, "UNTAKEN_SECONDS", 0.2):
+            self.transport.close()
+            began = self.loop.time()
+            received = 0
+            while self.loop.time() - began < 1.0:
+                received += len(await self.read(1, 0.02))
+            self.assertEqual(self.transport.get_write_buffer_size(), unsent)
+        received += len(await self.read(len(LARGE) - received))
+        self.assertEqual(received, len(LARGE))
+
+
 class ConnectSocketTest(unittest.IsolatedAsyncioTestCase):
     async def test_a_refused_connection_is_told_as_such(self) -> None:
         with socket.create_server(("127.0.0.1", 0)) as closed:
--- a/tests/node/http/test_unread.py
+++ b/tests/node/http/test_unread.py
@@ -1,18 +1,29 @@
 """Which callers that do not read are waited for no longer."""
 
+import asyncio
+import socket
 import unittest
+from typing import Any
+from unittest import mock
 
+from pewtertack.node.http import unread
 from pewtertack.node.http.unread import (
     CROWDED_SECONDS,
     MOST_UNREAD,
     UNREAD_SECONDS,
     UnreadAnswers,
 )
+from tests.node.proxy.harness import ProxyTestCase, request_bytes, respond
+
+LENGTH = 8 * 1024 * 1024
+"""More than the system holds for a connection."""
+LITTLE = 8 * 1024
+SMALL_BUFFER = 4096
 
 
 class Caller:
     def __init__(self) -> None:
-        self.unsent = 70_000
+        self.untaken = 70_000
         self.ended = False
 
     def end_unread(self) -> None:
@@ -41,13 +52,13 @@
         now = 0.0
         for _ in range(20):
             now += UNREAD_SECONDS - 0.1
-            caller.unsent -= 1
+            caller.untaken -= 1
             self.assertIsNotNone(self.unread.look(caller, now))
         self.assertFalse(caller.ended)
 
     def test_of_too_many_the_longest_silent_is_ended_sooner(self) -> None:
         callers = [self.silent(index * 1e-6) for index in range(MOST_UNREAD + 2)]
-        callers[0].unsent -= 1
+        callers[0].untaken -= 1
         for caller in callers:
             self.unread.look(caller, CROWDED_SECONDS + 0.01)
         self.assertEqual([caller.ended for caller in callers[:4]], [False, True, True, False])
@@ -59,3 +70,34 @@
         self.assertIsNone(self.unread.look(caller, 2 * UNREAD_SECONDS))
         self.assertFalse(caller.ended)
         self.unread.end(caller)
+
+
+class SlowReaderTest(ProxyTestCase):
+    """A caller that reads little of what the system holds.
+
+    What it saw: its answer ended after some 2.8 MB, though it read all the time.
+    Cause: only what the process held was looked at, of which the system takes no more before a
+    third of what it has taken, which is megabytes, was read.
+    """
+
+    async def large(self, _scope: Any, _receive: Any, send: Any) -> None:
+        await respond(send, body=bytes(LENGTH))
+
+    async def test_it_is_not_ended(self) -> None:
+        host, _, port = (await self.serve(self.large)).rpartition(":")
+        loop = asyncio.get_running_loop()
+        caller = socket.socket()
+        self.addCleanup(caller.close)
+        caller.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, SMALL_BUFFER)
+        caller.setblocking(False)
+        await loop.sock_connect(caller, (host, int(port)))
+        await loop.sock_sendall(caller, request_bytes("GET", "/"))
+        received = 0
+        with mock.patch.object(unread, "UNREAD_SECONDS", 0.6):
+            for _ in range(50):
+                received += len(await loop.sock_recv(caller, LITTLE))
+                await asyncio.sleep(0.05)
+            self.assertEqual(len(self.servers[0].unread), 1)
+            while part := await loop.sock_recv(caller, LENGTH):
+                received += len(part)
+        self.assertGreater(received, LENGTH)
