A node that waits for its slow caller is not taken for one that reads nothing

Cause: a gateway ended the connection of a node that took nothing for 4 s. That node takes nothing while its own caller reads what the caller's connection holds, 0.8 MB of 2.8 MB on loopback, so the answer ended though its caller read all the time.

Change: a gateway leaves it to its callers, which are nodes, to end who does not read; the request's deadline bounds what it waits for one that hangs, and of too many the longest silent one is ended as before.

--- a/src/pewtertack/node/gateway/application.py
+++ b/src/pewtertack/node/gateway/application.py
@@ -99,6 +99,10 @@
         runs: what the back end beside this node runs.
     """
 
+    callers_relay = True
+    """Nodes end the connections of their callers that do not read; a request's deadline bounds
+    what a node that does not is waited for (``node.http.unread``)."""
+
     def __init__(
         self,
         clock: Callable[[], float],
--- a/src/pewtertack/node/http/server.py
+++ b/src/pewtertack/node/http/server.py
@@ -36,6 +36,8 @@
 NO_ROOM_SECONDS = 1.0
 """Nothing is accepted for so long after that: the listener stays ready, which would keep the
 loop busy with nothing else."""
+CALLERS_RELAY = "callers_relay"
+"""Attribute of an application: whether its callers pass its answers on to theirs."""
 
 logger = logging.getLogger(LOGGER)
 
@@ -45,7 +47,8 @@
 
     Args:
         application: an ASGI 3 application. Its method ``may_run_beside(scope)`` and its
-            attribute ``leaving`` are used where it has them (``node.http.protocol``).
+            attributes ``leaving`` (``node.http.protocol``) and ``callers_relay`` (``unread``)
+            are used where it has them.
         keep_alive: how many seconds an idle connection stays open.
         refuse: makes the answer to what is no request.
     """
@@ -57,7 +60,7 @@
         self.keep_alive = max(1.0, keep_alive)
         self.refuse = refuse
         self.connections: set[GuardedHttpProtocol] = set()
-        self.unread = UnreadAnswers()
+        self.unread = UnreadAnswers(getattr(application, CALLERS_RELAY, False))
         self.tasks: set[asyncio.Task[None]] = set()
         self._dated: list[tuple[bytes, bytes]] = []
         self._date_number = -1.0
--- a/src/pewtertack/node/http/unread.py
+++ b/src/pewtertack/node/http/unread.py
@@ -8,6 +8,7 @@
 
 from __future__ import annotations
 
+import math
 from typing import Protocol
 
 UNREAD_SECONDS = 4.0
@@ -44,11 +45,17 @@
 
 
 class UnreadAnswers:
-    """The connections of one server whose callers read too slowly. Times: monotonic seconds."""
+    """The connections of one server whose callers read too slowly. Times: monotonic seconds.
 
-    __slots__ = ("_silent",)
+    Args:
+        callers_relay: the callers pass answers on, and look after who reads them. One may take
+            nothing for long while its own caller reads what that connection's system holds.
+    """
 
-    def __init__(self) -> None:
+    __slots__ = ("_callers_relay", "_silent")
+
+    def __init__(self, callers_relay: bool = False) -> None:
+        self._callers_relay = callers_relay
         self._silent: dict[Connection, _Silence] = {}
         """The longest silent first."""
 
@@ -74,13 +81,18 @@
             del self._silent[connection]
             self._silent[connection] = _Silence(now, untaken)
             return CROWDED_SECONDS
-        patience = CROWDED_SECONDS if self._is_one_too_many(connection) else UNREAD_SECONDS
-        if now - silence.since >= patience:
+        if now - silence.since >= self._patience(connection):
             del self._silent[connection]
             connection.end_unread()
             return None
         return CROWDED_SECONDS
 
+    def _patience(self, connection: Connection) -> float:
+        """Return for how many seconds a caller may take nothing."""
+        if self._is_one_too_many(connection):
+            return CROWDED_SECONDS
+        return math.inf if self._callers_relay else UNREAD_SECONDS
+
     def _is_one_too_many(self, connection: Connection) -> bool:
         """Tell whether it is the longest silent one of too many."""
         return len(self._silent) > MOST_UNREAD and next(iter(self._silent)) is connection
--- a/tests/node/gateway/test_slow_readers.py
+++ b/tests/node/gateway/test_slow_readers.py
@@ -5,15 +5,19 @@
 from typing import Any
 from unittest import mock
 
+from pewtertack.node.gateway.hop import hop_headers
 from pewtertack.node.http import unread
+from pewtertack.routing.patience import Lateness
 from tests.node.gateway.test_gateway import GatewayTestCase
 from tests.node.gateway.test_large_answers import head_of
 from tests.node.proxy.harness import request_bytes
+from tests.routing.samples import route
 
 GET = request_bytes("GET", "/", headers=("x-call: call-1", "x-left: 30000"))
 LENGTH = 32 * 1024 * 1024
 """More than the kernels of three connections hold."""
 PART = bytes(16 * 1024)
+LITTLE = 8 * 1024
 FAR_BELOW_DEADLINE = 8.0
 
 
@@ -79,6 +83,30 @@
                     await asyncio.sleep(0.005)
         self.assertEqual(self.whole, 1)
 
+    async def test_one_that_reads_little_of_what_the_system_holds_is_not_ended(self) -> None:
+        """What a caller saw: its answer ended after some 2.8 MB, though it read all the time.
+
+        Cause: the node before it takes nothing from the gateway while the caller reads what the
+        system holds, megabytes, and the gateway took that node for one that does not read.
+        """
+        loop = asyncio.get_running_loop()
+        with mock.patch.object(unread, "UNREAD_SECONDS", 0.6):
+            (caller,) = await self.begin(1)
+            received = 0
+            until = loop.time() + 3.0
+            while loop.time() < until:
+                part = await loop.sock_recv(caller, LITTLE)
+                self.assertTrue(part, received)
+                received += len(part)
+                await asyncio.sleep(0.05)
+            self.assertLess(received, LENGTH / 64)
+            self.assertEqual([len(server.unread) for server in self.servers], [1, 1])
+            while received < LENGTH:
+                part = await loop.sock_recv(caller, 1 << 20)
+                self.assertTrue(part, received)
+                received += len(part)
+        self.assertEqual(self.whole, 1)
+
     async def test_what_many_hold_is_bounded(self) -> None:
         with mock.patch.object(unread, "MOST_UNREAD", 10):
             await self.begin(40)
@@ -88,3 +116,23 @@
             await asyncio.sleep(1.0)
         self.assertEqual([len(server.unread) for server in self.servers], [10, 10])
         self.assertEqual((self.under_way, self.whole), (10, 0))
+
+    async def test_a_node_that_takes_nothing_is_waited_for_until_the_deadline(self) -> None:
+        await self.start_fleet(self.answer_large, slots=64, timeout=60.0)
+        host, _, port = self.machines[0].gateway.rpartition(":")
+        headers = hop_headers(route(), "b0", 1.0, Lateness.ALLOWED, "desk")
+        lines = (f"{name.decode()}: {value.decode()}" for name, value in headers)
+        request = request_bytes(
+            "GET", "/", headers=("x-request-id: call-1", "x-deadline-ms: 1000", *lines)
+        )
+        loop = asyncio.get_running_loop()
+        node = socket.socket()
+        self.addCleanup(node.close)
+        node.setblocking(False)
+        await loop.sock_connect(node, (host, int(port)))
+        began = loop.time()
+        await loop.sock_sendall(node, request)
+        with mock.patch.object(unread, "UNREAD_SECONDS", 0.2):
+            await self.until_ended()
+        self.assertGreater(loop.time() - began, 0.9)
+        self.assertEqual(self.whole, 0)
