A caller that still sends is not reset since the loop was held up

Cause: after its last answer a connection stays open as long as its caller sends, looked at by a timer 0.5 s after the last look. A loop that was held up for so long may come to the timer before it looks at the socket, where the caller's bytes lie: closed with them unread, the connection was reset, and a refusal could be lost with it.

Change: the timer reads first, as those of idle and unused connections do.

Found by looking at every timer that ends something while the node itself had no turn.

--- a/src/pewtertack/node/http/protocol.py
+++ b/src/pewtertack/node/http/protocol.py
@@ -321,6 +321,7 @@
 
     def _end_linger(self, until: float) -> None:
         """Close, unless the caller still sends."""
+        self._read_now()
         if self._discarded and self.loop.time() < until:
             self._linger(until)
         else:
