A run that was answered is not taken to hang since the loop was held up

Cause: a gateway's look at a late run asked whether its answer had been passed on. After a long round of the loop the answer lies in the socket, or was read and wakes its request a round later, and the look comes first: the sender was told to give up what had been answered.

Change: the look reads the connection first and asks whether the answer has come.

In one process the sender reads the answer behind that word at once and does not leave; whether it does between two processes was not tried.

--- a/src/pewtertack/node/gateway/forwarding.py
+++ b/src/pewtertack/node/gateway/forwarding.py
@@ -15,6 +15,7 @@
 from pewtertack.node.gateway.parts import GatewayParts
 from pewtertack.node.gateway.sending import AnswerSender
 from pewtertack.node.gateway.told import link_headers, load_headers, origin_headers
+from pewtertack.node.http.connection import BackendConnection
 from pewtertack.node.http.cycle import CALLER, Scope
 from pewtertack.node.http.framing import RawHeaders
 from pewtertack.node.pacing import LinkEndsError
@@ -368,7 +369,8 @@
         connection = await connections.take(self._parts.address, CONNECT_SECONDS)
         try:
             await self._unless_hung(
-                self._exchange.run(connection, self._backend_headers(), self._parts.edge)
+                self._exchange.run(connection, self._backend_headers(), self._parts.edge),
+                connection,
             )
         except (BackendFailedError, TruncatedAnswerError) as error:
             if connection.sent:
@@ -382,14 +384,14 @@
         finally:
             connections.give_back(connection)
 
-    async def _unless_hung(self, work: Awaitable[None]) -> None:
+    async def _unless_hung(self, work: Awaitable[None], connection: BackendConnection) -> None:
         """Do the work; tell the sender when it hangs, if the request may be sent elsewhere."""
         hangs = self._admission.hangs
         if hangs is None or not self._request.elsewhere:
             await work
             return
         clock = self._parts.clock
-        looks = HangLooks(hangs, self._ticket, clock, lambda: self._exchange.started, self._doubt)
+        looks = HangLooks(hangs, self._ticket, clock, connection.look, self._doubt)
         await looks.over(work)
 
     def _doubt(self) -> None:
--- a/src/pewtertack/node/gateway/hang_looks.py
+++ b/src/pewtertack/node/gateway/hang_looks.py
@@ -24,7 +24,7 @@
         hangs: judges the requests of the back end.
         ticket: the request's place.
         clock: monotonic time in seconds.
-        is_answering: tells whether some of its answer was passed on, after which it is let be.
+        is_answering: tells whether some of its answer has come, after which it is let be.
         tell: tells the sender, which may give the request up.
     """
 
--- a/src/pewtertack/node/http/connection.py
+++ b/src/pewtertack/node/http/connection.py
@@ -246,6 +246,15 @@
                 self._leave_in_doubt(may_leave)
         return self._answer
 
+    def look(self) -> bool:
+        """Read what has come; tell whether the answer has begun, or can't any more.
+
+        A loop that was held up may come to a timer before it looks at the socket.
+        """
+        if self._answer is None and isinstance(self._transport, StreamTransport):
+            self._transport.read_now()
+        return self._answer is not None or self._ended
+
     def _leave_in_doubt(self, may_leave: MayLeave) -> None:
         doubt, self._doubt = self._doubt, None
         if doubt is not None and self._answer is None and may_leave(doubt):
--- a/tests/node/gateway/test_hanging.py
+++ b/tests/node/gateway/test_hanging.py
@@ -4,16 +4,23 @@
 import time
 from random import Random
 from typing import Any, ClassVar
+from unittest import mock
 
 from pewtertack.core.machines import MachineList
 from pewtertack.core.policies import Hanging, Policies
+from pewtertack.node.gateway.forwarding import GatewayForwarding
 from pewtertack.node.proxy.application import ProxyApplication
+from pewtertack.routing.hanging import HangWatch
+from pewtertack.routing.places import AdmissionTicket
 from tests.node.gateway.test_gateway import EDGE, GatewayTestCase, answer_well, header
 from tests.node.proxy.harness import raw_call, request_bytes
 from tests.routing.samples import configuration, route
 
 SECONDS = 0.05
 """What an answer takes."""
+SHORT_SECONDS = 0.01
+HELD_UP_SECONDS = 0.3
+"""Longer than any answer takes otherwise."""
 PATIENCE = 3.0
 HANGING = 6
 """Calls at once on which the first back end hangs, if they come to it."""
@@ -127,6 +134,44 @@
         self.assertGreater(len(served), 10)
 
 
+def hangs_when_late(_watch: HangWatch, ticket: AdmissionTicket, now: float) -> bool:
+    return now - ticket.started_at > HELD_UP_SECONDS
+
+
+class HeldUpTest(HangingTestCase):
+    """The node itself had no turn while its back end answered."""
+
+    parts: ClassVar[dict[str, Any]] = {"policies": Policies(hanging=Hanging.LEFT)}
+
+    async def answer_and_hold_up(self, reader: Any, writer: Any, head: str) -> bool:
+        await asyncio.sleep(SHORT_SECONDS)
+        await answer_well(reader, writer, head)
+        if "/held" in head:
+            time.sleep(HELD_UP_SECONDS)
+        return True
+
+    async def test_what_was_answered_meanwhile_is_not_taken_to_hang(self) -> None:
+        """What a gateway did: it told the sender to give up a run that was answered.
+
+        Cause: after a long round the look at what runs came before the answer was read.
+        """
+        address = await self.start_fleet(
+            *[self.answer_and_hold_up] * 2, slots=8, repeatable=True, retry_limit=1, retry_budget=1
+        )
+        for _ in range(LEARNT // 10):
+            await asyncio.gather(*(raw_call(address, get()) for _ in range(2)))
+        before = len(self.heads)
+        asyncio.get_running_loop().slow_callback_duration = 2 * HELD_UP_SECONDS
+        with (
+            mock.patch.object(GatewayForwarding, "_doubt") as doubt,
+            mock.patch.object(HangWatch, "hangs", hangs_when_late),
+        ):
+            for _ in range(2):
+                self.assertEqual((await raw_call(address, get("/held"))).status, 200)
+        self.assertEqual(doubt.call_count, 0)
+        self.assertEqual(len(self.heads) - before, 2)
+
+
 class AwaitedTest(HangingTestCase):
     """What nodes do whose settings say nothing of it."""
 
