Lab: the store's stand-in is slow per answer and per byte, cuts and hastens watches

The stand-in's `delay` acted before the wait of a watch, so a change was told at once however slow the store was, and the state told was that after the delay. Now the state is that of the call, or of the change that a watch waited for, and the delay follows it. New: `body_rate`, `endless`, `gone_watches`, `hasty_watches`; `Listener.cut_waiting` resets the connections of waiting watches. A body that is sent at a rate ends when its caller hangs up.

--- a/src/pewtertack/lab/asgi.py
+++ b/src/pewtertack/lab/asgi.py
@@ -96,7 +96,10 @@
         head = read_head(scope)
         body = await read_body(receive)
         request = Request(head.method, head.path, head.query, head.headers, body)
-        await send_answer(send, await self._answer(request))
+        await self._deliver(await self._answer(request), receive, send)
+
+    async def _deliver(self, answer: Answer, receive: Receive, send: Send) -> None:
+        await send_answer(send, answer)
 
     async def _answer(self, request: Request) -> Answer:
         handler = self._find(request)
--- a/src/pewtertack/lab/metadata_store/application.py
+++ b/src/pewtertack/lab/metadata_store/application.py
@@ -1,7 +1,7 @@
 """The store's read interface (PROTOCOL.md, "The platform's metadata store") over a dictionary.
 
 Writes are methods, since nodes can only read. ``faults`` brings about what the pages
-say may happen: refusals, throttling, slow and lost answers, forgotten history.
+say may happen: refusals, throttling, slow, lost and endless answers, forgotten history.
 """
 
 from __future__ import annotations
@@ -13,8 +13,10 @@
 import anyio
 import msgspec
 
-from pewtertack.lab.asgi import Answer, HandlerTable, Request, json_answer
+from pewtertack.lab.asgi import Answer, Request, json_answer
+from pewtertack.lab.paced_answers import PacedHandlerTable, Pacing
 
+WATCH_PATH = "/kv-watch"
 PAGE_ITEMS = 50
 LONGEST_WAIT_MS = 30_000
 STATUS_GONE = 410
@@ -31,9 +33,18 @@
     status: int = 0
     """Answers every call with this status, 429 or 503."""
     delay: float = 0.0
-    """Seconds before each answer."""
+    """Seconds that each answer takes; it tells the state before them. That of a watch which waits
+    takes them after the change."""
+    body_rate: float = 0.0
+    """Bytes a second at which a body is sent; 0 sends it at once."""
+    endless: bool = False
+    """Bodies never end: white space follows what was asked for."""
     lost_answers: int = 0
     """So many further calls are never answered."""
+    gone_watches: int = 0
+    """So many further watches are told that their history is gone."""
+    hasty_watches: bool = False
+    """Watches do not wait: they are told at once that nothing has changed."""
     stale_by: int = 0
     """Stale reads show the state so many changes ago."""
     era: str | None = None
@@ -79,12 +90,13 @@
         self._forgotten = 0
         self._changed = anyio.Event()
         self._spoilt: dict[str, dict[str, object]] = {}
-        self.application = HandlerTable(
+        self.application = PacedHandlerTable(
             {
                 ("GET", "/kv-key"): self._answer_key,
                 ("GET", "/kv-range"): self._answer_range,
-                ("GET", "/kv-watch"): self._answer_watch,
-            }
+                ("GET", WATCH_PATH): self._answer_watch,
+            },
+            lambda: Pacing(self.faults.body_rate, self.faults.endless),
         )
 
     def put(self, key: str, value: bytes) -> int:
@@ -144,15 +156,22 @@
         self._changed.set()
         self._changed = anyio.Event()
 
-    async def _misbehave(self) -> Answer | None:
+    async def _take_call(self) -> None:
+        """Count a call; one whose answer is lost waits in vain."""
         self.calls += 1
-        faults = self.faults
-        if faults.lost_answers:
-            self.faults = msgspec.structs.replace(faults, lost_answers=faults.lost_answers - 1)
-            await anyio.sleep(LOST_ANSWER_SECONDS)
-        if faults.delay:
-            await anyio.sleep(faults.delay)
-        return self._told({}, faults.status) if faults.status else None
+        if not self.faults.lost_answers:
+            return
+        self._use_up(lost_answers=self.faults.lost_answers - 1)
+        await anyio.sleep(LOST_ANSWER_SECONDS)
+
+    def _use_up(self, **left: int) -> None:
+        self.faults = msgspec.structs.replace(self.faults, **left)
+
+    async def _delayed(self, answer: Answer) -> Answer:
+        """Return ``answer`` after the time that answers take."""
+        if self.faults.delay:
+            await anyio.sleep(self.faults.delay)
+        return answer
 
     def _told(self, value: object, status: int = 200) -> Answer:
         """Return an answer with the era, where there are eras."""
@@ -160,18 +179,18 @@
         return json_answer(value, status, **({} if era is None else {ERA_HEADER: str(era)}))
 
     async def _answer_key(self, request: Request) -> Answer:
-        refused = await self._misbehave()
+        await self._take_call()
+        if self.faults.status:
+            return await self._delayed(self._told({}, self.faults.status))
         found = self._items.get(request.query.get("PrivateKey", ""))
-        if refused is not None:
-            return refused
         if found is None:
-            return self._told({"at": self._revision}, 404)
-        return self._told({**_encoded(found), "at": self._revision})
+            return await self._delayed(self._told({"at": self._revision}, 404))
+        return await self._delayed(self._told({**_encoded(found), "at": self._revision}))
 
     async def _answer_range(self, request: Request) -> Answer:
-        refused = await self._misbehave()
-        if refused is not None:
-            return refused
+        await self._take_call()
+        if self.faults.status:
+            return await self._delayed(self._told({}, self.faults.status))
         self.stale_calls += request.query.get("stale") == "1"
         prefix, after = request.query.get("PathPrefix", ""), request.query.get("after", "")
         newest = self._revision
@@ -183,17 +202,24 @@
             if key.startswith(prefix) and key > after and change.revision <= newest
         )
         items = [self._encoded(self._items[key]) for key in keys[:PAGE_ITEMS]]
-        return self._told({"items": items, "more": len(keys) > PAGE_ITEMS, "at": newest})
+        page = {"items": items, "more": len(keys) > PAGE_ITEMS, "at": newest}
+        return await self._delayed(self._told(page))
 
     async def _answer_watch(self, request: Request) -> Answer:
-        refused = await self._misbehave()
-        if refused is not None:
-            return refused
+        await self._take_call()
+        if self.faults.gone_watches:
+            self._use_up(gone_watches=self.faults.gone_watches - 1)
+            return await self._delayed(self._told({"at": self._revision}, STATUS_GONE))
         prefix, after = request.query.get("PathPrefix", ""), int(request.query["after"])
+        if self.faults.hasty_watches:
+            return await self._delayed(self._told({"events": [], "at": after}))
         wait = min(int(request.query.get("WaitMs", "0")), LONGEST_WAIT_MS) / 1000
         with anyio.move_on_after(wait):
             while self._may_wait(prefix, after):
                 await self._changed.wait()
+        return await self._delayed(self._watch_answer(prefix, after))
+
+    def _watch_answer(self, prefix: str, after: int) -> Answer:
         if self.faults.status:
             return self._told({}, self.faults.status)
         if not self._has(after):
--- a/src/pewtertack/lab/serving.py
+++ b/src/pewtertack/lab/serving.py
@@ -122,6 +122,30 @@
         self._server.should_exit = True
         self._server = None
 
+    def cut_waiting(self, path: str) -> int:
+        """Reset the connections on which a request for ``path`` has no answer yet.
+
+        Returns:
+            How many there were.
+        """
+        if self._server is None:
+            return 0
+        waiting = [
+            connection
+            for connection in self._server.server_state.connections
+            if _is_waiting(connection, path)
+        ]
+        for connection in waiting:
+            connection.transport.abort()
+        return len(waiting)
+
+
+def _is_waiting(connection: Any, path: str) -> bool:
+    cycle = connection.cycle
+    if cycle is None or cycle.response_started:
+        return False
+    return bool(cycle.scope["path"] == path)
+
 
 def print_line(line: bytes) -> None:
     """Write one line to standard output at once, so that a kill loses none."""
