Lab: the relay and the simulated network carry at the rate of machines' links

`LinkSettings.rate` bounds what each node's machine sends and receives. A line carries one thing after the other, bytes pass from line to line as they come (`lab.relay.lines`, no I/O); streams pass in pieces of 4 KiB then, so that those of one machine share it. The simulated network does the same with frames. Without a rate nothing changes.

--- a/src/pewtertack/lab/relay/links.py
+++ b/src/pewtertack/lab/relay/links.py
@@ -7,6 +7,7 @@
 import msgspec
 
 from pewtertack.lab.errors import LabUsageError
+from pewtertack.lab.relay.lines import Lines
 from pewtertack.settings import Address
 
 
@@ -30,13 +31,15 @@
 
 
 class LinkSettings(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
-    """The state of all links between different zones; within a zone all passes at once."""
+    """The state of all links between different zones; within a zone only ``rate`` applies."""
 
     cuts: tuple[Link, ...] = ()
     delay: float = 0.0
     """One-way delay in seconds."""
     loss: float = 0.0
     """Share of datagrams lost, 0 to 1. Streams lose nothing."""
+    rate: float = 0.0
+    """Bytes a second of each node's machine, each way; 0 for no bound."""
 
 
 class LinkTable:
@@ -55,7 +58,19 @@
         if len(self._by_ip) < len(nodes):
             raise LabUsageError("relayed nodes need a listening IP number each")
         self._random = random.Random(seed)
-        self.settings = LinkSettings()
+        self._lines = Lines()
+        self._settings = LinkSettings()
+
+    @property
+    def settings(self) -> LinkSettings:
+        """The state of the links."""
+        return self._settings
+
+    @settings.setter
+    def settings(self, settings: LinkSettings) -> None:
+        if settings.rate != self._settings.rate:
+            self._lines = Lines(settings.rate)
+        self._settings = settings
 
     def sender(self, ip: str) -> RelayedNode | None:
         """Return the node that sends from ``ip``; None for a stranger."""
@@ -69,6 +84,13 @@
         """Return the one-way delay in seconds."""
         return 0.0 if from_zone == to_zone else self.settings.delay
 
+    def transfer_seconds(
+        self, now: float, sender: RelayedNode, target: RelayedNode, size: int
+    ) -> float:
+        """Take in ``size`` bytes; return in how many seconds all of them have arrived."""
+        delay = self.delay(sender.zone, target.zone)
+        return self._lines.carry(now, sender.name, target.name, size, delay) - now
+
     def drops_datagram(self, from_zone: str, to_zone: str) -> bool:
         """Decide on one datagram."""
         if self.is_cut(from_zone, to_zone):
--- a/src/pewtertack/lab/relay/service.py
+++ b/src/pewtertack/lab/relay/service.py
@@ -4,6 +4,7 @@
 
 import contextlib
 import socket
+import time
 
 import anyio
 import anyio.abc
@@ -15,6 +16,8 @@
 from pewtertack.settings import Address
 
 CHUNK_BYTES = 65536
+SLOW_CHUNK_BYTES = 4096
+"""Where links have a rate, so that streams of a machine share it."""
 
 STREAM_ERRORS = (
     anyio.BrokenResourceError,
@@ -100,8 +103,8 @@
     async def _pass_datagram(
         self, sender: RelayedNode, node: RelayedNode, data: bytes, task_group: anyio.abc.TaskGroup
     ) -> None:
-        delay = self._links.delay(sender.zone, node.zone)
-        if delay:
+        delay = self._links.transfer_seconds(time.monotonic(), sender, node, len(data))
+        if delay > 0:
             task_group.start_soon(self._send_datagram, sender, node, data, delay)
         else:
             await self._send_datagram(sender, node, data, delay)
@@ -109,7 +112,7 @@
     async def _send_datagram(
         self, sender: RelayedNode, node: RelayedNode, data: bytes, delay: float
     ) -> None:
-        if delay:
+        if delay > 0:
             await anyio.sleep(delay)
         self.counters.datagrams += 1
         async with self._sending[sender.name]:
@@ -140,37 +143,42 @@
         await self._wait_for_link(sender.zone, node.zone)
         with contextlib.suppress(*STREAM_ERRORS):
             async with await anyio.connect_tcp(node.listen.host, node.listen.port) as onward:
-                await self._pump_both(sender.zone, node.zone, stream, onward)
+                await self._pump_both(sender, node, stream, onward)
 
     async def _pump_both(
         self,
-        from_zone: str,
-        to_zone: str,
+        sender: RelayedNode,
+        node: RelayedNode,
         stream: anyio.abc.SocketStream,
         onward: anyio.abc.SocketStream,
     ) -> None:
         async with anyio.create_task_group() as pumps:
-            pumps.start_soon(self._pump, from_zone, to_zone, stream, onward)
-            pumps.start_soon(self._pump, to_zone, from_zone, onward, stream)
+            pumps.start_soon(self._pump, sender, node, stream, onward)
+            pumps.start_soon(self._pump, node, sender, onward, stream)
 
     async def _pump(
         self,
-        from_zone: str,
-        to_zone: str,
+        sender: RelayedNode,
+        receiver: RelayedNode,
         source: anyio.abc.SocketStream,
         target: anyio.abc.SocketStream,
     ) -> None:
         """Pass one direction on until it ends; hold it while the link is cut."""
         with contextlib.suppress(*STREAM_ERRORS):
             while True:
-                chunk = await source.receive(CHUNK_BYTES)
-                await self._wait_for_link(from_zone, to_zone)
-                await anyio.sleep(self._links.delay(from_zone, to_zone))
+                chunk = await source.receive(self._chunk_bytes)
+                await self._wait_for_link(sender.zone, receiver.zone)
+                now, size = time.monotonic(), len(chunk)
+                await anyio.sleep(self._links.transfer_seconds(now, sender, receiver, size))
                 await target.send(chunk)
                 self.counters.stream_bytes += len(chunk)
         with contextlib.suppress(*STREAM_ERRORS):
             await target.send_eof()
 
+    @property
+    def _chunk_bytes(self) -> int:
+        return SLOW_CHUNK_BYTES if self._links.settings.rate else CHUNK_BYTES
+
     async def _wait_for_link(self, from_zone: str, to_zone: str) -> None:
         while self._links.is_cut(from_zone, to_zone):
             await self._changed.wait()
--- a/src/pewtertack/lab/simulation/network.py
+++ b/src/pewtertack/lab/simulation/network.py
@@ -7,8 +7,9 @@
 from dataclasses import dataclass, field
 from random import Random
 
+from pewtertack.lab.relay.lines import Lines
 from pewtertack.lab.simulation.codec import bytes_on_link
-from pewtertack.lab.simulation.scheduler import Scheduler
+from pewtertack.lab.simulation.scheduler import Timer
 from pewtertack.wire.messages import (
     Announce,
     DeltaAnswer,
@@ -87,20 +88,23 @@
     """Carries packets between addresses whose places are known.
 
     ``deliver`` gets each packet when it arrives. Packets with frames are counted
-    in ``traffic``, by the address of the node.
+    in ``traffic``, by the address of the node. ``link_rate`` bounds what each node's
+    machine sends and receives, in bytes a second of frames; 0 for no bound.
     """
 
     def __init__(
         self,
-        scheduler: Scheduler,
+        scheduler: Timer,
         random: Random,
         deliver: Deliver,
         latencies: Latencies | None = None,
+        link_rate: float = 0.0,
     ) -> None:
         self._scheduler = scheduler
         self._random = random
         self._deliver = deliver
         self._latencies = latencies or Latencies()
+        self._lines = Lines(link_rate)
         self._places: dict[str, Place] = {}
         self._cut: set[tuple[str, str]] = set()
         self.weather = Weather()
@@ -137,6 +141,10 @@
         if (source.zone, target.zone) in self._cut:
             return
         delay = self._delay(source, target)
+        if packet.frame is not None and self._lines.are_bounded:
+            sender, to, size = packet.sender_address, packet.target_address, len(packet.frame)
+            now = self._scheduler.now
+            delay = self._lines.carry(now, sender, to, size, delay) - now
         self._scheduler.after(delay, lambda: self._arrive(packet, target.zone))
 
     def _is_lost(self) -> bool:
--- a/tests/lab/relay/test_service.py
+++ b/tests/lab/relay/test_service.py
@@ -2,6 +2,7 @@
 
 import contextlib
 import socket
+import time
 import unittest
 from collections.abc import AsyncIterator
 
@@ -14,6 +15,8 @@
 from pewtertack.settings import Address
 
 RELAY_IP = "127.0.200.1"
+RATE = 20_000.0
+"""Bytes a second."""
 YABA_TO_LEKKI = LinkSettings(cuts=(Link("yaba", "lekki"),))
 
 
@@ -91,6 +94,45 @@
             await yaba.sendto(b"healed", RELAY_IP, self.lekki.advertised.port)
             self.assertEqual((await lekki.receive())[0], b"healed")
 
+    async def test_datagrams_pass_at_the_rate_of_the_links(self) -> None:
+        async with (
+            running_relay(self.yaba, self.lekki) as relay,
+            await udp_socket(self.yaba) as yaba,
+            await udp_socket(self.lekki) as lekki,
+        ):
+            relay.set_links(LinkSettings(rate=RATE))
+            began = time.monotonic()
+            for _ in range(2):
+                await yaba.sendto(bytes(1000), RELAY_IP, self.lekki.advertised.port)
+            for _ in range(2):
+                await lekki.receive()
+            self.assertGreaterEqual(time.monotonic() - began, 2 * 1000 / RATE)
+
+    async def test_a_stream_passes_at_the_rate_of_the_links(self) -> None:
+        async def send_much(stream: anyio.abc.SocketStream) -> None:
+            async with stream:
+                await stream.send(bytes(10_000))
+
+        listener = await anyio.create_tcp_listener(
+            local_host=self.lekki.listen.host, local_port=self.lekki.listen.port
+        )
+        async with (
+            running_relay(self.yaba, self.lekki) as relay,
+            listener,
+            anyio.create_task_group() as tasks,
+        ):
+            tasks.start_soon(listener.serve, send_much)
+            relay.set_links(LinkSettings(rate=RATE))
+            began, received = time.monotonic(), 0
+            local, target = self.yaba.listen.host, self.lekki.advertised
+            async with await anyio.connect_tcp(target.host, target.port, local_host=local) as yaba:
+                while received < 10_000:
+                    received += len(await yaba.receive())
+            seconds = time.monotonic() - began
+            tasks.cancel_scope.cancel()
+        self.assertGreaterEqual(seconds, 0.9 * 10_000 / RATE)
+        self.assertLess(seconds, 3 * 10_000 / RATE)
+
     async def test_a_cut_holds_a_stream_until_it_heals(self) -> None:
         async def echo(stream: anyio.abc.SocketStream) -> None:
             async with stream:
