Lab: convergence while the source is slow, in processes and in virtual time

`pewtertack lab convergence` makes an edit in fleets whose source is slow and tells when it is held and in force at the first, the middle and the last node, what the source was called, changes of readers and failed reads, over a grid of fleet sizes, routes, answer times and links. Nodes are processes, or simulated on an event loop in virtual time, where each has its own store reader with its patience. The report is Markdown with two plots. Options that make no sense are a `ConvergenceOptionError` (exit code 2). `store-node` takes `--without`.

--- a/src/pewtertack/cli/lab_returns.py
+++ b/src/pewtertack/cli/lab_returns.py
@@ -28,9 +28,13 @@
 
 def store_node(
     settings: Annotated[Path, typer.Option(help="The node's settings file.")],
+    without: Annotated[str, typer.Option(help="The mechanism that is switched off.")] = "",
 ) -> None:
     """Run a node that reads the platform's store, until it is told to stop."""
+    from pewtertack.lab.weakening import switch_off
     from pewtertack.node.start import start_node
     from pewtertack.platform.store import make_reader
 
+    if without:
+        switch_off(without)
     raise typer.Exit(start_node(str(settings), {}, make_reader))
--- a/src/pewtertack/cli/main.py
+++ b/src/pewtertack/cli/main.py
@@ -10,6 +10,7 @@
 
 from pewtertack.cli import (
     lab,
+    lab_convergence,
     lab_cost,
     lab_depth,
     lab_proofs,
@@ -69,5 +70,6 @@
 lab.app.command("soak")(lab_soak.soak)
 lab.app.command("soak-callers", hidden=True)(lab_soak.soak_callers)
 lab.app.command("returns")(lab_returns.returns)
+lab.app.command("convergence")(lab_convergence.convergence)
 lab.app.command("store-node", hidden=True)(lab_returns.store_node)
 app.add_typer(lab.app, name="lab")
--- a/src/pewtertack/lab/asgi.py
+++ b/src/pewtertack/lab/asgi.py
@@ -96,12 +96,13 @@
         head = read_head(scope)
         body = await read_body(receive)
         request = Request(head.method, head.path, head.query, head.headers, body)
-        await self._deliver(await self._answer(request), receive, send)
+        await self._deliver(await self.answer(request), receive, send)
 
     async def _deliver(self, answer: Answer, receive: Receive, send: Send) -> None:
         await send_answer(send, answer)
 
-    async def _answer(self, request: Request) -> Answer:
+    async def answer(self, request: Request) -> Answer:
+        """Return the answer to ``request``."""
         handler = self._find(request)
         if handler is None:
             return json_answer({"error": "not-found"}, 404)
--- /dev/null
+++ b/src/pewtertack/lab/convergence/simulated_source.py
@@ -0,0 +1,79 @@
+"""The node's own reader of the store, on the store's stand-in without sockets."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from urllib.parse import parse_qsl
+
+import anyio
+
+from pewtertack.lab.asgi import Answer, Request
+from pewtertack.lab.metadata_store.application import MetadataStore
+from pewtertack.node.http.client import (
+    ANSWER_FACTOR,
+    HttpClient,
+    ServiceAnswer,
+    ServiceTimeouts,
+    ServiceUnreachableError,
+)
+from pewtertack.node.http.framing import RawHeaders
+from pewtertack.platform.store import ANSWER_BYTES, StoreReader
+
+NOWHERE = "127.0.0.1:1"
+ONE_WAY_SECONDS = 0.001
+"""Between a node and the store."""
+
+
+class SimulatedClient(HttpClient):
+    """Gets answers from a stand-in in this process, within the time that a client allows."""
+
+    def __init__(self, store: MetadataStore) -> None:
+        super().__init__(NOWHERE, ANSWER_BYTES)
+        self._store = store
+        self._fresh = True
+
+    def close(self) -> None:
+        """Let the next answer be the first on its connection."""
+        self._fresh = True
+
+    async def get(
+        self, target: str, timeouts: ServiceTimeouts, headers: RawHeaders | None = None
+    ) -> ServiceAnswer:
+        """Return the answer to ``GET target``.
+
+        Raises:
+            ServiceUnreachableError: no whole answer came in time.
+        """
+        path, _, query = target.partition("?")
+        request = Request("GET", path, dict(parse_qsl(query)), {})
+        try:
+            with anyio.fail_after(timeouts.answer):
+                await anyio.sleep(ONE_WAY_SECONDS)
+                answer = await self._store.application.answer(request)
+                await anyio.sleep(ONE_WAY_SECONDS)
+            with anyio.fail_after(timeouts.answer * ANSWER_FACTOR):
+                await self._carry(answer)
+        except TimeoutError as error:
+            self._fresh = True
+            reason = f"no answer within {timeouts.answer:g} s"
+            raise ServiceUnreachableError(reason) from error
+        fresh, self._fresh = self._fresh, False
+        named = [(name.encode(), value.encode()) for name, value in answer.headers.items()]
+        return ServiceAnswer(answer.status, named, answer.body, fresh)
+
+    async def _carry(self, answer: Answer) -> None:
+        faults = self._store.faults
+        if faults.endless:
+            await anyio.sleep_forever()
+        if faults.body_rate:
+            await anyio.sleep(len(answer.body) / faults.body_rate)
+
+
+class SimulatedReader(StoreReader):
+    """A store reader whose calls go to the stand-in ``store``."""
+
+    def __init__(
+        self, store: MetadataStore, gateway_port: int, peer_port: int, now: Callable[[], float]
+    ) -> None:
+        super().__init__(NOWHERE, gateway_port, peer_port, now=now)
+        self._client = SimulatedClient(store)
--- /dev/null
+++ b/src/pewtertack/lab/convergence/store.py
@@ -0,0 +1,91 @@
+"""The metadata store of a convergence run: what its operator and its back ends have written."""
+
+from __future__ import annotations
+
+from typing import Any
+
+import msgspec
+
+from pewtertack.lab.metadata_store.application import MetadataStore
+
+CONFIGURATION_KEY = "op/config"
+ENTRIES = "servers/"
+ZONES = ("east", "north", "west")
+SERVICES = ("catalogue", "ledger", "archive", "gate")
+HOST_NAMES = 40
+BASE_ROUTES = 300
+"""Routes of the configuration that the nodes start with."""
+BACKEND_PORT = 8080
+PAGE_ITEMS = 500
+LIMITS = {
+    "MaxHeaderBytes": 16384,
+    "MaxBodyBytes": 1048576,
+    "HeaderTimeout": "3s",
+    "IdleTimeout": "15s",
+}
+
+
+def zone_of(index: int) -> str:
+    """Return the zone of the machine ``index``."""
+    return ZONES[index % len(ZONES)]
+
+
+class EditedStore:
+    """A store with a back end for each host, whose operator adds routes.
+
+    Args:
+        hosts: IP numbers of the machines, dealt to the zones in turn.
+    """
+
+    def __init__(self, hosts: list[str]) -> None:
+        self.store = MetadataStore(page_items=PAGE_ITEMS)
+        self.version = 0
+        self._routes = 0
+        for index, host in enumerate(hosts):
+            self.store.put(f"{ENTRIES}i-{index}", _entry(index, host))
+        self.add_routes(BASE_ROUTES)
+
+    def add_routes(self, count: int) -> int:
+        """Write a configuration with ``count`` more routes and return its version."""
+        self.version += 1
+        self._routes += count
+        configuration = {
+            "Version": f"r{self.version}",
+            "Routes": [_route(index) for index in range(self._routes)],
+            "Services": [_service(name) for name in SERVICES],
+            "Limits": LIMITS,
+        }
+        self.store.put(CONFIGURATION_KEY, msgspec.json.encode(configuration))
+        return self.version
+
+
+def _entry(index: int, host: str) -> bytes:
+    return msgspec.json.encode(
+        {
+            "Service": SERVICES[index % len(SERVICES)],
+            "Address": f"{host}:{BACKEND_PORT}",
+            "Zone": zone_of(index),
+            "Version": "v1",
+            "State": "ready",
+            "Slots": 8,
+            "ColdRemaining": "0ms",
+            "Sequence": 1,
+        }
+    )
+
+
+def _route(index: int) -> dict[str, Any]:
+    return {
+        "Name": f"route-{index:05}",
+        "Host": f"host-{index % HOST_NAMES}.example",
+        "PathPrefix": f"/{index * 2654435761 % 2**32:08x}/",
+        "Kind": "safe" if index % 3 else "unsafe",
+        "Timeout": "4s",
+        "TargetLatency": "2s",
+        "Service": SERVICES[index % len(SERVICES)],
+        "MaxAttempts": 3,
+    }
+
+
+def _service(name: str) -> dict[str, Any]:
+    return {"Name": name, "HealthPath": "/health", "ConnectionLimit": 100}
--- a/src/pewtertack/lab/errors.py
+++ b/src/pewtertack/lab/errors.py
@@ -19,6 +19,12 @@
     code: ClassVar[str] = "soak-option"
 
 
+class ConvergenceOptionError(LabUsageError):
+    """An option of a convergence run makes no sense."""
+
+    code: ClassVar[str] = "convergence-option"
+
+
 class ProcessFailedError(LabError):
     """A process of the fleet ended or did not become ready."""
 
--- a/src/pewtertack/lab/metadata_store/application.py
+++ b/src/pewtertack/lab/metadata_store/application.py
@@ -76,9 +76,11 @@
 
     Args:
         era: told in all answers, ``None`` for a store that has no eras.
+        page_items: how many items a page of a list has at most.
     """
 
-    def __init__(self, era: int | None = None) -> None:
+    def __init__(self, era: int | None = None, page_items: int = PAGE_ITEMS) -> None:
+        self._page_items = page_items
         self.era = era
         self.faults = StoreFaults()
         self.calls = 0
@@ -201,8 +203,8 @@
             for key, change in self._items.items()
             if key.startswith(prefix) and key > after and change.revision <= newest
         )
-        items = [self._encoded(self._items[key]) for key in keys[:PAGE_ITEMS]]
-        page = {"items": items, "more": len(keys) > PAGE_ITEMS, "at": newest}
+        items = [self._encoded(self._items[key]) for key in keys[: self._page_items]]
+        page = {"items": items, "more": len(keys) > self._page_items, "at": newest}
         return await self._delayed(self._told(page))
 
     async def _answer_watch(self, request: Request) -> Answer:
--- a/src/pewtertack/lab/pages/plots.py
+++ b/src/pewtertack/lab/pages/plots.py
@@ -35,7 +35,7 @@
     axes.set_xlabel("seconds from the edit at the source")
     axes.set_ylabel("% of nodes and edits in force")
     axes.legend(fontsize="small")
-    _save(figure, path)
+    save_figure(figure, path)
 
 
 def plot_bytes_by_size(scales: Sequence[NamedScale], path: Path) -> None:
@@ -53,7 +53,7 @@
     axes.set_xlabel("nodes")
     axes.set_ylabel("bytes received a node and second")
     axes.legend(fontsize="small")
-    _save(figure, path)
+    save_figure(figure, path)
 
 
 def received_mean(phase: PhaseReport) -> float:
@@ -81,7 +81,7 @@
     axes.set_xlabel("% of requests")
     axes.tick_params(axis="y", labelsize="x-small")
     axes.legend(fontsize="small")
-    _save(figure, path)
+    save_figure(figure, path)
 
 
 def plot_crashes(results: Sequence[CrashResult], path: Path) -> None:
@@ -97,7 +97,7 @@
     served.set_ylabel("% of others served")
     served.set_xlabel("seconds")
     ends.legend(fontsize="small")
-    _save(figure, path)
+    save_figure(figure, path)
 
 
 def _share(outcomes: dict[str, int], kind: str) -> float:
@@ -105,7 +105,8 @@
     return 100 * outcomes.get(kind, 0) / total if total else 0.0
 
 
-def _save(figure: Figure, path: Path) -> None:
+def save_figure(figure: Figure, path: Path) -> None:
+    """Write ``figure`` as SVG, the same for the same data, and close it."""
     figure.tight_layout()
     figure.savefig(path, metadata={"Date": None})
     pyplot.close(figure)
--- a/src/pewtertack/lab/simulation/process.py
+++ b/src/pewtertack/lab/simulation/process.py
@@ -14,7 +14,7 @@
 from pewtertack.lab.simulation.codec import ProcessCodec
 from pewtertack.lab.simulation.network import Packet, SimulatedNetwork
 from pewtertack.lab.simulation.platform import Answer, NumberedService
-from pewtertack.lab.simulation.scheduler import Scheduler
+from pewtertack.lab.simulation.scheduler import Timer
 from pewtertack.wire.messages import DocumentKind, Message
 
 MAILBOX_LIMIT = 64
@@ -32,7 +32,7 @@
 class Surroundings:
     """What a process talks to."""
 
-    scheduler: Scheduler
+    scheduler: Timer
     network: SimulatedNetwork
     platform: dict[DocumentKind, NumberedService]
     recorder: Recorder
@@ -154,13 +154,17 @@
         match effect:
             case Send(_, address, message):
                 self._send(address, message)
-            case ReadDocument(kind, after, wait, may_be_stale):
-                self.around.platform[kind].read(after, wait, self._on_answer, may_be_stale)
+            case ReadDocument():
+                self._read(effect)
             case Log():
                 identity = self.identity
                 self.around.recorder.record_log(identity.name, identity.incarnation, effect)
             case SetServing(serving):
                 self.serving = serving
 
+    def _read(self, effect: ReadDocument) -> None:
+        service = self.around.platform[effect.kind]
+        service.read(effect.after, effect.wait, self._on_answer, effect.may_be_stale)
+
     def _on_answer(self, answer: Answer) -> None:
         self.take(answer)
--- a/src/pewtertack/lab/simulation/scheduler.py
+++ b/src/pewtertack/lab/simulation/scheduler.py
@@ -5,10 +5,25 @@
 import heapq
 import itertools
 from collections.abc import Callable
+from typing import Protocol
 
 Action = Callable[[], None]
 
 
+class Timer(Protocol):
+    """Virtual time, and what is to happen in it."""
+
+    @property
+    def now(self) -> float:
+        """The present moment."""
+
+    def at(self, time: float, action: Action) -> None:
+        """Run ``action`` at ``time``, or at once if that is past."""
+
+    def after(self, delay: float, action: Action) -> None:
+        """Run ``action`` in ``delay`` seconds."""
+
+
 class Scheduler:
     """Runs actions in the order of their times; equal times in the order of scheduling."""
 
--- /dev/null
+++ b/tests/lab/simulation/test_virtual_loop.py
@@ -0,0 +1,50 @@
+"""The event loop in virtual time."""
+
+import time
+import unittest
+
+import anyio
+
+from pewtertack.lab.simulation.virtual_loop import LoopTimer, NothingDueError, run_virtually
+
+
+async def _sleep_in_turn(log: list[tuple[str, float]]) -> None:
+    timer = LoopTimer()
+
+    async def sleep(name: str, seconds: float) -> None:
+        await anyio.sleep(seconds)
+        log.append((name, timer.now))
+
+    timer.at(300.0, lambda: log.append(("at", timer.now)))
+    timer.after(50.0, lambda: log.append(("after", timer.now)))
+    async with anyio.create_task_group() as tasks:
+        tasks.start_soon(sleep, "long", 1000.0)
+        tasks.start_soon(sleep, "short", 100.0)
+
+
+async def _wait_for_nothing() -> None:
+    await anyio.Event().wait()
+
+
+async def _run_out_of_time() -> bool:
+    with anyio.move_on_after(500.0) as scope:
+        await anyio.sleep(501.0)
+    return scope.cancelled_caught
+
+
+class VirtualTimeLoopTest(unittest.TestCase):
+    def test_timers_are_due_in_order_and_take_no_time(self) -> None:
+        log: list[tuple[str, float]] = []
+        began = time.monotonic()
+        run_virtually(_sleep_in_turn, log)
+        self.assertLess(time.monotonic() - began, 10.0)
+        self.assertEqual([name for name, _ in log], ["after", "short", "at", "long"])
+        for (_, moment), expected in zip(log, (50.0, 100.0, 300.0, 1000.0), strict=True):
+            self.assertAlmostEqual(moment, expected, places=3)
+
+    def test_time_limits_are_of_virtual_time(self) -> None:
+        self.assertTrue(run_virtually(_run_out_of_time))
+
+    def test_waiting_for_nothing_is_a_typed_error(self) -> None:
+        with self.assertRaises(NothingDueError):
+            run_virtually(_wait_for_nothing)
--- a/tests/platform/returning_fleet.py
+++ b/tests/platform/returning_fleet.py
@@ -49,7 +49,7 @@
             raise ServiceUnreachableError("cut off")
         path, _, query = target.partition("?")
         pairs = dict(part.partition("=")[::2] for part in query.split("&"))
-        answer = await self._store.application._answer(Request("GET", path, pairs, {}))
+        answer = await self._store.application.answer(Request("GET", path, pairs, {}))
         headers = [(name.encode(), value.encode()) for name, value in answer.headers.items()]
         fresh, self.fresh = self.fresh, False
         return ServiceAnswer(answer.status, headers, answer.body, fresh)
