Lab: a soak of slow sources, with edits and starts of nodes in series

`pewtertack lab slow-source` plays lanes of slowness (4 ms to 4 s an answer, some bodies at 200 kB/s), troubles of single reads (lost answers, 410, cuts of waiting watches), edits, and stops and starts against node processes that read the store's stand-in. It judges that an acknowledged edit is in force on every serving node within one answer of the source and a bound (3 s); the judging is pure code. Store, nodes and links are `lab.store_fleet`, which the convergence experiment uses too.

--- /dev/null
+++ b/src/pewtertack/cli/lab_slow_source.py
@@ -0,0 +1,31 @@
+"""``pewtertack lab slow-source``: edits and starts in series while the store is slow."""
+
+from __future__ import annotations
+
+from typing import Annotated
+
+import typer
+
+from pewtertack.cli.exit_codes import ExitCode
+
+
+def slow_source(
+    seconds: Annotated[float, typer.Option(help="How long faults go on.")] = 60.0,
+    seed: Annotated[int, typer.Option(help="Decides the faults.")] = 1,
+    nodes: Annotated[int, typer.Option(help="Nodes, dealt to three zones.")] = 4,
+    bound: Annotated[
+        float, typer.Option(help="Seconds beyond an answer until an edit is in force.")
+    ] = 3.0,
+    without: Annotated[str, typer.Option(help="Mechanism to switch off in all nodes.")] = "",
+) -> None:
+    """Edit and restart a fleet whose store is slow; exit code 1 when an edit is late."""
+    import msgspec
+
+    from pewtertack.cli.lab import run_fleet
+    from pewtertack.lab.slow_source.options import SlowSourceOptions
+    from pewtertack.lab.slow_source.run import run_slow_source
+
+    options = SlowSourceOptions(seconds, seed, nodes, bound, without)
+    result = run_fleet(run_slow_source, options)
+    typer.echo(msgspec.json.encode(result).decode())
+    raise typer.Exit(ExitCode.FOUND if result.offences else ExitCode.OK)
--- a/src/pewtertack/cli/main.py
+++ b/src/pewtertack/cli/main.py
@@ -16,6 +16,7 @@
     lab_proofs,
     lab_returns,
     lab_scale,
+    lab_slow_source,
     lab_soak,
     lab_virtual_time,
     policies,
@@ -71,5 +72,6 @@
 lab.app.command("soak-callers", hidden=True)(lab_soak.soak_callers)
 lab.app.command("returns")(lab_returns.returns)
 lab.app.command("convergence")(lab_convergence.convergence)
+lab.app.command("slow-source")(lab_slow_source.slow_source)
 lab.app.command("store-node", hidden=True)(lab_returns.store_node)
 app.add_typer(lab.app, name="lab")
--- a/src/pewtertack/lab/convergence/options.py
+++ b/src/pewtertack/lab/convergence/options.py
@@ -9,6 +9,7 @@
 
 from pewtertack.lab.errors import ConvergenceOptionError
 from pewtertack.lab.metadata_store.application import StoreFaults
+from pewtertack.lab.store_fleet.fleet import BYTES_PER_MEGABIT
 from pewtertack.lab.weakening import check_mechanism
 
 MOST_PROCESSES = 24
@@ -20,7 +21,6 @@
 MOST_ANSWER_SECONDS = 60.0
 SLOWEST_LINK_MBPS = 0.1
 FASTEST_LINK_MBPS = 10_000.0
-BYTES_PER_MEGABIT = 125_000
 DEFAULT_SLOW_BEFORE = 12.0
 LONGEST_SLOW_BEFORE = 600.0
 """Seconds."""
--- a/src/pewtertack/lab/convergence/virtual.py
+++ b/src/pewtertack/lab/convergence/virtual.py
@@ -17,7 +17,6 @@
 from pewtertack.lab.convergence.options import Point
 from pewtertack.lab.convergence.recording import PointResult, Recording
 from pewtertack.lab.convergence.simulated_source import SimulatedReader
-from pewtertack.lab.convergence.store import EditedStore, zone_of
 from pewtertack.lab.errors import FleetTimeoutError
 from pewtertack.lab.scale.memory import check_memory
 from pewtertack.lab.scale.run import GARBAGE_THRESHOLD
@@ -25,6 +24,7 @@
 from pewtertack.lab.simulation.network import Packet, Place, SimulatedNetwork
 from pewtertack.lab.simulation.process import SimulatedProcess, Surroundings
 from pewtertack.lab.simulation.virtual_loop import LoopTimer, run_virtually
+from pewtertack.lab.store_fleet.written import EditedStore, zone_of
 from pewtertack.node.assembly import WIDE_LINK_MBPS
 
 PROFILE = "leased"
--- a/src/pewtertack/lab/errors.py
+++ b/src/pewtertack/lab/errors.py
@@ -25,6 +25,12 @@
     code: ClassVar[str] = "convergence-option"
 
 
+class SlowSourceOptionError(LabUsageError):
+    """An option of a series with a slow source makes no sense."""
+
+    code: ClassVar[str] = "slow-source-option"
+
+
 class ProcessFailedError(LabError):
     """A process of the fleet ended or did not become ready."""
 
--- /dev/null
+++ b/src/pewtertack/lab/store_fleet/__init__.py
@@ -0,0 +1,1 @@
+"""Node processes that read the metadata store's stand-in."""
--- a/src/pewtertack/lab/convergence/store.py
+++ b/src/pewtertack/lab/store_fleet/written.py
@@ -1,4 +1,4 @@
-"""The metadata store of a convergence run: what its operator and its back ends have written."""
+"""A metadata store with what an operator and the back ends have written."""
 
 from __future__ import annotations
 
--- /dev/null
+++ b/tests/lab/slow_source/test_options.py
@@ -0,0 +1,31 @@
+"""Options of a series with a slow source that make no sense are typed errors."""
+
+import math
+import unittest
+from typing import Any
+
+from pewtertack.lab.errors import LabUsageError, SlowSourceOptionError
+from pewtertack.lab.slow_source.options import SlowSourceOptions
+
+GOOD: dict[str, Any] = {"seconds": 30.0, "seed": 1}
+
+
+class SlowSourceOptionsTest(unittest.TestCase):
+    def test_what_makes_no_sense_is_a_typed_error(self) -> None:
+        wrong: list[dict[str, Any]] = [
+            {"seconds": 0.0},
+            {"seconds": math.nan},
+            {"seconds": math.inf},
+            {"seed": -1},
+            {"nodes": 3},
+            {"nodes": 25},
+            {"bound": 0.0},
+            {"bound": math.nan},
+        ]
+        for change in wrong:
+            with self.subTest(change), self.assertRaises(SlowSourceOptionError):
+                SlowSourceOptions(**{**GOOD, **change})
+
+    def test_an_unknown_mechanism_is_a_typed_error(self) -> None:
+        with self.assertRaises(LabUsageError):
+            SlowSourceOptions(**GOOD, without="luck")
