Lab: the fleet of a store runs as processes or in virtual time, slow sources too

`SimulatedStoreFleet` and `StoreFleet` have one interface (`NodeFleet`), so that one measurement and one series play on both; simulated nodes stop, start and have their watches cut like processes.

--- a/src/pewtertack/cli/lab_slow_source.py
+++ b/src/pewtertack/cli/lab_slow_source.py
@@ -16,6 +16,9 @@
     bound: Annotated[
         float, typer.Option(help="Seconds beyond an answer until an edit is in force.")
     ] = 3.0,
+    virtual: Annotated[
+        bool, typer.Option("--virtual", help="Simulate the nodes in virtual time.")
+    ] = False,
     without: Annotated[str, typer.Option(help="Mechanism to switch off in all nodes.")] = "",
 ) -> None:
     """Edit and restart a fleet whose store is slow; exit code 1 when an edit is late."""
@@ -23,9 +26,9 @@
 
     from pewtertack.cli.lab import run_fleet
     from pewtertack.lab.slow_source.options import SlowSourceOptions
-    from pewtertack.lab.slow_source.run import run_slow_source
+    from pewtertack.lab.slow_source.run import run_slow_source, simulate_slow_source
 
     options = SlowSourceOptions(seconds, seed, nodes, bound, without)
-    result = run_fleet(run_slow_source, options)
+    result = simulate_slow_source(options) if virtual else run_fleet(run_slow_source, options)
     typer.echo(msgspec.json.encode(result).decode())
     raise typer.Exit(ExitCode.FOUND if result.offences else ExitCode.OK)
--- a/src/pewtertack/lab/convergence/run.py
+++ b/src/pewtertack/lab/convergence/run.py
@@ -7,10 +7,9 @@
 import anyio
 import msgspec
 
+from pewtertack.lab.convergence.measurement import measure_processes, measure_virtually
 from pewtertack.lab.convergence.options import ConvergenceOptions, Point
-from pewtertack.lab.convergence.processes import measure_processes
 from pewtertack.lab.convergence.recording import PointResult
-from pewtertack.lab.convergence.virtual import measure_virtually
 from pewtertack.lab.weakening import switch_off
 
 Progress = Callable[[PointResult], None]
--- a/src/pewtertack/lab/slow_source/run.py
+++ b/src/pewtertack/lab/slow_source/run.py
@@ -5,8 +5,8 @@
 import random
 import signal
 import tempfile
-import time
 from collections import Counter
+from collections.abc import Callable
 from pathlib import Path
 
 import anyio
@@ -15,9 +15,12 @@
 
 from pewtertack.events import Event
 from pewtertack.lab.errors import FleetTimeoutError
+from pewtertack.lab.simulation.virtual_loop import run_virtually
 from pewtertack.lab.slow_source.judging import Judged, NodeHistory, Slowness, judge_edits
 from pewtertack.lab.slow_source.options import SlowSourceOptions
-from pewtertack.lab.store_fleet.fleet import NodeLine, StoreFleet
+from pewtertack.lab.store_fleet.fleet import EventHandler, NodeFleet, NodeLine, StoreFleet
+from pewtertack.lab.store_fleet.simulated import SimulatedStoreFleet
+from pewtertack.lab.weakening import switch_off
 
 ANSWER_SECONDS = (0.004, 4.0)
 """Drawn with equal weight for quick, slower than a second, and very slow answers."""
@@ -35,6 +38,8 @@
 SERVES_WITHIN = 30.0
 SETTLE = 3.0
 POLL = 0.05
+
+FleetMaker = Callable[[EventHandler], NodeFleet]
 READER_EVENTS = (Event.READER_STARTED.name, Event.READER_STOPPED.name)
 FAILURE_EVENTS = (Event.SOURCE_FAILED.name, Event.MACHINE_LIST_FAILED.name)
 
@@ -61,16 +66,16 @@
 
 
 class SlowSourceRun:
-    """One series on a fleet of real nodes.
+    """One series on a fleet of its own.
 
     Args:
         options: what was asked.
-        directory: takes settings and standard error.
+        make_fleet: returns the fleet; it gets what takes the nodes' events.
     """
 
-    def __init__(self, options: SlowSourceOptions, directory: Path) -> None:
+    def __init__(self, options: SlowSourceOptions, make_fleet: FleetMaker) -> None:
         self._options = options
-        self._fleet = StoreFleet(options.nodes, options.without, directory, self._take_event)
+        self._fleet = make_fleet(self._take_event)
         self._nodes = {name: NodeHistory(name) for name in self._fleet.names}
         self._slowness: list[Slowness] = []
         self._edits: dict[int, float] = {}
@@ -107,7 +112,7 @@
         await anyio.sleep(SETTLE)
 
     async def _make_faults(self, tasks: anyio.abc.TaskGroup) -> None:
-        self._end = time.monotonic() + self._options.seconds
+        self._end = anyio.current_time() + self._options.seconds
         async with anyio.create_task_group() as lanes:
             lanes.start_soon(self._slow_down, self._chooser("slow"))
             lanes.start_soon(self._edit, self._chooser("edit"))
@@ -120,7 +125,7 @@
     async def _pause(self, chooser: random.Random, shortest: float, longest: float) -> bool:
         """Wait; return whether there is time for another fault."""
         await anyio.sleep(chooser.uniform(shortest, longest))
-        return time.monotonic() < self._end
+        return anyio.current_time() < self._end
 
     # Lanes; each ends with the time for faults.
 
@@ -131,13 +136,13 @@
             seconds = ANSWER_SECONDS[0] if quick else chooser.uniform(0.3, ANSWER_SECONDS[1])
             rate = BODY_RATE if chooser.random() < BODY_RATE_SHARE else 0.0
             self._change_faults(delay=seconds, body_rate=rate)
-            self._slowness.append(Slowness(time.monotonic(), seconds))
+            self._slowness.append(Slowness(anyio.current_time(), seconds))
             goes_on = await self._pause(chooser, *SLOW_FOR)
 
     async def _edit(self, chooser: random.Random) -> None:
         while await self._pause(chooser, *EDIT_GAP):
             version = self._fleet.written.add_routes(chooser.randint(*ROUTES))
-            self._edits[version] = time.monotonic()
+            self._edits[version] = anyio.current_time()
 
     async def _trouble(self, chooser: random.Random) -> None:
         """One reader's trouble is not that of the others, which tell it what it misses."""
@@ -159,7 +164,7 @@
         while await self._pause(chooser, *STOP_GAP):
             node = self._nodes[chooser.choice(self._fleet.names)]
             how = chooser.choice((signal.SIGTERM, signal.SIGKILL))
-            node.end_serving(time.monotonic())
+            node.end_serving(anyio.current_time())
             await self._fleet.stop_node(node.name, how)
             await anyio.sleep(chooser.uniform(*DOWN_FOR))
             await self._fleet.start_node(tasks, node.name)
@@ -172,7 +177,7 @@
                 return
 
     def _take_event(self, name: str, line: NodeLine) -> None:
-        self._nodes[name].take(line.event, time.monotonic(), line.revision)
+        self._nodes[name].take(line.event, anyio.current_time(), line.revision)
         if line.event in READER_EVENTS:
             self._reader_changes += 1
         elif line.event in FAILURE_EVENTS:
@@ -180,7 +185,7 @@
 
     def _result(self) -> SlowSourceResult:
         options, histories = self._options, list(self._nodes.values())
-        ended_at = time.monotonic()
+        ended_at = anyio.current_time()
         found = list(judge_edits(self._edits, self._slowness, histories, options.bound, ended_at))
         late = [str(item) for item in found if item.is_late]
         steps_back = [text for node in histories for text in node.steps_back]
@@ -213,4 +218,27 @@
         LabError: the fleet could not be started or did not form.
     """
     with tempfile.TemporaryDirectory(prefix="pewtertack-slow-source-") as name:
-        return await SlowSourceRun(options, Path(name)).run()
+
+        def make_fleet(handle_event: EventHandler) -> NodeFleet:
+            return StoreFleet(options.nodes, options.without, Path(name), handle_event)
+
+        return await SlowSourceRun(options, make_fleet).run()
+
+
+async def _run_simulated(options: SlowSourceOptions) -> SlowSourceResult:
+    def make_fleet(handle_event: EventHandler) -> NodeFleet:
+        return SimulatedStoreFleet(options.nodes, options.seed, handle_event)
+
+    return await SlowSourceRun(options, make_fleet).run()
+
+
+def simulate_slow_source(options: SlowSourceOptions) -> SlowSourceResult:
+    """Run one series in virtual time.
+
+    Raises:
+        LabError: the fleet did not form.
+    """
+    if options.without:
+        switch_off(options.without)
+    result: SlowSourceResult = run_virtually(_run_simulated, options)
+    return result
--- a/src/pewtertack/lab/store_fleet/fleet.py
+++ b/src/pewtertack/lab/store_fleet/fleet.py
@@ -5,6 +5,7 @@
 import signal
 from collections.abc import Callable
 from pathlib import Path
+from typing import Protocol
 
 import anyio
 import anyio.abc
@@ -14,7 +15,7 @@
 from pewtertack.lab.fleet.plan import FLEET_KEY
 from pewtertack.lab.fleet.ports import PortAllocator
 from pewtertack.lab.fleet.process import LabProcess
-from pewtertack.lab.metadata_store.application import WATCH_PATH
+from pewtertack.lab.metadata_store.application import WATCH_PATH, MetadataStore
 from pewtertack.lab.relay.links import LinkSettings, RelayedNode
 from pewtertack.lab.relay.service import Relay
 from pewtertack.lab.serving import Listener
@@ -62,6 +63,40 @@
 """Takes the name of a node and an event of it."""
 
 
+class NodeFleet(Protocol):
+    """Nodes that read one store: processes, or simulated on an event loop in virtual time."""
+
+    @property
+    def names(self) -> list[str]:
+        """The nodes."""
+
+    @property
+    def written(self) -> EditedStore:
+        """The store with its writers."""
+
+    @property
+    def store(self) -> MetadataStore:
+        """The store."""
+
+    async def start(self, tasks: anyio.abc.TaskGroup) -> None:
+        """Start all nodes."""
+
+    async def end(self) -> None:
+        """Kill all nodes."""
+
+    async def start_node(self, tasks: anyio.abc.TaskGroup, name: str) -> None:
+        """Start a process for a node that has none."""
+
+    async def stop_node(self, name: str, how: signal.Signals) -> None:
+        """Stop or kill the process of a node and wait for its end."""
+
+    def cut_watches(self) -> int:
+        """Cut all watches that wait; return how many there were."""
+
+    def received_bytes(self) -> int | None:
+        """Return how many bytes the nodes have received of one another, where that is known."""
+
+
 class StoreFleet:
     """Nodes in three zones that read one store.
 
@@ -152,6 +187,9 @@
         process.send_signal(how)
         await process.wait_ended()
 
+    def received_bytes(self) -> None:
+        """Return nothing: what processes send one another is not counted."""
+
     def cut_watches(self) -> int:
         """Reset the connections of all watches that wait; return how many there were."""
         return self._listener.cut_waiting(WATCH_PATH)
--- /dev/null
+++ b/src/pewtertack/lab/store_fleet/simulated.py
@@ -0,0 +1,167 @@
+"""Nodes in virtual time that read the store as real ones do, with their cores and readers."""
+
+from __future__ import annotations
+
+import signal
+from random import Random
+
+import anyio
+import anyio.abc
+
+from pewtertack.core.effects import Log, ReadDocument
+from pewtertack.core.identity import NodeIdentity
+from pewtertack.core.node import NodeCore
+from pewtertack.core.profile import PROFILES, SourceProperties, TimingProfile
+from pewtertack.lab.simulation.codec import ProcessCodec
+from pewtertack.lab.simulation.network import Packet, Place, SimulatedNetwork
+from pewtertack.lab.simulation.process import SimulatedProcess, Surroundings
+from pewtertack.lab.simulation.virtual_loop import LoopTimer
+from pewtertack.lab.store_fleet.fleet import BYTES_PER_MEGABIT, SEEDS, EventHandler, NodeLine
+from pewtertack.lab.store_fleet.simulated_source import SimulatedReader, SimulatedSource
+from pewtertack.lab.store_fleet.written import EditedStore, zone_of
+from pewtertack.node.assembly import WIDE_LINK_MBPS
+
+PROFILE = "leased"
+PEER_PORT = 7380
+REGION = "r"
+EPOCH_MILLISECONDS = 1_000_000_000
+DRAIN_SECONDS = 0.5
+"""How long a process that was asked to stop lives on."""
+
+
+class StoreProcess(SimulatedProcess):
+    """A simulated process that reads the store as a real node does."""
+
+    __slots__ = ("_reader", "_reads", "_tasks")
+
+    def __init__(
+        self,
+        core: NodeCore,
+        around: Surroundings,
+        tick: float,
+        reader: SimulatedReader,
+        tasks: anyio.abc.TaskGroup,
+    ) -> None:
+        super().__init__(core.identity, core, around, tick, ProcessCodec(core.identity))
+        self._reader = reader
+        self._tasks = tasks
+        self._reads: set[anyio.CancelScope] = set()
+
+    def kill(self) -> None:
+        """End without notice."""
+        super().kill()
+        for read in list(self._reads):
+            read.cancel()
+
+    def _read(self, effect: ReadDocument) -> None:
+        self._tasks.start_soon(self._read_store, effect)
+
+    async def _read_store(self, effect: ReadDocument) -> None:
+        with anyio.CancelScope() as read:
+            self._reads.add(read)
+            try:
+                answer = await self._reader.read(effect)
+            finally:
+                self._reads.discard(read)
+            self.take(answer)
+
+
+class SimulatedStoreFleet:
+    """Nodes in three zones that read one store, on an event loop in virtual time.
+
+    Args:
+        nodes: how many.
+        seed: decides the nodes' choices and the network's delays.
+        handle_event: gets every event of the nodes.
+        link_mbps: of each node's machine, each way; 0 for no bound.
+    """
+
+    def __init__(
+        self, nodes: int, seed: int, handle_event: EventHandler, link_mbps: float = 0.0
+    ) -> None:
+        self._seed = seed
+        self._handle_event = handle_event
+        self._random = Random(seed)
+        self._timer = LoopTimer()
+        self._profile: TimingProfile = PROFILES[PROFILE]
+        self._properties = _source_properties(link_mbps)
+        self.names = [_host_of(index) for index in range(nodes)]
+        self.written = EditedStore(self.names)
+        self.store = self.written.store
+        self._source = SimulatedSource(self.store)
+        rate = link_mbps * BYTES_PER_MEGABIT
+        self._network = SimulatedNetwork(self._timer, self._random, self._deliver, link_rate=rate)
+        self._around = Surroundings(self._timer, self._network, {}, self)
+        self._processes: dict[str, StoreProcess] = {}
+
+    async def start(self, tasks: anyio.abc.TaskGroup) -> None:
+        """Start all nodes."""
+        for name in self.names:
+            await self.start_node(tasks, name)
+
+    async def end(self) -> None:
+        """Kill all nodes."""
+        for process in self._processes.values():
+            process.kill()
+
+    async def start_node(self, tasks: anyio.abc.TaskGroup, name: str) -> None:
+        """Start a process for a node that has none."""
+        index, address, now = self.names.index(name), _address_of(name), self._timer.now
+        zone = zone_of(index)
+        started_at = EPOCH_MILLISECONDS + round(now * 1000)
+        identity = NodeIdentity(name, address, zone, REGION, started_at)
+        self._network.place(address, Place(zone, REGION))
+        seeds = tuple(_address_of(seed) for seed in self.names[:SEEDS] if seed != name)
+        random = Random(f"{self._seed}/{name}/{started_at}")
+        core = NodeCore(identity, self._profile, random, now, seeds, self._properties)
+        reader = SimulatedReader(self._source, 0, PEER_PORT, lambda: self._timer.now)
+        tick = self._profile.tick
+        process = StoreProcess(core, self._around, tick, reader, tasks)
+        self._processes[address] = process
+        process.start(tick * self._random.random())
+
+    async def stop_node(self, name: str, how: signal.Signals) -> None:
+        """Stop or kill the process of a node."""
+        process = self._processes[_address_of(name)]
+        if how is signal.SIGTERM:
+            process.drain()
+            await anyio.sleep(DRAIN_SECONDS)
+        process.kill()
+        del self._processes[_address_of(name)]
+
+    def cut_watches(self) -> int:
+        """Cut all watches that have no answer; return how many there were."""
+        return self._source.cut_watches()
+
+    def received_bytes(self) -> int:
+        """Return how many bytes the nodes have received of one another."""
+        traffic = self._network.traffic.values()
+        return sum(node.received_bytes.total() for node in traffic)
+
+    def record_log(self, node: str, _: int, log: Log) -> None:
+        """Take a numbered event of a process."""
+        fields = log.fields
+        line = NodeLine(log.event.name, fields.get("revision", 0), fields.get("reason", ""))
+        self._handle_event(node, line)
+
+    def _deliver(self, packet: Packet) -> None:
+        process = self._processes.get(packet.target_address)
+        if process is not None:
+            process.receive(packet)
+
+
+def _source_properties(link_mbps: float) -> SourceProperties:
+    """Return what a node is told of the store, as from its settings."""
+    return SourceProperties(
+        durable=True,
+        wide_link=link_mbps >= WIDE_LINK_MBPS,
+        narrow_link=0 < link_mbps < WIDE_LINK_MBPS,
+    )
+
+
+def _host_of(index: int) -> str:
+    return f"10.{index >> 16}.{index >> 8 & 255}.{index & 255}"
+
+
+def _address_of(name: str) -> str:
+    return f"{name}:{PEER_PORT}"
--- a/src/pewtertack/lab/convergence/simulated_source.py
+++ b/src/pewtertack/lab/store_fleet/simulated_source.py
@@ -8,7 +8,7 @@
 import anyio
 
 from pewtertack.lab.asgi import Answer, Request
-from pewtertack.lab.metadata_store.application import MetadataStore
+from pewtertack.lab.metadata_store.application import WATCH_PATH, MetadataStore
 from pewtertack.node.http.client import (
     ANSWER_FACTOR,
     HttpClient,
@@ -24,12 +24,49 @@
 """Between a node and the store."""
 
 
+class SimulatedSource:
+    """The stand-in as readers in this process reach it.
+
+    Args:
+        store: what answers.
+    """
+
+    __slots__ = ("_watches", "store")
+
+    def __init__(self, store: MetadataStore) -> None:
+        self.store = store
+        self._watches: set[anyio.CancelScope] = set()
+
+    async def answer(self, request: Request) -> Answer:
+        """Return the answer to ``request``.
+
+        Raises:
+            ServiceUnreachableError: the watch was cut.
+        """
+        if request.path != WATCH_PATH:
+            return await self.store.application.answer(request)
+        with anyio.CancelScope() as watch:
+            self._watches.add(watch)
+            try:
+                return await self.store.application.answer(request)
+            finally:
+                self._watches.discard(watch)
+        raise ServiceUnreachableError("the service hung up")
+
+    def cut_watches(self) -> int:
+        """Cut all watches that have no answer; return how many there were."""
+        watches = list(self._watches)
+        for watch in watches:
+            watch.cancel()
+        return len(watches)
+
+
 class SimulatedClient(HttpClient):
     """Gets answers from a stand-in in this process, within the time that a client allows."""
 
-    def __init__(self, store: MetadataStore) -> None:
+    def __init__(self, source: SimulatedSource) -> None:
         super().__init__(NOWHERE, ANSWER_BYTES)
-        self._store = store
+        self._source = source
         self._fresh = True
 
     def close(self) -> None:
@@ -49,7 +86,7 @@
         try:
             with anyio.fail_after(timeouts.answer):
                 await anyio.sleep(ONE_WAY_SECONDS)
-                answer = await self._store.application.answer(request)
+                answer = await self._source.answer(request)
                 await anyio.sleep(ONE_WAY_SECONDS)
             with anyio.fail_after(timeouts.answer * ANSWER_FACTOR):
                 await self._carry(answer)
@@ -62,7 +99,7 @@
         return ServiceAnswer(answer.status, named, answer.body, fresh)
 
     async def _carry(self, answer: Answer) -> None:
-        faults = self._store.faults
+        faults = self._source.store.faults
         if faults.endless:
             await anyio.sleep_forever()
         if faults.body_rate:
@@ -70,10 +107,10 @@
 
 
 class SimulatedReader(StoreReader):
-    """A store reader whose calls go to the stand-in ``store``."""
+    """A store reader whose calls go to a stand-in in this process."""
 
     def __init__(
-        self, store: MetadataStore, gateway_port: int, peer_port: int, now: Callable[[], float]
+        self, source: SimulatedSource, gateway_port: int, peer_port: int, now: Callable[[], float]
     ) -> None:
         super().__init__(NOWHERE, gateway_port, peer_port, now=now)
-        self._client = SimulatedClient(store)
+        self._client = SimulatedClient(source)
--- a/tests/lab/convergence/test_measurements.py
+++ b/tests/lab/convergence/test_measurements.py
@@ -6,12 +6,11 @@
 
 import anyio
 
+from pewtertack.lab.convergence.measurement import measure_processes, measure_virtually
 from pewtertack.lab.convergence.options import Point
-from pewtertack.lab.convergence.processes import measure_processes
 from pewtertack.lab.convergence.recording import PointResult
 from pewtertack.lab.convergence.report import write_report
 from pewtertack.lab.convergence.run import ConvergenceReport
-from pewtertack.lab.convergence.virtual import measure_virtually
 
 ANSWER_SECONDS = 0.3
 """Quicker than any reader's patience."""
