--- a/src/pewtertack/lab/asgi.py
+++ b/src/pewtertack/lab/asgi.py
@@ -96,9 +96,13 @@
         head = read_head(scope)
         body = await read_body(receive)
         request = Request(head.method, head.path, head.query, head.headers, body)
-        await send_answer(send, await self._answer(request))
+        await self._deliver(await self.answer(request), receive, send)
 
-    async def _answer(self, request: Request) -> Answer:
+    async def _deliver(self, answer: Answer, receive: Receive, send: Send) -> None:
+        await send_answer(send, answer)
+
+    async def answer(self, request: Request) -> Answer:
+        """Return the answer to ``request``."""
         handler = self._find(request)
         if handler is None:
             return json_answer({"error": "not-found"}, 404)
