Cursors of a list's pages are the mirror's; the simulated source tells how a read failed

platform/ only translates: which revision a page of a list stands for is decided in core.source_mirror.

--- a/src/pewtertack/core/source_mirror.py
+++ b/src/pewtertack/core/source_mirror.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterable
+from collections.abc import Iterable, Sequence
 from enum import Enum
 from typing import Protocol
 
@@ -87,6 +87,17 @@
         self.items[key] = value
         self.made[key] = made
 
+    def take_page(self, items: Sequence[Change], at: int) -> None:
+        """Take in one page of a list, answered as of revision ``at``.
+
+        Pages of a stale list may be of different ages, and what revision each shows is not
+        told: a watch goes on from the newest item of the page that is the furthest back.
+        """
+        shown = min(at, _newest_of(items)) if self.stale else at
+        self.at = min(self.at, shown) if self.stale and self.at else self.at or shown
+        for item in items:
+            self.take(item.key, item.content(), item.made)
+
     def take_changes(self, after: int, at: int, changes: Iterable[Change]) -> Refreshed:
         """Take in the answer to a watch; several may be under way at once.
 
@@ -136,3 +147,8 @@
         """Return the zones whose evacuation the mirror shows."""
         prefix = self._evacuations
         return [key.removeprefix(prefix) for key in self.items if prefix and key.startswith(prefix)]
+
+
+def _newest_of(items: Sequence[Change]) -> int:
+    """Return the revision of the item that was written last."""
+    return max((item.revision for item in items), default=0)
--- a/src/pewtertack/lab/store_fleet/simulated_source.py
+++ b/src/pewtertack/lab/store_fleet/simulated_source.py
@@ -7,6 +7,7 @@
 
 import anyio
 
+from pewtertack.errors import ReadFailure
 from pewtertack.lab.asgi import Answer, Request
 from pewtertack.lab.metadata_store.application import WATCH_PATH, MetadataStore
 from pewtertack.node.http.client import (
@@ -51,7 +52,7 @@
                 return await self.store.application.answer(request)
             finally:
                 self._watches.discard(watch)
-        raise ServiceUnreachableError("the service hung up")
+        raise ServiceUnreachableError("the service hung up", ReadFailure.CLOSED)
 
     def cut_watches(self) -> int:
         """Cut all watches that have no answer; return how many there were."""
@@ -93,7 +94,7 @@
         except TimeoutError as error:
             self._fresh = True
             reason = f"no answer within {timeouts.answer:g} s"
-            raise ServiceUnreachableError(reason) from error
+            raise ServiceUnreachableError(reason, ReadFailure.SLOW) from error
         fresh, self._fresh = self._fresh, False
         named = [(name.encode(), value.encode()) for name, value in answer.headers.items()]
         return ServiceAnswer(answer.status, named, answer.body, fresh)
--- a/src/pewtertack/platform/items.py
+++ b/src/pewtertack/platform/items.py
@@ -44,8 +44,3 @@
             with contextlib.suppress(ItemFormatError):
                 items.append(StoreItem(read_item(part, _Key).key, revision=0))
     return items
-
-
-def newest_of(items: list[StoreItem]) -> int:
-    """Return the revision of the item that was written last."""
-    return max((item.revision for item in items), default=0)
--- a/src/pewtertack/platform/store.py
+++ b/src/pewtertack/platform/store.py
@@ -23,7 +23,7 @@
 )
 from pewtertack.platform.documents import tree_of
 from pewtertack.platform.entries import machines_of
-from pewtertack.platform.items import items_of, newest_of
+from pewtertack.platform.items import items_of
 from pewtertack.settings import Settings
 from pewtertack.wire.messages import DocumentKind
 
@@ -194,11 +194,7 @@
             return Refreshed.CHANGED
 
     async def _list(self, mirror: Mirror, stale: bool = False) -> None:
-        """Read all items; what changes between two pages is seen by the watch that follows.
-
-        Pages of a stale list may be of different ages, and what revision each shows is not
-        told: the watch goes on from the newest item of the page that is the furthest back.
-        """
+        """Read all items; what changes between two pages is seen by the watch that follows."""
         fresh = mirror.empty()
         fresh.stale = stale
         after = ""
@@ -206,10 +202,7 @@
             path = f"/kv-range?PathPrefix={mirror.prefix}" + (f"&after={after}" if after else "")
             page = _decode(await self._get(path + ("&stale=1" if stale else "")), _Range)
             items = items_of(page.items)
-            shown = min(page.at, newest_of(items)) if stale else page.at
-            fresh.at = min(fresh.at, shown) if stale and fresh.at else fresh.at or shown
-            for item in items:
-                fresh.take(item.key, item.content(), item.made)
+            fresh.take_page(items, page.at)
             if not page.more or not items:
                 break
             after = items[-1].key
@@ -226,8 +219,7 @@
         if wait and found.events:
             self._took = None  # a change has ended the wait
         if mirror.at == 0:
-            await self._list(mirror)
-            return Refreshed.CHANGED
+            return await self._refresh(mirror, 0.0)  # another read has found the history gone
         return mirror.take_changes(after, found.at, items_of(found.events))
 
     async def _get(self, path: str, wait: float = 0.0) -> bytes:
@@ -285,10 +277,9 @@
 
 def make_reader(settings: Settings) -> StoreReader:
     """Return the reader for a node with these settings."""
-    gateway = settings.listen.gateway
     return StoreReader(
         str(settings.source.url.address),
-        gateway.port if gateway is not None else 0,
+        settings.listen.gateway.port if settings.listen.gateway is not None else 0,
         settings.listen.peer.port,
         settings.source.hold_after_return.seconds,
     )
