A value that the tree cannot have costs no version that the platform's store accepts

What callers saw: nothing yet; found beside the incident's cause. The store accepts valid configurations alone, and one value beyond the tree's bounds in one route had every node refuse the whole version: a time-out of 0 or above an hour, MaxAttempts above 11, a priority above 1,000, a connection limit of 0, a weight that is a fraction or above a million, weights that are all 0, null for a field that is left out, a whole number written as 2.0, a version of ten digits, a second route to the same host and prefix, a route's name with a space. Two routes of one name lost one of them without a word. A back end whose service has an underscore at its end, or whose remaining cold time has more than nine decimals, was passed over.

Change: core.configuration.conversion brings a value to the nearest that the tree can have. A time-out of zero stands for no bound, as proxies commonly have it. Weights keep their proportions; all zero share alike; those of one service are summed. Of routes to the same requests the first holds; a route whose name is no name, or taken, gets a digest of its own. Prefixes keep what they match by percent-encoding. What is none of its kind (a route to no known service, a prefix without a first slash, a time without a unit) is left to validation and refuses the version whole.

--- /dev/null
+++ b/src/pewtertack/core/configuration/conversion.py
@@ -0,0 +1,170 @@
+"""Writes values of another system's configuration in the forms that the tree has.
+
+What that system accepts may be wider than the tree: a value that the tree can only come near to
+gets the nearest one, so that one unusual route does not cost a fleet a whole version. What is no
+value of its kind at all stays as it is and is left to validation.
+"""
+
+from __future__ import annotations
+
+import hashlib
+import re
+from collections.abc import Container, Iterable, Sequence
+from functools import lru_cache
+from typing import Any
+
+from pewtertack.core.configuration import percent
+from pewtertack.core.configuration.model import (
+    DURATION_UNITS,
+    ROUTE_SETTINGS,
+    SERVICE_SETTINGS,
+    Setting,
+)
+from pewtertack.core.configuration.values import (
+    duration_seconds,
+    is_host,
+    is_name,
+    is_path_prefix,
+    is_request_target,
+)
+
+VALUES_KEPT = 1024
+"""Different texts whose form is remembered; a configuration has few."""
+NAME_DIGEST_BYTES = 8
+
+Table = dict[str, Any]
+
+_DOT_SEGMENT = re.compile(r"(?<=/)\.\.?(?=/|$)")
+_EMPTY_SEGMENT = re.compile("(?<=/)/")
+
+
+def route_table(host: str, prefix: str, service: str, shares: Sequence[tuple[str, float]]) -> Table:
+    """Return a route's settings of what it matches and where it leads.
+
+    Args:
+        host: its only one.
+        prefix: of the path, with a slash at its end.
+        service: empty where the services of ``shares`` have the requests by their weights.
+        shares: those services, each with its weight.
+    """
+    split = weights(ROUTE_SETTINGS["split"], shares)
+    return {
+        "service": service or max(split, key=lambda name: split[name], default=""),
+        "hosts": [host_name(host)],
+        "path_prefix": path_prefix(prefix),
+        "split": split,
+    }
+
+
+def route_bounds(times: tuple[str, str], priority: float, attempts: float) -> Table:
+    """Return a route's settings of time-out, wanted latency, rank and tries."""
+    timeout, target_latency = times
+    return {
+        "timeout": duration(ROUTE_SETTINGS["timeout"], timeout),
+        "target_latency": duration(ROUTE_SETTINGS["target_latency"], target_latency),
+        "priority": whole_number(ROUTE_SETTINGS["priority"], priority),
+        "retry_limit": whole_number(ROUTE_SETTINGS["retry_limit"], attempts - 1),
+    }
+
+
+def service_table(connections: float, cold_rate: float, cold: tuple[str, str] | None) -> Table:
+    """Return a service's settings; ``cold`` has the health path and the time of a cold start."""
+    limit, rate = SERVICE_SETTINGS["connections_per_backend"], SERVICE_SETTINGS["cold_rate"]
+    table: Table = {limit.name: whole_number(limit, connections)}
+    if cold is not None:
+        table["health_path"] = request_target(cold[0])
+        table["cold_start"] = duration(SERVICE_SETTINGS["cold_start"], cold[1])
+        table[rate.name] = ratio(rate, cold_rate)
+    return table
+
+
+def whole_number(setting: Setting, value: float) -> int:
+    """Return the whole number nearest to ``value`` that the setting allows."""
+    if setting.minimum <= value <= setting.maximum:
+        return int(value)
+    return int(ratio(setting, value))
+
+
+def ratio(setting: Setting, value: float) -> float:
+    """Return the number nearest to ``value`` that the setting allows."""
+    return min(max(value, setting.minimum), setting.maximum)
+
+
+def duration(setting: Setting, text: str) -> str:
+    """Return the duration nearest to ``text`` that the setting allows.
+
+    Zero, where the setting has no zero, stands for no bound: the longest.
+    """
+    seconds = duration_seconds(text)
+    if seconds is None or setting.minimum <= seconds <= setting.maximum:
+        return text
+    if seconds == 0 or seconds > setting.maximum:
+        return f"{setting.maximum:g}s"
+    return f"{setting.minimum / DURATION_UNITS['ms']:g}ms"
+
+
+def path_prefix(text: str) -> str:
+    """Return a prefix that ends with a slash as the tree writes it.
+
+    What has no place there is percent-encoded: it matches what it matches as it is.
+    """
+    prefix = text if text.endswith("//") else text.removesuffix("/") or "/"
+    if is_path_prefix(prefix) or not prefix.startswith("/"):
+        return prefix
+    encoded = _DOT_SEGMENT.sub(lambda dots: dots[0].replace(".", "%2E"), percent.encode(prefix))
+    return _EMPTY_SEGMENT.sub("%2F", encoded)
+
+
+def request_target(text: str) -> str:
+    """Return a path, perhaps with a query, as the tree writes it."""
+    if is_request_target(text):
+        return text
+    path, mark, query = text.partition("?")
+    return "/" + percent.encode(path.removeprefix("/")) + mark + percent.encode(query)
+
+
+@lru_cache(maxsize=VALUES_KEPT)
+def host_name(text: str) -> str:
+    """Return the name of a host without its port: requests are matched without theirs."""
+    name, _, port = text.rpartition(":")
+    return name if port.isdecimal() and is_host(name) else text
+
+
+def weights(setting: Setting, shares: Iterable[tuple[str, float]]) -> dict[str, int]:
+    """Return weights that the setting allows in the proportions of ``shares``.
+
+    Those of one name are summed. Where all are 0 the names share alike.
+    """
+    summed: dict[str, float] = {}
+    for name, weight in shares:
+        summed[name] = summed.get(name, 0) + weight
+    if not any(summed.values()):
+        return dict.fromkeys(summed, 1)
+    largest = max(summed.values())
+    if largest <= setting.maximum and all(map(float.is_integer, summed.values())):
+        return {name: int(weight) for name, weight in summed.items()}
+    scale = setting.maximum / largest
+    return {name: max(1, round(weight * scale)) if weight else 0 for name, weight in summed.items()}
+
+
+def routes_by_name(given: Iterable[tuple[str, Table]]) -> dict[str, Table]:
+    """Return routes by names that the tree may have, each of its own.
+
+    Of routes that match the same requests the first holds.
+    """
+    routes: dict[str, Table] = {}
+    matches: set[tuple[str, str]] = set()
+    for name, route in given:
+        match = (route["hosts"][0].lower(), route["path_prefix"])
+        if match not in matches:
+            matches.add(match)
+            routes[_distinct_name(name, routes, match)] = route
+    return routes
+
+
+def _distinct_name(text: str, taken: Container[str], match: tuple[str, str]) -> str:
+    """Return ``text`` if it is a name and free, otherwise a digest that is the route's own."""
+    if is_name(text) and text not in taken:
+        return text
+    content = "\0".join((text, *match)).encode(errors="replace")
+    return hashlib.blake2b(content, digest_size=NAME_DIGEST_BYTES).hexdigest()
--- a/src/pewtertack/platform/documents.py
+++ b/src/pewtertack/platform/documents.py
@@ -1,4 +1,4 @@
-"""The operator's configuration and evacuations as a tree."""
+"""The operator's configuration and evacuations as a tree, as near as a tree comes to them."""
 
 from __future__ import annotations
 
@@ -7,15 +7,20 @@
 
 import msgspec
 
+from pewtertack.core.configuration import conversion
 from pewtertack.core.configuration.model import RootSection
 from pewtertack.core.items import read_item
 
 REPEATABLE_KINDS = frozenset({"safe", "download"})
 
 
+_Number = Annotated[float, msgspec.Meta(ge=-1e15, le=1e15)]
+_Weight = Annotated[float, msgspec.Meta(ge=0, le=1e15)]
+
+
 class _Share(msgspec.Struct, frozen=True, rename="pascal"):
     service: str
-    weight: int
+    weight: _Weight
 
 
 class _Route(msgspec.Struct, frozen=True, rename="pascal"):
@@ -25,18 +30,18 @@
     kind: str
     timeout: str
     target_latency: str = "0s"
-    priority: int = 0
-    service: str = ""
-    traffic_split: tuple[_Share, ...] = ()
-    max_attempts: int = 1
+    priority: _Number = 0
+    service: str | None = None
+    traffic_split: tuple[_Share, ...] | None = None
+    max_attempts: _Number = 1
 
 
 class _Service(msgspec.Struct, frozen=True, rename="pascal"):
     name: str
-    connection_limit: int
+    connection_limit: _Number
     health_path: str = "/"
     cold_start: str = "0s"
-    cold_per_s: float = msgspec.field(name="ColdPerS", default=0.0)
+    cold_per_s: _Number = msgspec.field(name="ColdPerS", default=0.0)
 
 
 class _Limits(msgspec.Struct, frozen=True, rename="pascal"):
@@ -47,9 +52,9 @@
 
 
 class _Configuration(msgspec.Struct, frozen=True, rename="pascal"):
-    version: Annotated[str, msgspec.Meta(pattern=r"\A(r)?[0-9]{1,9}\Z")]
-    routes: tuple[_Route, ...]
-    services: tuple[_Service, ...]
+    version: Annotated[str, msgspec.Meta(pattern=r"\A(r)?[0-9]{1,18}\Z")]
+    routes: tuple[_Route, ...] | None
+    services: tuple[_Service, ...] | None
     limits: _Limits
 
 
@@ -61,9 +66,10 @@
     """
     given = read_item(value, _Configuration)
     version = int(given.version.removeprefix("r"))
+    routes = ((item.name, _route_of(item)) for item in given.routes or ())
     tree: dict[str, Any] = {
-        "services": {item.name: _service_of(item) for item in given.services},
-        "routes": {item.name: _route_of(item) for item in given.routes},
+        "services": {item.name: _service_of(item) for item in given.services or ()},
+        "routes": conversion.routes_by_name(routes),
     }
     if zones:
         tree[RootSection.EVACUATED_ZONES.value] = list(zones)
@@ -71,24 +77,13 @@
 
 
 def _service_of(service: _Service) -> dict[str, Any]:
-    tree: dict[str, Any] = {"connections_per_backend": service.connection_limit}
-    if service.cold_per_s > 0:
-        tree["health_path"] = service.health_path.rstrip("/") or "/"
-        tree["cold_start"] = service.cold_start
-        tree["cold_rate"] = service.cold_per_s
-    return tree
+    cold = (service.health_path, service.cold_start) if service.cold_per_s > 0 else None
+    return conversion.service_table(service.connection_limit, service.cold_per_s, cold)
 
 
 def _route_of(route: _Route) -> dict[str, Any]:
-    split = {share.service: share.weight for share in route.traffic_split}
-    return {
-        "service": route.service or max(split, key=lambda name: split[name], default=""),
-        "hosts": [route.host],
-        "path_prefix": route.path_prefix.rstrip("/") or "/",
-        "timeout": route.timeout,
-        "target_latency": route.target_latency,
-        "priority": route.priority,
-        "repeatable": route.kind in REPEATABLE_KINDS,
-        "retry_limit": max(0, route.max_attempts - 1),
-        "split": split,
-    }
+    shares = [(share.service, share.weight) for share in route.traffic_split or ()]
+    times = (route.timeout, route.target_latency)
+    table = conversion.route_table(route.host, route.path_prefix, route.service or "", shares)
+    table |= conversion.route_bounds(times, route.priority, route.max_attempts)
+    return {**table, "repeatable": route.kind in REPEATABLE_KINDS}
--- a/src/pewtertack/platform/entries.py
+++ b/src/pewtertack/platform/entries.py
@@ -9,7 +9,7 @@
 
 import msgspec
 
-from pewtertack.core.configuration.model import ZONE_NAME_PATTERN
+from pewtertack.core.configuration.model import NAME_PATTERN, ZONE_NAME_PATTERN
 from pewtertack.core.items import ItemFinding, ItemFormatError, ItemProblem, read_item
 from pewtertack.core.machines import (
     LATEST_START,
@@ -28,7 +28,8 @@
 """What is left of a length of time without the zeros of its number."""
 _ENTRY_NAME = re.compile("[!-~]{1,200}")
 """It goes into a header, as it is."""
-_Name = Annotated[str, msgspec.Meta(pattern=rf"\A{ZONE_NAME_PATTERN}\Z")]
+_Name = Annotated[str, msgspec.Meta(pattern=rf"\A{NAME_PATTERN}\Z")]
+_ZoneName = Annotated[str, msgspec.Meta(pattern=rf"\A{ZONE_NAME_PATTERN}\Z")]
 
 
 class _Entry(msgspec.Struct, frozen=True, rename="pascal"):
@@ -36,11 +37,11 @@
 
     service: _Name
     address: str
-    zone: _Name
+    zone: _ZoneName
     version: str
     slots: Annotated[int, msgspec.Meta(ge=1, le=MAXIMUM_SLOTS)]
     state: Literal["ready", "draining"]
-    cold_remaining: Annotated[str, msgspec.Meta(pattern=r"\A[0-9]{1,9}(\.[0-9]{1,9})?m?s\Z")]
+    cold_remaining: Annotated[str, msgspec.Meta(pattern=r"\A[0-9]{1,18}(\.[0-9]{1,18})?m?s\Z")]
     sequence: Annotated[int, msgspec.Meta(ge=0)]
     born: Annotated[int, msgspec.Meta(ge=0, le=LATEST_START)] = msgspec.field(
         name="born", default=0
--- /dev/null
+++ b/tests/platform/test_unusual_configurations.py
@@ -0,0 +1,310 @@
+"""What the platform's pages allow a configuration is never refused."""
+
+import unittest
+from typing import Any
+
+from hypothesis import given
+from hypothesis import strategies as st
+
+from pewtertack.core.configuration.resolution import resolve_document
+from pewtertack.core.configuration.resolved import ResolvedConfiguration, ResolvedRoute
+from pewtertack.core.configuration.validation import check_document
+from pewtertack.core.machines import machine_list_from_document
+from pewtertack.core.revision import identify
+from pewtertack.platform.documents import tree_of
+from pewtertack.platform.entries import machines_of
+from pewtertack.routing.outcomes import RouteNotFoundError
+from pewtertack.routing.splits import SplitPicker
+from pewtertack.routing.table import RouteTable
+from tests.platform.test_documents import CONFIGURATION, ENTRY, ROUTE, SPLIT_ROUTE, encoded
+
+HOUR = 3600.0
+
+
+def resolved(**fields: Any) -> ResolvedConfiguration:
+    """Return what a node makes of the sample configuration with other ``fields``."""
+    number, tree = tree_of(encoded({**CONFIGURATION, **fields}))
+    return resolve_document(tree, identify(number, tree), "garia")
+
+
+def route_with(**fields: Any) -> ResolvedRoute:
+    (route,) = resolved(Routes=[{**ROUTE, **fields}]).routes
+    return route
+
+
+def shares(*parts: tuple[str, Any]) -> dict[str, int]:
+    split = [{"Service": name, "Weight": weight} for name, weight in parts]
+    (route,) = resolved(Routes=[{**SPLIT_ROUTE, "TrafficSplit": split}]).routes
+    return dict(route.split)
+
+
+class UnusualValueTest(unittest.TestCase):
+    def test_a_route_may_have_any_name(self) -> None:
+        for name in ("Holds", "desk.holds", "_x", "x" * 100, "x" * 500, "", "a b", "Prüfung", "/"):
+            with self.subTest(name):
+                self.assertEqual(route_with(Name=name).path_prefix, "/holds")
+        self.assertEqual(route_with(Name="Desk.Holds").name, "Desk.Holds")
+
+    def test_a_service_may_have_upper_case_dots_and_a_long_name(self) -> None:
+        for name in ("Desk", "desk.v2", "_desk", "desk_", "x" * 128):
+            with self.subTest(name):
+                services = [{"Name": name, "HealthPath": "/health", "ConnectionLimit": 130}]
+                found = resolved(Routes=[{**ROUTE, "Service": name}], Services=services)
+                self.assertEqual(found.routes[0].service, name)
+                document, findings = machines_of({"i-1": encoded({**ENTRY, "Service": name})}, 1, 2)
+                self.assertEqual(findings, ())
+                self.assertEqual(machine_list_from_document(1, document).machines[1].service, name)
+
+    def test_a_time_may_have_any_fraction(self) -> None:
+        for text, seconds in (("1200.0625ms", 1.2000625), ("1.23456789012345s", 1.23456789012345)):
+            with self.subTest(text):
+                self.assertEqual(route_with(Timeout=text).timeout, seconds)
+                self.assertEqual(route_with(TargetLatency=text).objective, seconds)
+                document, findings = machines_of(
+                    {"i-1": encoded({**ENTRY, "ColdRemaining": text})}, 1, 2
+                )
+                self.assertEqual((document["i-1"].get("cold"), findings), (True, ()))
+
+    def test_a_time_beyond_the_bounds_is_the_nearest_and_none_is_the_longest(self) -> None:
+        for text, seconds in (("0.25ms", 0.001), ("7200s", HOUR), ("0s", HOUR), ("0.0ms", HOUR)):
+            with self.subTest(text):
+                self.assertEqual(route_with(Timeout=text).timeout, seconds)
+        self.assertEqual(route_with(TargetLatency="0ms").objective, 0.6)
+        self.assertEqual(route_with(TargetLatency="4000000ms").objective, HOUR)
+
+    def test_numbers_beyond_the_bounds_are_the_nearest(self) -> None:
+        for attempts, limit in ((0, 0), (1, 0), (12, 10), (10**9, 10), (3.0, 2)):
+            with self.subTest(attempts):
+                self.assertEqual(route_with(MaxAttempts=attempts).retry_limit, limit)
+        for priority, rank in ((-1, 0), (1000, 1000), (10**9, 1000), (2.0, 2)):
+            with self.subTest(priority):
+                self.assertEqual(route_with(Priority=priority).priority, rank)
+        for given_limit, limit in ((0, 1), (10**6, 10_000), (130.0, 130)):
+            with self.subTest(given_limit):
+                services = [{**CONFIGURATION["Services"][0], "ConnectionLimit": given_limit}]
+                found = resolved(Routes=[ROUTE], Services=services)
+                self.assertEqual(found.services["desk"].connections_per_backend, limit)
+
+    def test_weights_are_proportions(self) -> None:
+        self.assertEqual(shares(("desk", 0), ("vault", 3)), {"desk": 0, "vault": 3})
+        self.assertEqual(shares(("desk", 0), ("vault", 0)), {"desk": 1, "vault": 1})
+        self.assertEqual(shares(("desk", 5), ("vault", 5), ("desk", 5)), {"desk": 10, "vault": 5})
+        for parts in (("desk", 0.75), ("vault", 0.25)), (("desk", 3 * 10**9), ("vault", 10**9)):
+            split = shares(*parts)
+            self.assertAlmostEqual(split["desk"] / split["vault"], 3, places=4)
+        tiny = shares(("desk", 10**12), ("vault", 1))
+        self.assertGreater(tiny["vault"], 0)
+
+    def test_a_route_may_have_hundreds_of_parts(self) -> None:
+        names = [f"s{number}" for number in range(300)]
+        services = [{"Name": name, "ConnectionLimit": 5} for name in names]
+        split = [{"Service": name, "Weight": 1} for name in names]
+        found = resolved(Routes=[{**SPLIT_ROUTE, "TrafficSplit": split}], Services=services)
+        picker = SplitPicker()
+        picked = {picker.pick(found.routes[0]).service for _ in names}
+        self.assertEqual(picked, set(names))
+
+    def test_what_is_left_out_may_be_null(self) -> None:
+        self.assertEqual(route_with(TrafficSplit=None).service, "desk")
+        found = resolved(Routes=[{**SPLIT_ROUTE, "Service": None}])
+        self.assertEqual(len(found.routes[0].split), 2)
+        self.assertEqual(resolved(Routes=None).routes, ())
+
+    def test_a_version_may_have_many_digits(self) -> None:
+        for version in (1_764_753_600, 1_764_753_600_000, 20_261_203_093_000):
+            number, _ = tree_of(encoded({**CONFIGURATION, "Version": f"r{version}"}))
+            self.assertEqual(number, version)
+
+    def test_a_health_path_is_asked_for_as_it_is(self) -> None:
+        for path in ("/health/", "/health?full=1", "/a%20b", "/"):
+            with self.subTest(path):
+                service = {"Name": "desk", "HealthPath": path, "ConnectionLimit": 1, "ColdPerS": 2}
+                found = resolved(Routes=[ROUTE], Services=[service])
+                self.assertEqual(found.services["desk"].health_path, path)
+
+
+class UnusualMatchTest(unittest.TestCase):
+    def assert_matches(self, route: dict[str, Any], host: str, path: str) -> None:
+        table = RouteTable(resolved(Routes=[{**ROUTE, **route}]))
+        self.assertEqual(table.match(host, path, "GET").service, "desk")
+
+    def test_a_prefix_may_hold_any_character(self) -> None:
+        paths = {
+            "/a%20b/": "/a b/x",
+            "/a b/": "/a b/x",
+            "/über/": "/über/x",
+            "/%C3%BCber/": "/über/x",
+            "/a//": "/a//x",
+            "/a//b/": "/a//b/x",
+            "//": "//x",
+            "/./": "/./x",
+            "/a/../": "/a/../x",
+            "/a%zz/": "/a%zz/x",
+            '/"[^|]"/': '/"[^|]"/x',
+        }
+        for prefix, path in paths.items():
+            with self.subTest(prefix):
+                self.assert_matches({"PathPrefix": prefix}, "desk.example", path)
+
+    def test_an_empty_segment_belongs_to_the_prefix(self) -> None:
+        short, long = {**ROUTE, "PathPrefix": "/a/"}, {**ROUTE, "PathPrefix": "/a//", "Name": "x"}
+        table = RouteTable(resolved(Routes=[short, long]))
+        self.assertEqual(table.match("desk.example", "/a//b", "GET").name, "x")
+        self.assertEqual(table.match("desk.example", "/a/b", "GET").name, "r-1")
+
+    def test_a_host_may_have_any_usual_form(self) -> None:
+        hosts = {
+            "Desk.Example": "desk.example",
+            "desk.example:8080": "desk.example",
+            "my_desk.example": "my_desk.example",
+            "desk.example.": "desk.example.",
+            "10.1.0.8": "10.1.0.8",
+            "10.1.0.8:80": "10.1.0.8",
+            "[fd00::8]": "[fd00::8]",
+            "[fd00::8]:80": "[fd00::8]",
+        }
+        for given_host, host in hosts.items():
+            with self.subTest(given_host):
+                self.assert_matches({"Host": given_host}, host, "/holds/x")
+
+    def test_of_two_routes_to_the_same_requests_the_first_holds(self) -> None:
+        second = {**ROUTE, "Name": "r-3", "Service": "vault", "Host": "Desk.example"}
+        other = {**ROUTE, "Name": "r-4", "PathPrefix": "/other/"}
+        found = resolved(Routes=[ROUTE, second, other])
+        table = RouteTable(found)
+        self.assertEqual(table.match("desk.example", "/holds/1", "GET").service, "desk")
+        self.assertEqual(table.match("desk.example", "/other/1", "GET").service, "desk")
+
+    def test_two_routes_of_one_name_are_two(self) -> None:
+        other = {**ROUTE, "PathPrefix": "/other/", "Service": "vault"}
+        table = RouteTable(resolved(Routes=[ROUTE, other]))
+        self.assertEqual(table.match("desk.example", "/holds/1", "GET").service, "desk")
+        self.assertEqual(table.match("desk.example", "/other/1", "GET").service, "vault")
+
+
+class BadConfigurationTest(unittest.TestCase):
+    def test_a_version_that_is_really_bad_is_refused_whole(self) -> None:
+        bad = (
+            {"Service": "nobody"},
+            {"Service": "", "TrafficSplit": []},
+            {"PathPrefix": "holds/"},
+            {"Host": "a..example"},
+            {"Host": ""},
+            {"Timeout": "soon"},
+            {"Timeout": "1e3ms"},
+            {"Timeout": "-1s"},
+        )
+        for fields in bad:
+            with self.subTest(fields):
+                _, tree = tree_of(encoded({**CONFIGURATION, "Routes": [{**ROUTE, **fields}]}))
+                self.assertNotEqual(check_document(tree), ())
+
+
+# Configurations by the pages' grammar.
+
+SERVICE_NAMES = st.from_regex(r"\A[A-Za-z0-9_][A-Za-z0-9._-]{0,30}\Z")
+LABELS = st.from_regex(r"\A[A-Za-z0-9_]([A-Za-z0-9-]{0,8}[a-z0-9])?\Z")
+HOSTS = st.lists(LABELS, min_size=1, max_size=4).map(".".join)
+SEGMENTS = st.text(
+    st.characters(min_codepoint=0x20, max_codepoint=0x2FF, exclude_characters="/%~\x7f"), max_size=6
+)
+LAST_SEGMENT = "/~"
+"""No prefix has it: one without its last slash is served too, though it does not begin the path."""
+PREFIXES = st.lists(SEGMENTS, max_size=4).map(lambda parts: "/" + "".join(f"{p}/" for p in parts))
+NUMBERS = st.integers(0, 10**15) | st.floats(0, 10**6, allow_nan=False).map(lambda x: round(x, 6))
+TIMES = st.builds(
+    lambda number, unit: f"{number:f}{unit}", NUMBERS.map(float), st.sampled_from(["ms", "s"])
+) | st.builds(
+    lambda number, unit: f"{number}{unit}", st.integers(0, 10**9), st.sampled_from(["ms", "s"])
+)
+EXTRA = st.dictionaries(
+    st.sampled_from(["Comment", "Owner", "Tls"]), st.none() | st.text(max_size=3)
+)
+
+
+@st.composite
+def route_items(draw: st.DrawFn, services: list[str], hosts: list[str]) -> dict[str, Any]:
+    route: dict[str, Any] = {
+        "Name": draw(st.text(max_size=8) | SERVICE_NAMES),
+        "Host": draw(st.sampled_from(hosts)),
+        "PathPrefix": draw(PREFIXES),
+        "Kind": draw(st.sampled_from(["safe", "unsafe", "download", "upload", "new"])),
+        "Timeout": draw(TIMES),
+        "TargetLatency": draw(TIMES),
+        "Priority": draw(st.integers(0, 10**6)),
+        "MaxAttempts": draw(st.integers(0, 10**4)),
+        **draw(EXTRA),
+    }
+    if draw(st.booleans()):
+        route["Service"] = draw(st.sampled_from(services))
+    else:
+        parts = draw(
+            st.lists(st.tuples(st.sampled_from(services), NUMBERS), min_size=1, max_size=9)
+        )
+        route["TrafficSplit"] = [{"Service": name, "Weight": weight} for name, weight in parts]
+    return route
+
+
+@st.composite
+def configurations(draw: st.DrawFn) -> dict[str, Any]:
+    services = draw(st.lists(SERVICE_NAMES, min_size=1, max_size=5))
+    hosts = draw(st.lists(HOSTS, min_size=1, max_size=3))
+    return {
+        "Version": "r" + str(draw(st.integers(1, 10**17))),
+        "Routes": draw(st.lists(route_items(services, hosts), max_size=12)),
+        "Services": [
+            {
+                "Name": name,
+                "HealthPath": draw(PREFIXES),
+                "ConnectionLimit": draw(st.integers(0, 10**6)),
+                "ColdStart": draw(TIMES),
+                "ColdPerS": draw(NUMBERS),
+                **draw(EXTRA),
+            }
+            for name in services
+        ],
+        "Limits": CONFIGURATION["Limits"],
+        **draw(EXTRA),
+    }
+
+
+def route_by_the_pages(routes: list[dict[str, Any]], host: str, path: str) -> dict[str, Any] | None:
+    """Return the route of the host with the longest prefix that begins the path; the first."""
+    found = None
+    for route in routes:
+        fits = route["Host"].lower() == host and path.startswith(route["PathPrefix"])
+        if fits and (found is None or len(route["PathPrefix"]) > len(found["PathPrefix"])):
+            found = route
+    return found
+
+
+class GrammarTest(unittest.TestCase):
+    @given(configurations(), st.data())
+    def test_each_is_accepted_and_matched_as_the_pages_say(
+        self, configuration: dict[str, Any], data: st.DataObject
+    ) -> None:
+        number, tree = tree_of(encoded(configuration))
+        self.assertEqual(check_document(tree), ())
+        table = RouteTable(resolve_document(tree, identify(number, tree), "garia"))
+        routes = configuration["Routes"]
+        for given_route in routes:
+            host = given_route["Host"].lower()
+            path = given_route["PathPrefix"] + data.draw(SEGMENTS) + LAST_SEGMENT
+            expected = route_by_the_pages(routes, host, path)
+            assert expected is not None
+            self.check_route(table.match(host, path, "GET"), expected)
+        with self.assertRaises(RouteNotFoundError):
+            table.match("elsewhere.invalid", "/", "GET")
+
+    def check_route(self, route: ResolvedRoute, expected: dict[str, Any]) -> None:
+        services = {part["Service"] for part in expected.get("TrafficSplit", [])}
+        self.assertEqual(set(route.split), services)
+        if not services:
+            self.assertEqual(route.service, expected["Service"])
+        self.assertEqual(route.repeatable, expected["Kind"] in ("safe", "download"))
+        self.assertLess(route.retry_limit, max(1, expected["MaxAttempts"]))
+        self.assertGreater(route.timeout, 0)
+
+
+if __name__ == "__main__":
+    unittest.main()
