--- a/src/pewtertack/core/configuration/conversion.py
+++ b/src/pewtertack/core/configuration/conversion.py
@@ -9,12 +9,17 @@
 
 import hashlib
 import re
-from collections.abc import Container, Iterable
+from collections.abc import Container, Iterable, Sequence
 from functools import lru_cache
 from typing import Any
 
 from pewtertack.core.configuration import percent
-from pewtertack.core.configuration.model import DURATION_UNITS, Setting
+from pewtertack.core.configuration.model import (
+    DURATION_UNITS,
+    ROUTE_SETTINGS,
+    SERVICE_SETTINGS,
+    Setting,
+)
 from pewtertack.core.configuration.values import (
     duration_seconds,
     is_host,
@@ -27,10 +32,52 @@
 """Different texts whose form is remembered; a configuration has few."""
 NAME_DIGEST_BYTES = 8
 
+Table = dict[str, Any]
+
 _DOT_SEGMENT = re.compile(r"(?<=/)\.\.?(?=/|$)")
 _EMPTY_SEGMENT = re.compile("(?<=/)/")
 
 
+def route_table(host: str, prefix: str, service: str, shares: Sequence[tuple[str, float]]) -> Table:
+    """Return a route's settings of what it matches and where it leads.
+
+    Args:
+        host: its only one.
+        prefix: of the path, with a slash at its end.
+        service: empty where the services of ``shares`` have the requests by their weights.
+        shares: those services, each with its weight.
+    """
+    split = weights(ROUTE_SETTINGS["split"], shares)
+    return {
+        "service": service or max(split, key=lambda name: split[name], default=""),
+        "hosts": [host_name(host)],
+        "path_prefix": path_prefix(prefix),
+        "split": split,
+    }
+
+
+def route_bounds(times: tuple[str, str], priority: float, attempts: float) -> Table:
+    """Return a route's settings of time-out, wanted latency, rank and tries."""
+    timeout, target_latency = times
+    return {
+        "timeout": duration(ROUTE_SETTINGS["timeout"], timeout),
+        "target_latency": duration(ROUTE_SETTINGS["target_latency"], target_latency),
+        "priority": whole_number(ROUTE_SETTINGS["priority"], priority),
+        "retry_limit": whole_number(ROUTE_SETTINGS["retry_limit"], attempts - 1),
+    }
+
+
+def service_table(connections: float, cold_rate: float, cold: tuple[str, str] | None) -> Table:
+    """Return a service's settings; ``cold`` has the health path and the time of a cold start."""
+    limit, rate = SERVICE_SETTINGS["connections_per_backend"], SERVICE_SETTINGS["cold_rate"]
+    table: Table = {limit.name: whole_number(limit, connections)}
+    if cold is not None:
+        table["health_path"] = request_target(cold[0])
+        table["cold_start"] = duration(SERVICE_SETTINGS["cold_start"], cold[1])
+        table[rate.name] = ratio(rate, cold_rate)
+    return table
+
+
 def whole_number(setting: Setting, value: float) -> int:
     """Return the whole number nearest to ``value`` that the setting allows."""
     if setting.minimum <= value <= setting.maximum:
@@ -100,12 +147,12 @@
     return {name: max(1, round(weight * scale)) if weight else 0 for name, weight in summed.items()}
 
 
-def routes_by_name(given: Iterable[tuple[str, dict[str, Any]]]) -> dict[str, dict[str, Any]]:
+def routes_by_name(given: Iterable[tuple[str, Table]]) -> dict[str, Table]:
     """Return routes by names that the tree may have, each of its own.
 
     Of routes that match the same requests the first holds.
     """
-    routes: dict[str, dict[str, Any]] = {}
+    routes: dict[str, Table] = {}
     matches: set[tuple[str, str]] = set()
     for name, route in given:
         match = (route["hosts"][0].lower(), route["path_prefix"])
--- a/src/pewtertack/platform/documents.py
+++ b/src/pewtertack/platform/documents.py
@@ -1,8 +1,4 @@
-"""The operator's configuration and evacuations as a tree.
-
-The store accepts valid ones alone. A value that a tree cannot have is brought to the nearest that
-it can (``core.configuration.conversion``).
-"""
+"""The operator's configuration and evacuations as a tree, as near as a tree comes to them."""
 
 from __future__ import annotations
 
@@ -12,7 +8,7 @@
 import msgspec
 
 from pewtertack.core.configuration import conversion
-from pewtertack.core.configuration.model import ROUTE_SETTINGS, SERVICE_SETTINGS, RootSection
+from pewtertack.core.configuration.model import RootSection
 from pewtertack.core.items import read_item
 
 REPEATABLE_KINDS = frozenset({"safe", "download"})
@@ -70,11 +66,10 @@
     """
     given = read_item(value, _Configuration)
     version = int(given.version.removeprefix("r"))
+    routes = ((item.name, _route_of(item)) for item in given.routes or ())
     tree: dict[str, Any] = {
         "services": {item.name: _service_of(item) for item in given.services or ()},
-        "routes": conversion.routes_by_name(
-            (item.name, _route_of(item)) for item in given.routes or ()
-        ),
+        "routes": conversion.routes_by_name(routes),
     }
     if zones:
         tree[RootSection.EVACUATED_ZONES.value] = list(zones)
@@ -82,28 +77,13 @@
 
 
 def _service_of(service: _Service) -> dict[str, Any]:
-    limit, rate = SERVICE_SETTINGS["connections_per_backend"], SERVICE_SETTINGS["cold_rate"]
-    tree: dict[str, Any] = {limit.name: conversion.whole_number(limit, service.connection_limit)}
-    if service.cold_per_s > 0:
-        cold = SERVICE_SETTINGS["cold_start"]
-        tree["health_path"] = conversion.request_target(service.health_path)
-        tree[cold.name] = conversion.duration(cold, service.cold_start)
-        tree[rate.name] = conversion.ratio(rate, service.cold_per_s)
-    return tree
+    cold = (service.health_path, service.cold_start) if service.cold_per_s > 0 else None
+    return conversion.service_table(service.connection_limit, service.cold_per_s, cold)
 
 
 def _route_of(route: _Route) -> dict[str, Any]:
     shares = [(share.service, share.weight) for share in route.traffic_split or ()]
-    split = conversion.weights(ROUTE_SETTINGS["split"], shares)
-    target, retries = ROUTE_SETTINGS["target_latency"], ROUTE_SETTINGS["retry_limit"]
-    return {
-        "service": route.service or max(split, key=lambda name: split[name], default=""),
-        "hosts": [conversion.host_name(route.host)],
-        "path_prefix": conversion.path_prefix(route.path_prefix),
-        "timeout": conversion.duration(ROUTE_SETTINGS["timeout"], route.timeout),
-        "target_latency": conversion.duration(target, route.target_latency),
-        "priority": conversion.whole_number(ROUTE_SETTINGS["priority"], route.priority),
-        "repeatable": route.kind in REPEATABLE_KINDS,
-        "retry_limit": conversion.whole_number(retries, route.max_attempts - 1),
-        "split": split,
-    }
+    times = (route.timeout, route.target_latency)
+    table = conversion.route_table(route.host, route.path_prefix, route.service or "", shares)
+    table |= conversion.route_bounds(times, route.priority, route.max_attempts)
+    return {**table, "repeatable": route.kind in REPEATABLE_KINDS}
