A request without a route waits for a newer configuration that is on its way

What callers see today: 404 at a node that has not got a change yet, which tells them that they are wrong and need not come back; the change may be in force there a moment later.

Change: where a newer configuration is committed than the one in force, a request without a route waits for the swap up to a quarter of its time, 1 s at most, 64 of them at once, with its head alone and its body unread; the swap decides. If none comes, or more wait, it is refused as not run with a time to come back (configuration-behind, 503). Where the newer one was refused by this node, nothing is on its way: it is refused at once. A node that knows of nothing newer says 404 at once as before.

A quarter: what is left is enough for the request itself, whose route's objective is a part of the caller's time. A caller that is told to come back may find another node, or this one, current.

Not covered: a node that has heard of nothing newer can't know. A configuration that the readers refuse is told to nobody.

--- a/src/pewtertack/core/replication/replica.py
+++ b/src/pewtertack/core/replication/replica.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from enum import Enum
+
 import msgspec
 
 from pewtertack.core.configuration.findings import Finding
@@ -25,6 +27,17 @@
 REPORTED_FINDINGS = 5
 
 
+class Lag(Enum):
+    """What is known of a revision newer than the one in force."""
+
+    NONE = "none"
+    """There is none."""
+    COMING = "coming"
+    """It is committed, and will be in force as soon as it is here."""
+    REFUSED = "refused"
+    """It was found invalid here."""
+
+
 class Rejection(msgspec.Struct, frozen=True):
     """A refused revision and why."""
 
@@ -61,6 +74,15 @@
         """The number of the revision in force; 0 for none."""
         return self.in_force.revision.number if self.in_force is not None else 0
 
+    @property
+    def lag(self) -> Lag:
+        """Whether the revision in force is the newest that is known."""
+        refused = self.last_rejection.revision.number if self.last_rejection is not None else 0
+        newest = max(self.committed.number, refused)
+        if newest <= self.in_force_number:
+            return Lag.NONE
+        return Lag.REFUSED if newest == refused else Lag.COMING
+
     def wants(self, revision: RevisionId) -> bool:
         """Tell whether ``revision`` is worth pulling from a peer."""
         if self.last_rejection is not None and revision == self.last_rejection.revision:
--- a/src/pewtertack/node/assembly.py
+++ b/src/pewtertack/node/assembly.py
@@ -91,6 +91,7 @@
     reporter.connect(core.crashes.ledger, runtime.feed)
     if proxy is not None:
         proxy.watch_leaving(runtime.note_backend_leaving)
+        proxy.catching_up.lag = lambda: core.replication.replica.lag
     addresses = _addresses(sockets, identity)
     in_flight, reaches_all = _in_flight_of(proxy), _reach_of(proxy)
     view = NodeView(
--- a/src/pewtertack/node/proxy/application.py
+++ b/src/pewtertack/node/proxy/application.py
@@ -2,12 +2,14 @@
 
 from __future__ import annotations
 
+import math
 from collections.abc import Callable
 from random import Random
 from typing import TYPE_CHECKING
 
 from pewtertack.core.configuration.resolved import ResolvedConfiguration, ResolvedRoute
 from pewtertack.core.machines import MachineList
+from pewtertack.core.replication.replica import Lag
 from pewtertack.events import Event
 from pewtertack.node.counting import MetricsRegistry
 from pewtertack.node.crash_reporter import CrashReporter
@@ -15,6 +17,7 @@
 from pewtertack.node.http.cycle import Scope
 from pewtertack.node.proxy.answers import Receive, Send, send_failure
 from pewtertack.node.proxy.body import CallerGoneError
+from pewtertack.node.proxy.catching_up import CatchingUp
 from pewtertack.node.proxy.edge import PRODUCT_EDGE, EdgeHeaders
 from pewtertack.node.proxy.exchange import TruncatedAnswerError
 from pewtertack.node.proxy.forwarding import Forwarding, ForwardingParts
@@ -38,12 +41,14 @@
 from pewtertack.routing.deadlines import deadline_of
 from pewtertack.routing.dispatcher import Dispatcher
 from pewtertack.routing.outcomes import (
+    ConfigurationBehindError,
     DrainingError,
     InternalError,
     InvalidRequestError,
     NotServingError,
     ProtocolVersionError,
     RequestFailedError,
+    RouteNotFoundError,
 )
 from pewtertack.routing.policies import DEFAULT_POLICIES, Policies
 from pewtertack.routing.registry import ListChange
@@ -139,6 +144,8 @@
         self._serving = False
         self._retry_after = 1.0
         self._tell_leaving: LeavingObserver = _ignore_leaving
+        self.catching_up = CatchingUp(clock)
+        """Requests whose route a newer configuration may have."""
 
     def watch_leaving(self, observer: LeavingObserver) -> None:
         """Tell ``observer`` once of each back end that says in an answer that it leaves."""
@@ -147,6 +154,7 @@
     def use_configuration(self, configuration: ResolvedConfiguration) -> None:
         """Serve requests that begin from now on by ``configuration``."""
         self._table = RouteTable(configuration)
+        self.catching_up.note_swap()
         self._beliefs.revision = configuration.revision.number
         self._beliefs.revision_at = self._clock()
         self._parts.dispatcher.use_zone(configuration.zone)
@@ -277,8 +285,13 @@
 
     async def _forward(self, scope: Scope, receive: Receive, send: Send, head: RequestHead) -> None:
         assert self._table is not None
-        configuration = self._table.configuration
-        route = self._table.match(head.host, scope["path"], scope["method"])
+        table = self._table
+        try:
+            route = table.match(head.host, scope["path"], scope["method"])
+        except RouteNotFoundError:
+            table = await self._newer_table(head)
+            route = table.match(head.host, scope["path"], scope["method"])
+        configuration = table.configuration
         route = self._parts.dispatcher.pick_service(route)
         began = self._clock()
         deadline = deadline_of(began, head.deadline, route.timeout)
@@ -318,6 +331,20 @@
             if forwarding.ticket.within:
                 self._parts.runs.note_call(route.name, self._clock(), failed)
 
+    async def _newer_table(self, head: RequestHead) -> RouteTable:
+        """Return the table of a newer configuration than knows no route for the request.
+
+        Raises:
+            RouteNotFoundError: the node knows of none.
+            ConfigurationBehindError: it is not in force in time.
+        """
+        if self.catching_up.lag() is Lag.NONE:
+            raise RouteNotFoundError("no route for this host and path")
+        deadline = deadline_of(self._clock(), head.deadline, math.inf)
+        if not await self.catching_up.wait(deadline) or self._table is None:
+            raise ConfigurationBehindError("a newer configuration is not in force here yet")
+        return self._table
+
 
 def _collector_of(
     dispatcher: Dispatcher, in_flight: Callable[[], int], clock: Callable[[], float]
--- /dev/null
+++ b/src/pewtertack/node/proxy/catching_up.py
@@ -0,0 +1,61 @@
+"""Requests without a route, at a node that knows of a newer configuration than it serves by.
+
+The newer one may have the route. Until it is in force such a request waits, as few as are bounded
+and briefly, or is refused as not run: "no such route" would end it for good.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+
+import anyio
+
+from pewtertack.core.replication.replica import Lag
+
+WAITING_MOST = 64
+"""Requests that wait at once; each holds its connection and its head, none its body."""
+SHARE_OF_DEADLINE = 0.25
+LONGEST_WAIT = 1.0
+"""Seconds. Most changes are in force on a node sooner after it has heard of them."""
+
+
+def _none() -> Lag:
+    return Lag.NONE
+
+
+class CatchingUp:
+    """Tells requests when another configuration is in force.
+
+    Args:
+        clock: monotonic time in seconds.
+    """
+
+    def __init__(self, clock: Callable[[], float]) -> None:
+        self.lag: Callable[[], Lag] = _none
+        """What is known of a newer configuration than the one in force."""
+        self.waiting = 0
+        """Requests that wait for it."""
+        self._clock = clock
+        self._swapped = anyio.Event()
+
+    def note_swap(self) -> None:
+        """Another configuration is in force."""
+        self._swapped.set()
+        self._swapped = anyio.Event()
+
+    async def wait(self, deadline: float) -> bool:
+        """Wait for another configuration; tell whether there is one.
+
+        Args:
+            deadline: of the request, in monotonic seconds; of its time a share is spent.
+        """
+        if self.waiting >= WAITING_MOST or self.lag() is not Lag.COMING:
+            return False
+        swapped, left = self._swapped, deadline - self._clock()
+        self.waiting += 1
+        try:
+            with anyio.move_on_after(min(left * SHARE_OF_DEADLINE, LONGEST_WAIT)):
+                await swapped.wait()
+        finally:
+            self.waiting -= 1
+        return swapped.is_set()
--- a/src/pewtertack/routing/outcomes.py
+++ b/src/pewtertack/routing/outcomes.py
@@ -139,6 +139,12 @@
     code: ClassVar[str] = "not-serving"
 
 
+class ConfigurationBehindError(NotRunError):
+    """No route matches, but the node knows of a newer configuration than it serves by."""
+
+    code: ClassVar[str] = "configuration-behind"
+
+
 class DrainingError(NotRunError):
     """The node is stopping by plan and takes no new requests."""
 
--- a/tests/core/replication/test_replica.py
+++ b/tests/core/replication/test_replica.py
@@ -6,7 +6,7 @@
 from pewtertack.core.delta import Delta, DeltaMismatchError, SetValue, compare
 from pewtertack.core.effects import Log
 from pewtertack.core.profile import Mechanisms
-from pewtertack.core.replication.replica import ConfigurationReplica
+from pewtertack.core.replication.replica import ConfigurationReplica, Lag
 from pewtertack.core.revision import RevisionId, identify
 from pewtertack.events import Event
 
@@ -39,6 +39,19 @@
         self.assertEqual(configuration.routes[0].timeout, 1.0)
         self.assertIsNone(self.replica.next_in_force())
 
+    def test_it_knows_whether_a_newer_revision_is_coming_or_was_refused(self) -> None:
+        self.commit(self.replica.held)
+        self.assertIs(self.replica.lag, Lag.COMING)
+        self.replica.next_in_force()
+        self.assertIs(self.replica.lag, Lag.NONE)
+        self.replica.offer_document(6, {"routes": {"browse": {"service": "nowhere"}}})
+        self.assertIs(self.replica.lag, Lag.REFUSED)
+        self.commit(identify(8, tree("2s")))
+        self.assertIs(self.replica.lag, Lag.COMING)
+        self.replica.offer_document(8, tree("2s"))
+        self.replica.next_in_force()
+        self.assertIs(self.replica.lag, Lag.NONE)
+
     def test_an_older_answer_of_the_source_is_ignored(self) -> None:
         effects = self.replica.offer_document(4, tree("9s"))
         self.assertEqual(event_of(effects), Event.REVISION_STALE)
