A refused revision is told of while it lasts: two gauges, the status, a log event a minute

What operators saw: one REVISION_REJECTED among each node's lines when a version came, and last_rejection in the status, without a time and also long after a newer version had come into force. Nothing on the metrics address told that a fleet was going on with an older version, and callers of the new routes got 404.

Change: replication.refusals notices that a revision newer than the held one is refused, since when, and logs REVISION_REJECTED again every 60 s with `lasting`, until a newer one is held. pewtertack_revision_refused is the refused revision (0: none), and pewtertack_revision_refused_since_seconds the Unix time of the first refusal since the held one (0: none); last_rejection.since in the status has the same time.

--- a/src/pewtertack/cli/status.py
+++ b/src/pewtertack/cli/status.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import time
 from collections.abc import Sequence
 from typing import TYPE_CHECKING, Annotated
 
@@ -28,6 +29,7 @@
     *("SOURCE AGE", "READER", "PEERS", "IN FLIGHT", "REJECTED"),
 )
 NOTHING = "-"
+UTC_TIME = "%Y-%m-%d %H:%M:%S UTC"
 
 
 def status(
@@ -124,6 +126,9 @@
     if rejection is None:
         return []
     start = f"{node.name}: revision {rejection.revision.number} refused"
+    if rejection.since is not None:
+        moment = time.strftime(UTC_TIME, time.gmtime(rejection.since))
+        start += f", newer ones than held since {moment}"
     return [
         f"{start}: {finding.path}: {finding.code}: {finding.message}"
         for finding in rejection.findings
--- /dev/null
+++ b/src/pewtertack/core/replication/refusals.py
@@ -0,0 +1,35 @@
+"""Since when a replica has refused what its source says, for whoever must be woken up."""
+
+from __future__ import annotations
+
+from pewtertack.core.effects import Effect
+from pewtertack.core.replication.replica import ConfigurationReplica
+
+REPEAT_SECONDS = 60.0
+"""Between two log events of a refusal that lasts."""
+
+
+class RefusalWatch:
+    """Notices that a revision newer than the held one is refused, and logs it while that lasts."""
+
+    __slots__ = ("_logged_at", "_replica", "since")
+
+    def __init__(self, replica: ConfigurationReplica) -> None:
+        self._replica = replica
+        self._logged_at = 0.0
+        self.since: float | None = None
+        """Monotonic seconds of the first refusal since the held revision; none without one."""
+
+    def tick(self, now: float) -> list[Effect]:
+        """Return the log event that is due."""
+        refused = self._replica.refused
+        if refused is None:
+            self.since = None
+            return []
+        if self.since is None:
+            self.since = self._logged_at = now
+            return []
+        if now - self._logged_at < REPEAT_SECONDS:
+            return []
+        self._logged_at = now
+        return [self._replica.log_of(refused, lasting=now - self.since)]
--- a/src/pewtertack/core/replication/replica.py
+++ b/src/pewtertack/core/replication/replica.py
@@ -61,6 +61,14 @@
         """The number of the revision in force; 0 for none."""
         return self.in_force.revision.number if self.in_force is not None else 0
 
+    @property
+    def refused(self) -> Rejection | None:
+        """The last refused revision while nothing as new is held."""
+        rejection = self.last_rejection
+        if rejection is None or rejection.revision.number <= self.held.number:
+            return None
+        return rejection
+
     def wants(self, revision: RevisionId) -> bool:
         """Tell whether ``revision`` is worth pulling from a peer."""
         if self.last_rejection is not None and revision == self.last_rejection.revision:
@@ -150,10 +158,7 @@
         if not findings:
             return None
         self.last_rejection = Rejection(revision, findings)
-        reasons = [str(finding) for finding in findings]
-        log = self._log(Event.REVISION_REJECTED, revision)
-        log.fields["findings"] = reasons[:REPORTED_FINDINGS]
-        return [log]
+        return [self.log_of(self.last_rejection)]
 
     def mark_committed(self, revision: RevisionId) -> bool:
         """Take in a commit mark; return whether it was news."""
@@ -178,6 +183,14 @@
         self.in_force = resolve_checked(document, target, self._zone, self._resolved)
         return self.in_force
 
+    def log_of(self, rejection: Rejection, lasting: float | None = None) -> Log:
+        """Return the event of a refusal; ``lasting`` is for how many seconds it was known."""
+        log = self._log(Event.REVISION_REJECTED, rejection.revision)
+        log.fields["findings"] = list(map(str, rejection.findings[:REPORTED_FINDINGS]))
+        if lasting is not None:
+            log.fields["lasting"] = round(lasting, 3)
+        return log
+
     def _log_held(self) -> Log:
         return self._log(Event.REVISION_HELD, self.held)
 
--- a/src/pewtertack/core/replication/service.py
+++ b/src/pewtertack/core/replication/service.py
@@ -29,6 +29,7 @@
 from pewtertack.core.replication.read_log import ReadLogs
 from pewtertack.core.replication.reader import HeldOfSource, PlatformReader
 from pewtertack.core.replication.readership import READERSHIPS, ReadershipParts
+from pewtertack.core.replication.refusals import RefusalWatch
 from pewtertack.core.replication.replica import ConfigurationReplica
 from pewtertack.core.replication.stage_reports import StageReports
 from pewtertack.core.replication.stages import Way
@@ -80,6 +81,7 @@
         self._random = random
         self._source = source or SourceProperties()
         self.replica = ConfigurationReplica(identity.zone, profile.mechanisms)
+        self.refusals = RefusalWatch(self.replica)
         self.machine_list = MachineListReplica(self._source.hold_after_return)
         self.era = 0
         """The latest era of the source that this node has heard of."""
@@ -155,7 +157,7 @@
         A joiner reads a durable source itself, since that alone lets it serve.
         """
         numbers = {kind: self.held_number(kind) for kind in DocumentKind}
-        effects = self.machine_list.tick(now)
+        effects = self.machine_list.tick(now) + self.refusals.tick(now)
         effects += self.reader.tick(
             now, may_read, numbers, joining and self._source.durable, self._held_of_source()
         )
--- a/src/pewtertack/node/metrics.py
+++ b/src/pewtertack/node/metrics.py
@@ -82,6 +82,7 @@
             yield _gauge(
                 "machine_list_age_seconds", "Since the machine list's source answered.", age
             )
+        yield from _refusal(status)
         peers = GaugeMetricFamily("pewtertack_peers", "Known peers by status.", labels=["status"])
         for name, count in status.peers.items():
             peers.add_metric([name], count)
@@ -124,3 +125,13 @@
 
 def _gauge(name: str, documentation: str, value: float) -> GaugeMetricFamily:
     return GaugeMetricFamily(f"pewtertack_{name}", documentation, value=value)
+
+
+def _refusal(status: NodeStatus) -> Iterator[Metric]:
+    """Yield what is above 0 while the source's newest revision is refused."""
+    rejection = status.last_rejection
+    revision, since = 0, 0.0
+    if rejection is not None and rejection.since is not None:
+        revision, since = rejection.revision.number, rejection.since
+    yield _gauge("revision_refused", "Newer revision than held that is refused; 0: none.", revision)
+    yield _gauge("revision_refused_since_seconds", "Unix time of its refusal; 0: none.", since)
--- a/src/pewtertack/node/status.py
+++ b/src/pewtertack/node/status.py
@@ -25,6 +25,8 @@
 
     revision: RevisionStatus
     findings: tuple[FindingStatus, ...]
+    since: float | None = None
+    """Unix seconds since when newer revisions than the held one are refused; none if none is."""
 
 
 class ByteStatus(msgspec.Struct, frozen=True):
--- a/src/pewtertack/node/view.py
+++ b/src/pewtertack/node/view.py
@@ -79,7 +79,7 @@
             machine_list_age=_age(now, answers.get(DocumentKind.MACHINE_LIST)),
             machine_list_number=revision_of(replication.machine_list.machines.number),
             peers=self._peers_by_status(),
-            last_rejection=_rejection(replica.last_rejection),
+            last_rejection=self._last_rejection(now),
             stale_answers=replica.stale_answers,
             conflicts=replica.conflicts,
             in_flight=self.in_flight(),
@@ -133,6 +133,14 @@
         logs = replication.reads.of if reads else {}
         return {kind.name.lower(): _read(now, log) for kind, log in logs.items()}
 
+    def _last_rejection(self, now: float) -> RejectionStatus | None:
+        replication = self.core.replication
+        status, since = _rejection(replication.replica.last_rejection), replication.refusals.since
+        if status is None or since is None:
+            return status
+        unix_since = round(clock.unix_time() - (now - since), 3)
+        return msgspec.structs.replace(status, since=unix_since)
+
     def _refused_requests(self, now: float) -> tuple[RefusedRequestStatus, ...]:
         ledger = self.core.crashes.ledger
         held = [item for item in ledger if item.count >= DEFAULT_CRASH_LIMIT]
--- a/tests/node/test_process.py
+++ b/tests/node/test_process.py
@@ -38,6 +38,12 @@
 }
 
 
+def since_of(page: Any) -> Any:
+    """Return since when a status page says that revisions are refused."""
+    rejection = page["last_rejection"]
+    return rejection and rejection["since"]
+
+
 class NodeProcessTest(ProxyTestCase):
     async def asyncSetUp(self) -> None:
         self.release = anyio.Event()
@@ -108,9 +114,36 @@
                 while (await get(ready_b["proxy"], "/contacts"))[0] != 503:
                     await anyio.sleep(0.02)
 
-    async def edit(self) -> None:
-        tree = copy.deepcopy(TREE)
-        tree["secrets"]["token"] = "hush2"
+    async def test_a_refused_revision_shows_in_metrics_and_status_until_a_newer_one_holds(
+        self,
+    ) -> None:
+        async with self.fleet() as (a, _):
+            admin = a.lines[0]["admin"]
+            metrics = (await get(admin, "/metrics"))[2]
+            self.assertIn(b"\npewtertack_revision_refused 0.0\n", metrics)
+            self.assertIn(b"\npewtertack_revision_refused_since_seconds 0.0\n", metrics)
+            begun = time.time()
+            await self.edit({**TREE, "services": {"archive": {}}})
+            await a.wait_event("REVISION_REJECTED", revision=2)
+            page = await get_until(admin, "/status", lambda page: since_of(page) is not None)
+            self.assertTrue(begun - 1.0 < since_of(page) < time.time() + 1.0)
+            metrics = (await get(admin, "/metrics"))[2]
+            self.assertIn(b"\npewtertack_revision_refused 2.0\n", metrics)
+            self.assertNotIn(b"pewtertack_revision_refused_since_seconds 0.0", metrics)
+            reports = await read_reports((f"http://{admin}",), 30.0)
+            self.assertIn(
+                "a: revision 2 refused, newer ones than held since 2", format_reports(reports)
+            )
+            await self.edit()
+            await get_until(admin, "/status", lambda page: page["in_force"]["number"] == 3)
+            await get_until(admin, "/status", lambda page: since_of(page) is None)
+            metrics = (await get(admin, "/metrics"))[2]
+            self.assertIn(b"\npewtertack_revision_refused 0.0\n", metrics)
+
+    async def edit(self, tree: Any = None) -> None:
+        if tree is None:
+            tree = copy.deepcopy(TREE)
+            tree["secrets"]["token"] = "hush2"
         async with httpcore.AsyncConnectionPool() as pool:
             url = f"http://{self.source.control.address}/tree"
             answer = await pool.request("PUT", url, content=json.dumps(tree).encode())
