--- a/src/pewtertack/node/metrics.py
+++ b/src/pewtertack/node/metrics.py
@@ -45,12 +45,6 @@
         yield _gauge("held_revision", "Newest revision held whole.", status.held.number)
         yield _gauge("committed_revision", "Newest committed revision.", status.committed.number)
         yield _gauge("in_force_revision", "Revision in force.", status.in_force.number)
-        rejection = status.last_rejection
-        yield _gauge(
-            "rejected_revision",
-            "Last revision that validation refused here; 0 without one.",
-            rejection.revision.number if rejection is not None else 0,
-        )
         yield _gauge("heard_revision", "Newest revision known to exist.", status.newest_heard)
         yield _gauge(
             "behind_seconds",
@@ -82,6 +76,7 @@
             yield _gauge(
                 "machine_list_age_seconds", "Since the machine list's source answered.", age
             )
+        yield from _refusal(status)
         peers = GaugeMetricFamily("pewtertack_peers", "Known peers by status.", labels=["status"])
         for name, count in status.peers.items():
             peers.add_metric([name], count)
@@ -124,3 +119,13 @@
 
 def _gauge(name: str, documentation: str, value: float) -> GaugeMetricFamily:
     return GaugeMetricFamily(f"pewtertack_{name}", documentation, value=value)
+
+
+def _refusal(status: NodeStatus) -> Iterator[Metric]:
+    """Yield what is above 0 while the source's newest revision is refused."""
+    rejection = status.last_rejection
+    revision, since = 0, 0.0
+    if rejection is not None and rejection.since is not None:
+        revision, since = rejection.revision.number, rejection.since
+    yield _gauge("revision_refused", "Newer revision than held that is refused; 0: none.", revision)
+    yield _gauge("revision_refused_since_seconds", "Unix time of its refusal; 0: none.", since)
