--- a/src/pewtertack/core/effects.py
+++ b/src/pewtertack/core/effects.py
@@ -52,6 +52,13 @@
     """Tells this read from the others; its answer carries the same."""
 
 
+class GoOn(msgspec.Struct, frozen=True):
+    """Give the core a ``WorkContinued`` once other tasks have had their turn.
+
+    At most one is outstanding.
+    """
+
+
 class BringIntoForce(msgspec.Struct, frozen=True):
     """Swap the proxy to this configuration in one step."""
 
@@ -86,4 +93,4 @@
     fields: dict[str, Any]
 
 
-Effect = Send | ReadDocument | BringIntoForce | UseMachines | SetServing | StageReached | Log
+Effect = Send | ReadDocument | GoOn | BringIntoForce | UseMachines | SetServing | StageReached | Log
