A node warns of a source that accepts longer configurations than it surely takes; status pages load late

source.document_size is the longest configuration that the source accepts; beyond 1 MiB, up to which no node refuses one for its size, the node logs SOURCE_BOUND_WIDER at its start.

--- a/src/pewtertack/core/configuration/conversion.py
+++ b/src/pewtertack/core/configuration/conversion.py
@@ -8,12 +8,10 @@
 from __future__ import annotations
 
 import hashlib
-import re
 from collections.abc import Container, Iterable, Sequence
 from functools import lru_cache
 from typing import Any
 
-from pewtertack.core.configuration import percent
 from pewtertack.core.configuration.model import (
     DURATION_UNITS,
     ROUTE_SETTINGS,
@@ -34,9 +32,6 @@
 
 Table = dict[str, Any]
 
-_DOT_SEGMENT = re.compile(r"(?<=/)\.\.?(?=/|$)")
-_EMPTY_SEGMENT = re.compile("(?<=/)/")
-
 
 def route_table(host: str, prefix: str, service: str, shares: Sequence[tuple[str, float]]) -> Table:
     """Return a route's settings of what it matches and where it leads.
@@ -111,14 +106,17 @@
     prefix = text if text.endswith("//") else text.removesuffix("/") or "/"
     if is_path_prefix(prefix) or not prefix.startswith("/"):
         return prefix
-    encoded = _DOT_SEGMENT.sub(lambda dots: dots[0].replace(".", "%2E"), percent.encode(prefix))
-    return _EMPTY_SEGMENT.sub("%2F", encoded)
+    from pewtertack.core.configuration import percent  # for unusual prefixes alone
+
+    return percent.encode_segments(prefix)
 
 
 def request_target(text: str) -> str:
     """Return a path, perhaps with a query, as the tree writes it."""
     if is_request_target(text):
         return text
+    from pewtertack.core.configuration import percent  # for unusual paths alone
+
     path, mark, query = text.partition("?")
     return "/" + percent.encode(path.removeprefix("/")) + mark + percent.encode(query)
 
--- a/src/pewtertack/core/configuration/percent.py
+++ b/src/pewtertack/core/configuration/percent.py
@@ -10,6 +10,8 @@
 
 _ENCODED = re.compile("(?:%[0-9A-Fa-f]{2})+")
 _STRAY_PERCENT = re.compile("%(?![0-9A-Fa-f]{2})")
+_DOT_SEGMENT = re.compile(r"(?<=/)\.\.?(?=/|$)")
+_EMPTY_SEGMENT = re.compile("(?<=/)/")
 
 
 def encode(path: str) -> str:
@@ -18,6 +20,12 @@
     return "".join(char if char in PLAIN else _encoded(char) for char in whole)
 
 
+def encode_segments(path: str) -> str:
+    """Return ``path`` encoded, its empty, "." and ".." segments too."""
+    encoded = _DOT_SEGMENT.sub(lambda dots: dots[0].replace(".", "%2E"), encode(path))
+    return _EMPTY_SEGMENT.sub("%2F", encoded)
+
+
 def decode(path: str) -> str:
     """Return ``path`` with nothing encoded; bytes that are no UTF-8 become U+FFFD."""
     return _ENCODED.sub(_decoded, path) if "%" in path else path
--- a/src/pewtertack/core/configuration/structure.py
+++ b/src/pewtertack/core/configuration/structure.py
@@ -46,6 +46,10 @@
 """Bytes of one tree, by the estimate below. Whatever a source accepts must stay below it: a
 version that is refused is refused by every node."""
 
+SURE_DOCUMENT_SIZE = 1024 * 1024
+"""Bytes of a document up to which none is refused for its size or the number of its names, however
+short they are."""
+
 VALUE_SIZE = 32
 """Bytes reckoned for each table, list and plain value beside its text; CBOR needs fewer."""
 
--- a/src/pewtertack/events.py
+++ b/src/pewtertack/events.py
@@ -48,6 +48,7 @@
     READER_STOPPED = (404, "This node no longer reads the platform.")
     ITEM_PASSED_OVER = (407, "An item of the platform makes no sense; the others hold.")
     SOURCE_RETURNED = (408, "The source has come back from an older copy: a new era; what it lost.")
+    SOURCE_BOUND_WIDER = (409, "The source accepts longer configurations than are surely taken.")
     FRAME_REFUSED = (501, "A peer's frame was refused.")
     PULL_REFUSED = (502, "A pull was answered with a come-back time.")
     REQUEST_REFUSED = (601, "A request ended without the back end's answer.")
--- a/src/pewtertack/node/admin.py
+++ b/src/pewtertack/node/admin.py
@@ -13,10 +13,10 @@
 
 from pewtertack.core.configuration.resolved import ResolvedConfiguration
 from pewtertack.node.counting import MetricsRegistry
-from pewtertack.node.status import MemberView, NodeStatus
 
 if TYPE_CHECKING:
     from pewtertack.node.exposition import Exposition
+    from pewtertack.node.status import MemberView, NodeStatus
 
 Scope = MutableMapping[str, Any]
 Receive = Callable[[], Awaitable[MutableMapping[str, Any]]]
--- a/src/pewtertack/node/assembly.py
+++ b/src/pewtertack/node/assembly.py
@@ -6,11 +6,14 @@
 from random import Random
 from typing import TYPE_CHECKING, Protocol
 
+from pewtertack.core.configuration.structure import SURE_DOCUMENT_SIZE
 from pewtertack.core.identity import NodeIdentity
 from pewtertack.core.node import NodeCore
 from pewtertack.core.profile import PROFILES, SourceProperties
+from pewtertack.events import Event
 from pewtertack.log import EventLog
 from pewtertack.node import clock
+from pewtertack.node.addresses import AddressStatus
 from pewtertack.node.admin import AdminApplication
 from pewtertack.node.counting import Histogram, MetricsRegistry
 from pewtertack.node.crash_reporter import CrashReporter
@@ -20,7 +23,6 @@
 from pewtertack.node.runtime import DocumentReader, Runtime
 from pewtertack.node.settings_file import SettingsFile
 from pewtertack.node.sockets import NodeSockets, address_of
-from pewtertack.node.status import AddressStatus
 from pewtertack.node.traffic import Traffic
 from pewtertack.node.transport import PeerTransport, Sender, StreamLimits
 from pewtertack.node.view import NodeView
@@ -67,6 +69,7 @@
     started = clock.now()
     identity = _identity(settings, sockets)
     log = EventLog(identity.name, identity.incarnation)
+    warn_of_long_documents(settings, log)
     traffic = Traffic()
     registry = MetricsRegistry()
     transport = _transport(settings, sockets, identity, traffic)
@@ -107,6 +110,13 @@
     )
 
 
+def warn_of_long_documents(settings: Settings, log: EventLog) -> None:
+    """Log that the source accepts configurations which nodes may refuse for their size."""
+    size = settings.source.document_size
+    if size is not None and size.bytes > SURE_DOCUMENT_SIZE:
+        log.record(Event.SOURCE_BOUND_WIDER, accepted=size.bytes, sure=SURE_DOCUMENT_SIZE)
+
+
 def _stage_histogram(registry: MetricsRegistry) -> Histogram:
     return registry.histogram(
         "pewtertack_revision_stage_seconds",
--- a/src/pewtertack/node/runtime.py
+++ b/src/pewtertack/node/runtime.py
@@ -6,7 +6,6 @@
 from typing import Protocol
 
 import anyio
-import anyio.lowlevel
 import msgspec
 from anyio.abc import TaskGroup
 
@@ -264,7 +263,7 @@
 
     async def _go_on(self) -> None:
         for _ in range(TURNS_BETWEEN):
-            await anyio.lowlevel.checkpoint()
+            await anyio.sleep(0)
         try:
             self.feed(WorkContinued())
         except Exception as error:  # a configuration that cannot be handled is not held
--- a/src/pewtertack/node/status.py
+++ b/src/pewtertack/node/status.py
@@ -4,6 +4,8 @@
 
 import msgspec
 
+from pewtertack.node.addresses import AddressStatus
+
 
 class RevisionStatus(msgspec.Struct, frozen=True):
     """One revision; number 0 stands for none."""
@@ -49,15 +51,6 @@
     """Frames signed with one of ``peers.accepted_keys``."""
 
 
-class AddressStatus(msgspec.Struct, frozen=True):
-    """Where the node listens, as ``ip:port``; ``proxy`` is empty without a proxy part."""
-
-    peer: str
-    advertised: str
-    admin: str
-    proxy: str
-
-
 class RefusedRequestStatus(msgspec.Struct, frozen=True):
     """A request under which back ends have ended, by its fingerprint."""
 
--- /dev/null
+++ b/src/pewtertack/node/status_page.py
@@ -0,0 +1,199 @@
+"""What the running parts of a node tell of themselves; loaded when an operator first asks."""
+
+from __future__ import annotations
+
+from collections import Counter
+from typing import TYPE_CHECKING
+
+import msgspec
+
+from pewtertack.core.configuration.findings import Finding
+from pewtertack.core.configuration.resolved import DEFAULT_CRASH_LIMIT
+from pewtertack.core.eras import revision_of
+from pewtertack.core.node import NodePhase
+from pewtertack.core.replication.read_log import ReadLog
+from pewtertack.core.replication.replica import Rejection
+from pewtertack.core.replication.stages import RevisionStages, Stage
+from pewtertack.core.revision import NO_REVISION, RevisionId
+from pewtertack.node import clock
+from pewtertack.node.status import (
+    ByteStatus,
+    FindingStatus,
+    MemberView,
+    NodeStatus,
+    ReadStatus,
+    RefusedRequestStatus,
+    RejectionStatus,
+    RevisionStatus,
+    StagesStatus,
+    TrafficStatus,
+)
+from pewtertack.node.traffic import Direction, Purpose
+from pewtertack.wire.messages import DocumentKind
+
+if TYPE_CHECKING:
+    from pewtertack.node.view import NodeView
+
+
+def status_of(view: NodeView) -> NodeStatus:
+    """Return the node's state now."""
+    now = clock.now()
+    identity = view.core.identity
+    replication = view.core.replication
+    replica = replication.replica
+    in_force = replica.in_force
+    answers = replication.reader.last_answer_at
+    stages = replication.stages.log
+    return NodeStatus(
+        name=identity.name,
+        zone=identity.zone,
+        region=identity.region,
+        incarnation=identity.incarnation,
+        profile=view.core.profile.name,
+        phase=view.core.phase.value,
+        serving=view.gate.may_serve(),
+        uptime=round(now - view.started, 3),
+        addresses=view.addresses,
+        held=_revision(replica.held),
+        committed=_revision(replica.committed),
+        in_force=_revision(in_force.revision if in_force is not None else NO_REVISION),
+        in_force_since=view.runtime.in_force_since,
+        evacuated=tuple(sorted(in_force.evacuated)) if in_force is not None else (),
+        reading=replication.reader.reading,
+        source_age=_age(now, answers.get(DocumentKind.CONFIGURATION)),
+        machine_list_age=_age(now, answers.get(DocumentKind.MACHINE_LIST)),
+        machine_list_number=revision_of(replication.machine_list.machines.number),
+        peers=_peers_by_status(view),
+        last_rejection=_last_rejection(view, now),
+        stale_answers=replica.stale_answers,
+        conflicts=replica.conflicts,
+        in_flight=view.in_flight(),
+        traffic=_traffic_status(view),
+        suspended=round(view.runtime.suspended_seconds, 3),
+        refused_requests=_refused_requests(view, now),
+        items_passed_over=replication.passed_over.current,
+        items_found_wrong=replication.passed_over.total,
+        source_era=replication.era,
+        machines_kept=replication.machine_list.returned.kept,
+        newest_heard=stages.newest_heard,
+        behind_for=_age(now, stages.behind_since),
+        stages=_stages(now, stages.recent()),
+        reads=_reads(view, now),
+    )
+
+
+def members_of(view: NodeView) -> tuple[MemberView, ...]:
+    """Return the peers that the node knows, by name."""
+    now = clock.now()
+    members = view.core.membership.table.all()
+    views = (
+        MemberView(
+            name=member.update.name,
+            address=member.update.address,
+            zone=member.update.zone,
+            region=member.update.region,
+            incarnation=member.update.incarnation,
+            status=member.status.name.lower(),
+            changed=round(now - member.changed_at, 3),
+        )
+        for member in members
+    )
+    return tuple(sorted(views, key=lambda view: view.name))
+
+
+def _peers_by_status(view: NodeView) -> dict[str, int]:
+    members = view.core.membership.table.all()
+    return dict(Counter(member.status.name.lower() for member in members))
+
+
+def _reads(view: NodeView, now: float) -> dict[str, ReadStatus]:
+    """Return how reads fare; failures of a node that reads no more are past."""
+    replication = view.core.replication
+    reads = replication.reader.reading or view.core.phase is NodePhase.JOINING
+    logs = replication.reads.of if reads else {}
+    return {kind.name.lower(): _read(now, log) for kind, log in logs.items()}
+
+
+def _last_rejection(view: NodeView, now: float) -> RejectionStatus | None:
+    replication = view.core.replication
+    status, since = _rejection(replication.replica.last_rejection), replication.refusals.since
+    if status is None or since is None:
+        return status
+    unix_since = round(clock.unix_time() - (now - since), 3)
+    return msgspec.structs.replace(status, since=unix_since)
+
+
+def _refused_requests(view: NodeView, now: float) -> tuple[RefusedRequestStatus, ...]:
+    ledger = view.core.crashes.ledger
+    held = [item for item in ledger if item.count >= DEFAULT_CRASH_LIMIT]
+    return tuple(
+        RefusedRequestStatus(
+            item.fingerprint.hex(),
+            item.count,
+            round(now - min(item.ends.values()), 3),
+            round(now - item.last_end, 3),
+        )
+        for item in sorted(held, key=lambda item: item.last_end, reverse=True)
+    )
+
+
+def _traffic_status(view: NodeView) -> TrafficStatus:
+    return TrafficStatus(
+        control=_bytes(view, Purpose.CONTROL),
+        configuration=_bytes(view, Purpose.CONFIGURATION),
+        machine_list=_bytes(view, Purpose.MACHINE_LIST),
+        refused=dict(view.traffic.refused),
+        unsent=dict(view.traffic.unsent),
+        failed=dict(view.runtime.failed_messages),
+        by_accepted_keys=view.transport.frames_by_accepted_keys,
+    )
+
+
+def _bytes(view: NodeView, purpose: Purpose) -> ByteStatus:
+    return ByteStatus(
+        view.traffic.bytes_for(Direction.SENT, purpose),
+        view.traffic.bytes_for(Direction.RECEIVED, purpose),
+    )
+
+
+def _revision(revision: RevisionId) -> RevisionStatus:
+    return RevisionStatus(revision.number, revision.digest.hex())
+
+
+def _age(now: float, answered_at: float | None) -> float | None:
+    return None if answered_at is None else round(now - answered_at, 3)
+
+
+def _stages(now: float, recent: tuple[RevisionStages, ...]) -> tuple[StagesStatus, ...]:
+    offset = clock.unix_time() - now
+    return tuple(
+        StagesStatus(
+            item.number,
+            item.way.value,
+            round(item.reached_at[Stage.HEARD] + offset, 3),
+            _unix(offset, item.reached_at.get(Stage.HELD)),
+            _unix(offset, item.reached_at.get(Stage.COMMITTED)),
+            _unix(offset, item.reached_at.get(Stage.IN_FORCE)),
+        )
+        for item in recent
+    )
+
+
+def _unix(offset: float, at: float | None) -> float | None:
+    return None if at is None else round(at + offset, 3)
+
+
+def _read(now: float, read: ReadLog) -> ReadStatus:
+    failure = read.last_failure.value if read.last_failure is not None else ""
+    return ReadStatus(_age(now, read.opened_at), read.waits_for, read.failures, failure)
+
+
+def _rejection(rejection: Rejection | None) -> RejectionStatus | None:
+    if rejection is None:
+        return None
+    findings = tuple(_finding(finding) for finding in rejection.findings)
+    return RejectionStatus(_revision(rejection.revision), findings)
+
+
+def _finding(finding: Finding) -> FindingStatus:
+    return FindingStatus(finding.code.label, finding.place, finding.message)
--- a/src/pewtertack/routing/table.py
+++ b/src/pewtertack/routing/table.py
@@ -8,7 +8,6 @@
 
 from collections.abc import Iterator
 
-from pewtertack.core.configuration.percent import decode
 from pewtertack.core.configuration.resolved import ResolvedConfiguration, ResolvedRoute
 from pewtertack.routing.outcomes import MethodNotAllowedError, RouteNotFoundError
 
@@ -27,7 +26,7 @@
             self._add(route)
 
     def _add(self, route: ResolvedRoute) -> None:
-        prefix = decode(route.path_prefix).removesuffix("/")
+        prefix = _decoded(route.path_prefix).removesuffix("/")
         for host in route.hosts or (ANY,):
             prefixes = self._hosts.setdefault(host, {})
             known = prefixes.get(prefix)
@@ -66,6 +65,14 @@
         raise RouteNotFoundError("no route for this host and path")
 
 
+def _decoded(prefix: str) -> str:
+    if "%" not in prefix:
+        return prefix
+    from pewtertack.core.configuration.percent import decode  # for unusual prefixes alone
+
+    return decode(prefix)
+
+
 def _prefixes_of(path: str) -> Iterator[str]:
     """Yield the prefixes of ``path`` at segment boundaries, the longest first."""
     prefix = path
--- a/src/pewtertack/settings/schema.py
+++ b/src/pewtertack/settings/schema.py
@@ -66,6 +66,9 @@
     """After the source has come back from an older copy of itself: for how long back ends and
     evacuations hold that were known before and that the copy lacks, and back ends stay away
     that were known to have left. Callers gain that no service is emptied by the gap."""
+    document_size: Size | None = None
+    """The longest configuration that it accepts, where that is known. The node warns at its start
+    of one that it might have to refuse."""
 
 
 class MachinesSection(msgspec.Struct, frozen=True, kw_only=True):
--- a/tests/platform/test_largest_configuration.py
+++ b/tests/platform/test_largest_configuration.py
@@ -6,6 +6,7 @@
 
 from pewtertack.core.configuration.memory import CheckedTables
 from pewtertack.core.configuration.resolution import resolve_document
+from pewtertack.core.configuration.structure import SURE_DOCUMENT_SIZE
 from pewtertack.core.configuration.validation import check_document
 from pewtertack.core.revision import Document, identify
 from pewtertack.platform.documents import tree_of
@@ -15,7 +16,7 @@
 from pewtertack.wire.packing import pack, unpack
 from tests.platform.test_documents import CONFIGURATION, ROUTE
 
-VALUE_BYTES = 1024 * 1024
+VALUE_BYTES = SURE_DOCUMENT_SIZE
 """The longest value that the store accepts."""
 KEY = b"k" * 32
 FEWEST_FIELDS = ("Name", "Host", "PathPrefix", "Kind", "Timeout", "Service")
