Of several open reads each is told with its own time

Since reads of a slow source overlap, the log of reads, made for one open read, took each answer for the end of the last one opened: `seconds` of a failed read were those since the newest had begun, and /status showed no open read while one was. Reads are noted by their numbers; /status tells of the oldest and how many are open.

What reads take beyond their waits (the reader's smoothed mean) is in /status and the gauge source_answer_seconds, and `rollout` calls a source slow by it: a slow source that is read to its end does not fail any more.

The test of three overlapping reads can't run on the old log, which knew no numbers.

--- a/src/pewtertack/cli/rollout.py
+++ b/src/pewtertack/cli/rollout.py
@@ -154,6 +154,8 @@
         parts.append(f"heard {_seconds(lack.heard_for)} ago")
     if lack.read is not None:
         parts += _read_details(lack.read)
+        if lack.answer_seconds is not None:
+            parts.append(f"answers take {_seconds(lack.answer_seconds)}")
     if lack.source_age is not None:
         parts.append(f"source answered {_seconds(lack.source_age)} ago")
     return ", ".join(parts) or NOTHING
@@ -166,7 +168,8 @@
             f"failed reads in a row: {read.failures}, the last {read.failure or 'unknown'}"
         )
     if read.open_for is not None:
-        parts.append(f"read open for {_seconds(read.open_for)} of {read.may_wait:g} s")
+        reads = "read" if read.open_reads < 2 else f"{read.open_reads} reads, the oldest"
+        parts.append(f"{reads} open for {_seconds(read.open_for)} of {read.may_wait:g} s")
     return parts
 
 
--- a/src/pewtertack/cli/rollout_causes.py
+++ b/src/pewtertack/cli/rollout_causes.py
@@ -8,6 +8,7 @@
 
 from pewtertack.cli.rollout_stages import moments_of, newest_heard, number_at
 from pewtertack.cli.status_reports import NodeReport
+from pewtertack.core.replication.answer_times import SLOW_SECONDS
 from pewtertack.core.replication.stages import Stage
 from pewtertack.errors import ReadFailure
 from pewtertack.node.status import FindingStatus, NodeStatus, ReadStatus
@@ -56,6 +57,8 @@
     """Since it first heard of the revision or a newer one."""
     source_age: float | None = None
     """Since its last usable answer of the source."""
+    answer_seconds: float | None = None
+    """What its reads take beyond the time for which the source may hold them open."""
     read: ReadStatus | None = None
     """How its reads of the configuration fare, where it reads the source."""
     findings: tuple[FindingStatus, ...] = ()
@@ -84,6 +87,7 @@
         node.in_force.number,
         None if heard is None else round(max(report.read_at - heard, 0.0), 3),
         node.source_age,
+        node.source_answer_seconds,
         node.reads.get(CONFIGURATION) if node.reading else None,
         rejection.findings if rejection is not None and why is Lack.REJECTED else (),
     )
@@ -106,12 +110,15 @@
     if newest_heard(node) >= revision:
         return Lack.NOT_HELD
     read = node.reads.get(CONFIGURATION) if node.reading else None
-    return Lack.NOT_HEARD if read is None else _why_not_read(read)
+    if read is None:
+        return Lack.NOT_HEARD
+    return _why_not_read(read, node.source_answer_seconds or 0.0)
 
 
-def _why_not_read(read: ReadStatus) -> Lack:
+def _why_not_read(read: ReadStatus, usual: float) -> Lack:
+    """Return why a reader has not heard of the revision; ``usual``: what its reads take."""
     if read.failures:
         return Lack.SOURCE_SLOW if read.failure in SLOW_FAILURES else Lack.SOURCE_FAILING
     if read.open_for is not None and read.open_for > read.may_wait + ANSWER_SECONDS:
         return Lack.SOURCE_SLOW
-    return Lack.NOT_HEARD
+    return Lack.SOURCE_SLOW if usual > SLOW_SECONDS else Lack.NOT_HEARD
--- a/src/pewtertack/core/replication/service.py
+++ b/src/pewtertack/core/replication/service.py
@@ -194,7 +194,7 @@
             self._hear_era(now, number)
         effects = self._note_regained(kind) + self.passed_over.note(kind, read.findings)
         effects += self.passed_over.note_answer(kind, read.about_answers)
-        self.reads.of[kind].answer()
+        self.reads.of[kind].answer(read.read)
         if kind is DocumentKind.CONFIGURATION:
             self.freshness.suspend(kind)
         if read.stale:
@@ -213,7 +213,7 @@
         kind = answer.kind
         effects = self._note_regained(kind)
         effects += self.passed_over.note_answer(kind, answer.about_answers)
-        self.reads.of[kind].answer()
+        self.reads.of[kind].answer(answer.read)
         self.reader.answered(now, answer)
         return effects
 
--- a/src/pewtertack/node/metrics.py
+++ b/src/pewtertack/node/metrics.py
@@ -52,6 +52,9 @@
             status.behind_for or 0.0,
         )
         yield from _reads(status.reads)
+        if status.source_answer_seconds is not None:
+            seconds = status.source_answer_seconds
+            yield _gauge("source_answer_seconds", "What reads take beyond their waits.", seconds)
         yield _gauge(
             "items_passed_over",
             "Items of the platform that could not be understood when they were last read here.",
--- a/src/pewtertack/node/status.py
+++ b/src/pewtertack/node/status.py
@@ -86,13 +86,14 @@
     """How reads of one document fare."""
 
     open_for: float | None = None
-    """Since the open read began; none without one."""
+    """Since the oldest open read began; none without one."""
     may_wait: float = 0.0
     """For how long the source may keep that read open while nothing changes."""
     failures: int = 0
     """Failed reads since the last usable answer."""
     failure: str = ""
     """How the last of them ended (`pewtertack.errors.ReadFailure`); empty without one."""
+    open_reads: int = 0
 
 
 class NodeStatus(msgspec.Struct, frozen=True):
@@ -152,6 +153,8 @@
     """Of the latest revisions, the newest first."""
     reads: dict[str, ReadStatus] = {}
     """By document, ``configuration`` and ``machine_list``; empty while the node reads neither."""
+    source_answer_seconds: float | None = None
+    """What reads take beyond their waits, smoothed; none while the node reads nothing."""
 
 
 class MemberView(msgspec.Struct, frozen=True):
--- a/src/pewtertack/node/view.py
+++ b/src/pewtertack/node/view.py
@@ -94,6 +94,7 @@
             behind_for=_age(now, stages.behind_since),
             stages=_stages(now, stages.recent()),
             reads=self._reads(now),
+            source_answer_seconds=self._source_answer_seconds(),
         )
 
     def members(self) -> tuple[MemberView, ...]:
@@ -126,11 +127,16 @@
         members = self.core.membership.table.all()
         return dict(Counter(member.status.name.lower() for member in members))
 
+    def _may_read(self) -> bool:
+        return self.core.replication.reader.reading or self.core.phase is NodePhase.JOINING
+
+    def _source_answer_seconds(self) -> float | None:
+        mean = self.core.replication.reader.answer_times.mean
+        return None if mean is None or not self._may_read() else round(mean, 3)
+
     def _reads(self, now: float) -> dict[str, ReadStatus]:
         """Return how reads fare; failures of a node that reads no more are past."""
-        replication = self.core.replication
-        reads = replication.reader.reading or self.core.phase is NodePhase.JOINING
-        logs = replication.reads.of if reads else {}
+        logs = self.core.replication.reads.of if self._may_read() else {}
         return {kind.name.lower(): _read(now, log) for kind, log in logs.items()}
 
     def _last_rejection(self, now: float) -> RejectionStatus | None:
@@ -201,7 +207,11 @@
 
 def _read(now: float, read: ReadLog) -> ReadStatus:
     failure = read.last_failure.value if read.last_failure is not None else ""
-    return ReadStatus(_age(now, read.opened_at), read.waits_for, read.failures, failure)
+    oldest = read.oldest
+    if oldest is None:
+        return ReadStatus(failures=read.failures, failure=failure)
+    open_for = _age(now, oldest.at)
+    return ReadStatus(open_for, oldest.wait, read.failures, failure, read.open_reads)
 
 
 def _rejection(rejection: Rejection | None) -> RejectionStatus | None:
--- a/tests/cli/test_rollout.py
+++ b/tests/cli/test_rollout.py
@@ -21,7 +21,12 @@
     newest_heard=8, stages=(StagesStatus(8, "unknown", NOW - 3.2),), phase="joining", source_age=9.0
 )
 SLOW = report(
-    node_status("reader", reading=True, reads={"configuration": ReadStatus(0.4, 5.0, 3, "slow")})
+    node_status(
+        "reader",
+        reading=True,
+        source_answer_seconds=3.81,
+        reads={"configuration": ReadStatus(0.4, 5.0, 3, "slow", 2)},
+    )
 )
 
 
@@ -91,7 +96,8 @@
         late, slow, gone = lines[10:13]
         detail = "joining, heard 3.2 s ago, source answered 9.0 s ago"
         self.assertRegex(late, rf"^late +z +7 +7 +not-held +{detail}$")
-        detail = r"failed reads in a row: 3, the last slow, read open for 0\.4 s of 5 s"
+        detail = r"2 reads, the oldest open for 0\.4 s of 5 s, answers take 3\.8 s"
+        detail = rf"failed reads in a row: 3, the last slow, {detail}"
         self.assertRegex(slow, rf"^reader +z +7 +7 +source-slow +{detail}$")
         self.assertRegex(gone, r"^http://gone +- +- +- +unreachable +no answer within 3 s$")
 
--- a/tests/cli/test_rollout_reports.py
+++ b/tests/cli/test_rollout_reports.py
@@ -99,6 +99,13 @@
                 self.check_why(why, reading=True, reads={"configuration": read})
                 self.check_why(Lack.NOT_HEARD, reading=False, reads={"configuration": read})
 
+    def test_a_reader_whose_answers_take_long_has_a_slow_source(self) -> None:
+        reads = {"configuration": ReadStatus(open_for=0.2, may_wait=2.0, open_reads=2)}
+        slow = {"reading": True, "reads": reads}
+        self.check_why(Lack.SOURCE_SLOW, source_answer_seconds=3.8, **slow)
+        self.check_why(Lack.NOT_HEARD, source_answer_seconds=0.01, **slow)
+        self.check_why(Lack.NOT_HEARD, source_answer_seconds=3.8)
+
     def test_a_node_that_waits_at_a_later_stage(self) -> None:
         self.check_why(Lack.NOT_HELD, newest_heard=8)
         self.check_why(Lack.NOT_COMMITTED, held=8)
--- a/tests/core/test_reads_of_node.py
+++ b/tests/core/test_reads_of_node.py
@@ -4,7 +4,7 @@
 from random import Random
 from typing import Any
 
-from pewtertack.core.effects import Effect, Log
+from pewtertack.core.effects import Effect, Log, ReadDocument
 from pewtertack.core.identity import NodeIdentity
 from pewtertack.core.inputs import (
     DocumentRead,
@@ -15,6 +15,7 @@
 )
 from pewtertack.core.node import NodeCore
 from pewtertack.core.profile import DIRECT
+from pewtertack.core.replication.read_log import OpenedRead, ReadLog
 from pewtertack.errors import ReadFailure
 from pewtertack.events import Event
 from pewtertack.wire.messages import DocumentKind
@@ -40,14 +41,28 @@
 
     def test_a_failed_read_tells_how_it_ended_and_how_long_it_took(self) -> None:
         self.feed(Ticked())
-        self.assertEqual(self.read.opened_at, 0.0)
+        assert self.read.oldest is not None
+        self.assertEqual(self.read.oldest.at, 0.0)
         self.now = 1.5
         fields = self.fail(ReadFailure.SLOW)
         self.assertEqual(fields, {"reason": "reason", "failure": "slow", "seconds": 1.5})
-        self.assertEqual((self.read.opened_at, self.read.failures), (None, 1))
+        self.assertEqual((self.read.oldest, self.read.failures), (None, 1))
         self.assertEqual(self.fail(None), {"reason": "reason"})
         self.assertEqual(self.read.failures, 2)
 
+    def test_of_several_open_reads_each_has_its_own_time(self) -> None:
+        kind = DocumentKind.CONFIGURATION
+        log = ReadLog()
+        for number in (1, 2, 3):
+            log.open(float(number), ReadDocument(kind, 0, 5.0, read=number))
+        failed = DocumentReadFailed(kind, "reason", read=2)
+        self.assertEqual(log.fail(10.0, failed)["seconds"], 8.0)
+        self.assertEqual((log.open_reads, log.oldest), (2, OpenedRead(1.0, 5.0)))
+        log.answer(1)
+        self.assertEqual((log.open_reads, log.oldest), (1, OpenedRead(3.0, 5.0)))
+        log.answer(1)
+        self.assertEqual(log.open_reads, 1)
+
     def test_an_answer_ends_the_failures(self) -> None:
         kind = DocumentKind.CONFIGURATION
         for answer in (DocumentUnchanged(kind), DocumentRead(kind, 7, TREE)):
--- a/tests/node/test_metrics.py
+++ b/tests/node/test_metrics.py
@@ -34,10 +34,12 @@
             newest_heard=9,
             behind_for=2.5,
             last_rejection=RejectionStatus(RevisionStatus(9), (), since=1.5),
+            source_answer_seconds=3.8,
             reads={"configuration": ReadStatus(failures=3, failure="slow")},
         )
         self.assertEqual(self.value(registry, "heard_revision"), 9)
         self.assertEqual(self.value(registry, "behind_seconds"), 2.5)
+        self.assertEqual(self.value(registry, "source_answer_seconds"), 3.8)
         self.assertEqual(self.value(registry, "revision_refused"), 9)
         self.assertEqual(self.value(registry, "revision_refused_since_seconds"), 1.5)
         labels = {"document": "configuration", "failure": "slow"}
--- a/tests/node/test_view.py
+++ b/tests/node/test_view.py
@@ -74,7 +74,8 @@
     def test_reads_are_told_of_by_a_node_that_reads(self) -> None:
         self.core.handle(self.now, Ticked())
         self.now = 0.5
-        self.assertEqual(self.status().reads["configuration"].open_for, 0.5)
+        opened = self.status().reads["configuration"]
+        self.assertEqual((opened.open_for, opened.open_reads), (0.5, 1))
         kind = DocumentKind.CONFIGURATION
         self.core.handle(self.now, DocumentReadFailed(kind, "", failure=ReadFailure.SILENT))
         failed = self.status().reads["configuration"]
@@ -89,6 +90,11 @@
         self.assertEqual(self.status().reads, {})
         self.core.replication.reader.reading = True
         self.assertEqual(self.status().reads["configuration"].failures, 1)
+        self.core.replication.reader.answer_times.note(1.23456)
+        self.assertEqual(self.status().source_answer_seconds, 1.235)
+        self.core.replication.reader.reading = False
+        self.assertIsNone(self.status().source_answer_seconds)
+        self.core.replication.reader.reading = True
         self.assertEqual(self.status().reads["machine_list"], ReadStatus())
 
 
