--- a/src/pewtertack/cli/rollout.py
+++ b/src/pewtertack/cli/rollout.py
@@ -100,7 +100,7 @@
 def format_progress(report: RolloutReport) -> str:
     """Return the counts of nodes on one line."""
     counts = [f"{_words(item.stage)} {item.nodes}" for item in report.stages]
-    return f"revision {report.revision} of {report.nodes} nodes: {', '.join(counts)}"
+    return f"revision {_shown(report.revision)} of {report.nodes} nodes: {', '.join(counts)}"
 
 
 def format_rollout(report: RolloutReport) -> str:
@@ -109,7 +109,7 @@
 
     in_force = report.stages[-1].nodes
     lines = [
-        f"revision {report.revision}: {report.outcome}, in force on {in_force} of "
+        f"revision {_shown(report.revision)}: {report.outcome}, in force on {in_force} of "
         f"{report.nodes} nodes",
         *_origin(report),
         "",
@@ -139,8 +139,8 @@
     return (
         lack.node or lack.admin,
         lack.zone or NOTHING,
-        str(lack.in_force or NOTHING),
-        str(lack.held or NOTHING),
+        _shown(lack.in_force),
+        _shown(lack.held),
         lack.why,
         _detail(lack),
     )
@@ -184,6 +184,16 @@
     return ["", *lines] if lines else []
 
 
+def _shown(revision: int) -> str:
+    """Return a revision as operators know it: of a store's the version, and its moment if any."""
+    from pewtertack.core.eras import VERSION_STEP, tree_parts
+
+    if revision < VERSION_STEP:
+        return str(revision or NOTHING)
+    version, moment = tree_parts(revision)
+    return f"{version}+{moment}" if moment else str(version)
+
+
 def _words(stage: str) -> str:
     return stage.replace("_", " ")
 
--- a/tests/cli/test_rollout.py
+++ b/tests/cli/test_rollout.py
@@ -13,6 +13,7 @@
 from pewtertack.cli.rollout_reports import NoRevisionError, RolloutReport, rollout_report
 from pewtertack.cli.rollout_watch import follow_rollout
 from pewtertack.cli.status_reports import NodeReport
+from pewtertack.core.eras import tree_number
 from pewtertack.node.status import ReadStatus, StagesStatus
 from tests.cli.node_samples import NOW, node_status, report, unreachable
 from tests.cli.test_rollout_reports import REJECTION, current, lacking
@@ -101,6 +102,12 @@
         self.assertRegex(slow, rf"^reader +z +7 +7 +source-slow +{detail}$")
         self.assertRegex(gone, r"^http://gone +- +- +- +unreachable +no answer within 3 s$")
 
+    def test_revisions_of_a_store_are_shown_as_the_operators_versions(self) -> None:
+        late = report(node_status("a", tree_number(17, 5), held=tree_number(17, 6)))
+        lines = format_rollout(rollout_report(tree_number(18), [late])).splitlines()
+        self.assertEqual(lines[0], "revision 18: incomplete, in force on 0 of 1 nodes")
+        self.assertRegex(lines[-1], r"^a +z +17\+5 +17\+6 +not-heard +-$")
+
     def test_findings_are_told_once(self) -> None:
         refused = [lacking(newest_heard=8, last_rejection=REJECTION) for _ in range(3)]
         last = format_rollout(rollout_report(8, refused)).splitlines()[-1]
