--- a/src/pewtertack/node/status_page.py
+++ b/src/pewtertack/node/status_page.py
@@ -79,6 +79,7 @@
         behind_for=_age(now, stages.behind_since),
         stages=_stages(now, stages.recent()),
         reads=_reads(view, now),
+        source_answer_seconds=_source_answer_seconds(view),
     )
 
 
@@ -106,11 +107,18 @@
     return dict(Counter(member.status.name.lower() for member in members))
 
 
+def _may_read(view: NodeView) -> bool:
+    return view.core.replication.reader.reading or view.core.phase is NodePhase.JOINING
+
+
+def _source_answer_seconds(view: NodeView) -> float | None:
+    mean = view.core.replication.reader.answer_times.mean
+    return None if mean is None or not _may_read(view) else round(mean, 3)
+
+
 def _reads(view: NodeView, now: float) -> dict[str, ReadStatus]:
     """Return how reads fare; failures of a node that reads no more are past."""
-    replication = view.core.replication
-    reads = replication.reader.reading or view.core.phase is NodePhase.JOINING
-    logs = replication.reads.of if reads else {}
+    logs = view.core.replication.reads.of if _may_read(view) else {}
     return {kind.name.lower(): _read(now, log) for kind, log in logs.items()}
 
 
@@ -185,7 +193,11 @@
 
 def _read(now: float, read: ReadLog) -> ReadStatus:
     failure = read.last_failure.value if read.last_failure is not None else ""
-    return ReadStatus(_age(now, read.opened_at), read.waits_for, read.failures, failure)
+    oldest = read.oldest
+    if oldest is None:
+        return ReadStatus(failures=read.failures, failure=failure)
+    open_for = _age(now, oldest.at)
+    return ReadStatus(open_for, oldest.wait, read.failures, failure, read.open_reads)
 
 
 def _rejection(rejection: Rejection | None) -> RejectionStatus | None:
