Lab: simulated readers time their answers and repeat themselves

The simulated client tells what an answer took and tells a silent source from an answer that stalls, as the client does since it reads slow sources to their end; answers carry the number of their read. Watches are cut in the order of their calls: in that of a set of objects a run did not always repeat itself.

--- a/src/pewtertack/lab/store_fleet/simulated.py
+++ b/src/pewtertack/lab/store_fleet/simulated.py
@@ -7,6 +7,7 @@
 
 import anyio
 import anyio.abc
+import msgspec
 
 from pewtertack.core.effects import Log, ReadDocument
 from pewtertack.core.identity import NodeIdentity
@@ -45,7 +46,7 @@
         super().__init__(core.identity, core, around, tick, ProcessCodec(core.identity))
         self._reader = reader
         self._tasks = tasks
-        self._reads: set[anyio.CancelScope] = set()
+        self._reads: dict[anyio.CancelScope, None] = {}
 
     def kill(self) -> None:
         """End without notice."""
@@ -58,12 +59,12 @@
 
     async def _read_store(self, effect: ReadDocument) -> None:
         with anyio.CancelScope() as read:
-            self._reads.add(read)
+            self._reads[read] = None
             try:
                 answer = await self._reader.read(effect)
             finally:
-                self._reads.discard(read)
-            self.take(answer)
+                del self._reads[read]
+            self.take(msgspec.structs.replace(answer, read=effect.read))
 
 
 class SimulatedStoreFleet:
--- a/src/pewtertack/lab/store_fleet/simulated_source.py
+++ b/src/pewtertack/lab/store_fleet/simulated_source.py
@@ -11,8 +11,10 @@
 from pewtertack.lab.metadata_store.application import WATCH_PATH, MetadataStore
 from pewtertack.node.http.client import (
     ANSWER_FACTOR,
+    AnswerStalledError,
     HttpClient,
     ServiceAnswer,
+    ServiceSilentError,
     ServiceTimeouts,
     ServiceUnreachableError,
 )
@@ -35,7 +37,8 @@
 
     def __init__(self, store: MetadataStore) -> None:
         self.store = store
-        self._watches: set[anyio.CancelScope] = set()
+        self._watches: dict[anyio.CancelScope, None] = {}
+        """In the order of their calls, so that a run repeats itself."""
 
     async def answer(self, request: Request) -> Answer:
         """Return the answer to ``request``.
@@ -46,11 +49,11 @@
         if request.path != WATCH_PATH:
             return await self.store.application.answer(request)
         with anyio.CancelScope() as watch:
-            self._watches.add(watch)
+            self._watches[watch] = None
             try:
                 return await self.store.application.answer(request)
             finally:
-                self._watches.discard(watch)
+                del self._watches[watch]
         raise ServiceUnreachableError("the service hung up")
 
     def cut_watches(self) -> int:
@@ -83,27 +86,39 @@
         """
         path, _, query = target.partition("?")
         request = Request("GET", path, dict(parse_qsl(query)), {})
+        began = anyio.current_time()
         try:
-            with anyio.fail_after(timeouts.answer):
+            answer = await self._answer(request, timeouts.answer)
+            took = anyio.current_time() - began
+            await self._carry(answer, timeouts.part)
+        except ServiceUnreachableError:
+            self._fresh = True
+            raise
+        fresh, self._fresh = self._fresh, False
+        named = [(name.encode(), value.encode()) for name, value in answer.headers.items()]
+        return ServiceAnswer(answer.status, named, answer.body, fresh, took)
+
+    async def _answer(self, request: Request, seconds: float) -> Answer:
+        try:
+            with anyio.fail_after(seconds):
                 await anyio.sleep(ONE_WAY_SECONDS)
                 answer = await self._source.answer(request)
                 await anyio.sleep(ONE_WAY_SECONDS)
-            with anyio.fail_after(timeouts.answer * ANSWER_FACTOR):
-                await self._carry(answer)
+                return answer
         except TimeoutError as error:
-            self._fresh = True
-            reason = f"no answer within {timeouts.answer:g} s"
-            raise ServiceUnreachableError(reason) from error
-        fresh, self._fresh = self._fresh, False
-        named = [(name.encode(), value.encode()) for name, value in answer.headers.items()]
-        return ServiceAnswer(answer.status, named, answer.body, fresh)
+            raise ServiceSilentError(f"no answer within {seconds:g} s") from error
 
-    async def _carry(self, answer: Answer) -> None:
+    async def _carry(self, answer: Answer, seconds: float) -> None:
+        """Let the body pass; its parts come in turn, so that only the whole can take too long."""
         faults = self._source.store.faults
-        if faults.endless:
-            await anyio.sleep_forever()
-        if faults.body_rate:
-            await anyio.sleep(len(answer.body) / faults.body_rate)
+        try:
+            with anyio.fail_after(seconds * ANSWER_FACTOR):
+                if faults.endless:
+                    await anyio.sleep_forever()
+                if faults.body_rate:
+                    await anyio.sleep(len(answer.body) / faults.body_rate)
+        except TimeoutError as error:
+            raise AnswerStalledError("the answer began and did not end in time") from error
 
 
 class SimulatedReader(StoreReader):
