--- a/src/pewtertack/lab/store_fleet/written.py
+++ b/src/pewtertack/lab/store_fleet/written.py
@@ -40,6 +40,8 @@
     def __init__(self, hosts: list[str]) -> None:
         self.store = MetadataStore(page_items=PAGE_ITEMS)
         self.version = 0
+        self.configuration_bytes = 0
+        """Of the newest configuration, as an answer of the store holds it."""
         self._routes = 0
         for index, host in enumerate(hosts):
             self.store.put(f"{ENTRIES}i-{index}", _entry(index, host))
@@ -55,7 +57,9 @@
             "Services": [_service(name) for name in SERVICES],
             "Limits": LIMITS,
         }
-        self.store.put(CONFIGURATION_KEY, msgspec.json.encode(configuration))
+        encoded = msgspec.json.encode(configuration)
+        self.configuration_bytes = len(encoded) * 4 // 3
+        self.store.put(CONFIGURATION_KEY, encoded)
         return self.version
 
 
