--- a/src/pewtertack/cli/status.py
+++ b/src/pewtertack/cli/status.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import time
 from collections.abc import Sequence
 from typing import TYPE_CHECKING, Annotated
 
@@ -28,6 +29,7 @@
     *("SOURCE AGE", "READER", "PEERS", "IN FLIGHT", "REJECTED"),
 )
 NOTHING = "-"
+UTC_TIME = "%Y-%m-%d %H:%M:%S UTC"
 
 
 def status(
@@ -86,7 +88,29 @@
 def _notes(report: NodeReport) -> list[str]:
     if report.status is None:
         return [f"{report.admin}: {report.problem}"]
-    return _rejection_notes(report.status) + _refused_notes(report.status)
+    node = report.status
+    return [
+        *_behind_notes(node),
+        *_read_notes(node),
+        *_rejection_notes(node),
+        *_refused_notes(node),
+    ]
+
+
+def _behind_notes(node: NodeStatus) -> list[str]:
+    if node.behind_for is None:
+        return []
+    known = f"knows of revision {node.newest_heard} for {node.behind_for:.1f} s"
+    return [f"{node.name}: behind: {known}, has {node.in_force.number} in force"]
+
+
+def _read_notes(node: NodeStatus) -> list[str]:
+    return [
+        f"{node.name}: failed reads of {document} in a row: {read.failures}, "
+        f"the last {read.failure or 'unknown'}"
+        for document, read in node.reads.items()
+        if read.failures
+    ]
 
 
 def _refused_notes(node: NodeStatus) -> list[str]:
@@ -102,6 +126,9 @@
     if rejection is None:
         return []
     start = f"{node.name}: revision {rejection.revision.number} refused"
+    if rejection.since is not None:
+        moment = time.strftime(UTC_TIME, time.gmtime(rejection.since))
+        start += f", newer ones than held since {moment}"
     return [
         f"{start}: {finding.path}: {finding.code}: {finding.message}"
         for finding in rejection.findings
--- a/src/pewtertack/core/delta.py
+++ b/src/pewtertack/core/delta.py
@@ -6,14 +6,20 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterable, Iterator
+from collections.abc import Iterable, Iterator, Mapping
 from typing import Any, ClassVar
 
 import msgspec
 
-from pewtertack.core.revision import Document, RevisionId, encoded, identify
+from pewtertack.core.revision import Document, RevisionId, have_same_content, identify
+from pewtertack.core.slices import Work, finish
 from pewtertack.errors import CoordinationError
 
+COMPARED_AT_ONCE = 100
+"""Entries of one table that are compared in one step."""
+COMPARED_UNITS = 10
+"""What that counts for."""
+
 Path = tuple[str, ...]
 
 
@@ -49,20 +55,34 @@
 
 def compare(old: Document, new: Document) -> tuple[Edit, ...]:
     """Return the edits that turn ``old`` into ``new``, in a stable order."""
-    return tuple(_edits_between(old, new, ()))
+    return finish(comparing(old, new))
+
 
+def comparing(old: Document, new: Document) -> Work[tuple[Edit, ...]]:
+    """Do what ``compare`` does, in slices."""
+    edits: list[Edit] = []
+    for found in _edits_between(old, new, ()):
+        if found is None:
+            yield COMPARED_UNITS
+        else:
+            edits.append(found)
+    return tuple(edits)
 
-def _edits_between(old: Document, new: Document, path: Path) -> Iterator[Edit]:
+
+def _edits_between(old: Document, new: Document, path: Path) -> Iterator[Edit | None]:
+    """Yield the edits, and ``None`` from time to time while there are none."""
     for key in sorted(old.keys() - new.keys()):
         yield DeleteValue((*path, key))
-    for key in sorted(new):
+    for count, key in enumerate(sorted(new), 1):
+        if count % COMPARED_AT_ONCE == 0:
+            yield None
         if key in old and old[key] is new[key]:
             continue  # documents that came about by deltas share what did not change
         here = (*path, key)
         if key not in old:
             yield SetValue(here, new[key])
         elif isinstance(old[key], dict) and isinstance(new[key], dict):
-            if encoded(old[key]) != encoded(new[key]):
+            if len(old[key]) != len(new[key]) or not have_same_content(old[key], new[key]):
                 yield from _edits_between(old[key], new[key], here)
         elif not _same_value(old[key], new[key]):
             yield SetValue(here, new[key])
@@ -99,24 +119,49 @@
     Raises:
         DeltaMismatchError: an edit's path does not fit.
     """
-    result: Document = dict(document)
+    root = _TableCopy(document)
     for edit in edits:
-        result = _with_edit(result, edit, edit.path)
-    return result
+        root.do(edit)
+    return root.table
 
 
-def _with_edit(document: Any, edit: Edit, path: Path) -> dict[str, Any]:
-    """Return a copy of ``document`` with the edit done at ``path`` below it."""
-    if not path or not isinstance(document, dict):
-        raise DeltaMismatchError(f"no object at {'.'.join(edit.path)}")
-    key, rest = path[0], path[1:]
-    copy = dict(document)
-    if rest:
-        copy[key] = _with_edit(copy.get(key, {}), edit, rest)
-    elif isinstance(edit, SetValue):
-        copy[key] = edit.value
-    elif key in copy:
-        del copy[key]
-    else:
-        raise DeltaMismatchError(f"nothing to delete at {'.'.join(edit.path)}")
-    return copy
+class _TableCopy:
+    """The copy of a table under edit, with those of the tables in it that are under edit.
+
+    Each is made once, however many edits there are below it.
+    """
+
+    __slots__ = ("_children", "table")
+
+    def __init__(self, table: Mapping[str, Any]) -> None:
+        self.table = dict(table)
+        self._children: dict[str, _TableCopy] = {}
+
+    def do(self, edit: Edit) -> None:
+        """Do an edit whose path begins here.
+
+        Raises:
+            DeltaMismatchError: the path does not fit.
+        """
+        if not edit.path:
+            raise DeltaMismatchError("an edit without a path")
+        owner, key = self, edit.path[-1]
+        for name in edit.path[:-1]:
+            owner = owner._child(name, edit)
+        owner._children.pop(key, None)
+        if isinstance(edit, SetValue):
+            owner.table[key] = edit.value
+        elif key in owner.table:
+            del owner.table[key]
+        else:
+            raise DeltaMismatchError(f"nothing to delete at {'.'.join(edit.path)}")
+
+    def _child(self, name: str, edit: Edit) -> _TableCopy:
+        child = self._children.get(name)
+        if child is None:
+            table = self.table.get(name, {})
+            if not isinstance(table, dict):
+                raise DeltaMismatchError(f"no object at {'.'.join(edit.path)}")
+            child = self._children[name] = _TableCopy(table)
+            self.table[name] = child.table
+        return child
--- a/src/pewtertack/core/effects.py
+++ b/src/pewtertack/core/effects.py
@@ -9,6 +9,7 @@
 
 from pewtertack.core.configuration.resolved import ResolvedConfiguration
 from pewtertack.core.machines import MachineList
+from pewtertack.core.replication.stages import Stage, Way
 from pewtertack.core.revision import NO_REVISION, Document, RevisionId
 from pewtertack.events import Event
 from pewtertack.wire.messages import DocumentKind, Message
@@ -51,6 +52,13 @@
     """Tells this read from the others; its answer carries the same."""
 
 
+class GoOn(msgspec.Struct, frozen=True):
+    """Give the core a ``WorkContinued`` once other tasks have had their turn.
+
+    At most one is outstanding.
+    """
+
+
 class BringIntoForce(msgspec.Struct, frozen=True):
     """Swap the proxy to this configuration in one step."""
 
@@ -70,6 +78,14 @@
     retry_after: float = 1.0
 
 
+class StageReached(msgspec.Struct, frozen=True):
+    """A revision has reached a stage ``seconds`` after this node first heard of it."""
+
+    stage: Stage
+    way: Way
+    seconds: float
+
+
 class Log(msgspec.Struct, frozen=True):
     """Record a numbered event with its fields."""
 
@@ -77,4 +93,4 @@
     fields: dict[str, Any]
 
 
-Effect = Send | ReadDocument | BringIntoForce | UseMachines | SetServing | Log
+Effect = Send | ReadDocument | GoOn | BringIntoForce | UseMachines | SetServing | StageReached | Log
--- a/src/pewtertack/core/inputs.py
+++ b/src/pewtertack/core/inputs.py
@@ -6,6 +6,7 @@
 
 from pewtertack.core.items import ItemFinding
 from pewtertack.core.revision import Document
+from pewtertack.errors import ReadFailure
 from pewtertack.wire.messages import DocumentKind, Message
 
 
@@ -22,6 +23,16 @@
     message: Message
 
 
+class FrameArriving(msgspec.Struct, frozen=True):
+    """Bytes of a frame that is not yet whole, nor authenticated, have come from ``host``.
+
+    Told of long frames from time to time, so that who waits for one knows of it.
+    """
+
+    host: str
+    """IP number of the peer."""
+
+
 class DocumentRead(msgspec.Struct, frozen=True):
     """The platform answered a ``ReadDocument`` with a document under its number."""
 
@@ -58,6 +69,8 @@
     about_answers: tuple[ItemFinding, ...] = ()
     read: int = 0
     took: float | None = None
+    failure: ReadFailure | None = None
+    """How the read ended, where the reader tells."""
 
 
 class BackendLeavingObserved(msgspec.Struct, frozen=True):
@@ -82,6 +95,10 @@
     fingerprint: bytes
 
 
+class WorkContinued(msgspec.Struct, frozen=True):
+    """The core may go on with what it has begun; answers each ``GoOn``."""
+
+
 class DrainRequested(msgspec.Struct, frozen=True):
     """The process has been asked to stop."""
 
@@ -89,6 +106,7 @@
 Input = (
     Ticked
     | MessageReceived
+    | FrameArriving
     | DocumentRead
     | DocumentUnchanged
     | DocumentReadFailed
@@ -96,4 +114,5 @@
     | BackendCrashed
     | SuspectAnswered
     | DrainRequested
+    | WorkContinued
 )
--- a/src/pewtertack/core/replication/service.py
+++ b/src/pewtertack/core/replication/service.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import math
-from collections.abc import Callable
 from functools import partial
 from random import Random
 
@@ -24,12 +23,18 @@
 from pewtertack.core.replication.freshness import SourceFreshness
 from pewtertack.core.replication.heartbeats import HeartbeatSender
 from pewtertack.core.replication.machine_lists import MachineListReplica
+from pewtertack.core.replication.offers import MakeWork, Offers
 from pewtertack.core.replication.puller import Puller, PullSource
 from pewtertack.core.replication.quorum import QuorumCommit
+from pewtertack.core.replication.read_log import ReadLogs
 from pewtertack.core.replication.reader import HeldOfSource, PlatformReader
 from pewtertack.core.replication.readership import READERSHIPS, ReadershipParts
-from pewtertack.core.replication.replica import ConfigurationReplica
+from pewtertack.core.replication.refusals import RefusalWatch
+from pewtertack.core.replication.replica import WRONG_DIGEST, ConfigurationReplica
+from pewtertack.core.replication.stage_reports import StageReports
+from pewtertack.core.replication.stages import Way
 from pewtertack.core.revision import RevisionId, identify
+from pewtertack.core.slices import Budget
 from pewtertack.events import Event
 from pewtertack.wire.messages import (
     Announce,
@@ -45,7 +50,6 @@
     VersionState,
 )
 
-Offer = Callable[[], list[Effect]]
 MILLISECONDS = 1000.0
 FIRST_START_SPREAD = 1.25
 """Nodes that wait for the list do not all read at one moment."""
@@ -77,6 +81,7 @@
         self._random = random
         self._source = source or SourceProperties()
         self.replica = ConfigurationReplica(identity.zone, profile.mechanisms)
+        self.refusals = RefusalWatch(self.replica)
         self.machine_list = MachineListReplica(self._source.hold_after_return)
         self.era = 0
         """The latest era of the source that this node has heard of."""
@@ -116,6 +121,11 @@
             identity, profile, membership, self.freshness, stores, self._source.wide_link
         )
         self.passed_over = PassedOver()
+        self.stages = StageReports()
+        self.reads = ReadLogs()
+        self._offers = Offers()
+        self.budget = Budget()
+        """What may be done of long work in the present turn."""
         self.serving = False
 
     def _first_read_delay(self) -> float:
@@ -150,10 +160,11 @@
         A joiner reads a durable source itself, since that alone lets it serve.
         """
         numbers = {kind: self.held_number(kind) for kind in DocumentKind}
-        effects = self.machine_list.tick(now)
+        effects = self.machine_list.tick(now) + self.refusals.tick(now)
         effects += self.reader.tick(
             now, may_read, numbers, joining and self._source.durable, self._held_of_source()
         )
+        self.reads.note(now, effects)
         for kind in DocumentKind:
             effects += self._pull_if_due(now, kind)
         if self._has_uncommitted():
@@ -183,6 +194,9 @@
             self._hear_era(now, number)
         effects = self._note_regained(kind) + self.passed_over.note(kind, read.findings)
         effects += self.passed_over.note_answer(kind, read.about_answers)
+        self.reads.of[kind].answer()
+        if kind is DocumentKind.CONFIGURATION:
+            self.freshness.suspend(kind)
         if read.stale:
             self.reader.answered_stale(now, read)
         else:
@@ -190,14 +204,16 @@
         if kind is DocumentKind.MACHINE_LIST:
             offered = self.machine_list.offer(now, identify(number, document), document)
             return effects + self._after_machine_list(now, offered)
-        offer = partial(self.replica.offer_document, number, document)
-        return effects + self._after_offer(now, offer)
+        self.stages.log.hear(now, number)
+        make = partial(self.replica.offering_document, number, document)
+        return effects + self._offer(now, number, make, Way.SOURCE)
 
     def on_document_unchanged(self, now: float, answer: DocumentUnchanged) -> list[Effect]:
         """The source answered that the document has not changed."""
         kind = answer.kind
         effects = self._note_regained(kind)
         effects += self.passed_over.note_answer(kind, answer.about_answers)
+        self.reads.of[kind].answer()
         self.reader.answered(now, answer)
         return effects
 
@@ -209,7 +225,8 @@
     def on_read_failed(self, now: float, failed: DocumentReadFailed) -> list[Effect]:
         """Back off from the platform."""
         kind = failed.kind
-        effects: list[Effect] = [Log(FAILURE_EVENTS[kind], {"reason": failed.reason})]
+        fields = self.reads.of[kind].fail(now, failed)
+        effects: list[Effect] = [Log(FAILURE_EVENTS[kind], fields)]
         if failed.about_answers:
             effects += self.passed_over.note_answer(kind, failed.about_answers)
         if not self.reader.is_failing(kind):
@@ -221,9 +238,12 @@
 
     def learn(self, now: float, sender: str, address: str, state: VersionState) -> list[Effect]:
         """Take in a peer's versions: adopt its commit mark, pull what is newer."""
-        effects = self._adopt_commit(state.committed)
+        effects = self.stages.heard(now, sender, state.newest)
+        effects += self._adopt_commit(now, state.committed)
         self._hear_era(now, state.machine_list)
-        if self.replica.wants(state.held):
+        if state.held.number <= self._offers.newest:
+            pass  # it is here already, and under work
+        elif self.replica.wants(state.held):
             self._offer_pull(DocumentKind.CONFIGURATION, sender, address, state.held)
         elif state.committed == self.replica.missing_committed:
             self._offer_pull(DocumentKind.CONFIGURATION, sender, address, state.committed)
@@ -240,7 +260,7 @@
         """Take in what a reader tells: its changes, its versions, how old the source's word is."""
         effects: list[Effect] = []
         for answer in heartbeat.deltas:
-            effects += self._take_delta_answer(now, answer)
+            effects += self._take_delta_answer(now, answer, Way.HEARTBEAT)
         listed = RevisionId(heartbeat.state.machine_list, heartbeat.list_digest)
         self._hear_era(now, listed.number)
         effects += self._after_machine_list(now, self.machine_list.renumber(now, listed))
@@ -291,7 +311,7 @@
         effects: list[Effect] = []
         delta = message.delta
         if delta is not None and delta.base == self.replica.held:
-            effects += self._take_deltas(now, (delta,))
+            effects += self._take_deltas(now, (delta,), Way.DELTA)
         effects += self.learn(now, sender, address, message.state)
         if message.state.held.number < self.replica.held.number:
             effects.append(Send(sender, address, Announce(self.state())))
@@ -328,46 +348,82 @@
             effects.append(Log(Event.PULL_REFUSED, {"peer": sender}))
         return effects
 
+    def on_frame_arriving(self, now: float, host: str) -> None:
+        """What a peer at ``host`` was asked for may be on its way."""
+        for puller in self._pullers.values():
+            puller.arriving(now, host)
+
     def on_deltas(self, now: float, answer: DeltaAnswer) -> list[Effect]:
         """Apply the deltas that a peer sent."""
         self._pullers[answer.kind].finish()
-        return self._take_delta_answer(now, answer)
+        return self._take_delta_answer(now, answer, Way.DELTA)
 
-    def _take_delta_answer(self, now: float, answer: DeltaAnswer) -> list[Effect]:
+    def _take_delta_answer(self, now: float, answer: DeltaAnswer, way: Way) -> list[Effect]:
         if answer.kind is DocumentKind.CONFIGURATION:
-            return self._take_deltas(now, answer.deltas)
+            return self._take_deltas(now, answer.deltas, way)
         return self._after_machine_list(now, self.machine_list.offer_deltas(now, answer.deltas))
 
     def on_snapshot(self, now: float, answer: SnapshotAnswer) -> list[Effect]:
         """Take in a whole document, if its digest is right."""
         self._pullers[answer.kind].finish()
-        if identify(answer.revision.number, answer.document) != answer.revision:
-            return [Log(Event.FRAME_REFUSED, {"reason": "snapshot digest"})]
-        if answer.kind is DocumentKind.MACHINE_LIST:
-            offered = self.machine_list.offer(now, answer.revision, answer.document)
-            return self._after_machine_list(now, offered)
-        return self._after_offer(now, lambda: self.replica.offer(answer.revision, answer.document))
+        revision, document = answer.revision, answer.document
+        if answer.kind is DocumentKind.CONFIGURATION:
+            make = partial(self.replica.offering_snapshot, revision, document)
+            return self._offer(now, revision.number, make, Way.SNAPSHOT)
+        if identify(revision.number, document) != revision:
+            return [Log(Event.FRAME_REFUSED, {"reason": WRONG_DIGEST})]
+        return self._after_machine_list(now, self.machine_list.offer(now, revision, document))
 
     def on_busy(self, now: float, busy: Busy) -> None:
         """Come back later, or to another peer."""
         self._pullers[busy.kind].postpone(now, busy.retry_after_milliseconds / MILLISECONDS)
 
-    def _take_deltas(self, now: float, deltas: tuple[Delta, ...]) -> list[Effect]:
-        try:
-            return self._after_offer(now, lambda: self.replica.offer_deltas(deltas))
-        except DeltaMismatchError as error:
-            return [Log(Event.FRAME_REFUSED, {"reason": str(error)})]
+    def _take_deltas(self, now: float, deltas: tuple[Delta, ...], way: Way) -> list[Effect]:
+        if not deltas:
+            return []
+        make = partial(self.replica.offering_deltas, deltas)
+        return self._offer(now, deltas[-1].target.number, make, way)
 
     # Holding and committing.
 
-    def _after_offer(self, now: float, offer: Offer) -> list[Effect]:
-        """Make an offer to the replica and tell others if it now holds something new."""
-        before = self.replica.held
-        effects = offer()
+    @property
+    def is_working(self) -> bool:
+        """Whether an offered configuration is under work: ``go_on`` is to be called."""
+        return self._offers.is_working
+
+    def _offer(self, now: float, number: int, make: MakeWork, way: Way) -> list[Effect]:
+        """Offer a configuration to the replica, as far as this turn allows."""
+        idle = not self._offers.is_working
+        self._offers.add(number, make, way)
+        effects = self.go_on(now) if idle else []
+        if self._offers.is_working:
+            self._pullers[DocumentKind.CONFIGURATION].forget_up_to(self._offers.newest)
+        return effects
+
+    def go_on(self, now: float) -> list[Effect]:
+        """Go on with offered configurations until none is left or the budget is spent."""
+        effects: list[Effect] = []
+        while self._offers.is_working:
+            before, way = self.replica.held, self._offers.way
+            try:
+                done = self._offers.advance(self.budget)
+            except DeltaMismatchError as error:
+                done = [Log(Event.FRAME_REFUSED, {"reason": str(error)})]
+            if done is None:
+                return effects
+            effects += self._after_offer(now, before, way, done)
+            self.freshness.resume(DocumentKind.CONFIGURATION)
+        return effects
+
+    def _after_offer(
+        self, now: float, before: RevisionId, way: Way, effects: list[Effect]
+    ) -> list[Effect]:
+        """Add to an offer's effects what tells others that something new is held, if so."""
         held = self.replica.held
         self._pullers[DocumentKind.CONFIGURATION].forget_up_to(held.number)
         if held == before:
             return effects
+        effects += self.stages.held(now, held.number, way, effects)
         self._ended.note(self._evacuated(), tree_parts(held.number)[1], self.era)
         if self._has_uncommitted() and not self._source.durable:
             effects += self.quorum.report(now, held)
@@ -384,22 +440,22 @@
         """Count a holder; commit when a quorum holds the revision."""
         if report.revision.number <= self.replica.committed.number:
             return self._membership.send(sender, Announce(self.state()))
+        effects = self.stages.heard(now, sender, report.revision)
         self.quorum.record(sender, process, report.revision)
-        return self._commit_if_reached(now, report.revision)
+        return effects + self._commit_if_reached(now, report.revision)
 
     def _commit_if_reached(self, now: float, revision: RevisionId) -> list[Effect]:
         if revision.number <= self.replica.committed.number:
             return []
         if self._source.durable or self.quorum.reached(now, revision):
-            return self._adopt_commit(revision)
+            return self._adopt_commit(now, revision)
         return []
 
-    def _adopt_commit(self, revision: RevisionId) -> list[Effect]:
+    def _adopt_commit(self, now: float, revision: RevisionId) -> list[Effect]:
         if not self.replica.mark_committed(revision):
             return []
         self.quorum.decided(revision)
-        fields = {"revision": revision.number, "digest": revision.digest.hex()}
-        return [Log(Event.REVISION_COMMITTED, fields), *self._announce(None)]
+        return [*self.stages.committed(now, revision), *self._announce(None)]
 
     # Spreading.
 
--- a/src/pewtertack/core/replication/store.py
+++ b/src/pewtertack/core/replication/store.py
@@ -4,17 +4,27 @@
 
 from collections import OrderedDict, deque
 from collections.abc import Iterable
+from typing import NamedTuple
 
-from pewtertack.core.delta import Delta, apply, compare, with_edits
+from pewtertack.core.delta import Delta, apply, compare, comparing, with_edits
 from pewtertack.core.revision import NO_REVISION, Document, RevisionId
+from pewtertack.core.slices import Work, finish
 
 DELTAS_KEPT = 64
 EDITS_KEPT = 2000
-"""A delta log with more edits than this is shortened: a snapshot is cheaper."""
+"""A delta log is shortened that has more edits than this and than the document has entries: a
+snapshot is cheaper then."""
 DOCUMENTS_KEPT = 8
 """Recent documents share most of their content, as edits copy only their path."""
 
 
+class Step(NamedTuple):
+    """A delta with the document that it leads to."""
+
+    delta: Delta
+    document: Document
+
+
 class DocumentStore:
     """The newest held revision of one document, with how it came about."""
 
@@ -26,44 +36,43 @@
 
     def share(self, document: Document) -> Document:
         """Return an equal document that shares with the newest what it leaves alone."""
-        return with_edits(self.document, compare(self.document, document))
+        return finish(self.sharing(document))
+
+    def sharing(self, document: Document) -> Work[Document]:
+        """Do what ``share`` does, in slices."""
+        edits = yield from comparing(self.document, document)
+        return with_edits(self.document, edits)
 
     def put(self, revision: RevisionId, document: Document) -> None:
         """Hold ``document``; the caller has checked it and its digest."""
         delta = Delta(self.revision, revision, compare(self.document, document))
         self._append(delta, document)
 
-    def put_deltas(self, deltas: Iterable[Delta]) -> bool:
-        """Apply the part of a chain that follows the held revision.
-
-        Returns whether anything was applied.
-
-        Raises:
-            DeltaMismatchError: an edit does not fit or yields another digest.
-        """
-        before = self.revision
-        for delta in deltas:
-            if delta.base == self.revision:
-                self._append(delta, apply(delta, self.document))
-        return self.revision != before
-
-    def preview(self, deltas: Iterable[Delta]) -> tuple[RevisionId, Document]:
+    def follow(self, deltas: Iterable[Delta]) -> tuple[Step, ...]:
         """Return where a chain leads from the held revision, changing nothing.
 
+        What comes before the held revision is left out.
+
         Raises:
             DeltaMismatchError: an edit does not fit or yields another digest.
         """
+        steps: list[Step] = []
         revision, document = self.revision, self.document
         for delta in deltas:
             if delta.base == revision:
-                document = apply(delta, document)
-                revision = delta.target
-        return revision, document
+                revision, document = delta.target, apply(delta, document)
+                steps.append(Step(delta, document))
+        return tuple(steps)
+
+    def put_steps(self, steps: Iterable[Step]) -> None:
+        """Hold the end of a chain that ``follow`` returned."""
+        for step in steps:
+            self._append(step.delta, step.document)
 
     def _append(self, delta: Delta, document: Document) -> None:
         if self.revision != NO_REVISION:
             self._deltas.append(delta)
-        self._shorten_log()
+        self._shorten_log(entries_of(document))
         self.revision = delta.target
         self.document = document
         self.keep(delta.target, document)
@@ -74,9 +83,11 @@
         while len(self._recent) > DOCUMENTS_KEPT:
             self._recent.popitem(last=False)
 
-    def _shorten_log(self) -> None:
-        while sum(len(delta.edits) for delta in self._deltas) > EDITS_KEPT:
-            self._deltas.popleft()
+    def _shorten_log(self, entries: int) -> None:
+        edits = sum(len(delta.edits) for delta in self._deltas)
+        limit = max(EDITS_KEPT, entries)
+        while edits > limit:
+            edits -= len(self._deltas.popleft().edits)
 
     def recent(self, revision: RevisionId) -> Document | None:
         """Return the document of a recent revision, if still kept."""
@@ -94,3 +105,8 @@
     def last_delta(self) -> Delta | None:
         """The newest edit, if the log has it."""
         return self._deltas[-1] if self._deltas else None
+
+
+def entries_of(document: Document) -> int:
+    """Return how many entries the tables of a document have."""
+    return sum(len(table) for table in document.values() if isinstance(table, dict))
--- a/src/pewtertack/lab/store_fleet/simulated_source.py
+++ b/src/pewtertack/lab/store_fleet/simulated_source.py
@@ -7,14 +7,13 @@
 
 import anyio
 
+from pewtertack.errors import ReadFailure
 from pewtertack.lab.asgi import Answer, Request
 from pewtertack.lab.metadata_store.application import WATCH_PATH, MetadataStore
 from pewtertack.node.http.client import (
     ANSWER_FACTOR,
-    AnswerStalledError,
     HttpClient,
     ServiceAnswer,
-    ServiceSilentError,
     ServiceTimeouts,
     ServiceUnreachableError,
 )
@@ -54,7 +53,7 @@
                 return await self.store.application.answer(request)
             finally:
                 del self._watches[watch]
-        raise ServiceUnreachableError("the service hung up")
+        raise ServiceUnreachableError("the service hung up", ReadFailure.CLOSED)
 
     def cut_watches(self) -> int:
         """Cut all watches that have no answer; return how many there were."""
@@ -106,7 +105,8 @@
                 await anyio.sleep(ONE_WAY_SECONDS)
                 return answer
         except TimeoutError as error:
-            raise ServiceSilentError(f"no answer within {seconds:g} s") from error
+            reason = f"no answer within {seconds:g} s"
+            raise ServiceUnreachableError(reason, ReadFailure.SLOW) from error
 
     async def _carry(self, answer: Answer, seconds: float) -> None:
         """Let the body pass; its parts come in turn, so that only the whole can take too long."""
@@ -118,7 +118,8 @@
                 if faults.body_rate:
                     await anyio.sleep(len(answer.body) / faults.body_rate)
         except TimeoutError as error:
-            raise AnswerStalledError("the answer began and did not end in time") from error
+            reason = "the answer began and did not end in time"
+            raise ServiceUnreachableError(reason, ReadFailure.UNFINISHED) from error
 
 
 class SimulatedReader(StoreReader):
--- a/src/pewtertack/node/http/client.py
+++ b/src/pewtertack/node/http/client.py
@@ -9,7 +9,7 @@
 import anyio
 import msgspec
 
-from pewtertack.errors import PlatformError
+from pewtertack.errors import PlatformError, ReadFailure
 from pewtertack.node import clock
 from pewtertack.node.http.connection import BackendConnection, ExchangeBrokenError, connect
 from pewtertack.node.http.framing import NO_BODY_STATUSES, RawHeaders
@@ -28,17 +28,9 @@
 
     code = "service-unreachable"
 
-
-class ServiceSilentError(ServiceUnreachableError):
-    """The connection stands, and no answer came in time."""
-
-    code = "service-silent"
-
-
-class AnswerStalledError(ServiceUnreachableError):
-    """An answer began and did not go on, or not to its end, in time."""
-
-    code = "answer-stalled"
+    def __init__(self, reason: str, failure: ReadFailure) -> None:
+        self.failure = failure
+        super().__init__(reason)
 
 
 class AnswerTooLargeError(PlatformError):
@@ -118,7 +110,8 @@
         try:
             connection = await connect(self.address, timeouts.connect, self._local_host)
         except (OSError, ValueError) as error:
-            raise ServiceUnreachableError(f"cannot connect: {error}") from error
+            failure = ReadFailure.NO_CONNECTION
+            raise ServiceUnreachableError(f"cannot connect: {error}", failure) from error
         return await self._exchange(connection, request, timeouts)
 
     async def _exchange(
@@ -128,35 +121,23 @@
         timeouts: ServiceTimeouts,
         fresh: bool = True,
     ) -> ServiceAnswer:
-        began = clock.now()
+        start = None
+        began, took = clock.now(), 0.0
         try:
-            start = await self._start_of(connection, request, timeouts.answer)
+            with anyio.fail_after(timeouts.answer):
+                start = await connection.exchange(request)
             took = clock.now() - began
-            body = await self._whole_body_of(connection, start, timeouts.part)
-        except ExchangeBrokenError as error:
-            raise ServiceUnreachableError(str(error)) from error
+            with anyio.fail_after(timeouts.part * ANSWER_FACTOR):
+                body = await self._body_of(connection, start, timeouts.part)
+        except (TimeoutError, ExchangeBrokenError) as error:
+            seconds = timeouts.answer if start is None else timeouts.part
+            reason = str(error) or f"no answer within {seconds:g} s"
+            failure = _failure_of(connection, start, isinstance(error, TimeoutError))
+            raise ServiceUnreachableError(reason, failure) from error
         finally:
             self._give_back(connection)
         return ServiceAnswer(start.status, start.headers, body, fresh, took)
 
-    async def _start_of(
-        self, connection: BackendConnection, request: OutgoingRequest, seconds: float
-    ) -> AnswerStart:
-        try:
-            with anyio.fail_after(seconds):
-                return await connection.exchange(request)
-        except TimeoutError as error:
-            raise ServiceSilentError(f"no answer within {seconds:g} s") from error
-
-    async def _whole_body_of(
-        self, connection: BackendConnection, start: AnswerStart, seconds: float
-    ) -> bytes:
-        try:
-            with anyio.fail_after(seconds * ANSWER_FACTOR):
-                return await self._body_of(connection, start, seconds)
-        except TimeoutError as error:
-            raise AnswerStalledError("the answer began and did not end in time") from error
-
     async def _body_of(
         self, connection: BackendConnection, start: AnswerStart, seconds: float
     ) -> bytes:
@@ -180,3 +161,14 @@
             self._idle.append(connection)
         else:
             connection.abort()
+
+
+def _failure_of(
+    connection: BackendConnection, start: AnswerStart | None, given_up: bool
+) -> ReadFailure:
+    """Return how an exchange failed; ``given_up`` tells that its time was over."""
+    if connection.peer_silent:
+        return ReadFailure.SILENT
+    if start is not None:
+        return ReadFailure.UNFINISHED
+    return ReadFailure.SLOW if given_up else ReadFailure.CLOSED
--- a/src/pewtertack/node/http/unread.py
+++ b/src/pewtertack/node/http/unread.py
@@ -8,6 +8,7 @@
 
 from __future__ import annotations
 
+import math
 from typing import Protocol
 
 UNREAD_SECONDS = 4.0
@@ -26,8 +27,8 @@
     """A connection whose caller reads too slowly."""
 
     @property
-    def unsent(self) -> int:
-        """Bytes that the caller has not taken."""
+    def untaken(self) -> int:
+        """Bytes that the caller has not taken, those that the system holds included."""
 
     def end_unread(self) -> None:
         """End the connection."""
@@ -36,19 +37,25 @@
 class _Silence:
     """Since when a caller has taken nothing."""
 
-    __slots__ = ("since", "unsent")
+    __slots__ = ("since", "untaken")
 
-    def __init__(self, since: float, unsent: int) -> None:
+    def __init__(self, since: float, untaken: int) -> None:
         self.since = since
-        self.unsent = unsent
+        self.untaken = untaken
 
 
 class UnreadAnswers:
-    """The connections of one server whose callers read too slowly. Times: monotonic seconds."""
+    """The connections of one server whose callers read too slowly. Times: monotonic seconds.
 
-    __slots__ = ("_silent",)
+    Args:
+        callers_relay: the callers pass answers on, and look after who reads them. One may take
+            nothing for long while its own caller reads what that connection's system holds.
+    """
 
-    def __init__(self) -> None:
+    __slots__ = ("_callers_relay", "_silent")
+
+    def __init__(self, callers_relay: bool = False) -> None:
+        self._callers_relay = callers_relay
         self._silent: dict[Connection, _Silence] = {}
         """The longest silent first."""
 
@@ -57,7 +64,7 @@
 
     def begin(self, connection: Connection, now: float) -> float:
         """A caller does not keep up; return after how many seconds to look at it."""
-        self._silent[connection] = _Silence(now, connection.unsent)
+        self._silent[connection] = _Silence(now, connection.untaken)
         return CROWDED_SECONDS
 
     def end(self, connection: Connection) -> None:
@@ -69,18 +76,23 @@
         silence = self._silent.get(connection)
         if silence is None:
             return None
-        unsent = connection.unsent
-        if unsent != silence.unsent:
+        untaken = connection.untaken
+        if untaken != silence.untaken:
             del self._silent[connection]
-            self._silent[connection] = _Silence(now, unsent)
+            self._silent[connection] = _Silence(now, untaken)
             return CROWDED_SECONDS
-        patience = CROWDED_SECONDS if self._is_one_too_many(connection) else UNREAD_SECONDS
-        if now - silence.since >= patience:
+        if now - silence.since >= self._patience(connection):
             del self._silent[connection]
             connection.end_unread()
             return None
         return CROWDED_SECONDS
 
+    def _patience(self, connection: Connection) -> float:
+        """Return for how many seconds a caller may take nothing."""
+        if self._is_one_too_many(connection):
+            return CROWDED_SECONDS
+        return math.inf if self._callers_relay else UNREAD_SECONDS
+
     def _is_one_too_many(self, connection: Connection) -> bool:
         """Tell whether it is the longest silent one of too many."""
         return len(self._silent) > MOST_UNREAD and next(iter(self._silent)) is connection
--- a/src/pewtertack/node/runtime.py
+++ b/src/pewtertack/node/runtime.py
@@ -6,6 +6,7 @@
 from typing import Protocol
 
 import anyio
+import anyio.lowlevel
 import msgspec
 from anyio.abc import TaskGroup
 
@@ -13,10 +14,12 @@
 from pewtertack.core.effects import (
     BringIntoForce,
     Effect,
+    GoOn,
     Log,
     ReadDocument,
     Send,
     SetServing,
+    StageReached,
     UseMachines,
 )
 from pewtertack.core.inputs import (
@@ -25,15 +28,18 @@
     DocumentReadFailed,
     DocumentUnchanged,
     DrainRequested,
+    FrameArriving,
     Input,
     MessageReceived,
     Ticked,
+    WorkContinued,
 )
 from pewtertack.core.machines import MachineList
 from pewtertack.errors import ProtocolError
 from pewtertack.events import Event
 from pewtertack.log import EventLog
 from pewtertack.node import clock
+from pewtertack.node.counting import Histogram
 from pewtertack.node.gate import ServingGate
 from pewtertack.wire.frames import Envelope
 from pewtertack.wire.messages import Message
@@ -43,6 +49,8 @@
 CLOCKS_APART = 3600.0
 """A start so many seconds after this node's time is taken as untold. Clocks may jump: one that is
 further behind tells no lives apart, which is what nodes do where starts are not told."""
+TURNS_BETWEEN = 2
+"""Turns of the event loop between two slices of work; it looks at the sockets every second one."""
 REFUSAL_LOG_INTERVAL = 1.0
 """Refused frames of one type are logged at most once in so many seconds."""
 
@@ -111,6 +119,7 @@
         transport, reader, proxy: where effects go; ``proxy`` is absent on a node
             that only replicates, ``gateway`` where no back end is beside the node.
         log: receives the core's events.
+        stages: observes how long revisions take to their stages.
     """
 
     def __init__(
@@ -123,6 +132,7 @@
         proxy: Proxy | None,
         log: EventLog,
         gateway: Gateway | None = None,
+        stages: Histogram | None = None,
     ) -> None:
         self._core = core
         self._tick = tick
@@ -132,6 +142,7 @@
         self._proxy = proxy
         self._gateway = gateway
         self._log = log
+        self._stages = stages
         self._tasks: TaskGroup | None = None
         self._refusals_logged: dict[str, float] = {}
         self.failed_messages: Counter[str] = Counter()
@@ -192,6 +203,10 @@
             self.failed_messages[name] += 1
             self._log_refusal(name, f"{type(envelope.message).__name__}: {error}")
 
+    def note_arriving(self, host: str) -> None:
+        """A frame is arriving from a peer at ``host``."""
+        self.feed(FrameArriving(host))
+
     def refuse(self, error: ProtocolError) -> None:
         """Log a refused frame; the transport has counted it."""
         self._log_refusal(error.code, str(error))
@@ -209,18 +224,29 @@
                 self._transport.send(address, message)
             case ReadDocument():
                 self._start_read(effect)
+            case GoOn():
+                self._start_going_on()
             case BringIntoForce(configuration):
                 self._bring_into_force(configuration)
             case UseMachines(told):
-                machines = told.without_starts_after(_latest_start())
-                for user in (self._proxy, self._gateway):
-                    if user is not None:
-                        user.use_machines(machines)
+                self._use_machines(told)
             case SetServing(serving, retry_after):
                 self._set_serving(serving, retry_after)
+            case StageReached():
+                self._observe(effect)
             case Log(event, fields):
                 self._log.record(event, **fields)
 
+    def _use_machines(self, told: MachineList) -> None:
+        machines = told.without_starts_after(_latest_start())
+        for user in (self._proxy, self._gateway):
+            if user is not None:
+                user.use_machines(machines)
+
+    def _observe(self, reached: StageReached) -> None:
+        if self._stages is not None:
+            self._stages.observe((reached.stage.value, reached.way.value), reached.seconds)
+
     def _bring_into_force(self, configuration: ResolvedConfiguration) -> None:
         for user in (self._proxy, self._gateway):
             if user is not None:
@@ -232,6 +258,20 @@
         if self._proxy is not None:
             self._proxy.set_serving(serving, retry_after)
 
+    def _start_going_on(self) -> None:
+        assert self._tasks is not None, "the core has long work in answer to inputs only"
+        self._tasks.start_soon(self._go_on)
+
+    async def _go_on(self) -> None:
+        for _ in range(TURNS_BETWEEN):
+            await anyio.lowlevel.checkpoint()
+        try:
+            self.feed(WorkContinued())
+        except Exception as error:  # a configuration that cannot be handled is not held
+            name = type(error).__name__
+            self.failed_messages[name] += 1
+            self._log_refusal(name, f"{type(WorkContinued).__name__}: {error}")
+
     def _start_read(self, effect: ReadDocument) -> None:
         assert self._tasks is not None, "the core asks for reads in ticks only"
         self._tasks.start_soon(self._read, effect)
--- a/src/pewtertack/platform/store.py
+++ b/src/pewtertack/platform/store.py
@@ -13,18 +13,17 @@
 from pewtertack.core.source_era import SourceEra, SourceEraError
 from pewtertack.core.source_mirror import Mirror, Refreshed
 from pewtertack.core.source_trees import lacks_change, tree_document
-from pewtertack.errors import PlatformError
+from pewtertack.errors import PlatformError, ReadFailure
 from pewtertack.node import clock
 from pewtertack.node.http.client import (
     HttpClient,
     ServiceAnswer,
-    ServiceSilentError,
     ServiceTimeouts,
     ServiceUnreachableError,
 )
 from pewtertack.platform.documents import tree_of
 from pewtertack.platform.entries import machines_of
-from pewtertack.platform.items import items_of, newest_of
+from pewtertack.platform.items import items_of
 from pewtertack.settings import Settings
 from pewtertack.wire.messages import DocumentKind
 
@@ -55,23 +54,23 @@
 
     code: ClassVar[str] = "store-unreachable"
 
-
-class StoreSilentError(StoreUnreachableError):
-    """The store has taken a call and did not answer it."""
-
-    code: ClassVar[str] = "store-silent"
+    def __init__(self, reason: str, failure: ReadFailure) -> None:
+        self.failure = failure
+        super().__init__(reason)
 
 
 class StoreBusyError(PlatformError):
     """The store refuses or throttles calls."""
 
     code: ClassVar[str] = "store-busy"
+    failure = ReadFailure.REFUSED
 
 
 class StoreStatusError(PlatformError):
     """The store answered with a status that is not in its interface."""
 
     code: ClassVar[str] = "store-status"
+    failure = ReadFailure.REFUSED
 
 
 class StoreBodyError(PlatformError):
@@ -139,7 +138,8 @@
         try:
             answer = await self._read(effect, self._mirrors[effect.kind])
         except PlatformError as error:
-            answer = DocumentReadFailed(effect.kind, f"{error.code}: {error}")
+            reason = f"{error.code}: {error}"
+            answer = DocumentReadFailed(effect.kind, reason, failure=error.failure)
         found, took, self._took = self._era.take_findings(), self._took, None
         return msgspec.structs.replace(answer, about_answers=found, took=took)
 
@@ -194,11 +194,7 @@
             return Refreshed.CHANGED
 
     async def _list(self, mirror: Mirror, stale: bool = False) -> None:
-        """Read all items; what changes between two pages is seen by the watch that follows.
-
-        Pages of a stale list may be of different ages, and what revision each shows is not
-        told: the watch goes on from the newest item of the page that is the furthest back.
-        """
+        """Read all items; what changes between two pages is seen by the watch that follows."""
         fresh = mirror.empty()
         fresh.stale = stale
         after = ""
@@ -206,10 +202,7 @@
             path = f"/kv-range?PathPrefix={mirror.prefix}" + (f"&after={after}" if after else "")
             page = _decode(await self._get(path + ("&stale=1" if stale else "")), _Range)
             items = items_of(page.items)
-            shown = min(page.at, newest_of(items)) if stale else page.at
-            fresh.at = min(fresh.at, shown) if stale and fresh.at else fresh.at or shown
-            for item in items:
-                fresh.take(item.key, item.content(), item.made)
+            fresh.take_page(items, page.at)
             if not page.more or not items:
                 break
             after = items[-1].key
@@ -226,8 +219,7 @@
         if wait and found.events:
             self._took = None  # a change has ended the wait
         if mirror.at == 0:
-            await self._list(mirror)
-            return Refreshed.CHANGED
+            return await self._refresh(mirror, 0.0)  # another read has found the history gone
         return mirror.take_changes(after, found.at, items_of(found.events))
 
     async def _get(self, path: str, wait: float = 0.0) -> bytes:
@@ -235,10 +227,8 @@
         sent_in = self._era.known
         try:
             answer = await self._client.get(path, timeouts)
-        except ServiceSilentError as error:
-            raise StoreSilentError(str(error)) from error
         except ServiceUnreachableError as error:
-            raise StoreUnreachableError(str(error)) from error
+            raise StoreUnreachableError(str(error), error.failure) from error
         if answer.took >= wait:
             self._took = answer.took - wait
         self._note_era(answer, sent_in)
@@ -287,10 +277,9 @@
 
 def make_reader(settings: Settings) -> StoreReader:
     """Return the reader for a node with these settings."""
-    gateway = settings.listen.gateway
     return StoreReader(
         str(settings.source.url.address),
-        gateway.port if gateway is not None else 0,
+        settings.listen.gateway.port if settings.listen.gateway is not None else 0,
         settings.listen.peer.port,
         settings.source.hold_after_return.seconds,
     )
--- a/tests/node/test_process.py
+++ b/tests/node/test_process.py
@@ -38,6 +38,12 @@
 }
 
 
+def since_of(page: Any) -> Any:
+    """Return since when a status page says that revisions are refused."""
+    rejection = page["last_rejection"]
+    return rejection and rejection["since"]
+
+
 class NodeProcessTest(ProxyTestCase):
     async def asyncSetUp(self) -> None:
         self.release = anyio.Event()
@@ -90,7 +96,8 @@
             status, _, body = await get(ready["proxy"], "/contacts")
             self.assertEqual((status, body, self.token), (200, b"ok", b"hush"))
             await self.edit()
-            await b.wait_event("REVISION_IN_FORCE", revision=2)
+            in_force = await b.wait_event("REVISION_IN_FORCE", revision=2)
+            self.assertIn(in_force["way"], ("delta", "heartbeat", "snapshot"))
             await get(ready["proxy"], "/contacts")
             self.assertEqual(self.token, b"hush2")
             await self.check_admin(ready["admin"])
@@ -107,9 +114,36 @@
                 while (await get(ready_b["proxy"], "/contacts"))[0] != 503:
                     await anyio.sleep(0.02)
 
-    async def edit(self) -> None:
-        tree = copy.deepcopy(TREE)
-        tree["secrets"]["token"] = "hush2"
+    async def test_a_refused_revision_shows_in_metrics_and_status_until_a_newer_one_holds(
+        self,
+    ) -> None:
+        async with self.fleet() as (a, _):
+            admin = a.lines[0]["admin"]
+            metrics = (await get(admin, "/metrics"))[2]
+            self.assertIn(b"\npewtertack_revision_refused 0.0\n", metrics)
+            self.assertIn(b"\npewtertack_revision_refused_since_seconds 0.0\n", metrics)
+            begun = time.time()
+            await self.edit({**TREE, "services": {"archive": {}}})
+            await a.wait_event("REVISION_REJECTED", revision=2)
+            page = await get_until(admin, "/status", lambda page: since_of(page) is not None)
+            self.assertTrue(begun - 1.0 < since_of(page) < time.time() + 1.0)
+            metrics = (await get(admin, "/metrics"))[2]
+            self.assertIn(b"\npewtertack_revision_refused 2.0\n", metrics)
+            self.assertNotIn(b"pewtertack_revision_refused_since_seconds 0.0", metrics)
+            reports = await read_reports((f"http://{admin}",), 30.0)
+            self.assertIn(
+                "a: revision 2 refused, newer ones than held since 2", format_reports(reports)
+            )
+            await self.edit()
+            await get_until(admin, "/status", lambda page: page["in_force"]["number"] == 3)
+            await get_until(admin, "/status", lambda page: since_of(page) is None)
+            metrics = (await get(admin, "/metrics"))[2]
+            self.assertIn(b"\npewtertack_revision_refused 0.0\n", metrics)
+
+    async def edit(self, tree: Any = None) -> None:
+        if tree is None:
+            tree = copy.deepcopy(TREE)
+            tree["secrets"]["token"] = "hush2"
         async with httpcore.AsyncConnectionPool() as pool:
             url = f"http://{self.source.control.address}/tree"
             answer = await pool.request("PUT", url, content=json.dumps(tree).encode())
@@ -123,6 +157,9 @@
         self.assertNotIn(b"hush", config)
         metrics = (await get(admin, "/metrics"))[2]
         self.assertIn(b"\npewtertack_in_force_revision 2.0\n", metrics)
+        self.assertRegex(metrics, rb'_stage_seconds_count{stage="in_force",way="[a-z]+"} [1-9]')
+        self.assertIn(b"\npewtertack_heard_revision 2.0\n", metrics)
+        self.assertIn(b"\npewtertack_behind_seconds 0.0\n", metrics)
         reports = await read_reports((f"http://{admin}", f"http://{NOBODY}"), 30.0)
         table = format_reports(reports).splitlines()
         self.assertRegex(table[1], r"^b +ikeja +serving +2 +2 +2 .* (yes|no) +1 alive +0 +-$")
