A store's changes too long for one answer are listed instead of asked for again

What callers saw: nothing yet; found beside the incident's cause. A watch answers with every write since the cursor, and the longest answer that is read is 16 MiB: some eleven writes of a configuration of the longest value (1 MiB, a third more in base64), as a storm of versions makes while a reader is away or the store slow. Such a read failed, the cursor stayed where it was, and each further read asked for the same and more, until the store forgot the history (20 s).

The test (40 writes, a bound of 16 KiB) was seen to fail before: no read of two came to the newest version.

--- a/src/pewtertack/platform/store.py
+++ b/src/pewtertack/platform/store.py
@@ -16,6 +16,7 @@
 from pewtertack.errors import PlatformError, ReadFailure
 from pewtertack.node import clock
 from pewtertack.node.http.client import (
+    AnswerTooLargeError,
     HttpClient,
     ServiceAnswer,
     ServiceTimeouts,
@@ -215,7 +216,11 @@
         """Take in what has changed; other reads may have changed the mirror meanwhile."""
         after = mirror.at
         query = f"PathPrefix={mirror.prefix}&after={after}&WaitMs={int(wait * 1000)}"
-        found = _decode(await self._get(f"/kv-watch?{query}", wait), _Events)
+        try:
+            body = await self._get(f"/kv-watch?{query}", wait)
+        except AnswerTooLargeError as error:  # a list has each item once
+            raise _HistoryGoneError(str(error)) from error
+        found = _decode(body, _Events)
         if wait and found.events:
             self._took = None  # a change has ended the wait
         if mirror.at == 0:
--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -3,6 +3,7 @@
 import json
 from random import Random
 from typing import Any
+from unittest import mock
 
 import anyio
 
@@ -11,6 +12,7 @@
 from pewtertack.core.inputs import DocumentRead, DocumentReadFailed, DocumentUnchanged
 from pewtertack.errors import ReadFailure
 from pewtertack.lab.metadata_store.application import MetadataStore, StoreFaults
+from pewtertack.platform import store
 from pewtertack.platform.store import StoreReader
 from pewtertack.wire.messages import DocumentKind
 from tests.node.proxy.harness import ProxyTestCase
@@ -52,6 +54,19 @@
             self.store.put("servers/i-1", encoded({**ENTRY, "State": "draining"}))
         self.assertEqual(found[0].document["i-1"]["state"], "leaving")
 
+    async def test_changes_too_long_for_one_answer_are_listed(self) -> None:
+        with mock.patch.object(store, "ANSWER_BYTES", 16 * 1024):
+            reader = StoreReader(await self.serve(self.store.application), 8146, 7380)
+        self.addAsyncCleanup(reader.close)
+        self.assertEqual(
+            (await reader.read(ReadDocument(CONFIG, 0, 0.0))).number, 12 * VERSION_STEP
+        )
+        for version in range(13, 53):
+            configuration = {**CONFIGURATION, "Version": f"r{version}"}
+            self.store.put("op/config", encoded(configuration))
+        reads = [await reader.read(ReadDocument(CONFIG, 0, 0.0)) for _ in range(2)]
+        self.assertEqual([getattr(read, "number", 0) for read in reads][-1], 52 * VERSION_STEP)
+
     async def test_a_removed_entry_leaves_the_list(self) -> None:
         await self.read(MACHINES)
         self.store.put("servers/i-2", encoded({**ENTRY, "Address": "10.1.0.9:8080"}))
