--- /dev/null
+++ b/tests/platform/test_large_lists.py
@@ -0,0 +1,60 @@
+"""Lists of machines and zones beyond any fleet of today lose nothing on the way to nodes."""
+
+import unittest
+
+from pewtertack.core.items import LIST_LENGTH_LIMIT, evacuated_zones_of
+from pewtertack.core.machines import MachineRole, machine_list_from_document
+from pewtertack.core.replication.machine_lists import MachineListReplica
+from pewtertack.core.revision import identify
+from pewtertack.platform.entries import machines_of
+from pewtertack.wire.frames import Envelope, FrameReader, encode_frame
+from pewtertack.wire.messages import DocumentKind, PackedAnswer, SnapshotAnswer
+from pewtertack.wire.packing import pack, unpack
+from tests.platform.test_documents import ENTRY, encoded
+
+BACKENDS = 5_000
+KEY = b"k" * 32
+
+
+def entries() -> dict[str, bytes]:
+    found = {}
+    for number in range(BACKENDS):
+        address = f"10.{number >> 16}.{number >> 8 & 255}.{number & 255}:8080"
+        fields = {**ENTRY, "Address": address, "Slots": 4096, "Service": f"s{number % 240}"}
+        found[f"i-{number:08x}"] = encoded(fields)
+    return found
+
+
+class LargeListTest(unittest.TestCase):
+    def test_every_entry_reaches_a_node_that_a_peer_tells(self) -> None:
+        document, findings = machines_of(entries(), 8146, 7380)
+        self.assertEqual(findings, ())
+        revision = identify(7, document)
+        answer = SnapshotAnswer(DocumentKind.MACHINE_LIST, revision, document)
+        packed = pack(answer)
+        assert packed is not None
+        frame = encode_frame(Envelope("a", "10.0.0.1:1", 1, 1, packed), KEY)
+        message = FrameReader(KEY).read(frame).message
+        assert isinstance(message, PackedAnswer)
+        told = unpack(message)
+        assert isinstance(told, SnapshotAnswer)
+        self.assertEqual(identify(7, told.document), revision)
+        machines = machine_list_from_document(7, told.document).machines
+        backends = [machine for machine in machines if machine.role is MachineRole.BACKEND]
+        self.assertEqual(len(backends), BACKENDS)
+        self.assertEqual({machine.slots for machine in backends}, {4096})
+
+    def test_every_entry_is_in_use(self) -> None:
+        document, _ = machines_of(entries(), 8146, 7380)
+        replica = MachineListReplica(0.0)
+        replica.offer(0.0, identify(7, document), document)
+        self.assertEqual(len(replica.machines.machines), 2 * BACKENDS)
+
+
+class ZonesTest(unittest.TestCase):
+    def test_evacuations_up_to_the_bound_hold_and_further_ones_are_told(self) -> None:
+        names = [f"zone-{number:03d}" for number in range(LIST_LENGTH_LIMIT + 1)]
+        zones, findings = evacuated_zones_of(names[:-1])
+        self.assertEqual((zones, findings), (names[:-1], ()))
+        zones, findings = evacuated_zones_of(names)
+        self.assertEqual((len(zones), len(findings)), (LIST_LENGTH_LIMIT, 1))
