A first configuration of version 0 is held

What callers would see: 503 from every node for as long as the version is r0. Versions are an r and a number, and the number 0 of a tree stands for none held: the replica called r0 a conflict with it.

Change: where the source's tree would have the number 0 it gets 1, which is the version 0 as of the store's first revision. Evacuations and their ends on top are numbered as ever.

The test goes through r0, an evacuation, its end and r1; it was seen to fail before (REVISION_CONFLICT, nothing held).

--- a/src/pewtertack/core/source_trees.py
+++ b/src/pewtertack/core/source_trees.py
@@ -17,6 +17,9 @@
 from pewtertack.core.items import ItemFinding, ItemFormatError, evacuated_zones_of
 from pewtertack.core.source_mirror import Mirror
 
+FIRST_NUMBER = 1
+"""Of version 0 without evacuations: the number 0 stands for no tree."""
+
 TreeReader = Callable[[bytes, Sequence[str]], tuple[int, dict[str, Any]]]
 """Reads a configuration's bytes as version and tree while some zones are evacuated."""
 _Read = tuple[int, dict[str, Any], tuple[ItemFinding, ...]]
@@ -54,7 +57,7 @@
     version_held, known_until = tree_parts(effect.after)
     moment = moment_of(era, mirror.number)
     returned = version_held == version and moment >= known_until > 0
-    number = tree_number(version, moment if evacuated or returned else 0)
+    number = tree_number(version, moment if evacuated or returned else 0) or FIRST_NUMBER
     if unreadable and number < effect.after:
         return DocumentUnchanged(kind)  # others have read a newer one before it was spoilt
     if era and _says_nothing_new(effect, number, evacuated):
--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -8,8 +8,11 @@
 import anyio
 
 from pewtertack.core.effects import ReadDocument
-from pewtertack.core.eras import VERSION_STEP
+from pewtertack.core.eras import VERSION_STEP, tree_parts
 from pewtertack.core.inputs import DocumentRead, DocumentReadFailed, DocumentUnchanged
+from pewtertack.core.profile import Mechanisms
+from pewtertack.core.replication.replica import ConfigurationReplica
+from pewtertack.core.revision import identify
 from pewtertack.errors import ReadFailure
 from pewtertack.lab.metadata_store.application import MetadataStore, StoreFaults
 from pewtertack.platform import store
@@ -67,6 +70,23 @@
         reads = [await reader.read(ReadDocument(CONFIG, 0, 0.0)) for _ in range(2)]
         self.assertEqual([getattr(read, "number", 0) for read in reads][-1], 52 * VERSION_STEP)
 
+    async def test_version_0_is_held_until_the_next(self) -> None:
+        self.store.put("op/config", encoded({**CONFIGURATION, "Version": "r0"}))
+        replica = ConfigurationReplica("garia", Mechanisms())
+        for version, evacuated in ((0, False), (0, True), (0, False), (1, False)):
+            self.store.put("op/config", encoded({**CONFIGURATION, "Version": f"r{version}"}))
+            if evacuated:
+                self.store.put("op/evacuate/garia", b"{}")
+            else:
+                self.store.remove("op/evacuate/garia")
+            with self.subTest(version, evacuated=evacuated):
+                read = await self.reader.read(ReadDocument(CONFIG, replica.held.number, 0.0))
+                replica.offer_document(read.number, read.document)
+                self.assertEqual(replica.held, identify(read.number, read.document))
+                self.assertEqual(tree_parts(read.number)[0], version)
+                zones = replica.store.document.get("evacuated_zones", [])
+                self.assertEqual(zones, ["garia"] if evacuated else [])
+
     async def test_a_removed_entry_leaves_the_list(self) -> None:
         await self.read(MACHINES)
         self.store.put("servers/i-2", encoded({**ENTRY, "Address": "10.1.0.9:8080"}))
