A strange key at the end of a page costs no other item of the store

What callers would see: no machine list, or half of one, at nodes that read while the last key of a page has a space, an ampersand, a percent sign, a plus or a letter beyond ASCII: the key went into the request's query as it is, and the store answered 400, the same page again and again, or from another key on.

Change: the key is percent-encoded; usual keys are sent as before.

The test (seven such keys, a page of one item) was seen to fail before with status 400.

--- a/src/pewtertack/platform/store.py
+++ b/src/pewtertack/platform/store.py
@@ -4,6 +4,7 @@
 
 from collections.abc import Callable
 from typing import ClassVar, TypeVar
+from urllib.parse import quote
 
 import msgspec
 
@@ -200,7 +201,9 @@
         fresh.stale = stale
         after = ""
         while True:
-            path = f"/kv-range?PathPrefix={mirror.prefix}" + (f"&after={after}" if after else "")
+            path = f"/kv-range?PathPrefix={mirror.prefix}" + (
+                f"&after={quote(after)}" if after else ""
+            )
             page = _decode(await self._get(path + ("&stale=1" if stale else "")), _Range)
             items = items_of(page.items)
             fresh.take_page(items, page.at)
--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -94,6 +94,21 @@
         changed = await self.read(MACHINES)
         self.assertEqual(sorted(changed.document), ["10.1.0.9", "i-2"])
 
+    async def test_strange_keys_at_the_end_of_a_page_cost_no_other_item(self) -> None:
+        strange = ["i 1", "i#2", "i%253", "i&4", "i+5", "i?6", "i\u00e97"]
+        keep = MetadataStore(page_items=1)
+        for name in (*strange, "zz"):
+            keep.put(f"servers/{name}", encoded(ENTRY))
+        reader = StoreReader(await self.serve(keep.application), 8146, 7380)
+        self.addAsyncCleanup(reader.close)
+        with anyio.fail_after(10.0):
+            read = await reader.read(ReadDocument(MACHINES, 0, 0.0))
+        self.assertIsInstance(read, DocumentRead)
+        assert isinstance(read, DocumentRead)
+        self.assertIn("zz", read.document)
+        known = {*read.document, *(finding.item for finding in read.findings)}
+        self.assertEqual(known - {"10.1.0.8"}, {*strange, "zz"})
+
     async def test_many_entries_are_listed_page_by_page(self) -> None:
         for index in range(120):
             entry = {**ENTRY, "Address": f"10.1.1.{index}:8080"}
