--- a/src/pewtertack/platform/store.py
+++ b/src/pewtertack/platform/store.py
@@ -4,6 +4,7 @@
 
 from collections.abc import Callable
 from typing import ClassVar, TypeVar
+from urllib.parse import quote
 
 import msgspec
 
@@ -16,6 +17,7 @@
 from pewtertack.errors import PlatformError, ReadFailure
 from pewtertack.node import clock
 from pewtertack.node.http.client import (
+    AnswerTooLargeError,
     HttpClient,
     ServiceAnswer,
     ServiceTimeouts,
@@ -199,7 +201,9 @@
         fresh.stale = stale
         after = ""
         while True:
-            path = f"/kv-range?PathPrefix={mirror.prefix}" + (f"&after={after}" if after else "")
+            path = f"/kv-range?PathPrefix={mirror.prefix}" + (
+                f"&after={quote(after)}" if after else ""
+            )
             page = _decode(await self._get(path + ("&stale=1" if stale else "")), _Range)
             items = items_of(page.items)
             fresh.take_page(items, page.at)
@@ -215,7 +219,11 @@
         """Take in what has changed; other reads may have changed the mirror meanwhile."""
         after = mirror.at
         query = f"PathPrefix={mirror.prefix}&after={after}&WaitMs={int(wait * 1000)}"
-        found = _decode(await self._get(f"/kv-watch?{query}", wait), _Events)
+        try:
+            body = await self._get(f"/kv-watch?{query}", wait)
+        except AnswerTooLargeError as error:  # a list has each item once
+            raise _HistoryGoneError(str(error)) from error
+        found = _decode(body, _Events)
         if wait and found.events:
             self._took = None  # a change has ended the wait
         if mirror.at == 0:
