Changes that are too long for one answer of the source are listed

What callers would see: no newer configuration at any node for as long as the source keeps its history (20 s and more), then the newest.

Cause: a watch answers with every write of an item.

Change: such a watch is followed by a list, which has the last write alone, as after a 410.

Not measured: a fleet.

--- a/src/pewtertack/platform/store.py
+++ b/src/pewtertack/platform/store.py
@@ -16,6 +16,7 @@
 from pewtertack.errors import PlatformError, ReadFailure
 from pewtertack.node import clock
 from pewtertack.node.http.client import (
+    AnswerTooLargeError,
     HttpClient,
     ServiceAnswer,
     ServiceTimeouts,
@@ -190,8 +191,10 @@
         except _HistoryGoneError:
             if not mirror.stale:
                 raise
-            await self._list(mirror)
-            return Refreshed.CHANGED
+        except AnswerTooLargeError:
+            pass  # it has each write of an item; a list has the last ones
+        await self._list(mirror)
+        return Refreshed.CHANGED
 
     async def _list(self, mirror: Mirror, stale: bool = False) -> None:
         """Read all items; what changes between two pages is seen by the watch that follows."""
--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -75,6 +75,15 @@
         listed = await self.read(MACHINES)
         self.assertEqual(sorted(listed.document), ["10.1.0.9", "i-2"])
 
+    async def test_changes_too_long_for_one_answer_are_listed(self) -> None:
+        await self.read(CONFIG)
+        value = {**CONFIGURATION, "Padding": "x" * 1_000_000}
+        for version in range(20, 34):
+            self.store.put("op/config", encoded({**value, "Version": f"r{version}"}))
+        self.assertEqual((await self.read(CONFIG)).number, 33 * VERSION_STEP)
+        self.store.put("op/config", encoded({**CONFIGURATION, "Version": "r40"}))
+        self.assertEqual((await self.read(CONFIG)).number, 40 * VERSION_STEP)
+
     async def test_refusals_are_typed_failures_and_lose_no_change(self) -> None:
         await self.read(CONFIG)
         for status in (429, 503):
