Versions come into force while others always wait to be taken in

Cause: what is offered was worked on first in every turn and took its whole budget.

Change: in a turn of long work what is held goes before what is offered. A resolution has an end, and the next needs another version that is held, so neither keeps the other from its turns.

The test failed before with no version in force, and passes.

--- a/src/pewtertack/core/node.py
+++ b/src/pewtertack/core/node.py
@@ -157,8 +157,10 @@
         return [GoOn()]
 
     def _go_on(self, now: float) -> list[Effect]:
+        """Go on with what is held before what is offered, which may never end."""
         self._goes_on = False
-        return self.replication.go_on(now)
+        effects = self._advance_in_force(now) if self.phase is NodePhase.SERVING else []
+        return effects + self.replication.go_on(now)
 
     def _dispatch(self, now: float, event: Input) -> list[Effect]:
         match event:
--- a/tests/core/test_long_work.py
+++ b/tests/core/test_long_work.py
@@ -176,6 +176,16 @@
         self.assertGreater(len(seen), 2)
         self.assertEqual(seen, sorted(seen))
 
+    def test_versions_come_into_force_while_another_always_waits(self) -> None:
+        self.read(2, tree(BASE_ROUTES + ADDED_ROUTES))
+        seen: list[int] = []
+        for number in range(3, 300):
+            size = BASE_ROUTES + ADDED_ROUTES + number % 50
+            seen += self.versions(self.read(number, tree(size)))
+            seen += self.versions(self.feed(WorkContinued()))
+        self.assertGreater(len(seen), 2)
+        self.assertEqual(seen, sorted(seen))
+
     def test_an_invalid_one_leaves_the_held_one(self) -> None:
         effects = self.read(2, tree(BASE_ROUTES + ADDED_ROUTES, service="unknown"))
         found = self.go_on(effects)
