What waits to be taken in does not confirm the version that is held

Cause: the end of the work on any configuration counted all of the source's word since the work began for what was held then. If the source had told a newer one meanwhile, which still waited, the node told its peers that the source's newest was the one before; an age of 0 s where it was 0.2 s.

Change: confirmations are kept by the number of the document that they were for, and count once that is held, or once nothing is under work (a refused one, as before).

The test failed before.

--- a/src/pewtertack/core/replication/freshness.py
+++ b/src/pewtertack/core/replication/freshness.py
@@ -21,22 +21,28 @@
     def __init__(self) -> None:
         self._confirmed_at = dict.fromkeys(DocumentKind, -math.inf)
         self._deaf_until = -math.inf
-        self._suspended: dict[DocumentKind, float] = {}
-        """Confirmations of documents that are not held yet."""
+        self._suspended: dict[DocumentKind, dict[int, float]] = {}
+        """Confirmations of documents that are not held yet, by their numbers."""
 
     def confirm(self, kind: DocumentKind, at: float) -> None:
-        """The source confirmed the held document at ``at``, as this node saw itself."""
-        known = self._suspended if kind in self._suspended else self._confirmed_at
-        known[kind] = max(known[kind], at)
-
-    def suspend(self, kind: DocumentKind) -> None:
+        """The source confirmed its newest document at ``at``, as this node saw itself."""
+        suspended = self._suspended.get(kind)
+        if suspended:
+            newest = max(suspended)
+            suspended[newest] = max(suspended[newest], at)
+        else:
+            self._confirmed_at[kind] = max(self._confirmed_at[kind], at)
+
+    def suspend(self, kind: DocumentKind, number: int) -> None:
         """What is confirmed from now on is a document under work, and not the held one."""
-        self._suspended.setdefault(kind, -math.inf)
+        self._suspended.setdefault(kind, {}).setdefault(number, -math.inf)
 
-    def resume(self, kind: DocumentKind) -> None:
-        """The work is done: what was confirmed meanwhile counts."""
-        confirmed_at = self._suspended.pop(kind, -math.inf)
-        self.confirm(kind, confirmed_at)
+    def resume(self, kind: DocumentKind, held: float = math.inf) -> None:
+        """The work on documents up to the number ``held`` is done: their confirmations count."""
+        suspended = self._suspended.get(kind, {})
+        for number in [number for number in suspended if number <= held]:
+            at = suspended.pop(number)
+            self._confirmed_at[kind] = max(self._confirmed_at[kind], at)
 
     def hear(self, now: float, kind: DocumentKind, age_milliseconds: int) -> None:
         """A peer's word of such an age covers the held document."""
@@ -49,7 +55,8 @@
         For a process that was paused: words that came meanwhile are older than they say.
         """
         self._confirmed_at = dict.fromkeys(DocumentKind, -math.inf)
-        self._suspended = dict.fromkeys(self._suspended, -math.inf)
+        for suspended in self._suspended.values():
+            suspended.update(dict.fromkeys(suspended, -math.inf))
         self._deaf_until = now + deaf_for
 
     def age(self, now: float, kind: DocumentKind) -> float:
--- a/src/pewtertack/core/replication/service.py
+++ b/src/pewtertack/core/replication/service.py
@@ -196,7 +196,7 @@
         effects += self.passed_over.note_answer(kind, read.about_answers)
         self.reads.of[kind].answer()
         if kind is DocumentKind.CONFIGURATION:
-            self.freshness.suspend(kind)
+            self.freshness.suspend(kind, number)
         if read.stale:
             self.reader.answered_stale(now, read)
         else:
@@ -412,7 +412,8 @@
             if done is None:
                 return effects
             effects += self._after_offer(now, before, way, done)
-            self.freshness.resume(DocumentKind.CONFIGURATION)
+            held = self.replica.held.number if self._offers.is_working else math.inf
+            self.freshness.resume(DocumentKind.CONFIGURATION, held)
         return effects
 
     def _after_offer(
--- a/tests/core/test_long_work.py
+++ b/tests/core/test_long_work.py
@@ -221,6 +221,18 @@
         ]
         self.assertNotIn(2, told)
 
+    def test_what_is_held_is_not_told_as_confirmed_by_what_waits(self) -> None:
+        freshness = self.core.replication.freshness
+        for self.now, number in ((0.1, 2), (0.3, 3)):
+            self.read(number, tree(BASE_ROUTES + number * ADDED_ROUTES))
+        while self.core.replication.replica.held.number < 2:
+            self.feed(WorkContinued())
+        self.assertEqual(self.core.replication.replica.held.number, 2)
+        self.assertAlmostEqual(freshness.age(self.now, DocumentKind.CONFIGURATION), 0.2)
+        while self.core.replication.replica.held.number < 3:
+            self.feed(WorkContinued())
+        self.assertEqual(freshness.age(self.now, DocumentKind.CONFIGURATION), 0.0)
+
     def test_a_node_that_leaves_meanwhile_ends_its_work(self) -> None:
         effects = self.read(2, tree(BASE_ROUTES + ADDED_ROUTES))
         self.feed(DrainRequested())
