--- a/src/pewtertack/platform/store.py
+++ b/src/pewtertack/platform/store.py
@@ -192,8 +192,10 @@
         except _HistoryGoneError:
             if not mirror.stale:
                 raise
-            await self._list(mirror)
-            return Refreshed.CHANGED
+        except AnswerTooLargeError:
+            pass  # it has each write of an item; a list has the last ones
+        await self._list(mirror)
+        return Refreshed.CHANGED
 
     async def _list(self, mirror: Mirror, stale: bool = False) -> None:
         """Read all items; what changes between two pages is seen by the watch that follows."""
