A node that starts beside a return of the source is told what its peers hold

Cause: what a node knew before an era (who leaves, who had left, which life, who the copy lacks) is in that node alone.

Nothing is sent while nothing is held: in era 0, or once hold_after_return is over. The receiver lays it over its own list for that time, tells it on, and remembers the gone for the next era; a list that is no older than the peer's goes before it. What is told before the era's first list waits for that. One that began less than 30 s before a return asks too, and leaves alone back ends that are new to it until then, 1 s at most.

--- a/src/pewtertack/core/eras.py
+++ b/src/pewtertack/core/eras.py
@@ -8,6 +8,8 @@
 
 from __future__ import annotations
 
+import msgspec
+
 REVISIONS_IN_ERA = 2**40
 """A list's number is the era times this plus the revision: some thousand years of writes."""
 VERSION_STEP = 1_000_000_000
@@ -21,6 +23,19 @@
 """Up to it moments are below ``VERSION_STEP``, with room for 460 million revisions."""
 
 
+class EraChange(msgspec.Struct, frozen=True):
+    """What the first list of a new era says, against what was known before."""
+
+    old: int
+    new: int
+    lost: int
+    """Back ends that the list lacks."""
+    kept: int
+    """How many of them are kept for now."""
+    came_back: int
+    """Back ends that the list names although they had left."""
+
+
 def list_number(era: int, revision: int) -> int:
     """Return the number of the machine list as of ``revision``."""
     return era * REVISIONS_IN_ERA + revision
--- a/src/pewtertack/core/machines.py
+++ b/src/pewtertack/core/machines.py
@@ -62,6 +62,21 @@
     listed_at: int = 0
     """When the platform was first told of the back end, as a number that grows; 0 if unknown."""
 
+    @property
+    def is_backend(self) -> bool:
+        """Whether it is a back end."""
+        return self.role is MachineRole.BACKEND
+
+    @property
+    def life(self) -> tuple[str, str, int]:
+        """What stays the same from the start of a back end to its end, beside its name."""
+        return self.address, self.service, self.started_at
+
+    @property
+    def entry(self) -> tuple[str, str, int, int]:
+        """What stays the same while one entry of the platform stands, beside the name."""
+        return self.address, self.service, self.started_at, self.listed_at
+
     def is_of_life_before(self, started_at: int) -> bool:
         """Tell whether this is said of a life that had ended when the one at ``started_at`` began.
 
--- /dev/null
+++ b/src/pewtertack/core/newcomers.py
@@ -0,0 +1,56 @@
+"""Back ends that a new era's first list names and that a node has not known before.
+
+A node that began shortly before the era cannot tell who has come since from who had left before
+it began: it leaves them alone until peers have told who has left, or for a short time.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Iterable
+
+from pewtertack.core.machines import Machine
+
+LONGEST_COPY_AGE = 30.0
+"""Seconds. A node that began longer before an era has seen what the copy does not know."""
+DOUBTED_SECONDS = 1.0
+"""For which peers are waited for."""
+
+
+class Newcomers:
+    """Those that are left alone. Times are monotonic seconds.
+
+    Args:
+        began_at: since when the node has seen who leaves.
+        longest: seconds, a bound on how long anybody is left alone.
+    """
+
+    __slots__ = ("_longest", "_names", "_until", "began_at")
+
+    def __init__(self, began_at: float, longest: float) -> None:
+        self.began_at = began_at
+        self._longest = longest
+        self._names: frozenset[str] = frozenset()
+        self._until = 0.0
+
+    def begin(self, now: float, machines: Iterable[Machine]) -> None:
+        """An era has begun whose first list names back ends that were not known."""
+        self._until = now + min(DOUBTED_SECONDS, self._longest)
+        is_young = now - self.began_at < LONGEST_COPY_AGE
+        names = frozenset(machine.name for machine in machines if machine.is_backend)
+        self._names = names if is_young else frozenset()
+
+    def __contains__(self, name: str) -> bool:
+        """Tell whether the back end of this name is left alone."""
+        return name in self._names
+
+    def __len__(self) -> int:
+        """Return how many are left alone."""
+        return len(self._names)
+
+    def is_due(self, now: float) -> bool:
+        """Tell whether they are left alone no longer."""
+        return bool(self._names) and self._until <= now
+
+    def clear(self) -> None:
+        """Leave nobody alone any more."""
+        self._names = frozenset()
--- a/src/pewtertack/core/node.py
+++ b/src/pewtertack/core/node.py
@@ -52,6 +52,7 @@
     JoinAnswer,
     JoinRequest,
     LeavingBackend,
+    ListOverrides,
     MemberUpdate,
     Message,
     PackedAnswer,
@@ -247,6 +248,8 @@
             return False
         if self._joiner.newest_machine_list and self.replication.machine_list.machines.number == 0:
             return False
+        if self.replication.inquiry.is_pending(now):
+            return False
         if self.source.durable:
             return self._knows_durable_source(now)
         if not self._joiner.held_wait_over(now, replica.committed):
@@ -304,8 +307,9 @@
     ) -> list[Effect]:
         effects = self.membership.take_updates(now, (answer.member, *answer.members))
         self._joiner.answered(now, event.sender, answer.member.zone, answer.state)
-        effects += self.replication.learn(now, event.sender, event.sender_address, answer.state)
-        return effects
+        return effects + self.replication.on_join_answer(
+            now, event.sender, event.sender_address, answer.state
+        )
 
     # Versions in force.
 
@@ -373,6 +377,8 @@
         match message:
             case BackendsLeaving(backends):
                 return self.replication.on_backends_leaving(backends)
+            case ListOverrides() as told:
+                return self.replication.on_list_overrides(now, told)
             case CrashReports() as reports:
                 return self.crashes.learn(now, reports)
             case _:
--- /dev/null
+++ b/src/pewtertack/core/replication/inquiry.py
@@ -0,0 +1,103 @@
+"""Asking peers what they hold against lists of a new era, for a node that began not long before."""
+
+from __future__ import annotations
+
+import math
+from random import Random
+
+from pewtertack.core.eras import era_of
+from pewtertack.core.membership.table import MemberTable
+from pewtertack.core.newcomers import LONGEST_COPY_AGE
+from pewtertack.core.profile import TimingProfile
+from pewtertack.wire.messages import VersionState
+
+ENOUGH_PEERS = 3
+"""Serving peers whose word suffices: one may have started itself."""
+
+
+class ReturnInquiry:
+    """Decides whom to ask, and whether the answer is worth waiting for.
+
+    Peers tell what they hold before they answer a request to join.
+
+    Args:
+        profile: periods and bounds.
+        table: the members.
+        random: chooses among them.
+        seconds: for how long anything is held after a return.
+        now: monotonic seconds, the node's start.
+    """
+
+    def __init__(
+        self,
+        profile: TimingProfile,
+        table: MemberTable,
+        random: Random,
+        seconds: float,
+        now: float,
+    ) -> None:
+        self._profile = profile
+        self._table = table
+        self._random = random
+        self._seconds = seconds
+        self._era = 0
+        self._era_since = now
+        self._heard: set[str] = set()
+        """Serving peers that have answered in this era."""
+        self._behind: set[str] = set()
+        """Serving peers that did not know of it when they answered."""
+        self.restart(now)
+
+    def restart(self, now: float) -> None:
+        """Nothing is known of what has happened until now."""
+        self._started_at = now
+        self._begin(now)
+        self._behind.clear()
+
+    def begin_era(self, now: float, era: int) -> None:
+        """A later era has begun."""
+        self._era = era
+        self._era_since = now
+        self._begin(now)
+
+    def _begin(self, now: float) -> None:
+        self._behind |= self._heard
+        self._heard.clear()
+        self._next_at = now + self._profile.join_retry
+        is_concerned = self._era and self._era_since - self._started_at < LONGEST_COPY_AGE
+        self._ends_at = now + self._seconds if is_concerned else -math.inf
+
+    def answered(self, name: str, state: VersionState) -> bool:
+        """A peer has answered a request to join, and told before what it holds.
+
+        Return whether the answer matters and the peer does not know of the era yet.
+        """
+        if not state.serving:
+            return False
+        if era_of(state.machine_list) >= self._era:
+            self._heard.add(name)
+            self._behind.discard(name)
+            return False
+        self._behind.add(name)
+        return math.isfinite(self._ends_at)
+
+    @property
+    def is_answered(self) -> bool:
+        """Whether enough peers have answered in this era."""
+        return len(self._heard) >= ENOUGH_PEERS
+
+    def is_pending(self, now: float) -> bool:
+        """Tell whether a starting node is to wait for a serving peer that knows the era."""
+        waited = now - self._started_at
+        is_patient = waited < self._profile.join_patience
+        return is_patient and now < self._ends_at and not self._heard
+
+    def names_to_ask(self, now: float) -> list[str]:
+        """Return the peers to ask now."""
+        missing = ENOUGH_PEERS - len(self._heard)
+        if missing <= 0 or not self._next_at <= now < self._ends_at:
+            return []
+        self._next_at = now + self._profile.join_retry * self._random.uniform(0.8, 1.2)
+        names = self._table.reachable.sample(self._random, ENOUGH_PEERS + len(self._heard))
+        others = [name for name in names if name not in self._heard | self._behind]
+        return [*sorted(self._behind), *others][:missing]
--- a/src/pewtertack/core/replication/machine_lists.py
+++ b/src/pewtertack/core/replication/machine_lists.py
@@ -6,11 +6,13 @@
 
 from __future__ import annotations
 
+import math
+
 import msgspec
 
 from pewtertack.core.delta import Delta, DeltaMismatchError
 from pewtertack.core.effects import Effect, Log, UseMachines
-from pewtertack.core.eras import era_of
+from pewtertack.core.eras import EraChange, era_of
 from pewtertack.core.machines import (
     Machine,
     MachineList,
@@ -18,11 +20,12 @@
     machine_list_from_document,
 )
 from pewtertack.core.replication.leaving import LeavingBackends
+from pewtertack.core.replication.list_overrides import messages_of, overrides_against
 from pewtertack.core.replication.store import DocumentStore
-from pewtertack.core.returned_lists import EraChange, ReturnedLists
+from pewtertack.core.returned_lists import ReturnedLists
 from pewtertack.core.revision import Document, RevisionId
 from pewtertack.events import Event
-from pewtertack.wire.messages import LeavingBackend
+from pewtertack.wire.messages import LeavingBackend, ListOverrides
 
 
 class MachineListReplica:
@@ -31,11 +34,12 @@
     Args:
         hold_after_return: seconds for which what was known goes before what lists of a new era
             of the source say (`core.returned_lists`).
+        began_at: since when the node has seen who leaves, in monotonic seconds.
     """
 
-    def __init__(self, hold_after_return: float = 0.0) -> None:
+    def __init__(self, hold_after_return: float = 0.0, began_at: float = -math.inf) -> None:
         self.store = DocumentStore()
-        self.returned = ReturnedLists(hold_after_return)
+        self.returned = ReturnedLists(hold_after_return, began_at)
         self.era_change: EraChange | None = None
         """What the last change of era brought, until it is told."""
         self._listed = MachineList(0, ())
@@ -85,6 +89,26 @@
         self.machines = self._leaving.apply(self.returned.believed(now, self._listed))
         return [UseMachines(self.machines)]
 
+    def hear(self, now: float, told: ListOverrides) -> list[Effect]:
+        """Take in what a peer holds against its list."""
+        return self._use(now) if self.returned.hear(now, told, self._listed) else []
+
+    def trust_newcomers(self, now: float) -> list[Effect]:
+        """Believe in who is new in a new era: peers have told who of them has left."""
+        if not self.returned.newcomers:
+            return []
+        self.returned.newcomers.clear()
+        return self._use(now)
+
+    def overrides(self, now: float) -> tuple[ListOverrides, ...]:
+        """Return what is held against the list, for a starting peer; nothing most of the time."""
+        if not self.returned.holds(now):
+            return ()
+        held = overrides_against(self._listed, self.machines)
+        return messages_of(
+            self.revision.number, held, lambda name: self.returned.left_of(now, name)
+        )
+
     def renumber(self, now: float, revision: RevisionId) -> list[Effect]:
         """Take over the higher number of a list with the same content.
 
--- a/src/pewtertack/core/replication/service.py
+++ b/src/pewtertack/core/replication/service.py
@@ -23,6 +23,7 @@
 from pewtertack.core.replication.answers import PullServer
 from pewtertack.core.replication.freshness import SourceFreshness
 from pewtertack.core.replication.heartbeats import HeartbeatSender
+from pewtertack.core.replication.inquiry import ReturnInquiry
 from pewtertack.core.replication.machine_lists import MachineListReplica
 from pewtertack.core.replication.puller import Puller, PullSource
 from pewtertack.core.replication.quorum import QuorumCommit
@@ -38,7 +39,9 @@
     DeltaAnswer,
     DocumentKind,
     HeldReport,
+    JoinRequest,
     LeavingBackend,
+    ListOverrides,
     Pull,
     ReaderHeartbeat,
     SnapshotAnswer,
@@ -77,10 +80,13 @@
         self._random = random
         self._source = source or SourceProperties()
         self.replica = ConfigurationReplica(identity.zone, profile.mechanisms)
-        self.machine_list = MachineListReplica(self._source.hold_after_return)
+        self.machine_list = MachineListReplica(self._source.hold_after_return, now)
         self.era = 0
         """The latest era of the source that this node has heard of."""
         self._era_since = now
+        self.inquiry = ReturnInquiry(
+            profile, membership.table, random, self._source.hold_after_return, now
+        )
         self._ended = EndedEvacuations()
         self._away = math.inf
         """Seconds between the source's last word and the first of this era."""
@@ -137,6 +143,8 @@
         """Trust nothing that the source said before, nor peers' words of meanwhile."""
         self.freshness.forget(now, deaf_for)
         self.reader.after_pause()
+        self.inquiry.restart(now)
+        self.machine_list.returned.newcomers.began_at = now
 
     def held_number(self, kind: DocumentKind) -> int:
         """Return the number of the newest held revision of a document."""
@@ -150,7 +158,7 @@
         A joiner reads a durable source itself, since that alone lets it serve.
         """
         numbers = {kind: self.held_number(kind) for kind in DocumentKind}
-        effects = self.machine_list.tick(now)
+        effects = self.machine_list.tick(now) + self._inquire(now)
         effects += self.reader.tick(
             now, may_read, numbers, joining and self._source.durable, self._held_of_source()
         )
@@ -161,6 +169,23 @@
             effects += self._commit_if_reached(now, self.replica.held)
         return effects
 
+    def _inquire(self, now: float) -> list[Effect]:
+        """Ask peers what they hold against lists of a new era."""
+        request = JoinRequest(self._membership.own)
+        names = self.inquiry.names_to_ask(now)
+        return [effect for name in names for effect in self._membership.send(name, request)]
+
+    def on_join_answer(
+        self, now: float, sender: str, address: str, state: VersionState
+    ) -> list[Effect]:
+        """Take in a peer's versions; one that does not know of the era is told of it."""
+        effects = self.learn(now, sender, address, state)
+        if self.inquiry.answered(sender, state):
+            effects.append(Send(sender, address, Announce(self.state())))
+        if self.inquiry.is_answered:
+            effects += self.machine_list.trust_newcomers(now)
+        return effects
+
     def _held_of_source(self) -> HeldOfSource:
         """Return what a read is told, in era 0 too: the read may be the first of a new one."""
         held = self.replica.held
@@ -261,6 +286,7 @@
         if era_of(number) > self.era:
             self.era = era_of(number)
             self._era_since = now
+            self.inquiry.begin_era(now, self.era)
             self._away = self.freshness.age(now, DocumentKind.MACHINE_LIST)
 
     def _hear_ages(self, now: float, heartbeat: ReaderHeartbeat) -> None:
@@ -281,10 +307,14 @@
         return self._heartbeats.due(now, self.state())
 
     def tell_joiner(self, now: float, name: str, address: str) -> list[Effect]:
-        """Return the source's word for a joining peer, if it is recent here."""
-        if not self.reader.readership.tells_peers:
-            return []
-        return self._heartbeats.for_joiner(now, name, address, self.state())
+        """Return what only a serving peer knows: the source's word, if it is recent here, and
+        what is held against lists of a new era."""
+        effects: list[Effect] = [
+            Send(name, address, told) for told in self.machine_list.overrides(now)
+        ]
+        if self.reader.readership.tells_peers:
+            effects += self._heartbeats.for_joiner(now, name, address, self.state())
+        return effects
 
     def on_announce(self, now: float, sender: str, address: str, message: Announce) -> list[Effect]:
         """Take in an eager notice, with its inline delta if it fits."""
@@ -437,3 +467,8 @@
             return []
         machines = self.machine_list.machines
         return [UseMachines(machines), *self._announcer.send(BackendsLeaving(news))]
+
+    def on_list_overrides(self, now: float, told: ListOverrides) -> list[Effect]:
+        """Hold against lists of a new era what a peer holds."""
+        self._hear_era(now, told.number)
+        return self.machine_list.hear(now, told)
--- a/src/pewtertack/core/returned_lists.py
+++ b/src/pewtertack/core/returned_lists.py
@@ -8,28 +8,23 @@
 
 from __future__ import annotations
 
+import math
+from collections import deque
 from collections.abc import Iterable
 
 import msgspec
 
-from pewtertack.core.eras import era_of
-from pewtertack.core.machines import Machine, MachineList, MachineRole, MachineState
+from pewtertack.core.address_owners import AddressOwners
+from pewtertack.core.eras import EraChange, era_of
+from pewtertack.core.machines import Machine, MachineList, MachineState
+from pewtertack.core.newcomers import Newcomers
+from pewtertack.wire.messages import DepartedBackend, LeavingBackend, ListOverrides
 
 GONE_KEPT = 1024
 """Machines remembered as gone from the list; a copy is no older than some seconds."""
-
-
-class EraChange(msgspec.Struct, frozen=True):
-    """What the first list of a new era says, against what was known before."""
-
-    old: int
-    new: int
-    lost: int
-    """Back ends that the list lacks."""
-    kept: int
-    """How many of them are kept for now."""
-    came_back: int
-    """Back ends that the list names although they had left."""
+EARLY_KEPT = 64
+"""Messages of peers that wait for the first list of their era."""
+MILLISECONDS = 1000.0
 
 
 class _Known:
@@ -37,56 +32,13 @@
 
     __slots__ = ("listed", "machine", "until")
 
-    def __init__(self, machine: Machine, until: float) -> None:
+    def __init__(self, machine: Machine, until: float, listed: bool = False) -> None:
         self.machine = machine
         self.until = until
-        self.listed = False
+        self.listed = listed
         """Whether the new era has named it: from then on its absence is believed."""
 
 
-class AddressOwners:
-    """The latest start known of a back end at each address: no life before it comes back.
-
-    A node that began after a life had ended knows nothing of it but that another followed.
-    """
-
-    __slots__ = ("_until", "known")
-
-    def __init__(self) -> None:
-        self.known: dict[str, int] = {}
-        """Starts, as back ends tell them, by address; empty once the time is over."""
-        self._until = 0.0
-
-    def begin(self, until: float, machines: Iterable[Machine]) -> None:
-        """Begin anew with what was known before an era; it holds ``until``."""
-        self.known = {}
-        self._until = until
-        self._take(machines)
-
-    def note(self, machines: Iterable[Machine]) -> None:
-        """Take in what the present era lists."""
-        if self.known:
-            self._take(machines)
-
-    def have_followed(self, machine: Machine) -> bool:
-        """Tell whether a later life than the machine's has had its address."""
-        started_at = self.known.get(machine.address, 0)
-        return _is_backend(machine) and machine.is_of_life_before(started_at)
-
-    def is_due(self, now: float) -> bool:
-        """Tell whether what is known holds no longer."""
-        return bool(self.known) and self._until <= now
-
-    def forget(self) -> None:
-        """Hold nothing any more."""
-        self.known = {}
-
-    def _take(self, machines: Iterable[Machine]) -> None:
-        for machine in machines:
-            if _is_backend(machine) and machine.started_at > self.known.get(machine.address, 0):
-                self.known[machine.address] = machine.started_at
-
-
 class ReturnedLists:
     """Lays what was known before the present era over its lists.
 
@@ -94,10 +46,12 @@
 
     Args:
         seconds: for how long what was known goes before what a new era's lists say.
+        began_at: since when the node has seen who leaves.
     """
 
-    def __init__(self, seconds: float) -> None:
+    def __init__(self, seconds: float, began_at: float = -math.inf) -> None:
         self._seconds = seconds
+        self.newcomers = Newcomers(began_at, seconds)
         self._believed: dict[str, Machine] = {}
         self._era: int | None = None
         self._known: dict[str, _Known] = {}
@@ -105,7 +59,11 @@
         """Machines that went off the list, by name, the latest last."""
         self._barred: dict[str, tuple[Machine, float]] = {}
         """Those of them that a new era may show again."""
+        self._leaving: dict[LeavingBackend, float] = {}
+        """Those of which a peer has told that they leave."""
         self._owners = AddressOwners()
+        self._early: deque[tuple[float, ListOverrides]] = deque(maxlen=EARLY_KEPT)
+        self._until = -math.inf
         self.kept = 0
         """Machines that are believed in although the list lacks them."""
 
@@ -116,24 +74,103 @@
         self._era = era
         if before is None or era == before:
             self._note_listed(names)
+            self._lay_over_early(now, listed)
             return None
         self._begin_era(now)
+        self.newcomers.begin(now, filter(self._is_new, listed.machines))
         known = {name: known.machine for name, known in self._known.items()}
         came_back = sum(self._is_barred(machine) for machine in listed.machines)
         self._note_listed(names)
-        lost = [name for name in known.keys() - names.keys() if _is_backend(known[name])]
+        lost = [name for name in known.keys() - names.keys() if known[name].is_backend]
         kept = self._kept_of(names).keys() & set(lost)
+        self._lay_over_early(now, listed)
         return EraChange(before, era, len(lost), len(kept), came_back)
 
+    def _is_new(self, machine: Machine) -> bool:
+        """Tell whether nothing is known of a back end from before the era."""
+        known = self._known.get(machine.name)
+        is_known = known is not None and known.machine.life == machine.life
+        return not (is_known or self._is_barred(machine) or self._owners.have_followed(machine))
+
+    def hear(self, now: float, told: ListOverrides, listed: MachineList) -> bool:
+        """Take in what a peer holds against its list; tell whether it concerns ``listed``.
+
+        What is told of a later era waits for the first list of that.
+        """
+        era, until = era_of(told.number), now + min(told.left / MILLISECONDS, self._seconds)
+        if self._era is None or era > self._era:
+            self._early.append((until, told))
+            return False
+        if era < self._era or until <= now:
+            return False
+        self._lay_over(until, told, listed)
+        return True
+
+    def _lay_over_early(self, now: float, listed: MachineList) -> None:
+        early = list(self._early)
+        self._early.clear()
+        for until, told in early:
+            if era_of(told.number) > era_of(listed.number):
+                self._early.append((until, told))
+            elif era_of(told.number) == era_of(listed.number) and until > now:
+                self._lay_over(until, told, listed)
+
+    def _lay_over(self, until: float, told: ListOverrides, listed: MachineList) -> None:
+        """Hold what a peer holds, but what the own list, if it is no older, says otherwise."""
+        self._until = max(self._until, until)
+        names = {machine.name: machine for machine in listed.machines}
+        is_older = listed.number < told.number
+        for gone in told.gone:
+            if is_older or gone.name in names:
+                self._bar(gone, until, names)
+        for leaving in told.leaving:
+            if is_older or leaving.name in names:
+                self._leaving.setdefault(leaving, until)
+        kept = [entry.machine() for entry in told.kept]
+        for machine in kept:
+            self._keep(machine, until, names)
+        if kept:
+            self._owners.hear(until, (*kept, *names.values()))
+
+    def _bar(self, gone: DepartedBackend, until: float, names: dict[str, Machine]) -> None:
+        listed, machine = names.get(gone.name), gone.machine()
+        if listed is None or not self._is_barred(listed):
+            self._barred[gone.name] = (machine, until)
+        if gone.name not in self._believed:
+            self._gone.setdefault(gone.name, machine)
+            self._bound_gone()
+
+    def _keep(self, machine: Machine, until: float, names: dict[str, Machine]) -> None:
+        """Keep a machine that a peer keeps, unless it was seen here to go."""
+        name, known = machine.name, self._known.get(machine.name)
+        if name in self._gone and self._gone[name].life == machine.life:
+            return
+        if known is None or machine.is_of_life_after(known.machine.started_at):
+            self._known[name] = _Known(machine, until, name in names)
+        elif machine.state is MachineState.LEAVING and known.machine.life == machine.life:
+            known.machine = machine
+
+    def holds(self, now: float) -> bool:
+        """Tell whether anything may be held against the list."""
+        return now < self._until
+
+    def left_of(self, now: float, name: str) -> float:
+        """Return for how many more seconds what is known of a machine holds; 0 if not known."""
+        if name in self.newcomers and name not in self._barred:
+            return 0.0
+        known = self._known.get(name)
+        return (known.until if known is not None else self._until) - now
+
     def _begin_era(self, now: float) -> None:
-        until = now + self._seconds
+        until = self._until = now + self._seconds
+        self._leaving = {}
         still_kept = {name: known for name, known in self._known.items() if not known.listed}
         self._known = {}
         for name, machine in self._believed.items():
             earlier = still_kept.get(name)
             self._known[name] = _Known(machine, earlier.until if earlier else until)
         self._barred = {
-            name: (machine, until) for name, machine in self._gone.items() if _is_backend(machine)
+            name: (machine, until) for name, machine in self._gone.items() if machine.is_backend
         }
         self._owners.begin(until, (*self._gone.values(), *self._believed.values()))
 
@@ -146,6 +183,9 @@
                 del self._known[name]
         for name in self._barred.keys() - names.keys():
             del self._barred[name]
+        self._leaving = {
+            leaving: until for leaving, until in self._leaving.items() if leaving.name in names
+        }
         self._owners.note(names.values())
 
     def believed(self, now: float, listed: MachineList) -> MachineList:
@@ -154,11 +194,11 @@
         names = {machine.name: machine for machine in listed.machines}
         result = listed
         self.kept = 0
-        if self._known or self._barred or self._owners.known:
+        if self._holds_any():
             current = {
                 name: self._current(machine)
                 for name, machine in names.items()
-                if not self._is_barred(machine)
+                if not self._is_away(machine)
             }
             current = {
                 name: machine
@@ -173,15 +213,24 @@
         self._remember(result.machines)
         return result
 
+    def _holds_any(self) -> bool:
+        held = self._known or self._barred or self._leaving or self.newcomers or self._owners.known
+        return bool(held)
+
     def is_due(self, now: float) -> bool:
         """Tell whether something that is held against the list holds no longer."""
         moments = [known.until for known in self._known.values()]
         moments += [until for _, until in self._barred.values()]
-        return self._owners.is_due(now) or any(until <= now for until in moments)
+        moments += self._leaving.values()
+        is_due = self._owners.is_due(now) or self.newcomers.is_due(now)
+        return is_due or any(until <= now for until in moments)
 
     def _forget(self, now: float) -> None:
         self._known = {name: known for name, known in self._known.items() if known.until > now}
         self._barred = {name: held for name, held in self._barred.items() if held[1] > now}
+        self._leaving = {leaving: until for leaving, until in self._leaving.items() if until > now}
+        if self.newcomers.is_due(now):
+            self.newcomers.clear()
         if self._owners.is_due(now):
             self._owners.forget()
 
@@ -193,54 +242,53 @@
                 self._gone[name] = machine
         for name in current:
             self._gone.pop(name, None)
+        self._bound_gone()
+        self._believed = current
+
+    def _bound_gone(self) -> None:
         while len(self._gone) > GONE_KEPT:
             del self._gone[next(iter(self._gone))]
-        self._believed = current
 
     def _current(self, machine: Machine) -> Machine:
         """Return what is believed of a listed machine: no life before the one known."""
         known = self._known.get(machine.name)
-        if known is None:
-            return machine
-        if machine.is_of_life_before(known.machine.started_at):
+        if known is not None and machine.is_of_life_before(known.machine.started_at):
             return known.machine
-        leaving = known.machine.state is MachineState.LEAVING
-        if leaving and _incarnation(machine) == _incarnation(known.machine):
-            return msgspec.structs.replace(machine, state=MachineState.LEAVING)
-        return machine
+        leaves = _notice_of(machine) in self._leaving
+        if known is not None and known.machine.state is MachineState.LEAVING:
+            leaves |= machine.life == known.machine.life
+        return msgspec.structs.replace(machine, state=MachineState.LEAVING) if leaves else machine
 
     def _is_barred(self, machine: Machine) -> bool:
         """Tell whether it had left; an entry that was made anew is another."""
         held = self._barred.get(machine.name)
-        return held is not None and _entry_of(held[0]) == _entry_of(machine)
+        return held is not None and held[0].entry == machine.entry
+
+    def _is_away(self, machine: Machine) -> bool:
+        return self._is_barred(machine) or machine.name in self.newcomers
 
     def _kept_of(self, names: dict[str, Machine]) -> dict[str, Machine]:
         """Return the known machines that the list lacks and that nobody has followed."""
         owners: dict[str, Machine] = {}
         for machine in names.values():
-            is_gone = self._is_barred(machine) or self._owners.have_followed(machine)
-            if _is_backend(machine) and not is_gone:
+            is_gone = self._is_away(machine) or self._owners.have_followed(machine)
+            if machine.is_backend and not is_gone:
                 owners[machine.address] = machine
         return {
             name: known.machine
             for name, known in self._known.items()
-            if name not in names and not _is_followed(known.machine, owners)
+            if name not in names
+            and not known.listed
+            and not _is_followed(known.machine, owners)
+            and not self._owners.have_followed(known.machine)
         }
 
 
 def _is_followed(machine: Machine, owners: dict[str, Machine]) -> bool:
     """Tell whether its address has another owner, of no earlier start."""
-    owner = owners.get(machine.address) if _is_backend(machine) else None
+    owner = owners.get(machine.address) if machine.is_backend else None
     return owner is not None and not owner.is_of_life_before(machine.started_at)
 
 
-def _is_backend(machine: Machine) -> bool:
-    return machine.role is MachineRole.BACKEND
-
-
-def _incarnation(machine: Machine) -> tuple[str, str, int]:
-    return machine.address, machine.service, machine.started_at
-
-
-def _entry_of(machine: Machine) -> tuple[object, ...]:
-    return (*_incarnation(machine), machine.listed_at)
+def _notice_of(machine: Machine) -> LeavingBackend:
+    return LeavingBackend(machine.name, machine.address, machine.started_at)
--- a/src/pewtertack/wire/messages.py
+++ b/src/pewtertack/wire/messages.py
@@ -13,6 +13,7 @@
 import msgspec
 
 from pewtertack.core.delta import Delta
+from pewtertack.core.machines import Machine, MachineRole
 from pewtertack.core.revision import RevisionId
 
 
@@ -245,6 +246,64 @@
     requests: Annotated[tuple[CrashedRequest, ...], msgspec.Meta(max_length=256)]
 
 
+class DepartedBackend(msgspec.Struct, frozen=True, array_like=True):
+    """An entry of a machine list whose back end is known to have gone."""
+
+    name: str
+    address: str
+    service: str
+    started_at: int = 0
+    listed_at: int = 0
+
+    @classmethod
+    def of(cls, machine: Machine) -> DepartedBackend:
+        """Return the short form of a list's entry."""
+        return cls(
+            machine.name, machine.address, machine.service, machine.started_at, machine.listed_at
+        )
+
+    def machine(self) -> Machine:
+        """Return the entry as far as it is told; its zone is not."""
+        return Machine(
+            self.name,
+            MachineRole.BACKEND,
+            "",
+            self.address,
+            self.service,
+            started_at=self.started_at,
+            listed_at=self.listed_at,
+        )
+
+
+class KeptBackend(Machine, frozen=True, array_like=True):
+    """A back end that is believed in although a list does not name it, or an earlier life."""
+
+    @classmethod
+    def of(cls, machine: Machine) -> KeptBackend:
+        """Return the form for messages."""
+        return cls(*msgspec.structs.astuple(machine))
+
+    def machine(self) -> Machine:
+        """Return the entry as lists hold it."""
+        return Machine(*msgspec.structs.astuple(self))
+
+
+class ListOverrides(msgspec.Struct, frozen=True, array_like=True, tag=17):
+    """What the sender holds against a machine list of a new era of the source.
+
+    Told to starting peers, in several messages if need be, while it holds.
+    """
+
+    number: int
+    """Of the list."""
+    left: Milliseconds
+    """For how much longer it holds."""
+    leaving: tuple[LeavingBackend, ...] = ()
+    """Listed as live, known to be leaving."""
+    gone: tuple[DepartedBackend, ...] = ()
+    kept: tuple[KeptBackend, ...] = ()
+
+
 Message = (
     Ping
     | Acknowledge
@@ -262,4 +321,5 @@
     | ReaderHeartbeat
     | PackedAnswer
     | CrashReports
+    | ListOverrides
 )
--- a/tests/core/test_returned_lists.py
+++ b/tests/core/test_returned_lists.py
@@ -6,9 +6,9 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from pewtertack.core.eras import list_number
+from pewtertack.core.eras import EraChange, list_number
 from pewtertack.core.machines import Machine, MachineList, MachineRole, MachineState
-from pewtertack.core.returned_lists import EraChange, ReturnedLists
+from pewtertack.core.returned_lists import ReturnedLists
 
 HOLD = 6.0
 
--- a/tests/platform/returning_fleet.py
+++ b/tests/platform/returning_fleet.py
@@ -16,6 +16,7 @@
 from pewtertack.lab.metadata_store.application import MetadataStore
 from pewtertack.node.http.client import ServiceAnswer, ServiceUnreachableError
 from pewtertack.platform.store import StoreReader
+from pewtertack.wire.messages import Message
 from tests.platform.test_documents import CONFIGURATION, ENTRY, encoded
 
 ZONE = "garia"
@@ -73,6 +74,8 @@
         self.versions: list[int] = []
         self.list_numbers: list[int] = []
         self.once_ready: set[str] = set()
+        self.served_by: set[str] = set()
+        """The back ends that were ready while the node served."""
         self.logged: list[Log] = []
         self.reads: list[ReadDocument] = []
 
@@ -112,6 +115,7 @@
         self._started = 0
         self.dark: set[str] = set()
         """Nodes whose messages are lost."""
+        self.sent: list[Message] = []
         self._under_way: list[tuple[FleetNode, Send]] = []
 
     def clock(self) -> float:
@@ -145,11 +149,14 @@
     async def _feed(self, node: FleetNode, event: Input) -> None:
         for effect in node.core.handle(self.now, event):
             await self._carry_out(node, effect)
+        if node.serving:
+            node.served_by.update(node.ready)
 
     async def _carry_out(self, node: FleetNode, effect: Effect) -> None:
         match effect:
             case Send():
                 self._under_way.append((node, effect))
+                self.sent.append(effect.message)
             case ReadDocument():
                 node.reads.append(effect)
                 answer = await node.reader.read(msgspec.structs.replace(effect, wait=0.0))
--- a/tests/wire/test_frames.py
+++ b/tests/wire/test_frames.py
@@ -9,6 +9,7 @@
 from hypothesis import strategies as st
 
 from pewtertack.core.delta import DeleteValue, Delta, SetValue
+from pewtertack.core.machines import MachineRole
 from pewtertack.core.revision import RevisionId
 from pewtertack.errors import ProtocolError
 from pewtertack.wire import errors
@@ -29,13 +30,16 @@
     CrashedRequest,
     CrashReports,
     DeltaAnswer,
+    DepartedBackend,
     DocumentKind,
     EndedBackend,
     HeldReport,
     IndirectAcknowledge,
     JoinAnswer,
     JoinRequest,
+    KeptBackend,
     LeavingBackend,
+    ListOverrides,
     MemberStatus,
     MemberUpdate,
     Message,
@@ -73,6 +77,13 @@
     JoinAnswer(STATE, MEMBER, (MEMBER, MEMBER)),
     BackendsLeaving((LeavingBackend("b-1", "127.0.0.1:9100"),)),
     BackendsLeaving((LeavingBackend("b-1", "127.0.0.1:9100", 1_700_000_000_000),)),
+    ListOverrides(
+        2**40 + 7,
+        5_900,
+        (LeavingBackend("b-1", "127.0.0.1:9100", 7),),
+        (DepartedBackend("b-2", "127.0.0.1:9101", "archive", 7, 9),),
+        (KeptBackend("b-3", MachineRole.BACKEND, "yaba", "127.0.0.1:9102", "archive"),),
+    ),
     CrashReports((CrashedRequest(b"f" * 16, (EndedBackend(7, 120),), None),)),
     ReaderHeartbeat(
         STATE, b"d" * 16, SourceAges(120, None), (DeltaAnswer(DocumentKind.MACHINE_LIST, (DELTA,)),)
