--- a/src/pewtertack/lab/weakening.py
+++ b/src/pewtertack/lab/weakening.py
@@ -212,8 +212,8 @@
 def _hold_nothing_after_returns() -> None:
     """Believe the first list of a new era at once."""
 
-    def wrapper(start: Callable[[ReturnedLists, float], None]) -> Callable[..., None]:
-        return lambda returned, seconds: start(returned, 0.0)
+    def wrapper(start: Callable[..., None]) -> Callable[..., None]:
+        return lambda returned, seconds, *others: start(returned, 0.0, *others)
 
     _wrap(ReturnedLists, "__init__", wrapper)
 
--- a/tests/lab/test_weakening.py
+++ b/tests/lab/test_weakening.py
@@ -11,6 +11,11 @@
 from unittest import mock
 
 from pewtertack.core import profile
+from pewtertack.core.eras import list_number
+from pewtertack.core.machines import MachineState
+from pewtertack.core.replication.machine_lists import MachineListReplica
+from pewtertack.core.returned_lists import ReturnedLists
+from pewtertack.core.revision import identify
 from pewtertack.lab.errors import LabUsageError
 from pewtertack.lab.weakening import CORE_MECHANISMS, MECHANISMS, REQUEST_MECHANISMS, switch_off
 from pewtertack.node.proxy import exchange
@@ -48,6 +53,16 @@
             self.assertTrue(proxy.leaving)
             self.assertFalse(proxy._parts.stop.begun)
 
+    def test_nothing_is_held_after_returns(self) -> None:
+        with mock.patch.object(ReturnedLists, "__init__", ReturnedLists.__init__):
+            switch_off("hold_after_return")
+            replica = MachineListReplica(6.0, 0.0)
+        for number in (list_number(0, 9), list_number(1, 5)):
+            state = "leaving" if number == 9 else "live"
+            entry = {"role": "backend", "zone": "a", "address": "1:1", "state": state}
+            replica.offer(1.0, identify(number, {"b": entry}), {"b": entry})
+        self.assertEqual(replica.machines.machines[0].state, MachineState.LIVE)
+
     def test_every_request_mechanism_can_be_switched_off(self) -> None:
         for name in REQUEST_MECHANISMS:
             with self.subTest(name):
--- a/tests/platform/test_returns_in_series.py
+++ b/tests/platform/test_returns_in_series.py
@@ -7,7 +7,7 @@
 from collections.abc import Callable
 from typing import Any
 
-from hypothesis import HealthCheck, given, settings
+from hypothesis import HealthCheck, example, given, settings
 from hypothesis import strategies as st
 
 from pewtertack.core.profile import LEASED
@@ -92,14 +92,14 @@
             node.calls.cut = True
         await self.fleet.run(0.3)
         before = {node.name: set(node.ready) for node in self.fleet.nodes}
-        known = {node.name: set(node.once_ready) for node in self.fleet.nodes}
+        left = {node.name: node.once_ready - before[node.name] for node in self.fleet.nodes}
         evacuated = {node.name: node.evacuated for node in self.fleet.nodes}
         self.store.come_back_from(self.copy)
         for node, was_cut in zip(self.fleet.nodes, cut, strict=True):
             node.calls.cut = was_cut
         await self.fleet.run(WRITTEN_AGAIN / 2)
         for node in self.fleet.nodes:
-            self.look_at(node, before[node.name], known[node.name])
+            self.look_at(node, before[node.name], self.known_to(node, left))
             if self.asked and not evacuated[node.name] <= node.evacuated:
                 self.wrong.append(f"{node.name}: evacuates {set(node.evacuated)}")
         self.ask(self.asked)
@@ -114,15 +114,22 @@
                 self.store.remove(key)
         self.copy = self.store.copy()
 
-    def look_at(self, node: FleetNode, before: set[str], known: set[str]) -> None:
-        """Note who came back by the copy's word alone, and who was dropped for want of it.
+    def known_to(self, node: FleetNode, left: dict[str, set[str]]) -> set[str]:
+        """Return who is known to have left: by the node, or by peers that it has heard to serve."""
+        dark = self.fleet.dark
+        hears_peers = node.serving and node.name not in dark
+        peers = left.keys() - dark if hears_peers else set()
+        told = set().union(*(left[name] for name in peers)) - self.alive()
+        return left[node.name] | told
 
-        Of a back end that had left before a node began, the node knows nothing.
-        """
+    def alive(self) -> set[str]:
+        return {name for name, fields in self.entries.items() if fields["State"] == "ready"}
+
+    def look_at(self, node: FleetNode, before: set[str], left: set[str]) -> None:
+        """Note who came back by the copy's word alone, and who was dropped for want of it."""
         ready = set(node.ready)
-        came_back = (ready - before) & known
-        alive = {name for name, fields in self.entries.items() if fields["State"] == "ready"}
-        dropped = (before & alive) - ready
+        came_back = (ready - before) & left
+        dropped = (before & self.alive()) - ready
         if came_back or dropped:
             self.wrong.append(f"{node.name}: came back {came_back}, dropped {dropped}")
 
@@ -205,6 +212,9 @@
         suppress_health_check=[HealthCheck.too_slow],
     )
     @given(STEPS, st.booleans())
+    @example(["start", "come", "return", "beat", "leave", "start", "heal", "return"], True)
+    @example(["return", "leave", "start", "leave", "start", "drain", "return", "start"], True)
+    @example(["leave", "start", "cut", "come", "leave", "leave", "return", "leave"], False)
     def test_nothing_goes_back_and_all_come_to_believe_the_same(
         self, steps: list[str], few_readers: bool
     ) -> None:
