The soak's leaving-over-return starts the back end's node after the return

Tried before and not noticed: a node in the same zone started with the return (it had the old list from its peers, who noticed the return 2 s later); one started when the return was noticed (REQUEST_ROUTED to the leaving back end, gateway-refused). Change: the node beside the back end itself stops and starts when a node has noticed the return; the list is written again 3 s after that, within the 6 s for which peers hold.

--- a/src/pewtertack/lab/fleet/history.py
+++ b/src/pewtertack/lab/fleet/history.py
@@ -43,6 +43,8 @@
     """What the history says of all nodes."""
 
     nodes: dict[str, NodeView] = field(default_factory=dict)
+    returns_noticed: int = 0
+    """How often a node has noticed that the source came back from a copy."""
 
     def take(self, line: HistoryLine) -> None:
         """Take in one line."""
@@ -61,6 +63,8 @@
             self._node(line).is_serving = True
         elif line.event in NOT_SERVING_EVENTS:
             self._node(line).is_serving = False
+        elif line.event == Event.SOURCE_RETURNED.name:
+            self.returns_noticed += 1
 
     def _node(self, line: NodeEvent) -> NodeView:
         return self.nodes.setdefault(line.node, NodeView())
--- a/src/pewtertack/lab/soak/context.py
+++ b/src/pewtertack/lab/soak/context.py
@@ -5,7 +5,7 @@
 import contextlib
 import random
 from collections import Counter
-from collections.abc import AsyncIterator
+from collections.abc import AsyncIterator, Sequence
 
 import anyio
 
@@ -51,11 +51,20 @@
         return (len(self.fleet.plan.nodes) - 1) // 2
 
     @contextlib.asynccontextmanager
-    async def claim_nodes(self, chooser: random.Random, count: int) -> AsyncIterator[list[str]]:
-        """Wait for ``count`` nodes, or as many as may be, that take part in no other fault."""
+    async def claim_nodes(
+        self, chooser: random.Random, count: int, among: Sequence[str] = ()
+    ) -> AsyncIterator[list[str]]:
+        """Wait for ``count`` nodes, or as many as may be, that take part in no other fault.
+
+        ``among`` names those that will do, all by default.
+        """
         count = min(count, self.most_claimed)
-        order = chooser.sample(sorted(self.fleet.plan.nodes), len(self.fleet.plan.nodes))
-        while len(self._claimed) + count > self.most_claimed:
+        names = sorted(among or self.fleet.plan.nodes)
+        order = chooser.sample(names, len(names))
+        while (
+            len(self._claimed) + count > self.most_claimed
+            or len(set(order) - self._claimed) < count
+        ):
             await self._released.wait()
         chosen = [name for name in order if name not in self._claimed][:count]
         self._claimed.update(chosen)
--- a/src/pewtertack/lab/soak/returns.py
+++ b/src/pewtertack/lab/soak/returns.py
@@ -2,11 +2,13 @@
 
 from __future__ import annotations
 
+import contextlib
 import random
 import time
 
 import anyio
 
+from pewtertack.lab.errors import FleetTimeoutError
 from pewtertack.lab.fleet.plan import BackendPlan
 from pewtertack.lab.soak.context import SoakContext
 from pewtertack.lab.soak.faults import Lane, fault
@@ -23,8 +25,12 @@
 """For which that is looked at in the end."""
 MORE_WRITES = 3
 """Writes that change nothing: what follows them has higher revisions than what follows a return."""
-LATER = 0.8
-"""Seconds after a return until the machine list is written again."""
+NOTICED_SECONDS = 5.0
+"""After a return, within which nodes notice it: they back off from a platform that is away."""
+LATER = 3.0
+"""Seconds from then until the machine list is written again. A node that has started meanwhile
+serves, and the list, which lags a second, shows it while what was known holds."""
+STOP_SECONDS = 30.0
 
 
 @fault("return", Lane.RETURNS)
@@ -42,28 +48,43 @@
 
 @fault("leaving-over-return", Lane.PLATFORM, weight=3.0)
 async def leaving_over_return(soak: SoakContext, chooser: random.Random) -> None:
-    """A leaving back end is live in the copy that comes back; another leaves after the return."""
+    """A leaving back end is live in the copy that comes back, and its node starts after the return.
+
+    Another back end leaves after the return.
+    """
     backends = sorted(soak.fleet.plan.backends.values(), key=lambda backend: backend.name)
     first = chooser.choice(backends)
-    others = [backend for backend in backends if backend.service != first.service]
-    second = chooser.choice(others)
-    async with soak.learning:
+    second = chooser.choice([item for item in backends if item.service != first.service])
+    async with soak.claim_nodes(chooser, 1, [first.beside]), soak.learning:
         await _leave_over_return(soak, chooser, first, second)
     for backend in (first, second):
         await soak.fleet.stay_by_list(backend.name)
 
 
 async def _leave_over_return(
-    soak: SoakContext, chooser: random.Random, first: BackendPlan, second: BackendPlan
+    soak: SoakContext,
+    chooser: random.Random,
+    first: BackendPlan,
+    second: BackendPlan,
 ) -> None:
     platform = soak.fleet.platform
     copied_at = time.monotonic()
     for _ in range(MORE_WRITES):
         await soak.fleet.stay_by_list(first.name)
     await soak.fleet.leave_by_list(first.name)
-    await anyio.sleep(LEAVING_SEEN_SECONDS)
+    async with anyio.create_task_group() as tasks:
+        tasks.start_soon(soak.fleet.stop_node, first.beside, STOP_SECONDS)
+        await anyio.sleep(LEAVING_SEEN_SECONDS)
+    recorder = soak.fleet.recorder
+    noticed = recorder.view.returns_noticed
     await platform.come_back(chooser.uniform(*AWAY_SECONDS), time.monotonic() - copied_at)
-    await anyio.sleep(LATER)
-    await platform.write_again(platform.plan.machines, platform.plan.source)
+    with contextlib.suppress(FleetTimeoutError):
+        await recorder.wait_until(
+            lambda view: view.returns_noticed > noticed, NOTICED_SECONDS, "the return is noticed"
+        )
+    async with anyio.create_task_group() as tasks:
+        tasks.start_soon(soak.start_again, [first.beside])
+        await anyio.sleep(LATER)
+        await platform.write_again(platform.plan.machines, platform.plan.source)
     await soak.fleet.leave_by_list(second.name)
     await anyio.sleep(LEAVING_SEEN_SECONDS + LEAVING_UNUSED_SECONDS)
