lab returns: a node that began since is judged as any other

Cause: requests to a back end that had left were not judged where the asking node had begun to serve since. Change: the narrowing goes, with the figure unknowing: peers tell such a node.

--- a/src/pewtertack/lab/returns/run.py
+++ b/src/pewtertack/lab/returns/run.py
@@ -20,7 +20,7 @@
 from pewtertack.lab.fleet.plan import FLEET_KEY
 from pewtertack.lab.fleet.ports import PortAllocator
 from pewtertack.lab.fleet.process import LabProcess
-from pewtertack.lab.returns.judging import knew_better, late_edits
+from pewtertack.lab.returns.judging import late_edits
 from pewtertack.lab.returns.world import (
     CALLER_HEADER,
     HOST_NAME,
@@ -70,8 +70,6 @@
     replaced: int
     statuses: dict[str, int]
     """Callers' answers by status; ``none`` where there was none."""
-    unknowing: int
-    """Requests to back ends that had left, from nodes that began to serve since."""
     offences: list[str]
 
 
@@ -88,8 +86,6 @@
         self.process: LabProcess | None = None
         self.serving_since = 0.0
         """Monotonic seconds; 0 while the node does not serve."""
-        self.starts: list[float] = []
-        """When its processes began to serve."""
         self.version = 0
         self.in_force: list[tuple[float, int]] = []
         self.offences: list[str] = []
@@ -100,7 +96,6 @@
         now = time.monotonic()
         if event.event == Event.NODE_SERVING.name:
             self.serving_since = now
-            self.starts.append(now)
         if event.event == Event.REVISION_IN_FORCE.name:
             version = tree_parts(event.revision)[0]
             if version < self.version:
@@ -267,10 +262,9 @@
         return str(answer.status)
 
     def _result(self) -> ReturnsResult:
-        starts = {node.host: node.starts for node in self._nodes}
         late = [asked for backend in self._backends for asked in backend.late_requests]
         offences = [text for node in self._nodes for text in node.offences]
-        offences += [str(asked) for asked in late if knew_better(starts[asked.node], asked)]
+        offences += map(str, late)
         for node in self._nodes:
             found = late_edits(self._world.edits, node.in_force, node.serving_since, self._away)
             offences += [f"{node.host}: {text}" for text in found]
@@ -280,7 +274,6 @@
             edits=len(self._world.edits),
             stops=self._stops,
             replaced=self._replaced,
-            unknowing=sum(not knew_better(starts[asked.node], asked) for asked in late),
             statuses=dict(sorted(self._statuses.items())),
             offences=offences,
         )
--- a/src/pewtertack/lab/returns/world.py
+++ b/src/pewtertack/lab/returns/world.py
@@ -61,8 +61,6 @@
     """Since the end."""
     node: str
     """Whose caller asked."""
-    removed_at: float
-    """When the back end's entry went."""
 
     def __str__(self) -> str:
         """Return it for operators."""
@@ -83,7 +81,6 @@
         self._is_known = False
         self.late_requests: list[LateRequest] = []
         """What was asked of an address whose back end was known to have left."""
-        self._removed_at = 0.0
         self._lives = 0
         self.listener = Listener(self, Address(host, 0))
 
@@ -94,7 +91,7 @@
         self.writes = True
         self.name = f"i-{self.host.rpartition('.')[2]}-{self._lives}"
 
-    def end(self, is_known: bool, removed_at: float) -> None:
+    def end(self, is_known: bool) -> None:
         """End the life; ``is_known`` tells that readers had the time to see its entry go.
 
         One that was known to have left is to be asked nothing, so its address goes on noting it.
@@ -103,7 +100,6 @@
             self.listener.close()
         self._left_at = time.monotonic()
         self._is_known = is_known
-        self._removed_at = removed_at
         self.name = ""
 
     def entry(self) -> bytes:
@@ -130,9 +126,7 @@
         if scope["path"].startswith(PATH) and not self.name and self._is_known:
             now = time.monotonic()
             caller = dict(scope["headers"]).get(CALLER_HEADER, b"").decode()
-            asked = LateRequest(
-                self.host, now, now - self._left_at, caller.partition("/")[0], self._removed_at
-            )
+            asked = LateRequest(self.host, now, now - self._left_at, caller.partition("/")[0])
             self.late_requests.append(asked)
         await send_answer(send, HttpAnswer(200 if self.name else 503, b"done"))
 
@@ -218,7 +212,7 @@
         await anyio.sleep(SEEN_SECONDS)
         is_known = was_read and self.is_up and returns == self.returns
         await anyio.sleep(SERVE_ON_SECONDS - SEEN_SECONDS)
-        backend.end(is_known, removed_at)
+        backend.end(is_known)
         await anyio.sleep(empty)
         if not backend.listener.is_open:
             await backend.listener.open(tasks)
