--- a/tests/node/test_returned_store.py
+++ b/tests/node/test_returned_store.py
@@ -1,7 +1,8 @@
 """Real nodes around a store that comes back from a copy some seconds old.
 
 A back end came and another left after the copy was taken, and an edit was acknowledged. Callers
-must see neither: who left gets nothing, who came goes on, the edit stays in force.
+must see neither: who left gets nothing, who came goes on, the edit stays in force. A node
+that starts after the return is told so by its peers.
 """
 
 import asyncio
@@ -20,6 +21,8 @@
 HOSTS = ("127.0.0.21", "127.0.0.22", "127.0.0.23", "127.0.0.24")
 CALLER = {"host": "desk.example"}
 AWAY_SECONDS = 0.7
+HOLD = "20s"
+"""Longer than the late node takes to start on a busy machine."""
 BOUND = 2.0
 """Seconds within which an edit is in force everywhere."""
 
@@ -60,10 +63,11 @@
 
     def settings(self, number: int, seed: int) -> str:
         host, (peer, gateway) = HOSTS[number], self.ports
+        url = f"http://{self.store_address}"
         return f"""
             node = {{name = "{host}", zone = "garia", region = "r"}}
-            source = {{url = "http://{self.store_address}", durable = true}}
-            machines = {{url = "http://{self.store_address}"}}
+            source = {{url = "{url}", durable = true, hold_after_return = "{HOLD}"}}
+            machines = {{url = "{url}"}}
             peers = {{key = "{"ab" * 16}", seeds = ["{HOSTS[seed]}:{peer}"]}}
             profile = {{name = "leased"}}
             backend = {{address = "{self.addresses[number]}", service = "desk"}}
@@ -116,6 +120,9 @@
             self.assertEqual(set(statuses), {200})
             self.assertEqual(set(self.ran), {HOSTS[1], HOSTS[2]})
             await late.wait_event("NODE_SERVING")
+            self.ran.clear()
+            self.assertEqual(set(await self.call(late, 1.0)), {200})
+            self.assertEqual(set(self.ran), {HOSTS[1], HOSTS[2]})
             await self.status_until(nodes, version=13, source_era=1)
             told = await asyncio.wait_for(nodes[0].wait_event("SOURCE_RETURNED"), PATIENCE)
             shown = {key: told[key] for key in ("old", "new", "lost", "kept", "came_back")}
