Who starts beside a return is told which evacuations have ended

Cause: which evacuations have ended is known to those that saw it. A node that starts after a return, or began shortly before it, and reads the source takes the copy's word for one that had ended, and numbers it by the new era, so that the whole fleet evacuates the zone again: in the test in all six cases (few readers and all reading; started 0, 0.5 and 2 s after the return).

Change: peers tell it with the rest (EvacuationsEnded, tag 18, within hold_after_return of an era, nothing otherwise), with the age of the era, so that it holds no longer than at the peer. Until three peers have answered, 1 s at most, such a node leaves alone evacuations that stand as the era's first list showed them and that it does not hold; its reads wait for a change for 1 s meanwhile, in eras above 0 only.

Tests: test_starts_after_return, an evacuation that had ended (seen to fail before: 6 of 6; the case of a node that began before the return was added with the change), and that one which nobody has seen to end is believed by a fleet that starts as a whole.

--- a/src/pewtertack/core/effects.py
+++ b/src/pewtertack/core/effects.py
@@ -43,6 +43,8 @@
     """The zones that the held tree names as evacuated."""
     ended: Mapping[str, int] = {}
     """Those that it names no longer (`core.ended_evacuations`)."""
+    doubts_copy: bool = False
+    """The node began too late to know which evacuations have ended, and no peer has told yet."""
     held: RevisionId = NO_REVISION
     """Of the held tree."""
     tree: Document | None = None
--- a/src/pewtertack/core/ended_evacuations.py
+++ b/src/pewtertack/core/ended_evacuations.py
@@ -36,5 +36,14 @@
             self._ended.pop(zone, None)
         for zone in self._began.keys() - named:
             self._ended[zone] = self._began.pop(zone)
+        self._bound()
+
+    def hear(self, zone: str, made_until: int) -> None:
+        """A peer has seen the evacuation of a zone end; one that is held goes before that."""
+        if zone not in self._began:
+            self._ended[zone] = max(made_until, self._ended.get(zone, 0))
+            self._bound()
+
+    def _bound(self) -> None:
         while len(self._ended) > ENDED_KEPT:
             del self._ended[next(iter(self._ended))]
--- a/src/pewtertack/core/node.py
+++ b/src/pewtertack/core/node.py
@@ -47,6 +47,7 @@
     CrashReports,
     DeltaAnswer,
     DocumentKind,
+    EvacuationsEnded,
     HeldReport,
     IndirectAcknowledge,
     JoinAnswer,
@@ -379,6 +380,9 @@
                 return self.replication.on_backends_leaving(backends)
             case ListOverrides() as told:
                 return self.replication.on_list_overrides(now, told)
+            case EvacuationsEnded() as told:
+                self.replication.on_evacuations_ended(now, told)
+                return []
             case CrashReports() as reports:
                 return self.crashes.learn(now, reports)
             case _:
--- a/src/pewtertack/core/replication/inquiry.py
+++ b/src/pewtertack/core/replication/inquiry.py
@@ -7,7 +7,7 @@
 
 from pewtertack.core.eras import era_of
 from pewtertack.core.membership.table import MemberTable
-from pewtertack.core.newcomers import LONGEST_COPY_AGE
+from pewtertack.core.newcomers import DOUBTED_SECONDS, LONGEST_COPY_AGE
 from pewtertack.core.profile import TimingProfile
 from pewtertack.wire.messages import VersionState
 
@@ -86,6 +86,18 @@
         """Whether enough peers have answered in this era."""
         return len(self._heard) >= ENOUGH_PEERS
 
+    def doubts_copy(self, now: float) -> bool:
+        """Tell whether a copy may show what has ended before this node began to see it.
+
+        Also before an era: the read that finds it is asked in the one before.
+        """
+        if now - self._started_at >= LONGEST_COPY_AGE or self._seconds == 0:
+            return False
+        if not self._era:
+            return True
+        waited = now - max(self._era_since, self._started_at)
+        return not self.is_answered and waited < DOUBTED_SECONDS
+
     def is_pending(self, now: float) -> bool:
         """Tell whether a starting node is to wait for a serving peer that knows the era."""
         waited = now - self._started_at
--- a/src/pewtertack/core/replication/reader.py
+++ b/src/pewtertack/core/replication/reader.py
@@ -8,6 +8,7 @@
 import msgspec
 
 from pewtertack.core.effects import Effect, Log, ReadDocument
+from pewtertack.core.newcomers import DOUBTED_SECONDS
 from pewtertack.core.profile import TimingProfile
 from pewtertack.core.replication.freshness import SourceFreshness
 from pewtertack.core.replication.readership import Readership
@@ -31,6 +32,8 @@
     """The zones that the held tree names as evacuated."""
     ended: Mapping[str, int] = {}
     """Those that it names no longer (`core.ended_evacuations`)."""
+    doubts_copy: bool = False
+    """Whether the node cannot know which evacuations a copy shows have ended."""
     held: RevisionId = NO_REVISION
     """Of the held tree."""
     tree: Document | None = None
@@ -148,6 +151,7 @@
             of_source.era_since,
             of_source.evacuated,
             of_source.ended,
+            of_source.doubts_copy,
             of_source.held,
             of_source.tree,
         )
@@ -157,7 +161,10 @@
         """After a stale answer or a failure a read is to confirm, not to wait for a change."""
         unconfirmed = kind not in self.last_answer_at or self._failures[kind] > 0
         unconfirmed = unconfirmed and self.readership.looks_first
-        return 0.0 if may_be_stale or unconfirmed else self._profile.read_wait
+        if may_be_stale or unconfirmed:
+            return 0.0
+        wait = self._profile.read_wait
+        return min(wait, DOUBTED_SECONDS) if self._held.era and self._held.doubts_copy else wait
 
     def _known_number(self, kind: DocumentKind, held: int) -> int:
         """Return the number to wait for a change of.
--- a/src/pewtertack/core/replication/service.py
+++ b/src/pewtertack/core/replication/service.py
@@ -5,6 +5,7 @@
 import math
 from collections.abc import Callable
 from functools import partial
+from itertools import starmap
 from random import Random
 
 import msgspec
@@ -38,6 +39,8 @@
     Busy,
     DeltaAnswer,
     DocumentKind,
+    EndedEvacuation,
+    EvacuationsEnded,
     HeldReport,
     JoinRequest,
     LeavingBackend,
@@ -160,7 +163,7 @@
         numbers = {kind: self.held_number(kind) for kind in DocumentKind}
         effects = self.machine_list.tick(now) + self._inquire(now)
         effects += self.reader.tick(
-            now, may_read, numbers, joining and self._source.durable, self._held_of_source()
+            now, may_read, numbers, joining and self._source.durable, self._held_of_source(now)
         )
         for kind in DocumentKind:
             effects += self._pull_if_due(now, kind)
@@ -186,14 +189,14 @@
             effects += self.machine_list.trust_newcomers(now)
         return effects
 
-    def _held_of_source(self) -> HeldOfSource:
+    def _held_of_source(self, now: float) -> HeldOfSource:
         """Return what a read is told, in era 0 too: the read may be the first of a new one."""
-        held = self.replica.held
+        held, doubts = self.replica.held, self.inquiry.doubts_copy(now)
         if held.number == 0:
-            return HeldOfSource(self.era, self._era_since)
+            return HeldOfSource(self.era, self._era_since, doubts_copy=doubts)
         tree, ended = self.replica.store.document, dict(self._ended.ended)
         evacuated = self._evacuated()
-        return HeldOfSource(self.era, self._era_since, evacuated, ended, held, tree)
+        return HeldOfSource(self.era, self._era_since, evacuated, ended, doubts, held, tree)
 
     def _evacuated(self) -> tuple[str, ...]:
         """Return the zones that the held tree names."""
@@ -312,6 +315,11 @@
         effects: list[Effect] = [
             Send(name, address, told) for told in self.machine_list.overrides(now)
         ]
+        age = now - self._era_since
+        if self.era and self._ended.ended and age < self._source.hold_after_return:
+            zones = starmap(EndedEvacuation, self._ended.ended.items())
+            told = EvacuationsEnded(self.era, round(age * MILLISECONDS), tuple(zones))
+            effects.append(Send(name, address, told))
         if self.reader.readership.tells_peers:
             effects += self._heartbeats.for_joiner(now, name, address, self.state())
         return effects
@@ -472,3 +480,11 @@
         """Hold against lists of a new era what a peer holds."""
         self._hear_era(now, told.number)
         return self.machine_list.hear(now, told)
+
+    def on_evacuations_ended(self, now: float, told: EvacuationsEnded) -> None:
+        """Hold against a copy which evacuations a peer has seen to end."""
+        if told.era != self.era:
+            return
+        self._era_since = min(self._era_since, now - told.age / MILLISECONDS)
+        for ended in told.zones:
+            self._ended.hear(ended.zone, ended.made_until)
--- a/src/pewtertack/core/source_mirror.py
+++ b/src/pewtertack/core/source_mirror.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import math
+
 SPOILT = b""
 """Stands for a value that cannot be told: no document is empty."""
 
@@ -75,7 +77,7 @@
         """Tell whether the present era has said anything of the zone's evacuation."""
         return self._evacuations + zone in self._named
 
-    def has_copied(self, zone: str, until: int) -> bool:
+    def has_copied(self, zone: str, until: float = math.inf) -> bool:
         """Tell whether an evacuation stands here as it was before the era, made by ``until``."""
         key = self._evacuations + zone
         made = self._copied.get(key)
--- a/src/pewtertack/core/source_trees.py
+++ b/src/pewtertack/core/source_trees.py
@@ -114,6 +114,8 @@
     if not holds:
         return shown
     held = {zone for zone in effect.evacuated if not mirror.has_named(zone)}
+    if effect.doubts_copy:
+        shown = [zone for zone in shown if zone in effect.evacuated or not mirror.has_copied(zone)]
     return sorted(held | {zone for zone in shown if not _has_ended(effect, mirror, zone)})
 
 
--- a/src/pewtertack/wire/messages.py
+++ b/src/pewtertack/wire/messages.py
@@ -304,6 +304,23 @@
     kept: tuple[KeptBackend, ...] = ()
 
 
+class EndedEvacuation(msgspec.Struct, frozen=True, array_like=True):
+    """A zone that is evacuated no longer, whatever a copy of the source says."""
+
+    zone: str
+    made_until: Annotated[int, msgspec.Meta(ge=0)]
+    """A revision up to which the source's item of the evacuation was made."""
+
+
+class EvacuationsEnded(msgspec.Struct, frozen=True, array_like=True, tag=18):
+    """Which evacuations the sender has seen to end; told to starting peers while that holds."""
+
+    era: int
+    age: Milliseconds
+    """Since the sender first heard of the era."""
+    zones: Annotated[tuple[EndedEvacuation, ...], msgspec.Meta(max_length=64)]
+
+
 Message = (
     Ping
     | Acknowledge
@@ -322,4 +339,5 @@
     | PackedAnswer
     | CrashReports
     | ListOverrides
+    | EvacuationsEnded
 )
--- a/tests/platform/test_starts_after_return.py
+++ b/tests/platform/test_starts_after_return.py
@@ -127,3 +127,39 @@
                 self.assertEqual(await self.told(HOLD + 1.0), 0)
                 await self.begin(profile, era=None)
                 self.assertEqual(await self.told(1.0), 0)
+
+    async def test_an_evacuation_that_had_ended_stays_so_whoever_starts(self) -> None:
+        for profile in PROFILES:
+            for after in (-2.0, 0.0, 0.5, 2.0):
+                with self.subTest(few_readers=profile is FEW_READERS, after=after):
+                    await self.begin(profile)
+                    self.store.put("op/evacuate/garia", b"{}")
+                    await self.fleet.run(2.0)
+                    copy = self.store.copy()
+                    self.store.remove("op/evacuate/garia")
+                    await self.fleet.run(2.0)
+                    if after < 0:
+                        self.fleet.start_node()
+                    await self.fleet.run(max(0.0, -after))
+                    await self.come_back(copy)
+                    await self.fleet.run(max(0.0, after))
+                    if after >= 0:
+                        self.fleet.start_node()
+                    for _ in range(20):
+                        await self.fleet.step()
+                        for node in self.fleet.nodes:
+                            self.assertEqual(node.evacuated, frozenset())
+
+    async def test_an_evacuation_of_the_copy_that_nobody_has_seen_to_end_is_believed(self) -> None:
+        for profile in PROFILES:
+            with self.subTest(few_readers=profile is FEW_READERS):
+                await self.begin(profile)
+                self.store.put("op/evacuate/garia", b"{}")
+                await self.fleet.run(2.0)
+                await self.come_back(self.store.copy())
+                self.fleet.nodes.clear()
+                started = [self.fleet.start_node() for _ in range(3)]
+                await self.fleet.run(4.0)
+                for node in started:
+                    self.assertTrue(node.serving)
+                    self.assertEqual(node.evacuated, {"garia"})
--- a/tests/wire/test_frames.py
+++ b/tests/wire/test_frames.py
@@ -33,6 +33,8 @@
     DepartedBackend,
     DocumentKind,
     EndedBackend,
+    EndedEvacuation,
+    EvacuationsEnded,
     HeldReport,
     IndirectAcknowledge,
     JoinAnswer,
@@ -84,6 +86,7 @@
         (DepartedBackend("b-2", "127.0.0.1:9101", "archive", 7, 9),),
         (KeptBackend("b-3", MachineRole.BACKEND, "yaba", "127.0.0.1:9102", "archive"),),
     ),
+    EvacuationsEnded(1, 1_200, (EndedEvacuation("yaba", 2**30),)),
     CrashReports((CrashedRequest(b"f" * 16, (EndedBackend(7, 120),), None),)),
     ReaderHeartbeat(
         STATE, b"d" * 16, SourceAges(120, None), (DeltaAnswer(DocumentKind.MACHINE_LIST, (DELTA,)),)
