--- a/src/pewtertack/core/replication/service.py
+++ b/src/pewtertack/core/replication/service.py
@@ -4,6 +4,7 @@
 
 import math
 from functools import partial
+from itertools import starmap
 from random import Random
 
 import msgspec
@@ -22,6 +23,7 @@
 from pewtertack.core.replication.answers import PullServer
 from pewtertack.core.replication.freshness import SourceFreshness
 from pewtertack.core.replication.heartbeats import HeartbeatSender
+from pewtertack.core.replication.inquiry import ReturnInquiry
 from pewtertack.core.replication.machine_lists import MachineListReplica
 from pewtertack.core.replication.offers import MakeWork, Offers
 from pewtertack.core.replication.puller import Puller, PullSource
@@ -42,8 +44,12 @@
     Busy,
     DeltaAnswer,
     DocumentKind,
+    EndedEvacuation,
+    EvacuationsEnded,
     HeldReport,
+    JoinRequest,
     LeavingBackend,
+    ListOverrides,
     Pull,
     ReaderHeartbeat,
     SnapshotAnswer,
@@ -82,10 +88,13 @@
         self._source = source or SourceProperties()
         self.replica = ConfigurationReplica(identity.zone, profile.mechanisms)
         self.refusals = RefusalWatch(self.replica)
-        self.machine_list = MachineListReplica(self._source.hold_after_return)
+        self.machine_list = MachineListReplica(self._source.hold_after_return, now)
         self.era = 0
         """The latest era of the source that this node has heard of."""
         self._era_since = now
+        self.inquiry = ReturnInquiry(
+            profile, membership.table, random, self._source.hold_after_return, now
+        )
         self._ended = EndedEvacuations()
         self._away = math.inf
         """Seconds between the source's last word and the first of this era."""
@@ -147,6 +156,8 @@
         """Trust nothing that the source said before, nor peers' words of meanwhile."""
         self.freshness.forget(now, deaf_for)
         self.reader.after_pause()
+        self.inquiry.restart(now)
+        self.machine_list.returned.newcomers.began_at = now
 
     def held_number(self, kind: DocumentKind) -> int:
         """Return the number of the newest held revision of a document."""
@@ -160,9 +171,9 @@
         A joiner reads a durable source itself, since that alone lets it serve.
         """
         numbers = {kind: self.held_number(kind) for kind in DocumentKind}
-        effects = self.machine_list.tick(now) + self.refusals.tick(now)
+        effects = self.machine_list.tick(now) + self.refusals.tick(now) + self._inquire(now)
         effects += self.reader.tick(
-            now, may_read, numbers, joining and self._source.durable, self._held_of_source()
+            now, may_read, numbers, joining and self._source.durable, self._held_of_source(now)
         )
         self.reads.note(now, effects)
         for kind in DocumentKind:
@@ -172,14 +183,31 @@
             effects += self._commit_if_reached(now, self.replica.held)
         return effects
 
-    def _held_of_source(self) -> HeldOfSource:
+    def _inquire(self, now: float) -> list[Effect]:
+        """Ask peers what they hold against lists of a new era."""
+        request = JoinRequest(self._membership.own)
+        names = self.inquiry.names_to_ask(now)
+        return [effect for name in names for effect in self._membership.send(name, request)]
+
+    def on_join_answer(
+        self, now: float, sender: str, address: str, state: VersionState
+    ) -> list[Effect]:
+        """Take in a peer's versions; one that does not know of the era is told of it."""
+        effects = self.learn(now, sender, address, state)
+        if self.inquiry.answered(sender, state):
+            effects.append(Send(sender, address, Announce(self.state())))
+        if self.inquiry.is_answered:
+            effects += self.machine_list.trust_newcomers(now)
+        return effects
+
+    def _held_of_source(self, now: float) -> HeldOfSource:
         """Return what a read is told, in era 0 too: the read may be the first of a new one."""
-        held = self.replica.held
+        held, doubts = self.replica.held, self.inquiry.doubts_copy(now)
         if held.number == 0:
-            return HeldOfSource(self.era, self._era_since)
+            return HeldOfSource(self.era, self._era_since, doubts_copy=doubts)
         tree, ended = self.replica.store.document, dict(self._ended.ended)
         evacuated = self._evacuated()
-        return HeldOfSource(self.era, self._era_since, evacuated, ended, held, tree)
+        return HeldOfSource(self.era, self._era_since, evacuated, ended, doubts, held, tree)
 
     def _evacuated(self) -> tuple[str, ...]:
         """Return the zones that the held tree names."""
@@ -279,6 +307,7 @@
         if era_of(number) > self.era:
             self.era = era_of(number)
             self._era_since = now
+            self.inquiry.begin_era(now, self.era)
             self._away = self.freshness.age(now, DocumentKind.MACHINE_LIST)
 
     def _hear_ages(self, now: float, heartbeat: ReaderHeartbeat) -> None:
@@ -299,10 +328,19 @@
         return self._heartbeats.due(now, self.state())
 
     def tell_joiner(self, now: float, name: str, address: str) -> list[Effect]:
-        """Return the source's word for a joining peer, if it is recent here."""
-        if not self.reader.readership.tells_peers:
-            return []
-        return self._heartbeats.for_joiner(now, name, address, self.state())
+        """Return what only a serving peer knows: the source's word, if it is recent here, and
+        what is held against lists of a new era."""
+        effects: list[Effect] = [
+            Send(name, address, told) for told in self.machine_list.overrides(now)
+        ]
+        age = now - self._era_since
+        if self.era and self._ended.ended and age < self._source.hold_after_return:
+            zones = starmap(EndedEvacuation, self._ended.ended.items())
+            told = EvacuationsEnded(self.era, round(age * MILLISECONDS), tuple(zones))
+            effects.append(Send(name, address, told))
+        if self.reader.readership.tells_peers:
+            effects += self._heartbeats.for_joiner(now, name, address, self.state())
+        return effects
 
     def on_announce(self, now: float, sender: str, address: str, message: Announce) -> list[Effect]:
         """Take in an eager notice, with its inline delta if it fits."""
@@ -493,3 +531,16 @@
             return []
         machines = self.machine_list.machines
         return [UseMachines(machines), *self._announcer.send(BackendsLeaving(news))]
+
+    def on_list_overrides(self, now: float, told: ListOverrides) -> list[Effect]:
+        """Hold against lists of a new era what a peer holds."""
+        self._hear_era(now, told.number)
+        return self.machine_list.hear(now, told)
+
+    def on_evacuations_ended(self, now: float, told: EvacuationsEnded) -> None:
+        """Hold against a copy which evacuations a peer has seen to end."""
+        if told.era != self.era:
+            return
+        self._era_since = min(self._era_since, now - told.age / MILLISECONDS)
+        for ended in told.zones:
+            self._ended.hear(ended.zone, ended.made_until)
