--- a/src/pewtertack/core/replication/machine_lists.py
+++ b/src/pewtertack/core/replication/machine_lists.py
@@ -20,7 +20,6 @@
     machine_list_from_document,
 )
 from pewtertack.core.replication.leaving import LeavingBackends
-from pewtertack.core.replication.list_overrides import messages_of, overrides_against
 from pewtertack.core.replication.store import DocumentStore, Step
 from pewtertack.core.returned_lists import ReturnedLists
 from pewtertack.core.revision import Document, RevisionId
@@ -106,6 +105,8 @@
         """Return what is held against the list, for a starting peer; nothing most of the time."""
         if not self.returned.holds(now):
             return ()
+        from pewtertack.core.replication.list_overrides import messages_of, overrides_against
+
         held = overrides_against(self._listed, self.machines)
         return messages_of(
             self.revision.number, held, lambda name: self.returned.left_of(now, name)
--- a/src/pewtertack/node/assembly.py
+++ b/src/pewtertack/node/assembly.py
@@ -19,7 +19,6 @@
 from pewtertack.node.crash_reporter import CrashReporter
 from pewtertack.node.daemon import NodeParts
 from pewtertack.node.gate import ServingGate
-from pewtertack.node.platform import PlatformLimits, PlatformReader
 from pewtertack.node.runtime import DocumentReader, Runtime
 from pewtertack.node.settings_file import SettingsFile
 from pewtertack.node.sockets import NodeSockets, address_of
@@ -33,6 +32,7 @@
     from prometheus_client.registry import Collector
 
     from pewtertack.node.gateway.application import GatewayApplication
+    from pewtertack.node.platform import PlatformReader
     from pewtertack.node.proxy.application import ProxyApplication
     from pewtertack.node.proxy.edge import EdgeHeaders
     from pewtertack.routing.runs import RunsBeside
@@ -253,6 +253,8 @@
 
 
 def _platform(settings: Settings) -> PlatformReader:
+    from pewtertack.node.platform import PlatformLimits, PlatformReader
+
     limits = PlatformLimits(
         settings.limits.platform_timeout.seconds, settings.limits.document_size.bytes
     )
--- a/src/pewtertack/node/http/cycle.py
+++ b/src/pewtertack/node/http/cycle.py
@@ -36,14 +36,18 @@
 logger = logging.getLogger(LOGGER)
 
 
-def _status_lines() -> dict[int, bytes]:
-    lines = {status: b"HTTP/1.1 %d \r\n" % status for status in range(100, 600)}
-    for known in http.HTTPStatus:
-        lines[known] = b"HTTP/1.1 %d %s\r\n" % (known, known.phrase.encode())
-    return lines
+class _StatusLines(dict[int, bytes]):
+    """The first lines of answers; those of unknown statuses are made when they are needed."""
 
+    def __missing__(self, status: int) -> bytes:
+        line = self[status] = b"HTTP/1.1 %d \r\n" % status
+        return line
 
-STATUS_LINES = _status_lines()
+
+STATUS_LINES = _StatusLines(
+    (known.value, b"HTTP/1.1 %d %s\r\n" % (known, known.phrase.encode()))
+    for known in http.HTTPStatus
+)
 
 
 class CallerConnection(Protocol):
