Reads of the source that are under way at once take less memory

Eight reads may be open. A watch that is longer than what is read is followed by a list now, so that 4 MiB are enough: a page of the store is 1 MB or so, 2.7 MB with one more item of 1 MiB, in base64.

--- a/src/pewtertack/platform/store.py
+++ b/src/pewtertack/platform/store.py
@@ -44,8 +44,9 @@
 """For the head of an answer, beyond the time for which a watch may wait."""
 PART_SECONDS = 3.0
 """Without a further part of an answer that has begun."""
-ANSWER_BYTES = 16 * 1024 * 1024
-"""The longest answer that is read; a page of the store has 1 MB or so, a watch may have more."""
+ANSWER_BYTES = 4 * 1024 * 1024
+"""The longest answer that is read, of each of the reads under way. A page of the store has 1 MB or
+so, before it is encoded; a watch that has more is followed by a list."""
 
 Answer = TypeVar("Answer")
 
