Answers to reads from before a pause of the process do not confirm what is held

What callers would see: a node that was paused serves by a configuration that the source had followed up meanwhile, until its next read is answered.

Cause: a watch that ended during a pause leaves its answer, 'nothing newer', on the connection. The node wakes, joins again, takes that answer for the source's present word, and serves at once. On the core alone: paused for 3.1 s, NODE_WOKE, NODE_JOINING and NODE_SERVING in one moment, age of the source's word 0 s.

Change: what was open before a pause is overdue and its answer confirms nothing. The first read after one does not wait for a change, and until it is answered no open read confirms anything.

--- a/src/pewtertack/core/replication/open_reads.py
+++ b/src/pewtertack/core/replication/open_reads.py
@@ -15,7 +15,7 @@
 class OpenRead:
     """A read that the platform has not answered."""
 
-    __slots__ = ("allowed", "confirms", "effect", "opened_at")
+    __slots__ = ("allowed", "before_pause", "confirms", "effect", "opened_at")
 
     def __init__(self, effect: ReadDocument, opened_at: float, allowed: float) -> None:
         self.effect = effect
@@ -25,6 +25,8 @@
         """Seconds within which the answer is due, the wait included."""
         self.confirms = not effect.may_be_stale
         """Whether its being open says that the platform has nothing newer."""
+        self.before_pause = False
+        """Whether the process has been paused since: its answer may have lain here meanwhile."""
 
     def is_overdue(self, now: float) -> bool:
         """Tell whether the answer should have come."""
@@ -77,14 +79,22 @@
         """Tell whether an answer may still come in time."""
         return any(not read.is_overdue(now) for read in self._reads)
 
-    def close(self, number: int) -> None:
+    def after_pause(self) -> None:
+        """What is open since before a pause of this process is overdue, and confirms nothing."""
+        for read in self._reads:
+            read.allowed = 0.0
+            read.confirms = False
+            read.before_pause = True
+
+    def close(self, number: int) -> OpenRead | None:
         """Take out the read of this number; the oldest where the number is not told."""
         for index, read in enumerate(self._reads):
             if number in (0, read.effect.read):
-                del self._reads[index]
-                return
+                return self._reads.pop(index)
+        return None
 
-    def answered(self, number: int) -> None:
-        """Take out an answered read: the source answers."""
-        self.close(number)
+    def answered(self, number: int) -> bool:
+        """Take out an answered read: the source answers. Return whether that was lately."""
+        read = self.close(number)
         self.unanswered = 0
+        return read is None or not read.before_pause
--- a/src/pewtertack/core/replication/reader.py
+++ b/src/pewtertack/core/replication/reader.py
@@ -69,6 +69,8 @@
         self._failures = dict.fromkeys(DocumentKind, 0)
         self.answer_times = AnswerTimes(profile.read_patience)
         self.last_answer_at: dict[DocumentKind, float] = {}
+        self._paused: set[DocumentKind] = set()
+        """Documents of which the platform has said nothing since a pause of this process."""
         self._seen: dict[DocumentKind, int] = {}
         self._stale: dict[DocumentKind, int] = {}
         self.reading = False
@@ -113,7 +115,7 @@
             answered_at = self.last_answer_at.get(kind)
             if answered_at is None or not any(self._confirms(read) for read in reads):
                 continue
-            if self._failures[kind] or kind in self._stale:
+            if self._failures[kind] or kind in self._stale or kind in self._paused:
                 continue
             if now - answered_at <= self._profile.read_wait + overdue:
                 self._freshness.confirm(kind, now)
@@ -124,9 +126,9 @@
 
     def after_pause(self) -> None:
         """What is open since before a pause of this process confirms nothing."""
+        self._paused.update(DocumentKind)
         for reads in self._open.values():
-            for read in reads:
-                read.confirms = False
+            reads.after_pause()
 
     def _read_if_due(
         self, now: float, kind: DocumentKind, held: int, may_be_stale: bool
@@ -173,11 +175,11 @@
     def _wait(self, now: float, kind: DocumentKind, may_be_stale: bool) -> float:
         """Return for how long a read is to be held open, in seconds.
 
-        After a stale answer or a failure a read is to confirm, not to wait for a change, and so
-        is one beside an overdue one. A slow source holds a read until the next one comes.
+        After a stale answer, a failure or a pause a read is to confirm, not to wait for a change,
+        and so is one beside an overdue one. A slow source holds a read until the next one comes.
         """
         unconfirmed = kind not in self.last_answer_at or self._failures[kind] > 0
-        unconfirmed = unconfirmed and self.readership.looks_first
+        unconfirmed = (unconfirmed and self.readership.looks_first) or kind in self._paused
         if may_be_stale or unconfirmed or self._open[kind].is_any_overdue(now):
             return 0.0
         longest = self._profile.read_wait
@@ -208,21 +210,29 @@
 
     def answered(self, now: float, answer: DocumentRead | DocumentUnchanged) -> None:
         """The platform gave a usable answer that is no older than what is held."""
-        self._note_answer(now, answer)
-        self._freshness.confirm(answer.kind, now)
+        if self._note_answer(now, answer):
+            self._freshness.confirm(answer.kind, now)
 
-    def _note_answer(self, now: float, answer: DocumentRead | DocumentUnchanged) -> None:
+    def _note_answer(self, now: float, answer: DocumentRead | DocumentUnchanged) -> bool:
+        """Note that a read is over; return whether its answer speaks for the present."""
         kind = answer.kind
-        self._end_read(answer)
+        recent = self._end_read(answer)
         self._failures[kind] = 0
+        if not recent:
+            self._not_before[kind] = now
+            return False
+        self._paused.discard(kind)
         few_read = self.readership.tells_peers
         gap = self._profile.few_readers_gap if few_read else self._profile.read_gap
         self._not_before[kind] = now + gap
         self.last_answer_at[kind] = now
+        return True
 
-    def _end_read(self, answer: DocumentRead | DocumentUnchanged) -> None:
-        self._open[answer.kind].answered(answer.read)
-        self._note_time(answer.took)
+    def _end_read(self, answer: DocumentRead | DocumentUnchanged) -> bool:
+        recent = self._open[answer.kind].answered(answer.read)
+        if recent:
+            self._note_time(answer.took)
+        return recent
 
     def _note_time(self, seconds: float | None) -> None:
         if seconds is not None:
--- a/tests/core/replication/test_reader.py
+++ b/tests/core/replication/test_reader.py
@@ -79,6 +79,20 @@
         self.read(4.1, 5)
         self.assertIsNone(self.freshness.ages(4.1).configuration)
 
+    def test_the_answer_to_one_opened_before_a_pause_does_not(self) -> None:
+        self.read(0.0, 5)
+        self.reader.answered(0.1, DocumentUnchanged(KIND))
+        self.read(1.0, 5)
+        self.freshness.forget(4.0, 0.0)
+        self.reader.after_pause()
+        self.reader.answered(4.0, DocumentUnchanged(KIND))
+        self.assertIsNone(self.freshness.ages(4.0).configuration)
+        self.assertEqual(self.reader.last_answer_at[KIND], 0.1)
+        self.assertEqual(self.wait_asked(4.0), (False, 0.0))
+        self.assertIsNone(self.freshness.ages(4.0).configuration)
+        self.reader.answered(4.1, DocumentUnchanged(KIND))
+        self.assertEqual(self.freshness.ages(4.1).configuration, 0)
+
     def test_an_answer_older_than_what_is_held_confirms_nothing(self) -> None:
         self.read(0.0, 5)
         self.reader.answered_with(0.1, DocumentRead(KIND, 4, {}), 5)
