--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -3,14 +3,19 @@
 import json
 from random import Random
 from typing import Any
+from unittest import mock
 
 import anyio
 
 from pewtertack.core.effects import ReadDocument
-from pewtertack.core.eras import VERSION_STEP
+from pewtertack.core.eras import VERSION_STEP, tree_parts
 from pewtertack.core.inputs import DocumentRead, DocumentReadFailed, DocumentUnchanged
+from pewtertack.core.profile import Mechanisms
+from pewtertack.core.replication.replica import ConfigurationReplica
+from pewtertack.core.revision import identify
 from pewtertack.errors import ReadFailure
 from pewtertack.lab.metadata_store.application import MetadataStore, StoreFaults
+from pewtertack.platform import store
 from pewtertack.platform.store import StoreReader
 from pewtertack.wire.messages import DocumentKind
 from tests.node.proxy.harness import ProxyTestCase
@@ -52,6 +57,37 @@
             self.store.put("servers/i-1", encoded({**ENTRY, "State": "draining"}))
         self.assertEqual(found[0].document["i-1"]["state"], "leaving")
 
+    async def test_many_changes_beyond_the_longest_answer_lead_to_a_list(self) -> None:
+        with mock.patch.object(store, "ANSWER_BYTES", 16 * 1024):
+            reader = StoreReader(await self.serve(self.store.application), 8146, 7380)
+        self.addAsyncCleanup(reader.close)
+        self.assertEqual(
+            (await reader.read(ReadDocument(CONFIG, 0, 0.0))).number, 12 * VERSION_STEP
+        )
+        for version in range(13, 53):
+            configuration = {**CONFIGURATION, "Version": f"r{version}"}
+            self.store.put("op/config", encoded(configuration))
+        reads = [await reader.read(ReadDocument(CONFIG, 0, 0.0)) for _ in range(2)]
+        self.assertEqual(reads[0].number, 52 * VERSION_STEP)
+        self.assertIsInstance(reads[1], DocumentUnchanged)
+
+    async def test_version_0_is_held_until_the_next(self) -> None:
+        self.store.put("op/config", encoded({**CONFIGURATION, "Version": "r0"}))
+        replica = ConfigurationReplica("garia", Mechanisms())
+        for version, evacuated in ((0, False), (0, True), (0, False), (1, False)):
+            self.store.put("op/config", encoded({**CONFIGURATION, "Version": f"r{version}"}))
+            if evacuated:
+                self.store.put("op/evacuate/garia", b"{}")
+            else:
+                self.store.remove("op/evacuate/garia")
+            with self.subTest(version, evacuated=evacuated):
+                read = await self.reader.read(ReadDocument(CONFIG, replica.held.number, 0.0))
+                replica.offer_document(read.number, read.document)
+                self.assertEqual(replica.held, identify(read.number, read.document))
+                self.assertEqual(tree_parts(read.number)[0], version)
+                zones = replica.store.document.get("evacuated_zones", [])
+                self.assertEqual(zones, ["garia"] if evacuated else [])
+
     async def test_a_removed_entry_leaves_the_list(self) -> None:
         await self.read(MACHINES)
         self.store.put("servers/i-2", encoded({**ENTRY, "Address": "10.1.0.9:8080"}))
@@ -59,6 +95,21 @@
         changed = await self.read(MACHINES)
         self.assertEqual(sorted(changed.document), ["10.1.0.9", "i-2"])
 
+    async def test_strange_keys_at_the_end_of_a_page_cost_no_other_item(self) -> None:
+        strange = ["i 1", "i#2", "i%253", "i&4", "i+5", "i?6", "i\u00e97"]
+        keep = MetadataStore(page_items=1)
+        for name in (*strange, "zz"):
+            keep.put(f"servers/{name}", encoded(ENTRY))
+        reader = StoreReader(await self.serve(keep.application), 8146, 7380)
+        self.addAsyncCleanup(reader.close)
+        with anyio.fail_after(10.0):
+            read = await reader.read(ReadDocument(MACHINES, 0, 0.0))
+        self.assertIsInstance(read, DocumentRead)
+        assert isinstance(read, DocumentRead)
+        self.assertIn("zz", read.document)
+        known = {*read.document, *(finding.item for finding in read.findings)}
+        self.assertEqual(known - {"10.1.0.8"}, {*strange, "zz"})
+
     async def test_many_entries_are_listed_page_by_page(self) -> None:
         for index in range(120):
             entry = {**ENTRY, "Address": f"10.1.1.{index}:8080"}
