--- a/src/pewtertack/cli/main.py
+++ b/src/pewtertack/cli/main.py
@@ -10,14 +10,17 @@
 
 from pewtertack.cli import (
     lab,
+    lab_convergence,
     lab_cost,
     lab_depth,
     lab_proofs,
     lab_returns,
     lab_scale,
+    lab_slow_source,
     lab_soak,
     lab_virtual_time,
     policies,
+    rollout,
     status,
     trace,
     tree,
@@ -49,6 +52,7 @@
 
 
 app.command("status")(status.status)
+app.command("rollout")(rollout.rollout)
 app.command("check")(tree.check)
 app.command("trace")(trace.trace)
 app.command("explain")(tree.explain)
@@ -69,5 +73,7 @@
 lab.app.command("soak")(lab_soak.soak)
 lab.app.command("soak-callers", hidden=True)(lab_soak.soak_callers)
 lab.app.command("returns")(lab_returns.returns)
+lab.app.command("convergence")(lab_convergence.convergence)
+lab.app.command("slow-source")(lab_slow_source.slow_source)
 lab.app.command("store-node", hidden=True)(lab_returns.store_node)
 app.add_typer(lab.app, name="lab")
--- a/src/pewtertack/core/configuration/memory.py
+++ b/src/pewtertack/core/configuration/memory.py
@@ -9,7 +9,7 @@
 from __future__ import annotations
 
 from collections.abc import Callable, Iterable, Iterator, Mapping, Sequence
-from typing import Any, Generic, NamedTuple, TypeVar
+from typing import Any, Generic, TypeVar
 
 import msgspec
 
@@ -42,12 +42,15 @@
 _ROUTE_PLACE: _Place = (Section.ROUTES.value, ROOT_DEPTH)
 
 
-class RouteEdit(NamedTuple):
+class RouteEdit:
     """What a document changes against the one before, where it changes routes alone."""
 
-    written: tuple[str, ...]
-    """Names of routes that are new or have another table."""
-    removed: tuple[str, ...]
+    __slots__ = ("removed", "written")
+
+    def __init__(self, written: tuple[str, ...], removed: tuple[str, ...]) -> None:
+        self.written = written
+        """Names of routes that are new or have another table."""
+        self.removed = removed
 
 
 def edit_of_routes(old: Document | None, new: Document) -> RouteEdit | None:
--- a/src/pewtertack/core/configuration/structure.py
+++ b/src/pewtertack/core/configuration/structure.py
@@ -42,8 +42,9 @@
 DEPTH_LIMIT = 8
 """Nesting of tables and lists; the deepest table of a valid tree stands at depth 6."""
 
-SIZE_LIMIT = 3 * 1024 * 1024
-"""Bytes of one tree, by the estimate below; a snapshot must fit into one frame of 4 MiB."""
+SIZE_LIMIT = 8 * 1024 * 1024
+"""Bytes of one tree, by the estimate below. Whatever a source accepts must stay below it: a
+version that is refused is refused by every node."""
 
 VALUE_SIZE = 32
 """Bytes reckoned for each table, list and plain value beside its text; CBOR needs fewer."""
@@ -57,7 +58,7 @@
 
 NOTHING_CHECKED = CheckedTables()
 
-NAME_ACCEPTED = "a-z, 0-9, - and _, at most 63 characters, the first a letter or digit"
+NAME_ACCEPTED = "letters, digits, ., - and _, at most 128 characters, the first not . or -"
 
 
 def size_of(table: Any) -> int:
--- a/src/pewtertack/core/effects.py
+++ b/src/pewtertack/core/effects.py
@@ -9,6 +9,7 @@
 
 from pewtertack.core.configuration.resolved import ResolvedConfiguration
 from pewtertack.core.machines import MachineList
+from pewtertack.core.replication.stages import Stage, Way
 from pewtertack.core.revision import NO_REVISION, Document, RevisionId
 from pewtertack.events import Event
 from pewtertack.wire.messages import DocumentKind, Message
@@ -25,9 +26,9 @@
 class ReadDocument(msgspec.Struct, frozen=True):
     """Read a document from the platform, unless number ``after`` is still current.
 
-    At most one read of a kind is outstanding; the runtime answers each with one
-    of the three document inputs. ``wait`` is how long the platform may hold the
-    read open while nothing changes (long poll), in seconds.
+    The runtime answers each with one of the three document inputs. One read of a kind is
+    outstanding at a time, unless the source is slow or silent. ``wait`` is how long the platform
+    may hold the read open while nothing changes (long poll), in seconds.
     """
 
     kind: DocumentKind
@@ -47,6 +48,8 @@
     """Of the held tree."""
     tree: Document | None = None
     """The held tree: a source that has come back may know an older version alone."""
+    read: int = 0
+    """Tells this read from the others; its answer carries the same."""
 
 
 class GoOn(msgspec.Struct, frozen=True):
@@ -75,6 +78,14 @@
     retry_after: float = 1.0
 
 
+class StageReached(msgspec.Struct, frozen=True):
+    """A revision has reached a stage ``seconds`` after this node first heard of it."""
+
+    stage: Stage
+    way: Way
+    seconds: float
+
+
 class Log(msgspec.Struct, frozen=True):
     """Record a numbered event with its fields."""
 
@@ -82,4 +93,4 @@
     fields: dict[str, Any]
 
 
-Effect = Send | ReadDocument | GoOn | BringIntoForce | UseMachines | SetServing | Log
+Effect = Send | ReadDocument | GoOn | BringIntoForce | UseMachines | SetServing | StageReached | Log
--- a/src/pewtertack/core/inputs.py
+++ b/src/pewtertack/core/inputs.py
@@ -6,6 +6,7 @@
 
 from pewtertack.core.items import ItemFinding
 from pewtertack.core.revision import Document
+from pewtertack.errors import ReadFailure
 from pewtertack.wire.messages import DocumentKind, Message
 
 
@@ -44,6 +45,10 @@
     """What was passed over since it cannot be understood."""
     about_answers: tuple[ItemFinding, ...] = ()
     """What is wrong with the platform's answers themselves."""
+    read: int = 0
+    """``ReadDocument.read``; 0 where the oldest open read is meant."""
+    took: float | None = None
+    """Seconds that the source needed beyond the wait, where that is known."""
 
 
 class DocumentUnchanged(msgspec.Struct, frozen=True):
@@ -51,6 +56,8 @@
 
     kind: DocumentKind
     about_answers: tuple[ItemFinding, ...] = ()
+    read: int = 0
+    took: float | None = None
 
 
 class DocumentReadFailed(msgspec.Struct, frozen=True):
@@ -60,6 +67,10 @@
     reason: str
     retry_after: float | None = None
     about_answers: tuple[ItemFinding, ...] = ()
+    read: int = 0
+    took: float | None = None
+    failure: ReadFailure | None = None
+    """How the read ended, where the reader tells."""
 
 
 class BackendLeavingObserved(msgspec.Struct, frozen=True):
--- a/src/pewtertack/core/node.py
+++ b/src/pewtertack/core/node.py
@@ -20,7 +20,6 @@
 
 from pewtertack.core.crashes.spreading import CrashSpreading
 from pewtertack.core.effects import BringIntoForce, Effect, GoOn, Log, Send, SetServing
-from pewtertack.core.history import in_force_fields
 from pewtertack.core.identity import NodeIdentity
 from pewtertack.core.inputs import (
     BackendCrashed,
@@ -137,7 +136,7 @@
         if self.phase is NodePhase.JOINING:
             effects += self._finish_joining(now)
         elif self.phase is NodePhase.SERVING and self._may_resolve(event):
-            effects += self._advance_in_force()
+            effects += self._advance_in_force(now)
         effects += self.replication.heartbeats(now)
         return effects + self._go_on_later()
 
@@ -278,7 +277,7 @@
         """Serve once the newest committed version that peers know is ours to use."""
         if self.profile.mechanisms.join_before_serving and not self._knows_enough(now):
             return []
-        effects = self._advance_in_force()
+        effects = self._advance_in_force(now)
         if self.replication.replica.in_force is None:
             return effects
         self.phase = NodePhase.SERVING
@@ -354,14 +353,14 @@
 
     # Versions in force.
 
-    def _advance_in_force(self) -> list[Effect]:
+    def _advance_in_force(self, now: float) -> list[Effect]:
         effects: list[Effect] = []
         while True:
             configuration = self.replication.replica.advance_in_force(self.replication.budget)
             if configuration is None:
                 return effects
-            effects.append(BringIntoForce(configuration))
-            effects.append(Log(Event.REVISION_IN_FORCE, in_force_fields(configuration)))
+            told = self.replication.stages.in_force(now, configuration)
+            effects += [BringIntoForce(configuration), *told]
 
     # Messages.
 
--- a/src/pewtertack/core/profile.py
+++ b/src/pewtertack/core/profile.py
@@ -84,6 +84,8 @@
     Two heartbeats may be lost. With the time between two reads, a node whose readers all
     die right after an edit still has it within 2 s of the edit.
     """
+    behind_patience: float = 2.7
+    """So much longer a node waits that hears readers, but has not got what they hold."""
     takeover_step: float = 0.1
     """Each next node of a zone waits this much longer to take over: a read takes 0.05 s."""
     takeover_candidates: int = 6
@@ -115,6 +117,11 @@
     """Long-poll time asked of the platform."""
     read_gap: float = 0.05
     """Least time between an answer of the platform and the next read."""
+    read_patience: float = 0.0
+    """An answer of the source that takes longer, and longer than usual, is overdue: another read
+    is opened beside it. 0 opens one read of a document at a time."""
+    read_overlap: float = 2.0
+    """How often a read is opened while a slow source answers others."""
     read_backoff: float = 0.5
     read_backoff_limit: float = 8.0
     join_retry: float = 0.3
@@ -162,6 +169,7 @@
     reader_settle=0.0,
     read_wait=10.0,
     read_gap=0.6,
+    read_patience=1.0,
     read_backoff=0.1,
     read_backoff_limit=1.0,
     join_retry=0.2,
@@ -178,6 +186,7 @@
     readers_per_zone=1,
     read_wait=10.0,
     read_gap=0.6,
+    read_patience=1.0,
     read_backoff=0.1,
     read_backoff_limit=1.0,
     join_retry=0.2,
--- a/src/pewtertack/core/replication/offers.py
+++ b/src/pewtertack/core/replication/offers.py
@@ -4,18 +4,25 @@
 
 from collections.abc import Callable
 
-import msgspec
-
 from pewtertack.core.effects import Effect
+from pewtertack.core.replication.stages import Way
 from pewtertack.core.slices import Budget, LongWork, Work
 
 MakeWork = Callable[[], Work[list[Effect]]]
 """Begins work that holds a configuration in its last step, if it is newer and valid."""
 
 
-class _Waiting(msgspec.Struct, frozen=True):
-    number: int
-    make: MakeWork
+class Offered:
+    """A configuration that was offered, by its number, and how it came."""
+
+    __slots__ = ("effects", "make", "number", "way")
+
+    def __init__(self, number: int, way: Way, make: MakeWork) -> None:
+        self.number = number
+        self.way = way
+        self.make = make
+        self.effects: list[Effect] = []
+        """What came of it."""
 
 
 class Offers:
@@ -25,12 +32,13 @@
     other quickly would keep each other from ever being held.
     """
 
-    __slots__ = ("_number", "_waiting", "_work")
+    __slots__ = ("_offered", "_waiting", "_work")
 
     def __init__(self) -> None:
         self._work: LongWork[list[Effect]] | None = None
-        self._number = 0
-        self._waiting: _Waiting | None = None
+        self._offered: Offered | None = None
+        """What is under work."""
+        self._waiting: Offered | None = None
 
     @property
     def is_working(self) -> bool:
@@ -40,23 +48,24 @@
     @property
     def newest(self) -> int:
         """The highest number under work or waiting; 0 for none."""
-        return max(self._number, self._waiting.number if self._waiting is not None else 0)
+        both = (self._offered, self._waiting)
+        return max((item.number for item in both if item is not None), default=0)
 
-    def add(self, number: int, make: MakeWork) -> None:
+    def add(self, offered: Offered) -> None:
         """Begin the work on a configuration, or let it wait in place of an older one."""
         if self._work is None:
-            self._work, self._number = LongWork(make()), number
-        elif self._waiting is None or number >= self._waiting.number:
-            self._waiting = _Waiting(number, make)
+            self._work, self._offered = LongWork(offered.make()), offered
+        elif self._waiting is None or offered.number >= self._waiting.number:
+            self._waiting = offered
 
-    def advance(self, budget: Budget) -> list[Effect] | None:
-        """Go on with the work; return its effects once it is done, and begin the next.
+    def advance(self, budget: Budget) -> Offered | None:
+        """Go on with the work; return what was offered once it is done, and begin the next.
 
         Raises:
             DeltaMismatchError: a chain of deltas does not fit; the next is begun.
         """
-        work = self._work
-        if work is None:
+        work, offered = self._work, self._offered
+        if work is None or offered is None:
             return None
         try:
             done = work.advance(budget)
@@ -66,10 +75,11 @@
         if not done:
             return None
         self._begin_next()
-        return work.result
+        offered.effects = work.result
+        return offered
 
     def _begin_next(self) -> None:
         waiting, self._waiting = self._waiting, None
-        self._work, self._number = None, 0
+        self._work = self._offered = None
         if waiting is not None:
-            self.add(waiting.number, waiting.make)
+            self.add(waiting)
--- a/src/pewtertack/lab/errors.py
+++ b/src/pewtertack/lab/errors.py
@@ -19,6 +19,18 @@
     code: ClassVar[str] = "soak-option"
 
 
+class ConvergenceOptionError(LabUsageError):
+    """An option of a convergence run makes no sense."""
+
+    code: ClassVar[str] = "convergence-option"
+
+
+class SlowSourceOptionError(LabUsageError):
+    """An option of a series with a slow source makes no sense."""
+
+    code: ClassVar[str] = "slow-source-option"
+
+
 class ProcessFailedError(LabError):
     """A process of the fleet ended or did not become ready."""
 
--- a/src/pewtertack/node/http/client.py
+++ b/src/pewtertack/node/http/client.py
@@ -9,7 +9,8 @@
 import anyio
 import msgspec
 
-from pewtertack.errors import PlatformError
+from pewtertack.errors import PlatformError, ReadFailure
+from pewtertack.node import clock
 from pewtertack.node.http.connection import BackendConnection, ExchangeBrokenError, connect
 from pewtertack.node.http.framing import NO_BODY_STATUSES, RawHeaders
 from pewtertack.node.http.messages import AnswerStart, OutgoingRequest
@@ -17,8 +18,9 @@
 ANSWER_FACTOR = 10.0
 """An answer whose parts keep coming may take so many times the time for one part: 1 MB over a
 link of 1 Mbit/s, where 1 s is allowed for a part."""
-IDLE_CONNECTIONS = 2
-"""One for each of the two documents."""
+IDLE_CONNECTIONS = 4
+"""Two for each of the two documents: while a service is slow, further reads begin before the
+answers to the first have come."""
 
 
 class ServiceUnreachableError(PlatformError):
@@ -26,6 +28,10 @@
 
     code = "service-unreachable"
 
+    def __init__(self, reason: str, failure: ReadFailure) -> None:
+        self.failure = failure
+        super().__init__(reason)
+
 
 class AnswerTooLargeError(PlatformError):
     """An answer's body is longer than allowed."""
@@ -41,6 +47,8 @@
     body: bytes
     fresh: bool = True
     """Whether it is the first answer on its connection."""
+    took: float = 0.0
+    """Seconds from the request to the answer's head."""
 
     def header(self, name: bytes) -> bytes | None:
         """Return the first value of a header; ``name`` in lower case."""
@@ -48,7 +56,7 @@
 
 
 class ServiceTimeouts(msgspec.Struct, frozen=True):
-    """Seconds for a new connection, and without a further part of the answer on one that stands.
+    """Seconds for a new connection, for the head of an answer, and between two parts of its body.
 
     A long answer over a narrow link takes its time; given up and asked for again it would fill
     the link for good. `HttpClient` bounds the whole by ``ANSWER_FACTOR`` times as long.
@@ -56,6 +64,7 @@
 
     connect: float
     answer: float
+    part: float
 
 
 class HttpClient:
@@ -96,32 +105,38 @@
         while self._idle:
             connection = self._idle.pop()
             if connection.reusable:
-                return await self._exchange(connection, request, timeouts.answer, fresh=False)
+                return await self._exchange(connection, request, timeouts, fresh=False)
             connection.abort()
         try:
             connection = await connect(self.address, timeouts.connect, self._local_host)
         except (OSError, ValueError) as error:
-            raise ServiceUnreachableError(f"cannot connect: {error}") from error
-        return await self._exchange(connection, request, timeouts.answer)
+            failure = ReadFailure.NO_CONNECTION
+            raise ServiceUnreachableError(f"cannot connect: {error}", failure) from error
+        return await self._exchange(connection, request, timeouts)
 
     async def _exchange(
         self,
         connection: BackendConnection,
         request: OutgoingRequest,
-        seconds: float,
+        timeouts: ServiceTimeouts,
         fresh: bool = True,
     ) -> ServiceAnswer:
+        start = None
+        began, took = clock.now(), 0.0
         try:
-            with anyio.fail_after(seconds):
+            with anyio.fail_after(timeouts.answer):
                 start = await connection.exchange(request)
-            with anyio.fail_after(seconds * ANSWER_FACTOR):
-                body = await self._body_of(connection, start, seconds)
+            took = clock.now() - began
+            with anyio.fail_after(timeouts.part * ANSWER_FACTOR):
+                body = await self._body_of(connection, start, timeouts.part)
         except (TimeoutError, ExchangeBrokenError) as error:
+            seconds = timeouts.answer if start is None else timeouts.part
             reason = str(error) or f"no answer within {seconds:g} s"
-            raise ServiceUnreachableError(reason) from error
+            failure = _failure_of(connection, start, isinstance(error, TimeoutError))
+            raise ServiceUnreachableError(reason, failure) from error
         finally:
             self._give_back(connection)
-        return ServiceAnswer(start.status, start.headers, body, fresh)
+        return ServiceAnswer(start.status, start.headers, body, fresh, took)
 
     async def _body_of(
         self, connection: BackendConnection, start: AnswerStart, seconds: float
@@ -146,3 +161,14 @@
             self._idle.append(connection)
         else:
             connection.abort()
+
+
+def _failure_of(
+    connection: BackendConnection, start: AnswerStart | None, given_up: bool
+) -> ReadFailure:
+    """Return how an exchange failed; ``given_up`` tells that its time was over."""
+    if connection.peer_silent:
+        return ReadFailure.SILENT
+    if start is not None:
+        return ReadFailure.UNFINISHED
+    return ReadFailure.SLOW if given_up else ReadFailure.CLOSED
--- a/src/pewtertack/node/http/cycle.py
+++ b/src/pewtertack/node/http/cycle.py
@@ -36,14 +36,20 @@
 logger = logging.getLogger(LOGGER)
 
 
-def _status_lines() -> dict[int, bytes]:
-    lines = {status: b"HTTP/1.1 %d \r\n" % status for status in range(100, 600)}
-    for known in http.HTTPStatus:
-        lines[known] = b"HTTP/1.1 %d %s\r\n" % (known, known.phrase.encode())
-    return lines
+class _StatusLines(dict[int, bytes]):
+    """The status lines of the known statuses; those of others are made when first asked for."""
 
+    def __missing__(self, status: int) -> bytes:
+        if status not in range(100, 600):
+            raise KeyError(status)
+        line = self[status] = b"HTTP/1.1 %d \r\n" % status
+        return line
 
-STATUS_LINES = _status_lines()
+
+STATUS_LINES = _StatusLines(
+    (int(known), b"HTTP/1.1 %d %s\r\n" % (known, known.phrase.encode()))
+    for known in http.HTTPStatus
+)
 
 
 class CallerConnection(Protocol):
--- a/src/pewtertack/node/runtime.py
+++ b/src/pewtertack/node/runtime.py
@@ -7,6 +7,7 @@
 
 import anyio
 import anyio.lowlevel
+import msgspec
 from anyio.abc import TaskGroup
 
 from pewtertack.core.configuration.resolved import ResolvedConfiguration
@@ -18,6 +19,7 @@
     ReadDocument,
     Send,
     SetServing,
+    StageReached,
     UseMachines,
 )
 from pewtertack.core.inputs import (
@@ -37,6 +39,7 @@
 from pewtertack.events import Event
 from pewtertack.log import EventLog
 from pewtertack.node import clock
+from pewtertack.node.counting import Histogram
 from pewtertack.node.gate import ServingGate
 from pewtertack.wire.frames import Envelope
 from pewtertack.wire.messages import Message
@@ -116,6 +119,7 @@
         transport, reader, proxy: where effects go; ``proxy`` is absent on a node
             that only replicates, ``gateway`` where no back end is beside the node.
         log: receives the core's events.
+        stages: observes how long revisions take to their stages.
     """
 
     def __init__(
@@ -128,6 +132,7 @@
         proxy: Proxy | None,
         log: EventLog,
         gateway: Gateway | None = None,
+        stages: Histogram | None = None,
     ) -> None:
         self._core = core
         self._tick = tick
@@ -137,6 +142,7 @@
         self._proxy = proxy
         self._gateway = gateway
         self._log = log
+        self._stages = stages
         self._tasks: TaskGroup | None = None
         self._refusals_logged: dict[str, float] = {}
         self.failed_messages: Counter[str] = Counter()
@@ -223,15 +229,24 @@
             case BringIntoForce(configuration):
                 self._bring_into_force(configuration)
             case UseMachines(told):
-                machines = told.without_starts_after(_latest_start())
-                for user in (self._proxy, self._gateway):
-                    if user is not None:
-                        user.use_machines(machines)
+                self._use_machines(told)
             case SetServing(serving, retry_after):
                 self._set_serving(serving, retry_after)
+            case StageReached():
+                self._observe(effect)
             case Log(event, fields):
                 self._log.record(event, **fields)
 
+    def _use_machines(self, told: MachineList) -> None:
+        machines = told.without_starts_after(_latest_start())
+        for user in (self._proxy, self._gateway):
+            if user is not None:
+                user.use_machines(machines)
+
+    def _observe(self, reached: StageReached) -> None:
+        if self._stages is not None:
+            self._stages.observe((reached.stage.value, reached.way.value), reached.seconds)
+
     def _bring_into_force(self, configuration: ResolvedConfiguration) -> None:
         for user in (self._proxy, self._gateway):
             if user is not None:
@@ -262,4 +277,5 @@
         self._tasks.start_soon(self._read, effect)
 
     async def _read(self, effect: ReadDocument) -> None:
-        self.feed(await self._reader.read(effect))
+        answer = await self._reader.read(effect)
+        self.feed(msgspec.structs.replace(answer, read=effect.read))
--- a/tests/platform/returning_fleet.py
+++ b/tests/platform/returning_fleet.py
@@ -12,6 +12,7 @@
 from pewtertack.core.machines import MachineList, MachineState
 from pewtertack.core.node import NodeCore, NodePhase
 from pewtertack.core.profile import LEASED, SourceProperties, TimingProfile
+from pewtertack.errors import ReadFailure
 from pewtertack.lab.asgi import Request
 from pewtertack.lab.metadata_store.application import MetadataStore
 from pewtertack.node.http.client import ServiceAnswer, ServiceUnreachableError
@@ -46,10 +47,10 @@
     async def get(self, target: str, *_: object) -> ServiceAnswer:
         if self.cut:
             self.fresh = True
-            raise ServiceUnreachableError("cut off")
+            raise ServiceUnreachableError("cut off", ReadFailure.NO_CONNECTION)
         path, _, query = target.partition("?")
         pairs = dict(part.partition("=")[::2] for part in query.split("&"))
-        answer = await self._store.application._answer(Request("GET", path, pairs, {}))
+        answer = await self._store.application.answer(Request("GET", path, pairs, {}))
         headers = [(name.encode(), value.encode()) for name, value in answer.headers.items()]
         fresh, self.fresh = self.fresh, False
         return ServiceAnswer(answer.status, headers, answer.body, fresh)
