--- a/src/pewtertack/core/replication/service.py
+++ b/src/pewtertack/core/replication/service.py
@@ -29,6 +29,7 @@
 from pewtertack.core.replication.read_log import ReadLogs
 from pewtertack.core.replication.reader import HeldOfSource, PlatformReader
 from pewtertack.core.replication.readership import READERSHIPS, ReadershipParts
+from pewtertack.core.replication.refusals import RefusalWatch
 from pewtertack.core.replication.replica import WRONG_DIGEST, ConfigurationReplica
 from pewtertack.core.replication.stage_reports import StageReports
 from pewtertack.core.replication.stages import Way
@@ -80,6 +81,7 @@
         self._random = random
         self._source = source or SourceProperties()
         self.replica = ConfigurationReplica(identity.zone, profile.mechanisms)
+        self.refusals = RefusalWatch(self.replica)
         self.machine_list = MachineListReplica(self._source.hold_after_return)
         self.era = 0
         """The latest era of the source that this node has heard of."""
@@ -158,7 +160,7 @@
         A joiner reads a durable source itself, since that alone lets it serve.
         """
         numbers = {kind: self.held_number(kind) for kind in DocumentKind}
-        effects = self.machine_list.tick(now)
+        effects = self.machine_list.tick(now) + self.refusals.tick(now)
         effects += self.reader.tick(
             now, may_read, numbers, joining and self._source.durable, self._held_of_source()
         )
@@ -400,6 +402,13 @@
 
     def go_on(self, now: float) -> list[Effect]:
         """Go on with offered configurations until none is left or the budget is spent."""
+        try:
+            return self._work(now)
+        finally:
+            if not self._offers.is_working:
+                self.freshness.resume(DocumentKind.CONFIGURATION)
+
+    def _work(self, now: float) -> list[Effect]:
         effects: list[Effect] = []
         while self._offers.is_working:
             before = self.replica.held
@@ -411,7 +420,6 @@
             if done is None:
                 return effects
             effects += self._after_offer(now, before, done)
-        self.freshness.resume(DocumentKind.CONFIGURATION)
         return effects
 
     def _after_offer(self, now: float, before: RevisionId, done: Offered) -> list[Effect]:
--- a/tests/node/test_metrics.py
+++ b/tests/node/test_metrics.py
@@ -25,7 +25,7 @@
         registry = self.registry(reads={"configuration": ReadStatus()})
         self.assertEqual(self.value(registry, "heard_revision"), 7)
         self.assertEqual(self.value(registry, "behind_seconds"), 0)
-        self.assertEqual(self.value(registry, "rejected_revision"), 0)
+        self.assertEqual(self.value(registry, "revision_refused"), 0)
         labels = {"document": "configuration", "failure": "slow"}
         self.assertIsNone(self.value(registry, "read_failures", **labels))
 
@@ -33,12 +33,13 @@
         registry = self.registry(
             newest_heard=9,
             behind_for=2.5,
-            last_rejection=RejectionStatus(RevisionStatus(9), ()),
+            last_rejection=RejectionStatus(RevisionStatus(9), (), since=1.5),
             reads={"configuration": ReadStatus(failures=3, failure="slow")},
         )
         self.assertEqual(self.value(registry, "heard_revision"), 9)
         self.assertEqual(self.value(registry, "behind_seconds"), 2.5)
-        self.assertEqual(self.value(registry, "rejected_revision"), 9)
+        self.assertEqual(self.value(registry, "revision_refused"), 9)
+        self.assertEqual(self.value(registry, "revision_refused_since_seconds"), 1.5)
         labels = {"document": "configuration", "failure": "slow"}
         self.assertEqual(self.value(registry, "read_failures", **labels), 3)
 
