--- a/src/pewtertack/core/node.py
+++ b/src/pewtertack/core/node.py
@@ -366,8 +366,8 @@
             configuration = self.replication.replica.advance_in_force(self.replication.budget)
             if configuration is None:
                 return effects
-            effects.append(BringIntoForce(configuration))
-            effects += self.replication.stages.in_force(now, configuration)
+            told = self.replication.stages.in_force(now, configuration)
+            effects += [BringIntoForce(configuration), *told]
 
     # Messages.
 
--- a/src/pewtertack/core/replication/service.py
+++ b/src/pewtertack/core/replication/service.py
@@ -25,7 +25,7 @@
 from pewtertack.core.replication.heartbeats import HeartbeatSender
 from pewtertack.core.replication.inquiry import ReturnInquiry
 from pewtertack.core.replication.machine_lists import MachineListReplica
-from pewtertack.core.replication.offers import MakeWork, Offers
+from pewtertack.core.replication.offers import Offered, Offers
 from pewtertack.core.replication.puller import Puller, PullSource
 from pewtertack.core.replication.quorum import QuorumCommit
 from pewtertack.core.replication.read_log import ReadLogs
@@ -130,11 +130,11 @@
             identity, profile, membership, self.freshness, stores, self._source.wide_link
         )
         self.passed_over = PassedOver()
-        self.stages = StageReports()
-        self.reads = ReadLogs()
         self._offers = Offers()
         self.budget = Budget()
         """What may be done of long work in the present turn."""
+        self.stages = StageReports()
+        self.reads = ReadLogs()
         self.serving = False
 
     def _first_read_delay(self) -> float:
@@ -234,7 +234,7 @@
             return effects + self._after_machine_list(now, offered)
         self.stages.log.hear(now, number)
         make = partial(self.replica.offering_document, number, document)
-        return effects + self._offer(now, number, make, Way.SOURCE)
+        return effects + self._offer(now, Offered(number, Way.SOURCE, make))
 
     def on_document_unchanged(self, now: float, answer: DocumentUnchanged) -> list[Effect]:
         """The source answered that the document has not changed."""
@@ -408,7 +408,7 @@
         revision, document = answer.revision, answer.document
         if answer.kind is DocumentKind.CONFIGURATION:
             make = partial(self.replica.offering_snapshot, revision, document)
-            return self._offer(now, revision.number, make, Way.SNAPSHOT)
+            return self._offer(now, Offered(revision.number, Way.SNAPSHOT, make))
         if identify(revision.number, document) != revision:
             return [Log(Event.FRAME_REFUSED, {"reason": WRONG_DIGEST})]
         return self._after_machine_list(now, self.machine_list.offer(now, revision, document))
@@ -421,7 +421,7 @@
         if not deltas:
             return []
         make = partial(self.replica.offering_deltas, deltas)
-        return self._offer(now, deltas[-1].target.number, make, way)
+        return self._offer(now, Offered(deltas[-1].target.number, way, make))
 
     # Holding and committing.
 
@@ -430,38 +430,45 @@
         """Whether an offered configuration is under work: ``go_on`` is to be called."""
         return self._offers.is_working
 
-    def _offer(self, now: float, number: int, make: MakeWork, way: Way) -> list[Effect]:
+    def _offer(self, now: float, offered: Offered) -> list[Effect]:
         """Offer a configuration to the replica, as far as this turn allows."""
         idle = not self._offers.is_working
-        self._offers.add(number, make, way)
+        self._offers.add(offered)
         return self.go_on(now) if idle else []
 
     def go_on(self, now: float) -> list[Effect]:
         """Go on with offered configurations until none is left or the budget is spent."""
+        try:
+            return self._work(now)
+        finally:
+            if not self._offers.is_working:
+                self.freshness.resume(DocumentKind.CONFIGURATION)
+
+    def _work(self, now: float) -> list[Effect]:
         effects: list[Effect] = []
         while self._offers.is_working:
-            before, way = self.replica.held, self._offers.way
+            before = self.replica.held
             try:
                 done = self._offers.advance(self.budget)
             except DeltaMismatchError as error:
-                done = [Log(Event.FRAME_REFUSED, {"reason": str(error)})]
+                effects.append(Log(Event.FRAME_REFUSED, {"reason": str(error)}))
+                continue
             if done is None:
                 return effects
-            effects += self._after_offer(now, before, way, done)
-            held = self.replica.held.number if self._offers.is_working else math.inf
-            self.freshness.resume(DocumentKind.CONFIGURATION, held)
+            effects += self._after_offer(now, before, done)
+            if self._offers.is_working:
+                self.freshness.resume(DocumentKind.CONFIGURATION, self.replica.held.number)
         return effects
 
-    def _after_offer(
-        self, now: float, before: RevisionId, way: Way, effects: list[Effect]
-    ) -> list[Effect]:
-        """Add to an offer's effects what tells others that something new is held, if so."""
+    def _after_offer(self, now: float, before: RevisionId, done: Offered) -> list[Effect]:
+        """Tell others if the replica now holds something new."""
+        effects = list(done.effects)
         held, refused = self.replica.held, self.replica.refused
-        done = held if refused is None else refused.revision
-        self._pullers[DocumentKind.CONFIGURATION].forget_up_to(done.number)
+        ended = held if refused is None else refused.revision
+        self._pullers[DocumentKind.CONFIGURATION].forget_up_to(ended.number)
         if held == before:
             return effects
-        effects += self.stages.held(now, held.number, way, effects)
+        effects += self.stages.held(now, held.number, done.way, effects)
         self._ended.note(self._evacuated(), tree_parts(held.number)[1], self.era)
         if self._has_uncommitted() and not self._source.durable:
             effects += self.quorum.report(now, held)
--- a/src/pewtertack/core/replication/store.py
+++ b/src/pewtertack/core/replication/store.py
@@ -4,7 +4,6 @@
 
 from collections import OrderedDict, deque
 from collections.abc import Iterable
-from typing import NamedTuple
 
 from pewtertack.core.delta import Delta, apply, compare, comparing, with_edits
 from pewtertack.core.revision import NO_REVISION, Document, RevisionId
@@ -18,11 +17,14 @@
 """Recent documents share most of their content, as edits copy only their path."""
 
 
-class Step(NamedTuple):
+class Step:
     """A delta with the document that it leads to."""
 
-    delta: Delta
-    document: Document
+    __slots__ = ("delta", "document")
+
+    def __init__(self, delta: Delta, document: Document) -> None:
+        self.delta = delta
+        self.document = document
 
 
 class DocumentStore:
--- a/src/pewtertack/node/http/cycle.py
+++ b/src/pewtertack/node/http/cycle.py
@@ -37,15 +37,17 @@
 
 
 class _StatusLines(dict[int, bytes]):
-    """The first lines of answers; those of unknown statuses are made when they are needed."""
+    """The status lines of the known statuses; those of others are made when first asked for."""
 
     def __missing__(self, status: int) -> bytes:
+        if status not in range(100, 600):
+            raise KeyError(status)
         line = self[status] = b"HTTP/1.1 %d \r\n" % status
         return line
 
 
 STATUS_LINES = _StatusLines(
-    (known.value, b"HTTP/1.1 %d %s\r\n" % (known, known.phrase.encode()))
+    (int(known), b"HTTP/1.1 %d %s\r\n" % (known, known.phrase.encode()))
     for known in http.HTTPStatus
 )
 
--- a/src/pewtertack/wire/frames.py
+++ b/src/pewtertack/wire/frames.py
@@ -149,9 +149,16 @@
     raise MalformedFrameError("a CBOR tag that no message uses")
 
 
-_SEMANTIC_DECODERS = {
-    number: _refuse_cbor_tag for number in range(1024) if number not in _CBOR_TAGS_ALLOWED
-}
+class _TagDecoders(dict[int, Any]):
+    """Decoders that refuse every tag, known to the library or not, but those allowed."""
+
+    def __missing__(self, number: int) -> Any:
+        if number in _CBOR_TAGS_ALLOWED:
+            raise KeyError(number)
+        return _refuse_cbor_tag
+
+
+_SEMANTIC_DECODERS = _TagDecoders()
 
 
 def _decode(body: bytes) -> Any:
--- a/tests/core/test_long_work.py
+++ b/tests/core/test_long_work.py
@@ -4,6 +4,7 @@
 import unittest
 from random import Random
 from typing import Any
+from unittest import mock
 
 from pewtertack.core.configuration.resolution import resolve_document
 from pewtertack.core.effects import BringIntoForce, Effect, GoOn, Log, Send
@@ -18,6 +19,7 @@
 )
 from pewtertack.core.node import NodeCore, NodePhase
 from pewtertack.core.profile import LEASED, SourceProperties
+from pewtertack.core.replication.store import DocumentStore
 from pewtertack.core.revision import identify
 from pewtertack.events import Event
 from pewtertack.wire.messages import (
@@ -256,6 +258,18 @@
             self.feed(WorkContinued())
         self.assertEqual(freshness.age(self.now, DocumentKind.CONFIGURATION), 0.0)
 
+    def test_a_fault_in_the_work_leaves_the_node_able_to_take_the_next(self) -> None:
+        self.now = 0.1
+        effects = self.read(2, tree(BASE_ROUTES + ADDED_ROUTES))
+        fault = mock.patch.object(DocumentStore, "put", side_effect=KeyError("a fault"))
+        with fault, self.assertRaises(KeyError):
+            self.go_on(effects)
+        freshness = self.core.replication.freshness
+        self.assertEqual(freshness.age(0.1, DocumentKind.CONFIGURATION), 0.0)
+        effects = self.read(3, tree(BASE_ROUTES + 1))
+        found = effects + self.go_on(effects)
+        self.assertEqual(self.versions(found), [3])
+
     def test_a_node_that_leaves_meanwhile_ends_its_work(self) -> None:
         effects = self.read(2, tree(BASE_ROUTES + ADDED_ROUTES))
         self.feed(DrainRequested())
--- a/tests/node/test_runtime.py
+++ b/tests/node/test_runtime.py
@@ -93,14 +93,6 @@
     def lines(self) -> list[dict[str, Any]]:
         return [json.loads(line) for line in self.output.getvalue().splitlines()]
 
-    async def test_the_stages_of_revisions_are_observed(self) -> None:
-        seen = Histogram("h", "", ("stage", "way"), (1.0, 2.0))
-        core = ScriptedCore({Ticked: [StageReached(Stage.HELD, Way.DELTA, 1.5)]})
-        log = EventLog("n", 5, self.output)
-        parts = (self.gate, self.transport, self.reader, self.proxy, log)
-        Runtime(core, 0.001, *parts, stages=seen).feed(Ticked())
-        self.assertEqual(seen.values[("held", "delta")].counts, [0, 1, 0])
-
     async def test_long_work_goes_on_after_other_tasks(self) -> None:
         runtime = self.runtime(ticked=[GoOn()], continued=[])
         turns: list[int] = []
@@ -130,6 +122,14 @@
             tasks.cancel_scope.cancel()
         self.assertEqual(dict(runtime.failed_messages), {"KeyError": 1})
 
+    async def test_the_stages_of_revisions_are_observed(self) -> None:
+        seen = Histogram("h", "", ("stage", "way"), (1.0, 2.0))
+        core = ScriptedCore({Ticked: [StageReached(Stage.HELD, Way.DELTA, 1.5)]})
+        log = EventLog("n", 5, self.output)
+        parts = (self.gate, self.transport, self.reader, self.proxy, log)
+        Runtime(core, 0.001, *parts, stages=seen).feed(Ticked())
+        self.assertEqual(seen.values[("held", "delta")].counts, [0, 1, 0])
+
     async def test_a_start_far_in_the_future_hides_no_back_end(self) -> None:
         """Another wrote an entry under a living back end's name; then that one says its own."""
         now = int(time.time() * 1000)
--- a/tests/wire/test_frames.py
+++ b/tests/wire/test_frames.py
@@ -143,6 +143,16 @@
                 with self.subTest(kind.code, index=index), self.assertRaises(kind):
                     FrameReader(KEY).read(frame, DATAGRAM_BYTES_MAX)
 
+    def test_every_tag_but_those_of_big_integers_is_refused(self) -> None:
+        contents = (1, "2026-01-01T00:00:00Z", [1, 2], {"a": 1}, b"a" * 4, None)
+        for number in (*range(2), *range(4, 1100), 43000, 55799, 2**32, 2**63):
+            for content in contents:
+                message = [1, "a", "b", 1, 1, [9, 0, cbor2.CBORTag(number, content)]]
+                data = cbor2.dumps(message)
+                with self.subTest(number), self.assertRaises(errors.MalformedFrameError) as raised:
+                    FrameReader(KEY).read(tag_of(data, KEY) + data)
+                self.assertIn("tag", str(raised.exception))
+
     def test_accepted_keys_are_tried_after_the_own_one(self) -> None:
         old, older = b"o" * 16, b"p" * 16
         reader = FrameReader(KEY, (old, older))
