The reader's open reads tell how reads fare; no second log of them

OpenReads knew which reads are open and since when, and ReadLog noted the same again from the reads' effects.

The tests of ReadLog hold for OpenReads.

--- a/src/pewtertack/core/replication/open_reads.py
+++ b/src/pewtertack/core/replication/open_reads.py
@@ -3,8 +3,11 @@
 from __future__ import annotations
 
 from collections.abc import Iterator
+from typing import Any
 
 from pewtertack.core.effects import ReadDocument
+from pewtertack.core.inputs import DocumentReadFailed
+from pewtertack.errors import ReadFailure
 
 READS_MOST = 8
 """Reads of one document that are open at once."""
@@ -38,16 +41,28 @@
     it, and the first answer counts.
     """
 
-    __slots__ = ("_reads", "unanswered")
+    __slots__ = ("_reads", "failures", "last_failure", "unanswered")
 
     def __init__(self) -> None:
         self._reads: list[OpenRead] = []
         self.unanswered = 0
         """Reads that were opened beside overdue ones since the last answer."""
+        self.failures = 0
+        """Failed reads since the last answer."""
+        self.last_failure: ReadFailure | None = None
+        """How the last of them ended."""
 
     def __iter__(self) -> Iterator[OpenRead]:
         return iter(self._reads)
 
+    def __len__(self) -> int:
+        return len(self._reads)
+
+    @property
+    def oldest(self) -> OpenRead | None:
+        """The read that has been open for longest."""
+        return self._reads[0] if self._reads else None
+
     @property
     def newest(self) -> OpenRead | None:
         """The read that was opened last and is still open."""
@@ -77,14 +92,28 @@
         """Tell whether an answer may still come in time."""
         return any(not read.is_overdue(now) for read in self._reads)
 
-    def close(self, number: int) -> None:
+    def close(self, number: int) -> OpenRead | None:
         """Take out the read of this number; the oldest where the number is not told."""
         for index, read in enumerate(self._reads):
             if number in (0, read.effect.read):
-                del self._reads[index]
-                return
+                return self._reads.pop(index)
+        return None
 
     def answered(self, number: int) -> None:
         """Take out an answered read: the source answers."""
         self.close(number)
         self.unanswered = 0
+        self.failures = 0
+        self.last_failure = None
+
+    def failed(self, now: float, failed: DocumentReadFailed) -> dict[str, Any]:
+        """Take out a failed read; return what the log tells of it."""
+        read = self.close(failed.read)
+        self.failures += 1
+        self.last_failure = failed.failure
+        fields: dict[str, Any] = {"reason": failed.reason}
+        if failed.failure is not None:
+            fields["failure"] = failed.failure.value
+        if read is not None:
+            fields["seconds"] = round(now - read.opened_at, 3)
+        return fields
--- a/src/pewtertack/core/replication/reader.py
+++ b/src/pewtertack/core/replication/reader.py
@@ -4,6 +4,7 @@
 
 from collections.abc import Mapping
 from random import Random
+from typing import Any
 
 import msgspec
 
@@ -61,12 +62,11 @@
         self._profile = profile
         self._freshness = freshness
         self._random = random
-        self._open = {kind: OpenReads() for kind in DocumentKind}
+        self.open_reads = {kind: OpenReads() for kind in DocumentKind}
         self._reads = 0
         self._not_before = dict.fromkeys(DocumentKind, first_read_at)
         if narrow_link:
             self._not_before[DocumentKind.CONFIGURATION] += profile.narrow_patience
-        self._failures = dict.fromkeys(DocumentKind, 0)
         self.answer_times = AnswerTimes(profile.read_patience)
         self.last_answer_at: dict[DocumentKind, float] = {}
         self._seen: dict[DocumentKind, int] = {}
@@ -109,11 +109,11 @@
         A connection that has silently gone is noticed by the platform adapter.
         """
         overdue = max(OVERDUE, self.answer_times.patience)
-        for kind, reads in self._open.items():
+        for kind, reads in self.open_reads.items():
             answered_at = self.last_answer_at.get(kind)
             if answered_at is None or not any(self._confirms(read) for read in reads):
                 continue
-            if self._failures[kind] or kind in self._stale:
+            if reads.failures or kind in self._stale:
                 continue
             if now - answered_at <= self._profile.read_wait + overdue:
                 self._freshness.confirm(kind, now)
@@ -124,7 +124,7 @@
 
     def after_pause(self) -> None:
         """What is open since before a pause of this process confirms nothing."""
-        for reads in self._open.values():
+        for reads in self.open_reads.values():
             for read in reads:
                 read.confirms = False
 
@@ -148,7 +148,7 @@
             of_source.tree,
             self._reads,
         )
-        self._open[kind].open(read, now, self.answer_times.patience)
+        self.open_reads[kind].open(read, now, self.answer_times.patience)
         return [read]
 
     def _may_open(self, now: float, kind: DocumentKind) -> bool:
@@ -157,7 +157,7 @@
         Beside overdue ones, and while a slow source may be answering the newest: what changes
         meanwhile is in no answer that has begun.
         """
-        reads = self._open[kind]
+        reads = self.open_reads[kind]
         newest = reads.newest
         if newest is None:
             return True
@@ -176,9 +176,9 @@
         After a stale answer or a failure a read is to confirm, not to wait for a change, and so
         is one beside an overdue one. A slow source holds a read until the next one comes.
         """
-        unconfirmed = kind not in self.last_answer_at or self._failures[kind] > 0
+        unconfirmed = kind not in self.last_answer_at or self.open_reads[kind].failures > 0
         unconfirmed = unconfirmed and self.readership.looks_first
-        if may_be_stale or unconfirmed or self._open[kind].is_any_overdue(now):
+        if may_be_stale or unconfirmed or self.open_reads[kind].is_any_overdue(now):
             return 0.0
         longest = self._profile.read_wait
         return min(longest, self._profile.read_overlap) if self._overlaps(kind) else longest
@@ -193,7 +193,7 @@
 
     def is_failing(self, kind: DocumentKind) -> bool:
         """Tell whether the last read of a document failed."""
-        return self._failures[kind] > 0
+        return self.open_reads[kind].failures > 0
 
     def answered_with(self, now: float, answer: DocumentRead, held: int) -> None:
         """The platform answered with a document while the number ``held`` was held."""
@@ -214,14 +214,13 @@
     def _note_answer(self, now: float, answer: DocumentRead | DocumentUnchanged) -> None:
         kind = answer.kind
         self._end_read(answer)
-        self._failures[kind] = 0
         few_read = self.readership.tells_peers
         gap = self._profile.few_readers_gap if few_read else self._profile.read_gap
         self._not_before[kind] = now + gap
         self.last_answer_at[kind] = now
 
     def _end_read(self, answer: DocumentRead | DocumentUnchanged) -> None:
-        self._open[answer.kind].answered(answer.read)
+        self.open_reads[answer.kind].answered(answer.read)
         self._note_time(answer.took)
 
     def _note_time(self, seconds: float | None) -> None:
@@ -232,16 +231,18 @@
         """The platform gave an answer that may be old."""
         kind = answer.kind
         self._end_read(answer)
-        self._failures[kind] = 0
         self._not_before[kind] = now
 
-    def failed(self, now: float, failed: DocumentReadFailed) -> None:
-        """Wait before the next read: what the platform asked for, or longer each time."""
+    def failed(self, now: float, failed: DocumentReadFailed) -> dict[str, Any]:
+        """Wait before the next read: what the platform asked for, or longer each time.
+
+        Returns what the log tells of the failure.
+        """
         kind, retry_after = failed.kind, failed.retry_after
-        self._open[kind].close(failed.read)
+        reads = self.open_reads[kind]
         self._note_time(failed.took)
-        backoff = self._profile.read_backoff * BACKOFF_FACTOR ** self._failures[kind]
+        backoff = self._profile.read_backoff * BACKOFF_FACTOR**reads.failures
         backoff = min(backoff, self._profile.read_backoff_limit)
         delay = max(retry_after or 0.0, backoff) * self._random.uniform(0.5, 1.5)
-        self._failures[kind] += 1
         self._not_before[kind] = now + delay
+        return reads.failed(now, failed)
--- a/src/pewtertack/core/replication/service.py
+++ b/src/pewtertack/core/replication/service.py
@@ -26,7 +26,6 @@
 from pewtertack.core.replication.offers import MakeWork, Offers
 from pewtertack.core.replication.puller import Puller, PullSource
 from pewtertack.core.replication.quorum import QuorumCommit
-from pewtertack.core.replication.read_log import ReadLogs
 from pewtertack.core.replication.reader import HeldOfSource, PlatformReader
 from pewtertack.core.replication.readership import READERSHIPS, ReadershipParts
 from pewtertack.core.replication.refusals import RefusalWatch
@@ -122,7 +121,6 @@
         )
         self.passed_over = PassedOver()
         self.stages = StageReports()
-        self.reads = ReadLogs()
         self._offers = Offers()
         self.budget = Budget()
         """What may be done of long work in the present turn."""
@@ -164,7 +162,6 @@
         effects += self.reader.tick(
             now, may_read, numbers, joining and self._source.durable, self._held_of_source()
         )
-        self.reads.note(now, effects)
         for kind in DocumentKind:
             effects += self._pull_if_due(now, kind)
         if self._has_uncommitted():
@@ -194,7 +191,6 @@
             self._hear_era(now, number)
         effects = self._note_regained(kind) + self.passed_over.note(kind, read.findings)
         effects += self.passed_over.note_answer(kind, read.about_answers)
-        self.reads.of[kind].answer(read.read)
         if kind is DocumentKind.CONFIGURATION:
             self.freshness.suspend(kind)
         if read.stale:
@@ -213,7 +209,6 @@
         kind = answer.kind
         effects = self._note_regained(kind)
         effects += self.passed_over.note_answer(kind, answer.about_answers)
-        self.reads.of[kind].answer(answer.read)
         self.reader.answered(now, answer)
         return effects
 
@@ -225,13 +220,13 @@
     def on_read_failed(self, now: float, failed: DocumentReadFailed) -> list[Effect]:
         """Back off from the platform."""
         kind = failed.kind
-        fields = self.reads.of[kind].fail(now, failed)
+        was_failing = self.reader.is_failing(kind)
+        fields = self.reader.failed(now, failed)
         effects: list[Effect] = [Log(FAILURE_EVENTS[kind], fields)]
         if failed.about_answers:
             effects += self.passed_over.note_answer(kind, failed.about_answers)
-        if not self.reader.is_failing(kind):
+        if not was_failing:
             effects.append(Log(Event.SOURCE_LOST, {"document": kind.name}))
-        self.reader.failed(now, failed)
         return effects
 
     # What peers say of their versions.
--- a/src/pewtertack/node/view.py
+++ b/src/pewtertack/node/view.py
@@ -11,7 +11,7 @@
 from pewtertack.core.configuration.resolved import DEFAULT_CRASH_LIMIT, ResolvedConfiguration
 from pewtertack.core.eras import revision_of
 from pewtertack.core.node import NodeCore, NodePhase
-from pewtertack.core.replication.read_log import ReadLog
+from pewtertack.core.replication.open_reads import OpenReads
 from pewtertack.core.replication.replica import Rejection
 from pewtertack.core.replication.stages import RevisionStages, Stage
 from pewtertack.core.revision import NO_REVISION, RevisionId
@@ -136,7 +136,7 @@
 
     def _reads(self, now: float) -> dict[str, ReadStatus]:
         """Return how reads fare; failures of a node that reads no more are past."""
-        logs = self.core.replication.reads.of if self._may_read() else {}
+        logs = self.core.replication.reader.open_reads if self._may_read() else {}
         return {kind.name.lower(): _read(now, log) for kind, log in logs.items()}
 
     def _last_rejection(self, now: float) -> RejectionStatus | None:
@@ -205,13 +205,13 @@
     return None if at is None else round(at + offset, 3)
 
 
-def _read(now: float, read: ReadLog) -> ReadStatus:
-    failure = read.last_failure.value if read.last_failure is not None else ""
-    oldest = read.oldest
+def _read(now: float, reads: OpenReads) -> ReadStatus:
+    failure = reads.last_failure.value if reads.last_failure is not None else ""
+    oldest = reads.oldest
     if oldest is None:
-        return ReadStatus(failures=read.failures, failure=failure)
-    open_for = _age(now, oldest.at)
-    return ReadStatus(open_for, oldest.wait, read.failures, failure, read.open_reads)
+        return ReadStatus(failures=reads.failures, failure=failure)
+    open_for = _age(now, oldest.opened_at)
+    return ReadStatus(open_for, oldest.effect.wait, reads.failures, failure, len(reads))
 
 
 def _rejection(rejection: Rejection | None) -> RejectionStatus | None:
--- a/tests/core/test_reads_of_node.py
+++ b/tests/core/test_reads_of_node.py
@@ -15,7 +15,7 @@
 )
 from pewtertack.core.node import NodeCore
 from pewtertack.core.profile import DIRECT
-from pewtertack.core.replication.read_log import OpenedRead, ReadLog
+from pewtertack.core.replication.open_reads import OpenReads
 from pewtertack.errors import ReadFailure
 from pewtertack.events import Event
 from pewtertack.wire.messages import DocumentKind
@@ -28,7 +28,7 @@
         self.now = 0.0
         identity = NodeIdentity("self", "127.0.0.1:1", "a", "", 1000)
         self.core = NodeCore(identity, DIRECT, Random(1), self.now, source=DURABLE)
-        self.read = self.core.replication.reads.of[DocumentKind.CONFIGURATION]
+        self.read = self.core.replication.reader.open_reads[DocumentKind.CONFIGURATION]
 
     def feed(self, event: Input) -> list[Effect]:
         return self.core.handle(self.now, event)
@@ -42,7 +42,7 @@
     def test_a_failed_read_tells_how_it_ended_and_how_long_it_took(self) -> None:
         self.feed(Ticked())
         assert self.read.oldest is not None
-        self.assertEqual(self.read.oldest.at, 0.0)
+        self.assertEqual(self.read.oldest.opened_at, 0.0)
         self.now = 1.5
         fields = self.fail(ReadFailure.SLOW)
         self.assertEqual(fields, {"reason": "reason", "failure": "slow", "seconds": 1.5})
@@ -52,16 +52,23 @@
 
     def test_of_several_open_reads_each_has_its_own_time(self) -> None:
         kind = DocumentKind.CONFIGURATION
-        log = ReadLog()
+        reads = OpenReads()
         for number in (1, 2, 3):
-            log.open(float(number), ReadDocument(kind, 0, 5.0, read=number))
+            reads.open(ReadDocument(kind, 0, 5.0, read=number), float(number), 1.0)
         failed = DocumentReadFailed(kind, "reason", read=2)
-        self.assertEqual(log.fail(10.0, failed)["seconds"], 8.0)
-        self.assertEqual((log.open_reads, log.oldest), (2, OpenedRead(1.0, 5.0)))
-        log.answer(1)
-        self.assertEqual((log.open_reads, log.oldest), (1, OpenedRead(3.0, 5.0)))
-        log.answer(1)
-        self.assertEqual(log.open_reads, 1)
+        self.assertEqual(reads.failed(10.0, failed)["seconds"], 8.0)
+        self.assertEqual(self.opened(reads), [1.0, 3.0])
+        reads.answered(1)
+        self.assertEqual(self.opened(reads), [3.0])
+        reads.answered(1)
+        self.assertEqual((self.opened(reads), len(reads)), ([3.0], 1))
+
+    def opened(self, reads: OpenReads) -> list[float]:
+        """Return when the open reads began, the oldest first."""
+        moments = [read.opened_at for read in reads]
+        assert reads.oldest is not None
+        self.assertEqual(reads.oldest.opened_at, moments[0])
+        return moments
 
     def test_an_answer_ends_the_failures(self) -> None:
         kind = DocumentKind.CONFIGURATION
