--- a/src/pewtertack/lab/store_fleet/simulated_source.py
+++ b/src/pewtertack/lab/store_fleet/simulated_source.py
@@ -36,7 +36,8 @@
 
     def __init__(self, store: MetadataStore) -> None:
         self.store = store
-        self._watches: set[anyio.CancelScope] = set()
+        self._watches: dict[anyio.CancelScope, None] = {}
+        """In the order of their calls, so that a run repeats itself."""
 
     async def answer(self, request: Request) -> Answer:
         """Return the answer to ``request``.
@@ -47,11 +48,11 @@
         if request.path != WATCH_PATH:
             return await self.store.application.answer(request)
         with anyio.CancelScope() as watch:
-            self._watches.add(watch)
+            self._watches[watch] = None
             try:
                 return await self.store.application.answer(request)
             finally:
-                self._watches.discard(watch)
+                del self._watches[watch]
         raise ServiceUnreachableError("the service hung up", ReadFailure.CLOSED)
 
     def cut_watches(self) -> int:
@@ -84,27 +85,41 @@
         """
         path, _, query = target.partition("?")
         request = Request("GET", path, dict(parse_qsl(query)), {})
+        began = anyio.current_time()
         try:
-            with anyio.fail_after(timeouts.answer):
+            answer = await self._answer(request, timeouts.answer)
+            took = anyio.current_time() - began
+            await self._carry(answer, timeouts.part)
+        except ServiceUnreachableError:
+            self._fresh = True
+            raise
+        fresh, self._fresh = self._fresh, False
+        named = [(name.encode(), value.encode()) for name, value in answer.headers.items()]
+        return ServiceAnswer(answer.status, named, answer.body, fresh, took)
+
+    async def _answer(self, request: Request, seconds: float) -> Answer:
+        try:
+            with anyio.fail_after(seconds):
                 await anyio.sleep(ONE_WAY_SECONDS)
                 answer = await self._source.answer(request)
                 await anyio.sleep(ONE_WAY_SECONDS)
-            with anyio.fail_after(timeouts.answer * ANSWER_FACTOR):
-                await self._carry(answer)
+                return answer
         except TimeoutError as error:
-            self._fresh = True
-            reason = f"no answer within {timeouts.answer:g} s"
+            reason = f"no answer within {seconds:g} s"
             raise ServiceUnreachableError(reason, ReadFailure.SLOW) from error
-        fresh, self._fresh = self._fresh, False
-        named = [(name.encode(), value.encode()) for name, value in answer.headers.items()]
-        return ServiceAnswer(answer.status, named, answer.body, fresh)
 
-    async def _carry(self, answer: Answer) -> None:
+    async def _carry(self, answer: Answer, seconds: float) -> None:
+        """Let the body pass; its parts come in turn, so that only the whole can take too long."""
         faults = self._source.store.faults
-        if faults.endless:
-            await anyio.sleep_forever()
-        if faults.body_rate:
-            await anyio.sleep(len(answer.body) / faults.body_rate)
+        try:
+            with anyio.fail_after(seconds * ANSWER_FACTOR):
+                if faults.endless:
+                    await anyio.sleep_forever()
+                if faults.body_rate:
+                    await anyio.sleep(len(answer.body) / faults.body_rate)
+        except TimeoutError as error:
+            reason = "the answer began and did not end in time"
+            raise ServiceUnreachableError(reason, ReadFailure.UNFINISHED) from error
 
 
 class SimulatedReader(StoreReader):
