--- a/src/pewtertack/platform/store.py
+++ b/src/pewtertack/platform/store.py
@@ -4,6 +4,7 @@
 
 from collections.abc import Callable
 from typing import ClassVar, TypeVar
+from urllib.parse import quote
 
 import msgspec
 
@@ -16,6 +17,7 @@
 from pewtertack.errors import PlatformError, ReadFailure
 from pewtertack.node import clock
 from pewtertack.node.http.client import (
+    AnswerTooLargeError,
     HttpClient,
     ServiceAnswer,
     ServiceTimeouts,
@@ -190,8 +192,10 @@
         except _HistoryGoneError:
             if not mirror.stale:
                 raise
-            await self._list(mirror)
-            return Refreshed.CHANGED
+        except AnswerTooLargeError:
+            pass  # it has each write of an item; a list has the last ones
+        await self._list(mirror)
+        return Refreshed.CHANGED
 
     async def _list(self, mirror: Mirror, stale: bool = False) -> None:
         """Read all items; what changes between two pages is seen by the watch that follows."""
@@ -199,7 +203,9 @@
         fresh.stale = stale
         after = ""
         while True:
-            path = f"/kv-range?PathPrefix={mirror.prefix}" + (f"&after={after}" if after else "")
+            path = f"/kv-range?PathPrefix={mirror.prefix}" + (
+                f"&after={quote(after)}" if after else ""
+            )
             page = _decode(await self._get(path + ("&stale=1" if stale else "")), _Range)
             items = items_of(page.items)
             fresh.take_page(items, page.at)
--- a/tests/core/test_long_work.py
+++ b/tests/core/test_long_work.py
@@ -176,6 +176,16 @@
         self.assertGreater(len(seen), 2)
         self.assertEqual(seen, sorted(seen))
 
+    def test_versions_come_into_force_while_another_always_waits(self) -> None:
+        self.read(2, tree(BASE_ROUTES + ADDED_ROUTES))
+        seen: list[int] = []
+        for number in range(3, 300):
+            size = BASE_ROUTES + ADDED_ROUTES + number % 50
+            seen += self.versions(self.read(number, tree(size)))
+            seen += self.versions(self.feed(WorkContinued()))
+        self.assertGreater(len(seen), 2)
+        self.assertEqual(seen, sorted(seen))
+
     def test_an_invalid_one_leaves_the_held_one(self) -> None:
         effects = self.read(2, tree(BASE_ROUTES + ADDED_ROUTES, service="unknown"))
         found = self.go_on(effects)
@@ -195,6 +205,29 @@
         self.go_on(begun)
         self.assertEqual(self.in_force(), 2)
 
+    def test_a_change_that_another_took_the_place_of_is_asked_for(self) -> None:
+        other = LongWorkTest("setUp")
+        other.setUp()
+        store = other.core.replication.replica.store
+        begun: list[Effect] = []
+        for number in (2, 3, 4):
+            before = store.revision
+            other.go_on(other.read(number, tree(BASE_ROUTES + ADDED_ROUTES + number)))
+            deltas = store.deltas_since(before)
+            assert deltas is not None
+            begun += self.from_peer(DeltaAnswer(DocumentKind.CONFIGURATION, deltas))
+            state = VersionState.of(store.revision, store.revision, 1, True)
+            begun += self.from_peer(Announce(state))
+        self.go_on(begun)
+        self.assertEqual(self.core.replication.replica.held.number, 2)
+        sent = self.feed(Ticked())
+        (pull,) = (e.message for e in sent if isinstance(e, Send) and isinstance(e.message, Pull))
+        self.assertEqual(pull.have, self.core.replication.replica.held)
+        rest = store.deltas_since(pull.have)
+        assert rest is not None
+        self.go_on(self.from_peer(DeltaAnswer(DocumentKind.CONFIGURATION, rest)))
+        self.assertEqual(self.in_force(), 4)
+
     def test_what_is_held_is_not_told_as_confirmed_by_what_is_under_work(self) -> None:
         self.now = 0.4
         self.feed(Ticked())
@@ -211,6 +244,18 @@
         ]
         self.assertNotIn(2, told)
 
+    def test_what_is_held_is_not_told_as_confirmed_by_what_waits(self) -> None:
+        freshness = self.core.replication.freshness
+        for self.now, number in ((0.1, 2), (0.3, 3)):
+            self.read(number, tree(BASE_ROUTES + number * ADDED_ROUTES))
+        while self.core.replication.replica.held.number < 2:
+            self.feed(WorkContinued())
+        self.assertEqual(self.core.replication.replica.held.number, 2)
+        self.assertAlmostEqual(freshness.age(self.now, DocumentKind.CONFIGURATION), 0.2)
+        while self.core.replication.replica.held.number < 3:
+            self.feed(WorkContinued())
+        self.assertEqual(freshness.age(self.now, DocumentKind.CONFIGURATION), 0.0)
+
     def test_a_node_that_leaves_meanwhile_ends_its_work(self) -> None:
         effects = self.read(2, tree(BASE_ROUTES + ADDED_ROUTES))
         self.feed(DrainRequested())
