--- a/src/pewtertack/lab/weakening.py
+++ b/src/pewtertack/lab/weakening.py
@@ -21,7 +21,8 @@
 from pewtertack.lab.errors import LabUsageError
 from pewtertack.node.daemon import DrainableProxy
 from pewtertack.node.gateway.application import GatewayApplication
-from pewtertack.node.http.connection import BackendConnection, ExchangeBrokenError
+from pewtertack.node.http.answer_reading import ExchangeBrokenError
+from pewtertack.node.http.connection import BackendConnection
 from pewtertack.node.http.framing import RawHeaders
 from pewtertack.node.http.pipeline import Pipeline
 from pewtertack.node.proxy import exchange
--- a/src/pewtertack/node/http/client.py
+++ b/src/pewtertack/node/http/client.py
@@ -10,7 +10,8 @@
 import msgspec
 
 from pewtertack.errors import PlatformError
-from pewtertack.node.http.connection import BackendConnection, ExchangeBrokenError, connect
+from pewtertack.node.http.answer_reading import ExchangeBrokenError
+from pewtertack.node.http.connection import BackendConnection, connect
 from pewtertack.node.http.framing import NO_BODY_STATUSES, RawHeaders
 from pewtertack.node.http.messages import AnswerStart, OutgoingRequest
 
--- a/src/pewtertack/node/http/connection.py
+++ b/src/pewtertack/node/http/connection.py
@@ -11,18 +11,20 @@
 import errno
 import select
 import socket
-from collections import deque
 from collections.abc import Callable
 from typing import TYPE_CHECKING
 
 import httptools
 
-from pewtertack.errors import PewtertackError
 from pewtertack.node import clock
-from pewtertack.node.http.cycle import PROCESSING
+from pewtertack.node.http.answer_reading import (
+    READ_BUFFER_LIMIT,
+    AnswerReadingProtocol,
+    ExchangeBrokenError,
+    wake,
+)
 from pewtertack.node.http.framing import LAST_CHUNK, RawHeaders, chunk_of
 from pewtertack.node.http.messages import AnswerStart, OutgoingRequest
-from pewtertack.node.http.reading import ReadingProtocol
 from pewtertack.node.http.transport import (
     MILLISECONDS,
     SILENT_SECONDS,
@@ -33,10 +35,6 @@
 if TYPE_CHECKING:
     from pewtertack.node.http.acknowledgement import AcknowledgementWatch
 
-READ_BUFFER_LIMIT = 64 * 1024
-"""Received bytes that wait to be read before the back end is slowed down. asyncio receives up to
-256 KiB at once. For 40 callers that read nothing, two nodes held 14.1 MB here with 256 KiB and
-7.7 MB with 64 KiB."""
 LONG_BODY_BYTES = 32 * 1024
 """A longer body may find no room at the other end, which is no sign of a machine that is gone:
 from then on that is told otherwise (``acknowledgement``). Every receiver has room for less."""
@@ -56,14 +54,6 @@
 )
 """For a machine that falls silent while an answer is awaited. One that lost power or is cut off
 ends its connections; a back end's silence does not."""
-CONTINUE_STATUS = 100
-FIRST_FINAL_STATUS = 200
-
-
-class ExchangeBrokenError(PewtertackError):
-    """The connection ended, or what came is no answer."""
-
-    code = "exchange-broken"
 
 
 class ExchangeLeftError(ExchangeBrokenError):
@@ -81,23 +71,18 @@
     return False
 
 
-class BackendConnection(ReadingProtocol):
+class BackendConnection(AnswerReadingProtocol):
     """Carries one exchange after the other. The whole request has one timeout, set outside."""
 
     def __init__(self, address: str = "") -> None:
+        super().__init__()
         self.address = address
         self.sent = False
         """Whether the other end may have begun with the current exchange."""
         self._suspended = clock.suspended_seconds()
         """What the clock of suspensions said when the last exchange began."""
-        self._transport: asyncio.Transport
-        self._parser = httptools.HttpResponseParser(self)
-        self._waiter: asyncio.Future[None] | None = None
         self._writer: asyncio.Future[None] | None = None
         self._writing_paused = False
-        self._reading_paused = False
-        self._ended = False
-        self._failure: Exception | None = None
         self._watch: AcknowledgementWatch | None = None
         """Made for the first long body."""
         self._idle_look: select.poll | None = None
@@ -105,20 +90,9 @@
         # The current exchange
         self._body_bytes = 0
         """Sent of the body, with the head."""
-        self._answer: AnswerStart | None = None
         self._unsent = b""
         """The request's head, until it is written."""
-        self._headers: RawHeaders = []
-        self._chunks: deque[bytes] = deque()
-        self._buffered = 0
-        self._bodiless = False
-        self._complete = True
         self._request_sent = True
-        self._body_asked_for = False
-        self._doubt: RawHeaders | None = None
-        """What the other end has said of a doubt since that was last looked at."""
-        self._keep = True
-        """Whether the connection may carry another exchange, as far as is known."""
 
     # asyncio.Protocol
 
@@ -142,9 +116,9 @@
         if self._buffered > READ_BUFFER_LIMIT and not self._reading_paused:
             self._reading_paused = True
             self._transport.pause_reading()
-        _wake(self._waiter)
+        wake(self._waiter)
         if self._writer is not None and self._answer is not None:
-            _wake(self._writer)  # the rest of the body is wanted no more
+            wake(self._writer)  # the rest of the body is wanted no more
 
     def eof_received(self) -> bool:
         """Note the back end's end of stream, which may be the answer's end."""
@@ -168,7 +142,7 @@
         self._failure = self._failure or failure
         for awaited in (self._waiter, self._writer):
             if awaited is not None:
-                _wake(awaited)
+                wake(awaited)
 
     def pause_writing(self) -> None:
         """Make the sender wait."""
@@ -177,47 +151,7 @@
     def resume_writing(self) -> None:
         """Let the sender go on."""
         self._writing_paused = False
-        _wake(self._writer)
-
-    # httptools' parser
-
-    def on_message_begin(self) -> None:
-        """An answer begins; one after the end of the answer is due to no request."""
-        self._headers = []
-        if self._complete:
-            self._keep = False
-
-    def on_header(self, name: bytes, value: bytes) -> None:
-        """Take a header."""
-        self._headers.append((name, value))
-
-    def on_headers_complete(self) -> None:
-        """Take the head, unless it is a provisional one."""
-        status = self._parser.get_status_code()
-        if status == CONTINUE_STATUS:
-            self._body_asked_for = True
-        elif status == PROCESSING:
-            self._doubt = self._headers
-        if self._complete or status < FIRST_FINAL_STATUS:
-            return
-        self._answer = AnswerStart(status, self._headers)
-        if self._bodiless:
-            self._complete = True
-            self._keep = False  # the parser expects the body that is only announced
-
-    def on_body(self, body: bytes) -> None:
-        """Take a part of the body."""
-        if self._complete:
-            self._keep = False
-            return
-        self._chunks.append(body)
-        self._buffered += len(body)
-
-    def on_message_complete(self) -> None:
-        """Note the end of the answer."""
-        if self._answer is not None and not self._complete:
-            self._complete = True
-            self._keep = self._keep and self._parser.should_keep_alive()
+        wake(self._writer)
 
     # The exchange
 
@@ -331,57 +265,6 @@
         self._writer = asyncio.get_running_loop().create_future()
         await self._writer
 
-    async def _wait(self) -> None:
-        """Wait for more of the answer.
-
-        Raises:
-            ExchangeBrokenError: no more comes.
-        """
-        if self._ended:
-            raise ExchangeBrokenError(str(self._failure or "the connection ended"))
-        self._waiter = asyncio.get_running_loop().create_future()
-        await self._waiter
-
-    async def read_chunk(self) -> bytes:
-        """Return the next part of the answer's body, ``b""`` at its end.
-
-        Raises:
-            ExchangeBrokenError: it broke off.
-        """
-        while not self._chunks and not self._complete:
-            await self._wait()
-        if not self._chunks:
-            return b""
-        chunk = self._chunks.popleft()
-        self._buffered -= len(chunk)
-        if self._reading_paused and not self._chunks:
-            self._reading_paused = False
-            self._transport.resume_reading()
-        return chunk
-
-    def take_whole(self) -> bytes | None:
-        """Return the rest of the answer's body if it has come to its end, else ``None``."""
-        if not self._complete or self._reading_paused:
-            return None
-        whole = self._chunks.popleft() if len(self._chunks) == 1 else b"".join(self._chunks)
-        self._chunks.clear()
-        self._buffered = 0
-        return whole
-
-    async def read_whole(self) -> bytes:
-        """Return the rest of the answer's body.
-
-        Raises:
-            ExchangeBrokenError: it broke off.
-        """
-        whole = self.take_whole()
-        if whole is not None:
-            return whole
-        parts = []
-        while chunk := await self.read_chunk():
-            parts.append(chunk)
-        return b"".join(parts)
-
     @property
     def clean(self) -> bool:
         """Whether the last exchange ended cleanly.
@@ -416,11 +299,6 @@
         self._transport.abort()
 
 
-def _wake(future: asyncio.Future[None] | None) -> None:
-    if future is not None and not future.done():
-        future.set_result(None)
-
-
 async def connect(address: str, timeout: float, local_host: str | None = None) -> BackendConnection:
     """Return a new connection to ``ip:port``, made within ``timeout`` seconds.
 
--- a/src/pewtertack/node/proxy/exchange.py
+++ b/src/pewtertack/node/proxy/exchange.py
@@ -7,9 +7,9 @@
 import anyio
 
 from pewtertack.node.gateway.hop import failure_of
+from pewtertack.node.http.answer_reading import ExchangeBrokenError
 from pewtertack.node.http.connection import (
     BackendConnection,
-    ExchangeBrokenError,
     ExchangeLeftError,
     MayLeave,
     stay,
--- a/src/pewtertack/node/proxy/stop_time.py
+++ b/src/pewtertack/node/proxy/stop_time.py
@@ -17,7 +17,7 @@
 import anyio
 
 from pewtertack.node.gateway.hop import leave_by_groups, leave_by_word
-from pewtertack.node.http.connection import ExchangeBrokenError
+from pewtertack.node.http.answer_reading import ExchangeBrokenError
 from pewtertack.node.http.cycle import LOGGER
 from pewtertack.node.http.messages import OutgoingRequest
 from pewtertack.node.proxy.in_flight import RequestsInFlight
--- a/src/pewtertack/node/proxy/taking_back.py
+++ b/src/pewtertack/node/proxy/taking_back.py
@@ -12,7 +12,7 @@
 import anyio
 
 from pewtertack.node.gateway.hop import withdrawal
-from pewtertack.node.http.connection import ExchangeBrokenError
+from pewtertack.node.http.answer_reading import ExchangeBrokenError
 from pewtertack.node.http.cycle import LOGGER
 from pewtertack.node.http.messages import OutgoingRequest
 from pewtertack.node.proxy.upstream import ConnectionStore
--- a/tests/node/http/test_connection.py
+++ b/tests/node/http/test_connection.py
@@ -6,12 +6,8 @@
 from typing import Any
 from unittest import mock
 
-from pewtertack.node.http.connection import (
-    READ_BUFFER_LIMIT,
-    BackendConnection,
-    ExchangeBrokenError,
-    ExchangeLeftError,
-)
+from pewtertack.node.http.answer_reading import READ_BUFFER_LIMIT, ExchangeBrokenError
+from pewtertack.node.http.connection import BackendConnection, ExchangeLeftError
 from pewtertack.node.http.messages import OutgoingRequest
 
 OK = b"HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\nok"
--- a/tests/node/http/test_slow_receivers.py
+++ b/tests/node/http/test_slow_receivers.py
@@ -23,7 +23,8 @@
     AcknowledgementWatch,
     SilenceJudge,
 )
-from pewtertack.node.http.connection import BackendConnection, ExchangeBrokenError, connect
+from pewtertack.node.http.answer_reading import ExchangeBrokenError
+from pewtertack.node.http.connection import BackendConnection, connect
 from pewtertack.node.http.cycle import LOGGER
 from pewtertack.node.http.messages import OutgoingRequest
 
