--- a/src/pewtertack/node/http/client.py
+++ b/src/pewtertack/node/http/client.py
@@ -11,7 +11,8 @@
 
 from pewtertack.errors import PlatformError, ReadFailure
 from pewtertack.node import clock
-from pewtertack.node.http.connection import BackendConnection, ExchangeBrokenError, connect
+from pewtertack.node.http.answer_reading import ExchangeBrokenError
+from pewtertack.node.http.connection import BackendConnection, connect
 from pewtertack.node.http.framing import NO_BODY_STATUSES, RawHeaders
 from pewtertack.node.http.messages import AnswerStart, OutgoingRequest
 
