--- /dev/null
+++ b/tests/core/replication/test_inquiry.py
@@ -0,0 +1,79 @@
+"""Whom a node asks that began not long before a new era, and for how long."""
+
+import unittest
+from random import Random
+
+from pewtertack.core.eras import list_number
+from pewtertack.core.identity import NodeIdentity
+from pewtertack.core.membership.table import MemberTable
+from pewtertack.core.newcomers import DOUBTED_SECONDS, LONGEST_COPY_AGE
+from pewtertack.core.profile import LEASED
+from pewtertack.core.replication.inquiry import ENOUGH_PEERS, ReturnInquiry
+from pewtertack.core.revision import NO_REVISION
+from pewtertack.wire.messages import MemberStatus, MemberUpdate, VersionState
+
+HOLD = 6.0
+PEERS = tuple(f"p{number}" for number in range(6))
+
+
+def state(era: int, serving: bool = True) -> VersionState:
+    return VersionState.of(NO_REVISION, NO_REVISION, list_number(era, 5), serving)
+
+
+class ReturnInquiryTest(unittest.TestCase):
+    def setUp(self) -> None:
+        identity = NodeIdentity("self", "127.0.0.1:1", "a", "", 1)
+        table = MemberTable(identity, LEASED.dead_retention, LEASED.forget_after)
+        for number, name in enumerate(PEERS, 2):
+            address = f"127.0.0.1:{number}"
+            table.merge(MemberUpdate(name, address, "a", "", 1, MemberStatus.ALIVE), 0.0)
+        self.inquiry = ReturnInquiry(LEASED, table, Random(1), HOLD, 0.0)
+
+    def asked(self, since: float, seconds: float) -> list[str]:
+        times = [since + step * LEASED.tick for step in range(round(seconds / LEASED.tick))]
+        return [name for now in times for name in self.inquiry.names_to_ask(now)]
+
+    def test_nobody_is_asked_in_era_0(self) -> None:
+        self.assertEqual(self.asked(0.0, 10.0), [])
+        self.assertFalse(self.inquiry.is_pending(0.1))
+
+    def test_serving_peers_of_the_era_are_asked_for_until_enough_have_answered(self) -> None:
+        self.inquiry.begin_era(0.1, 2)
+        self.assertTrue(self.inquiry.is_pending(0.2))
+        self.assertGreaterEqual(len(set(self.asked(0.1, 0.5))), ENOUGH_PEERS)
+        self.assertTrue(self.inquiry.answered(PEERS[0], state(1)))
+        self.assertFalse(self.inquiry.answered(PEERS[1], state(2, serving=False)))
+        self.assertTrue(self.inquiry.is_pending(0.6))
+        with self.subTest("who did not know the era is asked again"):
+            self.assertIn(PEERS[0], self.asked(0.6, 0.3))
+        for name in PEERS[:ENOUGH_PEERS]:
+            self.assertFalse(self.inquiry.answered(name, state(2)))
+            self.assertFalse(self.inquiry.is_pending(0.6))
+        self.assertEqual(self.asked(1.0, 4.0), [])
+        with self.subTest("a later era"):
+            self.inquiry.begin_era(5.0, 3)
+            self.assertNotEqual(self.asked(5.0, 1.0), [])
+            self.assertFalse(self.inquiry.is_pending(5.1))
+
+    def test_it_ends_with_what_may_be_held(self) -> None:
+        self.inquiry.begin_era(0.1, 2)
+        self.assertFalse(self.inquiry.is_pending(LEASED.join_patience))
+        self.assertNotEqual(self.asked(0.1, HOLD), [])
+        self.assertEqual(self.asked(0.2 + HOLD, 5.0), [])
+
+    def test_a_node_that_began_long_before_asks_nobody_until_it_has_slept(self) -> None:
+        now = LONGEST_COPY_AGE + 1.0
+        self.inquiry.begin_era(now, 2)
+        self.assertEqual(self.asked(now, 5.0), [])
+        self.assertFalse(self.inquiry.doubts_copy(now))
+        self.inquiry.restart(now + 5.0)
+        self.assertNotEqual(self.asked(now + 5.0, 1.0), [])
+
+    def test_a_copy_is_doubted_until_enough_have_answered_or_for_a_moment(self) -> None:
+        self.assertTrue(self.inquiry.doubts_copy(0.1))
+        self.inquiry.begin_era(0.1, 2)
+        self.assertTrue(self.inquiry.doubts_copy(0.2))
+        self.assertFalse(self.inquiry.doubts_copy(0.1 + DOUBTED_SECONDS))
+        for name in PEERS[:ENOUGH_PEERS]:
+            self.inquiry.answered(name, state(2))
+        self.assertFalse(self.inquiry.doubts_copy(0.2))
--- a/tests/core/test_ended_evacuations.py
+++ b/tests/core/test_ended_evacuations.py
@@ -32,3 +32,13 @@
             self.seen.note([f"z-{number}"], number, 0)
         self.assertEqual(len(self.seen.ended), ENDED_KEPT)
         self.assertNotIn("z-0", self.seen.ended)
+
+    def test_a_peer_tells_of_ends_that_were_not_seen_here(self) -> None:
+        self.seen.note(["garia"], 50, 0)
+        self.seen.hear("howrah", 40)
+        self.seen.hear("howrah", 30)
+        self.seen.hear("garia", 90)
+        self.assertEqual(self.seen.ended, {"howrah": 40})
+        for number in range(ENDED_KEPT + 5):
+            self.seen.hear(f"z-{number}", number)
+        self.assertEqual(len(self.seen.ended), ENDED_KEPT)
