--- a/src/pewtertack/core/ended_evacuations.py
+++ b/src/pewtertack/core/ended_evacuations.py
@@ -23,7 +23,9 @@
     def ended(self) -> Mapping[str, int]:
         """The zones that are evacuated no longer.
 
-        Each with a revision up to which the source's item of the evacuation that ended was made.
+        Each with a revision up to which the source's item of the evacuation that ended was made:
+        that of the end, since the item may have been made anew under a tree that named the zone.
+        Of its beginning where that of the end is not told.
         """
         return self._ended
 
@@ -35,7 +37,7 @@
             self._began.setdefault(zone, revision)
             self._ended.pop(zone, None)
         for zone in self._began.keys() - named:
-            self._ended[zone] = self._began.pop(zone)
+            self._ended[zone] = max(revision, self._began.pop(zone))
         self._bound()
 
     def hear(self, zone: str, made_until: int) -> None:
--- a/tests/platform/test_returned_evacuations.py
+++ b/tests/platform/test_returned_evacuations.py
@@ -101,6 +101,25 @@
         with self.subTest("what the new era names anew is believed at once"):
             self.assertEqual(self.evacuated(), [{"garia"}] * 3)
 
+    async def test_one_that_was_written_again_and_then_taken_back_stays_so(self) -> None:
+        """Its item was made anew after the first return, under the same tree."""
+        copy = self.store.copy()
+        self.store.put("op/evacuate/garia", b"{}")
+        await self.fleet.run(USUAL_BOUND)
+        await self.come_back(copy)
+        for _ in range(5):
+            self.store.put("servers/i-1", entry(1))
+        self.store.put("op/evacuate/garia", b"{}")
+        await self.fleet.run(USUAL_BOUND)
+        copy = self.store.copy()
+        self.store.remove("op/evacuate/garia")
+        await self.fleet.run(USUAL_BOUND)
+        self.assertEqual(self.evacuated(), [set()] * 3)
+        await self.come_back(copy)
+        for _ in range(20):
+            await self.fleet.run(0.1)
+            self.assertEqual(self.evacuated(), [set()] * 3)
+
     async def test_an_evacuation_taken_back_is_believed_again_once_the_time_is_over(self) -> None:
         """The operator has not written its end again: the store's word is the newest."""
         self.store.put("op/evacuate/garia", b"{}")
--- a/tests/platform/test_returns_in_series.py
+++ b/tests/platform/test_returns_in_series.py
@@ -94,6 +94,8 @@
         before = {node.name: set(node.ready) for node in self.fleet.nodes}
         left = {node.name: node.once_ready - before[node.name] for node in self.fleet.nodes}
         evacuated = {node.name: node.evacuated for node in self.fleet.nodes}
+        hear_each_other = not self.fleet.dark and not any(cut)
+        was_over = hear_each_other and not self.asked and self.has_seen_end()
         self.store.come_back_from(self.copy)
         for node, was_cut in zip(self.fleet.nodes, cut, strict=True):
             node.calls.cut = was_cut
@@ -102,6 +104,8 @@
             self.look_at(node, before[node.name], self.known_to(node, left))
             if self.asked and not evacuated[node.name] <= node.evacuated:
                 self.wrong.append(f"{node.name}: evacuates {set(node.evacuated)}")
+            if was_over and node.evacuated:
+                self.wrong.append(f"{node.name}: evacuates {set(node.evacuated)} again")
         self.ask(self.asked)
         await self.fleet.run(WRITTEN_AGAIN / 4)
         self.store.put("op/config", configuration(self.version))
@@ -114,6 +118,12 @@
                 self.store.remove(key)
         self.copy = self.store.copy()
 
+    def has_seen_end(self) -> bool:
+        """Tell whether no node evacuates, and most have seen an evacuation end."""
+        nodes = self.fleet.nodes
+        seen = [node for node in nodes if node.core.replication._ended.ended]
+        return not any(node.evacuated for node in nodes) and 2 * len(seen) > len(nodes)
+
     def known_to(self, node: FleetNode, left: dict[str, set[str]]) -> set[str]:
         """Return who is known to have left: by the node, or by peers that it has heard to serve."""
         dark = self.fleet.dark
@@ -214,6 +224,9 @@
     @given(STEPS, st.booleans())
     @example(["start", "come", "return", "beat", "leave", "start", "heal", "return"], True)
     @example(["return", "leave", "start", "leave", "start", "drain", "return", "start"], True)
+    @example(["ask", "copy", "take-back", "start", "edit", "edit", "return"], True)
+    @example(["ask", "copy", "take-back", "start", "return"], False)
+    @example(["ask", "return", "start", "take-back", "return", "take-back", "start"], True)
     @example(["leave", "start", "cut", "come", "leave", "leave", "return", "leave"], False)
     def test_nothing_goes_back_and_all_come_to_believe_the_same(
         self, steps: list[str], few_readers: bool
