Work on a configuration that fails does not end confirmations for good

Cause: what the source says counts for what is under work until that ends; if it ended with an error, nothing said so, and nothing the source said counted until another configuration came: the node's word grew older without bound, and others read for themselves.

Change: the end of the work, however it comes, lets confirmations count again.

The test failed before (age 1 s where it is 0 s). No configuration is known that fails so.

--- a/src/pewtertack/core/replication/service.py
+++ b/src/pewtertack/core/replication/service.py
@@ -445,11 +445,12 @@
                 done = self._offers.advance(self.budget)
             except DeltaMismatchError as error:
                 done = [Log(Event.FRAME_REFUSED, {"reason": str(error)})]
+            finally:
+                held = self.replica.held.number if self._offers.is_working else math.inf
+                self.freshness.resume(DocumentKind.CONFIGURATION, held)
             if done is None:
                 return effects
             effects += self._after_offer(now, before, way, done)
-            held = self.replica.held.number if self._offers.is_working else math.inf
-            self.freshness.resume(DocumentKind.CONFIGURATION, held)
         return effects
 
     def _after_offer(
--- a/tests/core/test_long_work.py
+++ b/tests/core/test_long_work.py
@@ -4,12 +4,14 @@
 import unittest
 from random import Random
 from typing import Any
+from unittest import mock
 
 from pewtertack.core.configuration.resolution import resolve_document
 from pewtertack.core.effects import BringIntoForce, Effect, GoOn, Log, Send
 from pewtertack.core.identity import NodeIdentity
 from pewtertack.core.inputs import (
     DocumentRead,
+    DocumentUnchanged,
     DrainRequested,
     Input,
     MessageReceived,
@@ -18,6 +20,7 @@
 )
 from pewtertack.core.node import NodeCore, NodePhase
 from pewtertack.core.profile import LEASED, SourceProperties
+from pewtertack.core.replication import replica
 from pewtertack.core.revision import identify
 from pewtertack.events import Event
 from pewtertack.wire.messages import (
@@ -256,6 +259,19 @@
             self.feed(WorkContinued())
         self.assertEqual(freshness.age(self.now, DocumentKind.CONFIGURATION), 0.0)
 
+    def test_work_that_fails_does_not_end_confirmations(self) -> None:
+        with mock.patch.object(replica, "checking_document", side_effect=KeyError("secret")):
+            self.read(2, tree(BASE_ROUTES + ADDED_ROUTES))
+            with self.assertRaises(KeyError):
+                for _ in range(TURNS_MAX):
+                    self.feed(WorkContinued())
+        self.now = 1.0
+        self.feed(DocumentUnchanged(DocumentKind.CONFIGURATION))
+        freshness = self.core.replication.freshness
+        self.assertEqual(freshness.age(self.now, DocumentKind.CONFIGURATION), 0.0)
+        self.go_on(self.read(3, tree(BASE_ROUTES + 1)))
+        self.assertEqual(self.in_force(), 3)
+
     def test_a_node_that_leaves_meanwhile_ends_its_work(self) -> None:
         effects = self.read(2, tree(BASE_ROUTES + ADDED_ROUTES))
         self.feed(DrainRequested())
