--- a/src/pewtertack/core/configuration/model.py
+++ b/src/pewtertack/core/configuration/model.py
@@ -37,7 +37,7 @@
 ZONE_LIMIT = 32
 """Zones in one tree; each is resolved and checked by itself."""
 
-NAMED_LIMIT = 20_000
+NAMED_LIMIT = 32_768
 """Services, routes and secrets, each, in the root and in a zone. The size of a tree is reached
 first, unless its names are very short."""
 
