Heads of requests are taken up to what the configuration allows, on both nodes

What callers would see: 431 for a head of more than 32 KiB while a version allows more (MaxHeaderBytes, which nothing read); and 502 for one just below 32 KiB, which the proxy took and the gateway, to which the nodes' own headers come on top, refused with 431.

Cause: a fixed bound of our own on what the source's configuration decides.

Change: the root of a tree may have head_bytes (up to 1 MiB; written by the platform's translation only above 32 KiB, so that usual trees stay the same). A server asks its application for a longer bound only once a head is over 32 KiB, so that a usual request costs what it did; the gateway takes 8 KiB more than the proxy. Changes of head_bytes show in what an edit changes.

--- a/src/pewtertack/core/configuration/changes.py
+++ b/src/pewtertack/core/configuration/changes.py
@@ -49,6 +49,7 @@
     """Return what ``new`` changes against ``old``: evacuations, services, secrets, routes."""
     return (
         *_compare_evacuations(old.evacuated, new.evacuated),
+        *_compare_head_bytes(old.head_bytes, new.head_bytes),
         *_compare_tables(Section.SERVICES, old.services, new.services),
         *_compare_secrets(old.secrets, new.secrets),
         *_compare_tables(Section.ROUTES, _routes_by_name(old), _routes_by_name(new)),
@@ -65,6 +66,12 @@
         yield Change(kind, RootSection.EVACUATED_ZONES, zone)
 
 
+def _compare_head_bytes(old: int, new: int) -> Iterator[Change]:
+    if old != new:
+        section = RootSection.HEAD_BYTES
+        yield Change(ChangeKind.CHANGED, section, section.value, old=old, new=new)
+
+
 def _compare_tables(
     section: Section,
     old: Mapping[str, ResolvedRoute] | Mapping[str, ResolvedService],
--- a/src/pewtertack/core/configuration/conversion.py
+++ b/src/pewtertack/core/configuration/conversion.py
@@ -14,6 +14,8 @@
 
 from pewtertack.core.configuration.model import (
     DURATION_UNITS,
+    HEAD_BYTES_ALWAYS,
+    HEAD_BYTES_SETTING,
     ROUTE_SETTINGS,
     SERVICE_SETTINGS,
     Setting,
@@ -145,6 +147,13 @@
     return {name: max(1, round(weight * scale)) if weight else 0 for name, weight in summed.items()}
 
 
+def head_bytes(value: float) -> Table:
+    """Return the root's setting of the longest head, where it is more than nodes always take."""
+    if value <= HEAD_BYTES_ALWAYS:
+        return {}
+    return {HEAD_BYTES_SETTING.name: whole_number(HEAD_BYTES_SETTING, value)}
+
+
 def routes_by_name(given: Iterable[tuple[str, Table]]) -> dict[str, Table]:
     """Return routes by names that the tree may have, each of its own.
 
--- a/src/pewtertack/core/configuration/model.py
+++ b/src/pewtertack/core/configuration/model.py
@@ -335,6 +335,19 @@
 
     EVACUATED_ZONES = "evacuated_zones"
     """List of zones whose back ends are to be sent nothing."""
+    HEAD_BYTES = "head_bytes"
+    """Longest head of a caller's request, where that is more than any node takes."""
+
+
+HEAD_BYTES_ALWAYS = 32 * 1024
+"""Nodes take heads of so many bytes whatever the tree says."""
+HEAD_BYTES_SETTING = Setting(
+    RootSection.HEAD_BYTES.value,
+    ValueKind.INTEGER,
+    0,
+    "Bytes of the longest head of a caller's request; nodes take 32768 in any case.",
+    maximum=1024 * 1024,
+)
 
 
 DELETE = "delete"
--- a/src/pewtertack/core/configuration/resolution.py
+++ b/src/pewtertack/core/configuration/resolution.py
@@ -9,7 +9,7 @@
 
 from pewtertack.core.configuration.findings import TreeRejectedError
 from pewtertack.core.configuration.memory import ResolvedRoutes, edit_of_routes
-from pewtertack.core.configuration.model import RootSection
+from pewtertack.core.configuration.model import HEAD_BYTES_SETTING, RootSection
 from pewtertack.core.configuration.resolved import (
     ResolvedConfiguration,
     ResolvedRoute,
@@ -76,6 +76,7 @@
         services=MappingProxyType(services),
         secrets=MappingProxyType(scope.secrets()),
         evacuated=frozenset(document.get(RootSection.EVACUATED_ZONES, ())),
+        head_bytes=document.get(RootSection.HEAD_BYTES, HEAD_BYTES_SETTING.default),
     )
 
 
--- a/src/pewtertack/core/configuration/resolved.py
+++ b/src/pewtertack/core/configuration/resolved.py
@@ -97,3 +97,5 @@
     secrets: Mapping[str, str]
     evacuated: frozenset[str] = frozenset()
     """Zones, in this or another region, whose back ends are to be sent nothing."""
+    head_bytes: int = 0
+    """Longest head of a caller's request; nodes take more where they always do."""
--- a/src/pewtertack/core/configuration/schema.py
+++ b/src/pewtertack/core/configuration/schema.py
@@ -14,6 +14,7 @@
     DELETE,
     DELETE_LIMIT,
     DURATION_PATTERN,
+    HEAD_BYTES_SETTING,
     HEADER_PATTERN,
     HOST_LENGTH_LIMIT,
     HOST_PATTERN,
@@ -79,7 +80,10 @@
 def _root_sections() -> Schema:
     zones = _list_schema({"type": "string", "pattern": _whole(ZONE_NAME_PATTERN)})
     zones["description"] = "Zones whose back ends are to be sent nothing."
-    return {RootSection.EVACUATED_ZONES.value: zones}
+    return {
+        RootSection.EVACUATED_ZONES.value: zones,
+        RootSection.HEAD_BYTES.value: _setting_schema(HEAD_BYTES_SETTING),
+    }
 
 
 def _settings(settings: Mapping[str, Setting]) -> Schema:
--- a/src/pewtertack/core/configuration/structure.py
+++ b/src/pewtertack/core/configuration/structure.py
@@ -20,6 +20,7 @@
 )
 from pewtertack.core.configuration.model import (
     DELETE,
+    HEAD_BYTES_SETTING,
     NAMED_LIMIT,
     ROUTE_DEFAULT_SETTINGS,
     ROUTE_SETTINGS,
@@ -222,6 +223,8 @@
             yield from _check_named_tables(value, (ZONES,), check_zone, ZONE_LIMIT)
         elif key == RootSection.EVACUATED_ZONES:
             yield from check_zone_names(value, (key,))
+        elif key == RootSection.HEAD_BYTES:
+            yield from check_value(HEAD_BYTES_SETTING, value, (key,))
         else:
             yield from _check_section(key, value, (), checked)
 
--- a/src/pewtertack/node/gateway/application.py
+++ b/src/pewtertack/node/gateway/application.py
@@ -36,6 +36,7 @@
 from pewtertack.node.gateway.told import link_headers, load_headers, origin_headers
 from pewtertack.node.http.cycle import Scope
 from pewtertack.node.http.framing import RawHeaders
+from pewtertack.node.http.heads import HEAD_BYTES
 from pewtertack.node.pacing import LinkPacer
 from pewtertack.node.proxy.answers import Receive, Send, send_failure
 from pewtertack.node.proxy.body import CallerGoneError
@@ -64,6 +65,8 @@
 
 STOP_MARGIN = 2.0
 """A stopping gateway takes requests whose mean time fits so often before the stop."""
+HOP_HEAD_BYTES = 8 * 1024
+"""Of the headers that nodes add between them."""
 LONGEST_TIME = 3600.0
 """Seconds that a request without a deadline may take; proxies always send one."""
 
@@ -144,6 +147,8 @@
         self._stops_at = math.inf
         self._evacuated = False
         self.service: ResolvedService | None = None
+        self.longest_head = HEAD_BYTES + HOP_HEAD_BYTES
+        """Bytes, with what nodes say to each other."""
         self._cold_watch = ColdWatch(self, edge.cold_milliseconds, clock)
 
     @property
@@ -166,6 +171,7 @@
     def use_configuration(self, configuration: ResolvedConfiguration) -> None:
         """Keep to the service's settings, and to the operator's word on this zone."""
         self.service = configuration.services.get(self._place.service)
+        self.longest_head = max(HEAD_BYTES, configuration.head_bytes) + HOP_HEAD_BYTES
         self._use_bounds(self.service)
         evacuated = self._place.zone in configuration.evacuated
         if evacuated != self._evacuated:
--- a/src/pewtertack/node/http/protocol.py
+++ b/src/pewtertack/node/http/protocol.py
@@ -30,6 +30,8 @@
 """After the last answer the caller may take so long to close, from the last that came of it, at
 most ``DISCARD_SECONDS``: closing while bytes of its body or of next requests arrive would reset
 the connection, and the answer could be lost."""
+LONGEST_HEAD = "longest_head"
+"""Attribute of an application that takes heads of more than ``HEAD_BYTES``: how many bytes."""
 MAY_RUN_BESIDE = "may_run_beside"
 """Method of an application that tells, by its scope, whether a request may be repeated."""
 
@@ -168,11 +170,14 @@
     def _bound_head(self) -> None:
         if not self._reading_head or self._head_bytes == 0 or self._discarding:
             return
-        if self._head_bytes > HEAD_BYTES:
+        if self._head_bytes > HEAD_BYTES and self._head_bytes > self._longest_head():
             self._refuse(RefusalReason.HEAD_TOO_LARGE)
         elif self._guard is None:
             self._start_guard(HEAD_SECONDS, self._refuse_slow_head)
 
+    def _longest_head(self) -> int:
+        return max(HEAD_BYTES, getattr(self._application, LONGEST_HEAD, HEAD_BYTES))
+
     def _start_guard(self, seconds: float, callback: Callable[[], object]) -> None:
         if self._guard is not None:
             self._guard.cancel()
--- a/src/pewtertack/node/proxy/application.py
+++ b/src/pewtertack/node/proxy/application.py
@@ -119,6 +119,8 @@
         self._may_serve = may_serve
         self._log = log
         self._table: RouteTable | None = None
+        self.longest_head = 0
+        """Bytes; the server takes more where it always does."""
         dispatcher = Dispatcher(random, self._note_backend_event, policies, retry_limits)
         self._beliefs = Beliefs()
         self._request_log = ProxyLog(log, clock, self._beliefs)
@@ -155,6 +157,7 @@
         """Serve requests that begin from now on by ``configuration``."""
         self._table = RouteTable(configuration)
         self.catching_up.note_swap()
+        self.longest_head = configuration.head_bytes
         self._beliefs.revision = configuration.revision.number
         self._beliefs.revision_at = self._clock()
         self._parts.dispatcher.use_zone(configuration.zone)
--- a/src/pewtertack/platform/documents.py
+++ b/src/pewtertack/platform/documents.py
@@ -45,8 +45,8 @@
 
 
 class _Limits(msgspec.Struct, frozen=True, rename="pascal"):
-    max_header_bytes: int
-    max_body_bytes: int
+    max_header_bytes: _Number
+    max_body_bytes: _Number
     header_timeout: str
     idle_timeout: str
 
@@ -75,6 +75,7 @@
         "services": {item.name: _service_of(item) for item in given.services or ()},
         "routes": conversion.routes_by_name(routes),
     }
+    tree |= conversion.head_bytes(given.limits.max_header_bytes)
     if zones:
         tree[RootSection.EVACUATED_ZONES.value] = list(zones)
     return version, tree
--- a/tests/core/configuration/test_validation.py
+++ b/tests/core/configuration/test_validation.py
@@ -72,6 +72,7 @@
     ("٢s", "routes.lookup.timeout", FindingCode.WRONG_UNIT, None, None),
     ("0s", "routes.lookup.timeout", FindingCode.OUT_OF_RANGE, None, None),
     ("2h", "routes.lookup.timeout", FindingCode.OUT_OF_RANGE, None, None),
+    (2**20 + 1, "head_bytes", FindingCode.OUT_OF_RANGE, None, None),
     (-1, "routes.lookup.queue_limit", FindingCode.OUT_OF_RANGE, None, None),
     (1.5, "routes.lookup.retry_budget", FindingCode.OUT_OF_RANGE, None, None),
     ("fast", "routes.lookup.class", FindingCode.UNKNOWN_CHOICE, None, None),
@@ -121,6 +122,7 @@
     ("1200.0625ms", "routes.lookup.timeout"),
     ("0.000000000000000001s", "routes.lookup.target_latency"),
     ("/health/?full=1&of=a%20b", "services.logbook.health_path"),
+    (65_536, "head_bytes"),
     (dict.fromkeys(VALID_TREE["services"], 1_000_000), "routes.lookup.split"),
 ]
 
--- a/tests/platform/test_unusual_configurations.py
+++ b/tests/platform/test_unusual_configurations.py
@@ -117,6 +117,12 @@
             number, _ = tree_of(encoded({**CONFIGURATION, "Version": f"r{version}"}))
             self.assertEqual(number, version)
 
+    def test_a_longer_head_than_usual_is_allowed_to_callers(self) -> None:
+        for given_bytes, head_bytes in ((16_384, 0), (65_536, 65_536), (10**9, 1024 * 1024)):
+            with self.subTest(given_bytes):
+                limits = {**CONFIGURATION["Limits"], "MaxHeaderBytes": given_bytes}
+                self.assertEqual(resolved(Limits=limits).head_bytes, head_bytes)
+
     def test_a_health_path_is_asked_for_as_it_is(self) -> None:
         for path in ("/health/", "/health?full=1", "/a%20b", "/"):
             with self.subTest(path):
