--- a/src/pewtertack/core/replication/service.py
+++ b/src/pewtertack/core/replication/service.py
@@ -26,7 +26,7 @@
 from pewtertack.core.replication.inquiry import ReturnInquiry
 from pewtertack.core.replication.machine_lists import MachineListReplica
 from pewtertack.core.replication.offers import Offered, Offers
-from pewtertack.core.replication.puller import Puller, PullSource
+from pewtertack.core.replication.pulling import Pulling
 from pewtertack.core.replication.quorum import QuorumCommit
 from pewtertack.core.replication.reader import HeldOfSource, PlatformReader
 from pewtertack.core.replication.readership import READERSHIPS, ReadershipParts
@@ -58,9 +58,6 @@
 MILLISECONDS = 1000.0
 FIRST_START_SPREAD = 1.25
 """Nodes that wait for the list do not all read at one moment."""
-UNKNOWN_DIGEST = b""
-"""Peers tell only the number of their machine list."""
-
 FAILURE_EVENTS = {
     DocumentKind.CONFIGURATION: Event.SOURCE_FAILED,
     DocumentKind.MACHINE_LIST: Event.MACHINE_LIST_FAILED,
@@ -102,7 +99,8 @@
             DocumentKind.MACHINE_LIST: self.machine_list.store,
         }
         self._server = PullServer(stores, profile, random, now, self._source.wide_link)
-        self._pullers = {kind: Puller(profile.pull_timeout) for kind in DocumentKind}
+        self._offers = Offers()
+        self._pulling = Pulling(self.replica, self.machine_list, self._offers, profile.pull_timeout)
         self.quorum = QuorumCommit(identity, profile, membership, now)
         self.freshness = SourceFreshness()
         first_read_at = now + self._first_read_delay()
@@ -129,7 +127,6 @@
             identity, profile, membership, self.freshness, stores, self._source.wide_link
         )
         self.passed_over = PassedOver()
-        self._offers = Offers()
         self.budget = Budget()
         """What may be done of long work in the present turn."""
         self.stages = StageReports()
@@ -173,8 +170,7 @@
         effects += self.reader.tick(
             now, may_read, numbers, joining and self._source.durable, self._held_of_source(now)
         )
-        for kind in DocumentKind:
-            effects += self._pull_if_due(now, kind)
+        effects += self._pulling.due(now)
         if self._has_uncommitted():
             effects += self.quorum.report_again(now, self.replica.held)
             effects += self._commit_if_reached(now, self.replica.held)
@@ -264,15 +260,8 @@
         effects = self.stages.heard(now, sender, state.newest)
         effects += self._adopt_commit(now, state.committed)
         self._hear_era(now, state.machine_list)
-        if self.replica.wants(state.held):
-            self._offer_pull(DocumentKind.CONFIGURATION, sender, address, state.held)
-        elif state.committed == self.replica.missing_committed:
-            self._offer_pull(DocumentKind.CONFIGURATION, sender, address, state.committed)
-        if state.machine_list > self.machine_list.revision.number:
-            listed = RevisionId(state.machine_list, UNKNOWN_DIGEST)
-            self._offer_pull(DocumentKind.MACHINE_LIST, sender, address, listed)
-        for kind in DocumentKind:
-            effects += self._pull_if_due(now, kind)
+        self._pulling.learn(sender, address, state)
+        effects += self._pulling.due(now)
         return effects
 
     def on_heartbeat(
@@ -348,28 +337,6 @@
             effects.append(Send(sender, address, Announce(self.state())))
         return effects
 
-    def _offer_pull(
-        self, kind: DocumentKind, sender: str, address: str, revision: RevisionId
-    ) -> None:
-        self._pullers[kind].offer(PullSource(sender, address, revision))
-
-    def _pull_if_due(self, now: float, kind: DocumentKind) -> list[Effect]:
-        puller = self._pullers[kind]
-        if kind is DocumentKind.CONFIGURATION and puller.newest <= self._offers.newest:
-            return []  # it is here already, and under work
-        source = puller.next_source(now)
-        if source is None:
-            return []
-        if kind is DocumentKind.MACHINE_LIST:
-            pull = Pull(kind, self.machine_list.revision)
-        else:
-            pull = self._configuration_pull(source.revision)
-        return [Send(source.name, source.address, pull)]
-
-    def _configuration_pull(self, revision: RevisionId) -> Pull:
-        exact = revision if revision == self.replica.missing_committed else None
-        return Pull(DocumentKind.CONFIGURATION, self.replica.held, exact)
-
     # Answers to pulls.
 
     def on_pull(self, now: float, sender: str, address: str, pull: Pull) -> list[Effect]:
@@ -384,12 +351,11 @@
 
     def on_frame_arriving(self, now: float, host: str) -> None:
         """What a peer at ``host`` was asked for may be on its way."""
-        for puller in self._pullers.values():
-            puller.arriving(now, host)
+        self._pulling.arriving(now, host)
 
     def on_deltas(self, now: float, answer: DeltaAnswer) -> list[Effect]:
         """Apply the deltas that a peer sent."""
-        self._pullers[answer.kind].finish()
+        self._pulling.answered(answer.kind)
         return self._take_delta_answer(now, answer, Way.DELTA)
 
     def _take_delta_answer(self, now: float, answer: DeltaAnswer, way: Way) -> list[Effect]:
@@ -399,7 +365,7 @@
 
     def on_snapshot(self, now: float, answer: SnapshotAnswer) -> list[Effect]:
         """Take in a whole document, if its digest is right."""
-        self._pullers[answer.kind].finish()
+        self._pulling.answered(answer.kind)
         revision, document = answer.revision, answer.document
         if answer.kind is DocumentKind.CONFIGURATION:
             make = partial(self.replica.offering_snapshot, revision, document)
@@ -410,7 +376,7 @@
 
     def on_busy(self, now: float, busy: Busy) -> None:
         """Come back later, or to another peer."""
-        self._pullers[busy.kind].postpone(now, busy.retry_after_milliseconds / MILLISECONDS)
+        self._pulling.busy(now, busy)
 
     def _take_deltas(self, now: float, deltas: tuple[Delta, ...], way: Way) -> list[Effect]:
         if not deltas:
@@ -460,7 +426,7 @@
         effects = list(done.effects)
         held, refused = self.replica.held, self.replica.refused
         ended = held if refused is None else refused.revision
-        self._pullers[DocumentKind.CONFIGURATION].forget_up_to(ended.number)
+        self._pulling.forget_up_to(DocumentKind.CONFIGURATION, ended.number)
         if held == before:
             return effects
         effects += self.stages.held(now, held.number, done.way, effects)
@@ -513,7 +479,7 @@
             return effects
         number = self.machine_list.revision.number
         self._hear_era(now, number)
-        self._pullers[DocumentKind.MACHINE_LIST].forget_up_to(number)
+        self._pulling.forget_up_to(DocumentKind.MACHINE_LIST, number)
         self._membership.use_list(self.machine_list.nodes(), now)
         return [*effects, *self._tell_era_change(now), *self._announce(None)]
 
