A change of more than routes is checked by slices, too

Cause: a document that changes another section beside its routes is checked whole, in one turn of the event loop: 5,000 routes, 1,400 of them and a service new, held it for 115 to 187 ms.

Change: the stages of the whole check yield between steps of 40 to 50 tables.

--- a/src/pewtertack/core/configuration/structure.py
+++ b/src/pewtertack/core/configuration/structure.py
@@ -56,6 +56,12 @@
 INTEGER_LIMIT = 2**63
 """Integers beyond 64 bits do not survive every codec."""
 
+TABLES_AT_ONCE = 50
+"""Tables that are looked at in one step."""
+
+Steps = Iterator[Finding | None]
+"""What is found, and ``None`` after each step."""
+
 NOTHING_CHECKED = CheckedTables()
 
 NAME_ACCEPTED = "letters, digits, ., - and _, at most 128 characters, the first not . or -"
@@ -79,9 +85,17 @@
     Ends early when the tree is too large; safe for any nesting. Tables that were
     ``checked`` before count with their size only, and so do those of plain values alone.
     """
+    return (finding for finding in checking_plain(document, checked) if finding is not None)
+
+
+def checking_plain(document: Any, checked: CheckedTables) -> Steps:
+    """Do what ``check_plain`` does, in steps."""
     pending: list[tuple[Any, Path]] = [(document, ())]
-    size = 0
+    size = count = 0
     while pending:
+        count += 1
+        if count % TABLES_AT_ONCE == 0:
+            yield None
         value, path = pending.pop()
         known = _known_size(value, path, checked) if isinstance(value, dict) else None
         size += VALUE_SIZE + _text_size(value) if known is None else known
@@ -212,6 +226,11 @@
     document: Mapping[str, Any], checked: CheckedTables = NOTHING_CHECKED
 ) -> Iterator[Finding]:
     """Yield every unknown key and wrong value of ``document``, which ``check_plain`` passed."""
+    return (finding for finding in checking_structure(document, checked) if finding is not None)
+
+
+def checking_structure(document: Mapping[str, Any], checked: CheckedTables) -> Steps:
+    """Do what ``check_structure`` does, in steps."""
     for key, value in document.items():
         if key == ZONES:
             check_zone = partial(_check_zone, document, checked)
@@ -222,9 +241,7 @@
             yield from _check_section(key, value, (), checked)
 
 
-def _check_zone(
-    root: Mapping[str, Any], checked: CheckedTables, zone: Table, path: Path
-) -> Iterator[Finding]:
+def _check_zone(root: Mapping[str, Any], checked: CheckedTables, zone: Table, path: Path) -> Steps:
     for key, value in zone.items():
         if key == DELETE:
             yield from check_delete_list(value, root, (*path, DELETE))
@@ -232,7 +249,7 @@
             yield from _check_section(key, value, path, checked)
 
 
-def _check_section(key: str, value: Any, scope: Path, checked: CheckedTables) -> Iterator[Finding]:
+def _check_section(key: str, value: Any, scope: Path, checked: CheckedTables) -> Steps:
     path = (*scope, key)
     if key == Section.ROUTE_DEFAULTS:
         yield from _check_settings(ROUTE_DEFAULT_SETTINGS, value, path)
@@ -254,16 +271,18 @@
 def _check_named_tables(
     value: Any,
     path: Path,
-    check_table: Callable[[Table, Path], Iterator[Finding]],
+    check_table: Callable[[Table, Path], Steps],
     limit: int = NAMED_LIMIT,
     checked: CheckedTables = NOTHING_CHECKED,
-) -> Iterator[Finding]:
+) -> Steps:
     """Check a table whose keys are names chosen by operators and whose values are tables."""
     if not isinstance(value, dict):
         yield _not_a_table(value, path)
         return
     yield from _check_count(value, path, limit)
-    for name, table in value.items():
+    for count, (name, table) in enumerate(value.items(), 1):
+        if count % TABLES_AT_ONCE == 0:
+            yield None
         here = (*path, name)
         if not is_name(name):
             yield _bad_name(here)
--- a/src/pewtertack/core/configuration/validation.py
+++ b/src/pewtertack/core/configuration/validation.py
@@ -8,7 +8,7 @@
 
 from collections.abc import Iterable, Iterator, Mapping, Sequence
 from functools import partial
-from itertools import chain, islice, product
+from itertools import chain, product
 from typing import Any
 
 from pewtertack.core.configuration.findings import Finding, FindingCode
@@ -25,8 +25,11 @@
 from pewtertack.core.configuration.scopes import Scope, scopes_of, winning_path
 from pewtertack.core.configuration.structure import (
     SIZE_LIMIT,
+    Steps,
     check_plain,
     check_structure,
+    checking_plain,
+    checking_structure,
     size_of,
 )
 from pewtertack.core.configuration.values import kind_of
@@ -48,6 +51,9 @@
 ROUTES_AT_ONCE = 40
 """Routes that are checked in one step."""
 
+STEP_UNITS = 25
+"""What a step of the whole check counts for."""
+
 ROUTES_RECKONED_A_UNIT = 8
 """Routes whose size or match is reckoned in the time of one check."""
 
@@ -74,7 +80,7 @@
 def checking_document(
     document: Document, checked: CheckedTables | None = None
 ) -> Work[tuple[Finding, ...]]:
-    """Do what ``check_document`` does; routes that are added or changed alone in slices.
+    """Do what ``check_document`` does, in slices.
 
     No other document may be checked with the same tables meanwhile.
     """
@@ -87,21 +93,37 @@
         message = f"{kind_of(plain)} instead of a table"
         return (Finding(FindingCode.NOT_A_TABLE, (), message),)
     stages = (
-        partial(check_plain, checked=known),
-        partial(check_structure, checked=known),
+        partial(checking_plain, checked=known),
+        partial(checking_structure, checked=known),
         _check_not_empty,
         partial(_share_values, checked=checked),
         partial(_check_scopes, checked=known),
     )
     for stage in stages:
-        findings = tuple(islice(stage(plain), FINDINGS_LIMIT))
+        findings = yield from _first_findings(stage(plain))
         if findings:
             return findings
+    taken_over = len(plain.get(Section.ROUTES, ())) / ROUTES_RECKONED_A_UNIT
+    yield taken_over
     known.remember(plain, size_of)
+    yield taken_over
     known.matches = _matches_of(plain, known)
     return ()
 
 
+def _first_findings(steps: Steps) -> Work[tuple[Finding, ...]]:
+    """Return the first ``FINDINGS_LIMIT`` findings."""
+    findings: list[Finding] = []
+    for found in steps:
+        if found is None:
+            yield STEP_UNITS
+            continue
+        findings.append(found)
+        if len(findings) == FINDINGS_LIMIT:
+            break
+    return tuple(findings)
+
+
 def _accepting_edit(document: Document, known: CheckedTables) -> Work[bool]:
     """Take over a document that changes routes of the newest accepted one, if validly so.
 
@@ -259,24 +281,29 @@
         yield Finding(FindingCode.EMPTY_TREE, (), message, "at least one route or service")
 
 
-def _check_scopes(document: Document, checked: CheckedTables) -> Iterator[Finding]:
+def _check_scopes(document: Document, checked: CheckedTables) -> Steps:
     """Yield what is broken in any scope; what one scope reported is not said again."""
     reported: set[tuple[FindingCode, tuple[str, ...], str]] = set()
     for scope in scopes_of(document):
         for finding in _check_scope(scope, checked):
+            if finding is None:
+                yield None
+                continue
             key = (finding.code, finding.path, finding.message)
             if key not in reported:
                 reported.add(key)
                 yield finding
 
 
-def _check_scope(scope: Scope, checked: CheckedTables) -> Iterator[Finding]:
+def _check_scope(scope: Scope, checked: CheckedTables) -> Steps:
     found = CheckedScope(frozenset(scope.service_names()), frozenset(scope.secrets()))
     known = checked.scope(scope.zone)
     if known is not None and not known.holds_for(found.services, found.secrets):
         known = None
     routes_by_prefix: dict[str, list[_Route]] = {}
-    for name in scope.route_names():
+    for count, name in enumerate(scope.route_names(), 1):
+        if count % ROUTES_AT_ONCE == 0:
+            yield None
         tables, defaults = scope.route_tables(name), scope.inherited_values(name)
         match = known.routes.find(name, tables, defaults) if known is not None else None
         if match is None:
@@ -285,6 +312,7 @@
             match = match_of(values)
         found.routes.remember(name, tables, defaults, match)
         routes_by_prefix.setdefault(match.path_prefix, []).append((name, match))
+    yield None
     yield from _check_matches(scope, routes_by_prefix)
     checked.note_scope(scope.zone, found)
 
