--- a/src/pewtertack/core/replication/offers.py
+++ b/src/pewtertack/core/replication/offers.py
@@ -12,17 +12,13 @@
 """Begins work that holds a configuration in its last step, if it is newer and valid."""
 
 
-class Offered:
-    """A configuration that was offered, by its number, and how it came."""
+class _Offer:
+    __slots__ = ("make", "number", "way")
 
-    __slots__ = ("effects", "make", "number", "way")
-
-    def __init__(self, number: int, way: Way, make: MakeWork) -> None:
+    def __init__(self, number: int, make: MakeWork, way: Way) -> None:
         self.number = number
-        self.way = way
         self.make = make
-        self.effects: list[Effect] = []
-        """What came of it."""
+        self.way = way
 
 
 class Offers:
@@ -32,13 +28,14 @@
     other quickly would keep each other from ever being held.
     """
 
-    __slots__ = ("_offered", "_waiting", "_work")
+    __slots__ = ("_number", "_waiting", "_work", "way")
 
     def __init__(self) -> None:
         self._work: LongWork[list[Effect]] | None = None
-        self._offered: Offered | None = None
-        """What is under work."""
-        self._waiting: Offered | None = None
+        self._number = 0
+        self.way = Way.UNKNOWN
+        """How the configuration under work came."""
+        self._waiting: _Offer | None = None
 
     @property
     def is_working(self) -> bool:
@@ -48,24 +45,23 @@
     @property
     def newest(self) -> int:
         """The highest number under work or waiting; 0 for none."""
-        both = (self._offered, self._waiting)
-        return max((item.number for item in both if item is not None), default=0)
+        return max(self._number, self._waiting.number if self._waiting is not None else 0)
 
-    def add(self, offered: Offered) -> None:
+    def add(self, number: int, make: MakeWork, way: Way) -> None:
         """Begin the work on a configuration, or let it wait in place of an older one."""
         if self._work is None:
-            self._work, self._offered = LongWork(offered.make()), offered
-        elif self._waiting is None or offered.number >= self._waiting.number:
-            self._waiting = offered
+            self._work, self._number, self.way = LongWork(make()), number, way
+        elif self._waiting is None or number >= self._waiting.number:
+            self._waiting = _Offer(number, make, way)
 
-    def advance(self, budget: Budget) -> Offered | None:
-        """Go on with the work; return what was offered once it is done, and begin the next.
+    def advance(self, budget: Budget) -> list[Effect] | None:
+        """Go on with the work; return its effects once it is done, and begin the next.
 
         Raises:
             DeltaMismatchError: a chain of deltas does not fit; the next is begun.
         """
-        work, offered = self._work, self._offered
-        if work is None or offered is None:
+        work = self._work
+        if work is None:
             return None
         try:
             done = work.advance(budget)
@@ -75,11 +71,10 @@
         if not done:
             return None
         self._begin_next()
-        offered.effects = work.result
-        return offered
+        return work.result
 
     def _begin_next(self) -> None:
         waiting, self._waiting = self._waiting, None
-        self._work = self._offered = None
+        self._work, self._number = None, 0
         if waiting is not None:
-            self.add(waiting)
+            self.add(waiting.number, waiting.make, waiting.way)
--- a/src/pewtertack/core/replication/reader.py
+++ b/src/pewtertack/core/replication/reader.py
@@ -9,6 +9,7 @@
 
 from pewtertack.core.effects import Effect, Log, ReadDocument
 from pewtertack.core.inputs import DocumentRead, DocumentReadFailed, DocumentUnchanged
+from pewtertack.core.newcomers import DOUBTED_SECONDS
 from pewtertack.core.profile import TimingProfile
 from pewtertack.core.replication.answer_times import AnswerTimes
 from pewtertack.core.replication.freshness import SourceFreshness
@@ -34,6 +35,8 @@
     """The zones that the held tree names as evacuated."""
     ended: Mapping[str, int] = {}
     """Those that it names no longer (`core.ended_evacuations`)."""
+    doubts_copy: bool = False
+    """Whether the node cannot know which evacuations a copy shows have ended."""
     held: RevisionId = NO_REVISION
     """Of the held tree."""
     tree: Document | None = None
@@ -144,6 +147,7 @@
             of_source.era_since,
             of_source.evacuated,
             of_source.ended,
+            of_source.doubts_copy,
             of_source.held,
             of_source.tree,
             self._reads,
@@ -181,7 +185,11 @@
         if may_be_stale or unconfirmed or self._open[kind].is_any_overdue(now):
             return 0.0
         longest = self._profile.read_wait
-        return min(longest, self._profile.read_overlap) if self._overlaps(kind) else longest
+        if self._overlaps(kind):
+            longest = min(longest, self._profile.read_overlap)
+        return (
+            min(longest, DOUBTED_SECONDS) if self._held.era and self._held.doubts_copy else longest
+        )
 
     def _known_number(self, kind: DocumentKind, held: int) -> int:
         """Return the number to wait for a change of.
--- a/src/pewtertack/node/status.py
+++ b/src/pewtertack/node/status.py
@@ -4,6 +4,8 @@
 
 import msgspec
 
+from pewtertack.node.addresses import AddressStatus
+
 
 class RevisionStatus(msgspec.Struct, frozen=True):
     """One revision; number 0 stands for none."""
@@ -49,15 +51,6 @@
     """Frames signed with one of ``peers.accepted_keys``."""
 
 
-class AddressStatus(msgspec.Struct, frozen=True):
-    """Where the node listens, as ``ip:port``; ``proxy`` is empty without a proxy part."""
-
-    peer: str
-    advertised: str
-    admin: str
-    proxy: str
-
-
 class RefusedRequestStatus(msgspec.Struct, frozen=True):
     """A request under which back ends have ended, by its fingerprint."""
 
@@ -86,13 +79,14 @@
     """How reads of one document fare."""
 
     open_for: float | None = None
-    """Since the open read began; none without one."""
+    """Since the oldest open read began; none without one."""
     may_wait: float = 0.0
     """For how long the source may keep that read open while nothing changes."""
     failures: int = 0
     """Failed reads since the last usable answer."""
     failure: str = ""
     """How the last of them ended (`pewtertack.errors.ReadFailure`); empty without one."""
+    open_reads: int = 0
 
 
 class NodeStatus(msgspec.Struct, frozen=True):
@@ -152,6 +146,8 @@
     """Of the latest revisions, the newest first."""
     reads: dict[str, ReadStatus] = {}
     """By document, ``configuration`` and ``machine_list``; empty while the node reads neither."""
+    source_answer_seconds: float | None = None
+    """What reads take beyond their waits, smoothed; none while the node reads nothing."""
 
 
 class MemberView(msgspec.Struct, frozen=True):
--- a/tests/lab/test_weakening.py
+++ b/tests/lab/test_weakening.py
@@ -11,11 +11,23 @@
 from unittest import mock
 
 from pewtertack.core import profile
+from pewtertack.core.eras import list_number
+from pewtertack.core.machines import MachineState
+from pewtertack.core.replication.machine_lists import MachineListReplica
+from pewtertack.core.returned_lists import ReturnedLists
+from pewtertack.core.revision import identify
 from pewtertack.lab.errors import LabUsageError
-from pewtertack.lab.weakening import CORE_MECHANISMS, MECHANISMS, REQUEST_MECHANISMS, switch_off
+from pewtertack.lab.weakening import (
+    CORE_MECHANISMS,
+    HASTY_ANSWER_SECONDS,
+    MECHANISMS,
+    REQUEST_MECHANISMS,
+    switch_off,
+)
 from pewtertack.node.proxy import exchange
 from pewtertack.node.proxy.application import ProxyApplication
 from pewtertack.node.proxy.stop_time import StopTime
+from pewtertack.platform import store
 
 SOURCE_DIRECTORY = Path(__file__).resolve().parents[2] / "src"
 
@@ -28,6 +40,13 @@
                 for timing in profile.PROFILES.values():
                     self.assertFalse(getattr(timing.mechanisms, name))
 
+    def test_slow_sources_are_read_as_quick_ones(self) -> None:
+        with mock.patch.dict(profile.PROFILES), mock.patch.object(store, "ANSWER_SECONDS", 8.0):
+            switch_off("overlapping_reads")
+            switch_off("slow_answers")
+            self.assertEqual({item.read_patience for item in profile.PROFILES.values()}, {0.0})
+            self.assertEqual(store.ANSWER_SECONDS, HASTY_ANSWER_SECONDS)
+
     def test_the_answers_identity_is_no_longer_read(self) -> None:
         with mock.patch.dict(vars(exchange)):
             switch_off("answer_identity")
@@ -48,6 +67,16 @@
             self.assertTrue(proxy.leaving)
             self.assertFalse(proxy._parts.stop.begun)
 
+    def test_nothing_is_held_after_returns(self) -> None:
+        with mock.patch.object(ReturnedLists, "__init__", ReturnedLists.__init__):
+            switch_off("hold_after_return")
+            replica = MachineListReplica(6.0, 0.0)
+        for number in (list_number(0, 9), list_number(1, 5)):
+            state = "leaving" if number == 9 else "live"
+            entry = {"role": "backend", "zone": "a", "address": "1:1", "state": state}
+            replica.offer(1.0, identify(number, {"b": entry}), {"b": entry})
+        self.assertEqual(replica.machines.machines[0].state, MachineState.LIVE)
+
     def test_every_request_mechanism_can_be_switched_off(self) -> None:
         for name in REQUEST_MECHANISMS:
             with self.subTest(name):
