A node does not load msgspec's description of types

msgspec imports it for JSON schemas, which a node never makes. A stand-in takes its place until the start is over, as for other modules; the schema and the module itself are found afterwards (test).

--- a/src/pewtertack/node/lean_imports.py
+++ b/src/pewtertack/node/lean_imports.py
@@ -4,8 +4,9 @@
 it. On a machine that has it this was a fifth of a node's start while httpcore was part of
 it (measured: 138 of 650 ms), and a node that starts refuses requests.
 
-Other modules are named by asyncio, anyio and logbook while these load, and by nothing that a node
-calls: it speaks no TLS, starts no process and writes no compressed log files. A stand-in with the
+Other modules are named by asyncio, anyio, logbook and msgspec while these load, and by nothing that
+a node calls: it speaks no TLS, starts no process, writes no compressed log files and describes no
+types. A stand-in with the
 few names takes their place until the start is over. Without them, OpenSSL's digests and the
 parser of flags, a node's imports take 1.8 MB less private memory (17.2 of 19.0 MB) and 5 MB less
 resident memory (26.5 of 31.8 MB; four alternating runs on a busy machine; processor time not told
@@ -30,6 +31,7 @@
     "ssl": ("SSLContext", "SSLSocket", "SSLSyscallError", "SSLWantReadError"),
     "subprocess": ("DEVNULL", "PIPE", "STDOUT"),
     "gzip": (),
+    "msgspec.inspect": (),
 }
 """Modules that are not loaded, with the names that others take from them as they load."""
 TYPING_EXTENSIONS = "typing_extensions"
--- a/tests/node/test_lean_imports.py
+++ b/tests/node/test_lean_imports.py
@@ -26,6 +26,7 @@
         "argparse",
         "pathlib",
         "typing_extensions",
+        "msgspec.inspect",
     }
 )
 PRIVATE_KIB_MAX = 17_700
@@ -60,6 +61,17 @@
         program = LOADING + "import typing_extensions; print(typing_extensions.TypeIs)"
         self.assertIn("TypeIs", run(program))
 
+    def test_after_the_start_types_can_be_described(self) -> None:
+        program = LOADING + (
+            "import msgspec\n"
+            "print(msgspec.json.schema(int), msgspec.inspect.type_info(int))\n"
+            "import msgspec.inspect\n"
+            "print(msgspec.inspect.IntType)\n"
+        )
+        shown = ["{'type': 'integer'}", "IntType("]
+        found = run(program)
+        self.assertTrue(all(text in found for text in shown), found)
+
     def test_a_name_that_no_stand_in_has_loads_the_module(self) -> None:
         program = (
             "import sys\n"
