--- a/tests/core/test_long_work.py
+++ b/tests/core/test_long_work.py
@@ -270,18 +270,6 @@
         ]
         self.assertNotIn(2, told)
 
-    def test_a_fault_in_the_work_leaves_the_node_able_to_take_the_next(self) -> None:
-        self.now = 0.1
-        effects = self.read(2, tree(BASE_ROUTES + ADDED_ROUTES))
-        fault = mock.patch.object(DocumentStore, "put", side_effect=KeyError("a fault"))
-        with fault, self.assertRaises(KeyError):
-            self.go_on(effects)
-        freshness = self.core.replication.freshness
-        self.assertEqual(freshness.age(0.1, DocumentKind.CONFIGURATION), 0.0)
-        effects = self.read(3, tree(BASE_ROUTES + 1))
-        found = effects + self.go_on(effects)
-        self.assertEqual(self.versions(found), [3])
-
     def test_what_is_held_is_not_told_as_confirmed_by_what_waits(self) -> None:
         freshness = self.core.replication.freshness
         for self.now, number in ((0.1, 2), (0.3, 3)):
@@ -294,6 +282,18 @@
             self.feed(WorkContinued())
         self.assertEqual(freshness.age(self.now, DocumentKind.CONFIGURATION), 0.0)
 
+    def test_a_fault_in_the_work_leaves_the_node_able_to_take_the_next(self) -> None:
+        self.now = 0.1
+        effects = self.read(2, tree(BASE_ROUTES + ADDED_ROUTES))
+        fault = mock.patch.object(DocumentStore, "put", side_effect=KeyError("a fault"))
+        with fault, self.assertRaises(KeyError):
+            self.go_on(effects)
+        freshness = self.core.replication.freshness
+        self.assertEqual(freshness.age(0.1, DocumentKind.CONFIGURATION), 0.0)
+        effects = self.read(3, tree(BASE_ROUTES + 1))
+        found = effects + self.go_on(effects)
+        self.assertEqual(self.versions(found), [3])
+
     def test_a_node_that_leaves_meanwhile_ends_its_work(self) -> None:
         effects = self.read(2, tree(BASE_ROUTES + ADDED_ROUTES))
         self.feed(DrainRequested())
