--- a/src/pewtertack/core/configuration/structure.py
+++ b/src/pewtertack/core/configuration/structure.py
@@ -20,6 +20,7 @@
 )
 from pewtertack.core.configuration.model import (
     DELETE,
+    HEAD_BYTES_SETTING,
     NAMED_LIMIT,
     ROUTE_DEFAULT_SETTINGS,
     ROUTE_SETTINGS,
@@ -241,6 +242,8 @@
             yield from _check_named_tables(value, (ZONES,), check_zone, ZONE_LIMIT)
         elif key == RootSection.EVACUATED_ZONES:
             yield from check_zone_names(value, (key,))
+        elif key == RootSection.HEAD_BYTES:
+            yield from check_value(HEAD_BYTES_SETTING, value, (key,))
         else:
             yield from _check_section(key, value, (), checked)
 
