--- a/src/pewtertack/core/configuration/percent.py
+++ b/src/pewtertack/core/configuration/percent.py
@@ -5,7 +5,7 @@
 import re
 import string
 
-PLAIN = frozenset(string.ascii_letters + string.digits + "-._~/!$&'()*+,;=:@%")
+PLAIN = string.ascii_letters + string.digits + "-._~/!$&'()*+,;=:@%"
 """Characters that stay as they are in a path."""
 
 _ENCODED = re.compile("(?:%[0-9A-Fa-f]{2})+")
