Names and comments of slices, reads and overrides in plain terms

Cause: docstrings gave measurements and reasons of tuning, or described reads and overrides in words that need explaining; constants were named X_A_UNIT and X_MOST beside X_MAX elsewhere.

Change: comments and docstrings rewritten; UNITS_A_TURN, X_A_UNIT, READS_MOST, WAITING_MOST, SPOILT, Mirror.told, ReturnedLists._lay_over, _ArrivalTeller and _TableCopy.do are renamed, with their tests. No change of behaviour.

--- a/src/pewtertack/core/address_owners.py
+++ b/src/pewtertack/core/address_owners.py
@@ -10,7 +10,7 @@
 class AddressOwners:
     """The latest start known of a back end at each address: no life before it comes back.
 
-    A node that began after a life had ended knows nothing of it but that another followed.
+    A node that began after a life had ended knows only that another has followed.
     """
 
     __slots__ = ("_until", "known")
@@ -27,7 +27,7 @@
         self._take(machines)
 
     def hear(self, until: float, machines: Iterable[Machine]) -> None:
-        """Take in what a peer knew before the era; nothing holds for longer by it."""
+        """Take in what a peer knew before the era; the time is not extended."""
         if not self.known:
             self._until = until
         self._take(machines)
@@ -43,11 +43,11 @@
         return machine.is_backend and machine.is_of_life_before(started_at)
 
     def is_due(self, now: float) -> bool:
-        """Tell whether what is known holds no longer."""
+        """Tell whether the time is over."""
         return bool(self.known) and self._until <= now
 
     def forget(self) -> None:
-        """Hold nothing any more."""
+        """Forget the starts."""
         self.known = {}
 
     def _take(self, machines: Iterable[Machine]) -> None:
--- a/src/pewtertack/core/configuration/conversion.py
+++ b/src/pewtertack/core/configuration/conversion.py
@@ -1,8 +1,8 @@
 """Writes values of another system's configuration in the forms that the tree has.
 
-What that system accepts may be wider than the tree: a value that the tree can only come near to
-gets the nearest one, so that one unusual route does not cost a fleet a whole version. What is no
-value of its kind at all stays as it is and is left to validation.
+That system may accept values that the tree does not: they are replaced by the nearest one that the
+tree allows, so that one unusual route does not make a whole version invalid. What is not a value of
+its kind at all is kept as it is, and refused by validation.
 """
 
 from __future__ import annotations
@@ -36,13 +36,13 @@
 
 
 def route_table(host: str, prefix: str, service: str, shares: Sequence[tuple[str, float]]) -> Table:
-    """Return a route's settings of what it matches and where it leads.
+    """Return a route's settings that say which requests it matches and which services get them.
 
     Args:
-        host: its only one.
+        host: the only host that it matches.
         prefix: of the path, with a slash at its end.
-        service: empty where the services of ``shares`` have the requests by their weights.
-        shares: those services, each with its weight.
+        service: gets the requests; empty where ``shares`` divides them.
+        shares: services, each with its weight.
     """
     split = weights(ROUTE_SETTINGS["split"], shares)
     return {
@@ -54,7 +54,7 @@
 
 
 def route_bounds(times: tuple[str, str], priority: float, attempts: float) -> Table:
-    """Return a route's settings of time-out, wanted latency, rank and tries."""
+    """Return a route's time-out, target latency, priority and limit of retries."""
     timeout, target_latency = times
     return {
         "timeout": duration(ROUTE_SETTINGS["timeout"], timeout),
@@ -90,7 +90,7 @@
 def duration(setting: Setting, text: str) -> str:
     """Return the duration nearest to ``text`` that the setting allows.
 
-    Zero, where the setting has no zero, stands for no bound: the longest.
+    Zero, where the setting does not allow it, stands for no bound and gives the longest.
     """
     seconds = duration_seconds(text)
     if seconds is None or setting.minimum <= seconds <= setting.maximum:
@@ -103,7 +103,7 @@
 def path_prefix(text: str) -> str:
     """Return a prefix that ends with a slash as the tree writes it.
 
-    What has no place there is percent-encoded: it matches what it matches as it is.
+    Other characters are percent-encoded, which matches the same requests.
     """
     prefix = text if text.endswith("//") else text.removesuffix("/") or "/"
     if is_path_prefix(prefix) or not prefix.startswith("/"):
@@ -125,7 +125,7 @@
 
 @lru_cache(maxsize=VALUES_KEPT)
 def host_name(text: str) -> str:
-    """Return the name of a host without its port: requests are matched without theirs."""
+    """Return the name of a host without its port, since requests are matched without it."""
     name, _, port = text.rpartition(":")
     return name if port.isdecimal() and is_host(name) else text
 
@@ -133,7 +133,7 @@
 def weights(setting: Setting, shares: Iterable[tuple[str, float]]) -> dict[str, int]:
     """Return weights that the setting allows in the proportions of ``shares``.
 
-    Those of one name are summed. Where all are 0 the names share alike.
+    Weights of one name are summed. If all are 0, the names have equal weights.
     """
     summed: dict[str, float] = {}
     for name, weight in shares:
@@ -148,16 +148,16 @@
 
 
 def head_bytes(value: float) -> Table:
-    """Return the root's setting of the longest head, where it is more than nodes always take."""
+    """Return the root's limit of a head's size, if it is above what nodes always accept."""
     if value <= HEAD_BYTES_ALWAYS:
         return {}
     return {HEAD_BYTES_SETTING.name: whole_number(HEAD_BYTES_SETTING, value)}
 
 
 def routes_by_name(given: Iterable[tuple[str, Table]]) -> dict[str, Table]:
-    """Return routes by names that the tree may have, each of its own.
+    """Return routes by unique names that the tree allows.
 
-    Of routes that match the same requests the first holds.
+    Of routes that match the same requests only the first is kept.
     """
     routes: dict[str, Table] = {}
     matches: set[tuple[str, str]] = set()
@@ -170,7 +170,7 @@
 
 
 def _distinct_name(text: str, taken: Container[str], match: tuple[str, str]) -> str:
-    """Return ``text`` if it is a name and free, otherwise a digest that is the route's own."""
+    """Return ``text`` if it is a name and free, otherwise a digest of the route."""
     if is_name(text) and text not in taken:
         return text
     content = "\0".join((text, *match)).encode(errors="replace")
--- a/src/pewtertack/core/configuration/percent.py
+++ b/src/pewtertack/core/configuration/percent.py
@@ -15,19 +15,19 @@
 
 
 def encode(path: str) -> str:
-    """Return ``path`` with all encoded that has no place in one; what is encoded stays."""
+    """Return ``path`` with the characters encoded that no path may have; escapes are kept."""
     whole = _STRAY_PERCENT.sub("%25", path)
     return "".join(char if char in PLAIN else _encoded(char) for char in whole)
 
 
 def encode_segments(path: str) -> str:
-    """Return ``path`` encoded, its empty, "." and ".." segments too."""
+    """Return ``path`` encoded, including its empty, "." and ".." segments."""
     encoded = _DOT_SEGMENT.sub(lambda dots: dots[0].replace(".", "%2E"), encode(path))
     return _EMPTY_SEGMENT.sub("%2F", encoded)
 
 
 def decode(path: str) -> str:
-    """Return ``path`` with nothing encoded; bytes that are no UTF-8 become U+FFFD."""
+    """Return ``path`` with its escapes decoded; bytes that are not UTF-8 become U+FFFD."""
     return _ENCODED.sub(_decoded, path) if "%" in path else path
 
 
--- a/src/pewtertack/core/configuration/resolution.py
+++ b/src/pewtertack/core/configuration/resolution.py
@@ -25,9 +25,9 @@
 NOTHING: Mapping[str, Any] = MappingProxyType({})
 ROUTES_AT_ONCE = 50
 """Routes that are resolved in one step."""
-ROUTES_A_UNIT = 3
+ROUTES_PER_UNIT = 3
 """Routes that are resolved in the time in which one is checked."""
-ROUTES_TAKEN_OVER_A_UNIT = 50
+ROUTES_TAKEN_OVER_PER_UNIT = 50
 """Routes that are taken over as they are in the same time."""
 HOSTS_SHARED = 256
 """Combinations of hosts that routes share."""
@@ -67,7 +67,7 @@
     names = scope.route_names()
     yield from _resolving_routes(scope, names, document, memory)
     routes = tuple(memory.derived(name) or _resolve_known(scope, name, memory) for name in names)
-    yield len(names) / ROUTES_TAKEN_OVER_A_UNIT
+    yield len(names) / ROUTES_TAKEN_OVER_PER_UNIT
     services = {name: _resolve_service(scope, name) for name in scope.service_names()}
     return ResolvedConfiguration(
         revision=revision,
@@ -96,8 +96,8 @@
     for count, name in enumerate(edited, 1):
         _resolve_known(scope, name, memory)
         if count % ROUTES_AT_ONCE == 0:
-            yield ROUTES_AT_ONCE / ROUTES_A_UNIT
-    yield len(names) / ROUTES_TAKEN_OVER_A_UNIT
+            yield ROUTES_AT_ONCE / ROUTES_PER_UNIT
+    yield len(names) / ROUTES_TAKEN_OVER_PER_UNIT
     memory.document = document
 
 
--- a/src/pewtertack/core/configuration/validation.py
+++ b/src/pewtertack/core/configuration/validation.py
@@ -52,13 +52,13 @@
 """Routes that are checked in one step."""
 
 STEP_UNITS = 25
-"""What a step of the whole check counts for."""
+"""Units of one step of the whole check."""
 
-ROUTES_RECKONED_A_UNIT = 8
-"""Routes whose size or match is reckoned in the time of one check."""
+ROUTES_SIZED_PER_UNIT = 8
+"""Routes whose size or match is computed in one unit."""
 
-ROUTES_COMPARED_A_UNIT = 200
-"""Routes found to be the same object in the time of one check."""
+ROUTES_COMPARED_PER_UNIT = 200
+"""Routes found to be the same object in one unit."""
 
 _Route = tuple[str, RouteMatch]
 """Name and what it matches."""
@@ -103,7 +103,7 @@
         findings = yield from _first_findings(stage(plain))
         if findings:
             return findings
-    taken_over = len(plain.get(Section.ROUTES, ())) / ROUTES_RECKONED_A_UNIT
+    taken_over = len(plain.get(Section.ROUTES, ())) / ROUTES_SIZED_PER_UNIT
     yield taken_over
     known.remember(plain, size_of)
     yield taken_over
@@ -135,17 +135,17 @@
     scope = known.scope(None)
     if edit is None or scope is None:
         return False
-    yield len(document[Section.ROUTES]) / ROUTES_COMPARED_A_UNIT
+    yield len(document[Section.ROUTES]) / ROUTES_COMPARED_PER_UNIT
     written = yield from _checking_written(document, edit, known, scope)
     if written is None:
         return False
     size = known.size_after(document, edit, size_of)
     if size > SIZE_LIMIT:
         return False
-    yield len(edit.written) / ROUTES_RECKONED_A_UNIT
+    yield len(edit.written) / ROUTES_SIZED_PER_UNIT
     if not _is_free_of_rivals(known.matches, edit, scope, written):
         return False
-    yield len(edit.written) / ROUTES_RECKONED_A_UNIT
+    yield len(edit.written) / ROUTES_SIZED_PER_UNIT
     yield from _taking_over(document, edit, size, known, scope, written)
     return True
 
@@ -238,7 +238,7 @@
             if before is not None:
                 known.matches.remove(name, before)
                 scope.routes.forget(name)
-        yield len(names) / ROUTES_RECKONED_A_UNIT
+        yield len(names) / ROUTES_SIZED_PER_UNIT
     whole = Scope(document, None)
     for names in _parts_of(tuple(written)):
         for name in names:
@@ -246,9 +246,9 @@
             known.matches.add(name, match)
             tables, defaults = whole.route_tables(name), whole.inherited_values(name)
             scope.routes.remember(name, tables, defaults, match)
-        yield len(names) / ROUTES_RECKONED_A_UNIT
+        yield len(names) / ROUTES_SIZED_PER_UNIT
     known.remember_edit(document, edit, size, size_of)
-    yield len(edit.written) / ROUTES_RECKONED_A_UNIT
+    yield len(edit.written) / ROUTES_SIZED_PER_UNIT
 
 
 def _matches_of(document: Document, known: CheckedTables) -> KnownMatches:
--- a/src/pewtertack/core/delta.py
+++ b/src/pewtertack/core/delta.py
@@ -18,7 +18,7 @@
 COMPARED_AT_ONCE = 100
 """Entries of one table that are compared in one step."""
 COMPARED_UNITS = 10
-"""What that counts for."""
+"""Units of one such step."""
 
 Path = tuple[str, ...]
 
@@ -121,7 +121,7 @@
     """
     root = _TableCopy(document)
     for edit in edits:
-        root.do(edit)
+        root.apply(edit)
     return root.table
 
 
@@ -137,8 +137,8 @@
         self.table = dict(table)
         self._children: dict[str, _TableCopy] = {}
 
-    def do(self, edit: Edit) -> None:
-        """Do an edit whose path begins here.
+    def apply(self, edit: Edit) -> None:
+        """Apply an edit whose path begins here.
 
         Raises:
             DeltaMismatchError: the path does not fit.
--- a/src/pewtertack/core/newcomers.py
+++ b/src/pewtertack/core/newcomers.py
@@ -1,7 +1,7 @@
 """Back ends that a new era's first list names and that a node has not known before.
 
 A node that began shortly before the era cannot tell who has come since from who had left before
-it began: it leaves them alone until peers have told who has left, or for a short time.
+it began: it does not use them until peers have told who has left, or for a short time.
 """
 
 from __future__ import annotations
@@ -13,15 +13,15 @@
 LONGEST_COPY_AGE = 30.0
 """Seconds. A node that began longer before an era has seen what the copy does not know."""
 DOUBTED_SECONDS = 1.0
-"""For which peers are waited for."""
+"""How long a node waits for what peers know."""
 
 
 class Newcomers:
-    """Those that are left alone. Times are monotonic seconds.
+    """The names of back ends that are not used yet. Times are monotonic seconds.
 
     Args:
         began_at: since when the node has seen who leaves.
-        longest: seconds, a bound on how long anybody is left alone.
+        longest: seconds, a bound on how long a back end is not used.
     """
 
     __slots__ = ("_longest", "_names", "_until", "began_at")
@@ -40,17 +40,17 @@
         self._names = names if is_young else frozenset()
 
     def __contains__(self, name: str) -> bool:
-        """Tell whether the back end of this name is left alone."""
+        """Tell whether the back end of this name is not used yet."""
         return name in self._names
 
     def __len__(self) -> int:
-        """Return how many are left alone."""
+        """Return how many are not used yet."""
         return len(self._names)
 
     def is_due(self, now: float) -> bool:
-        """Tell whether they are left alone no longer."""
+        """Tell whether the time is over."""
         return bool(self._names) and self._until <= now
 
     def clear(self) -> None:
-        """Leave nobody alone any more."""
+        """Let all of them be used."""
         self._names = frozenset()
--- a/src/pewtertack/core/replication/answer_times.py
+++ b/src/pewtertack/core/replication/answer_times.py
@@ -1,12 +1,12 @@
-"""How long the source takes for its answers, and how long one is waited for."""
+"""Estimates when an answer of the source is overdue, from the times of earlier answers."""
 
 from __future__ import annotations
 
 LONGEST_PATIENCE = 8.0
 """Seconds."""
 MEAN_GAIN = 0.5
-"""Weight of the last answer in the mean: a source that has become quick is quick again after
-three answers."""
+"""Weight of the last answer in the mean. It is high, so that a source that has become quick is soon
+taken as quick."""
 DEVIATION_GAIN = 0.25
 DEVIATIONS = 4.0
 SLOW_SECONDS = 0.5
@@ -14,10 +14,10 @@
 
 
 class AnswerTimes:
-    """Smoothed mean and deviation of the source's times, as TCP keeps them for its timer.
+    """Smoothed mean and deviation of answer times, as in TCP's retransmission timer.
 
-    Counted is what an answer took beyond the time for which the source was to hold the read
-    open; where a change ended that earlier, nothing can be told.
+    The time of an answer is what it took beyond the wait of the read. It is unknown where a
+    change has ended the wait.
 
     Args:
         shortest: seconds for which an answer is waited for at least.
--- a/src/pewtertack/core/replication/inquiry.py
+++ b/src/pewtertack/core/replication/inquiry.py
@@ -12,7 +12,7 @@
 from pewtertack.wire.messages import VersionState
 
 ENOUGH_PEERS = 3
-"""Serving peers whose word suffices: one may have started itself."""
+"""Serving peers whose answers suffice; a single one may have started lately itself."""
 
 
 class ReturnInquiry:
@@ -49,7 +49,7 @@
         self.restart(now)
 
     def restart(self, now: float) -> None:
-        """Nothing is known of what has happened until now."""
+        """Begin anew, as a node that knows nothing of what has happened until now."""
         self._started_at = now
         self._begin(now)
         self._behind.clear()
--- a/src/pewtertack/core/replication/list_overrides.py
+++ b/src/pewtertack/core/replication/list_overrides.py
@@ -18,14 +18,14 @@
 MESSAGE_BYTES_MAX = 900
 """Of the entries of one message: with the envelope it fits one datagram."""
 MESSAGES_MAX = 8
-"""For one peer; what does not fit is left out, and who is kept goes last."""
+"""For one peer; what does not fit is left out, kept back ends first."""
 MILLISECONDS = 1000.0
 
 Override = LeavingBackend | DepartedBackend | KeptBackend
 
 
 def overrides_against(listed: MachineList, believed: MachineList) -> list[Override]:
-    """Return what is believed of back ends other than ``listed`` says, who is kept last."""
+    """Return how ``believed`` differs from ``listed`` in back ends, with those kept at the end."""
     names, current = _backends(listed), _backends(believed)
     leaving: list[Override] = []
     gone: list[Override] = []
--- a/src/pewtertack/core/replication/open_reads.py
+++ b/src/pewtertack/core/replication/open_reads.py
@@ -9,7 +9,7 @@
 from pewtertack.core.inputs import DocumentReadFailed
 from pewtertack.errors import ReadFailure
 
-READS_MOST = 8
+OPEN_READS_MAX = 8
 """Reads of one document that are open at once."""
 LONGEST_GAP = 2.0
 """Seconds between two reads of a source that answers none, unless it is known to be slow."""
@@ -27,9 +27,9 @@
         self.allowed = allowed
         """Seconds within which the answer is due, the wait included."""
         self.confirms = not effect.may_be_stale
-        """Whether its being open says that the platform has nothing newer."""
+        """Whether the platform has nothing newer as long as it is open."""
         self.before_pause = False
-        """Whether the process has been paused since: its answer may have lain here meanwhile."""
+        """Whether the process has been paused since it was opened: its answer may be old."""
 
     def is_overdue(self, now: float) -> bool:
         """Tell whether the answer should have come."""
@@ -73,7 +73,7 @@
     @property
     def is_full(self) -> bool:
         """Whether no more may be opened."""
-        return len(self._reads) >= READS_MOST
+        return len(self._reads) >= OPEN_READS_MAX
 
     def open(self, effect: ReadDocument, now: float, patience: float) -> None:
         """Note a read; ``patience`` is how long an answer may take beyond its wait, in seconds."""
@@ -102,14 +102,14 @@
             read.before_pause = True
 
     def close(self, number: int) -> OpenRead | None:
-        """Take out the read of this number; the oldest where the number is not told."""
+        """Remove and return the read ``number``; the oldest if that is 0."""
         for index, read in enumerate(self._reads):
             if number in (0, read.effect.read):
                 return self._reads.pop(index)
         return None
 
     def answered(self, number: int) -> bool:
-        """Take out an answered read: the source answers. Return whether that was lately."""
+        """Remove an answered read; return whether its answer is no older than the last pause."""
         read = self.close(number)
         self.unanswered = 0
         self.failures = 0
@@ -117,7 +117,7 @@
         return read is None or not read.before_pause
 
     def failed(self, now: float, failed: DocumentReadFailed) -> dict[str, Any]:
-        """Take out a failed read; return what the log tells of it."""
+        """Remove a failed read; return the fields of its log event."""
         read = self.close(failed.read)
         self.failures += 1
         self.last_failure = failed.failure
--- a/src/pewtertack/core/replication/refusals.py
+++ b/src/pewtertack/core/replication/refusals.py
@@ -1,4 +1,4 @@
-"""Since when a replica has refused what its source says, for whoever must be woken up."""
+"""Since when a replica has refused the revisions of its source, for alerts."""
 
 from __future__ import annotations
 
@@ -18,7 +18,7 @@
         self._replica = replica
         self._logged_at = 0.0
         self.since: float | None = None
-        """Monotonic seconds of the first refusal since the held revision; none without one."""
+        """Monotonic seconds of the first refusal since the held revision; ``None`` without one."""
 
     def tick(self, now: float) -> list[Effect]:
         """Return the log event that is due."""
--- a/src/pewtertack/core/replication/replica.py
+++ b/src/pewtertack/core/replication/replica.py
@@ -28,7 +28,7 @@
 
 REPORTED_FINDINGS = 5
 WRONG_DIGEST = "snapshot digest"
-DIGESTED_A_UNIT = 30
+DIGESTED_PER_UNIT = 30
 """Entries whose digest takes as long as the check of one route."""
 
 
@@ -281,7 +281,7 @@
 
 
 def _digest_units(document: Document) -> float:
-    return entries_of(document) / DIGESTED_A_UNIT if isinstance(document, Mapping) else 0.0
+    return entries_of(document) / DIGESTED_PER_UNIT if isinstance(document, Mapping) else 0.0
 
 
 __all__ = ["WRONG_DIGEST", "ConfigurationReplica", "DeltaMismatchError", "Rejection"]
--- a/src/pewtertack/core/returned_lists.py
+++ b/src/pewtertack/core/returned_lists.py
@@ -1,9 +1,9 @@
-"""What a machine list of a new era does not know, for a bounded time.
+"""Overrides for the machine lists of a new era of the source, for a bounded time.
 
 A source that has come back from a copy lists machines as they were some seconds before: who came
-since is missing until it has written itself again, who has left since stands there as ready. Each
-node lays what it knew over the new era's lists; these themselves stay as they were read, so that
-all nodes hold the same documents whoever reads. Once the time is over the list is believed.
+since is missing until it has registered again, who has left since is still listed as ready. Each
+node overrides the new era's lists with what it knew; the lists themselves are kept as they were
+read, so that all nodes hold the same documents. Once the time is over the list alone counts.
 """
 
 from __future__ import annotations
@@ -21,7 +21,7 @@
 from pewtertack.wire.messages import DepartedBackend, LeavingBackend, ListOverrides
 
 GONE_KEPT = 1024
-"""Machines remembered as gone from the list; a copy is no older than some seconds."""
+"""Machines remembered as gone from the list."""
 EARLY_KEPT = 64
 """Messages of peers that wait for the first list of their era."""
 MILLISECONDS = 1000.0
@@ -40,9 +40,9 @@
 
 
 class ReturnedLists:
-    """Lays what was known before the present era over its lists.
+    """Overrides the present era's lists with what was known before it.
 
-    Without eras nothing is ever laid over a list. Times are monotonic seconds.
+    Without eras no list is overridden. Times are monotonic seconds.
 
     Args:
         seconds: for how long what was known goes before what a new era's lists say.
@@ -74,7 +74,7 @@
         self._era = era
         if before is None or era == before:
             self._note_listed(names)
-            self._lay_over_early(now, listed)
+            self._apply_early(now, listed)
             return None
         self._begin_era(now)
         self.newcomers.begin(now, filter(self._is_new, listed.machines))
@@ -83,7 +83,7 @@
         self._note_listed(names)
         lost = [name for name in known.keys() - names.keys() if known[name].is_backend]
         kept = self._kept_of(names).keys() & set(lost)
-        self._lay_over_early(now, listed)
+        self._apply_early(now, listed)
         return EraChange(before, era, len(lost), len(kept), came_back)
 
     def _is_new(self, machine: Machine) -> bool:
@@ -103,20 +103,20 @@
             return False
         if era < self._era or until <= now:
             return False
-        self._lay_over(until, told, listed)
+        self._apply(until, told, listed)
         return True
 
-    def _lay_over_early(self, now: float, listed: MachineList) -> None:
+    def _apply_early(self, now: float, listed: MachineList) -> None:
         early = list(self._early)
         self._early.clear()
         for until, told in early:
             if era_of(told.number) > era_of(listed.number):
                 self._early.append((until, told))
             elif era_of(told.number) == era_of(listed.number) and until > now:
-                self._lay_over(until, told, listed)
+                self._apply(until, told, listed)
 
-    def _lay_over(self, until: float, told: ListOverrides, listed: MachineList) -> None:
-        """Hold what a peer holds, but what the own list, if it is no older, says otherwise."""
+    def _apply(self, until: float, told: ListOverrides, listed: MachineList) -> None:
+        """Take over a peer's overrides, except where the own list is no older and differs."""
         self._until = max(self._until, until)
         names = {machine.name: machine for machine in listed.machines}
         is_older = listed.number < told.number
--- a/src/pewtertack/core/slices.py
+++ b/src/pewtertack/core/slices.py
@@ -1,7 +1,7 @@
 """Long work done in slices, so that other inputs are handled in between.
 
-Work is a generator: it yields how many units it has done since it last did, and returns its
-result. A unit is about what the check of one route takes.
+Work is a generator that yields the units done since the last yield and returns its result. A unit
+is about the time in which one route is checked.
 """
 
 from __future__ import annotations
@@ -10,7 +10,7 @@
 from collections.abc import Generator
 from typing import Generic, TypeVar
 
-UNITS_A_TURN = 80
+UNITS_PER_TURN = 80
 """Units done in one turn of the event loop."""
 
 Result = TypeVar("Result")
--- a/src/pewtertack/core/source_mirror.py
+++ b/src/pewtertack/core/source_mirror.py
@@ -7,8 +7,8 @@
 from enum import Enum
 from typing import Protocol
 
-SPOILT = b""
-"""Stands for a value that cannot be told: no document is empty."""
+UNREADABLE = b""
+"""Stands for a value that could not be read; no document is empty."""
 
 
 class Refreshed(Enum):
@@ -16,11 +16,11 @@
 
     SAME = "the mirror shows what the source does"
     CHANGED = "the mirror has changed, or is new"
-    OVERTAKEN = "another read has already told more than this one"
+    OVERTAKEN = "another read has already given a later revision"
 
 
 class Change(Protocol):
-    """One item as it was written, or the word that it is gone."""
+    """One item as it was written, or its deletion."""
 
     @property
     def key(self) -> str:
@@ -28,7 +28,7 @@
 
     @property
     def revision(self) -> int:
-        """The revision of the write; 0 where it cannot be told."""
+        """The revision of the write; 0 if it is unknown."""
 
     @property
     def made(self) -> int:
@@ -53,7 +53,7 @@
         self._copied: dict[str, int] = {}
         """Evacuations that the era's first list showed, by key, with their items' creation."""
         self.items: dict[str, bytes] = {}
-        """Their bytes; ``SPOILT`` for one that the source hands out in no known form."""
+        """Their bytes; ``UNREADABLE`` for one that the source hands out in no known form."""
         self.made: dict[str, int] = {}
         """The revisions of their creation."""
         self.readable = b""
@@ -69,7 +69,7 @@
 
         Readers that follow the source without a gap number a change alike.
         """
-        self.told = 0
+        self.tree_number = 0
         """The number of the newest tree that was made of it."""
         self.stale = False
         """Whether it comes from a stale list that no watch has followed yet."""
@@ -93,8 +93,8 @@
     def take_page(self, items: Sequence[Change], at: int) -> None:
         """Take in one page of a list, answered as of revision ``at``.
 
-        Pages of a stale list may be of different ages, and what revision each shows is not
-        told: a watch goes on from the newest item of the page that is the furthest back.
+        Pages of a stale list may be of different ages and do not give the revision that they
+        show, so a watch goes on from the newest item of the oldest page.
         """
         shown = min(at, _newest_of(items)) if self.stale else at
         self.at = min(self.at, shown) if self.stale and self.at else self.at or shown
--- a/src/pewtertack/core/source_trees.py
+++ b/src/pewtertack/core/source_trees.py
@@ -62,7 +62,7 @@
         return DocumentUnchanged(kind)  # others have read a newer one before it was spoilt
     if era and _says_nothing_new(effect, number, evacuated):
         return DocumentUnchanged(kind)
-    mirror.told = number
+    mirror.tree_number = number
     return DocumentRead(kind, number, tree, stale, (*unreadable, *findings))
 
 
@@ -82,10 +82,10 @@
 
     An item that was gone before the first list has left no trace there.
     """
-    if mirror.told >= effect.after:
+    if mirror.tree_number >= effect.after:
         return False
     version, known_until = tree_parts(effect.after)
-    if tree_parts(mirror.told)[0] != version or mirror.evacuated():
+    if tree_parts(mirror.tree_number)[0] != version or mirror.evacuated():
         return False
     if not 0 < known_until < mirror.at:
         return False
--- a/src/pewtertack/node/http/answer_reading.py
+++ b/src/pewtertack/node/http/answer_reading.py
@@ -14,9 +14,8 @@
 from pewtertack.node.http.reading import ReadingProtocol
 
 READ_BUFFER_LIMIT = 64 * 1024
-"""Received bytes that wait to be read before the back end is slowed down. asyncio receives up to
-256 KiB at once. For 40 callers that read nothing, two nodes held 14.1 MB here with 256 KiB and
-7.7 MB with 64 KiB."""
+"""Received bytes that wait to be read before reading from the connection is paused. The event loop
+may receive up to 256 KiB beyond it at once."""
 CONTINUE_STATUS = 100
 FIRST_FINAL_STATUS = 200
 
@@ -45,7 +44,7 @@
         self._complete = True
         self._body_asked_for = False
         self._doubt: RawHeaders | None = None
-        """What the other end has said of a doubt since that was last looked at."""
+        """What the other end has reported about a doubtful request since that was last read."""
         self._keep = True
         """Whether the connection may carry another exchange, as far as is known."""
 
@@ -144,6 +143,6 @@
 
 
 def wake(future: asyncio.Future[None] | None) -> None:
-    """Let who awaits ``future`` go on."""
+    """Resume the task that awaits ``future``, if any."""
     if future is not None and not future.done():
         future.set_result(None)
--- a/src/pewtertack/node/http/unread.py
+++ b/src/pewtertack/node/http/unread.py
@@ -1,9 +1,9 @@
 """Callers that do not read their answers: how long, and how many of them at once.
 
 What a caller leaves unread is held here: in its connection's buffer, and where its answer is
-longer, in that of the connection from which it comes. Flow control holds up the other side
-first. A caller that takes nothing for some seconds has its connection ended, which tells it no
-more than is true; so has the longest silent one of too many.
+longer, in that of the connection from which it comes. Flow control slows the sender first. The
+connection of a caller that takes nothing for ``UNREAD_SECONDS`` is ended, and so is that of the
+longest silent one of too many. The caller sees an incomplete answer.
 """
 
 from __future__ import annotations
@@ -12,12 +12,11 @@
 from typing import Protocol
 
 UNREAD_SECONDS = 4.0
-"""A caller that has taken no byte for so long is not waited for. Back ends of some users wait
-"some seconds"; callers' deadlines lie between 1 and 7 s."""
+"""A caller that has taken no byte for so long is disconnected."""
 CROWDED_SECONDS = 0.5
-"""The same where too many are silent: a link of 5 Mbit/s carries what is unread in 0.2 s."""
+"""The same for the longest silent caller while more than ``MOST_UNREAD`` are silent."""
 UNREAD_BYTES = 8 * 1024 * 1024
-"""What silent callers may hold at once in one server of a node, whose memory is 20 MB at rest."""
+"""What silent callers may hold at once in one server of a node."""
 HELD_BYTES = 256 * 1024
 """What one silent caller holds: 64 KiB unsent, and 64 to 192 KiB received for it."""
 MOST_UNREAD = UNREAD_BYTES // HELD_BYTES
--- a/src/pewtertack/node/proxy/catching_up.py
+++ b/src/pewtertack/node/proxy/catching_up.py
@@ -1,7 +1,7 @@
 """Requests without a route, at a node that knows of a newer configuration than it serves by.
 
-The newer one may have the route. Until it is in force such a request waits, as few as are bounded
-and briefly, or is refused as not run: "no such route" would end it for good.
+The newer one may have the route. Such a request waits for it, within bounds of number and time, or
+is refused as not run, so that the caller may retry: "no such route" would be final.
 """
 
 from __future__ import annotations
@@ -12,14 +12,14 @@
 
 from pewtertack.core.replication.replica import Lag
 
-WAITING_MOST = 64
+WAITING_MAX = 64
 """Requests that wait at once; each holds its connection and its head, none its body."""
 SHARE_OF_DEADLINE = 0.25
 LONGEST_WAIT = 1.0
-"""Seconds. Most changes are in force on a node sooner after it has heard of them."""
+"""Seconds."""
 
 
-def _none() -> Lag:
+def _no_lag() -> Lag:
     return Lag.NONE
 
 
@@ -31,7 +31,7 @@
     """
 
     def __init__(self, clock: Callable[[], float]) -> None:
-        self.lag: Callable[[], Lag] = _none
+        self.lag: Callable[[], Lag] = _no_lag
         """What is known of a newer configuration than the one in force."""
         self.waiting = 0
         """Requests that wait for it."""
@@ -49,7 +49,7 @@
         Args:
             deadline: of the request, in monotonic seconds; of its time a share is spent.
         """
-        if self.waiting >= WAITING_MOST or self.lag() is not Lag.COMING:
+        if self.waiting >= WAITING_MAX or self.lag() is not Lag.COMING:
             return False
         swapped, left = self._swapped, deadline - self._clock()
         self.waiting += 1
--- a/src/pewtertack/node/transport.py
+++ b/src/pewtertack/node/transport.py
@@ -31,7 +31,7 @@
 INBOUND_BYTES_MAX = 2 * STREAM_BYTES_MAX
 """Memory for frames that are arriving over TCP, from strangers too."""
 ARRIVAL_INTERVAL = 0.1
-"""Seconds between two words of one frame that is arriving."""
+"""Seconds between two notifications of one frame that is arriving."""
 _ADDRESSES_CACHED = 4096
 
 EnvelopeHandler = Callable[[Envelope], None]
@@ -170,8 +170,8 @@
                 return
             try:
                 with anyio.fail_after(self._limits.timeout):
-                    teller = _ArrivalTeller(stream, self._arriving)
-                    frame = await receive_frame(stream, self._inbound, teller.tell)
+                    notifier = _ArrivalNotifier(stream, self._arriving)
+                    frame = await receive_frame(stream, self._inbound, notifier.notify)
             except TimeoutError:
                 self._refused(TruncatedFrameError("the frame did not end in time"))
             except ProtocolError as error:
@@ -195,8 +195,8 @@
         self._refuse(error)
 
 
-class _ArrivalTeller:
-    """Tells of one frame's arrival, not more often than every ``ARRIVAL_INTERVAL``."""
+class _ArrivalNotifier:
+    """Notifies of one frame's arrival, not more often than every ``ARRIVAL_INTERVAL``."""
 
     __slots__ = ("_handler", "_host", "_next_at")
 
@@ -205,7 +205,7 @@
         self._handler = handler
         self._next_at = 0.0
 
-    def tell(self) -> None:
+    def notify(self) -> None:
         now = anyio.current_time()
         if now >= self._next_at:
             self._next_at = now + ARRIVAL_INTERVAL
--- a/src/pewtertack/platform/items.py
+++ b/src/pewtertack/platform/items.py
@@ -9,7 +9,7 @@
 import msgspec
 
 from pewtertack.core.items import ItemFormatError, read_item
-from pewtertack.core.source_mirror import SPOILT
+from pewtertack.core.source_mirror import UNREADABLE
 
 
 class _Key(msgspec.Struct, frozen=True):
@@ -25,17 +25,17 @@
     gone: bool = False
 
     def content(self) -> bytes | None:
-        """Return the item's bytes; ``None`` if it is gone, ``SPOILT`` if they cannot be told."""
+        """Return the item's bytes; ``None`` if it is gone, ``UNREADABLE`` in no known form."""
         if self.gone:
             return None
         try:
             return base64.b64decode(self.value, validate=True)
         except ValueError:
-            return SPOILT
+            return UNREADABLE
 
 
 def items_of(parts: Iterable[msgspec.Raw]) -> list[StoreItem]:
-    """Return the items of an answer; one in no known form is ``SPOILT``, or nobody's."""
+    """Return the items of an answer; one in no known form is ``UNREADABLE``, or nobody's."""
     items: list[StoreItem] = []
     for part in parts:
         try:
--- a/src/pewtertack/platform/store.py
+++ b/src/pewtertack/platform/store.py
@@ -47,8 +47,8 @@
 PART_SECONDS = 3.0
 """Without a further part of an answer that has begun."""
 ANSWER_BYTES = 4 * 1024 * 1024
-"""The longest answer that is read, of each of the reads under way. A page of the store has 1 MB or
-so, before it is encoded; a watch that has more is followed by a list."""
+"""The longest answer that is read, of each of the reads under way. A list follows a watch whose
+answer is longer."""
 
 Answer = TypeVar("Answer")
 
--- a/src/pewtertack/wire/frames.py
+++ b/src/pewtertack/wire/frames.py
@@ -39,8 +39,8 @@
 """Largest frame sent by UDP: fits every usual path without fragmentation."""
 ENVELOPE_BYTES_MAX = 64 * 1024
 STREAM_BYTES_MAX = SIZE_LIMIT + ENVELOPE_BYTES_MAX
-"""Largest frame sent over TCP: a snapshot of the largest tree. A tree is reckoned with more
-bytes than it has when encoded."""
+"""Largest frame sent over TCP: a snapshot of the largest tree. The estimate that limits
+a tree's size is above the size of its encoded form."""
 
 _ENVELOPE_ITEMS = 6
 _DEPTH_MAX = 64
--- a/src/pewtertack/wire/messages.py
+++ b/src/pewtertack/wire/messages.py
@@ -282,7 +282,7 @@
 
 
 class KeptBackend(Machine, frozen=True, array_like=True):
-    """A back end that is believed in although a list does not name it, or an earlier life."""
+    """A back end that is in use although a list does not name it, or names an earlier life."""
 
     @classmethod
     def of(cls, machine: Machine) -> KeptBackend:
@@ -311,7 +311,7 @@
 
 
 class EndedEvacuation(msgspec.Struct, frozen=True, array_like=True):
-    """A zone that is evacuated no longer, whatever a copy of the source says."""
+    """A zone whose evacuation has ended, though a copy of the source may still show it."""
 
     zone: str
     made_until: Annotated[int, msgspec.Meta(ge=0)]
--- a/tests/core/replication/test_slow_source.py
+++ b/tests/core/replication/test_slow_source.py
@@ -12,7 +12,7 @@
 from pewtertack.core.inputs import DocumentRead, DocumentReadFailed, DocumentUnchanged
 from pewtertack.core.profile import LEASED
 from pewtertack.core.replication.freshness import SourceFreshness
-from pewtertack.core.replication.open_reads import READS_MOST
+from pewtertack.core.replication.open_reads import OPEN_READS_MAX
 from pewtertack.core.replication.reader import PlatformReader
 from pewtertack.wire.messages import DocumentKind
 from tests.core.replication.test_reader import AlwaysReads
@@ -115,7 +115,7 @@
     def test_a_silent_source_is_asked_by_few_reads_at_once_and_at_a_bounded_rate(self) -> None:
         source = VirtualSource(lambda now: 0.004 if now < 1.0 else None)
         source.run(60.0)
-        self.assertLessEqual(source.open_most, READS_MOST)
+        self.assertLessEqual(source.open_most, OPEN_READS_MAX)
         self.assertLessEqual(len(source.reads), 40)
 
     def test_it_is_not_claimed_to_be_current(self) -> None:
@@ -152,7 +152,7 @@
         for number in range(2, len(changes) + 2):
             bound = 2 * slowest + LEASED.read_overlap + 2.0
             self.assertLessEqual(source.latency(number), bound)
-        self.assertLessEqual(source.open_most, READS_MOST)
+        self.assertLessEqual(source.open_most, OPEN_READS_MAX)
 
 
 if __name__ == "__main__":
--- a/tests/node/proxy/test_catching_up.py
+++ b/tests/node/proxy/test_catching_up.py
@@ -8,7 +8,7 @@
 
 from pewtertack.core.replication.replica import Lag
 from pewtertack.node.proxy import catching_up
-from pewtertack.node.proxy.catching_up import LONGEST_WAIT, WAITING_MOST, CatchingUp
+from pewtertack.node.proxy.catching_up import LONGEST_WAIT, WAITING_MAX, CatchingUp
 from tests.node.proxy.harness import Answer, ProxyTestCase, raw_call, request_bytes, respond
 from tests.routing.samples import configuration, route
 
@@ -69,7 +69,7 @@
         self.assertEqual(answer.status, 404)
 
     async def test_of_many_few_wait_and_the_rest_is_refused_at_once(self) -> None:
-        calls = [self.call("/new/x", "x-deadline-ms: 16000") for _ in range(WAITING_MOST + 20)]
+        calls = [self.call("/new/x", "x-deadline-ms: 16000") for _ in range(WAITING_MAX + 20)]
         with mock.patch.object(catching_up, "LONGEST_WAIT", 4.0):
             answers = await asyncio.gather(*calls)
         self.assertEqual({answer.status for answer, _ in answers}, {503})
