Tests of two node processes share the start of the platform, a reader and its peer

Cause: tests/node/test_process.py and tests/cli/test_rollout_processes.py had the same fixture; a test of returned evacuations repeated come_back.

Change: tests/node/peer_pair.py has the fixture. The checks are the same. Seen green: both modules and tests.platform.test_returned_evacuations.

--- a/tests/cli/test_rollout_processes.py
+++ b/tests/cli/test_rollout_processes.py
@@ -13,18 +13,9 @@
 import anyio
 import httpcore
 
-from pewtertack.lab.machines.service import MachineListService
-from pewtertack.lab.source.service import ConfigurationSource
-from pewtertack.settings import Address
-from tests.node.processes import (
-    NOBODY,
-    PATIENCE,
-    SOURCE_DIRECTORY,
-    NodeProcess,
-    settings_text,
-)
-
-ANY = Address("127.0.0.1", 0)
+from tests.node.peer_pair import reader_and_peer
+from tests.node.processes import PATIENCE, SOURCE_DIRECTORY, NodeProcess
+
 TREE: dict[str, Any] = {
     "services": {"logbook": {}},
     "routes": {"lookup": {"service": "logbook", "path_prefix": "/"}},
@@ -36,23 +27,11 @@
     @contextlib.asynccontextmanager
     async def fleet(self) -> AsyncIterator[tuple[NodeProcess, NodeProcess]]:
         """Node a reads the source; node b can reach nobody but a."""
-        source = ConfigurationSource(TREE, ANY, ANY)
-        machines = MachineListService({}, ANY, ANY)
-        async with anyio.create_task_group() as tasks:
-            await source.service.open(tasks)
-            await machines.service.open(tasks)
+        async with reader_and_peer(TREE, {}) as (source, a, b):
             self.source = source.service
-            platform = (str(source.service.readers.address), str(machines.service.readers.address))
-            async with NodeProcess(settings_text("a", "yaba", *platform)) as a:
-                ready = await a.wait_event("NODE_READY")
-                text = settings_text("b", "ikeja", NOBODY, NOBODY, ready["peer"])
-                async with NodeProcess(text) as b:
-                    self.admins = [ready["admin"], (await b.wait_event("NODE_READY"))["admin"]]
-                    yield a, b
-            tasks.cancel_scope.cancel()
-            for service in (source.service, machines.service):
-                service.readers.close()
-                service.control.close()
+            listening = (a.lines[-1], await b.wait_event("NODE_READY"))
+            self.admins = [line["admin"] for line in listening]
+            yield a, b
 
     async def ask(self, method: str, path: str, content: Any) -> None:
         url = f"http://{self.source.control.address}{path}"
--- a/tests/node/test_process.py
+++ b/tests/node/test_process.py
@@ -15,9 +15,7 @@
 
 from pewtertack.cli.status import format_reports
 from pewtertack.cli.status_reports import AdminUrlError, read_reports
-from pewtertack.lab.machines.service import MachineListService
-from pewtertack.lab.source.service import ConfigurationSource
-from pewtertack.settings import Address
+from tests.node.peer_pair import reader_and_peer
 from tests.node.processes import (
     NOBODY,
     PATIENCE,
@@ -28,7 +26,6 @@
 )
 from tests.node.proxy.harness import ProxyTestCase
 
-ANY = Address("127.0.0.1", 0)
 TREE: dict[str, Any] = {
     "services": {"logbook": {}},
     "routes": {
@@ -68,24 +65,10 @@
     @contextlib.asynccontextmanager
     async def fleet(self) -> AsyncIterator[tuple[NodeProcess, NodeProcess]]:
         """Node a reads the platform; node b can reach nobody but a."""
-        source = ConfigurationSource(TREE, ANY, ANY)
-        machines = MachineListService(self.machines, ANY, ANY)
-        async with anyio.create_task_group() as tasks:
-            await source.service.open(tasks)
-            await machines.service.open(tasks)
+        async with reader_and_peer(TREE, self.machines) as (source, a, b):
             self.source = source.service
-            platform = (str(source.service.readers.address), str(machines.service.readers.address))
-            async with NodeProcess(settings_text("a", "yaba", *platform)) as a:
-                ready = await a.wait_event("NODE_READY")
-                text = settings_text("b", "ikeja", NOBODY, NOBODY, ready["peer"])
-                async with NodeProcess(text) as b:
-                    await a.wait_event("NODE_SERVING")
-                    yield a, b
-            tasks.cancel_scope.cancel()
-            source.service.readers.close()
-            source.service.control.close()
-            machines.service.readers.close()
-            machines.service.control.close()
+            await a.wait_event("NODE_SERVING")
+            yield a, b
 
     async def test_an_edit_reaches_a_node_that_knows_only_a_peer(self) -> None:
         async with self.fleet() as (a, b):
--- a/tests/platform/test_returned_evacuations.py
+++ b/tests/platform/test_returned_evacuations.py
@@ -1,8 +1,6 @@
 """Evacuations and edits over a return of the store, at readers that know little of what was before.
 
-What was seen: a reader that had not itself read the version in force showed no evacuation of the
-new era until the operator had written that version again; an evacuation that had been taken back
-came back by the word of the copy.
+Also at a reader that has not itself read the version in force.
 """
 
 import unittest
@@ -55,9 +53,7 @@
         self.assertEqual([node.version for node in self.fleet.nodes], [13] * 3)
         self.cut(True)
         self.stop_readers()
-        await self.fleet.run(0.5)
-        self.store.come_back_from(copy)
-        self.cut(False)
+        await self.come_back(copy)
         await self.fleet.run(4.0)
         self.store.put("op/evacuate/garia", b"{}")
         await self.fleet.run(USUAL_BOUND)
