--- a/src/pewtertack/cli/rollout_reports.py
+++ b/src/pewtertack/cli/rollout_reports.py
@@ -1,4 +1,4 @@
-"""How far a revision has come over several nodes, from what each tells of itself."""
+"""How far a revision has come over several nodes, from their status pages."""
 
 from __future__ import annotations
 
@@ -19,7 +19,7 @@
 
 
 class RolloutError(PewtertackError):
-    """A rollout cannot be told of."""
+    """A rollout cannot be reported."""
 
     code: ClassVar[str] = "rollout-error"
 
@@ -45,7 +45,7 @@
 class StageSummary(msgspec.Struct, frozen=True):
     """The nodes that a revision has reached at one stage.
 
-    Seconds count from the first word of the revision at any node, by the clocks of the machines.
+    Seconds count from when any node first heard of the revision, by the clocks of the machines.
     """
 
     stage: Stage
@@ -63,7 +63,7 @@
     nodes: int
     """Nodes that were asked."""
     first_heard: float | None
-    """Unix time of the first word of it at any node."""
+    """Unix time at which any node first heard of it."""
     stages: tuple[StageSummary, ...]
     ways: dict[str, int]
     """How it came, by the number of nodes."""
--- a/src/pewtertack/core/ended_evacuations.py
+++ b/src/pewtertack/core/ended_evacuations.py
@@ -25,7 +25,7 @@
 
         Each with a revision up to which the source's item of the evacuation that ended was made:
         that of the end, since the item may have been made anew under a tree that named the zone.
-        Of its beginning where that of the end is not told.
+        That of its beginning where that of the end is unknown.
         """
         return self._ended
 
--- a/src/pewtertack/core/node.py
+++ b/src/pewtertack/core/node.py
@@ -147,7 +147,7 @@
         return Budget(math.inf if self.phase is NodePhase.JOINING else UNITS_PER_TURN)
 
     def _may_resolve(self, event: Input) -> bool:
-        """Other inputs than its own do not lengthen their turns by work that is under way."""
+        """Tell whether ``event`` may advance a resolution: only its own input, once it is begun."""
         return isinstance(event, WorkContinued) or not self.replication.replica.is_resolving
 
     def _go_on_later(self) -> list[Effect]:
@@ -159,7 +159,7 @@
         return [GoOn()]
 
     def _go_on(self, now: float) -> list[Effect]:
-        """Go on with what is held before what is offered, which may never end."""
+        """Advance what is held first: new offers may keep coming."""
         self._goes_on = False
         effects = self._advance_in_force(now) if self.phase is NodePhase.SERVING else []
         return effects + self.replication.go_on(now)
--- a/src/pewtertack/core/profile.py
+++ b/src/pewtertack/core/profile.py
@@ -85,7 +85,7 @@
     die right after an edit still has it within 2 s of the edit.
     """
     behind_patience: float = 2.7
-    """So much longer a node waits that hears readers, but has not got what they hold."""
+    """Additional wait of a node that hears readers, but does not hold what they do."""
     takeover_step: float = 0.1
     """Each next node of a zone waits this much longer to take over: a read takes 0.05 s."""
     takeover_candidates: int = 6
@@ -121,7 +121,7 @@
     """An answer of the source that takes longer, and longer than usual, is overdue: another read
     is opened beside it. 0 opens one read of a document at a time."""
     read_overlap: float = 2.0
-    """How often a read is opened while a slow source answers others."""
+    """Seconds between two reads of a slow source that are open at once."""
     read_backoff: float = 0.5
     read_backoff_limit: float = 8.0
     join_retry: float = 0.3
--- a/src/pewtertack/core/replication/machine_lists.py
+++ b/src/pewtertack/core/replication/machine_lists.py
@@ -91,18 +91,18 @@
         return [UseMachines(self.machines)]
 
     def hear(self, now: float, told: ListOverrides) -> list[Effect]:
-        """Take in what a peer holds against its list."""
+        """Take in a peer's overrides of its list."""
         return self._use(now) if self.returned.hear(now, told, self._listed) else []
 
     def trust_newcomers(self, now: float) -> list[Effect]:
-        """Believe in who is new in a new era: peers have told who of them has left."""
+        """Use the back ends that are new in a new era: peers have told which of them have left."""
         if not self.returned.newcomers:
             return []
         self.returned.newcomers.clear()
         return self._use(now)
 
     def overrides(self, now: float) -> tuple[ListOverrides, ...]:
-        """Return what is held against the list, for a starting peer; nothing most of the time."""
+        """Return the overrides of the list, for a starting peer; mostly none."""
         if not self.returned.holds(now):
             return ()
         from pewtertack.core.replication.list_overrides import messages_of, overrides_against
--- a/src/pewtertack/core/replication/puller.py
+++ b/src/pewtertack/core/replication/puller.py
@@ -29,8 +29,8 @@
 
     Args:
         timeout: seconds without a sign of the answer after which another peer is asked. A long
-            answer over a narrow link takes longer to arrive; asked for twice it would take the
-            link twice.
+            answer may take longer to arrive over a narrow link, and would load it twice if it
+            were asked for again.
     """
 
     def __init__(self, timeout: float) -> None:
--- a/src/pewtertack/core/replication/pulling.py
+++ b/src/pewtertack/core/replication/pulling.py
@@ -1,4 +1,4 @@
-"""What this node asks its peers for: whom, when, and after which revision."""
+"""Pulls newer documents from peers: from whom, when, and after which revision."""
 
 from __future__ import annotations
 
--- a/src/pewtertack/core/replication/replica.py
+++ b/src/pewtertack/core/replication/replica.py
@@ -29,7 +29,7 @@
 REPORTED_FINDINGS = 5
 WRONG_DIGEST = "snapshot digest"
 DIGESTED_PER_UNIT = 30
-"""Entries whose digest takes as long as the check of one route."""
+"""Entries whose digest is computed in one unit."""
 
 
 class Lag(Enum):
@@ -265,7 +265,7 @@
         return LongWork(resolving_checked(document, target, self._zone, self._resolved))
 
     def log_of(self, rejection: Rejection, lasting: float | None = None) -> Log:
-        """Return the event of a refusal; ``lasting`` is for how many seconds it was known."""
+        """Return the event of a refusal; ``lasting`` is its age in seconds."""
         log = self._log(Event.REVISION_REJECTED, rejection.revision)
         log.fields["findings"] = list(map(str, rejection.findings[:REPORTED_FINDINGS]))
         if lasting is not None:
--- a/src/pewtertack/core/replication/stage_reports.py
+++ b/src/pewtertack/core/replication/stage_reports.py
@@ -1,4 +1,4 @@
-"""Tells of the stages that revisions reach: as log events and for the metrics."""
+"""Reports the stages that revisions reach, as log events and for the metrics."""
 
 from __future__ import annotations
 
@@ -13,7 +13,7 @@
 
 
 class StageReports:
-    """Keeps the log of stages and returns what is told of each."""
+    """Keeps the log of stages and returns the effects that report each."""
 
     __slots__ = ("log",)
 
--- a/src/pewtertack/core/replication/stages.py
+++ b/src/pewtertack/core/replication/stages.py
@@ -43,7 +43,7 @@
         """In monotonic seconds."""
 
     def seconds_to(self, stage: Stage) -> float:
-        """Return the seconds from the first word of the revision to a stage it has reached."""
+        """Return the seconds from hearing of the revision to a stage that it has reached."""
         return self.reached_at[stage] - self.reached_at[Stage.HEARD]
 
 
--- a/src/pewtertack/core/replication/store.py
+++ b/src/pewtertack/core/replication/store.py
@@ -11,7 +11,7 @@
 
 DELTAS_KEPT = 64
 EDITS_KEPT = 2000
-"""A delta log is shortened that has more edits than this and than the document has entries: a
+"""A delta log with more edits than this, and than the document has entries, is shortened, since a
 snapshot is cheaper then."""
 DOCUMENTS_KEPT = 8
 """Recent documents share most of their content, as edits copy only their path."""
--- a/src/pewtertack/core/revision.py
+++ b/src/pewtertack/core/revision.py
@@ -61,7 +61,7 @@
 
 
 def have_same_content(left: Any, right: Any) -> bool:
-    """Tell whether two values are ``encoded`` alike, sooner where their keys stand alike."""
+    """Tell whether two values are ``encoded`` alike; faster if their keys have one order."""
     try:
         if msgspec.msgpack.encode(left) == msgspec.msgpack.encode(right):
             return True
--- a/src/pewtertack/lab/slow_source/judging.py
+++ b/src/pewtertack/lab/slow_source/judging.py
@@ -93,7 +93,7 @@
 
     @property
     def is_late(self) -> bool:
-        """Whether the promise is broken."""
+        """Whether it was in force too late, or never."""
         return self.took is None or self.took > self.allowed
 
     def __str__(self) -> str:
--- a/src/pewtertack/lab/slow_source/run.py
+++ b/src/pewtertack/lab/slow_source/run.py
@@ -1,4 +1,4 @@
-"""Runs a series: lanes of slowness, trouble, edits, and stops and starts of nodes."""
+"""Runs a series: a slow and failing source, edits, and stops and starts of nodes, all at once."""
 
 from __future__ import annotations
 
@@ -29,10 +29,10 @@
 from pewtertack.lab.weakening import switch_off
 
 ANSWER_SECONDS = (0.004, 4.0)
-"""Drawn with equal weight for quick, slower than a second, and very slow answers."""
+"""Seconds of a quick answer, and of the slowest."""
 QUICK_SHARE = 0.2
 SLOW_FOR = (8.0, 20.0)
-"""Longer than a long poll lasts, now and then."""
+"""Seconds; longer than a long poll in some of the spans."""
 BODY_RATE = 1_000_000.0
 """Bytes a second, in some of the spans."""
 BODY_RATE_SHARE = 0.3
@@ -154,7 +154,7 @@
             self._edits.append(Acknowledged(version, anyio.current_time(), transfer))
 
     async def _trouble(self, chooser: random.Random) -> None:
-        """One reader's trouble is not that of the others, which tell it what it misses."""
+        """Break single answers and watches; other readers tell a node what it misses by that."""
         while await self._pause(chooser, *TROUBLE_GAP):
             kind = chooser.choice(("lost answer", "history gone", "watches cut"))
             self._troubles[kind] += 1
