The effect that asks for further work is called ContinueWork

Cause: GoOn, _go_on and _goes_on say neither what goes on nor that it is the work in slices that WorkContinued answers.

Change: effect, methods and the cost report's name of the part are renamed; a few comments of the HTTP connection in plain terms. No change of behaviour.

--- a/src/pewtertack/core/effects.py
+++ b/src/pewtertack/core/effects.py
@@ -54,7 +54,7 @@
     """Tells this read from the others; its answer carries the same."""
 
 
-class GoOn(msgspec.Struct, frozen=True):
+class ContinueWork(msgspec.Struct, frozen=True):
     """Give the core a ``WorkContinued`` once other tasks have had their turn.
 
     At most one is outstanding.
@@ -95,4 +95,13 @@
     fields: dict[str, Any]
 
 
-Effect = Send | ReadDocument | GoOn | BringIntoForce | UseMachines | SetServing | StageReached | Log
+Effect = (
+    Send
+    | ReadDocument
+    | ContinueWork
+    | BringIntoForce
+    | UseMachines
+    | SetServing
+    | StageReached
+    | Log
+)
--- a/src/pewtertack/core/inputs.py
+++ b/src/pewtertack/core/inputs.py
@@ -96,7 +96,7 @@
 
 
 class WorkContinued(msgspec.Struct, frozen=True):
-    """The core may go on with what it has begun; answers each ``GoOn``."""
+    """The core may go on with what it has begun; answers each ``ContinueWork``."""
 
 
 class DrainRequested(msgspec.Struct, frozen=True):
--- a/src/pewtertack/core/node.py
+++ b/src/pewtertack/core/node.py
@@ -19,7 +19,7 @@
 import msgspec
 
 from pewtertack.core.crashes.spreading import CrashSpreading
-from pewtertack.core.effects import BringIntoForce, Effect, GoOn, Log, Send, SetServing
+from pewtertack.core.effects import BringIntoForce, ContinueWork, Effect, Log, Send, SetServing
 from pewtertack.core.identity import NodeIdentity
 from pewtertack.core.inputs import (
     BackendCrashed,
@@ -113,8 +113,8 @@
         self.source = source or SourceProperties()
         self._random = random
         self._last_tick = now
-        self._goes_on = False
-        """Whether a ``GoOn`` is outstanding."""
+        self._awaits_continuation = False
+        """Whether a ``ContinueWork`` is outstanding."""
         self.membership = Membership(identity, profile, random, now)
         self.crashes = CrashSpreading(identity, self.membership, random)
         is_seed = identity.address in seeds[:READING_SEEDS]
@@ -140,7 +140,7 @@
         elif self.phase is NodePhase.SERVING and self._may_resolve(event):
             effects += self._advance_in_force(now)
         effects += self.replication.heartbeats(now)
-        return effects + self._go_on_later()
+        return effects + self._request_continuation()
 
     def _turn_budget(self) -> Budget:
         """Return what may be done of long work at once: all of it while no request waits."""
@@ -150,17 +150,17 @@
         """Tell whether ``event`` may advance a resolution: only its own input, once it is begun."""
         return isinstance(event, WorkContinued) or not self.replication.replica.is_resolving
 
-    def _go_on_later(self) -> list[Effect]:
+    def _request_continuation(self) -> list[Effect]:
         replication = self.replication
         resolves = replication.replica.is_resolving and self.phase is NodePhase.SERVING
-        if self._goes_on or not (replication.is_working or resolves):
+        if self._awaits_continuation or not (replication.is_working or resolves):
             return []
-        self._goes_on = True
-        return [GoOn()]
+        self._awaits_continuation = True
+        return [ContinueWork()]
 
-    def _go_on(self, now: float) -> list[Effect]:
+    def _continue_work(self, now: float) -> list[Effect]:
         """Advance what is held first: new offers may keep coming."""
-        self._goes_on = False
+        self._awaits_continuation = False
         effects = self._advance_in_force(now) if self.phase is NodePhase.SERVING else []
         return effects + self.replication.go_on(now)
 
@@ -183,7 +183,7 @@
             case DrainRequested():
                 return self._drain()
             case WorkContinued():
-                return self._go_on(now)
+                return self._continue_work(now)
 
     def _on_source(
         self, now: float, event: DocumentRead | DocumentUnchanged | DocumentReadFailed
--- a/src/pewtertack/lab/cost/parts.py
+++ b/src/pewtertack/lab/cost/parts.py
@@ -62,7 +62,7 @@
         "Runtime.feed PackedAnswer",
         "Runtime.feed ReaderHeartbeat with news",
         "Runtime.feed WorkContinued",
-        "Runtime._go_on",
+        "Runtime._continue_work",
         "Runtime._read",
     ),
     "list change": ("ProxyApplication.use_machines", "GatewayApplication.use_machines"),
--- a/src/pewtertack/lab/simulation/process.py
+++ b/src/pewtertack/lab/simulation/process.py
@@ -7,7 +7,7 @@
 from dataclasses import dataclass, field
 from typing import Protocol
 
-from pewtertack.core.effects import Effect, GoOn, Log, ReadDocument, Send, SetServing
+from pewtertack.core.effects import ContinueWork, Effect, Log, ReadDocument, Send, SetServing
 from pewtertack.core.identity import NodeIdentity
 from pewtertack.core.inputs import DrainRequested, Input, MessageReceived, Ticked, WorkContinued
 from pewtertack.core.node import NodeCore
@@ -156,7 +156,7 @@
                 self._send(address, message)
             case ReadDocument():
                 self._read(effect)
-            case GoOn():
+            case ContinueWork():
                 self.around.scheduler.after(0.0, lambda: self.take(WorkContinued()))
             case Log():
                 identity = self.identity
--- a/src/pewtertack/node/http/connection.py
+++ b/src/pewtertack/node/http/connection.py
@@ -118,7 +118,7 @@
             self._transport.pause_reading()
         wake(self._waiter)
         if self._writer is not None and self._answer is not None:
-            wake(self._writer)  # the rest of the body is wanted no more
+            wake(self._writer)  # the rest of the body is not needed
 
     def eof_received(self) -> bool:
         """Note the back end's end of stream, which may be the answer's end."""
@@ -277,7 +277,7 @@
 
     @property
     def reusable(self) -> bool:
-        """Whether the last exchange ended cleanly, and the other end still stands by it."""
+        """Whether the last exchange ended cleanly and no long suspension has followed it."""
         slept = clock.suspended_seconds() - self._suspended
         return self.clean and slept < DOUBTED_AFTER_SUSPENSION
 
--- a/src/pewtertack/node/http/outgoing.py
+++ b/src/pewtertack/node/http/outgoing.py
@@ -14,7 +14,7 @@
     """Return the bytes that the system has been given and that are not acknowledged.
 
     Raises:
-        OSError: the system does not tell.
+        OSError: the system does not report it.
     """
-    told = fcntl.ioctl(connected.fileno(), termios.TIOCOUTQ, OUTGOING.pack(0))
-    return int(OUTGOING.unpack(told)[0])
+    packed = fcntl.ioctl(connected.fileno(), termios.TIOCOUTQ, OUTGOING.pack(0))
+    return int(OUTGOING.unpack(packed)[0])
--- a/src/pewtertack/node/proxy/application.py
+++ b/src/pewtertack/node/proxy/application.py
@@ -335,10 +335,10 @@
                 self._parts.runs.note_call(route.name, self._clock(), failed)
 
     async def _newer_table(self, head: RequestHead) -> RouteTable:
-        """Return the table of a newer configuration than knows no route for the request.
+        """Return the table of a newer configuration, which may have the request's route.
 
         Raises:
-            RouteNotFoundError: the node knows of none.
+            RouteNotFoundError: the node knows of no newer one.
             ConfigurationBehindError: it is not in force in time.
         """
         if self.catching_up.lag() is Lag.NONE:
--- a/src/pewtertack/node/runtime.py
+++ b/src/pewtertack/node/runtime.py
@@ -12,8 +12,8 @@
 from pewtertack.core.configuration.resolved import ResolvedConfiguration
 from pewtertack.core.effects import (
     BringIntoForce,
+    ContinueWork,
     Effect,
-    GoOn,
     Log,
     ReadDocument,
     Send,
@@ -49,7 +49,7 @@
 """A start so many seconds after this node's time is taken as untold. Clocks may jump: one that is
 further behind tells no lives apart, which is what nodes do where starts are not told."""
 TURNS_BETWEEN = 2
-"""Turns of the event loop between two slices of work; it looks at the sockets every second one."""
+"""Turns of the event loop between two slices of work, so that it polls the sockets in between."""
 REFUSAL_LOG_INTERVAL = 1.0
 """Refused frames of one type are logged at most once in so many seconds."""
 
@@ -223,8 +223,8 @@
                 self._transport.send(address, message)
             case ReadDocument():
                 self._start_read(effect)
-            case GoOn():
-                self._start_going_on()
+            case ContinueWork():
+                self._start_continuing()
             case BringIntoForce(configuration):
                 self._bring_into_force(configuration)
             case UseMachines(told):
@@ -257,11 +257,11 @@
         if self._proxy is not None:
             self._proxy.set_serving(serving, retry_after)
 
-    def _start_going_on(self) -> None:
+    def _start_continuing(self) -> None:
         assert self._tasks is not None, "the core has long work in answer to inputs only"
-        self._tasks.start_soon(self._go_on)
+        self._tasks.start_soon(self._continue_work)
 
-    async def _go_on(self) -> None:
+    async def _continue_work(self) -> None:
         for _ in range(TURNS_BETWEEN):
             await anyio.sleep(0)
         try:
--- a/tests/core/test_long_work.py
+++ b/tests/core/test_long_work.py
@@ -8,7 +8,7 @@
 from unittest import mock
 
 from pewtertack.core.configuration.resolution import resolve_document
-from pewtertack.core.effects import BringIntoForce, Effect, GoOn, Log, Send
+from pewtertack.core.effects import BringIntoForce, ContinueWork, Effect, Log, Send
 from pewtertack.core.identity import NodeIdentity
 from pewtertack.core.inputs import (
     DocumentRead,
@@ -84,10 +84,10 @@
         return self.core.replication.replica.in_force_number
 
     def go_on(self, effects: list[Effect]) -> list[Effect]:
-        """Answer each ``GoOn``; return all effects that follow."""
+        """Answer each ``ContinueWork``; return all effects that follow."""
         found: list[Effect] = []
         for _ in range(TURNS_MAX):
-            if not any(isinstance(effect, GoOn) for effect in effects):
+            if not any(isinstance(effect, ContinueWork) for effect in effects):
                 return found
             effects = self.feed(WorkContinued())
             found += effects
@@ -101,7 +101,7 @@
         ]
 
     def test_a_joining_node_takes_all_at_once(self) -> None:
-        self.assertFalse(any(isinstance(effect, GoOn) for effect in self.begun))
+        self.assertFalse(any(isinstance(effect, ContinueWork) for effect in self.begun))
 
     def test_a_small_change_comes_into_force_at_once(self) -> None:
         effects = self.read(2, tree(BASE_ROUTES + 1))
@@ -149,14 +149,18 @@
             began = time.process_time()
             effects = self.feed(event)
             seconds.append(time.process_time() - began)
-            self.assertTrue(self.in_force() == 2 or any(isinstance(e, GoOn) for e in effects))
+            self.assertTrue(
+                self.in_force() == 2 or any(isinstance(e, ContinueWork) for e in effects)
+            )
             event = WorkContinued()
         return seconds
 
     def test_other_inputs_are_not_lengthened(self) -> None:
         self.read(2, tree(BASE_ROUTES + ADDED_ROUTES))
         for _ in range(200):
-            self.assertFalse(any(isinstance(effect, GoOn) for effect in self.feed(Ticked())))
+            self.assertFalse(
+                any(isinstance(effect, ContinueWork) for effect in self.feed(Ticked()))
+            )
         self.assertEqual(self.in_force(), 1)
 
     def test_a_chain_and_a_whole_from_a_peer_are_taken_by_slices(self) -> None:
@@ -196,7 +200,7 @@
         seen: list[int] = []
         for number in range(3, 400):
             size = BASE_ROUTES + ADDED_ROUTES + number
-            if any(isinstance(effect, GoOn) for effect in effects):
+            if any(isinstance(effect, ContinueWork) for effect in effects):
                 effects = self.feed(WorkContinued())
                 seen += self.versions(effects)
             if number % 10 == 0:
--- a/tests/node/test_runtime.py
+++ b/tests/node/test_runtime.py
@@ -15,8 +15,8 @@
 
 from pewtertack.core.effects import (
     BringIntoForce,
+    ContinueWork,
     Effect,
-    GoOn,
     Log,
     ReadDocument,
     Send,
@@ -94,7 +94,7 @@
         return [json.loads(line) for line in self.output.getvalue().splitlines()]
 
     async def test_long_work_goes_on_after_other_tasks(self) -> None:
-        runtime = self.runtime(ticked=[GoOn()], continued=[])
+        runtime = self.runtime(ticked=[ContinueWork()], continued=[])
         turns: list[int] = []
 
         async def count() -> None:
@@ -112,7 +112,7 @@
         self.assertGreaterEqual(turns.count(1), TURNS_BETWEEN)
 
     async def test_work_that_fails_is_counted_and_ends_nobody(self) -> None:
-        runtime = self.runtime(ticked=[GoOn()])
+        runtime = self.runtime(ticked=[ContinueWork()])
         self.core.handle = _fail_at_work(self.core.handle)  # type: ignore[method-assign]
         async with anyio.create_task_group() as tasks:
             tasks.start_soon(runtime.run)
