Whether a read is to confirm is a function of its own

Cause: PlatformReader._wait assigned one name twice to decide that, and ended in a conditional expression over two lines. No change of behaviour.

--- a/src/pewtertack/core/replication/reader.py
+++ b/src/pewtertack/core/replication/reader.py
@@ -26,7 +26,7 @@
 
 
 class HeldOfSource(msgspec.Struct, frozen=True):
-    """What a read is told of what this node holds, beside the numbers."""
+    """What a read needs to know of what this node holds, beside the numbers."""
 
     era: int = 0
     """The latest era of the source that the node has heard of."""
@@ -73,7 +73,7 @@
         self.answer_times = AnswerTimes(profile.read_patience)
         self.last_answer_at: dict[DocumentKind, float] = {}
         self._paused: set[DocumentKind] = set()
-        """Documents of which the platform has said nothing since a pause of this process."""
+        """Documents of which no answer has come since a pause of this process."""
         self._seen: dict[DocumentKind, int] = {}
         self._stale: dict[DocumentKind, int] = {}
         self.reading = False
@@ -124,7 +124,7 @@
                 self._freshness.confirm(kind, now)
 
     def _confirms(self, read: OpenRead) -> bool:
-        """Tell whether a read speaks for the present; not if its cursor is of an ended era."""
+        """Tell whether an open read shows that nothing has changed: its cursor is of this era."""
         return read.confirms and read.effect.era >= self._held.era
 
     def after_pause(self) -> None:
@@ -160,8 +160,8 @@
     def _may_open(self, now: float, kind: DocumentKind) -> bool:
         """Tell whether a read may be opened beside those that are open.
 
-        Beside overdue ones, and while a slow source may be answering the newest: what changes
-        meanwhile is in no answer that has begun.
+        It may beside overdue ones, and beside those of a slow source: an answer that has begun
+        does not contain what changes meanwhile.
         """
         reads = self.open_reads[kind]
         newest = reads.newest
@@ -177,21 +177,25 @@
         return self.answer_times.is_slow and kind in self.last_answer_at
 
     def _wait(self, now: float, kind: DocumentKind, may_be_stale: bool) -> float:
-        """Return for how long a read is to be held open, in seconds.
+        """Return for how long the platform may hold a read open, in seconds.
 
-        After a stale answer, a failure or a pause a read is to confirm, not to wait for a change,
-        and so is one beside an overdue one. A slow source holds a read until the next one comes.
+        A read of a slow source is held until the next one begins.
         """
-        unconfirmed = kind not in self.last_answer_at or self.open_reads[kind].failures > 0
-        unconfirmed = (unconfirmed and self.readership.looks_first) or kind in self._paused
-        if may_be_stale or unconfirmed or self.open_reads[kind].is_any_overdue(now):
+        if may_be_stale or self._is_to_confirm(kind) or self.open_reads[kind].is_any_overdue(now):
             return 0.0
         longest = self._profile.read_wait
         if self._overlaps(kind):
             longest = min(longest, self._profile.read_overlap)
-        return (
-            min(longest, DOUBTED_SECONDS) if self._held.era and self._held.doubts_copy else longest
-        )
+        if self._held.era and self._held.doubts_copy:
+            longest = min(longest, DOUBTED_SECONDS)
+        return longest
+
+    def _is_to_confirm(self, kind: DocumentKind) -> bool:
+        """Tell whether a read is to confirm what is held, and not to wait for a change."""
+        if kind in self._paused:
+            return True
+        unconfirmed = kind not in self.last_answer_at or self.open_reads[kind].failures > 0
+        return unconfirmed and self.readership.looks_first
 
     def _known_number(self, kind: DocumentKind, held: int) -> int:
         """Return the number to wait for a change of.
@@ -222,7 +226,7 @@
             self._freshness.confirm(answer.kind, now)
 
     def _note_answer(self, now: float, answer: DocumentRead | DocumentUnchanged) -> bool:
-        """Note that a read is over; return whether its answer speaks for the present."""
+        """Note an answer; return whether it is no older than the last pause of this process."""
         kind = answer.kind
         recent = self._end_read(answer)
         if not recent:
