--- a/src/pewtertack/lab/metadata_store/application.py
+++ b/src/pewtertack/lab/metadata_store/application.py
@@ -1,7 +1,7 @@
 """The store's read interface (PROTOCOL.md, "The platform's metadata store") over a dictionary.
 
-Writes are methods, since nodes can only read. ``faults`` brings about what the pages
-say may happen: refusals, throttling, slow, lost and endless answers, forgotten history.
+Writes are methods, since nodes can only read. ``faults`` brings about what a store
+may do: refusals, throttling, slow, lost and endless answers, forgotten history.
 """
 
 from __future__ import annotations
--- a/tests/lab/metadata_store/test_store_faults.py
+++ b/tests/lab/metadata_store/test_store_faults.py
@@ -1,4 +1,4 @@
-"""The stand-in of the store brings about each trouble that the pages name, over real sockets."""
+"""The stand-in of the store brings about each of its faults, over real sockets."""
 
 import asyncio
 import time
--- a/tests/lab/test_store_fleet.py
+++ b/tests/lab/test_store_fleet.py
@@ -18,7 +18,7 @@
 FORMED_AFTER = 10.0
 SEEN_AFTER = 2.0
 SLOW_BYTES = 10_000.0
-"""A second; the configuration of such a fleet has some 80 KB."""
+"""Bytes a second; the whole configuration takes several seconds."""
 
 Body = Callable[[SimulatedStoreFleet, anyio.abc.TaskGroup], Awaitable[None]]
 
--- a/tests/node/gateway/test_slow_readers.py
+++ b/tests/node/gateway/test_slow_readers.py
@@ -84,10 +84,10 @@
         self.assertEqual(self.whole, 1)
 
     async def test_one_that_reads_little_of_what_the_system_holds_is_not_ended(self) -> None:
-        """What a caller saw: its answer ended after some 2.8 MB, though it read all the time.
+        """A gateway must not take the node before it for a caller that does not read.
 
-        Cause: the node before it takes nothing from the gateway while the caller reads what the
-        system holds, megabytes, and the gateway took that node for one that does not read.
+        That node takes nothing from the gateway while its caller reads the megabytes that the
+        system holds.
         """
         loop = asyncio.get_running_loop()
         with mock.patch.object(unread, "UNREAD_SECONDS", 0.6):
--- a/tests/node/http/test_unread.py
+++ b/tests/node/http/test_unread.py
@@ -75,9 +75,8 @@
 class SlowReaderTest(ProxyTestCase):
     """A caller that reads little of what the system holds.
 
-    What it saw: its answer ended after some 2.8 MB, though it read all the time.
-    Cause: only what the process held was looked at, of which the system takes no more before a
-    third of what it has taken, which is megabytes, was read.
+    What the process holds does not get less for long while the caller reads: the system takes more
+    only once a third of its own buffer, which may be megabytes, is free.
     """
 
     async def large(self, _scope: Any, _receive: Any, send: Any) -> None:
--- a/tests/platform/test_large_lists.py
+++ b/tests/platform/test_large_lists.py
@@ -1,4 +1,4 @@
-"""Lists of machines and zones beyond any fleet of today lose nothing on the way to nodes."""
+"""Very large lists of machines and zones lose nothing on the way to nodes."""
 
 import unittest
 
