--- a/tools/measure_change.py
+++ b/tools/measure_change.py
@@ -20,7 +20,7 @@
 from pewtertack.core import delta
 from pewtertack.core.configuration import resolution, validation
 from pewtertack.core.configuration.memory import CheckedTables
-from pewtertack.core.effects import BringIntoForce, GoOn
+from pewtertack.core.effects import BringIntoForce, ContinueWork
 from pewtertack.core.eras import tree_number
 from pewtertack.core.identity import NodeIdentity
 from pewtertack.core.inputs import DocumentRead, MessageReceived, Ticked, WorkContinued
@@ -175,7 +175,7 @@
             for effect in effects:
                 if isinstance(effect, BringIntoForce):
                     self.proxy.use_configuration(effect.configuration)
-            goes_on = any(isinstance(effect, GoOn) for effect in effects)
+            goes_on = any(isinstance(effect, ContinueWork) for effect in effects)
             event = WorkContinued()
             PARTS.note_turn()
 
