A back end's first answers are no measure of what it takes

Callers saw 503 deadline-unmeetable, with a time to come back, where the back end had free slots an instant later.

Cause: of the times of a back end's answers the first was taken whole for the mean and lost a tenth of its weight with each further one.

Change: while fewer than nine times are known, their median and the median of their distances from it are used. From then on as before.

--- a/src/pewtertack/routing/service_times.py
+++ b/src/pewtertack/routing/service_times.py
@@ -6,37 +6,59 @@
 
 from pewtertack.routing.queueing import smoothed
 
+FEW = 9
+"""Times of which medians are taken."""
 SPREAD = 2.0
 """Answers seldom take longer than the mean and so many times the mean deviation. In virtual
 time 2.0 earns more beyond capacity than 1.5 (docs/FARMARECOGE.md)."""
 
 
-class RouteTime(msgspec.Struct):
-    """How long the back end takes for a route, in seconds."""
+class MeanTime(msgspec.Struct):
+    """Mean of times and of their distances from it, in seconds.
 
-    mean: float
+    Medians while few are known: the first answers of a back end are often unusually slow.
+    """
+
+    mean: float = 0.0
     deviation: float = 0.0
     """Mean distance of a time from the mean."""
+    first: list[float] | None = msgspec.field(default_factory=list)
+    """The times so far, while they are few."""
 
     def note(self, seconds: float) -> None:
         """Take one more time into the means."""
+        if self.first is not None:
+            self._note_first(self.first, seconds)
+            return
         self.deviation = smoothed(self.deviation, abs(seconds - self.mean))
         self.mean = smoothed(self.mean, seconds)
 
+    def _note_first(self, first: list[float], seconds: float) -> None:
+        first.append(seconds)
+        self.mean = _median(first)
+        self.deviation = _median([abs(item - self.mean) for item in first])
+        if len(first) == FEW:
+            self.first = None
+
 
 class ServiceTimes:
     """Seconds that one back end takes, over all requests and by route; 0 while unknown."""
 
-    __slots__ = ("mean", "routes")
+    __slots__ = ("_all", "routes")
 
     def __init__(self) -> None:
-        self.mean = 0.0
-        self.routes: dict[str, RouteTime] = {}
+        self._all = MeanTime()
+        self.routes: dict[str, MeanTime] = {}
+
+    @property
+    def mean(self) -> float:
+        """Mean time over all requests."""
+        return self._all.mean
 
     def note(self, route: str, seconds: float) -> None:
         """Take one more time into the means."""
-        self.mean = smoothed(self.mean, seconds)
-        self.routes.setdefault(route, RouteTime(seconds)).note(seconds)
+        self._all.note(seconds)
+        self.routes.setdefault(route, MeanTime()).note(seconds)
 
     def mean_of(self, route: str) -> float:
         """Return the route's mean time."""
@@ -47,3 +69,8 @@
         """Return by how much an answer of the route may well take longer than the mean."""
         known = self.routes.get(route)
         return known.deviation * SPREAD if known is not None else 0.0
+
+
+def _median(times: list[float]) -> float:
+    """Return the median, the larger of two in the middle (``statistics`` is slow to import)."""
+    return sorted(times)[len(times) // 2]
--- a/tests/routing/test_admission.py
+++ b/tests/routing/test_admission.py
@@ -74,6 +74,18 @@
         self.assertAlmostEqual(refused.exception.retry_after or 0.0, 0.2)
         self.assertEqual(admission.load, 1)
 
+    def test_slow_first_answers_do_not_have_what_can_be_served_refused_later(self) -> None:
+        """Guards against refusals by the first answer's time alone, which weighed for long."""
+        admission = Admission(2)
+        for seconds in (0.24, 0.23, 0.03, 0.03, 0.02, 0.02):
+            first = ticket()
+            admission.submit(first, 0.0)
+            admission.finish(first, seconds, answered=True)
+        waiting = [ticket(objective=4.0, deadline=5.0) for _ in range(20)]
+        for item in waiting:
+            admission.submit(item, 3.0)
+        self.assertEqual(admission.load, 20)
+
     def test_an_objective_beyond_the_deadline_does_not_count(self) -> None:
         admission = busy(seconds=0.2)
         with self.assertRaises(DeadlineUnmeetableError):
