A gateway does not take its own delay for the back end's time

Callers may be refused as out of time for seconds after a node was held up.

Cause: the time of an answer was counted until the node came to read it.

Change: the system tells how long ago the last bytes of the connection came (TCP_INFO); for answers that took 20 ms and more, the time for which the head lay unread is kept apart. It counts for what waits as long as it lasts (routing.recent_delay): a node that is slow for good reckons with it, one that was held up once forgets it within seconds. The time is taken at the head, so that callers who read slowly do not count.

Not changed: proxies still count their own delay in the times of their attempts. The limit after which they take a gateway to stall is a multiple of that time; without it, a proxy that is slow for good would take all gateways to stall.

--- a/src/pewtertack/node/gateway/forwarding.py
+++ b/src/pewtertack/node/gateway/forwarding.py
@@ -23,8 +23,9 @@
 from pewtertack.node.proxy.body import Caller, CallerGoneError, RequestBody
 from pewtertack.node.proxy.content import RequestContent
 from pewtertack.node.proxy.edge import NODE_EDGE
-from pewtertack.node.proxy.exchange import Exchange, TruncatedAnswerError, ignore_answer
+from pewtertack.node.proxy.exchange import Exchange, TruncatedAnswerError
 from pewtertack.node.proxy.headers import (
+    AnswerHead,
     RequestHead,
     attempt_headers,
     backend_headers,
@@ -52,6 +53,8 @@
 that node asks for by itself, whose word may come late or not at all."""
 CONNECT_SECONDS = 0.25
 """For a connection to the back end, which is on the same machine."""
+NOTICED_DELAY = 0.02
+"""Seconds. In an answer that took less, the system's coarse times tell no delay of this node."""
 
 
 def _always_open() -> None:
@@ -116,10 +119,13 @@
             self._sender or send,
             head,
             self._body,
-            ignore_answer,
+            self._note_answer,
             NODE_EDGE,
             self._answer_headers,
         )
+        self._connection: BackendConnection | None = None
+        self._delay = 0.0
+        """For how long the answer lay unread, since this node was held up."""
         self._sent = False
         self._receiving: asyncio.Future[None] | None = None
         """What receives the body, while the request may not go on without it."""
@@ -304,7 +310,7 @@
         finally:
             now = self._parts.clock()
             self._parts.runs.end(route, self._ticket.rank, now - self._ticket.started_at)
-            self._admission.finish(self._ticket, now, answered)
+            self._admission.finish(self._ticket, now, answered, self._delay)
 
     async def _wait_for_slot(self) -> None:
         self._submit()
@@ -367,6 +373,7 @@
         await self._suspicion.refuse_held(self._request.crash_limit, self._parts.clock())
         connections = self._parts.connections
         connection = await connections.take(self._parts.address, CONNECT_SECONDS)
+        self._connection = connection
         try:
             await self._unless_hung(
                 self._exchange.run(connection, self._backend_headers(), self._parts.edge),
@@ -382,8 +389,14 @@
             self._sent = self._sent or connection.sent
             raise
         finally:
+            self._connection = None
             connections.give_back(connection)
 
+    def _note_answer(self, answer: AnswerHead) -> None:
+        took = self._parts.clock() - self._ticket.started_at
+        if took >= NOTICED_DELAY and self._connection is not None:
+            self._delay = self._connection.seconds_since_received()
+
     async def _unless_hung(self, work: Awaitable[None], connection: BackendConnection) -> None:
         """Do the work; tell the sender when it hangs, if the request may be sent elsewhere."""
         hangs = self._admission.hangs
--- a/src/pewtertack/node/http/acknowledgement.py
+++ b/src/pewtertack/node/http/acknowledgement.py
@@ -22,6 +22,7 @@
 
 from pewtertack.node.http.cycle import LOGGER
 from pewtertack.node.http.outgoing import outgoing
+from pewtertack.node.http.tcp_info import tcp_info
 from pewtertack.node.http.transport import MILLISECONDS, SILENT_SECONDS, bound_silence
 
 LOOK_SECONDS = 0.1
@@ -30,7 +31,6 @@
 """A system answers at most one in 0.5 s, and so may leave the second, 0.4 s after the first,
 unanswered while it lives."""
 NO_BOUND = 0
-TCP_INFO_BYTES = 60
 PROBES_AT = 3
 WORDS_AT = 24
 """From here on Linux' ``struct tcp_info`` has words: the first tells the segments that are not
@@ -128,7 +128,7 @@
 
 def acknowledged(connected: socket.socket) -> Acknowledged:
     """Ask the system what it knows of a connection."""
-    told = connected.getsockopt(socket.IPPROTO_TCP, socket.TCP_INFO, TCP_INFO_BYTES)
+    told = tcp_info(connected)
     segments, *_, since_sent, _, _, since_acknowledgement = WORDS.unpack_from(told, WORDS_AT)
     return Acknowledged(
         segments,
--- a/src/pewtertack/node/http/connection.py
+++ b/src/pewtertack/node/http/connection.py
@@ -25,6 +25,7 @@
 )
 from pewtertack.node.http.framing import LAST_CHUNK, RawHeaders, chunk_of
 from pewtertack.node.http.messages import AnswerStart, OutgoingRequest
+from pewtertack.node.http.tcp_info import seconds_since_received
 from pewtertack.node.http.transport import (
     MILLISECONDS,
     SILENT_SECONDS,
@@ -281,6 +282,16 @@
         slept = clock.suspended_seconds() - self._suspended
         return self.clean and slept < DOUBTED_AFTER_SUSPENSION
 
+    def seconds_since_received(self) -> float:
+        """Return how long ago the last of the answer reached this machine, 0 while unknown.
+
+        A process that was held up reads an answer later than it came.
+        """
+        try:
+            return seconds_since_received(self._transport.get_extra_info("socket"))
+        except OSError:  # closed
+            return 0.0
+
     def has_unread(self) -> bool:
         """Tell whether something came, or the end, that the loop has not read yet."""
         if self._idle_look is None:
--- a/src/pewtertack/routing/admission.py
+++ b/src/pewtertack/routing/admission.py
@@ -35,6 +35,7 @@
 from pewtertack.routing.patience import Lateness
 from pewtertack.routing.places import AdmissionTicket
 from pewtertack.routing.policies import DEFAULT_POLICIES, Hanging, Policies
+from pewtertack.routing.recent_delay import RecentDelay
 from pewtertack.routing.service_times import ServiceTimes
 
 QUEUE_PER_SLOT = 20
@@ -79,6 +80,7 @@
         self._arrivals = 0
         self._going_first = ArrivalRate()
         self._times = ServiceTimes()
+        self._delay = RecentDelay()
         self.hangs = HangWatch() if policies.hanging is Hanging.LEFT else None
         self._start_with_margin = MARGINS[policies.margin]
         self._moved_at = -math.inf
@@ -128,7 +130,7 @@
             self._start(ticket, now)
             return
         self._arrivals += 1
-        ticket.wanted_start = self._last_timely_start(ticket)
+        ticket.wanted_start = self._last_timely_start(ticket, now)
         ticket.order = (*ticket.rank, not ticket.within, ticket.wanted_start, self._arrivals)
         if not self._has_prospect(ticket, now):
             message = "no slot comes free in time"
@@ -166,14 +168,14 @@
             return False
         if ticket.lateness in (Lateness.REFUSED, Lateness.PROMPT) or self._stalls(now):
             return False
-        return now + self._late_wait(ticket, now) <= self._last_start(ticket)
+        return now + self._late_wait(ticket, now) <= self._last_start(ticket, now)
 
     def _late_wait(self, ticket: AdmissionTicket, now: float) -> float:
         """Return the wait of a request behind all that may still be in time.
 
         Those that go first keep coming; what they leave free serves the others.
         """
-        free = 1 - self._going_first.at_least(now) * self._turn_time(self._times.mean, now)
+        free = 1 - self._going_first.at_least(now) * self._turn_time(self._mean_time(now), now)
         if free <= 0:
             return math.inf
         turn = (True, ticket.order)
@@ -182,15 +184,19 @@
 
     def _stalls(self, now: float) -> bool:
         """Tell whether the back end stands still, so that nothing is known of any wait."""
-        return now - self._moved_at > STALL_TIMES * self._times.mean > 0
+        return now - self._moved_at > STALL_TIMES * self._mean_time(now) > 0
 
-    def _last_start(self, ticket: AdmissionTicket) -> float:
+    def _last_start(self, ticket: AdmissionTicket, now: float) -> float:
         """Return until when it should start: later, it would often miss its deadline."""
-        return ticket.deadline - self._time_of(ticket) - self._times.spread_of(ticket.route)
+        return ticket.deadline - self._time_of(ticket, now) - self._times.spread_of(ticket.route)
 
     def _wait_behind(self, ahead: int, ticket: AdmissionTicket, now: float) -> float:
         """Return in how many seconds a request starts that lets ``ahead`` others go first."""
-        return (ahead + 1) * self._turn_time(self._times.mean or ticket.typical_time, now)
+        return (ahead + 1) * self._turn_time(self._mean_time(now) or ticket.typical_time, now)
+
+    def _mean_time(self, now: float) -> float:
+        """Return for how long a request takes a slot, 0 while unknown."""
+        return self._times.mean and self._times.mean + self._delay.at(now)
 
     def _turn_time(self, mean: float, now: float) -> float:
         """Return the seconds from one request's start to the next, where all slots are taken."""
@@ -199,14 +205,18 @@
             return by_slots
         return max(by_slots, WINDOW / self.cold.per_second)
 
-    def _time_of(self, ticket: AdmissionTicket) -> float:
+    def _run_time(self, ticket: AdmissionTicket) -> float:
         return self.expected_time(ticket.route) or ticket.typical_time
 
-    def _last_timely_start(self, ticket: AdmissionTicket) -> float:
+    def _time_of(self, ticket: AdmissionTicket, now: float) -> float:
+        """Return the seconds from its start to its answer, as read by this node."""
+        return self._run_time(ticket) + self._delay.at(now)
+
+    def _last_timely_start(self, ticket: AdmissionTicket, now: float) -> float:
         """Return until when it should start: later, it would often miss its objective."""
         if ticket.within:
-            return self._last_start(ticket)
-        latest = min(ticket.objective, ticket.deadline) - self._time_of(ticket)
+            return self._last_start(ticket, now)
+        latest = min(ticket.objective, ticket.deadline) - self._time_of(ticket, now)
         spread = self._times.spread_of(ticket.route)
         return self._start_with_margin(ticket.submitted_at, latest, spread)
 
@@ -227,7 +237,7 @@
             self._refusing_since = now
         self._refused_at = now
         ahead = max(0, self.load - self.in_flight)
-        wait = (ahead + 1) * self._turn_time(self._times.mean, now)
+        wait = (ahead + 1) * self._turn_time(self._mean_time(now), now)
         expected = max(wait, now - self._refusing_since, MINIMUM_RETRY_AFTER)
         return min(expected, MAXIMUM_RETRY_AFTER)
 
@@ -286,25 +296,36 @@
         for ticket in tuple(self._queue):
             self.refuse(ticket, refusal_of())
 
-    def finish(self, ticket: AdmissionTicket, now: float, answered: bool) -> None:
+    def finish(
+        self, ticket: AdmissionTicket, now: float, answered: bool, delay: float = 0.0
+    ) -> None:
         """A granted request has ended; its slot goes to the next that waits.
 
         One that ended without an answer tells how long it takes at least: a back end
         that has turned slow answers only what is quick.
+
+        Args:
+            ticket: the request's place.
+            now: monotonic seconds.
+            answered: whether the back end has answered.
+            delay: seconds for which the answer lay unread, since this node was held up.
         """
         self.in_flight -= 1
         self._moved_at = now
-        seconds = now - ticket.started_at
+        delay = min(delay, now - ticket.started_at)
+        seconds = now - ticket.started_at - delay
         if self.hangs is not None:
             self.hangs.end(ticket, now, answered)
-        if answered or not ticket.hung and seconds > self._time_of(ticket):
+        if answered:
+            self._delay.note(delay, now)
+        if answered or not ticket.hung and seconds > self._run_time(ticket):
             self._times.note(ticket.route, seconds)
         self._grant_waiting(now)
 
     def _grant_waiting(self, now: float) -> None:
         while self._queue and self._has_room(now):
             ticket = min(self._queue, key=lambda item: self._turn(item, now))
-            if now > self._last_start(ticket):
+            if now > self._last_start(ticket, now):
                 self._refuse_late(ticket, now)
                 continue
             self._queue.remove(ticket)
--- a/tests/routing/test_admission.py
+++ b/tests/routing/test_admission.py
@@ -86,6 +86,26 @@
             admission.submit(item, 3.0)
         self.assertEqual(admission.load, 20)
 
+    def test_a_delay_of_this_node_counts_while_it_lasts_and_not_as_the_back_end_s_time(
+        self,
+    ) -> None:
+        admission = Admission(1)
+        for number in range(40):
+            item = ticket()
+            admission.submit(item, number * 0.3)
+            admission.finish(item, number * 0.3 + 0.3, answered=True, delay=0.2)
+        self.assertAlmostEqual(admission.expected_time("lookup"), 0.1)
+        for began, refused in ((12.0, True), (16.0, False)):
+            running = ticket()
+            admission.submit(running, began)
+            waiting = ticket(objective=began + 0.25, deadline=began + 0.35)
+            with (
+                self.assertRaises(DeadlineUnmeetableError) if refused else contextlib.nullcontext()
+            ):
+                admission.submit(waiting, began)
+            admission.withdraw(waiting)
+            admission.finish(running, began + 0.1, answered=True)
+
     def test_an_objective_beyond_the_deadline_does_not_count(self) -> None:
         admission = busy(seconds=0.2)
         with self.assertRaises(DeadlineUnmeetableError):
