What the system holds for callers that do not read is bounded

Callers of a node with 40 silent ones waited for seconds while it went on to receive, copy and keep what nobody read; the machine's memory held megabytes of each such answer, which no bound of the node counted.

Cause: flow control slows the sender once the system takes no more, and the system takes up to 4 MB a connection unasked (tcp_wmem; 3.9 MB measured), on each of the two nodes' connections.

Change: the system takes at most 256 KiB of a connection beyond what it has begun to send (TCP_NOTSENT_LOWAT), and without a bound again at the process's end, as before. What is under way on a link is not bounded by it.

--- a/src/pewtertack/node/http/server.py
+++ b/src/pewtertack/node/http/server.py
@@ -14,13 +14,13 @@
 import math
 import time
 from collections.abc import Sequence
-from socket import IPPROTO_TCP, TCP_NODELAY, socket
+from socket import IPPROTO_TCP, TCP_NODELAY, TCP_NOTSENT_LOWAT, socket
 from typing import Any
 
 from pewtertack.node.http.cycle import LOGGER
 from pewtertack.node.http.protocol import GuardedHttpProtocol
 from pewtertack.node.http.refusals import RefusalWriter, plain_refusal
-from pewtertack.node.http.system_buffer import widen
+from pewtertack.node.http.system_buffer import MOST_NOT_SENT, widen
 from pewtertack.node.http.transport import StreamTransport
 from pewtertack.node.http.unread import UnreadAnswers
 
@@ -133,9 +133,10 @@
             loop.call_later(NO_ROOM_SECONDS, self._listen, loop, bound)
             return False
         accepted.setblocking(False)
-        # Not taken over from the listener by who connected before it had the option. With Nagle's
+        # Not taken over from the listener by who connected before it had the options. With Nagle's
         # algorithm a head and a body written apart take 40 ms.
         accepted.setsockopt(IPPROTO_TCP, TCP_NODELAY, 1)
+        accepted.setsockopt(IPPROTO_TCP, TCP_NOTSENT_LOWAT, MOST_NOT_SENT)
         StreamTransport(loop, accepted, GuardedHttpProtocol(self, loop))
         return True
 
--- a/tests/node/gateway/test_slow_readers.py
+++ b/tests/node/gateway/test_slow_readers.py
@@ -18,6 +18,7 @@
 """More than the kernels of three connections hold."""
 PART = bytes(16 * 1024)
 LITTLE = 8 * 1024
+MOST_UNTAKEN = 1024 * 1024
 FAR_BELOW_DEADLINE = 8.0
 
 
@@ -117,6 +118,15 @@
         self.assertEqual([len(server.unread) for server in self.servers], [10, 10])
         self.assertEqual((self.under_way, self.whole), (10, 0))
 
+    async def test_what_the_system_holds_for_one_that_reads_nothing_is_bounded(self) -> None:
+        """Guards against megabytes of each such answer in the memory of a node's machine."""
+        await self.begin(1)
+        await asyncio.sleep(1.0)
+        for server in self.servers:
+            untaken = [connection.transport.untaken for connection in server.connections]
+            self.assertEqual(len(untaken), 1)
+            self.assertLess(untaken[0], MOST_UNTAKEN)
+
     async def test_a_node_that_takes_nothing_is_waited_for_until_the_deadline(self) -> None:
         await self.start_fleet(self.answer_large, slots=64, timeout=60.0)
         host, _, port = self.machines[0].gateway.rpartition(":")
