The lab holds the addresses of a fleet while it plays

Cause: an address was tried by binding it and let go at once, until its process was started and while a node was down; another fleet's allocator, on the same IP numbers of this machine, could choose it then.

Change: the allocator keeps a socket bound to each address, which does not listen. Beside it a node may listen, since both have SO_REUSEADDR; another allocator's trial fails. A port that is used at several hosts is tried at all of them (lab returns, slow-source, convergence tried the first alone).

--- a/src/pewtertack/lab/fleet/plan.py
+++ b/src/pewtertack/lab/fleet/plan.py
@@ -103,6 +103,8 @@
     nodes: Mapping[str, NodePlan]
     backends: Mapping[str, BackendPlan]
     backend_controls: Mapping[str, Address]
+    ports: PortAllocator
+    """Holds the addresses as long as the plan exists."""
 
     def machine_list(self) -> dict[str, dict[str, str | int]]:
         """Return the platform's list with everything live."""
@@ -164,6 +166,7 @@
         nodes={node.name: node for node in nodes},
         backends={backend.name: backend for backend in backends},
         backend_controls={process: ports.allocate(PLATFORM_IP) for process in processes},
+        ports=ports,
     )
 
 
--- a/src/pewtertack/lab/returns/run.py
+++ b/src/pewtertack/lab/returns/run.py
@@ -122,8 +122,8 @@
         self._backends = [Backend(host) for host in HOSTS]
         self._world = StoreWorld(self._backends, seed)
         self._nodes = [NodeRecord(host) for host in HOSTS]
-        allocator = PortAllocator()
-        self._ports = [allocator.allocate(HOSTS[0]).port for _ in range(3)]
+        self._allocator = PortAllocator()
+        self._ports = [self._allocator.allocate(*HOSTS).port for _ in range(3)]
         self._stops = 0
         self._replaced = 0
         self._calls = 0
--- a/src/pewtertack/lab/store_fleet/fleet.py
+++ b/src/pewtertack/lab/store_fleet/fleet.py
@@ -129,8 +129,8 @@
         self._listener = Listener(self.store.application, Address(CONTROL_HOST, 0))
         self._relay: Relay | None = None
         self._processes: dict[str, LabProcess] = {}
-        allocator = PortAllocator()
-        self._proxy, self._peer = (allocator.allocate(self._hosts[0]).port for _ in range(2))
+        self._allocator = PortAllocator()
+        self._proxy, self._peer = (self._allocator.allocate(*self._hosts).port for _ in range(2))
 
     async def start(self, tasks: anyio.abc.TaskGroup) -> None:
         """Start the store, the relay where links have a rate, and all nodes.
