A soak's request is in flight from its first byte on

The check counted every call of a pipeline as sent when the first one was, also those whose turn to be sent came after the stop.

Change: callers note when a request's first byte was handed to the system; the check takes that moment, and says it in its offences. Where nothing was sent at all the call's beginning counts, as before.

--- a/src/pewtertack/lab/history/request_checks.py
+++ b/src/pewtertack/lab/history/request_checks.py
@@ -89,6 +89,8 @@
         judged += 1
         if told.outcome is ToldOutcome.CUT:
             message = f"cut {told.time - stop.time:.3f} s into the stop of {stop.node}"
+            if told.begun_for is not None:
+                message += f", its first byte sent {told.begun_for:.4f} s before"
             offences.append(Offence(told.time, told.request_id, message))
     return judge(Promise.STOP_CUTS_NOTHING, judged, offences)
 
@@ -99,12 +101,17 @@
     for stop in stops:
         killed_at = [kill.time for kill in kills if kill.node == stop.node]
         for told in _told(timeline):
-            began = told.time - told.latency
+            began = _sent_at(told)
             in_flight = told.node == stop.node and began <= stop.time <= told.time
             if in_flight and not any(began <= time <= told.time for time in killed_at):
                 yield told, stop
 
 
+def _sent_at(told: Told) -> float:
+    """Return when its first byte was sent; when its call began where that was not measured."""
+    return told.time - (told.latency if told.begun_for is None else told.begun_for)
+
+
 def _told(timeline: Timeline) -> Iterator[Told]:
     return (line for line in timeline.lines if isinstance(line, Told))
 
--- a/src/pewtertack/lab/load/caller.py
+++ b/src/pewtertack/lab/load/caller.py
@@ -104,6 +104,7 @@
     conclusion: Conclusion,
     latency: float,
     whole_for: float | None = None,
+    begun_for: float | None = None,
 ) -> Told:
     """Return the record of an exchange that ends now."""
     return Told(
@@ -119,6 +120,7 @@
         latency=latency,
         retry_after=conclusion.retry_after,
         whole_for=whole_for,
+        begun_for=begun_for,
         broken_off_after=conclusion.broken_off_after,
     )
 
--- a/src/pewtertack/lab/records.py
+++ b/src/pewtertack/lab/records.py
@@ -196,6 +196,9 @@
     whole_for: float | None = None
     """For how long the whole request had been sent when the exchange ended, less the delays
     of the caller's own process; None when it was not sent whole, or this was not measured."""
+    begun_for: float | None = None
+    """Seconds since its first byte was handed to the system when the exchange ended; None when
+    nothing of it was sent, or this was not measured."""
     broken_off_after: int | None = None
     """Bytes of the body that had come of an answer that broke off; None for all others."""
 
--- a/src/pewtertack/lab/soak/connection.py
+++ b/src/pewtertack/lab/soak/connection.py
@@ -34,12 +34,14 @@
 class Call:
     """One request of a connection."""
 
-    __slots__ = ("began", "kind", "request_id", "whole_at")
+    __slots__ = ("began", "kind", "request_id", "sent_at", "whole_at")
 
     def __init__(self, kind: CallKind, request_id: str) -> None:
         self.kind = kind
         self.request_id = request_id
         self.began = time.monotonic()
+        self.sent_at: float | None = None
+        """When its first byte was handed to the system."""
         self.whole_at: float | None = None
         """When its last byte had been handed to the system."""
 
@@ -106,6 +108,7 @@
 
     async def _send_one(self, call: Call) -> None:
         raw = call.encode()
+        call.sent_at = time.monotonic()
         for start in range(0, len(raw), CHUNK_BYTES):
             await self._stream.send(raw[start : start + CHUNK_BYTES])
         call.whole_at = time.monotonic()
@@ -144,8 +147,10 @@
         if call.whole_at is not None:
             lag = self._lag.worst_since(call.whole_at)
             whole_for = max(0.0, now - call.whole_at - lag)
+        begun_for = None if call.sent_at is None else now - call.sent_at
+        latency = now - call.began
         return told_of(
-            self._target, call.kind, call.request_id, conclusion, now - call.began, whole_for
+            self._target, call.kind, call.request_id, conclusion, latency, whole_for, begun_for
         )
 
 
--- a/tests/lab/history/test_stop_checks.py
+++ b/tests/lab/history/test_stop_checks.py
@@ -35,6 +35,7 @@
     outcome: ToldOutcome,
     whole_for: float | None = 1.0,
     broken_off_after: int | None = None,
+    begun_for: float | None = None,
 ) -> Told:
     return Told(
         time=time,
@@ -49,6 +50,7 @@
         latency=2.0,
         whole_for=whole_for,
         broken_off_after=broken_off_after,
+        begun_for=begun_for,
     )
 
 
@@ -87,6 +89,22 @@
         self.assertEqual(judged[0], Judgement.VIOLATED)
 
 
+class InFlightTest(unittest.TestCase):
+    """Calls that wait for those before them on their connection when its node is stopped."""
+
+    def judge(self, begun_for: float | None) -> Judgement:
+        cut = told(10.002, ToldOutcome.CUT, whole_for=0.0001, begun_for=begun_for)
+        verdicts = check_history([*STOP, cut])
+        return next(v.judgement for v in verdicts if v.promise is Promise.STOP_CUTS_NOTHING)
+
+    def test_one_of_which_something_was_sent_is_in_flight(self) -> None:
+        for begun_for in (0.003, 1.0, None):
+            self.assertIs(self.judge(begun_for), Judgement.VIOLATED)
+
+    def test_one_of_which_nothing_had_been_sent_is_not(self) -> None:
+        self.assertIs(self.judge(0.001), Judgement.TOO_THIN)
+
+
 class BrokenOffAnswerTest(unittest.TestCase):
     """Answers of which callers got a part."""
 
