A download is no offence of a stop whose gateway is paused to its end

The checks excused a gateway that was killed, not one that stands still.

The node has passed on what it was given, and cannot take the head back; a pause is no planned work.

Change: an answer that broke off in the middle during a planned stop is not judged where the node beside its back end was paused during the stop until less than 1 s before, the time for which a pause of the caller's own node is excused. A pause that ended earlier, one of another node, an answer that had not begun, and a node that is not stopped excuse nothing, as before.

--- a/src/pewtertack/lab/history/request_checks.py
+++ b/src/pewtertack/lab/history/request_checks.py
@@ -6,7 +6,7 @@
 from collections.abc import Iterator
 from math import inf
 
-from pewtertack.lab.history.broken_off import KilledGateways
+from pewtertack.lab.history.broken_off import DisturbedGateways
 from pewtertack.lab.history.timeline import Timeline
 from pewtertack.lab.history.verdicts import CheckBounds, Offence, Promise, Verdict, judge
 from pewtertack.lab.records import (
@@ -78,13 +78,13 @@
     return judge(Promise.LEAVING_UNUSED, judged, offences)
 
 
-def check_stop_cuts_nothing(timeline: Timeline, _bounds: CheckBounds) -> Verdict:
+def check_stop_cuts_nothing(timeline: Timeline, bounds: CheckBounds) -> Verdict:
     """No exchange that was in flight when its node was asked to stop breaks off."""
     judged = 0
     offences: list[Offence] = []
-    killed = KilledGateways(timeline)
+    gateways = DisturbedGateways(timeline)
     for told, stop in _in_flight_at_stop(timeline):
-        if killed.broke_off(told):
+        if gateways.broke_off(told, bounds.unplanned, stop.time):
             continue
         judged += 1
         if told.outcome is ToldOutcome.CUT:
--- a/src/pewtertack/lab/history/stop_checks.py
+++ b/src/pewtertack/lab/history/stop_checks.py
@@ -2,7 +2,8 @@
 
 A request counts as read by its node when its last byte was sent `CheckBounds.unread` before
 the connection ended. An answer that broke off in the middle is no answer. Not judged is what was
-cut by a kill of the node, or around its pause, or broken off by a kill of the gateway's.
+cut by a kill of the node, or around its pause, or broken off by a kill of the gateway's node or by
+its pause during the stop.
 """
 
 from __future__ import annotations
@@ -10,7 +11,7 @@
 import math
 from collections.abc import Iterator
 
-from pewtertack.lab.history.broken_off import KilledGateways
+from pewtertack.lab.history.broken_off import DisturbedGateways
 from pewtertack.lab.history.timeline import Interval, Timeline
 from pewtertack.lab.history.verdicts import CheckBounds, Offence, Promise, Verdict, judge
 from pewtertack.lab.records import (
@@ -95,13 +96,17 @@
 ) -> Iterator[tuple[Told, Interval | None]]:
     """Yield the exchanges that are judged, with the planned stop that they fell into."""
     spans = _spans_by_node(timeline)
-    killed = KilledGateways(timeline)
+    gateways = DisturbedGateways(timeline)
     for told in timeline.lines:
         if not isinstance(told, Told) or not _was_read(told, bounds):
             continue
         node = spans.get(told.node, _NodeSpans())
-        if not node.disturbed(told, bounds.unplanned) and not killed.broke_off(told):
-            yield told, node.stop_around(told)
+        stop = node.stop_around(told)
+        stopped_at = None if stop is None else stop.start
+        if node.disturbed(told, bounds.unplanned):
+            continue
+        if not gateways.broke_off(told, bounds.unplanned, stopped_at):
+            yield told, stop
 
 
 def _was_read(told: Told, bounds: CheckBounds) -> bool:
--- a/tests/lab/history/test_stop_checks.py
+++ b/tests/lab/history/test_stop_checks.py
@@ -130,6 +130,24 @@
         judged = self.judge(NodeKill(time=11.8, node="h"), broken_off)
         self.assertIs(judged[Promise.STOP_CUTS_NOTHING].judgement, Judgement.VIOLATED)
 
+    def test_a_pause_of_that_node_until_the_end_of_a_stop_cuts_what_it_cuts(self) -> None:
+        broken_off = told(11.9, ToldOutcome.CUT, broken_off_after=81_840)
+        resumed = NodeResume(time=11.2, node="g")
+        for pause in ([NodePause(time=9.8, node="g")], [NodePause(time=9.8, node="g"), resumed]):
+            judged = self.judge(*pause, broken_off)
+            self.assertIs(judged[Promise.STOP_ANSWERS_ALL].judgement, Judgement.TOO_THIN)
+            self.assertIs(judged[Promise.STOP_CUTS_NOTHING].judgement, Judgement.TOO_THIN)
+
+    def test_no_other_pause_excuses_it(self) -> None:
+        before = [NodePause(time=9.8, node="g"), NodeResume(time=10.4, node="g")]
+        other = [NodePause(time=10.5, node="h")]
+        for pause in (before, other):
+            judged = self.judge(*pause, told(11.9, ToldOutcome.CUT, broken_off_after=81_840))
+            self.assertIs(judged[Promise.STOP_ANSWERS_ALL].judgement, Judgement.VIOLATED)
+        begun = [NodePause(time=9.8, node="g")]
+        judged = self.judge(*begun, told(11.9, ToldOutcome.CUT))
+        self.assertIs(judged[Promise.STOP_ANSWERS_ALL].judgement, Judgement.VIOLATED)
+
     def test_no_other_end_of_another_node_excuses_it(self) -> None:
         broken_off = told(9.0, ToldOutcome.CUT, broken_off_after=16_384)
         for line in (
