Some reader of the source begins a read soon after any change

An edit right after another came into force at two answers' time of a source that had turned slow: 7.6 s where an answer takes 3.65 s.

Cause: a change ends the long polls of all readers at once. Each is answered with the state as of then, by the same slow answer, and no reader has another open: it waits for that answer, or until it is overdue, and what changes meanwhile is in the next answer.

Change: the read after a change is held for 0.2 to 1 of the usual wait, at random, so that the polls of several readers do not end together from then on; and one whose wait has passed for 0.3 s has another opened beside it, where it was waited for until overdue.

Test: test_a_change_right_after_one_that_ended_all_reads... failed before (7.6 s; 6.8 allowed).

--- a/src/pewtertack/core/replication/open_reads.py
+++ b/src/pewtertack/core/replication/open_reads.py
@@ -11,6 +11,8 @@
 
 OPEN_READS_MAX = 8
 """Reads of one document that are open at once."""
+ANSWER_BEGINS = 0.3
+"""Seconds within which a quick source answers a read whose wait has passed."""
 LONGEST_GAP = 2.0
 """Seconds between two reads of a source that answers none, unless it is known to be slow."""
 
@@ -35,6 +37,10 @@
         """Tell whether the answer should have come."""
         return now > self.opened_at + self.allowed
 
+    def is_past_wait(self, now: float) -> bool:
+        """Tell whether its answer should have begun: the source is slow, or was since a change."""
+        return self.effect.wait > 0 and now > self.opened_at + self.effect.wait + ANSWER_BEGINS
+
 
 class OpenReads:
     """The open reads of one document, the oldest first.
--- a/src/pewtertack/core/replication/reader.py
+++ b/src/pewtertack/core/replication/reader.py
@@ -21,6 +21,8 @@
 from pewtertack.wire.messages import DocumentKind
 
 BACKOFF_FACTOR = 2.0
+SHORTEST_SHARE = 0.2
+"""Of its usual wait, for the read after a change."""
 OVERDUE = 2.0
 """Seconds beyond its wait after which a read that is still open confirms nothing."""
 
@@ -76,6 +78,8 @@
         """Documents of which no answer has come since a pause of this process."""
         self._seen: dict[DocumentKind, int] = {}
         self._stale: dict[DocumentKind, int] = {}
+        self._changed: set[DocumentKind] = set()
+        """Documents of which the last answer was a change, which ended the reads of all nodes."""
         self.reading = False
         self._held = NOTHING_HELD
 
@@ -160,8 +164,8 @@
     def _may_open(self, now: float, kind: DocumentKind) -> bool:
         """Tell whether a read may be opened beside those that are open.
 
-        It may beside overdue ones, and beside those of a slow source: an answer that has begun
-        does not contain what changes meanwhile.
+        It may beside overdue ones, beside one whose wait has passed, and beside those of a slow
+        source: an answer that has begun does not contain what changes meanwhile.
         """
         reads = self.open_reads[kind]
         newest = reads.newest
@@ -169,7 +173,7 @@
             return True
         if self._profile.read_patience == 0 or reads.is_full:
             return False
-        if not reads.is_any_due(now):
+        if not reads.is_any_due(now) or newest.is_past_wait(now):
             return True
         return self._overlaps(kind) and now - newest.opened_at >= self._profile.read_overlap
 
@@ -179,11 +183,17 @@
     def _wait(self, now: float, kind: DocumentKind, may_be_stale: bool) -> float:
         """Return for how long the platform may hold a read open, in seconds.
 
-        A read of a slow source is held until the next one begins.
+        A read of a slow source is held until the next one begins. A change ends the reads of all
+        nodes at once; the next ones last differently long, so that some node's begins soon at any
+        time. One that begins after a change is told of it even while answers of earlier reads are
+        still on their way.
         """
         if may_be_stale or self._is_to_confirm(kind) or self.open_reads[kind].is_any_overdue(now):
             return 0.0
         longest = self._profile.read_wait
+        if kind in self._changed:
+            self._changed.discard(kind)
+            longest *= self._random.uniform(SHORTEST_SHARE, 1.0)
         if self._overlaps(kind):
             longest = min(longest, self._profile.read_overlap)
         if self._held.era and self._held.doubts_copy:
@@ -213,6 +223,7 @@
         """The platform answered with a document while the number ``held`` was held."""
         kind, number = answer.kind, answer.number
         self._seen[kind] = number
+        self._changed.add(kind)
         if number < held:
             self._stale[kind] = number
             self._note_answer(now, answer)
--- a/tests/core/replication/test_slow_source.py
+++ b/tests/core/replication/test_slow_source.py
@@ -29,11 +29,12 @@
     Args:
         delay: seconds that an answer begun at a moment takes; ``None`` where it is lost.
         changes: the moments at which the document changes.
+        seed: of the reader's random numbers.
     """
 
-    def __init__(self, delay: Delay, changes: tuple[float, ...] = ()) -> None:
+    def __init__(self, delay: Delay, changes: tuple[float, ...] = (), seed: int = 1) -> None:
         self.freshness = SourceFreshness()
-        self.reader = PlatformReader(LEASED, AlwaysReads(), self.freshness, Random(1), 0.0)
+        self.reader = PlatformReader(LEASED, AlwaysReads(), self.freshness, Random(seed), 0.0)
         self.reads: list[tuple[float, ReadDocument]] = []
         self.told: dict[int, float] = {}
         """By number of the change, when the reader heard of it."""
@@ -107,6 +108,26 @@
             overlap = LEASED.read_overlap + 0.2
             self.assertLessEqual(source.latency(number), 3.8 + overlap)
 
+    def test_a_change_right_after_one_that_ended_all_reads_is_told_by_some_reader_soon(
+        self,
+    ) -> None:
+        """Guards against readers that all wait for answers which a change has begun."""
+        changes = (20.0, 45.0, 45.1)
+        sources = [
+            VirtualSource(lambda now: 3.8 if now > 44.0 else 0.004, changes, seed)
+            for seed in range(6)
+        ]
+        for source in sources:
+            source.run(60.0)
+        self.assertLessEqual(min(source.latency(4) for source in sources), 3.8 + 3.0)
+        self.assertLessEqual(max(source.latency(4) for source in sources), 2 * 3.8 + 1.0)
+
+    def test_a_change_costs_at_most_one_read_more(self) -> None:
+        calm, changed = VirtualSource(lambda now: 0.004), VirtualSource(lambda now: 0.004, (50.0,))
+        for source in (calm, changed):
+            source.run(200.0)
+        self.assertLessEqual(len(changed.reads), len(calm.reads) + 2)
+
     def test_a_lost_answer_costs_no_more_than_a_read_that_is_given_up(self) -> None:
         source = VirtualSource(lambda now: None if 0.5 < now < 11.0 else 0.004, (11.0,))
         source.run(20.0)
