A request's wait for its slot is a class of its own

No change of what is done: 72 tests of seven modules around it and the bounds of test_hop_cost held.

--- a/src/pewtertack/node/gateway/forwarding.py
+++ b/src/pewtertack/node/gateway/forwarding.py
@@ -14,6 +14,7 @@
 from pewtertack.node.gateway.link_check import LinkCheck
 from pewtertack.node.gateway.parts import GatewayParts
 from pewtertack.node.gateway.sending import AnswerSender
+from pewtertack.node.gateway.slot_wait import SlotWait
 from pewtertack.node.gateway.told import link_headers, load_headers, origin_headers
 from pewtertack.node.http.connection import BackendConnection
 from pewtertack.node.http.cycle import CALLER, Scope
@@ -46,8 +47,6 @@
 )
 from pewtertack.routing.places import AdmissionTicket
 
-SHORTEST_LOOK = 0.001
-"""Seconds between two looks at a waiting request, where a timer has fired too early."""
 REFUSED_BEFORE = 0.5
 """So long before the sender's node carries answers no longer, what has not begun is refused: as
 that node asks for by itself, whose word may come late or not at all."""
@@ -131,7 +130,6 @@
         """What receives the body, while the request may not go on without it."""
         self._taken_back: NotRunError | None = None
         """Why a request that had its slot is refused before its body has come."""
-        self._timer: asyncio.TimerHandle
         self._end_timer: asyncio.TimerHandle | None = None
         """Until the sender's end is near, where it stops."""
 
@@ -335,36 +333,7 @@
         if ticket.granted:
             return
         self._parts.log.queued(self.request_id, self._request.backend, ticket, self._admission)
-        try:
-            await self._wait_for_grant()
-        except BaseException:
-            self._give_up_place()
-            raise
-        if ticket.refusal is not None:
-            ticket.refusal.offered = False
-            raise ticket.take_refusal()
-
-    async def _wait_for_grant(self) -> None:
-        decided = anyio.Event()
-        self._ticket.wake = decided.set
-        self._look_again()
-        try:
-            await decided.wait()
-        finally:
-            self._timer.cancel()
-
-    def _look_again(self) -> None:
-        """Give the waiting ticket up when its time is over; see to it that this is noticed."""
-        now = self._parts.clock()
-        self._admission.expire(self._ticket, now)
-        left = max(SHORTEST_LOOK, self._admission.expires_at(self._ticket) - now)
-        self._timer = asyncio.get_running_loop().call_later(left, self._look_again)
-
-    def _give_up_place(self) -> None:
-        if self._ticket.granted:
-            self._admission.finish(self._ticket, self._parts.clock(), answered=False)
-        else:
-            self._admission.withdraw(self._ticket)
+        await SlotWait(self._admission, ticket, self._parts.clock).until_granted()
 
     async def _attempt(self) -> None:
         if self._parts.pacer is not None:
