--- a/src/pewtertack/core/replication/reader.py
+++ b/src/pewtertack/core/replication/reader.py
@@ -184,9 +184,8 @@
         """Return for how long the platform may hold a read open, in seconds.
 
         A read of a slow source is held until the next one begins. A change ends the reads of all
-        nodes at once; the next ones last differently long, so that some node's begins soon at any
-        time. One that begins after a change is told of it even while answers of earlier reads are
-        still on their way.
+        nodes at once, so the next ones are held for different times: then one of them begins soon
+        after any change, and is told of it while answers to earlier reads are still on their way.
         """
         if may_be_stale or self._is_to_confirm(kind) or self.open_reads[kind].is_any_overdue(now):
             return 0.0
--- a/src/pewtertack/node/http/system_buffer.py
+++ b/src/pewtertack/node/http/system_buffer.py
@@ -11,9 +11,9 @@
 import socket
 
 MOST_NOT_SENT = 256 * 1024
-"""Bytes that the system takes of a connection before it has begun to send them: as much as a link
-of 100 Mbit/s carries in 20 ms, in which a busy loop comes back to the connection."""
-UNBOUNDED = 0
+"""Bytes that the system takes of a connection before it has begun to send them. A busy event loop
+comes back to the connection before so much has left over a fast link."""
+NO_BOUND = 0
 WIDE_BYTES = 256 * 1024
 """What the system takes unasked on a fast link, by its own count, which is about twice the
 payload. To ask for less than it takes already would narrow the connection."""
@@ -24,6 +24,6 @@
 def widen(connected: socket.socket) -> None:
     """Have the system take more of what is sent on a connection over a slow link."""
     with contextlib.suppress(OSError):  # it has ended meanwhile
-        connected.setsockopt(socket.IPPROTO_TCP, socket.TCP_NOTSENT_LOWAT, UNBOUNDED)
+        connected.setsockopt(socket.IPPROTO_TCP, socket.TCP_NOTSENT_LOWAT, NO_BOUND)
         if connected.getsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF) < WIDE_BYTES:
             connected.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, ASKED_BYTES)
--- a/src/pewtertack/node/http/tcp_info.py
+++ b/src/pewtertack/node/http/tcp_info.py
@@ -5,11 +5,12 @@
 import socket
 import struct
 
+from pewtertack.node.http.transport import MILLISECONDS
+
 TCP_INFO_BYTES = 60
 RECEIVED_AT = 52
 """Offset of the milliseconds since data came last."""
 WORD = struct.Struct("=I")
-MILLISECONDS = 1000
 
 
 def tcp_info(connected: socket.socket) -> bytes:
--- a/src/pewtertack/routing/backend.py
+++ b/src/pewtertack/routing/backend.py
@@ -31,7 +31,7 @@
 SLOWNESS_LIMIT = 8.0
 """One answer counts as slower or faster than the mean by this factor at most."""
 SLOWNESS_CHANCE = 1.25
-"""Answers that differ much from one another bring two equal back ends so far apart."""
+"""Two equal back ends may seem so far apart, since answers differ from one another."""
 SLOWNESS_HALF_LIFE = 10.0
 """Seconds without an answer after which half of what was known of its slowness still counts."""
 MAXIMUM_REPORT = 1_000_000
@@ -156,7 +156,8 @@
     def known_slowness(self, now: float) -> float:
         """Return its slowness as far as it is known: 1.0 where that may be chance, or was long ago.
 
-        Only its own answers renew it, and where it is compared by less it may get no request.
+        Its own answers alone renew the estimate, so that a back end that seems slower than others
+        gets none to correct it.
         """
         if _may_be_chance(self.slowness):
             return 1.0
