Show which limit of requests a second a back end names

Change: settings [headers] rate_limit and leaving; the gateway logs events 631 to 633 and exposes the limit, the requests sent under it and the answers that changed it. Nothing decides by the limit yet. A back end that is reached without a gateway is taken for leaving by the new header as by x-backend-state.

--- a/src/pewtertack/events.py
+++ b/src/pewtertack/events.py
@@ -108,6 +108,15 @@
         630,
         "A request was handed back: its gateway or proxy stops before a long response is sent.",
     )
+    BACKEND_RATE_NAMED = (
+        631,
+        "The local back end named the requests a second that it takes from all nodes.",
+    )
+    BACKEND_RATE_ENDED = (632, "The local back end's answers name no limit of requests any more.")
+    BACKEND_RATE_INVALID = (
+        633,
+        "The local back end named a limit that is no number; the earlier one stays in force.",
+    )
 
     def __init__(self, number: int, meaning: str, routine: bool = False) -> None:
         self.number = number
--- a/src/pewtertack/node/assembly.py
+++ b/src/pewtertack/node/assembly.py
@@ -220,6 +220,8 @@
         caller_service=headers.caller_service.lower().encode(),
         not_run=headers.not_run.lower().encode(),
         cold_milliseconds=headers.cold_milliseconds.lower().encode(),
+        rate_limit=headers.rate_limit.lower().encode(),
+        leaving=headers.leaving.lower().encode(),
         identified_answers=headers.identified_answers,
         unframed_answers=headers.unframed_answers,
         fractional_retry_after=headers.fractional_retry_after,
--- a/src/pewtertack/node/gateway/application.py
+++ b/src/pewtertack/node/gateway/application.py
@@ -5,6 +5,7 @@
 import math
 from collections import Counter
 from collections.abc import Callable
+from typing import TYPE_CHECKING
 
 import msgspec
 
@@ -18,6 +19,7 @@
     fingerprints_of,
     refuses_connections,
 )
+from pewtertack.node.gateway.backend_reports import BackendReports
 from pewtertack.node.gateway.cold_watch import ColdWatch
 from pewtertack.node.gateway.context import GatewayContext
 from pewtertack.node.gateway.forwarding import GatewayForwarding
@@ -40,9 +42,9 @@
 from pewtertack.node.pacing import LinkPacer
 from pewtertack.node.proxy.body import CallerGoneError
 from pewtertack.node.proxy.edge import NODE_EDGE, EdgeHeaders
-from pewtertack.node.proxy.exchange import TruncatedAnswerError
+from pewtertack.node.proxy.exchange import MISDIRECTED_STATUS, TruncatedAnswerError
 from pewtertack.node.proxy.failure_responses import Receive, Send, send_failure
-from pewtertack.node.proxy.headers import RequestHead, read_head
+from pewtertack.node.proxy.headers import RequestHead, ResponseMeta, read_head
 from pewtertack.node.proxy.in_flight import DrainableApplication
 from pewtertack.node.proxy.request_log import GatewayLog, RecordEvent, ignore_event
 from pewtertack.node.proxy.upstream import ConnectionPool
@@ -63,6 +65,9 @@
 from pewtertack.routing.policies import DEFAULT_POLICIES, LongBodyPolicy, Policies, SlotOrderPolicy
 from pewtertack.settings import Settings
 
+if TYPE_CHECKING:
+    from prometheus_client.registry import Collector
+
 STOP_TIME_FACTOR = 2.0
 """A gateway that shuts down admits a request only if this many times its expected duration fits
 into the time left."""
@@ -122,7 +127,8 @@
         self._clock = clock
         self._settings = settings
         self._log = GatewayLog(log, clock)
-        self._metrics = GatewayMetrics(registry or MetricsRegistry())
+        registry = registry or MetricsRegistry()
+        self._metrics = GatewayMetrics(registry)
         super().__init__(ConnectionPool(clock))
         self._reporter = reporter or CrashReporter()
         self._backend_down = False
@@ -148,6 +154,8 @@
             pacer=_make_pacer(clock, settings, policies),
         )
         self._incarnations = Incarnations(clock, policies)
+        self._reports = BackendReports(self._log, self._metrics)
+        registry.add_collector(lambda: _make_collector(self._incarnations))
         self._stops_at = math.inf
         self._evacuated = False
         self.service: ResolvedService | None = None
@@ -342,6 +350,7 @@
             request,
             deadline,
             lambda: self._check_accepting(incarnation, request),
+            lambda response, sent_at: self._note_response(incarnation, request, response, sent_at),
         )
         try:
             await forwarding.run()
@@ -370,6 +379,17 @@
         self._check_accepting(incarnation, request)
         return incarnation
 
+    def _note_response(
+        self, incarnation: Incarnation, request: HopRequest, response: ResponseMeta, sent_at: float
+    ) -> None:
+        """Apply what the back end reports of its state in a response."""
+        if response.status == MISDIRECTED_STATUS:
+            return  # another back end at the address reports its own state
+        if response.rate_limits or incarnation.admission.rate_limit.rate is not None:
+            self._reports.note_response(
+                request.backend, incarnation, response, sent_at, self._clock()
+            )
+
     def _check_accepting(self, incarnation: Incarnation, request: HopRequest) -> None:
         """Raise the refusal if the back end may not be sent any more requests."""
         if not incarnation.takes_work:
@@ -385,6 +405,13 @@
         return self._clock() + needed * STOP_TIME_FACTOR < self._stops_at
 
 
+def _make_collector(incarnations: Incarnations) -> Collector:
+    """Return the collector of the limits in force; imported only when metrics are read."""
+    from pewtertack.node.gateway.rate_collector import RateLimitCollector
+
+    return RateLimitCollector(incarnations)
+
+
 def _make_pacer(
     clock: Callable[[], float], settings: GatewaySettings, policies: Policies
 ) -> LinkPacer | None:
--- /dev/null
+++ b/src/pewtertack/node/gateway/backend_reports.py
@@ -0,0 +1,53 @@
+"""Applies what the local back end reports of its own state in its responses."""
+
+from __future__ import annotations
+
+from pewtertack.node.gateway.incarnations import Incarnation
+from pewtertack.node.gateway.metrics import GatewayMetrics
+from pewtertack.node.proxy.headers import ResponseMeta
+from pewtertack.node.proxy.request_log import GatewayLog
+from pewtertack.routing.rate_limit import InvalidRateError, parse_rate
+
+INVALID = "invalid"
+"""Label of answers that name an invalid limit."""
+
+
+class BackendReports:
+    """Reads the reports of the back ends that run, or have run, at the local address."""
+
+    __slots__ = ("_log", "_metrics")
+
+    def __init__(self, log: GatewayLog, metrics: GatewayMetrics) -> None:
+        self._log = log
+        self._metrics = metrics
+
+    def note_response(
+        self,
+        name: str,
+        incarnation: Incarnation,
+        response: ResponseMeta,
+        sent_at: float,
+        now: float,
+    ) -> None:
+        """Apply a response's reports; times are monotonic seconds.
+
+        Args:
+            name: name of the back end.
+            incarnation: the back end.
+            response: the response, read at ``now``.
+            sent_at: when its request was sent.
+        """
+        limit = incarnation.admission.rate_limit
+        try:
+            rate = parse_rate(response.rate_limits)
+        except InvalidRateError as error:
+            if str(error) != incarnation.invalid_rate:
+                incarnation.invalid_rate = str(error)
+                self._log.invalid_rate(name, error, limit.rate)
+            self._metrics.note_rate_change(INVALID)
+            return
+        incarnation.invalid_rate = ""
+        change = limit.note_answer(sent_at, now, rate)
+        if change is not None:
+            self._log.rate_changed(name, change, limit.rate)
+            self._metrics.note_rate_change(change)
--- a/src/pewtertack/node/gateway/forwarding.py
+++ b/src/pewtertack/node/gateway/forwarding.py
@@ -61,6 +61,10 @@
     """Accept every request for the back end."""
 
 
+def _ignore_response(response: ResponseMeta, sent_at: float) -> None:
+    """Ignore what the back end reports of its state."""
+
+
 class GatewayForwarding:
     """Forwards one request of another node to the back end, and the response back."""
 
@@ -75,10 +79,13 @@
         request: HopRequest,
         deadline: float,
         check_accepting: Callable[[], None] = _accept_all,
+        note_response: Callable[[ResponseMeta, float], None] = _ignore_response,
     ) -> None:
         self._context = context
         self._check_accepting = check_accepting
         """Raises the refusal if the back end accepts no more requests."""
+        self._note_response = note_response
+        """Called with each response of the back end and the time at which its request was sent."""
         self._admission = admission
         self._request = request
         self.request_id = head.request_id
@@ -305,6 +312,8 @@
         log.admitted(request, self._request.backend, self._ticket, self._admission)
         metrics, route = self._context.metrics, self._request.route
         metrics.note_admitted(route, self._ticket.queued_seconds)
+        if self._admission.rate_limit.rate is not None:
+            metrics.note_limited_start()
         if self._ticket.nested:
             metrics.note_nested(route, admitted=True)
         answered = False
@@ -379,6 +388,7 @@
         seconds = self._context.clock() - self._ticket.started_at
         if seconds >= MIN_DELAY_CHECK_SECONDS and self._connection is not None:
             self._read_delay = self._connection.seconds_since_received()
+        self._note_response(response, self._ticket.started_at)
 
     async def _run_with_hang_checks(
         self, work: Awaitable[None], connection: BackendConnection
--- a/src/pewtertack/node/gateway/incarnations.py
+++ b/src/pewtertack/node/gateway/incarnations.py
@@ -39,6 +39,8 @@
     """Whether any machine list has contained it."""
     superseded: bool = False
     """Whether a later incarnation has started under its name."""
+    invalid_rate: str = ""
+    """What was wrong with the limit that its latest answer names; empty if nothing."""
     started_at: int = 0
     """Start time in Unix milliseconds, 0 while unknown."""
 
@@ -184,6 +186,11 @@
         """Return the cold-start state of the incarnations that take work."""
         return [item.cold for item in self._by_name.values() if item.takes_work]
 
+    def named_rates(self) -> list[tuple[str, float]]:
+        """Return name and limit of the back ends that name a limit."""
+        rates = ((name, item.admission.rate_limit.rate) for name, item in self._by_name.items())
+        return [(name, rate) for name, rate in rates if rate is not None]
+
     def refuse_waiting(self, refusal_of: Callable[[], NotRunError]) -> None:
         """Refuse all waiting requests, each with an error of its own."""
         for incarnation in self._by_name.values():
--- a/src/pewtertack/node/gateway/metrics.py
+++ b/src/pewtertack/node/gateway/metrics.py
@@ -48,6 +48,16 @@
             "Words of other nodes on when they stop that made no sense and were ignored.",
             (),
         )
+        self._limited_starts = registry.counter(
+            "pewtertack_gateway_limited_starts",
+            "Requests sent to a back end while it named a limit of requests a second.",
+            (),
+        )
+        self._rate_changes = registry.counter(
+            "pewtertack_gateway_rate_limit_changes",
+            "Answers of the back end that changed its limit of requests a second, or were invalid.",
+            ("change",),
+        )
         self._crashed = registry.counter(
             "pewtertack_gateway_backend_crashes",
             "Ends of the back end while it ran requests.",
@@ -66,6 +76,14 @@
         """Count an invalid report of another node's shutdown time."""
         self._invalid_stop_times.inc(())
 
+    def note_limited_start(self) -> None:
+        """Count a request sent to the back end while it named a limit."""
+        self._limited_starts.inc(())
+
+    def note_rate_change(self, change: str) -> None:
+        """Count an answer that changed the limit, or named an invalid one."""
+        self._rate_changes.inc((change,))
+
     def note_crashed(self) -> None:
         """Count a crash of the back end while it ran requests."""
         self._crashed.inc(())
--- a/src/pewtertack/node/proxy/edge.py
+++ b/src/pewtertack/node/proxy/edge.py
@@ -19,6 +19,8 @@
     caller_service: bytes = b""
     not_run: bytes = b""
     cold_milliseconds: bytes = b""
+    rate_limit: bytes = b""
+    leaving: bytes = b""
     identified_answers: bool = False
     unframed_answers: bool = False
     fractional_retry_after: bool = False
@@ -26,6 +28,8 @@
     """Headers that nodes set themselves; a caller's are dropped. Derived from the fields above."""
     inspected: frozenset[bytes] = frozenset()
     """Request headers that a node reads. Derived from the fields above."""
+    reports: frozenset[bytes] = frozenset()
+    """Response headers in which a back end reports its state. Derived from the fields above."""
 
     def __post_init__(self) -> None:
         """Derive once the sets that every request needs."""
@@ -35,6 +39,8 @@
         msgspec.structs.force_setattr(
             self, "inspected", READ_NAMES | {self.request_id, self.deadline}
         )
+        reports = frozenset(name for name in (self.rate_limit, self.leaving) if name)
+        msgspec.structs.force_setattr(self, "reports", reports)
 
 
 DEFAULT_EDGE = EdgeHeaders()
--- a/src/pewtertack/node/proxy/exchange.py
+++ b/src/pewtertack/node/proxy/exchange.py
@@ -125,6 +125,7 @@
         except ExchangeBrokenError as error:
             raise _broken_exchange_error(connection, error) from error
         meta = read_response_meta(start.headers, edge)
+        meta.status = start.status
         if self._is_crossed(start.status, meta):
             connection.abort()
             raise CrossedAnswerError("the back end answered another request")
--- a/src/pewtertack/node/proxy/headers.py
+++ b/src/pewtertack/node/proxy/headers.py
@@ -17,6 +17,8 @@
 BACKEND_LOAD = b"x-backend-load"
 BACKEND_STATE = b"x-backend-state"
 RETRIES = RETRIES_HEADER.encode()
+LEAVING_VALUE = "1"
+"""Value of ``EdgeHeaders.leaving`` in the responses of a leaving back end."""
 MAX_REQUEST_ID_LENGTH = 128
 """Characters of a caller's request id; a longer one is replaced."""
 
@@ -188,9 +190,12 @@
 
     headers: RawHeaders
     """The headers to pass on, without the request id."""
+    status: int = 0
     request_id: str | None = None
     load: str | None = None
     leaving: bool = False
+    rate_limits: tuple[str, ...] = ()
+    """The limits that a back end names (``EdgeHeaders.rate_limit``); more than one is invalid."""
     outcome: str | None = None
     retries: str | None = None
     retry_after: str | None = None
@@ -221,6 +226,8 @@
             meta.framed = True
             if name == b"content-length" and value.strip().isdigit():
                 meta.length = int(value)
+        elif name in edge.reports:
+            _read_report(meta, name, value, edge)
         elif name.startswith(NODE_HEADER_PREFIXES):
             _read_node_header(meta, name, value, edge)
         elif name == b"connection":
@@ -232,6 +239,14 @@
     return meta
 
 
+def _read_report(meta: ResponseMeta, name: bytes, value: bytes, edge: EdgeHeaders) -> None:
+    text = value.decode("latin-1")
+    if name == edge.rate_limit:
+        meta.rate_limits += (text,)
+    else:
+        meta.leaving = meta.leaving or text.strip() == LEAVING_VALUE
+
+
 def _read_gateway_header(meta: ResponseMeta, name: bytes, text: str) -> None:
     if name == hop.FAILURE:
         meta.failure = text
@@ -254,7 +269,7 @@
     elif name == BACKEND_LOAD:
         meta.load = text
     elif name == BACKEND_STATE:
-        meta.leaving = text.strip().lower() == "leaving"
+        meta.leaving = meta.leaving or text.strip().lower() == "leaving"
     elif name == b"x-outcome":
         meta.outcome = text
     elif name == RETRIES:
--- a/src/pewtertack/node/proxy/request_log.py
+++ b/src/pewtertack/node/proxy/request_log.py
@@ -20,6 +20,7 @@
 from pewtertack.routing.admission_ticket import AdmissionTicket
 from pewtertack.routing.outcomes import RequestFailedError
 from pewtertack.routing.queueing import Ticket
+from pewtertack.routing.rate_limit import InvalidRateError, RateChange
 from pewtertack.routing.retries import RetryReason
 
 
@@ -253,6 +254,17 @@
         """Log a crash of the local back end."""
         _record_crash(self._record, backend, broken)
 
+    def rate_changed(self, backend: str, change: RateChange, rate: float | None) -> None:
+        """Log that the back end has named a limit of ``rate`` requests a second, or none again."""
+        if change is RateChange.ENDED:
+            self._record(Event.BACKEND_RATE_ENDED, backend=backend)
+        else:
+            self._record(Event.BACKEND_RATE_NAMED, backend=backend, rate=rate)
+
+    def invalid_rate(self, backend: str, error: InvalidRateError, rate: float | None) -> None:
+        """Log an invalid limit; ``rate`` is the one that stays in force, if any."""
+        self._record(Event.BACKEND_RATE_INVALID, backend=backend, detail=str(error), rate=rate)
+
     def answered(self, request: str, backend: str, status: int, ticket: AdmissionTicket) -> None:
         """Log that the back end's complete response was received."""
         seconds = self._clock() - ticket.started_at
--- a/src/pewtertack/routing/admission.py
+++ b/src/pewtertack/routing/admission.py
@@ -35,6 +35,7 @@
 from pewtertack.routing.outcomes import DeadlineUnmeetableError, NotRunError, QueueFullError
 from pewtertack.routing.patience import WaitPolicy
 from pewtertack.routing.policies import DEFAULT_POLICIES, HungRequestPolicy, Policies
+from pewtertack.routing.rate_limit import RateLimit
 from pewtertack.routing.recent_delay import RecentDelay
 from pewtertack.routing.service_times import ServiceTimes
 
@@ -76,6 +77,7 @@
         self.policies = policies
         self.slots = max(1, slots)
         self.cold = cold
+        self.rate_limit = RateLimit()
         self.in_flight = 0
         self._queue: list[AdmissionTicket] = []
         self._arrivals = 0
--- a/src/pewtertack/settings/schema.py
+++ b/src/pewtertack/settings/schema.py
@@ -103,6 +103,10 @@
     """Whether a response without a length is complete when its connection closes cleanly."""
     cold_milliseconds: str = ""
     """In a health response: for how many more milliseconds the back end is cold."""
+    rate_limit: str = ""
+    """In any response: how many requests a second the back end takes from all nodes together."""
+    leaving: str = ""
+    """In any response: the back end takes no new requests if the value is 1."""
     fractional_retry_after: bool = False
     """Whether callers support fractions of a second in ``Retry-After``."""
 
