--- a/tests/node/test_crashing_request.py
+++ b/tests/node/test_crashing_request.py
@@ -8,16 +8,13 @@
 
 import anyio
 
-from pewtertack.lab.fleet.ports import PortAllocator
-from pewtertack.lab.machines.service import MachineListService
-from pewtertack.lab.source.service import ConfigurationSource
-from pewtertack.settings import Address
 from tests.node.crashing_backend import CrashingBackend
-from tests.node.processes import NodeProcess, get_until, settings_text
+from tests.node.gateway_fleet import gateway_fleet
+from tests.node.processes import NodeProcess
 from tests.node.proxy.harness import Answer, ProxyTestCase, raw_call, request_bytes
 
-ANY_ADDRESS = Address("127.0.0.1", 0)
 NODES = ("a", "b", "c")
+SLOTS = 6
 TREE: dict[str, Any] = {
     "services": {"archive": {}},
     "routes": {
@@ -54,53 +51,9 @@
 
     @contextlib.asynccontextmanager
     async def fleet(self, with_gateways: bool = True) -> AsyncIterator[list[NodeProcess]]:
-        ports = PortAllocator()
-        gateways = {name: str(ports.allocate("127.0.0.1")) for name in NODES}
-        peers = {name: str(ports.allocate("127.0.0.1")) for name in NODES}
-        machines = {
-            f"backend-{name}": {
-                "role": "backend",
-                "zone": "yaba",
-                "address": self.backends[name].address,
-                "service": "archive",
-                "gateway": gateways[name] if with_gateways else "",
-                "slots": 6,
-            }
-            for name in NODES
-        }
-        source = ConfigurationSource(TREE, ANY_ADDRESS, ANY_ADDRESS).service
-        listed = MachineListService(machines, ANY_ADDRESS, ANY_ADDRESS).service
-        async with anyio.create_task_group() as tasks:
-            await source.open(tasks)
-            await listed.open(tasks)
-            platform = (str(source.readers.address), str(listed.readers.address))
-            async with contextlib.AsyncExitStack() as stack:
-                yield await self.start_nodes(stack, platform, gateways, peers)
-            tasks.cancel_scope.cancel()
-            for service in (source, listed):
-                service.readers.close()
-                service.control.close()
-
-    async def start_nodes(
-        self,
-        stack: contextlib.AsyncExitStack,
-        platform: tuple[str, str],
-        gateways: dict[str, str],
-        peers: dict[str, str],
-    ) -> list[NodeProcess]:
-        nodes = []
-        for name in NODES:
-            text = settings_text(name, "yaba", *platform, *peers.values()).replace(
-                'peer = "127.0.0.1:0"',
-                f'peer = "{peers[name]}", gateway = "{gateways[name]}"',
-            )
-            backend_section = f'\n        backend = {{address = "{self.backends[name].address}"}}\n'
-            nodes.append(await stack.enter_async_context(NodeProcess(text + backend_section)))
-        for node in nodes:
-            await node.wait_event("NODE_SERVING")
-            admin = node.lines[0]["admin"]
-            await get_until(admin, "/status", lambda page: page["machine_list_number"])
-        return nodes
+        addresses = {name: backend.address for name, backend in self.backends.items()}
+        async with gateway_fleet(TREE, addresses, SLOTS, with_gateways=with_gateways) as fleet:
+            yield list(fleet.nodes.values())
 
     async def call(self, node: NodeProcess, path: str, body: bytes = b"") -> Answer:
         method = "POST" if body else "GET"
