Keep the limit of requests a second that a back end names

The gateway admits by free slots, and a back end in need has free slots. Change: the gateway beside the back end keeps the limit by a token bucket, in admission, in estimates of waits and in what it advertises; its answers carry limit and wait, requests carry what their sender knows, so that a gateway that has just started is told by those whose requests count.

--- a/src/pewtertack/events.py
+++ b/src/pewtertack/events.py
@@ -110,12 +110,12 @@
     )
     BACKEND_RATE_NAMED = (
         631,
-        "The local back end named the requests a second that it takes from all nodes.",
+        "A back end named the requests a second that it takes from all nodes; with the source.",
     )
-    BACKEND_RATE_ENDED = (632, "The local back end's answers name no limit of requests any more.")
+    BACKEND_RATE_ENDED = (632, "A back end's answers name no limit of requests any more.")
     BACKEND_RATE_INVALID = (
         633,
-        "The local back end named a limit that is no number; the earlier one stays in force.",
+        "A back end named a limit that is no decimal number; the earlier one stays in force.",
     )
 
     def __init__(self, number: int, meaning: str, routine: bool = False) -> None:
--- a/src/pewtertack/node/gateway/application.py
+++ b/src/pewtertack/node/gateway/application.py
@@ -35,7 +35,13 @@
 )
 from pewtertack.node.gateway.incarnations import Incarnation, Incarnations
 from pewtertack.node.gateway.metrics import GatewayMetrics
-from pewtertack.node.gateway.report_headers import link_headers, load_headers, origin_headers
+from pewtertack.node.gateway.report_headers import (
+    link_headers,
+    load_headers,
+    origin_headers,
+    rate_headers,
+)
+from pewtertack.node.http.client import ServiceResponse
 from pewtertack.node.http.cycle import Scope
 from pewtertack.node.http.framing import RawHeaders
 from pewtertack.node.http.heads import DEFAULT_HEAD_LIMIT
@@ -44,11 +50,16 @@
 from pewtertack.node.proxy.edge import NODE_EDGE, EdgeHeaders
 from pewtertack.node.proxy.exchange import MISDIRECTED_STATUS, TruncatedAnswerError
 from pewtertack.node.proxy.failure_responses import Receive, Send, send_failure
-from pewtertack.node.proxy.headers import RequestHead, ResponseMeta, read_head
+from pewtertack.node.proxy.headers import (
+    RequestHead,
+    ResponseMeta,
+    read_head,
+    read_response_meta,
+)
 from pewtertack.node.proxy.in_flight import DrainableApplication
 from pewtertack.node.proxy.request_log import GatewayLog, RecordEvent, ignore_event
 from pewtertack.node.proxy.upstream import ConnectionPool
-from pewtertack.routing.cold import ColdBounds, ColdStart
+from pewtertack.routing.cold import ColdBounds
 from pewtertack.routing.deadlines import deadline_of
 from pewtertack.routing.executions import LocalExecutions, never_without_result
 from pewtertack.routing.link import LinkScheduler
@@ -208,9 +219,17 @@
         """Treat the back end as cold: it may have become so while the machine was suspended."""
         self._incarnations.assume_cold()
 
-    def cold_starts(self) -> list[ColdStart]:
-        """Return the cold-start state of the back ends that take work (``WatchedBackend``)."""
-        return self._incarnations.cold_starts()
+    def accepting(self) -> list[tuple[str, Incarnation]]:
+        """Return the back ends that take work, with their names (``WatchedBackend``)."""
+        return self._incarnations.accepting()
+
+    def note_health_response(
+        self, name: str, incarnation: Incarnation, response: ServiceResponse, sent_at: float
+    ) -> None:
+        """Apply what a health response reports of the back end's state (``WatchedBackend``)."""
+        meta = read_response_meta(response.headers, self._context.edge)
+        meta.status = response.status
+        self._note_response(name, incarnation, meta, sent_at)
 
     def use_machines(self, machines: MachineList) -> None:
         """Update which back ends run at the address, are leaving or have gone."""
@@ -332,7 +351,10 @@
 
     def _load_headers_of(self, request: HopRequest | None) -> RawHeaders:
         found = self._incarnations.find(request.backend) if request is not None else None
-        return load_headers(found.admission, self._clock()) if found is not None else []
+        if found is None:
+            return []
+        now = self._clock()
+        return [*load_headers(found.admission, now), *rate_headers(found.admission, now)]
 
     async def _forward(
         self, scope: Scope, receive: Receive, send: Send, head: RequestHead, request: HopRequest
@@ -350,7 +372,9 @@
             request,
             deadline,
             lambda: self._check_accepting(incarnation, request),
-            lambda response, sent_at: self._note_response(incarnation, request, response, sent_at),
+            lambda response, sent_at: self._note_response(
+                request.backend, incarnation, response, sent_at
+            ),
         )
         try:
             await forwarding.run()
@@ -372,6 +396,8 @@
 
     def _admit(self, request: HopRequest) -> Incarnation:
         incarnation = self._incarnations.get(request.backend)
+        if request.known_rate is not None:
+            self._reports.note_known_rate(request, incarnation, self._clock())
         if self.requests.draining or not self._fits_before_stop(incarnation, request):
             raise _mark_backend_not_reached(
                 DrainingError("the node beside the back end is stopping")
@@ -380,15 +406,15 @@
         return incarnation
 
     def _note_response(
-        self, incarnation: Incarnation, request: HopRequest, response: ResponseMeta, sent_at: float
+        self, name: str, incarnation: Incarnation, response: ResponseMeta, sent_at: float
     ) -> None:
         """Apply what the back end reports of its state in a response."""
         if response.status == MISDIRECTED_STATUS:
             return  # another back end at the address reports its own state
-        if response.rate_limits or incarnation.admission.rate_limit.rate is not None:
-            self._reports.note_response(
-                request.backend, incarnation, response, sent_at, self._clock()
-            )
+        limit = incarnation.admission.rate_limit
+        limit.has_answer = True
+        if response.rate_limits or limit.rate is not None:
+            self._reports.note_response(name, incarnation, response, sent_at, self._clock())
 
     def _check_accepting(self, incarnation: Incarnation, request: HopRequest) -> None:
         """Raise the refusal if the back end may not be sent any more requests."""
--- a/src/pewtertack/node/gateway/backend_reports.py
+++ b/src/pewtertack/node/gateway/backend_reports.py
@@ -1,12 +1,13 @@
-"""Applies what the local back end reports of its own state in its responses."""
+"""Applies what the local back end reports of its own state, directly or through other nodes."""
 
 from __future__ import annotations
 
+from pewtertack.node.gateway.hop import HopRequest
 from pewtertack.node.gateway.incarnations import Incarnation
 from pewtertack.node.gateway.metrics import GatewayMetrics
 from pewtertack.node.proxy.headers import ResponseMeta
 from pewtertack.node.proxy.request_log import GatewayLog
-from pewtertack.routing.rate_limit import InvalidRateError, parse_rate
+from pewtertack.routing.rate_limit import InvalidRateError, RateChange, parse_rate
 
 INVALID = "invalid"
 """Label of answers that name an invalid limit."""
@@ -47,7 +48,22 @@
             self._metrics.note_rate_change(INVALID)
             return
         incarnation.invalid_rate = ""
-        change = limit.note_answer(sent_at, now, rate)
-        if change is not None:
-            self._log.rate_changed(name, change, limit.rate)
-            self._metrics.note_rate_change(change)
+        self._apply(name, incarnation, limit.note_answer(sent_at, now, rate), now)
+
+    def note_known_rate(self, request: HopRequest, incarnation: Incarnation, now: float) -> None:
+        """Apply what the sender of a request knows of the limit of this incarnation."""
+        if request.known_rate is None:
+            return
+        if 0 < request.started_at != incarnation.started_at > 0:
+            return  # the sender means another incarnation
+        change = incarnation.admission.rate_limit.note_report(request.known_rate, now)
+        self._apply(request.backend, incarnation, change, now)
+
+    def _apply(
+        self, name: str, incarnation: Incarnation, change: RateChange | None, now: float
+    ) -> None:
+        if change is None:
+            return
+        self._log.rate_changed(name, change, incarnation.admission.rate_limit.rate)
+        self._metrics.note_rate_change(change)
+        incarnation.admission.apply_rate_limit(now)
--- a/src/pewtertack/node/gateway/cold_watch.py
+++ b/src/pewtertack/node/gateway/cold_watch.py
@@ -12,6 +12,7 @@
 from typing import Protocol
 
 from pewtertack.core.configuration.resolved import ResolvedService
+from pewtertack.node.gateway.incarnations import Incarnation
 from pewtertack.node.http.client import (
     AnswerTooLargeError,
     HttpClient,
@@ -19,7 +20,6 @@
     ServiceTimeouts,
     ServiceUnreachableError,
 )
-from pewtertack.routing.cold import ColdStart
 
 logger = logging.getLogger(__name__)
 
@@ -48,12 +48,17 @@
     def service(self) -> ResolvedService | None:
         """The settings of its service, ``None`` while they are unknown."""
 
-    def cold_starts(self) -> list[ColdStart]:
-        """Return the cold-start state of each incarnation that accepts work.
+    def accepting(self) -> list[tuple[str, Incarnation]]:
+        """Return name and state of each incarnation that accepts work.
 
         There is more than one only while the back end at the address is being replaced.
         """
 
+    def note_health_response(
+        self, name: str, incarnation: Incarnation, response: ServiceResponse, sent_at: float
+    ) -> None:
+        """Apply what a health response reports besides the cold state."""
+
 
 class ColdWatch:
     """Sends the queries that are due.
@@ -86,11 +91,14 @@
                 self._client.close()
 
     async def _query_due(self, path: str) -> None:
-        for cold in self._backend.cold_starts():
-            if cold.should_query(self._clock()):
-                await self._query(cold, path)
-
-    async def _query(self, cold: ColdStart, path: str) -> None:
+        for name, incarnation in self._backend.accepting():
+            now = self._clock()
+            limit = incarnation.admission.rate_limit
+            if limit.may_start(now) and incarnation.cold.should_query(now):
+                limit.note_start(now)
+                await self._query(name, incarnation, path)
+
+    async def _query(self, name: str, incarnation: Incarnation, path: str) -> None:
         """Record what the health response reports; one without the header changes nothing."""
         client = self._client_for(self._backend.address)
         sent_at = self._clock()
@@ -99,9 +107,10 @@
         except (ServiceUnreachableError, AnswerTooLargeError) as error:
             logger.debug("no health response from %s: %s", self._backend.address, error)
             return  # the query is repeated; until then the known state stays in force
+        self._backend.note_health_response(name, incarnation, response, sent_at)
         remaining = self._remaining_of(response)
         if remaining is not None:
-            cold.note_remaining(sent_at, self._clock(), remaining)
+            incarnation.cold.note_remaining(sent_at, self._clock(), remaining)
 
     def _client_for(self, address: str) -> HttpClient:
         """Return a client that keeps its connection between queries."""
--- a/src/pewtertack/node/gateway/forwarding.py
+++ b/src/pewtertack/node/gateway/forwarding.py
@@ -13,7 +13,12 @@
 from pewtertack.node.gateway.hang_checks import HangChecks
 from pewtertack.node.gateway.hop import HopRequest
 from pewtertack.node.gateway.link_check import LinkCheck
-from pewtertack.node.gateway.report_headers import link_headers, load_headers, origin_headers
+from pewtertack.node.gateway.report_headers import (
+    link_headers,
+    load_headers,
+    origin_headers,
+    rate_headers,
+)
 from pewtertack.node.gateway.sending import ResponseSender
 from pewtertack.node.gateway.slot_wait import SlotWait
 from pewtertack.node.http.connection import BackendConnection
@@ -430,6 +435,8 @@
             *origin_headers(self._context.origins, self._request),
             (hop.QUEUED, b"%d" % queued),
         ]
+        if self._admission.rate_limit.rate is not None:
+            headers += rate_headers(self._admission, self._context.clock())
         if self._context.pacer is not None:
             headers += link_headers(self._context.pacer, self._request.route)
         return headers
--- a/src/pewtertack/node/gateway/hop.py
+++ b/src/pewtertack/node/gateway/hop.py
@@ -30,6 +30,7 @@
     RequestFailedError,
 )
 from pewtertack.routing.patience import WaitPolicy
+from pewtertack.routing.rate_limit import RateReport, parse_rate_report
 
 Headers = list[tuple[bytes, bytes]]
 
@@ -66,6 +67,10 @@
 other back end may take the request, its body cannot be sent again, or no retry is left. The
 gateway then does not hand the request back when its own node shuts down; at the end of that
 shutdown the operating system is given whatever the link has not carried."""
+KNOWN_RATE = b"x-pewtertack-known-rate"
+"""Present if the proxy's node knows of a limit of requests a second that the back end has named
+(``RateReport``): the limit and the milliseconds since the proxy last heard of it. A gateway that
+has read no answer of the back end yet, as after a restart, uses it."""
 FAILURE = b"x-pewtertack-failure"
 """In a response: ``<code> <outcome> <offered>`` of the gateway's own failure."""
 QUEUED = b"x-pewtertack-queued-ms"
@@ -74,6 +79,10 @@
 ORIGIN = b"x-pewtertack-origin"
 """In a response: ``Origin`` of the route's requests, if the sender needs it."""
 
+RATE = b"x-pewtertack-rate"
+"""In a response: the limit of requests a second that the back end names, if any, and the
+milliseconds that one more request would wait for it (``RateReport``)."""
+
 LINK = b"x-pewtertack-link-ms"
 """In a response of a gateway that paces long ones: ``<ahead>/<own>``, the time in which its link
 drains the bytes queued now, and the time that a response of the route takes on an idle link
@@ -106,8 +115,9 @@
     INCARNATION,
     NO_ALTERNATIVE,
     NESTED,
+    KNOWN_RATE,
 }
-RESPONSE_NAMES = frozenset({FAILURE, QUEUED, ORIGIN, LINK})
+RESPONSE_NAMES = frozenset({FAILURE, QUEUED, ORIGIN, LINK, RATE})
 OFFERED = "offered"
 NOT_OFFERED = "not-offered"
 PROBE_ANSWERED = 204
@@ -141,6 +151,8 @@
     """Whether the proxy buffers the start of the response, which may break off until then."""
     no_alternative: bool = False
     """Whether the proxy could not get the response from another gateway if this one broke off."""
+    known_rate: RateReport | None = None
+    """What the proxy's node knows of the back end's limit of requests a second."""
     invalid_stop_time: bool = False
     """Whether ``SENDER_STOPS_IN`` was invalid and therefore ignored."""
 
@@ -215,6 +227,7 @@
         sender_stops_in=sender_stops_in,
         buffers_start=BUFFERS_START in values,
         no_alternative=NO_ALTERNATIVE in values,
+        known_rate=parse_rate_report(values[KNOWN_RATE]) if KNOWN_RATE in values else None,
         invalid_stop_time=SENDER_STOPS_IN in values and sender_stops_in == math.inf,
     )
 
--- a/src/pewtertack/node/gateway/incarnations.py
+++ b/src/pewtertack/node/gateway/incarnations.py
@@ -182,9 +182,9 @@
         for incarnation in self._by_name.values():
             incarnation.cold.assume_cold(now)
 
-    def cold_starts(self) -> list[ColdStart]:
-        """Return the cold-start state of the incarnations that take work."""
-        return [item.cold for item in self._by_name.values() if item.takes_work]
+    def accepting(self) -> list[tuple[str, Incarnation]]:
+        """Return the incarnations that take work, with their names."""
+        return [(name, item) for name, item in self._by_name.items() if item.takes_work]
 
     def named_rates(self) -> list[tuple[str, float]]:
         """Return name and limit of the back ends that name a limit."""
--- a/src/pewtertack/node/gateway/report_headers.py
+++ b/src/pewtertack/node/gateway/report_headers.py
@@ -9,6 +9,7 @@
 from pewtertack.node.proxy.headers import BACKEND_LOAD
 from pewtertack.routing.admission import Admission
 from pewtertack.routing.origins import OriginDetector
+from pewtertack.routing.rate_limit import RateReport, format_rate_report
 
 
 def load_headers(admission: Admission, now: float) -> RawHeaders:
@@ -16,6 +17,15 @@
     return [(BACKEND_LOAD, f"{admission.load}/{admission.advertised_slots(now)}".encode())]
 
 
+def rate_headers(admission: Admission, now: float) -> RawHeaders:
+    """Return the header with the limit that the back end names, if any."""
+    rate = admission.rate_limit.rate
+    if rate is None:
+        return []
+    wait = admission.rate_limit_wait(admission.load - admission.in_flight, now)
+    return [(hop.RATE, format_rate_report(RateReport(rate, wait)).encode())]
+
+
 def link_headers(pacer: LinkPacer, route: str) -> RawHeaders:
     """Return the header with the times of the link queue and of the route's responses, if any."""
     value = pacer.link_report(route)
--- a/src/pewtertack/node/gateway/slot_wait.py
+++ b/src/pewtertack/node/gateway/slot_wait.py
@@ -14,6 +14,10 @@
 """Minimum delay before a waiting request is rechecked, which matters if a timer fires early."""
 
 
+def _do_nothing() -> None:
+    """Do nothing: the ticket is no longer queued."""
+
+
 class SlotWait:
     """Waits until a submitted ticket is granted or refused.
 
@@ -52,10 +56,16 @@
         decided = anyio.Event()
         self._ticket.wake = decided.set
         self._recheck()
+        self._ticket.recheck = self._recheck_now
         try:
             await decided.wait()
         finally:
             self._timer.cancel()
+            self._ticket.recheck = _do_nothing  # avoids a reference cycle
+
+    def _recheck_now(self) -> None:
+        self._timer.cancel()
+        self._recheck()
 
     def _recheck(self) -> None:
         """Refuse the ticket if its waiting time has expired; schedule the next check."""
--- a/src/pewtertack/node/proxy/application.py
+++ b/src/pewtertack/node/proxy/application.py
@@ -17,7 +17,7 @@
 from pewtertack.node.http.cycle import Scope
 from pewtertack.node.proxy.body import CallerGoneError
 from pewtertack.node.proxy.configuration_wait import ConfigurationWait
-from pewtertack.node.proxy.edge import DEFAULT_EDGE, EdgeHeaders
+from pewtertack.node.proxy.edge import DEFAULT_EDGE, EdgeHeaders, hop_edge
 from pewtertack.node.proxy.exchange import TruncatedAnswerError
 from pewtertack.node.proxy.failure_responses import Receive, Send, send_failure
 from pewtertack.node.proxy.forwarding import Forwarding, ForwardingContext
@@ -134,6 +134,7 @@
             dispatcher,
             self.connections,
             edge,
+            hop_edge(edge),
             caller_service,
             self._request_log,
             self._metrics,
--- a/src/pewtertack/node/proxy/edge.py
+++ b/src/pewtertack/node/proxy/edge.py
@@ -48,3 +48,13 @@
 
 NODE_EDGE = EdgeHeaders(identified_answers=True, fractional_retry_after=True)
 """Between the proxy at the caller's node and the gateway at the back end's node."""
+
+
+def hop_edge(backend_edge: EdgeHeaders) -> EdgeHeaders:
+    """Return the names that a proxy reads in the responses of gateways.
+
+    A gateway of an older version passes on what its back end reports without reading it.
+    """
+    return msgspec.structs.replace(
+        NODE_EDGE, rate_limit=backend_edge.rate_limit, leaving=backend_edge.leaving
+    )
--- a/src/pewtertack/node/proxy/forwarding.py
+++ b/src/pewtertack/node/proxy/forwarding.py
@@ -13,6 +13,7 @@
 from pewtertack.node.gateway.hop import (
     BUFFERS_START,
     INCARNATION,
+    KNOWN_RATE,
     NO_ALTERNATIVE,
     REPORT_HANGS,
     SENDER_STOPS_IN,
@@ -45,6 +46,7 @@
 from pewtertack.node.proxy.in_flight import Progress, RequestsInFlight
 from pewtertack.node.proxy.lifetime import LifetimeEnd, RequestLifetime, end_error
 from pewtertack.node.proxy.metrics import RequestMetrics
+from pewtertack.node.proxy.rate_reports import note_rate
 from pewtertack.node.proxy.request_log import ProxyLog
 from pewtertack.node.proxy.stop_time import ShutdownDeadline
 from pewtertack.node.proxy.taking_back import withdraw_from_gateway
@@ -63,6 +65,7 @@
     RequestFailedError,
 )
 from pewtertack.routing.queueing import Ticket
+from pewtertack.routing.rate_limit import InvalidRateError, RateReport, format_rate_report
 from pewtertack.routing.retries import RetryReason
 
 
@@ -74,6 +77,8 @@
     connections: ConnectionPool
     edge: EdgeHeaders = DEFAULT_EDGE
     """Header names toward callers and back ends without a gateway."""
+    hop_edge: EdgeHeaders = NODE_EDGE
+    """Header names in the responses of gateways."""
     caller_service: str = ""
     """The service of the local back end."""
     log: ProxyLog | None = None
@@ -337,7 +342,7 @@
         address = backend.gateway or backend.address
         connection = await connections.acquire(address, self._service.connect_timeout)
         try:
-            edge = NODE_EDGE if backend.gateway else self._context.edge
+            edge = self._context.hop_edge if backend.gateway else self._context.edge
             self._connection = connection
             headers = self._attempt_headers(backend, edge)
             on_demand = bool(backend.gateway) and self._head.body_is_large
@@ -378,6 +383,9 @@
             is_long = self._route.name not in self._context.dispatcher.short_answers
             if is_long and not self._can_repeat(now):
                 hop_header_list.append((NO_ALTERNATIVE, b"1"))
+        if backend.known_rate is not None and not backend.known_rate.is_share:
+            report = RateReport(backend.known_rate.rate, now - backend.known_rate.noted_at)
+            hop_header_list.append((KNOWN_RATE, format_rate_report(report).encode()))
         if backend.started_at:
             hop_header_list.append((INCARNATION, b"%d" % backend.started_at))
         if self._context.shutdown.started:
@@ -429,9 +437,22 @@
         self._context.dispatcher.note_answer(
             self._ticket, self._context.clock(), parse_load(response.load), response.leaving
         )
+        backend = self._ticket.backend
+        assert backend is not None
+        if response.rate is not None or response.rate_limits or backend.known_rate is not None:
+            self._note_rate(backend, response)
         if response.link is not None:
             self._note_link_report(response.link, started=response.failure is None)
 
+    def _note_rate(self, backend: Backend, response: ResponseMeta) -> None:
+        """Record the limit that the back end names; an invalid one is logged once and ignored."""
+        try:
+            note_rate(self._context.dispatcher, self._ticket, response, self._context.clock())
+        except InvalidRateError as error:
+            if self._context.log is not None and str(error) != backend.invalid_rate:
+                self._context.log.invalid_rate(backend, error)
+            backend.invalid_rate = str(error)
+
     def _note_link_report(self, text: str, started: bool) -> None:
         """Record a gateway's report of its link queue; an invalid one is counted and ignored."""
         report = parse_link_report(text)
--- a/src/pewtertack/node/proxy/headers.py
+++ b/src/pewtertack/node/proxy/headers.py
@@ -207,6 +207,8 @@
     """Seconds that the request waited at a gateway."""
     origin: str | None = None
     """A gateway's report of who makes the route's requests (``hop.ORIGIN``)."""
+    rate: str | None = None
+    """A gateway's report of the back end's limit of requests a second (``hop.RATE``)."""
     link: str | None = None
     """A gateway's report of its link queue (``hop.LINK``)."""
     length: int | None = None
@@ -254,6 +256,8 @@
         meta.origin = text
     elif name == hop.LINK:
         meta.link = text
+    elif name == hop.RATE:
+        meta.rate = text
     else:
         meta.queued = int(text) / 1000 if text.isdecimal() else 0.0
 
--- a/src/pewtertack/node/proxy/request_log.py
+++ b/src/pewtertack/node/proxy/request_log.py
@@ -18,6 +18,7 @@
 from pewtertack.node.proxy.in_flight import Progress
 from pewtertack.routing.admission import Admission
 from pewtertack.routing.admission_ticket import AdmissionTicket
+from pewtertack.routing.backend import Backend
 from pewtertack.routing.outcomes import RequestFailedError
 from pewtertack.routing.queueing import Ticket
 from pewtertack.routing.rate_limit import InvalidRateError, RateChange
@@ -184,6 +185,11 @@
         """Log a crash of a back end without a gateway."""
         _record_crash(self._record, backend, broken)
 
+    def invalid_rate(self, backend: Backend, error: InvalidRateError) -> None:
+        """Log an invalid limit of a back end, or an invalid report of its gateway."""
+        rate = backend.known_rate.rate if backend.known_rate is not None else None
+        self._record(Event.BACKEND_RATE_INVALID, backend=backend.name, detail=str(error), rate=rate)
+
     def ended(self, event: Event, request: str, route: ResolvedRoute, seconds: float) -> None:
         """Log that the response was cut or the caller disconnected."""
         self._record(event, request=request, route=route.name, took=milliseconds(seconds))
@@ -255,11 +261,11 @@
         _record_crash(self._record, backend, broken)
 
     def rate_changed(self, backend: str, change: RateChange, rate: float | None) -> None:
-        """Log that the back end has named a limit of ``rate`` requests a second, or none again."""
+        """Log that the limit of ``rate`` requests a second has changed; ``None`` without one."""
         if change is RateChange.ENDED:
             self._record(Event.BACKEND_RATE_ENDED, backend=backend)
         else:
-            self._record(Event.BACKEND_RATE_NAMED, backend=backend, rate=rate)
+            self._record(Event.BACKEND_RATE_NAMED, backend=backend, rate=rate, source=change)
 
     def invalid_rate(self, backend: str, error: InvalidRateError, rate: float | None) -> None:
         """Log an invalid limit; ``rate`` is the one that stays in force, if any."""
--- a/src/pewtertack/routing/admission.py
+++ b/src/pewtertack/routing/admission.py
@@ -104,18 +104,21 @@
     def advertised_slots(self, now: float) -> int:
         """Return the number of slots to advertise to other nodes.
 
-        While the back end is cold: the number that its permitted rate keeps busy. While it hangs
-        on part of its requests: the number that the others need.
+        While the back end is cold, or names a limit: the number that its permitted rate keeps busy.
+        While it hangs on part of its requests: the number that the others need.
         """
-        if self.cold is None or not self.cold.is_cold(now):
-            return (
-                self.slots
-                if self.hang_detector is None
-                else self.hang_detector.advertised_slots(self.slots, now)
-            )
-        return max(
-            1, min(self.slots, round(self.cold.max_starts_per_second * self._service_times.mean))
-        )
+        slots = self.slots
+        if self.cold is not None and self.cold.is_cold(now):
+            slots = min(slots, self._slots_of_rate(self.cold.max_starts_per_second))
+        elif self.hang_detector is not None:
+            slots = self.hang_detector.advertised_slots(slots, now)
+        if self.rate_limit.rate is not None:
+            slots = min(slots, self._slots_of_rate(self.rate_limit.rate))
+        return slots
+
+    def _slots_of_rate(self, rate: float) -> int:
+        """Return the number of slots that a rate of requests a second occupies, at least 1."""
+        return max(1, round(rate * self._service_times.mean))
 
     def use_slots(self, slots: int, now: float) -> None:
         """Change the number of slots; queued requests are granted any new ones."""
@@ -157,7 +160,11 @@
 
     def _has_capacity(self, now: float) -> bool:
         """Tell whether the back end may be given one more request now."""
-        return self.in_flight < self.slots and (self.cold is None or self.cold.may_start(now))
+        return (
+            self.in_flight < self.slots
+            and (self.cold is None or self.cold.may_start(now))
+            and (self.rate_limit.rate is None or self.rate_limit.may_start(now))
+        )
 
     def _evict_for(self, ticket: AdmissionTicket, now: float) -> None:
         """Refuse the last ticket of the queue if it is less urgent than the new one.
@@ -204,7 +211,8 @@
 
     def _is_stalled(self, now: float) -> bool:
         """Tell whether the back end makes no progress, so that no wait can be estimated."""
-        return now - self._last_progress_at > STALL_FACTOR * self._mean_time(now) > 0
+        expected = max(self._mean_time(now), self.rate_limit.interval)
+        return now - self._last_progress_at > STALL_FACTOR * expected > 0
 
     def _latest_start(self, ticket: AdmissionTicket, now: float) -> float:
         """Return the latest start after which the request would often miss its deadline."""
@@ -216,13 +224,29 @@
 
     def _wait_behind(self, ahead: int, ticket: AdmissionTicket, now: float) -> float:
         """Return the seconds until a request with ``ahead`` others before it starts."""
-        return (ahead + 1) * self._start_interval(self._mean_time(now) or ticket.assumed_time, now)
+        mean = self._mean_time(now) or ticket.assumed_time
+        wait = (ahead + 1) * self._slot_interval(mean, now)
+        return max(wait, self.rate_limit_wait(ahead, now))
+
+    def rate_limit_wait(self, ahead: int, now: float) -> float:
+        """Return the seconds that a request with ``ahead`` others before it waits for the limit.
+
+        0 if the back end names no limit.
+        """
+        limit = self.rate_limit
+        if limit.rate is None:
+            return 0.0
+        return limit.seconds_until_start(now) + ahead * limit.interval
 
     def _mean_time(self, now: float) -> float:
         """Return the mean time for which a request occupies a slot, 0 while unknown."""
         return self._service_times.mean and self._service_times.mean + self._delay.at(now)
 
     def _start_interval(self, mean: float, now: float) -> float:
+        """Return the mean seconds from one start to the next while requests are queued."""
+        return max(self._slot_interval(mean, now), self.rate_limit.interval)
+
+    def _slot_interval(self, mean: float, now: float) -> float:
         """Return the seconds from one start to the next while all slots are occupied."""
         by_slots = mean / self.slots
         if self.cold is None or not self.cold.is_cold(now):
@@ -300,13 +324,25 @@
     def _next_check(self, ticket: AdmissionTicket, now: float) -> float:
         """Return when to check the ticket again.
 
-        A cold back end gains capacity with time, without any request ending.
+        A back end that is cold or names a limit gains capacity with time, without any request
+        ending.
         """
+        if self.rate_limit.rate is not None:
+            return now + min(RECHECK_SECONDS, self.rate_limit.seconds_until_start(now))
         cold = self.cold is not None and self.cold.is_cold(now)
         if cold or ticket.nested or self._is_late(ticket, now):
             return now + RECHECK_SECONDS
         return ticket.latest_timely_start + LATE_CHECK_DELAY_SECONDS
 
+    def apply_rate_limit(self, now: float) -> None:
+        """Refuse queued tickets that a changed limit keeps from being served; recheck the rest."""
+        for ticket in sorted(self._queue, key=lambda item: self._precedence(item, now)):
+            if not self._may_be_served(ticket, now):
+                self._refuse_late(ticket, now)
+        for ticket in tuple(self._queue):
+            ticket.check_at = now
+            ticket.recheck()
+
     def withdraw(self, ticket: AdmissionTicket) -> None:
         """Remove a queued ticket whose caller has gone."""
         if ticket in self._queue:
@@ -363,6 +399,8 @@
     def _start(self, ticket: AdmissionTicket, now: float) -> None:
         if self.cold is not None:
             self.cold.note_start(now)
+        if self.rate_limit.rate is not None:
+            self.rate_limit.note_start(now)
         self.in_flight += 1
         self._last_progress_at = now
         ticket.granted = True
--- a/src/pewtertack/routing/admission_ticket.py
+++ b/src/pewtertack/routing/admission_ticket.py
@@ -14,7 +14,7 @@
 
 
 def _wake_nobody() -> None:
-    """Do nothing: the default of ``AdmissionTicket.wake``."""
+    """Do nothing: the default of ``AdmissionTicket.wake`` and ``AdmissionTicket.recheck``."""
 
 
 class AdmissionTicket(msgspec.Struct, eq=False):
@@ -31,6 +31,8 @@
     nested: bool = False
     """A back end makes it while it runs another request, so only its deadline counts."""
     wake: Callable[[], None] = _wake_nobody
+    recheck: Callable[[], None] = _wake_nobody
+    """Called while the ticket is queued, to check it now rather than at ``check_at``."""
     granted: bool = False
     answering: bool = False
     """Whether the back end has begun to answer, so that it does not hang on the request."""
--- a/src/pewtertack/routing/backend.py
+++ b/src/pewtertack/routing/backend.py
@@ -9,6 +9,7 @@
 from pewtertack.core.configuration.resolved import ResolvedService
 from pewtertack.routing.health import Health
 from pewtertack.routing.limit import AdaptiveLimit
+from pewtertack.routing.rate_limit import KnownRate, RateReport
 
 REPORT_HALF_LIFE_SECONDS = 0.5
 """Half-life of a load report's weight."""
@@ -98,6 +99,10 @@
     link_free_at: float = 0.0
     """When its gateway's link will have sent the queue last reported and the answers requested
     since."""
+    known_rate: KnownRate | None = None
+    """The limit of requests a second that it names, ``None`` while it names none."""
+    invalid_rate: str = ""
+    """What was wrong with the latest invalid limit that was named; empty if none was."""
     slowness: float = 1.0
     """Time that its answers take, as a multiple of the service's mean."""
     slowness_noted_at: float = float("-inf")
@@ -127,6 +132,7 @@
         """Tell whether a request may start here now."""
         return (
             self.accepts_work
+            and (self.known_rate is None or self.known_rate.may_send(now))
             and (bool(self.gateway) or self.limit.allows(now, self.in_flight))
             and self.reachable(now)
         )
@@ -138,6 +144,8 @@
     def note_start(self, now: float) -> None:
         """Record that a request of this proxy starts there."""
         self.in_flight += 1
+        if self.known_rate is not None:
+            self.known_rate.note_start(now)
         if self.silent_since is None:
             self.silent_since = now
 
@@ -179,7 +187,15 @@
         assert self.settings is not None
         slots = self.slots or self.settings.slots_per_backend
         surplus = self.occupancy(now) * slots + 1 - slots
-        return max(0.0, surplus) * mean_time * self.slowness / slots
+        wait = max(0.0, surplus) * mean_time * self.slowness / slots
+        return wait if self.known_rate is None else max(wait, self.known_rate.wait(now))
+
+    def concurrency(self, mean_time: float) -> float:
+        """Return the number of requests that this proxy may have in flight there on average."""
+        limit = float(int(self.limit.value))
+        if self.known_rate is None or not self.known_rate.is_share:
+            return limit
+        return min(limit, self.known_rate.rate * mean_time)
 
     def note_report(self, now: float, report: LoadReport) -> None:
         """Take over a load report; it includes this proxy's own requests."""
@@ -187,6 +203,17 @@
         self.slots = report.slots
         self.reported_at = now
 
+    def note_rate(self, now: float, report: RateReport) -> None:
+        """Record its gateway's report of the limit that it names."""
+        self.known_rate = KnownRate(report.rate, now, report.seconds)
+
+    def note_rate_share(self, now: float, rate: float) -> None:
+        """Record this proxy's share of the limit that it names, as no gateway keeps the whole."""
+        if self.known_rate is None or not self.known_rate.is_share:
+            self.known_rate = KnownRate(rate, now, is_share=True)
+        else:
+            self.known_rate.note_rate(rate, now)
+
     def note_link_queue(self, now: float, queue_seconds: float) -> None:
         """Take over its gateway's report of the link queue."""
         self.link_free_at = now + queue_seconds
--- a/src/pewtertack/routing/dispatcher.py
+++ b/src/pewtertack/routing/dispatcher.py
@@ -48,6 +48,7 @@
     Policies,
 )
 from pewtertack.routing.queueing import Ticket
+from pewtertack.routing.rate_limit import RateReport
 from pewtertack.routing.registry import BackendRegistry
 from pewtertack.routing.retries import (
     GRANTED_REASONS,
@@ -85,6 +86,7 @@
         self._zone = ""
         self._evacuated: frozenset[str] = frozenset()
         self._registry = BackendRegistry()
+        self._node_count = 1
         self._services: dict[str, ServiceDispatcher] = {}
         self._budgets = RetryBudgets(policies.retry_budget, retry_limits)
         self._splits = SplitPicker()
@@ -159,6 +161,7 @@
 
     def _update_node_count(self, machines: MachineList, now: float) -> None:
         nodes = sum(machine.role is MachineRole.NODE for machine in machines.machines)
+        self._node_count = max(1, nodes)
         self._budgets.set_node_count(nodes, now)
 
     def _assign_backends(self) -> None:
@@ -252,6 +255,27 @@
         if leaving:
             self._note_leaving(backend)
 
+    def note_rate(self, ticket: Ticket, report: RateReport | None, now: float) -> None:
+        """Record a gateway's report of the limit of its back end; ``None`` if there is none."""
+        backend = ticket.backend
+        assert backend is not None
+        if report is None:
+            backend.known_rate = None
+        else:
+            backend.note_rate(now, report)
+        self._remember_removed(backend)
+
+    def note_rate_unkept(self, ticket: Ticket, rate: float, now: float) -> None:
+        """Record a back end's limit that no gateway keeps: each node takes an equal share."""
+        backend = ticket.backend
+        assert backend is not None
+        backend.note_rate_share(now, rate / self._node_count)
+        self._remember_removed(backend)
+
+    def _remember_removed(self, backend: Backend) -> None:
+        if backend.removed:
+            self._registry.remember(backend)
+
     def note_link_report(
         self, ticket: Ticket, report: LinkReport, now: float, with_answer: bool
     ) -> None:
--- a/src/pewtertack/routing/registry.py
+++ b/src/pewtertack/routing/registry.py
@@ -8,9 +8,12 @@
 
 from pewtertack.core.machines import Machine, MachineList, MachineRole, MachineState
 from pewtertack.routing.backend import Backend
+from pewtertack.routing.rate_limit import KnownRate
 
 MAX_REMEMBERED_LEAVING = 4096
 """Number of incarnations remembered as leaving."""
+MAX_REMEMBERED_RATES = 4096
+"""Number of removed back ends whose limits are remembered."""
 MAX_REMEMBERED_STARTS = 4096
 """Number of back ends whose latest start is remembered, to recognize outdated entries."""
 
@@ -40,6 +43,8 @@
         self._backends: dict[str, Backend] = {}
         self._services: dict[str, tuple[Backend, ...]] = {}
         self._leaving_incarnations: dict[_Incarnation, None] = {}
+        self._known_rates: dict[_Incarnation, KnownRate] = {}
+        """Limits named by back ends that the list does not contain now."""
         self._latest_starts: dict[str, int] = {}
         """The latest start of each back end, where known, in order of the last report."""
         self.changes: tuple[tuple[Backend, ListChange], ...] = ()
@@ -49,7 +54,8 @@
         """Take over a newer list; return false for an older one, which is ignored.
 
         A back end that is removed from the list, or changes its address, gets a new state when it
-        is listed again. Only that it was leaving carries over, since entries may be outdated. One
+        is listed again. Only what it has reported of itself carries over: that it is leaving, and
+        the limit that it names; entries may be outdated, or lapse while it serves on. One
         that has started again under its name is another incarnation: nothing carries over, and
         outdated entries of the former incarnation change nothing.
         """
@@ -63,6 +69,9 @@
             backend.removed = True
         current = (self._updated_backend(machine, now) for machine in listed)
         self._backends = {backend.name: backend for backend in current if backend is not None}
+        for backend in previous.values():
+            if backend.removed:
+                self.remember(backend)
         self._note_successors(listed)
         self._services = _by_service(self._backends.values())
         self.changes = tuple(self._compare(previous, was_leaving))
@@ -108,6 +117,7 @@
         if backend is None or not _is_same(backend, incarnation):
             backend = Backend(machine.name, machine.service, machine.address, machine.zone, now)
             backend.leaving = incarnation in self._leaving_incarnations
+            backend.known_rate = self._known_rates.pop(incarnation, None)
         backend.started_at = started_at
         backend.zone = machine.zone
         backend.gateway = machine.gateway
@@ -129,6 +139,19 @@
         if len(self._latest_starts) > MAX_REMEMBERED_STARTS:
             del self._latest_starts[next(iter(self._latest_starts))]
 
+    def remember(self, backend: Backend) -> None:
+        """Remember what a back end that was removed from the list has reported of itself."""
+        incarnation = _Incarnation(
+            backend.name, backend.address, backend.service, backend.started_at
+        )
+        if backend.leaving:
+            self._remember_leaving(incarnation)
+        self._known_rates.pop(incarnation, None)
+        if backend.known_rate is not None:
+            self._known_rates[incarnation] = backend.known_rate
+            if len(self._known_rates) > MAX_REMEMBERED_RATES:
+                del self._known_rates[next(iter(self._known_rates))]
+
     def _remember_leaving(self, incarnation: _Incarnation) -> None:
         self._leaving_incarnations[incarnation] = None
         if len(self._leaving_incarnations) > MAX_REMEMBERED_LEAVING:
--- a/src/pewtertack/routing/service.py
+++ b/src/pewtertack/routing/service.py
@@ -77,13 +77,23 @@
     def another_gateway_may_help(self, ticket: Ticket, now: float) -> bool:
         """Tell whether to try another gateway rather than have the caller retry."""
         if not ticket.caller_can_retry:
-            return True
+            return self._limits_leave_time(ticket, now)
         return any(
             item.expected_wait(now, self.mean_time) <= 0
             for item in self.backends
             if item.usable(now) and item.name not in ticket.refused
         )
 
+    def _limits_leave_time(self, ticket: Ticket, now: float) -> bool:
+        """Tell whether a back end's limit of requests a second lets the request be answered."""
+        latest_start = ticket.deadline - self.expected_time(ticket.route.name)
+        for item in (*self._local, *self._remote):
+            if item.name in ticket.refused:
+                continue
+            if item.known_rate is None or now + item.known_rate.wait(now) <= latest_start:
+                return True
+        return False
+
     def is_reachable(self, now: float) -> bool:
         """Tell whether any back end that accepts work is reachable or overdue for a trial."""
         working = [item for item in self.backends if item.accepts_work]
@@ -169,7 +179,7 @@
         """Return the number of requests that this proxy may have in flight at the service."""
         working = (item for item in self.backends if item.accepts_work and not item.health.ejected)
         backend_limit = sum(
-            int(item.limit.value) for item in working if item.limit.paused_until <= now
+            item.concurrency(self.mean_time) for item in working if item.limit.paused_until <= now
         )
         return min(float(backend_limit), self.limit.value)
 
--- a/tests/node/gateway/test_cold_and_evacuated.py
+++ b/tests/node/gateway/test_cold_and_evacuated.py
@@ -131,7 +131,7 @@
         backend = await self.start_zone("ikeja")
         address = await self.begin()
         await self.wait_until(
-            lambda: not self.gateways[0].cold_starts()[0].is_cold(time.monotonic())
+            lambda: not self.gateways[0].accepting()[0][1].cold.is_cold(time.monotonic())
         )
         await self.calls(address, 4)  # its response time is known from now on
         self.assertEqual(await self.calls(address, 20), [200] * 20)
@@ -226,7 +226,7 @@
         near_backend.cold_milliseconds = "60000"
         self.evacuate("ikeja")
         self.evacuate()
-        cold = self.gateways[0].cold_starts()[0]
+        cold = self.gateways[0].accepting()[0][1].cold
         self.assertTrue(cold.is_cold(time.monotonic()))
         await self.wait_until(lambda: near_backend.query_count == 2)
         await self.wait_until(
