Believe a back end that says in its answers that it leaves, also behind a gateway

What callers saw: nothing yet; by the users' new rule a request that reaches such a back end too late breaks DRAIN. Cause: a gateway strips x-backend-state from its back end's answers and reads nothing of it; no node read the other header. The same class as the limit: what a back end says of itself was read at one place only.

--- a/src/pewtertack/node/gateway/application.py
+++ b/src/pewtertack/node/gateway/application.py
@@ -36,6 +36,7 @@
 from pewtertack.node.gateway.incarnations import Incarnation, Incarnations
 from pewtertack.node.gateway.metrics import GatewayMetrics
 from pewtertack.node.gateway.report_headers import (
+    LEAVING_HEADERS,
     link_headers,
     load_headers,
     origin_headers,
@@ -289,7 +290,7 @@
             self._note_origin(request)
             await self._forward(scope, receive, send, head, request)
         except RequestFailedError as error:
-            load = self._load_headers_of(request)
+            load = self._report_headers(request, error)
             backend = request.backend if request is not None else ""
             load_text = load[0][1].decode() if load else ""
             self._log.refused(head.request_id, backend, error, load_text)
@@ -349,12 +350,16 @@
         self._backend_down = self._backend_down and await refuses_connections(self.address)
         return self._backend_down
 
-    def _load_headers_of(self, request: HopRequest | None) -> RawHeaders:
+    def _report_headers(self, request: HopRequest | None, error: RequestFailedError) -> RawHeaders:
+        """Return the reports on the back end that accompany a failure; the load is the first."""
         found = self._incarnations.find(request.backend) if request is not None else None
         if found is None:
             return []
         now = self._clock()
-        return [*load_headers(found.admission, now), *rate_headers(found.admission, now)]
+        headers = [*load_headers(found.admission, now), *rate_headers(found.admission, now)]
+        if found.leaving and error.reached_backend:
+            headers += LEAVING_HEADERS
+        return headers
 
     async def _forward(
         self, scope: Scope, receive: Receive, send: Send, head: RequestHead, request: HopRequest
@@ -411,10 +416,7 @@
         """Apply what the back end reports of its state in a response."""
         if response.status == MISDIRECTED_STATUS:
             return  # another back end at the address reports its own state
-        limit = incarnation.admission.rate_limit
-        limit.has_answer = True
-        if response.rate_limits or limit.rate is not None:
-            self._reports.note_response(name, incarnation, response, sent_at, self._clock())
+        self._reports.note_response(name, incarnation, response, sent_at, self._clock())
 
     def _check_accepting(self, incarnation: Incarnation, request: HopRequest) -> None:
         """Raise the refusal if the back end may not be sent any more requests."""
--- a/src/pewtertack/node/gateway/backend_reports.py
+++ b/src/pewtertack/node/gateway/backend_reports.py
@@ -38,6 +38,23 @@
             response: the response, read at ``now``.
             sent_at: when its request was sent.
         """
+        if response.leaving and not incarnation.leaving:
+            incarnation.leaving = True
+            self._log.backend_leaving(name)
+            incarnation.hand_back_waiting()
+        limit = incarnation.admission.rate_limit
+        limit.has_answer = True
+        if response.rate_limits or limit.rate is not None:
+            self._note_rate(name, incarnation, response, sent_at, now)
+
+    def _note_rate(
+        self,
+        name: str,
+        incarnation: Incarnation,
+        response: ResponseMeta,
+        sent_at: float,
+        now: float,
+    ) -> None:
         limit = incarnation.admission.rate_limit
         try:
             rate = parse_rate(response.rate_limits)
--- a/src/pewtertack/node/gateway/forwarding.py
+++ b/src/pewtertack/node/gateway/forwarding.py
@@ -14,6 +14,7 @@
 from pewtertack.node.gateway.hop import HopRequest
 from pewtertack.node.gateway.link_check import LinkCheck
 from pewtertack.node.gateway.report_headers import (
+    LEAVING_HEADERS,
     link_headers,
     load_headers,
     origin_headers,
@@ -141,6 +142,8 @@
         """Seconds that the response lay unread because this node's event loop was busy."""
         self._may_have_run = False
         """Whether the request was sent to the back end."""
+        self._backend_leaving = False
+        """Whether the response says that the back end leaves."""
         self._body_task: asyncio.Future[None] | None = None
         """Receives the body, while the request cannot proceed without it."""
         self._pending_refusal: NotRunError | None = None
@@ -393,6 +396,7 @@
         seconds = self._context.clock() - self._ticket.started_at
         if seconds >= MIN_DELAY_CHECK_SECONDS and self._connection is not None:
             self._read_delay = self._connection.seconds_since_received()
+        self._backend_leaving = response.leaving
         self._note_response(response, self._ticket.started_at)
 
     async def _run_with_hang_checks(
@@ -435,6 +439,8 @@
             *origin_headers(self._context.origins, self._request),
             (hop.QUEUED, b"%d" % queued),
         ]
+        if self._backend_leaving:
+            headers += LEAVING_HEADERS
         if self._admission.rate_limit.rate is not None:
             headers += rate_headers(self._admission, self._context.clock())
         if self._context.pacer is not None:
--- a/src/pewtertack/node/gateway/report_headers.py
+++ b/src/pewtertack/node/gateway/report_headers.py
@@ -6,7 +6,7 @@
 from pewtertack.node.gateway.hop import HopRequest
 from pewtertack.node.http.framing import RawHeaders
 from pewtertack.node.pacing import LinkPacer
-from pewtertack.node.proxy.headers import BACKEND_LOAD
+from pewtertack.node.proxy.headers import BACKEND_LOAD, BACKEND_STATE, LEAVING_STATE
 from pewtertack.routing.admission import Admission
 from pewtertack.routing.origins import OriginDetector
 from pewtertack.routing.rate_limit import RateReport, format_rate_report
@@ -17,6 +17,10 @@
     return [(BACKEND_LOAD, f"{admission.load}/{admission.advertised_slots(now)}".encode())]
 
 
+LEAVING_HEADERS: RawHeaders = [(BACKEND_STATE, LEAVING_STATE)]
+"""Reports that the back end has said in a response that it leaves."""
+
+
 def rate_headers(admission: Admission, now: float) -> RawHeaders:
     """Return the header with the limit that the back end names, if any."""
     rate = admission.rate_limit.rate
--- a/src/pewtertack/node/proxy/headers.py
+++ b/src/pewtertack/node/proxy/headers.py
@@ -16,6 +16,7 @@
 
 BACKEND_LOAD = b"x-backend-load"
 BACKEND_STATE = b"x-backend-state"
+LEAVING_STATE = b"leaving"
 RETRIES = RETRIES_HEADER.encode()
 LEAVING_VALUE = "1"
 """Value of ``EdgeHeaders.leaving`` in the responses of a leaving back end."""
@@ -273,7 +274,7 @@
     elif name == BACKEND_LOAD:
         meta.load = text
     elif name == BACKEND_STATE:
-        meta.leaving = meta.leaving or text.strip().lower() == "leaving"
+        meta.leaving = meta.leaving or value.strip().lower() == LEAVING_STATE
     elif name == b"x-outcome":
         meta.outcome = text
     elif name == RETRIES:
--- a/src/pewtertack/node/proxy/request_log.py
+++ b/src/pewtertack/node/proxy/request_log.py
@@ -260,6 +260,10 @@
         """Log a crash of the local back end."""
         _record_crash(self._record, backend, broken)
 
+    def backend_leaving(self, backend: str) -> None:
+        """Log that the local back end says in a response that it leaves."""
+        self._record(Event.BACKEND_LEAVING, backend=backend)
+
     def rate_changed(self, backend: str, change: RateChange, rate: float | None) -> None:
         """Log that the limit of ``rate`` requests a second has changed; ``None`` without one."""
         if change is RateChange.ENDED:
--- a/tests/node/limited_backend.py
+++ b/tests/node/limited_backend.py
@@ -6,6 +6,8 @@
 
 LIMIT_HEADER = "x-limit"
 LEAVING_HEADER = "x-leaving"
+STATE_HEADER = "x-backend-state"
+LEAVING_VALUES = {LEAVING_HEADER: "1", STATE_HEADER: "leaving"}
 ORIGIN_HEADER = "x-origin"
 """Header of the test's callers: the node to which the request was sent."""
 SETTINGS = f"""
@@ -32,7 +34,10 @@
         self.address = ""
         self.limits: tuple[str, ...] = ()
         """The limits that its answers name; usually one at most."""
-        self.leaving = False
+        self.leaving_header = ""
+        """The header by which its answers say that it leaves, if they do."""
+        self.status = "200 OK"
+        self.more_headers: tuple[str, ...] = ()
         self.arrivals: list[Arrival] = []
         self.named_by: dict[str, float] = {}
         """When an answer that names a limit was first written, by the node of the request."""
@@ -75,11 +80,11 @@
             writer.close()
 
     def _answer(self, request_id: str) -> bytes:
-        lines = ["HTTP/1.1 200 OK", "content-length: 2", f"x-request-id: {request_id}"]
+        lines = [f"HTTP/1.1 {self.status}", "content-length: 2", f"x-request-id: {request_id}"]
         lines += [f"{LIMIT_HEADER}: {limit}" for limit in self.limits]
-        if self.leaving:
-            lines.append(f"{LEAVING_HEADER}: 1")
-        return "\r\n".join([*lines, "", "ok"]).encode()
+        if self.leaving_header:
+            lines.append(f"{self.leaving_header}: {LEAVING_VALUES[self.leaving_header]}")
+        return "\r\n".join([*lines, *self.more_headers, "", "ok"]).encode()
 
 
 def header_of(head: str, name: str) -> str:
--- a/tests/node/test_rate_limit_of_a_back_end.py
+++ b/tests/node/test_back_end_reports.py
@@ -1,14 +1,14 @@
-"""Real nodes, of which one's back end names a limit while that node is killed and frozen."""
+"""Real nodes: a back end's reports in its answers while the node beside it is killed and frozen."""
 
 import asyncio
 import itertools
 
 from tests.node.gateway_fleet import GatewayFleet, gateway_fleet
-from tests.node.limited_backend import ORIGIN_HEADER, SETTINGS, LimitedBackend
+from tests.node.limited_backend import LEAVING_HEADER, ORIGIN_HEADER, SETTINGS, LimitedBackend
 from tests.node.proxy.harness import ProxyTestCase, raw_call, request_bytes
 
 NODES = ("a", "b", "c", "d")
-LIMITED = "a"
+REPORTING = "a"
 SLOTS = 4
 TREE = {
     "services": {"archive": {}},
@@ -38,7 +38,7 @@
     return FACTOR * rate * WINDOW_SECONDS + SLACK
 
 
-class RateLimitTest(ProxyTestCase):
+class BackEndReportsTest(ProxyTestCase):
     async def asyncSetUp(self) -> None:
         self.backends = {name: LimitedBackend() for name in NODES}
         for backend in self.backends.values():
@@ -64,7 +64,7 @@
 
     def largest_count(self) -> int:
         """Return the most requests that count in any window after the limit binds."""
-        backend = self.backends[LIMITED]
+        backend = self.backends[REPORTING]
         binds_at = min(backend.named_by.values()) + NOTICE_SECONDS
         ends = [item.at for item in backend.arrivals if item.at >= binds_at]
         return max(backend.counted(end, WINDOW_SECONDS, KNOWN_SECONDS) for end in ends)
@@ -76,15 +76,37 @@
         async with gateway_fleet(TREE, addresses, SLOTS, SETTINGS) as fleet:
             calls = asyncio.create_task(self.call_all(fleet))
             await asyncio.sleep(1.0)
-            self.backends[LIMITED].limits = (str(RATE),)
+            self.backends[REPORTING].limits = (str(RATE),)
             await asyncio.sleep(5.0)
-            await fleet.kill(LIMITED)
-            self.backends[LIMITED].named_by.pop(LIMITED)  # its new process has passed nothing on
-            await fleet.start(LIMITED)
+            await fleet.kill(REPORTING)
+            self.backends[REPORTING].named_by.pop(
+                REPORTING
+            )  # its new process has passed nothing on
+            await fleet.start(REPORTING)
             await asyncio.sleep(4.0)
-            await fleet.freeze(LIMITED, 1.5)
+            await fleet.freeze(REPORTING, 1.5)
             await asyncio.sleep(4.0)
             calls.cancel()
             await asyncio.gather(calls, return_exceptions=True)
         self.assertLessEqual(self.largest_count(), allowed(RATE))
         self.assertGreater(self.statuses.count(200), 0.95 * len(self.statuses))
+
+    async def test_no_node_that_knows_sends_to_a_leaving_back_end_after_a_restart_beside_it(
+        self,
+    ) -> None:
+        leaving = self.backends[REPORTING]
+        addresses = {name: backend.address for name, backend in self.backends.items()}
+        async with gateway_fleet(TREE, addresses, SLOTS, SETTINGS) as fleet:
+            calls = asyncio.create_task(self.call_all(fleet))
+            await asyncio.sleep(1.0)
+            leaving.leaving_header = LEAVING_HEADER
+            await asyncio.sleep(1.0)
+            leaving.arrivals.clear()
+            await fleet.kill(REPORTING)
+            await fleet.start(REPORTING)
+            await asyncio.sleep(3.0)
+            calls.cancel()
+            await asyncio.gather(calls, return_exceptions=True)
+        origins = {item.origin for item in leaving.arrivals}
+        self.assertLessEqual(origins, {REPORTING})  # its new process has passed nothing on
+        self.assertGreater(self.statuses.count(200), 0.95 * len(self.statuses))
