lab soak: a back end that had left comes back as another incarnation

Cause: a soak marked a leaving back end as live again under the same start. Change: entries of back ends with gateways have a start; one that left gets a new one when it comes back.

--- a/src/pewtertack/lab/fleet/fleet.py
+++ b/src/pewtertack/lab/fleet/fleet.py
@@ -78,6 +78,10 @@
         self._processes: list[LabProcess] = []
         self._nodes: dict[str, LabProcess] = {}
         self._backend_processes: dict[str, LabProcess] = {}
+        self._left_backends: set[str] = set()
+        """Back ends that have been marked as leaving since their latest start."""
+        self._backend_starts: dict[str, int] = {}
+        """Latest start in Unix milliseconds of back ends that started again after leaving."""
         self._task_group = anyio.create_task_group()
 
     async def __aenter__(self) -> Fleet:
@@ -234,13 +238,20 @@
         """Mark a back end as leaving in the machine list only; it does not report that itself."""
         async with self.platform.write_lock:
             self.recorder.record(BackendLeaving(time=time.time(), backend=backend))
+            self._left_backends.add(backend)
             await self.platform.mark_leaving(backend)
 
     async def mark_backend_live(self, backend: str) -> None:
-        """Mark a leaving back end as live again in the machine list."""
+        """Mark a back end as live in the machine list.
+
+        One that was leaving gets a new start, as nodes send the former incarnation nothing more.
+        """
         async with self.platform.write_lock:
             self.recorder.record(BackendLeaveCancelled(time=time.time(), backend=backend))
-            await self.platform.add_machine(backend)
+            if backend in self._left_backends:
+                self._left_backends.discard(backend)
+                self._backend_starts[backend] = int(time.time() * 1000)
+            await self.platform.add_machine(backend, self._backend_starts.get(backend, 0))
 
     async def kill_backend_process(self, name: str) -> None:
         """Kill a process that hosts back ends with SIGKILL."""
--- a/src/pewtertack/lab/fleet/plan.py
+++ b/src/pewtertack/lab/fleet/plan.py
@@ -19,6 +19,9 @@
 SEED_COUNT = 4
 FLEET_KEY = "70657774657274616b2d6c61622d6b6579d1ce5eed0123456789abcdef012345"
 
+FIRST_START_MS = 1
+"""Start of each back end in the first machine list, in Unix milliseconds."""
+
 
 @dataclass(frozen=True, slots=True)
 class FleetShape:
@@ -138,6 +141,7 @@
         if backend.gateway_node:
             entry["gateway"] = str(self.nodes[backend.gateway_node].gateway)
             entry["slots"] = self.shape.capacity.slots
+            entry["started_at"] = FIRST_START_MS
         return entry
 
     def seed_addresses(self) -> tuple[Address, ...]:
--- a/src/pewtertack/lab/fleet/platform.py
+++ b/src/pewtertack/lab/fleet/platform.py
@@ -115,9 +115,16 @@
         """Remove a machine from the machine list."""
         await self.client.request("DELETE", self.plan.machines.control, f"/machines/{machine}")
 
-    async def add_machine(self, machine: str) -> None:
-        """Add a machine of the plan to the machine list, or reset its entry, as live."""
+    async def add_machine(self, machine: str, started_at: int = 0) -> None:
+        """Add a machine of the plan to the machine list, or reset its entry, as live.
+
+        Args:
+            machine: its name.
+            started_at: its latest start in Unix milliseconds; 0 if it never started again.
+        """
         entry = self.plan.machine_list()[machine]
+        if started_at:
+            entry["started_at"] = started_at
         path = f"/machines/{machine}"
         await self.client.request("PUT", self.plan.machines.control, path, entry)
 
