lab soak: back ends that name limits or leave in their answers

Change: back ends report both; a lane of the soak does so while the node beside the back end is stopped, killed and paused, with callers of short requests; two promises with the bounds of the users' rules; mechanisms rate_limits and rate_reports can be switched off.

--- a/src/pewtertack/cli/lab_soak.py
+++ b/src/pewtertack/cli/lab_soak.py
@@ -43,7 +43,9 @@
     callers: Annotated[int, typer.Option(help="Callers per node.")] = 2,
     seed: int = 0,
     prefix: Annotated[str, typer.Option(help="Prefix of the request ids.")] = "callers",
-    downloads: Annotated[bool, typer.Option("--downloads", help="Only long responses.")] = False,
+    traffic: Annotated[
+        str, typer.Option(help="Kind of the requests: mixed, downloads or quick.")
+    ] = "mixed",
 ) -> None:
     """Run callers with persistent connections, and print the outcome of each request."""
     import anyio
@@ -54,14 +56,14 @@
     from pewtertack.lab.records import CallResult, encode_record
     from pewtertack.lab.serving import print_line, print_ready
     from pewtertack.lab.soak.callers import PersistentCallers
-    from pewtertack.lab.soak.mix import DownloadRequestGenerator, MixedRequestGenerator
+    from pewtertack.lab.soak.mix import generator_of
 
     def record(outcome: CallResult) -> None:
         print_line(encode_record(outcome))
 
     targets = [Target(*parse_named_address(text)) for text in node]
     mix = mix_of_tree(read_json_object(tree))
-    kind = DownloadRequestGenerator if downloads else MixedRequestGenerator
+    kind = generator_of(traffic)
     print_ready()
     anyio.run(PersistentCallers(targets, callers, mix, seed, prefix, record, kind).run)
     raise typer.Exit(ExitCode.OK)
--- a/src/pewtertack/lab/backend/application.py
+++ b/src/pewtertack/lab/backend/application.py
@@ -157,7 +157,7 @@
         return Response(status, body, headers)
 
     def _state_headers(self) -> dict[str, str]:
-        headers = {"x-backend-load": self.state.reported_load()}
+        headers = {"x-backend-load": self.state.reported_load(), **self.state.reports.headers()}
         if self.state.faults.leaving:
             headers["x-backend-state"] = "leaving"
         return headers
--- a/src/pewtertack/lab/backend/process.py
+++ b/src/pewtertack/lab/backend/process.py
@@ -12,7 +12,7 @@
 
 from pewtertack.lab.asgi import HandlerTable, Request, Response, json_response
 from pewtertack.lab.backend.application import BackendApplication
-from pewtertack.lab.backend.state import BackendFaults, BackendState, Capacity
+from pewtertack.lab.backend.state import BackendFaults, BackendReports, BackendState, Capacity
 from pewtertack.lab.errors import LabUsageError
 from pewtertack.lab.records import Record, encode_record
 from pewtertack.lab.serving import Listener, print_line, print_ready
@@ -56,7 +56,11 @@
             listener = Listener(application, address, capacity.connections)
             hosted = self._hosted[name] = HostedBackend(application, listener)
             application.on_crash = partial(self._crash, hosted)
-        handlers = {("POST", "/faults/"): self._set_faults, ("POST", "/close/"): self._close}
+        handlers = {
+            ("POST", "/faults/"): self._set_faults,
+            ("POST", "/reports/"): self._set_reports,
+            ("POST", "/close/"): self._close,
+        }
         self._task_group: anyio.abc.TaskGroup | None = None
         self._control = Listener(HandlerTable(dict(handlers)), control)
 
@@ -87,6 +91,11 @@
         self._find_backend(request).application.state.set_faults(faults, time.monotonic())
         return json_response(faults)
 
+    async def _set_reports(self, request: Request) -> Response:
+        reports = msgspec.json.decode(request.body, type=BackendReports)
+        self._find_backend(request).application.state.reports = reports
+        return json_response(reports)
+
     async def _close(self, request: Request) -> Response:
         self._find_backend(request).listener.close()
         return json_response({})
--- a/src/pewtertack/lab/backend/state.py
+++ b/src/pewtertack/lab/backend/state.py
@@ -7,6 +7,9 @@
 
 import msgspec
 
+RATE_LIMIT_HEADER = "x-backend-rate-limit"
+LEAVING_HEADER = "x-backend-leaving"
+
 
 class HealthReport(StrEnum):
     """What the health endpoint reports."""
@@ -38,6 +41,22 @@
     """The health endpoint reports the state of this long ago."""
 
 
+class BackendReports(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """What the back end says of itself in all its answers, besides its load; nothing by default."""
+
+    rate_limit: str = ""
+    """Value of ``RATE_LIMIT_HEADER``: requests a second; no header if empty."""
+    leaving: bool = False
+    """Whether the answers have ``LEAVING_HEADER``; the back end still runs all requests."""
+
+    def headers(self) -> dict[str, str]:
+        """Return the headers."""
+        headers = {RATE_LIMIT_HEADER: self.rate_limit} if self.rate_limit else {}
+        if self.leaving:
+            headers[LEAVING_HEADER] = "1"
+        return headers
+
+
 class Capacity(msgspec.Struct, frozen=True):
     """Limits and work times of a back end. Times are in seconds."""
 
@@ -64,6 +83,7 @@
     def __init__(self, capacity: Capacity, started: float) -> None:
         self.capacity = capacity
         self.faults = BackendFaults()
+        self.reports = BackendReports()
         self.in_flight = 0
         self.admitted = 0
         self._started = started
--- a/src/pewtertack/lab/disabled_mechanisms.py
+++ b/src/pewtertack/lab/disabled_mechanisms.py
@@ -34,6 +34,7 @@
 from pewtertack.platform import store
 from pewtertack.routing import dispatcher
 from pewtertack.routing.outcomes import Outcome, RequestFailedError
+from pewtertack.routing.rate_limit import RateChange, RateLimit, RateReport
 from pewtertack.routing.retries import AttemptRecord, RetryReason
 
 ResponseMetaReader = Callable[[RawHeaders, EdgeHeaders], ResponseMeta]
@@ -126,6 +127,34 @@
     _replace_function(ProxyApplication, "use_machines", wrap_use_machines)
 
 
+def _ignore_rate_limits() -> None:
+    """Give back ends that name a limit of requests a second what others get."""
+
+    def wrapper(read_response_meta: ResponseMetaReader) -> ResponseMetaReader:
+        def read_without_limit(
+            headers: RawHeaders, edge: EdgeHeaders = DEFAULT_EDGE
+        ) -> ResponseMeta:
+            response_meta = read_response_meta(headers, edge)
+            response_meta.rate_limits = ()
+            return response_meta
+
+        return read_without_limit
+
+    _replace_function(exchange, "read_response_meta", wrapper)
+
+
+def _ignore_rate_reports() -> None:
+    """Have a gateway learn the limit of its back end from that alone, not from senders."""
+
+    def wrapper(_note_report: Callable[..., RateChange | None]) -> Callable[..., None]:
+        def ignore_report(_limit: RateLimit, _report: RateReport, _now: float) -> None:
+            """Ignore the report."""
+
+        return ignore_report
+
+    _replace_function(RateLimit, "note_report", wrapper)
+
+
 def _as_live(machine: Machine) -> Machine:
     return msgspec.structs.replace(machine, state=MachineState.LIVE)
 
@@ -258,6 +287,8 @@
     "retry_proof": _retry_any_route,
     "refusal_truth": _report_broken_exchanges_as_not_run,
     "leaving": _ignore_leaving,
+    "rate_limits": _ignore_rate_limits,
+    "rate_reports": _ignore_rate_reports,
     "leaving_notices": _skip_leaving_notices,
     "drain": _stop_without_draining,
     "stop_announcements": _skip_shutdown_announcements,
--- a/src/pewtertack/lab/fleet/fleet.py
+++ b/src/pewtertack/lab/fleet/fleet.py
@@ -241,6 +241,12 @@
             self._left_backends.add(backend)
             await self.platform.mark_leaving(backend)
 
+    async def restart_backend(self, backend: str) -> None:
+        """List a back end that left by its answers only as started again; clear its reports."""
+        await self.backends.clear_reports(backend)
+        self._left_backends.add(backend)
+        await self.mark_backend_live(backend)
+
     async def mark_backend_live(self, backend: str) -> None:
         """Mark a back end as live in the machine list.
 
@@ -288,14 +294,14 @@
         return process
 
     async def start_persistent_callers(
-        self, name: str, seed: int, callers: int, downloads: bool = False
+        self, name: str, seed: int, callers: int, traffic: str
     ) -> LabProcess:
         """Start callers with persistent connections.
 
-        With ``downloads`` they request only long responses.
+        ``traffic`` is the kind of their requests (`lab.soak.mix.GENERATORS`).
         """
         proxies = {node: plan.proxy for node, plan in self.plan.nodes.items()}
-        process = self._factory.persistent_callers(name, seed, callers, proxies, downloads)
+        process = self._factory.persistent_callers(name, seed, callers, proxies, traffic)
         await self._start([process])
         return process
 
--- a/src/pewtertack/lab/fleet/processes.py
+++ b/src/pewtertack/lab/fleet/processes.py
@@ -91,14 +91,14 @@
         seed: int,
         callers: int,
         nodes: Mapping[str, Address],
-        downloads: bool = False,
+        traffic: str,
     ) -> LabProcess:
         """Create a process with ``callers`` callers of each node, with persistent connections."""
         targets = [f"--node={node}={proxy}" for node, proxy in nodes.items()]
         tree = f"--tree={tree_path(self._directory)}"
         options = [f"--callers={callers}", f"--seed={seed}", f"--prefix={name}"]
-        kind_option = ["--downloads"] if downloads else []
-        return self._create_service(name, ["soak-callers", tree, *targets, *options, *kind_option])
+        options.append(f"--traffic={traffic}")
+        return self._create_service(name, ["soak-callers", tree, *targets, *options])
 
     def _source(self) -> LabProcess:
         tree = f"--tree={tree_path(self._directory)}"
--- a/src/pewtertack/lab/fleet/settings.py
+++ b/src/pewtertack/lab/fleet/settings.py
@@ -7,6 +7,7 @@
 
 import msgspec
 
+from pewtertack.lab.backend.state import LEAVING_HEADER, RATE_LIMIT_HEADER
 from pewtertack.lab.fleet.plan import FLEET_KEY, FleetPlan, NodePlan
 
 NODE_TEMPLATE = """\
@@ -32,6 +33,10 @@
 seeds = [{seeds}]
 key = "{key}"
 
+[headers]
+rate_limit = "{rate_limit}"
+leaving = "{leaving}"
+
 [profile]
 name = "{profile}"
 {backend}{limits}{policies}"""
@@ -53,6 +58,8 @@
         machines=plan.machines.listen,
         seeds=", ".join(f'"{seed}"' for seed in plan.seed_addresses() if seed != node.advertised),
         key=FLEET_KEY,
+        rate_limit=RATE_LIMIT_HEADER,
+        leaving=LEAVING_HEADER,
         profile=plan.shape.profile,
         backend=_backend_section(plan, node),
         limits=_section("limits", plan.shape.limits),
--- a/src/pewtertack/lab/history/checker.py
+++ b/src/pewtertack/lab/history/checker.py
@@ -13,6 +13,7 @@
     configuration_checks,
     crash_checks,
     evacuation_checks,
+    report_checks,
     request_checks,
     stop_checks,
 )
@@ -66,6 +67,8 @@
         *REQUEST_CHECKS,
         crash_checks.check_crashing_requests_limited,
         evacuation_checks.check_evacuated_gets_no_requests,
+        report_checks.check_rate_limits_kept,
+        report_checks.check_leaving_answers_obeyed,
     ),
     CheckGroup.CONFIGURATION: CONFIGURATION_CHECKS,
     CheckGroup.REQUESTS: REQUEST_CHECKS,
--- a/src/pewtertack/lab/history/verdicts.py
+++ b/src/pewtertack/lab/history/verdicts.py
@@ -26,6 +26,8 @@
     RUNNING_NODE_ANSWERS_ALL = "answered-while-node-runs"
     CRASHING_REQUESTS_LIMITED = "ending-requests-held"
     EVACUATED_GETS_NO_REQUESTS = "evacuated-gets-nothing"
+    RATE_LIMIT_KEPT = "named-limit-kept"
+    LEAVING_ANSWERS_OBEYED = "leaving-in-answers-obeyed"
 
 
 class Judgement(StrEnum):
@@ -68,6 +70,18 @@
     """From the start of leaving until the back end receives no new requests."""
     evacuated: float = 1.0
     """From an evacuation in force on a node to the start of the last request sent before it."""
+    rate_notice: float = 3.0
+    """From the first naming of a limit until it binds."""
+    rate_known: float = 0.5
+    """A node's requests count this long after it has passed on an answer that names the limit."""
+    rate_window: float = 4.0
+    """Length of the windows in which requests to a back end that names a limit are counted."""
+    rate_factor: float = 1.5
+    rate_slack: float = 5.0
+    """In a window it may get this multiple of what its limit allows, and so many requests more."""
+    leaving_known: float = 2.0
+    """From an answer, passed on by a node, that says that its back end leaves until callers'
+    requests to that node no longer reach the back end."""
     unread: float = 0.2
     """A request sent completely this long before its connection ended counts as read."""
     unplanned: float = 1.0
--- a/src/pewtertack/lab/records.py
+++ b/src/pewtertack/lab/records.py
@@ -141,6 +141,22 @@
     backend: str
 
 
+class BackendRateLimit(LabRecord, frozen=True, kw_only=True, tag="backend-rate-limit"):
+    """A back end names a limit of ``rate`` requests a second in its answers; ``None``: no more."""
+
+    backend: str
+    rate: float | None
+
+
+class BackendLeavingInAnswers(LabRecord, frozen=True, kw_only=True, tag="backend-leaving-answers"):
+    """A back end started to say in its answers, and nowhere else, that it leaves.
+
+    A ``BackendLeaveCancelled`` ends that.
+    """
+
+    backend: str
+
+
 class ZoneEvacuated(LabRecord, frozen=True, kw_only=True, tag="zone-evacuated"):
     """From ``revision`` on, no requests may be sent to the back ends of a zone."""
 
@@ -227,6 +243,8 @@
     | BackendLeaving
     | BackendLeaveCancelled
     | BackendFault
+    | BackendRateLimit
+    | BackendLeavingInAnswers
     | ZoneEvacuated
     | ZoneEvacuationEnded
     | ExecutionStart
--- a/src/pewtertack/lab/soak/context.py
+++ b/src/pewtertack/lab/soak/context.py
@@ -5,18 +5,20 @@
 import contextlib
 import random
 from collections import Counter
-from collections.abc import AsyncIterator, Sequence
+from collections.abc import AsyncIterator, Iterator, Sequence
 
 import anyio
 
 from pewtertack.lab.fleet.fleet import Fleet
 from pewtertack.lab.scenarios.context import ScenarioContext
+from pewtertack.lab.soak.mix import DOWNLOAD_TRAFFIC, MIXED_TRAFFIC, QUICK_TRAFFIC
 
 CALLERS_PER_NODE = 3
 SURGE_CALLERS_PER_NODE = 3
 DOWNLOADS_PER_NODE = 8
 """Enough concurrent downloads to fill the link queues of the two gateways that serve them for
 seconds."""
+QUICK_CALLERS_PER_NODE = 2
 SERVING_TIMEOUT_SECONDS = 60.0
 
 
@@ -37,9 +39,10 @@
         """Held during a restore of the platform, and while it must not be restored because nodes
         must read in time that a back end leaves: a restore may lose what no node has read."""
         self._claimed: set[str] = set()
+        self._reserved: set[str] = set()
         self._released = anyio.Event()
-        self._surges = 0
-        self._downloads = 0
+        self._caller_groups: Counter[str] = Counter()
+        """Number of processes with additional callers that were started, by group."""
 
     @property
     def fleet(self) -> Fleet:
@@ -57,10 +60,10 @@
     ) -> AsyncIterator[list[str]]:
         """Claim ``count`` nodes, at most `max_claimed`, once they are involved in no other fault.
 
-        The nodes are chosen among ``among``, by default among all.
+        The nodes are chosen among ``among``, by default among all that are not reserved.
         """
         count = min(count, self.max_claimed)
-        names = sorted(among or self.fleet.plan.nodes)
+        names = sorted(among or set(self.fleet.plan.nodes) - self._reserved)
         candidates = chooser.sample(names, len(names))
         while (
             len(self._claimed) + count > self.max_claimed
@@ -76,6 +79,15 @@
             self._released.set()
             self._released = anyio.Event()
 
+    @contextlib.contextmanager
+    def reserve_node(self, name: str) -> Iterator[None]:
+        """Keep faults that choose their nodes at random from choosing this one."""
+        self._reserved.add(name)
+        try:
+            yield
+        finally:
+            self._reserved.discard(name)
+
     def choose_backend(self, chooser: random.Random) -> str:
         """Choose a back end at random."""
         return chooser.choice(sorted(self.fleet.plan.backends))
@@ -87,22 +99,23 @@
 
     async def surge(self, seconds: float) -> None:
         """Run additional callers for a while."""
-        self._surges += 1
-        await self._run_callers(f"surge{self._surges}", SURGE_CALLERS_PER_NODE, seconds)
+        await self._run_callers("surge", SURGE_CALLERS_PER_NODE, seconds, MIXED_TRAFFIC)
 
     async def download(self, seconds: float) -> None:
         """Run callers of long responses for a while."""
-        self._downloads += 1
-        name = f"downloads{self._downloads}"
-        await self._run_callers(name, DOWNLOADS_PER_NODE, seconds, downloads=True)
+        await self._run_callers("downloads", DOWNLOADS_PER_NODE, seconds, DOWNLOAD_TRAFFIC)
+
+    async def send_quick_requests(self, seconds: float) -> None:
+        """Run callers of short requests for a while."""
+        await self._run_callers("quick", QUICK_CALLERS_PER_NODE, seconds, QUICK_TRAFFIC)
 
-    async def _run_callers(
-        self, name: str, callers: int, seconds: float, downloads: bool = False
-    ) -> None:
+    async def _run_callers(self, group: str, callers: int, seconds: float, traffic: str) -> None:
         """Run a process with ``callers`` callers of each node, then wait for requests in flight."""
-        index = self._downloads if downloads else self._surges
+        self._caller_groups[group] += 1
+        number = self._caller_groups[group]
+        name = f"{group}{number}"
         process = await self.fleet.start_persistent_callers(
-            name, self.seed + index, callers, downloads
+            name, self.seed + number, callers, traffic
         )
         await anyio.sleep(seconds)
         code = await self.fleet.stop_load(process)
--- a/src/pewtertack/lab/soak/faults.py
+++ b/src/pewtertack/lab/soak/faults.py
@@ -25,6 +25,7 @@
     REQUESTS = "requests"
     DOWNLOADS = "downloads"
     RETURNS = "returns"
+    REPORTS = "reports"
 
 
 FAULT_MODULES = (
@@ -34,6 +35,7 @@
     "pewtertack.lab.soak.request_faults",
     "pewtertack.lab.soak.downloads",
     "pewtertack.lab.soak.returns",
+    "pewtertack.lab.soak.report_faults",
 )
 MEAN_GAP_SECONDS = {
     Lane.NODES: 0.7,
@@ -44,6 +46,7 @@
     Lane.REQUESTS: 2.0,
     Lane.DOWNLOADS: 0.5,
     Lane.RETURNS: 2.0,
+    Lane.REPORTS: 0.5,
 }
 """Mean time between the end of one fault and the next, by lane."""
 
--- a/src/pewtertack/lab/soak/mix.py
+++ b/src/pewtertack/lab/soak/mix.py
@@ -1,13 +1,14 @@
-"""Generators of the requests that the callers of a soak send."""
+"""Generators of the requests that the callers of a soak send, by the kind of their traffic."""
 
 from __future__ import annotations
 
 import random
 from abc import ABC, abstractmethod
-from collections.abc import Sequence
+from collections.abc import Callable, Sequence
 
 import msgspec
 
+from pewtertack.lab.errors import LabUsageError
 from pewtertack.lab.load.mix import CallKind
 
 PIPELINED_SHARE = 0.3
@@ -17,12 +18,15 @@
 SMALL_BODY_BYTES = 512
 RESPONSE_BYTES = (200, 60_000)
 DOWNLOAD_BYTES = (60_000, 300_000)
+LOOKUP = "lookup"
+"""A route of short requests that may be repeated."""
 UPLOAD = "upload"
 """The route of requests with long bodies."""
 DOWNLOAD = "download"
 """The route of requests with long responses."""
 WORK_MILLISECONDS = {UPLOAD: (400, 1500), "confirm": (30, 200), "records": (50, 400)}
 OTHER_WORK_MILLISECONDS = (5, 60)
+QUICK_WORK_MILLISECONDS = 5.0
 WEIGHTS = {UPLOAD: 4.0, "confirm": 2.0}
 """Weights of routes in the random choice; 1 for every other route."""
 THINK_SECONDS = 0.1
@@ -34,6 +38,11 @@
 """Maximum pause between two reads of a long response; other callers read without pauses."""
 
 
+MIXED_TRAFFIC = "mixed"
+DOWNLOAD_TRAFFIC = "downloads"
+QUICK_TRAFFIC = "quick"
+
+
 class RequestGenerator(ABC):
     """Generates the requests of one caller.
 
@@ -65,6 +74,32 @@
         return 0.0
 
 
+GENERATORS: dict[str, type[RequestGenerator]] = {}
+"""The generators by the kind of traffic, filled by `traffic`."""
+
+
+def traffic(name: str) -> Callable[[type[RequestGenerator]], type[RequestGenerator]]:
+    """Register the decorated class as the generator of a kind of traffic."""
+
+    def register(generator: type[RequestGenerator]) -> type[RequestGenerator]:
+        GENERATORS[name] = generator
+        return generator
+
+    return register
+
+
+def generator_of(name: str) -> type[RequestGenerator]:
+    """Return the generator of a kind of traffic.
+
+    Raises:
+        LabUsageError: there is no such kind.
+    """
+    if name not in GENERATORS:
+        raise LabUsageError(f"unknown traffic {name!r}; accepted: {', '.join(GENERATORS)}")
+    return GENERATORS[name]
+
+
+@traffic(MIXED_TRAFFIC)
 class MixedRequestGenerator(RequestGenerator):
     """Generates requests of all routes but that of long responses."""
 
@@ -94,6 +129,7 @@
         )
 
 
+@traffic(DOWNLOAD_TRAFFIC)
 class DownloadRequestGenerator(RequestGenerator):
     """Generates requests for long responses, one at a time, which are read with pauses."""
 
@@ -118,3 +154,24 @@
     def read_pause(self) -> float:
         """Return a random pause, to simulate a caller that reads slowly."""
         return self._random.uniform(0.0, MAX_READ_PAUSE_SECONDS)
+
+
+@traffic(QUICK_TRAFFIC)
+class QuickRequestGenerator(RequestGenerator):
+    """Generates short requests, one at a time, so that a back end may get many in a second."""
+
+    __slots__ = ()
+
+    def _uses(self, kind: CallKind) -> bool:
+        return kind.route == LOOKUP
+
+    def next_requests(self) -> list[CallKind]:
+        """Return one request."""
+        (kind,) = self.kinds
+        request = msgspec.structs.replace(
+            kind,
+            work_milliseconds=QUICK_WORK_MILLISECONDS,
+            answer_bytes=RESPONSE_BYTES[0],
+            body_bytes=0,
+        )
+        return [request]
--- a/src/pewtertack/lab/soak/node_faults.py
+++ b/src/pewtertack/lab/soak/node_faults.py
@@ -28,12 +28,32 @@
             await anyio.sleep(gap_seconds)
 
 
+async def stop_and_restart(soak: SoakContext, _chooser: random.Random, name: str) -> None:
+    """Shut a claimed node down gracefully and start it again."""
+    await _stop_nodes(soak, [name], 0.0)
+    await soak.restart_nodes([name])
+
+
+async def kill_and_restart(soak: SoakContext, chooser: random.Random, name: str) -> None:
+    """Kill a claimed node and start it again under its name."""
+    await soak.fleet.kill_nodes([name])
+    await anyio.sleep(chooser.uniform(0.0, 2.0))
+    await soak.restart_nodes([name])
+
+
+async def pause_and_resume(soak: SoakContext, chooser: random.Random, name: str) -> None:
+    """Pause a claimed node and resume it later."""
+    soak.fleet.pause_node(name)
+    await anyio.sleep(chooser.uniform(0.3, 5.0))
+    soak.fleet.resume_node(name)
+    await soak.fleet.wait_serving([name])
+
+
 @fault("stop", *NODE_LANES, weight=4.0)
 async def stop(soak: SoakContext, chooser: random.Random) -> None:
     """A node is shut down gracefully and started again."""
     async with soak.claim_nodes(chooser, 1) as names:
-        await _stop_nodes(soak, names, 0.0)
-        await soak.restart_nodes(names)
+        await stop_and_restart(soak, chooser, names[0])
 
 
 @fault("stops-overlap", *NODE_LANES, weight=2.0)
@@ -79,9 +99,7 @@
 async def kill(soak: SoakContext, chooser: random.Random) -> None:
     """A node is killed and started again under its name."""
     async with soak.claim_nodes(chooser, 1) as names:
-        await soak.fleet.kill_nodes(names)
-        await anyio.sleep(chooser.uniform(0.0, 2.0))
-        await soak.restart_nodes(names)
+        await kill_and_restart(soak, chooser, names[0])
 
 
 @fault("kill-while-stopping", *NODE_LANES, weight=0.5)
@@ -99,10 +117,7 @@
 async def pause(soak: SoakContext, chooser: random.Random) -> None:
     """A node is paused and resumes later."""
     async with soak.claim_nodes(chooser, 1) as names:
-        soak.fleet.pause_node(names[0])
-        await anyio.sleep(chooser.uniform(0.3, 5.0))
-        soak.fleet.resume_node(names[0])
-        await soak.fleet.wait_serving(names)
+        await pause_and_resume(soak, chooser, names[0])
 
 
 @fault("pause-and-stop", *NODE_LANES, weight=0.5)
--- a/src/pewtertack/lab/soak/result.py
+++ b/src/pewtertack/lab/soak/result.py
@@ -18,6 +18,7 @@
     Guarantee.SHUTDOWN_ANSWERS_ALL,
     Guarantee.RUNNING_NODE_ANSWERS_ALL,
     Guarantee.CRASHING_REQUESTS_LIMITED,
+    Guarantee.RATE_LIMIT_KEPT,
 )
 """Guarantees that every complete soak must test."""
 
--- a/src/pewtertack/lab/soak/run.py
+++ b/src/pewtertack/lab/soak/run.py
@@ -26,6 +26,7 @@
 from pewtertack.lab.scenarios.runner import stderr_problems
 from pewtertack.lab.soak.context import CALLERS_PER_NODE, SoakContext
 from pewtertack.lab.soak.faults import Lane, ScheduledFault, schedule_faults
+from pewtertack.lab.soak.mix import MIXED_TRAFFIC
 from pewtertack.lab.soak.options import SoakOptions
 from pewtertack.lab.soak.progress import Progress
 from pewtertack.lab.soak.resources import ResourceMonitor
@@ -86,7 +87,7 @@
 
     async def _start_callers(self) -> LabProcess:
         return await self._fleet.start_persistent_callers(
-            "callers", self.options.seed, CALLERS_PER_NODE
+            "callers", self.options.seed, CALLERS_PER_NODE, MIXED_TRAFFIC
         )
 
     async def _run_lanes(self) -> None:
--- a/tests/lab/history/test_planted_violations.py
+++ b/tests/lab/history/test_planted_violations.py
@@ -7,7 +7,10 @@
 from pewtertack.lab.history.checker import all_held, check_history
 from pewtertack.lab.history.verdicts import CheckBounds, Guarantee, Judgement
 from pewtertack.lab.records import (
+    BackendLeaveCancelled,
     BackendLeaving,
+    BackendLeavingInAnswers,
+    BackendRateLimit,
     CallOutcome,
     CallResult,
     Cut,
@@ -103,9 +106,30 @@
         NodeStop(time=60.0, node="b"),
         call_result(60.5, "r3", CallOutcome.ANSWERED),
         event(61.0, "b", Event.NODE_STOPPED),
+        *limited_back_end(),
+        BackendLeavingInAnswers(time=45.0, backend="w"),
+        *execution(45.1, "s1", "w", "a"),
     ]
 
 
+def execution(time: float, request: str, backend: str, node: str) -> list[HistoryLine]:
+    """Return the records of a call that is executed and answered within 0.1 s."""
+    return [
+        ExecutionStart(time=time, request_id=request, backend=backend),
+        ExecutionEnd(time=time + 0.05, request_id=request, backend=backend),
+        call_result(time + 0.06, request, CallOutcome.ANSWERED, node=node, latency=0.1),
+    ]
+
+
+def limited_back_end() -> list[HistoryLine]:
+    """Return the records of a back end that names 1 a second and gets as much as is allowed."""
+    lines: list[HistoryLine] = [BackendRateLimit(time=45.0, backend="v", rate=1.0)]
+    lines += execution(45.1, "l0", "v", "a")
+    for number in range(11):
+        lines += execution(49.0 + 0.01 * number, f"l{number + 1}", "v", "a")
+    return lines
+
+
 @dataclass
 class PlantedViolation:
     guarantee: Guarantee
@@ -249,6 +273,12 @@
         Guarantee.EVACUATED_GETS_NO_REQUESTS,
         [ExecutionStart(time=50.0, request_id="r7", backend="z")],
     ),
+    "a back end gets more than the limit that it names": PlantedViolation(
+        Guarantee.RATE_LIMIT_KEPT, execution(49.5, "l20", "v", "a")
+    ),
+    "a node sends to a back end that has told it that it leaves": PlantedViolation(
+        Guarantee.LEAVING_ANSWERS_OBEYED, execution(47.4, "s2", "w", "a")
+    ),
     "a request crashes more back ends than its limit allows": PlantedViolation(
         Guarantee.CRASHING_REQUESTS_LIMITED,
         [crash(50.0 + attempt, f"ending-2-{attempt}") for attempt in range(7)],
@@ -359,3 +389,45 @@
 
 if __name__ == "__main__":
     unittest.main()
+
+
+class ReportTest(unittest.TestCase):
+    """Cases in which a node that was told may send all the same."""
+
+    def judge(self, guarantee: Guarantee, *lines: HistoryLine) -> Judgement:
+        verdicts = check_history([*valid_history(), *lines], BOUNDS)
+        return next(v.judgement for v in verdicts if v.promise is guarantee)
+
+    def test_requests_of_nodes_that_were_not_told_half_a_second_before_do_not_count(self) -> None:
+        told_late = execution(49.2, "m1", "v", "c") + execution(49.3, "m2", "v", "c")
+        self.assertIs(self.judge(Guarantee.RATE_LIMIT_KEPT, *told_late), Judgement.HELD)
+        later = execution(49.9, "m3", "v", "c")
+        verdict = self.judge(Guarantee.RATE_LIMIT_KEPT, *told_late, *later)
+        self.assertIs(verdict, Judgement.VIOLATED)
+
+    def test_a_restart_or_a_pause_excuses_until_the_node_is_told_again(self) -> None:
+        for guarantee, request in (
+            (Guarantee.RATE_LIMIT_KEPT, execution(49.5, "l20", "v", "a")),
+            (Guarantee.LEAVING_ANSWERS_OBEYED, execution(49.5, "s2", "w", "a")),
+        ):
+            start = NodeStart(time=49.3, node="a", zone="zone-a")
+            self.assertIs(self.judge(guarantee, start, *request), Judgement.HELD)
+            pause = [NodePause(time=49.2, node="a"), NodeResume(time=49.3, node="a")]
+            self.assertIs(self.judge(guarantee, *pause, *request), Judgement.HELD)
+            before = NodeStart(time=44.0, node="a", zone="zone-a")
+            self.assertIs(self.judge(guarantee, before, *request), Judgement.VIOLATED)
+
+    def test_requests_sent_within_the_bound_after_the_answer_are_allowed(self) -> None:
+        request = execution(47.0, "s2", "w", "a")
+        verdict = self.judge(Guarantee.LEAVING_ANSWERS_OBEYED, *request)
+        self.assertIs(verdict, Judgement.HELD)
+
+    def test_nothing_binds_after_the_end(self) -> None:
+        no_limit = BackendRateLimit(time=49.4, backend="v", rate=None)
+        request = execution(49.5, "l20", "v", "a")
+        verdict = self.judge(Guarantee.RATE_LIMIT_KEPT, no_limit, *request)
+        self.assertIs(verdict, Judgement.HELD)
+        back = BackendLeaveCancelled(time=49.4, backend="w")
+        request = execution(49.5, "s2", "w", "a")
+        verdict = self.judge(Guarantee.LEAVING_ANSWERS_OBEYED, back, *request)
+        self.assertIs(verdict, Judgement.HELD)
