A restarted gateway does not grant a cold back end's rate a second time

Cause: the starts of the last second are counted in the gateway's memory. A process that starts within the second after its predecessor's end grants a whole second's requests once more. Change: a node gives a cold back end nothing for one second from its start, unless the whole fleet starts for the first time. A back end that answers that it is not cold is not held back. Weighed: the same for every gateway, without the setting; that held back a fleet's first requests for nothing.

--- a/src/pewtertack/node/assembly.py
+++ b/src/pewtertack/node/assembly.py
@@ -197,6 +197,7 @@
         settings.limits.cold_overage,
         settings.limits.cold_slack,
         settings.node.link_mbps,
+        follows_another=not settings.node.first_start,
     )
     return GatewayApplication(
         clock.now,
--- a/src/pewtertack/node/gateway/application.py
+++ b/src/pewtertack/node/gateway/application.py
@@ -102,6 +102,8 @@
     """See ``settings.LimitsSection``."""
     link_mbps: float = 0.0
     """Rate of the machine's link in Mbit/s, 0 if unknown."""
+    follows_another: bool = False
+    """Whether an earlier process of the node may have sent requests to the back end until now."""
 
 
 class GatewayApplication(DrainableApplication):
@@ -165,7 +167,7 @@
             self.requests,
             pacer=_make_pacer(clock, settings, policies),
         )
-        self._incarnations = Incarnations(clock, policies)
+        self._incarnations = Incarnations(clock, policies, settings.follows_another)
         self._reports = BackendReports(self._log, self._metrics)
         registry.add_collector(lambda: _make_collector(self._incarnations))
         self._stops_at = math.inf
--- a/src/pewtertack/node/gateway/incarnations.py
+++ b/src/pewtertack/node/gateway/incarnations.py
@@ -2,13 +2,14 @@
 
 from __future__ import annotations
 
+import math
 from collections.abc import Callable, Mapping
 
 import msgspec
 
 from pewtertack.core.machines import Machine, MachineState
 from pewtertack.routing.admission import Admission
-from pewtertack.routing.cold import ColdBounds, ColdStart
+from pewtertack.routing.cold import WINDOW_SECONDS, ColdBounds, ColdStart
 from pewtertack.routing.outcomes import (
     BackendGoneError,
     BackendLeftError,
@@ -83,10 +84,17 @@
     Args:
         clock: monotonic time in seconds.
         policies: the policy for each configurable decision.
+        follows_another: whether an earlier process of the node may have sent requests until now.
     """
 
-    def __init__(self, clock: Callable[[], float], policies: Policies = DEFAULT_POLICIES) -> None:
+    def __init__(
+        self,
+        clock: Callable[[], float],
+        policies: Policies = DEFAULT_POLICIES,
+        follows_another: bool = False,
+    ) -> None:
         self._clock = clock
+        self._cold_blocked_until = clock() + WINDOW_SECONDS if follows_another else -math.inf
         self._policies = policies
         self._bounds: ColdBounds | None = None
         self._by_name: dict[str, Incarnation] = {}
@@ -106,7 +114,7 @@
             self._by_name[name] = self._by_name.pop(name)
         if found is None:
             self._evict_idle()
-            cold = ColdStart(DEFAULT_SLOTS, self._clock(), self._bounds)
+            cold = ColdStart(DEFAULT_SLOTS, self._clock(), self._bounds, self._cold_blocked_until)
             found = self._by_name[name] = Incarnation(
                 Admission(DEFAULT_SLOTS, cold, self._policies), cold
             )
--- a/src/pewtertack/routing/cold.py
+++ b/src/pewtertack/routing/cold.py
@@ -49,11 +49,20 @@
 
 
 class ColdStart:
-    """Whether one back end is cold, and what it may be given. Times are monotonic seconds."""
+    """Whether one back end is cold, and what it may be given. Times are monotonic seconds.
+
+    Args:
+        slots: number of requests that the back end serves concurrently.
+        now: the current time.
+        bounds: the service's settings, ``None`` while they are unknown.
+        blocked_until: until then a cold back end is given nothing, since an earlier process of this
+            node may have started as many requests as it bears.
+    """
 
     __slots__ = (
         "_queried_at",
         "_assumed_at",
+        "_blocked_until",
         "_is_known",
         "_start_times",
         "bounds",
@@ -61,8 +70,15 @@
         "slots",
     )
 
-    def __init__(self, slots: int, now: float, bounds: ColdBounds | None = None) -> None:
+    def __init__(
+        self,
+        slots: int,
+        now: float,
+        bounds: ColdBounds | None = None,
+        blocked_until: float = -math.inf,
+    ) -> None:
         self.slots = slots
+        self._blocked_until = blocked_until
         self.bounds = bounds
         """``None`` while the service's settings are unknown."""
         self.cold_until = math.inf
@@ -124,7 +140,9 @@
 
     def may_start(self, now: float) -> bool:
         """Tell whether it may be given one more request."""
-        return not self.is_cold(now) or self._remaining_starts(now) > 0
+        if not self.is_cold(now):
+            return True
+        return now >= self._blocked_until and self._remaining_starts(now) > 0
 
     def should_query(self, now: float) -> bool:
         """Tell whether to query now how long it stays cold; if so, the query counts as sent."""
--- a/tests/node/gateway/test_incarnations.py
+++ b/tests/node/gateway/test_incarnations.py
@@ -28,6 +28,27 @@
     return AdmissionTicket("lookup", (0, 0), 5.0, 9.0, WaitPolicy.WAIT)
 
 
+COLD_RATE = 8.0
+
+
+def cold_starts(process_started_at: float, times: list[float]) -> list[float]:
+    """Return at which times a gateway starts a request at a back end that stays cold."""
+    incarnations = Incarnations(lambda: process_started_at, follows_another=True)
+    incarnations.use_bounds(ColdBounds(COLD_RATE, 60.0))
+    incarnations.apply_machine_list(machine_list(FIRST_START))
+    admission = incarnations.get("b1").admission
+    starts = []
+    for now in times:
+        item = AdmissionTicket("lookup", (0, 0), now + 5.0, now + 9.0, WaitPolicy.WAIT)
+        admission.submit(item, now)
+        if item.granted:
+            starts.append(now)
+            admission.finish(item, now, answered=True)
+        else:
+            admission.withdraw(item)
+    return starts
+
+
 class IncarnationsTest(unittest.TestCase):
     def setUp(self) -> None:
         self.incarnations = Incarnations(lambda: 0.0)
@@ -57,6 +78,15 @@
         self.incarnations.apply_machine_list(machine_list(SECOND_START))
         self.assertTrue(self.incarnations.get("b1").takes_work)
 
+    def test_a_restarted_gateway_counts_what_its_predecessor_may_have_started(self) -> None:
+        """A gateway that had just started granted a cold back end's whole rate once more."""
+        former = cold_starts(-2.0, [0.05 * step for step in range(8)])
+        restarted = cold_starts(0.4, [0.4 + 0.05 * step for step in range(40)])
+        starts = former + restarted
+        most = max(sum(begin <= at < begin + 1.0 for at in starts) for begin in starts)
+        self.assertLessEqual(most, COLD_RATE)
+        self.assertGreater(len(restarted), 1)
+
     def test_a_leaving_back_end_is_distinguished_from_an_unlisted_one(self) -> None:
         self.incarnations.apply_machine_list(machine_list(FIRST_START))
         incarnation = self.incarnations.get("b1")
