A node's gateway shares its executions with its proxy; unused arguments are found by the linter

What callers saw: a nested call had the rank of its own route at a gateway, not that of the execution that waits for it. Cause: _create_gateway took the state that proxy and gateway share and did not pass it on; unit tests wired the two by hand. Class: a parameter that is taken and not used. Of 56 places three were parameters without a use and are removed; callbacks are named with an underscore, signatures of interfaces are marked one by one.

--- a/src/pewtertack/core/replication/service.py
+++ b/src/pewtertack/core/replication/service.py
@@ -499,9 +499,9 @@
         self._observe_era(now, number)
         self._pull_scheduler.forget_up_to(DocumentKind.MACHINE_LIST, number)
         self._membership.use_machine_list(self.machine_list.nodes(), now)
-        return [*effects, *self._log_era_change(now), *self._announce(None)]
+        return [*effects, *self._log_era_change(), *self._announce(None)]
 
-    def _log_era_change(self, now: float) -> list[Effect]:
+    def _log_era_change(self) -> list[Effect]:
         change, self.machine_list.era_change = self.machine_list.era_change, None
         if change is None:
             return []
--- a/src/pewtertack/lab/backend/application.py
+++ b/src/pewtertack/lab/backend/application.py
@@ -132,9 +132,9 @@
         if CRASH_PATH_MARKER in request.path:
             self.on_crash()
             raise BackendEndedError
-        return await self._send_result(request, receive, send)
+        return await self._send_result(request, send)
 
-    async def _send_result(self, request: Request, receive: Receive, send: Send) -> ExecutionResult:
+    async def _send_result(self, request: Request, send: Send) -> ExecutionResult:
         size = int(request.headers.get("x-answer-bytes", DEFAULT_BODY_BYTES))
         body = expected_body(request.headers.get("x-request-id", ""), size)
         response = self._build_response(request, 200, body)
--- a/src/pewtertack/lab/depth/levels.py
+++ b/src/pewtertack/lab/depth/levels.py
@@ -202,7 +202,10 @@
         self.deepest = deepest
 
     def call(
-        self, request: TopRequest, deadline_header: str | None, on_reply: ReplyHandler
+        self,
+        request: TopRequest,
+        deadline_header: str | None,  # noqa: ARG002 (the signature is that of an interface)
+        on_reply: ReplyHandler,
     ) -> FixedRetryCall:
         """Start a call; ``deadline_header`` is ignored."""
         request.deepest_calls += self.deepest
--- a/src/pewtertack/lab/disabled_mechanisms.py
+++ b/src/pewtertack/lab/disabled_mechanisms.py
@@ -163,7 +163,7 @@
     """Do not notify peers of back ends that announce that they are leaving."""
 
     def wrapper(_: object) -> Callable[[ProxyApplication, object], None]:
-        return lambda proxy, observer: None
+        return lambda _proxy, _observer: None
 
     _replace_function(ProxyApplication, "set_leaving_observer", wrapper)
 
@@ -172,7 +172,7 @@
     """Exit at a graceful shutdown without waiting for requests in flight."""
 
     def wrapper(_: object) -> Callable[[ProxyApplication], Awaitable[None]]:
-        async def exit_immediately(proxy: ProxyApplication) -> None:
+        async def exit_immediately(_proxy: ProxyApplication) -> None:
             os._exit(0)
 
         return exit_immediately
@@ -184,13 +184,13 @@
     """Neither hand back nor answer pending requests when the time for the shutdown is over."""
 
     def make_withdraw(_: object) -> Callable[[DrainableProxy], Awaitable[None]]:
-        async def skip_withdrawal(application: DrainableProxy) -> None:
+        async def skip_withdrawal(_application: DrainableProxy) -> None:
             return None
 
         return skip_withdrawal
 
     def make_noop(_: object) -> Callable[[DrainableProxy], None]:
-        return lambda application: None
+        return lambda _application: None
 
     for owner in (ProxyApplication, GatewayApplication):
         _replace_function(owner, "withdraw_waiting", make_withdraw)
@@ -205,10 +205,10 @@
     """
 
     def make_begin(_: object) -> Callable[[ShutdownDeadline, float], None]:
-        return lambda deadline, ends_at: None
+        return lambda _deadline, _ends_at: None
 
     def make_announce(_: object) -> Callable[[ProxyApplication], Awaitable[None]]:
-        async def skip_announcement(proxy: ProxyApplication) -> None:
+        async def skip_announcement(_proxy: ProxyApplication) -> None:
             return None
 
         return skip_announcement
@@ -221,7 +221,7 @@
     """Record no crashes of back ends that execute a request."""
 
     def wrapper(_: object) -> Callable[[CrashLedger, bytes, int, float], bool]:
-        return lambda ledger, fingerprint, number, at: False
+        return lambda _ledger, _fingerprint, _number, _at: False
 
     _replace_function(CrashLedger, "record_crash", wrapper)
 
@@ -243,7 +243,7 @@
     """Ignore the era in responses, as if revisions never decreased by a restore of the source."""
 
     def make_update(_: object) -> Callable[..., None]:
-        return lambda era, now, value, sent_in, new_connection: None
+        return lambda _era, _now, _value, _sent_in, _new_connection: None
 
     _replace_function(SourceEra, "update", make_update)
 
@@ -252,7 +252,7 @@
     """Use the first machine list of a new era without the hold time."""
 
     def wrapper(init: Callable[..., None]) -> Callable[..., None]:
-        return lambda overrides, hold_seconds, *others: init(overrides, 0.0, *others)
+        return lambda overrides, _hold_seconds, *others: init(overrides, 0.0, *others)
 
     _replace_function(MachineListOverrides, "__init__", wrapper)
 
--- a/src/pewtertack/lab/machines/service.py
+++ b/src/pewtertack/lab/machines/service.py
@@ -79,7 +79,7 @@
         lost = self._store.restore(float(request.query["copied_at"]))
         return json_response({"lost": len(lost)})
 
-    async def _replay_lost_writes(self, request: Request) -> Response:
+    async def _replay_lost_writes(self, _request: Request) -> Response:
         """Write the entries again, one by one, that differ since the store was restored."""
         listed = self._store.newest.document
         for name in self._intended_machines.keys() | listed.keys():
--- a/src/pewtertack/lab/overload/retrying_callers.py
+++ b/src/pewtertack/lab/overload/retrying_callers.py
@@ -123,7 +123,7 @@
         time.at(request.began_at, caller.begin)
     _schedule_slowdown(time, gateways[0], settings.slowness)
     time.run()
-    return _result(settings, seed, callers)
+    return _result(seed, callers)
 
 
 def _schedule_slowdown(time: VirtualTime, gateway: SimulatedGateway, slowness: float) -> None:
@@ -157,9 +157,7 @@
         yield SimulatedRequest(profile, 0, now, work, now + deadline)
 
 
-def _result(
-    settings: RetrySimulationSettings, seed: int, callers: Sequence[Caller]
-) -> RetrySimulationResult:
+def _result(seed: int, callers: Sequence[Caller]) -> RetrySimulationResult:
     remaining_callers = [caller for caller in callers if not caller.left_early]
     worth = sum(caller.profile.worth for caller in remaining_callers)
     earned = sum(caller.credit * caller.profile.worth for caller in remaining_callers)
--- a/src/pewtertack/lab/platform/control.py
+++ b/src/pewtertack/lab/platform/control.py
@@ -70,9 +70,9 @@
             await self.readers.open(self._task_group)
         return json_response(faults)
 
-    async def _make_unreachable(self, request: Request) -> Response:
+    async def _make_unreachable(self, _request: Request) -> Response:
         self._store.make_unreachable()
         return json_response({})
 
-    async def _get_counters(self, request: Request) -> Response:
+    async def _get_counters(self, _request: Request) -> Response:
         return json_response(self._read_application.counters)
--- a/src/pewtertack/lab/relay/service.py
+++ b/src/pewtertack/lab/relay/service.py
@@ -188,5 +188,5 @@
         self.set_links(settings)
         return json_response(settings)
 
-    async def _get_counters(self, request: Request) -> Response:
+    async def _get_counters(self, _request: Request) -> Response:
         return json_response(self.counters)
--- a/src/pewtertack/lab/soak/platform_faults.py
+++ b/src/pewtertack/lab/soak/platform_faults.py
@@ -93,13 +93,13 @@
 
 
 @fault("edit", Lane.EDITS, weight=4.0)
-async def edit(soak: SoakContext, chooser: random.Random) -> None:
+async def edit(soak: SoakContext, _chooser: random.Random) -> None:
     """An operator makes a valid edit."""
     await soak.scenario.edit()
 
 
 @fault("move-route", Lane.EDITS)
-async def move_route(soak: SoakContext, chooser: random.Random) -> None:
+async def move_route(soak: SoakContext, _chooser: random.Random) -> None:
     """An operator moves a route to the other service."""
     await soak.scenario.move_route()
 
@@ -114,6 +114,6 @@
 
 
 @fault("edit-badly", Lane.EDITS)
-async def make_invalid_edit(soak: SoakContext, chooser: random.Random) -> None:
+async def make_invalid_edit(soak: SoakContext, _chooser: random.Random) -> None:
     """An operator makes an edit that must be rejected."""
     await soak.scenario.make_invalid_edit()
--- a/src/pewtertack/lab/source/service.py
+++ b/src/pewtertack/lab/source/service.py
@@ -62,7 +62,7 @@
         self._lost_versions = [*lost, *self._lost_versions]
         return json_response({"lost": len(lost)})
 
-    async def _replay_lost_writes(self, request: Request) -> Response:
+    async def _replay_lost_writes(self, _request: Request) -> Response:
         self._put_lost_versions()
         return json_response({})
 
@@ -72,6 +72,6 @@
             self._store.put(version.document, time.time())
         self._lost_versions = []
 
-    async def _get_tree(self, request: Request) -> Response:
+    async def _get_tree(self, _request: Request) -> Response:
         newest = self._store.newest
         return json_response({"number": newest.number, "tree": newest.document})
--- a/src/pewtertack/lab/store_fleet/simulated_source.py
+++ b/src/pewtertack/lab/store_fleet/simulated_source.py
@@ -76,7 +76,10 @@
         self._fresh = True
 
     async def get(
-        self, target: str, timeouts: ServiceTimeouts, headers: RawHeaders | None = None
+        self,
+        target: str,
+        timeouts: ServiceTimeouts,
+        headers: RawHeaders | None = None,  # noqa: ARG002 (the signature is that of an interface)
     ) -> ServiceResponse:
         """Return the response to ``GET target``.
 
--- a/src/pewtertack/node/assembly.py
+++ b/src/pewtertack/node/assembly.py
@@ -207,6 +207,7 @@
         registry,
         reporter,
         settings.policies,
+        local_executions,
     )
 
 
--- a/src/pewtertack/node/crash_reporter.py
+++ b/src/pewtertack/node/crash_reporter.py
@@ -19,7 +19,7 @@
     """Discard the event."""
 
 
-def _never_probe(fingerprint: bytes) -> bool:
+def _never_probe(_fingerprint: bytes) -> bool:
     return False
 
 
--- a/src/pewtertack/node/http/connection.py
+++ b/src/pewtertack/node/http/connection.py
@@ -70,7 +70,7 @@
 """Decides by the headers of a 102 (Processing) response whether to abandon the request."""
 
 
-def never_abandon(headers: RawHeaders) -> bool:
+def never_abandon(_headers: RawHeaders) -> bool:
     """Abandon no request, whatever the peer reports."""
     return False
 
--- a/src/pewtertack/node/http/refusals.py
+++ b/src/pewtertack/node/http/refusals.py
@@ -38,7 +38,10 @@
 }
 
 
-def plain_refusal(reason: RefusalReason, started: bool) -> bytes:
+def plain_refusal(
+    reason: RefusalReason,
+    started: bool,  # noqa: ARG001 (the signature is that of an interface)
+) -> bytes:
     """Return a plain-text response."""
     text = reason.value.encode()
     return b"HTTP/1.1 %b\r\ncontent-type: text/plain\r\ncontent-length: %d\r\n%b\r\n%b" % (
--- a/src/pewtertack/node/import_stubs.py
+++ b/src/pewtertack/node/import_stubs.py
@@ -101,12 +101,12 @@
         return self._name
 
 
-def _make_type_variable(name: str, *constraints: Any, default: Any = None, **options: Any) -> Any:
+def _make_type_variable(name: str, *constraints: Any, default: Any = None, **options: Any) -> Any:  # noqa: ARG001 (the signature is that of an interface)
     """Create a type variable; the default matters to type checkers only."""
     return TypeVar(name, *constraints, **options)
 
 
-def _ignore_deprecation(message: str) -> Callable[[DecoratedT], DecoratedT]:
+def _ignore_deprecation(_message: str) -> Callable[[DecoratedT], DecoratedT]:
     """Return a decorator that does nothing; deprecation is reported by type checkers."""
     return _identity
 
--- a/tests/node/gateway_fleet.py
+++ b/tests/node/gateway_fleet.py
@@ -64,8 +64,9 @@
     slots: int,
     more_settings: str = "",
     with_gateways: bool = True,
+    services: Mapping[str, str] | None = None,
 ) -> AsyncIterator[GatewayFleet]:
-    """Run a node for each back end of the tree's first service, all of them serving.
+    """Run a node for each back end, all of them serving.
 
     Args:
         tree: the configuration.
@@ -73,7 +74,9 @@
         slots: of each back end.
         more_settings: further tables of all nodes' settings.
         with_gateways: whether the machine list names the nodes as gateways.
+        services: the back ends' services by the name of the node; by default the tree's first.
     """
+    services = services or dict.fromkeys(backends, next(iter(tree["services"])))
     ports = PortAllocator()
     gateways = {name: str(ports.allocate("127.0.0.1")) for name in backends}
     peers = {name: str(ports.allocate("127.0.0.1")) for name in backends}
@@ -82,7 +85,7 @@
             "role": "backend",
             "zone": ZONE,
             "address": backends[name],
-            "service": next(iter(tree["services"])),
+            "service": services[name],
             "gateway": gateways[name] if with_gateways else "",
             "slots": slots,
         }
@@ -98,7 +101,8 @@
         stack.callback(tasks.cancel_scope.cancel)
         platform = (str(source.readers.address), str(machines.readers.address))
         settings = {
-            name: _settings(name, platform, peers, gateways[name], backends[name]) + more_settings
+            name: _settings(name, platform, peers, gateways[name], backends[name], services[name])
+            + more_settings
             for name in backends
         }
         fleet = GatewayFleet(settings, stack)
@@ -107,8 +111,13 @@
 
 
 def _settings(
-    name: str, platform: tuple[str, str], peers: Mapping[str, str], gateway: str, backend: str
+    name: str,
+    platform: tuple[str, str],
+    peers: Mapping[str, str],
+    gateway: str,
+    backend: str,
+    service: str,
 ) -> str:
     text = settings_text(name, ZONE, *platform, *peers.values())
     text = text.replace('peer = "127.0.0.1:0"', f'peer = "{peers[name]}", gateway = "{gateway}"')
-    return text + f'\n        backend = {{address = "{backend}"}}\n'
+    return text + f'\n        backend = {{address = "{backend}", service = "{service}"}}\n'
--- /dev/null
+++ b/tests/node/test_nested_calls_of_a_node.py
@@ -0,0 +1,70 @@
+"""Real nodes: what a node's gateway knows of its back end's executions reaches its proxy."""
+
+import asyncio
+from typing import Any
+
+from tests.node.gateway_fleet import GatewayFleet, gateway_fleet
+from tests.node.proxy.harness import (
+    ProxyTestCase,
+    RawBackend,
+    answer_bytes,
+    raw_call,
+    request_bytes,
+    request_id_of,
+)
+
+SETTINGS = '\n        policies = {calls_within = "first", begun_runs = "finishable"}\n'
+TREE = {
+    "services": {"ledger": {}, "logbook": {}},
+    "routes": {
+        "verify": {"service": "ledger", "path_prefix": "/verify", "class": "urgent"},
+        "fee": {"service": "logbook", "path_prefix": "/fee", "class": "bulk"},
+        "history": {"service": "logbook", "path_prefix": "/history"},
+    },
+}
+SERVICES = {"a": "ledger", "b": "logbook"}
+URGENT_CLASS = 0
+ROUNDS = 40
+"""Enough requests for the gateways to find out which route back ends call."""
+
+
+class NestedCallsTest(ProxyTestCase):
+    async def asyncSetUp(self) -> None:
+        self.fleet: GatewayFleet
+        self.calls = 0
+        self.nested_status = b"200 OK"
+
+    async def answer_after_a_call(self, _reader: Any, writer: Any, head: str) -> bool:
+        """Make a nested call through the node beside the back end, then answer."""
+        self.calls += 1
+        nested = request_bytes(path="/fee", headers=(f"x-request-id: nested-{self.calls}",))
+        await raw_call(self.fleet.proxy("a"), nested)
+        writer.write(answer_bytes(b"ok", b"x-request-id: " + request_id_of(head)))
+        return True
+
+    async def answer(self, _reader: Any, writer: Any, head: str) -> bool:
+        status = self.nested_status if "get /fee" in head else b"200 OK"
+        writer.write(answer_bytes(b"ok", b"x-request-id: " + request_id_of(head), status=status))
+        return True
+
+    async def send_round(self) -> None:
+        for name in SERVICES:
+            for path in ("/verify", "/history"):
+                request = request_bytes(path=path)
+                self.assertEqual((await raw_call(self.fleet.proxy(name), request)).status, 200)
+
+    async def test_a_nested_call_has_the_rank_of_the_execution_that_waits_for_it(self) -> None:
+        """The proxy of an assembled node saw no execution of its back end."""
+        backends = {
+            "a": await RawBackend(self.answer_after_a_call).start(self),
+            "b": await RawBackend(self.answer).start(self),
+        }
+        async with gateway_fleet(TREE, backends, 4, SETTINGS, services=SERVICES) as fleet:
+            self.fleet = fleet
+            for _ in range(ROUNDS):
+                await self.send_round()
+            gateway = fleet.nodes["b"]
+            async with asyncio.timeout(20.0):
+                last = await gateway.wait_event("GATEWAY_ADMITTED", request=f"nested-{self.calls}")
+        self.assertTrue(last["within"])
+        self.assertEqual(last["rank"][0], URGENT_CLASS)
