--- a/src/pewtertack/tracing/reading.py
+++ b/src/pewtertack/tracing/reading.py
@@ -9,6 +9,7 @@
 
 import msgspec
 
+from pewtertack.events import Event
 from pewtertack.tracing.errors import LogUnreadableError, LogWithoutLinesError
 
 COMMON_FIELDS = frozenset({"time", "number", "event", "node", "incarnation", "uptime"})
@@ -83,11 +84,19 @@
         counts.malformed += 1
         return None
     counts.lines += 1
-    if line.event == "LOG_LINES_LEFT_OUT":
-        counts.dropped += int(line.fields["routine"]) + int(line.fields["other"])
+    if line.event == Event.LOG_LINES_LEFT_OUT.name:
+        _add_dropped(line, counts)
     return line
 
 
+def _add_dropped(line: LogLine, counts: ReadCounts) -> None:
+    """Add the numbers of lines that a node has dropped; a line without them is malformed."""
+    try:
+        counts.dropped += int(line.fields["routine"]) + int(line.fields["other"])
+    except (KeyError, TypeError, ValueError):
+        counts.malformed += 1
+
+
 def _make_log_line(value: dict[str, Any]) -> LogLine:
     fields = {name: item for name, item in value.items() if name not in COMMON_FIELDS}
     return LogLine(
--- a/tools/measure_frames.py
+++ b/tools/measure_frames.py
@@ -28,7 +28,7 @@
 FLEET_SIZE = 1700
 INCARNATION = 1_790_000_000_000
 REVISION = RevisionId(600, bytes(16))
-STATE = VersionState(REVISION, REVISION, REVISION, True)
+STATE = VersionState.of(REVISION, REVISION, REVISION.number, True)
 UPDATE = MemberUpdate("ikeja-17", "10.0.0.17:8001", "ikeja", "lagos", INCARNATION, MemberStatus(0))
 MESSAGES: dict[str, Message] = {
     "Ping": Ping(123_456, STATE),
@@ -44,31 +44,38 @@
     return encode_frame(Envelope("ikeja-17", "10.0.0.17:8001", INCARNATION, counter, message), KEY)
 
 
-def best_microseconds(action: Callable[[], object]) -> float:
-    """Return the time of one call in the fastest of several rounds."""
-    return min(timeit.repeat(action, number=ROUND_FRAMES, repeat=ROUNDS)) / ROUND_FRAMES * 1e6
+def best_microseconds(action: Callable[[], object], calls: int) -> float:
+    """Return the time of one call in the fastest of several rounds of ``calls`` calls."""
+    return min(timeit.repeat(action, number=calls, repeat=ROUNDS)) / calls * 1e6
 
 
-def main() -> None:
-    """Print one line per kind of message, and the memory of full replay windows."""
+def main(round_frames: int = ROUND_FRAMES, fleet_size: int = FLEET_SIZE) -> None:
+    """Print one line per kind of message, and the memory of full replay windows.
+
+    Args:
+        round_frames: frames that are encoded and read in each round.
+        fleet_size: processes with a full replay window.
+    """
     for name, message in MESSAGES.items():
         frames = iter(
-            [encode_message(counter, message) for counter in range(ROUND_FRAMES * ROUNDS)]
+            [encode_message(counter, message) for counter in range(round_frames * ROUNDS)]
         )
         reader = FrameReader(KEY)
-        encode_time = best_microseconds(lambda message=message: encode_message(1, message))
+        encode_time = best_microseconds(
+            lambda message=message: encode_message(1, message), round_frames
+        )
         read_time = best_microseconds(
-            lambda reader=reader, frames=frames: reader.read(next(frames))
+            lambda reader=reader, frames=frames: reader.read(next(frames)), round_frames
         )
-        size = len(encode_message(ROUND_FRAMES, message))
+        size = len(encode_message(round_frames, message))
         print(f"{name:20} {size:4} bytes, encode {encode_time:5.1f} us, read {read_time:5.1f} us")
     tracemalloc.start()
     guard = ReplayGuard()
-    for node in range(FLEET_SIZE):
+    for node in range(fleet_size):
         for counter in range(WINDOW_COUNTERS):
             guard.accept(f"node-{node}", INCARNATION, counter)
     kibibytes = tracemalloc.get_traced_memory()[0] / 1024
-    print(f"full replay windows of {FLEET_SIZE} processes: {kibibytes:.0f} KiB")
+    print(f"full replay windows of {fleet_size} processes: {kibibytes:.0f} KiB")
 
 
 if __name__ == "__main__":
--- a/tools/measure_validation.py
+++ b/tools/measure_validation.py
@@ -44,10 +44,10 @@
     return {f"route-{number}": {"timeout": "4s"} for number in numbers}
 
 
-def measure(name: str, call: Callable[[], object]) -> None:
-    """Print the minimum and the median processor time of ``CALLS`` calls."""
+def measure(name: str, call: Callable[[], object], calls: int) -> None:
+    """Print the minimum and the median processor time of ``calls`` calls."""
     milliseconds = []
-    for _ in range(CALLS):
+    for _ in range(calls):
         started_at = time.process_time()
         call()
         milliseconds.append((time.process_time() - started_at) * 1000)
@@ -56,13 +56,13 @@
     )
 
 
-def main() -> None:
-    """Measure each function on the same tree."""
+def main(calls: int = CALLS) -> None:
+    """Measure each function on the same tree, ``calls`` times."""
     tree = expected_tree()
-    measure("check_document", lambda: check_document(tree))
-    measure("resolve_checked", lambda: resolve_checked(tree, NO_REVISION, "zone-1"))
-    measure("resolve_document", lambda: resolve_document(tree, NO_REVISION, "zone-1"))
-    measure("digest_of", lambda: digest_of(tree))
+    measure("check_document", lambda: check_document(tree), calls)
+    measure("resolve_checked", lambda: resolve_checked(tree, NO_REVISION, "zone-1"), calls)
+    measure("resolve_document", lambda: resolve_document(tree, NO_REVISION, "zone-1"), calls)
+    measure("digest_of", lambda: digest_of(tree), calls)
 
 
 if __name__ == "__main__":
