--- a/src/pewtertack/lab/history/report_checks.py
+++ b/src/pewtertack/lab/history/report_checks.py
@@ -96,10 +96,12 @@
     violations: list[Violation] = []
     for report in _rate_reports(timeline):
         told = executions.told_times(report)
+        if not told:
+            continue
         binds_at = report.start + bounds.rate_notice
-        first_told = min((times[0] for times in told.values()), default=math.inf)
+        known_at = min(times[0] for times in told.values()) + bounds.rate_known
         end = min(report.end, timeline.end)
-        judged += max(0, math.ceil(end - max(binds_at, first_told + bounds.rate_known)))
+        judged += max(0, math.ceil(end - max(binds_at, known_at)))
         times = _counted_starts(executions, report, told, bounds)
         violations += _excess_windows(report, times, binds_at, bounds)
     return judge(Guarantee.RATE_LIMIT_KEPT, judged, violations)
--- a/tests/lab/history/test_planted_violations.py
+++ b/tests/lab/history/test_planted_violations.py
@@ -422,6 +422,15 @@
         verdict = self.judge(Guarantee.LEAVING_ANSWERS_OBEYED, *request)
         self.assertIs(verdict, Judgement.HELD)
 
+    def test_a_limit_that_no_node_was_told_binds_nobody(self) -> None:
+        untold = BackendRateLimit(time=45.0, backend="u", rate=1.0)
+        requests = [
+            ExecutionStart(time=49.0 + 0.01 * number, request_id=f"u{number}", backend="u")
+            for number in range(20)
+        ]
+        verdict = self.judge(Guarantee.RATE_LIMIT_KEPT, untold, *requests)
+        self.assertIs(verdict, Judgement.HELD)
+
     def test_nothing_binds_after_the_end(self) -> None:
         no_limit = BackendRateLimit(time=49.4, backend="v", rate=None)
         request = execution(49.5, "l20", "v", "a")
