--- a/src/pewtertack/cli/lab_scale.py
+++ b/src/pewtertack/cli/lab_scale.py
@@ -17,7 +17,7 @@
     ] = 240,
     edits: Annotated[int, typer.Option(help="Edits in the phase named edits.")] = 4,
     seed: int = 1,
-    profile: Annotated[str, typer.Option(help="fast or frugal.")] = "fast",
+    profile: Annotated[str, typer.Option(help="fast, frugal, direct or leased.")] = "fast",
     report: Annotated[Path | None, typer.Option(help="File for the report, as JSON.")] = None,
     quiet: Annotated[bool, typer.Option(help="Print no progress.")] = False,
 ) -> None:
--- a/src/pewtertack/core/configuration/memory.py
+++ b/src/pewtertack/core/configuration/memory.py
@@ -275,7 +275,11 @@
             entry = accepted_entry or (table, self._pending_bytes.get(key) or estimate(table))
             locations.setdefault(location, {})[key] = entry
         self._accepted_tables = locations
-        sizes = (size for tables in locations.values() for _, size in tables.values())
+        # Zones' tables are part of what is estimated as a whole.
+        in_root = (
+            tables for (_, length), tables in locations.items() if length == ROOT_PATH_LENGTH
+        )
+        sizes = (size for tables in in_root for _, size in tables.values())
         self.document_bytes = _bytes_without_tables(document, estimate) + sum(sizes)
         self._accepted_scopes, self._pending_scopes = self._pending_scopes, {}
         self._pending_bytes = {}
--- a/src/pewtertack/core/replication/replica.py
+++ b/src/pewtertack/core/replication/replica.py
@@ -27,7 +27,7 @@
 from pewtertack.events import Event
 
 MAX_REPORTED_FINDINGS = 5
-WRONG_DIGEST = "snapshot digest"
+WRONG_DIGEST = "wrong snapshot digest"
 DIGESTED_ENTRIES_PER_UNIT = 30
 """Number of entries whose digest is computed in one unit of sliced work."""
 
--- a/src/pewtertack/lab/cost/parts.py
+++ b/src/pewtertack/lab/cost/parts.py
@@ -39,7 +39,7 @@
         "StreamTransport._read",
         "StreamTransport._send_more",
         "BackendConnection._send_head",
-        "GatewayForwarding._look_again",
+        "SlotWait._recheck",
         "BodyReception.receive",
         "ResponseSender._send_buffered",
         "Deadlines._expire_due",
--- a/src/pewtertack/lab/cost/requests.py
+++ b/src/pewtertack/lab/cost/requests.py
@@ -164,6 +164,10 @@
         for application in (self._gateway, self._proxy):
             application.connections.keep_only(())
 
+    def close(self) -> None:
+        """Close the log's stream; nothing may be logged any more."""
+        self._null_stream.close()
+
     def serve(self) -> list[asyncio.Task[None]]:
         """Start serving calls until ``stop`` is called."""
         pairs = zip(self._servers, self._sockets, strict=True)
@@ -178,10 +182,12 @@
 
 async def _measure(settings: RequestCostSettings) -> tuple[list[PartCost], str]:
     costs, profiles = [], []
+    streams = contextlib.ExitStack()
     for kind in settings.kinds:
         profiler = cProfile.Profile() if settings.profile else None
         with _running_backend() as backend:
             nodes = _Nodes(backend)
+            streams.callback(nodes.close)
             nodes.configure()
             nodes.proxy_application.closes_connections = kind is CallKind.SERVED_NEW_CONNECTIONS
             tasks = nodes.serve()
@@ -192,6 +198,7 @@
         if profiler is not None:
             profiles.append(f"{kind.value}\n{_format_profile(profiler)}")
     costs.append(PartCost(LOG_LINE_PART, _measure_log_line(nodes.log)))
+    streams.close()
     return costs, "\n".join(profiles)
 
 
--- a/src/pewtertack/node/runtime.py
+++ b/src/pewtertack/node/runtime.py
@@ -275,7 +275,7 @@
         except Exception as error:  # a configuration that cannot be handled is not held
             name = type(error).__name__
             self.failed_messages[name] += 1
-            self._log_refusal(name, f"{type(WorkContinued).__name__}: {error}")
+            self._log_refusal(name, f"{WorkContinued.__name__}: {error}")
 
     def _start_read(self, effect: ReadDocument) -> None:
         assert self._tasks is not None, "the core requests reads only in ticks"
--- a/src/pewtertack/platform/store.py
+++ b/src/pewtertack/platform/store.py
@@ -153,7 +153,7 @@
         if effect.may_be_stale:
             await self._list(mirror, stale=True)
             if not mirror.items:
-                raise StoreEmptyError(mirror.prefix)
+                raise StoreEmptyError(f"the store has no items under {mirror.prefix!r}")
             if not mirror.evacuated_zones():
                 return self._document(effect, mirror, stale=True)
             # a stale list does not tell as of which revision its evacuations are valid
--- a/src/pewtertack/routing/choice.py
+++ b/src/pewtertack/routing/choice.py
@@ -1,4 +1,7 @@
-"""Choice of a back end: the better of two drawn at random, the own zone first."""
+"""Choice of a back end: the best of a few drawn at random, the own zone first.
+
+Where a gateway admits requests up to ``SAMPLE_SIZE`` are compared, elsewhere two.
+"""
 
 from __future__ import annotations
 
--- a/tests/core/configuration/test_memory.py
+++ b/tests/core/configuration/test_memory.py
@@ -168,6 +168,12 @@
                         cache.document_bytes, estimated_bytes(changed), f"seed {seed}, {number}"
                     )
 
+    def test_the_estimated_size_counts_the_tables_of_zones_once(self) -> None:
+        cache, document = ValidationCache(), tree()
+        self.assertIn("zones", document)
+        self.assertEqual(check_document(document, cache), ())
+        self.assertEqual(cache.document_bytes, estimated_bytes(document))
+
     def test_validation_time_is_at_most_linear_in_the_number_of_added_routes(self) -> None:
         few, many = (min_seconds_to_check_added(count) for count in (400, 4800))
         self.assertLess(many, 2 * 12 * few)
