lab demo keeps history and logs when something is violated

Cause: the demo removed its files in every case, so that one failed run (three of twelve nodes at revision 0 at the deadline of revision 1, on a busy machine) could not be traced. Change: the directory is kept, and named on standard error, if a promise is violated or the run ends with an error. Evidence: tests of the directory; a run of the demo held and left nothing. The failure itself was not brought about.

--- a/src/pewtertack/cli/lab.py
+++ b/src/pewtertack/cli/lab.py
@@ -7,6 +7,7 @@
 import tempfile
 from collections.abc import Awaitable, Callable
 from dataclasses import replace
+from functools import partial
 from pathlib import Path
 from typing import Annotated, Any, TypeVar
 
@@ -235,8 +236,12 @@
     """Run a four-zone fleet with one edit during requests; exit code 1 if any check fails."""
     from pewtertack.lab.demo import format_demo, run_demo
     from pewtertack.lab.deployments import shape_of
+    from pewtertack.lab.working_directory import WorkingDirectory
 
-    result = run_fleet(run_demo, shape_of(deployment, examples, nodes_per_zone))
+    shape = shape_of(deployment, examples, nodes_per_zone)
+    with WorkingDirectory("pewtertack-demo-", partial(typer.echo, err=True)) as directory:
+        result = run_fleet(run_demo, shape, directory.path)
+        directory.failed = bool(result.problems())
     typer.echo(format_demo(result))
     raise typer.Exit(ExitCode.FOUND if result.problems() else ExitCode.OK)
 
--- a/src/pewtertack/lab/demo.py
+++ b/src/pewtertack/lab/demo.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import itertools
-import tempfile
 import time
 from collections import Counter
 from collections.abc import Iterator, Sequence
@@ -122,18 +121,19 @@
     return answered and result.checksum_ok and result.own_answer
 
 
-async def run_demo(shape: FleetShape) -> DemoResult:
+async def run_demo(shape: FleetShape, directory: Path) -> DemoResult:
     """Run the demo on a fleet of real processes.
 
+    Args:
+        shape: the fleet.
+        directory: receives the history, which includes the nodes' logs, and the settings.
+
     Raises:
         LabError: a process failed, or the edit did not come into force on all nodes in time.
     """
     plan = plan_fleet(replace(shape, has_relay=False))
-    with (
-        tempfile.TemporaryDirectory(prefix="pewtertack-demo-") as directory,
-        HistoryRecorder(Path(directory) / "history.jsonl") as recorder,
-    ):
-        async with Fleet(plan, Path(directory), recorder) as fleet:
+    with HistoryRecorder(directory / "history.jsonl") as recorder:
+        async with Fleet(plan, directory, recorder) as fleet:
             await fleet.start_nodes()
             await fleet.wait_serving()
             await fleet.wait_in_force(1)
