A nested call is never ranked behind its own route

Cause: the rank of the execution replaced the route's own instead of adding to it. Change: the more urgent rank counts. The test of ranks gets a route that is less urgent than the outer request, which is what it was for; a second one covers the other case.

--- a/src/pewtertack/node/gateway/hop.py
+++ b/src/pewtertack/node/gateway/hop.py
@@ -52,7 +52,7 @@
 then reports a hang with ``102 Processing``, and the sender decides at that moment."""
 NESTED = b"x-pewtertack-within"
 """Present if the proxy takes the request for a nested call, made by a back end while it runs
-another request. The rank is then that of the outer request."""
+another request. The rank is then the more urgent one of its own and that of the outer request."""
 INCARNATION = b"x-pewtertack-life"
 """``Machine.started_at`` of the back end as the proxy knows it, where the platform provides it. A
 gateway that knows only an earlier incarnation must not report this one as having left."""
@@ -169,11 +169,11 @@
     """Return the hop headers of a request to the gateway of ``backend``.
 
     ``local_rank`` is the rank of the requests that the proxy's local back end runs; a nested call
-    carries it instead of its route's own.
+    carries it if it is more urgent than the route's own.
     """
     work_class, priority = _CLASS_RANKS[route.work_class], route.priority
     if nested and local_rank is not None:
-        work_class, priority = local_rank
+        work_class, priority = min((work_class, priority), local_rank)
     rank = f"{work_class}.{priority}"
     custom_limit = route.crash_limit != DEFAULT_CRASH_LIMIT
     return [
--- a/tests/node/gateway/test_origins.py
+++ b/tests/node/gateway/test_origins.py
@@ -22,7 +22,7 @@
 NESTED_CALL = request_bytes("GET", "/fee", b"", ("x-call: call-1", "x-left: 4000"))
 ORIGINAL_CALL = request_bytes("GET", "/verify", b"", ("x-call: call-2", "x-left: 4000"))
 ROUTES = (
-    route("fee", path_prefix="/fee", repeatable=True),
+    route("fee", path_prefix="/fee", repeatable=True, priority=5),
     route("verify", path_prefix="/verify", repeatable=True, priority=3),
 )
 
@@ -119,3 +119,9 @@
             self.assertEqual(NESTED in dict(headers), nested)
             request = read_hop(headers)
             self.assertEqual((request.nested, request.rank[1]), (nested, 1 if nested else 3))
+
+    def test_a_nested_call_is_never_less_urgent_than_its_own_route(self) -> None:
+        """Calls ranked behind others were refused, and the executions that waited for them lost."""
+        for local_rank, expected in (((3, 9), (1, 3)), ((0, 1), (0, 1)), (None, (1, 3))):
+            headers = hop_headers(ROUTES[1], "b0", 0.3, WaitPolicy.WAIT, "ledger", True, local_rank)
+            self.assertEqual(read_hop(headers).rank, expected)
