--- a/tests/node/test_nested_calls_of_a_node.py
+++ b/tests/node/test_nested_calls_of_a_node.py
@@ -1,9 +1,11 @@
 """Real nodes: what a node's gateway knows of its back end's executions reaches its proxy."""
 
 import asyncio
+import re
 from typing import Any
 
 from tests.node.gateway_fleet import GatewayFleet, gateway_fleet
+from tests.node.processes import get
 from tests.node.proxy.harness import (
     ProxyTestCase,
     RawBackend,
@@ -24,6 +26,7 @@
 }
 SERVICES = {"a": "ledger", "b": "logbook"}
 URGENT_CLASS = 0
+DEFERRED_METRIC = r'pewtertack_gateway_runs_in_vain_total{route="verify"} (\S+)'
 ROUNDS = 40
 """Enough requests for the gateways to find out which route back ends call."""
 
@@ -68,3 +71,22 @@
                 last = await gateway.wait_event("GATEWAY_ADMITTED", request=f"nested-{self.calls}")
         self.assertTrue(last["within"])
         self.assertEqual(last["rank"][0], URGENT_CLASS)
+
+    async def test_requests_whose_executions_lose_their_calls_are_deferred(self) -> None:
+        """The gateway of an assembled node saw no call of its back end's executions."""
+        backends = {
+            "a": await RawBackend(self.answer_after_a_call).start(self),
+            "b": await RawBackend(self.answer).start(self),
+        }
+        async with gateway_fleet(TREE, backends, 4, SETTINGS, services=SERVICES) as fleet:
+            self.fleet = fleet
+            for _ in range(ROUNDS):
+                await self.send_round()
+            self.nested_status = b"500 Internal Server Error"
+            for _ in range(ROUNDS // 4):
+                await self.send_round()
+            admin = fleet.nodes["a"].lines[0]["admin"]
+            _, _, metrics = await get(admin, "/metrics")
+        deferred = re.search(DEFERRED_METRIC, metrics.decode())
+        assert deferred is not None, "no request was deferred"
+        self.assertGreater(float(deferred[1]), 0)
