A request that waits for a slot under a limit is not rechecked every millisecond

Cause: while the limit leaves room and all slots are taken, the wait for the limit is 0 and a queued request's next check was due at once, which SlotWait turns into one each millisecond. Change: only a wait for the limit shortens the interval of checks.

--- a/src/pewtertack/routing/admission.py
+++ b/src/pewtertack/routing/admission.py
@@ -327,10 +327,11 @@
         A back end that is cold or names a limit gains capacity with time, without any request
         ending.
         """
-        if self.rate_limit.rate is not None:
-            return now + min(RECHECK_SECONDS, self.rate_limit.seconds_until_start(now))
+        limit_wait = self.rate_limit.seconds_until_start(now)
+        if limit_wait > 0:
+            return now + min(RECHECK_SECONDS, limit_wait)
         cold = self.cold is not None and self.cold.is_cold(now)
-        if cold or ticket.nested or self._is_late(ticket, now):
+        if cold or self.rate_limit.rate is not None or ticket.nested or self._is_late(ticket, now):
             return now + RECHECK_SECONDS
         return ticket.latest_timely_start + LATE_CHECK_DELAY_SECONDS
 
--- a/tests/routing/test_admission_rate_limit.py
+++ b/tests/routing/test_admission_rate_limit.py
@@ -4,7 +4,7 @@
 from functools import partial
 from typing import Any
 
-from pewtertack.routing.admission import Admission
+from pewtertack.routing.admission import RECHECK_SECONDS, Admission
 from pewtertack.routing.admission_ticket import AdmissionTicket
 from pewtertack.routing.cold import ColdBounds, ColdStart
 from pewtertack.routing.outcomes import DeadlineUnmeetableError
@@ -114,6 +114,14 @@
         starts = self.run_queue(items, 6.0, 7.9)
         self.assertLessEqual(len(starts), 4)
 
+    def test_a_ticket_that_waits_for_a_slot_is_not_rechecked_without_pause(self) -> None:
+        self.name(100.0, 1.0)
+        for _ in range(SLOTS + 1):
+            item = ticket(1.5)
+            self.admission.submit(item, 1.5)
+        self.assertFalse(item.granted)
+        self.assertGreaterEqual(self.admission.next_check_at(item), 1.5 + RECHECK_SECONDS)
+
     def test_few_slots_are_advertised(self) -> None:
         self.name(30.0, 1.0)
         self.assertEqual(self.admission.advertised_slots(1.0), 2)
