--- a/src/pewtertack/lab/asgi.py
+++ b/src/pewtertack/lab/asgi.py
@@ -98,7 +98,7 @@
         request = Request(head.method, head.path, head.query, head.headers, body)
         await self._send_response(await self.answer(request), receive, send)
 
-    async def _send_response(self, response: Response, receive: Receive, send: Send) -> None:  # noqa: ARG002 (the signature is that of an interface)
+    async def _send_response(self, response: Response, receive: Receive, send: Send) -> None:  # noqa: ARG002 (interface)
         await send_response(send, response)
 
     async def answer(self, request: Request) -> Response:
--- a/src/pewtertack/lab/depth/levels.py
+++ b/src/pewtertack/lab/depth/levels.py
@@ -204,7 +204,7 @@
     def call(
         self,
         request: TopRequest,
-        deadline_header: str | None,  # noqa: ARG002 (the signature is that of an interface)
+        deadline_header: str | None,  # noqa: ARG002 (interface)
         on_reply: ReplyHandler,
     ) -> FixedRetryCall:
         """Start a call; ``deadline_header`` is ignored."""
--- a/src/pewtertack/lab/store_fleet/simulated_source.py
+++ b/src/pewtertack/lab/store_fleet/simulated_source.py
@@ -79,7 +79,7 @@
         self,
         target: str,
         timeouts: ServiceTimeouts,
-        headers: RawHeaders | None = None,  # noqa: ARG002 (the signature is that of an interface)
+        headers: RawHeaders | None = None,  # noqa: ARG002 (interface)
     ) -> ServiceResponse:
         """Return the response to ``GET target``.
 
--- a/src/pewtertack/log.py
+++ b/src/pewtertack/log.py
@@ -35,7 +35,7 @@
     def __init__(self, stream: TextIO) -> None:
         self._stream = stream
 
-    def write(self, line: bytes, routine: bool) -> None:  # noqa: ARG002 (the signature is that of an interface)
+    def write(self, line: bytes, routine: bool) -> None:  # noqa: ARG002 (interface)
         """Write one line."""
         self._stream.write(line.decode() + "\n")
         self._stream.flush()
--- a/src/pewtertack/node/admin.py
+++ b/src/pewtertack/node/admin.py
@@ -65,7 +65,7 @@
             "/metrics": self._metrics_page,
         }
 
-    async def __call__(self, scope: Scope, receive: Receive, send: Send) -> None:  # noqa: ARG002 (the signature is that of an interface)
+    async def __call__(self, scope: Scope, receive: Receive, send: Send) -> None:  # noqa: ARG002 (interface)
         """Respond to one request."""
         response = self._respond(scope["method"], scope["path"])
         headers = [
--- a/src/pewtertack/node/http/protocol.py
+++ b/src/pewtertack/node/http/protocol.py
@@ -90,7 +90,7 @@
         self._server.connections.add(self)
         self._start_deadline(HEAD_SECONDS, self._refuse_slow_head)
 
-    def connection_lost(self, exc: Exception | None) -> None:  # noqa: ARG002 (the signature is that of an interface)
+    def connection_lost(self, exc: Exception | None) -> None:  # noqa: ARG002 (interface)
         """Notify the requests in flight that their caller has disconnected."""
         self._server.connections.discard(self)
         self._closed.set()
--- a/src/pewtertack/node/http/refusals.py
+++ b/src/pewtertack/node/http/refusals.py
@@ -40,7 +40,7 @@
 
 def plain_refusal(
     reason: RefusalReason,
-    started: bool,  # noqa: ARG001 (the signature is that of an interface)
+    started: bool,  # noqa: ARG001 (interface)
 ) -> bytes:
     """Return a plain-text response."""
     text = reason.value.encode()
--- a/src/pewtertack/node/http/shared_buffer.py
+++ b/src/pewtertack/node/http/shared_buffer.py
@@ -18,7 +18,7 @@
 class SharedBufferProtocol(asyncio.BufferedProtocol):
     """Passes received bytes to ``data_received``, as ``asyncio.Protocol`` does."""
 
-    def get_buffer(self, sizehint: int) -> memoryview:  # noqa: ARG002 (the signature is that of an interface)
+    def get_buffer(self, sizehint: int) -> memoryview:  # noqa: ARG002 (interface)
         """Return the shared buffer."""
         return buffer
 
--- a/src/pewtertack/node/import_stubs.py
+++ b/src/pewtertack/node/import_stubs.py
@@ -101,7 +101,7 @@
         return self._name
 
 
-def _make_type_variable(name: str, *constraints: Any, default: Any = None, **options: Any) -> Any:  # noqa: ARG001 (the signature is that of an interface)
+def _make_type_variable(name: str, *constraints: Any, default: Any = None, **options: Any) -> Any:  # noqa: ARG001 (interface)
     """Create a type variable; the default matters to type checkers only."""
     return TypeVar(name, *constraints, **options)
 
--- a/src/pewtertack/routing/executions.py
+++ b/src/pewtertack/routing/executions.py
@@ -205,6 +205,6 @@
     SlotOrderPolicy.ALL,
     "Requests take their slots whatever becomes of the calls that their runs make.",
 )
-def never_without_result(route: str, now: float) -> bool:  # noqa: ARG001 (the signature is that of an interface)
+def never_without_result(route: str, now: float) -> bool:  # noqa: ARG001 (interface)
     """Return false, so that no request is deferred."""
     return False
--- a/src/pewtertack/routing/margins.py
+++ b/src/pewtertack/routing/margins.py
@@ -20,7 +20,7 @@
     WaitMarginPolicy.SPREAD,
     "a request waits while its answer is seldom late, however much answers' times differ",
 )
-def reserve_spread(arrived_at: float, latest_start: float, spread: float) -> float:  # noqa: ARG001 (the signature is that of an interface)
+def reserve_spread(arrived_at: float, latest_start: float, spread: float) -> float:  # noqa: ARG001 (interface)
     """Return the latest start with the whole spread reserved.
 
     Args:
--- a/src/pewtertack/routing/retries.py
+++ b/src/pewtertack/routing/retries.py
@@ -60,24 +60,24 @@
         self._burst = burst
         self._tokens = burst
 
-    def available(self, now: float, nested: bool = False) -> float:  # noqa: ARG002 (the signature is that of an interface)
+    def available(self, now: float, nested: bool = False) -> float:  # noqa: ARG002 (interface)
         """Return the number of retries that may be made at once, nested or not."""
         return self._tokens
 
-    def is_idle(self, now: float) -> bool:  # noqa: ARG002 (the signature is that of an interface)
+    def is_idle(self, now: float) -> bool:  # noqa: ARG002 (interface)
         """Tell whether it holds no state that must be kept; none does, as a burst is small."""
         return True
 
-    def set_node_count(self, nodes: int, now: float) -> None:  # noqa: ARG002 (the signature is that of an interface)
+    def set_node_count(self, nodes: int, now: float) -> None:  # noqa: ARG002 (interface)
         """Set this node's part of the fleet's burst by the number of nodes."""
         self._burst = node_burst(nodes)
         self._tokens = min(self._tokens, self._burst)
 
-    def note_first_attempt(self, now: float, ratio: float) -> None:  # noqa: ARG002 (the signature is that of an interface)
+    def note_first_attempt(self, now: float, ratio: float) -> None:  # noqa: ARG002 (interface)
         """Record the first attempt of a request, which earns ``ratio`` of a retry."""
         self._tokens = min(self._burst, self._tokens + ratio)
 
-    def take(self, now: float, nested: bool = False) -> bool:  # noqa: ARG002 (the signature is that of an interface)
+    def take(self, now: float, nested: bool = False) -> bool:  # noqa: ARG002 (interface)
         """Take one retry, nested or not, if there is one."""
         if self._tokens < 1:
             return False
--- a/src/pewtertack/routing/retry_window.py
+++ b/src/pewtertack/routing/retry_window.py
@@ -109,7 +109,7 @@
         self._drop_expired(now)
         return not self._steps
 
-    def note_first_attempt(self, now: float, ratio: float) -> None:  # noqa: ARG002 (the signature is that of an interface)
+    def note_first_attempt(self, now: float, ratio: float) -> None:  # noqa: ARG002 (interface)
         """Record the first attempt of a request; the operator's ratio applies to all routes."""
         self._current_step(now).requests += 1
         self._requests += 1
--- a/tests/node/gateway_fleet.py
+++ b/tests/node/gateway_fleet.py
@@ -10,12 +10,9 @@
 import anyio
 
 from pewtertack.lab.fleet.ports import PortAllocator
-from pewtertack.lab.machines.service import MachineListService
-from pewtertack.lab.source.service import ConfigurationSource
-from pewtertack.settings import Address
+from tests.node.platform_services import platform_services
 from tests.node.processes import NodeProcess, get_until, settings_text
 
-ANY_ADDRESS = Address("127.0.0.1", 0)
 ZONE = "yaba"
 
 
@@ -91,15 +88,10 @@
         }
         for name in backends
     }
-    source = ConfigurationSource(tree, ANY_ADDRESS, ANY_ADDRESS).service
-    machines = MachineListService(listed, ANY_ADDRESS, ANY_ADDRESS).service
-    async with anyio.create_task_group() as tasks, contextlib.AsyncExitStack() as stack:
-        for service in (source, machines):
-            await service.open(tasks)
-            stack.callback(service.readers.close)
-            stack.callback(service.control.close)
-        stack.callback(tasks.cancel_scope.cancel)
-        platform = (str(source.readers.address), str(machines.readers.address))
+    async with (
+        platform_services(tree, listed) as platform,
+        contextlib.AsyncExitStack() as stack,
+    ):
         settings = {
             name: _settings(name, platform, peers, gateways[name], backends[name], services[name])
             + more_settings
--- a/tests/node/slow_link_fleet.py
+++ b/tests/node/slow_link_fleet.py
@@ -6,15 +6,10 @@
 from collections.abc import AsyncIterator, Mapping
 from typing import Any
 
-import anyio
-
 from pewtertack.lab.fleet.ports import PortAllocator
-from pewtertack.lab.machines.service import MachineListService
-from pewtertack.lab.source.service import ConfigurationSource
-from pewtertack.settings import Address
+from tests.node.platform_services import platform_services
 from tests.node.processes import NodeProcess, get_until, settings_text
 
-ANY_ADDRESS = Address("127.0.0.1", 0)
 ZONE = "yaba"
 GATEWAY_NAME = "b"
 
@@ -65,15 +60,10 @@
         }
         for name, backend in backends.items()
     }
-    source = ConfigurationSource(tree, ANY_ADDRESS, ANY_ADDRESS).service
-    machines = MachineListService(listed, ANY_ADDRESS, ANY_ADDRESS).service
-    async with anyio.create_task_group() as tasks, contextlib.AsyncExitStack() as stack:
-        for service in (source, machines):
-            await service.open(tasks)
-            stack.callback(service.readers.close)
-            stack.callback(service.control.close)
-        stack.callback(tasks.cancel_scope.cancel)
-        platform = (str(source.readers.address), str(machines.readers.address))
+    async with (
+        platform_services(tree, listed) as platform,
+        contextlib.AsyncExitStack() as stack,
+    ):
         texts = [
             _gateway_settings(name, platform, gateways[name], backend, megabits) + limits
             for name, backend in backends.items()
--- a/tests/node/test_nested_calls_of_a_node.py
+++ b/tests/node/test_nested_calls_of_a_node.py
@@ -1,7 +1,9 @@
 """Real nodes: what a node's gateway knows of its back end's executions reaches its proxy."""
 
 import asyncio
+import contextlib
 import re
+from collections.abc import AsyncIterator
 from typing import Any
 
 from tests.node.gateway_fleet import GatewayFleet, gateway_fleet
@@ -56,16 +58,21 @@
                 request = request_bytes(path=path)
                 self.assertEqual((await raw_call(self.fleet.proxy(name), request)).status, 200)
 
-    async def test_a_nested_call_has_the_rank_of_the_execution_that_waits_for_it(self) -> None:
-        """The proxy of an assembled node saw no execution of its back end."""
+    @contextlib.asynccontextmanager
+    async def warm_fleet(self) -> AsyncIterator[GatewayFleet]:
+        """Run both nodes until their gateways know which route back ends call."""
         backends = {
             "a": await RawBackend(self.answer_after_a_call).start(self),
             "b": await RawBackend(self.answer).start(self),
         }
-        async with gateway_fleet(TREE, backends, 4, SETTINGS, services=SERVICES) as fleet:
-            self.fleet = fleet
+        async with gateway_fleet(TREE, backends, 4, SETTINGS, services=SERVICES) as self.fleet:
             for _ in range(ROUNDS):
                 await self.send_round()
+            yield self.fleet
+
+    async def test_a_nested_call_has_the_rank_of_the_execution_that_waits_for_it(self) -> None:
+        """The proxy of an assembled node saw no execution of its back end."""
+        async with self.warm_fleet() as fleet:
             gateway = fleet.nodes["b"]
             async with asyncio.timeout(20.0):
                 last = await gateway.wait_event("GATEWAY_ADMITTED", request=f"nested-{self.calls}")
@@ -74,14 +81,7 @@
 
     async def test_requests_whose_executions_lose_their_calls_are_deferred(self) -> None:
         """The gateway of an assembled node saw no call of its back end's executions."""
-        backends = {
-            "a": await RawBackend(self.answer_after_a_call).start(self),
-            "b": await RawBackend(self.answer).start(self),
-        }
-        async with gateway_fleet(TREE, backends, 4, SETTINGS, services=SERVICES) as fleet:
-            self.fleet = fleet
-            for _ in range(ROUNDS):
-                await self.send_round()
+        async with self.warm_fleet() as fleet:
             self.nested_status = b"500 Internal Server Error"
             for _ in range(ROUNDS // 4):
                 await self.send_round()
