A node does not load base64 and asyncio's TLS protocol for nothing

Cause: our own imports. Modules that every node loads had grown by 72 KiB, and the bound had no room left. One of them loads base64 for a single function that binascii has (in Python 3.11 base64 calls that very function), and asyncio's TLS protocol, which a node never uses, was not among the modules that are left out of its start. Change: binascii in platform/items.py; asyncio.sslproto is a stub, which loads the module when it is used.

--- a/src/pewtertack/node/import_stubs.py
+++ b/src/pewtertack/node/import_stubs.py
@@ -30,6 +30,7 @@
 STUBBED_MODULES: dict[str, tuple[str, ...]] = {
     "ssl": ("SSLContext", "SSLSocket", "SSLSyscallError", "SSLWantReadError"),
     "subprocess": ("DEVNULL", "PIPE", "STDOUT"),
+    "asyncio.sslproto": (),
     "gzip": (),
     "msgspec.inspect": (),
 }
--- a/src/pewtertack/platform/items.py
+++ b/src/pewtertack/platform/items.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-import base64
+import binascii
 import contextlib
 from collections.abc import Iterable
 
@@ -29,7 +29,7 @@
         if self.gone:
             return None
         try:
-            return base64.b64decode(self.value, validate=True)
+            return binascii.a2b_base64(self.value, strict_mode=True)
         except ValueError:
             return UNREADABLE
 
