A back end's response time is not underestimated by a tick of the kernel's clock

What callers see: little. A gateway subtracts from a back end's response time what the answer lay unread; that could be more than it was, so a back end looked up to 4 ms quicker than it is, and 4 ms may be most of a short answer's time. Cause: the kernel counts 'milliseconds since data was received' in ticks of its clock (4 ms here, 10 ms at most), so an answer that came just before a tick and is read just after it seems a tick older than it is. Change: a tick's greatest length is subtracted, so the least time is told.

--- a/src/pewtertack/node/http/tcp_info.py
+++ b/src/pewtertack/node/http/tcp_info.py
@@ -12,6 +12,9 @@
 LAST_RECEIVED_OFFSET = 52
 """Offset of the milliseconds since data was last received."""
 UINT32 = struct.Struct("=I")
+MAX_TICK_SECONDS = 0.01
+"""Longest step in which a kernel counts these milliseconds. Two moments less than a step apart may
+lie in two steps."""
 
 
 def tcp_info(sock: socket.socket) -> bytes:
@@ -24,12 +27,10 @@
 
 
 def seconds_since_received(sock: socket.socket) -> float:
-    """Return how long ago the kernel last received data, whether or not it has been read.
-
-    The kernel counts in steps of up to 10 ms.
+    """Return the least time since the kernel last received data, whether or not it has been read.
 
     Raises:
         OSError: the socket is closed.
     """
     (milliseconds,) = UINT32.unpack_from(tcp_info(sock), LAST_RECEIVED_OFFSET)
-    return float(milliseconds) / MILLISECONDS_PER_SECOND
+    return max(0.0, float(milliseconds) / MILLISECONDS_PER_SECOND - MAX_TICK_SECONDS)
