--- a/Makefile
+++ b/Makefile
@@ -16,6 +16,7 @@
 	$(BIN)/ruff format --check .
 	$(BIN)/ruff check .
 	$(BIN)/mypy
+	$(BIN)/vulture
 	$(BIN)/python tools/run_tests.py
 
 demo: setup
--- a/src/pewtertack/events.py
+++ b/src/pewtertack/events.py
@@ -123,8 +123,3 @@
         self.meaning = meaning
         self.routine = routine
         """Whether it records successful processing; dropped first when too much is logged."""
-
-    @property
-    def is_request_event(self) -> bool:
-        """Whether it concerns a request or a back end; an overload logs many of these."""
-        return self.number // 100 == REQUEST_EVENT_SERIES
--- a/src/pewtertack/lab/deployments.py
+++ b/src/pewtertack/lab/deployments.py
@@ -24,8 +24,6 @@
     zones: tuple[str, ...]
     services: Mapping[str, int]
     profile: str
-    zone_delay: float
-    """The one-way delay between zones, in seconds."""
 
 
 DEPLOYMENTS = {
@@ -34,14 +32,12 @@
         ("ikeja", "yaba", "lekki", "surulere"),
         {"logbook": 7, "archive": 5},
         "frugal",
-        0.0005,
     ),
     "kolkata": Deployment(
         "kolkata",
         ("salt-lake", "new-town", "howrah", "garia"),
         {"casedesk": 7, "cdrvault": 5},
         "fast",
-        0.0015,
     ),
 }
 EXAMPLES = Path("examples")
--- a/src/pewtertack/lab/fleet/history.py
+++ b/src/pewtertack/lab/fleet/history.py
@@ -31,11 +31,8 @@
 class NodeView:
     """State of a node's latest process according to the history."""
 
-    is_up: bool = False
     is_serving: bool = False
     revision: int = 0
-    rejected: int = 0
-    """The newest revision that the node rejected."""
 
 
 @dataclass(slots=True)
@@ -49,9 +46,7 @@
     def update(self, line: HistoryLine) -> None:
         """Update the state by one line."""
         match line:
-            case NodeStart():
-                self.nodes[line.node] = NodeView(is_up=True)
-            case NodeKill() | NodeExit():
+            case NodeStart() | NodeKill() | NodeExit():
                 self.nodes[line.node] = NodeView()
             case RevisionInForce():
                 self._node(line).revision = line.revision
--- a/src/pewtertack/lab/history/timeline.py
+++ b/src/pewtertack/lab/history/timeline.py
@@ -151,10 +151,6 @@
             digests.setdefault(edit.revision, set()).add(edit.digest)
         return digests
 
-    def incarnations_of(self, node: str) -> list[Incarnation]:
-        """Return the incarnations of ``node`` ordered by start time."""
-        return [incarnation for incarnation in self.incarnations if incarnation.node == node]
-
     def cuts_of_zone(self, zone: str) -> list[Interval]:
         """Return the intervals during which ``zone`` was cut off, in either direction."""
         return [cut.span for cut in self.cuts if zone in (cut.from_zone, cut.to_zone)]
--- a/src/pewtertack/lab/metadata_store/application.py
+++ b/src/pewtertack/lab/metadata_store/application.py
@@ -85,8 +85,6 @@
         self.faults = StoreFaults()
         self.calls = 0
         """Number of requests."""
-        self.stale_calls = 0
-        """Number of range requests that accept a stale response."""
         self._revision = 0
         self._items: dict[str, _Change] = {}
         self._history: deque[_Change] = deque()
@@ -196,7 +194,6 @@
         await self._count_call()
         if self.faults.status:
             return await self._delay_response(self._respond({}, self.faults.status))
-        self.stale_calls += request.query.get("stale") == "1"
         prefix, after = request.query.get("PathPrefix", ""), request.query.get("after", "")
         newest = self._revision
         if request.query.get("stale") == "1":
--- a/src/pewtertack/lab/pages/plots.py
+++ b/src/pewtertack/lab/pages/plots.py
@@ -18,7 +18,6 @@
 
 FIGURE_INCHES = (7.0, 4.0)
 MEASURED_PHASES = ("idle", "edits", "churn", "storm")
-CONVERGENCE_BUDGET_SECONDS = 12.0
 BYTES_PER_SECOND_BUDGET = 6000.0
 
 
--- a/src/pewtertack/lab/platform/application.py
+++ b/src/pewtertack/lab/platform/application.py
@@ -27,7 +27,6 @@
     changed: int = 0
     unchanged: int = 0
     refused: int = 0
-    unavailable: int = 0
     bytes_served: int = 0
 
 
@@ -67,7 +66,6 @@
         deadline = time.monotonic() + wait_seconds
         while True:
             if self._store.unreachable or self._store.faults.availability is not Availability.UP:
-                self.counters.unavailable += 1
                 return _unavailable_response("unavailable")
             version = self._store.version_for_read(time.time())
             remaining = deadline - time.monotonic()
--- a/src/pewtertack/lab/returns/store_environment.py
+++ b/src/pewtertack/lab/returns/store_environment.py
@@ -54,10 +54,9 @@
 
 
 class LateRequest(NamedTuple):
-    """A request sent to an address whose back end had stopped. Times are in monotonic seconds."""
+    """A request sent to an address whose back end had stopped."""
 
     host: str
-    requested_at: float
     seconds_after_stop: float
     """Seconds since the back end stopped."""
     node: str
@@ -131,7 +130,7 @@
         if scope["path"].startswith(PATH) and not self.name and self._was_known_to_leave:
             now = time.monotonic()
             caller = dict(scope["headers"]).get(CALLER_HEADER, b"").decode()
-            request = LateRequest(self.host, now, now - self._stopped_at, caller.partition("/")[0])
+            request = LateRequest(self.host, now - self._stopped_at, caller.partition("/")[0])
             self.late_requests.append(request)
         await send_response(send, HttpResponse(200 if self.name else 503, b"done"))
 
--- a/tests/core/crashes/test_gossip.py
+++ b/tests/core/crashes/test_gossip.py
@@ -81,9 +81,6 @@
     def counts(self, item: bytes) -> set[int]:
         return {node.ledger.crash_count(item) for node in self.nodes.values()}
 
-    def knowing(self, item: bytes, crashes: int) -> int:
-        return sum(node.ledger.crash_count(item) == crashes for node in self.nodes.values())
-
 
 def _identity(name: str) -> NodeIdentity:
     return NodeIdentity(name, name, "z", "r", 1)
--- a/tests/node/gateway/test_hung_requests_at_stop.py
+++ b/tests/node/gateway/test_hung_requests_at_stop.py
@@ -27,10 +27,6 @@
 class SlowBackend(HangingBackend):
     """Responds to ``/hang`` after ``SLOW_RESPONSE_SECONDS``, unless the request is abandoned."""
 
-    def __init__(self) -> None:
-        super().__init__()
-        self.late_response_count = 0
-
     async def answer(self, reader: Any, writer: Any, head: str) -> bool:
         if "/hang" not in head:
             return await super().answer(reader, writer, head)
@@ -39,7 +35,6 @@
             async with asyncio.timeout(SLOW_RESPONSE_SECONDS):
                 await reader.read(1)
         except TimeoutError:
-            self.late_response_count += 1
             return await answer_normally(reader, writer, head)
         self.closed_count += 1
         return False
--- a/tests/platform/test_malformed_items.py
+++ b/tests/platform/test_malformed_items.py
@@ -30,7 +30,6 @@
 MACHINES = DocumentKind.MACHINE_LIST
 VALID_ENTRIES = {"i-0": encoded(ENTRY), "i-9": encoded({**ENTRY, "Address": "10.1.0.9:8080"})}
 """Valid entries before and after a malformed one."""
-OTHER_TYPES: tuple[Any, ...] = (None, True, -1, 1.5, 10**40, "", "\x00", [], {}, [ENTRY])
 MALFORMED_ADDRESSES = (
     "",
     "10.1.0.8",
