--- a/src/pewtertack/routing/executions.py
+++ b/src/pewtertack/routing/executions.py
@@ -185,14 +185,15 @@
     @policy(
         PolicyKind.BEGUN_RUNS,
         SlotOrderPolicy.FINISHABLE,
-        "While calls are turned away, requests whose runs make such calls wait behind all others.",
+        "While nested calls are refused, requests whose executions make such calls wait behind all "
+        "others.",
         Parameter(
             "bad_share",
             MIN_DEFERRED_SHARE,
-            "share of runs",
-            "assumed; see ``MIN_DEFERRED_SHARE``",
+            "of executions fail",
+            "assumed",
         ),
-        Parameter("picture", RESULT_WINDOW_SECONDS, "seconds", "so soon all are equal again"),
+        Parameter("picture", RESULT_WINDOW_SECONDS, "s", "after it all requests are equal again"),
         Parameter("ends_least", MIN_RESULTS, "calls", "assumed"),
     )
     def likely_without_result(self, route: str, now: float) -> bool:
@@ -203,7 +204,7 @@
 @policy(
     PolicyKind.BEGUN_RUNS,
     SlotOrderPolicy.ALL,
-    "Requests take their slots whatever becomes of the calls that their runs make.",
+    "Requests get slots whether or not the nested calls of their executions succeed.",
 )
 def never_without_result(route: str, now: float) -> bool:  # noqa: ARG001 (interface)
     """Return false, so that no request is deferred."""
--- a/src/pewtertack/routing/hanging.py
+++ b/src/pewtertack/routing/hanging.py
@@ -70,13 +70,13 @@
 @policy(
     PolicyKind.HANGING,
     HungRequestPolicy.LEFT,
-    "what may be repeated is left when the back end has most likely hung on it",
-    Parameter("sure", ABANDON_LIKELIHOOD, "", "needless second attempts against late answers"),
+    "A repeatable request on which its back end has most likely hung is sent to another back end.",
+    Parameter("sure", ABANDON_LIKELIHOOD, "", "needless second attempts against late responses"),
     Parameter(
         "usual share", PRIOR_HANGING_SHARE, "", "needless second attempts at a sound back end"
     ),
     Parameter("memory", MEMORY_REQUESTS, "requests", "a few seconds of a busy back end"),
-    Parameter("first look", FIRST_CHECK_FACTOR, "mean times", "no answer is late before"),
+    Parameter("first look", FIRST_CHECK_FACTOR, "mean times", "no response is late before"),
 )
 class HangDetector:
     """Requests of one incarnation of a back end. Times are monotonic seconds."""
--- a/src/pewtertack/routing/link.py
+++ b/src/pewtertack/routing/link.py
@@ -49,9 +49,9 @@
 @policy(
     PolicyKind.LONG_BODIES,
     LongBodyPolicy.IN_TURNS,
-    "long bodies leave one after the other at the link's pace; short ones wait for none",
+    "Long bodies are sent one after the other at the link's rate; short ones wait for none.",
     Parameter("long_bytes", LONG_BYTES, "B", "13 ms of a link of 10 Mbit/s"),
-    Parameter("link_share", LINK_SHARE, "", "the rest is for what nobody counts"),
+    Parameter("link_share", LINK_SHARE, "", "the rest is for traffic that is not counted"),
 )
 class LinkScheduler:
     """Decides which long body may send its next part, and when. Times are monotonic seconds.
--- a/src/pewtertack/routing/margins.py
+++ b/src/pewtertack/routing/margins.py
@@ -18,7 +18,8 @@
 @policy(
     PolicyKind.MARGIN,
     WaitMarginPolicy.SPREAD,
-    "a request waits while its answer is seldom late, however much answers' times differ",
+    "A request waits only while its response is unlikely to be late, given the spread of response "
+    "times.",
 )
 def reserve_spread(arrived_at: float, latest_start: float, spread: float) -> float:  # noqa: ARG001 (interface)
     """Return the latest start with the whole spread reserved.
@@ -34,9 +35,12 @@
 @policy(
     PolicyKind.MARGIN,
     WaitMarginPolicy.HALF,
-    "a request waits for half the time that a usual answer leaves, or longer where it is safe",
+    "A request waits for at least half of the time that the mean response time leaves.",
     Parameter(
-        "kept_most", MAX_RESERVED_SHARE, "", "in virtual time a third to two thirds are alike"
+        "kept_most",
+        MAX_RESERVED_SHARE,
+        "",
+        "a third to two thirds gave equal results in simulations",
     ),
 )
 def reserve_half(arrived_at: float, latest_start: float, spread: float) -> float:
--- a/src/pewtertack/routing/origins.py
+++ b/src/pewtertack/routing/origins.py
@@ -81,7 +81,7 @@
 @policy(
     PolicyKind.CALLS_WITHIN,
     NestedCallPolicy.ALIKE,
-    "What back ends call while they run other requests is treated as callers' requests are.",
+    "Nested calls are treated like the requests of other callers.",
 )
 def no_origin_detection() -> None:
     """Detect no origins: nothing is advertised, and no request is treated as a nested call."""
@@ -90,11 +90,11 @@
 @policy(
     PolicyKind.CALLS_WITHIN,
     NestedCallPolicy.FIRST,
-    "Calls within go before other requests of the rank of the runs that make them, and are "
-    "refused only when their deadline cannot be met.",
+    "Nested calls precede other requests of the rank of the executions that make them, and are "
+    "refused only if their deadline cannot be met.",
     Parameter("expected_least", MIN_EXPECTED, "requests", "chance: 1 in 22,000 by Poisson"),
     Parameter(
-        "half_life", HALF_LIFE_ARRIVALS, "arrivals", "a service with 1 machine of 20 is judged"
+        "half_life", HALF_LIFE_ARRIVALS, "arrivals", "enough for a service on 1 machine of 20"
     ),
     Parameter("believed", BELIEF_SECONDS, "seconds", "assumed: a restart of all gateways"),
 )
--- a/src/pewtertack/routing/patience.py
+++ b/src/pewtertack/routing/patience.py
@@ -33,7 +33,8 @@
 @policy(
     PolicyKind.RETURNING,
     RetryLaterPolicy.FOUR,
-    "who has four times its objective left is told to come back; others wait and may be late",
+    "A request with four times its latency objective left is refused with Retry-After; others "
+    "wait and may be late.",
     Parameter("room", RETRY_TIME_FACTOR, "objectives", "assumed"),
 )
 def retry_time_factor_four() -> float:
@@ -44,9 +45,13 @@
 @policy(
     PolicyKind.RETURNING,
     RetryLaterPolicy.TWO,
-    "who has twice its objective left is told to come back; others wait and may be late",
+    "A request with twice its latency objective left is refused with Retry-After; others wait "
+    "and may be late.",
     Parameter(
-        "room", MIN_RETRY_TIME_FACTOR, "objectives", "an answer in time after a pause as long"
+        "room",
+        MIN_RETRY_TIME_FACTOR,
+        "objectives",
+        "a response in time after a pause of one objective",
     ),
 )
 def retry_time_factor_two() -> float:
--- a/src/pewtertack/routing/retries.py
+++ b/src/pewtertack/routing/retries.py
@@ -46,7 +46,7 @@
 @policy(
     PolicyKind.RETRY_BUDGET,
     RetryBudgetPolicy.SHARE,
-    "each first attempt earns the route's share of a retry, up to a small burst",
+    "Each first attempt earns the route's share of a retry, up to a small burst.",
     Parameter("burst", NODE_BURST, "retries", "one node"),
     Parameter("fleet_burst", FLEET_BURST, "retries", "all nodes"),
 )
--- a/src/pewtertack/routing/retry_window.py
+++ b/src/pewtertack/routing/retry_window.py
@@ -60,7 +60,7 @@
 @policy(
     PolicyKind.RETRY_BUDGET,
     RetryBudgetPolicy.WINDOW,
-    "the operator's share of a sliding window's requests; calls within first",
+    "The operator's share of the requests in a sliding window; nested calls are retried first.",
     Parameter("ratio", None, "", "setting limits.retry_ratio"),
     Parameter("window", None, "s", "setting limits.retry_window"),
     Parameter("slack", None, "", "setting limits.retry_slack, over all nodes"),
