A version that a node read after it stopped reading is told to its zone

Cause: where few nodes read, a version is told by readers' heartbeats alone. A starting node reads for a moment; its open read was answered by the slow source 1.9 s after it had stopped reading. The version came into force there, nobody else heard of it for 0.2 s, and then the node was killed. Change: a serving node announces a document that it read itself and no peer has reported, to the targets of a heartbeat, if it is no reader. At most one announcement a document and read.

--- a/src/pewtertack/core/replication/heartbeats.py
+++ b/src/pewtertack/core/replication/heartbeats.py
@@ -65,7 +65,7 @@
         heartbeat = self._heartbeat(now, state, self._deltas())
         self._advertised = {kind: store.revision for kind, store in self._stores.items()}
         return [
-            effect for name in self._targets() for effect in self._membership.send(name, heartbeat)
+            effect for name in self.targets() for effect in self._membership.send(name, heartbeat)
         ]
 
     def for_joiner(self, now: float, name: str, address: str, state: VersionState) -> list[Effect]:
@@ -100,7 +100,8 @@
         deltas = store.deltas_since(advertised) if advertised != store.revision else None
         return (DeltaAnswer(kind, deltas),) if deltas else ()
 
-    def _targets(self) -> list[str]:
+    def targets(self) -> list[str]:
+        """Return the members of the own zone and one reader of each other zone."""
         table = self._membership.table
         own_zone = table.reachable_in_zone(self._identity.zone)
         rank = own_zone.count_below(self._score)
--- a/src/pewtertack/core/replication/service.py
+++ b/src/pewtertack/core/replication/service.py
@@ -126,6 +126,9 @@
             self._source.narrow_link,
         )
         self._announcer = Announcer(identity, profile, membership, random)
+        self._unshared: dict[DocumentKind, int] = {}
+        """Numbers of documents that this node read from the source before any peer reported them
+        and that it has not sent yet."""
         self._heartbeats = HeartbeatSender(
             identity, profile, membership, self.freshness, stores, self._source.wide_link
         )
@@ -225,9 +228,12 @@
         else:
             self.reader.on_document(now, read, self.held_number(kind))
         if kind is DocumentKind.MACHINE_LIST:
+            if number > self.machine_list.revision.number:
+                self._unshared[kind] = number
             offered = self.machine_list.offer(now, revision_id_of(number, document), document)
             return effects + self._after_machine_list(now, offered)
-        self.stages.log.record_reported(now, number)
+        if self.stages.log.record_reported(now, number):
+            self._unshared[kind] = number
         make_work = partial(self.replica.offer_document_in_slices, number, document)
         return effects + self._offer(now, Offer(number, DeliveryChannel.SOURCE, make_work))
 
@@ -311,10 +317,28 @@
                 self.freshness.record_peer_age(now, kind, age)
 
     def due_heartbeats(self, now: float) -> list[Effect]:
-        """Return the heartbeats to send now, if this node is a reader."""
-        if not (self.reader.reading and self.reader.readership.sends_heartbeats):
+        """Return the heartbeats to send now, if this node is a reader.
+
+        A node whose read is answered after it has stopped reading announces the document instead.
+        No other node may have it.
+        """
+        if not self.reader.readership.sends_heartbeats:
+            return []
+        held = self._pop_unshared()
+        if self.reader.reading:
+            return self._heartbeats.due_heartbeats(now, self.state())
+        if not (held and self.serving):
             return []
-        return self._heartbeats.due_heartbeats(now, self.state())
+        announce = Announce(self.state())
+        targets = self._heartbeats.targets()
+        return [effect for name in targets for effect in self._membership.send(name, announce)]
+
+    def _pop_unshared(self) -> bool:
+        """Forget unsent documents up to the held ones; return whether a held one was among them."""
+        numbers = {kind: self.held_number(kind) for kind in self._unshared}
+        unshared = self._unshared
+        self._unshared = {kind: item for kind, item in unshared.items() if item > numbers[kind]}
+        return any(item == numbers[kind] for kind, item in unshared.items())
 
     def messages_for_joiner(self, now: float, name: str, address: str) -> list[Effect]:
         """Return the messages with knowledge that only serving peers have.
--- a/tests/lab/slow_source/test_series.py
+++ b/tests/lab/slow_source/test_series.py
@@ -15,6 +15,7 @@
 VIOLATING_SEEDS = {"overlapping_reads": 10, "slow_answers": 4, "spread_reads": 12}
 """For each mechanism, a seed whose series has violations while it is disabled."""
 SEEDS = (5, *VIOLATING_SEEDS.values())
+SEED_OF_A_LOST_VERSION = 10
 TIMEOUT_SECONDS = 120.0
 
 
@@ -40,6 +41,11 @@
             self.assertGreater(min(result.slow_spans, result.starts), 2)
             self.assertGreater(sum(result.troubles.values()), 2)
 
+    def test_no_version_is_lost_with_the_only_node_that_has_it(self) -> None:
+        """Guards against a node that reads a version and tells no other."""
+        result = simulate_slow_source(SlowSourceOptions(SECONDS, SEED_OF_A_LOST_VERSION, nodes=18))
+        self.assertEqual(result.offences, [])
+
     def test_edits_are_late_with_a_mechanism_disabled(self) -> None:
         for mechanism, seed in VIOLATING_SEEDS.items():
             with self.subTest(mechanism):
