What a node read and nobody has reported is kept in a class of its own

Cause: core/replication/service.py grew, and every input of a node built two dicts for what is nearly always empty. Change: core.replication.unshared; no change of behaviour.

--- a/src/pewtertack/core/replication/service.py
+++ b/src/pewtertack/core/replication/service.py
@@ -34,6 +34,7 @@
 from pewtertack.core.replication.restore_inquiry import RestoreInquiry
 from pewtertack.core.replication.stage_reports import StageReports
 from pewtertack.core.replication.stages import DeliveryChannel
+from pewtertack.core.replication.unshared import UnsharedDocuments
 from pewtertack.core.revision import RevisionId, revision_id_of
 from pewtertack.core.slices import Budget
 from pewtertack.events import Event
@@ -126,9 +127,7 @@
             self._source.narrow_link,
         )
         self._announcer = Announcer(identity, profile, membership, random)
-        self._unshared: dict[DocumentKind, int] = {}
-        """Numbers of documents that this node read from the source before any peer reported them
-        and that it has not sent yet."""
+        self._unshared = UnsharedDocuments()
         self._heartbeats = HeartbeatSender(
             identity, profile, membership, self.freshness, stores, self._source.wide_link
         )
@@ -229,11 +228,11 @@
             self.reader.on_document(now, read, self.held_number(kind))
         if kind is DocumentKind.MACHINE_LIST:
             if number > self.machine_list.revision.number:
-                self._unshared[kind] = number
+                self._unshared.add(kind, number)
             offered = self.machine_list.offer(now, revision_id_of(number, document), document)
             return effects + self._after_machine_list(now, offered)
         if self.stages.log.record_reported(now, number):
-            self._unshared[kind] = number
+            self._unshared.add(kind, number)
         make_work = partial(self.replica.offer_document_in_slices, number, document)
         return effects + self._offer(now, Offer(number, DeliveryChannel.SOURCE, make_work))
 
@@ -324,22 +323,15 @@
         """
         if not self.reader.readership.sends_heartbeats:
             return []
-        held = self._pop_unshared()
+        has_unshared = self._unshared.pop_held(self.held_number)
         if self.reader.reading:
             return self._heartbeats.due_heartbeats(now, self.state())
-        if not (held and self.serving):
+        if not (has_unshared and self.serving):
             return []
         announce = Announce(self.state())
         targets = self._heartbeats.targets()
         return [effect for name in targets for effect in self._membership.send(name, announce)]
 
-    def _pop_unshared(self) -> bool:
-        """Forget unsent documents up to the held ones; return whether a held one was among them."""
-        numbers = {kind: self.held_number(kind) for kind in self._unshared}
-        unshared = self._unshared
-        self._unshared = {kind: item for kind, item in unshared.items() if item > numbers[kind]}
-        return any(item == numbers[kind] for kind, item in unshared.items())
-
     def messages_for_joiner(self, now: float, name: str, address: str) -> list[Effect]:
         """Return the messages with knowledge that only serving peers have.
 
