--- a/src/pewtertack/node/http/connection.py
+++ b/src/pewtertack/node/http/connection.py
@@ -291,7 +291,7 @@
         return self.ended_cleanly and suspended < MAX_SUSPENSION_SECONDS
 
     def seconds_since_received(self) -> float:
-        """Return the least time since the last response bytes reached this machine, 0 if unknown.
+        """Return how long ago the last response bytes reached this machine, 0 if unknown.
 
         A process that was held up reads a response later than it arrived.
         """
--- a/src/pewtertack/node/http/tcp_info.py
+++ b/src/pewtertack/node/http/tcp_info.py
@@ -27,7 +27,10 @@
 
 
 def seconds_since_received(sock: socket.socket) -> float:
-    """Return the least time since the kernel last received data, whether or not it has been read.
+    """Return how long ago the kernel last received data, whether or not it has been read.
+
+    One step of the kernel's clock is subtracted. The result may still be some milliseconds more
+    than the time that has passed.
 
     Raises:
         OSError: the socket is closed.
--- a/tests/node/http/test_tcp_info.py
+++ b/tests/node/http/test_tcp_info.py
@@ -16,6 +16,8 @@
 TICKS_PER_SECOND = (100, 250, 1000)
 """Rates at which Linux kernels count these times."""
 WAIT_SECONDS = 0.2
+RUNS = 200
+MAX_SHORT_WAIT_SECONDS = 0.009
 
 
 def socket_with(milliseconds: int) -> mock.Mock:
@@ -38,6 +40,20 @@
             self.assertLessEqual(reported, WAIT_SECONDS)
             self.assertGreaterEqual(reported, WAIT_SECONDS - MAX_TICK_SECONDS)
 
+    def test_the_time_that_the_kernel_reports_is_never_overestimated(self) -> None:
+        """Guards against a back end's response time that is underestimated."""
+        with socket.create_server(("127.0.0.1", 0)) as listener:
+            sender = socket.create_connection(listener.getsockname())
+            receiver, _ = listener.accept()
+        sender.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        with sender, receiver:
+            for run in range(RUNS):
+                sent_at = time.monotonic()
+                sender.send(b"x")
+                time.sleep(MAX_SHORT_WAIT_SECONDS * run / RUNS)
+                reported = seconds_since_received(receiver)
+                self.assertLessEqual(reported, time.monotonic() - sent_at)
+
     def test_the_kernel_reports_a_long_delay(self) -> None:
         with socket.create_server(("127.0.0.1", 0)) as listener:
             sender = socket.create_connection(listener.getsockname())
--- a/tests/routing/test_admission.py
+++ b/tests/routing/test_admission.py
@@ -74,6 +74,15 @@
         self.assertAlmostEqual(refused.exception.retry_after or 0.0, 0.2)
         self.assertEqual(admission.load, 1)
 
+    def test_a_request_is_not_refused_while_its_slot_comes_free_in_time(self) -> None:
+        """Guards against a wait that is estimated as a whole mean time until it ends."""
+        admission = busy(seconds=0.4)
+        waiting = ticket(objective=0.3, deadline=1.05)
+        admission.submit(waiting, 0.05)
+        for step in range(1, 8):
+            admission.recheck(waiting, 0.05 + 0.05 * step)
+        self.assertIsNone(waiting.refusal)
+
     def test_slow_first_answers_do_not_cause_refusals_later(self) -> None:
         """Requests were refused because a slow first answer kept its weight for long."""
         admission = Admission(2)
