--- a/review/common/standins.py
+++ b/review/common/standins.py
@@ -414,6 +414,12 @@
         self._record.note(f"node {self.host}: {number.name}")
         self._process.send_signal(number)
 
+    @property
+    def pid(self) -> int:
+        """The id of the process."""
+        assert self._process is not None
+        return self._process.pid
+
     def poll(self) -> int | None:
         """Return the exit code, ``None`` while the process runs."""
         return None if self._process is None else self._process.poll()
