A connection that has carried a refusal without an id carries no further request

Cause: with headers.identified_answers off (the default) an answer without an id counts as the answer to the request under way. A back end sheds without ids and sends a refusal again where the connection's next answer is due; guards only nodes with that setting, and the memory of refused ids only later attempts of the same request.

Why it works: no answer is ever due again on such a connection, so no late copy can stand in for one. A refusal with an id is remembered by its id as before.

Cost: one new connection for a refusal without an id; none where refusals have ids.

--- a/src/pewtertack/lab/backend/application.py
+++ b/src/pewtertack/lab/backend/application.py
@@ -164,7 +164,7 @@
 
     def _build_shed_response(self, request: Request) -> Response:
         headers = {"x-outcome": "not-run", "retry-after": "1", **self._state_headers()}
-        if self.state.faults.repeated_refusals:
+        if self.state.faults.identified_refusals:
             headers["x-request-id"] = request.headers.get("x-request-id", "")
         return Response(503, b"", headers)
 
--- a/src/pewtertack/lab/backend/state.py
+++ b/src/pewtertack/lab/backend/state.py
@@ -29,8 +29,9 @@
     slowdown: float = 1.0
     """Factor by which all work times are multiplied."""
     repeated_refusals: bool = False
-    """Refusals have the request's id, and are sent again where the connection's next answer is
-    due."""
+    """Refusals are sent again where the connection's next answer is due."""
+    identified_refusals: bool = False
+    """Refusals have the request's id."""
     late: float = 0.0
     """Delay before each response, regardless of the deadline."""
     crossed: bool = False
--- a/src/pewtertack/lab/disabled_mechanisms.py
+++ b/src/pewtertack/lab/disabled_mechanisms.py
@@ -259,9 +259,9 @@
 
 
 def _forget_refused_requests() -> None:
-    """Use a connection for a retry although its peer has refused the same request on it."""
+    """Use a connection after a refusal for any request, however the refusal is identified."""
 
-    def make_note(_: object) -> Callable[[BackendConnection, str], None]:
+    def make_note(_: object) -> Callable[[BackendConnection, str | None], None]:
         return lambda _connection, _request_id: None
 
     _replace_function(BackendConnection, "note_refusal", make_note)
--- a/src/pewtertack/lab/soak/backend_faults.py
+++ b/src/pewtertack/lab/soak/backend_faults.py
@@ -53,13 +53,18 @@
 async def repeated_refusals(soak: SoakContext, chooser: random.Random) -> None:
     """All back ends shed a part of their requests, and send each refusal again later.
 
-    A request that all of them have refused is sent to the first one again.
+    A request that all of them have refused is sent to the first one again. The refusals have the
+    ids of their requests in half of the cases.
     """
-    share = chooser.uniform(0.3, 0.7)
-    faults = BackendFaults(shedding_share=share, repeated_refusals=True)
+    share, seconds = chooser.uniform(0.3, 0.7), chooser.uniform(0.5, 2.0)
+    identified = chooser.random() < 0.5
+    faults = BackendFaults(
+        shedding_share=share, repeated_refusals=True, identified_refusals=identified
+    )
+    description = "repeats refusals" if identified else "repeats refusals without ids"
     names = sorted(soak.fleet.plan.backends)
     for name in names:
-        await soak.fleet.backends.inject_faults(name, faults, "repeats refusals")
-    await anyio.sleep(chooser.uniform(0.5, 2.0))
+        await soak.fleet.backends.inject_faults(name, faults, description)
+    await anyio.sleep(seconds)
     for name in names:
         await soak.fleet.backends.clear_faults(name)
--- a/src/pewtertack/node/http/connection.py
+++ b/src/pewtertack/node/http/connection.py
@@ -210,8 +210,15 @@
                 self._maybe_abandon(may_abandon)
         return self._head
 
-    def note_refusal(self, request_id: str) -> None:
-        """Remember that the response of the current exchange refuses the request."""
+    def note_refusal(self, request_id: str | None) -> None:
+        """Note that the response of the current exchange refuses the request that it names.
+
+        After a refusal that names none (``None``) the connection carries no further request: a late
+        copy of it could not be told from the next request's response.
+        """
+        if request_id is None:
+            self._reusable = False
+            return
         self.refused_ids = (*self.refused_ids[1 - REMEMBERED_REFUSALS :], request_id)
 
     def read_pending(self) -> bool:
--- a/src/pewtertack/node/proxy/exchange.py
+++ b/src/pewtertack/node/proxy/exchange.py
@@ -139,7 +139,7 @@
         if self._is_not_run(start.status, meta):
             self.result = AttemptResult.SHED
         if self.result is AttemptResult.SHED:
-            connection.note_refusal(self._head.request_id)
+            connection.note_refusal(meta.request_id)
             await _drain_short_body(connection)
             raise _shed_error(start, meta)
         self._check_framing(connection, start, meta)
--- a/tests/lab/backend/test_repeated_refusals.py
+++ b/tests/lab/backend/test_repeated_refusals.py
@@ -37,7 +37,7 @@
         return answers
 
     async def test_a_refusal_is_sent_again_before_the_next_answer(self) -> None:
-        faults = BackendFaults(shedding_share=1.0, repeated_refusals=True)
+        faults = BackendFaults(shedding_share=1.0, repeated_refusals=True, identified_refusals=True)
         expected = [(b"503", b"r1"), (b"503", b"r1"), (b"200", b"r2")]
         self.assertEqual(await self.exchange(faults), expected)
 
--- a/tests/node/gateway/recording.py
+++ b/tests/node/gateway/recording.py
@@ -3,7 +3,7 @@
 import asyncio
 from typing import Any, NamedTuple
 
-from tests.node.gateway.test_gateway import EDGE, GatewayTestCase, header
+from tests.node.gateway.test_gateway import GatewayTestCase, header
 from tests.node.proxy.harness import Answer, RawBackend, answer_bytes, raw_call, request_bytes
 
 IDENTITY = ("x-call: call-1", "x-left: 4000")
@@ -69,7 +69,7 @@
         """Return the address of a proxy that reaches the back end over two nodes or over one."""
         if path == "two nodes":
             return await self.start_fleet(backend)
-        return await self.start(RawBackend(backend), edge=EDGE, caller_service="desk")
+        return await self.start(RawBackend(backend), edge=self.edge, caller_service="desk")
 
     async def settle(self) -> None:
         """Give a smuggled request the time to reach the back end."""
--- a/tests/node/gateway/test_gateway.py
+++ b/tests/node/gateway/test_gateway.py
@@ -49,7 +49,8 @@
 def make_gateway(address: str, **arguments: Any) -> GatewayApplication:
     """Return a gateway with a configuration, as a serving node has one."""
     settings = arguments.pop("settings", None) or GatewaySettings(address, "logbook", "ikeja")
-    gateway = GatewayApplication(time.monotonic, settings, EDGE, **arguments)
+    edge = arguments.pop("edge", EDGE)
+    gateway = GatewayApplication(time.monotonic, settings, edge, **arguments)
     gateway.use_configuration(configuration())
     return gateway
 
@@ -57,6 +58,8 @@
 class GatewayTestCase(ProxyTestCase):
     extra_arguments: ClassVar[dict[str, Any]] = {}
     """Additional constructor arguments of all gateways and of the proxy."""
+    edge: ClassVar[EdgeHeaders] = EDGE
+    """Header names of the back ends and of the callers."""
 
     async def start_fleet(self, *backends: Any, slots: int = 2, **changes: Any) -> str:
         """Run a gateway for each back end and one proxy; return the proxy's address."""
@@ -66,7 +69,7 @@
         for index, script in enumerate(backends):
             await self.add_backend(f"b{index}", script, slots)
         self.proxy = ProxyApplication(
-            time.monotonic, Random(7), edge=EDGE, caller_service="desk", **self.extra_arguments
+            time.monotonic, Random(7), edge=self.edge, caller_service="desk", **self.extra_arguments
         )
         self.proxy.use_configuration(configuration(route(**changes)))
         self.proxy.set_serving(True)
@@ -84,7 +87,7 @@
 
     async def add_gateway(self, name: str, address: str, slots: int) -> None:
         """Run a gateway beside the back end at ``address`` and list both."""
-        gateway = make_gateway(address, **self.extra_arguments)
+        gateway = make_gateway(address, edge=self.edge, **self.extra_arguments)
         self.gateways.append(gateway)
         self.machines.append(
             Machine(
