Logs and a metric tell what a back end's rejected answer was

Change: GATEWAY_FAILED, REQUEST_RETRIED and REQUEST_NOT_RETRIED have answer_status, answer_identified and exchange_number where an answer of the back end ended the attempt; pewtertack_gateway_rejected_answers counts by reason, identity and new or used connection. A connection counts its exchanges in place of a flag that says whether there were any.

--- a/src/pewtertack/node/gateway/application.py
+++ b/src/pewtertack/node/gateway/application.py
@@ -302,6 +302,8 @@
             load_text = load[0][1].decode() if load else ""
             self._log.refused(head.request_id, backend, error, load_text)
             self._metrics.note_refused(error.code, error.reached_backend)
+            if error.answer is not None:
+                self._metrics.note_rejected_answer(error.code, error.answer)
             headers = [*load, *self._note_refused(request)]
             if request is not None and self._context.pacer is not None:
                 headers += link_headers(self._context.pacer, request.route)
--- a/src/pewtertack/node/gateway/metrics.py
+++ b/src/pewtertack/node/gateway/metrics.py
@@ -4,6 +4,7 @@
 
 from pewtertack.node.counting import MetricsRegistry
 from pewtertack.node.proxy.metrics import BUCKETS
+from pewtertack.routing.outcomes import RejectedAnswer
 
 
 class GatewayMetrics:
@@ -27,6 +28,12 @@
             "Requests that ended at the gateway, by reason and by whether a back end saw them.",
             ("reason", "offered"),
         )
+        self._rejected_answers = registry.counter(
+            "pewtertack_gateway_rejected_answers",
+            "Answers of the back end that ended an attempt without being passed on, by the reason, "
+            "by whether they name a request and by whether others preceded them on the connection.",
+            ("reason", "identified", "connection"),
+        )
         self._nested = registry.counter(
             "pewtertack_gateway_calls_within",
             "Requests that a back end made while it ran another, by what became of them here.",
@@ -103,3 +110,8 @@
     def note_refused(self, reason: str, reached_backend: bool) -> None:
         """Count a request that ended without a response from the back end."""
         self._refused.inc((reason, str(reached_backend).lower()))
+
+    def note_rejected_answer(self, reason: str, answer: RejectedAnswer) -> None:
+        """Count an answer of the back end that ended an attempt without being passed on."""
+        connection = "new" if answer.exchange_number == 1 else "used"
+        self._rejected_answers.inc((reason, str(answer.identified).lower(), connection))
--- a/src/pewtertack/node/http/connection.py
+++ b/src/pewtertack/node/http/connection.py
@@ -88,8 +88,8 @@
         self.address = address
         self.sent = False
         """Whether the peer may have started on the current exchange."""
-        self.used = False
-        """Whether an exchange preceded the current one, whose late responses may still arrive."""
+        self.exchange_count = 0
+        """Exchanges begun, including the current one. Late responses to earlier ones may arrive."""
         self.refused_ids: tuple[str, ...] = ()
         """Ids of the requests that the peer refused last. A peer may send a refusal twice, and all
         attempts of a request have the same id: a later attempt needs another connection."""
@@ -192,7 +192,7 @@
         """
         self.sent = False
         self._suspended_at_start = clock.suspended_seconds()
-        self.used = self._head is not None
+        self.exchange_count += 1
         self._head = None
         self._chunks.clear()
         self._buffered = self._overhead_bytes = 0
--- a/src/pewtertack/node/proxy/exchange.py
+++ b/src/pewtertack/node/proxy/exchange.py
@@ -35,6 +35,7 @@
     BackendSilentError,
     CrossedAnswerError,
     Outcome,
+    RejectedAnswer,
     RequestFailedError,
     ResponseOverheadError,
 )
@@ -129,7 +130,8 @@
         meta.status = start.status
         if self._is_crossed(connection, start.status, meta):
             connection.abort()
-            raise CrossedAnswerError("the back end answered another request")
+            crossed = CrossedAnswerError("the back end answered another request")
+            raise crossed.with_answer(_rejected_answer(connection, start, meta))
         self._on_metadata(meta)
         if meta.failure is not None:
             await _drain_short_body(connection)
@@ -141,7 +143,7 @@
         if self.result is AttemptResult.SHED:
             connection.note_refusal(meta.request_id)
             await _drain_short_body(connection)
-            raise _shed_error(start, meta)
+            raise _shed_error(start, meta).with_answer(_rejected_answer(connection, start, meta))
         self._check_framing(connection, start, meta)
         await self._relay(connection, start, meta)
 
@@ -154,7 +156,7 @@
             return meta.request_id != self._head.request_id
         if not self._edge.identified_answers or meta.failure is not None:
             return False
-        return connection.used or not self._is_not_run(status, meta)
+        return connection.exchange_count > 1 or not self._is_not_run(status, meta)
 
     def _is_not_run(self, status: int, meta: ResponseMeta) -> bool:
         is_misdirected = bool(self._edge.expected_backend) and status == MISDIRECTED_STATUS
@@ -287,6 +289,12 @@
     )
 
 
+def _rejected_answer(
+    connection: BackendConnection, start: ResponseHead, meta: ResponseMeta
+) -> RejectedAnswer:
+    return RejectedAnswer(start.status, meta.request_id is not None, connection.exchange_count)
+
+
 def _broken_answer_error(cause: ExchangeBrokenError) -> BackendFailedError:
     """Return the failure of an exchange that broke before its response was passed on."""
     is_overhead = isinstance(cause, OverheadLimitError)
--- a/src/pewtertack/node/proxy/request_log.py
+++ b/src/pewtertack/node/proxy/request_log.py
@@ -132,6 +132,7 @@
             detail=error.message,
             reason=reason.value,
             left=milliseconds(ticket.deadline - self._clock()),
+            **_answer_fields(error),
         )
 
     def answered(self, request: str, ticket: Ticket, status: int, seconds: float) -> None:
@@ -251,6 +252,7 @@
             detail=error.message,
             retry_after=error.retry_after,
             load=load,
+            **_answer_fields(error),
         )
 
     def crashed(self, backend: str, broken: Iterable[BrokenExchange]) -> None:
@@ -306,6 +308,18 @@
         )
 
 
+def _answer_fields(error: RequestFailedError) -> dict[str, Any]:
+    """Return what is known of the back end's answer that ended an attempt; nothing without one."""
+    answer = error.answer
+    if answer is None:
+        return {}
+    return {
+        "answer_status": answer.status,
+        "answer_identified": answer.identified,
+        "exchange_number": answer.exchange_number,
+    }
+
+
 def _record_crash(record: RecordEvent, backend: str, broken: Iterable[BrokenExchange]) -> None:
     """Record a crash; ``requests`` holds id and fingerprint of each request that was running."""
     requests = [(item.request_id, (item.fingerprint or b"").hex()) for item in broken]
--- a/src/pewtertack/routing/outcomes.py
+++ b/src/pewtertack/routing/outcomes.py
@@ -11,6 +11,8 @@
 from enum import StrEnum
 from typing import ClassVar, Self
 
+import msgspec
+
 from pewtertack.errors import RequestError
 
 OUTCOME_HEADER = "x-outcome"
@@ -34,6 +36,16 @@
     UNKNOWN = "unknown"
 
 
+class RejectedAnswer(msgspec.Struct, frozen=True):
+    """A back end's answer that was not passed on: a refusal, or one that may be another's."""
+
+    status: int
+    identified: bool
+    """Whether the answer names a request."""
+    exchange_number: int
+    """Which exchange of its connection ended with it, from 1."""
+
+
 class RequestFailedError(RequestError):
     """Base of all these errors. ``retry_after`` is in seconds; ``None`` means "do not retry"."""
 
@@ -51,6 +63,8 @@
         """Whether nodes further up must not retry after this failure."""
         self.reached_backend = True
         """Whether a back end has seen the request, so that another attempt is a retry."""
+        self.answer: RejectedAnswer | None = None
+        """The back end's answer that ended the attempt, if one did."""
 
     @property
     def response_status(self) -> int:
@@ -66,6 +80,11 @@
         self.outcome = outcome
         return self
 
+    def with_answer(self, answer: RejectedAnswer) -> Self:
+        """Set the answer that ended the attempt and return the error itself."""
+        self.answer = answer
+        return self
+
     def with_retries_spent(self) -> Self:
         """Mark that this node has made all retries, and return the error itself."""
         self.retries_spent = True
