lab mesh: real nodes with a deployment's settings under faults, traced by request

The soak's nodes don't have the users' settings, and no lab command had a deployment's shape.

lab mesh starts nodes with the settings of deploy/node.toml.template beside back ends with slots, queues, nested calls and uploads, callers that try again as the platform's clients do, and five lanes of faults from a seed.

--- a/src/pewtertack/cli/main.py
+++ b/src/pewtertack/cli/main.py
@@ -14,6 +14,7 @@
     lab_cost,
     lab_depth,
     lab_exchanges,
+    lab_mesh,
     lab_operator,
     lab_restores,
     lab_scale,
@@ -77,6 +78,7 @@
 lab.app.command("returns")(lab_restores.returns)
 lab.app.command("operator")(lab_operator.operator)
 lab.app.command("convergence")(lab_convergence.convergence)
+lab.app.command("mesh")(lab_mesh.mesh)
 lab.app.command("exchanges")(lab_exchanges.exchanges)
 lab.app.command("slow-source")(lab_slow_source.slow_source)
 lab.app.command("store-node", hidden=True)(lab_restores.store_node)
--- /dev/null
+++ b/src/pewtertack/lab/mesh/__init__.py
@@ -0,0 +1,1 @@
+"""A mesh of real nodes with a deployment's services, requests and settings."""
--- /dev/null
+++ b/tests/lab/mesh/test_faults.py
@@ -0,0 +1,56 @@
+"""Series of faults of the mesh."""
+
+import unittest
+from random import Random
+
+import msgspec
+
+from pewtertack.lab.errors import LabUsageError
+from pewtertack.lab.mesh.backend import AnswerFaults
+from pewtertack.lab.mesh.faults import HIGHEST_SHARES, draw_answer_faults
+from pewtertack.lab.mesh.run import MeshOptions
+from pewtertack.lab.mesh.shapes import LOGBOOK, RESERVATIONS, find_shape
+from tests.lab.mesh.test_mesh import TEMPLATE
+
+
+class AnswerFaultsTest(unittest.TestCase):
+    def test_the_same_seed_gives_the_same_faults(self) -> None:
+        first, again = (draw_answer_faults(Random(1), frozenset()) for _ in range(2))
+        self.assertEqual(first, again)
+
+    def test_each_share_can_be_drawn_and_left_out(self) -> None:
+        for name in HIGHEST_SHARES:
+            with self.subTest(name):
+                drawn = [draw_answer_faults(Random(seed), frozenset()) for seed in range(20)]
+                left_out = [
+                    draw_answer_faults(Random(seed), frozenset({name})) for seed in range(20)
+                ]
+                self.assertGreater(max(getattr(item, name) for item in drawn), 0.0)
+                self.assertEqual(max(getattr(item, name) for item in left_out), 0.0)
+
+    def test_leaving_a_fault_out_changes_no_other(self) -> None:
+        for seed in range(20):
+            whole = draw_answer_faults(Random(seed), frozenset())
+            without = draw_answer_faults(Random(seed), frozenset({"early"}))
+            self.assertEqual(msgspec.structs.replace(whole, early=0.0), without)
+
+    def test_shares_are_those_of_the_faults(self) -> None:
+        names = {field.name for field in msgspec.structs.fields(AnswerFaults)}
+        self.assertEqual(names - {"slowdown"}, set(HIGHEST_SHARES))
+
+
+class OptionsTest(unittest.TestCase):
+    def test_options_are_checked(self) -> None:
+        for changes in (
+            {"seconds": 0.0},
+            {"load": 0.0},
+            {"without": frozenset({"gravity"})},
+            {"template": TEMPLATE / "missing"},
+        ):
+            with self.subTest(changes), self.assertRaises(LabUsageError):
+                msgspec.structs.replace(MeshOptions(LOGBOOK, TEMPLATE, 1, 1.0), **changes)
+
+    def test_shapes_are_found_by_name(self) -> None:
+        self.assertIs(find_shape("reservations"), RESERVATIONS)
+        with self.assertRaises(LabUsageError):
+            find_shape("nothing")
