--- a/src/pewtertack/lab/mesh/backend.py
+++ b/src/pewtertack/lab/mesh/backend.py
@@ -89,6 +89,17 @@
         self._random = chooser
         self._send_nested = send_nested
         self._slots = anyio.CapacityLimiter(service.slots)
+        self._resumed = anyio.Event()
+        """Set unless the back end is frozen."""
+        self._resumed.set()
+
+    def freeze(self) -> None:
+        """Do nothing more until ``resume``; connections stay open and requests queue up in them."""
+        self._resumed = anyio.Event()
+
+    def resume(self) -> None:
+        """Go on with all that has arrived."""
+        self._resumed.set()
 
     async def serve(self, stream: SocketStream) -> None:
         """Answer the requests of one connection until it ends."""
@@ -110,6 +121,7 @@
     ) -> bytes:
         """Answer one request; return the bytes to send in place of the next answer."""
         head = await read_head(reader)
+        await self._resumed.wait()
         request_id = head.value(REQUEST_ID)
         if late_copy:
             self._record.note_backend(self.name, request_id, "late copy of the answer before")
@@ -120,6 +132,7 @@
         if not message.complete:
             raise _ConnectionEndsError
         answer = await self._make_answer(message)
+        await self._resumed.wait()
         if self._draws(self.faults.garbled):
             self._record.note_backend(self.name, request_id, "garbled answer")
             await stream.send(GARBLE if self._draws(0.5) else answer[: len(answer) // 2])
--- a/src/pewtertack/lab/mesh/callers.py
+++ b/src/pewtertack/lab/mesh/callers.py
@@ -31,6 +31,8 @@
 IMPATIENT_SHARE = 0.1
 """Share of the requests whose caller tries again at once."""
 CHUNKED_SHARE = 0.5
+LEAVING_SHARE = 0.03
+"""Share of the attempts whose caller leaves before its deadline."""
 FIRST_FINAL_STATUS = 200
 FIRST_ERROR_STATUS = 300
 
@@ -104,7 +106,9 @@
         request_id = f"{self._random.getrandbits(64):016x}"
         sent_at = anyio.current_time()
         answer: WireMessage | None = None
-        with anyio.move_on_after(seconds + GRACE_SECONDS):
+        leaves = self._random.random() < LEAVING_SHARE
+        patience = self._random.uniform(0.0, seconds) if leaves else seconds + GRACE_SECONDS
+        with anyio.move_on_after(patience):
             answer = await self._try_exchange(kind, request_id, seconds, new_connection)
         attempt = CallerAttempt(
             request_id,
--- a/src/pewtertack/lab/mesh/faults.py
+++ b/src/pewtertack/lab/mesh/faults.py
@@ -27,6 +27,8 @@
 """Highest share of the answers for each fault of ``AnswerFaults``."""
 PRESENT_SHARE = 2 / 3
 SLOWDOWNS = (1.0, 1.0, 4.0)
+MIN_ZONES = 3
+"""Zones that every shape has."""
 
 
 class FaultyMesh(Protocol):
@@ -59,6 +61,15 @@
         The store lists the former life until ``unlisted_after`` seconds after its end.
         """
 
+    async def freeze_backend(self, machine: str, seconds: float) -> None:
+        """Freeze a back end for a while."""
+
+    def edit_configuration(self, timeout_factor: float) -> None:
+        """Write a new version in which the routes' time-outs are multiplied."""
+
+    def evacuate(self, zone_index: int, active: bool) -> None:
+        """Begin or end the evacuation of a zone."""
+
     async def drain_backend(self, machine: str, seconds: float) -> None:
         """Let a back end leave and another life follow after ``seconds``."""
 
@@ -102,6 +113,24 @@
     await mesh.crash_backend(machine, downtime, unlisted_after)
 
 
+async def freeze(mesh: FaultyMesh, chooser: Random) -> None:
+    """A back end freezes with requests in it and resumes."""
+    await mesh.freeze_backend(chooser.choice(mesh.machine_names), chooser.uniform(*PAUSE_SECONDS))
+
+
+async def edit(mesh: FaultyMesh, chooser: Random) -> None:
+    """The operator changes the time-outs of all routes."""
+    mesh.edit_configuration(chooser.uniform(0.4, 1.2))
+
+
+async def evacuate(mesh: FaultyMesh, chooser: Random) -> None:
+    """A zone is evacuated and taken back."""
+    zone_index = chooser.randrange(MIN_ZONES)
+    mesh.evacuate(zone_index, active=True)
+    await anyio.sleep(chooser.uniform(1.0, 3.0))
+    mesh.evacuate(zone_index, active=False)
+
+
 async def drain(mesh: FaultyMesh, chooser: Random) -> None:
     """A back end leaves as planned and is replaced."""
     await mesh.drain_backend(chooser.choice(mesh.machine_names), chooser.uniform(2.0, 4.0))
@@ -142,9 +171,10 @@
 LANES: dict[str, tuple[Fault, ...]] = {
     "answers": (spoil_answers,),
     "more-answers": (spoil_answers,),
-    "backends": (crash, crash, drain),
+    "backends": (crash, freeze, freeze, drain),
     "nodes": (stop_node, kill_node, pause_node, reload_node),
     "load": (burst,),
+    "operator": (edit, edit, evacuate),
 }
 """Faults of each lane. The lanes run side by side; within a lane one fault follows another."""
 MAX_GAP_SECONDS = 2.0
--- a/src/pewtertack/lab/mesh/run.py
+++ b/src/pewtertack/lab/mesh/run.py
@@ -141,6 +141,7 @@
         self._rate = options.load
         self._random = Random(f"mesh:{options.seed}")
         self._next_life = 0
+        self._version = 0
         subnet = SystemRandom()
         network = f"127.{subnet.randint(10, 250)}.{subnet.randint(1, 250)}"
         shape = options.shape
@@ -186,7 +187,7 @@
             LabError: a node did not start.
         """
         await self._store_listener.open(self._tasks)
-        self._store.put("op/config", msgspec.json.encode(self._configuration()))
+        self.edit_configuration(1.0)
         for name, machine in self._machines.items():
             address = Address(machine.host, self._ports.outbound)
             chooser = Random(f"callers:{name}:{self._options.seed}")
@@ -298,6 +299,15 @@
         await anyio.sleep(seconds)
         self._store.remove(f"servers/{name}")
 
+    async def freeze_backend(self, machine: str, seconds: float) -> None:
+        """Freeze a back end for a while."""
+        backend = self._machines[machine].backend
+        self.record.note_fault("freeze", f"{machine} {backend.name}")
+        backend.freeze()
+        await anyio.sleep(seconds)
+        self.record.note_fault("resume", f"{machine} {backend.name}")
+        backend.resume()
+
     async def drain_backend(self, machine: str, seconds: float) -> None:
         """Let a back end leave and another life follow after ``seconds``."""
         item = self._machines[machine]
@@ -377,11 +387,29 @@
         }
         return fill_template(self._template, fields)
 
-    def _configuration(self) -> dict[str, object]:
+    # The operator
+
+    def edit_configuration(self, timeout_factor: float) -> None:
+        """Write a new version in which the routes' time-outs are multiplied."""
+        self._version += 1
+        self.record.note_fault("edit", f"version {self._version}, time-outs x {timeout_factor:.2f}")
+        content = msgspec.json.encode(self._configuration(timeout_factor))
+        self._store.put("op/config", content)
+
+    def evacuate(self, zone_index: int, active: bool) -> None:
+        """Begin or end the evacuation of a zone."""
+        zone = self._options.shape.zones[zone_index]
+        self.record.note_fault("evacuation", f"{zone} {'begins' if active else 'ends'}")
+        if active:
+            self._store.put(f"op/evacuate/{zone}", b"{}")
+        else:
+            self._store.remove(f"op/evacuate/{zone}")
+
+    def _configuration(self, timeout_factor: float) -> dict[str, object]:
         shape = self._options.shape
         return {
-            "Version": "r1",
-            "Routes": [_route(kind, shape.max_attempts) for kind in shape.kinds],
+            "Version": f"r{self._version}",
+            "Routes": [_route(kind, shape.max_attempts, timeout_factor) for kind in shape.kinds],
             "Services": [
                 {"Name": name, "HealthPath": HEALTH_PATH, "ConnectionLimit": 130}
                 for name in self.service_names
@@ -396,13 +424,13 @@
     request: str = ""
 
 
-def _route(kind: RequestKind, max_attempts: int) -> dict[str, object]:
+def _route(kind: RequestKind, max_attempts: int, timeout_factor: float) -> dict[str, object]:
     return {
         "Name": kind.name,
         "Host": HOST,
         "PathPrefix": kind.path,
         "Kind": kind.kind,
-        "Timeout": f"{kind.timeout * 1000:.0f}ms",
+        "Timeout": f"{kind.timeout * timeout_factor * 1000:.0f}ms",
         "TargetLatency": f"{kind.objective * 1000:.0f}ms",
         "Priority": 1,
         "Service": kind.service,
