Hypothesis reads the modules' constants before the tests run, not within the first property test

Seen once on: test_a_later_list_has_a_higher_number_at_any_revision failed by Hypothesis' health check too_slow, 1.07 s outside the draws, no property failed; listed as of unknown cause.

Cause: at the first draw of integers in a process Hypothesis parses the sources of all loaded modules for their constants, and keeps them under .hypothesis. The first property test of a process in a fresh clone is charged for it; how much depends on how many modules are loaded.

Change: tools/run_tests.py draws once between loading and running.

--- a/tools/run_tests.py
+++ b/tools/run_tests.py
@@ -10,6 +10,9 @@
 import unittest
 from pathlib import Path
 
+import hypothesis
+from hypothesis import strategies
+
 REPOSITORY = Path(__file__).resolve().parent.parent
 KNOWN_RED_FILE = REPOSITORY / "KNOWN-RED.txt"
 
@@ -35,12 +38,21 @@
     return getattr(test, "test_case", test).id()
 
 
+def read_source_constants() -> None:
+    """Have Hypothesis read the constants of all loaded modules, which its first draw does.
+
+    That takes seconds once all tests are loaded, and would count as the time of a property test.
+    """
+    hypothesis.find(strategies.integers(), lambda _: True)
+
+
 def main() -> int:
     """Run every test below ``tests`` and return the process exit code."""
     known_red = read_known_red()
     suite = unittest.defaultTestLoader.discover(
         str(REPOSITORY / "tests"), top_level_dir=str(REPOSITORY)
     )
+    read_source_constants()
     result = unittest.TextTestRunner(verbosity=1).run(suite)
     failed = failed_test_ids(result)
     known_failures = failed & set(known_red)
