--- a/src/pewtertack/cli/lab_mesh.py
+++ b/src/pewtertack/cli/lab_mesh.py
@@ -28,7 +28,8 @@
 
     from pewtertack.cli.lab import run_fleet
     from pewtertack.errors import LabError
-    from pewtertack.lab.mesh.run import MeshOptions, run_mesh
+    from pewtertack.lab.mesh.options import MeshOptions
+    from pewtertack.lab.mesh.run import run_mesh
     from pewtertack.lab.mesh.shapes import find_shape
     from pewtertack.lab.working_directory import WorkingDirectory
 
--- a/tests/lab/mesh/test_faults.py
+++ b/tests/lab/mesh/test_faults.py
@@ -8,7 +8,7 @@
 from pewtertack.lab.errors import LabUsageError
 from pewtertack.lab.mesh.backend import AnswerFaults
 from pewtertack.lab.mesh.faults import HIGHEST_SHARES, draw_answer_faults
-from pewtertack.lab.mesh.run import MeshOptions
+from pewtertack.lab.mesh.options import MeshOptions
 from pewtertack.lab.mesh.shapes import LOGBOOK, RESERVATIONS, find_shape
 from tests.lab.mesh.test_mesh import TEMPLATE
 
--- a/tests/lab/mesh/test_mesh.py
+++ b/tests/lab/mesh/test_mesh.py
@@ -6,7 +6,8 @@
 
 import anyio
 
-from pewtertack.lab.mesh.run import MeshOptions, MeshResult, run_mesh
+from pewtertack.lab.mesh.options import MeshOptions
+from pewtertack.lab.mesh.run import MeshResult, run_mesh
 from pewtertack.lab.mesh.shapes import LOGBOOK, RESERVATIONS, MeshShape
 
 TEMPLATE = Path(__file__).resolve().parents[3] / "deploy" / "node.toml.template"
