lab mesh: the load follows from the seed alone

The chooser of each node's load was seeded with the node's address, whose network is drawn anew in each run, so that a seed didn't repeat its load. It is seeded with the machine's name. A chooser that nothing used is gone.

--- a/src/pewtertack/lab/mesh/mesh.py
+++ b/src/pewtertack/lab/mesh/mesh.py
@@ -51,11 +51,9 @@
         self._directory = directory
         self._tasks = tasks
         self._rate = options.load
-        self._random = Random(f"mesh:{options.seed}")
         self._next_life = 0
         self._version = 0
-        subnet = SystemRandom()
-        network = f"127.{subnet.randint(10, 250)}.{subnet.randint(1, 250)}"
+        network = _pick_network()
         shape = options.shape
         services = [service for service in shape.services for _ in range(service.backends)]
         self._machines = {
@@ -129,12 +127,12 @@
     async def call_until(self, until: float) -> None:
         """Send requests of the callers at every node until a time of the event loop's clock."""
         async with anyio.create_task_group() as calls:
-            for machine in self._machines.values():
-                calls.start_soon(self._call_node, machine, calls, until)
+            for name in self._machines:
+                calls.start_soon(self._call_node, name, calls, until)
 
-    async def _call_node(self, machine: Machine, calls: anyio.abc.TaskGroup, until: float) -> None:
-        shape = self._options.shape
-        chooser = Random(f"load:{machine.host}:{self._options.seed}")
+    async def _call_node(self, name: str, calls: anyio.abc.TaskGroup, until: float) -> None:
+        machine, shape = self._machines[name], self._options.shape
+        chooser = Random(f"load:{name}:{self._options.seed}")
         weights = [kind.weight for kind in shape.kinds]
         per_node = shape.calls_per_second / len(self._machines)
         while anyio.current_time() < until:
@@ -294,5 +292,11 @@
     request: str = ""
 
 
+def _pick_network() -> str:
+    """Return the first three numbers of a random loopback network, so that meshes may coexist."""
+    random = SystemRandom()
+    return f"127.{random.randint(10, 250)}.{random.randint(1, 250)}"
+
+
 def _is_serving(line: bytes) -> bool:
     return b'"NODE_SERVING"' in line
