lab mesh: a lane in which a whole service refuses, so that each run has refused callers

Cause: a caller sees 503 only if both back ends that its request may be sent to refuse, and the lane `answers` lets no more than 55 in 100 of the answers of a part of the back ends be refusals. At the test's load the rest is left to times that vary from run to run.

MAX_WAIT_SHARE is a share now, no divisor.

--- a/src/pewtertack/lab/mesh/backend.py
+++ b/src/pewtertack/lab/mesh/backend.py
@@ -84,6 +84,8 @@
         self.name = name
         self.service = service
         self.faults = AnswerFaults()
+        self.refusing = False
+        """Whether every request is refused."""
         self._shape = shape
         self._record = record
         self._random = chooser
@@ -171,7 +173,7 @@
         expected = message.value(EXPECTED_BACKEND)
         if expected and expected != self.name:
             return self._refuse(request_id, f"misdirected, meant for {expected}", 421)
-        if self._draws(self.faults.refused):
+        if self._draws(self.faults.refused) or self.refusing:
             return self._refuse(request_id, "refused")
         if self._slots.statistics().tasks_waiting >= self.service.queue_length:
             if self.service.resets_when_full:
--- a/src/pewtertack/lab/mesh/callers.py
+++ b/src/pewtertack/lab/mesh/callers.py
@@ -26,8 +26,8 @@
 CONNECT_SECONDS = 1.0
 GRACE_SECONDS = 0.3
 """A caller waits for an answer this much longer than its deadline."""
-MAX_WAIT_SHARE = 3
-"""A caller obeys ``Retry-After`` up to the remaining time divided by this."""
+MAX_WAIT_SHARE = 1 / 3
+"""A caller obeys ``Retry-After`` up to this share of the remaining time."""
 IMPATIENT_SHARE = 0.1
 """Share of the requests whose caller tries again at once."""
 CHUNKED_SHARE = 0.5
@@ -89,7 +89,7 @@
             if is_final or not (refused or kind.repeatable):
                 return
             if self._random.random() >= IMPATIENT_SHARE:
-                longest = max(0.0, (deadline - anyio.current_time()) / MAX_WAIT_SHARE)
+                longest = max(0.0, (deadline - anyio.current_time()) * MAX_WAIT_SHARE)
                 await anyio.sleep(min(retry_after, longest))
 
     async def call_nested(self, kind: RequestKind, seconds: float) -> bool:
--- a/src/pewtertack/lab/mesh/faults.py
+++ b/src/pewtertack/lab/mesh/faults.py
@@ -27,6 +27,7 @@
 """Highest share of the answers for each fault of ``AnswerFaults``."""
 PRESENT_SHARE = 2 / 3
 SLOWDOWNS = (1.0, 1.0, 4.0)
+REFUSING_SECONDS = (0.1, 0.3)
 MIN_ZONES = 3
 """Zones that every shape has."""
 
@@ -52,6 +53,9 @@
     def set_answer_faults(self, machine: str, faults: AnswerFaults) -> None:
         """Replace the faults of a back end's answers."""
 
+    def set_refusing(self, service: str, refusing: bool) -> None:
+        """Let the service's back ends refuse every request, or end that."""
+
     def set_rate(self, factor: float) -> None:
         """Multiply the rate of new requests."""
 
@@ -106,6 +110,14 @@
     return AnswerFaults(**shares, slowdown=slowdown)
 
 
+async def refuse_all(mesh: FaultyMesh, chooser: Random) -> None:
+    """All back ends of one service refuse for a moment, so that no retry helps."""
+    service = chooser.choice(mesh.service_names)
+    mesh.set_refusing(service, True)
+    await anyio.sleep(chooser.uniform(*REFUSING_SECONDS))
+    mesh.set_refusing(service, False)
+
+
 async def crash(mesh: FaultyMesh, chooser: Random) -> None:
     """A back end ends; another life follows at its address, perhaps before the store tells so."""
     machine = chooser.choice(mesh.machine_names)
@@ -171,6 +183,7 @@
 LANES: dict[str, tuple[Fault, ...]] = {
     "answers": (spoil_answers,),
     "more-answers": (spoil_answers,),
+    "refusals": (refuse_all,),
     "backends": (crash, freeze, freeze, drain),
     "nodes": (stop_node, kill_node, pause_node, reload_node),
     "load": (burst,),
--- a/src/pewtertack/lab/mesh/mesh.py
+++ b/src/pewtertack/lab/mesh/mesh.py
@@ -185,6 +185,12 @@
         self.record.note_fault("answers", f"{machine} {faults}")
         self._machines[machine].backend.faults = faults
 
+    def set_refusing(self, service: str, refusing: bool) -> None:
+        """Let the service's back ends refuse every request, or end that."""
+        self.record.note_fault("refusing", f"{service} {'begins' if refusing else 'ends'}")
+        for machine in self.machines_of(service):
+            self._machines[machine].backend.refusing = refusing
+
     async def crash_backend(self, machine: str, downtime: float, unlisted_after: float) -> None:
         """End a back end and start another life at its address after ``downtime`` seconds."""
         item = self._machines[machine]
--- a/tests/lab/mesh/test_faults.py
+++ b/tests/lab/mesh/test_faults.py
@@ -2,12 +2,20 @@
 
 import unittest
 from random import Random
+from unittest.mock import Mock, call
 
+import anyio
 import msgspec
 
 from pewtertack.lab.errors import LabUsageError
 from pewtertack.lab.mesh.backend import AnswerFaults
-from pewtertack.lab.mesh.faults import HIGHEST_SHARES, draw_answer_faults
+from pewtertack.lab.mesh.faults import (
+    HIGHEST_SHARES,
+    REFUSING_SECONDS,
+    FaultyMesh,
+    draw_answer_faults,
+    refuse_all,
+)
 from pewtertack.lab.mesh.options import MeshOptions
 from pewtertack.lab.mesh.shapes import LOGBOOK, RESERVATIONS, find_shape
 from tests.lab.mesh.test_mesh import TEMPLATE
@@ -39,6 +47,20 @@
         self.assertEqual(names - {"slowdown"}, set(HIGHEST_SHARES))
 
 
+class RefuseAllTest(unittest.TestCase):
+    def test_a_service_refuses_for_a_moment_and_no_longer(self) -> None:
+        mesh = Mock(FaultyMesh, service_names=["orders"])
+
+        async def refuse() -> float:
+            started_at = anyio.current_time()
+            await refuse_all(mesh, Random(1))
+            return anyio.current_time() - started_at
+
+        self.assertGreaterEqual(anyio.run(refuse), REFUSING_SECONDS[0])
+        changes = [call("orders", True), call("orders", False)]
+        self.assertEqual(mesh.set_refusing.call_args_list, changes)
+
+
 class OptionsTest(unittest.TestCase):
     def test_options_are_checked(self) -> None:
         for changes in (
