lab mesh: machines that are cut off, releases whose stops overlap

Cause looked for: REFUSED on the users' machines (no case).

Change: one of every second machine gets a relay before its gateway and its reads of the store; the lane `links` cuts it in one direction or both. What is sent meanwhile, and the ends of connections, arrives afterwards. The lane `releases` replaces two to four machines, stops overlapping: the back end leaves and the node gets SIGTERM at once. Back ends that end and start hold a lock, as two lanes may meet at one machine. `--without links` and `--without releases` leave them out.

--- a/src/pewtertack/lab/mesh/documents.py
+++ b/src/pewtertack/lab/mesh/documents.py
@@ -48,7 +48,7 @@
         "Service": machine.service.name,
         "InternalPortRange": [ports.peer, ports.peer],
         "ListenAddresses": {
-            "Inbound": f"{host}:{ports.inbound}",
+            "Inbound": f"{machine.gateway_host}:{ports.inbound}",
             "Outbound": f"{host}:{ports.outbound}",
             "Readiness": f"{host}:{ports.readiness}",
         },
--- a/src/pewtertack/lab/mesh/faults.py
+++ b/src/pewtertack/lab/mesh/faults.py
@@ -15,6 +15,8 @@
 PAUSE_SECONDS = (0.3, 3.0)
 DOWNTIME_SECONDS = (0.1, 2.5)
 STOP_TIMEOUT_SECONDS = 8.0
+RELEASED_MACHINES = (2, 4)
+RELEASE_GAP_SECONDS = (0.1, 1.5)
 HIGHEST_SHARES = {
     "refused": 0.55,
     "anonymous": 1.0,
@@ -27,6 +29,9 @@
 """Highest share of the answers for each fault of ``AnswerFaults``."""
 PRESENT_SHARE = 2 / 3
 SLOWDOWNS = (1.0, 1.0, 4.0)
+CUT_SECONDS = (0.2, 5.0)
+CUT_DIRECTIONS = ((True, True), (True, False), (False, True))
+"""Whether what comes to the machine is cut, and what leaves it."""
 REFUSING_SECONDS = (0.1, 0.3)
 MIN_ZONES = 3
 """Zones that every shape has."""
@@ -43,6 +48,10 @@
     def service_names(self) -> list[str]:
         """The names of the services."""
 
+    @property
+    def relayed_machines(self) -> list[str]:
+        """The names of the machines that can be cut off."""
+
     @property
     def without(self) -> frozenset[str]:
         """Lanes and faults of answers that are left out."""
@@ -68,6 +77,9 @@
     async def freeze_backend(self, machine: str, seconds: float) -> None:
         """Freeze a back end for a while."""
 
+    def set_cut(self, machine: str, incoming: bool, outgoing: bool) -> None:
+        """Cut a relayed machine off from the store and from other nodes' requests, or heal it."""
+
     def edit_configuration(self, timeout_factor: float) -> None:
         """Write a new version in which the routes' time-outs are multiplied."""
 
@@ -83,6 +95,9 @@
     async def restart_node(self, machine: str, number: signal.Signals, downtime: float) -> None:
         """End a node's process by a signal and start it again ``downtime`` seconds later."""
 
+    async def replace_machine(self, machine: str, downtime: float) -> None:
+        """Stop a machine as planned and put another in its place ``downtime`` seconds later."""
+
 
 Fault = Callable[[FaultyMesh, Random], Awaitable[None]]
 
@@ -160,6 +175,16 @@
     await mesh.restart_node(machine, signal.SIGKILL, chooser.uniform(*DOWNTIME_SECONDS))
 
 
+async def release(mesh: FaultyMesh, chooser: Random) -> None:
+    """Machines are replaced one after the other; their stops overlap."""
+    machines = chooser.sample(mesh.machine_names, chooser.randint(*RELEASED_MACHINES))
+    async with anyio.create_task_group() as replacements:
+        for machine in machines:
+            downtime = chooser.uniform(*DOWNTIME_SECONDS)
+            replacements.start_soon(mesh.replace_machine, machine, downtime)
+            await anyio.sleep(chooser.uniform(*RELEASE_GAP_SECONDS))
+
+
 async def pause_node(mesh: FaultyMesh, chooser: Random) -> None:
     """A node is paused and resumed."""
     machine = chooser.choice(mesh.machine_names)
@@ -173,6 +198,15 @@
     await mesh.signal_node(chooser.choice(mesh.machine_names), signal.SIGHUP)
 
 
+async def cut_off(mesh: FaultyMesh, chooser: Random) -> None:
+    """A machine is cut off, in one direction or both; what was sent meanwhile arrives late."""
+    machine = chooser.choice(mesh.relayed_machines)
+    incoming, outgoing = chooser.choice(CUT_DIRECTIONS)
+    mesh.set_cut(machine, incoming, outgoing)
+    await anyio.sleep(chooser.uniform(*CUT_SECONDS))
+    mesh.set_cut(machine, False, False)
+
+
 async def burst(mesh: FaultyMesh, chooser: Random) -> None:
     """The callers send up to twice as many requests."""
     mesh.set_rate(chooser.uniform(1.3, 2.0))
@@ -186,6 +220,8 @@
     "refusals": (refuse_all,),
     "backends": (crash, freeze, freeze, drain),
     "nodes": (stop_node, kill_node, pause_node, reload_node),
+    "releases": (release,),
+    "links": (cut_off,),
     "load": (burst,),
     "operator": (edit, edit, evacuate),
 }
--- a/src/pewtertack/lab/mesh/machine.py
+++ b/src/pewtertack/lab/mesh/machine.py
@@ -8,6 +8,7 @@
 from pewtertack.lab.fleet.process import LabProcess
 from pewtertack.lab.mesh.backend import MeshBackend
 from pewtertack.lab.mesh.callers import NodeCallers
+from pewtertack.lab.mesh.relay import MachineLinks
 from pewtertack.lab.mesh.shapes import ServiceShape
 
 
@@ -16,6 +17,10 @@
 
     def __init__(self, host: str, zone: str, service: ServiceShape) -> None:
         self.host = host
+        self.gateway_host = host
+        """Where the node accepts requests of other nodes; they send them to ``host``, where a
+        relay listens if the two differ."""
+        self.links: MachineLinks | None = None
         self.zone = zone
         self.service = service
         self.backend: MeshBackend
@@ -23,6 +28,8 @@
         self.process: LabProcess | None = None
         self.busy = anyio.Lock()
         """Held while the node's process is stopped, paused or started."""
+        self.backend_busy = anyio.Lock()
+        """Held while the back end ends and the next one starts."""
         self.scope = anyio.CancelScope()
         """Ends the back end's connections and its listener."""
         self.closed = anyio.Event()
@@ -37,3 +44,5 @@
     outbound: int
     readiness: int
     peer: int
+    store: int
+    """Relayed connections to the store."""
--- a/src/pewtertack/lab/mesh/mesh.py
+++ b/src/pewtertack/lab/mesh/mesh.py
@@ -26,6 +26,7 @@
 from pewtertack.lab.mesh.machine import Machine, MachinePorts
 from pewtertack.lab.mesh.options import MeshOptions
 from pewtertack.lab.mesh.record import MeshRecord
+from pewtertack.lab.mesh.relay import CuttableRelay, MachineLinks
 from pewtertack.lab.mesh.template import fill_template
 from pewtertack.lab.metadata_store.application import MetadataStore
 from pewtertack.lab.serving import Listener
@@ -34,6 +35,8 @@
 LISTED_SECONDS = 1.5
 """Time for the list of back ends to reach all nodes that serve."""
 MAX_CONCURRENT_STARTS = 4
+RELAYED_EVERY = 2
+"""One in so many machines can be cut off."""
 
 
 class Mesh:
@@ -62,9 +65,12 @@
             )
             for index, service in enumerate(services)
         }
+        for index in range(0, len(services), RELAYED_EVERY):
+            self._machines[f"m{index}"].gateway_host = f"{network}.{index + 110}"
         self._allocator = PortAllocator()
-        hosts = [machine.host for machine in self._machines.values()]
-        self._ports = MachinePorts(*(self._allocator.allocate(*hosts).port for _ in range(5)))
+        machines = self._machines.values()
+        hosts = sorted({host for item in machines for host in (item.host, item.gateway_host)})
+        self._ports = MachinePorts(*(self._allocator.allocate(*hosts).port for _ in range(6)))
         self._store = MetadataStore()
         self._store_listener = Listener(self._store.application, Address("127.0.0.1", 0))
         self._template = options.template.read_text(encoding="utf-8")
@@ -79,6 +85,11 @@
         """The names of the services."""
         return [service.name for service in self._options.shape.services]
 
+    @property
+    def relayed_machines(self) -> list[str]:
+        """The names of the machines that can be cut off."""
+        return [name for name, item in self._machines.items() if item.gateway_host != item.host]
+
     @property
     def without(self) -> frozenset[str]:
         """Lanes and faults of answers that are left out."""
@@ -97,6 +108,8 @@
             LabError: a node did not start.
         """
         await self._store_listener.open(self._tasks)
+        for name in self.relayed_machines:
+            await self._start_relays(self._machines[name])
         self.edit_configuration(1.0)
         for name, machine in self._machines.items():
             address = Address(machine.host, self._ports.outbound)
@@ -114,6 +127,15 @@
                 starts.start_soon(start_node, name)
         await anyio.sleep(LISTED_SECONDS)
 
+    async def _start_relays(self, machine: Machine) -> None:
+        inbound, store = self._ports.inbound, self._ports.store
+        machine.links = MachineLinks(
+            CuttableRelay(Address(machine.host, inbound), Address(machine.gateway_host, inbound)),
+            CuttableRelay(Address(machine.host, store), self._store_listener.address),
+        )
+        for relay in (machine.links.to_gateway, machine.links.to_store):
+            await self._tasks.start(relay.serve)
+
     async def end(self) -> None:
         """Kill all nodes and close the stand-ins."""
         with anyio.CancelScope(shield=True):
@@ -194,10 +216,10 @@
     async def crash_backend(self, machine: str, downtime: float, unlisted_after: float) -> None:
         """End a back end and start another life at its address after ``downtime`` seconds."""
         item = self._machines[machine]
-        former = item.backend.name
-        self.record.note_fault("crash", f"{machine} {former}")
-        await self._end_backend(item)
-        async with anyio.create_task_group() as tasks:
+        async with item.backend_busy, anyio.create_task_group() as tasks:
+            former = item.backend.name
+            self.record.note_fault("crash", f"{machine} {former}")
+            await self._end_backend(item)
             tasks.start_soon(self._unlist_later, former, unlisted_after)
             await anyio.sleep(downtime)
             await self._start_backend(item)
@@ -218,12 +240,16 @@
     async def drain_backend(self, machine: str, seconds: float) -> None:
         """Let a back end leave and another life follow after ``seconds``."""
         item = self._machines[machine]
-        self.record.note_fault("drain", f"{machine} {item.backend.name}")
-        self._list_backend(item, "draining")
-        await anyio.sleep(seconds)
-        self._store.remove(f"{ENTRIES}{item.backend.name}")
-        await self._end_backend(item)
-        await self._start_backend(item)
+        async with item.backend_busy:
+            self.record.note_fault("drain", f"{machine} {item.backend.name}")
+            self._list_backend(item, "draining")
+            await anyio.sleep(seconds)
+            await self._unlist_and_end_backend(item)
+            await self._start_backend(item)
+
+    async def _unlist_and_end_backend(self, machine: Machine) -> None:
+        self._store.remove(f"{ENTRIES}{machine.backend.name}")
+        await self._end_backend(machine)
 
     def set_rate(self, factor: float) -> None:
         """Multiply the rate of new requests."""
@@ -256,10 +282,25 @@
             assert item.process is not None
             self.record.note_fault(number.name, machine)
             item.process.send_signal(number)
-            with anyio.move_on_after(STOP_TIMEOUT_SECONDS):
-                await item.process.wait_for_exit()
-            await item.process.kill()
+            await _wait_or_kill(item.process)
+            await anyio.sleep(downtime)
+            await self._start_node(machine)
+
+    async def replace_machine(self, machine: str, downtime: float) -> None:
+        """Stop a machine as planned and put another in its place ``downtime`` seconds later.
+
+        The back end is listed as leaving when the node gets SIGTERM, and ends after the node.
+        """
+        item = self._machines[machine]
+        async with item.busy, item.backend_busy:
+            assert item.process is not None
+            self.record.note_fault("replacement", f"{machine} {item.backend.name}")
+            self._list_backend(item, "draining")
+            item.process.send_signal(signal.SIGTERM)
+            await _wait_or_kill(item.process)
+            await self._unlist_and_end_backend(item)
             await anyio.sleep(downtime)
+            await self._start_backend(item)
             await self._start_node(machine)
 
     def _keep_line(self, name: str, line: bytes) -> None:
@@ -269,10 +310,18 @@
         self.record.note_node_line(name, request, line.decode(errors="replace").strip())
 
     def _settings(self, name: str, machine: Machine) -> str:
-        store, slack = str(self._store_listener.address), self._options.shape.retry_slack
-        fields = settings_fields(name, machine, self._ports, store, slack)
+        links, slack = machine.links, self._options.shape.retry_slack
+        store = self._store_listener.address if links is None else links.to_store.listen
+        fields = settings_fields(name, machine, self._ports, str(store), slack)
         return fill_template(self._template, fields)
 
+    def set_cut(self, machine: str, incoming: bool, outgoing: bool) -> None:
+        """Cut a relayed machine off from the store and from other nodes' requests, or heal it."""
+        links = self._machines[machine].links
+        assert links is not None
+        self.record.note_fault("cut", f"{machine} incoming {incoming}, outgoing {outgoing}")
+        links.set_cut(incoming, outgoing)
+
     # The operator
 
     def edit_configuration(self, timeout_factor: float) -> None:
@@ -298,6 +347,12 @@
     request: str = ""
 
 
+async def _wait_or_kill(process: LabProcess) -> None:
+    with anyio.move_on_after(STOP_TIMEOUT_SECONDS):
+        await process.wait_for_exit()
+    await process.kill()
+
+
 def _pick_network() -> str:
     """Return the first three numbers of a random loopback network, so that meshes may coexist."""
     random = SystemRandom()
--- a/tests/lab/mesh/test_faults.py
+++ b/tests/lab/mesh/test_faults.py
@@ -12,9 +12,11 @@
 from pewtertack.lab.mesh.faults import (
     HIGHEST_SHARES,
     REFUSING_SECONDS,
+    RELEASED_MACHINES,
     FaultyMesh,
     draw_answer_faults,
     refuse_all,
+    release,
 )
 from pewtertack.lab.mesh.options import MeshOptions
 from pewtertack.lab.mesh.shapes import LOGBOOK, RESERVATIONS, find_shape
@@ -61,6 +63,29 @@
         self.assertEqual(mesh.set_refusing.call_args_list, changes)
 
 
+class ReleaseTest(unittest.TestCase):
+    def test_machines_are_replaced_once_each_and_their_stops_overlap(self) -> None:
+        mesh = Mock(FaultyMesh, machine_names=[f"m{index}" for index in range(6)])
+        replaced: list[str] = []
+        all_begun = anyio.Event()
+
+        async def replace_machine(machine: str, downtime: float) -> None:
+            replaced.append(machine)
+            await all_begun.wait()
+
+        async def release_all() -> None:
+            mesh.replace_machine = replace_machine
+            async with anyio.create_task_group() as tasks:
+                tasks.start_soon(release, mesh, Random(1))
+                while len(replaced) < RELEASED_MACHINES[0]:
+                    await anyio.sleep(0.01)
+                all_begun.set()
+
+        anyio.run(release_all)
+        self.assertEqual(len(set(replaced)), len(replaced))
+        self.assertLessEqual(len(replaced), RELEASED_MACHINES[1])
+
+
 class OptionsTest(unittest.TestCase):
     def test_options_are_checked(self) -> None:
         for changes in (
