lab mesh: addresses by name, relays opened by their links

Cause: read as a newcomer would, two numbers of addresses and the count of the ports had no name, and the mesh knew which relays a machine's links consist of.

Change: FIRST_HOST, FIRST_GATEWAY_HOST; the ports are counted by MachinePorts; MachineLinks.open. No behaviour changes.

--- a/src/pewtertack/lab/mesh/mesh.py
+++ b/src/pewtertack/lab/mesh/mesh.py
@@ -35,6 +35,10 @@
 LISTED_SECONDS = 1.5
 """Time for the list of back ends to reach all nodes that serve."""
 MAX_CONCURRENT_STARTS = 4
+FIRST_HOST = 10
+"""Last number of the first machine's address."""
+FIRST_GATEWAY_HOST = 110
+"""Last number of the address behind the first machine's relay."""
 RELAYED_EVERY = 2
 """One in so many machines can be cut off."""
 
@@ -61,16 +65,18 @@
         services = [service for service in shape.services for _ in range(service.backends)]
         self._machines = {
             f"m{index}": Machine(
-                f"{network}.{index + 10}", shape.zones[index % len(shape.zones)], service
+                f"{network}.{index + FIRST_HOST}", shape.zones[index % len(shape.zones)], service
             )
             for index, service in enumerate(services)
         }
         for index in range(0, len(services), RELAYED_EVERY):
-            self._machines[f"m{index}"].gateway_host = f"{network}.{index + 110}"
+            self._machines[f"m{index}"].gateway_host = f"{network}.{index + FIRST_GATEWAY_HOST}"
         self._allocator = PortAllocator()
         machines = self._machines.values()
         hosts = sorted({host for item in machines for host in (item.host, item.gateway_host)})
-        self._ports = MachinePorts(*(self._allocator.allocate(*hosts).port for _ in range(6)))
+        self._ports = MachinePorts(
+            *(self._allocator.allocate(*hosts).port for _ in MachinePorts.__struct_fields__)
+        )
         self._store = MetadataStore()
         self._store_listener = Listener(self._store.application, Address("127.0.0.1", 0))
         self._template = options.template.read_text(encoding="utf-8")
@@ -133,8 +139,7 @@
             CuttableRelay(Address(machine.host, inbound), Address(machine.gateway_host, inbound)),
             CuttableRelay(Address(machine.host, store), self._store_listener.address),
         )
-        for relay in (machine.links.to_gateway, machine.links.to_store):
-            await self._tasks.start(relay.serve)
+        await machine.links.open(self._tasks)
 
     async def end(self) -> None:
         """Kill all nodes and close the stand-ins."""
--- a/src/pewtertack/lab/mesh/relay.py
+++ b/src/pewtertack/lab/mesh/relay.py
@@ -6,7 +6,7 @@
 import struct
 
 import anyio
-from anyio.abc import SocketAttribute, SocketStream, TaskStatus
+from anyio.abc import SocketAttribute, SocketStream, TaskGroup, TaskStatus
 
 from pewtertack.settings import Address
 
@@ -43,7 +43,7 @@
 class CuttableRelay:
     """Forwards the connections made to ``listen`` to ``target``.
 
-    A connection is accepted even while it is cut; what is sent on it is held back.
+    Connections are accepted during a cut as well; what is sent on them is held back.
     """
 
     def __init__(self, listen: Address, target: Address) -> None:
@@ -120,6 +120,15 @@
         self.to_gateway = to_gateway
         self.to_store = to_store
 
+    async def open(self, tasks: TaskGroup) -> None:
+        """Accept connections in ``tasks``.
+
+        Raises:
+            OSError: an address cannot be bound.
+        """
+        for relay in (self.to_gateway, self.to_store):
+            await tasks.start(relay.serve)
+
     def set_cut(self, incoming: bool, outgoing: bool) -> None:
         """Cut what comes to the machine, what leaves it, both, or nothing."""
         self.to_gateway.to_target.set_cut(incoming)
