--- a/src/pewtertack/cli/lab_mesh.py
+++ b/src/pewtertack/cli/lab_mesh.py
@@ -18,6 +18,9 @@
     seconds: Annotated[float, typer.Option(help="Seconds of faults.")] = 20.0,
     load: Annotated[float, typer.Option(help="Factor on the shape's rate of calls.")] = 0.5,
     attempts: Annotated[int, typer.Option(help="Back ends a request may be sent to.")] = 2,
+    backends: Annotated[
+        int | None, typer.Option(help="Most back ends of a service; the shape's number if absent.")
+    ] = None,
     without: Annotated[
         list[str] | None, typer.Option(help="A lane or a fault of answers to leave out.")
     ] = None,
@@ -34,8 +37,11 @@
     from pewtertack.lab.working_directory import WorkingDirectory
 
     try:
+        mesh_shape = find_shape(shape).with_attempts(attempts)
+        if backends is not None:
+            mesh_shape = mesh_shape.with_backends(backends)
         options = MeshOptions(
-            find_shape(shape).with_attempts(attempts),
+            mesh_shape,
             template,
             seed,
             seconds,
--- a/src/pewtertack/lab/mesh/shapes.py
+++ b/src/pewtertack/lab/mesh/shapes.py
@@ -85,6 +85,20 @@
         """Return the shape with another limit on the back ends that a request is sent to."""
         return msgspec.structs.replace(self, max_attempts=max_attempts)
 
+    def with_backends(self, limit: int) -> MeshShape:
+        """Return the shape with at most ``limit`` back ends a service.
+
+        Raises:
+            LabUsageError: the limit is below 1.
+        """
+        if limit < 1:
+            raise LabUsageError("each service needs a back end")
+        services = tuple(
+            msgspec.structs.replace(service, backends=min(limit, service.backends))
+            for service in self.services
+        )
+        return msgspec.structs.replace(self, services=services)
+
 
 RESERVATIONS = MeshShape(
     services=(
--- a/tests/lab/mesh/test_faults.py
+++ b/tests/lab/mesh/test_faults.py
@@ -101,3 +101,9 @@
         self.assertIs(find_shape("reservations"), RESERVATIONS)
         with self.assertRaises(LabUsageError):
             find_shape("nothing")
+
+    def test_a_shape_may_have_fewer_backends(self) -> None:
+        counts = [service.backends for service in RESERVATIONS.with_backends(4).services]
+        self.assertEqual(counts, [4, 4, 3])
+        with self.assertRaises(LabUsageError):
+            RESERVATIONS.with_backends(0)
