lab mesh: a release leaves one machine of a small mesh

Cause: RELEASED_MACHINES was made for twelve machines and more, `--backends` makes fewer.

Change: at most all machines but one. ReleaseTest.test_one_machine_remains failed before with that error.

--- a/src/pewtertack/lab/mesh/faults.py
+++ b/src/pewtertack/lab/mesh/faults.py
@@ -177,7 +177,8 @@
 
 async def release(mesh: FaultyMesh, chooser: Random) -> None:
     """Machines are replaced one after the other; their stops overlap."""
-    machines = chooser.sample(mesh.machine_names, chooser.randint(*RELEASED_MACHINES))
+    count = min(chooser.randint(*RELEASED_MACHINES), len(mesh.machine_names) - 1)
+    machines = chooser.sample(mesh.machine_names, count)
     async with anyio.create_task_group() as replacements:
         for machine in machines:
             downtime = chooser.uniform(*DOWNTIME_SECONDS)
--- a/tests/lab/mesh/test_faults.py
+++ b/tests/lab/mesh/test_faults.py
@@ -85,6 +85,13 @@
         self.assertEqual(len(set(replaced)), len(replaced))
         self.assertLessEqual(len(replaced), RELEASED_MACHINES[1])
 
+    def test_one_machine_remains(self) -> None:
+        """Guards against a release of more machines than a small mesh has."""
+        for seed in range(3):
+            mesh = Mock(FaultyMesh, machine_names=["m0", "m1"])
+            anyio.run(release, mesh, Random(seed))
+            mesh.replace_machine.assert_awaited_once()
+
 
 class OptionsTest(unittest.TestCase):
     def test_options_are_checked(self) -> None:
