--- a/review/common-2/standins.py
+++ b/review/common-2/standins.py
@@ -444,7 +444,7 @@
                 for kind in (socket.SOCK_STREAM, socket.SOCK_DGRAM):
                     sock = socket.socket(socket.AF_INET, kind)
                     sockets.append(sock)
-                    sock.bind((host if kind == socket.SOCK_STREAM else "0.0.0.0", port))
+                    sock.bind((host, port))
         except OSError:
             continue
         finally:
