Crowds of clients beyond all limits: tests, and settings for memory and descriptors

Clients that stay within no limit can take a node over its machine's memory and descriptors. These tests bring that about before the product is changed; crowd and bounds stay as they are.

A node process on a machine of 100 MiB and 600 descriptors (new settings node.memory and node.descriptors, filled by the template; nothing uses them yet) meets 120 clients, or 800 where connections are what is short, for 1.2 s: 22 kinds and all of them mixed, at the callers', the gateway's, the admin, the metrics and the peers' address, and at a stop. Checked are that the process lives, its peak of resident memory with the bytes that wait in the kernel, its descriptors, and that a caller, the platform and a collector of metrics are answered afterwards.

Unread answers, empty lines, one value or target without end, chunk extensions, trailers, endless and stalled uploads, random bytes and announced frames stay below the bounds; their tests stay as guards.

--- a/src/pewtertack/settings/checks.py
+++ b/src/pewtertack/settings/checks.py
@@ -24,6 +24,11 @@
 DOCUMENT_BYTES_MIN = 1024
 DOCUMENT_BYTES_MAX = 64 * 1024 * 1024
 LINK_MBPS_MAX = 1_000_000.0
+MEMORY_BYTES_MIN = 64 * 1024 * 1024
+"""A node without requests takes about half of it."""
+MEMORY_BYTES_MAX = 1024 * 1024 * 1024 * 1024
+DESCRIPTORS_MIN = 256
+DESCRIPTORS_MAX = 10_000_000
 HOLD_SECONDS_MAX = 600.0
 COLD_OVERAGE_MAX = 100.0
 """Factor on a service's ``cold_rate``."""
@@ -106,6 +111,10 @@
 def _check_limits(settings: Settings, location: str) -> None:
     limits = settings.limits
     _check_range(location, "node.link_mbps", settings.node.link_mbps, 0.0, LINK_MBPS_MAX)
+    memory = settings.node.memory.bytes
+    _check_range(location, "node.memory", memory, MEMORY_BYTES_MIN, MEMORY_BYTES_MAX)
+    descriptors = settings.node.descriptors
+    _check_range(location, "node.descriptors", descriptors, DESCRIPTORS_MIN, DESCRIPTORS_MAX)
     hold = settings.source.hold_after_return.seconds
     _check_range(location, "source.hold_after_return", hold, 0.0, HOLD_SECONDS_MAX)
     _check_range(location, "limits.cold_overage", limits.cold_overage, 0.0, COLD_OVERAGE_MAX)
--- a/src/pewtertack/settings/schema.py
+++ b/src/pewtertack/settings/schema.py
@@ -34,6 +34,10 @@
     """The entire fleet starts for the first time; not set for a replaced or restarted node."""
     link_mbps: float = 0.0
     """Bandwidth of the machine's link in Mbit/s; 0 if unknown."""
+    memory: Size = Size(200 * 1024 * 1024)
+    """Memory that the process may use, including received data that it has not read."""
+    descriptors: int = 1024
+    """File descriptors that the process may use."""
 
 
 class ListenSection(msgspec.Struct, frozen=True, kw_only=True):
