Bound what a connection holds by its weight, and parse in slices

Cause: a feed of up to 64 KB was parsed whole before any limit was looked at, and each of its headers takes some 160 bytes beside its own, so that `a:` weighs forty times its bytes; a refused head stayed in place while its connection lingered; a pipeline was bounded in requests, 32, not in what they weigh, heads and bodies.

Change: received data is parsed in slices of 4 KB (16 KB from within a body); the requests behind the first of a connection may take 64 KB before parsing stops, and reading with it, and the rest of what was read waits as bytes; a refused head, and one whose request has it, is dropped.

The rest needs a bound over all connections.

--- a/src/pewtertack/node/http/cycle.py
+++ b/src/pewtertack/node/http/cycle.py
@@ -98,6 +98,8 @@
     ) -> None:
         self.scope = scope
         scope["extensions"] = {CALLER_EXTENSION: self}
+        self.head_memory = 0
+        """Memory of the head, in bytes."""
         self.started = False
         self.may_write = False
         """Whether the response may be written."""
@@ -141,6 +143,11 @@
 
     # Called by the connection
 
+    @property
+    def memory(self) -> int:
+        """Approximate memory in bytes of what was received of the request and not read yet."""
+        return self.head_memory + len(self.body)
+
     @property
     def body_full(self) -> bool:
         """Whether reading from the caller should be paused."""
--- a/src/pewtertack/node/http/heads.py
+++ b/src/pewtertack/node/http/heads.py
@@ -16,6 +16,8 @@
 """The only supported transfer coding."""
 DEFAULT_HEAD_LIMIT = 32 * 1024
 """Bytes of request line and headers together, unless the application accepts more."""
+HEADER_BYTES = 160
+"""Memory that a parsed header takes beside the bytes of its name and value: three objects."""
 CONNECTION_HEADERS = frozenset({b"expect", b"transfer-encoding"})
 """Headers that the connection itself handles."""
 ASGI_VERSIONS = {"version": "3.0", "spec_version": "2.3"}
@@ -39,6 +41,17 @@
         self._refusal = RefusalReason.MALFORMED
         """Why the request is rejected; ``MALFORMED`` until a more specific reason is known."""
 
+    @property
+    def head_memory(self) -> int:
+        """Approximate memory of the head received so far, in bytes."""
+        return self._head_size_bound + HEADER_BYTES * len(self._headers)
+
+    def drop_head(self) -> None:
+        """Drop the head received last: its request has it, or it is refused."""
+        self._url = b""
+        self._headers = []
+        self._head_size_bound = 0
+
     def on_message_begin(self) -> None:
         """Start a request."""
         self._url = b""
--- a/src/pewtertack/node/http/protocol.py
+++ b/src/pewtertack/node/http/protocol.py
@@ -34,6 +34,12 @@
 """
 HEAD_LIMIT_ATTRIBUTE = "longest_head"
 """Optional attribute of an application: a head limit in bytes above ``DEFAULT_HEAD_LIMIT``."""
+SLICE_BYTES = 4 * 1024
+"""Received data is parsed in slices of this size, so that limits are checked in between."""
+BODY_SLICE_BYTES = 16 * 1024
+"""Size of a slice that starts within a body, which takes no more memory than its bytes."""
+MAX_WAITING_BYTES = 64 * 1024
+"""Memory of the requests behind the first of a connection beyond which no more data is parsed."""
 REPEATABLE_METHOD = "may_run_beside"
 """Optional method of an application: whether the request of a scope is repeatable."""
 
@@ -73,6 +79,9 @@
         self._overhead_bytes = 0
         """Bytes of chunk sizes and trailers received since the last part of a body."""
         self._newest: RequestCycle | None = None
+        self._unparsed = b""
+        """Received data that is parsed once the requests before it leave room."""
+        self._parsing = False
         self._discarding = False
         """Data that still arrives is discarded."""
         self._last_request = False
@@ -108,6 +117,7 @@
             cycle.note_disconnect()
         # Breaks reference cycles, which would keep this object until a garbage collection.
         self._newest = None
+        self._unparsed = b""
         self._pipeline.requests.clear()
         del self._parser
 
@@ -160,10 +170,36 @@
             self._slow_reader_timer.cancel()
 
     def data_received(self, data: bytes) -> None:
-        """Parse received data; limit the size and duration of an incomplete head."""
+        """Parse received data as far as the limits allow."""
         if self._discarding:
             self._data_discarded = True
             return
+        if self._unparsed:
+            self._unparsed += data
+        elif len(data) > SLICE_BYTES:
+            self._unparsed = data
+            self._parse_unparsed()
+        else:
+            self._parse(data)
+        self._update_reading()
+
+    def _parse_unparsed(self) -> None:
+        """Parse the data that waits, until the requests it contains take too much memory."""
+        if self._parsing or not self._unparsed:
+            return
+        data, position = self._unparsed, 0
+        self._parsing = True
+        try:
+            while position < len(data) and not self._discarding and self._may_parse():
+                end = position + (SLICE_BYTES if self._reading_head else BODY_SLICE_BYTES)
+                self._parse(data[position:end])
+                position = end
+        finally:
+            self._parsing = False
+        self._unparsed = b"" if self._discarding else data[position:]
+
+    def _parse(self, data: bytes) -> None:
+        """Parse data; limit the size and duration of an incomplete head."""
         size = self._received_bytes = len(data)
         if self._reading_head:
             self._head_bytes += size
@@ -178,7 +214,21 @@
             self._discarding = self._last_request = True  # the application refuses it
         if self._head_bytes > 0 or not self._reading_head:
             self._limit_head()
-        self._update_reading()
+
+    def _may_parse(self) -> bool:
+        """Return whether the connection has room for more requests and parts of bodies."""
+        body_full = self._newest is not None and self._newest.body_full
+        if body_full or self._pipeline.full:
+            return False
+        return self._waiting_memory() < MAX_WAITING_BYTES
+
+    def _waiting_memory(self) -> int:
+        """Return the memory of the requests behind the first, also of one being received."""
+        requests = self._pipeline.requests
+        if not requests:
+            return 0
+        behind = sum(cycle.memory for cycle in requests) - requests[0].memory
+        return behind + (self.head_memory if self._reading_head else 0)
 
     def _limit_head(self) -> None:
         if not self._reading_head:
@@ -224,6 +274,7 @@
         cycle = RequestCycle(
             self, self._build_scope(), self._runs_concurrently, self._expects_continue
         )
+        cycle.head_memory = self.head_memory
         self._newest = cycle
         self._last_request = not self._parser.should_keep_alive()
         cycle.may_write = self._pipeline.add(cycle)
@@ -243,6 +294,7 @@
         self._discarding = self._last_request
         self._reading_head = True
         self._head_bytes = 0
+        self.drop_head()
         if not self._pipeline.requests:
             self._stop_deadline()
             self._note_idle()
@@ -267,14 +319,13 @@
         await self._writable.wait()
 
     def resume_reading(self) -> None:
-        """Resume reading if the pipeline has capacity."""
+        """Parse waiting data and resume reading if the pipeline has capacity."""
         if self._reading_paused:
+            self._parse_unparsed()
             self._update_reading()
 
     def _update_reading(self) -> None:
-        newest = self._newest
-        body_full = newest is not None and newest.body_full
-        should_read = self._discarding or not (body_full or self._pipeline.full)
+        should_read = self._discarding or (not self._unparsed and self._may_parse())
         if should_read == (not self._reading_paused) or self.transport.is_closing():
             return
         self._reading_paused = not should_read
@@ -338,6 +389,7 @@
     def _close_gracefully(self) -> None:
         """Close after the caller does; data it sent after the last response is discarded."""
         self._discarding = self._lingering = True
+        self._unparsed = b""
         unanswered = sum(cycle.received for cycle in self._pipeline.requests)
         if unanswered:
             logger.warning("closing a connection with complete requests unanswered: %d", unanswered)
@@ -400,6 +452,7 @@
             self._close_idle_now()
 
     def _read_now(self) -> None:
+        self._parse_unparsed()
         if isinstance(self.transport, StreamTransport):
             self.transport.read_now()
 
@@ -426,7 +479,9 @@
         self._deadline_timer = None
         slow = self._head_bytes > 0
         self._read_now()
-        if slow and self._reading_head and self._head_bytes:
+        if self._unparsed:
+            self._start_deadline(HEAD_SECONDS, self._refuse_slow_head)  # more has arrived
+        elif slow and self._reading_head and self._head_bytes:
             self._refuse(RefusalReason.SLOW_HEAD)
         elif not (self._head_bytes or self._pipeline.requests):
             self._close_idle_now()
@@ -441,6 +496,8 @@
         if self.transport.is_closing() or self._discarding:
             return
         self._discarding = self._close_when_answered = True
+        self.drop_head()
+        self._unparsed = b""
         first, newest = self._pipeline.first, self._newest
         if first is not None and (first is not newest or first.received):
             self._pipeline.drop_incomplete()
