Limit what all connections make the process hold: one memory budget

What callers saw: the process was killed for want of memory, and all callers of its machine lost their requests; a limit on each connection did not help, as 120 connections within it still took 114 to 187 MB of a 100 MB machine (pipelined heads, small headers at the admin interface).

Cause: nothing bounded what the connections of a process hold together.

Change: node.http.caller_resources counts, over all HTTP listeners, parsed heads at their weight in memory, bodies and bytes that wait, running requests, and the kernel's buffer of a connection that is not read; a usual request of a connection is free. The budget is a quarter of node.memory. While it is used up, further requests of a connection neither run side by side nor are parsed ahead, larger requests are refused as not run (memory-full, 503 with Retry-After), and the connection that receives the most discards incomplete requests and ends after the answers due. Running requests are never ended.

Why it works: what is arriving can always be discarded, what is complete was admitted while it fitted, and what is free is small and bounded by the number of connections.

--- a/src/pewtertack/node/assembly.py
+++ b/src/pewtertack/node/assembly.py
@@ -19,6 +19,7 @@
 from pewtertack.node.crash_reporter import CrashReporter
 from pewtertack.node.daemon import NodeParts
 from pewtertack.node.gate import ServingGate
+from pewtertack.node.http.caller_resources import CallerResources
 from pewtertack.node.runtime import DocumentReader, Runtime
 from pewtertack.node.settings_file import SettingsFile
 from pewtertack.node.sockets import NodeSockets, address_of
@@ -108,8 +109,19 @@
     for application in (proxy, gateway):
         if application is not None:
             settings_file.subscribe(application.use_settings)
+    resources = CallerResources(settings.node.memory.bytes)
+    registry.add_collector(lambda: _create_caller_collector(resources))
     return NodeParts(
-        settings_file, sockets, runtime, transport, admin, proxy, log, reader.close, gateway
+        settings_file,
+        sockets,
+        runtime,
+        transport,
+        admin,
+        proxy,
+        log,
+        reader.close,
+        gateway,
+        resources,
     )
 
 
@@ -136,6 +148,13 @@
     return CoordinationCollector(view.status, traffic)
 
 
+def _create_caller_collector(resources: CallerResources) -> Collector:
+    """Return the collector of what callers hold; it is imported only when metrics are read."""
+    from pewtertack.node.caller_collector import CallerCollector
+
+    return CallerCollector(resources)
+
+
 def _create_local_executions(settings: Settings) -> LocalExecutions | None:
     """Return the state shared by proxy and gateway; it is imported only where a node has both."""
     if settings.listen.proxy is None or settings.listen.gateway is None:
--- a/src/pewtertack/node/daemon.py
+++ b/src/pewtertack/node/daemon.py
@@ -17,6 +17,7 @@
 from pewtertack.events import Event
 from pewtertack.log import EventLog
 from pewtertack.node.early_signals import unblock_signals
+from pewtertack.node.http.caller_resources import CallerResources
 from pewtertack.node.http.cycle import LOGGER_NAME
 from pewtertack.node.http.server import HttpServer
 from pewtertack.node.library_log import record_library_log
@@ -107,6 +108,7 @@
     close: Callable[[], Awaitable[None]]
     """Closes the connections to the platform."""
     gateway: RunningProxy | None = None
+    resources: CallerResources = msgspec.field(default_factory=CallerResources)
 
 
 async def run_node(parts: NodeParts) -> int:
@@ -141,7 +143,7 @@
             for application in (parts.proxy, parts.gateway):
                 if application is not None:
                     tasks.start_soon(application.run)
-            admin = HttpServer(parts.admin, keep_alive)
+            admin = HttpServer(parts.admin, keep_alive, resources=parts.resources)
             admin_sockets = [parts.sockets.admin, parts.sockets.metrics]
             tasks.start_soon(admin.serve, [sock for sock in admin_sockets if sock is not None])
             servers = _start_servers(parts, tasks, keep_alive)
@@ -162,6 +164,7 @@
         application: DrainableProxy,
         listener: socket.socket,
         keep_alive: float,
+        resources: CallerResources,
         final_response_seconds: float = FINAL_RESPONSE_SECONDS,
     ) -> None:
         self.application = application
@@ -172,7 +175,7 @@
         from pewtertack.node.proxy.refusals import typed_refusal
 
         self.stopped = anyio.Event()
-        self._server = HttpServer(application, keep_alive, typed_refusal)
+        self._server = HttpServer(application, keep_alive, typed_refusal, resources)
 
     async def serve(self) -> None:
         """Accept callers until told to stop."""
@@ -205,7 +208,7 @@
         (parts.gateway, sockets.gateway, GATEWAY_FINAL_RESPONSE_SECONDS),
     )
     servers = tuple(
-        _RequestServer(application, listener, keep_alive, final_response_seconds)
+        _RequestServer(application, listener, keep_alive, parts.resources, final_response_seconds)
         for application, listener, final_response_seconds in components
         if application is not None and listener is not None
     )
--- a/src/pewtertack/node/gateway/application.py
+++ b/src/pewtertack/node/gateway/application.py
@@ -56,7 +56,7 @@
     read_head,
     read_response_meta,
 )
-from pewtertack.node.proxy.in_flight import DrainableApplication
+from pewtertack.node.proxy.in_flight import DrainableApplication, check_memory
 from pewtertack.node.proxy.request_log import GatewayLog, RecordEvent, ignore_event
 from pewtertack.node.proxy.upstream import ConnectionPool
 from pewtertack.routing.cold import ColdBounds
@@ -291,6 +291,7 @@
         request: HopRequest | None = None
         try:
             head = read_head(scope["headers"], NODE_EDGE)
+            check_memory(scope, head.body_is_large)
             request = read_hop(scope["headers"])
             if request.invalid_stop_time:
                 self._metrics.note_invalid_stop_time()
--- a/src/pewtertack/node/http/cycle.py
+++ b/src/pewtertack/node/http/cycle.py
@@ -11,6 +11,7 @@
 from collections.abc import Callable, MutableMapping
 from typing import Any, Protocol
 
+from pewtertack.node.http.caller_resources import FREE_BYTES, REQUEST_BYTES
 from pewtertack.node.http.framing import LAST_CHUNK, NO_BODY_STATUSES, RawHeaders, encode_chunk
 
 Scope = MutableMapping[str, Any]
@@ -24,6 +25,8 @@
 """In an ``http.response.start`` message: the whole body, so that the response is checked and
 written at once. Without it the head is handled separately, by a callback in an iteration of the
 event loop of its own."""
+USUAL_HEAD_BYTES = FREE_BYTES - REQUEST_BYTES
+"""Memory of the head of a request that is always accepted."""
 BODY_BUFFER_LIMIT = 64 * 1024
 """Received bytes of a body that may wait to be read before reading from the caller is paused."""
 HELD_RESPONSE_LIMIT = 256 * 1024
@@ -100,6 +103,8 @@
         scope["extensions"] = {CALLER_EXTENSION: self}
         self.head_memory = 0
         """Memory of the head, in bytes."""
+        self.memory_short = False
+        """Whether callers have used up their memory, so that only a usual request is accepted."""
         self.started = False
         self.may_write = False
         """Whether the response may be written."""
@@ -148,6 +153,11 @@
         """Approximate memory in bytes of what was received of the request and not read yet."""
         return self.head_memory + len(self.body)
 
+    @property
+    def is_usual(self) -> bool:
+        """Whether the head is no larger than that of a usual request."""
+        return self.head_memory <= USUAL_HEAD_BYTES
+
     @property
     def body_full(self) -> bool:
         """Whether reading from the caller should be paused."""
--- a/src/pewtertack/node/http/pipeline.py
+++ b/src/pewtertack/node/http/pipeline.py
@@ -10,6 +10,7 @@
 from __future__ import annotations
 
 from collections import deque
+from collections.abc import Callable
 from typing import Generic, Protocol, TypeVar
 
 MAX_CONCURRENT = 16
@@ -18,6 +19,10 @@
 """Reading from a connection is paused while it has this many requests, started or waiting."""
 
 
+def _always() -> bool:
+    return True
+
+
 class PipelinedRequest(Protocol):
     """Interface of a request in a pipeline."""
 
@@ -56,8 +61,12 @@
         self.requests.append(request)
         return len(self.requests) == 1
 
-    def start_eligible(self) -> list[RequestT]:
-        """Mark the requests that may start now as started, and return them."""
+    def start_eligible(self, may_run_another: Callable[[], bool] = _always) -> list[RequestT]:
+        """Mark the requests that may start now as started, and return them.
+
+        Args:
+            may_run_another: tells whether one more request may run beside those before it.
+        """
         if self.closed:
             return []
         if len(self.requests) == 1:
@@ -67,6 +76,8 @@
             if position >= MAX_CONCURRENT or (position > 0 and not request.runs_concurrently):
                 break
             if not request.started:
+                if position > 0 and not may_run_another():
+                    break
                 request.started = True
                 started.append(request)
             if len(self.requests) > 1 and not request.runs_concurrently:
--- a/src/pewtertack/node/http/protocol.py
+++ b/src/pewtertack/node/http/protocol.py
@@ -13,6 +13,11 @@
 
 import httptools
 
+from pewtertack.node.http.caller_resources import (
+    FREE_BYTES,
+    RECEIVE_BUFFER_BYTES,
+    REQUEST_BYTES,
+)
 from pewtertack.node.http.cycle import LOGGER_NAME, RequestCycle, Scope
 from pewtertack.node.http.heads import DEFAULT_HEAD_LIMIT, RequestReadingProtocol
 from pewtertack.node.http.pipeline import Pipeline
@@ -82,6 +87,9 @@
         self._unparsed = b""
         """Received data that is parsed once the requests before it leave room."""
         self._parsing = False
+        self._resources = server.resources
+        self._memory_counted = False
+        """Whether the process' memory budget counts what the connection holds."""
         self._discarding = False
         """Data that still arrives is discarded."""
         self._last_request = False
@@ -119,6 +127,7 @@
         self._newest = None
         self._unparsed = b""
         self._pipeline.requests.clear()
+        self._resources.memory.note(self, 0, 0)
         del self._parser
 
     def eof_received(self) -> None:
@@ -182,6 +191,8 @@
         else:
             self._parse(data)
         self._update_reading()
+        if self._note_memory():
+            self._resources.memory.relieve()
 
     def _parse_unparsed(self) -> None:
         """Parse the data that waits, until the requests it contains take too much memory."""
@@ -194,6 +205,8 @@
                 end = position + (SLICE_BYTES if self._reading_head else BODY_SLICE_BYTES)
                 self._parse(data[position:end])
                 position = end
+                if self._note_memory():
+                    self._resources.memory.relieve()
         finally:
             self._parsing = False
         self._unparsed = b"" if self._discarding else data[position:]
@@ -217,19 +230,39 @@
 
     def _may_parse(self) -> bool:
         """Return whether the connection has room for more requests and parts of bodies."""
-        body_full = self._newest is not None and self._newest.body_full
-        if body_full or self._pipeline.full:
+        newest, first = self._newest, self._pipeline.first
+        if (newest is not None and newest.body_full) or self._pipeline.full:
             return False
-        return self._waiting_memory() < MAX_WAITING_BYTES
+        if first is None or (first is newest and not first.received):
+            return True
+        return self._resources.memory.has_room() and self._waiting_memory() < MAX_WAITING_BYTES
 
     def _waiting_memory(self) -> int:
         """Return the memory of the requests behind the first, also of one being received."""
         requests = self._pipeline.requests
-        if not requests:
-            return 0
         behind = sum(cycle.memory for cycle in requests) - requests[0].memory
         return behind + (self.head_memory if self._reading_head else 0)
 
+    def _note_memory(self) -> bool:
+        """Have the process' budget count what the connection holds; return whether it does."""
+        arriving = len(self._unparsed) + (self.head_memory if self._reading_head else 0)
+        size = arriving
+        for cycle in self._pipeline.requests:
+            size += cycle.memory + (REQUEST_BYTES if cycle.started else 0)
+        if self._reading_paused:
+            size += RECEIVE_BUFFER_BYTES
+            if arriving:
+                arriving += RECEIVE_BUFFER_BYTES
+        if size > FREE_BYTES or self._memory_counted:
+            self._memory_counted = self._resources.memory.note(self, size, arriving)
+        return self._memory_counted
+
+    def discard_arriving(self) -> None:
+        """Discard incomplete requests, and end after the responses due (``MemoryBudget``)."""
+        self._refuse(RefusalReason.MEMORY_FULL)
+        self._update_reading()
+        self._note_memory()
+
     def _limit_head(self) -> None:
         if not self._reading_head:
             self._limit_overhead()
@@ -275,6 +308,7 @@
             self, self._build_scope(), self._runs_concurrently, self._expects_continue
         )
         cycle.head_memory = self.head_memory
+        cycle.memory_short = not self._resources.memory.has_room(cycle.head_memory)
         self._newest = cycle
         self._last_request = not self._parser.should_keep_alive()
         cycle.may_write = self._pipeline.add(cycle)
@@ -302,7 +336,7 @@
     # Ordering of requests and responses
 
     def _start_requests(self) -> None:
-        for cycle in self._pipeline.start_eligible():
+        for cycle in self._pipeline.start_eligible(self._resources.may_run_another):
             cycle.start(self.loop, self._application, self._server.tasks)
 
     def default_headers(self) -> list[tuple[bytes, bytes]]:
@@ -323,6 +357,8 @@
         if self._reading_paused:
             self._parse_unparsed()
             self._update_reading()
+        if self._memory_counted:
+            self._note_memory()
 
     def _update_reading(self) -> None:
         should_read = self._discarding or (not self._unparsed and self._may_parse())
--- a/src/pewtertack/node/http/refusals.py
+++ b/src/pewtertack/node/http/refusals.py
@@ -13,6 +13,7 @@
     UNKNOWN_CODING = "unknown transfer coding"
     HEAD_TOO_LARGE = "the request's head is too large"
     SLOW_HEAD = "the request's head came too slowly"
+    MEMORY_FULL = "callers have used up the node's memory for requests"
 
 
 class HeadRefusedError(Exception):
@@ -35,6 +36,7 @@
     RefusalReason.UNKNOWN_CODING: b"400 Bad Request",
     RefusalReason.HEAD_TOO_LARGE: b"431 Request Header Fields Too Large",
     RefusalReason.SLOW_HEAD: b"408 Request Timeout",
+    RefusalReason.MEMORY_FULL: b"503 Service Unavailable",
 }
 
 
--- a/src/pewtertack/node/http/server.py
+++ b/src/pewtertack/node/http/server.py
@@ -18,6 +18,7 @@
 from typing import Any
 
 from pewtertack.node.accepting import Acceptor
+from pewtertack.node.http.caller_resources import CallerResources
 from pewtertack.node.http.cycle import LOGGER_NAME
 from pewtertack.node.http.protocol import HttpServerProtocol
 from pewtertack.node.http.refusals import RefusalWriter, plain_refusal
@@ -43,14 +44,20 @@
             (``unread``) are used if it has them.
         keep_alive: seconds for which an idle connection stays open.
         refuse: creates the response to data that is not a valid request.
+        resources: what the servers of the process share; by default without limits.
     """
 
     def __init__(
-        self, application: Any, keep_alive: float, refuse: RefusalWriter = plain_refusal
+        self,
+        application: Any,
+        keep_alive: float,
+        refuse: RefusalWriter = plain_refusal,
+        resources: CallerResources | None = None,
     ) -> None:
         self.application = application
         self.keep_alive = max(1.0, keep_alive)
         self.refuse = refuse
+        self.resources = resources or CallerResources()
         self.connections: set[HttpServerProtocol] = set()
         self.slow_readers = SlowReaders(getattr(application, RELAY_ATTRIBUTE, False))
         self.tasks: set[asyncio.Task[None]] = set()
--- a/src/pewtertack/node/proxy/application.py
+++ b/src/pewtertack/node/proxy/application.py
@@ -24,7 +24,7 @@
 from pewtertack.node.proxy.failure_responses import Receive, Send, send_failure
 from pewtertack.node.proxy.forwarding import Forwarding, ForwardingContext
 from pewtertack.node.proxy.headers import RequestHead, read_head
-from pewtertack.node.proxy.in_flight import DrainableApplication
+from pewtertack.node.proxy.in_flight import DrainableApplication, check_memory
 from pewtertack.node.proxy.metrics import (
     CALLER_GONE,
     TRUNCATED,
@@ -249,6 +249,7 @@
             head = read_head(scope["headers"], self._edge)
             head.request_id = head.request_id or f"{self._random.getrandbits(128):032x}"
             self._check_serving()
+            check_memory(scope, head.body_is_large)
             await self._forward(scope, receive, send, head)
         except RequestFailedError as error:
             await self._refuse(send, error, head, None)
--- a/src/pewtertack/node/proxy/body.py
+++ b/src/pewtertack/node/proxy/body.py
@@ -33,6 +33,13 @@
     on_caller_gone: Callable[[], None] | None
     """Called once if the caller disconnects before its response is complete."""
 
+    memory_short: bool
+    """Whether callers have used up their memory, so that only a usual request is accepted."""
+
+    @property
+    def is_usual(self) -> bool:
+        """Whether the head is no larger than that of a usual request."""
+
     def drop_body(self) -> None:
         """Discard the rest of the request's body, which nobody will read."""
 
--- a/src/pewtertack/node/proxy/in_flight.py
+++ b/src/pewtertack/node/proxy/in_flight.py
@@ -9,7 +9,10 @@
 
 import anyio
 
+from pewtertack.node.http.cycle import CALLER_EXTENSION, Scope
+from pewtertack.node.proxy.body import Caller
 from pewtertack.node.proxy.upstream import ConnectionPool
+from pewtertack.routing.outcomes import MemoryFullError
 
 
 class Progress(StrEnum):
@@ -23,6 +26,17 @@
     """The head of its response has been sent to the caller."""
 
 
+def check_memory(scope: Scope, body_is_large: bool) -> None:
+    """Refuse a request larger than usual if callers have used up their memory.
+
+    Raises:
+        MemoryFullError: there is no room for the request; it has not run.
+    """
+    caller: Caller = scope["extensions"][CALLER_EXTENSION]
+    if caller.memory_short and (body_is_large or not caller.is_usual):
+        raise MemoryFullError("callers have used up the node's memory for requests")
+
+
 class ActiveRequest(Protocol):
     """One request that is being served."""
 
--- a/src/pewtertack/node/proxy/refusals.py
+++ b/src/pewtertack/node/proxy/refusals.py
@@ -11,6 +11,7 @@
 from pewtertack.routing.outcomes import (
     HeadersTooLargeError,
     InvalidRequestError,
+    MemoryFullError,
     Outcome,
     RequestFailedError,
     SlowRequestError,
@@ -21,6 +22,7 @@
     RefusalReason.UNKNOWN_CODING: InvalidRequestError,
     RefusalReason.HEAD_TOO_LARGE: HeadersTooLargeError,
     RefusalReason.SLOW_HEAD: SlowRequestError,
+    RefusalReason.MEMORY_FULL: MemoryFullError,
 }
 
 
--- a/src/pewtertack/routing/outcomes.py
+++ b/src/pewtertack/routing/outcomes.py
@@ -194,6 +194,16 @@
     code: ClassVar[str] = "bodies-full"
 
 
+class MemoryFullError(NotRunError):
+    """Callers have used up the memory that the node has for their requests."""
+
+    code: ClassVar[str] = "memory-full"
+
+    def __init__(self, message: str) -> None:
+        super().__init__(message)
+        self.reached_backend = False
+
+
 class DeadlineUnmeetableError(NotRunError):
     """No back end is expected to be free in time for the request's deadline."""
 
