Limit the connections of each server, and the kernel's receive buffers

What callers saw: 800 clients that say nothing, or whose requests wait, took all 600 descriptors of a node at the callers', the gateway's, the admin or the metrics address; new connections then waited in the kernel, the platform's question for readiness among them, and a request found no descriptor for its back end.

Cause: nothing limited connections below the process' descriptors; data that a paused connection had received could grow in the kernel without limit.

Change: callers, other nodes, and what callers' requests need get a third each of node.descriptors less those of the node itself, the admin interface 32. At the limit the oldest connection that never had a request is closed, then the longest idle or lingering; while all have requests, a new one is refused at once (connections-full, 503, not run). Requests pipelined on one connection run side by side only while connections are left for them. Metrics pewtertack_caller_*.

--- a/src/pewtertack/node/assembly.py
+++ b/src/pewtertack/node/assembly.py
@@ -109,7 +109,7 @@
     for application in (proxy, gateway):
         if application is not None:
             settings_file.subscribe(application.use_settings)
-    resources = CallerResources(settings.node.memory.bytes)
+    resources = CallerResources(settings.node.memory.bytes, settings.node.descriptors)
     registry.add_collector(lambda: _create_caller_collector(resources))
     return NodeParts(
         settings_file,
--- a/src/pewtertack/node/caller_collector.py
+++ b/src/pewtertack/node/caller_collector.py
@@ -22,8 +22,9 @@
         return iter(())
 
     def collect(self) -> Iterator[Metric]:
-        """Yield the memory that callers hold, and how often the limit took effect."""
+        """Yield the memory and connections of callers, and how often their limits took effect."""
         memory = self._resources.memory
+        limits = [server.limit for server in self._resources.servers]
         yield GaugeMetricFamily(
             "pewtertack_caller_memory_bytes",
             "Memory held for requests beyond a usual one per connection.",
@@ -34,3 +35,18 @@
             "Connections whose incomplete requests were discarded for want of memory.",
             memory.discarded,
         )
+        yield GaugeMetricFamily(
+            "pewtertack_caller_connections",
+            "Open connections of callers.",
+            sum(limit.open for limit in limits),
+        )
+        yield CounterMetricFamily(
+            "pewtertack_caller_connections_closed",
+            "Connections without a request that were closed in favor of a new one.",
+            sum(limit.closed for limit in limits),
+        )
+        yield CounterMetricFamily(
+            "pewtertack_caller_connections_refused",
+            "Connections that were refused: all others had requests.",
+            sum(limit.refused for limit in limits),
+        )
--- a/src/pewtertack/node/daemon.py
+++ b/src/pewtertack/node/daemon.py
@@ -17,7 +17,7 @@
 from pewtertack.events import Event
 from pewtertack.log import EventLog
 from pewtertack.node.early_signals import unblock_signals
-from pewtertack.node.http.caller_resources import CallerResources
+from pewtertack.node.http.caller_resources import MAX_ADMIN_CONNECTIONS, CallerResources
 from pewtertack.node.http.cycle import LOGGER_NAME
 from pewtertack.node.http.server import HttpServer
 from pewtertack.node.library_log import record_library_log
@@ -143,7 +143,12 @@
             for application in (parts.proxy, parts.gateway):
                 if application is not None:
                     tasks.start_soon(application.run)
-            admin = HttpServer(parts.admin, keep_alive, resources=parts.resources)
+            admin = HttpServer(
+                parts.admin,
+                keep_alive,
+                resources=parts.resources,
+                max_connections=MAX_ADMIN_CONNECTIONS,
+            )
             admin_sockets = [parts.sockets.admin, parts.sockets.metrics]
             tasks.start_soon(admin.serve, [sock for sock in admin_sockets if sock is not None])
             servers = _start_servers(parts, tasks, keep_alive)
@@ -175,7 +180,9 @@
         from pewtertack.node.proxy.refusals import typed_refusal
 
         self.stopped = anyio.Event()
-        self._server = HttpServer(application, keep_alive, typed_refusal, resources)
+        self._server = HttpServer(
+            application, keep_alive, typed_refusal, resources, resources.max_connections
+        )
 
     async def serve(self) -> None:
         """Accept callers until told to stop."""
--- a/src/pewtertack/node/http/caller_resources.py
+++ b/src/pewtertack/node/http/caller_resources.py
@@ -1,14 +1,21 @@
-"""Memory that the callers of all servers of a process may occupy together.
+"""Memory and connections that the callers of all servers of a process may occupy together.
 
 A limit on each connection alone does not protect the process: many callers, each within it, can
 exceed the memory of the machine. A usual request is always accepted; larger ones and requests
 pipelined behind another are accepted while they fit. If the memory is used up by data that is still
 arriving, the connection that holds the most of it discards it, and ends after the responses that
 are due. Requests that run are not ended.
+
+Each server has a limit on its connections, so that callers leave descriptors for other nodes and
+for the platform. If they run out, the one that has waited the longest for its first request is
+closed, then the one that has been idle the longest. If all have requests, the new connection is
+refused.
 """
 
 from __future__ import annotations
 
+from collections.abc import Sized
+from itertools import chain
 from typing import Protocol
 
 REQUEST_BYTES = 48 * 1024
@@ -20,6 +27,13 @@
 CALLERS_MEMORY_SHARE = 0.25
 """Share of the process' memory for what is counted. The node itself, connections, buffered bodies,
 responses, and what the allocator cannot reuse take the rest."""
+MAX_OWN_DESCRIPTORS = 256
+OWN_DESCRIPTORS_SHARE = 0.25
+"""Share of the process' descriptors for files, listeners, peers and the platform, up to
+``MAX_OWN_DESCRIPTORS``. The connections of callers, those of other nodes, and those that callers'
+requests need get a third of the rest each."""
+MAX_ADMIN_CONNECTIONS = 32
+"""Connections to the admin interface, which take of the process' own descriptors."""
 UNLIMITED = 1 << 62
 
 
@@ -29,6 +43,9 @@
     def discard_arriving(self) -> None:
         """Discard what was received of requests that are not complete."""
 
+    def close_unused(self) -> bool:
+        """Close the connection unless it has a request; return whether it was closed."""
+
 
 class MemoryBudget:
     """Memory held for callers, by connection.
@@ -77,18 +94,90 @@
             largest.discard_arriving()
 
 
+class ConnectionLimit:
+    """Limits the open connections of one server.
+
+    Args:
+        limit: number of connections.
+    """
+
+    __slots__ = ("_idle", "_unused", "closed", "limit", "open", "refused")
+
+    def __init__(self, limit: int = UNLIMITED) -> None:
+        self.limit = limit
+        self.open = 0
+        self.closed = 0
+        """Number of connections without a request that were closed in favor of a new one."""
+        self.refused = 0
+        """Number of connections that were refused."""
+        self._unused: dict[Connection, None] = {}
+        """Connections that have had no request yet, the oldest first."""
+        self._idle: dict[Connection, None] = {}
+        """Connections that wait for a further request, the longest idle first."""
+
+    def admit(self) -> bool:
+        """Return whether a connection may be opened, after closing one if necessary."""
+        if self.open < self.limit or self._close_one():
+            return True
+        self.refused += 1
+        return False
+
+    def _close_one(self) -> bool:
+        for connection in chain(tuple(self._unused), tuple(self._idle)):
+            if connection.close_unused():
+                self.closed += 1
+                return True
+        return False
+
+    def add(self, connection: Connection) -> None:
+        """Add a connection that has just been opened."""
+        self.open += 1
+        self._unused[connection] = None
+
+    def remove(self, connection: Connection) -> None:
+        """Remove a connection that has ended."""
+        self.open -= 1
+        self.note_request(connection)
+
+    def note_request(self, connection: Connection) -> None:
+        """Note that a connection has a request."""
+        self._unused.pop(connection, None)
+        self._idle.pop(connection, None)
+
+    def note_idle(self, connection: Connection) -> None:
+        """Note that a connection has no more requests."""
+        self._idle[connection] = None
+
+
+class Server(Protocol):
+    """A server that shares the resources."""
+
+    limit: ConnectionLimit
+
+    @property
+    def tasks(self) -> Sized:
+        """The running requests, each of which may need a connection to another server."""
+
+
 class CallerResources:
     """What the servers of a process share.
 
     Args:
         memory: the process' memory in bytes.
+        descriptors: the process' file descriptors.
     """
 
-    __slots__ = ("memory",)
+    __slots__ = ("max_connections", "memory", "servers")
 
-    def __init__(self, memory: int = UNLIMITED) -> None:
+    def __init__(self, memory: int = UNLIMITED, descriptors: int = UNLIMITED) -> None:
+        own = min(MAX_OWN_DESCRIPTORS, int(descriptors * OWN_DESCRIPTORS_SHARE))
         self.memory = MemoryBudget(int(memory * CALLERS_MEMORY_SHARE))
+        self.max_connections = (descriptors - own) // 3
+        """Connections of callers and, as many again, of other nodes."""
+        self.servers: list[Server] = []
 
     def may_run_another(self) -> bool:
         """Return whether a pipelined request may run beside the one before it."""
-        return self.memory.has_room(REQUEST_BYTES)
+        if not self.memory.has_room(REQUEST_BYTES):
+            return False
+        return sum(len(server.tasks) for server in self.servers) < self.max_connections
--- a/src/pewtertack/node/http/protocol.py
+++ b/src/pewtertack/node/http/protocol.py
@@ -107,6 +107,7 @@
         """Start waiting for the first head."""
         self.transport = transport
         self._server.connections.add(self)
+        self._server.limit.add(self)
         self._start_deadline(HEAD_SECONDS, self._refuse_slow_head)
 
     def connection_lost(self, exc: Exception | None) -> None:  # noqa: ARG002 (interface)
@@ -128,6 +129,7 @@
         self._unparsed = b""
         self._pipeline.requests.clear()
         self._resources.memory.note(self, 0, 0)
+        self._server.limit.remove(self)
         del self._parser
 
     def eof_received(self) -> None:
@@ -263,6 +265,15 @@
         self._update_reading()
         self._note_memory()
 
+    def close_unused(self) -> bool:
+        """Close the connection unless it has a request (``ConnectionLimit``)."""
+        self._read_now()
+        has_request = bool(self._pipeline.requests) and not self._lingering
+        if has_request or self.unsent or self.transport.is_closing():
+            return False
+        self.transport.abort()
+        return True
+
     def _limit_head(self) -> None:
         if not self._reading_head:
             self._limit_overhead()
@@ -312,6 +323,8 @@
         self._newest = cycle
         self._last_request = not self._parser.should_keep_alive()
         cycle.may_write = self._pipeline.add(cycle)
+        if cycle.may_write:
+            self._server.limit.note_request(self)
         self._start_requests()
 
     def on_body(self, body: bytes) -> None:
@@ -426,6 +439,7 @@
         """Close after the caller does; data it sent after the last response is discarded."""
         self._discarding = self._lingering = True
         self._unparsed = b""
+        self._server.limit.note_idle(self)
         unanswered = sum(cycle.received for cycle in self._pipeline.requests)
         if unanswered:
             logger.warning("closing a connection with complete requests unanswered: %d", unanswered)
@@ -448,6 +462,7 @@
             self.transport.close()
 
     def _note_idle(self) -> None:
+        self._server.limit.note_idle(self)
         self._idle_since = self.loop.time()
         if self._idle_timer is None:
             self._idle_timer = self.loop.call_later(self._server.keep_alive, self._close_idle)
--- a/src/pewtertack/node/http/refusals.py
+++ b/src/pewtertack/node/http/refusals.py
@@ -14,6 +14,7 @@
     HEAD_TOO_LARGE = "the request's head is too large"
     SLOW_HEAD = "the request's head came too slowly"
     MEMORY_FULL = "callers have used up the node's memory for requests"
+    CONNECTIONS_FULL = "callers have used up the node's connections"
 
 
 class HeadRefusedError(Exception):
@@ -37,6 +38,7 @@
     RefusalReason.HEAD_TOO_LARGE: b"431 Request Header Fields Too Large",
     RefusalReason.SLOW_HEAD: b"408 Request Timeout",
     RefusalReason.MEMORY_FULL: b"503 Service Unavailable",
+    RefusalReason.CONNECTIONS_FULL: b"503 Service Unavailable",
 }
 
 
--- a/src/pewtertack/node/http/server.py
+++ b/src/pewtertack/node/http/server.py
@@ -14,14 +14,27 @@
 import time
 from collections.abc import Sequence
 from functools import partial
-from socket import IPPROTO_TCP, TCP_NODELAY, TCP_NOTSENT_LOWAT, socket
+from socket import (
+    IPPROTO_TCP,
+    SHUT_WR,
+    SO_RCVBUF,
+    SOL_SOCKET,
+    TCP_NODELAY,
+    TCP_NOTSENT_LOWAT,
+    socket,
+)
 from typing import Any
 
 from pewtertack.node.accepting import Acceptor
-from pewtertack.node.http.caller_resources import CallerResources
+from pewtertack.node.http.caller_resources import (
+    RECEIVE_BUFFER_BYTES,
+    UNLIMITED,
+    CallerResources,
+    ConnectionLimit,
+)
 from pewtertack.node.http.cycle import LOGGER_NAME
 from pewtertack.node.http.protocol import HttpServerProtocol
-from pewtertack.node.http.refusals import RefusalWriter, plain_refusal
+from pewtertack.node.http.refusals import RefusalReason, RefusalWriter, plain_refusal
 from pewtertack.node.http.system_buffer import NOTSENT_LOWAT_BYTES, enlarge_send_buffer
 from pewtertack.node.http.transport import StreamTransport
 from pewtertack.node.http.unread import SlowReaders
@@ -45,6 +58,7 @@
         keep_alive: seconds for which an idle connection stays open.
         refuse: creates the response to data that is not a valid request.
         resources: what the servers of the process share; by default without limits.
+        max_connections: limit on open connections.
     """
 
     def __init__(
@@ -53,14 +67,17 @@
         keep_alive: float,
         refuse: RefusalWriter = plain_refusal,
         resources: CallerResources | None = None,
+        max_connections: int = UNLIMITED,
     ) -> None:
         self.application = application
         self.keep_alive = max(1.0, keep_alive)
         self.refuse = refuse
         self.resources = resources or CallerResources()
+        self.limit = ConnectionLimit(max_connections)
         self.connections: set[HttpServerProtocol] = set()
         self.slow_readers = SlowReaders(getattr(application, RELAY_ATTRIBUTE, False))
         self.tasks: set[asyncio.Task[None]] = set()
+        self.resources.servers.append(self)
         self._date_headers: list[tuple[bytes, bytes]] = []
         self._date_period = -1.0
         """Index of the ``DATE_SECONDS`` period for which ``_date_headers`` is valid."""
@@ -85,6 +102,8 @@
         loop = asyncio.get_running_loop()
         serve = partial(self._serve_connection, loop)
         acceptors = [Acceptor(loop, listener, serve) for listener in sockets]
+        for listener in sockets:  # accepted connections inherit it
+            listener.setsockopt(SOL_SOCKET, SO_RCVBUF, RECEIVE_BUFFER_BYTES)
         for acceptor in acceptors:
             acceptor.start()
         try:
@@ -99,12 +118,21 @@
         await self._finish_responses()
 
     def _serve_connection(self, loop: asyncio.AbstractEventLoop, accepted: socket) -> None:
+        if not self.limit.admit():
+            self._refuse_connection(accepted)
+            return
         # Connections made before the listener had these options do not inherit them. With Nagle's
         # algorithm a head and a body written separately take 40 ms.
         accepted.setsockopt(IPPROTO_TCP, TCP_NODELAY, 1)
         accepted.setsockopt(IPPROTO_TCP, TCP_NOTSENT_LOWAT, NOTSENT_LOWAT_BYTES)
         StreamTransport(loop, accepted, HttpServerProtocol(self, loop))
 
+    def _refuse_connection(self, accepted: socket) -> None:
+        """Refuse the request that the connection would bring: it is not read."""
+        with accepted, contextlib.suppress(OSError):  # the caller has disconnected
+            accepted.send(self.refuse(RefusalReason.CONNECTIONS_FULL, False))
+            accepted.shutdown(SHUT_WR)
+
     def enlarge_send_buffers(self) -> None:
         """Let the kernel accept the rest of the responses, to send it after the process ends."""
         for connection in self.connections:
--- a/src/pewtertack/node/proxy/refusals.py
+++ b/src/pewtertack/node/proxy/refusals.py
@@ -9,6 +9,7 @@
 from pewtertack.node.http.refusals import RefusalReason
 from pewtertack.node.proxy.failure_responses import failure_body, failure_head
 from pewtertack.routing.outcomes import (
+    ConnectionsFullError,
     HeadersTooLargeError,
     InvalidRequestError,
     MemoryFullError,
@@ -23,6 +24,7 @@
     RefusalReason.HEAD_TOO_LARGE: HeadersTooLargeError,
     RefusalReason.SLOW_HEAD: SlowRequestError,
     RefusalReason.MEMORY_FULL: MemoryFullError,
+    RefusalReason.CONNECTIONS_FULL: ConnectionsFullError,
 }
 
 
--- a/src/pewtertack/routing/outcomes.py
+++ b/src/pewtertack/routing/outcomes.py
@@ -204,6 +204,12 @@
         self.reached_backend = False
 
 
+class ConnectionsFullError(NotRunError):
+    """Callers have used up the connections that the node has for them."""
+
+    code: ClassVar[str] = "connections-full"
+
+
 class DeadlineUnmeetableError(NotRunError):
     """No back end is expected to be free in time for the request's deadline."""
 
