A gateway's refusal of unreadable input names itself as such

What callers saw: after a crowd with large heads an ordinary request was refused for 9.2 s (503, no-backend, "all back ends of desk are ejected"), then served.

Cause: a gateway's parser refuses a head (400, 408, 431, and now memory-full) with a response that names neither the request nor the gateway. The sender takes it for an answer of the back end to another request (crossed-answer), which counts as broken: some in a row eject a back end that never saw them.

Change: the applications write these refusals; the gateway's carry hop.FAILURE, by which a sender tells its failures from the back end's, with the outcome and whether the back end was reached.

--- a/src/pewtertack/node/daemon.py
+++ b/src/pewtertack/node/daemon.py
@@ -19,6 +19,7 @@
 from pewtertack.node.early_signals import unblock_signals
 from pewtertack.node.http.caller_resources import MAX_ADMIN_CONNECTIONS, CallerResources
 from pewtertack.node.http.cycle import LOGGER_NAME
+from pewtertack.node.http.refusals import RefusalReason
 from pewtertack.node.http.server import HttpServer
 from pewtertack.node.library_log import record_library_log
 from pewtertack.node.runtime import Runtime
@@ -63,6 +64,9 @@
     async def __call__(self, scope: Any, receive: Any, send: Any) -> None:
         """Serve one request."""
 
+    def write_refusal(self, reason: RefusalReason, started: bool) -> bytes:
+        """Return the response to data that is not a valid request (``RefusalWriter``)."""
+
     def start_leaving(self, seconds: float) -> None:
         """Prepare for the shutdown, which ends all requests within ``seconds``."""
 
@@ -176,12 +180,13 @@
         self.final_response_seconds = final_response_seconds
         """Seconds before the end of a shutdown at which requests still running are ended."""
         self._listener = listener
-        # Imported only on nodes with a proxy or a gateway.
-        from pewtertack.node.proxy.refusals import typed_refusal
-
         self.stopped = anyio.Event()
         self._server = HttpServer(
-            application, keep_alive, typed_refusal, resources, resources.max_connections
+            application,
+            keep_alive,
+            application.write_refusal,
+            resources,
+            resources.max_connections,
         )
 
     async def serve(self) -> None:
--- a/src/pewtertack/node/gateway/application.py
+++ b/src/pewtertack/node/gateway/application.py
@@ -34,6 +34,7 @@
 )
 from pewtertack.node.gateway.incarnations import Incarnation, Incarnations
 from pewtertack.node.gateway.metrics import GatewayMetrics
+from pewtertack.node.gateway.refusals import gateway_refusal
 from pewtertack.node.gateway.report_headers import (
     LEAVING_HEADERS,
     link_headers,
@@ -179,6 +180,8 @@
         """Limit on request heads in bytes, including the headers that nodes add."""
         self._cold_watch = ColdWatch(self, edge.cold_milliseconds, clock)
 
+    write_refusal = staticmethod(gateway_refusal)
+
     @property
     def address(self) -> str:
         """``ip:port`` of the local back end."""
--- a/src/pewtertack/node/proxy/application.py
+++ b/src/pewtertack/node/proxy/application.py
@@ -31,6 +31,7 @@
     RequestMetrics,
 )
 from pewtertack.node.proxy.probing import GatewayProber
+from pewtertack.node.proxy.refusals import typed_refusal
 from pewtertack.node.proxy.request_log import KnownVersions, ProxyLog, RecordEvent, ignore_event
 from pewtertack.node.proxy.stop_time import notify_gateways
 from pewtertack.node.proxy.upstream import ConnectionPool
@@ -155,6 +156,8 @@
         self.configuration_wait = ConfigurationWait(clock)
         """Holds requests whose route a newer configuration may have."""
 
+    write_refusal = staticmethod(typed_refusal)
+
     def set_leaving_observer(self, observer: LeavingObserver) -> None:
         """Have ``observer`` called once for each back end that reports itself as leaving."""
         self._leaving_observer = observer
