A caller that stops sending its body does not count against the back end

What callers saw: clients that stop in the midst of an upload, or are closed then, had the back end ejected: everybody else got 503 (no-backend) for 10 s.

Cause: an attempt that ends without an answer after a second, by its deadline or since its caller left, counts as a failure of the back end, also where the back end was only waiting for the caller to go on.

Change: the attempt says whether the next part of the body had been asked for and not been sent; then its end says nothing of the back end.

Evidence: tests/node/proxy/test_stalled_uploads.py fails without the change (503 no-backend, "are ejected") and passes with it. Not covered: an upload that goes on without end until its deadline.

--- a/src/pewtertack/node/proxy/body.py
+++ b/src/pewtertack/node/proxy/body.py
@@ -86,6 +86,8 @@
     def __init__(self, receive: Receive, expected: bool, bodies: BufferedBodies) -> None:
         self.complete = not expected
         """Whether all of it has been received."""
+        self.awaits_caller = False
+        """Whether the next part has been asked for, and the caller has not sent it."""
         self._receive = receive
         self._bodies = bodies
         self._chunks: list[bytes] | None = []
@@ -153,8 +155,10 @@
         self._chunks = None
 
     async def _next_chunk(self) -> bytes:
+        self.awaits_caller = True
         with anyio.move_on_after(BODY_IDLE_SECONDS) as timeout:
             message = await self._receive()
+            self.awaits_caller = False
         if timeout.cancelled_caught:
             raise SlowRequestError("the request body came too slowly")
         if message["type"] == "http.disconnect":
--- a/src/pewtertack/node/proxy/forwarding.py
+++ b/src/pewtertack/node/proxy/forwarding.py
@@ -334,6 +334,7 @@
             raise
         finally:
             self._attempt_active = False
+            self._ticket.awaits_caller = self._body.awaits_caller
             self._finish(result)
 
     async def _exchange_with(self, backend: Backend) -> None:
--- a/src/pewtertack/routing/attempt_results.py
+++ b/src/pewtertack/routing/attempt_results.py
@@ -81,4 +81,6 @@
         return ticket.trial
     if result not in (AttemptResult.TIMED_OUT, AttemptResult.CANCELLED):
         return True
+    if ticket.awaits_caller:
+        return False
     return not ticket.answered and now - ticket.started_at >= MIN_SIGNIFICANT_SECONDS
--- a/src/pewtertack/routing/queueing.py
+++ b/src/pewtertack/routing/queueing.py
@@ -57,6 +57,8 @@
     expires_at: float = 0.0
     answered: bool = False
     """Whether the back end's answer has begun."""
+    awaits_caller: bool = False
+    """Whether the attempt ended while the back end waited for the caller to send the body."""
     hung: bool = False
     """Whether the gateway takes the back end to hang on it."""
     report: LoadReport | None = None
