Answers with a status outside 100 to 599 end their exchange at once

What callers saw: 504 after the route's whole time, though the answer was there at once, and nothing sent again where the request may be repeated. It never reached a client as an answer: 000, 099, 600 and 999 were tried from a back end behind a gateway, on a route that may be repeated and one that may not. 1xx are provisional and are waited out, as RFC 9110 asks.

Cause: a status below 200 counted as provisional, so the answer was waited for; one above 599 was handed on, and the gateway's own server had no status line for it.

Change: such a status breaks the exchange (InvalidStatusError) in the reader of both hops; the request has an unknown outcome: 502 at once, or another attempt where it may be repeated.

Open: the last back end of a service is still ejected for such answers.

--- a/src/pewtertack/node/http/response_reading.py
+++ b/src/pewtertack/node/http/response_reading.py
@@ -19,6 +19,8 @@
 MAX_OVERHEAD_BYTES = 64 * 1024
 """Bytes that a response may have in a row without any of its body: provisional responses, the head,
 chunk sizes with their extensions, trailers. One read may go beyond it."""
+STATUSES = range(100, 600)
+"""Valid statuses (RFC 9110, section 15)."""
 CONTINUE_STATUS = 100
 FIRST_FINAL_STATUS = 200
 
@@ -35,6 +37,12 @@
     code = "overhead-limit"
 
 
+class InvalidStatusError(ExchangeBrokenError):
+    """The status of the response is not one of HTTP, so nothing is known of the request."""
+
+    code = "invalid-status"
+
+
 class ResponseReadingProtocol(SharedBufferProtocol):
     """Collects the response from httptools' callbacks and hands it to the reader."""
 
@@ -80,8 +88,15 @@
             self._headers.append((name, value))
 
     def on_headers_complete(self) -> None:
-        """Store the head, unless it belongs to a provisional (1xx) response."""
+        """Store the head, unless it belongs to a provisional (1xx) response.
+
+        Raises:
+            InvalidStatusError: it is also stored as the exchange's failure.
+        """
         status = self._parser.get_status_code()
+        if status not in STATUSES:
+            self._failure = InvalidStatusError(f"invalid status {status:03}")
+            raise self._failure
         if status == CONTINUE_STATUS:
             self._continue_received = True
         elif status == PROCESSING:
