A running upload goes on while callers' memory is used up

Cause: read data that waits to be parsed counted as discardable also where it is the body of the request whose response is due; discarding refused that request.

Change: data that belongs to that request is counted, but not as arriving.

Evidence: test_a_running_upload_goes_on_while_memory_is_used_up failed before (503) and passes.

--- a/src/pewtertack/node/http/protocol.py
+++ b/src/pewtertack/node/http/protocol.py
@@ -235,10 +235,15 @@
         newest, first = self._newest, self._pipeline.first
         if (newest is not None and newest.body_full) or self._pipeline.full:
             return False
-        if first is None or (first is newest and not first.received):
+        if first is None or self._is_receiving_first():
             return True
         return self._resources.memory.has_room() and self._waiting_memory() < MAX_WAITING_BYTES
 
+    def _is_receiving_first(self) -> bool:
+        """Return whether arriving data belongs to the request whose response is due."""
+        first = self._pipeline.first
+        return first is not None and first is self._newest and not first.received
+
     def _waiting_memory(self) -> int:
         """Return the memory of the requests behind the first, also of one being received."""
         requests = self._pipeline.requests
@@ -247,14 +252,12 @@
 
     def _note_memory(self) -> bool:
         """Have the process' budget count what the connection holds; return whether it does."""
-        arriving = len(self._unparsed) + (self.head_memory if self._reading_head else 0)
-        size = arriving
-        for cycle in self._pipeline.requests:
-            size += cycle.memory + (REQUEST_BYTES if cycle.started else 0)
+        size = len(self._unparsed) + (self.head_memory if self._reading_head else 0)
         if self._reading_paused:
             size += RECEIVE_BUFFER_BYTES
-            if arriving:
-                arriving += RECEIVE_BUFFER_BYTES
+        arriving = 0 if self._is_receiving_first() else size
+        for cycle in self._pipeline.requests:
+            size += cycle.memory + (REQUEST_BYTES if cycle.started else 0)
         if size > FREE_BYTES or self._memory_counted:
             self._memory_counted = self._resources.memory.note(self, size, arriving)
         return self._memory_counted
--- a/tests/node/http/test_caller_resources.py
+++ b/tests/node/http/test_caller_resources.py
@@ -20,6 +20,7 @@
 SMALL = b"GET /%d HTTP/1.1\r\nhost: desk.example\r\n\r\n"
 REQUESTS = 40
 SOON_SECONDS = 10.0
+UPLOAD_BYTES = 1_000_000
 MEMORY_BYTES = 64 * 1024 * 1024
 
 
@@ -179,6 +180,18 @@
                 line = await asyncio.wait_for(reader.readline(), SOON_SECONDS)
                 self.assertEqual(line.split()[1], expected)
 
+    async def test_a_running_upload_goes_on_while_memory_is_used_up(self) -> None:
+        port = await self.start(resources := CallerResources(MEMORY_BYTES))
+        reader, writer = await self.open(port)
+        body = b"u" * UPLOAD_BYTES
+        writer.write(b"POST /1 HTTP/1.1\r\nhost: a\r\ncontent-length: %d\r\n\r\n" % len(body))
+        writer.write(body)
+        await self.wait_for(lambda: resources.memory.held_bytes)
+        resources.memory.note(FakeConnection(), MEMORY_BYTES, 0)
+        resources.memory.relieve()
+        self.release.set()
+        await self.read_answers(reader, 1)
+
     async def test_a_request_is_told_that_memory_is_short(self) -> None:
         port = await self.start(resources := CallerResources(MEMORY_BYTES))
         self.release.set()
