--- a/src/pewtertack/node/assembly.py
+++ b/src/pewtertack/node/assembly.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import resource
 from collections.abc import Callable
 from random import Random
 from typing import TYPE_CHECKING, Protocol
@@ -19,7 +20,7 @@
 from pewtertack.node.crash_reporter import CrashReporter
 from pewtertack.node.daemon import NodeParts
 from pewtertack.node.gate import ServingGate
-from pewtertack.node.http.caller_resources import CallerResources
+from pewtertack.node.http.caller_resources import UNLIMITED, CallerResources
 from pewtertack.node.runtime import DocumentReader, Runtime
 from pewtertack.node.settings_file import SettingsFile
 from pewtertack.node.sockets import NodeSockets, address_of
@@ -109,7 +110,7 @@
     for application in (proxy, gateway):
         if application is not None:
             settings_file.subscribe(application.use_settings)
-    resources = CallerResources(settings.node.memory.bytes, settings.node.descriptors)
+    resources = CallerResources(settings.node.memory.bytes, _descriptor_limit(settings))
     registry.add_collector(lambda: _create_caller_collector(resources))
     return NodeParts(
         settings_file,
@@ -148,6 +149,14 @@
     return CoordinationCollector(view.status, traffic)
 
 
+def _descriptor_limit(settings: Settings) -> int:
+    """Return the number of descriptors that the process may use."""
+    own_limit = resource.getrlimit(resource.RLIMIT_NOFILE)[0]
+    if own_limit == resource.RLIM_INFINITY:
+        return settings.node.descriptors or UNLIMITED
+    return min(settings.node.descriptors or own_limit, own_limit)
+
+
 def _create_caller_collector(resources: CallerResources) -> Collector:
     """Return the collector of what callers hold; it is imported only when metrics are read."""
     from pewtertack.node.caller_collector import CallerCollector
--- a/src/pewtertack/node/caller_collector.py
+++ b/src/pewtertack/node/caller_collector.py
@@ -37,7 +37,7 @@
         )
         yield GaugeMetricFamily(
             "pewtertack_caller_connections",
-            "Open connections of callers.",
+            "Open connections of callers, other nodes and users of the admin interface.",
             sum(limit.open for limit in limits),
         )
         yield CounterMetricFamily(
--- a/src/pewtertack/node/http/caller_resources.py
+++ b/src/pewtertack/node/http/caller_resources.py
@@ -38,7 +38,7 @@
 
 
 class Connection(Protocol):
-    """A caller's connection that holds memory."""
+    """A caller's connection, as the limits use it."""
 
     def discard_arriving(self) -> None:
         """Discard what was received of requests that are not complete."""
--- a/src/pewtertack/settings/checks.py
+++ b/src/pewtertack/settings/checks.py
@@ -114,7 +114,8 @@
     memory = settings.node.memory.bytes
     _check_range(location, "node.memory", memory, MEMORY_BYTES_MIN, MEMORY_BYTES_MAX)
     descriptors = settings.node.descriptors
-    _check_range(location, "node.descriptors", descriptors, DESCRIPTORS_MIN, DESCRIPTORS_MAX)
+    if descriptors:
+        _check_range(location, "node.descriptors", descriptors, DESCRIPTORS_MIN, DESCRIPTORS_MAX)
     hold = settings.source.hold_after_return.seconds
     _check_range(location, "source.hold_after_return", hold, 0.0, HOLD_SECONDS_MAX)
     _check_range(location, "limits.cold_overage", limits.cold_overage, 0.0, COLD_OVERAGE_MAX)
--- a/src/pewtertack/settings/schema.py
+++ b/src/pewtertack/settings/schema.py
@@ -36,8 +36,8 @@
     """Bandwidth of the machine's link in Mbit/s; 0 if unknown."""
     memory: Size = Size(200 * 1024 * 1024)
     """Memory that the process may use, including received data that it has not read."""
-    descriptors: int = 1024
-    """File descriptors that the process may use."""
+    descriptors: int = 0
+    """File descriptors that the process may use; 0 for as many as its own limit allows."""
 
 
 class ListenSection(msgspec.Struct, frozen=True, kw_only=True):
