Limits on callers cost a usual request nothing

Cause: test_hop_cost and test_import_stubs failed since the limits came: a served hop took 1,087 function calls (1,040 allowed), one on a new connection 1,273 (1,200), and the modules of a node 17,732 KiB (17,700). Each receipt computed what its connection holds, each request moved its connection between the lists of unused ones, and classes came for each.

Change: a receipt after which there is one small request at most, computes nothing.

--- a/src/pewtertack/node/assembly.py
+++ b/src/pewtertack/node/assembly.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-import resource
+import os
 from collections.abc import Callable
 from random import Random
 from typing import TYPE_CHECKING, Protocol
@@ -151,9 +151,9 @@
 
 def _descriptor_limit(settings: Settings) -> int:
     """Return the number of descriptors that the process may use."""
-    own_limit = resource.getrlimit(resource.RLIMIT_NOFILE)[0]
-    if own_limit == resource.RLIM_INFINITY:
-        return settings.node.descriptors or UNLIMITED
+    own_limit = os.sysconf("SC_OPEN_MAX")
+    if own_limit < 0:  # it has none
+        own_limit = UNLIMITED
     return min(settings.node.descriptors or own_limit, own_limit)
 
 
--- a/src/pewtertack/node/caller_collector.py
+++ b/src/pewtertack/node/caller_collector.py
@@ -24,7 +24,7 @@
     def collect(self) -> Iterator[Metric]:
         """Yield the memory and connections of callers, and how often their limits took effect."""
         memory = self._resources.memory
-        limits = [server.limit for server in self._resources.servers]
+        servers = self._resources.servers
         yield GaugeMetricFamily(
             "pewtertack_caller_memory_bytes",
             "Memory held for requests beyond a usual one per connection.",
@@ -38,15 +38,15 @@
         yield GaugeMetricFamily(
             "pewtertack_caller_connections",
             "Open connections of callers, other nodes and users of the admin interface.",
-            sum(limit.open for limit in limits),
+            sum(server.open_connections for server in servers),
         )
         yield CounterMetricFamily(
             "pewtertack_caller_connections_closed",
             "Connections without a request that were closed in favor of a new one.",
-            sum(limit.closed for limit in limits),
+            sum(server.closed_unused for server in servers),
         )
         yield CounterMetricFamily(
             "pewtertack_caller_connections_refused",
             "Connections that were refused: all others had requests.",
-            sum(limit.refused for limit in limits),
+            sum(server.refused_connections for server in servers),
         )
--- a/src/pewtertack/node/gateway/application.py
+++ b/src/pewtertack/node/gateway/application.py
@@ -34,7 +34,6 @@
 )
 from pewtertack.node.gateway.incarnations import Incarnation, Incarnations
 from pewtertack.node.gateway.metrics import GatewayMetrics
-from pewtertack.node.gateway.refusals import gateway_refusal
 from pewtertack.node.gateway.report_headers import (
     LEAVING_HEADERS,
     link_headers,
@@ -43,9 +42,10 @@
     rate_headers,
 )
 from pewtertack.node.http.client import ServiceResponse
-from pewtertack.node.http.cycle import Scope
+from pewtertack.node.http.cycle import CALLER_EXTENSION, Scope
 from pewtertack.node.http.framing import RawHeaders
 from pewtertack.node.http.heads import DEFAULT_HEAD_LIMIT
+from pewtertack.node.http.refusals import RefusalReason
 from pewtertack.node.pacing import LinkPacer
 from pewtertack.node.proxy.body import CallerGoneError
 from pewtertack.node.proxy.edge import NODE_EDGE, EdgeHeaders
@@ -58,6 +58,7 @@
     read_response_meta,
 )
 from pewtertack.node.proxy.in_flight import DrainableApplication, check_memory
+from pewtertack.node.proxy.refusals import refusal_error, write_refusal
 from pewtertack.node.proxy.request_log import GatewayLog, RecordEvent, ignore_event
 from pewtertack.node.proxy.upstream import ConnectionPool
 from pewtertack.routing.cold import ColdBounds
@@ -180,7 +181,16 @@
         """Limit on request heads in bytes, including the headers that nodes add."""
         self._cold_watch = ColdWatch(self, edge.cold_milliseconds, clock)
 
-    write_refusal = staticmethod(gateway_refusal)
+    @staticmethod
+    def write_refusal(reason: RefusalReason, started: bool) -> bytes:
+        """Return the response to data that is not a valid request (``RefusalWriter``).
+
+        It is marked as the gateway's failure: a response that names no request would otherwise
+        count against the back end.
+        """
+        error = refusal_error(reason, started)
+        error.reached_backend = started
+        return write_refusal(error, [failure_header(error)])
 
     @property
     def address(self) -> str:
@@ -294,7 +304,8 @@
         request: HopRequest | None = None
         try:
             head = read_head(scope["headers"], NODE_EDGE)
-            check_memory(scope, head.body_is_large)
+            if scope["extensions"][CALLER_EXTENSION].memory_short:
+                check_memory(scope, head.body_is_large)
             request = read_hop(scope["headers"])
             if request.invalid_stop_time:
                 self._metrics.note_invalid_stop_time()
--- a/src/pewtertack/node/http/caller_resources.py
+++ b/src/pewtertack/node/http/caller_resources.py
@@ -7,16 +7,24 @@
 are due. Requests that run are not ended.
 
 Each server has a limit on its connections, so that callers leave descriptors for other nodes and
-for the platform. If they run out, the one that has waited the longest for its first request is
-closed, then the one that has been idle the longest. If all have requests, the new connection is
-refused.
+for the platform (``node.http.making_room``).
 """
 
 from __future__ import annotations
 
-from collections.abc import Sized
-from itertools import chain
-from typing import Protocol
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from typing import Protocol
+
+    from pewtertack.node.http.server import HttpServer
+
+    class Connection(Protocol):
+        """A caller's connection that holds memory."""
+
+        def discard_arriving(self) -> None:
+            """Discard what was received of requests that are not complete."""
+
 
 REQUEST_BYTES = 48 * 1024
 """Memory that a running request takes beside its own bytes, at a node that forwards it."""
@@ -37,16 +45,6 @@
 UNLIMITED = 1 << 62
 
 
-class Connection(Protocol):
-    """A caller's connection, as the limits use it."""
-
-    def discard_arriving(self) -> None:
-        """Discard what was received of requests that are not complete."""
-
-    def close_unused(self) -> bool:
-        """Close the connection unless it has a request; return whether it was closed."""
-
-
 class MemoryBudget:
     """Memory held for callers, by connection.
 
@@ -94,71 +92,6 @@
             largest.discard_arriving()
 
 
-class ConnectionLimit:
-    """Limits the open connections of one server.
-
-    Args:
-        limit: number of connections.
-    """
-
-    __slots__ = ("_idle", "_unused", "closed", "limit", "open", "refused")
-
-    def __init__(self, limit: int = UNLIMITED) -> None:
-        self.limit = limit
-        self.open = 0
-        self.closed = 0
-        """Number of connections without a request that were closed in favor of a new one."""
-        self.refused = 0
-        """Number of connections that were refused."""
-        self._unused: dict[Connection, None] = {}
-        """Connections that have had no request yet, the oldest first."""
-        self._idle: dict[Connection, None] = {}
-        """Connections that wait for a further request, the longest idle first."""
-
-    def admit(self) -> bool:
-        """Return whether a connection may be opened, after closing one if necessary."""
-        if self.open < self.limit or self._close_one():
-            return True
-        self.refused += 1
-        return False
-
-    def _close_one(self) -> bool:
-        for connection in chain(tuple(self._unused), tuple(self._idle)):
-            if connection.close_unused():
-                self.closed += 1
-                return True
-        return False
-
-    def add(self, connection: Connection) -> None:
-        """Add a connection that has just been opened."""
-        self.open += 1
-        self._unused[connection] = None
-
-    def remove(self, connection: Connection) -> None:
-        """Remove a connection that has ended."""
-        self.open -= 1
-        self.note_request(connection)
-
-    def note_request(self, connection: Connection) -> None:
-        """Note that a connection has a request."""
-        self._unused.pop(connection, None)
-        self._idle.pop(connection, None)
-
-    def note_idle(self, connection: Connection) -> None:
-        """Note that a connection has no more requests."""
-        self._idle[connection] = None
-
-
-class Server(Protocol):
-    """A server that shares the resources."""
-
-    limit: ConnectionLimit
-
-    @property
-    def tasks(self) -> Sized:
-        """The running requests, each of which may need a connection to another server."""
-
-
 class CallerResources:
     """What the servers of a process share.
 
@@ -174,7 +107,8 @@
         self.memory = MemoryBudget(int(memory * CALLERS_MEMORY_SHARE))
         self.max_connections = (descriptors - own) // 3
         """Connections of callers and, as many again, of other nodes."""
-        self.servers: list[Server] = []
+        self.servers: list[HttpServer] = []
+        """The servers, whose running requests may each need a connection to another server."""
 
     def may_run_another(self) -> bool:
         """Return whether a pipelined request may run beside the one before it."""
--- a/src/pewtertack/node/http/protocol.py
+++ b/src/pewtertack/node/http/protocol.py
@@ -18,7 +18,13 @@
     RECEIVE_BUFFER_BYTES,
     REQUEST_BYTES,
 )
-from pewtertack.node.http.cycle import LOGGER_NAME, RequestCycle, Scope
+from pewtertack.node.http.cycle import (
+    BODY_BUFFER_LIMIT,
+    LOGGER_NAME,
+    USUAL_HEAD_BYTES,
+    RequestCycle,
+    Scope,
+)
 from pewtertack.node.http.heads import DEFAULT_HEAD_LIMIT, RequestReadingProtocol
 from pewtertack.node.http.pipeline import Pipeline
 from pewtertack.node.http.refusals import RefusalReason
@@ -43,6 +49,8 @@
 """Received data is parsed in slices of this size, so that limits are checked in between."""
 BODY_SLICE_BYTES = 16 * 1024
 """Size of a slice that starts within a body, which takes no more memory than its bytes."""
+USUAL_HEADERS = 64
+"""Headers of an incomplete head from which on its memory is counted."""
 MAX_WAITING_BYTES = 64 * 1024
 """Memory of the requests behind the first of a connection beyond which no more data is parsed."""
 REPEATABLE_METHOD = "may_run_beside"
@@ -89,7 +97,9 @@
         self._parsing = False
         self._resources = server.resources
         self._memory_counted = False
-        """Whether the process' memory budget counts what the connection holds."""
+        """Whether the process' memory budget counts what the connection holds, or should."""
+        self._making_room = False
+        """Whether the connection is being closed in favor of another."""
         self._discarding = False
         """Data that still arrives is discarded."""
         self._last_request = False
@@ -107,7 +117,7 @@
         """Start waiting for the first head."""
         self.transport = transport
         self._server.connections.add(self)
-        self._server.limit.add(self)
+        self._server.open_connections += 1
         self._start_deadline(HEAD_SECONDS, self._refuse_slow_head)
 
     def connection_lost(self, exc: Exception | None) -> None:  # noqa: ARG002 (interface)
@@ -128,8 +138,10 @@
         self._newest = None
         self._unparsed = b""
         self._pipeline.requests.clear()
-        self._resources.memory.note(self, 0, 0)
-        self._server.limit.remove(self)
+        if self._memory_counted:
+            self._resources.memory.note(self, 0, 0)
+        if not self._making_room:
+            self._server.open_connections -= 1
         del self._parser
 
     def eof_received(self) -> None:
@@ -192,13 +204,27 @@
             self._parse_unparsed()
         else:
             self._parse(data)
+            if self._is_usual():
+                return
         self._update_reading()
         if self._note_memory():
             self._resources.memory.relieve()
 
+    def _is_usual(self) -> bool:
+        """Return whether no limit can be reached: there is one request at most, and a small one.
+
+        This is the case for nearly all requests, so it makes no further calls.
+        """
+        newest = self._newest
+        if self._memory_counted or self._reading_paused or len(self._pipeline.requests) > 1:
+            return False
+        return len(self._headers) < USUAL_HEADERS and (
+            newest is None or len(newest.body) < BODY_BUFFER_LIMIT
+        )
+
     def _parse_unparsed(self) -> None:
         """Parse the data that waits, until the requests it contains take too much memory."""
-        if self._parsing or not self._unparsed:
+        if self._parsing:
             return
         data, position = self._unparsed, 0
         self._parsing = True
@@ -268,12 +294,26 @@
         self._update_reading()
         self._note_memory()
 
+    @property
+    def is_unused(self) -> bool:
+        """Whether the connection has no request (``making_room``)."""
+        has_request = bool(self._pipeline.requests) and not self._lingering
+        return not (has_request or self.unsent or self.transport.is_closing())
+
+    @property
+    def unused_since(self) -> tuple[bool, float]:
+        """Whether it has had a request, and since when it has none (``making_room``)."""
+        if self._newest is not None or self._deadline_timer is None:
+            return True, self._idle_since
+        return False, self._deadline_timer.when()  # set when the connection was made
+
     def close_unused(self) -> bool:
-        """Close the connection unless it has a request (``ConnectionLimit``)."""
+        """Close the connection unless it has a request by now (``making_room``)."""
         self._read_now()
-        has_request = bool(self._pipeline.requests) and not self._lingering
-        if has_request or self.unsent or self.transport.is_closing():
+        if not self.is_unused:
             return False
+        self._making_room = True
+        self._server.open_connections -= 1
         self.transport.abort()
         return True
 
@@ -321,13 +361,14 @@
         cycle = RequestCycle(
             self, self._build_scope(), self._runs_concurrently, self._expects_continue
         )
-        cycle.head_memory = self.head_memory
-        cycle.memory_short = not self._resources.memory.has_room(cycle.head_memory)
+        cycle.head_memory = head_memory = self.head_memory
+        memory = self._resources.memory
+        cycle.memory_short = memory.held_bytes + head_memory >= memory.limit
+        if head_memory > USUAL_HEAD_BYTES:
+            self._memory_counted = True
         self._newest = cycle
         self._last_request = not self._parser.should_keep_alive()
         cycle.may_write = self._pipeline.add(cycle)
-        if cycle.may_write:
-            self._server.limit.note_request(self)
         self._start_requests()
 
     def on_body(self, body: bytes) -> None:
@@ -343,8 +384,8 @@
         self._newest.receive_end()
         self._discarding = self._last_request
         self._reading_head = True
-        self._head_bytes = 0
-        self.drop_head()
+        self._head_bytes = self._head_size_bound = 0
+        self._headers = []
         if not self._pipeline.requests:
             self._stop_deadline()
             self._note_idle()
@@ -371,7 +412,8 @@
     def resume_reading(self) -> None:
         """Parse waiting data and resume reading if the pipeline has capacity."""
         if self._reading_paused:
-            self._parse_unparsed()
+            if self._unparsed:
+                self._parse_unparsed()
             self._update_reading()
         if self._memory_counted:
             self._note_memory()
@@ -442,7 +484,6 @@
         """Close after the caller does; data it sent after the last response is discarded."""
         self._discarding = self._lingering = True
         self._unparsed = b""
-        self._server.limit.note_idle(self)
         unanswered = sum(cycle.received for cycle in self._pipeline.requests)
         if unanswered:
             logger.warning("closing a connection with complete requests unanswered: %d", unanswered)
@@ -465,7 +506,6 @@
             self.transport.close()
 
     def _note_idle(self) -> None:
-        self._server.limit.note_idle(self)
         self._idle_since = self.loop.time()
         if self._idle_timer is None:
             self._idle_timer = self.loop.call_later(self._server.keep_alive, self._close_idle)
@@ -506,7 +546,8 @@
             self._close_idle_now()
 
     def _read_now(self) -> None:
-        self._parse_unparsed()
+        if self._unparsed:
+            self._parse_unparsed()
         if isinstance(self.transport, StreamTransport):
             self.transport.read_now()
 
--- a/src/pewtertack/node/http/server.py
+++ b/src/pewtertack/node/http/server.py
@@ -30,7 +30,6 @@
     RECEIVE_BUFFER_BYTES,
     UNLIMITED,
     CallerResources,
-    ConnectionLimit,
 )
 from pewtertack.node.http.cycle import LOGGER_NAME
 from pewtertack.node.http.protocol import HttpServerProtocol
@@ -73,7 +72,13 @@
         self.keep_alive = max(1.0, keep_alive)
         self.refuse = refuse
         self.resources = resources or CallerResources()
-        self.limit = ConnectionLimit(max_connections)
+        self.open_connections = 0
+        """Number of connections, without those that are being closed to make room."""
+        self.closed_unused = 0
+        """Number of connections without a request that were closed in favor of new ones."""
+        self.refused_connections = 0
+        """Number of connections that were refused because all others had requests."""
+        self._max_connections = max_connections
         self.connections: set[HttpServerProtocol] = set()
         self.slow_readers = SlowReaders(getattr(application, RELAY_ATTRIBUTE, False))
         self.tasks: set[asyncio.Task[None]] = set()
@@ -118,7 +123,7 @@
         await self._finish_responses()
 
     def _serve_connection(self, loop: asyncio.AbstractEventLoop, accepted: socket) -> None:
-        if not self.limit.admit():
+        if self.open_connections >= self._max_connections and not self._make_room():
             self._refuse_connection(accepted)
             return
         # Connections made before the listener had these options do not inherit them. With Nagle's
@@ -127,8 +132,17 @@
         accepted.setsockopt(IPPROTO_TCP, TCP_NOTSENT_LOWAT, NOTSENT_LOWAT_BYTES)
         StreamTransport(loop, accepted, HttpServerProtocol(self, loop))
 
+    def _make_room(self) -> bool:
+        """Close unused connections; return whether another one may be opened."""
+        from pewtertack.node.http.making_room import close_unused  # for crowds only
+
+        closed = close_unused(self.connections)
+        self.closed_unused += closed
+        return closed > 0
+
     def _refuse_connection(self, accepted: socket) -> None:
         """Refuse the request that the connection would bring: it is not read."""
+        self.refused_connections += 1
         with accepted, contextlib.suppress(OSError):  # the caller has disconnected
             accepted.send(self.refuse(RefusalReason.CONNECTIONS_FULL, False))
             accepted.shutdown(SHUT_WR)
--- a/src/pewtertack/node/proxy/application.py
+++ b/src/pewtertack/node/proxy/application.py
@@ -16,7 +16,7 @@
 from pewtertack.node.counting import MetricsRegistry
 from pewtertack.node.crash_reporter import CrashReporter
 from pewtertack.node.crash_watch import BrokenExchange, CrashDetector, fingerprints_of
-from pewtertack.node.http.cycle import Scope
+from pewtertack.node.http.cycle import CALLER_EXTENSION, Scope
 from pewtertack.node.proxy.body import CallerGoneError
 from pewtertack.node.proxy.configuration_wait import ConfigurationWait
 from pewtertack.node.proxy.edge import DEFAULT_EDGE, EdgeHeaders, hop_edge
@@ -252,7 +252,8 @@
             head = read_head(scope["headers"], self._edge)
             head.request_id = head.request_id or f"{self._random.getrandbits(128):032x}"
             self._check_serving()
-            check_memory(scope, head.body_is_large)
+            if scope["extensions"][CALLER_EXTENSION].memory_short:
+                check_memory(scope, head.body_is_large)
             await self._forward(scope, receive, send, head)
         except RequestFailedError as error:
             await self._refuse(send, error, head, None)
--- a/src/pewtertack/node/proxy/in_flight.py
+++ b/src/pewtertack/node/proxy/in_flight.py
@@ -27,14 +27,16 @@
 
 
 def check_memory(scope: Scope, body_is_large: bool) -> None:
-    """Refuse a request larger than usual if callers have used up their memory.
+    """Refuse a request larger than usual: callers have used up their memory.
 
     Raises:
         MemoryFullError: there is no room for the request; it has not run.
     """
     caller: Caller = scope["extensions"][CALLER_EXTENSION]
-    if caller.memory_short and (body_is_large or not caller.is_usual):
-        raise MemoryFullError("callers have used up the node's memory for requests")
+    if body_is_large or not caller.is_usual:
+        error = MemoryFullError("callers have used up the node's memory for requests")
+        error.reached_backend = False
+        raise error
 
 
 class ActiveRequest(Protocol):
--- a/src/pewtertack/routing/outcomes.py
+++ b/src/pewtertack/routing/outcomes.py
@@ -199,10 +199,6 @@
 
     code: ClassVar[str] = "memory-full"
 
-    def __init__(self, message: str) -> None:
-        super().__init__(message)
-        self.reached_backend = False
-
 
 class ConnectionsFullError(NotRunError):
     """Callers have used up the connections that the node has for them."""
--- a/tests/node/gateway/test_refusals.py
+++ b/tests/node/gateway/test_refusals.py
@@ -2,8 +2,8 @@
 
 import unittest
 
+from pewtertack.node.gateway.application import GatewayApplication
 from pewtertack.node.gateway.hop import FAILURE, error_from_failure
-from pewtertack.node.gateway.refusals import gateway_refusal
 from pewtertack.node.http.refusals import RefusalReason
 from pewtertack.node.proxy.headers import read_response_meta
 from pewtertack.routing.outcomes import Outcome
@@ -16,7 +16,9 @@
         for reason in RefusalReason:
             for started, outcome in ((False, Outcome.NOT_RUN), (True, Outcome.UNKNOWN)):
                 with self.subTest(reason, started=started):
-                    head = gateway_refusal(reason, started).partition(b"\r\n\r\n")[0]
+                    head = GatewayApplication.write_refusal(reason, started).partition(b"\r\n\r\n")[
+                        0
+                    ]
                     status_line, *lines = head.split(b"\r\n")
                     pairs = [line.partition(b": ")[::2] for line in lines]
                     meta = read_response_meta([(name, value) for name, value in pairs])
--- a/tests/node/http/test_caller_resources.py
+++ b/tests/node/http/test_caller_resources.py
@@ -9,10 +9,10 @@
 from pewtertack.node.http.caller_resources import (
     FREE_BYTES,
     CallerResources,
-    ConnectionLimit,
     MemoryBudget,
 )
 from pewtertack.node.http.cycle import CALLER_EXTENSION
+from pewtertack.node.http.making_room import CLOSED_AT_ONCE, close_unused
 from pewtertack.node.http.server import HttpServer
 
 HEADERS = b"aa:bb\r\n" * 1500
@@ -25,9 +25,12 @@
 
 
 class FakeConnection:
-    def __init__(self, budget: MemoryBudget | None = None, unused: bool = True) -> None:
+    def __init__(
+        self, budget: MemoryBudget | None = None, unused_since: tuple[bool, float] = (False, 0.0)
+    ) -> None:
         self.budget = budget
-        self.unused = unused
+        self.unused_since = unused_since
+        self.is_unused = True
         self.discarded = self.closed = False
 
     def discard_arriving(self) -> None:
@@ -36,8 +39,8 @@
             self.budget.note(self, 0, 0)
 
     def close_unused(self) -> bool:
-        self.closed = self.unused
-        return self.unused
+        self.closed = self.is_unused
+        return self.closed
 
 
 class MemoryBudgetTest(unittest.TestCase):
@@ -67,36 +70,22 @@
         self.assertTrue(budget.has_room())
 
 
-class ConnectionLimitTest(unittest.TestCase):
-    def test_the_oldest_without_a_request_makes_room_then_the_longest_idle(self) -> None:
-        limit = ConnectionLimit(3)
-        idle, older, newer = (FakeConnection() for _ in range(3))
-        for connection in (idle, older, newer):
-            self.assertTrue(limit.admit())
-            limit.add(connection)
-        limit.note_request(idle)
-        limit.note_idle(idle)
-        self.assertTrue(limit.admit())
-        self.assertEqual([item.closed for item in (idle, older, newer)], [False, True, False])
-        limit.remove(older)
-        limit.remove(newer)
-        for _ in range(2):
-            connection = FakeConnection()
-            limit.add(connection)
-            limit.note_request(connection)
-        self.assertTrue(limit.admit())
-        self.assertTrue(idle.closed)
-
-    def test_a_connection_is_refused_while_all_have_requests(self) -> None:
-        limit = ConnectionLimit(1)
-        connection = FakeConnection()
-        limit.add(connection)
-        limit.note_request(connection)
-        self.assertFalse(limit.admit())
-        self.assertEqual(limit.refused, 1)
-        limit.remove(connection)
-        self.assertTrue(limit.admit())
+class MakingRoomTest(unittest.TestCase):
+    def test_those_without_a_first_request_are_closed_then_the_longest_idle(self) -> None:
+        idle = [FakeConnection(unused_since=(True, float(at))) for at in range(CLOSED_AT_ONCE)]
+        new = [FakeConnection(unused_since=(False, 9.0 + at)) for at in range(CLOSED_AT_ONCE)]
+        busy = [FakeConnection() for _ in range(CLOSED_AT_ONCE)]
+        for connection in busy:
+            connection.is_unused = False
+        self.assertEqual(close_unused([*idle, *new, *busy]), CLOSED_AT_ONCE)
+        self.assertTrue(all(item.closed for item in new))
+        self.assertFalse(any(item.closed for item in (*idle, *busy)))
+        self.assertEqual(close_unused([*busy, *idle]), CLOSED_AT_ONCE)
+        self.assertTrue(all(item.closed for item in idle))
+        self.assertEqual(close_unused(busy), 0)
 
+
+class DescriptorsTest(unittest.TestCase):
     def test_descriptors_are_left_for_peers_the_platform_and_forwarded_requests(self) -> None:
         for descriptors in (256, 600, 4100):
             resources = CallerResources(descriptors=descriptors)
