A closing connection is asked once to discard what it holds

What callers saw: after a crowd with pipelined heads at the admin or the metrics address, or with unfinished heads at the callers', a node answered nobody any more, on any listener, and took a whole core.

Cause: MemoryBudget.relieve goes on while the limit is exceeded and some connection has arriving data. A connection that is closing, and whose reading is paused, kept on reporting the kernel's buffer as arriving, and could discard nothing: an endless loop.

The unit test's connection, which discards nothing, was asked over 100 times.

Why it works: each connection is asked once a call, largest first, and one that is closing or discarding reports nothing as arriving.

--- a/src/pewtertack/node/http/caller_resources.py
+++ b/src/pewtertack/node/http/caller_resources.py
@@ -84,12 +84,19 @@
         return counted > 0
 
     def relieve(self) -> None:
-        """Have the connections that hold the most discard what they can, while over the limit."""
-        while self.held_bytes > self.limit and self._arriving:
-            largest = max(self._arriving, key=self._arriving.__getitem__)
-            del self._arriving[largest]
-            self.discarded += 1
-            largest.discard_arriving()
+        """Have the connections that hold the most discard what they can, while over the limit.
+
+        Each is asked once: one that is closing may have nothing that it can discard.
+        """
+        if self.held_bytes <= self.limit:
+            return
+        largest_first = sorted(self._arriving, key=self._arriving.__getitem__, reverse=True)
+        for connection in largest_first:
+            if self.held_bytes <= self.limit:
+                return
+            if self._arriving.pop(connection, 0):
+                self.discarded += 1
+                connection.discard_arriving()
 
 
 class CallerResources:
--- a/src/pewtertack/node/http/protocol.py
+++ b/src/pewtertack/node/http/protocol.py
@@ -281,7 +281,8 @@
         size = len(self._unparsed) + (self.head_memory if self._reading_head else 0)
         if self._reading_paused:
             size += RECEIVE_BUFFER_BYTES
-        arriving = 0 if self._is_receiving_first() else size
+        keeps = self._discarding or self.transport.is_closing() or self._is_receiving_first()
+        arriving = 0 if keeps else size
         for cycle in self._pipeline.requests:
             size += cycle.memory + (REQUEST_BYTES if cycle.started else 0)
         if size > FREE_BYTES or self._memory_counted:
--- a/tests/node/http/test_caller_resources.py
+++ b/tests/node/http/test_caller_resources.py
@@ -43,6 +43,19 @@
         return self.closed
 
 
+class StubbornConnection(FakeConnection):
+    """Still holds everything after it was to discard it."""
+
+    asked = 0
+
+    def discard_arriving(self) -> None:
+        self.asked += 1
+        if self.asked > 100:
+            raise AssertionError("asked without end")
+        assert self.budget is not None
+        self.budget.note(self, 4 * FREE_BYTES, FREE_BYTES)
+
+
 class MemoryBudgetTest(unittest.TestCase):
     def test_a_usual_request_is_not_counted(self) -> None:
         budget = MemoryBudget(0)
@@ -59,6 +72,15 @@
         self.assertTrue(budget.held_bytes <= budget.limit)
         self.assertEqual(budget.discarded, 1)
 
+    def test_a_connection_that_discards_nothing_is_asked_once(self) -> None:
+        """Guards against a node that hangs: a connection that is closing discards nothing."""
+        budget = MemoryBudget(FREE_BYTES)
+        connection = StubbornConnection(budget)
+        budget.note(connection, 4 * FREE_BYTES, FREE_BYTES)
+        budget.relieve()
+        self.assertEqual(connection.asked, 1)
+        self.assertFalse(budget.has_room())
+
     def test_complete_requests_are_kept(self) -> None:
         budget = MemoryBudget(FREE_BYTES)
         connection = FakeConnection(budget)
